--- /dev/null
+++ b/src/lentilrill/fleet/_view.py
@@ -0,0 +1,116 @@
+"""Typed reading of the mirrored state: document, pools and zones."""
+
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from lentilrill.fleet._records import HostEntry, PoolRecord
+from lentilrill.ids import HostId, PoolId, Revision, ZoneId
+from lentilrill.membership import ZoneRecord
+from lentilrill.platform import Item, Mirror
+from lentilrill.settings import Document
+
+__all__ = ["DOCUMENT_KEY", "FleetView"]
+
+DOCUMENT_KEY = "state/document"
+POOLS = "state/pools/"
+ZONES = "state/zones/"
+
+
+class FleetView:
+    """The newest known document, pool records and zone records, decoded once each change.
+
+    Keys in the mirror are relative to the system's prefix on the platform. Records that can't
+    be decoded are left as they were before and counted in ``undecodable``.
+    """
+
+    def __init__(self, mirror: Mirror) -> None:
+        self.mirror = mirror
+        self.undecodable = 0
+        self._lock = threading.Lock()
+        self._document = Document()
+        self._document_revision = Revision(0)
+        self._pools_by_id: dict[PoolId, tuple[PoolRecord, Revision]] = {}
+        self._zones_by_id: dict[ZoneId, tuple[ZoneRecord, Revision]] = {}
+        self._hosts_by_id: dict[HostId, tuple[PoolId, HostEntry]] = {}
+        self._listeners: list[Callable[[], None]] = []
+        mirror.subscribe(self._refresh)
+
+    @property
+    def ready(self) -> bool:
+        """Whether a document and the full state have been seen."""
+        return self.mirror.complete_to > 0 and self._document_revision > 0
+
+    @property
+    def document(self) -> Document:
+        """The operators' document in force here."""
+        return self._document
+
+    @property
+    def document_revision(self) -> Revision:
+        """Revision of :attr:`document`; 0 before the first one."""
+        return self._document_revision
+
+    @property
+    def pools_by_id(self) -> dict[PoolId, tuple[PoolRecord, Revision]]:
+        """Pool records with their revisions. A copy-on-write value: don't change it."""
+        return self._pools_by_id
+
+    @property
+    def zones_by_id(self) -> dict[ZoneId, tuple[ZoneRecord, Revision]]:
+        """Zone records with their revisions. A copy-on-write value: don't change it."""
+        return self._zones_by_id
+
+    @property
+    def hosts_by_id(self) -> dict[HostId, tuple[PoolId, HostEntry]]:
+        """Every host with the pool it belongs to. A copy-on-write value: don't change it."""
+        return self._hosts_by_id
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change."""
+        self._listeners.append(listener)
+
+    def _refresh(self, changed: tuple[Item, ...]) -> None:
+        with self._lock:
+            pools, zones = dict(self._pools_by_id), dict(self._zones_by_id)
+            for item in changed:
+                self._take(item, pools, zones)
+            self._zones_by_id = zones
+            if pools != self._pools_by_id:
+                self._pools_by_id = pools
+                self._hosts_by_id = {
+                    entry.id: (pool, entry)
+                    for pool, (record, _) in pools.items()
+                    for entry in record.hosts
+                }
+        for listener in list(self._listeners):
+            listener()
+
+    def _take(
+        self,
+        item: Item,
+        pools: dict[PoolId, tuple[PoolRecord, Revision]],
+        zones: dict[ZoneId, tuple[ZoneRecord, Revision]],
+    ) -> None:
+        try:
+            if item.key == DOCUMENT_KEY and item.value is not None:
+                if item.revision > self._document_revision:
+                    self._document = msgspec.json.decode(item.value, type=Document)
+                    self._document_revision = item.revision
+            elif item.key.startswith(POOLS):
+                _put(pools, PoolId(item.key[len(POOLS) :]), item, PoolRecord)
+            elif item.key.startswith(ZONES):
+                _put(zones, ZoneId(item.key[len(ZONES) :]), item, ZoneRecord)
+        except msgspec.MsgspecError:
+            self.undecodable += 1
+
+
+def _put(records: dict, key: str, item: Item, kind: type) -> None:
+    held = records.get(key)
+    if held is not None and held[1] > item.revision:
+        return
+    if item.value is None:
+        records.pop(key, None)
+        return
+    records[key] = (msgspec.json.decode(item.value, type=kind), item.revision)
--- /dev/null
+++ b/src/lentilrill/inner/__init__.py
@@ -0,0 +1,46 @@
+"""The protocol between the system's own processes: messages, codec and ZeroMQ node."""
+
+from lentilrill.inner._claims import ClaimAnswer, ClaimAsk, ClaimState, OutcomeNote
+from lentilrill.inner._codec import Batch, Message, decode, encode
+from lentilrill.inner._grants import (
+    Ask,
+    Cancel,
+    Done,
+    Granted,
+    Held,
+    HeldGrants,
+    Refusal,
+    Refused,
+    Verdict,
+)
+from lentilrill.inner._node import Node
+from lentilrill.inner._state import Heartbeat, Leave, StateAsk, StateItems
+from lentilrill.inner._withdrawals import Barred, HostTrouble, WithdrawalAck
+
+__all__ = [
+    "Ask",
+    "Barred",
+    "Batch",
+    "Cancel",
+    "ClaimAnswer",
+    "ClaimAsk",
+    "ClaimState",
+    "Done",
+    "Granted",
+    "Heartbeat",
+    "Held",
+    "HeldGrants",
+    "HostTrouble",
+    "Leave",
+    "Message",
+    "Node",
+    "OutcomeNote",
+    "Refusal",
+    "Refused",
+    "StateAsk",
+    "StateItems",
+    "Verdict",
+    "WithdrawalAck",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/src/lentilrill/inner/_claims.py
@@ -0,0 +1,65 @@
+"""Messages between gateways and the owners of idempotency-key shards."""
+
+from enum import Enum
+
+import msgspec
+
+from lentilrill.ids import PlanId, RequestId
+
+__all__ = ["ClaimAnswer", "ClaimAsk", "ClaimState", "OutcomeNote"]
+
+
+class ClaimState(Enum):
+    """What the owner knows of a key."""
+
+    CLAIMED = "claimed"
+    """The key is this request's: it alone may dispatch the job."""
+    IN_PROGRESS = "in_progress"
+    RECORDED = "recorded"
+    MISMATCH = "mismatch"
+    """The key was used with another request body or path."""
+    UNAVAILABLE = "unavailable"
+    """The owner can't claim now; nothing ran."""
+    NOT_OWNER = "not_owner"
+
+
+class ClaimAsk(msgspec.Struct, frozen=True, tag="claim_ask"):
+    """Asks the shard's owner to claim a key for a request. Idempotent for the same request.
+
+    :param fingerprint: digest of method, path and body.
+    """
+
+    request: RequestId
+    shard: int
+    plan: PlanId
+    key: str
+    fingerprint: str
+    reply_to: str
+
+
+class ClaimAnswer(msgspec.Struct, frozen=True, tag="claim_answer"):
+    """What became of a claim.
+
+    :param status: recorded HTTP status, when ``state`` is ``RECORDED``.
+    :param body: recorded body; ``None`` if it was too large to keep.
+    """
+
+    request: RequestId
+    state: ClaimState
+    retry_after_s: float | None = None
+    status: int = 0
+    content_type: str = ""
+    body: bytes | None = None
+
+
+class OutcomeNote(msgspec.Struct, frozen=True, tag="outcome_note"):
+    """How a claimed job ended. ``ran`` false releases the key: no byte reached an endpoint."""
+
+    request: RequestId
+    shard: int
+    plan: PlanId
+    key: str
+    ran: bool
+    status: int = 0
+    content_type: str = ""
+    body: bytes | None = None
--- /dev/null
+++ b/src/lentilrill/inner/_grants.py
@@ -0,0 +1,139 @@
+"""Messages between gateways and pool schedulers."""
+
+from enum import Enum
+
+import msgspec
+
+from lentilrill.ids import GrantId, HostId, PlanId, PoolId, RequestId, ZoneId
+
+__all__ = [
+    "Ask",
+    "Cancel",
+    "Done",
+    "Granted",
+    "Held",
+    "HeldGrants",
+    "Refusal",
+    "Refused",
+    "Verdict",
+]
+
+
+class Ask(msgspec.Struct, frozen=True, tag="ask"):
+    """Asks the pool's scheduler for one slot.
+
+    Idempotent: the same request asked again keeps its place, or has its grant repeated.
+
+    :param urgency: rank of the urgency class, 0 first.
+    :param wait_s: seconds from now within which the job must start.
+    :param run_s: run time that the caller declares, in seconds; 0 if unknown.
+    :param reply_to: inner address of the asking gateway.
+    """
+
+    request: RequestId
+    pool: PoolId
+    plan: PlanId
+    urgency: int
+    wait_s: float
+    reply_to: str
+    run_s: float = 0.0
+    avoid: tuple[HostId, ...] = ()
+
+
+class Cancel(msgspec.Struct, frozen=True, tag="cancel"):
+    """The caller left or the gateway gave up: forget the ask, or free its grant unused."""
+
+    request: RequestId
+    pool: PoolId
+
+
+class Granted(msgspec.Struct, frozen=True, tag="granted"):
+    """One slot of ``host`` is the request's until its gateway reports it done.
+
+    :param epoch: the scheduler's incarnation; reports to another epoch are reconciled.
+    :param start_within_s: seconds after receipt within which the job must be sent.
+    """
+
+    request: RequestId
+    pool: PoolId
+    grant: GrantId
+    host: HostId
+    epoch: int
+    start_within_s: float
+
+
+class Refusal(Enum):
+    """Why no slot is given."""
+
+    QUEUE_FULL = "queue_full"
+    PLAN_LIMIT = "plan_limit"
+    TOO_LATE = "too_late"
+    """The job could not start within its wait."""
+    NO_HOSTS = "no_hosts"
+    """The pool has no host here that may take it."""
+    NOT_SCHEDULER = "not_scheduler"
+    """The asked process does not schedule this pool; ask again."""
+
+
+class Refused(msgspec.Struct, frozen=True, tag="refused"):
+    """The final answer to an ask.
+
+    :param retry_after_s: seconds after which a new try makes sense; ``None`` for never.
+    :param spill: zone that has free slots of the pool, if any.
+    """
+
+    request: RequestId
+    pool: PoolId
+    refusal: Refusal
+    retry_after_s: float | None = None
+    spill: ZoneId | None = None
+
+
+class Verdict(Enum):
+    """How a granted job ended, as far as the scheduler needs to know."""
+
+    OK = "ok"
+    """The endpoint gave a whole answer, whatever its status below 500."""
+    ERROR = "error"
+    """The endpoint answered with a status of 500 or above."""
+    UNREACHABLE = "unreachable"
+    """No connection could be opened; nothing was sent."""
+    BROKEN = "broken"
+    """The exchange broke after bytes went out."""
+    LEAVING = "leaving"
+    """The endpoint said that it is leaving."""
+    UNUSED = "unused"
+    """The grant was not used."""
+
+
+class Done(msgspec.Struct, frozen=True, tag="done"):
+    """The grant is over.
+
+    :param run_s: seconds from sending to the whole answer.
+    """
+
+    pool: PoolId
+    grant: GrantId
+    host: HostId
+    plan: PlanId
+    verdict: Verdict
+    run_s: float
+
+
+class Held(msgspec.Struct, frozen=True):
+    """One grant that a gateway still holds."""
+
+    grant: GrantId
+    host: HostId
+    plan: PlanId
+
+
+class HeldGrants(msgspec.Struct, frozen=True, tag="held_grants"):
+    """All grants of a pool that the sender holds, told to a new scheduler.
+
+    A scheduler that took over grants a host's slots only after it heard from every living
+    gateway of the zone, or after its rebuild time.
+    """
+
+    pool: PoolId
+    grants: tuple[Held, ...]
--- /dev/null
+++ b/src/lentilrill/operators/__init__.py
@@ -0,0 +1,1 @@
+"""To be filled."""
--- /dev/null
+++ b/src/lentilrill/platform/_mirror.py
@@ -0,0 +1,93 @@
+"""A process's copy of the platform's state keys, which only ever moves forward."""
+
+import threading
+from collections.abc import Callable, Iterable
+
+from lentilrill.ids import Revision
+from lentilrill.platform._contract import Item
+
+__all__ = ["Mirror"]
+
+NEVER = Revision(0)
+
+
+class Mirror:
+    """State keys by name, each at the newest revision seen.
+
+    The mirror is *complete to* a revision: it holds the newest value of every state key as of
+    that revision or later. Items may be newer than that, for instance from the process's own
+    write, but never older.
+
+    Guard against a configuration that reverts: a stale read or a late message offers an item
+    with a lower revision than the one held; it is dropped, so no process steps back.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._items_by_key: dict[str, Item] = {}
+        self._complete_to = Revision(0)
+        self._listeners: list[Callable[[tuple[Item, ...]], None]] = []
+
+    @property
+    def complete_to(self) -> Revision:
+        """Revision up to which no change is missing; 0 before the first full state."""
+        return self._complete_to
+
+    def get(self, key: str) -> Item | None:
+        """Return the newest known item of ``key``; ``None`` if absent or deleted."""
+        item = self._items_by_key.get(key)
+        return item if item is not None and item.value is not None else None
+
+    def below(self, prefix: str) -> list[Item]:
+        """Return the present items whose keys start with ``prefix``, sorted by key."""
+        with self._lock:
+            items = [i for k, i in self._items_by_key.items() if k.startswith(prefix)]
+        return sorted((i for i in items if i.value is not None), key=lambda i: i.key)
+
+    def after(self, revision: Revision) -> tuple[tuple[Item, ...], Revision]:
+        """Return items newer than ``revision``, deleted ones too, and ``complete_to``."""
+        with self._lock:
+            newer = tuple(i for i in self._items_by_key.values() if i.revision > revision)
+            return newer, self._complete_to
+
+    def offer(self, items: Iterable[Item], complete_to: Revision = NEVER) -> bool:
+        """Take over what is newer; listeners hear of the changed items.
+
+        :param complete_to: revision to which the giver was complete, if ``items`` hold all of
+            its changes after this mirror's own ``complete_to``; 0 if they are just some items.
+        :return: whether anything changed.
+        """
+        with self._lock:
+            changed = tuple(item for item in items if self._take(item))
+            self._complete_to = max(self._complete_to, complete_to)
+        if changed:
+            for listener in list(self._listeners):
+                listener(changed)
+        return bool(changed)
+
+    def replace(self, items: Iterable[Item], revision: Revision) -> bool:
+        """Take over a full read of the state at ``revision``.
+
+        A key that is held but not read was deleted in between; it is kept as a deletion, so
+        that an older value offered later can't bring it back.
+        """
+        read = tuple(items)
+        present = {item.key for item in read}
+        with self._lock:
+            vanished = tuple(
+                Item(key, None, revision)
+                for key, held in self._items_by_key.items()
+                if key not in present and held.value is not None and held.revision <= revision
+            )
+        return self.offer(read + vanished, revision)
+
+    def subscribe(self, listener: Callable[[tuple[Item, ...]], None]) -> None:
+        """Call ``listener`` with the changed items after each change, outside the lock."""
+        self._listeners.append(listener)
+
+    def _take(self, item: Item) -> bool:
+        held = self._items_by_key.get(item.key)
+        if held is not None and held.revision >= item.revision:
+            return False
+        self._items_by_key[item.key] = item
+        return True
--- /dev/null
+++ b/src/lentilrill/settings/_process.py
@@ -0,0 +1,123 @@
+"""Settings of one process, read strictly from a JSON file."""
+
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.ids import EntryHostId, ProcessId, ZoneId
+
+__all__ = [
+    "ControllerSettings",
+    "GatewaySettings",
+    "InnerKeys",
+    "PlatformSettings",
+    "ProcessSettings",
+    "load_settings",
+]
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Address = Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$|^\[[0-9a-fA-F:.]+\]:[0-9]{1,5}$")
+]
+
+
+class InnerKeys(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """CURVE key pair shared by the processes of one system, in Z85 text."""
+
+    public: Annotated[str, msgspec.Meta(min_length=40, max_length=40)]
+    secret: Annotated[str, msgspec.Meta(min_length=40, max_length=40)]
+
+
+class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the platform's services are and how much of them a process may use.
+
+    :param key_value: addresses of the key-value service, tried in turn.
+    :param host_list: address of the host list.
+    :param prefix: first part of every key of this system.
+    :param deadline_s: deadline of one call, in seconds.
+    :param calls_per_s: call budget of the process.
+    """
+
+    key_value: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
+    host_list: Address
+    prefix: str = "lentilrill/"
+    deadline_s: Positive = 2.0
+    calls_per_s: Positive = 50.0
+
+
+class ProcessSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What every process needs to know of itself.
+
+    :param inner: address on which other processes of the system reach this one.
+    :param seeds: inner addresses of processes to ask first.
+    :param statsd: address of the statsd sink; empty means no metrics are sent.
+    :param heartbeat_s: seconds between two heartbeats to a peer.
+    :param suspect_after_s: seconds of silence after which a peer is suspect.
+    """
+
+    process: ProcessId
+    entry_host: EntryHostId
+    zone: ZoneId
+    inner: Address
+    keys: InnerKeys
+    seeds: tuple[Address, ...] = ()
+    statsd: str = ""
+    log_level: str = "info"
+    heartbeat_s: Positive = 0.5
+    suspect_after_s: Positive = 2.0
+
+
+class GatewaySettings(ProcessSettings, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Settings of the request path.
+
+    :param listen: address for callers.
+    :param threads: callers that can be held at once; more than the queue bound.
+    :param drain_s: seconds that a stopping process waits for requests in flight.
+    :param claim_retention_s: seconds that the outcome of a keyed job is kept.
+    """
+
+    listen: Address
+    platform: PlatformSettings
+    threads: Count = 400
+    drain_s: Positive = 3600.0
+    largest_body_bytes: Count = 64 * 1024 * 1024
+    connect_timeout_s: Positive = 1.0
+    claim_retention_s: Positive = 600.0
+    claim_shards: Count = 16
+
+
+class ControllerSettings(ProcessSettings, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Settings of the fleet path.
+
+    :param listen: address for operators.
+    :param operator_tokens_sha256: hex SHA-256 of each operator's token, by operator name.
+    :param plan_every_s: seconds between two looks at the fleet.
+    :param host_list_lag_s: how old the platform's host list may be, in seconds.
+    """
+
+    listen: Address
+    platform: PlatformSettings
+    operator_tokens_sha256: dict[str, str]
+    plan_every_s: Positive = 1.0
+    host_list_lag_s: Positive = 10.0
+
+
+S = TypeVar("S", bound=ProcessSettings)
+
+
+def load_settings(path: Path, kind: type[S]) -> Result[S, Fault]:
+    """Read settings of ``kind`` from the JSON file at ``path``.
+
+    :return: the settings, or a fault whose reason names the offending key's path.
+    """
+    try:
+        return Success(msgspec.json.decode(path.read_bytes(), type=kind))
+    except OSError as error:
+        reason = error.strerror or str(error)
+    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        reason = str(error)
+    return Failure(Fault("settings.load", str(path), FaultKind.INVALID, reason))
--- /dev/null
+++ b/src/lentilrill/telemetry/_events.py
@@ -0,0 +1,80 @@
+"""Numbered log events with key=value fields, through absl.logging."""
+
+import sys
+from enum import Enum
+
+from absl import logging
+
+__all__ = ["Event", "Level", "log", "setup"]
+
+
+class Level(Enum):
+    """How much an event matters to the people on duty."""
+
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class Event(Enum):
+    """Every event the system logs: number, level, meaning. docs/events.md is checked against it.
+
+    Numbers are never reused. Blocks: 1 process, 2 inner protocol, 3 membership, 4 platform,
+    5 configuration, 6 fleet, 7 request path, 8 claims, 9 operators.
+    """
+
+    PROCESS_STARTED = (101, Level.INFO, "The process serves.")
+    PROCESS_DRAINING = (102, Level.INFO, "The process was told to stop and lets requests finish.")
+    PROCESS_STOPPED = (103, Level.INFO, "The process ended cleanly.")
+    TASK_FAILED = (104, Level.ERROR, "A task met an error it did not expect and was restarted.")
+    INNER_DROPPED = (201, Level.WARNING, "A malformed or unexpected message was dropped.")
+    INNER_REPLACED = (202, Level.INFO, "A silent connection to a peer was replaced.")
+    MEMBER_ALIVE = (301, Level.INFO, "A peer is heard.")
+    MEMBER_SUSPECT = (302, Level.WARNING, "A peer is silent; no new work goes to it.")
+    MEMBER_GONE = (303, Level.INFO, "A peer is proved to have ended.")
+    ZONE_RECORDED = (304, Level.INFO, "The zone's record of members was written.")
+    PLATFORM_LOST = (401, Level.WARNING, "The platform does not answer; calls are held back.")
+    PLATFORM_BACK = (402, Level.INFO, "The platform answers again.")
+    PLATFORM_CALL_FAILED = (403, Level.WARNING, "A platform call failed.")
+    DOCUMENT_IN_FORCE = (501, Level.INFO, "A revision of the document is in force here.")
+
+    @property
+    def number(self) -> int:
+        """The event's number."""
+        return self.value[0]
+
+    @property
+    def level(self) -> Level:
+        """The event's level."""
+        return self.value[1]
+
+    @property
+    def meaning(self) -> str:
+        """What the event says, in one sentence."""
+        return self.value[2]
+
+
+_WRITERS = {
+    Level.INFO: logging.info,
+    Level.WARNING: logging.warning,
+    Level.ERROR: logging.error,
+}
+
+
+def log(event: Event, **fields: object) -> None:
+    """Log ``event`` with its number, name and fields on one line."""
+    text = " ".join(f"{name}={_shown(value)}" for name, value in fields.items())
+    _WRITERS[event.level]("E%d %s %s", event.number, event.name.lower(), text)
+
+
+def setup(level: str) -> None:
+    """Send log lines at or above ``level`` (debug, info, warning, error) to stderr."""
+    logging.use_absl_handler()
+    logging.set_verbosity(getattr(logging, level.upper()))
+    logging.set_stderrthreshold(level)
+    sys.stderr.reconfigure(line_buffering=True)  # type: ignore[union-attr]
+
+
+def _shown(value: object) -> str:
+    text = str(value)
+    return repr(text) if " " in text or not text else text
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,105 @@
+"""Builders of test data: valid values with defaults, changed by keyword."""
+
+import hashlib
+import itertools
+import socket
+from typing import Any
+
+import zmq
+
+from lentilrill.fleet import HostEntry
+from lentilrill.ids import (
+    CustomerId,
+    EntryHostId,
+    HostId,
+    Incarnation,
+    PlanId,
+    PoolId,
+    ProcessId,
+    RackId,
+    ServiceId,
+    ZoneId,
+)
+from lentilrill.membership import Member, Role
+from lentilrill.settings import Entitlement, InnerKeys, Plan, Pool
+
+__all__ = [
+    "a_member",
+    "a_plan",
+    "a_pool",
+    "an_address",
+    "an_entitlement",
+    "an_entry",
+    "digest",
+    "inner_keys",
+]
+
+_incarnations = itertools.count(1)
+
+
+def digest(token: str) -> str:
+    """Return the hex SHA-256 under which a token is configured."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def an_address() -> str:
+    """Return a loopback address whose port was free a moment ago."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def inner_keys() -> InnerKeys:
+    """Return a new key pair for the inner protocol."""
+    public, secret = zmq.curve_keypair()
+    return InnerKeys(public.decode(), secret.decode())
+
+
+def a_plan(name: str = "schools", **changes: Any) -> Plan:
+    """Return a plan of the service of the same name, with the token ``token-NAME``."""
+    values: dict[str, Any] = {
+        "id": PlanId(name),
+        "customer": CustomerId("valley"),
+        "service": ServiceId(name),
+        "hosts_owed": 2,
+        "availability_budget": 1,
+        "token_sha256": digest(f"token-{name}"),
+    }
+    return Plan(**values | changes)
+
+
+def a_pool(name: str = "schools", **changes: Any) -> Pool:
+    """Return a pool that serves the service of the same name."""
+    values: dict[str, Any] = {"id": PoolId(name), "service": ServiceId(name)}
+    return Pool(**values | changes)
+
+
+def an_entitlement(name: str = "schools", **changes: Any) -> Entitlement:
+    """Return an entitlement of the plan to the pool of the same name."""
+    values: dict[str, Any] = {"plan": PlanId(name), "pools": (PoolId(name),)}
+    return Entitlement(**values | changes)
+
+
+def an_entry(name: str = "h1", **changes: Any) -> HostEntry:
+    """Return a serving host of zone ``z1``."""
+    values: dict[str, Any] = {
+        "id": HostId(name),
+        "address": "127.0.0.1:1",
+        "zone": ZoneId("z1"),
+        "rack": RackId("r1"),
+    }
+    return HostEntry(**values | changes)
+
+
+def a_member(name: str = "gw-1", **changes: Any) -> Member:
+    """Return a gateway of zone ``z1`` with a new incarnation."""
+    values: dict[str, Any] = {
+        "process": ProcessId(name),
+        "incarnation": Incarnation(next(_incarnations)),
+        "role": Role.GATEWAY,
+        "zone": ZoneId("z1"),
+        "entry_host": EntryHostId(f"entry-{name}"),
+        "inner": "127.0.0.1:1",
+        "http": "127.0.0.1:2",
+    }
+    return Member(**values | changes)
--- /dev/null
+++ b/tests/inner/test_node.py
@@ -0,0 +1,74 @@
+"""The node between processes: delivery, keys, malformed input."""
+
+import queue
+
+import zmq
+from testtools import TestCase
+
+from lentilrill.ids import Incarnation, ProcessId, Revision
+from lentilrill.inner import Heartbeat, Node, encode
+from lentilrill.settings import InnerKeys
+from tests import builders
+
+WAIT_S = 10.0
+
+
+class NodeTest(TestCase):
+    def a_node(self, name: str, keys: InnerKeys) -> Node:
+        node = Node(ProcessId(name), Incarnation(1), builders.an_address(), keys)
+        node.start()
+        self.addCleanup(node.close, 0.1)
+        return node
+
+    def heard_by(self, node: Node) -> "queue.Queue[Heartbeat]":
+        heard: queue.Queue[Heartbeat] = queue.Queue()
+        node.on(Heartbeat, lambda batch, message: heard.put(message))
+        return heard
+
+    def test_messages_arrive_in_order(self) -> None:
+        keys = builders.inner_keys()
+        one, two = self.a_node("one", keys), self.a_node("two", keys)
+        heard = self.heard_by(two)
+        for n in range(100):
+            one.send(two.address, Heartbeat(builders.a_member(), Revision(n)))
+        self.assertEqual(
+            list(range(100)), [heard.get(timeout=WAIT_S).complete_to for _ in range(100)]
+        )
+
+    def test_a_node_hears_itself(self) -> None:
+        node = self.a_node("one", builders.inner_keys())
+        heard = self.heard_by(node)
+        node.send(node.address, Heartbeat(builders.a_member(), Revision(7)))
+        self.assertEqual(7, heard.get(timeout=WAIT_S).complete_to)
+
+    def test_a_stray_process_is_not_heard(self) -> None:
+        # A process of another system, or an attacker, reaches the inner address and sends a
+        # heartbeat. Were it heard, it could join, be granted slots or acknowledge a withdrawal.
+        # Its key pair is not the system's, so its handshake must fail.
+        keys = builders.inner_keys()
+        stray, friend = self.a_node("stray", builders.inner_keys()), self.a_node("two", keys)
+        listener = self.a_node("one", keys)
+        heard = self.heard_by(listener)
+        stray_socket = stray.socket(zmq.DEALER)
+        stray_socket.curve_serverkey = keys.public.encode()
+        stray_socket.connect(f"tcp://{listener.address}")
+        member = builders.a_member("stray")
+        stray_socket.send(encode(stray.batch((Heartbeat(member, Revision(1)),))))
+        friend.send(listener.address, Heartbeat(builders.a_member("friend"), Revision(2)))
+        self.assertEqual("friend", heard.get(timeout=WAIT_S).member.process)
+        self.assertRaises(queue.Empty, heard.get, timeout=0.5)
+        stray_socket.close(linger=0)
+
+    def test_malformed_messages_are_dropped(self) -> None:
+        # A peer of a broken build sends bytes that are no batch. The receiver must drop and
+        # count them and go on, or one bad peer would silence the whole process.
+        keys = builders.inner_keys()
+        listener = self.a_node("one", keys)
+        heard = self.heard_by(listener)
+        broken = listener.connected(listener.address)
+        broken.send(b"\xc1 not a batch")
+        broken.send_multipart([b"", b"\x90", b"\xff" * 100])
+        friend = self.a_node("two", keys)
+        friend.send(listener.address, Heartbeat(builders.a_member(), Revision(3)))
+        self.assertEqual(3, heard.get(timeout=WAIT_S).complete_to)
+        broken.close(linger=0)
--- /dev/null
+++ b/tests/platform/test_mirror.py
@@ -0,0 +1,59 @@
+"""The mirror never steps back."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from lentilrill.ids import Revision
+from lentilrill.platform import Item, Mirror
+
+changes = st.lists(
+    st.tuples(st.sampled_from("abc"), st.booleans()).map(tuple), min_size=1, max_size=20
+)
+
+
+def history(steps: list[tuple[str, bool]]) -> list[Item]:
+    return [
+        Item(key, b"%d" % n if present else None, Revision(n + 1))
+        for n, (key, present) in enumerate(steps)
+    ]
+
+
+class MirrorTest(TestCase):
+    @settings(derandomize=True, max_examples=200, database=None)
+    @given(changes, st.randoms(use_true_random=False))
+    def test_any_order_ends_at_the_newest(self, steps, random) -> None:
+        # An operator's change is in force, then seems to revert: a message of an older
+        # revision, delayed on another path, arrives after the newer one and replaces it.
+        items = history(steps)
+        newest = {item.key: item for item in items}
+        shuffled = items * 2
+        random.shuffle(shuffled)
+        mirror = Mirror()
+        for item in shuffled:
+            mirror.offer((item,))
+        present = sorted((i for i in newest.values() if i.value is not None), key=lambda i: i.key)
+        self.assertEqual(present, mirror.below(""))
+
+    def test_a_full_read_deletes_what_vanished(self) -> None:
+        # A pool is removed while this process is cut off. After the full read that follows, a
+        # late message with the old value must not bring the pool back.
+        mirror = Mirror()
+        old = Item("pools/a", b"1", Revision(3))
+        mirror.replace((old,), Revision(3))
+        mirror.replace((), Revision(9))
+        mirror.offer((old,))
+        self.assertIsNone(mirror.get("pools/a"))
+        self.assertEqual(9, mirror.complete_to)
+
+    def test_a_stale_full_read_changes_nothing(self) -> None:
+        # The platform answers a read from a lagging replica; a configuration that is already
+        # in force here must not be replaced by the older one, nor a newer key be deleted.
+        mirror = Mirror()
+        new = Item("state/document", b"new", Revision(9))
+        mirror.replace((new,), Revision(9))
+        mirror.replace((Item("state/document", b"old", Revision(5)),), Revision(6))
+        self.assertEqual(new, mirror.get("state/document"))
+        mirror.replace((), Revision(6))
+        self.assertEqual(new, mirror.get("state/document"))
+        self.assertEqual(9, mirror.complete_to)
