Membership and gossip: roster, heartbeats, watch relay, zone record

A registered gateway is the only sender to its zone's hosts, so a withdrawal needs no sponsor rule: a newcomer that is not in the record it sees sends nothing.

--- /dev/null
+++ b/src/lentilrill/gossip/_recorder.py
@@ -0,0 +1,174 @@
+"""Keeps the zone's record of members on the platform."""
+
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure
+
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.ids import Revision, ZoneId
+from lentilrill.membership import (
+    Liveness,
+    Member,
+    Role,
+    RosterView,
+    ZoneRecord,
+    rendezvous,
+    zone_key,
+)
+from lentilrill.platform import Compare, HostList, HostListing, Item, KeyValue, Put
+from lentilrill.telemetry import Event, Metrics, log
+
+__all__ = ["ZoneRecorder", "next_record"]
+
+ROUND_S = 0.5
+HOST_LIST_EVERY_S = 2.0
+AMBIGUOUS_PAUSE_S = 1.0
+
+ZonesById = Callable[[], dict[ZoneId, tuple[ZoneRecord, Revision]]]
+
+
+def next_record(
+    record: ZoneRecord, heard: tuple[Member, ...], is_gone: Callable[[Member], bool]
+) -> ZoneRecord:
+    """Return the record with newcomers added and members taken out that are proved gone.
+
+    A registered member that is only silent stays: it may be paused between a check and a send.
+
+    :param heard: living members of the zone, heard of late.
+    :param is_gone: whether an incarnation is proved to have ended.
+    """
+    members = [member for member in record.members if not is_gone(member)]
+    held_by_process = {member.process: member for member in members}
+    for member in heard:
+        held = held_by_process.get(member.process)
+        if held is None and not is_gone(member):
+            members.append(member)
+    members.sort(key=lambda member: member.process)
+    return ZoneRecord(record.zone, tuple(members))
+
+
+class ZoneRecorder:
+    """Writes the zone's record when members join or are proved gone.
+
+    Any controller of the zone may write, by compare-and-swap on the record's revision; the one
+    chosen by rendezvous does, which saves calls.
+
+    :param publish: told of this process's own committed write.
+    :param host_list_lag_s: how old the host list may be.
+    """
+
+    def __init__(
+        self,
+        kv: KeyValue,
+        hosts: HostList,
+        roster: RosterView,
+        zones_by_id: ZonesById,
+        publish: Callable[[tuple[Item, ...]], None],
+        host_list_lag_s: float,
+        metrics: Metrics,
+    ) -> None:
+        self._kv = kv
+        self._hosts = hosts
+        self._roster = roster
+        self._zones_by_id = zones_by_id
+        self._publish = publish
+        self._lag_s = host_list_lag_s
+        self._metrics = metrics
+        self._silent_since: dict[Member, float] = {}
+        self._listing: HostListing | None = None
+        self._listed_at = 0.0
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="zone-recorder", daemon=True)
+
+    def start(self) -> None:
+        """Begin to keep the record."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """End the task."""
+        self._stopping.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopping.wait(ROUND_S):
+            try:
+                self.round()
+            except Exception as error:  # the task must outlive one bad round
+                log(Event.TASK_FAILED, task="zone-recorder", error=repr(error))
+
+    def round(self) -> None:
+        """Look once at the zone's members and write the record if it has to change."""
+        me = self._roster.me
+        chosen = rendezvous(f"record/{me.zone}", self._roster.alive(Role.CONTROLLER, me.zone))
+        if chosen != me:
+            return
+        record, revision = self._zones_by_id().get(me.zone, (ZoneRecord(me.zone), Revision(0)))
+        self._note_silence(record)
+        fresh = next_record(record, self._heard(), self._is_gone)
+        if fresh != record:
+            self._write(fresh, revision)
+
+    def _heard(self) -> tuple[Member, ...]:
+        me = self._roster.me
+        heard = [
+            one.member
+            for one in self._roster.heard()
+            if one.member.zone == me.zone and self._roster.liveness(one.member) is Liveness.ALIVE
+        ]
+        return (*heard, me)
+
+    def _note_silence(self, record: ZoneRecord) -> None:
+        now = time.time()
+        silent = {
+            member for member in record.members if self._roster.liveness(member) is Liveness.SUSPECT
+        }
+        self._silent_since = {member: self._silent_since.get(member, now) for member in silent}
+        if silent and now - self._listed_at > HOST_LIST_EVERY_S:
+            self._listed_at = now
+            result = self._hosts.hosts()
+            self._listing = None if isinstance(result, Failure) else result.unwrap()
+
+    def _is_gone(self, member: Member) -> bool:
+        return self._roster.liveness(member) is Liveness.GONE or self._is_delisted(member)
+
+    def _is_delisted(self, member: Member) -> bool:
+        """Whether the platform ended the member's entry host.
+
+        The list lags: one that was made soon after the silence began may lack a host that is
+        only being started, or show one that has ended. So it has to be newer by more than its
+        lag, and is read only while the member is silent.
+        """
+        since = self._silent_since.get(member)
+        listing = self._listing
+        if since is None or listing is None or listing.as_of < since + self._lag_s:
+            return False
+        return all(host.id != member.entry_host for host in listing.hosts)
+
+    def _write(self, record: ZoneRecord, revision: Revision) -> None:
+        key = zone_key(record.zone)
+        value = msgspec.json.encode(record)
+        result = self._kv.commit((Compare(key, revision),), (Put(key, value),))
+        if isinstance(result, Failure):
+            self._failed(result.failure())
+            return
+        answer = result.unwrap()
+        if answer.succeeded:
+            self._publish((Item(key, value, answer.revision),))
+            log(
+                Event.ZONE_RECORDED,
+                zone=record.zone,
+                revision=answer.revision,
+                members=len(record.members),
+            )
+        else:
+            self._metrics.incr("membership.record_conflicts")
+            self._stopping.wait(AMBIGUOUS_PAUSE_S)
+
+    def _failed(self, fault: Fault) -> None:
+        log(Event.PLATFORM_CALL_FAILED, step=fault.step, peer=fault.peer, reason=fault.reason)
+        if fault.kind is FaultKind.AMBIGUOUS:
+            # The write may have taken effect; the watch brings it before the next try.
+            self._stopping.wait(AMBIGUOUS_PAUSE_S)
--- /dev/null
+++ b/src/lentilrill/gossip/_watcher.py
@@ -0,0 +1,153 @@
+"""Brings the platform's state keys into the mirror and tells the zone."""
+
+import threading
+
+from returns.result import Failure
+
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.ids import Revision
+from lentilrill.inner import Node, StateItems
+from lentilrill.membership import Role, RosterView, rendezvous
+from lentilrill.platform import Item, KeyValue, Mirror, Priority, WatchBatch
+from lentilrill.telemetry import Event, Metrics, log
+
+__all__ = ["STATE", "Watcher"]
+
+STATE = "state/"
+RETRY_S = 0.5
+CHECK_S = 2.0
+"""How often the watch is checked against the store's newest change, and how often a
+controller that does not watch looks whether it should."""
+
+
+class Watcher:
+    """One controller of each zone watches the platform; it tells the others what changes.
+
+    The watching one is chosen by rendezvous among the zone's living controllers that reach the
+    platform. Two that watch at once cost a call more, no more.
+    """
+
+    def __init__(
+        self, kv: KeyValue, mirror: Mirror, roster: RosterView, node: Node, metrics: Metrics
+    ) -> None:
+        self._kv = kv
+        self._mirror = mirror
+        self._roster = roster
+        self._node = node
+        self._metrics = metrics
+        self._reachable = False
+        self._stopping = threading.Event()
+        self._restart = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="watcher", daemon=True)
+        self._checker = threading.Thread(target=self._check, name="watch-check", daemon=True)
+
+    @property
+    def platform_ok(self) -> bool:
+        """Whether the platform answered the last look at it."""
+        return self._reachable
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._thread.start()
+        self._checker.start()
+
+    def close(self) -> None:
+        """End the watch."""
+        self._stopping.set()
+        self._restart.set()
+        self._checker.join()
+
+    def publish(self, items: tuple[Item, ...]) -> None:
+        """Take over this process's own committed writes, and tell the zone at once."""
+        if self._mirror.offer(items):
+            self._tell(items, self._mirror.complete_to, self._mirror.complete_to)
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            if not self._is_chosen():
+                self._stopping.wait(RETRY_S)
+                continue
+            fault = self._read_all() or self._watch()
+            if fault is not None and not self._stopping.is_set():
+                self._metrics.incr("platform.watch_ended")
+                self._stopping.wait(RETRY_S)
+
+    def _is_chosen(self) -> bool:
+        me = self._roster.me
+        by_process = {heard.member.process: heard for heard in self._roster.heard()}
+        able = [
+            member
+            for member in self._roster.alive(Role.CONTROLLER, me.zone)
+            if member == me or by_process[member.process].platform
+        ]
+        return rendezvous(f"watch/{me.zone}", able) == me
+
+    def _read_all(self) -> Fault | None:
+        result = self._kv.read(STATE)
+        if isinstance(result, Failure):
+            self._reached(result.failure())
+            return result.failure()
+        self._reached(None)
+        answer = result.unwrap()
+        before = self._mirror.complete_to
+        if self._mirror.replace(answer.items, answer.revision):
+            items, complete_to = self._mirror.after(before)
+            self._tell(items, before, complete_to)
+        return None
+
+    def _watch(self) -> Fault | None:
+        self._restart.clear()
+        for result in self._kv.watch(STATE, self._mirror.complete_to):
+            if self._stopping.is_set() or self._restart.is_set():
+                return None
+            if isinstance(result, Failure):
+                self._reached(result.failure())
+                return result.failure()
+            self._take(result.unwrap())
+            if not self._is_chosen():
+                return None
+        return None
+
+    def _take(self, batch: WatchBatch) -> None:
+        before = self._mirror.complete_to
+        # The batch's own revision may be ahead of events still to come; only the items' counts.
+        newest = max((item.revision for item in batch.items), default=before)
+        if self._mirror.offer(batch.items, newest):
+            self._tell(batch.items, before, newest)
+
+    def _tell(self, items: tuple[Item, ...], after: Revision, complete_to: Revision) -> None:
+        me = self._roster.me
+        message = StateItems(items, after, complete_to)
+        for member in self._roster.registered_in(me.zone):
+            if member != me:
+                self._node.send(member.inner, message)
+
+    def _check(self) -> None:
+        """Find a watch that went silent although its connection stays open.
+
+        It shows as a store whose newest change is later than the mirror's, for longer than a
+        watch takes. One cheap read each few seconds tells; the watch is then begun anew.
+        """
+        behind = Revision(0)
+        while not self._stopping.wait(CHECK_S):
+            if not self._is_chosen() and self._reachable:
+                continue
+            result = self._kv.newest(STATE, Priority.LATER)
+            if isinstance(result, Failure):
+                if result.failure().kind is not FaultKind.EXHAUSTED:
+                    self._reached(result.failure())
+                continue
+            self._reached(None)
+            newest = result.unwrap()
+            if newest > self._mirror.complete_to and behind > 0:
+                log(Event.WATCH_SILENT, newest=newest, complete_to=self._mirror.complete_to)
+                self._restart.set()
+                self._read_all()
+                behind = Revision(0)
+            else:
+                behind = newest if newest > self._mirror.complete_to else Revision(0)
+
+    def _reached(self, fault: Fault | None) -> None:
+        self._reachable = fault is None
+        if fault is not None:
+            log(Event.PLATFORM_CALL_FAILED, step=fault.step, peer=fault.peer, reason=fault.reason)
--- a/src/lentilrill/inner/__init__.py
+++ b/src/lentilrill/inner/__init__.py
@@ -14,7 +14,7 @@
     Verdict,
 )
 from lentilrill.inner._node import Node
-from lentilrill.inner._state import Heartbeat, Leave, StateAsk, StateItems
+from lentilrill.inner._state import Heartbeat, Leave, StateAsk, StateItems, ZoneHealth
 from lentilrill.inner._withdrawals import Barred, HostTrouble, WithdrawalAck
 
 __all__ = [
@@ -41,6 +41,7 @@
     "StateItems",
     "Verdict",
     "WithdrawalAck",
+    "ZoneHealth",
     "decode",
     "encode",
 ]
--- a/src/lentilrill/inner/_state.py
+++ b/src/lentilrill/inner/_state.py
@@ -2,18 +2,38 @@
 
 import msgspec
 
-from lentilrill.ids import Revision
+from lentilrill.ids import ProcessId, Revision, ZoneId
 from lentilrill.membership import Member
 from lentilrill.platform import Item
 
-__all__ = ["Heartbeat", "Leave", "StateAsk", "StateItems"]
+__all__ = ["Heartbeat", "Leave", "StateAsk", "StateItems", "ZoneHealth"]
+
+
+class ZoneHealth(msgspec.Struct, frozen=True):
+    """What the controllers of one zone last knew of their zone's members.
+
+    :param age_s: seconds since a controller of the zone said so.
+    :param suspects: registered members that were silent.
+    :param complete_to: least revision to which all other members' mirrors were complete.
+    """
+
+    zone: ZoneId
+    age_s: float
+    suspects: tuple[ProcessId, ...]
+    complete_to: Revision
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
-    """The sender lives, and how far its mirror is complete."""
+    """The sender lives, and how far its mirror is complete.
+
+    :param platform: whether the platform answered the sender's last call.
+    :param health: zones the sender has heard of; only controllers tell.
+    """
 
     member: Member
     complete_to: Revision
+    platform: bool = True
+    health: tuple[ZoneHealth, ...] = ()
 
 
 class Leave(msgspec.Struct, frozen=True, tag="leave"):
@@ -23,14 +43,13 @@
 
 
 class StateAsk(msgspec.Struct, frozen=True, tag="state_ask"):
-    """Asks for the state items changed after ``after``, to be sent to ``reply_to``."""
+    """Asks for the state items changed after ``after``, to be sent to the batch's sender."""
 
     after: Revision
-    reply_to: str
 
 
 class StateItems(msgspec.Struct, frozen=True, tag="state_items"):
-    """State items; all those after ``after`` and up to ``complete_to``.
+    """State items: all those changed after ``after`` and up to ``complete_to``.
 
     A receiver whose mirror is not complete to ``after`` takes the items but not ``complete_to``.
     """
--- a/src/lentilrill/membership/__init__.py
+++ b/src/lentilrill/membership/__init__.py
@@ -2,5 +2,17 @@
 
 from lentilrill.membership._contract import Roster, rendezvous
 from lentilrill.membership._records import Liveness, Member, Role, ZoneRecord, zone_key
+from lentilrill.membership._roster import Heard, RosterView, ZoneNews
 
-__all__ = ["Liveness", "Member", "Role", "Roster", "ZoneRecord", "rendezvous", "zone_key"]
+__all__ = [
+    "Heard",
+    "Liveness",
+    "Member",
+    "Role",
+    "Roster",
+    "RosterView",
+    "ZoneNews",
+    "ZoneRecord",
+    "rendezvous",
+    "zone_key",
+]
--- a/src/lentilrill/membership/_records.py
+++ b/src/lentilrill/membership/_records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from lentilrill.ids import EntryHostId, HostId, Incarnation, ProcessId, ZoneId
+from lentilrill.ids import EntryHostId, Incarnation, ProcessId, ZoneId
 
 __all__ = ["Liveness", "Member", "Role", "ZoneRecord", "zone_key"]
 
@@ -43,15 +43,18 @@
 
 
 class ZoneRecord(msgspec.Struct, frozen=True):
-    """Members registered in one zone: exactly those that may send to its hosts.
+    """Members registered in one zone.
 
-    :param unclean: members that ended without leaving, whose peers may not have been told yet.
+    Only a registered gateway sends to the zone's hosts, so these are all that a withdrawal has to
+    hear from.
     """
 
     zone: ZoneId
     members: tuple[Member, ...] = ()
-    unclean: tuple[Member, ...] = ()
-    suspect_hosts: tuple[HostId, ...] = ()
+
+    def members_by_process(self) -> dict[ProcessId, Member]:
+        """Return the members by process id."""
+        return {member.process: member for member in self.members}
 
 
 def zone_key(zone: ZoneId) -> str:
--- /dev/null
+++ b/src/lentilrill/membership/_roster.py
@@ -0,0 +1,222 @@
+"""What this process believes of the other members, from what it hears."""
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from lentilrill.ids import ProcessId, Revision, ZoneId
+from lentilrill.membership._records import Liveness, Member, Role, ZoneRecord
+
+__all__ = ["Heard", "RosterView", "ZoneNews"]
+
+
+class Heard(msgspec.Struct):
+    """The last heartbeat of one process.
+
+    :param at: monotonic seconds at which it came.
+    :param left: whether this incarnation said that it ends.
+    """
+
+    member: Member
+    at: float
+    complete_to: Revision
+    platform: bool
+    left: bool = False
+
+
+class ZoneNews(msgspec.Struct, frozen=True):
+    """What the controllers of another zone last said of it; ``at`` in monotonic seconds."""
+
+    zone: ZoneId
+    at: float
+    suspects: frozenset[ProcessId]
+    complete_to: Revision
+
+
+class RosterView:
+    """The process's beliefs: heartbeats for its own zone, its controllers' word for the others.
+
+    A silent member is suspect. It is gone only by proof: its own word that it ends, a newer
+    incarnation of the same process, or the zone's record without it, from which it is taken only
+    with such a proof. Silence alone never is: a paused process wakes up and goes on sending.
+
+    :param zones_by_id: the current zone records.
+    :param suspect_after_s: silence after which a member is suspect.
+    :param zone_silent_after_s: silence after which all of another zone is suspect.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        zones_by_id: Callable[[], dict[ZoneId, tuple[ZoneRecord, Revision]]],
+        suspect_after_s: float,
+        zone_silent_after_s: float,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._me = me
+        self._zones_by_id = zones_by_id
+        self._suspect_after_s = suspect_after_s
+        self._zone_silent_after_s = zone_silent_after_s
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._heard_by_process: dict[ProcessId, Heard] = {}
+        self._news_by_zone: dict[ZoneId, ZoneNews] = {}
+        self._registered_by_process: dict[ProcessId, Member] = {}
+        self._alive: dict[tuple[Role, ZoneId | None], tuple[Member, ...]] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self.refresh()
+
+    @property
+    def me(self) -> Member:
+        """This process."""
+        return self._me
+
+    @property
+    def registered(self) -> bool:
+        """Whether the zone's record names this incarnation, so that it may send to hosts."""
+        return self._is_registered(self._me)
+
+    def alive(self, role: Role, zone: ZoneId | None = None) -> tuple[Member, ...]:
+        """Return the members to work with, as of the last refresh, sorted by process id."""
+        return self._alive.get((role, zone), ())
+
+    def liveness(self, member: Member) -> Liveness:
+        """Return what is believed of one incarnation of a process."""
+        if member.process == self._me.process:
+            return Liveness.ALIVE if member == self._me else Liveness.GONE
+        if self._is_gone(member):
+            return Liveness.GONE
+        return Liveness.ALIVE if self._is_heard(member) else Liveness.SUSPECT
+
+    def registered_in(self, zone: ZoneId) -> tuple[Member, ...]:
+        """Return the members that the zone's record names."""
+        held = self._zones_by_id().get(zone)
+        return held[0].members if held is not None else ()
+
+    def zones(self) -> tuple[ZoneId, ...]:
+        """Return the zones that have a record, sorted."""
+        return tuple(sorted(self._zones_by_id()))
+
+    def heard(self) -> tuple[Heard, ...]:
+        """Return the last heartbeats, sorted by process id."""
+        with self._lock:
+            return tuple(heard for _, heard in sorted(self._heard_by_process.items()))
+
+    def news(self) -> tuple[ZoneNews, ...]:
+        """Return what is known of other zones, sorted by zone."""
+        with self._lock:
+            return tuple(news for _, news in sorted(self._news_by_zone.items()))
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after the members to work with changed."""
+        self._listeners.append(listener)
+
+    def hear(self, member: Member, complete_to: Revision, platform: bool) -> bool:
+        """Take note of a heartbeat.
+
+        :return: whether it counts; a heartbeat of an older incarnation was delayed on its way.
+        """
+        with self._lock:
+            held = self._heard_by_process.get(member.process)
+            if held is not None and held.member.incarnation > member.incarnation:
+                return False
+            if held is not None and held.member == member and held.left:
+                return False
+            known = held is not None and held.member == member
+            self._heard_by_process[member.process] = Heard(
+                member, self._clock(), complete_to, platform
+            )
+        if not known:
+            self.refresh()
+        return True
+
+    def hear_leave(self, member: Member) -> None:
+        """Take note that an incarnation ends."""
+        with self._lock:
+            held = self._heard_by_process.get(member.process)
+            if held is None or held.member.incarnation <= member.incarnation:
+                self._heard_by_process[member.process] = Heard(
+                    member, self._clock(), Revision(0), False, left=True
+                )
+        self.refresh()
+
+    def hear_zones(self, news: Iterable[ZoneNews]) -> None:
+        """Take over what is newer about other zones."""
+        with self._lock:
+            for one in news:
+                held = self._news_by_zone.get(one.zone)
+                if one.zone != self._me.zone and (held is None or one.at > held.at):
+                    self._news_by_zone[one.zone] = one
+
+    def refresh(self) -> None:
+        """Recompute the members to work with; listeners hear of a change."""
+        members = [member for member in self._candidates() if self._is_usable(member)]
+        members.sort(key=lambda member: member.process)
+        alive: dict[tuple[Role, ZoneId | None], list[Member]] = {}
+        for member in members:
+            alive.setdefault((member.role, member.zone), []).append(member)
+            alive.setdefault((member.role, None), []).append(member)
+        fresh = {key: tuple(value) for key, value in alive.items()}
+        if fresh != self._alive:
+            self._alive = fresh
+            for listener in list(self._listeners):
+                listener()
+
+    def forget(self, silent_s: float) -> None:
+        """Drop unregistered members that were silent for ``silent_s`` seconds or more."""
+        with self._lock:
+            for process, heard in list(self._heard_by_process.items()):
+                old = self._clock() - heard.at > silent_s
+                if old and not self._is_registered(heard.member):
+                    del self._heard_by_process[process]
+
+    def _candidates(self) -> list[Member]:
+        by_process = {
+            member.process: member
+            for record, _ in self._zones_by_id().values()
+            for member in record.members
+        }
+        self._registered_by_process |= by_process
+        with self._lock:
+            for process, heard in self._heard_by_process.items():
+                if heard.member.zone == self._me.zone:
+                    by_process[process] = heard.member
+        by_process[self._me.process] = self._me
+        return list(by_process.values())
+
+    def _is_usable(self, member: Member) -> bool:
+        if member.role is Role.GATEWAY and not self._is_registered(member):
+            return False
+        return member == self._me or (not self._is_gone(member) and self._is_heard(member))
+
+    def _is_registered(self, member: Member) -> bool:
+        held = self._zones_by_id().get(member.zone)
+        return held is not None and member in held[0].members
+
+    def _is_heard(self, member: Member) -> bool:
+        now = self._clock()
+        if member.zone != self._me.zone:
+            news = self._news_by_zone.get(member.zone)
+            if news is None or now - news.at > self._zone_silent_after_s:
+                return False
+            return member.process not in news.suspects
+        heard = self._heard_by_process.get(member.process)
+        return (
+            heard is not None and heard.member == member and now - heard.at <= self._suspect_after_s
+        )
+
+    def _is_gone(self, member: Member) -> bool:
+        heard = self._heard_by_process.get(member.process)
+        if heard is not None:
+            if heard.member.incarnation > member.incarnation:
+                return True
+            if heard.member == member and heard.left:
+                return True
+        registered = self._registered_by_process.get(member.process)
+        if registered is None:
+            return False
+        if registered == member:
+            return not self._is_registered(member)
+        return registered.incarnation > member.incarnation
--- a/src/lentilrill/platform/_contract.py
+++ b/src/lentilrill/platform/_contract.py
@@ -97,6 +97,12 @@
     def read(self, prefix: str, priority: Priority = Priority.FIRST) -> Result[RangeAnswer, Fault]:
         """Read all items whose keys start with ``prefix``."""
 
+    def newest(self, prefix: str, priority: Priority = Priority.LATER) -> Result[Revision, Fault]:
+        """Return the highest modification revision of a present key below ``prefix``, or 0.
+
+        Cheap: keys only, one item, sorted by the service.
+        """
+
     def commit(
         self,
         compares: tuple[Compare, ...],
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -36,6 +36,7 @@
     PLATFORM_LOST = (401, Level.WARNING, "The platform does not answer; calls are held back.")
     PLATFORM_BACK = (402, Level.INFO, "The platform answers again.")
     PLATFORM_CALL_FAILED = (403, Level.WARNING, "A platform call failed.")
+    WATCH_SILENT = (404, Level.WARNING, "The watch missed a change and is begun anew.")
     DOCUMENT_IN_FORCE = (501, Level.INFO, "A revision of the document is in force here.")
 
     @property
