Membership and gossip tests; site of separate processes; daemon entry

Each guard's story stands in its test. A restarted process in an outage learns the document from peers; a change crosses zones without the platform; silence never takes a member from the record.

--- /dev/null
+++ b/src/lentilrill/daemon.py
@@ -0,0 +1,109 @@
+"""``lentilrilld``: one process of the request path or of the fleet path."""
+
+import argparse
+import signal
+import sys
+import threading
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Protocol, TypeVar
+
+from returns.result import Failure
+
+from lentilrill._assembly import ControllerProcess, GatewayProcess
+from lentilrill.settings import (
+    ControllerSettings,
+    GatewaySettings,
+    ProcessSettings,
+    load_settings,
+)
+from lentilrill.telemetry import Event, log, setup
+
+__all__ = ["main"]
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+EPILOG = """\
+Exit codes: 0 ended after a clean drain, 2 the settings are wrong.
+SIGTERM or SIGINT drains the process: it finishes what is in flight, then ends.
+"""
+
+S = TypeVar("S", bound=ProcessSettings)
+
+
+class Process(Protocol):
+    """A whole process: built, started, and told once to drain."""
+
+    def start(self) -> None:
+        """Begin to serve."""
+
+    def drain(self) -> None:
+        """Finish what is in flight, leave the system and end all tasks."""
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one process until it is told to stop.
+
+    :return: the exit code.
+    """
+    arguments = _parser().parse_args(argv)
+    if arguments.role == "gateway":
+        gateway = _settings(arguments.settings, GatewaySettings)
+        return EXIT_SETTINGS if gateway is None else _serve(GatewayProcess(gateway), gateway)
+    controller = _settings(arguments.settings, ControllerSettings)
+    return (
+        EXIT_SETTINGS if controller is None else _serve(ControllerProcess(controller), controller)
+    )
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="lentilrilld",
+        description="Run one process of lentilrill.",
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    roles = parser.add_subparsers(dest="role", required=True, metavar="ROLE")
+    for role, text in (
+        ("gateway", "the request path: callers, queues and endpoints"),
+        ("controller", "the fleet path: configuration, hosts and planned stops"),
+    ):
+        sub = roles.add_parser(role, help=text, description=text)
+        sub.add_argument(
+            "--settings", type=Path, required=True, metavar="FILE", help="JSON settings"
+        )
+    return parser
+
+
+def _settings(path: Path, kind: type[S]) -> S | None:
+    result = load_settings(path, kind)
+    if isinstance(result, Failure):
+        fault = result.failure()
+        print(f"lentilrilld: {fault.peer}: {fault.reason}", file=sys.stderr)
+        return None
+    return result.unwrap()
+
+
+def _serve(process: Process, settings: ProcessSettings) -> int:
+    setup(settings.log_level)
+    stop = threading.Event()
+    # A second signal only sets the same flag, so it can't cut short requests in flight.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    started = time.monotonic()
+    process.start()
+    log(Event.PROCESS_STARTED, process=settings.process, zone=settings.zone)
+    stop.wait()
+    log(Event.PROCESS_DRAINING, process=settings.process)
+    process.drain()
+    log(
+        Event.PROCESS_STOPPED,
+        process=settings.process,
+        ran_s=round(time.monotonic() - started, 1),
+    )
+    return EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,359 @@
+"""A whole site as separate processes on loopback addresses, for the demo, tests and bench.
+
+Every zone has its own loopback network and its own address of the platform's stand-in, so that a
+zone can be cut off from the platform alone. Ports are the same everywhere.
+"""
+
+import contextlib
+import hashlib
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import urllib3
+import zmq
+
+__all__ = ["HostSpec", "Site", "SiteSpec", "digest"]
+
+PLATFORM_PORT, CONTROL_PORT, ENDPOINT_PORT = 2379, 2380, 9000
+CALLER_PORT, OPERATOR_PORT = 8080, 8081
+GATEWAY_INNER_PORT, CONTROLLER_INNER_PORT = 7001, 7002
+OPERATOR, OPERATOR_TOKEN = "asha", "operator-token"
+READY_S = 30.0
+STOP_S = 20.0
+POLL_S = 0.05
+
+
+def digest(token: str) -> str:
+    """Return the hex SHA-256 under which a token is configured."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+class HostSpec(msgspec.Struct, frozen=True):
+    """One worker of the site."""
+
+    id: str
+    zone: int
+    rack: str
+    cores: int = 16
+    memory_gb: int = 32
+
+
+class SiteSpec(msgspec.Struct, frozen=True):
+    """Shape of a site: zones are numbered from 1.
+
+    :param entry_hosts: entry hosts in each zone, each with one gateway and one controller.
+    :param gateway: settings that differ from the defaults; the same for ``controller``.
+    """
+
+    zones: int
+    entry_hosts: int
+    hosts: tuple[HostSpec, ...]
+    gateway: dict[str, Any] = {}
+    controller: dict[str, Any] = {}
+    slots: int = 8
+
+
+class Site:
+    """The site's processes, each started here and ended by its id. A context manager."""
+
+    def __init__(self, spec: SiteSpec) -> None:
+        self.spec = spec
+        self.http = urllib3.PoolManager(num_pools=200, maxsize=64, retries=False)
+        self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self._folder = tempfile.TemporaryDirectory(prefix="lentilrill-site-")
+        self.folder = Path(self._folder.name)
+        self._network, self._reservation = _reserve_network()
+        public, secret = zmq.curve_keypair()
+        self._keys = {"public": public.decode(), "secret": secret.decode()}
+
+    # Addresses
+
+    def address(self, zone: int, number: int, port: int) -> str:
+        """Return the address of host ``number`` of a zone."""
+        return f"127.{self._network}.{zone}.{number}:{port}"
+
+    def platform(self, zone: int) -> str:
+        """Return the platform's address as seen from a zone."""
+        return self.address(zone, 1, PLATFORM_PORT)
+
+    @property
+    def control(self) -> str:
+        """Address of the platform stand-in's controls."""
+        return self.address(250, 1, CONTROL_PORT)
+
+    def caller(self, name: str) -> str:
+        """Return the address of gateway ``name`` for callers."""
+        zone, number = _place(name)
+        return self.address(zone, 10 + number, CALLER_PORT)
+
+    def operator(self, name: str) -> str:
+        """Return the address of controller ``name`` for operators."""
+        zone, number = _place(name)
+        return self.address(zone, 10 + number, OPERATOR_PORT)
+
+    def endpoint(self, host: HostSpec) -> str:
+        """Return the address of a worker's endpoint."""
+        return self.address(host.zone, 100 + self._index_in_zone(host), ENDPOINT_PORT)
+
+    @property
+    def gateways(self) -> list[str]:
+        """Names of all gateways: ``gw-ZONE-NUMBER``."""
+        return [f"gw-{z}-{n}" for z, n in self._places()]
+
+    @property
+    def controllers(self) -> list[str]:
+        """Names of all controllers: ``ct-ZONE-NUMBER``."""
+        return [f"ct-{z}-{n}" for z, n in self._places()]
+
+    # Life
+
+    def __enter__(self) -> "Site":
+        try:
+            self.start_standins()
+            for name in self.controllers + self.gateways:
+                self.start(name)
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self.close()
+
+    def start_standins(self) -> None:
+        """Start the platform and all endpoints, and wait until they answer."""
+        listen = [a for z in self._zones() for a in ("--listen", self.platform(z))]
+        self._run("platform", "standins.platform", *listen, "--control", self.control)
+        many = [
+            {"listen": self.endpoint(host), "host": host.id, "slots": self.spec.slots}
+            for host in self.spec.hosts
+        ]
+        path = self.folder / "endpoints.json"
+        path.write_text(json.dumps(many))
+        self._run("endpoints", "standins.endpoint", "--many", str(path))
+        self.wait(lambda: self._answers(self.control, "/standin/calls"), "platform")
+        for host in self.spec.hosts:
+            address = self.endpoint(host)
+            self.wait(lambda a=address: self._answers(a, "/standin/record"), f"endpoint {address}")
+        self.put_hosts()
+
+    def put_hosts(self, without: frozenset[str] = frozenset()) -> None:
+        """Tell the host list of all workers and entry hosts, except those named."""
+        workers = [
+            {
+                "id": host.id,
+                "address": self.endpoint(host),
+                "zone": f"z{host.zone}",
+                "rack": host.rack,
+                "kind": "worker",
+                "state": "live",
+                "cores": host.cores,
+                "memory_gb": host.memory_gb,
+                "accelerators": 0,
+                "since": 1.0,
+            }
+            for host in self.spec.hosts
+        ]
+        entries = [
+            {
+                "id": f"entry-{z}-{n}",
+                "address": "",
+                "zone": f"z{z}",
+                "rack": f"entry-{z}",
+                "kind": "entry",
+                "state": "live",
+                "since": 1.0,
+            }
+            for z, n in self._places()
+        ]
+        listed = [host for host in workers + entries if host["id"] not in without]
+        self.json("PUT", self.control, "/standin/hosts", listed)
+
+    def start(self, name: str) -> None:
+        """Start gateway or controller ``name``."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self.settings(name)))
+        role = "gateway" if name.startswith("gw") else "controller"
+        self._run(name, "lentilrill.daemon", role, "--settings", str(path))
+
+    def settings(self, name: str) -> dict[str, Any]:
+        """Return the settings of process ``name``."""
+        zone, number = _place(name)
+        is_gateway = name.startswith("gw")
+        inner_port = GATEWAY_INNER_PORT if is_gateway else CONTROLLER_INNER_PORT
+        common = {
+            "process": name,
+            "entry_host": f"entry-{zone}-{number}",
+            "zone": f"z{zone}",
+            "inner": self.address(zone, 10 + number, inner_port),
+            "keys": self._keys,
+            "seeds": [self.address(z, 10 + n, CONTROLLER_INNER_PORT) for z, n in self._places()],
+            "platform": {
+                "key_value": [self.platform(zone)],
+                "host_list": self.platform(zone),
+            },
+        }
+        if is_gateway:
+            return common | {"listen": self.caller(name)} | self.spec.gateway
+        return (
+            common
+            | {
+                "listen": self.operator(name),
+                "operator_tokens_sha256": {OPERATOR: digest(OPERATOR_TOKEN)},
+                "host_list_lag_s": 2.0,
+            }
+            | self.spec.controller
+        )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that this site started."""
+        self.processes_by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a process at once, as a crash would."""
+        process = self.processes_by_name.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self, name: str, timeout_s: float = STOP_S) -> int:
+        """Tell a process to drain, wait for its end and return its exit code."""
+        process = self.processes_by_name.pop(name)
+        process.terminate()
+        return process.wait(timeout_s)
+
+    def close(self) -> None:
+        """End every process that this site started, and remove its files."""
+        for process in self.processes_by_name.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes_by_name.values():
+            process.wait()
+        self.processes_by_name.clear()
+        self._reservation.close()
+        self._folder.cleanup()
+
+    # Talking to it
+
+    def wait(self, holds: Callable[[], Any], what: str, timeout_s: float = READY_S) -> Any:
+        """Wait until ``holds()`` is true and return its value.
+
+        :raises TimeoutError: naming ``what``.
+        """
+        end = time.monotonic() + timeout_s
+        while True:
+            value = holds()
+            if value:
+                return value
+            if time.monotonic() > end:
+                raise TimeoutError(f"waited {timeout_s} s for {what}\n{self.logs()}")
+            time.sleep(POLL_S)
+
+    def wait_ready(self, timeout_s: float = READY_S) -> None:
+        """Wait until every gateway says that it is ready."""
+        for name in self.gateways:
+            self.wait(lambda n=name: self._answers(self.caller(n), "/readyz"), name, timeout_s)
+
+    def json(self, method: str, address: str, path: str, body: Any = None, **headers: str) -> Any:
+        """Send a JSON request and return the JSON answer."""
+        answer = self.http.request(
+            method,
+            f"http://{address}{path}",
+            body=None if body is None else json.dumps(body).encode(),
+            headers={"Content-Type": "application/json"} | headers,
+            timeout=15.0,
+        )
+        return json.loads(answer.data) if answer.data else None
+
+    def faults(self, address: str, **faults: Any) -> None:
+        """Set faults of a stand-in."""
+        self.json("POST", address, "/standin/faults", faults)
+
+    def record(self, host: HostSpec) -> list[dict[str, Any]]:
+        """Return what a worker's endpoint ran."""
+        found: list[dict[str, Any]] = self.json("GET", self.endpoint(host), "/standin/record")
+        return found
+
+    def records(self) -> Iterator[tuple[str, dict[str, Any]]]:
+        """Yield every run of every endpoint with its host."""
+        for host in self.spec.hosts:
+            for run in self.record(host):
+                yield host.id, run
+
+    def ctl(self, *arguments: str, controller: str | None = None) -> subprocess.CompletedProcess:
+        """Run ``lentilrillctl`` against one controller, the first by default."""
+        address = self.operator(controller or self.controllers[0])
+        environment = os.environ | {
+            "LENTILRILL_CONTROLLERS": address,
+            "LENTILRILL_TOKEN": OPERATOR_TOKEN,
+        }
+        return subprocess.run(
+            [sys.executable, "-m", "lentilrill.ctl", *arguments],
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+
+    def logs(self, lines: int = 15) -> str:
+        """Return the end of every process's log."""
+        parts = []
+        for path in sorted(self.folder.glob("*.log")):
+            tail = path.read_text(errors="replace").splitlines()[-lines:]
+            parts.append("\n".join([f"--- {path.stem}", *tail]))
+        return "\n".join(parts)
+
+    # Helpers
+
+    def _zones(self) -> range:
+        return range(1, self.spec.zones + 1)
+
+    def _places(self) -> list[tuple[int, int]]:
+        return [(z, n) for z in self._zones() for n in range(1, self.spec.entry_hosts + 1)]
+
+    def _index_in_zone(self, host: HostSpec) -> int:
+        same = [other for other in self.spec.hosts if other.zone == host.zone]
+        return same.index(host)
+
+    def _run(self, name: str, module: str, *arguments: str) -> None:
+        with (self.folder / f"{name}.log").open("ab") as output:
+            self.processes_by_name[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments], stdout=output, stderr=output
+            )
+
+    def _answers(self, address: str, path: str) -> bool:
+        try:
+            answer = self.http.request("GET", f"http://{address}{path}", timeout=1.0)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return answer.status == 200
+
+
+def _place(name: str) -> tuple[int, int]:
+    _, zone, number = name.split("-")
+    return int(zone), int(number)
+
+
+def _reserve_network() -> tuple[int, socket.socket]:
+    """Return a free second octet of 127/8 and the socket that keeps other sites off it."""
+    for network in random.sample(range(1, 255), 254):
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            reservation.bind((f"127.{network}.255.1", 1024))
+        except OSError:
+            reservation.close()
+            continue
+        return network, reservation
+    raise RuntimeError("no free loopback network")
--- /dev/null
+++ b/tests/gossip/test_heartbeats.py
@@ -0,0 +1,113 @@
+"""State and liveness spread between real nodes, without the platform."""
+
+import threading
+
+from testtools import TestCase
+
+from lentilrill.fleet import DOCUMENT_KEY, FleetView
+from lentilrill.gossip import Heartbeats
+from lentilrill.ids import EntryHostId, Incarnation, ProcessId, Revision, ZoneId
+from lentilrill.inner import Node, StateItems
+from lentilrill.membership import Liveness, Member, Role, RosterView
+from lentilrill.platform import Item, Mirror
+from lentilrill.settings import InnerKeys, ProcessSettings
+from lentilrill.telemetry import NoMetrics
+from tests import builders
+
+WAIT_S = 20.0
+
+
+class Peer:
+    """One process's gossip over a real node."""
+
+    def __init__(
+        self, name: str, keys: InnerKeys, seeds: tuple[str, ...] = (), zone: str = "z1"
+    ) -> None:
+        self.address = builders.an_address()
+        incarnation = Incarnation(1)
+        self.settings = ProcessSettings(
+            process=ProcessId(name),
+            entry_host=EntryHostId(name),
+            zone=ZoneId(zone),
+            inner=self.address,
+            keys=keys,
+            seeds=seeds,
+            heartbeat_s=0.05,
+            suspect_after_s=1.0,
+        )
+        self.member = Member(
+            ProcessId(name),
+            incarnation,
+            Role.CONTROLLER,
+            ZoneId(zone),
+            EntryHostId(name),
+            self.address,
+            "",
+        )
+        self.node = Node(ProcessId(name), incarnation, self.address, keys)
+        self.mirror = Mirror()
+        self.view = FleetView(self.mirror)
+        self.roster = RosterView(self.member, lambda: self.view.zones_by_id, 1.0, 2.0)
+        self.heartbeats = Heartbeats(
+            self.settings, self.node, self.mirror, self.roster, NoMetrics()
+        )
+        self.changed = threading.Event()
+        self.mirror.subscribe(lambda items: self.changed.set())
+        self.roster.subscribe(self.changed.set)
+        self.node.start()
+        self.heartbeats.start()
+
+    def until(self, holds) -> bool:
+        for _ in range(int(WAIT_S / 0.05)):
+            if holds():
+                return True
+            self.changed.wait(0.05)
+            self.changed.clear()
+        return False
+
+    def close(self) -> None:
+        self.heartbeats.close()
+        self.node.close(0.1)
+
+
+class HeartbeatsTest(TestCase):
+    def a_peer(self, *args, **kwargs) -> Peer:
+        peer = Peer(*args, **kwargs)
+        self.addCleanup(peer.close)
+        return peer
+
+    def test_a_restarted_process_learns_from_its_peers_in_an_outage(self) -> None:
+        # The platform is down and an entry host is replaced. Its new process knows nothing and
+        # can't read the platform; without its peers it would serve nothing, or an old document.
+        keys = builders.inner_keys()
+        old = self.a_peer("ct-1", keys)
+        old.mirror.replace((Item(DOCUMENT_KEY, b"{}", Revision(5)),), Revision(7))
+        new = self.a_peer("ct-2", keys, seeds=(old.address,))
+        self.assertTrue(new.until(lambda: new.view.document_revision == 5))
+        self.assertTrue(new.until(lambda: new.mirror.complete_to == 7))
+
+    def test_a_change_crosses_zones_without_the_platform(self) -> None:
+        keys = builders.inner_keys()
+        here = self.a_peer("ct-1", keys, zone="z1")
+        there = self.a_peer("ct-2", keys, seeds=(here.address,), zone="z2")
+        here.mirror.replace((Item(DOCUMENT_KEY, b"{}", Revision(5)),), Revision(7))
+        self.assertTrue(there.until(lambda: there.view.document_revision == 5))
+
+    def test_state_with_a_hole_before_it_is_not_taken_as_whole(self) -> None:
+        # Of two changes told by a peer the first message is lost. Were the second one's end
+        # taken over, the first change would be in force everywhere but here, for good.
+        keys = builders.inner_keys()
+        peer = self.a_peer("ct-1", keys)
+        teller = self.a_peer("ct-2", keys)
+        late = Item("state/pools/b", b"{}", Revision(9))
+        teller.node.send(peer.address, StateItems((late,), Revision(8), Revision(9)))
+        self.assertTrue(peer.until(lambda: peer.mirror.get("state/pools/b") is not None))
+        self.assertEqual(0, peer.mirror.complete_to)
+
+    def test_a_clean_leave_is_heard_at_once(self) -> None:
+        keys = builders.inner_keys()
+        stays = self.a_peer("ct-1", keys)
+        leaves = Peer("ct-2", keys, seeds=(stays.address,))
+        self.assertTrue(stays.until(lambda: stays.roster.liveness(leaves.member) is Liveness.ALIVE))
+        leaves.close()
+        self.assertTrue(stays.until(lambda: stays.roster.liveness(leaves.member) is Liveness.GONE))
--- /dev/null
+++ b/tests/membership/test_roster.py
@@ -0,0 +1,147 @@
+"""The roster keeps silent members apart from those proved to be gone."""
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.ids import Revision, ZoneId
+from lentilrill.membership import (
+    Liveness,
+    Member,
+    Role,
+    RosterView,
+    ZoneNews,
+    ZoneRecord,
+    rendezvous,
+)
+from tests import builders
+
+SUSPECT_AFTER_S = 2.0
+ZONE_SILENT_AFTER_S = 5.0
+HERE, THERE = ZoneId("z1"), ZoneId("z2")
+
+
+class RosterTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.now = 100.0
+        self.zones: dict[ZoneId, tuple[ZoneRecord, Revision]] = {}
+        self.me = builders.a_member("gw-me")
+        self.register(HERE, self.me)
+        self.roster = RosterView(
+            self.me, lambda: self.zones, SUSPECT_AFTER_S, ZONE_SILENT_AFTER_S, lambda: self.now
+        )
+
+    def register(self, zone: ZoneId, *members: Member) -> None:
+        revision = self.zones[zone][1] + 1 if zone in self.zones else 1
+        self.zones[zone] = (ZoneRecord(zone, members), Revision(revision))
+
+    def hear(self, member: Member) -> bool:
+        return self.roster.hear(member, Revision(1), True)
+
+    def alive(self, zone: ZoneId | None = None) -> tuple[Member, ...]:
+        self.roster.refresh()
+        return self.roster.alive(Role.GATEWAY, zone)
+
+    def test_a_silent_member_is_suspect_and_never_gone(self) -> None:
+        # A gateway is paused for minutes between its check and its send. It must get no new
+        # work, but were it called gone, its host would be given away, and then it wakes up.
+        peer = builders.a_member("gw-peer")
+        self.register(HERE, self.me, peer)
+        self.hear(peer)
+        self.assertEqual((self.me, peer), self.alive(HERE))
+        self.now += 3600
+        self.assertEqual((self.me,), self.alive(HERE))
+        self.assertIs(Liveness.SUSPECT, self.roster.liveness(peer))
+
+    def test_gone_by_its_own_word(self) -> None:
+        peer = builders.a_member("gw-peer")
+        self.register(HERE, self.me, peer)
+        self.hear(peer)
+        self.roster.hear_leave(peer)
+        self.assertIs(Liveness.GONE, self.roster.liveness(peer))
+        self.assertEqual((self.me,), self.alive(HERE))
+
+    def test_a_late_heartbeat_does_not_bring_back_what_left(self) -> None:
+        # A gateway says that it ends; a heartbeat sent before that arrives after it. Work sent
+        # to the ended process would fail until it is suspect again.
+        peer = builders.a_member("gw-peer")
+        self.register(HERE, self.me, peer)
+        self.roster.hear_leave(peer)
+        self.assertFalse(self.hear(peer))
+        self.assertIs(Liveness.GONE, self.roster.liveness(peer))
+
+    def test_gone_by_a_newer_incarnation(self) -> None:
+        # An entry host is replaced and its successor takes the name. A heartbeat of the former
+        # incarnation is still on its way and must not pass for the new one's.
+        old, new = builders.a_member("gw-peer"), builders.a_member("gw-peer")
+        self.register(HERE, self.me, old)
+        self.hear(new)
+        self.assertFalse(self.hear(old))
+        self.assertIs(Liveness.GONE, self.roster.liveness(old))
+        self.assertIs(Liveness.ALIVE, self.roster.liveness(new))
+
+    def test_gone_when_taken_from_the_record(self) -> None:
+        peer = builders.a_member("gw-peer")
+        self.register(HERE, self.me, peer)
+        self.hear(peer)
+        self.alive()
+        self.register(HERE, self.me)
+        self.assertIs(Liveness.GONE, self.roster.liveness(peer))
+
+    def test_an_unregistered_gateway_gets_no_work(self) -> None:
+        # A newcomer is heard before it stands in the zone's record. Were it sent work, it could
+        # send to a host whose withdrawal nobody asked it to acknowledge.
+        newcomer = builders.a_member("gw-new")
+        self.hear(newcomer)
+        self.assertEqual((self.me,), self.alive(HERE))
+        self.register(HERE, self.me, newcomer)
+        self.assertEqual((self.me, newcomer), self.alive(HERE))
+
+    def test_another_zone_is_alive_by_its_controllers_word(self) -> None:
+        # Two zones are cut off from each other. Nothing is heard of the other zone's members,
+        # so after a few seconds no job may be spilled there; they are suspect, not gone.
+        one = builders.a_member("gw-a", zone=THERE)
+        two = builders.a_member("gw-b", zone=THERE)
+        self.register(THERE, one, two)
+        self.assertEqual((), self.alive(THERE))
+        news = ZoneNews(THERE, self.now, frozenset({two.process}), Revision(1))
+        self.roster.hear_zones([news])
+        self.assertEqual((one,), self.alive(THERE))
+        self.assertEqual((one, self.me), self.alive())
+        self.now += ZONE_SILENT_AFTER_S + 1
+        self.assertEqual((), self.alive(THERE))
+        self.assertIs(Liveness.SUSPECT, self.roster.liveness(one))
+
+    def test_older_news_of_a_zone_is_dropped(self) -> None:
+        one = builders.a_member("gw-a", zone=THERE)
+        self.register(THERE, one)
+        self.roster.hear_zones([ZoneNews(THERE, self.now, frozenset(), Revision(1))])
+        stale = ZoneNews(THERE, self.now - 1, frozenset({one.process}), Revision(1))
+        self.roster.hear_zones([stale])
+        self.assertEqual((one,), self.alive(THERE))
+
+    def test_listeners_hear_only_of_changes(self) -> None:
+        heard: list[int] = []
+        self.roster.subscribe(lambda: heard.append(1))
+        peer = builders.a_member("gw-peer")
+        self.register(HERE, self.me, peer)
+        self.hear(peer)
+        self.roster.refresh()
+        self.assertEqual([1], heard)
+
+    def test_my_own_former_incarnation_is_gone(self) -> None:
+        former = msgspec.structs.replace(self.me, incarnation=self.me.incarnation - 1)
+        self.assertIs(Liveness.GONE, self.roster.liveness(former))
+
+
+class RendezvousTest(TestCase):
+    def test_only_keys_of_an_ended_member_move(self) -> None:
+        members = [builders.a_member(f"gw-{n}") for n in range(5)]
+        keys = [f"pool-{n}" for n in range(200)]
+        before = {key: rendezvous(key, members) for key in keys}
+        after = {key: rendezvous(key, members[:-1]) for key in keys}
+        moved = {key for key in keys if before[key] != after[key]}
+        self.assertEqual({key for key in keys if before[key] == members[-1]}, moved)
+
+    def test_nobody_is_chosen_of_none(self) -> None:
+        self.assertIsNone(rendezvous("pool", []))
