--- /dev/null
+++ b/src/lentilrill/_assembly.py
@@ -0,0 +1,155 @@
+"""Puts the parts of a gateway process and of a controller process together."""
+
+import time
+
+from lentilrill.fleet import FleetTask, FleetView
+from lentilrill.gateway import GatewayServer
+from lentilrill.gossip import Heartbeats, Watcher, ZoneRecorder
+from lentilrill.ids import Incarnation
+from lentilrill.inner import Node
+from lentilrill.jobs import ClaimClient, ClaimOwner
+from lentilrill.membership import Member, Role, RosterView
+from lentilrill.operators import OperatorServer
+from lentilrill.platform import EtcdKeyValue, HttpHostList, Mirror
+from lentilrill.routing import SchedulerHost, SendLedger, SlotClient, WithdrawalAcker
+from lentilrill.settings import ControllerSettings, GatewaySettings, ProcessSettings
+from lentilrill.telemetry import Metrics, connect
+
+__all__ = ["ControllerProcess", "GatewayProcess"]
+
+ZONE_SILENT_FACTOR = 2.5
+"""Another zone is heard of by gossip, which takes a few heartbeats more than a peer does."""
+
+
+class _Common:
+    """What both kinds of process have: node, mirror, roster and metrics."""
+
+    def __init__(self, settings: ProcessSettings, role: Role, http: str) -> None:
+        self.metrics: Metrics = connect(settings.statsd, settings.process)
+        self.member = Member(
+            settings.process,
+            Incarnation(time.time_ns()),
+            role,
+            settings.zone,
+            settings.entry_host,
+            settings.inner,
+            http,
+        )
+        self.node = Node(
+            settings.process,
+            self.member.incarnation,
+            settings.inner,
+            settings.keys,
+            self.metrics,
+        )
+        self.mirror = Mirror()
+        self.view = FleetView(self.mirror)
+        self.roster = RosterView(
+            self.member,
+            lambda: self.view.zones_by_id,
+            settings.suspect_after_s,
+            settings.suspect_after_s * ZONE_SILENT_FACTOR,
+        )
+
+
+class GatewayProcess:
+    """The request path of one entry host."""
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        common = _Common(settings, Role.GATEWAY, settings.listen)
+        self._node = common.node
+        self._heartbeats = Heartbeats(
+            settings, common.node, common.mirror, common.roster, common.metrics
+        )
+        kv = EtcdKeyValue(settings.platform, common.metrics)
+        ledger = SendLedger(common.view)
+        self._schedulers = SchedulerHost(common.node, common.view, common.roster)
+        self._slots = SlotClient(
+            common.node, common.view, common.roster, ledger, self._schedulers
+        )
+        self._acker = WithdrawalAcker(common.node, common.view, common.roster, ledger)
+        self._claim_owner = ClaimOwner(kv, common.node, common.roster, settings)
+        self._server = GatewayServer(
+            settings,
+            common.view,
+            self._slots,
+            ClaimClient(common.node, common.roster, settings),
+            common.metrics,
+            lambda: common.roster.registered,
+        )
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._node.start()
+        self._heartbeats.start()
+        self._schedulers.start()
+        self._acker.start()
+        self._claim_owner.start()
+        self._server.start()
+
+    def drain(self) -> None:
+        """Finish the requests in flight, then leave."""
+        self._server.drain()
+        self._server.close()
+        self._claim_owner.close()
+        self._acker.close()
+        self._schedulers.close()
+        self._heartbeats.close()
+        self._node.close()
+
+
+class ControllerProcess:
+    """The fleet path of one entry host."""
+
+    def __init__(self, settings: ControllerSettings) -> None:
+        common = _Common(settings, Role.CONTROLLER, settings.listen)
+        kv = EtcdKeyValue(settings.platform, common.metrics)
+        hosts = HttpHostList(settings.platform, common.metrics)
+        self._node = common.node
+        self._watcher = Watcher(kv, common.mirror, common.roster, common.node, common.metrics)
+        self._heartbeats = Heartbeats(
+            settings,
+            common.node,
+            common.mirror,
+            common.roster,
+            common.metrics,
+            lambda: self._watcher.platform_ok,
+        )
+        self._recorder = ZoneRecorder(
+            kv,
+            hosts,
+            common.roster,
+            lambda: common.view.zones_by_id,
+            self._watcher.publish,
+            settings.host_list_lag_s,
+            common.metrics,
+        )
+        self._fleet = FleetTask(
+            kv,
+            hosts,
+            common.view,
+            common.roster,
+            settings,
+            common.node,
+            common.metrics,
+            publish=self._watcher.publish,
+        )
+        self._operators = OperatorServer(settings, kv, common.view, self._status, common.metrics)
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._node.start()
+        self._heartbeats.start()
+        self._watcher.start()
+        self._recorder.start()
+        self._fleet.start()
+        self._operators.start()
+
+    def drain(self) -> None:
+        """End the tasks, then leave."""
+        self._operators.close()
+        self._fleet.close()
+        self._recorder.close()
+        self._watcher.close()
+        self._heartbeats.close()
+        self._node.close()
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,254 @@
+"""``make demo``: a small site from an empty platform to a planned stop, every answer checked."""
+
+import hashlib
+import json
+import sys
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import urllib3
+
+from standins.site import Site
+from standins.sites import BRAILLE_SERVICES, braille_site, lists, token
+
+__all__ = ["main"]
+
+CALLERS = 8
+JOBS_PER_CALLER = 25
+LONG_JOB_S = 6.0
+VOLUME_BYTES = 4 * 1024 * 1024
+
+
+class Demo:
+    """The steps of the demonstration; what was wrong is collected in ``wrong``."""
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self.wrong: list[str] = []
+        self.http = urllib3.PoolManager(num_pools=10, maxsize=32, retries=False)
+
+    def run(self) -> None:
+        """Run all steps in order."""
+        self.apply_lists()
+        self.wait_for_hosts()
+        self.send_from_many_callers()
+        self.send_with_key()
+        self.send_wrong_token()
+        self.send_volume()
+        self.stop_host_under_long_job()
+        self.edit_lists()
+        self.end_cleanly()
+
+    def apply_lists(self) -> None:
+        """Write the two lists and apply them."""
+        self.write_lists()
+        started = time.monotonic()
+        self.ctl("config", "apply", *self.list_files(), "--wait", "20")
+        say(f"lists applied and in force everywhere in {time.monotonic() - started:.1f} s")
+
+    def wait_for_hosts(self) -> None:
+        """Wait until each pool serves with the hosts it is owed."""
+        started = time.monotonic()
+        self.site.wait(self.pools_are_full, "owed hosts")
+        self.site.wait_ready()
+        pools = {p["pool"]: p["serving"] for p in self.status()["pools"]}
+        say(f"owed hosts given in {time.monotonic() - started:.1f} s: {pools}")
+
+    def send_from_many_callers(self) -> None:
+        """Send short jobs of every service through every gateway."""
+        started = time.monotonic()
+        with ThreadPoolExecutor(CALLERS) as pool:
+            counts = list(pool.map(self.one_caller, range(CALLERS)))
+        elapsed = time.monotonic() - started
+        self.check(sum(counts) == CALLERS * JOBS_PER_CALLER, f"answers right: {counts}")
+        say(f"{sum(counts)} jobs of {CALLERS} callers answered whole in {elapsed:.1f} s")
+
+    def one_caller(self, caller: int) -> int:
+        """Send one caller's jobs; return how many answers were right."""
+        right = 0
+        for n in range(JOBS_PER_CALLER):
+            service = BRAILLE_SERVICES[(caller + n) % len(BRAILLE_SERVICES)]
+            body = f"page {n} of caller {caller}".encode()
+            answer = self.post(service, "/translate", body, gateway=caller)
+            right += answer.status == 200 and is_answer_to(body, answer.json())
+        return right
+
+    def send_with_key(self) -> None:
+        """Send the same keyed job through two gateways; it may run once only."""
+        headers = {"Idempotency-Key": "demo-emboss-1", "Standin-Job": "emboss-1"}
+        answers = [
+            self.post("library", "/emboss", b"volume 1", n, headers)
+            for n, _ in enumerate(self.site.gateways)
+        ]
+        runs = [run for _, run in self.site.records() if run["job"] == "emboss-1"]
+        self.check(all(answer.status == 200 for answer in answers), "keyed job answered twice")
+        self.check(len(runs) == 1, f"keyed job ran {len(runs)} times")
+        self.check(answers[0].data == answers[1].data, "both callers got the same answer")
+        say(f"one keyed job sent through {len(answers)} gateways ran {len(runs)} time(s)")
+
+    def send_wrong_token(self) -> None:
+        """Send a job with a token that names no plan."""
+        answer = self.post("library", "/emboss", b"x", headers={"Authorization": "Bearer no"})
+        problem = answer.json()
+        self.check(answer.status in (401, 403), f"wrong token: status {answer.status}")
+        self.check(problem.get("outcome") == "not_run", f"wrong token: {problem}")
+        say(f"a wrong token is refused with {answer.status}, outcome {problem.get('outcome')}")
+
+    def send_volume(self) -> None:
+        """Send and receive a long volume."""
+        body = bytes(range(256)) * (VOLUME_BYTES // 256)
+        headers = {"Standin-Answer-Bytes": str(VOLUME_BYTES)}
+        answer = self.post("library", "/translate", body, headers=headers)
+        self.check(len(answer.data) == VOLUME_BYTES, f"volume of {len(answer.data)} bytes")
+        say(f"a volume of {VOLUME_BYTES >> 20} MiB went in and came back whole")
+
+    def stop_host_under_long_job(self) -> None:
+        """Declare a planned stop of a host while it runs a long job."""
+        result: dict[str, Any] = {}
+        caller = threading.Thread(target=self.long_job, args=(result,))
+        caller.start()
+        host = self.site.wait(self.host_of_long_job, "the long job's start")
+        declared = time.monotonic()
+        self.ctl("stop", "declare", "demo-stop", "--host", host, "--reason", "new memory")
+        say(f"planned stop of {host} declared while it runs a job of {LONG_JOB_S:.0f} s")
+        caller.join()
+        answer = result["answer"]
+        whole = answer.status == 200 and is_answer_to(b"long volume", answer.json())
+        self.check(whole, f"long job: status {answer.status}")
+        say(f"the long job was answered whole by {answer.json().get('host')}")
+        self.site.wait(lambda: self.phase(host) == "stopped", f"{host} to be released")
+        say(f"{host} was released {time.monotonic() - declared:.1f} s after the declaration")
+        self.check(self.starts_after(host, result["done"]) == 0, "a job began on the host")
+
+    def long_job(self, result: dict[str, Any]) -> None:
+        """Send one long job and keep its answer."""
+        headers = {"Standin-Job": "long-1", "Standin-Run-S": str(LONG_JOB_S)}
+        result["answer"] = self.post("library", "/emboss", b"long volume", headers=headers)
+        result["done"] = time.time()
+
+    def host_of_long_job(self) -> str | None:
+        """Return the host that runs the long job, if it began."""
+        for host, run in self.site.records():
+            if run["job"] == "long-1":
+                return host
+        return None
+
+    def phase(self, host: str) -> str:
+        """Return the phase of a host as operators see it."""
+        rows = json.loads(self.site.ctl("hosts", "--json").stdout)
+        rows = rows.get("hosts", rows) if isinstance(rows, dict) else rows
+        return next((row["phase"] for row in rows if row["id"] == host), "absent")
+
+    def starts_after(self, host: str, when: float) -> int:
+        """Return how many jobs began on a host later than ``when``."""
+        return sum(1 for name, run in self.site.records() if name == host and run["started"] > when)
+
+    def edit_lists(self) -> None:
+        """Change a plan and see it in force."""
+        self.write_lists(start_within_s=12.0)
+        started = time.monotonic()
+        self.ctl("config", "apply", *self.list_files(), "--wait", "20")
+        say(f"an edited plan was in force everywhere in {time.monotonic() - started:.1f} s")
+        rows = self.site.ctl("audit").stdout.strip().splitlines()
+        say("audit trail:")
+        for row in rows[-4:]:
+            say(f"  {row}")
+
+    def end_cleanly(self) -> None:
+        """Tell every process to stop."""
+        for name in self.site.gateways + self.site.controllers:
+            code = self.site.stop(name)
+            self.check(code == 0, f"{name} ended with {code}")
+        say("all processes drained and ended")
+
+    # Helpers
+
+    def post(
+        self,
+        service: str,
+        path: str,
+        body: bytes,
+        gateway: int = 0,
+        headers: dict[str, str] | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a job as a caller would."""
+        names = self.site.gateways
+        address = self.site.caller(names[gateway % len(names)])
+        own = {"Authorization": f"Bearer {token(service)}", "Prefer": "wait=20"}
+        return self.http.request(
+            "POST",
+            f"http://{address}/{service}{path}",
+            body=body,
+            headers=own | (headers or {}),
+            timeout=40.0,
+        )
+
+    def status(self) -> dict[str, Any]:
+        """Return the status that operators see."""
+        found: dict[str, Any] = json.loads(self.site.ctl("status", "--json").stdout)
+        return found
+
+    def pools_are_full(self) -> bool:
+        """Return whether every pool serves with what it is owed."""
+        pools = self.status().get("pools", [])
+        return len(pools) == len(BRAILLE_SERVICES) and all(
+            pool["serving"] >= pool["owed"] for pool in pools
+        )
+
+    def write_lists(self, **changes: Any) -> None:
+        """Write the two lists, with ``changes`` made to the first plan."""
+        plans, entitlements = lists(BRAILLE_SERVICES, 6)
+        plans[0] |= changes
+        (self.site.folder / "plans.json").write_text(json.dumps(plans))
+        (self.site.folder / "entitlements.json").write_text(json.dumps(entitlements))
+
+    def list_files(self) -> tuple[str, ...]:
+        """Return the arguments that name the two lists."""
+        folder = self.site.folder
+        return (
+            "--plans",
+            str(folder / "plans.json"),
+            "--entitlements",
+            str(folder / "entitlements.json"),
+        )
+
+    def ctl(self, *arguments: str) -> None:
+        """Run an operator's command that has to succeed."""
+        done = self.site.ctl(*arguments)
+        self.check(done.returncode == 0, f"{arguments}: {done.stdout}{done.stderr}")
+
+    def check(self, holds: bool, what: str) -> None:
+        """Note what is wrong."""
+        if not holds:
+            self.wrong.append(what)
+            say(f"WRONG: {what}")
+
+
+def is_answer_to(body: bytes, answer: dict[str, Any]) -> bool:
+    """Return whether an endpoint's answer is to this very body."""
+    return answer.get("sha256") == hashlib.sha256(body).hexdigest()
+
+
+def say(text: str) -> None:
+    """Print one line of the summary."""
+    print(text, flush=True)
+
+
+def main() -> int:
+    """Run the demonstration; 0 only if every answer was right."""
+    started = time.monotonic()
+    with Site(braille_site(zones=2, entry_hosts=1)) as site:
+        say(f"{len(site.processes_by_name)} processes: 2 zones, 30 hosts in 5 pools")
+        demo = Demo(site)
+        try:
+            demo.run()
+        except TimeoutError as error:
+            demo.check(False, str(error))
+    say(f"{'all right' if not demo.wrong else 'failed'} after {time.monotonic() - started:.0f} s")
+    return 0 if not demo.wrong else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
