Platform: key-value and host-list clients, call guard, stand-ins

Cause: nothing spoke to the platform yet, and nothing could take its place in tests. Change: EtcdKeyValue and HttpHostList over etcd's HTTP gateway through urllib3; in front of each call a deadline, backoff with full jitter, a circuit breaker and a call budget that keeps its last half for what goes first. Stand-ins of the platform (revisions, transactions, leases, watches, compaction; down, slow, stale, lost answers, silent watches, cut addresses) and of an endpoint. Ruled out: taking the header's revision of a watch message as complete, since a watch that catches up gets its changes in several messages; repeating a write whose answer was lost.

--- a/src/lentilrill/platform/__init__.py
+++ b/src/lentilrill/platform/__init__.py
@@ -16,16 +16,23 @@
     TxnAnswer,
     WatchBatch,
 )
+from lentilrill.platform._etcd import MAX_VALUE_BYTES, EtcdKeyValue
+from lentilrill.platform._guard import CallBudget
+from lentilrill.platform._hostlist import HttpHostList
 from lentilrill.platform._mirror import Mirror
 
 __all__ = [
+    "MAX_VALUE_BYTES",
+    "CallBudget",
     "Compare",
     "DeleteRange",
+    "EtcdKeyValue",
     "HostInfo",
     "HostKind",
     "HostList",
     "HostListing",
     "HostState",
+    "HttpHostList",
     "Item",
     "KeyValue",
     "Mirror",
--- a/src/lentilrill/platform/_contract.py
+++ b/src/lentilrill/platform/_contract.py
@@ -85,7 +85,10 @@
 
 
 class WatchBatch(msgspec.Struct, frozen=True):
-    """Changes of one or more revisions in order; ``revision`` is the store's at sending."""
+    """Changes in order; no change up to ``revision`` is missing after it.
+
+    A batch without items is a progress notice.
+    """
 
     items: tuple[Item, ...]
     revision: Revision
--- /dev/null
+++ b/src/lentilrill/platform/_transport.py
@@ -0,0 +1,195 @@
+"""HTTP exchanges with one service of the platform, and what a failed one means."""
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.platform._guard import Effect
+
+__all__ = ["Transport"]
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+READ_BYTES = 64 * 1024
+LONGEST_CONNECT_S = 0.5
+IDLE_CONNECTIONS = 4
+FRESH_S = 1.0
+OK = 200
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+KIND_BY_CODE = {
+    3: FaultKind.INVALID,
+    5: FaultKind.CONFLICT,
+    8: FaultKind.UNAVAILABLE,
+    9: FaultKind.CONFLICT,
+    11: FaultKind.CONFLICT,
+    12: FaultKind.INVALID,
+    16: FaultKind.REFUSED,
+    7: FaultKind.REFUSED,
+}
+"""By gRPC status code; with any other code the call may have taken effect."""
+
+
+class _Refusal(msgspec.Struct):
+    code: int = 0
+    message: str = ""
+
+
+class Transport:
+    """Connections to the addresses of one service; the address in use changes on a failure.
+
+    :param addresses: ``ip:port`` of each instance of the service, tried in turn.
+    """
+
+    def __init__(
+        self, addresses: tuple[str, ...], clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._addresses = addresses
+        self._turn = 0
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._pool = self._new_pool()
+        self._last_used = clock()
+
+    @property
+    def peer(self) -> str:
+        """The address in use."""
+        return self._addresses[self._turn % len(self._addresses)]
+
+    def exchange(
+        self, step: str, effect: Effect, method: str, path: str, body: bytes, timeout_s: float
+    ) -> Result[bytes, Fault]:
+        """Send one request and return the body of its answer, within ``timeout_s`` seconds.
+
+        :return: a fault of kind ``AMBIGUOUS`` if a call of :attr:`Effect.ONCE` may have taken
+            effect; ``UNAVAILABLE`` if it surely did not, or if it may be repeated anyway.
+        """
+        end = self._clock() + timeout_s
+        opened = self.open(step, effect, method, path, body, timeout_s, timeout_s)
+        if isinstance(opened, Failure):
+            return opened
+        response, peer = opened.unwrap()
+        try:
+            data = self._read_all(response, end)
+        except (HTTPError, OSError) as error:
+            # Guard against answers that are mixed up: a connection whose exchange was given up
+            # may still carry the old answer, so it is closed and never used for another one.
+            response.close()
+            self.fail_over(peer)
+            return Failure(Fault(step, peer, _lost(effect), f"answer lost: {error}"))
+        response.release_conn()
+        self._last_used = self._clock()
+        return Success(data) if response.status == OK else self._refusal(step, effect, peer, data)
+
+    def open(
+        self,
+        step: str,
+        effect: Effect,
+        method: str,
+        path: str,
+        body: bytes,
+        connect_s: float,
+        silence_s: float,
+    ) -> Result[tuple[urllib3.BaseHTTPResponse, str], Fault]:
+        """Send a request and return its answer's head and the peer; the body is yet to be read.
+
+        :param silence_s: longest silence while reading, in seconds.
+        """
+        pool, peer = self._pool_for(effect)
+        timeout = urllib3.Timeout(connect=min(connect_s, LONGEST_CONNECT_S), read=silence_s)
+        try:
+            response = pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers=JSON_HEADERS,
+                timeout=timeout,
+                retries=False,
+                preload_content=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            self.fail_over(peer)
+            reason = f"no connection: {error}"
+            return Failure(Fault(step, peer, FaultKind.UNAVAILABLE, reason))
+        except (HTTPError, OSError) as error:
+            self.fail_over(peer)
+            return Failure(Fault(step, peer, _lost(effect), f"no answer: {error}"))
+        return Success((response, peer))
+
+    def refusal(
+        self, step: str, response: urllib3.BaseHTTPResponse, peer: str, timeout_s: float
+    ) -> Fault:
+        """Return the fault that an opened answer with another status than 200 means."""
+        try:
+            data = self._read_all(response, self._clock() + timeout_s)
+        except (HTTPError, OSError):
+            data = b""
+        response.close()
+        return self._refusal(step, Effect.REPEATABLE, peer, data).failure()
+
+    def fail_over(self, peer: str) -> None:
+        """Give up on ``peer``: drop its idle connections and turn to the next address.
+
+        Guard against connections that something in between has forgotten: when one goes
+        silent, idle ones to the same peer are likely dead too, while new ones work.
+        """
+        with self._lock:
+            if peer != self.peer:
+                return
+            self._turn += 1
+            self._replace_pool()
+
+    def _pool_for(self, effect: Effect) -> tuple[urllib3.HTTPConnectionPool, str]:
+        with self._lock:
+            idle = self._clock() - self._last_used > FRESH_S
+            # Guard against a write whose answer is lost because its connection died long ago:
+            # it goes on a connection that worked a moment ago, or on a new one.
+            if effect is Effect.ONCE and idle:
+                self._replace_pool()
+            return self._pool, self.peer
+
+    def _replace_pool(self) -> None:
+        self._pool.close()
+        self._pool = self._new_pool()
+        self._last_used = self._clock()
+
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        host, _, port = self.peer.rpartition(":")
+        return urllib3.HTTPConnectionPool(
+            host.strip("[]"),
+            int(port),
+            maxsize=IDLE_CONNECTIONS,
+            socket_options=[(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)],
+        )
+
+    def _read_all(self, response: urllib3.BaseHTTPResponse, end: float) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while part := response.read1(READ_BYTES):
+            parts.append(part)
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                raise HTTPError("the answer is too long")
+            if self._clock() > end:
+                raise HTTPError("the answer did not end in time")
+        return b"".join(parts)
+
+    def _refusal(self, step: str, effect: Effect, peer: str, data: bytes) -> Failure[Fault]:
+        try:
+            refusal = msgspec.json.decode(data, type=_Refusal)
+        except msgspec.MsgspecError:
+            refusal = _Refusal(message="the answer is no JSON object")
+        kind = KIND_BY_CODE.get(refusal.code, _lost(effect))
+        if kind in (FaultKind.UNAVAILABLE, FaultKind.AMBIGUOUS):
+            self.fail_over(peer)
+        return Failure(Fault(step, peer, kind, refusal.message or "refused"))
+
+
+def _lost(effect: Effect) -> FaultKind:
+    return FaultKind.AMBIGUOUS if effect is Effect.ONCE else FaultKind.UNAVAILABLE
--- /dev/null
+++ b/src/lentilrill/platform/_watch.py
@@ -0,0 +1,206 @@
+"""One watch: a streamed answer of the key-value service, read change by change."""
+
+import contextlib
+import threading
+from collections.abc import Iterator
+
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+from urllib3.exceptions import HTTPError
+
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.ids import Revision
+from lentilrill.platform._contract import Item, Priority, WatchBatch
+from lentilrill.platform._guard import CallGuard, Effect
+from lentilrill.platform._transport import MAX_ANSWER_BYTES, OK, READ_BYTES, Transport
+
+__all__ = ["Watch"]
+
+PATH = "/v3/watch"
+STEP = "platform.watch"
+DELETE = "DELETE"
+
+
+class _Header(msgspec.Struct):
+    revision: int
+
+
+class _KeyValue(msgspec.Struct):
+    key: bytes
+    mod_revision: int
+    value: bytes = b""
+
+
+class _Event(msgspec.Struct):
+    kv: _KeyValue
+    type: str = "PUT"
+
+
+class _Result(msgspec.Struct):
+    header: _Header
+    created: bool = False
+    canceled: bool = False
+    compact_revision: int = 0
+    cancel_reason: str = ""
+    events: tuple[_Event, ...] = ()
+
+
+class _Error(msgspec.Struct):
+    message: str = ""
+
+
+class _Line(msgspec.Struct):
+    result: _Result | None = None
+    error: _Error | None = None
+
+
+_DECODER = msgspec.json.Decoder(_Line, strict=False)
+
+
+class Watch(Iterator[Result[WatchBatch, Fault]]):
+    """Changes in order, until a fault, which comes last; an iterator for one task.
+
+    :meth:`close` may be called by any task, and ends a wait.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        guard: CallGuard,
+        body: bytes,
+        prefix: str,
+        connect_s: float,
+        silence_s: float,
+    ) -> None:
+        self._transport = transport
+        self._guard = guard
+        self._body = body
+        self._prefix = prefix
+        self._connect_s = connect_s
+        self._silence_s = silence_s
+        self._lock = threading.Lock()
+        self._response: urllib3.BaseHTTPResponse | None = None
+        self._peer = ""
+        self._unread = b""
+        self._ended = False
+
+    def __next__(self) -> Result[WatchBatch, Fault]:
+        """Wait for the next batch; a progress notice is one without items."""
+        if self._ended:
+            raise StopIteration
+        result = self._next()
+        if self._ended:  # closed meanwhile
+            self._drop()
+            raise StopIteration
+        if isinstance(result, Failure):
+            self.close()
+            self._drop()
+        return result
+
+    def close(self) -> None:
+        """End the watch."""
+        with self._lock:
+            self._ended = True
+            response = self._response
+        if response is not None:
+            with contextlib.suppress(OSError, ValueError, RuntimeError):
+                response.shutdown()
+
+    def _next(self) -> Result[WatchBatch, Fault]:
+        if self._response is None:
+            fault = self._open()
+            if fault is not None:
+                return Failure(fault)
+        while True:
+            try:
+                line = self._line()
+            except (HTTPError, OSError) as error:
+                # Guard against a connection that is open but silent for good: the service is
+                # to send progress notices, so their absence shows it, and the caller's next
+                # watch goes on a new connection.
+                self._transport.fail_over(self._peer)
+                return self._lost(f"the watch broke off: {error}")
+            result = self._read(line)
+            if result is not None:
+                return result
+
+    def _open(self) -> Fault | None:
+        refused = self._guard.admit(STEP, Priority.FIRST)
+        if refused is not None:
+            return refused
+        opened = self._transport.open(
+            STEP, Effect.REPEATABLE, "POST", PATH, self._body, self._connect_s, self._silence_s
+        )
+        if isinstance(opened, Failure):
+            self._guard.report(STEP, opened)
+            return self._with_retry(opened.failure())
+        response, self._peer = opened.unwrap()
+        if response.status != OK:
+            fault = self._transport.refusal(STEP, response, self._peer, self._connect_s)
+            self._guard.report(STEP, Failure(fault))
+            return self._with_retry(fault)
+        with self._lock:
+            self._response = response
+        return None
+
+    def _line(self) -> bytes:
+        assert self._response is not None
+        while b"\n" not in self._unread:
+            part = self._response.read1(READ_BYTES)
+            if not part:
+                raise HTTPError("the service ended it")
+            self._unread += part
+            if len(self._unread) > MAX_ANSWER_BYTES:
+                raise HTTPError("a message is too long")
+        line, _, self._unread = self._unread.partition(b"\n")
+        return line
+
+    def _read(self, line: bytes) -> Result[WatchBatch, Fault] | None:
+        try:
+            decoded = _DECODER.decode(line)
+        except msgspec.MsgspecError as error:
+            return self._lost(f"odd message: {error}")
+        result = decoded.result
+        if result is None:
+            return self._lost(decoded.error.message if decoded.error else "message without result")
+        if result.canceled:
+            return self._canceled(result)
+        self._guard.report(STEP, Success(None))
+        if result.created:
+            return None
+        return Success(self._batch(result))
+
+    def _canceled(self, result: _Result) -> Result[WatchBatch, Fault]:
+        if not result.compact_revision:
+            return self._lost(f"the service canceled it: {result.cancel_reason}")
+        reason = f"history before revision {result.compact_revision} is no longer kept"
+        return Failure(Fault(STEP, self._peer, FaultKind.CONFLICT, reason))
+
+    def _batch(self, result: _Result) -> WatchBatch:
+        if not result.events:
+            return WatchBatch((), Revision(result.header.revision))
+        items = tuple(self._item(event) for event in result.events)
+        # The header tells the store's revision, but a watch that catches up gets its changes in
+        # several messages; only up to its last change is this one known to be complete.
+        return WatchBatch(items, max(item.revision for item in items))
+
+    def _item(self, event: _Event) -> Item:
+        key = event.kv.key.decode()[len(self._prefix) :]
+        value = None if event.type == DELETE else event.kv.value
+        return Item(key, value, Revision(event.kv.mod_revision))
+
+    def _lost(self, reason: str) -> Failure[Fault]:
+        fault = Fault(STEP, self._peer, FaultKind.UNAVAILABLE, reason)
+        self._guard.report(STEP, Failure(fault))
+        return Failure(self._with_retry(fault))
+
+    def _with_retry(self, fault: Fault) -> Fault:
+        if fault.kind is not FaultKind.UNAVAILABLE:
+            return fault
+        return msgspec.structs.replace(fault, retry_after_s=self._guard.backoff_s(1))
+
+    def _drop(self) -> None:
+        if self._response is not None:
+            self._response.close()
+            self._response = None
--- /dev/null
+++ b/standins/_etcd_http.py
@@ -0,0 +1,193 @@
+"""etcd v3's HTTP/JSON gateway in front of the stand-in's store: translation only."""
+
+import math
+from base64 import b64decode, b64encode
+from typing import Any
+
+from standins._store import (
+    Change,
+    Condition,
+    DeleteWrite,
+    Key,
+    PutWrite,
+    Store,
+    StoreError,
+)
+
+__all__ = ["HTTP_STATUS_BY_CODE", "MAX_REQUEST_BYTES", "answer", "decoded", "event", "header"]
+
+MAX_REQUEST_BYTES = 1536 * 1024
+HTTP_STATUS_BY_CODE = {3: 400, 5: 404, 8: 429, 11: 400, 12: 501, 14: 503}
+UNIMPLEMENTED = 12
+INVALID_ARGUMENT = 3
+
+Json = dict[str, Any]
+
+
+def header(revision: int) -> Json:
+    """Return an answer's header."""
+    return {"cluster_id": "1", "member_id": "1", "revision": str(revision), "raft_term": "2"}
+
+
+def answer(store: Store, reads: Store, path: str, request: Json) -> Json:
+    """Do one call and return its answer.
+
+    :param reads: where range reads look; another store than ``store`` if reads are stale.
+    """
+    call = _CALLS_BY_PATH.get(path)
+    if call is None:
+        raise StoreError(UNIMPLEMENTED, f"no such call: {path}")
+    return call(reads if call is _range else store, request)
+
+
+def event(change: Change) -> Json:
+    """Return a change as an event of a watch."""
+    if change.after is None:
+        kv = {"key": _text(change.key), "mod_revision": str(change.revision)}
+        return {"type": "DELETE", "kv": kv}
+    return {"kv": _key_value(change.after)}
+
+
+def _range(store: Store, request: Json) -> Json:
+    if int(request.get("revision", 0)):
+        raise StoreError(UNIMPLEMENTED, "reads at a past revision are not in this stand-in")
+    keys, revision = store.range(decoded(request, "key"), decoded(request, "range_end"))
+    answered: Json = {"header": header(revision)}
+    if keys:
+        limit = int(request.get("limit", 0)) or len(keys)
+        answered["kvs"] = [_key_value(key) for key in keys[:limit]]
+        answered["count"] = str(len(keys))
+        if limit < len(keys):
+            answered["more"] = True
+    return answered
+
+
+def _put(store: Store, request: Json) -> Json:
+    _, revision, _ = store.txn([], [_put_write(request)], [])
+    return {"header": header(revision)}
+
+
+def _delete_range(store: Store, request: Json) -> Json:
+    _, revision, deleted = store.txn([], [_delete_write(request)], [])
+    answered: Json = {"header": header(revision)}
+    if deleted[0]:
+        answered["deleted"] = str(deleted[0])
+    return answered
+
+
+def _txn(store: Store, request: Json) -> Json:
+    succeeded, revision, deleted = store.txn(
+        [_condition(compare) for compare in request.get("compare", [])],
+        [_write(operation) for operation in request.get("success", [])],
+        [_write(operation) for operation in request.get("failure", [])],
+    )
+    answered: Json = {"header": header(revision)}
+    if succeeded:
+        answered["succeeded"] = True
+    done = request.get("success" if succeeded else "failure", [])
+    if done:
+        answered["responses"] = [
+            _response(operation, count, revision)
+            for operation, count in zip(done, deleted, strict=True)
+        ]
+    return answered
+
+
+def _response(operation: Json, deleted: int, revision: int) -> Json:
+    if "request_put" in operation:
+        return {"response_put": {"header": {"revision": str(revision)}}}
+    response: Json = {"header": {"revision": str(revision)}}
+    if deleted:
+        response["deleted"] = str(deleted)
+    return {"response_delete_range": response}
+
+
+def _compact(store: Store, request: Json) -> Json:
+    store.compact(int(request["revision"]))
+    return {"header": header(store.revision)}
+
+
+def _grant(store: Store, request: Json) -> Json:
+    ttl_s = int(request.get("TTL", 0))
+    lease = store.grant(ttl_s, int(request.get("ID", 0)))
+    return {"header": header(store.revision), "ID": str(lease), "TTL": str(ttl_s)}
+
+
+def _keep_alive(store: Store, request: Json) -> Json:
+    lease = int(request.get("ID", 0))
+    result: Json = {"header": header(store.revision), "ID": str(lease)}
+    ttl_s = store.keep_alive(lease)
+    if ttl_s:
+        result["TTL"] = str(math.ceil(ttl_s))
+    return {"result": result}
+
+
+def _revoke(store: Store, request: Json) -> Json:
+    store.revoke(int(request.get("ID", 0)))
+    return {"header": header(store.revision)}
+
+
+_CALLS_BY_PATH = {
+    "/v3/kv/range": _range,
+    "/v3/kv/put": _put,
+    "/v3/kv/deleterange": _delete_range,
+    "/v3/kv/txn": _txn,
+    "/v3/kv/compaction": _compact,
+    "/v3/lease/grant": _grant,
+    "/v3/lease/keepalive": _keep_alive,
+    "/v3/lease/revoke": _revoke,
+}
+
+
+def _write(operation: Json) -> PutWrite | DeleteWrite:
+    if "request_put" in operation:
+        return _put_write(operation["request_put"])
+    if "request_delete_range" in operation:
+        return _delete_write(operation["request_delete_range"])
+    raise StoreError(UNIMPLEMENTED, f"operation not in this stand-in: {sorted(operation)}")
+
+
+def _put_write(request: Json) -> PutWrite:
+    key = decoded(request, "key")
+    if not key:
+        raise StoreError(INVALID_ARGUMENT, "etcdserver: key is not provided")
+    return PutWrite(key, decoded(request, "value"), int(request.get("lease", 0)))
+
+
+def _delete_write(request: Json) -> DeleteWrite:
+    return DeleteWrite(decoded(request, "key"), decoded(request, "range_end"))
+
+
+def _condition(compare: Json) -> Condition:
+    target = compare.get("target", "VERSION")
+    field = {
+        "VERSION": "version",
+        "CREATE": "create_revision",
+        "MOD": "mod_revision",
+        "VALUE": "value",
+    }[target]
+    operand = decoded(compare, field) if target == "VALUE" else int(compare.get(field, 0))
+    return Condition(decoded(compare, "key"), target, compare.get("result", "EQUAL"), operand)
+
+
+def _key_value(key: Key) -> Json:
+    shown: Json = {
+        "key": _text(key.key),
+        "create_revision": str(key.created),
+        "mod_revision": str(key.modified),
+        "version": str(key.version),
+    }
+    if key.value:
+        shown["value"] = _text(key.value)
+    if key.lease:
+        shown["lease"] = str(key.lease)
+    return shown
+
+
+def decoded(request: Json, name: str) -> bytes:
+    """Return the bytes of a base64 field, empty if it is left out."""
+    return b64decode(request.get(name, ""), validate=True)
+
+
+def _text(data: bytes) -> str:
+    return b64encode(data).decode()
--- /dev/null
+++ b/standins/_http.py
@@ -0,0 +1,160 @@
+"""A small HTTP server over cheroot, with the faults that both stand-ins share."""
+
+import contextlib
+import logging
+import select
+import socket
+import struct
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from cheroot.server import Gateway, HTTPServer
+
+__all__ = ["Call", "Server"]
+
+KEPT_CONNECTIONS = 1000
+BACKLOG = 512
+STOP_S = 0.2
+LOOK_S = 0.05
+WAKE_S = 0.01
+JSON_TYPE = "application/json"
+
+
+class Call:
+    """One request and the ways to answer it or to fail it."""
+
+    def __init__(self, request: Any) -> None:
+        self._request = request
+        self.method = request.method.decode()
+        self.path = request.path.decode()
+        self._body: bytes | None = None
+
+    @property
+    def body(self) -> bytes:
+        """The whole request body."""
+        if self._body is None:
+            self._body = self._request.rfile.read()
+        return self._body
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return a request header; ``name`` is in title case."""
+        return self._request.inheaders.get(name.encode(), default.encode()).decode()
+
+    def answer(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
+        """Answer with a body of known length."""
+        self.begin(status, {"Content-Length": str(len(body))} | (headers or {}))
+        self._request.write(body)
+
+    def answer_json(self, value: Any, status: int = 200) -> None:
+        """Answer with ``value`` as JSON."""
+        self.answer(status, msgspec.json.encode(value), {"Content-Type": JSON_TYPE})
+
+    def begin(self, status: int, headers: dict[str, str]) -> None:
+        """Send the head; without a Content-Length the body is chunked."""
+        _ = self.body
+        self._request.status = str(status).encode() + b" Stand-in"
+        self._request.outheaders = [(k.encode(), v.encode()) for k, v in headers.items()]
+        self._request.ensure_headers_sent()
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body at once."""
+        self._request.write(data)
+
+    def write_raw(self, data: bytes) -> None:
+        """Send bytes outside the framing of the answer."""
+        self._request.conn.wfile.write(data)
+
+    def cut(self, reset: bool = False) -> None:
+        """End the connection here, without (the rest of) an answer."""
+        self._request.sent_headers = True
+        self._request.chunked_write = False
+        self._request.close_connection = True
+        sock = self._request.conn.socket
+        if reset:
+            self._request.conn.linger = True  # the server is not to close it in an orderly way
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            sock.close()
+        else:
+            sock.shutdown(socket.SHUT_RDWR)
+
+    def hung_up(self) -> bool:
+        """Whether the other end closed the connection."""
+        sock = self._request.conn.socket
+        try:
+            if not select.select([sock], [], [], 0)[0]:
+                return False
+            return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except (OSError, ValueError):
+            return True
+
+    def hold_while(self, held: Callable[[], bool]) -> None:
+        """Say nothing until ``held`` is false or the other end hangs up."""
+        pause = threading.Event()
+        while held() and not self.hung_up():
+            pause.wait(LOOK_S)
+
+
+class Server:
+    """An HTTP server that hands each :class:`Call` and its address to ``handle`` on a pool thread.
+
+    :param address: ``ip:port``; port 0 takes a free one.
+    :param threads: calls served at once; more wait in the accept queue.
+    """
+
+    def __init__(self, address: str, handle: Callable[[Call, str], None], threads: int) -> None:
+        self._server = _prepared(address, threads)
+        host = address.rpartition(":")[0]
+        self.address = f"{host}:{self._server.bind_addr[1]}"
+        self._server.gateway = _gateway(handle, self.address)
+        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop serving and cut every open connection."""
+        stopper = threading.Thread(target=self._server.stop)
+        stopper.start()
+        while stopper.is_alive():
+            self._wake()
+            stopper.join(WAKE_S)
+        self._thread.join()
+
+    def _wake(self) -> None:
+        # The server looks whether it is to stop only when a connection or half a second passed.
+        host, _, port = self.address.rpartition(":")
+        with contextlib.suppress(OSError):
+            socket.create_connection((host, int(port)), timeout=WAKE_S).close()
+
+
+def _prepared(address: str, threads: int) -> Any:
+    host, _, port = address.rpartition(":")
+    server: Any = HTTPServer((host, int(port)), Gateway, minthreads=threads)
+    changes = {
+        "keep_alive_conn_limit": KEPT_CONNECTIONS,
+        "request_queue_size": BACKLOG,
+        "shutdown_timeout": STOP_S,
+        "error_log": _log,
+    }
+    for name, value in changes.items():
+        setattr(server, name, value)
+    server.prepare()
+    return server
+
+
+def _gateway(handle: Callable[[Call, str], None], address: str) -> type[Gateway]:
+    class CallGateway(Gateway):
+        def respond(self) -> None:
+            handle(Call(self.req), address)
+
+    return CallGateway
+
+
+def _log(message: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
+    if level >= logging.ERROR:
+        logging.getLogger("standins").log(level, message, exc_info=traceback)
--- /dev/null
+++ b/standins/endpoint.py
@@ -0,0 +1,272 @@
+"""Stand-in for an endpoint: runs jobs in slots, keeps a record of them, and fails on demand.
+
+A job runs for the seconds in the header ``Standin-Run-S`` and is answered with a JSON summary of
+its body, or with as many bytes as ``Standin-Answer-Bytes`` asks. Faults are set in the process by
+:meth:`EndpointStandin.set_faults` or by ``POST /standin/faults``.
+"""
+
+import argparse
+import hashlib
+import itertools
+import signal
+import threading
+import time
+from collections import deque
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from standins._http import Call, Server
+
+__all__ = ["EndpointStandin", "Faults", "Run", "main"]
+
+SLOTS = 8
+DEFAULT_RUN_S = 0.01
+KEPT_RUNS = 200_000
+PART_BYTES = 256 * 1024
+STATE_HEADER = "Endpoint-State"
+LEAVING = {STATE_HEADER: "leaving"}
+
+
+class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the stand-in does wrong.
+
+    :param fail: answers 500 at once and runs nothing.
+    :param truncate: so many next answers end in the middle.
+    :param silent: takes requests, also on open connections, runs and answers none of them.
+    :param leaving: refuses new jobs with 503; those in flight finish.
+    :param slow_s: seconds by which each answer is late, after the job ran.
+    :param reset: answers each request by resetting its connection; runs nothing.
+    :param lose_answers: so many next jobs run, then their connections are cut.
+    :param twice: sends each answer twice on its connection.
+    """
+
+    fail: bool = False
+    truncate: int = 0
+    silent: bool = False
+    leaving: bool = False
+    slow_s: float = 0.0
+    reset: bool = False
+    lose_answers: int = 0
+    twice: bool = False
+
+
+class Run(msgspec.Struct):
+    """One job that was run.
+
+    :param job: header ``Standin-Job`` of the request.
+    :param started: seconds since the epoch.
+    :param finished: the same; ``None`` while it runs.
+    :param whole: whether the answer was sent to its end.
+    """
+
+    job: str
+    path: str
+    number: int
+    started: float
+    finished: float | None = None
+    whole: bool = False
+
+
+class EndpointStandin:
+    """One endpoint.
+
+    :param address: ``ip:port`` to listen on; port 0 takes a free one.
+    :param threads: requests taken at once; by default twice the slots and some.
+    """
+
+    def __init__(
+        self,
+        address: str = "127.0.0.1:0",
+        host: str = "h1",
+        slots: int = SLOTS,
+        threads: int | None = None,
+    ) -> None:
+        self.address = address
+        self.host = host
+        self.slots = slots
+        self.faults = Faults()
+        self.overcommitted = 0
+        self.most_running = 0
+        self._threads = threads or 2 * slots + 4
+        self._free = threading.Semaphore(slots)
+        self._lock = threading.Lock()
+        self._runs: deque[Run] = deque(maxlen=KEPT_RUNS)
+        self._numbers = itertools.count(1)
+        self._running = 0
+        self._closed = threading.Event()
+        self._server: Server | None = None
+
+    def start(self) -> None:
+        """Serve; after :meth:`close`, again and with the same record."""
+        self._closed.clear()
+        self._server = Server(self.address, self._serve, self._threads)
+        self.address = self._server.address
+        self._server.start()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._closed.set()
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def set_faults(self, **changes: Any) -> None:
+        """Set some of the fields of :class:`Faults`."""
+        with self._lock:
+            self.faults = msgspec.convert(msgspec.to_builtins(self.faults) | changes, Faults)
+
+    def record(self) -> list[Run]:
+        """Return the jobs that were begun, in order."""
+        with self._lock:
+            return [msgspec.structs.replace(run) for run in self._runs]
+
+    def status(self) -> dict[str, Any]:
+        """Return counts of what was run."""
+        return {
+            "host": self.host,
+            "running": self._running,
+            "runs": len(self._runs),
+            "most_running": self.most_running,
+            "overcommitted": self.overcommitted,
+        }
+
+    def _serve(self, call: Call, _address: str) -> None:
+        if call.path.startswith("/standin/"):
+            self._control(call)
+        elif self.faults.silent:
+            call.hold_while(lambda: self.faults.silent and not self._closed.is_set())
+            call.cut()
+        elif self.faults.reset:
+            call.cut(reset=True)
+        elif self.faults.fail:
+            call.answer_json({"error": "this endpoint fails everything"}, 500)
+        elif self.faults.leaving:
+            call.answer(503, b"", LEAVING)
+        else:
+            self._take(call)
+
+    def _take(self, call: Call) -> None:
+        body = call.body
+        if not self._free.acquire(blocking=False):
+            with self._lock:
+                self.overcommitted += 1
+            self._free.acquire()
+        run = self._begin(call)
+        try:
+            self._closed.wait(float(call.header("Standin-Run-S", str(DEFAULT_RUN_S))))
+        finally:
+            run.finished = time.time()
+            with self._lock:
+                self._running -= 1
+            self._free.release()
+        self._answer(call, run, body)
+
+    def _begin(self, call: Call) -> Run:
+        with self._lock:
+            run = Run(call.header("Standin-Job"), call.path, next(self._numbers), time.time())
+            self._runs.append(run)
+            self._running += 1
+            self.most_running = max(self.most_running, self._running)
+        return run
+
+    def _answer(self, call: Call, run: Run, body: bytes) -> None:
+        self._closed.wait(self.faults.slow_s)
+        if self.faults.silent:
+            call.hold_while(lambda: self.faults.silent and not self._closed.is_set())
+            call.cut()
+            return
+        if self._uses_up("lose_answers"):
+            call.cut()
+            return
+        wanted = int(call.header("Standin-Answer-Bytes", "0"))
+        summary = {
+            "host": self.host,
+            "bytes": len(body),
+            "sha256": hashlib.sha256(body).hexdigest(),
+            "run": run.number,
+            "job": run.job,
+        }
+        shown = msgspec.json.encode(summary)
+        self._send(call, run, shown, wanted or len(shown))
+
+    def _send(self, call: Call, run: Run, shown: bytes, length: int) -> None:
+        headers = {"Content-Length": str(length), "Content-Type": "application/json"}
+        call.begin(200, headers | (LEAVING if self.faults.leaving else {}))
+        end = length // 2 if self._uses_up("truncate") else length
+        if length == len(shown):
+            call.write(shown[:end])
+        else:
+            _write_filler(call, end)
+        if end < length:
+            call.cut()
+            return
+        run.whole = True
+        if self.faults.twice:
+            head = f"HTTP/1.1 200 Again\r\nContent-Length: {len(shown)}\r\n\r\n".encode()
+            call.write_raw(head + shown)
+
+    def _uses_up(self, fault: str) -> bool:
+        with self._lock:
+            left: int = getattr(self.faults, fault)
+            self.faults = msgspec.structs.replace(self.faults, **{fault: max(0, left - 1)})
+            return left > 0
+
+    def _control(self, call: Call) -> None:
+        what = (call.method, call.path)
+        if what == ("GET", "/standin/record"):
+            call.answer_json(self.record())
+        elif what == ("GET", "/standin/status"):
+            call.answer_json(self.status())
+        elif what == ("POST", "/standin/faults"):
+            try:
+                self.set_faults(**msgspec.json.decode(call.body))
+                call.answer_json(self.faults)
+            except (msgspec.MsgspecError, TypeError) as error:
+                call.answer_json({"error": str(error)}, 400)
+        else:
+            call.answer_json({"error": "no such control"}, 404)
+
+
+class _Listing(msgspec.Struct, forbid_unknown_fields=True):
+    listen: str
+    host: str
+    slots: int = SLOTS
+
+
+def _write_filler(call: Call, length: int) -> None:
+    part = b"lentilrill " * (PART_BYTES // 11)
+    left = length
+    while left > 0:
+        call.write(part[:left])
+        left -= min(left, len(part))
+
+
+def main() -> None:
+    """Run one endpoint, or those of a file, until SIGTERM or SIGINT."""
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    parser.add_argument("--listen", metavar="IP:PORT")
+    parser.add_argument("--host", default="h1")
+    parser.add_argument("--slots", type=int, default=SLOTS)
+    parser.add_argument("--many", type=Path, help="JSON list of {listen, host, slots}")
+    parser.add_argument("--threads", type=int, help="threads of each endpoint")
+    arguments = parser.parse_args()
+    if bool(arguments.listen) == bool(arguments.many):
+        parser.error("give either --listen or --many")
+    listings = [_Listing(arguments.listen or "", arguments.host, arguments.slots)]
+    if arguments.many:
+        listings = msgspec.json.decode(arguments.many.read_bytes(), type=list[_Listing])
+    endpoints = [EndpointStandin(i.listen, i.host, i.slots, arguments.threads) for i in listings]
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    with ThreadPoolExecutor(max_workers=16) as pool:
+        list(pool.map(EndpointStandin.start, endpoints))
+        stopped.wait()
+        list(pool.map(EndpointStandin.close, endpoints))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,324 @@
+"""Stand-in for the platform: its key-value service and its host list in one process.
+
+The key-value service answers as etcd's HTTP/JSON gateway does. Faults are set in the process by
+:meth:`PlatformStandin.set_faults` or by ``POST /standin/faults``; a field that is left out stays
+as it is. Each ``--listen`` address can be cut on its own, so that a zone that has an address to
+itself can be cut off.
+"""
+
+import argparse
+import signal
+import threading
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from lentilrill.platform import HostInfo
+from standins import _etcd_http
+from standins._http import Call, Server
+from standins._store import Store, StoreError
+
+__all__ = ["Faults", "PlatformStandin", "main"]
+
+THREADS = 64
+PROGRESS_S = 1.0
+LOOK_S = 0.05
+KEPT_LISTS = 1000
+WRITES = {"/v3/kv/put", "/v3/kv/deleterange", "/v3/kv/txn"}
+WATCH = "/v3/watch"
+
+
+class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the stand-in does wrong.
+
+    :param down: calls and watches are cut without an answer and without effect.
+    :param slow_s: seconds by which each answer is late.
+    :param lose_answers: so many next writes take effect, then their connections are cut.
+    :param stale: reads and the host list come from the state at which this was set.
+    :param host_list_lag_s: age of the host list.
+    :param silent_watch: watches stay open and say nothing.
+    :param cut: listening addresses that take calls and never answer them, without effect.
+    """
+
+    down: bool = False
+    slow_s: float = 0.0
+    lose_answers: int = 0
+    stale: bool = False
+    host_list_lag_s: float = 0.0
+    silent_watch: bool = False
+    cut: tuple[str, ...] = ()
+
+
+class PlatformStandin:
+    """The platform's two services.
+
+    :param addresses: ``ip:port`` to listen on; port 0 takes a free one.
+    :param threads: calls served at once by each address; a waiting watch holds one.
+    :param progress_s: seconds between two progress notices of an idle watch.
+    :param clock: monotonic seconds, by which leases lapse.
+    :param now: seconds since the epoch, by which the host list lags.
+    """
+
+    def __init__(
+        self,
+        *addresses: str,
+        threads: int = THREADS,
+        progress_s: float = PROGRESS_S,
+        clock: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = time.time,
+    ) -> None:
+        self.store = Store(clock)
+        self.faults = Faults()
+        self.watches_waiting = 0
+        self._threads = threads
+        self._progress_s = progress_s
+        self._now = now
+        self._lock = threading.Lock()
+        self._calls_by_kind: Counter[str] = Counter()
+        self._stale_store = self.store
+        self._stale_hosts: tuple[float, tuple[HostInfo, ...]] | None = None
+        self._lists: deque[tuple[float, tuple[HostInfo, ...]]] = deque([(0.0, ())], KEPT_LISTS)
+        self._closed = threading.Event()
+        self._servers: list[Server] = []
+        self.addresses = addresses or ("127.0.0.1:0",)
+
+    @property
+    def address(self) -> str:
+        """The first address that the stand-in listens on."""
+        return self.addresses[0]
+
+    def start(self) -> None:
+        """Serve; after :meth:`close`, again and with the same state."""
+        self._closed.clear()
+        self._servers = [Server(a, self._serve, self._threads) for a in self.addresses]
+        self.addresses = tuple(server.address for server in self._servers)
+        for server in self._servers:
+            server.start()
+
+    def close(self) -> None:
+        """Stop serving: later calls are refused a connection."""
+        self._closed.set()
+        for server in self._servers:
+            server.close()
+        self._servers = []
+
+    def set_faults(self, **changes: Any) -> None:
+        """Set some of the fields of :class:`Faults`."""
+        with self._lock:
+            before = self.faults
+            merged = msgspec.to_builtins(before) | changes
+            self.faults = msgspec.convert(merged, Faults)
+            if self.faults.stale and not before.stale:
+                self._stale_store = self.store.copy()
+                self._stale_hosts = self._lagging()
+
+    def set_hosts(self, hosts: tuple[HostInfo, ...]) -> None:
+        """Replace the host list."""
+        with self._lock:
+            self._lists.append((self._now(), hosts))
+
+    def change_host(self, host: str, **changes: Any) -> None:
+        """Change fields of one host of the list."""
+        with self._lock:
+            hosts = self._lists[-1][1]
+        self.set_hosts(
+            tuple(
+                msgspec.convert(msgspec.to_builtins(h) | changes, HostInfo) if h.id == host else h
+                for h in hosts
+            )
+        )
+
+    def remove_host(self, host: str) -> None:
+        """Take one host off the list."""
+        self.set_hosts(tuple(h for h in self._lists[-1][1] if h.id != host))
+
+    def calls(self) -> dict[str, Any]:
+        """Return the counts of calls by kind, and the watches that wait now."""
+        with self._lock:
+            return {"by_kind": dict(self._calls_by_kind), "watches_waiting": self.watches_waiting}
+
+    def _serve(self, call: Call, address: str) -> None:
+        if call.path.startswith("/standin/"):
+            self._control(call)
+            return
+        with self._lock:
+            self._calls_by_kind[call.path] += 1
+        if self._out_of_reach(address):
+            call.hold_while(lambda: self._out_of_reach(address))
+            call.cut()
+        elif self.faults.down:
+            call.cut()
+        else:
+            self._closed.wait(self.faults.slow_s)
+            self._answer(call, address)
+
+    def _answer(self, call: Call, address: str) -> None:
+        if call.path == WATCH:
+            self._watch(call, address)
+        elif call.path == "/hosts":
+            self._answer_hosts(call)
+        else:
+            self._answer_key_value(call)
+
+    def _answer_key_value(self, call: Call) -> None:
+        try:
+            if len(call.body) > _etcd_http.MAX_REQUEST_BYTES:
+                raise StoreError(3, "etcdserver: request is too large")
+            reads = self._stale_store if self.faults.stale else self.store
+            before = self.store.revision
+            request = msgspec.json.decode(call.body, type=dict)
+            answered = _etcd_http.answer(self.store, reads, call.path, request)
+        except StoreError as error:
+            _refuse(call, error)
+            return
+        except (msgspec.DecodeError, ValueError, KeyError) as error:
+            _refuse(call, StoreError(3, f"malformed request: {error}"))
+            return
+        if call.path in WRITES and self.store.revision > before and self._loses_answer():
+            call.cut()
+            return
+        call.answer_json(answered)
+
+    def _loses_answer(self) -> bool:
+        with self._lock:
+            left = self.faults.lose_answers
+            self.faults = msgspec.structs.replace(self.faults, lose_answers=max(0, left - 1))
+            return left > 0
+
+    def _watch(self, call: Call, address: str) -> None:
+        create = msgspec.json.decode(call.body, type=dict)["create_request"]
+        with self._lock:
+            self.watches_waiting += 1
+        try:
+            call.begin(200, {"Content-Type": "application/json"})
+            _Watch(self, call, address, create, self._progress_s).run()
+        except OSError:
+            pass  # the watcher hung up
+        finally:
+            with self._lock:
+                self.watches_waiting -= 1
+        call.cut()
+
+    def watch_ends(self) -> bool:
+        """Whether open watches are to be cut."""
+        return self._closed.is_set() or self.faults.down
+
+    def watch_silent(self, address: str) -> bool:
+        """Whether the watches that came in on ``address`` are to say nothing."""
+        return self.faults.silent_watch or self._out_of_reach(address)
+
+    def _out_of_reach(self, address: str) -> bool:
+        return address in self.faults.cut and not self._closed.is_set()
+
+    def _lagging(self) -> tuple[float, tuple[HostInfo, ...]]:
+        at = self._now() - self.faults.host_list_lag_s
+        hosts = next((hosts for made, hosts in reversed(self._lists) if made <= at), ())
+        return at, hosts
+
+    def _answer_hosts(self, call: Call) -> None:
+        with self._lock:
+            stale = self._stale_hosts if self.faults.stale else None
+            as_of, hosts = stale or self._lagging()
+        call.answer_json({"as_of": as_of, "hosts": hosts})
+
+    def _control(self, call: Call) -> None:
+        _, _, what, *rest = call.path.split("/")
+        controls: dict[tuple[str, str], Callable[[], Any]] = {
+            ("POST", "faults"): lambda: self.set_faults(**msgspec.json.decode(call.body)),
+            ("GET", "faults"): lambda: self.faults,
+            ("GET", "calls"): self.calls,
+            ("PUT", "hosts"): lambda: self.set_hosts(
+                msgspec.json.decode(call.body, type=tuple[HostInfo, ...])
+            ),
+            ("PATCH", "hosts"): lambda: self.change_host(rest[0], **msgspec.json.decode(call.body)),
+            ("DELETE", "hosts"): lambda: self.remove_host(rest[0]),
+        }
+        control = controls.get((call.method, what))
+        if control is None:
+            call.answer_json({"error": "no such control"}, 404)
+            return
+        try:
+            call.answer_json(control())
+        except (msgspec.MsgspecError, TypeError) as error:
+            call.answer_json({"error": str(error)}, 400)
+
+
+class _Watch:
+    """One open watch: changes from a start revision on, and progress notices between."""
+
+    def __init__(
+        self,
+        platform: PlatformStandin,
+        call: Call,
+        address: str,
+        create: dict[str, Any],
+        progress_s: float,
+    ) -> None:
+        self._platform = platform
+        self._store = platform.store
+        self._call = call
+        self._address = address
+        self._key = _etcd_http.decoded(create, "key")
+        self._end = _etcd_http.decoded(create, "range_end")
+        self._next = int(create.get("start_revision", 0)) or self._store.revision + 1
+        self._progress_s = progress_s if create.get("progress_notify") else float("inf")
+        self._spoke = time.monotonic()
+
+    def run(self) -> None:
+        """Serve the watch until it ends."""
+        self._say(self._store.revision, created=True)
+        while not self._platform.watch_ends() and not self._call.hung_up():
+            if self._platform.watch_silent(self._address):
+                time.sleep(LOOK_S)
+                continue
+            if self._next < self._store.compacted:
+                compacted = str(self._store.compacted)
+                self._say(self._store.revision, canceled=True, compact_revision=compacted)
+                return
+            self._step()
+
+    def _step(self) -> None:
+        with self._store.changed:
+            changes, revision = self._store.since(self._next, self._key, self._end)
+            if not changes:
+                self._store.changed.wait(LOOK_S)
+        if changes:
+            self._say(revision, events=[_etcd_http.event(change) for change in changes])
+        elif time.monotonic() - self._spoke >= self._progress_s:
+            self._say(revision)
+        self._next = max(self._next, revision + 1)
+
+    def _say(self, revision: int, **fields: Any) -> None:
+        message = {"result": {"header": _etcd_http.header(revision), **fields}}
+        self._call.write(msgspec.json.encode(message) + b"\n")
+        self._spoke = time.monotonic()
+
+
+def _refuse(call: Call, error: StoreError) -> None:
+    body = {"error": error.message, "code": error.code, "message": error.message}
+    call.answer_json(body, _etcd_http.HTTP_STATUS_BY_CODE.get(error.code, 500))
+
+
+def main() -> None:
+    """Run the stand-in until SIGTERM or SIGINT."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else None)
+    parser.add_argument("--listen", action="append", required=True, metavar="IP:PORT")
+    parser.add_argument("--threads", type=int, default=THREADS)
+    parser.add_argument("--progress-s", type=float, default=PROGRESS_S)
+    arguments = parser.parse_args()
+    standin = PlatformStandin(
+        *arguments.listen, threads=arguments.threads, progress_s=arguments.progress_s
+    )
+    standin.start()
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    stopped.wait()
+    standin.close()
+
+
+if __name__ == "__main__":
+    main()
