Platform: newest change, control address, transport tests

Cause: progress notices of etcd come every ten minutes by default, so a watch's silence can't be found by them. Change: newest() tells the last change without values, TCP keepalive finds dead connections, and the stand-in takes a control address that answers whatever is wrong. Transport tests: abandoned answers, trickling answers, idle connections. Run: pytest tests/platform tests/standins.

--- a/src/lentilrill/platform/_etcd.py
+++ b/src/lentilrill/platform/_etcd.py
@@ -28,7 +28,9 @@
 __all__ = ["MAX_VALUE_BYTES", "EtcdKeyValue"]
 
 MAX_VALUE_BYTES = 1_000_000
-WATCH_SILENCE_S = 5.0
+WATCH_SILENCE_S = 900.0
+"""Longer than the service's usual ten minutes between progress notices. A connection that died
+is found much sooner by TCP; one that lives but says nothing, by the reader asking ``newest``."""
 
 RANGE = "/v3/kv/range"
 TXN = "/v3/kv/txn"
@@ -107,6 +109,22 @@
         answer = self._call("platform.read", Effect.REPEATABLE, priority, RANGE, body, _Range)
         return answer.map(self._range_answer)
 
+    def newest(self, prefix: str, priority: Priority = Priority.LATER) -> Result[Revision, Fault]:
+        """Return the highest modification revision of a present key below ``prefix``, or 0."""
+        start, end = self._range(prefix)
+        body = {
+            "key": start,
+            "range_end": end,
+            "limit": "1",
+            "keys_only": True,
+            "sort_order": "DESCEND",
+            "sort_target": "MOD",
+        }
+        answer = self._call("platform.newest", Effect.REPEATABLE, priority, RANGE, body, _Range)
+        return answer.map(
+            lambda found: Revision(max((kv.mod_revision for kv in found.kvs), default=0))
+        )
+
     def commit(
         self,
         compares: tuple[Compare, ...],
--- a/src/lentilrill/platform/_transport.py
+++ b/src/lentilrill/platform/_transport.py
@@ -23,6 +23,17 @@
 OK = 200
 JSON_HEADERS = {"Content-Type": "application/json"}
 
+# A waiting watch sends nothing, so it would never learn that its connection died: TCP's own
+# probes find that out within seconds.
+SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 5000),
+]
+
 KIND_BY_CODE = {
     3: FaultKind.INVALID,
     5: FaultKind.CONFLICT,
@@ -165,7 +176,7 @@
             host.strip("[]"),
             int(port),
             maxsize=IDLE_CONNECTIONS,
-            socket_options=[(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)],
+            socket_options=SOCKET_OPTIONS,
         )
 
     def _read_all(self, response: urllib3.BaseHTTPResponse, end: float) -> bytes:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -24,6 +24,7 @@
 __all__ = ["Faults", "PlatformStandin", "main"]
 
 THREADS = 64
+CONTROL_THREADS = 4
 PROGRESS_S = 1.0
 LOOK_S = 0.05
 KEPT_LISTS = 1000
@@ -56,6 +57,7 @@
     """The platform's two services.
 
     :param addresses: ``ip:port`` to listen on; port 0 takes a free one.
+    :param control: another address for ``/standin/`` calls, which answers whatever is wrong.
     :param threads: calls served at once by each address; a waiting watch holds one.
     :param progress_s: seconds between two progress notices of an idle watch.
     :param clock: monotonic seconds, by which leases lapse.
@@ -65,6 +67,7 @@
     def __init__(
         self,
         *addresses: str,
+        control: str = "",
         threads: int = THREADS,
         progress_s: float = PROGRESS_S,
         clock: Callable[[], float] = time.monotonic,
@@ -73,6 +76,7 @@
         self.store = Store(clock)
         self.faults = Faults()
         self.watches_waiting = 0
+        self._control_address = control
         self._threads = threads
         self._progress_s = progress_s
         self._now = now
@@ -95,6 +99,8 @@
         self._closed.clear()
         self._servers = [Server(a, self._serve, self._threads) for a in self.addresses]
         self.addresses = tuple(server.address for server in self._servers)
+        if self._control_address:
+            self._servers.append(Server(self._control_address, self._serve, CONTROL_THREADS))
         for server in self._servers:
             server.start()
 
@@ -306,11 +312,15 @@
     """Run the stand-in until SIGTERM or SIGINT."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else None)
     parser.add_argument("--listen", action="append", required=True, metavar="IP:PORT")
+    parser.add_argument("--control", default="", metavar="IP:PORT")
     parser.add_argument("--threads", type=int, default=THREADS)
     parser.add_argument("--progress-s", type=float, default=PROGRESS_S)
     arguments = parser.parse_args()
     standin = PlatformStandin(
-        *arguments.listen, threads=arguments.threads, progress_s=arguments.progress_s
+        *arguments.listen,
+        control=arguments.control,
+        threads=arguments.threads,
+        progress_s=arguments.progress_s,
     )
     standin.start()
     stopped = threading.Event()
--- a/tests/platform/test_etcd.py
+++ b/tests/platform/test_etcd.py
@@ -62,6 +62,12 @@
         self.assertEqual(revision, answer.revision)
         self.assertEqual((), self.kv.read("a/b/").unwrap().items)
 
+    def test_the_newest_change_is_told_without_values(self) -> None:
+        self.assertEqual(0, self.kv.newest("state/").unwrap())
+        for key in ("state/b", "state/a", "elsewhere"):
+            self.put(key)
+        self.assertEqual(3, self.kv.newest("state/").unwrap())
+
     def test_a_commit_needs_every_comparison(self) -> None:
         first = self.kv.commit((Compare("k", Revision(0)),), (Put("k", b"1"),)).unwrap()
         self.assertEqual(TxnAnswer(True, Revision(2)), first)
--- /dev/null
+++ b/tests/platform/test_transport.py
@@ -0,0 +1,129 @@
+"""Which connection an exchange goes on, against a server that is scripted byte by byte."""
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+
+from returns.result import Failure
+from testtools import TestCase
+
+from lentilrill.faults import FaultKind
+from lentilrill.platform._guard import Effect
+from lentilrill.platform._transport import FRESH_S, Transport
+
+WAIT_S = 20.0
+SHORT_S = 0.2
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n"
+
+
+class ScriptedServer:
+    """Answers each request on each connection by ``script``; counts connections."""
+
+    def __init__(self, script: Callable[[socket.socket, int], None]) -> None:
+        self.connections = 0
+        self._script = script
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            arguments = (connection, self.connections)
+            threading.Thread(target=self._serve, args=arguments, daemon=True).start()
+
+    def _serve(self, connection: socket.socket, number: int) -> None:
+        with connection, contextlib.suppress(ConnectionError):
+            while connection.recv(65536):
+                self._script(connection, number)
+
+
+class TransportTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.now = 0.0
+
+    def a_transport(self, script: Callable[[socket.socket, int], None]) -> Transport:
+        self.server = ScriptedServer(script)
+        self.addCleanup(self.server.close)
+        return Transport((self.server.address,), lambda: self.now)
+
+    def exchange(self, transport: Transport, effect: Effect = Effect.REPEATABLE):
+        return transport.exchange("platform.x", effect, "POST", "/x", b"{}", SHORT_S)
+
+    def test_the_rest_of_an_abandoned_answer_reaches_nobody(self) -> None:
+        # The platform is slow: an answer stops half way and the call is given up. Its second
+        # half arrives later; a next call on that connection would be told a stranger's answer.
+        late = threading.Event()
+
+        def script(connection: socket.socket, number: int) -> None:
+            if number == 1:
+                connection.sendall(HEAD + b"old")
+                late.wait(WAIT_S)
+                connection.sendall(b"old" + HEAD + b"oldold")
+            else:
+                connection.sendall(HEAD + b"newnew")
+
+        transport = self.a_transport(script)
+        lost = self.exchange(transport, Effect.ONCE)
+        self.assertEqual(FaultKind.AMBIGUOUS, lost.failure().kind)
+        late.set()
+        self.assertEqual(b"newnew", self.exchange(transport).unwrap())
+
+    def test_an_answer_that_trickles_ends_by_its_deadline(self) -> None:
+        # Each byte of an answer comes before the socket's time limit, the last one never: a
+        # caller would wait for good. The deadline is that of the whole answer.
+        def script(connection: socket.socket, number: int) -> None:
+            connection.sendall(HEAD + b"ol")
+            self.now += 2 * SHORT_S
+            connection.sendall(b"d")
+            threading.Event().wait(SHORT_S / 2)
+            connection.sendall(b"old")
+
+        result = self.exchange(self.a_transport(script))
+        self.assertIsInstance(result, Failure)
+        self.assertEqual(FaultKind.UNAVAILABLE, result.failure().kind)
+
+    def test_a_write_avoids_a_connection_that_was_idle(self) -> None:
+        # Something in between forgets a connection that was idle, and it goes silent for good.
+        # A claim sent on it would be lost with its answer, and the job be refused needlessly.
+        def script(connection: socket.socket, number: int) -> None:
+            forgotten = number == 1 and self.now > 0
+            if not forgotten:
+                connection.sendall(HEAD + b"answer")
+
+        transport = self.a_transport(script)
+        self.exchange(transport).unwrap()
+        self.exchange(transport).unwrap()
+        self.assertEqual(1, self.server.connections)
+        self.now = 2 * FRESH_S
+        self.assertEqual(b"answer", self.exchange(transport, Effect.ONCE).unwrap())
+
+    def test_idle_connections_go_with_a_silent_one(self) -> None:
+        # Two connections are idle when the way they take is forgotten. The first call on one
+        # of them is lost; the next one must not be lost on the other.
+        together = threading.Barrier(2)
+
+        def script(connection: socket.socket, number: int) -> None:
+            if self.now == 0:
+                together.wait(WAIT_S)
+                connection.sendall(HEAD + b"answer")
+            elif number > 2:
+                connection.sendall(HEAD + b"answer")
+
+        transport = self.a_transport(script)
+        other = threading.Thread(target=self.exchange, args=(transport,))
+        other.start()
+        self.exchange(transport).unwrap()
+        other.join(WAIT_S)
+        self.now = 1.0
+        self.assertIsInstance(self.exchange(transport), Failure)
+        self.assertEqual(b"answer", self.exchange(transport).unwrap())
