--- a/src/lentilrill/operators/__init__.py
+++ b/src/lentilrill/operators/__init__.py
@@ -1,1 +1,69 @@
-"""To be filled."""
+"""HTTP for operators: configuration, planned stops, status and the audit trail."""
+
+from lentilrill.operators._answers import (
+    ApplyBody,
+    AuditAnswer,
+    CheckAnswer,
+    CheckBody,
+    ConfigAnswer,
+    EditAnswer,
+    HostRow,
+    HostsAnswer,
+    Problem,
+    StopBody,
+)
+from lentilrill.operators._audit import Action, AuditEntry, AuditRecord, AuditTrail, EditVerdict
+from lentilrill.operators._capacity import check_capacity
+from lentilrill.operators._diff import Change, Difference, FieldChange, difference
+from lentilrill.operators._editing import MAX_DOCUMENT_BYTES, Editor
+from lentilrill.operators._outcomes import EditOutcome
+from lentilrill.operators._server import MAX_BODY_BYTES, OperatorServer
+from lentilrill.operators._status import (
+    MemberStatus,
+    PoolStatus,
+    Reach,
+    Status,
+    StopState,
+    StopStatus,
+    WaveStatus,
+    reach,
+)
+from lentilrill.operators._store import DocumentStore, Head
+
+__all__ = [
+    "MAX_BODY_BYTES",
+    "MAX_DOCUMENT_BYTES",
+    "Action",
+    "ApplyBody",
+    "AuditAnswer",
+    "AuditEntry",
+    "AuditRecord",
+    "AuditTrail",
+    "Change",
+    "CheckAnswer",
+    "CheckBody",
+    "ConfigAnswer",
+    "Difference",
+    "DocumentStore",
+    "EditAnswer",
+    "EditOutcome",
+    "EditVerdict",
+    "Editor",
+    "FieldChange",
+    "Head",
+    "HostRow",
+    "HostsAnswer",
+    "MemberStatus",
+    "OperatorServer",
+    "PoolStatus",
+    "Problem",
+    "Reach",
+    "Status",
+    "StopBody",
+    "StopState",
+    "StopStatus",
+    "WaveStatus",
+    "check_capacity",
+    "difference",
+    "reach",
+]
--- /dev/null
+++ b/src/lentilrill/operators/_answers.py
@@ -0,0 +1,128 @@
+"""Bodies of the operators' HTTP: what comes in, and what goes out."""
+
+import msgspec
+
+from lentilrill.fleet import HostPhase
+from lentilrill.ids import HostId, PoolId, RackId, Revision, StopId, ZoneId
+from lentilrill.operators._audit import AuditEntry, EditVerdict
+from lentilrill.operators._diff import Difference
+from lentilrill.settings import Document, Finding
+
+__all__ = [
+    "ApplyBody",
+    "AuditAnswer",
+    "CheckAnswer",
+    "CheckBody",
+    "ConfigAnswer",
+    "EditAnswer",
+    "HostRow",
+    "HostsAnswer",
+    "Problem",
+    "StopBody",
+]
+
+
+class CheckBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The two files, each as the JSON that it holds."""
+
+    plans: msgspec.Raw
+    entitlements: msgspec.Raw
+
+
+class ApplyBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The two files, and the revision that they were edited from.
+
+    :param write_id: the caller's name for the edit, to send it again after a lost answer.
+    """
+
+    base: int
+    plans: msgspec.Raw
+    entitlements: msgspec.Raw
+    write_id: str = ""
+
+
+class StopBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A planned stop to declare."""
+
+    id: StopId
+    hosts: tuple[HostId, ...]
+    retire: bool = False
+    reason: str = ""
+
+
+class ConfigAnswer(msgspec.Struct, frozen=True):
+    """The document.
+
+    :param fresh: whether it was read from the platform; if not, it is this controller's copy.
+    """
+
+    revision: Revision
+    fresh: bool
+    document: Document
+
+
+class CheckAnswer(msgspec.Struct, frozen=True):
+    """Findings of two lists, and what they would change if applied now."""
+
+    valid: bool
+    revision: Revision
+    findings: tuple[Finding, ...]
+    differences: tuple[Difference, ...]
+
+
+class EditAnswer(msgspec.Struct, frozen=True):
+    """An edit that is in the store: ``accepted`` or ``unchanged``."""
+
+    verdict: EditVerdict
+    revision: Revision
+    number: int
+    write_id: str
+    differences: tuple[Difference, ...] = ()
+    findings: tuple[Finding, ...] = ()
+    message: str = ""
+
+
+class HostRow(msgspec.Struct, frozen=True):
+    """One host and the pool that it belongs to."""
+
+    id: HostId
+    pool: PoolId
+    phase: HostPhase
+    zone: ZoneId
+    rack: RackId
+    address: str
+    target: PoolId | None = None
+    stop: StopId | None = None
+
+
+class HostsAnswer(msgspec.Struct, frozen=True):
+    """Every host that belongs to a pool, sorted by pool and id."""
+
+    hosts: tuple[HostRow, ...]
+
+
+class AuditAnswer(msgspec.Struct, frozen=True):
+    """The newest edits, oldest first."""
+
+    entries: tuple[AuditEntry, ...]
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An error as RFC 9457 has it, with what operators need to go on.
+
+    :param verdict: what became of an edit; ``None`` where none was asked for.
+    """
+
+    type: str
+    title: str
+    status: int
+    detail: str = ""
+    verdict: EditVerdict | None = None
+    write_id: str = ""
+    number: int = 0
+    base: Revision = Revision(0)
+    revision: Revision | None = None
+    differences: tuple[Difference, ...] = ()
+    findings: tuple[Finding, ...] = ()
+    since: tuple[AuditEntry, ...] = ()
+    retry_after_s: float | None = None
--- /dev/null
+++ b/src/lentilrill/operators/_api.py
@@ -0,0 +1,192 @@
+"""What operators can ask of a controller, each as one handler from request to reply."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from urllib.parse import unquote
+
+import msgspec
+from returns.result import Failure
+
+from lentilrill.fleet import FleetView
+from lentilrill.ids import Revision, StopId
+from lentilrill.operators._answers import (
+    ApplyBody,
+    AuditAnswer,
+    CheckAnswer,
+    CheckBody,
+    ConfigAnswer,
+    EditAnswer,
+    HostRow,
+    HostsAnswer,
+    StopBody,
+)
+from lentilrill.operators._audit import AuditTrail, EditVerdict
+from lentilrill.operators._capacity import check_capacity
+from lentilrill.operators._diff import difference
+from lentilrill.operators._editing import Editor
+from lentilrill.operators._outcomes import EditOutcome
+from lentilrill.operators._problems import Reply, edit_problem, fault_problem, problem
+from lentilrill.operators._status import Status
+from lentilrill.operators._store import DocumentStore, Head
+from lentilrill.platform import HostList
+from lentilrill.settings import (
+    Document,
+    Finding,
+    PlannedStop,
+    Severity,
+    check,
+    decode_lists,
+    errors_of,
+)
+from lentilrill.telemetry import Metrics
+
+__all__ = ["Api", "Request"]
+
+DEFAULT_AUDIT_LIMIT = 50
+MAX_AUDIT_LIMIT = 1000
+
+
+class Request(msgspec.Struct, frozen=True):
+    """A request of a known operator.
+
+    :param tail: last part of the path where a route leaves it open.
+    """
+
+    who: str
+    body: bytes = b""
+    tail: str = ""
+    query: dict[str, str] = {}
+
+
+class Api:
+    """Handlers of the operators' HTTP."""
+
+    def __init__(
+        self,
+        store: DocumentStore,
+        editor: Editor,
+        audit: AuditTrail,
+        view: FleetView,
+        status: Callable[[], Status],
+        metrics: Metrics,
+        host_list: HostList | None = None,
+    ) -> None:
+        self._store = store
+        self._editor = editor
+        self._audit = audit
+        self._view = view
+        self._status = status
+        self._metrics = metrics
+        self._host_list = host_list
+
+    def config(self, _request: Request) -> Reply:
+        """Show the document, from the platform if it answers, else this controller's copy."""
+        read = self._store.head()
+        fresh = not isinstance(read, Failure)
+        head = read.value_or(self._held())
+        return Reply(HTTPStatus.OK, ConfigAnswer(head.revision, fresh, head.document))
+
+    def check(self, request: Request) -> Reply:
+        """Check two lists without applying them."""
+        body = msgspec.json.decode(request.body, type=CheckBody)
+        head = self._store.head().value_or(self._held())
+        decoded = decode_lists(bytes(body.plans), bytes(body.entitlements))
+        if isinstance(decoded, Failure):
+            answer = CheckAnswer(False, head.revision, decoded.failure(), ())
+            return Reply(HTTPStatus.OK, answer)
+        document = msgspec.structs.replace(decoded.unwrap(), stops=head.document.stops)
+        findings = check(document)
+        answer = CheckAnswer(
+            not errors_of(findings),
+            head.revision,
+            findings + self._capacity(document),
+            difference(head.document, document),
+        )
+        return Reply(HTTPStatus.OK, answer)
+
+    def apply(self, request: Request) -> Reply:
+        """Put two lists in the place of those in force."""
+        body = msgspec.json.decode(request.body, type=ApplyBody)
+        decoded = decode_lists(bytes(body.plans), bytes(body.entitlements))
+        if isinstance(decoded, Failure):
+            found = decoded.failure()
+            return self._edited(EditOutcome(EditVerdict.INVALID, body.write_id, findings=found))
+        lists = decoded.unwrap()
+        outcome = self._editor.apply(request.who, lists, Revision(body.base), body.write_id)
+        return self._edited(outcome, lists)
+
+    def declare_stop(self, request: Request) -> Reply:
+        """Declare a planned stop."""
+        body = msgspec.json.decode(request.body, type=StopBody)
+        stop = PlannedStop(body.id, body.hosts, body.retire, body.reason)
+        outcome = self._editor.declare(request.who, stop)
+        return self._edited(outcome, Document(stops=(stop,)))
+
+    def cancel_stop(self, request: Request) -> Reply:
+        """Take a planned stop back."""
+        return self._edited(self._editor.cancel(request.who, StopId(unquote(request.tail))))
+
+    def status(self, _request: Request) -> Reply:
+        """Show the whole picture."""
+        return Reply(HTTPStatus.OK, self._status())
+
+    def hosts(self, _request: Request) -> Reply:
+        """List every host with its pool."""
+        rows = [
+            HostRow(
+                entry.id,
+                pool,
+                entry.phase,
+                entry.zone,
+                entry.rack,
+                entry.address,
+                entry.target,
+                entry.stop,
+            )
+            for pool, entry in self._view.hosts_by_id.values()
+        ]
+        rows.sort(key=lambda row: (row.pool, row.id))
+        return Reply(HTTPStatus.OK, HostsAnswer(tuple(rows)))
+
+    def audit(self, request: Request) -> Reply:
+        """Show the newest edits."""
+        text = request.query.get("limit", str(DEFAULT_AUDIT_LIMIT))
+        if not text.isascii() or not text.isdigit() or not 1 <= int(text) <= MAX_AUDIT_LIMIT:
+            detail = f"limit must be a number from 1 to {MAX_AUDIT_LIMIT}"
+            return problem(HTTPStatus.BAD_REQUEST, "bad-request", detail)
+        read = self._store.head().bind(
+            lambda head: self._audit.newest(head.document.edit, int(text))
+        )
+        if isinstance(read, Failure):
+            return fault_problem(read.failure())
+        return Reply(HTTPStatus.OK, AuditAnswer(read.unwrap()))
+
+    def _held(self) -> Head:
+        return Head(self._view.document, self._view.document_revision)
+
+    def _edited(self, outcome: EditOutcome, touched: Document | None = None) -> Reply:
+        self._metrics.incr(f"operators.edits.{outcome.verdict.value}")
+        if outcome.verdict not in (EditVerdict.ACCEPTED, EditVerdict.UNCHANGED):
+            return edit_problem(outcome)
+        warnings = outcome.findings
+        if touched is not None:
+            warnings += self._capacity(touched)
+        answer = EditAnswer(
+            outcome.verdict,
+            outcome.revision or Revision(0),
+            outcome.number,
+            outcome.write_id,
+            outcome.differences,
+            warnings,
+            outcome.message,
+        )
+        return Reply(HTTPStatus.OK, answer)
+
+    def _capacity(self, document: Document) -> tuple[Finding, ...]:
+        if self._host_list is None:
+            return ()
+        listing = self._host_list.hosts()
+        if isinstance(listing, Failure):
+            message = f"promises were not compared with the fleet: {listing.failure()}"
+            return (Finding(Severity.WARNING, "hosts", message),)
+        return check_capacity(document, listing.unwrap())
--- /dev/null
+++ b/src/lentilrill/operators/_capacity.py
@@ -0,0 +1,104 @@
+"""Warnings of promises that the listed hosts can't meet, with their arithmetic."""
+
+from collections import defaultdict
+
+from lentilrill.ids import PoolId
+from lentilrill.platform import HostInfo, HostKind, HostListing, HostState
+from lentilrill.settings import Document, Finding, Plan, Pool, Severity
+
+__all__ = ["check_capacity"]
+
+
+def check_capacity(document: Document, listing: HostListing) -> tuple[Finding, ...]:
+    """Return a warning for each promise that the listed hosts can't meet."""
+    workers = [
+        host
+        for host in listing.hosts
+        if host.kind is HostKind.WORKER and host.state is HostState.LIVE
+    ]
+    return (
+        _whole_fleet(document, workers)
+        + _pools(document, workers)
+        + _zones(document, workers)
+        + _stops(document, listing)
+    )
+
+
+def _whole_fleet(document: Document, workers: list[HostInfo]) -> tuple[Finding, ...]:
+    owed = sum(plan.hosts_owed for plan in document.plans)
+    if owed <= len(workers):
+        return ()
+    sums = _sum_text(document.plans)
+    return _warning(
+        "plans",
+        f"{owed} hosts are owed ({sums}), {len(workers)} live workers are listed: "
+        f"{owed - len(workers)} missing",
+    )
+
+
+def _pools(document: Document, workers: list[HostInfo]) -> tuple[Finding, ...]:
+    plans_by_pool: dict[PoolId, list[Plan]] = defaultdict(list)
+    plans_by_id = document.plans_by_id()
+    for entitlement in document.entitlements:
+        plan = plans_by_id.get(entitlement.plan)
+        if plan is not None and entitlement.pools:
+            plans_by_pool[entitlement.pools[0]].append(plan)
+    findings: tuple[Finding, ...] = ()
+    for n, pool in enumerate(document.pools):
+        plans = plans_by_pool[pool.id]
+        owed = sum(plan.hosts_owed for plan in plans)
+        fitting = sum(_fits(pool, host) for host in workers)
+        if fitting < owed and fitting < len(workers):
+            findings += _warning(
+                f"pools[{n}]",
+                f"{owed} hosts are owed ({_sum_text(tuple(plans))}), {fitting} of "
+                f"{len(workers)} live workers have {pool.cores} cores, {pool.memory_gb} GB "
+                f"and {pool.accelerators} accelerators: {owed - fitting} missing",
+            )
+    return findings
+
+
+def _zones(document: Document, workers: list[HostInfo]) -> tuple[Finding, ...]:
+    plans_by_id = document.plans_by_id()
+    findings: tuple[Finding, ...] = ()
+    for n, entitlement in enumerate(document.entitlements):
+        plan = plans_by_id.get(entitlement.plan)
+        if plan is None or not entitlement.zones:
+            continue
+        inside = sum(host.zone in entitlement.zones for host in workers)
+        if inside < plan.hosts_owed:
+            findings += _warning(
+                f"entitlements[{n}].zones",
+                f"plan {plan.id!r} is owed {plan.hosts_owed} hosts, zones "
+                f"{', '.join(entitlement.zones)} list {inside} live workers: "
+                f"{plan.hosts_owed - inside} missing",
+            )
+    return findings
+
+
+def _stops(document: Document, listing: HostListing) -> tuple[Finding, ...]:
+    listed = {host.id for host in listing.hosts}
+    findings: tuple[Finding, ...] = ()
+    for n, stop in enumerate(document.stops):
+        unknown = [host for host in stop.hosts if host not in listed]
+        if unknown:
+            findings += _warning(
+                f"stops[{n}].hosts", f"not on the platform's list: {', '.join(unknown)}"
+            )
+    return findings
+
+
+def _fits(pool: Pool, host: HostInfo) -> bool:
+    return (
+        host.cores >= pool.cores
+        and host.memory_gb >= pool.memory_gb
+        and host.accelerators >= pool.accelerators
+    )
+
+
+def _sum_text(plans: tuple[Plan, ...]) -> str:
+    return " + ".join(f"{plan.id} {plan.hosts_owed}" for plan in plans)
+
+
+def _warning(path: str, message: str) -> tuple[Finding, ...]:
+    return (Finding(Severity.WARNING, path, message),)
--- /dev/null
+++ b/src/lentilrill/operators/_editing.py
@@ -0,0 +1,258 @@
+"""Editing the operators' document: checked, compared and swapped, and told honestly.
+
+Each edit is one transaction: it compares the document's revision, and stores the new document with
+the record of the edit. An edit that is told as accepted is in the store; one told as refused is
+not and never will be; anything else is told as unknown.
+"""
+
+import hashlib
+import re
+import time
+import uuid
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lentilrill.faults import FaultKind
+from lentilrill.ids import Revision, StopId
+from lentilrill.operators import _outcomes as outcomes
+from lentilrill.operators._audit import Action, AuditEntry, AuditRecord, AuditTrail, EditVerdict
+from lentilrill.operators._diff import difference
+from lentilrill.operators._outcomes import EditOutcome
+from lentilrill.operators._store import DocumentStore, Head
+from lentilrill.settings import Document, Finding, PlannedStop, Severity, check, errors_of
+from lentilrill.telemetry import Event, log
+
+__all__ = ["MAX_DOCUMENT_BYTES", "Editor"]
+
+MAX_DOCUMENT_BYTES = 1_000_000
+"""The platform's bound of a value."""
+MAX_EDITS_SHOWN = 50
+STOP_TRIES = 8
+DIGEST_CHARS = 12
+WRITE_ID_PATTERN = re.compile(r"[A-Za-z0-9-]{8,80}")
+BAD_WRITE_ID = "write_id must be 8 to 80 letters, digits or '-'"
+
+StopChange = Callable[[Document, PlannedStop], Result[Document, Finding]]
+
+
+class Editor:
+    """Applies operators' edits to the stored document.
+
+    :param on_accepted: called with the stored bytes and their revision, so that this process's
+        own copy need not wait for its watch.
+    """
+
+    def __init__(
+        self,
+        store: DocumentStore,
+        audit: AuditTrail,
+        *,
+        on_accepted: Callable[[bytes, Revision], None] = lambda _value, _revision: None,
+        now: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = store
+        self._audit = audit
+        self._on_accepted = on_accepted
+        self._now = now
+
+    def apply(self, who: str, lists: Document, base: Revision, write_id: str = "") -> EditOutcome:
+        """Replace the plans and what they may use; planned stops stay as they are.
+
+        :param base: revision that the lists were edited from.
+        :param write_id: the caller's name for this edit. Sent again with the same name after a
+            lost answer, the edit is found and not made twice.
+        """
+        write_id = write_id or _new_write_id()
+        if not WRITE_ID_PATTERN.fullmatch(write_id):
+            outcome = outcomes.invalid("", base, (), BAD_WRITE_ID)
+        else:
+            outcome = self._apply(who, lists, base, f"{write_id}-{_digest(lists)}")
+        return self._told(who, Action.APPLY, outcome)
+
+    def declare(self, who: str, stop: PlannedStop) -> EditOutcome:
+        """Add a planned stop; an equal one that is there already is left as it is."""
+        outcome = self._on_stops(who, Action.DECLARE_STOP, stop, _declared)
+        return self._told(who, Action.DECLARE_STOP, outcome)
+
+    def cancel(self, who: str, stop_id: StopId) -> EditOutcome:
+        """Take a planned stop back; one that is not there makes the edit invalid."""
+        outcome = self._on_stops(who, Action.CANCEL_STOP, PlannedStop(stop_id, ()), _cancelled)
+        return self._told(who, Action.CANCEL_STOP, outcome)
+
+    def _apply(self, who: str, lists: Document, base: Revision, write_id: str) -> EditOutcome:
+        read = self._store.head()
+        if isinstance(read, Failure):
+            return outcomes.unavailable(write_id, base, read.failure())
+        head = read.unwrap()
+        since = self._since(base, head)
+        earlier = _own_earlier(head, since, write_id)
+        if earlier is not None:
+            return earlier
+        candidate = _with_lists(head.document, lists)
+        if not difference(head.document, candidate):
+            return outcomes.unchanged(head, write_id)
+        if head.revision != base and not _only_stops(since):
+            differences = difference(head.document, candidate)
+            return outcomes.conflict(write_id, base, head, differences, since)
+        outcome = self._write(who, Action.APPLY, head, candidate, write_id)
+        if outcome.verdict is EditVerdict.CONFLICT:
+            return self._lost_race(outcome, candidate)
+        return outcome
+
+    def _on_stops(
+        self, who: str, action: Action, stop: PlannedStop, change: StopChange
+    ) -> EditOutcome:
+        """Make an edit of one stop; a lost race is run again, as it can't undo the other edit."""
+        write_id = _new_write_id()
+        outcome = outcomes.lost_to_others(write_id, Revision(0))
+        for _ in range(STOP_TRIES):
+            read = self._store.head()
+            if isinstance(read, Failure):
+                return outcomes.unavailable(write_id, Revision(0), read.failure())
+            head = read.unwrap()
+            changed = change(head.document, stop)
+            if isinstance(changed, Failure):
+                return outcomes.invalid(write_id, head.revision, (changed.failure(),))
+            if changed.unwrap() == head.document:
+                return outcomes.unchanged(head, write_id)
+            outcome = self._write(who, action, head, changed.unwrap(), write_id)
+            if outcome.verdict is not EditVerdict.CONFLICT:
+                return outcome
+        return outcome
+
+    def _write(
+        self, who: str, action: Action, head: Head, candidate: Document, write_id: str
+    ) -> EditOutcome:
+        number = head.document.edit + 1
+        document = msgspec.structs.replace(candidate, write_id=write_id, edit=number)
+        value = msgspec.json.encode(document)
+        findings = check(candidate) + _size_findings(len(value))
+        if errors_of(findings):
+            return outcomes.invalid(write_id, head.revision, findings)
+        outcome = EditOutcome(
+            EditVerdict.ACCEPTED,
+            write_id,
+            number=number,
+            base=head.revision,
+            differences=difference(head.document, candidate),
+            findings=findings,
+        )
+        record = outcomes.record_of(outcome, self._now(), who, action)
+        return self._commit(head, value, record, outcome)
+
+    def _commit(
+        self, head: Head, value: bytes, record: AuditRecord, outcome: EditOutcome
+    ) -> EditOutcome:
+        committed = self._store.commit(head.revision, value, record)
+        if isinstance(committed, Failure):
+            fault = committed.failure()
+            if fault.kind is FaultKind.AMBIGUOUS:
+                return outcomes.unknown(outcome, fault)
+            return outcomes.unavailable(outcome.write_id, head.revision, fault)
+        revision = committed.unwrap()
+        if revision is None:
+            return outcomes.lost_to_others(outcome.write_id, head.revision)
+        self._on_accepted(value, revision)
+        return msgspec.structs.replace(outcome, revision=revision)
+
+    def _lost_race(self, outcome: EditOutcome, candidate: Document) -> EditOutcome:
+        """Add to a conflict what won and what differs, as far as the platform tells."""
+        read = self._store.head()
+        if isinstance(read, Failure):
+            return outcome
+        head = read.unwrap()
+        differences = difference(head.document, _with_lists(head.document, candidate))
+        since = self._since(outcome.base, head)
+        return outcomes.conflict(outcome.write_id, outcome.base, head, differences, since)
+
+    def _since(self, base: Revision, head: Head) -> tuple[AuditEntry, ...]:
+        """Return the accepted edits after ``base``; nothing if the trail can't tell all."""
+        if head.revision == base:
+            return ()
+        read = self._audit.since(base, head.document.edit, MAX_EDITS_SHOWN)
+        return read.value_or(None) or ()
+
+    def _told(self, who: str, action: Action, outcome: EditOutcome) -> EditOutcome:
+        """Log an outcome, and leave a record of an edit that was not accepted."""
+        log(
+            _EVENTS[outcome.verdict],
+            who=who,
+            action=action.value,
+            verdict=outcome.verdict.value,
+            revision=outcome.revision,
+            write_id=outcome.write_id,
+        )
+        if outcome.verdict not in (EditVerdict.ACCEPTED, EditVerdict.UNCHANGED):
+            self._audit.note_refused(outcomes.record_of(outcome, self._now(), who, action))
+        return outcome
+
+
+_EVENTS = {
+    EditVerdict.ACCEPTED: Event.EDIT_ACCEPTED,
+    EditVerdict.UNCHANGED: Event.EDIT_ACCEPTED,
+    EditVerdict.CONFLICT: Event.EDIT_REFUSED,
+    EditVerdict.INVALID: Event.EDIT_REFUSED,
+    EditVerdict.UNAVAILABLE: Event.EDIT_REFUSED,
+    EditVerdict.UNKNOWN: Event.EDIT_UNKNOWN,
+}
+
+
+def _new_write_id() -> str:
+    return str(uuid.uuid4())
+
+
+def _digest(lists: Document) -> str:
+    """Return a digest of the lists, so that a reused write id with other lists is another edit."""
+    return hashlib.sha256(msgspec.json.encode(lists)).hexdigest()[:DIGEST_CHARS]
+
+
+def _with_lists(document: Document, lists: Document) -> Document:
+    return msgspec.structs.replace(
+        document,
+        plans=lists.plans,
+        pools=lists.pools,
+        entitlements=lists.entitlements,
+        objective=lists.objective,
+    )
+
+
+def _own_earlier(head: Head, since: tuple[AuditEntry, ...], write_id: str) -> EditOutcome | None:
+    """Return the outcome of the same edit if it was made before and its answer lost."""
+    for entry in since:
+        if entry.record.write_id == write_id:
+            return outcomes.found_earlier(entry, entry.record.number)
+    if head.document.write_id == write_id:
+        record = AuditRecord(0.0, "", Action.APPLY, EditVerdict.ACCEPTED, head.revision, write_id)
+        return outcomes.found_earlier(AuditEntry(record, head.revision), head.document.edit)
+    return None
+
+
+def _only_stops(since: tuple[AuditEntry, ...]) -> bool:
+    """Whether the edits since the base were all of stops, which lists don't touch."""
+    return bool(since) and all(entry.record.action is not Action.APPLY for entry in since)
+
+
+def _declared(document: Document, stop: PlannedStop) -> Result[Document, Finding]:
+    held = next((held for held in document.stops if held.id == stop.id), None)
+    if held is None:
+        return Success(msgspec.structs.replace(document, stops=(*document.stops, stop)))
+    if held == stop:
+        return Success(document)
+    message = f"stop {stop.id!r} is declared already, otherwise; cancel it or take another id"
+    return Failure(Finding(Severity.ERROR, "id", message))
+
+
+def _cancelled(document: Document, stop: PlannedStop) -> Result[Document, Finding]:
+    stops = tuple(held for held in document.stops if held.id != stop.id)
+    if len(stops) == len(document.stops):
+        return Failure(Finding(Severity.ERROR, "id", f"no stop {stop.id!r} is declared"))
+    return Success(msgspec.structs.replace(document, stops=stops))
+
+
+def _size_findings(size_bytes: int) -> tuple[Finding, ...]:
+    if size_bytes <= MAX_DOCUMENT_BYTES:
+        return ()
+    message = f"{size_bytes} bytes are more than the {MAX_DOCUMENT_BYTES} of the platform's values"
+    return (Finding(Severity.ERROR, "document", message),)
--- /dev/null
+++ b/src/lentilrill/operators/_server.py
@@ -0,0 +1,200 @@
+"""HTTP server for operators: routes, tokens, limits, and the server's life."""
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qsl
+
+import msgspec
+from cheroot import wsgi
+
+from lentilrill.fleet import DOCUMENT_KEY, FleetView
+from lentilrill.ids import Revision
+from lentilrill.operators._api import Api, Request
+from lentilrill.operators._audit import AuditTrail
+from lentilrill.operators._auth import operator_of
+from lentilrill.operators._editing import Editor
+from lentilrill.operators._problems import Reply, problem
+from lentilrill.operators._status import Status
+from lentilrill.operators._store import DocumentStore
+from lentilrill.platform import HostList, Item, KeyValue
+from lentilrill.settings import ControllerSettings
+from lentilrill.telemetry import Event, Metrics, NoMetrics, log
+
+__all__ = ["MAX_BODY_BYTES", "OperatorServer"]
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+"""Above the largest document, as operators' files hold spaces and line ends."""
+MAX_HEADER_BYTES = 32 * 1024
+THREADS = 8
+IDLE_CONNECTION_S = 30
+LISTEN_BACKLOG = 64
+STOPS_PATH = "/v1/stops/"
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Handler = Callable[[Request], Reply]
+
+
+class Health(msgspec.Struct, frozen=True):
+    """Answer of the health checks."""
+
+    ok: bool
+    document_revision: Revision
+
+
+class OperatorServer:
+    """Serves operators on the controller's address.
+
+    :param status: makes the whole picture, on each request for it.
+    :param host_list: with it, promises that the fleet can't meet are warned of.
+    """
+
+    def __init__(
+        self,
+        settings: ControllerSettings,
+        kv: KeyValue,
+        view: FleetView,
+        status: Callable[[], Status],
+        metrics: Metrics | None = None,
+        host_list: HostList | None = None,
+    ) -> None:
+        self._tokens_sha256 = settings.operator_tokens_sha256
+        self._view = view
+        self._metrics: Metrics = metrics or NoMetrics()
+        self._audit = AuditTrail(kv)
+        store = DocumentStore(kv, self._audit)
+        editor = Editor(store, self._audit, on_accepted=self._offer)
+        api = Api(store, editor, self._audit, view, status, self._metrics, host_list)
+        self._handlers = _routes(api)
+        self._draining = threading.Event()
+        self._server = _http_server(settings.listen, self)
+        self._thread = threading.Thread(target=self._serve, name="operators", daemon=True)
+
+    def start(self) -> None:
+        """Bind the address and begin to serve.
+
+        :raises OSError: if the address can't be bound.
+        """
+        self._server.prepare()
+        self._audit.start()
+        self._thread.start()
+
+    def drain(self) -> None:
+        """Answer 503 on /readyz from now on; requests are still served."""
+        self._draining.set()
+
+    def stop(self) -> None:
+        """Finish the requests in flight and end."""
+        self.drain()
+        self._server.stop()
+        self._thread.join()
+        self._audit.stop()
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request, as WSGI has it."""
+        began = time.monotonic()
+        reply = self._reply(environ)
+        body = msgspec.json.encode(reply.body)
+        headers = [
+            ("Content-Type", reply.content_type),
+            ("Content-Length", str(len(body))),
+            *reply.headers,
+        ]
+        start_response(f"{reply.status.value} {reply.status.phrase}", headers)
+        self._metrics.timing("operators.request", (time.monotonic() - began) * 1000)
+        return [body]
+
+    def _serve(self) -> None:
+        try:
+            self._server.serve()
+        except Exception as error:
+            log(Event.TASK_FAILED, task="operators", error=error)
+
+    def _offer(self, value: bytes, revision: Revision) -> None:
+        self._view.mirror.offer((Item(DOCUMENT_KEY, value, revision),))
+
+    def _reply(self, environ: Environ) -> Reply:
+        method, path = environ["REQUEST_METHOD"], environ.get("PATH_INFO", "")
+        if path in ("/healthz", "/readyz"):
+            return self._health(path)
+        who = operator_of(environ.get("HTTP_AUTHORIZATION", ""), self._tokens_sha256)
+        if who is None:
+            log(Event.OPERATOR_DENIED, peer=environ.get("REMOTE_ADDR", ""), path=path)
+            self._metrics.incr("operators.denied")
+            detail = "an operator's token is needed: Authorization: Bearer TOKEN"
+            challenge = (("WWW-Authenticate", "Bearer"),)
+            return problem(HTTPStatus.UNAUTHORIZED, "unauthorized", detail, challenge)
+        route, tail = path, ""
+        if path.startswith(STOPS_PATH):
+            route, tail = STOPS_PATH, path[len(STOPS_PATH) :]
+        by_method = self._handlers.get(route)
+        if by_method is None:
+            return problem(HTTPStatus.NOT_FOUND, "not-found", f"nothing is at {path}")
+        handler = by_method.get(method)
+        if handler is None:
+            allow = (("Allow", ", ".join(by_method)),)
+            detail = f"{path} takes {allow[0][1]}"
+            return problem(HTTPStatus.METHOD_NOT_ALLOWED, "method-not-allowed", detail, allow)
+        return self._handled(handler, who, tail, environ)
+
+    def _handled(self, handler: Handler, who: str, tail: str, environ: Environ) -> Reply:
+        """Run a handler; whatever it meets becomes an answer, never a broken connection."""
+        try:
+            body = _read_body(environ)
+            if body is None:
+                detail = f"the body is larger than {MAX_BODY_BYTES} bytes"
+                return problem(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "too-large", detail)
+            query = dict(parse_qsl(environ.get("QUERY_STRING", "")))
+            return handler(Request(who, body, tail, query))
+        except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+            return problem(HTTPStatus.BAD_REQUEST, "bad-request", f"the body: {error}")
+        except Exception as error:
+            log(Event.OPERATOR_REQUEST_FAILED, path=environ.get("PATH_INFO"), error=repr(error))
+            self._metrics.incr("operators.errors")
+            detail = "an error inside the controller; its log has more"
+            return problem(HTTPStatus.INTERNAL_SERVER_ERROR, "internal", detail)
+
+    def _health(self, path: str) -> Reply:
+        revision = self._view.document_revision
+        ready = self._view.ready and not self._draining.is_set()
+        if path == "/healthz" or ready:
+            return Reply(HTTPStatus.OK, Health(True, revision))
+        return Reply(HTTPStatus.SERVICE_UNAVAILABLE, Health(False, revision))
+
+
+def _routes(api: Api) -> dict[str, dict[str, Handler]]:
+    return {
+        "/v1/config": {"GET": api.config, "PUT": api.apply},
+        "/v1/config/check": {"POST": api.check},
+        "/v1/stops": {"POST": api.declare_stop},
+        STOPS_PATH: {"DELETE": api.cancel_stop},
+        "/v1/status": {"GET": api.status},
+        "/v1/hosts": {"GET": api.hosts},
+        "/v1/audit": {"GET": api.audit},
+    }
+
+
+def _http_server(listen: str, app: OperatorServer) -> wsgi.Server:
+    host, _, port = listen.rpartition(":")
+    server = wsgi.Server(
+        (host.strip("[]"), int(port)),
+        app,
+        numthreads=THREADS,
+        max=THREADS,
+        request_queue_size=LISTEN_BACKLOG,
+        timeout=IDLE_CONNECTION_S,
+    )
+    server.max_request_header_size = MAX_HEADER_BYTES
+    return server
+
+
+def _read_body(environ: Environ) -> bytes | None:
+    """Return the body, or ``None`` if it is too large."""
+    length = environ.get("CONTENT_LENGTH") or ""
+    if length.isdigit() and int(length) > MAX_BODY_BYTES:
+        return None
+    body: bytes = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    return body if len(body) <= MAX_BODY_BYTES else None
--- /dev/null
+++ b/src/lentilrill/operators/_store.py
@@ -0,0 +1,128 @@
+"""The stored document: reading it, and committing an edit of it with its record."""
+
+import time
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.fleet import DOCUMENT_KEY
+from lentilrill.ids import Revision
+from lentilrill.operators._audit import AuditRecord, AuditTrail, accepted_writes
+from lentilrill.platform import Compare, KeyValue, Put, RangeAnswer
+from lentilrill.settings import Document
+
+__all__ = ["DocumentStore", "Head"]
+
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 0.5
+
+
+class Head(msgspec.Struct, frozen=True):
+    """The stored document and its revision; 0 and an empty document before the first edit."""
+
+    document: Document
+    revision: Revision
+
+
+class DocumentStore:
+    """The document's key on the platform.
+
+    :param settle_s: seconds to go on asking what became of a write whose answer was lost.
+    """
+
+    def __init__(
+        self,
+        kv: KeyValue,
+        audit: AuditTrail,
+        *,
+        settle_s: float = 6.0,
+        clock: Callable[[], float] = time.monotonic,
+        pause: Callable[[float], None] = time.sleep,
+    ) -> None:
+        self._kv = kv
+        self._audit = audit
+        self._settle_s = settle_s
+        self._clock = clock
+        self._pause = pause
+
+    def head(self) -> Result[Head, Fault]:
+        """Read the stored document."""
+        return self._kv.read(DOCUMENT_KEY).bind(_head)
+
+    def commit(
+        self, base: Revision, value: bytes, record: AuditRecord
+    ) -> Result[Revision | None, Fault]:
+        """Commit an edit and find out what became of it.
+
+        Guard against a write that took effect while its answer was lost: told as failed, the
+        operator would make it again, or believe that the old configuration holds. The same
+        transaction is sent again. If it succeeds now, the first one had not taken effect, and
+        can't any more, as the document's revision has moved. If its comparison fails, the record
+        under this edit's number tells who wrote it: the number belongs to exactly one edit, and
+        its record outlives later edits of the document.
+
+        :return: the revision made, or ``None`` if another edit won; an ``AMBIGUOUS`` fault if that
+            can't be known; any other fault if nothing was written.
+        """
+        compares = (Compare(DOCUMENT_KEY, base),)
+        writes = (Put(DOCUMENT_KEY, value), *accepted_writes(record))
+        give_up_at = self._clock() + self._settle_s
+        pause_s, ambiguous = FIRST_PAUSE_S, False
+        while True:
+            answer = self._kv.commit(compares, writes)
+            if isinstance(answer, Success):
+                if answer.unwrap().succeeded:
+                    return Success(answer.unwrap().revision)
+                settled = self._whose(base, record)
+                if isinstance(settled, Success):
+                    return settled
+                ambiguous, fault = True, settled.failure()
+            else:
+                fault = answer.failure()
+                ambiguous = ambiguous or fault.kind is FaultKind.AMBIGUOUS
+            if not ambiguous:
+                return Failure(fault)
+            if self._clock() + pause_s > give_up_at:
+                return Failure(msgspec.structs.replace(fault, kind=FaultKind.AMBIGUOUS))
+            self._pause(pause_s)
+            pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+
+    def _whose(self, base: Revision, record: AuditRecord) -> Result[Revision | None, Fault]:
+        """Return the revision of the edit with this number if it is ours, ``None`` if not."""
+        read = self._audit.entry(record.number)
+        if isinstance(read, Failure):
+            return read
+        entry = read.unwrap()
+        if entry is not None:
+            return Success(entry.revision if entry.record.write_id == record.write_id else None)
+        return self.head().bind(lambda head: _decide_by_head(head, base, record))
+
+
+def _decide_by_head(
+    head: Head, base: Revision, record: AuditRecord
+) -> Result[Revision | None, Fault]:
+    """Decide by the document alone, where the edit's record is not there.
+
+    A read from a lagging replica may lack the record of an edit that was made, so the absence
+    of ours proves nothing. A newer document that doesn't count past our number proves it: ours
+    would stand there itself or be counted by every later one.
+    """
+    if head.document.write_id == record.write_id:
+        return Success(head.revision)
+    if head.revision > base and head.document.edit <= record.number:
+        return Success(None)
+    reason = "the record of the edit can't be read yet"
+    return Failure(Fault("operators.settle", DOCUMENT_KEY, FaultKind.AMBIGUOUS, reason))
+
+
+def _head(answer: RangeAnswer) -> Result[Head, Fault]:
+    item = next((item for item in answer.items if item.key == DOCUMENT_KEY), None)
+    if item is None or item.value is None:
+        return Success(Head(Document(), Revision(0)))
+    try:
+        return Success(Head(msgspec.json.decode(item.value, type=Document), item.revision))
+    except msgspec.MsgspecError as error:
+        reason = f"the stored document can't be read: {error}"
+        return Failure(Fault("operators.read", DOCUMENT_KEY, FaultKind.INVALID, reason))
--- a/src/lentilrill/settings/__init__.py
+++ b/src/lentilrill/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings of the processes and the operators' document."""
 
+from lentilrill.settings._checks import check
 from lentilrill.settings._document import (
     Document,
     Entitlement,
@@ -9,6 +10,8 @@
     Pool,
     Urgency,
 )
+from lentilrill.settings._findings import Finding, Severity, errors_of
+from lentilrill.settings._lists import EntitlementsFile, decode_lists, encode_lists
 from lentilrill.settings._process import (
     ControllerSettings,
     GatewaySettings,
@@ -22,6 +25,8 @@
     "ControllerSettings",
     "Document",
     "Entitlement",
+    "EntitlementsFile",
+    "Finding",
     "GatewaySettings",
     "InnerKeys",
     "Objective",
@@ -30,6 +35,11 @@
     "PlatformSettings",
     "Pool",
     "ProcessSettings",
+    "Severity",
     "Urgency",
+    "check",
+    "decode_lists",
+    "encode_lists",
+    "errors_of",
     "load_settings",
 ]
--- a/src/lentilrill/settings/_document.py
+++ b/src/lentilrill/settings/_document.py
@@ -117,6 +117,8 @@
 
     :param write_id: names the write that stored this value, so that a writer whose answer was
         lost can tell by reading back whether its write took effect.
+    :param edit: number of the accepted edit that stored this value, counted from 1; its record
+        stands in the audit trail under the same number.
     """
 
     plans: tuple[Plan, ...] = ()
@@ -125,6 +127,7 @@
     objective: Objective = Objective()
     stops: tuple[PlannedStop, ...] = ()
     write_id: str = ""
+    edit: int = 0
 
     def plans_by_id(self) -> dict[PlanId, Plan]:
         """Return the plans by id."""
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -37,6 +37,12 @@
     PLATFORM_BACK = (402, Level.INFO, "The platform answers again.")
     PLATFORM_CALL_FAILED = (403, Level.WARNING, "A platform call failed.")
     DOCUMENT_IN_FORCE = (501, Level.INFO, "A revision of the document is in force here.")
+    EDIT_ACCEPTED = (901, Level.INFO, "An operator's edit took effect.")
+    EDIT_REFUSED = (902, Level.INFO, "An operator's edit was refused; nothing was changed.")
+    EDIT_UNKNOWN = (903, Level.WARNING, "The answer to an edit was lost; it may be in effect.")
+    AUDIT_DROPPED = (904, Level.WARNING, "Records of refused edits could not be kept.")
+    OPERATOR_DENIED = (905, Level.WARNING, "A request without a known operator token came.")
+    OPERATOR_REQUEST_FAILED = (906, Level.ERROR, "A request met an error it did not expect.")
 
     @property
     def number(self) -> int:
