--- a/src/lentilrill/inner/_codec.py
+++ b/src/lentilrill/inner/_codec.py
@@ -22,7 +22,9 @@
     | _grants.Granted
     | _grants.Refused
     | _grants.Done
+    | _grants.HeldAsk
     | _grants.HeldGrants
+    | _grants.PoolLoad
     | _claims.ClaimAsk
     | _claims.ClaimAnswer
     | _claims.OutcomeNote
--- a/src/lentilrill/inner/_grants.py
+++ b/src/lentilrill/inner/_grants.py
@@ -12,7 +12,9 @@
     "Done",
     "Granted",
     "Held",
+    "HeldAsk",
     "HeldGrants",
+    "PoolLoad",
     "Refusal",
     "Refused",
     "Verdict",
@@ -28,6 +30,10 @@
     :param wait_s: seconds from now within which the job must start.
     :param run_s: run time that the caller declares, in seconds; 0 if unknown.
     :param reply_to: inner address of the asking gateway.
+    :param avoid: hosts on which earlier attempts failed.
+    :param spillable: whether a gateway of another zone may take the job instead.
+    :param insist: the asked process said before that it does not schedule the pool, but the
+        sender finds no other; serve it all the same.
     """
 
     request: RequestId
@@ -38,6 +44,8 @@
     reply_to: str
     run_s: float = 0.0
     avoid: tuple[HostId, ...] = ()
+    spillable: bool = True
+    insist: bool = False
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel"):
@@ -128,12 +136,35 @@
     plan: PlanId
 
 
+class HeldAsk(msgspec.Struct, frozen=True, tag="held_ask"):
+    """A new scheduler asks a gateway for the grants of the pool that it holds."""
+
+    pool: PoolId
+    reply_to: str
+
+
 class HeldGrants(msgspec.Struct, frozen=True, tag="held_grants"):
-    """All grants of a pool that the sender holds, told to a new scheduler.
+    """All grants of a pool that the sender holds; told to a new scheduler, and now and then.
 
-    A scheduler that took over grants a host's slots only after it heard from every living
-    gateway of the zone, or after its rebuild time.
+    A grant that a gateway does not list, although it was given long ago, ended without its
+    report arriving. A scheduler that took over grants a host's slots only after it heard from
+    every living gateway of the zone, or after its rebuild time.
     """
 
     pool: PoolId
     grants: tuple[Held, ...]
+
+
+class PoolLoad(msgspec.Struct, frozen=True, tag="pool_load"):
+    """How busy a pool is in the sender's zone, told to its schedulers in other zones.
+
+    :param free: slots that nothing waits for.
+    :param wait_s: seconds until an ask of now would start.
+    :param ejected: hosts that the sender's scheduler has ejected.
+    """
+
+    pool: PoolId
+    zone: ZoneId
+    free: int
+    wait_s: float
+    ejected: int
--- a/src/lentilrill/routing/__init__.py
+++ b/src/lentilrill/routing/__init__.py
@@ -1,5 +1,26 @@
 """Schedulers, queues, grants, retries and ejection: where and when a job runs."""
 
+from lentilrill.routing._client import SlotClient
 from lentilrill.routing._contract import Decline, Job, Slot, Slots, Where
+from lentilrill.routing._ledger import SendLedger
+from lentilrill.routing._limits import RetryBudget, TokenBucket
+from lentilrill.routing._routing import Routing
+from lentilrill.routing._scheduler import PoolScheduler
+from lentilrill.routing._schedulers import SchedulerHost
+from lentilrill.routing._withdrawals import WithdrawalAcker
 
-__all__ = ["Decline", "Job", "Slot", "Slots", "Where"]
+__all__ = [
+    "Decline",
+    "Job",
+    "PoolScheduler",
+    "RetryBudget",
+    "Routing",
+    "SchedulerHost",
+    "SendLedger",
+    "Slot",
+    "SlotClient",
+    "Slots",
+    "TokenBucket",
+    "Where",
+    "WithdrawalAcker",
+]
--- /dev/null
+++ b/src/lentilrill/routing/_client.py
@@ -0,0 +1,386 @@
+"""Slots for the jobs that this gateway holds, asked from the pools' schedulers."""
+
+import itertools
+import random
+import threading
+import time
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from lentilrill.faults import Fault
+from lentilrill.fleet import FleetView, HostEntry, HostPhase
+from lentilrill.ids import GrantId, HostId, PlanId, PoolId, RequestId, ZoneId
+from lentilrill.inner import (
+    Ask,
+    Batch,
+    Cancel,
+    Done,
+    Granted,
+    Held,
+    HeldAsk,
+    HeldGrants,
+    Message,
+    Node,
+    Refusal,
+    Refused,
+    Verdict,
+)
+from lentilrill.membership import Member
+from lentilrill.routing._contract import Decline, Job, Slot, Where
+from lentilrill.routing._ledger import SendLedger
+from lentilrill.routing._placement import Placement, caller_of
+from lentilrill.routing._schedulers import SchedulerHost
+from lentilrill.telemetry import Event, log
+
+__all__ = ["SlotClient"]
+
+REASK_S = 1.0
+LONGEST_REASK_S = 8.0
+REDIRECT_S = 0.1
+INSIST_AFTER_S = 2.0
+REPORT_S = 2.0
+NO_HOSTS_RETRY_S = 5.0
+LATE_RETRY_S = 1.0
+
+REASONS = {
+    Refusal.QUEUE_FULL: "the pool's queue is full",
+    Refusal.PLAN_LIMIT: "the plan is at its limit",
+    Refusal.TOO_LATE: "the job can't start in time",
+    Refusal.NO_HOSTS: "the pool has no host that may run the job",
+    Refusal.NOT_SCHEDULER: "the pool has no scheduler now",
+}
+
+
+class _Waiter:
+    """One thread that waits in :meth:`SlotClient.acquire`.
+
+    :ivar ask: names this attempt to schedulers; a later attempt of the job has another.
+    :ivar asked: address of the scheduler that was asked last.
+    :ivar redirected: when the asked process first said that it is not the scheduler.
+    """
+
+    def __init__(self, job: Job, pool: PoolId, ask: RequestId) -> None:
+        self.job = job
+        self.pool = pool
+        self.ask = ask
+        self.asked = ""
+        self.redirected: float | None = None
+        self.woken = threading.Event()
+        self.answer: Result[Slot, Decline] | None = None
+
+
+class SlotClient:
+    """The gateway's :class:`~lentilrill.routing.Slots`.
+
+    Each wait is one thread's. A scheduler in this process is called directly. Messages may be
+    lost and schedulers replaced, so an unanswered ask is repeated after a pause that doubles,
+    and at once when the scheduler changes.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        view: FleetView,
+        placement: Placement,
+        ledger: SendLedger,
+        schedulers: SchedulerHost,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._node = node
+        self._view = view
+        self._placement = placement
+        self._ledger = ledger
+        self._schedulers = schedulers
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._lock = threading.Lock()
+        self._attempts = itertools.count(1)
+        self._waiters_by_ask: dict[RequestId, _Waiter] = {}
+        self._waiters_by_request: dict[RequestId, _Waiter] = {}
+        self._held_by_pool: dict[PoolId, dict[GrantId, Held]] = {}
+        self._reported = clock()
+        self._hosts_seen: dict[HostId, tuple[PoolId, HostEntry]] = {}
+        self._zones_by_pool: dict[PoolId, set[ZoneId]] = {}
+        schedulers.answer = self._answered
+        node.on(Granted, lambda batch, granted: self._answered(batch.reply_to, granted))
+        node.on(Refused, lambda batch, refused: self._answered(batch.reply_to, refused))
+        node.on(HeldAsk, self._asked_held)
+
+    # The contract with the request path
+
+    def acquire(self, job: Job) -> Result[Slot, Decline]:
+        """Wait for a slot, at most until the job's deadline or until it is abandoned."""
+        if not self._ledger.may_send:
+            return Failure(self._decline(Refusal.NO_HOSTS, self._jittered(NO_HOSTS_RETRY_S)))
+        zone = self._placement.me.zone
+        zones_by_pool = self._zones_with_hosts()
+        allowed = set(job.entitlement.zones)
+        for pool in job.entitlement.pools:
+            zones = zones_by_pool.get(pool, set())
+            if zone in zones and (not allowed or zone in allowed):
+                return self._wait(job, pool)
+        for pool in job.entitlement.pools if job.spillable else ():
+            zones = zones_by_pool.get(pool, set()) - {zone}
+            for other in sorted(zones & allowed if allowed else zones):
+                spilled = self._spilled(job, pool, other)
+                if spilled is not None:
+                    return Success(spilled)
+        return Failure(self._decline(Refusal.NO_HOSTS, self._jittered(NO_HOSTS_RETRY_S)))
+
+    def abandon(self, request: RequestId) -> None:
+        """The caller is gone: make a waiting :meth:`acquire` return at once with a decline."""
+        with self._lock:
+            waiter = self._waiters_by_request.get(request)
+            if waiter is None:
+                return
+            self._settle(waiter, Failure(self._decline(Refusal.TOO_LATE, None)))
+        self._tell(waiter.asked, Cancel(waiter.ask, waiter.pool))
+
+    def start(self, slot: Slot) -> Result[None, Fault]:
+        """Enter the send in the ledger; called directly before the first byte goes out."""
+        return self._ledger.start(slot)
+
+    def release(self, slot: Slot, verdict: Verdict, run_s: float) -> None:
+        """Give the slot back; nothing of the job is on its way to the host any more."""
+        self._ledger.release(slot)
+        if slot.where is Where.ZONE:
+            return
+        scheduler = self._placement.scheduler(slot.pool)
+        address = scheduler.inner if scheduler is not None else ""
+        with self._lock:
+            held = self._held_by_pool.get(slot.pool, {}).pop(slot.grant, None)
+            if held is None:
+                log(Event.ROUTING_INVARIANT, pool=slot.pool, reason="a slot was released twice")
+                return
+            done = Done(slot.pool, slot.grant, slot.host, held.plan, verdict, run_s)
+            # Within the lock, so that a report of held grants made before can't overtake it.
+            if address != self._node.address:
+                self._tell(address, done)
+                return
+        self._schedulers.done(done)
+
+    @property
+    def waiting(self) -> int:
+        """Jobs of this gateway that wait for a slot."""
+        with self._lock:
+            return len(self._waiters_by_ask)
+
+    # Following the system
+
+    def refresh(self) -> None:
+        """Follow a change of the roster: ask new schedulers, and tell them what is held."""
+        with self._lock:
+            waiters = list(self._waiters_by_ask.values())
+            pools = [pool for pool, held in self._held_by_pool.items() if held]
+        for waiter in waiters:
+            scheduler = self._placement.scheduler(waiter.pool)
+            if scheduler is not None and scheduler.inner != waiter.asked:
+                waiter.woken.set()
+        for pool in pools:
+            self._report(pool)
+
+    def tick(self) -> None:
+        """Report the held grants about every two seconds, which repairs lost reports."""
+        now = self._clock()
+        if now - self._reported < REPORT_S:
+            return
+        self._reported = now
+        with self._lock:
+            pools = list(self._held_by_pool)
+        for pool in pools:
+            self._report(pool)
+
+    def _report(self, pool: PoolId, address: str = "") -> None:
+        if not address:
+            scheduler = self._placement.scheduler(pool)
+            if scheduler is None:
+                return
+            address = scheduler.inner
+        with self._lock:
+            report = HeldGrants(pool, tuple(self._held_by_pool.get(pool, {}).values()))
+            if address != self._node.address:
+                self._tell(address, report)
+                return
+        self._schedulers.held(report, caller_of(self._placement.me))
+
+    def _asked_held(self, batch: Batch, ask: HeldAsk) -> None:
+        del batch
+        self._report(ask.pool, ask.reply_to)
+
+    # Waiting for an answer
+
+    def _wait(self, job: Job, pool: PoolId) -> Result[Slot, Decline]:
+        waiter = _Waiter(job, pool, RequestId(f"{job.request}.{next(self._attempts)}"))
+        with self._lock:
+            self._waiters_by_ask[waiter.ask] = waiter
+            self._waiters_by_request[job.request] = waiter
+        pause_s = REASK_S
+        while True:
+            self._ask(waiter)
+            left_s = max(0.0, job.deadline - self._clock())
+            woken = waiter.woken.wait(min(left_s, pause_s))
+            if waiter.answer is not None:
+                return waiter.answer
+            if not woken and left_s <= pause_s:
+                return self._give_up(waiter)
+            if woken:
+                waiter.woken.clear()
+                self._pause_if_redirected(waiter, left_s)
+            else:
+                pause_s = min(2.0 * pause_s, LONGEST_REASK_S)
+
+    def _pause_if_redirected(self, waiter: _Waiter, left_s: float) -> None:
+        # Two processes may name each other the scheduler until their rosters agree; asking
+        # again without a pause would spin between them.
+        scheduler = self._placement.scheduler(waiter.pool)
+        if scheduler is not None and scheduler.inner == waiter.asked:
+            waiter.woken.wait(min(left_s, REDIRECT_S))
+
+    def _ask(self, waiter: _Waiter) -> None:
+        scheduler = self._placement.scheduler(waiter.pool)
+        if scheduler is None:
+            return
+        job, before = waiter.job, waiter.asked
+        now = self._clock()
+        ask = Ask(
+            waiter.ask,
+            waiter.pool,
+            job.plan.id,
+            job.plan.urgency.rank,
+            job.deadline - now,
+            self._node.address,
+            job.run_s,
+            job.avoid,
+            job.spillable,
+            waiter.redirected is not None and now - waiter.redirected > INSIST_AFTER_S,
+        )
+        waiter.asked = scheduler.inner
+        if before and before != scheduler.inner:
+            waiter.redirected = None
+            self._tell(before, Cancel(waiter.ask, waiter.pool))
+        self._tell(scheduler.inner, ask)
+
+    def _give_up(self, waiter: _Waiter) -> Result[Slot, Decline]:
+        with self._lock:
+            if waiter.answer is not None:
+                return waiter.answer
+            decline = self._decline(Refusal.TOO_LATE, self._jittered(LATE_RETRY_S))
+            self._settle(waiter, Failure(decline))
+        self._tell(waiter.asked, Cancel(waiter.ask, waiter.pool))
+        return Failure(decline)
+
+    def _settle(self, waiter: _Waiter, answer: Result[Slot, Decline]) -> None:
+        waiter.answer = answer
+        del self._waiters_by_ask[waiter.ask]
+        if self._waiters_by_request.get(waiter.job.request) is waiter:
+            del self._waiters_by_request[waiter.job.request]
+        waiter.woken.set()
+
+    # Answers
+
+    def _answered(self, sender: str, message: Granted | Refused) -> None:
+        if isinstance(message, Granted):
+            if not self._take_grant(sender, message):
+                unused = Done(
+                    message.pool,
+                    message.grant,
+                    message.host,
+                    PlanId(""),
+                    Verdict.UNUSED,
+                    0.0,
+                )
+                self._tell(sender, unused)
+        else:
+            self._take_refusal(sender, message)
+
+    def _take_grant(self, sender: str, granted: Granted) -> bool:
+        """Return ``False`` if the grant is not wanted (any more).
+
+        Guard against late and doubled grants: an answer counts only for an ask that still
+        waits, from the scheduler asked last. A grant that came late is given back, or its slot
+        would stay taken.
+        """
+        with self._lock:
+            held = self._held_by_pool.setdefault(granted.pool, {})
+            if granted.grant in held:
+                return True
+            waiter = self._waiters_by_ask.get(granted.request)
+            if waiter is None or waiter.asked != sender:
+                return False
+            pool, entry = self._view.hosts_by_id.get(granted.host, (None, None))
+            if entry is None or pool != granted.pool or entry.phase is not HostPhase.SERVING:
+                waiter.woken.set()
+                return False
+            held[granted.grant] = Held(granted.grant, granted.host, waiter.job.plan.id)
+            slot = Slot(
+                waiter.job.request,
+                granted.pool,
+                Where.ENDPOINT,
+                entry.address,
+                granted.grant,
+                granted.host,
+                entry.zone,
+                self._clock() + granted.start_within_s,
+            )
+            self._settle(waiter, Success(slot))
+        return True
+
+    def _take_refusal(self, sender: str, refused: Refused) -> None:
+        with self._lock:
+            waiter = self._waiters_by_ask.get(refused.request)
+            if waiter is None or waiter.asked != sender:
+                return
+            if refused.refusal is Refusal.NOT_SCHEDULER:
+                waiter.redirected = waiter.redirected or self._clock()
+                waiter.woken.set()
+                return
+            if refused.spill is not None and waiter.job.spillable:
+                spilled = self._spilled(waiter.job, waiter.pool, refused.spill)
+                if spilled is not None:
+                    self._settle(waiter, Success(spilled))
+                    return
+            decline = self._decline(refused.refusal, refused.retry_after_s)
+            self._settle(waiter, Failure(decline))
+
+    def _spilled(self, job: Job, pool: PoolId, zone: ZoneId) -> Slot | None:
+        gateways: tuple[Member, ...] = self._placement.gateways(zone)
+        if not gateways:
+            return None
+        gateway = self._rng.choice(gateways)
+        none = GrantId("")
+        return Slot(
+            job.request, pool, Where.ZONE, gateway.http, none, HostId(""), zone, job.deadline
+        )
+
+    def _tell(self, address: str, message: Message) -> None:
+        if address != self._node.address:
+            if address:
+                self._node.send(address, message)
+            return
+        me = caller_of(self._placement.me)
+        match message:
+            case Ask():
+                self._schedulers.ask(message, me)
+            case Cancel():
+                self._schedulers.cancel(message, me)
+            case Done():
+                self._schedulers.done(message)
+
+    def _zones_with_hosts(self) -> dict[PoolId, set[ZoneId]]:
+        hosts_by_id = self._view.hosts_by_id
+        if hosts_by_id is not self._hosts_seen:
+            zones_by_pool: dict[PoolId, set[ZoneId]] = {}
+            for pool, entry in hosts_by_id.values():
+                if entry.phase is HostPhase.SERVING:
+                    zones_by_pool.setdefault(pool, set()).add(entry.zone)
+            self._zones_by_pool = zones_by_pool
+            self._hosts_seen = hosts_by_id
+        return self._zones_by_pool
+
+    def _decline(self, refusal: Refusal, retry_after_s: float | None) -> Decline:
+        return Decline(refusal, REASONS[refusal], retry_after_s)
+
+    def _jittered(self, seconds: float) -> float:
+        return seconds * self._rng.uniform(1.0, 1.5)
--- /dev/null
+++ b/src/lentilrill/routing/_grants.py
@@ -0,0 +1,125 @@
+"""The grants that a scheduler has given and that are not over."""
+
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from lentilrill.ids import GrantId, HostId, PlanId
+from lentilrill.inner import Held
+from lentilrill.routing._queue import AskKey, Caller
+
+__all__ = ["Grant", "GrantBook"]
+
+UNLISTED_S = 3.0
+UNLISTED_REPORTS = 2
+SILENT_GATEWAY_S = 900.0
+
+
+class Grant(msgspec.Struct):
+    """One slot that a gateway holds.
+
+    :param key: the ask that it answers; ``None`` if only the gateway's report tells of it.
+    :param expected_s: run time that its plan was charged.
+    :param silent_since: when its gateway was last heard; ``None`` while it is heard.
+    """
+
+    id: GrantId
+    host: HostId
+    plan: PlanId
+    caller: Caller
+    key: AskKey | None
+    given: float
+    expected_s: float
+    unlisted: int = 0
+    silent_since: float | None = None
+
+
+class GrantBook:
+    """Grants by id, by ask and by gateway. Each is ended once."""
+
+    def __init__(self) -> None:
+        self._grants_by_id: dict[GrantId, Grant] = {}
+        self._grants_by_key: dict[AskKey, Grant] = {}
+        self._running_by_plan: dict[PlanId, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._grants_by_id)
+
+    def __iter__(self) -> Iterator[Grant]:
+        return iter(list(self._grants_by_id.values()))
+
+    def __contains__(self, grant: GrantId) -> bool:
+        return grant in self._grants_by_id
+
+    def of_ask(self, key: AskKey) -> Grant | None:
+        """Return the grant that answered an ask."""
+        return self._grants_by_key.get(key)
+
+    def running(self, plan: PlanId) -> int:
+        """Return how many grants ``plan`` holds."""
+        return self._running_by_plan.get(plan, 0)
+
+    def add(self, grant: Grant) -> None:
+        """Enter a grant."""
+        self._grants_by_id[grant.id] = grant
+        if grant.key is not None:
+            self._grants_by_key[grant.key] = grant
+        self._running_by_plan[grant.plan] = self.running(grant.plan) + 1
+
+    def end(self, grant: GrantId) -> Grant | None:
+        """Remove and return a grant, if it is not over yet."""
+        ended = self._grants_by_id.pop(grant, None)
+        if ended is None:
+            return None
+        if ended.key is not None:
+            self._grants_by_key.pop(ended.key, None)
+        left = self.running(ended.plan) - 1
+        if left:
+            self._running_by_plan[ended.plan] = left
+        else:
+            del self._running_by_plan[ended.plan]
+        return ended
+
+    def unreported(self, caller: Caller, held: tuple[Held, ...], now: float) -> list[Grant]:
+        """Return grants that ``caller`` should hold, but left out of two reports in a row.
+
+        Guard against slots lost with a message: the report that a grant is over, or the grant
+        itself, did not arrive, and its slot would stay taken for good. A grant that is on its
+        way while the gateway makes its report is younger than the bound.
+        """
+        listed = {item.grant for item in held}
+        lost: list[Grant] = []
+        for grant in self:
+            if grant.caller != caller:
+                continue
+            if grant.id in listed:
+                grant.unlisted = 0
+            elif now - grant.given > UNLISTED_S:
+                grant.unlisted += 1
+                if grant.unlisted >= UNLISTED_REPORTS:
+                    lost.append(grant)
+        return lost
+
+    def orphans(
+        self, alive: set[Caller], is_gone: Callable[[Caller], bool], now: float
+    ) -> list[Grant]:
+        """Return grants whose gateway has ended, by proof or after a very long silence.
+
+        A silent gateway may be paused or cut off while its jobs go on running on the host, so
+        silence alone frees nothing at first. The bound is there for a gateway whose end is
+        never proved; a slot given twice then costs a place in the endpoint's queue, no more.
+        """
+        ended: list[Grant] = []
+        gone_by_caller: dict[Caller, bool] = {}
+        for grant in self:
+            if grant.caller in alive:
+                grant.silent_since = None
+                continue
+            if grant.silent_since is None:
+                grant.silent_since = now
+            if grant.caller not in gone_by_caller:
+                gone_by_caller[grant.caller] = is_gone(grant.caller)
+            silent_s = now - grant.silent_since
+            if gone_by_caller[grant.caller] or silent_s > SILENT_GATEWAY_S:
+                ended.append(grant)
+        return ended
--- /dev/null
+++ b/src/lentilrill/routing/_health.py
@@ -0,0 +1,145 @@
+"""Which hosts of a pool get jobs: ejection of failing ones, and probing back."""
+
+from enum import Enum
+
+import msgspec
+
+from lentilrill.ids import HostId, PlanId
+from lentilrill.inner import Verdict
+
+__all__ = ["Health", "HealthBook"]
+
+SCORE_SHARE = 0.2
+EJECT_SCORE = 0.8
+UNREACHABLE_IN_ROW = 3
+PROBES_TO_RESTORE = 3
+FIRST_PAUSE_S = 1.0
+LONGEST_PAUSE_S = 60.0
+LEAVING_HOLD_S = 600.0
+
+FAILURES = (Verdict.ERROR, Verdict.UNREACHABLE, Verdict.BROKEN)
+
+
+class Health(Enum):
+    """What a host's answers say of it."""
+
+    GOOD = "good"
+    LAST = "last"
+    """It fails, but ejecting it would take more of the pool than the budgets allow: it gets one
+    job at a time, when no good host has a free slot."""
+    EJECTED = "ejected"
+    """It fails: one probing job at a time, after a pause that grows."""
+    LEAVING = "leaving"
+    """It said that it is leaving."""
+
+
+class _Record(msgspec.Struct):
+    health: Health = Health.GOOD
+    score: float = 0.0
+    unreachable: int = 0
+    good_in_row: int = 0
+    pause_s: float = 0.0
+    probe_at: float = 0.0
+
+
+class HealthBook:
+    """Judges hosts by the verdicts on their jobs.
+
+    Guard against a host that fails everything at once: it always has free slots, so it would
+    draw most of the pool's jobs and fail them. Its score nears 1 within a dozen jobs, and it is
+    ejected. A plan whose jobs fail on every host says nothing against a host, or one plan's bad
+    jobs would eject the pool.
+
+    :ivar allowance: how many hosts may be ejected at once.
+    """
+
+    def __init__(self) -> None:
+        self.allowance = 0
+        self._records_by_host: dict[HostId, _Record] = {}
+        self._ok_by_host_by_plan: dict[PlanId, dict[HostId, bool]] = {}
+
+    def health(self, host: HostId) -> Health:
+        """Return what is believed of ``host``."""
+        record = self._records_by_host.get(host)
+        return record.health if record is not None else Health.GOOD
+
+    def hosts(self, health: Health) -> tuple[HostId, ...]:
+        """Return the hosts of that health, sorted."""
+        records = self._records_by_host.items()
+        return tuple(sorted(host for host, record in records if record.health is health))
+
+    def probe_due(self, host: HostId, now: float) -> bool:
+        """Return whether an ejected or leaving host may get one probing job."""
+        record = self._records_by_host[host]
+        return now >= record.probe_at
+
+    def note(self, host: HostId, plan: PlanId, verdict: Verdict, now: float) -> bool:
+        """Take in the verdict on one job; return whether the host's health changed."""
+        record = self._records_by_host.setdefault(host, _Record())
+        before = record.health
+        if verdict is Verdict.LEAVING:
+            record.health = Health.LEAVING
+            record.probe_at = now + LEAVING_HOLD_S
+        elif verdict is Verdict.OK:
+            self._succeeded(host, record, plan)
+        elif verdict in FAILURES:
+            self._failed(host, record, plan, verdict, now)
+        return record.health is not before
+
+    def settle(self, hosts: set[HostId]) -> bool:
+        """Keep only records of ``hosts``, and eject no more than allowed.
+
+        :return: whether a host's health changed.
+        """
+        for host in self._records_by_host.keys() - hosts:
+            del self._records_by_host[host]
+        for results in self._ok_by_host_by_plan.values():
+            for host in results.keys() - hosts:
+                del results[host]
+        surplus = self.hosts(Health.EJECTED)[max(0, self.allowance) :]
+        for host in surplus:
+            self._records_by_host[host].health = Health.LAST
+        return bool(surplus)
+
+    def _succeeded(self, host: HostId, record: _Record, plan: PlanId) -> None:
+        record.score *= 1.0 - SCORE_SHARE
+        record.unreachable = 0
+        record.good_in_row += 1
+        self._ok_by_host_by_plan.setdefault(plan, {})[host] = True
+        if record.health is not Health.GOOD and record.good_in_row >= PROBES_TO_RESTORE:
+            record.health = Health.GOOD
+            record.score = 0.0
+            record.pause_s /= 2.0
+        elif record.health is Health.EJECTED:
+            record.probe_at = 0.0
+
+    def _failed(
+        self, host: HostId, record: _Record, plan: PlanId, verdict: Verdict, now: float
+    ) -> None:
+        record.good_in_row = 0
+        self._ok_by_host_by_plan.setdefault(plan, {})[host] = False
+        if verdict is Verdict.UNREACHABLE:
+            record.unreachable += 1
+        elif self._fails_everywhere(plan, host):
+            return
+        record.score += SCORE_SHARE * (1.0 - record.score)
+        fails = record.score >= EJECT_SCORE or record.unreachable >= UNREACHABLE_IN_ROW
+        if record.health is Health.EJECTED:
+            self._pause(record, now)
+        elif fails and record.health is not Health.LEAVING:
+            self._eject(record, now)
+
+    def _fails_everywhere(self, plan: PlanId, host: HostId) -> bool:
+        elsewhere = [ok for at, ok in self._ok_by_host_by_plan[plan].items() if at != host]
+        return bool(elsewhere) and not any(elsewhere)
+
+    def _eject(self, record: _Record, now: float) -> None:
+        if len(self.hosts(Health.EJECTED)) >= self.allowance:
+            record.health = Health.LAST
+            return
+        record.health = Health.EJECTED
+        self._pause(record, now)
+
+    def _pause(self, record: _Record, now: float) -> None:
+        record.pause_s = min(max(FIRST_PAUSE_S, record.pause_s * 2.0), LONGEST_PAUSE_S)
+        record.probe_at = now + record.pause_s
--- /dev/null
+++ b/src/lentilrill/routing/_placement.py
@@ -0,0 +1,105 @@
+"""Which process schedules a pool in a zone, and which gateways a zone has."""
+
+import threading
+
+from lentilrill.ids import PoolId, ZoneId
+from lentilrill.inner import Batch
+from lentilrill.membership import Liveness, Member, Role, Roster, rendezvous
+from lentilrill.routing._queue import Caller
+
+__all__ = ["Placement", "caller_of", "caller_of_batch"]
+
+
+def caller_of(member: Member) -> Caller:
+    """Return the caller that a member is to schedulers."""
+    return Caller(member.process, member.incarnation, member.inner)
+
+
+def caller_of_batch(batch: Batch) -> Caller:
+    """Return the caller that sent ``batch``."""
+    return Caller(batch.sender, batch.incarnation, batch.reply_to)
+
+
+class Placement:
+    """The roster as routing needs it, worked out once for each change of it."""
+
+    def __init__(self, roster: Roster) -> None:
+        self._roster = roster
+        self._lock = threading.Lock()
+        self._gateways_by_zone: dict[ZoneId, tuple[Member, ...]] = {}
+        self._schedulers: dict[PoolId, dict[ZoneId, Member | None]] = {}
+        self._members_by_caller: dict[Caller, Member] = {}
+        self.refresh()
+
+    @property
+    def me(self) -> Member:
+        """This process."""
+        return self._roster.me
+
+    @property
+    def zones(self) -> tuple[ZoneId, ...]:
+        """Zones with a living gateway."""
+        return tuple(self._gateways_by_zone)
+
+    def gateways(self, zone: ZoneId) -> tuple[Member, ...]:
+        """Return the living gateways of ``zone``."""
+        return self._gateways_by_zone.get(zone, ())
+
+    def controllers(self) -> tuple[Member, ...]:
+        """Return the living controllers of this zone."""
+        return self._roster.alive(Role.CONTROLLER, self.me.zone)
+
+    def callers(self) -> set[Caller]:
+        """Return the living gateways of this zone as callers."""
+        return {caller_of(member) for member in self.gateways(self.me.zone)}
+
+    def scheduler(self, pool: PoolId, zone: ZoneId | None = None) -> Member | None:
+        """Return the process that schedules ``pool`` in ``zone``, by default this one."""
+        zone = zone or self.me.zone
+        with self._lock:
+            by_zone = self._schedulers.setdefault(pool, {})
+            if zone not in by_zone:
+                by_zone[zone] = rendezvous(f"{pool}/{zone}", self.gateways(zone))
+            return by_zone[zone]
+
+    def is_mine(self, pool: PoolId) -> bool:
+        """Return whether this process schedules ``pool`` in its zone."""
+        scheduler = self.scheduler(pool)
+        return scheduler is not None and scheduler.process == self.me.process
+
+    def is_gone(self, caller: Caller) -> bool:
+        """Return whether a gateway is proved to have ended: by the roster, or replaced."""
+        if any(
+            member.process == caller.process and member.incarnation > caller.incarnation
+            for member in self.gateways(self.me.zone)
+        ):
+            return True
+        member = self._members_by_caller.get(caller)
+        return member is not None and self._roster.liveness(member) is Liveness.GONE
+
+    def refresh(self) -> bool:
+        """Take over the roster as it is now; return whether the gateways changed."""
+        by_zone: dict[ZoneId, list[Member]] = {}
+        for member in self._roster.alive(Role.GATEWAY):
+            by_zone.setdefault(member.zone, []).append(member)
+        gateways_by_zone = {zone: tuple(members) for zone, members in by_zone.items()}
+        with self._lock:
+            if gateways_by_zone == self._gateways_by_zone:
+                return False
+            self._gateways_by_zone = gateways_by_zone
+            self._schedulers = {}
+            self._remember(gateways_by_zone.get(self.me.zone, ()))
+        return True
+
+    def _remember(self, members: tuple[Member, ...]) -> None:
+        # A gateway's grants outlive its place among the living, so its member record is kept
+        # until it is proved to have ended and the grants were freed.
+        for member in members:
+            self._members_by_caller[caller_of(member)] = member
+
+    def forget(self, keep: set[Caller]) -> None:
+        """Drop what is kept of ended gateways but those in ``keep``, which still hold grants."""
+        alive = self.callers()
+        with self._lock:
+            for caller in self._members_by_caller.keys() - keep - alive:
+                del self._members_by_caller[caller]
--- /dev/null
+++ b/src/lentilrill/routing/_routing.py
@@ -0,0 +1,87 @@
+"""Routing as one gateway process runs it."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from lentilrill.fleet import FleetView
+from lentilrill.inner import Node
+from lentilrill.membership import Roster
+from lentilrill.routing._client import SlotClient
+from lentilrill.routing._ledger import SendLedger
+from lentilrill.routing._placement import Placement
+from lentilrill.routing._schedulers import SchedulerHost
+from lentilrill.routing._withdrawals import WithdrawalAcker
+from lentilrill.telemetry import Event, Metrics, log
+
+__all__ = ["Routing"]
+
+TICK_S = 0.05
+ROSTER_S = 1.0
+
+
+def _always() -> bool:
+    return True
+
+
+class Routing:
+    """Slots for this gateway's jobs, and the pool schedulers that it runs for its zone.
+
+    :param may_acknowledge: see :class:`WithdrawalAcker`.
+    :ivar slots: the contract towards the request path.
+    :ivar ledger: sends in flight, by host.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        view: FleetView,
+        roster: Roster,
+        clock: Callable[[], float] = time.monotonic,
+        metrics: Metrics | None = None,
+        may_acknowledge: Callable[[], bool] = _always,
+    ) -> None:
+        self.ledger = SendLedger(view, roster.me, clock)
+        self.placement = Placement(roster)
+        self.schedulers = SchedulerHost(node, view, self.placement, clock, metrics=metrics)
+        self.slots = SlotClient(node, view, self.placement, self.ledger, self.schedulers, clock)
+        self.acker = WithdrawalAcker(node, self.placement, self.ledger, clock, may_acknowledge)
+        self._clock = clock
+        self._followed = clock()
+        self._stopping = threading.Event()
+        self._task = threading.Thread(target=self._run, name="routing", daemon=True)
+        view.subscribe(self._view_changed)
+        roster.subscribe(self._roster_changed)
+
+    def start(self) -> None:
+        """Begin to schedule the pools that fall to this process."""
+        self.schedulers.refresh()
+        self._task.start()
+
+    def close(self) -> None:
+        """End the task. Slots that are held stay valid until they are released."""
+        self._stopping.set()
+        if self._task.is_alive():
+            self._task.join()
+
+    def _view_changed(self) -> None:
+        self.schedulers.refresh()
+        self.acker.tick()
+
+    def _roster_changed(self) -> None:
+        if self.placement.refresh():
+            self.schedulers.refresh()
+            self.slots.refresh()
+
+    def _run(self) -> None:
+        while not self._stopping.wait(TICK_S):
+            for step in (self._follow, self.schedulers.tick, self.slots.tick, self.acker.tick):
+                try:
+                    step()
+                except Exception as error:  # one failing step must not end the others
+                    log(Event.TASK_FAILED, task="routing", error=repr(error))
+
+    def _follow(self) -> None:
+        if self._clock() - self._followed >= ROSTER_S:
+            self._followed = self._clock()
+            self._roster_changed()
--- /dev/null
+++ b/src/lentilrill/routing/_run_times.py
@@ -0,0 +1,58 @@
+"""Learned run times, bounded so that neither a wrong declaration nor one odd job counts much."""
+
+from lentilrill.ids import PlanId
+
+__all__ = ["RunTimes"]
+
+FIRST_GUESS_S = 0.2
+LEAST_S = 0.001
+MOST_S = 600.0
+DECLARED_FACTOR = 4.0
+OUTLIER_FACTOR = 8.0
+NEWEST_SHARE = 0.1
+
+
+class RunTimes:
+    """Moving averages of the pool's run times, for each plan and for all.
+
+    Guard against declared run times that are far off: a declaration only counts until the
+    plan's first job ended, and moves the guess by at most a factor of four. An observation
+    counts as at most eight times the average, so that one lost or endless job does not make
+    the pool refuse everything.
+    """
+
+    def __init__(self) -> None:
+        self._mean_s = 0.0
+        self._mean_s_by_plan: dict[PlanId, float] = {}
+
+    @property
+    def mean_s(self) -> float:
+        """Mean over all plans."""
+        return self._mean_s or FIRST_GUESS_S
+
+    def expected_s(self, plan: PlanId, declared_s: float = 0.0) -> float:
+        """Return the run time to expect of the plan's next job."""
+        learned_s = self._mean_s_by_plan.get(plan)
+        if learned_s is not None:
+            return learned_s
+        if declared_s <= 0.0:
+            return self.mean_s
+        least, most = self.mean_s / DECLARED_FACTOR, self.mean_s * DECLARED_FACTOR
+        return min(max(declared_s, least), most)
+
+    def learn(self, plan: PlanId, run_s: float) -> None:
+        """Take in how long a job of ``plan`` ran."""
+        run_s = min(max(run_s, LEAST_S), MOST_S)
+        self._mean_s = _moved(self._mean_s, run_s)
+        self._mean_s_by_plan[plan] = _moved(self._mean_s_by_plan.get(plan, 0.0), run_s)
+
+    def keep(self, plans: set[PlanId]) -> None:
+        """Forget all plans but ``plans``."""
+        for plan in self._mean_s_by_plan.keys() - plans:
+            del self._mean_s_by_plan[plan]
+
+
+def _moved(mean_s: float, run_s: float) -> float:
+    if mean_s <= 0.0:
+        return run_s
+    return mean_s + NEWEST_SHARE * (min(run_s, mean_s * OUTLIER_FACTOR) - mean_s)
--- /dev/null
+++ b/src/lentilrill/routing/_scheduler.py
@@ -0,0 +1,365 @@
+"""The queue and the slots of one pool in one zone: who runs next, where, and who is refused."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from lentilrill.ids import GrantId, HostId, PlanId, PoolId, RequestId, ZoneId
+from lentilrill.inner import (
+    Ask,
+    Done,
+    Granted,
+    HeldGrants,
+    Message,
+    PoolLoad,
+    Refusal,
+    Refused,
+    Verdict,
+)
+from lentilrill.routing._grants import Grant, GrantBook
+from lentilrill.routing._health import Health
+from lentilrill.routing._hosts import HostSlots
+from lentilrill.routing._limits import TokenBucket
+from lentilrill.routing._queue import AskKey, AskQueue, Caller, FairShares, Waiting
+from lentilrill.routing._run_times import RunTimes
+from lentilrill.routing._spill import OtherZones
+from lentilrill.routing._terms import PlanTerms, PoolTerms
+from lentilrill.routing._waits import WaitEstimate
+from lentilrill.telemetry import Event, log
+
+__all__ = ["PoolScheduler", "Reply"]
+
+START_WITHIN_S = 2.0
+REBUILD_S = 2.0
+QUEUE_PER_SLOT = 64
+LEAST_QUEUE = 256
+MOST_QUEUE = 20_000
+MOST_ASIDE = 8
+SPILL_WAIT_S = 0.25
+NO_HOSTS_RETRY_S = 5.0
+LEAST_RETRY_S = 0.2
+MOST_RETRY_S = 60.0
+RATE_BURST_S = 1.0
+
+DEFAULT_TERMS = PlanTerms()
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """A message that a decision wants sent to the process at ``address``."""
+
+    address: str
+    message: Message
+
+
+class PoolScheduler:
+    """Decides for one pool in one zone. Not thread-safe; the caller sends the replies.
+
+    :param epoch: makes the grants' ids unique over all schedulers.
+    :param awaited: gateways whose held grants must be known before the first grant.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        pool: PoolId,
+        zone: ZoneId,
+        epoch: int,
+        awaited: set[str],
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.pool = pool
+        self.zone = zone
+        self.epoch = epoch
+        self.violations = 0
+        self.hosts = HostSlots()
+        self._clock = clock
+        self._rng = rng
+        self._awaited = set(awaited)
+        self._rebuilt_by = clock() + REBUILD_S
+        self._terms = PoolTerms({}, {})
+        self._shares = FairShares()
+        self._queue = AskQueue(self._shares)
+        self._grants = GrantBook()
+        self._run_times = RunTimes()
+        self._waits = WaitEstimate(self._queue, self._grants, self.hosts, self._run_times)
+        self._others = OtherZones()
+        self._buckets_by_plan: dict[PlanId, TokenBucket] = {}
+        self._asks = 0
+        self._granted = 0
+
+    @property
+    def waiting(self) -> int:
+        """Asks in the queue."""
+        return len(self._queue)
+
+    @property
+    def running(self) -> int:
+        """Grants that are not over."""
+        return len(self._grants)
+
+    @property
+    def awaited(self) -> frozenset[str]:
+        """Gateways whose held grants are still unknown; empty once grants are given."""
+        if self._awaited and self._clock() >= self._rebuilt_by:
+            self._awaited.clear()
+        return frozenset(self._awaited)
+
+    def configure(self, terms: PoolTerms) -> list[Reply]:
+        """Take over hosts, plans and limits."""
+        self._terms = terms
+        self.hosts.configure(terms.slots_by_host, self._allowance())
+        kept = set(terms.plans_by_id)
+        for plan in self._buckets_by_plan.keys() - kept:
+            del self._buckets_by_plan[plan]
+        self._shares.keep(kept)
+        self._run_times.keep(kept)
+        return self._grant_free([])
+
+    def ask(self, ask: Ask, caller: Caller) -> list[Reply]:
+        """Grant a slot, queue the ask, or refuse it."""
+        key = AskKey(caller.address, ask.request)
+        given = self._grants.of_ask(key)
+        if given is not None:
+            return [self._granted_reply(given, ask.request)]
+        if self._queue.get(key) is not None:
+            return []
+        out: list[Reply] = []
+        refused = self._objection(ask, out)
+        if refused is not None:
+            out.append(Reply(caller.address, refused))
+            return out
+        self._asks += 1
+        now = self._clock()
+        self._queue.add(
+            Waiting(
+                key,
+                caller,
+                ask.plan,
+                ask.urgency,
+                now + ask.wait_s,
+                self._asks,
+                now,
+                ask.avoid,
+                ask.spillable,
+            )
+        )
+        return self._grant_free(out)
+
+    def cancel(self, request: RequestId, caller: Caller) -> list[Reply]:
+        """Forget an ask, or free the grant that answered it."""
+        key = AskKey(caller.address, request)
+        if self._queue.remove(key) is not None:
+            return []
+        grant = self._grants.of_ask(key)
+        return self._end(grant.id, Verdict.UNUSED, 0.0) if grant is not None else []
+
+    def done(self, done: Done) -> list[Reply]:
+        """Free the slot of a grant that is over, and give it to the next ask."""
+        return self._end(done.grant, done.verdict, done.run_s)
+
+    def held(self, report: HeldGrants, caller: Caller) -> list[Reply]:
+        """Take over what a gateway says it holds."""
+        now = self._clock()
+        for item in report.grants:
+            if item.grant not in self._grants:
+                expected_s = self._run_times.expected_s(item.plan)
+                self._enter(Grant(item.grant, item.host, item.plan, caller, None, now, expected_s))
+        out: list[Reply] = []
+        for grant in self._grants.unreported(caller, report.grants, now):
+            self._reclaim(grant, "left out of its gateway's reports", out)
+        self._awaited.discard(caller.address)
+        return self._grant_free(out)
+
+    def hear(self, load: PoolLoad) -> None:
+        """Take over how busy the pool is in another zone."""
+        self._others.hear(load, self._clock())
+        self.hosts.allow(self._allowance())
+
+    def load(self) -> PoolLoad:
+        """Return how busy the pool is here."""
+        ejected = len(self.hosts.health.hosts(Health.EJECTED))
+        free = 0 if self._queue or self.awaited else self.hosts.free
+        return PoolLoad(self.pool, self.zone, free, self._waits.drain_s(), ejected)
+
+    def tick(self, alive: set[Caller], is_gone: Callable[[Caller], bool]) -> list[Reply]:
+        """Refuse what is too late, and free what ended gateways held."""
+        now = self._clock()
+        out: list[Reply] = []
+        for waiting in self._queue.expired(now):
+            out.append(self._refuse(waiting, Refusal.TOO_LATE))
+        for waiting in self._queue:
+            if waiting.caller not in alive:
+                self._queue.remove(waiting.key)
+        for grant in self._grants.orphans(alive, is_gone, now):
+            self._reclaim(grant, "its gateway ended", out)
+        self._grant_free(out)
+        self._check()
+        return out
+
+    def resign(self) -> list[Reply]:
+        """Tell every waiting gateway to ask the pool's next scheduler."""
+        out = [self._refuse(waiting, Refusal.NOT_SCHEDULER) for waiting in self._queue]
+        for reply in out:
+            assert isinstance(reply.message, Refused)
+            self._queue.remove(AskKey(reply.address, reply.message.request))
+        return out
+
+    # Who is refused
+
+    def _objection(self, ask: Ask, out: list[Reply]) -> Refused | None:
+        now = self._clock()
+        terms = self._terms.plans_by_id.get(ask.plan, DEFAULT_TERMS)
+        if not self.hosts.serving:
+            return self._refused(ask, Refusal.NO_HOSTS, NO_HOSTS_RETRY_S, spill=True)
+        if self._queue.count(ask.plan) >= terms.queue:
+            wait_s = self._waits.plan_drain_s(ask.plan)
+            return self._refused(ask, Refusal.PLAN_LIMIT, wait_s, spill=False)
+        wait_s = self._waits.wait_s(ask, now, self._terms)
+        if wait_s > ask.wait_s:
+            return self._refused(ask, Refusal.TOO_LATE, wait_s - ask.wait_s, spill=True)
+        if ask.spillable and wait_s > SPILL_WAIT_S:
+            zone = self._others.claim(terms.zones, now)
+            if zone is not None:
+                return Refused(ask.request, self.pool, Refusal.TOO_LATE, wait_s, zone)
+        limited_s = self._rate_limited_s(ask.plan, terms, now)
+        if limited_s > 0.0:
+            return self._refused(ask, Refusal.PLAN_LIMIT, limited_s, spill=False)
+        if len(self._queue) >= self._queue_bound():
+            displaced = self._queue.displace(ask.urgency)
+            if displaced is None:
+                return self._refused(ask, Refusal.QUEUE_FULL, self._waits.drain_s(), spill=True)
+            out.append(self._refuse(displaced, Refusal.QUEUE_FULL))
+        return None
+
+    def _rate_limited_s(self, plan: PlanId, terms: PlanTerms, now: float) -> float:
+        if terms.rate_per_s <= 0.0:
+            return 0.0
+        bucket = self._buckets_by_plan.get(plan)
+        if bucket is None or bucket.rate_per_s != terms.rate_per_s:
+            burst = max(1.0, terms.rate_per_s * RATE_BURST_S)
+            bucket = self._buckets_by_plan[plan] = TokenBucket(terms.rate_per_s, burst, now)
+        return 0.0 if bucket.take(now) else bucket.wait_s(now)
+
+    def _queue_bound(self) -> int:
+        return min(max(LEAST_QUEUE, QUEUE_PER_SLOT * self.hosts.capacity), MOST_QUEUE)
+
+    def _refused(self, ask: Ask, refusal: Refusal, after_s: float, spill: bool) -> Refused:
+        zone = None
+        if spill and ask.spillable:
+            terms = self._terms.plans_by_id.get(ask.plan, DEFAULT_TERMS)
+            zone = self._others.claim(terms.zones, self._clock())
+        return Refused(ask.request, self.pool, refusal, self._retry_after_s(after_s), zone)
+
+    def _refuse(self, waiting: Waiting, refusal: Refusal) -> Reply:
+        after_s = self._retry_after_s(self._waits.drain_s())
+        refused = Refused(waiting.key.request, self.pool, refusal, after_s)
+        return Reply(waiting.key.address, refused)
+
+    def _retry_after_s(self, after_s: float) -> float:
+        # Jitter, or everybody refused in one surge would come back as the next one.
+        spread_s = max(LEAST_RETRY_S, after_s) * self._rng.uniform(1.0, 1.5)
+        return min(spread_s, MOST_RETRY_S)
+
+    # Who runs next, and where
+
+    def _grant_free(self, out: list[Reply]) -> list[Reply]:
+        if self.awaited or not self._queue:
+            return out
+        now = self._clock()
+        aside: list[Waiting] = []
+        while len(aside) < MOST_ASIDE and self.hosts.pick((), now) is not None:
+            waiting = self._queue.take(self._may_run)
+            if waiting is None:
+                break
+            if waiting.deadline <= now:
+                out.append(self._refuse(waiting, Refusal.TOO_LATE))
+                continue
+            host = self._host_for(waiting, now)
+            if host is None:
+                aside.append(waiting)
+            else:
+                out.append(self._grant(waiting, host, now))
+        for waiting in aside:
+            self._queue.add(waiting)
+        return out
+
+    def _host_for(self, waiting: Waiting, now: float) -> HostId | None:
+        host = self.hosts.pick(waiting.avoid, now)
+        if host is None and self.hosts.all_avoided(waiting.avoid):
+            return self.hosts.pick((), now)
+        return host
+
+    def _may_run(self, plan: PlanId) -> bool:
+        limit = self._terms.plans_by_id.get(plan, DEFAULT_TERMS).concurrency
+        return not limit or self._grants.running(plan) < limit
+
+    def _grant(self, waiting: Waiting, host: HostId, now: float) -> Reply:
+        self._granted += 1
+        grant = Grant(
+            GrantId(f"{self.epoch:x}.{self._granted:x}"),
+            host,
+            waiting.plan,
+            waiting.caller,
+            waiting.key,
+            now,
+            self._run_times.expected_s(waiting.plan),
+        )
+        self._enter(grant)
+        return self._granted_reply(grant, waiting.key.request)
+
+    def _granted_reply(self, grant: Grant, request: RequestId) -> Reply:
+        granted = Granted(request, self.pool, grant.id, grant.host, self.epoch, START_WITHIN_S)
+        return Reply(grant.caller.address, granted)
+
+    def _enter(self, grant: Grant) -> None:
+        self._grants.add(grant)
+        self.hosts.take(grant.host)
+        self._shares.charge(grant.plan, grant.expected_s, self._weight(grant.plan))
+
+    def _end(self, grant: GrantId, verdict: Verdict, run_s: float) -> list[Reply]:
+        ended = self._grants.end(grant)
+        if ended is None:
+            return []
+        if not self.hosts.release(ended.host):
+            self._violated(f"grant on {ended.host} released without a slot")
+        self._shares.charge(ended.plan, run_s - ended.expected_s, self._weight(ended.plan))
+        if verdict is Verdict.OK:
+            self._run_times.learn(ended.plan, run_s)
+        if self.hosts.note(ended.host, ended.plan, verdict, self._clock()):
+            self._log_health(ended.host)
+        return self._grant_free([])
+
+    def _reclaim(self, grant: Grant, reason: str, out: list[Reply]) -> None:
+        gateway = grant.caller.process
+        log(Event.GRANT_RECLAIMED, pool=self.pool, grant=grant.id, gateway=gateway, reason=reason)
+        out.extend(self._end(grant.id, Verdict.UNUSED, 0.0))
+
+    def _weight(self, plan: PlanId) -> float:
+        return self._terms.plans_by_id.get(plan, DEFAULT_TERMS).weight
+
+    # Accounts
+
+    def _allowance(self) -> int:
+        return max(0, self._terms.budget - self._terms.away - self._others.ejected())
+
+    def _log_health(self, host: HostId) -> None:
+        match self.hosts.health.health(host):
+            case Health.LEAVING:
+                log(Event.HOST_LEAVING, pool=self.pool, host=host)
+            case Health.GOOD:
+                log(Event.HOST_RESTORED, pool=self.pool, host=host)
+            case health:
+                log(Event.HOST_EJECTED, pool=self.pool, host=host, health=health.value)
+
+    def _check(self) -> None:
+        for contradiction in (self._queue.contradiction(), self.hosts.contradiction()):
+            if contradiction:
+                self._violated(contradiction)
+        if self.hosts.used != len(self._grants):
+            self._violated(f"{self.hosts.used} slots used by {len(self._grants)} grants")
+
+    def _violated(self, reason: str) -> None:
+        self.violations += 1
+        log(Event.ROUTING_INVARIANT, pool=self.pool, zone=self.zone, reason=reason)
--- /dev/null
+++ b/src/lentilrill/routing/_schedulers.py
@@ -0,0 +1,283 @@
+"""The pool schedulers that this process runs, and their messages."""
+
+import random
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+
+from lentilrill.fleet import FleetView
+from lentilrill.ids import HostId, PoolId, RequestId
+from lentilrill.inner import (
+    Ask,
+    Batch,
+    Cancel,
+    Done,
+    Granted,
+    HeldAsk,
+    HeldGrants,
+    HostTrouble,
+    Message,
+    Node,
+    PoolLoad,
+    Refusal,
+    Refused,
+)
+from lentilrill.routing._health import Health
+from lentilrill.routing._placement import Placement, caller_of_batch
+from lentilrill.routing._queue import Caller
+from lentilrill.routing._scheduler import PoolScheduler, Reply
+from lentilrill.routing._terms import pool_terms
+from lentilrill.telemetry import Event, Metrics, NoMetrics, log
+
+__all__ = ["SchedulerHost"]
+
+HELD_ASK_S = 0.25
+LOAD_S = 0.2
+STEADY_LOAD_S = 0.5
+TROUBLE_S = 1.0
+INSISTED_S = 10.0
+
+Answer = Callable[[str, Granted | Refused], None]
+
+
+class _Scheduled:
+    """One pool's scheduler with its lock.
+
+    :ivar ended: set under the lock when another process took over; a task that still holds
+        this object looks the pool up again.
+    """
+
+    def __init__(self, scheduler: PoolScheduler, now: float) -> None:
+        self.scheduler = scheduler
+        self.lock = threading.Lock()
+        self.ended = False
+        self.insisted = now
+        self.asked_held = 0.0
+        self.told_load = 0.0
+        self.load: PoolLoad | None = None
+
+
+class SchedulerHost:
+    """Runs the scheduler of each pool for which this process is the zone's choice.
+
+    :param answer: takes the grants and refusals for this process itself.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        view: FleetView,
+        placement: Placement,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+        metrics: Metrics | None = None,
+    ) -> None:
+        self.answer: Answer = lambda sender, message: None
+        self._node = node
+        self._view = view
+        self._placement = placement
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._metrics = metrics or NoMetrics()
+        self._lock = threading.Lock()
+        self._delivering = threading.local()
+        self._refreshing = threading.Lock()
+        self._scheduled_by_pool: dict[PoolId, _Scheduled] = {}
+        self._told_trouble = 0.0
+        self._had_trouble = False
+        node.on(Ask, lambda batch, ask: self.ask(ask, caller_of_batch(batch)))
+        node.on(Cancel, lambda batch, cancel: self.cancel(cancel, caller_of_batch(batch)))
+        node.on(Done, lambda batch, done: self.done(done))
+        node.on(HeldGrants, lambda batch, held: self.held(held, caller_of_batch(batch)))
+        node.on(PoolLoad, self._hear)
+
+    @property
+    def schedulers_by_pool(self) -> dict[PoolId, PoolScheduler]:
+        """The schedulers that run here."""
+        with self._lock:
+            return {pool: held.scheduler for pool, held in self._scheduled_by_pool.items()}
+
+    def ask(self, ask: Ask, caller: Caller) -> None:
+        """Take an ask of a gateway of this zone."""
+        if not self._runs(ask.pool) and not (ask.insist or self._placement.is_mine(ask.pool)):
+            refused = Refused(ask.request, ask.pool, Refusal.NOT_SCHEDULER)
+            self._deliver([Reply(caller.address, refused)])
+            return
+        held = self._scheduled(ask.pool)
+        if ask.insist:
+            held.insisted = self._clock()
+        self._decide(ask.pool, lambda scheduler: scheduler.ask(ask, caller))
+
+    def cancel(self, cancel: Cancel, caller: Caller) -> None:
+        """Take back an ask."""
+        request: RequestId = cancel.request
+        self._decide(cancel.pool, lambda scheduler: scheduler.cancel(request, caller))
+
+    def done(self, done: Done) -> None:
+        """Take the report that a grant is over."""
+        self._decide(done.pool, lambda scheduler: scheduler.done(done))
+
+    def held(self, report: HeldGrants, caller: Caller) -> None:
+        """Take a gateway's report of the grants that it holds."""
+        self._decide(report.pool, lambda scheduler: scheduler.held(report, caller))
+
+    def refresh(self) -> None:
+        """Follow the view and the roster: start, configure and end schedulers."""
+        with self._refreshing:
+            zone = self._placement.me.zone
+            for pool in self._pools_here():
+                if self._placement.is_mine(pool):
+                    self._scheduled(pool)
+            for pool, held in self._all():
+                if self._is_over(pool, held):
+                    self._resign(pool, held)
+                else:
+                    terms = pool_terms(self._view, pool, zone)
+                    self._decide(pool, lambda s, terms=terms: s.configure(terms))  # type: ignore[misc]
+
+    def tick(self) -> None:
+        """Do what is due by the clock: refusals, reports to peers, freed grants."""
+        alive = self._placement.callers()
+        now = self._clock()
+        for pool, held in self._all():
+            self._decide(pool, lambda s: s.tick(alive, self._placement.is_gone))
+            self._ask_held(held, now)
+            self._tell_load(held, now)
+            if self._is_over(pool, held):
+                self._resign(pool, held)
+        self._tell_trouble(now)
+
+    def _pools_here(self) -> list[PoolId]:
+        zone = self._placement.me.zone
+        pools = {pool for pool, entry in self._view.hosts_by_id.values() if entry.zone == zone}
+        return sorted(pools)
+
+    def _all(self) -> list[tuple[PoolId, _Scheduled]]:
+        with self._lock:
+            return list(self._scheduled_by_pool.items())
+
+    def _runs(self, pool: PoolId) -> bool:
+        with self._lock:
+            return pool in self._scheduled_by_pool
+
+    def _scheduled(self, pool: PoolId) -> _Scheduled:
+        with self._lock:
+            held = self._scheduled_by_pool.get(pool)
+            if held is None:
+                held = self._scheduled_by_pool[pool] = self._started(pool)
+        return held
+
+    def _started(self, pool: PoolId) -> _Scheduled:
+        zone = self._placement.me.zone
+        awaited = {member.inner for member in self._placement.gateways(zone)}
+        scheduler = PoolScheduler(
+            pool, zone, time.time_ns(), awaited, self._clock, random.Random(self._rng.random())
+        )
+        scheduler.configure(pool_terms(self._view, pool, zone))
+        log(Event.SCHEDULER_STARTED, pool=pool, zone=zone, epoch=scheduler.epoch)
+        return _Scheduled(scheduler, self._clock() - INSISTED_S)
+
+    def _decide(
+        self, pool: PoolId, decide: Callable[[PoolScheduler], list[Reply]]
+    ) -> PoolScheduler | None:
+        with self._lock:
+            held = self._scheduled_by_pool.get(pool)
+        if held is None:
+            return None
+        with held.lock:
+            if held.ended:
+                return None
+            replies = decide(held.scheduler)
+        # Delivered without the lock: an answer to this very process may come back at once.
+        self._deliver(replies)
+        return held.scheduler
+
+    def _deliver(self, replies: list[Reply]) -> None:
+        for reply in replies:
+            if reply.address != self._node.address:
+                self._node.send(reply.address, reply.message)
+        local = [reply.message for reply in replies if reply.address == self._node.address]
+        if local:
+            self._answer_here(local)
+
+    def _answer_here(self, messages: list[Message]) -> None:
+        # An unwanted grant comes back as a report, which may grant the slot to the next ask of
+        # this process, and so on: worked off in a loop, or a long queue would exhaust the stack.
+        pending: deque[Message] | None = getattr(self._delivering, "pending", None)
+        if pending is not None:
+            pending.extend(messages)
+            return
+        pending = self._delivering.pending = deque(messages)
+        try:
+            while pending:
+                message = pending.popleft()
+                assert isinstance(message, Granted | Refused)
+                self.answer(self._node.address, message)
+        finally:
+            self._delivering.pending = None
+
+    def _is_over(self, pool: PoolId, held: _Scheduled) -> bool:
+        insisted = self._clock() - held.insisted < INSISTED_S
+        return not insisted and not self._placement.is_mine(pool)
+
+    def _resign(self, pool: PoolId, held: _Scheduled) -> None:
+        with self._lock:
+            self._scheduled_by_pool.pop(pool, None)
+        with held.lock:
+            held.ended = True
+            replies = held.scheduler.resign()
+        log(Event.SCHEDULER_ENDED, pool=pool, waiting=len(replies))
+        self._deliver(replies)
+
+    def _ask_held(self, held: _Scheduled, now: float) -> None:
+        pool = held.scheduler.pool
+        if held.scheduler.awaited and now - held.asked_held >= HELD_ASK_S:
+            held.asked_held = now
+            for address in held.scheduler.awaited:
+                self._node.send(address, HeldAsk(pool, self._node.address))
+
+    def _tell_load(self, held: _Scheduled, now: float) -> None:
+        if now - held.told_load < LOAD_S:
+            return
+        with held.lock:
+            load = held.scheduler.load()
+        if load == held.load and now - held.told_load < STEADY_LOAD_S:
+            return
+        held.load = load
+        held.told_load = now
+        pool = held.scheduler.pool
+        self._metrics.gauge(f"pool.{pool}.waiting", held.scheduler.waiting)
+        self._metrics.gauge(f"pool.{pool}.running", held.scheduler.running)
+        for zone in self._placement.zones:
+            peer = self._placement.scheduler(pool, zone)
+            if zone != self._placement.me.zone and peer is not None:
+                self._node.send(peer.inner, load)
+
+    def _hear(self, batch: Batch, load: PoolLoad) -> None:
+        del batch
+
+        def hear(scheduler: PoolScheduler) -> list[Reply]:
+            scheduler.hear(load)
+            return []
+
+        if load.zone != self._placement.me.zone:
+            self._decide(load.pool, hear)
+
+    def _tell_trouble(self, now: float) -> None:
+        if now - self._told_trouble < TROUBLE_S:
+            return
+        self._told_trouble = now
+        ejected, leaving = self._of_health(Health.EJECTED), self._of_health(Health.LEAVING)
+        if ejected or leaving or self._had_trouble:
+            for controller in self._placement.controllers():
+                trouble = HostTrouble(self._placement.me, ejected, leaving)
+                self._node.send(controller.inner, trouble)
+        self._had_trouble = bool(ejected or leaving)
+
+    def _of_health(self, health: Health) -> tuple[HostId, ...]:
+        hosts: list[HostId] = []
+        for _, held in self._all():
+            with held.lock:
+                hosts.extend(held.scheduler.hosts.health.hosts(health))
+        return tuple(sorted(hosts))
--- /dev/null
+++ b/src/lentilrill/routing/_spill.py
@@ -0,0 +1,53 @@
+"""How busy a pool is in other zones, as their schedulers told."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from lentilrill.ids import ZoneId
+from lentilrill.inner import PoolLoad
+
+__all__ = ["OtherZones"]
+
+FRESH_S = 1.5
+
+
+class _Load(msgspec.Struct):
+    load: PoolLoad
+    heard: float
+    sent: int = 0
+
+
+class OtherZones:
+    """Newest loads of one pool by zone."""
+
+    def __init__(self) -> None:
+        self._loads_by_zone: dict[ZoneId, _Load] = {}
+
+    def hear(self, load: PoolLoad, now: float) -> None:
+        """Take over a zone's load."""
+        self._loads_by_zone[load.zone] = _Load(load, now)
+
+    def claim(self, zones: Iterable[ZoneId], now: float) -> ZoneId | None:
+        """Return the zone with most free slots and count one of them as used.
+
+        Guard against all zones spilling to one: between two reports a scheduler sends no more
+        jobs to a zone than the slots it said were free.
+
+        :param zones: zones that the plan may use; empty means all.
+        """
+        allowed = set(zones)
+        free_by_zone = {
+            zone: held.load.free - held.sent
+            for zone, held in self._loads_by_zone.items()
+            if now - held.heard <= FRESH_S and (not allowed or zone in allowed)
+        }
+        best = max(free_by_zone, key=lambda zone: (free_by_zone[zone], zone), default=None)
+        if best is None or free_by_zone[best] < 1:
+            return None
+        self._loads_by_zone[best].sent += 1
+        return best
+
+    def ejected(self) -> int:
+        """Return how many hosts other zones' schedulers have ejected, as last heard."""
+        return sum(held.load.ejected for held in self._loads_by_zone.values())
--- /dev/null
+++ b/src/lentilrill/routing/_terms.py
@@ -0,0 +1,72 @@
+"""What the operators' document and the pool records say to one pool's scheduler."""
+
+import msgspec
+
+from lentilrill.fleet import FleetView, HostPhase
+from lentilrill.ids import HostId, PlanId, PoolId, ZoneId
+from lentilrill.settings import Document, Entitlement, Plan
+
+__all__ = ["PlanTerms", "PoolTerms", "pool_terms"]
+
+
+class PlanTerms(msgspec.Struct, frozen=True):
+    """Limits of one plan in one zone; see :class:`~lentilrill.settings.Entitlement`.
+
+    :param weight: its share of the slots when several plans wait.
+    """
+
+    weight: float = 1.0
+    rate_per_s: float = 0.0
+    concurrency: int = 0
+    queue: int = 200
+    zones: tuple[ZoneId, ...] = ()
+
+
+class PoolTerms(msgspec.Struct, frozen=True):
+    """What a scheduler schedules.
+
+    :param slots_by_host: slots of each host of the zone that serves the pool.
+    :param away: hosts of the pool in all zones that are being withdrawn or stopped.
+    :param budget: hosts of the pool that may be away at once without breaking a plan.
+    """
+
+    slots_by_host: dict[HostId, int]
+    plans_by_id: dict[PlanId, PlanTerms]
+    away: int = 0
+    budget: int = 0
+
+
+def pool_terms(view: FleetView, pool: PoolId, zone: ZoneId) -> PoolTerms:
+    """Return the terms of ``pool`` in ``zone`` as ``view`` has them now."""
+    document = view.document
+    configured = document.pools_by_id().get(pool)
+    slots = configured.slots_per_host if configured is not None else 0
+    record, _ = view.pools_by_id.get(pool, (None, None))
+    entries = record.hosts if record is not None else ()
+    serving = [entry for entry in entries if entry.phase is HostPhase.SERVING]
+    plans = _plans_of(document, pool)
+    return PoolTerms(
+        slots_by_host={entry.id: slots for entry in serving if entry.zone == zone},
+        plans_by_id={plan.id: _plan_terms(plan, entitled) for plan, entitled in plans},
+        away=len(entries) - len(serving),
+        budget=min((plan.availability_budget for plan, _ in plans), default=0),
+    )
+
+
+def _plans_of(document: Document, pool: PoolId) -> list[tuple[Plan, Entitlement]]:
+    plans_by_id = document.plans_by_id()
+    return [
+        (plans_by_id[entitlement.plan], entitlement)
+        for entitlement in document.entitlements
+        if pool in entitlement.pools and entitlement.plan in plans_by_id
+    ]
+
+
+def _plan_terms(plan: Plan, entitlement: Entitlement) -> PlanTerms:
+    return PlanTerms(
+        weight=float(max(1, plan.hosts_owed)),
+        rate_per_s=entitlement.rate_per_s,
+        concurrency=entitlement.concurrency,
+        queue=entitlement.queue,
+        zones=entitlement.zones,
+    )
--- /dev/null
+++ b/src/lentilrill/routing/_waits.py
@@ -0,0 +1,66 @@
+"""How long an ask of now would wait."""
+
+from lentilrill.ids import PlanId
+from lentilrill.inner import Ask
+from lentilrill.routing._grants import GrantBook
+from lentilrill.routing._hosts import HostSlots
+from lentilrill.routing._queue import AskQueue
+from lentilrill.routing._run_times import RunTimes
+from lentilrill.routing._terms import PlanTerms, PoolTerms
+from lentilrill.settings import Urgency
+
+__all__ = ["WaitEstimate"]
+
+NO_TERMS = PlanTerms()
+
+
+class WaitEstimate:
+    """Estimates from the queue ahead and learned run times.
+
+    Estimates are on the short side: refusing an ask that could have started is worse than
+    queueing one that can't, which is refused at its deadline.
+    """
+
+    def __init__(
+        self, queue: AskQueue, grants: GrantBook, hosts: HostSlots, run_times: RunTimes
+    ) -> None:
+        self._queue = queue
+        self._grants = grants
+        self._hosts = hosts
+        self._run_times = run_times
+
+    def wait_s(self, ask: Ask, now: float, terms: PoolTerms) -> float:
+        """Return the seconds until ``ask`` would start."""
+        slots = max(1, self._hosts.capacity)
+        ahead_s = sum(self._class_work_s(rank) for rank in range(ask.urgency))
+        wait_s = (ahead_s + self._own_class_work_s(ask, now, terms)) / slots
+        if self._hosts.free < 1:
+            wait_s += self._run_times.mean_s / slots
+        limit = terms.plans_by_id.get(ask.plan, NO_TERMS).concurrency
+        if limit and self._grants.running(ask.plan) >= limit:
+            own = self._queue.ahead(ask.plan, ask.urgency, now + ask.wait_s)
+            wait_s = max(wait_s, own * self._run_times.expected_s(ask.plan) / limit)
+        return wait_s
+
+    def drain_s(self) -> float:
+        """Return the seconds until all that waits has started."""
+        work_s = sum(self._class_work_s(rank) for rank in range(len(Urgency)))
+        return work_s / max(1, self._hosts.capacity)
+
+    def plan_drain_s(self, plan: PlanId) -> float:
+        """Return the seconds until what waits of a plan could have started, were it alone."""
+        work_s = self._queue.count(plan) * self._run_times.expected_s(plan)
+        return work_s / max(1, self._hosts.capacity)
+
+    def _class_work_s(self, rank: int) -> float:
+        counts = self._queue.counts(rank).items()
+        return sum(count * self._run_times.expected_s(plan) for plan, count in counts)
+
+    def _own_class_work_s(self, ask: Ask, now: float, terms: PoolTerms) -> float:
+        counts = self._queue.counts(ask.urgency)
+        counts[ask.plan] = self._queue.ahead(ask.plan, ask.urgency, now + ask.wait_s)
+        weights = {plan: terms.plans_by_id.get(plan, NO_TERMS).weight for plan in counts}
+        own_s = counts[ask.plan] * self._run_times.expected_s(ask.plan, ask.run_s)
+        by_share_s = own_s * sum(weights.values()) / weights[ask.plan]
+        all_s = sum(n * self._run_times.expected_s(plan) for plan, n in counts.items())
+        return min(by_share_s, all_s)
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -39,6 +39,15 @@
     WATCH_SILENT = (404, Level.WARNING, "The watch missed a change and is begun anew.")
     DOCUMENT_IN_FORCE = (501, Level.INFO, "A revision of the document is in force here.")
 
+    ROUTING_INVARIANT = (750, Level.ERROR, "A scheduler's accounts contradict each other.")
+    SCHEDULER_STARTED = (751, Level.INFO, "This process schedules a pool of its zone from now on.")
+    SCHEDULER_ENDED = (752, Level.INFO, "Another process schedules the pool from now on.")
+    HOST_EJECTED = (753, Level.WARNING, "A host failed too often and gets no jobs for a while.")
+    HOST_RESTORED = (754, Level.INFO, "A host that was ejected answers well again.")
+    HOST_LEAVING = (755, Level.INFO, "A host said that it is leaving and gets no more jobs.")
+    GRANT_RECLAIMED = (756, Level.WARNING, "A slot was freed whose gateway never reported it.")
+    WITHDRAWAL_ACKNOWLEDGED = (757, Level.INFO, "Nothing of this process is sent to a host now.")
+
     @property
     def number(self) -> int:
         """The event's number."""
