Gateway: one request from caller to endpoint and back, thin but whole

Cause: nothing carried a job yet. A native cheroot Gateway was taken and not WSGI, since the caller's socket is needed to see it leave and to reset it. cheroot's own error pages are overridden, so that a malformed head gets a problem document too.

Seen while testing: a 413 sent while the caller still sends its body is lost, because the close answers the rest with a reset. The connection now reads on for a moment after an early refusal (test_bad_requests_are_refused_before_dispatch failed with a broken pipe before).

--- /dev/null
+++ b/src/lentilrill/gateway/_accept.py
@@ -0,0 +1,72 @@
+"""Whether a request is accepted: token, service, size, deadline."""
+
+import msgspec
+
+from lentilrill.gateway._forwarding import FORWARDED, Forwarder, Mark
+from lentilrill.gateway._heading import Heading, is_idempotent
+from lentilrill.gateway._limits import BUFFERED_BYTES, LONGEST_RUN_S
+from lentilrill.gateway._plans import Holder, PlanBook
+from lentilrill.gateway._problems import Problem, ProblemKind
+from lentilrill.gateway._work import Work
+from lentilrill.ids import RequestId
+
+__all__ = ["Acceptance", "accept"]
+
+
+class Acceptance(msgspec.Struct, frozen=True):
+    """A request of a known plan, before its body was read.
+
+    :param mark: what another zone's gateway told; ``None`` if a caller sent the request.
+    """
+
+    request: RequestId
+    heading: Heading
+    holder: Holder
+    mark: Mark | None
+
+    def work(self, body: bytes | None, began: float) -> Work:
+        """Return the job with its deadlines counted from ``began``, in monotonic seconds."""
+        start_s, answer_s = self._within()
+        return Work(
+            request=self.request,
+            holder=self.holder,
+            heading=self.heading,
+            idempotent=is_idempotent(self.heading, self.holder.entitlement),
+            body=body,
+            start_by=began + start_s,
+            answer_by=began + answer_s,
+            forwarded=self.mark is not None,
+            # The first gateway claimed the key of a forwarded job, or it would not have sent it.
+            claimed=self.mark is not None,
+        )
+
+    def _within(self) -> tuple[float, float]:
+        if self.mark is not None:
+            return self.mark.start_within_s, self.mark.answer_within_s
+        wait_s = self.heading.wait_s
+        if wait_s is not None:
+            return wait_s, wait_s
+        start_s = self.holder.plan.start_within_s
+        return start_s, start_s + LONGEST_RUN_S
+
+
+def accept(
+    heading: Heading, request: RequestId, plans: PlanBook, forwarder: Forwarder
+) -> Acceptance | Problem:
+    """Accept the request, or tell why not."""
+    holder = plans.find(heading.token)
+    if holder is None:
+        return Problem(ProblemKind.TOKEN, "no plan has this token")
+    if holder.plan.service != heading.service:
+        known = plans.serves(heading.service)
+        kind = ProblemKind.SERVICE if known else ProblemKind.NO_SERVICE
+        return Problem(kind, f"the plan is not for service {heading.service!r}")
+    limit = holder.entitlement.largest_job_bytes
+    if (heading.length or 0) > limit or (heading.length is None and limit < BUFFERED_BYTES):
+        return Problem(ProblemKind.TOO_LARGE, f"the plan allows {limit} bytes a job")
+    mark = None
+    if FORWARDED in heading.headers:
+        mark = forwarder.check(heading.headers[FORWARDED], heading.method, heading.target)
+        if mark is None:
+            return Problem(ProblemKind.MALFORMED, f"{FORWARDED} is for gateways only")
+    return Acceptance(mark.request if mark else request, heading, holder, mark)
--- /dev/null
+++ b/src/lentilrill/gateway/_endpoints.py
@@ -0,0 +1,137 @@
+"""Connections to endpoints and to other gateways."""
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from urllib3.connection import HTTPConnection
+
+__all__ = ["EndpointConnections", "Link"]
+
+IDLE_PER_ADDRESS = 16
+IDLE_ADDRESSES = 512
+IDLE_S = 4.0
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_EVERY_S = 2
+KEEPALIVE_PROBES = 3
+UNACKED_MS = 10_000
+
+# A connection that something in between forgot goes silent for good: no FIN, no RST, no data.
+# It shows as probes, or sent bytes, that nobody acknowledges. The kernel then fails the socket,
+# while an endpoint that is only slow still acknowledges and is left alone.
+SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_EVERY_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS),
+]
+
+
+class Link:
+    """One open connection, used by one exchange at a time.
+
+    :param fresh: whether it was opened just now, and so is known to reach the endpoint.
+    """
+
+    def __init__(self, connection: HTTPConnection, address: str, fresh: bool) -> None:
+        self.connection = connection
+        self.address = address
+        self.fresh = fresh
+        self.idle_since = 0.0
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.connection.close()
+
+
+class EndpointConnections:
+    """Opens connections, and keeps idle ones for jobs that may run twice.
+
+    A kept connection may have gone silent since its last use. A job sent on it may then have
+    run or not, and nobody can tell; so a job that must not run twice gets a new connection,
+    whose handshake proves that the endpoint is reached. Only connections that carried a whole
+    answer are kept; one with an abandoned exchange is closed, as the late answer would be
+    taken for the next job's.
+    """
+
+    def __init__(
+        self, connect_timeout_s: float, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._idle_by_address: dict[str, list[Link]] = {}
+        self._closed = False
+
+    def take(self, address: str, idempotent: bool, timeout_s: float) -> Link:
+        """Return a connection to ``address`` (``ip:port``), an idle one if it may be.
+
+        :raises OSError: no connection could be opened; nothing was sent.
+        """
+        kept = self._kept(address) if idempotent else None
+        return kept or self._open(address, timeout_s)
+
+    def give_back(self, link: Link) -> None:
+        """Keep a connection whose exchange ended with a whole answer."""
+        link.idle_since = self._clock()
+        with self._lock:
+            idle = self._idle_by_address.setdefault(link.address, [])
+            full = len(idle) >= IDLE_PER_ADDRESS or len(self._idle_by_address) > IDLE_ADDRESSES
+            if not self._closed and not full:
+                idle.append(link)
+                return
+        link.close()
+
+    def sweep(self) -> None:
+        """Close connections that were idle for long."""
+        oldest = self._clock() - IDLE_S
+        stale: list[Link] = []
+        with self._lock:
+            for address, idle in list(self._idle_by_address.items()):
+                stale += [link for link in idle if link.idle_since < oldest]
+                fresh = [link for link in idle if link.idle_since >= oldest]
+                if fresh:
+                    self._idle_by_address[address] = fresh
+                else:
+                    del self._idle_by_address[address]
+        for link in stale:
+            link.close()
+
+    def close(self) -> None:
+        """Close all idle connections and keep none any more."""
+        with self._lock:
+            self._closed = True
+            links = [link for idle in self._idle_by_address.values() for link in idle]
+            self._idle_by_address.clear()
+        for link in links:
+            link.close()
+
+    def _kept(self, address: str) -> Link | None:
+        while True:
+            with self._lock:
+                idle = self._idle_by_address.get(address)
+                link = idle.pop() if idle else None
+            if link is None:
+                return None
+            if self._clock() - link.idle_since < IDLE_S and link.connection.is_connected:
+                link.fresh = False
+                return link
+            link.close()
+
+    def _open(self, address: str, timeout_s: float) -> Link:
+        host, _, port = address.rpartition(":")
+        connection = HTTPConnection(
+            host.strip("[]"),
+            int(port),
+            timeout=max(0.001, min(timeout_s, self._connect_timeout_s)),
+            socket_options=SOCKET_OPTIONS,
+        )
+        try:
+            connection.connect()
+        except Exception:
+            connection.close()
+            raise
+        return Link(connection, address, fresh=True)
--- /dev/null
+++ b/src/lentilrill/gateway/_exchange.py
@@ -0,0 +1,168 @@
+"""One request to an endpoint and its answer, proved whole."""
+
+import time
+from collections.abc import Iterable, Iterator
+from http.client import HTTPException
+
+import msgspec
+from urllib3.exceptions import HTTPError
+from urllib3.response import BaseHTTPResponse
+
+from lentilrill.gateway._endpoints import Link
+from lentilrill.gateway._heading import passed_on
+from lentilrill.gateway._limits import BUFFERED_BYTES, CHUNK_BYTES
+
+__all__ = ["BrokenError", "Exchange", "Head", "SilentError"]
+
+ENDPOINT_STATE = "endpoint-state"
+LEAVING = "leaving"
+REQUEST_ID = "request-id"
+OWN_HEADERS = frozenset(("content-length", ENDPOINT_STATE, REQUEST_ID, "gateway-problem"))
+SILENCE_S = 60.0
+"""Silence in the middle of a long answer that ends it."""
+
+
+class BrokenError(Exception):
+    """The exchange broke, or its answer can't be proved whole."""
+
+
+class SilentError(BrokenError):
+    """The endpoint did not answer in time."""
+
+
+class Head(msgspec.Struct, frozen=True):
+    """Status and headers of an answer.
+
+    :param length: declared length of the body; ``None`` if it is chunked.
+    :param bodiless: whether the answer has no body by its kind.
+    :param leaving: whether the endpoint said that it is leaving.
+    :param gateway_problem: whether it is another gateway's own problem document.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    length: int | None
+    bodiless: bool
+    leaving: bool
+    gateway_problem: bool
+
+
+class Exchange:
+    """One exchange on a connection that nobody else uses meanwhile."""
+
+    def __init__(self, link: Link, request: str) -> None:
+        self._link = link
+        self._request = request
+        self._sock = link.connection.sock
+        self._response: BaseHTTPResponse | None = None
+        self._whole = False
+
+    @property
+    def whole(self) -> bool:
+        """Whether the whole answer was read."""
+        return self._whole
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes | Iterable[bytes] | None,
+        timeout_s: float,
+    ) -> None:
+        """Send the request; raise :class:`BrokenError` if the connection fails."""
+        connection = self._link.connection
+        connection.timeout = timeout_s
+        try:
+            connection.request(
+                method,
+                target,
+                body=body,
+                headers=headers,
+                preload_content=False,
+                decode_content=False,
+                enforce_content_length=True,
+            )
+        except TimeoutError as error:
+            raise SilentError(f"sending timed out: {error}") from error
+        except (OSError, HTTPException, HTTPError) as error:
+            raise BrokenError(f"sending failed: {error}") from error
+
+    def head(self, method: str, timeout_s: float) -> Head:
+        """Return the answer's head, waited for at most ``timeout_s`` seconds."""
+        connection = self._link.connection
+        connection.timeout = max(0.001, timeout_s)
+        try:
+            response = connection.getresponse()
+        except TimeoutError as error:
+            raise SilentError("no answer in time") from error
+        except (OSError, HTTPException, HTTPError, ValueError) as error:
+            raise BrokenError(f"no answer: {error!r}") from error
+        self._response = response
+        return self._checked(method, response)
+
+    def read_small(self, head: Head, answer_by: float) -> tuple[bytes, bool]:
+        """Return the body up to the size that is held, and whether that is all of it."""
+        if head.bodiless or head.length == 0:
+            self._whole = True
+            return b"", True
+        parts: list[bytes] = []
+        size = 0
+        for part in self._parts(answer_by):
+            parts.append(part)
+            size += len(part)
+            if size > BUFFERED_BYTES:
+                return b"".join(parts), False
+        return b"".join(parts), True
+
+    def rest(self) -> Iterator[bytes]:
+        """Yield what follows after :meth:`read_small`; raise if it can't be proved whole."""
+        return self._parts(None)
+
+    def _parts(self, answer_by: float | None) -> Iterator[bytes]:
+        assert self._response is not None
+        while True:
+            left_s = SILENCE_S if answer_by is None else answer_by - time.monotonic()
+            if left_s <= 0:
+                raise SilentError("the answer did not end in time")
+            try:
+                self._sock.settimeout(min(left_s, SILENCE_S))
+                part = self._response.read(CHUNK_BYTES)
+            except (OSError, HTTPException, HTTPError, ValueError) as error:
+                raise BrokenError(f"the answer broke off: {error!r}") from error
+            if not part:
+                self._whole = True
+                return
+            yield part
+
+    def _checked(self, method: str, response: BaseHTTPResponse) -> Head:
+        headers = {name.lower(): value for name, value in response.headers.items()}
+        owner = headers.get(REQUEST_ID, self._request)
+        if owner != self._request:
+            # A duplicated or late answer on a kept connection would be given to the wrong
+            # caller. An endpoint that names the request shows it.
+            raise BrokenError(f"the answer is for request {owner!r}")
+        bodiless = method == "HEAD" or response.status in (204, 304)
+        chunked = headers.get("transfer-encoding", "").lower() == "chunked"
+        length = headers.get("content-length", "")
+        if response.status < 200:
+            raise BrokenError(f"unexpected status {response.status}")
+        if not (bodiless or chunked or length.isdecimal()):
+            # A body that ends with the connection looks the same when it is cut off.
+            raise BrokenError("the answer has neither Content-Length nor chunks")
+        return Head(
+            status=response.status,
+            headers=[
+                (name.title(), value.replace("\r", " ").replace("\n", " "))
+                for name, value in _end_to_end(response)
+            ],
+            length=int(length) if length.isdecimal() and not chunked else None,
+            bodiless=bodiless,
+            leaving=headers.get(ENDPOINT_STATE, "").strip().lower() == LEAVING,
+            gateway_problem="gateway-problem" in headers,
+        )
+
+
+def _end_to_end(response: BaseHTTPResponse) -> Iterator[tuple[str, str]]:
+    kept = passed_on({n.lower(): v for n, v in response.headers.items()}, OWN_HEADERS)
+    return ((name, value) for name, value in response.headers.items() if name.lower() in kept)
--- /dev/null
+++ b/src/lentilrill/gateway/_heading.py
@@ -0,0 +1,140 @@
+"""Reading of a request's heading: what a caller asks for, checked."""
+
+import re
+from collections.abc import Mapping
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lentilrill.gateway._limits import KEY_CHARACTERS, LONGEST_WAIT_S
+from lentilrill.gateway._problems import Problem, ProblemKind
+from lentilrill.ids import ServiceId
+from lentilrill.settings import Entitlement
+
+__all__ = ["Heading", "is_idempotent", "passed_on", "read_heading"]
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
+UNSERVED_METHODS = frozenset(("CONNECT", "TRACE"))
+
+_TARGET = re.compile(rb"/[!-~]*")
+_METHOD = re.compile(rb"[A-Z]{1,20}")
+_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_VALUE = re.compile(rb"[\t -~\x80-\xff]*")
+_BEARER = re.compile(r"[Bb]earer +([A-Za-z0-9._~+/=-]{1,512})")
+_WAIT = re.compile(r"(?:^|[,;]) *wait *= *\"?([^,;\"]*)\"?", re.IGNORECASE)
+_SECONDS = re.compile(r"[0-9]{1,9}")
+_LENGTH = re.compile(r"[0-9]{1,15}")
+_KEY = re.compile(rf"[!-~]{{1,{KEY_CHARACTERS}}}")
+_ODD_SEGMENT = re.compile(r"//|/\.{1,2}(/|$)|%2e|%2f|\\", re.IGNORECASE)
+
+
+class Heading(msgspec.Struct, frozen=True):
+    """A request's heading.
+
+    :param target: path and query as sent.
+    :param path: path below the service, without the query.
+    :param token: bearer token; empty if there is none.
+    :param wait_s: the caller's deadline in seconds from now; ``None`` if it named none.
+    :param key: idempotency key; ``None`` if there is none.
+    :param length: declared body length; ``None`` for a chunked body.
+    :param headers: all headers, names in lower case.
+    """
+
+    method: str
+    target: str
+    service: ServiceId
+    path: str
+    token: str
+    wait_s: float | None
+    key: str | None
+    length: int | None
+    headers: dict[str, str]
+
+
+def read_heading(
+    method: bytes, target: bytes, raw: Mapping[bytes, bytes]
+) -> Result[Heading, Problem]:
+    """Check a request's first line and headers."""
+    if not _TARGET.fullmatch(target) or not _METHOD.fullmatch(method):
+        return _malformed("the request line has a method or target that is not allowed")
+    if method.decode() in UNSERVED_METHODS:
+        return Failure(Problem(ProblemKind.METHOD, f"{method.decode()} is not served"))
+    for name, value in raw.items():
+        if not _NAME.fullmatch(name) or not _VALUE.fullmatch(value):
+            return _malformed(f"header {name.decode('latin-1')!r} is not allowed")
+    headers = {name.decode().lower(): value.decode("latin-1") for name, value in raw.items()}
+    return _read(method.decode(), target.decode(), headers)
+
+
+def _read(method: str, target: str, headers: dict[str, str]) -> Result[Heading, Problem]:
+    length = headers.get("content-length")
+    chunked = "transfer-encoding" in headers
+    # Two framings of one body: the reader that believes the other one takes the rest of the
+    # body for a further request. Refusing it leaves nothing to disagree about.
+    if length is not None and (chunked or not _LENGTH.fullmatch(length)):
+        return _malformed("Content-Length is malformed, or given with Transfer-Encoding")
+    key = headers.get("idempotency-key")
+    if key is not None and not _KEY.fullmatch(key):
+        return _malformed(f"Idempotency-Key must be 1 to {KEY_CHARACTERS} printable characters")
+    wait = _WAIT.search(headers.get("prefer", ""))
+    if wait and not _SECONDS.fullmatch(wait[1].strip()):
+        return _malformed("Prefer: wait must be a whole number of seconds")
+    authorization = headers.get("authorization", "")
+    bearer = _BEARER.fullmatch(authorization)
+    if authorization and not bearer:
+        return _malformed("Authorization must be a bearer token")
+    service, _, below = target.partition("?")[0][1:].partition("/")
+    return Success(
+        Heading(
+            method=method,
+            target=target,
+            service=ServiceId(service),
+            path="/" + below,
+            token=bearer[1] if bearer else "",
+            wait_s=min(float(wait[1]), LONGEST_WAIT_S) if wait else None,
+            key=key,
+            length=None if chunked else int(length or 0),
+            headers=headers,
+        )
+    )
+
+
+def _malformed(detail: str) -> Result[Heading, Problem]:
+    return Failure(Problem(ProblemKind.MALFORMED, detail))
+
+
+def is_idempotent(heading: Heading, entitlement: Entitlement) -> bool:
+    """Return whether the job may run twice: by its method, or by a path the plan lists.
+
+    A path that an endpoint could resolve to another one is never taken for a listed one.
+    """
+    if heading.method in IDEMPOTENT_METHODS:
+        return True
+    if _ODD_SEGMENT.search(heading.path):
+        return False
+    return any(_is_below(heading.path, prefix) for prefix in entitlement.idempotent_paths)
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    stem = "/" + prefix.strip("/")
+    return stem == "/" or path == stem or path.startswith(stem + "/")
+
+
+def passed_on(headers: dict[str, str], dropped: frozenset[str]) -> dict[str, str]:
+    """Return the end-to-end headers but for ``dropped``."""
+    named = {name.strip().lower() for name in headers.get("connection", "").split(",")}
+    hidden = HOP_BY_HOP | dropped | named
+    return {name: value for name, value in headers.items() if name not in hidden}
--- /dev/null
+++ b/src/lentilrill/gateway/_http.py
@@ -0,0 +1,103 @@
+"""The HTTP server towards callers, adapted for problem documents and detectable aborts."""
+
+import contextlib
+import socket
+import time
+
+from cheroot.server import Gateway as CherootGateway
+from cheroot.server import HTTPConnection, HTTPRequest, HTTPServer
+
+from lentilrill.gateway._limits import HEADER_BYTES, SILENT_CALLER_S
+from lentilrill.gateway._problems import Outcome, Problem, ProblemKind
+from lentilrill.telemetry import Event, log
+
+__all__ = ["CallerServer"]
+
+ACCEPT_QUEUE = 1024
+DISCARD_S = 1.0
+DISCARD_BYTES = 256 * 1024
+
+KINDS_BY_STATUS = {
+    400: ProblemKind.MALFORMED,
+    405: ProblemKind.METHOD,
+    408: ProblemKind.SLOW,
+    413: ProblemKind.TOO_LARGE,
+    414: ProblemKind.MALFORMED,
+    501: ProblemKind.MALFORMED,
+    505: ProblemKind.MALFORMED,
+}
+
+
+class _Request(HTTPRequest):
+    """A request whose parse errors are answered by problem documents."""
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Answer with a problem document of the nearest kind, and close the connection."""
+        code = int(str(status)[:3])
+        kind = KINDS_BY_STATUS.get(code, ProblemKind.INTERNAL)
+        # Before the request was parsed nothing can have been sent to an endpoint.
+        outcome = Outcome.UNKNOWN if self.ready else Outcome.NOT_RUN
+        problem = Problem(kind, msg or str(status)[4:], outcome)
+        body = problem.body()
+        lines = [f"HTTP/1.1 {kind.status} {kind.value[0]}", f"Content-Length: {len(body)}"]
+        lines += [f"{name}: {value}" for name, value in problem.headers()]
+        lines += ["Connection: close", "", ""]
+        self.close_connection = True
+        self.conn.wfile.write("\r\n".join(lines).encode("latin-1") + body)
+
+
+class _Connection(HTTPConnection):
+    """A connection that can be reset."""
+
+    RequestHandlerClass = _Request
+    reset = False
+    unread = False
+
+    def close(self) -> None:
+        """Close the connection; a reset one without the orderly end that looks whole."""
+        if self.reset:
+            self.rfile.close()
+            self.socket.close()
+            return
+        if self.unread:
+            self._discard()
+        super().close()
+
+    def _discard(self) -> None:
+        """Read on for a moment after an early refusal.
+
+        Guard against a refusal that its caller never sees: it is still sending its body, the
+        close answers that with a reset, and the reset discards the refusal on its side.
+        """
+        end = time.monotonic() + DISCARD_S
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            while (left_s := end - time.monotonic()) > 0:
+                self.socket.settimeout(left_s)
+                if not self.socket.recv(DISCARD_BYTES):
+                    return
+
+
+class CallerServer(HTTPServer):
+    """cheroot's server with the limits of the request path."""
+
+    ConnectionClass = _Connection
+    timeout = SILENT_CALLER_S
+    max_request_header_size = HEADER_BYTES
+    request_queue_size = ACCEPT_QUEUE
+
+    def __init__(
+        self, address: str, gateway: type[CherootGateway], threads: int, largest_body_bytes: int
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        super().__init__(
+            (host.strip("[]"), int(port)), gateway, minthreads=threads, server_name="lentilrill"
+        )
+        self.max_request_body_size = largest_body_bytes
+        self.keep_alive_conn_limit = 2 * threads
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Log what the library reports."""
+        del traceback
+        if level >= 30:
+            log(Event.CALLER_FAILED, error=msg)
--- /dev/null
+++ b/src/lentilrill/gateway/_server.py
@@ -0,0 +1,222 @@
+"""The gateway process's HTTP side: from a caller's request to its one answer."""
+
+import threading
+import time
+import uuid
+from collections.abc import Callable
+
+from cheroot.server import Gateway as CherootGateway
+from cheroot.server import HTTPRequest
+from returns.result import Failure
+
+from lentilrill.fleet import FleetView
+from lentilrill.gateway._accept import Acceptance, accept
+from lentilrill.gateway._caller import BodyError, BodyTrouble, Caller
+from lentilrill.gateway._contract import RetryBudget, ShareBudget
+from lentilrill.gateway._dispatch import Dispatcher
+from lentilrill.gateway._endpoints import EndpointConnections
+from lentilrill.gateway._forwarding import GATEWAY_PROBLEM, Forwarder
+from lentilrill.gateway._heading import Heading, read_heading
+from lentilrill.gateway._http import CallerServer
+from lentilrill.gateway._keyed import KeyedJobs
+from lentilrill.gateway._limits import BUFFERED_BYTES, RESERVED_THREADS
+from lentilrill.gateway._plans import PlanBook
+from lentilrill.gateway._problems import Problem, ProblemKind
+from lentilrill.gateway._watch import CallerWatch
+from lentilrill.gateway._work import Refused, Whole
+from lentilrill.ids import RequestId
+from lentilrill.jobs import Claims
+from lentilrill.routing import Slots
+from lentilrill.settings import GatewaySettings
+from lentilrill.telemetry import Event, Metrics, log
+
+__all__ = ["GatewayServer"]
+
+HEALTH = b"/healthz"
+READY = b"/readyz"
+RETRY_AFTER_S = 1.0
+SWEEP_S = 1.0
+BODY_KINDS = {
+    BodyTrouble.SLOW: ProblemKind.SLOW,
+    BodyTrouble.LONG: ProblemKind.LENGTH,
+    BodyTrouble.TRUNCATED: ProblemKind.MALFORMED,
+    BodyTrouble.MALFORMED: ProblemKind.MALFORMED,
+}
+
+
+class GatewayServer:
+    """Serves callers on ``settings.listen``.
+
+    :param slots: where and when jobs run.
+    :param claims: at most one dispatch for each idempotency key.
+    :param may_serve: whether this process may send to endpoints at all.
+    :param budget: bound of retries.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        view: FleetView,
+        slots: Slots,
+        claims: Claims,
+        metrics: Metrics,
+        may_serve: Callable[[], bool],
+        budget: RetryBudget | None = None,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._may_serve = may_serve
+        self._metrics = metrics
+        self._plans = PlanBook(view)
+        self._forwarder = Forwarder(settings.keys.secret)
+        self._connections = EndpointConnections(settings.connect_timeout_s)
+        self._watch = CallerWatch(slots.abandon, metrics)
+        dispatcher = Dispatcher(
+            slots, self._connections, self._forwarder, budget or ShareBudget(), self._watch, metrics
+        )
+        self._keyed = KeyedJobs(claims, dispatcher)
+        self._in_flight = 0
+        self._changed = threading.Condition()
+        self._draining = False
+        self._closed = threading.Event()
+        self._http = CallerServer(
+            settings.listen, self._handler(), settings.threads, settings.largest_body_bytes
+        )
+        self._tasks = [
+            threading.Thread(target=self._http.serve, name="gateway-accept", daemon=True),
+            threading.Thread(target=self._sweep, name="gateway-sweep", daemon=True),
+        ]
+
+    @property
+    def in_flight(self) -> int:
+        """Jobs whose callers are held now."""
+        return self._in_flight
+
+    @property
+    def ready(self) -> bool:
+        """Whether the process takes jobs."""
+        return not self._draining and self._view.ready and self._may_serve()
+
+    def start(self) -> None:
+        """Listen, and begin to serve."""
+        self._http.prepare()
+        self._watch.start()
+        for task in self._tasks:
+            task.start()
+
+    def drain(self) -> bool:
+        """Take no more jobs, and wait for those in flight, at most ``settings.drain_s``.
+
+        :return: whether all of them finished.
+        """
+        self._draining = True
+        log(Event.PROCESS_DRAINING, in_flight=self._in_flight)
+        with self._changed:
+            return self._changed.wait_for(lambda: not self._in_flight, self._settings.drain_s)
+
+    def close(self) -> None:
+        """Stop listening and end all tasks."""
+        self._closed.set()
+        self._http.stop()
+        for task in self._tasks:
+            if task.is_alive():
+                task.join()
+        self._watch.close()
+        self._connections.close()
+
+    def serve(self, req: HTTPRequest) -> None:
+        """Answer one request."""
+        caller = Caller(req)
+        if req.uri in (HEALTH, READY):
+            self._probe(req.uri, caller)
+            return
+        request = RequestId(uuid.uuid4().hex)
+        if not self._enter():
+            self._refuse(caller, request, _full())
+            return
+        try:
+            self._job(req, caller, request)
+        finally:
+            self._leave()
+
+    def _probe(self, uri: bytes, caller: Caller) -> None:
+        good = uri == HEALTH or self.ready
+        body = b"ok\n" if good else b"not ready\n"
+        caller.answer(200 if good else 503, [("Content-Type", "text/plain")], body)
+
+    def _job(self, req: HTTPRequest, caller: Caller, request: RequestId) -> None:
+        began = time.monotonic()
+        heading = read_heading(req.method, req.uri, req.inheaders)
+        if isinstance(heading, Failure):
+            self._refuse(caller, request, heading.failure())
+            return
+        accepted = self._accept(heading.unwrap(), request)
+        if isinstance(accepted, Problem):
+            self._refuse(caller, request, accepted)
+            return
+        request = accepted.request
+        try:
+            body = _body(accepted.heading, caller)
+        except BodyError as error:
+            self._refuse(caller, request, Problem(BODY_KINDS[error.trouble], str(error)))
+            return
+        work = accepted.work(body, began)
+        ending = self._keyed.run(work, caller)
+        self._metrics.timing("request.total", (time.monotonic() - began) * 1000)
+        if isinstance(ending, Refused):
+            self._refuse(caller, request, ending.problem)
+        elif isinstance(ending, Whole):
+            headers = [*ending.headers, ("Request-Id", request)]
+            caller.answer(ending.status, headers, ending.body, ending.length)
+
+    def _accept(self, heading: Heading, request: RequestId) -> Acceptance | Problem:
+        if not self.ready:
+            detail = "the entry host is draining, or knows too little of the system"
+            return Problem(ProblemKind.NOT_READY, detail, retry_after_s=RETRY_AFTER_S)
+        return accept(heading, request, self._plans, self._forwarder)
+
+    def _refuse(self, caller: Caller, request: RequestId, problem: Problem) -> None:
+        # The rest of an unread body is no request: the connection can't go on after it.
+        caller.close_after()
+        self._metrics.incr(f"request.refused.{problem.kind.value[0]}")
+        caller.refuse(problem, [("Request-Id", request), (GATEWAY_PROBLEM.title(), "1")])
+
+    def _enter(self) -> bool:
+        with self._changed:
+            if self._in_flight >= max(1, self._settings.threads - RESERVED_THREADS):
+                return False
+            self._in_flight += 1
+            return True
+
+    def _leave(self) -> None:
+        with self._changed:
+            self._in_flight -= 1
+            self._changed.notify_all()
+
+    def _sweep(self) -> None:
+        while not self._closed.wait(SWEEP_S):
+            self._connections.sweep()
+            self._metrics.gauge("request.in_flight", self._in_flight)
+
+    def _handler(self) -> type[CherootGateway]:
+        serve = self.serve
+
+        class Handler(CherootGateway):
+            """Hands each request to the server."""
+
+            def respond(self) -> None:
+                """Answer the request."""
+                serve(self.req)
+
+        return Handler
+
+
+def _body(heading: Heading, caller: Caller) -> bytes | None:
+    if heading.length is None:
+        return caller.read_chunked()
+    return caller.read_known(heading.length) if heading.length <= BUFFERED_BYTES else None
+
+
+def _full() -> Problem:
+    detail = "too many callers are held here"
+    return Problem(ProblemKind.NOT_READY, detail, retry_after_s=RETRY_AFTER_S)
--- /dev/null
+++ b/src/lentilrill/gateway/_watch.py
@@ -0,0 +1,84 @@
+"""Notices callers that leave while they wait for a slot."""
+
+import contextlib
+import select
+import socket
+import threading
+from collections.abc import Callable, Iterator
+
+from lentilrill.gateway._caller import Caller
+from lentilrill.ids import RequestId
+from lentilrill.telemetry import Metrics
+
+__all__ = ["CallerWatch"]
+
+POLL_S = 0.2
+EVENTS_AT_ONCE = 1024
+TCP_ESTABLISHED = 1
+
+
+class CallerWatch:
+    """One task that watches the sockets of all waiting callers.
+
+    The kernel tells of a peer's close even when unread bytes stand before it, so a caller that
+    pipelines its next request is still seen leaving. The waiting task then returns at once.
+
+    :param abandon: called with each request whose caller left.
+    """
+
+    def __init__(self, abandon: Callable[[RequestId], None], metrics: Metrics) -> None:
+        self._abandon = abandon
+        self._metrics = metrics
+        self._epoll = select.epoll()
+        self._lock = threading.Lock()
+        self._waiting_by_fd: dict[int, tuple[Caller, RequestId]] = {}
+        self._stopping = threading.Event()
+        self._task = threading.Thread(target=self._run, name="caller-watch", daemon=True)
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._task.start()
+
+    def close(self) -> None:
+        """End the task."""
+        self._stopping.set()
+        if self._task.is_alive():
+            self._task.join()
+        self._epoll.close()
+
+    @contextlib.contextmanager
+    def watching(self, caller: Caller, request: RequestId) -> Iterator[None]:
+        """Abandon ``request`` if its caller leaves within the context."""
+        fd = caller.socket.fileno()
+        with self._lock:
+            self._waiting_by_fd[fd] = (caller, request)
+            self._epoll.register(fd, select.EPOLLRDHUP | select.EPOLLONESHOT)
+        try:
+            yield
+        finally:
+            with self._lock:
+                del self._waiting_by_fd[fd]
+                self._epoll.unregister(fd)
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            for fd, _ in self._epoll.poll(POLL_S, EVENTS_AT_ONCE):
+                with self._lock:
+                    waiting = self._waiting_by_fd.get(fd)
+                if waiting is not None and _has_left(waiting[0]):
+                    self._left(*waiting)
+
+    def _left(self, caller: Caller, request: RequestId) -> None:
+        caller.gone = True
+        self._metrics.incr("request.abandoned")
+        self._abandon(request)
+
+
+def _has_left(caller: Caller) -> bool:
+    """Return whether the caller closed its side.
+
+    Guard against an event of a connection that ended just now, whose number a new connection
+    has already: the new caller would be abandoned for the old one.
+    """
+    state: bytes = caller.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return state[0] != TCP_ESTABLISHED
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -38,6 +38,11 @@
     PLATFORM_CALL_FAILED = (403, Level.WARNING, "A platform call failed.")
     DOCUMENT_IN_FORCE = (501, Level.INFO, "A revision of the document is in force here.")
 
+    INVARIANT_BROKEN = (701, Level.ERROR, "A rule that must always hold was about to be broken.")
+    CALLER_FAILED = (702, Level.WARNING, "A caller's connection failed in an unexpected way.")
+    ENDPOINT_UNREACHABLE = (703, Level.WARNING, "No connection to an endpoint could be opened.")
+    EXCHANGE_BROKEN = (704, Level.WARNING, "A job was sent and no whole answer came back.")
+
     @property
     def number(self) -> int:
         """The event's number."""
