--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -54,6 +54,11 @@
     GRANT_RECLAIMED = (756, Level.WARNING, "A slot was freed whose gateway never reported it.")
     WITHDRAWAL_ACKNOWLEDGED = (757, Level.INFO, "Nothing of this process is sent to a host now.")
 
+    INVARIANT_BROKEN = (701, Level.ERROR, "A rule that must always hold was about to be broken.")
+    CALLER_FAILED = (702, Level.WARNING, "A caller's connection failed in an unexpected way.")
+    ENDPOINT_UNREACHABLE = (703, Level.WARNING, "No connection to an endpoint could be opened.")
+    EXCHANGE_BROKEN = (704, Level.WARNING, "A job was sent and no whole answer came back.")
+
     @property
     def number(self) -> int:
         """The event's number."""
