--- /dev/null
+++ b/src/lentilrill/fleet/_actions.py
@@ -0,0 +1,69 @@
+"""What the planner wants done, one value for each step of one host."""
+
+import msgspec
+
+from lentilrill.ids import HostId, PoolId, StopId
+from lentilrill.platform import HostInfo
+
+__all__ = ["Action", "Assign", "Close", "Drop", "Return", "Withdraw"]
+
+
+class Assign(msgspec.Struct, frozen=True):
+    """Put a host that stands in no record into a pool."""
+
+    host: HostId
+    pool: PoolId
+    info: HostInfo
+    reason: str
+
+
+class Withdraw(msgspec.Struct, frozen=True):
+    """Propose that a host leaves its pool.
+
+    :param target: pool to move to; ``None`` if the host stops.
+    :param stop: planned stop that asks for it, if any.
+    """
+
+    host: HostId
+    pool: PoolId
+    reason: str
+    target: PoolId | None = None
+    stop: StopId | None = None
+
+
+class Close(msgspec.Struct, frozen=True):
+    """End an acknowledged withdrawal: the host moves or is released.
+
+    :param since: when the platform last started the host.
+    """
+
+    host: HostId
+    pool: PoolId
+    reason: str
+    target: PoolId | None = None
+    since: float = 0.0
+
+
+class Return(msgspec.Struct, frozen=True):
+    """Let a stopped or withdrawing host serve in its pool again.
+
+    :param info: what the host list says of it now; ``None`` keeps what is recorded.
+    :param done: whether the host has been through its planned stop.
+    """
+
+    host: HostId
+    pool: PoolId
+    reason: str
+    info: HostInfo | None = None
+    done: bool = False
+
+
+class Drop(msgspec.Struct, frozen=True):
+    """Forget a stopped host."""
+
+    host: HostId
+    pool: PoolId
+    reason: str
+
+
+Action = Assign | Withdraw | Close | Return | Drop
--- /dev/null
+++ b/src/lentilrill/fleet/_budget.py
@@ -0,0 +1,111 @@
+"""What pools owe their plans, and how many hosts may be away at once."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import msgspec
+
+from lentilrill.ids import PlanId, PoolId, ZoneId
+from lentilrill.settings import Document, Plan
+
+__all__ = ["Floor", "Promise", "promises"]
+
+
+class Floor(msgspec.Struct, frozen=True):
+    """Least number of available hosts that keeps some plans' availability budgets.
+
+    :param zones: zones whose hosts count; empty means all.
+    """
+
+    zones: frozenset[ZoneId]
+    hosts: int
+
+
+class Promise(msgspec.Struct, frozen=True):
+    """What one pool owes to all its plans together.
+
+    :param owed: hosts owed to the plans, summed.
+    :param budget: hosts that may be away at once: the least budget of any plan.
+    :param floors: one for each set of zones that plans of the pool are confined to.
+    """
+
+    owed: int = 0
+    budget: int = 0
+    floors: tuple[Floor, ...] = ()
+
+    def slack(self, available_by_zone: Counter[ZoneId], zone: ZoneId) -> int:
+        """Return how many more hosts of ``zone`` may go away; negative if too many are."""
+        margins = [
+            _available(available_by_zone, floor.zones) - floor.hosts
+            for floor in self.floors
+            if not floor.zones or zone in floor.zones
+        ]
+        everything = available_by_zone.total()
+        return min(margins, default=everything)
+
+    def broken(self, available_by_zone: Counter[ZoneId]) -> bool:
+        """Return whether some plan's budget is overspent."""
+        return any(
+            _available(available_by_zone, floor.zones) < floor.hosts for floor in self.floors
+        )
+
+
+def promises(document: Document) -> dict[PoolId, Promise]:
+    """Return what each pool of the document owes, by pool id."""
+    plans_by_pool: dict[PoolId, list[Plan]] = {pool.id: [] for pool in document.pools}
+    zones_by_plan = {e.plan: frozenset(e.zones) for e in document.entitlements}
+    homes = _homes(document)
+    for plan in document.plans:
+        home = homes.get(plan.id)
+        if home is not None:
+            plans_by_pool[home].append(plan)
+    return {pool: _promise(plans, zones_by_plan) for pool, plans in plans_by_pool.items()}
+
+
+def _homes(document: Document) -> dict[PlanId, PoolId]:
+    """Return the pool that owes each plan its hosts: the first one entitled, of its service."""
+    pools = document.pools_by_id()
+    by_service: dict[str, list[PoolId]] = {}
+    for pool in document.pools:
+        by_service.setdefault(pool.service, []).append(pool.id)
+    entitlements = document.entitlements_by_plan()
+    homes: dict[PlanId, PoolId] = {}
+    for plan in document.plans:
+        entitlement = entitlements.get(plan.id)
+        entitled = [p for p in entitlement.pools if p in pools] if entitlement else []
+        of_service = [p for p in entitled if pools[p].service == plan.service]
+        choice = of_service or by_service.get(plan.service, []) or entitled
+        if choice:
+            homes[plan.id] = choice[0]
+    return homes
+
+
+def _promise(plans: list[Plan], zones_by_plan: dict[PlanId, frozenset[ZoneId]]) -> Promise:
+    owing = [plan for plan in plans if plan.hosts_owed > 0]
+    if not owing:
+        return Promise()
+    none: frozenset[ZoneId] = frozenset()
+    confined = {zones_by_plan.get(plan.id, none) for plan in owing}
+    floors = []
+    for zones in sorted(confined | {none}, key=sorted):
+        inside = [
+            plan
+            for plan in owing
+            if not zones or (zones_by_plan.get(plan.id, none) and zones_by_plan[plan.id] <= zones)
+        ]
+        floors.append(Floor(zones, _least(inside)))
+    owed = sum(plan.hosts_owed for plan in owing)
+    return Promise(owed, min(plan.availability_budget for plan in owing), tuple(floors))
+
+
+def _least(plans: Iterable[Plan]) -> int:
+    """Return the hosts that must stay: a missing host may be any of the plans'."""
+    listed = list(plans)
+    owed = sum(plan.hosts_owed for plan in listed)
+    return max(0, owed - min(plan.availability_budget for plan in listed))
+
+
+def _available(available_by_zone: Counter[ZoneId], zones: frozenset[ZoneId]) -> int:
+    if not zones:
+        return available_by_zone.total()
+    return sum(available_by_zone[zone] for zone in zones)
--- /dev/null
+++ b/src/lentilrill/fleet/_census.py
@@ -0,0 +1,304 @@
+"""One look at the fleet: how every host stands, counted for each pool."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from enum import Enum
+
+import msgspec
+
+from lentilrill.fleet._budget import Promise, promises
+from lentilrill.fleet._records import HostEntry, HostPhase, PoolRecord
+from lentilrill.ids import HostId, PoolId, StopId, ZoneId
+from lentilrill.platform import HostInfo, HostKind, HostListing, HostState
+from lentilrill.settings import Document, PlannedStop, Pool
+
+__all__ = ["Census", "Memory", "Sight", "Standing", "Tally", "fits"]
+
+STOP_S = 600.0
+"""Seconds that a planned stop of one host takes, before any has been seen."""
+FLAP_S = 900.0
+"""Seconds that a host must be missing from the list before it is withdrawn as gone."""
+MISSING_ZONE_SHARE = 0.5
+"""A zone with more of its hosts missing from the list than this is cut off, not dismantled."""
+
+
+class Standing(Enum):
+    """How a host of a pool stands now. All but ``AVAILABLE`` spend availability budget."""
+
+    AVAILABLE = "available"
+    TROUBLED = "troubled"
+    """Ejected by a scheduler, or suspect."""
+    FAILED = "failed"
+    """Missing from the host list."""
+    LEAVING = "leaving"
+    """The platform or its own endpoint says that it leaves, or it was given a new address."""
+    WITHDRAWING = "withdrawing"
+    STOPPED = "stopped"
+
+
+class Memory:
+    """What must last from one look at the fleet to the next; lost with the process.
+
+    Times are seconds since the epoch, each the first look at which something was so.
+    """
+
+    def __init__(self) -> None:
+        self.short_since: dict[PoolId, float] = {}
+        self.excess_since: dict[PoolId, float] = {}
+        self.missing_since: dict[HostId, float] = {}
+
+    def keep(self, times: dict, key: str, holds: bool, now: float) -> float:
+        """Note whether something holds of ``key`` now.
+
+        :return: seconds for which it has held without a break; 0 if it does not hold.
+        """
+        if not holds:
+            times.pop(key, None)
+            return 0.0
+        return now - times.setdefault(key, now)
+
+
+class Sight(msgspec.Struct, frozen=True):
+    """Everything that one look goes by.
+
+    :param listing: the platform's host list.
+    :param ejected: hosts that schedulers have ejected or that are suspect.
+    :param leaving: hosts whose endpoints said that they leave.
+    :param closable: withdrawing hosts whose closing needs no more acknowledgements.
+    :param now: seconds since the epoch.
+    """
+
+    document: Document
+    records: Mapping[PoolId, PoolRecord]
+    listing: HostListing
+    now: float
+    ejected: frozenset[HostId] = frozenset()
+    leaving: frozenset[HostId] = frozenset()
+    closable: frozenset[HostId] = frozenset()
+
+
+class Tally:
+    """One pool's hosts, counted. Planned actions change the counts as they are decided.
+
+    :ivar lasting: hosts that serve, or will again after a planned stop; no others.
+    :ivar incoming: hosts that are being withdrawn from other pools for this one.
+    """
+
+    def __init__(self, pool: PoolId, settings: Pool | None, promise: Promise) -> None:
+        self.pool = pool
+        self.settings = settings
+        self.promise = promise
+        self.entries_by_id: dict[HostId, HostEntry] = {}
+        self.standing_by_id: dict[HostId, Standing] = {}
+        self.hosts_by_standing: Counter[Standing] = Counter()
+        self.available_by_zone: Counter[ZoneId] = Counter()
+        self.lasting = 0
+        self.incoming = 0
+        self.pending_stops = 0
+
+    @property
+    def spare(self) -> bool:
+        """Whether the pool lends its hosts."""
+        return self.settings is not None and self.settings.spare
+
+    @property
+    def want(self) -> int:
+        """Hosts that the pool should have.
+
+        A pool whose plans allow no host to be away needs one more for as long as it has planned
+        stops to go through; otherwise none of them could ever be granted.
+        """
+        guard = 1 if self.pending_stops and self.promise.owed and not self.promise.budget else 0
+        return self.promise.owed + guard
+
+    @property
+    def missing(self) -> int:
+        """Hosts that the pool lacks; negative if it holds more than it wants."""
+        return self.want - self.lasting - self.incoming
+
+    @property
+    def broken(self) -> bool:
+        """Whether more hosts are away than some plan's budget allows."""
+        return self.promise.broken(self.available_by_zone)
+
+    def slack(self, zone: ZoneId) -> int:
+        """Return how many more available hosts of ``zone`` may go away."""
+        return self.promise.slack(self.available_by_zone, zone)
+
+    def available(self, host: HostId) -> bool:
+        """Return whether the host serves now."""
+        return self.standing_by_id[host] is Standing.AVAILABLE
+
+    @property
+    def out(self) -> int:
+        """Hosts that are withdrawn or being withdrawn."""
+        return (
+            self.hosts_by_standing[Standing.WITHDRAWING] + self.hosts_by_standing[Standing.STOPPED]
+        )
+
+    @property
+    def lost(self) -> int:
+        """Hosts that are away without having been withdrawn."""
+        away = (Standing.FAILED, Standing.LEAVING, Standing.TROUBLED)
+        return sum(self.hosts_by_standing[standing] for standing in away)
+
+    def stand(self, host: HostId, standing: Standing) -> None:
+        """Note how a host stands from now on."""
+        zone = self.entries_by_id[host].zone
+        before = self.standing_by_id.get(host)
+        if before is not None:
+            self.hosts_by_standing[before] -= 1
+            self.available_by_zone[zone] -= before is Standing.AVAILABLE
+        self.hosts_by_standing[standing] += 1
+        self.available_by_zone[zone] += standing is Standing.AVAILABLE
+        self.standing_by_id[host] = standing
+
+    def mark_withdrawn(self, host: HostId, lasts: bool) -> None:
+        """Count a host that is proposed for withdrawal now.
+
+        :param lasts: whether it will serve in this pool again.
+        """
+        if self.available(host) and not lasts:
+            self.lasting -= 1
+        self.stand(host, Standing.WITHDRAWING)
+
+
+class Census:
+    """How every host of the records and of the host list stands."""
+
+    def __init__(self, sight: Sight, memory: Memory) -> None:
+        self.sight = sight
+        self.memory = memory
+        self.infos_by_id = {h.id: h for h in sight.listing.hosts if h.kind is HostKind.WORKER}
+        self.stops_by_id: dict[StopId, PlannedStop] = {s.id: s for s in sight.document.stops}
+        self.stops_by_host = _stops_by_host(sight.document.stops)
+        self.tallies_by_pool: dict[PoolId, Tally] = {}
+        self.tally_by_host: dict[HostId, Tally] = {}
+        self.doubled: list[HostId] = []
+        self.stop_s = STOP_S
+        self._count()
+        self._cut_zones = self._find_cut_zones()
+
+    def pending_stop(self, entry: HostEntry) -> PlannedStop | None:
+        """Return the first declared stop that the host has not been through."""
+        stops = self.stops_by_host.get(entry.id)
+        if stops is None:
+            return None
+        done = {d.stop for d in entry.done}
+        return next((stop for stop in stops if stop.id not in done), None)
+
+    def declared(self, entry: HostEntry) -> PlannedStop | None:
+        """Return the stop that the host is withdrawn for, if it is still declared."""
+        stop = self.stops_by_id.get(entry.stop) if entry.stop else None
+        return stop if stop is not None and stop in self.stops_by_host.get(entry.id, ()) else None
+
+    def gone(self, host: HostId, zone: ZoneId) -> bool:
+        """Return whether a host has been missing for so long that it may be given up.
+
+        Guard against a host list that flaps, and against a zone that the platform can't see:
+        the hosts of either are missing for a while and must stay in their pools.
+        """
+        since = self.memory.missing_since.get(host)
+        return (
+            since is not None
+            and self.sight.listing.as_of - since >= FLAP_S
+            and zone not in self._cut_zones
+        )
+
+    def _count(self) -> None:
+        promise_by_pool = promises(self.sight.document)
+        pools = self.sight.document.pools_by_id()
+        for pool in sorted(pools.keys() | self.sight.records.keys()):
+            promise = promise_by_pool.get(pool, Promise())
+            self.tallies_by_pool[pool] = Tally(pool, pools.get(pool), promise)
+        targets: Counter[PoolId] = Counter()
+        stop_times: list[float] = []
+        for pool, record in self.sight.records.items():
+            tally = self.tallies_by_pool[pool]
+            for entry in record.hosts:
+                if entry.id in self.tally_by_host:
+                    self.doubled.append(entry.id)
+                self.tally_by_host[entry.id] = tally
+                self._count_host(tally, entry)
+                if entry.phase is HostPhase.WITHDRAWING and entry.target is not None:
+                    targets[entry.target] += 1
+                stop_times.extend(d.returned - d.proposed for d in entry.done)
+        for target, count in targets.items():
+            if target in self.tallies_by_pool:
+                self.tallies_by_pool[target].incoming = count
+        if stop_times:
+            self.stop_s = sum(stop_times) / len(stop_times)
+        for host in self.memory.missing_since.keys() - self.tally_by_host.keys():
+            del self.memory.missing_since[host]
+
+    def _count_host(self, tally: Tally, entry: HostEntry) -> None:
+        standing = self._standing(entry)
+        tally.entries_by_id[entry.id] = entry
+        tally.stand(entry.id, standing)
+        retiring = any(s.retire for s in self.stops_by_host.get(entry.id, ()))
+        if standing is Standing.AVAILABLE:
+            tally.lasting += 0 if retiring else 1
+        elif standing in (Standing.WITHDRAWING, Standing.STOPPED):
+            tally.lasting += 1 if self._comes_back(entry) else 0
+        if entry.phase is HostPhase.SERVING and self.pending_stop(entry) is not None:
+            tally.pending_stops += 1
+
+    def _standing(self, entry: HostEntry) -> Standing:
+        info = self.infos_by_id.get(entry.id)
+        missing = info is None
+        self.memory.keep(self.memory.missing_since, entry.id, missing, self.sight.listing.as_of)
+        if entry.phase is HostPhase.WITHDRAWING:
+            return Standing.WITHDRAWING
+        if entry.phase is HostPhase.STOPPED:
+            return Standing.STOPPED
+        if info is None:
+            return Standing.FAILED
+        if leaves(entry, info) or entry.id in self.sight.leaving:
+            return Standing.LEAVING
+        return Standing.TROUBLED if entry.id in self.sight.ejected else Standing.AVAILABLE
+
+    def _comes_back(self, entry: HostEntry) -> bool:
+        if entry.target is not None or entry.stop is None:
+            return False
+        stop = self.declared(entry)
+        return stop is None or not stop.retire
+
+    def _find_cut_zones(self) -> frozenset[ZoneId]:
+        hosts: Counter[ZoneId] = Counter()
+        missing: Counter[ZoneId] = Counter()
+        for tally in self.tallies_by_pool.values():
+            for entry in tally.entries_by_id.values():
+                if entry.phase is HostPhase.STOPPED:
+                    continue
+                hosts[entry.zone] += 1
+                missing[entry.zone] += entry.id not in self.infos_by_id
+        return frozenset(
+            zone for zone, count in hosts.items() if missing[zone] > MISSING_ZONE_SHARE * count
+        )
+
+
+def leaves(entry: HostEntry, info: HostInfo) -> bool:
+    """Return whether the platform takes the host away, or has given it another address or zone.
+
+    A request sent to the recorded address could then reach another host, so a new address is
+    taken over only after a withdrawal.
+    """
+    moved = info.address != entry.address or info.zone != entry.zone
+    return moved or info.state is HostState.LEAVING
+
+
+def fits(pool: Pool, host: HostInfo | HostEntry) -> bool:
+    """Return whether a host is large enough for a pool."""
+    return (
+        host.cores >= pool.cores
+        and host.memory_gb >= pool.memory_gb
+        and host.accelerators >= pool.accelerators
+    )
+
+
+def _stops_by_host(stops: Iterable[PlannedStop]) -> dict[HostId, tuple[PlannedStop, ...]]:
+    stops_by_host: dict[HostId, tuple[PlannedStop, ...]] = {}
+    for stop in stops:
+        for host in stop.hosts:
+            stops_by_host[host] = (*stops_by_host.get(host, ()), stop)
+    return stops_by_host
--- /dev/null
+++ b/src/lentilrill/fleet/_ledger.py
@@ -0,0 +1,249 @@
+"""Actions written to the platform, each pool's in one compare-and-swap."""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.fleet._actions import Action, Assign, Close, Drop, Return, Withdraw
+from lentilrill.fleet._records import (
+    AssignedRecord,
+    DoneStop,
+    HostEntry,
+    HostPhase,
+    PoolRecord,
+    assigned_key,
+    assigned_shard,
+    pool_key,
+)
+from lentilrill.fleet._view import DOCUMENT_KEY
+from lentilrill.ids import HostId, PoolId, Revision, StopId, ZoneId
+from lentilrill.membership import zone_key
+from lentilrill.platform import Compare, DeleteRange, Item, KeyValue, Mirror, Put
+
+__all__ = ["LARGEST_VALUE_BYTES", "Basis", "Ledger"]
+
+LARGEST_VALUE_BYTES = 1_000_000
+"""What the platform takes as one value."""
+
+STEP = "fleet.write"
+
+
+class Basis(msgspec.Struct):
+    """What the actions were decided on; a transaction fails if any of it has moved.
+
+    :param records: pool records with revisions; brought up to date by own writes.
+    :param zones: revisions of the zone records.
+    :param declared: stops that the document declares.
+    """
+
+    document_revision: Revision
+    records: dict[PoolId, tuple[PoolRecord, Revision]]
+    zones: Mapping[ZoneId, Revision]
+    declared: frozenset[StopId]
+    now: float
+
+
+class Ledger:
+    """Writes actions, and hands what was written to the mirror.
+
+    One transaction takes all of a pool's actions of a round, so calls follow pools and not
+    hosts. It compares the revisions of every record it changes, of the document and, for a
+    closing, of the zone record whose members all acknowledged.
+
+    An answer that is lost needs no special care: if the write took effect, the revision has
+    moved, the next try fails, and the mirror brings what was written.
+    """
+
+    def __init__(self, kv: KeyValue, mirror: Mirror) -> None:
+        self._kv = kv
+        self._mirror = mirror
+        self._assigned_by_shard: dict[int, tuple[AssignedRecord, Revision]] = {}
+
+    def create(self, pools: Iterable[PoolId], basis: Basis) -> Result[None, Fault]:
+        """Create empty records for pools that have none."""
+        missing = [pool for pool in pools if pool not in basis.records]
+        if not missing:
+            return Success(None)
+        records = {pool: PoolRecord(pool) for pool in missing}
+        return self._write(basis, records, frozenset(), {})
+
+    def apply(self, pool: PoolId, actions: list[Action], basis: Basis) -> Result[None, Fault]:
+        """Write all ``actions`` of one pool, which are no moves to another pool."""
+        record = basis.records[pool][0]
+        entries = record.hosts_by_id()
+        zones: set[ZoneId] = set()
+        taken: list[HostId] = []
+        dropped: list[HostId] = []
+        for action in actions:
+            if isinstance(action, Assign):
+                taken.append(action.host)
+                entries[action.host] = _new_entry(action)
+                continue
+            entry = entries[action.host]
+            if isinstance(action, Drop):
+                dropped.append(action.host)
+                del entries[action.host]
+                continue
+            if isinstance(action, Close):
+                zones.add(entry.zone)
+            entries[action.host] = _stepped(entry, action, basis, basis.records[pool][1])
+        shards = self._reassigned(taken, dropped)
+        if isinstance(shards, Failure):
+            return Failure(shards.failure())
+        records = {pool: PoolRecord(pool, tuple(entries.values()))}
+        return self._write(basis, records, frozenset(zones), shards.unwrap())
+
+    def move(
+        self, pool: PoolId, target: PoolId, hosts: list[HostId], basis: Basis
+    ) -> Result[None, Fault]:
+        """Move acknowledged hosts from one pool's record to another's, in one transaction."""
+        leaving = set(hosts)
+        source, destination = basis.records[pool][0], basis.records[target][0]
+        moved = tuple(
+            msgspec.structs.replace(
+                entry, phase=HostPhase.SERVING, target=None, stop=None, proposed=0.0
+            )
+            for entry in source.hosts
+            if entry.id in leaving
+        )
+        records = {
+            pool: PoolRecord(pool, tuple(e for e in source.hosts if e.id not in leaving)),
+            target: PoolRecord(target, destination.hosts + moved),
+        }
+        return self._write(basis, records, frozenset(e.zone for e in moved), {})
+
+    def _reassigned(
+        self, taken: list[HostId], dropped: list[HostId]
+    ) -> Result[dict[int, AssignedRecord], Fault]:
+        """Return the shards as they must become for hosts that are taken in or dropped.
+
+        Guard against a host in two records: two controllers that both see it in none, each from
+        a view of another age, put it into different pools. Both write the host's one shard, so
+        the second fails; and a host that the shard holds already is not taken in again.
+        """
+        changed: dict[int, set[HostId]] = {}
+        for host in [*taken, *dropped]:
+            shard = assigned_shard(host)
+            if shard not in changed:
+                held = self._shard(shard)
+                if isinstance(held, Failure):
+                    return Failure(held.failure())
+                changed[shard] = set(held.unwrap().hosts)
+            if host in taken and host in changed[shard]:
+                self.forget()
+                reason = f"host {host} stands in a record that is not seen here yet"
+                return Failure(Fault(STEP, "", FaultKind.CONFLICT, reason))
+            if host in taken:
+                changed[shard].add(host)
+            else:
+                changed[shard].discard(host)
+        return Success({s: AssignedRecord(tuple(sorted(hosts))) for s, hosts in changed.items()})
+
+    def _shard(self, shard: int) -> Result[AssignedRecord, Fault]:
+        held = self._assigned_by_shard.get(shard)
+        if held is not None:
+            return Success(held[0])
+        key = assigned_key(shard)
+        answer = self._kv.read(key)
+        if isinstance(answer, Failure):
+            return Failure(answer.failure())
+        record, revision = AssignedRecord(), Revision(0)
+        for item in answer.unwrap().items:
+            if item.key == key and item.value is not None:
+                record = msgspec.json.decode(item.value, type=AssignedRecord)
+                revision = item.revision
+        self._assigned_by_shard[shard] = (record, revision)
+        return Success(record)
+
+    def forget(self) -> None:
+        """Forget the shards as read; the next use reads them again."""
+        self._assigned_by_shard.clear()
+
+    def _write(
+        self,
+        basis: Basis,
+        records: dict[PoolId, PoolRecord],
+        zones: frozenset[ZoneId],
+        shards: dict[int, AssignedRecord],
+    ) -> Result[None, Fault]:
+        compares = [Compare(DOCUMENT_KEY, basis.document_revision)]
+        puts: list[Put | DeleteRange] = []
+        for pool, record in records.items():
+            held = basis.records.get(pool)
+            compares.append(Compare(pool_key(pool), held[1] if held else Revision(0)))
+            puts.append(Put(pool_key(pool), msgspec.json.encode(record)))
+        for zone in sorted(zones):
+            compares.append(Compare(zone_key(zone), basis.zones.get(zone, Revision(0))))
+        for shard, assigned in shards.items():
+            compares.append(Compare(assigned_key(shard), self._assigned_by_shard[shard][1]))
+            puts.append(Put(assigned_key(shard), msgspec.json.encode(assigned)))
+        for put in puts:
+            if isinstance(put, Put) and len(put.value) > LARGEST_VALUE_BYTES:
+                reason = f"{put.key} would have {len(put.value)} bytes"
+                return Failure(Fault(STEP, "", FaultKind.INVALID, reason))
+        answer = self._kv.commit(tuple(compares), tuple(puts))
+        if isinstance(answer, Failure):
+            self.forget()
+            return Failure(answer.failure())
+        outcome = answer.unwrap()
+        if not outcome.succeeded:
+            self.forget()
+            return Failure(Fault(STEP, "", FaultKind.CONFLICT, "a record has moved"))
+        for shard, assigned in shards.items():
+            self._assigned_by_shard[shard] = (assigned, outcome.revision)
+        basis.records.update({p: (r, outcome.revision) for p, r in records.items()})
+        self._mirror.offer(
+            Item(put.key, put.value, outcome.revision)
+            for put in puts
+            if isinstance(put, Put) and put.key.startswith("state/")
+        )
+        return Success(None)
+
+
+def _new_entry(action: Assign) -> HostEntry:
+    info = action.info
+    return HostEntry(
+        info.id,
+        info.address,
+        info.zone,
+        info.rack,
+        cores=info.cores,
+        memory_gb=info.memory_gb,
+        accelerators=info.accelerators,
+    )
+
+
+def _stepped(
+    entry: HostEntry, action: Withdraw | Close | Return, basis: Basis, revision: Revision
+) -> HostEntry:
+    if isinstance(action, Withdraw):
+        return msgspec.structs.replace(
+            entry,
+            phase=HostPhase.WITHDRAWING,
+            target=action.target,
+            stop=action.stop,
+            proposed=basis.now,
+            after=revision,
+            done=tuple(d for d in entry.done if d.stop in basis.declared),
+        )
+    if isinstance(action, Close):
+        return msgspec.structs.replace(entry, phase=HostPhase.STOPPED, since=action.since)
+    done = entry.done
+    if action.done and entry.stop is not None:
+        done = (*done, DoneStop(entry.stop, entry.proposed, basis.now))
+    back = msgspec.structs.replace(
+        entry, phase=HostPhase.SERVING, target=None, stop=None, proposed=0.0, done=done
+    )
+    info = action.info
+    if info is None:
+        return back
+    return msgspec.structs.replace(
+        back,
+        address=info.address,
+        rack=info.rack,
+        cores=info.cores,
+        memory_gb=info.memory_gb,
+        accelerators=info.accelerators,
+    )
--- /dev/null
+++ b/src/lentilrill/fleet/_lending.py
@@ -0,0 +1,184 @@
+"""Which pool gets which host: first assignments, loans and their return."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from lentilrill.fleet._actions import Action, Assign, Withdraw
+from lentilrill.fleet._census import Census, Tally, fits
+from lentilrill.fleet._records import HostEntry
+from lentilrill.ids import RackId, ZoneId
+from lentilrill.platform import HostInfo, HostState
+from lentilrill.settings import Objective
+
+__all__ = ["assignments", "loans", "patience_s"]
+
+ROUND_TRIP = 2.0
+"""Moves that a loan costs: there and back."""
+PATIENCE_LIMIT = 20.0
+"""Most times :attr:`Objective.settle_s` that a shortage within the budget is left alone."""
+
+Crowd = Counter[tuple[ZoneId, RackId | None]]
+
+
+def assignments(census: Census) -> Iterator[Action]:
+    """Yield the first assignment of each listed host that stands in no record.
+
+    The pool that asks for most is served first, so that a small host is not kept waiting while
+    a large one goes where a small one would do.
+    """
+    recorded = {h for t in census.tallies_by_pool.values() for h in t.entries_by_id}
+    fresh = [
+        info
+        for info in census.infos_by_id.values()
+        if info.id not in recorded
+        and info.state is HostState.LIVE
+        and not any(stop.retire for stop in census.stops_by_host.get(info.id, ()))
+    ]
+    if not fresh:
+        return
+    pools = [t for t in census.tallies_by_pool.values() if t.settings is not None]
+    pools.sort(key=_demand, reverse=True)
+    crowds = {tally.pool: _crowd(tally) for tally in pools}
+    for info in sorted(fresh, key=lambda i: (-i.accelerators, -i.memory_gb, -i.cores, i.id)):
+        tally = _best_pool(pools, info, crowds)
+        if tally is None:
+            continue
+        tally.lasting += 1
+        _settle_in(crowds[tally.pool], info.zone, info.rack)
+        short = tally.missing >= 0
+        yield Assign(info.id, tally.pool, info, "new host, owed" if short else "new host, spare")
+
+
+def loans(census: Census) -> Iterator[Action]:
+    """Yield the moves that end shortages, then those that give back what is held above owed."""
+    objective = census.sight.document.objective
+    memory, now = census.memory, census.sight.now
+    tallies = [t for t in census.tallies_by_pool.values() if t.settings is not None]
+    for tally in sorted(tallies, key=lambda t: (not t.broken, [-d for d in _demand(t)], t.pool)):
+        lasted = memory.keep(memory.short_since, tally.pool, tally.missing > 0, now)
+        if tally.missing > 0 and lasted >= patience_s(objective, tally):
+            yield from _borrow(census, tally)
+    spares = [t for t in tallies if t.spare]
+    for tally in census.tallies_by_pool.values():
+        excess = tally.missing < 0 and not tally.spare
+        lasted = memory.keep(memory.excess_since, tally.pool, excess, now)
+        pays = objective.buffer_weight > objective.move_weight or tally.settings is None
+        if excess and pays and lasted >= objective.settle_s and spares:
+            yield from _hand_over(tally, spares)
+
+
+def patience_s(objective: Objective, tally: Tally) -> float:
+    """Return for how many seconds a shortage is left alone.
+
+    A surge or a flapping list lasts seconds, so nothing moves within ``settle_s``. A shortage
+    that the availability budget covers may end by itself; waiting for that is worth as long as
+    the move there and back weighs.
+    """
+    if tally.broken or not objective.buffer_weight:
+        return objective.settle_s
+    weight = ROUND_TRIP * objective.move_weight / objective.buffer_weight
+    return objective.settle_s * min(max(1.0, weight), PATIENCE_LIMIT)
+
+
+def _demand(tally: Tally) -> tuple[int, int, int]:
+    settings = tally.settings
+    if settings is None:
+        return (0, 0, 0)
+    return (settings.accelerators, settings.memory_gb, settings.cores)
+
+
+def _best_pool(pools: list[Tally], info: HostInfo, crowds: dict) -> Tally | None:
+    fitting = [t for t in pools if t.settings is not None and fits(t.settings, info)]
+    short = [t for t in fitting if t.missing > 0]
+    if short:
+        top = _demand(short[0])
+        equal = [t for t in short if _demand(t) == top]
+        return min(
+            equal,
+            key=lambda t: (*_crowding(crowds[t.pool], info.zone, info.rack), -t.missing, t.pool),
+        )
+    spare = [t for t in fitting if t.spare]
+    return min(spare or fitting, key=lambda t: (t.lasting - t.want, t.pool), default=None)
+
+
+def _borrow(census: Census, borrower: Tally) -> Iterator[Action]:
+    crowd = _crowd(borrower)
+    while borrower.missing > 0:
+        found = _best_loan(census, borrower, crowd)
+        if found is None:
+            return
+        lender, entry = found
+        lender.mark_withdrawn(entry.id, lasts=False)
+        borrower.incoming += 1
+        _settle_in(crowd, entry.zone, entry.rack)
+        yield Withdraw(
+            entry.id, lender.pool, f"pool {borrower.pool} lacks hosts", target=borrower.pool
+        )
+
+
+def _best_loan(census: Census, borrower: Tally, crowd: Crowd) -> tuple[Tally, HostEntry] | None:
+    """Return the host whose loan costs least, with its pool.
+
+    Hosts held above what is owed go first: giving them up also saves their buffer. Then the
+    spare pool's, down to what it owes, or to its budget for a borrower whose promise is broken.
+    """
+    offers = []
+    for lender in census.tallies_by_pool.values():
+        rank = _lender_rank(lender, borrower)
+        if rank is None or lender is borrower or borrower.settings is None:
+            continue
+        for host, entry in lender.entries_by_id.items():
+            if not lender.available(host) or not fits(borrower.settings, entry):
+                continue
+            if lender.slack(entry.zone) <= 0 or census.pending_stop(entry) is not None:
+                continue
+            size = (entry.accelerators, entry.memory_gb, entry.cores)
+            crowding = _crowding(crowd, entry.zone, entry.rack)
+            offers.append(((rank, *crowding, size, host), lender, entry))
+    if not offers:
+        return None
+    _, lender, entry = min(offers, key=lambda offer: offer[0])
+    return lender, entry
+
+
+def _lender_rank(lender: Tally, borrower: Tally) -> int | None:
+    if lender.settings is None:
+        return 0
+    if lender.missing < 0:
+        return 2 if lender.spare else 1
+    return 3 if lender.spare and borrower.broken else None
+
+
+def _hand_over(tally: Tally, spares: list[Tally]) -> Iterator[Action]:
+    surplus = -tally.missing
+    spots = _crowd(tally)
+    hosts = [e for h, e in tally.entries_by_id.items() if tally.available(h)]
+    for entry in sorted(hosts, key=lambda e: (-spots[(e.zone, e.rack)], -spots[(e.zone, None)])):
+        if surplus <= 0:
+            return
+        if tally.slack(entry.zone) <= 0 and tally.settings is not None:
+            continue
+        target = next((s for s in spares if s.settings and fits(s.settings, entry)), None)
+        if target is None:
+            continue
+        surplus -= 1
+        tally.mark_withdrawn(entry.id, lasts=False)
+        target.incoming += 1
+        yield Withdraw(entry.id, tally.pool, "held above what is owed", target=target.pool)
+
+
+def _crowd(tally: Tally) -> Crowd:
+    crowd: Crowd = Counter()
+    for entry in tally.entries_by_id.values():
+        _settle_in(crowd, entry.zone, entry.rack)
+    return crowd
+
+
+def _settle_in(crowd: Crowd, zone: ZoneId, rack: RackId) -> None:
+    crowd[(zone, None)] += 1
+    crowd[(zone, rack)] += 1
+
+
+def _crowding(crowd: Crowd, zone: ZoneId, rack: RackId) -> tuple[int, int]:
+    """Return how many of the pool's hosts a new one would share its zone and rack with."""
+    return crowd[(zone, None)], crowd[(zone, rack)]
--- /dev/null
+++ b/src/lentilrill/fleet/_report.py
@@ -0,0 +1,191 @@
+"""What status shows of the fleet."""
+
+from collections import Counter
+from enum import Enum
+
+import msgspec
+
+from lentilrill.fleet._census import Census, Standing, Tally
+from lentilrill.fleet._planner import Decision
+from lentilrill.fleet._records import DoneStop, HostEntry, HostPhase
+from lentilrill.fleet._waves import Waiting, expected_s
+from lentilrill.ids import EntryHostId, HostId, PoolId, StopId
+from lentilrill.platform import HostKind, HostListing
+from lentilrill.settings import Document, PlannedStop
+
+__all__ = ["FleetReport", "PoolReport", "StopReport", "StopState", "WaveReport", "report"]
+
+
+class StopState(Enum):
+    """How far a planned stop is."""
+
+    WAITING = "waiting"
+    """No host of it has been withdrawn yet."""
+    ROLLING = "rolling"
+    PAUSED = "paused"
+    """Some hosts are through; budgets let no other begin now."""
+    DONE = "done"
+
+
+class PoolReport(msgspec.Struct, frozen=True):
+    """Hosts of one pool, counted.
+
+    :param budget: hosts that may be away at once.
+    :param lost: hosts that failed, are in trouble, or leave by themselves.
+    :param missing: hosts that the pool should get; negative if it holds more than it wants.
+    :param broken: whether more hosts are away than some plan's budget allows.
+    """
+
+    pool: PoolId
+    owed: int
+    budget: int
+    hosts: int
+    serving: int
+    withdrawing: int
+    stopped: int
+    lost: int
+    missing: int
+    broken: bool
+
+
+class WaveReport(msgspec.Struct, frozen=True):
+    """Roll-out time of one planned stop.
+
+    :param started: when its first withdrawal was proposed, in seconds since the epoch; 0 if none.
+    :param predicted_s: seconds from the first withdrawal to the last return, as budgets allow.
+    :param actual_s: the same as it was; ``None`` while it lasts.
+    """
+
+    stop: StopId
+    started: float
+    predicted_s: float
+    actual_s: float | None
+
+
+class StopReport(msgspec.Struct, frozen=True):
+    """One planned stop.
+
+    :param unknown: named hosts that stand in no pool: entry hosts, retired ones, or misspelt.
+    :param waits: why hosts have to wait, and for how long.
+    """
+
+    stop: StopId
+    state: StopState
+    waiting: int
+    withdrawing: tuple[HostId, ...]
+    stopped: tuple[HostId, ...]
+    done: int
+    unknown: tuple[HostId, ...]
+    waits: tuple[Waiting, ...]
+    wave: WaveReport
+
+
+class FleetReport(msgspec.Struct, frozen=True):
+    """The fleet as one controller saw it.
+
+    :param now: when, in seconds since the epoch.
+    :param list_age_s: how old the host list was.
+    :param unacknowledged: why withdrawing hosts are not released yet.
+    :param entry_hosts_to_stop: entry hosts that a planned stop names.
+    """
+
+    now: float = 0.0
+    list_age_s: float = 0.0
+    pools: tuple[PoolReport, ...] = ()
+    stops: tuple[StopReport, ...] = ()
+    unacknowledged: dict[HostId, str] = {}
+    entry_hosts_to_stop: tuple[EntryHostId, ...] = ()
+
+
+def report(decision: Decision, unacknowledged: dict[HostId, str]) -> FleetReport:
+    """Return what status shows of one look at the fleet."""
+    census = decision.census
+    sight = census.sight
+    return FleetReport(
+        now=sight.now,
+        list_age_s=sight.now - sight.listing.as_of,
+        pools=tuple(_pool(tally) for tally in census.tallies_by_pool.values()),
+        stops=tuple(_stop(census, stop, decision.waiting) for stop in sight.document.stops),
+        unacknowledged=unacknowledged,
+        entry_hosts_to_stop=_entry_hosts(sight.document, sight.listing),
+    )
+
+
+def _pool(tally: Tally) -> PoolReport:
+    return PoolReport(
+        tally.pool,
+        tally.promise.owed,
+        tally.promise.budget,
+        len(tally.entries_by_id),
+        tally.hosts_by_standing[Standing.AVAILABLE],
+        tally.hosts_by_standing[Standing.WITHDRAWING],
+        tally.hosts_by_standing[Standing.STOPPED],
+        tally.lost,
+        tally.missing,
+        tally.broken,
+    )
+
+
+def _stop(census: Census, stop: PlannedStop, waiting: tuple[Waiting, ...]) -> StopReport:
+    found = _find(census, stop)
+    done = [d for _, entry in found for d in entry.done if d.stop == stop.id]
+    through = {entry.id for _, entry in found if any(d.stop == stop.id for d in entry.done)}
+    busy = [entry for _, entry in found if entry.stop == stop.id]
+    waits = tuple(w for w in waiting if w.stop == stop.id)
+    known = {entry.id for _, entry in found}
+    state = _state(len(found) - len(through), len(busy), len(done), bool(waits))
+    return StopReport(
+        stop.id,
+        state,
+        len(found) - len(through) - len(busy),
+        tuple(e.id for e in busy if e.phase is HostPhase.WITHDRAWING),
+        tuple(e.id for e in busy if e.phase is HostPhase.STOPPED),
+        len(through),
+        tuple(host for host in stop.hosts if host not in known),
+        waits,
+        _wave(census, stop, found, done),
+    )
+
+
+def _find(census: Census, stop: PlannedStop) -> list[tuple[Tally, HostEntry]]:
+    return [
+        (tally, tally.entries_by_id[host])
+        for host in stop.hosts
+        for tally in (census.tally_by_host.get(host),)
+        if tally is not None
+    ]
+
+
+def _state(left: int, busy: int, done: int, waits: bool) -> StopState:
+    if not left:
+        return StopState.DONE
+    if busy:
+        return StopState.ROLLING
+    if done and waits:
+        return StopState.PAUSED
+    return StopState.ROLLING if done else StopState.WAITING
+
+
+def _wave(
+    census: Census,
+    stop: PlannedStop,
+    found: list[tuple[Tally, HostEntry]],
+    done: list[DoneStop],
+) -> WaveReport:
+    hosts_by_pool = Counter(tally.pool for tally, _ in found)
+    predicted = max(
+        (expected_s(census, census.tallies_by_pool[p], n) for p, n in hosts_by_pool.items()),
+        default=0.0,
+    )
+    starts = [d.proposed for d in done]
+    starts += [entry.proposed for _, entry in found if entry.stop == stop.id]
+    started = min(starts, default=0.0)
+    finished = len(done) == len(found) and bool(done)
+    actual = max(d.returned for d in done) - started if finished else None
+    return WaveReport(stop.id, started, predicted, actual)
+
+
+def _entry_hosts(document: Document, listing: HostListing) -> tuple[EntryHostId, ...]:
+    entry_hosts = {info.id for info in listing.hosts if info.kind is HostKind.ENTRY}
+    named = {host for stop in document.stops for host in stop.hosts}
+    return tuple(EntryHostId(host) for host in sorted(named & entry_hosts))
--- /dev/null
+++ b/src/lentilrill/fleet/_task.py
@@ -0,0 +1,324 @@
+"""The task of a controller that looks after the fleet."""
+
+import random
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import msgspec
+from returns.result import Failure
+
+from lentilrill.faults import FaultKind
+from lentilrill.fleet._acks import Acknowledgements, Closing
+from lentilrill.fleet._actions import Action, Assign, Close, Drop, Return, Withdraw
+from lentilrill.fleet._census import Memory, Sight
+from lentilrill.fleet._ledger import Basis, Ledger
+from lentilrill.fleet._planner import Decision, overspending, plan
+from lentilrill.fleet._records import HostPhase
+from lentilrill.fleet._report import FleetReport, report
+from lentilrill.fleet._turns import Turns
+from lentilrill.fleet._view import FleetView
+from lentilrill.ids import HostId, PoolId, StopId
+from lentilrill.inner import Batch, HostTrouble, WithdrawalAck
+from lentilrill.membership import Member, Role, Roster
+from lentilrill.platform import HostList, HostListing, KeyValue
+from lentilrill.settings import ControllerSettings
+from lentilrill.telemetry import Event, Metrics, log
+
+__all__ = ["FleetTask"]
+
+LIST_BYTES_PER_HOST = 150
+LIST_BYTES_PER_S = 16_000
+"""Part of a node's 24 KB/s that reading the host list may take; it sets the period."""
+LOOK_EVERY_S = 5.0
+"""Time between two looks while nothing has changed, for what follows from time alone."""
+TROUBLE_LASTS_S = 10.0
+"""A gateway repeats its troubles; one that fell silent says nothing about hosts any more."""
+
+_EVENTS: dict[type, Event] = {
+    Assign: Event.HOST_ASSIGNED,
+    Withdraw: Event.WITHDRAWAL_PROPOSED,
+    Close: Event.WITHDRAWAL_CLOSED,
+    Return: Event.HOST_RETURNED,
+    Drop: Event.HOST_DROPPED,
+}
+
+
+class _Inner(Protocol):
+    """What the task needs of the inner protocol's node."""
+
+    def on(self, kind: type, handler: Callable[[Batch, Any], None]) -> None:
+        """Call ``handler`` for each received message of a type."""
+
+
+class _Trouble(msgspec.Struct, frozen=True):
+    """What a gateway last said of hosts, and until when it counts."""
+
+    message: HostTrouble
+    until: float
+
+
+class FleetTask:
+    """Keeps pools as the document wants them, one look at a time.
+
+    Every controller may act: whatever one decides, rightly or on an old view, goes through
+    compare-and-swap. :class:`Turns` only saves them from doing the same work.
+
+    :param clock: seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        kv: KeyValue,
+        hosts: HostList,
+        view: FleetView,
+        roster: Roster,
+        settings: ControllerSettings,
+        node: _Inner,
+        metrics: Metrics,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._hosts = hosts
+        self._view = view
+        self._roster = roster
+        self._settings = settings
+        self._metrics = metrics
+        self._clock = clock
+        self._ledger = Ledger(kv, view.mirror)
+        self._acks = Acknowledgements()
+        self._turns = Turns(roster)
+        self._memory = Memory()
+        self._troubles: dict[tuple[str, int], _Trouble] = {}
+        self._lock = threading.Lock()
+        self._round_lock = threading.Lock()
+        self._listing: HostListing | None = None
+        self._list_due = 0.0
+        self._seen: tuple = ()
+        self._look_due = 0.0
+        self._reasons: dict[tuple[StopId, PoolId], str] = {}
+        self._report = FleetReport()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="fleet", daemon=True)
+        node.on(WithdrawalAck, self._on_ack)
+        node.on(HostTrouble, self._on_trouble)
+
+    @property
+    def report(self) -> FleetReport:
+        """The fleet at this process's last look; see :meth:`look` for a new one."""
+        return self._report
+
+    def start(self) -> None:
+        """Look at the fleet every ``plan_every_s`` seconds from now on."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """End the task after the step it is in."""
+        self._stopping.set()
+        if self._thread.is_alive():
+            self._thread.join()
+
+    def round(self) -> None:
+        """Look at everything once, and do what it calls for and is this process's turn."""
+        if not self._view.ready or not self._turns.takes_part():
+            return
+        with self._round_lock:
+            fresh = self._read_list()
+            if self._listing is None or not self._look_is_due():
+                return
+            self._act(fresh)
+
+    def look(self) -> FleetReport:
+        """Return the fleet as of now, also from a process that does not act on it."""
+        with self._round_lock:
+            self._read_list()
+            if self._view.ready and self._listing is not None:
+                self._decide()
+        return self._report
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                self.round()
+            except Exception as error:  # the task must outlive any one look
+                log(Event.TASK_FAILED, task="fleet", error=repr(error))
+            self._stopping.wait(self._settings.plan_every_s * random.uniform(0.8, 1.2))
+
+    def _read_list(self) -> bool:
+        """Read the host list when it is due.
+
+        :return: whether the list in hand is new enough to propose anything by.
+        """
+        now = self._clock()
+        if now >= self._list_due:
+            answer = self._hosts.hosts()
+            if isinstance(answer, Failure):
+                self._list_due = now + self._settings.plan_every_s
+                log(Event.PLATFORM_CALL_FAILED, fault=answer.failure())
+            else:
+                self._listing = answer.unwrap()
+                self._list_due = now + self._list_period_s()
+        if self._listing is None:
+            return False
+        tolerated = 3 * self._settings.host_list_lag_s + 2 * self._list_period_s()
+        return now - self._listing.as_of <= tolerated
+
+    def _list_period_s(self) -> float:
+        hosts = len(self._listing.hosts) if self._listing is not None else 0
+        return max(self._settings.plan_every_s, hosts * LIST_BYTES_PER_HOST / LIST_BYTES_PER_S)
+
+    def _look_is_due(self) -> bool:
+        now = self._clock()
+        seen = (
+            self._view.mirror.complete_to,
+            self._view.document_revision,
+            id(self._view.pools_by_id),
+            id(self._listing),
+            self._acks.changes,
+            self._trouble(now),
+        )
+        if seen == self._seen and now < self._look_due:
+            return False
+        self._seen = seen
+        self._look_due = now + LOOK_EVERY_S
+        return True
+
+    def _act(self, fresh: bool) -> None:
+        decision, basis = self._decide()
+        actions = self._checked(decision)
+        if not fresh:
+            # An old list hides failures, which spend budget: begin nothing by it.
+            actions = [a for a in actions if isinstance(a, Close | Return)]
+        mine = self._turns.mine(actions, self._clock())
+        if self._create_pools(decision, basis):
+            self._write(mine, basis)
+
+    def _decide(self) -> tuple[Decision, Basis]:
+        view = self._view
+        document, document_revision = view.document, view.document_revision
+        records, zones = view.pools_by_id, view.zones_by_id
+        now = self._clock()
+        assert self._listing is not None
+        pool_records = {pool: record for pool, (record, _) in records.items()}
+        closing = Closing(
+            pool_records,
+            {zone: record for zone, (record, _) in zones.items()},
+            self._roster.alive(Role.GATEWAY),
+            self._listing,
+            self._settings.host_list_lag_s,
+            now,
+        )
+        closable, unacknowledged = self._acks.closable(closing)
+        ejected, leaving = self._trouble(now)
+        suspect = frozenset(h for record, _ in zones.values() for h in record.suspect_hosts)
+        sight = Sight(
+            document, pool_records, self._listing, now, ejected | suspect, leaving, closable
+        )
+        decision = plan(sight, self._memory)
+        self._report = report(decision, unacknowledged)
+        self._tell_waiting(decision)
+        basis = Basis(
+            document_revision,
+            dict(records),
+            {zone: revision for zone, (_, revision) in zones.items()},
+            frozenset(stop.id for stop in document.stops),
+            now,
+        )
+        return decision, basis
+
+    def _checked(self, decision: Decision) -> list[Action]:
+        """Return the actions without those that would break a promise, which are logged."""
+        census = decision.census
+        for host in census.doubled:
+            log(Event.FLEET_INVARIANT, what="host in two records", host=host)
+        over = overspending(census.sight, decision.actions)
+        for host, pool in over.items():
+            log(Event.FLEET_INVARIANT, what="budget", host=host, pool=pool)
+        barred = over.keys() | set(census.doubled)
+        return [action for action in decision.actions if action.host not in barred]
+
+    def _create_pools(self, decision: Decision, basis: Basis) -> bool:
+        pools = [pool.id for pool in decision.census.sight.document.pools]
+        missing = [pool for pool in pools if pool not in basis.records]
+        if not missing:
+            return True
+        answer = self._ledger.create(missing, basis)
+        if isinstance(answer, Failure):
+            log(Event.FLEET_WRITE_FAILED, fault=answer.failure(), pools=len(missing))
+        return not isinstance(answer, Failure)
+
+    def _write(self, actions: list[Action], basis: Basis) -> None:
+        """Write each pool's actions in one transaction, then each pair of pools' moves."""
+        steps_by_pool: dict[PoolId, list[Action]] = {}
+        moves_by_pools: dict[tuple[PoolId, PoolId], list[HostId]] = {}
+        for action in actions:
+            if isinstance(action, Close) and action.target is not None:
+                moves_by_pools.setdefault((action.pool, action.target), []).append(action.host)
+            else:
+                steps_by_pool.setdefault(action.pool, []).append(action)
+        for (pool, target), hosts in moves_by_pools.items():
+            moved = [a for a in actions if a.host in hosts and a.pool == pool]
+            if not self._done(self._ledger.move(pool, target, hosts, basis), moved):
+                return
+        for pool, steps in steps_by_pool.items():
+            if not self._done(self._ledger.apply(pool, steps, basis), steps):
+                return
+
+    def _done(self, answer: Any, actions: list[Action]) -> bool:
+        """Log what became of a write.
+
+        :return: whether more writes make sense in this round.
+        """
+        if isinstance(answer, Failure):
+            fault = answer.failure()
+            self._metrics.incr("fleet.write_failed")
+            self._look_due = 0.0
+            log(Event.FLEET_WRITE_FAILED, fault=fault, pool=actions[0].pool)
+            return fault.kind is FaultKind.CONFLICT
+        for action in actions:
+            self._metrics.incr(f"fleet.{type(action).__name__.lower()}")
+            target = getattr(action, "target", None) or ""
+            event = _EVENTS[type(action)]
+            log(event, host=action.host, pool=action.pool, target=target, reason=action.reason)
+        return True
+
+    def _tell_waiting(self, decision: Decision) -> None:
+        reasons = {(w.stop, w.pool): w.reason for w in decision.waiting}
+        for (stop, pool), reason in reasons.items():
+            if self._reasons.get((stop, pool)) != reason:
+                log(Event.STOP_WAITS, stop=stop, pool=pool, reason=reason)
+        self._reasons = reasons
+
+    def _trouble(self, now: float) -> tuple[frozenset[HostId], frozenset[HostId]]:
+        """Return the hosts that gateways have ejected, and those that said they leave."""
+        with self._lock:
+            for sender in [s for s, t in self._troubles.items() if t.until < now]:
+                del self._troubles[sender]
+            messages = [trouble.message for trouble in self._troubles.values()]
+        ejected = frozenset(host for message in messages for host in message.ejected)
+        leaving = frozenset(host for message in messages for host in message.leaving)
+        return ejected, leaving
+
+    def _on_ack(self, batch: Batch, ack: WithdrawalAck) -> None:
+        if not _is_sender(batch, ack.member):
+            return
+        zone = ack.member.zone
+        withdrawing = {
+            item.host
+            for item in ack.barred
+            for _, entry in (self._view.hosts_by_id.get(item.host, (None, None)),)
+            if entry is not None and entry.phase is HostPhase.WITHDRAWING and entry.zone == zone
+        }
+        self._acks.note(ack.member, ack.barred, withdrawing)
+
+    def _on_trouble(self, batch: Batch, trouble: HostTrouble) -> None:
+        if not _is_sender(batch, trouble.member):
+            return
+        sender = (trouble.member.process, trouble.member.incarnation)
+        with self._lock:
+            self._troubles[sender] = _Trouble(trouble, self._clock() + TROUBLE_LASTS_S)
+
+
+def _is_sender(batch: Batch, member: Member) -> bool:
+    """Return whether a message speaks for the process that sent it, and for no other."""
+    return (batch.sender, batch.incarnation) == (member.process, member.incarnation)
--- /dev/null
+++ b/src/lentilrill/fleet/_upkeep.py
@@ -0,0 +1,124 @@
+"""Steps that follow from one host alone: ending withdrawals, returning, leaving, dropping."""
+
+from collections.abc import Iterator
+
+from lentilrill.fleet._actions import Action, Close, Drop, Return, Withdraw
+from lentilrill.fleet._census import Census, Standing, Tally, leaves
+from lentilrill.fleet._records import HostEntry, HostPhase
+from lentilrill.ids import PoolId
+from lentilrill.platform import HostState
+
+__all__ = ["upkeep"]
+
+
+def upkeep(census: Census) -> Iterator[Action]:
+    """Yield the steps of each host that need no weighing against others, except budgets."""
+    for tally in census.tallies_by_pool.values():
+        for host, standing in list(tally.standing_by_id.items()):
+            if standing in (Standing.AVAILABLE, Standing.TROUBLED):
+                continue
+            action = _STEPS[standing](census, tally, tally.entries_by_id[host])
+            if action is not None:
+                yield action
+        yield from _give_back(census, tally)
+
+
+def _withdrawing(census: Census, tally: Tally, entry: HostEntry) -> Action | None:
+    reason = _cancelled(census, tally, entry)
+    if reason:
+        _count_return(census, tally, entry)
+        return Return(entry.id, tally.pool, reason)
+    if entry.id not in census.sight.closable:
+        return None
+    info = census.infos_by_id.get(entry.id)
+    since = info.since if info is not None else census.sight.now
+    target = entry.target
+    return Close(entry.id, tally.pool, "nothing sends to it any more", target, since)
+
+
+def _cancelled(census: Census, tally: Tally, entry: HostEntry) -> str:
+    """Return why a withdrawal has lost its cause; empty if it has not."""
+    if entry.target is not None:
+        wanted = census.tallies_by_pool.get(entry.target)
+        if wanted is None or wanted.settings is None:
+            return f"pool {entry.target} is gone"
+        if tally.settings is None or wanted.spare:
+            return ""
+        return f"pool {entry.target} needs it no more" if wanted.missing < 0 else ""
+    if entry.stop is not None:
+        return "" if census.declared(entry) else f"stop {entry.stop} was cancelled"
+    return "it is live again" if _well(census, entry) else ""
+
+
+def _stopped(census: Census, tally: Tally, entry: HostEntry) -> Action | None:
+    stop = census.declared(entry)
+    if stop is not None and stop.retire:
+        return Drop(entry.id, tally.pool, f"retired by stop {stop.id}")
+    info = census.infos_by_id.get(entry.id)
+    if info is None:
+        if stop is None and census.gone(entry.id, entry.zone):
+            return Drop(entry.id, tally.pool, "gone from the host list")
+        return None
+    if info.zone != entry.zone:
+        return Drop(entry.id, tally.pool, f"now listed in zone {info.zone}")
+    if info.state is not HostState.LIVE or entry.id in census.sight.leaving:
+        return None
+    if stop is None:
+        return Return(entry.id, tally.pool, "listed live, and no stop holds it", info)
+    if info.since > entry.since:
+        return Return(entry.id, tally.pool, f"back from stop {stop.id}", info, done=True)
+    return None
+
+
+def _leaving(census: Census, tally: Tally, entry: HostEntry) -> Action | None:
+    tally.mark_withdrawn(entry.id, lasts=False)
+    return Withdraw(entry.id, tally.pool, "it is leaving, or has a new address")
+
+
+def _failed(census: Census, tally: Tally, entry: HostEntry) -> Action | None:
+    if not census.gone(entry.id, entry.zone):
+        return None
+    tally.mark_withdrawn(entry.id, lasts=False)
+    return Withdraw(entry.id, tally.pool, "missing from the host list")
+
+
+def _give_back(census: Census, tally: Tally) -> Iterator[Action]:
+    """Cancel withdrawals while failures overspend the budget, the newest first.
+
+    A host that was not released yet can serve at once, which a stopped one can't.
+    """
+    withdrawing = [
+        entry
+        for entry in tally.entries_by_id.values()
+        if tally.standing_by_id[entry.id] is Standing.WITHDRAWING
+        and (entry.stop or entry.target)
+        and entry.phase is HostPhase.WITHDRAWING
+        and _well(census, entry)
+        and tally.settings is not None
+    ]
+    for entry in sorted(withdrawing, key=lambda e: (-e.proposed, e.id)):
+        if tally.slack(entry.zone) >= 0:
+            continue
+        _count_return(census, tally, entry)
+        yield Return(entry.id, tally.pool, "failures have overspent the budget")
+
+
+def _well(census: Census, entry: HostEntry) -> bool:
+    info = census.infos_by_id.get(entry.id)
+    return info is not None and not leaves(entry, info) and entry.id not in census.sight.leaving
+
+
+def _count_return(census: Census, tally: Tally, entry: HostEntry) -> None:
+    if entry.target in census.tallies_by_pool:
+        census.tallies_by_pool[PoolId(entry.target or "")].incoming -= 1
+        tally.lasting += 1
+    healthy = _well(census, entry) and entry.id not in census.sight.ejected
+    tally.stand(entry.id, Standing.AVAILABLE if healthy else Standing.TROUBLED)
+
+
+_STEPS = {
+    Standing.WITHDRAWING: _withdrawing,
+    Standing.STOPPED: _stopped,
+    Standing.LEAVING: _leaving,
+    Standing.FAILED: _failed,
+}
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -38,6 +38,15 @@
     PLATFORM_CALL_FAILED = (403, Level.WARNING, "A platform call failed.")
     DOCUMENT_IN_FORCE = (501, Level.INFO, "A revision of the document is in force here.")
 
+    HOST_ASSIGNED = (601, Level.INFO, "A host of the list was put into its first pool.")
+    WITHDRAWAL_PROPOSED = (602, Level.INFO, "A host begins to leave its pool.")
+    WITHDRAWAL_CLOSED = (603, Level.INFO, "Nothing sends to a host any more; it was released.")
+    HOST_RETURNED = (604, Level.INFO, "A host serves in its pool again.")
+    HOST_DROPPED = (605, Level.INFO, "A host is retired or gone, and was forgotten.")
+    FLEET_WRITE_FAILED = (606, Level.INFO, "Another writer was first, or the platform is away.")
+    FLEET_INVARIANT = (607, Level.ERROR, "A promise of the fleet was about to be broken.")
+    STOP_WAITS = (608, Level.INFO, "A planned stop waits; the reason has changed.")
+
     @property
     def number(self) -> int:
         """The event's number."""
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,230 @@
+"""Small fakes at the interfaces, which can be told to fail."""
+
+import threading
+from collections import Counter
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.ids import Revision, ZoneId
+from lentilrill.membership import Liveness, Member, Role
+from lentilrill.platform import (
+    Compare,
+    DeleteRange,
+    HostInfo,
+    HostListing,
+    Item,
+    Mirror,
+    Priority,
+    Put,
+    RangeAnswer,
+    TxnAnswer,
+    WatchBatch,
+)
+
+__all__ = ["FakeHostList", "FakeKeyValue", "FakeNode", "FakeRoster"]
+
+SILENT_WATCH_S = 0.2
+
+
+class FakeKeyValue:
+    """The key-value service in memory, with compare-and-swap over one revision counter.
+
+    :ivar down: every call fails as unavailable.
+    :ivar lose_answers: how many of the next commits take effect but lose their answer.
+    :ivar lose_requests: how many of the next commits are lost before they take effect; the
+        caller can't tell the two apart.
+    :ivar before_commit: called once before the next commit, as a racing writer.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.lose_answers = 0
+        self.lose_requests = 0
+        self.before_commit: Callable[[], None] | None = None
+        self.calls: Counter[str] = Counter()
+        self.revision = Revision(0)
+        self.items_by_key: dict[str, Item] = {}
+        self._history: list[Item] = []
+        self._changed = threading.Condition(threading.RLock())
+        self._leases: dict[int, set[str]] = {}
+
+    def read(self, prefix: str, priority: Priority = Priority.FIRST) -> Result[RangeAnswer, Fault]:
+        del priority
+        self.calls["read"] += 1
+        if self.down:
+            return _unavailable("read")
+        with self._changed:
+            items = [i for k, i in sorted(self.items_by_key.items()) if k.startswith(prefix)]
+            return Success(RangeAnswer(tuple(items), self.revision))
+
+    def commit(
+        self,
+        compares: tuple[Compare, ...],
+        writes: tuple[Put | DeleteRange, ...],
+        priority: Priority = Priority.FIRST,
+    ) -> Result[TxnAnswer, Fault]:
+        del priority
+        self.calls["commit"] += 1
+        if self.down:
+            return _unavailable("commit")
+        racer, self.before_commit = self.before_commit, None
+        if racer is not None:
+            racer()
+        if self.lose_requests:
+            self.lose_requests -= 1
+            return _lost()
+        with self._changed:
+            held = all(self._revision_of(c.key) == c.revision for c in compares)
+            if held:
+                self._apply(writes)
+            answer = TxnAnswer(held, self.revision)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return _lost()
+        return Success(answer)
+
+    def put(self, key: str, value: bytes) -> Revision:
+        """Write without comparison, as an operator's tool or another process would."""
+        with self._changed:
+            self._apply((Put(key, value),))
+            return self.revision
+
+    def watch(self, prefix: str, after: Revision) -> Iterator[Result[WatchBatch, Fault]]:
+        self.calls["watch"] += 1
+        while True:
+            with self._changed:
+                if not self._news(prefix, after):
+                    self._changed.wait(SILENT_WATCH_S)
+                items, revision = self._news(prefix, after), self.revision
+            if self.down or not items:
+                yield _unavailable("watch")
+                return
+            after = revision
+            yield Success(WatchBatch(tuple(items), revision))
+
+    def lease(self, ttl_s: float) -> Result[int, Fault]:
+        del ttl_s
+        self.calls["lease"] += 1
+        if self.down:
+            return _unavailable("lease")
+        lease = len(self._leases) + 1
+        self._leases[lease] = set()
+        return Success(lease)
+
+    def keep_alive(self, lease: int) -> Result[float, Fault]:
+        self.calls["keep_alive"] += 1
+        if self.down:
+            return _unavailable("keep_alive")
+        if lease not in self._leases:
+            return Failure(Fault("platform.keep_alive", "fake", FaultKind.CONFLICT, "lapsed"))
+        return Success(10.0)
+
+    def revoke(self, lease: int) -> Result[None, Fault]:
+        self.calls["revoke"] += 1
+        if self.down:
+            return _unavailable("revoke")
+        with self._changed:
+            self._apply(tuple(DeleteRange(key) for key in self._leases.pop(lease, set())))
+        return Success(None)
+
+    def sync(self, mirror: Mirror) -> None:
+        """Bring a mirror up to date with the state keys, as the relayed watch would."""
+        with self._changed:
+            items = [i for k, i in self.items_by_key.items() if k.startswith("state/")]
+            mirror.replace(items, self.revision)
+
+    def _news(self, prefix: str, after: Revision) -> list[Item]:
+        return [i for i in self._history if i.revision > after and i.key.startswith(prefix)]
+
+    def _revision_of(self, key: str) -> Revision:
+        item = self.items_by_key.get(key)
+        return item.revision if item is not None else Revision(0)
+
+    def _apply(self, writes: tuple[Put | DeleteRange, ...]) -> None:
+        self.revision = Revision(self.revision + 1)
+        for write in writes:
+            if isinstance(write, Put):
+                item = Item(write.key, write.value, self.revision)
+                self.items_by_key[write.key] = item
+                self._history.append(item)
+                if write.lease:
+                    self._leases[write.lease].add(write.key)
+                continue
+            end = write.end or write.key + "\0"
+            for key in [k for k in self.items_by_key if write.key <= k < end]:
+                del self.items_by_key[key]
+                self._history.append(Item(key, None, self.revision))
+        self._changed.notify_all()
+
+
+class FakeHostList:
+    """The platform's host list.
+
+    :ivar as_of: when the list was made; ``None`` means right now by the clock.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.infos_by_id: dict[str, HostInfo] = {}
+        self.down = False
+        self.as_of: float | None = None
+        self.calls = 0
+        self._clock = clock
+
+    def add(self, *infos: HostInfo) -> None:
+        """List hosts, or change what is listed of them."""
+        self.infos_by_id.update({info.id: info for info in infos})
+
+    def hosts(self) -> Result[HostListing, Fault]:
+        self.calls += 1
+        if self.down:
+            return _unavailable("hosts")
+        as_of = self._clock() if self.as_of is None else self.as_of
+        return Success(HostListing(tuple(self.infos_by_id.values()), as_of))
+
+
+class FakeRoster:
+    """Members as a process believes them to be, set by the test."""
+
+    def __init__(self, me: Member, members: list[Member]) -> None:
+        self.me = me
+        self.members = members
+
+    def alive(self, role: Role, zone: ZoneId | None = None) -> tuple[Member, ...]:
+        return tuple(
+            sorted(
+                (m for m in self.members if m.role is role and zone in (None, m.zone)),
+                key=lambda m: m.process,
+            )
+        )
+
+    def liveness(self, member: Member) -> Liveness:
+        return Liveness.ALIVE if member in self.members else Liveness.SUSPECT
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        del listener
+
+
+class FakeNode:
+    """The inner protocol's node: keeps handlers, and hands messages to them at once."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[type, Callable[[Any, Any], None]] = {}
+
+    def on(self, kind: type, handler: Callable[[Any, Any], None]) -> None:
+        self.handlers[kind] = handler
+
+    def deliver(self, batch: Any) -> None:
+        """Handle each message of a batch."""
+        for message in batch.messages:
+            self.handlers[type(message)](batch, message)
+
+
+def _unavailable(call: str) -> Failure[Fault]:
+    return Failure(Fault(f"platform.{call}", "fake", FaultKind.UNAVAILABLE, "down", 1.0))
+
+
+def _lost() -> Failure[Fault]:
+    return Failure(Fault("platform.commit", "fake", FaultKind.AMBIGUOUS, "answer lost"))
--- /dev/null
+++ b/tests/fleet/world.py
@@ -0,0 +1,167 @@
+"""A small fleet for tests: platform, host list, gateways that acknowledge, and controllers."""
+
+import msgspec
+
+from lentilrill.fleet import DOCUMENT_KEY, FleetTask, FleetView, HostEntry, HostPhase, PoolRecord
+from lentilrill.ids import HostId, PoolId, Revision, ZoneId
+from lentilrill.inner import Barred, Batch, HostTrouble, WithdrawalAck
+from lentilrill.membership import Member, Role, ZoneRecord, zone_key
+from lentilrill.platform import HostInfo, HostState, Mirror
+from lentilrill.settings import ControllerSettings, Document, InnerKeys, PlatformSettings
+from lentilrill.telemetry import NoMetrics
+from tests.builders import a_member
+from tests.fakes import FakeHostList, FakeKeyValue, FakeNode, FakeRoster
+
+__all__ = ["Controller", "World"]
+
+START = 1_000_000.0
+
+
+class Controller:
+    """One controller process with its own, possibly old, view."""
+
+    def __init__(self, world: "World", name: str, zone: str) -> None:
+        self.member = a_member(name, role=Role.CONTROLLER, zone=ZoneId(zone))
+        self.node = FakeNode()
+        self.mirror = Mirror()
+        self.view = FleetView(self.mirror)
+        self.roster = FakeRoster(self.member, world.members)
+        settings = ControllerSettings(
+            process=self.member.process,
+            entry_host=self.member.entry_host,
+            zone=self.member.zone,
+            inner=self.member.inner,
+            keys=InnerKeys("p" * 40, "s" * 40),
+            listen="127.0.0.1:1",
+            platform=PlatformSettings(key_value=("127.0.0.1:1",), host_list="127.0.0.1:1"),
+            operator_tokens_sha256={},
+        )
+        self.task = FleetTask(
+            world.kv,
+            world.hosts,
+            self.view,
+            self.roster,
+            settings,
+            self.node,
+            NoMetrics(),
+            world.clock,
+        )
+
+
+class World:
+    """Everything around the controllers, moved by hand."""
+
+    def __init__(self, document: Document, zones: tuple[str, ...] = ("z1",)) -> None:
+        self.now = START
+        self.kv = FakeKeyValue()
+        self.hosts = FakeHostList(self.clock)
+        self.members: list[Member] = []
+        self.gateways: dict[str, Member] = {}
+        self.controllers: list[Controller] = []
+        for zone in zones:
+            self.register(a_member(f"gw-{zone}", zone=ZoneId(zone)))
+        self.declare(document)
+
+    def clock(self) -> float:
+        return self.now
+
+    def declare(self, document: Document) -> None:
+        """Put a document in force."""
+        self.document = document
+        self.kv.put(DOCUMENT_KEY, msgspec.json.encode(document))
+
+    def change(self, **changes: object) -> None:
+        """Put a changed document in force."""
+        self.declare(msgspec.structs.replace(self.document, **changes))
+
+    def controller(self, name: str = "c1", zone: str = "z1") -> Controller:
+        """Start a controller."""
+        controller = Controller(self, name, zone)
+        self.members.append(controller.member)
+        self.controllers.append(controller)
+        return controller
+
+    def register(self, gateway: Member, unclean: tuple[Member, ...] = ()) -> None:
+        """Start a gateway and write it into its zone's record."""
+        self.gateways[gateway.process] = gateway
+        self.members.append(gateway)
+        self.write_zone(gateway.zone, unclean)
+
+    def write_zone(self, zone: str, unclean: tuple[Member, ...] = ()) -> None:
+        """Write a zone's record with its living gateways."""
+        members = tuple(m for m in self.gateways.values() if m.zone == zone)
+        record = ZoneRecord(ZoneId(zone), members, unclean)
+        self.kv.put(zone_key(ZoneId(zone)), msgspec.json.encode(record))
+
+    def host(self, name: str, zone: str = "z1", rack: str = "r1", **changes: object) -> None:
+        """List a worker."""
+        values = {"address": f"10.0.0.1:{len(self.hosts.infos_by_id) + 1}", "since": 1.0}
+        info = HostInfo(HostId(name), zone=zone, rack=rack, **values | changes)  # type: ignore
+        self.hosts.add(info)
+
+    def relist(self, name: str, **changes: object) -> None:
+        """Change what is listed of a host."""
+        self.hosts.add(msgspec.structs.replace(self.hosts.infos_by_id[name], **changes))
+
+    def reboot(self, name: str) -> None:
+        """List a host as started just now."""
+        self.relist(name, since=self.now, state=HostState.LIVE)
+
+    def sync(self) -> None:
+        """Bring every controller's view up to date."""
+        for controller in self.controllers:
+            self.kv.sync(controller.mirror)
+
+    def run(self, rounds: int = 1, step_s: float = 1.0, acks: bool = True) -> None:
+        """Let time pass; each controller hears acknowledgements and looks at the fleet."""
+        for _ in range(rounds):
+            self.now += step_s
+            self.sync()
+            if acks:
+                for gateway in list(self.gateways.values()):
+                    self.ack(gateway)
+            for controller in self.controllers:
+                controller.task.round()
+            self.sync()
+
+    def ack(self, gateway: Member, to: Controller | None = None, *hosts: str) -> None:
+        """Let a gateway acknowledge the withdrawals that the platform's records hold now."""
+        barred = tuple(
+            Barred(entry.id, revision)
+            for record, revision in self.records().values()
+            for entry in record.hosts
+            if entry.phase is HostPhase.WITHDRAWING
+            and entry.zone == gateway.zone
+            and (not hosts or entry.id in hosts)
+        )
+        self.say(gateway, WithdrawalAck(gateway, barred), to)
+
+    def trouble(self, gateway: Member, ejected: tuple = (), leaving: tuple = ()) -> None:
+        """Let a gateway tell of hosts in trouble."""
+        self.say(gateway, HostTrouble(gateway, ejected, leaving))
+
+    def say(self, member: Member, message: object, to: Controller | None = None) -> None:
+        """Deliver a message to one controller, or to all."""
+        batch = Batch(member.process, member.incarnation, member.inner, (message,))  # type: ignore
+        for controller in [to] if to else self.controllers:
+            controller.node.deliver(batch)
+
+    def records(self) -> dict[PoolId, tuple[PoolRecord, Revision]]:
+        """Return the pool records as the platform holds them."""
+        return {
+            PoolId(key.removeprefix("state/pools/")): (
+                msgspec.json.decode(item.value or b"", type=PoolRecord),
+                item.revision,
+            )
+            for key, item in self.kv.items_by_key.items()
+            if key.startswith("state/pools/")
+        }
+
+    def entries(self, pool: str) -> dict[HostId, HostEntry]:
+        """Return a pool's hosts as the platform holds them."""
+        held = self.records().get(PoolId(pool))
+        return held[0].hosts_by_id() if held else {}
+
+    def in_phase(self, pool: str, phase: HostPhase) -> list[str]:
+        """Return the ids of a pool's hosts in a phase, sorted."""
+        return sorted(e.id for e in self.entries(pool).values() if e.phase is phase)
