--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -59,6 +59,15 @@
     ENDPOINT_UNREACHABLE = (703, Level.WARNING, "No connection to an endpoint could be opened.")
     EXCHANGE_BROKEN = (704, Level.WARNING, "A job was sent and no whole answer came back.")
 
+    HOST_ASSIGNED = (601, Level.INFO, "A host of the list was put into its first pool.")
+    WITHDRAWAL_PROPOSED = (602, Level.INFO, "A host begins to leave its pool.")
+    WITHDRAWAL_CLOSED = (603, Level.INFO, "Nothing sends to a host any more; it was released.")
+    HOST_RETURNED = (604, Level.INFO, "A host serves in its pool again.")
+    HOST_DROPPED = (605, Level.INFO, "A host is retired or gone, and was forgotten.")
+    FLEET_WRITE_FAILED = (606, Level.INFO, "Another writer was first, or the platform is away.")
+    FLEET_INVARIANT = (607, Level.ERROR, "A promise of the fleet was about to be broken.")
+    STOP_WAITS = (608, Level.INFO, "A planned stop waits; the reason has changed.")
+
     @property
     def number(self) -> int:
         """The event's number."""
