--- a/src/lentilrill/_assembly.py
+++ b/src/lentilrill/_assembly.py
@@ -2,16 +2,17 @@
 
 import time
 
+from lentilrill._status import status
 from lentilrill.fleet import FleetTask, FleetView
 from lentilrill.gateway import GatewayServer
 from lentilrill.gossip import Heartbeats, Watcher, ZoneRecorder
 from lentilrill.ids import Incarnation
-from lentilrill.inner import Node
-from lentilrill.jobs import ClaimClient, ClaimOwner
+from lentilrill.inner import ClaimState, Node
+from lentilrill.jobs import Claim, ClaimResult, Recorded
 from lentilrill.membership import Member, Role, RosterView
 from lentilrill.operators import OperatorServer
 from lentilrill.platform import EtcdKeyValue, HttpHostList, Mirror
-from lentilrill.routing import SchedulerHost, SendLedger, SlotClient, WithdrawalAcker
+from lentilrill.routing import Routing
 from lentilrill.settings import ControllerSettings, GatewaySettings, ProcessSettings
 from lentilrill.telemetry import Metrics, connect
 
@@ -21,6 +22,21 @@
 """Another zone is heard of by gossip, which takes a few heartbeats more than a peer does."""
 
 
+class NoClaims:
+    """Refuses every key: a keyed job must not run before its key can be claimed."""
+
+    def claim(self, claim: Claim, timeout_s: float) -> ClaimResult:
+        """Return that nothing can be claimed."""
+        del claim, timeout_s
+        return ClaimResult(ClaimState.UNAVAILABLE)
+
+    def record(self, claim: Claim, recorded: Recorded) -> None:
+        """Nothing was claimed."""
+
+    def release(self, claim: Claim) -> None:
+        """Nothing was claimed."""
+
+
 class _Common:
     """What both kinds of process have: node, mirror, roster and metrics."""
 
@@ -61,39 +77,28 @@
         self._heartbeats = Heartbeats(
             settings, common.node, common.mirror, common.roster, common.metrics
         )
-        kv = EtcdKeyValue(settings.platform, common.metrics)
-        ledger = SendLedger(common.view)
-        self._schedulers = SchedulerHost(common.node, common.view, common.roster)
-        self._slots = SlotClient(
-            common.node, common.view, common.roster, ledger, self._schedulers
-        )
-        self._acker = WithdrawalAcker(common.node, common.view, common.roster, ledger)
-        self._claim_owner = ClaimOwner(kv, common.node, common.roster, settings)
+        self._routing = Routing(common.node, common.view, common.roster, metrics=common.metrics)
         self._server = GatewayServer(
             settings,
             common.view,
-            self._slots,
-            ClaimClient(common.node, common.roster, settings),
+            self._routing.slots,
+            NoClaims(),
             common.metrics,
-            lambda: common.roster.registered,
+            lambda: self._routing.ledger.may_send,
         )
 
     def start(self) -> None:
         """Begin to serve."""
         self._node.start()
         self._heartbeats.start()
-        self._schedulers.start()
-        self._acker.start()
-        self._claim_owner.start()
+        self._routing.start()
         self._server.start()
 
     def drain(self) -> None:
         """Finish the requests in flight, then leave."""
         self._server.drain()
         self._server.close()
-        self._claim_owner.close()
-        self._acker.close()
-        self._schedulers.close()
+        self._routing.close()
         self._heartbeats.close()
         self._node.close()
 
@@ -132,9 +137,17 @@
             settings,
             common.node,
             common.metrics,
-            publish=self._watcher.publish,
         )
-        self._operators = OperatorServer(settings, kv, common.view, self._status, common.metrics)
+        self._operators = OperatorServer(
+            settings,
+            kv,
+            common.view,
+            lambda: status(
+                common.roster, common.view, self._fleet.look(), self._watcher.platform_ok
+            ),
+            common.metrics,
+            hosts,
+        )
 
     def start(self) -> None:
         """Begin to serve."""
@@ -147,7 +160,8 @@
 
     def drain(self) -> None:
         """End the tasks, then leave."""
-        self._operators.close()
+        self._operators.drain()
+        self._operators.stop()
         self._fleet.close()
         self._recorder.close()
         self._watcher.close()
--- /dev/null
+++ b/src/lentilrill/_status.py
@@ -0,0 +1,119 @@
+"""What a controller shows operators, from its roster, its view and its last look at the fleet."""
+
+from lentilrill.fleet import FleetReport, FleetView, PoolReport, StopReport
+from lentilrill.fleet import StopState as FleetStopState
+from lentilrill.ids import ProcessId, Revision
+from lentilrill.membership import Member, RosterView
+from lentilrill.operators import (
+    MemberStatus,
+    PoolStatus,
+    Status,
+    StopState,
+    StopStatus,
+    WaveStatus,
+)
+from lentilrill.settings import Document
+
+__all__ = ["status"]
+
+STATES_BY_FLEET_STATE = {
+    FleetStopState.WAITING: StopState.WAITING,
+    FleetStopState.ROLLING: StopState.WITHDRAWING,
+    FleetStopState.PAUSED: StopState.WITHDRAWING,
+    FleetStopState.DONE: StopState.STOPPED,
+}
+
+
+def status(
+    roster: RosterView, view: FleetView, report: FleetReport, platform_reachable: bool
+) -> Status:
+    """Return the whole picture as of this controller."""
+    return Status(
+        process=roster.me.process,
+        zone=roster.me.zone,
+        document_revision=view.document_revision,
+        platform_reachable=platform_reachable,
+        members=_members(roster, view),
+        pools=tuple(_pool(pool, view.document) for pool in report.pools),
+        stops=tuple(_stop(stop, view.document) for stop in report.stops),
+        waves=tuple(_wave(stop) for stop in report.stops if stop.wave.started),
+    )
+
+
+def _members(roster: RosterView, view: FleetView) -> tuple[MemberStatus, ...]:
+    by_process: dict[ProcessId, Member] = {roster.me.process: roster.me}
+    for zone in roster.zones():
+        by_process |= {member.process: member for member in roster.registered_in(zone)}
+    by_process |= {heard.member.process: heard.member for heard in roster.heard()}
+    complete_to = _complete_to_by_process(roster, view)
+    return tuple(
+        MemberStatus(
+            process,
+            member.incarnation,
+            member.role,
+            member.zone,
+            member.entry_host,
+            roster.liveness(member),
+            complete_to.get(process, Revision(0)),
+        )
+        for process, member in sorted(by_process.items())
+    )
+
+
+def _complete_to_by_process(roster: RosterView, view: FleetView) -> dict[ProcessId, Revision]:
+    """Return how far each process is; of another zone's, the least that its controllers told."""
+    found = {
+        member.process: news.complete_to
+        for news in roster.news()
+        for member in roster.registered_in(news.zone)
+    }
+    found |= {
+        heard.member.process: heard.complete_to
+        for heard in roster.heard()
+        if heard.member.zone == roster.me.zone
+    }
+    return found | {roster.me.process: view.mirror.complete_to}
+
+
+def _pool(pool: PoolReport, document: Document) -> PoolStatus:
+    configured = document.pools_by_id()[pool.pool]
+    return PoolStatus(
+        pool.pool,
+        configured.service,
+        configured.spare,
+        pool.owed,
+        pool.serving,
+        pool.withdrawing,
+        pool.stopped,
+        max(0, pool.missing),
+    )
+
+
+def _stop(stop: StopReport, document: Document) -> StopStatus:
+    declared = next(one for one in document.stops if one.id == stop.stop)
+    gone_on = {*stop.withdrawing, *stop.stopped}
+    waits = [wait.within_s for wait in stop.waits if wait.within_s is not None]
+    return StopStatus(
+        id=stop.stop,
+        state=STATES_BY_FLEET_STATE[stop.state],
+        reason=declared.reason,
+        why="; ".join(f"{wait.hosts} of {wait.pool}: {wait.reason}" for wait in stop.waits),
+        retire=declared.retire,
+        waiting=(
+            tuple(host for host in declared.hosts if host not in gone_on) if stop.waiting else ()
+        ),
+        withdrawing=stop.withdrawing,
+        stopped=stop.stopped,
+        expected_s=max(waits, default=None),
+    )
+
+
+def _wave(stop: StopReport) -> WaveStatus:
+    return WaveStatus(
+        stop=stop.stop,
+        number=1,
+        hosts=(*stop.withdrawing, *stop.stopped),
+        done=stop.state is FleetStopState.DONE,
+        predicted_s=stop.wave.predicted_s,
+        actual_s=stop.wave.actual_s,
+    )
--- a/src/lentilrill/gossip/_watcher.py
+++ b/src/lentilrill/gossip/_watcher.py
@@ -8,7 +8,7 @@
 from lentilrill.ids import Revision
 from lentilrill.inner import Node, StateItems
 from lentilrill.membership import Role, RosterView, rendezvous
-from lentilrill.platform import Item, KeyValue, Mirror, Priority, WatchBatch
+from lentilrill.platform import Item, KeyValue, Mirror, Priority, WatchBatch, WatchStream
 from lentilrill.telemetry import Event, Metrics, log
 
 __all__ = ["STATE", "Watcher"]
@@ -37,7 +37,8 @@
         self._metrics = metrics
         self._reachable = False
         self._stopping = threading.Event()
-        self._restart = threading.Event()
+        self._lock = threading.Lock()
+        self._stream: WatchStream | None = None
         self._thread = threading.Thread(target=self._run, name="watcher", daemon=True)
         self._checker = threading.Thread(target=self._check, name="watch-check", daemon=True)
 
@@ -54,8 +55,9 @@
     def close(self) -> None:
         """End the watch."""
         self._stopping.set()
-        self._restart.set()
+        self._end_stream()
         self._checker.join()
+        self._thread.join()
 
     def publish(self, items: tuple[Item, ...]) -> None:
         """Take over this process's own committed writes, and tell the zone at once."""
@@ -96,18 +98,28 @@
         return None
 
     def _watch(self) -> Fault | None:
-        self._restart.clear()
-        for result in self._kv.watch(STATE, self._mirror.complete_to):
-            if self._stopping.is_set() or self._restart.is_set():
-                return None
-            if isinstance(result, Failure):
-                self._reached(result.failure())
-                return result.failure()
-            self._take(result.unwrap())
-            if not self._is_chosen():
-                return None
+        stream = self._kv.watch(STATE, self._mirror.complete_to)
+        with self._lock:
+            self._stream = stream
+        try:
+            for result in stream:
+                if isinstance(result, Failure):
+                    self._reached(result.failure())
+                    return result.failure()
+                self._reached(None)
+                self._take(result.unwrap())
+                if self._stopping.is_set() or not self._is_chosen():
+                    return None
+        finally:
+            self._end_stream()
         return None
 
+    def _end_stream(self) -> None:
+        with self._lock:
+            stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.close()
+
     def _take(self, batch: WatchBatch) -> None:
         before = self._mirror.complete_to
         # The batch's own revision may be ahead of events still to come; only the items' counts.
@@ -141,8 +153,7 @@
             newest = result.unwrap()
             if newest > self._mirror.complete_to and behind > 0:
                 log(Event.WATCH_SILENT, newest=newest, complete_to=self._mirror.complete_to)
-                self._restart.set()
-                self._read_all()
+                self._end_stream()
                 behind = Revision(0)
             else:
                 behind = newest if newest > self._mirror.complete_to else Revision(0)
--- a/src/lentilrill/membership/_roster.py
+++ b/src/lentilrill/membership/_roster.py
@@ -73,11 +73,6 @@
         """This process."""
         return self._me
 
-    @property
-    def registered(self) -> bool:
-        """Whether the zone's record names this incarnation, so that it may send to hosts."""
-        return self._is_registered(self._me)
-
     def alive(self, role: Role, zone: ZoneId | None = None) -> tuple[Member, ...]:
         """Return the members to work with, as of the last refresh, sorted by process id."""
         return self._alive.get((role, zone), ())
--- a/src/lentilrill/platform/__init__.py
+++ b/src/lentilrill/platform/__init__.py
@@ -15,6 +15,7 @@
     RangeAnswer,
     TxnAnswer,
     WatchBatch,
+    WatchStream,
 )
 from lentilrill.platform._etcd import MAX_VALUE_BYTES, EtcdKeyValue
 from lentilrill.platform._guard import CallBudget
@@ -41,4 +42,5 @@
     "RangeAnswer",
     "TxnAnswer",
     "WatchBatch",
+    "WatchStream",
 ]
--- a/src/lentilrill/platform/_contract.py
+++ b/src/lentilrill/platform/_contract.py
@@ -25,6 +25,7 @@
     "RangeAnswer",
     "TxnAnswer",
     "WatchBatch",
+    "WatchStream",
 ]
 
 
@@ -94,6 +95,16 @@
     revision: Revision
 
 
+class WatchStream(Protocol):
+    """Changes in order, until a fault, which comes last."""
+
+    def __iter__(self) -> Iterator[Result[WatchBatch, Fault]]:
+        """Iterate over the changes, from one task."""
+
+    def close(self) -> None:
+        """End the watch; any task may, also while another one waits for a change."""
+
+
 class KeyValue(Protocol):
     """The key-value service. Every call ends by its deadline with a result."""
 
@@ -117,7 +128,7 @@
         A fault of kind ``AMBIGUOUS`` means that the writes may have taken effect.
         """
 
-    def watch(self, prefix: str, after: Revision) -> Iterator[Result[WatchBatch, Fault]]:
+    def watch(self, prefix: str, after: Revision) -> WatchStream:
         """Yield changes below ``prefix`` later than ``after``, until a fault, which is yielded
         last. Closing the iterator ends the watch. A silent watch yields a fault within its
         progress interval. History that is no longer kept is a fault of kind ``CONFLICT``: read
--- a/standins/site.py
+++ b/standins/site.py
@@ -142,10 +142,9 @@
         path = self.folder / "endpoints.json"
         path.write_text(json.dumps(many))
         self._run("endpoints", "standins.endpoint", "--many", str(path))
-        self.wait(lambda: self._answers(self.control, "/standin/calls"), "platform")
+        self.wait_answer(self.control, "/standin/calls")
         for host in self.spec.hosts:
-            address = self.endpoint(host)
-            self.wait(lambda a=address: self._answers(a, "/standin/record"), f"endpoint {address}")
+            self.wait_answer(self.endpoint(host), "/standin/record")
         self.put_hosts()
 
     def put_hosts(self, without: frozenset[str] = frozenset()) -> None:
@@ -260,10 +259,14 @@
                 raise TimeoutError(f"waited {timeout_s} s for {what}\n{self.logs()}")
             time.sleep(POLL_S)
 
+    def wait_answer(self, address: str, path: str, timeout_s: float = READY_S) -> None:
+        """Wait until a GET of ``path`` is answered with 200."""
+        self.wait(lambda: self._answers(address, path), f"{address}{path}", timeout_s)
+
     def wait_ready(self, timeout_s: float = READY_S) -> None:
         """Wait until every gateway says that it is ready."""
         for name in self.gateways:
-            self.wait(lambda n=name: self._answers(self.caller(n), "/readyz"), name, timeout_s)
+            self.wait_answer(self.caller(name), "/readyz", timeout_s)
 
     def json(self, method: str, address: str, path: str, body: Any = None, **headers: str) -> Any:
         """Send a JSON request and return the JSON answer."""
