--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -3,7 +3,7 @@
 import sys
 from enum import Enum
 
-from absl import logging
+from absl import flags, logging
 
 __all__ = ["Event", "Level", "log", "setup"]
 
@@ -91,6 +91,7 @@
 }
 
 
+@logging.skip_log_prefix
 def log(event: Event, **fields: object) -> None:
     """Log ``event`` with its number, name and fields on one line."""
     text = " ".join(f"{name}={_shown(value)}" for name, value in fields.items())
@@ -99,6 +100,7 @@
 
 def setup(level: str) -> None:
     """Send log lines at or above ``level`` (debug, info, warning, error) to stderr."""
+    flags.FLAGS([sys.argv[0]])
     logging.use_absl_handler()
     logging.set_verbosity(getattr(logging, level.upper()))
     logging.set_stderrthreshold(level)
