--- a/standins/demo.py
+++ b/standins/demo.py
@@ -26,6 +26,7 @@
 
     def __init__(self, site: Site) -> None:
         self.site = site
+        self.folder = site.folder / "lists"
         self.wrong: list[str] = []
         self.http = urllib3.PoolManager(num_pools=10, maxsize=32, retries=False)
 
@@ -43,9 +44,12 @@
 
     def apply_lists(self) -> None:
         """Write the two lists and apply them."""
-        self.write_lists()
+        plans, entitlements = lists(BRAILLE_SERVICES, 6)
+        self.folder.mkdir()
+        (self.folder / "plans.json").write_text(json.dumps(plans))
+        (self.folder / "entitlements.json").write_text(json.dumps(entitlements))
         started = time.monotonic()
-        self.ctl("config", "apply", *self.list_files(), "--wait", "20")
+        self.ctl("config", "apply", str(self.folder), "--wait", "20")
         say(f"lists applied and in force everywhere in {time.monotonic() - started:.1f} s")
 
     def wait_for_hosts(self) -> None:
@@ -147,9 +151,12 @@
 
     def edit_lists(self) -> None:
         """Change a plan and see it in force."""
-        self.write_lists(start_within_s=12.0)
+        self.ctl("config", "show", "--to", str(self.folder))
+        plans = json.loads((self.folder / "plans.json").read_text())
+        plans[0]["start_within_s"] = 12.0
+        (self.folder / "plans.json").write_text(json.dumps(plans))
         started = time.monotonic()
-        self.ctl("config", "apply", *self.list_files(), "--wait", "20")
+        self.ctl("config", "apply", str(self.folder), "--wait", "20")
         say(f"an edited plan was in force everywhere in {time.monotonic() - started:.1f} s")
         rows = self.site.ctl("audit").stdout.strip().splitlines()
         say("audit trail:")
@@ -197,23 +204,6 @@
             pool["serving"] >= pool["owed"] for pool in pools
         )
 
-    def write_lists(self, **changes: Any) -> None:
-        """Write the two lists, with ``changes`` made to the first plan."""
-        plans, entitlements = lists(BRAILLE_SERVICES, 6)
-        plans[0] |= changes
-        (self.site.folder / "plans.json").write_text(json.dumps(plans))
-        (self.site.folder / "entitlements.json").write_text(json.dumps(entitlements))
-
-    def list_files(self) -> tuple[str, ...]:
-        """Return the arguments that name the two lists."""
-        folder = self.site.folder
-        return (
-            "--plans",
-            str(folder / "plans.json"),
-            "--entitlements",
-            str(folder / "entitlements.json"),
-        )
-
     def ctl(self, *arguments: str) -> None:
         """Run an operator's command that has to succeed."""
         done = self.site.ctl(*arguments)
