--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -26,6 +26,7 @@
 """Controllers of other zones told at each other-zone beat; gossip does the rest."""
 OTHER_ZONE_EVERY = 2
 """Heartbeats between two other-zone beats."""
+METRICS_EVERY = 4
 FORGET_AFTER_S = 60.0
 LEAVE_REPEATS = 3
 LEAVE_PAUSE_S = 0.1
@@ -60,6 +61,7 @@
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="heartbeats", daemon=True)
         self._last_ask_at = 0.0
+        self._bytes_counted = (0, 0)
         node.on(Heartbeat, self._heard)
         node.on(Leave, self._left)
         node.on(StateAsk, self._asked)
@@ -87,8 +89,16 @@
             self._tell_zone()
             if beat % OTHER_ZONE_EVERY == 0:
                 self._tell_other_zones()
+            if beat % METRICS_EVERY == 0:
+                self._count_bytes()
             beat += 1
 
+    def _count_bytes(self) -> None:
+        sent, received = self._node.bytes_sent, self._node.bytes_received
+        self._metrics.incr("inner.bytes_sent", sent - self._bytes_counted[0])
+        self._metrics.incr("inner.bytes_received", received - self._bytes_counted[1])
+        self._bytes_counted = (sent, received)
+
     def _tell_zone(self) -> None:
         heartbeat = self._heartbeat()
         peers = self._zone_peers()
