--- a/src/lentilrill/inner/_node.py
+++ b/src/lentilrill/inner/_node.py
@@ -20,7 +20,7 @@
 OUTBOX_MESSAGES = 20_000
 BATCH_MESSAGES = 256
 IDLE_PEER_S = 60.0
-POLL_MS = 200
+RECEIVE_POLL_MS = 1000
 PING_MS = 500
 SILENT_MS = 1500
 
@@ -111,7 +111,9 @@
             peers = list(self._peers_by_address.values())
         end = time.monotonic() + linger_s
         for peer in peers:
-            peer.join(max(0.0, end - time.monotonic()) + POLL_MS / 1000)
+            peer.finish()
+        for peer in peers:
+            peer.join(max(0.0, end - time.monotonic()))
         if self._receiver.is_alive():
             self._receiver.join()
         if self._auth.is_alive():
@@ -173,7 +175,7 @@
 
     def _receive(self) -> None:
         while not self._stopping.is_set():
-            if not self._listening.poll(POLL_MS):
+            if not self._listening.poll(RECEIVE_POLL_MS):
                 continue
             frames = self._listening.recv_multipart()
             self.bytes_received += len(frames[-1])
@@ -192,7 +194,7 @@
         super().__init__(name=f"inner-{address}", daemon=True)
         self.address = address
         self._node = node
-        self._outbox: queue.SimpleQueue[Message] = queue.SimpleQueue()
+        self._outbox: queue.SimpleQueue[Message | None] = queue.SimpleQueue()
         self._ended = False
 
     def put(self, message: Message) -> bool:
@@ -214,35 +216,38 @@
         self._loop(lambda batch: self._send(socket, batch))
         socket.close(linger=500)
 
+    def finish(self) -> None:
+        """End the task once all that is queued has been sent."""
+        self._outbox.put(None)
+
     def _loop(self, deliver: Callable[[Batch], None]) -> None:
-        idle_since = time.monotonic()
-        while True:
-            messages = self._next()
+        finished = False
+        while not finished:
+            messages, finished = self._next(IDLE_PEER_S)
             if messages:
-                idle_since = time.monotonic()
                 deliver(self._node.batch(messages))
-            elif self._node.stopping:
-                return
-            elif time.monotonic() - idle_since > IDLE_PEER_S:
+            elif not finished:
                 self._node.forget(self)
                 self._ended = True
-                self._flush(deliver)
-                return
-
-    def _flush(self, deliver: Callable[[Batch], None]) -> None:
+                finished = True
         # put() may have run between the last look at the outbox and the end of this task.
-        while not self._outbox.empty():
-            deliver(self._node.batch(self._next()))
+        messages, _ = self._next(0.0)
+        if messages:
+            deliver(self._node.batch(messages))
 
-    def _next(self) -> tuple[Message, ...]:
+    def _next(self, timeout_s: float) -> tuple[tuple[Message, ...], bool]:
+        """Return what is queued, and whether the task is to end after it."""
         messages: list[Message] = []
         try:
-            messages.append(self._outbox.get(timeout=POLL_MS / 1000))
-            while len(messages) < BATCH_MESSAGES:
-                messages.append(self._outbox.get_nowait())
+            message = self._outbox.get(timeout=timeout_s)
+            while message is not None:
+                messages.append(message)
+                if len(messages) == BATCH_MESSAGES:
+                    return tuple(messages), False
+                message = self._outbox.get_nowait()
         except queue.Empty:
-            pass
-        return tuple(messages)
+            return tuple(messages), False
+        return tuple(messages), True
 
     def _send(self, socket: zmq.Socket, batch: Batch) -> None:
         data = encode(batch)
