--- a/src/lentilrill/platform/_watch.py
+++ b/src/lentilrill/platform/_watch.py
@@ -142,7 +142,9 @@
             return self._with_retry(fault)
         with self._lock:
             self._response = response
-        return None
+            if not self._ended:
+                return None
+        return Fault(STEP, self._peer, FaultKind.UNAVAILABLE, "closed while it was opened")
 
     def _line(self) -> bytes:
         assert self._response is not None
--- a/tests/platform/test_transport.py
+++ b/tests/platform/test_transport.py
@@ -14,6 +14,7 @@
 
 WAIT_S = 20.0
 SHORT_S = 0.2
+BODY = b"{}"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n"
 
 
@@ -42,9 +43,18 @@
 
     def _serve(self, connection: socket.socket, number: int) -> None:
         with connection, contextlib.suppress(ConnectionError):
-            while connection.recv(65536):
+            while self._request(connection):
                 self._script(connection, number)
 
+    def _request(self, connection: socket.socket) -> bool:
+        received = b""
+        while not received.endswith(BODY):
+            part = connection.recv(65536)
+            if not part:
+                return False
+            received += part
+        return True
+
 
 class TransportTest(TestCase):
     def setUp(self) -> None:
@@ -57,7 +67,7 @@
         return Transport((self.server.address,), lambda: self.now)
 
     def exchange(self, transport: Transport, effect: Effect = Effect.REPEATABLE):
-        return transport.exchange("platform.x", effect, "POST", "/x", b"{}", SHORT_S)
+        return transport.exchange("platform.x", effect, "POST", "/x", BODY, SHORT_S)
 
     def test_the_rest_of_an_abandoned_answer_reaches_nobody(self) -> None:
         # The platform is slow: an answer stops half way and the call is given up. Its second
@@ -66,7 +76,9 @@
 
         def script(connection: socket.socket, number: int) -> None:
             if number == 1:
-                connection.sendall(HEAD + b"old")
+                connection.sendall(HEAD + b"ol")
+                self.now += 2 * SHORT_S
+                connection.sendall(b"d")
                 late.wait(WAIT_S)
                 connection.sendall(b"old" + HEAD + b"oldold")
             else:
