--- a/src/lentilrill/platform/_transport.py
+++ b/src/lentilrill/platform/_transport.py
@@ -21,7 +21,7 @@
 IDLE_CONNECTIONS = 4
 FRESH_S = 1.0
 OK = 200
-JSON_HEADERS = {"Content-Type": "application/json"}
+HEADERS = {"Content-Type": "application/json", "Accept-Encoding": "gzip"}
 
 # A waiting watch sends nothing, so it would never learn that its connection died: TCP's own
 # probes find that out within seconds.
@@ -119,7 +119,7 @@
                 method,
                 path,
                 body=body,
-                headers=JSON_HEADERS,
+                headers=HEADERS,
                 timeout=timeout,
                 retries=False,
                 preload_content=False,
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import gzip
 import signal
 import threading
 import time
@@ -28,6 +29,7 @@
 PROGRESS_S = 1.0
 LOOK_S = 0.05
 KEPT_LISTS = 1000
+GZIP_LEVEL = 4
 WRITES = {"/v3/kv/put", "/v3/kv/deleterange", "/v3/kv/txn"}
 WATCH = "/v3/watch"
 
@@ -228,7 +230,11 @@
         with self._lock:
             stale = self._stale_hosts if self.faults.stale else None
             as_of, hosts = stale or self._lagging()
-        call.answer_json({"as_of": as_of, "hosts": hosts})
+        body = msgspec.json.encode({"as_of": as_of, "hosts": hosts})
+        headers = {"Content-Type": "application/json"}
+        if "gzip" in call.header("Accept-Encoding"):
+            body, headers["Content-Encoding"] = gzip.compress(body, GZIP_LEVEL), "gzip"
+        call.answer(200, body, headers)
 
     def _control(self, call: Call) -> None:
         _, _, what, *rest = call.path.split("/")
--- /dev/null
+++ b/tests/matrix/__main__.py
@@ -0,0 +1,83 @@
+"""``make matrix``: play the fault matrix on real processes and write docs/matrix.md."""
+
+import argparse
+import queue
+import sys
+import threading
+from collections import Counter
+from pathlib import Path
+
+from standins.site import Site
+from tests.matrix._cells import Cell, Outcome, Verdict, all_cells, run_cell
+from tests.matrix._report import write_page
+from tests.matrix._world import World, a_site
+
+PAGE = Path("docs/matrix.md")
+
+
+def play(cells: "queue.Queue[Cell]", outcomes: list[Outcome], folder: Path | None) -> None:
+    """Play cells on one site after another; a failed cell gets the next one a new site."""
+    while not cells.empty():
+        with Site(a_site()) as site:
+            world = World(site)
+            world.bring_up()
+            _play_on(world, cells, outcomes, folder)
+            world.close()
+
+
+def _play_on(
+    world: World, cells: "queue.Queue[Cell]", outcomes: list[Outcome], folder: Path | None
+) -> None:
+    while True:
+        try:
+            cell = cells.get_nowait()
+        except queue.Empty:
+            return
+        outcome = run_cell(world, cell)
+        outcomes.append(outcome)
+        print(f"{outcome.verdict.value:8} {outcome.took_s:5.1f} s  {cell.name}", flush=True)
+        for reason in outcome.reasons:
+            print(f"           {reason}", flush=True)
+        if outcome.verdict is Verdict.FAILED:
+            if folder is not None:
+                _keep_logs(world.site, folder / cell.name.replace("/", "-").replace(" ", "_"))
+            return
+
+
+def _keep_logs(site: Site, folder: Path) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    for path in site.folder.glob("*.log"):
+        (folder / path.name).write_bytes(path.read_bytes())
+
+
+def main() -> int:
+    """Play the cells asked for; 0 if none failed."""
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    parser.add_argument("--only", default="", help="play the cells whose name contains this")
+    parser.add_argument("--sites", type=int, default=2, help="sites at the same time")
+    parser.add_argument("--page", type=Path, default=PAGE, help="page to write; - for none")
+    parser.add_argument("--logs", type=Path, help="folder for the logs of failed cells")
+    arguments = parser.parse_args()
+    chosen = [cell for cell in all_cells() if arguments.only in cell.name]
+    cells: queue.Queue[Cell] = queue.Queue()
+    for cell in chosen:
+        cells.put(cell)
+    outcomes: list[Outcome] = []
+    threads = [
+        threading.Thread(target=play, args=(cells, outcomes, arguments.logs))
+        for _ in range(arguments.sites)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    counts = Counter(outcome.verdict for outcome in outcomes)
+    counts[Verdict.NOT_RUN] += len(chosen) - len(outcomes)
+    print(", ".join(f"{counts[verdict]} {verdict.value}" for verdict in Verdict))
+    if str(arguments.page) != "-" and not arguments.only:
+        write_page(arguments.page, outcomes)
+    return 1 if counts[Verdict.FAILED] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/matrix/_cells.py
@@ -0,0 +1,103 @@
+"""The matrix: every step crossed with every fault, and one cell's verdict."""
+
+import time
+from enum import Enum
+
+import msgspec
+
+from standins.site import Site
+from tests.matrix._injections import INJECTIONS, PAIRS, Injection
+from tests.matrix._steps import NotRunError, Step
+from tests.matrix._world import Ledger, World
+
+__all__ = ["Cell", "Outcome", "Verdict", "all_cells", "run_cell"]
+
+INVARIANT = "invariant_broken"
+MAX_REASONS = 4
+
+
+class Verdict(Enum):
+    """What became of a cell."""
+
+    PASSED = "passed"
+    FAILED = "failed"
+    NOT_RUN = "not run"
+
+
+class Cell(msgspec.Struct, frozen=True):
+    """One step under one fault."""
+
+    step: Step
+    injection: Injection
+
+    @property
+    def name(self) -> str:
+        """Step and fault."""
+        return f"{self.step.name.lower()} / {self.injection.name}"
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """One cell's verdict, with the reasons of a failure."""
+
+    step: str
+    injection: str
+    verdict: Verdict
+    reasons: tuple[str, ...] = ()
+    took_s: float = 0.0
+    answers: dict[str, int] = {}
+
+
+def all_cells() -> list[Cell]:
+    """Return the whole matrix."""
+    return [Cell(step, injection) for step in Step for injection in INJECTIONS + PAIRS]
+
+
+def run_cell(world: World, cell: Cell) -> Outcome:
+    """Play one cell in a world that is whole, and judge it."""
+    if cell.injection.why_not:
+        return _outcome(cell, Verdict.NOT_RUN, (cell.injection.why_not,))
+    world.ledger = Ledger()
+    began = time.monotonic()
+    try:
+        cell.step.scene(world, cell.injection)
+        world.settle()
+    except NotRunError as error:
+        return _outcome(cell, Verdict.NOT_RUN, (str(error),))
+    except Exception as error:
+        reason = str(error).splitlines()[0] if str(error) else ""
+        world.ledger.note(False, f"{type(error).__name__}: {reason}")
+    reasons = world.ledger.judge(world.runs()) + broken_invariants(world.site)
+    return _outcome(
+        cell,
+        Verdict.FAILED if reasons else Verdict.PASSED,
+        tuple(reasons[:MAX_REASONS]),
+        time.monotonic() - began,
+        world.ledger.counts(),
+    )
+
+
+def broken_invariants(site: Site) -> list[str]:
+    """Return the log lines in which the program itself found an invariant broken."""
+    return [
+        f"{path.stem}: {line[line.index(INVARIANT) :]}"
+        for path in sorted(site.folder.glob("*.log"))
+        for line in path.read_text(errors="replace").splitlines()
+        if INVARIANT in line
+    ]
+
+
+def _outcome(
+    cell: Cell,
+    verdict: Verdict,
+    reasons: tuple[str, ...],
+    took_s: float = 0.0,
+    answers: dict[str, int] | None = None,
+) -> Outcome:
+    return Outcome(
+        cell.step.name.lower(),
+        cell.injection.name,
+        verdict,
+        reasons,
+        round(took_s, 1),
+        answers or {},
+    )
--- /dev/null
+++ b/tests/matrix/_injections.py
@@ -0,0 +1,196 @@
+"""The faults of the matrix as data: what begins, what ends, and for how long it holds."""
+
+import signal
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from standins.site import HostSpec
+from tests.matrix._world import World
+
+__all__ = ["INJECTIONS", "PAIRS", "Injection"]
+
+KILL_S = 2.5
+PAUSE_S = 3.5
+"""Longer than the silence after which a process is suspect, and than its session lives."""
+PLATFORM_S = 2.5
+ENDPOINT_S = 1.5
+PLATFORM_CLEAR = {
+    "down": False,
+    "slow_s": 0.0,
+    "lose_answers": 0,
+    "stale": False,
+    "silent_watch": False,
+    "cut": [],
+}
+ENDPOINT_CLEAR = {
+    "fail": False,
+    "truncate": 0,
+    "silent": False,
+    "leaving": False,
+    "slow_s": 0.0,
+    "reset": False,
+    "lose_answers": 0,
+    "twice": False,
+}
+
+
+class Injection(msgspec.Struct, frozen=True):
+    """One fault.
+
+    :param hits: processes that it ends or holds, which may fail their own callers.
+    :param holds_s: seconds between begin and end.
+    :param on_endpoint: whether jobs of the disturbed endpoint may fail.
+    :param why_not: why it can't be brought about; such cells count as not run.
+    """
+
+    name: str
+    begin: Callable[[World], None] = lambda world: None
+    end: Callable[[World], None] = lambda world: None
+    hits: tuple[str, ...] = ()
+    holds_s: float = 0.0
+    on_endpoint: bool = False
+    why_not: str = ""
+
+    def hold(self) -> None:
+        """Let the fault last."""
+        threading.Event().wait(self.holds_s)
+
+
+def endpoint_host(world: World) -> HostSpec:
+    """Return the worker whose endpoint is disturbed: the first of schools in zone 1."""
+    phases = world.phases() or world.phases("ct-2-1")
+    zone_1 = (host for host in world.site.spec.hosts if host.zone == 1)
+    mine = (host for host in zone_1 if phases.get(host.id, ("",))[0] == "schools")
+    return next(mine, world.site.spec.hosts[0])
+
+
+def _kill(name: str) -> Injection:
+    return Injection(
+        f"kill {name}",
+        lambda world: world.site.kill(name),
+        lambda world: world.site.start(name),
+        (name,),
+        KILL_S,
+    )
+
+
+def _pause(name: str) -> Injection:
+    return Injection(
+        f"pause {name} past its lease",
+        lambda world: world.site.signal(name, signal.SIGSTOP),
+        lambda world: world.site.signal(name, signal.SIGCONT),
+        (name,),
+        PAUSE_S,
+    )
+
+
+def _platform(name: str, **faults: object) -> Injection:
+    return Injection(
+        name,
+        lambda world: world.site.faults(world.site.control, **faults),
+        lambda world: world.site.faults(world.site.control, **PLATFORM_CLEAR),
+        holds_s=PLATFORM_S,
+    )
+
+
+def _cut(zone: int) -> Injection:
+    return Injection(
+        f"zone {zone} cut off from the platform",
+        lambda world: world.site.faults(world.site.control, cut=[world.site.platform(zone)]),
+        lambda world: world.site.faults(world.site.control, **PLATFORM_CLEAR),
+        holds_s=PLATFORM_S,
+    )
+
+
+def _endpoint(name: str, **faults: object) -> Injection:
+    return Injection(
+        f"endpoint {name}",
+        lambda world: world.site.faults(world.site.endpoint(endpoint_host(world)), **faults),
+        _clear_endpoints,
+        holds_s=ENDPOINT_S,
+        on_endpoint=True,
+    )
+
+
+def _clear_endpoints(world: World) -> None:
+    for host in world.site.spec.hosts:
+        world.site.faults(world.site.endpoint(host), **ENDPOINT_CLEAR)
+
+
+def _pair(one: Injection, other: Injection) -> Injection:
+    return Injection(
+        f"{one.name} + {other.name}",
+        lambda world: (one.begin(world), other.begin(world), None)[2],
+        lambda world: (other.end(world), one.end(world), None)[2],
+        one.hits + other.hits,
+        max(one.holds_s, other.holds_s),
+        one.on_endpoint or other.on_endpoint,
+    )
+
+
+NO_FAULT = Injection("none", holds_s=0.5)
+KILL_GATEWAY = _kill("gw-1-1")
+KILL_NEIGHBOUR = _kill("gw-1-2")
+KILL_CONTROLLER = _kill("ct-1-1")
+PAUSE_GATEWAY = _pause("gw-1-1")
+PAUSE_NEIGHBOUR = _pause("gw-1-2")
+PAUSE_CONTROLLER = _pause("ct-1-1")
+DOWN = _platform("platform down", down=True)
+SLOW = _platform("platform slow by 1 s", slow_s=1.0)
+STALE = _platform("platform stale", stale=True)
+LOST = _platform("platform's next 3 answers lost", lose_answers=3)
+SILENT_WATCH = _platform("platform's watches silent", silent_watch=True)
+CUT = _cut(1)
+FAILING = _endpoint("fails everything", fail=True)
+LATE = _endpoint("late by 1 s", slow_s=1.0)
+TWICE = _endpoint("answers twice", twice=True)
+TRUNCATING = _endpoint("truncates 5 answers", truncate=5)
+LOSING = _endpoint("loses 5 answers", lose_answers=5)
+RESETTING = _endpoint("resets connections", reset=True)
+SILENT = _endpoint("silent on all connections", silent=True)
+LEAVING = _endpoint("leaving", leaving=True)
+ZONES_CUT = Injection(
+    "zones cut off from each other",
+    why_not="the site has no way to cut loopback connections between its processes",
+)
+MISORDERED = Injection(
+    "messages between processes late and out of order",
+    why_not="needs a relay for the inner protocol; decoded messages are tested in their packages",
+)
+
+INJECTIONS = (
+    NO_FAULT,
+    KILL_GATEWAY,
+    KILL_NEIGHBOUR,
+    KILL_CONTROLLER,
+    PAUSE_GATEWAY,
+    PAUSE_NEIGHBOUR,
+    PAUSE_CONTROLLER,
+    DOWN,
+    SLOW,
+    STALE,
+    LOST,
+    SILENT_WATCH,
+    CUT,
+    ZONES_CUT,
+    MISORDERED,
+    FAILING,
+    LATE,
+    TWICE,
+    TRUNCATING,
+    LOSING,
+    RESETTING,
+    SILENT,
+    LEAVING,
+)
+PAIRS = (
+    _pair(DOWN, KILL_NEIGHBOUR),
+    _pair(DOWN, KILL_CONTROLLER),
+    _pair(CUT, SILENT),
+    _pair(LOST, PAUSE_CONTROLLER),
+    _pair(KILL_NEIGHBOUR, FAILING),
+    _pair(PAUSE_GATEWAY, SLOW),
+    _pair(KILL_GATEWAY, KILL_CONTROLLER),
+)
--- /dev/null
+++ b/tests/matrix/_report.py
@@ -0,0 +1,71 @@
+"""The matrix's result as a page."""
+
+from collections import Counter
+from datetime import UTC, datetime
+from pathlib import Path
+
+from tests.matrix._cells import Outcome, Verdict
+from tests.matrix._injections import INJECTIONS, PAIRS
+from tests.matrix._steps import Step
+
+__all__ = ["write_page"]
+
+MARKS = {Verdict.PASSED: "pass", Verdict.FAILED: "**FAIL**", Verdict.NOT_RUN: "-"}
+INTRO = """\
+# Fault matrix
+
+Written by `make matrix` on {when}. Each cell plays a step on real processes (two zones, two entry
+hosts in each, stand-ins for the platform and the endpoints), brings the fault about at that step,
+ends it, and judges: every 200 is whole and the caller's own; what was told `not_run` is in no
+endpoint's record; what must run at most once did; no revision steps back; accepted changes come
+into force; nothing begins on a released host; jobs that the fault does not hit end whole; both
+services run through every gateway again. "pass" means that one run found nothing wrong. "-" was
+not run and proves nothing.
+
+{counts}
+"""
+
+
+def write_page(path: Path, outcomes: list[Outcome]) -> None:
+    """Write the table, the failures with their reasons, and what was not run with its reason."""
+    found = {(o.step, o.injection): o for o in outcomes}
+    counts = Counter(outcome.verdict for outcome in outcomes)
+    total = len(Step) * len(INJECTIONS + PAIRS)
+    counts[Verdict.NOT_RUN] += total - len(outcomes)
+    shown = ", ".join(f"{counts[verdict]} {verdict.value}" for verdict in Verdict)
+    when = datetime.now(UTC).strftime("%Y-%m-%d %H:%M UTC")
+    lines = [INTRO.format(when=when, counts=f"{total} cells: {shown}.")]
+    lines += _table(found)
+    lines += ["", "## Steps", ""]
+    lines += [f"- `{step.name.lower()}` ({step.story.value}): {step.meaning}" for step in Step]
+    lines += ["", "## Failed", "", *_listing(outcomes, Verdict.FAILED)]
+    lines += ["", "## Not run", "", *_listing(outcomes, Verdict.NOT_RUN)]
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text("\n".join(lines) + "\n")
+
+
+def _table(found: dict[tuple[str, str], Outcome]) -> list[str]:
+    steps = [step.name.lower() for step in Step]
+    rows = ["| fault | " + " | ".join(steps) + " |", "|---" * (len(steps) + 1) + "|"]
+    for injection in INJECTIONS + PAIRS:
+        marks = []
+        for step in steps:
+            outcome = found.get((step, injection.name))
+            marks.append(MARKS[outcome.verdict] if outcome else MARKS[Verdict.NOT_RUN])
+        rows.append(f"| {injection.name} | " + " | ".join(marks) + " |")
+    return rows
+
+
+def _listing(outcomes: list[Outcome], verdict: Verdict) -> list[str]:
+    by_reason: dict[tuple[str, ...], list[str]] = {}
+    for outcome in outcomes:
+        if outcome.verdict is verdict:
+            name = f"{outcome.step} / {outcome.injection}"
+            by_reason.setdefault(outcome.reasons, []).append(name)
+    if verdict is Verdict.NOT_RUN:
+        return [f"- {'; '.join(why)}: {len(names)} cells" for why, names in by_reason.items()] or [
+            "None."
+        ]
+    return [f"- {', '.join(names)}: {'; '.join(why)}" for why, names in by_reason.items()] or [
+        "None."
+    ]
--- /dev/null
+++ b/tests/matrix/_steps.py
@@ -0,0 +1,391 @@
+"""The steps at which faults are brought about: each sets its scene, disturbs it and checks.
+
+A step is a function of the world and the injection. What is wrong goes into the world's ledger;
+a scene that can't be set raises :class:`NotRunError`.
+"""
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from enum import Enum
+
+from tests.matrix._injections import Injection, endpoint_host
+from tests.matrix._world import Answer, Job, World
+
+__all__ = ["NotRunError", "Step", "Story"]
+
+LIMIT_S = 30.0
+FORCE_S = 20.0
+LONG_S = 2.0
+VOLUME_BYTES = 12 * 1024 * 1024
+
+
+class NotRunError(Exception):
+    """The cell can't be judged, for the reason given."""
+
+
+class Story(Enum):
+    """What the steps belong to."""
+
+    REQUEST = "request"
+    CHANGE = "configuration change"
+    WITHDRAWAL = "withdrawal"
+    ENTRY_HOST = "entry host"
+
+
+@contextmanager
+def disturbed(world: World, injection: Injection) -> Iterator[None]:
+    """Have the fault begin, the body done and the fault last out."""
+    injection.begin(world)
+    try:
+        yield
+        injection.hold()
+    finally:
+        injection.end(world)
+
+
+def arriving(world: World, injection: Injection) -> None:
+    """Jobs arrive while the fault lasts."""
+    with disturbed(world, injection), world.traffic():
+        for _ in range(3):
+            world.begin(world.job(idempotent=False), "gw-1-1")
+
+
+def queued(world: World, injection: Injection) -> None:
+    """A job waits for a slot when the fault begins."""
+    fillers = [world.begin(world.job(run_s=1.0), "gw-1-2") for _ in range(9)]
+    waiting = [world.begin(world.job(idempotent=n > 0), "gw-1-1") for n in range(3)]
+    with disturbed(world, injection):
+        pass
+    for future in fillers + waiting:
+        future.result()
+
+
+def running(world: World, injection: Injection) -> None:
+    """A job that must not run twice is running when the fault begins."""
+    job = world.job(idempotent=False, run_s=LONG_S)
+    future = world.begin(job, "gw-1-1")
+    host = world.site.wait(lambda: world.host_running(job), "the job's start", LIMIT_S)
+    with disturbed(world, injection), world.traffic():
+        pass
+    _check_undisturbed(world, injection, future.result(), host)
+
+
+def answering(world: World, injection: Injection) -> None:
+    """A long answer is half way when the fault begins."""
+    job = world.job("schools", idempotent=False, answer_bytes=VOLUME_BYTES)
+
+    def meanwhile() -> None:
+        with disturbed(world, injection):
+            pass
+
+    world.ledger.add(_read_slowly(world, job, meanwhile))
+
+
+def keyed(world: World, injection: Injection) -> None:
+    """A keyed job is running when the fault begins, and is sent again through other gateways."""
+    job = world.job(idempotent=False, key=f"key-{time.time_ns()}", run_s=1.0)
+    probe = world.send(world.job(idempotent=False, key=f"probe-{time.time_ns()}"), "gw-1-1")
+    if not probe.ok:
+        raise NotRunError(f"keyed jobs are not served yet: {probe.status} {probe.body[:80]!r}")
+    first = world.begin(job, "gw-1-1")
+    world.site.wait(lambda: world.host_running(job), "the job's start", LIMIT_S)
+    with disturbed(world, injection):
+        world.send(job, "gw-1-2")
+        world.send(job, "gw-2-1")
+    first.result()
+    for gateway in ("gw-1-1", "gw-1-2", "gw-2-2"):
+        world.site.wait(lambda g=gateway: world.send(job, g).status, "an answer", LIMIT_S)
+
+
+def editing(world: World, injection: Injection) -> None:
+    """An operator applies a list while the fault lasts."""
+    mark = _new_mark()
+    with _watching_revisions(world), disturbed(world, injection):
+        status, told = world.apply(mark)
+    _check_in_force(world, mark, status, told)
+
+
+def spreading(world: World, injection: Injection) -> None:
+    """An accepted change is on its way to all processes when the fault begins."""
+    mark = _new_mark()
+    with _watching_revisions(world):
+        status, told = world.apply(mark)
+        if status != 200:
+            raise NotRunError(f"the change was not accepted: {status} {told.get('detail')}")
+        with disturbed(world, injection):
+            pass
+        _check_in_force(world, mark, status, told)
+
+
+def racing(world: World, injection: Injection) -> None:
+    """Two operators edit the same revision at two controllers while the fault lasts."""
+    marks = (_new_mark(), _new_mark() + 0.5)
+    told: dict[int, int] = {}
+
+    def edit(n: int, controller: str) -> None:
+        told[n] = world.apply(marks[n], controller)[0]
+
+    threads = [
+        threading.Thread(target=edit, args=(n, name)) for n, name in enumerate(("ct-1-1", "ct-2-1"))
+    ]
+    with _watching_revisions(world), disturbed(world, injection):
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    found = _agreed_mark(world)
+    accepted = [marks[n] for n, status in told.items() if status == 200]
+    if accepted:
+        world.ledger.note(found in accepted, f"accepted {accepted}, but {found} is in force")
+
+
+def proposing(world: World, injection: Injection) -> None:
+    """A planned stop is declared while the fault lasts."""
+    host = endpoint_host(world).id
+    with world.traffic():
+        with disturbed(world, injection):
+            _declare(world, host)
+        _finish_stop(world, host)
+
+
+def acknowledging(world: World, injection: Injection) -> None:
+    """A planned stop was just declared when the fault begins."""
+    host = endpoint_host(world).id
+    with world.traffic():
+        _declare(world, host, insist=True)
+        with disturbed(world, injection):
+            pass
+        _finish_stop(world, host)
+
+
+def in_flight(world: World, injection: Injection) -> None:
+    """A host is withdrawn under a running job when the fault begins."""
+    job = world.job(idempotent=False, run_s=LONG_S)
+    future = world.begin(job, "gw-1-2")
+    host = world.site.wait(lambda: world.host_running(job), "the job's start", LIMIT_S)
+    _declare(world, host, insist=True)
+    with world.traffic():
+        with disturbed(world, injection):
+            pass
+        _check_undisturbed(world, injection, future.result(), host, "gw-1-2")
+        _finish_stop(world, host)
+
+
+def returning(world: World, injection: Injection) -> None:
+    """A stopped host is taken back when the fault begins."""
+    host = endpoint_host(world).id
+    _declare(world, host, insist=True)
+    world.site.wait(lambda: _phase(world, host) == "stopped", f"{host} to stop", LIMIT_S)
+    with world.traffic(), disturbed(world, injection):
+        _cancel(world, host)
+    _finish_stop(world, host)
+
+
+def joining(world: World, injection: Injection) -> None:
+    """A gateway starts while the fault lasts."""
+    _not_itself(injection, "gw-1-2")
+    world.site.stop("gw-1-2")
+    with disturbed(world, injection), world.traffic():
+        world.site.start("gw-1-2")
+
+
+def draining(world: World, injection: Injection) -> None:
+    """A gateway drains under a running job when the fault begins."""
+    _not_itself(injection, "gw-1-2")
+    job = world.job(idempotent=False, run_s=LONG_S)
+    future = world.begin(job, "gw-1-2")
+    host = world.site.wait(lambda: world.host_running(job), "the job's start", LIMIT_S)
+    codes: list[int] = []
+    stopper = threading.Thread(target=lambda: codes.append(world.site.stop("gw-1-2")))
+    stopper.start()
+    with disturbed(world, injection):
+        pass
+    _check_undisturbed(world, injection, future.result(), host, "gw-1-2")
+    stopper.join()
+    world.ledger.note(codes == [0], f"the drained gateway ended with {codes}")
+    world.site.start("gw-1-2")
+
+
+def replaced(world: World, injection: Injection) -> None:
+    """An entry host is lost and comes back as new processes while the fault lasts."""
+    _not_itself(injection, "gw-1-2")
+    world.site.kill("gw-1-2")
+    world.site.kill("ct-1-2")
+    with disturbed(world, injection), world.traffic():
+        world.site.start("gw-1-2")
+        world.site.start("ct-1-2")
+
+
+class Step(Enum):
+    """Every step, with its story and its scene."""
+
+    ARRIVING = (Story.REQUEST, arriving)
+    QUEUED = (Story.REQUEST, queued)
+    RUNNING = (Story.REQUEST, running)
+    ANSWERING = (Story.REQUEST, answering)
+    KEYED = (Story.REQUEST, keyed)
+    EDITING = (Story.CHANGE, editing)
+    SPREADING = (Story.CHANGE, spreading)
+    RACING = (Story.CHANGE, racing)
+    PROPOSING = (Story.WITHDRAWAL, proposing)
+    ACKNOWLEDGING = (Story.WITHDRAWAL, acknowledging)
+    IN_FLIGHT = (Story.WITHDRAWAL, in_flight)
+    RETURNING = (Story.WITHDRAWAL, returning)
+    JOINING = (Story.ENTRY_HOST, joining)
+    DRAINING = (Story.ENTRY_HOST, draining)
+    REPLACED = (Story.ENTRY_HOST, replaced)
+
+    @property
+    def story(self) -> Story:
+        """What the step belongs to."""
+        return self.value[0]
+
+    @property
+    def scene(self) -> Callable[[World, Injection], None]:
+        """The function that plays the step."""
+        return self.value[1]
+
+    @property
+    def meaning(self) -> str:
+        """The step in one sentence."""
+        return (self.scene.__doc__ or "").strip()
+
+
+# Requests
+
+
+def _check_undisturbed(
+    world: World, injection: Injection, answer: Answer, host: str, gateway: str = "gw-1-1"
+) -> None:
+    hit = gateway in injection.hits
+    disturbed_host = injection.on_endpoint and host == endpoint_host(world).id
+    if not hit and not disturbed_host:
+        told = f"{answer.status} {answer.outcome}"
+        world.ledger.note(answer.ok, f"{answer.job.name}: the running job was answered {told}")
+
+
+def _read_slowly(world: World, job: Job, meanwhile: Callable[[], None]) -> Answer:
+    """Read half of an answer, let ``meanwhile`` pass, and read the rest."""
+    began = time.time()
+    response = world.open(job, "gw-1-1")
+    parts = [response.read(VOLUME_BYTES // 8)] if response is not None else []
+    meanwhile()
+    ended, status = time.time(), 0
+    if response is not None:
+        rest = world.rest_of(response)
+        status = response.status if rest is not None else 0
+        parts.append(rest or b"")
+    # The time that the reader itself took is not the system's.
+    return Answer(job, status, b"".join(parts), "", began + (time.time() - ended), ended)
+
+
+# Configuration changes
+
+
+def _new_mark() -> float:
+    """Return a value for the lists that no other edit has."""
+    return 10.0 + (time.time_ns() // 1_000_000) % 100_000 / 1000
+
+
+@contextmanager
+def _watching_revisions(world: World) -> Iterator[None]:
+    """Note each controller whose revision in force steps back meanwhile."""
+    stop = threading.Event()
+    newest: dict[str, int] = {}
+
+    def look() -> None:
+        while not stop.wait(0.1):
+            for name in world.site.controllers:
+                revision = world.revision_at(name, 0.5)
+                if revision:
+                    before = newest.get(name, 0)
+                    world.ledger.note(
+                        revision >= before, f"{name} stepped back from {before} to {revision}"
+                    )
+                    newest[name] = max(before, revision)
+
+    thread = threading.Thread(target=look)
+    thread.start()
+    try:
+        yield
+    finally:
+        stop.set()
+        thread.join()
+
+
+def _marks(world: World) -> set[tuple[int, float]]:
+    found = set()
+    for name in world.site.controllers:
+        status, config = world.operate("GET", "/v1/config", controller=name)
+        if status == 200:
+            plans = config["document"]["plans"]
+            found.add((config["revision"], plans[0]["start_within_s"]))
+    return found
+
+
+def _agreed_mark(world: World) -> float:
+    def agreed() -> bool:
+        revisions = {world.revision_at(name) for name in world.site.controllers}
+        return len(revisions) == 1 and None not in revisions and len(_marks(world)) == 1
+
+    world.site.wait(agreed, "all controllers to agree on one revision", FORCE_S)
+    [(_, mark)] = _marks(world)
+    return mark
+
+
+def _check_in_force(world: World, mark: float, status: int, told: dict) -> None:
+    found = _agreed_mark(world)
+    verdict = told.get("verdict")
+    if status == 200:
+        world.ledger.note(found == mark, f"accepted, but {found} is in force instead of {mark}")
+    elif verdict in ("conflict", "invalid", "unavailable"):
+        world.ledger.note(found != mark, f"told {verdict}, but the edit is in force")
+
+
+# Withdrawals
+
+
+def _phase(world: World, host: str) -> str:
+    return world.phases().get(host, ("", "absent"))[1]
+
+
+def _declare(world: World, host: str, insist: bool = False) -> None:
+    body = {"id": f"stop-{host}", "hosts": [host], "reason": "matrix"}
+    if insist:
+        world.site.wait(
+            lambda: world.operate("POST", "/v1/stops", body)[0] == 200, "the stop", LIMIT_S
+        )
+    else:
+        world.operate("POST", "/v1/stops", body)
+
+
+def _cancel(world: World, host: str) -> int:
+    return world.operate("DELETE", f"/v1/stops/stop-{host}")[0]
+
+
+def _finish_stop(world: World, host: str) -> None:
+    """After the fault: the stop ends, nothing begins on the host, and it comes back."""
+    if _phase(world, host) != "serving" or _declared(world, host):
+        world.site.wait(lambda: _phase(world, host) == "stopped", f"{host} to stop", LIMIT_S)
+        stopped = time.time()
+        threading.Event().wait(0.5)
+        late = [r["job"] for h, r in world.runs() if h == host and r["started"] > stopped]
+        world.ledger.note(not late, f"{late} began on {host} after it was released")
+        world.site.wait(lambda: _cancel(world, host) in (200, 404), "the cancellation", LIMIT_S)
+    world.site.wait(lambda: _phase(world, host) == "serving", f"{host} to come back", LIMIT_S)
+
+
+def _declared(world: World, host: str) -> bool:
+    def config() -> dict:
+        status, found = world.operate("GET", "/v1/config")
+        return found if status == 200 and found["fresh"] else {}
+
+    found = world.site.wait(config, "the configuration", LIMIT_S)
+    return any(host in stop["hosts"] for stop in found["document"]["stops"])
+
+
+def _not_itself(injection: Injection, name: str) -> None:
+    if name in injection.hits:
+        raise NotRunError(f"{name} is the process that the step is about")
--- /dev/null
+++ b/tests/matrix/_world.py
@@ -0,0 +1,321 @@
+"""A running site, its callers and operators, and what is checked of both.
+
+Everything observed goes into a :class:`Ledger`; its checks are the invariants, judged against the
+endpoints' own records.
+"""
+
+import contextlib
+import hashlib
+import itertools
+import json
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import contextmanager
+from typing import Any
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from standins.site import OPERATOR_TOKEN, HostSpec, Site, SiteSpec
+from standins.sites import lists, token
+
+__all__ = ["SERVICES", "Answer", "Job", "Ledger", "World", "a_site"]
+
+SERVICES = ("schools", "ballots", "spare")
+WORKERS = 4
+SLOTS = 2
+WAIT_S = 10
+ANSWER_MARGIN_S = 10.0
+OPERATOR_S = 15.0
+SETTLE_S = 40.0
+IDEMPOTENT_PATH = "/translate"
+ONCE_PATH = "/emboss"
+
+
+class Job(msgspec.Struct, frozen=True):
+    """One job as its caller knows it.
+
+    :param name: unique; the endpoint's record has it.
+    :param idempotent: whether the system may run it more than once.
+    :param key: idempotency key, or empty.
+    """
+
+    name: str
+    service: str
+    body: bytes
+    idempotent: bool = True
+    key: str = ""
+    run_s: float = 0.01
+    answer_bytes: int = 0
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """What the caller of a job got.
+
+    :param status: 0 if the exchange broke.
+    :param outcome: ``outcome`` of the problem document, or empty.
+    """
+
+    job: Job
+    status: int
+    body: bytes
+    outcome: str
+    began: float
+    ended: float
+
+    @property
+    def ok(self) -> bool:
+        """Whether the caller was told success."""
+        return self.status == 200
+
+
+class Ledger:
+    """Answers of all callers, and the verdict on them. Safe for threads."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self.answers: list[Answer] = []
+        self.wrong: list[str] = []
+
+    def add(self, answer: Answer) -> None:
+        """Keep one answer."""
+        with self._lock:
+            self.answers.append(answer)
+
+    def note(self, holds: bool, what: str) -> None:
+        """Keep ``what`` as wrong unless it holds."""
+        if not holds:
+            with self._lock:
+                self.wrong.append(what)
+
+    def counts(self) -> dict[str, int]:
+        """Return how many answers there are of each status."""
+        return {str(k): n for k, n in sorted(Counter(a.status for a in self.answers).items())}
+
+    def judge(self, runs: list[tuple[str, dict[str, Any]]]) -> list[str]:
+        """Return everything that is wrong, given the endpoints' records."""
+        ran = Counter(run["job"] for _, run in runs)
+        wrong = list(self.wrong)
+        for answer in self.answers:
+            wrong += _judge(answer, ran[answer.job.name])
+        return wrong
+
+
+def _judge(answer: Answer, ran: int) -> Iterator[str]:
+    job = answer.job
+    if answer.ok and not _is_whole(answer):
+        yield f"{job.name}: 200 with another's or a broken answer ({len(answer.body)} bytes)"
+    if answer.ok and not ran:
+        yield f"{job.name}: 200, but it is in no record"
+    if answer.outcome == "not_run" and ran and not job.key:
+        yield f"{job.name}: not_run, but it ran {ran} time(s)"
+    if ran > 1 and (not job.idempotent or job.key):
+        yield f"{job.name}: must run at most once and ran {ran} times"
+    if answer.ended - answer.began > WAIT_S + ANSWER_MARGIN_S:
+        yield f"{job.name}: final answer only after {answer.ended - answer.began:.1f} s"
+
+
+def _is_whole(answer: Answer) -> bool:
+    job = answer.job
+    if job.answer_bytes:
+        return len(answer.body) == job.answer_bytes
+    try:
+        told = json.loads(answer.body)
+    except ValueError:
+        return False
+    return told.get("sha256") == hashlib.sha256(job.body).hexdigest() and told["job"] == job.name
+
+
+def _outcome(body: bytes) -> str:
+    with contextlib.suppress(ValueError, KeyError, TypeError):
+        return str(json.loads(body)["outcome"])
+    return "none"
+
+
+def a_site(entry_hosts: int = 2) -> SiteSpec:
+    """Return two zones with two services of four workers and a small spare pool."""
+    hosts = tuple(
+        HostSpec(f"w{n + 1:02d}", n % 2 + 1, f"r{n // 4}") for n in range(len(SERVICES) * WORKERS)
+    )
+    return SiteSpec(2, entry_hosts, hosts, slots=SLOTS)
+
+
+class World:
+    """One site for many cells of the matrix: callers, operators, faults."""
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self.ledger = Ledger()
+        self.http = urllib3.PoolManager(num_pools=100, maxsize=64, retries=False)
+        self._numbers = itertools.count(1)
+        self._pool = ThreadPoolExecutor(64)
+
+    def close(self) -> None:
+        """End the callers' threads."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    # Callers
+
+    def job(self, service: str = "schools", **changes: Any) -> Job:
+        """Return a new job."""
+        name = f"job-{next(self._numbers)}"
+        return Job(name, service, f"page of {name}".encode(), **changes)
+
+    def send(self, job: Job, gateway: str = "gw-1-1") -> Answer:
+        """Send ``job`` through ``gateway``, keep and return its answer."""
+        began = time.time()
+        try:
+            response = self._request(job, gateway, preload_content=True)
+            status, body = response.status, response.data
+        except HTTPError:
+            status, body = 0, b""
+        outcome = "" if status in (0, 200) else _outcome(body)
+        answer = Answer(job, status, body, outcome, began, time.time())
+        self.ledger.add(answer)
+        return answer
+
+    def open(self, job: Job, gateway: str) -> urllib3.BaseHTTPResponse | None:
+        """Send ``job`` and return its answer with the body unread; ``None`` if it broke."""
+        try:
+            return self._request(job, gateway, preload_content=False)
+        except HTTPError:
+            return None
+
+    def rest_of(self, response: urllib3.BaseHTTPResponse) -> bytes | None:
+        """Return the rest of an opened answer, or ``None`` if it is not whole."""
+        try:
+            return response.read()
+        except HTTPError:
+            return None
+
+    def _request(self, job: Job, gateway: str, preload_content: bool) -> urllib3.BaseHTTPResponse:
+        headers = {
+            "Authorization": f"Bearer {token(job.service)}",
+            "Prefer": f"wait={WAIT_S}",
+            "Standin-Job": job.name,
+            "Standin-Run-S": str(job.run_s),
+        }
+        if job.answer_bytes:
+            headers["Standin-Answer-Bytes"] = str(job.answer_bytes)
+        if job.key:
+            headers["Idempotency-Key"] = job.key
+        path = IDEMPOTENT_PATH if job.idempotent else ONCE_PATH
+        return self.http.request(
+            "POST",
+            f"http://{self.site.caller(gateway)}/{job.service}{path}",
+            body=job.body,
+            headers=headers,
+            timeout=WAIT_S + 2 * ANSWER_MARGIN_S,
+            preload_content=preload_content,
+        )
+
+    def begin(self, job: Job, gateway: str = "gw-1-1") -> "Future[Answer]":
+        """Send ``job`` on a thread of its own."""
+        return self._pool.submit(self.send, job, gateway)
+
+    @contextmanager
+    def traffic(self, callers: int = 3) -> Iterator[None]:
+        """Send short jobs of both services through all gateways meanwhile."""
+        stop = threading.Event()
+        threads = [
+            threading.Thread(target=self._keep_sending, args=(n, stop)) for n in range(callers)
+        ]
+        for thread in threads:
+            thread.start()
+        try:
+            yield
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join()
+
+    def _keep_sending(self, caller: int, stop: threading.Event) -> None:
+        for n in itertools.count(caller):
+            if stop.wait(0.02):
+                return
+            service = SERVICES[n % 2]
+            gateway = self.site.gateways[n % len(self.site.gateways)]
+            self.send(self.job(service, idempotent=n % 3 > 0), gateway)
+
+    # Operators
+
+    def operate(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        controller: str = "ct-1-1",
+        timeout_s: float = OPERATOR_S,
+    ) -> tuple[int, dict[str, Any]]:
+        """Ask a controller; status 0 if it gave no answer."""
+        try:
+            answer = self.http.request(
+                method,
+                f"http://{self.site.operator(controller)}{path}",
+                body=None if body is None else json.dumps(body).encode(),
+                headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+                timeout=timeout_s,
+            )
+        except HTTPError:
+            return 0, {}
+        return answer.status, json.loads(answer.data) if answer.data else {}
+
+    def apply(self, mark: float, controller: str = "ct-1-1") -> tuple[int, dict[str, Any]]:
+        """Apply the lists with the first plan's ``start_within_s`` set to ``mark``."""
+        plans, entitlements = lists(SERVICES, WORKERS)
+        plans[0]["start_within_s"] = mark
+        status, config = self.operate("GET", "/v1/config", controller=controller)
+        if status != 200:
+            return status, config
+        body = {"base": config["revision"], "plans": plans, "entitlements": entitlements}
+        return self.operate("PUT", "/v1/config", body, controller)
+
+    def revision_at(self, controller: str, timeout_s: float = OPERATOR_S) -> int | None:
+        """Return the revision in force at a controller, or ``None`` if it does not answer."""
+        status, health = self.operate("GET", "/healthz", controller=controller, timeout_s=timeout_s)
+        return health["document_revision"] if status == 200 else None
+
+    def phases(self, controller: str = "ct-1-1") -> dict[str, tuple[str, str]]:
+        """Return pool and phase of each host as a controller sees them."""
+        status, found = self.operate("GET", "/v1/hosts", controller=controller)
+        rows = found.get("hosts", []) if status == 200 else []
+        return {row["id"]: (row["pool"], row["phase"]) for row in rows}
+
+    # The whole
+
+    def bring_up(self) -> None:
+        """Apply the first lists and wait until every pool serves."""
+        self.site.wait(lambda: self.apply(20.0)[0] == 200, "the first lists", SETTLE_S)
+        self.site.wait(self.is_full, "owed hosts", SETTLE_S)
+        self.site.wait_ready()
+
+    def is_full(self) -> bool:
+        """Return whether all hosts serve in some pool."""
+        phases = self.phases()
+        serving = Counter(pool for pool, phase in phases.values() if phase == "serving")
+        return all(serving[s] >= WORKERS for s in SERVICES[:2])
+
+    def settle(self) -> None:
+        """Wait until jobs of both services run through every gateway again."""
+        for gateway in self.site.gateways:
+            for service in SERVICES[:2]:
+                self.site.wait(
+                    lambda g=gateway, s=service: self.send(self.job(s), g).ok,  # type: ignore[misc]
+                    f"{service} through {gateway} after the fault",
+                    SETTLE_S,
+                )
+
+    def runs(self) -> list[tuple[str, dict[str, Any]]]:
+        """Return every run of every endpoint."""
+        return list(self.site.records())
+
+    def host_running(self, job: Job) -> str | None:
+        """Return the host that began ``job``."""
+        for host, run in self.runs():
+            if run["job"] == job.name:
+                return host
+        return None
