--- /dev/null
+++ b/src/lentilrill/ctl/_commands.py
@@ -0,0 +1,228 @@
+"""What each command does: asks, prints, and returns its exit code."""
+
+import argparse
+import uuid
+from http import HTTPStatus
+from pathlib import Path
+
+import msgspec
+from returns.result import Failure
+
+from lentilrill.ctl import _show as show
+from lentilrill.ctl._client import UNREACHABLE, Client
+from lentilrill.ctl._exit import Exit
+from lentilrill.ctl._files import ListFiles, UsageError
+from lentilrill.ctl._show_status import status_lines, stop_lines
+from lentilrill.ctl._spread import wait_in_force
+from lentilrill.ids import HostId, StopId
+from lentilrill.operators import (
+    ApplyBody,
+    CheckAnswer,
+    CheckBody,
+    EditAnswer,
+    EditVerdict,
+    Problem,
+    StopBody,
+)
+from lentilrill.settings import Finding, check, decode_lists, errors_of
+
+__all__ = [
+    "audit",
+    "cancel_stop",
+    "config_apply",
+    "config_check",
+    "config_diff",
+    "config_show",
+    "declare_stop",
+    "hosts",
+    "list_stops",
+    "status",
+]
+
+
+def config_show(client: Client, options: argparse.Namespace) -> Exit:
+    """Print the document, or write its two files."""
+    result = client.config()
+    if isinstance(result, Failure):
+        return _failed(result.failure(), options)
+    answer = result.unwrap()
+    note = "" if answer.fresh else " (the platform is away; this is the controller's copy)"
+    if options.to is not None:
+        ListFiles.of(options.to).write(answer.document, answer.revision)
+        show.print_lines([f"revision {answer.revision} written to {options.to}{note}"])
+    elif options.json:
+        show.print_json(answer)
+    else:
+        show.print_lines([f"revision {answer.revision}{note}"])
+        show.print_json(answer.document)
+    return Exit.DONE
+
+
+def config_check(client: Client, options: argparse.Namespace) -> Exit:
+    """Check two files, here alone or by a controller that knows the fleet."""
+    if options.offline:
+        return _checked_offline(options)
+    result = _checked(client, options)
+    if isinstance(result, Problem):
+        return _failed(result, options)
+    if options.json:
+        show.print_json(result)
+    else:
+        verdict = "no errors" if result.valid else "errors"
+        show.print_lines([f"checked against revision {result.revision}: {verdict}"])
+        show.print_lines(show.finding_lines(result.findings))
+    return Exit.DONE if result.valid else Exit.REFUSED
+
+
+def config_diff(client: Client, options: argparse.Namespace) -> Exit:
+    """Show what two files would change."""
+    result = _checked(client, options)
+    if isinstance(result, Problem):
+        return _failed(result, options)
+    if options.json:
+        show.print_json(result)
+    elif not result.valid and not result.differences:
+        show.print_lines(show.finding_lines(result.findings))
+    elif not result.differences:
+        show.print_lines([f"no difference from revision {result.revision}"])
+    else:
+        show.print_lines([f"would change in revision {result.revision}:"])
+        show.print_lines(show.difference_lines(result.differences))
+    return Exit.DONE if result.valid else Exit.REFUSED
+
+
+def config_apply(client: Client, options: argparse.Namespace) -> Exit:
+    """Apply two files, and wait until they are in force everywhere."""
+    files = ListFiles.of(options.folder)
+    plans, entitlements = files.read()
+    base = files.base() if options.base is None else options.base
+    body = ApplyBody(base, msgspec.Raw(plans), msgspec.Raw(entitlements), str(uuid.uuid4()))
+    result = client.apply(body)
+    if isinstance(result, Failure):
+        return _failed(result.failure(), options)
+    answer = result.unwrap()
+    files.note_base(answer.revision)
+    return _edited(client, answer, options)
+
+
+def declare_stop(client: Client, options: argparse.Namespace) -> Exit:
+    """Declare a planned stop, and wait until every process knows of it."""
+    hosts = tuple(HostId(host) for host in options.hosts)
+    result = client.declare_stop(
+        StopBody(StopId(options.id), hosts, options.retire, options.reason)
+    )
+    if isinstance(result, Failure):
+        return _failed(result.failure(), options)
+    return _edited(client, result.unwrap(), options)
+
+
+def cancel_stop(client: Client, options: argparse.Namespace) -> Exit:
+    """Take a planned stop back."""
+    result = client.cancel_stop(options.id)
+    if isinstance(result, Failure):
+        return _failed(result.failure(), options)
+    return _edited(client, result.unwrap(), options)
+
+
+def list_stops(client: Client, options: argparse.Namespace) -> Exit:
+    """List planned stops and how far they are."""
+    result = client.status()
+    if isinstance(result, Failure):
+        return _failed(result.failure(), options)
+    stops = result.unwrap().stops
+    if options.json:
+        show.print_json(stops)
+    else:
+        show.print_lines(stop_lines(stops) if stops else ["no planned stops"])
+    return Exit.DONE
+
+
+def status(client: Client, options: argparse.Namespace) -> Exit:
+    """Show the fleet and the system's own processes."""
+    result = client.status()
+    if isinstance(result, Failure):
+        return _failed(result.failure(), options)
+    if options.json:
+        show.print_json(result.unwrap())
+    else:
+        show.print_lines(status_lines(result.unwrap()))
+    return Exit.DONE
+
+
+def hosts(client: Client, options: argparse.Namespace) -> Exit:
+    """List hosts with their pools."""
+    result = client.hosts()
+    if isinstance(result, Failure):
+        return _failed(result.failure(), options)
+    rows = [row for row in result.unwrap().hosts if options.pool in (None, row.pool)]
+    if options.json:
+        show.print_json(rows)
+    else:
+        show.print_lines(show.host_lines(rows) if rows else ["no hosts"])
+    return Exit.DONE
+
+
+def audit(client: Client, options: argparse.Namespace) -> Exit:
+    """Show the newest edits."""
+    result = client.audit(options.limit)
+    if isinstance(result, Failure):
+        return _failed(result.failure(), options)
+    entries = result.unwrap().entries
+    if options.json:
+        show.print_json(entries)
+    else:
+        show.print_lines(show.audit_lines(entries) if entries else ["no edits yet"])
+    return Exit.DONE
+
+
+def _checked(client: Client, options: argparse.Namespace) -> CheckAnswer | Problem:
+    plans, entitlements = ListFiles.of(options.folder).read()
+    result = client.check(CheckBody(msgspec.Raw(plans), msgspec.Raw(entitlements)))
+    return result.failure() if isinstance(result, Failure) else result.unwrap()
+
+
+def _checked_offline(options: argparse.Namespace) -> Exit:
+    plans, entitlements = ListFiles.of(options.folder).read(broken=True)
+    decoded = decode_lists(plans, entitlements)
+    findings: tuple[Finding, ...]
+    findings = decoded.failure() if isinstance(decoded, Failure) else check(decoded.unwrap())
+    if options.json:
+        show.print_json(findings)
+    else:
+        show.print_lines(show.finding_lines(findings) or ["no errors"])
+    return Exit.REFUSED if errors_of(findings) else Exit.DONE
+
+
+def _edited(client: Client, answer: EditAnswer, options: argparse.Namespace) -> Exit:
+    if options.json:
+        show.print_json(answer)
+    else:
+        show.print_lines(show.edit_lines(answer))
+    if options.no_wait:
+        return Exit.DONE
+    return wait_in_force(client, answer.revision, options.wait)
+
+
+def _failed(problem: Problem, options: argparse.Namespace) -> Exit:
+    if options.json:
+        show.print_json(problem)
+    else:
+        show.print_lines(show.problem_lines(problem), to_stderr=True)
+    if problem.verdict is EditVerdict.UNKNOWN:
+        return Exit.UNKNOWN
+    if problem.status == HTTPStatus.CONFLICT:
+        return Exit.CONFLICT
+    if problem.type == UNREACHABLE or problem.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        return Exit.UNREACHABLE
+    return Exit.REFUSED
+
+
+def read_token(path: Path) -> str:
+    """Return the token in a file.
+
+    :raises UsageError: if the file can't be read.
+    """
+    try:
+        return path.read_text().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise UsageError(f"{path}: {error}") from error
--- /dev/null
+++ b/src/lentilrill/ctl/_files.py
@@ -0,0 +1,95 @@
+"""The operators' two files in a folder, and the revision that they were edited from."""
+
+from pathlib import Path
+
+import msgspec
+
+from lentilrill.ids import Revision
+from lentilrill.settings import Document, encode_lists
+
+__all__ = ["ListFiles", "UsageError"]
+
+PLANS = "plans.json"
+ENTITLEMENTS = "entitlements.json"
+REVISION = "revision"
+
+
+class UsageError(Exception):
+    """A file or an argument that a command can't go on with."""
+
+
+class ListFiles(msgspec.Struct, frozen=True):
+    """``plans.json``, ``entitlements.json`` and ``revision`` in one folder."""
+
+    folder: Path
+
+    @classmethod
+    def of(cls, folder: Path) -> "ListFiles":
+        """Return the files of ``folder``."""
+        return cls(folder)
+
+    def read(self, broken: bool = False) -> tuple[bytes, bytes]:
+        """Return the content of both lists.
+
+        :param broken: whether broken JSON is let through.
+        :raises UsageError: if a file can't be read, or isn't JSON.
+        """
+        plans, entitlements = (self._read(name) for name in (PLANS, ENTITLEMENTS))
+        if not broken:
+            self._check_json(PLANS, plans)
+            self._check_json(ENTITLEMENTS, entitlements)
+        return plans, entitlements
+
+    def write(self, document: Document, revision: Revision) -> None:
+        """Write both lists, and note their revision.
+
+        :raises UsageError: if a file can't be written.
+        """
+        plans, entitlements = encode_lists(document)
+        try:
+            self.folder.mkdir(parents=True, exist_ok=True)
+            (self.folder / PLANS).write_bytes(plans)
+            (self.folder / ENTITLEMENTS).write_bytes(entitlements)
+        except OSError as error:
+            raise UsageError(f"{self.folder}: {error.strerror}") from error
+        self.note_base(revision)
+
+    def base(self) -> Revision:
+        """Return the revision that the lists were edited from; 0 if none was noted.
+
+        :raises UsageError: if the note isn't a number.
+        """
+        path = self.folder / REVISION
+        try:
+            text = path.read_text().strip()
+        except FileNotFoundError:
+            return Revision(0)
+        except (OSError, UnicodeDecodeError) as error:
+            raise UsageError(f"{path}: {error}") from error
+        if not (text.isascii() and text.isdigit()):
+            raise UsageError(f"{path}: not a revision; write the lists anew with config show --to")
+        return Revision(int(text))
+
+    def note_base(self, revision: Revision) -> None:
+        """Note that the lists are those of ``revision`` now.
+
+        :raises UsageError: if the note can't be written.
+        """
+        path = self.folder / REVISION
+        try:
+            path.write_text(f"{revision}\n")
+        except OSError as error:
+            raise UsageError(f"{path}: {error.strerror}") from error
+
+    def _read(self, name: str) -> bytes:
+        path = self.folder / name
+        try:
+            return path.read_bytes()
+        except OSError as error:
+            raise UsageError(f"{path}: {error.strerror}") from error
+
+    def _check_json(self, name: str, content: bytes) -> None:
+        try:
+            msgspec.json.decode(content)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            raise UsageError(f"{self.folder / name}: broken JSON: {error}") from error
--- /dev/null
+++ b/src/lentilrill/ctl/_main.py
@@ -0,0 +1,202 @@
+"""The command line: arguments, environment, and one command run."""
+
+import argparse
+import os
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from lentilrill.ctl import _commands as commands
+from lentilrill.ctl._client import Client
+from lentilrill.ctl._exit import EXIT_HELP, Exit
+from lentilrill.ctl._files import UsageError
+
+__all__ = ["main"]
+
+CONTROLLERS_VARIABLE = "LENTILRILL_CONTROLLERS"
+TOKEN_VARIABLE = "LENTILRILL_TOKEN"
+DEFAULT_WAIT_S = 10.0
+DEFAULT_AUDIT_LIMIT = 20
+
+EPILOG = f"""\
+environment:
+  {CONTROLLERS_VARIABLE}  controllers' addresses, with commas between, if --controller is not given
+  {TOKEN_VARIABLE}        the operator's token, if --token-file is not given
+
+examples:
+  export {CONTROLLERS_VARIABLE}=10.0.1.11:8081,10.0.2.11:8081
+  lentilrillctl --token-file ~/.lentilrill-token status
+  lentilrillctl config show --to lists      # writes lists/plans.json and lists/entitlements.json
+  lentilrillctl config diff lists           # after editing them
+  lentilrillctl config apply lists          # waits until they are in force everywhere
+  lentilrillctl stop declare june-rack4 --host w17 --host w18 --reason "new switch"
+  lentilrillctl stop list
+  lentilrillctl audit --limit 5
+
+{EXIT_HELP}"""
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one command.
+
+    :return: the exit code, see :class:`Exit`.
+    """
+    options = _parser().parse_args(argv)
+    try:
+        client = Client(_controllers(options), _token(options))
+        exit_code: Exit = options.run(client, options)
+    except UsageError as error:
+        print(f"lentilrillctl: {error}", file=sys.stderr)
+        return Exit.USAGE
+    except BrokenPipeError:
+        # The reader of the output went away, as `head` does; there is nobody left to tell.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return Exit.DONE
+    except KeyboardInterrupt:
+        print("interrupted; 'lentilrillctl audit' tells what was accepted", file=sys.stderr)
+        return Exit.UNKNOWN
+    return exit_code
+
+
+def _controllers(options: argparse.Namespace) -> list[str]:
+    given = options.controller or os.environ.get(CONTROLLERS_VARIABLE, "").split(",")
+    addresses = [address.strip() for address in given if address.strip()]
+    if not addresses and not getattr(options, "offline", False):
+        raise UsageError(f"no controller given: use --controller or {CONTROLLERS_VARIABLE}")
+    return addresses
+
+
+def _token(options: argparse.Namespace) -> str:
+    if options.token_file is not None:
+        return commands.read_token(options.token_file)
+    return os.environ.get(TOKEN_VARIABLE, "").strip()
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="lentilrillctl",
+        description="Edit lentilrill's configuration, declare planned stops, and see the fleet.",
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.set_defaults(controller=None, token_file=None)
+    _add_reaching(parser)
+    subjects = parser.add_subparsers(dest="subject", required=True, metavar="COMMAND")
+    _add_config(subjects)
+    _add_stop(subjects)
+    _leaf(subjects, "status", commands.status, "show pools, processes and planned stops")
+    hosts = _leaf(subjects, "hosts", commands.hosts, "list hosts with their pools")
+    hosts.add_argument("--pool", help="only hosts of this pool")
+    audit = _leaf(subjects, "audit", commands.audit, "show who changed what")
+    audit.add_argument(
+        "--limit", type=_count, default=DEFAULT_AUDIT_LIMIT, metavar="N", help="newest N edits"
+    )
+    return parser
+
+
+def _add_config(subjects: argparse._SubParsersAction) -> None:
+    group = subjects.add_parser("config", help="plans, and what each plan may use")
+    verbs = group.add_subparsers(dest="verb", required=True, metavar="VERB")
+    show = _leaf(verbs, "show", commands.config_show, "print the configuration in force")
+    show.add_argument("--to", type=Path, metavar="DIR", help="write the two lists there to edit")
+    check = _leaf(verbs, "check", commands.config_check, "report every error in two lists")
+    check.add_argument("--offline", action="store_true", help="check without a controller")
+    diff = _leaf(verbs, "diff", commands.config_diff, "show what two lists would change")
+    apply = _leaf(verbs, "apply", commands.config_apply, "put two lists in force")
+    apply.add_argument(
+        "--base",
+        type=_revision,
+        metavar="REVISION",
+        help="revision the lists were edited from (default: the file DIR/revision, else 0)",
+    )
+    for leaf in (check, diff, apply):
+        leaf.add_argument(
+            "folder", type=Path, metavar="DIR", help="folder of plans.json and entitlements.json"
+        )
+    _add_waiting(apply)
+
+
+def _add_stop(subjects: argparse._SubParsersAction) -> None:
+    group = subjects.add_parser("stop", help="planned stops")
+    verbs = group.add_subparsers(dest="verb", required=True, metavar="VERB")
+    declare = _leaf(verbs, "declare", commands.declare_stop, "declare a planned stop of hosts")
+    declare.add_argument("id", metavar="ID", help="a name for the stop")
+    declare.add_argument(
+        "--host", dest="hosts", action="append", required=True, metavar="HOST", help="repeat it"
+    )
+    declare.add_argument("--retire", action="store_true", help="the hosts leave for good")
+    declare.add_argument("--reason", default="", help="shown in status and audit")
+    cancel = _leaf(verbs, "cancel", commands.cancel_stop, "take a planned stop back")
+    cancel.add_argument("id", metavar="ID")
+    for leaf in (declare, cancel):
+        _add_waiting(leaf)
+    _leaf(verbs, "list", commands.list_stops, "list planned stops and how far they are")
+
+
+def _leaf(
+    verbs: argparse._SubParsersAction, name: str, run: object, text: str
+) -> argparse.ArgumentParser:
+    leaf: argparse.ArgumentParser = verbs.add_parser(
+        name,
+        help=text,
+        description=text[0].upper() + text[1:] + ".",
+        epilog=EXIT_HELP,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    leaf.add_argument("--json", action="store_true", help="print the answer as JSON")
+    leaf.set_defaults(run=run)
+    _add_reaching(leaf)
+    return leaf
+
+
+def _add_reaching(parser: argparse.ArgumentParser) -> None:
+    """Add what every command takes, before or after its name.
+
+    Defaults are left out: those of a command would hide what was given before it.
+    """
+    parser.add_argument(
+        "--controller",
+        action="append",
+        metavar="ADDR",
+        default=argparse.SUPPRESS,
+        help="address (ip:port) of a controller; repeat it, the next is tried when one is away",
+    )
+    parser.add_argument(
+        "--token-file",
+        type=Path,
+        metavar="FILE",
+        default=argparse.SUPPRESS,
+        help="file with the operator's token",
+    )
+
+
+def _add_waiting(leaf: argparse.ArgumentParser) -> None:
+    leaf.add_argument(
+        "--wait",
+        type=_seconds,
+        default=DEFAULT_WAIT_S,
+        metavar="SECONDS",
+        help=f"how long to wait until it is in force everywhere (default: {DEFAULT_WAIT_S:.0f})",
+    )
+    leaf.add_argument("--no-wait", action="store_true", help="end as soon as it is accepted")
+
+
+def _count(text: str) -> int:
+    value = int(text)
+    if not 1 <= value <= 1000:
+        raise argparse.ArgumentTypeError("must be from 1 to 1000")
+    return value
+
+
+def _revision(text: str) -> int:
+    value = int(text)
+    if value < 0:
+        raise argparse.ArgumentTypeError("must not be negative")
+    return value
+
+
+def _seconds(text: str) -> float:
+    value = float(text)
+    if not 0 <= value < float("inf"):
+        raise argparse.ArgumentTypeError("must be a number of seconds")
+    return value
--- /dev/null
+++ b/src/lentilrill/ctl/_show_status.py
@@ -0,0 +1,118 @@
+"""The whole picture as text for people."""
+
+from collections.abc import Iterable
+
+from lentilrill.ctl._show import INDENT, table
+from lentilrill.membership import Liveness
+from lentilrill.operators import MemberStatus, Reach, Status, StopStatus, WaveStatus, reach
+
+__all__ = ["reach_text", "status_lines", "stop_lines"]
+
+MAX_NAMED = 8
+
+
+def status_lines(status: Status) -> list[str]:
+    """Return the fleet's and the system's state, trouble first."""
+    platform = "reachable" if status.platform_reachable else "NOT reachable"
+    spread = reach_text(reach(status, status.document_revision))
+    return [
+        f"as seen by {status.process} in {status.zone}; the platform is {platform} from there",
+        f"revision {status.document_revision} is {spread}",
+        *_trouble_lines(status),
+        "",
+        *_pool_lines(status),
+        "",
+        *_process_lines(status.members),
+        *_stop_section(status),
+    ]
+
+
+def reach_text(where: Reach) -> str:
+    """Return where a revision is in force, in one line."""
+    living = len(where.reached) + len(where.behind)
+    text = f"in force at {len(where.reached)} of {living} processes"
+    if where.everywhere:
+        return f"in force everywhere ({living} processes)"
+    if where.behind:
+        text += f", not yet at {_named(where.behind)}"
+    if where.unheard:
+        text += f"; not heard: {_named(where.unheard)}"
+    return text
+
+
+def stop_lines(stops: Iterable[StopStatus]) -> list[str]:
+    """Return a table of planned stops, each followed by what holds it up."""
+    rows = [
+        (
+            stop.id,
+            stop.state.value,
+            len(stop.waiting),
+            len(stop.withdrawing),
+            len(stop.stopped),
+            "?" if stop.expected_s is None else f"{stop.expected_s:.0f} s",
+            "retire" if stop.retire else "maintenance",
+            stop.reason or "-",
+        )
+        for stop in stops
+    ]
+    head = ("STOP", "STATE", "WAITING", "WITHDRAWING", "FREE", "EXPECTED", "FOR", "REASON")
+    notes = [f"{INDENT}{stop.id}: {stop.why}" for stop in stops if stop.why]
+    return table(head, rows) + notes
+
+
+def _trouble_lines(status: Status) -> list[str]:
+    lines = []
+    if not status.platform_reachable:
+        lines.append("! configuration can't be edited through this controller now")
+    suspect = [m.process for m in status.members if m.liveness is Liveness.SUSPECT]
+    if suspect:
+        lines.append(f"! not heard: {_named(suspect)}")
+    for pool in status.pools:
+        if pool.missing:
+            lines.append(f"! pool {pool.pool} misses {pool.missing} of {pool.owed} owed hosts")
+    return lines
+
+
+def _pool_lines(status: Status) -> list[str]:
+    rows = [
+        (
+            pool.pool + (" (spare)" if pool.spare else ""),
+            pool.owed,
+            pool.serving,
+            pool.withdrawing,
+            pool.stopped,
+            pool.missing,
+        )
+        for pool in status.pools
+    ]
+    return table(("POOL", "OWED", "SERVING", "WITHDRAWING", "STOPPED", "MISSING"), rows)
+
+
+def _process_lines(members: Iterable[MemberStatus]) -> list[str]:
+    rows = [
+        (m.process, m.role.value, m.zone, m.entry_host, m.liveness.value, m.complete_to)
+        for m in sorted(members, key=lambda m: (m.zone, m.role.value, m.process))
+    ]
+    return table(("PROCESS", "ROLE", "ZONE", "ENTRY HOST", "STATE", "COMPLETE TO"), rows)
+
+
+def _stop_section(status: Status) -> list[str]:
+    if not status.stops:
+        return ["", "no planned stops"]
+    return ["", *stop_lines(status.stops), *_wave_lines(status.waves)]
+
+
+def _wave_lines(waves: tuple[WaveStatus, ...]) -> list[str]:
+    if not waves:
+        return []
+    rows = [
+        (w.stop, w.number, len(w.hosts), "done" if w.done else "running", w.predicted_s, w.actual_s)
+        for w in waves
+    ]
+    return ["", *table(("STOP", "WAVE", "HOSTS", "STATE", "PREDICTED S", "TAKEN S"), rows)]
+
+
+def _named(processes: Iterable[str]) -> str:
+    names = sorted(processes)
+    more = f" and {len(names) - MAX_NAMED} more" if len(names) > MAX_NAMED else ""
+    return ", ".join(names[:MAX_NAMED]) + more
--- /dev/null
+++ b/src/lentilrill/ctl/_spread.py
@@ -0,0 +1,46 @@
+"""Waits until a revision is in force everywhere, and tells how far it is."""
+
+import sys
+import time
+from collections.abc import Callable
+
+from returns.result import Failure
+
+from lentilrill.ctl._client import Client
+from lentilrill.ctl._exit import Exit
+from lentilrill.ctl._show_status import reach_text
+from lentilrill.ids import Revision
+from lentilrill.operators import reach
+
+__all__ = ["wait_in_force"]
+
+POLL_S = 0.2
+
+
+def wait_in_force(
+    client: Client,
+    revision: Revision,
+    wait_s: float,
+    *,
+    clock: Callable[[], float] = time.monotonic,
+    pause: Callable[[float], None] = time.sleep,
+) -> Exit:
+    """Wait up to ``wait_s`` seconds; progress goes to stderr, a line when it changes."""
+    began, shown = clock(), ""
+    while True:
+        answer = client.status()
+        if isinstance(answer, Failure):
+            text, everywhere = f"status: {answer.failure().detail}", False
+        else:
+            where = reach(answer.unwrap(), revision)
+            text, everywhere = reach_text(where), where.everywhere
+        if text != shown:
+            print(f"revision {revision}: {text}", file=sys.stderr)
+            shown = text
+        waited_s = clock() - began
+        if everywhere:
+            return Exit.DONE
+        if waited_s >= wait_s:
+            print(f"not in force everywhere after {waited_s:.1f} s", file=sys.stderr)
+            return Exit.NOT_IN_FORCE
+        pause(POLL_S)
--- a/src/lentilrill/operators/_editing.py
+++ b/src/lentilrill/operators/_editing.py
@@ -14,7 +14,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from lentilrill.faults import FaultKind
+from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import Revision, StopId
 from lentilrill.operators import _outcomes as outcomes
 from lentilrill.operators._audit import Action, AuditEntry, AuditRecord, AuditTrail, EditVerdict
@@ -28,7 +28,7 @@
 
 MAX_DOCUMENT_BYTES = 1_000_000
 """The platform's bound of a value."""
-MAX_EDITS_SHOWN = 50
+MAX_EDITS_SEARCHED = 1000
 STOP_TRIES = 8
 DIGEST_CHARS = 12
 WRITE_ID_PATTERN = re.compile(r"[A-Za-z0-9-]{8,80}")
@@ -86,7 +86,10 @@
         if isinstance(read, Failure):
             return outcomes.unavailable(write_id, base, read.failure())
         head = read.unwrap()
-        since = self._since(base, head)
+        looked_up = self._since(base, head)
+        if isinstance(looked_up, Failure):
+            return outcomes.unavailable(write_id, base, looked_up.failure())
+        since = looked_up.unwrap()
         earlier = _own_earlier(head, since, write_id)
         if earlier is not None:
             return earlier
@@ -164,15 +167,19 @@
             return outcome
         head = read.unwrap()
         differences = difference(head.document, _with_lists(head.document, candidate))
-        since = self._since(outcome.base, head)
+        since = self._since(outcome.base, head).value_or(())
         return outcomes.conflict(outcome.write_id, outcome.base, head, differences, since)
 
-    def _since(self, base: Revision, head: Head) -> tuple[AuditEntry, ...]:
-        """Return the accepted edits after ``base``; nothing if the trail can't tell all."""
+    def _since(self, base: Revision, head: Head) -> Result[tuple[AuditEntry, ...], Fault]:
+        """Return the accepted edits after ``base``; none if the trail doesn't hold them all.
+
+        A trail that can't be read now is a fault, and not "none": an edit sent again after a lost
+        answer would be told as a conflict, while it is in force.
+        """
         if head.revision == base:
-            return ()
-        read = self._audit.since(base, head.document.edit, MAX_EDITS_SHOWN)
-        return read.value_or(None) or ()
+            return Success(())
+        read = self._audit.since(base, head.document.edit, MAX_EDITS_SEARCHED)
+        return read.map(lambda entries: entries or ())
 
     def _told(self, who: str, action: Action, outcome: EditOutcome) -> EditOutcome:
         """Log an outcome, and leave a record of an edit that was not accepted."""
--- a/src/lentilrill/operators/_outcomes.py
+++ b/src/lentilrill/operators/_outcomes.py
@@ -28,6 +28,7 @@
 ]
 
 MAX_MESSAGE_CHARS = 1000
+MAX_EDITS_SHOWN = 50
 
 
 class EditOutcome(msgspec.Struct, frozen=True):
@@ -102,7 +103,7 @@
         revision=head.revision,
         base=base,
         differences=differences,
-        since=since,
+        since=since[-MAX_EDITS_SHOWN:],
         message=f"edited from revision {base}, but revision {head.revision}{by} is in force",
     )
 
--- a/src/lentilrill/operators/_server.py
+++ b/src/lentilrill/operators/_server.py
@@ -50,6 +50,7 @@
 
     :param status: makes the whole picture, on each request for it.
     :param host_list: with it, promises that the fleet can't meet are warned of.
+    :param settle_s: seconds to go on asking what became of a write whose answer was lost.
     """
 
     def __init__(
@@ -60,12 +61,13 @@
         status: Callable[[], Status],
         metrics: Metrics | None = None,
         host_list: HostList | None = None,
+        settle_s: float = 6.0,
     ) -> None:
         self._tokens_sha256 = settings.operator_tokens_sha256
         self._view = view
         self._metrics: Metrics = metrics or NoMetrics()
         self._audit = AuditTrail(kv)
-        store = DocumentStore(kv, self._audit)
+        store = DocumentStore(kv, self._audit, settle_s=settle_s)
         editor = Editor(store, self._audit, on_accepted=self._offer)
         api = Api(store, editor, self._audit, view, status, self._metrics, host_list)
         self._handlers = _routes(api)
--- a/src/lentilrill/settings/__init__.py
+++ b/src/lentilrill/settings/__init__.py
@@ -12,13 +12,13 @@
 )
 from lentilrill.settings._findings import Finding, Severity, errors_of
 from lentilrill.settings._lists import EntitlementsFile, decode_lists, encode_lists
+from lentilrill.settings._loading import load_settings
 from lentilrill.settings._process import (
     ControllerSettings,
     GatewaySettings,
     InnerKeys,
     PlatformSettings,
     ProcessSettings,
-    load_settings,
 )
 
 __all__ = [
--- a/src/lentilrill/settings/_lists.py
+++ b/src/lentilrill/settings/_lists.py
@@ -15,6 +15,8 @@
 __all__ = ["EntitlementsFile", "decode_lists", "encode_lists"]
 
 MAX_SHOWN_KEY_CHARS = 80
+BROKEN = object()
+"""Stands for the value of a file that is no JSON; its finding is there already."""
 
 S = TypeVar("S", bound=msgspec.Struct)
 
@@ -60,17 +62,17 @@
         self.findings: list[Finding] = []
 
     def parsed(self, text: bytes, path: str) -> Any:
-        """Return the JSON value of ``text``, or ``None`` with a finding."""
+        """Return the JSON value of ``text``, or ``BROKEN`` with a finding."""
         try:
             return msgspec.json.decode(text)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, OverflowError) as error:
             self._add(path, f"broken JSON: {error}")
-            return None
+            return BROKEN
 
     def entries(self, raw: Any, kind: type[S], path: str) -> tuple[S, ...]:
         """Convert a list entry by entry; entries with errors are left out."""
         if not isinstance(raw, list):
-            if raw is not None or not self.findings:
+            if raw is not BROKEN:
                 self._add(path, f"expected a list, got {_kind_of(raw)}")
             return ()
         entries = (self._entry(item, kind, f"{path}[{n}]") for n, item in enumerate(raw))
@@ -79,7 +81,7 @@
     def struct_values(self, raw: Any, kind: type[msgspec.Struct], path: str) -> dict[str, Any]:
         """Convert an object's fields one by one; return those that are right."""
         if not isinstance(raw, dict):
-            if raw is not None or not self.findings:
+            if raw is not BROKEN:
                 self._add(path or "entitlements.json", f"expected an object, got {_kind_of(raw)}")
             return {}
         fields = {field.name: field for field in msgspec.structs.fields(kind)}
--- /dev/null
+++ b/src/lentilrill/settings/_loading.py
@@ -0,0 +1,54 @@
+"""Reading a process's settings from a file."""
+
+import re
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.settings._process import ProcessSettings
+from lentilrill.settings._process_checks import problems_of
+
+__all__ = ["load_settings", "located"]
+
+UNKNOWN_FIELD = re.compile(r"Object contains unknown field `(.*)`", re.DOTALL)
+MISSING_FIELD = re.compile(r"Object missing required field `(.*)`", re.DOTALL)
+
+S = TypeVar("S", bound=ProcessSettings)
+
+
+def load_settings(path: Path, kind: type[S]) -> Result[S, Fault]:
+    """Read settings of ``kind`` from the JSON file at ``path``.
+
+    :return: the settings, or a fault whose reason, in one line, names each offending key's path.
+    """
+    try:
+        settings = msgspec.json.decode(path.read_bytes(), type=kind)
+    except OSError as error:
+        return _invalid(path, error.strerror or str(error))
+    except msgspec.ValidationError as error:
+        where, message = located(error)
+        return _invalid(path, f"{where}: {message}" if where else message)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return _invalid(path, f"broken JSON: {error}")
+    problems = problems_of(settings)
+    return _invalid(path, "; ".join(problems)) if problems else Success(settings)
+
+
+def located(error: msgspec.ValidationError) -> tuple[str, str]:
+    """Return the key's path and the message of an error, without the decoder's notation."""
+    message, _, at = str(error).partition(" - at `$")
+    path = at.rstrip("`").lstrip(".")
+    for pattern, text in ((UNKNOWN_FIELD, "unknown key"), (MISSING_FIELD, "missing")):
+        found = pattern.fullmatch(message)
+        if found:
+            name = found.group(1)
+            return (f"{path}.{name}" if path else name), text
+    return path, message
+
+
+def _invalid(path: Path, reason: str) -> Result[S, Fault]:
+    line = " ".join(reason.split())
+    return Failure(Fault("settings.load", str(path), FaultKind.INVALID, line))
--- a/src/lentilrill/settings/_process.py
+++ b/src/lentilrill/settings/_process.py
@@ -1,12 +1,9 @@
-"""Settings of one process, read strictly from a JSON file."""
+"""Settings of one process."""
 
-from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import Annotated
 
 import msgspec
-from returns.result import Failure, Result, Success
 
-from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import EntryHostId, ProcessId, ZoneId
 
 __all__ = [
@@ -15,7 +12,6 @@
     "InnerKeys",
     "PlatformSettings",
     "ProcessSettings",
-    "load_settings",
 ]
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
@@ -104,20 +100,3 @@
     operator_tokens_sha256: dict[str, str]
     plan_every_s: Positive = 1.0
     host_list_lag_s: Positive = 10.0
-
-
-S = TypeVar("S", bound=ProcessSettings)
-
-
-def load_settings(path: Path, kind: type[S]) -> Result[S, Fault]:
-    """Read settings of ``kind`` from the JSON file at ``path``.
-
-    :return: the settings, or a fault whose reason names the offending key's path.
-    """
-    try:
-        return Success(msgspec.json.decode(path.read_bytes(), type=kind))
-    except OSError as error:
-        reason = error.strerror or str(error)
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
-        reason = str(error)
-    return Failure(Fault("settings.load", str(path), FaultKind.INVALID, reason))
--- /dev/null
+++ b/src/lentilrill/settings/_process_checks.py
@@ -0,0 +1,98 @@
+"""Checks of a process's settings that go beyond the type of one key."""
+
+import ipaddress
+import re
+from collections.abc import Callable, Iterator
+
+import zmq
+
+from lentilrill.settings._process import ControllerSettings, GatewaySettings, ProcessSettings
+
+__all__ = ["problems_of"]
+
+DIGEST_PATTERN = re.compile(r"[0-9a-fA-F]{64}")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+MAX_PORT = 65535
+
+Problems = Iterator[str]
+
+
+def problems_of(settings: ProcessSettings) -> tuple[str, ...]:
+    """Return what is wrong, each as ``key.path: message``."""
+    checks: tuple[Callable[[ProcessSettings], Problems], ...] = (
+        _addresses,
+        _keys,
+        _liveness,
+        _own,
+    )
+    return tuple(problem for check in checks for problem in check(settings))
+
+
+def _addresses(settings: ProcessSettings) -> Problems:
+    yield from _address("inner", settings.inner)
+    for n, seed in enumerate(settings.seeds):
+        yield from _address(f"seeds[{n}]", seed)
+    if settings.statsd:
+        yield from _address("statsd", settings.statsd)
+    if isinstance(settings, GatewaySettings | ControllerSettings):
+        yield from _address("listen", settings.listen)
+        yield from _address("platform.host_list", settings.platform.host_list)
+        for n, address in enumerate(settings.platform.key_value):
+            yield from _address(f"platform.key_value[{n}]", address)
+        if settings.listen == settings.inner:
+            yield f"listen: {settings.listen} is the inner address too"
+
+
+def _address(path: str, address: str) -> Problems:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        yield f"{path}: {address!r} is not an IP address and a port"
+        return
+    if not port.isdigit() or not 1 <= int(port) <= MAX_PORT:
+        yield f"{path}: port of {address!r} is out of range: 1 to {MAX_PORT}"
+
+
+def _keys(settings: ProcessSettings) -> Problems:
+    try:
+        derived = zmq.curve_public(settings.keys.secret.encode()).decode()
+    except (zmq.ZMQError, ValueError, UnicodeError):
+        yield "keys.secret: is not a CURVE key in Z85 text"
+        return
+    if derived != settings.keys.public:
+        yield "keys.public: does not belong to keys.secret"
+
+
+def _liveness(settings: ProcessSettings) -> Problems:
+    if settings.suspect_after_s <= settings.heartbeat_s:
+        yield (
+            f"suspect_after_s: {settings.suspect_after_s} must be more than heartbeat_s "
+            f"({settings.heartbeat_s}), or every peer is suspect between two heartbeats"
+        )
+
+
+def _own(settings: ProcessSettings) -> Problems:
+    for name in ("process", "entry_host", "zone"):
+        if not getattr(settings, name):
+            yield f"{name}: must not be empty"
+    if settings.log_level not in LOG_LEVELS:
+        yield f"log_level: {settings.log_level!r} is none of {', '.join(LOG_LEVELS)}"
+    if isinstance(settings, ControllerSettings):
+        yield from _operators(settings)
+
+
+def _operators(settings: ControllerSettings) -> Problems:
+    tokens = settings.operator_tokens_sha256
+    if not tokens:
+        yield "operator_tokens_sha256: names no operator, so nobody could edit anything"
+    owner_by_digest: dict[str, str] = {}
+    for name, digest in tokens.items():
+        path = f"operator_tokens_sha256.{name}"
+        if not name:
+            yield f"{path}: the operator has no name"
+        if not DIGEST_PATTERN.fullmatch(digest):
+            yield f"{path}: must be a SHA-256 in 64 hex digits"
+        elif digest.lower() in owner_by_digest:
+            yield f"{path}: is the token of {owner_by_digest[digest.lower()]!r} too"
+        owner_by_digest.setdefault(digest.lower(), name)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -21,9 +21,10 @@
     ZoneId,
 )
 from lentilrill.membership import Member, Role
-from lentilrill.settings import Entitlement, InnerKeys, Plan, Pool
+from lentilrill.settings import Document, Entitlement, InnerKeys, Plan, Pool
 
 __all__ = [
+    "a_document",
     "a_member",
     "a_plan",
     "a_pool",
@@ -80,6 +81,20 @@
     return Entitlement(**values | changes)
 
 
+def a_document(*names: str, **changes: Any) -> Document:
+    """Return a document with a plan, a pool and an entitlement of each name.
+
+    The last one's pool is the spare.
+
+    :param changes: what differs in every plan.
+    """
+    return Document(
+        plans=tuple(a_plan(name, **changes) for name in names),
+        pools=tuple(a_pool(name, spare=name == names[-1]) for name in names),
+        entitlements=tuple(an_entitlement(name) for name in names),
+    )
+
+
 def an_entry(name: str = "h1", **changes: Any) -> HostEntry:
     """Return a serving host of zone ``z1``."""
     values: dict[str, Any] = {
--- /dev/null
+++ b/tests/operators/test_ctl.py
@@ -0,0 +1,203 @@
+"""The command line against served controllers."""
+
+import contextlib
+import io
+import json
+import os
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.ctl import main
+from lentilrill.membership import Liveness
+from lentilrill.operators import StopState, StopStatus
+from lentilrill.settings import encode_lists
+from tests.builders import a_document, an_address
+from tests.fakes import MemoryKeyValue, lose_answer
+from tests.operators.serving import TOKEN, ServedController, a_member_status
+
+
+class CtlTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.served = self.serve(MemoryKeyValue())
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.lists("mine", 2)
+
+    def serve(self, kv: MemoryKeyValue) -> ServedController:
+        served = ServedController(kv)
+        served.server.start()
+        self.addCleanup(served.server.stop)
+        return served
+
+    def lists(self, name: str, hosts_owed: int) -> str:
+        folder = self.folder / name
+        folder.mkdir(exist_ok=True)
+        document = a_document("schools", "spare", hosts_owed=hosts_owed)
+        plans, entitlements = encode_lists(document)
+        distinct = json.loads(plans)
+        (folder / "plans.json").write_text(json.dumps(distinct))
+        (folder / "entitlements.json").write_bytes(entitlements)
+        return str(folder)
+
+    def run_ctl(self, *arguments: str, controllers: str | None = None, token: str = TOKEN):
+        environment = {
+            "LENTILRILL_CONTROLLERS": controllers or self.served.address,
+            "LENTILRILL_TOKEN": token,
+        }
+        out, err = io.StringIO(), io.StringIO()
+        with (
+            mock.patch.dict(os.environ, environment),
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(err),
+        ):
+            try:
+                code = main(arguments)
+            except SystemExit as end:
+                code = end.code
+        return int(code), out.getvalue(), err.getvalue()
+
+    def test_show_edit_diff_apply(self) -> None:
+        mine = self.lists("mine", 2)
+        code, out, err = self.run_ctl("config", "apply", mine)
+        self.assertEqual(
+            (0, ""), (code, err.replace("revision 1: in force everywhere (1 processes)\n", ""))
+        )
+        self.assertIn("accepted as revision 1, edit 1", out)
+        copy = str(self.folder / "copy")
+        self.assertEqual(0, self.run_ctl("config", "show", "--to", copy)[0])
+        plans = Path(copy, "plans.json")
+        plans.write_text(plans.read_text().replace('"hosts_owed": 2', '"hosts_owed": 3', 1))
+        code, out, _ = self.run_ctl("config", "diff", copy)
+        self.assertEqual(0, code)
+        self.assertIn("~ plans schools", out)
+        self.assertIn("hosts_owed: 2 -> 3", out)
+        code, out, _ = self.run_ctl("config", "apply", copy, "--json", "--no-wait")
+        self.assertEqual((0, "accepted"), (code, json.loads(out)["verdict"]))
+        self.assertIn("unchanged", self.run_ctl("config", "apply", copy)[1])
+
+    def test_the_loser_of_a_race(self) -> None:
+        # Two operators write the lists out, edit, and apply. The second one's exit code is 3, and
+        # the message shows whose edit came first and what differs.
+        self.run_ctl("config", "apply", self.lists("mine", 2))
+        mine, other = self.lists("mine", 3), self.lists("other", 4)
+        (self.folder / "other" / "revision").write_text("1\n")
+        self.assertEqual(0, self.run_ctl("config", "apply", other)[0])
+        code, _, err = self.run_ctl("config", "apply", mine)
+        self.assertEqual(3, code)
+        self.assertIn("Another edit came first", err)
+        self.assertIn("hosts_owed: 4 -> 3", err)
+        self.assertIn("asha", err)
+
+    def test_a_controller_away_is_passed_over(self) -> None:
+        # An entry host was replaced and its address answers nothing: the next one is asked.
+        both = f"{an_address()},{self.served.address}"
+        self.assertEqual(
+            0, self.run_ctl("config", "apply", self.lists("m", 2), controllers=both)[0]
+        )
+        self.assertEqual(4, self.run_ctl("status", controllers=an_address())[0])
+
+    def test_a_controller_cut_off_from_the_platform_is_passed_over(self) -> None:
+        # The first controller's zone is cut off from the platform; another zone's isn't, and the
+        # edit need not wait for the first.
+        cut = self.serve(MemoryKeyValue())
+        cut.kv.down = True
+        both = f"{cut.address},{self.served.address}"
+        self.assertEqual(
+            0, self.run_ctl("config", "apply", self.lists("m", 2), controllers=both)[0]
+        )
+        self.assertEqual(
+            4, self.run_ctl("config", "apply", self.lists("m", 3), controllers=cut.address)[0]
+        )
+
+    def test_an_answer_lost_between_platform_and_controller(self) -> None:
+        # The first controller sends the write, the platform stores it and is cut off from that
+        # zone. The same edit, sent to the next controller, must be found, not be made twice.
+        def cut_off(call):
+            lost = lose_answer(call)
+            self.served.kv.down = True
+            return lost
+
+        self.served.kv.commits.append(cut_off)
+        code, _, err = self.run_ctl("config", "apply", self.lists("m", 2))
+        self.assertEqual(6, code)
+        self.assertIn("audit", err)
+        self.served.kv.down = False
+
+        # The same, with a second controller that still reaches the same platform.
+        other = self.serve(self.served.kv)
+        self.served.kv.commits.append(lose_answer)
+        both = f"{self.served.address},{other.address}"
+        code, out, _ = self.run_ctl(
+            "config", "apply", self.lists("m", 3), "--base", "1", controllers=both
+        )
+        self.assertEqual(0, code)
+        self.assertIn("edit 2", out)
+
+    def test_not_in_force_in_time(self) -> None:
+        # A gateway is silent, cut off or hung: it may go on by the older configuration, so the
+        # edit is accepted but not yet in force everywhere, and the operator is told where not.
+        self.served.members.append(a_member_status("gw-2", 0, liveness=Liveness.SUSPECT))
+        self.served.members.append(a_member_status("gw-3", 0))
+        self.served.members.append(a_member_status("gw-4", 0, liveness=Liveness.GONE))
+        code, out, err = self.run_ctl("config", "apply", self.lists("m", 2), "--wait", "0")
+        self.assertEqual(5, code)
+        self.assertIn("accepted", out)
+        self.assertIn("in force at 1 of 2 processes, not yet at gw-3; not heard: gw-2", err)
+
+    def test_stops(self) -> None:
+        self.run_ctl("config", "apply", self.lists("m", 2))
+        code, out, _ = self.run_ctl("stop", "declare", "june", "--host", "h1", "--reason", "disk")
+        self.assertEqual(0, code)
+        self.assertIn("+ stops june", out)
+        why = "the budget of plan schools is spent until h2 is back"
+        self.served.stops = (StopStatus("june", StopState.WAITING, "disk", why, waiting=("h1",)),)
+        code, out, _ = self.run_ctl("stop", "list")
+        self.assertIn("june", out)
+        self.assertIn(why, out)
+        self.assertEqual(0, self.run_ctl("stop", "cancel", "june")[0])
+        code, _, err = self.run_ctl("stop", "cancel", "june")
+        self.assertEqual(1, code)
+        self.assertIn("no stop 'june'", err)
+
+    def test_every_error_of_the_lists_is_shown(self) -> None:
+        mine = self.lists("mine", -1)
+        for offline in ((), ("--offline",)):
+            code, out, _ = self.run_ctl("config", "check", mine, *offline)
+            self.assertEqual(1, code)
+            self.assertIn("plans[0].hosts_owed", out)
+            self.assertIn("plans[1].hosts_owed", out)
+        code, _, err = self.run_ctl("config", "apply", mine)
+        self.assertEqual(1, code)
+        self.assertIn("plans[1].hosts_owed", err)
+
+    def test_broken_files_and_wrong_use(self) -> None:
+        mine = self.lists("mine", 2)
+        Path(mine, "plans.json").write_text("[{")
+        code, _, err = self.run_ctl("config", "apply", mine)
+        self.assertEqual(2, code)
+        self.assertIn("plans.json: broken JSON", err)
+        self.assertEqual(2, self.run_ctl("config", "apply", str(self.folder / "none"))[0])
+        self.assertEqual(2, self.run_ctl("config", "apply")[0])
+        self.assertEqual(2, self.run_ctl("status", "--token-file", "/nowhere")[0])
+        self.assertEqual(2, self.run_ctl("status", controllers=" ")[0])
+        self.assertEqual(1, self.run_ctl("status", token="wrong")[0])
+
+    def test_json_answers_decode(self) -> None:
+        self.run_ctl("config", "apply", self.lists("m", 2))
+        for command in ("status", "hosts", "audit", "config show", "stop list"):
+            code, out, _ = self.run_ctl(*command.split(), "--json")
+            self.assertEqual(0, code, command)
+            msgspec.json.decode(out.encode())
+
+    def test_status_reads_well(self) -> None:
+        self.run_ctl("config", "apply", self.lists("m", 2))
+        code, out, _ = self.run_ctl("status")
+        self.assertEqual(0, code)
+        self.assertIn("revision 1 is in force everywhere (1 processes)", out)
+        self.assertIn("no planned stops", out)
--- /dev/null
+++ b/tests/operators/test_editing.py
@@ -0,0 +1,290 @@
+"""Edits of the document: races, lost answers, an unreachable platform."""
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.fleet import DOCUMENT_KEY
+from lentilrill.ids import HostId, Revision, StopId
+from lentilrill.operators import (
+    AuditTrail,
+    DocumentStore,
+    Editor,
+    EditOutcome,
+    EditVerdict,
+)
+from lentilrill.platform import Compare, Put
+from lentilrill.settings import Document, PlannedStop
+from tests.builders import a_document, a_plan
+from tests.fakes import MemoryKeyValue, lose_answer, lose_request, refuse
+
+
+class Clock:
+    """A clock that only pauses move."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+    def pause(self, seconds: float) -> None:
+        self.now_s += seconds
+
+
+class EditingTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.kv = MemoryKeyValue()
+        self.audit = AuditTrail(self.kv)
+        self.asha, self.ben = self.editor(), self.editor()
+        self.first = self.asha.apply("asha", a_document("schools", "spare"), Revision(0))
+        self.assertEqual(EditVerdict.ACCEPTED, self.first.verdict)
+        self.base = self.first.revision
+
+    def editor(self) -> Editor:
+        clock = Clock()
+        store = DocumentStore(self.kv, self.audit, clock=clock, pause=clock.pause)
+        return Editor(store, self.audit)
+
+    def stored(self) -> Document:
+        (item,) = self.kv.read(DOCUMENT_KEY).unwrap().items
+        return msgspec.json.decode(item.value, type=Document)
+
+    def trail(self) -> list[tuple[str, int | None]]:
+        entries = self.audit.newest(self.stored().edit, 100).unwrap()
+        return [(entry.record.who, entry.revision) for entry in entries]
+
+    def owing(self, hosts: int) -> Document:
+        return msgspec.structs.replace(
+            a_document("schools", "spare"),
+            plans=(a_plan(hosts_owed=hosts), a_plan("spare")),
+        )
+
+    def test_the_loser_of_a_race_sees_what_differs(self) -> None:
+        # Two operators edit the lists from the same revision. Without the comparison, the second
+        # to apply silently undoes the first's change; here it is told who came first, with which
+        # revision, and what its own lists would change now.
+        won = self.asha.apply("asha", self.owing(4), self.base)
+        lost = self.ben.apply("ben", self.owing(6), self.base)
+        self.assertEqual(EditVerdict.CONFLICT, lost.verdict)
+        self.assertEqual(won.revision, lost.revision)
+        self.assertIn("asha", lost.message)
+        (differs,) = lost.differences
+        self.assertEqual(("plans", "schools"), (differs.list, differs.id))
+        self.assertEqual([("hosts_owed", "4", "6")], [_plain(f) for f in differs.fields])
+        self.assertEqual(4, self.stored().plans[0].hosts_owed)
+
+    def test_a_race_between_read_and_write_is_lost_as_well(self) -> None:
+        # Both operators' controllers read the same document, then both write. The comparison in
+        # the store, not the one at the controller, decides.
+        def ben_first(call):
+            self.ben.apply("ben", self.owing(6), self.base)
+            return call()
+
+        self.kv.commits.append(ben_first)
+        lost = self.asha.apply("asha", self.owing(4), self.base)
+        self.assertEqual(EditVerdict.CONFLICT, lost.verdict)
+        self.assertIn("ben", lost.message)
+        self.assertEqual(6, self.stored().plans[0].hosts_owed)
+
+    def test_a_lost_answer_of_a_write_that_took_effect(self) -> None:
+        # The platform stores the edit, and its answer is lost. Told as failed, the operator would
+        # go on with a wrong picture: the change is in force.
+        self.kv.commits.append(lose_answer)
+        told = self.asha.apply("asha", self.owing(4), self.base)
+        self.assertEqual(EditVerdict.ACCEPTED, told.verdict)
+        self.assertEqual(self.kv.revision, told.revision)
+        self.assertEqual(4, self.stored().plans[0].hosts_owed)
+        self.assertEqual(2, len(self.trail()))
+
+    def test_a_lost_answer_then_another_edit_on_top(self) -> None:
+        # The edit takes effect, its answer is lost, and another operator edits on top before the
+        # controller reads back. The document now holds the other's id; told as a conflict, the
+        # first operator would make a change again that was in force. The trail knows better.
+        def lost_then_ben(call):
+            lost = lose_answer(call)
+            outcome = self.ben.apply("ben", self.owing(6), self.kv.revision)
+            self.assertEqual(EditVerdict.ACCEPTED, outcome.verdict)
+            return lost
+
+        self.kv.commits.append(lost_then_ben)
+        told = self.asha.apply("asha", self.owing(4), self.base)
+        self.assertEqual(EditVerdict.ACCEPTED, told.verdict)
+        self.assertEqual(self.base + 1, told.revision)
+        self.assertEqual(6, self.stored().plans[0].hosts_owed)
+        self.assertEqual(["asha", "asha", "ben"], [who for who, _ in self.trail()])
+
+    def test_a_lost_request_then_another_edit(self) -> None:
+        # The edit never reached the platform, though that can't be told from a lost answer, and
+        # another operator's edit takes its place: it is a conflict, not an acceptance.
+        def lost_then_ben(call):
+            self.ben.apply("ben", self.owing(6), self.base)
+            return lose_request(call)
+
+        self.kv.commits.append(lost_then_ben)
+        told = self.asha.apply("asha", self.owing(4), self.base)
+        self.assertEqual(EditVerdict.CONFLICT, told.verdict)
+        self.assertEqual(6, self.stored().plans[0].hosts_owed)
+
+    def test_a_lost_request_is_made_again(self) -> None:
+        # The edit never reached the platform: it is sent again, and takes effect once.
+        self.kv.commits.append(lose_request)
+        told = self.asha.apply("asha", self.owing(4), self.base)
+        self.assertEqual(EditVerdict.ACCEPTED, told.verdict)
+        self.assertEqual(2, self.stored().edit)
+
+    def test_a_write_nobody_can_tell_of_is_unknown(self) -> None:
+        # The platform takes the edit and goes silent for good. Neither "accepted" nor "refused"
+        # would be true to what the controller knows, so it says so, and how to find out.
+        def lost_for_good(call):
+            lost = lose_answer(call)
+            self.kv.down = True
+            return lost
+
+        self.kv.commits.append(lost_for_good)
+        told = self.asha.apply("asha", self.owing(4), self.base, "caller-write-1")
+        self.assertEqual(EditVerdict.UNKNOWN, told.verdict)
+        self.assertIsNone(told.revision)
+        self.assertIn(told.write_id, told.message)
+        self.assertIn("audit", told.message)
+        self.kv.down = False
+        again = self.ben.apply("asha", self.owing(4), self.base, "caller-write-1")
+        self.assertEqual((EditVerdict.ACCEPTED, 2), (again.verdict, again.number))
+        self.assertEqual(2, self.stored().edit)
+
+    def test_the_same_edit_again_after_others_came_on_top(self) -> None:
+        # The controller's answer to the operator is lost, another operator edits on top, and
+        # lentilrillctl sends the same edit to the next controller. It must neither undo the
+        # other's edit nor be told as a conflict: it was accepted.
+        first = self.asha.apply("asha", self.owing(4), self.base, "caller-write-1")
+        self.ben.apply("ben", self.owing(6), first.revision)
+        again = self.ben.apply("asha", self.owing(4), self.base, "caller-write-1")
+        self.assertEqual((EditVerdict.ACCEPTED, first.revision), (again.verdict, again.revision))
+        self.assertEqual(6, self.stored().plans[0].hosts_owed)
+
+    def test_a_reused_name_with_other_lists_is_another_edit(self) -> None:
+        # A script names all its edits alike. The second one, with other lists, must not be told
+        # as accepted because the first one was.
+        self.asha.apply("asha", self.owing(4), self.base, "my-script")
+        other = self.asha.apply("asha", self.owing(6), self.base, "my-script")
+        self.assertEqual(EditVerdict.CONFLICT, other.verdict)
+
+    def test_a_stale_read_does_not_make_a_loser_of_the_winner(self) -> None:
+        # The edit took effect with its answer lost, and reads come from a lagging replica that
+        # doesn't have it yet. The missing record proves nothing: told as a conflict, the operator
+        # would think that a change which is in force was refused.
+        before = {prefix: self.kv.read(prefix) for prefix in ("audit/edits/000000000002",)}
+        old_head = self.kv.read(DOCUMENT_KEY)
+        self.kv.commits.append(lose_answer)
+        self.kv.reads.extend(
+            [
+                lambda call: call(),
+                lambda _call: before["audit/edits/000000000002"],
+                lambda _call: old_head,
+            ]
+        )
+        told = self.asha.apply("asha", self.owing(4), self.base)
+        self.assertEqual(EditVerdict.ACCEPTED, told.verdict)
+
+    def test_platform_down_changes_nothing(self) -> None:
+        # The platform is away before the edit is sent: the operator is told at once that nothing
+        # was changed, and the lists may be applied again.
+        for fates in (self.kv.reads, self.kv.commits):
+            fates.append(refuse)
+            told = self.asha.apply("asha", self.owing(4), self.base)
+            self.assertEqual(EditVerdict.UNAVAILABLE, told.verdict)
+            self.assertEqual(1, self.stored().edit)
+
+    def test_an_oversized_document_is_refused(self) -> None:
+        # The platform's values end at a megabyte. Beyond it the write would fail there with an
+        # error that nobody understands, or after the lists had grown for years.
+        zones = tuple(f"z{n}" for n in range(200_000))
+        lists = self.owing(4)
+        wide = msgspec.structs.replace(lists.entitlements[0], zones=zones)
+        large = msgspec.structs.replace(lists, entitlements=(wide, *lists.entitlements[1:]))
+        told = self.asha.apply("asha", large, self.base)
+        self.assertEqual(EditVerdict.INVALID, told.verdict)
+        self.assertIn("1000000", str(told.findings[-1]))
+        self.assertEqual(1, self.stored().edit)
+
+    def test_applying_lists_keeps_a_stop_declared_meanwhile(self) -> None:
+        # One operator edits the lists while another declares a stop. Written as a whole, the
+        # document would lose the stop, and a host would be rebooted under running jobs. Stops
+        # are no part of the lists, so this is no conflict either.
+        self.declare("stop-1", "h1")
+        told = self.asha.apply("asha", self.owing(4), self.base)
+        self.assertEqual(EditVerdict.ACCEPTED, told.verdict)
+        self.assertEqual(["stop-1"], [stop.id for stop in self.stored().stops])
+
+    def test_lists_changed_and_a_stop_declared_is_a_conflict(self) -> None:
+        self.asha.apply("asha", self.owing(4), self.base)
+        self.declare("stop-1", "h1")
+        lost = self.ben.apply("ben", self.owing(6), self.base)
+        self.assertEqual(EditVerdict.CONFLICT, lost.verdict)
+
+    def test_two_stops_declared_at_once_both_hold(self) -> None:
+        # Two operators declare stops at the same time. One loses the race in the store; as a
+        # stop can't undo another, it is declared again on top, not refused.
+        def other_first(call):
+            self.declare("stop-2", "h2")
+            return call()
+
+        self.kv.commits.append(other_first)
+        told = self.declare("stop-1", "h1")
+        self.assertEqual(EditVerdict.ACCEPTED, told.verdict)
+        self.assertEqual({"stop-1", "stop-2"}, {stop.id for stop in self.stored().stops})
+
+    def test_a_stop_is_declared_once_and_cancelled_once(self) -> None:
+        self.declare("stop-1", "h1")
+        self.assertEqual(EditVerdict.UNCHANGED, self.declare("stop-1", "h1").verdict)
+        self.assertEqual(EditVerdict.INVALID, self.declare("stop-1", "h2").verdict)
+        cancel = self.asha.cancel("asha", StopId("stop-1"))
+        self.assertEqual(EditVerdict.ACCEPTED, cancel.verdict)
+        self.assertEqual((), self.stored().stops)
+        again = self.asha.cancel("asha", StopId("stop-1"))
+        self.assertEqual(EditVerdict.INVALID, again.verdict)
+
+    def test_a_document_put_there_by_other_means(self) -> None:
+        # Someone restored the document's key by hand, so the trail has no record of it. Editing
+        # goes on, and a race with such a write is lost like any other.
+        def restored(call):
+            value = msgspec.json.encode(self.owing(9))
+            self.kv.commit((Compare(DOCUMENT_KEY, self.base),), (Put(DOCUMENT_KEY, value),))
+            return call()
+
+        self.kv.commits.append(restored)
+        lost = self.asha.apply("asha", self.owing(4), self.base)
+        self.assertEqual(EditVerdict.CONFLICT, lost.verdict)
+        self.assertEqual(9, self.stored().plans[0].hosts_owed)
+        told = self.asha.apply("asha", self.owing(4), self.kv.revision)
+        self.assertEqual(EditVerdict.ACCEPTED, told.verdict)
+
+    def test_the_own_copy_gets_an_accepted_edit_at_once(self) -> None:
+        seen = []
+        store = DocumentStore(self.kv, self.audit)
+        editor = Editor(store, self.audit, on_accepted=lambda v, r: seen.append((v, r)))
+        told = editor.apply("asha", self.owing(4), self.base)
+        (item,) = self.kv.read(DOCUMENT_KEY).unwrap().items
+        self.assertEqual([(item.value, told.revision)], seen)
+
+    def declare(self, stop: str, host: str) -> EditOutcome:
+        return self.ben.declare("ben", PlannedStop(StopId(stop), (HostId(host),)))
+
+
+class EmptyTest(TestCase):
+    def test_invalid_lists_name_every_error(self) -> None:
+        kv = MemoryKeyValue()
+        audit = AuditTrail(kv)
+        editor = Editor(DocumentStore(kv, audit), audit)
+        bad = a_document("schools", "spare", hosts_owed=-1, start_within_s=0.0)
+        told = editor.apply("asha", bad, Revision(0))
+        self.assertEqual(EditVerdict.INVALID, told.verdict)
+        paths = {finding.path for finding in told.findings}
+        self.assertIn("plans[0].hosts_owed", paths)
+        self.assertIn("plans[0].start_within_s", paths)
+        self.assertEqual(0, kv.revision)
+        self.assertEqual(a_plan().id, bad.plans[0].id)
+
+
+def _plain(change) -> tuple[str, str, str]:
+    return change.field, change.before, change.after
