--- a/src/lentilrill/operators/_server.py
+++ b/src/lentilrill/operators/_server.py
@@ -27,6 +27,8 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Above the largest document, as operators' files hold spaces and line ends."""
+MAX_READ_BYTES = 4 * MAX_BODY_BYTES
+"""Bodies announced as larger than that are not even read; up to it they get a clear answer."""
 MAX_HEADER_BYTES = 32 * 1024
 THREADS = 8
 IDLE_CONNECTION_S = 30
@@ -190,13 +192,11 @@
         timeout=IDLE_CONNECTION_S,
     )
     server.max_request_header_size = MAX_HEADER_BYTES
+    server.max_request_body_size = MAX_READ_BYTES
     return server
 
 
 def _read_body(environ: Environ) -> bytes | None:
     """Return the body, or ``None`` if it is too large."""
-    length = environ.get("CONTENT_LENGTH") or ""
-    if length.isdigit() and int(length) > MAX_BODY_BYTES:
-        return None
     body: bytes = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
     return body if len(body) <= MAX_BODY_BYTES else None
--- /dev/null
+++ b/tests/operators/test_audit.py
@@ -0,0 +1,103 @@
+"""The audit trail: bounded, complete for accepted edits, best-effort for refused ones."""
+
+from unittest import mock
+
+from testtools import TestCase
+
+from lentilrill.ids import Revision
+from lentilrill.operators import (
+    Action,
+    AuditRecord,
+    AuditTrail,
+    DocumentStore,
+    Editor,
+    EditVerdict,
+    _audit,
+)
+from tests.builders import a_document
+from tests.fakes import MemoryKeyValue
+
+
+def refused(at: float, who: str = "asha") -> AuditRecord:
+    return AuditRecord(at, who, Action.APPLY, EditVerdict.CONFLICT, Revision(1))
+
+
+class AuditTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.kv = MemoryKeyValue()
+        self.trail = AuditTrail(self.kv)
+        self.editor = Editor(DocumentStore(self.kv, self.trail), self.trail)
+
+    def edit(self, times: int) -> None:
+        base = self.kv.revision
+        for n in range(times):
+            lists = a_document("schools", "spare", hosts_owed=2 + n % 2)
+            outcome = self.editor.apply("asha", lists, base)
+            self.assertEqual(EditVerdict.ACCEPTED, outcome.verdict)
+            base = outcome.revision
+
+    def write_refusals(self, trail: AuditTrail, *records: AuditRecord) -> None:
+        for record in records:
+            trail.note_refused(record)
+        trail.start()
+        trail.stop()
+
+    def test_the_oldest_edits_are_trimmed_with_the_newest(self) -> None:
+        # A site with thousands of changes a day fills the platform over the years. The record
+        # that falls out is deleted in the transaction that adds one.
+        with mock.patch.object(_audit, "RETAINED_EDITS", 5):
+            self.edit(12)
+        numbers = [entry.record.number for entry in self.trail.newest(12, 100).unwrap()]
+        self.assertEqual([8, 9, 10, 11, 12], numbers)
+
+    def test_newest_edits_across_pages(self) -> None:
+        self.edit(230)
+        for limit in (1, 31, 150, 1000):
+            numbers = [e.record.number for e in self.trail.newest(230, limit).unwrap()]
+            self.assertEqual(list(range(max(1, 231 - limit), 231)), numbers)
+
+    def test_edits_since_a_revision(self) -> None:
+        self.edit(230)
+        later = self.trail.since(Revision(225), 230, 10).unwrap()
+        self.assertEqual([226, 227, 228, 229, 230], [e.record.number for e in later])
+        self.assertIsNone(self.trail.since(Revision(1), 230, 10).unwrap())
+        self.assertEqual(230, len(self.trail.since(Revision(0), 230, 300).unwrap()))
+
+    def test_a_trimmed_trail_does_not_pretend_to_be_whole(self) -> None:
+        # The edits just after the base have been trimmed. Taken as "nothing else happened", an
+        # old edit might pass as one that only planned stops came after.
+        with mock.patch.object(_audit, "RETAINED_EDITS", 5):
+            self.edit(12)
+        self.assertIsNone(self.trail.since(Revision(3), 12, 100).unwrap())
+        self.assertEqual(4, len(self.trail.since(Revision(8), 12, 100).unwrap()))
+
+    def test_refused_edits_are_bounded(self) -> None:
+        # A broken script sends wrong edits all night: the platform keeps the newest of them only.
+        with mock.patch.object(_audit, "RETAINED_REFUSED", 3):
+            self.write_refusals(self.trail, *(refused(float(n)) for n in range(10)))
+        times = [entry.record.at for entry in self.trail.newest(0, 100).unwrap()]
+        self.assertEqual([7.0, 8.0, 9.0], times)
+
+    def test_two_controllers_record_refusals_at_once(self) -> None:
+        # Two controllers add to the refused edits at the same time. Without the comparison one
+        # would overwrite what the other has just recorded.
+        def other_first(call):
+            self.write_refusals(AuditTrail(self.kv), refused(1.0, "ben"))
+            return call()
+
+        self.kv.commits.append(other_first)
+        self.write_refusals(self.trail, refused(2.0))
+        who = [entry.record.who for entry in self.trail.newest(0, 100).unwrap()]
+        self.assertEqual(["ben", "asha"], who)
+
+    def test_refusals_that_can_not_be_kept_are_counted(self) -> None:
+        # The platform is away: refusing goes on, and what the trail lacks is counted and logged.
+        self.kv.down = True
+        records = [refused(float(n)) for n in range(_audit.MAX_PENDING + 5)]
+        for record in records:
+            self.trail.note_refused(record)
+        self.assertEqual(5, self.trail.dropped)
+        self.trail.start()
+        self.trail.stop()
+        self.assertEqual(len(records), self.trail.dropped)
--- a/tests/operators/test_ctl.py
+++ b/tests/operators/test_ctl.py
@@ -4,7 +4,9 @@
 import io
 import json
 import os
+import socket
 import tempfile
+import threading
 from pathlib import Path
 from unittest import mock
 
@@ -139,6 +141,26 @@
         self.assertEqual(0, code)
         self.assertIn("edit 2", out)
 
+    def test_an_answer_lost_between_controller_and_operator(self) -> None:
+        # A controller takes the edit and its connection breaks before the answer; the next one
+        # is away. "No controller answers" would hide that the edit may be in effect.
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            breaking = threading.Thread(target=_read_and_break, args=(listener,))
+            breaking.start()
+            both = f"127.0.0.1:{listener.getsockname()[1]},{an_address()}"
+            lists = self.lists("m", 2)
+            code, _, err = self.run_ctl("config", "apply", lists, controllers=both)
+            breaking.join()
+        self.assertEqual(6, code)
+        self.assertIn("not known whether the edit took effect", err)
+
+    def test_a_suspect_process_alone_is_not_everywhere(self) -> None:
+        # A zone is cut off: its gateways are silent to us and go on serving by what they had.
+        self.served.members.append(a_member_status("gw-2", 0, liveness=Liveness.SUSPECT))
+        code, _, err = self.run_ctl("config", "apply", self.lists("m", 2), "--wait", "0")
+        self.assertEqual(5, code)
+        self.assertIn("not heard: gw-2", err)
+
     def test_not_in_force_in_time(self) -> None:
         # A gateway is silent, cut off or hung: it may go on by the older configuration, so the
         # edit is accepted but not yet in force everywhere, and the operator is told where not.
@@ -201,3 +223,9 @@
         self.assertEqual(0, code)
         self.assertIn("revision 1 is in force everywhere (1 processes)", out)
         self.assertIn("no planned stops", out)
+
+
+def _read_and_break(listener: socket.socket) -> None:
+    connection, _ = listener.accept()
+    with connection:
+        connection.recv(100)
--- a/tests/operators/test_editing.py
+++ b/tests/operators/test_editing.py
@@ -162,6 +162,15 @@
         self.assertEqual((EditVerdict.ACCEPTED, first.revision), (again.verdict, again.revision))
         self.assertEqual(6, self.stored().plans[0].hosts_owed)
 
+    def test_a_trail_that_can_not_be_read_makes_no_conflict(self) -> None:
+        # The edit was accepted with its answer lost, another one came on top, and the same edit
+        # is sent again while reads of the trail fail. "Conflict" would say that it was refused.
+        first = self.asha.apply("asha", self.owing(4), self.base, "caller-write-1")
+        self.ben.apply("ben", self.owing(6), first.revision)
+        self.kv.reads.extend([lambda call: call(), refuse])
+        again = self.ben.apply("asha", self.owing(4), self.base, "caller-write-1")
+        self.assertEqual(EditVerdict.UNAVAILABLE, again.verdict)
+
     def test_a_reused_name_with_other_lists_is_another_edit(self) -> None:
         # A script names all its edits alike. The second one, with other lists, must not be told
         # as accepted because the first one was.
