--- a/src/lentilrill/platform/_contract.py
+++ b/src/lentilrill/platform/_contract.py
@@ -25,6 +25,7 @@
     "RangeAnswer",
     "TxnAnswer",
     "WatchBatch",
+    "WatchStream",
 ]
 
 
@@ -85,12 +86,25 @@
 
 
 class WatchBatch(msgspec.Struct, frozen=True):
-    """Changes of one or more revisions in order; ``revision`` is the store's at sending."""
+    """Changes in order; no change up to ``revision`` is missing after it.
+
+    A batch without items is a progress notice.
+    """
 
     items: tuple[Item, ...]
     revision: Revision
 
 
+class WatchStream(Protocol):
+    """Changes in order, until a fault, which comes last."""
+
+    def __iter__(self) -> Iterator[Result[WatchBatch, Fault]]:
+        """Iterate over the changes, from one task."""
+
+    def close(self) -> None:
+        """End the watch; any task may, also while another one waits for a change."""
+
+
 class KeyValue(Protocol):
     """The key-value service. Every call ends by its deadline with a result."""
 
@@ -114,7 +128,7 @@
         A fault of kind ``AMBIGUOUS`` means that the writes may have taken effect.
         """
 
-    def watch(self, prefix: str, after: Revision) -> Iterator[Result[WatchBatch, Fault]]:
+    def watch(self, prefix: str, after: Revision) -> WatchStream:
         """Yield changes below ``prefix`` later than ``after``, until a fault, which is yielded
         last. Closing the iterator ends the watch. A silent watch yields a fault within its
         progress interval. History that is no longer kept is a fault of kind ``CONFLICT``: read
--- a/tests/operators/serving.py
+++ b/tests/operators/serving.py
@@ -10,7 +10,7 @@
 from lentilrill.platform import HostList, Mirror
 from lentilrill.settings import ControllerSettings, Document, PlatformSettings, encode_lists
 from tests.builders import an_address, digest, inner_keys
-from tests.fakes import MemoryKeyValue
+from tests.fakes import FakeKeyValue
 
 __all__ = ["ServedController", "a_member_status", "controller_settings", "lists_body"]
 
@@ -56,8 +56,8 @@
 class ServedController:
     """A server with what it depends on; ``members`` and ``stops`` go into its status."""
 
-    def __init__(self, kv: MemoryKeyValue | None = None, host_list: HostList | None = None) -> None:
-        self.kv = kv or MemoryKeyValue()
+    def __init__(self, kv: FakeKeyValue | None = None, host_list: HostList | None = None) -> None:
+        self.kv = kv or FakeKeyValue()
         self.view = FleetView(Mirror())
         self.members = [a_member_status("gw-1", 10**9)]
         self.stops = ()
--- a/tests/operators/test_audit.py
+++ b/tests/operators/test_audit.py
@@ -15,7 +15,7 @@
     _audit,
 )
 from tests.builders import a_document
-from tests.fakes import MemoryKeyValue
+from tests.fakes import FakeKeyValue
 
 
 def refused(at: float, who: str = "asha") -> AuditRecord:
@@ -25,7 +25,7 @@
 class AuditTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.kv = MemoryKeyValue()
+        self.kv = FakeKeyValue()
         self.trail = AuditTrail(self.kv)
         self.editor = Editor(DocumentStore(self.kv, self.trail), self.trail)
 
--- a/tests/operators/test_ctl.py
+++ b/tests/operators/test_ctl.py
@@ -18,20 +18,20 @@
 from lentilrill.operators import StopState, StopStatus
 from lentilrill.settings import encode_lists
 from tests.builders import a_document, an_address
-from tests.fakes import MemoryKeyValue, lose_answer
+from tests.fakes import FakeKeyValue, lose_answer
 from tests.operators.serving import TOKEN, ServedController, a_member_status
 
 
 class CtlTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.served = self.serve(MemoryKeyValue())
+        self.served = self.serve(FakeKeyValue())
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
         self.lists("mine", 2)
 
-    def serve(self, kv: MemoryKeyValue) -> ServedController:
+    def serve(self, kv: FakeKeyValue) -> ServedController:
         served = ServedController(kv)
         served.server.start()
         self.addCleanup(served.server.stop)
@@ -107,7 +107,7 @@
     def test_a_controller_cut_off_from_the_platform_is_passed_over(self) -> None:
         # The first controller's zone is cut off from the platform; another zone's isn't, and the
         # edit need not wait for the first.
-        cut = self.serve(MemoryKeyValue())
+        cut = self.serve(FakeKeyValue())
         cut.kv.down = True
         both = f"{cut.address},{self.served.address}"
         self.assertEqual(
--- a/tests/operators/test_editing.py
+++ b/tests/operators/test_editing.py
@@ -15,7 +15,7 @@
 from lentilrill.platform import Compare, Put
 from lentilrill.settings import Document, PlannedStop
 from tests.builders import a_document, a_plan
-from tests.fakes import MemoryKeyValue, lose_answer, lose_request, refuse
+from tests.fakes import FakeKeyValue, lose_answer, lose_request, refuse
 
 
 class Clock:
@@ -34,7 +34,7 @@
 class EditingTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.kv = MemoryKeyValue()
+        self.kv = FakeKeyValue()
         self.audit = AuditTrail(self.kv)
         self.asha, self.ben = self.editor(), self.editor()
         self.first = self.asha.apply("asha", a_document("schools", "spare"), Revision(0))
@@ -282,7 +282,7 @@
 
 class EmptyTest(TestCase):
     def test_invalid_lists_name_every_error(self) -> None:
-        kv = MemoryKeyValue()
+        kv = FakeKeyValue()
         audit = AuditTrail(kv)
         editor = Editor(DocumentStore(kv, audit), audit)
         bad = a_document("schools", "spare", hosts_owed=-1, start_within_s=0.0)
--- a/tests/operators/test_server.py
+++ b/tests/operators/test_server.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from lentilrill.operators import MAX_BODY_BYTES
-from lentilrill.platform import HostInfo, HostListing
+from lentilrill.platform import HostInfo
 from tests.builders import a_document, a_plan
 from tests.fakes import FakeHostList, lose_answer
 from tests.operators.serving import ServedController, lists_body
@@ -107,8 +107,9 @@
         self.assertEqual(200, self.served.ask("GET", "/v1/status")[0])
 
     def test_promises_beyond_the_fleet_are_warned_of(self) -> None:
-        hosts = (HostInfo("h1", "", "z1", "r1"), HostInfo("h2", "", "z1", "r1"))
-        served = ServedController(host_list=FakeHostList(HostListing(hosts, 0.0)))
+        host_list = FakeHostList(lambda: 0.0)
+        host_list.add(HostInfo("h1", "", "z1", "r1"), HostInfo("h2", "", "z1", "r1"))
+        served = ServedController(host_list=host_list)
         served.server.start()
         self.addCleanup(served.server.stop)
         body = lists_body(a_document("schools", "spare"), 0)
