--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,7 +1,7 @@
 """Small fakes at the interfaces, which can be told to fail."""
 
 import threading
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -24,10 +24,39 @@
     WatchBatch,
 )
 
-__all__ = ["FakeHostList", "FakeKeyValue", "FakeNode", "FakeRoster"]
+__all__ = [
+    "FakeHostList",
+    "FakeKeyValue",
+    "FakeNode",
+    "FakeRoster",
+    "lose_answer",
+    "lose_request",
+    "refuse",
+]
 
 SILENT_WATCH_S = 0.2
 
+Fate = Callable[[Callable[[], Result]], Result]
+"""What becomes of one call: gets the call itself, and returns what its caller sees."""
+
+
+def lose_answer(call: Callable[[], Result]) -> Result:
+    """Fate of a call that takes effect while its answer is lost."""
+    call()
+    return _lost()
+
+
+def lose_request(call: Callable[[], Result]) -> Result:
+    """Fate of a call that never arrives, which its caller can't tell from a lost answer."""
+    del call
+    return _lost()
+
+
+def refuse(call: Callable[[], Result]) -> Result:
+    """Fate of a call that is given up before it is sent."""
+    del call
+    return _unavailable("call")
+
 
 class FakeKeyValue:
     """The key-value service in memory, with compare-and-swap over one revision counter.
@@ -37,6 +66,7 @@
     :ivar lose_requests: how many of the next commits are lost before they take effect; the
         caller can't tell the two apart.
     :ivar before_commit: called once before the next commit, as a racing writer.
+    :ivar commits: fates of the next commits, in order; the same for reads.
     """
 
     def __init__(self) -> None:
@@ -44,6 +74,8 @@
         self.lose_answers = 0
         self.lose_requests = 0
         self.before_commit: Callable[[], None] | None = None
+        self.commits: deque[Fate] = deque()
+        self.reads: deque[Fate] = deque()
         self.calls: Counter[str] = Counter()
         self.revision = Revision(0)
         self.items_by_key: dict[str, Item] = {}
@@ -56,10 +88,19 @@
         self.calls["read"] += 1
         if self.down:
             return _unavailable("read")
+        fate = self.reads.popleft() if self.reads else _as_usual
+        return fate(lambda: self._read(prefix))
+
+    def _read(self, prefix: str) -> Result[RangeAnswer, Fault]:
         with self._changed:
             items = [i for k, i in sorted(self.items_by_key.items()) if k.startswith(prefix)]
             return Success(RangeAnswer(tuple(items), self.revision))
 
+    def newest(self, prefix: str, priority: Priority = Priority.LATER) -> Result[Revision, Fault]:
+        return self.read(prefix, priority).map(
+            lambda answer: max((item.revision for item in answer.items), default=Revision(0))
+        )
+
     def commit(
         self,
         compares: tuple[Compare, ...],
@@ -70,6 +111,12 @@
         self.calls["commit"] += 1
         if self.down:
             return _unavailable("commit")
+        fate = self.commits.popleft() if self.commits else _as_usual
+        return fate(lambda: self._commit(compares, writes))
+
+    def _commit(
+        self, compares: tuple[Compare, ...], writes: tuple[Put | DeleteRange, ...]
+    ) -> Result[TxnAnswer, Fault]:
         racer, self.before_commit = self.before_commit, None
         if racer is not None:
             racer()
@@ -222,6 +269,10 @@
             self.handlers[type(message)](batch, message)
 
 
+def _as_usual(call: Callable[[], Result]) -> Result:
+    return call()
+
+
 def _unavailable(call: str) -> Failure[Fault]:
     return Failure(Fault(f"platform.{call}", "fake", FaultKind.UNAVAILABLE, "down", 1.0))
 
