--- /dev/null
+++ b/bench/surge.py
@@ -0,0 +1,280 @@
+"""Goodput, urgent start times and refusals in surges: grants against blind spreading.
+
+Drives the scheduler's decision code with a fake clock; endpoints and the network are events.
+``python -m bench.surge``
+"""
+
+import json
+import random
+import time
+from collections import deque
+from collections.abc import Callable
+
+from bench.surge_load import HOSTS, PLANS, SLOTS, Events, Job, Outcome, arrivals, surges
+from lentilrill.ids import HostId, Incarnation, PlanId, PoolId, ProcessId, RequestId, ZoneId
+from lentilrill.inner import Ask, Done, Granted, Refused, Verdict
+from lentilrill.routing._queue import Caller
+from lentilrill.routing._scheduler import PoolScheduler, Reply
+from lentilrill.routing._terms import PlanTerms, PoolTerms
+
+HOP_S = 0.0003
+ZONE_HOP_S = 0.0015
+TICK_S = 0.05
+LOAD_S = 0.2
+GATEWAYS = 7
+PLAN_QUEUE = 5000
+POOLS = ("depot-1", "depot-2")
+SEEDS = (1, 2, 3)
+ENDPOINT_CONNECTIONS = 64
+
+
+class Endpoint:
+    """A host's endpoint: runs ``slots`` jobs at once and queues what comes above, in order."""
+
+    def __init__(self, events: Events, slots: int = SLOTS) -> None:
+        self._events = events
+        self._free = slots
+        self._waiting: deque[tuple[Job, Callable[[], None]]] = deque()
+
+    def run(self, job: Job, ended: Callable[[], None]) -> bool:
+        """Run or queue a job; ``False`` if no connection is left."""
+        if self._free:
+            self._start(job, ended)
+        elif len(self._waiting) < ENDPOINT_CONNECTIONS - SLOTS:
+            self._waiting.append((job, ended))
+        else:
+            return False
+        return True
+
+    def _start(self, job: Job, ended: Callable[[], None]) -> None:
+        self._free -= 1
+        job.started = self._events.now
+        self._events.after(job.run_s, lambda: self._end(job, ended))
+
+    def _end(self, job: Job, ended: Callable[[], None]) -> None:
+        job.ended = self._events.now
+        self._free += 1
+        if self._waiting:
+            self._start(*self._waiting.popleft())
+        ended()
+
+
+class Granting:
+    """Our way: a scheduler a pool and zone, which grants slots to the gateways.
+
+    :param zones: zones over which each pool's hosts are spread evenly.
+    """
+
+    def __init__(self, events: Events, zones: int, seed: int) -> None:
+        self._events = events
+        self._rng = random.Random(seed)
+        self._zones = [ZoneId(f"z{n}") for n in range(zones)]
+        self.cpu_s = 0.0
+        self.grants = 0
+        self.spilled = 0
+        self._jobs: dict[RequestId, Job] = {}
+        self._endpoints: dict[HostId, Endpoint] = {}
+        self._callers = {
+            zone: [
+                Caller(ProcessId(f"{zone}-{n}"), Incarnation(1), f"{zone}-{n}")
+                for n in range(GATEWAYS)
+            ]
+            for zone in self._zones
+        }
+        self._schedulers = {
+            (pool, zone): self._scheduler(pool, zone) for pool in POOLS for zone in self._zones
+        }
+        events.after(TICK_S, self._tick)
+        events.after(LOAD_S, self._loads)
+
+    @property
+    def violations(self) -> int:
+        """Invariants found broken."""
+        return sum(scheduler.violations for scheduler in self._schedulers.values())
+
+    def arrive(self, job: Job) -> None:
+        """A caller's job reaches a gateway of a random zone."""
+        zone = self._rng.choice(self._zones)
+        self._jobs[RequestId(str(job.id))] = job
+        self._ask(job, zone, spillable=len(self._zones) > 1, hop_s=HOP_S)
+
+    def _scheduler(self, pool: str, zone: ZoneId) -> PoolScheduler:
+        scheduler = PoolScheduler(
+            PoolId(pool), zone, 1, set(), self._events, random.Random(self._rng.random())
+        )
+        hosts = [HostId(f"{pool}-{zone}-{n}") for n in range(HOSTS // len(self._zones))]
+        self._endpoints |= {host: Endpoint(self._events) for host in hosts}
+        plans = {PlanId(kind.plan): PlanTerms(queue=PLAN_QUEUE) for kind in PLANS}
+        scheduler.configure(PoolTerms(dict.fromkeys(hosts, SLOTS), plans, budget=1))
+        return scheduler
+
+    def _ask(self, job: Job, zone: ZoneId, spillable: bool, hop_s: float) -> None:
+        caller = self._callers[zone][job.gateway]
+        left_s = job.arrived + job.kind.wait_s - self._events.now
+        kind = job.kind
+        ask = Ask(
+            RequestId(str(job.id)),
+            PoolId(job.pool),
+            PlanId(kind.plan),
+            kind.urgency,
+            left_s,
+            caller.address,
+            kind.declared_s,
+            spillable=spillable,
+        )
+        self._decide(job.pool, zone, hop_s, lambda s: s.ask(ask, caller))
+
+    def _decide(
+        self, pool: str, zone: ZoneId, hop_s: float, call: Callable[[PoolScheduler], list[Reply]]
+    ) -> None:
+        def decide() -> None:
+            start = time.process_time_ns()
+            replies = call(self._schedulers[pool, zone])
+            self.cpu_s += (time.process_time_ns() - start) / 1e9
+            for reply in replies:
+                self._events.after(HOP_S, lambda reply=reply: self._answered(zone, reply))
+
+        self._events.after(hop_s, decide)
+
+    def _answered(self, zone: ZoneId, reply: Reply) -> None:
+        message = reply.message
+        if isinstance(message, Refused):
+            job = self._jobs[message.request]
+            if message.spill is None:
+                job.refused = True
+            else:
+                self.spilled += 1
+                self._ask(job, message.spill, spillable=False, hop_s=ZONE_HOP_S)
+        elif isinstance(message, Granted):
+            self.grants += 1
+            job = self._jobs[message.request]
+            endpoint = self._endpoints[message.host]
+            self._events.after(
+                HOP_S, lambda: endpoint.run(job, lambda: self._ended(zone, job, message))
+            )
+
+    def _ended(self, zone: ZoneId, job: Job, granted: Granted) -> None:
+        done = Done(
+            granted.pool,
+            granted.grant,
+            granted.host,
+            PlanId(job.kind.plan),
+            Verdict.OK,
+            self._events.now - job.started,
+        )
+        self._decide(job.pool, zone, 2 * HOP_S, lambda s: s.done(done))
+
+    def _tick(self) -> None:
+        for (pool, zone), _ in self._schedulers.items():
+            alive = set(self._callers[zone])
+            self._decide(pool, zone, 0.0, lambda s, a=alive: s.tick(a, lambda caller: False))
+        self._events.after(TICK_S, self._tick)
+
+    def _loads(self) -> None:
+        for (pool, zone), scheduler in self._schedulers.items():
+            load = scheduler.load()
+            for other in self._zones:
+                if other != zone:
+                    peer = self._schedulers[pool, other]
+                    self._events.after(ZONE_HOP_S, lambda p=peer, m=load: p.hear(m))
+        self._events.after(LOAD_S, self._loads)
+
+
+class Blind:
+    """Baseline: each gateway sends to a random host below its own count of that host's jobs.
+
+    :param limit: jobs that one gateway sends to a host at once.
+    """
+
+    def __init__(self, events: Events, limit: int, seed: int) -> None:
+        self._events = events
+        self._limit = limit
+        self._rng = random.Random(seed)
+        self._endpoints = {
+            (pool, host): Endpoint(events) for pool in POOLS for host in range(HOSTS)
+        }
+        self._counts: dict[tuple[int, str, int], int] = {}
+        self._queues: dict[tuple[int, str], deque[Job]] = {}
+
+    def arrive(self, job: Job) -> None:
+        """A caller's job reaches a gateway."""
+        queue = self._queues.setdefault((job.gateway, job.pool), deque())
+        if len(queue) >= PLAN_QUEUE:
+            job.refused = True
+            return
+        queue.append(job)
+        self._send(job.gateway, job.pool)
+
+    def _send(self, gateway: int, pool: str) -> None:
+        queue = self._queues[gateway, pool]
+        while queue:
+            hosts = [h for h in range(HOSTS) if self._count(gateway, pool, h) < self._limit]
+            if not hosts:
+                return
+            job = queue.popleft()
+            if self._events.now - job.arrived > job.kind.wait_s:
+                job.refused = True
+                continue
+            host = self._rng.choice(hosts)
+            self._counts[gateway, pool, host] = self._count(gateway, pool, host) + 1
+            self._events.after(HOP_S, lambda j=job, h=host: self._arrived(j, h))
+
+    def _arrived(self, job: Job, host: int) -> None:
+        endpoint = self._endpoints[job.pool, host]
+        if not endpoint.run(job, lambda: self._events.after(HOP_S, lambda: self._ended(job, host))):
+            job.refused = True
+            self._ended(job, host)
+
+    def _ended(self, job: Job, host: int) -> None:
+        self._counts[job.gateway, job.pool, host] -= 1
+        self._send(job.gateway, job.pool)
+
+    def _count(self, gateway: int, pool: str, host: int) -> int:
+        return self._counts.get((gateway, pool, host), 0)
+
+
+def run(system: Callable[[Events, int], Granting | Blind], seed: int) -> tuple[Outcome, object]:
+    """Run one system through all surges; return the jobs and the system."""
+    events = Events()
+    driven = system(events, seed)
+    jobs = list(arrivals(POOLS, HOSTS * SLOTS, GATEWAYS, seed))
+    for job in jobs:
+        events.at(job.arrived, lambda job=job: driven.arrive(job))
+    events.run(surges(len(POOLS) - 1)[-1][1] + 120.0)
+    return Outcome(jobs, POOLS, HOSTS * SLOTS), driven
+
+
+def show(system: str, seed: int, figure: str, value: float, unit: str) -> None:
+    """Print one figure as a line of JSON."""
+    line = {"bench": "surge", "system": system, "seed": seed, "figure": figure}
+    print(json.dumps(line | {"value": round(value, 4), "unit": unit}))
+
+
+def main() -> None:
+    """Run every system over the same arrivals."""
+    systems: dict[str, Callable[[Events, int], Granting | Blind]] = {
+        "grants, 1 zone": lambda events, seed: Granting(events, 1, seed),
+        "grants, 4 zones": lambda events, seed: Granting(events, 4, seed),
+        "blind, 8 a gateway": lambda events, seed: Blind(events, SLOTS, seed),
+        "blind, 2 a gateway": lambda events, seed: Blind(events, 2, seed),
+        "blind, 1 a gateway": lambda events, seed: Blind(events, 1, seed),
+    }
+    for seed in SEEDS:
+        for name, system in systems.items():
+            outcome, driven = run(system, seed)
+            report = outcome.report()
+            show(name, seed, "goodput", report.goodput, "share of slot seconds in surges")
+            show(name, seed, "urgent start p99", report.urgent_start_p99_s, "s")
+            for rank, share in report.refused_by_urgency.items():
+                show(name, seed, f"refused, urgency {rank}", share, "share of surge's jobs")
+                late = report.late_by_urgency[rank]
+                show(name, seed, f"accepted but late, urgency {rank}", late, "share")
+            show(name, seed, "slot seconds app/orders", report.fairness, "ratio")
+            if isinstance(driven, Granting):
+                show(name, seed, "scheduler cpu", driven.cpu_s / driven.grants * 1e6, "us a grant")
+                show(name, seed, "spilled", driven.spilled / len(outcome.jobs), "share of jobs")
+                show(name, seed, "invariants broken", driven.violations, "count")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lentilrill/routing/_hosts.py
+++ b/src/lentilrill/routing/_hosts.py
@@ -41,6 +41,7 @@
         self._most_slots = 0
         self._poor: dict[HostId, None] = {}
         self._used = 0
+        self._free = 0
         self._capacity_now: int | None = None
 
     def configure(self, slots_by_host: Mapping[HostId, int], allowance: int) -> None:
@@ -80,10 +81,12 @@
     @property
     def free(self) -> int:
         """Slots of good hosts that a job can have now."""
-        return sum(free * len(hosts) for free, hosts in self._shelves_by_free.items())
+        return self._free
 
     def pick(self, avoid: tuple[HostId, ...], now: float) -> HostId | None:
         """Return the host for the next job, or ``None`` if no slot is free."""
+        if not self._poor:
+            return self._good(avoid) if self._free else None
         return self._probe(avoid, now) or self._good(avoid) or self._last(avoid)
 
     def all_avoided(self, avoid: tuple[HostId, ...]) -> bool:
@@ -151,7 +154,9 @@
         if host.shelf:
             self._shelves_by_free[host.shelf].pop(host.id, None)
         good = host.slots > 0 and self.health.health(host.id) is Health.GOOD
+        self._free -= host.shelf
         host.shelf = max(0, host.slots - host.used) if good else 0
+        self._free += host.shelf
         if host.shelf:
             self._shelves_by_free.setdefault(host.shelf, {})[host.id] = None
         if host.slots > 0 and not good:
--- a/src/lentilrill/routing/_scheduler.py
+++ b/src/lentilrill/routing/_scheduler.py
@@ -41,6 +41,7 @@
 LEAST_RETRY_S = 0.2
 MOST_RETRY_S = 60.0
 RATE_BURST_S = 1.0
+SWEEP_S = 1.0
 
 DEFAULT_TERMS = PlanTerms()
 
@@ -88,6 +89,8 @@
         self._buckets_by_plan: dict[PlanId, TokenBucket] = {}
         self._asks = 0
         self._granted = 0
+        self._swept = clock()
+        self._alive: set[Caller] = set()
 
     @property
     def waiting(self) -> int:
@@ -189,14 +192,26 @@
         out: list[Reply] = []
         for waiting in self._queue.expired(now):
             out.append(self._refuse(waiting, Refusal.TOO_LATE))
+        if now - self._swept >= SWEEP_S or alive != self._alive:
+            self._swept, self._alive = now, alive
+            self._sweep(alive, is_gone, now, out)
+        return self._grant_free(out)
+
+    def _sweep(
+        self,
+        alive: set[Caller],
+        is_gone: Callable[[Caller], bool],
+        now: float,
+        out: list[Reply],
+    ) -> None:
+        # An ask of a silent gateway would be granted a slot that nobody uses. If the gateway
+        # comes back it asks again, with the deadline that gives it the same place.
         for waiting in self._queue:
             if waiting.caller not in alive:
                 self._queue.remove(waiting.key)
         for grant in self._grants.orphans(alive, is_gone, now):
             self._reclaim(grant, "its gateway ended", out)
-        self._grant_free(out)
         self._check()
-        return out
 
     def resign(self) -> list[Reply]:
         """Tell every waiting gateway to ask the pool's next scheduler."""
--- a/src/lentilrill/routing/_waits.py
+++ b/src/lentilrill/routing/_waits.py
@@ -31,6 +31,8 @@
 
     def wait_s(self, ask: Ask, now: float, terms: PoolTerms) -> float:
         """Return the seconds until ``ask`` would start."""
+        if not self._queue and self._hosts.free:
+            return 0.0
         slots = max(1, self._hosts.capacity)
         ahead_s = sum(self._class_work_s(rank) for rank in range(ask.urgency))
         wait_s = (ahead_s + self._own_class_work_s(ask, now, terms)) / slots
--- /dev/null
+++ b/tests/routing/test_scheduler_random.py
@@ -0,0 +1,205 @@
+"""Long random runs of one pool's scheduler, its gateways, and messages lost between them."""
+
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from testtools import TestCase
+
+from lentilrill.ids import GrantId, HostId, Incarnation, PlanId, PoolId, ProcessId, ZoneId
+from lentilrill.inner import Ask, Granted, Held, HeldGrants, Verdict
+from lentilrill.routing._queue import Caller
+from lentilrill.routing._scheduler import PoolScheduler, Reply
+from lentilrill.routing._terms import PlanTerms, PoolTerms
+from tests.routing.site import Clock, an_ask, done
+
+POOL, ZONE = PoolId("schools"), ZoneId("z1")
+HOSTS = ("h1", "h2", "h3")
+SLOTS = 2
+PLANS = {
+    PlanId("a"): PlanTerms(queue=3, concurrency=2),
+    PlanId("b"): PlanTerms(weight=3.0, rate_per_s=5.0),
+    PlanId("c"): PlanTerms(),
+}
+CALLERS = [Caller(ProcessId(f"gw-{n}"), Incarnation(1), f"gw-{n}") for n in range(3)]
+
+
+class SchedulerMachine(RuleBasedStateMachine):
+    """Gateways that ask, hold, report, lose messages and die, against one scheduler.
+
+    The model holds what each gateway holds. While no scheduler was replaced and no message
+    lost, no host may have more grants than slots; and no ask may get two final answers.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = Clock()
+        self.epoch = 0
+        self.serving = set(HOSTS)
+        self.alive = set(CALLERS)
+        self.gone: set[Caller] = set()
+        self.asks: dict[str, tuple[Ask, Caller]] = {}
+        self.held: dict[GrantId, tuple[Granted, Caller, str]] = {}
+        self.exact = True
+
+    @initialize()
+    def start(self) -> None:
+        self.replace()
+
+    def replace(self) -> None:
+        self.epoch += 1
+        awaited = {caller.address for caller in self.alive}
+        rng = random.Random(self.epoch)
+        self.scheduler = PoolScheduler(POOL, ZONE, self.epoch, awaited, self.clock, rng)
+        self.configure()
+        for caller in sorted(self.alive, key=lambda c: c.address):
+            self.report(caller)
+
+    def configure(self) -> None:
+        slots = {HostId(host): SLOTS for host in HOSTS if host in self.serving}
+        self.take(self.scheduler.configure(PoolTerms(slots, PLANS, budget=1)))
+
+    def report(self, caller: Caller) -> None:
+        mine = [
+            Held(g.grant, g.host, PlanId(plan)) for g, c, plan in self.held.values() if c == caller
+        ]
+        self.take(self.scheduler.held(HeldGrants(POOL, tuple(mine)), caller))
+
+    def take(self, replies: list[Reply], lose: bool = False) -> None:
+        for reply in replies:
+            request = reply.message.request  # type: ignore[union-attr]
+            if isinstance(reply.message, Granted):
+                assert reply.message.host in self.serving
+            asked = self.asks.get(request)
+            if lose or asked is None or asked[1] not in self.alive:
+                self.exact = self.exact and not isinstance(reply.message, Granted)
+                continue
+            del self.asks[request]
+            if isinstance(reply.message, Granted):
+                assert reply.message.grant not in self.held
+                self.held[reply.message.grant] = (reply.message, asked[1], asked[0].plan)
+
+    @rule(
+        caller=st.sampled_from(CALLERS),
+        plan=st.sampled_from(sorted(PLANS)),
+        urgency=st.integers(0, 2),
+        wait_s=st.sampled_from([0.1, 1.0, 30.0]),
+        avoid=st.sets(st.sampled_from(HOSTS)),
+        lose=st.booleans(),
+    )
+    def ask(
+        self, caller: Caller, plan: str, urgency: int, wait_s: float, avoid: set[str], lose: bool
+    ) -> None:
+        if caller not in self.alive:
+            return
+        hosts = tuple(HostId(host) for host in sorted(avoid))
+        ask = an_ask(plan, caller, urgency=urgency, wait_s=wait_s, avoid=hosts)
+        self.asks[ask.request] = (ask, caller)
+        self.take(self.scheduler.ask(ask, caller), lose)
+
+    @precondition(lambda self: self.asks)
+    @rule(data=st.data())
+    def ask_again(self, data: st.DataObject) -> None:
+        ask, caller = self.asks[data.draw(st.sampled_from(sorted(self.asks)))]
+        self.take(self.scheduler.ask(ask, caller))
+
+    @precondition(lambda self: self.asks)
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        ask, caller = self.asks.pop(data.draw(st.sampled_from(sorted(self.asks))))
+        self.take(self.scheduler.cancel(ask.request, caller))
+
+    @precondition(lambda self: self.held)
+    @rule(
+        data=st.data(),
+        verdict=st.sampled_from(list(Verdict)),
+        run_s=st.sampled_from([0.0, 0.05, 3.0, 1e9]),
+        lose=st.booleans(),
+        twice=st.booleans(),
+    )
+    def end(
+        self, data: st.DataObject, verdict: Verdict, run_s: float, lose: bool, twice: bool
+    ) -> None:
+        granted, _, plan = self.held.pop(data.draw(st.sampled_from(sorted(self.held))))
+        if lose:
+            self.exact = False
+            return
+        for _ in range(1 + twice):
+            self.take(self.scheduler.done(done(granted, verdict, run_s, plan)))
+
+    @rule(seconds=st.sampled_from([0.01, 0.5, 3.5, 100.0]))
+    def tick(self, seconds: float) -> None:
+        self.clock.now += seconds
+        self.take(self.scheduler.tick(self.alive, lambda caller: caller in self.gone))
+
+    @rule(caller=st.sampled_from(CALLERS))
+    def make_report(self, caller: Caller) -> None:
+        if caller in self.alive:
+            self.report(caller)
+
+    @rule(caller=st.sampled_from(CALLERS))
+    def die(self, caller: Caller) -> None:
+        if len(self.alive) > 1 and caller in self.alive:
+            self.alive.discard(caller)
+            self.gone.add(caller)
+            self.held = {g: held for g, held in self.held.items() if held[1] != caller}
+            self.asks = {r: asked for r, asked in self.asks.items() if asked[1] != caller}
+
+    @rule(host=st.sampled_from(HOSTS))
+    def move_host(self, host: str) -> None:
+        self.serving ^= {host}
+        self.configure()
+
+    @rule()
+    def replace_scheduler(self) -> None:
+        self.replace()
+
+    @invariant()
+    def accounts_agree(self) -> None:
+        if self.epoch:
+            self.scheduler._check()
+            assert self.scheduler.violations == 0
+
+    @invariant()
+    def no_slot_is_given_twice(self) -> None:
+        held = [granted.host for granted, _, _ in self.held.values()]
+        if self.exact:
+            assert all(held.count(HostId(host)) <= SLOTS for host in HOSTS)
+
+    def teardown(self) -> None:
+        # In the end every message arrives: all is granted or refused, and no slot is lost.
+        self.serving = set(HOSTS)
+        self.configure()
+        self.held.clear()
+        for _ in range(100):
+            self.clock.now += 5.0
+            for caller in sorted(self.alive, key=lambda c: c.address):
+                self.report(caller)
+            self.take(self.scheduler.tick(self.alive, lambda caller: caller in self.gone))
+            for granted, _, plan in list(self.held.values()):
+                del self.held[granted.grant]
+                self.take(self.scheduler.done(done(granted, Verdict.OK, 0.1, plan)))
+        assert self.scheduler.waiting == 0
+        assert self.scheduler.running == 0
+
+
+class RandomRunsTest(TestCase):
+    def test_accounts_hold_through_random_runs(self) -> None:
+        run_state_machine_as_test(
+            SchedulerMachine,
+            settings=settings(
+                max_examples=80,
+                stateful_step_count=60,
+                derandomize=True,
+                database=None,
+                deadline=None,
+            ),
+        )
