Routing: slots kept free of long jobs; reports that cross an end; run times only as learned

Cause: volumes of an hour could hold every slot, so that urgent work waited an hour behind running jobs. A report of held grants that crossed the end of one brought it back for seconds. A scheduler's epoch by the clock could be another's too. A gateway could start a job on a host of another zone.

Change: an eighth of the slots is not given to long jobs of plans less urgent than the pool's most urgent; a plan counts as long until one of its jobs ended. Ended grants are remembered for a while. Epochs are random. The ledger refuses hosts of other zones, which no withdrawal would ask about.

--- a/src/lentilrill/inner/_grants.py
+++ b/src/lentilrill/inner/_grants.py
@@ -28,7 +28,6 @@
 
     :param urgency: rank of the urgency class, 0 first.
     :param wait_s: seconds from now within which the job must start.
-    :param run_s: run time that the caller declares, in seconds; 0 if unknown.
     :param reply_to: inner address of the asking gateway.
     :param avoid: hosts on which earlier attempts failed.
     :param spillable: whether a gateway of another zone may take the job instead.
@@ -42,7 +41,6 @@
     urgency: int
     wait_s: float
     reply_to: str
-    run_s: float = 0.0
     avoid: tuple[HostId, ...] = ()
     spillable: bool = True
     insist: bool = False
@@ -58,7 +56,7 @@
 class Granted(msgspec.Struct, frozen=True, tag="granted"):
     """One slot of ``host`` is the request's until its gateway reports it done.
 
-    :param epoch: the scheduler's incarnation; reports to another epoch are reconciled.
+    :param epoch: names this run of the scheduler; grants of another are reconciled by reports.
     :param start_within_s: seconds after receipt within which the job must be sent.
     """
 
--- a/src/lentilrill/routing/_client.py
+++ b/src/lentilrill/routing/_client.py
@@ -190,7 +190,8 @@
         with self._lock:
             pools = list(self._held_by_pool)
         for pool in pools:
-            self._report(pool)
+            if not self._placement.is_mine(pool):  # calls within the process are not lost
+                self._report(pool)
 
     def _report(self, pool: PoolId, address: str = "") -> None:
         if not address:
@@ -251,7 +252,6 @@
             job.plan.urgency.rank,
             job.deadline - now,
             self._node.address,
-            job.run_s,
             job.avoid,
             job.spillable,
             waiter.redirected is not None and now - waiter.redirected > INSIST_AFTER_S,
--- a/src/lentilrill/routing/_contract.py
+++ b/src/lentilrill/routing/_contract.py
@@ -18,7 +18,7 @@
     """One accepted request that wants to run.
 
     :param deadline: monotonic seconds by which it must have started.
-    :param run_s: declared run time in seconds; 0 if unknown.
+    :param run_s: run time in seconds that the caller declares; schedulers go by what they learn.
     :param avoid: hosts on which earlier attempts failed.
     :param spillable: whether another zone may run it; not set for a job that already spilled.
     """
--- a/src/lentilrill/routing/_grants.py
+++ b/src/lentilrill/routing/_grants.py
@@ -1,5 +1,6 @@
 """The grants that a scheduler has given and that are not over."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterator
 
 import msgspec
@@ -13,6 +14,7 @@
 UNLISTED_S = 3.0
 UNLISTED_REPORTS = 2
 SILENT_GATEWAY_S = 900.0
+ENDED_KEPT = 4096
 
 
 class Grant(msgspec.Struct):
@@ -41,6 +43,7 @@
         self._grants_by_id: dict[GrantId, Grant] = {}
         self._grants_by_key: dict[AskKey, Grant] = {}
         self._running_by_plan: dict[PlanId, int] = {}
+        self._ended_lately: OrderedDict[GrantId, None] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._grants_by_id)
@@ -51,10 +54,30 @@
     def __contains__(self, grant: GrantId) -> bool:
         return grant in self._grants_by_id
 
+    def has_ended(self, grant: GrantId) -> bool:
+        """Return whether a grant ended a short while ago.
+
+        Guard against a report of held grants that crosses the end of one of them: taken for a
+        grant still unknown, it would hold its slot until two later reports leave it out.
+        """
+        return grant in self._ended_lately
+
     def of_ask(self, key: AskKey) -> Grant | None:
         """Return the grant that answered an ask."""
         return self._grants_by_key.get(key)
 
+    def held_long(self, before: float) -> set[PlanId]:
+        """Return plans of which at least half of the grants were given before ``before``."""
+        old_by_plan: dict[PlanId, int] = {}
+        for grant in self:
+            if grant.given < before:
+                old_by_plan[grant.plan] = old_by_plan.get(grant.plan, 0) + 1
+        return {plan for plan, old in old_by_plan.items() if 2 * old >= self.running(plan)}
+
+    def plans(self) -> tuple[PlanId, ...]:
+        """Return the plans that hold grants."""
+        return tuple(self._running_by_plan)
+
     def running(self, plan: PlanId) -> int:
         """Return how many grants ``plan`` holds."""
         return self._running_by_plan.get(plan, 0)
@@ -68,6 +91,9 @@
 
     def end(self, grant: GrantId) -> Grant | None:
         """Remove and return a grant, if it is not over yet."""
+        self._ended_lately[grant] = None
+        if len(self._ended_lately) > ENDED_KEPT:
+            self._ended_lately.popitem(last=False)
         ended = self._grants_by_id.pop(grant, None)
         if ended is None:
             return None
--- a/src/lentilrill/routing/_hosts.py
+++ b/src/lentilrill/routing/_hosts.py
@@ -62,9 +62,9 @@
             self.configure({h.id: h.slots for h in self._serving()}, allowance)
 
     @property
-    def serving(self) -> int:
-        """Hosts that serve the pool, of whatever health."""
-        return len(self._serving())
+    def usable(self) -> bool:
+        """Whether a job can be run here, now or after a probe."""
+        return self.capacity > 0 or bool(self.health.hosts(Health.EJECTED))
 
     @property
     def capacity(self) -> int:
--- a/src/lentilrill/routing/_ledger.py
+++ b/src/lentilrill/routing/_ledger.py
@@ -118,6 +118,9 @@
         pool, entry = self._view.hosts_by_id.get(slot.host, (None, None))
         if entry is None or pool != slot.pool or entry.phase is not HostPhase.SERVING:
             return _refused(slot, FaultKind.REFUSED, "the host no longer serves the pool")
+        if entry.zone != self._me.zone:
+            # Its withdrawal would not ask this process, which is of another zone.
+            return _refused(slot, FaultKind.REFUSED, "the host is of another zone")
         return None
 
 
--- /dev/null
+++ b/src/lentilrill/routing/_reserve.py
@@ -0,0 +1,61 @@
+"""Slots kept free of long jobs, so that urgent ones can start."""
+
+from lentilrill.ids import PlanId
+from lentilrill.routing._grants import GrantBook
+from lentilrill.routing._hosts import HostSlots
+from lentilrill.routing._run_times import RunTimes
+from lentilrill.routing._terms import PlanTerms, PoolTerms
+from lentilrill.settings import Urgency
+
+__all__ = ["Reserve"]
+
+LONG_S = 2.0
+RESERVED_SHARE = 8
+LEAST_URGENT = Urgency.PATIENT.rank
+
+NO_TERMS = PlanTerms()
+
+
+class Reserve:
+    """Keeps an eighth of the slots free of long jobs that are less urgent than other plans'.
+
+    Guard against head-of-line blocking by running jobs: once textbook volumes of an hour hold
+    every slot, no order of the queue helps a ballot, since a running job is never cut off.
+    Short jobs use the reserved slots as all others, so the reserve costs no throughput. A plan
+    counts as long until a job of it has ended, whatever its callers declare.
+    """
+
+    def __init__(self, grants: GrantBook, hosts: HostSlots, run_times: RunTimes) -> None:
+        self._grants = grants
+        self._hosts = hosts
+        self._run_times = run_times
+        self._held_long: set[PlanId] = set()
+        self._terms = PoolTerms({}, {})
+        self._most_urgent = LEAST_URGENT
+
+    def configure(self, terms: PoolTerms) -> None:
+        """Take over the plans' urgencies."""
+        self._terms = terms
+        self._most_urgent = min(
+            (t.urgency for t in terms.plans_by_id.values()), default=LEAST_URGENT
+        )
+
+    def sweep(self, now: float) -> None:
+        """Look which plans hold their slots for long."""
+        self._held_long = self._grants.held_long(now - LONG_S)
+
+    def permits(self, plan: PlanId) -> bool:
+        """Return whether one more job of ``plan`` leaves the reserve untouched."""
+        if not self._is_long(plan):
+            return True
+        slots = self._hosts.capacity
+        reserved = max(1, slots // RESERVED_SHARE) if slots > 1 else 0
+        long = sum(self._grants.running(p) for p in self._grants.plans() if self._is_long(p))
+        return long < slots - reserved
+
+    def _is_long(self, plan: PlanId) -> bool:
+        if self._terms.plans_by_id.get(plan, NO_TERMS).urgency <= self._most_urgent:
+            return False
+        if plan in self._held_long or not self._run_times.known(plan):
+            return True
+        return self._run_times.expected_s(plan) > LONG_S
--- a/src/lentilrill/routing/_run_times.py
+++ b/src/lentilrill/routing/_run_times.py
@@ -7,7 +7,6 @@
 FIRST_GUESS_S = 0.2
 LEAST_S = 0.001
 MOST_S = 600.0
-DECLARED_FACTOR = 4.0
 OUTLIER_FACTOR = 8.0
 NEWEST_SHARE = 0.1
 
@@ -15,10 +14,9 @@
 class RunTimes:
     """Moving averages of the pool's run times, for each plan and for all.
 
-    Guard against declared run times that are far off: a declaration only counts until the
-    plan's first job ended, and moves the guess by at most a factor of four. An observation
-    counts as at most eight times the average, so that one lost or endless job does not make
-    the pool refuse everything.
+    Guard against declared run times that are far off: only what ran counts, and until a plan's
+    first job ended, the pool's average stands in for it. An observation counts as at most eight
+    times the average, so that one lost or endless job does not make the pool refuse everything.
     """
 
     def __init__(self) -> None:
@@ -30,15 +28,13 @@
         """Mean over all plans."""
         return self._mean_s or FIRST_GUESS_S
 
-    def expected_s(self, plan: PlanId, declared_s: float = 0.0) -> float:
+    def expected_s(self, plan: PlanId) -> float:
         """Return the run time to expect of the plan's next job."""
-        learned_s = self._mean_s_by_plan.get(plan)
-        if learned_s is not None:
-            return learned_s
-        if declared_s <= 0.0:
-            return self.mean_s
-        least, most = self.mean_s / DECLARED_FACTOR, self.mean_s * DECLARED_FACTOR
-        return min(max(declared_s, least), most)
+        return self._mean_s_by_plan.get(plan) or self.mean_s
+
+    def known(self, plan: PlanId) -> bool:
+        """Return whether a job of ``plan`` has ended here."""
+        return plan in self._mean_s_by_plan
 
     def learn(self, plan: PlanId, run_s: float) -> None:
         """Take in how long a job of ``plan`` ran."""
--- a/src/lentilrill/routing/_scheduler.py
+++ b/src/lentilrill/routing/_scheduler.py
@@ -22,6 +22,7 @@
 from lentilrill.routing._hosts import HostSlots
 from lentilrill.routing._limits import TokenBucket
 from lentilrill.routing._queue import AskKey, AskQueue, Caller, FairShares, Waiting
+from lentilrill.routing._reserve import Reserve
 from lentilrill.routing._run_times import RunTimes
 from lentilrill.routing._spill import OtherZones
 from lentilrill.routing._terms import PlanTerms, PoolTerms
@@ -85,6 +86,7 @@
         self._grants = GrantBook()
         self._run_times = RunTimes()
         self._waits = WaitEstimate(self._queue, self._grants, self.hosts, self._run_times)
+        self._reserve = Reserve(self._grants, self.hosts, self._run_times)
         self._others = OtherZones()
         self._buckets_by_plan: dict[PlanId, TokenBucket] = {}
         self._asks = 0
@@ -112,6 +114,7 @@
     def configure(self, terms: PoolTerms) -> list[Reply]:
         """Take over hosts, plans and limits."""
         self._terms = terms
+        self._reserve.configure(terms)
         self.hosts.configure(terms.slots_by_host, self._allowance())
         kept = set(terms.plans_by_id)
         for plan in self._buckets_by_plan.keys() - kept:
@@ -166,7 +169,7 @@
         """Take over what a gateway says it holds."""
         now = self._clock()
         for item in report.grants:
-            if item.grant not in self._grants:
+            if item.grant not in self._grants and not self._grants.has_ended(item.grant):
                 expected_s = self._run_times.expected_s(item.plan)
                 self._enter(Grant(item.grant, item.host, item.plan, caller, None, now, expected_s))
         out: list[Reply] = []
@@ -211,6 +214,7 @@
                 self._queue.remove(waiting.key)
         for grant in self._grants.orphans(alive, is_gone, now):
             self._reclaim(grant, "its gateway ended", out)
+        self._reserve.sweep(now)
         self._check()
 
     def resign(self) -> list[Reply]:
@@ -226,7 +230,7 @@
     def _objection(self, ask: Ask, out: list[Reply]) -> Refused | None:
         now = self._clock()
         terms = self._terms.plans_by_id.get(ask.plan, DEFAULT_TERMS)
-        if not self.hosts.serving:
+        if not self.hosts.usable:
             return self._refused(ask, Refusal.NO_HOSTS, NO_HOSTS_RETRY_S, spill=True)
         if self._queue.count(ask.plan) >= terms.queue:
             wait_s = self._waits.plan_drain_s(ask.plan)
@@ -308,7 +312,9 @@
 
     def _may_run(self, plan: PlanId) -> bool:
         limit = self._terms.plans_by_id.get(plan, DEFAULT_TERMS).concurrency
-        return not limit or self._grants.running(plan) < limit
+        if limit and self._grants.running(plan) >= limit:
+            return False
+        return self._reserve.permits(plan)
 
     def _grant(self, waiting: Waiting, host: HostId, now: float) -> Reply:
         self._granted += 1
--- a/src/lentilrill/routing/_schedulers.py
+++ b/src/lentilrill/routing/_schedulers.py
@@ -37,6 +37,7 @@
 STEADY_LOAD_S = 0.5
 TROUBLE_S = 1.0
 INSISTED_S = 10.0
+EPOCH_BITS = 62
 
 Answer = Callable[[str, Granted | Refused], None]
 
@@ -78,7 +79,7 @@
         self._view = view
         self._placement = placement
         self._clock = clock
-        self._rng = rng or random.Random()
+        self._rng = rng or random.SystemRandom()
         self._metrics = metrics or NoMetrics()
         self._lock = threading.Lock()
         self._delivering = threading.local()
@@ -100,7 +101,8 @@
 
     def ask(self, ask: Ask, caller: Caller) -> None:
         """Take an ask of a gateway of this zone."""
-        if not self._runs(ask.pool) and not (ask.insist or self._placement.is_mine(ask.pool)):
+        wanted = ask.insist or self._placement.is_mine(ask.pool)
+        if not self._runs(ask.pool) and not (wanted and ask.pool in self._view.pools_by_id):
             refused = Refused(ask.request, ask.pool, Refusal.NOT_SCHEDULER)
             self._deliver([Reply(caller.address, refused)])
             return
@@ -172,7 +174,12 @@
         zone = self._placement.me.zone
         awaited = {member.inner for member in self._placement.gateways(zone)}
         scheduler = PoolScheduler(
-            pool, zone, time.time_ns(), awaited, self._clock, random.Random(self._rng.random())
+            pool,
+            zone,
+            self._rng.getrandbits(EPOCH_BITS),
+            awaited,
+            self._clock,
+            random.Random(self._rng.random()),
         )
         scheduler.configure(pool_terms(self._view, pool, zone))
         log(Event.SCHEDULER_STARTED, pool=pool, zone=zone, epoch=scheduler.epoch)
@@ -218,6 +225,8 @@
             self._delivering.pending = None
 
     def _is_over(self, pool: PoolId, held: _Scheduled) -> bool:
+        if pool not in self._view.pools_by_id:
+            return True
         insisted = self._clock() - held.insisted < INSISTED_S
         return not insisted and not self._placement.is_mine(pool)
 
--- a/src/lentilrill/routing/_terms.py
+++ b/src/lentilrill/routing/_terms.py
@@ -4,7 +4,7 @@
 
 from lentilrill.fleet import FleetView, HostPhase
 from lentilrill.ids import HostId, PlanId, PoolId, ZoneId
-from lentilrill.settings import Document, Entitlement, Plan
+from lentilrill.settings import Document, Entitlement, Plan, Urgency
 
 __all__ = ["PlanTerms", "PoolTerms", "pool_terms"]
 
@@ -13,6 +13,7 @@
     """Limits of one plan in one zone; see :class:`~lentilrill.settings.Entitlement`.
 
     :param weight: its share of the slots when several plans wait.
+    :param urgency: rank of its urgency class, 0 first.
     """
 
     weight: float = 1.0
@@ -20,6 +21,7 @@
     concurrency: int = 0
     queue: int = 200
     zones: tuple[ZoneId, ...] = ()
+    urgency: int = Urgency.NORMAL.rank
 
 
 class PoolTerms(msgspec.Struct, frozen=True):
@@ -69,4 +71,5 @@
         concurrency=entitlement.concurrency,
         queue=entitlement.queue,
         zones=entitlement.zones,
+        urgency=plan.urgency.rank,
     )
--- a/src/lentilrill/routing/_waits.py
+++ b/src/lentilrill/routing/_waits.py
@@ -62,7 +62,7 @@
         counts = self._queue.counts(ask.urgency)
         counts[ask.plan] = self._queue.ahead(ask.plan, ask.urgency, now + ask.wait_s)
         weights = {plan: terms.plans_by_id.get(plan, NO_TERMS).weight for plan in counts}
-        own_s = counts[ask.plan] * self._run_times.expected_s(ask.plan, ask.run_s)
+        own_s = counts[ask.plan] * self._run_times.expected_s(ask.plan)
         by_share_s = own_s * sum(weights.values()) / weights[ask.plan]
         all_s = sum(n * self._run_times.expected_s(plan) for plan, n in counts.items())
         return min(by_share_s, all_s)
--- a/tests/routing/test_ledger.py
+++ b/tests/routing/test_ledger.py
@@ -65,6 +65,12 @@
         self.assertEqual(FaultKind.REFUSED, self.ledger.start(slot).failure().kind)
         self.assertIsInstance(self.ledger.start(self.a_slot(pool="library")), Success)
 
+    def test_nothing_is_sent_to_a_host_of_another_zone(self) -> None:
+        # A withdrawal asks the gateways of the host's own zone. One of another zone that sent
+        # there all the same would not be asked, and the host would change hands under its job.
+        self.fleet.hosts(builders.an_entry("h1", zone="z2"))
+        self.assertEqual(FaultKind.REFUSED, self.ledger.start(self.a_slot()).failure().kind)
+
     def test_a_host_with_a_send_in_flight_is_not_drained(self) -> None:
         slot = self.a_slot()
         self.ledger.start(slot)
--- a/tests/routing/test_slots.py
+++ b/tests/routing/test_slots.py
@@ -11,7 +11,7 @@
 from lentilrill.ids import PoolId, RequestId
 from lentilrill.inner import Refusal, Verdict, WithdrawalAck
 from lentilrill.membership import Role
-from lentilrill.routing import Decline, Slot
+from lentilrill.routing import Decline, Slot, _client
 from tests import builders
 from tests.routing.site import Fleet, Gateway, Members, a_job, eventually
 
@@ -81,6 +81,8 @@
         eventually(lambda: two.slots.waiting > 0)
         two.slots.abandon(job.request)
         self.assertNotIsInstance(waiting.result(WAIT_S), Success)
+        scheduler = self.scheduling().routing.schedulers.schedulers_by_pool[POOL]
+        eventually(lambda: scheduler.waiting == 0)
         one.slots.release(held[0], Verdict.OK, 0.01)
         self.assertIsInstance(self.acquire(one).result(WAIT_S), Success)
 
@@ -95,7 +97,9 @@
     def test_a_lost_scheduler_is_replaced(self) -> None:
         # The scheduler's process dies while jobs run and others wait. The next scheduler must
         # learn of the two grants that are still held before it gives any, or four jobs would
-        # run on two slots; and the waiting job must be served without its caller's doing.
+        # run on two slots; and the waiting job must be served without its caller's doing, as
+        # soon as the change is known.
+        self.patch(_client, "REASK_S", 600.0)
         one, two = self.others()
         held = [self.acquire(one).result(WAIT_S).unwrap() for _ in range(2)]
         waiting = self.acquire(two)
