--- a/src/lentilrill/platform/__init__.py
+++ b/src/lentilrill/platform/__init__.py
@@ -15,17 +15,25 @@
     RangeAnswer,
     TxnAnswer,
     WatchBatch,
+    WatchStream,
 )
+from lentilrill.platform._etcd import MAX_VALUE_BYTES, EtcdKeyValue
+from lentilrill.platform._guard import CallBudget
+from lentilrill.platform._hostlist import HttpHostList
 from lentilrill.platform._mirror import Mirror
 
 __all__ = [
+    "MAX_VALUE_BYTES",
+    "CallBudget",
     "Compare",
     "DeleteRange",
+    "EtcdKeyValue",
     "HostInfo",
     "HostKind",
     "HostList",
     "HostListing",
     "HostState",
+    "HttpHostList",
     "Item",
     "KeyValue",
     "Mirror",
@@ -34,4 +42,5 @@
     "RangeAnswer",
     "TxnAnswer",
     "WatchBatch",
+    "WatchStream",
 ]
