Claims: fenced shards, group commit, outcomes told until acknowledged

Cause: a keyed job may be repeated through any entry host, at any time, while owners are paused, restarted or doubled and the platform loses answers. The owner key's modification revision is the fence; each batch is its own key, written by a transaction that compares the fence, so a write costs only what is new. A page rewritten each time was ruled out: its size follows all claims kept.

Batches are given up from the oldest on only, and what still counts is carried over: a later entry that overrules an earlier one could otherwise be deleted first, and a released or expired key would come back as claimed with the next owner.

A lost answer is settled by a new fence, then read back. Reading back alone was ruled out by a test: a write that lands late would still take effect.

--- a/src/lentilrill/gateway/_keyed.py
+++ b/src/lentilrill/gateway/_keyed.py
@@ -17,6 +17,7 @@
 
 CLAIM_WAIT_S = 5.0
 RECORDED_BODY_BYTES = 4096
+CONTENT_TYPE_CHARACTERS = 255
 REPLAYED = ("Idempotency-Replayed", "true")
 DIGEST_HEADERS = ("content-digest", "repr-digest", "digest")
 
@@ -69,11 +70,11 @@
 
 def _recorded(ending: Ending | None) -> Recorded:
     if isinstance(ending, Whole):
-        content_type = dict(ending.headers).get("Content-Type", "")
+        content_type = dict(ending.headers).get("Content-Type", "")[:CONTENT_TYPE_CHARACTERS]
         small = len(ending.body) <= RECORDED_BODY_BYTES
         return Recorded(ending.status, content_type, ending.body if small else None)
     if isinstance(ending, Streamed) and ending.whole:
-        return Recorded(ending.status, ending.content_type, None)
+        return Recorded(ending.status, ending.content_type[:CONTENT_TYPE_CHARACTERS], None)
     problem = Problem(
         ProblemKind.LOST,
         "the job with this key was sent, and its answer was lost; it is not sent again",
--- a/src/lentilrill/gateway/_server.py
+++ b/src/lentilrill/gateway/_server.py
@@ -28,7 +28,7 @@
 from lentilrill.jobs import Claims
 from lentilrill.routing import Slots
 from lentilrill.settings import GatewaySettings
-from lentilrill.telemetry import Event, Metrics, log
+from lentilrill.telemetry import Metrics
 
 __all__ = ["GatewayServer"]
 
@@ -110,7 +110,6 @@
         :return: whether all of them finished.
         """
         self._draining = True
-        log(Event.PROCESS_DRAINING, in_flight=self._in_flight)
         with self._changed:
             return self._changed.wait_for(lambda: not self._in_flight, self._settings.drain_s)
 
--- a/src/lentilrill/inner/__init__.py
+++ b/src/lentilrill/inner/__init__.py
@@ -1,6 +1,6 @@
 """The protocol between the system's own processes: messages, codec and ZeroMQ node."""
 
-from lentilrill.inner._claims import ClaimAnswer, ClaimAsk, ClaimState, OutcomeNote
+from lentilrill.inner._claims import ClaimAnswer, ClaimAsk, ClaimState, OutcomeAck, OutcomeNote
 from lentilrill.inner._codec import Batch, Message, decode, encode
 from lentilrill.inner._grants import (
     Ask,
@@ -34,6 +34,7 @@
     "Leave",
     "Message",
     "Node",
+    "OutcomeAck",
     "OutcomeNote",
     "Refusal",
     "Refused",
--- a/src/lentilrill/inner/_claims.py
+++ b/src/lentilrill/inner/_claims.py
@@ -6,7 +6,7 @@
 
 from lentilrill.ids import PlanId, RequestId
 
-__all__ = ["ClaimAnswer", "ClaimAsk", "ClaimState", "OutcomeNote"]
+__all__ = ["ClaimAnswer", "ClaimAsk", "ClaimState", "OutcomeAck", "OutcomeNote"]
 
 
 class ClaimState(Enum):
@@ -63,3 +63,9 @@
     status: int = 0
     content_type: str = ""
     body: bytes | None = None
+
+
+class OutcomeAck(msgspec.Struct, frozen=True, tag="outcome_ack"):
+    """The owner has committed the request's note, or has no claim of it to end."""
+
+    request: RequestId
--- a/src/lentilrill/inner/_codec.py
+++ b/src/lentilrill/inner/_codec.py
@@ -26,6 +26,7 @@
     | _claims.ClaimAsk
     | _claims.ClaimAnswer
     | _claims.OutcomeNote
+    | _claims.OutcomeAck
     | _withdrawals.WithdrawalAck
     | _withdrawals.HostTrouble
 )
--- a/src/lentilrill/jobs/__init__.py
+++ b/src/lentilrill/jobs/__init__.py
@@ -1,5 +1,7 @@
 """Outcomes of jobs and claims of idempotency keys."""
 
+from lentilrill.jobs._client import ClaimClient
 from lentilrill.jobs._contract import Claim, ClaimResult, Claims, Recorded
+from lentilrill.jobs._owner import ClaimOwner
 
-__all__ = ["Claim", "ClaimResult", "Claims", "Recorded"]
+__all__ = ["Claim", "ClaimClient", "ClaimOwner", "ClaimResult", "Claims", "Recorded"]
--- /dev/null
+++ b/src/lentilrill/jobs/_shards.py
@@ -0,0 +1,19 @@
+"""Shards of idempotency keys and their owners."""
+
+import hashlib
+
+from lentilrill.ids import PlanId
+from lentilrill.membership import Member, Role, Roster, rendezvous
+
+__all__ = ["owner_of", "shard_of"]
+
+
+def shard_of(plan: PlanId, key: str, shards: int) -> int:
+    """Return the shard of a plan's key."""
+    digest = hashlib.blake2b(f"{plan}\0{key}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") % shards
+
+
+def owner_of(shard: int, roster: Roster) -> Member | None:
+    """Return the gateway that this process believes to own ``shard``."""
+    return rendezvous(f"claims/{shard}", roster.alive(Role.GATEWAY))
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -44,6 +44,10 @@
     ENDPOINT_UNREACHABLE = (703, Level.WARNING, "No connection to an endpoint could be opened.")
     EXCHANGE_BROKEN = (704, Level.WARNING, "A job was sent and no whole answer came back.")
 
+    SHARD_TAKEN = (801, Level.INFO, "This process owns a shard of idempotency keys now.")
+    CLAIMS_UNAVAILABLE = (802, Level.WARNING, "Claims of a shard can't be committed now.")
+    OUTCOME_DROPPED = (803, Level.WARNING, "An outcome was not kept; its key stays in progress.")
+
     @property
     def number(self) -> int:
         """The event's number."""
--- /dev/null
+++ b/tests/jobs/test_claims.py
@@ -0,0 +1,378 @@
+"""Claims of idempotency keys between a client, owners and the platform."""
+
+import threading
+from typing import Any, cast
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.ids import PlanId, RequestId
+from lentilrill.inner import ClaimAnswer, ClaimState, Node, OutcomeNote
+from lentilrill.jobs import Claim, ClaimClient, ClaimOwner, ClaimResult, Recorded
+from lentilrill.jobs._records import BatchRecord
+from lentilrill.membership import Member
+from lentilrill.telemetry import NoMetrics
+from tests import builders
+from tests.jobs.fakes import Bus, BusNode, FakePlatform, FakeRoster
+
+WAIT_S = 10.0
+SOON_S = 0.4
+RETENTION_S = 600.0
+
+
+class Process:
+    """One gateway's claim side."""
+
+    def __init__(self, test: "ClaimTestCase", member: Member) -> None:
+        self.member = member
+        self.node = BusNode(test.bus, member)
+        self.roster = FakeRoster(member)
+        self.now = 1000.0
+        node = cast(Node, self.node)
+        self.client = ClaimClient(node, self.roster, 1, RETENTION_S)
+        self.owner = ClaimOwner(
+            node, self.roster, test.platform, NoMetrics(), 1, RETENTION_S, lambda: self.now
+        )
+        self.client.start()
+        self.owner.start()
+        test.addCleanup(self.client.close)
+        test.addCleanup(self.owner.close)
+
+    def believes_in(self, owner: "Process") -> None:
+        """Let this process believe that ``owner`` alone is alive."""
+        self.roster.members = (owner.member,)
+
+
+class ClaimTestCase(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.platform = FakePlatform()
+        self.bus = Bus()
+
+    def a_process(self, name: str) -> Process:
+        member = builders.a_member(name, inner=f"inner-{name}")
+        return Process(self, member)
+
+    def claim(self, process: Process, request: str, **changes: Any) -> ClaimResult:
+        timeout_s = changes.pop("timeout_s", WAIT_S)
+        return process.client.claim(a_claim(request, **changes), timeout_s)
+
+    def assert_state(self, state: ClaimState, result: ClaimResult) -> None:
+        self.assertEqual(state, result.state)
+
+    def wait_told(self, process: Process) -> None:
+        """Wait until every outcome of the process is acknowledged."""
+        for _ in range(int(WAIT_S * 100)):
+            if not process.client.untold:
+                return
+            threading.Event().wait(0.01)
+        self.fail("outcomes were not acknowledged")
+
+
+def a_claim(request: str, key: str = "k1", fingerprint: str = "f1") -> Claim:
+    return Claim(RequestId(request), PlanId("schools"), key, fingerprint)
+
+
+class OneOwnerTest(ClaimTestCase):
+    def test_life_of_a_key(self) -> None:
+        one = self.a_process("one")
+        self.assert_state(ClaimState.CLAIMED, self.claim(one, "r1"))
+        self.assert_state(ClaimState.IN_PROGRESS, self.claim(one, "r2"))
+        self.assert_state(ClaimState.MISMATCH, self.claim(one, "r3", fingerprint="other"))
+        self.assert_state(ClaimState.CLAIMED, self.claim(one, "r4", key="k2"))
+        recorded = Recorded(201, "text/plain", b"made")
+        one.client.record(a_claim("r1"), recorded)
+        self.wait_told(one)
+        result = self.claim(one, "r5")
+        self.assertEqual((ClaimState.RECORDED, recorded), (result.state, result.recorded))
+
+    def test_a_released_key_is_free(self) -> None:
+        one = self.a_process("one")
+        self.claim(one, "r1")
+        one.client.release(a_claim("r1"))
+        self.wait_told(one)
+        self.assert_state(ClaimState.CLAIMED, self.claim(one, "r2"))
+
+    def test_only_the_holder_can_end_a_claim(self) -> None:
+        # A request that gave up waiting gives its key back, although another request got the
+        # key meanwhile. Were that taken for the other's release, a third one would run it too.
+        one = self.a_process("one")
+        self.claim(one, "r1")
+        one.client.release(a_claim("r2"))
+        self.wait_told(one)
+        self.assert_state(ClaimState.IN_PROGRESS, self.claim(one, "r3"))
+
+    def test_claims_that_queue_up_share_a_commit(self) -> None:
+        # The first commit is held; what arrives meanwhile must go out in one further batch, or
+        # the platform's writes would follow the jobs.
+        one = self.a_process("one")
+        self.claim(one, "first", key="first")
+        entered, gate = threading.Event(), threading.Event()
+
+        def held() -> None:
+            entered.set()
+            gate.wait(WAIT_S)
+
+        self.platform.before_commit = held
+        results: list[ClaimResult] = []
+        tasks = [
+            threading.Thread(
+                target=lambda n=n: results.append(self.claim(one, f"r{n}", key=f"k{n}"))
+            )
+            for n in range(40)
+        ]
+        before = self.platform.commits
+        tasks[0].start()
+        entered.wait(WAIT_S)
+        sent = threading.Semaphore(0)
+        self.bus.drop = lambda address, message: bool(sent.release())
+        for task in tasks[1:]:
+            task.start()
+        for _ in tasks[1:]:
+            sent.acquire(timeout=WAIT_S)
+        gate.set()
+        for task in tasks:
+            task.join(WAIT_S)
+        self.assertEqual({ClaimState.CLAIMED}, {result.state for result in results})
+        self.assertEqual(40, len(results))
+        self.assertEqual(2, self.platform.commits - before)
+
+    def test_values_stay_below_the_platforms_limit(self) -> None:
+        one = self.a_process("one")
+        entered, gate = threading.Event(), threading.Event()
+
+        def held() -> None:
+            entered.set()
+            gate.wait(WAIT_S)
+
+        self.platform.before_commit = held
+        notes = [a_claim(f"r{n}", key='"' * 200 + str(n)) for n in range(400)]
+        one.client.release(a_claim("none"))
+        entered.wait(WAIT_S)
+        tasks = [threading.Thread(target=one.client.claim, args=(note, WAIT_S)) for note in notes]
+        for task in tasks:
+            task.start()
+        gate.set()
+        for task in tasks:
+            task.join(WAIT_S)
+        for note in notes:
+            one.client.record(note, Recorded(200, "text/plain", b"\0" * 4096))
+        self.wait_told(one)
+        self.assertLess(self.platform.largest, 1_000_000)
+        self.assertGreater(self.platform.largest, 100_000)
+
+    def test_retention_cleans_up_and_keeps_what_is_in_progress(self) -> None:
+        # A key's retention has passed, and another key's gateway died in the middle of its job.
+        # The first becomes free and its batch is deleted; the second must stay claimed, also
+        # for the next owner, or the job whose end nobody knows would run again.
+        one = self.a_process("one")
+        self.claim(one, "done", key="done")
+        self.claim(one, "died", key="died")
+        one.client.record(a_claim("done", key="done"), Recorded(200, "", b""))
+        self.wait_told(one)
+        one.now += RETENTION_S + 60
+        self.assert_state(ClaimState.CLAIMED, self.claim(one, "again", key="done"))
+        self.assertEqual(1, len(self.platform.below("/batch/")))
+        two = self.a_process("two")
+        two.now = one.now
+        self.assert_state(ClaimState.IN_PROGRESS, self.claim(two, "x", key="died"))
+        self.assert_state(ClaimState.IN_PROGRESS, self.claim(two, "y", key="done"))
+
+    def test_an_outcome_is_told_until_it_is_acknowledged(self) -> None:
+        # The message that tells an outcome is lost. Without another try the key would be "in
+        # progress" for hours although its answer is known.
+        one = self.a_process("one")
+        self.claim(one, "r1")
+        lost: list[OutcomeNote] = []
+
+        def drop_first(address: str, message: object) -> bool:
+            if isinstance(message, OutcomeNote) and not lost:
+                lost.append(message)
+                return True
+            return False
+
+        self.bus.drop = drop_first
+        one.client.record(a_claim("r1"), Recorded(200, "", b"x"))
+        self.wait_told(one)
+        self.assert_state(ClaimState.RECORDED, self.claim(one, "r2"))
+
+
+class FaultTest(ClaimTestCase):
+    def test_a_lost_answer_is_read_back(self) -> None:
+        # The batch is committed, but the platform's answer is lost. Answered "claimed" without
+        # a look, or "not claimed", one of two callers with the key would be told a lie.
+        one = self.a_process("one")
+        self.claim(one, "r0", key="k0")
+        self.platform.lose = 1
+        self.assert_state(ClaimState.CLAIMED, self.claim(one, "r1"))
+        self.assert_state(ClaimState.IN_PROGRESS, self.claim(one, "r2"))
+
+    def test_a_lost_answer_of_the_take_over(self) -> None:
+        self.platform.lose = 1
+        self.assert_state(ClaimState.CLAIMED, self.claim(self.a_process("one"), "r1"))
+
+    def test_a_write_that_lands_late_claims_nothing(self) -> None:
+        # The batch's write is under way when its call times out; reading back shows nothing
+        # yet, so the caller is told "not run" and a later request claims the key. Then the
+        # write lands. It must not take effect: its claim is nobody's, or is another's.
+        one = self.a_process("one")
+        self.claim(one, "r0", key="k0")
+        self.platform.postpone = 1
+        result = one.client.claim(a_claim("r1"), SOON_S)
+        self.assert_state(ClaimState.UNAVAILABLE, result)
+        self.assert_state(ClaimState.CLAIMED, self.claim(one, "r2"))
+        before = self.platform.below("/batch/")
+        self.platform.land()
+        self.assertEqual(before, self.platform.below("/batch/"))
+
+    def test_platform_down_claims_nothing(self) -> None:
+        one = self.a_process("one")
+        self.claim(one, "r0", key="k0")
+        self.platform.down = True
+        result = one.client.claim(a_claim("r1"), SOON_S)
+        self.assert_state(ClaimState.UNAVAILABLE, result)
+        self.assertIsNotNone(result.retry_after_s)
+        self.platform.down = False
+        self.assert_state(ClaimState.CLAIMED, self.eventually(one, "r2"))
+
+    def test_no_owner_claims_nothing(self) -> None:
+        one = self.a_process("one")
+        one.roster.members = ()
+        self.assert_state(ClaimState.UNAVAILABLE, one.client.claim(a_claim("r1"), SOON_S))
+
+    def test_an_unanswered_claim_is_given_back(self) -> None:
+        # The owner commits a claim, but its answer never reaches the asking gateway, which
+        # tells its caller that the job did not run. The caller's next try must not hear "in
+        # progress" for hours.
+        one = self.a_process("one")
+        self.bus.drop = lambda address, message: isinstance(message, ClaimAnswer)
+        self.assert_state(ClaimState.UNAVAILABLE, one.client.claim(a_claim("r1"), SOON_S))
+        self.bus.drop = lambda address, message: False
+        self.wait_told(one)
+        self.assert_state(ClaimState.CLAIMED, self.claim(one, "r2"))
+
+    def test_a_stale_read_is_no_proof(self) -> None:
+        # A new owner's read comes from a replica that lags: the former owner's claims are not
+        # in it. Believed, the key would be free and its job would run twice.
+        one, two = self.a_process("one"), self.a_process("two")
+        self.claim(one, "r0", key="k0")
+        past = dict(self.platform.items)
+        self.assert_state(ClaimState.CLAIMED, self.claim(one, "r1"))
+        self.platform.before_commit = lambda: setattr(self.platform, "stale", past)
+        result = two.client.claim(a_claim("r2"), SOON_S)
+        self.assert_state(ClaimState.UNAVAILABLE, result)
+        self.platform.before_commit = lambda: None
+        self.platform.stale = None
+        self.assert_state(ClaimState.IN_PROGRESS, self.eventually(two, "r3"))
+
+    def test_an_unreadable_batch_stops_claims(self) -> None:
+        # A batch of a broken build can't be decoded; it may hold any key.
+        one = self.a_process("one")
+        self.claim(one, "r1")
+        key = self.platform.below("/batch/")[0]
+        item = self.platform.items[key]
+        self.platform.items[key] = msgspec.structs.replace(item, value=b"{")
+        two = self.a_process("two")
+        self.assert_state(ClaimState.UNAVAILABLE, two.client.claim(a_claim("r2"), SOON_S))
+
+    def eventually(self, process: Process, request: str) -> ClaimResult:
+        """Claim until the owner's back-off is over."""
+        for n in range(100):
+            result = process.client.claim(a_claim(f"{request}-{n}"), SOON_S)
+            if result.state is not ClaimState.UNAVAILABLE:
+                break
+            threading.Event().wait(0.05)
+        return result
+
+
+class TwoOwnersTest(ClaimTestCase):
+    def test_a_paused_former_owner_claims_nothing(self) -> None:
+        # The owner decides that the key is free and is paused just before its write. Another
+        # process takes the shard over, claims the key and runs the job. The first wakes up and
+        # writes. Were its claim to count, the job would run twice.
+        one, two = self.a_process("one"), self.a_process("two")
+        self.claim(one, "r0", key="k0")
+        paused, wake = threading.Event(), threading.Event()
+
+        def pause_once() -> None:
+            self.platform.before_commit = lambda: None
+            paused.set()
+            wake.wait(WAIT_S)
+
+        self.platform.before_commit = pause_once
+        results: list[ClaimResult] = []
+        claim = threading.Thread(
+            target=lambda: results.append(one.client.claim(a_claim("r1"), SOON_S))
+        )
+        claim.start()
+        paused.wait(WAIT_S)
+        self.assert_state(ClaimState.CLAIMED, self.claim(two, "r2"))
+        wake.set()
+        claim.join(WAIT_S)
+        self.assertNotEqual(ClaimState.CLAIMED, results[0].state)
+        self.assert_state(ClaimState.IN_PROGRESS, self.claim(two, "r3"))
+
+    def test_a_claim_committed_during_a_take_over_is_seen(self) -> None:
+        # While another process takes the shard over, the former owner, still in charge, claims
+        # a key. Had the new owner read the batches before it took the fence, the key would be
+        # free to it, and the job would run twice.
+        one, two = self.a_process("one"), self.a_process("two")
+        self.claim(one, "r0", key="k0")
+
+        def claim_first() -> None:
+            self.platform.before_commit = lambda: None
+            self.assert_state(ClaimState.CLAIMED, self.claim(one, "r1"))
+
+        self.platform.before_commit = claim_first
+        self.assert_state(ClaimState.IN_PROGRESS, self.claim(two, "r2"))
+
+    def test_a_restarted_owner_knows_nothing_of_itself(self) -> None:
+        # The owner dies after its claim was committed, and comes back under the same name with
+        # an empty memory. It must take over like anybody else, and read what was claimed.
+        one = self.a_process("one")
+        self.assert_state(ClaimState.CLAIMED, self.claim(one, "r1"))
+        again = self.a_process("one")
+        self.assert_state(ClaimState.IN_PROGRESS, self.claim(again, "r2"))
+        # The former incarnation, if it still runs, can't claim any more.
+        result = one.owner.owns(0) and one.client.claim(a_claim("r3", key="k3"), SOON_S)
+        self.assertNotEqual(ClaimState.CLAIMED, cast(ClaimResult, result).state)
+
+    def test_two_owners_at_once_never_both_claim(self) -> None:
+        # Two processes can't hear each other, and each believes to own the shard. Callers come
+        # to both with the same keys. Whatever the order, one request at most holds a key.
+        one, two = self.a_process("one"), self.a_process("two")
+        winners: dict[str, int] = {}
+        lock = threading.Lock()
+
+        def race(process: Process) -> None:
+            for n in range(30):
+                key = f"k{n}"
+                claim = a_claim(f"{process.member.process}-{n}", key=key)
+                if process.client.claim(claim, SOON_S).state is ClaimState.CLAIMED:
+                    with lock:
+                        winners[key] = winners.get(key, 0) + 1
+
+        tasks = [threading.Thread(target=race, args=(process,)) for process in (one, two)]
+        for task in tasks:
+            task.start()
+        for task in tasks:
+            task.join(60)
+        self.assertNotEqual({}, winners)
+        self.assertEqual({1}, set(winners.values()))
+
+    def test_a_moved_shard_is_found(self) -> None:
+        one, two = self.a_process("one"), self.a_process("two")
+        one.believes_in(two)
+        self.assert_state(ClaimState.CLAIMED, self.claim(one, "r1"))
+        two.believes_in(one)
+        one.believes_in(one)
+        self.assert_state(ClaimState.IN_PROGRESS, self.claim(two, "r2"))
+
+    def test_batches_decode_as_written(self) -> None:
+        one = self.a_process("one")
+        self.claim(one, "r1")
+        key = self.platform.below("/batch/")[0]
+        value = self.platform.items[key].value
+        assert value is not None
+        record = msgspec.json.decode(value, type=BatchRecord)
+        self.assertEqual(["k1"], [entry.key for entry in record.entries])
