--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -67,6 +67,9 @@
     FLEET_WRITE_FAILED = (606, Level.INFO, "Another writer was first, or the platform is away.")
     FLEET_INVARIANT = (607, Level.ERROR, "A promise of the fleet was about to be broken.")
     STOP_WAITS = (608, Level.INFO, "A planned stop waits; the reason has changed.")
+    SHARD_TAKEN = (801, Level.INFO, "This process owns a shard of idempotency keys now.")
+    CLAIMS_UNAVAILABLE = (802, Level.WARNING, "Claims of a shard can't be committed now.")
+    OUTCOME_DROPPED = (803, Level.WARNING, "An outcome was not kept; its key stays in progress.")
 
     @property
     def number(self) -> int:
