--- a/src/lentilrill/_assembly.py
+++ b/src/lentilrill/_assembly.py
@@ -7,8 +7,8 @@
 from lentilrill.gateway import GatewayServer
 from lentilrill.gossip import Heartbeats, Watcher, ZoneRecorder
 from lentilrill.ids import Incarnation
-from lentilrill.inner import ClaimState, Node
-from lentilrill.jobs import Claim, ClaimResult, Recorded
+from lentilrill.inner import Node
+from lentilrill.jobs import ClaimClient, ClaimOwner
 from lentilrill.membership import Member, Role, RosterView
 from lentilrill.operators import OperatorServer
 from lentilrill.platform import EtcdKeyValue, HttpHostList, Mirror
@@ -22,21 +22,6 @@
 """Another zone is heard of by gossip, which takes a few heartbeats more than a peer does."""
 
 
-class NoClaims:
-    """Refuses every key: a keyed job must not run before its key can be claimed."""
-
-    def claim(self, claim: Claim, timeout_s: float) -> ClaimResult:
-        """Return that nothing can be claimed."""
-        del claim, timeout_s
-        return ClaimResult(ClaimState.UNAVAILABLE)
-
-    def record(self, claim: Claim, recorded: Recorded) -> None:
-        """Nothing was claimed."""
-
-    def release(self, claim: Claim) -> None:
-        """Nothing was claimed."""
-
-
 class _Common:
     """What both kinds of process have: node, mirror, roster and metrics."""
 
@@ -78,11 +63,22 @@
             settings, common.node, common.mirror, common.roster, common.metrics
         )
         self._routing = Routing(common.node, common.view, common.roster, metrics=common.metrics)
+        self._claims = ClaimClient(
+            common.node, common.roster, settings.claim_shards, settings.claim_retention_s
+        )
+        self._claim_owner = ClaimOwner(
+            common.node,
+            common.roster,
+            EtcdKeyValue(settings.platform, common.metrics),
+            common.metrics,
+            settings.claim_shards,
+            settings.claim_retention_s,
+        )
         self._server = GatewayServer(
             settings,
             common.view,
             self._routing.slots,
-            NoClaims(),
+            self._claims,
             common.metrics,
             lambda: self._routing.ledger.may_send,
         )
@@ -92,12 +88,16 @@
         self._node.start()
         self._heartbeats.start()
         self._routing.start()
+        self._claim_owner.start()
+        self._claims.start()
         self._server.start()
 
     def drain(self) -> None:
         """Finish the requests in flight, then leave."""
         self._server.drain()
         self._server.close()
+        self._claims.close()
+        self._claim_owner.close()
         self._routing.close()
         self._heartbeats.close()
         self._node.close()
