--- a/standins/site.py
+++ b/standins/site.py
@@ -123,6 +123,8 @@
             self.start_standins()
             for name in self.controllers + self.gateways:
                 self.start(name)
+            for name in self.controllers:
+                self.wait_answer(self.operator(name), "/readyz")
         except BaseException:
             self.close()
             raise
