--- a/standins/site.py
+++ b/standins/site.py
@@ -124,7 +124,7 @@
             for name in self.controllers + self.gateways:
                 self.start(name)
             for name in self.controllers:
-                self.wait_answer(self.operator(name), "/readyz")
+                self.wait_answer(self.operator(name), "/healthz")
         except BaseException:
             self.close()
             raise
