--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -26,6 +26,7 @@
 """Controllers of other zones told at each other-zone beat; gossip does the rest."""
 OTHER_ZONE_EVERY = 2
 """Heartbeats between two other-zone beats."""
+CHANGE_PAUSE_S = 0.1
 METRICS_EVERY = 4
 FORGET_AFTER_S = 60.0
 LEAVE_REPEATS = 3
@@ -60,6 +61,8 @@
         self._random = random.Random(f"{roster.me.process}/{roster.me.incarnation}")
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="heartbeats", daemon=True)
+        self._wake = threading.Event()
+        mirror.subscribe(lambda items: self._wake.set())
         self._last_ask_at = 0.0
         self._bytes_counted = (0, 0)
         node.on(Heartbeat, self._heard)
@@ -74,6 +77,7 @@
     def close(self) -> None:
         """Say that this process ends, and end the task. Nothing may be in flight any more."""
         self._stopping.set()
+        self._wake.set()
         self._thread.join()
         leave = Leave(self._roster.me)
         for _ in range(LEAVE_REPEATS):
@@ -83,7 +87,7 @@
 
     def _run(self) -> None:
         beat = 0
-        while not self._stopping.wait(self._settings.heartbeat_s if beat else 0):
+        while not self._stopping.is_set():
             self._roster.refresh()
             self._roster.forget(FORGET_AFTER_S)
             self._tell_zone()
@@ -92,6 +96,13 @@
             if beat % METRICS_EVERY == 0:
                 self._count_bytes()
             beat += 1
+            self._pause()
+
+    def _pause(self) -> None:
+        """Wait for the next beat; a changed state is told sooner, but not at once each time."""
+        if not self._stopping.wait(CHANGE_PAUSE_S):
+            self._wake.wait(max(0.0, self._settings.heartbeat_s - CHANGE_PAUSE_S))
+        self._wake.clear()
 
     def _count_bytes(self) -> None:
         sent, received = self._node.bytes_sent, self._node.bytes_received
--- a/src/lentilrill/gossip/_recorder.py
+++ b/src/lentilrill/gossip/_recorder.py
@@ -23,7 +23,7 @@
 
 __all__ = ["ZoneRecorder", "next_record"]
 
-ROUND_S = 0.5
+ROUND_S = 1.0
 HOST_LIST_EVERY_S = 2.0
 AMBIGUOUS_PAUSE_S = 1.0
 
--- a/src/lentilrill/settings/_process.py
+++ b/src/lentilrill/settings/_process.py
@@ -63,8 +63,8 @@
     seeds: tuple[Address, ...] = ()
     statsd: str = ""
     log_level: str = "info"
-    heartbeat_s: Positive = 0.5
-    suspect_after_s: Positive = 2.0
+    heartbeat_s: Positive = 1.0
+    suspect_after_s: Positive = 3.5
 
 
 class GatewaySettings(ProcessSettings, frozen=True, forbid_unknown_fields=True, kw_only=True):
