--- a/tests/fleet/world.py
+++ b/tests/fleet/world.py
@@ -26,6 +26,8 @@
         self.mirror = Mirror()
         self.view = FleetView(self.mirror)
         self.roster = FakeRoster(self.member, world.members)
+        self.hosts = FakeHostList(world.clock)
+        self.hosts.infos_by_id = world.hosts.infos_by_id
         settings = ControllerSettings(
             process=self.member.process,
             entry_host=self.member.entry_host,
@@ -38,7 +40,7 @@
         )
         self.task = FleetTask(
             world.kv,
-            world.hosts,
+            self.hosts,
             self.view,
             self.roster,
             settings,
@@ -81,16 +83,16 @@
         self.controllers.append(controller)
         return controller
 
-    def register(self, gateway: Member, unclean: tuple[Member, ...] = ()) -> None:
+    def register(self, gateway: Member) -> None:
         """Start a gateway and write it into its zone's record."""
         self.gateways[gateway.process] = gateway
         self.members.append(gateway)
-        self.write_zone(gateway.zone, unclean)
+        self.write_zone(gateway.zone)
 
-    def write_zone(self, zone: str, unclean: tuple[Member, ...] = ()) -> None:
+    def write_zone(self, zone: str) -> None:
         """Write a zone's record with its living gateways."""
         members = tuple(m for m in self.gateways.values() if m.zone == zone)
-        record = ZoneRecord(ZoneId(zone), members, unclean)
+        record = ZoneRecord(ZoneId(zone), members)
         self.kv.put(zone_key(ZoneId(zone)), msgspec.json.encode(record))
 
     def host(self, name: str, zone: str = "z1", rack: str = "r1", **changes: object) -> None:
