Fleet: a withdrawal is closed by the zone that acknowledged it

Cause: a planned stop was released 12.3 s after its declaration although its 6 s job had ended and its gateway had acknowledged (E757) after 5 s. Acknowledgements reach the controllers of the host's zone only; the first turn on the pool was another zone's controller, which never sees the action, and the host's own waited two turns of 5 s for it. Ruled out: repeated acknowledgements and the look period (E757 to E603 took 6.5 s, both are 1 s). Change: the zone's candidate closes at once. The test failed before.

--- a/src/lentilrill/fleet/_turns.py
+++ b/src/lentilrill/fleet/_turns.py
@@ -1,6 +1,6 @@
 """Whose turn it is to act on a pool. It saves work; nothing rests on it."""
 
-from lentilrill.fleet._actions import Action
+from lentilrill.fleet._actions import Action, Close
 from lentilrill.ids import HostId, PoolId
 from lentilrill.membership import Member, Role, Roster, rendezvous
 
@@ -42,8 +42,11 @@
         for step, action in steps.items():
             if action.pool not in ranks:
                 ranks[action.pool] = self._rank(action.pool, candidates)
+            # Acknowledgements reach the host's own zone only. Its candidate alone sees that a
+            # withdrawal can be closed, so nobody else's turn comes before its own.
+            rank = 0 if isinstance(action, Close) else ranks[action.pool]
             undone_s = now - self._undone_since.setdefault(step, now)
-            if undone_s >= ranks[action.pool] * TAKE_OVER_S:
+            if undone_s >= rank * TAKE_OVER_S:
                 chosen.append(action)
         return chosen
 
--- /dev/null
+++ b/tests/fleet/test_turns.py
@@ -0,0 +1,35 @@
+"""Whose turn it is: nothing waits for a process that can't see the action."""
+
+from testtools import TestCase
+
+from lentilrill.fleet._actions import Close, Withdraw
+from lentilrill.fleet._turns import Turns
+from lentilrill.ids import HostId, PoolId, ZoneId
+from lentilrill.membership import Role, rendezvous
+from tests.builders import a_member
+from tests.fakes import FakeRoster
+
+POOL = PoolId("library")
+
+
+class TurnsTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.members = [
+            a_member(f"ct-{n}", role=Role.CONTROLLER, zone=ZoneId(f"z{n}")) for n in (1, 2, 3)
+        ]
+        self.first = rendezvous(POOL, self.members)
+        self.second = next(member for member in self.members if member != self.first)
+
+    def test_a_withdrawal_is_closed_where_it_was_acknowledged(self) -> None:
+        # A planned stop's last job ends, its gateways acknowledge, and yet the host is released
+        # seconds later. Gateways tell the controllers of their own zone, but the pool's turn
+        # was another zone's, which never sees the action; the others waited for it.
+        turns = Turns(FakeRoster(self.second, self.members))
+        close = Close(HostId("w1"), POOL, "nothing sends to it any more")
+        self.assertEqual([close], turns.mine([close], 0.0))
+
+    def test_a_proposal_is_left_to_the_first_in_order(self) -> None:
+        propose = Withdraw(HostId("w1"), POOL, "planned stop")
+        self.assertEqual([], Turns(FakeRoster(self.second, self.members)).mine([propose], 0.0))
+        self.assertEqual([propose], Turns(FakeRoster(self.first, self.members)).mine([propose], 0))
