--- a/tests/matrix/_world.py
+++ b/tests/matrix/_world.py
@@ -102,7 +102,16 @@
         wrong = list(self.wrong)
         for answer in self.answers:
             wrong += _judge(answer, ran[answer.job.name])
-        return wrong
+        return wrong + self._judge_keyed(ran)
+
+    def _judge_keyed(self, ran: Counter[str]) -> list[str]:
+        """A keyed job may be told ``not_run`` once and run at a repeat, but not never."""
+        told: dict[str, set[str]] = {}
+        for answer in self.answers:
+            if answer.job.key:
+                told.setdefault(answer.job.name, set()).add(answer.outcome)
+        only_not_run = (name for name, outcomes in told.items() if outcomes == {"not_run"})
+        return [f"{name}: only ever not_run, but it ran" for name in only_not_run if ran[name]]
 
 
 def _judge(answer: Answer, ran: int) -> Iterator[str]:
