--- a/src/lentilrill/operators/_server.py
+++ b/src/lentilrill/operators/_server.py
@@ -27,6 +27,8 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Above the largest document, as operators' files hold spaces and line ends."""
+MAX_READ_BYTES = 4 * MAX_BODY_BYTES
+"""Bodies announced as larger than that are not even read; up to it they get a clear answer."""
 MAX_HEADER_BYTES = 32 * 1024
 THREADS = 8
 IDLE_CONNECTION_S = 30
@@ -50,6 +52,7 @@
 
     :param status: makes the whole picture, on each request for it.
     :param host_list: with it, promises that the fleet can't meet are warned of.
+    :param settle_s: seconds to go on asking what became of a write whose answer was lost.
     """
 
     def __init__(
@@ -60,12 +63,13 @@
         status: Callable[[], Status],
         metrics: Metrics | None = None,
         host_list: HostList | None = None,
+        settle_s: float = 6.0,
     ) -> None:
         self._tokens_sha256 = settings.operator_tokens_sha256
         self._view = view
         self._metrics: Metrics = metrics or NoMetrics()
         self._audit = AuditTrail(kv)
-        store = DocumentStore(kv, self._audit)
+        store = DocumentStore(kv, self._audit, settle_s=settle_s)
         editor = Editor(store, self._audit, on_accepted=self._offer)
         api = Api(store, editor, self._audit, view, status, self._metrics, host_list)
         self._handlers = _routes(api)
@@ -188,13 +192,11 @@
         timeout=IDLE_CONNECTION_S,
     )
     server.max_request_header_size = MAX_HEADER_BYTES
+    server.max_request_body_size = MAX_READ_BYTES
     return server
 
 
 def _read_body(environ: Environ) -> bytes | None:
     """Return the body, or ``None`` if it is too large."""
-    length = environ.get("CONTENT_LENGTH") or ""
-    if length.isdigit() and int(length) > MAX_BODY_BYTES:
-        return None
     body: bytes = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
     return body if len(body) <= MAX_BODY_BYTES else None
