Matrix: jobs that run on a released host are seen; restarts under a stale platform

Cause: with the guard left out that keeps an acknowledgement back while jobs are in flight, the in_flight cell passed, as its job ended before the release. Change: the job outlasts the release, and both are watched. A stop that was never declared is not waited for (a false failure of 'proposing / kill ct-1-1').

--- a/tests/matrix/_injections.py
+++ b/tests/matrix/_injections.py
@@ -39,6 +39,7 @@
 class Injection(msgspec.Struct, frozen=True):
     """One fault.
 
+    :param midway: done once the step's own doings under the fault are over.
     :param hits: processes that it ends or holds, which may fail their own callers.
     :param holds_s: seconds between begin and end.
     :param on_endpoint: whether jobs of the disturbed endpoint may fail.
@@ -47,14 +48,16 @@
 
     name: str
     begin: Callable[[World], None] = lambda world: None
+    midway: Callable[[World], None] = lambda world: None
     end: Callable[[World], None] = lambda world: None
     hits: tuple[str, ...] = ()
     holds_s: float = 0.0
     on_endpoint: bool = False
     why_not: str = ""
 
-    def hold(self) -> None:
+    def hold(self, world: World) -> None:
         """Let the fault last."""
+        self.midway(world)
         threading.Event().wait(self.holds_s)
 
 
@@ -70,9 +73,9 @@
     return Injection(
         f"kill {name}",
         lambda world: world.site.kill(name),
-        lambda world: world.site.start(name),
-        (name,),
-        KILL_S,
+        end=lambda world: world.site.start(name),
+        hits=(name,),
+        holds_s=KILL_S,
     )
 
 
@@ -80,9 +83,9 @@
     return Injection(
         f"pause {name} past its lease",
         lambda world: world.site.signal(name, signal.SIGSTOP),
-        lambda world: world.site.signal(name, signal.SIGCONT),
-        (name,),
-        PAUSE_S,
+        end=lambda world: world.site.signal(name, signal.SIGCONT),
+        hits=(name,),
+        holds_s=PAUSE_S,
     )
 
 
@@ -90,7 +93,7 @@
     return Injection(
         name,
         lambda world: world.site.faults(world.site.control, **faults),
-        lambda world: world.site.faults(world.site.control, **PLATFORM_CLEAR),
+        end=lambda world: world.site.faults(world.site.control, **PLATFORM_CLEAR),
         holds_s=PLATFORM_S,
     )
 
@@ -99,7 +102,7 @@
     return Injection(
         f"zone {zone} cut off from the platform",
         lambda world: world.site.faults(world.site.control, cut=[world.site.platform(zone)]),
-        lambda world: world.site.faults(world.site.control, **PLATFORM_CLEAR),
+        end=lambda world: world.site.faults(world.site.control, **PLATFORM_CLEAR),
         holds_s=PLATFORM_S,
     )
 
@@ -108,7 +111,7 @@
     return Injection(
         f"endpoint {name}",
         lambda world: world.site.faults(world.site.endpoint(endpoint_host(world)), **faults),
-        _clear_endpoints,
+        end=_clear_endpoints,
         holds_s=ENDPOINT_S,
         on_endpoint=True,
     )
@@ -122,14 +125,30 @@
 def _pair(one: Injection, other: Injection) -> Injection:
     return Injection(
         f"{one.name} + {other.name}",
-        lambda world: (one.begin(world), other.begin(world), None)[2],
-        lambda world: (other.end(world), one.end(world), None)[2],
+        lambda world: _all(world, one.begin, other.begin),
+        lambda world: _all(world, one.midway, other.midway),
+        lambda world: _all(world, other.end, one.end),
         one.hits + other.hits,
         max(one.holds_s, other.holds_s),
         one.on_endpoint or other.on_endpoint,
     )
 
 
+def _all(world: World, *actions: Callable[[World], None]) -> None:
+    for action in actions:
+        action(world)
+
+
+def _restart(*names: str) -> Injection:
+    def midway(world: World) -> None:
+        for name in names:
+            world.site.kill(name)
+            world.site.start(name)
+
+    name = f"restart of {' and '.join(names)}"
+    return Injection(name, midway=midway, hits=names, holds_s=KILL_S)
+
+
 NO_FAULT = Injection("none", holds_s=0.5)
 KILL_GATEWAY = _kill("gw-1-1")
 KILL_NEIGHBOUR = _kill("gw-1-2")
@@ -137,6 +156,7 @@
 PAUSE_GATEWAY = _pause("gw-1-1")
 PAUSE_NEIGHBOUR = _pause("gw-1-2")
 PAUSE_CONTROLLER = _pause("ct-1-1")
+RESTART_CONTROLLERS = _restart("ct-1-1", "ct-1-2")
 DOWN = _platform("platform down", down=True)
 SLOW = _platform("platform slow by 1 s", slow_s=1.0)
 STALE = _platform("platform stale", stale=True)
@@ -188,6 +208,8 @@
 PAIRS = (
     _pair(DOWN, KILL_NEIGHBOUR),
     _pair(DOWN, KILL_CONTROLLER),
+    _pair(DOWN, RESTART_CONTROLLERS),
+    _pair(STALE, RESTART_CONTROLLERS),
     _pair(CUT, SILENT),
     _pair(LOST, PAUSE_CONTROLLER),
     _pair(KILL_NEIGHBOUR, FAILING),
--- a/tests/matrix/_steps.py
+++ b/tests/matrix/_steps.py
@@ -18,6 +18,7 @@
 LIMIT_S = 30.0
 FORCE_S = 20.0
 LONG_S = 2.0
+STOP_JOB_S = 8.0
 VOLUME_BYTES = 12 * 1024 * 1024
 
 
@@ -40,7 +41,7 @@
     injection.begin(world)
     try:
         yield
-        injection.hold()
+        injection.hold(world)
     finally:
         injection.end(world)
 
@@ -162,11 +163,11 @@
 
 def in_flight(world: World, injection: Injection) -> None:
     """A host is withdrawn under a running job when the fault begins."""
-    job = world.job(idempotent=False, run_s=LONG_S)
+    job = world.job(idempotent=False, run_s=STOP_JOB_S)
     future = world.begin(job, "gw-1-2")
     host = world.site.wait(lambda: world.host_running(job), "the job's start", LIMIT_S)
-    _declare(world, host, insist=True)
-    with world.traffic():
+    with world.traffic(), _watching_release(world, host):
+        _declare(world, host, insist=True)
         with disturbed(world, injection):
             pass
         _check_undisturbed(world, injection, future.result(), host, "gw-1-2")
@@ -367,16 +368,40 @@
 
 def _finish_stop(world: World, host: str) -> None:
     """After the fault: the stop ends, nothing begins on the host, and it comes back."""
-    if _phase(world, host) != "serving" or _declared(world, host):
+    if _declared(world, host):
         world.site.wait(lambda: _phase(world, host) == "stopped", f"{host} to stop", LIMIT_S)
         stopped = time.time()
         threading.Event().wait(0.5)
-        late = [r["job"] for h, r in world.runs() if h == host and r["started"] > stopped]
+        runs = [run for name, run in world.runs() if name == host]
+        late = [run["job"] for run in runs if run["started"] > stopped]
         world.ledger.note(not late, f"{late} began on {host} after it was released")
         world.site.wait(lambda: _cancel(world, host) in (200, 404), "the cancellation", LIMIT_S)
     world.site.wait(lambda: _phase(world, host) == "serving", f"{host} to come back", LIMIT_S)
 
 
+@contextmanager
+def _watching_release(world: World, host: str) -> Iterator[None]:
+    """Note each job that still runs on ``host`` when a controller shows it as released."""
+    stop = threading.Event()
+
+    def look() -> None:
+        while not stop.wait(0.1):
+            if any(
+                world.phases(c).get(host, ("", ""))[1] == "stopped" for c in ("ct-1-2", "ct-2-1")
+            ):
+                unfinished = [r["job"] for h, r in world.runs() if h == host and not r["finished"]]
+                world.ledger.note(not unfinished, f"{unfinished} ran on {host}, already released")
+                return
+
+    thread = threading.Thread(target=look)
+    thread.start()
+    try:
+        yield
+    finally:
+        stop.set()
+        thread.join()
+
+
 def _declared(world: World, host: str) -> bool:
     def config() -> dict:
         status, found = world.operate("GET", "/v1/config")
