--- a/tests/matrix/__main__.py
+++ b/tests/matrix/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import queue
+import signal
 import sys
 import threading
 from collections import Counter
@@ -67,6 +68,9 @@
         threading.Thread(target=play, args=(cells, outcomes, arguments.logs))
         for _ in range(arguments.sites)
     ]
+    # Told to stop, the sites still have to end their processes: no cell is begun any more.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: cells.queue.clear())
     for thread in threads:
         thread.start()
     for thread in threads:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -7,6 +7,7 @@
 import argparse
 import json
 import random
+import signal
 import sys
 import threading
 import time
@@ -159,6 +160,8 @@
     arguments = parser.parse_args()
     first = arguments.seed if arguments.seed is not None else time.time_ns() % 1_000_000
     failed = 0
+    # Told to stop, the site's processes are ended as after an error.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     for seed in range(first, first + arguments.runs):
         with Site(a_site()) as site:
             world = World(site)
