--- a/src/lentilrill/ctl/_main.py
+++ b/src/lentilrill/ctl/_main.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from lentilrill.ctl import _commands as commands
+from lentilrill.ctl import _generate as generate
 from lentilrill.ctl._client import Client
 from lentilrill.ctl._exit import EXIT_HELP, Exit
 from lentilrill.ctl._files import UsageError
@@ -91,9 +92,21 @@
     audit.add_argument(
         "--limit", type=_count, default=DEFAULT_AUDIT_LIMIT, metavar="N", help="newest N edits"
     )
+    _add_generate(subjects)
     return parser
 
 
+def _add_generate(subjects: argparse._SubParsersAction) -> None:
+    group = subjects.add_parser("generate", help="new secrets; asks no controller")
+    verbs = group.add_subparsers(dest="verb", required=True, metavar="VERB")
+    for name, run, text in (
+        ("token", generate.token, "print a new token and its SHA-256"),
+        ("keys", generate.keys, "print a new CURVE key pair for the processes' settings"),
+    ):
+        leaf = _leaf(verbs, name, run, text)
+        leaf.set_defaults(offline=True)
+
+
 def _add_config(subjects: argparse._SubParsersAction) -> None:
     group = subjects.add_parser("config", help="plans, and what each plan may use")
     verbs = group.add_subparsers(dest="verb", required=True, metavar="VERB")
--- a/tests/operators/test_ctl.py
+++ b/tests/operators/test_ctl.py
@@ -16,10 +16,16 @@
 from lentilrill.ctl import main
 from lentilrill.membership import Liveness
 from lentilrill.operators import StopState, StopStatus
-from lentilrill.settings import encode_lists
-from tests.builders import a_document, an_address
+from lentilrill.settings import InnerKeys, encode_lists
+from lentilrill.settings._process_checks import problems_of
+from tests.builders import a_document, an_address, digest
 from tests.fakes import FakeKeyValue, lose_answer
-from tests.operators.serving import TOKEN, ServedController, a_member_status
+from tests.operators.serving import (
+    TOKEN,
+    ServedController,
+    a_member_status,
+    controller_settings,
+)
 
 
 class CtlTest(TestCase):
@@ -210,6 +216,14 @@
         self.assertEqual(2, self.run_ctl("status", controllers=" ")[0])
         self.assertEqual(1, self.run_ctl("status", token="wrong")[0])
 
+    def test_generated_secrets_fit_into_settings(self) -> None:
+        code, out, _ = self.run_ctl("generate", "token", "--json", controllers=" ")
+        made = json.loads(out)
+        self.assertEqual((0, digest(made["token"])), (code, made["sha256"]))
+        _, out, _ = self.run_ctl("generate", "keys", controllers=" ")
+        keys = InnerKeys(**json.loads(out))
+        self.assertEqual((), problems_of(controller_settings(keys=keys)))
+
     def test_json_answers_decode(self) -> None:
         self.run_ctl("config", "apply", self.lists("m", 2))
         for command in ("status", "hosts", "audit", "config show", "stop list"):
