--- a/src/lentilrill/routing/_waits.py
+++ b/src/lentilrill/routing/_waits.py
@@ -31,6 +31,8 @@
 
     def wait_s(self, ask: Ask, now: float, terms: PoolTerms) -> float:
         """Return the seconds until ``ask`` would start."""
+        if not self._queue and self._hosts.free:
+            return 0.0
         slots = max(1, self._hosts.capacity)
         ahead_s = sum(self._class_work_s(rank) for rank in range(ask.urgency))
         wait_s = (ahead_s + self._own_class_work_s(ask, now, terms)) / slots
@@ -60,7 +62,7 @@
         counts = self._queue.counts(ask.urgency)
         counts[ask.plan] = self._queue.ahead(ask.plan, ask.urgency, now + ask.wait_s)
         weights = {plan: terms.plans_by_id.get(plan, NO_TERMS).weight for plan in counts}
-        own_s = counts[ask.plan] * self._run_times.expected_s(ask.plan, ask.run_s)
+        own_s = counts[ask.plan] * self._run_times.expected_s(ask.plan)
         by_share_s = own_s * sum(weights.values()) / weights[ask.plan]
         all_s = sum(n * self._run_times.expected_s(plan) for plan, n in counts.items())
         return min(by_share_s, all_s)
