--- a/src/lentilrill/operators/_server.py
+++ b/src/lentilrill/operators/_server.py
@@ -53,6 +53,8 @@
     :param status: makes the whole picture, on each request for it.
     :param host_list: with it, promises that the fleet can't meet are warned of.
     :param settle_s: seconds to go on asking what became of a write whose answer was lost.
+    :param publish: takes over an accepted edit and tells peers of it; just this process's mirror
+        by default.
     """
 
     def __init__(
@@ -64,9 +66,11 @@
         metrics: Metrics | None = None,
         host_list: HostList | None = None,
         settle_s: float = 6.0,
+        publish: Callable[[tuple[Item, ...]], object] | None = None,
     ) -> None:
         self._tokens_sha256 = settings.operator_tokens_sha256
         self._view = view
+        self._publish = publish or view.mirror.offer
         self._metrics: Metrics = metrics or NoMetrics()
         self._audit = AuditTrail(kv)
         store = DocumentStore(kv, self._audit, settle_s=settle_s)
@@ -118,7 +122,7 @@
             log(Event.TASK_FAILED, task="operators", error=error)
 
     def _offer(self, value: bytes, revision: Revision) -> None:
-        self._view.mirror.offer((Item(DOCUMENT_KEY, value, revision),))
+        self._publish((Item(DOCUMENT_KEY, value, revision),))
 
     def _reply(self, environ: Environ) -> Reply:
         method, path = environ["REQUEST_METHOD"], environ.get("PATH_INFO", "")
