Operators: a controller that knows an empty state is ready

Cause: /readyz asked for a document, so in a new system no controller was ever ready to take the first one (seen as standins.site waiting 30 s for ct-1-1). Now complete knowledge of the state is what counts. bench/config.py added, not run yet: it needs event 501 in the logs.

--- /dev/null
+++ b/bench/config.py
@@ -0,0 +1,181 @@
+"""Seconds until a changed configuration is in force everywhere, and what changes cost.
+
+Run as ``python -m bench.config [--changes N] [--rate R] [--seconds S]``. Real processes on
+loopback: 7 entry hosts in 4 zones, each with a gateway and a controller. An edit goes to one
+controller after the other; a process has it in force when its log says so (event 501).
+"""
+
+import argparse
+import json
+import re
+import socket
+import statistics
+import time
+from datetime import datetime
+from typing import Any
+
+from bench import figure
+from bench.control import cpu_s, drain, rates, resident_bytes
+from standins.site import OPERATOR_TOKEN, Site, SiteSpec
+from standins.sites import BRAILLE_SERVICES, lists
+
+__all__ = ["main"]
+
+ZONES, ENTRY_HOSTS_EACH = 4, 2
+LEFT_OUT = frozenset({"gw-4-2", "ct-4-2"})
+"""So that there are 7 entry hosts."""
+CHANGES_A_DAY = 3000
+DAY_S = 86_400
+SETTLE_S = 5.0
+IN_FORCE = re.compile(rb"^I\d{4} (\d\d:\d\d:\d\d\.\d+) .* E501 \S+ .*?revision=(\d+)", re.MULTILINE)
+GIVE_UP_S = 15.0
+
+
+class Bench:
+    """A running site, and edits of its configuration."""
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self.processes = [n for n in site.controllers + site.gateways if n not in LEFT_OUT]
+        self.controllers = [n for n in self.processes if n.startswith("ct")]
+        self.plans, self.entitlements = lists(BRAILLE_SERVICES, 6)
+        self.revision = 0
+        self.edits = 0
+
+    def start(self) -> None:
+        """Start the stand-ins and all processes but those left out."""
+        self.site.start_standins()
+        self.site.put_hosts(frozenset({"entry-4-2"}))
+        for name in self.processes:
+            self.site.start(name)
+        for name in self.controllers:
+            address = self.site.operator(name)
+            self.site.wait(lambda a=address: self.site._answers(a, "/healthz"), name)
+        time.sleep(SETTLE_S)
+
+    def edit(self) -> tuple[float, int]:
+        """Make an edit through the next controller; return when it was sent and its revision."""
+        self.edits += 1
+        self.plans[0]["start_within_s"] = 5.0 + self.edits % 1000
+        body = {"base": self.revision, "plans": self.plans, "entitlements": self.entitlements}
+        address = self.site.operator(self.controllers[self.edits % len(self.controllers)])
+        sent = time.time()
+        answer: dict[str, Any] = self.site.json(
+            "PUT", address, "/v1/config", body, Authorization=f"Bearer {OPERATOR_TOKEN}"
+        )
+        if "revision" not in answer or answer.get("verdict") != "accepted":
+            raise RuntimeError(f"edit {self.edits} was not accepted: {json.dumps(answer)}")
+        self.revision = answer["revision"]
+        return sent, self.revision
+
+    def seen(self, revision: int) -> dict[str, float]:
+        """Return when each process had a revision at least as new in force, if it has."""
+        found: dict[str, float] = {}
+        for name in self.processes:
+            log = (self.site.folder / f"{name}.log").read_bytes()
+            for stamp, number in IN_FORCE.findall(log):
+                if int(number) >= revision:
+                    found[name] = seconds_of(stamp.decode())
+                    break
+        return found
+
+    def in_force(self, revision: int) -> dict[str, float]:
+        """Wait until every process has ``revision`` in force; return when each had."""
+        end = time.monotonic() + GIVE_UP_S
+        while True:
+            found = self.seen(revision)
+            if len(found) == len(self.processes):
+                return found
+            if time.monotonic() > end:
+                late = sorted(set(self.processes) - set(found))
+                raise RuntimeError(f"revision {revision} not in force at {late}")
+            time.sleep(0.05)
+
+
+def main() -> None:
+    """Measure and print one line per figure."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--changes", type=int, default=40)
+    parser.add_argument("--rate", type=float, default=2.0, help="changes a second for their cost")
+    parser.add_argument("--seconds", type=float, default=15.0, help="length of one measurement")
+    options = parser.parse_args()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sink:
+        sink.bind(("127.0.0.1", 0))
+        sink.setblocking(False)
+        sink.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 22)
+        statsd = {"statsd": f"127.0.0.1:{sink.getsockname()[1]}"}
+        site = Site(SiteSpec(ZONES, ENTRY_HOSTS_EACH, (), gateway=statsd, controller=statsd))
+        try:
+            bench = Bench(site)
+            bench.start()
+            spread(bench, options.changes)
+            cost(bench, sink, options.rate, options.seconds)
+        finally:
+            site.close()
+
+
+def spread(bench: Bench, changes: int) -> None:
+    """Measure the seconds from sending an edit until every process has it in force."""
+    everywhere, accepted = [], []
+    for _ in range(changes):
+        began = time.monotonic()
+        sent, revision = bench.edit()
+        accepted.append(time.monotonic() - began)
+        when = bench.in_force(revision)
+        everywhere.append(max(when.values()) - sent)
+    where = {"changes": changes, "processes": len(bench.processes), "zones": ZONES}
+    for name, values in (("accepted", accepted), ("in_force_everywhere", everywhere)):
+        cuts = statistics.quantiles(values, n=100, method="inclusive")
+        figure("config", f"{name}_p50", round(cuts[49], 3), "s", **where)
+        figure("config", f"{name}_p99", round(cuts[98], 3), "s", **where)
+        figure("config", f"{name}_max", round(max(values), 3), "s", **where)
+
+
+def cost(bench: Bench, sink: socket.socket, rate: float, seconds: float) -> None:
+    """Measure a controller at rest and under changes, and give the slope of one change."""
+    rest = sample(bench, sink, 0.0, seconds)
+    busy = sample(bench, sink, rate, seconds)
+    made = busy["changes"] / seconds
+    for name, unit in (("cpu_share", "percent"), ("inner_bytes", "B/s"), ("resident", "MB")):
+        figure("config", f"{name}_at_rest", round(rest[name], 3), unit, entry_hosts=7)
+        figure("config", f"{name}_busy", round(busy[name], 3), unit, changes_per_s=round(made, 2))
+    for name, unit in (("cpu_share", "percent"), ("inner_bytes", "B/s")):
+        slope = (busy[name] - rest[name]) / made
+        figure("config", f"{name}_slope", round(slope, 3), f"{unit} per change/s")
+        scaled = slope * CHANGES_A_DAY / DAY_S
+        figure("config", f"{name}_at_3000_a_day", round(scaled, 4), f"{unit} above rest")
+
+
+def sample(bench: Bench, sink: socket.socket, rate: float, seconds: float) -> dict[str, float]:
+    """Return the mean cost of a controller over some seconds at a rate of changes."""
+    pids = [bench.site.processes_by_name[name].pid for name in bench.controllers]
+    drain(sink)
+    before = [cpu_s(pid) for pid in pids]
+    began, changes, lines = time.monotonic(), 0, []
+    while time.monotonic() - began < seconds:
+        if rate:
+            bench.edit()
+            changes += 1
+        lines += drain(sink)
+        pause = began + changes / rate - time.monotonic() if rate else 0.2
+        time.sleep(max(0.0, pause))
+    elapsed = time.monotonic() - began
+    used = [cpu_s(pid) - start for pid, start in zip(pids, before, strict=True)]
+    moved = rates(lines + drain(sink), elapsed)
+    return {
+        "cpu_share": 100 * statistics.mean(used) / elapsed,
+        "inner_bytes": moved.get("controller_bytes_sent", 0.0)
+        + moved.get("controller_bytes_received", 0.0),
+        "resident": max(resident_bytes(pid) for pid in pids) / 1e6,
+        "changes": changes * seconds / elapsed,
+    }
+
+
+def seconds_of(stamp: str) -> float:
+    """Return a log line's time of today in seconds since the epoch."""
+    clock = datetime.strptime(stamp, "%H:%M:%S.%f").time()
+    return datetime.combine(datetime.now().date(), clock).timestamp()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lentilrill/operators/_server.py
+++ b/src/lentilrill/operators/_server.py
@@ -166,8 +166,13 @@
             return problem(HTTPStatus.INTERNAL_SERVER_ERROR, "internal", detail)
 
     def _health(self, path: str) -> Reply:
+        """Answer a health check.
+
+        A controller is ready once it knows the state, even if that holds no document: the first
+        configuration has to come in through one.
+        """
         revision = self._view.document_revision
-        ready = self._view.ready and not self._draining.is_set()
+        ready = self._view.mirror.complete_to > 0 and not self._draining.is_set()
         if path == "/healthz" or ready:
             return Reply(HTTPStatus.OK, Health(True, revision))
         return Reply(HTTPStatus.SERVICE_UNAVAILABLE, Health(False, revision))
