--- a/src/lentilrill/ctl/_show.py
+++ b/src/lentilrill/ctl/_show.py
@@ -3,6 +3,7 @@
 import sys
 import time
 from collections.abc import Iterable, Sequence
+from itertools import groupby
 
 import msgspec
 
@@ -59,12 +60,16 @@
 
 
 def difference_lines(differences: Iterable[Difference]) -> list[str]:
-    """Return one line for each entry, and one for each changed field."""
+    """Return a line for a list's added or removed entries, and one for each changed field."""
     signs = {Change.ADDED: "+", Change.REMOVED: "-", Change.CHANGED: "~"}
     lines = []
-    for each in differences:
-        lines.append(f"{INDENT}{signs[each.change]} {each.list} {each.id}".rstrip())
-        lines += [f"{INDENT * 3}{f.field}: {f.before} -> {f.after}" for f in each.fields]
+    for (name, change), group in groupby(differences, lambda each: (each.list, each.change)):
+        if change is not Change.CHANGED:
+            lines.append(f"{INDENT}{signs[change]} {name} {', '.join(each.id for each in group)}")
+            continue
+        for each in group:
+            lines.append(f"{INDENT}{signs[change]} {name} {each.id}".rstrip())
+            lines += [f"{INDENT * 3}{f.field}: {f.before} -> {f.after}" for f in each.fields]
     return lines
 
 
