Bench: surges over two pools, grants against blind spreading and home gateways

Cause: the choice between the three had no figures.

Change: the bench; the queue bound is one number (20,000, some 6 MB), and deadlines decide below it.

--- a/bench/surge.py
+++ b/bench/surge.py
@@ -1,4 +1,4 @@
-"""Goodput, urgent start times and refusals in surges: grants against blind spreading.
+"""Goodput, urgent start times and refusals in surges: grants against other ways.
 
 Drives the scheduler's decision code with a fake clock; endpoints and the network are events.
 ``python -m bench.surge``
@@ -7,56 +7,31 @@
 import json
 import random
 import time
-from collections import deque
 from collections.abc import Callable
 
-from bench.surge_load import HOSTS, PLANS, SLOTS, Events, Job, Outcome, arrivals, surges
+from bench.surge_baselines import GATEWAYS, HOP_S, PLAN_QUEUE, Blind, Home
+from bench.surge_load import (
+    HOSTS,
+    PLANS,
+    POOLS,
+    SLOTS,
+    Endpoint,
+    Events,
+    Job,
+    Outcome,
+    arrivals,
+    surges,
+)
 from lentilrill.ids import HostId, Incarnation, PlanId, PoolId, ProcessId, RequestId, ZoneId
 from lentilrill.inner import Ask, Done, Granted, Refused, Verdict
 from lentilrill.routing._queue import Caller
 from lentilrill.routing._scheduler import PoolScheduler, Reply
 from lentilrill.routing._terms import PlanTerms, PoolTerms
 
-HOP_S = 0.0003
 ZONE_HOP_S = 0.0015
 TICK_S = 0.05
 LOAD_S = 0.2
-GATEWAYS = 7
-PLAN_QUEUE = 5000
-POOLS = ("depot-1", "depot-2")
 SEEDS = (1, 2, 3)
-ENDPOINT_CONNECTIONS = 64
-
-
-class Endpoint:
-    """A host's endpoint: runs ``slots`` jobs at once and queues what comes above, in order."""
-
-    def __init__(self, events: Events, slots: int = SLOTS) -> None:
-        self._events = events
-        self._free = slots
-        self._waiting: deque[tuple[Job, Callable[[], None]]] = deque()
-
-    def run(self, job: Job, ended: Callable[[], None]) -> bool:
-        """Run or queue a job; ``False`` if no connection is left."""
-        if self._free:
-            self._start(job, ended)
-        elif len(self._waiting) < ENDPOINT_CONNECTIONS - SLOTS:
-            self._waiting.append((job, ended))
-        else:
-            return False
-        return True
-
-    def _start(self, job: Job, ended: Callable[[], None]) -> None:
-        self._free -= 1
-        job.started = self._events.now
-        self._events.after(job.run_s, lambda: self._end(job, ended))
-
-    def _end(self, job: Job, ended: Callable[[], None]) -> None:
-        job.ended = self._events.now
-        self._free += 1
-        if self._waiting:
-            self._start(*self._waiting.popleft())
-        ended()
 
 
 class Granting:
@@ -181,60 +156,10 @@
         self._events.after(LOAD_S, self._loads)
 
 
-class Blind:
-    """Baseline: each gateway sends to a random host below its own count of that host's jobs.
-
-    :param limit: jobs that one gateway sends to a host at once.
-    """
-
-    def __init__(self, events: Events, limit: int, seed: int) -> None:
-        self._events = events
-        self._limit = limit
-        self._rng = random.Random(seed)
-        self._endpoints = {
-            (pool, host): Endpoint(events) for pool in POOLS for host in range(HOSTS)
-        }
-        self._counts: dict[tuple[int, str, int], int] = {}
-        self._queues: dict[tuple[int, str], deque[Job]] = {}
-
-    def arrive(self, job: Job) -> None:
-        """A caller's job reaches a gateway."""
-        queue = self._queues.setdefault((job.gateway, job.pool), deque())
-        if len(queue) >= PLAN_QUEUE:
-            job.refused = True
-            return
-        queue.append(job)
-        self._send(job.gateway, job.pool)
-
-    def _send(self, gateway: int, pool: str) -> None:
-        queue = self._queues[gateway, pool]
-        while queue:
-            hosts = [h for h in range(HOSTS) if self._count(gateway, pool, h) < self._limit]
-            if not hosts:
-                return
-            job = queue.popleft()
-            if self._events.now - job.arrived > job.kind.wait_s:
-                job.refused = True
-                continue
-            host = self._rng.choice(hosts)
-            self._counts[gateway, pool, host] = self._count(gateway, pool, host) + 1
-            self._events.after(HOP_S, lambda j=job, h=host: self._arrived(j, h))
-
-    def _arrived(self, job: Job, host: int) -> None:
-        endpoint = self._endpoints[job.pool, host]
-        if not endpoint.run(job, lambda: self._events.after(HOP_S, lambda: self._ended(job, host))):
-            job.refused = True
-            self._ended(job, host)
-
-    def _ended(self, job: Job, host: int) -> None:
-        self._counts[job.gateway, job.pool, host] -= 1
-        self._send(job.gateway, job.pool)
-
-    def _count(self, gateway: int, pool: str, host: int) -> int:
-        return self._counts.get((gateway, pool, host), 0)
+System = Granting | Blind | Home
 
 
-def run(system: Callable[[Events, int], Granting | Blind], seed: int) -> tuple[Outcome, object]:
+def run(system: Callable[[Events, int], System], seed: int) -> tuple[Outcome, object]:
     """Run one system through all surges; return the jobs and the system."""
     events = Events()
     driven = system(events, seed)
@@ -253,11 +178,12 @@
 
 def main() -> None:
     """Run every system over the same arrivals."""
-    systems: dict[str, Callable[[Events, int], Granting | Blind]] = {
+    systems: dict[str, Callable[[Events, int], System]] = {
         "grants, 1 zone": lambda events, seed: Granting(events, 1, seed),
         "grants, 4 zones": lambda events, seed: Granting(events, 4, seed),
         "blind, 8 a gateway": lambda events, seed: Blind(events, SLOTS, seed),
         "blind, 2 a gateway": lambda events, seed: Blind(events, 2, seed),
+        "home gateway of each host": lambda events, seed: Home(events, seed),
         "blind, 1 a gateway": lambda events, seed: Blind(events, 1, seed),
     }
     for seed in SEEDS:
--- a/bench/surge_load.py
+++ b/bench/surge_load.py
@@ -3,13 +3,29 @@
 import heapq
 import itertools
 import random
+from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-__all__ = ["PLANS", "SURGE_S", "Events", "Job", "Kind", "Outcome", "Report", "arrivals"]
-
+__all__ = [
+    "HOSTS",
+    "PLANS",
+    "POOLS",
+    "SLOTS",
+    "Endpoint",
+    "Events",
+    "Job",
+    "Kind",
+    "Outcome",
+    "Report",
+    "arrivals",
+    "surges",
+]
+
+POOLS = ("depot-1", "depot-2")
 HOSTS = 8
 SLOTS = 8
+ENDPOINT_CONNECTIONS = 64
 SURGE_S = 10.0
 CALM_S = 20.0
 ROUNDS = 2
@@ -88,6 +104,37 @@
             event()
 
 
+class Endpoint:
+    """A host's endpoint: runs ``slots`` jobs at once and queues what comes above, in order."""
+
+    def __init__(self, events: Events, slots: int = SLOTS) -> None:
+        self._events = events
+        self._free = slots
+        self._waiting: deque[tuple[Job, Callable[[], None]]] = deque()
+
+    def run(self, job: Job, ended: Callable[[], None]) -> bool:
+        """Run or queue a job; ``False`` if no connection is left."""
+        if self._free:
+            self._start(job, ended)
+        elif len(self._waiting) < ENDPOINT_CONNECTIONS - SLOTS:
+            self._waiting.append((job, ended))
+        else:
+            return False
+        return True
+
+    def _start(self, job: Job, ended: Callable[[], None]) -> None:
+        self._free -= 1
+        job.started = self._events.now
+        self._events.after(job.run_s, lambda: self._end(job, ended))
+
+    def _end(self, job: Job, ended: Callable[[], None]) -> None:
+        job.ended = self._events.now
+        self._free += 1
+        if self._waiting:
+            self._start(*self._waiting.popleft())
+        ended()
+
+
 def arrivals(pools: tuple[str, ...], slots: int, gateways: int, seed: int) -> Iterator[Job]:
     """Yield jobs in order of arrival: each pool in turn surges, and is calm in between."""
     rng = random.Random(seed)
@@ -112,11 +159,13 @@
 ) -> list[tuple[float, str]]:
     found: list[tuple[float, str]] = []
     now, end = 0.0, surging[-1][1] + SURGE_S + CALM_S
+    most = mean_per_s * SURGE_FACTOR
     while now < end:
+        # Drawn at the highest rate and thinned, so that a calm gap never reaches into a surge.
+        now += rng.expovariate(most)
         in_surge = any(start <= now < stop for start, stop in surging)
-        rate = mean_per_s * (SURGE_FACTOR if in_surge else CALM_FACTOR)
-        now += rng.expovariate(rate)
-        found.append((now, pool))
+        if in_surge or rng.random() < CALM_FACTOR / SURGE_FACTOR:
+            found.append((now, pool))
     return found
 
 
--- a/src/lentilrill/routing/_scheduler.py
+++ b/src/lentilrill/routing/_scheduler.py
@@ -33,8 +33,6 @@
 
 START_WITHIN_S = 2.0
 REBUILD_S = 2.0
-QUEUE_PER_SLOT = 64
-LEAST_QUEUE = 256
 MOST_QUEUE = 20_000
 MOST_ASIDE = 8
 SPILL_WAIT_S = 0.25
@@ -245,7 +243,7 @@
         limited_s = self._rate_limited_s(ask.plan, terms, now)
         if limited_s > 0.0:
             return self._refused(ask, Refusal.PLAN_LIMIT, limited_s, spill=False)
-        if len(self._queue) >= self._queue_bound():
+        if len(self._queue) >= MOST_QUEUE:
             displaced = self._queue.displace(ask.urgency)
             if displaced is None:
                 return self._refused(ask, Refusal.QUEUE_FULL, self._waits.drain_s(), spill=True)
@@ -261,9 +259,6 @@
             bucket = self._buckets_by_plan[plan] = TokenBucket(terms.rate_per_s, burst, now)
         return 0.0 if bucket.take(now) else bucket.wait_s(now)
 
-    def _queue_bound(self) -> int:
-        return min(max(LEAST_QUEUE, QUEUE_PER_SLOT * self.hosts.capacity), MOST_QUEUE)
-
     def _refused(self, ask: Ask, refusal: Refusal, after_s: float, spill: bool) -> Refused:
         zone = None
         if spill and ask.spillable:
