--- a/src/lentilrill/routing/_health.py
+++ b/src/lentilrill/routing/_health.py
@@ -26,7 +26,7 @@
     GOOD = "good"
     LAST = "last"
     """It fails, but ejecting it would take more of the pool than the budgets allow: it gets one
-    job at a time, when no good host has a free slot."""
+    job at a time, when no good host has a free slot, and pauses a second after a failure."""
     EJECTED = "ejected"
     """It fails: one probing job at a time, after a pause that grows."""
     LEAVING = "leaving"
@@ -69,7 +69,7 @@
         return tuple(sorted(host for host, record in records if record.health is health))
 
     def probe_due(self, host: HostId, now: float) -> bool:
-        """Return whether an ejected or leaving host may get one probing job."""
+        """Return whether a host that is not good may get one job."""
         record = self._records_by_host[host]
         return now >= record.probe_at
 
@@ -125,7 +125,10 @@
         record.score += SCORE_SHARE * (1.0 - record.score)
         fails = record.score >= EJECT_SCORE or record.unreachable >= UNREACHABLE_IN_ROW
         if record.health is Health.EJECTED:
-            self._pause(record, now)
+            # Only a failed probe makes the pause grow. Jobs that were on the host when it was
+            # ejected fail all at once, and would make the first pause the longest.
+            if now >= record.probe_at:
+                self._pause(record, now)
         elif fails and record.health is not Health.LEAVING:
             self._eject(record, now)
 
@@ -136,6 +139,7 @@
     def _eject(self, record: _Record, now: float) -> None:
         if len(self.hosts(Health.EJECTED)) >= self.allowance:
             record.health = Health.LAST
+            record.probe_at = now + FIRST_PAUSE_S
             return
         record.health = Health.EJECTED
         self._pause(record, now)
--- a/src/lentilrill/routing/_hosts.py
+++ b/src/lentilrill/routing/_hosts.py
@@ -87,7 +87,7 @@
         """Return the host for the next job, or ``None`` if no slot is free."""
         if not self._poor:
             return self._good(avoid) if self._free else None
-        return self._probe(avoid, now) or self._good(avoid) or self._last(avoid)
+        return self._probe(avoid, now) or self._good(avoid) or self._last(avoid, now)
 
     def all_avoided(self, avoid: tuple[HostId, ...]) -> bool:
         """Return whether every host that gets jobs is in ``avoid``."""
@@ -168,10 +168,13 @@
         for host in self._poor:
             if host in avoid or self.health.health(host) is Health.LAST:
                 continue
-            if self._hosts_by_id[host].used < PROBE_SLOTS and self.health.probe_due(host, now):
+            if self._may_probe(host, now):
                 return host
         return None
 
+    def _may_probe(self, host: HostId, now: float) -> bool:
+        return self._hosts_by_id[host].used < PROBE_SLOTS and self.health.probe_due(host, now)
+
     def _good(self, avoid: tuple[HostId, ...]) -> HostId | None:
         for free in range(self._most_slots, 0, -1):
             for host in self._shelves_by_free.get(free, ()):
@@ -179,10 +182,10 @@
                     return host
         return None
 
-    def _last(self, avoid: tuple[HostId, ...]) -> HostId | None:
+    def _last(self, avoid: tuple[HostId, ...], now: float) -> HostId | None:
         for host in self._poor:
             if host in avoid or self.health.health(host) is not Health.LAST:
                 continue
-            if self._hosts_by_id[host].used < PROBE_SLOTS:
+            if self._may_probe(host, now):
                 return host
         return None
--- a/tests/routing/test_scheduler.py
+++ b/tests/routing/test_scheduler.py
@@ -494,8 +494,25 @@
             self.scheduler.done(done(granted, Verdict.OK if ok else Verdict.ERROR))
         self.assertEqual(1, self.scheduler.load().ejected)
         self.assertEqual(9, self.scheduler.hosts.capacity)
-        held = [self.granted() for _ in range(9)]
-        self.assertEqual(8, [granted.host for granted in held].count("h3"))
+        self.clock.now += 1.0
+        held = [self.granted() for _ in range(10)]
+        hosts = [granted.host for granted in held]
+        self.assertEqual((1, 1, 8), tuple(hosts.count(HostId(h)) for h in ("h1", "h2", "h3")))
+        last = held[hosts.index(HostId("h2"))]
+        self.scheduler.done(done(last, Verdict.ERROR))
+        self.assertEqual([], self.ask())
+
+    def test_jobs_in_flight_do_not_make_the_pause_grow(self) -> None:
+        # A host hangs; its eight jobs break together. Each counted as a failed probe, the
+        # first pause would be a minute, long after the host is well again.
+        self.configure(slots=8, hosts=3, budget=1)
+        held = [self.granted() for _ in range(24)]
+        for granted in held:
+            bad = granted.host == "h1"
+            self.scheduler.done(done(granted, Verdict.UNREACHABLE if bad else Verdict.OK))
+        self.assertEqual(1, self.scheduler.load().ejected)
+        self.clock.now += 1.0
+        self.assertIn("h1", [granted.host for granted in self._burst()])
 
     def test_hosts_away_elsewhere_use_up_the_budget(self) -> None:
         self.configure(slots=8, hosts=3, budget=1)
