Gateway: outcomes under faults, leaving callers, drain, forwarding; tests of each

Found by the tests and mended: an answer with Connection: close was taken for broken (the socket was gone when its timeout was set for the closing read); a body sent byte by byte held a slot for ever (a full read hid the slow pace; now one read of the socket at a time, and the first megabyte is read before a slot is asked for); close() waited for ever for a request whose endpoint is silent (busy connections are now cut after the drain).

--- a/src/lentilrill/gateway/_accept.py
+++ b/src/lentilrill/gateway/_accept.py
@@ -24,15 +24,20 @@
     holder: Holder
     mark: Mark | None
 
-    def work(self, body: bytes | None, began: float) -> Work:
-        """Return the job with its deadlines counted from ``began``, in monotonic seconds."""
+    def work(self, body: bytes, began: float) -> Work:
+        """Return the job with its deadlines counted from ``began``, in monotonic seconds.
+
+        :param body: the whole body, or the first part of one that is streamed.
+        """
         start_s, answer_s = self._within()
+        whole = self.heading.length is None or len(body) == self.heading.length
         return Work(
             request=self.request,
             holder=self.holder,
             heading=self.heading,
             idempotent=is_idempotent(self.heading, self.holder.entitlement),
-            body=body,
+            body=body if whole else None,
+            prefix=b"" if whole else body,
             start_by=began + start_s,
             answer_by=began + answer_s,
             forwarded=self.mark is not None,
--- a/src/lentilrill/gateway/_caller.py
+++ b/src/lentilrill/gateway/_caller.py
@@ -93,7 +93,10 @@
         left = length
         while left:
             try:
-                data = self._req.rfile.read(min(left, CHUNK_BYTES))
+                # One read of the socket at a time: a read that waits for a full chunk would
+                # hide for hours that the caller sends it byte by byte.
+                data = self._req.conn.rfile.read1(min(left, CHUNK_BYTES))
+                self._req.rfile.remaining -= len(data)
                 pace.moved(len(data))
             except TimeoutError as error:
                 raise BodyError(BodyTrouble.SLOW) from error
--- a/src/lentilrill/gateway/_dispatch.py
+++ b/src/lentilrill/gateway/_dispatch.py
@@ -185,7 +185,7 @@
             if keep:
                 self._connections.give_back(link)
             else:
-                link.close()
+                self._connections.drop(link)
 
     def _send(self, run: "_Run", slot: Slot, exchange: Exchange, caller: Caller) -> None:
         work = run.work
@@ -197,7 +197,7 @@
         body: bytes | Iterable[bytes] | None = work.body
         if work.body is None:
             run.body_used = True
-            body = _streamed_body(caller, work.heading.length or 0)
+            body = _streamed_body(work, caller)
         headers = self._headers(work, slot)
         left_s = max(0.001, work.answer_by - time.monotonic())
         exchange.send(work.heading.method, work.heading.target, headers, body, left_s)
@@ -289,8 +289,9 @@
         return msgspec.structs.replace(problem, outcome=Outcome.UNKNOWN)
 
 
-def _streamed_body(caller: Caller, length: int) -> Iterator[bytes]:
-    return caller.stream(length)
+def _streamed_body(work: Work, caller: Caller) -> Iterator[bytes]:
+    yield work.prefix
+    yield from caller.stream((work.heading.length or 0) - len(work.prefix))
 
 
 def _relay(exchange: Exchange, head: Head, first: bytes, caller: Caller) -> bool:
--- a/src/lentilrill/gateway/_endpoints.py
+++ b/src/lentilrill/gateway/_endpoints.py
@@ -1,5 +1,6 @@
 """Connections to endpoints and to other gateways."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -46,6 +47,13 @@
         """Close the connection."""
         self.connection.close()
 
+    def cut(self) -> None:
+        """Wake up whoever waits on the connection, with an error."""
+        sock = self.connection.sock
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
 
 class EndpointConnections:
     """Opens connections, and keeps idle ones for jobs that may run twice.
@@ -64,6 +72,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._idle_by_address: dict[str, list[Link]] = {}
+        self._busy: set[Link] = set()
         self._closed = False
 
     def take(self, address: str, idempotent: bool, timeout_s: float) -> Link:
@@ -71,13 +80,23 @@
 
         :raises OSError: no connection could be opened; nothing was sent.
         """
-        kept = self._kept(address) if idempotent else None
-        return kept or self._open(address, timeout_s)
+        link = self._kept(address) if idempotent else None
+        link = link or self._open(address, timeout_s)
+        with self._lock:
+            self._busy.add(link)
+        return link
+
+    def drop(self, link: Link) -> None:
+        """Close a connection that must not be used again."""
+        with self._lock:
+            self._busy.discard(link)
+        link.close()
 
     def give_back(self, link: Link) -> None:
         """Keep a connection whose exchange ended with a whole answer."""
         link.idle_since = self._clock()
         with self._lock:
+            self._busy.discard(link)
             idle = self._idle_by_address.setdefault(link.address, [])
             full = len(idle) >= IDLE_PER_ADDRESS or len(self._idle_by_address) > IDLE_ADDRESSES
             if not self._closed and not full:
@@ -101,13 +120,16 @@
             link.close()
 
     def close(self) -> None:
-        """Close all idle connections and keep none any more."""
+        """Close all idle connections, and cut off exchanges that outlasted the drain."""
         with self._lock:
             self._closed = True
             links = [link for idle in self._idle_by_address.values() for link in idle]
             self._idle_by_address.clear()
+            busy = list(self._busy)
         for link in links:
             link.close()
+        for link in busy:
+            link.cut()
 
     def _kept(self, address: str) -> Link | None:
         while True:
--- a/src/lentilrill/gateway/_exchange.py
+++ b/src/lentilrill/gateway/_exchange.py
@@ -126,7 +126,9 @@
             if left_s <= 0:
                 raise SilentError("the answer did not end in time")
             try:
-                self._sock.settimeout(min(left_s, SILENCE_S))
+                # A connection that ends with this answer is closed by its last byte.
+                if self._sock.fileno() >= 0:
+                    self._sock.settimeout(min(left_s, SILENCE_S))
                 part = self._response.read(CHUNK_BYTES)
             except (OSError, HTTPException, HTTPError, ValueError) as error:
                 raise BrokenError(f"the answer broke off: {error!r}") from error
--- a/src/lentilrill/gateway/_server.py
+++ b/src/lentilrill/gateway/_server.py
@@ -116,12 +116,12 @@
     def close(self) -> None:
         """Stop listening and end all tasks."""
         self._closed.set()
+        self._connections.close()
         self._http.stop()
         for task in self._tasks:
             if task.is_alive():
                 task.join()
         self._watch.close()
-        self._connections.close()
 
     def serve(self, req: HTTPRequest) -> None:
         """Answer one request."""
@@ -210,10 +210,14 @@
         return Handler
 
 
-def _body(heading: Heading, caller: Caller) -> bytes | None:
+def _body(heading: Heading, caller: Caller) -> bytes:
+    """Return the body, or as much of a long one as is held before a slot is asked for.
+
+    So a slot is never held by a caller that has not shown that it sends.
+    """
     if heading.length is None:
         return caller.read_chunked()
-    return caller.read_known(heading.length) if heading.length <= BUFFERED_BYTES else None
+    return caller.read_known(min(heading.length, BUFFERED_BYTES))
 
 
 def _full() -> Problem:
--- a/src/lentilrill/gateway/_work.py
+++ b/src/lentilrill/gateway/_work.py
@@ -14,6 +14,7 @@
     """One accepted request.
 
     :param body: the whole body; ``None`` if it is streamed, and so can be sent only once.
+    :param prefix: first part of a streamed body, read before a slot was asked for.
     :param start_by: monotonic seconds by which the job must have started.
     :param answer_by: monotonic seconds by which the caller must be answered.
     :param forwarded: whether another zone's gateway sent it.
@@ -25,6 +26,7 @@
     heading: Heading
     idempotent: bool
     body: bytes | None
+    prefix: bytes
     start_by: float
     answer_by: float
     forwarded: bool
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -56,6 +56,7 @@
 
     def close(self) -> None:
         """Stop listening and close all connections."""
+        self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         for connection in self._open:
             connection.close()
@@ -112,6 +113,7 @@
         self.released: list[tuple[Slot, Verdict]] = []
         self.abandoned: queue.Queue[RequestId] = queue.Queue()
         self.waiting: queue.Queue[RequestId] = queue.Queue()
+        self.given: queue.Queue[RequestId] = queue.Queue()
         self.hold = False
         self.barred: set[str] = set()
         self._gates_by_request: dict[RequestId, threading.Event] = {}
@@ -128,6 +130,7 @@
         left = [a for a in self.addresses if HostId(a) not in job.avoid]
         if not left:
             return Failure(Decline(Refusal.NO_HOSTS, "no hosts", 2.0))
+        self.given.put(job.request)
         return Success(
             Slot(
                 request=job.request,
--- /dev/null
+++ b/tests/gateway/test_callers.py
@@ -0,0 +1,277 @@
+"""Callers that leave, keyed jobs, draining, and jobs that go to another zone."""
+
+import queue
+import socket
+import threading
+import time
+from typing import Any
+
+from lentilrill.gateway._forwarding import FORWARDED, Forwarder, Mark
+from lentilrill.gateway._heading import Heading
+from lentilrill.gateway._keyed import fingerprint
+from lentilrill.ids import RequestId, ServiceId
+from lentilrill.inner import ClaimState, Verdict
+from lentilrill.jobs import ClaimResult, Recorded
+from lentilrill.routing import Where
+from tests import builders
+from tests.gateway.fakes import WAIT_S, Answer, GatewayTestCase, ok
+
+HEAD = b"GET /schools/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer token-schools\r\n\r\n"
+
+
+class LeavingCallerTest(GatewayTestCase):
+    def a_waiting_caller(self, extra: bytes = b"") -> socket.socket:
+        host, _, port = self.address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), WAIT_S)
+        self.addCleanup(sock.close)
+        sock.sendall(HEAD + extra)
+        return sock
+
+    def test_a_waiting_caller_that_leaves_is_abandoned(self) -> None:
+        # A reader gives up while its job waits for a slot. Its place in the queue must be freed
+        # at once, and not when its job would have started for nobody.
+        self.slots.hold = True
+        gateway = self.a_gateway()
+        caller = self.a_waiting_caller()
+        request = self.slots.waiting.get(timeout=WAIT_S)
+        caller.close()
+        self.assertEqual(request, self.slots.abandoned.get(timeout=WAIT_S))
+        self.assertTrue(gateway.drain())
+
+    def test_a_leaving_caller_is_seen_behind_unread_bytes(self) -> None:
+        # The caller has already sent its next request when it leaves. A look at the next unread
+        # byte shows data, and no end.
+        self.slots.hold = True
+        self.a_gateway()
+        caller = self.a_waiting_caller(extra=HEAD)
+        request = self.slots.waiting.get(timeout=WAIT_S)
+        caller.close()
+        self.assertEqual(request, self.slots.abandoned.get(timeout=WAIT_S))
+
+    def test_waves_of_leaving_callers(self) -> None:
+        # Hundreds of callers leave at once, while others stay. Each who left is abandoned, and
+        # nobody else.
+        self.slots.hold = True
+        self.a_gateway(threads=300)
+        leaving = [self.a_waiting_caller() for _ in range(200)]
+        gone = {self.slots.waiting.get(timeout=WAIT_S) for _ in leaving}
+        staying = [self.a_waiting_caller() for _ in range(20)]
+        stayed = {self.slots.waiting.get(timeout=WAIT_S) for _ in staying}
+        for caller in leaving:
+            caller.close()
+        seen = {self.slots.abandoned.get(timeout=WAIT_S) for _ in leaving}
+        self.assertEqual(gone, seen)
+        self.assertRaises(queue.Empty, self.slots.abandoned.get, timeout=0.3)
+        for request in stayed:
+            self.slots.abandon(request)
+
+    def test_a_refusal_does_not_wait_behind_held_callers(self) -> None:
+        # All threads but the reserved ones hold callers. One more must hear at once that there
+        # is no room, and when to come back.
+        self.slots.hold = True
+        self.a_gateway(threads=20)
+        for _ in range(4):
+            self.a_waiting_caller()
+            self.slots.waiting.get(timeout=WAIT_S)
+        answer = self.call()
+        self.assertEqual((503, "not_run"), (answer.status, answer.outcome))
+        self.assertIn("Retry-After", answer.headers)
+        for request in list(self.slots._gates_by_request):
+            self.slots.abandon(request)
+
+
+class DrainTest(GatewayTestCase):
+    def test_a_drain_cuts_off_no_request(self) -> None:
+        # A planned stop comes while a volume is being translated. The job must finish whole,
+        # new ones are told to go elsewhere, and only then the drain is over.
+        finish = threading.Event()
+
+        def script(sock: socket.socket, request: bytes) -> None:
+            finish.wait(WAIT_S)
+            sock.sendall(ok(b"volume"))
+
+        endpoint = self.an_endpoint(script)
+        gateway = self.a_gateway()
+        answers: list[Answer] = []
+        caller = threading.Thread(target=lambda: answers.append(self.call("POST", body=b"x")))
+        caller.start()
+        endpoint.arrived.get(timeout=WAIT_S)
+        drained: list[bool] = []
+        drain = threading.Thread(target=lambda: drained.append(gateway.drain()))
+        drain.start()
+        while gateway.ready:
+            time.sleep(0.001)
+        refused = self.call("POST", body=b"y")
+        self.assertEqual((503, "not_run"), (refused.status, refused.outcome))
+        self.assertEqual([], drained)
+        finish.set()
+        caller.join(WAIT_S)
+        drain.join(WAIT_S)
+        self.assertEqual((200, b"volume"), (answers[0].status, answers[0].body))
+        self.assertEqual([True], drained)
+
+    def test_an_endless_request_does_not_hold_up_the_end(self) -> None:
+        # An endpoint never answers and the drain's time is over. Closing must end, and tell the
+        # caller that nobody knows.
+        endpoint = self.an_endpoint(lambda sock, request: None)
+        gateway = self.a_gateway(drain_s=0.1)
+        answers: list[Answer] = []
+        caller = threading.Thread(target=lambda: answers.append(self.call("POST", body=b"x")))
+        caller.start()
+        endpoint.arrived.get(timeout=WAIT_S)
+        self.assertFalse(gateway.drain())
+        gateway.close()
+        caller.join(WAIT_S)
+        self.assertEqual((502, "unknown"), (answers[0].status, answers[0].outcome))
+
+
+class KeyedTest(GatewayTestCase):
+    def keyed(self, key: str = "k1", **headers: Any) -> Answer:
+        return self.call("POST", body=b"order", Idempotency_Key=key, **headers)
+
+    def test_an_outcome_is_recorded_and_replayed(self) -> None:
+        endpoint = self.an_endpoint()
+        self.a_gateway()
+        self.assertEqual(b"done", self.keyed().body)
+        again = self.keyed()
+        self.assertEqual((200, b"done"), (again.status, again.body))
+        self.assertEqual("true", again.headers["Idempotency-Replayed"])
+        self.assertEqual(1, len(endpoint.requests))
+
+    def test_no_claim_no_dispatch(self) -> None:
+        # The owner of the key is away. Whatever the reason, a job whose key is not claimed may
+        # be running elsewhere: it must not be sent.
+        endpoint = self.an_endpoint()
+        self.a_gateway()
+        for state, status, outcome in (
+            (ClaimState.UNAVAILABLE, 503, "not_run"),
+            (ClaimState.NOT_OWNER, 503, "not_run"),
+            (ClaimState.IN_PROGRESS, 409, "unknown"),
+            (ClaimState.MISMATCH, 422, "not_run"),
+        ):
+            self.claims.results_by_key["k1"] = ClaimResult(state, retry_after_s=2.0)
+            answer = self.keyed()
+            self.assertEqual((status, outcome), (answer.status, answer.outcome))
+        self.assertEqual([], endpoint.requests)
+        self.assertEqual([], self.slots.jobs)
+
+    def test_a_job_that_did_not_run_gives_its_key_back(self) -> None:
+        self.a_gateway()
+        self.assertEqual("not_run", self.keyed().outcome)
+        self.assertEqual(["k1"], self.claims.released)
+
+    def test_a_lost_job_keeps_its_key(self) -> None:
+        # The order was sent and its answer lost; the caller tries again with the same key. The
+        # order may have run, so the repeat is told that nobody knows, and is not sent.
+        endpoint = self.an_endpoint(lambda sock, request: sock.close())
+        self.a_gateway()
+        for _ in range(2):
+            answer = self.keyed()
+            self.assertEqual((502, "unknown"), (answer.status, answer.outcome))
+        self.assertEqual(1, len(endpoint.requests))
+        self.assertEqual([], self.claims.released)
+
+    def test_a_large_answer_is_not_kept(self) -> None:
+        self.an_endpoint(lambda sock, request: sock.sendall(ok(bytes(5000))))
+        self.a_gateway()
+        self.keyed()
+        self.assertEqual(Recorded(200, "", None), self.claims.recorded_by_key["k1"])
+        self.assertEqual("not-kept", self.keyed().headers["Idempotency-Body"])
+
+    def test_fingerprints_tell_jobs_apart(self) -> None:
+        def heading(**changes: Any) -> Heading:
+            values: dict[str, Any] = {
+                "method": "POST",
+                "target": "/schools/x",
+                "service": ServiceId("schools"),
+                "path": "/x",
+                "token": "t",
+                "wait_s": None,
+                "key": "k",
+                "length": 5,
+                "headers": {},
+            }
+            return Heading(**values | changes)
+
+        jobs = [
+            (heading(), b"order"),
+            (heading(), b"other"),
+            (heading(target="/schools/y"), b"order"),
+            (heading(method="PATCH"), b"order"),
+            (heading(length=9), None),
+            (heading(length=9, headers={"content-digest": "sha-256=:x:"}), None),
+        ]
+        self.assertEqual(len(jobs), len({fingerprint(*job) for job in jobs}))
+
+
+class ForwardingTest(GatewayTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.keys = builders.inner_keys()
+        self.here = self.a_gateway(keys=self.keys)
+        self.there_slots = self.slots
+        there = self.address
+        self.slots = type(self.slots)(there)
+        self.slots.where = Where.ZONE
+        self.a_gateway(keys=self.keys)
+
+    def an_endpoint_there(self, script: Any = None) -> Any:
+        endpoint = self.an_endpoint(script)
+        self.slots.addresses.remove(endpoint.address)
+        self.there_slots.addresses.append(endpoint.address)
+        return endpoint
+
+    def test_a_job_runs_in_another_zone(self) -> None:
+        endpoint = self.an_endpoint_there()
+        answer = self.call("POST", body=b"x", Idempotency_Key="k")
+        self.assertEqual((200, b"done"), (answer.status, answer.body))
+        head = endpoint.requests[0].decode().lower()
+        self.assertNotIn(FORWARDED, head)
+        self.assertIn(f"request-id: {answer.headers['Request-Id']}", head)
+        # The key was claimed once, the job may not spill on, and it waits no longer in all.
+        self.assertEqual(["k"], list(self.claims.recorded_by_key))
+        self.assertFalse(self.there_slots.jobs[0].spillable)
+        self.assertLessEqual(self.there_slots.jobs[0].deadline, self.slots.jobs[0].deadline + 0.1)
+
+    def test_not_run_there_is_proof(self) -> None:
+        # The other zone has no room for the order. It says so, so that the order may be tried
+        # again here without the risk that it runs twice.
+        answer = self.call("POST", body=b"x")
+        self.assertEqual((503, "not_run"), (answer.status, answer.outcome))
+        self.assertEqual([True, False], [job.spillable for job in self.slots.jobs][:2])
+
+    def test_unknown_there_is_unknown_here(self) -> None:
+        endpoint = self.an_endpoint_there(lambda sock, request: sock.close())
+        answer = self.call("POST", body=b"x")
+        self.assertEqual((502, "unknown"), (answer.status, answer.outcome))
+        self.assertEqual(1, len(endpoint.requests))
+        self.assertEqual([Verdict.UNUSED], self.slots.verdicts)
+
+    def test_an_endpoint_cannot_speak_for_a_gateway(self) -> None:
+        # An endpoint's own answer looks like a gateway's refusal. Believed, a job that ran
+        # would be sent again.
+        body = b'{"outcome":"not_run"}'
+        self.an_endpoint_there(
+            lambda sock, request: sock.sendall(ok(body, "Gateway-Problem: 1\r\n"))
+        )
+        answer = self.call("POST", body=b"x")
+        self.assertEqual((200, body), (answer.status, answer.body))
+        self.assertEqual(1, len(self.slots.jobs))
+
+    def test_only_gateways_can_forward(self) -> None:
+        # A caller marks its own keyed job as forwarded, to pass without a claim.
+        self.an_endpoint_there()
+        mark = Mark(RequestId("r"), 30.0, 30.0)
+        good = Forwarder(self.keys.secret)
+        for value in (
+            Forwarder("another secret").sign(mark, "POST", "/schools/sheet"),
+            good.sign(mark, "POST", "/schools/other"),
+            good.sign(mark, "PUT", "/schools/sheet"),
+            Forwarder(self.keys.secret, lambda: time.time() - 3600).sign(
+                mark, "POST", "/schools/sheet"
+            ),
+            good.sign(mark, "POST", "/schools/sheet") + "0",
+            "x",
+        ):
+            answer = self.call("POST", Gateway_Forwarded=value)
+            self.assertEqual((400, "not_run"), (answer.status, answer.outcome), value)
--- /dev/null
+++ b/tests/gateway/test_outcomes.py
@@ -0,0 +1,315 @@
+"""What a caller is told when things fail between the gateway and an endpoint."""
+
+import json
+import socket
+import struct
+
+from urllib3.util.wait import wait_for_read
+
+from lentilrill.gateway import _caller, _exchange, _limits
+from lentilrill.inner import Verdict
+from tests.gateway.fakes import WAIT_S, Answer, GatewayTestCase, ScriptedEndpoint, ok
+
+LEAVING = b"HTTP/1.1 503 Gone\r\nEndpoint-State: leaving\r\nContent-Length: 0\r\n\r\n"
+
+
+def cut(data: bytes) -> "object":
+    """Return a script that sends ``data`` and closes the connection."""
+
+    def script(sock: socket.socket, request: bytes) -> None:
+        sock.sendall(data)
+        sock.shutdown(socket.SHUT_RDWR)
+
+    return script
+
+
+def reset(sock: socket.socket, request: bytes) -> None:
+    """Break the connection without an answer."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def silent(sock: socket.socket, request: bytes) -> None:
+    """Never answer."""
+
+
+class OutcomeTest(GatewayTestCase):
+    def a_closed_port(self) -> str:
+        endpoint = ScriptedEndpoint(silent)
+        endpoint.close()
+        self.slots.addresses.append(endpoint.address)
+        return endpoint.address
+
+    def assert_problem(self, status: int, outcome: str, answer: Answer) -> None:
+        self.assertEqual((status, outcome), (answer.status, answer.outcome))
+
+    def test_unreachable_hosts_are_avoided(self) -> None:
+        # A host is gone, its record is not yet. Nothing was sent, so that even a job that must
+        # not run twice goes on to the next host.
+        self.a_closed_port()
+        good = self.an_endpoint()
+        self.a_gateway()
+        self.assertEqual(200, self.call("POST", body=b"x").status)
+        self.assertEqual(1, len(good.requests))
+        self.assertEqual([Verdict.UNREACHABLE, Verdict.OK], self.slots.verdicts)
+
+    def test_no_host_is_not_run(self) -> None:
+        self.a_closed_port()
+        self.a_gateway()
+        answer = self.call("POST", body=b"x")
+        self.assert_problem(503, "not_run", answer)
+        self.assertGreaterEqual(int(answer.headers["Retry-After"]), 1)
+
+    def test_a_withdrawn_host_gets_nothing(self) -> None:
+        # Between the grant and the send the host's withdrawal arrives. The ledger refuses the
+        # send; no byte may go out, and the job goes elsewhere.
+        barred, good = self.an_endpoint(), self.an_endpoint()
+        self.slots.barred.add(barred.address)
+        self.a_gateway()
+        self.assertEqual(200, self.call("POST", body=b"x").status)
+        self.assertEqual([], barred.requests)
+        self.assertEqual(1, len(good.requests))
+        self.assertEqual([Verdict.UNUSED, Verdict.OK], self.slots.verdicts)
+
+    def test_a_lost_order_is_not_repeated(self) -> None:
+        # The endpoint takes a standing order and its connection breaks. Nobody knows whether it
+        # ran. Sent again it could run twice, and told "not run" its caller would send it again.
+        broken, other = self.an_endpoint(reset), self.an_endpoint()
+        self.a_gateway()
+        self.assert_problem(502, "unknown", self.call("POST", body=b"order"))
+        self.assertEqual((1, 0), (len(broken.requests), len(other.requests)))
+        self.assertEqual([Verdict.BROKEN], self.slots.verdicts)
+
+    def test_a_lost_idempotent_job_is_repeated(self) -> None:
+        self.an_endpoint(reset)
+        other = self.an_endpoint()
+        self.a_gateway()
+        self.assertEqual(200, self.call("PUT", body=b"x").status)
+        self.assertEqual(1, len(other.requests))
+
+    def test_a_listed_path_is_idempotent(self) -> None:
+        for path, runs in (
+            ("/schools/translate/a", 200),
+            ("/schools/translated", 502),
+            ("/schools/translate/../emboss", 502),
+            ("/schools/translate/%2e%2e/emboss", 502),
+        ):
+            self.slots.addresses.clear()
+            self.an_endpoint(reset)
+            self.an_endpoint()
+            self.a_gateway()
+            self.assertEqual(runs, self.call("POST", path, b"x").status, path)
+
+    def test_a_later_not_run_does_not_hide_a_loss(self) -> None:
+        # An idempotent job is lost on one host, and then no other host is left. The last try
+        # was not run, but the first may have been: "not run" would be a lie.
+        self.an_endpoint(reset)
+        self.a_gateway()
+        self.assert_problem(502, "unknown", self.call("PUT", body=b"x"))
+
+    def test_retries_are_bounded(self) -> None:
+        endpoints = [self.an_endpoint(reset) for _ in range(6)]
+        self.a_gateway()
+        self.assert_problem(502, "unknown", self.call())
+        self.assertEqual(_limits.ATTEMPTS, sum(len(e.requests) for e in endpoints))
+
+    def test_retries_end_with_the_budget(self) -> None:
+        # Every endpoint fails everything. Retries must not multiply the load on them.
+        endpoints = [self.an_endpoint(reset) for _ in range(3)]
+        self.a_gateway()
+        for _ in range(20):
+            self.call()
+        self.assertLess(sum(len(e.requests) for e in endpoints), 20 + 20)
+
+    def test_a_leaving_endpoint_did_not_run_the_job(self) -> None:
+        # The endpoint answers that it is leaving and did not begin. Even an order may then go
+        # elsewhere, and the scheduler must hear that the host gets no new work.
+        leaving, other = self.an_endpoint(lambda s, r: s.sendall(LEAVING)), self.an_endpoint()
+        self.a_gateway()
+        self.assertEqual(200, self.call("POST", body=b"order").status)
+        self.assertEqual((1, 1), (len(leaving.requests), len(other.requests)))
+        self.assertEqual([Verdict.LEAVING, Verdict.OK], self.slots.verdicts)
+
+    def test_all_endpoints_leaving_is_not_run(self) -> None:
+        self.an_endpoint(lambda s, r: s.sendall(LEAVING))
+        self.a_gateway()
+        self.assert_problem(503, "not_run", self.call("POST", body=b"order"))
+
+    def test_a_last_answer_with_the_leaving_mark_is_passed(self) -> None:
+        self.an_endpoint(lambda s, r: s.sendall(ok(b"sheet", "Endpoint-State: leaving\r\n")))
+        self.a_gateway()
+        answer = self.call("POST", body=b"order")
+        self.assertEqual((200, b"sheet"), (answer.status, answer.body))
+        self.assertNotIn("Endpoint-State", answer.headers)
+        self.assertEqual([Verdict.LEAVING], self.slots.verdicts)
+
+    def test_an_endpoints_error_is_its_answer(self) -> None:
+        self.an_endpoint(
+            lambda s, r: s.sendall(b"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\noops")
+        )
+        self.a_gateway()
+        answer = self.call("PUT", body=b"x")
+        self.assertEqual((500, b"oops"), (answer.status, answer.body))
+        self.assertEqual([Verdict.ERROR], self.slots.verdicts)
+
+
+class WholeAnswerTest(GatewayTestCase):
+    def test_truncated_answers_are_no_success(self) -> None:
+        # An endpoint dies in the middle of its answer. A reader with half a worksheet and a
+        # status of 200 would not notice.
+        for data in (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nhalf",
+            b"HTTP/1.1 200 OK\r\n\r\nwithout any proved end",
+            b"HTTP/1.1 200 OK\r\nContent-Le",
+            b"",
+            b"garbage\r\n\r\n",
+        ):
+            self.slots.addresses.clear()
+            self.an_endpoint(cut(data))
+            self.a_gateway()
+            answer = self.call("POST", body=b"x")
+            self.assertEqual((502, "unknown"), (answer.status, answer.outcome), data)
+
+    def test_a_truncated_volume_is_detectable(self) -> None:
+        # A long volume breaks off after its first megabytes went to the reader. The status is
+        # already sent, so the connection must end in a way that can't pass for the whole.
+        part = bytes(2 * _limits.BUFFERED_BYTES)
+        for head, version in (
+            (b"Content-Length: %d\r\n\r\n" % (len(part) + 1), "1.1"),
+            (b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(part), "1.1"),
+            (b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(part), "1.0"),
+        ):
+            self.slots.addresses.clear()
+            self.slots.released.clear()
+            self.an_endpoint(cut(b"HTTP/1.1 200 OK\r\n" + head + part))
+            self.a_gateway()
+            self.assertFalse(self.reads_whole(version), head)
+            self.assertEqual([Verdict.BROKEN], self.slots.verdicts)
+
+    def reads_whole(self, version: str) -> bool:
+        """Return whether a plain caller takes the answer for whole."""
+        connection = self.connect()
+        connection.connect()
+        request = f"GET /schools/v HTTP/{version}\r\nHost: x\r\n"
+        request += "Authorization: Bearer token-schools\r\n\r\n"
+        connection.sock.sendall(request.encode())
+        data = b""
+        try:
+            while part := connection.sock.recv(65536):
+                data += part
+        except ConnectionResetError:
+            return False
+        head, _, body = data.partition(b"\r\n\r\n")
+        if b"Transfer-Encoding" in head:
+            return body.endswith(b"\r\n0\r\n\r\n")
+        declared = [line for line in head.split(b"\r\n") if line.startswith(b"Content-Length")]
+        return not declared or len(body) == int(declared[0].split()[1])
+
+    def test_a_late_answer_reaches_nobody_else(self) -> None:
+        # An endpoint sends the answer to one request twice; the copy arrives on the kept
+        # connection when another caller's request goes out on it. That caller would get a
+        # stranger's ballot.
+        def script(sock: socket.socket, request: bytes) -> None:
+            path = request.split(b" ")[1]
+            sock.sendall(ok(path) + ok(path))
+
+        self.an_endpoint(script)
+        self.a_gateway()
+        for n in range(5):
+            path = f"/schools/{n}"
+            self.assertEqual(path.encode(), self.call(path=path).body)
+
+    def test_an_answer_that_names_another_request_is_dropped(self) -> None:
+        # The same, but the copy arrives only after the next request was sent.
+        self.an_endpoint(lambda s, r: s.sendall(ok(b"stranger's", "Request-Id: other\r\n")))
+        self.a_gateway()
+        self.assertEqual(502, self.call("POST", body=b"x").status)
+
+    def test_an_abandoned_exchange_ends_its_connection(self) -> None:
+        # The endpoint answers too late. Its connection must not serve another request, or the
+        # late answer would be taken for that one's.
+        endpoint = self.an_endpoint(silent)
+        self.a_gateway()
+        self.assertEqual(504, self.call(Prefer="wait=1").status)
+        endpoint.script = lambda s, r: s.sendall(ok())
+        self.assertEqual(200, self.call().status)
+        self.assertEqual(2, endpoint.connections)
+
+
+class SilenceTest(GatewayTestCase):
+    def test_a_silent_endpoint_is_unknown_in_time(self) -> None:
+        # An endpoint accepts the order and says nothing more. The caller is told so at the end
+        # of its own wait, and that nobody knows.
+        endpoint = self.an_endpoint(silent)
+        self.an_endpoint()
+        self.a_gateway()
+        answer = self.call("POST", body=b"order", Prefer="wait=1")
+        self.assertEqual((504, "unknown"), (answer.status, answer.outcome))
+        self.assertEqual([Verdict.BROKEN], self.slots.verdicts)
+        self.assertEqual(1, len(endpoint.requests))
+
+    def test_orders_go_on_new_connections_only(self) -> None:
+        # A kept connection may have been forgotten by something in between. An order sent on it
+        # is lost without a trace, and nobody can tell whether it ran.
+        endpoint = self.an_endpoint()
+        self.a_gateway()
+        for _ in range(3):
+            self.call("GET")
+        self.assertEqual(1, endpoint.connections)
+        for _ in range(3):
+            self.call("POST", body=b"order")
+        self.assertEqual(4, endpoint.connections)
+
+    def test_endpoint_sockets_notice_a_dead_path(self) -> None:
+        # Nobody acknowledges any more, and nobody says so either: only the kernel's own probes
+        # end such a connection. Whether they do is measured in bench/silence.py.
+        seen = []
+        original = _exchange.Exchange.send
+
+        def spy(exchange: _exchange.Exchange, *args: object) -> None:
+            sock = exchange._sock
+            seen.append(sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+            seen.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT))
+            original(exchange, *args)
+
+        self.patch(_exchange.Exchange, "send", spy)
+        self.an_endpoint()
+        self.a_gateway()
+        self.call()
+        self.assertEqual([1, 10_000], seen)
+
+    def test_a_slow_caller_loses_its_slot(self) -> None:
+        # A caller sends the first megabyte of a volume well and the rest byte by byte, with a
+        # slot in its hands. Each read makes progress, so that no timeout ends it.
+        endpoint = self.an_endpoint()
+        self.a_gateway()
+        answer = self.slowly(_limits.BUFFERED_BYTES)
+        self.assertEqual((408, b"unknown"), (answer[0], answer[1]))
+        self.assertEqual([], endpoint.requests)
+        self.assertEqual([Verdict.UNUSED], self.slots.verdicts)
+
+    def test_a_slow_caller_gets_no_slot(self) -> None:
+        self.an_endpoint()
+        self.a_gateway()
+        self.assertEqual((408, b"not_run"), self.slowly(0))
+        self.assertEqual([], self.slots.jobs)
+
+    def slowly(self, quick: int) -> tuple[int, bytes]:
+        """Send ``quick`` bytes at once, then byte by byte; return status and outcome."""
+        connection = self.connect()
+        connection.putrequest("POST", "/schools/x")
+        connection.putheader("Authorization", "Bearer token-schools")
+        connection.putheader("Content-Length", str(_limits.BUFFERED_BYTES + 100_000))
+        connection.endheaders()
+        connection.send(bytes(quick))
+        if quick:
+            self.slots.given.get(timeout=WAIT_S)
+        self.patch(_caller, "SLOW_GRACE_S", 0.0)
+        for _ in range(1000):
+            connection.send(b"x")
+            if wait_for_read(connection.sock, 0.01):
+                break
+        response = connection.getresponse()
+        return response.status, json.loads(response.read())["outcome"].encode()
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -62,6 +62,11 @@
         answer = self.call("HEAD")
         self.assertEqual((200, "99"), (answer.status, answer.headers["Content-Length"]))
 
+    def test_an_endpoint_may_close_after_its_answer(self) -> None:
+        self.an_endpoint(lambda sock, request: sock.sendall(ok(b"last", "Connection: close\r\n")))
+        self.a_gateway()
+        self.assertEqual([b"last"] * 3, [self.call().body for _ in range(3)])
+
     def test_probes(self) -> None:
         gateway = self.a_gateway()
         self.assertEqual(200, self.call(path="/healthz").status)
