Gateway: notice time of a drain, routing's retry budget

Cause: the balancer probes /readyz about once a second; refusing jobs at once would turn a planned stop into errors. /readyz says 503 at once, jobs are taken for drain_notice_s more (default 2 s).

--- a/src/lentilrill/gateway/__init__.py
+++ b/src/lentilrill/gateway/__init__.py
@@ -1,6 +1,5 @@
 """HTTP towards callers and endpoints: the request path."""
 
-from lentilrill.gateway._contract import RetryBudget
 from lentilrill.gateway._server import GatewayServer
 
-__all__ = ["GatewayServer", "RetryBudget"]
+__all__ = ["GatewayServer"]
--- a/src/lentilrill/gateway/_dispatch.py
+++ b/src/lentilrill/gateway/_dispatch.py
@@ -10,7 +10,6 @@
 from urllib3.exceptions import HTTPError
 
 from lentilrill.gateway._caller import BodyError, BodyTrouble, Caller, Pace
-from lentilrill.gateway._contract import RetryBudget
 from lentilrill.gateway._endpoints import EndpointConnections, Link
 from lentilrill.gateway._exchange import BrokenError, Exchange, Head, SilentError
 from lentilrill.gateway._forwarding import FORWARDED, Forwarder, Mark
@@ -20,7 +19,7 @@
 from lentilrill.gateway._work import Ending, Refused, Streamed, Whole, Work
 from lentilrill.ids import HostId, RequestId
 from lentilrill.inner import Refusal, Verdict
-from lentilrill.routing import Decline, Job, Slot, Slots, Where
+from lentilrill.routing import Decline, Job, RetryBudget, Slot, Slots, Where
 from lentilrill.telemetry import Event, Metrics, log
 
 __all__ = ["Dispatcher", "Watcher"]
@@ -91,7 +90,6 @@
 
     def run(self, work: Work, caller: Caller) -> Ending:
         """Run the job, with retries where it can't run twice by them or may."""
-        self._budget.deposit()
         run = _Run(work)
         while True:
             acquired = self._acquire(run, caller)
@@ -99,6 +97,8 @@
                 return Refused(run.final(acquired))
             result = self._attempt(run, acquired, caller)
             if isinstance(result, Whole | Streamed | Refused):
+                if not isinstance(result, Refused) and result.status < 500:
+                    self._budget.succeeded()
                 return result
             run.note(result, acquired)
             if not self._may_retry(run, result, caller):
@@ -127,8 +127,8 @@
         if run.attempts >= ATTEMPTS or run.unstarted >= UNSTARTED_TRIES:
             return False
         if isinstance(result, _Lost):
-            return run.work.repeatable and self._budget.withdraw()
-        return not run.body_used and (not result.costs_budget or self._budget.withdraw())
+            return run.work.repeatable and self._budget.take()
+        return not run.body_used and (not result.costs_budget or self._budget.take())
 
     def _attempt(self, run: "_Run", slot: Slot, caller: Caller) -> Ending | _NotSent | _Lost:
         """Use the slot for one try, and release it exactly once."""
--- a/src/lentilrill/gateway/_server.py
+++ b/src/lentilrill/gateway/_server.py
@@ -12,7 +12,6 @@
 from lentilrill.fleet import FleetView
 from lentilrill.gateway._accept import Acceptance, accept
 from lentilrill.gateway._caller import BodyError, BodyTrouble, Caller
-from lentilrill.gateway._contract import RetryBudget, ShareBudget
 from lentilrill.gateway._dispatch import Dispatcher
 from lentilrill.gateway._endpoints import EndpointConnections
 from lentilrill.gateway._forwarding import GATEWAY_PROBLEM, Forwarder
@@ -26,7 +25,7 @@
 from lentilrill.gateway._work import Refused, Whole
 from lentilrill.ids import RequestId
 from lentilrill.jobs import Claims
-from lentilrill.routing import Slots
+from lentilrill.routing import RetryBudget, Slots
 from lentilrill.settings import GatewaySettings
 from lentilrill.telemetry import Metrics
 
@@ -72,11 +71,12 @@
         self._connections = EndpointConnections(settings.connect_timeout_s)
         self._watch = CallerWatch(slots.abandon, metrics)
         dispatcher = Dispatcher(
-            slots, self._connections, self._forwarder, budget or ShareBudget(), self._watch, metrics
+            slots, self._connections, self._forwarder, budget or RetryBudget(), self._watch, metrics
         )
         self._keyed = KeyedJobs(claims, dispatcher)
         self._in_flight = 0
         self._changed = threading.Condition()
+        self._leaving = False
         self._draining = False
         self._closed = threading.Event()
         self._http = CallerServer(
@@ -94,6 +94,11 @@
 
     @property
     def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return not self._leaving and self.takes_jobs
+
+    @property
+    def takes_jobs(self) -> bool:
         """Whether the process takes jobs."""
         return not self._draining and self._view.ready and self._may_serve()
 
@@ -107,8 +112,13 @@
     def drain(self) -> bool:
         """Take no more jobs, and wait for those in flight, at most ``settings.drain_s``.
 
-        :return: whether all of them finished.
+        The balancer looks at ``/readyz`` only now and then, and sends callers here until it has
+        seen the 503. So jobs are still taken for ``settings.drain_notice_s``.
+
+        :return: whether all jobs finished.
         """
+        self._leaving = True
+        self._closed.wait(self._settings.drain_notice_s)
         self._draining = True
         with self._changed:
             return self._changed.wait_for(lambda: not self._in_flight, self._settings.drain_s)
@@ -169,7 +179,7 @@
             caller.answer(ending.status, headers, ending.body, ending.length)
 
     def _accept(self, heading: Heading, request: RequestId) -> Acceptance | Problem:
-        if not self.ready:
+        if not self.takes_jobs:
             detail = "the entry host is draining, or knows too little of the system"
             return Problem(ProblemKind.NOT_READY, detail, retry_after_s=RETRY_AFTER_S)
         return accept(heading, request, self._plans, self._forwarder)
--- a/src/lentilrill/settings/_process.py
+++ b/src/lentilrill/settings/_process.py
@@ -73,6 +73,7 @@
     :param listen: address for callers.
     :param threads: callers that can be held at once; more than the queue bound.
     :param drain_s: seconds that a stopping process waits for requests in flight.
+    :param drain_notice_s: seconds that it still takes jobs after ``/readyz`` says 503.
     :param claim_retention_s: seconds that the outcome of a keyed job is kept.
     """
 
@@ -80,6 +81,7 @@
     platform: PlatformSettings
     threads: Count = 400
     drain_s: Positive = 3600.0
+    drain_notice_s: Annotated[float, msgspec.Meta(ge=0)] = 2.0
     largest_body_bytes: Count = 64 * 1024 * 1024
     connect_timeout_s: Positive = 1.0
     claim_retention_s: Positive = 600.0
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -243,6 +243,7 @@
             "platform": {"key_value": ["127.0.0.1:1"], "host_list": "127.0.0.1:1"},
             "threads": 32,
             "drain_s": WAIT_S,
+            "drain_notice_s": 0.0,
         }
         settings = msgspec.convert(
             {k: msgspec.to_builtins(v) for k, v in (values | changes).items()}, GatewaySettings
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -99,7 +99,7 @@
         drained: list[bool] = []
         drain = threading.Thread(target=lambda: drained.append(gateway.drain()))
         drain.start()
-        while gateway.ready:
+        while gateway.takes_jobs:
             time.sleep(0.001)
         refused = self.call("POST", body=b"y")
         self.assertEqual((503, "not_run"), (refused.status, refused.outcome))
@@ -110,6 +110,20 @@
         self.assertEqual((200, b"volume"), (answers[0].status, answers[0].body))
         self.assertEqual([True], drained)
 
+    def test_jobs_are_taken_until_the_balancer_has_noticed(self) -> None:
+        # The balancer probes once a second and sends callers here until it has seen the 503.
+        # Refusing them at once would turn a planned stop into errors.
+        self.an_endpoint()
+        gateway = self.a_gateway(drain_notice_s=WAIT_S)
+        drain = threading.Thread(target=gateway.drain)
+        drain.start()
+        while gateway.ready:
+            time.sleep(0.001)
+        self.assertEqual(503, self.call(path="/readyz").status)
+        self.assertEqual(200, self.call("POST", body=b"x").status)
+        gateway.close()
+        drain.join(WAIT_S)
+
     def test_an_endless_request_does_not_hold_up_the_end(self) -> None:
         # An endpoint never answers and the drain's time is over. Closing must end, and tell the
         # caller that nobody knows.
