--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -219,12 +220,18 @@
     def _checked(self, decision: Decision) -> list[Action]:
         """Return the actions without those that would break a promise, which are logged."""
         census = decision.census
-        for host in census.doubled:
-            log(Event.FLEET_INVARIANT, what="host in two records", host=host)
+        steps = Counter(action.host for action in decision.actions)
+        twice = {host for host, count in steps.items() if count > 1}
         over = overspending(census.sight, decision.actions)
-        for host, pool in over.items():
-            log(Event.FLEET_INVARIANT, what="budget", host=host, pool=pool)
-        barred = over.keys() | set(census.doubled)
+        for what, hosts in (
+            ("host in two records", set(census.doubled)),
+            ("two steps of one host", twice),
+            ("budget overspent", over.keys()),
+        ):
+            for host in sorted(hosts):
+                self._metrics.incr("fleet.invariant")
+                log(Event.FLEET_INVARIANT, what=what, host=host)
+        barred = over.keys() | set(census.doubled) | twice
         return [action for action in decision.actions if action.host not in barred]
 
     def _create_pools(self, decision: Decision, basis: Basis) -> bool:
--- a/tests/fleet/world.py
+++ b/tests/fleet/world.py
@@ -8,9 +8,8 @@
 from lentilrill.membership import Member, Role, ZoneRecord, zone_key
 from lentilrill.platform import HostInfo, HostState, Mirror
 from lentilrill.settings import ControllerSettings, Document, InnerKeys, PlatformSettings
-from lentilrill.telemetry import NoMetrics
 from tests.builders import a_member
-from tests.fakes import FakeHostList, FakeKeyValue, FakeNode, FakeRoster
+from tests.fakes import CountingMetrics, FakeHostList, FakeKeyValue, FakeNode, FakeRoster
 
 __all__ = ["Controller", "World"]
 
@@ -45,7 +44,7 @@
             self.roster,
             settings,
             self.node,
-            NoMetrics(),
+            world.metrics,
             world.clock,
         )
 
@@ -56,6 +55,7 @@
     def __init__(self, document: Document, zones: tuple[str, ...] = ("z1",)) -> None:
         self.now = START
         self.kv = FakeKeyValue()
+        self.metrics = CountingMetrics()
         self.hosts = FakeHostList(self.clock)
         self.members: list[Member] = []
         self.gateways: dict[str, Member] = {}
