Bench of the configuration; event 501 when a document comes into force; edits published at once

An accepted edit went into the editing controller's mirror alone; if that controller is its zone's watcher, the watch then brought nothing new and told nobody, so the zone learned by the next heartbeat. Now the edit goes through the watcher's publish.

--- a/bench/config.py
+++ b/bench/config.py
@@ -1,8 +1,9 @@
 """Seconds until a changed configuration is in force everywhere, and what changes cost.
 
-Run as ``python -m bench.config [--changes N] [--rate R] [--seconds S]``. Real processes on
-loopback: 7 entry hosts in 4 zones, each with a gateway and a controller. An edit goes to one
-controller after the other; a process has it in force when its log says so (event 501).
+Run as ``python -m bench.config [--changes N] [--rate R] [--seconds S] [--services N]``. Real
+processes on loopback: 7 entry hosts in 4 zones, each with a gateway and a controller. An edit goes to
+one controller after the other; a process has it in force when its log says so (event 501). With more
+services the document is larger: 50 make one of about the target's size.
 """
 
 import argparse
@@ -34,11 +35,12 @@
 class Bench:
     """A running site, and edits of its configuration."""
 
-    def __init__(self, site: Site) -> None:
+    def __init__(self, site: Site, services: int) -> None:
         self.site = site
         self.processes = [n for n in site.controllers + site.gateways if n not in LEFT_OUT]
         self.controllers = [n for n in self.processes if n.startswith("ct")]
-        self.plans, self.entitlements = lists(BRAILLE_SERVICES, 6)
+        names = BRAILLE_SERVICES if services == 5 else tuple(f"s{n:03d}" for n in range(services))
+        self.plans, self.entitlements = lists(names, 6)
         self.revision = 0
         self.edits = 0
 
@@ -97,6 +99,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--changes", type=int, default=40)
     parser.add_argument("--rate", type=float, default=2.0, help="changes a second for their cost")
+    parser.add_argument("--services", type=int, default=5, help="plans and pools of the document")
     parser.add_argument("--seconds", type=float, default=15.0, help="length of one measurement")
     options = parser.parse_args()
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sink:
@@ -106,9 +109,11 @@
         statsd = {"statsd": f"127.0.0.1:{sink.getsockname()[1]}"}
         site = Site(SiteSpec(ZONES, ENTRY_HOSTS_EACH, (), gateway=statsd, controller=statsd))
         try:
-            bench = Bench(site)
+            bench = Bench(site, options.services)
             bench.start()
             spread(bench, options.changes)
+            size = len(json.dumps([bench.plans, bench.entitlements], separators=(",", ":")))
+            figure("config", "lists", size, "bytes", services=options.services)
             cost(bench, sink, options.rate, options.seconds)
         finally:
             site.close()
--- a/src/lentilrill/_assembly.py
+++ b/src/lentilrill/_assembly.py
@@ -14,7 +14,7 @@
 from lentilrill.platform import EtcdKeyValue, HttpHostList, Mirror
 from lentilrill.routing import Routing
 from lentilrill.settings import ControllerSettings, GatewaySettings, ProcessSettings
-from lentilrill.telemetry import Metrics, connect
+from lentilrill.telemetry import Event, Metrics, connect, log
 
 __all__ = ["ControllerProcess", "GatewayProcess"]
 
@@ -51,6 +51,14 @@
             settings.suspect_after_s,
             settings.suspect_after_s * ZONE_SILENT_FACTOR,
         )
+        self._logged_revision = self.view.document_revision
+        self.view.subscribe(self._log_document)
+
+    def _log_document(self) -> None:
+        revision = self.view.document_revision
+        if revision != self._logged_revision:
+            self._logged_revision = revision
+            log(Event.DOCUMENT_IN_FORCE, revision=revision, edit=self.view.document.edit)
 
 
 class GatewayProcess:
@@ -147,6 +155,7 @@
             ),
             common.metrics,
             hosts,
+            publish=self._watcher.publish,
         )
 
     def start(self) -> None:
--- a/src/lentilrill/ctl/_show.py
+++ b/src/lentilrill/ctl/_show.py
@@ -128,6 +128,8 @@
         made = f"revision {entry.revision}" if entry.revision else f"from revision {record.base}"
         what = f"{record.action.value.replace('_', ' ')}: {record.verdict.value}"
         lines.append(f"{at}  {record.who}  {what}, {made}")
+        if record.differences and record.verdict is not EditVerdict.ACCEPTED:
+            lines.append(INDENT * 2 + "asked for:")
         lines += [INDENT + line for line in difference_lines(record.differences)]
         if record.more:
             lines.append(f"{INDENT * 2}... and {record.more} more")
