--- a/bench/config.py
+++ b/bench/config.py
@@ -1,9 +1,9 @@
 """Seconds until a changed configuration is in force everywhere, and what changes cost.
 
 Run as ``python -m bench.config [--changes N] [--rate R] [--seconds S] [--services N]``. Real
-processes on loopback: 7 entry hosts in 4 zones, each with a gateway and a controller. An edit goes to
-one controller after the other; a process has it in force when its log says so (event 501). With more
-services the document is larger: 50 make one of about the target's size.
+processes on loopback: 7 entry hosts in 4 zones, each with a gateway and a controller. An edit goes
+to one controller after the other; a process has it in force when its log says so (event 501). With
+more services the document is larger: 50 make one of about the target's size.
 """
 
 import argparse
--- a/src/lentilrill/settings/_document.py
+++ b/src/lentilrill/settings/_document.py
@@ -1,6 +1,7 @@
 """The operators' document: plans, what each plan may use, and planned stops.
 
 The document is one value on the platform; its revision is the platform's modification revision.
+Defaults are left out when it is encoded, since each change sends it to every process.
 """
 
 from enum import Enum
@@ -25,7 +26,7 @@
         return list(Urgency).index(self)
 
 
-class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
     """A customer's plan: what it is owed, and how fast.
 
     :param hosts_owed: hosts of the service's pool that the plan is owed.
@@ -44,7 +45,7 @@
     start_within_s: float = 30.0
 
 
-class Pool(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Pool(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
     """Hosts that serve one service.
 
     :param spare: whether the pool lends hosts to pools that miss some.
@@ -63,7 +64,7 @@
     accelerators: int = 0
 
 
-class Entitlement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Entitlement(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
     """What one plan may use.
 
     :param pools: pools that run the plan's jobs, preferred first.
@@ -85,7 +86,7 @@
     largest_job_bytes: int = 64 * 1024 * 1024
 
 
-class Objective(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Objective(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
     """What the assignment of hosts minimises.
 
     :param move_weight: cost of moving one host between pools.
@@ -98,7 +99,7 @@
     settle_s: float = 30.0
 
 
-class PlannedStop(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class PlannedStop(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
     """Hosts that operators want to stop for maintenance or for good.
 
     :param hosts: worker or entry hosts to stop.
@@ -112,7 +113,7 @@
     reason: str = ""
 
 
-class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
     """Everything operators decide.
 
     :param write_id: names the write that stored this value, so that a writer whose answer was
