Gossip: ejected and leaving hosts reach every zone's controllers; edits are told at once

Cause: gateways tell their own zone's controllers of a host that fails everything; the controller that acts on its pool may be another zone's, so a planned stop could spend a budget that the failing host had spent already. Change: a zone's health carries its ejected and leaving hosts, and the budget counts them. An accepted edit is published through the watcher; a state that is complete further is told even if its items are known. Test: a stop beside a host ejected elsewhere; failed with the news left out, passes with it.

--- a/src/lentilrill/_assembly.py
+++ b/src/lentilrill/_assembly.py
@@ -3,24 +3,26 @@
 import time
 
 from lentilrill._status import status
-from lentilrill.fleet import FleetTask, FleetView
+from lentilrill.fleet import FleetReport, FleetTask, FleetView
 from lentilrill.gateway import GatewayServer
 from lentilrill.gossip import Heartbeats, Watcher, ZoneRecorder
-from lentilrill.ids import Incarnation
+from lentilrill.ids import Incarnation, Revision
 from lentilrill.inner import Node
 from lentilrill.jobs import ClaimClient, ClaimOwner
 from lentilrill.membership import Member, Role, RosterView
 from lentilrill.operators import OperatorServer
-from lentilrill.platform import EtcdKeyValue, HttpHostList, Mirror
+from lentilrill.platform import CallBudget, EtcdKeyValue, HttpHostList, Mirror
 from lentilrill.routing import Routing
 from lentilrill.settings import ControllerSettings, GatewaySettings, ProcessSettings
-from lentilrill.telemetry import Metrics, connect
+from lentilrill.telemetry import Event, Metrics, connect, log
 
 __all__ = ["ControllerProcess", "GatewayProcess"]
 
 ZONE_SILENT_FACTOR = 2.5
 """Another zone is heard of by gossip, which takes a few heartbeats more than a peer does."""
 
+REPORT_AGE_S = 1.0
+
 
 class _Common:
     """What both kinds of process have: node, mirror, roster and metrics."""
@@ -45,6 +47,8 @@
         )
         self.mirror = Mirror()
         self.view = FleetView(self.mirror)
+        self.view.subscribe(self._note_document)
+        self._noted = Revision(0)
         self.roster = RosterView(
             self.member,
             lambda: self.view.zones_by_id,
@@ -52,6 +56,12 @@
             settings.suspect_after_s * ZONE_SILENT_FACTOR,
         )
 
+    def _note_document(self) -> None:
+        revision = self.view.document_revision
+        if revision != self._noted:
+            self._noted = revision
+            log(Event.DOCUMENT_IN_FORCE, revision=revision)
+
 
 class GatewayProcess:
     """The request path of one entry host."""
@@ -108,8 +118,9 @@
 
     def __init__(self, settings: ControllerSettings) -> None:
         common = _Common(settings, Role.CONTROLLER, settings.listen)
-        kv = EtcdKeyValue(settings.platform, common.metrics)
-        hosts = HttpHostList(settings.platform, common.metrics)
+        budget = CallBudget(settings.platform.calls_per_s)
+        kv = EtcdKeyValue(settings.platform, common.metrics, budget=budget)
+        hosts = HttpHostList(settings.platform, common.metrics, budget=budget)
         self._node = common.node
         self._watcher = Watcher(kv, common.mirror, common.roster, common.node, common.metrics)
         self._heartbeats = Heartbeats(
@@ -119,6 +130,7 @@
             common.roster,
             common.metrics,
             lambda: self._watcher.platform_ok,
+            lambda: self._fleet.zone_trouble(time.time()),
         )
         self._recorder = ZoneRecorder(
             kv,
@@ -143,12 +155,21 @@
             kv,
             common.view,
             lambda: status(
-                common.roster, common.view, self._fleet.look(), self._watcher.platform_ok
+                common.roster, common.view, self._fleet_report(), self._watcher.platform_ok
             ),
             common.metrics,
             hosts,
+            publish=self._watcher.publish,
         )
 
+    def _fleet_report(self) -> FleetReport:
+        """Return a report that is at most a second old; clients ask for it several times a
+        second while they wait."""
+        report = self._fleet.report
+        if time.time() - report.now > REPORT_AGE_S:
+            report = self._fleet.look()
+        return report
+
     def start(self) -> None:
         """Begin to serve."""
         self._node.start()
--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -287,7 +287,20 @@
         self._reasons = reasons
 
     def _trouble(self, now: float) -> tuple[frozenset[HostId], frozenset[HostId]]:
-        """Return the hosts that gateways have ejected, and those that said they leave."""
+        """Return the hosts of all zones that are ejected, and those that said they leave.
+
+        Guard against a budget spent twice: a host that fails its jobs, but is listed as live,
+        is away as much as a stopped one. Its own zone's controllers alone are told of it by
+        gateways; the controller that acts on the pool may be another zone's.
+        """
+        ejected, leaving = self.zone_trouble(now)
+        for news in self._roster.news():
+            if time.monotonic() - news.at <= TROUBLE_LASTS_S:
+                ejected, leaving = ejected | news.ejected, leaving | news.leaving
+        return ejected, leaving
+
+    def zone_trouble(self, now: float) -> tuple[frozenset[HostId], frozenset[HostId]]:
+        """Return what gateways of this zone told of their hosts: ejected, and leaving ones."""
         with self._lock:
             for sender in [s for s, t in self._troubles.items() if t.until < now]:
                 del self._troubles[sender]
--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from lentilrill.ids import Revision, ZoneId
+from lentilrill.ids import HostId, Revision, ZoneId
 from lentilrill.inner import (
     Batch,
     Heartbeat,
@@ -33,6 +33,12 @@
 LEAVE_PAUSE_S = 0.1
 ASK_PAUSE_S = 0.3
 
+Trouble = tuple[frozenset[HostId], frozenset[HostId]]
+
+
+def _no_trouble() -> Trouble:
+    return frozenset(), frozenset()
+
 
 class Heartbeats:
     """Tells peers that this process lives, hears them, and pulls state that they have newer.
@@ -41,6 +47,7 @@
     random what they know of every zone, and pass it on to the gateways of their own.
 
     :param platform_ok: whether the platform answered this process's last call.
+    :param trouble: ejected and leaving workers of this zone, for the other zones' controllers.
     """
 
     def __init__(
@@ -51,6 +58,7 @@
         roster: RosterView,
         metrics: Metrics,
         platform_ok: Callable[[], bool] = lambda: False,
+        trouble: Callable[[], Trouble] = _no_trouble,
     ) -> None:
         self._settings = settings
         self._node = node
@@ -58,6 +66,7 @@
         self._roster = roster
         self._metrics = metrics
         self._platform_ok = platform_ok
+        self._trouble = trouble
         self._random = random.Random(f"{roster.me.process}/{roster.me.incarnation}")
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="heartbeats", daemon=True)
@@ -142,7 +151,12 @@
         now = time.monotonic()
         others = [
             ZoneHealth(
-                news.zone, round(now - news.at, 2), tuple(sorted(news.suspects)), news.complete_to
+                news.zone,
+                round(now - news.at, 2),
+                tuple(sorted(news.suspects)),
+                news.complete_to,
+                tuple(sorted(news.ejected)),
+                tuple(sorted(news.leaving)),
             )
             for news in self._roster.news()
         ]
@@ -157,7 +171,10 @@
         heard = {one.member.process: one.complete_to for one in self._roster.heard()}
         heard[self._roster.me.process] = self._mirror.complete_to
         least = min(heard.get(process, Revision(0)) for process in alive)
-        return ZoneHealth(zone, 0.0, tuple(suspects), least)
+        ejected, leaving = self._trouble()
+        return ZoneHealth(
+            zone, 0.0, tuple(suspects), least, tuple(sorted(ejected)), tuple(sorted(leaving))
+        )
 
     def _registered(self, zone: ZoneId) -> tuple[Member, ...]:
         return self._roster.registered_in(zone)
@@ -199,7 +216,14 @@
     def _hear_zones(self, health: tuple[ZoneHealth, ...]) -> None:
         now = time.monotonic()
         self._roster.hear_zones(
-            ZoneNews(one.zone, now - one.age_s, frozenset(one.suspects), one.complete_to)
+            ZoneNews(
+                one.zone,
+                now - one.age_s,
+                frozenset(one.suspects),
+                one.complete_to,
+                frozenset(one.ejected),
+                frozenset(one.leaving),
+            )
             for one in health
         )
 
--- a/src/lentilrill/gossip/_watcher.py
+++ b/src/lentilrill/gossip/_watcher.py
@@ -124,7 +124,9 @@
         before = self._mirror.complete_to
         # The batch's own revision may be ahead of events still to come; only the items' counts.
         newest = max((item.revision for item in batch.items), default=before)
-        if self._mirror.offer(batch.items, newest):
+        # An item of this process's own write is no news here, but that nothing is missing up to
+        # it is: the others would learn of it only by the next heartbeat.
+        if self._mirror.offer(batch.items, newest) or newest > before:
             self._tell(batch.items, before, newest)
 
     def _tell(self, items: tuple[Item, ...], after: Revision, complete_to: Revision) -> None:
--- a/src/lentilrill/inner/_state.py
+++ b/src/lentilrill/inner/_state.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from lentilrill.ids import ProcessId, Revision, ZoneId
+from lentilrill.ids import HostId, ProcessId, Revision, ZoneId
 from lentilrill.membership import Member
 from lentilrill.platform import Item
 
@@ -15,12 +15,16 @@
     :param age_s: seconds since a controller of the zone said so.
     :param suspects: registered members that were silent.
     :param complete_to: least revision to which all other members' mirrors were complete.
+    :param ejected: workers of the zone that its schedulers send nothing, as they fail.
+    :param leaving: workers of the zone that said they are leaving.
     """
 
     zone: ZoneId
     age_s: float
     suspects: tuple[ProcessId, ...]
     complete_to: Revision
+    ejected: tuple[HostId, ...] = ()
+    leaving: tuple[HostId, ...] = ()
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
--- a/src/lentilrill/membership/__init__.py
+++ b/src/lentilrill/membership/__init__.py
@@ -1,8 +1,8 @@
 """Members of the system, their liveness, and who is responsible for what."""
 
 from lentilrill.membership._contract import Roster, rendezvous
-from lentilrill.membership._records import Liveness, Member, Role, ZoneRecord, zone_key
-from lentilrill.membership._roster import Heard, RosterView, ZoneNews
+from lentilrill.membership._records import Liveness, Member, Role, ZoneNews, ZoneRecord, zone_key
+from lentilrill.membership._roster import Heard, RosterView
 
 __all__ = [
     "Heard",
--- a/src/lentilrill/membership/_contract.py
+++ b/src/lentilrill/membership/_contract.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from lentilrill.ids import ZoneId
-from lentilrill.membership._records import Liveness, Member, Role
+from lentilrill.membership._records import Liveness, Member, Role, ZoneNews
 
 __all__ = ["Roster", "rendezvous"]
 
@@ -23,6 +23,9 @@
     def liveness(self, member: Member) -> Liveness:
         """Return what is believed of one incarnation of a process."""
 
+    def news(self) -> tuple[ZoneNews, ...]:
+        """Return what the controllers of other zones last said of them, sorted by zone."""
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after a member's liveness changed."""
 
--- a/src/lentilrill/membership/_records.py
+++ b/src/lentilrill/membership/_records.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from lentilrill.ids import EntryHostId, Incarnation, ProcessId, ZoneId
+from lentilrill.ids import EntryHostId, HostId, Incarnation, ProcessId, Revision, ZoneId
 
-__all__ = ["Liveness", "Member", "Role", "ZoneRecord", "zone_key"]
+__all__ = ["Liveness", "Member", "Role", "ZoneNews", "ZoneRecord", "zone_key"]
 
 
 class Role(Enum):
@@ -57,6 +57,17 @@
         return {member.process: member for member in self.members}
 
 
+class ZoneNews(msgspec.Struct, frozen=True):
+    """What the controllers of another zone last said of it; ``at`` in monotonic seconds."""
+
+    zone: ZoneId
+    at: float
+    suspects: frozenset[ProcessId]
+    complete_to: Revision
+    ejected: frozenset[HostId] = frozenset()
+    leaving: frozenset[HostId] = frozenset()
+
+
 def zone_key(zone: ZoneId) -> str:
     """Return the state key of a zone's record, below the system's prefix."""
     return f"state/zones/{zone}"
--- a/src/lentilrill/membership/_roster.py
+++ b/src/lentilrill/membership/_roster.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from lentilrill.ids import ProcessId, Revision, ZoneId
-from lentilrill.membership._records import Liveness, Member, Role, ZoneRecord
+from lentilrill.membership._records import Liveness, Member, Role, ZoneNews, ZoneRecord
 
-__all__ = ["Heard", "RosterView", "ZoneNews"]
+__all__ = ["Heard", "RosterView"]
 
 
 class Heard(msgspec.Struct):
@@ -26,15 +26,6 @@
     left: bool = False
 
 
-class ZoneNews(msgspec.Struct, frozen=True):
-    """What the controllers of another zone last said of it; ``at`` in monotonic seconds."""
-
-    zone: ZoneId
-    at: float
-    suspects: frozenset[ProcessId]
-    complete_to: Revision
-
-
 class RosterView:
     """The process's beliefs: heartbeats for its own zone, its controllers' word for the others.
 
--- a/tests/fleet/test_task.py
+++ b/tests/fleet/test_task.py
@@ -1,9 +1,12 @@
 """The fleet's task from end to end: first assignment, stops, moves, on a fake platform."""
 
+import time
+
 from testtools import TestCase
 
 from lentilrill.fleet import HostPhase
-from lentilrill.ids import HostId, StopId
+from lentilrill.ids import HostId, Revision, StopId, ZoneId
+from lentilrill.membership import ZoneNews
 from lentilrill.settings import Document, PlannedStop
 from tests.builders import a_plan, a_pool
 from tests.fleet.world import World
@@ -58,6 +61,23 @@
         wave = self.controller.task.look().stops[0].wave
         self.assertTrue(200 < wave.actual_s < 220, wave)
 
+    def test_a_host_ejected_in_another_zone_spends_budget(self) -> None:
+        # A host of another zone fails all its jobs and its gateways send it none, but the
+        # platform lists it as live. A planned stop of its pool's other host is then granted by
+        # a controller that never heard of it, and the plan is left with no host at all.
+        self.world.run(2)
+        ejected, other = sorted(self.world.entries("ballots"))
+        news = ZoneNews(
+            ZoneId("z2"), time.monotonic(), frozenset(), Revision(1), frozenset({ejected})
+        )
+        self.controller.roster.zone_news = (news,)
+        self.world.change(stops=(a_stop(other),))
+        self.world.run(3)
+        self.assertEqual([], self.world.in_phase("ballots", HostPhase.WITHDRAWING))
+        self.controller.roster.zone_news = ()
+        self.world.run(3, acks=False)
+        self.assertEqual([other], self.world.in_phase("ballots", HostPhase.WITHDRAWING))
+
     def test_a_lasting_shortage_is_ended_by_the_spare_pool(self) -> None:
         self.world.run(2)
         lost = sorted(self.world.entries("ballots"))
