Membership: a planned stop of an entry host drains it through /readyz

A gateway whose entry host is named by a stop answers 503 on /readyz, still takes what comes, and says so in its heartbeats once it holds no caller; status then shows the host as stopped.

--- a/src/lentilrill/_assembly.py
+++ b/src/lentilrill/_assembly.py
@@ -9,7 +9,7 @@
 from lentilrill.ids import Incarnation, Revision
 from lentilrill.inner import Node
 from lentilrill.jobs import ClaimClient, ClaimOwner
-from lentilrill.membership import Member, Role, RosterView
+from lentilrill.membership import Member, Role, RosterView, drains
 from lentilrill.operators import OperatorServer
 from lentilrill.platform import CallBudget, EtcdKeyValue, HttpHostList, Mirror
 from lentilrill.routing import Routing
@@ -70,7 +70,12 @@
         common = _Common(settings, Role.GATEWAY, settings.listen)
         self._node = common.node
         self._heartbeats = Heartbeats(
-            settings, common.node, common.mirror, common.roster, common.metrics
+            settings,
+            common.node,
+            common.mirror,
+            common.roster,
+            common.metrics,
+            is_drained=lambda: self._server.drained,
         )
         self._routing = Routing(common.node, common.view, common.roster, metrics=common.metrics)
         self._claims = ClaimClient(
@@ -91,6 +96,11 @@
             self._claims,
             common.metrics,
             lambda: self._routing.ledger.may_send,
+            is_to_stop=lambda: drains(
+                common.member,
+                common.roster.alive(Role.GATEWAY, settings.zone),
+                {host for stop in common.view.document.stops for host in stop.hosts},
+            ),
         )
 
     def start(self) -> None:
--- a/src/lentilrill/_status.py
+++ b/src/lentilrill/_status.py
@@ -2,8 +2,8 @@
 
 from lentilrill.fleet import FleetReport, FleetView, PoolReport, StopReport
 from lentilrill.fleet import StopState as FleetStopState
-from lentilrill.ids import ProcessId, Revision
-from lentilrill.membership import Member, RosterView
+from lentilrill.ids import HostId, ProcessId, Revision
+from lentilrill.membership import Member, Role, RosterView
 from lentilrill.operators import (
     MemberStatus,
     PoolStatus,
@@ -28,6 +28,7 @@
     roster: RosterView, view: FleetView, report: FleetReport, platform_reachable: bool
 ) -> Status:
     """Return the whole picture as of this controller."""
+    entry_hosts = _entry_hosts(roster)
     return Status(
         process=roster.me.process,
         zone=roster.me.zone,
@@ -35,7 +36,7 @@
         platform_reachable=platform_reachable,
         members=_members(roster, view),
         pools=tuple(_pool(pool, view.document) for pool in report.pools),
-        stops=tuple(_stop(stop, view.document) for stop in report.stops),
+        stops=tuple(_stop(stop, view.document, entry_hosts) for stop in report.stops),
         waves=tuple(_wave(stop) for stop in report.stops if stop.wave.started),
     )
 
@@ -89,21 +90,45 @@
     )
 
 
-def _stop(stop: StopReport, document: Document) -> StopStatus:
+def _entry_hosts(roster: RosterView) -> dict[HostId, bool]:
+    """Return every entry host that runs a gateway, and whether all its gateways are drained.
+
+    A gateway that is gone holds no caller either.
+    """
+    drained = {one.member.process for one in roster.heard() if one.drained}
+    drained |= {process for news in roster.news() for process in news.drained}
+    found: dict[HostId, bool] = {}
+    for zone in roster.zones():
+        for member in roster.registered_in(zone):
+            if member.role is Role.GATEWAY:
+                host = HostId(member.entry_host)
+                found[host] = found.get(host, True) and member.process in drained
+    return found
+
+
+def _stop(stop: StopReport, document: Document, entry_hosts: dict[HostId, bool]) -> StopStatus:
+    """Return one stop, with the entry hosts that the fleet's own report does not know.
+
+    An entry host counts as withdrawing until its gateways are drained.
+    """
     declared = next(one for one in document.stops if one.id == stop.stop)
-    gone_on = {*stop.withdrawing, *stop.stopped}
+    entries = [host for host in declared.hosts if host in entry_hosts]
+    draining = tuple(host for host in entries if not entry_hosts[host])
+    stopped = (*stop.stopped, *(host for host in entries if entry_hosts[host]))
+    withdrawing = (*stop.withdrawing, *draining)
+    gone_on = {*withdrawing, *stopped}
     waits = [wait.within_s for wait in stop.waits if wait.within_s is not None]
     return StopStatus(
         id=stop.stop,
-        state=STATES_BY_FLEET_STATE[stop.state],
+        state=StopState.WITHDRAWING if draining else STATES_BY_FLEET_STATE[stop.state],
         reason=declared.reason,
         why="; ".join(f"{wait.hosts} of {wait.pool}: {wait.reason}" for wait in stop.waits),
         retire=declared.retire,
         waiting=(
             tuple(host for host in declared.hosts if host not in gone_on) if stop.waiting else ()
         ),
-        withdrawing=stop.withdrawing,
-        stopped=stop.stopped,
+        withdrawing=withdrawing,
+        stopped=stopped,
         expected_s=max(waits, default=None),
     )
 
--- a/src/lentilrill/gateway/_server.py
+++ b/src/lentilrill/gateway/_server.py
@@ -50,6 +50,7 @@
     :param claims: at most one dispatch for each idempotency key.
     :param may_serve: whether this process may send to endpoints at all.
     :param budget: bound of retries.
+    :param is_to_stop: whether a planned stop wants this entry host's callers to go elsewhere.
     """
 
     def __init__(
@@ -61,10 +62,12 @@
         metrics: Metrics,
         may_serve: Callable[[], bool],
         budget: RetryBudget | None = None,
+        is_to_stop: Callable[[], bool] = lambda: False,
     ) -> None:
         self._settings = settings
         self._view = view
         self._may_serve = may_serve
+        self._is_to_stop = is_to_stop
         self._metrics = metrics
         self._plans = PlanBook(view)
         self._forwarder = Forwarder(settings.keys.secret)
@@ -77,6 +80,7 @@
         self._in_flight = 0
         self._changed = threading.Condition()
         self._leaving = False
+        self._last_ready = time.monotonic()
         self._draining = False
         self._closed = threading.Event()
         self._http = CallerServer(
@@ -95,13 +99,26 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return not self._leaving and self.takes_jobs
+        return not self._leaving and not self._is_to_stop() and self.takes_jobs
 
     @property
     def takes_jobs(self) -> bool:
         """Whether the process takes jobs."""
         return not self._draining and self._view.ready and self._may_serve()
 
+    @property
+    def drained(self) -> bool:
+        """Whether callers were sent elsewhere long enough ago, and none is held any more.
+
+        To be looked at every second or so; how long ago is counted from the last look that
+        found the process ready.
+        """
+        if self.ready:
+            self._last_ready = time.monotonic()
+            return False
+        noticed = time.monotonic() - self._last_ready >= self._settings.drain_notice_s
+        return noticed and not self._in_flight
+
     def start(self) -> None:
         """Listen, and begin to serve."""
         self._http.prepare()
--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -48,6 +48,7 @@
 
     :param platform_ok: whether the platform answered this process's last call.
     :param trouble: ejected and leaving workers of this zone, for the other zones' controllers.
+    :param is_drained: whether callers go elsewhere, and this process holds none any more.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         metrics: Metrics,
         platform_ok: Callable[[], bool] = lambda: False,
         trouble: Callable[[], Trouble] = _no_trouble,
+        is_drained: Callable[[], bool] = lambda: False,
     ) -> None:
         self._settings = settings
         self._node = node
@@ -67,6 +69,7 @@
         self._metrics = metrics
         self._platform_ok = platform_ok
         self._trouble = trouble
+        self._is_drained = is_drained
         self._random = random.Random(f"{roster.me.process}/{roster.me.incarnation}")
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="heartbeats", daemon=True)
@@ -145,7 +148,13 @@
 
     def _heartbeat(self) -> Heartbeat:
         health = self._health() if self._roster.me.role is Role.CONTROLLER else ()
-        return Heartbeat(self._roster.me, self._mirror.complete_to, self._platform_ok(), health)
+        return Heartbeat(
+            self._roster.me,
+            self._mirror.complete_to,
+            self._platform_ok(),
+            self._is_drained(),
+            health,
+        )
 
     def _health(self) -> tuple[ZoneHealth, ...]:
         now = time.monotonic()
@@ -155,6 +164,7 @@
                 round(now - news.at, 2),
                 tuple(sorted(news.suspects)),
                 news.complete_to,
+                tuple(sorted(news.drained)),
                 tuple(sorted(news.ejected)),
                 tuple(sorted(news.leaving)),
             )
@@ -173,7 +183,13 @@
         least = min(heard.get(process, Revision(0)) for process in alive)
         ejected, leaving = self._trouble()
         return ZoneHealth(
-            zone, 0.0, tuple(suspects), least, tuple(sorted(ejected)), tuple(sorted(leaving))
+            zone,
+            0.0,
+            tuple(suspects),
+            least,
+            tuple(one.member.process for one in self._roster.heard() if one.drained),
+            tuple(sorted(ejected)),
+            tuple(sorted(leaving)),
         )
 
     def _registered(self, zone: ZoneId) -> tuple[Member, ...]:
@@ -203,7 +219,7 @@
     def _heard(self, batch: Batch, message: Heartbeat) -> None:
         member = message.member
         first = all(one.member != member for one in self._roster.heard())
-        if not self._roster.hear(member, message.complete_to, message.platform):
+        if not self._roster.hear(member, message.complete_to, message.platform, message.drained):
             self._metrics.incr("membership.stale_heartbeats")
             return
         if first:
@@ -221,6 +237,7 @@
                 now - one.age_s,
                 frozenset(one.suspects),
                 one.complete_to,
+                frozenset(one.drained),
                 frozenset(one.ejected),
                 frozenset(one.leaving),
             )
--- a/src/lentilrill/inner/_state.py
+++ b/src/lentilrill/inner/_state.py
@@ -15,6 +15,7 @@
     :param age_s: seconds since a controller of the zone said so.
     :param suspects: registered members that were silent.
     :param complete_to: least revision to which all other members' mirrors were complete.
+    :param drained: gateways that take no callers for a planned stop, and hold none any more.
     :param ejected: workers of the zone that its schedulers send nothing, as they fail.
     :param leaving: workers of the zone that said they are leaving.
     """
@@ -23,6 +24,7 @@
     age_s: float
     suspects: tuple[ProcessId, ...]
     complete_to: Revision
+    drained: tuple[ProcessId, ...] = ()
     ejected: tuple[HostId, ...] = ()
     leaving: tuple[HostId, ...] = ()
 
@@ -31,12 +33,14 @@
     """The sender lives, and how far its mirror is complete.
 
     :param platform: whether the platform answered the sender's last call.
+    :param drained: whether the sender's callers go elsewhere, and it holds none any more.
     :param health: zones the sender has heard of; only controllers tell.
     """
 
     member: Member
     complete_to: Revision
     platform: bool = True
+    drained: bool = False
     health: tuple[ZoneHealth, ...] = ()
 
 
--- a/src/lentilrill/membership/__init__.py
+++ b/src/lentilrill/membership/__init__.py
@@ -1,6 +1,7 @@
 """Members of the system, their liveness, and who is responsible for what."""
 
 from lentilrill.membership._contract import Roster, rendezvous
+from lentilrill.membership._drain import drains
 from lentilrill.membership._records import Liveness, Member, Role, ZoneNews, ZoneRecord, zone_key
 from lentilrill.membership._roster import Heard, RosterView
 
@@ -13,6 +14,7 @@
     "RosterView",
     "ZoneNews",
     "ZoneRecord",
+    "drains",
     "rendezvous",
     "zone_key",
 ]
--- a/src/lentilrill/membership/_records.py
+++ b/src/lentilrill/membership/_records.py
@@ -64,6 +64,7 @@
     at: float
     suspects: frozenset[ProcessId]
     complete_to: Revision
+    drained: frozenset[ProcessId] = frozenset()
     ejected: frozenset[HostId] = frozenset()
     leaving: frozenset[HostId] = frozenset()
 
--- a/src/lentilrill/membership/_roster.py
+++ b/src/lentilrill/membership/_roster.py
@@ -17,6 +17,7 @@
 
     :param at: monotonic seconds at which it came.
     :param left: whether this incarnation said that it ends.
+    :param drained: whether it takes no callers any more and holds none.
     """
 
     member: Member
@@ -24,6 +25,7 @@
     complete_to: Revision
     platform: bool
     left: bool = False
+    drained: bool = False
 
 
 class RosterView:
@@ -99,7 +101,9 @@
         """Call ``listener`` after the members to work with changed."""
         self._listeners.append(listener)
 
-    def hear(self, member: Member, complete_to: Revision, platform: bool) -> bool:
+    def hear(
+        self, member: Member, complete_to: Revision, platform: bool, drained: bool = False
+    ) -> bool:
         """Take note of a heartbeat.
 
         :return: whether it counts; a heartbeat of an older incarnation was delayed on its way.
@@ -112,7 +116,7 @@
                 return False
             known = held is not None and held.member == member
             self._heard_by_process[member.process] = Heard(
-                member, self._clock(), complete_to, platform
+                member, self._clock(), complete_to, platform, drained=drained
             )
         if not known:
             self.refresh()
--- a/tests/fleet/test_task.py
+++ b/tests/fleet/test_task.py
@@ -68,7 +68,11 @@
         self.world.run(2)
         ejected, other = sorted(self.world.entries("ballots"))
         news = ZoneNews(
-            ZoneId("z2"), time.monotonic(), frozenset(), Revision(1), frozenset({ejected})
+            ZoneId("z2"),
+            time.monotonic(),
+            frozenset(),
+            Revision(1),
+            ejected=frozenset({ejected}),
         )
         self.controller.roster.zone_news = (news,)
         self.world.change(stops=(a_stop(other),))
--- /dev/null
+++ b/tests/membership/test_drain.py
@@ -0,0 +1,39 @@
+"""A planned stop of entry hosts leaves each zone one that takes callers."""
+
+from testtools import TestCase
+
+from lentilrill.ids import EntryHostId, HostId
+from lentilrill.membership import Member, drains
+from tests import builders
+
+
+def gateway(number: int) -> Member:
+    return builders.a_member(f"gw-{number}", entry_host=EntryHostId(f"entry-{number}"))
+
+
+class DrainTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.one, self.two, self.three = (gateway(n) for n in (1, 2, 3))
+        self.all = (self.one, self.two, self.three)
+
+    def draining(self, alive: tuple[Member, ...], *to_stop: str) -> list[str]:
+        named = {HostId(host) for host in to_stop}
+        return [member.process for member in alive if drains(member, alive, named)]
+
+    def test_only_named_entry_hosts_drain(self) -> None:
+        self.assertEqual(["gw-2"], self.draining(self.all, "entry-2", "w1"))
+
+    def test_all_named_drain_while_another_stays(self) -> None:
+        self.assertEqual(["gw-1", "gw-2"], self.draining(self.all, "entry-1", "entry-2"))
+
+    def test_the_last_of_a_zone_goes_on(self) -> None:
+        # Operators declare one stop for every entry host of a zone, for new switches. Did all
+        # of them turn callers away, the zone's endpoints would stand idle and its callers fail.
+        names = [member.entry_host for member in self.all]
+        self.assertEqual(["gw-1", "gw-2"], self.draining(self.all, *names))
+        self.assertEqual([], self.draining((self.two,), *names))
+
+    def test_the_next_drains_when_one_is_back(self) -> None:
+        back = gateway(1)
+        self.assertEqual(["gw-3"], self.draining((back, self.three), "entry-3"))
