--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from lentilrill.ids import Revision, ZoneId
+from lentilrill.ids import HostId, Revision, ZoneId
 from lentilrill.inner import (
     Batch,
     Heartbeat,
@@ -26,12 +26,19 @@
 """Controllers of other zones told at each other-zone beat; gossip does the rest."""
 OTHER_ZONE_EVERY = 2
 """Heartbeats between two other-zone beats."""
+CHANGE_PAUSE_S = 0.1
 METRICS_EVERY = 4
 FORGET_AFTER_S = 60.0
 LEAVE_REPEATS = 3
 LEAVE_PAUSE_S = 0.1
 ASK_PAUSE_S = 0.3
 
+Trouble = tuple[frozenset[HostId], frozenset[HostId]]
+
+
+def _no_trouble() -> Trouble:
+    return frozenset(), frozenset()
+
 
 class Heartbeats:
     """Tells peers that this process lives, hears them, and pulls state that they have newer.
@@ -40,6 +47,7 @@
     random what they know of every zone, and pass it on to the gateways of their own.
 
     :param platform_ok: whether the platform answered this process's last call.
+    :param trouble: ejected and leaving workers of this zone, for the other zones' controllers.
     """
 
     def __init__(
@@ -50,6 +58,7 @@
         roster: RosterView,
         metrics: Metrics,
         platform_ok: Callable[[], bool] = lambda: False,
+        trouble: Callable[[], Trouble] = _no_trouble,
     ) -> None:
         self._settings = settings
         self._node = node
@@ -57,9 +66,12 @@
         self._roster = roster
         self._metrics = metrics
         self._platform_ok = platform_ok
+        self._trouble = trouble
         self._random = random.Random(f"{roster.me.process}/{roster.me.incarnation}")
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="heartbeats", daemon=True)
+        self._wake = threading.Event()
+        mirror.subscribe(lambda items: self._wake.set())
         self._last_ask_at = 0.0
         self._bytes_counted = (0, 0)
         node.on(Heartbeat, self._heard)
@@ -74,6 +86,7 @@
     def close(self) -> None:
         """Say that this process ends, and end the task. Nothing may be in flight any more."""
         self._stopping.set()
+        self._wake.set()
         self._thread.join()
         leave = Leave(self._roster.me)
         for _ in range(LEAVE_REPEATS):
@@ -83,7 +96,7 @@
 
     def _run(self) -> None:
         beat = 0
-        while not self._stopping.wait(self._settings.heartbeat_s if beat else 0):
+        while not self._stopping.is_set():
             self._roster.refresh()
             self._roster.forget(FORGET_AFTER_S)
             self._tell_zone()
@@ -92,6 +105,13 @@
             if beat % METRICS_EVERY == 0:
                 self._count_bytes()
             beat += 1
+            self._pause()
+
+    def _pause(self) -> None:
+        """Wait for the next beat; a changed state is told sooner, but not at once each time."""
+        if not self._stopping.wait(CHANGE_PAUSE_S):
+            self._wake.wait(max(0.0, self._settings.heartbeat_s - CHANGE_PAUSE_S))
+        self._wake.clear()
 
     def _count_bytes(self) -> None:
         sent, received = self._node.bytes_sent, self._node.bytes_received
@@ -131,7 +151,12 @@
         now = time.monotonic()
         others = [
             ZoneHealth(
-                news.zone, round(now - news.at, 2), tuple(sorted(news.suspects)), news.complete_to
+                news.zone,
+                round(now - news.at, 2),
+                tuple(sorted(news.suspects)),
+                news.complete_to,
+                tuple(sorted(news.ejected)),
+                tuple(sorted(news.leaving)),
             )
             for news in self._roster.news()
         ]
@@ -146,7 +171,10 @@
         heard = {one.member.process: one.complete_to for one in self._roster.heard()}
         heard[self._roster.me.process] = self._mirror.complete_to
         least = min(heard.get(process, Revision(0)) for process in alive)
-        return ZoneHealth(zone, 0.0, tuple(suspects), least)
+        ejected, leaving = self._trouble()
+        return ZoneHealth(
+            zone, 0.0, tuple(suspects), least, tuple(sorted(ejected)), tuple(sorted(leaving))
+        )
 
     def _registered(self, zone: ZoneId) -> tuple[Member, ...]:
         return self._roster.registered_in(zone)
@@ -188,7 +216,14 @@
     def _hear_zones(self, health: tuple[ZoneHealth, ...]) -> None:
         now = time.monotonic()
         self._roster.hear_zones(
-            ZoneNews(one.zone, now - one.age_s, frozenset(one.suspects), one.complete_to)
+            ZoneNews(
+                one.zone,
+                now - one.age_s,
+                frozenset(one.suspects),
+                one.complete_to,
+                frozenset(one.ejected),
+                frozenset(one.leaving),
+            )
             for one in health
         )
 
--- a/src/lentilrill/routing/_scheduler.py
+++ b/src/lentilrill/routing/_scheduler.py
@@ -33,8 +33,6 @@
 
 START_WITHIN_S = 2.0
 REBUILD_S = 2.0
-QUEUE_PER_SLOT = 64
-LEAST_QUEUE = 256
 MOST_QUEUE = 20_000
 MOST_ASIDE = 8
 SPILL_WAIT_S = 0.25
@@ -43,6 +41,7 @@
 MOST_RETRY_S = 60.0
 RATE_BURST_S = 1.0
 SWEEP_S = 1.0
+START_MARGIN_S = 0.005
 
 DEFAULT_TERMS = PlanTerms()
 
@@ -138,13 +137,16 @@
             return out
         self._asks += 1
         now = self._clock()
+        # In an overload the earliest deadline is about to pass. Granted at its last moment, the
+        # job would start too late, and its slot time would be lost to one that could.
+        deadline = now + ask.wait_s - START_MARGIN_S
         self._queue.add(
             Waiting(
                 key,
                 caller,
                 ask.plan,
                 ask.urgency,
-                now + ask.wait_s,
+                deadline,
                 self._asks,
                 now,
                 ask.avoid,
@@ -245,7 +247,7 @@
         limited_s = self._rate_limited_s(ask.plan, terms, now)
         if limited_s > 0.0:
             return self._refused(ask, Refusal.PLAN_LIMIT, limited_s, spill=False)
-        if len(self._queue) >= self._queue_bound():
+        if len(self._queue) >= MOST_QUEUE:
             displaced = self._queue.displace(ask.urgency)
             if displaced is None:
                 return self._refused(ask, Refusal.QUEUE_FULL, self._waits.drain_s(), spill=True)
@@ -261,9 +263,6 @@
             bucket = self._buckets_by_plan[plan] = TokenBucket(terms.rate_per_s, burst, now)
         return 0.0 if bucket.take(now) else bucket.wait_s(now)
 
-    def _queue_bound(self) -> int:
-        return min(max(LEAST_QUEUE, QUEUE_PER_SLOT * self.hosts.capacity), MOST_QUEUE)
-
     def _refused(self, ask: Ask, refusal: Refusal, after_s: float, spill: bool) -> Refused:
         zone = None
         if spill and ask.spillable:
--- a/tests/routing/test_scheduler.py
+++ b/tests/routing/test_scheduler.py
@@ -6,6 +6,7 @@
 
 from lentilrill.ids import HostId, Incarnation, PlanId, PoolId, ProcessId, ZoneId
 from lentilrill.inner import Ask, Granted, Held, HeldGrants, PoolLoad, Refusal, Verdict
+from lentilrill.routing import _scheduler
 from lentilrill.routing._grants import SILENT_GATEWAY_S
 from lentilrill.routing._queue import Caller
 from lentilrill.routing._scheduler import REBUILD_S, PoolScheduler, Reply
@@ -185,6 +186,7 @@
     def test_a_full_queue_sheds_the_lowest_class_first(self) -> None:
         # Ledgers fill the queue, then a route comes. It takes the place of the newest ledger,
         # whose caller must hear so at once and not at the end of its wait.
+        self.patch(_scheduler, "MOST_QUEUE", 256)
         self.configure(ledgers=PlanTerms(queue=10_000))
         self.teach(0.001, "ledgers")
         self.granted("ledgers")
@@ -207,6 +209,17 @@
         (refused,) = refusals(self.tick())
         self.assertEqual((ask.request, Refusal.TOO_LATE), (refused.request, refused.refusal))
 
+    def test_no_grant_at_the_last_moment(self) -> None:
+        # In an overload, the ask with the earliest deadline is always about to be late. Granted
+        # a millisecond before, it would start late: its caller gave up, its slot time is lost.
+        running = self.granted()
+        self.ask(wait_s=5.0)
+        ask = an_ask(wait_s=9.0)
+        self.scheduler.ask(ask, GW)
+        self.clock.now += 4.999
+        (granted,) = grants(self.scheduler.done(done(running)))
+        self.assertEqual(ask.request, granted.request)
+
     def test_thousands_of_cancellations(self) -> None:
         # A service restarts and all its callers hang up. Their places must be free at once,
         # and the next slot must go to a caller that is still there.
@@ -291,6 +304,17 @@
         self.scheduler.held(report, GW)
         self.assertEqual(0, self.scheduler.running)
 
+    def test_a_contradiction_in_the_accounts_is_reported(self) -> None:
+        # A slot is freed without its grant. Unnoticed, the host would run a job too many at a
+        # time, for good; the next look at the accounts must say so.
+        self.granted()
+        self.scheduler.hosts.release(HostId("h1"))
+        self.clock.now += 1.0
+        self.tick()
+        self.assertEqual(1, self.scheduler.violations)
+        self.scheduler.violations = 0
+        self.scheduler.hosts.take(HostId("h1"))
+
     def test_a_report_that_crosses_an_end_brings_nothing_back(self) -> None:
         # A gateway lists a grant in its report, the job ends, and the end is heard first. Taken
         # for a grant unknown so far, it would hold its slot for seconds.
@@ -470,8 +494,25 @@
             self.scheduler.done(done(granted, Verdict.OK if ok else Verdict.ERROR))
         self.assertEqual(1, self.scheduler.load().ejected)
         self.assertEqual(9, self.scheduler.hosts.capacity)
-        held = [self.granted() for _ in range(9)]
-        self.assertEqual(8, [granted.host for granted in held].count("h3"))
+        self.clock.now += 1.0
+        held = [self.granted() for _ in range(10)]
+        hosts = [granted.host for granted in held]
+        self.assertEqual((1, 1, 8), tuple(hosts.count(HostId(h)) for h in ("h1", "h2", "h3")))
+        last = held[hosts.index(HostId("h2"))]
+        self.scheduler.done(done(last, Verdict.ERROR))
+        self.assertEqual([], self.ask())
+
+    def test_jobs_in_flight_do_not_make_the_pause_grow(self) -> None:
+        # A host hangs; its eight jobs break together. Each counted as a failed probe, the
+        # first pause would be a minute, long after the host is well again.
+        self.configure(slots=8, hosts=3, budget=1)
+        held = [self.granted() for _ in range(24)]
+        for granted in held:
+            bad = granted.host == "h1"
+            self.scheduler.done(done(granted, Verdict.UNREACHABLE if bad else Verdict.OK))
+        self.assertEqual(1, self.scheduler.load().ejected)
+        self.clock.now += 1.0
+        self.assertIn("h1", [granted.host for granted in self._burst()])
 
     def test_hosts_away_elsewhere_use_up_the_budget(self) -> None:
         self.configure(slots=8, hosts=3, budget=1)
