Routing: a second scheduler of a pool learns what the first one grants; tests over processes

Change: a process that schedules a pool because a cut-off gateway insists asks all gateways each second what they hold.

--- a/src/lentilrill/routing/_schedulers.py
+++ b/src/lentilrill/routing/_schedulers.py
@@ -33,6 +33,7 @@
 __all__ = ["SchedulerHost"]
 
 HELD_ASK_S = 0.25
+SHARED_ASK_S = 1.0
 LOAD_S = 0.2
 STEADY_LOAD_S = 0.5
 TROUBLE_S = 1.0
@@ -241,10 +242,17 @@
 
     def _ask_held(self, held: _Scheduled, now: float) -> None:
         pool = held.scheduler.pool
-        if held.scheduler.awaited and now - held.asked_held >= HELD_ASK_S:
+        waited_s = now - held.asked_held
+        asked = held.scheduler.awaited if waited_s >= HELD_ASK_S else frozenset()
+        if waited_s >= SHARED_ASK_S and not self._placement.is_mine(pool):
+            # Another process schedules the pool for the other gateways. What it grants is seen
+            # by their reports only; without them, both would give away the same slots.
+            gateways = self._placement.gateways(self._placement.me.zone)
+            asked = frozenset(gateway.inner for gateway in gateways)
+        if asked:
             held.asked_held = now
-            for address in held.scheduler.awaited:
-                self._node.send(address, HeldAsk(pool, self._node.address))
+        for address in asked:
+            self._node.send(address, HeldAsk(pool, self._node.address))
 
     def _tell_load(self, held: _Scheduled, now: float) -> None:
         if now - held.told_load < LOAD_S:
--- a/tests/routing/site.py
+++ b/tests/routing/site.py
@@ -129,8 +129,10 @@
 class Gateway:
     """One gateway process: node and routing."""
 
-    def __init__(self, name: str, keys: InnerKeys, members: Members, fleet: Fleet) -> None:
-        self.member = builders.a_member(name, inner=builders.an_address())
+    def __init__(
+        self, name: str, keys: InnerKeys, members: Members, fleet: Fleet, zone: str = "z1"
+    ) -> None:
+        self.member = builders.a_member(name, inner=builders.an_address(), zone=zone)
         members.living.append(self.member)
         self.node = Node(self.member.process, self.member.incarnation, self.member.inner, keys)
         self.node.start()
--- /dev/null
+++ b/tests/routing/test_zones.py
@@ -0,0 +1,117 @@
+"""Schedulers in several processes: disagreeing rosters, other zones, word to controllers."""
+
+import queue
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from testtools import TestCase
+
+from lentilrill.ids import PoolId
+from lentilrill.inner import HostTrouble, Verdict
+from lentilrill.membership import Role, rendezvous
+from lentilrill.routing import Slot, Where, _client
+from tests import builders
+from tests.routing.site import Fleet, Gateway, Members, a_job, eventually
+
+WAIT_S = 20.0
+POOL = PoolId("schools")
+
+
+class ZonesTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.keys = builders.inner_keys()
+        self.members = Members()
+        self.fleet = Fleet()
+        self.threads = ThreadPoolExecutor(8)
+        self.addCleanup(self.threads.shutdown)
+
+    def a_gateway(self, name: str, zone: str = "z1", members: Members | None = None) -> Gateway:
+        gateway = Gateway(name, self.keys, members or self.members, self.fleet, zone)
+        self.addCleanup(gateway.close)
+        return gateway
+
+    def start(self, *gateways: Gateway) -> None:
+        for zone in {gateway.member.zone for gateway in gateways}:
+            self.fleet.register(*(g.member for g in gateways if g.member.zone == zone))
+        for gateway in gateways:
+            gateway.routing.placement.refresh()
+            gateway.start()
+
+    def acquire(self, gateway: Gateway, wait_s: float = WAIT_S) -> Slot:
+        job = a_job(time.monotonic() + wait_s)
+        return self.threads.submit(gateway.slots.acquire, job).result(WAIT_S).unwrap()
+
+    def test_a_gateway_that_is_told_off_insists(self) -> None:
+        # Between one gateway and the scheduler all messages are lost, between the others none.
+        # That gateway takes the next one for the scheduler, which says it is not. Left at
+        # that, its callers would be refused for as long as the rosters differ.
+        self.patch(_client, "INSIST_AFTER_S", 0.0)
+        self.fleet.hosts(builders.an_entry("h1"))
+        lowest, middle, highest = self.by_rank("gw-1", "gw-2", "gw-3")
+        heard_by_cut_off = Members()
+        scheduler, other = self.a_gateway(highest), self.a_gateway(middle)
+        cut_off = self.a_gateway(lowest, members=heard_by_cut_off)
+        heard_by_cut_off.living.append(other.member)
+        self.start(scheduler, other, cut_off)
+        self.assertEqual(scheduler.member, other.routing.placement.scheduler(POOL))
+        self.assertEqual(other.member, cut_off.routing.placement.scheduler(POOL))
+        self.assertEqual("h1", self.acquire(cut_off).host)
+        # Two schedulers now give out h1's two slots; the second learns of the first's grants.
+        self.acquire(scheduler)
+        second = other.routing.schedulers.schedulers_by_pool[POOL]
+        eventually(lambda: second.running == 2)
+
+    def by_rank(self, *names: str) -> list[str]:
+        """Return process names so that a later one is preferred as the pool's scheduler."""
+        members = [builders.a_member(name) for name in names]
+        ranked: list[str] = []
+        while members:
+            first = rendezvous(f"{POOL}/z1", members)
+            assert first is not None
+            members.remove(first)
+            ranked.insert(0, first.process)
+        return ranked
+
+    def test_a_full_zone_spills_to_one_with_free_slots(self) -> None:
+        # Every slot of the pool here runs a long job, while those of another zone are free.
+        # The caller's wait would pass with slots idle a millisecond away.
+        self.fleet.hosts(builders.an_entry("h1"), builders.an_entry("h2", zone="z2"))
+        near, far = self.a_gateway("gw-1"), self.a_gateway("gw-2", "z2")
+        self.start(near, far)
+        for _ in range(3):
+            slot = self.acquire(near)
+            near.slots.release(slot, Verdict.OK, 5.0)
+        held = [self.acquire(near) for _ in range(2)]
+        self.assertEqual([Where.ENDPOINT] * 2, [slot.where for slot in held])
+        scheduler = near.routing.schedulers.schedulers_by_pool[POOL]
+        eventually(lambda: "z2" in scheduler._others._loads_by_zone)
+        spilled = self.acquire(near)
+        self.assertEqual((Where.ZONE, "z2"), (spilled.where, spilled.zone))
+
+    def test_controllers_hear_of_leaving_hosts(self) -> None:
+        # An endpoint says that it leaves while the platform's list still shows it as live. The
+        # controllers can't replace it unless they are told.
+        heard: queue.Queue[HostTrouble] = queue.Queue()
+        self.fleet.hosts(builders.an_entry("h1"), builders.an_entry("h2"))
+        gateway = self.a_gateway("gw-1")
+        controller = builders.a_member("ctl", role=Role.CONTROLLER, inner=gateway.member.inner)
+        gateway.node.on(HostTrouble, lambda batch, trouble: heard.put(trouble))
+        self.members.living.append(controller)
+        self.start(gateway)
+        slot = self.acquire(gateway)
+        gateway.slots.release(slot, Verdict.LEAVING, 0.01)
+        self.assertEqual((slot.host,), heard.get(timeout=WAIT_S).leaving)
+
+    def test_a_withdrawn_grant_is_asked_for_anew(self) -> None:
+        # A host is withdrawn while grants for it are on their way. The job was sent nowhere, so
+        # the gateway asks again and its caller notices nothing.
+        self.fleet.hosts(builders.an_entry("h1"), builders.an_entry("h2"))
+        gateway = self.a_gateway("gw-1")
+        self.start(gateway)
+        slot = self.acquire(gateway)
+        other = "h2" if slot.host == "h1" else "h1"
+        self.fleet.hosts(builders.an_entry(other))
+        self.assertTrue(gateway.slots.start(slot).failure())
+        gateway.slots.release(slot, Verdict.UNUSED, 0.0)
+        self.assertEqual(other, self.acquire(gateway).host)
