--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,7 +9,7 @@
 
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import Revision, ZoneId
-from lentilrill.membership import Liveness, Member, Role
+from lentilrill.membership import Liveness, Member, Role, ZoneNews
 from lentilrill.platform import (
     Compare,
     DeleteRange,
@@ -23,8 +23,10 @@
     TxnAnswer,
     WatchBatch,
 )
+from lentilrill.telemetry import NoMetrics
 
 __all__ = [
+    "CountingMetrics",
     "FakeHostList",
     "FakeKeyValue",
     "FakeNode",
@@ -67,6 +69,7 @@
         caller can't tell the two apart.
     :ivar before_commit: called once before the next commit, as a racing writer.
     :ivar commits: fates of the next commits, in order; the same for reads.
+    :ivar observer: called after each change with the items as they were before it.
     """
 
     def __init__(self) -> None:
@@ -76,6 +79,7 @@
         self.before_commit: Callable[[], None] | None = None
         self.commits: deque[Fate] = deque()
         self.reads: deque[Fate] = deque()
+        self.observer: Callable[[dict[str, Item]], None] | None = None
         self.calls: Counter[str] = Counter()
         self.revision = Revision(0)
         self.items_by_key: dict[str, Item] = {}
@@ -97,9 +101,13 @@
             return Success(RangeAnswer(tuple(items), self.revision))
 
     def newest(self, prefix: str, priority: Priority = Priority.LATER) -> Result[Revision, Fault]:
-        return self.read(prefix, priority).map(
-            lambda answer: max((item.revision for item in answer.items), default=Revision(0))
-        )
+        del priority
+        self.calls["newest"] += 1
+        if self.down:
+            return _unavailable("newest")
+        with self._changed:
+            items = [i for k, i in self.items_by_key.items() if k.startswith(prefix)]
+            return Success(max((i.revision for i in items), default=Revision(0)))
 
     def commit(
         self,
@@ -191,6 +199,7 @@
         return item.revision if item is not None else Revision(0)
 
     def _apply(self, writes: tuple[Put | DeleteRange, ...]) -> None:
+        before = dict(self.items_by_key) if self.observer else {}
         self.revision = Revision(self.revision + 1)
         for write in writes:
             if isinstance(write, Put):
@@ -205,12 +214,15 @@
                 del self.items_by_key[key]
                 self._history.append(Item(key, None, self.revision))
         self._changed.notify_all()
+        if self.observer:
+            self.observer(before)
 
 
 class FakeHostList:
     """The platform's host list.
 
     :ivar as_of: when the list was made; ``None`` means right now by the clock.
+    :ivar last: the list as last given out.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -218,6 +230,7 @@
         self.down = False
         self.as_of: float | None = None
         self.calls = 0
+        self.last = HostListing((), 0.0)
         self._clock = clock
 
     def add(self, *infos: HostInfo) -> None:
@@ -229,7 +242,8 @@
         if self.down:
             return _unavailable("hosts")
         as_of = self._clock() if self.as_of is None else self.as_of
-        return Success(HostListing(tuple(self.infos_by_id.values()), as_of))
+        self.last = HostListing(tuple(self.infos_by_id.values()), as_of)
+        return Success(self.last)
 
 
 class FakeRoster:
@@ -238,6 +252,7 @@
     def __init__(self, me: Member, members: list[Member]) -> None:
         self.me = me
         self.members = members
+        self.zone_news: tuple[ZoneNews, ...] = ()
 
     def alive(self, role: Role, zone: ZoneId | None = None) -> tuple[Member, ...]:
         return tuple(
@@ -250,10 +265,23 @@
     def liveness(self, member: Member) -> Liveness:
         return Liveness.ALIVE if member in self.members else Liveness.SUSPECT
 
+    def news(self) -> tuple[ZoneNews, ...]:
+        return self.zone_news
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         del listener
 
 
+class CountingMetrics(NoMetrics):
+    """Metrics that keep counters."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        self.counts[stat] += count
+
+
 class FakeNode:
     """The inner protocol's node: keeps handlers, and hands messages to them at once."""
 
