--- a/src/lentilrill/routing/_limits.py
+++ b/src/lentilrill/routing/_limits.py
@@ -53,12 +53,12 @@
         self._tokens = burst
         self._lock = threading.Lock()
 
-    def deposit(self) -> None:
+    def succeeded(self) -> None:
         """Count a job that ended well."""
         with self._lock:
             self._tokens = min(self._burst, self._tokens + self._share)
 
-    def withdraw(self) -> bool:
+    def take(self) -> bool:
         """Return whether one more retry may be made, and count it."""
         with self._lock:
             if self._tokens < 1.0:
--- a/tests/routing/test_limits.py
+++ b/tests/routing/test_limits.py
@@ -24,12 +24,12 @@
         # Every attempt fails. With three attempts a job, the pool would get three times the
         # load just when it can bear none.
         budget = RetryBudget(share=0.1, burst=5.0)
-        self.assertEqual(5, sum(budget.withdraw() for _ in range(1000)))
+        self.assertEqual(5, sum(budget.take() for _ in range(1000)))
 
     def test_successes_earn_retries(self) -> None:
         budget = RetryBudget(share=0.1, burst=5.0)
-        while budget.withdraw():
+        while budget.take():
             pass
         for _ in range(21):
-            budget.deposit()
-        self.assertEqual(2, sum(budget.withdraw() for _ in range(10)))
+            budget.succeeded()
+        self.assertEqual(2, sum(budget.take() for _ in range(10)))
