--- a/src/lentilrill/inner/__init__.py
+++ b/src/lentilrill/inner/__init__.py
@@ -1,6 +1,6 @@
 """The protocol between the system's own processes: messages, codec and ZeroMQ node."""
 
-from lentilrill.inner._claims import ClaimAnswer, ClaimAsk, ClaimState, OutcomeNote
+from lentilrill.inner._claims import ClaimAnswer, ClaimAsk, ClaimState, OutcomeAck, OutcomeNote
 from lentilrill.inner._codec import Batch, Message, decode, encode
 from lentilrill.inner._grants import (
     Ask,
@@ -8,7 +8,9 @@
     Done,
     Granted,
     Held,
+    HeldAsk,
     HeldGrants,
+    PoolLoad,
     Refusal,
     Refused,
     Verdict,
@@ -29,12 +31,15 @@
     "Granted",
     "Heartbeat",
     "Held",
+    "HeldAsk",
     "HeldGrants",
     "HostTrouble",
     "Leave",
     "Message",
     "Node",
+    "OutcomeAck",
     "OutcomeNote",
+    "PoolLoad",
     "Refusal",
     "Refused",
     "StateAsk",
--- a/src/lentilrill/inner/_codec.py
+++ b/src/lentilrill/inner/_codec.py
@@ -22,10 +22,13 @@
     | _grants.Granted
     | _grants.Refused
     | _grants.Done
+    | _grants.HeldAsk
     | _grants.HeldGrants
+    | _grants.PoolLoad
     | _claims.ClaimAsk
     | _claims.ClaimAnswer
     | _claims.OutcomeNote
+    | _claims.OutcomeAck
     | _withdrawals.WithdrawalAck
     | _withdrawals.HostTrouble
 )
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -3,7 +3,7 @@
 import sys
 from enum import Enum
 
-from absl import logging
+from absl import flags, logging
 
 __all__ = ["Event", "Level", "log", "setup"]
 
@@ -38,6 +38,26 @@
     PLATFORM_CALL_FAILED = (403, Level.WARNING, "A platform call failed.")
     WATCH_SILENT = (404, Level.WARNING, "The watch missed a change and is begun anew.")
     DOCUMENT_IN_FORCE = (501, Level.INFO, "A revision of the document is in force here.")
+    EDIT_ACCEPTED = (901, Level.INFO, "An operator's edit took effect.")
+    EDIT_REFUSED = (902, Level.INFO, "An operator's edit was refused; nothing was changed.")
+    EDIT_UNKNOWN = (903, Level.WARNING, "The answer to an edit was lost; it may be in effect.")
+    AUDIT_DROPPED = (904, Level.WARNING, "Records of refused edits could not be kept.")
+    OPERATOR_DENIED = (905, Level.WARNING, "A request without a known operator token came.")
+    OPERATOR_REQUEST_FAILED = (906, Level.ERROR, "A request met an error it did not expect.")
+
+    ROUTING_INVARIANT = (750, Level.ERROR, "A scheduler's accounts contradict each other.")
+    SCHEDULER_STARTED = (751, Level.INFO, "This process schedules a pool of its zone from now on.")
+    SCHEDULER_ENDED = (752, Level.INFO, "Another process schedules the pool from now on.")
+    HOST_EJECTED = (753, Level.WARNING, "A host failed too often and gets no jobs for a while.")
+    HOST_RESTORED = (754, Level.INFO, "A host that was ejected answers well again.")
+    HOST_LEAVING = (755, Level.INFO, "A host said that it is leaving and gets no more jobs.")
+    GRANT_RECLAIMED = (756, Level.WARNING, "A slot was freed whose gateway never reported it.")
+    WITHDRAWAL_ACKNOWLEDGED = (757, Level.INFO, "Nothing of this process is sent to a host now.")
+
+    INVARIANT_BROKEN = (701, Level.ERROR, "A rule that must always hold was about to be broken.")
+    CALLER_FAILED = (702, Level.WARNING, "A caller's connection failed in an unexpected way.")
+    ENDPOINT_UNREACHABLE = (703, Level.WARNING, "No connection to an endpoint could be opened.")
+    EXCHANGE_BROKEN = (704, Level.WARNING, "A job was sent and no whole answer came back.")
 
     HOST_ASSIGNED = (601, Level.INFO, "A host of the list was put into its first pool.")
     WITHDRAWAL_PROPOSED = (602, Level.INFO, "A host begins to leave its pool.")
@@ -47,6 +67,9 @@
     FLEET_WRITE_FAILED = (606, Level.INFO, "Another writer was first, or the platform is away.")
     FLEET_INVARIANT = (607, Level.ERROR, "A promise of the fleet was about to be broken.")
     STOP_WAITS = (608, Level.INFO, "A planned stop waits; the reason has changed.")
+    SHARD_TAKEN = (801, Level.INFO, "This process owns a shard of idempotency keys now.")
+    CLAIMS_UNAVAILABLE = (802, Level.WARNING, "Claims of a shard can't be committed now.")
+    OUTCOME_DROPPED = (803, Level.WARNING, "An outcome was not kept; its key stays in progress.")
 
     @property
     def number(self) -> int:
@@ -71,6 +94,7 @@
 }
 
 
+@logging.skip_log_prefix
 def log(event: Event, **fields: object) -> None:
     """Log ``event`` with its number, name and fields on one line."""
     text = " ".join(f"{name}={_shown(value)}" for name, value in fields.items())
@@ -79,6 +103,7 @@
 
 def setup(level: str) -> None:
     """Send log lines at or above ``level`` (debug, info, warning, error) to stderr."""
+    flags.FLAGS([sys.argv[0]])
     logging.use_absl_handler()
     logging.set_verbosity(getattr(logging, level.upper()))
     logging.set_stderrthreshold(level)
