--- a/src/lentilrill/fleet/_acks.py
+++ b/src/lentilrill/fleet/_acks.py
@@ -27,12 +27,14 @@
         self._revisions_by_host: dict[HostId, dict[Sender, Revision]] = {}
         self.changes = 0
 
-    def note(self, member: Member, barred: Iterable[Barred], withdrawing: set[HostId]) -> None:
+    def note(self, member: Member, barred: Iterable[Barred], withdrawing: set[HostId]) -> bool:
         """Take over what a gateway acknowledges.
 
         :param withdrawing: hosts being withdrawn as far as this process knows. Others are left
             out, which bounds what is kept; their acknowledgements will come again.
+        :return: whether anything of it is new.
         """
+        before = self.changes
         sender = (member.process, member.incarnation)
         with self._lock:
             for item in barred:
@@ -45,6 +47,7 @@
                     continue
                 revisions[sender] = item.revision
                 self.changes += 1
+            return self.changes > before
 
     def closable(
         self, records: Iterable[PoolRecord], zones: Mapping[ZoneId, ZoneRecord]
--- a/src/lentilrill/fleet/_turns.py
+++ b/src/lentilrill/fleet/_turns.py
@@ -1,7 +1,9 @@
 """Whose turn it is to act on a pool. It saves work; nothing rests on it."""
 
-from lentilrill.fleet._actions import Action
-from lentilrill.ids import HostId, PoolId
+from collections.abc import Mapping
+
+from lentilrill.fleet._actions import Action, Close
+from lentilrill.ids import HostId, PoolId, ZoneId
 from lentilrill.membership import Member, Role, Roster, rendezvous
 
 __all__ = ["Turns"]
@@ -17,7 +19,8 @@
 
     So the calls to the platform follow zones and not entry hosts. The first candidate may be
     unable to act, as only its own way to the platform is cut: whoever comes next in order sees
-    the action stand undone, and takes it up.
+    the action stand undone, and takes it up. A closing is first the turn of the host's own zone,
+    whose gateways tell their acknowledgements to the controllers next to them.
     """
 
     def __init__(self, roster: Roster) -> None:
@@ -26,9 +29,19 @@
 
     def takes_part(self) -> bool:
         """Return whether this process is its zone's candidate."""
-        return self._roster.me in self._candidates()
+        return self._roster.me in self.candidates()
+
+    def candidates(self) -> list[Member]:
+        """Return the one controller of each zone that looks after the fleet."""
+        by_zone: dict[ZoneId, list[Member]] = {}
+        for member in self._roster.alive(Role.CONTROLLER):
+            by_zone.setdefault(member.zone, []).append(member)
+        chosen = (rendezvous("fleet", members) for members in by_zone.values())
+        return [member for member in chosen if member is not None]
 
-    def mine(self, actions: list[Action], now: float) -> list[Action]:
+    def mine(
+        self, actions: list[Action], zones_by_host: Mapping[HostId, ZoneId], now: float
+    ) -> list[Action]:
         """Return the actions that this process should take now.
 
         :param actions: everything that is to be done as this process sees it.
@@ -36,24 +49,19 @@
         steps = {_step(action): action for action in actions}
         for step in self._undone_since.keys() - steps.keys():
             del self._undone_since[step]
-        candidates = self._candidates()
+        candidates = self.candidates()
         ranks: dict[PoolId, int] = {}
         chosen = []
         for step, action in steps.items():
             if action.pool not in ranks:
                 ranks[action.pool] = self._rank(action.pool, candidates)
+            near = zones_by_host.get(action.host) == self._roster.me.zone
+            rank = 0 if isinstance(action, Close) and near else ranks[action.pool]
             undone_s = now - self._undone_since.setdefault(step, now)
-            if undone_s >= ranks[action.pool] * TAKE_OVER_S:
+            if undone_s >= rank * TAKE_OVER_S:
                 chosen.append(action)
         return chosen
 
-    def _candidates(self) -> list[Member]:
-        by_zone: dict[str, list[Member]] = {}
-        for member in self._roster.alive(Role.CONTROLLER):
-            by_zone.setdefault(member.zone, []).append(member)
-        chosen = (rendezvous("fleet", members) for members in by_zone.values())
-        return [member for member in chosen if member is not None]
-
     def _rank(self, pool: PoolId, candidates: list[Member]) -> int:
         left = list(candidates)
         for rank in range(len(candidates)):
