--- /dev/null
+++ b/tests/fleet/test_withdrawal.py
@@ -0,0 +1,208 @@
+"""One pool at a time, and stops that wait for every gateway that may send."""
+
+import msgspec
+from returns.result import Failure, Success
+from testtools import TestCase
+
+from lentilrill.fleet import HostPhase, PoolRecord
+from lentilrill.fleet._actions import Assign
+from lentilrill.fleet._ledger import Basis, Ledger
+from lentilrill.ids import HostId, Incarnation, PoolId, Revision, StopId
+from lentilrill.inner import Barred, WithdrawalAck
+from lentilrill.platform import HostState, Mirror
+from lentilrill.settings import Document, PlannedStop
+from tests.builders import a_member, a_plan, a_pool
+from tests.fleet.world import World
+
+
+def a_stop(*hosts: str, name: str = "s1", **changes) -> PlannedStop:
+    return PlannedStop(StopId(name), tuple(HostId(h) for h in hosts), **changes)
+
+
+class WithdrawalTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        document = Document((a_plan("ballots"),), (a_pool("ballots"),))
+        self.world = World(document)
+        for host in ("h1", "h2"):
+            self.world.host(host)
+        self.controller = self.world.controller()
+        self.world.run(2)
+        self.gateway = self.world.gateways["gw-z1"]
+
+    def phase(self, host: str = "h1") -> HostPhase:
+        return self.world.entries("ballots")[HostId(host)].phase
+
+    def propose(self) -> Revision:
+        self.world.change(stops=(a_stop("h1"),))
+        self.world.run(acks=False)
+        self.assertEqual(HostPhase.WITHDRAWING, self.phase())
+        return self.world.records()[PoolId("ballots")][1]
+
+    def test_silence_and_time_are_no_acknowledgement(self) -> None:
+        # A ballot is cut off: a gateway, paused for an hour between its check and its send,
+        # wakes up and sends to a host that was released because the gateway was silent.
+        self.propose()
+        self.world.run(3, step_s=1200, acks=False)
+        self.assertEqual(HostPhase.WITHDRAWING, self.phase())
+        self.world.run(2)
+        self.assertEqual(HostPhase.STOPPED, self.phase())
+
+    def test_a_newcomer_is_asked_too(self) -> None:
+        # A job reaches a stopped host: a gateway registered before the stop was proposed, and
+        # the controller that closes it has not heard of the newcomer yet.
+        newcomer = a_member("gw-new")
+        self.world.change(stops=(a_stop("h1"),))
+        self.world.sync()
+        self.world.register(newcomer)
+        self.world.now += 1
+        self.controller.task.round()
+        self.assertEqual(HostPhase.WITHDRAWING, self.phase())
+        self.world.ack(self.gateway)
+        self.controller.task.round()
+        self.assertEqual(HostPhase.WITHDRAWING, self.phase())
+        self.world.run(2)
+        self.assertEqual(HostPhase.STOPPED, self.phase())
+
+    def test_an_acknowledgement_of_a_cancelled_stop_counts_no_more(self) -> None:
+        # A job reaches a stopped host: the gateway acknowledged, the stop was cancelled, the
+        # gateway sent again; the stop is declared anew and the old message arrives late.
+        first = self.propose()
+        self.world.change(stops=())
+        self.world.run(acks=False)
+        self.assertEqual(HostPhase.SERVING, self.phase())
+        self.propose()
+        late = WithdrawalAck(self.gateway, (Barred(HostId("h1"), first),))
+        self.world.say(self.gateway, late)
+        self.world.run(2, acks=False)
+        self.assertEqual(HostPhase.WITHDRAWING, self.phase())
+
+    def test_each_incarnation_speaks_for_itself(self) -> None:
+        # A job reaches a stopped host: the gateway acknowledged, was restarted, and its next
+        # incarnation learned an old state before it heard of the stop.
+        self.propose()
+        self.world.ack(self.gateway)
+        restarted = msgspec.structs.replace(
+            self.gateway, incarnation=Incarnation(self.gateway.incarnation + 1)
+        )
+        self.world.register(restarted)
+        self.world.run(2, acks=False)
+        self.assertEqual(HostPhase.WITHDRAWING, self.phase())
+
+    def test_a_message_speaks_for_its_sender_only(self) -> None:
+        # A job reaches a stopped host: another process's message names this gateway.
+        revision = self.propose()
+        ack = WithdrawalAck(self.gateway, (Barred(HostId("h1"), revision),))
+        self.world.say(a_member("stray"), ack)
+        self.world.run(2, acks=False)
+        self.assertEqual(HostPhase.WITHDRAWING, self.phase())
+
+    def test_a_host_is_taken_in_once(self) -> None:
+        # One host gets jobs of two pools: a controller whose view is old sees it as new, and
+        # puts it into another pool, whose record's revision does not give the first away.
+        self.world.host("h9")
+        info = self.world.hosts.infos_by_id["h9"]
+        records = {PoolId(p): (PoolRecord(PoolId(p)), Revision(0)) for p in ("a", "b")}
+        document = self.world.kv.items_by_key["state/document"].revision
+        answers = []
+        for pool in records:
+            ledger = Ledger(self.world.kv, Mirror())
+            basis = Basis(document, dict(records), {}, frozenset(), 0.0)
+            answers.append(ledger.apply(pool, [Assign(HostId("h9"), pool, info, "")], basis))
+        self.assertEqual([Success, Failure], [type(answer) for answer in answers])
+
+    def test_two_controllers_race_to_take_a_host_in(self) -> None:
+        # The same, with the second controller's write between the first one's read and write.
+        self.world.host("h9")
+        info = self.world.hosts.infos_by_id["h9"]
+        records = {PoolId(p): (PoolRecord(PoolId(p)), Revision(0)) for p in ("a", "b")}
+        document = self.world.kv.items_by_key["state/document"].revision
+
+        def assign(pool: str) -> object:
+            basis = Basis(document, dict(records), {}, frozenset(), 0.0)
+            action = Assign(HostId("h9"), PoolId(pool), info, "")
+            return Ledger(self.world.kv, Mirror()).apply(PoolId(pool), [action], basis)
+
+        self.world.kv.before_commit = lambda: self.assertIsInstance(assign("b"), Success)
+        self.assertIsInstance(assign("a"), Failure)
+
+    def test_a_lost_answer_is_learned_from_the_state(self) -> None:
+        self.world.kv.lose_answers = 1
+        self.world.change(stops=(a_stop("h1", "h2"),))
+        self.world.run(3, acks=False)
+        self.assertEqual(["h1"], self.world.in_phase("ballots", HostPhase.WITHDRAWING))
+        self.assertEqual(["h2"], self.world.in_phase("ballots", HostPhase.SERVING))
+
+    def test_a_stopped_host_comes_back_only_after_its_restart(self) -> None:
+        self.propose()
+        self.world.run(2)
+        self.world.run(5, step_s=60)
+        self.assertEqual(HostPhase.STOPPED, self.phase())
+        self.world.relist("h1", since=self.world.now, address="10.0.0.7:7")
+        self.world.run(2)
+        self.assertEqual(HostPhase.SERVING, self.phase())
+        self.assertEqual("10.0.0.7:7", self.world.entries("ballots")[HostId("h1")].address)
+        self.world.run(3)
+        self.assertEqual(HostPhase.SERVING, self.phase(), "stopped again for the same stop")
+
+    def test_a_retired_host_is_forgotten_and_not_taken_in_again(self) -> None:
+        self.world.host("h3")
+        self.world.run(2)
+        self.world.change(stops=(a_stop("h1", retire=True),))
+        self.world.run(4)
+        self.assertEqual({"h2", "h3"}, set(self.world.entries("ballots")))
+        self.world.change(stops=())
+        self.world.run(2)
+        self.assertIn("h1", self.world.entries("ballots"))
+
+    def test_a_leaving_host_gets_no_new_work_whatever_the_budget(self) -> None:
+        self.world.relist("h1", state=HostState.LEAVING)
+        self.world.relist("h2", state=HostState.LEAVING)
+        self.world.run(acks=False)
+        self.assertEqual(["h1", "h2"], self.world.in_phase("ballots", HostPhase.WITHDRAWING))
+        self.world.relist("h1", state=HostState.LIVE)
+        self.world.run(2, acks=False)
+        self.assertEqual(["h1"], self.world.in_phase("ballots", HostPhase.SERVING))
+
+    def test_a_new_address_is_taken_over_through_a_withdrawal(self) -> None:
+        # Jobs of one pool reach another pool's host: the platform gave a restarted host another
+        # address, and its old one to a new host.
+        self.world.relist("h1", address="10.0.0.8:8", since=self.world.now)
+        self.world.run(acks=False)
+        self.assertEqual(HostPhase.WITHDRAWING, self.phase())
+        self.world.run(3)
+        self.assertEqual("10.0.0.8:8", self.world.entries("ballots")[HostId("h1")].address)
+
+    def test_a_zone_that_the_platform_does_not_see_keeps_its_hosts(self) -> None:
+        # A whole zone stops serving as it is joined again: while it was cut off, its hosts were
+        # missing from the list and were withdrawn one after the other.
+        self.world.hosts.infos_by_id.clear()
+        self.world.run(5, step_s=3600)
+        self.assertEqual(["h1", "h2"], self.world.in_phase("ballots", HostPhase.SERVING))
+
+    def test_the_zone_of_the_host_closes_at_once(self) -> None:
+        # A stop takes 5 s longer than it should: acknowledgements are told to the controllers
+        # of the host's zone, and the pool's first candidate lives in another one.
+        for n in range(8):
+            other = self.world.controller(f"far-{n}", f"far-{n}")
+            other.roster.members.remove(other.member)
+            self.controller.roster.members = self.world.members + [
+                c.member for c in self.world.controllers
+            ]
+        self.world.change(stops=(a_stop("h1"),))
+        self.world.run(60, acks=False)
+        self.world.ack(self.gateway, self.controller)
+        self.world.now += 0.1
+        self.controller.task.round()
+        self.assertEqual(HostPhase.STOPPED, self.phase())
+
+    def test_a_gone_host_is_dropped_only_after_a_withdrawal(self) -> None:
+        self.world.host("h3")
+        self.world.run(2)
+        del self.world.hosts.infos_by_id["h1"]
+        self.world.run(4, step_s=100)
+        self.assertEqual(HostPhase.SERVING, self.phase())
+        self.world.run(8, step_s=100, acks=False)
+        self.assertEqual(HostPhase.WITHDRAWING, self.phase())
+        self.world.run(3, step_s=100)
+        self.assertNotIn("h1", self.world.entries("ballots"))
