Fleet: tests of budgets, moves and calls, each guard seen failing

Seen failing on a scratch copy with the guard left out: pool record's revision, document's revision, budgets of stops and of loans, the reserve for a failure, settling, calling back, the old host list, troubles passed on to other zones.

--- /dev/null
+++ b/tests/fleet/test_budgets.py
@@ -0,0 +1,222 @@
+"""Availability budgets through waves, failures and races; few moves; few calls."""
+
+from returns.result import Failure, Success
+from testtools import TestCase
+
+from lentilrill.fleet import HostPhase, StopState
+from lentilrill.fleet._actions import Withdraw
+from lentilrill.fleet._ledger import Basis, Ledger
+from lentilrill.ids import HostId, PoolId, StopId, ZoneId
+from lentilrill.platform import Mirror
+from lentilrill.settings import Document, Objective, PlannedStop
+from tests.builders import a_plan, a_pool, an_entitlement
+from tests.fleet.world import World
+
+STOPPED, SERVING, WITHDRAWING = HostPhase.STOPPED, HostPhase.SERVING, HostPhase.WITHDRAWING
+
+
+def a_stop(hosts: object, name: str = "s1", **changes) -> PlannedStop:
+    return PlannedStop(StopId(name), tuple(HostId(h) for h in hosts), **changes)  # type: ignore
+
+
+def a_world(owed: int, budget: int, hosts: int, spare: int = 0, **changes) -> World:
+    """Return a world with a pool, and a spare one if it has hosts."""
+    pools = [a_pool("ballots")] + ([a_pool("desk", spare=True)] if spare else [])
+    plan = a_plan("ballots", hosts_owed=owed, availability_budget=budget)
+    world = World(Document((plan,), tuple(pools), **changes))
+    for n in range(hosts + spare):
+        world.host(f"h{n}", rack=f"r{n // 4}")
+    world.controller()
+    world.run(2)
+    return world
+
+
+def out(world: World, pool: str = "ballots") -> int:
+    return len(world.in_phase(pool, WITHDRAWING)) + len(world.in_phase(pool, STOPPED))
+
+
+class BudgetTest(TestCase):
+    def test_racing_controllers_spend_a_budget_once(self) -> None:
+        # A patron finds no host: two controllers with the same view each grant the stop of
+        # another host, both within the budget as far as they know.
+        world = a_world(2, 1, 2)
+        basis_of_both = world.records()
+        document = world.kv.items_by_key["state/document"].revision
+        answers = []
+        for host in ("h0", "h1"):
+            basis = Basis(document, dict(basis_of_both), {}, frozenset(), world.now)
+            action = Withdraw(HostId(host), PoolId("ballots"), "")
+            answers.append(Ledger(world.kv, Mirror()).apply(action.pool, [action], basis))
+        self.assertEqual([Success, Failure], [type(answer) for answer in answers])
+        self.assertEqual(["h0"], world.in_phase("ballots", WITHDRAWING))
+
+    def test_a_promise_that_grows_as_a_stop_is_granted(self) -> None:
+        # A plan gets less than it is owed: its budget is edited away in the very moment in
+        # which a controller grants a stop by the older document.
+        world = a_world(2, 1, 2)
+        world.change(stops=(a_stop(["h0"]),))
+        strict = a_plan("ballots", hosts_owed=2, availability_budget=0)
+        world.kv.before_commit = lambda: world.change(plans=(strict,))
+        world.run(3)
+        self.assertEqual(0, world.metrics.counts["fleet.withdraw"])
+
+    def test_a_wave_leaves_room_for_a_failure(self) -> None:
+        world = a_world(6, 3, 6)
+        world.change(stops=(a_stop(world.entries("ballots")),))
+        world.run(4)
+        self.assertEqual(2, out(world))
+        del world.hosts.infos_by_id[world.in_phase("ballots", SERVING)[0]]
+        world.run(3)
+        report = world.controllers[0].task.look()
+        self.assertEqual(3, report.pools[0].serving)
+        self.assertFalse(report.pools[0].broken)
+
+    def test_failures_within_a_wave_pause_it_and_say_why(self) -> None:
+        world = a_world(6, 2, 6)
+        world.change(stops=(a_stop(["h0", "h1", "h2", "h3"]),))
+        world.run(4)
+        stopped = world.in_phase("ballots", STOPPED)
+        del world.hosts.infos_by_id["h4"], world.hosts.infos_by_id["h5"]
+        world.reboot(stopped[0])
+        world.run(4)
+        report = world.controllers[0].task.look()
+        self.assertEqual(0, out(world))
+        self.assertIs(StopState.PAUSED, report.stops[0].state)
+        self.assertIn("2 failed or in trouble", report.stops[0].waits[0].reason)
+
+    def test_ejected_hosts_count_in_every_zone(self) -> None:
+        # A clerk finds no host: a controller of another zone grants a stop, since it does not
+        # know that schedulers of this zone have ejected hosts.
+        world = a_world(2, 1, 2)
+        near = world.controllers[0]
+        far = world.controller("far", "z2")
+        world.now += 5
+        world.sync()
+        world.trouble(world.gateways["gw-z1"], ejected=(HostId("h0"),))
+        del far.task._troubles[next(iter(far.task._troubles))]
+        near.task.round()
+        for _, message in near.node.sent:
+            world.say(near.member, message, far)
+        world.change(stops=(a_stop(["h1"]),))
+        world.sync()
+        world.now += 1
+        far.task.round()
+        world.now += 6
+        far.task.round()
+        self.assertEqual(0, out(world))
+
+    def test_a_withdrawal_is_called_back_as_failures_overspend(self) -> None:
+        # A patron finds no host: while a host drains for a stop, others fail. It was not
+        # released yet, so it can serve on at once.
+        world = a_world(3, 1, 3)
+        world.change(stops=(a_stop(["h0"]),))
+        world.run(1, acks=False)
+        self.assertEqual(["h0"], world.in_phase("ballots", WITHDRAWING))
+        del world.hosts.infos_by_id["h1"]
+        world.run(2, acks=False)
+        self.assertEqual(0, out(world))
+
+    def test_no_stop_is_granted_by_an_old_list(self) -> None:
+        # A patron finds no host: the host list has stood still since before hosts failed.
+        world = a_world(2, 1, 2)
+        world.controllers[0].hosts.down = True
+        world.change(stops=(a_stop(["h0"]),))
+        world.run(5, step_s=60)
+        self.assertEqual(0, out(world))
+        world.controllers[0].hosts.down = False
+        world.run(3)
+        self.assertEqual(1, out(world))
+
+    def test_plans_confined_to_a_zone_keep_their_hosts_there(self) -> None:
+        plan = a_plan("ballots", hosts_owed=2, availability_budget=1)
+        world = World(
+            Document(
+                (plan, a_plan("more", service="ballots", hosts_owed=2, availability_budget=2)),
+                (a_pool("ballots"),),
+                (an_entitlement("ballots", zones=(ZoneId("z1"),)),),
+            ),
+            ("z1", "z2"),
+        )
+        for n in range(8):
+            world.host(f"h{n}", zone="z1" if n < 2 else "z2")
+        world.controller()
+        world.run(2)
+        world.change(stops=(a_stop(["h0", "h1", "h2", "h3"]),))
+        world.run(3)
+        stopped = world.in_phase("ballots", STOPPED)
+        self.assertEqual(1, len({"h0", "h1"} & set(stopped)), stopped)
+        self.assertTrue({"h2", "h3"} & set(stopped), stopped)
+
+    def test_a_pool_without_a_budget_borrows_a_host_for_its_stops(self) -> None:
+        world = a_world(2, 0, 2, spare=1, objective=Objective(settle_s=5.0))
+        world.change(stops=(a_stop(["h0", "h1"]),))
+        world.run(30)
+        self.assertEqual(1, out(world))
+        self.assertEqual(2, len(world.in_phase("ballots", SERVING)))
+
+    def test_the_spare_pool_lends_within_its_own_budget(self) -> None:
+        # Callers of the spare pool find no host: while one of its hosts is stopped, it lends
+        # the host that it holds above what it owes.
+        world = a_world(1, 0, 1, spare=3)
+        desk = a_plan("desk", hosts_owed=2, availability_budget=0)
+        world.change(plans=(*world.document.plans, desk))
+        world.run(2)
+        world.change(stops=(a_stop([min(world.entries("desk"))]),))
+        world.run(4)
+        self.assertEqual(1, out(world, "desk"))
+        del world.hosts.infos_by_id[min(world.entries("ballots"))]
+        world.run(60)
+        self.assertEqual(2, len(world.in_phase("desk", SERVING)))
+
+    def test_retiring_needs_a_replacement(self) -> None:
+        world = a_world(2, 1, 2)
+        world.change(stops=(a_stop(["h0"], retire=True),))
+        world.run(5)
+        self.assertEqual(0, out(world))
+        reason = world.controllers[0].task.look().stops[0].waits[0].reason
+        self.assertIn("would keep 1 of the 2 hosts owed", reason)
+
+
+class MovesTest(TestCase):
+    def test_a_flapping_list_moves_nothing(self) -> None:
+        # Hosts move back and forth: the list misses hosts for some seconds, again and again.
+        world = a_world(3, 0, 3, spare=3)
+        before = world.records()
+        for _ in range(10):
+            info = world.hosts.infos_by_id.pop("h0")
+            world.run(10, step_s=2)
+            world.hosts.add(info)
+            world.run(2)
+        self.assertEqual(before, world.records())
+
+    def test_three_thousand_edits_move_nothing_and_cost_no_call(self) -> None:
+        world = a_world(3, 1, 3, spare=3)
+        before, calls = world.records(), world.kv.calls.total()
+        tokens = [a_plan("ballots", hosts_owed=3, token_sha256=f"{n:064x}") for n in range(3000)]
+        for n, plan in enumerate(tokens):
+            world.change(plans=(plan,))
+            if n % 20 == 0:
+                world.run()
+        self.assertEqual(before, world.records())
+        self.assertEqual(calls, world.kv.calls.total())
+
+    def test_a_loan_goes_back_only_if_the_buffer_weighs_more(self) -> None:
+        for buffer_weight, hosts in ((0.5, 4), (2.0, 3)):
+            objective = Objective(1.0, buffer_weight, 5.0)
+            world = a_world(3, 0, 3, spare=3, objective=objective)
+            info = world.hosts.infos_by_id.pop(min(world.entries("ballots")))
+            world.run(30)
+            self.assertEqual(4, len(world.entries("ballots")))
+            world.hosts.add(info)
+            world.run(30)
+            self.assertEqual(hosts, len(world.entries("ballots")), buffer_weight)
+
+    def test_calls_follow_pools_and_not_hosts(self) -> None:
+        calls = []
+        for hosts in (20, 200):
+            world = a_world(hosts // 2, 4, hosts // 2, spare=hosts // 2)
+            calls.append(world.kv.calls.total())
+            world.change(stops=(a_stop(world.entries("ballots")),))
+            world.run(5)
+            calls.append(world.kv.calls.total() - calls[-1])
+        self.assertTrue(calls[2] <= calls[0] + 16 and calls[1] == calls[3], calls)
