--- a/src/lentilrill/routing/_limits.py
+++ b/src/lentilrill/routing/_limits.py
@@ -54,7 +54,7 @@
         self._lock = threading.Lock()
 
     def succeeded(self) -> None:
-        """Note a job that ended well."""
+        """Count a job that ended well."""
         with self._lock:
             self._tokens = min(self._burst, self._tokens + self._share)
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,7 +9,7 @@
 
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import Revision, ZoneId
-from lentilrill.membership import Liveness, Member, Role
+from lentilrill.membership import Liveness, Member, Role, ZoneNews
 from lentilrill.platform import (
     Compare,
     DeleteRange,
@@ -68,8 +68,8 @@
     :ivar lose_requests: how many of the next commits are lost before they take effect; the
         caller can't tell the two apart.
     :ivar before_commit: called once before the next commit, as a racing writer.
-    :ivar commits: fates of the next commits, in order; the same for reads.
     :ivar observer: called after each change with the items as they were before it.
+    :ivar commits: fates of the next commits, in order; the same for reads.
     """
 
     def __init__(self) -> None:
@@ -77,9 +77,9 @@
         self.lose_answers = 0
         self.lose_requests = 0
         self.before_commit: Callable[[], None] | None = None
+        self.observer: Callable[[dict[str, Item]], None] | None = None
         self.commits: deque[Fate] = deque()
         self.reads: deque[Fate] = deque()
-        self.observer: Callable[[dict[str, Item]], None] | None = None
         self.calls: Counter[str] = Counter()
         self.revision = Revision(0)
         self.items_by_key: dict[str, Item] = {}
@@ -101,13 +101,9 @@
             return Success(RangeAnswer(tuple(items), self.revision))
 
     def newest(self, prefix: str, priority: Priority = Priority.LATER) -> Result[Revision, Fault]:
-        del priority
-        self.calls["newest"] += 1
-        if self.down:
-            return _unavailable("newest")
-        with self._changed:
-            items = [i for k, i in self.items_by_key.items() if k.startswith(prefix)]
-            return Success(max((i.revision for i in items), default=Revision(0)))
+        return self.read(prefix, priority).map(
+            lambda answer: max((item.revision for item in answer.items), default=Revision(0))
+        )
 
     def commit(
         self,
@@ -252,6 +248,7 @@
     def __init__(self, me: Member, members: list[Member]) -> None:
         self.me = me
         self.members = members
+        self.zone_news: tuple[ZoneNews, ...] = ()
 
     def alive(self, role: Role, zone: ZoneId | None = None) -> tuple[Member, ...]:
         return tuple(
@@ -264,6 +261,9 @@
     def liveness(self, member: Member) -> Liveness:
         return Liveness.ALIVE if member in self.members else Liveness.SUSPECT
 
+    def news(self) -> tuple[ZoneNews, ...]:
+        return self.zone_news
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         del listener
 
@@ -283,6 +283,11 @@
 
     def __init__(self) -> None:
         self.handlers: dict[type, Callable[[Any, Any], None]] = {}
+        self.sent: list[tuple[str, Any]] = []
+
+    def send(self, address: str, message: Any) -> None:
+        """Keep a message."""
+        self.sent.append((address, message))
 
     def on(self, kind: type, handler: Callable[[Any, Any], None]) -> None:
         self.handlers[kind] = handler
