--- a/src/lentilrill/_assembly.py
+++ b/src/lentilrill/_assembly.py
@@ -55,14 +55,6 @@
             settings.suspect_after_s,
             settings.suspect_after_s * ZONE_SILENT_FACTOR,
         )
-        self._logged_revision = self.view.document_revision
-        self.view.subscribe(self._log_document)
-
-    def _log_document(self) -> None:
-        revision = self.view.document_revision
-        if revision != self._logged_revision:
-            self._logged_revision = revision
-            log(Event.DOCUMENT_IN_FORCE, revision=revision, edit=self.view.document.edit)
 
     def _note_document(self) -> None:
         revision = self.view.document_revision
