Operators: refused edits are kept until the platform is back; health is told while it hangs

An edit told as unknown is one whose answer was lost with the platform; its record was tried once at that very moment and dropped. It now waits in bounded memory and is written later, once. Requests worked on at once are bounded below the threads, so that health checks are answered while the platform takes calls and stays silent.

Each guard was left out and its test seen failing. Run: pytest tests/operators tests/docs, passed.

--- a/src/lentilrill/operators/__init__.py
+++ b/src/lentilrill/operators/__init__.py
@@ -12,11 +12,12 @@
     Problem,
     StopBody,
 )
-from lentilrill.operators._audit import Action, AuditEntry, AuditRecord, AuditTrail, EditVerdict
+from lentilrill.operators._audit import AuditTrail
 from lentilrill.operators._capacity import check_capacity
 from lentilrill.operators._diff import Change, Difference, FieldChange, difference
 from lentilrill.operators._editing import MAX_DOCUMENT_BYTES, Editor
 from lentilrill.operators._outcomes import EditOutcome
+from lentilrill.operators._records import Action, AuditEntry, AuditRecord, EditVerdict
 from lentilrill.operators._server import MAX_BODY_BYTES, OperatorServer
 from lentilrill.operators._status import (
     MemberStatus,
--- a/src/lentilrill/operators/_answers.py
+++ b/src/lentilrill/operators/_answers.py
@@ -4,8 +4,8 @@
 
 from lentilrill.fleet import HostPhase
 from lentilrill.ids import HostId, PoolId, RackId, Revision, StopId, ZoneId
-from lentilrill.operators._audit import AuditEntry, EditVerdict
 from lentilrill.operators._diff import Difference
+from lentilrill.operators._records import AuditEntry, EditVerdict
 from lentilrill.settings import Document, Finding
 
 __all__ = [
--- a/src/lentilrill/operators/_api.py
+++ b/src/lentilrill/operators/_api.py
@@ -20,12 +20,13 @@
     HostsAnswer,
     StopBody,
 )
-from lentilrill.operators._audit import AuditTrail, EditVerdict
+from lentilrill.operators._audit import AuditTrail
 from lentilrill.operators._capacity import check_capacity
 from lentilrill.operators._diff import difference
 from lentilrill.operators._editing import Editor
 from lentilrill.operators._outcomes import EditOutcome
 from lentilrill.operators._problems import Reply, edit_problem, fault_problem, problem
+from lentilrill.operators._records import EditVerdict
 from lentilrill.operators._status import Status
 from lentilrill.operators._store import DocumentStore, Head
 from lentilrill.platform import HostList
--- a/src/lentilrill/operators/_editing.py
+++ b/src/lentilrill/operators/_editing.py
@@ -17,9 +17,10 @@
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import Revision, StopId
 from lentilrill.operators import _outcomes as outcomes
-from lentilrill.operators._audit import Action, AuditEntry, AuditRecord, AuditTrail, EditVerdict
+from lentilrill.operators._audit import AuditTrail
 from lentilrill.operators._diff import difference
 from lentilrill.operators._outcomes import EditOutcome
+from lentilrill.operators._records import Action, AuditEntry, AuditRecord, EditVerdict
 from lentilrill.operators._store import DocumentStore, Head
 from lentilrill.settings import Document, Finding, PlannedStop, Severity, check, errors_of
 from lentilrill.telemetry import Event, log
--- a/src/lentilrill/operators/_outcomes.py
+++ b/src/lentilrill/operators/_outcomes.py
@@ -4,14 +4,14 @@
 
 from lentilrill.faults import Fault
 from lentilrill.ids import Revision
-from lentilrill.operators._audit import (
+from lentilrill.operators._diff import Difference
+from lentilrill.operators._records import (
     Action,
     AuditEntry,
     AuditRecord,
     EditVerdict,
     bounded,
 )
-from lentilrill.operators._diff import Difference
 from lentilrill.operators._store import Head
 from lentilrill.settings import Finding, errors_of
 
--- a/src/lentilrill/operators/_problems.py
+++ b/src/lentilrill/operators/_problems.py
@@ -7,8 +7,8 @@
 
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.operators._answers import Problem
-from lentilrill.operators._audit import EditVerdict
 from lentilrill.operators._outcomes import EditOutcome
+from lentilrill.operators._records import EditVerdict
 
 __all__ = ["Reply", "edit_problem", "fault_problem", "problem"]
 
--- /dev/null
+++ b/src/lentilrill/operators/_refusals.py
@@ -0,0 +1,143 @@
+"""Records of refused edits, written in the background.
+
+A refusal is answered at once; its record must not make the operator wait for a platform that is
+slow or away. So records wait in a bounded queue, and one task writes what is there in one go.
+"""
+
+import threading
+from collections import deque
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.ids import Revision
+from lentilrill.operators._records import AuditRecord
+from lentilrill.platform import Compare, Item, KeyValue, Priority, Put, RangeAnswer
+from lentilrill.telemetry import Event, log
+
+__all__ = ["Refusals"]
+
+REFUSED = "audit/refused"
+RETAINED = 100
+MAX_PENDING = 100
+TRIES = 5
+FIRST_PAUSE_S = 1.0
+LONGEST_PAUSE_S = 30.0
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """The stored value, oldest first."""
+
+    records: tuple[AuditRecord, ...] = ()
+
+
+class Refusals:
+    """The newest refused edits of all controllers, in one bounded value on the platform.
+
+    :ivar dropped: records that could not be kept.
+    """
+
+    def __init__(self, kv: KeyValue) -> None:
+        self._kv = kv
+        self._pending: deque[AuditRecord] = deque()
+        self._changed = threading.Condition()
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name="audit", daemon=True)
+        self.dropped = 0
+
+    def start(self) -> None:
+        """Begin to write."""
+        self._thread.start()
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """Try once more to write what is pending, then end the task."""
+        with self._changed:
+            self._stopping = True
+            self._changed.notify_all()
+        if self._thread.is_alive():
+            self._thread.join(timeout_s)
+
+    def note(self, record: AuditRecord) -> None:
+        """Keep a record until it can be written; the oldest goes if there are too many."""
+        with self._changed:
+            if len(self._pending) == MAX_PENDING:
+                self._pending.popleft()
+                self.dropped += 1
+            self._pending.append(record)
+            self._changed.notify_all()
+
+    def read(self) -> Result[tuple[AuditRecord, ...], Fault]:
+        """Read the stored records, oldest first."""
+        return self._held().map(lambda held: held[0])
+
+    def _run(self) -> None:
+        pause_s = FIRST_PAUSE_S
+        while True:
+            batch, stopping = self._next_batch()
+            if batch and self._append(batch):
+                self._forget(batch)
+                pause_s = FIRST_PAUSE_S
+            elif batch and not stopping:
+                self._wait(pause_s)
+                pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+            if stopping:
+                self._give_up()
+                return
+
+    def _next_batch(self) -> tuple[tuple[AuditRecord, ...], bool]:
+        with self._changed:
+            while not self._pending and not self._stopping:
+                self._changed.wait()
+            return tuple(self._pending), self._stopping
+
+    def _wait(self, pause_s: float) -> None:
+        with self._changed:
+            self._changed.wait_for(lambda: self._stopping, pause_s)
+
+    def _forget(self, batch: tuple[AuditRecord, ...]) -> None:
+        with self._changed:
+            written = set(map(id, batch))
+            self._pending = deque(r for r in self._pending if id(r) not in written)
+
+    def _give_up(self) -> None:
+        with self._changed:
+            self.dropped += len(self._pending)
+            self._pending.clear()
+        if self.dropped:
+            log(Event.AUDIT_DROPPED, refused_edits=self.dropped)
+
+    def _append(self, records: tuple[AuditRecord, ...]) -> bool:
+        """Add to the stored records by compare-and-swap, since other controllers do so too.
+
+        A write whose answer was lost is made again; records that are there already are left out.
+        """
+        for _ in range(TRIES):
+            read = self._held()
+            if isinstance(read, Failure):
+                return False
+            held, revision = read.unwrap()
+            new = tuple(record for record in records if record not in held)
+            if not new:
+                return True
+            put = Put(REFUSED, msgspec.json.encode(Refused((held + new)[-RETAINED:])))
+            done = self._kv.commit((Compare(REFUSED, revision),), (put,), Priority.LATER)
+            if isinstance(done, Success):
+                if done.unwrap().succeeded:
+                    return True
+            elif done.failure().kind is not FaultKind.AMBIGUOUS:
+                return False
+        return False
+
+    def _held(self) -> Result[tuple[tuple[AuditRecord, ...], Revision], Fault]:
+        return self._kv.read(REFUSED, Priority.LATER).map(_decoded)
+
+
+def _decoded(answer: RangeAnswer) -> tuple[tuple[AuditRecord, ...], Revision]:
+    item: Item | None = next((item for item in answer.items if item.key == REFUSED), None)
+    if item is None or item.value is None:
+        return (), Revision(0)
+    try:
+        return msgspec.json.decode(item.value, type=Refused).records, item.revision
+    except msgspec.MsgspecError:
+        return (), item.revision
--- a/src/lentilrill/operators/_server.py
+++ b/src/lentilrill/operators/_server.py
@@ -30,7 +30,9 @@
 MAX_READ_BYTES = 4 * MAX_BODY_BYTES
 """Bodies announced as larger than that are not even read; up to it they get a clear answer."""
 MAX_HEADER_BYTES = 32 * 1024
-THREADS = 8
+THREADS = 10
+AT_ONCE = 8
+"""Operators' requests worked on at once; the other threads are left for health checks."""
 IDLE_CONNECTION_S = 30
 LISTEN_BACKLOG = 64
 STOPS_PATH = "/v1/stops/"
@@ -78,6 +80,7 @@
         api = Api(store, editor, self._audit, view, status, self._metrics, host_list)
         self._handlers = _routes(api)
         self._draining = threading.Event()
+        self._turns = threading.BoundedSemaphore(AT_ONCE)
         self._server = _http_server(settings.listen, self)
         self._thread = threading.Thread(target=self._serve, name="operators", daemon=True)
 
@@ -146,7 +149,23 @@
             allow = (("Allow", ", ".join(by_method)),)
             detail = f"{path} takes {allow[0][1]}"
             return problem(HTTPStatus.METHOD_NOT_ALLOWED, "method-not-allowed", detail, allow)
-        return self._handled(handler, who, tail, environ)
+        return self._in_turn(handler, who, tail, environ)
+
+    def _in_turn(self, handler: Handler, who: str, tail: str, environ: Environ) -> Reply:
+        """Run a handler if not too many run already.
+
+        Guard against a platform that takes calls and stays silent: each request then holds its
+        thread until a deadline. With all threads held, health checks would go unanswered, and a
+        controller that is well would be restarted.
+        """
+        if not self._turns.acquire(blocking=False):
+            detail = f"{AT_ONCE} requests are being worked on; the platform may be slow"
+            retry = (("Retry-After", "1"),)
+            return problem(HTTPStatus.SERVICE_UNAVAILABLE, "busy", detail, retry)
+        try:
+            return self._handled(handler, who, tail, environ)
+        finally:
+            self._turns.release()
 
     def _handled(self, handler: Handler, who: str, tail: str, environ: Environ) -> Reply:
         """Run a handler; whatever it meets becomes an answer, never a broken connection."""
--- a/src/lentilrill/operators/_store.py
+++ b/src/lentilrill/operators/_store.py
@@ -9,7 +9,8 @@
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.fleet import DOCUMENT_KEY
 from lentilrill.ids import Revision
-from lentilrill.operators._audit import AuditRecord, AuditTrail, accepted_writes
+from lentilrill.operators._audit import AuditTrail, accepted_writes
+from lentilrill.operators._records import AuditRecord
 from lentilrill.platform import Compare, KeyValue, Put, RangeAnswer
 from lentilrill.settings import Document
 
--- a/tests/operators/serving.py
+++ b/tests/operators/serving.py
@@ -65,7 +65,7 @@
         self.server = OperatorServer(
             self.settings, self.kv, self.view, self.status, host_list=host_list, settle_s=0.3
         )
-        self.http = urllib3.PoolManager(retries=False, timeout=20.0)
+        self.http = urllib3.PoolManager(retries=False, timeout=20.0, maxsize=16)
 
     @property
     def address(self) -> str:
--- a/tests/operators/test_audit.py
+++ b/tests/operators/test_audit.py
@@ -1,5 +1,6 @@
 """The audit trail: bounded, complete for accepted edits, best-effort for refused ones."""
 
+import threading
 from unittest import mock
 
 from testtools import TestCase
@@ -13,9 +14,10 @@
     Editor,
     EditVerdict,
     _audit,
+    _refusals,
 )
 from tests.builders import a_document
-from tests.fakes import FakeKeyValue
+from tests.fakes import FakeKeyValue, lose_answer, refuse
 
 
 def refused(at: float, who: str = "asha") -> AuditRecord:
@@ -74,7 +76,7 @@
 
     def test_refused_edits_are_bounded(self) -> None:
         # A broken script sends wrong edits all night: the platform keeps the newest of them only.
-        with mock.patch.object(_audit, "RETAINED_REFUSED", 3):
+        with mock.patch.object(_refusals, "RETAINED", 3):
             self.write_refusals(self.trail, *(refused(float(n)) for n in range(10)))
         times = [entry.record.at for entry in self.trail.newest(0, 100).unwrap()]
         self.assertEqual([7.0, 8.0, 9.0], times)
@@ -91,13 +93,36 @@
         who = [entry.record.who for entry in self.trail.newest(0, 100).unwrap()]
         self.assertEqual(["ben", "asha"], who)
 
+    def test_refusals_wait_for_the_platform(self) -> None:
+        # The answer to an edit was lost with the platform: it is "unknown". Just this record must
+        # not be lost as well: it is written when the platform is back.
+        tried = threading.Event()
+
+        def away(call):
+            tried.set()
+            return refuse(call)
+
+        self.kv.reads.append(away)
+        self.trail.note_refused(refused(1.0))
+        with mock.patch.object(_refusals, "FIRST_PAUSE_S", 0.01):
+            self.trail.start()
+            self.assertTrue(tried.wait(20))
+            self.trail.stop()
+        self.assertEqual(1, len(self.trail.newest(0, 100).unwrap()))
+        self.assertEqual(0, self.trail.dropped)
+
+    def test_a_refusal_whose_write_lost_its_answer_is_there_once(self) -> None:
+        self.kv.commits.append(lose_answer)
+        self.write_refusals(self.trail, refused(1.0))
+        self.assertEqual(1, len(self.trail.newest(0, 100).unwrap()))
+
     def test_refusals_that_can_not_be_kept_are_counted(self) -> None:
-        # The platform is away: refusing goes on, and what the trail lacks is counted and logged.
+        # The platform is away for long: refusing goes on, the newest records wait in bounded
+        # memory, and what the trail lacks in the end is counted and logged.
         self.kv.down = True
-        records = [refused(float(n)) for n in range(_audit.MAX_PENDING + 5)]
-        for record in records:
-            self.trail.note_refused(record)
+        for n in range(_refusals.MAX_PENDING + 5):
+            self.trail.note_refused(refused(float(n)))
         self.assertEqual(5, self.trail.dropped)
         self.trail.start()
         self.trail.stop()
-        self.assertEqual(len(records), self.trail.dropped)
+        self.assertEqual(_refusals.MAX_PENDING + 5, self.trail.dropped)
--- a/tests/operators/test_server.py
+++ b/tests/operators/test_server.py
@@ -1,11 +1,15 @@
 """The operators' HTTP: tokens, limits, broken input, and what is told of edits."""
 
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
 
 from lentilrill.operators import MAX_BODY_BYTES
+from lentilrill.operators._server import AT_ONCE
 from lentilrill.platform import HostInfo
 from tests.builders import a_document, a_plan
 from tests.fakes import FakeHostList, lose_answer
@@ -130,6 +134,28 @@
             self.assertEqual(400, status, body[:20])
         self.assertEqual(0, self.served.kv.revision)
 
+    def test_health_is_told_while_the_platform_hangs(self) -> None:
+        # The platform takes calls and says nothing, and operators ask again and again. With every
+        # thread held by them, the health check would time out and a sound controller be killed.
+        silent = threading.Event()
+        reading = threading.Semaphore(0)
+
+        def hang(call):
+            reading.release()
+            silent.wait(60)
+            return call()
+
+        self.served.kv.reads.extend([hang] * AT_ONCE)
+        with ThreadPoolExecutor(AT_ONCE) as pool:
+            held = [pool.submit(self.served.ask, "GET", "/v1/config") for _ in range(AT_ONCE)]
+            for _ in held:
+                self.assertTrue(reading.acquire(timeout=20))
+            self.assertEqual(200, self.served.ask("GET", "/healthz", token="")[0])
+            status, problem = self.served.ask("GET", "/v1/config")
+            silent.set()
+            self.assertEqual([200] * AT_ONCE, [answer.result()[0] for answer in held])
+        self.assertEqual((503, "urn:lentilrill:problem:busy"), (status, problem["type"]))
+
     def test_routes(self) -> None:
         self.assertEqual(404, self.served.ask("GET", "/v2/config")[0])
         self.assertEqual(405, self.served.ask("POST", "/v1/config")[0])
