Gossip: each zone has two heads; everybody else exchanges heartbeats with them only

Weighed: a beat that slows with the zone's size (finds a dead scheduler too late for urgent work), dropping only the beats between gateways (1.5 % by the slopes), one head (its loss blinds the zone). Change: two controllers, by rendezvous, exchange heartbeats with all and tell whom they do not hear; without a head's fresh word a member tells everybody. Heads alone talk to other zones' heads. Guards, each seen failing when left out: gateways that hear no head find each other.

--- a/src/lentilrill/_status.py
+++ b/src/lentilrill/_status.py
@@ -3,7 +3,7 @@
 from lentilrill.fleet import FleetReport, FleetView, PoolReport, StopReport
 from lentilrill.fleet import StopState as FleetStopState
 from lentilrill.ids import HostId, ProcessId, Revision
-from lentilrill.membership import Member, Role, RosterView
+from lentilrill.membership import Member, Role, RosterView, ZoneNews
 from lentilrill.operators import (
     MemberStatus,
     PoolStatus,
@@ -65,7 +65,7 @@
     """Return how far each process is; of another zone's, the least that its controllers told."""
     found = {
         member.process: news.complete_to
-        for news in roster.news()
+        for news in (*roster.news(), *_own_word(roster))
         for member in roster.registered_in(news.zone)
     }
     found |= {
@@ -76,6 +76,11 @@
     return found | {roster.me.process: view.mirror.complete_to}
 
 
+def _own_word(roster: RosterView) -> tuple[ZoneNews, ...]:
+    word = roster.word()
+    return () if word is None else (word,)
+
+
 def _pool(pool: PoolReport, document: Document) -> PoolStatus:
     configured = document.pools_by_id()[pool.pool]
     return PoolStatus(
@@ -96,7 +101,8 @@
     A gateway that is gone holds no caller either.
     """
     drained = {one.member.process for one in roster.heard() if one.drained}
-    drained |= {process for news in roster.news() for process in news.drained}
+    news = (*roster.news(), *_own_word(roster))
+    drained |= {process for one in news for process in one.drained}
     found: dict[HostId, bool] = {}
     for zone in roster.zones():
         for member in roster.registered_in(zone):
--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -23,10 +23,10 @@
 __all__ = ["Heartbeats"]
 
 OTHER_ZONE_PEERS = 2
-"""Controllers of other zones told at each other-zone beat; gossip does the rest."""
-OTHER_ZONE_EVERY = 2
-"""Heartbeats between two other-zone beats."""
+"""Heads of other zones that a head tells at each beat; gossip does the rest."""
 CHANGE_PAUSE_S = 0.1
+PROBE_EVERY = 8
+"""Heartbeats between two in which a head tells all members, silent ones too."""
 METRICS_EVERY = 4
 FORGET_AFTER_S = 60.0
 LEAVE_REPEATS = 3
@@ -43,8 +43,13 @@
 class Heartbeats:
     """Tells peers that this process lives, hears them, and pulls state that they have newer.
 
-    Within a zone everybody tells everybody. Between zones controllers tell a few controllers at
-    random what they know of every zone, and pass it on to the gateways of their own.
+    Within a zone every member exchanges heartbeats with the zone's heads, which tell it whom
+    else they hear. So a member that is no head costs the same in a zone of any size. Between
+    zones each head tells a few heads at random what it knows of every zone.
+
+    Guard against a broken control path that hides gateways from each other: a member that hears
+    no head tells all members of the zone directly, and each answers. Otherwise each gateway
+    would believe itself alone, and every one of them would hand out all slots of the zone.
 
     :param platform_ok: whether the platform answered this process's last call.
     :param trouble: ejected and leaving workers of this zone, for the other zones' controllers.
@@ -75,6 +80,7 @@
         self._thread = threading.Thread(target=self._run, name="heartbeats", daemon=True)
         self._wake = threading.Event()
         mirror.subscribe(lambda items: self._wake.set())
+        self._head_since: float | None = None
         self._last_ask_at = 0.0
         self._bytes_counted = (0, 0)
         node.on(Heartbeat, self._heard)
@@ -102,9 +108,8 @@
         while not self._stopping.is_set():
             self._roster.refresh()
             self._roster.forget(FORGET_AFTER_S)
-            self._tell_zone()
-            if beat % OTHER_ZONE_EVERY == 0:
-                self._tell_other_zones()
+            self._tell_zone(beat)
+            self._tell_other_zones()
             if beat % METRICS_EVERY == 0:
                 self._count_bytes()
             beat += 1
@@ -122,20 +127,40 @@
         self._metrics.incr("inner.bytes_received", received - self._bytes_counted[1])
         self._bytes_counted = (sent, received)
 
-    def _tell_zone(self) -> None:
+    def _tell_zone(self, beat: int) -> None:
+        heads = self._roster.heads()
+        is_head = self._roster.me in heads
+        self._note_head(is_head)
+        others = [member for member in heads if member != self._roster.me]
+        for member in others:
+            self._roster.try_out(member)
+        addresses = [member.inner for member in others]
+        settled = self._knows_zone if is_head else self._roster.word() is not None
+        # Two heads that were cut off from each other each believe the other silent, and are
+        # heads still; only by trying all members again do they meet once the cut has healed.
+        if not settled or (is_head and beat % PROBE_EVERY == 0):
+            addresses = self._zone_peers()
         heartbeat = self._heartbeat()
-        peers = self._zone_peers()
-        for address in peers:
+        for address in addresses:
             self._node.send(address, heartbeat)
 
+    def _note_head(self, is_head: bool) -> None:
+        now = time.monotonic()
+        if not is_head:
+            self._head_since = None
+        elif self._head_since is None:
+            self._head_since = now
+
+    @property
+    def _knows_zone(self) -> bool:
+        """Whether this process was a head for long enough to have heard every living member."""
+        since = self._head_since
+        return since is not None and time.monotonic() - since > self._settings.suspect_after_s
+
     def _tell_other_zones(self) -> None:
-        if self._roster.me.role is not Role.CONTROLLER:
+        if self._roster.me not in self._roster.heads():
             return
-        others = [
-            member.inner
-            for member in self._roster.alive(Role.CONTROLLER)
-            if member.zone != self._settings.zone
-        ]
+        others = [member.inner for member in self._roster.other_heads()]
         # While a zone is believed silent none of its members is alive here; its seeds and
         # registered members are still tried, or two zones that were cut would never meet again.
         if len(others) < OTHER_ZONE_PEERS:
@@ -146,11 +171,12 @@
         for address in self._random.sample(others, min(OTHER_ZONE_PEERS, len(others))):
             self._node.send(address, heartbeat)
 
-    def _heartbeat(self) -> Heartbeat:
+    def _heartbeat(self, answers: bool = False) -> Heartbeat:
         health = self._health() if self._roster.me.role is Role.CONTROLLER else ()
         return Heartbeat(
             self._roster.me,
             self._mirror.complete_to,
+            answers,
             self._platform_ok(),
             self._is_drained(),
             health,
@@ -158,6 +184,8 @@
 
     def _health(self) -> tuple[ZoneHealth, ...]:
         now = time.monotonic()
+        word = self._roster.word()
+        own = () if word is None or self._knows_zone else (word,)
         others = [
             ZoneHealth(
                 news.zone,
@@ -168,19 +196,17 @@
                 tuple(sorted(news.ejected)),
                 tuple(sorted(news.leaving)),
             )
-            for news in self._roster.news()
+            for news in (*self._roster.news(), *own)
         ]
-        return (self._own_health(), *others)
+        return (self._own_health(), *others) if self._knows_zone else tuple(others)
 
     def _own_health(self) -> ZoneHealth:
         zone = self._settings.zone
-        alive = {member.process for role in Role for member in self._roster.alive(role, zone)}
-        suspects = sorted(
-            member.process for member in self._registered(zone) if member.process not in alive
-        )
-        heard = {one.member.process: one.complete_to for one in self._roster.heard()}
-        heard[self._roster.me.process] = self._mirror.complete_to
-        least = min(heard.get(process, Revision(0)) for process in alive)
+        suspects = sorted(member.process for member in self._roster.silent())
+        least = self._mirror.complete_to
+        for one in self._roster.heard():
+            if one.member.zone == zone and one.member.process not in suspects and not one.left:
+                least = min(least, one.complete_to)
         ejected, leaving = self._trouble()
         return ZoneHealth(
             zone,
@@ -218,31 +244,26 @@
 
     def _heard(self, batch: Batch, message: Heartbeat) -> None:
         member = message.member
-        first = all(one.member != member for one in self._roster.heard())
+        last = self._roster.last_heard(member)
         if not self._roster.hear(member, message.complete_to, message.platform, message.drained):
             self._metrics.incr("membership.stale_heartbeats")
             return
-        if first:
+        if last is None:
             log(Event.MEMBER_ALIVE, peer=member.process, incarnation=member.incarnation)
-            self._node.send(member.inner, self._heartbeat())
-        self._hear_zones(message.health)
+        if not message.answers and (last is None or member.zone == self._settings.zone):
+            self._node.send(member.inner, self._heartbeat(answers=True))
+        self._hear_zones(member, message.health)
         if message.complete_to > self._mirror.complete_to:
             self._pull(batch.reply_to)
+        elif last is not None and message.complete_to > last.complete_to:
+            self._wake.set()  # other zones' operators wait to hear that the change is here
 
-    def _hear_zones(self, health: tuple[ZoneHealth, ...]) -> None:
-        now = time.monotonic()
-        self._roster.hear_zones(
-            ZoneNews(
-                one.zone,
-                now - one.age_s,
-                frozenset(one.suspects),
-                one.complete_to,
-                frozenset(one.drained),
-                frozenset(one.ejected),
-                frozenset(one.leaving),
-            )
-            for one in health
-        )
+    def _hear_zones(self, teller: Member, health: tuple[ZoneHealth, ...]) -> None:
+        news = [_news(one) for one in health]
+        self._roster.hear_zones(news)
+        for one in news:
+            if one.zone == self._settings.zone == teller.zone:
+                self._roster.hear_word(teller.process, one)
 
     def _pull(self, address: str) -> None:
         now = time.monotonic()
@@ -266,3 +287,15 @@
         # it, the missed change would never be asked for again. So only the items are taken.
         whole = message.after <= self._mirror.complete_to
         self._mirror.offer(message.items, message.complete_to if whole else Revision(0))
+
+
+def _news(health: ZoneHealth) -> ZoneNews:
+    return ZoneNews(
+        health.zone,
+        time.monotonic() - health.age_s,
+        frozenset(health.suspects),
+        health.complete_to,
+        frozenset(health.drained),
+        frozenset(health.ejected),
+        frozenset(health.leaving),
+    )
--- a/src/lentilrill/gossip/_recorder.py
+++ b/src/lentilrill/gossip/_recorder.py
@@ -12,10 +12,8 @@
 from lentilrill.membership import (
     Liveness,
     Member,
-    Role,
     RosterView,
     ZoneRecord,
-    rendezvous,
     zone_key,
 )
 from lentilrill.platform import Compare, HostList, HostListing, Item, KeyValue, Put
@@ -53,8 +51,8 @@
 class ZoneRecorder:
     """Writes the zone's record when members join or are proved gone.
 
-    Any controller of the zone may write, by compare-and-swap on the record's revision; the one
-    chosen by rendezvous does, which saves calls.
+    Any controller of the zone may write, by compare-and-swap on the record's revision; the first
+    of the zone's heads does, since it hears every member.
 
     :param publish: told of this process's own committed write.
     :param host_list_lag_s: how old the host list may be.
@@ -102,8 +100,7 @@
     def round(self) -> None:
         """Look once at the zone's members and write the record if it has to change."""
         me = self._roster.me
-        chosen = rendezvous(f"record/{me.zone}", self._roster.alive(Role.CONTROLLER, me.zone))
-        if chosen != me:
+        if self._roster.heads()[:1] != (me,):
             return
         record, revision = self._zones_by_id().get(me.zone, (ZoneRecord(me.zone), Revision(0)))
         self._note_silence(record)
--- a/src/lentilrill/gossip/_watcher.py
+++ b/src/lentilrill/gossip/_watcher.py
@@ -7,7 +7,7 @@
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import Revision
 from lentilrill.inner import Node, StateItems
-from lentilrill.membership import Role, RosterView, rendezvous
+from lentilrill.membership import RosterView
 from lentilrill.platform import Item, KeyValue, Mirror, Priority, WatchBatch, WatchStream
 from lentilrill.telemetry import Event, Metrics, log
 
@@ -23,8 +23,8 @@
 class Watcher:
     """One controller of each zone watches the platform; it tells the others what changes.
 
-    The watching one is chosen by rendezvous among the zone's living controllers that reach the
-    platform. Two that watch at once cost a call more, no more.
+    It is the first of the zone's heads that reaches the platform; if none does, everybody tries.
+    Two that watch at once cost a call more, no more.
     """
 
     def __init__(
@@ -76,13 +76,9 @@
 
     def _is_chosen(self) -> bool:
         me = self._roster.me
-        by_process = {heard.member.process: heard for heard in self._roster.heard()}
-        able = [
-            member
-            for member in self._roster.alive(Role.CONTROLLER, me.zone)
-            if member == me or by_process[member.process].platform
-        ]
-        return rendezvous(f"watch/{me.zone}", able) == me
+        reaching = {heard.member for heard in self._roster.heard() if heard.platform}
+        able = [head for head in self._roster.heads() if head == me or head in reaching]
+        return not able or able[0] == me
 
     def _read_all(self) -> Fault | None:
         result = self._kv.read(STATE)
--- a/src/lentilrill/inner/_state.py
+++ b/src/lentilrill/inner/_state.py
@@ -32,6 +32,7 @@
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
     """The sender lives, and how far its mirror is complete.
 
+    :param answers: whether it answers a heartbeat, so that it needs no answer itself.
     :param platform: whether the platform answered the sender's last call.
     :param drained: whether the sender's callers go elsewhere, and it holds none any more.
     :param health: zones the sender has heard of; only controllers tell.
@@ -39,6 +40,7 @@
 
     member: Member
     complete_to: Revision
+    answers: bool = False
     platform: bool = True
     drained: bool = False
     health: tuple[ZoneHealth, ...] = ()
--- a/src/lentilrill/membership/__init__.py
+++ b/src/lentilrill/membership/__init__.py
@@ -1,6 +1,6 @@
 """Members of the system, their liveness, and who is responsible for what."""
 
-from lentilrill.membership._contract import Roster, rendezvous
+from lentilrill.membership._contract import Roster, ranked, rendezvous
 from lentilrill.membership._drain import drains
 from lentilrill.membership._records import Liveness, Member, Role, ZoneNews, ZoneRecord, zone_key
 from lentilrill.membership._roster import Heard, RosterView
@@ -15,6 +15,7 @@
     "ZoneNews",
     "ZoneRecord",
     "drains",
+    "ranked",
     "rendezvous",
     "zone_key",
 ]
--- a/src/lentilrill/membership/_contract.py
+++ b/src/lentilrill/membership/_contract.py
@@ -7,7 +7,7 @@
 from lentilrill.ids import ZoneId
 from lentilrill.membership._records import Liveness, Member, Role, ZoneNews
 
-__all__ = ["Roster", "rendezvous"]
+__all__ = ["Roster", "ranked", "rendezvous"]
 
 
 class Roster(Protocol):
@@ -39,5 +39,10 @@
     return max(members, key=lambda member: (_weight(key, member), member.process), default=None)
 
 
+def ranked(key: str, members: Sequence[Member]) -> list[Member]:
+    """Return ``members`` in the order in which they are responsible for ``key``."""
+    return sorted(members, key=lambda member: (_weight(key, member), member.process), reverse=True)
+
+
 def _weight(key: str, member: Member) -> bytes:
     return hashlib.blake2b(f"{key}\0{member.process}".encode(), digest_size=8).digest()
--- a/src/lentilrill/membership/_roster.py
+++ b/src/lentilrill/membership/_roster.py
@@ -7,10 +7,14 @@
 import msgspec
 
 from lentilrill.ids import ProcessId, Revision, ZoneId
+from lentilrill.membership._contract import ranked
 from lentilrill.membership._records import Liveness, Member, Role, ZoneNews, ZoneRecord
 
 __all__ = ["Heard", "RosterView"]
 
+HEADS = 2
+"""Heads of a zone; the second one is known to all when the first falls silent."""
+
 
 class Heard(msgspec.Struct):
     """The last heartbeat of one process.
@@ -29,7 +33,11 @@
 
 
 class RosterView:
-    """The process's beliefs: heartbeats for its own zone, its controllers' word for the others.
+    """The process's beliefs, by heartbeats and by the word of controllers.
+
+    Each zone has a few *heads*: controllers that every member of the zone exchanges heartbeats
+    with. For any other member of its own zone a process takes a head's word, and for those of
+    other zones the word of their heads, passed on between controllers.
 
     A silent member is suspect. It is gone only by proof: its own word that it ends, a newer
     incarnation of the same process, or the zone's record without it, from which it is taken only
@@ -56,6 +64,8 @@
         self._lock = threading.Lock()
         self._heard_by_process: dict[ProcessId, Heard] = {}
         self._news_by_zone: dict[ZoneId, ZoneNews] = {}
+        self._word_by_head: dict[ProcessId, ZoneNews] = {}
+        self._tried_by_process: dict[ProcessId, float] = {}
         self._registered_by_process: dict[ProcessId, Member] = {}
         self._alive: dict[tuple[Role, ZoneId | None], tuple[Member, ...]] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -97,6 +107,51 @@
         with self._lock:
             return tuple(news for _, news in sorted(self._news_by_zone.items()))
 
+    def word(self) -> ZoneNews | None:
+        """Return the newest word of a head of this process's own zone, if any is fresh."""
+        return max(self._fresh_words(), key=lambda news: news.at, default=None)
+
+    def heads(self) -> tuple[Member, ...]:
+        """Return the controllers of this zone that its members exchange heartbeats with.
+
+        A controller that was never tried may be one. One that does not answer stops being one
+        until it, or another head's word, says that it lives.
+        """
+        zone = self._me.zone
+        known = {m.process: m for m in self.registered_in(zone) if m.role is Role.CONTROLLER}
+        for one in self.heard():
+            if one.member.zone == zone and one.member.role is Role.CONTROLLER:
+                known[one.member.process] = one.member
+        if self._me.role is Role.CONTROLLER:
+            known[self._me.process] = self._me
+        able = [member for member in known.values() if self._may_head(member)]
+        return tuple(ranked(f"head/{zone}", able)[:HEADS])
+
+    def other_heads(self) -> list[Member]:
+        """Return the living heads of the other zones."""
+        controllers_by_zone: dict[ZoneId, list[Member]] = {}
+        for member in self.alive(Role.CONTROLLER):
+            if member.zone != self._me.zone:
+                controllers_by_zone.setdefault(member.zone, []).append(member)
+        return [
+            head
+            for zone, controllers in controllers_by_zone.items()
+            for head in ranked(f"head/{zone}", controllers)[:HEADS]
+        ]
+
+    def last_heard(self, member: Member) -> Heard | None:
+        """Return the last heartbeat of one incarnation."""
+        heard = self._heard_by_process.get(member.process)
+        return heard if heard is not None and heard.member == member else None
+
+    def silent(self) -> tuple[Member, ...]:
+        """Return the registered members of this zone that this process itself does not hear."""
+        return tuple(
+            member
+            for member in self.registered_in(self._me.zone)
+            if member != self._me and not self._is_direct(member)
+        )
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after the members to work with changed."""
         self._listeners.append(listener)
@@ -118,10 +173,21 @@
             self._heard_by_process[member.process] = Heard(
                 member, self._clock(), complete_to, platform, drained=drained
             )
+            self._tried_by_process.pop(member.process, None)
         if not known:
             self.refresh()
         return True
 
+    def try_out(self, member: Member) -> None:
+        """Take note that a heartbeat was sent to a head, which is to be answered."""
+        with self._lock:
+            self._tried_by_process.setdefault(member.process, self._clock())
+
+    def hear_word(self, head: ProcessId, news: ZoneNews) -> None:
+        """Take over what a head says of this process's own zone."""
+        with self._lock:
+            self._word_by_head[head] = news
+
     def hear_leave(self, member: Member) -> None:
         """Take note that an incarnation ends."""
         with self._lock:
@@ -192,10 +258,33 @@
             if news is None or now - news.at > self._zone_silent_after_s:
                 return False
             return member.process not in news.suspects
+        return self._is_direct(member) or self._is_vouched_for(member)
+
+    def _is_direct(self, member: Member) -> bool:
         heard = self._heard_by_process.get(member.process)
-        return (
-            heard is not None and heard.member == member and now - heard.at <= self._suspect_after_s
-        )
+        if heard is None or heard.member != member:
+            return False
+        return self._clock() - heard.at <= self._suspect_after_s
+
+    def _is_vouched_for(self, member: Member) -> bool:
+        if not self._is_registered(member):
+            return False
+        return any(member.process not in word.suspects for word in self._fresh_words())
+
+    def _fresh_words(self) -> list[ZoneNews]:
+        oldest = self._clock() - self._suspect_after_s
+        with self._lock:
+            return [word for word in self._word_by_head.values() if word.at >= oldest]
+
+    def _may_head(self, member: Member) -> bool:
+        if member == self._me:
+            return True
+        if self._is_gone(member):
+            return False
+        tried_at = self._tried_by_process.get(member.process)
+        if tried_at is None or self._clock() - tried_at <= self._suspect_after_s:
+            return True
+        return self._is_direct(member) or self._is_vouched_for(member)
 
     def _is_gone(self, member: Member) -> bool:
         heard = self._heard_by_process.get(member.process)
--- a/tests/gossip/test_heartbeats.py
+++ b/tests/gossip/test_heartbeats.py
@@ -2,13 +2,14 @@
 
 import threading
 
+import msgspec
 from testtools import TestCase
 
 from lentilrill.fleet import DOCUMENT_KEY, FleetView
 from lentilrill.gossip import Heartbeats
 from lentilrill.ids import EntryHostId, Incarnation, ProcessId, Revision, ZoneId
 from lentilrill.inner import Node, StateItems
-from lentilrill.membership import Liveness, Member, Role, RosterView
+from lentilrill.membership import Liveness, Member, Role, RosterView, ZoneRecord, zone_key
 from lentilrill.platform import Item, Mirror
 from lentilrill.settings import InnerKeys, ProcessSettings
 from lentilrill.telemetry import NoMetrics
@@ -21,7 +22,12 @@
     """One process's gossip over a real node."""
 
     def __init__(
-        self, name: str, keys: InnerKeys, seeds: tuple[str, ...] = (), zone: str = "z1"
+        self,
+        name: str,
+        keys: InnerKeys,
+        seeds: tuple[str, ...] = (),
+        zone: str = "z1",
+        role: Role = Role.CONTROLLER,
     ) -> None:
         self.address = builders.an_address()
         incarnation = Incarnation(1)
@@ -38,7 +44,7 @@
         self.member = Member(
             ProcessId(name),
             incarnation,
-            Role.CONTROLLER,
+            role,
             ZoneId(zone),
             EntryHostId(name),
             self.address,
@@ -65,6 +71,9 @@
             self.changed.clear()
         return False
 
+    def other(self, members: list[Member]) -> Member:
+        return next(member for member in members if member != self.member)
+
     def close(self) -> None:
         self.heartbeats.close()
         self.node.close(0.1)
@@ -111,3 +120,42 @@
         self.assertTrue(stays.until(lambda: stays.roster.liveness(leaves.member) is Liveness.ALIVE))
         leaves.close()
         self.assertTrue(stays.until(lambda: stays.roster.liveness(leaves.member) is Liveness.GONE))
+
+    def test_gateways_hear_of_each_other_through_heads(self) -> None:
+        keys = builders.inner_keys()
+        heads = [self.a_peer("ct-1", keys)]
+        heads.append(self.a_peer("ct-2", keys, seeds=(heads[0].address,)))
+        seeds = tuple(head.address for head in heads)
+        gateways = [self.a_peer(f"gw-{n}", keys, seeds, role=Role.GATEWAY) for n in (1, 2)]
+        self.register(heads + gateways)
+        one, two = gateways
+        self.assertTrue(one.until(lambda: two.member in one.roster.alive(Role.GATEWAY)))
+        self.assertTrue(one.until(lambda: one.roster.word() is not None))
+
+    def test_gateways_find_each_other_without_any_head(self) -> None:
+        # Every controller of a zone is down, as a bad release crashes them. The gateways must
+        # still see each other, or each would schedule every pool for itself and hand out all
+        # slots several times.
+        keys = builders.inner_keys()
+        head = Peer("ct-1", keys)
+        gateways = [
+            self.a_peer(f"gw-{n}", keys, (head.address,), role=Role.GATEWAY) for n in (1, 2)
+        ]
+        self.register([head, *gateways])
+        one, two = gateways
+        self.assertTrue(one.until(lambda: one.roster.word() is not None))
+        head.node.close(0.0)
+        self.addCleanup(head.heartbeats.close)
+        self.assertTrue(one.until(lambda: one.roster.word() is None))
+        alive = [two.member, one.member]
+        for peer in gateways:
+            self.assertTrue(
+                peer.until(lambda p=peer: p.roster.last_heard(p.other(alive)) is not None)
+            )
+        self.assertTrue(one.until(lambda: two.member in one.roster.alive(Role.GATEWAY)))
+
+    def register(self, peers: list[Peer]) -> None:
+        record = ZoneRecord(ZoneId("z1"), tuple(peer.member for peer in peers))
+        item = Item(zone_key(ZoneId("z1")), msgspec.json.encode(record), Revision(3))
+        for peer in peers:
+            peer.mirror.replace((item,), Revision(3))
--- a/tests/membership/test_roster.py
+++ b/tests/membership/test_roster.py
@@ -20,7 +20,7 @@
 HERE, THERE = ZoneId("z1"), ZoneId("z2")
 
 
-class RosterTest(TestCase):
+class RosterCase(TestCase):
     def setUp(self) -> None:
         super().setUp()
         self.now = 100.0
@@ -42,6 +42,8 @@
         self.roster.refresh()
         return self.roster.alive(Role.GATEWAY, zone)
 
+
+class RosterTest(RosterCase):
     def test_a_silent_member_is_suspect_and_never_gone(self) -> None:
         # A gateway is paused for minutes between its check and its send. It must get no new
         # work, but were it called gone, its host would be given away, and then it wakes up.
@@ -145,3 +147,52 @@
 
     def test_nobody_is_chosen_of_none(self) -> None:
         self.assertIsNone(rendezvous("pool", []))
+
+
+class HeadsTest(RosterCase):
+    """A member takes the word of its zone's heads for whom it does not hear itself."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.controllers = [builders.a_member(f"ct-{n}", role=Role.CONTROLLER) for n in range(4)]
+        self.peer = builders.a_member("gw-peer")
+        self.register(HERE, self.me, self.peer, *self.controllers)
+
+    def word(self, *suspects: Member) -> ZoneNews:
+        processes = frozenset(member.process for member in suspects)
+        return ZoneNews(HERE, self.now, processes, Revision(1))
+
+    def test_a_head_that_does_not_answer_is_replaced(self) -> None:
+        first, second = self.roster.heads()
+        self.roster.try_out(first)
+        self.hear(second)
+        self.now += SUSPECT_AFTER_S + 0.1
+        self.hear(second)
+        self.assertEqual(second, self.roster.heads()[0])
+        self.assertNotIn(first, self.roster.heads())
+
+    def test_a_silent_head_is_back_by_another_heads_word(self) -> None:
+        first, second = self.roster.heads()
+        self.roster.try_out(first)
+        self.now += SUSPECT_AFTER_S + 0.1
+        self.roster.hear_word(second.process, self.word())
+        self.assertEqual((first, second), self.roster.heads())
+
+    def test_a_peer_lives_by_a_heads_word_and_dies_with_it(self) -> None:
+        # Gateways hear only the heads. When a gateway dies, the heads' next word calls it
+        # suspect; and when the heads fall silent, an old word must not keep it alive.
+        head = self.roster.heads()[0]
+        self.roster.hear_word(head.process, self.word())
+        self.assertEqual((self.me, self.peer), self.alive(HERE))
+        self.roster.hear_word(head.process, self.word(self.peer))
+        self.assertEqual((self.me,), self.alive(HERE))
+        self.assertIs(Liveness.SUSPECT, self.roster.liveness(self.peer))
+        self.roster.hear_word(head.process, self.word())
+        self.now += SUSPECT_AFTER_S + 0.1
+        self.assertEqual((self.me,), self.alive(HERE))
+
+    def test_one_heads_ear_is_enough(self) -> None:
+        one, two = self.roster.heads()
+        self.roster.hear_word(one.process, self.word(self.peer))
+        self.roster.hear_word(two.process, self.word())
+        self.assertEqual((self.me, self.peer), self.alive(HERE))
