--- a/src/lentilrill/ctl/_show.py
+++ b/src/lentilrill/ctl/_show.py
@@ -3,6 +3,7 @@
 import sys
 import time
 from collections.abc import Iterable, Sequence
+from itertools import groupby
 
 import msgspec
 
@@ -59,12 +60,16 @@
 
 
 def difference_lines(differences: Iterable[Difference]) -> list[str]:
-    """Return one line for each entry, and one for each changed field."""
+    """Return a line for a list's added or removed entries, and one for each changed field."""
     signs = {Change.ADDED: "+", Change.REMOVED: "-", Change.CHANGED: "~"}
     lines = []
-    for each in differences:
-        lines.append(f"{INDENT}{signs[each.change]} {each.list} {each.id}".rstrip())
-        lines += [f"{INDENT * 3}{f.field}: {f.before} -> {f.after}" for f in each.fields]
+    for (name, change), group in groupby(differences, lambda each: (each.list, each.change)):
+        if change is not Change.CHANGED:
+            lines.append(f"{INDENT}{signs[change]} {name} {', '.join(each.id for each in group)}")
+            continue
+        for each in group:
+            lines.append(f"{INDENT}{signs[change]} {name} {each.id}".rstrip())
+            lines += [f"{INDENT * 3}{f.field}: {f.before} -> {f.after}" for f in each.fields]
     return lines
 
 
@@ -123,6 +128,8 @@
         made = f"revision {entry.revision}" if entry.revision else f"from revision {record.base}"
         what = f"{record.action.value.replace('_', ' ')}: {record.verdict.value}"
         lines.append(f"{at}  {record.who}  {what}, {made}")
+        if record.differences and record.verdict is not EditVerdict.ACCEPTED:
+            lines.append(INDENT * 2 + "asked for:")
         lines += [INDENT + line for line in difference_lines(record.differences)]
         if record.more:
             lines.append(f"{INDENT * 2}... and {record.more} more")
--- a/src/lentilrill/gateway/_caller.py
+++ b/src/lentilrill/gateway/_caller.py
@@ -93,7 +93,10 @@
         left = length
         while left:
             try:
-                data = self._req.rfile.read(min(left, CHUNK_BYTES))
+                # One read of the socket at a time: a read that waits for a full chunk would
+                # hide for hours that the caller sends it byte by byte.
+                data = self._req.conn.rfile.read1(min(left, CHUNK_BYTES))
+                self._req.rfile.remaining -= len(data)
                 pace.moved(len(data))
             except TimeoutError as error:
                 raise BodyError(BodyTrouble.SLOW) from error
@@ -147,8 +150,14 @@
         """
         declared = len(body) if length is None else length
         lengths = [] if _is_bodiless(status) else [("Content-Length", str(declared))]
-        self._begin(status, headers + lengths)
-        if body and self._req.method != b"HEAD":
+        # One write for head and body: a second one costs as much as the whole formatting.
+        writer = self._req.conn.wfile
+        writer.held = bool(body) and self._req.method != b"HEAD"
+        try:
+            self._begin(status, headers + lengths)
+        finally:
+            held, writer.held = writer.held, False
+        if held:
             self._req.write(body)
 
     def refuse(self, problem: Problem, headers: list[tuple[str, str]]) -> None:
--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from lentilrill.ids import Revision, ZoneId
+from lentilrill.ids import HostId, Revision, ZoneId
 from lentilrill.inner import (
     Batch,
     Heartbeat,
@@ -26,12 +26,19 @@
 """Controllers of other zones told at each other-zone beat; gossip does the rest."""
 OTHER_ZONE_EVERY = 2
 """Heartbeats between two other-zone beats."""
+CHANGE_PAUSE_S = 0.1
 METRICS_EVERY = 4
 FORGET_AFTER_S = 60.0
 LEAVE_REPEATS = 3
 LEAVE_PAUSE_S = 0.1
 ASK_PAUSE_S = 0.3
 
+Trouble = tuple[frozenset[HostId], frozenset[HostId]]
+
+
+def _no_trouble() -> Trouble:
+    return frozenset(), frozenset()
+
 
 class Heartbeats:
     """Tells peers that this process lives, hears them, and pulls state that they have newer.
@@ -40,6 +47,8 @@
     random what they know of every zone, and pass it on to the gateways of their own.
 
     :param platform_ok: whether the platform answered this process's last call.
+    :param trouble: ejected and leaving workers of this zone, for the other zones' controllers.
+    :param is_drained: whether callers go elsewhere, and this process holds none any more.
     """
 
     def __init__(
@@ -50,6 +59,8 @@
         roster: RosterView,
         metrics: Metrics,
         platform_ok: Callable[[], bool] = lambda: False,
+        trouble: Callable[[], Trouble] = _no_trouble,
+        is_drained: Callable[[], bool] = lambda: False,
     ) -> None:
         self._settings = settings
         self._node = node
@@ -57,9 +68,13 @@
         self._roster = roster
         self._metrics = metrics
         self._platform_ok = platform_ok
+        self._trouble = trouble
+        self._is_drained = is_drained
         self._random = random.Random(f"{roster.me.process}/{roster.me.incarnation}")
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="heartbeats", daemon=True)
+        self._wake = threading.Event()
+        mirror.subscribe(lambda items: self._wake.set())
         self._last_ask_at = 0.0
         self._bytes_counted = (0, 0)
         node.on(Heartbeat, self._heard)
@@ -74,6 +89,7 @@
     def close(self) -> None:
         """Say that this process ends, and end the task. Nothing may be in flight any more."""
         self._stopping.set()
+        self._wake.set()
         self._thread.join()
         leave = Leave(self._roster.me)
         for _ in range(LEAVE_REPEATS):
@@ -83,7 +99,7 @@
 
     def _run(self) -> None:
         beat = 0
-        while not self._stopping.wait(self._settings.heartbeat_s if beat else 0):
+        while not self._stopping.is_set():
             self._roster.refresh()
             self._roster.forget(FORGET_AFTER_S)
             self._tell_zone()
@@ -92,6 +108,13 @@
             if beat % METRICS_EVERY == 0:
                 self._count_bytes()
             beat += 1
+            self._pause()
+
+    def _pause(self) -> None:
+        """Wait for the next beat; a changed state is told sooner, but not at once each time."""
+        if not self._stopping.wait(CHANGE_PAUSE_S):
+            self._wake.wait(max(0.0, self._settings.heartbeat_s - CHANGE_PAUSE_S))
+        self._wake.clear()
 
     def _count_bytes(self) -> None:
         sent, received = self._node.bytes_sent, self._node.bytes_received
@@ -125,13 +148,25 @@
 
     def _heartbeat(self) -> Heartbeat:
         health = self._health() if self._roster.me.role is Role.CONTROLLER else ()
-        return Heartbeat(self._roster.me, self._mirror.complete_to, self._platform_ok(), health)
+        return Heartbeat(
+            self._roster.me,
+            self._mirror.complete_to,
+            self._platform_ok(),
+            self._is_drained(),
+            health,
+        )
 
     def _health(self) -> tuple[ZoneHealth, ...]:
         now = time.monotonic()
         others = [
             ZoneHealth(
-                news.zone, round(now - news.at, 2), tuple(sorted(news.suspects)), news.complete_to
+                news.zone,
+                round(now - news.at, 2),
+                tuple(sorted(news.suspects)),
+                news.complete_to,
+                tuple(sorted(news.drained)),
+                tuple(sorted(news.ejected)),
+                tuple(sorted(news.leaving)),
             )
             for news in self._roster.news()
         ]
@@ -146,7 +181,16 @@
         heard = {one.member.process: one.complete_to for one in self._roster.heard()}
         heard[self._roster.me.process] = self._mirror.complete_to
         least = min(heard.get(process, Revision(0)) for process in alive)
-        return ZoneHealth(zone, 0.0, tuple(suspects), least)
+        ejected, leaving = self._trouble()
+        return ZoneHealth(
+            zone,
+            0.0,
+            tuple(suspects),
+            least,
+            tuple(one.member.process for one in self._roster.heard() if one.drained),
+            tuple(sorted(ejected)),
+            tuple(sorted(leaving)),
+        )
 
     def _registered(self, zone: ZoneId) -> tuple[Member, ...]:
         return self._roster.registered_in(zone)
@@ -175,7 +219,7 @@
     def _heard(self, batch: Batch, message: Heartbeat) -> None:
         member = message.member
         first = all(one.member != member for one in self._roster.heard())
-        if not self._roster.hear(member, message.complete_to, message.platform):
+        if not self._roster.hear(member, message.complete_to, message.platform, message.drained):
             self._metrics.incr("membership.stale_heartbeats")
             return
         if first:
@@ -188,7 +232,15 @@
     def _hear_zones(self, health: tuple[ZoneHealth, ...]) -> None:
         now = time.monotonic()
         self._roster.hear_zones(
-            ZoneNews(one.zone, now - one.age_s, frozenset(one.suspects), one.complete_to)
+            ZoneNews(
+                one.zone,
+                now - one.age_s,
+                frozenset(one.suspects),
+                one.complete_to,
+                frozenset(one.drained),
+                frozenset(one.ejected),
+                frozenset(one.leaving),
+            )
             for one in health
         )
 
