--- a/tests/fleet/test_turns.py
+++ b/tests/fleet/test_turns.py
@@ -2,10 +2,10 @@
 
 from testtools import TestCase
 
-from lentilrill.fleet._actions import Close, Withdraw
+from lentilrill.fleet._actions import Action, Close, Withdraw
 from lentilrill.fleet._turns import Turns
 from lentilrill.ids import HostId, PoolId, ZoneId
-from lentilrill.membership import Role, rendezvous
+from lentilrill.membership import Member, Role, rendezvous
 from tests.builders import a_member
 from tests.fakes import FakeRoster
 
@@ -27,9 +27,12 @@
         # was another zone's, which never sees the action; the others waited for it.
         turns = Turns(FakeRoster(self.second, self.members))
         close = Close(HostId("w1"), POOL, "nothing sends to it any more")
-        self.assertEqual([close], turns.mine([close], 0.0))
+        self.assertEqual([close], turns.mine([close], {close.host: self.second.zone}, 0.0))
 
     def test_a_proposal_is_left_to_the_first_in_order(self) -> None:
         propose = Withdraw(HostId("w1"), POOL, "planned stop")
-        self.assertEqual([], Turns(FakeRoster(self.second, self.members)).mine([propose], 0.0))
-        self.assertEqual([propose], Turns(FakeRoster(self.first, self.members)).mine([propose], 0))
+        self.assertEqual([], self.mine(self.second, propose))
+        self.assertEqual([propose], self.mine(self.first, propose))
+
+    def mine(self, me: Member, action: Action) -> list[Action]:
+        return Turns(FakeRoster(me, self.members)).mine([action], {action.host: me.zone}, 0.0)
