Routing: ticks twice a second when nothing waits; withdrawing hosts worked out once a change

Cause: the routing task looked 20 times a second with nothing to do: 0.30 % of a core at rest, measured on a whole gateway, of 1.1 % for a node. It also went over all hosts at each look.

Change: it ticks at 50 ms only while an ask waits, a scheduler rebuilds or a host is withdrawn, and is woken when an ask begins to wait. The ledger keeps the zone's withdrawing hosts for each state of the view. What is kept of ended gateways and of removed plans is dropped.

--- a/src/lentilrill/routing/_health.py
+++ b/src/lentilrill/routing/_health.py
@@ -101,6 +101,11 @@
             self._records_by_host[host].health = Health.LAST
         return bool(surplus)
 
+    def keep(self, plans: set[PlanId]) -> None:
+        """Forget the results of all plans but ``plans``."""
+        for plan in self._ok_by_host_by_plan.keys() - plans:
+            del self._ok_by_host_by_plan[plan]
+
     def _succeeded(self, host: HostId, record: _Record, plan: PlanId) -> None:
         record.score *= 1.0 - SCORE_SHARE
         record.unreachable = 0
--- a/src/lentilrill/routing/_ledger.py
+++ b/src/lentilrill/routing/_ledger.py
@@ -7,14 +7,16 @@
 from returns.result import Failure, Result, Success
 
 from lentilrill.faults import Fault, FaultKind
-from lentilrill.fleet import FleetView, HostPhase, PoolRecord
-from lentilrill.ids import GrantId, HostId, Revision, ZoneId
+from lentilrill.fleet import FleetView, HostEntry, HostPhase, PoolRecord
+from lentilrill.ids import GrantId, HostId, PoolId, Revision
 from lentilrill.inner import Barred
 from lentilrill.membership import Member
 from lentilrill.routing._contract import Slot, Where
 
 __all__ = ["SendLedger"]
 
+_Seen = tuple[dict[HostId, tuple[PoolId, HostEntry]], tuple[tuple[PoolId, HostId], ...]]
+
 
 class SendLedger:
     """Which jobs of this process may be on their way to a host.
@@ -36,6 +38,7 @@
         self._view = view
         self._me = me
         self._registered_at: Revision | None = None
+        self._seen: _Seen = ({}, ())
         self._clock = clock
         self._lock = threading.Lock()
         self._sends_by_host: dict[HostId, dict[GrantId, Slot]] = {}
@@ -89,24 +92,36 @@
         """
         return any(barred.host == host and barred.revision >= revision for barred in self.barred())
 
-    def barred(self, zone: ZoneId | None = None) -> tuple[Barred, ...]:
-        """Return every withdrawing host with nothing in flight, at its record's revision.
+    @property
+    def withdrawing(self) -> tuple[HostId, ...]:
+        """Hosts of this zone that are being withdrawn."""
+        return tuple(host for _, host in self._withdrawing(self._view.hosts_by_id))
 
-        :param zone: only hosts of this zone; ``None`` for all.
-        """
+    def barred(self) -> tuple[Barred, ...]:
+        """Return this zone's withdrawing hosts with nothing in flight, at the revision seen."""
         with self._lock:
             # The order of the two reads matters: the view replaces its pools before its hosts.
             # Hosts read second are as new as the revision named here, or newer.
             pools = self._view.pools_by_id
             hosts = self._view.hosts_by_id
             return tuple(
-                Barred(entry.id, pools[pool][1])
+                Barred(host, pools[pool][1])
+                for pool, host in self._withdrawing(hosts)
+                if host not in self._sends_by_host and _withdraws(pools.get(pool), host)
+            )
+
+    def _withdrawing(
+        self, hosts: dict[HostId, tuple[PoolId, HostEntry]]
+    ) -> tuple[tuple[PoolId, HostId], ...]:
+        seen, found = self._seen
+        if seen is not hosts:
+            found = tuple(
+                (pool, entry.id)
                 for pool, entry in hosts.values()
-                if entry.phase is HostPhase.WITHDRAWING
-                and zone in (None, entry.zone)
-                and entry.id not in self._sends_by_host
-                and _withdraws(pools.get(pool), entry.id)
+                if entry.phase is HostPhase.WITHDRAWING and entry.zone == self._me.zone
             )
+            self._seen = (hosts, found)
+        return found
 
     def _objection(self, slot: Slot) -> Fault | None:
         if self._clock() >= slot.send_by:
--- a/src/lentilrill/routing/_placement.py
+++ b/src/lentilrill/routing/_placement.py
@@ -29,6 +29,7 @@
         self._gateways_by_zone: dict[ZoneId, tuple[Member, ...]] = {}
         self._schedulers: dict[PoolId, dict[ZoneId, Member | None]] = {}
         self._members_by_caller: dict[Caller, Member] = {}
+        self._callers: set[Caller] = set()
         self.refresh()
 
     @property
@@ -51,7 +52,7 @@
 
     def callers(self) -> set[Caller]:
         """Return the living gateways of this zone as callers."""
-        return {caller_of(member) for member in self.gateways(self.me.zone)}
+        return self._callers
 
     def scheduler(self, pool: PoolId, zone: ZoneId | None = None) -> Member | None:
         """Return the process that schedules ``pool`` in ``zone``, by default this one."""
@@ -88,7 +89,9 @@
                 return False
             self._gateways_by_zone = gateways_by_zone
             self._schedulers = {}
-            self._remember(gateways_by_zone.get(self.me.zone, ()))
+            members = gateways_by_zone.get(self.me.zone, ())
+            self._callers = {caller_of(member) for member in members}
+            self._remember(members)
         return True
 
     def _remember(self, members: tuple[Member, ...]) -> None:
--- a/src/lentilrill/routing/_routing.py
+++ b/src/lentilrill/routing/_routing.py
@@ -17,6 +17,7 @@
 __all__ = ["Routing"]
 
 TICK_S = 0.05
+IDLE_TICK_S = 0.5
 ROSTER_S = 1.0
 
 
@@ -61,6 +62,7 @@
     def close(self) -> None:
         """End the task. Slots that are held stay valid until they are released."""
         self._stopping.set()
+        self.schedulers.woken.set()
         if self._task.is_alive():
             self._task.join()
 
@@ -74,13 +76,21 @@
             self.slots.refresh()
 
     def _run(self) -> None:
-        while not self._stopping.wait(TICK_S):
+        while not self._stopping.is_set():
+            self._pause()
             for step in (self._follow, self.schedulers.tick, self.slots.tick, self.acker.tick):
                 try:
                     step()
                 except Exception as error:  # one failing step must not end the others
                     log(Event.TASK_FAILED, task="routing", error=repr(error))
 
+    def _pause(self) -> None:
+        if self.schedulers.busy or self.ledger.withdrawing:
+            self._stopping.wait(TICK_S)
+        else:
+            self.schedulers.woken.wait(IDLE_TICK_S)
+        self.schedulers.woken.clear()
+
     def _follow(self) -> None:
         if self._clock() - self._followed >= ROSTER_S:
             self._followed = self._clock()
--- a/src/lentilrill/routing/_scheduler.py
+++ b/src/lentilrill/routing/_scheduler.py
@@ -103,6 +103,11 @@
         """Grants that are not over."""
         return len(self._grants)
 
+    @property
+    def holders(self) -> set[Caller]:
+        """Gateways that hold grants."""
+        return {grant.caller for grant in self._grants}
+
     @property
     def awaited(self) -> frozenset[str]:
         """Gateways whose held grants are still unknown; empty once grants are given."""
@@ -120,6 +125,7 @@
             del self._buckets_by_plan[plan]
         self._shares.keep(kept)
         self._run_times.keep(kept)
+        self.hosts.health.keep(kept)
         return self._grant_free([])
 
     def ask(self, ask: Ask, caller: Caller) -> list[Reply]:
--- a/src/lentilrill/routing/_schedulers.py
+++ b/src/lentilrill/routing/_schedulers.py
@@ -35,10 +35,11 @@
 HELD_ASK_S = 0.25
 SHARED_ASK_S = 1.0
 LOAD_S = 0.2
-STEADY_LOAD_S = 0.5
+STEADY_LOAD_S = 1.0
 TROUBLE_S = 1.0
 INSISTED_S = 10.0
 EPOCH_BITS = 62
+FORGET_S = 60.0
 
 Answer = Callable[[str, Granted | Refused], None]
 
@@ -63,7 +64,8 @@
 class SchedulerHost:
     """Runs the scheduler of each pool for which this process is the zone's choice.
 
-    :param answer: takes the grants and refusals for this process itself.
+    :ivar answer: takes the grants and refusals for this process itself.
+    :ivar woken: set when an ask begins to wait, so that ticks become frequent.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         rng: random.Random | None = None,
         metrics: Metrics | None = None,
     ) -> None:
+        self.woken = threading.Event()
         self.answer: Answer = lambda sender, message: None
         self._node = node
         self._view = view
@@ -87,6 +90,7 @@
         self._refreshing = threading.Lock()
         self._scheduled_by_pool: dict[PoolId, _Scheduled] = {}
         self._told_trouble = 0.0
+        self._forgot = clock()
         self._had_trouble = False
         node.on(Ask, lambda batch, ask: self.ask(ask, caller_of_batch(batch)))
         node.on(Cancel, lambda batch, cancel: self.cancel(cancel, caller_of_batch(batch)))
@@ -100,6 +104,12 @@
         with self._lock:
             return {pool: held.scheduler for pool, held in self._scheduled_by_pool.items()}
 
+    @property
+    def busy(self) -> bool:
+        """Whether an ask waits, or a scheduler does not know yet what is held."""
+        schedulers = [held.scheduler for _, held in self._all()]
+        return any(scheduler.waiting or scheduler.awaited for scheduler in schedulers)
+
     def ask(self, ask: Ask, caller: Caller) -> None:
         """Take an ask of a gateway of this zone."""
         wanted = ask.insist or self._placement.is_mine(ask.pool)
@@ -150,6 +160,16 @@
             if self._is_over(pool, held):
                 self._resign(pool, held)
         self._tell_trouble(now)
+        if now - self._forgot >= FORGET_S:
+            self._forgot = now
+            self._forget_ended()
+
+    def _forget_ended(self) -> None:
+        holders: set[Caller] = set()
+        for _, held in self._all():
+            with held.lock:
+                holders |= held.scheduler.holders
+        self._placement.forget(holders)
 
     def _pools_here(self) -> list[PoolId]:
         zone = self._placement.me.zone
@@ -197,6 +217,8 @@
             if held.ended:
                 return None
             replies = decide(held.scheduler)
+            if held.scheduler.waiting and not self.woken.is_set():
+                self.woken.set()
         # Delivered without the lock: an answer to this very process may come back at once.
         self._deliver(replies)
         return held.scheduler
--- a/src/lentilrill/routing/_spill.py
+++ b/src/lentilrill/routing/_spill.py
@@ -9,7 +9,7 @@
 
 __all__ = ["OtherZones"]
 
-FRESH_S = 1.5
+FRESH_S = 2.5
 
 
 class _Load(msgspec.Struct):
--- a/src/lentilrill/routing/_withdrawals.py
+++ b/src/lentilrill/routing/_withdrawals.py
@@ -61,4 +61,4 @@
     def _barred(self) -> tuple[Barred, ...]:
         if not self._may_acknowledge():
             return ()
-        return self._ledger.barred(self._placement.me.zone)
+        return self._ledger.barred()
