--- a/bench/routing_costs.py
+++ b/bench/routing_costs.py
@@ -9,6 +9,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
 from lentilrill.ids import HostId, Incarnation, PlanId, PoolId, ProcessId, RequestId, ZoneId
 from lentilrill.inner import Ask, Done, Granted, Verdict
@@ -26,6 +27,7 @@
 QUEUES = (0, 1_000, 10_000)
 PLANS = (4, 48)
 JOBS = 3_000
+CALLERS = 16
 
 _requests = itertools.count()
 
@@ -153,6 +155,9 @@
         name = "slot from own scheduler" if own else "slot from another process's scheduler"
         show(f"{name}, processor", cpu * 1e6, "us a job, both ends")
         show(f"{name}, wait", seconds * 1e6, "us a job, one at a time")
+        _, cpu = timed(lambda gateway=gateway: crowd(gateway), 1)
+        at_once = f"us a job, both ends, {CALLERS} callers"
+        show(f"{name}, processor", cpu / JOBS * 1e6, at_once)
     for gateway in gateways:
         gateway.close()
 
@@ -164,6 +169,13 @@
     gateway.slots.release(slot, Verdict.OK, 0.001)
 
 
+def crowd(gateway: Gateway) -> None:
+    """Acquire, start and release slots from many threads."""
+    with ThreadPoolExecutor(CALLERS) as threads:
+        for _ in range(JOBS):
+            threads.submit(one_job, gateway)
+
+
 def timed(step: Callable[[], None], count: int) -> tuple[float, float]:
     """Return wall and processor seconds of each of ``count`` steps."""
     wall, cpu = time.monotonic(), time.process_time()
--- a/src/lentilrill/routing/_hosts.py
+++ b/src/lentilrill/routing/_hosts.py
@@ -46,7 +46,7 @@
 
     def configure(self, slots_by_host: Mapping[HostId, int], allowance: int) -> None:
         """Take over which hosts serve the pool, and how many of them may be ejected."""
-        for host in self._hosts_by_id.keys() | slots_by_host.keys():
+        for host in sorted(self._hosts_by_id.keys() | slots_by_host.keys()):
             self._known(host).slots = slots_by_host.get(host, 0)
         self._most_slots = max(slots_by_host.values(), default=0)
         self._capacity_now = None
