--- a/src/lentilrill/routing/_placement.py
+++ b/src/lentilrill/routing/_placement.py
@@ -27,7 +27,7 @@
         self._roster = roster
         self._lock = threading.Lock()
         self._gateways_by_zone: dict[ZoneId, tuple[Member, ...]] = {}
-        self._schedulers: dict[PoolId, dict[ZoneId, Member | None]] = {}
+        self._schedulers: dict[tuple[PoolId, ZoneId], Member | None] = {}
         self._members_by_caller: dict[Caller, Member] = {}
         self._callers: set[Caller] = set()
         self.refresh()
@@ -56,12 +56,15 @@
 
     def scheduler(self, pool: PoolId, zone: ZoneId | None = None) -> Member | None:
         """Return the process that schedules ``pool`` in ``zone``, by default this one."""
-        zone = zone or self.me.zone
-        with self._lock:
-            by_zone = self._schedulers.setdefault(pool, {})
-            if zone not in by_zone:
-                by_zone[zone] = rendezvous(f"{pool}/{zone}", self.gateways(zone))
-            return by_zone[zone]
+        place = (pool, zone or self.me.zone)
+        schedulers = self._schedulers
+        if place not in schedulers:
+            # Worked out from the same roster that this dict was made for, or a change in between
+            # would leave an old choice in a new dict.
+            with self._lock:
+                schedulers = self._schedulers
+                schedulers[place] = rendezvous("/".join(place), self.gateways(place[1]))
+        return schedulers[place]
 
     def is_mine(self, pool: PoolId) -> bool:
         """Return whether this process schedules ``pool`` in its zone."""
--- a/src/lentilrill/routing/_schedulers.py
+++ b/src/lentilrill/routing/_schedulers.py
@@ -181,10 +181,12 @@
             return list(self._scheduled_by_pool.items())
 
     def _runs(self, pool: PoolId) -> bool:
-        with self._lock:
-            return pool in self._scheduled_by_pool
+        return pool in self._scheduled_by_pool
 
     def _scheduled(self, pool: PoolId) -> _Scheduled:
+        held = self._scheduled_by_pool.get(pool)
+        if held is not None:
+            return held
         with self._lock:
             held = self._scheduled_by_pool.get(pool)
             if held is None:
@@ -209,8 +211,7 @@
     def _decide(
         self, pool: PoolId, decide: Callable[[PoolScheduler], list[Reply]]
     ) -> PoolScheduler | None:
-        with self._lock:
-            held = self._scheduled_by_pool.get(pool)
+        held = self._scheduled_by_pool.get(pool)
         if held is None:
             return None
         with held.lock:
