--- a/tests/gateway/test_outcomes.py
+++ b/tests/gateway/test_outcomes.py
@@ -308,6 +308,7 @@
         # is acknowledged, and nobody says so, while new connections work. A job sent on it must
         # go out again on a new one soon, and not wait for its own deadline.
         self.patch(_endpoints, "UNACKED_KEPT_MS", 300)
+        self.patch(_patience, "LEAST_S", 100.0)
         forgotten: list[socket.socket] = []
 
         def script(sock: socket.socket, request: bytes) -> None:
