Fleet: bench against an optimum in hindsight; the spare pool lends first where moves weigh more

Cause: the host held above owed in another pool was taken first, so that pool's next failure needed a move as well. Now it stays while the spare pool still has hosts, unless the buffer weighs more. A shortage that the budget covers is left alone ten times longer, as restarts take minutes; hosts lent only for planned stops come after settle_s.

--- /dev/null
+++ b/bench/_fleet_optimum.py
@@ -0,0 +1,106 @@
+"""Baselines for the planner's bench: an exact optimum in hindsight, and planning from scratch."""
+
+import itertools
+
+import numpy
+from scipy import sparse
+from scipy.optimize import linprog
+
+from bench._fleet_sim import Sample
+from lentilrill.ids import PoolId
+
+__all__ = ["naive_moves", "optimum"]
+
+NEXT_TO_NOTHING = 1e-4
+"""Weight of the figure that a weighting does not look at, so that ties fall the better way."""
+
+
+def optimum(
+    samples: list[Sample], owed: dict[PoolId, int], spare: PoolId, weigh_moves: bool
+) -> tuple[float, float]:
+    """Return the least moves and the least buffer (host-samples above owed) in hindsight.
+
+    A linear programme over all samples at once: in each, every pool has at least as many hosts
+    at work as under the planner, as far as they are owed; hosts fail and return in each pool as
+    they did. It knows the future, so no planner can do better.
+
+    :param weigh_moves: whether moves are minimised first, else the buffer.
+    """
+    pools = sorted(owed)
+    size, times = len(pools), len(samples)
+    start = numpy.array([samples[0].available[p] for p in pools], dtype=float)
+    outside = [
+        numpy.array(
+            [
+                after.available[p]
+                - before.available[p]
+                - after.moved_in.get(p, 0)
+                + after.moved_out.get(p, 0)
+                for p in pools
+            ],
+            dtype=float,
+        )
+        for before, after in itertools.pairwise(samples)
+    ]
+    # Unknowns of each sample: hosts at work, moved in, moved out, held above what is owed.
+    at_work, moved_in, moved_out, above = (i * size * times for i in range(4))
+    rows, columns, values, right = [], [], [], []
+    row = 0
+
+    def put(column: int, value: float) -> None:
+        rows.append(row)
+        columns.append(column)
+        values.append(value)
+
+    for t in range(times):
+        for p in range(size):
+            here = t * size + p
+            put(at_work + here, 1.0)
+            put(moved_in + here, -1.0)
+            put(moved_out + here, 1.0)
+            if t:
+                put(at_work + here - size, -1.0)
+            right.append(outside[t - 1][p] if t else start[p])
+            row += 1
+        for p in range(size):
+            put(moved_in + t * size + p, 1.0)
+            put(moved_out + t * size + p, -1.0)
+        right.append(0.0)
+        row += 1
+    equal = sparse.csr_array((values, (rows, columns)), shape=(row, 4 * size * times))
+    held = range(size * times)
+    below = sparse.csr_array(
+        (
+            [1.0] * len(held) + [-1.0] * len(held),
+            ([*held, *held], [at_work + i for i in held] + [above + i for i in held]),
+        ),
+        shape=(len(held), 4 * size * times),
+    )
+    limit = [owed[pools[i % size]] for i in held]
+    bounds = [(min(owed[p], sample.available[p]), None) for sample in samples for p in pools] + [
+        (0, None)
+    ] * (3 * size * times)
+    moves_weight, buffer_weight = (1.0, NEXT_TO_NOTHING) if weigh_moves else (NEXT_TO_NOTHING, 1.0)
+    cost = numpy.zeros(4 * size * times)
+    cost[moved_out : moved_out + size * times] = moves_weight
+    for i in held:
+        cost[above + i] = 0.0 if pools[i % size] == spare else buffer_weight
+    answer = linprog(cost, below, limit, equal, right, bounds, method="highs")
+    if not answer.success:
+        raise RuntimeError(answer.message)
+    moves = answer.x[moved_out : moved_out + size * times].sum()
+    buffer = sum(answer.x[above + i] for i in held if pools[i % size] != spare)
+    return float(moves), float(buffer)
+
+
+def naive_moves(samples: list[Sample], owed: dict[PoolId, int], spare: PoolId) -> int:
+    """Return the moves of assigning the hosts at work from scratch at each sample."""
+    before: dict[str, PoolId] = {}
+    moves = 0
+    for sample in samples:
+        order = [p for p in sorted(owed) for _ in range(owed[p]) if p != spare]
+        hosts = sorted(sample.pool_by_host)
+        now = {host: order[n] if n < len(order) else spare for n, host in enumerate(hosts)}
+        moves += sum(1 for host, pool in now.items() if before.get(host, pool) != pool)
+        before = before | now
+    return moves
--- /dev/null
+++ b/bench/_fleet_sim.py
@@ -0,0 +1,260 @@
+"""A fleet in time for the planner's bench: failures, restarts and planned stops, no processes."""
+
+import random
+from collections import Counter
+
+import msgspec
+
+from lentilrill.fleet import DOCUMENT_KEY, HostPhase, PoolRecord, WaveReport
+from lentilrill.fleet._actions import Action, Close
+from lentilrill.fleet._budget import promises
+from lentilrill.fleet._census import Memory, Sight
+from lentilrill.fleet._ledger import Basis, Ledger
+from lentilrill.fleet._planner import plan
+from lentilrill.fleet._records import HostEntry
+from lentilrill.fleet._report import report
+from lentilrill.ids import HostId, PoolId, RackId, Revision, StopId, ZoneId
+from lentilrill.platform import HostInfo, HostListing, Mirror
+from lentilrill.settings import Document, Objective, PlannedStop
+from tests.builders import a_plan, a_pool
+from tests.fakes import FakeKeyValue
+
+__all__ = ["Fleet", "Sample", "Site"]
+
+DAY_S = 86_400.0
+DRAIN_S = 30.0
+MAINTENANCE_S = 600.0
+RESTART_S = 300.0
+REPAIR_S = 4 * 3600.0
+RACK_S = 2 * 3600.0
+ZONE_S = 3600.0
+TARGET_HOSTS = 4_400.0
+FAILURES_A_DAY = 51 / TARGET_HOSTS
+RESTARTS_A_DAY = 550 / TARGET_HOSTS
+RACKS_A_DAY = 1 / 7 / (TARGET_HOSTS / 4)
+ZONES_A_DAY = 4 / 365 / 11
+
+
+class Site(msgspec.Struct, frozen=True):
+    """Size of a fleet and what it owes.
+
+    :param owed: hosts that each pool owes; the spare pool owes ``spare_owed``.
+    :param days: length of the run; a 35th of the racks is maintained each day.
+    :param failures: times as many hosts fail as in the letter's target.
+    """
+
+    name: str
+    pools: int
+    hosts_per_pool: int
+    zones: int
+    owed: int
+    spare_owed: int
+    budget: int
+    days: float
+    objective: Objective
+    step_s: float = 300.0
+    failures: float = 1.0
+    repair_s: float = REPAIR_S
+
+    def document(self) -> Document:
+        """Return the document of the site, without stops."""
+        names = [f"p{n:02d}" for n in range(self.pools)]
+        plans = tuple(
+            a_plan(
+                name,
+                hosts_owed=self.owed if n else self.spare_owed,
+                availability_budget=self.budget,
+            )
+            for n, name in enumerate(names)
+        )
+        pools = tuple(a_pool(name, spare=n == 0) for n, name in enumerate(names))
+        return Document(plans, pools, objective=self.objective)
+
+    def infos(self) -> list[HostInfo]:
+        """Return the hosts of the site, four to a rack."""
+        infos = []
+        for n in range(self.pools * self.hosts_per_pool):
+            zone = ZoneId(f"z{n // 4 % self.zones:02d}")
+            name, rack = HostId(f"h{n:04d}"), RackId(f"r{n // 4:04d}")
+            infos.append(HostInfo(name, f"10.0.0.1:{n}", zone, rack, since=1.0))
+        return infos
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """Pools at one time: available hosts, and moves in and out since the last sample."""
+
+    at: float
+    available: dict[PoolId, int]
+    moved_in: dict[PoolId, int]
+    moved_out: dict[PoolId, int]
+    pool_by_host: dict[HostId, PoolId]
+
+
+class Fleet:
+    """A run of a site: the planner decides, its actions are written, and time passes."""
+
+    def __init__(self, site: Site, seed: int = 1) -> None:
+        self.site = site
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.document = site.document()
+        self.kv = FakeKeyValue()
+        self.ledger = Ledger(self.kv, Mirror())
+        self.memory = Memory()
+        self.infos_by_id = {info.id: info for info in site.infos()}
+        self.back_at: dict[HostId, float] = {}
+        self.records: dict[PoolId, tuple[PoolRecord, Revision]] = {}
+        self.moves = 0
+        self.plan_s: list[float] = []
+        self.waves_by_stop: dict[StopId, WaveReport] = {}
+        self.broken_steps = 0
+        self.steps = 0
+        self.samples: list[Sample] = []
+        self._moved_in: Counter[PoolId] = Counter()
+        self._moved_out: Counter[PoolId] = Counter()
+        self._declare()
+        self.promises = promises(self.document)
+
+    def run(self, sample_every_s: float) -> None:
+        """Run the site for its days."""
+        for _ in range(3):
+            self._step(quiet=True)
+        self.moves = 0
+        next_sample, next_day, wave = self.now, self.now, 0
+        end = self.now + self.site.days * DAY_S
+        racks = sorted({info.rack for info in self.infos_by_id.values()})
+        while self.now < end:
+            if self.now >= next_day:
+                self._stop_racks(racks, wave)
+                wave, next_day = wave + 1, next_day + DAY_S
+            self._step(quiet=False)
+            if self.now >= next_sample:
+                self._sample()
+                self._note_waves()
+                next_sample += sample_every_s
+
+    def settle(self) -> None:
+        """Put all hosts into their pools."""
+        for _ in range(3):
+            self._step(quiet=True)
+
+    def sight(self) -> Sight:
+        """Return what a look goes by now."""
+        hosts = tuple(i for h, i in self.infos_by_id.items() if h not in self.back_at)
+        records = {pool: record for pool, (record, _) in self.records.items()}
+        closable = frozenset(
+            entry.id
+            for record in records.values()
+            for entry in record.hosts
+            if entry.phase is HostPhase.WITHDRAWING and self.now - entry.proposed >= DRAIN_S
+        )
+        listing = HostListing(hosts, self.now)
+        return Sight(self.document, records, listing, self.now, closable=closable)
+
+    def _declare(self) -> None:
+        self.document_revision = self.kv.put(DOCUMENT_KEY, msgspec.json.encode(self.document))
+
+    def _stop_racks(self, racks: list[RackId], wave: int) -> None:
+        first, last = (round(len(racks) * part / 35) for part in (wave, wave + 1))
+        chosen = set(racks[first:last])
+        hosts = tuple(i.id for i in self.infos_by_id.values() if i.rack in chosen)
+        stop = PlannedStop(StopId(f"day{wave}"), hosts)
+        recent = self.document.stops[-1:]
+        self.document = msgspec.structs.replace(self.document, stops=(*recent, stop))
+        self._declare()
+
+    def _step(self, quiet: bool) -> None:
+        self.now += self.site.step_s
+        self.steps += 1
+        if not quiet:
+            self._fail()
+        for host in [h for h, at in self.back_at.items() if at <= self.now]:
+            del self.back_at[host]
+            info = self.infos_by_id[host]
+            self.infos_by_id[host] = msgspec.structs.replace(info, since=self.now)
+        decision = plan(self.sight(), self.memory)
+        self.last = decision
+        self._write(decision.actions)
+        self._start_maintenance()
+
+    def _fail(self) -> None:
+        share = self.site.step_s / DAY_S
+        failing = FAILURES_A_DAY * self.site.failures
+        for host, info in self.infos_by_id.items():
+            dice = self.random.random()
+            if dice < failing * share:
+                self._lose(host, self.site.repair_s)
+            elif dice < (failing + RESTARTS_A_DAY) * share:
+                self._lose(host, RESTART_S)
+            elif dice < (failing + RESTARTS_A_DAY + RACKS_A_DAY / 4) * share:
+                self._lose_all("rack", info.rack, RACK_S)
+        for zone in {info.zone for info in self.infos_by_id.values()}:
+            if self.random.random() < ZONES_A_DAY * share:
+                self._lose_all("zone", zone, ZONE_S)
+
+    def _lose_all(self, part: str, name: str, seconds: float) -> None:
+        for host, info in self.infos_by_id.items():
+            if getattr(info, part) == name:
+                self._lose(host, seconds)
+
+    def _lose(self, host: HostId, seconds: float) -> None:
+        self.back_at[host] = max(self.back_at.get(host, 0.0), self.now + seconds)
+
+    def _start_maintenance(self) -> None:
+        for record, _ in self.records.values():
+            for entry in record.hosts:
+                restarted = self.infos_by_id[entry.id].since > entry.since
+                if entry.phase is HostPhase.STOPPED and not restarted:
+                    self.back_at.setdefault(entry.id, self.now + MAINTENANCE_S)
+
+    def _write(self, actions: tuple[Action, ...]) -> None:
+        basis = Basis(
+            self.document_revision,
+            self.records,
+            {},
+            frozenset(stop.id for stop in self.document.stops),
+            self.now,
+        )
+        self.ledger.create([pool.id for pool in self.document.pools], basis).unwrap()
+        steps: dict[PoolId, list[Action]] = {}
+        moves: dict[tuple[PoolId, PoolId], list[HostId]] = {}
+        for action in actions:
+            if isinstance(action, Close) and action.target is not None:
+                moves.setdefault((action.pool, action.target), []).append(action.host)
+            else:
+                steps.setdefault(action.pool, []).append(action)
+        for (pool, target), hosts in moves.items():
+            self.ledger.move(pool, target, hosts, basis).unwrap()
+            self.moves += len(hosts)
+            self._moved_out[pool] += len(hosts)
+            self._moved_in[target] += len(hosts)
+        for pool, some in steps.items():
+            self.ledger.apply(pool, some, basis).unwrap()
+
+    def _sample(self) -> None:
+        available: Counter[PoolId] = Counter()
+        pool_by_host: dict[HostId, PoolId] = {}
+        for pool, (record, _) in self.records.items():
+            for entry in record.hosts:
+                if self._available(entry):
+                    available[pool] += 1
+                    pool_by_host[entry.id] = pool
+        self.broken_steps += any(
+            available[pool] < max((f.hosts for f in promise.floors), default=0)
+            for pool, promise in self.promises.items()
+        )
+        counts = {pool: available[pool] for pool in self.records}
+        moved = dict(self._moved_in), dict(self._moved_out)
+        self.samples.append(Sample(self.now, counts, *moved, pool_by_host))
+        self._moved_in.clear()
+        self._moved_out.clear()
+
+    def _note_waves(self) -> None:
+        for stop in report(self.last, {}).stops:
+            first = self.waves_by_stop.setdefault(stop.stop, stop.wave)
+            self.waves_by_stop[stop.stop] = msgspec.structs.replace(
+                stop.wave, predicted_s=first.predicted_s
+            )
+
+    def _available(self, entry: HostEntry) -> bool:
+        return entry.phase is HostPhase.SERVING and entry.id not in self.back_at
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,99 @@
+"""The planner: moves, buffer and roll-out time against two baselines, its cost, its calls."""
+
+import json
+import time
+import tracemalloc
+
+import msgspec
+
+from bench._fleet_optimum import naive_moves, optimum
+from bench._fleet_sim import Fleet, Site
+from lentilrill.fleet._census import Memory
+from lentilrill.fleet._planner import plan
+from lentilrill.ids import PoolId
+from lentilrill.settings import Objective
+
+__all__ = ["main"]
+
+FEW_MOVES = Objective(move_weight=2.0, buffer_weight=1.0)
+LITTLE_BUFFER = Objective(move_weight=1.0, buffer_weight=2.0)
+SPARE = PoolId("p00")
+SAMPLE_S = 600.0
+
+SITES = (
+    Site("braille", 5, 6, 3, 6, 4, 1, 35.0, FEW_MOVES),
+    Site("jalseva", 5, 8, 4, 8, 5, 1, 35.0, LITTLE_BUFFER),
+)
+ROUGH = Site("jalseva_rough", 5, 8, 4, 8, 5, 1, 35.0, FEW_MOVES, failures=20.0, repair_s=1500.0)
+"""Twenty times the failures, each repaired before the host is given up: loans and returns."""
+TARGET = Site("target", 52, 85, 11, 84, 60, 4, 0.5, FEW_MOVES, step_s=120.0)
+
+
+def show(figure: str, value: float, unit: str, **more: object) -> None:
+    """Print one figure."""
+    line = {"bench": "fleet", "figure": figure, "value": round(value, 4), "unit": unit}
+    print(json.dumps(line | more), flush=True)
+
+
+def rounds(site: Site) -> None:
+    """Show moves and buffer of a run under both weightings, with the baselines beside them."""
+    for name, objective in (("few_moves", FEW_MOVES), ("little_buffer", LITTLE_BUFFER)):
+        run = Fleet(msgspec.structs.replace(site, objective=objective))
+        run.run(SAMPLE_S)
+        owed = {pool: promise.owed for pool, promise in run.promises.items()}
+        buffer = sum(
+            max(0, count - owed[pool])
+            for sample in run.samples
+            for pool, count in sample.available.items()
+            if pool != SPARE
+        )
+        hours = SAMPLE_S / 3600
+        best_moves, best_buffer = optimum(run.samples, owed, SPARE, name == "few_moves")
+        more = {"site": site.name, "weighting": name, "days": site.days}
+        show("moves", run.moves, "moves", **more)
+        show("moves_optimum", best_moves, "moves", **more)
+        show("moves_naive", naive_moves(run.samples, owed, SPARE), "moves", **more)
+        show("buffer", buffer * hours, "host-hours", **more)
+        show("buffer_optimum", best_buffer * hours, "host-hours", **more)
+        show("samples_with_overspent_budget", run.broken_steps, "samples", **more)
+        waves = [w for w in run.waves_by_stop.values() if w.actual_s is not None]
+        count = max(1, len(waves))
+        show("rollout_predicted", sum(w.predicted_s for w in waves) / count, "s", **more)
+        show("rollout_actual", sum(w.actual_s or 0.0 for w in waves) / count, "s", **more)
+        show("waves_done", len(waves), "waves", of=len(run.waves_by_stop), **more)
+        show("platform_commits", run.kv.calls["commit"], "calls", **more)
+
+
+def cost() -> None:
+    """Show the time and memory of one look, against hosts and pools."""
+    for pools, hosts in ((52, 21), (52, 42), (52, 85), (13, 340), (26, 170)):
+        site = Site("cost", pools, hosts, 11, hosts - 1, hosts - 4, 4, 0.0, FEW_MOVES)
+        run = Fleet(site)
+        run.settle()
+        sight, memory = run.sight(), Memory()
+        plan(sight, memory)
+        times = []
+        for _ in range(5):
+            started = time.process_time()
+            plan(sight, memory)
+            times.append(time.process_time() - started)
+        tracemalloc.start()
+        decision = plan(sight, memory)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        record = max(len(msgspec.json.encode(r)) for r, _ in run.records.values())
+        more = {"pools": pools, "hosts": pools * hosts, "actions": len(decision.actions)}
+        show("look", sorted(times)[2] * 1000, "ms", **more)
+        show("look_memory", peak / 1e6, "MB", **more)
+        show("pool_record", record, "bytes", **more)
+
+
+def main() -> None:
+    """Run all parts."""
+    cost()
+    for site in (*SITES, ROUGH, TARGET):
+        rounds(site)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lentilrill/fleet/_lending.py
+++ b/src/lentilrill/fleet/_lending.py
@@ -14,7 +14,9 @@
 
 ROUND_TRIP = 2.0
 """Moves that a loan costs: there and back."""
-PATIENCE_LIMIT = 20.0
+COVERED_PATIENCE = 10.0
+"""Times that a shortage within the budget is left alone longer: restarts take some minutes."""
+PATIENCE_LIMIT = 100.0
 """Most times :attr:`Objective.settle_s` that a shortage within the budget is left alone."""
 
 Crowd = Counter[tuple[ZoneId, RackId | None]]
@@ -72,11 +74,12 @@
 
     A surge or a flapping list lasts seconds, so nothing moves within ``settle_s``. A shortage
     that the availability budget covers may end by itself; waiting for that is worth as long as
-    the move there and back weighs.
+    the move there and back weighs. A host that is only lent for planned stops holds them up.
     """
-    if tally.broken or not objective.buffer_weight:
+    for_stops = tally.lasting + tally.incoming >= tally.promise.owed
+    if tally.broken or for_stops or not objective.buffer_weight:
         return objective.settle_s
-    weight = ROUND_TRIP * objective.move_weight / objective.buffer_weight
+    weight = COVERED_PATIENCE * ROUND_TRIP * objective.move_weight / objective.buffer_weight
     return objective.settle_s * min(max(1.0, weight), PATIENCE_LIMIT)
 
 
@@ -117,14 +120,10 @@
 
 
 def _best_loan(census: Census, borrower: Tally, crowd: Crowd) -> tuple[Tally, HostEntry] | None:
-    """Return the host whose loan costs least, with its pool.
-
-    Hosts held above what is owed go first: giving them up also saves their buffer. Then the
-    spare pool's, down to what it owes, or to its budget for a borrower whose promise is broken.
-    """
+    """Return the host whose loan costs least, with its pool."""
     offers = []
     for lender in census.tallies_by_pool.values():
-        rank = _lender_rank(lender, borrower)
+        rank = _lender_rank(census.sight.document.objective, lender, borrower)
         if rank is None or lender is borrower or borrower.settings is None:
             continue
         for host, entry in lender.entries_by_id.items():
@@ -136,18 +135,25 @@
                 continue
             size = (entry.accelerators, entry.memory_gb, entry.cores)
             crowding = _crowding(crowd, entry.zone, entry.rack)
-            offers.append(((rank, *crowding, size, host), lender, entry))
+            offers.append(((rank, lender.missing, *crowding, size, host), lender, entry))
     if not offers:
         return None
     _, lender, entry = min(offers, key=lambda offer: offer[0])
     return lender, entry
 
 
-def _lender_rank(lender: Tally, borrower: Tally) -> int | None:
+def _lender_rank(objective: Objective, lender: Tally, borrower: Tally) -> int | None:
+    """Return the place of a pool in the order of lenders; ``None`` if it lends nothing.
+
+    Where the buffer weighs more, what other pools hold above owed goes first. Where moves weigh
+    more it stays as long as the spare pool has hosts: a host held above owed covers its pool's
+    next failure without a move. The spare pool lends down to what it owes, and down to its
+    budget to a borrower whose promise is broken.
+    """
     if lender.settings is None:
         return 0
     if lender.missing < 0:
-        return 2 if lender.spare else 1
+        return 1 if lender.spare == (objective.move_weight >= objective.buffer_weight) else 2
     return 3 if lender.spare and borrower.broken else None
 
 
