--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from lentilrill.ids import Revision, ZoneId
+from lentilrill.ids import HostId, Revision, ZoneId
 from lentilrill.inner import (
     Batch,
     Heartbeat,
@@ -33,6 +33,12 @@
 LEAVE_PAUSE_S = 0.1
 ASK_PAUSE_S = 0.3
 
+Trouble = tuple[frozenset[HostId], frozenset[HostId]]
+
+
+def _no_trouble() -> Trouble:
+    return frozenset(), frozenset()
+
 
 class Heartbeats:
     """Tells peers that this process lives, hears them, and pulls state that they have newer.
@@ -41,6 +47,8 @@
     random what they know of every zone, and pass it on to the gateways of their own.
 
     :param platform_ok: whether the platform answered this process's last call.
+    :param trouble: ejected and leaving workers of this zone, for the other zones' controllers.
+    :param is_drained: whether callers go elsewhere, and this process holds none any more.
     """
 
     def __init__(
@@ -51,6 +59,8 @@
         roster: RosterView,
         metrics: Metrics,
         platform_ok: Callable[[], bool] = lambda: False,
+        trouble: Callable[[], Trouble] = _no_trouble,
+        is_drained: Callable[[], bool] = lambda: False,
     ) -> None:
         self._settings = settings
         self._node = node
@@ -58,6 +68,8 @@
         self._roster = roster
         self._metrics = metrics
         self._platform_ok = platform_ok
+        self._trouble = trouble
+        self._is_drained = is_drained
         self._random = random.Random(f"{roster.me.process}/{roster.me.incarnation}")
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="heartbeats", daemon=True)
@@ -136,13 +148,25 @@
 
     def _heartbeat(self) -> Heartbeat:
         health = self._health() if self._roster.me.role is Role.CONTROLLER else ()
-        return Heartbeat(self._roster.me, self._mirror.complete_to, self._platform_ok(), health)
+        return Heartbeat(
+            self._roster.me,
+            self._mirror.complete_to,
+            self._platform_ok(),
+            self._is_drained(),
+            health,
+        )
 
     def _health(self) -> tuple[ZoneHealth, ...]:
         now = time.monotonic()
         others = [
             ZoneHealth(
-                news.zone, round(now - news.at, 2), tuple(sorted(news.suspects)), news.complete_to
+                news.zone,
+                round(now - news.at, 2),
+                tuple(sorted(news.suspects)),
+                news.complete_to,
+                tuple(sorted(news.drained)),
+                tuple(sorted(news.ejected)),
+                tuple(sorted(news.leaving)),
             )
             for news in self._roster.news()
         ]
@@ -157,7 +181,16 @@
         heard = {one.member.process: one.complete_to for one in self._roster.heard()}
         heard[self._roster.me.process] = self._mirror.complete_to
         least = min(heard.get(process, Revision(0)) for process in alive)
-        return ZoneHealth(zone, 0.0, tuple(suspects), least)
+        ejected, leaving = self._trouble()
+        return ZoneHealth(
+            zone,
+            0.0,
+            tuple(suspects),
+            least,
+            tuple(one.member.process for one in self._roster.heard() if one.drained),
+            tuple(sorted(ejected)),
+            tuple(sorted(leaving)),
+        )
 
     def _registered(self, zone: ZoneId) -> tuple[Member, ...]:
         return self._roster.registered_in(zone)
@@ -186,7 +219,7 @@
     def _heard(self, batch: Batch, message: Heartbeat) -> None:
         member = message.member
         first = all(one.member != member for one in self._roster.heard())
-        if not self._roster.hear(member, message.complete_to, message.platform):
+        if not self._roster.hear(member, message.complete_to, message.platform, message.drained):
             self._metrics.incr("membership.stale_heartbeats")
             return
         if first:
@@ -199,7 +232,15 @@
     def _hear_zones(self, health: tuple[ZoneHealth, ...]) -> None:
         now = time.monotonic()
         self._roster.hear_zones(
-            ZoneNews(one.zone, now - one.age_s, frozenset(one.suspects), one.complete_to)
+            ZoneNews(
+                one.zone,
+                now - one.age_s,
+                frozenset(one.suspects),
+                one.complete_to,
+                frozenset(one.drained),
+                frozenset(one.ejected),
+                frozenset(one.leaving),
+            )
             for one in health
         )
 
