--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -11,7 +11,9 @@
 from lentilrill.fleet._census import Memory
 from lentilrill.fleet._planner import plan
 from lentilrill.ids import PoolId
-from lentilrill.settings import Objective
+from lentilrill.settings import Document, Objective
+from tests.builders import a_plan, a_pool
+from tests.fleet.world import World
 
 __all__ = ["main"]
 
@@ -88,9 +90,33 @@
         show("pool_record", record, "bytes", **more)
 
 
+def calls() -> None:
+    """Show the calls of all controllers together, at rest and while the document changes."""
+    for zones, racks, edits in ((3, 3, 0), (11, 3, 0), (3, 30, 0), (3, 3, 60)):
+        names = tuple(f"z{n:02d}" for n in range(zones))
+        world = World(Document((a_plan(),), (a_pool(spare=True),)), names)
+        for n in range(zones * racks * 4):
+            world.host(f"h{n}", zone=names[n % zones], rack=f"r{n // 4}")
+        for zone in names:
+            for n in range(2):
+                world.controller(f"{zone}-{n}", zone)
+        world.run(20)
+        lists = sum(c.hosts.calls for c in world.controllers)
+        commits = world.kv.calls.total()
+        for n in range(60):
+            if n < edits:
+                world.change(plans=(a_plan(token_sha256=f"{n:064x}"),))
+            world.run()
+        lists = sum(c.hosts.calls for c in world.controllers) - lists
+        more = {"zones": zones, "hosts": zones * racks * 4, "edits_a_minute": edits}
+        show("list_reads", lists / 60, "1/s", **more)
+        show("key_value_calls", (world.kv.calls.total() - commits) / 60, "1/s", **more)
+
+
 def main() -> None:
     """Run all parts."""
     cost()
+    calls()
     for site in (*SITES, ROUGH, TARGET):
         rounds(site)
 
--- a/src/lentilrill/fleet/_census.py
+++ b/src/lentilrill/fleet/_census.py
@@ -47,7 +47,7 @@
         self.excess_since: dict[PoolId, float] = {}
         self.missing_since: dict[HostId, float] = {}
 
-    def keep(self, times: dict, key: str, holds: bool, now: float) -> float:
+    def keep(self, times: dict[PoolId, float], key: PoolId, holds: bool, now: float) -> float:
         """Note whether something holds of ``key`` now.
 
         :return: seconds for which it has held without a break; 0 if it does not hold.
@@ -222,9 +222,11 @@
                     self.doubled.append(entry.id)
                 self.tally_by_host[entry.id] = tally
                 self._count_host(tally, entry)
-                if entry.phase is HostPhase.WITHDRAWING and entry.target is not None:
+                if entry.target is not None:
                     targets[entry.target] += 1
-                stop_times.extend(d.returned - d.proposed for d in entry.done)
+                if entry.done:
+                    stop_times.extend(d.returned - d.proposed for d in entry.done)
+            tally.hosts_by_standing = Counter(tally.standing_by_id.values())
         for target, count in targets.items():
             if target in self.tallies_by_pool:
                 self.tallies_by_pool[target].incoming = count
@@ -234,25 +236,33 @@
             del self.memory.missing_since[host]
 
     def _count_host(self, tally: Tally, entry: HostEntry) -> None:
+        # Runs for every host at every look; most serve and are named by no stop.
+        host = entry.id
         standing = self._standing(entry)
-        tally.entries_by_id[entry.id] = entry
-        tally.stand(entry.id, standing)
-        retiring = any(s.retire for s in self.stops_by_host.get(entry.id, ()))
+        tally.entries_by_id[host] = entry
+        tally.standing_by_id[host] = standing
         if standing is Standing.AVAILABLE:
-            tally.lasting += 0 if retiring else 1
+            tally.available_by_zone[entry.zone] += 1
+            tally.lasting += 1
         elif standing in (Standing.WITHDRAWING, Standing.STOPPED):
-            tally.lasting += 1 if self._comes_back(entry) else 0
-        if entry.phase is HostPhase.SERVING and self.pending_stop(entry) is not None:
-            tally.pending_stops += 1
+            tally.lasting += self._comes_back(entry)
+        stops = self.stops_by_host.get(host)
+        if stops is None or entry.phase is not HostPhase.SERVING:
+            return
+        tally.pending_stops += self.pending_stop(entry) is not None
+        if standing is Standing.AVAILABLE and any(stop.retire for stop in stops):
+            tally.lasting -= 1
 
     def _standing(self, entry: HostEntry) -> Standing:
         info = self.infos_by_id.get(entry.id)
-        missing = info is None
-        self.memory.keep(self.memory.missing_since, entry.id, missing, self.sight.listing.as_of)
-        if entry.phase is HostPhase.WITHDRAWING:
-            return Standing.WITHDRAWING
-        if entry.phase is HostPhase.STOPPED:
-            return Standing.STOPPED
+        missing_since = self.memory.missing_since
+        if info is None:
+            missing_since.setdefault(entry.id, self.sight.listing.as_of)
+        elif missing_since:
+            missing_since.pop(entry.id, None)
+        if entry.phase is not HostPhase.SERVING:
+            stopped = entry.phase is HostPhase.STOPPED
+            return Standing.STOPPED if stopped else Standing.WITHDRAWING
         if info is None:
             return Standing.FAILED
         if leaves(entry, info) or entry.id in self.sight.leaving:
@@ -266,16 +276,15 @@
         return stop is None or not stop.retire
 
     def _find_cut_zones(self) -> frozenset[ZoneId]:
-        hosts: Counter[ZoneId] = Counter()
         missing: Counter[ZoneId] = Counter()
-        for tally in self.tallies_by_pool.values():
-            for entry in tally.entries_by_id.values():
-                if entry.phase is HostPhase.STOPPED:
-                    continue
-                hosts[entry.zone] += 1
-                missing[entry.zone] += entry.id not in self.infos_by_id
+        for host in self.memory.missing_since:
+            entry = self.tally_by_host[host].entries_by_id[host]
+            missing[entry.zone] += entry.phase is not HostPhase.STOPPED
+        listed = Counter(info.zone for info in self.infos_by_id.values()) if missing else missing
         return frozenset(
-            zone for zone, count in hosts.items() if missing[zone] > MISSING_ZONE_SHARE * count
+            zone
+            for zone, count in missing.items()
+            if count > MISSING_ZONE_SHARE * (count + listed[zone])
         )
 
 
--- a/src/lentilrill/fleet/_planner.py
+++ b/src/lentilrill/fleet/_planner.py
@@ -46,11 +46,12 @@
 
     A second count, from the start and without regard to how the planner came to its actions.
     """
-    census = Census(sight, Memory())
     over: dict[HostId, PoolId] = {}
-    for action in actions:
-        if not isinstance(action, Withdraw):
-            continue
+    withdrawals = [action for action in actions if isinstance(action, Withdraw)]
+    if not withdrawals:
+        return over
+    census = Census(sight, Memory())
+    for action in withdrawals:
         tally = census.tallies_by_pool[action.pool]
         if not tally.available(action.host):
             continue
--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -200,7 +200,8 @@
         if not fresh:
             # An old list hides failures, which spend budget: begin nothing by it.
             actions = [a for a in actions if isinstance(a, Close | Return)]
-        zones_by_host = {host: entry.zone for host, (_, entry) in self._view.hosts_by_id.items()}
+        hosts = self._view.hosts_by_id
+        zones_by_host = {a.host: hosts[a.host][1].zone for a in actions if a.host in hosts}
         mine = self._turns.mine(actions, zones_by_host, self._clock())
         if self._create_pools(decision, basis):
             self._write(mine, basis)
--- a/src/lentilrill/fleet/_upkeep.py
+++ b/src/lentilrill/fleet/_upkeep.py
@@ -17,6 +17,8 @@
     What is given back is decided before anything is closed, as a released host can't be.
     """
     for tally in census.tallies_by_pool.values():
+        if tally.hosts_by_standing[Standing.AVAILABLE] == len(tally.entries_by_id):
+            continue
         for host, standing in list(tally.standing_by_id.items()):
             step = _STEPS.get(standing)
             action = step(census, tally, tally.entries_by_id[host]) if step else None
