--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -8,6 +8,7 @@
 
 from bench._fleet_optimum import naive_moves, optimum
 from bench._fleet_sim import Fleet, Site
+from lentilrill.fleet import PoolRecord
 from lentilrill.fleet._census import Memory
 from lentilrill.fleet._planner import plan
 from lentilrill.ids import PoolId
@@ -75,19 +76,28 @@
         sight, memory = run.sight(), Memory()
         plan(sight, memory)
         times = []
-        for _ in range(5):
-            started = time.process_time()
+        for _ in range(15):
+            started = time.thread_time()
             plan(sight, memory)
-            times.append(time.process_time() - started)
+            times.append(time.thread_time() - started)
         tracemalloc.start()
         decision = plan(sight, memory)
         peak = tracemalloc.get_traced_memory()[1]
         tracemalloc.stop()
-        record = max(len(msgspec.json.encode(r)) for r, _ in run.records.values())
+        encoded = [msgspec.json.encode(record) for record, _ in run.records.values()]
+        tracemalloc.start()
+        kept = [msgspec.json.decode(record, type=PoolRecord) for record in encoded]
+        held = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        listing = len(msgspec.json.encode(sight.listing))
         more = {"pools": pools, "hosts": pools * hosts, "actions": len(decision.actions)}
-        show("look", sorted(times)[2] * 1000, "ms", **more)
+        show("look_least", min(times) * 1000, "ms", **more)
+        show("look_median", sorted(times)[7] * 1000, "ms", **more)
         show("look_memory", peak / 1e6, "MB", **more)
-        show("pool_record", record, "bytes", **more)
+        show("records_memory", held / 1e6, "MB", records=len(kept), **more)
+        show("pool_record_largest", max(map(len, encoded)), "bytes", **more)
+        show("pool_records", sum(map(len, encoded)), "bytes", **more)
+        show("host_list", listing, "bytes", **more)
 
 
 def calls() -> None:
