Fleet: retire as many hosts as can be spared; records of removed pools go

Cause: hosts to be retired were all left out of what the pool keeps, so a stop of three waited although two could go. A removed pool's empty record stayed for good. Run: pytest tests/fleet, 39 passed; both tests failed before the change (first: 4 hosts left of 2; second: the record stayed).

--- a/src/lentilrill/fleet/_census.py
+++ b/src/lentilrill/fleet/_census.py
@@ -81,6 +81,7 @@
     """One pool's hosts, counted. Planned actions change the counts as they are decided.
 
     :ivar returning: hosts called back in this look, which are left alone for the rest of it.
+    :ivar retiring: hosts that serve, and are to be retired.
     :ivar lasting: hosts that serve, or will again after a planned stop; no others.
     :ivar incoming: hosts that are being withdrawn from other pools for this one.
     """
@@ -94,6 +95,7 @@
         self.hosts_by_standing: Counter[Standing] = Counter()
         self.available_by_zone: Counter[ZoneId] = Counter()
         self.returning: set[HostId] = set()
+        self.retiring: set[HostId] = set()
         self.lasting = 0
         self.incoming = 0
         self.pending_stops = 0
@@ -160,7 +162,9 @@
 
         :param lasts: whether it will serve in this pool again.
         """
-        if self.available(host) and not lasts:
+        if host in self.retiring:
+            self.retiring.remove(host)
+        elif self.available(host) and not lasts:
             self.lasting -= 1
         self.stand(host, Standing.WITHDRAWING)
 
@@ -252,6 +256,7 @@
         tally.pending_stops += self.pending_stop(entry) is not None
         if standing is Standing.AVAILABLE and any(stop.retire for stop in stops):
             tally.lasting -= 1
+            tally.retiring.add(host)
 
     def _standing(self, entry: HostEntry) -> Standing:
         info = self.infos_by_id.get(entry.id)
--- a/src/lentilrill/fleet/_ledger.py
+++ b/src/lentilrill/fleet/_ledger.py
@@ -69,6 +69,23 @@
         records = {pool: PoolRecord(pool) for pool in missing}
         return self._write(basis, records, frozenset(), {})
 
+    def remove(self, pool: PoolId, basis: Basis) -> Result[None, Fault]:
+        """Delete the record of a pool that the document no longer names; it must be empty."""
+        record, revision = basis.records[pool]
+        if record.hosts:
+            reason = f"{len(record.hosts)} hosts still stand in it"
+            return Failure(Fault(STEP, "", FaultKind.REFUSED, reason))
+        key = pool_key(pool)
+        compares = (Compare(DOCUMENT_KEY, basis.document_revision), Compare(key, revision))
+        answer = self._kv.commit(compares, (DeleteRange(key),))
+        if isinstance(answer, Failure):
+            return Failure(answer.failure())
+        if not answer.unwrap().succeeded:
+            return Failure(Fault(STEP, "", FaultKind.CONFLICT, "a record has moved"))
+        del basis.records[pool]
+        self._mirror.offer((Item(key, None, answer.unwrap().revision),))
+        return Success(None)
+
     def apply(self, pool: PoolId, actions: list[Action], basis: Basis) -> Result[None, Fault]:
         """Write all ``actions`` of one pool, which are no moves to another pool."""
         record = basis.records[pool][0]
--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -205,6 +205,7 @@
         mine = self._turns.mine(actions, zones_by_host, self._clock())
         if self._create_pools(decision, basis):
             self._write(mine, basis)
+            self._remove_pools(decision, basis)
 
     def _decide(self) -> tuple[Decision, Basis]:
         view = self._view
@@ -256,6 +257,14 @@
             log(Event.FLEET_WRITE_FAILED, fault=answer.failure(), pools=len(missing))
         return not isinstance(answer, Failure)
 
+    def _remove_pools(self, decision: Decision, basis: Basis) -> None:
+        declared = decision.census.sight.document.pools_by_id()
+        for pool, (record, _) in list(basis.records.items()):
+            if pool not in declared and not record.hosts:
+                answer = self._ledger.remove(pool, basis)
+                if isinstance(answer, Failure):
+                    log(Event.FLEET_WRITE_FAILED, fault=answer.failure(), pool=pool)
+
     def _write(self, actions: list[Action], basis: Basis) -> None:
         """Write each pool's actions in one transaction, then each pair of pools' moves."""
         steps_by_pool: dict[PoolId, list[Action]] = {}
--- a/src/lentilrill/fleet/_waves.py
+++ b/src/lentilrill/fleet/_waves.py
@@ -89,11 +89,10 @@
 
 def _refusal(tally: Tally, entry: HostEntry, stop: PlannedStop) -> str:
     """Return why a host can't be withdrawn for a stop now; empty if it can."""
-    if stop.retire and tally.lasting < tally.promise.owed:
-        return (
-            f"retiring needs a replacement: the pool would keep {tally.lasting}"
-            f" of the {tally.promise.owed} hosts owed"
-        )
+    kept = tally.lasting + len(tally.retiring - {entry.id})
+    if stop.retire and kept < tally.promise.owed:
+        owed = tally.promise.owed
+        return f"retiring needs a replacement: the pool would keep {kept} of the {owed} hosts owed"
     if not tally.available(entry.id):
         return ""
     slack = tally.slack(entry.zone)
--- a/tests/fleet/test_budgets.py
+++ b/tests/fleet/test_budgets.py
@@ -174,6 +174,12 @@
         reason = world.controllers[0].task.look().stops[0].waits[0].reason
         self.assertIn("would keep 1 of the 2 hosts owed", reason)
 
+    def test_as_many_are_retired_as_can_be_spared(self) -> None:
+        world = a_world(2, 1, 4)
+        world.change(stops=(a_stop(["h0", "h1", "h2"], retire=True),))
+        world.run(6)
+        self.assertEqual(2, len(world.entries("ballots")))
+
 
 class MovesTest(TestCase):
     def test_a_flapping_list_moves_nothing(self) -> None:
@@ -209,6 +215,13 @@
             world.run(30)
             self.assertEqual(hosts, len(world.entries("ballots")), buffer_weight)
 
+    def test_a_pool_that_is_removed_gives_its_hosts_back(self) -> None:
+        world = a_world(2, 1, 2, spare=2)
+        world.change(plans=(), pools=(a_pool("desk", spare=True),))
+        world.run(60)
+        self.assertEqual({"desk"}, set(world.records()))
+        self.assertEqual(4, len(world.entries("desk")))
+
     def test_calls_follow_pools_and_not_hosts(self) -> None:
         calls = []
         for hosts in (20, 200):
