Fleet: the document's revision is read before the document; large files split

Cause: a look read the document, then its revision; a newer document in between let the older one's actions pass under the newer revision. The marker of what was seen held ids of objects, which are used again; it holds the objects now. Tally, troubles and the host list's reader have modules of their own.

--- a/src/lentilrill/fleet/_lending.py
+++ b/src/lentilrill/fleet/_lending.py
@@ -4,8 +4,9 @@
 from collections.abc import Iterator
 
 from lentilrill.fleet._actions import Action, Assign, Withdraw
-from lentilrill.fleet._census import Census, Tally, fits
+from lentilrill.fleet._census import Census, fits
 from lentilrill.fleet._records import HostEntry
+from lentilrill.fleet._tally import Tally
 from lentilrill.ids import RackId, ZoneId
 from lentilrill.platform import HostInfo, HostState
 from lentilrill.settings import Objective
--- /dev/null
+++ b/src/lentilrill/fleet/_listing.py
@@ -0,0 +1,48 @@
+"""The platform's host list, read no more often than a node's traffic allows."""
+
+from returns.result import Failure
+
+from lentilrill.platform import HostList, HostListing
+from lentilrill.settings import ControllerSettings
+from lentilrill.telemetry import Event, log
+
+__all__ = ["ListReader"]
+
+LIST_BYTES_PER_HOST = 150
+LIST_BYTES_PER_S = 16_000
+"""Part of a node's 24 KB/s that reading the host list may take; it sets the period."""
+
+
+class ListReader:
+    """Keeps the newest host list. All times are seconds since the epoch."""
+
+    def __init__(self, hosts: HostList, settings: ControllerSettings) -> None:
+        self._hosts = hosts
+        self._settings = settings
+        self._listing: HostListing | None = None
+        self._due = 0.0
+
+    @property
+    def period_s(self) -> float:
+        """Seconds between two reads, for a list of this length."""
+        hosts = len(self._listing.hosts) if self._listing is not None else 0
+        return max(self._settings.plan_every_s, hosts * LIST_BYTES_PER_HOST / LIST_BYTES_PER_S)
+
+    def read(self, now: float) -> HostListing | None:
+        """Return the newest list, read anew when that is due; ``None`` before the first."""
+        if now >= self._due:
+            answer = self._hosts.hosts()
+            if isinstance(answer, Failure):
+                self._due = now + self._settings.plan_every_s
+                log(Event.PLATFORM_CALL_FAILED, fault=answer.failure())
+            else:
+                self._listing = answer.unwrap()
+                self._due = now + self.period_s
+        return self._listing
+
+    def fresh(self, now: float) -> bool:
+        """Return whether the list in hand is new enough to propose anything by."""
+        if self._listing is None:
+            return False
+        tolerated = 3 * self._settings.host_list_lag_s + 2 * self.period_s
+        return now - self._listing.as_of <= tolerated
--- a/src/lentilrill/fleet/_report.py
+++ b/src/lentilrill/fleet/_report.py
@@ -5,9 +5,10 @@
 
 import msgspec
 
-from lentilrill.fleet._census import Census, Standing, Tally
+from lentilrill.fleet._census import Census
 from lentilrill.fleet._planner import Decision
 from lentilrill.fleet._records import DoneStop, HostEntry, HostPhase
+from lentilrill.fleet._tally import Standing, Tally
 from lentilrill.fleet._waves import Waiting, expected_s
 from lentilrill.ids import EntryHostId, HostId, PoolId, StopId
 from lentilrill.platform import HostKind, HostListing
--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-import msgspec
 from returns.result import Failure
 
 from lentilrill.faults import FaultKind
@@ -15,9 +14,11 @@
 from lentilrill.fleet._actions import Action, Assign, Close, Drop, Return, Withdraw
 from lentilrill.fleet._census import Memory, Sight
 from lentilrill.fleet._ledger import Basis, Ledger
+from lentilrill.fleet._listing import ListReader
 from lentilrill.fleet._planner import Decision, overspending, plan
 from lentilrill.fleet._records import HostPhase
 from lentilrill.fleet._report import FleetReport, report
+from lentilrill.fleet._troubles import Troubles
 from lentilrill.fleet._turns import Turns
 from lentilrill.fleet._view import FleetView
 from lentilrill.ids import HostId, PoolId, StopId
@@ -29,16 +30,11 @@
 
 __all__ = ["FleetTask"]
 
-LIST_BYTES_PER_HOST = 150
-LIST_BYTES_PER_S = 16_000
-"""Part of a node's 24 KB/s that reading the host list may take; it sets the period."""
 LOOK_EVERY_S = 5.0
 """Time between two looks while nothing has changed, for what follows from time alone."""
 CORE_SHARE = 0.01
 """Part of a core that looking may take; news that comes faster is looked at together."""
 SHORTEST_PAUSE_S = 0.05
-TROUBLE_LASTS_S = 10.0
-"""A gateway repeats its troubles; one that fell silent says nothing about hosts any more."""
 
 _EVENTS: dict[type, Event] = {
     Assign: Event.HOST_ASSIGNED,
@@ -56,13 +52,6 @@
         """Call ``handler`` for each received message of a type."""
 
 
-class _Trouble(msgspec.Struct, frozen=True):
-    """What a gateway last said of hosts, and until when it counts."""
-
-    message: HostTrouble
-    until: float
-
-
 class FleetTask:
     """Keeps pools as the document wants them, one look at a time.
 
@@ -83,7 +72,6 @@
         metrics: Metrics,
         clock: Callable[[], float] = time.time,
     ) -> None:
-        self._hosts = hosts
         self._view = view
         self._roster = roster
         self._settings = settings
@@ -93,11 +81,9 @@
         self._acks = Acknowledgements()
         self._turns = Turns(roster)
         self._memory = Memory()
-        self._troubles: dict[tuple[str, int], _Trouble] = {}
-        self._lock = threading.Lock()
+        self._troubles = Troubles(roster)
         self._round_lock = threading.Lock()
-        self._listing: HostListing | None = None
-        self._list_due = 0.0
+        self._list = ListReader(hosts, settings)
         self._seen: tuple = ()
         self._look_due = 0.0
         self._reasons: dict[tuple[StopId, PoolId], str] = {}
@@ -130,17 +116,16 @@
         if not self._view.ready or not self._turns.takes_part():
             return
         with self._round_lock:
-            fresh = self._read_list()
-            if self._listing is None or not self._look_is_due():
-                return
-            self._act(fresh)
+            listing = self._list.read(self._clock())
+            if listing is not None and self._look_is_due(listing):
+                self._act(listing)
 
     def look(self) -> FleetReport:
         """Return the fleet as of now, also from a process that does not act on it."""
         with self._round_lock:
-            self._read_list()
-            if self._view.ready and self._listing is not None:
-                self._decide()
+            listing = self._list.read(self._clock())
+            if self._view.ready and listing is not None:
+                self._decide(listing)
         return self._report
 
     def _run(self) -> None:
@@ -155,38 +140,15 @@
             self._stopping.wait(max(SHORTEST_PAUSE_S, spent / CORE_SHARE))
             self._wake.wait(self._settings.plan_every_s * random.uniform(0.8, 1.2))
 
-    def _read_list(self) -> bool:
-        """Read the host list when it is due.
-
-        :return: whether the list in hand is new enough to propose anything by.
-        """
-        now = self._clock()
-        if now >= self._list_due:
-            answer = self._hosts.hosts()
-            if isinstance(answer, Failure):
-                self._list_due = now + self._settings.plan_every_s
-                log(Event.PLATFORM_CALL_FAILED, fault=answer.failure())
-            else:
-                self._listing = answer.unwrap()
-                self._list_due = now + self._list_period_s()
-        if self._listing is None:
-            return False
-        tolerated = 3 * self._settings.host_list_lag_s + 2 * self._list_period_s()
-        return now - self._listing.as_of <= tolerated
-
-    def _list_period_s(self) -> float:
-        hosts = len(self._listing.hosts) if self._listing is not None else 0
-        return max(self._settings.plan_every_s, hosts * LIST_BYTES_PER_HOST / LIST_BYTES_PER_S)
-
-    def _look_is_due(self) -> bool:
+    def _look_is_due(self, listing: HostListing) -> bool:
         now = self._clock()
         seen = (
             self._view.mirror.complete_to,
             self._view.document_revision,
-            id(self._view.pools_by_id),
-            id(self._listing),
+            self._view.pools_by_id,
+            listing,
             self._acks.changes,
-            self._trouble(now),
+            self._troubles.everywhere(now),
         )
         if seen == self._seen and now < self._look_due:
             return False
@@ -194,10 +156,10 @@
         self._look_due = now + LOOK_EVERY_S
         return True
 
-    def _act(self, fresh: bool) -> None:
-        decision, basis = self._decide()
+    def _act(self, listing: HostListing) -> None:
+        decision, basis = self._decide(listing)
         actions = self._checked(decision)
-        if not fresh:
+        if not self._list.fresh(self._clock()):
             # An old list hides failures, which spend budget: begin nothing by it.
             actions = [a for a in actions if isinstance(a, Close | Return)]
         hosts = self._view.hosts_by_id
@@ -207,17 +169,19 @@
             self._write(mine, basis)
             self._remove_pools(decision, basis)
 
-    def _decide(self) -> tuple[Decision, Basis]:
+    def _decide(self, listing: HostListing) -> tuple[Decision, Basis]:
         view = self._view
-        document, document_revision = view.document, view.document_revision
+        # The revision first: if a newer document comes in between, the comparison fails. The
+        # other way round, actions of the older one would be written under the newer revision.
+        document_revision = view.document_revision
+        document = view.document
         records, zones = view.pools_by_id, view.zones_by_id
         now = self._clock()
-        assert self._listing is not None
         pool_records = {pool: record for pool, (record, _) in records.items()}
         zone_records = {zone: record for zone, (record, _) in zones.items()}
         closable, unacknowledged = self._acks.closable(pool_records.values(), zone_records)
-        ejected, leaving = self._trouble(now)
-        sight = Sight(document, pool_records, self._listing, now, ejected, leaving, closable)
+        ejected, leaving = self._troubles.everywhere(now)
+        sight = Sight(document, pool_records, listing, now, ejected, leaving, closable)
         decision = plan(sight, self._memory)
         self._report = report(decision, unacknowledged)
         self._tell_waiting(decision)
@@ -307,28 +271,9 @@
                 log(Event.STOP_WAITS, stop=stop, pool=pool, reason=reason)
         self._reasons = reasons
 
-    def _trouble(self, now: float) -> tuple[frozenset[HostId], frozenset[HostId]]:
-        """Return the hosts of all zones that are ejected, and those that said they leave.
-
-        Guard against a budget spent twice: a host that fails its jobs, but is listed as live,
-        is away as much as a stopped one. Its own zone's controllers alone are told of it by
-        gateways; the controller that acts on the pool may be another zone's.
-        """
-        ejected, leaving = self.zone_trouble(now)
-        for news in self._roster.news():
-            if time.monotonic() - news.at <= TROUBLE_LASTS_S:
-                ejected, leaving = ejected | news.ejected, leaving | news.leaving
-        return ejected, leaving
-
     def zone_trouble(self, now: float) -> tuple[frozenset[HostId], frozenset[HostId]]:
         """Return what gateways of this zone told of their hosts: ejected, and leaving ones."""
-        with self._lock:
-            for sender in [s for s, t in self._troubles.items() if t.until < now]:
-                del self._troubles[sender]
-            messages = [trouble.message for trouble in self._troubles.values()]
-        ejected = frozenset(host for message in messages for host in message.ejected)
-        leaving = frozenset(host for message in messages for host in message.leaving)
-        return ejected, leaving
+        return self._troubles.of_zone(now)
 
     def _on_ack(self, batch: Batch, ack: WithdrawalAck) -> None:
         if not _is_sender(batch, ack.member):
@@ -344,11 +289,8 @@
             self._wake.set()
 
     def _on_trouble(self, batch: Batch, trouble: HostTrouble) -> None:
-        if not _is_sender(batch, trouble.member):
-            return
-        sender = (trouble.member.process, trouble.member.incarnation)
-        with self._lock:
-            self._troubles[sender] = _Trouble(trouble, self._clock() + TROUBLE_LASTS_S)
+        if _is_sender(batch, trouble.member):
+            self._troubles.note(trouble, self._clock())
 
 
 def _is_sender(batch: Batch, member: Member) -> bool:
--- a/src/lentilrill/fleet/_upkeep.py
+++ b/src/lentilrill/fleet/_upkeep.py
@@ -3,8 +3,9 @@
 from collections.abc import Iterator
 
 from lentilrill.fleet._actions import Action, Close, Drop, Return, Withdraw
-from lentilrill.fleet._census import Census, Standing, Tally, leaves
+from lentilrill.fleet._census import Census, leaves
 from lentilrill.fleet._records import HostEntry, HostPhase
+from lentilrill.fleet._tally import Standing, Tally
 from lentilrill.ids import PoolId
 from lentilrill.platform import HostState
 
--- a/src/lentilrill/fleet/_waves.py
+++ b/src/lentilrill/fleet/_waves.py
@@ -6,8 +6,9 @@
 import msgspec
 
 from lentilrill.fleet._actions import Withdraw
-from lentilrill.fleet._census import Census, Standing, Tally
+from lentilrill.fleet._census import Census
 from lentilrill.fleet._records import HostEntry, HostPhase
+from lentilrill.fleet._tally import Standing, Tally
 from lentilrill.ids import PoolId, StopId
 from lentilrill.settings import PlannedStop
 
--- a/tests/fleet/test_budgets.py
+++ b/tests/fleet/test_budgets.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Success
 from testtools import TestCase
 
-from lentilrill.fleet import HostPhase, StopState
+from lentilrill.fleet import FleetView, HostPhase, StopState
 from lentilrill.fleet._actions import Withdraw
 from lentilrill.fleet._ledger import Basis, Ledger
 from lentilrill.ids import HostId, PoolId, Revision, StopId, ZoneId
@@ -64,6 +64,31 @@
         world.run(3)
         self.assertEqual(0, world.metrics.counts["fleet.withdraw"])
 
+    def test_a_promise_that_grows_as_a_controller_looks(self) -> None:
+        # The same, a moment earlier: the newer document arrives between the look at the
+        # document and the look at its revision.
+        world = a_world(2, 1, 2)
+        world.change(stops=(a_stop(["h0"]),))
+        world.sync()
+        strict = a_plan("ballots", hosts_owed=2, availability_budget=0)
+        news = [lambda: world.change(plans=(strict,)), world.sync]
+
+        class Racing(FleetView):
+            def _read(self, value: object) -> object:
+                while news:
+                    news.pop(0)()
+                return value
+
+            document = property(lambda self: self._read(self._document))
+            document_revision = property(lambda self: self._read(self._document_revision))
+
+        controller = world.controllers[0]
+        controller.task._look_is_due = lambda listing: True
+        controller.view.__class__ = Racing
+        world.now += 1
+        controller.task.round()
+        self.assertEqual(0, out(world))
+
     def test_a_wave_leaves_room_for_a_failure(self) -> None:
         world = a_world(6, 3, 6)
         world.change(stops=(a_stop(world.entries("ballots")),))
