Fleet: a host that a stop still names is not forgotten

Cause: a host that had been through a stop, then failed for longer than it may be missing, was dropped and taken in anew without its memory of the stop, and was stopped a second time. The test was seen failing before.

--- a/src/lentilrill/fleet/_upkeep.py
+++ b/src/lentilrill/fleet/_upkeep.py
@@ -67,7 +67,9 @@
         return Drop(entry.id, tally.pool, f"retired by stop {stop.id}")
     info = census.infos_by_id.get(entry.id)
     if info is None:
-        if stop is None and census.gone(entry.id, entry.zone):
+        # A host that a stop still names is kept: dropped and taken in again, it would have
+        # forgotten that it went through the stop, and be stopped a second time.
+        if entry.id not in census.stops_by_host and census.gone(entry.id, entry.zone):
             return Drop(entry.id, tally.pool, "gone from the host list")
         return None
     if info.zone != entry.zone:
--- a/tests/fleet/test_withdrawal.py
+++ b/tests/fleet/test_withdrawal.py
@@ -206,3 +206,16 @@
         self.assertEqual(HostPhase.WITHDRAWING, self.phase())
         self.world.run(3, step_s=100)
         self.assertNotIn("h1", self.world.entries("ballots"))
+
+    def test_a_host_that_was_gone_is_not_stopped_again(self) -> None:
+        # A planned stop seems to last for days: a host that was through it failed, was given up
+        # and taken in again as new, and was stopped a second time.
+        self.propose()
+        self.world.run(2)
+        self.world.reboot("h1")
+        self.world.run(2)
+        info = self.world.hosts.infos_by_id.pop("h1")
+        self.world.run(30, step_s=100)
+        self.world.hosts.add(info)
+        self.world.run(5)
+        self.assertEqual(HostPhase.SERVING, self.phase())
