Gossip: a head vouches as soon as it has heard every registered member

Cause: two zones that start together knew nothing of each other for 4 s, since a head gave its word only after the time of suspicion; meanwhile both zones' gateways took the shards of keys from each other, and a repeated keyed job was answered in progress or refused (honest, but needless).

--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -153,9 +153,12 @@
 
     @property
     def _knows_zone(self) -> bool:
-        """Whether this process was a head for long enough to have heard every living member."""
+        """Whether this process is a head that has heard every living member, or had the time to."""
         since = self._head_since
-        return since is not None and time.monotonic() - since > self._settings.suspect_after_s
+        if since is None:
+            return False
+        had_time = time.monotonic() - since > self._settings.suspect_after_s
+        return had_time or not self._roster.silent()
 
     def _tell_other_zones(self) -> None:
         if self._roster.me not in self._roster.heads():
