--- a/src/lentilrill/fleet/_waves.py
+++ b/src/lentilrill/fleet/_waves.py
@@ -6,8 +6,9 @@
 import msgspec
 
 from lentilrill.fleet._actions import Withdraw
-from lentilrill.fleet._census import Census, Standing, Tally
+from lentilrill.fleet._census import Census
 from lentilrill.fleet._records import HostEntry, HostPhase
+from lentilrill.fleet._tally import Standing, Tally
 from lentilrill.ids import PoolId, StopId
 from lentilrill.settings import PlannedStop
 
@@ -89,11 +90,10 @@
 
 def _refusal(tally: Tally, entry: HostEntry, stop: PlannedStop) -> str:
     """Return why a host can't be withdrawn for a stop now; empty if it can."""
-    if stop.retire and tally.lasting < tally.promise.owed:
-        return (
-            f"retiring needs a replacement: the pool would keep {tally.lasting}"
-            f" of the {tally.promise.owed} hosts owed"
-        )
+    kept = tally.lasting + len(tally.retiring - {entry.id})
+    if stop.retire and kept < tally.promise.owed:
+        owed = tally.promise.owed
+        return f"retiring needs a replacement: the pool would keep {kept} of the {owed} hosts owed"
     if not tally.available(entry.id):
         return ""
     slack = tally.slack(entry.zone)
