--- a/src/lentilrill/inner/_codec.py
+++ b/src/lentilrill/inner/_codec.py
@@ -1,5 +1,7 @@
 """One batch of messages on the wire, in MessagePack."""
 
+import zlib
+
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -11,6 +13,9 @@
 
 MAX_BATCH_BYTES = 16 * 1024 * 1024
 """Larger than the whole state of the largest fleet; a longer batch is dropped unread."""
+COMPRESS_FROM_BYTES = 1024
+COMPRESSION_LEVEL = 1
+PLAIN, COMPRESSED = b"\x00", b"\x01"
 
 Message = (
     _state.Heartbeat
@@ -52,13 +57,40 @@
 
 
 def encode(batch: Batch) -> bytes:
-    """Return ``batch`` as bytes."""
-    return _ENCODER.encode(batch)
+    """Return ``batch`` as bytes: a byte that tells the form, then the form's data."""
+    data = _ENCODER.encode(batch)
+    if len(data) < COMPRESS_FROM_BYTES:
+        return PLAIN + data
+    return COMPRESSED + zlib.compress(data, COMPRESSION_LEVEL)
 
 
 def decode(data: bytes) -> Result[Batch, Fault]:
     """Return the batch in ``data``, or an ``INVALID`` fault."""
+    form, body = data[:1], data[1:]
     try:
-        return Success(_DECODER.decode(data))
-    except (msgspec.MsgspecError, UnicodeDecodeError, OverflowError, RecursionError) as error:
-        return Failure(Fault("inner.decode", "", FaultKind.INVALID, str(error)))
+        if form == COMPRESSED:
+            body = _decompressed(body)
+        elif form != PLAIN:
+            return _invalid(f"unknown form {form!r}")
+        return Success(_DECODER.decode(body))
+    except (
+        msgspec.MsgspecError,
+        zlib.error,
+        UnicodeDecodeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
+        return _invalid(str(error))
+
+
+def _decompressed(body: bytes) -> bytes:
+    """Return the data in ``body``, up to the limit of a batch.
+
+    A small message may be made to grow to gigabytes and end the process for want of memory. The
+    output is bounded here, and what is cut off can't be decoded any more.
+    """
+    return zlib.decompressobj().decompress(body, MAX_BATCH_BYTES)
+
+
+def _invalid(reason: str) -> Result[Batch, Fault]:
+    return Failure(Fault("inner.decode", "", FaultKind.INVALID, reason))
--- /dev/null
+++ b/tests/inner/test_codec.py
@@ -0,0 +1,40 @@
+"""The codec: whatever bytes come, a batch or a fault."""
+
+import zlib
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+from testtools import TestCase
+
+from lentilrill.ids import Incarnation, ProcessId, Revision
+from lentilrill.inner import Batch, StateItems, decode, encode
+from lentilrill.inner._codec import MAX_BATCH_BYTES
+from lentilrill.platform import Item
+
+
+def a_batch(size_bytes: int) -> Batch:
+    item = Item("state/document", b"x" * size_bytes, Revision(1))
+    message = StateItems((item,), Revision(0), Revision(1))
+    return Batch(ProcessId("ct-1"), Incarnation(1), "127.0.0.1:1", (message,))
+
+
+class CodecTest(TestCase):
+    def test_what_is_encoded_is_decoded(self) -> None:
+        for size_bytes in (0, 100_000):
+            batch = a_batch(size_bytes)
+            self.assertEqual(Success(batch), decode(encode(batch)))
+
+    def test_long_batches_are_compressed(self) -> None:
+        self.assertLess(len(encode(a_batch(100_000))), 5_000)
+
+    def test_a_batch_that_grows_beyond_all_bounds_is_refused(self) -> None:
+        # A peer of a broken build sends a few kilobytes that decompress to gigabytes. Read
+        # without a bound, they would end the process, and with it every request that it holds.
+        bomb = b"\x01" + zlib.compress(bytes(4 * MAX_BATCH_BYTES), 9)
+        self.assertIsInstance(decode(bomb), Failure)
+
+    @settings(derandomize=True, max_examples=500, database=None)
+    @given(st.binary(max_size=200), st.sampled_from([b"", b"\x00", b"\x01", b"\x02"]))
+    def test_any_bytes_are_a_batch_or_a_fault(self, data: bytes, form: bytes) -> None:
+        self.assertIsInstance(decode(form + data), (Success, Failure))
