Zones can be cut off from each other: told and bound addresses, a relay for tests

Change: a process may bind another address than the one told to its peers (inner_listen, forwards), and calls peers and other gateways from its own IP number, so that a relay (or a firewall) can tell zones apart; standins/relay.py cuts or delays what crosses zones. Endpoints are still called without a bound source. Ruled out: rules in the machine's network; pausing a whole zone, which is another fault.

--- a/src/lentilrill/_assembly.py
+++ b/src/lentilrill/_assembly.py
@@ -44,6 +44,7 @@
             settings.inner,
             settings.keys,
             self.metrics,
+            settings.inner_listen,
         )
         self.mirror = Mirror()
         self.view = FleetView(self.mirror)
@@ -75,7 +76,7 @@
     """The request path of one entry host."""
 
     def __init__(self, settings: GatewaySettings) -> None:
-        common = _Common(settings, Role.GATEWAY, settings.listen)
+        common = _Common(settings, Role.GATEWAY, settings.forwards or settings.listen)
         self._node = common.node
         self._heartbeats = Heartbeats(
             settings,
--- a/src/lentilrill/gateway/_dispatch.py
+++ b/src/lentilrill/gateway/_dispatch.py
@@ -156,7 +156,9 @@
     def _connect(self, work: Work, slot: Slot) -> Link | None:
         left_s = min(slot.send_by, work.answer_by) - time.monotonic()
         try:
-            return self._connections.take(slot.address, work.idempotent, left_s)
+            return self._connections.take(
+                slot.address, work.idempotent, left_s, to_gateway=slot.where is Where.ZONE
+            )
         except (OSError, HTTPError) as error:
             log(Event.ENDPOINT_UNREACHABLE, host=slot.host, at=slot.address, error=repr(error))
             return None
--- a/src/lentilrill/gateway/_endpoints.py
+++ b/src/lentilrill/gateway/_endpoints.py
@@ -66,22 +66,31 @@
     """
 
     def __init__(
-        self, connect_timeout_s: float, clock: Callable[[], float] = time.monotonic
+        self,
+        connect_timeout_s: float,
+        clock: Callable[[], float] = time.monotonic,
+        own_ip: str = "",
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
+        self._own_ip = own_ip
         self._clock = clock
         self._lock = threading.Lock()
         self._idle_by_address: dict[str, list[Link]] = {}
         self._busy: set[Link] = set()
         self._closed = False
 
-    def take(self, address: str, idempotent: bool, timeout_s: float) -> Link:
+    def take(
+        self, address: str, idempotent: bool, timeout_s: float, to_gateway: bool = False
+    ) -> Link:
         """Return a connection to ``address`` (``ip:port``), an idle one if it may be.
 
+        :param to_gateway: whether another gateway is at the address; it is called from this
+            process's own IP number, which is what firewalls between zones know it by.
+
         :raises OSError: no connection could be opened; nothing was sent.
         """
         link = self._kept(address) if idempotent else None
-        link = link or self._open(address, timeout_s)
+        link = link or self._open(address, timeout_s, self._own_ip if to_gateway else "")
         with self._lock:
             self._busy.add(link)
         return link
@@ -143,12 +152,14 @@
                 return link
             link.close()
 
-    def _open(self, address: str, timeout_s: float) -> Link:
+    def _open(self, address: str, timeout_s: float, own_ip: str) -> Link:
         host, _, port = address.rpartition(":")
+        is_usable = own_ip and own_ip.startswith("[") == host.startswith("[")
         connection = HTTPConnection(
             host.strip("[]"),
             int(port),
             timeout=max(0.001, min(timeout_s, self._connect_timeout_s)),
+            source_address=(own_ip.strip("[]"), 0) if is_usable else None,
             socket_options=SOCKET_OPTIONS,
         )
         try:
--- a/src/lentilrill/gateway/_server.py
+++ b/src/lentilrill/gateway/_server.py
@@ -71,7 +71,8 @@
         self._metrics = metrics
         self._plans = PlanBook(view)
         self._forwarder = Forwarder(settings.keys.secret)
-        self._connections = EndpointConnections(settings.connect_timeout_s)
+        own_ip = (settings.inner_listen or settings.inner).rpartition(":")[0]
+        self._connections = EndpointConnections(settings.connect_timeout_s, own_ip=own_ip)
         self._watch = CallerWatch(slots.abandon, metrics)
         dispatcher = Dispatcher(
             slots, self._connections, self._forwarder, budget or RetryBudget(), self._watch, metrics
--- a/src/lentilrill/inner/_node.py
+++ b/src/lentilrill/inner/_node.py
@@ -51,6 +51,7 @@
     may be lost, so whoever needs an answer asks again.
 
     :param address: ``ip:port`` to listen on; also told to peers as the address to reply to.
+    :param listen: ``ip:port`` to listen on instead, if peers reach it by another address.
     """
 
     def __init__(
@@ -60,10 +61,12 @@
         address: str,
         keys: InnerKeys,
         metrics: Metrics | None = None,
+        listen: str = "",
     ) -> None:
         self.process = process
         self.incarnation = incarnation
         self.address = address
+        self._listen = listen or address
         self.bytes_sent = 0
         self.bytes_received = 0
         self._keys = keys
@@ -89,7 +92,7 @@
         self._listening = self.socket(zmq.ROUTER)
         self._listening.curve_server = True
         self._listening.setsockopt(zmq.MAXMSGSIZE, MAX_BATCH_BYTES)
-        self._listening.bind(f"tcp://{self.address}")
+        self._listening.bind(f"tcp://{self._listen}")
         self._receiver.start()
 
     def send(self, address: str, message: Message) -> None:
@@ -146,7 +149,9 @@
         """Return a sending socket that connects to ``address``, now and after each loss."""
         socket = self.socket(zmq.DEALER)
         socket.curve_serverkey = self._keys.public.encode()
-        socket.connect(f"tcp://{address}")
+        own_ip = self._listen.rpartition(":")[0]
+        same_family = own_ip.startswith("[") == address.startswith("[")
+        socket.connect(f"tcp://{own_ip}:0;{address}" if same_family else f"tcp://{address}")
         return socket
 
     def batch(self, messages: tuple[Message, ...]) -> Batch:
--- a/src/lentilrill/settings/_process.py
+++ b/src/lentilrill/settings/_process.py
@@ -49,6 +49,8 @@
     """What every process needs to know of itself.
 
     :param inner: address on which other processes of the system reach this one.
+    :param inner_listen: address to bind if it differs from ``inner``, as behind a relay. Own
+        connections to peers start from its IP number.
     :param seeds: inner addresses of processes to ask first.
     :param statsd: address of the statsd sink; empty means no metrics are sent.
     :param heartbeat_s: seconds between two heartbeats to a peer.
@@ -60,6 +62,7 @@
     zone: ZoneId
     inner: Address
     keys: InnerKeys
+    inner_listen: str = ""
     seeds: tuple[Address, ...] = ()
     statsd: str = ""
     log_level: str = "info"
@@ -71,6 +74,7 @@
     """Settings of the request path.
 
     :param listen: address for callers.
+    :param forwards: address told to other gateways, if it differs from ``listen``.
     :param threads: callers that can be held at once; more than the queue bound.
     :param drain_s: seconds that a stopping process waits for requests in flight.
     :param drain_notice_s: seconds that it still takes jobs after ``/readyz`` says 503.
@@ -79,6 +83,7 @@
 
     listen: Address
     platform: PlatformSettings
+    forwards: str = ""
     threads: Count = 400
     drain_s: Positive = 3600.0
     drain_notice_s: Annotated[float, msgspec.Meta(ge=0)] = 2.0
--- a/src/lentilrill/settings/_process_checks.py
+++ b/src/lentilrill/settings/_process_checks.py
@@ -30,6 +30,8 @@
 
 def _addresses(settings: ProcessSettings) -> Problems:
     yield from _address("inner", settings.inner)
+    if settings.inner_listen:
+        yield from _address("inner_listen", settings.inner_listen)
     for n, seed in enumerate(settings.seeds):
         yield from _address(f"seeds[{n}]", seed)
     if settings.statsd:
@@ -39,8 +41,10 @@
         yield from _address("platform.host_list", settings.platform.host_list)
         for n, address in enumerate(settings.platform.key_value):
             yield from _address(f"platform.key_value[{n}]", address)
-        if settings.listen == settings.inner:
+        if settings.listen == (settings.inner_listen or settings.inner):
             yield f"listen: {settings.listen} is the inner address too"
+    if isinstance(settings, GatewaySettings) and settings.forwards:
+        yield from _address("forwards", settings.forwards)
 
 
 def _address(path: str, address: str) -> Problems:
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,144 @@
+"""Stand-in for the network between zones: passes connections on, or cuts zones off.
+
+Each route listens where peers believe a process to be, and passes on to where it is. The zone of
+either end is the third number of its loopback address. A cut is silent: connections are taken or
+stay open, and nothing gets through until the cut ends, as when packets vanish on the way.
+"""
+
+import argparse
+import contextlib
+import signal
+import socket
+import threading
+import time
+from pathlib import Path
+
+import msgspec
+
+from standins._http import Call, Server
+
+__all__ = ["Faults", "Relay", "Route", "main"]
+
+CHUNK_BYTES = 65536
+LOOK_S = 0.05
+CONNECT_S = 2.0
+CONTROL_THREADS = 2
+
+
+class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Connections to ``listen`` are passed on to ``target``."""
+
+    listen: str
+    target: str
+
+
+class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the network does wrong.
+
+    :param cut: pairs of zones between which nothing gets through.
+    :param late_s: seconds by which what crosses zones is late.
+    """
+
+    cut: tuple[tuple[int, int], ...] = ()
+    late_s: float = 0.0
+
+
+class Relay:
+    """All routes of a site."""
+
+    def __init__(self, routes: list[Route], control: str) -> None:
+        self.faults = Faults()
+        self._routes = routes
+        self._closed = threading.Event()
+        self._server = Server(control, self._control, CONTROL_THREADS)
+        self._listeners: list[socket.socket] = []
+
+    def start(self) -> None:
+        """Listen on every route."""
+        for route in self._routes:
+            listener = socket.create_server(_parsed(route.listen))
+            self._listeners.append(listener)
+            threading.Thread(target=self._accept, args=(listener, route), daemon=True).start()
+        self._server.start()
+
+    def close(self) -> None:
+        """Stop listening; connections end with the process."""
+        self._closed.set()
+        for listener in self._listeners:
+            listener.close()
+        self._server.close()
+
+    def _control(self, call: Call, _address: str) -> None:
+        if call.method == "POST":
+            self.faults = msgspec.json.decode(call.body, type=Faults)
+        call.answer_json(self.faults)
+
+    def _accept(self, listener: socket.socket, route: Route) -> None:
+        while not self._closed.is_set():
+            try:
+                near, (source, _) = listener.accept()
+            except OSError:
+                return
+            zones = (_zone(source), _zone(route.listen))
+            threading.Thread(target=self._join, args=(near, route, zones), daemon=True).start()
+
+    def _join(self, near: socket.socket, route: Route, zones: tuple[int, int]) -> None:
+        self._wait_for_way(zones)
+        try:
+            far = socket.create_connection(_parsed(route.target), CONNECT_S)
+        except OSError:
+            near.close()
+            return
+        far.settimeout(None)
+        other = threading.Thread(target=self._pump, args=(far, near, zones), daemon=True)
+        other.start()
+        self._pump(near, far, zones)
+
+    def _pump(self, source: socket.socket, sink: socket.socket, zones: tuple[int, int]) -> None:
+        try:
+            while data := source.recv(CHUNK_BYTES):
+                if zones[0] != zones[1] and self.faults.late_s:
+                    time.sleep(self.faults.late_s)
+                self._wait_for_way(zones)
+                sink.sendall(data)
+        except OSError:
+            pass
+        self._wait_for_way(zones)
+        for end in (source, sink):
+            with contextlib.suppress(OSError):
+                end.shutdown(socket.SHUT_RDWR)
+
+    def _wait_for_way(self, zones: tuple[int, int]) -> None:
+        while not self._closed.is_set():
+            if zones not in self.faults.cut and zones[::-1] not in self.faults.cut:
+                return
+            time.sleep(LOOK_S)
+
+
+def _parsed(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _zone(address: str) -> int:
+    return int(address.split(".")[2])
+
+
+def main() -> None:
+    """Relay until SIGTERM or SIGINT."""
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    parser.add_argument("--routes", type=Path, required=True, help="JSON list of {listen, target}")
+    parser.add_argument("--control", required=True, metavar="IP:PORT")
+    arguments = parser.parse_args()
+    routes = msgspec.json.decode(arguments.routes.read_bytes(), type=list[Route])
+    relay = Relay(routes, arguments.control)
+    relay.start()
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    stopped.wait()
+    relay.close()
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/site.py
+++ b/standins/site.py
@@ -53,6 +53,7 @@
     """Shape of a site: zones are numbered from 1.
 
     :param entry_hosts: entry hosts in each zone, each with one gateway and one controller.
+    :param relayed: whether the zones are joined by the network's stand-in, which can cut them.
     :param gateway: settings that differ from the defaults; the same for ``controller``.
     """
 
@@ -62,6 +63,7 @@
     gateway: dict[str, Any] = {}
     controller: dict[str, Any] = {}
     slots: int = 8
+    relayed: bool = False
 
 
 class Site:
@@ -92,6 +94,15 @@
         """Address of the platform stand-in's controls."""
         return self.address(250, 1, CONTROL_PORT)
 
+    @property
+    def network(self) -> str:
+        """Address of the controls of the network's stand-in, on a relayed site."""
+        return self.address(250, 2, CONTROL_PORT)
+
+    def told(self, zone: int, number: int, port: int) -> str:
+        """Return the address at which peers reach a process of an entry host."""
+        return self.address(zone, (60 if self.spec.relayed else 10) + number, port)
+
     def caller(self, name: str) -> str:
         """Return the address of gateway ``name`` for callers."""
         zone, number = _place(name)
@@ -144,11 +155,25 @@
         path = self.folder / "endpoints.json"
         path.write_text(json.dumps(many))
         self._run("endpoints", "standins.endpoint", "--many", str(path))
+        if self.spec.relayed:
+            self._start_network()
         self.wait_answer(self.control, "/standin/calls")
         for host in self.spec.hosts:
             self.wait_answer(self.endpoint(host), "/standin/record")
         self.put_hosts()
 
+    def _start_network(self) -> None:
+        ports = (GATEWAY_INNER_PORT, CONTROLLER_INNER_PORT, CALLER_PORT)
+        routes = [
+            {"listen": self.told(z, n, port), "target": self.address(z, 10 + n, port)}
+            for z, n in self._places()
+            for port in ports
+        ]
+        path = self.folder / "routes.json"
+        path.write_text(json.dumps(routes))
+        self._run("network", "standins.relay", "--routes", str(path), "--control", self.network)
+        self.wait_answer(self.network, "/standin/faults")
+
     def put_hosts(self, without: frozenset[str] = frozenset()) -> None:
         """Tell the host list of all workers and entry hosts, except those named."""
         workers = [
@@ -197,16 +222,19 @@
             "process": name,
             "entry_host": f"entry-{zone}-{number}",
             "zone": f"z{zone}",
-            "inner": self.address(zone, 10 + number, inner_port),
+            "inner": self.told(zone, number, inner_port),
+            "inner_listen": self.address(zone, 10 + number, inner_port),
             "keys": self._keys,
-            "seeds": [self.address(z, 10 + n, CONTROLLER_INNER_PORT) for z, n in self._places()],
+            "seeds": [self.told(z, n, CONTROLLER_INNER_PORT) for z, n in self._places()],
             "platform": {
                 "key_value": [self.platform(zone)],
                 "host_list": self.platform(zone),
             },
         }
         if is_gateway:
-            return common | {"listen": self.caller(name)} | self.spec.gateway
+            forwards = self.told(zone, number, CALLER_PORT)
+            own = {"listen": self.caller(name), "forwards": forwards}
+            return common | own | self.spec.gateway
         return (
             common
             | {
--- a/tests/matrix/__main__.py
+++ b/tests/matrix/__main__.py
@@ -8,6 +8,8 @@
 from collections import Counter
 from pathlib import Path
 
+import msgspec
+
 from standins.site import Site
 from tests.matrix._cells import Cell, Outcome, Verdict, all_cells, run_cell
 from tests.matrix._report import write_page
@@ -17,10 +19,12 @@
 PAGE = Path("docs/matrix.md")
 
 
-def play(cells: "queue.Queue[Cell]", outcomes: list[Outcome], folder: Path | None) -> None:
+def play(
+    cells: "queue.Queue[Cell]", outcomes: list[Outcome], folder: Path | None, relayed: bool
+) -> None:
     """Play cells on one site after another; a failed cell gets the next one a new site."""
     while not cells.empty():
-        with Site(a_site()) as site:
+        with Site(a_site(relayed=relayed)) as site:
             world = World(site)
             world.bring_up()
             _play_on(world, cells, outcomes, folder)
@@ -50,6 +54,32 @@
             return
 
 
+def _play_all(
+    cells: "queue.Queue[Cell]",
+    outcomes: list[Outcome],
+    sites: int,
+    folder: Path | None,
+    relayed: bool,
+) -> None:
+    # Told to stop, the sites still have to end their processes: no cell is begun any more.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: cells.queue.clear())
+    arguments = (cells, outcomes, folder, relayed)
+    threads = [threading.Thread(target=play, args=arguments) for _ in range(sites)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def _merged(path: Path, outcomes: list[Outcome]) -> list[Outcome]:
+    """Put ``outcomes`` in the place of the file's, cell by cell, and return them all."""
+    held = msgspec.json.decode(path.read_bytes(), type=list[Outcome]) if path.exists() else []
+    by_cell = {(o.step, o.injection): o for o in (*held, *outcomes)}
+    path.write_bytes(msgspec.json.encode(list(by_cell.values())))
+    return list(by_cell.values())
+
+
 def _keep_logs(site: Site, folder: Path) -> None:
     folder.mkdir(parents=True, exist_ok=True)
     for path in site.folder.glob("*.log"):
@@ -63,27 +93,22 @@
     parser.add_argument("--sites", type=int, default=2, help="sites at the same time")
     parser.add_argument("--page", type=Path, default=PAGE, help="page to write; - for none")
     parser.add_argument("--logs", type=Path, help="folder for the logs of failed cells")
+    parser.add_argument("--outcomes", type=Path, help="file of earlier outcomes to merge with")
     arguments = parser.parse_args()
     chosen = [cell for cell in all_cells() if arguments.only in cell.name]
     cells: queue.Queue[Cell] = queue.Queue()
-    for cell in chosen:
-        cells.put(cell)
     outcomes: list[Outcome] = []
-    threads = [
-        threading.Thread(target=play, args=(cells, outcomes, arguments.logs))
-        for _ in range(arguments.sites)
-    ]
-    # Told to stop, the sites still have to end their processes: no cell is begun any more.
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: cells.queue.clear())
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    for relayed in (False, True):
+        for cell in chosen:
+            if cell.injection.relayed is relayed:
+                cells.put(cell)
+        _play_all(cells, outcomes, arguments.sites, arguments.logs, relayed)
+    if arguments.outcomes:
+        outcomes = _merged(arguments.outcomes, outcomes)
     counts = Counter(outcome.verdict for outcome in outcomes)
-    counts[Verdict.NOT_RUN] += len(chosen) - len(outcomes)
+    counts[Verdict.NOT_RUN] += max(0, len(chosen) - len(outcomes))
     print(", ".join(f"{counts[verdict]} {verdict.value}" for verdict in Verdict))
-    if str(arguments.page) != "-" and not arguments.only:
+    if str(arguments.page) != "-":
         write_page(arguments.page, outcomes)
     return 1 if counts[Verdict.FAILED] else 0
 
--- a/tests/matrix/_injections.py
+++ b/tests/matrix/_injections.py
@@ -11,11 +11,13 @@
 
 __all__ = ["INJECTIONS", "PAIRS", "Injection"]
 
-KILL_S = 2.5
-PAUSE_S = 3.5
+KILL_S = 4.5
+PAUSE_S = 5.0
 """Longer than the silence after which a process is suspect, and than its session lives."""
 PLATFORM_S = 2.5
 ENDPOINT_S = 1.5
+NETWORK_S = 11.0
+"""Longer than the silence after which another zone's members are suspect."""
 PLATFORM_CLEAR = {
     "down": False,
     "slow_s": 0.0,
@@ -43,6 +45,7 @@
     :param hits: processes that it ends or holds, which may fail their own callers.
     :param holds_s: seconds between begin and end.
     :param on_endpoint: whether jobs of the disturbed endpoint may fail.
+    :param relayed: whether it needs a site whose zones are joined by the network's stand-in.
     :param why_not: why it can't be brought about; such cells count as not run.
     """
 
@@ -53,6 +56,7 @@
     hits: tuple[str, ...] = ()
     holds_s: float = 0.0
     on_endpoint: bool = False
+    relayed: bool = False
     why_not: str = ""
 
     def hold(self, world: World) -> None:
@@ -131,6 +135,17 @@
         one.hits + other.hits,
         max(one.holds_s, other.holds_s),
         one.on_endpoint or other.on_endpoint,
+        one.relayed or other.relayed,
+    )
+
+
+def _network(name: str, **faults: object) -> Injection:
+    return Injection(
+        name,
+        lambda world: world.site.faults(world.site.network, **faults),
+        end=lambda world: world.site.faults(world.site.network),
+        holds_s=NETWORK_S,
+        relayed=True,
     )
 
 
@@ -171,14 +186,8 @@
 RESETTING = _endpoint("resets connections", reset=True)
 SILENT = _endpoint("silent on all connections", silent=True)
 LEAVING = _endpoint("leaving", leaving=True)
-ZONES_CUT = Injection(
-    "zones cut off from each other",
-    why_not="the site has no way to cut loopback connections between its processes",
-)
-MISORDERED = Injection(
-    "messages between processes late and out of order",
-    why_not="needs a relay for the inner protocol; decoded messages are tested in their packages",
-)
+ZONES_CUT = _network("zones cut off from each other", cut=[(1, 2)])
+ZONES_LATE = _network("between zones all is late by 1 s", late_s=1.0)
 
 INJECTIONS = (
     NO_FAULT,
@@ -195,7 +204,7 @@
     SILENT_WATCH,
     CUT,
     ZONES_CUT,
-    MISORDERED,
+    ZONES_LATE,
     FAILING,
     LATE,
     TWICE,
@@ -211,6 +220,7 @@
     _pair(DOWN, RESTART_CONTROLLERS),
     _pair(STALE, RESTART_CONTROLLERS),
     _pair(CUT, SILENT),
+    _pair(CUT, ZONES_CUT),
     _pair(LOST, PAUSE_CONTROLLER),
     _pair(KILL_NEIGHBOUR, FAILING),
     _pair(PAUSE_GATEWAY, SLOW),
--- a/tests/matrix/_world.py
+++ b/tests/matrix/_world.py
@@ -145,12 +145,12 @@
     return "none"
 
 
-def a_site(entry_hosts: int = 2) -> SiteSpec:
+def a_site(entry_hosts: int = 2, relayed: bool = False) -> SiteSpec:
     """Return two zones with two services of four workers and a small spare pool."""
     hosts = tuple(
         HostSpec(f"w{n + 1:02d}", n % 2 + 1, f"r{n // 4}") for n in range(len(SERVICES) * WORKERS)
     )
-    return SiteSpec(2, entry_hosts, hosts, slots=SLOTS)
+    return SiteSpec(2, entry_hosts, hosts, slots=SLOTS, relayed=relayed)
 
 
 class World:
