--- a/tests/fleet/test_budgets.py
+++ b/tests/fleet/test_budgets.py
@@ -1,12 +1,16 @@
 """Availability budgets through waves, failures and races; few moves; few calls."""
 
+import time
+
+import msgspec
 from returns.result import Failure, Success
 from testtools import TestCase
 
-from lentilrill.fleet import HostPhase, StopState
+from lentilrill.fleet import FleetView, HostPhase, StopState
 from lentilrill.fleet._actions import Withdraw
 from lentilrill.fleet._ledger import Basis, Ledger
-from lentilrill.ids import HostId, PoolId, StopId, ZoneId
+from lentilrill.ids import HostId, PoolId, Revision, StopId, ZoneId
+from lentilrill.membership import ZoneNews
 from lentilrill.platform import Mirror
 from lentilrill.settings import Document, Objective, PlannedStop
 from tests.builders import a_plan, a_pool, an_entitlement
@@ -60,6 +64,31 @@
         world.run(3)
         self.assertEqual(0, world.metrics.counts["fleet.withdraw"])
 
+    def test_a_promise_that_grows_as_a_controller_looks(self) -> None:
+        # The same, a moment earlier: the newer document arrives between the look at the
+        # document and the look at its revision.
+        world = a_world(2, 1, 2)
+        world.change(stops=(a_stop(["h0"]),))
+        world.sync()
+        strict = a_plan("ballots", hosts_owed=2, availability_budget=0)
+        news = [lambda: world.change(plans=(strict,)), world.sync]
+
+        class Racing(FleetView):
+            def _read(self, value: object) -> object:
+                while news:
+                    news.pop(0)()
+                return value
+
+            document = property(lambda self: self._read(self._document))
+            document_revision = property(lambda self: self._read(self._document_revision))
+
+        controller = world.controllers[0]
+        controller.task._look_is_due = lambda listing: True
+        controller.view.__class__ = Racing
+        world.now += 1
+        controller.task.round()
+        self.assertEqual(0, out(world))
+
     def test_a_wave_leaves_room_for_a_failure(self) -> None:
         world = a_world(6, 3, 6)
         world.change(stops=(a_stop(world.entries("ballots")),))
@@ -88,15 +117,9 @@
         # A clerk finds no host: a controller of another zone grants a stop, since it does not
         # know that schedulers of this zone have ejected hosts.
         world = a_world(2, 1, 2)
-        near = world.controllers[0]
         far = world.controller("far", "z2")
-        world.now += 5
-        world.sync()
-        world.trouble(world.gateways["gw-z1"], ejected=(HostId("h0"),))
-        del far.task._troubles[next(iter(far.task._troubles))]
-        near.task.round()
-        for _, message in near.node.sent:
-            world.say(near.member, message, far)
+        news = ZoneNews(ZoneId("z1"), time.monotonic(), frozenset(), Revision(0))
+        far.roster.zone_news = (msgspec.structs.replace(news, ejected=frozenset({HostId("h0")})),)
         world.change(stops=(a_stop(["h1"]),))
         world.sync()
         world.now += 1
@@ -176,6 +199,12 @@
         reason = world.controllers[0].task.look().stops[0].waits[0].reason
         self.assertIn("would keep 1 of the 2 hosts owed", reason)
 
+    def test_as_many_are_retired_as_can_be_spared(self) -> None:
+        world = a_world(2, 1, 4)
+        world.change(stops=(a_stop(["h0", "h1", "h2"], retire=True),))
+        world.run(6)
+        self.assertEqual(2, len(world.entries("ballots")))
+
 
 class MovesTest(TestCase):
     def test_a_flapping_list_moves_nothing(self) -> None:
@@ -211,6 +240,13 @@
             world.run(30)
             self.assertEqual(hosts, len(world.entries("ballots")), buffer_weight)
 
+    def test_a_pool_that_is_removed_gives_its_hosts_back(self) -> None:
+        world = a_world(2, 1, 2, spare=2)
+        world.change(plans=(), pools=(a_pool("desk", spare=True),))
+        world.run(60)
+        self.assertEqual({"desk"}, set(world.records()))
+        self.assertEqual(4, len(world.entries("desk")))
+
     def test_calls_follow_pools_and_not_hosts(self) -> None:
         calls = []
         for hosts in (20, 200):
