--- a/tests/standins/test_relay.py
+++ b/tests/standins/test_relay.py
@@ -11,6 +11,10 @@
 SHORT_S = 0.3
 
 
+def shown(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
 class RelayTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -20,7 +24,7 @@
         told = socket.create_server(("127.0.2.61", 0))
         self.told = told.getsockname()
         told.close()
-        route = Route("%s:%d" % self.told, "%s:%d" % self.target.getsockname())
+        route = Route(shown(self.told), shown(self.target.getsockname()))
         self.relay = Relay([route], "127.0.0.1:0")
         self.relay.start()
         self.addCleanup(self.relay.close)
