--- a/standins/platform.py
+++ b/standins/platform.py
@@ -21,13 +21,13 @@
 from standins import _etcd_http
 from standins._http import Call, Server
 from standins._store import Store, StoreError
+from standins._watch import Watch
 
 __all__ = ["Faults", "PlatformStandin", "main"]
 
 THREADS = 64
 CONTROL_THREADS = 4
 PROGRESS_S = 1.0
-LOOK_S = 0.05
 KEPT_LISTS = 1000
 GZIP_LEVEL = 4
 WRITES = {"/v3/kv/put", "/v3/kv/deleterange", "/v3/kv/txn"}
@@ -202,7 +202,14 @@
             self.watches_waiting += 1
         try:
             call.begin(200, {"Content-Type": "application/json"})
-            _Watch(self, call, address, create, self._progress_s).run()
+            Watch(
+                self.store,
+                call,
+                create,
+                self._progress_s,
+                self._watch_ends,
+                lambda: self.faults.silent_watch or self._out_of_reach(address),
+            ).run()
         except OSError:
             pass  # the watcher hung up
         finally:
@@ -210,14 +217,9 @@
                 self.watches_waiting -= 1
         call.cut()
 
-    def watch_ends(self) -> bool:
-        """Whether open watches are to be cut."""
+    def _watch_ends(self) -> bool:
         return self._closed.is_set() or self.faults.down
 
-    def watch_silent(self, address: str) -> bool:
-        """Whether the watches that came in on ``address`` are to say nothing."""
-        return self.faults.silent_watch or self._out_of_reach(address)
-
     def _out_of_reach(self, address: str) -> bool:
         return address in self.faults.cut and not self._closed.is_set()
 
@@ -258,57 +260,6 @@
             call.answer_json({"error": str(error)}, 400)
 
 
-class _Watch:
-    """One open watch: changes from a start revision on, and progress notices between."""
-
-    def __init__(
-        self,
-        platform: PlatformStandin,
-        call: Call,
-        address: str,
-        create: dict[str, Any],
-        progress_s: float,
-    ) -> None:
-        self._platform = platform
-        self._store = platform.store
-        self._call = call
-        self._address = address
-        self._key = _etcd_http.decoded(create, "key")
-        self._end = _etcd_http.decoded(create, "range_end")
-        self._next = int(create.get("start_revision", 0)) or self._store.revision + 1
-        self._progress_s = progress_s if create.get("progress_notify") else float("inf")
-        self._spoke = time.monotonic()
-
-    def run(self) -> None:
-        """Serve the watch until it ends."""
-        self._say(self._store.revision, created=True)
-        while not self._platform.watch_ends() and not self._call.hung_up():
-            if self._platform.watch_silent(self._address):
-                time.sleep(LOOK_S)
-                continue
-            if self._next < self._store.compacted:
-                compacted = str(self._store.compacted)
-                self._say(self._store.revision, canceled=True, compact_revision=compacted)
-                return
-            self._step()
-
-    def _step(self) -> None:
-        with self._store.changed:
-            changes, revision = self._store.since(self._next, self._key, self._end)
-            if not changes:
-                self._store.changed.wait(LOOK_S)
-        if changes:
-            self._say(revision, events=[_etcd_http.event(change) for change in changes])
-        elif time.monotonic() - self._spoke >= self._progress_s:
-            self._say(revision)
-        self._next = max(self._next, revision + 1)
-
-    def _say(self, revision: int, **fields: Any) -> None:
-        message = {"result": {"header": _etcd_http.header(revision), **fields}}
-        self._call.write(msgspec.json.encode(message) + b"\n")
-        self._spoke = time.monotonic()
-
-
 def _refuse(call: Call, error: StoreError) -> None:
     body = {"error": error.message, "code": error.code, "message": error.message}
     call.answer_json(body, _etcd_http.HTTP_STATUS_BY_CODE.get(error.code, 500))
