Routing: refused callers are told to come back when half the queue has gone

Cause: Retry-After was the excess of the estimated wait over the caller's own, a few tenths of a second in a surge, so that they came back into it. Expired asks were told the drain of all classes, also of those behind them.

Change: half of the drain of the ask's class and those above, with jitter up by a half.

--- /dev/null
+++ b/bench/surge_grants.py
@@ -0,0 +1,170 @@
+"""Grants from pool schedulers, driven by the surge bench."""
+
+import random
+import time
+from collections.abc import Callable
+
+from bench.surge_baselines import GATEWAYS, HOP_S, PLAN_QUEUE
+from bench.surge_load import HOSTS, PLANS, POOLS, SLOTS, Endpoint, Events, Job
+from lentilrill.ids import HostId, Incarnation, PlanId, PoolId, ProcessId, RequestId, ZoneId
+from lentilrill.inner import Ask, Done, Granted, Refused, Verdict
+from lentilrill.routing._queue import Caller
+from lentilrill.routing._scheduler import PoolScheduler, Reply
+from lentilrill.routing._terms import PlanTerms, PoolTerms
+
+__all__ = ["Granting", "Returning"]
+
+ZONE_HOP_S = 0.0015
+TICK_S = 0.05
+LOAD_S = 0.2
+TRIES = 4
+
+
+class Granting:
+    """Our way: a scheduler a pool and zone, which grants slots to the gateways.
+
+    :param zones: zones over which each pool's hosts are spread evenly.
+    """
+
+    def __init__(self, events: Events, zones: int, seed: int) -> None:
+        self._events = events
+        self._rng = random.Random(seed)
+        self._zones = [ZoneId(f"z{n}") for n in range(zones)]
+        self.cpu_s = 0.0
+        self.grants = 0
+        self.spilled = 0
+        self._jobs: dict[RequestId, Job] = {}
+        self._endpoints: dict[HostId, Endpoint] = {}
+        self._callers = {
+            zone: [
+                Caller(ProcessId(f"{zone}-{n}"), Incarnation(1), f"{zone}-{n}")
+                for n in range(GATEWAYS)
+            ]
+            for zone in self._zones
+        }
+        self._schedulers = {
+            (pool, zone): self._scheduler(pool, zone) for pool in POOLS for zone in self._zones
+        }
+        events.after(TICK_S, self._tick)
+        events.after(LOAD_S, self._loads)
+
+    @property
+    def violations(self) -> int:
+        """Invariants found broken."""
+        return sum(scheduler.violations for scheduler in self._schedulers.values())
+
+    def arrive(self, job: Job) -> None:
+        """A caller's job reaches a gateway of a random zone."""
+        zone = self._rng.choice(self._zones)
+        self._jobs[RequestId(str(job.id))] = job
+        self._ask(job, zone, spillable=len(self._zones) > 1, hop_s=HOP_S)
+
+    def _scheduler(self, pool: str, zone: ZoneId) -> PoolScheduler:
+        scheduler = PoolScheduler(
+            PoolId(pool), zone, 1, set(), self._events, random.Random(self._rng.random())
+        )
+        hosts = [HostId(f"{pool}-{zone}-{n}") for n in range(HOSTS // len(self._zones))]
+        self._endpoints |= {host: Endpoint(self._events) for host in hosts}
+        plans = {
+            PlanId(kind.plan): PlanTerms(queue=PLAN_QUEUE, urgency=kind.urgency) for kind in PLANS
+        }
+        scheduler.configure(PoolTerms(dict.fromkeys(hosts, SLOTS), plans, budget=1))
+        return scheduler
+
+    def _ask(self, job: Job, zone: ZoneId, spillable: bool, hop_s: float) -> None:
+        caller = self._callers[zone][job.gateway]
+        left_s = job.arrived + job.kind.wait_s - self._events.now
+        kind = job.kind
+        ask = Ask(
+            RequestId(str(job.id)),
+            PoolId(job.pool),
+            PlanId(kind.plan),
+            kind.urgency,
+            left_s,
+            caller.address,
+            spillable=spillable,
+        )
+        self._decide(job.pool, zone, hop_s, lambda s: s.ask(ask, caller))
+
+    def _decide(
+        self, pool: str, zone: ZoneId, hop_s: float, call: Callable[[PoolScheduler], list[Reply]]
+    ) -> None:
+        def decide() -> None:
+            start = time.process_time_ns()
+            replies = call(self._schedulers[pool, zone])
+            self.cpu_s += (time.process_time_ns() - start) / 1e9
+            for reply in replies:
+                self._events.after(HOP_S, lambda reply=reply: self._answered(zone, reply))
+
+        self._events.after(hop_s, decide)
+
+    def _answered(self, zone: ZoneId, reply: Reply) -> None:
+        message = reply.message
+        if isinstance(message, Refused):
+            job = self._jobs[message.request]
+            if message.spill is None:
+                self._refused(job, message)
+            else:
+                self.spilled += 1
+                self._ask(job, message.spill, spillable=False, hop_s=ZONE_HOP_S)
+        elif isinstance(message, Granted):
+            self.grants += 1
+            job = self._jobs[message.request]
+            endpoint = self._endpoints[message.host]
+            self._events.after(
+                HOP_S, lambda: endpoint.run(job, lambda: self._ended(zone, job, message))
+            )
+
+    def _refused(self, job: Job, message: Refused) -> None:
+        job.refused = True
+
+    def _ended(self, zone: ZoneId, job: Job, granted: Granted) -> None:
+        done = Done(
+            granted.pool,
+            granted.grant,
+            granted.host,
+            PlanId(job.kind.plan),
+            Verdict.OK,
+            self._events.now - job.started,
+        )
+        self._decide(job.pool, zone, 2 * HOP_S, lambda s: s.done(done))
+
+    def _tick(self) -> None:
+        for (pool, zone), _ in self._schedulers.items():
+            alive = set(self._callers[zone])
+            self._decide(pool, zone, 0.0, lambda s, a=alive: s.tick(a, lambda caller: False))
+        self._events.after(TICK_S, self._tick)
+
+    def _loads(self) -> None:
+        for (pool, zone), scheduler in self._schedulers.items():
+            load = scheduler.load()
+            for other in self._zones:
+                if other != zone:
+                    peer = self._schedulers[pool, other]
+                    self._events.after(ZONE_HOP_S, lambda p=peer, m=load: p.hear(m))
+        self._events.after(LOAD_S, self._loads)
+
+
+class Returning(Granting):
+    """Grants to callers that come back when they are refused, up to three times.
+
+    :param back_s: seconds after which they come back; ``None``: when they are told to.
+    """
+
+    def __init__(self, events: Events, back_s: float | None, seed: int) -> None:
+        super().__init__(events, 1, seed)
+        self._back_s = back_s
+
+    def _refused(self, job: Job, message: Refused) -> None:
+        if job.tries == TRIES:
+            job.refused = True
+            return
+        told_s = message.retry_after_s or 0.0
+        self._events.after(
+            told_s if self._back_s is None else self._back_s, lambda: self._back(job)
+        )
+
+    def _back(self, job: Job) -> None:
+        job.tries += 1
+        job.arrived = self._events.now
+        self.arrive(job)
--- a/src/lentilrill/routing/_scheduler.py
+++ b/src/lentilrill/routing/_scheduler.py
@@ -40,6 +40,7 @@
 LEAST_RETRY_S = 0.2
 MOST_RETRY_S = 60.0
 RATE_BURST_S = 1.0
+BACK_SHARE = 0.5
 SWEEP_S = 1.0
 START_MARGIN_S = 0.005
 
@@ -241,11 +242,11 @@
         if not self.hosts.usable:
             return self._refused(ask, Refusal.NO_HOSTS, NO_HOSTS_RETRY_S, spill=True)
         if self._queue.count(ask.plan) >= terms.queue:
-            wait_s = self._waits.plan_drain_s(ask.plan)
-            return self._refused(ask, Refusal.PLAN_LIMIT, wait_s, spill=False)
+            after_s = self._back_after_s(self._waits.plan_drain_s(ask.plan))
+            return self._refused(ask, Refusal.PLAN_LIMIT, after_s, spill=False)
         wait_s = self._waits.wait_s(ask, now, self._terms)
         if wait_s > ask.wait_s:
-            return self._refused(ask, Refusal.TOO_LATE, wait_s - ask.wait_s, spill=True)
+            return self._refused(ask, Refusal.TOO_LATE, self._back_after_s(wait_s), spill=True)
         if ask.spillable and wait_s > SPILL_WAIT_S:
             zone = self._others.claim(terms.zones, now)
             if zone is not None:
@@ -256,7 +257,8 @@
         if len(self._queue) >= MOST_QUEUE:
             displaced = self._queue.displace(ask.urgency)
             if displaced is None:
-                return self._refused(ask, Refusal.QUEUE_FULL, self._waits.drain_s(), spill=True)
+                after_s = self._back_after_s(self._waits.drain_s(ask.urgency))
+                return self._refused(ask, Refusal.QUEUE_FULL, after_s, spill=True)
             out.append(self._refuse(displaced, Refusal.QUEUE_FULL))
         return None
 
@@ -277,10 +279,16 @@
         return Refused(ask.request, self.pool, refusal, self._retry_after_s(after_s), zone)
 
     def _refuse(self, waiting: Waiting, refusal: Refusal) -> Reply:
-        after_s = self._retry_after_s(self._waits.drain_s())
+        drain_s = self._waits.drain_s(waiting.urgency)
+        after_s = self._retry_after_s(self._back_after_s(drain_s))
         refused = Refused(waiting.key.request, self.pool, refusal, after_s)
         return Reply(waiting.key.address, refused)
 
+    def _back_after_s(self, drain_s: float) -> float:
+        # Half of what waits now: by then a job would start well within its wait, if no more
+        # came. Only the excess over its wait is too soon, as more does come in a surge.
+        return drain_s * BACK_SHARE
+
     def _retry_after_s(self, after_s: float) -> float:
         # Jitter, or everybody refused in one surge would come back as the next one.
         spread_s = max(LEAST_RETRY_S, after_s) * self._rng.uniform(1.0, 1.5)
--- a/src/lentilrill/routing/_waits.py
+++ b/src/lentilrill/routing/_waits.py
@@ -12,6 +12,7 @@
 __all__ = ["WaitEstimate"]
 
 NO_TERMS = PlanTerms()
+LEAST_URGENT = Urgency.PATIENT.rank
 
 
 class WaitEstimate:
@@ -44,9 +45,9 @@
             wait_s = max(wait_s, own * self._run_times.expected_s(ask.plan) / limit)
         return wait_s
 
-    def drain_s(self) -> float:
-        """Return the seconds until all that waits has started."""
-        work_s = sum(self._class_work_s(rank) for rank in range(len(Urgency)))
+    def drain_s(self, urgency: int = LEAST_URGENT) -> float:
+        """Return the seconds until all that waits of that urgency or above has started."""
+        work_s = sum(self._class_work_s(rank) for rank in range(urgency + 1))
         return work_s / max(1, self._hosts.capacity)
 
     def plan_drain_s(self, plan: PlanId) -> float:
