--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -68,8 +68,8 @@
     :ivar lose_requests: how many of the next commits are lost before they take effect; the
         caller can't tell the two apart.
     :ivar before_commit: called once before the next commit, as a racing writer.
-    :ivar commits: fates of the next commits, in order; the same for reads.
     :ivar observer: called after each change with the items as they were before it.
+    :ivar commits: fates of the next commits, in order; the same for reads.
     """
 
     def __init__(self) -> None:
@@ -77,9 +77,9 @@
         self.lose_answers = 0
         self.lose_requests = 0
         self.before_commit: Callable[[], None] | None = None
+        self.observer: Callable[[dict[str, Item]], None] | None = None
         self.commits: deque[Fate] = deque()
         self.reads: deque[Fate] = deque()
-        self.observer: Callable[[dict[str, Item]], None] | None = None
         self.calls: Counter[str] = Counter()
         self.revision = Revision(0)
         self.items_by_key: dict[str, Item] = {}
@@ -101,13 +101,9 @@
             return Success(RangeAnswer(tuple(items), self.revision))
 
     def newest(self, prefix: str, priority: Priority = Priority.LATER) -> Result[Revision, Fault]:
-        del priority
-        self.calls["newest"] += 1
-        if self.down:
-            return _unavailable("newest")
-        with self._changed:
-            items = [i for k, i in self.items_by_key.items() if k.startswith(prefix)]
-            return Success(max((i.revision for i in items), default=Revision(0)))
+        return self.read(prefix, priority).map(
+            lambda answer: max((item.revision for item in answer.items), default=Revision(0))
+        )
 
     def commit(
         self,
