--- /dev/null
+++ b/bench/silence.py
@@ -0,0 +1,84 @@
+"""Time until a silent connection or endpoint is given up, with the product's own bounds.
+
+Run as ``python -m bench.silence``. A socket filter drops all packets of one connection, as if
+something between the two ends had forgotten it, while new connections work. One run of each.
+"""
+
+import socket
+import time
+
+from bench import figure
+from tests.gateway.fakes import GatewayTestCase, drop_all, ok
+
+__all__ = ["main"]
+
+WAIT_S = 60
+
+
+class _Bench(GatewayTestCase):
+    """The tests' gateway with endpoints that follow a script; see :func:`main`."""
+
+    def runTest(self) -> None:  # noqa: N802 (the name that unittest asks for)
+        """Measure all cases."""
+        self.forgotten_connection()
+        self.forgotten_order()
+        self.silent_endpoint()
+
+    def forgotten_connection(self) -> None:
+        """A kept connection is forgotten; a repeatable job goes out on it."""
+        forgotten: list[socket.socket] = []
+
+        def script(sock: socket.socket, request: bytes) -> None:
+            sock.sendall(ok())
+            if not forgotten:
+                forgotten.append(sock)
+                drop_all(sock)
+
+        self.an_endpoint(script)
+        self.an_endpoint()
+        self.a_gateway()
+        self.call()
+        took_s, status = self.timed("GET")
+        figure("silence", "repeatable_job_on_forgotten_connection", took_s, "s", status=status)
+
+    def forgotten_order(self) -> None:
+        """An order's new connection is forgotten once the endpoint has the order."""
+        self.slots.addresses.clear()
+        self.an_endpoint(lambda sock, request: drop_all(sock))
+        self.a_gateway()
+        took_s, status = self.timed("POST")
+        figure("silence", "order_on_forgotten_connection", took_s, "s", status=status)
+
+    def silent_endpoint(self) -> None:
+        """An endpoint accepts a repeatable job and stays silent; others answered at once."""
+        self.slots.addresses.clear()
+        endpoint = self.an_endpoint()
+        self.an_endpoint()
+        self.a_gateway()
+        self.call()
+        endpoint.script = lambda sock, request: None
+        took_s, status = self.timed("GET")
+        figure("silence", "repeatable_job_on_silent_endpoint", took_s, "s", status=status)
+
+    def timed(self, method: str) -> tuple[float, int]:
+        """Send one job; return the seconds until its answer, and the status."""
+        began = time.monotonic()
+        connection = self.connect()
+        connection.timeout = WAIT_S
+        body = b"order" if method == "POST" else None
+        headers = {"Authorization": "Bearer token-schools", "Prefer": f"wait={WAIT_S}"}
+        connection.request(method, "/schools/x", body, headers)
+        answer = connection.getresponse()
+        answer.read()
+        return round(time.monotonic() - began, 2), answer.status
+
+
+def main() -> None:
+    """Measure all cases and print one line per figure."""
+    result = _Bench().run()
+    if result is not None and not result.wasSuccessful():
+        raise SystemExit("a case could not be measured")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -1,10 +1,12 @@
 """Fakes at the gateway's interfaces: slots, claims, endpoints that follow a script."""
 
+import ctypes
 import http.client
 import itertools
 import json
 import queue
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable
@@ -26,9 +28,18 @@
 from lentilrill.telemetry import NoMetrics
 from tests import builders
 
-__all__ = ["Answer", "FakeClaims", "FakeSlots", "GatewayTestCase", "ScriptedEndpoint", "ok"]
+__all__ = [
+    "Answer",
+    "FakeClaims",
+    "FakeSlots",
+    "GatewayTestCase",
+    "ScriptedEndpoint",
+    "drop_all",
+    "ok",
+]
 
 WAIT_S = 10.0
+SO_ATTACH_FILTER = 26
 
 Serve = Callable[[socket.socket, bytes], None]
 
@@ -38,6 +49,14 @@
     return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n{head}\r\n".encode() + body
 
 
+def drop_all(sock: socket.socket) -> None:
+    """Let the kernel drop what arrives for this connection, as if the path were cut."""
+    drop = struct.pack("HBBI", 0x06, 0, 0, 0)  # one instruction: return 0 bytes
+    program = ctypes.create_string_buffer(drop)
+    filter_ = struct.pack("HL", 1, ctypes.addressof(program))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, filter_)
+
+
 class ScriptedEndpoint:
     """An endpoint that serves its connections by a script, and records what it received.
 
--- a/tests/gateway/test_outcomes.py
+++ b/tests/gateway/test_outcomes.py
@@ -1,6 +1,5 @@
 """What a caller is told when things fail between the gateway and an endpoint."""
 
-import ctypes
 import json
 import socket
 import struct
@@ -11,9 +10,8 @@
 from lentilrill.gateway import _caller, _endpoints, _limits, _patience
 from lentilrill.inner import Verdict
 from lentilrill.routing._limits import RETRY_BURST
-from tests.gateway.fakes import WAIT_S, Answer, GatewayTestCase, ScriptedEndpoint, ok
+from tests.gateway.fakes import WAIT_S, Answer, GatewayTestCase, ScriptedEndpoint, drop_all, ok
 
-SO_ATTACH_FILTER = 26
 LEAVING = b"HTTP/1.1 503 Gone\r\nEndpoint-State: leaving\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -37,14 +35,6 @@
     """Never answer."""
 
 
-def drop_all(sock: socket.socket) -> None:
-    """Let the kernel drop what arrives for this connection, as if the path were cut."""
-    drop = struct.pack("HBBI", 0x06, 0, 0, 0)  # one instruction: return 0 bytes
-    program = ctypes.create_string_buffer(drop)
-    filter_ = struct.pack("HL", 1, ctypes.addressof(program))
-    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, filter_)
-
-
 def quick_probes() -> list[tuple[int, int, int | bytes]]:
     """Return the socket options with the shortest times the kernel takes."""
     short = {socket.TCP_KEEPIDLE: 1, socket.TCP_KEEPINTVL: 1, socket.TCP_USER_TIMEOUT: 1000}
