--- a/src/lentilrill/jobs/_client.py
+++ b/src/lentilrill/jobs/_client.py
@@ -25,6 +25,7 @@
 
 ASK_AGAIN_S = 0.25
 NOTE_AGAIN_S = 0.5
+LAST_NOTES_S = 3.0
 NOTES = 20_000
 """Outcomes that wait for an owner; the oldest is dropped, and its key stays in progress."""
 UNAVAILABLE_RETRY_S = 2.0
@@ -49,6 +50,7 @@
         self._shards = shards
         self._retention_s = retention_s
         self._lock = threading.Lock()
+        self._acked = threading.Condition(self._lock)
         self._answers_by_request: dict[RequestId, queue.SimpleQueue[ClaimAnswer]] = {}
         self._pending_by_request: dict[RequestId, _Pending] = {}
         self._closed = threading.Event()
@@ -61,7 +63,13 @@
         self._task.start()
 
     def close(self) -> None:
-        """End the task."""
+        """Wait a moment until all outcomes are acknowledged, then end the task.
+
+        Guard against a planned stop that leaves the keys of the last jobs in progress for
+        hours: their outcomes are on their way when the last caller is answered.
+        """
+        with self._acked:
+            self._acked.wait_for(lambda: not self._pending_by_request, LAST_NOTES_S)
         self._closed.set()
         if self._task.is_alive():
             self._task.join()
@@ -182,3 +190,5 @@
     def _on_ack(self, batch: Batch, ack: OutcomeAck) -> None:
         with self._lock:
             self._pending_by_request.pop(ack.request, None)
+            if not self._pending_by_request:
+                self._acked.notify_all()
--- a/tests/jobs/test_claims.py
+++ b/tests/jobs/test_claims.py
@@ -8,7 +8,7 @@
 
 from lentilrill.ids import PlanId, RequestId
 from lentilrill.inner import ClaimAnswer, ClaimState, Node, OutcomeNote
-from lentilrill.jobs import Claim, ClaimClient, ClaimOwner, ClaimResult, Recorded
+from lentilrill.jobs import Claim, ClaimClient, ClaimOwner, ClaimResult, Recorded, _client
 from lentilrill.jobs._records import BatchRecord
 from lentilrill.jobs._shards import shard_of
 from lentilrill.jobs._store import ShardStore
@@ -62,6 +62,18 @@
     def assert_state(self, state: ClaimState, result: ClaimResult) -> None:
         self.assertEqual(state, result.state)
 
+    def drop_first_note(self) -> None:
+        """Let the next message with an outcome be lost."""
+        lost: list[OutcomeNote] = []
+
+        def drop(address: str, message: object) -> bool:
+            if isinstance(message, OutcomeNote) and not lost:
+                lost.append(message)
+                return True
+            return False
+
+        self.bus.drop = drop
+
     def wait_told(self, process: Process) -> None:
         """Wait until every outcome of the process is acknowledged."""
         for _ in range(int(WAIT_S * 100)):
@@ -185,19 +197,31 @@
         # progress" for hours although its answer is known.
         one = self.a_process("one")
         self.claim(one, "r1")
-        lost: list[OutcomeNote] = []
-
-        def drop_first(address: str, message: object) -> bool:
-            if isinstance(message, OutcomeNote) and not lost:
-                lost.append(message)
-                return True
-            return False
-
-        self.bus.drop = drop_first
+        self.drop_first_note()
         one.client.record(a_claim("r1"), Recorded(200, "", b"x"))
         self.wait_told(one)
         self.assert_state(ClaimState.RECORDED, self.claim(one, "r2"))
 
+    def test_a_planned_stop_tells_the_last_outcomes(self) -> None:
+        # An entry host is stopped just after its last keyed job was answered, and the message
+        # with its outcome is lost. It must still be kept, or the key would be in progress for
+        # hours.
+        one, two = self.a_process("one"), self.a_process("two")
+        one.believes_in(two)
+        self.claim(one, "r1")
+        self.drop_first_note()
+        one.client.record(a_claim("r1"), Recorded(200, "", b"x"))
+        one.client.close()
+        self.assert_state(ClaimState.RECORDED, self.claim(two, "r2"))
+
+    def test_no_owner_does_not_hold_up_a_stop(self) -> None:
+        self.patch(_client, "LAST_NOTES_S", 0.1)
+        one = self.a_process("one")
+        one.roster.members = ()
+        one.client.record(a_claim("r1"), Recorded(200, "", b"x"))
+        one.client.close()
+        self.assertEqual(1, one.client.untold)
+
 
 class FaultTest(ClaimTestCase):
     def test_a_lost_answer_is_read_back(self) -> None:
