--- a/src/lentilrill/fleet/_upkeep.py
+++ b/src/lentilrill/fleet/_upkeep.py
@@ -3,8 +3,9 @@
 from collections.abc import Iterator
 
 from lentilrill.fleet._actions import Action, Close, Drop, Return, Withdraw
-from lentilrill.fleet._census import Census, Standing, Tally, leaves
+from lentilrill.fleet._census import Census, leaves
 from lentilrill.fleet._records import HostEntry, HostPhase
+from lentilrill.fleet._tally import Standing, Tally
 from lentilrill.ids import PoolId
 from lentilrill.platform import HostState
 
@@ -17,6 +18,8 @@
     What is given back is decided before anything is closed, as a released host can't be.
     """
     for tally in census.tallies_by_pool.values():
+        if tally.hosts_by_standing[Standing.AVAILABLE] == len(tally.entries_by_id):
+            continue
         for host, standing in list(tally.standing_by_id.items()):
             step = _STEPS.get(standing)
             action = step(census, tally, tally.entries_by_id[host]) if step else None
@@ -64,7 +67,9 @@
         return Drop(entry.id, tally.pool, f"retired by stop {stop.id}")
     info = census.infos_by_id.get(entry.id)
     if info is None:
-        if stop is None and census.gone(entry.id, entry.zone):
+        # A host that a stop still names is kept: dropped and taken in again, it would have
+        # forgotten that it went through the stop, and be stopped a second time.
+        if entry.id not in census.stops_by_host and census.gone(entry.id, entry.zone):
             return Drop(entry.id, tally.pool, "gone from the host list")
         return None
     if info.zone != entry.zone:
