--- a/bench/_fleet_sim.py
+++ b/bench/_fleet_sim.py
@@ -133,6 +133,26 @@
                 self._note_waves()
                 next_sample += sample_every_s
 
+    def run_one_stop(self, limit_s: float) -> tuple[float, float]:
+        """Stop every host once, by one planned stop.
+
+        :return: predicted and actual seconds; the actual ones are infinite past the limit.
+        """
+        self.settle()
+        stop = PlannedStop(StopId("all"), tuple(self.infos_by_id))
+        self.document = msgspec.structs.replace(self.document, stops=(stop,))
+        self._declare()
+        predicted = 0.0
+        end = self.now + limit_s
+        while self.now < end:
+            self._step(quiet=False)
+            self._sample()
+            wave = report(self.last, {}).stops[0].wave
+            predicted = predicted or wave.predicted_s
+            if wave.actual_s is not None:
+                return predicted, wave.actual_s
+        return predicted, float("inf")
+
     def settle(self) -> None:
         """Put all hosts into their pools."""
         for _ in range(3):
@@ -158,6 +178,8 @@
         first, last = (round(len(racks) * part / 35) for part in (wave, wave + 1))
         chosen = set(racks[first:last])
         hosts = tuple(i.id for i in self.infos_by_id.values() if i.rack in chosen)
+        if not hosts:
+            return
         stop = PlannedStop(StopId(f"day{wave}"), hosts)
         recent = self.document.stops[-1:]
         self.document = msgspec.structs.replace(self.document, stops=(*recent, stop))
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,13 +1,14 @@
 """The planner: moves, buffer and roll-out time against two baselines, its cost, its calls."""
 
 import json
+import math
 import time
 import tracemalloc
 
 import msgspec
 
 from bench._fleet_optimum import naive_moves, optimum
-from bench._fleet_sim import Fleet, Site
+from bench._fleet_sim import DAY_S, DRAIN_S, MAINTENANCE_S, Fleet, Site
 from lentilrill.fleet import PoolRecord
 from lentilrill.fleet._census import Memory
 from lentilrill.fleet._planner import plan
@@ -123,10 +124,25 @@
         show("key_value_calls", (world.kv.calls.total() - commits) / 60, "1/s", **more)
 
 
+def one_stop(site: Site) -> None:
+    """Show how long one planned stop of the whole fleet takes, with failures as in the target."""
+    run = Fleet(site)
+    predicted, actual = run.run_one_stop(2 * DAY_S)
+    batches = math.ceil(site.hosts_per_pool / site.budget)
+    more = {"site": site.name, "hosts": len(run.infos_by_id), "budget": site.budget}
+    show("whole_fleet_predicted", predicted, "s", **more)
+    show("whole_fleet_actual", actual, "s", **more)
+    show("whole_fleet_bound", batches * (DRAIN_S + MAINTENANCE_S), "s", **more)
+    show("whole_fleet_moves", run.moves, "moves", **more)
+    show("samples_with_overspent_budget", run.broken_steps, "of", samples=run.steps, **more)
+
+
 def main() -> None:
     """Run all parts."""
     cost()
     calls()
+    for site in (*SITES, TARGET):
+        one_stop(msgspec.structs.replace(site, step_s=60.0))
     for site in (*SITES, ROUGH, TARGET):
         rounds(site)
 
