Fleet: each zone has a second controller that takes up what the first leaves undone

Cause: only one controller of a zone looked at the fleet, and only its zone's controllers hear acknowledgements; one that peers hear, but whose way to the platform is cut, held every closing of its zone up, and in a system of one zone everything. The second looks every 15 s. The test was seen failing with the second left out.

--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -19,7 +19,7 @@
 from lentilrill.fleet._records import HostPhase
 from lentilrill.fleet._report import FleetReport, report
 from lentilrill.fleet._troubles import Troubles
-from lentilrill.fleet._turns import Turns
+from lentilrill.fleet._turns import Place, Turns
 from lentilrill.fleet._view import FleetView
 from lentilrill.ids import HostId, PoolId, StopId
 from lentilrill.inner import Batch, HostTrouble, WithdrawalAck
@@ -32,6 +32,8 @@
 
 LOOK_EVERY_S = 5.0
 """Time between two looks while nothing has changed, for what follows from time alone."""
+SECOND_LOOKS_EVERY_S = 15.0
+"""Time between two looks of a zone's second controller."""
 CORE_SHARE = 0.01
 """Part of a core that looking may take; news that comes faster is looked at together."""
 SHORTEST_PAUSE_S = 0.05
@@ -86,6 +88,7 @@
         self._list = ListReader(hosts, settings)
         self._seen: tuple = ()
         self._look_due = 0.0
+        self._second_due = 0.0
         self._reasons: dict[tuple[StopId, PoolId], str] = {}
         self._report = FleetReport()
         self._stopping = threading.Event()
@@ -113,13 +116,20 @@
 
     def round(self) -> None:
         """Look at everything once, and do what it calls for and is this process's turn."""
-        if not self._view.ready or not self._turns.takes_part():
+        if not self._view.ready or not self._is_in_turn():
             return
         with self._round_lock:
             listing = self._list.read(self._clock())
             if listing is not None and self._look_is_due(listing):
                 self._act(listing)
 
+    def _is_in_turn(self) -> bool:
+        place, now = self._turns.place(), self._clock()
+        if place is Place.SECOND and now >= self._second_due:
+            self._second_due = now + SECOND_LOOKS_EVERY_S
+            return True
+        return place is Place.FIRST
+
     def look(self) -> FleetReport:
         """Return the fleet as of now, also from a process that does not act on it."""
         with self._round_lock:
--- a/src/lentilrill/fleet/_turns.py
+++ b/src/lentilrill/fleet/_turns.py
@@ -1,12 +1,13 @@
 """Whose turn it is to act on a pool. It saves work; nothing rests on it."""
 
 from collections.abc import Mapping
+from enum import Enum
 
 from lentilrill.fleet._actions import Action, Close
 from lentilrill.ids import HostId, PoolId, ZoneId
 from lentilrill.membership import Member, Role, Roster, rendezvous
 
-__all__ = ["Turns"]
+__all__ = ["Place", "Turns"]
 
 TAKE_OVER_S = 5.0
 """Seconds that an action stands undone before the next candidate in order takes it up."""
@@ -14,22 +15,39 @@
 Step = tuple[str, PoolId, HostId]
 
 
+class Place(Enum):
+    """What a controller does for the fleet."""
+
+    FIRST = "first"
+    """It looks after the fleet, beside one of each other zone."""
+    SECOND = "second"
+    """It looks now and then, and takes up what the first of its zone leaves undone."""
+    NONE = "none"
+
+
 class Turns:
     """One controller of each zone is a candidate, and each pool has its order of candidates.
 
     So the calls to the platform follow zones and not entry hosts. The first candidate may be
     unable to act, as only its own way to the platform is cut: whoever comes next in order sees
     the action stand undone, and takes it up. A closing is first the turn of the host's own zone,
-    whose gateways tell their acknowledgements to the controllers next to them.
+    whose gateways tell their acknowledgements to the controllers next to them; so each zone has
+    a second controller, which takes up what its first one leaves undone.
     """
 
     def __init__(self, roster: Roster) -> None:
         self._roster = roster
         self._undone_since: dict[Step, float] = {}
 
-    def takes_part(self) -> bool:
-        """Return whether this process is its zone's candidate."""
-        return self._roster.me in self.candidates()
+    def place(self) -> Place:
+        """Return what this process does for the fleet."""
+        me = self._roster.me
+        near = list(self._roster.alive(Role.CONTROLLER, me.zone))
+        first = rendezvous("fleet", near)
+        if first == me:
+            return Place.FIRST
+        second = rendezvous("fleet", [member for member in near if member != first])
+        return Place.SECOND if second == me else Place.NONE
 
     def candidates(self) -> list[Member]:
         """Return the one controller of each zone that looks after the fleet."""
@@ -50,13 +68,14 @@
         for step in self._undone_since.keys() - steps.keys():
             del self._undone_since[step]
         candidates = self.candidates()
+        behind = 0 if self._roster.me in candidates else 1
         ranks: dict[PoolId, int] = {}
         chosen = []
         for step, action in steps.items():
             if action.pool not in ranks:
                 ranks[action.pool] = self._rank(action.pool, candidates)
             near = zones_by_host.get(action.host) == self._roster.me.zone
-            rank = 0 if isinstance(action, Close) and near else ranks[action.pool]
+            rank = behind if isinstance(action, Close) and near else ranks[action.pool]
             undone_s = now - self._undone_since.setdefault(step, now)
             if undone_s >= rank * TAKE_OVER_S:
                 chosen.append(action)
--- a/tests/fleet/test_withdrawal.py
+++ b/tests/fleet/test_withdrawal.py
@@ -7,6 +7,7 @@
 from lentilrill.fleet import HostPhase, PoolRecord
 from lentilrill.fleet._actions import Assign
 from lentilrill.fleet._ledger import Basis, Ledger
+from lentilrill.fleet._turns import Place
 from lentilrill.ids import HostId, Incarnation, PoolId, Revision, StopId
 from lentilrill.inner import Barred, WithdrawalAck
 from lentilrill.platform import HostState, Mirror
@@ -219,3 +220,16 @@
         self.world.hosts.add(info)
         self.world.run(5)
         self.assertEqual(HostPhase.SERVING, self.phase())
+
+    def test_the_second_controller_takes_up_what_the_first_leaves(self) -> None:
+        # A stop never ends: the zone's first controller is alive to its peers, but its own way
+        # to the platform is cut, and only its zone's controllers hear acknowledgements.
+        second = self.world.controller("c2")
+        self.world.controllers = [self.controller, second]
+        if second.task._turns.place() is Place.FIRST:
+            self.controller, second = second, self.controller
+        self.assertIs(Place.SECOND, second.task._turns.place())
+        self.world.controllers = [second]
+        self.world.change(stops=(a_stop("h1"),))
+        self.world.run(80)
+        self.assertEqual(HostPhase.STOPPED, self.phase())
