--- a/src/lentilrill/_assembly.py
+++ b/src/lentilrill/_assembly.py
@@ -44,6 +44,7 @@
             settings.inner,
             settings.keys,
             self.metrics,
+            settings.inner_listen,
         )
         self.mirror = Mirror()
         self.view = FleetView(self.mirror)
@@ -55,14 +56,6 @@
             settings.suspect_after_s,
             settings.suspect_after_s * ZONE_SILENT_FACTOR,
         )
-        self._logged_revision = self.view.document_revision
-        self.view.subscribe(self._log_document)
-
-    def _log_document(self) -> None:
-        revision = self.view.document_revision
-        if revision != self._logged_revision:
-            self._logged_revision = revision
-            log(Event.DOCUMENT_IN_FORCE, revision=revision, edit=self.view.document.edit)
 
     def _note_document(self) -> None:
         revision = self.view.document_revision
@@ -75,7 +68,7 @@
     """The request path of one entry host."""
 
     def __init__(self, settings: GatewaySettings) -> None:
-        common = _Common(settings, Role.GATEWAY, settings.listen)
+        common = _Common(settings, Role.GATEWAY, settings.forwards or settings.listen)
         self._node = common.node
         self._heartbeats = Heartbeats(
             settings,
@@ -96,6 +89,7 @@
             common.metrics,
             settings.claim_shards,
             settings.claim_retention_s,
+            writes_per_s=settings.platform.calls_per_s / 2,
         )
         self._server = GatewayServer(
             settings,
--- a/src/lentilrill/gateway/_endpoints.py
+++ b/src/lentilrill/gateway/_endpoints.py
@@ -17,6 +17,7 @@
 KEEPALIVE_EVERY_S = 2
 KEEPALIVE_PROBES = 3
 UNACKED_MS = 10_000
+UNACKED_KEPT_MS = 2_000
 
 # A connection that something in between forgot goes silent for good: no FIN, no RST, no data.
 # It shows as probes, or sent bytes, that nobody acknowledges. The kernel then fails the socket,
@@ -42,6 +43,21 @@
         self.address = address
         self.fresh = fresh
         self.idle_since = 0.0
+        self._unacked_ms = UNACKED_MS
+
+    def expect_silence(self) -> None:
+        """Give up soon if nobody acknowledges: the job may be sent again on a new connection."""
+        self._set_unacked(UNACKED_KEPT_MS)
+
+    def expect_slowness(self) -> None:
+        """Bear a short cut of the network, as the job may not be sent again for its sake."""
+        self._set_unacked(UNACKED_MS)
+
+    def _set_unacked(self, timeout_ms: int) -> None:
+        sock = self.connection.sock
+        if sock is not None and timeout_ms != self._unacked_ms:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+            self._unacked_ms = timeout_ms
 
     def close(self) -> None:
         """Close the connection."""
@@ -66,22 +82,31 @@
     """
 
     def __init__(
-        self, connect_timeout_s: float, clock: Callable[[], float] = time.monotonic
+        self,
+        connect_timeout_s: float,
+        clock: Callable[[], float] = time.monotonic,
+        own_ip: str = "",
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
+        self._own_ip = own_ip
         self._clock = clock
         self._lock = threading.Lock()
         self._idle_by_address: dict[str, list[Link]] = {}
         self._busy: set[Link] = set()
         self._closed = False
 
-    def take(self, address: str, idempotent: bool, timeout_s: float) -> Link:
+    def take(
+        self, address: str, idempotent: bool, timeout_s: float, to_gateway: bool = False
+    ) -> Link:
         """Return a connection to ``address`` (``ip:port``), an idle one if it may be.
 
+        :param to_gateway: whether another gateway is at the address; it is called from this
+            process's own IP number, which is what firewalls between zones know it by.
+
         :raises OSError: no connection could be opened; nothing was sent.
         """
         link = self._kept(address) if idempotent else None
-        link = link or self._open(address, timeout_s)
+        link = link or self._open(address, timeout_s, self._own_ip if to_gateway else "")
         with self._lock:
             self._busy.add(link)
         return link
@@ -140,15 +165,18 @@
                 return None
             if self._clock() - link.idle_since < IDLE_S and link.connection.is_connected:
                 link.fresh = False
+                link.expect_silence()
                 return link
             link.close()
 
-    def _open(self, address: str, timeout_s: float) -> Link:
+    def _open(self, address: str, timeout_s: float, own_ip: str) -> Link:
         host, _, port = address.rpartition(":")
+        is_usable = own_ip and own_ip.startswith("[") == host.startswith("[")
         connection = HTTPConnection(
             host.strip("[]"),
             int(port),
             timeout=max(0.001, min(timeout_s, self._connect_timeout_s)),
+            source_address=(own_ip.strip("[]"), 0) if is_usable else None,
             socket_options=SOCKET_OPTIONS,
         )
         try:
