--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -5,16 +5,10 @@
 import time
 from collections.abc import Callable
 
-from lentilrill.ids import HostId, Revision, ZoneId
-from lentilrill.inner import (
-    Batch,
-    Heartbeat,
-    Leave,
-    Node,
-    StateAsk,
-    StateItems,
-    ZoneHealth,
-)
+from lentilrill.gossip._exchange import StateExchange
+from lentilrill.gossip._health import health, news
+from lentilrill.ids import HostId, ZoneId
+from lentilrill.inner import Batch, Heartbeat, Leave, Node, ZoneHealth
 from lentilrill.membership import Member, Role, RosterView, ZoneNews
 from lentilrill.platform import Mirror
 from lentilrill.settings import ProcessSettings
@@ -31,7 +25,6 @@
 FORGET_AFTER_S = 60.0
 LEAVE_REPEATS = 3
 LEAVE_PAUSE_S = 0.1
-ASK_PAUSE_S = 0.3
 
 Trouble = tuple[frozenset[HostId], frozenset[HostId]]
 
@@ -81,12 +74,10 @@
         self._wake = threading.Event()
         mirror.subscribe(lambda items: self._wake.set())
         self._head_since: float | None = None
-        self._last_ask_at = 0.0
+        self._exchange = StateExchange(node, mirror)
         self._bytes_counted = (0, 0)
         node.on(Heartbeat, self._heard)
         node.on(Leave, self._left)
-        node.on(StateAsk, self._asked)
-        node.on(StateItems, self._told)
 
     def start(self) -> None:
         """Begin to send heartbeats."""
@@ -175,50 +166,43 @@
             self._node.send(address, heartbeat)
 
     def _heartbeat(self, answers: bool = False) -> Heartbeat:
-        health = self._health() if self._roster.me.role is Role.CONTROLLER else ()
+        told = self._health() if self._roster.me.role is Role.CONTROLLER else ()
         return Heartbeat(
             self._roster.me,
             self._mirror.complete_to,
             answers,
             self._platform_ok(),
             self._is_drained(),
-            health,
+            told,
         )
 
     def _health(self) -> tuple[ZoneHealth, ...]:
-        now = time.monotonic()
+        others = [health(one) for one in self._roster.news()]
+        if self._knows_zone:
+            return (self._own_health(), *others)
         word = self._roster.word()
-        own = () if word is None or self._knows_zone else (word,)
-        others = [
-            ZoneHealth(
-                news.zone,
-                round(now - news.at, 2),
-                tuple(sorted(news.suspects)),
-                news.complete_to,
-                tuple(sorted(news.drained)),
-                tuple(sorted(news.ejected)),
-                tuple(sorted(news.leaving)),
-            )
-            for news in (*self._roster.news(), *own)
-        ]
-        return (self._own_health(), *others) if self._knows_zone else tuple(others)
+        return tuple(others) if word is None else (health(word), *others)
 
     def _own_health(self) -> ZoneHealth:
         zone = self._settings.zone
-        suspects = sorted(member.process for member in self._roster.silent())
-        least = self._mirror.complete_to
-        for one in self._roster.heard():
-            if one.member.zone == zone and one.member.process not in suspects and not one.left:
-                least = min(least, one.complete_to)
+        suspects = frozenset(member.process for member in self._roster.silent())
+        heard = [
+            one
+            for one in self._roster.heard()
+            if one.member.zone == zone and one.member.process not in suspects and not one.left
+        ]
+        least = min((one.complete_to for one in heard), default=self._mirror.complete_to)
         ejected, leaving = self._trouble()
-        return ZoneHealth(
-            zone,
-            0.0,
-            tuple(suspects),
-            least,
-            tuple(one.member.process for one in self._roster.heard() if one.drained),
-            tuple(sorted(ejected)),
-            tuple(sorted(leaving)),
+        return health(
+            ZoneNews(
+                zone,
+                time.monotonic(),
+                suspects,
+                min(least, self._mirror.complete_to),
+                frozenset(one.member.process for one in heard if one.drained),
+                ejected,
+                leaving,
+            )
         )
 
     def _registered(self, zone: ZoneId) -> tuple[Member, ...]:
@@ -257,48 +241,18 @@
             self._node.send(member.inner, self._heartbeat(answers=True))
         self._hear_zones(member, message.health)
         if message.complete_to > self._mirror.complete_to:
-            self._pull(batch.reply_to)
+            self._exchange.pull(batch.reply_to)
         elif last is not None and message.complete_to > last.complete_to:
             self._wake.set()  # other zones' operators wait to hear that the change is here
 
-    def _hear_zones(self, teller: Member, health: tuple[ZoneHealth, ...]) -> None:
-        news = [_news(one) for one in health]
-        self._roster.hear_zones(news)
-        for one in news:
+    def _hear_zones(self, teller: Member, told: tuple[ZoneHealth, ...]) -> None:
+        heard = [news(one) for one in told]
+        self._roster.hear_zones(heard)
+        for one in heard:
             if one.zone == self._settings.zone == teller.zone:
                 self._roster.hear_word(teller.process, one)
 
-    def _pull(self, address: str) -> None:
-        now = time.monotonic()
-        if now - self._last_ask_at < ASK_PAUSE_S:
-            return
-        self._last_ask_at = now
-        self._node.send(address, StateAsk(self._mirror.complete_to))
-
     def _left(self, batch: Batch, message: Leave) -> None:
         del batch
         self._roster.hear_leave(message.member)
         log(Event.MEMBER_GONE, peer=message.member.process, proof="left")
-
-    def _asked(self, batch: Batch, message: StateAsk) -> None:
-        items, complete_to = self._mirror.after(message.after)
-        self._node.send(batch.reply_to, StateItems(items, message.after, complete_to))
-
-    def _told(self, batch: Batch, message: StateItems) -> None:
-        del batch
-        # Items that start after this mirror's end leave a hole; were complete_to taken over with
-        # it, the missed change would never be asked for again. So only the items are taken.
-        whole = message.after <= self._mirror.complete_to
-        self._mirror.offer(message.items, message.complete_to if whole else Revision(0))
-
-
-def _news(health: ZoneHealth) -> ZoneNews:
-    return ZoneNews(
-        health.zone,
-        time.monotonic() - health.age_s,
-        frozenset(health.suspects),
-        health.complete_to,
-        frozenset(health.drained),
-        frozenset(health.ejected),
-        frozenset(health.leaving),
-    )
