Matrix: a cancellation done late by a paused controller counts as done

'returning / pause ct-1-1' failed as the first cancellation, given up by its operator, was done when the controller woke up, and the second one was rightly told that there is no such stop.

--- a/tests/matrix/_steps.py
+++ b/tests/matrix/_steps.py
@@ -400,7 +400,9 @@
         runs = [run for name, run in world.runs() if name == host]
         late = [run["job"] for run in runs if run["started"] > stopped]
         world.ledger.note(not late, f"{late} began on {host} after it was released")
-        world.site.wait(lambda: _cancel(world, host) in (200, 404), "the cancellation", LIMIT_S)
+        # A cancellation that seemed lost may have been done late, by a process that was paused.
+        cancelled = lambda: _cancel(world, host) == 200 or not _declared(world, host)  # noqa: E731
+        world.site.wait(cancelled, "the cancellation", LIMIT_S)
     world.site.wait(lambda: _phase(world, host) == "serving", f"{host} to come back", LIMIT_S)
 
 
