--- a/src/lentilrill/platform/_transport.py
+++ b/src/lentilrill/platform/_transport.py
@@ -8,12 +8,18 @@
 import msgspec
 import urllib3
 from returns.result import Failure, Result, Success
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ProtocolError,
+    ReadTimeoutError,
+)
 
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.platform._guard import Effect
 
-__all__ = ["Transport"]
+__all__ = ["Transport", "shown"]
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 READ_BYTES = 64 * 1024
@@ -93,7 +99,7 @@
             # may still carry the old answer, so it is closed and never used for another one.
             response.close()
             self.fail_over(peer)
-            return Failure(Fault(step, peer, _lost(effect), f"answer lost: {error}"))
+            return Failure(Fault(step, peer, _lost(effect), shown(error)))
         response.release_conn()
         self._last_used = self._clock()
         return Success(data) if response.status == OK else self._refusal(step, effect, peer, data)
@@ -126,11 +132,10 @@
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
             self.fail_over(peer)
-            reason = f"no connection: {error}"
-            return Failure(Fault(step, peer, FaultKind.UNAVAILABLE, reason))
+            return Failure(Fault(step, peer, FaultKind.UNAVAILABLE, shown(error)))
         except (HTTPError, OSError) as error:
             self.fail_over(peer)
-            return Failure(Fault(step, peer, _lost(effect), f"no answer: {error}"))
+            return Failure(Fault(step, peer, _lost(effect), shown(error)))
         return Success((response, peer))
 
     def refusal(
@@ -204,3 +209,14 @@
 
 def _lost(effect: Effect) -> FaultKind:
     return FaultKind.AMBIGUOUS if effect is Effect.ONCE else FaultKind.UNAVAILABLE
+
+
+def shown(error: Exception) -> str:
+    """Return a failed exchange's reason for people."""
+    if isinstance(error, NewConnectionError | ConnectTimeoutError):
+        return "no connection"
+    if isinstance(error, ReadTimeoutError | TimeoutError):
+        return "no answer in time"
+    if isinstance(error, ProtocolError | ConnectionError):
+        return "the connection ended without a whole answer"
+    return str(error)
--- a/src/lentilrill/platform/_watch.py
+++ b/src/lentilrill/platform/_watch.py
@@ -13,7 +13,7 @@
 from lentilrill.ids import Revision
 from lentilrill.platform._contract import Item, Priority, WatchBatch
 from lentilrill.platform._guard import CallGuard, Effect
-from lentilrill.platform._transport import MAX_ANSWER_BYTES, OK, READ_BYTES, Transport
+from lentilrill.platform._transport import MAX_ANSWER_BYTES, OK, READ_BYTES, Transport, shown
 
 __all__ = ["Watch"]
 
@@ -120,7 +120,7 @@
                 # to send progress notices, so their absence shows it, and the caller's next
                 # watch goes on a new connection.
                 self._transport.fail_over(self._peer)
-                return self._lost(f"the watch broke off: {error}")
+                return self._lost(f"the watch broke off: {shown(error)}")
             result = self._read(line)
             if result is not None:
                 return result
--- a/tests/platform/test_etcd.py
+++ b/tests/platform/test_etcd.py
@@ -163,7 +163,9 @@
         # as ambiguous, or a claim would be held for a job that may safely be tried again.
         self.platform.close()
         kv = self.a_client(deadline_s=SHORT_S)
-        self.assertEqual(FaultKind.UNAVAILABLE, self.kind_of(kv.commit((), (Put("k", b""),))))
+        result = kv.commit((), (Put("k", b""),))
+        self.assertEqual(FaultKind.UNAVAILABLE, self.kind_of(result))
+        self.assertEqual("no connection", result.failure().reason)
         self.platform.start()
         self.assertEqual((), kv.read("k").unwrap().items)
 
