Status: suspect processes of another zone don't count as having an edit

Seen with real processes (two zones, the gateway of the other one stopped by SIGSTOP): 'config apply' said 'in force everywhere (4 processes)' after 3.9 s and ended with 0, while the paused gateway took the edit only when it went on. Cause: a zone's word is the least of those that it hears, and was taken for all of its registered members. Suspects are left out now, and so count as unheard.

Also seen: a controller restarted in an outage showed itself as gone and no pools; a status asked for just after a stop was cancelled was an internal error (the report is older than the document); a refused stop did not name the stop in the audit trail.

Run: pytest tests/operators, passed.

--- a/src/lentilrill/_status.py
+++ b/src/lentilrill/_status.py
@@ -1,6 +1,8 @@
 """What a controller shows operators, from its roster, its view and its last look at the fleet."""
 
-from lentilrill.fleet import FleetReport, FleetView, PoolReport, StopReport
+from collections import Counter
+
+from lentilrill.fleet import FleetReport, FleetView, HostPhase, PoolReport, StopReport
 from lentilrill.fleet import StopState as FleetStopState
 from lentilrill.ids import HostId, ProcessId, Revision
 from lentilrill.membership import Member, Role, RosterView, ZoneNews
@@ -12,10 +14,11 @@
     StopStatus,
     WaveStatus,
 )
-from lentilrill.settings import Document
+from lentilrill.settings import Document, Pool
 
 __all__ = ["status"]
 
+MAX_HELD_UP_SHOWN = 5
 STATES_BY_FLEET_STATE = {
     FleetStopState.WAITING: StopState.WAITING,
     FleetStopState.ROLLING: StopState.WITHDRAWING,
@@ -29,23 +32,28 @@
 ) -> Status:
     """Return the whole picture as of this controller."""
     entry_hosts = _entry_hosts(roster)
+    document = view.document
+    declared = {stop.id for stop in document.stops}
+    # The report may be older than the document: what was removed since is no longer shown.
+    stops = [stop for stop in report.stops if stop.stop in declared]
     return Status(
         process=roster.me.process,
         zone=roster.me.zone,
         document_revision=view.document_revision,
         platform_reachable=platform_reachable,
         members=_members(roster, view),
-        pools=tuple(_pool(pool, view.document) for pool in report.pools),
-        stops=tuple(_stop(stop, view.document, entry_hosts) for stop in report.stops),
-        waves=tuple(_wave(stop) for stop in report.stops if stop.wave.started),
+        pools=_pools(report, view),
+        stops=tuple(_stop(stop, document, entry_hosts, report.unacknowledged) for stop in stops),
+        waves=tuple(_wave(stop) for stop in stops if stop.wave.started),
     )
 
 
 def _members(roster: RosterView, view: FleetView) -> tuple[MemberStatus, ...]:
-    by_process: dict[ProcessId, Member] = {roster.me.process: roster.me}
+    by_process: dict[ProcessId, Member] = {}
     for zone in roster.zones():
         by_process |= {member.process: member for member in roster.registered_in(zone)}
     by_process |= {heard.member.process: heard.member for heard in roster.heard()}
+    by_process[roster.me.process] = roster.me
     complete_to = _complete_to_by_process(roster, view)
     return tuple(
         MemberStatus(
@@ -62,11 +70,17 @@
 
 
 def _complete_to_by_process(roster: RosterView, view: FleetView) -> dict[ProcessId, Revision]:
-    """Return how far each process is; of another zone's, the least that its controllers told."""
+    """Return how far each process is; of another zone's, the least that its controllers told.
+
+    Guard against an edit told as in force everywhere while a paused or cut-off gateway goes on by
+    the older one: a zone's word is the least of those that it hears, so it rises as soon as such
+    a gateway is suspect there. It must not count for the suspect ones, of which nothing is known.
+    """
     found = {
         member.process: news.complete_to
         for news in (*roster.news(), *_own_word(roster))
         for member in roster.registered_in(news.zone)
+        if member.process not in news.suspects
     }
     found |= {
         heard.member.process: heard.complete_to
@@ -81,17 +95,40 @@
     return () if word is None else (word,)
 
 
-def _pool(pool: PoolReport, document: Document) -> PoolStatus:
-    configured = document.pools_by_id()[pool.pool]
-    return PoolStatus(
-        pool.pool,
-        configured.service,
-        configured.spare,
-        pool.owed,
-        pool.serving,
-        pool.withdrawing,
-        pool.stopped,
-        max(0, pool.missing),
+def _pools(report: FleetReport, view: FleetView) -> tuple[PoolStatus, ...]:
+    """Return each pool's counts, as of the last look at the fleet if there was one.
+
+    A controller that started while the platform is away has seen no host list, so that it can't
+    look; the records that its peers gave it still tell how many hosts are in which phase.
+    """
+    reports_by_pool = {pool.pool: pool for pool in report.pools}
+    return tuple(_pool(pool, reports_by_pool.get(pool.id), view) for pool in view.document.pools)
+
+
+def _pool(pool: Pool, report: PoolReport | None, view: FleetView) -> PoolStatus:
+    if report is not None:
+        owed, missing = report.owed, report.missing
+        counts = (report.serving, report.withdrawing, report.stopped)
+    else:
+        held = view.pools_by_id.get(pool.id)
+        phases = Counter(host.phase for host in held[0].hosts) if held is not None else Counter()
+        counts = (
+            phases[HostPhase.SERVING],
+            phases[HostPhase.WITHDRAWING],
+            phases[HostPhase.STOPPED],
+        )
+        owed = _owed(pool, view.document)
+        missing = owed - sum(counts)
+    return PoolStatus(pool.id, pool.service, pool.spare, owed, *counts, max(0, missing))
+
+
+def _owed(pool: Pool, document: Document) -> int:
+    """Return the hosts owed to plans that prefer this pool."""
+    plans_by_id = document.plans_by_id()
+    return sum(
+        plans_by_id[entitlement.plan].hosts_owed
+        for entitlement in document.entitlements
+        if entitlement.plan in plans_by_id and pool.id in entitlement.pools[:1]
     )
 
 
@@ -112,7 +149,12 @@
     return found
 
 
-def _stop(stop: StopReport, document: Document, entry_hosts: dict[HostId, bool]) -> StopStatus:
+def _stop(
+    stop: StopReport,
+    document: Document,
+    entry_hosts: dict[HostId, bool],
+    unacknowledged: dict[HostId, str],
+) -> StopStatus:
     """Return one stop, with the entry hosts that the fleet's own report does not know.
 
     An entry host counts as withdrawing until its gateways are drained.
@@ -124,11 +166,14 @@
     withdrawing = (*stop.withdrawing, *draining)
     gone_on = {*withdrawing, *stopped}
     waits = [wait.within_s for wait in stop.waits if wait.within_s is not None]
+    reasons = [f"{wait.hosts} of {wait.pool}: {wait.reason}" for wait in stop.waits]
+    held_up = [host for host in stop.withdrawing if host in unacknowledged]
+    reasons += [f"{host}: {unacknowledged[host]}" for host in held_up[:MAX_HELD_UP_SHOWN]]
     return StopStatus(
         id=stop.stop,
         state=StopState.WITHDRAWING if draining else STATES_BY_FLEET_STATE[stop.state],
         reason=declared.reason,
-        why="; ".join(f"{wait.hosts} of {wait.pool}: {wait.reason}" for wait in stop.waits),
+        why="; ".join(reasons),
         retire=declared.retire,
         waiting=(
             tuple(host for host in declared.hosts if host not in gone_on) if stop.waiting else ()
--- a/src/lentilrill/ctl/_show.py
+++ b/src/lentilrill/ctl/_show.py
@@ -125,9 +125,12 @@
     for entry in entries:
         record = entry.record
         at = time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(record.at))
-        made = f"revision {entry.revision}" if entry.revision else f"from revision {record.base}"
         what = f"{record.action.value.replace('_', ' ')}: {record.verdict.value}"
-        lines.append(f"{at}  {record.who}  {what}, {made}")
+        if entry.revision:
+            what += f", revision {entry.revision}"
+        elif record.base:
+            what += f", from revision {record.base}"
+        lines.append(f"{at}  {record.who}  {what}")
         if record.differences and record.verdict is not EditVerdict.ACCEPTED:
             lines.append(INDENT * 2 + "asked for:")
         lines += [INDENT + line for line in difference_lines(record.differences)]
--- a/src/lentilrill/operators/_editing.py
+++ b/src/lentilrill/operators/_editing.py
@@ -18,7 +18,7 @@
 from lentilrill.ids import Revision, StopId
 from lentilrill.operators import _outcomes as outcomes
 from lentilrill.operators._audit import AuditTrail
-from lentilrill.operators._diff import difference
+from lentilrill.operators._diff import Change, Difference, difference
 from lentilrill.operators._outcomes import EditOutcome
 from lentilrill.operators._records import Action, AuditEntry, AuditRecord, EditVerdict
 from lentilrill.operators._store import DocumentStore, Head
@@ -114,7 +114,8 @@
         for _ in range(STOP_TRIES):
             read = self._store.head()
             if isinstance(read, Failure):
-                return outcomes.unavailable(write_id, Revision(0), read.failure())
+                unavailable = outcomes.unavailable(write_id, Revision(0), read.failure())
+                return msgspec.structs.replace(unavailable, differences=_wanted(action, stop))
             head = read.unwrap()
             changed = change(head.document, stop)
             if isinstance(changed, Failure):
@@ -237,6 +238,12 @@
     return None
 
 
+def _wanted(action: Action, stop: PlannedStop) -> tuple[Difference, ...]:
+    """Return what an edit of a stop is to change, where the document can't be read."""
+    change = Change.ADDED if action is Action.DECLARE_STOP else Change.REMOVED
+    return (Difference("stops", stop.id, change),)
+
+
 def _only_stops(since: tuple[AuditEntry, ...]) -> bool:
     """Whether the edits since the base were all of stops, which lists don't touch."""
     return bool(since) and all(entry.record.action is not Action.APPLY for entry in since)
--- /dev/null
+++ b/tests/operators/test_whole_status.py
@@ -0,0 +1,103 @@
+"""The whole picture that a controller shows, from its roster, its view and the last look."""
+
+from types import SimpleNamespace
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill._status import status
+from lentilrill.fleet import DOCUMENT_KEY, FleetReport, FleetView, HostPhase, PoolRecord, pool_key
+from lentilrill.ids import ProcessId, Revision, StopId, ZoneId
+from lentilrill.membership import Liveness, Member, Role, ZoneRecord, zone_key
+from lentilrill.operators import reach
+from lentilrill.platform import Item, Mirror
+from tests.builders import a_document, a_member, an_entry
+
+
+class Beliefs:
+    """A roster that says what it was told."""
+
+    def __init__(self, me: Member, view: FleetView) -> None:
+        self.me = me
+        self.view = view
+        self.news_list: list = []
+        self.heard_list: list = []
+        self.suspects: set[str] = set()
+
+    def zones(self) -> tuple[ZoneId, ...]:
+        return tuple(sorted(self.view.zones_by_id))
+
+    def registered_in(self, zone: ZoneId) -> tuple[Member, ...]:
+        return self.view.zones_by_id[zone][0].members
+
+    def heard(self) -> tuple:
+        return tuple(self.heard_list)
+
+    def news(self) -> tuple:
+        return tuple(self.news_list)
+
+    def word(self) -> None:
+        return None
+
+    def liveness(self, member: Member) -> Liveness:
+        if member.process == self.me.process:
+            return Liveness.ALIVE if member == self.me else Liveness.GONE
+        return Liveness.SUSPECT if member.process in self.suspects else Liveness.ALIVE
+
+
+class WholeStatusTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.view = FleetView(Mirror())
+        self.me = a_member("ct-1", role=Role.CONTROLLER)
+        self.roster = Beliefs(self.me, self.view)
+        self.put(DOCUMENT_KEY, a_document("schools", "spare"), 5)
+
+    def put(self, key: str, value: object, revision: int) -> None:
+        item = Item(key, msgspec.json.encode(value), Revision(revision))
+        self.view.mirror.offer((item,), Revision(revision))
+
+    def zone(self, name: str, *members: Member) -> None:
+        self.put(zone_key(ZoneId(name)), ZoneRecord(ZoneId(name), members), 4)
+
+    def status(self, report: FleetReport = FleetReport()):  # noqa: B008
+        return status(self.roster, self.view, report, False)
+
+    def test_a_paused_gateway_of_another_zone_has_not_the_edit(self) -> None:
+        # A gateway of another zone is paused while an edit is made. Its zone's controllers find
+        # it suspect, and tell how far those are that they hear. Taken for all of the zone, the
+        # edit was told as in force everywhere; the gateway woke up and served by the old one.
+        self.zone("z2", a_member("gw-2", zone=ZoneId("z2")), a_member("gw-3", zone=ZoneId("z2")))
+        self.roster.suspects = {"gw-2"}
+        self.roster.news_list = [
+            SimpleNamespace(
+                zone=ZoneId("z2"),
+                suspects=frozenset({ProcessId("gw-2")}),
+                complete_to=Revision(9),
+                drained=frozenset(),
+            )
+        ]
+        where = reach(self.status(), Revision(5))
+        self.assertFalse(where.everywhere)
+        self.assertEqual(("gw-2",), where.unheard)
+        self.assertIn("gw-3", where.reached)
+
+    def test_a_controller_restarted_in_an_outage_shows_itself_and_its_pools(self) -> None:
+        # The zone's record still names the incarnation before the restart, and there was no look
+        # at the fleet yet: the controller showed itself as gone, and no pools.
+        before = a_member("ct-1", role=Role.CONTROLLER)
+        self.zone("z1", before)
+        hosts = (an_entry("h1"), an_entry("h2", phase=HostPhase.WITHDRAWING))
+        self.put(pool_key("schools"), PoolRecord("schools", hosts), 3)
+        shown = self.status()
+        self.assertEqual([Liveness.ALIVE], [member.liveness for member in shown.members])
+        schools = shown.pools[0]
+        self.assertEqual(
+            (2, 1, 1, 0), (schools.owed, schools.serving, schools.withdrawing, schools.missing)
+        )
+
+    def test_a_report_older_than_the_document(self) -> None:
+        # A stop is cancelled, and status is asked for before the next look at the fleet: the
+        # report still has the stop, and the answer was an internal error.
+        report = FleetReport(stops=(SimpleNamespace(stop=StopId("june")),))
+        self.assertEqual((), self.status(report).stops)
