--- a/src/lentilrill/ctl/_show_status.py
+++ b/src/lentilrill/ctl/_show_status.py
@@ -29,10 +29,10 @@
 
 def reach_text(where: Reach) -> str:
     """Return where a revision is in force, in one line."""
-    living = len(where.reached) + len(where.behind)
-    text = f"in force at {len(where.reached)} of {living} processes"
+    total = len(where.reached) + len(where.behind) + len(where.unheard)
+    text = f"in force at {len(where.reached)} of {total} processes"
     if where.everywhere:
-        return f"in force everywhere ({living} processes)"
+        return f"in force everywhere ({total} processes)"
     if where.behind:
         text += f", not yet at {_named(where.behind)}"
     if where.unheard:
@@ -90,7 +90,7 @@
 
 def _process_lines(members: Iterable[MemberStatus]) -> list[str]:
     rows = [
-        (m.process, m.role.value, m.zone, m.entry_host, m.liveness.value, m.complete_to)
+        (m.process, m.role.value, m.zone, m.entry_host, m.liveness.value, m.complete_to or None)
         for m in sorted(members, key=lambda m: (m.zone, m.role.value, m.process))
     ]
     return table(("PROCESS", "ROLE", "ZONE", "ENTRY HOST", "STATE", "COMPLETE TO"), rows)
--- a/tests/operators/test_ctl.py
+++ b/tests/operators/test_ctl.py
@@ -176,7 +176,7 @@
         code, out, err = self.run_ctl("config", "apply", self.lists("m", 2), "--wait", "0")
         self.assertEqual(5, code)
         self.assertIn("accepted", out)
-        self.assertIn("in force at 1 of 2 processes, not yet at gw-3; not heard: gw-2", err)
+        self.assertIn("in force at 1 of 3 processes, not yet at gw-3; not heard: gw-2", err)
 
     def test_stops(self) -> None:
         self.run_ctl("config", "apply", self.lists("m", 2))
