--- a/src/lentilrill/gateway/_dispatch.py
+++ b/src/lentilrill/gateway/_dispatch.py
@@ -5,29 +5,36 @@
 from contextlib import AbstractContextManager
 from typing import Protocol
 
-import msgspec
 from returns.result import Failure
 from urllib3.exceptions import HTTPError
 
-from lentilrill.gateway._caller import BodyError, BodyTrouble, Caller, Pace
+from lentilrill.gateway._caller import BodyError, Caller, Pace
 from lentilrill.gateway._endpoints import EndpointConnections, Link
 from lentilrill.gateway._exchange import BrokenError, Exchange, Head, SilentError
 from lentilrill.gateway._forwarding import FORWARDED, Forwarder, Mark
 from lentilrill.gateway._heading import passed_on
 from lentilrill.gateway._limits import ATTEMPTS
 from lentilrill.gateway._patience import RunTimes
-from lentilrill.gateway._problems import Outcome, Problem, ProblemKind, outcome_of
+from lentilrill.gateway._problems import Outcome, Problem, ProblemKind
+from lentilrill.gateway._refusals import (
+    bad_body,
+    declined,
+    silent,
+    unreachable,
+    withdrawn,
+    zone_refused,
+)
+from lentilrill.gateway._run import Lost, NotSent, Run
 from lentilrill.gateway._work import Ending, Refused, Streamed, Whole, Work
-from lentilrill.ids import HostId, RequestId
-from lentilrill.inner import Refusal, Verdict
-from lentilrill.routing import Decline, Job, RetryBudget, Slot, Slots, Where
+from lentilrill.ids import RequestId
+from lentilrill.inner import Verdict
+from lentilrill.routing import Job, RetryBudget, Slot, Slots, Where
 from lentilrill.telemetry import Event, Metrics, log
 
 __all__ = ["Dispatcher", "Watcher"]
 
 UNSTARTED_TRIES = 16
 """Slots in a row that were withdrawn before the send, after which the job is refused."""
-RETRY_AFTER_S = 1.0
 FORWARD_MARGIN_S = 0.5
 REPLACED = frozenset(
     (
@@ -41,14 +48,6 @@
     )
 )
 
-KINDS_BY_REFUSAL = {
-    Refusal.QUEUE_FULL: ProblemKind.BUSY,
-    Refusal.PLAN_LIMIT: ProblemKind.PLAN_LIMIT,
-    Refusal.TOO_LATE: ProblemKind.BUSY,
-    Refusal.NO_HOSTS: ProblemKind.UNREACHABLE,
-    Refusal.NOT_SCHEDULER: ProblemKind.BUSY,
-}
-
 
 class Watcher(Protocol):
     """Notices callers that leave while they wait."""
@@ -57,23 +56,6 @@
         """Abandon ``request`` if its caller leaves within the context."""
 
 
-class _NotSent(msgspec.Struct, frozen=True):
-    """Nothing of the job reached an endpoint, or the endpoint did not begin it."""
-
-    problem: Problem
-    costs_budget: bool = True
-
-
-class _Lost(msgspec.Struct, frozen=True):
-    """Bytes of the job went out, and there is no whole answer.
-
-    :param paid: whether the retry was already taken from the budget.
-    """
-
-    problem: Problem
-    paid: bool = False
-
-
 class Dispatcher:
     """Takes jobs to endpoints, and their whole answers back."""
 
@@ -96,7 +78,7 @@
 
     def run(self, work: Work, caller: Caller) -> Ending:
         """Run the job, with retries where it can't run twice by them or may."""
-        run = _Run(work)
+        run = Run(work)
         while True:
             acquired = self._acquire(run, caller)
             if isinstance(acquired, Problem):
@@ -111,7 +93,7 @@
                 return Refused(run.final(result.problem))
             self._metrics.incr("request.retry")
 
-    def _acquire(self, run: "_Run", caller: Caller) -> Slot | Problem:
+    def _acquire(self, run: Run, caller: Caller) -> Slot | Problem:
         work = run.work
         job = Job(
             request=work.request,
@@ -124,19 +106,19 @@
         with self._watcher.watching(caller, work.request):
             result = self._slots.acquire(job)
         if isinstance(result, Failure):
-            return _declined(result.failure())
+            return declined(result.failure())
         return result.unwrap()
 
-    def _may_retry(self, run: "_Run", result: _NotSent | _Lost, caller: Caller) -> bool:
+    def _may_retry(self, run: Run, result: NotSent | Lost, caller: Caller) -> bool:
         if caller.gone or caller.answered or time.monotonic() >= run.work.start_by:
             return False
         if run.attempts >= ATTEMPTS or run.unstarted >= UNSTARTED_TRIES:
             return False
-        if isinstance(result, _Lost):
+        if isinstance(result, Lost):
             return run.work.repeatable and (result.paid or self._budget.take())
         return not run.body_used and (not result.costs_budget or self._budget.take())
 
-    def _attempt(self, run: "_Run", slot: Slot, caller: Caller) -> Ending | _NotSent | _Lost:
+    def _attempt(self, run: Run, slot: Slot, caller: Caller) -> Ending | NotSent | Lost:
         """Use the slot for one try, and release it exactly once."""
         verdict, began = Verdict.UNUSED, time.monotonic()
         try:
@@ -144,12 +126,12 @@
             if link is None:
                 verdict = Verdict.UNREACHABLE
                 run.attempts += 1
-                return _NotSent(_unreachable(slot))
+                return NotSent(unreachable(slot))
             started = self._slots.start(slot)
             if isinstance(started, Failure):
                 self._connections.give_back(link)
                 run.unstarted += 1
-                return _NotSent(_withdrawn(), costs_budget=False)
+                return NotSent(withdrawn(), costs_budget=False)
             run.attempts += 1
             began = time.monotonic()
             # From here on bytes may have gone out, whatever happens.
@@ -172,25 +154,25 @@
             return None
 
     def _exchange(
-        self, run: "_Run", slot: Slot, link: Link, caller: Caller
-    ) -> tuple[Ending | _NotSent | _Lost, Verdict]:
+        self, run: Run, slot: Slot, link: Link, caller: Caller
+    ) -> tuple[Ending | NotSent | Lost, Verdict]:
         work = run.work
         exchange = Exchange(link, work.request)
         keep = False
         try:
             self._send(run, slot, exchange, caller)
             if self._is_silent(run, slot, exchange):
-                return _Lost(_silent(slot), paid=True), Verdict.BROKEN
+                return Lost(silent(slot), paid=True), Verdict.BROKEN
             head = exchange.head(work.heading.method, self._patience_s(run, slot))
             result, verdict = self._take(run, slot, exchange, head, caller)
             keep = exchange.whole and not head.leaving
             return result, verdict
         except BodyError as error:
-            return Refused(_bad_body(error)), Verdict.UNUSED
+            return Refused(bad_body(error)), Verdict.UNUSED
         except BrokenError as error:
             log(Event.EXCHANGE_BROKEN, request=work.request, host=slot.host, error=str(error))
             kind = ProblemKind.SILENT if isinstance(error, SilentError) else ProblemKind.LOST
-            return _Lost(Problem(kind, str(error), Outcome.UNKNOWN)), Verdict.BROKEN
+            return Lost(Problem(kind, str(error), Outcome.UNKNOWN)), Verdict.BROKEN
         finally:
             # A connection with an abandoned exchange is never used again: its late answer
             # would be taken for the next job's.
@@ -199,7 +181,7 @@
             else:
                 self._connections.drop(link)
 
-    def _send(self, run: "_Run", slot: Slot, exchange: Exchange, caller: Caller) -> None:
+    def _send(self, run: Run, slot: Slot, exchange: Exchange, caller: Caller) -> None:
         work = run.work
         if work.heading.key is not None and not work.claimed:
             # Invariant: no dispatch without a claim, or a repeated key could run twice.
@@ -232,7 +214,7 @@
             headers["plan"] = plan.id
         return headers
 
-    def _is_silent(self, run: "_Run", slot: Slot, exchange: Exchange) -> bool:
+    def _is_silent(self, run: Run, slot: Slot, exchange: Exchange) -> bool:
         """Return whether a repeatable job is to be tried elsewhere, and take the retry for it."""
         patience_s = self._run_times.patience_s(slot.pool)
         if patience_s is None or run.attempts > 1 or slot.where is Where.ZONE:
@@ -241,20 +223,20 @@
             return False
         return not exchange.answers_within(patience_s) and self._budget.take()
 
-    def _patience_s(self, run: "_Run", slot: Slot) -> float:
+    def _patience_s(self, run: Run, slot: Slot) -> float:
         margin_s = FORWARD_MARGIN_S if slot.where is Where.ZONE else 0.0
         return run.work.answer_by + margin_s - time.monotonic()
 
     def _take(
-        self, run: "_Run", slot: Slot, exchange: Exchange, head: Head, caller: Caller
-    ) -> tuple[Ending | _NotSent | _Lost, Verdict]:
+        self, run: Run, slot: Slot, exchange: Exchange, head: Head, caller: Caller
+    ) -> tuple[Ending | NotSent | Lost, Verdict]:
         body, complete = exchange.read_small(head, run.work.answer_by + FORWARD_MARGIN_S)
         if head.gateway_problem and slot.where is Where.ZONE:
-            return _zone_refused(head, body), Verdict.UNUSED
+            return zone_refused(head, body), Verdict.UNUSED
         if head.leaving and head.status == 503:
             # The endpoint says that it did not begin the job, so that even one that must not
             # run twice may go elsewhere.
-            return _NotSent(_withdrawn(), costs_budget=False), Verdict.LEAVING
+            return NotSent(withdrawn(), costs_budget=False), Verdict.LEAVING
         verdict = _verdict(head)
         if complete:
             length = head.length if head.bodiless else None
@@ -264,52 +246,6 @@
         return Streamed(head.status, content_type, whole), verdict if whole else Verdict.BROKEN
 
 
-class _Run:
-    """What is known of a job's tries so far."""
-
-    def __init__(self, work: Work) -> None:
-        self.work = work
-        self.avoid: list[HostId] = []
-        self.attempts = 0
-        self.unstarted = 0
-        self.spillable = not work.forwarded
-        self.sent = False
-        """Whether a byte of the job may have gone out in a try that did not prove otherwise."""
-        self.body_used = False
-        self._lost: Problem | None = None
-
-    def note(self, result: _NotSent | _Lost, slot: Slot) -> None:
-        """Remember a try that failed."""
-        if isinstance(result, _Lost):
-            self._lost = result.problem
-        else:
-            self.sent = self._lost is not None
-        if slot.where is Where.ZONE:
-            self.spillable = False
-        else:
-            self.avoid.append(slot.host)
-
-    def final(self, problem: Problem) -> Problem:
-        """Return what the caller must be told when the last try ended with ``problem``.
-
-        A retry that was not run proves nothing of an earlier try that was lost.
-        """
-        if problem.outcome is Outcome.UNKNOWN:
-            return problem
-        if self._lost is None:
-            return self._proved(problem)
-        return msgspec.structs.replace(
-            self._lost, detail=f"{self._lost.detail}; then: {problem.detail}"
-        )
-
-    def _proved(self, problem: Problem) -> Problem:
-        if not self.sent:
-            return problem
-        # Invariant: "not_run" is never said after a byte may have reached an endpoint.
-        log(Event.INVARIANT_BROKEN, rule="not_run_after_send", request=self.work.request)
-        return msgspec.structs.replace(problem, outcome=Outcome.UNKNOWN)
-
-
 def _streamed_body(work: Work, caller: Caller) -> Iterator[bytes]:
     yield work.prefix
     yield from caller.stream((work.heading.length or 0) - len(work.prefix))
@@ -338,42 +274,3 @@
     if head.leaving:
         return Verdict.LEAVING
     return Verdict.ERROR if head.status >= 500 else Verdict.OK
-
-
-def _zone_refused(head: Head, body: bytes) -> Ending | _NotSent | _Lost:
-    outcome = outcome_of(body)
-    after = dict(head.headers).get("Retry-After", "")
-    kind = ProblemKind.BUSY if outcome is Outcome.NOT_RUN else ProblemKind.LOST
-    problem = Problem(
-        kind,
-        f"another zone answered {head.status}",
-        outcome,
-        float(after) if after.isdecimal() else None,
-    )
-    return _NotSent(problem) if outcome is Outcome.NOT_RUN else _Lost(problem)
-
-
-def _declined(decline: Decline) -> Problem:
-    kind = KINDS_BY_REFUSAL[decline.refusal]
-    return Problem(kind, decline.reason, retry_after_s=decline.retry_after_s)
-
-
-def _unreachable(slot: Slot) -> Problem:
-    detail = f"host {slot.host} could not be reached"
-    return Problem(ProblemKind.UNREACHABLE, detail, retry_after_s=RETRY_AFTER_S)
-
-
-def _withdrawn() -> Problem:
-    detail = "the chosen hosts are leaving"
-    return Problem(ProblemKind.BUSY, detail, retry_after_s=RETRY_AFTER_S)
-
-
-def _silent(slot: Slot) -> Problem:
-    detail = f"host {slot.host} did not answer in time"
-    return Problem(ProblemKind.SILENT, detail, Outcome.UNKNOWN)
-
-
-def _bad_body(error: BodyError) -> Problem:
-    slow = error.trouble is BodyTrouble.SLOW
-    kind = ProblemKind.SLOW if slow else ProblemKind.MALFORMED
-    return Problem(kind, str(error), Outcome.UNKNOWN)
--- /dev/null
+++ b/tests/gateway/test_invariants.py
@@ -0,0 +1,46 @@
+"""What must never happen is stopped and logged, should other code be wrong."""
+
+from unittest import mock
+
+import msgspec
+
+from lentilrill.gateway import _caller, _keyed, _run
+from lentilrill.gateway._problems import Outcome, Problem, ProblemKind
+from lentilrill.gateway._run import Run
+from lentilrill.telemetry import Event
+from tests.gateway.fakes import GatewayTestCase
+
+
+class InvariantTest(GatewayTestCase):
+    def test_a_keyed_job_without_its_claim_is_not_sent(self) -> None:
+        # A fault in the code forgets the claim. The order must not go out: its key may be
+        # another request's, and the order would run twice.
+        self.patch(_keyed.KeyedJobs, "run", lambda jobs, work, c: jobs._dispatcher.run(work, c))
+        endpoint = self.an_endpoint()
+        self.a_gateway()
+        answer = self.call("POST", body=b"order", Idempotency_Key="k")
+        self.assertEqual((500, "unknown"), (answer.status, answer.outcome))
+        self.assertEqual([], endpoint.requests)
+        self.assertEqual(1, len(self.slots.released))
+
+    def test_a_second_answer_resets_the_connection(self) -> None:
+        # A second answer would be read as the answer to the caller's next request.
+        events: list[Event] = []
+        self.patch(_caller, "log", lambda event, **fields: events.append(event))
+        req = mock.MagicMock(method=b"GET", outheaders=[])
+        caller = _caller.Caller(req)
+        caller.answer(200, [], b"first")
+        self.assertRaises(RuntimeError, caller.answer, 200, [], b"second")
+        self.assertEqual([Event.INVARIANT_BROKEN], events)
+        self.assertTrue(req.close_connection and req.conn.reset)
+
+    def test_not_run_is_never_said_after_a_send(self) -> None:
+        events: list[Event] = []
+        self.patch(_run, "log", lambda event, **fields: events.append(event))
+        run = Run(mock.MagicMock(forwarded=False))
+        problem = Problem(ProblemKind.BUSY, "too late")
+        self.assertEqual(Outcome.NOT_RUN, run.final(problem).outcome)
+        run.sent = True
+        unknown = msgspec.structs.replace(problem, outcome=Outcome.UNKNOWN)
+        self.assertEqual(unknown, run.final(problem))
+        self.assertEqual([Event.INVARIANT_BROKEN], events)
