Fleet: first assignments spread over racks, and large hosts go where they are needed

Cause: hosts were taken in the order of their ids, large ones first, each into any pool that was short. Four hosts owed came from one rack beside three others, and a second host with accelerators went to a pool that any host would do for, so the pool that needs them had none to borrow. Now the most demanding pools choose first, the smallest sufficient hosts, in an order that alternates zones and racks. Both tests failed before the change.

--- a/src/lentilrill/fleet/_lending.py
+++ b/src/lentilrill/fleet/_lending.py
@@ -7,7 +7,7 @@
 from lentilrill.fleet._census import Census, fits
 from lentilrill.fleet._records import HostEntry
 from lentilrill.fleet._tally import Tally
-from lentilrill.ids import RackId, ZoneId
+from lentilrill.ids import HostId, RackId, ZoneId
 from lentilrill.platform import HostInfo, HostState
 from lentilrill.settings import Objective
 
@@ -26,30 +26,33 @@
 def assignments(census: Census) -> Iterator[Action]:
     """Yield the first assignment of each listed host that stands in no record.
 
-    The pool that asks for most is served first, so that a small host is not kept waiting while
-    a large one goes where a small one would do.
+    The pool that asks for most chooses first, and takes the smallest hosts that will do, so that
+    no large host goes where a small one would do.
     """
-    recorded = {h for t in census.tallies_by_pool.values() for h in t.entries_by_id}
-    fresh = [
-        info
-        for info in census.infos_by_id.values()
-        if info.id not in recorded
-        and info.state is HostState.LIVE
-        and not any(stop.retire for stop in census.stops_by_host.get(info.id, ()))
-    ]
-    if not fresh:
+    left = _spread_out(_fresh(census))
+    if not left:
         return
     pools = [t for t in census.tallies_by_pool.values() if t.settings is not None]
-    pools.sort(key=_demand, reverse=True)
     crowds = {tally.pool: _crowd(tally) for tally in pools}
-    for info in sorted(fresh, key=lambda i: (-i.accelerators, -i.memory_gb, -i.cores, i.id)):
-        tally = _best_pool(pools, info, crowds)
-        if tally is None:
-            continue
-        tally.lasting += 1
-        _settle_in(crowds[tally.pool], info.zone, info.rack)
-        short = tally.missing >= 0
-        yield Assign(info.id, tally.pool, info, "new host, owed" if short else "new host, spare")
+    for demand in sorted({_demand(tally) for tally in pools}, reverse=True):
+        group = [tally for tally in pools if _demand(tally) == demand]
+        rest = []
+        for info in left:
+            tally = _shortest(group, info, crowds)
+            if tally is None:
+                rest.append(info)
+                continue
+            tally.lasting += 1
+            _settle_in(crowds[tally.pool], info.zone, info.rack)
+            yield Assign(info.id, tally.pool, info, "new host, owed")
+        left = rest
+    for info in left:
+        fitting = [t for t in pools if t.settings is not None and fits(t.settings, info)]
+        spares = [t for t in fitting if t.spare] or fitting
+        tally = min(spares, key=lambda t: (t.lasting - t.want, t.pool), default=None)
+        if tally is not None:
+            tally.lasting += 1
+            yield Assign(info.id, tally.pool, info, "new host, spare")
 
 
 def loans(census: Census) -> Iterator[Action]:
@@ -91,18 +94,42 @@
     return (settings.accelerators, settings.memory_gb, settings.cores)
 
 
-def _best_pool(pools: list[Tally], info: HostInfo, crowds: dict) -> Tally | None:
-    fitting = [t for t in pools if t.settings is not None and fits(t.settings, info)]
-    short = [t for t in fitting if t.missing > 0]
-    if short:
-        top = _demand(short[0])
-        equal = [t for t in short if _demand(t) == top]
-        return min(
-            equal,
-            key=lambda t: (*_crowding(crowds[t.pool], info.zone, info.rack), -t.missing, t.pool),
-        )
-    spare = [t for t in fitting if t.spare]
-    return min(spare or fitting, key=lambda t: (t.lasting - t.want, t.pool), default=None)
+def _fresh(census: Census) -> list[HostInfo]:
+    return [
+        info
+        for info in census.infos_by_id.values()
+        if info.id not in census.tally_by_host
+        and info.state is HostState.LIVE
+        and not any(stop.retire for stop in census.stops_by_host.get(info.id, ()))
+    ]
+
+
+def _spread_out(infos: list[HostInfo]) -> list[HostInfo]:
+    """Return hosts with small ones first, and neighbours from as many zones and racks as can be."""
+    hosts_of_rack: Counter[tuple[ZoneId, RackId]] = Counter()
+    racks_of_zone: Counter[ZoneId] = Counter()
+    rack_numbers: dict[tuple[ZoneId, RackId], int] = {}
+    turns: dict[HostId, tuple[int, int]] = {}
+    for info in sorted(infos, key=lambda i: i.id):
+        rack = (info.zone, info.rack)
+        if rack not in rack_numbers:
+            rack_numbers[rack] = racks_of_zone[info.zone]
+            racks_of_zone[info.zone] += 1
+        turns[info.id] = (hosts_of_rack[rack], rack_numbers[rack])
+        hosts_of_rack[rack] += 1
+    return sorted(
+        infos, key=lambda i: (i.accelerators, i.memory_gb, i.cores, *turns[i.id], i.zone, i.id)
+    )
+
+
+def _shortest(group: list[Tally], info: HostInfo, crowds: dict) -> Tally | None:
+    """Return the short pool that has the fewest hosts near this one; ``None`` if none is short."""
+    short = [t for t in group if t.missing > 0 and t.settings and fits(t.settings, info)]
+    return min(
+        short,
+        key=lambda t: (*_crowding(crowds[t.pool], info.zone, info.rack), -t.missing, t.pool),
+        default=None,
+    )
 
 
 def _borrow(census: Census, borrower: Tally) -> Iterator[Action]:
--- a/tests/fleet/test_budgets.py
+++ b/tests/fleet/test_budgets.py
@@ -256,3 +256,30 @@
             world.run(5)
             calls.append(world.kv.calls.total() - calls[-1])
         self.assertTrue(calls[2] <= calls[0] + 16 and calls[1] == calls[3], calls)
+
+    def test_hosts_go_where_their_size_is_needed(self) -> None:
+        # A pool that needs accelerators stands empty: hosts that have them went to a pool that
+        # any host would do for.
+        pools = (a_pool("any"), a_pool("large", accelerators=1), a_pool("desk", spare=True))
+        plans = (a_plan("any"), a_plan("large", hosts_owed=1, availability_budget=0))
+        world = World(Document(plans, pools, objective=Objective(settle_s=5.0)))
+        world.host("h0", accelerators=2)
+        world.host("h1", accelerators=2)
+        for n in range(2, 6):
+            world.host(f"h{n}", cores=64)
+        world.controller()
+        world.run(2)
+        (large,) = world.entries("large")
+        self.assertIn(large, {"h0", "h1"})
+        del world.hosts.infos_by_id[large]
+        world.run(30)
+        self.assertEqual({"h0", "h1"}, set(world.entries("large")))
+
+    def test_hosts_are_spread_over_zones_and_racks(self) -> None:
+        world = World(Document((a_plan(hosts_owed=4),), (a_pool(), a_pool("desk", spare=True))))
+        for n in range(16):
+            world.host(f"h{n:02d}", zone=f"z{n // 8}", rack=f"r{n // 4}")
+        world.controller()
+        world.run(2)
+        places = [(entry.zone, entry.rack) for entry in world.entries("schools").values()]
+        self.assertEqual(4, len(set(places)), places)
