--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -21,6 +21,8 @@
 CHANGE_PAUSE_S = 0.1
 PROBE_EVERY = 8
 """Heartbeats between two in which a head tells all members, silent ones too."""
+SECOND_HEAD_EVERY = 4
+"""Heartbeats between two in which the second head tells other zones."""
 METRICS_EVERY = 4
 FORGET_AFTER_S = 60.0
 LEAVE_REPEATS = 3
@@ -100,7 +102,7 @@
             self._roster.refresh()
             self._roster.forget(FORGET_AFTER_S)
             self._tell_zone(beat)
-            self._tell_other_zones()
+            self._tell_other_zones(beat)
             if beat % METRICS_EVERY == 0:
                 self._count_bytes()
             beat += 1
@@ -151,8 +153,14 @@
         had_time = time.monotonic() - since > self._settings.suspect_after_s
         return had_time or not self._roster.silent()
 
-    def _tell_other_zones(self) -> None:
-        if self._roster.me not in self._roster.heads():
+    def _tell_other_zones(self, beat: int) -> None:
+        """Tell heads of other zones, as the first head; the second steps in now and then.
+
+        The second one's word reaches the other zones also when just the first is cut off.
+        """
+        heads = self._roster.heads()
+        is_second = self._roster.me in heads[1:] and beat % SECOND_HEAD_EVERY == 0
+        if self._roster.me not in heads[:1] and not is_second:
             return
         others = [member.inner for member in self._roster.other_heads()]
         # While a zone is believed silent none of its members is alive here; its seeds and
@@ -237,7 +245,7 @@
             return
         if last is None:
             log(Event.MEMBER_ALIVE, peer=member.process, incarnation=member.incarnation)
-        if not message.answers and (last is None or member.zone == self._settings.zone):
+        if not message.answers and (last is None or self._is_to_answer(member)):
             self._node.send(member.inner, self._heartbeat(answers=True))
         self._hear_zones(member, message.health)
         if message.complete_to > self._mirror.complete_to:
@@ -245,6 +253,12 @@
         elif last is not None and message.complete_to > last.complete_to:
             self._wake.set()  # other zones' operators wait to hear that the change is here
 
+    def _is_to_answer(self, member: Member) -> bool:
+        """Whether the member waits for an answer: two heads tell each other without being asked."""
+        heads = self._roster.heads()
+        both_heads = member in heads and self._roster.me in heads
+        return member.zone == self._settings.zone and not both_heads
+
     def _hear_zones(self, teller: Member, told: tuple[ZoneHealth, ...]) -> None:
         heard = [news(one) for one in told]
         self._roster.hear_zones(heard)
