--- a/src/lentilrill/fleet/_listing.py
+++ b/src/lentilrill/fleet/_listing.py
@@ -4,7 +4,6 @@
 
 from lentilrill.platform import HostList, HostListing
 from lentilrill.settings import ControllerSettings
-from lentilrill.telemetry import Event, log
 
 __all__ = ["ListReader"]
 
@@ -34,7 +33,6 @@
             answer = self._hosts.hosts()
             if isinstance(answer, Failure):
                 self._due = now + self._settings.plan_every_s
-                log(Event.PLATFORM_CALL_FAILED, fault=answer.failure())
             else:
                 self._listing = answer.unwrap()
                 self._due = now + self.period_s
--- a/src/lentilrill/gossip/_recorder.py
+++ b/src/lentilrill/gossip/_recorder.py
@@ -7,7 +7,7 @@
 import msgspec
 from returns.result import Failure
 
-from lentilrill.faults import Fault, FaultKind
+from lentilrill.faults import FaultKind
 from lentilrill.ids import Revision, ZoneId
 from lentilrill.membership import (
     Liveness,
@@ -149,7 +149,9 @@
         value = msgspec.json.encode(record)
         result = self._kv.commit((Compare(key, revision),), (Put(key, value),))
         if isinstance(result, Failure):
-            self._failed(result.failure())
+            if result.failure().kind is FaultKind.AMBIGUOUS:
+                # The write may have taken effect; the watch brings it before the next try.
+                self._stopping.wait(AMBIGUOUS_PAUSE_S)
             return
         answer = result.unwrap()
         if answer.succeeded:
@@ -163,9 +165,3 @@
         else:
             self._metrics.incr("membership.record_conflicts")
             self._stopping.wait(AMBIGUOUS_PAUSE_S)
-
-    def _failed(self, fault: Fault) -> None:
-        log(Event.PLATFORM_CALL_FAILED, step=fault.step, peer=fault.peer, reason=fault.reason)
-        if fault.kind is FaultKind.AMBIGUOUS:
-            # The write may have taken effect; the watch brings it before the next try.
-            self._stopping.wait(AMBIGUOUS_PAUSE_S)
--- a/src/lentilrill/gossip/_watcher.py
+++ b/src/lentilrill/gossip/_watcher.py
@@ -158,5 +158,3 @@
 
     def _reached(self, fault: Fault | None) -> None:
         self._reachable = fault is None
-        if fault is not None:
-            log(Event.PLATFORM_CALL_FAILED, step=fault.step, peer=fault.peer, reason=fault.reason)
