--- a/tests/matrix/__main__.py
+++ b/tests/matrix/__main__.py
@@ -94,6 +94,7 @@
     parser.add_argument("--page", type=Path, default=PAGE, help="page to write; - for none")
     parser.add_argument("--logs", type=Path, help="folder for the logs of failed cells")
     parser.add_argument("--outcomes", type=Path, help="file of earlier outcomes to merge with")
+    parser.add_argument("--note", default="", help="a sentence for the page")
     arguments = parser.parse_args()
     chosen = [cell for cell in all_cells() if arguments.only in cell.name]
     cells: queue.Queue[Cell] = queue.Queue()
@@ -109,7 +110,7 @@
     counts[Verdict.NOT_RUN] += max(0, len(chosen) - len(outcomes))
     print(", ".join(f"{counts[verdict]} {verdict.value}" for verdict in Verdict))
     if str(arguments.page) != "-":
-        write_page(arguments.page, outcomes)
+        write_page(arguments.page, outcomes, arguments.note)
     return 1 if counts[Verdict.FAILED] else 0
 
 
--- a/tests/matrix/_report.py
+++ b/tests/matrix/_report.py
@@ -22,19 +22,22 @@
 services run through every gateway again. "pass" means that one run found nothing wrong. "-" was
 not run and proves nothing.
 
-{counts}
+{counts} {note}
 """
 
 
-def write_page(path: Path, outcomes: list[Outcome]) -> None:
-    """Write the table, the failures with their reasons, and what was not run with its reason."""
+def write_page(path: Path, outcomes: list[Outcome], note: str) -> None:
+    """Write the table, the failures with their reasons, and what was not run with its reason.
+
+    :param note: what a reader should know of this run.
+    """
     found = {(o.step, o.injection): o for o in outcomes}
     counts = Counter(outcome.verdict for outcome in outcomes)
     total = len(Step) * len(INJECTIONS + PAIRS)
     counts[Verdict.NOT_RUN] += total - len(outcomes)
     shown = ", ".join(f"{counts[verdict]} {verdict.value}" for verdict in Verdict)
     when = datetime.now(UTC).strftime("%Y-%m-%d %H:%M UTC")
-    lines = [INTRO.format(when=when, counts=f"{total} cells: {shown}.")]
+    lines = [INTRO.format(when=when, counts=f"{total} cells: {shown}.", note=note)]
     lines += _table(found)
     lines += ["", "## Steps", ""]
     lines += [f"- `{step.name.lower()}` ({step.story.value}): {step.meaning}" for step in Step]
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -163,7 +163,7 @@
     # Told to stop, the site's processes are ended as after an error.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     for seed in range(first, first + arguments.runs):
-        with Site(a_site()) as site:
+        with Site(a_site(relayed=True)) as site:
             world = World(site)
             world.bring_up()
             wrong = soak(world, seed, arguments.seconds)
