--- a/tests/matrix/_steps.py
+++ b/tests/matrix/_steps.py
@@ -116,9 +116,9 @@
     """An accepted change is on its way to all processes when the fault begins."""
     mark = _new_mark()
     with _watching_revisions(world):
-        status, told = world.apply(mark)
-        if status != 200:
-            raise NotRunError(f"the change was not accepted: {status} {told.get('detail')}")
+        status, told = world.site.wait(
+            lambda: _accepted(world, mark), "an accepted change", LIMIT_S
+        )
         with disturbed(world, injection):
             pass
         _check_in_force(world, mark, status, told)
@@ -310,6 +310,11 @@
 # Configuration changes
 
 
+def _accepted(world: World, mark: float) -> tuple[int, dict] | None:
+    status, told = world.apply(mark)
+    return (status, told) if status == 200 else None
+
+
 def _new_mark() -> float:
     """Return a value for the lists that no other edit has."""
     return 10.0 + (time.time_ns() // 1_000_000) % 100_000 / 1000
