Routing: a scheduler does not acknowledge a withdrawal while it counts a grant on the host

A job ran through a gateway that was killed and came back as a new incarnation, with nothing in flight; all acknowledged, and the host was shown as stopped while the endpoint still ran the job. A non-idempotent job would be cut off.

Ruled out: holding the host only after a gateway ended, as the scheduler's acknowledgement from before is on file by then.

Change: the process that schedules a pool acknowledges a host when it counts no grant on it, and, for a gateway that ended without its report, when the job's answer time is over (Ask.answer_s, Held.answer_s, Job.answer_by; 900 s if unknown). The test of acknowledgements now wants exactly the one gateway that neither runs the job nor schedules the pool to acknowledge at once.

--- a/src/lentilrill/inner/__init__.py
+++ b/src/lentilrill/inner/__init__.py
@@ -3,6 +3,7 @@
 from lentilrill.inner._claims import ClaimAnswer, ClaimAsk, ClaimState, OutcomeAck, OutcomeNote
 from lentilrill.inner._codec import Batch, Message, decode, encode
 from lentilrill.inner._grants import (
+    LONGEST_RUN_S,
     Ask,
     Cancel,
     Done,
@@ -20,6 +21,7 @@
 from lentilrill.inner._withdrawals import Barred, HostTrouble, WithdrawalAck
 
 __all__ = [
+    "LONGEST_RUN_S",
     "Ask",
     "Barred",
     "Batch",
--- a/src/lentilrill/inner/_grants.py
+++ b/src/lentilrill/inner/_grants.py
@@ -20,6 +20,8 @@
     "Verdict",
 ]
 
+LONGEST_RUN_S = 900.0
+
 
 class Ask(msgspec.Struct, frozen=True, tag="ask"):
     """Asks the pool's scheduler for one slot.
@@ -30,6 +32,7 @@
     :param wait_s: seconds from now within which the job must start.
     :param reply_to: inner address of the asking gateway.
     :param avoid: hosts on which earlier attempts failed.
+    :param answer_s: seconds from now until which the job may run.
     :param spillable: whether a gateway of another zone may take the job instead.
     :param insist: the asked process said before that it does not schedule the pool, but the
         sender finds no other; serve it all the same.
@@ -42,6 +45,7 @@
     wait_s: float
     reply_to: str
     avoid: tuple[HostId, ...] = ()
+    answer_s: float = LONGEST_RUN_S
     spillable: bool = True
     insist: bool = False
 
@@ -127,11 +131,15 @@
 
 
 class Held(msgspec.Struct, frozen=True):
-    """One grant that a gateway still holds."""
+    """One grant that a gateway still holds.
+
+    :param answer_s: seconds from now until which its job may run.
+    """
 
     grant: GrantId
     host: HostId
     plan: PlanId
+    answer_s: float = LONGEST_RUN_S
 
 
 class HeldAsk(msgspec.Struct, frozen=True, tag="held_ask"):
--- a/src/lentilrill/routing/_client.py
+++ b/src/lentilrill/routing/_client.py
@@ -6,12 +6,14 @@
 import time
 from collections.abc import Callable
 
+import msgspec
 from returns.result import Failure, Result, Success
 
 from lentilrill.faults import Fault
 from lentilrill.fleet import FleetView, HostEntry, HostPhase
 from lentilrill.ids import GrantId, HostId, PlanId, PoolId, RequestId, ZoneId
 from lentilrill.inner import (
+    LONGEST_RUN_S,
     Ask,
     Batch,
     Cancel,
@@ -70,6 +72,22 @@
         self.answer: Result[Slot, Decline] | None = None
 
 
+class _Holding(msgspec.Struct, frozen=True):
+    """A grant of this gateway and the job that it is for."""
+
+    grant: GrantId
+    host: HostId
+    job: Job
+
+    def report(self, now: float) -> Held:
+        """Return the grant as schedulers are told of it."""
+        return Held(self.grant, self.host, self.job.plan.id, _answer_s(self.job, now))
+
+
+def _answer_s(job: Job, now: float) -> float:
+    return max(0.0, job.answer_by - now) if job.answer_by else LONGEST_RUN_S
+
+
 class SlotClient:
     """The gateway's :class:`~lentilrill.routing.Slots`.
 
@@ -99,7 +117,7 @@
         self._attempts = itertools.count(1)
         self._waiters_by_ask: dict[RequestId, _Waiter] = {}
         self._waiters_by_request: dict[RequestId, _Waiter] = {}
-        self._held_by_pool: dict[PoolId, dict[GrantId, Held]] = {}
+        self._held_by_pool: dict[PoolId, dict[GrantId, _Holding]] = {}
         self._reported = clock()
         self._hosts_seen: dict[HostId, tuple[PoolId, HostEntry]] = {}
         self._zones_by_pool: dict[PoolId, set[ZoneId]] = {}
@@ -154,7 +172,8 @@
             if held is None:
                 log(Event.ROUTING_INVARIANT, pool=slot.pool, reason="a slot was released twice")
                 return
-            done = Done(slot.pool, slot.grant, slot.host, held.plan, verdict, run_s)
+            plan = held.job.plan.id
+            done = Done(slot.pool, slot.grant, slot.host, plan, verdict, run_s)
             # Within the lock, so that a report of held grants made before can't overtake it.
             if address != self._node.address:
                 self._tell(address, done)
@@ -200,7 +219,9 @@
                 return
             address = scheduler.inner
         with self._lock:
-            report = HeldGrants(pool, tuple(self._held_by_pool.get(pool, {}).values()))
+            now = self._clock()
+            holdings = self._held_by_pool.get(pool, {}).values()
+            report = HeldGrants(pool, tuple(holding.report(now) for holding in holdings))
             if address != self._node.address:
                 self._tell(address, report)
                 return
@@ -253,6 +274,7 @@
             job.deadline - now,
             self._node.address,
             job.avoid,
+            _answer_s(job, now),
             job.spillable,
             waiter.redirected is not None and now - waiter.redirected > INSIST_AFTER_S,
         )
@@ -313,7 +335,7 @@
             if entry is None or pool != granted.pool or entry.phase is not HostPhase.SERVING:
                 waiter.woken.set()
                 return False
-            held[granted.grant] = Held(granted.grant, granted.host, waiter.job.plan.id)
+            held[granted.grant] = _Holding(granted.grant, granted.host, waiter.job)
             slot = Slot(
                 waiter.job.request,
                 granted.pool,
--- a/src/lentilrill/routing/_contract.py
+++ b/src/lentilrill/routing/_contract.py
@@ -19,6 +19,7 @@
 
     :param deadline: monotonic seconds by which it must have started.
     :param run_s: run time in seconds that the caller declares; schedulers go by what they learn.
+    :param answer_by: monotonic seconds until which it may run; 0 if unknown.
     :param avoid: hosts on which earlier attempts failed.
     :param spillable: whether another zone may run it; not set for a job that already spilled.
     """
@@ -28,6 +29,7 @@
     entitlement: Entitlement
     deadline: float
     run_s: float = 0.0
+    answer_by: float = 0.0
     avoid: tuple[HostId, ...] = ()
     spillable: bool = True
 
--- a/src/lentilrill/routing/_grants.py
+++ b/src/lentilrill/routing/_grants.py
@@ -21,6 +21,7 @@
     """One slot that a gateway holds.
 
     :param key: the ask that it answers; ``None`` if only the gateway's report tells of it.
+    :param answer_by: monotonic seconds until which its job may run.
     :param expected_s: run time that its plan was charged.
     :param silent_since: when its gateway was last heard; ``None`` while it is heard.
     """
@@ -32,6 +33,7 @@
     key: AskKey | None
     given: float
     expected_s: float
+    answer_by: float
     unlisted: int = 0
     silent_since: float | None = None
 
--- a/src/lentilrill/routing/_hosts.py
+++ b/src/lentilrill/routing/_hosts.py
@@ -89,6 +89,10 @@
             return self._good(avoid) if self._free else None
         return self._probe(avoid, now) or self._good(avoid) or self._last(avoid, now)
 
+    def knows(self, host: HostId) -> bool:
+        """Return whether ``host`` serves the pool or has a slot under a grant."""
+        return host in self._hosts_by_id
+
     def all_avoided(self, avoid: tuple[HostId, ...]) -> bool:
         """Return whether every host that gets jobs is in ``avoid``."""
         return all(h.id in avoid for h in self._serving() if self._capacity(h) > 0)
--- a/src/lentilrill/routing/_queue.py
+++ b/src/lentilrill/routing/_queue.py
@@ -36,6 +36,7 @@
 
     :param urgency: rank of its class, 0 first.
     :param deadline: monotonic seconds by which it must start.
+    :param answer_by: monotonic seconds until which its job may run.
     :param order: arrival number, which decides between equal deadlines.
     """
 
@@ -46,8 +47,8 @@
     deadline: float
     order: int
     asked: float
+    answer_by: float
     avoid: tuple[HostId, ...] = ()
-    spillable: bool = True
 
 
 def _rank(waiting: Waiting) -> tuple[float, int]:
--- a/src/lentilrill/routing/_routing.py
+++ b/src/lentilrill/routing/_routing.py
@@ -46,7 +46,9 @@
         self.placement = Placement(roster)
         self.schedulers = SchedulerHost(node, view, self.placement, clock, metrics=metrics)
         self.slots = SlotClient(node, view, self.placement, self.ledger, self.schedulers, clock)
-        self.acker = WithdrawalAcker(node, self.placement, self.ledger, clock, may_acknowledge)
+        self.acker = WithdrawalAcker(
+            node, self.placement, self.ledger, self.schedulers.occupies, clock, may_acknowledge
+        )
         self._clock = clock
         self._followed = clock()
         self._stopping = threading.Event()
--- a/src/lentilrill/routing/_scheduler.py
+++ b/src/lentilrill/routing/_scheduler.py
@@ -91,6 +91,7 @@
         self._buckets_by_plan: dict[PlanId, TokenBucket] = {}
         self._asks = 0
         self._granted = 0
+        self._orphaned_until: dict[HostId, float] = {}
         self._swept = clock()
         self._alive: set[Caller] = set()
 
@@ -104,6 +105,16 @@
         """Grants that are not over."""
         return len(self._grants)
 
+    def occupies(self, host: HostId) -> bool:
+        """Return whether a job granted here may still run on ``host``, or still be granted.
+
+        Guard against a host that is stopped under a job whose gateway was killed: the endpoint
+        runs on, and nobody is left to say so. The scheduler does not acknowledge a withdrawal
+        while it counts a grant on the host, nor, after a gateway ended without its report,
+        before the job's time is over.
+        """
+        return self.hosts.knows(host) or self._orphaned_until.get(host, 0.0) > self._clock()
+
     @property
     def holders(self) -> set[Caller]:
         """Gateways that hold grants."""
@@ -156,8 +167,8 @@
                 deadline,
                 self._asks,
                 now,
+                now + ask.answer_s,
                 ask.avoid,
-                ask.spillable,
             )
         )
         return self._grant_free(out)
@@ -180,7 +191,18 @@
         for item in report.grants:
             if item.grant not in self._grants and not self._grants.has_ended(item.grant):
                 expected_s = self._run_times.expected_s(item.plan)
-                self._enter(Grant(item.grant, item.host, item.plan, caller, None, now, expected_s))
+                self._enter(
+                    Grant(
+                        item.grant,
+                        item.host,
+                        item.plan,
+                        caller,
+                        None,
+                        now,
+                        expected_s,
+                        now + item.answer_s,
+                    )
+                )
         out: list[Reply] = []
         for grant in self._grants.unreported(caller, report.grants, now):
             self._reclaim(grant, "left out of its gateway's reports", out)
@@ -222,6 +244,7 @@
             if waiting.caller not in alive:
                 self._queue.remove(waiting.key)
         for grant in self._grants.orphans(alive, is_gone, now):
+            self._note_orphan(grant, now)
             self._reclaim(grant, "its gateway ended", out)
         self._reserve.sweep(now)
         self._check()
@@ -339,6 +362,7 @@
             waiting.key,
             now,
             self._run_times.expected_s(waiting.plan),
+            waiting.answer_by,
         )
         self._enter(grant)
         return self._granted_reply(grant, waiting.key.request)
@@ -365,6 +389,11 @@
             self._log_health(ended.host)
         return self._grant_free([])
 
+    def _note_orphan(self, grant: Grant, now: float) -> None:
+        held = {host: until for host, until in self._orphaned_until.items() if until > now}
+        held[grant.host] = max(held.get(grant.host, 0.0), grant.answer_by)
+        self._orphaned_until = held
+
     def _reclaim(self, grant: Grant, reason: str, out: list[Reply]) -> None:
         gateway = grant.caller.process
         log(Event.GRANT_RECLAIMED, pool=self.pool, grant=grant.id, gateway=gateway, reason=reason)
--- a/src/lentilrill/routing/_schedulers.py
+++ b/src/lentilrill/routing/_schedulers.py
@@ -135,6 +135,14 @@
         """Take a gateway's report of the grants that it holds."""
         self._decide(report.pool, lambda scheduler: scheduler.held(report, caller))
 
+    def occupies(self, host: HostId) -> bool:
+        """Return whether a scheduler of this process counts on a job running on ``host``."""
+        for _, held in self._all():
+            with held.lock:
+                if held.scheduler.occupies(host):
+                    return True
+        return False
+
     def refresh(self) -> None:
         """Follow the view and the roster: start, configure and end schedulers."""
         with self._refreshing:
--- a/src/lentilrill/routing/_withdrawals.py
+++ b/src/lentilrill/routing/_withdrawals.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 
+from lentilrill.ids import HostId
 from lentilrill.inner import Barred, Node, WithdrawalAck
 from lentilrill.routing._ledger import SendLedger
 from lentilrill.routing._placement import Placement
@@ -23,6 +24,7 @@
     Messages may be lost and controllers replaced, so it repeats what holds about each second,
     until the host's record changes.
 
+    :param occupied: whether a scheduler of this process counts on a job running on a host.
     :param may_acknowledge: whether this process may speak now; not while a peer that it gave
         its state to is unregistered and has not acknowledged itself.
     """
@@ -32,12 +34,14 @@
         node: Node,
         placement: Placement,
         ledger: SendLedger,
+        occupied: Callable[[HostId], bool],
         clock: Callable[[], float] = time.monotonic,
         may_acknowledge: Callable[[], bool] = _always,
     ) -> None:
         self._node = node
         self._placement = placement
         self._ledger = ledger
+        self._occupied = occupied
         self._clock = clock
         self._may_acknowledge = may_acknowledge
         self._told = clock() - REPEAT_S
@@ -61,4 +65,4 @@
     def _barred(self) -> tuple[Barred, ...]:
         if not self._may_acknowledge():
             return ()
-        return self._ledger.barred()
+        return tuple(item for item in self._ledger.barred() if not self._occupied(item.host))
--- a/tests/routing/test_scheduler.py
+++ b/tests/routing/test_scheduler.py
@@ -360,6 +360,17 @@
         self.tick(GW2)
         self.assertEqual(0, self.scheduler.running)
 
+    def test_a_job_of_an_ended_gateway_occupies_its_host_for_its_time(self) -> None:
+        # The gateway is gone, its job may run on. Its slot is free at once, since an endpoint
+        # queues one job more; but the host itself is not, until the job's time is over.
+        self.granted(answer_s=60.0)
+        self.clock.now += 10.0
+        self.tick(GW2, gone=(GW,))
+        self.scheduler.configure(PoolTerms({}, {}))
+        self.assertEqual((0, True), (self.scheduler.running, self.scheduler.occupies(HostId("h1"))))
+        self.clock.now += 50.0
+        self.assertFalse(self.scheduler.occupies(HostId("h1")))
+
     def test_a_silent_gateway_is_granted_nothing(self) -> None:
         # A gateway falls silent with asks in the queue. Granted, their slots would stand idle.
         running = self.granted(caller=GW2)
--- a/tests/routing/test_slots.py
+++ b/tests/routing/test_slots.py
@@ -117,8 +117,8 @@
 
     def test_a_withdrawing_host_is_acknowledged_when_idle(self) -> None:
         # A host is withdrawn while a job runs on it. Acknowledged too early, the host would
-        # change its pool under the job. Every gateway but the one that runs it acknowledges
-        # at once, and that one when the job has ended.
+        # change its pool under the job. The gateway that runs it and the scheduler that counts
+        # its grant acknowledge when the job has ended, the third gateway at once.
         controller = builders.a_member(
             "ctl", role=Role.CONTROLLER, inner=self.gateways[0].member.inner
         )
@@ -134,14 +134,33 @@
         self.assertIsInstance(one.slots.start(slot), Success)
         leaving = builders.an_entry("h1", phase=HostPhase.WITHDRAWING)
         revision = self.fleet.hosts(leaving, builders.an_entry("h2"))
-        eventually(lambda: len(acks) == 2)
-        self.assertNotIn(one.member.process, acks)
+        third = self.others()[1].member.process
+        eventually(lambda: len(acks) == 1)
+        self.assertEqual([third], list(acks))
+        self.assertEqual((), self.scheduling().routing.acker._barred())
         self.assertFalse(one.routing.ledger.drained(slot.host, revision))
         one.slots.release(slot, Verdict.OK, 0.01)
         eventually(lambda: len(acks) == 3)
         self.assertEqual({revision}, set(acks.values()))
         self.assertEqual("h2", self.acquire(one).result(WAIT_S).unwrap().host)
 
+    def test_a_killed_gateway_leaves_its_job_to_the_scheduler(self) -> None:
+        # A gateway is killed while its job runs on a host; nobody is left to say when the job
+        # ends. Were the host released on the word of the others, it would be stopped or change
+        # its pool under an embossing run.
+        one = self.others()[0]
+        slot = self.acquire(one).result(WAIT_S).unwrap()
+        self.assertIsInstance(one.slots.start(slot), Success)
+        one.close()
+        self.gateways.remove(one)
+        self.members.end(one.member, proved=True)
+        scheduling = self.scheduling().routing
+        scheduler = scheduling.schedulers.schedulers_by_pool[POOL]
+        eventually(lambda: scheduler.running == 0)
+        self.fleet.hosts(builders.an_entry("h1", phase=HostPhase.WITHDRAWING))
+        self.assertEqual((), scheduling.acker._barred())
+        self.assertEqual("h1", self.others()[0].routing.acker._barred()[0].host)
+
     def test_a_spilled_job_goes_to_the_other_zone(self) -> None:
         self.fleet.hosts(msgspec.structs.replace(builders.an_entry("h9"), zone="z2"))
         far = builders.a_member("gw-9", zone="z2", http="127.0.0.1:99")
