Claims: a shard's keys and bodies are bounded by what one take-over can read

Cause: a take-over reads the shard in one call; 50,000 keys with bodies of 4 KiB would be some 270 MB and never end within the call's deadline, so the shard would stay refused. Bodies are bounded by 4 MiB a shard, beyond which outcomes are recorded without them, and keys by 20,000. The test of the bound fails without it.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -24,6 +24,10 @@
 from lentilrill.ids import EntryHostId, Incarnation, PlanId, ProcessId, RequestId, ZoneId
 from lentilrill.inner import ClaimState, Node
 from lentilrill.jobs import Claim, ClaimClient, ClaimOwner, Recorded, _owner
+from lentilrill.jobs._ledger import Batch
+from lentilrill.jobs._records import BatchRecord, Entry, EntryState
+from lentilrill.jobs._shard import Shard
+from lentilrill.jobs._store import ShardStore
 from lentilrill.membership import Liveness, Member, Role
 from lentilrill.platform import EtcdKeyValue, KeyValue
 from lentilrill.settings import InnerKeys, PlatformSettings
@@ -35,6 +39,8 @@
 RETENTION_S = 600.0
 LOADS_PER_S = (10, 50, 100, 200, 400)
 CALLERS = 200
+KEPT_KEYS = (1_000, 10_000, 20_000)
+ENTRIES = 500
 ANSWER = Recorded(200, "application/json", b"x" * 200)
 CLAIM_WAIT_S = 5.0
 
@@ -91,6 +97,8 @@
         for load in LOADS_PER_S:
             for way in ("one_each", "grouped"):
                 measure(address, way, load, seconds)
+        for kept in KEPT_KEYS:
+            take_over(address, kept)
     finally:
         platform.kill()
         platform.wait()
@@ -128,6 +136,39 @@
         _owner.BATCH_ITEMS, _owner.SYSTEM_WRITES_PER_S, _owner.NOTE_LINGER_S = grouped
 
 
+def take_over(address: str, kept: int) -> None:
+    """Fill one shard with recorded keys, and time its take-over by another process."""
+    settings = PlatformSettings((address,), address, f"{uuid.uuid4().hex}/", calls_per_s=1e6)
+    platform = EtcdKeyValue(settings, NoMetrics())
+    former = ShardStore(platform, 0, a_member())
+    former.take_over().unwrap()
+    for first in range(0, kept, ENTRIES):
+        entries = tuple(an_entry() for _ in range(min(ENTRIES, kept - first)))
+        batch = Batch(former.next_name(), BatchRecord(time.time(), entries))
+        platform.commit((former.fence(),), former.writes(batch, None)).unwrap()
+    shard = Shard(platform, 0, a_member(), RETENTION_S, time.time)
+    began = time.monotonic()
+    done = shard.take_over()
+    took_ms = (time.monotonic() - began) * 1000
+    figure("claims", "take_over", round(took_ms), "ms", kept_keys=kept, succeeded=done)
+
+
+def an_entry() -> Entry:
+    """Return the entry of an answered job."""
+    claim = a_claim()
+    return Entry(
+        claim.plan,
+        claim.key,
+        claim.request,
+        claim.fingerprint,
+        time.time(),
+        EntryState.RECORDED,
+        ANSWER.status,
+        ANSWER.content_type,
+        ANSWER.body,
+    )
+
+
 def report(
     way: str,
     load: int,
--- a/src/lentilrill/jobs/_ledger.py
+++ b/src/lentilrill/jobs/_ledger.py
@@ -44,6 +44,8 @@
         self._retention_s = retention_s
         self._held_by_key: dict[KeyName, _Held] = {}
         self._batches: deque[Batch] = deque()
+        self.body_bytes = 0
+        """Size of all kept bodies, as a take-over must read them."""
 
     def __len__(self) -> int:
         return len(self._held_by_key)
@@ -60,6 +62,7 @@
     def add(self, batch: Batch) -> None:
         """Take over a committed batch, the newest so far."""
         self._batches.append(batch)
+        self.body_bytes += _body_bytes(batch)
         for entry in batch.record.entries:
             name = (entry.plan, entry.key)
             if entry.state is EntryState.RELEASED:
@@ -106,6 +109,7 @@
         """Forget the batches before ``kept``, which were deleted; empty: all of them."""
         while self._batches and self._batches[0].name != kept:
             batch = self._batches.popleft()
+            self.body_bytes -= _body_bytes(batch)
             for entry in batch.record.entries:
                 name = (entry.plan, entry.key)
                 held = self._held_by_key.get(name)
@@ -126,3 +130,7 @@
         if entry.state is EntryState.CLAIMED:
             life_s += CLAIM_LIFE_S
         return entry.at + life_s
+
+
+def _body_bytes(batch: Batch) -> int:
+    return sum(len(entry.body or b"") for entry in batch.record.entries)
--- a/src/lentilrill/jobs/_shard.py
+++ b/src/lentilrill/jobs/_shard.py
@@ -20,7 +20,9 @@
 __all__ = ["Arrival", "Shard", "Turn"]
 
 CARRIED_ENTRIES = 200
-KEYS_PER_SHARD = 50_000
+KEYS_PER_SHARD = 20_000
+BODY_BYTES = 4 * 1024 * 1024
+"""Size of a shard's kept bodies from which on answers are recorded without them."""
 BACKOFF_S = 0.5
 IN_PROGRESS_RETRY_S = 2.0
 UNAVAILABLE_RETRY_S = 2.0
@@ -202,7 +204,8 @@
                 state=EntryState.RECORDED,
                 status=note.status,
                 content_type=note.content_type,
-                body=note.body,
+                # A take-over reads the whole shard in one call, which must stay bounded.
+                body=note.body if self._ledger.body_bytes < BODY_BYTES else None,
             )
         else:
             entry = msgspec.structs.replace(claimed, state=EntryState.RELEASED)
--- a/tests/jobs/test_claims.py
+++ b/tests/jobs/test_claims.py
@@ -8,7 +8,7 @@
 
 from lentilrill.ids import PlanId, RequestId
 from lentilrill.inner import ClaimAnswer, ClaimState, Node, OutcomeNote
-from lentilrill.jobs import Claim, ClaimClient, ClaimOwner, ClaimResult, Recorded, _client
+from lentilrill.jobs import Claim, ClaimClient, ClaimOwner, ClaimResult, Recorded, _client, _shard
 from lentilrill.jobs._records import BatchRecord
 from lentilrill.jobs._shards import shard_of
 from lentilrill.jobs._store import ShardStore
@@ -107,6 +107,16 @@
         self.wait_told(one)
         self.assert_state(ClaimState.CLAIMED, self.claim(one, "r2"))
 
+    def test_kept_bodies_are_bounded(self) -> None:
+        self.patch(_shard, "BODY_BYTES", 5)
+        one = self.a_process("one")
+        for n in range(3):
+            self.claim(one, f"r{n}", key=f"k{n}")
+            one.client.record(a_claim(f"r{n}", key=f"k{n}"), Recorded(200, "", b"12345"))
+            self.wait_told(one)
+        kept = [self.claim(one, f"again{n}", key=f"k{n}").recorded for n in range(3)]
+        self.assertEqual([b"12345", None, None], [recorded and recorded.body for recorded in kept])
+
     def test_only_the_holder_can_end_a_claim(self) -> None:
         # A request that gave up waiting gives its key back, although another request got the
         # key meanwhile. Were that taken for the other's release, a third one would run it too.
