Fleet: what was seen long ago counts no more

Cause: a controller that looked once, for a status, and became the acting one an hour later took a shortage or a missing host of now for one that had lasted since; hosts moved without settling. The test was seen failing with the guard left out.

--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -32,6 +32,8 @@
 
 LOOK_EVERY_S = 5.0
 """Time between two looks while nothing has changed, for what follows from time alone."""
+MEMORY_LASTS_S = 60.0
+"""Time without a look after which what earlier ones saw says nothing of the time between."""
 SECOND_LOOKS_EVERY_S = 15.0
 """Time between two looks of a zone's second controller."""
 CORE_SHARE = 0.01
@@ -83,6 +85,7 @@
         self._acks = Acknowledgements()
         self._turns = Turns(roster)
         self._memory = Memory()
+        self._looked_at = 0.0
         self._troubles = Troubles(roster)
         self._round_lock = threading.Lock()
         self._list = ListReader(hosts, settings)
@@ -191,6 +194,11 @@
         zone_records = {zone: record for zone, (record, _) in zones.items()}
         closable, unacknowledged = self._acks.closable(pool_records.values(), zone_records)
         ejected, leaving = self._troubles.everywhere(now)
+        # Guard against moves without settling: a process that looked once, long ago, and becomes
+        # the one that looks, would take what is so now for having been so ever since.
+        if now - self._looked_at > MEMORY_LASTS_S:
+            self._memory = Memory()
+        self._looked_at = now
         sight = Sight(document, pool_records, listing, now, ejected, leaving, closable)
         decision = plan(sight, self._memory)
         self._report = report(decision, unacknowledged)
--- a/tests/fleet/test_budgets.py
+++ b/tests/fleet/test_budgets.py
@@ -218,6 +218,18 @@
             world.run(2)
         self.assertEqual(before, world.records())
 
+    def test_a_controller_that_begins_to_look_waits_as_well(self) -> None:
+        # A host moves for a failure of a second: the controller had seen another one an hour
+        # ago, and none of the looks between.
+        world = a_world(3, 0, 3, spare=3)
+        info = world.hosts.infos_by_id.pop(min(world.entries("ballots")))
+        world.run()
+        world.hosts.add(info)
+        world.now += 3600
+        del world.hosts.infos_by_id[info.id]
+        world.run(2)
+        self.assertEqual(0, world.metrics.counts["fleet.withdraw"])
+
     def test_three_thousand_edits_move_nothing_and_cost_no_call(self) -> None:
         world = a_world(3, 1, 3, spare=3)
         before, calls = world.records(), world.kv.calls.total()
