--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,37 @@
+"""Runs measurements: ``python -m bench`` all of them, ``python -m bench NAME...`` some."""
+
+import subprocess
+import sys
+
+__all__ = ["main"]
+
+NAMES = (
+    "gateway",
+    "claims",
+    "surge",
+    "ejection",
+    "routing_costs",
+    "fleet",
+    "config",
+    "control",
+    "platform",
+    "rolling",
+    "state",
+)
+
+
+def main() -> int:
+    """Run each measurement in a process of its own; the exit code is 1 if one of them failed."""
+    names = sys.argv[1:] or NAMES
+    failed = [name for name in names if _run(name) != 0]
+    for name in failed:
+        print(f"bench.{name} failed", file=sys.stderr)
+    return 1 if failed else 0
+
+
+def _run(name: str) -> int:
+    return subprocess.run([sys.executable, "-m", f"bench.{name}"], check=False).returncode
+
+
+if __name__ == "__main__":
+    sys.exit(main())
