--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
     "control",
     "platform",
     "rolling",
+    "silence",
     "state",
 )
 
