--- a/tests/matrix/_report.py
+++ b/tests/matrix/_report.py
@@ -13,11 +13,12 @@
 LIMITS = """\
 ## What it can't see
 
-Seen to fail, each with its guard left out of the program: lost answers retried, lost answers told as
-`not_run`, truncated answers taken as whole, a host released with jobs in flight. Not seen to fail, as
-another guard holds as well: a mirror that takes older items, the check for silent watches left out;
-these have tests of their own. Not played: three faults at once, most pairs, reordered messages, a fault
-at each single message. A passed cell is one run of one interleaving; `make soak` plays others.
+Seen to fail, each with its guard left out of the program: lost answers retried, lost answers
+told as `not_run`, truncated answers taken as whole, a host released with jobs in flight. Not
+seen to fail, as another guard holds as well: a mirror that takes older items, the check for
+silent watches left out; these have tests of their own. Not played: three faults at once, most
+pairs, reordered messages, a fault at each single message. A passed cell is one run of one
+interleaving; `make soak` plays others.
 """
 
 MARKS = {Verdict.PASSED: "pass", Verdict.FAILED: "**FAIL**", Verdict.NOT_RUN: "-"}
