Platform: an odd answer is a fault, never an exception

Cause: a key that is no UTF-8 text below the prefix raised out of read and watch, and would have ended the watching task. Seen failing with the change left out (UnicodeDecodeError).

--- a/src/lentilrill/platform/_etcd.py
+++ b/src/lentilrill/platform/_etcd.py
@@ -20,7 +20,7 @@
     TxnAnswer,
 )
 from lentilrill.platform._guard import CallBudget, CallGuard, Effect
-from lentilrill.platform._transport import Transport
+from lentilrill.platform._transport import ODD, Transport
 from lentilrill.platform._watch import Watch
 from lentilrill.settings import PlatformSettings
 from lentilrill.telemetry import Metrics
@@ -210,7 +210,7 @@
     def _decoded(self, step: str, effect: Effect, data: bytes, kind: type[A]) -> Result[A, Fault]:
         try:
             return Success(msgspec.json.decode(data, type=kind, strict=False))
-        except msgspec.MsgspecError as error:
+        except ODD as error:
             ambiguous = effect is Effect.ONCE
             lost = FaultKind.AMBIGUOUS if ambiguous else FaultKind.UNAVAILABLE
             return Failure(Fault(step, self._transport.peer, lost, f"odd answer: {error}"))
@@ -246,6 +246,7 @@
     def _range_answer(self, answer: _Range) -> RangeAnswer:
         length = len(self._prefix)
         items = tuple(
-            Item(kv.key.decode()[length:], kv.value, Revision(kv.mod_revision)) for kv in answer.kvs
+            Item(kv.key.decode(errors="replace")[length:], kv.value, Revision(kv.mod_revision))
+            for kv in answer.kvs
         )
         return RangeAnswer(items, Revision(answer.header.revision))
--- a/src/lentilrill/platform/_hostlist.py
+++ b/src/lentilrill/platform/_hostlist.py
@@ -9,7 +9,7 @@
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.platform._contract import HostListing, Priority
 from lentilrill.platform._guard import CallBudget, CallGuard, Effect
-from lentilrill.platform._transport import Transport
+from lentilrill.platform._transport import ODD, Transport
 from lentilrill.settings import PlatformSettings
 from lentilrill.telemetry import Metrics
 
@@ -47,6 +47,6 @@
     def _decoded(self, data: bytes) -> Result[HostListing, Fault]:
         try:
             return Success(msgspec.json.decode(data, type=HostListing))
-        except msgspec.MsgspecError as error:
+        except ODD as error:
             reason = f"odd list: {error}"
             return Failure(Fault(STEP, self._transport.peer, FaultKind.UNAVAILABLE, reason))
--- a/src/lentilrill/platform/_transport.py
+++ b/src/lentilrill/platform/_transport.py
@@ -19,7 +19,10 @@
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.platform._guard import Effect
 
-__all__ = ["Transport", "shown"]
+__all__ = ["ODD", "Transport", "shown"]
+
+ODD = (msgspec.MsgspecError, UnicodeDecodeError, OverflowError, RecursionError)
+"""What decoding an answer raises if it is not what it should be."""
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 READ_BYTES = 64 * 1024
@@ -199,7 +202,7 @@
     def _refusal(self, step: str, effect: Effect, peer: str, data: bytes) -> Failure[Fault]:
         try:
             refusal = msgspec.json.decode(data, type=_Refusal)
-        except msgspec.MsgspecError:
+        except ODD:
             refusal = _Refusal(message="the answer is no JSON object")
         kind = KIND_BY_CODE.get(refusal.code, _lost(effect))
         if kind in (FaultKind.UNAVAILABLE, FaultKind.AMBIGUOUS):
--- a/src/lentilrill/platform/_watch.py
+++ b/src/lentilrill/platform/_watch.py
@@ -13,7 +13,7 @@
 from lentilrill.ids import Revision
 from lentilrill.platform._contract import Item, Priority, WatchBatch
 from lentilrill.platform._guard import CallGuard, Effect
-from lentilrill.platform._transport import MAX_ANSWER_BYTES, OK, READ_BYTES, Transport, shown
+from lentilrill.platform._transport import MAX_ANSWER_BYTES, ODD, OK, READ_BYTES, Transport, shown
 
 __all__ = ["Watch"]
 
@@ -161,7 +161,7 @@
     def _read(self, line: bytes) -> Result[WatchBatch, Fault] | None:
         try:
             decoded = _DECODER.decode(line)
-        except msgspec.MsgspecError as error:
+        except ODD as error:
             return self._lost(f"odd message: {error}")
         result = decoded.result
         if result is None:
@@ -188,7 +188,7 @@
         return WatchBatch(items, max(item.revision for item in items))
 
     def _item(self, event: _Event) -> Item:
-        key = event.kv.key.decode()[len(self._prefix) :]
+        key = event.kv.key.decode(errors="replace")[len(self._prefix) :]
         value = None if event.type == DELETE else event.kv.value
         return Item(key, value, Revision(event.kv.mod_revision))
 
--- /dev/null
+++ b/tests/platform/test_odd_answers.py
@@ -0,0 +1,54 @@
+"""Whatever the service answers, a call ends with a result."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+from testtools import TestCase
+
+from lentilrill.ids import Revision
+from lentilrill.platform import EtcdKeyValue, HttpHostList
+from lentilrill.settings import PlatformSettings
+from lentilrill.telemetry import NoMetrics
+
+SETTINGS = PlatformSettings(("127.0.0.1:1",), "127.0.0.1:1", deadline_s=0.05, calls_per_s=1e9)
+HEADER = b'{"header": {"revision": "3"}'
+FOREIGN_KEY = HEADER + b', "kvs": [{"key": "/w==", "mod_revision": "2"}]}'
+odd = st.binary(max_size=40) | st.sampled_from(
+    [FOREIGN_KEY, b"[" * 100_000, b"\xff", HEADER, HEADER + b"}", b'{"header": {"revision": "x"}}']
+)
+
+
+class OddTransport:
+    """Answers each exchange with the same bytes."""
+
+    peer = "odd"
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+
+    def exchange(self, *_arguments: object) -> Success:
+        return Success(self.data)
+
+
+class OddAnswersTest(TestCase):
+    @settings(derandomize=True, max_examples=150, database=None)
+    @given(odd)
+    def test_an_odd_answer_is_a_fault(self, data: bytes) -> None:
+        # A proxy in between answers with a page of its own, or someone puts a key that is no
+        # text below our prefix. An exception out of the client would end the watching task,
+        # and no later configuration would come into force there.
+        kv, hosts = EtcdKeyValue(SETTINGS, NoMetrics()), HttpHostList(SETTINGS, NoMetrics())
+        kv._transport = hosts._transport = OddTransport(data)
+        calls = (
+            lambda: kv.read(""),
+            lambda: kv.newest(""),
+            lambda: kv.commit((), ()),
+            lambda: kv.lease(1.0),
+            lambda: kv.keep_alive(1),
+            lambda: kv.revoke(1),
+            hosts.hosts,
+        )
+        for call in calls:
+            self.assertIsInstance(call(), Success | Failure)
+        watch = kv.watch("", Revision(0))
+        self.assertIsInstance(watch._read(data) or Success(None), Success | Failure)
