Status: a stop is 'stopped' when its hosts are free and 'done' when they serve again

A stop whose hosts were all released was shown as withdrawing, and one whose hosts had been restarted already as stopped, so that an operator would restart them at the wrong moment; waiting counted done and unknown hosts too. State and hosts are now told from the document and the pools' records, so a controller that started in an outage shows them as well. Malformed chunked bodies get 400, not 500 (seen with raw requests).

--- a/src/lentilrill/_status.py
+++ b/src/lentilrill/_status.py
@@ -2,30 +2,20 @@
 
 from collections import Counter
 
+from lentilrill._stop_status import stop_status
 from lentilrill.fleet import FleetReport, FleetView, HostPhase, PoolReport, StopReport
-from lentilrill.fleet import StopState as FleetStopState
 from lentilrill.ids import HostId, ProcessId, Revision
 from lentilrill.membership import Member, Role, RosterView, ZoneNews
 from lentilrill.operators import (
     MemberStatus,
     PoolStatus,
     Status,
-    StopState,
-    StopStatus,
     WaveStatus,
 )
 from lentilrill.settings import Document, Pool
 
 __all__ = ["status"]
 
-MAX_HELD_UP_SHOWN = 5
-STATES_BY_FLEET_STATE = {
-    FleetStopState.WAITING: StopState.WAITING,
-    FleetStopState.ROLLING: StopState.WITHDRAWING,
-    FleetStopState.PAUSED: StopState.WITHDRAWING,
-    FleetStopState.DONE: StopState.STOPPED,
-}
-
 
 def status(
     roster: RosterView, view: FleetView, report: FleetReport, platform_reachable: bool
@@ -35,7 +25,7 @@
     document = view.document
     declared = {stop.id for stop in document.stops}
     # The report may be older than the document: what was removed since is no longer shown.
-    stops = [stop for stop in report.stops if stop.stop in declared]
+    reports_by_stop = {stop.stop: stop for stop in report.stops if stop.stop in declared}
     return Status(
         process=roster.me.process,
         zone=roster.me.zone,
@@ -43,8 +33,13 @@
         platform_reachable=platform_reachable,
         members=_members(roster, view),
         pools=_pools(report, view),
-        stops=tuple(_stop(stop, document, entry_hosts, report.unacknowledged) for stop in stops),
-        waves=tuple(_wave(stop) for stop in stops if stop.wave.started),
+        stops=tuple(
+            stop_status(
+                stop, view, reports_by_stop.get(stop.id), entry_hosts, report.unacknowledged
+            )
+            for stop in document.stops
+        ),
+        waves=tuple(_wave(stop) for stop in reports_by_stop.values() if stop.wave.started),
     )
 
 
@@ -149,47 +144,12 @@
     return found
 
 
-def _stop(
-    stop: StopReport,
-    document: Document,
-    entry_hosts: dict[HostId, bool],
-    unacknowledged: dict[HostId, str],
-) -> StopStatus:
-    """Return one stop, with the entry hosts that the fleet's own report does not know.
-
-    An entry host counts as withdrawing until its gateways are drained.
-    """
-    declared = next(one for one in document.stops if one.id == stop.stop)
-    entries = [host for host in declared.hosts if host in entry_hosts]
-    draining = tuple(host for host in entries if not entry_hosts[host])
-    stopped = (*stop.stopped, *(host for host in entries if entry_hosts[host]))
-    withdrawing = (*stop.withdrawing, *draining)
-    gone_on = {*withdrawing, *stopped}
-    waits = [wait.within_s for wait in stop.waits if wait.within_s is not None]
-    reasons = [f"{wait.hosts} of {wait.pool}: {wait.reason}" for wait in stop.waits]
-    held_up = [host for host in stop.withdrawing if host in unacknowledged]
-    reasons += [f"{host}: {unacknowledged[host]}" for host in held_up[:MAX_HELD_UP_SHOWN]]
-    return StopStatus(
-        id=stop.stop,
-        state=StopState.WITHDRAWING if draining else STATES_BY_FLEET_STATE[stop.state],
-        reason=declared.reason,
-        why="; ".join(reasons),
-        retire=declared.retire,
-        waiting=(
-            tuple(host for host in declared.hosts if host not in gone_on) if stop.waiting else ()
-        ),
-        withdrawing=withdrawing,
-        stopped=stopped,
-        expected_s=max(waits, default=None),
-    )
-
-
 def _wave(stop: StopReport) -> WaveStatus:
     return WaveStatus(
         stop=stop.stop,
         number=1,
         hosts=(*stop.withdrawing, *stop.stopped),
-        done=stop.state is FleetStopState.DONE,
+        done=stop.wave.actual_s is not None,
         predicted_s=stop.wave.predicted_s,
         actual_s=stop.wave.actual_s,
     )
--- a/src/lentilrill/ctl/_show_status.py
+++ b/src/lentilrill/ctl/_show_status.py
@@ -49,13 +49,14 @@
             len(stop.waiting),
             len(stop.withdrawing),
             len(stop.stopped),
-            "?" if stop.expected_s is None else f"{stop.expected_s:.0f} s",
+            len(stop.done),
+            "-" if stop.expected_s is None else f"{stop.expected_s:.0f} s",
             "retire" if stop.retire else "maintenance",
             stop.reason or "-",
         )
         for stop in stops
     ]
-    head = ("STOP", "STATE", "WAITING", "WITHDRAWING", "FREE", "EXPECTED", "FOR", "REASON")
+    head = ("STOP", "STATE", "WAITING", "WITHDRAWING", "FREE", "DONE", "EXPECTED", "FOR", "REASON")
     notes = [f"{INDENT}{stop.id}: {stop.why}" for stop in stops if stop.why]
     return table(head, rows) + notes
 
--- a/src/lentilrill/operators/_server.py
+++ b/src/lentilrill/operators/_server.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from cheroot import wsgi
+from cheroot.errors import MaxSizeExceeded
 
 from lentilrill.fleet import DOCUMENT_KEY, FleetView
 from lentilrill.ids import Revision
@@ -171,6 +172,9 @@
         """Run a handler; whatever it meets becomes an answer, never a broken connection."""
         try:
             body = _read_body(environ)
+        except (ValueError, MaxSizeExceeded) as error:
+            return problem(HTTPStatus.BAD_REQUEST, "bad-request", f"the body: {error}")
+        try:
             if body is None:
                 detail = f"the body is larger than {MAX_BODY_BYTES} bytes"
                 return problem(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "too-large", detail)
--- a/src/lentilrill/operators/_status.py
+++ b/src/lentilrill/operators/_status.py
@@ -70,14 +70,16 @@
     WITHDRAWING = "withdrawing"
     """Some hosts finish their jobs or were not let go yet."""
     STOPPED = "stopped"
-    """Every host is free to be stopped."""
+    """Every host that was not restarted yet is free to be stopped."""
+    DONE = "done"
+    """Every host was restarted and serves again, or is retired."""
 
 
 class StopStatus(msgspec.Struct, frozen=True):
     """One planned stop.
 
     :param why: what holds it up, for people; empty if nothing does.
-    :param waiting: hosts not begun; the next two are on their way and done.
+    :param waiting: hosts not begun; then those on their way, free to be stopped, and back again.
     :param expected_s: seconds until every host is free, if that can be told.
     """
 
@@ -89,6 +91,7 @@
     waiting: tuple[HostId, ...] = ()
     withdrawing: tuple[HostId, ...] = ()
     stopped: tuple[HostId, ...] = ()
+    done: tuple[HostId, ...] = ()
     expected_s: float | None = None
 
 
--- a/tests/operators/test_server.py
+++ b/tests/operators/test_server.py
@@ -1,5 +1,6 @@
 """The operators' HTTP: tokens, limits, broken input, and what is told of edits."""
 
+import socket
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
@@ -156,6 +157,27 @@
             self.assertEqual([200] * AT_ONCE, [answer.result()[0] for answer in held])
         self.assertEqual((503, "urn:lentilrill:problem:busy"), (status, problem["type"]))
 
+    def test_malformed_requests(self) -> None:
+        # A port scanner or a broken proxy sends what is no HTTP: it gets an error of its own, and
+        # the controller goes on serving.
+        head = b"PUT /v1/config HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer token-of-asha\r\n"
+        cases = {
+            b"\x00\xff\r\n\r\n": b"400",
+            head + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n": b"400",
+            head + b"Content-Length: abc\r\n\r\n": b"400",
+            head + b"Content-Length: 50\r\n\r\n{}": b"400",
+            head + b"Content-Length: 99999999999\r\n\r\n{}": b"413",
+            head + b"X: " + b"a" * 40_000 + b"\r\n\r\n": b"413",
+        }
+        host, _, port = self.served.address.rpartition(":")
+        for request, status in cases.items():
+            with socket.create_connection((host, int(port)), timeout=20) as connection:
+                connection.sendall(request)
+                connection.shutdown(socket.SHUT_WR)
+                with connection.makefile("rb") as answer:
+                    self.assertIn(status, answer.readline(), request[:90])
+        self.assertEqual(200, self.served.ask("GET", "/v1/status")[0])
+
     def test_routes(self) -> None:
         self.assertEqual(404, self.served.ask("GET", "/v2/config")[0])
         self.assertEqual(405, self.served.ask("POST", "/v1/config")[0])
--- a/tests/operators/test_whole_status.py
+++ b/tests/operators/test_whole_status.py
@@ -6,11 +6,20 @@
 from testtools import TestCase
 
 from lentilrill._status import status
-from lentilrill.fleet import DOCUMENT_KEY, FleetReport, FleetView, HostPhase, PoolRecord, pool_key
+from lentilrill.fleet import (
+    DOCUMENT_KEY,
+    FleetReport,
+    FleetView,
+    HostPhase,
+    PoolRecord,
+    pool_key,
+)
+from lentilrill.fleet._records import DoneStop
 from lentilrill.ids import ProcessId, Revision, StopId, ZoneId
 from lentilrill.membership import Liveness, Member, Role, ZoneRecord, zone_key
-from lentilrill.operators import reach
+from lentilrill.operators import StopState, reach
 from lentilrill.platform import Item, Mirror
+from lentilrill.settings import PlannedStop
 from tests.builders import a_document, a_member, an_entry
 
 
@@ -101,3 +110,29 @@
         # report still has the stop, and the answer was an internal error.
         report = FleetReport(stops=(SimpleNamespace(stop=StopId("june")),))
         self.assertEqual((), self.status(report).stops)
+
+    def test_how_far_a_stop_is(self) -> None:
+        # Operators restart a host when status calls its stop "stopped". Shown for a stop whose
+        # hosts were restarted already, or before the last one was free, it is the wrong moment.
+        stop = StopId("june")
+        free = an_entry("h1", phase=HostPhase.STOPPED, stop=stop)
+        leaving = an_entry("h2", phase=HostPhase.WITHDRAWING, stop=stop)
+        back = an_entry("h3", done=(DoneStop(stop, 1.0, 2.0),))
+        cases = {
+            StopState.WAITING: (an_entry("h2"), an_entry("h1")),
+            StopState.WITHDRAWING: (free, leaving, back),
+            StopState.STOPPED: (free, back),
+            StopState.DONE: (back,),
+        }
+        for n, (state, hosts) in enumerate(cases.items()):
+            names = tuple(host.id for host in hosts)
+            document = a_document("schools", "spare")
+            stops = (PlannedStop(stop, names),)
+            self.put(DOCUMENT_KEY, msgspec.structs.replace(document, stops=stops), 10 + n)
+            self.put(pool_key("schools"), PoolRecord("schools", hosts), 10 + n)
+            (shown,) = self.status().stops
+            self.assertEqual(state, shown.state)
+        unknown = msgspec.structs.replace(document, stops=(PlannedStop(stop, ("x",)),))
+        self.put(DOCUMENT_KEY, unknown, 20)
+        (shown,) = self.status().stops
+        self.assertEqual((StopState.WAITING, "in no pool: x"), (shown.state, shown.why))
