--- a/src/lentilrill/operators/_records.py
+++ b/src/lentilrill/operators/_records.py
@@ -10,6 +10,8 @@
 __all__ = ["Action", "AuditEntry", "AuditRecord", "EditVerdict", "bounded"]
 
 MAX_DIFFERENCES = 50
+MAX_DIFFERENCES_BYTES = 4096
+"""So that a hundred refused edits fit into one value of the platform, whatever they changed."""
 
 
 class Action(Enum):
@@ -64,4 +66,10 @@
 
 def bounded(differences: tuple[Difference, ...]) -> tuple[tuple[Difference, ...], int]:
     """Return the differences that a record keeps, and the count of the others."""
-    return differences[:MAX_DIFFERENCES], max(0, len(differences) - MAX_DIFFERENCES)
+    kept, size_bytes = 0, 0
+    for each in differences[:MAX_DIFFERENCES]:
+        size_bytes += len(msgspec.json.encode(each))
+        if size_bytes > MAX_DIFFERENCES_BYTES:
+            break
+        kept += 1
+    return differences[:kept], len(differences) - kept
--- a/tests/operators/test_audit.py
+++ b/tests/operators/test_audit.py
@@ -3,6 +3,7 @@
 import threading
 from unittest import mock
 
+import msgspec
 from testtools import TestCase
 
 from lentilrill.ids import Revision
@@ -10,12 +11,16 @@
     Action,
     AuditRecord,
     AuditTrail,
+    Change,
+    Difference,
     DocumentStore,
     Editor,
     EditVerdict,
+    FieldChange,
     _audit,
     _refusals,
 )
+from lentilrill.operators._records import bounded
 from tests.builders import a_document
 from tests.fakes import FakeKeyValue, lose_answer, refuse
 
@@ -81,6 +86,23 @@
         times = [entry.record.at for entry in self.trail.newest(0, 100).unwrap()]
         self.assertEqual([7.0, 8.0, 9.0], times)
 
+    def test_refused_edits_of_any_size_fit_into_a_value(self) -> None:
+        # Large edits are refused again and again; with all that they would have changed, the
+        # value would pass the platform's bound, and no refusal would be recorded any more.
+        fields = tuple(FieldChange(f"field-{n}", "x" * 200, "y" * 200) for n in range(8))
+        changes = tuple(Difference("plans", f"p{n}", Change.CHANGED, fields) for n in range(60))
+        kept, more = bounded(changes)
+        self.assertEqual(60, len(kept) + more)
+        self.assertLess(len(kept), 2)
+        few = tuple(Difference("plans", f"p{n}", Change.ADDED) for n in range(60))
+        self.assertEqual((few[:50], 10), bounded(few))
+        records = [
+            msgspec.structs.replace(refused(float(n)), differences=kept, message="m" * 1000)
+            for n in range(100)
+        ]
+        self.write_refusals(self.trail, *records)
+        self.assertLess(len(self.kv.items_by_key["audit/refused"].value), 1_000_000)
+
     def test_two_controllers_record_refusals_at_once(self) -> None:
         # Two controllers add to the refused edits at the same time. Without the comparison one
         # would overwrite what the other has just recorded.
