--- a/src/lentilrill/operators/_server.py
+++ b/src/lentilrill/operators/_server.py
@@ -1,5 +1,6 @@
 """HTTP server for operators: routes, tokens, limits, and the server's life."""
 
+import logging
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -50,6 +51,16 @@
     document_revision: Revision
 
 
+class QuietServer(wsgi.Server):
+    """A server whose errors are logged as events instead of printed."""
+
+    def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
+        """Log what went wrong with a connection, without the traceback."""
+        del traceback
+        if level >= logging.ERROR:
+            log(Event.OPERATOR_REQUEST_FAILED, error=msg.strip())
+
+
 class OperatorServer:
     """Serves operators on the controller's address.
 
@@ -215,7 +226,7 @@
 
 def _http_server(listen: str, app: OperatorServer) -> wsgi.Server:
     host, _, port = listen.rpartition(":")
-    server = wsgi.Server(
+    server = QuietServer(
         (host.strip("[]"), int(port)),
         app,
         numthreads=THREADS,
