--- a/bench/config.py
+++ b/bench/config.py
@@ -1,9 +1,10 @@
 """Seconds until a changed configuration is in force everywhere, and what changes cost.
 
-Run as ``python -m bench.config [--changes N] [--rate R] [--seconds S] [--services N]``. Real
-processes on loopback: 7 entry hosts in 4 zones, each with a gateway and a controller. An edit goes
-to one controller after the other; a process has it in force when its log says so (event 501). With
-more services the document is larger: 50 make one of about the target's size.
+Run as ``python -m bench.config [--changes N] [--rate R] [--seconds S] [--services N]
+[--cut-zone Z]``. Real processes on loopback: 7 entry hosts in 4 zones, each with a gateway and a
+controller. An edit goes to one controller after the other; a process has it in force when its log
+says so (event 501). With more services the document is larger: 50 make one of about the target's
+size. A zone that is cut off from the platform hears of edits from the other zones.
 """
 
 import argparse
@@ -43,6 +44,7 @@
         self.plans, self.entitlements = lists(names, 6)
         self.revision = 0
         self.edits = 0
+        self.cut: frozenset[str] = frozenset()
 
     def start(self) -> None:
         """Start the stand-ins and all processes but those left out."""
@@ -55,12 +57,20 @@
             self.site.wait(lambda a=address: self.site._answers(a, "/healthz"), name)
         time.sleep(SETTLE_S)
 
+    def cut_off(self, zone: int) -> None:
+        """Cut a zone off from the platform, but not from the other zones."""
+        self.edit()
+        self.site.faults(self.site.control, cut=[self.site.platform(zone)])
+        self.cut = frozenset(n for n in self.controllers if n.startswith(f"ct-{zone}-"))
+        time.sleep(SETTLE_S)
+
     def edit(self) -> tuple[float, int]:
         """Make an edit through the next controller; return when it was sent and its revision."""
         self.edits += 1
         self.plans[0]["start_within_s"] = 5.0 + self.edits % 1000
         body = {"base": self.revision, "plans": self.plans, "entitlements": self.entitlements}
-        address = self.site.operator(self.controllers[self.edits % len(self.controllers)])
+        able = [name for name in self.controllers if name not in self.cut]
+        address = self.site.operator(able[self.edits % len(able)])
         sent = time.time()
         answer: dict[str, Any] = self.site.json(
             "PUT", address, "/v1/config", body, Authorization=f"Bearer {OPERATOR_TOKEN}"
@@ -100,6 +110,7 @@
     parser.add_argument("--changes", type=int, default=40)
     parser.add_argument("--rate", type=float, default=2.0, help="changes a second for their cost")
     parser.add_argument("--services", type=int, default=5, help="plans and pools of the document")
+    parser.add_argument("--cut-zone", type=int, default=0, help="zone cut off from the platform")
     parser.add_argument("--seconds", type=float, default=15.0, help="length of one measurement")
     options = parser.parse_args()
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sink:
@@ -111,7 +122,11 @@
         try:
             bench = Bench(site, options.services)
             bench.start()
+            if options.cut_zone:
+                bench.cut_off(options.cut_zone)
             spread(bench, options.changes)
+            if options.cut_zone:
+                return
             size = len(json.dumps([bench.plans, bench.entitlements], separators=(",", ":")))
             figure("config", "lists", size, "bytes", services=options.services)
             cost(bench, sink, options.rate, options.seconds)
@@ -129,6 +144,7 @@
         when = bench.in_force(revision)
         everywhere.append(max(when.values()) - sent)
     where = {"changes": changes, "processes": len(bench.processes), "zones": ZONES}
+    where["zones_cut_off"] = int(bool(bench.cut))
     for name, values in (("accepted", accepted), ("in_force_everywhere", everywhere)):
         cuts = statistics.quantiles(values, n=100, method="inclusive")
         figure("config", f"{name}_p50", round(cuts[49], 3), "s", **where)
