--- a/src/lentilrill/ctl/_commands.py
+++ b/src/lentilrill/ctl/_commands.py
@@ -3,7 +3,6 @@
 import argparse
 import uuid
 from http import HTTPStatus
-from pathlib import Path
 
 import msgspec
 from returns.result import Failure
@@ -11,7 +10,7 @@
 from lentilrill.ctl import _show as show
 from lentilrill.ctl._client import UNREACHABLE, Client
 from lentilrill.ctl._exit import Exit
-from lentilrill.ctl._files import ListFiles, UsageError
+from lentilrill.ctl._files import ListFiles
 from lentilrill.ctl._show_status import status_lines, stop_lines
 from lentilrill.ctl._spread import wait_in_force
 from lentilrill.ids import HostId, StopId
@@ -215,14 +214,3 @@
     if problem.type == UNREACHABLE or problem.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
         return Exit.UNREACHABLE
     return Exit.REFUSED
-
-
-def read_token(path: Path) -> str:
-    """Return the token in a file.
-
-    :raises UsageError: if the file can't be read.
-    """
-    try:
-        return path.read_text().strip()
-    except (OSError, UnicodeDecodeError) as error:
-        raise UsageError(f"{path}: {error}") from error
--- a/src/lentilrill/ctl/_files.py
+++ b/src/lentilrill/ctl/_files.py
@@ -1,4 +1,4 @@
-"""The operators' two files in a folder, and the revision that they were edited from."""
+"""Files of the operator: the two lists with the revision they are from, and the token."""
 
 from pathlib import Path
 
@@ -7,7 +7,7 @@
 from lentilrill.ids import Revision
 from lentilrill.settings import Document, encode_lists
 
-__all__ = ["ListFiles", "UsageError"]
+__all__ = ["ListFiles", "UsageError", "read_token"]
 
 PLANS = "plans.json"
 ENTITLEMENTS = "entitlements.json"
@@ -93,3 +93,14 @@
             msgspec.json.decode(content)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise UsageError(f"{self.folder / name}: broken JSON: {error}") from error
+
+
+def read_token(path: Path) -> str:
+    """Return the token in a file.
+
+    :raises UsageError: if the file can't be read.
+    """
+    try:
+        return path.read_text().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise UsageError(f"{path}: {error}") from error
--- a/src/lentilrill/ctl/_main.py
+++ b/src/lentilrill/ctl/_main.py
@@ -10,7 +10,7 @@
 from lentilrill.ctl import _generate as generate
 from lentilrill.ctl._client import Client
 from lentilrill.ctl._exit import EXIT_HELP, Exit
-from lentilrill.ctl._files import UsageError
+from lentilrill.ctl._files import UsageError, read_token
 
 __all__ = ["main"]
 
@@ -69,7 +69,7 @@
 
 def _token(options: argparse.Namespace) -> str:
     if options.token_file is not None:
-        return commands.read_token(options.token_file)
+        return read_token(options.token_file)
     return os.environ.get(TOKEN_VARIABLE, "").strip()
 
 
--- a/src/lentilrill/settings/_lists.py
+++ b/src/lentilrill/settings/_lists.py
@@ -11,6 +11,7 @@
 
 from lentilrill.settings._document import Document, Entitlement, Objective, Plan, Pool
 from lentilrill.settings._findings import Finding, Severity
+from lentilrill.settings._located import located
 
 __all__ = ["EntitlementsFile", "decode_lists", "encode_lists"]
 
@@ -114,8 +115,8 @@
         try:
             values[name] = msgspec.convert(raw, kind)
         except (msgspec.ValidationError, OverflowError) as error:
-            message, _, inner = str(error).partition(" - at `$")
-            self._add(path + inner.rstrip("`"), message)
+            inner, message = located(error)
+            self._add(path + inner, message)
 
     def _add(self, path: str, message: str) -> None:
         self.findings.append(Finding(Severity.ERROR, path, message))
--- a/src/lentilrill/settings/_loading.py
+++ b/src/lentilrill/settings/_loading.py
@@ -1,6 +1,5 @@
 """Reading a process's settings from a file."""
 
-import re
 from pathlib import Path
 from typing import TypeVar
 
@@ -8,13 +7,11 @@
 from returns.result import Failure, Result, Success
 
 from lentilrill.faults import Fault, FaultKind
+from lentilrill.settings._located import located
 from lentilrill.settings._process import ProcessSettings
 from lentilrill.settings._process_checks import problems_of
 
-__all__ = ["load_settings", "located"]
-
-UNKNOWN_FIELD = re.compile(r"Object contains unknown field `(.*)`", re.DOTALL)
-MISSING_FIELD = re.compile(r"Object missing required field `(.*)`", re.DOTALL)
+__all__ = ["load_settings"]
 
 S = TypeVar("S", bound=ProcessSettings)
 
@@ -37,18 +34,6 @@
     return _invalid(path, "; ".join(problems)) if problems else Success(settings)
 
 
-def located(error: msgspec.ValidationError) -> tuple[str, str]:
-    """Return the key's path and the message of an error, without the decoder's notation."""
-    message, _, at = str(error).partition(" - at `$")
-    path = at.rstrip("`").lstrip(".")
-    for pattern, text in ((UNKNOWN_FIELD, "unknown key"), (MISSING_FIELD, "missing")):
-        found = pattern.fullmatch(message)
-        if found:
-            name = found.group(1)
-            return (f"{path}.{name}" if path else name), text
-    return path, message
-
-
 def _invalid(path: Path, reason: str) -> Result[S, Fault]:
     line = " ".join(reason.split())
     return Failure(Fault("settings.load", str(path), FaultKind.INVALID, line))
--- /dev/null
+++ b/src/lentilrill/settings/_located.py
@@ -0,0 +1,20 @@
+"""Where a decoder's error lies, without the decoder's notation."""
+
+import re
+
+__all__ = ["located"]
+
+UNKNOWN_FIELD = re.compile(r"Object contains unknown field `(.*)`", re.DOTALL)
+MISSING_FIELD = re.compile(r"Object missing required field `(.*)`", re.DOTALL)
+
+
+def located(error: Exception) -> tuple[str, str]:
+    """Return the key's path and the message of an error, without the decoder's notation."""
+    message, _, at = str(error).partition(" - at `$")
+    path = at.rstrip("`").lstrip(".")
+    for pattern, text in ((UNKNOWN_FIELD, "unknown key"), (MISSING_FIELD, "missing")):
+        found = pattern.fullmatch(message)
+        if found:
+            name = found.group(1)
+            return (f"{path}.{name}" if path else name), text
+    return path, message
