--- /dev/null
+++ b/src/lentilrill/routing/_admission.py
@@ -0,0 +1,125 @@
+"""Which asks a pool's scheduler refuses, and when their callers should come back."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from lentilrill.ids import PlanId, PoolId
+from lentilrill.inner import Ask, Message, Refusal, Refused
+from lentilrill.routing._hosts import HostSlots
+from lentilrill.routing._limits import TokenBucket
+from lentilrill.routing._queue import AskQueue, Waiting
+from lentilrill.routing._spill import OtherZones
+from lentilrill.routing._terms import DEFAULT_TERMS, PlanTerms, PoolTerms
+from lentilrill.routing._waits import WaitEstimate
+
+__all__ = ["Admission", "Reply"]
+
+MOST_QUEUE = 20_000
+SPILL_WAIT_S = 0.25
+NO_HOSTS_RETRY_S = 5.0
+LEAST_RETRY_S = 0.2
+MOST_RETRY_S = 60.0
+RATE_BURST_S = 1.0
+BACK_SHARE = 0.5
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """A message that a decision wants sent to the process at ``address``."""
+
+    address: str
+    message: Message
+
+
+class Admission:
+    """Decides whether an ask may wait, by limits, room, and the estimated wait."""
+
+    def __init__(
+        self,
+        pool: PoolId,
+        queue: AskQueue,
+        hosts: HostSlots,
+        waits: WaitEstimate,
+        others: OtherZones,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._pool = pool
+        self._queue = queue
+        self._hosts = hosts
+        self._waits = waits
+        self._others = others
+        self._clock = clock
+        self._rng = rng
+        self._terms = PoolTerms({}, {})
+        self._buckets_by_plan: dict[PlanId, TokenBucket] = {}
+
+    def configure(self, terms: PoolTerms) -> None:
+        """Take over the plans' limits."""
+        self._terms = terms
+        for plan in self._buckets_by_plan.keys() - terms.plans_by_id.keys():
+            del self._buckets_by_plan[plan]
+
+    def objection(self, ask: Ask, out: list[Reply]) -> Refused | None:
+        """Return why ``ask`` is refused; ``None`` if it may be queued.
+
+        :param out: takes the refusal of an ask that had to make place.
+        """
+        now = self._clock()
+        terms = self._terms.plans_by_id.get(ask.plan, DEFAULT_TERMS)
+        if not self._hosts.usable:
+            return self._refused(ask, Refusal.NO_HOSTS, NO_HOSTS_RETRY_S, spill=True)
+        if self._queue.count(ask.plan) >= terms.queue:
+            after_s = self._back_after_s(self._waits.plan_drain_s(ask.plan))
+            return self._refused(ask, Refusal.PLAN_LIMIT, after_s, spill=False)
+        wait_s = self._waits.wait_s(ask, now, self._terms)
+        if wait_s > ask.wait_s:
+            return self._refused(ask, Refusal.TOO_LATE, self._back_after_s(wait_s), spill=True)
+        if ask.spillable and wait_s > SPILL_WAIT_S:
+            zone = self._others.claim(terms.zones, now)
+            if zone is not None:
+                return Refused(ask.request, self._pool, Refusal.TOO_LATE, wait_s, zone)
+        limited_s = self._rate_limited_s(ask.plan, terms, now)
+        if limited_s > 0.0:
+            return self._refused(ask, Refusal.PLAN_LIMIT, limited_s, spill=False)
+        if len(self._queue) >= MOST_QUEUE:
+            displaced = self._queue.displace(ask.urgency)
+            if displaced is None:
+                after_s = self._back_after_s(self._waits.drain_s(ask.urgency))
+                return self._refused(ask, Refusal.QUEUE_FULL, after_s, spill=True)
+            out.append(self.refuse(displaced, Refusal.QUEUE_FULL))
+        return None
+
+    def refuse(self, waiting: Waiting, refusal: Refusal) -> Reply:
+        """Return the final answer to an ask that was queued."""
+        drain_s = self._waits.drain_s(waiting.urgency)
+        after_s = self._retry_after_s(self._back_after_s(drain_s))
+        refused = Refused(waiting.key.request, self._pool, refusal, after_s)
+        return Reply(waiting.key.address, refused)
+
+    def _rate_limited_s(self, plan: PlanId, terms: PlanTerms, now: float) -> float:
+        if terms.rate_per_s <= 0.0:
+            return 0.0
+        bucket = self._buckets_by_plan.get(plan)
+        if bucket is None or bucket.rate_per_s != terms.rate_per_s:
+            burst = max(1.0, terms.rate_per_s * RATE_BURST_S)
+            bucket = self._buckets_by_plan[plan] = TokenBucket(terms.rate_per_s, burst, now)
+        return 0.0 if bucket.take(now) else bucket.wait_s(now)
+
+    def _refused(self, ask: Ask, refusal: Refusal, after_s: float, spill: bool) -> Refused:
+        zone = None
+        if spill and ask.spillable:
+            terms = self._terms.plans_by_id.get(ask.plan, DEFAULT_TERMS)
+            zone = self._others.claim(terms.zones, self._clock())
+        return Refused(ask.request, self._pool, refusal, self._retry_after_s(after_s), zone)
+
+    def _back_after_s(self, drain_s: float) -> float:
+        # Half of what waits now: by then a job would start well within its wait, if no more
+        # came. Only the excess over its wait is too soon, as more does come in a surge.
+        return drain_s * BACK_SHARE
+
+    def _retry_after_s(self, after_s: float) -> float:
+        # Jitter, or everybody refused in one surge would come back as the next one.
+        spread_s = max(LEAST_RETRY_S, after_s) * self._rng.uniform(1.0, 1.5)
+        return min(spread_s, MOST_RETRY_S)
--- a/src/lentilrill/routing/_reserve.py
+++ b/src/lentilrill/routing/_reserve.py
@@ -4,7 +4,7 @@
 from lentilrill.routing._grants import GrantBook
 from lentilrill.routing._hosts import HostSlots
 from lentilrill.routing._run_times import RunTimes
-from lentilrill.routing._terms import PlanTerms, PoolTerms
+from lentilrill.routing._terms import DEFAULT_TERMS, PoolTerms
 from lentilrill.settings import Urgency
 
 __all__ = ["Reserve"]
@@ -13,8 +13,6 @@
 RESERVED_SHARE = 8
 LEAST_URGENT = Urgency.PATIENT.rank
 
-NO_TERMS = PlanTerms()
-
 
 class Reserve:
     """Keeps an eighth of the slots free of long jobs that are less urgent than other plans'.
@@ -54,7 +52,7 @@
         return long < slots - reserved
 
     def _is_long(self, plan: PlanId) -> bool:
-        if self._terms.plans_by_id.get(plan, NO_TERMS).urgency <= self._most_urgent:
+        if self._terms.plans_by_id.get(plan, DEFAULT_TERMS).urgency <= self._most_urgent:
             return False
         if plan in self._held_long or not self._run_times.known(plan):
             return True
--- a/src/lentilrill/routing/_scheduler.py
+++ b/src/lentilrill/routing/_scheduler.py
@@ -3,29 +3,26 @@
 import random
 from collections.abc import Callable
 
-import msgspec
-
 from lentilrill.ids import GrantId, HostId, PlanId, PoolId, RequestId, ZoneId
 from lentilrill.inner import (
     Ask,
     Done,
     Granted,
     HeldGrants,
-    Message,
     PoolLoad,
     Refusal,
     Refused,
     Verdict,
 )
+from lentilrill.routing._admission import Admission, Reply
 from lentilrill.routing._grants import Grant, GrantBook
 from lentilrill.routing._health import Health
 from lentilrill.routing._hosts import HostSlots
-from lentilrill.routing._limits import TokenBucket
 from lentilrill.routing._queue import AskKey, AskQueue, Caller, FairShares, Waiting
 from lentilrill.routing._reserve import Reserve
 from lentilrill.routing._run_times import RunTimes
 from lentilrill.routing._spill import OtherZones
-from lentilrill.routing._terms import PlanTerms, PoolTerms
+from lentilrill.routing._terms import DEFAULT_TERMS, PoolTerms
 from lentilrill.routing._waits import WaitEstimate
 from lentilrill.telemetry import Event, log
 
@@ -33,26 +30,10 @@
 
 START_WITHIN_S = 2.0
 REBUILD_S = 2.0
-MOST_QUEUE = 20_000
 MOST_ASIDE = 8
-SPILL_WAIT_S = 0.25
-NO_HOSTS_RETRY_S = 5.0
-LEAST_RETRY_S = 0.2
-MOST_RETRY_S = 60.0
-RATE_BURST_S = 1.0
-BACK_SHARE = 0.5
 SWEEP_S = 1.0
 START_MARGIN_S = 0.005
 
-DEFAULT_TERMS = PlanTerms()
-
-
-class Reply(msgspec.Struct, frozen=True):
-    """A message that a decision wants sent to the process at ``address``."""
-
-    address: str
-    message: Message
-
 
 class PoolScheduler:
     """Decides for one pool in one zone. Not thread-safe; the caller sends the replies.
@@ -77,7 +58,6 @@
         self.violations = 0
         self.hosts = HostSlots()
         self._clock = clock
-        self._rng = rng
         self._awaited = set(awaited)
         self._rebuilt_by = clock() + REBUILD_S
         self._terms = PoolTerms({}, {})
@@ -88,7 +68,9 @@
         self._waits = WaitEstimate(self._queue, self._grants, self.hosts, self._run_times)
         self._reserve = Reserve(self._grants, self.hosts, self._run_times)
         self._others = OtherZones()
-        self._buckets_by_plan: dict[PlanId, TokenBucket] = {}
+        self._admission = Admission(
+            pool, self._queue, self.hosts, self._waits, self._others, clock, rng
+        )
         self._asks = 0
         self._granted = 0
         self._orphaned_until: dict[HostId, float] = {}
@@ -131,10 +113,9 @@
         """Take over hosts, plans and limits."""
         self._terms = terms
         self._reserve.configure(terms)
+        self._admission.configure(terms)
         self.hosts.configure(terms.slots_by_host, self._allowance())
         kept = set(terms.plans_by_id)
-        for plan in self._buckets_by_plan.keys() - kept:
-            del self._buckets_by_plan[plan]
         self._shares.keep(kept)
         self._run_times.keep(kept)
         self.hosts.health.keep(kept)
@@ -149,7 +130,7 @@
         if self._queue.get(key) is not None:
             return []
         out: list[Reply] = []
-        refused = self._objection(ask, out)
+        refused = self._admission.objection(ask, out)
         if refused is not None:
             out.append(Reply(caller.address, refused))
             return out
@@ -225,7 +206,7 @@
         now = self._clock()
         out: list[Reply] = []
         for waiting in self._queue.expired(now):
-            out.append(self._refuse(waiting, Refusal.TOO_LATE))
+            out.append(self._admission.refuse(waiting, Refusal.TOO_LATE))
         if now - self._swept >= SWEEP_S or alive != self._alive:
             self._swept, self._alive = now, alive
             self._sweep(alive, is_gone, now, out)
@@ -251,72 +232,12 @@
 
     def resign(self) -> list[Reply]:
         """Tell every waiting gateway to ask the pool's next scheduler."""
-        out = [self._refuse(waiting, Refusal.NOT_SCHEDULER) for waiting in self._queue]
+        out = [self._admission.refuse(waiting, Refusal.NOT_SCHEDULER) for waiting in self._queue]
         for reply in out:
             assert isinstance(reply.message, Refused)
             self._queue.remove(AskKey(reply.address, reply.message.request))
         return out
 
-    # Who is refused
-
-    def _objection(self, ask: Ask, out: list[Reply]) -> Refused | None:
-        now = self._clock()
-        terms = self._terms.plans_by_id.get(ask.plan, DEFAULT_TERMS)
-        if not self.hosts.usable:
-            return self._refused(ask, Refusal.NO_HOSTS, NO_HOSTS_RETRY_S, spill=True)
-        if self._queue.count(ask.plan) >= terms.queue:
-            after_s = self._back_after_s(self._waits.plan_drain_s(ask.plan))
-            return self._refused(ask, Refusal.PLAN_LIMIT, after_s, spill=False)
-        wait_s = self._waits.wait_s(ask, now, self._terms)
-        if wait_s > ask.wait_s:
-            return self._refused(ask, Refusal.TOO_LATE, self._back_after_s(wait_s), spill=True)
-        if ask.spillable and wait_s > SPILL_WAIT_S:
-            zone = self._others.claim(terms.zones, now)
-            if zone is not None:
-                return Refused(ask.request, self.pool, Refusal.TOO_LATE, wait_s, zone)
-        limited_s = self._rate_limited_s(ask.plan, terms, now)
-        if limited_s > 0.0:
-            return self._refused(ask, Refusal.PLAN_LIMIT, limited_s, spill=False)
-        if len(self._queue) >= MOST_QUEUE:
-            displaced = self._queue.displace(ask.urgency)
-            if displaced is None:
-                after_s = self._back_after_s(self._waits.drain_s(ask.urgency))
-                return self._refused(ask, Refusal.QUEUE_FULL, after_s, spill=True)
-            out.append(self._refuse(displaced, Refusal.QUEUE_FULL))
-        return None
-
-    def _rate_limited_s(self, plan: PlanId, terms: PlanTerms, now: float) -> float:
-        if terms.rate_per_s <= 0.0:
-            return 0.0
-        bucket = self._buckets_by_plan.get(plan)
-        if bucket is None or bucket.rate_per_s != terms.rate_per_s:
-            burst = max(1.0, terms.rate_per_s * RATE_BURST_S)
-            bucket = self._buckets_by_plan[plan] = TokenBucket(terms.rate_per_s, burst, now)
-        return 0.0 if bucket.take(now) else bucket.wait_s(now)
-
-    def _refused(self, ask: Ask, refusal: Refusal, after_s: float, spill: bool) -> Refused:
-        zone = None
-        if spill and ask.spillable:
-            terms = self._terms.plans_by_id.get(ask.plan, DEFAULT_TERMS)
-            zone = self._others.claim(terms.zones, self._clock())
-        return Refused(ask.request, self.pool, refusal, self._retry_after_s(after_s), zone)
-
-    def _refuse(self, waiting: Waiting, refusal: Refusal) -> Reply:
-        drain_s = self._waits.drain_s(waiting.urgency)
-        after_s = self._retry_after_s(self._back_after_s(drain_s))
-        refused = Refused(waiting.key.request, self.pool, refusal, after_s)
-        return Reply(waiting.key.address, refused)
-
-    def _back_after_s(self, drain_s: float) -> float:
-        # Half of what waits now: by then a job would start well within its wait, if no more
-        # came. Only the excess over its wait is too soon, as more does come in a surge.
-        return drain_s * BACK_SHARE
-
-    def _retry_after_s(self, after_s: float) -> float:
-        # Jitter, or everybody refused in one surge would come back as the next one.
-        spread_s = max(LEAST_RETRY_S, after_s) * self._rng.uniform(1.0, 1.5)
-        return min(spread_s, MOST_RETRY_S)
-
     # Who runs next, and where
 
     def _grant_free(self, out: list[Reply]) -> list[Reply]:
@@ -329,7 +250,7 @@
             if waiting is None:
                 break
             if waiting.deadline <= now:
-                out.append(self._refuse(waiting, Refusal.TOO_LATE))
+                out.append(self._admission.refuse(waiting, Refusal.TOO_LATE))
                 continue
             host = self._host_for(waiting, now)
             if host is None:
--- a/src/lentilrill/routing/_terms.py
+++ b/src/lentilrill/routing/_terms.py
@@ -6,7 +6,7 @@
 from lentilrill.ids import HostId, PlanId, PoolId, ZoneId
 from lentilrill.settings import Document, Entitlement, Plan, Urgency
 
-__all__ = ["PlanTerms", "PoolTerms", "pool_terms"]
+__all__ = ["DEFAULT_TERMS", "PlanTerms", "PoolTerms", "pool_terms"]
 
 
 class PlanTerms(msgspec.Struct, frozen=True):
@@ -24,6 +24,10 @@
     urgency: int = Urgency.NORMAL.rank
 
 
+DEFAULT_TERMS = PlanTerms()
+"""For a plan that this process has not heard of yet."""
+
+
 class PoolTerms(msgspec.Struct, frozen=True):
     """What a scheduler schedules.
 
--- a/src/lentilrill/routing/_waits.py
+++ b/src/lentilrill/routing/_waits.py
@@ -6,12 +6,11 @@
 from lentilrill.routing._hosts import HostSlots
 from lentilrill.routing._queue import AskQueue
 from lentilrill.routing._run_times import RunTimes
-from lentilrill.routing._terms import PlanTerms, PoolTerms
+from lentilrill.routing._terms import DEFAULT_TERMS, PoolTerms
 from lentilrill.settings import Urgency
 
 __all__ = ["WaitEstimate"]
 
-NO_TERMS = PlanTerms()
 LEAST_URGENT = Urgency.PATIENT.rank
 
 
@@ -39,7 +38,7 @@
         wait_s = (ahead_s + self._own_class_work_s(ask, now, terms)) / slots
         if self._hosts.free < 1:
             wait_s += self._run_times.mean_s / slots
-        limit = terms.plans_by_id.get(ask.plan, NO_TERMS).concurrency
+        limit = terms.plans_by_id.get(ask.plan, DEFAULT_TERMS).concurrency
         if limit and self._grants.running(ask.plan) >= limit:
             own = self._queue.ahead(ask.plan, ask.urgency, now + ask.wait_s)
             wait_s = max(wait_s, own * self._run_times.expected_s(ask.plan) / limit)
@@ -62,7 +61,7 @@
     def _own_class_work_s(self, ask: Ask, now: float, terms: PoolTerms) -> float:
         counts = self._queue.counts(ask.urgency)
         counts[ask.plan] = self._queue.ahead(ask.plan, ask.urgency, now + ask.wait_s)
-        weights = {plan: terms.plans_by_id.get(plan, NO_TERMS).weight for plan in counts}
+        weights = {plan: terms.plans_by_id.get(plan, DEFAULT_TERMS).weight for plan in counts}
         own_s = counts[ask.plan] * self._run_times.expected_s(ask.plan)
         by_share_s = own_s * sum(weights.values()) / weights[ask.plan]
         all_s = sum(n * self._run_times.expected_s(plan) for plan, n in counts.items())
--- a/tests/routing/test_scheduler.py
+++ b/tests/routing/test_scheduler.py
@@ -6,7 +6,7 @@
 
 from lentilrill.ids import HostId, Incarnation, PlanId, PoolId, ProcessId, ZoneId
 from lentilrill.inner import Ask, Granted, Held, HeldGrants, PoolLoad, Refusal, Verdict
-from lentilrill.routing import _scheduler
+from lentilrill.routing import _admission
 from lentilrill.routing._grants import SILENT_GATEWAY_S
 from lentilrill.routing._queue import Caller
 from lentilrill.routing._scheduler import REBUILD_S, PoolScheduler, Reply
@@ -196,7 +196,7 @@
     def test_a_full_queue_sheds_the_lowest_class_first(self) -> None:
         # Ledgers fill the queue, then a route comes. It takes the place of the newest ledger,
         # whose caller must hear so at once and not at the end of its wait.
-        self.patch(_scheduler, "MOST_QUEUE", 256)
+        self.patch(_admission, "MOST_QUEUE", 256)
         self.configure(ledgers=PlanTerms(queue=10_000))
         self.teach(0.001, "ledgers")
         self.granted("ledgers")
