--- a/src/lentilrill/routing/_client.py
+++ b/src/lentilrill/routing/_client.py
@@ -6,20 +6,17 @@
 import time
 from collections.abc import Callable
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from lentilrill.faults import Fault
-from lentilrill.fleet import FleetView, HostEntry, HostPhase
+from lentilrill.fleet import FleetView, HostPhase
 from lentilrill.ids import GrantId, HostId, PlanId, PoolId, RequestId, ZoneId
 from lentilrill.inner import (
-    LONGEST_RUN_S,
     Ask,
     Batch,
     Cancel,
     Done,
     Granted,
-    Held,
     HeldAsk,
     HeldGrants,
     Message,
@@ -33,6 +30,7 @@
 from lentilrill.routing._ledger import SendLedger
 from lentilrill.routing._placement import Placement, caller_of
 from lentilrill.routing._schedulers import SchedulerHost
+from lentilrill.routing._waiting import Holding, PoolZones, Waiter, answer_s, decline
 from lentilrill.telemetry import Event, log
 
 __all__ = ["SlotClient"]
@@ -45,48 +43,6 @@
 NO_HOSTS_RETRY_S = 5.0
 LATE_RETRY_S = 1.0
 
-REASONS = {
-    Refusal.QUEUE_FULL: "the pool's queue is full",
-    Refusal.PLAN_LIMIT: "the plan is at its limit",
-    Refusal.TOO_LATE: "the job can't start in time",
-    Refusal.NO_HOSTS: "the pool has no host that may run the job",
-    Refusal.NOT_SCHEDULER: "the pool has no scheduler now",
-}
-
-
-class _Waiter:
-    """One thread that waits in :meth:`SlotClient.acquire`.
-
-    :ivar ask: names this attempt to schedulers; a later attempt of the job has another.
-    :ivar asked: address of the scheduler that was asked last.
-    :ivar redirected: when the asked process first said that it is not the scheduler.
-    """
-
-    def __init__(self, job: Job, pool: PoolId, ask: RequestId) -> None:
-        self.job = job
-        self.pool = pool
-        self.ask = ask
-        self.asked = ""
-        self.redirected: float | None = None
-        self.woken = threading.Event()
-        self.answer: Result[Slot, Decline] | None = None
-
-
-class _Holding(msgspec.Struct, frozen=True):
-    """A grant of this gateway and the job that it is for."""
-
-    grant: GrantId
-    host: HostId
-    job: Job
-
-    def report(self, now: float) -> Held:
-        """Return the grant as schedulers are told of it."""
-        return Held(self.grant, self.host, self.job.plan.id, _answer_s(self.job, now))
-
-
-def _answer_s(job: Job, now: float) -> float:
-    return max(0.0, job.answer_by - now) if job.answer_by else LONGEST_RUN_S
-
 
 class SlotClient:
     """The gateway's :class:`~lentilrill.routing.Slots`.
@@ -115,12 +71,11 @@
         self._rng = rng or random.Random()
         self._lock = threading.Lock()
         self._attempts = itertools.count(1)
-        self._waiters_by_ask: dict[RequestId, _Waiter] = {}
-        self._waiters_by_request: dict[RequestId, _Waiter] = {}
-        self._held_by_pool: dict[PoolId, dict[GrantId, _Holding]] = {}
+        self._waiters_by_ask: dict[RequestId, Waiter] = {}
+        self._waiters_by_request: dict[RequestId, Waiter] = {}
+        self._held_by_pool: dict[PoolId, dict[GrantId, Holding]] = {}
         self._reported = clock()
-        self._hosts_seen: dict[HostId, tuple[PoolId, HostEntry]] = {}
-        self._zones_by_pool: dict[PoolId, set[ZoneId]] = {}
+        self._pool_zones = PoolZones(view)
         schedulers.answer = self._answered
         node.on(Granted, lambda batch, granted: self._answered(batch.reply_to, granted))
         node.on(Refused, lambda batch, refused: self._answered(batch.reply_to, refused))
@@ -131,9 +86,9 @@
     def acquire(self, job: Job) -> Result[Slot, Decline]:
         """Wait for a slot, at most until the job's deadline or until it is abandoned."""
         if not self._ledger.may_send:
-            return Failure(self._decline(Refusal.NO_HOSTS, self._jittered(NO_HOSTS_RETRY_S)))
+            return Failure(decline(Refusal.NO_HOSTS, self._jittered(NO_HOSTS_RETRY_S)))
         zone = self._placement.me.zone
-        zones_by_pool = self._zones_with_hosts()
+        zones_by_pool = self._pool_zones.serving()
         allowed = set(job.entitlement.zones)
         for pool in job.entitlement.pools:
             zones = zones_by_pool.get(pool, set())
@@ -145,7 +100,7 @@
                 spilled = self._spilled(job, pool, other)
                 if spilled is not None:
                     return Success(spilled)
-        return Failure(self._decline(Refusal.NO_HOSTS, self._jittered(NO_HOSTS_RETRY_S)))
+        return Failure(decline(Refusal.NO_HOSTS, self._jittered(NO_HOSTS_RETRY_S)))
 
     def abandon(self, request: RequestId) -> None:
         """The caller is gone: make a waiting :meth:`acquire` return at once with a decline."""
@@ -153,7 +108,7 @@
             waiter = self._waiters_by_request.get(request)
             if waiter is None:
                 return
-            self._settle(waiter, Failure(self._decline(Refusal.TOO_LATE, None)))
+            self._settle(waiter, Failure(decline(Refusal.TOO_LATE, None)))
         self._tell(waiter.asked, Cancel(waiter.ask, waiter.pool))
 
     def start(self, slot: Slot) -> Result[None, Fault]:
@@ -234,7 +189,7 @@
     # Waiting for an answer
 
     def _wait(self, job: Job, pool: PoolId) -> Result[Slot, Decline]:
-        waiter = _Waiter(job, pool, RequestId(f"{job.request}.{next(self._attempts)}"))
+        waiter = Waiter(job, pool, RequestId(f"{job.request}.{next(self._attempts)}"))
         with self._lock:
             self._waiters_by_ask[waiter.ask] = waiter
             self._waiters_by_request[job.request] = waiter
@@ -253,14 +208,14 @@
             else:
                 pause_s = min(2.0 * pause_s, LONGEST_REASK_S)
 
-    def _pause_if_redirected(self, waiter: _Waiter, left_s: float) -> None:
+    def _pause_if_redirected(self, waiter: Waiter, left_s: float) -> None:
         # Two processes may name each other the scheduler until their rosters agree; asking
         # again without a pause would spin between them.
         scheduler = self._placement.scheduler(waiter.pool)
         if scheduler is not None and scheduler.inner == waiter.asked:
             waiter.woken.wait(min(left_s, REDIRECT_S))
 
-    def _ask(self, waiter: _Waiter) -> None:
+    def _ask(self, waiter: Waiter) -> None:
         scheduler = self._placement.scheduler(waiter.pool)
         if scheduler is None:
             return
@@ -274,7 +229,7 @@
             job.deadline - now,
             self._node.address,
             job.avoid,
-            _answer_s(job, now),
+            answer_s(job, now),
             job.spillable,
             waiter.redirected is not None and now - waiter.redirected > INSIST_AFTER_S,
         )
@@ -284,16 +239,16 @@
             self._tell(before, Cancel(waiter.ask, waiter.pool))
         self._tell(scheduler.inner, ask)
 
-    def _give_up(self, waiter: _Waiter) -> Result[Slot, Decline]:
+    def _give_up(self, waiter: Waiter) -> Result[Slot, Decline]:
         with self._lock:
             if waiter.answer is not None:
                 return waiter.answer
-            decline = self._decline(Refusal.TOO_LATE, self._jittered(LATE_RETRY_S))
-            self._settle(waiter, Failure(decline))
+            declined = decline(Refusal.TOO_LATE, self._jittered(LATE_RETRY_S))
+            self._settle(waiter, Failure(declined))
         self._tell(waiter.asked, Cancel(waiter.ask, waiter.pool))
-        return Failure(decline)
+        return Failure(declined)
 
-    def _settle(self, waiter: _Waiter, answer: Result[Slot, Decline]) -> None:
+    def _settle(self, waiter: Waiter, answer: Result[Slot, Decline]) -> None:
         waiter.answer = answer
         del self._waiters_by_ask[waiter.ask]
         if self._waiters_by_request.get(waiter.job.request) is waiter:
@@ -335,7 +290,7 @@
             if entry is None or pool != granted.pool or entry.phase is not HostPhase.SERVING:
                 waiter.woken.set()
                 return False
-            held[granted.grant] = _Holding(granted.grant, granted.host, waiter.job)
+            held[granted.grant] = Holding(granted.grant, granted.host, waiter.job)
             slot = Slot(
                 waiter.job.request,
                 granted.pool,
@@ -363,8 +318,8 @@
                 if spilled is not None:
                     self._settle(waiter, Success(spilled))
                     return
-            decline = self._decline(refused.refusal, refused.retry_after_s)
-            self._settle(waiter, Failure(decline))
+            declined = decline(refused.refusal, refused.retry_after_s)
+            self._settle(waiter, Failure(declined))
 
     def _spilled(self, job: Job, pool: PoolId, zone: ZoneId) -> Slot | None:
         gateways: tuple[Member, ...] = self._placement.gateways(zone)
@@ -390,19 +345,5 @@
             case Done():
                 self._schedulers.done(message)
 
-    def _zones_with_hosts(self) -> dict[PoolId, set[ZoneId]]:
-        hosts_by_id = self._view.hosts_by_id
-        if hosts_by_id is not self._hosts_seen:
-            zones_by_pool: dict[PoolId, set[ZoneId]] = {}
-            for pool, entry in hosts_by_id.values():
-                if entry.phase is HostPhase.SERVING:
-                    zones_by_pool.setdefault(pool, set()).add(entry.zone)
-            self._zones_by_pool = zones_by_pool
-            self._hosts_seen = hosts_by_id
-        return self._zones_by_pool
-
-    def _decline(self, refusal: Refusal, retry_after_s: float | None) -> Decline:
-        return Decline(refusal, REASONS[refusal], retry_after_s)
-
     def _jittered(self, seconds: float) -> float:
         return seconds * self._rng.uniform(1.0, 1.5)
--- a/src/lentilrill/routing/_schedulers.py
+++ b/src/lentilrill/routing/_schedulers.py
@@ -14,9 +14,7 @@
     Cancel,
     Done,
     Granted,
-    HeldAsk,
     HeldGrants,
-    HostTrouble,
     Message,
     Node,
     PoolLoad,
@@ -24,6 +22,7 @@
     Refused,
 )
 from lentilrill.routing._health import Health
+from lentilrill.routing._peer_news import PeerNews, Scheduled
 from lentilrill.routing._placement import Placement, caller_of_batch
 from lentilrill.routing._queue import Caller
 from lentilrill.routing._scheduler import PoolScheduler, Reply
@@ -32,11 +31,6 @@
 
 __all__ = ["SchedulerHost"]
 
-HELD_ASK_S = 0.25
-SHARED_ASK_S = 1.0
-LOAD_S = 0.2
-STEADY_LOAD_S = 1.0
-TROUBLE_S = 1.0
 INSISTED_S = 10.0
 EPOCH_BITS = 62
 FORGET_S = 60.0
@@ -44,23 +38,6 @@
 Answer = Callable[[str, Granted | Refused], None]
 
 
-class _Scheduled:
-    """One pool's scheduler with its lock.
-
-    :ivar ended: set under the lock when another process took over; a task that still holds
-        this object looks the pool up again.
-    """
-
-    def __init__(self, scheduler: PoolScheduler, now: float) -> None:
-        self.scheduler = scheduler
-        self.lock = threading.Lock()
-        self.ended = False
-        self.insisted = now
-        self.asked_held = 0.0
-        self.told_load = 0.0
-        self.load: PoolLoad | None = None
-
-
 class SchedulerHost:
     """Runs the scheduler of each pool for which this process is the zone's choice.
 
@@ -84,14 +61,12 @@
         self._placement = placement
         self._clock = clock
         self._rng = rng or random.SystemRandom()
-        self._metrics = metrics or NoMetrics()
+        self._peers = PeerNews(node, placement, metrics or NoMetrics())
         self._lock = threading.Lock()
         self._delivering = threading.local()
         self._refreshing = threading.Lock()
-        self._scheduled_by_pool: dict[PoolId, _Scheduled] = {}
-        self._told_trouble = 0.0
+        self._scheduled_by_pool: dict[PoolId, Scheduled] = {}
         self._forgot = clock()
-        self._had_trouble = False
         node.on(Ask, lambda batch, ask: self.ask(ask, caller_of_batch(batch)))
         node.on(Cancel, lambda batch, cancel: self.cancel(cancel, caller_of_batch(batch)))
         node.on(Done, lambda batch, done: self.done(done))
@@ -163,11 +138,14 @@
         now = self._clock()
         for pool, held in self._all():
             self._decide(pool, lambda s: s.tick(alive, self._placement.is_gone))
-            self._ask_held(held, now)
-            self._tell_load(held, now)
+            self._peers.ask_held(held, now)
+            self._peers.tell_load(held, now)
             if self._is_over(pool, held):
                 self._resign(pool, held)
-        self._tell_trouble(now)
+        if self._peers.trouble_due(now):
+            self._peers.tell_trouble(
+                self._of_health(Health.EJECTED), self._of_health(Health.LEAVING)
+            )
         if now - self._forgot >= FORGET_S:
             self._forgot = now
             self._forget_ended()
@@ -184,14 +162,14 @@
         pools = {pool for pool, entry in self._view.hosts_by_id.values() if entry.zone == zone}
         return sorted(pools)
 
-    def _all(self) -> list[tuple[PoolId, _Scheduled]]:
+    def _all(self) -> list[tuple[PoolId, Scheduled]]:
         with self._lock:
             return list(self._scheduled_by_pool.items())
 
     def _runs(self, pool: PoolId) -> bool:
         return pool in self._scheduled_by_pool
 
-    def _scheduled(self, pool: PoolId) -> _Scheduled:
+    def _scheduled(self, pool: PoolId) -> Scheduled:
         held = self._scheduled_by_pool.get(pool)
         if held is not None:
             return held
@@ -201,7 +179,7 @@
                 held = self._scheduled_by_pool[pool] = self._started(pool)
         return held
 
-    def _started(self, pool: PoolId) -> _Scheduled:
+    def _started(self, pool: PoolId) -> Scheduled:
         zone = self._placement.me.zone
         awaited = {member.inner for member in self._placement.gateways(zone)}
         scheduler = PoolScheduler(
@@ -214,7 +192,7 @@
         )
         scheduler.configure(pool_terms(self._view, pool, zone))
         log(Event.SCHEDULER_STARTED, pool=pool, zone=zone, epoch=scheduler.epoch)
-        return _Scheduled(scheduler, self._clock() - INSISTED_S)
+        return Scheduled(scheduler, self._clock() - INSISTED_S)
 
     def _decide(
         self, pool: PoolId, decide: Callable[[PoolScheduler], list[Reply]]
@@ -256,13 +234,13 @@
         finally:
             self._delivering.pending = None
 
-    def _is_over(self, pool: PoolId, held: _Scheduled) -> bool:
+    def _is_over(self, pool: PoolId, held: Scheduled) -> bool:
         if pool not in self._view.pools_by_id:
             return True
         insisted = self._clock() - held.insisted < INSISTED_S
         return not insisted and not self._placement.is_mine(pool)
 
-    def _resign(self, pool: PoolId, held: _Scheduled) -> None:
+    def _resign(self, pool: PoolId, held: Scheduled) -> None:
         with self._lock:
             self._scheduled_by_pool.pop(pool, None)
         with held.lock:
@@ -271,37 +249,6 @@
         log(Event.SCHEDULER_ENDED, pool=pool, waiting=len(replies))
         self._deliver(replies)
 
-    def _ask_held(self, held: _Scheduled, now: float) -> None:
-        pool = held.scheduler.pool
-        waited_s = now - held.asked_held
-        asked = held.scheduler.awaited if waited_s >= HELD_ASK_S else frozenset()
-        if waited_s >= SHARED_ASK_S and not self._placement.is_mine(pool):
-            # Another process schedules the pool for the other gateways. What it grants is seen
-            # by their reports only; without them, both would give away the same slots.
-            gateways = self._placement.gateways(self._placement.me.zone)
-            asked = frozenset(gateway.inner for gateway in gateways)
-        if asked:
-            held.asked_held = now
-        for address in asked:
-            self._node.send(address, HeldAsk(pool, self._node.address))
-
-    def _tell_load(self, held: _Scheduled, now: float) -> None:
-        if now - held.told_load < LOAD_S:
-            return
-        with held.lock:
-            load = held.scheduler.load()
-        if load == held.load and now - held.told_load < STEADY_LOAD_S:
-            return
-        held.load = load
-        held.told_load = now
-        pool = held.scheduler.pool
-        self._metrics.gauge(f"pool.{pool}.waiting", held.scheduler.waiting)
-        self._metrics.gauge(f"pool.{pool}.running", held.scheduler.running)
-        for zone in self._placement.zones:
-            peer = self._placement.scheduler(pool, zone)
-            if zone != self._placement.me.zone and peer is not None:
-                self._node.send(peer.inner, load)
-
     def _hear(self, batch: Batch, load: PoolLoad) -> None:
         del batch
 
@@ -312,17 +259,6 @@
         if load.zone != self._placement.me.zone:
             self._decide(load.pool, hear)
 
-    def _tell_trouble(self, now: float) -> None:
-        if now - self._told_trouble < TROUBLE_S:
-            return
-        self._told_trouble = now
-        ejected, leaving = self._of_health(Health.EJECTED), self._of_health(Health.LEAVING)
-        if ejected or leaving or self._had_trouble:
-            for controller in self._placement.controllers():
-                trouble = HostTrouble(self._placement.me, ejected, leaving)
-                self._node.send(controller.inner, trouble)
-        self._had_trouble = bool(ejected or leaving)
-
     def _of_health(self, health: Health) -> tuple[HostId, ...]:
         hosts: list[HostId] = []
         for _, held in self._all():
