Gateway: nothing is said for the caller to the endpoint

Cause: the library added a User-Agent of its own, and a Content-Length of 0 to a GET without a body.

--- a/src/lentilrill/gateway/_dispatch.py
+++ b/src/lentilrill/gateway/_dispatch.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure
 from urllib3.exceptions import HTTPError
+from urllib3.util.request import SKIP_HEADER
 
 from lentilrill.gateway._caller import BodyError, Caller, Pace
 from lentilrill.gateway._endpoints import EndpointConnections, Link
@@ -188,7 +189,7 @@
             log(Event.INVARIANT_BROKEN, rule="claimed_before_dispatch", request=work.request)
             raise RuntimeError("a keyed job was about to be sent without its claim")
         run.sent = True
-        body: bytes | Iterable[bytes] | None = work.body
+        body: bytes | Iterable[bytes] | None = work.body or None
         if work.body is None:
             run.body_used = True
             body = _streamed_body(work, caller)
@@ -199,7 +200,9 @@
     def _headers(self, work: Work, slot: Slot) -> dict[str, str]:
         heading, plan = work.heading, work.holder.plan
         headers = passed_on(heading.headers, REPLACED)
-        headers.setdefault("accept-encoding", "identity")
+        # What the caller did not say is not said for it by the library.
+        for name in ("accept-encoding", "user-agent"):
+            headers.setdefault(name, SKIP_HEADER)
         headers["request-id"] = work.request
         length = heading.length if work.body is None else len(work.body)
         if length or "content-length" in heading.headers:
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -21,6 +21,18 @@
         self.assertNotIn("token-schools", head)
         self.assertEqual([Verdict.OK], self.slots.verdicts)
 
+    def test_nothing_is_said_for_the_caller(self) -> None:
+        endpoint = self.an_endpoint()
+        self.a_gateway()
+        connection = self.connect()
+        connection._http_vsn, connection._http_vsn_str = 10, "HTTP/1.0"  # which needs no Host
+        connection.putrequest("GET", "/schools/x", skip_host=True, skip_accept_encoding=True)
+        connection.putheader("Authorization", "Bearer token-schools")
+        connection.endheaders()
+        self.assertEqual(200, connection.getresponse().status)
+        names = [line.partition(":")[0] for line in endpoint.requests[0].decode().splitlines()]
+        self.assertEqual({"host", "request-id", "customer", "plan"}, set(names[1:]) - {""})
+
     def test_caller_cannot_name_another_customer(self) -> None:
         endpoint = self.an_endpoint()
         self.a_gateway()
