Gateway: fewer idle connections to an endpoint

Cause: up to 16 idle connections a host were kept by each gateway; seven gateways would fill the 64 that an endpoint takes. Four are kept now. POST was slow beyond the price of its new connections, as a bare proxy that also opens one for each request showed (new way in bench/gateway.py).

--- a/bench/_bare_proxy.py
+++ b/bench/_bare_proxy.py
@@ -1,6 +1,7 @@
 """The baseline: a cheroot-to-urllib3 proxy that only passes requests on, to hosts at random.
 
-Run as ``python -m bench._bare_proxy LISTEN ENDPOINT...``.
+Run as ``python -m bench._bare_proxy LISTEN kept|new ENDPOINT...``; with ``new`` each request goes
+on a new connection.
 """
 
 import random
@@ -16,7 +17,7 @@
 
 def main() -> None:
     """Serve until killed."""
-    listen, *endpoints = sys.argv[1:]
+    listen, connections, *endpoints = sys.argv[1:]
     host, _, port = listen.rpartition(":")
     pool = urllib3.PoolManager(num_pools=100, maxsize=THREADS, retries=False)
 
@@ -28,6 +29,8 @@
             req = self.req
             headers = {k.decode().lower(): v.decode("latin-1") for k, v in req.inheaders.items()}
             headers.pop("connection", None)
+            if connections == "new":
+                headers["connection"] = "close"
             body = req.rfile.read() if "content-length" in headers else None
             url = f"http://{random.choice(endpoints)}{req.uri.decode()}"
             answer = pool.request(req.method.decode(), url, body=body, headers=headers)
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -31,14 +31,22 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=3.0, help="length of one measurement")
     parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--method", choices=("GET", "POST"), help="only these cases")
     arguments = parser.parse_args()
-    with one_gateway_site() as site, bare_proxy(site) as proxy:
+    with (
+        one_gateway_site() as site,
+        bare_proxy(site, "kept", 90) as proxy,
+        bare_proxy(site, "new", 91) as proxy_new,
+    ):
         ways = {
             "direct": site.endpoint(site.spec.hosts[0]),
             "bare": proxy,
+            "bare_new": proxy_new,
             "gateway": site.caller(site.gateways[0]),
         }
         for method, callers in CASES:
+            if arguments.method not in (None, method):
+                continue
             measure(ways, method, callers, arguments.seconds, arguments.rounds)
 
 
@@ -67,11 +75,13 @@
 
 
 @contextlib.contextmanager
-def bare_proxy(site: Site) -> Iterator[str]:
+def bare_proxy(site: Site, connections: str, number: int) -> Iterator[str]:
     """Yield the address of a bare proxy to the site's endpoints."""
-    address = site.address(1, 90, 8080)
+    address = site.address(1, number, 8080)
     endpoints = [site.endpoint(host) for host in site.spec.hosts]
-    process = subprocess.Popen([sys.executable, "-m", "bench._bare_proxy", address, *endpoints])
+    process = subprocess.Popen(
+        [sys.executable, "-m", "bench._bare_proxy", address, connections, *endpoints]
+    )
     try:
         site.wait_answer(address, "/standin/record")
         yield address
@@ -95,8 +105,9 @@
         figure("gateway", f"rate_{way}", round(seen["rate"]), "1/s", **case)
         if seen["failed"]:
             figure("gateway", f"failed_{way}", seen["failed"], "requests", **case)
-    ratio = middle["gateway"]["rate"] / middle["bare"]["rate"]
-    figure("gateway", "rate_ratio_to_bare", round(ratio, 3), "1", **case)
+    for base in ("bare", "bare_new"):
+        ratio = middle["gateway"]["rate"] / middle[base]["rate"]
+        figure("gateway", f"rate_ratio_to_{base}", round(ratio, 3), "1", **case)
     for name in ("p50_ms", "p99_ms"):
         for base in ("direct", "bare"):
             added = middle["gateway"][name] - middle[base][name]
--- a/src/lentilrill/gateway/_endpoints.py
+++ b/src/lentilrill/gateway/_endpoints.py
@@ -10,7 +10,8 @@
 
 __all__ = ["EndpointConnections", "Link"]
 
-IDLE_PER_ADDRESS = 16
+IDLE_PER_ADDRESS = 4
+"""An endpoint takes some 64 connections, which all entry hosts of a zone share."""
 IDLE_ADDRESSES = 512
 IDLE_S = 4.0
 KEEPALIVE_IDLE_S = 5
