Fleet: a lost race is not run again by the same state

Cause: a controller whose news have stopped, but which reaches the platform, tried each of its pools at every look and lost: up to a call a second for each pool. It now leaves a pool alone for 5 s unless newer state has come. Twenty looks on an old state: 20 calls before, 4 after (test_a_lost_race_is_not_run_again_by_the_same_state, seen failing without the guard).

--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -21,7 +21,7 @@
 from lentilrill.fleet._troubles import Troubles
 from lentilrill.fleet._turns import Place, Turns
 from lentilrill.fleet._view import FleetView
-from lentilrill.ids import HostId, PoolId, StopId
+from lentilrill.ids import HostId, PoolId, Revision, StopId
 from lentilrill.inner import Batch, HostTrouble, WithdrawalAck
 from lentilrill.membership import Member, Roster
 from lentilrill.platform import HostList, HostListing, KeyValue
@@ -34,6 +34,8 @@
 """Time between two looks while nothing has changed, for what follows from time alone."""
 MEMORY_LASTS_S = 60.0
 """Time without a look after which what earlier ones saw says nothing of the time between."""
+CONFLICT_PAUSE_S = 5.0
+"""Time for which a pool is left alone after a lost race, unless newer state arrives."""
 SECOND_LOOKS_EVERY_S = 15.0
 """Time between two looks of a zone's second controller."""
 CORE_SHARE = 0.01
@@ -86,6 +88,7 @@
         self._turns = Turns(roster)
         self._memory = Memory()
         self._looked_at = 0.0
+        self._conflicts: dict[PoolId, tuple[Revision, float]] = {}
         self._troubles = Troubles(roster)
         self._round_lock = threading.Lock()
         self._list = ListReader(hosts, settings)
@@ -202,6 +205,8 @@
         sight = Sight(document, pool_records, listing, now, ejected, leaving, closable)
         decision = plan(sight, self._memory)
         self._report = report(decision, unacknowledged)
+        for pool in self._conflicts.keys() - pool_records.keys():
+            del self._conflicts[pool]
         self._tell_waiting(decision)
         basis = Basis(
             document_revision,
@@ -252,6 +257,8 @@
         steps_by_pool: dict[PoolId, list[Action]] = {}
         moves_by_pools: dict[tuple[PoolId, PoolId], list[HostId]] = {}
         for action in actions:
+            if self._is_held_back(action.pool):
+                continue
             if isinstance(action, Close) and action.target is not None:
                 moves_by_pools.setdefault((action.pool, action.target), []).append(action.host)
             else:
@@ -264,6 +271,15 @@
             if not self._done(self._ledger.apply(pool, steps, basis), steps):
                 return
 
+    def _is_held_back(self, pool: PoolId) -> bool:
+        """Return whether a write to a pool would only lose the same race again.
+
+        Guard against a storm of calls: a process whose news have stopped, but which reaches the
+        platform, would try each of its pools again at every look.
+        """
+        revision, until = self._conflicts.get(pool, (Revision(-1), 0.0))
+        return revision == self._view.mirror.complete_to and self._clock() < until
+
     def _done(self, answer: Any, actions: list[Action]) -> bool:
         """Log what became of a write.
 
@@ -273,7 +289,11 @@
             fault = answer.failure()
             self._metrics.incr("fleet.write_failed")
             self._look_due = 0.0
-            log(Event.FLEET_WRITE_FAILED, fault=fault, pool=actions[0].pool)
+            pool = actions[0].pool
+            if fault.kind is FaultKind.CONFLICT:
+                until = self._clock() + CONFLICT_PAUSE_S
+                self._conflicts[pool] = (self._view.mirror.complete_to, until)
+            log(Event.FLEET_WRITE_FAILED, fault=fault, pool=pool)
             return fault.kind is FaultKind.CONFLICT
         for action in actions:
             self._metrics.incr(f"fleet.{type(action).__name__.lower()}")
--- a/tests/fleet/test_budgets.py
+++ b/tests/fleet/test_budgets.py
@@ -259,6 +259,18 @@
         self.assertEqual({"desk"}, set(world.records()))
         self.assertEqual(4, len(world.entries("desk")))
 
+    def test_a_lost_race_is_not_run_again_by_the_same_state(self) -> None:
+        # The platform is flooded: a controller that hears no news loses every race again.
+        world = a_world(2, 1, 2)
+        world.change(stops=(a_stop(["h0"]),))
+        world.sync()
+        world.change(stops=())
+        calls = world.kv.calls["commit"]
+        for _ in range(20):
+            world.now += 1
+            world.controllers[0].task.round()
+        self.assertEqual(4, world.kv.calls["commit"] - calls)
+
     def test_calls_follow_pools_and_not_hosts(self) -> None:
         calls = []
         for hosts in (20, 200):
