--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -7,13 +7,10 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from returns.result import Failure
-
-from lentilrill.faults import FaultKind
 from lentilrill.fleet._acks import Acknowledgements
-from lentilrill.fleet._actions import Action, Assign, Close, Drop, Return, Withdraw
+from lentilrill.fleet._actions import Action, Close, Return
 from lentilrill.fleet._census import Memory, Sight
-from lentilrill.fleet._ledger import Basis, Ledger
+from lentilrill.fleet._ledger import Basis
 from lentilrill.fleet._listing import ListReader
 from lentilrill.fleet._planner import Decision, overspending, plan
 from lentilrill.fleet._records import HostPhase
@@ -21,7 +18,8 @@
 from lentilrill.fleet._troubles import Troubles
 from lentilrill.fleet._turns import Place, Turns
 from lentilrill.fleet._view import FleetView
-from lentilrill.ids import HostId, PoolId, Revision, StopId
+from lentilrill.fleet._writer import Writer
+from lentilrill.ids import HostId, PoolId, StopId
 from lentilrill.inner import Batch, HostTrouble, WithdrawalAck
 from lentilrill.membership import Member, Roster
 from lentilrill.platform import HostList, HostListing, KeyValue
@@ -34,22 +32,12 @@
 """Time between two looks while nothing has changed, for what follows from time alone."""
 MEMORY_LASTS_S = 60.0
 """Time without a look after which what earlier ones saw says nothing of the time between."""
-CONFLICT_PAUSE_S = 5.0
-"""Time for which a pool is left alone after a lost race, unless newer state arrives."""
 SECOND_LOOKS_EVERY_S = 15.0
 """Time between two looks of a zone's second controller."""
 CORE_SHARE = 0.01
 """Part of a core that looking may take; news that comes faster is looked at together."""
 SHORTEST_PAUSE_S = 0.05
 
-_EVENTS: dict[type, Event] = {
-    Assign: Event.HOST_ASSIGNED,
-    Withdraw: Event.WITHDRAWAL_PROPOSED,
-    Close: Event.WITHDRAWAL_CLOSED,
-    Return: Event.HOST_RETURNED,
-    Drop: Event.HOST_DROPPED,
-}
-
 
 class _Inner(Protocol):
     """What the task needs of the inner protocol's node."""
@@ -83,12 +71,11 @@
         self._settings = settings
         self._metrics = metrics
         self._clock = clock
-        self._ledger = Ledger(kv, view.mirror)
+        self._writer = Writer(kv, view.mirror, metrics, clock)
         self._acks = Acknowledgements()
         self._turns = Turns(roster)
         self._memory = Memory()
         self._looked_at = 0.0
-        self._conflicts: dict[PoolId, tuple[Revision, float]] = {}
         self._troubles = Troubles(roster)
         self._round_lock = threading.Lock()
         self._list = ListReader(hosts, settings)
@@ -181,9 +168,8 @@
         hosts = self._view.hosts_by_id
         zones_by_host = {a.host: hosts[a.host][1].zone for a in actions if a.host in hosts}
         mine = self._turns.mine(actions, zones_by_host, self._clock())
-        if self._create_pools(decision, basis):
-            self._write(mine, basis)
-            self._remove_pools(decision, basis)
+        if not self._writer.write(decision.census.sight.document, mine, basis):
+            self._look_due = 0.0
 
     def _decide(self, listing: HostListing) -> tuple[Decision, Basis]:
         view = self._view
@@ -205,8 +191,6 @@
         sight = Sight(document, pool_records, listing, now, ejected, leaving, closable)
         decision = plan(sight, self._memory)
         self._report = report(decision, unacknowledged)
-        for pool in self._conflicts.keys() - pool_records.keys():
-            del self._conflicts[pool]
         self._tell_waiting(decision)
         basis = Basis(
             document_revision,
@@ -234,74 +218,6 @@
         barred = over.keys() | set(census.doubled) | twice
         return [action for action in decision.actions if action.host not in barred]
 
-    def _create_pools(self, decision: Decision, basis: Basis) -> bool:
-        pools = [pool.id for pool in decision.census.sight.document.pools]
-        missing = [pool for pool in pools if pool not in basis.records]
-        if not missing:
-            return True
-        answer = self._ledger.create(missing, basis)
-        if isinstance(answer, Failure):
-            log(Event.FLEET_WRITE_FAILED, fault=answer.failure(), pools=len(missing))
-        return not isinstance(answer, Failure)
-
-    def _remove_pools(self, decision: Decision, basis: Basis) -> None:
-        declared = decision.census.sight.document.pools_by_id()
-        for pool, (record, _) in list(basis.records.items()):
-            if pool not in declared and not record.hosts:
-                answer = self._ledger.remove(pool, basis)
-                if isinstance(answer, Failure):
-                    log(Event.FLEET_WRITE_FAILED, fault=answer.failure(), pool=pool)
-
-    def _write(self, actions: list[Action], basis: Basis) -> None:
-        """Write each pool's actions in one transaction, then each pair of pools' moves."""
-        steps_by_pool: dict[PoolId, list[Action]] = {}
-        moves_by_pools: dict[tuple[PoolId, PoolId], list[HostId]] = {}
-        for action in actions:
-            if self._is_held_back(action.pool):
-                continue
-            if isinstance(action, Close) and action.target is not None:
-                moves_by_pools.setdefault((action.pool, action.target), []).append(action.host)
-            else:
-                steps_by_pool.setdefault(action.pool, []).append(action)
-        for (pool, target), hosts in moves_by_pools.items():
-            moved = [a for a in actions if a.host in hosts and a.pool == pool]
-            if not self._done(self._ledger.move(pool, target, hosts, basis), moved):
-                return
-        for pool, steps in steps_by_pool.items():
-            if not self._done(self._ledger.apply(pool, steps, basis), steps):
-                return
-
-    def _is_held_back(self, pool: PoolId) -> bool:
-        """Return whether a write to a pool would only lose the same race again.
-
-        Guard against a storm of calls: a process whose news have stopped, but which reaches the
-        platform, would try each of its pools again at every look.
-        """
-        revision, until = self._conflicts.get(pool, (Revision(-1), 0.0))
-        return revision == self._view.mirror.complete_to and self._clock() < until
-
-    def _done(self, answer: Any, actions: list[Action]) -> bool:
-        """Log what became of a write.
-
-        :return: whether more writes make sense in this round.
-        """
-        if isinstance(answer, Failure):
-            fault = answer.failure()
-            self._metrics.incr("fleet.write_failed")
-            self._look_due = 0.0
-            pool = actions[0].pool
-            if fault.kind is FaultKind.CONFLICT:
-                until = self._clock() + CONFLICT_PAUSE_S
-                self._conflicts[pool] = (self._view.mirror.complete_to, until)
-            log(Event.FLEET_WRITE_FAILED, fault=fault, pool=pool)
-            return fault.kind is FaultKind.CONFLICT
-        for action in actions:
-            self._metrics.incr(f"fleet.{type(action).__name__.lower()}")
-            target = getattr(action, "target", None) or ""
-            event = _EVENTS[type(action)]
-            log(event, host=action.host, pool=action.pool, target=target, reason=action.reason)
-        return True
-
     def _tell_waiting(self, decision: Decision) -> None:
         reasons = {(w.stop, w.pool): w.reason for w in decision.waiting}
         for (stop, pool), reason in reasons.items():
--- /dev/null
+++ b/src/lentilrill/fleet/_writer.py
@@ -0,0 +1,134 @@
+"""A look's actions, grouped into as few transactions as can be, and what became of them."""
+
+from collections.abc import Callable
+from enum import Enum
+
+from returns.result import Failure, Result
+
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.fleet._actions import Action, Assign, Close, Drop, Return, Withdraw
+from lentilrill.fleet._ledger import Basis, Ledger
+from lentilrill.ids import HostId, PoolId, Revision
+from lentilrill.platform import KeyValue, Mirror
+from lentilrill.settings import Document
+from lentilrill.telemetry import Event, Metrics, log
+
+__all__ = ["Writer"]
+
+CONFLICT_PAUSE_S = 5.0
+"""Time for which a pool is left alone after a lost race, unless newer state arrives."""
+
+_EVENTS: dict[type, Event] = {
+    Assign: Event.HOST_ASSIGNED,
+    Withdraw: Event.WITHDRAWAL_PROPOSED,
+    Close: Event.WITHDRAWAL_CLOSED,
+    Return: Event.HOST_RETURNED,
+    Drop: Event.HOST_DROPPED,
+}
+
+
+class Outcome(Enum):
+    """What became of one write."""
+
+    DONE = "done"
+    LOST = "lost"
+    """Another writer was first; writes to other pools still make sense."""
+    AWAY = "away"
+    """The platform did not answer."""
+
+
+class Writer:
+    """Writes actions through a :class:`Ledger`, and logs and counts them.
+
+    :param clock: seconds since the epoch.
+    """
+
+    def __init__(
+        self, kv: KeyValue, mirror: Mirror, metrics: Metrics, clock: Callable[[], float]
+    ) -> None:
+        self._ledger = Ledger(kv, mirror)
+        self._mirror = mirror
+        self._metrics = metrics
+        self._clock = clock
+        self._conflicts: dict[PoolId, tuple[Revision, float]] = {}
+
+    def write(self, document: Document, actions: list[Action], basis: Basis) -> bool:
+        """Create missing pools, write each pool's actions, and remove what was emptied.
+
+        :return: whether nothing was lost to another writer or to the platform.
+        """
+        for pool in self._conflicts.keys() - basis.records.keys():
+            del self._conflicts[pool]
+        if not self._create_pools(document, basis):
+            return False
+        all_done = self._write_all(actions, basis)
+        self._remove_pools(document, basis)
+        return all_done
+
+    def _create_pools(self, document: Document, basis: Basis) -> bool:
+        missing = [pool.id for pool in document.pools if pool.id not in basis.records]
+        if not missing:
+            return True
+        answer = self._ledger.create(missing, basis)
+        if isinstance(answer, Failure):
+            log(Event.FLEET_WRITE_FAILED, fault=answer.failure(), pools=len(missing))
+        return not isinstance(answer, Failure)
+
+    def _remove_pools(self, document: Document, basis: Basis) -> None:
+        declared = document.pools_by_id()
+        for pool, (record, _) in list(basis.records.items()):
+            if pool not in declared and not record.hosts:
+                answer = self._ledger.remove(pool, basis)
+                if isinstance(answer, Failure):
+                    log(Event.FLEET_WRITE_FAILED, fault=answer.failure(), pool=pool)
+
+    def _write_all(self, actions: list[Action], basis: Basis) -> bool:
+        all_done = True
+        steps_by_pool: dict[PoolId, list[Action]] = {}
+        moves_by_pools: dict[tuple[PoolId, PoolId], list[HostId]] = {}
+        for action in actions:
+            if self._is_held_back(action.pool):
+                continue
+            if isinstance(action, Close) and action.target is not None:
+                moves_by_pools.setdefault((action.pool, action.target), []).append(action.host)
+            else:
+                steps_by_pool.setdefault(action.pool, []).append(action)
+        for (pool, target), hosts in moves_by_pools.items():
+            moved = [a for a in actions if a.host in hosts and a.pool == pool]
+            outcome = self._done(self._ledger.move(pool, target, hosts, basis), moved)
+            all_done = all_done and outcome is Outcome.DONE
+            if outcome is Outcome.AWAY:
+                return False
+        for pool, steps in steps_by_pool.items():
+            outcome = self._done(self._ledger.apply(pool, steps, basis), steps)
+            all_done = all_done and outcome is Outcome.DONE
+            if outcome is Outcome.AWAY:
+                return False
+        return all_done
+
+    def _is_held_back(self, pool: PoolId) -> bool:
+        """Return whether a write to a pool would only lose the same race again.
+
+        Guard against a storm of calls: a process whose news have stopped, but which reaches the
+        platform, would try each of its pools again at every look.
+        """
+        revision, until = self._conflicts.get(pool, (Revision(-1), 0.0))
+        return revision == self._mirror.complete_to and self._clock() < until
+
+    def _done(self, answer: Result[None, Fault], actions: list[Action]) -> Outcome:
+        """Log and return what became of a write."""
+        if isinstance(answer, Failure):
+            fault = answer.failure()
+            self._metrics.incr("fleet.write_failed")
+            pool = actions[0].pool
+            if fault.kind is FaultKind.CONFLICT:
+                until = self._clock() + CONFLICT_PAUSE_S
+                self._conflicts[pool] = (self._mirror.complete_to, until)
+            log(Event.FLEET_WRITE_FAILED, fault=fault, pool=pool)
+            return Outcome.LOST if fault.kind is FaultKind.CONFLICT else Outcome.AWAY
+        for action in actions:
+            self._metrics.incr(f"fleet.{type(action).__name__.lower()}")
+            target = getattr(action, "target", None) or ""
+            event = _EVENTS[type(action)]
+            log(event, host=action.host, pool=action.pool, target=target, reason=action.reason)
+        return Outcome.DONE
