--- a/src/lentilrill/fleet/_writer.py
+++ b/src/lentilrill/fleet/_writer.py
@@ -32,11 +32,14 @@
 
     DONE = "done"
     LOST = "lost"
-    """Another writer was first; writes to other pools still make sense."""
+    """Another writer was first, or this one write is refused; others still make sense."""
     AWAY = "away"
     """The platform did not answer."""
 
 
+_AWAY = (FaultKind.UNAVAILABLE, FaultKind.AMBIGUOUS, FaultKind.EXHAUSTED)
+
+
 class Writer:
     """Writes actions through a :class:`Ledger`, and logs and counts them.
 
@@ -125,7 +128,7 @@
                 until = self._clock() + CONFLICT_PAUSE_S
                 self._conflicts[pool] = (self._mirror.complete_to, until)
             log(Event.FLEET_WRITE_FAILED, fault=fault, pool=pool)
-            return Outcome.LOST if fault.kind is FaultKind.CONFLICT else Outcome.AWAY
+            return Outcome.AWAY if fault.kind in _AWAY else Outcome.LOST
         for action in actions:
             self._metrics.incr(f"fleet.{type(action).__name__.lower()}")
             target = getattr(action, "target", None) or ""
