Routing: held grants in a module of their own; an answer between two looks is not slept over

Cause: a waiting thread that was woken by a change of the roster looked for its answer and then cleared the wake. An answer in between was wiped out: the caller waited for the repeat, up to 8 s, and a stray ask went out.

Change: cleared before the look.

--- a/src/lentilrill/routing/_client.py
+++ b/src/lentilrill/routing/_client.py
@@ -13,12 +13,9 @@
 from lentilrill.ids import GrantId, HostId, PlanId, PoolId, RequestId, ZoneId
 from lentilrill.inner import (
     Ask,
-    Batch,
     Cancel,
     Done,
     Granted,
-    HeldAsk,
-    HeldGrants,
     Message,
     Node,
     Refusal,
@@ -27,11 +24,11 @@
 )
 from lentilrill.membership import Member
 from lentilrill.routing._contract import Decline, Job, Slot, Where
+from lentilrill.routing._holdings import Holding, Holdings
 from lentilrill.routing._ledger import SendLedger
 from lentilrill.routing._placement import Placement, caller_of
 from lentilrill.routing._schedulers import SchedulerHost
-from lentilrill.routing._waiting import Holding, PoolZones, Waiter, answer_s, decline
-from lentilrill.telemetry import Event, log
+from lentilrill.routing._waiting import PoolZones, Waiter, answer_s, decline
 
 __all__ = ["SlotClient"]
 
@@ -39,7 +36,6 @@
 LONGEST_REASK_S = 8.0
 REDIRECT_S = 0.1
 INSIST_AFTER_S = 2.0
-REPORT_S = 2.0
 NO_HOSTS_RETRY_S = 5.0
 LATE_RETRY_S = 1.0
 
@@ -73,13 +69,11 @@
         self._attempts = itertools.count(1)
         self._waiters_by_ask: dict[RequestId, Waiter] = {}
         self._waiters_by_request: dict[RequestId, Waiter] = {}
-        self._held_by_pool: dict[PoolId, dict[GrantId, Holding]] = {}
-        self._reported = clock()
+        self._holdings = Holdings(node, placement, schedulers, clock)
         self._pool_zones = PoolZones(view)
         schedulers.answer = self._answered
         node.on(Granted, lambda batch, granted: self._answered(batch.reply_to, granted))
         node.on(Refused, lambda batch, refused: self._answered(batch.reply_to, refused))
-        node.on(HeldAsk, self._asked_held)
 
     # The contract with the request path
 
@@ -120,20 +114,7 @@
         self._ledger.release(slot)
         if slot.where is Where.ZONE:
             return
-        scheduler = self._placement.scheduler(slot.pool)
-        address = scheduler.inner if scheduler is not None else ""
-        with self._lock:
-            held = self._held_by_pool.get(slot.pool, {}).pop(slot.grant, None)
-            if held is None:
-                log(Event.ROUTING_INVARIANT, pool=slot.pool, reason="a slot was released twice")
-                return
-            plan = held.job.plan.id
-            done = Done(slot.pool, slot.grant, slot.host, plan, verdict, run_s)
-            # Within the lock, so that a report of held grants made before can't overtake it.
-            if address != self._node.address:
-                self._tell(address, done)
-                return
-        self._schedulers.done(done)
+        self._holdings.release(slot, verdict, run_s)
 
     @property
     def waiting(self) -> int:
@@ -147,44 +128,15 @@
         """Follow a change of the roster: ask new schedulers, and tell them what is held."""
         with self._lock:
             waiters = list(self._waiters_by_ask.values())
-            pools = [pool for pool, held in self._held_by_pool.items() if held]
         for waiter in waiters:
             scheduler = self._placement.scheduler(waiter.pool)
             if scheduler is not None and scheduler.inner != waiter.asked:
                 waiter.woken.set()
-        for pool in pools:
-            self._report(pool)
+        self._holdings.report_all()
 
     def tick(self) -> None:
-        """Report the held grants about every two seconds, which repairs lost reports."""
-        now = self._clock()
-        if now - self._reported < REPORT_S:
-            return
-        self._reported = now
-        with self._lock:
-            pools = list(self._held_by_pool)
-        for pool in pools:
-            if not self._placement.is_mine(pool):  # calls within the process are not lost
-                self._report(pool)
-
-    def _report(self, pool: PoolId, address: str = "") -> None:
-        if not address:
-            scheduler = self._placement.scheduler(pool)
-            if scheduler is None:
-                return
-            address = scheduler.inner
-        with self._lock:
-            now = self._clock()
-            holdings = self._held_by_pool.get(pool, {}).values()
-            report = HeldGrants(pool, tuple(holding.report(now) for holding in holdings))
-            if address != self._node.address:
-                self._tell(address, report)
-                return
-        self._schedulers.held(report, caller_of(self._placement.me))
-
-    def _asked_held(self, batch: Batch, ask: HeldAsk) -> None:
-        del batch
-        self._report(ask.pool, ask.reply_to)
+        """Report the held grants when it is time."""
+        self._holdings.tick()
 
     # Waiting for an answer
 
@@ -198,12 +150,14 @@
             self._ask(waiter)
             left_s = max(0.0, job.deadline - self._clock())
             woken = waiter.woken.wait(min(left_s, pause_s))
+            # Cleared before the look at the answer: one that came in between would else be slept
+            # over until the ask is repeated.
+            waiter.woken.clear()
             if waiter.answer is not None:
                 return waiter.answer
             if not woken and left_s <= pause_s:
                 return self._give_up(waiter)
             if woken:
-                waiter.woken.clear()
                 self._pause_if_redirected(waiter, left_s)
             else:
                 pause_s = min(2.0 * pause_s, LONGEST_REASK_S)
@@ -280,8 +234,7 @@
         would stay taken.
         """
         with self._lock:
-            held = self._held_by_pool.setdefault(granted.pool, {})
-            if granted.grant in held:
+            if self._holdings.has(granted.pool, granted.grant):
                 return True
             waiter = self._waiters_by_ask.get(granted.request)
             if waiter is None or waiter.asked != sender:
@@ -290,7 +243,8 @@
             if entry is None or pool != granted.pool or entry.phase is not HostPhase.SERVING:
                 waiter.woken.set()
                 return False
-            held[granted.grant] = Holding(granted.grant, granted.host, waiter.job)
+            holding = Holding(granted.grant, granted.host, waiter.job)
+            self._holdings.add(granted.pool, holding)
             slot = Slot(
                 waiter.job.request,
                 granted.pool,
--- a/src/lentilrill/routing/_grants.py
+++ b/src/lentilrill/routing/_grants.py
@@ -45,6 +45,7 @@
         self._grants_by_id: dict[GrantId, Grant] = {}
         self._grants_by_key: dict[AskKey, Grant] = {}
         self._running_by_plan: dict[PlanId, int] = {}
+        self._orphaned_until: dict[HostId, float] = {}
         self._ended_lately: OrderedDict[GrantId, None] = OrderedDict()
 
     def __len__(self) -> int:
@@ -128,6 +129,16 @@
                     lost.append(grant)
         return lost
 
+    def note_orphan(self, grant: Grant, now: float) -> None:
+        """Remember until when the job of an ended gateway may run on its host."""
+        kept = {host: until for host, until in self._orphaned_until.items() if until > now}
+        kept[grant.host] = max(kept.get(grant.host, 0.0), grant.answer_by)
+        self._orphaned_until = kept
+
+    def orphaned(self, host: HostId, now: float) -> bool:
+        """Return whether the job of an ended gateway may still run on ``host``."""
+        return self._orphaned_until.get(host, 0.0) > now
+
     def orphans(
         self, alive: set[Caller], is_gone: Callable[[Caller], bool], now: float
     ) -> list[Grant]:
--- a/src/lentilrill/routing/_health.py
+++ b/src/lentilrill/routing/_health.py
@@ -4,10 +4,11 @@
 
 import msgspec
 
-from lentilrill.ids import HostId, PlanId
+from lentilrill.ids import HostId, PlanId, PoolId
 from lentilrill.inner import Verdict
+from lentilrill.telemetry import Event, log
 
-__all__ = ["Health", "HealthBook"]
+__all__ = ["Health", "HealthBook", "log_health"]
 
 SCORE_SHARE = 0.2
 EJECT_SCORE = 0.8
@@ -33,6 +34,17 @@
     """It said that it is leaving."""
 
 
+def log_health(pool: PoolId, host: HostId, health: Health) -> None:
+    """Log that a host's health changed to ``health``."""
+    match health:
+        case Health.LEAVING:
+            log(Event.HOST_LEAVING, pool=pool, host=host)
+        case Health.GOOD:
+            log(Event.HOST_RESTORED, pool=pool, host=host)
+        case _:
+            log(Event.HOST_EJECTED, pool=pool, host=host, health=health.value)
+
+
 class _Record(msgspec.Struct):
     health: Health = Health.GOOD
     score: float = 0.0
--- /dev/null
+++ b/src/lentilrill/routing/_holdings.py
@@ -0,0 +1,115 @@
+"""The grants that a gateway holds, and its reports of them to schedulers."""
+
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from lentilrill.ids import GrantId, HostId, PoolId
+from lentilrill.inner import Batch, Done, Held, HeldAsk, HeldGrants, Node, Verdict
+from lentilrill.routing._contract import Job, Slot
+from lentilrill.routing._placement import Placement, caller_of
+from lentilrill.routing._schedulers import SchedulerHost
+from lentilrill.routing._waiting import answer_s
+from lentilrill.telemetry import Event, log
+
+__all__ = ["Holding", "Holdings"]
+
+REPORT_S = 2.0
+
+
+class Holding(msgspec.Struct, frozen=True):
+    """A grant of this gateway and the job that it is for."""
+
+    grant: GrantId
+    host: HostId
+    job: Job
+
+    def report(self, now: float) -> Held:
+        """Return the grant as schedulers are told of it."""
+        return Held(self.grant, self.host, self.job.plan.id, answer_s(self.job, now))
+
+
+class Holdings:
+    """Grants of this process by pool. Safe for threads."""
+
+    def __init__(
+        self,
+        node: Node,
+        placement: Placement,
+        schedulers: SchedulerHost,
+        clock: Callable[[], float],
+    ) -> None:
+        self._node = node
+        self._placement = placement
+        self._schedulers = schedulers
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._held_by_pool: dict[PoolId, dict[GrantId, Holding]] = {}
+        self._reported = clock()
+        node.on(HeldAsk, self._asked)
+
+    def has(self, pool: PoolId, grant: GrantId) -> bool:
+        """Return whether a grant is held."""
+        with self._lock:
+            return grant in self._held_by_pool.get(pool, ())
+
+    def add(self, pool: PoolId, holding: Holding) -> None:
+        """Take a grant."""
+        with self._lock:
+            self._held_by_pool.setdefault(pool, {})[holding.grant] = holding
+
+    def release(self, slot: Slot, verdict: Verdict, run_s: float) -> None:
+        """Tell the pool's scheduler that a grant is over."""
+        scheduler = self._placement.scheduler(slot.pool)
+        address = scheduler.inner if scheduler is not None else ""
+        with self._lock:
+            held = self._held_by_pool.get(slot.pool, {}).pop(slot.grant, None)
+            if held is None:
+                log(Event.ROUTING_INVARIANT, pool=slot.pool, reason="a slot was released twice")
+                return
+            plan = held.job.plan.id
+            done = Done(slot.pool, slot.grant, slot.host, plan, verdict, run_s)
+            # Within the lock, so that a report of held grants made before can't overtake it.
+            if address and address != self._node.address:
+                self._node.send(address, done)
+        if address == self._node.address:
+            self._schedulers.done(done)
+
+    def report_all(self) -> None:
+        """Tell each pool's scheduler what is held."""
+        with self._lock:
+            pools = [pool for pool, held in self._held_by_pool.items() if held]
+        for pool in pools:
+            self._report(pool)
+
+    def tick(self) -> None:
+        """Report the held grants about every two seconds, which repairs lost reports."""
+        now = self._clock()
+        if now - self._reported < REPORT_S:
+            return
+        self._reported = now
+        with self._lock:
+            pools = list(self._held_by_pool)
+        for pool in pools:
+            if not self._placement.is_mine(pool):  # calls within the process are not lost
+                self._report(pool)
+
+    def _report(self, pool: PoolId, address: str = "") -> None:
+        if not address:
+            scheduler = self._placement.scheduler(pool)
+            if scheduler is None:
+                return
+            address = scheduler.inner
+        with self._lock:
+            now = self._clock()
+            holdings = self._held_by_pool.get(pool, {}).values()
+            report = HeldGrants(pool, tuple(holding.report(now) for holding in holdings))
+            if address != self._node.address:
+                self._node.send(address, report)
+                return
+        self._schedulers.held(report, caller_of(self._placement.me))
+
+    def _asked(self, batch: Batch, ask: HeldAsk) -> None:
+        del batch
+        self._report(ask.pool, ask.reply_to)
--- a/src/lentilrill/routing/_scheduler.py
+++ b/src/lentilrill/routing/_scheduler.py
@@ -16,7 +16,7 @@
 )
 from lentilrill.routing._admission import Admission, Reply
 from lentilrill.routing._grants import Grant, GrantBook
-from lentilrill.routing._health import Health
+from lentilrill.routing._health import Health, log_health
 from lentilrill.routing._hosts import HostSlots
 from lentilrill.routing._queue import AskKey, AskQueue, Caller, FairShares, Waiting
 from lentilrill.routing._reserve import Reserve
@@ -73,7 +73,6 @@
         )
         self._asks = 0
         self._granted = 0
-        self._orphaned_until: dict[HostId, float] = {}
         self._swept = clock()
         self._alive: set[Caller] = set()
 
@@ -95,7 +94,7 @@
         while it counts a grant on the host, nor, after a gateway ended without its report,
         before the job's time is over.
         """
-        return self.hosts.knows(host) or self._orphaned_until.get(host, 0.0) > self._clock()
+        return self.hosts.knows(host) or self._grants.orphaned(host, self._clock())
 
     @property
     def holders(self) -> set[Caller]:
@@ -225,7 +224,7 @@
             if waiting.caller not in alive:
                 self._queue.remove(waiting.key)
         for grant in self._grants.orphans(alive, is_gone, now):
-            self._note_orphan(grant, now)
+            self._grants.note_orphan(grant, now)
             self._reclaim(grant, "its gateway ended", out)
         self._reserve.sweep(now)
         self._check()
@@ -307,14 +306,9 @@
         if verdict is Verdict.OK:
             self._run_times.learn(ended.plan, run_s)
         if self.hosts.note(ended.host, ended.plan, verdict, self._clock()):
-            self._log_health(ended.host)
+            log_health(self.pool, ended.host, self.hosts.health.health(ended.host))
         return self._grant_free([])
 
-    def _note_orphan(self, grant: Grant, now: float) -> None:
-        held = {host: until for host, until in self._orphaned_until.items() if until > now}
-        held[grant.host] = max(held.get(grant.host, 0.0), grant.answer_by)
-        self._orphaned_until = held
-
     def _reclaim(self, grant: Grant, reason: str, out: list[Reply]) -> None:
         gateway = grant.caller.process
         log(Event.GRANT_RECLAIMED, pool=self.pool, grant=grant.id, gateway=gateway, reason=reason)
@@ -328,15 +322,6 @@
     def _allowance(self) -> int:
         return max(0, self._terms.budget - self._terms.away - self._others.ejected())
 
-    def _log_health(self, host: HostId) -> None:
-        match self.hosts.health.health(host):
-            case Health.LEAVING:
-                log(Event.HOST_LEAVING, pool=self.pool, host=host)
-            case Health.GOOD:
-                log(Event.HOST_RESTORED, pool=self.pool, host=host)
-            case health:
-                log(Event.HOST_EJECTED, pool=self.pool, host=host, health=health.value)
-
     def _check(self) -> None:
         for contradiction in (self._queue.contradiction(), self.hosts.contradiction()):
             if contradiction:
--- a/src/lentilrill/routing/_waiting.py
+++ b/src/lentilrill/routing/_waiting.py
@@ -1,16 +1,15 @@
-"""What a gateway keeps of its asks and grants: waiters, holdings, and where pools have hosts."""
+"""What a gateway keeps of its asks: waiters, and where pools have hosts."""
 
 import threading
 
-import msgspec
 from returns.result import Result
 
 from lentilrill.fleet import FleetView, HostEntry, HostPhase
-from lentilrill.ids import GrantId, HostId, PoolId, RequestId, ZoneId
-from lentilrill.inner import LONGEST_RUN_S, Held, Refusal
+from lentilrill.ids import HostId, PoolId, RequestId, ZoneId
+from lentilrill.inner import LONGEST_RUN_S, Refusal
 from lentilrill.routing._contract import Decline, Job, Slot
 
-__all__ = ["Holding", "PoolZones", "Waiter", "answer_s", "decline"]
+__all__ = ["PoolZones", "Waiter", "answer_s", "decline"]
 
 REASONS = {
     Refusal.QUEUE_FULL: "the pool's queue is full",
@@ -49,18 +48,6 @@
         self.answer: Result[Slot, Decline] | None = None
 
 
-class Holding(msgspec.Struct, frozen=True):
-    """A grant of this gateway and the job that it is for."""
-
-    grant: GrantId
-    host: HostId
-    job: Job
-
-    def report(self, now: float) -> Held:
-        """Return the grant as schedulers are told of it."""
-        return Held(self.grant, self.host, self.job.plan.id, answer_s(self.job, now))
-
-
 class PoolZones:
     """In which zones each pool has serving hosts, worked out once for each state of the view."""
 
--- a/tests/routing/test_slots.py
+++ b/tests/routing/test_slots.py
@@ -1,5 +1,6 @@
 """Slots over several gateway processes: asks, grants, replacement, withdrawal."""
 
+import threading
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
 
@@ -11,7 +12,7 @@
 from lentilrill.ids import PoolId, RequestId
 from lentilrill.inner import Refusal, Verdict, WithdrawalAck
 from lentilrill.membership import Role
-from lentilrill.routing import Decline, Slot, _client
+from lentilrill.routing import Decline, Slot, _client, _waiting
 from tests import builders
 from tests.routing.site import Fleet, Gateway, Members, a_job, eventually
 
@@ -86,6 +87,26 @@
         one.slots.release(held[0], Verdict.OK, 0.01)
         self.assertIsInstance(self.acquire(one).result(WAIT_S), Success)
 
+    def test_an_answer_between_two_looks_is_not_slept_over(self) -> None:
+        # A waiting thread is woken by a change of the roster. Its answer comes just as it gets
+        # ready to wait again; were that wake wiped out, the caller would wait for the repeat.
+        self.patch(_client, "REASK_S", 600.0)
+        slots = self.others()[0].slots
+        for _ in range(2):
+            self.acquire(self.others()[0]).result(WAIT_S).unwrap()
+        job = a_job(time.monotonic() + 600.0)
+
+        class AnsweredAtClear(threading.Event):
+            def clear(self) -> None:
+                slots.abandon(job.request)
+                super().clear()
+
+        self.patch(_waiting.threading, "Event", AnsweredAtClear)
+        waiting = self.threads.submit(slots.acquire, job)
+        eventually(lambda: slots.waiting > 0)
+        slots._waiters_by_request[job.request].woken.set()
+        self.assertNotIsInstance(waiting.result(WAIT_S), Success)
+
     def test_a_job_past_its_deadline_is_declined(self) -> None:
         one = self.others()[0]
         for _ in range(2):
