--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -7,13 +7,10 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from returns.result import Failure
-
-from lentilrill.faults import FaultKind
 from lentilrill.fleet._acks import Acknowledgements
-from lentilrill.fleet._actions import Action, Assign, Close, Drop, Return, Withdraw
+from lentilrill.fleet._actions import Action, Close, Return
 from lentilrill.fleet._census import Memory, Sight
-from lentilrill.fleet._ledger import Basis, Ledger
+from lentilrill.fleet._ledger import Basis
 from lentilrill.fleet._listing import ListReader
 from lentilrill.fleet._planner import Decision, overspending, plan
 from lentilrill.fleet._records import HostPhase
@@ -21,6 +18,7 @@
 from lentilrill.fleet._troubles import Troubles
 from lentilrill.fleet._turns import Place, Turns
 from lentilrill.fleet._view import FleetView
+from lentilrill.fleet._writer import Writer
 from lentilrill.ids import HostId, PoolId, StopId
 from lentilrill.inner import Batch, HostTrouble, WithdrawalAck
 from lentilrill.membership import Member, Roster
@@ -40,14 +38,6 @@
 """Part of a core that looking may take; news that comes faster is looked at together."""
 SHORTEST_PAUSE_S = 0.05
 
-_EVENTS: dict[type, Event] = {
-    Assign: Event.HOST_ASSIGNED,
-    Withdraw: Event.WITHDRAWAL_PROPOSED,
-    Close: Event.WITHDRAWAL_CLOSED,
-    Return: Event.HOST_RETURNED,
-    Drop: Event.HOST_DROPPED,
-}
-
 
 class _Inner(Protocol):
     """What the task needs of the inner protocol's node."""
@@ -81,7 +71,7 @@
         self._settings = settings
         self._metrics = metrics
         self._clock = clock
-        self._ledger = Ledger(kv, view.mirror)
+        self._writer = Writer(kv, view.mirror, metrics, clock)
         self._acks = Acknowledgements()
         self._turns = Turns(roster)
         self._memory = Memory()
@@ -178,9 +168,8 @@
         hosts = self._view.hosts_by_id
         zones_by_host = {a.host: hosts[a.host][1].zone for a in actions if a.host in hosts}
         mine = self._turns.mine(actions, zones_by_host, self._clock())
-        if self._create_pools(decision, basis):
-            self._write(mine, basis)
-            self._remove_pools(decision, basis)
+        if not self._writer.write(decision.census.sight.document, mine, basis):
+            self._look_due = 0.0
 
     def _decide(self, listing: HostListing) -> tuple[Decision, Basis]:
         view = self._view
@@ -229,59 +218,6 @@
         barred = over.keys() | set(census.doubled) | twice
         return [action for action in decision.actions if action.host not in barred]
 
-    def _create_pools(self, decision: Decision, basis: Basis) -> bool:
-        pools = [pool.id for pool in decision.census.sight.document.pools]
-        missing = [pool for pool in pools if pool not in basis.records]
-        if not missing:
-            return True
-        answer = self._ledger.create(missing, basis)
-        if isinstance(answer, Failure):
-            log(Event.FLEET_WRITE_FAILED, fault=answer.failure(), pools=len(missing))
-        return not isinstance(answer, Failure)
-
-    def _remove_pools(self, decision: Decision, basis: Basis) -> None:
-        declared = decision.census.sight.document.pools_by_id()
-        for pool, (record, _) in list(basis.records.items()):
-            if pool not in declared and not record.hosts:
-                answer = self._ledger.remove(pool, basis)
-                if isinstance(answer, Failure):
-                    log(Event.FLEET_WRITE_FAILED, fault=answer.failure(), pool=pool)
-
-    def _write(self, actions: list[Action], basis: Basis) -> None:
-        """Write each pool's actions in one transaction, then each pair of pools' moves."""
-        steps_by_pool: dict[PoolId, list[Action]] = {}
-        moves_by_pools: dict[tuple[PoolId, PoolId], list[HostId]] = {}
-        for action in actions:
-            if isinstance(action, Close) and action.target is not None:
-                moves_by_pools.setdefault((action.pool, action.target), []).append(action.host)
-            else:
-                steps_by_pool.setdefault(action.pool, []).append(action)
-        for (pool, target), hosts in moves_by_pools.items():
-            moved = [a for a in actions if a.host in hosts and a.pool == pool]
-            if not self._done(self._ledger.move(pool, target, hosts, basis), moved):
-                return
-        for pool, steps in steps_by_pool.items():
-            if not self._done(self._ledger.apply(pool, steps, basis), steps):
-                return
-
-    def _done(self, answer: Any, actions: list[Action]) -> bool:
-        """Log what became of a write.
-
-        :return: whether more writes make sense in this round.
-        """
-        if isinstance(answer, Failure):
-            fault = answer.failure()
-            self._metrics.incr("fleet.write_failed")
-            self._look_due = 0.0
-            log(Event.FLEET_WRITE_FAILED, fault=fault, pool=actions[0].pool)
-            return fault.kind is FaultKind.CONFLICT
-        for action in actions:
-            self._metrics.incr(f"fleet.{type(action).__name__.lower()}")
-            target = getattr(action, "target", None) or ""
-            event = _EVENTS[type(action)]
-            log(event, host=action.host, pool=action.pool, target=target, reason=action.reason)
-        return True
-
     def _tell_waiting(self, decision: Decision) -> None:
         reasons = {(w.stop, w.pool): w.reason for w in decision.waiting}
         for (stop, pool), reason in reasons.items():
--- a/src/lentilrill/operators/_server.py
+++ b/src/lentilrill/operators/_server.py
@@ -1,5 +1,6 @@
 """HTTP server for operators: routes, tokens, limits, and the server's life."""
 
+import logging
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -9,6 +10,7 @@
 
 import msgspec
 from cheroot import wsgi
+from cheroot.errors import MaxSizeExceeded
 
 from lentilrill.fleet import DOCUMENT_KEY, FleetView
 from lentilrill.ids import Revision
@@ -49,6 +51,16 @@
     document_revision: Revision
 
 
+class QuietServer(wsgi.Server):
+    """A server whose errors are logged as events instead of printed."""
+
+    def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
+        """Log what went wrong with a connection, without the traceback."""
+        del traceback
+        if level >= logging.ERROR:
+            log(Event.OPERATOR_REQUEST_FAILED, error=msg.strip())
+
+
 class OperatorServer:
     """Serves operators on the controller's address.
 
@@ -171,6 +183,9 @@
         """Run a handler; whatever it meets becomes an answer, never a broken connection."""
         try:
             body = _read_body(environ)
+        except (ValueError, MaxSizeExceeded) as error:
+            return problem(HTTPStatus.BAD_REQUEST, "bad-request", f"the body: {error}")
+        try:
             if body is None:
                 detail = f"the body is larger than {MAX_BODY_BYTES} bytes"
                 return problem(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "too-large", detail)
@@ -211,7 +226,7 @@
 
 def _http_server(listen: str, app: OperatorServer) -> wsgi.Server:
     host, _, port = listen.rpartition(":")
-    server = wsgi.Server(
+    server = QuietServer(
         (host.strip("[]"), int(port)),
         app,
         numthreads=THREADS,
