Gossip: a ring of zones instead of random peers; heads and answers reckoned once a beat

Cause: with 11 zones of 2 entry hosts a controller used 1.35 % of a core at rest (most 1.6 %), with 8 entry hosts in one zone the busiest head 1.53 %. By thread: the sockets' task, whose pings went over connections to all other zones' heads, since random peers keep all of them open; and heads, which reckoned heads and answer anew for every heartbeat.

--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -1,5 +1,6 @@
 """Heartbeats between members, and what they say of the mirror."""
 
+import math
 import random
 import threading
 import time
@@ -17,8 +18,11 @@
 __all__ = ["Heartbeats"]
 
 OTHER_ZONE_PEERS = 2
-"""Heads of other zones that a head tells at each beat; gossip does the rest."""
+"""Other zones' heads that a head tells at each beat; they pass it on."""
+STRANGER_EVERY = 5
+"""Heartbeats between two in which a head tries another controller at random."""
 CHANGE_PAUSE_S = 0.1
+ANSWER_LASTS_S = 0.25
 PROBE_EVERY = 8
 """Heartbeats between two in which a head tells all members, silent ones too."""
 SECOND_HEAD_EVERY = 4
@@ -40,7 +44,7 @@
 
     Within a zone every member exchanges heartbeats with the zone's heads, which tell it whom
     else they hear. So a member that is no head costs the same in a zone of any size. Between
-    zones each head tells a few heads at random what it knows of every zone.
+    zones the first heads form a ring, along which they tell what they know of every zone.
 
     Guard against a broken control path that hides gateways from each other: a member that hears
     no head tells all members of the zone directly, and each answers. Otherwise each gateway
@@ -76,6 +80,7 @@
         self._wake = threading.Event()
         mirror.subscribe(lambda items: self._wake.set())
         self._head_since: float | None = None
+        self._held_answer: tuple[float, Heartbeat] | None = None
         self._exchange = StateExchange(node, mirror)
         self._bytes_counted = (0, 0)
         node.on(Heartbeat, self._heard)
@@ -162,17 +167,34 @@
         is_second = self._roster.me in heads[1:] and beat % SECOND_HEAD_EVERY == 0
         if self._roster.me not in heads[:1] and not is_second:
             return
-        others = [member.inner for member in self._roster.other_heads()]
+        others = self._ring()
         # While a zone is believed silent none of its members is alive here; its seeds and
         # registered members are still tried, or two zones that were cut would never meet again.
-        if len(others) < OTHER_ZONE_PEERS:
-            others = [a for a in self._seeds_and_registered() if a not in self._zone_peers()]
-        if not others:
-            return
+        if len(others) < OTHER_ZONE_PEERS or beat % STRANGER_EVERY == 0:
+            others |= self._strangers()
         heartbeat = self._heartbeat()
-        for address in self._random.sample(others, min(OTHER_ZONE_PEERS, len(others))):
+        for address in sorted(others):
             self._node.send(address, heartbeat)
 
+    def _ring(self) -> set[str]:
+        """Return the heads of the next zone in order and of one further on.
+
+        News crosses the ring in about twice the root of the number of zones beats. A fixed few
+        keep the number of open connections, and with it the pings, the same for any number of
+        zones; picked at random each beat, they were all open all the time.
+        """
+        heads_by_zone = self._roster.other_heads()
+        own = self._settings.zone
+        zones = sorted({own, *heads_by_zone})
+        steps = {1, max(2, round(math.sqrt(len(zones))))}
+        chosen = {zones[(zones.index(own) + step) % len(zones)] for step in steps}
+        return {heads_by_zone[zone].inner for zone in chosen if zone != own}
+
+    def _strangers(self) -> set[str]:
+        """Return one controller of another zone at random, believed alive or not."""
+        known = [a for a in self._seeds_and_registered() if a not in self._zone_peers()]
+        return {self._random.choice(known)} if known else set()
+
     def _heartbeat(self, answers: bool = False) -> Heartbeat:
         told = self._health() if self._roster.me.role is Role.CONTROLLER else ()
         return Heartbeat(
@@ -184,6 +206,17 @@
             told,
         )
 
+    def _answer(self) -> Heartbeat:
+        """Return an answer; one serves all members that ask at about the same time."""
+        now = time.monotonic()
+        held = self._held_answer
+        fresh = held is not None and now - held[0] < ANSWER_LASTS_S
+        if held is not None and fresh and held[1].complete_to == self._mirror.complete_to:
+            return held[1]
+        answer = self._heartbeat(answers=True)
+        self._held_answer = (now, answer)
+        return answer
+
     def _health(self) -> tuple[ZoneHealth, ...]:
         others = [health(one) for one in self._roster.news()]
         if self._knows_zone:
@@ -246,7 +279,7 @@
         if last is None:
             log(Event.MEMBER_ALIVE, peer=member.process, incarnation=member.incarnation)
         if not message.answers and (last is None or self._is_to_answer(member)):
-            self._node.send(member.inner, self._heartbeat(answers=True))
+            self._node.send(member.inner, self._answer())
         self._hear_zones(member, message.health)
         if message.complete_to > self._mirror.complete_to:
             self._exchange.pull(batch.reply_to)
--- a/src/lentilrill/membership/_roster.py
+++ b/src/lentilrill/membership/_roster.py
@@ -66,6 +66,7 @@
         self._news_by_zone: dict[ZoneId, ZoneNews] = {}
         self._word_by_head: dict[ProcessId, ZoneNews] = {}
         self._tried_by_process: dict[ProcessId, float] = {}
+        self._heads: tuple[Member, ...] = ()
         self._registered_by_process: dict[ProcessId, Member] = {}
         self._alive: dict[tuple[Role, ZoneId | None], tuple[Member, ...]] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -112,7 +113,12 @@
         return max(self._fresh_words(), key=lambda news: news.at, default=None)
 
     def heads(self) -> tuple[Member, ...]:
-        """Return the controllers of this zone that its members exchange heartbeats with.
+        """Return the controllers of this zone that its members exchange heartbeats with, as of
+        the last refresh."""
+        return self._heads
+
+    def _choose_heads(self) -> tuple[Member, ...]:
+        """Return the first controllers in order that may be heads.
 
         A controller that was never tried may be one. One that does not answer stops being one
         until it, or another head's word, says that it lives.
@@ -127,17 +133,16 @@
         able = [member for member in known.values() if self._may_head(member)]
         return tuple(ranked(f"head/{zone}", able)[:HEADS])
 
-    def other_heads(self) -> list[Member]:
-        """Return the living heads of the other zones."""
+    def other_heads(self) -> dict[ZoneId, Member]:
+        """Return the first living head of each other zone, by zone."""
         controllers_by_zone: dict[ZoneId, list[Member]] = {}
         for member in self.alive(Role.CONTROLLER):
             if member.zone != self._me.zone:
                 controllers_by_zone.setdefault(member.zone, []).append(member)
-        return [
-            head
+        return {
+            zone: ranked(f"head/{zone}", controllers)[0]
             for zone, controllers in controllers_by_zone.items()
-            for head in ranked(f"head/{zone}", controllers)[:HEADS]
-        ]
+        }
 
     def last_heard(self, member: Member) -> Heard | None:
         """Return the last heartbeat of one incarnation."""
@@ -208,6 +213,7 @@
 
     def refresh(self) -> None:
         """Recompute the members to work with; listeners hear of a change."""
+        self._heads = self._choose_heads()
         members = [member for member in self._candidates() if self._is_usable(member)]
         members.sort(key=lambda member: member.process)
         alive: dict[tuple[Role, ZoneId | None], list[Member]] = {}
