--- a/src/lentilrill/gateway/_dispatch.py
+++ b/src/lentilrill/gateway/_dispatch.py
@@ -101,6 +101,7 @@
             plan=work.holder.plan,
             entitlement=work.holder.entitlement,
             deadline=work.start_by,
+            answer_by=work.answer_by,
             avoid=tuple(run.avoid),
             spillable=run.spillable,
         )
@@ -246,7 +247,12 @@
             return Whole(head.status, head.headers, body, length), verdict
         whole = _relay(exchange, head, body, caller)
         content_type = dict(head.headers).get("Content-Type", "")
-        return Streamed(head.status, content_type, whole), verdict if whole else Verdict.BROKEN
+        # Callers that hang up in a wave say nothing against the host; taken for broken answers,
+        # they would eject a good one.
+        is_hosts_fault = not whole and not caller.gone
+        return Streamed(head.status, content_type, whole), (
+            Verdict.BROKEN if is_hosts_fault else verdict
+        )
 
 
 def _streamed_body(work: Work, caller: Caller) -> Iterator[bytes]:
--- a/tests/gateway/test_outcomes.py
+++ b/tests/gateway/test_outcomes.py
@@ -203,6 +203,23 @@
             self.assertFalse(self.reads_whole(version, len(part), seen), head)
             self.assertEqual([Verdict.BROKEN], self.slots.verdicts)
 
+    def test_callers_that_hang_up_say_nothing_against_the_host(self) -> None:
+        # Readers close their browsers while long volumes stream. Each answer breaks off, but by
+        # the caller; counted against the host, a wave of them would eject a good one.
+        def script(sock: socket.socket, request: bytes) -> None:
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (1 << 30))
+            while True:
+                sock.sendall(bytes(1 << 20))
+
+        self.an_endpoint(script)
+        gateway = self.a_gateway()
+        connection = self.connect()
+        connection.request("GET", "/schools/v", headers={"Authorization": "Bearer token-schools"})
+        connection.sock.recv(65536)
+        connection.close()
+        self.assertTrue(gateway.drain())
+        self.assertEqual([Verdict.OK], self.slots.verdicts)
+
     def reads_whole(self, version: str, size: int, seen: threading.Event) -> bool:
         """Return whether a plain caller takes the answer for whole.
 
