--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -1,13 +1,12 @@
 """Heartbeats between members, and what they say of the mirror."""
 
-import math
-import random
 import threading
 import time
 from collections.abc import Callable
 
 from lentilrill.gossip._exchange import StateExchange
 from lentilrill.gossip._health import health, news
+from lentilrill.gossip._ring import OtherZones
 from lentilrill.ids import HostId, ZoneId
 from lentilrill.inner import Batch, Heartbeat, Leave, Node, ZoneHealth
 from lentilrill.membership import Member, Role, RosterView, ZoneNews
@@ -17,16 +16,10 @@
 
 __all__ = ["Heartbeats"]
 
-OTHER_ZONE_PEERS = 2
-"""Other zones' heads that a head tells at each beat; they pass it on."""
-STRANGER_EVERY = 5
-"""Heartbeats between two in which a head tries another controller at random."""
 CHANGE_PAUSE_S = 0.1
 ANSWER_LASTS_S = 0.25
 PROBE_EVERY = 8
 """Heartbeats between two in which a head tells all members, silent ones too."""
-SECOND_HEAD_EVERY = 4
-"""Heartbeats between two in which the second head tells other zones."""
 METRICS_EVERY = 4
 FORGET_AFTER_S = 60.0
 LEAVE_REPEATS = 3
@@ -74,7 +67,7 @@
         self._platform_ok = platform_ok
         self._trouble = trouble
         self._is_drained = is_drained
-        self._random = random.Random(f"{roster.me.process}/{roster.me.incarnation}")
+        self._other_zones = OtherZones(roster, settings.zone, settings.seeds)
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="heartbeats", daemon=True)
         self._wake = threading.Event()
@@ -107,7 +100,7 @@
             self._roster.refresh()
             self._roster.forget(FORGET_AFTER_S)
             self._tell_zone(beat)
-            self._tell_other_zones(beat)
+            self._tell(self._other_zones.peers(beat, self._zone_peers()))
             if beat % METRICS_EVERY == 0:
                 self._count_bytes()
             beat += 1
@@ -138,6 +131,11 @@
         # heads still; only by trying all members again do they meet once the cut has healed.
         if not settled or (is_head and beat % PROBE_EVERY == 0):
             addresses = self._zone_peers()
+        self._tell(addresses)
+
+    def _tell(self, addresses: list[str]) -> None:
+        if not addresses:
+            return
         heartbeat = self._heartbeat()
         for address in addresses:
             self._node.send(address, heartbeat)
@@ -158,43 +156,6 @@
         had_time = time.monotonic() - since > self._settings.suspect_after_s
         return had_time or not self._roster.silent()
 
-    def _tell_other_zones(self, beat: int) -> None:
-        """Tell heads of other zones, as the first head; the second steps in now and then.
-
-        The second one's word reaches the other zones also when just the first is cut off.
-        """
-        heads = self._roster.heads()
-        is_second = self._roster.me in heads[1:] and beat % SECOND_HEAD_EVERY == 0
-        if self._roster.me not in heads[:1] and not is_second:
-            return
-        others = self._ring()
-        # While a zone is believed silent none of its members is alive here; its seeds and
-        # registered members are still tried, or two zones that were cut would never meet again.
-        if len(others) < OTHER_ZONE_PEERS or beat % STRANGER_EVERY == 0:
-            others |= self._strangers()
-        heartbeat = self._heartbeat()
-        for address in sorted(others):
-            self._node.send(address, heartbeat)
-
-    def _ring(self) -> set[str]:
-        """Return the heads of the next zone in order and of one further on.
-
-        News crosses the ring in about twice the root of the number of zones beats. A fixed few
-        keep the number of open connections, and with it the pings, the same for any number of
-        zones; picked at random each beat, they were all open all the time.
-        """
-        heads_by_zone = self._roster.other_heads()
-        own = self._settings.zone
-        zones = sorted({own, *heads_by_zone})
-        steps = {1, max(2, round(math.sqrt(len(zones))))}
-        chosen = {zones[(zones.index(own) + step) % len(zones)] for step in steps}
-        return {heads_by_zone[zone].inner for zone in chosen if zone != own}
-
-    def _strangers(self) -> set[str]:
-        """Return one controller of another zone at random, believed alive or not."""
-        known = [a for a in self._seeds_and_registered() if a not in self._zone_peers()]
-        return {self._random.choice(known)} if known else set()
-
     def _heartbeat(self, answers: bool = False) -> Heartbeat:
         told = self._health() if self._roster.me.role is Role.CONTROLLER else ()
         return Heartbeat(
@@ -261,15 +222,6 @@
             addresses |= set(self._settings.seeds)
         return sorted(addresses - {me.inner})
 
-    def _seeds_and_registered(self) -> list[str]:
-        addresses = set(self._settings.seeds) | {
-            member.inner
-            for zone in self._roster.zones()
-            for member in self._registered(zone)
-            if member.role is Role.CONTROLLER
-        }
-        return sorted(addresses - {self._roster.me.inner})
-
     def _heard(self, batch: Batch, message: Heartbeat) -> None:
         member = message.member
         last = self._roster.last_heard(member)
