Daemon: a gateway that gives up on its jobs ends without a leave

Cause: found by reading the assembly. When drain_s runs out with jobs in flight, the process said that it leaves, which counts as its acknowledgement of every withdrawal; a planned stop could then be granted under a job that still runs. Now it ends uncleanly, and withdrawals wait for proof. The test fails without the guard.

--- a/src/lentilrill/_assembly.py
+++ b/src/lentilrill/_assembly.py
@@ -116,12 +116,12 @@
 
     def drain(self) -> None:
         """Finish the requests in flight, then leave."""
-        self._server.drain()
+        finished = self._server.drain()
         self._server.close()
         self._claims.close()
         self._claim_owner.close()
         self._routing.close()
-        self._heartbeats.close()
+        self._heartbeats.close(is_clean=finished)
         self._node.close()
 
 
--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -83,11 +83,20 @@
         """Begin to send heartbeats."""
         self._thread.start()
 
-    def close(self) -> None:
-        """Say that this process ends, and end the task. Nothing may be in flight any more."""
+    def close(self, is_clean: bool = True) -> None:
+        """End the task, and say that this process ends.
+
+        Guard against a host that is released under a job: a leave says that nothing of this
+        process is in flight. One that gives up on its jobs ends without it, and withdrawals go
+        on waiting until it is proved gone.
+
+        :param is_clean: whether nothing is in flight any more.
+        """
         self._stopping.set()
         self._wake.set()
         self._thread.join()
+        if not is_clean:
+            return
         leave = Leave(self._roster.me)
         for _ in range(LEAVE_REPEATS):
             for address in self._zone_peers():
--- a/tests/gossip/test_heartbeats.py
+++ b/tests/gossip/test_heartbeats.py
@@ -121,6 +121,17 @@
         leaves.close()
         self.assertTrue(stays.until(lambda: stays.roster.liveness(leaves.member) is Liveness.GONE))
 
+    def test_a_process_that_gave_up_on_its_jobs_does_not_leave(self) -> None:
+        # A gateway is told to stop, and after its drain time a long volume still runs. Did it
+        # say that it leaves, a planned stop would be granted at once and cut the volume off.
+        keys = builders.inner_keys()
+        stays = self.a_peer("ct-1", keys)
+        ends = Peer("ct-2", keys, seeds=(stays.address,))
+        self.assertTrue(stays.until(lambda: stays.roster.liveness(ends.member) is Liveness.ALIVE))
+        ends.heartbeats.close(is_clean=False)
+        ends.node.close(0.1)
+        self.assertTrue(stays.until(lambda: stays.roster.liveness(ends.member) is Liveness.SUSPECT))
+
     def test_gateways_hear_of_each_other_through_heads(self) -> None:
         keys = builders.inner_keys()
         heads = [self.a_peer("ct-1", keys)]
