--- a/src/lentilrill/platform/_etcd.py
+++ b/src/lentilrill/platform/_etcd.py
@@ -22,6 +22,7 @@
 from lentilrill.platform._guard import CallBudget, CallGuard, Effect
 from lentilrill.platform._transport import ODD, Transport
 from lentilrill.platform._watch import Watch
+from lentilrill.platform._wire import Header, StoredKey
 from lentilrill.settings import PlatformSettings
 from lentilrill.telemetry import Metrics
 
@@ -39,23 +40,13 @@
 REVOKE = "/v3/lease/revoke"
 
 
-class _Header(msgspec.Struct):
-    revision: int
-
-
-class _KeyValue(msgspec.Struct):
-    key: bytes
-    mod_revision: int
-    value: bytes = b""
-
-
 class _Range(msgspec.Struct):
-    header: _Header
-    kvs: tuple[_KeyValue, ...] = ()
+    header: Header
+    kvs: tuple[StoredKey, ...] = ()
 
 
 class _Txn(msgspec.Struct):
-    header: _Header
+    header: Header
     succeeded: bool = False
 
 
@@ -69,7 +60,7 @@
 
 
 class _Revoked(msgspec.Struct):
-    header: _Header
+    header: Header
 
 
 A = TypeVar("A")
--- a/src/lentilrill/platform/_watch.py
+++ b/src/lentilrill/platform/_watch.py
@@ -14,6 +14,7 @@
 from lentilrill.platform._contract import Item, Priority, WatchBatch
 from lentilrill.platform._guard import CallGuard, Effect
 from lentilrill.platform._transport import MAX_ANSWER_BYTES, ODD, OK, READ_BYTES, Transport, shown
+from lentilrill.platform._wire import Header, StoredKey
 
 __all__ = ["Watch"]
 
@@ -22,23 +23,13 @@
 DELETE = "DELETE"
 
 
-class _Header(msgspec.Struct):
-    revision: int
-
-
-class _KeyValue(msgspec.Struct):
-    key: bytes
-    mod_revision: int
-    value: bytes = b""
-
-
 class _Event(msgspec.Struct):
-    kv: _KeyValue
+    kv: StoredKey
     type: str = "PUT"
 
 
 class _Result(msgspec.Struct):
-    header: _Header
+    header: Header
     created: bool = False
     canceled: bool = False
     compact_revision: int = 0
