--- a/standins/demo.py
+++ b/standins/demo.py
@@ -18,6 +18,7 @@
 CALLERS = 8
 JOBS_PER_CALLER = 25
 LONG_JOB_S = 6.0
+KEYED_TRIES = 5
 VOLUME_BYTES = 4 * 1024 * 1024
 
 
@@ -83,7 +84,7 @@
         """Send the same keyed job through two gateways; it may run once only."""
         headers = {"Idempotency-Key": "demo-emboss-1", "Standin-Job": "emboss-1"}
         answers = [
-            self.post("library", "/emboss", b"volume 1", n, headers)
+            self.post_until_settled("library", "/emboss", b"volume 1", n, headers)
             for n, _ in enumerate(self.site.gateways)
         ]
         runs = [run for _, run in self.site.records() if run["job"] == "emboss-1"]
@@ -192,6 +193,21 @@
             timeout=40.0,
         )
 
+    def post_until_settled(
+        self, service: str, path: str, body: bytes, gateway: int, headers: dict[str, str]
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a keyed job, and come back when told to, as the callers' page asks for.
+
+        The first answer may come before the key's outcome is on the platform; a repeat in
+        between is told that the job is in progress.
+        """
+        for _ in range(KEYED_TRIES):
+            answer = self.post(service, path, body, gateway, headers)
+            if answer.status not in (409, 503):
+                break
+            time.sleep(float(answer.headers.get("Retry-After", "1")))
+        return answer
+
     def status(self) -> dict[str, Any]:
         """Return the status that operators see."""
         found: dict[str, Any] = json.loads(self.site.ctl("status", "--json").stdout)
