Membership: what is kept of ended members is bounded

Cause: found by reading: processes that ended were kept for ever, to tell them from unknown ones. The newest 2,000 are kept. The test fails without the bound.

--- a/src/lentilrill/membership/_roster.py
+++ b/src/lentilrill/membership/_roster.py
@@ -12,6 +12,8 @@
 
 __all__ = ["Heard", "RosterView"]
 
+KEPT_ENDED = 2000
+"""Ended members that are still told from unknown ones; some days' replaced entry hosts."""
 HEADS = 2
 """Heads of a zone; the second one is known to all when the first falls silent."""
 
@@ -233,6 +235,23 @@
                 old = self._clock() - heard.at > silent_s
                 if old and not self._is_registered(heard.member):
                     del self._heard_by_process[process]
+            self._forget_ended()
+
+    def _forget_ended(self) -> None:
+        """Bound what is kept of members that ended; entry hosts are replaced every day."""
+        registered = {
+            member.process
+            for record, _ in self._zones_by_id().values()
+            for member in record.members
+        }
+        known = registered | self._heard_by_process.keys()
+        for process in self._tried_by_process.keys() - known:
+            del self._tried_by_process[process]
+        for process in self._word_by_head.keys() - known:
+            del self._word_by_head[process]
+        ended = [p for p in self._registered_by_process if p not in registered]
+        for process in ended[:-KEPT_ENDED]:
+            del self._registered_by_process[process]
 
     def _candidates(self) -> list[Member]:
         by_process = {
--- a/tests/membership/test_roster.py
+++ b/tests/membership/test_roster.py
@@ -13,6 +13,7 @@
     ZoneRecord,
     rendezvous,
 )
+from lentilrill.membership._roster import KEPT_ENDED
 from tests import builders
 
 SUSPECT_AFTER_S = 2.0
@@ -122,6 +123,18 @@
         self.roster.hear_zones([stale])
         self.assertEqual((one,), self.alive(THERE))
 
+    def test_what_is_kept_of_ended_members_is_bounded(self) -> None:
+        # Entry hosts are replaced under new names for months. Were each kept for good, the
+        # process would end for want of memory one day.
+        for n in range(KEPT_ENDED + 100):
+            self.register(HERE, self.me, builders.a_member(f"gw-{n}"))
+            self.roster.refresh()
+        self.register(HERE, self.me)
+        self.roster.refresh()
+        self.roster.forget(0.0)
+        kept = self.roster._registered_by_process
+        self.assertEqual(KEPT_ENDED + 1, len(kept))
+
     def test_listeners_hear_only_of_changes(self) -> None:
         heard: list[int] = []
         self.roster.subscribe(lambda: heard.append(1))
