Gossip: a watch opened as the watcher is told to end does not hold up its end

Cause: found on reading: close() ends the stream it finds; one that is opened at that very moment is kept after it, and the task waits in it for good.

--- a/src/lentilrill/gossip/_watcher.py
+++ b/src/lentilrill/gossip/_watcher.py
@@ -98,6 +98,9 @@
         with self._lock:
             self._stream = stream
         try:
+            # close() may have looked for a stream before this one was kept; nobody would end it.
+            if self._stopping.is_set():
+                return None
             for result in stream:
                 if isinstance(result, Failure):
                     self._reached(result.failure())
--- /dev/null
+++ b/tests/gossip/test_watcher.py
@@ -0,0 +1,53 @@
+"""The watcher's end."""
+
+from collections.abc import Iterator
+
+from testtools import TestCase
+
+from lentilrill.gossip import Watcher
+from lentilrill.ids import Revision
+from lentilrill.membership import Role, RosterView
+from lentilrill.platform import Mirror
+from lentilrill.telemetry import NoMetrics
+from tests import builders
+from tests.fakes import FakeNode
+
+
+class LateStream:
+    """A watch that nothing ends but its close."""
+
+    def __init__(self) -> None:
+        self.read = self.closed = False
+
+    def __iter__(self) -> Iterator:
+        self.read = True
+        return iter(())
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class StoppedMeanwhile:
+    """A service whose watch is opened just as the watcher is told to end."""
+
+    def __init__(self) -> None:
+        self.stream = LateStream()
+        self.watcher: Watcher | None = None
+
+    def watch(self, prefix: str, after: Revision) -> LateStream:
+        self.watcher._stopping.set()
+        self.watcher._end_stream()
+        return self.stream
+
+
+class WatcherTest(TestCase):
+    def test_a_watch_opened_at_the_end_is_not_waited_for(self) -> None:
+        # A controller is told to stop and hangs. Its watch was being opened while it was told:
+        # the end found no stream to close, and the task then waits in the new one for good.
+        me = builders.a_member("ct-1", role=Role.CONTROLLER)
+        roster = RosterView(me, dict, 2.0, 5.0)
+        service = StoppedMeanwhile()
+        service.watcher = Watcher(service, Mirror(), roster, FakeNode(), NoMetrics())
+        service.watcher._watch()
+        self.assertFalse(service.stream.read)
+        self.assertTrue(service.stream.closed)
