--- a/src/lentilrill/membership/_records.py
+++ b/src/lentilrill/membership/_records.py
@@ -52,10 +52,6 @@
     zone: ZoneId
     members: tuple[Member, ...] = ()
 
-    def members_by_process(self) -> dict[ProcessId, Member]:
-        """Return the members by process id."""
-        return {member.process: member for member in self.members}
-
 
 class ZoneNews(msgspec.Struct, frozen=True):
     """What the controllers of another zone last said of it; ``at`` in monotonic seconds."""
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -8,7 +8,6 @@
 import argparse
 import hashlib
 import itertools
-import signal
 import threading
 import time
 from collections import deque
@@ -19,6 +18,7 @@
 import msgspec
 
 from standins._http import Call, Server
+from standins._signals import stop_event
 
 __all__ = ["EndpointStandin", "Faults", "Run", "main"]
 
@@ -259,9 +259,7 @@
     if arguments.many:
         listings = msgspec.json.decode(arguments.many.read_bytes(), type=list[_Listing])
     endpoints = [EndpointStandin(i.listen, i.host, i.slots, arguments.threads) for i in listings]
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
+    stopped = stop_event()
     with ThreadPoolExecutor(max_workers=16) as pool:
         list(pool.map(EndpointStandin.start, endpoints))
         stopped.wait()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -8,7 +8,6 @@
 
 import argparse
 import gzip
-import signal
 import threading
 import time
 from collections import Counter, deque
@@ -20,6 +19,7 @@
 from lentilrill.platform import HostInfo
 from standins import _etcd_http
 from standins._http import Call, Server
+from standins._signals import stop_event
 from standins._store import Store, StoreError
 from standins._watch import Watch
 
@@ -280,10 +280,7 @@
         progress_s=arguments.progress_s,
     )
     standin.start()
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
-    stopped.wait()
+    stop_event().wait()
     standin.close()
 
 
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -7,7 +7,6 @@
 
 import argparse
 import contextlib
-import signal
 import socket
 import threading
 import time
@@ -16,6 +15,7 @@
 import msgspec
 
 from standins._http import Call, Server
+from standins._signals import stop_event
 
 __all__ = ["Faults", "Relay", "Route", "main"]
 
@@ -133,10 +133,7 @@
     routes = msgspec.json.decode(arguments.routes.read_bytes(), type=list[Route])
     relay = Relay(routes, arguments.control)
     relay.start()
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
-    stopped.wait()
+    stop_event().wait()
     relay.close()
 
 
