Store: the key-value package has its own name, so that platform/ can be the adapter

The users' platform needs an adapter folder src/lentilrill/platform/. The package that held the key-value contract, the etcd client, the guard and the mirror moves to lentilrill.store, with its tests; no behaviour changes.

--- a/bench/_fleet_sim.py
+++ b/bench/_fleet_sim.py
@@ -15,8 +15,8 @@
 from lentilrill.fleet._records import HostEntry
 from lentilrill.fleet._report import report
 from lentilrill.ids import HostId, PoolId, RackId, Revision, StopId, ZoneId
-from lentilrill.platform import HostInfo, HostListing, Mirror
 from lentilrill.settings import Document, Objective, PlannedStop
+from lentilrill.store import HostInfo, HostListing, Mirror
 from tests.builders import a_plan, a_pool
 from tests.fakes import FakeKeyValue
 
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -29,8 +29,8 @@
 from lentilrill.jobs._shard import Shard
 from lentilrill.jobs._store import ShardStore
 from lentilrill.membership import Liveness, Member, Role
-from lentilrill.platform import EtcdKeyValue, KeyValue
 from lentilrill.settings import InnerKeys, PlatformSettings
+from lentilrill.store import EtcdKeyValue, KeyValue
 from lentilrill.telemetry import NoMetrics
 
 __all__ = ["main"]
--- a/bench/platform.py
+++ b/bench/platform.py
@@ -17,8 +17,8 @@
 import urllib3
 
 from lentilrill.ids import HostId, RackId, Revision, ZoneId
-from lentilrill.platform import EtcdKeyValue, HostInfo, HttpHostList, Put
 from lentilrill.settings import PlatformSettings
+from lentilrill.store import EtcdKeyValue, HostInfo, HttpHostList, Put
 from lentilrill.telemetry import NoMetrics
 
 __all__ = ["main"]
--- a/bench/state.py
+++ b/bench/state.py
@@ -14,8 +14,8 @@
 from lentilrill.ids import HostId, Incarnation, PoolId, ProcessId, RackId, Revision, ZoneId
 from lentilrill.inner import Batch, StateItems, decode, encode
 from lentilrill.membership import Member, Role, ZoneRecord, zone_key
-from lentilrill.platform import Item, Mirror
 from lentilrill.settings import Document, Entitlement, Plan, Pool
+from lentilrill.store import Item, Mirror
 
 __all__ = ["main"]
 
--- a/src/lentilrill/_assembly.py
+++ b/src/lentilrill/_assembly.py
@@ -11,9 +11,9 @@
 from lentilrill.jobs import ClaimClient, ClaimOwner
 from lentilrill.membership import Member, Role, RosterView, drains
 from lentilrill.operators import OperatorServer
-from lentilrill.platform import CallBudget, EtcdKeyValue, HttpHostList, Mirror
 from lentilrill.routing import Routing
 from lentilrill.settings import ControllerSettings, GatewaySettings, ProcessSettings
+from lentilrill.store import CallBudget, EtcdKeyValue, HttpHostList, Mirror
 from lentilrill.telemetry import Event, Metrics, connect, log
 
 __all__ = ["ControllerProcess", "GatewayProcess"]
--- a/src/lentilrill/fleet/_actions.py
+++ b/src/lentilrill/fleet/_actions.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from lentilrill.ids import HostId, PoolId, StopId
-from lentilrill.platform import HostInfo
+from lentilrill.store import HostInfo
 
 __all__ = ["Action", "Assign", "Close", "Drop", "Return", "Withdraw"]
 
--- a/src/lentilrill/fleet/_census.py
+++ b/src/lentilrill/fleet/_census.py
@@ -9,8 +9,8 @@
 from lentilrill.fleet._records import HostEntry, HostPhase, PoolRecord
 from lentilrill.fleet._tally import Standing, Tally
 from lentilrill.ids import HostId, PoolId, StopId, ZoneId
-from lentilrill.platform import HostInfo, HostKind, HostListing, HostState
 from lentilrill.settings import Document, PlannedStop, Pool
+from lentilrill.store import HostInfo, HostKind, HostListing, HostState
 
 __all__ = ["Census", "Memory", "Sight", "fits", "leaves"]
 
--- a/src/lentilrill/fleet/_ledger.py
+++ b/src/lentilrill/fleet/_ledger.py
@@ -20,7 +20,7 @@
 from lentilrill.fleet._view import DOCUMENT_KEY
 from lentilrill.ids import HostId, PoolId, Revision, StopId, ZoneId
 from lentilrill.membership import zone_key
-from lentilrill.platform import Compare, DeleteRange, Item, KeyValue, Mirror, Put
+from lentilrill.store import Compare, DeleteRange, Item, KeyValue, Mirror, Put
 
 __all__ = ["LARGEST_VALUE_BYTES", "Basis", "Ledger"]
 
--- a/src/lentilrill/fleet/_lending.py
+++ b/src/lentilrill/fleet/_lending.py
@@ -8,8 +8,8 @@
 from lentilrill.fleet._records import HostEntry
 from lentilrill.fleet._tally import Tally
 from lentilrill.ids import HostId, RackId, ZoneId
-from lentilrill.platform import HostInfo, HostState
 from lentilrill.settings import Objective
+from lentilrill.store import HostInfo, HostState
 
 __all__ = ["assignments", "loans", "patience_s"]
 
--- a/src/lentilrill/fleet/_listing.py
+++ b/src/lentilrill/fleet/_listing.py
@@ -2,8 +2,8 @@
 
 from returns.result import Failure
 
-from lentilrill.platform import HostList, HostListing
 from lentilrill.settings import ControllerSettings
+from lentilrill.store import HostList, HostListing
 
 __all__ = ["ListReader"]
 
--- a/src/lentilrill/fleet/_report.py
+++ b/src/lentilrill/fleet/_report.py
@@ -11,8 +11,8 @@
 from lentilrill.fleet._tally import Standing, Tally
 from lentilrill.fleet._waves import Waiting, expected_s
 from lentilrill.ids import EntryHostId, HostId, PoolId, StopId
-from lentilrill.platform import HostKind, HostListing
 from lentilrill.settings import Document, PlannedStop
+from lentilrill.store import HostKind, HostListing
 
 __all__ = ["FleetReport", "PoolReport", "StopReport", "StopState", "WaveReport", "report"]
 
--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -22,8 +22,8 @@
 from lentilrill.ids import HostId, PoolId, StopId
 from lentilrill.inner import Batch, HostTrouble, WithdrawalAck
 from lentilrill.membership import Member, Roster
-from lentilrill.platform import HostList, HostListing, KeyValue
 from lentilrill.settings import ControllerSettings
+from lentilrill.store import HostList, HostListing, KeyValue
 from lentilrill.telemetry import Event, Metrics, log
 
 __all__ = ["FleetTask"]
--- a/src/lentilrill/fleet/_upkeep.py
+++ b/src/lentilrill/fleet/_upkeep.py
@@ -7,7 +7,7 @@
 from lentilrill.fleet._records import HostEntry, HostPhase
 from lentilrill.fleet._tally import Standing, Tally
 from lentilrill.ids import PoolId
-from lentilrill.platform import HostState
+from lentilrill.store import HostState
 
 __all__ = ["upkeep"]
 
--- a/src/lentilrill/fleet/_view.py
+++ b/src/lentilrill/fleet/_view.py
@@ -8,8 +8,8 @@
 from lentilrill.fleet._records import HostEntry, PoolRecord
 from lentilrill.ids import HostId, PoolId, Revision, ZoneId
 from lentilrill.membership import ZoneRecord
-from lentilrill.platform import Item, Mirror
 from lentilrill.settings import Document
+from lentilrill.store import Item, Mirror
 
 __all__ = ["DOCUMENT_KEY", "FleetView"]
 
--- a/src/lentilrill/fleet/_writer.py
+++ b/src/lentilrill/fleet/_writer.py
@@ -9,8 +9,8 @@
 from lentilrill.fleet._actions import Action, Assign, Close, Drop, Return, Withdraw
 from lentilrill.fleet._ledger import Basis, Ledger
 from lentilrill.ids import HostId, PoolId, Revision
-from lentilrill.platform import KeyValue, Mirror
 from lentilrill.settings import Document
+from lentilrill.store import KeyValue, Mirror
 from lentilrill.telemetry import Event, Metrics, log
 
 __all__ = ["Writer"]
--- a/src/lentilrill/gossip/_exchange.py
+++ b/src/lentilrill/gossip/_exchange.py
@@ -4,7 +4,7 @@
 
 from lentilrill.ids import Revision
 from lentilrill.inner import Batch, Node, StateAsk, StateItems
-from lentilrill.platform import Mirror
+from lentilrill.store import Mirror
 
 __all__ = ["StateExchange"]
 
--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -10,8 +10,8 @@
 from lentilrill.ids import HostId, ZoneId
 from lentilrill.inner import Batch, Heartbeat, Leave, Node, ZoneHealth
 from lentilrill.membership import Member, Role, RosterView, ZoneNews
-from lentilrill.platform import Mirror
 from lentilrill.settings import ProcessSettings
+from lentilrill.store import Mirror
 from lentilrill.telemetry import Event, Metrics, log
 
 __all__ = ["Heartbeats"]
--- a/src/lentilrill/gossip/_recorder.py
+++ b/src/lentilrill/gossip/_recorder.py
@@ -16,7 +16,7 @@
     ZoneRecord,
     zone_key,
 )
-from lentilrill.platform import Compare, HostList, HostListing, Item, KeyValue, Put
+from lentilrill.store import Compare, HostList, HostListing, Item, KeyValue, Put
 from lentilrill.telemetry import Event, Metrics, log
 
 __all__ = ["ZoneRecorder", "next_record"]
--- a/src/lentilrill/gossip/_watcher.py
+++ b/src/lentilrill/gossip/_watcher.py
@@ -8,7 +8,7 @@
 from lentilrill.ids import Revision
 from lentilrill.inner import Node, StateItems
 from lentilrill.membership import RosterView
-from lentilrill.platform import Item, KeyValue, Mirror, Priority, WatchBatch, WatchStream
+from lentilrill.store import Item, KeyValue, Mirror, Priority, WatchBatch, WatchStream
 from lentilrill.telemetry import Event, Metrics, log
 
 __all__ = ["STATE", "Watcher"]
--- a/src/lentilrill/inner/_state.py
+++ b/src/lentilrill/inner/_state.py
@@ -4,7 +4,7 @@
 
 from lentilrill.ids import HostId, ProcessId, Revision, ZoneId
 from lentilrill.membership import Member
-from lentilrill.platform import Item
+from lentilrill.store import Item
 
 __all__ = ["Heartbeat", "Leave", "StateAsk", "StateItems", "ZoneHealth"]
 
--- a/src/lentilrill/jobs/_owner.py
+++ b/src/lentilrill/jobs/_owner.py
@@ -13,7 +13,7 @@
 from lentilrill.jobs._shard import Arrival, Shard, Turn
 from lentilrill.jobs._shards import owner_of
 from lentilrill.membership import Role, Roster
-from lentilrill.platform import KeyValue
+from lentilrill.store import KeyValue
 from lentilrill.telemetry import Event, Metrics, log
 
 __all__ = ["ClaimOwner"]
--- a/src/lentilrill/jobs/_shard.py
+++ b/src/lentilrill/jobs/_shard.py
@@ -14,7 +14,7 @@
 from lentilrill.jobs._records import BatchRecord, Entry, EntryState
 from lentilrill.jobs._store import ShardStore
 from lentilrill.membership import Member
-from lentilrill.platform import Compare, DeleteRange, KeyValue, Put
+from lentilrill.store import Compare, DeleteRange, KeyValue, Put
 from lentilrill.telemetry import Event, log
 
 __all__ = ["Arrival", "Shard", "Turn"]
--- a/src/lentilrill/jobs/_store.py
+++ b/src/lentilrill/jobs/_store.py
@@ -17,7 +17,7 @@
     shard_prefix,
 )
 from lentilrill.membership import Member
-from lentilrill.platform import Compare, DeleteRange, KeyValue, Put
+from lentilrill.store import Compare, DeleteRange, KeyValue, Put
 
 __all__ = ["ShardStore"]
 
--- a/src/lentilrill/operators/_api.py
+++ b/src/lentilrill/operators/_api.py
@@ -29,7 +29,6 @@
 from lentilrill.operators._records import EditVerdict
 from lentilrill.operators._status import Status
 from lentilrill.operators._store import DocumentStore, Head
-from lentilrill.platform import HostList
 from lentilrill.settings import (
     Document,
     Finding,
@@ -39,6 +38,7 @@
     decode_lists,
     errors_of,
 )
+from lentilrill.store import HostList
 from lentilrill.telemetry import Metrics
 
 __all__ = ["Api", "Request"]
--- a/src/lentilrill/operators/_audit.py
+++ b/src/lentilrill/operators/_audit.py
@@ -12,7 +12,7 @@
 from lentilrill.ids import Revision
 from lentilrill.operators._records import AuditEntry, AuditRecord
 from lentilrill.operators._refusals import Refusals
-from lentilrill.platform import DeleteRange, Item, KeyValue, Put, RangeAnswer
+from lentilrill.store import DeleteRange, Item, KeyValue, Put, RangeAnswer
 
 __all__ = ["AuditTrail", "accepted_writes"]
 
--- a/src/lentilrill/operators/_capacity.py
+++ b/src/lentilrill/operators/_capacity.py
@@ -3,8 +3,8 @@
 from collections import defaultdict
 
 from lentilrill.ids import PoolId
-from lentilrill.platform import HostInfo, HostKind, HostListing, HostState
 from lentilrill.settings import Document, Finding, Plan, Pool, Severity
+from lentilrill.store import HostInfo, HostKind, HostListing, HostState
 
 __all__ = ["check_capacity"]
 
--- a/src/lentilrill/operators/_refusals.py
+++ b/src/lentilrill/operators/_refusals.py
@@ -13,7 +13,7 @@
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import Revision
 from lentilrill.operators._records import AuditRecord
-from lentilrill.platform import Compare, Item, KeyValue, Priority, Put, RangeAnswer
+from lentilrill.store import Compare, Item, KeyValue, Priority, Put, RangeAnswer
 from lentilrill.telemetry import Event, log
 
 __all__ = ["Refusals"]
--- a/src/lentilrill/operators/_server.py
+++ b/src/lentilrill/operators/_server.py
@@ -21,8 +21,8 @@
 from lentilrill.operators._problems import Reply, problem
 from lentilrill.operators._status import Status
 from lentilrill.operators._store import DocumentStore
-from lentilrill.platform import HostList, Item, KeyValue
 from lentilrill.settings import ControllerSettings
+from lentilrill.store import HostList, Item, KeyValue
 from lentilrill.telemetry import Event, Metrics, NoMetrics, log
 
 __all__ = ["MAX_BODY_BYTES", "OperatorServer"]
--- a/src/lentilrill/operators/_store.py
+++ b/src/lentilrill/operators/_store.py
@@ -11,8 +11,8 @@
 from lentilrill.ids import Revision
 from lentilrill.operators._audit import AuditTrail, accepted_writes
 from lentilrill.operators._records import AuditRecord
-from lentilrill.platform import Compare, KeyValue, Put, RangeAnswer
 from lentilrill.settings import Document
+from lentilrill.store import Compare, KeyValue, Put, RangeAnswer
 
 __all__ = ["DocumentStore", "Head"]
 
--- a/src/lentilrill/platform/__init__.py
+++ b/src/lentilrill/store/__init__.py
@@ -1,6 +1,6 @@
 """The platform's key-value service and host list, and this process's copy of the state keys."""
 
-from lentilrill.platform._contract import (
+from lentilrill.store._contract import (
     Compare,
     DeleteRange,
     HostInfo,
@@ -17,10 +17,10 @@
     WatchBatch,
     WatchStream,
 )
-from lentilrill.platform._etcd import MAX_VALUE_BYTES, EtcdKeyValue
-from lentilrill.platform._guard import CallBudget
-from lentilrill.platform._hostlist import HttpHostList
-from lentilrill.platform._mirror import Mirror
+from lentilrill.store._etcd import MAX_VALUE_BYTES, EtcdKeyValue
+from lentilrill.store._guard import CallBudget
+from lentilrill.store._hostlist import HttpHostList
+from lentilrill.store._mirror import Mirror
 
 __all__ = [
     "MAX_VALUE_BYTES",
--- a/src/lentilrill/platform/_etcd.py
+++ b/src/lentilrill/store/_etcd.py
@@ -10,7 +10,8 @@
 
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import Revision
-from lentilrill.platform._contract import (
+from lentilrill.settings import PlatformSettings
+from lentilrill.store._contract import (
     Compare,
     DeleteRange,
     Item,
@@ -19,11 +20,10 @@
     RangeAnswer,
     TxnAnswer,
 )
-from lentilrill.platform._guard import CallBudget, CallGuard, Effect
-from lentilrill.platform._transport import ODD, Transport
-from lentilrill.platform._watch import Watch
-from lentilrill.platform._wire import Header, StoredKey
-from lentilrill.settings import PlatformSettings
+from lentilrill.store._guard import CallBudget, CallGuard, Effect
+from lentilrill.store._transport import ODD, Transport
+from lentilrill.store._watch import Watch
+from lentilrill.store._wire import Header, StoredKey
 from lentilrill.telemetry import Metrics
 
 __all__ = ["MAX_VALUE_BYTES", "EtcdKeyValue"]
@@ -67,7 +67,7 @@
 
 
 class EtcdKeyValue:
-    """A :class:`~lentilrill.platform.KeyValue` on etcd v3.
+    """A :class:`~lentilrill.store.KeyValue` on etcd v3.
 
     Keys are relative: the system's prefix is put in front of those that go out and taken off
     those that come back.
--- a/src/lentilrill/platform/_guard.py
+++ b/src/lentilrill/store/_guard.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result
 
 from lentilrill.faults import Fault, FaultKind
-from lentilrill.platform._contract import Priority
+from lentilrill.store._contract import Priority
 from lentilrill.telemetry import Event, Metrics, log
 
 __all__ = ["CallBudget", "CallGuard", "CircuitBreaker", "Effect"]
--- a/src/lentilrill/platform/_hostlist.py
+++ b/src/lentilrill/store/_hostlist.py
@@ -7,10 +7,10 @@
 from returns.result import Failure, Result, Success
 
 from lentilrill.faults import Fault, FaultKind
-from lentilrill.platform._contract import HostListing, Priority
-from lentilrill.platform._guard import CallBudget, CallGuard, Effect
-from lentilrill.platform._transport import ODD, Transport
 from lentilrill.settings import PlatformSettings
+from lentilrill.store._contract import HostListing, Priority
+from lentilrill.store._guard import CallBudget, CallGuard, Effect
+from lentilrill.store._transport import ODD, Transport
 from lentilrill.telemetry import Metrics
 
 __all__ = ["HttpHostList"]
@@ -20,7 +20,7 @@
 
 
 class HttpHostList:
-    """A :class:`~lentilrill.platform.HostList` read by GET from the platform.
+    """A :class:`~lentilrill.store.HostList` read by GET from the platform.
 
     :param budget: the process's call budget, if it is shared with other clients.
     """
--- a/src/lentilrill/platform/_mirror.py
+++ b/src/lentilrill/store/_mirror.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from lentilrill.ids import Revision
-from lentilrill.platform._contract import Item
+from lentilrill.store._contract import Item
 
 __all__ = ["Mirror"]
 
--- a/src/lentilrill/platform/_transport.py
+++ b/src/lentilrill/store/_transport.py
@@ -17,7 +17,7 @@
 )
 
 from lentilrill.faults import Fault, FaultKind
-from lentilrill.platform._guard import Effect
+from lentilrill.store._guard import Effect
 
 __all__ = ["ODD", "Transport", "shown"]
 
--- a/src/lentilrill/platform/_watch.py
+++ b/src/lentilrill/store/_watch.py
@@ -11,10 +11,10 @@
 
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import Revision
-from lentilrill.platform._contract import Item, Priority, WatchBatch
-from lentilrill.platform._guard import CallGuard, Effect
-from lentilrill.platform._transport import MAX_ANSWER_BYTES, ODD, OK, READ_BYTES, Transport, shown
-from lentilrill.platform._wire import Header, StoredKey
+from lentilrill.store._contract import Item, Priority, WatchBatch
+from lentilrill.store._guard import CallGuard, Effect
+from lentilrill.store._transport import MAX_ANSWER_BYTES, ODD, OK, READ_BYTES, Transport, shown
+from lentilrill.store._wire import Header, StoredKey
 
 __all__ = ["Watch"]
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from lentilrill.platform import HostInfo
+from lentilrill.store import HostInfo
 from standins import _etcd_http
 from standins._http import Call, Server
 from standins._signals import stop_event
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -10,7 +10,7 @@
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import Revision, ZoneId
 from lentilrill.membership import Liveness, Member, Role, ZoneNews
-from lentilrill.platform import (
+from lentilrill.store import (
     Compare,
     DeleteRange,
     HostInfo,
--- a/tests/fleet/test_budgets.py
+++ b/tests/fleet/test_budgets.py
@@ -11,8 +11,8 @@
 from lentilrill.fleet._ledger import Basis, Ledger
 from lentilrill.ids import HostId, PoolId, Revision, StopId, ZoneId
 from lentilrill.membership import ZoneNews
-from lentilrill.platform import Mirror
 from lentilrill.settings import Document, Objective, PlannedStop
+from lentilrill.store import Mirror
 from tests.builders import a_plan, a_pool, an_entitlement
 from tests.fleet.world import World
 
--- a/tests/fleet/test_random.py
+++ b/tests/fleet/test_random.py
@@ -17,8 +17,8 @@
 from lentilrill.ids import HostId, StopId, ZoneId
 from lentilrill.inner import Barred, Batch, WithdrawalAck
 from lentilrill.membership import Member, ZoneRecord, zone_key
-from lentilrill.platform import HostState, Item, Mirror
 from lentilrill.settings import Document, Objective, PlannedStop
+from lentilrill.store import HostState, Item, Mirror
 from tests.builders import a_member, a_plan, a_pool
 from tests.fleet.world import Controller, World
 
--- a/tests/fleet/test_withdrawal.py
+++ b/tests/fleet/test_withdrawal.py
@@ -10,8 +10,8 @@
 from lentilrill.fleet._turns import Place
 from lentilrill.ids import HostId, Incarnation, PoolId, Revision, StopId
 from lentilrill.inner import Barred, WithdrawalAck
-from lentilrill.platform import HostState, Mirror
 from lentilrill.settings import Document, PlannedStop
+from lentilrill.store import HostState, Mirror
 from tests.builders import a_member, a_plan, a_pool
 from tests.fleet.world import World
 
--- a/tests/fleet/world.py
+++ b/tests/fleet/world.py
@@ -6,8 +6,8 @@
 from lentilrill.ids import HostId, PoolId, Revision, ZoneId
 from lentilrill.inner import Barred, Batch, HostTrouble, WithdrawalAck
 from lentilrill.membership import Member, Role, ZoneRecord, zone_key
-from lentilrill.platform import HostInfo, HostState, Mirror
 from lentilrill.settings import ControllerSettings, Document, InnerKeys, PlatformSettings
+from lentilrill.store import HostInfo, HostState, Mirror
 from tests.builders import a_member
 from tests.fakes import CountingMetrics, FakeHostList, FakeKeyValue, FakeNode, FakeRoster
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -22,9 +22,9 @@
 from lentilrill.ids import GrantId, HostId, PoolId, RequestId, Revision, ZoneId
 from lentilrill.inner import ClaimState, Refusal, Verdict
 from lentilrill.jobs import Claim, ClaimResult, Recorded
-from lentilrill.platform import Item, Mirror
 from lentilrill.routing import Decline, Job, Slot, Where
 from lentilrill.settings import Document, GatewaySettings
+from lentilrill.store import Item, Mirror
 from lentilrill.telemetry import NoMetrics
 from tests import builders
 
--- a/tests/gossip/test_heartbeats.py
+++ b/tests/gossip/test_heartbeats.py
@@ -10,8 +10,8 @@
 from lentilrill.ids import EntryHostId, Incarnation, ProcessId, Revision, ZoneId
 from lentilrill.inner import Node, StateItems
 from lentilrill.membership import Liveness, Member, Role, RosterView, ZoneRecord, zone_key
-from lentilrill.platform import Item, Mirror
 from lentilrill.settings import InnerKeys, ProcessSettings
+from lentilrill.store import Item, Mirror
 from lentilrill.telemetry import NoMetrics
 from tests import builders
 
--- a/tests/gossip/test_recorder.py
+++ b/tests/gossip/test_recorder.py
@@ -10,7 +10,7 @@
 from lentilrill.gossip import ZoneRecorder, next_record
 from lentilrill.ids import EntryHostId, HostId, RackId, Revision, ZoneId
 from lentilrill.membership import Member, Role, RosterView, ZoneRecord
-from lentilrill.platform import (
+from lentilrill.store import (
     HostInfo,
     HostKind,
     HostListing,
--- a/tests/gossip/test_watcher.py
+++ b/tests/gossip/test_watcher.py
@@ -7,7 +7,7 @@
 from lentilrill.gossip import Watcher
 from lentilrill.ids import Revision
 from lentilrill.membership import Role, RosterView
-from lentilrill.platform import Mirror
+from lentilrill.store import Mirror
 from lentilrill.telemetry import NoMetrics
 from tests import builders
 from tests.fakes import FakeNode
--- a/tests/inner/test_codec.py
+++ b/tests/inner/test_codec.py
@@ -10,7 +10,7 @@
 from lentilrill.ids import Incarnation, ProcessId, Revision
 from lentilrill.inner import Batch, StateItems, decode, encode
 from lentilrill.inner._codec import MAX_BATCH_BYTES
-from lentilrill.platform import Item
+from lentilrill.store import Item
 
 
 def a_batch(size_bytes: int) -> Batch:
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -10,7 +10,7 @@
 from lentilrill.ids import Revision, ZoneId
 from lentilrill.inner import Batch, Message
 from lentilrill.membership import Liveness, Member, Role
-from lentilrill.platform import (
+from lentilrill.store import (
     Compare,
     DeleteRange,
     Item,
--- a/tests/operators/serving.py
+++ b/tests/operators/serving.py
@@ -7,8 +7,8 @@
 from lentilrill.ids import EntryHostId, Incarnation, ProcessId, Revision, ZoneId
 from lentilrill.membership import Liveness, Role
 from lentilrill.operators import MemberStatus, OperatorServer, Status
-from lentilrill.platform import HostList, Mirror
 from lentilrill.settings import ControllerSettings, Document, PlatformSettings, encode_lists
+from lentilrill.store import HostList, Mirror
 from tests.builders import an_address, digest, inner_keys
 from tests.fakes import FakeKeyValue
 
--- a/tests/operators/test_editing.py
+++ b/tests/operators/test_editing.py
@@ -12,8 +12,8 @@
     EditOutcome,
     EditVerdict,
 )
-from lentilrill.platform import Compare, Put
 from lentilrill.settings import Document, PlannedStop
+from lentilrill.store import Compare, Put
 from tests.builders import a_document, a_plan
 from tests.fakes import FakeKeyValue, lose_answer, lose_request, refuse
 
--- a/tests/operators/test_over_platform.py
+++ b/tests/operators/test_over_platform.py
@@ -6,8 +6,8 @@
 import msgspec
 from testtools import TestCase
 
-from lentilrill.platform import EtcdKeyValue
 from lentilrill.settings import PlatformSettings
+from lentilrill.store import EtcdKeyValue
 from lentilrill.telemetry import NoMetrics
 from standins.platform import PlatformStandin
 from tests.builders import a_document, a_plan
--- a/tests/operators/test_server.py
+++ b/tests/operators/test_server.py
@@ -11,7 +11,7 @@
 
 from lentilrill.operators import MAX_BODY_BYTES
 from lentilrill.operators._server import AT_ONCE
-from lentilrill.platform import HostInfo
+from lentilrill.store import HostInfo
 from tests.builders import a_document, a_plan
 from tests.fakes import FakeHostList, lose_answer
 from tests.operators.serving import ServedController, lists_body
--- a/tests/operators/test_whole_status.py
+++ b/tests/operators/test_whole_status.py
@@ -18,8 +18,8 @@
 from lentilrill.ids import ProcessId, Revision, StopId, ZoneId
 from lentilrill.membership import Liveness, Member, Role, ZoneRecord, zone_key
 from lentilrill.operators import StopState, reach
-from lentilrill.platform import Item, Mirror
 from lentilrill.settings import PlannedStop
+from lentilrill.store import Item, Mirror
 from tests.builders import a_document, a_member, an_entry
 
 
--- a/tests/routing/site.py
+++ b/tests/routing/site.py
@@ -11,11 +11,11 @@
 from lentilrill.ids import PoolId, RequestId, Revision, ZoneId
 from lentilrill.inner import Ask, Done, Granted, Node, Refused, Verdict
 from lentilrill.membership import Liveness, Member, Role, ZoneRecord, zone_key
-from lentilrill.platform import Item, Mirror
 from lentilrill.routing import Job, Routing
 from lentilrill.routing._queue import Caller
 from lentilrill.routing._scheduler import Reply
 from lentilrill.settings import Document, Entitlement, InnerKeys, Plan
+from lentilrill.store import Item, Mirror
 from tests import builders
 
 __all__ = [
--- a/tests/platform/test_etcd.py
+++ b/tests/store/test_etcd.py
@@ -8,7 +8,8 @@
 
 from lentilrill.faults import FaultKind
 from lentilrill.ids import Revision
-from lentilrill.platform import (
+from lentilrill.settings import PlatformSettings
+from lentilrill.store import (
     MAX_VALUE_BYTES,
     Compare,
     DeleteRange,
@@ -18,7 +19,6 @@
     TxnAnswer,
     WatchBatch,
 )
-from lentilrill.settings import PlatformSettings
 from lentilrill.telemetry import NoMetrics
 from standins.platform import PlatformStandin
 
--- a/tests/platform/test_guard.py
+++ b/tests/store/test_guard.py
@@ -7,8 +7,8 @@
 from testtools.matchers import GreaterThan
 
 from lentilrill.faults import Fault, FaultKind
-from lentilrill.platform import Priority
-from lentilrill.platform._guard import FAILURES_TO_OPEN, CallBudget, CallGuard, Effect
+from lentilrill.store import Priority
+from lentilrill.store._guard import FAILURES_TO_OPEN, CallBudget, CallGuard, Effect
 from lentilrill.telemetry import NoMetrics
 
 FIRST, LATER = Priority.FIRST, Priority.LATER
--- a/tests/platform/test_hostlist.py
+++ b/tests/store/test_hostlist.py
@@ -5,8 +5,8 @@
 
 from lentilrill.faults import FaultKind
 from lentilrill.ids import HostId, RackId, ZoneId
-from lentilrill.platform import HostInfo, HostState, HttpHostList
 from lentilrill.settings import PlatformSettings
+from lentilrill.store import HostInfo, HostState, HttpHostList
 from lentilrill.telemetry import NoMetrics
 from standins.platform import PlatformStandin
 
--- a/tests/platform/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from lentilrill.ids import Revision
-from lentilrill.platform import Item, Mirror
+from lentilrill.store import Item, Mirror
 
 changes = st.lists(
     st.tuples(st.sampled_from("abc"), st.booleans()).map(tuple), min_size=1, max_size=20
--- a/tests/platform/test_odd_answers.py
+++ b/tests/store/test_odd_answers.py
@@ -6,8 +6,8 @@
 from testtools import TestCase
 
 from lentilrill.ids import Revision
-from lentilrill.platform import EtcdKeyValue, HttpHostList
 from lentilrill.settings import PlatformSettings
+from lentilrill.store import EtcdKeyValue, HttpHostList
 from lentilrill.telemetry import NoMetrics
 
 SETTINGS = PlatformSettings(("127.0.0.1:1",), "127.0.0.1:1", deadline_s=0.05, calls_per_s=1e9)
--- a/tests/platform/test_transport.py
+++ b/tests/store/test_transport.py
@@ -9,8 +9,8 @@
 from testtools import TestCase
 
 from lentilrill.faults import FaultKind
-from lentilrill.platform._guard import Effect
-from lentilrill.platform._transport import FRESH_S, Transport
+from lentilrill.store._guard import Effect
+from lentilrill.store._transport import FRESH_S, Transport
 
 WAIT_S = 20.0
 SHORT_S = 0.2
