Execution: a run is adopted although its job is unknown yet, and strays are stopped

Ruled out: a look that lists too little (the log shows run_unknown for that very run).

Change: steps open as the job is read; a run of an unknown job counts as its task's until its job is known, and is stopped after 3 s or at once if its job is final.

--- a/src/lentilrill/execution/_book.py
+++ b/src/lentilrill/execution/_book.py
@@ -153,7 +153,6 @@
         "dirty",
         "ended_ms",
         "final_stored",
-        "is_new",
         "job",
         "lasts",
         "next_occurrence",
@@ -173,16 +172,14 @@
         self.ended_ms = 0
         self.final_stored = False
         self.dirty = False
-        self.is_new = True
         self.version = 0
         self.stored_revision = Revision(0)
         self.steps_by_occurrence: dict[int, list[StepBook]] = {}
         self.next_occurrence = 0
         self.lasts = any(step.lasting for step in job.steps)
 
-    def open_occurrences(self, now_ms: int) -> bool:
-        """Create the steps of occurrences that have come due; return whether any did."""
-        opened = False
+    def open_occurrences(self, now_ms: int) -> None:
+        """Create the steps of occurrences that have come due."""
         while self.next_occurrence < max(1, self.job.occurrences):
             if self.job.due_ms(self.next_occurrence) > now_ms:
                 break
@@ -192,8 +189,6 @@
                 for index, step in enumerate(self.job.steps)
             ]
             self.next_occurrence += 1
-            opened = True
-        return opened
 
     @property
     def all_done(self) -> bool:
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -8,7 +8,7 @@
 
 from lentilrill.execution._book import Run
 from lentilrill.execution._contract import EndpointCalls, Look, OrderAnswer, StartOrder, Verdict
-from lentilrill.workloads import EndpointEntry
+from lentilrill.workloads import EndpointEntry, TaskId
 
 __all__ = ["HOLD_S", "EndpointLink", "Order", "OrderKind"]
 
@@ -40,15 +40,27 @@
 
 
 class Order:
-    """An order that waits to be sent."""
+    """An order that waits to be sent, about one run of a task.
 
-    __slots__ = ("kind", "pace", "run")
+    :param run: the run as the owner knows it; ``None`` for a stray one that is to be stopped.
+    """
+
+    __slots__ = ("kind", "number", "pace", "run", "task")
 
-    def __init__(self, kind: OrderKind, run: Run, pace: int = 100) -> None:
+    def __init__(
+        self, kind: OrderKind, task: TaskId, number: int, run: Run | None = None, pace: int = 100
+    ) -> None:
         self.kind = kind
+        self.task = task
+        self.number = number
         self.run = run
         self.pace = pace
 
+    @classmethod
+    def of(cls, kind: OrderKind, run: Run, pace: int = 100) -> "Order":
+        """Return an order about a run that the owner knows."""
+        return cls(kind, run.task.id, run.number, run, pace)
+
 
 class _Owner(Protocol):
     @property
@@ -71,13 +83,15 @@
 class EndpointLink:
     """An endpoint's state and its two tasks: one looks, one sends orders.
 
+    :ivar strays_by_key: runs of jobs that the owner does not know, by when they were first seen.
     :ivar lease_end: when all leases ever given to this endpoint have surely ended, by this
         process's monotonic clock; 0 if none was given.
     """
 
     def __init__(self, owner: _Owner, entry: EndpointEntry, calls: EndpointCalls) -> None:
         self.entry = entry
-        self.runs_by_key: dict[tuple[object, int], Run] = {}
+        self.runs_by_key: dict[tuple[TaskId, int], Run] = {}
+        self.strays_by_key: dict[tuple[TaskId, int], float] = {}
         self.looked_once = False
         self.reachable = False
         self.registered = True
@@ -199,11 +213,12 @@
         if not self._owner.may_order():
             return OrderAnswer(Verdict.BUSY)
         run = order.run
-        if run.key not in self.runs_by_key:
+        if run is not None and run.key not in self.runs_by_key:
             return None
         if order.kind is OrderKind.START:
+            assert run is not None
             start = self._owner.start_for(self, run)
             return None if start is None else self._calls.start(start)
         if order.kind is OrderKind.STOP:
-            return self._calls.stop(run.task.id, run.number, self._owner.token)
-        return self._calls.pace(run.task.id, run.number, order.pace, self._owner.token)
+            return self._calls.stop(order.task, order.number, self._owner.token)
+        return self._calls.pace(order.task, order.number, order.pace, self._owner.token)
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -7,7 +7,7 @@
 from lentilrill.execution._reconcile import is_unwell
 from lentilrill.ids import EndpointId
 from lentilrill.scheduling import EndpointRoom, Standing, next_pace, place, sort_key
-from lentilrill.workloads import JobState, Queue, Resources
+from lentilrill.workloads import JobState, Queue, Resources, TaskId
 
 __all__ = ["Planner"]
 
@@ -41,11 +41,13 @@
         now: float,
         blocked: bool,
         taken_over_at: int,
+        strays: set[TaskId],
     ) -> list[tuple[EndpointId, Run]]:
         """Place waiting tasks into free room.
 
         :param blocked: tasks of jobs accepted before ``taken_over_at`` (a revision) may still run
             where nobody has looked yet, so they are not started now.
+        :param strays: tasks seen under way that are not in the book yet.
         """
         placed: list[tuple[EndpointId, Run]] = []
         standing = [(sort_key(_standing(book, queue, now)), book) for book, queue in jobs]
@@ -56,13 +58,21 @@
             if blocked and book.revision < taken_over_at:
                 continue
             for step in book.open_steps():
-                placed += self._place_step(step, rooms, now)
+                placed += self._place_step(step, rooms, now, strays)
         return placed
 
     def _place_step(
-        self, step: StepBook, rooms: dict[EndpointId, EndpointRoom], now: float
+        self,
+        step: StepBook,
+        rooms: dict[EndpointId, EndpointRoom],
+        now: float,
+        strays: set[TaskId],
     ) -> list[tuple[EndpointId, Run]]:
-        waiting = [task for task in step.tasks if task.waiting and task.not_before <= now]
+        waiting = [
+            task
+            for task in step.tasks
+            if task.waiting and task.not_before <= now and task.id not in strays
+        ]
         if not waiting:
             return []
         if step.spec.gang:
@@ -131,7 +141,7 @@
         for run in fillers:
             if run.phase is RunPhase.UNDER_WAY and run.pace != link.pace:
                 run.pace = link.pace
-                orders.append(Order(OrderKind.PACE, run, link.pace))
+                orders.append(Order.of(OrderKind.PACE, run, link.pace))
         return orders
 
 
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -234,6 +234,7 @@
 
     def _add(self, job: Job, revision: Revision) -> None:
         book = JobBook(job, revision, _arrival(job))
+        book.open_occurrences(int(time.time() * 1000))
         self._jobs_by_id[job.id] = book
         self._live_by_id[job.id] = book
         if job.id in self._early_cancels:
@@ -347,8 +348,7 @@
             jobs = []
             urgent = False
             for book in list(self._live_by_id.values()):
-                if book.open_occurrences(now_ms) and book.is_new:
-                    book.is_new = False
+                book.open_occurrences(now_ms)
                 if not book.state.is_final and book.all_done:
                     book.end(JobState.COMPLETED, now_ms)
                 if book.state.is_final:
@@ -360,11 +360,12 @@
                 jobs.append((book, queue))
             blocked = bool(self._unseen) and now - self._gained_at < TAKE_OVER_S
             rooms = self._planner.rooms(self._links_by_id.values(), now)
-            placed = self._planner.starts(jobs, rooms, now, blocked, self.token)
+            strays = {key[0] for link in self._links_by_id.values() for key in link.strays_by_key}
+            placed = self._planner.starts(jobs, rooms, now, blocked, self.token, strays)
             for endpoint, run in placed:
                 link = self._links_by_id[endpoint]
                 link.runs_by_key[run.key] = run
-                orders.append((link, Order(OrderKind.START, run)))
+                orders.append((link, Order.of(OrderKind.START, run)))
             for link in self._links_by_id.values():
                 orders += [(link, order) for order in self._planner.paces(link, now)]
         for link, order in orders:
@@ -379,7 +380,7 @@
                 link = self._links_by_id.get(run.endpoint)
                 if link is not None and run.phase is not RunPhase.STOPPING:
                     run.phase = RunPhase.STOPPING
-                    orders.append((link, Order(OrderKind.STOP, run)))
+                    orders.append((link, Order.of(OrderKind.STOP, run)))
         return orders
 
     def _expire_leases(self, now: float) -> None:
@@ -441,7 +442,7 @@
             if book.state.is_final or link.entry.draining or run.phase is RunPhase.STOPPING:
                 if run.in_doubt:
                     run.phase = RunPhase.STOPPING
-                    link.order(Order(OrderKind.STOP, run))
+                    link.order(Order.of(OrderKind.STOP, run))
                 else:
                     self._reconciler.drop(link, run, "not wanted any more")
                 return None
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -14,6 +14,9 @@
 
 RETRY_ELSEWHERE_S = 0.3
 """Pause before a task whose start was refused is placed again: by then a look has told why."""
+STRAY_S = 3.0
+"""Time after which a run of an unknown job is stopped: several rounds of the watch that tells of
+accepted jobs, which are told directly besides."""
 UNWELL_FAILURES = 3
 """Failed runs in a row, of different tasks, after which an endpoint gets one task at a time: with
 one failure in thirty, a well endpoint does so once in 27,000 runs."""
@@ -50,9 +53,11 @@
                 self._end(link, end)
         stops = []
         seen = set()
+        strays = link.strays_by_key
         for running in look.running:
             seen.add((running.task, running.number))
             stops += self._see(link, running)
+        link.strays_by_key = {key: since for key, since in strays.items() if key in seen}
         for key, run in list(link.runs_by_key.items()):
             if key in seen or key in ended:
                 continue
@@ -63,7 +68,7 @@
     def take_answer(self, link: EndpointLink, order: Order, verdict: Verdict) -> Order | None:
         """Take over an order's answer; return what must be sent next, if anything."""
         run = order.run
-        if run.key not in link.runs_by_key or order.kind is OrderKind.PACE:
+        if run is None or run.key not in link.runs_by_key or order.kind is OrderKind.PACE:
             return None
         if order.kind is OrderKind.STOP:
             return self._take_stop_answer(run, order, verdict)
@@ -93,7 +98,7 @@
             # Guard against a task that runs twice: an earlier sending of this start may still be
             # carried out. A stop makes the endpoint refuse it from then on.
             run.phase = RunPhase.STOPPING
-            return Order(OrderKind.STOP, run)
+            return Order.of(OrderKind.STOP, run)
         self.drop(link, run, verdict.value)
         return None
 
@@ -177,7 +182,8 @@
         if run is None:
             run = self._adopt(link, running)
             if run is None:
-                return []
+                return self._stray(link, running)
+        link.strays_by_key.pop(key, None)
         if running.percent != run.percent:
             run.changed_at = time.monotonic()
         run.percent, run.load = running.percent, running.load
@@ -191,16 +197,36 @@
             run.confirmed_at = run.confirmed_at or time.monotonic()
         return []
 
+    def _stray(self, link: EndpointLink, running: RunSeen) -> list[Order]:
+        """Stop a run that belongs to no job that is open here.
+
+        A job whose acceptance has not been read yet gets some time; until then the run counts as
+        its task's, so that the task is not started a second time.
+        """
+        key = (running.task, running.number)
+        now = time.monotonic()
+        since = link.strays_by_key.setdefault(key, now)
+        is_known = running.task.job in self._jobs_by_id
+        log(
+            Event.RUN_UNKNOWN,
+            task=running.task,
+            run=running.number,
+            endpoint=link.entry.id,
+            job_known=is_known,
+            for_s=round(now - since, 1),
+        )
+        if is_known or now - since > STRAY_S:
+            return [Order(OrderKind.STOP, running.task, running.number)]
+        return []
+
     def _adopt(self, link: EndpointLink, running: RunSeen) -> Run | None:
-        """Take over a run that this owner has not started, if it is wanted; else have it stopped.
+        """Take over a run that this owner has not started, if its job is open.
 
         An earlier owner started it, or an order was carried out after it had been given up.
         """
         book = self._jobs_by_id.get(running.task.job)
         task = book.task(running.task) if book is not None else None
         if book is None or task is None:
-            # Its acceptance may not have been read yet. What nobody wants lapses by itself.
-            log(Event.RUN_UNKNOWN, task=running.task, endpoint=link.entry.id)
             return None
         run = Run(task, running.number, link.entry.id, task.step.spec.reserved)
         run.phase = RunPhase.UNDER_WAY
--- a/src/lentilrill/execution/_release.py
+++ b/src/lentilrill/execution/_release.py
@@ -70,4 +70,4 @@
 def _stop(run: Run) -> Order:
     run.phase = RunPhase.STOPPING
     run.by_choice = True
-    return Order(OrderKind.STOP, run)
+    return Order.of(OrderKind.STOP, run)
