--- a/src/lentilrill/execution/_book.py
+++ b/src/lentilrill/execution/_book.py
@@ -78,7 +78,8 @@
 
     @property
     def at_work(self) -> bool:
-        """Whether the endpoint says that it works at full pace."""
+        """Whether it has started up and works. One that is being stopped still shows as at work
+        on its endpoint until it has ended, but does not count."""
         return self.phase is RunPhase.UNDER_WAY and self.percent >= 100
 
 
@@ -86,14 +87,12 @@
     """One task: its runs, failures and newest checkpoint."""
 
     __slots__ = (
-        "away_since",
         "checkpoint",
         "done",
         "failed_on",
         "failures",
         "id",
         "not_before",
-        "ordered_away",
         "runs",
         "step",
     )
@@ -107,8 +106,6 @@
         self.runs: list[Run] = []
         self.failed_on: set[EndpointId] = set()
         self.not_before = 0.0
-        self.away_since = time.monotonic()
-        self.ordered_away = False
 
     @property
     def waiting(self) -> bool:
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -144,6 +144,14 @@
         """Cut a pause between two looks short."""
         self._nudge.set()
 
+    def inherit_lease(self, now: float) -> None:
+        """Count a lease that an earlier owner gave, of which only the longest length is known.
+
+        Guard against a task that waits for ever: its endpoint is lost between the look that found
+        its run and the first lease of this owner's.
+        """
+        self.lease_end = max(self.lease_end, now + HOLD_S / (1 - CLOCK_ERROR) + LAPSE_SLACK_S)
+
     def note_clock(self, clock_ms: int, read_at: float) -> None:
         """Note the endpoint's clock as read at a moment of this process's monotonic clock."""
         if clock_ms:
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -152,6 +152,8 @@
         and link.reachable
         and link.registered
         and not link.released
+        # The room that a stray takes is not known.
+        and not link.strays_by_key
         and not link.entry.draining
         and now - link.heard < HEARD_S
     )
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -300,9 +300,12 @@
     def _is_over(self, link: EndpointLink) -> bool:
         """Whether a link is of no use any more: its endpoint is not registered, and nothing runs
         there, or has been unreachable for longer than its lease."""
-        if link.registered:
-            return False
         now = time.monotonic()
+        # Guard against a task that runs twice: a cut zone's endpoints vanish from the store while
+        # a former owner's tasks still run there, until that owner's last leases have ended.
+        former = link.entry.id in self._unseen and now - self._gained_at < TAKE_OVER_S
+        if link.registered or former:
+            return False
         silent = now - max(link.heard, link.since) > FORGET_LINK_S
         return not link.runs_by_key and (link.closed or (silent and now > link.lease_end))
 
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -115,8 +115,6 @@
         task = run.task
         if run in task.runs:
             task.runs.remove(run)
-        if not task.runs and not task.done:
-            task.away_since = time.monotonic()
         if run.phase is not RunPhase.STOPPING:
             log(
                 Event.RUN_GONE,
@@ -189,9 +187,6 @@
         run.percent, run.load = running.percent, running.load
         if running.checkpoint:
             run.task.checkpoint = running.checkpoint
-        if run.at_work:
-            # Not while it is being stopped: it still shows as at work until it has ended.
-            run.task.ordered_away = False
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.UNDER_WAY
             run.confirmed_at = run.confirmed_at or time.monotonic()
@@ -232,6 +227,7 @@
         run.phase = RunPhase.UNDER_WAY
         run.confirmed_at = time.monotonic()
         link.runs_by_key[run.key] = run
+        link.inherit_lease(run.confirmed_at)
         task.runs.append(run)
         if book.state is JobState.QUEUED:
             book.state = JobState.RUNNING
--- a/src/lentilrill/execution/_release.py
+++ b/src/lentilrill/execution/_release.py
@@ -6,9 +6,6 @@
 
 __all__ = ["away_tasks", "release", "renew_releases"]
 
-NOTICE_S = 4.0
-"""How long a lasting task may be idle for other causes before it counts as away; half a second
-short of the least notice of the platforms in use, so that we count it no later than they do."""
 FINISH_S = 2.5
 """How long tasks may finish before they are stopped: most tasks take a second or two, and one that
 is stopped without a checkpoint has worked for nothing."""
@@ -37,11 +34,10 @@
             continue
         spec = run.task.step.spec
         if spec.lasting:
-            away = away_tasks(run.task, now)
+            away = away_tasks(run.task)
             if spec.may_be_away and away >= spec.may_be_away:
                 reason = f"{away} tasks beside {run.task.id} are away"
                 continue
-            run.task.ordered_away = True
             orders.append(_stop(run))
         elif now - link.release_began > FINISH_S or spec.checkpoints:
             orders.append(_stop(run))
@@ -55,16 +51,17 @@
             link.released = False
 
 
-def away_tasks(task: TaskBook, now: float) -> int:
-    """Return how many other tasks of a lasting step are away: by our order and not back at work
-    yet, or idle for long for any cause."""
-    return sum(1 for other in task.step.tasks if other is not task and _is_away(other, now))
+def away_tasks(task: TaskBook) -> int:
+    """Return how many other tasks of a lasting step are not at work, for whatever cause.
 
-
-def _is_away(task: TaskBook, now: float) -> bool:
-    if any(run.at_work for run in task.runs):
-        return False
-    return task.ordered_away or now - task.away_since > NOTICE_S
+    Guard against a budget that is overdrawn by two owners: one stops a task and hands the pool
+    over, and the next one can't tell that the task is away by our doing. So any cause counts.
+    """
+    return sum(
+        1
+        for other in task.step.tasks
+        if other is not task and not any(run.at_work for run in other.runs)
+    )
 
 
 def _stop(run: Run) -> Order:
