Tests of jobs on entry hosts; an unexpected error ends no task; one line for each outage

Found by writing them: a look with a row of an odd type raised in the looking thread and would have ended it, so rounds are guarded now; a watch that fails logged a line for each try, now one for each outage.

--- a/src/lentilrill/entry/_news.py
+++ b/src/lentilrill/entry/_news.py
@@ -8,6 +8,7 @@
 from lentilrill.ids import PoolId, ProcessId
 from lentilrill.inner import Batch, Configured, HostNews, Node, PoolPressure
 from lentilrill.ownership import MemberRecord
+from lentilrill.telemetry import guarded
 
 __all__ = ["NewsDesk"]
 
@@ -49,12 +50,15 @@
     def run(self) -> None:
         """Tell news until closed."""
         while not self._ended.wait(TELL_EVERY_S):
-            pressures = self._pressures()
-            for pressure in pressures:
-                self._note(pressure)
-            news = HostNews(round(self._store_silent_s(), 2), self._book.version, pressures)
-            for peer in self._peers():
-                self._node.send(peer.inner, news)
+            guarded("news", self._tell)
+
+    def _tell(self) -> None:
+        pressures = self._pressures()
+        for pressure in pressures:
+            self._note(pressure)
+        news = HostNews(round(self._store_silent_s(), 2), self._book.version, pressures)
+        for peer in self._peers():
+            self._node.send(peer.inner, news)
 
     def close(self) -> None:
         """End the task soon."""
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -4,10 +4,12 @@
 import threading
 import time
 from enum import Enum
+from functools import partial
 from typing import Protocol
 
 from lentilrill.execution._book import Run
 from lentilrill.execution._contract import EndpointCalls, Look, OrderAnswer, StartOrder, Verdict
+from lentilrill.telemetry import guarded
 from lentilrill.workloads import EndpointEntry, TaskId
 
 __all__ = ["HOLD_S", "EndpointLink", "Order", "OrderKind"]
@@ -186,23 +188,27 @@
 
     def _look_on(self) -> None:
         while not self._ended.is_set():
-            if not self._owner.may_order():
+            if not guarded(f"look {self.entry.id}", self._look):
                 self._pause(RETRY_S)
-                continue
-            # The first look only fences, reads the clock, and finds what an earlier owner left.
-            first = not self.looked_once
-            expiry = None if first or not self.runs_by_key else self.expiry_ms()
-            wait_ms = 0 if first else BUSY_WAIT_MS if self.runs_by_key else IDLE_WAIT_MS
-            sent = time.monotonic()
-            look = self._calls.look(self._owner.token, self.stored_cursor, expiry, wait_ms)
-            if self._ended.is_set():
-                break
-            had = self.seen_cursor
-            self._owner.looked(self, look, sent)
-            if look.verdict is not Verdict.DONE:
-                self._pause(RETRY_S)
-            elif self.seen_cursor > had or self.seen_cursor > self.stored_cursor:
-                self._ended.wait(GATHER_S)
+
+    def _look(self) -> None:
+        if not self._owner.may_order():
+            self._pause(RETRY_S)
+            return
+        # The first look only fences, reads the clock, and finds what an earlier owner left.
+        first = not self.looked_once
+        expiry = None if first or not self.runs_by_key else self.expiry_ms()
+        wait_ms = 0 if first else BUSY_WAIT_MS if self.runs_by_key else IDLE_WAIT_MS
+        sent = time.monotonic()
+        look = self._calls.look(self._owner.token, self.stored_cursor, expiry, wait_ms)
+        if self._ended.is_set():
+            return
+        had = self.seen_cursor
+        self._owner.looked(self, look, sent)
+        if look.verdict is not Verdict.DONE:
+            self._pause(RETRY_S)
+        elif self.seen_cursor > had or self.seen_cursor > self.stored_cursor:
+            self._ended.wait(GATHER_S)
 
     def _pause(self, seconds: float) -> None:
         self._nudge.wait(seconds)
@@ -212,11 +218,14 @@
         while (order := self._orders.get()) is not None:
             if self._ended.is_set():
                 break
-            answer = self._send(order)
-            if answer is not None and not self._ended.is_set():
-                self._owner.answered(self, order, answer)
+            guarded(f"orders {self.entry.id}", partial(self._carry_out, order))
         self._calls.close()
 
+    def _carry_out(self, order: Order) -> None:
+        answer = self._send(order)
+        if answer is not None and not self._ended.is_set():
+            self._owner.answered(self, order, answer)
+
     def _send(self, order: Order) -> OrderAnswer | None:
         if not self._owner.may_order():
             return OrderAnswer(Verdict.BUSY)
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -17,7 +17,7 @@
 from lentilrill.ids import EndpointId, JobId, PoolId, QueueId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.store import Compare, Follower, Item, KeyValue, Put
-from lentilrill.telemetry import Event, log
+from lentilrill.telemetry import Event, guarded, log
 from lentilrill.workloads import Configuration, EndpointEntry, Job, JobProgress, JobState
 
 __all__ = ["PoolOwner"]
@@ -166,8 +166,14 @@
         """
         with self._lock:
             link = self._links_by_id.get(endpoint)
+            # Guard against a host that is taken from under its tasks: an owner that has just
+            # taken over knows nothing of an endpoint until it has looked there.
+            if not self._loaded or endpoint in self._unseen:
+                return ReleaseState.WAIT, "the pool is being taken over"
             if link is None:
                 return ReleaseState.FREE, "no such endpoint"
+            if not link.looked_once:
+                return ReleaseState.WAIT, "the endpoint has not been looked at"
             if cancel:
                 link.released = False
                 return ReleaseState.WAIT, "taken back"
@@ -273,8 +279,8 @@
                     self._changed.wait(PLAN_EVERY_S)
                 self._due = False
             if self.may_order():
-                self._refresh_links()
-                self._plan()
+                guarded(f"links of {self.pool}", self._refresh_links)
+                guarded(f"plan of {self.pool}", self._plan)
 
     def _refresh_links(self) -> None:
         entries = self._entries(self.pool)
--- a/src/lentilrill/intake/_group.py
+++ b/src/lentilrill/intake/_group.py
@@ -3,6 +3,7 @@
 import queue
 import threading
 import time
+from functools import partial
 
 import msgspec
 from returns.result import Failure
@@ -10,7 +11,7 @@
 from lentilrill.faults import FaultKind
 from lentilrill.ids import Revision
 from lentilrill.store import Compare, KeyValue, Put
-from lentilrill.telemetry import Event, log
+from lentilrill.telemetry import Event, guarded, log
 
 __all__ = ["Committed", "GroupCommit"]
 
@@ -84,7 +85,8 @@
                     self._wishes.put(None)
                     break
                 batch.setdefault(more.put.key, []).append(more)
-            self._commit([wishes for wishes in batch.values() if _in_time(wishes)])
+            groups = [wishes for wishes in batch.values() if _in_time(wishes)]
+            guarded("intake commit", partial(self._commit, groups))
 
     def _commit(self, groups: list[list[_Wish]]) -> None:
         if not groups:
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import msgspec
@@ -12,7 +13,7 @@
 from lentilrill.ownership._clock import boottime
 from lentilrill.ownership._members import MemberRecord, OwnerRecord, Shard, rank
 from lentilrill.store import Compare, DeleteRange, Follower, Item, KeyValue, Put
-from lentilrill.telemetry import Event, log
+from lentilrill.telemetry import Event, guarded, log
 
 __all__ = ["OWNER_TTL_S", "Ownership"]
 
@@ -198,10 +199,7 @@
 
     def _renew(self) -> None:
         while not self._ended.is_set():
-            if not self._lease:
-                self._register()
-            else:
-                self._keep()
+            guarded("lease", self._keep if self._lease else self._register)
             self._ended.wait(RENEW_S if self._lease else RENEW_S / 3)
 
     def _register(self) -> None:
@@ -258,7 +256,7 @@
             if self._clock() >= self._proved_until:
                 continue
             for shard in sorted(self._shards()):
-                self._claim_if_due(shard)
+                guarded("claim", partial(self._claim_if_due, shard))
 
     def _claim_if_due(self, shard: Shard) -> None:
         now = self._clock()
--- a/src/lentilrill/platform/_endpoint_wire.py
+++ b/src/lentilrill/platform/_endpoint_wire.py
@@ -49,8 +49,8 @@
     return f"{task.job}.{task.occurrence}.{task.step}.{task.number}"
 
 
-def _task(name: str) -> TaskId:
-    job, occurrence, step, index = name.split(".")
+def _task(name: object) -> TaskId:
+    job, occurrence, step, index = str(name).split(".")
     return TaskId(JobId(job), int(occurrence), int(step), int(index))
 
 
--- a/src/lentilrill/store/_follow.py
+++ b/src/lentilrill/store/_follow.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from returns.result import Failure
@@ -11,7 +12,7 @@
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import Revision
 from lentilrill.store._contract import Item, KeyValue, WatchStream
-from lentilrill.telemetry import Event, log
+from lentilrill.telemetry import Event, guarded, log
 
 __all__ = ["Follower"]
 
@@ -70,7 +71,7 @@
                 self._ended.wait(FIRST_PAUSE_S)
                 continue
             if revision is None:
-                revision = self._read()
+                revision = self._read(failures)
             if revision is not None:
                 revision, failures = self._listen(revision, failures)
             else:
@@ -85,13 +86,13 @@
         if self._watch is not None:
             self._watch.close()
 
-    def _read(self) -> Revision | None:
+    def _read(self, failures: int) -> Revision | None:
         result = self._kv.read(self._prefix)
         if isinstance(result, Failure):
-            self._note(result.failure())
+            self._note(result.failure(), failures)
             return None
         answer = result.unwrap()
-        self._listener.replaced(answer.items)
+        guarded(f"follow {self._prefix}", partial(self._listener.replaced, answer.items))
         self.heard = time.monotonic()
         self.read_once.set()
         return answer.revision
@@ -104,15 +105,18 @@
                 break
             if isinstance(result, Failure):
                 fault = result.failure()
-                self._note(fault)
+                self._note(fault, failures)
                 return (None if fault.kind is FaultKind.CONFLICT else after), failures + 1
             batch = result.unwrap()
             after, failures = batch.revision, 0
             self.heard = time.monotonic()
             if batch.items:
-                self._listener.changed(batch.items)
+                guarded(f"follow {self._prefix}", partial(self._listener.changed, batch.items))
                 self._ended.wait(self._pause_s)
         return after, failures
 
-    def _note(self, fault: Fault) -> None:
+    def _note(self, fault: Fault, failures: int) -> None:
+        # One line for each outage, however long it lasts and however often it is tried anew.
+        if failures:
+            return
         log(Event.WATCH_BROKEN, prefix=self._prefix, kind=fault.kind.value, reason=fault.reason)
--- a/src/lentilrill/telemetry/__init__.py
+++ b/src/lentilrill/telemetry/__init__.py
@@ -1,8 +1,19 @@
 """Event catalogue, logging and metrics."""
 
 from lentilrill.telemetry._events import Event, Level, log
+from lentilrill.telemetry._guarded import guarded
 from lentilrill.telemetry._lines import setup
 from lentilrill.telemetry._metrics import Metrics, NoMetrics, connect
 from lentilrill.telemetry._prometheus import ScrapedMetrics
 
-__all__ = ["Event", "Level", "Metrics", "NoMetrics", "ScrapedMetrics", "connect", "log", "setup"]
+__all__ = [
+    "Event",
+    "Level",
+    "Metrics",
+    "NoMetrics",
+    "ScrapedMetrics",
+    "connect",
+    "guarded",
+    "log",
+    "setup",
+]
--- a/src/lentilrill/upkeep/_waves.py
+++ b/src/lentilrill/upkeep/_waves.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable
 from enum import Enum
+from functools import partial
 from typing import Protocol
 
 import msgspec
@@ -13,7 +14,7 @@
 from lentilrill.inner import Message, ReleaseAsk, ReleaseState, ReleaseTold
 from lentilrill.ownership import Shard
 from lentilrill.store import Compare, KeyValue, Put
-from lentilrill.telemetry import Event, log
+from lentilrill.telemetry import Event, guarded, log
 from lentilrill.upkeep._contract import HostCalls, HostOrder, HostRow, HostState
 from lentilrill.workloads import Wave
 
@@ -113,7 +114,7 @@
         while not self._ended.is_set():
             waves = [w for n, w in sorted(self._waves().items()) if n not in self._completed]
             if waves and self._may_order():
-                self._round(waves)
+                guarded("waves", partial(self._round, waves))
             self._ended.wait(LOOK_S if waves else IDLE_S)
 
     def _load(self) -> bool:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,25 +10,41 @@
 from lentilrill.fleet import HostEntry
 from lentilrill.ids import (
     CustomerId,
+    EndpointId,
     EntryHostId,
     HostId,
     Incarnation,
+    JobId,
     PlanId,
     PoolId,
     ProcessId,
+    QueueId,
     RackId,
     ServiceId,
     ZoneId,
 )
 from lentilrill.membership import Member, Role
 from lentilrill.settings import Document, Entitlement, InnerKeys, Plan, Pool
+from lentilrill.workloads import (
+    Configuration,
+    EndpointEntry,
+    Job,
+    PoolEntry,
+    Queue,
+    Resources,
+    Step,
+)
 
 __all__ = [
+    "a_configuration",
     "a_document",
+    "a_job",
     "a_member",
     "a_plan",
     "a_pool",
+    "a_step",
     "an_address",
+    "an_endpoint",
     "an_entitlement",
     "an_entry",
     "digest",
@@ -118,3 +134,31 @@
         "http": "127.0.0.1:2",
     }
     return Member(**values | changes)
+
+
+def a_step(count: int = 2, **changes: Any) -> Step:
+    """Return a step of ``count`` small tasks that take a second."""
+    values: dict[str, Any] = {"needs": Resources(1000, 1000), "estimate_ms": 1000}
+    return Step(count, **(values | changes))
+
+
+def a_job(name: str = "a", *steps: Step, **changes: Any) -> Job:
+    """Return a job of the queue ``proofs`` and the pool ``notices``; one step by default."""
+    values: dict[str, Any] = {"spec": "text", "steps": steps or (a_step(),)}
+    return Job(JobId(name * 16), QueueId("proofs"), PoolId("notices"), **(values | changes))
+
+
+def an_endpoint(name: str = "e1", **changes: Any) -> EndpointEntry:
+    """Return an endpoint of the pool ``notices`` with room for four small tasks."""
+    values: dict[str, Any] = {"room": Resources(4000, 8000), "labels": ("a", "r1")}
+    address, zone = f"10.0.0.1:{len(name)}", ZoneId("holyoke")
+    return EndpointEntry(EndpointId(name), PoolId("notices"), address, zone, **(values | changes))
+
+
+def a_configuration(version: int = 1, **changes: Any) -> Configuration:
+    """Return a configuration with the queue ``proofs`` of the pool ``notices``."""
+    values: dict[str, Any] = {"max_attempts": 2, "stretch": 1.6, "objective_ms": 600}
+    queue = Queue(
+        QueueId("proofs"), "braille.example", "/proofs/", PoolId("notices"), **(values | changes)
+    )
+    return Configuration(version, (queue,), (PoolEntry(PoolId("notices")),))
--- /dev/null
+++ b/tests/execution/fakes.py
@@ -0,0 +1,158 @@
+"""An endpoint in memory, and a pool's owner that runs on such endpoints."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from lentilrill.execution import (
+    EndKind,
+    Look,
+    OrderAnswer,
+    PoolOwner,
+    RunEnd,
+    RunSeen,
+    StartOrder,
+    Verdict,
+)
+from lentilrill.ids import EndpointId, PoolId, Revision
+from lentilrill.workloads import Configuration, EndpointEntry, TaskId
+from tests.builders import a_configuration
+from tests.fakes import FakeKeyValue
+
+__all__ = ["FakeEndpoint", "OwnedPool", "eventually"]
+
+PATIENCE_S = 20.0
+LONGEST_WAIT_S = 0.05
+
+
+def eventually(condition: Callable[[], bool]) -> bool:
+    """Wait until ``condition`` holds; return whether it ever did."""
+    end = time.monotonic() + PATIENCE_S
+    while not condition():
+        if time.monotonic() > end:
+            return False
+        time.sleep(0.005)
+    return True
+
+
+class FakeEndpoint:
+    """Keeps runs, ends and the highest token as an endpoint does; leases don't run out.
+
+    :ivar silent: no call is answered, and none is carried out.
+    :ivar starts: all starts that were carried out, in order.
+    """
+
+    def __init__(self) -> None:
+        self.silent = False
+        self.token = 0
+        self.running: dict[tuple[TaskId, int], RunSeen] = {}
+        self.ended: list[RunEnd] = []
+        self.starts: list[tuple[TaskId, int]] = []
+        self.stops: list[tuple[TaskId, int]] = []
+        self.acknowledged = 0
+        self.looks = 0
+        self._cursor = 0
+        self._changed = threading.Condition()
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        with self._changed:
+            if self.silent:
+                return OrderAnswer(Verdict.UNKNOWN)
+            if order.token < self.token:
+                return OrderAnswer(Verdict.FENCED)
+            self.token = order.token
+            key = (order.task, order.number)
+            if key not in self.running:
+                self.running[key] = RunSeen(order.task, order.number, "", 0, 0.0)
+                self.starts.append(key)
+            return OrderAnswer(Verdict.DONE)
+
+    def stop(self, task: TaskId, number: int, token: int) -> OrderAnswer:
+        with self._changed:
+            if self.silent:
+                return OrderAnswer(Verdict.UNKNOWN)
+            if token < self.token:
+                return OrderAnswer(Verdict.FENCED)
+            self.stops.append((task, number))
+        self.end(task, number, EndKind.STOPPED)
+        return OrderAnswer(Verdict.DONE)
+
+    def pace(self, task: TaskId, number: int, percent: int, token: int) -> OrderAnswer:
+        del task, number, percent, token
+        return OrderAnswer(Verdict.DONE)
+
+    def look(self, token: int, acknowledged: int, expires_ms: int | None, wait_ms: int) -> Look:
+        del expires_ms
+        with self._changed:
+            if not self.silent and token >= self.token:
+                self.token = token
+                self.acknowledged = max(self.acknowledged, acknowledged)
+                self.ended = [end for end in self.ended if end.cursor > self.acknowledged]
+                if not self.ended:
+                    self._changed.wait(min(wait_ms / 1000, LONGEST_WAIT_S))
+            if self.silent:
+                return Look(Verdict.UNKNOWN)
+            if token < self.token:
+                return Look(Verdict.FENCED)
+            self.looks += 1
+            return Look(Verdict.DONE, 1_000_000, 1, tuple(self.running.values()), tuple(self.ended))
+
+    def end(self, task: TaskId, number: int, kind: EndKind = EndKind.DONE) -> None:
+        """End a run."""
+        with self._changed:
+            if self.running.pop((task, number), None) is not None:
+                self._cursor += 1
+                self.ended.append(RunEnd(self._cursor, task, number, kind, ""))
+                self._changed.notify_all()
+
+    def close(self) -> None:
+        pass
+
+
+class OwnedPool:
+    """The pool ``notices`` on fake endpoints, and its owners, one after the other."""
+
+    def __init__(self, *names: str) -> None:
+        self.kv = FakeKeyValue()
+        self.endpoints = {name: FakeEndpoint() for name in names}
+        self.entries: dict[EndpointId, EndpointEntry] = {}
+        self.configuration: Configuration = a_configuration()
+        self.refusals: list[str] = []
+        self.owners: list[PoolOwner] = []
+
+    def register(self, entry: EndpointEntry) -> None:
+        """Let an endpoint stand in the store."""
+        self.entries[entry.id] = entry
+
+    def take_over(self) -> PoolOwner:
+        """Start a new owner under a new token."""
+        token = self.kv.put("m/o/notices", b"owner")
+        owner = PoolOwner(
+            self.kv,
+            PoolId("notices"),
+            Revision(token),
+            "m/o/notices",
+            lambda: self.configuration,
+            lambda pool: dict(self.entries),
+            lambda entry: self.endpoints[entry.id],
+            lambda: True,
+            self.refusals.append,
+        )
+        self.owners.append(owner)
+        owner.start()
+        return owner
+
+    def close(self) -> None:
+        """End all owners."""
+        for owner in self.owners:
+            owner.close()
+
+    def starts(self) -> list[tuple[TaskId, int]]:
+        """Return the starts on all endpoints."""
+        return [start for endpoint in self.endpoints.values() for start in endpoint.starts]
+
+    def finish_all(self) -> None:
+        """End all runs as done."""
+        for endpoint in self.endpoints.values():
+            for task, number in list(endpoint.running):
+                endpoint.end(task, number)
--- /dev/null
+++ b/tests/execution/test_reconcile.py
@@ -0,0 +1,260 @@
+"""What looks and answers change in the owner's book."""
+
+import time
+
+from testtools import TestCase
+
+from lentilrill.execution import EndKind, Look, RunEnd, RunSeen, Verdict
+from lentilrill.execution._book import JobBook, Run, RunPhase
+from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._planner import Planner
+from lentilrill.execution._reconcile import STRAY_S, Reconciler
+from lentilrill.execution._release import release
+from lentilrill.ids import JobId, Revision
+from lentilrill.inner import ReleaseState
+from lentilrill.workloads import JobState, Step
+from tests.builders import a_job, a_step, an_endpoint
+from tests.execution.fakes import FakeEndpoint
+
+TOKEN = 7
+
+
+class Owner:
+    """Stands for the pool's owner; nothing is sent."""
+
+    token = TOKEN
+
+    def may_order(self) -> bool:
+        return False
+
+    def looked(self, *args: object) -> None: ...
+
+    def start_for(self, *args: object) -> None: ...
+
+    def answered(self, *args: object) -> None: ...
+
+
+class BookCase(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.jobs: dict[JobId, JobBook] = {}
+        self.reconciler = Reconciler(self.jobs, lambda book: 2)
+        self.link = EndpointLink(Owner(), an_endpoint(), FakeEndpoint())
+        self.link.looked_once = self.link.reachable = True
+        self.link.heard = time.monotonic()
+        self.link.note_clock(1000, time.monotonic())
+
+    def add(self, *steps: Step, name: str = "a") -> JobBook:
+        job = a_job(name, *steps)
+        book = JobBook(job, Revision(1), time.monotonic())
+        book.open_occurrences(0)
+        self.jobs[job.id] = book
+        return book
+
+    def run_of(self, book: JobBook, index: int = 0, *, confirmed: bool = True) -> Run:
+        task = book.tasks()[index]
+        run = Run(task, TOKEN * 1000 + 1, self.link.entry.id, task.step.spec.reserved)
+        task.runs.append(run)
+        self.link.runs_by_key[run.key] = run
+        if confirmed:
+            run.confirmed_at = time.monotonic()
+            run.phase = RunPhase.UNDER_WAY
+        return run
+
+    def look(self, *, running: tuple[RunSeen, ...] = (), ended: tuple[RunEnd, ...] = ()) -> list:
+        seen = Look(Verdict.DONE, 1000, 1, running, ended)
+        return self.reconciler.take_look(self.link, seen, time.monotonic())
+
+    def starts(self, strays: set | None = None) -> list:
+        rooms = Planner(TOKEN).rooms([self.link], time.monotonic())
+        jobs = [(book, None) for book in self.jobs.values()]
+        return Planner(TOKEN).starts(jobs, rooms, time.monotonic(), False, 0, strays or set())
+
+
+class LookTest(BookCase):
+    def test_a_run_that_is_not_listed_is_gone_once_it_was_confirmed(self) -> None:
+        """After an endpoint had started again its tasks were never run again.
+
+        The endpoint lists neither the run nor its end, since it knows nothing of its former
+        life. A look that was sent after the start was confirmed proves that the run is gone.
+        """
+        book = self.add(a_step(1))
+        self.run_of(book)
+        self.look()
+        self.assertTrue(book.tasks()[0].waiting)
+
+    def test_a_run_whose_start_is_on_its_way_is_kept(self) -> None:
+        """A task was started twice within milliseconds.
+
+        A look that left before the start arrived does not list the run. That proves nothing.
+        """
+        book = self.add(a_step(1))
+        self.run_of(book, confirmed=False)
+        self.look()
+        self.assertFalse(book.tasks()[0].waiting)
+
+    def test_a_stray_blocks_its_task_and_is_stopped_in_the_end(self) -> None:
+        """A worksheet ran twice: an endpoint ran a job that its pool's owner had not read yet.
+
+        Until the job is known its run counts as the task's; if the job never becomes known,
+        nobody wants it, and the run is stopped.
+        """
+        stray = RunSeen(a_job("b").steps and self._task("b"), 3, "", 0, 0.0)
+        self.assertEqual([], self.look(running=(stray,)))
+        book = self.add(a_step(1), name="b")
+        strays = {key[0] for key in self.link.strays_by_key}
+        self.assertEqual([], self.starts(strays))
+        self.look(running=(stray,))
+        self.assertEqual(1, len(book.tasks()[0].runs))
+        del self.jobs[book.job.id]
+        self.link.runs_by_key.clear()
+        self.look(running=(stray,))
+        key = (stray.task, stray.number)
+        self.link.strays_by_key[key] -= STRAY_S + 0.1
+        [stop] = self.look(running=(stray,))
+        self.assertEqual((OrderKind.STOP, stray.task), (stop.kind, stop.task))
+
+    def test_a_run_of_a_final_job_is_stopped_at_once(self) -> None:
+        book = self.add(a_step(1))
+        task = book.tasks()[0].id
+        book.end(JobState.CANCELLED, 1)
+        book.steps_by_occurrence = {}
+        [stop] = self.look(running=(RunSeen(task, 3, "", 0, 0.0),))
+        self.assertIs(OrderKind.STOP, stop.kind)
+
+    def test_an_end_counts_once(self) -> None:
+        """A job failed although its task had failed only once.
+
+        Ends are listed again until they are acknowledged.
+        """
+        book = self.add(a_step(1))
+        run = self.run_of(book)
+        end = RunEnd(1, run.task.id, run.number, EndKind.FAILED, "")
+        self.look(ended=(end,))
+        self.look(ended=(end,))
+        self.assertEqual(1, book.tasks()[0].failures)
+        self.assertIs(JobState.QUEUED, book.state)
+
+    def test_attempts_run_out(self) -> None:
+        book = self.add(a_step(1))
+        for cursor in (1, 2):
+            run = self.run_of(book)
+            self.look(ended=(RunEnd(cursor, run.task.id, run.number, EndKind.FAILED, ""),))
+        self.assertIs(JobState.FAILED, book.state)
+
+    def test_a_lease_of_a_former_owner_runs_out(self) -> None:
+        """A volume of a textbook stood still for the rest of the day.
+
+        A new owner had found its run; then the endpoint was lost, before the owner had given it
+        a lease of its own, so that no lease was known to run out.
+        """
+        book = self.add(a_step(1))
+        task = book.tasks()[0].id
+        self.look(running=(RunSeen(task, 3, "", 0, 0.0),))
+        self.assertGreater(self.link.lease_end, time.monotonic())
+
+    def _task(self, name: str) -> object:
+        book = JobBook(a_job(name, a_step(1)), Revision(1), 0.0)
+        book.open_occurrences(0)
+        return book.tasks()[0].id
+
+
+class AnswerTest(BookCase):
+    def test_a_start_without_an_answer_is_sent_again(self) -> None:
+        run = self.run_of(self.add(a_step(1)), confirmed=False)
+        order = Order.of(OrderKind.START, run)
+        self.assertIs(order, self.reconciler.take_answer(self.link, order, Verdict.UNKNOWN))
+        self.assertTrue(run.in_doubt)
+
+    def test_a_refusal_does_not_settle_a_start_in_doubt(self) -> None:
+        """A standing order ran twice on two endpoints.
+
+        A start got no answer; sent again it was refused for want of room, and the task went to
+        another endpoint. Then the first sending was carried out. A stop forbids that.
+        """
+        book = self.add(a_step(1))
+        run = self.run_of(book, confirmed=False)
+        run.in_doubt = True
+        order = Order.of(OrderKind.START, run)
+        after = self.reconciler.take_answer(self.link, order, Verdict.NO_ROOM)
+        assert after is not None
+        self.assertIs(OrderKind.STOP, after.kind)
+        self.assertFalse(book.tasks()[0].waiting)
+        self.assertIsNone(self.reconciler.take_answer(self.link, after, Verdict.DONE))
+        self.look()
+        self.assertTrue(book.tasks()[0].waiting)
+
+    def test_a_refused_start_waits_again(self) -> None:
+        book = self.add(a_step(1))
+        order = Order.of(OrderKind.START, self.run_of(book, confirmed=False))
+        self.assertIsNone(self.reconciler.take_answer(self.link, order, Verdict.NO_ROOM))
+        self.assertTrue(book.tasks()[0].waiting)
+
+
+class ReleaseTest(BookCase):
+    def test_a_lasting_task_stays_while_another_one_is_away(self) -> None:
+        """Of a volume's five tasks two were away at once, and one may be.
+
+        The first had been stopped by the former owner of the pool. What is not at work counts,
+        whatever the cause.
+        """
+        book = self.add(a_step(2, lasting=True, may_be_away=1))
+        run = self.run_of(book)
+        run.percent = 100
+        state, _, orders = release(self.link, time.monotonic())
+        self.assertEqual((ReleaseState.WAIT, []), (state, orders))
+
+    def test_a_task_that_is_being_stopped_is_away(self) -> None:
+        """The budget was overdrawn when two hosts of a wave were emptied together.
+
+        A run that is being stopped still shows as at work until it has ended.
+        """
+        book = self.add(a_step(2, lasting=True, may_be_away=1))
+        first, second = self.run_of(book), self.run_of(book, 1)
+        for run in (first, second):
+            run.percent = 100
+        _, _, orders = release(self.link, time.monotonic())
+        self.assertEqual(1, len(orders))
+        self.look(
+            running=tuple(RunSeen(r.task.id, r.number, "", 100, 0.0) for r in (first, second))
+        )
+        self.assertEqual([], release(self.link, time.monotonic())[2])
+
+    def test_an_empty_endpoint_is_free_and_gets_nothing_new(self) -> None:
+        self.assertEqual(ReleaseState.FREE, release(self.link, time.monotonic())[0])
+        self.add(a_step(1))
+        self.assertEqual([], self.starts())
+
+
+class RoomTest(BookCase):
+    def test_an_endpoint_takes_no_more_than_its_room(self) -> None:
+        self.add(a_step(9))
+        self.assertEqual(4, len(self.starts()))
+
+    def test_an_endpoint_with_a_stray_takes_nothing(self) -> None:
+        """An endpoint was over its room: what a stray takes is not in the owner's book."""
+        self.add(a_step(1))
+        other = RunSeen(self.add(a_step(1), name="b").tasks()[0].id, 3, "", 0, 0.0)
+        del self.jobs[other.task.job]
+        self.look(running=(other,))
+        self.assertEqual([], self.starts())
+
+    def test_steps_wait_for_those_before(self) -> None:
+        book = self.add(a_step(1), a_step(1, after=(0,)))
+        [(_, run)] = self.starts()
+        self.assertEqual(0, run.task.id.step)
+        book.steps_by_occurrence[0][0].finish(run.task)
+        run.task.runs.clear()
+        [(_, run)] = self.starts()
+        self.assertEqual(1, run.task.id.step)
+
+    def test_a_gang_starts_whole_or_not_at_all(self) -> None:
+        self.add(a_step(5, gang=True))
+        self.assertEqual([], self.starts())
+        self.jobs.clear()
+        self.add(a_step(4, gang=True))
+        self.assertEqual(1, len({run.number for _, run in self.starts()}))
+
+    def test_spread_of_a_step(self) -> None:
+        self.add(a_step(3, most_per_endpoint=2))
+        self.assertEqual(2, len(self.starts()))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -148,18 +148,19 @@
             self._apply((Put(key, value),))
             return self.revision
 
-    def watch(self, prefix: str, after: Revision) -> Iterator[Result[WatchBatch, Fault]]:
+    def watch(self, prefix: str, after: Revision) -> "FakeWatch":
         self.calls["watch"] += 1
-        while True:
-            with self._changed:
-                if not self._news(prefix, after):
-                    self._changed.wait(SILENT_WATCH_S)
-                items, revision = self._news(prefix, after), self.revision
-            if self.down or not items:
-                yield _unavailable("watch")
-                return
-            after = revision
-            yield Success(WatchBatch(tuple(items), revision))
+        return FakeWatch(self, prefix, after)
+
+    def news(self, prefix: str, after: Revision) -> Result[WatchBatch, Fault]:
+        """Wait for changes below ``prefix``; a watch that hears nothing for long is a fault."""
+        with self._changed:
+            if not self._news(prefix, after):
+                self._changed.wait(SILENT_WATCH_S)
+            items, revision = self._news(prefix, after), self.revision
+        if self.down or not items:
+            return _unavailable("watch")
+        return Success(WatchBatch(tuple(items), revision))
 
     def lease(self, ttl_s: float) -> Result[int, Fault]:
         del ttl_s
@@ -219,6 +220,27 @@
             self.observer(before)
 
 
+class FakeWatch:
+    """A watch of the key-value service in memory; any task may close it."""
+
+    def __init__(self, kv: FakeKeyValue, prefix: str, after: Revision) -> None:
+        self._kv = kv
+        self._prefix = prefix
+        self._after = after
+        self._ended = False
+
+    def __iter__(self) -> Iterator[Result[WatchBatch, Fault]]:
+        while not self._ended:
+            result = self._kv.news(self._prefix, self._after)
+            self._ended = isinstance(result, Failure)
+            if not self._ended:
+                self._after = result.unwrap().revision
+            yield result
+
+    def close(self) -> None:
+        self._ended = True
+
+
 class FakeHostList:
     """The platform's host list.
 
--- /dev/null
+++ b/tests/intake/test_intake.py
@@ -0,0 +1,127 @@
+"""Accepting, cancelling and showing jobs."""
+
+import threading
+
+from testtools import TestCase
+
+from lentilrill.ids import JobId, PoolId, QueueId
+from lentilrill.inner import JobAccepted, JobCancelled, PoolPressure
+from lentilrill.intake import Intake
+from lentilrill.ownership import OwnerRecord
+from lentilrill.workloads import JobAnswer, JobState
+from tests.builders import a_job
+from tests.fakes import FakeKeyValue, lose_answer, lose_request
+
+POOL = PoolId("notices")
+
+
+class Peers:
+    def __init__(self) -> None:
+        self.sent: list[object] = []
+
+    def send(self, address: str, message: object) -> None:
+        self.sent.append(message)
+
+
+class IntakeTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.kv = FakeKeyValue()
+        self.peers = Peers()
+        self.pressure: PoolPressure | None = None
+        self.owner: OwnerRecord | None = None
+        self.intake = Intake(
+            self.kv,
+            self.peers,
+            lambda pool: None,
+            lambda pool: self.owner,
+            lambda pool: self.pressure,
+            lambda: [POOL, PoolId("ballots")],
+        )
+        self.intake.start()
+        self.addCleanup(self.intake.close)
+        self.job = a_job()
+
+    def test_accepted_is_stored_and_the_owner_is_told(self) -> None:
+        self.owner = OwnerRecord("h2", 1, "10.0.0.2:1")
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(self.job)[0])
+        self.assertIn(f"in/notices/j/{self.job.id}", self.kv.items_by_key)
+        self.assertIsInstance(self.peers.sent[0], JobAccepted)
+
+    def test_the_same_job_twice_is_one(self) -> None:
+        self.intake.submit(self.job)
+        revision = self.kv.revision
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(self.job)[0])
+        self.assertEqual(revision, self.kv.revision)
+
+    def test_a_lost_answer_is_no_refusal(self) -> None:
+        """A job that a caller had been told not to have run was embossed all the same.
+
+        The commit's answer was lost; whether it took effect or not, the job may run.
+        """
+        for fate in (lose_answer, lose_request):
+            self.kv.commits.append(fate)
+            self.assertIs(JobAnswer.UNKNOWN, self.intake.submit(a_job("c"))[0])
+
+    def test_what_was_never_sent_is_refused_at_once(self) -> None:
+        self.kv.down = True
+        self.assertIs(JobAnswer.UNAVAILABLE, self.intake.submit(self.job)[0])
+
+    def test_an_overloaded_pool_refuses_with_a_time(self) -> None:
+        self.pressure = PoolPressure(POOL, 60.0, {}, 1)
+        answer, retry_s = self.intake.submit(self.job)
+        self.assertIs(JobAnswer.OVERLOADED, answer)
+        self.assertGreater(retry_s, 0)
+        self.assertEqual({}, self.kv.items_by_key)
+
+    def test_a_burst_costs_few_commits(self) -> None:
+        started = threading.Event()
+
+        def slowly(call):
+            started.wait()
+            return call()
+
+        self.kv.commits.append(slowly)
+        answers: list[JobAnswer] = []
+        callers = [
+            threading.Thread(target=lambda n=n: answers.append(self.intake.submit(a_job(n))[0]))
+            for n in "0123456789abcdef"
+        ]
+        for caller in callers:
+            caller.start()
+        while sum(1 for caller in callers if caller.is_alive()) < len(callers):
+            pass
+        started.set()
+        for caller in callers:
+            caller.join()
+        self.assertEqual([JobAnswer.ACCEPTED] * 16, answers)
+        self.assertLessEqual(self.kv.calls["commit"], 4)
+
+    def test_shown_from_the_store_when_no_owner_answers(self) -> None:
+        self.intake.submit(self.job)
+        self.assertEqual(JobState.QUEUED, self.intake.show(POOL, self.job.id)[1])
+        self.kv.put(f"p/notices/{self.job.id}", b'{"state":"completed"}')
+        self.assertEqual(JobState.COMPLETED, self.intake.show(POOL, self.job.id)[1])
+
+    def test_absent_only_if_the_store_says_so(self) -> None:
+        """A clerk was told that an accepted job does not exist, while the store was away."""
+        self.assertIs(JobAnswer.ABSENT, self.intake.show(POOL, self.job.id)[0])
+        self.kv.down = True
+        self.assertIs(JobAnswer.UNAVAILABLE, self.intake.show(POOL, self.job.id)[0])
+
+    def test_found_in_the_pool_that_its_queue_had(self) -> None:
+        self.intake.submit(self.job)
+        self.assertEqual(JobState.QUEUED, self.intake.show(PoolId("ballots"), self.job.id)[1])
+
+    def test_cancel(self) -> None:
+        self.owner = OwnerRecord("h2", 1, "10.0.0.2:1")
+        self.intake.submit(self.job)
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.cancel(POOL, self.job.id))
+        self.assertIsInstance(self.peers.sent[-1], JobCancelled)
+        self.assertEqual(JobState.CANCELLED, self.intake.show(POOL, self.job.id)[1])
+        self.assertIs(JobAnswer.ABSENT, self.intake.cancel(POOL, JobId("f" * 16)))
+
+    def test_waiting_jobs_as_the_owner_counts_them(self) -> None:
+        self.assertIsNone(self.intake.waiting(POOL, QueueId("proofs")))
+        self.pressure = PoolPressure(POOL, 0.0, {QueueId("proofs"): 3}, 1)
+        self.assertEqual(3, self.intake.waiting(POOL, QueueId("proofs")))
--- /dev/null
+++ b/tests/ownership/test_ownership.py
@@ -0,0 +1,144 @@
+"""Claims of shards under leases."""
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.ids import Incarnation, ProcessId, Revision, ZoneId
+from lentilrill.ownership import MemberRecord, OwnerRecord, Ownership, Shard
+from lentilrill.ownership._members import rank
+from lentilrill.store import Put
+from tests.execution.fakes import eventually
+from tests.fakes import FakeKeyValue, lose_answer
+
+NOTICES = Shard("notices")
+
+
+class Task:
+    """Notes which shards were gained and lost."""
+
+    def __init__(self) -> None:
+        self.tokens_by_shard: dict[Shard, Revision] = {}
+        self.losses: list[Shard] = []
+
+    def gained(self, shard: Shard, token: Revision) -> None:
+        self.tokens_by_shard[shard] = token
+
+    def lost(self, shard: Shard) -> None:
+        self.losses.append(shard)
+        self.tokens_by_shard.pop(shard, None)
+
+
+class OwnershipTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.kv = FakeKeyValue()
+        self.now = 100.0
+        self.outage = False
+
+    def member(self, name: str = "h1", incarnation: int = 1) -> tuple[Ownership, Task]:
+        task = Task()
+        ownership = Ownership(
+            self.kv,
+            ProcessId(name),
+            Incarnation(incarnation),
+            ZoneId("holyoke"),
+            f"10.0.0.1:{name[-1]}",
+            lambda: {NOTICES},
+            task,
+            lambda: self.outage,
+            clock=lambda: self.now,
+        )
+        ownership.start()
+        self.addCleanup(ownership.close)
+        return ownership, task
+
+    def owning(self) -> tuple[Ownership, Task]:
+        ownership, task = self.member()
+        self.assertTrue(eventually(lambda: ownership.registered))
+        self.now += 1.0
+        self.assertTrue(eventually(lambda: NOTICES in task.tokens_by_shard))
+        return ownership, task
+
+    def test_one_owner_at_a_time(self) -> None:
+        first, task = self.owning()
+        other, other_task = self.member("h2")
+        self.assertTrue(eventually(lambda: other.registered))
+        self.now += 1.0
+        self.assertTrue(eventually(lambda: other.owner_of(NOTICES) is not None))
+        self.assertEqual({}, other_task.tokens_by_shard)
+        first.leave()
+        self.assertEqual([NOTICES], task.losses)
+        self.assertTrue(eventually(lambda: NOTICES in other_task.tokens_by_shard))
+
+    def test_a_right_ends_with_its_lease(self) -> None:
+        """An owner that was suspended went on giving orders after another one had taken over.
+
+        The clock that measures its right counts the time of a suspension.
+        """
+        ownership, _ = self.owning()
+        self.kv.down = True
+        self.assertTrue(eventually(lambda: self.kv.calls["keep_alive"] > 0))
+        self.now += 5.0
+        self.assertFalse(ownership.may_order(NOTICES))
+
+    def test_work_goes_on_while_nobody_can_claim(self) -> None:
+        """In an outage of the store every task of every pool was killed.
+
+        Owners could not prove their leases and stopped renewing those of their tasks. While most
+        hosts report the store silent nobody can claim, so owners go on.
+        """
+        ownership, _ = self.owning()
+        self.kv.down = self.outage = True
+        self.now += 5.0
+        self.assertTrue(ownership.may_order(NOTICES))
+
+    def test_a_key_that_was_taken_away_ends_ownership(self) -> None:
+        ownership, task = self.owning()
+        token = task.tokens_by_shard[NOTICES]
+        self.kv.put("m/o/notices", b'{"process":"h9","incarnation":1,"inner":"10.0.0.9:1"}')
+        self.assertTrue(eventually(lambda: task.losses == [NOTICES]))
+        self.assertNotEqual(token, task.tokens_by_shard.get(NOTICES))
+        self.assertFalse(ownership.may_order(NOTICES))
+
+    def test_a_claim_whose_answer_was_lost_is_acted_on(self) -> None:
+        """A pool had an owner who did not know it, and its jobs stood still.
+
+        The claim had taken effect and its answer was lost; the watch shows the claimant its key.
+        """
+        ownership, task = self.member()
+        self.assertTrue(eventually(lambda: ownership.registered))
+        self.kv.commits.append(lose_answer)
+        self.now += 1.0
+        self.assertTrue(eventually(lambda: NOTICES in task.tokens_by_shard))
+        item = self.kv.items_by_key["m/o/notices"]
+        self.assertEqual(item.revision, task.tokens_by_shard[NOTICES])
+
+    def test_a_restarted_host_ends_its_former_lease(self) -> None:
+        """After a crash a pool waited for the end of its owner's lease, though the host was back.
+
+        The new process listens on the former one's address, which proves that that has ended.
+        """
+        lease = self.kv.lease(9.0).unwrap()
+        former = MemberRecord(
+            ProcessId("h1"), Incarnation(1), ZoneId("holyoke"), "10.0.0.1:1", lease
+        )
+        owner = OwnerRecord(ProcessId("h1"), Incarnation(1), "10.0.0.1:1")
+        self.kv.commit(
+            (),
+            (
+                Put("m/n/h1", msgspec.json.encode(former), lease),
+                Put("m/o/notices", msgspec.json.encode(owner), lease),
+            ),
+        )
+        ownership, task = self.member("h1", incarnation=2)
+        self.assertTrue(eventually(lambda: ownership.registered))
+        self.now += 1.0
+        self.assertTrue(eventually(lambda: NOTICES in task.tokens_by_shard))
+
+
+class RankTest(TestCase):
+    def test_the_host_with_the_fewest_shards_claims_first(self) -> None:
+        members = [ProcessId("h1"), ProcessId("h2")]
+        owners = {Shard("ballots"): ProcessId("h1")}
+        self.assertEqual(0, rank(NOTICES, ProcessId("h2"), members, owners))
+        self.assertEqual(1, rank(NOTICES, ProcessId("h1"), members, owners))
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,112 @@
+"""Records and bodies of the platform, whole and odd."""
+
+import msgspec
+from returns.result import Failure
+from testtools import TestCase
+
+from lentilrill.execution import EndKind, Verdict
+from lentilrill.ids import JobId
+from lentilrill.platform._endpoint_wire import decode_look, refusal
+from lentilrill.platform._job_wire import decode_job
+from lentilrill.platform._records import decode_configuration, decode_endpoint, decode_wave
+from lentilrill.workloads import Resources
+from tests.builders import a_configuration
+
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "holyoke",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 5,
+    "seq": 4,
+}
+ODD_ENTRIES = (
+    {"state": "resting"},
+    {"state": 7},
+    {"address": "nowhere"},
+    {"address": "10.0.0.1:x"},
+    {"capacity": "large"},
+    {"labels": [1, 2]},
+    {"service": None},
+)
+
+
+def encoded(value: object) -> bytes:
+    return msgspec.json.encode(value)
+
+
+class RecordsTest(TestCase):
+    def test_endpoint(self) -> None:
+        entry = decode_endpoint("servers/i-1", encoded(ENTRY))
+        assert entry is not None
+        self.assertEqual(("i-1", "huvo11a", "r1-3"), (entry.id, entry.pool, entry.rack))
+        self.assertEqual(Resources(16000, 32768), entry.room)
+        self.assertFalse(entry.draining)
+
+    def test_odd_entries_name_no_endpoint(self) -> None:
+        for odd in ODD_ENTRIES:
+            self.assertIsNone(decode_endpoint("servers/i-1", encoded(ENTRY | odd)), odd)
+        for raw in (b"", b"\xff\xfe", b"[]", b"null", b'{"service":'):
+            self.assertIsNone(decode_endpoint("servers/i-1", raw))
+
+    def test_odd_operator_records(self) -> None:
+        for raw in (b"", b"{}", b'{"version":"x"}', b"\xff"):
+            self.assertIsNone(decode_configuration(raw))
+            self.assertIsNone(decode_wave("op/wave/1", raw))
+
+
+class LookWireTest(TestCase):
+    def test_lists(self) -> None:
+        raw = {
+            "clock_ms": 7,
+            "running": [["5c0e7a21d94b36f8.0.1.17", 2, "0bb8", 41, 12]],
+            "ended": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""], [59, "a.0.0.0", 1, "new", ""]],
+        }
+        look = decode_look(encoded(raw))
+        self.assertEqual((17, 2, 41), (look.running[0].task.number, look.running[0].number, 41))
+        self.assertEqual([EndKind.DONE, EndKind.ODD], [end.kind for end in look.ended])
+
+    def test_a_row_that_cannot_be_read_makes_the_look_worthless(self) -> None:
+        """A task was started twice since the row of its run was cut, and so it counted as gone."""
+        for row in (["x"], ["a.b.c.d", 1, "", 0], "text", [None, 1, "", 0]):
+            look = decode_look(encoded({"clock_ms": 7, "running": [row]}))
+            self.assertIs(Verdict.UNKNOWN, look.verdict, row)
+        self.assertIs(Verdict.UNKNOWN, decode_look(b"{").verdict)
+
+    def test_refusals(self) -> None:
+        self.assertIs(Verdict.FENCED, refusal(409, b'{"reason":"fence"}'))
+        self.assertIs(Verdict.OUTDATED, refusal(409, b'{"reason":"old"}'))
+        self.assertIs(Verdict.INVALID, refusal(409, b"?"))
+        self.assertIs(Verdict.ELSEWHERE, refusal(421, b""))
+        self.assertIs(Verdict.BUSY, refusal(503, b""))
+        self.assertIs(Verdict.UNKNOWN, refusal(500, b""))
+
+
+class JobWireTest(TestCase):
+    def decode(self, body: object) -> object:
+        [queue] = a_configuration().queues
+        raw = body if isinstance(body, bytes) else encoded(body)
+        return decode_job(JobId("a" * 16), queue, raw, 5)
+
+    def test_job(self) -> None:
+        steps = [{"count": 2, "cpu": 5}, {"count": 1, "after": [0], "long_running": True}]
+        job = self.decode({"spec": "x", "steps": steps}).unwrap()
+        self.assertEqual(("proofs", "notices", 5), (job.queue, job.pool, job.accepted_ms))
+        self.assertTrue(job.steps[1].lasting)
+
+    def test_odd_jobs_are_refused(self) -> None:
+        steps = [{"count": 1}]
+        for body in (
+            b"",
+            b"[]",
+            b"\xff",
+            {"spec": 1, "steps": steps},
+            {"spec": "x", "steps": []},
+            {"spec": "x", "steps": [{"count": 0}]},
+            {"spec": "x", "steps": [{"count": 1, "after": [0]}]},
+            {"spec": "x", "steps": [{"count": 10**9}]},
+            {"spec": "x", "steps": steps, "repeat_count": 10**6},
+        ):
+            self.assertIsInstance(self.decode(body), Failure, body)
--- /dev/null
+++ b/tests/scheduling/test_decisions.py
@@ -0,0 +1,98 @@
+"""Decisions on work that waits, replayed on the loads that they answer."""
+
+from testtools import TestCase
+
+from lentilrill.ids import EndpointId, RackId
+from lentilrill.scheduling import (
+    EndpointRoom,
+    Pressure,
+    Standing,
+    may_take,
+    next_pace,
+    place,
+    retry_after_s,
+    sort_key,
+)
+from lentilrill.workloads import Resources
+from tests.builders import a_step
+
+
+def a_room(name: str, cpu: int = 4000, rack: str = "r1", **changes: object) -> EndpointRoom:
+    return EndpointRoom(
+        EndpointId(name), RackId(rack), ("a", rack), Resources(cpu, 8000), **changes
+    )
+
+
+def a_standing(**changes: object) -> Standing:
+    values = {
+        "priority": 0,
+        "lasts": False,
+        "age_s": 0.0,
+        "left_s": 1.0,
+        "allowed_s": 2.0,
+        "left_work": 1.0,
+    }
+    return Standing(**(values | changes))
+
+
+class PlacementTest(TestCase):
+    def placed(self, rooms: list[EndpointRoom], *avoid: str, **step: object) -> str | None:
+        names = {EndpointId(name) for name in avoid}
+        room = place(a_step(1, **step), rooms, lambda endpoint: 0, names)
+        return room.id if room is not None else None
+
+    def test_best_fit_leaves_whole_endpoints(self) -> None:
+        self.assertEqual("b", self.placed([a_room("a", 4000), a_room("b", 1500)]))
+
+    def test_no_room(self) -> None:
+        self.assertIsNone(self.placed([a_room("a", 500)]))
+
+    def test_near_its_data_first(self) -> None:
+        rooms = [a_room("a", 1000), a_room("b", 4000, "r2")]
+        self.assertEqual("b", self.placed(rooms, near=RackId("r2")))
+
+    def test_not_back_to_where_it_failed(self) -> None:
+        self.assertEqual("b", self.placed([a_room("a", 1000), a_room("b")], "a"))
+        self.assertEqual("a", self.placed([a_room("a", 1000)], "a"))
+
+    def test_label(self) -> None:
+        self.assertIsNone(self.placed([a_room("a")], label="gpu"))
+
+    def test_an_unwell_endpoint_gets_one_task_at_a_time(self) -> None:
+        """Every job of a queue failed: an endpoint that failed all it started was always free,
+        and so got the next task, until the attempts of all were used up."""
+        self.assertIsNone(self.placed([a_room("a", probing=True, runs=1)]))
+        self.assertEqual("b", self.placed([a_room("a", probing=True), a_room("b")]))
+
+
+class OrderTest(TestCase):
+    def test_in_a_surge_what_can_still_be_in_time_goes_first(self) -> None:
+        """In a surge all ballots came late together: in order of arrival each waited as long as
+        every other. What can still be in time goes before what can't, the shortest first."""
+        late = a_standing(age_s=5.0)
+        long, short = a_standing(left_work=9.0), a_standing(left_work=1.0)
+        self.assertEqual([short, long, late], sorted([late, long, short], key=sort_key))
+
+    def test_urgent_queues_go_first(self) -> None:
+        urgent, later = a_standing(age_s=9.0), a_standing(priority=1)
+        self.assertEqual([urgent, later], sorted([later, urgent], key=sort_key))
+
+    def test_what_lasts_goes_before_all(self) -> None:
+        lasting = a_standing(lasts=True, priority=1)
+        self.assertEqual([lasting, a_standing()], sorted([a_standing(), lasting], key=sort_key))
+
+
+class AdmissionTest(TestCase):
+    def test_a_surge_beyond_the_pool_is_refused_with_an_honest_return(self) -> None:
+        self.assertTrue(may_take(Pressure(1.0)))
+        self.assertFalse(may_take(Pressure(60.0)))
+        self.assertLess(retry_after_s(Pressure(7.0)), retry_after_s(Pressure(12.0)))
+
+
+class PacingTest(TestCase):
+    def test_fillers_stop_when_users_notice_and_come_back_slowly(self) -> None:
+        """A textbook's readers waited: what filled up their endpoint slowed their tails down."""
+        self.assertEqual(0, next_pace(100, 1.2))
+        self.assertEqual(50, next_pace(100, 0.9))
+        self.assertEqual(60, next_pace(60, 0.7))
+        self.assertEqual(15, next_pace(0, 0.3))
