--- a/src/lentilrill/entry/_news.py
+++ b/src/lentilrill/entry/_news.py
@@ -1,4 +1,4 @@
-"""News that entry hosts tell each other every half second."""
+"""News that entry hosts tell each other a few times a second."""
 
 import threading
 import time
@@ -12,9 +12,9 @@
 
 __all__ = ["NewsDesk"]
 
-TELL_EVERY_S = 0.5
+TELL_EVERY_S = 0.3
 FRESH_S = 1.6
-"""How long news count: three rounds and a delay, so that one lost message changes nothing."""
+"""How long news count: five rounds, so that some lost messages change nothing."""
 SILENT_S = 1.2
 """Silence of the store after which a host counts it as away: longer than a slow call."""
 
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -36,8 +36,8 @@
 from lentilrill.settings import EntrySettings
 from lentilrill.store import Follower
 from lentilrill.telemetry import ScrapedMetrics
-from lentilrill.upkeep import FLEET, WaveRunner
-from lentilrill.workloads import EndpointEntry
+from lentilrill.upkeep import FLEET, Emptying, FleetOwner, Mover, Waves
+from lentilrill.workloads import EndpointEntry, PoolEntry
 
 __all__ = ["EntryProcess"]
 
@@ -47,9 +47,9 @@
 """How long a stopping host goes on taking callers: the balancer asks once a second, and sends none
 after two refusals."""
 OWNER_KEYS = "m/o/"
-ENDPOINTS_PAUSE_S = 0.7
+ENDPOINTS_PAUSE_S = 0.3
 """Pause between two watch calls for endpoints, which write there every second or so each: one call
-for all changes of the pause, and still well below the 2 s in which a leaving one counts."""
+for all changes of the pause, and a host that was moved in is used as soon."""
 GRACE_SHARE = 0.75
 """Share of the grace after which a stopping host ends, whatever is still in flight."""
 
@@ -67,7 +67,7 @@
         self._endpoints = EndpointBook()
         self._lock = threading.Lock()
         self._pools_by_id: dict[PoolId, PoolOwner] = {}
-        self._waves: WaveRunner | None = None
+        self._fleet: FleetOwner | None = None
         self._leaving = False
         self._ownership = Ownership(
             self._kv,
@@ -168,11 +168,13 @@
         configuration = self._configuration.current
         if configuration is None:
             return set()
-        return {FLEET} | {Shard(pool.id) for pool in configuration.pools}
+        used = {queue.pool for queue in configuration.queues}
+        # A standby pool has nothing to run, unless a queue names it.
+        pools = {pool.id for pool in configuration.pools if not pool.standby or pool.id in used}
+        return {FLEET} | {Shard(pool) for pool in pools}
 
     def _pool_ids(self) -> list[PoolId]:
-        configuration = self._configuration.current
-        return [pool.id for pool in configuration.pools] if configuration is not None else []
+        return [pool.id for pool in self._pools()]
 
     def _pressures(self) -> tuple[PoolPressure, ...]:
         with self._lock:
@@ -184,8 +186,8 @@
     def gained(self, shard: Shard, token: Revision) -> None:
         """Begin to act as owner of a shard."""
         if shard == FLEET:
-            self._waves = self._wave_runner(token)
-            self._waves.start()
+            self._fleet = self._fleet_owner(token)
+            self._fleet.start()
             return
         owner = PoolOwner(
             self._kv,
@@ -208,29 +210,50 @@
     def lost(self, shard: Shard) -> None:
         """Stop acting as owner of a shard."""
         if shard == FLEET:
-            if self._waves is not None:
-                self._waves.close()
+            if self._fleet is not None:
+                self._fleet.close()
             return
         with self._lock:
             owner = self._pools_by_id.pop(PoolId(shard), None)
         if owner is not None:
             owner.close(flush=self._leaving)
 
-    def _wave_runner(self, token: Revision) -> WaveRunner:
-        return WaveRunner(
+    def _fleet_owner(self, token: Revision) -> FleetOwner:
+        hosts = PlatformHosts(self._settings.hosts_api)
+        emptying = Emptying(self._node, self._owner_address)
+        process = self._settings.process
+
+        def may_order() -> bool:
+            return self._ownership.may_order(FLEET)
+
+        def refused(reason: str) -> None:
+            self._ownership.give_up(FLEET, reason)
+
+        waves = Waves(
             self._kv,
-            PlatformHosts(self._settings.hosts_api),
-            self._node,
-            self._settings.process,
+            hosts,
+            emptying,
+            process,
             token,
             OWNER_KEYS + FLEET,
             lambda: dict(self._configuration.waves_by_number),
-            self._owner_address,
-            lambda: self._ownership.may_order(FLEET),
-            lambda reason: self._ownership.give_up(FLEET, reason),
+            self._load_of,
+            may_order,
+            refused,
             wave_state_key,
             lambda completed: encode_wave_state(completed=completed),
         )
+        mover = Mover(hosts, emptying, process, token, self._pools, self._news.pressure_of, refused)
+        return FleetOwner(hosts, waves, mover, emptying, may_order)
+
+    def _pools(self) -> tuple[PoolEntry, ...]:
+        configuration = self._configuration.current
+        return configuration.pools if configuration is not None else ()
+
+    def _load_of(self, pool: PoolId) -> float:
+        """Return the share of a pool's hosts that its work fills, as its owner says."""
+        said = self._news.pressure_of(pool)
+        return said.need / max(1, said.hosts) if said is not None else 0.0
 
     def _owner_address(self, pool: PoolId) -> str:
         record = self._ownership.owner_of(Shard(pool))
@@ -273,5 +296,5 @@
 
     def _release_told(self, batch: Batch, message: ReleaseTold) -> None:
         del batch
-        if self._waves is not None:
-            self._waves.told(message)
+        if self._fleet is not None:
+            self._fleet.told(message)
--- a/src/lentilrill/execution/_book.py
+++ b/src/lentilrill/execution/_book.py
@@ -32,6 +32,10 @@
 class Run:
     """One start of a task on one endpoint, which takes room there until its end is known.
 
+    :ivar began_at: when its endpoint took the start; ``None`` for one that was adopted, or that
+        goes on from a checkpoint, whose duration tells nothing.
+    :ivar expires_ms: end of the lease that its start carries, on its endpoint's clock; a start
+        that is sent again carries the same, so that it can't be carried out after that.
     :ivar in_doubt: a start was sent and got no answer: it may be carried out, also later.
     :ivar by_choice: it is stopped for our own reasons, not because its job ended.
     :ivar confirmed_at: when its start was known to have been carried out, or its stop to keep it
@@ -39,10 +43,12 @@
     """
 
     __slots__ = (
+        "began_at",
         "by_choice",
         "changed_at",
         "confirmed_at",
         "endpoint",
+        "expires_ms",
         "in_doubt",
         "load",
         "number",
@@ -65,10 +71,12 @@
         self.ordered_at = time.monotonic()
         self.changed_at = self.ordered_at
         self.confirmed_at: float | None = None
+        self.began_at: float | None = None
         self.percent = 0
         self.load = 0.0
         self.pace = 100
         self.in_doubt = False
+        self.expires_ms = 0
         self.by_choice = False
 
     @property
@@ -116,7 +124,7 @@
 class StepBook:
     """One step of one occurrence."""
 
-    __slots__ = ("book", "id", "spec", "tasks", "undone")
+    __slots__ = ("book", "id", "ran", "ran_ms", "spec", "tasks", "undone")
 
     def __init__(self, book: "JobBook", id: StepId, spec: Step) -> None:
         self.book = book
@@ -124,6 +132,13 @@
         self.spec = spec
         self.tasks = [TaskBook(TaskId(*id, index), self) for index in range(spec.count)]
         self.undone = spec.count
+        self.ran = 0
+        self.ran_ms = 0.0
+
+    def note_duration(self, ms: float) -> None:
+        """Note how long one of its tasks took; the others take about as long."""
+        self.ran += 1
+        self.ran_ms += (ms - self.ran_ms) / self.ran
 
     def finish(self, task: TaskBook) -> None:
         """Note that a task is done."""
@@ -141,7 +156,7 @@
 
     :ivar revision: revision at which it was accepted.
     :ivar stored_revision: revision of its progress record in the store; 0 if there is none.
-    :ivar is_final_stored: whether its final state is in the store, so that it may be shown.
+    :ivar final_stored: whether its final state is in the store, so that it may be shown.
     """
 
     __slots__ = (
@@ -220,6 +235,12 @@
         self.dirty = True
         self.version += 1
 
+    def begin(self) -> None:
+        """Note that an endpoint has begun a task of its."""
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+            self.touch()
+
     def end(self, state: JobState, now_ms: int) -> None:
         """Make it final."""
         self.state = state
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -101,6 +101,7 @@
         self.release_began = 0.0
         self.release_asked = 0.0
         self.since = time.monotonic()
+        self.busy_at = self.since
         self.heard = 0.0
         self.seen_cursor = 0
         self.stored_cursor = 0
@@ -197,7 +198,10 @@
             return
         # The first look only fences, reads the clock, and finds what an earlier owner left.
         first = not self.looked_once
-        expiry = None if first or not self.runs_by_key else self.expiry_ms()
+        # Nothing is renewed out of sight: if the endpoint is lost, its tasks wait for the end of
+        # the last lease that it may have got, which must not move on for ever.
+        renews = self.reachable and not first and bool(self.runs_by_key)
+        expiry = self.expiry_ms() if renews else None
         wait_ms = 0 if first else BUSY_WAIT_MS if self.runs_by_key else IDLE_WAIT_MS
         sent = time.monotonic()
         look = self._calls.look(self._owner.token, self.stored_cursor, expiry, wait_ms)
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -4,10 +4,11 @@
 
 from lentilrill.execution._book import JobBook, Run, RunPhase, StepBook, TaskBook
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._need import Durations
 from lentilrill.execution._reconcile import is_unwell
 from lentilrill.ids import EndpointId
 from lentilrill.scheduling import EndpointRoom, Standing, next_pace, place, sort_key
-from lentilrill.workloads import JobState, Queue, Resources, TaskId
+from lentilrill.workloads import Queue, TaskId
 
 __all__ = ["Planner"]
 
@@ -26,7 +27,8 @@
     :param token: the owner's fencing token; run numbers of a later owner are higher.
     """
 
-    def __init__(self, token: int) -> None:
+    def __init__(self, token: int, durations: Durations) -> None:
+        self._durations = durations
         self._base = token * 1000
         self._attempts_by_task: dict[object, int] = {}
 
@@ -50,7 +52,7 @@
         :param strays: tasks seen under way that are not in the book yet.
         """
         placed: list[tuple[EndpointId, Run]] = []
-        standing = [(sort_key(_standing(book, queue, now)), book) for book, queue in jobs]
+        standing = [(sort_key(self._standing(book, queue, now)), book) for book, queue in jobs]
         standing.sort(key=lambda pair: pair[0])
         for _, book in standing:
             if not any(room.free.memory_mb > 0 for room in rooms.values()):
@@ -121,10 +123,21 @@
     def _run(self, task: TaskBook, endpoint: EndpointId, number: int) -> Run:
         run = Run(task, number, endpoint, task.step.spec.reserved)
         task.runs.append(run)
-        if task.step.book.state is JobState.QUEUED:
-            task.step.book.state = JobState.RUNNING
         return run
 
+    def _standing(self, book: JobBook, queue: Queue | None, now: float) -> Standing:
+        chain = self._durations.chain_of(book)
+        stretch = queue.stretch if queue is not None else 1.0
+        objective_ms = queue.objective_ms if queue is not None else 0
+        return Standing(
+            queue.priority if queue is not None else 0,
+            book.lasts,
+            now - book.arrived_at,
+            chain.left_ms / 1000,
+            (stretch * chain.whole_ms + objective_ms) / 1000,
+            chain.work,
+        )
+
     def paces(self, link: EndpointLink, now: float) -> list[Order]:
         """Return orders that slow fillers down or speed them up beside tasks that serve."""
         fillers = [run for run in link.runs_by_key.values() if run.task.step.spec.filler]
@@ -201,44 +214,3 @@
         counts[room.id] = counts.get(room.id, 0) + 1
         chosen.append(next(r for r in rooms if r.id == room.id))
     return chosen
-
-
-def _standing(book: JobBook, queue: Queue | None, now: float) -> Standing:
-    left_ms, whole_ms, work = chain_of(book)
-    stretch = queue.stretch if queue is not None else 1.0
-    objective_ms = queue.objective_ms if queue is not None else 0
-    return Standing(
-        queue.priority if queue is not None else 0,
-        book.lasts,
-        now - book.arrived_at,
-        left_ms / 1000,
-        (stretch * whole_ms + objective_ms) / 1000,
-        work,
-    )
-
-
-def chain_of(book: JobBook) -> tuple[float, float, float]:
-    """Return a job's longest chain of undone steps and of all steps, in milliseconds, and the
-    processor seconds of what is undone, by the callers' estimates."""
-    left: dict[int, float] = {}
-    whole: dict[int, float] = {}
-    work = 0.0
-    current = max(book.steps_by_occurrence, default=0)
-    steps = book.steps_by_occurrence.get(current, [])
-    for index, spec in enumerate(book.job.steps):
-        undone = steps[index].undone if steps else spec.count
-        before = [i for i in spec.after if i < index]
-        whole[index] = spec.estimate_ms + max((whole[i] for i in before), default=0.0)
-        own = spec.estimate_ms if undone else 0
-        left[index] = own + max((left[i] for i in before), default=0.0)
-        work += undone * spec.estimate_ms / 1000 * spec.needs.cpu / 1000
-    return max(left.values(), default=0.0), max(whole.values(), default=0.0), work
-
-
-def total_room(links: Iterable[EndpointLink]) -> Resources:
-    """Return the room of all endpoints that may get tasks, taken or not."""
-    total = Resources()
-    for link in links:
-        if link.reachable and link.registered and not link.entry.draining:
-            total = total.plus(link.entry.room)
-    return total
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -10,7 +10,15 @@
 from lentilrill.execution._book import JobBook, Run, RunPhase, encode_progress, job_id_of
 from lentilrill.execution._contract import Dialer, Look, OrderAnswer, StartOrder, Verdict
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
-from lentilrill.execution._planner import Planner, chain_of, total_room
+from lentilrill.execution._need import (
+    Durations,
+    OfferedLoad,
+    hosts_needed,
+    idle_endpoints,
+    ready_work,
+    total_room,
+)
+from lentilrill.execution._planner import Planner
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import release, renew_releases
 from lentilrill.execution._writer import Entry, ProgressWriter, Snapshot
@@ -18,7 +26,14 @@
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.store import Compare, Follower, Item, KeyValue, Put
 from lentilrill.telemetry import Event, guarded, log
-from lentilrill.workloads import Configuration, EndpointEntry, Job, JobProgress, JobState
+from lentilrill.workloads import (
+    Configuration,
+    EndpointEntry,
+    Job,
+    JobProgress,
+    JobState,
+    Resources,
+)
 
 __all__ = ["PoolOwner"]
 
@@ -81,8 +96,10 @@
         self._unseen: set[EndpointId] = set()
         self._gained_at = time.monotonic()
         self._loaded = False
-        self._reconciler = Reconciler(self._jobs_by_id, self._attempts)
-        self._planner = Planner(token)
+        self._durations = Durations()
+        self._offered = OfferedLoad()
+        self._reconciler = Reconciler(self._jobs_by_id, self._attempts, self._durations)
+        self._planner = Planner(token, self._durations)
         self._writer = ProgressWriter(kv, pool, owner_key, token, self)
         self._follower = Follower(kv, f"in/{pool}/", self, pause_s=INTAKE_PAUSE_S)
         self._planning = threading.Thread(target=self._plan_on, name=f"plan-{pool}", daemon=True)
@@ -121,7 +138,9 @@
         with self._lock:
             if job.id in self._jobs_by_id:
                 return
-            self._add(job, revision)
+            book = self._add(job, revision)
+            if not book.lasts:
+                self._offered.note(time.monotonic(), self._durations.chain_of(book).work)
             self._wake()
 
     def cancel(self, job: JobId) -> None:
@@ -150,14 +169,28 @@
         with self._lock:
             waiting: dict[QueueId, int] = {}
             work = 0.0
+            ready = Resources()
             for book in self._live_by_id.values():
                 if book.state is JobState.QUEUED and not book.job.occurrences:
                     waiting[book.job.queue] = waiting.get(book.job.queue, 0) + 1
                 if not book.lasts:
-                    work += chain_of(book)[2]
-            cores = total_room(self._links_by_id.values()).cpu / 1000
+                    work += self._durations.chain_of(book).work
+                ready = ready.plus(ready_work(book))
+            links = list(self._links_by_id.values())
+            cores = total_room(links).cpu / 1000
+            offered = self._offered.cores(time.monotonic())
+            need = hosts_needed(links, ready, offered)
+            idle = idle_endpoints(links, time.monotonic())
         wait_s = work / cores if cores else (60.0 if work else 0.0)
-        return PoolPressure(self.pool, round(wait_s, 2), waiting, self.token)
+        return PoolPressure(
+            self.pool,
+            round(wait_s, 2),
+            waiting,
+            self.token,
+            round(need, 2),
+            sum(1 for link in links if link.reachable and link.registered),
+            tuple(idle),
+        )
 
     def release(self, endpoint: EndpointId, *, cancel: bool) -> tuple[str, str]:
         """Empty an endpoint whose host is wanted elsewhere; asked again until it is free.
@@ -238,7 +271,7 @@
         )
         return True
 
-    def _add(self, job: Job, revision: Revision) -> None:
+    def _add(self, job: Job, revision: Revision) -> JobBook:
         book = JobBook(job, revision, _arrival(job))
         book.open_occurrences(int(time.time() * 1000))
         self._jobs_by_id[job.id] = book
@@ -246,6 +279,7 @@
         if job.id in self._early_cancels:
             self._early_cancels.discard(job.id)
             self._cancel(book)
+        return book
 
     def _cancel(self, book: JobBook) -> None:
         if book.state.is_final:
@@ -455,11 +489,12 @@
                 else:
                     self._reconciler.drop(link, run, "not wanted any more")
                 return None
+            run.expires_ms = run.expires_ms or link.expiry_ms()
             return StartOrder(
                 run.task.id,
                 run.number,
                 book.job.spec,
-                link.expiry_ms(),
+                run.expires_ms,
                 self.token,
                 run.task.checkpoint,
             )
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -6,6 +6,7 @@
 from lentilrill.execution._book import JobBook, Run, RunPhase, TaskBook
 from lentilrill.execution._contract import EndKind, Look, RunEnd, RunSeen, Verdict
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._need import Durations
 from lentilrill.ids import JobId
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import JobState
@@ -17,6 +18,7 @@
 STRAY_S = 3.0
 """Time after which a run of an unknown job is stopped: several rounds of the watch that tells of
 accepted jobs, which are told directly besides."""
+FULL_PACE = 100
 UNWELL_FAILURES = 3
 """Failed runs in a row, of different tasks, after which an endpoint gets one task at a time: with
 one failure in thirty, a well endpoint does so once in 27,000 runs."""
@@ -31,10 +33,14 @@
     """
 
     def __init__(
-        self, jobs_by_id: dict[JobId, JobBook], attempts: Callable[[JobBook], int]
+        self,
+        jobs_by_id: dict[JobId, JobBook],
+        attempts: Callable[[JobBook], int],
+        durations: Durations,
     ) -> None:
         self._jobs_by_id = jobs_by_id
         self._attempts = attempts
+        self._durations = durations
 
     def take_look(self, link: EndpointLink, look: Look, sent: float) -> list[Order]:
         """Take over a look; return orders to stop what should not run.
@@ -74,6 +80,8 @@
             return self._take_stop_answer(run, order, verdict)
         if verdict is Verdict.DONE:
             run.confirmed_at = time.monotonic()
+            run.began_at = None if run.task.checkpoint else run.confirmed_at
+            run.task.step.book.begin()
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.UNDER_WAY
             return None
@@ -112,6 +120,7 @@
     def drop(self, link: EndpointLink, run: Run, reason: str) -> None:
         """Forget a run that has surely ended; its task waits again."""
         link.runs_by_key.pop(run.key, None)
+        link.busy_at = time.monotonic()
         task = run.task
         if run in task.runs:
             task.runs.remove(run)
@@ -138,6 +147,8 @@
             task.checkpoint = end.checkpoint
         if end.kind is EndKind.DONE:
             link.failures = 0
+            if run is not None and run.began_at is not None and run.pace == FULL_PACE:
+                self._durations.note(task.step, (time.monotonic() - run.began_at) * 1000)
             self._done(book, task, gang=task.step.spec.gang)
         elif end.kind is EndKind.FAILED:
             link.failures += 1
@@ -190,6 +201,7 @@
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.UNDER_WAY
             run.confirmed_at = run.confirmed_at or time.monotonic()
+            run.task.step.book.begin()
         return []
 
     def _stray(self, link: EndpointLink, running: RunSeen) -> list[Order]:
@@ -229,8 +241,7 @@
         link.runs_by_key[run.key] = run
         link.inherit_lease(run.confirmed_at)
         task.runs.append(run)
-        if book.state is JobState.QUEUED:
-            book.state = JobState.RUNNING
+        book.begin()
         log(
             Event.RUN_ADOPTED, job=task.id.job, task=task.id, run=run.number, endpoint=link.entry.id
         )
--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -24,12 +24,18 @@
     :param wait_s: seconds that a job of average work would wait now before it starts.
     :param waiting_by_queue: accepted jobs of which nothing has started.
     :param token: the owner's fencing token.
+    :param need: hosts' worth of tasks that are at work or whose turn has come.
+    :param hosts: endpoints that take tasks.
+    :param idle: endpoints on which nothing has run for a while.
     """
 
     pool: PoolId
     wait_s: float
     waiting_by_queue: dict[QueueId, int]
     token: int
+    need: float = 0.0
+    hosts: int = 0
+    idle: tuple[EndpointId, ...] = ()
 
 
 class HostNews(msgspec.Struct, frozen=True, tag=True):
--- a/src/lentilrill/platform/_hosts.py
+++ b/src/lentilrill/platform/_hosts.py
@@ -4,7 +4,7 @@
 from returns.result import Failure, Result, Success
 
 from lentilrill.faults import Fault, FaultKind
-from lentilrill.ids import EndpointId, HostId, PoolId, ProcessId
+from lentilrill.ids import EndpointId, HostId, PoolId, ProcessId, ZoneId
 from lentilrill.platform._endpoint_wire import decode_clock
 from lentilrill.store import ODD, Effect, Transport
 from lentilrill.upkeep import HostOrder, HostRow, HostState
@@ -21,6 +21,7 @@
     machine: str
     pool: str
     state: str
+    zone: str = ""
     # The endpoint that lives on it.
     id: str | None = None
 
@@ -62,6 +63,7 @@
                     HostId(host.machine),
                     PoolId(host.pool),
                     STATE_BY_WORD[host.state],
+                    ZoneId(host.zone),
                     EndpointId(host.id or ""),
                 )
                 for host in page.machines
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -4,17 +4,31 @@
 """
 
 from lentilrill.scheduling._admission import Pressure, may_take, retry_after_s
+from lentilrill.scheduling._capacity import (
+    FreeHost,
+    Move,
+    PoolNeed,
+    plan_moves,
+    target_hosts,
+)
+from lentilrill.scheduling._durations import DurationModel
 from lentilrill.scheduling._order import Standing, sort_key
 from lentilrill.scheduling._pacing import next_pace
 from lentilrill.scheduling._placement import EndpointRoom, place
 
 __all__ = [
+    "DurationModel",
     "EndpointRoom",
+    "FreeHost",
+    "Move",
+    "PoolNeed",
     "Pressure",
     "Standing",
     "may_take",
     "next_pace",
     "place",
+    "plan_moves",
     "retry_after_s",
     "sort_key",
+    "target_hosts",
 ]
--- a/src/lentilrill/scheduling/_placement.py
+++ b/src/lentilrill/scheduling/_placement.py
@@ -7,6 +7,9 @@
 
 __all__ = ["EndpointRoom", "place"]
 
+GATHERED = 3
+"""Tasks that last which may gather on an endpoint before the next one is taken."""
+
 
 class EndpointRoom:
     """Free room of one endpoint while a round of placement goes on.
@@ -52,7 +55,9 @@
 
     A task goes to the rack of its data if it can, never back to where it failed while another
     place is free, and else where it fits best: that leaves whole endpoints free for large tasks.
-    Tasks that last spread instead, since they disturb each other.
+    Tasks that last gather on few endpoints, since each endpoint that holds one is kept from
+    leaving an idle pool; but no more than a few on one, since they disturb each other, and since
+    an endpoint that is lost takes all of them with it.
 
     :param on_endpoint: tasks of the step that have a run on an endpoint.
     :param avoid: endpoints where the task failed before.
@@ -69,14 +74,19 @@
             continue
         far = bool(step.near) and room.rack != step.near
         left = room.free.cpu - needs.cpu
-        spreads = step.lasting or step.filler
+        lasts = step.lasting or step.filler
         cost = (
             float(room.id in avoid),
             float(far),
             float(room.probing),
-            float(room.serving) if spreads else 0.0,
-            float(-left if spreads else left),
+            _crowding(room.serving) if lasts else 0.0,
+            float(left),
         )
         if best is None or cost < best_cost:
             best, best_cost = room, cost
     return best
+
+
+def _crowding(serving: int) -> float:
+    """Return the cost of one more lasting task beside ``serving`` others: gather up to a few."""
+    return float(-serving if serving < GATHERED else serving)
--- a/src/lentilrill/upkeep/__init__.py
+++ b/src/lentilrill/upkeep/__init__.py
@@ -1,6 +1,19 @@
 """Waves of upkeep: hosts are emptied, go down, and come back, a few at a time."""
 
 from lentilrill.upkeep._contract import HostCalls, HostOrder, HostRow, HostState
-from lentilrill.upkeep._waves import FLEET, WaveRunner
+from lentilrill.upkeep._emptying import Emptying
+from lentilrill.upkeep._fleet import FLEET, FleetOwner
+from lentilrill.upkeep._moves import Mover
+from lentilrill.upkeep._waves import Waves
 
-__all__ = ["FLEET", "HostCalls", "HostOrder", "HostRow", "HostState", "WaveRunner"]
+__all__ = [
+    "FLEET",
+    "Emptying",
+    "FleetOwner",
+    "HostCalls",
+    "HostOrder",
+    "HostRow",
+    "HostState",
+    "Mover",
+    "Waves",
+]
--- a/src/lentilrill/upkeep/_contract.py
+++ b/src/lentilrill/upkeep/_contract.py
@@ -7,7 +7,7 @@
 from returns.result import Result
 
 from lentilrill.faults import Fault
-from lentilrill.ids import EndpointId, HostId, PoolId, ProcessId
+from lentilrill.ids import EndpointId, HostId, PoolId, ProcessId, ZoneId
 
 __all__ = ["HostCalls", "HostOrder", "HostRow", "HostState"]
 
@@ -30,6 +30,7 @@
     id: HostId
     pool: PoolId
     state: HostState
+    zone: ZoneId = ZoneId("")
     endpoint: EndpointId = EndpointId("")
 
 
--- /dev/null
+++ b/src/lentilrill/upkeep/_fleet.py
@@ -0,0 +1,77 @@
+"""The owner of the fleet: waves of upkeep, and hosts that move to where work waits."""
+
+import threading
+from collections.abc import Callable
+from functools import partial
+
+from returns.result import Failure
+
+from lentilrill.ids import HostId
+from lentilrill.inner import ReleaseTold
+from lentilrill.ownership import Shard
+from lentilrill.telemetry import guarded
+from lentilrill.upkeep._contract import HostCalls, HostRow
+from lentilrill.upkeep._emptying import Emptying
+from lentilrill.upkeep._moves import Mover
+from lentilrill.upkeep._waves import Waves
+
+__all__ = ["FLEET", "FleetOwner"]
+
+FLEET = Shard("@fleet")
+"""The shard whose owner gives orders to hosts: one for all pools, since waves and moves span
+them, and since each host takes orders from one holder at a time."""
+ROUND_S = 0.3
+"""Pause between two rounds, each of which is one call to the list of hosts: a host that is wanted
+is found within it."""
+
+
+class FleetOwner(threading.Thread):
+    """Runs waves and moves while this process owns the fleet.
+
+    :param may_order: whether the lease behind the ownership still holds.
+    """
+
+    def __init__(
+        self,
+        hosts: HostCalls,
+        waves: Waves,
+        mover: Mover,
+        emptying: Emptying,
+        may_order: Callable[[], bool],
+    ) -> None:
+        super().__init__(name="fleet", daemon=True)
+        self._hosts = hosts
+        self._waves = waves
+        self._mover = mover
+        self._emptying = emptying
+        self._may_order = may_order
+        self._ended = threading.Event()
+
+    def close(self) -> None:
+        """Stop ordering at once."""
+        self._ended.set()
+
+    def told(self, message: ReleaseTold) -> None:
+        """Take the answer of a pool's owner."""
+        self._emptying.told(message)
+
+    def run(self) -> None:
+        """Run rounds until closed."""
+        while not self._ended.is_set() and not self._waves.load():
+            self._ended.wait(ROUND_S)
+        while not self._ended.is_set():
+            if self._may_order():
+                guarded("fleet", self._round)
+            self._ended.wait(ROUND_S)
+
+    def _round(self) -> None:
+        listed = self._hosts.hosts()
+        if isinstance(listed, Failure):
+            return
+        rows: dict[HostId, HostRow] = {row.id: row for row in listed.unwrap()}
+        for step in (partial(self._waves.round, rows), partial(self._move, rows)):
+            if not self._ended.is_set() and self._may_order():
+                step()
+
+    def _move(self, rows: dict[HostId, HostRow]) -> None:
+        self._mover.round(rows, self._waves.busy)
--- /dev/null
+++ b/src/lentilrill/upkeep/_moves.py
@@ -0,0 +1,129 @@
+"""Moving hosts between pools and standby, as work comes and goes."""
+
+import time
+from collections.abc import Callable
+
+from lentilrill.ids import HostId, PoolId, ProcessId, Revision
+from lentilrill.inner import PoolPressure
+from lentilrill.scheduling import FreeHost, Move, PoolNeed, plan_moves, target_hosts
+from lentilrill.telemetry import Event, log
+from lentilrill.upkeep._contract import HostCalls, HostOrder, HostRow, HostState
+from lentilrill.upkeep._emptying import Emptying
+from lentilrill.workloads import PoolEntry
+
+__all__ = ["Mover"]
+
+GIVE_UP_S = 1.5
+"""Time in which an endpoint that seemed idle must be free; else its move is given up."""
+
+
+class Mover:
+    """Carries out the moves that :func:`~lentilrill.scheduling.plan_moves` decides on.
+
+    :param pools: the pools that are configured.
+    :param pressure_of: what a pool's owner says; ``None`` if nobody says anything fresh.
+    """
+
+    def __init__(
+        self,
+        hosts: HostCalls,
+        emptying: Emptying,
+        process: ProcessId,
+        token: Revision,
+        pools: Callable[[], tuple[PoolEntry, ...]],
+        pressure_of: Callable[[PoolId], PoolPressure | None],
+        refused: Callable[[str], None],
+    ) -> None:
+        self._hosts = hosts
+        self._emptying = emptying
+        self._process = process
+        self._token = token
+        self._pools = pools
+        self._pressure_of = pressure_of
+        self._refused = refused
+        self._spare_since: dict[PoolId, float] = {}
+        self._begun_by_host: dict[HostId, tuple[Move, float]] = {}
+
+    def round(self, rows: dict[HostId, HostRow], busy: set[HostId]) -> None:
+        """Begin moves, and go on with those that wait for their endpoint.
+
+        :param busy: hosts that a wave of upkeep wants now.
+        """
+        standby = [pool.id for pool in self._pools() if pool.standby]
+        if not standby:
+            return
+        now = time.monotonic()
+        taken = busy | set(self._begun_by_host)
+        needs = tuple(
+            need
+            for pool in self._pools()
+            if not pool.standby and (need := self._need(pool.id, rows, taken, now)) is not None
+        )
+        resting = tuple(
+            FreeHost(row.id, row.zone, row.endpoint)
+            for row in rows.values()
+            if row.pool in standby and row.state is HostState.UP and row.id not in taken
+        )
+        for move in plan_moves(needs, standby[0], resting):
+            self._begun_by_host[move.host.host] = (move, now)
+        for host, (move, began) in list(self._begun_by_host.items()):
+            self._go_on(host, move, began, now, rows.get(host), move.source in standby)
+
+    def _need(
+        self, pool: PoolId, rows: dict[HostId, HostRow], taken: set[HostId], now: float
+    ) -> PoolNeed | None:
+        said = self._pressure_of(pool)
+        if said is None:
+            self._spare_since.pop(pool, None)
+            return None
+        moves = [move for move, _ in self._begun_by_host.values()]
+        members = [row for row in rows.values() if row.pool == pool]
+        coming = sum(1 for move in moves if move.target == pool)
+        going = sum(1 for move in moves if move.source == pool)
+        hosts = len(members) + coming - going
+        if hosts <= target_hosts(said.need, 0):
+            self._spare_since.pop(pool, None)
+        since = self._spare_since.setdefault(pool, now)
+        idle = set(said.idle)
+        free = tuple(
+            FreeHost(row.id, row.zone, row.endpoint)
+            for row in members
+            if row.state is HostState.UP and row.endpoint in idle and row.id not in taken
+        )
+        zones = tuple(row.zone for row in members)
+        return PoolNeed(pool, said.need, hosts, now - since, free, zones)
+
+    def _go_on(
+        self,
+        host: HostId,
+        move: Move,
+        began: float,
+        now: float,
+        row: HostRow | None,
+        is_resting: bool,
+    ) -> None:
+        if row is None or row.pool != move.source or row.state is not HostState.UP:
+            del self._begun_by_host[host]
+            return
+        is_free, reason = True, ""
+        if not is_resting:
+            is_free, reason = self._emptying.ask(move.source, move.host.endpoint)
+        if is_free:
+            self._order(host, move)
+        elif now - began > GIVE_UP_S:
+            log(Event.HOST_WAITS, host=host, reason=reason, given_up=True)
+            del self._begun_by_host[host]
+
+    def _order(self, host: HostId, move: Move) -> None:
+        answer = self._hosts.move(host, move.target, self._process, int(self._token))
+        log(
+            Event.HOST_ORDERED,
+            host=host,
+            source=move.source,
+            target=move.target,
+            answer=answer.value,
+        )
+        if answer is HostOrder.FENCED:
+            self._refused(f"host {host} knows a newer owner of the fleet")
+        if answer not in (HostOrder.LATER, HostOrder.UNKNOWN):
+            del self._begun_by_host[host]
--- a/src/lentilrill/upkeep/_waves.py
+++ b/src/lentilrill/upkeep/_waves.py
@@ -1,30 +1,31 @@
-"""The owner of the fleet: takes the hosts of a wave down, a few at a time, once they are empty."""
+"""Waves of upkeep: hosts go down a few at a time, each once it is empty."""
 
-import itertools
-import threading
+import math
+import time
 from collections.abc import Callable
 from enum import Enum
-from functools import partial
-from typing import Protocol
 
 import msgspec
 from returns.result import Failure
 
 from lentilrill.ids import EndpointId, HostId, PoolId, ProcessId, Revision
-from lentilrill.inner import Message, ReleaseAsk, ReleaseState, ReleaseTold
-from lentilrill.ownership import Shard
 from lentilrill.store import Compare, KeyValue, Put
-from lentilrill.telemetry import Event, guarded, log
+from lentilrill.telemetry import Event, log
 from lentilrill.upkeep._contract import HostCalls, HostOrder, HostRow, HostState
+from lentilrill.upkeep._emptying import Emptying
 from lentilrill.workloads import Wave
 
-__all__ = ["FLEET", "WaveRunner"]
-
-FLEET = Shard("@fleet")
-"""The shard whose owner gives orders to hosts: one for all pools, since a wave spans them."""
-LOOK_S = 0.25
-"""Pause between two rounds while a wave is on; each is one call to the list of hosts."""
-IDLE_S = 0.5
+__all__ = ["Waves"]
+
+HOST_DOWN_S = 4.0
+"""Time that a host takes in a wave: emptied, down for two seconds, and seen up again."""
+SAFETY = 1.6
+"""Factor on the time that the rest of a wave needs, for hosts that can't be emptied at once."""
+BUSY_SHARE = 0.7
+"""Share of its hosts that a pool's work fills, from which on a wave leaves it alone if it can."""
+UNTOUCHED_LOOKS = 4
+"""Rounds in which an ordered host shows up as before, after which its order counts as lost."""
+NOBODY = EndpointId("")
 GONE_LOOKS = 8
 """Rounds in which a host is missing from the list before it counts as gone for good."""
 
@@ -39,27 +40,27 @@
     DONE = "done"
 
 
+_Kept = tuple[Stage, EndpointId]
+"""What is stored of a host: its stage, and the endpoint that lived on it when it was ordered."""
+
+
 class _HostInWave:
-    __slots__ = ("endpoint", "missing", "reason", "seen_down", "stage")
+    __slots__ = ("endpoint", "looks_up", "missing", "reason", "seen_down", "stage")
 
-    def __init__(self) -> None:
-        self.stage = Stage.WAITING
-        self.endpoint = EndpointId("")
+    def __init__(self, stage: Stage = Stage.WAITING, endpoint: EndpointId = NOBODY) -> None:
+        self.stage = stage
+        self.endpoint = endpoint
         self.missing = 0
         self.reason = ""
         self.seen_down = False
+        self.looks_up = 0
 
 
-class _Peers(Protocol):
-    def send(self, address: str, message: Message) -> None:
-        """Send a message, which may be lost."""
-
-
-class WaveRunner(threading.Thread):
-    """Runs all waves while this process owns the fleet.
+class Waves:
+    """All waves of upkeep, while this process owns the fleet.
 
     :param waves: waves that operators have declared, by number.
-    :param owner_address: inner address of a pool's owner; empty if there is none.
+    :param load_of: share of a pool's hosts that its work fills; 0 in standby.
     :param state_key: key under which operators read a wave's state.
     :param state_value: that state's value, by whether the wave is through.
     """
@@ -68,56 +69,50 @@
         self,
         kv: KeyValue,
         hosts: HostCalls,
-        peers: _Peers,
+        emptying: Emptying,
         process: ProcessId,
         token: Revision,
         owner_key: str,
         waves: Callable[[], dict[int, Wave]],
-        owner_address: Callable[[PoolId], str],
+        load_of: Callable[[PoolId], float],
         may_order: Callable[[], bool],
         refused: Callable[[str], None],
         state_key: Callable[[int], str],
         state_value: Callable[[bool], bytes],
     ) -> None:
-        super().__init__(name="waves", daemon=True)
         self._kv = kv
         self._hosts = hosts
-        self._peers = peers
+        self._emptying = emptying
         self._process = process
         self._token = token
         self._owner_key = owner_key
         self._waves = waves
-        self._owner_address = owner_address
+        self._load_of = load_of
+        self._began_by_wave: dict[int, float] = {}
         self._may_order = may_order
         self._refused = refused
         self._state_key = state_key
         self._state_value = state_value
-        self._ended = threading.Event()
-        self._asks = itertools.count(1)
-        self._told_by_endpoint: dict[EndpointId, ReleaseTold] = {}
         self._hosts_by_wave: dict[int, dict[HostId, _HostInWave]] = {}
         self._completed: set[int] = set()
         self._running: set[int] = set()
 
-    def close(self) -> None:
-        """Stop ordering at once."""
-        self._ended.set()
-
-    def told(self, message: ReleaseTold) -> None:
-        """Take the answer of a pool's owner."""
-        self._told_by_endpoint[message.endpoint] = message
-
-    def run(self) -> None:
-        """Run waves until closed."""
-        while not self._ended.is_set() and not self._load():
-            self._ended.wait(IDLE_S)
-        while not self._ended.is_set():
-            waves = [w for n, w in sorted(self._waves().items()) if n not in self._completed]
-            if waves and self._may_order():
-                guarded("waves", partial(self._round, waves))
-            self._ended.wait(LOOK_S if waves else IDLE_S)
-
-    def _load(self) -> bool:
+    @property
+    def open(self) -> list[Wave]:
+        """Waves that are not through, the oldest first."""
+        return [w for number, w in sorted(self._waves().items()) if number not in self._completed]
+
+    @property
+    def busy(self) -> set[HostId]:
+        """Hosts that are being emptied or are down for a wave."""
+        return {
+            host
+            for hosts in self._hosts_by_wave.values()
+            for host, state in hosts.items()
+            if state.stage in (Stage.EMPTYING, Stage.ORDERED)
+        }
+
+    def load(self) -> bool:
         """Read how far a former owner of the fleet came."""
         read = self._kv.read("w/")
         if isinstance(read, Failure):
@@ -126,26 +121,21 @@
             if item.value is None:
                 continue
             number = int(item.key.removeprefix("w/"))
-            kept = msgspec.json.decode(item.value, type=dict[str, Stage])
+            kept = msgspec.json.decode(item.value, type=dict[HostId, _Kept])
             self._running.add(number)
             hosts = self._hosts_by_wave.setdefault(number, {})
-            for host, stage in kept.items():
-                state = hosts.setdefault(HostId(host), _HostInWave())
-                # An order whose outcome was not kept is given again once the host is empty: the
-                # platform answers at once if it was carried out before.
-                state.stage = Stage.DONE if stage is Stage.DONE else Stage.WAITING
-            if kept and all(stage is Stage.DONE for stage in kept.values()):
+            for host, (stage, endpoint) in kept.items():
+                hosts[host] = _HostInWave(stage, endpoint)
+            if kept and all(stage is Stage.DONE for stage, _ in kept.values()):
                 self._completed.add(number)
         return True
 
-    def _round(self, waves: list[Wave]) -> None:
-        listed = self._hosts.hosts()
-        if isinstance(listed, Failure):
-            return
-        rows = {row.id: row for row in listed.unwrap()}
-        for wave in waves:
-            if self._ended.is_set():
-                return
+    def round(self, rows: dict[HostId, HostRow]) -> None:
+        """Take each open wave a step further.
+
+        :param rows: the list of hosts, read a moment ago.
+        """
+        for wave in self.open:
             hosts = self._hosts_by_wave.setdefault(wave.number, {})
             for host in wave.hosts:
                 hosts.setdefault(host, _HostInWave())
@@ -161,6 +151,7 @@
         if not self._store(wave, {}) or not self._tell_state(wave, completed=False):
             return False
         self._running.add(wave.number)
+        self._began_by_wave[wave.number] = time.monotonic()
         log(Event.WAVE_STATE, wave=wave.number, state="running", hosts=len(wave.hosts))
         return True
 
@@ -183,6 +174,12 @@
                 state.seen_down = True
             elif state.seen_down or (row.endpoint and row.endpoint != state.endpoint):
                 self._finish(wave, host, state, "up")
+            elif state.looks_up >= UNTOUCHED_LOOKS:
+                # Its order was lost, maybe with the owner that sent it: it is emptied and ordered
+                # again. If the first order comes after all, the second one changes nothing.
+                state.stage = Stage.EMPTYING
+            else:
+                state.looks_up += 1
 
     def _finish(self, wave: Wave, host: HostId, state: _HostInWave, how: str) -> None:
         state.stage = Stage.DONE
@@ -196,56 +193,95 @@
 
         One host more than may go down is emptied ahead, so that it is free when its turn comes.
         """
-        down = sum(1 for state in hosts.values() if state.stage is Stage.ORDERED)
+        down = sum(1 for host, state in hosts.items() if _is_down(state, rows.get(host)))
         busy = down + sum(1 for state in hosts.values() if state.stage is Stage.EMPTYING)
-        for host, state in hosts.items():
-            row = rows.get(host)
-            if row is None or row.state is not HostState.UP:
-                continue
+        chosen: list[tuple[HostId, _HostInWave]] = []
+        for host, state in self._in_order(wave, hosts, rows):
+            row = rows[host]
             if state.stage is Stage.WAITING and busy < wave.most_at_once + 1:
                 state.stage = Stage.EMPTYING
                 busy += 1
             if state.stage is not Stage.EMPTYING:
                 continue
-            if self._is_free(host, state, row) and down < wave.most_at_once:
-                down += self._order(wave, host, state, row)
+            if self._is_free(host, state, row) and down + len(chosen) < wave.most_at_once:
+                state.endpoint = row.endpoint
+                chosen.append((host, state))
+        self._order_all(wave, hosts, chosen)
+
+    def _in_order(
+        self,
+        wave: Wave,
+        hosts: dict[HostId, _HostInWave],
+        rows: dict[HostId, HostRow],
+    ) -> list[tuple[HostId, _HostInWave]]:
+        """Return hosts that are up, those of idle pools first; those of busy pools only once the
+        wave could otherwise come late.
+
+        Load pattern: a wave takes a quarter of all hosts at once, for about as long as a surge
+        lasts. A pool in its surge needs all of its hosts, and an idle one none of them.
+        """
+        waiting = sum(1 for s in hosts.values() if s.stage in (Stage.WAITING, Stage.EMPTYING))
+        needed_s = HOST_DOWN_S * math.ceil(waiting / wave.most_at_once) * SAFETY
+        began = self._began_by_wave.get(wave.number, 0.0)
+        late = time.monotonic() - began + needed_s > wave.within_s
+        up = [
+            (self._load_of(rows[host].pool), host, state)
+            for host, state in hosts.items()
+            if host in rows and rows[host].state is HostState.UP
+        ]
+        up.sort(key=lambda entry: (entry[2].stage is not Stage.EMPTYING, entry[0]))
+        return [
+            (host, state)
+            for load, host, state in up
+            if late or load < BUSY_SHARE or state.stage is Stage.EMPTYING
+        ]
+
+    def _order_all(
+        self,
+        wave: Wave,
+        hosts: dict[HostId, _HostInWave],
+        chosen: list[tuple[HostId, _HostInWave]],
+    ) -> None:
+        """Send hosts down, once it is stored that they may be down.
+
+        Guard against a wave that takes down more hosts than it may: the next owner of the fleet
+        must count those that this one ordered last, before the list of hosts shows them.
+        """
+        if not chosen:
+            return
+        for _, state in chosen:
+            state.stage, state.looks_up = Stage.ORDERED, 0
+        if not self._store(wave, hosts):
+            for _, state in chosen:
+                state.stage = Stage.EMPTYING
+            return
+        for host, state in chosen:
+            self._order(wave, host, state)
 
     def _is_free(self, host: HostId, state: _HostInWave, row: HostRow) -> bool:
         if not row.endpoint:
             return True
-        address = self._owner_address(row.pool)
-        if not address:
-            return False
-        told = self._told_by_endpoint.pop(row.endpoint, None)
-        self._peers.send(address, ReleaseAsk(next(self._asks), row.pool, row.endpoint))
-        if told is None:
-            return False
-        if told.state == ReleaseState.FREE:
-            return True
-        if told.reason != state.reason:
-            state.reason = told.reason
-            log(Event.HOST_WAITS, host=host, endpoint=row.endpoint, reason=told.reason)
-        return False
-
-    def _order(self, wave: Wave, host: HostId, state: _HostInWave, row: HostRow) -> int:
-        """Send one host down; return 1 if it may be down now."""
-        if not self._may_order() or self._ended.is_set():
-            return 0
-        state.endpoint = row.endpoint
+        is_free, reason = self._emptying.ask(row.pool, row.endpoint)
+        if not is_free and reason != state.reason:
+            state.reason = reason
+            log(Event.HOST_WAITS, host=host, endpoint=row.endpoint, reason=reason)
+        return is_free
+
+    def _order(self, wave: Wave, host: HostId, state: _HostInWave) -> None:
+        if not self._may_order():
+            return
         answer = self._hosts.upkeep(host, wave.number, self._process, int(self._token))
         log(Event.HOST_ORDERED, host=host, wave=wave.number, answer=answer.value)
-        if answer in (HostOrder.DONE, HostOrder.UNKNOWN):
-            state.stage = Stage.ORDERED if answer is HostOrder.DONE else Stage.EMPTYING
-            return 1
         if answer is HostOrder.FENCED:
             self._refused(f"host {host} knows a newer owner of the fleet")
         elif answer is HostOrder.REFUSED:
             self._finish(wave, host, state, "refused")
-        return 0
+        elif answer in (HostOrder.BUSY, HostOrder.LATER):
+            state.stage = Stage.EMPTYING
 
     def _store(self, wave: Wave, hosts: dict[HostId, _HostInWave]) -> bool:
         key = f"w/{wave.number}"
-        stages = {str(host): state.stage for host, state in hosts.items()}
+        stages = {host: (state.stage, state.endpoint) for host, state in hosts.items()}
         return self._write(key, msgspec.json.encode(stages))
 
     def _tell_state(self, wave: Wave, *, completed: bool) -> bool:
@@ -259,3 +295,11 @@
             self._refused("the store knows a newer owner of the fleet")
             return False
         return True
+
+
+def _is_down(state: _HostInWave, row: HostRow | None) -> bool:
+    """Whether a host counts as down: by its order, or by the list of hosts, which shows it later
+    and also tells of orders that were given up and carried out after all."""
+    if state.stage is Stage.ORDERED:
+        return True
+    return row is not None and row.state in (HostState.UPKEEP, HostState.DOWN)
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -7,6 +7,7 @@
 from lentilrill.execution import EndKind, Look, RunEnd, RunSeen, Verdict
 from lentilrill.execution._book import JobBook, Run, RunPhase
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._need import Durations
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._reconcile import STRAY_S, Reconciler
 from lentilrill.execution._release import release
@@ -38,7 +39,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.jobs: dict[JobId, JobBook] = {}
-        self.reconciler = Reconciler(self.jobs, lambda book: 2)
+        self.reconciler = Reconciler(self.jobs, lambda book: 2, Durations())
         self.link = EndpointLink(Owner(), an_endpoint(), FakeEndpoint())
         self.link.looked_once = self.link.reachable = True
         self.link.heard = time.monotonic()
@@ -66,9 +67,11 @@
         return self.reconciler.take_look(self.link, seen, time.monotonic())
 
     def starts(self, strays: set | None = None) -> list:
-        rooms = Planner(TOKEN).rooms([self.link], time.monotonic())
+        rooms = Planner(TOKEN, Durations()).rooms([self.link], time.monotonic())
         jobs = [(book, None) for book in self.jobs.values()]
-        return Planner(TOKEN).starts(jobs, rooms, time.monotonic(), False, 0, strays or set())
+        return Planner(TOKEN, Durations()).starts(
+            jobs, rooms, time.monotonic(), False, 0, strays or set()
+        )
 
 
 class LookTest(BookCase):
