Placement: an unwell endpoint is probed beside tasks that last

Ruled out: attempts (3 of 4 used).

Change: only tasks that end count as the probe. The test fails without it.

--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -85,7 +85,7 @@
             room = place(step.spec, rooms.values(), lambda e: counts.get(e, 0), task.failed_on)
             if room is None:
                 break
-            room.take(step.spec.reserved, serves=step.spec.lasting)
+            room.take(step.spec.reserved, serves=step.spec.lasting or step.spec.filler)
             counts[room.id] = counts.get(room.id, 0) + 1
             placed.append((room.id, self._run(task, room.id, self._number(task.id))))
         return placed
@@ -177,13 +177,13 @@
     serving = 0
     for run in link.runs_by_key.values():
         free = free.minus(run.reserved)
-        serving += run.task.step.spec.lasting
+        serving += run.task.step.spec.lasting or run.task.step.spec.filler
     return EndpointRoom(
         link.entry.id,
         link.entry.rack,
         link.entry.labels,
         free,
-        len(link.runs_by_key),
+        len(link.runs_by_key) - serving,
         serving,
         is_unwell(link),
     )
--- a/src/lentilrill/scheduling/_placement.py
+++ b/src/lentilrill/scheduling/_placement.py
@@ -14,7 +14,8 @@
 class EndpointRoom:
     """Free room of one endpoint while a round of placement goes on.
 
-    :ivar probing: it has failed too often and gets one task at a time.
+    :ivar runs: tasks on it that end.
+    :ivar probing: it has failed too often and gets one task that ends at a time.
     :ivar serving: tasks on it that last, which others disturb.
     """
 
@@ -41,7 +42,7 @@
     def take(self, needs: Resources, *, serves: bool) -> None:
         """Count a task that is placed here."""
         self.free = self.free.minus(needs)
-        self.runs += 1
+        self.runs += not serves
         self.serving += serves
 
 
@@ -65,8 +66,9 @@
     needs = step.reserved
     best: EndpointRoom | None = None
     best_cost: tuple[float, ...] = ()
+    lasts = step.lasting or step.filler
     for room in rooms:
-        if not needs.fits(room.free) or (room.probing and room.runs):
+        if not needs.fits(room.free) or (room.probing and room.runs and not lasts):
             continue
         if step.label and step.label not in room.labels:
             continue
@@ -74,7 +76,6 @@
             continue
         far = bool(step.near) and room.rack != step.near
         left = room.free.cpu - needs.cpu
-        lasts = step.lasting or step.filler
         cost = (
             float(room.id in avoid),
             float(far),
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -261,3 +261,15 @@
     def test_spread_of_a_step(self) -> None:
         self.add(a_step(3, most_per_endpoint=2))
         self.assertEqual(2, len(self.starts()))
+
+    def test_an_unwell_endpoint_is_probed_beside_what_lasts(self) -> None:
+        """Two hopeless jobs were never told to have failed.
+
+        Their tasks had failed on every endpoint of the pool, so each got one task at a time; and
+        each ran a task that lasts, which counted as that one.
+        """
+        lasting = self.run_of(self.add(a_step(1, lasting=True), name="b"))
+        self.link.failures = 5
+        self.add(a_step(2))
+        self.assertEqual(1, len(self.starts()))
+        self.assertIs(RunPhase.UNDER_WAY, lasting.phase)
