--- a/src/lentilrill/execution/_book.py
+++ b/src/lentilrill/execution/_book.py
@@ -98,7 +98,7 @@
         "checkpoint",
         "done",
         "failed_on",
-        "failures",
+        "failed_runs",
         "id",
         "not_before",
         "runs",
@@ -109,12 +109,19 @@
         self.id = id
         self.step = step
         self.done = False
-        self.failures = 0
+        self.failed_runs: set[int] = set()
         self.checkpoint = ""
         self.runs: list[Run] = []
         self.failed_on: set[EndpointId] = set()
         self.not_before = 0.0
 
+    @property
+    def failures(self) -> int:
+        """How often it has failed; a gang fails as a whole."""
+        if not self.step.spec.gang:
+            return len(self.failed_runs)
+        return len(set().union(*(member.failed_runs for member in self.step.tasks)))
+
     @property
     def waiting(self) -> bool:
         """Whether it is to be started and nothing of it runs."""
@@ -282,7 +289,7 @@
             done |= 1 << index
     return StepProgress(
         f"{done:x}",
-        {i: task.failures for i, task in enumerate(step.tasks) if task.failures},
+        {i: sorted(t.failed_runs) for i, t in enumerate(step.tasks) if t.failed_runs},
         {i: t.checkpoint for i, t in enumerate(step.tasks) if t.checkpoint and not t.done},
     )
 
@@ -292,7 +299,7 @@
     for index, task in enumerate(step.tasks):
         if done >> index & 1:
             step.finish(task)
-        task.failures = kept.failures_by_index.get(index, 0)
+        task.failed_runs = set(kept.failed_runs_by_index.get(index, ()))
         task.checkpoint = kept.saved_by_index.get(index, "")
 
 
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -51,7 +51,6 @@
 """How long an endpoint that is not registered any more must be silent before it is forgotten."""
 RESEND_S = 0.05
 """Pause of an endpoint's orders before one without an answer is sent again."""
-DEFAULT_ATTEMPTS = 1
 
 
 class PoolOwner:
@@ -292,7 +291,7 @@
     def _attempts(self, book: JobBook) -> int:
         configuration = self._configuration()
         queue = configuration.queue(book.job.queue) if configuration is not None else None
-        return queue.max_attempts if queue is not None else DEFAULT_ATTEMPTS
+        return queue.max_attempts if queue is not None else book.job.attempts
 
     # Rounds
 
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -170,7 +170,7 @@
             member.step.finish(member)
 
     def _failed(self, book: JobBook, task: TaskBook, link: EndpointLink, end: RunEnd) -> None:
-        task.failures += 1
+        task.failed_runs.add(end.number)
         task.failed_on.add(link.entry.id)
         attempts = self._attempts(book)
         log(
--- a/src/lentilrill/platform/_job_wire.py
+++ b/src/lentilrill/platform/_job_wire.py
@@ -73,6 +73,7 @@
             raw.first_run_ms,
             raw.repeat_count,
             raw.interval_ms,
+            queue.max_attempts,
         )
     )
 
--- a/src/lentilrill/workloads/_job.py
+++ b/src/lentilrill/workloads/_job.py
@@ -98,6 +98,8 @@
     :param spec: the caller's text, passed to endpoints unchanged.
     :param queue: queue through which it came.
     :param pool: pool whose endpoints run it; fixed at acceptance.
+    :param attempts: failed runs after which a task was given up by the configuration at
+        acceptance; counts once its queue is configured no more.
     :param accepted_ms: when it was accepted, in milliseconds since the epoch.
     :param first_due_ms: when its first occurrence is due, in milliseconds since the epoch.
     :param occurrences: how many times the steps run; 0: once, at once.
@@ -112,6 +114,7 @@
     first_due_ms: int = 0
     occurrences: int = 0
     interval_ms: int = 0
+    attempts: int = 1
 
     def due_ms(self, occurrence: int) -> int:
         """Return when an occurrence is due, in milliseconds since the epoch; 0: at once."""
--- a/src/lentilrill/workloads/_progress.py
+++ b/src/lentilrill/workloads/_progress.py
@@ -11,12 +11,13 @@
     """How far a step of one occurrence is.
 
     :param done: hexadecimal number whose bit ``i`` says that task ``i`` is done.
-    :param failures_by_index: failed runs, by task.
+    :param failed_runs_by_index: numbers of failed runs, by task. Numbers and not a count: the next
+        owner is told of the same end again if it was not acknowledged, and must not count it twice.
     :param saved_by_index: newest checkpoint, by task.
     """
 
     done: str = "0"
-    failures_by_index: dict[int, int] = {}
+    failed_runs_by_index: dict[int, list[int]] = {}
     saved_by_index: dict[int, str] = {}
 
 
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -39,11 +39,13 @@
     """Keeps runs, ends and the highest token as an endpoint does; leases don't run out.
 
     :ivar silent: no call is answered, and none is carried out.
+    :ivar deaf: acknowledgements are lost on their way.
     :ivar starts: all starts that were carried out, in order.
     """
 
     def __init__(self) -> None:
         self.silent = False
+        self.deaf = False
         self.token = 0
         self.running: dict[tuple[TaskId, int], RunSeen] = {}
         self.ended: list[RunEnd] = []
@@ -86,7 +88,8 @@
         with self._changed:
             if not self.silent and token >= self.token:
                 self.token = token
-                self.acknowledged = max(self.acknowledged, acknowledged)
+                if not self.deaf:
+                    self.acknowledged = max(self.acknowledged, acknowledged)
                 self.ended = [end for end in self.ended if end.cursor > self.acknowledged]
                 if not self.ended:
                     self._changed.wait(min(wait_ms / 1000, LONGEST_WAIT_S))
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -52,9 +52,11 @@
         self.jobs[job.id] = book
         return book
 
-    def run_of(self, book: JobBook, index: int = 0, *, confirmed: bool = True) -> Run:
+    def run_of(
+        self, book: JobBook, index: int = 0, *, confirmed: bool = True, attempt: int = 1
+    ) -> Run:
         task = book.tasks()[index]
-        run = Run(task, TOKEN * 1000 + 1, self.link.entry.id, task.step.spec.reserved)
+        run = Run(task, TOKEN * 1000 + attempt, self.link.entry.id, task.step.spec.reserved)
         task.runs.append(run)
         self.link.runs_by_key[run.key] = run
         if confirmed:
@@ -141,7 +143,8 @@
     def test_attempts_run_out(self) -> None:
         book = self.add(a_step(1))
         for cursor in (1, 2):
-            run = self.run_of(book)
+            self.assertIs(JobState.QUEUED, book.state)
+            run = self.run_of(book, attempt=cursor)
             self.look(ended=(RunEnd(cursor, run.task.id, run.number, EndKind.FAILED, ""),))
         self.assertIs(JobState.FAILED, book.state)
 
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -5,6 +5,7 @@
 import msgspec
 from testtools import TestCase
 
+from lentilrill.execution import EndKind
 from lentilrill.ids import Revision
 from lentilrill.inner import ReleaseState
 from lentilrill.workloads import JobState
@@ -99,6 +100,32 @@
             self.assertEqual(ReleaseState.WAIT, second.release(endpoint, cancel=False)[0])
             time.sleep(0.01)
 
+    def test_a_failure_that_is_told_again_counts_once(self) -> None:
+        """A route plan was told to have failed although its task had failed once of two times.
+
+        The owner had stored the failure and handed the pool over before it could acknowledge
+        the end, so the endpoint told the next owner of the same end again.
+        """
+        self.job = a_job("a", a_step(1))
+        self.accept()
+        endpoint = self.pool.endpoints["e1"]
+        first = self.pool.take_over()
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) == 1))
+        [(task, number)] = self.pool.starts()
+        endpoint.deaf = True
+        endpoint.end(task, number, EndKind.FAILED)
+        key = f"p/notices/{self.job.id}"
+        self.assertTrue(eventually(lambda: b"failed" in self.stored(key)))
+        first.close()
+        second = self.pool.take_over()
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) >= 2))
+        self.pool.finish_all()
+        self.assertTrue(eventually(lambda: second.state_of(self.job.id) is JobState.COMPLETED))
+
+    def stored(self, key: str) -> bytes:
+        item = self.pool.kv.items_by_key.get(key)
+        return item.value or b"" if item is not None else b""
+
     def test_a_newer_owner_is_yielded_to(self) -> None:
         """Two owners of one pool gave orders at the same time.
 
