Ownership: shorter leases and holds; refusals at once while the store is silent

Change: owner's lease 1.6 s for 2.5 s, hold 3.4 s for 4.5 s, block after a take-over 5.5 s for 8 s (the terms don't add up: a right ends by its lease or by the news of an outage); no pressure without a rate; a host that has not heard the store for 1 s refuses at once, before anything is sent.

--- a/src/lentilrill/entry/_news.py
+++ b/src/lentilrill/entry/_news.py
@@ -15,8 +15,8 @@
 TELL_EVERY_S = 0.3
 FRESH_S = 1.6
 """How long news count: five rounds, so that some lost messages change nothing."""
-SILENT_S = 1.2
-"""Silence of the store after which a host counts it as away: longer than a slow call."""
+SILENT_S = 0.9
+"""Silence of the store after which a host counts it as away: two renewals without an answer."""
 
 
 class NewsDesk(threading.Thread):
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -41,8 +41,9 @@
 
 __all__ = ["EntryProcess"]
 
-SILENT_STORE_S = 2.5
-"""Silence of the store after which callers are better sent to another host."""
+SILENT_STORE_S = 1.0
+"""Silence of the store after which jobs are refused at once and callers are better sent to another
+host: two renewals of the lease in a row had no answer."""
 NOTICE_S = 2.4
 """How long a stopping host goes on taking callers: the balancer asks once a second, and sends none
 after two refusals."""
@@ -93,6 +94,7 @@
             lambda pool: self._ownership.owner_of(Shard(pool)),
             self._news.pressure_of,
             self._pool_ids,
+            lambda: self._kv.silent_s < SILENT_STORE_S,
         )
         self._ingress = Ingress(
             settings.callers,
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -14,15 +14,15 @@
 
 __all__ = ["HOLD_S", "EndpointLink", "Order", "OrderKind"]
 
-HOLD_S = 4.5
+HOLD_S = 3.4
 """Length of the lease given to what runs on an endpoint: longer than the take-over from an owner
-that died (its own lease of 2.5 s, a claim, a look), and short, since what runs where nobody can
-look is started elsewhere only when it has lapsed."""
+that died (a look's age of 0.8 s, the owner's lease of 1.6 s, a claim and a look), and short, since
+what runs where nobody can look is started elsewhere only when it has lapsed."""
 CLOCK_ERROR = 0.02
 """By how much an endpoint's clock may run slow."""
 LAPSE_SLACK_S = 0.3
 """Added to a lease's end before it counts as surely over: a stop at its end takes up to 0.2 s."""
-BUSY_WAIT_MS = 1000
+BUSY_WAIT_MS = 800
 """How long a look waits for an end while something runs. Renews the lease four times over."""
 IDLE_WAIT_MS = 2000
 """The same on an idle endpoint: finds out that it is gone or was born again."""
--- a/src/lentilrill/execution/_need.py
+++ b/src/lentilrill/execution/_need.py
@@ -1,7 +1,6 @@
 """How much work a pool has, and how many hosts that fills."""
 
 from collections import deque
-from collections.abc import Iterable
 
 import msgspec
 
@@ -18,7 +17,6 @@
     "hosts_needed",
     "idle_endpoints",
     "ready_work",
-    "total_room",
 ]
 
 WINDOW_S = 1.0
@@ -109,15 +107,6 @@
         return Chain(max(left.values(), default=0.0), max(whole.values(), default=0.0), work)
 
 
-def total_room(links: Iterable[EndpointLink]) -> Resources:
-    """Return the room of all endpoints that may get tasks, taken or not."""
-    total = Resources()
-    for link in links:
-        if link.reachable and link.registered and not link.entry.draining:
-            total = total.plus(link.entry.room)
-    return total
-
-
 def ready_work(book: JobBook) -> Resources:
     """Return what a job's tasks take whose turn has come and that don't run."""
     total = Resources()
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -16,7 +16,6 @@
     hosts_needed,
     idle_endpoints,
     ready_work,
-    total_room,
 )
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._reconcile import Reconciler
@@ -37,10 +36,11 @@
 
 __all__ = ["PoolOwner"]
 
-TAKE_OVER_S = 8.0
+TAKE_OVER_S = 5.5
 """Wait for endpoints that can't be looked at after a take-over, before tasks that may run there
-are started elsewhere: the former owner's right (2.5 s, and 1 s until it hears that the store is
-back) and the lease of its last order (4.5 s)."""
+are started elsewhere: the former owner's right (at most 1.6 s, by its lease or by the news that
+the store is away everywhere), the lease of its last order (3.4 s on a clock that may be 2 % slow),
+and its end."""
 PLAN_EVERY_S = 0.1
 """Longest time between two rounds; news of runs and jobs start one at once."""
 INTAKE_PAUSE_S = 0.7
@@ -176,11 +176,12 @@
                     work += self._durations.chain_of(book).work
                 ready = ready.plus(ready_work(book))
             links = list(self._links_by_id.values())
-            cores = total_room(links).cpu / 1000
+            cores = sum(link.entry.room.cpu for link in links if link.registered) / 1000
             offered = self._offered.cores(time.monotonic())
             need = hosts_needed(links, ready, offered)
             idle = idle_endpoints(links, time.monotonic())
-        wait_s = work / cores if cores else (60.0 if work else 0.0)
+        # Without a host there is no rate to tell a wait by; the fleet's owner sends some.
+        wait_s = work / cores if cores and self._loaded else 0.0
         return PoolPressure(
             self.pool,
             round(wait_s, 2),
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -44,6 +44,7 @@
     :param owner_of: who owns a pool, as far as is known.
     :param pressure_of: how busy a pool's owner says it is; ``None`` if nobody says so.
     :param pools: all pools that are known.
+    :param can_commit: whether the store has answered this host lately.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         owner_of: Callable[[PoolId], OwnerRecord | None],
         pressure_of: Callable[[PoolId], PoolPressure | None],
         pools: Callable[[], list[PoolId]],
+        can_commit: Callable[[], bool] = lambda: True,
     ) -> None:
         self._kv = kv
         self._peers = peers
@@ -61,6 +63,7 @@
         self._owner_of = owner_of
         self._pressure_of = pressure_of
         self._pools = pools
+        self._can_commit = can_commit
         self._group = GroupCommit(kv)
         self._asks = itertools.count(1)
         self._lock = threading.Lock()
@@ -84,6 +87,11 @@
             retry_s = retry_after_s(Pressure(known.wait_s))
             self._log_submit(job, JobAnswer.OVERLOADED, wait_s=known.wait_s, token=known.token)
             return JobAnswer.OVERLOADED, retry_s
+        if not self._can_commit():
+            # Refused before anything is sent, so that it surely never runs; a commit that gets no
+            # answer could not be told to the caller as refused.
+            self._log_submit(job, JobAnswer.UNAVAILABLE, reason="the store is silent")
+            return JobAnswer.UNAVAILABLE, 1.0
         value = msgspec.msgpack.encode(job)
         done = self._group.create(f"in/{job.pool}/j/{job.id}", value)
         answer = _answer_of(done)
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -21,10 +21,10 @@
 OWNERS = "m/o/"
 BOTH = "m/"
 
-OWNER_TTL_S = 2.5
+OWNER_TTL_S = 1.6
 """Lease of an entry host. Shorter than an endpoint's hold less a take-over, so that tasks outlive
-the loss of their owner; longer than three renewals and a slow answer."""
-RENEW_S = 0.7
+the loss of their owner; longer than three renewals and a slow answer of 0.25 s."""
+RENEW_S = 0.4
 """Three renewals fit into a lease, so that one lost answer costs nothing."""
 SAFETY_S = 0.2
 """By how much a right ends before its lease: an order that was checked is on its way by then."""
--- a/src/lentilrill/platform/_kv.py
+++ b/src/lentilrill/platform/_kv.py
@@ -33,8 +33,10 @@
 __all__ = ["PlatformKeyValue"]
 
 OK, NOT_FOUND, CONFLICT_CODE, GONE, PRECONDITION, TOO_MANY, BUSY = 200, 404, 409, 410, 412, 429, 503
-ATTEMPT_S = 0.8
-"""Time-out of one call: three times the store's slowest healthy answer that was seen, 0.25 s."""
+ATTEMPT_S = 0.7
+"""Time-out of one call: almost three times the store's slowest answer that was seen, 0.25 s."""
+LEASE_ATTEMPT_S = 0.45
+"""Time-out of a lease's renewal: a second one must still fit into a lease of 1.6 s."""
 DEADLINE_S = 1.5
 """Time-out of a call with its retries; callers of jobs wait 3 s for an answer."""
 WATCH_WAIT_MS = 1500
@@ -214,7 +216,7 @@
         # Not behind the circuit breaker: while a lease can still be renewed in time, each try
         # counts, and there is one caller only.
         self._metrics.incr(f"{step}.calls")
-        answered = self._leases.answer(step, Effect.REPEATABLE, method, path, body, ATTEMPT_S)
+        answered = self._leases.answer(step, Effect.REPEATABLE, method, path, body, LEASE_ATTEMPT_S)
         if isinstance(answered, Failure):
             return answered
         status, data, peer = answered.unwrap()
