Tasks do not go back to where they failed; stuck runs are stopped; SIGHUP reloads

Change: a task waits for another endpoint; an unwell one is probed after 0.5 s, doubling to 4 s; a run without progress for 1.6 s is stopped and runs elsewhere; SIGHUP and a changed file reload the log level.

--- a/src/lentilrill/daemon.py
+++ b/src/lentilrill/daemon.py
@@ -21,13 +21,15 @@
     ProcessSettings,
     load_settings,
 )
-from lentilrill.telemetry import Event, log, setup
+from lentilrill.telemetry import Event, log, set_level, setup
 
 __all__ = ["main"]
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 SETTINGS_VARIABLE = "LENTILRILL_CONFIG"
+SETTINGS_LOOK_S = 1.0
+"""Pause between two looks at the settings file, which may change without a signal."""
 EPILOG = """\
 Exit codes: 0 ended after a clean drain, 2 the settings are wrong.
 SIGTERM or SIGINT drains the process: it finishes what is in flight, then ends.
@@ -46,6 +48,46 @@
         """Finish what is in flight, leave the system and end all tasks."""
 
 
+class SettingsWatch:
+    """Reads the settings file again on SIGHUP, and when it has changed without a signal.
+
+    What a process is and where it listens stays as it was until it starts again; the log level is
+    taken over. A file that can't be used is told of, and the settings in force stay.
+    """
+
+    def __init__(self, path: Path, kind: type[ProcessSettings] | type[EntrySettings]) -> None:
+        self._path = path
+        self._kind = kind
+        self._asked = threading.Event()
+        self._changed = self._stamp()
+
+    def ask(self) -> None:
+        """Read the file at the next look, whether it has changed or not."""
+        self._asked.set()
+
+    def look(self) -> None:
+        """Read the file if it has changed or somebody asked for it."""
+        stamp = self._stamp()
+        if stamp == self._changed and not self._asked.is_set():
+            return
+        self._asked.clear()
+        self._changed = stamp
+        result = load_settings(self._path, self._kind)
+        if isinstance(result, Failure):
+            log(Event.SETTINGS_ODD, path=self._path, reason=result.failure().reason)
+            return
+        set_level(result.unwrap().log_level)
+        log(Event.SETTINGS_RELOADED, path=self._path, log_level=result.unwrap().log_level)
+
+    def _stamp(self) -> tuple[int, int]:
+        try:
+            stat = self._path.stat()
+        except OSError:
+            # It is being replaced; the next look finds it.
+            return (0, 0)
+        return stat.st_mtime_ns, stat.st_size
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Run one process until it is told to stop.
 
@@ -54,14 +96,17 @@
     arguments = _parser().parse_args(argv)
     if arguments.role == "entry":
         entry = _settings(arguments.settings, EntrySettings)
-        return EXIT_SETTINGS if entry is None else _serve(EntryProcess(entry), entry)
+        watch = SettingsWatch(arguments.settings, EntrySettings)
+        return EXIT_SETTINGS if entry is None else _serve(EntryProcess(entry), entry, watch)
     if arguments.role == "gateway":
         gateway = _settings(arguments.settings, GatewaySettings)
-        return EXIT_SETTINGS if gateway is None else _serve(GatewayProcess(gateway), gateway)
+        watch = SettingsWatch(arguments.settings, GatewaySettings)
+        return EXIT_SETTINGS if gateway is None else _serve(GatewayProcess(gateway), gateway, watch)
     controller = _settings(arguments.settings, ControllerSettings)
-    return (
-        EXIT_SETTINGS if controller is None else _serve(ControllerProcess(controller), controller)
-    )
+    watch = SettingsWatch(arguments.settings, ControllerSettings)
+    if controller is None:
+        return EXIT_SETTINGS
+    return _serve(ControllerProcess(controller), controller, watch)
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -98,16 +143,21 @@
     return result.unwrap()
 
 
-def _serve(process: Process, settings: ProcessSettings | EntrySettings) -> int:
+def _serve(
+    process: Process, settings: ProcessSettings | EntrySettings, watch: SettingsWatch
+) -> int:
     setup(settings.log_level, settings.process)
     stop = threading.Event()
     # A second signal only sets the same flag, so it can't cut short requests in flight.
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
+    # Without a handler SIGHUP would end the process, and with it the requests in flight.
+    signal.signal(signal.SIGHUP, lambda *_: watch.ask())
     started = time.monotonic()
     process.start()
     log(Event.PROCESS_STARTED, process=settings.process, zone=settings.zone)
-    stop.wait()
+    while not stop.wait(SETTINGS_LOOK_S):
+        watch.look()
     log(Event.PROCESS_DRAINING, process=settings.process)
     process.drain()
     log(
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -107,6 +107,7 @@
         self.stored_cursor = 0
         self.born_ms = 0
         self.failures = 0
+        self.probe_at = 0.0
         self.lease_end = 0.0
         self.pace = 100
         self.paced_at = 0.0
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -5,15 +5,20 @@
 from lentilrill.execution._book import JobBook, Run, RunPhase, StepBook, TaskBook
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
-from lentilrill.execution._reconcile import is_unwell
+from lentilrill.execution._reconcile import count_failure, is_unwell
 from lentilrill.ids import EndpointId
 from lentilrill.scheduling import EndpointRoom, Standing, next_pace, place, sort_key
+from lentilrill.telemetry import Event, log
 from lentilrill.workloads import Queue, TaskId
 
 __all__ = ["Planner"]
 
 HEARD_S = 3.5
 """How long after the last answer an endpoint still gets new tasks: a look waits up to 2 s."""
+FULL = 100
+STUCK_S = 1.6
+"""Time without progress after which a run counts as stuck: twice a look's wait, in which even a
+task of ten times the usual length gets on by one percent."""
 PACE_EVERY_S = 0.5
 """Tails are figures for the last half second: a change shows no sooner."""
 GONE_ENTRY_S = 2.5
@@ -34,7 +39,11 @@
 
     def rooms(self, links: Iterable[EndpointLink], now: float) -> dict[EndpointId, EndpointRoom]:
         """Return the endpoints that may get new tasks, with their free room."""
-        return {link.entry.id: _room(link) for link in links if _takes_tasks(link, now)}
+        return {
+            link.entry.id: _room(link)
+            for link in links
+            if _takes_tasks(link, now) and now >= link.probe_at
+        }
 
     def starts(
         self,
@@ -138,6 +147,34 @@
             chain.work,
         )
 
+    def stuck(self, link: EndpointLink) -> list[Order]:
+        """Return stops of runs that stand still, so that their tasks run elsewhere.
+
+        Guard against an endpoint on which tasks hang while it answers as if it were well: they
+        would keep their room, and their jobs wait, for as long as it likes.
+        """
+        orders = []
+        for run in link.runs_by_key.values():
+            if run.phase is not RunPhase.UNDER_WAY or run.percent >= FULL or not run.pace:
+                continue
+            began = max(run.changed_at, run.confirmed_at or link.heard)
+            if link.heard - began < STUCK_S:
+                continue
+            run.phase = RunPhase.STOPPING
+            run.task.failed_on.add(link.entry.id)
+            count_failure(link)
+            log(
+                Event.RUN_STUCK,
+                job=run.task.id.job,
+                task=run.task.id,
+                run=run.number,
+                endpoint=link.entry.id,
+                percent=run.percent,
+                for_s=round(link.heard - began, 1),
+            )
+            orders.append(Order.of(OrderKind.STOP, run))
+        return orders
+
     def paces(self, link: EndpointLink, now: float) -> list[Order]:
         """Return orders that slow fillers down or speed them up beside tasks that serve."""
         fillers = [run for run in link.runs_by_key.values() if run.task.step.spec.filler]
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -411,6 +411,7 @@
                 orders.append((link, Order.of(OrderKind.START, run)))
             for link in self._links_by_id.values():
                 orders += [(link, order) for order in self._planner.paces(link, now)]
+                orders += [(link, order) for order in self._planner.stuck(link)]
         for link, order in orders:
             link.order(order)
         if urgent:
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -19,9 +19,14 @@
 """Time after which a run of an unknown job is stopped: several rounds of the watch that tells of
 accepted jobs, which are told directly besides."""
 FULL_PACE = 100
-UNWELL_FAILURES = 3
-"""Failed runs in a row, of different tasks, after which an endpoint gets one task at a time: with
-one failure in thirty, a well endpoint does so once in 27,000 runs."""
+UNWELL_FAILURES = 2
+"""Failed runs in a row after which an endpoint gets one task at a time, and that only now and then:
+with one failure in thirty, a well endpoint does so once in 900 runs, and is well again a second
+later."""
+FIRST_PROBE_S = 0.5
+LONGEST_PROBE_S = 4.0
+"""Bounds of the pause before an unwell endpoint gets a task again, doubled with each failure: each
+probe costs some task one of its attempts."""
 
 
 class Reconciler:
@@ -147,11 +152,12 @@
             task.checkpoint = end.checkpoint
         if end.kind is EndKind.DONE:
             link.failures = 0
+            link.probe_at = 0.0
             if run is not None and run.began_at is not None and run.pace == FULL_PACE:
                 self._durations.note(task.step, (time.monotonic() - run.began_at) * 1000)
             self._done(book, task, gang=task.step.spec.gang)
         elif end.kind is EndKind.FAILED:
-            link.failures += 1
+            count_failure(link)
             self._failed(book, task, link, end)
         elif end.kind is not EndKind.STOPPED:
             log(
@@ -248,6 +254,14 @@
         return run
 
 
+def count_failure(link: EndpointLink) -> None:
+    """Count a failed run against its endpoint, which may pause its new tasks."""
+    link.failures += 1
+    if link.failures >= UNWELL_FAILURES:
+        pause_s = FIRST_PROBE_S * 2.0 ** min(10, link.failures - UNWELL_FAILURES)
+        link.probe_at = time.monotonic() + min(LONGEST_PROBE_S, pause_s)
+
+
 def is_unwell(link: EndpointLink) -> bool:
     """Whether an endpoint failed so often in a row that it gets one task at a time."""
     return link.failures >= UNWELL_FAILURES
--- a/src/lentilrill/execution/_writer.py
+++ b/src/lentilrill/execution/_writer.py
@@ -11,7 +11,7 @@
 from lentilrill.faults import FaultKind
 from lentilrill.ids import EndpointId, JobId, Revision
 from lentilrill.store import Compare, KeyValue, Put
-from lentilrill.telemetry import Event, log
+from lentilrill.telemetry import Event, guarded, log
 
 __all__ = ["ProgressWriter", "Snapshot", "progress_key"]
 
@@ -98,6 +98,7 @@
         self._dirty = False
         self._urgent = False
         self._last = 0.0
+        self._flushed = True
 
     def note(self, *, urgent: bool) -> None:
         """Note that there is something to write."""
@@ -122,22 +123,25 @@
                 self._ended.wait(RETRY_S)
                 self.note(urgent=False)
                 continue
-            if not self.flush():
+            if not (guarded(f"writer of {self._pool}", self.flush) and self._flushed):
                 self._ended.wait(RETRY_S)
                 self.note(urgent=True)
 
     def flush(self) -> bool:
         """Write all that is to be written; return whether it is in the store."""
         self._last = self._clock()
+        self._flushed = False
         while True:
             snapshot = self._source.snapshot(JOBS_A_COMMIT)
             if not snapshot.entries:
                 self._source.stored(snapshot, Revision(0))
-                return True
+                break
             if not self._commit(snapshot):
                 return False
             if snapshot.is_whole:
-                return True
+                break
+        self._flushed = True
+        return True
 
     def _wait(self) -> None:
         with self._changed:
--- a/src/lentilrill/scheduling/_placement.py
+++ b/src/lentilrill/scheduling/_placement.py
@@ -54,8 +54,12 @@
 ) -> EndpointRoom | None:
     """Return the endpoint for one more task of ``step``, or ``None`` if none has room.
 
-    A task goes to the rack of its data if it can, never back to where it failed while another
-    place is free, and else where it fits best: that leaves whole endpoints free for large tasks.
+    A task goes to the rack of its data if it can, and else where it fits best: that leaves whole
+    endpoints free for large tasks.
+
+    Load pattern: an endpoint fails all that it starts, and so is always free, while the others are
+    full. A task that failed there would come back at once and use up its attempts in a second. So
+    it rather waits for another endpoint, and is no probe for one that is unwell.
     Tasks that last gather on few endpoints, since each endpoint that holds one is kept from
     leaving an idle pool; but no more than a few on one, since they disturb each other, and since
     an endpoint that is lost takes all of them with it.
@@ -64,20 +68,23 @@
     :param avoid: endpoints where the task failed before.
     """
     needs = step.reserved
+    rooms = list(rooms)
     best: EndpointRoom | None = None
     best_cost: tuple[float, ...] = ()
+    others = any(room.id not in avoid and _has_label(step, room) for room in rooms)
     lasts = step.lasting or step.filler
     for room in rooms:
         if not needs.fits(room.free) or (room.probing and room.runs and not lasts):
             continue
-        if step.label and step.label not in room.labels:
+        if not _has_label(step, room):
+            continue
+        if others and avoid and (room.id in avoid or room.probing):
             continue
         if step.most_per_endpoint and on_endpoint(room.id) >= step.most_per_endpoint:
             continue
         far = bool(step.near) and room.rack != step.near
         left = room.free.cpu - needs.cpu
         cost = (
-            float(room.id in avoid),
             float(far),
             float(room.probing),
             _crowding(room.serving) if lasts else 0.0,
@@ -88,6 +95,10 @@
     return best
 
 
+def _has_label(step: Step, room: EndpointRoom) -> bool:
+    return not step.label or step.label in room.labels
+
+
 def _crowding(serving: int) -> float:
     """Return the cost of one more lasting task beside ``serving`` others: gather up to a few."""
     return float(-serving if serving < GATHERED else serving)
--- a/src/lentilrill/settings/_process.py
+++ b/src/lentilrill/settings/_process.py
@@ -142,6 +142,6 @@
     store: StoreSettings
     hosts_api: str = ""
     advice: str = ""
-    log_level: str = "info"
+    log_level: Annotated[str, msgspec.Meta(pattern="^(debug|info|warning|error)$")] = "info"
     grace_s: Positive = 6.0
     threads: Count = 24
--- a/src/lentilrill/telemetry/__init__.py
+++ b/src/lentilrill/telemetry/__init__.py
@@ -2,7 +2,7 @@
 
 from lentilrill.telemetry._events import Event, Level, log
 from lentilrill.telemetry._guarded import guarded
-from lentilrill.telemetry._lines import setup
+from lentilrill.telemetry._lines import set_level, setup
 from lentilrill.telemetry._metrics import Metrics, NoMetrics, connect
 from lentilrill.telemetry._prometheus import ScrapedMetrics
 
@@ -15,5 +15,6 @@
     "connect",
     "guarded",
     "log",
+    "set_level",
     "setup",
 ]
--- a/src/lentilrill/telemetry/_lines.py
+++ b/src/lentilrill/telemetry/_lines.py
@@ -10,7 +10,7 @@
 import msgspec
 from absl import flags, logging
 
-__all__ = ["setup"]
+__all__ = ["set_level", "setup"]
 
 MOST_WAITING = 10_000
 """Lines that may wait for standard output; more are counted and dropped, since a reader that has
@@ -71,6 +71,11 @@
     return msgspec.json.encode(head | fields, enc_hook=str)
 
 
+def set_level(level: str) -> None:
+    """Log lines at or above ``level`` (debug, info, warning, error) from now on."""
+    logging.set_verbosity(getattr(logging, level.upper()))
+
+
 def setup(level: str, process: str = "") -> None:
     """Send log lines at or above ``level`` (debug, info, warning, error) to standard output.
 
@@ -78,7 +83,7 @@
     """
     flags.FLAGS([sys.argv[0]])
     logging.use_absl_handler()
-    logging.set_verbosity(getattr(logging, level.upper()))
+    set_level(level)
     handler = _BoundedHandler(queue.Queue(MOST_WAITING))
     logger = logging.get_absl_logger()
     logger.handlers = [handler]
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -276,3 +276,23 @@
         self.add(a_step(2))
         self.assertEqual(1, len(self.starts()))
         self.assertIs(RunPhase.UNDER_WAY, lasting.phase)
+
+    def test_a_run_that_stands_still_is_stopped(self) -> None:
+        """A dispatch plan never arrived: its tasks hung on an endpoint that answered as if well."""
+        run = self.run_of(self.add(a_step(1)))
+        planner = Planner(TOKEN, Durations())
+        self.assertEqual([], planner.stuck(self.link))
+        run.changed_at = run.confirmed_at = self.link.heard - 2.0
+        [stop] = planner.stuck(self.link)
+        self.assertIs(OrderKind.STOP, stop.kind)
+        self.assertIn(self.link.entry.id, run.task.failed_on)
+        self.assertEqual([], planner.stuck(self.link))
+
+    def test_an_endpoint_that_fails_on_and_on_is_tried_more_and_more_rarely(self) -> None:
+        book = self.add(a_step(9))
+        for index in range(3):
+            run = self.run_of(book, index)
+            self.look(ended=(RunEnd(index + 1, run.task.id, run.number, EndKind.FAILED, ""),))
+        self.assertEqual([], self.starts())
+        self.link.probe_at = 0.0
+        self.assertEqual(1, len(self.starts()))
--- a/tests/scheduling/test_decisions.py
+++ b/tests/scheduling/test_decisions.py
@@ -52,7 +52,14 @@
         self.assertEqual("b", self.placed(rooms, near=RackId("r2")))
 
     def test_not_back_to_where_it_failed(self) -> None:
+        """Thirteen jobs failed for good on one endpoint, which failed all that it started.
+
+        It was always free while the others were full, so each task came back to it until its
+        attempts were used up. It waits for another endpoint, unless there is none.
+        """
         self.assertEqual("b", self.placed([a_room("a", 1000), a_room("b")], "a"))
+        self.assertIsNone(self.placed([a_room("a", 1000), a_room("b", 0)], "a"))
+        self.assertIsNone(self.placed([a_room("a", 0), a_room("b", probing=True)], "a"))
         self.assertEqual("a", self.placed([a_room("a", 1000)], "a"))
 
     def test_label(self) -> None:
