Execution: the pool's owner split into rounds, jobs and roster; old jobs are forgotten

Jobs and their records, and the endpoints that ever got orders, stand in modules of their own; run numbers are counted where the starts are. Records of jobs that ended over 130 s ago are removed, ten jobs a call: they were kept for ever. Its test fails before.

--- a/src/lentilrill/execution/_book.py
+++ b/src/lentilrill/execution/_book.py
@@ -102,6 +102,7 @@
         "id",
         "not_before",
         "runs",
+        "starts",
         "step",
     )
 
@@ -109,6 +110,7 @@
         self.id = id
         self.step = step
         self.done = False
+        self.starts = 0
         self.failed_runs: set[int] = set()
         self.checkpoint = ""
         self.runs: list[Run] = []
@@ -131,7 +133,7 @@
 class StepBook:
     """One step of one occurrence."""
 
-    __slots__ = ("book", "id", "ran", "ran_ms", "spec", "tasks", "undone")
+    __slots__ = ("book", "id", "ran", "ran_ms", "spec", "starts", "tasks", "undone")
 
     def __init__(self, book: "JobBook", id: StepId, spec: Step) -> None:
         self.book = book
@@ -139,6 +141,7 @@
         self.spec = spec
         self.tasks = [TaskBook(TaskId(*id, index), self) for index in range(spec.count)]
         self.undone = spec.count
+        self.starts = 0
         self.ran = 0
         self.ran_ms = 0.0
 
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -35,7 +35,6 @@
     def __init__(self, token: int, durations: Durations) -> None:
         self._durations = durations
         self._base = token * 1000
-        self._attempts_by_task: dict[object, int] = {}
 
     def rooms(self, links: Iterable[EndpointLink], now: float) -> dict[EndpointId, EndpointRoom]:
         """Return the endpoints that may get new tasks, with their free room."""
@@ -96,7 +95,7 @@
                 break
             room.take(step.spec.reserved, serves=step.spec.lasting or step.spec.filler)
             counts[room.id] = counts.get(room.id, 0) + 1
-            placed.append((room.id, self._run(task, room.id, self._number(task.id))))
+            placed.append((room.id, self._run(task, room.id, self._number(task))))
         return placed
 
     def _place_gang(
@@ -112,22 +111,16 @@
                 break
         if chosen is None:
             return []
-        number = self._number(step.id)
+        number = self._number(step)
         placed = []
         for task, room in zip(waiting, chosen, strict=True):
             room.take(step.spec.reserved, serves=False)
             placed.append((room.id, self._run(task, room.id, number)))
         return placed
 
-    def _number(self, key: object) -> int:
-        number = self._attempts_by_task.get(key, 0) + 1
-        self._attempts_by_task[key] = number
-        return self._base + number
-
-    def forget(self, book: JobBook) -> None:
-        """Forget the run numbers of a job that is final."""
-        for task in book.tasks():
-            self._attempts_by_task.pop(task.id, None)
+    def _number(self, started: TaskBook | StepBook) -> int:
+        started.starts += 1
+        return self._base + started.starts
 
     def _run(self, task: TaskBook, endpoint: EndpointId, number: int) -> Run:
         run = Run(task, number, endpoint, task.step.spec.reserved)
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -4,11 +4,9 @@
 import time
 from collections.abc import Callable
 
-import msgspec
-from returns.result import Failure
-
-from lentilrill.execution._book import JobBook, Run, RunPhase, encode_progress, job_id_of
+from lentilrill.execution._book import JobBook, Run, RunPhase
 from lentilrill.execution._contract import Dialer, Look, OrderAnswer, StartOrder, Verdict
+from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import (
     Durations,
@@ -20,16 +18,15 @@
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import release, renew_releases
-from lentilrill.execution._writer import Entry, ProgressWriter, Snapshot
+from lentilrill.execution._roster import Roster
+from lentilrill.execution._writer import ProgressWriter
 from lentilrill.ids import EndpointId, JobId, PoolId, QueueId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
-from lentilrill.store import Compare, Follower, Item, KeyValue, Put
+from lentilrill.store import Follower, KeyValue
 from lentilrill.telemetry import Event, guarded, log
 from lentilrill.workloads import (
     Configuration,
     EndpointEntry,
-    Job,
-    JobProgress,
     JobState,
     Resources,
 )
@@ -45,8 +42,6 @@
 """Longest time between two rounds; news of runs and jobs start one at once."""
 INTAKE_PAUSE_S = 0.7
 """Pause between two watch calls for accepted jobs, which are also told directly."""
-FORGET_S = 130.0
-"""How long a final job is kept: callers may ask for 120 s."""
 FORGET_LINK_S = 2.0
 """How long an endpoint that is not registered any more must be silent before it is forgotten."""
 RESEND_S = 0.05
@@ -87,20 +82,19 @@
         self._changed = threading.Condition(self._lock)
         self._due = True
         self._ended = threading.Event()
-        self._jobs_by_id: dict[JobId, JobBook] = {}
-        self._live_by_id: dict[JobId, JobBook] = {}
-        self._early_cancels: set[JobId] = set()
         self._links_by_id: dict[EndpointId, EndpointLink] = {}
-        self._roster: dict[EndpointId, str] = {}
+        self._jobs = PoolJobs(
+            kv, pool, owner_key, token, self._lock, self._links_by_id, refused, self._job_changed
+        )
+        self._roster = Roster(kv, pool, owner_key, token)
         self._unseen: set[EndpointId] = set()
         self._gained_at = time.monotonic()
-        self._loaded = False
         self._durations = Durations()
         self._offered = OfferedLoad()
-        self._reconciler = Reconciler(self._jobs_by_id, self._attempts, self._durations)
+        self._reconciler = Reconciler(self._jobs.by_id, self._attempts, self._durations)
         self._planner = Planner(token, self._durations)
-        self._writer = ProgressWriter(kv, pool, owner_key, token, self)
-        self._follower = Follower(kv, f"in/{pool}/", self, pause_s=INTAKE_PAUSE_S)
+        self._writer = ProgressWriter(kv, pool, owner_key, token, self._jobs, self.may_order)
+        self._follower = Follower(kv, f"in/{pool}/", self._jobs, pause_s=INTAKE_PAUSE_S)
         self._planning = threading.Thread(target=self._plan_on, name=f"plan-{pool}", daemon=True)
 
     def start(self) -> None:
@@ -122,7 +116,7 @@
             link.close()
         self._follower.close()
         self._writer.close()
-        if flush and self._loaded:
+        if flush and self._jobs.loaded:
             self._writer.flush()
 
     def may_order(self) -> bool:
@@ -133,35 +127,25 @@
 
     def take_job(self, value: bytes, revision: Revision) -> None:
         """Take an accepted job; one that is known already is not taken again."""
-        job = msgspec.msgpack.decode(value, type=Job)
-        with self._lock:
-            if job.id in self._jobs_by_id:
-                return
-            book = self._add(job, revision)
-            if not book.lasts:
-                self._offered.note(time.monotonic(), self._durations.chain_of(book).work)
-            self._wake()
+        book = self._jobs.take(value, revision)
+        if book is not None:
+            self._job_changed(book)
 
     def cancel(self, job: JobId) -> None:
         """Stop a job for good."""
-        with self._lock:
-            book = self._jobs_by_id.get(job)
-            if book is None:
-                self._early_cancels.add(job)
-                return
-            self._cancel(book)
-            self._wake()
+        self._jobs.cancel(job)
 
     def state_of(self, job: JobId) -> JobState | None:
         """Return what may be shown of a job; ``None`` if it is not known, or not yet."""
+        return self._jobs.state_of(job)
+
+    def _job_changed(self, book: JobBook) -> None:
         with self._lock:
-            book = self._jobs_by_id.get(job)
-            if book is None or not self._loaded:
-                return None
-            if not book.state.is_final or book.final_stored or book.cancelled:
-                return book.state
-            # Not shown before it is stored: a later owner must not take it up again.
-            return JobState.RUNNING
+            if book.state.is_final:
+                self._writer.note(urgent=False)
+            elif not book.lasts:
+                self._offered.note(time.monotonic(), self._durations.chain_of(book).work)
+            self._wake()
 
     def pressure(self) -> PoolPressure:
         """Return how busy the pool is."""
@@ -169,7 +153,7 @@
             waiting: dict[QueueId, int] = {}
             work = 0.0
             ready = Resources()
-            for book in self._live_by_id.values():
+            for book in self._jobs.live_by_id.values():
                 if book.state is JobState.QUEUED and not book.job.occurrences:
                     waiting[book.job.queue] = waiting.get(book.job.queue, 0) + 1
                 if not book.lasts:
@@ -181,7 +165,7 @@
             need = hosts_needed(links, ready, offered)
             idle = idle_endpoints(links, time.monotonic())
         # Without a host there is no rate to tell a wait by; the fleet's owner sends some.
-        wait_s = work / cores if cores and self._loaded else 0.0
+        wait_s = work / cores if cores and self._jobs.loaded else 0.0
         return PoolPressure(
             self.pool,
             round(wait_s, 2),
@@ -201,7 +185,7 @@
             link = self._links_by_id.get(endpoint)
             # Guard against a host that is taken from under its tasks: an owner that has just
             # taken over knows nothing of an endpoint until it has looked there.
-            if not self._loaded or endpoint in self._unseen:
+            if not self._jobs.loaded or endpoint in self._unseen:
                 return ReleaseState.WAIT, "the pool is being taken over"
             if link is None:
                 return ReleaseState.FREE, "no such endpoint"
@@ -215,80 +199,6 @@
             link.order(order)
         return state, reason
 
-    # Records in the store
-
-    def replaced(self, items: tuple[Item, ...]) -> None:
-        """Take over a full read of accepted jobs and cancellings."""
-        self.changed(items)
-
-    def changed(self, items: tuple[Item, ...]) -> None:
-        """Take over newly accepted jobs and cancellings."""
-        for item in items:
-            if item.value is None:
-                continue
-            if "/x/" in item.key:
-                self.cancel(job_id_of(item.key))
-            else:
-                self.take_job(item.value, item.revision)
-
-    def _load(self) -> bool:
-        """Read what former owners stored; return whether it is complete."""
-        accepted = self._kv.read(f"in/{self.pool}/")
-        progress = self._kv.read(f"p/{self.pool}/")
-        roster = self._kv.read(f"e/{self.pool}")
-        for result in (accepted, progress, roster):
-            if isinstance(result, Failure):
-                log(Event.SHARD_NOT_LOADED, shard=self.pool, reason=result.failure().reason)
-                return False
-        now_ms = int(time.time() * 1000)
-        with self._lock:
-            items = accepted.unwrap().items
-            for item in items:
-                if item.value is not None and "/j/" in item.key:
-                    self._add(msgspec.msgpack.decode(item.value, type=Job), item.revision)
-            for item in progress.unwrap().items:
-                book = self._jobs_by_id.get(job_id_of(item.key))
-                if book is not None and item.value is not None:
-                    book.stored_revision = item.revision
-                    book.restore(msgspec.json.decode(item.value, type=JobProgress), now_ms)
-                    if book.final_stored:
-                        self._live_by_id.pop(book.job.id, None)
-            for item in items:
-                if item.value is not None and "/x/" in item.key:
-                    self.cancel(job_id_of(item.key))
-            for item in roster.unwrap().items:
-                if item.key == f"e/{self.pool}" and item.value is not None:
-                    self._roster = msgspec.json.decode(item.value, type=dict[EndpointId, str])
-            self._unseen = set(self._roster)
-            self._loaded = True
-            live = len(self._live_by_id)
-        log(
-            Event.SHARD_LOADED,
-            shard=self.pool,
-            token=self.token,
-            jobs=live,
-            endpoints=len(self._roster),
-        )
-        return True
-
-    def _add(self, job: Job, revision: Revision) -> JobBook:
-        book = JobBook(job, revision, _arrival(job))
-        book.open_occurrences(int(time.time() * 1000))
-        self._jobs_by_id[job.id] = book
-        self._live_by_id[job.id] = book
-        if job.id in self._early_cancels:
-            self._early_cancels.discard(job.id)
-            self._cancel(book)
-        return book
-
-    def _cancel(self, book: JobBook) -> None:
-        if book.state.is_final:
-            return
-        book.cancelled = True
-        book.end(JobState.CANCELLED, int(time.time() * 1000))
-        log(Event.JOB_CANCELLED, job=book.job.id, pool=self.pool)
-        self._writer.note(urgent=False)
-
     def _attempts(self, book: JobBook) -> int:
         configuration = self._configuration()
         queue = configuration.queue(book.job.queue) if configuration is not None else None
@@ -301,10 +211,18 @@
         self._changed.notify_all()
 
     def _plan_on(self) -> None:
-        while not self._ended.is_set() and not self._load():
+        while not self._ended.is_set() and not (self._roster.load() and self._jobs.load()):
             self._ended.wait(PLAN_EVERY_S)
+        self._unseen = set(self._roster.address_by_id)
         if self._ended.is_set():
             return
+        log(
+            Event.SHARD_LOADED,
+            shard=self.pool,
+            token=self.token,
+            jobs=len(self._jobs.live_by_id),
+            endpoints=len(self._unseen),
+        )
         self._follower.start()
         self._writer.start()
         while not self._ended.is_set():
@@ -315,6 +233,7 @@
             if self.may_order():
                 guarded(f"links of {self.pool}", self._refresh_links)
                 guarded(f"plan of {self.pool}", self._plan)
+                guarded(f"old jobs of {self.pool}", self._forget_old)
 
     def _refresh_links(self) -> None:
         entries = self._entries(self.pool)
@@ -327,14 +246,14 @@
                     link.entry = entry
             unknown = [
                 EndpointEntry(id, self.pool, address, zone="")  # type: ignore[arg-type]
-                for id, address in self._roster.items()
+                for id, address in self._roster.address_by_id.items()
                 if id not in entries and id not in self._links_by_id and id in self._unseen
             ]
             gone = [link for link in self._links_by_id.values() if self._is_over(link)]
         if new or gone:
             self._note_roster(new, gone)
         for entry in [*new, *unknown]:
-            if entry.id in self._roster:
+            if entry.id in self._roster.address_by_id:
                 self._open(entry)
 
     def _is_over(self, link: EndpointLink) -> bool:
@@ -350,29 +269,17 @@
         return not link.runs_by_key and (link.closed or (silent and now > link.lease_end))
 
     def _note_roster(self, new: list[EndpointEntry], gone: list[EndpointLink]) -> None:
-        """Store which endpoints get orders, before the first one.
-
-        Guard against a task that runs twice: a later owner must know every endpoint on which a
-        task may still run, also one whose registration has vanished.
-        """
-        roster = dict(self._roster)
-        roster.update({entry.id: entry.address for entry in new})
+        ids = [link.entry.id for link in gone]
         with self._lock:
             for link in gone:
                 link.close()
-                roster.pop(link.entry.id, None)
                 self._links_by_id.pop(link.entry.id, None)
                 self._unseen.discard(link.entry.id)
-        put = Put(f"e/{self.pool}", msgspec.json.encode(roster))
-        result = self._kv.commit((Compare(self._owner_key, self.token),), (put,))
-        if isinstance(result, Failure):
-            log(Event.PROGRESS_NOT_STORED, pool=self.pool, reason=result.failure().reason)
-            return
-        if not result.unwrap().succeeded:
+        if not self._roster.write(new, ids):
             self._refused("the store knows a newer owner")
-            return
-        with self._lock:
-            self._roster = roster
+
+    def _forget_old(self) -> None:
+        self._jobs.forget_old(int(time.time() * 1000))
 
     def _open(self, entry: EndpointEntry) -> None:
         link = EndpointLink(self, entry, self._dial(entry))
@@ -390,14 +297,14 @@
             configuration = self._configuration()
             jobs = []
             urgent = False
-            for book in list(self._live_by_id.values()):
+            for book in list(self._jobs.live_by_id.values()):
                 book.open_occurrences(now_ms)
                 if not book.state.is_final and book.all_done:
                     book.end(JobState.COMPLETED, now_ms)
                 if book.state.is_final:
                     orders += self._stops(book)
                     urgent = urgent or (book.dirty and not book.cancelled)
-                    self._retire(book)
+                    self._jobs.retire(book)
                     continue
                 queue = configuration.queue(book.job.queue) if configuration else None
                 jobs.append((book, queue))
@@ -514,85 +421,3 @@
         if after is not None:
             time.sleep(RESEND_S)
             link.order(after)
-
-    # What the writer wants
-
-    def snapshot(self, most: int) -> Snapshot:
-        """Return progress to be written, final jobs first."""
-        with self._lock:
-            dirty = [book for book in self._live_by_id.values() if book.dirty]
-            dirty.sort(key=lambda book: not book.state.is_final)
-            entries = [
-                Entry(
-                    book.job.id,
-                    encode_progress(book.progress()),
-                    book.stored_revision,
-                    book.version,
-                    book.state.is_final,
-                )
-                for book in dirty[:most]
-            ]
-            cursors = {
-                link.entry.id: (link.seen_cursor, link.born_ms)
-                for link in self._links_by_id.values()
-            }
-            return Snapshot(entries, cursors, len(dirty) <= most)
-
-    def stored(self, snapshot: Snapshot, revision: Revision) -> None:
-        """Take note that a snapshot is in the store."""
-        with self._lock:
-            for entry in snapshot.entries:
-                book = self._jobs_by_id.get(entry.job)
-                if book is None:
-                    continue
-                book.stored_revision = revision
-                book.dirty = book.version != entry.version
-                if entry.is_final and not book.final_stored:
-                    book.final_stored = True
-                    self._log_final(book)
-                self._retire(book)
-            if not snapshot.is_whole:
-                return
-            for endpoint, (cursor, born_ms) in snapshot.cursors.items():
-                link = self._links_by_id.get(endpoint)
-                if link is not None and link.born_ms == born_ms:
-                    link.stored_cursor = max(link.stored_cursor, cursor)
-                    link.nudge()
-
-    def _log_final(self, book: JobBook) -> None:
-        log(
-            Event.JOB_ENDED,
-            job=book.job.id,
-            queue=book.job.queue,
-            state=book.state.value,
-            took_s=round(time.monotonic() - book.arrived_at, 2),
-        )
-
-    def _retire(self, book: JobBook) -> None:
-        """Leave a final job out of all rounds once nothing of it runs."""
-        if book.final_stored and not book.dirty and not any(t.runs for t in book.tasks()):
-            self._live_by_id.pop(book.job.id, None)
-            self._planner.forget(book)
-            book.steps_by_occurrence = {}
-
-    def refused(self) -> None:
-        """Find out why a commit's conditions did not hold, or what became of a lost one."""
-        read = self._kv.read(f"p/{self.pool}/")
-        held = self._kv.read(self._owner_key)
-        if isinstance(read, Failure) or isinstance(held, Failure):
-            return
-        tokens = [i.revision for i in held.unwrap().items if i.key == self._owner_key]
-        if tokens != [self.token]:
-            self._refused("the store knows a newer owner")
-            return
-        with self._lock:
-            for item in read.unwrap().items:
-                book = self._jobs_by_id.get(job_id_of(item.key))
-                if book is not None:
-                    book.stored_revision = item.revision
-
-
-def _arrival(job: Job) -> float:
-    """Return when a job was accepted, by this process's monotonic clock."""
-    age_s = max(0.0, time.time() - job.accepted_ms / 1000)
-    return time.monotonic() - min(age_s, 60.0)
--- a/src/lentilrill/execution/_writer.py
+++ b/src/lentilrill/execution/_writer.py
@@ -57,11 +57,8 @@
     def stored(self, snapshot: Snapshot, revision: Revision) -> None:
         """Take note that a snapshot is in the store."""
 
-    def refused(self) -> None:
-        """Take note that a commit's conditions did not hold."""
-
-    def may_order(self) -> bool:
-        """Whether this process still owns the pool."""
+    def settle(self) -> None:
+        """Find out why a commit's conditions did not hold, or what became of a lost one."""
 
 
 def progress_key(pool: str, job: str) -> str:
@@ -84,6 +81,7 @@
         owner_key: str,
         token: Revision,
         source: _Source,
+        may_order: Callable[[], bool],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__(name=f"writer-{pool}", daemon=True)
@@ -92,6 +90,7 @@
         self._owner_key = owner_key
         self._token = token
         self._source = source
+        self._may_order = may_order
         self._clock = clock
         self._ended = threading.Event()
         self._changed = threading.Condition()
@@ -119,7 +118,7 @@
             self._wait()
             if self._ended.is_set():
                 return
-            if not self._source.may_order():
+            if not self._may_order():
                 self._ended.wait(RETRY_S)
                 self.note(urgent=False)
                 continue
@@ -170,11 +169,11 @@
             fault = result.failure()
             log(Event.PROGRESS_NOT_STORED, pool=self._pool, jobs=len(writes), reason=fault.reason)
             if fault.kind is FaultKind.AMBIGUOUS:
-                self._source.refused()
+                self._source.settle()
             return False
         if not result.unwrap().succeeded:
             log(Event.PROGRESS_NOT_STORED, pool=self._pool, jobs=len(writes), reason="conditions")
-            self._source.refused()
+            self._source.settle()
             return False
         self._source.stored(snapshot, result.unwrap().revision)
         return True
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -8,7 +8,7 @@
 from lentilrill.execution import EndKind
 from lentilrill.ids import Revision
 from lentilrill.inner import ReleaseState
-from lentilrill.workloads import JobState
+from lentilrill.workloads import JobProgress, JobState
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.fakes import OwnedPool, eventually
 
@@ -203,3 +203,22 @@
         self.owner.cancel(self.job.id)
         self.assertTrue(eventually(lambda: bool(self.pool.endpoints["e1"].stops)))
         self.assertEqual(JobState.CANCELLED, self.owner.state_of(self.job.id))
+
+
+class RetentionTest(TestCase):
+    def test_records_of_jobs_that_ended_long_ago_are_removed(self) -> None:
+        """After a week every take-over read a hundred thousand finished jobs, and took minutes."""
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        old, fresh = a_job("a"), a_job("b")
+        now_ms = int(time.time() * 1000)
+        for job, ended_ms in ((old, now_ms - 200_000), (fresh, now_ms)):
+            pool.kv.put(f"in/notices/j/{job.id}", msgspec.msgpack.encode(job))
+            progress = JobProgress(JobState.COMPLETED, ended_ms)
+            pool.kv.put(f"p/notices/{job.id}", msgspec.json.encode(progress))
+        owner = pool.take_over()
+        self.assertTrue(eventually(lambda: f"in/notices/j/{old.id}" not in pool.kv.items_by_key))
+        self.assertNotIn(f"p/notices/{old.id}", pool.kv.items_by_key)
+        self.assertIn(f"p/notices/{fresh.id}", pool.kv.items_by_key)
+        self.assertIs(JobState.COMPLETED, owner.state_of(fresh.id))
+        self.assertTrue(eventually(lambda: owner.state_of(old.id) is None))
