--- a/standins/_http.py
+++ b/standins/_http.py
@@ -29,6 +29,7 @@
         self._request = request
         self.method = request.method.decode()
         self.path = request.path.decode()
+        self.query = request.qs.decode()
         self._body: bytes | None = None
 
     @property
--- /dev/null
+++ b/standins/users_platform.py
@@ -0,0 +1,377 @@
+"""Stand-in for the users' platform: its store, endpoints that run tasks, and the list of hosts.
+
+For tests and the demo; written after the platform's published protocol. All of it runs in threads
+of one process, and keeps a record of every run, from which a test can judge.
+"""
+
+import base64
+import itertools
+import threading
+import time
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from standins._http import Call, Server
+
+__all__ = ["RunRecord", "UsersPlatform"]
+
+THREADS = 64
+LOOK_S = 0.02
+ROOM = {"cpu": 16000, "mem_mb": 32768, "gpu": 0}
+HOST_DOWN_S = 0.5
+
+
+class RunRecord(msgspec.Struct):
+    """One run of a task on an endpoint; ``ended`` is 0.0 while it is under way.
+
+    :param how: how it ended, in the platform's words.
+    """
+
+    endpoint: str
+    task: str
+    number: int
+    began: float
+    ended: float = 0.0
+    how: str = ""
+
+
+class _Store:
+    """Keys with revisions, leases and watches.
+
+    :ivar down: every call is refused with 503.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.changed = threading.Condition()
+        self.revision = 10
+        self.items: dict[str, dict[str, Any]] = {}
+        self._history: list[dict[str, Any]] = []
+        self._leases: dict[int, float] = {}
+        self._ids = itertools.count(1)
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        with self.changed:
+            self._apply([{"key": key, "value": _b64(value), "lease": lease}], [])
+
+    def remove(self, key: str) -> None:
+        with self.changed:
+            self._apply([], [key])
+
+    def expire(self) -> None:
+        """Remove the keys of leases that have run out."""
+        with self.changed:
+            now = time.monotonic()
+            over = {lease for lease, end in self._leases.items() if end < now}
+            for lease in over:
+                self._end(lease)
+
+    def serve(self, call: Call) -> None:
+        query = {name: values[0] for name, values in parse_qs(call.query).items()}
+        if self.down:
+            call.answer(503, b"")
+        elif call.path == "/kv-key":
+            item = self.items.get(query["key"])
+            call.answer(404, b"") if item is None else call.answer_json(item | self._at())
+        elif call.path == "/kv-range":
+            self._range(call, query["prefix"])
+        elif call.path == "/kv-watch":
+            self._watch(call, query)
+        elif call.path == "/kv-txn":
+            self._txn(call, msgspec.json.decode(call.body))
+        elif call.path == "/kv-lease":
+            self._grant(call, msgspec.json.decode(call.body)["ttl_ms"])
+        elif call.path.startswith("/kv-keep/"):
+            self._keep(call, int(call.path.rpartition("/")[2]))
+        else:
+            with self.changed:
+                self._end(int(call.path.rpartition("/")[2]))
+            call.answer_json({})
+
+    def _at(self) -> dict[str, int]:
+        return {"at_rev": self.revision}
+
+    def _range(self, call: Call, prefix: str) -> None:
+        with self.changed:
+            items = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
+            answer = {"items": items, "truncated": False} | self._at()
+        call.answer_json(answer)
+
+    def _watch(self, call: Call, query: dict[str, str]) -> None:
+        prefix, after = query["prefix"], int(query["after"])
+        with self.changed:
+            self.changed.wait_for(
+                lambda: bool(self._news(prefix, after)), int(query["wait_ms"]) / 1000
+            )
+            answer = {"events": self._news(prefix, after)} | self._at()
+        call.answer_json(answer)
+
+    def _news(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [e for e in self._history if e["revision"] > after and e["key"].startswith(prefix)]
+
+    def _txn(self, call: Call, txn: dict[str, Any]) -> None:
+        with self.changed:
+            held = all(
+                self.items.get(row["key"], {}).get("revision", 0) == row["revision"]
+                for row in txn["precondition"]
+            )
+            if held:
+                self._apply(txn["writes"], txn["remove"])
+            revision = self.revision
+        call.answer_json({"revision": revision} if held else {"items": []}, 200 if held else 412)
+
+    def _apply(self, writes: list[dict[str, Any]], remove: list[str]) -> None:
+        self.revision += 1
+        for write in writes:
+            item = {"lease": 0} | write | {"revision": self.revision, "created": self.revision}
+            self.items[write["key"]] = item
+            self._history.append(item)
+        for key in remove:
+            if self.items.pop(key, None) is not None:
+                self._history.append({"key": key, "revision": self.revision, "removed": True})
+        self.changed.notify_all()
+
+    def _grant(self, call: Call, ttl_ms: int) -> None:
+        lease = next(self._ids)
+        with self.changed:
+            self._leases[lease] = time.monotonic() + ttl_ms / 1000
+        call.answer_json({"lease": lease, "ttl_ms": ttl_ms})
+
+    def _keep(self, call: Call, lease: int) -> None:
+        with self.changed:
+            known = lease in self._leases
+            if known:
+                self._leases[lease] = time.monotonic() + 1.6
+        call.answer_json({"ttl_ms": 1600}) if known else call.answer(404, b"")
+
+    def _end(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        keys = [key for key, item in self.items.items() if item["lease"] == lease]
+        if keys:
+            self._apply([], keys)
+
+
+class _Endpoint:
+    """One life of an endpoint; tasks take ``task_s`` seconds each."""
+
+    def __init__(self, name: str, records: list[RunRecord], task_s: float) -> None:
+        self.name = name
+        self.dead = False
+        self._records = records
+        self._task_s = task_s
+        self._changed = threading.Condition()
+        self._born_ms = int(time.time() * 1000)
+        self._token = 0
+        self._expires_ms = 0
+        self._running: dict[tuple[str, int], RunRecord] = {}
+        self._ended: list[list[Any]] = []
+        self._cursor = 0
+        self._server = Server("127.0.0.1:0", self._serve, 8)
+        self._server.start()
+        self.address = self._server.address
+
+    def close(self) -> None:
+        with self._changed:
+            for record in self._running.values():
+                record.ended, record.how = time.monotonic(), "gone"
+            self._running.clear()
+        self.dead = True
+        self._server.close()
+
+    def tick(self) -> None:
+        """End what is through, or whose lease has lapsed."""
+        with self._changed:
+            lapsed = self._clock_ms() > self._expires_ms
+            now = time.monotonic()
+            for (task, number), record in list(self._running.items()):
+                if lapsed:
+                    self._end(task, number, "lapsed")
+                elif now - record.began >= self._task_s:
+                    self._end(task, number, "done")
+
+    def _clock_ms(self) -> int:
+        return int(time.time() * 1000) - self._born_ms
+
+    def _end(self, task: str, number: int, how: str) -> None:
+        record = self._running.pop((task, number), None)
+        if record is None:
+            return
+        record.ended, record.how = time.monotonic(), how
+        self._cursor += 1
+        self._ended.append([self._cursor, task, number, how, ""])
+        self._changed.notify_all()
+
+    def _serve(self, call: Call, address: str) -> None:
+        del address
+        if call.header("Expect-Instance") != self.name:
+            call.answer(421, b"")
+            return
+        body = msgspec.json.decode(call.body)
+        with self._changed:
+            if body["fencing_token"] < self._token:
+                call.answer_json({"clock_ms": self._clock_ms(), "reason": "fence"}, 409)
+                return
+            self._token = body["fencing_token"]
+            self._expires_ms = max(self._expires_ms, body.get("expires_ms", 0))
+            answer = self._carry_out(call.path, body)
+        call.answer_json({"clock_ms": self._clock_ms(), "born": self._born_ms} | answer)
+
+    def _carry_out(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        if path == "/hold":
+            return self._hold(body)
+        key = (body["task"], body["run_id"])
+        if path == "/run-start" and key not in self._running:
+            record = RunRecord(self.name, *key, time.monotonic())
+            self._running[key] = record
+            self._records.append(record)
+        elif path == "/run-stop":
+            self._end(*key, "stopped")
+        return {}
+
+    def _hold(self, body: dict[str, Any]) -> dict[str, Any]:
+        self._ended = [end for end in self._ended if end[0] > body.get("ack_cursor", 0)]
+        if not self._ended:
+            self._changed.wait(body.get("wait_ms", 0) / 1000)
+        now = time.monotonic()
+        running = [
+            [task, number, "", min(99, int((now - record.began) / self._task_s * 100)), 0]
+            for (task, number), record in self._running.items()
+        ]
+        return {"running": running, "ended": self._ended}
+
+
+class UsersPlatform:
+    """The whole platform: one store, hosts with an endpoint each, and orders to hosts.
+
+    :param task_s: seconds that each task takes.
+    :ivar records: every run that was ever started.
+    :ivar most_down: most hosts that were down for upkeep at once.
+    """
+
+    def __init__(self, task_s: float = 0.2) -> None:
+        self.store = _Store()
+        self.records: list[RunRecord] = []
+        self.most_down = 0
+        self._task_s = task_s
+        self._lock = threading.RLock()
+        self._names = itertools.count(1)
+        self._hosts: dict[str, dict[str, Any]] = {}
+        self._endpoints: dict[str, _Endpoint] = {}
+        self._fences: dict[str, int] = {}
+        self._ended = threading.Event()
+        self._servers = [
+            Server("127.0.0.1:0", lambda call, _: self.store.serve(call), THREADS),
+            Server("127.0.0.1:0", lambda call, _: self._serve_hosts(call), 8),
+        ]
+        self.store_address, self.hosts_address = (server.address for server in self._servers)
+        for server in self._servers:
+            server.start()
+        self._ticker = threading.Thread(target=self._tick, daemon=True)
+        self._ticker.start()
+
+    def close(self) -> None:
+        """End everything."""
+        self._ended.set()
+        self._ticker.join()
+        for endpoint in list(self._endpoints.values()):
+            if not endpoint.dead:
+                endpoint.close()
+        for server in self._servers:
+            server.close()
+
+    def add_host(self, pool: str, zone: str = "holyoke") -> str:
+        """Add a host; in the pool ``standby`` it has no endpoint."""
+        host = f"m-{next(self._names)}"
+        self._hosts[host] = {"machine": host, "pool": pool, "state": "up", "zone": zone, "id": ""}
+        self._settle(host)
+        return host
+
+    def configure(self, version: int, queues: dict[str, str]) -> None:
+        """Put a configuration in force: each queue's pool by its prefix."""
+        routes = [
+            {"name": f"r{prefix}", "host": "braille.example", "prefix": prefix, "service": pool}
+            | {"max_attempts": 3, "stretch": 1.6, "latency_slo_ms": 600, "priority": 0}
+            for prefix, pool in queues.items()
+        ]
+        pools = [{"name": pool} for pool in sorted(set(queues.values()))]
+        pools.append({"name": "standby", "standby": True})
+        value = {"version": version, "routes": routes, "services": pools, "limits": {}}
+        self.store.put("op/config", msgspec.json.encode(value))
+
+    def declare_wave(self, number: int, hosts: list[str], cap: int) -> None:
+        """Ask for the upkeep of hosts."""
+        value = {"wave": number, "machines": hosts, "within_s": 20, "cap": cap}
+        self.store.put(f"op/wave/{number}", msgspec.json.encode(value))
+
+    def value(self, key: str) -> dict[str, Any] | None:
+        """Return a key's value, decoded; ``None`` if it is absent."""
+        item = self.store.items.get(key)
+        return msgspec.json.decode(base64.b64decode(item["value"])) if item is not None else None
+
+    def hosts_of(self, pool: str) -> list[str]:
+        """Return a pool's hosts."""
+        return [name for name, host in self._hosts.items() if host["pool"] == pool]
+
+    def _tick(self) -> None:
+        while not self._ended.wait(LOOK_S):
+            self.store.expire()
+            for endpoint in list(self._endpoints.values()):
+                if not endpoint.dead:
+                    endpoint.tick()
+
+    def _settle(self, host: str) -> None:
+        """Let a new endpoint live on a host."""
+        entry = self._hosts[host]
+        entry["state"] = "up"
+        if entry["pool"] == "standby":
+            return
+        name = f"i-{next(self._names)}"
+        endpoint = _Endpoint(name, self.records, self._task_s)
+        self._endpoints[host] = endpoint
+        entry["id"] = name
+        value = {"service": entry["pool"], "address": endpoint.address, "state": "ready"}
+        value |= {"zone": entry["zone"], "capacity": ROOM, "labels": ["a", "r1"], "machine": host}
+        self.store.put(f"servers/{name}", msgspec.json.encode(value))
+
+    def _serve_hosts(self, call: Call) -> None:
+        if call.method == "GET":
+            with self._lock:
+                rows = [dict(host) for host in self._hosts.values()]
+            call.answer_json({"machines": rows, "next_token": None})
+            return
+        body = msgspec.json.decode(call.body)
+        host, token = body["machine"], int(call.header("Fencing-Token"))
+        with self._lock:
+            if token < self._fences.get(host, 0):
+                call.answer_json({"reason": "fence"}, 409)
+                return
+            self._fences[host] = token
+            if self._hosts[host]["state"] != "up":
+                call.answer_json({"reason": "busy"}, 409)
+                return
+            self._take_down(host, body.get("pool", ""))
+        call.answer_json({})
+
+    def _take_down(self, host: str, pool: str) -> None:
+        entry = self._hosts[host]
+        entry["state"] = "moving" if pool else "upkeep"
+        entry["pool"] = pool or entry["pool"]
+        down = sum(1 for other in self._hosts.values() if other["state"] == "upkeep")
+        self.most_down = max(self.most_down, down)
+        self.store.remove(f"servers/{entry['id']}")
+        entry["id"] = ""
+        endpoint = self._endpoints.pop(host, None)
+        threading.Thread(target=self._bring_back, args=(host, endpoint), daemon=True).start()
+
+    def _bring_back(self, host: str, endpoint: _Endpoint | None) -> None:
+        if endpoint is not None:
+            endpoint.close()
+        if not self._ended.wait(HOST_DOWN_S):
+            with self._lock:
+                self._settle(host)
+
+
+def _b64(value: bytes) -> str:
+    return base64.b64encode(value).decode()
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -14,6 +14,7 @@
 from lentilrill.settings import (
     ControllerSettings,
     Entitlement,
+    EntrySettings,
     GatewaySettings,
     Objective,
     Plan,
@@ -65,6 +66,13 @@
         for path, default in keys.items():
             self.assertEqual(shown(default), rows[path][1].strip("`"), path)
 
+    def test_settings_of_entry_hosts(self) -> None:
+        rows = rows_of(DOCS / "operators" / "entry.md")
+        keys = keys_of(EntrySettings)
+        self.assertEqual(set(keys), set(rows))
+        for path, default in keys.items():
+            self.assertEqual(shown(default), rows[path][1].strip("`"), path)
+
     def test_lists(self) -> None:
         text = (DOCS / "operators" / "lists.md").read_text()
         for kind in (Plan, Pool, Objective, Entitlement):
--- /dev/null
+++ b/tests/platform/site.py
@@ -0,0 +1,98 @@
+"""Entry hosts as real processes on a stand-in of the users' platform."""
+
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from standins.users_platform import UsersPlatform
+from tests.builders import an_address
+from tests.execution.fakes import eventually
+
+__all__ = ["EntrySite"]
+
+HOST = {"Host": "braille.example"}
+
+
+class EntrySite:
+    """Some entry hosts and what callers see of them."""
+
+    def __init__(self, platform: UsersPlatform, hosts: int) -> None:
+        self.platform = platform
+        self.folder = Path(tempfile.mkdtemp(prefix="lentilrill-"))
+        self.http = urllib3.PoolManager(retries=False, timeout=5.0)
+        self.settings = {f"front-{n}": self._settings(f"front-{n}") for n in range(hosts)}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def _settings(self, name: str) -> dict[str, Any]:
+        return {
+            "process": name,
+            "zone": "holyoke",
+            "callers": an_address(),
+            "readiness": an_address(),
+            "inner": an_address(),
+            "metrics": an_address(),
+            "store": {"address": self.platform.store_address},
+            "hosts_api": self.platform.hosts_address,
+        }
+
+    def start(self, name: str) -> None:
+        """Start one entry host."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self.settings[name]))
+        command = [sys.executable, "-m", "lentilrill.daemon", "entry", "--settings", str(path)]
+        with (self.folder / f"{name}.log").open("ab") as output:
+            self.processes[name] = subprocess.Popen(command, stdout=output, stderr=output)
+
+    def start_all(self) -> bool:
+        """Start all entry hosts; return whether all became ready."""
+        for name in self.settings:
+            self.start(name)
+        return eventually(lambda: all(self.is_ready(name) for name in self.settings))
+
+    def close(self) -> None:
+        """End the processes that were started here."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+    def kill(self, name: str) -> None:
+        """Kill one entry host."""
+        self.processes[name].send_signal(signal.SIGKILL)
+        self.processes[name].wait()
+
+    def is_ready(self, name: str) -> bool:
+        """Whether the balancer would send callers there."""
+        return self._status("GET", self.settings[name]["readiness"], "/readiness")[0] == 200
+
+    def submit(self, name: str, path: str, job: dict[str, Any]) -> int:
+        """Hand a job in; return the status of the answer, 0 for none."""
+        return self._status("POST", self.settings[name]["callers"], path, json.dumps(job))[0]
+
+    def state(self, name: str, path: str) -> str:
+        """Return a job's state as shown, or the status of the answer."""
+        status, body = self._status("GET", self.settings[name]["callers"], path)
+        return str(json.loads(body)["state"]) if status == 200 else str(status)
+
+    def cancel(self, name: str, path: str) -> int:
+        """Cancel a job."""
+        return self._status("DELETE", self.settings[name]["callers"], path)[0]
+
+    def metrics(self, name: str) -> str:
+        """Return an entry host's metrics."""
+        return self._status("GET", self.settings[name]["metrics"], "/metrics")[1].decode()
+
+    def _status(
+        self, method: str, address: str, path: str, body: str | None = None
+    ) -> tuple[int, bytes]:
+        try:
+            answer = self.http.request(method, f"http://{address}{path}", body=body, headers=HOST)
+        except urllib3.exceptions.HTTPError:
+            return 0, b""
+        return answer.status, answer.data
--- /dev/null
+++ b/tests/platform/test_whole_path.py
@@ -0,0 +1,100 @@
+"""Jobs on real entry hosts, on a stand-in of the users' platform."""
+
+from collections import Counter
+from itertools import pairwise
+from typing import Any
+
+from testtools import TestCase
+
+from standins.users_platform import UsersPlatform
+from tests.execution.fakes import eventually
+from tests.platform.site import EntrySite
+
+SMALL = {"count": 3, "cpu": 1000, "mem_mb": 500, "estimate_ms": 200}
+JOB: dict[str, Any] = {"spec": "text", "steps": [SMALL, SMALL | {"count": 2, "after": [0]}]}
+
+
+def path(number: int) -> str:
+    return f"/proofs/{number:016x}"
+
+
+class WholePathTest(TestCase):
+    def begin(self, *, task_s: float, hosts: int = 2) -> None:
+        self.platform = UsersPlatform(task_s)
+        self.addCleanup(self.platform.close)
+        self.platform.configure(3, {"/proofs/": "notices"})
+        self.workers = [self.platform.add_host("notices") for _ in range(3)]
+        self.site = EntrySite(self.platform, hosts)
+        self.addCleanup(self.site.close)
+        self.assertTrue(self.site.start_all())
+
+    def all_completed(self, name: str, jobs: int) -> bool:
+        return all(self.site.state(name, path(n)) == "completed" for n in range(jobs))
+
+    def check_runs(self) -> None:
+        """Each task ran to its end once, and never twice at a time."""
+        done = Counter(r.task for r in self.platform.records if r.how == "done")
+        self.assertEqual({1}, set(done.values()))
+        runs_by_task: dict[str, list[Any]] = {}
+        for record in self.platform.records:
+            runs_by_task.setdefault(record.task, []).append(record)
+        for runs in runs_by_task.values():
+            runs.sort(key=lambda run: run.began)
+            for former, later in pairwise(runs):
+                self.assertTrue(former.ended and former.ended <= later.began, (former, later))
+
+    def test_jobs_are_done_once_whichever_host_takes_them(self) -> None:
+        self.begin(task_s=0.1)
+        for number in range(6):
+            self.assertEqual(200, self.site.submit(f"front-{number % 2}", path(number), JOB))
+            self.assertEqual(200, self.site.submit(f"front-{1 - number % 2}", path(number), JOB))
+        for name in self.site.settings:
+            self.assertTrue(eventually(lambda name=name: self.all_completed(name, 6)))
+        self.check_runs()
+        self.assertEqual("410", self.site.state("front-0", path(99)))
+        self.assertEqual(404, self.site.submit("front-0", "/nowhere/" + path(1)[8:], JOB))
+        self.assertEqual(400, self.site.submit("front-0", path(7), {"spec": 1}))
+        self.assertIn("lentilrill_ingress_post_200_total", self.site.metrics("front-0"))
+
+    def test_a_killed_owner_costs_no_job(self) -> None:
+        """A ballot was lost when the host that ran its queue was killed.
+
+        Its tasks run on under their leases; another host takes the pool over, finds them by its
+        looks, and finishes the job. Nothing runs twice.
+        """
+        self.begin(task_s=1.0)
+        for number in range(4):
+            self.assertEqual(200, self.site.submit("front-0", path(number), JOB))
+        self.assertTrue(eventually(lambda: len(self.platform.records) >= 6))
+        owner = self.platform.value("m/o/notices")
+        assert owner is not None
+        self.site.kill(owner["process"])
+        [other] = set(self.site.settings) - {owner["process"]}
+        self.assertTrue(eventually(lambda: self.all_completed(other, 4)))
+        self.check_runs()
+
+    def test_a_wave_takes_down_no_more_hosts_than_it_may(self) -> None:
+        self.begin(task_s=0.1)
+        self.platform.declare_wave(1, self.workers, cap=1)
+        key = "status/wave/1"
+        self.assertTrue(
+            eventually(lambda: (self.platform.value(key) or {}).get("state") == "completed")
+        )
+        self.assertEqual(1, self.platform.most_down)
+        self.assertEqual(200, self.site.submit("front-0", path(1), JOB))
+        self.assertTrue(eventually(lambda: self.site.state("front-0", path(1)) == "completed"))
+
+    def test_while_the_store_is_away_jobs_are_refused_and_tasks_go_on(self) -> None:
+        """In an outage of the store every task was killed, and callers waited in vain."""
+        self.begin(task_s=3.0)
+        self.assertEqual(200, self.site.submit("front-0", path(1), JOB))
+        self.assertTrue(eventually(lambda: len(self.platform.records) == 3))
+        self.platform.store.down = True
+        self.assertTrue(eventually(lambda: not self.site.is_ready("front-0")))
+        self.assertEqual(503, self.site.submit("front-0", path(2), JOB))
+        self.assertTrue(
+            eventually(lambda: all(run.how == "done" for run in self.platform.records[:3]))
+        )
+        self.platform.store.down = False
+        self.assertTrue(eventually(lambda: self.site.state("front-0", path(1)) == "completed"))
+        self.check_runs()
