--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -295,7 +295,7 @@
             | {"max_attempts": 3, "stretch": 1.6, "latency_slo_ms": 600, "priority": 0}
             for prefix, pool in queues.items()
         ]
-        pools = [{"name": pool} for pool in sorted(set(queues.values()))]
+        pools: list[dict[str, Any]] = [{"name": pool} for pool in sorted(set(queues.values()))]
         pools.append({"name": "standby", "standby": True})
         value = {"version": version, "routes": routes, "services": pools, "limits": {}}
         self.store.put("op/config", msgspec.json.encode(value))
