--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed-$(shell cat requirements.lock pyproject.toml | cksum | cut -d' ' -f1)
 CODE := src standins tests bench
 
-.PHONY: demo test bench matrix soak lint format clean
+.PHONY: demo test bench matrix soak regress lint format clean
 
 $(STAMP):
 	$(PYTHON) -m venv $(VENV)
@@ -28,6 +28,10 @@
 soak: $(STAMP)
 	$(BIN)/python -m tests.soak $(ARGS)
 
+# ARGS: the users' bench and its folder of sites
+regress: $(STAMP)
+	$(BIN)/python -m tests.regress $(ARGS)
+
 lint: $(STAMP)
 	$(BIN)/black --check --quiet $(CODE)
 	$(BIN)/ruff check --quiet $(CODE)
--- /dev/null
+++ b/tests/entry/test_beliefs.py
@@ -0,0 +1,111 @@
+"""What an entry host believes from records and from its peers."""
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.entry._books import ConfigurationBook, EndpointBook
+from lentilrill.entry._news import NewsDesk
+from lentilrill.ids import EndpointId, Incarnation, PoolId, ProcessId, Revision, ZoneId
+from lentilrill.inner import Batch, HostNews, PoolPressure
+from lentilrill.ownership import MemberRecord
+from lentilrill.store import Item
+
+
+def a_record(version: int, *prefixes: str) -> bytes:
+    routes = [
+        {"name": prefix, "host": "braille.example", "prefix": prefix, "service": "notices"}
+        for prefix in prefixes
+    ]
+    return msgspec.json.encode({"version": version, "routes": routes, "services": []})
+
+
+def an_item(key: str, value: bytes | None, revision: int = 1) -> Item:
+    return Item(key, value, Revision(revision))
+
+
+class ConfigurationBookTest(TestCase):
+    def test_an_older_version_never_comes_back(self) -> None:
+        """A clerk's queue was there, then unknown, then there again.
+
+        A host had taken the new configuration from a peer; then its own read of the store, which
+        was stale, brought the old one.
+        """
+        book = ConfigurationBook()
+        book.offer(a_record(7, "/new/"))
+        book.replaced((an_item("op/config", a_record(3, "/old/")),))
+        self.assertEqual(7, book.version)
+        book.changed((an_item("op/config", a_record(9, "/newest/")),))
+        self.assertEqual(9, book.version)
+
+    def test_odd_records_change_nothing(self) -> None:
+        book = ConfigurationBook()
+        book.offer(a_record(7, "/new/"))
+        for odd in (b"", b"{}", b'{"version":"8"}'):
+            book.offer(odd)
+        self.assertEqual(7, book.version)
+
+    def test_the_longest_prefix_wins(self) -> None:
+        book = ConfigurationBook()
+        book.offer(a_record(1, "/a/", "/a/b/"))
+        assert book.current is not None
+        found = book.current.queue_for("braille.example", "/a/b/5c0e7a21d94b36f8")
+        assert found is not None
+        self.assertEqual("/a/b/", found.prefix)
+        self.assertIsNone(book.current.queue_for("other.example", "/a/b/x"))
+
+
+class EndpointBookTest(TestCase):
+    def test_an_entry_that_turns_odd_names_no_endpoint_any_more(self) -> None:
+        book = EndpointBook()
+        entry = {"service": "notices", "address": "10.0.0.1:1", "state": "ready"}
+        book.changed((an_item("servers/i-1", msgspec.json.encode(entry)),))
+        self.assertEqual({EndpointId("i-1")}, set(book.of_pool(PoolId("notices"))))
+        book.changed((an_item("servers/i-1", b"\xff", 2),))
+        self.assertEqual({}, book.of_pool(PoolId("notices")))
+
+
+class Node:
+    def on(self, kind: type, handler: object) -> None: ...
+
+
+class NewsTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.silent_s = 5.0
+        members = [
+            MemberRecord(ProcessId(f"h{n}"), Incarnation(1), ZoneId("z"), f"10.0.0.{n}:1", 1)
+            for n in range(6)
+        ]
+        self.desk = NewsDesk(
+            Node(), lambda: members, ConfigurationBook(), lambda: (), lambda: self.silent_s
+        )
+
+    def hear(self, host: str, news: HostNews) -> None:
+        self.desk._heard(Batch(ProcessId(host), Incarnation(1), "10.0.0.1:1", ()), news)
+
+    def test_an_outage_is_everywhere_only_if_most_say_so(self) -> None:
+        """Two hosts owned one pool: one of them, cut off with its zone, took the cut for an outage.
+
+        It hears the hosts of its own zone only, and these are no majority.
+        """
+        for host in ("h0", "h1"):
+            self.hear(host, HostNews(5.0, -1))
+        self.assertFalse(self.desk.outage_everywhere())
+        self.hear("h2", HostNews(5.0, -1))
+        self.assertTrue(self.desk.outage_everywhere())
+        self.hear("h2", HostNews(0.1, -1))
+        self.assertFalse(self.desk.outage_everywhere())
+
+    def test_no_outage_for_a_host_that_reaches_the_store(self) -> None:
+        self.silent_s = 0.1
+        for n in range(6):
+            self.hear(f"h{n}", HostNews(5.0, -1))
+        self.assertFalse(self.desk.outage_everywhere())
+
+    def test_a_former_owner_is_not_believed(self) -> None:
+        pool = PoolId("notices")
+        self.hear("h1", HostNews(0.0, -1, (PoolPressure(pool, 1.0, {}, 9),)))
+        self.hear("h2", HostNews(0.0, -1, (PoolPressure(pool, 60.0, {}, 4),)))
+        said = self.desk.pressure_of(pool)
+        assert said is not None
+        self.assertEqual(9, said.token)
--- /dev/null
+++ b/tests/regress/__main__.py
@@ -0,0 +1,38 @@
+"""Plays again the days that ever broke a rule, where the users' bench is at hand.
+
+    python -m tests.regress BENCH SITES
+
+BENCH is the program, SITES the folder of site files. Ends with 1 if a day breaks a rule again.
+"""
+
+import subprocess
+import sys
+from pathlib import Path
+
+SEEDS = Path(__file__).with_name("seeds.txt")
+BROKEN = "BROKEN"
+
+
+def main() -> int:
+    """Play all days of the list, one after the other."""
+    bench, sites = sys.argv[1:]
+    broken = 0
+    for line in SEEDS.read_text().splitlines():
+        if not line or line.startswith("#"):
+            continue
+        site, day, seed, story = line.split(" ", 3)
+        # A hunted day is known by its name, from the journal; a standard one by its name and seed.
+        verb = "replay" if day.startswith("hunt-") else "run"
+        command = [bench, verb, str(Path(sites) / f"{site}.toml"), day]
+        command += ["--why", f"regression: {story}"]
+        if seed != "-":
+            command += ["--seed", seed]
+        played = subprocess.run(command, capture_output=True, text=True, check=False)
+        is_broken = BROKEN in played.stdout or played.returncode != 0
+        broken += is_broken
+        print(f"{'broken' if is_broken else 'kept  '} {site} {day} {seed}", flush=True)
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/scheduling/test_load.py
@@ -0,0 +1,77 @@
+"""Loads replayed on the decisions about hosts and on what is learned of durations."""
+
+import math
+import random
+
+from testtools import TestCase
+
+from lentilrill.execution._need import OfferedLoad
+from lentilrill.ids import HostId, PoolId, ZoneId
+from lentilrill.scheduling import DurationModel, FreeHost, PoolNeed, plan_moves
+
+STANDBY = PoolId("standby")
+
+
+def free(*names: str) -> tuple[FreeHost, ...]:
+    return tuple(FreeHost(HostId(name), ZoneId("z")) for name in names)
+
+
+class CapacityTest(TestCase):
+    def test_a_surge_takes_hosts_from_standby_and_then_from_idle_pools(self) -> None:
+        hot = PoolNeed(PoolId("notices"), 6.0, 3)
+        idle = PoolNeed(PoolId("ballots"), 0.3, 6, 9.0, free("b1", "b2", "b3"))
+        moves = plan_moves((hot, idle), STANDBY, free("s1", "s2"))
+        to_hot = [(m.source, m.host.host) for m in moves if m.target == hot.pool]
+        self.assertEqual({"s1", "s2"}, {host for source, host in to_hot if source == STANDBY})
+        self.assertIn(idle.pool, {source for source, _ in to_hot})
+
+    def test_an_idle_pool_gives_back_only_after_a_while_and_keeps_its_share(self) -> None:
+        names = [f"b{n}" for n in range(8)]
+        for spare_s, left in ((0.5, 8), (9.0, 5)):
+            pool = PoolNeed(PoolId("ballots"), 0.2, 8, spare_s, free(*names))
+            moves = plan_moves((pool,), STANDBY, free("s1", "s2", "s3", "s4", "s5", "s6"))
+            self.assertEqual(left, 8 - len(moves), spare_s)
+
+    def test_no_host_is_taken_from_a_pool_that_needs_it(self) -> None:
+        hot = PoolNeed(PoolId("notices"), 9.0, 3)
+        busy = PoolNeed(PoolId("ballots"), 3.5, 5, 0.0, free("b1"))
+        self.assertEqual([], plan_moves((hot, busy), STANDBY, ()))
+
+
+class OfferedLoadTest(TestCase):
+    def test_a_surge_shows_in_its_first_second(self) -> None:
+        """In its turn a queue's jobs waited three seconds for hosts that came when it was over."""
+        offered = OfferedLoad()
+        offered.note(10.0, 2.0)
+        self.assertAlmostEqual(4.0, offered.cores(10.5))
+        for step in range(10):
+            offered.note(11.0 + step / 10, 7.0)
+        self.assertGreaterEqual(offered.cores(12.0), 126.0)
+        for step in range(10):
+            offered.note(12.05 + step / 20, 1.0)
+        self.assertAlmostEqual(10.0, offered.cores(13.0), delta=7.5)
+        self.assertEqual(0.0, offered.cores(20.0))
+
+
+class DurationModelTest(TestCase):
+    def test_estimates_that_are_far_off_are_believed_less(self) -> None:
+        """Short jobs stood behind long ones: callers' estimates were off by factors of three."""
+        chance = random.Random(5)
+        model = DurationModel()
+        for _ in range(200):
+            actual = 800 * math.exp(chance.gauss(0, 0.4))
+            model.observe(actual * math.exp(chance.gauss(0, 1.1)), actual)
+        self.assertLess(model.expected_ms(8000), 2400)
+        self.assertGreater(model.expected_ms(80), 300)
+
+    def test_good_estimates_are_believed(self) -> None:
+        chance = random.Random(5)
+        model = DurationModel()
+        for _ in range(200):
+            actual = 800 * math.exp(chance.gauss(0, 0.6))
+            model.observe(actual * math.exp(chance.gauss(0, 0.05)), actual)
+        self.assertGreater(model.expected_ms(2000), 1500)
+        self.assertLess(model.expected_ms(300), 450)
+
+    def test_nothing_learned_yet(self) -> None:
+        self.assertEqual(700, DurationModel().expected_ms(700))
--- /dev/null
+++ b/tests/upkeep/test_upkeep.py
@@ -0,0 +1,212 @@
+"""Waves of upkeep, moves, and the asking for empty endpoints."""
+
+import time
+from typing import Any
+
+from returns.result import Result, Success
+from testtools import TestCase
+
+from lentilrill.faults import Fault
+from lentilrill.ids import EndpointId, HostId, PoolId, ProcessId, Revision, ZoneId
+from lentilrill.inner import PoolPressure, ReleaseAsk, ReleaseState, ReleaseTold
+from lentilrill.upkeep import Emptying, HostOrder, HostRow, HostState, Mover, Waves
+from lentilrill.workloads import PoolEntry, Wave
+from tests.fakes import FakeKeyValue
+
+NOTICES, STANDBY = PoolId("notices"), PoolId("standby")
+ME = ProcessId("front-1")
+
+
+def a_row(name: str, pool: PoolId = NOTICES, state: HostState = HostState.UP) -> HostRow:
+    return HostRow(HostId(name), pool, state, ZoneId("holyoke"), EndpointId(f"i-{name}"))
+
+
+class Peers:
+    """Answers each ask at once if it is told to."""
+
+    def __init__(self) -> None:
+        self.emptying: Emptying | None = None
+        self.answers = True
+        self.asks: list[ReleaseAsk] = []
+
+    def send(self, address: str, message: Any) -> None:
+        self.asks.append(message)
+        if self.answers and self.emptying is not None:
+            self.emptying.told(ReleaseTold(message.ask, message.endpoint, ReleaseState.FREE))
+
+
+class Hosts:
+    """The platform's list of hosts; orders are noted."""
+
+    def __init__(self) -> None:
+        self.answer = HostOrder.DONE
+        self.orders: list[tuple[str, str]] = []
+
+    def hosts(self) -> Result[tuple[HostRow, ...], Fault]:
+        return Success(())
+
+    def move(self, host: HostId, pool: PoolId, holder: ProcessId, token: int) -> HostOrder:
+        self.orders.append((host, pool))
+        return self.answer
+
+    def upkeep(self, host: HostId, wave: int, holder: ProcessId, token: int) -> HostOrder:
+        self.orders.append((host, "upkeep"))
+        return self.answer
+
+
+class EmptyingTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.peers = Peers()
+        self.emptying = Emptying(self.peers, lambda pool: "10.0.0.1:1")
+        self.peers.emptying = self.emptying
+
+    def test_free_once_its_owner_says_so(self) -> None:
+        self.assertFalse(self.emptying.ask(NOTICES, EndpointId("i-a"))[0])
+        self.assertTrue(self.emptying.ask(NOTICES, EndpointId("i-a"))[0])
+
+    def test_an_answer_to_an_earlier_attempt_does_not_count(self) -> None:
+        """Seven runs of a worksheet queue were lost with their host.
+
+        A move had been given up, and its endpoint got tasks again; then the answer to its last
+        ask came, and the next attempt took it for its own.
+        """
+        self.peers.answers = False
+        self.emptying.ask(NOTICES, EndpointId("i-a"))
+        self.emptying.ask(NOTICES, EndpointId("i-a"))
+        late = ReleaseTold(self.peers.asks[0].ask, EndpointId("i-a"), ReleaseState.FREE)
+        self.emptying.told(late)
+        self.assertFalse(self.emptying.ask(NOTICES, EndpointId("i-a"))[0])
+
+
+class WavesTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.kv = FakeKeyValue()
+        self.hosts = Hosts()
+        self.load = 0.0
+        self.names = [HostId(name) for name in "abc"]
+        self.rows = {name: a_row(name) for name in self.names}
+        self.states: list[bool] = []
+
+    def owner(self, most_at_once: int = 1) -> Waves:
+        token = Revision(self.kv.put("m/o/@fleet", b"owner"))
+        peers = Peers()
+        emptying = Emptying(peers, lambda pool: "10.0.0.1:1")
+        peers.emptying = emptying
+        wave = Wave(1, tuple(self.names), 20.0, most_at_once)
+        waves = Waves(
+            self.kv,
+            self.hosts,
+            emptying,
+            ME,
+            token,
+            "m/o/@fleet",
+            lambda: {1: wave},
+            lambda pool: self.load,
+            lambda: True,
+            lambda reason: None,
+            lambda number: f"status/wave/{number}",
+            lambda completed: b"completed" if completed else b"running",
+        )
+        self.assertTrue(waves.load())
+        return waves
+
+    def rounds(self, waves: Waves, count: int) -> None:
+        for _ in range(count):
+            waves.round(self.rows)
+
+    def test_a_new_owner_counts_what_the_former_one_ordered_last(self) -> None:
+        """Eight hosts of a wave were down at once, and seven may be.
+
+        The fleet's owner changed between an order and the moment at which the list of hosts showed
+        it; the new owner did not know of it and ordered one more.
+        """
+        self.rounds(self.owner(), 3)
+        self.assertEqual(1, len(self.hosts.orders))
+        self.rounds(self.owner(), 3)
+        self.assertEqual(1, len(self.hosts.orders))
+
+    def test_an_order_is_stored_before_it_is_sent(self) -> None:
+        waves = self.owner()
+        self.rounds(waves, 1)
+        self.kv.down = True
+        self.rounds(waves, 3)
+        self.assertEqual([], self.hosts.orders)
+
+    def test_hosts_that_the_list_shows_down_count(self) -> None:
+        self.rows[self.names[2]] = a_row("c", state=HostState.UPKEEP)
+        self.rounds(self.owner(), 3)
+        self.assertEqual([], self.hosts.orders)
+
+    def test_busy_pools_are_left_alone_while_there_is_time(self) -> None:
+        """In the middle of a surge a wave took a quarter of its pool's hosts."""
+        self.load = 2.0
+        waves = self.owner()
+        self.rounds(waves, 3)
+        self.assertEqual([], self.hosts.orders)
+        self.load = 0.1
+        self.rounds(waves, 2)
+        self.assertEqual(1, len(self.hosts.orders))
+
+    def test_completed_once_all_are_through(self) -> None:
+        waves = self.owner(most_at_once=3)
+        self.rounds(waves, 2)
+        self.assertEqual(3, len(self.hosts.orders))
+        for name in self.names:
+            self.rows[name] = a_row(name, state=HostState.UPKEEP)
+        self.rounds(waves, 1)
+        for name in self.names:
+            self.rows[name] = a_row(name)
+        self.rounds(waves, 1)
+        self.assertEqual(b"completed", self.kv.items_by_key["status/wave/1"].value)
+        self.assertEqual([], waves.open)
+
+
+class MoverTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.hosts = Hosts()
+        self.need = 0.5
+        peers = Peers()
+        emptying = Emptying(peers, lambda pool: "10.0.0.1:1")
+        peers.emptying = emptying
+        self.rows = {HostId(f"n{n}"): a_row(f"n{n}") for n in range(2)} | {
+            HostId(f"s{n}"): a_row(f"s{n}", STANDBY) for n in range(4)
+        }
+        self.mover = Mover(
+            self.hosts,
+            emptying,
+            ME,
+            Revision(5),
+            lambda: (PoolEntry(NOTICES), PoolEntry(STANDBY, standby=True)),
+            lambda pool: PoolPressure(NOTICES, 0.0, {}, 1, self.need, 2, ()),
+            lambda reason: None,
+        )
+
+    def test_hosts_come_from_standby_when_work_grows(self) -> None:
+        self.need = 3.5
+        self.mover.round(self.rows, set())
+        self.assertEqual([NOTICES] * 3, [pool for _, pool in self.hosts.orders])
+
+    def test_hosts_on_their_way_count(self) -> None:
+        """A surge of one pool took every host of the site: each round asked for as many again."""
+        self.need = 3.5
+        self.mover.round(self.rows, set())
+        for host, pool in self.hosts.orders:
+            self.rows[HostId(host)] = a_row(host, PoolId(pool), HostState.MOVING)
+        self.mover.round(self.rows, set())
+        self.assertEqual(3, len(self.hosts.orders))
+
+    def test_hosts_that_a_wave_wants_stay(self) -> None:
+        self.need = 3.5
+        self.mover.round(self.rows, {HostId("s0"), HostId("s1"), HostId("s2"), HostId("s3")})
+        self.assertEqual([], self.hosts.orders)
+
+    def test_an_order_that_is_refused_is_not_repeated(self) -> None:
+        self.need = 3.5
+        self.hosts.answer = HostOrder.BUSY
+        began = time.monotonic()
+        self.mover.round(self.rows, set())
+        self.assertLess(time.monotonic() - began, 5.0)
+        self.assertEqual(3, len(self.hosts.orders))
