--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -22,7 +22,7 @@
 from lentilrill.intake._group import Committed, GroupCommit
 from lentilrill.ownership import OwnerRecord
 from lentilrill.scheduling import Pressure, may_take, retry_after_s
-from lentilrill.store import KeyValue
+from lentilrill.store import KeyValue, Priority
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import Job, JobAnswer, JobProgress, JobState
 
@@ -180,7 +180,9 @@
         """Read a job's records of one pool."""
         items = []
         for key in (f"in/{pool}/j/{job}", progress_key(pool, job), f"in/{pool}/x/{job}"):
-            read = self._kv.get(key)
+            # Guard against a take-over that never ends: callers who ask while no owner answers
+            # would use up this host's calls, and its own pools could not be loaded any more.
+            read = self._kv.get(key, Priority.LATER)
             if isinstance(read, Failure):
                 log(Event.JOB_NOT_READ, job=job, pool=pool, reason=read.failure().reason)
                 return _Found(False)
--- a/src/lentilrill/platform/_kv.py
+++ b/src/lentilrill/platform/_kv.py
@@ -136,9 +136,9 @@
                 return Success(RangeAnswer(tuple(items), Revision(revision)))
             after = found.items[-1].key
 
-    def get(self, key: str) -> Result[Item | None, Fault]:
+    def get(self, key: str, priority: Priority = Priority.FIRST) -> Result[Item | None, Fault]:
         """Read one item; ``None`` if it is absent."""
-        found = self._get("store.get", f"/kv-key?key={quote(key)}", _Item, Priority.FIRST)
+        found = self._get("store.get", f"/kv-key?key={quote(key)}", _Item, priority)
         if isinstance(found, Failure):
             absent = found.failure().kind is FaultKind.INVALID
             return Success(None) if absent else found
--- a/src/lentilrill/store/_contract.py
+++ b/src/lentilrill/store/_contract.py
@@ -111,7 +111,7 @@
     def read(self, prefix: str, priority: Priority = Priority.FIRST) -> Result[RangeAnswer, Fault]:
         """Read all items whose keys start with ``prefix``."""
 
-    def get(self, key: str) -> Result[Item | None, Fault]:
+    def get(self, key: str, priority: Priority = Priority.FIRST) -> Result[Item | None, Fault]:
         """Read one item; ``None`` if it is absent."""
 
     def newest(self, prefix: str, priority: Priority = Priority.LATER) -> Result[Revision, Fault]:
--- a/src/lentilrill/store/_etcd.py
+++ b/src/lentilrill/store/_etcd.py
@@ -100,9 +100,9 @@
         answer = self._call("platform.read", Effect.REPEATABLE, priority, RANGE, body, _Range)
         return answer.map(self._range_answer)
 
-    def get(self, key: str) -> Result[Item | None, Fault]:
+    def get(self, key: str, priority: Priority = Priority.FIRST) -> Result[Item | None, Fault]:
         """Read one item; ``None`` if it is absent."""
-        return self.read(key).map(
+        return self.read(key, priority).map(
             lambda answer: next((item for item in answer.items if item.key == key), None)
         )
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -69,6 +69,7 @@
         caller can't tell the two apart.
     :ivar before_commit: called once before the next commit, as a racing writer.
     :ivar observer: called after each change with the items as they were before it.
+    :ivar priorities: of the reads of single keys.
     :ivar commits: fates of the next commits, in order; the same for reads.
     """
 
@@ -81,6 +82,7 @@
         self.commits: deque[Fate] = deque()
         self.reads: deque[Fate] = deque()
         self.calls: Counter[str] = Counter()
+        self.priorities: list[Priority] = []
         self.revision = Revision(0)
         self.items_by_key: dict[str, Item] = {}
         self._history: list[Item] = []
@@ -100,8 +102,9 @@
             items = [i for k, i in sorted(self.items_by_key.items()) if k.startswith(prefix)]
             return Success(RangeAnswer(tuple(items), self.revision))
 
-    def get(self, key: str) -> Result[Item | None, Fault]:
-        return self.read(key).map(
+    def get(self, key: str, priority: Priority = Priority.FIRST) -> Result[Item | None, Fault]:
+        self.priorities.append(priority)
+        return self.read(key, priority).map(
             lambda answer: next((item for item in answer.items if item.key == key), None)
         )
 
--- a/tests/intake/test_intake.py
+++ b/tests/intake/test_intake.py
@@ -8,6 +8,7 @@
 from lentilrill.inner import JobAccepted, JobCancelled, PoolPressure
 from lentilrill.intake import Intake
 from lentilrill.ownership import OwnerRecord
+from lentilrill.store import Priority
 from lentilrill.workloads import JobAnswer, JobState
 from tests.builders import a_job
 from tests.fakes import FakeKeyValue, lose_answer, lose_request
@@ -103,6 +104,16 @@
         self.kv.put(f"p/notices/{self.job.id}", b'{"state":"completed"}')
         self.assertEqual(JobState.COMPLETED, self.intake.show(POOL, self.job.id)[1])
 
+    def test_questions_leave_calls_for_the_owner(self) -> None:
+        """After an outage a pool stood still for as long as its callers asked for their jobs.
+
+        No owner answered yet, so each question read the store; together they used up the host's
+        calls, and the owner on that host could not read its jobs. Questions wait behind it.
+        """
+        self.intake.submit(self.job)
+        self.intake.show(POOL, self.job.id)
+        self.assertEqual({Priority.LATER}, set(self.kv.priorities))
+
     def test_absent_only_if_the_store_says_so(self) -> None:
         """A clerk was told that an accepted job does not exist, while the store was away."""
         self.assertIs(JobAnswer.ABSENT, self.intake.show(POOL, self.job.id)[0])
