Store: behind an error or an odd answer a commit may have taken effect

Cause: a commit answered with 500, 502 or 504, or with a body that can't be read, was a fault of kind INVALID; acceptance took that for 'nothing was sent' and told the caller 503, never runs, though the job may be stored.

Change: only statuses with which the store says that nothing was done are refusals; all else is ambiguous, and the caller gets 504.

--- a/src/lentilrill/platform/_kv.py
+++ b/src/lentilrill/platform/_kv.py
@@ -32,7 +32,9 @@
 
 __all__ = ["PlatformKeyValue"]
 
-OK, NOT_FOUND, CONFLICT_CODE, GONE, PRECONDITION, TOO_MANY, BUSY = 200, 404, 409, 410, 412, 429, 503
+OK, NOT_FOUND, GONE, PRECONDITION, TOO_MANY, BUSY = 200, 404, 410, 412, 429, 503
+NOTHING_DONE = frozenset({400, 403, NOT_FOUND, TOO_MANY, BUSY})
+"""Statuses with which the store says that a commit had no effect."""
 ATTEMPT_S = 0.7
 """Time-out of one call: almost three times the store's slowest answer that was seen, 0.25 s."""
 LEASE_ATTEMPT_S = 0.45
@@ -179,6 +181,11 @@
                 self._answered = time.monotonic()
                 return Success(TxnAnswer(False, Revision(0)))
             decoded = self._decoded("store.commit", status, data, peer, _Committed)
+            if isinstance(decoded, Failure) and (status == OK or status not in NOTHING_DONE):
+                # Guard against a refusal that is untrue: behind an error or an answer that can't
+                # be read the commit may have taken effect.
+                fault = decoded.failure()
+                return Failure(Fault(fault.step, peer, FaultKind.AMBIGUOUS, fault.reason))
             return decoded.map(lambda done: TxnAnswer(True, Revision(done.revision)))
 
         return self._guard.call("store.commit", Effect.ONCE, priority, attempt)
--- /dev/null
+++ b/tests/platform/test_kv.py
@@ -0,0 +1,52 @@
+"""What an answer of the platform's store means, and what it does not."""
+
+from collections import deque
+
+from returns.result import Failure, Result
+from testtools import TestCase
+
+from lentilrill.faults import FaultKind
+from lentilrill.ids import Revision
+from lentilrill.platform import PlatformKeyValue
+from lentilrill.settings import StoreSettings
+from lentilrill.store import Compare, Put, TxnAnswer
+from lentilrill.telemetry import NoMetrics
+from standins._http import Call, Server
+
+
+class AnswersTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.answers: deque[tuple[int, bytes]] = deque()
+        self.server = Server("127.0.0.1:0", self.serve, 2)
+        self.server.start()
+        self.addCleanup(self.server.close)
+        self.kv = PlatformKeyValue(StoreSettings(self.server.address), NoMetrics())
+
+    def serve(self, call: Call, address: str) -> None:
+        del address
+        call.answer(*self.answers.popleft())
+
+    def commit(self, status: int, body: bytes) -> Result[TxnAnswer, object]:
+        self.answers.append((status, body))
+        compares = (Compare("in/notices/j/a", Revision(0)),)
+        return self.kv.commit(compares, (Put("in/notices/j/a", b"x"),))
+
+    def test_an_error_or_an_odd_answer_may_hide_a_commit(self) -> None:
+        """A clerk was told that a job never runs, and it was embossed.
+
+        The store had committed it, and something on the way turned the answer into a 500, or cut
+        its body; either was taken for a refusal.
+        """
+        for status, body in ((500, b""), (502, b""), (504, b""), (200, b"{"), (200, b"[]")):
+            result = self.commit(status, body)
+            assert isinstance(result, Failure)
+            self.assertIs(FaultKind.AMBIGUOUS, result.failure().kind, (status, body))
+
+    def test_what_the_store_says_of_a_commit(self) -> None:
+        self.assertEqual(TxnAnswer(True, Revision(7)), self.commit(200, b'{"revision":7}').unwrap())
+        self.assertFalse(self.commit(412, b'{"items":[]}').unwrap().succeeded)
+        for status in (400, 404):
+            result = self.commit(status, b"")
+            assert isinstance(result, Failure)
+            self.assertIs(FaultKind.INVALID, result.failure().kind)
