Execution: endpoints to be looked at are noted before the jobs count as loaded

Cause, found by reading: a release that came between the two found no such endpoint and gave its host away, with a former owner's tasks on it. The test holds the owner in that window and fails before (run).

--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -211,9 +211,8 @@
         self._changed.notify_all()
 
     def _plan_on(self) -> None:
-        while not self._ended.is_set() and not (self._roster.load() and self._jobs.load()):
+        while not self._ended.is_set() and not self._load():
             self._ended.wait(PLAN_EVERY_S)
-        self._unseen = set(self._roster.address_by_id)
         if self._ended.is_set():
             return
         log(
@@ -235,6 +234,14 @@
                 guarded(f"plan of {self.pool}", self._plan)
                 guarded(f"old jobs of {self.pool}", self._forget_old)
 
+    def _load(self) -> bool:
+        """Read what former owners stored; return whether it is complete."""
+        if not self._roster.load():
+            return False
+        # Noted before the jobs count as loaded: from then on hosts may be asked for.
+        self._unseen = set(self._roster.address_by_id)
+        return self._jobs.load()
+
     def _refresh_links(self) -> None:
         entries = self._entries(self.pool)
         with self._lock:
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -129,6 +129,12 @@
 
     def take_over(self) -> PoolOwner:
         """Start a new owner under a new token."""
+        owner = self.new_owner()
+        owner.start()
+        return owner
+
+    def new_owner(self) -> PoolOwner:
+        """Return a new owner under a new token, yet to be started."""
         token = self.kv.put("m/o/notices", b"owner")
         owner = PoolOwner(
             self.kv,
@@ -142,7 +148,6 @@
             self.refusals.append,
         )
         self.owners.append(owner)
-        owner.start()
         return owner
 
     def close(self) -> None:
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -100,6 +100,30 @@
             self.assertEqual(ReleaseState.WAIT, second.release(endpoint, cancel=False)[0])
             time.sleep(0.01)
 
+    def test_no_host_is_released_between_reading_jobs_and_looking(self) -> None:
+        """The same loss, from a window of microseconds.
+
+        The owner had read its jobs and not yet noted which endpoints it must look at first; asked
+        just then, it knew no such endpoint and gave the host away.
+        """
+        self.accept()
+        first = self.pool.take_over()
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) == 2))
+        first.close()
+        second = self.pool.new_owner()
+        told = []
+        load = second._jobs.load
+
+        def load_and_ask() -> bool:
+            done = load()
+            told.append(second.release(an_endpoint("e1").id, cancel=False)[0])
+            return done
+
+        second._jobs.load = load_and_ask
+        second.start()
+        self.assertTrue(eventually(lambda: bool(told)))
+        self.assertEqual(ReleaseState.WAIT, told[0])
+
     def test_a_failure_that_is_told_again_counts_once(self) -> None:
         """A route plan was told to have failed although its task had failed once of two times.
 
