Logs: no failed lease, list, write, look or order without a line and a reason

Found by reading: failed renewals, reads of the list of hosts, writes of waves, and looks and orders without an answer became nothing, or a verdict without a reason. A run that lapsed was told of by two lines, now by one. Also: a renewal that grants a shorter time is believed, and shards that were given up are kept by shard, not for ever.

--- a/src/lentilrill/execution/_contract.py
+++ b/src/lentilrill/execution/_contract.py
@@ -71,6 +71,7 @@
 class OrderAnswer(msgspec.Struct, frozen=True):
     """Answer to an order.
 
+    :param reason: why there is no answer, for people.
     :param clock_ms: the endpoint's clock; 0 if it did not say.
     :param born_ms: start of the endpoint's life; 0 if it did not say.
     """
@@ -78,6 +79,7 @@
     verdict: Verdict
     clock_ms: int = 0
     born_ms: int = 0
+    reason: str = ""
 
 
 class RunSeen(msgspec.Struct, frozen=True):
@@ -110,13 +112,17 @@
 
 
 class Look(msgspec.Struct, frozen=True):
-    """What runs on an endpoint, and which ends are not acknowledged yet."""
+    """What runs on an endpoint, and which ends are not acknowledged yet.
+
+    :param reason: why there is no answer, for people.
+    """
 
     verdict: Verdict
     clock_ms: int = 0
     born_ms: int = 0
     running: tuple[RunSeen, ...] = ()
     ended: tuple[RunEnd, ...] = ()
+    reason: str = ""
 
 
 class EndpointCalls(Protocol):
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -364,6 +364,7 @@
                         Event.ENDPOINT_LOST,
                         endpoint=link.entry.id,
                         verdict=look.verdict.value,
+                        reason=look.reason,
                         runs=len(link.runs_by_key),
                     )
                 link.reachable = False
@@ -423,6 +424,16 @@
             if answer.verdict is Verdict.ELSEWHERE:
                 self._gone_for_good(link)
                 return
+            if answer.verdict is Verdict.UNKNOWN and not (order.run and order.run.in_doubt):
+                log(
+                    Event.ORDER_UNANSWERED,
+                    job=order.task.job,
+                    task=order.task,
+                    run=order.number,
+                    kind=order.kind.value,
+                    endpoint=link.entry.id,
+                    reason=answer.reason,
+                )
             after = self._reconciler.take_answer(link, order, answer.verdict)
             self._wake()
         if after is not None:
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -159,7 +159,7 @@
         elif end.kind is EndKind.FAILED:
             count_failure(link)
             self._failed(book, task, link, end)
-        elif end.kind is not EndKind.STOPPED:
+        elif run is None and end.kind is not EndKind.STOPPED:
             log(
                 Event.RUN_ENDED,
                 job=end.task.job,
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -13,7 +13,7 @@
 from lentilrill.ownership._clock import boottime
 from lentilrill.ownership._members import MemberRecord, OwnerRecord, Shard, rank
 from lentilrill.store import Compare, DeleteRange, Follower, Item, KeyValue, Put
-from lentilrill.telemetry import Event, guarded, log
+from lentilrill.telemetry import Dependency, Event, guarded, log
 
 __all__ = ["OWNER_TTL_S", "Ownership"]
 
@@ -79,7 +79,8 @@
         self._owners_by_shard: dict[Shard, tuple[OwnerRecord, Revision]] = {}
         self._tokens_by_shard: dict[Shard, Revision] = {}
         self._absent_since: dict[Shard, float] = {}
-        self._given_up: set[Revision] = set()
+        self._given_up_by_shard: dict[Shard, Revision] = {}
+        self._lease_calls = Dependency("lease in the store")
         self._began = clock()
         self._ended = threading.Event()
         self._leaving = False
@@ -189,7 +190,7 @@
         with self._lock:
             token = self._tokens_by_shard.pop(shard, None)
         if token is not None:
-            self._given_up.add(token)
+            self._given_up_by_shard[shard] = token
             log(Event.SHARD_LOST, shard=shard, token=token, reason=reason)
             self._task.lost(shard)
 
@@ -207,13 +208,15 @@
         asked = self._clock()
         granted = self._kv.lease(OWNER_TTL_S)
         if isinstance(granted, Failure):
+            self._lease_calls.failed(granted.failure().reason)
             return
         lease = granted.unwrap()
         record = MemberRecord(self._process, self._incarnation, self._zone, self._inner, lease)
         put = Put(MEMBERS + self._process, msgspec.json.encode(record), lease)
         if isinstance(written := self._kv.commit((), (put,)), Failure):
-            log(Event.MEMBER_UNREGISTERED, reason=written.failure().reason)
+            self._lease_calls.failed(written.failure().reason)
             return
+        self._lease_calls.succeeded()
         self._proved_until = asked + OWNER_TTL_S - SAFETY_S
         self._lease = lease
         log(Event.MEMBER_REGISTERED, lease=lease, process=self._process)
@@ -225,6 +228,8 @@
         """
         read = self._kv.read(MEMBERS + self._process)
         if isinstance(read, Failure):
+            # Its shards come free with its lease, a second or two later.
+            self._lease_calls.failed(read.failure().reason)
             return
         for item in read.unwrap().items:
             if item.key != MEMBERS + self._process or item.value is None:
@@ -238,8 +243,12 @@
         asked = self._clock()
         kept = self._kv.keep_alive(self._lease)
         if not isinstance(kept, Failure):
-            self._proved_until = max(self._proved_until, asked + OWNER_TTL_S - SAFETY_S)
+            self._lease_calls.succeeded()
+            # The store may apply a shorter time than was asked for.
+            ttl_s = min(OWNER_TTL_S, kept.unwrap())
+            self._proved_until = max(self._proved_until, asked + ttl_s - SAFETY_S)
             return
+        self._lease_calls.failed(kept.failure().reason)
         if kept.failure().kind is FaultKind.CONFLICT:
             log(Event.LEASE_LAPSED, lease=self._lease, reason=kept.failure().reason)
             self._lease = 0
@@ -292,7 +301,7 @@
                 return
             record, token = owner
             is_mine = record.process == self._process and record.incarnation == self._incarnation
-            if not is_mine or token in self._given_up:
+            if not is_mine or token == self._given_up_by_shard.get(shard):
                 return
         self._gain(shard, token)
 
--- a/src/lentilrill/platform/_endpoint_wire.py
+++ b/src/lentilrill/platform/_endpoint_wire.py
@@ -83,8 +83,8 @@
         lists = msgspec.json.decode(data, type=_Lists)
         running = tuple(_seen(row) for row in lists.running)
         ended = tuple(_end(row) for row in lists.ended)
-    except CHECKED:
-        return Look(Verdict.UNKNOWN)
+    except CHECKED as error:
+        return Look(Verdict.UNKNOWN, reason=f"odd answer: {error}")
     return Look(Verdict.DONE, lists.clock_ms, lists.born, running, ended)
 
 
--- a/src/lentilrill/platform/_endpoints.py
+++ b/src/lentilrill/platform/_endpoints.py
@@ -94,7 +94,7 @@
             "endpoint.look", Effect.REPEATABLE, "POST", "/hold", body, timeout_s
         )
         if isinstance(answered, Failure):
-            return Look(Verdict.UNKNOWN)
+            return Look(Verdict.UNKNOWN, reason=answered.failure().reason)
         status, data, _ = answered.unwrap()
         return decode_look(data) if status == OK else Look(refusal(status, data))
 
@@ -110,7 +110,7 @@
             f"endpoint.{step}", Effect.REPEATABLE, "POST", path, body, ORDER_S
         )
         if isinstance(answered, Failure):
-            return OrderAnswer(Verdict.UNKNOWN)
+            return OrderAnswer(Verdict.UNKNOWN, reason=answered.failure().reason)
         status, data, _ = answered.unwrap()
         clock = decode_clock(data)
         verdict = Verdict.DONE if status == OK else refusal(status, data)
--- a/src/lentilrill/telemetry/__init__.py
+++ b/src/lentilrill/telemetry/__init__.py
@@ -1,5 +1,6 @@
 """Event catalogue, logging and metrics."""
 
+from lentilrill.telemetry._dependency import Dependency
 from lentilrill.telemetry._events import Event, Level, log
 from lentilrill.telemetry._guarded import guarded
 from lentilrill.telemetry._lines import set_level, setup
@@ -7,6 +8,7 @@
 from lentilrill.telemetry._prometheus import ScrapedMetrics
 
 __all__ = [
+    "Dependency",
     "Event",
     "Level",
     "Metrics",
--- a/src/lentilrill/upkeep/_fleet.py
+++ b/src/lentilrill/upkeep/_fleet.py
@@ -9,7 +9,7 @@
 from lentilrill.ids import HostId
 from lentilrill.inner import ReleaseTold
 from lentilrill.ownership import Shard
-from lentilrill.telemetry import guarded
+from lentilrill.telemetry import Dependency, guarded
 from lentilrill.upkeep._contract import HostCalls, HostRow
 from lentilrill.upkeep._emptying import Emptying
 from lentilrill.upkeep._moves import Mover
@@ -46,6 +46,7 @@
         self._emptying = emptying
         self._may_order = may_order
         self._ended = threading.Event()
+        self._list = Dependency("list of hosts")
 
     def close(self) -> None:
         """Stop ordering at once."""
@@ -67,7 +68,9 @@
     def _round(self) -> None:
         listed = self._hosts.hosts()
         if isinstance(listed, Failure):
+            self._list.failed(listed.failure().reason)
             return
+        self._list.succeeded()
         rows: dict[HostId, HostRow] = {row.id: row for row in listed.unwrap()}
         for step in (partial(self._waves.round, rows), partial(self._move, rows)):
             if not self._ended.is_set() and self._may_order():
--- a/src/lentilrill/upkeep/_waves.py
+++ b/src/lentilrill/upkeep/_waves.py
@@ -10,7 +10,7 @@
 
 from lentilrill.ids import EndpointId, HostId, PoolId, ProcessId, Revision
 from lentilrill.store import Compare, KeyValue, Put
-from lentilrill.telemetry import Event, log
+from lentilrill.telemetry import Dependency, Event, log
 from lentilrill.upkeep._contract import HostCalls, HostOrder, HostRow, HostState
 from lentilrill.upkeep._emptying import Emptying
 from lentilrill.workloads import Wave
@@ -88,6 +88,7 @@
         self._owner_key = owner_key
         self._waves = waves
         self._load_of = load_of
+        self._records = Dependency("records of waves in the store")
         self._began_by_wave: dict[int, float] = {}
         self._may_order = may_order
         self._refused = refused
@@ -116,6 +117,7 @@
         """Read how far a former owner of the fleet came."""
         read = self._kv.read("w/")
         if isinstance(read, Failure):
+            self._records.failed(read.failure().reason)
             return False
         for item in read.unwrap().items:
             if item.value is None:
@@ -290,7 +292,9 @@
     def _write(self, key: str, value: bytes) -> bool:
         result = self._kv.commit((Compare(self._owner_key, self._token),), (Put(key, value),))
         if isinstance(result, Failure):
+            self._records.failed(result.failure().reason)
             return False
+        self._records.succeeded()
         if not result.unwrap().succeeded:
             self._refused("the store knows a newer owner of the fleet")
             return False
