Adapter and pools: what nobody used is gone; limits and names of metrics are bounded

Found by reading: a host's size of one site was assumed for a pool without hosts; callers chose names of metrics by their method, each for ever; the configured limit of a body was decoded and not applied; the list of hosts opened a connection each 0.3 s. Unused classes, fields and constants are removed, others have their unit and source.

--- a/src/lentilrill/execution/_book.py
+++ b/src/lentilrill/execution/_book.py
@@ -37,14 +37,12 @@
     :ivar expires_ms: end of the lease that its start carries, on its endpoint's clock; a start
         that is sent again carries the same, so that it can't be carried out after that.
     :ivar in_doubt: a start was sent and got no answer: it may be carried out, also later.
-    :ivar by_choice: it is stopped for our own reasons, not because its job ended.
     :ivar confirmed_at: when its start was known to have been carried out, or its stop to keep it
         from ever being: a look sent later that doesn't list it proves that it is gone.
     """
 
     __slots__ = (
         "began_at",
-        "by_choice",
         "changed_at",
         "confirmed_at",
         "endpoint",
@@ -52,7 +50,6 @@
         "in_doubt",
         "load",
         "number",
-        "ordered_at",
         "pace",
         "percent",
         "phase",
@@ -68,8 +65,7 @@
         self.endpoint = endpoint
         self.reserved = reserved
         self.phase = RunPhase.ORDERED
-        self.ordered_at = time.monotonic()
-        self.changed_at = self.ordered_at
+        self.changed_at = time.monotonic()
         self.confirmed_at: float | None = None
         self.began_at: float | None = None
         self.percent = 0
@@ -77,7 +73,6 @@
         self.pace = 100
         self.in_doubt = False
         self.expires_ms = 0
-        self.by_choice = False
 
     @property
     def key(self) -> tuple[TaskId, int]:
@@ -156,10 +151,6 @@
             task.done = True
             self.undone -= 1
 
-    def on_endpoint(self, endpoint: EndpointId) -> int:
-        """Return how many tasks of the step have a run on an endpoint."""
-        return sum(1 for task in self.tasks for run in task.runs if run.endpoint == endpoint)
-
 
 class JobBook:
     """One job.
--- a/src/lentilrill/execution/_contract.py
+++ b/src/lentilrill/execution/_contract.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from lentilrill.ids import EndpointId
 from lentilrill.workloads import EndpointEntry, TaskId
 
 __all__ = [
@@ -153,10 +152,3 @@
 
     def __call__(self, entry: EndpointEntry) -> EndpointCalls:
         """Return the calls to one endpoint."""
-
-
-class Directory(Protocol):
-    """The endpoints that are registered in the store."""
-
-    def of_pool(self, pool: str) -> dict[EndpointId, EndpointEntry]:
-        """Return a pool's endpoints."""
--- a/src/lentilrill/execution/_need.py
+++ b/src/lentilrill/execution/_need.py
@@ -29,8 +29,6 @@
 IDLE_S = 0.8
 """How long nothing must have run on an endpoint before it counts as idle: the next step of a job
 starts within this time."""
-UNKNOWN_HOST = Resources(16000, 32768)
-"""Taken for a host's room while a pool has no host to tell it."""
 
 
 class Chain(msgspec.Struct, frozen=True):
@@ -126,7 +124,10 @@
     :param offered: cores that newly offered work takes.
     """
     rooms = [link.entry.room for link in links if link.entry.room.cpu]
-    one = max(rooms, key=lambda room: room.cpu, default=UNKNOWN_HOST)
+    if not rooms:
+        # No host tells how large one is; the first one to come will.
+        return 1.0 if ready != Resources() else 0.0
+    one = max(rooms, key=lambda room: room.cpu)
     used = Resources(int(ready.cpu * SOON), int(ready.memory_mb * SOON), ready.accelerators)
     lasting_cpu = 0
     for link in links:
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -21,9 +21,6 @@
 task of ten times the usual length gets on by one percent."""
 PACE_EVERY_S = 0.5
 """Tails are figures for the last half second: a change shows no sooner."""
-GONE_ENTRY_S = 2.5
-"""How long an endpoint may be missing from the store before it gets no new tasks: entries that
-lapsed during an outage are back within two seconds."""
 
 
 class Planner:
--- a/src/lentilrill/execution/_release.py
+++ b/src/lentilrill/execution/_release.py
@@ -66,5 +66,4 @@
 
 def _stop(run: Run) -> Order:
     run.phase = RunPhase.STOPPING
-    run.by_choice = True
     return Order.of(OrderKind.STOP, run)
--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -39,7 +39,7 @@
 
 
 class HostNews(msgspec.Struct, frozen=True, tag=True):
-    """What an entry host tells all others every half second.
+    """What an entry host tells all others a few times a second.
 
     :param store_silent_s: seconds since the store last answered it.
     :param version: version of the configuration in force there.
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -28,6 +28,9 @@
 
 __all__ = ["Intake"]
 
+SHORTEST_RETRY_S = 1.0
+"""When a caller should come back whose job could not be committed here: by then the balancer sends
+callers to hosts that can."""
 ASK_S = 0.35
 """Wait for an owner's answer before the store is read instead: a round trip takes a few ms."""
 
@@ -91,14 +94,14 @@
             # Refused before anything is sent, so that it surely never runs; a commit that gets no
             # answer could not be told to the caller as refused.
             self._log_submit(job, JobAnswer.UNAVAILABLE, reason="the store is silent")
-            return JobAnswer.UNAVAILABLE, 1.0
+            return JobAnswer.UNAVAILABLE, SHORTEST_RETRY_S
         value = msgspec.msgpack.encode(job)
         done = self._group.create(f"in/{job.pool}/j/{job.id}", value)
         answer = _answer_of(done)
         self._log_submit(job, answer, revision=done.revision)
         if answer is JobAnswer.ACCEPTED and done.revision:
             self._tell_owner(job, value, done.revision)
-        return answer, 1.0
+        return answer, SHORTEST_RETRY_S
 
     def cancel(self, pool: PoolId, job: JobId) -> JobAnswer:
         """Cancel a job."""
--- a/src/lentilrill/platform/_hosts.py
+++ b/src/lentilrill/platform/_hosts.py
@@ -39,15 +39,15 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
+        self._lists = Transport((address,))
 
     def hosts(self) -> Result[tuple[HostRow, ...], Fault]:
         """Read the whole list, page by page."""
-        transport = Transport((self._address,))
         rows: list[HostRow] = []
         token = ""
         while True:
             path = "/machines" + (f"?page_token={token}" if token else "")
-            answered = transport.answer("hosts.list", Effect.REPEATABLE, "GET", path, b"", CALL_S)
+            answered = self._lists.answer("hosts.list", Effect.REPEATABLE, "GET", path, b"", CALL_S)
             if isinstance(answered, Failure):
                 return answered
             status, data, peer = answered.unwrap()
@@ -70,7 +70,6 @@
                 if host.state in STATE_BY_WORD
             ]
             if not page.next_token:
-                transport.close()
                 return Success(tuple(rows))
             token = page.next_token
 
--- a/src/lentilrill/platform/_ingress.py
+++ b/src/lentilrill/platform/_ingress.py
@@ -25,11 +25,18 @@
     JobAnswer.UNKNOWN: "504 Gateway Timeout",
 }
 NOT_FOUND = "404 Not Found"
+METRIC_BY_METHOD = {"GET": "get", "POST": "post", "DELETE": "delete"}
+MAX_HEADER_BYTES = 64 * 1024
+MAX_BODY_BYTES = 4 * 1024 * 1024
+"""What the server takes at all, sixteen times the usual limits: it has to be told before there is a
+configuration. The configured limit of a body counts besides."""
 BACKLOG = 512
 """Connections that may wait to be taken; beyond it the opening packet is dropped, and is sent
 again only seconds later."""
 IDLE_S = 15
+"""How long a kept connection may be idle: the limit for callers that is configured by default."""
 UNAVAILABLE_RETRY_S = 1.0
+"""When to come back to a host that has no configuration or no news yet."""
 
 Start = Callable[[str, list[tuple[str, str]]], Any]
 Environ = dict[str, Any]
@@ -79,7 +86,8 @@
         if self._leaving():
             headers.append(("Connection", "close"))
         start(status, headers)
-        method = str(environ["REQUEST_METHOD"]).lower()
+        # Callers choose the method's name, and each name would be a metric for ever.
+        method = METRIC_BY_METHOD.get(str(environ["REQUEST_METHOD"]), "other")
         self._metrics.incr(f"ingress.{method}.{status[:3]}")
         self._metrics.timing(f"ingress.{method}", (time.monotonic() - began) * 1000)
         return [body]
@@ -102,6 +110,8 @@
             return NOT_FOUND, b"{}", None
         job = JobId(name)
         if method == "POST":
+            if int(environ.get("CONTENT_LENGTH") or 0) > configuration.limits.body_bytes:
+                return "413 Content Too Large", b"{}", None
             return self._submit(queue, job, environ)
         if method == "GET":
             answer, state = self._intake.show(queue.pool, job)
@@ -156,6 +166,6 @@
         timeout=IDLE_S,
         shutdown_timeout=1,
     )
-    server.max_request_header_size = 64 * 1024
-    server.max_request_body_size = 4 * 1024 * 1024
+    server.max_request_header_size = MAX_HEADER_BYTES
+    server.max_request_body_size = MAX_BODY_BYTES
     return server
--- a/src/lentilrill/scheduling/_placement.py
+++ b/src/lentilrill/scheduling/_placement.py
@@ -19,7 +19,7 @@
     :ivar serving: tasks on it that last, which others disturb.
     """
 
-    __slots__ = ("free", "id", "labels", "probing", "rack", "runs", "serving", "ticketed")
+    __slots__ = ("free", "id", "labels", "probing", "rack", "runs", "serving")
 
     def __init__(
         self,
--- a/src/lentilrill/workloads/_job.py
+++ b/src/lentilrill/workloads/_job.py
@@ -139,11 +139,6 @@
     step: int
     number: int
 
-    @property
-    def step_id(self) -> StepId:
-        """The task's step."""
-        return StepId(self.job, self.occurrence, self.step)
-
 
 class JobState(Enum):
     """What callers are told of a job."""
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -54,7 +54,13 @@
         self.assertEqual("410", self.site.state("front-0", path(99)))
         self.assertEqual(404, self.site.submit("front-0", "/nowhere/" + path(1)[8:], JOB))
         self.assertEqual(400, self.site.submit("front-0", path(7), {"spec": 1}))
-        self.assertIn("lentilrill_ingress_post_200_total", self.site.metrics("front-0"))
+        large = JOB | {"spec": "x" * 300_000}
+        self.assertEqual(413, self.site.submit("front-0", path(8), large))
+        self.assertEqual(405, self.site.ask("BREW", "front-0", path(0)))
+        metrics = self.site.metrics("front-0")
+        self.assertIn("lentilrill_ingress_post_200_total", metrics)
+        self.assertIn("lentilrill_ingress_other_405_total", metrics)
+        self.assertNotIn("brew", metrics)
 
     def test_a_killed_owner_costs_no_job(self) -> None:
         """A ballot was lost when the host that ran its queue was killed.
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -5,9 +5,10 @@
 
 from testtools import TestCase
 
-from lentilrill.execution._need import OfferedLoad
+from lentilrill.execution._need import OfferedLoad, hosts_needed
 from lentilrill.ids import HostId, PoolId, ZoneId
 from lentilrill.scheduling import DurationModel, FreeHost, PoolNeed, plan_moves
+from lentilrill.workloads import Resources
 
 STANDBY = PoolId("standby")
 
@@ -75,3 +76,10 @@
 
     def test_nothing_learned_yet(self) -> None:
         self.assertEqual(700, DurationModel().expected_ms(700))
+
+
+class NeedTest(TestCase):
+    def test_a_pool_without_hosts_asks_for_one(self) -> None:
+        """Its size is not known before it comes, and no size is assumed."""
+        self.assertEqual(1.0, hosts_needed([], Resources(500, 100), 0.0))
+        self.assertEqual(0.0, hosts_needed([], Resources(), 0.0))
