--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -8,6 +8,7 @@
 from lentilrill.execution._contract import Dialer, Look, OrderAnswer, StartOrder, Verdict
 from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._links import PoolLinks
 from lentilrill.execution._need import (
     Durations,
     OfferedLoad,
@@ -33,17 +34,10 @@
 
 __all__ = ["PoolOwner"]
 
-TAKE_OVER_S = 5.5
-"""Wait for endpoints that can't be looked at after a take-over, before tasks that may run there
-are started elsewhere: the former owner's right (at most 1.6 s, by its lease or by the news that
-the store is away everywhere), the lease of its last order (3.4 s on a clock that may be 2 % slow),
-and its end."""
 PLAN_EVERY_S = 0.1
 """Longest time between two rounds; news of runs and jobs start one at once."""
 INTAKE_PAUSE_S = 0.7
 """Pause between two watch calls for accepted jobs, which are also told directly."""
-FORGET_LINK_S = 2.0
-"""How long an endpoint that is not registered any more must be silent before it is forgotten."""
 RESEND_S = 0.05
 """Pause of an endpoint's orders before one without an answer is sent again."""
 
@@ -82,13 +76,11 @@
         self._changed = threading.Condition(self._lock)
         self._due = True
         self._ended = threading.Event()
-        self._links_by_id: dict[EndpointId, EndpointLink] = {}
+        roster = Roster(kv, pool, owner_key, token)
+        self._links = PoolLinks(pool, roster, self._lock, self._connect)
         self._jobs = PoolJobs(
-            kv, pool, owner_key, token, self._lock, self._links_by_id, refused, self._job_changed
+            kv, pool, owner_key, token, self._lock, self._links.by_id, refused, self._job_changed
         )
-        self._roster = Roster(kv, pool, owner_key, token)
-        self._unseen: set[EndpointId] = set()
-        self._gained_at = time.monotonic()
         self._durations = Durations()
         self._offered = OfferedLoad()
         self._reconciler = Reconciler(self._jobs.by_id, self._attempts, self._durations)
@@ -110,7 +102,7 @@
             if self._ended.is_set():
                 return
             self._ended.set()
-            links = list(self._links_by_id.values())
+            links = list(self._links.by_id.values())
             self._changed.notify_all()
         for link in links:
             link.close()
@@ -159,7 +151,7 @@
                 if not book.lasts:
                     work += self._durations.chain_of(book).work
                 ready = ready.plus(ready_work(book))
-            links = list(self._links_by_id.values())
+            links = list(self._links.by_id.values())
             cores = sum(link.entry.room.cpu for link in links if link.registered) / 1000
             offered = self._offered.cores(time.monotonic())
             need = hosts_needed(links, ready, offered)
@@ -182,10 +174,10 @@
         :return: a value of :class:`~lentilrill.inner.ReleaseState`, and what it waits for.
         """
         with self._lock:
-            link = self._links_by_id.get(endpoint)
+            link = self._links.by_id.get(endpoint)
             # Guard against a host that is taken from under its tasks: an owner that has just
             # taken over knows nothing of an endpoint until it has looked there.
-            if not self._jobs.loaded or endpoint in self._unseen:
+            if not self._jobs.loaded or endpoint in self._links.unseen:
                 return ReleaseState.WAIT, "the pool is being taken over"
             if link is None:
                 return ReleaseState.FREE, "no such endpoint"
@@ -220,7 +212,7 @@
             shard=self.pool,
             token=self.token,
             jobs=len(self._jobs.live_by_id),
-            endpoints=len(self._unseen),
+            endpoints=len(self._links.unseen),
         )
         self._follower.start()
         self._writer.start()
@@ -236,63 +228,18 @@
 
     def _load(self) -> bool:
         """Read what former owners stored; return whether it is complete."""
-        if not self._roster.load():
-            return False
-        # Noted before the jobs count as loaded: from then on hosts may be asked for.
-        self._unseen = set(self._roster.address_by_id)
-        return self._jobs.load()
+        # Endpoints first: once the jobs count as loaded, hosts may be asked for.
+        return self._links.load() and self._jobs.load()
 
     def _refresh_links(self) -> None:
-        entries = self._entries(self.pool)
-        with self._lock:
-            new = [e for e in entries.values() if e.id not in self._links_by_id]
-            for link in self._links_by_id.values():
-                entry = entries.get(link.entry.id)
-                link.registered = entry is not None
-                if entry is not None:
-                    link.entry = entry
-            unknown = [
-                EndpointEntry(id, self.pool, address, zone="")  # type: ignore[arg-type]
-                for id, address in self._roster.address_by_id.items()
-                if id not in entries and id not in self._links_by_id and id in self._unseen
-            ]
-            gone = [link for link in self._links_by_id.values() if self._is_over(link)]
-        if new or gone:
-            self._note_roster(new, gone)
-        for entry in [*new, *unknown]:
-            if entry.id in self._roster.address_by_id:
-                self._open(entry)
-
-    def _is_over(self, link: EndpointLink) -> bool:
-        """Whether a link is of no use any more: its endpoint is not registered, and nothing runs
-        there, or has been unreachable for longer than its lease."""
-        now = time.monotonic()
-        # Guard against a task that runs twice: a cut zone's endpoints vanish from the store while
-        # a former owner's tasks still run there, until that owner's last leases have ended.
-        former = link.entry.id in self._unseen and now - self._gained_at < TAKE_OVER_S
-        if link.registered or former:
-            return False
-        silent = now - max(link.heard, link.since) > FORGET_LINK_S
-        return not link.runs_by_key and (link.closed or (silent and now > link.lease_end))
-
-    def _note_roster(self, new: list[EndpointEntry], gone: list[EndpointLink]) -> None:
-        ids = [link.entry.id for link in gone]
-        with self._lock:
-            for link in gone:
-                link.close()
-                self._links_by_id.pop(link.entry.id, None)
-                self._unseen.discard(link.entry.id)
-        if not self._roster.write(new, ids):
+        if not self._links.refresh(self._entries(self.pool)):
             self._refused("the store knows a newer owner")
 
     def _forget_old(self) -> None:
         self._jobs.forget_old(int(time.time() * 1000))
 
-    def _open(self, entry: EndpointEntry) -> None:
-        link = EndpointLink(self, entry, self._dial(entry))
-        with self._lock:
-            self._links_by_id[entry.id] = link
-        link.start()
+    def _connect(self, entry: EndpointEntry) -> EndpointLink:
+        return EndpointLink(self, entry, self._dial(entry))
 
     def _plan(self) -> None:
         now = time.monotonic()
@@ -300,7 +247,7 @@
         orders: list[tuple[EndpointLink, Order]] = []
         with self._lock:
             self._expire_leases(now)
-            renew_releases(list(self._links_by_id.values()), now)
+            renew_releases(list(self._links.by_id.values()), now)
             configuration = self._configuration()
             jobs = []
             urgent = False
@@ -315,15 +262,15 @@
                     continue
                 queue = configuration.queue(book.job.queue) if configuration else None
                 jobs.append((book, queue))
-            blocked = bool(self._unseen) and now - self._gained_at < TAKE_OVER_S
-            rooms = self._planner.rooms(self._links_by_id.values(), now)
-            strays = {key[0] for link in self._links_by_id.values() for key in link.strays_by_key}
+            blocked = self._links.are_blocked
+            rooms = self._planner.rooms(self._links.by_id.values(), now)
+            strays = {key[0] for link in self._links.by_id.values() for key in link.strays_by_key}
             placed = self._planner.starts(jobs, rooms, now, blocked, self.token, strays)
             for endpoint, run in placed:
-                link = self._links_by_id[endpoint]
+                link = self._links.by_id[endpoint]
                 link.runs_by_key[run.key] = run
                 orders.append((link, Order.of(OrderKind.START, run)))
-            for link in self._links_by_id.values():
+            for link in self._links.by_id.values():
                 orders += [(link, order) for order in self._planner.paces(link, now)]
                 orders += [(link, order) for order in self._planner.stuck(link)]
         for link, order in orders:
@@ -335,14 +282,14 @@
         orders = []
         for task in book.tasks():
             for run in task.runs:
-                link = self._links_by_id.get(run.endpoint)
+                link = self._links.by_id.get(run.endpoint)
                 if link is not None and run.phase is not RunPhase.STOPPING:
                     run.phase = RunPhase.STOPPING
                     orders.append((link, Order.of(OrderKind.STOP, run)))
         return orders
 
     def _expire_leases(self, now: float) -> None:
-        for link in self._links_by_id.values():
+        for link in self._links.by_id.values():
             if link.runs_by_key and link.lease_end and now > link.lease_end:
                 for run in list(link.runs_by_key.values()):
                     self._reconciler.drop(link, run, "its lease has lapsed out of sight")
@@ -351,13 +298,9 @@
 
     def looked(self, link: EndpointLink, look: Look, sent: float) -> None:
         """Take over what a look found."""
-        if look.verdict is Verdict.FENCED:
-            self._refused(f"endpoint {link.entry.id} knows a newer owner")
+        if self._is_barred(link, look.verdict):
             return
         with self._lock:
-            if look.verdict is Verdict.ELSEWHERE:
-                self._gone_for_good(link)
-                return
             if look.verdict is not Verdict.DONE:
                 if link.reachable:
                     log(
@@ -374,7 +317,7 @@
             link.reachable = True
             link.heard = time.monotonic()
             link.looked_once = True
-            self._unseen.discard(link.entry.id)
+            self._links.unseen.discard(link.entry.id)
             had_ends = bool(look.ended)
             for order in self._reconciler.take_look(link, look, sent):
                 link.order(order)
@@ -382,6 +325,17 @@
         if had_ends:
             self._writer.note(urgent=False)
 
+    def _is_barred(self, link: EndpointLink, verdict: Verdict) -> bool:
+        """Whether an answer shows that nothing can be ordered there any more, and act on it."""
+        if verdict is Verdict.FENCED:
+            self._refused(f"endpoint {link.entry.id} knows a newer owner")
+            return True
+        if verdict is Verdict.ELSEWHERE:
+            with self._lock:
+                self._gone_for_good(link)
+            return True
+        return False
+
     def _gone_for_good(self, link: EndpointLink) -> None:
         """Another life answers at the address: what ran in the former one has ended."""
         log(Event.ENDPOINT_GONE, endpoint=link.entry.id, address=link.entry.address)
@@ -389,7 +343,7 @@
             self._reconciler.drop(link, run, "its endpoint has ended")
         link.reachable = False
         link.close()
-        self._unseen.discard(link.entry.id)
+        self._links.unseen.discard(link.entry.id)
         self._wake()
 
     def start_for(self, link: EndpointLink, run: Run) -> StartOrder | None:
@@ -417,13 +371,9 @@
 
     def answered(self, link: EndpointLink, order: Order, answer: OrderAnswer) -> None:
         """Take over an order's answer."""
-        if answer.verdict is Verdict.FENCED:
-            self._refused(f"endpoint {link.entry.id} knows a newer owner")
+        if self._is_barred(link, answer.verdict):
             return
         with self._lock:
-            if answer.verdict is Verdict.ELSEWHERE:
-                self._gone_for_good(link)
-                return
             if answer.verdict is Verdict.UNKNOWN and not (order.run and order.run.in_doubt):
                 log(
                     Event.ORDER_UNANSWERED,
