News: a zone cut just after an outage of the store is no outage

The owner in the zone knew two other hosts by the store's list and heard one silent host of its own zone: a majority of what was listed. It took the cut for an outage and went on ordering beside the new owners; 3.8 s after it had adopted a run that it could not see any more it started the task a second time, while the new owner renewed the first run's lease. The decision is a class of its own, without input or output. Tests: two, both fail on the former code.

--- a/src/lentilrill/entry/_news.py
+++ b/src/lentilrill/entry/_news.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from lentilrill.entry._books import ConfigurationBook
-from lentilrill.ids import PoolId, ProcessId
+from lentilrill.entry._silence import FRESH_S, StoreSilence
+from lentilrill.ids import PoolId
 from lentilrill.inner import Batch, Configured, HostNews, Node, PoolPressure
 from lentilrill.ownership import MemberRecord
 from lentilrill.telemetry import guarded
@@ -13,10 +14,6 @@
 __all__ = ["NewsDesk"]
 
 TELL_EVERY_S = 0.3
-FRESH_S = 1.6
-"""How long news count: five rounds, so that some lost messages change nothing."""
-SILENT_S = 0.9
-"""Silence of the store after which a host counts it as away: two renewals without an answer."""
 
 
 class NewsDesk(threading.Thread):
@@ -41,7 +38,7 @@
         self._pressures = pressures
         self._store_silent_s = store_silent_s
         self._lock = threading.Lock()
-        self._news_by_process: dict[ProcessId, tuple[float, HostNews]] = {}
+        self._silence = StoreSilence()
         self._pressure_by_pool: dict[PoolId, tuple[float, PoolPressure]] = {}
         self._ended = threading.Event()
         node.on(HostNews, self._heard)
@@ -58,6 +55,8 @@
             self._note(pressure)
         news = HostNews(round(self._store_silent_s(), 2), self._book.version, pressures)
         for peer in self._peers():
+            with self._lock:
+                self._silence.seen(peer.process, time.monotonic())
             self._node.send(peer.inner, news)
 
     def close(self) -> None:
@@ -71,25 +70,13 @@
         return pressure if time.monotonic() - heard < FRESH_S else None
 
     def outage_everywhere(self) -> bool:
-        """Whether most entry hosts, this one among them, say that the store is silent.
-
-        Guard against two owners of one shard: while most hosts can't reach the store, hardly any
-        can claim; a host that is cut off on its own hears no such majority.
-        """
-        if self._store_silent_s() < SILENT_S:
-            return False
-        now = time.monotonic()
+        """Whether the store is silent for all entry hosts that are heard, which are most."""
         with self._lock:
-            silent = sum(
-                1
-                for heard, news in self._news_by_process.values()
-                if now - heard < FRESH_S and news.store_silent_s >= SILENT_S
-            )
-        return (silent + 1) * 2 > len(self._peers()) + 1
+            return self._silence.is_everywhere(self._store_silent_s(), time.monotonic())
 
     def _heard(self, batch: Batch, news: HostNews) -> None:
         with self._lock:
-            self._news_by_process[batch.sender] = (time.monotonic(), news)
+            self._silence.said(batch.sender, news.store_silent_s, time.monotonic())
         for pressure in news.pools:
             self._note(pressure)
         if news.version < self._book.version and self._book.value:
--- a/tests/entry/test_beliefs.py
+++ b/tests/entry/test_beliefs.py
@@ -67,18 +67,21 @@
 class Node:
     def on(self, kind: type, handler: object) -> None: ...
 
+    def send(self, address: str, message: object) -> None: ...
+
 
 class NewsTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
         self.silent_s = 5.0
-        members = [
+        self.members = [
             MemberRecord(ProcessId(f"h{n}"), Incarnation(1), ZoneId("z"), f"10.0.0.{n}:1", 1)
             for n in range(6)
         ]
         self.desk = NewsDesk(
-            Node(), lambda: members, ConfigurationBook(), lambda: (), lambda: self.silent_s
+            Node(), lambda: self.members, ConfigurationBook(), lambda: (), lambda: self.silent_s
         )
+        self.desk._tell()
 
     def hear(self, host: str, news: HostNews) -> None:
         self.desk._heard(Batch(ProcessId(host), Incarnation(1), "10.0.0.1:1", ()), news)
@@ -96,6 +99,26 @@
         self.hear("h2", HostNews(0.1, -1))
         self.assertFalse(self.desk.outage_everywhere())
 
+    def test_a_cut_just_after_an_outage_is_no_outage(self) -> None:
+        """A book was embossed twice: two hosts owned the pool for five seconds.
+
+        In an outage of the store all leases ran out. Just after it, when only two other hosts had
+        registered anew, a zone was cut off: both of its hosts were silent, the store's list named
+        two others, and so the owner in the zone took the cut for an outage and went on.
+        """
+        self.members = self.members[4:]
+        self.desk._tell()
+        self.hear("h0", HostNews(5.0, -1))
+        self.assertFalse(self.desk.outage_everywhere())
+
+    def test_one_host_that_reaches_the_store_is_enough(self) -> None:
+        """Tasks ran twice: the store turned most hosts away and served one, which claimed."""
+        for n in range(5):
+            self.hear(f"h{n}", HostNews(5.0, -1))
+        self.assertTrue(self.desk.outage_everywhere())
+        self.hear("h5", HostNews(0.0, -1))
+        self.assertFalse(self.desk.outage_everywhere())
+
     def test_no_outage_for_a_host_that_reaches_the_store(self) -> None:
         self.silent_s = 0.1
         for n in range(6):
