--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -9,6 +9,7 @@
     Move,
     PoolNeed,
     plan_moves,
+    pool_targets,
     target_hosts,
 )
 from lentilrill.scheduling._durations import DurationModel
@@ -28,6 +29,7 @@
     "next_pace",
     "place",
     "plan_moves",
+    "pool_targets",
     "retry_after_s",
     "sort_key",
     "target_hosts",
--- a/src/lentilrill/scheduling/_capacity.py
+++ b/src/lentilrill/scheduling/_capacity.py
@@ -6,7 +6,15 @@
 
 from lentilrill.ids import EndpointId, HostId, PoolId, ZoneId
 
-__all__ = ["FreeHost", "Move", "PoolNeed", "kept_hosts", "plan_moves", "target_hosts"]
+__all__ = [
+    "FreeHost",
+    "Move",
+    "PoolNeed",
+    "kept_hosts",
+    "plan_moves",
+    "pool_targets",
+    "target_hosts",
+]
 
 FEWEST = 2
 """Hosts that a pool keeps at least, in two zones where it can: one may be lost at any moment."""
@@ -78,7 +86,7 @@
 
     :param resting: hosts in standby.
     """
-    targets = _targets(needs, resting)
+    targets = pool_targets(needs, resting)
     moves: list[Move] = []
     left = list(resting)
     free_by_pool = {need.pool: list(need.free) for need in needs}
@@ -104,7 +112,8 @@
     return moves
 
 
-def _targets(needs: tuple[PoolNeed, ...], resting: tuple[FreeHost, ...]) -> dict[PoolId, int]:
+def pool_targets(needs: tuple[PoolNeed, ...], resting: tuple[FreeHost, ...]) -> dict[PoolId, int]:
+    """Return how many hosts each pool should have."""
     all_hosts = sum(need.hosts for need in needs) + len(resting)
     kept = kept_hosts(all_hosts, len(needs))
     return {need.pool: target_hosts(need.need, kept) for need in needs}
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -83,6 +83,7 @@
     HOST_ORDERED = (656, Level.INFO, "A host was ordered into upkeep or into another pool.")
     HOST_WAITS = (657, Level.INFO, "A host can't be emptied yet; the reason has changed.")
     HOST_UP = (658, Level.INFO, "A host is back from upkeep or a move.")
+    POOL_SIZED = (659, Level.INFO, "A pool should have another number of hosts than before.")
     QUEUE_UNKNOWN = (668, Level.INFO, "A caller named no queue of the configuration in force.")
     JOB_ODD = (669, Level.INFO, "A caller handed in what is no job.")
     JOB_ANSWERED = (670, Level.INFO, "A caller handed a job in and was answered.")
--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -5,7 +5,14 @@
 
 from lentilrill.ids import HostId, PoolId, ProcessId, Revision
 from lentilrill.inner import PoolPressure
-from lentilrill.scheduling import FreeHost, Move, PoolNeed, plan_moves, target_hosts
+from lentilrill.scheduling import (
+    FreeHost,
+    Move,
+    PoolNeed,
+    plan_moves,
+    pool_targets,
+    target_hosts,
+)
 from lentilrill.telemetry import Event, log
 from lentilrill.upkeep._contract import HostCalls, HostOrder, HostRow, HostState
 from lentilrill.upkeep._emptying import Emptying
@@ -43,6 +50,7 @@
         self._refused = refused
         self._spare_since: dict[PoolId, float] = {}
         self._begun_by_host: dict[HostId, tuple[Move, float]] = {}
+        self._target_by_pool: dict[PoolId, int] = {}
 
     def round(self, rows: dict[HostId, HostRow], busy: set[HostId]) -> None:
         """Begin moves, and go on with those that wait for their endpoint.
@@ -64,11 +72,28 @@
             for row in rows.values()
             if row.pool in standby and row.state is HostState.UP and row.id not in taken
         )
+        self._log_targets(needs, resting)
         for move in plan_moves(needs, standby[0], resting):
             self._begun_by_host[move.host.host] = (move, now)
         for host, (move, began) in list(self._begun_by_host.items()):
             self._go_on(host, move, began, now, rows.get(host), move.source in standby)
 
+    def _log_targets(self, needs: tuple[PoolNeed, ...], resting: tuple[FreeHost, ...]) -> None:
+        targets = pool_targets(needs, resting)
+        for need in needs:
+            target = targets[need.pool]
+            if self._target_by_pool.get(need.pool) != target:
+                self._target_by_pool[need.pool] = target
+                log(
+                    Event.POOL_SIZED,
+                    pool=need.pool,
+                    target=target,
+                    hosts=need.hosts,
+                    need=need.need,
+                    free=len(need.free),
+                    resting=len(resting),
+                )
+
     def _need(
         self, pool: PoolId, rows: dict[HostId, HostRow], taken: set[HostId], now: float
     ) -> PoolNeed | None:
