Pools: work that is late asks for fewer hosts, yields them, and refuses nobody

Change: what waits of late jobs counts for half a host's room; hosts that only do late work may be taken by a pool that lacks hosts; a new job is refused only for work that goes before it, or once 30 s of late work wait. The pressure of a pool has a module of its own.

--- a/src/lentilrill/execution/_need.py
+++ b/src/lentilrill/execution/_need.py
@@ -1,12 +1,13 @@
 """How much work a pool has, and how many hosts that fills."""
 
 from collections import deque
+from collections.abc import Collection
 
 import msgspec
 
 from lentilrill.execution._book import JobBook, StepBook
 from lentilrill.execution._link import EndpointLink
-from lentilrill.ids import EndpointId, QueueId
+from lentilrill.ids import EndpointId, JobId, QueueId
 from lentilrill.scheduling import DurationModel
 from lentilrill.workloads import Job, Resources, Step
 
@@ -26,6 +27,9 @@
 SOON = 0.6
 """Share of a host's room that waiting tasks count for, against those that run: they need not all
 start at once to be in time. Most take about a second, and may wait for another half."""
+LATE_SHARE = 0.5
+"""Share of a host's room that tasks of late jobs count for. An answer that comes late is worth less
+than a tenth of one in time to callers, so it justifies keeping some hosts, not taking more."""
 IDLE_S = 0.8
 """How long nothing must have run on an endpoint before it counts as idle: the next step of a job
 starts within this time."""
@@ -117,18 +121,30 @@
     return total
 
 
-def hosts_needed(links: list[EndpointLink], ready: Resources, offered: float) -> float:
+def hosts_needed(
+    links: list[EndpointLink],
+    ready: Resources,
+    late_ready: Resources,
+    late: Collection[JobId],
+    offered: float,
+) -> float:
     """Return how many hosts the pool's work fills.
 
+    Load pattern: a pool's surge leaves a backlog that nobody can serve in time any more, while
+    the next queue's surge begins. Counted in full, the backlog keeps all hosts that the other
+    pool lacks, and both are late.
+
     :param ready: room that tasks take whose turn has come and that don't run.
+    :param late_ready: the same of jobs that can't be in time any more.
+    :param late: those jobs.
     :param offered: cores that newly offered work takes.
     """
     rooms = [link.entry.room for link in links if link.entry.room.cpu]
     if not rooms:
         # No host tells how large one is; the first one to come will.
-        return 1.0 if ready != Resources() else 0.0
+        return 1.0 if ready.plus(late_ready) != Resources() else 0.0
     one = max(rooms, key=lambda room: room.cpu)
-    used = Resources(int(ready.cpu * SOON), int(ready.memory_mb * SOON), ready.accelerators)
+    used = ready.scaled(SOON).plus(late_ready.scaled(SOON * LATE_SHARE))
     lasting_cpu = 0
     for link in links:
         for run in link.runs_by_key.values():
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -57,7 +57,7 @@
         :param strays: tasks seen under way that are not in the book yet.
         """
         placed: list[tuple[EndpointId, Run]] = []
-        standing = [(sort_key(self._standing(book, queue, now)), book) for book, queue in jobs]
+        standing = [(sort_key(self.standing(book, queue, now)), book) for book, queue in jobs]
         standing.sort(key=lambda pair: pair[0])
         for _, book in standing:
             if not any(room.free.memory_mb > 0 for room in rooms.values()):
@@ -124,7 +124,8 @@
         task.runs.append(run)
         return run
 
-    def _standing(self, book: JobBook, queue: Queue | None, now: float) -> Standing:
+    def standing(self, book: JobBook, queue: Queue | None, now: float) -> Standing:
+        """Return what a job's order depends on."""
         chain = self._durations.chain_of(book)
         stretch = queue.stretch if queue is not None else 1.0
         objective_ms = queue.objective_ms if queue is not None else 0
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -9,19 +9,14 @@
 from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._links import PoolLinks
-from lentilrill.execution._need import (
-    Durations,
-    OfferedLoad,
-    hosts_needed,
-    idle_endpoints,
-    ready_work,
-)
+from lentilrill.execution._need import Durations, OfferedLoad
 from lentilrill.execution._planner import Planner
+from lentilrill.execution._pressure import backlog_of, pressure_of
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import release, renew_releases
 from lentilrill.execution._roster import Roster
 from lentilrill.execution._writer import ProgressWriter
-from lentilrill.ids import EndpointId, JobId, PoolId, QueueId, Revision
+from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.store import Follower, KeyValue
 from lentilrill.telemetry import Event, guarded, log
@@ -29,7 +24,6 @@
     Configuration,
     EndpointEntry,
     JobState,
-    Resources,
 )
 
 __all__ = ["PoolOwner"]
@@ -142,31 +136,21 @@
     def pressure(self) -> PoolPressure:
         """Return how busy the pool is."""
         with self._lock:
-            waiting: dict[QueueId, int] = {}
-            work = 0.0
-            ready = Resources()
-            for book in self._jobs.live_by_id.values():
-                if book.state is JobState.QUEUED and not book.job.occurrences:
-                    waiting[book.job.queue] = waiting.get(book.job.queue, 0) + 1
-                if not book.lasts:
-                    work += self._durations.chain_of(book).work
-                ready = ready.plus(ready_work(book))
-            links = list(self._links.by_id.values())
-            cores = sum(link.entry.room.cpu for link in links if link.registered) / 1000
-            offered = self._offered.cores(time.monotonic())
-            need = hosts_needed(links, ready, offered)
-            idle = idle_endpoints(links, time.monotonic())
-        # Without a host there is no rate to tell a wait by; the fleet's owner sends some.
-        wait_s = work / cores if cores and self._jobs.loaded else 0.0
-        return PoolPressure(
-            self.pool,
-            round(wait_s, 2),
-            waiting,
-            self.token,
-            round(need, 2),
-            sum(1 for link in links if link.reachable and link.registered),
-            tuple(idle),
-        )
+            now = time.monotonic()
+            jobs = []
+            if self._jobs.loaded:
+                configuration = self._configuration()
+                for book in self._jobs.live_by_id.values():
+                    queue = configuration.queue(book.job.queue) if configuration else None
+                    jobs.append((book, self._planner.standing(book, queue, now)))
+            return pressure_of(
+                self.pool,
+                self.token,
+                backlog_of(jobs, self._durations),
+                list(self._links.by_id.values()),
+                self._offered.cores(now),
+                now,
+            )
 
     def release(self, endpoint: EndpointId, *, cancel: bool) -> tuple[str, str]:
         """Empty an endpoint whose host is wanted elsewhere; asked again until it is free.
--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -21,12 +21,14 @@
 class PoolPressure(msgspec.Struct, frozen=True, tag=True):
     """How busy a pool is, from its owner.
 
-    :param wait_s: seconds that a job of average work would wait now before it starts.
+    :param wait_s: seconds of work that goes before a new job, at the rate of the whole pool.
     :param waiting_by_queue: accepted jobs of which nothing has started.
     :param token: the owner's fencing token.
     :param need: hosts' worth of tasks that are at work or whose turn has come.
     :param hosts: endpoints that take tasks.
     :param idle: endpoints on which nothing has run for a while.
+    :param late_wait_s: seconds of work of jobs that can't be in time any more.
+    :param late: endpoints on which only such jobs run.
     """
 
     pool: PoolId
@@ -36,6 +38,8 @@
     need: float = 0.0
     hosts: int = 0
     idle: tuple[EndpointId, ...] = ()
+    late_wait_s: float = 0.0
+    late: tuple[EndpointId, ...] = ()
 
 
 class HostNews(msgspec.Struct, frozen=True, tag=True):
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -86,10 +86,16 @@
         :return: what became of it, and the seconds after which a refused caller should come back.
         """
         known = self._pressure_of(job.pool)
-        if known is not None and not may_take(Pressure(known.wait_s)):
-            retry_s = retry_after_s(Pressure(known.wait_s))
-            self._log_submit(job, JobAnswer.OVERLOADED, wait_s=known.wait_s, token=known.token)
-            return JobAnswer.OVERLOADED, retry_s
+        pressure = Pressure(known.wait_s, known.late_wait_s) if known is not None else None
+        if known is not None and pressure is not None and not may_take(pressure):
+            self._log_submit(
+                job,
+                JobAnswer.OVERLOADED,
+                wait_s=known.wait_s,
+                late_s=known.late_wait_s,
+                token=known.token,
+            )
+            return JobAnswer.OVERLOADED, retry_after_s(pressure)
         if not self._can_commit():
             # Refused before anything is sent, so that it surely never runs; a commit that gets no
             # answer could not be told to the caller as refused.
--- a/src/lentilrill/scheduling/_capacity.py
+++ b/src/lentilrill/scheduling/_capacity.py
@@ -38,6 +38,7 @@
     :param hosts: hosts that are in the pool or on their way there.
     :param spare_s: seconds for which the pool has had more hosts than its work needs.
     :param free: its hosts on which nothing runs.
+    :param late: its hosts on which only jobs run that can't be in time any more.
     """
 
     pool: PoolId
@@ -46,6 +47,7 @@
     spare_s: float = 0.0
     free: tuple["FreeHost", ...] = ()
     zones: tuple[ZoneId, ...] = ()
+    late: tuple["FreeHost", ...] = ()
 
 
 class FreeHost(msgspec.Struct, frozen=True):
@@ -81,8 +83,8 @@
 
     Load pattern: queues surge by turns to several times what their pool can do, for some seconds,
     while the other pools are almost idle. Hosts go where tasks wait: from standby, else from
-    pools that have more than they need. A host that has been too many for a while goes to
-    standby, where it costs nothing.
+    pools that have more than they need, where also hosts are taken that only do late work. A host
+    that has been too many for a while goes to standby, where it costs nothing.
 
     :param resting: hosts in standby.
     """
@@ -90,14 +92,15 @@
     moves: list[Move] = []
     left = list(resting)
     free_by_pool = {need.pool: list(need.free) for need in needs}
+    late_by_pool = {need.pool: list(need.late) for need in needs}
     hosts_by_pool = {need.pool: need.hosts for need in needs}
     zones_by_pool = {need.pool: list(need.zones) for need in needs}
     short = sorted(needs, key=lambda n: n.hosts - targets[n.pool])
     for need in short:
         while hosts_by_pool[need.pool] < targets[need.pool]:
             move = _take_from_standby(need.pool, left, standby, zones_by_pool[need.pool])
-            if move is None:
-                move = _take_from_pools(need.pool, targets, free_by_pool, hosts_by_pool)
+            for left_by_pool in (free_by_pool, late_by_pool):
+                move = move or _take_from_pools(need.pool, targets, left_by_pool, hosts_by_pool)
             if move is None:
                 break
             moves.append(move)
@@ -132,13 +135,13 @@
 def _take_from_pools(
     pool: PoolId,
     targets: dict[PoolId, int],
-    free_by_pool: dict[PoolId, list[FreeHost]],
+    left_by_pool: dict[PoolId, list[FreeHost]],
     hosts_by_pool: dict[PoolId, int],
 ) -> Move | None:
-    for source, free in free_by_pool.items():
-        if source != pool and free and hosts_by_pool[source] > targets[source]:
+    for source, left in left_by_pool.items():
+        if source != pool and left and hosts_by_pool[source] > targets[source]:
             hosts_by_pool[source] -= 1
-            return Move(free.pop(), source, pool)
+            return Move(left.pop(), source, pool)
     return None
 
 
--- a/src/lentilrill/scheduling/_order.py
+++ b/src/lentilrill/scheduling/_order.py
@@ -23,6 +23,11 @@
     allowed_s: float
     left_work: float
 
+    @property
+    def in_time(self) -> bool:
+        """Whether it can still be done by then, or has no such time."""
+        return self.lasts or self.age_s + self.left_s <= self.allowed_s
+
 
 def sort_key(standing: Standing) -> tuple[int, int, float]:
     """Return a key by which jobs sort in the order in which they get room.
@@ -36,7 +41,6 @@
     """
     if standing.lasts:
         return (0, 0, -standing.age_s)
-    in_time = standing.age_s + standing.left_s <= standing.allowed_s
-    if in_time:
+    if standing.in_time:
         return (1 + 2 * standing.priority, 0, standing.left_work)
     return (1 + 2 * standing.priority, 1, -standing.age_s)
--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 
-from lentilrill.ids import HostId, PoolId, ProcessId, Revision
+from lentilrill.ids import EndpointId, HostId, PoolId, ProcessId, Revision
 from lentilrill.inner import PoolPressure
 from lentilrill.scheduling import (
     FreeHost,
@@ -20,8 +20,9 @@
 
 __all__ = ["Mover"]
 
-GIVE_UP_S = 1.5
-"""Time in which an endpoint that seemed idle must be free; else its move is given up."""
+GIVE_UP_S = 3.0
+"""Time in which an endpoint must be free; else its move is given up. Tasks of late jobs may finish
+for 2.5 s of it."""
 
 
 class Mover:
@@ -109,14 +110,11 @@
         if hosts <= target_hosts(said.need, 0):
             self._spare_since.pop(pool, None)
         since = self._spare_since.setdefault(pool, now)
-        idle = set(said.idle)
-        free = tuple(
-            FreeHost(row.id, row.zone, row.endpoint)
-            for row in members
-            if row.state is HostState.UP and row.endpoint in idle and row.id not in taken
-        )
+        left = [row for row in members if row.state is HostState.UP and row.id not in taken]
+        free = _hosts_of(left, said.idle)
+        late = _hosts_of(left, said.late)
         zones = tuple(row.zone for row in members)
-        return PoolNeed(pool, said.need, hosts, now - since, free, zones)
+        return PoolNeed(pool, said.need, hosts, now - since, free, zones, late)
 
     def _go_on(
         self,
@@ -152,3 +150,10 @@
             self._refused(f"host {host} knows a newer owner of the fleet")
         if answer not in (HostOrder.LATER, HostOrder.UNKNOWN):
             del self._begun_by_host[host]
+
+
+def _hosts_of(rows: list[HostRow], endpoints: tuple[EndpointId, ...]) -> tuple[FreeHost, ...]:
+    """Return the hosts on which some endpoints live."""
+    return tuple(
+        FreeHost(row.id, row.zone, row.endpoint) for row in rows if row.endpoint in endpoints
+    )
--- a/src/lentilrill/workloads/_job.py
+++ b/src/lentilrill/workloads/_job.py
@@ -1,5 +1,6 @@
 """A job as its caller handed it in: steps of tasks and what they need."""
 
+import math
 from enum import Enum
 from typing import NamedTuple
 
@@ -38,6 +39,14 @@
             self.accelerators + other.accelerators,
         )
 
+    def scaled(self, share: float) -> "Resources":
+        """Return a share of this, rounded up."""
+        return Resources(
+            math.ceil(self.cpu * share),
+            math.ceil(self.memory_mb * share),
+            math.ceil(self.accelerators * share),
+        )
+
     def minus(self, other: "Resources") -> "Resources":
         """Return the difference, which may be negative."""
         return Resources(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -24,6 +24,7 @@
     ZoneId,
 )
 from lentilrill.membership import Member, Role
+from lentilrill.scheduling import Standing
 from lentilrill.settings import Document, Entitlement, InnerKeys, Plan, Pool
 from lentilrill.workloads import (
     Configuration,
@@ -42,6 +43,7 @@
     "a_member",
     "a_plan",
     "a_pool",
+    "a_standing",
     "a_step",
     "an_address",
     "an_endpoint",
@@ -162,3 +164,16 @@
         QueueId("proofs"), "braille.example", "/proofs/", PoolId("notices"), **(values | changes)
     )
     return Configuration(version, (queue,), (PoolEntry(PoolId("notices")),))
+
+
+def a_standing(**changes: Any) -> Standing:
+    """Return the standing of a job that can be in time, with a second of work left."""
+    values: dict[str, Any] = {
+        "priority": 0,
+        "lasts": False,
+        "age_s": 0.0,
+        "left_s": 1.0,
+        "allowed_s": 2.0,
+        "left_work": 1.0,
+    }
+    return Standing(**(values | changes))
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -7,14 +7,16 @@
 from lentilrill.execution import EndKind, Look, RunEnd, RunSeen, Verdict
 from lentilrill.execution._book import JobBook, Run, RunPhase
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
-from lentilrill.execution._need import Durations
+from lentilrill.execution._need import Durations, hosts_needed
 from lentilrill.execution._planner import Planner
+from lentilrill.execution._pressure import backlog_of, pressure_of
 from lentilrill.execution._reconcile import STRAY_S, Reconciler
 from lentilrill.execution._release import release
-from lentilrill.ids import JobId, Revision
-from lentilrill.inner import ReleaseState
-from lentilrill.workloads import JobState, Step
-from tests.builders import a_job, a_step, an_endpoint
+from lentilrill.ids import JobId, PoolId, Revision
+from lentilrill.inner import PoolPressure, ReleaseState
+from lentilrill.scheduling import Standing
+from lentilrill.workloads import JobState, Resources, Step
+from tests.builders import a_job, a_standing, a_step, an_endpoint
 from tests.execution.fakes import FakeEndpoint
 
 TOKEN = 7
@@ -237,6 +239,32 @@
         self.add(a_step(9))
         self.assertEqual(4, len(self.starts()))
 
+
+class NeedTest(BookCase):
+    def test_late_work_asks_for_few_hosts(self) -> None:
+        """Two pools wanted all hosts: one for work in time, one for a backlog that was late."""
+        one = self.link.entry.room
+        work = Resources(one.cpu * 4, one.memory_mb)
+        in_time = hosts_needed([self.link], work, Resources(), (), 0.0)
+        late = hosts_needed([self.link], Resources(), work, (), 0.0)
+        self.assertGreater(in_time, 2.0)
+        self.assertLess(late, 1.3)
+
+    def test_what_late_jobs_run_can_be_taken_for_others(self) -> None:
+        """No host was free for worksheets: each of the notices' did some work that was late."""
+        late, timely = self.add(a_step(1), name="a"), self.add(a_step(1), name="b")
+        self.run_of(late)
+        self.link.registered = True
+        standings = [(late, a_standing(age_s=60.0)), (timely, a_standing(age_s=0.0))]
+        said = self.pressure(standings)
+        self.assertEqual((self.link.entry.id,), said.late)
+        self.run_of(timely)
+        self.assertEqual((), self.pressure(standings).late)
+
+    def pressure(self, standings: list[tuple[JobBook, Standing]]) -> PoolPressure:
+        backlog = backlog_of(standings, Durations())
+        return pressure_of(PoolId("notices"), TOKEN, backlog, [self.link], 0.0, 0.0)
+
     def test_an_endpoint_with_a_stray_takes_nothing(self) -> None:
         """An endpoint was over its room: what a stray takes is not in the owner's book."""
         self.add(a_step(1))
--- a/tests/scheduling/test_decisions.py
+++ b/tests/scheduling/test_decisions.py
@@ -6,7 +6,6 @@
 from lentilrill.scheduling import (
     EndpointRoom,
     Pressure,
-    Standing,
     may_take,
     next_pace,
     place,
@@ -14,7 +13,7 @@
     sort_key,
 )
 from lentilrill.workloads import Resources
-from tests.builders import a_step
+from tests.builders import a_standing, a_step
 
 
 def a_room(name: str, cpu: int = 4000, rack: str = "r1", **changes: object) -> EndpointRoom:
@@ -23,18 +22,6 @@
     )
 
 
-def a_standing(**changes: object) -> Standing:
-    values = {
-        "priority": 0,
-        "lasts": False,
-        "age_s": 0.0,
-        "left_s": 1.0,
-        "allowed_s": 2.0,
-        "left_work": 1.0,
-    }
-    return Standing(**(values | changes))
-
-
 class PlacementTest(TestCase):
     def placed(self, rooms: list[EndpointRoom], *avoid: str, **step: object) -> str | None:
         names = {EndpointId(name) for name in avoid}
@@ -95,6 +82,16 @@
         self.assertFalse(may_take(Pressure(60.0)))
         self.assertLess(retry_after_s(Pressure(7.0)), retry_after_s(Pressure(12.0)))
 
+    def test_late_work_is_no_reason_to_refuse_what_can_be_in_time(self) -> None:
+        """Worksheets were refused for three seconds although they would have been started at once.
+
+        A surge had left a backlog that was late; what waits in it goes after all that can still
+        be in time, but counted as if it went before.
+        """
+        self.assertTrue(may_take(Pressure(0.5, 8.0)))
+        self.assertFalse(may_take(Pressure(3.0, 8.0)))
+        self.assertFalse(may_take(Pressure(0.5, 300.0)))
+
 
 class PacingTest(TestCase):
     def test_fillers_stop_when_users_notice_and_come_back_slowly(self) -> None:
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -38,6 +38,18 @@
         busy = PoolNeed(PoolId("ballots"), 3.5, 5, 0.0, free("b1"))
         self.assertEqual([], plan_moves((hot, busy), STANDBY, ()))
 
+    def test_hosts_that_do_late_work_go_where_work_can_be_in_time(self) -> None:
+        """Worksheets were refused for four seconds beside notices that were late already.
+
+        The notices' surge had left a backlog; each host of their pool worked on it and was never
+        idle, so none went to the worksheets, whose surge had begun.
+        """
+        hot = PoolNeed(PoolId("schools"), 9.0, 3)
+        busy = PoolNeed(PoolId("notices"), 2.0, 6, 0.0, (), (), free("n1", "n2", "n3", "n4"))
+        moves = plan_moves((hot, busy), STANDBY, ())
+        self.assertEqual(3, len(moves))
+        self.assertEqual({busy.pool}, {move.source for move in moves})
+
 
 class OfferedLoadTest(TestCase):
     def test_a_surge_shows_in_its_first_second(self) -> None:
@@ -81,5 +93,5 @@
 class NeedTest(TestCase):
     def test_a_pool_without_hosts_asks_for_one(self) -> None:
         """Its size is not known before it comes, and no size is assumed."""
-        self.assertEqual(1.0, hosts_needed([], Resources(500, 100), 0.0))
-        self.assertEqual(0.0, hosts_needed([], Resources(), 0.0))
+        self.assertEqual(1.0, hosts_needed([], Resources(500, 100), Resources(), (), 0.0))
+        self.assertEqual(0.0, hosts_needed([], Resources(), Resources(), (), 0.0))
