Queues with a policy: tickets are asked for ahead of the starts that need them

Cause: a queue whose configuration names a policy never ran a task: each start was refused for want of a ticket. Change: the owner of a pool asks the policy service for the steps that go first, and only endpoints with a ticket count as room for them; the stand-in of the platform has such a service and refuses starts without a ticket. Not done: a batch of steps in one question; the interface takes one step a call.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -29,6 +29,7 @@
     Ingress,
     PlatformHosts,
     PlatformKeyValue,
+    PlatformPolicy,
     encode_wave_state,
     serve_plain,
     wave_state_key,
@@ -66,6 +67,7 @@
         self._kv = PlatformKeyValue(settings.store, self.metrics)
         self._incarnation = Incarnation(time.time_ns())
         self._node = Node(settings.process, self._incarnation, settings.inner, None, self.metrics)
+        self._policy = PlatformPolicy(settings.advice, self.metrics) if settings.advice else None
         self._configuration = ConfigurationBook()
         self._endpoints = EndpointBook()
         self._lock = threading.Lock()
@@ -214,6 +216,7 @@
             self._dial,
             lambda: self._ownership.may_order(shard),
             lambda reason: self._ownership.give_up(shard, reason),
+            self._policy,
         )
         with self._lock:
             former = self._pools_by_id.get(PoolId(shard))
--- a/src/lentilrill/execution/_book.py
+++ b/src/lentilrill/execution/_book.py
@@ -140,6 +140,11 @@
         self.ran = 0
         self.ran_ms = 0.0
 
+    @property
+    def waits(self) -> bool:
+        """Whether any of its tasks is to be started."""
+        return any(task.waiting for task in self.tasks)
+
     def note_duration(self, ms: float) -> None:
         """Note how long one of its tasks took; the others take about as long."""
         self.ran += 1
@@ -219,6 +224,16 @@
                     found.append(step)
         return found
 
+    def following_steps(self) -> list[StepBook]:
+        """Return steps whose turn comes once what runs now is done."""
+        found = []
+        for steps in self.steps_by_occurrence.values():
+            for step in steps:
+                before = [steps[index] for index in step.spec.after]
+                if any(s.undone for s in before) and not any(s.waits for s in before):
+                    found.append(step)
+        return found
+
     def tasks(self) -> list[TaskBook]:
         """Return the tasks of the occurrences that have come due."""
         return [t for steps in self.steps_by_occurrence.values() for s in steps for t in s.tasks]
--- a/src/lentilrill/execution/_contract.py
+++ b/src/lentilrill/execution/_contract.py
@@ -4,14 +4,19 @@
 from typing import Protocol
 
 import msgspec
+from returns.result import Result
 
-from lentilrill.workloads import EndpointEntry, TaskId
+from lentilrill.faults import Fault
+from lentilrill.ids import EndpointId
+from lentilrill.workloads import EndpointEntry, StepId, TaskId
 
 __all__ = [
     "EndKind",
     "EndpointCalls",
     "Look",
     "OrderAnswer",
+    "PolicyAnswer",
+    "PolicyCalls",
     "RunEnd",
     "RunSeen",
     "StartOrder",
@@ -124,6 +129,24 @@
     reason: str = ""
 
 
+class PolicyAnswer(msgspec.Struct, frozen=True):
+    """Which of some endpoints may run a step.
+
+    :param ticket_by_endpoint: those that may, each with the ticket that a start has to carry.
+    :param valid_s: how long the tickets hold, in seconds.
+    """
+
+    ticket_by_endpoint: dict[EndpointId, str]
+    valid_s: float
+
+
+class PolicyCalls(Protocol):
+    """Calls to the service that knows which endpoints may run a queue's steps."""
+
+    def ask(self, step: StepId, endpoints: tuple[EndpointId, ...]) -> Result[PolicyAnswer, Fault]:
+        """Return tickets for those of ``endpoints`` that may run ``step``, which never changes."""
+
+
 class EndpointCalls(Protocol):
     """Orders to one endpoint. Each call ends by its time-out with a verdict."""
 
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -6,6 +6,7 @@
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
 from lentilrill.execution._reconcile import count_failure, is_unwell
+from lentilrill.execution._tickets import TicketOffice, Want
 from lentilrill.ids import EndpointId
 from lentilrill.scheduling import EndpointRoom, Standing, next_pace, place, sort_key
 from lentilrill.telemetry import Event, log
@@ -27,10 +28,12 @@
     """Decides for one pool. All methods are called under the lock of its owner.
 
     :param token: the owner's fencing token; run numbers of a later owner are higher.
+    :param tickets: of the policy service, for queues that have one.
     """
 
-    def __init__(self, token: int, durations: Durations) -> None:
+    def __init__(self, token: int, durations: Durations, tickets: TicketOffice) -> None:
         self._durations = durations
+        self._tickets = tickets
         self._base = token * 1000
 
     def rooms(self, links: Iterable[EndpointLink], now: float) -> dict[EndpointId, EndpointRoom]:
@@ -57,17 +60,45 @@
         :param strays: tasks seen under way that are not in the book yet.
         """
         placed: list[tuple[EndpointId, Run]] = []
-        standing = [(sort_key(self.standing(book, queue, now)), book) for book, queue in jobs]
-        standing.sort(key=lambda pair: pair[0])
-        for _, book in standing:
+        ordered = sorted(jobs, key=lambda pair: sort_key(self.standing(pair[0], pair[1], now)))
+        self._want_tickets(ordered, rooms)
+        for book, queue in ordered:
             if not any(room.free.memory_mb > 0 for room in rooms.values()):
                 break
             if blocked and book.revision < taken_over_at:
                 continue
             for step in book.open_steps():
-                placed += self._place_step(step, rooms, now, strays)
+                open_rooms = rooms
+                if queue is not None and queue.advice is not None:
+                    open_rooms = self._with_ticket(step, rooms)
+                placed += self._place_step(step, open_rooms, now, strays)
         return placed
 
+    def _want_tickets(
+        self, ordered: list[tuple[JobBook, Queue | None]], rooms: dict[EndpointId, EndpointRoom]
+    ) -> None:
+        """Say which steps need tickets: those with tasks that wait, then those that are next, so
+        that the service has answered when their turn comes."""
+        advised = [
+            book for book, queue in ordered if queue is not None and queue.advice is not None
+        ]
+        if not advised:
+            return
+        emptiest = sorted(rooms.values(), key=lambda room: -room.free.cpu)
+        endpoints = tuple(room.id for room in emptiest)
+        first = [step for book in advised for step in book.open_steps() if step.waits]
+        following = [step for book in advised for step in book.following_steps()]
+        self._tickets.want([Want(step.id, endpoints) for step in [*first, *following]])
+
+    def _with_ticket(
+        self, step: StepBook, rooms: dict[EndpointId, EndpointRoom]
+    ) -> dict[EndpointId, EndpointRoom]:
+        return {
+            endpoint: room
+            for endpoint, room in rooms.items()
+            if self._tickets.ticket(step.id, endpoint) is not None
+        }
+
     def _place_step(
         self,
         step: StepBook,
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -5,7 +5,14 @@
 from collections.abc import Callable
 
 from lentilrill.execution._book import JobBook, Run, RunPhase
-from lentilrill.execution._contract import Dialer, Look, OrderAnswer, StartOrder, Verdict
+from lentilrill.execution._contract import (
+    Dialer,
+    Look,
+    OrderAnswer,
+    PolicyCalls,
+    StartOrder,
+    Verdict,
+)
 from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._links import PoolLinks
@@ -15,16 +22,13 @@
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import release, renew_releases
 from lentilrill.execution._roster import Roster
+from lentilrill.execution._tickets import TicketOffice
 from lentilrill.execution._writer import ProgressWriter
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.store import Follower, KeyValue
 from lentilrill.telemetry import Event, guarded, log
-from lentilrill.workloads import (
-    Configuration,
-    EndpointEntry,
-    JobState,
-)
+from lentilrill.workloads import Configuration, EndpointEntry, JobState, StepId
 
 __all__ = ["PoolOwner"]
 
@@ -43,6 +47,7 @@
     :param owner_key: key whose revision is the token.
     :param may_order: whether the lease behind the token still holds.
     :param refused: called when an endpoint or the store knows a newer token.
+    :param policy: the service that knows which endpoints may run the steps of some queues.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         dial: Dialer,
         may_order: Callable[[], bool],
         refused: Callable[[str], None],
+        policy: PolicyCalls | None = None,
     ) -> None:
         self.pool = pool
         self.token = token
@@ -78,7 +84,8 @@
         self._durations = Durations()
         self._offered = OfferedLoad()
         self._reconciler = Reconciler(self._jobs.by_id, self._attempts, self._durations)
-        self._planner = Planner(token, self._durations)
+        self._tickets = TicketOffice(policy, self._wake_up)
+        self._planner = Planner(token, self._durations, self._tickets)
         self._writer = ProgressWriter(kv, pool, owner_key, token, self._jobs, self.may_order)
         self._follower = Follower(kv, f"in/{pool}/", self._jobs, pause_s=INTAKE_PAUSE_S)
         self._planning = threading.Thread(target=self._plan_on, name=f"plan-{pool}", daemon=True)
@@ -102,6 +109,7 @@
             link.close()
         self._follower.close()
         self._writer.close()
+        self._tickets.close()
         if flush and self._jobs.loaded:
             self._writer.flush()
 
@@ -182,6 +190,10 @@
 
     # Rounds
 
+    def _wake_up(self) -> None:
+        with self._lock:
+            self._wake()
+
     def _wake(self) -> None:
         self._due = True
         self._changed.notify_all()
@@ -344,6 +356,8 @@
                     self._reconciler.drop(link, run, "not wanted any more")
                 return None
             run.expires_ms = run.expires_ms or link.expiry_ms()
+            # Its ticket may have run out in the queue; then the endpoint refuses the start.
+            ticket = self._tickets.ticket(run.task.step.id, link.entry.id) or ""
             return StartOrder(
                 run.task.id,
                 run.number,
@@ -351,6 +365,7 @@
                 run.expires_ms,
                 self.token,
                 run.task.checkpoint,
+                ticket,
             )
 
     def answered(self, link: EndpointLink, order: Order, answer: OrderAnswer) -> None:
@@ -368,6 +383,8 @@
                     endpoint=link.entry.id,
                     reason=answer.reason,
                 )
+            if answer.verdict is Verdict.NO_TICKET:
+                self._tickets.forget(StepId(*order.task[:3]), link.entry.id)
             after = self._reconciler.take_answer(link, order, answer.verdict)
             self._wake()
         if after is not None:
--- a/src/lentilrill/platform/__init__.py
+++ b/src/lentilrill/platform/__init__.py
@@ -7,6 +7,7 @@
 from lentilrill.platform._hosts import PlatformHosts
 from lentilrill.platform._ingress import Ingress, serve_plain
 from lentilrill.platform._kv import PlatformKeyValue
+from lentilrill.platform._policy import PlatformPolicy
 from lentilrill.platform._records import (
     CONFIGURATION_KEY,
     ENDPOINTS,
@@ -28,6 +29,7 @@
     "Ingress",
     "PlatformHosts",
     "PlatformKeyValue",
+    "PlatformPolicy",
     "decode_configuration",
     "decode_endpoint",
     "decode_wave",
--- /dev/null
+++ b/src/lentilrill/platform/_policy.py
@@ -0,0 +1,64 @@
+"""The platform's policy service: which endpoints may run a step."""
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lentilrill.execution import PolicyAnswer
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.ids import EndpointId
+from lentilrill.store import ODD, Effect, Transport
+from lentilrill.telemetry import Metrics
+from lentilrill.workloads import StepId
+
+__all__ = ["PlatformPolicy"]
+
+OK = 200
+TIMEOUT_S = 3.0
+"""Time-out of a call: the service answers a host's calls one after the other, and each takes about
+half a second for thirty endpoints, so a few of other pools' may go first."""
+
+
+class _Question(msgspec.Struct):
+    step: str
+    # Endpoints, by their ids.
+    workers: list[EndpointId]
+
+
+class _Answer(msgspec.Struct):
+    # Rows of an endpoint and its ticket; endpoints that may not run the step are left out.
+    good: list[tuple[EndpointId, str]]
+    valid_ms: int = 0
+
+
+class PlatformPolicy:
+    """A :class:`~lentilrill.execution.PolicyCalls` on the platform's interface.
+
+    :param address: where it is.
+    """
+
+    def __init__(self, address: str, metrics: Metrics) -> None:
+        self._transport = Transport((address,))
+        self._metrics = metrics
+
+    def ask(self, step: StepId, endpoints: tuple[EndpointId, ...]) -> Result[PolicyAnswer, Fault]:
+        """Return tickets for those of some endpoints that may run a step."""
+        name = f"{step.job}.{step.occurrence}.{step.step}"
+        body = msgspec.json.encode(_Question(name, list(endpoints)))
+        self._metrics.incr("policy.calls")
+        answered = self._transport.answer(
+            "policy.ask", Effect.REPEATABLE, "POST", "/advise", body, TIMEOUT_S
+        )
+        if isinstance(answered, Failure):
+            return answered
+        status, data, peer = answered.unwrap()
+        if status != OK:
+            return _failure(peer, FaultKind.UNAVAILABLE, f"status {status}")
+        try:
+            answer = msgspec.json.decode(data, type=_Answer)
+        except ODD as error:
+            return _failure(peer, FaultKind.INVALID, f"odd answer: {error}")
+        return Success(PolicyAnswer(dict(answer.good), answer.valid_ms / 1000))
+
+
+def _failure(peer: str, kind: FaultKind, reason: str) -> Result[PolicyAnswer, Fault]:
+    return Failure(Fault("policy.ask", peer, kind, reason))
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -8,6 +8,7 @@
 import itertools
 import threading
 import time
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -21,6 +22,7 @@
 LOOK_S = 0.02
 ROOM = {"cpu": 16000, "mem_mb": 32768, "gpu": 0}
 HOST_DOWN_S = 0.5
+TICKET_S = 1.5
 
 
 class RunRecord(msgspec.Struct):
@@ -154,10 +156,20 @@
 
 
 class _Endpoint:
-    """One life of an endpoint; tasks take ``task_s`` seconds each."""
+    """One life of an endpoint; tasks take ``task_s`` seconds each.
 
-    def __init__(self, name: str, records: list[RunRecord], task_s: float) -> None:
+    :param may_start: whether it may start a task on this ticket.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        records: list[RunRecord],
+        task_s: float,
+        may_start: Callable[[str, str, str], bool],
+    ) -> None:
         self.name = name
+        self._may_start = may_start
         self.dead = False
         self._records = records
         self._task_s = task_s
@@ -215,6 +227,10 @@
                 return
             self._token = body["fencing_token"]
             self._expires_ms = max(self._expires_ms, body.get("expires_ms", 0))
+            ticket = body.get("ticket", "")
+            if call.path == "/run-start" and not self._may_start(self.name, body["task"], ticket):
+                call.answer_json({"clock_ms": self._clock_ms(), "reason": "ticket"}, 409)
+                return
             answer = self._carry_out(call.path, body)
         call.answer_json({"clock_ms": self._clock_ms(), "born": self._born_ms} | answer)
 
@@ -242,16 +258,49 @@
         return {"running": running, "ended": self._ended}
 
 
+class _Policy:
+    """The policy service: which endpoints may run a step, and the tickets for it.
+
+    :ivar barred: endpoints that may run nothing.
+    :ivar needed: whether endpoints ask for tickets.
+    """
+
+    def __init__(self) -> None:
+        self.barred: set[str] = set()
+        self.needed = False
+        self._until_by_ticket: dict[str, float] = {}
+        self._count = itertools.count(1)
+
+    def serve(self, call: Call) -> None:
+        body = msgspec.json.decode(call.body)
+        good = []
+        for endpoint in body["workers"]:
+            if endpoint not in self.barred:
+                ticket = f"{body['step']}/{endpoint}/{next(self._count)}"
+                self._until_by_ticket[ticket] = time.monotonic() + TICKET_S
+                good.append([endpoint, ticket])
+        call.answer_json({"good": good, "valid_ms": int(TICKET_S * 1000)})
+
+    def may_start(self, endpoint: str, task: str, ticket: str) -> bool:
+        if not self.needed:
+            return True
+        step = task.rpartition(".")[0]
+        is_meant = ticket.startswith(f"{step}/{endpoint}/")
+        return is_meant and time.monotonic() < self._until_by_ticket.get(ticket, 0.0)
+
+
 class UsersPlatform:
     """The whole platform: one store, hosts with an endpoint each, and orders to hosts.
 
     :param task_s: seconds that each task takes.
+    :ivar policy: which endpoints may run steps of queues that need tickets.
     :ivar records: every run that was ever started.
     :ivar most_down: most hosts that were down for upkeep at once.
     """
 
     def __init__(self, task_s: float = 0.2) -> None:
         self.store = _Store()
+        self.policy = _Policy()
         self.records: list[RunRecord] = []
         self.most_down = 0
         self._task_s = task_s
@@ -264,8 +313,11 @@
         self._servers = [
             Server("127.0.0.1:0", lambda call, _: self.store.serve(call), THREADS),
             Server("127.0.0.1:0", lambda call, _: self._serve_hosts(call), 8),
+            Server("127.0.0.1:0", lambda call, _: self.policy.serve(call), 8),
         ]
-        self.store_address, self.hosts_address = (server.address for server in self._servers)
+        self.store_address, self.hosts_address, self.policy_address = (
+            server.address for server in self._servers
+        )
         for server in self._servers:
             server.start()
         self._ticker = threading.Thread(target=self._tick, daemon=True)
@@ -288,11 +340,17 @@
         self._settle(host)
         return host
 
-    def configure(self, version: int, queues: dict[str, str]) -> None:
-        """Put a configuration in force: each queue's pool by its prefix."""
+    def configure(self, version: int, queues: dict[str, str], *, advised: bool = False) -> None:
+        """Put a configuration in force: each queue's pool by its prefix.
+
+        :param advised: starts need tickets of the policy service.
+        """
+        self.policy.needed = advised
+        advice = {"decide_ms": 1, "period_ms": 1, "valid_ms": int(TICKET_S * 1000)}
         routes = [
             {"name": f"r{prefix}", "host": "braille.example", "prefix": prefix, "service": pool}
             | {"max_attempts": 3, "stretch": 1.6, "latency_slo_ms": 600, "priority": 0}
+            | ({"advice": advice} if advised else {})
             for prefix, pool in queues.items()
         ]
         pools: list[dict[str, Any]] = [{"name": pool} for pool in sorted(set(queues.values()))]
@@ -314,6 +372,10 @@
         """Return a pool's hosts."""
         return [name for name, host in self._hosts.items() if host["pool"] == pool]
 
+    def endpoint_of(self, host: str) -> str:
+        """Return the endpoint that lives on a host."""
+        return self._endpoints[host].name
+
     def _tick(self) -> None:
         while not self._ended.wait(LOOK_S):
             self.store.expire()
@@ -328,7 +390,7 @@
         if entry["pool"] == "standby":
             return
         name = f"i-{next(self._names)}"
-        endpoint = _Endpoint(name, self.records, self._task_s)
+        endpoint = _Endpoint(name, self.records, self._task_s, self.policy.may_start)
         self._endpoints[host] = endpoint
         entry["id"] = name
         value = {"service": entry["pool"], "address": endpoint.address, "state": "ready"}
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -12,6 +12,7 @@
 from lentilrill.execution._pressure import backlog_of, pressure_of
 from lentilrill.execution._reconcile import STRAY_S, Reconciler
 from lentilrill.execution._release import release
+from lentilrill.execution._tickets import TicketOffice
 from lentilrill.ids import JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.scheduling import Standing
@@ -22,6 +23,10 @@
 TOKEN = 7
 
 
+def a_planner() -> Planner:
+    return Planner(TOKEN, Durations(), TicketOffice(None, lambda: None))
+
+
 class Owner:
     """Stands for the pool's owner; nothing is sent."""
 
@@ -71,11 +76,9 @@
         return self.reconciler.take_look(self.link, seen, time.monotonic())
 
     def starts(self, strays: set | None = None) -> list:
-        rooms = Planner(TOKEN, Durations()).rooms([self.link], time.monotonic())
+        rooms = a_planner().rooms([self.link], time.monotonic())
         jobs = [(book, None) for book in self.jobs.values()]
-        return Planner(TOKEN, Durations()).starts(
-            jobs, rooms, time.monotonic(), False, 0, strays or set()
-        )
+        return a_planner().starts(jobs, rooms, time.monotonic(), False, 0, strays or set())
 
 
 class LookTest(BookCase):
@@ -234,12 +237,6 @@
         self.assertEqual([], self.starts())
 
 
-class RoomTest(BookCase):
-    def test_an_endpoint_takes_no_more_than_its_room(self) -> None:
-        self.add(a_step(9))
-        self.assertEqual(4, len(self.starts()))
-
-
 class NeedTest(BookCase):
     def test_late_work_asks_for_few_hosts(self) -> None:
         """Two pools wanted all hosts: one for work in time, one for a backlog that was late."""
@@ -265,6 +262,12 @@
         backlog = backlog_of(standings, Durations())
         return pressure_of(PoolId("notices"), TOKEN, backlog, [self.link], 0.0, 0.0)
 
+
+class RoomTest(BookCase):
+    def test_an_endpoint_takes_no_more_than_its_room(self) -> None:
+        self.add(a_step(9))
+        self.assertEqual(4, len(self.starts()))
+
     def test_an_endpoint_with_a_stray_takes_nothing(self) -> None:
         """An endpoint was over its room: what a stray takes is not in the owner's book."""
         self.add(a_step(1))
@@ -308,7 +311,7 @@
     def test_a_run_that_stands_still_is_stopped(self) -> None:
         """A dispatch plan never arrived: its tasks hung on an endpoint that answered as if well."""
         run = self.run_of(self.add(a_step(1)))
-        planner = Planner(TOKEN, Durations())
+        planner = a_planner()
         self.assertEqual([], planner.stuck(self.link))
         run.changed_at = run.confirmed_at = self.link.heard - 2.0
         [stop] = planner.stuck(self.link)
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -41,6 +41,7 @@
             "metrics": an_address(),
             "store": {"address": self.platform.store_address},
             "hosts_api": self.platform.hosts_address,
+            "advice": self.platform.policy_address,
         }
 
     def start(self, name: str) -> None:
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -19,10 +19,10 @@
 
 
 class WholePathTest(TestCase):
-    def begin(self, *, task_s: float, hosts: int = 2) -> None:
+    def begin(self, *, task_s: float, hosts: int = 2, advised: bool = False) -> None:
         self.platform = UsersPlatform(task_s)
         self.addCleanup(self.platform.close)
-        self.platform.configure(3, {"/proofs/": "notices"})
+        self.platform.configure(3, {"/proofs/": "notices"}, advised=advised)
         self.workers = [self.platform.add_host("notices") for _ in range(3)]
         self.site = EntrySite(self.platform, hosts)
         self.addCleanup(self.site.close)
@@ -62,6 +62,21 @@
         self.assertIn("lentilrill_ingress_other_405_total", metrics)
         self.assertNotIn("brew", metrics)
 
+    def test_a_queue_whose_policy_allows_only_some_endpoints(self) -> None:
+        """No task of a queue with a policy ever started: each start was refused for its ticket.
+
+        Its endpoints ask for a ticket of the policy service, which lasts a second and a half, so
+        that later steps need another one.
+        """
+        self.begin(task_s=0.7, advised=True)
+        barred = self.platform.endpoint_of(self.workers[0])
+        self.platform.policy.barred.add(barred)
+        for number in range(3):
+            self.assertEqual(200, self.site.submit("front-0", path(number), JOB))
+        self.assertTrue(eventually(lambda: self.all_completed("front-1", 3)))
+        self.check_runs()
+        self.assertNotIn(barred, {record.endpoint for record in self.platform.records})
+
     def test_a_killed_owner_costs_no_job(self) -> None:
         """A ballot was lost when the host that ran its queue was killed.
 
