Hosts: work that is there goes before a forecast, and pools that lack hosts share them

Change: pools tell what their tasks fill apart from the forecast; hosts are given one at a time to the pool with the smallest part of its target, first for work that is there, then for forecasts.

--- a/src/lentilrill/execution/_pressure.py
+++ b/src/lentilrill/execution/_pressure.py
@@ -1,6 +1,7 @@
 """How busy a pool is, as its owner tells all entry hosts a few times a second."""
 
 from collections.abc import Iterable
+from functools import partial
 
 import msgspec
 
@@ -63,6 +64,7 @@
     :param offered: cores that newly offered work takes.
     :param now: the monotonic clock.
     """
+    need = partial(hosts_needed, links, backlog.ready, backlog.late_ready, backlog.late)
     cores = sum(link.entry.room.cpu for link in links if link.registered) / 1000
     # Without a host there is no rate to tell a wait by; the fleet's owner sends some.
     rate = 1 / cores if cores else 0.0
@@ -71,11 +73,12 @@
         round(backlog.work * rate, 2),
         backlog.waiting_by_queue,
         token,
-        round(hosts_needed(links, backlog.ready, backlog.late_ready, backlog.late, offered), 2),
+        round(need(offered), 2),
         sum(1 for link in links if link.reachable and link.registered),
         tuple(idle_endpoints(links, now)),
         round(backlog.late_work * rate, 2),
         tuple(_late_endpoints(links, backlog.late)),
+        round(need(0.0), 2),
     )
 
 
--- a/src/lentilrill/scheduling/_capacity.py
+++ b/src/lentilrill/scheduling/_capacity.py
@@ -1,6 +1,7 @@
 """How many hosts each pool should have, and which hosts move."""
 
 import math
+from collections.abc import Callable
 
 import msgspec
 
@@ -34,7 +35,8 @@
 class PoolNeed(msgspec.Struct, frozen=True):
     """What a pool's owner says, and what the list of hosts shows.
 
-    :param need: hosts' worth of tasks that are at work or whose turn has come.
+    :param need: hosts' worth of work, of which some is forecast.
+    :param firm: hosts' worth of tasks that are at work or whose turn has come.
     :param hosts: hosts that are in the pool or on their way there.
     :param spare_s: seconds for which the pool has had more hosts than its work needs.
     :param free: its hosts on which nothing runs.
@@ -48,6 +50,7 @@
     free: tuple["FreeHost", ...] = ()
     zones: tuple[ZoneId, ...] = ()
     late: tuple["FreeHost", ...] = ()
+    firm: float = math.inf
 
 
 class FreeHost(msgspec.Struct, frozen=True):
@@ -86,63 +89,93 @@
     pools that have more than they need, where also hosts are taken that only do late work. A host
     that has been too many for a while goes to standby, where it costs nothing.
 
+    Where two pools lack hosts at once, work that is there goes before work that is forecast, and
+    the pool that has the smallest part of what it should have goes first: one large job shows as
+    a surge that it is not, and would take every host from a pool that is in its surge.
+
     :param resting: hosts in standby.
     """
     targets = pool_targets(needs, resting)
-    moves: list[Move] = []
-    left = list(resting)
-    free_by_pool = {need.pool: list(need.free) for need in needs}
-    late_by_pool = {need.pool: list(need.late) for need in needs}
-    hosts_by_pool = {need.pool: need.hosts for need in needs}
-    zones_by_pool = {need.pool: list(need.zones) for need in needs}
-    short = sorted(needs, key=lambda n: n.hosts - targets[n.pool])
-    for need in short:
-        while hosts_by_pool[need.pool] < targets[need.pool]:
-            move = _take_from_standby(need.pool, left, standby, zones_by_pool[need.pool])
-            for left_by_pool in (free_by_pool, late_by_pool):
-                move = move or _take_from_pools(need.pool, targets, left_by_pool, hosts_by_pool)
-            if move is None:
-                break
-            moves.append(move)
-            hosts_by_pool[need.pool] += 1
-            zones_by_pool[need.pool].append(move.host.zone)
-    for need in needs:
-        spare = hosts_by_pool[need.pool] - targets[need.pool]
-        if need.spare_s < SETTLED_S:
-            continue
-        for host in _most_crowded_first(free_by_pool[need.pool], zones_by_pool[need.pool])[:spare]:
-            moves.append(Move(host, need.pool, standby))
-    return moves
+    plan = _Plan(needs, standby, resting)
+    plan.share_out(_targets(needs, resting, lambda need: min(need.firm, need.need)))
+    plan.share_out(targets)
+    plan.send_home(needs, targets)
+    return plan.moves
 
 
 def pool_targets(needs: tuple[PoolNeed, ...], resting: tuple[FreeHost, ...]) -> dict[PoolId, int]:
     """Return how many hosts each pool should have."""
+    return _targets(needs, resting, lambda need: need.need)
+
+
+def _targets(
+    needs: tuple[PoolNeed, ...],
+    resting: tuple[FreeHost, ...],
+    hosts_worth: Callable[[PoolNeed], float],
+) -> dict[PoolId, int]:
     all_hosts = sum(need.hosts for need in needs) + len(resting)
     kept = kept_hosts(all_hosts, len(needs))
-    return {need.pool: target_hosts(need.need, kept) for need in needs}
+    return {need.pool: target_hosts(hosts_worth(need), kept) for need in needs}
 
 
-def _take_from_standby(
-    pool: PoolId, left: list[FreeHost], standby: PoolId, zones: list[ZoneId]
-) -> Move | None:
-    if not left:
+class _Plan:
+    """Moves as they are decided on, and where that leaves each pool.
+
+    :ivar moves: the moves so far.
+    """
+
+    def __init__(
+        self, needs: tuple[PoolNeed, ...], standby: PoolId, resting: tuple[FreeHost, ...]
+    ) -> None:
+        self.moves: list[Move] = []
+        self._standby = standby
+        self._resting = list(resting)
+        self._free_by_pool = {need.pool: list(need.free) for need in needs}
+        self._late_by_pool = {need.pool: list(need.late) for need in needs}
+        self._hosts_by_pool = {need.pool: need.hosts for need in needs}
+        self._zones_by_pool = {need.pool: list(need.zones) for need in needs}
+
+    def share_out(self, targets: dict[PoolId, int]) -> None:
+        """Give hosts to pools that lack some, one at a time."""
+        stuck: set[PoolId] = set()
+        while short := [p for p in targets if p not in stuck and self._lacks(p, targets)]:
+            pool = min(short, key=lambda p: self._hosts_by_pool[p] / targets[p])
+            move = self._from_standby(pool) or self._from_pools(pool, targets)
+            if move is None:
+                stuck.add(pool)
+                continue
+            self.moves.append(move)
+            self._hosts_by_pool[pool] += 1
+            self._zones_by_pool[pool].append(move.host.zone)
+
+    def send_home(self, needs: tuple[PoolNeed, ...], targets: dict[PoolId, int]) -> None:
+        """Send hosts to standby that have been too many for a while."""
+        for need in needs:
+            if need.spare_s < SETTLED_S:
+                continue
+            spare = max(0, self._hosts_by_pool[need.pool] - targets[need.pool])
+            zones = self._zones_by_pool[need.pool]
+            for host in _most_crowded_first(self._free_by_pool[need.pool], zones)[:spare]:
+                self.moves.append(Move(host, need.pool, self._standby))
+
+    def _lacks(self, pool: PoolId, targets: dict[PoolId, int]) -> bool:
+        return self._hosts_by_pool[pool] < targets[pool]
+
+    def _from_standby(self, pool: PoolId) -> Move | None:
+        if not self._resting:
+            return None
+        zones = self._zones_by_pool[pool]
+        host = min(self._resting, key=lambda h: zones.count(h.zone))
+        self._resting.remove(host)
+        return Move(host, self._standby, pool)
+
+    def _from_pools(self, pool: PoolId, targets: dict[PoolId, int]) -> Move | None:
+        for left_by_pool in (self._free_by_pool, self._late_by_pool):
+            for source, left in left_by_pool.items():
+                if source != pool and left and self._hosts_by_pool[source] > targets[source]:
+                    self._hosts_by_pool[source] -= 1
+                    return Move(left.pop(), source, pool)
         return None
-    host = min(left, key=lambda h: zones.count(h.zone))
-    left.remove(host)
-    return Move(host, standby, pool)
-
-
-def _take_from_pools(
-    pool: PoolId,
-    targets: dict[PoolId, int],
-    left_by_pool: dict[PoolId, list[FreeHost]],
-    hosts_by_pool: dict[PoolId, int],
-) -> Move | None:
-    for source, left in left_by_pool.items():
-        if source != pool and left and hosts_by_pool[source] > targets[source]:
-            hosts_by_pool[source] -= 1
-            return Move(left.pop(), source, pool)
-    return None
 
 
 def _most_crowded_first(free: list[FreeHost], zones: list[ZoneId]) -> list[FreeHost]:
--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -91,6 +91,7 @@
                     target=target,
                     hosts=need.hosts,
                     need=need.need,
+                    firm=need.firm,
                     free=len(need.free),
                     resting=len(resting),
                 )
@@ -114,7 +115,7 @@
         free = _hosts_of(left, said.idle)
         late = _hosts_of(left, said.late)
         zones = tuple(row.zone for row in members)
-        return PoolNeed(pool, said.need, hosts, now - since, free, zones, late)
+        return PoolNeed(pool, said.need, hosts, now - since, free, zones, late, said.firm)
 
     def _go_on(
         self,
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import Counter
 
 from testtools import TestCase
 
@@ -38,6 +39,24 @@
         busy = PoolNeed(PoolId("ballots"), 3.5, 5, 0.0, free("b1"))
         self.assertEqual([], plan_moves((hot, busy), STANDBY, ()))
 
+    def test_a_forecast_does_not_starve_a_surge(self) -> None:
+        """Route plans were refused for four seconds while twenty hosts stood idle in another pool.
+
+        One large dispatch plan was handed in just as hosts came free, and its work, taken for the
+        beginning of a surge, asked for all of them; three would have done.
+        """
+        surge = PoolNeed(PoolId("amd"), 17.6, 5, firm=17.6)
+        single = PoolNeed(PoolId("rajkot"), 25.8, 4, firm=3.3)
+        resting = free(*(f"s{n}" for n in range(18)))
+        got = Counter(move.target for move in plan_moves((surge, single), STANDBY, resting))
+        self.assertEqual(16, got[surge.pool])
+        self.assertEqual(2, got[single.pool])
+
+    def test_two_surges_share_what_there_is(self) -> None:
+        needs = tuple(PoolNeed(PoolId(name), 20.0, 2, firm=20.0) for name in ("a", "b"))
+        got = Counter(move.target for move in plan_moves(needs, STANDBY, free("1", "2", "3", "4")))
+        self.assertEqual({PoolId("a"): 2, PoolId("b"): 2}, dict(got))
+
     def test_hosts_that_do_late_work_go_where_work_can_be_in_time(self) -> None:
         """Worksheets were refused for four seconds beside notices that were late already.
 
