Hosts: a pool that had its turn keeps two hosts until all others had theirs

Change: the fleet's owner notes which pools had their turn; these keep two hosts until all had one, or until one has another out of turn. A new owner of the fleet begins with the full share.

--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -8,6 +8,7 @@
     FreeHost,
     Move,
     PoolNeed,
+    kept_hosts,
     plan_moves,
     pool_targets,
     target_hosts,
@@ -16,6 +17,7 @@
 from lentilrill.scheduling._order import Standing, sort_key
 from lentilrill.scheduling._pacing import next_pace
 from lentilrill.scheduling._placement import EndpointRoom, place
+from lentilrill.scheduling._turns import Turns
 
 __all__ = [
     "DurationModel",
@@ -25,6 +27,8 @@
     "PoolNeed",
     "Pressure",
     "Standing",
+    "Turns",
+    "kept_hosts",
     "may_take",
     "next_pace",
     "place",
--- a/src/lentilrill/scheduling/_capacity.py
+++ b/src/lentilrill/scheduling/_capacity.py
@@ -37,6 +37,7 @@
 
     :param need: hosts' worth of work, of which some is forecast.
     :param firm: hosts' worth of tasks that are at work or whose turn has come.
+    :param had_turn: its surge is over, and other pools wait for theirs.
     :param hosts: hosts that are in the pool or on their way there.
     :param spare_s: seconds for which the pool has had more hosts than its work needs.
     :param free: its hosts on which nothing runs.
@@ -51,6 +52,7 @@
     zones: tuple[ZoneId, ...] = ()
     late: tuple["FreeHost", ...] = ()
     firm: float = math.inf
+    had_turn: bool = False
 
 
 class FreeHost(msgspec.Struct, frozen=True):
@@ -115,7 +117,10 @@
 ) -> dict[PoolId, int]:
     all_hosts = sum(need.hosts for need in needs) + len(resting)
     kept = kept_hosts(all_hosts, len(needs))
-    return {need.pool: target_hosts(hosts_worth(need), kept) for need in needs}
+    return {
+        need.pool: target_hosts(hosts_worth(need), FEWEST if need.had_turn else kept)
+        for need in needs
+    }
 
 
 class _Plan:
--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -9,6 +9,8 @@
     FreeHost,
     Move,
     PoolNeed,
+    Turns,
+    kept_hosts,
     plan_moves,
     pool_targets,
     target_hosts,
@@ -52,6 +54,7 @@
         self._spare_since: dict[PoolId, float] = {}
         self._begun_by_host: dict[HostId, tuple[Move, float]] = {}
         self._target_by_pool: dict[PoolId, int] = {}
+        self._turns = Turns()
 
     def round(self, rows: dict[HostId, HostRow], busy: set[HostId]) -> None:
         """Begin moves, and go on with those that wait for their endpoint.
@@ -63,10 +66,13 @@
             return
         now = time.monotonic()
         taken = busy | set(self._begun_by_host)
+        serving = [pool.id for pool in self._pools() if not pool.standby]
+        self._note_turns(serving, len(rows), now)
+        past = self._turns.past(serving)
         needs = tuple(
             need
-            for pool in self._pools()
-            if not pool.standby and (need := self._need(pool.id, rows, taken, now)) is not None
+            for pool in serving
+            if (need := self._need(pool, rows, taken, now, past)) is not None
         )
         resting = tuple(
             FreeHost(row.id, row.zone, row.endpoint)
@@ -92,12 +98,25 @@
                     hosts=need.hosts,
                     need=need.need,
                     firm=need.firm,
+                    had_turn=need.had_turn,
                     free=len(need.free),
                     resting=len(resting),
                 )
 
+    def _note_turns(self, pools: list[PoolId], all_hosts: int, now: float) -> None:
+        kept = kept_hosts(all_hosts, len(pools))
+        for pool in pools:
+            said = self._pressure_of(pool)
+            if said is not None:
+                self._turns.note(pool, is_high=said.firm > kept, now=now)
+
     def _need(
-        self, pool: PoolId, rows: dict[HostId, HostRow], taken: set[HostId], now: float
+        self,
+        pool: PoolId,
+        rows: dict[HostId, HostRow],
+        taken: set[HostId],
+        now: float,
+        past: set[PoolId],
     ) -> PoolNeed | None:
         said = self._pressure_of(pool)
         if said is None:
@@ -115,7 +134,9 @@
         free = _hosts_of(left, said.idle)
         late = _hosts_of(left, said.late)
         zones = tuple(row.zone for row in members)
-        return PoolNeed(pool, said.need, hosts, now - since, free, zones, late, said.firm)
+        return PoolNeed(
+            pool, said.need, hosts, now - since, free, zones, late, said.firm, pool in past
+        )
 
     def _go_on(
         self,
