Ownership: after an outage the first host back does not claim every shard

One small host then ordered for the whole site, and a cut of its zone would take all pools at once. Ruled out: the rank by owned shards, which needs to know the other hosts. Change: a host waits 0.15 s longer for each shard that it owns already. Test: fails on the former code (three claims at once).

--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -277,7 +277,11 @@
             since = self._absent_since.setdefault(shard, now)
             owners = {s: record.process for s, (record, _) in self._owners_by_shard.items()}
             members = list(self._members_by_process)
-        if now - since < rank(shard, self._process, members, owners) * CLAIM_STAGGER_S:
+        # Guard against one host that owns everything after an outage in which all leases ran out:
+        # it is the first one back, knows of no other, and so is the first in line for each shard.
+        mine = sum(1 for owner in owners.values() if owner == self._process)
+        before = max(mine, rank(shard, self._process, members, owners))
+        if now - since < before * CLAIM_STAGGER_S:
             return
         key = OWNERS + shard
         record = OwnerRecord(self._process, self._incarnation, self._inner)
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -35,6 +35,8 @@
         self.now = 100.0
         self.outage = False
 
+        self.shards = {NOTICES}
+
     def member(self, name: str = "h1", incarnation: int = 1) -> tuple[Ownership, Task]:
         task = Task()
         ownership = Ownership(
@@ -43,7 +45,7 @@
             Incarnation(incarnation),
             ZoneId("holyoke"),
             f"10.0.0.1:{name[-1]}",
-            lambda: {NOTICES},
+            lambda: self.shards,
             task,
             lambda: self.outage,
             clock=lambda: self.now,
@@ -70,6 +72,23 @@
         self.assertEqual([NOTICES], task.losses)
         self.assertTrue(eventually(lambda: NOTICES in other_task.tokens_by_shard))
 
+    def test_the_first_host_back_does_not_take_everything(self) -> None:
+        """After an outage one host owned all five pools and the fleet, and fell behind.
+
+        All leases had run out; the first host that was back saw no other one, and claimed each
+        shard within a few milliseconds, before the others had registered.
+        """
+        self.shards = {Shard(name) for name in ("a", "b", "c")}
+        ownership, task = self.member()
+        self.now += 1.0
+        self.assertTrue(eventually(lambda: bool(task.tokens_by_shard)))
+        for shard in self.shards:
+            ownership._claim_if_due(shard)
+        self.assertEqual(1, len(task.tokens_by_shard))
+        for owned in (2, 3):
+            self.now += owned * 0.15
+            self.assertTrue(eventually(lambda owned=owned: len(task.tokens_by_shard) == owned))
+
     def test_a_right_ends_with_its_lease(self) -> None:
         """An owner that was suspended went on giving orders after another one had taken over.
 
