Pools: an owner that has not loaded, or has lost its right, tells no pressure

An owner that has not read what its predecessors stored told hosts a pressure without jobs, as did one that was cut off, and the newest token counts. Ruled out: lost hints of accepted jobs (the watch finds those within 0.7 s). Test: fails on the former code.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -196,7 +196,8 @@
     def _pressures(self) -> tuple[PoolPressure, ...]:
         with self._lock:
             owners = list(self._pools_by_id.values())
-        return tuple(owner.pressure() for owner in owners)
+        told = [owner.pressure() for owner in owners]
+        return tuple(pressure for pressure in told if pressure is not None)
 
     # Shards
 
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -141,16 +141,21 @@
                 self._offered.note(time.monotonic(), self._durations.chain_of(book).work)
             self._wake()
 
-    def pressure(self) -> PoolPressure:
-        """Return how busy the pool is."""
+    def pressure(self) -> PoolPressure | None:
+        """Return how busy the pool is; ``None`` if this owner can't tell.
+
+        Guard against a queue that is told to be empty while jobs wait in it: an owner that has not
+        read what its predecessors stored, or has lost its right, knows only some of them.
+        """
         with self._lock:
+            if not self._jobs.loaded or not self.may_order():
+                return None
             now = time.monotonic()
             jobs = []
-            if self._jobs.loaded:
-                configuration = self._configuration()
-                for book in self._jobs.live_by_id.values():
-                    queue = configuration.queue(book.job.queue) if configuration else None
-                    jobs.append((book, self._planner.standing(book, queue, now)))
+            configuration = self._configuration()
+            for book in self._jobs.live_by_id.values():
+                queue = configuration.queue(book.job.queue) if configuration else None
+                jobs.append((book, self._planner.standing(book, queue, now)))
             return pressure_of(
                 self.pool,
                 self.token,
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from lentilrill.execution import EndKind
-from lentilrill.ids import Revision
+from lentilrill.ids import QueueId, Revision
 from lentilrill.inner import ReleaseState
 from lentilrill.workloads import JobProgress, JobState
 from tests.builders import a_job, a_step, an_endpoint
@@ -124,6 +124,22 @@
         self.assertTrue(eventually(lambda: bool(told)))
         self.assertEqual(ReleaseState.WAIT, told[0])
 
+    def test_an_owner_that_has_not_loaded_tells_no_pressure(self) -> None:
+        """A queue was said to be empty while six route plans had waited in it for five seconds.
+
+        Its pool had a new owner, which had not read yet what the former one stored, and told all
+        hosts that nothing waits.
+        """
+        self.accept()
+        self.pool.entries.clear()
+        owner = self.pool.new_owner()
+        self.assertIsNone(owner.pressure())
+        owner.start()
+        self.assertTrue(eventually(lambda: owner.pressure() is not None))
+        pressure = owner.pressure()
+        assert pressure is not None
+        self.assertEqual({QueueId("proofs"): 1}, pressure.waiting_by_queue)
+
     def test_a_failure_that_is_told_again_counts_once(self) -> None:
         """A route plan was told to have failed although its task had failed once of two times.
 
