Logs: what libraries log is a JSON line like all others

Change: the root logger has the same bounded handler as ours. Test: fails on the former code (the line is no JSON).

--- a/src/lentilrill/telemetry/_lines.py
+++ b/src/lentilrill/telemetry/_lines.py
@@ -88,6 +88,9 @@
     logger = logging.get_absl_logger()
     logger.handlers = [handler]
     logger.propagate = False
+    # What libraries log goes the same way: a line of another form breaks whoever reads the log by
+    # machine, and a write by the calling thread can block it.
+    std_logging.getLogger().handlers = [handler]
     writer = _Writer(handler)
     writer.start()
     logging.info("log begins: %s", process)
