Hosts: those that are down don't count, so that they are replaced

Change: a host that the list shows down does not count for its pool. Test: fails on the former code (no order).

--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -123,7 +123,11 @@
             self._spare_since.pop(pool, None)
             return None
         moves = [move for move, _ in self._begun_by_host.values()]
-        members = [row for row in rows.values() if row.pool == pool]
+        # A host that is down serves nobody, for seconds or for good; if it comes back it is one too
+        # many, and goes where hosts are short.
+        members = [
+            row for row in rows.values() if row.pool == pool and row.state is not HostState.DOWN
+        ]
         coming = sum(1 for move in moves if move.target == pool)
         going = sum(1 for move in moves if move.source == pool)
         hosts = len(members) + coming - going
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -198,6 +198,14 @@
         self.mover.round(self.rows, set())
         self.assertEqual(3, len(self.hosts.orders))
 
+    def test_hosts_that_are_down_are_replaced(self) -> None:
+        """A pool in its surge lost a rack and stood with half of its hosts until that was back."""
+        self.need = 1.0
+        for name in ("n0", "n1"):
+            self.rows[HostId(name)] = a_row(name, state=HostState.DOWN)
+        self.mover.round(self.rows, set())
+        self.assertEqual([NOTICES] * 2, [pool for _, pool in self.hosts.orders])
+
     def test_hosts_that_a_wave_wants_stay(self) -> None:
         self.need = 3.5
         self.mover.round(self.rows, {HostId("s0"), HostId("s1"), HostId("s2"), HostId("s3")})
