--- a/src/lentilrill/store/_transport.py
+++ b/src/lentilrill/store/_transport.py
@@ -27,7 +27,9 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 READ_BYTES = 64 * 1024
 LONGEST_CONNECT_S = 0.5
-IDLE_CONNECTIONS = 4
+IDLE_CONNECTIONS = 16
+"""Connections kept for the next call: as many as entry hosts have tasks that call the store at once
+after an outage. One beyond it is closed after its call, and the next call pays for a new one."""
 FRESH_S = 1.0
 OK = 200
 HEADERS = {"Content-Type": "application/json", "Accept-Encoding": "gzip"}
