Intake: a job that may be stored is never refused as one that does not run

A repeat of an accepted job was refused likewise while its pool was busy or the store silent. Ruled out: reading the store before each refusal (it is what is silent). Before a refusal the pool's owner is asked, for 0.1 s at most. While the store is silent callers are told to come back later the longer that lasts, at most after 3 s: five tries each second were over before an outage of five seconds was.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -13,6 +13,7 @@
     JobAccepted,
     JobAsk,
     JobCancelled,
+    JobDoubted,
     JobTold,
     Node,
     PoolPressure,
@@ -20,7 +21,7 @@
     ReleaseState,
     ReleaseTold,
 )
-from lentilrill.intake import Intake
+from lentilrill.intake import SILENT_STORE_S, Intake
 from lentilrill.ownership import Ownership, Shard
 from lentilrill.platform import (
     ENDPOINTS,
@@ -42,9 +43,6 @@
 
 __all__ = ["EntryProcess"]
 
-SILENT_STORE_S = 1.0
-"""Silence of the store after which jobs are refused at once and callers are better sent to another
-host: two renewals of the lease in a row had no answer."""
 NOTICE_S = 2.4
 """How long a stopping host goes on taking callers: the balancer asks once a second, and sends none
 after two refusals."""
@@ -98,7 +96,8 @@
             lambda pool: self._ownership.owner_of(Shard(pool)),
             self._news.pressure_of,
             self._pool_ids,
-            lambda: self._kv.silent_s < SILENT_STORE_S,
+            lambda: [peer.inner for peer in self._ownership.peers],
+            lambda: self._kv.silent_s,
         )
         self._ingress = Ingress(
             settings.callers,
@@ -124,6 +123,7 @@
         ]
         self._node.on(JobAccepted, self._accepted)
         self._node.on(JobCancelled, self._cancelled)
+        self._node.on(JobDoubted, self._intake.doubted)
         self._node.on(JobAsk, self._asked)
         self._node.on(JobTold, self._intake.told)
         self._node.on(ReleaseAsk, self._release_asked)
--- a/src/lentilrill/inner/_codec.py
+++ b/src/lentilrill/inner/_codec.py
@@ -40,6 +40,7 @@
     | _entry.Configured
     | _entry.JobAccepted
     | _entry.JobCancelled
+    | _entry.JobDoubted
     | _entry.JobAsk
     | _entry.JobTold
     | _entry.ReleaseAsk
--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -10,6 +10,7 @@
     "JobAccepted",
     "JobAsk",
     "JobCancelled",
+    "JobDoubted",
     "JobTold",
     "PoolPressure",
     "ReleaseAsk",
@@ -79,6 +80,12 @@
     job: JobId
 
 
+class JobDoubted(msgspec.Struct, frozen=True, tag=True):
+    """A job's commit got no answer: it may be stored, so that no host may refuse it."""
+
+    job: JobId
+
+
 class JobAsk(msgspec.Struct, frozen=True, tag=True):
     """Asks a pool's owner for a job's state."""
 
--- a/src/lentilrill/intake/__init__.py
+++ b/src/lentilrill/intake/__init__.py
@@ -1,6 +1,6 @@
 """Jobs from callers: accepted by a commit in the store, shown, cancelled, or refused."""
 
 from lentilrill.intake._group import GroupCommit
-from lentilrill.intake._intake import Intake
+from lentilrill.intake._intake import SILENT_STORE_S, Intake
 
-__all__ = ["GroupCommit", "Intake"]
+__all__ = ["SILENT_STORE_S", "GroupCommit", "Intake"]
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -15,24 +15,28 @@
     JobAccepted,
     JobAsk,
     JobCancelled,
+    JobDoubted,
     JobTold,
     Message,
     PoolPressure,
 )
+from lentilrill.intake._doubts import Doubts
 from lentilrill.intake._group import Committed, GroupCommit
 from lentilrill.ownership import OwnerRecord
-from lentilrill.scheduling import Pressure, may_take, retry_after_s
+from lentilrill.scheduling import Pressure, may_take, outage_retry_s, retry_after_s
 from lentilrill.store import KeyValue, Priority
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import Job, JobAnswer, JobProgress, JobState
 
 __all__ = ["Intake"]
 
-SHORTEST_RETRY_S = 1.0
-"""When a caller should come back whose job could not be committed here: by then the balancer sends
-callers to hosts that can."""
+SILENT_STORE_S = 1.0
+"""Silence of the store after which jobs are refused at once and callers are better sent to another
+host: two renewals of the lease in a row had no answer."""
 ASK_S = 0.35
 """Wait for an owner's answer before the store is read instead: a round trip takes a few ms."""
+QUICK_ASK_S = 0.1
+"""The same before a refusal, which must not keep its caller waiting."""
 
 
 class _Peers(Protocol):
@@ -47,7 +51,8 @@
     :param owner_of: who owns a pool, as far as is known.
     :param pressure_of: how busy a pool's owner says it is; ``None`` if nobody says so.
     :param pools: all pools that are known.
-    :param can_commit: whether the store has answered this host lately.
+    :param others: inner addresses of the other entry hosts.
+    :param silent_s: seconds since the store last answered this host.
     """
 
     def __init__(
@@ -58,7 +63,8 @@
         owner_of: Callable[[PoolId], OwnerRecord | None],
         pressure_of: Callable[[PoolId], PoolPressure | None],
         pools: Callable[[], list[PoolId]],
-        can_commit: Callable[[], bool] = lambda: True,
+        others: Callable[[], list[str]] = list,
+        silent_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._kv = kv
         self._peers = peers
@@ -66,7 +72,9 @@
         self._owner_of = owner_of
         self._pressure_of = pressure_of
         self._pools = pools
-        self._can_commit = can_commit
+        self._others = others
+        self._silent_s = silent_s
+        self._doubts = Doubts()
         self._group = GroupCommit(kv)
         self._asks = itertools.count(1)
         self._lock = threading.Lock()
@@ -87,27 +95,55 @@
         """
         known = self._pressure_of(job.pool)
         pressure = Pressure(known.wait_s, known.late_wait_s) if known is not None else None
-        if known is not None and pressure is not None and not may_take(pressure):
-            self._log_submit(
+        # A job that may be stored is committed again, which tells, however busy its pool is.
+        if pressure is not None and not may_take(pressure) and job.id not in self._doubts:
+            return self._refuse(
                 job,
                 JobAnswer.OVERLOADED,
-                wait_s=known.wait_s,
-                late_s=known.late_wait_s,
-                token=known.token,
+                retry_after_s(pressure),
+                wait_s=pressure.wait_s,
+                late_s=pressure.late_s,
+                token=known.token if known is not None else 0,
             )
-            return JobAnswer.OVERLOADED, retry_after_s(pressure)
-        if not self._can_commit():
+        silent_s = self._silent_s()
+        if silent_s >= SILENT_STORE_S:
             # Refused before anything is sent, so that it surely never runs; a commit that gets no
             # answer could not be told to the caller as refused.
-            self._log_submit(job, JobAnswer.UNAVAILABLE, reason="the store is silent")
-            return JobAnswer.UNAVAILABLE, SHORTEST_RETRY_S
+            retry_s = outage_retry_s(silent_s)
+            return self._refuse(job, JobAnswer.UNAVAILABLE, retry_s, reason="the store is silent")
         value = msgspec.msgpack.encode(job)
         done = self._group.create(f"in/{job.pool}/j/{job.id}", value)
         answer = _answer_of(done)
+        if answer is JobAnswer.UNAVAILABLE:
+            return self._refuse(job, answer, outage_retry_s(silent_s), reason="not committed")
         self._log_submit(job, answer, revision=done.revision)
         if answer is JobAnswer.ACCEPTED and done.revision:
             self._tell_owner(job, value, done.revision)
-        return answer, SHORTEST_RETRY_S
+        elif answer is JobAnswer.UNKNOWN:
+            self._doubt(job.id)
+        return answer, 0.0
+
+    def _refuse(
+        self, job: Job, answer: JobAnswer, retry_s: float, **why: object
+    ) -> tuple[JobAnswer, float]:
+        """Refuse a job, unless it is stored or may be from an earlier attempt of its caller's."""
+        if job.id in self._doubts:
+            answer = JobAnswer.UNKNOWN
+        elif self._ask_owner(job.pool, job.id, QUICK_ASK_S) is not None:
+            answer = JobAnswer.ACCEPTED
+        self._log_submit(job, answer, **why)
+        return answer, retry_s
+
+    def _doubt(self, job: JobId) -> None:
+        """Remember, here and on the other hosts, that a job may be stored."""
+        self._doubts.note(job)
+        for address in self._others():
+            self._peers.send(address, JobDoubted(job))
+
+    def doubted(self, batch: Batch, message: JobDoubted) -> None:
+        """Take another host's word that a job may be stored."""
+        del batch
+        self._doubts.note(message.job)
 
     def cancel(self, pool: PoolId, job: JobId) -> JobAnswer:
         """Cancel a job."""
@@ -167,7 +203,7 @@
                 return found
         return _Found(True)
 
-    def _ask_owner(self, pool: PoolId, job: JobId) -> JobState | None:
+    def _ask_owner(self, pool: PoolId, job: JobId, wait_s: float = ASK_S) -> JobState | None:
         owner = self._owned(pool)
         if owner is not None:
             return owner.state_of(job) if owner.may_order() else None
@@ -179,7 +215,7 @@
         with self._lock:
             self._waiting_by_ask[ask] = question
         self._peers.send(record.inner, JobAsk(ask, pool, job))
-        question.done.wait(ASK_S)
+        question.done.wait(wait_s)
         with self._lock:
             self._waiting_by_ask.pop(ask, None)
         told = question.answer
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -3,7 +3,7 @@
 Plain functions over values: no input or output, no clock of their own.
 """
 
-from lentilrill.scheduling._admission import Pressure, may_take, retry_after_s
+from lentilrill.scheduling._admission import Pressure, may_take, outage_retry_s, retry_after_s
 from lentilrill.scheduling._capacity import (
     FreeHost,
     Move,
@@ -31,6 +31,7 @@
     "kept_hosts",
     "may_take",
     "next_pace",
+    "outage_retry_s",
     "place",
     "plan_moves",
     "pool_targets",
--- a/src/lentilrill/scheduling/_admission.py
+++ b/src/lentilrill/scheduling/_admission.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["Pressure", "may_take", "retry_after_s"]
+__all__ = ["Pressure", "may_take", "outage_retry_s", "retry_after_s"]
 
 LONGEST_WAIT_S = 6.0
 """Expected wait beyond which a job that would be late is refused: several times the objectives in
@@ -14,6 +14,10 @@
 """Work of late jobs beyond which nothing is taken on: it must be done some day."""
 SHORTEST_RETRY_S = 0.5
 LONGEST_RETRY_S = 10.0
+SHORTEST_OUTAGE_S = 1.0
+LONGEST_OUTAGE_S = 3.0
+"""Bounds of the return to a host that can't commit: by the first the balancer has sent callers to
+hosts that can; the second is about an objective, after which the answer would come late anyway."""
 
 
 class Pressure(msgspec.Struct, frozen=True):
@@ -44,3 +48,13 @@
     """Return the seconds after which a refused caller finds room, by the rate of the pool."""
     excess_s = pressure.wait_s + pressure.late_s - LONGEST_WAIT_S / 2
     return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, excess_s))
+
+
+def outage_retry_s(silent_s: float) -> float:
+    """Return the seconds after which a caller should come back while the store is silent.
+
+    Load pattern: an outage of unknown length, and callers who try five times. Returning each
+    second they are through before an outage of five seconds ends. One that has lasted for a while
+    is likely to last about as long again.
+    """
+    return min(LONGEST_OUTAGE_S, max(SHORTEST_OUTAGE_S, silent_s))
--- a/tests/intake/test_intake.py
+++ b/tests/intake/test_intake.py
@@ -1,11 +1,20 @@
 """Accepting, cancelling and showing jobs."""
 
 import threading
+from collections.abc import Callable
 
 from testtools import TestCase
 
-from lentilrill.ids import JobId, PoolId, QueueId
-from lentilrill.inner import JobAccepted, JobCancelled, PoolPressure
+from lentilrill.ids import Incarnation, JobId, PoolId, ProcessId, QueueId
+from lentilrill.inner import (
+    Batch,
+    JobAccepted,
+    JobAsk,
+    JobCancelled,
+    JobDoubted,
+    JobTold,
+    PoolPressure,
+)
 from lentilrill.intake import Intake
 from lentilrill.ownership import OwnerRecord
 from lentilrill.store import Priority
@@ -19,9 +28,12 @@
 class Peers:
     def __init__(self) -> None:
         self.sent: list[object] = []
+        self.answer: Callable[[JobAsk], None] | None = None
 
     def send(self, address: str, message: object) -> None:
         self.sent.append(message)
+        if isinstance(message, JobAsk) and self.answer is not None:
+            self.answer(message)
 
 
 class IntakeTest(TestCase):
@@ -30,6 +42,7 @@
         self.kv = FakeKeyValue()
         self.peers = Peers()
         self.pressure: PoolPressure | None = None
+        self.silent_s = 0.0
         self.owner: OwnerRecord | None = None
         self.intake = Intake(
             self.kv,
@@ -38,6 +51,8 @@
             lambda pool: self.owner,
             lambda pool: self.pressure,
             lambda: [POOL, PoolId("ballots")],
+            lambda: ["10.0.0.2:1"],
+            lambda: self.silent_s,
         )
         self.intake.start()
         self.addCleanup(self.intake.close)
@@ -64,6 +79,50 @@
             self.kv.commits.append(fate)
             self.assertIs(JobAnswer.UNKNOWN, self.intake.submit(a_job("c"))[0])
 
+    def test_a_job_that_may_be_stored_is_never_refused(self) -> None:
+        """A caller was told three times that a job would never run; it ran.
+
+        The answer to its commit was lost, which the caller was told. Then the store went silent,
+        and the host that the caller asked next refused the job as one that had not been sent.
+        """
+        self.kv.commits.append(lose_answer)
+        self.assertIs(JobAnswer.UNKNOWN, self.intake.submit(self.job)[0])
+        [doubt] = self.peers.sent
+        self.assertEqual(JobDoubted(self.job.id), doubt)
+        other = a_job("d")
+        batch = Batch(ProcessId("h2"), Incarnation(1), "10.0.0.2:1", ())
+        self.intake.doubted(batch, JobDoubted(other.id))
+        self.silent_s = 5.0
+        self.assertIs(JobAnswer.UNKNOWN, self.intake.submit(self.job)[0])
+        self.assertIs(JobAnswer.UNKNOWN, self.intake.submit(other)[0])
+        self.assertIs(JobAnswer.UNAVAILABLE, self.intake.submit(a_job("e"))[0])
+        self.silent_s = 0.0
+        self.pressure = PoolPressure(POOL, 60.0, {}, 1)
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(self.job)[0])
+
+    def test_a_job_that_its_owner_knows_is_never_refused(self) -> None:
+        """A caller's repeat was refused as never to run, a second after it had been accepted."""
+        self.owner = OwnerRecord("h2", 1, "10.0.0.2:1")
+        self.intake.submit(self.job)
+        self.peers.answer = lambda ask: self.intake.told(
+            Batch(ProcessId("h2"), Incarnation(1), "10.0.0.2:1", ()),
+            JobTold(ask.ask, True, "running" if ask.job == self.job.id else ""),
+        )
+        self.pressure = PoolPressure(POOL, 60.0, {}, 1)
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(self.job)[0])
+        self.assertIs(JobAnswer.OVERLOADED, self.intake.submit(a_job("b"))[0])
+        self.silent_s = 5.0
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(self.job)[0])
+
+    def test_callers_come_back_later_the_longer_an_outage_lasts(self) -> None:
+        """All five tries of a caller fell into the first four seconds of an outage of five."""
+        self.silent_s = 1.2
+        first = self.intake.submit(self.job)[1]
+        self.silent_s = 2.5
+        second = self.intake.submit(self.job)[1]
+        self.assertLess(first, second)
+        self.assertLessEqual(second, 3.0)
+
     def test_what_was_never_sent_is_refused_at_once(self) -> None:
         self.kv.down = True
         self.assertIs(JobAnswer.UNAVAILABLE, self.intake.submit(self.job)[0])
