--- a/src/lentilrill/scheduling/_turns.py
+++ b/src/lentilrill/scheduling/_turns.py
@@ -16,8 +16,8 @@
 
     Load pattern: each queue in its time asks several times its mean for some seconds, and almost
     nothing until all others have had theirs. Hosts that an idle pool keeps for the beginning of
-    its turn wait in vain in pools that just had it. Once all have had their turn, or a pool has
-    another one out of turn, everything begins anew; a pool that had no turn yet counts as due.
+    its turn wait in vain in pools that just had it. When all have had their turn, and when a pool
+    has another one, everything begins anew; a pool that had no turn yet counts as due.
     """
 
     def __init__(self) -> None:
@@ -40,6 +40,4 @@
 
     def past(self, pools: Collection[PoolId]) -> set[PoolId]:
         """Return the pools that had their turn while others still wait for theirs."""
-        if self._had_turn >= set(pools):
-            self._had_turn.clear()
-        return set(self._had_turn)
+        return set() if self._had_turn >= set(pools) else set(self._had_turn)
