--- a/tests/regress/__main__.py
+++ b/tests/regress/__main__.py
@@ -2,7 +2,7 @@
 
     python -m tests.regress BENCH SITES
 
-BENCH is the program, SITES the folder of site files. Ends with 1 if a day breaks a rule again.
+BENCH is the program, SITES the folder of site files, in folders of their own or not. Ends with 1 if a day breaks a rule again.
 """
 
 import subprocess
@@ -11,6 +11,7 @@
 
 SEEDS = Path(__file__).with_name("seeds.txt")
 BROKEN = "BROKEN"
+DRAWN = ("hunt-", "fresh-")
 
 
 def main() -> int:
@@ -21,9 +22,11 @@
         if not line or line.startswith("#"):
             continue
         site, day, seed, story = line.split(" ", 3)
-        # A hunted day is known by its name, from the journal; a standard one by its name and seed.
-        verb = "replay" if day.startswith("hunt-") else "run"
-        command = [bench, verb, str(Path(sites) / f"{site}.toml"), day]
+        # A day that was drawn is known by its name, from the journal; a standard one by its name
+        # and seed.
+        verb = "replay" if day.startswith(DRAWN) else "run"
+        [file] = Path(sites).rglob(f"{site}.toml")
+        command = [bench, verb, str(file), day]
         command += ["--why", f"regression: {story}"]
         if seed != "-":
             command += ["--seed", seed]
