--- a/tests/regress/__main__.py
+++ b/tests/regress/__main__.py
@@ -2,7 +2,8 @@
 
     python -m tests.regress BENCH SITES
 
-BENCH is the program, SITES the folder of site files, in folders of their own or not. Ends with 1 if a day breaks a rule again.
+BENCH is the program; SITES holds the site files, at any depth. Ends with 1 if a day breaks a rule
+again.
 """
 
 import subprocess
