--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -10,11 +10,11 @@
 import time
 from collections.abc import Callable
 from typing import Any
-from urllib.parse import parse_qs
 
 import msgspec
 
 from standins._http import Call, Server
+from standins._users_store import UsersStore
 
 __all__ = ["RunRecord", "UsersPlatform"]
 
@@ -39,122 +39,6 @@
     how: str = ""
 
 
-class _Store:
-    """Keys with revisions, leases and watches.
-
-    :ivar down: every call is refused with 503.
-    """
-
-    def __init__(self) -> None:
-        self.down = False
-        self.changed = threading.Condition()
-        self.revision = 10
-        self.items: dict[str, dict[str, Any]] = {}
-        self._history: list[dict[str, Any]] = []
-        self._leases: dict[int, float] = {}
-        self._ids = itertools.count(1)
-
-    def put(self, key: str, value: bytes, lease: int = 0) -> None:
-        with self.changed:
-            self._apply([{"key": key, "value": _b64(value), "lease": lease}], [])
-
-    def remove(self, key: str) -> None:
-        with self.changed:
-            self._apply([], [key])
-
-    def expire(self) -> None:
-        """Remove the keys of leases that have run out."""
-        with self.changed:
-            now = time.monotonic()
-            over = {lease for lease, end in self._leases.items() if end < now}
-            for lease in over:
-                self._end(lease)
-
-    def serve(self, call: Call) -> None:
-        query = {name: values[0] for name, values in parse_qs(call.query).items()}
-        if self.down:
-            call.answer(503, b"")
-        elif call.path == "/kv-key":
-            item = self.items.get(query["key"])
-            call.answer(404, b"") if item is None else call.answer_json(item | self._at())
-        elif call.path == "/kv-range":
-            self._range(call, query["prefix"])
-        elif call.path == "/kv-watch":
-            self._watch(call, query)
-        elif call.path == "/kv-txn":
-            self._txn(call, msgspec.json.decode(call.body))
-        elif call.path == "/kv-lease":
-            self._grant(call, msgspec.json.decode(call.body)["ttl_ms"])
-        elif call.path.startswith("/kv-keep/"):
-            self._keep(call, int(call.path.rpartition("/")[2]))
-        else:
-            with self.changed:
-                self._end(int(call.path.rpartition("/")[2]))
-            call.answer_json({})
-
-    def _at(self) -> dict[str, int]:
-        return {"at_rev": self.revision}
-
-    def _range(self, call: Call, prefix: str) -> None:
-        with self.changed:
-            items = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
-            answer = {"items": items, "truncated": False} | self._at()
-        call.answer_json(answer)
-
-    def _watch(self, call: Call, query: dict[str, str]) -> None:
-        prefix, after = query["prefix"], int(query["after"])
-        with self.changed:
-            self.changed.wait_for(
-                lambda: bool(self._news(prefix, after)), int(query["wait_ms"]) / 1000
-            )
-            answer = {"events": self._news(prefix, after)} | self._at()
-        call.answer_json(answer)
-
-    def _news(self, prefix: str, after: int) -> list[dict[str, Any]]:
-        return [e for e in self._history if e["revision"] > after and e["key"].startswith(prefix)]
-
-    def _txn(self, call: Call, txn: dict[str, Any]) -> None:
-        with self.changed:
-            held = all(
-                self.items.get(row["key"], {}).get("revision", 0) == row["revision"]
-                for row in txn["precondition"]
-            )
-            if held:
-                self._apply(txn["writes"], txn["remove"])
-            revision = self.revision
-        call.answer_json({"revision": revision} if held else {"items": []}, 200 if held else 412)
-
-    def _apply(self, writes: list[dict[str, Any]], remove: list[str]) -> None:
-        self.revision += 1
-        for write in writes:
-            item = {"lease": 0} | write | {"revision": self.revision, "created": self.revision}
-            self.items[write["key"]] = item
-            self._history.append(item)
-        for key in remove:
-            if self.items.pop(key, None) is not None:
-                self._history.append({"key": key, "revision": self.revision, "removed": True})
-        self.changed.notify_all()
-
-    def _grant(self, call: Call, ttl_ms: int) -> None:
-        lease = next(self._ids)
-        with self.changed:
-            self._leases[lease] = time.monotonic() + ttl_ms / 1000
-        call.answer_json({"lease": lease, "ttl_ms": ttl_ms})
-
-    def _keep(self, call: Call, lease: int) -> None:
-        with self.changed:
-            known = lease in self._leases
-            if known:
-                self._leases[lease] = time.monotonic() + 1.6
-        call.answer_json({"ttl_ms": 1600}) if known else call.answer(404, b"")
-
-    def _end(self, lease: int) -> None:
-        self._leases.pop(lease, None)
-        keys = [key for key, item in self.items.items() if item["lease"] == lease]
-        if keys:
-            self._apply([], keys)
-
-
 class _Endpoint:
     """One life of an endpoint; tasks take ``task_s`` seconds each.
 
@@ -299,7 +183,7 @@
     """
 
     def __init__(self, task_s: float = 0.2) -> None:
-        self.store = _Store()
+        self.store = UsersStore()
         self.policy = _Policy()
         self.records: list[RunRecord] = []
         self.most_down = 0
@@ -433,7 +317,3 @@
         if not self._ended.wait(HOST_DOWN_S):
             with self._lock:
                 self._settle(host)
-
-
-def _b64(value: bytes) -> str:
-    return base64.b64encode(value).decode()
