--- a/tests/matrix/_steps.py
+++ b/tests/matrix/_steps.py
@@ -23,6 +23,7 @@
 LONG_S = 2.0
 STOP_JOB_S = 8.0
 KEYED_TRIES = 8
+LOOK_EVERY_S = 0.1
 VOLUME_BYTES = 12 * 1024 * 1024
 
 
@@ -321,23 +322,16 @@
 
 
 @contextmanager
-def _watching_revisions(world: World) -> Iterator[None]:
-    """Note each controller whose revision in force steps back meanwhile."""
+def _looking(look: Callable[[], bool]) -> Iterator[None]:
+    """Call ``look`` ten times a second from a thread of its own, until it returns true."""
     stop = threading.Event()
-    newest: dict[str, int] = {}
 
-    def look() -> None:
-        while not stop.wait(0.1):
-            for name in world.site.controllers:
-                revision = world.revision_at(name, 0.5)
-                if revision:
-                    before = newest.get(name, 0)
-                    world.ledger.note(
-                        revision >= before, f"{name} stepped back from {before} to {revision}"
-                    )
-                    newest[name] = max(before, revision)
-
-    thread = threading.Thread(target=look)
+    def look_on() -> None:
+        while not stop.wait(LOOK_EVERY_S):
+            if look():
+                return
+
+    thread = threading.Thread(target=look_on)
     thread.start()
     try:
         yield
@@ -346,6 +340,26 @@
         thread.join()
 
 
+@contextmanager
+def _watching_revisions(world: World) -> Iterator[None]:
+    """Note each controller whose revision in force steps back meanwhile."""
+    newest: dict[str, int] = {}
+
+    def look() -> bool:
+        for name in world.site.controllers:
+            revision = world.revision_at(name, 0.5)
+            if revision:
+                before = newest.get(name, 0)
+                world.ledger.note(
+                    revision >= before, f"{name} stepped back from {before} to {revision}"
+                )
+                newest[name] = max(before, revision)
+        return False
+
+    with _looking(look):
+        yield
+
+
 def _marks(world: World) -> set[tuple[int, float]]:
     found = set()
     for name in world.site.controllers:
@@ -414,24 +428,17 @@
 @contextmanager
 def _watching_release(world: World, host: str) -> Iterator[None]:
     """Note each job that still runs on ``host`` when a controller shows it as released."""
-    stop = threading.Event()
 
-    def look() -> None:
-        while not stop.wait(0.1):
-            if any(
-                world.phases(c).get(host, ("", ""))[1] == "stopped" for c in ("ct-1-2", "ct-2-1")
-            ):
-                unfinished = [r["job"] for h, r in world.runs() if h == host and not r["finished"]]
-                world.ledger.note(not unfinished, f"{unfinished} ran on {host}, already released")
-                return
+    def look() -> bool:
+        phases = [world.phases(c).get(host, ("", ""))[1] for c in ("ct-1-2", "ct-2-1")]
+        if "stopped" not in phases:
+            return False
+        unfinished = [r["job"] for h, r in world.runs() if h == host and not r["finished"]]
+        world.ledger.note(not unfinished, f"{unfinished} ran on {host}, already released")
+        return True
 
-    thread = threading.Thread(target=look)
-    thread.start()
-    try:
+    with _looking(look):
         yield
-    finally:
-        stop.set()
-        thread.join()
 
 
 def _declared(world: World, host: str) -> bool:
