--- a/src/lentilrill/execution/_need.py
+++ b/src/lentilrill/execution/_need.py
@@ -28,7 +28,7 @@
 """Share of a host's room that waiting tasks count for, against those that run: they need not all
 start at once to be in time. Most take about a second, and may wait for another half."""
 LATE_SHARE = 0.5
-"""Share of a host's room that tasks of late jobs count for. An answer that comes late is worth less
+"""Share of a host's room that waiting tasks of late jobs count for. A late answer is worth less
 than a tenth of one in time to callers, so it justifies keeping some hosts, not taking more."""
 IDLE_S = 0.8
 """How long nothing must have run on an endpoint before it counts as idle: the next step of a job
