Endpoints of a pool: a write that the store carries out late does not undo a newer one

The record of endpoints that got orders was written under the owner's key alone; answers of writes were lost until 23.0 s, and such writes are carried out one to six seconds later: an older record over the newer one that named the endpoint. The next owner did not know it, did not wait until it had looked there, and started the task again. Ruled out: the job's progress (each record compares its own revision), acknowledgements (they follow a stored end), two owners at once. Tests: four; the first fails on the former code. Not mended: records of waves are written the same way (docs/invariants.md).

--- /dev/null
+++ b/tests/execution/test_roster.py
@@ -0,0 +1,65 @@
+"""The record of a pool's endpoints, under writes that are lost, late or another's."""
+
+from collections.abc import Callable
+
+from returns.result import Result
+from testtools import TestCase
+
+from lentilrill.execution._roster import Roster
+from lentilrill.ids import PoolId
+from tests.builders import an_endpoint
+from tests.fakes import FakeKeyValue, lose_answer, lose_request
+
+OWNER = "m/o/notices"
+
+
+class RosterTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.kv = FakeKeyValue()
+        self.token = self.kv.put(OWNER, b"owner")
+        self.roster = Roster(self.kv, PoolId("notices"), OWNER, self.token)
+        self.assertTrue(self.roster.load())
+
+    def stored(self) -> set[str]:
+        other = Roster(self.kv, PoolId("notices"), OWNER, self.token)
+        self.assertTrue(other.load())
+        return set(other.address_by_id)
+
+    def test_a_write_that_comes_late_does_not_undo_a_newer_one(self) -> None:
+        """A dispatch plan's tasks ran twice after an outage.
+
+        The store lost the answer of a write and carried it out seconds later, over a newer one
+        that named one endpoint more. The next owner did not know that endpoint, did not wait
+        until it had looked there, and started again what had ended there.
+        """
+        late: list[Callable[[], Result]] = []
+
+        def delay(call: Callable[[], Result]) -> Result:
+            late.append(call)
+            return lose_request(call)
+
+        self.kv.commits.append(delay)
+        self.assertTrue(self.roster.write([an_endpoint("e1")], []))
+        self.assertEqual({}, self.roster.address_by_id)
+        self.assertTrue(self.roster.write([an_endpoint("e1"), an_endpoint("e22")], []))
+        late[0]()
+        self.assertEqual({"e1", "e22"}, self.stored())
+
+    def test_a_write_goes_on_after_a_lost_answer(self) -> None:
+        self.kv.commits.append(lose_answer)
+        self.assertTrue(self.roster.write([an_endpoint("e1")], []))
+        self.assertTrue(self.roster.write([an_endpoint("e1")], []))
+        self.assertEqual({"e1"}, set(self.roster.address_by_id))
+
+    def test_another_writer_is_no_newer_owner(self) -> None:
+        """A pool was given up by its own owner, whose late write had come between two others."""
+        self.assertTrue(self.roster.write([an_endpoint("e1")], []))
+        self.kv.put("e/notices", b"{}")
+        self.assertTrue(self.roster.write([an_endpoint("e22")], []))
+        self.assertTrue(self.roster.write([an_endpoint("e22")], []))
+        self.assertEqual({"e1", "e22"}, self.stored())
+
+    def test_a_newer_owner_is_told(self) -> None:
+        self.kv.put(OWNER, b"another")
+        self.assertFalse(self.roster.write([an_endpoint("e1")], []))
