--- a/tests/regress/__main__.py
+++ b/tests/regress/__main__.py
@@ -24,11 +24,13 @@
             continue
         site, day, seed, story = line.split(" ", 3)
         # A day that was drawn is known by its name, from the journal; a standard one by its name
-        # and seed.
+        # and seed, one of our own by its file and the seed by which it was varied.
         verb = "replay" if day.startswith(DRAWN) else "run"
         [file] = Path(sites).rglob(f"{site}.toml")
         command = [bench, verb, str(file), day]
         command += ["--why", f"regression: {story}"]
+        if day.endswith(".toml"):
+            command.append("--vary")
         if seed != "-":
             command += ["--seed", seed]
         played = subprocess.run(command, capture_output=True, text=True, check=False)
