Waves: their records are written like the endpoints', so that a late write undoes nothing

Change: both are written through one class (store/_fenced.py), which compares the revision that is replaced and reads it again after a write without an answer. Test: fails on the former code (a second host is ordered down).

--- a/src/lentilrill/store/__init__.py
+++ b/src/lentilrill/store/__init__.py
@@ -18,6 +18,7 @@
     WatchStream,
 )
 from lentilrill.store._etcd import MAX_VALUE_BYTES, EtcdKeyValue
+from lentilrill.store._fenced import FencedRecord, Written
 from lentilrill.store._follow import Follower
 from lentilrill.store._guard import CallBudget, CallGuard, Effect
 from lentilrill.store._hostlist import HttpHostList
@@ -33,6 +34,7 @@
     "DeleteRange",
     "Effect",
     "EtcdKeyValue",
+    "FencedRecord",
     "Follower",
     "HostInfo",
     "HostKind",
@@ -50,4 +52,5 @@
     "TxnAnswer",
     "WatchBatch",
     "WatchStream",
+    "Written",
 ]
--- /dev/null
+++ b/src/lentilrill/store/_fenced.py
@@ -0,0 +1,79 @@
+"""A record that only the owner of a shard writes."""
+
+from enum import Enum
+
+from returns.result import Failure, Result, Success
+
+from lentilrill.faults import Fault
+from lentilrill.ids import Revision
+from lentilrill.store._contract import Compare, Item, KeyValue, Put
+from lentilrill.telemetry import Event, log
+
+__all__ = ["FencedRecord", "Written"]
+
+
+class Written(Enum):
+    """What became of a write."""
+
+    DONE = "done"
+    FAILED = "failed"
+    """It may have taken effect, or may yet; nothing later than it is undone by it."""
+    NOT_OWNER = "not-owner"
+    """The store knows a newer owner."""
+
+
+class FencedRecord:
+    """One key, written under its owner's key.
+
+    Guard against a write that the store carries out late, over a newer one of the same owner: the
+    next owner would go by the older value. Each write compares the revision that it replaces, so
+    the late one fails; after a write without an answer that revision is read again.
+
+    :param owner: the owner's key, at the revision that is its token.
+    """
+
+    def __init__(self, kv: KeyValue, key: str, owner: Compare) -> None:
+        self._kv = kv
+        self._key = key
+        self._owner = owner
+        self._revision: Revision | None = None
+
+    def read(self) -> Result[Item | None, Fault]:
+        """Read the record; ``None`` if there is none."""
+        read = self._kv.get(self._key)
+        if not isinstance(read, Failure):
+            item = read.unwrap()
+            self._revision = item.revision if item is not None else Revision(0)
+        return read
+
+    def write(self, value: bytes) -> Written:
+        """Write the record."""
+        revision = self._known_revision()
+        if isinstance(revision, Failure):
+            return self._failed(revision.failure().reason)
+        compares = (self._owner, Compare(self._key, revision.unwrap()))
+        result = self._kv.commit(compares, (Put(self._key, value),))
+        self._revision = None
+        if isinstance(result, Failure):
+            return self._failed(result.failure().reason)
+        if result.unwrap().succeeded:
+            self._revision = result.unwrap().revision
+            return Written.DONE
+        return self._failed("conditions") if self._is_owned() else Written.NOT_OWNER
+
+    def _known_revision(self) -> Result[Revision, Fault]:
+        if self._revision is None and isinstance(read := self.read(), Failure):
+            return read
+        return Success(self._revision or Revision(0))
+
+    def _is_owned(self) -> bool:
+        """Whether the shard is still this owner's, as far as the store can be read."""
+        held = self._kv.get(self._owner.key)
+        if isinstance(held, Failure):
+            return True
+        item = held.unwrap()
+        return item is not None and item.revision == self._owner.revision
+
+    def _failed(self, reason: str) -> Written:
+        log(Event.RECORD_NOT_STORED, key=self._key, reason=reason)
+        return Written.FAILED
--- a/src/lentilrill/upkeep/_waves.py
+++ b/src/lentilrill/upkeep/_waves.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from lentilrill.ids import EndpointId, HostId, PoolId, ProcessId, Revision
-from lentilrill.store import Compare, KeyValue, Put
+from lentilrill.store import Compare, FencedRecord, KeyValue, Written
 from lentilrill.telemetry import Dependency, Event, log
 from lentilrill.upkeep._contract import HostCalls, HostOrder, HostRow, HostState
 from lentilrill.upkeep._emptying import Emptying
@@ -89,6 +89,7 @@
         self._waves = waves
         self._load_of = load_of
         self._records = Dependency("records of waves in the store")
+        self._records_by_key: dict[str, FencedRecord] = {}
         self._began_by_wave: dict[int, float] = {}
         self._may_order = may_order
         self._refused = refused
@@ -119,6 +120,7 @@
         if isinstance(read, Failure):
             self._records.failed(read.failure().reason)
             return False
+        self._records.succeeded()
         for item in read.unwrap().items:
             if item.value is None:
                 continue
@@ -290,15 +292,12 @@
         return self._write(self._state_key(wave.number), self._state_value(completed))
 
     def _write(self, key: str, value: bytes) -> bool:
-        result = self._kv.commit((Compare(self._owner_key, self._token),), (Put(key, value),))
-        if isinstance(result, Failure):
-            self._records.failed(result.failure().reason)
-            return False
-        self._records.succeeded()
-        if not result.unwrap().succeeded:
+        owner = Compare(self._owner_key, self._token)
+        record = self._records_by_key.setdefault(key, FencedRecord(self._kv, key, owner))
+        written = record.write(value)
+        if written is Written.NOT_OWNER:
             self._refused("the store knows a newer owner of the fleet")
-            return False
-        return True
+        return written is Written.DONE
 
 
 def _is_down(state: _HostInWave, row: HostRow | None) -> bool:
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -1,6 +1,7 @@
 """Waves of upkeep, moves, and the asking for empty endpoints."""
 
 import time
+from collections.abc import Callable
 from typing import Any
 
 from returns.result import Result, Success
@@ -11,7 +12,7 @@
 from lentilrill.inner import PoolPressure, ReleaseAsk, ReleaseState, ReleaseTold
 from lentilrill.upkeep import Emptying, HostOrder, HostRow, HostState, Mover, Waves
 from lentilrill.workloads import PoolEntry, Wave
-from tests.fakes import FakeKeyValue
+from tests.fakes import FakeKeyValue, lose_request
 
 NOTICES, STANDBY = PoolId("notices"), PoolId("standby")
 ME = ProcessId("front-1")
@@ -134,6 +135,25 @@
         self.rounds(waves, 3)
         self.assertEqual([], self.hosts.orders)
 
+    def test_a_record_that_is_written_late_does_not_undo_a_newer_one(self) -> None:
+        """More hosts of a wave were down than may be, after the fleet's owner had changed.
+
+        The answer to the wave's first record was lost, and the store carried that write out
+        seconds later, over the one that named the host on its way down.
+        """
+        late: list[Callable[[], Result]] = []
+
+        def delay(call: Callable[[], Result]) -> Result:
+            late.append(call)
+            return lose_request(call)
+
+        self.kv.commits.append(delay)
+        self.rounds(self.owner(), 5)
+        self.assertEqual(1, len(self.hosts.orders))
+        late[0]()
+        self.rounds(self.owner(), 3)
+        self.assertEqual(1, len(self.hosts.orders))
+
     def test_hosts_that_the_list_shows_down_count(self) -> None:
         self.rows[self.names[2]] = a_row("c", state=HostState.UPKEEP)
         self.rounds(self.owner(), 3)
