Store: an owner's record that can't be written is one line an outage, as other dependencies are

Cause: each try of a fenced record logged a line of its own, one a round while the store is away, and a failed look at the owner's key after a refused condition was not logged at all.

--- a/src/lentilrill/store/_fenced.py
+++ b/src/lentilrill/store/_fenced.py
@@ -7,7 +7,7 @@
 from lentilrill.faults import Fault
 from lentilrill.ids import Revision
 from lentilrill.store._contract import Compare, Item, KeyValue, Put
-from lentilrill.telemetry import Event, log
+from lentilrill.telemetry import Dependency
 
 __all__ = ["FencedRecord", "Written"]
 
@@ -37,6 +37,8 @@
         self._key = key
         self._owner = owner
         self._revision: Revision | None = None
+        # One line for each outage, however often an owner tries anew meanwhile.
+        self._stored = Dependency(f"record {key} in the store")
 
     def read(self) -> Result[Item | None, Fault]:
         """Read the record; ``None`` if there is none."""
@@ -58,6 +60,7 @@
             return self._failed(result.failure().reason)
         if result.unwrap().succeeded:
             self._revision = result.unwrap().revision
+            self._stored.succeeded()
             return Written.DONE
         return self._failed("conditions") if self._is_owned() else Written.NOT_OWNER
 
@@ -70,10 +73,11 @@
         """Whether the shard is still this owner's, as far as the store can be read."""
         held = self._kv.get(self._owner.key)
         if isinstance(held, Failure):
+            self._stored.failed(held.failure().reason)
             return True
         item = held.unwrap()
         return item is not None and item.revision == self._owner.revision
 
     def _failed(self, reason: str) -> Written:
-        log(Event.RECORD_NOT_STORED, key=self._key, reason=reason)
+        self._stored.failed(reason)
         return Written.FAILED
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -47,7 +47,6 @@
     WATCH_SILENT = (404, Level.WARNING, "The watch missed a change and is begun anew.")
     WATCH_BROKEN = (405, Level.WARNING, "A watch or the read before it failed; it is begun anew.")
     RECORD_ODD = (406, Level.WARNING, "A record of another writer can't be read and is not used.")
-    RECORD_NOT_STORED = (409, Level.WARNING, "An owner's record could not be stored.")
     DOCUMENT_IN_FORCE = (501, Level.INFO, "A revision of the document is in force here.")
     DEPENDENCY_LOST = (407, Level.WARNING, "Something this process depends on fails from now on.")
     DEPENDENCY_BACK = (408, Level.INFO, "It works again.")
