--- a/src/lentilrill/execution/_tickets.py
+++ b/src/lentilrill/execution/_tickets.py
@@ -92,7 +92,9 @@
             old = [s for s, a in self._answers_by_step.items() if now - a.wanted_at > KEPT_S]
             for step in old:
                 del self._answers_by_step[step]
-        if wants and self._thread is None and self._policy is not None:
+        if wants and self._policy is None:
+            self._service.failed("no address in the settings")
+        elif wants and self._thread is None:
             self._thread = threading.Thread(target=self._ask_on, name="tickets", daemon=True)
             self._thread.start()
         self._wake.set()
