Waves: upkeep that passed under a former owner is not ordered for ever

Cause: a new owner of the fleet knew an ordered host as up again only by seeing it down, or by a new endpoint. A host that rests in standby has no endpoint before and after, so one whose upkeep passed between two owners was ordered again and again; the platform confirms that each time, and the wave never went on. Ruled out: hosts held back as busy (no host_waits line of the wave in the log). Change: an order that was confirmed and whose host shows up for ten looks is over.

--- a/src/lentilrill/upkeep/_waves.py
+++ b/src/lentilrill/upkeep/_waves.py
@@ -25,6 +25,9 @@
 """Share of its hosts that a pool's work fills, from which on a wave leaves it alone if it can."""
 UNTOUCHED_LOOKS = 4
 """Rounds in which an ordered host shows up as before, after which its order counts as lost."""
+CONFIRMED_LOOKS = 10
+"""Rounds in which a host shows up as before although its order was confirmed, after which its
+upkeep counts as over: longer than an upkeep takes, in case the list lags behind."""
 NOBODY = EndpointId("")
 GONE_LOOKS = 8
 """Rounds in which a host is missing from the list before it counts as gone for good."""
@@ -45,7 +48,7 @@
 
 
 class _HostInWave:
-    __slots__ = ("endpoint", "looks_up", "missing", "reason", "seen_down", "stage")
+    __slots__ = ("confirmed", "endpoint", "looks_up", "missing", "reason", "seen_down", "stage")
 
     def __init__(self, stage: Stage = Stage.WAITING, endpoint: EndpointId = NOBODY) -> None:
         self.stage = stage
@@ -53,6 +56,7 @@
         self.missing = 0
         self.reason = ""
         self.seen_down = False
+        self.confirmed = False
         self.looks_up = 0
 
 
@@ -178,7 +182,13 @@
                 state.seen_down = True
             elif state.seen_down or (row.endpoint and row.endpoint != state.endpoint):
                 self._finish(wave, host, state, "up")
-            elif state.looks_up >= UNTOUCHED_LOOKS:
+            elif state.confirmed and state.looks_up >= CONFIRMED_LOOKS:
+                # Guard against a wave that orders the same hosts for ever: their upkeep passed
+                # under a former owner, or between two looks, and in standby no new endpoint shows
+                # it. The platform confirms what is under way, which the list shows by now, or what
+                # has been carried out.
+                self._finish(wave, host, state, "confirmed")
+            elif not state.confirmed and state.looks_up >= UNTOUCHED_LOOKS:
                 # Its order was lost, maybe with the owner that sent it: it is emptied and ordered
                 # again. If the first order comes after all, the second one changes nothing.
                 state.stage = Stage.EMPTYING
@@ -276,6 +286,7 @@
             return
         answer = self._hosts.upkeep(host, wave.number, self._process, int(self._token))
         log(Event.HOST_ORDERED, host=host, wave=wave.number, answer=answer.value)
+        state.confirmed = answer is HostOrder.DONE
         if answer is HostOrder.FENCED:
             self._refused(f"host {host} knows a newer owner of the fleet")
         elif answer is HostOrder.REFUSED:
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -159,6 +159,27 @@
         self.rounds(self.owner(), 3)
         self.assertEqual([], self.hosts.orders)
 
+    def test_upkeep_that_passed_under_a_former_owner_is_not_ordered_for_ever(self) -> None:
+        """A wave stood at seven of seventeen hosts for the rest of the day.
+
+        The fleet's owner was lost while the seven were down. They rested in standby, without an
+        endpoint before and after, so its successor could not tell that they had been down: it
+        ordered them again and again, which the platform confirmed as done, and no other host.
+        """
+        for name in self.names:
+            self.rows[name] = HostRow(name, STANDBY, HostState.UP)
+        self.rounds(self.owner(), 3)
+        self.assertEqual(1, len(self.hosts.orders))
+        self.rounds(self.owner(), 60)
+        self.assertEqual(b"completed", self.kv.items_by_key["status/wave/1"].value)
+        self.assertEqual({name for name, _ in self.hosts.orders}, set(self.names))
+
+    def test_a_host_whose_order_was_lost_is_ordered_again(self) -> None:
+        self.hosts.answer = HostOrder.UNKNOWN
+        self.rounds(self.owner(), 30)
+        self.assertGreater(len(self.hosts.orders), 2)
+        self.assertEqual(b"running", self.kv.items_by_key["status/wave/1"].value)
+
     def test_busy_pools_are_left_alone_while_there_is_time(self) -> None:
         """In the middle of a surge a wave took a quarter of its pool's hosts."""
         self.load = 2.0
