Pools: hosts on their way count, and an idle pool is filled up only once it was short for a while

Change: what an idle pool keeps is reckoned from all hosts that are up or on their way; a pool that lacks hosts for no work gets some after 2.5 s.

--- a/src/lentilrill/scheduling/_capacity.py
+++ b/src/lentilrill/scheduling/_capacity.py
@@ -1,7 +1,6 @@
 """How many hosts each pool should have, and which hosts move."""
 
 import math
-from collections.abc import Callable
 
 import msgspec
 
@@ -37,9 +36,10 @@
 
     :param need: hosts' worth of work, of which some is forecast.
     :param firm: hosts' worth of tasks that are at work or whose turn has come.
-    :param had_turn: its surge is over, and other pools wait for theirs.
+    :param kept: hosts that it keeps whatever its work needs.
     :param hosts: hosts that are in the pool or on their way there.
     :param spare_s: seconds for which the pool has had more hosts than its work needs.
+    :param short_s: seconds for which it has had fewer hosts than it keeps.
     :param free: its hosts on which nothing runs.
     :param late: its hosts on which only jobs run that can't be in time any more.
     """
@@ -52,7 +52,8 @@
     zones: tuple[ZoneId, ...] = ()
     late: tuple["FreeHost", ...] = ()
     firm: float = math.inf
-    had_turn: bool = False
+    kept: int = FEWEST
+    short_s: float = math.inf
 
 
 class FreeHost(msgspec.Struct, frozen=True):
@@ -71,8 +72,13 @@
     target: PoolId
 
 
-def kept_hosts(all_hosts: int, pools: int) -> int:
-    """Return how many hosts an idle pool keeps, of ``all_hosts`` for ``pools`` and standby."""
+def kept_hosts(all_hosts: int, pools: int, *, had_turn: bool = False) -> int:
+    """Return how many hosts an idle pool keeps, of ``all_hosts`` for ``pools`` and standby.
+
+    :param had_turn: its surge is over, and other pools wait for theirs.
+    """
+    if had_turn:
+        return FEWEST
     return max(FEWEST, math.ceil(KEPT_SHARE * all_hosts / (pools + 1)))
 
 
@@ -97,30 +103,27 @@
 
     :param resting: hosts in standby.
     """
-    targets = pool_targets(needs, resting)
+    targets = pool_targets(needs)
     plan = _Plan(needs, standby, resting)
-    plan.share_out(_targets(needs, resting, lambda need: min(need.firm, need.need)))
-    plan.share_out(targets)
+    plan.share_out({n.pool: _wanted(n, min(n.firm, n.need)) for n in needs})
+    plan.share_out({n.pool: _wanted(n, n.need) for n in needs})
     plan.send_home(needs, targets)
     return plan.moves
 
 
-def pool_targets(needs: tuple[PoolNeed, ...], resting: tuple[FreeHost, ...]) -> dict[PoolId, int]:
+def pool_targets(needs: tuple[PoolNeed, ...]) -> dict[PoolId, int]:
     """Return how many hosts each pool should have."""
-    return _targets(needs, resting, lambda need: need.need)
-
-
-def _targets(
-    needs: tuple[PoolNeed, ...],
-    resting: tuple[FreeHost, ...],
-    hosts_worth: Callable[[PoolNeed], float],
-) -> dict[PoolId, int]:
-    all_hosts = sum(need.hosts for need in needs) + len(resting)
-    kept = kept_hosts(all_hosts, len(needs))
-    return {
-        need.pool: target_hosts(hosts_worth(need), FEWEST if need.had_turn else kept)
-        for need in needs
-    }
+    return {need.pool: target_hosts(need.need, need.kept) for need in needs}
+
+
+def _wanted(need: PoolNeed, hosts_worth: float) -> int:
+    """Return how many hosts a pool is given now.
+
+    Load pattern: hosts come up one after the other, or fail and are back within seconds, in a
+    pool that has no work for them. Filled up at once from standby, it has too many soon after, and
+    each host has moved twice for nothing.
+    """
+    return target_hosts(hosts_worth, need.kept if need.short_s >= SETTLED_S else 0)
 
 
 class _Plan:
--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -52,6 +52,7 @@
         self._pressure_of = pressure_of
         self._refused = refused
         self._spare_since: dict[PoolId, float] = {}
+        self._short_since: dict[PoolId, float] = {}
         self._begun_by_host: dict[HostId, tuple[Move, float]] = {}
         self._target_by_pool: dict[PoolId, int] = {}
         self._turns = Turns()
@@ -67,12 +68,11 @@
         now = time.monotonic()
         taken = busy | set(self._begun_by_host)
         serving = [pool.id for pool in self._pools() if not pool.standby]
-        self._note_turns(serving, len(rows), now)
-        past = self._turns.past(serving)
+        kept_by_pool = self._kept(serving, rows, now)
         needs = tuple(
             need
             for pool in serving
-            if (need := self._need(pool, rows, taken, now, past)) is not None
+            if (need := self._need(pool, rows, taken, now, kept_by_pool[pool])) is not None
         )
         resting = tuple(
             FreeHost(row.id, row.zone, row.endpoint)
@@ -86,7 +86,7 @@
             self._go_on(host, move, began, now, rows.get(host), move.source in standby)
 
     def _log_targets(self, needs: tuple[PoolNeed, ...], resting: tuple[FreeHost, ...]) -> None:
-        targets = pool_targets(needs, resting)
+        targets = pool_targets(needs)
         for need in needs:
             target = targets[need.pool]
             if self._target_by_pool.get(need.pool) != target:
@@ -98,13 +98,25 @@
                     hosts=need.hosts,
                     need=need.need,
                     firm=need.firm,
-                    had_turn=need.had_turn,
+                    kept=need.kept,
                     free=len(need.free),
                     resting=len(resting),
                 )
 
-    def _note_turns(self, pools: list[PoolId], all_hosts: int, now: float) -> None:
-        kept = kept_hosts(all_hosts, len(pools))
+    def _kept(
+        self, pools: list[PoolId], rows: dict[HostId, HostRow], now: float
+    ) -> dict[PoolId, int]:
+        """Return how many hosts each pool keeps while it is idle.
+
+        Also hosts on their way count: counted without them, each host that leaves a pool makes the
+        others keep fewer, and all come back when it has arrived.
+        """
+        all_hosts = sum(1 for row in rows.values() if row.state is not HostState.DOWN)
+        self._note_turns(pools, kept_hosts(all_hosts, len(pools)), now)
+        past = self._turns.past(pools)
+        return {pool: kept_hosts(all_hosts, len(pools), had_turn=pool in past) for pool in pools}
+
+    def _note_turns(self, pools: list[PoolId], kept: int, now: float) -> None:
         for pool in pools:
             said = self._pressure_of(pool)
             if said is not None:
@@ -116,11 +128,12 @@
         rows: dict[HostId, HostRow],
         taken: set[HostId],
         now: float,
-        past: set[PoolId],
+        kept: int,
     ) -> PoolNeed | None:
         said = self._pressure_of(pool)
         if said is None:
             self._spare_since.pop(pool, None)
+            self._short_since.pop(pool, None)
             return None
         moves = [move for move, _ in self._begun_by_host.values()]
         # A host that is down serves nobody, for seconds or for good; if it comes back it is one too
@@ -133,13 +146,25 @@
         hosts = len(members) + coming - going
         if hosts <= target_hosts(said.need, 0):
             self._spare_since.pop(pool, None)
-        since = self._spare_since.setdefault(pool, now)
+        spare_since = self._spare_since.setdefault(pool, now)
+        if hosts >= kept:
+            self._short_since.pop(pool, None)
+        short_since = self._short_since.setdefault(pool, now)
         left = [row for row in members if row.state is HostState.UP and row.id not in taken]
         free = _hosts_of(left, said.idle)
         late = _hosts_of(left, said.late)
         zones = tuple(row.zone for row in members)
         return PoolNeed(
-            pool, said.need, hosts, now - since, free, zones, late, said.firm, pool in past
+            pool,
+            said.need,
+            hosts,
+            now - spare_since,
+            free,
+            zones,
+            late,
+            said.firm,
+            kept,
+            now - short_since,
         )
 
     def _go_on(
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -8,7 +8,7 @@
 
 from lentilrill.execution._need import OfferedLoad, hosts_needed
 from lentilrill.ids import HostId, PoolId, ZoneId
-from lentilrill.scheduling import DurationModel, FreeHost, PoolNeed, plan_moves
+from lentilrill.scheduling import DurationModel, FreeHost, PoolNeed, kept_hosts, plan_moves
 from lentilrill.workloads import Resources
 
 STANDBY = PoolId("standby")
@@ -30,10 +30,26 @@
     def test_an_idle_pool_gives_back_only_after_a_while_and_keeps_its_share(self) -> None:
         names = [f"b{n}" for n in range(8)]
         for spare_s, left in ((0.5, 8), (9.0, 5)):
-            pool = PoolNeed(PoolId("ballots"), 0.2, 8, spare_s, free(*names))
+            pool = PoolNeed(
+                PoolId("ballots"), 0.2, 8, spare_s, free(*names), kept=kept_hosts(14, 1)
+            )
             moves = plan_moves((pool,), STANDBY, free("s1", "s2", "s3", "s4", "s5", "s6"))
             self.assertEqual(left, 8 - len(moves), spare_s)
 
+    def test_hosts_that_come_up_one_by_one_move_none(self) -> None:
+        """Fifty hosts moved before the first caller came.
+
+        After a start the list showed standby's hosts first. They were sent to pools that seemed
+        to have none, whose own hosts came up a second later, and all of these then left again.
+        """
+        for short_s, moved in ((1.0, 0), (9.0, 3)):
+            pool = PoolNeed(PoolId("ballots"), 0.0, 1, kept=4, short_s=short_s)
+            self.assertEqual(moved, len(plan_moves((pool,), STANDBY, free("s1", "s2", "s3", "s4"))))
+
+    def test_a_short_pool_gets_hosts_for_its_work_at_once(self) -> None:
+        pool = PoolNeed(PoolId("ballots"), 2.0, 1, firm=2.0, kept=5, short_s=0.0)
+        self.assertEqual(2, len(plan_moves((pool,), STANDBY, free("s1", "s2", "s3", "s4"))))
+
     def test_no_host_is_taken_from_a_pool_that_needs_it(self) -> None:
         hot = PoolNeed(PoolId("notices"), 9.0, 3)
         busy = PoolNeed(PoolId("ballots"), 3.5, 5, 0.0, free("b1"))
--- a/tests/scheduling/test_turns.py
+++ b/tests/scheduling/test_turns.py
@@ -3,8 +3,7 @@
 from testtools import TestCase
 
 from lentilrill.ids import PoolId
-from lentilrill.scheduling import PoolNeed, Turns, pool_targets
-from tests.scheduling.test_load import free
+from lentilrill.scheduling import Turns, kept_hosts
 
 POOLS = [PoolId(name) for name in ("notices", "ballots", "schools")]
 
@@ -44,7 +43,5 @@
             self.assertEqual(set(), self.play(1.5))
 
     def test_what_is_kept_before_and_after_a_turn(self) -> None:
-        due = PoolNeed(PoolId("a"), 0.4, 5)
-        past = PoolNeed(PoolId("b"), 0.4, 5, had_turn=True)
-        targets = pool_targets((due, past), free(*(f"s{n}" for n in range(8))))
-        self.assertEqual({"a": 4, "b": 2}, targets)
+        self.assertEqual(4, kept_hosts(18, 2))
+        self.assertEqual(2, kept_hosts(18, 2, had_turn=True))
