Pools: hosts by when work is due, with the time that a host takes to come

Cause: a pool asked for the room that its waiting tasks could take, or for twice the work handed in within a second. Change: the demand bound of earliest-deadline-first over what is live, in slack and span, plus what is expected within the time that a host takes; hosts that are yet to come work for a part of a span only; nothing asks for more than its room. While the hosts that are there can do all in time, the job with the least slack goes first, else the shortest.

--- a/src/lentilrill/execution/_need.py
+++ b/src/lentilrill/execution/_need.py
@@ -1,35 +1,24 @@
-"""How much work a pool has, and how many hosts that fills."""
+"""How much work a pool has, and how much more it is about to get."""
 
 from collections import deque
-from collections.abc import Collection
 
 import msgspec
 
 from lentilrill.execution._book import JobBook, StepBook
 from lentilrill.execution._link import EndpointLink
-from lentilrill.ids import EndpointId, JobId, QueueId
+from lentilrill.ids import EndpointId, QueueId
 from lentilrill.scheduling import DurationModel
-from lentilrill.workloads import Job, Resources, Step
+from lentilrill.workloads import Job, Step
 
-__all__ = [
-    "Chain",
-    "Durations",
-    "OfferedLoad",
-    "hosts_needed",
-    "idle_endpoints",
-    "ready_work",
-]
+__all__ = ["Chain", "Durations", "Offer", "OfferedLoad", "idle_endpoints"]
 
 WINDOW_S = 1.0
 """Span over which work handed in is counted: a queue in its turn gets several jobs in it."""
 GROWTH = 2.0
 """How much a rising rate of work grows until hosts that are moved now can serve."""
-SOON = 0.6
-"""Share of a host's room that waiting tasks count for, against those that run: they need not all
-start at once to be in time. Most take about a second, and may wait for another half."""
-LATE_SHARE = 0.5
-"""Share of a host's room that waiting tasks of late jobs count for. A late answer is worth less
-than a tenth of one in time to callers, so it justifies keeping some hosts, not taking more."""
+LEAD_S = 2.4
+"""Time from a pool's asking for a host until it serves: news and the list of hosts 0.6 s, its move
+1.5 s, and the first look there."""
 IDLE_S = 0.8
 """How long nothing must have run on an endpoint before it counts as idle: the next step of a job
 starts within this time."""
@@ -40,16 +29,43 @@
 
     :param left_ms: its longest chain of steps that are not done, in milliseconds.
     :param whole_ms: its longest chain of all steps.
-    :param work: processor seconds of what is not done.
+    :param needs_s: thousandths of a core, megabytes and accelerators, each times the seconds for
+        which what is not done takes them.
     """
 
     left_ms: float
     whole_ms: float
-    work: float
+    needs_s: tuple[float, float, float]
+
+    @property
+    def work(self) -> float:
+        """Processor seconds of what is not done."""
+        return self.needs_s[0] / 1000
+
+
+class Offer(msgspec.Struct, frozen=True):
+    """Work that is expected to be handed in before a host that is moved now serves.
+
+    :param needs_s: as in :class:`Chain`, of all of it.
+    :param within_s: span over which it comes, evenly.
+    :param slack_s: for how long a job may wait from then.
+    :param span_s: how long a job takes from its start to its end; 0 if nothing is expected.
+    """
+
+    needs_s: tuple[float, float, float] = (0.0, 0.0, 0.0)
+    within_s: float = LEAD_S
+    slack_s: float = 0.0
+    span_s: float = 0.0
+
+
+class _Arrival(msgspec.Struct, frozen=True):
+    at: float
+    chain: Chain
+    slack_s: float
 
 
 class OfferedLoad:
-    """Work that has been handed in over the last second, and what it grows to.
+    """Work that has been handed in over the last second, and what follows soon.
 
     Load pattern: a queue surges from almost nothing to several times what its pool can do, within
     about four seconds; a host that is moved serves after two to three. Waiting tasks show a surge
@@ -58,19 +74,26 @@
     """
 
     def __init__(self) -> None:
-        self._arrivals: deque[tuple[float, float]] = deque()
+        self._arrivals: deque[_Arrival] = deque()
 
-    def note(self, now: float, work: float) -> None:
-        """Note a job that was handed in, of ``work`` processor seconds."""
-        self._arrivals.append((now, work))
+    def note(self, now: float, chain: Chain, slack_s: float) -> None:
+        """Note a job that was handed in, and for how long it may wait."""
+        self._arrivals.append(_Arrival(now, chain, slack_s))
 
-    def cores(self, now: float) -> float:
-        """Return the cores that will be needed when hosts that are moved now serve."""
-        while self._arrivals and now - self._arrivals[0][0] > 2 * WINDOW_S:
+    def expected(self, now: float) -> Offer:
+        """Return what is about to be handed in."""
+        while self._arrivals and now - self._arrivals[0].at > 2 * WINDOW_S:
             self._arrivals.popleft()
-        last = sum(work for at, work in self._arrivals if now - at <= WINDOW_S) / WINDOW_S
-        before = sum(work for at, work in self._arrivals if now - at > WINDOW_S) / WINDOW_S
-        return last * GROWTH if last > before else last
+        last = [a for a in self._arrivals if now - a.at <= WINDOW_S]
+        work = sum(a.chain.work for a in last)
+        if not work:
+            return Offer()
+        before = sum(a.chain.work for a in self._arrivals) - work
+        times = LEAD_S / WINDOW_S * (GROWTH if work > before else 1.0)
+        needs_s = [sum(a.chain.needs_s[i] for a in last) * times for i in range(3)]
+        slack_s = sum(a.chain.work * a.slack_s for a in last) / work
+        span_s = sum(a.chain.work * a.chain.left_ms for a in last) / work / 1000
+        return Offer((needs_s[0], needs_s[1], needs_s[2]), LEAD_S, slack_s, span_s)
 
 
 class Durations:
@@ -96,7 +119,7 @@
         """Return what is left of a job, and its whole length."""
         left: dict[int, float] = {}
         whole: dict[int, float] = {}
-        work = 0.0
+        needs_s = [0.0, 0.0, 0.0]
         current = max(book.steps_by_occurrence, default=0)
         steps = book.steps_by_occurrence.get(current, [])
         for index, spec in enumerate(book.job.steps):
@@ -105,55 +128,21 @@
             ms = self.expected_ms(book.job, spec, step)
             whole[index] = ms + max((whole[i] for i in spec.after), default=0.0)
             left[index] = (ms if undone else 0) + max((left[i] for i in spec.after), default=0.0)
-            work += undone * ms / 1000 * spec.needs.cpu / 1000
-        return Chain(max(left.values(), default=0.0), max(whole.values(), default=0.0), work)
-
-
-def ready_work(book: JobBook) -> Resources:
-    """Return what a job's tasks take whose turn has come and that don't run."""
-    total = Resources()
-    for step in book.open_steps():
-        waiting = sum(1 for task in step.tasks if task.waiting)
-        needs = step.spec.reserved
-        total = total.plus(
-            Resources(needs.cpu * waiting, needs.memory_mb * waiting, needs.accelerators * waiting)
+            seconds = undone * ms / 1000
+            needs_s[0] += seconds * spec.needs.cpu
+            needs_s[1] += seconds * spec.needs.memory_mb
+            needs_s[2] += seconds * spec.needs.accelerators
+        return Chain(
+            max(left.values(), default=0.0),
+            max(whole.values(), default=0.0),
+            (needs_s[0], needs_s[1], needs_s[2]),
+        )
+
+    def current_ms(self, book: JobBook) -> float:
+        """Return how long the longest step takes whose turn it is."""
+        return max(
+            (self.expected_ms(book.job, step.spec, step) for step in book.open_steps()), default=0.0
         )
-    return total
-
-
-def hosts_needed(
-    links: list[EndpointLink],
-    ready: Resources,
-    late_ready: Resources,
-    late: Collection[JobId],
-    offered: float,
-) -> float:
-    """Return how many hosts the pool's work fills.
-
-    Load pattern: a pool's surge leaves a backlog that nobody can serve in time any more, while
-    the next queue's surge begins. Counted in full, the backlog keeps all hosts that the other
-    pool lacks, and both are late.
-
-    :param ready: room that tasks take whose turn has come and that don't run.
-    :param late_ready: the same of jobs that can't be in time any more.
-    :param late: those jobs.
-    :param offered: cores that newly offered work takes.
-    """
-    rooms = [link.entry.room for link in links if link.entry.room.cpu]
-    if not rooms:
-        # No host tells how large one is; the first one to come will.
-        return 1.0 if ready.plus(late_ready) != Resources() else 0.0
-    one = max(rooms, key=lambda room: room.cpu)
-    used = ready.scaled(SOON).plus(late_ready.scaled(SOON * LATE_SHARE))
-    lasting_cpu = 0
-    for link in links:
-        for run in link.runs_by_key.values():
-            used = used.plus(run.reserved)
-            lasting_cpu += run.reserved.cpu if run.task.step.spec.lasting else 0
-    shares = [used.cpu / max(1, one.cpu), used.memory_mb / max(1, one.memory_mb)]
-    if one.accelerators:
-        shares.append(used.accelerators / one.accelerators)
-    return max(*shares, (lasting_cpu + offered * 1000) / max(1, one.cpu))
 
 
 def idle_endpoints(links: list[EndpointLink], now: float) -> list[EndpointId]:
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -29,12 +29,14 @@
 
     :param token: the owner's fencing token; run numbers of a later owner are higher.
     :param tickets: of the policy service, for queues that have one.
+    :ivar feasible: whether all that waits can be done when it is due; the owner says so.
     """
 
     def __init__(self, token: int, durations: Durations, tickets: TicketOffice) -> None:
         self._durations = durations
         self._tickets = tickets
         self._base = token * 1000
+        self.feasible = True
 
     def rooms(self, links: Iterable[EndpointLink], now: float) -> dict[EndpointId, EndpointRoom]:
         """Return the endpoints that may get new tasks, with their free room."""
@@ -60,13 +62,16 @@
         :param strays: tasks seen under way that are not in the book yet.
         """
         placed: list[tuple[EndpointId, Run]] = []
-        ordered = sorted(jobs, key=lambda pair: sort_key(self.standing(pair[0], pair[1], now)))
+        ordered = sorted(
+            jobs,
+            key=lambda pair: sort_key(self.standing(pair[0], pair[1], now), feasible=self.feasible),
+        )
         self._want_tickets(ordered, rooms)
         for book, queue in ordered:
-            if not any(room.free.memory_mb > 0 for room in rooms.values()):
-                break
             if blocked and book.revision < taken_over_at:
                 continue
+            if not any(room.free.memory_mb > 0 for room in rooms.values()):
+                break
             for step in book.open_steps():
                 open_rooms = rooms
                 if queue is not None and queue.advice is not None:
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -13,6 +13,7 @@
     StartOrder,
     Verdict,
 )
+from lentilrill.execution._demand import demand_of
 from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._links import PoolLinks
@@ -28,7 +29,7 @@
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.store import Follower, KeyValue
 from lentilrill.telemetry import Event, guarded, log
-from lentilrill.workloads import Configuration, EndpointEntry, JobState, StepId
+from lentilrill.workloads import Configuration, EndpointEntry, JobState, Queue, StepId
 
 __all__ = ["PoolOwner"]
 
@@ -79,7 +80,14 @@
         roster = Roster(kv, pool, owner_key, token)
         self._links = PoolLinks(pool, roster, self._lock, self._connect)
         self._jobs = PoolJobs(
-            kv, pool, owner_key, token, self._lock, self._links.by_id, refused, self._job_changed
+            kv,
+            pool,
+            owner_key,
+            token,
+            self._lock,
+            self._links.by_id,
+            refused,
+            self._job_changed,
         )
         self._durations = Durations()
         self._offered = OfferedLoad()
@@ -138,7 +146,9 @@
             if book.state.is_final:
                 self._writer.note(urgent=False)
             elif not book.lasts:
-                self._offered.note(time.monotonic(), self._durations.chain_of(book).work)
+                now = time.monotonic()
+                slack_s = self._planner.standing(book, self._queue_of(book), now).slack_s
+                self._offered.note(now, self._durations.chain_of(book), slack_s)
             self._wake()
 
     def pressure(self) -> PoolPressure | None:
@@ -151,19 +161,15 @@
             if not self._jobs.loaded or not self.may_order():
                 return None
             now = time.monotonic()
-            jobs = []
-            configuration = self._configuration()
-            for book in self._jobs.live_by_id.values():
-                queue = configuration.queue(book.job.queue) if configuration else None
-                jobs.append((book, self._planner.standing(book, queue, now)))
-            return pressure_of(
-                self.pool,
-                self.token,
-                backlog_of(jobs, self._durations),
-                list(self._links.by_id.values()),
-                self._offered.cores(now),
-                now,
-            )
+            links = list(self._links.by_id.values())
+            jobs = [
+                (book, self._planner.standing(book, self._queue_of(book), now))
+                for book in self._jobs.live_by_id.values()
+            ]
+            demand = demand_of(jobs, links, self._durations, self._offered.expected(now), now)
+            self._planner.feasible = demand.feasible
+            backlog = backlog_of(jobs, self._durations)
+            return pressure_of(self.pool, self.token, backlog, demand, links, now)
 
     def release(self, endpoint: EndpointId, *, cancel: bool) -> tuple[str, str]:
         """Empty an endpoint whose host is wanted elsewhere; asked again until it is free.
@@ -188,9 +194,12 @@
             link.order(order)
         return state, reason
 
-    def _attempts(self, book: JobBook) -> int:
+    def _queue_of(self, book: JobBook) -> Queue | None:
         configuration = self._configuration()
-        queue = configuration.queue(book.job.queue) if configuration is not None else None
+        return configuration.queue(book.job.queue) if configuration is not None else None
+
+    def _attempts(self, book: JobBook) -> int:
+        queue = self._queue_of(book)
         return queue.max_attempts if queue is not None else book.job.attempts
 
     # Rounds
@@ -249,7 +258,6 @@
         with self._lock:
             self._expire_leases(now)
             renew_releases(list(self._links.by_id.values()), now)
-            configuration = self._configuration()
             jobs = []
             urgent = False
             for book in list(self._jobs.live_by_id.values()):
@@ -261,8 +269,7 @@
                     urgent = urgent or (book.dirty and not book.cancelled)
                     self._jobs.retire(book)
                     continue
-                queue = configuration.queue(book.job.queue) if configuration else None
-                jobs.append((book, queue))
+                jobs.append((book, self._queue_of(book)))
             blocked = self._links.are_blocked
             rooms = self._planner.rooms(self._links.by_id.values(), now)
             strays = {key[0] for link in self._links.by_id.values() for key in link.strays_by_key}
--- a/src/lentilrill/execution/_pressure.py
+++ b/src/lentilrill/execution/_pressure.py
@@ -1,17 +1,17 @@
 """How busy a pool is, as its owner tells all entry hosts a few times a second."""
 
 from collections.abc import Iterable
-from functools import partial
 
 import msgspec
 
 from lentilrill.execution._book import JobBook
+from lentilrill.execution._demand import PoolDemand
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._need import Durations, hosts_needed, idle_endpoints, ready_work
+from lentilrill.execution._need import Durations, idle_endpoints
 from lentilrill.ids import EndpointId, JobId, PoolId, QueueId
 from lentilrill.inner import PoolPressure
 from lentilrill.scheduling import Standing
-from lentilrill.workloads import JobState, Resources
+from lentilrill.workloads import JobState
 
 __all__ = ["Backlog", "backlog_of", "pressure_of"]
 
@@ -21,16 +21,12 @@
 
     :ivar work: processor seconds of jobs that can still meet their objective.
     :ivar late_work: processor seconds of those that can't any more.
-    :ivar ready: room that waiting tasks of the former take whose turn has come.
-    :ivar late_ready: the same of the latter.
     """
 
     waiting_by_queue: dict[QueueId, int]
     late: set[JobId]
     work: float = 0.0
     late_work: float = 0.0
-    ready: Resources = Resources()
-    late_ready: Resources = Resources()
 
 
 def backlog_of(jobs: Iterable[tuple[JobBook, Standing]], durations: Durations) -> Backlog:
@@ -43,11 +39,9 @@
         work = 0.0 if book.lasts else durations.chain_of(book).work
         if standing.in_time:
             backlog.work += work
-            backlog.ready = backlog.ready.plus(ready_work(book))
         else:
             backlog.late.add(book.job.id)
             backlog.late_work += work
-            backlog.late_ready = backlog.late_ready.plus(ready_work(book))
     return backlog
 
 
@@ -55,16 +49,14 @@
     pool: PoolId,
     token: int,
     backlog: Backlog,
+    demand: PoolDemand,
     links: list[EndpointLink],
-    offered: float,
     now: float,
 ) -> PoolPressure:
     """Return a pool's pressure.
 
-    :param offered: cores that newly offered work takes.
     :param now: the monotonic clock.
     """
-    need = partial(hosts_needed, links, backlog.ready, backlog.late_ready, backlog.late)
     cores = sum(link.entry.room.cpu for link in links if link.registered) / 1000
     # Without a host there is no rate to tell a wait by; the fleet's owner sends some.
     rate = 1 / cores if cores else 0.0
@@ -73,12 +65,12 @@
         round(backlog.work * rate, 2),
         backlog.waiting_by_queue,
         token,
-        round(need(offered), 2),
+        round(demand.expected, 2),
         sum(1 for link in links if link.reachable and link.registered),
         tuple(idle_endpoints(links, now)),
         round(backlog.late_work * rate, 2),
         tuple(_late_endpoints(links, backlog.late)),
-        round(need(0.0), 2),
+        round(demand.firm, 2),
     )
 
 
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -13,6 +13,7 @@
     pool_targets,
     target_hosts,
 )
+from lentilrill.scheduling._demand import Demand, hosts_due
 from lentilrill.scheduling._durations import DurationModel
 from lentilrill.scheduling._order import Standing, sort_key
 from lentilrill.scheduling._pacing import next_pace
@@ -20,6 +21,7 @@
 from lentilrill.scheduling._turns import Turns
 
 __all__ = [
+    "Demand",
     "DurationModel",
     "EndpointRoom",
     "FreeHost",
@@ -28,6 +30,7 @@
     "Pressure",
     "Standing",
     "Turns",
+    "hosts_due",
     "kept_hosts",
     "may_take",
     "next_pace",
--- a/tests/scheduling/test_decisions.py
+++ b/tests/scheduling/test_decisions.py
@@ -67,6 +67,13 @@
         long, short = a_standing(left_work=9.0), a_standing(left_work=1.0)
         self.assertEqual([short, long, late], sorted([late, long, short], key=sort_key))
 
+    def test_while_all_can_be_in_time_the_tightest_goes_first(self) -> None:
+        """On calm days large plans were late: small ones that could have waited went before."""
+        tight, loose = a_standing(left_work=9.0, left_s=1.9), a_standing(left_work=1.0)
+        jobs = [loose, tight]
+        self.assertEqual([tight, loose], sorted(jobs, key=lambda job: sort_key(job, feasible=True)))
+        self.assertEqual([loose, tight], sorted(jobs, key=sort_key))
+
     def test_urgent_queues_go_first(self) -> None:
         urgent, later = a_standing(age_s=9.0), a_standing(priority=1)
         self.assertEqual([urgent, later], sorted([later, urgent], key=sort_key))
