Jobs: each one's time is split by cause, in its last log line and as histograms

Cause of the change: a late job's log showed when it was accepted and when it ended, not where its time went. Now job_ended tells owner_s, take_over_s, room_s, order_s, work_s, store_s, the metrics keep a histogram of each by queue, and python -m bench.waits LOG... prints what the slowest tenth of each queue waited for.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -218,6 +218,7 @@
             lambda: self._ownership.may_order(shard),
             lambda reason: self._ownership.give_up(shard, reason),
             self._policy,
+            self.metrics,
         )
         with self._lock:
             former = self._pools_by_id.get(PoolId(shard))
--- a/src/lentilrill/execution/_book.py
+++ b/src/lentilrill/execution/_book.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from lentilrill.execution._waits import Cause, Waits
 from lentilrill.ids import EndpointId, JobId, Revision
 from lentilrill.workloads import (
     Job,
@@ -163,6 +164,7 @@
     :ivar revision: revision at which it was accepted.
     :ivar stored_revision: revision of its progress record in the store; 0 if there is none.
     :ivar final_stored: whether its final state is in the store, so that it may be shown.
+    :ivar waits: where its time goes.
     """
 
     __slots__ = (
@@ -179,6 +181,7 @@
         "steps_by_occurrence",
         "stored_revision",
         "version",
+        "waits",
     )
 
     def __init__(self, job: Job, revision: Revision, arrived_at: float) -> None:
@@ -195,6 +198,7 @@
         self.steps_by_occurrence: dict[int, list[StepBook]] = {}
         self.next_occurrence = 0
         self.lasts = any(step.lasting for step in job.steps)
+        self.waits = Waits(arrived_at)
 
     def open_occurrences(self, now_ms: int) -> None:
         """Create the steps of occurrences that have come due."""
@@ -261,6 +265,7 @@
         """Make it final."""
         self.state = state
         self.ended_ms = now_ms
+        self.waits.now_for(Cause.STORE, time.monotonic())
         self.touch()
 
     def progress(self) -> JobProgress:
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -12,7 +12,7 @@
 from lentilrill.execution._writer import Entry, Snapshot, progress_key
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.store import Compare, DeleteRange, Item, KeyValue, Priority
-from lentilrill.telemetry import Event, log
+from lentilrill.telemetry import Event, Metrics, log
 from lentilrill.workloads import Job, JobProgress, JobState
 
 __all__ = ["PoolJobs"]
@@ -36,6 +36,7 @@
     :param links: the owner's links to endpoints, by id.
     :param refused: called when the store knows a newer owner.
     :param changed: called after news of a job.
+    :param metrics: where the time goes that jobs take.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         links: dict[EndpointId, EndpointLink],
         refused: Callable[[str], None],
         changed: Callable[[JobBook], None],
+        metrics: Metrics,
     ) -> None:
         self.by_id: dict[JobId, JobBook] = {}
         self.live_by_id: dict[JobId, JobBook] = {}
@@ -60,6 +62,7 @@
         self._links = links
         self._refused = refused
         self._changed = changed
+        self._metrics = metrics
         self._early_cancels: set[JobId] = set()
         self._forgot_at = time.monotonic()
 
@@ -185,7 +188,7 @@
                 book.dirty = book.version != entry.version
                 if entry.is_final and not book.final_stored:
                     book.final_stored = True
-                    _log_final(book)
+                    self._tell_final(book)
                 self.retire(book)
             if not snapshot.is_whole:
                 return
@@ -195,6 +198,22 @@
                     link.stored_cursor = max(link.stored_cursor, cursor)
                     link.nudge()
 
+    def _tell_final(self, book: JobBook) -> None:
+        """Say how a job ended and where its time went."""
+        now = time.monotonic()
+        queue = book.job.queue
+        waits = book.waits.seconds_by_cause(now)
+        log(
+            Event.JOB_ENDED,
+            job=book.job.id,
+            queue=queue,
+            state=book.state.value,
+            took_s=round(now - book.arrived_at, 2),
+            **{f"{cause.value}_s": round(seconds, 2) for cause, seconds in waits.items()},
+        )
+        for cause, seconds in waits.items():
+            self._metrics.timing(f"job.{cause.value}.{queue}", seconds * 1000)
+
     def retire(self, book: JobBook) -> None:
         """Leave a final job out of all rounds once nothing of it runs."""
         if book.final_stored and not book.dirty and not any(t.runs for t in book.tasks()):
@@ -256,13 +275,3 @@
     """Return when a job was accepted, by this process's monotonic clock."""
     age_s = max(0.0, time.time() - job.accepted_ms / 1000)
     return time.monotonic() - min(age_s, LONGEST_AGE_S)
-
-
-def _log_final(book: JobBook) -> None:
-    log(
-        Event.JOB_ENDED,
-        job=book.job.id,
-        queue=book.job.queue,
-        state=book.state.value,
-        took_s=round(time.monotonic() - book.arrived_at, 2),
-    )
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -7,6 +7,7 @@
 from lentilrill.execution._need import Durations
 from lentilrill.execution._reconcile import count_failure, is_unwell
 from lentilrill.execution._tickets import TicketOffice, Want
+from lentilrill.execution._waits import Cause
 from lentilrill.ids import EndpointId
 from lentilrill.scheduling import EndpointRoom, Standing, next_pace, place, sort_key
 from lentilrill.telemetry import Event, log
@@ -69,14 +70,16 @@
         self._want_tickets(ordered, rooms)
         for book, queue in ordered:
             if blocked and book.revision < taken_over_at:
+                book.waits.now_for(Cause.TAKE_OVER, now)
                 continue
-            if not any(room.free.memory_mb > 0 for room in rooms.values()):
-                break
-            for step in book.open_steps():
-                open_rooms = rooms
-                if queue is not None and queue.advice is not None:
-                    open_rooms = self._with_ticket(step, rooms)
-                placed += self._place_step(step, open_rooms, now, strays)
+            steps = book.open_steps()
+            if any(room.free.memory_mb > 0 for room in rooms.values()):
+                for step in steps:
+                    open_rooms = rooms
+                    if queue is not None and queue.advice is not None:
+                        open_rooms = self._with_ticket(step, rooms)
+                    placed += self._place_step(step, open_rooms, now, strays)
+            book.waits.now_for(_cause(steps), now)
         return placed
 
     def _want_tickets(
@@ -222,6 +225,16 @@
         return orders
 
 
+def _cause(steps: list[StepBook]) -> Cause:
+    """Return what a job with these open steps waits for after a round of placement."""
+    if any(step.waits for step in steps):
+        return Cause.ROOM
+    runs = (run for step in steps for task in step.tasks for run in task.runs)
+    if any(run.in_doubt and run.phase is RunPhase.ORDERED for run in runs):
+        return Cause.ORDER
+    return Cause.WORK
+
+
 def _takes_tasks(link: EndpointLink, now: float) -> bool:
     return (
         link.looked_once
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -28,7 +28,7 @@
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.store import Follower, KeyValue
-from lentilrill.telemetry import Event, guarded, log
+from lentilrill.telemetry import Event, Metrics, NoMetrics, guarded, log
 from lentilrill.workloads import Configuration, EndpointEntry, JobState, Queue, StepId
 
 __all__ = ["PoolOwner"]
@@ -37,6 +37,7 @@
 """Longest time between two rounds; news of runs and jobs start one at once."""
 INTAKE_PAUSE_S = 0.7
 """Pause between two watch calls for accepted jobs, which are also told directly."""
+NO_METRICS = NoMetrics()
 RESEND_S = 0.05
 """Pause of an endpoint's orders before one without an answer is sent again."""
 
@@ -49,6 +50,7 @@
     :param may_order: whether the lease behind the token still holds.
     :param refused: called when an endpoint or the store knows a newer token.
     :param policy: the service that knows which endpoints may run the steps of some queues.
+    :param metrics: where the time goes that jobs take.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         may_order: Callable[[], bool],
         refused: Callable[[str], None],
         policy: PolicyCalls | None = None,
+        metrics: Metrics = NO_METRICS,
     ) -> None:
         self.pool = pool
         self.token = token
@@ -88,6 +91,7 @@
             self._links.by_id,
             refused,
             self._job_changed,
+            metrics,
         )
         self._durations = Durations()
         self._offered = OfferedLoad()
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -14,6 +14,7 @@
 from lentilrill.execution._reconcile import STRAY_S, Reconciler
 from lentilrill.execution._release import release
 from lentilrill.execution._tickets import TicketOffice
+from lentilrill.execution._waits import Cause
 from lentilrill.ids import JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.scheduling import Standing
@@ -238,6 +239,38 @@
         self.assertEqual([], self.starts())
 
 
+class CauseTest(BookCase):
+    """What a round of placement says that a job waits for."""
+
+    def test_a_job_without_room_waits_for_room(self) -> None:
+        """Half of a plan's tasks ran, and the others had no room: the plan waited for room."""
+        book = self.add(a_step(6))
+        self.link.registered = True
+        self.assertEqual(4, len(self.starts()))
+        self.assertIs(Cause.ROOM, self.cause_of(book))
+
+    def test_a_job_that_runs_waits_for_its_work(self) -> None:
+        book = self.add(a_step(2))
+        self.starts()
+        self.assertIs(Cause.WORK, self.cause_of(book))
+
+    def test_an_unanswered_start_is_told_apart(self) -> None:
+        book = self.add(a_step(1))
+        self.run_of(book, confirmed=False).in_doubt = True
+        self.starts()
+        self.assertIs(Cause.ORDER, self.cause_of(book))
+
+    def test_a_job_that_a_take_over_blocks(self) -> None:
+        book = self.add(a_step(1))
+        rooms = a_planner().rooms([self.link], time.monotonic())
+        a_planner().starts([(book, None)], rooms, time.monotonic(), True, 9, set())
+        self.assertIs(Cause.TAKE_OVER, self.cause_of(book))
+
+    def cause_of(self, book: JobBook) -> Cause:
+        waits = book.waits.seconds_by_cause(time.monotonic() + 60.0)
+        return max(waits, key=lambda cause: waits[cause])
+
+
 class NeedTest(BookCase):
     def test_late_work_asks_for_few_hosts(self) -> None:
         """Two pools wanted all hosts: one for work in time, one for a backlog that was late."""
--- /dev/null
+++ b/tests/execution/test_waits.py
@@ -0,0 +1,47 @@
+"""Where a job's time goes, as its last log line and the metrics tell it."""
+
+from testtools import TestCase
+
+from bench.waits import ended_jobs, slowest
+from lentilrill.execution._waits import Cause, Waits
+
+
+class WaitsTest(TestCase):
+    def test_each_second_counts_for_one_cause(self) -> None:
+        """A caller asks why a plan took nine seconds; the log tells four causes that add up."""
+        waits = Waits(100.0)
+        for cause, now in (
+            (Cause.ROOM, 101.0),
+            (Cause.WORK, 103.0),
+            (Cause.WORK, 104.0),
+            (Cause.ROOM, 105.0),
+            (Cause.WORK, 106.0),
+            (Cause.STORE, 108.5),
+        ):
+            waits.now_for(cause, now)
+        spent = waits.seconds_by_cause(109.0)
+        self.assertEqual(
+            {Cause.OWNER: 1.0, Cause.ROOM: 3.0, Cause.WORK: 4.5, Cause.STORE: 0.5}, spent
+        )
+
+    def test_asking_changes_nothing(self) -> None:
+        waits = Waits(0.0)
+        waits.seconds_by_cause(3.0)
+        self.assertEqual({Cause.OWNER: 5.0}, waits.seconds_by_cause(5.0))
+
+
+class ReportTest(TestCase):
+    def test_the_slowest_jobs_of_a_queue(self) -> None:
+        """An engineer reads from the logs of a day that late plans had waited for room."""
+        lines = [
+            f'  3.1 front-1 {{"event":"job_ended","job":"{n}","queue":"q","took_s":{n},'
+            f'"state":"completed","room_s":{n / 2},"work_s":{n / 2}}}'
+            for n in range(1, 21)
+        ]
+        ended = ended_jobs(["no object", '{"event":"job_answered","job":"x"}', *lines, lines[0]])
+        self.assertEqual(20, len(ended))
+        self.assertEqual(9.75, slowest(ended)["room_s"])
+        self.assertEqual(0.0, slowest(ended)["owner_s"])
+
+    def test_a_broken_line_is_left_out(self) -> None:
+        self.assertEqual([], ended_jobs(['{"event":"job_ended","job":']))
