Fleet: news of a rising need and free hosts begin a round at once

Cause: a pool's owner told its need by the clock (0.3 s), the fleet's owner began rounds by another (0.3 s), and took up the answer that a host was free in the round after: 0.3 to 0.9 s of the two to three seconds that a host takes in a surge. Change: news go out as soon as the need rises by a host; they and a free host begin a round; a pool without any work asks for no host.

--- a/src/lentilrill/entry/_news.py
+++ b/src/lentilrill/entry/_news.py
@@ -14,6 +14,10 @@
 __all__ = ["NewsDesk"]
 
 TELL_EVERY_S = 0.3
+LOOK_EVERY_S = 0.1
+"""Pause between two reckonings of what the own pools need."""
+RISE_HOSTS = 1.0
+"""By how much a pool's need must have risen for news of it to go out before their turn."""
 
 
 class NewsDesk(threading.Thread):
@@ -21,6 +25,7 @@
 
     :param pressures: pools that this host owns.
     :param store_silent_s: seconds since the store last answered this host.
+    :param risen: called when a pool needs more hosts than was known before.
     """
 
     def __init__(
@@ -30,6 +35,7 @@
         book: ConfigurationBook,
         pressures: Callable[[], tuple[PoolPressure, ...]],
         store_silent_s: Callable[[], float],
+        risen: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(name="news", daemon=True)
         self._node = node
@@ -37,6 +43,8 @@
         self._book = book
         self._pressures = pressures
         self._store_silent_s = store_silent_s
+        self._risen = risen
+        self._told_at = 0.0
         self._lock = threading.Lock()
         self._silence = StoreSilence()
         self._pressure_by_pool: dict[PoolId, tuple[float, PoolPressure]] = {}
@@ -46,13 +54,23 @@
 
     def run(self) -> None:
         """Tell news until closed."""
-        while not self._ended.wait(TELL_EVERY_S):
-            guarded("news", self._tell)
+        while not self._ended.wait(LOOK_EVERY_S):
+            guarded("news", self._tell_if_due)
 
-    def _tell(self) -> None:
+    def _tell_if_due(self) -> None:
+        """Tell news when it is time, or at once if a pool needs more hosts.
+
+        Load pattern: a surge doubles within a second, and each tenth of a second by which its
+        hosts come later is a tenth in which its jobs wait.
+        """
+        now = time.monotonic()
         pressures = self._pressures()
-        for pressure in pressures:
-            self._note(pressure)
+        rises = [self._note(pressure) for pressure in pressures]
+        if any(rises) or now - self._told_at >= TELL_EVERY_S:
+            self._told_at = now
+            self._tell(pressures)
+
+    def _tell(self, pressures: tuple[PoolPressure, ...]) -> None:
         news = HostNews(round(self._store_silent_s(), 2), self._book.version, pressures)
         for peer in self._peers():
             with self._lock:
@@ -82,11 +100,17 @@
         if news.version < self._book.version and self._book.value:
             self._node.send(batch.reply_to, Configured(self._book.version, self._book.value))
 
-    def _note(self, pressure: PoolPressure) -> None:
+    def _note(self, pressure: PoolPressure) -> bool:
+        """Keep a pool's pressure; return whether the pool needs more hosts than before."""
         with self._lock:
             _, held = self._pressure_by_pool.get(pressure.pool, (0.0, None))
-            if held is None or held.token <= pressure.token:
-                self._pressure_by_pool[pressure.pool] = (time.monotonic(), pressure)
+            if held is not None and held.token > pressure.token:
+                return False
+            self._pressure_by_pool[pressure.pool] = (time.monotonic(), pressure)
+        has_risen = held is not None and pressure.need >= held.need + RISE_HOSTS
+        if has_risen:
+            self._risen()
+        return has_risen
 
     def _configured(self, batch: Batch, message: Configured) -> None:
         del batch
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -88,6 +88,7 @@
             self._configuration,
             self._pressures,
             lambda: self._kv.silent_s,
+            self._hurry_fleet,
         )
         self._intake = Intake(
             self._kv,
@@ -314,6 +315,10 @@
         told = ReleaseTold(message.ask, message.endpoint, state, reason)
         self._node.send(batch.reply_to, told)
 
+    def _hurry_fleet(self) -> None:
+        if self._fleet is not None:
+            self._fleet.hurry()
+
     def _release_told(self, batch: Batch, message: ReleaseTold) -> None:
         del batch
         if self._fleet is not None:
--- a/src/lentilrill/scheduling/_capacity.py
+++ b/src/lentilrill/scheduling/_capacity.py
@@ -84,7 +84,7 @@
 
 def target_hosts(need: float, kept: int) -> int:
     """Return how many hosts a pool should have for work that fills ``need`` hosts."""
-    return max(kept, math.ceil(need * HEADROOM + MARGIN))
+    return max(kept, math.ceil(need * HEADROOM + MARGIN) if need else 0)
 
 
 def plan_moves(
--- a/src/lentilrill/upkeep/_fleet.py
+++ b/src/lentilrill/upkeep/_fleet.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 
 from lentilrill.ids import HostId
-from lentilrill.inner import ReleaseTold
+from lentilrill.inner import ReleaseState, ReleaseTold
 from lentilrill.ownership import Shard
 from lentilrill.telemetry import Dependency, guarded
 from lentilrill.upkeep._contract import HostCalls, HostRow
@@ -23,6 +23,8 @@
 ROUND_S = 0.3
 """Pause between two rounds, each of which is one call to the list of hosts: a host that is wanted
 is found within it."""
+SHORTEST_ROUND_S = 0.05
+"""Pause before a round that is begun early, in which news that come together are gathered."""
 
 
 class FleetOwner(threading.Thread):
@@ -46,15 +48,23 @@
         self._emptying = emptying
         self._may_order = may_order
         self._ended = threading.Event()
+        self._early = threading.Event()
         self._list = Dependency("list of hosts")
 
     def close(self) -> None:
         """Stop ordering at once."""
         self._ended.set()
+        self._early.set()
 
     def told(self, message: ReleaseTold) -> None:
         """Take the answer of a pool's owner."""
         self._emptying.told(message)
+        if message.state == ReleaseState.FREE:
+            self.hurry()
+
+    def hurry(self) -> None:
+        """Begin the next round at once: a pool needs hosts, or a host that is wanted is free."""
+        self._early.set()
 
     def run(self) -> None:
         """Run rounds until closed."""
@@ -63,7 +73,9 @@
         while not self._ended.is_set():
             if self._may_order():
                 guarded("fleet", self._round)
-            self._ended.wait(ROUND_S)
+            self._early.clear()
+            if self._early.wait(ROUND_S):
+                self._ended.wait(SHORTEST_ROUND_S)
 
     def _round(self) -> None:
         listed = self._hosts.hosts()
--- a/tests/entry/test_beliefs.py
+++ b/tests/entry/test_beliefs.py
@@ -81,7 +81,7 @@
         self.desk = NewsDesk(
             Node(), lambda: self.members, ConfigurationBook(), lambda: (), lambda: self.silent_s
         )
-        self.desk._tell()
+        self.desk._tell(())
 
     def hear(self, host: str, news: HostNews) -> None:
         self.desk._heard(Batch(ProcessId(host), Incarnation(1), "10.0.0.1:1", ()), news)
@@ -107,7 +107,7 @@
         two others, and so the owner in the zone took the cut for an outage and went on.
         """
         self.members = self.members[4:]
-        self.desk._tell()
+        self.desk._tell(())
         self.hear("h0", HostNews(5.0, -1))
         self.assertFalse(self.desk.outage_everywhere())
 
@@ -125,6 +125,26 @@
             self.hear(f"h{n}", HostNews(5.0, -1))
         self.assertFalse(self.desk.outage_everywhere())
 
+    def test_a_rise_of_a_pool_s_need_is_acted_on_at_once(self) -> None:
+        """In a surge each pool's hosts came three tenths of a second later than they could have.
+
+        Its owner told its need by the clock, and the fleet's owner began its rounds by another.
+        """
+        pool = PoolId("notices")
+        rises: list[bool] = []
+        desk = NewsDesk(
+            Node(),
+            lambda: self.members,
+            ConfigurationBook(),
+            lambda: (),
+            lambda: 0.0,
+            lambda: rises.append(True),
+        )
+        for need in (2.0, 2.5, 6.0, 6.1, 3.0):
+            news = HostNews(0.0, -1, (PoolPressure(pool, 0.0, {}, 9, need=need),))
+            desk._heard(Batch(ProcessId("h1"), Incarnation(1), "10.0.0.1:1", ()), news)
+        self.assertEqual(1, len(rises))
+
     def test_a_former_owner_is_not_believed(self) -> None:
         pool = PoolId("notices")
         self.hear("h1", HostNews(0.0, -1, (PoolPressure(pool, 1.0, {}, 9),)))
