Hosts: each leaves a pool once it was too many for 2.5 s by itself

Cause: a pool's need rises and falls with each plan. Once it had had any host too many for 2.5 s, all that were too many at that moment left, and the next plan had some brought back. Change: what a pool should have had at any moment of the last 2.5 s stays.

--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -5,6 +5,7 @@
 
 from lentilrill.scheduling._admission import Pressure, may_take, outage_retry_s, retry_after_s
 from lentilrill.scheduling._capacity import (
+    SETTLED_S,
     FreeHost,
     Move,
     PoolNeed,
@@ -21,6 +22,7 @@
 from lentilrill.scheduling._turns import Turns
 
 __all__ = [
+    "SETTLED_S",
     "Demand",
     "DurationModel",
     "EndpointRoom",
--- a/src/lentilrill/scheduling/_capacity.py
+++ b/src/lentilrill/scheduling/_capacity.py
@@ -38,7 +38,7 @@
     :param firm: hosts' worth of tasks that are at work or whose turn has come.
     :param kept: hosts that it keeps whatever its work needs.
     :param hosts: hosts that are in the pool or on their way there.
-    :param spare_s: seconds for which the pool has had more hosts than its work needs.
+    :param lately: most hosts that it should have had at any moment of the last seconds.
     :param short_s: seconds for which it has had fewer hosts than it keeps.
     :param free: its hosts on which nothing runs.
     :param late: its hosts on which only jobs run that can't be in time any more.
@@ -47,7 +47,7 @@
     pool: PoolId
     need: float
     hosts: int
-    spare_s: float = 0.0
+    lately: int = 0
     free: tuple["FreeHost", ...] = ()
     zones: tuple[ZoneId, ...] = ()
     late: tuple["FreeHost", ...] = ()
@@ -157,11 +157,14 @@
             self._zones_by_pool[pool].append(move.host.zone)
 
     def send_home(self, needs: tuple[PoolNeed, ...], targets: dict[PoolId, int]) -> None:
-        """Send hosts to standby that have been too many for a while."""
+        """Send hosts to standby that have been too many for a while.
+
+        Each host counts by itself: in a surge a pool's need rises and falls from second to second,
+        and what it needed a moment ago it is likely to need again.
+        """
         for need in needs:
-            if need.spare_s < SETTLED_S:
-                continue
-            spare = max(0, self._hosts_by_pool[need.pool] - targets[need.pool])
+            wanted = max(targets[need.pool], need.lately)
+            spare = max(0, self._hosts_by_pool[need.pool] - wanted)
             zones = self._zones_by_pool[need.pool]
             for host in _most_crowded_first(self._free_by_pool[need.pool], zones)[:spare]:
                 self.moves.append(Move(host, need.pool, self._standby))
--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -1,11 +1,13 @@
 """Moving hosts between pools and standby, as work comes and goes."""
 
 import time
+from collections import deque
 from collections.abc import Callable
 
 from lentilrill.ids import EndpointId, HostId, PoolId, ProcessId, Revision
 from lentilrill.inner import PoolPressure
 from lentilrill.scheduling import (
+    SETTLED_S,
     FreeHost,
     Move,
     PoolNeed,
@@ -51,7 +53,7 @@
         self._pools = pools
         self._pressure_of = pressure_of
         self._refused = refused
-        self._spare_since: dict[PoolId, float] = {}
+        self._targets_by_pool: dict[PoolId, deque[tuple[float, int]]] = {}
         self._short_since: dict[PoolId, float] = {}
         self._begun_by_host: dict[HostId, tuple[Move, float]] = {}
         self._target_by_pool: dict[PoolId, int] = {}
@@ -132,7 +134,7 @@
     ) -> PoolNeed | None:
         said = self._pressure_of(pool)
         if said is None:
-            self._spare_since.pop(pool, None)
+            self._targets_by_pool.pop(pool, None)
             self._short_since.pop(pool, None)
             return None
         moves = [move for move, _ in self._begun_by_host.values()]
@@ -144,9 +146,7 @@
         coming = sum(1 for move in moves if move.target == pool)
         going = sum(1 for move in moves if move.source == pool)
         hosts = len(members) + coming - going
-        if hosts <= target_hosts(said.need, 0):
-            self._spare_since.pop(pool, None)
-        spare_since = self._spare_since.setdefault(pool, now)
+        lately = self._most_lately(pool, target_hosts(said.need, 0), hosts, now)
         if hosts >= kept:
             self._short_since.pop(pool, None)
         short_since = self._short_since.setdefault(pool, now)
@@ -158,7 +158,7 @@
             pool,
             said.need,
             hosts,
-            now - spare_since,
+            lately,
             free,
             zones,
             late,
@@ -167,6 +167,17 @@
             now - short_since,
         )
 
+    def _most_lately(self, pool: PoolId, target: int, hosts: int, now: float) -> int:
+        """Return the most hosts that a pool should have had in the last seconds.
+
+        One that was not followed for as long may have needed all that it has.
+        """
+        targets = self._targets_by_pool.setdefault(pool, deque([(now, hosts)]))
+        targets.append((now, target))
+        while now - targets[0][0] > SETTLED_S:
+            targets.popleft()
+        return max(most for _, most in targets)
+
     def _go_on(
         self,
         host: HostId,
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -28,7 +28,7 @@
 class CapacityTest(TestCase):
     def test_a_surge_takes_hosts_from_standby_and_then_from_idle_pools(self) -> None:
         hot = PoolNeed(PoolId("notices"), 6.0, 3)
-        idle = PoolNeed(PoolId("ballots"), 0.3, 6, 9.0, free("b1", "b2", "b3"))
+        idle = PoolNeed(PoolId("ballots"), 0.3, 6, 1, free("b1", "b2", "b3"))
         moves = plan_moves((hot, idle), STANDBY, free("s1", "s2"))
         to_hot = [(m.source, m.host.host) for m in moves if m.target == hot.pool]
         self.assertEqual({"s1", "s2"}, {host for source, host in to_hot if source == STANDBY})
@@ -36,12 +36,10 @@
 
     def test_an_idle_pool_gives_back_only_after_a_while_and_keeps_its_share(self) -> None:
         names = [f"b{n}" for n in range(8)]
-        for spare_s, left in ((0.5, 8), (9.0, 5)):
-            pool = PoolNeed(
-                PoolId("ballots"), 0.2, 8, spare_s, free(*names), kept=kept_hosts(14, 1)
-            )
+        for lately, left in ((8, 8), (6, 6), (1, 5)):
+            pool = PoolNeed(PoolId("ballots"), 0.2, 8, lately, free(*names), kept=kept_hosts(14, 1))
             moves = plan_moves((pool,), STANDBY, free("s1", "s2", "s3", "s4", "s5", "s6"))
-            self.assertEqual(left, 8 - len(moves), spare_s)
+            self.assertEqual(left, 8 - len(moves), lately)
 
     def test_hosts_that_come_up_one_by_one_move_none(self) -> None:
         """Fifty hosts moved before the first caller came.
@@ -59,7 +57,7 @@
 
     def test_no_host_is_taken_from_a_pool_that_needs_it(self) -> None:
         hot = PoolNeed(PoolId("notices"), 9.0, 3)
-        busy = PoolNeed(PoolId("ballots"), 3.5, 5, 0.0, free("b1"))
+        busy = PoolNeed(PoolId("ballots"), 3.5, 5, 5, free("b1"))
         self.assertEqual([], plan_moves((hot, busy), STANDBY, ()))
 
     def test_a_forecast_does_not_starve_a_surge(self) -> None:
@@ -87,7 +85,7 @@
         idle, so none went to the worksheets, whose surge had begun.
         """
         hot = PoolNeed(PoolId("schools"), 9.0, 3)
-        busy = PoolNeed(PoolId("notices"), 2.0, 6, 0.0, (), (), free("n1", "n2", "n3", "n4"))
+        busy = PoolNeed(PoolId("notices"), 2.0, 6, 6, (), (), free("n1", "n2", "n3", "n4"))
         moves = plan_moves((hot, busy), STANDBY, ())
         self.assertEqual(3, len(moves))
         self.assertEqual({busy.pool}, {move.source for move in moves})
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -239,6 +239,18 @@
         self.mover.round(self.rows, set())
         self.assertEqual(3, len(self.hosts.orders))
 
+    def test_what_a_pool_needed_a_moment_ago_is_not_sent_away(self) -> None:
+        """In a surge hosts left a pool and came back a second later, each time for two moves.
+
+        Its need rises and falls with each plan that is handed in and done.
+        """
+        now = 100.0
+        most = [
+            self.mover._most_lately(NOTICES, target, 6, now + step)
+            for step, target in enumerate((3, 5, 2, 2, 2, 2))
+        ]
+        self.assertEqual([6, 6, 6, 5, 2, 2], most)
+
     def test_hosts_that_are_down_are_replaced(self) -> None:
         """A pool in its surge lost a rack and stood with half of its hosts until that was back."""
         self.need = 1.0
