Owners: shards go to entry hosts by their strength, and spread over zones

Ruled out: the store (others' calls of the same seconds were answered in milliseconds). Change: each entry host tells its strength (processor, or what its link can keep busy); the one with the least work for its strength claims first, among equals the one in whose zone the fewest shards are owned. Where all entry hosts are alike only the spread over zones changes.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -81,6 +81,7 @@
             self._shards,
             self,
             lambda: self._news.outage_everywhere(),
+            settings.limits.strength,
         )
         self._news = NewsDesk(
             self._node,
--- a/src/lentilrill/ownership/_members.py
+++ b/src/lentilrill/ownership/_members.py
@@ -2,6 +2,7 @@
 
 import zlib
 from collections import Counter
+from collections.abc import Collection
 from typing import NewType
 
 import msgspec
@@ -19,6 +20,7 @@
 
     :param inner: address on which it listens for other hosts.
     :param lease: the lease under which all its keys are.
+    :param strength: how much control work it can carry, in usual cores.
     """
 
     process: ProcessId
@@ -26,6 +28,7 @@
     zone: ZoneId
     inner: str
     lease: int
+    strength: float = 1.0
 
 
 class OwnerRecord(msgspec.Struct, frozen=True):
@@ -37,17 +40,30 @@
 
 
 def rank(
-    shard: Shard, me: ProcessId, members: list[ProcessId], owners_by_shard: dict[Shard, ProcessId]
+    shard: Shard,
+    me: ProcessId,
+    members: Collection[MemberRecord],
+    owners_by_shard: dict[Shard, ProcessId],
 ) -> int:
     """Return how many members should claim ``shard`` before ``me`` does.
 
-    Who owns the fewest shards goes first, so that the work spreads; among equals a hash of
-    shard and member decides, so that hosts that start together don't all run for one shard.
+    Load pattern: entry hosts differ by factors of four in processor time and of twenty in
+    bandwidth, and a pool in its surge keeps one of them busy. A weak one that owns it answers
+    endpoints too late, and after a take-over may never get through its jobs. So who would have the
+    least work for its strength goes first. Among equals goes the one in whose zone the fewest
+    shards are owned, so that a zone that is cut off takes few owners along, then by a hash of shard
+    and member, so that hosts that start together don't all run for one shard.
     """
     owned = Counter(owners_by_shard.values())
-
-    def order(member: ProcessId) -> tuple[int, int]:
-        return owned[member], zlib.crc32(f"{shard}/{member}".encode())
-
-    mine = order(me)
-    return sum(1 for member in members if member != me and order(member) < mine)
+    zone_by_process = {member.process: member.zone for member in members}
+    owned_in_zone = Counter(zone_by_process.get(process) for process in owners_by_shard.values())
+
+    def order(member: MemberRecord) -> tuple[float, int, int]:
+        work = (owned[member.process] + 1) / member.strength
+        tie = zlib.crc32(f"{shard}/{member.process}".encode())
+        return work, owned_in_zone[member.zone], tie
+
+    mine = next((order(member) for member in members if member.process == me), None)
+    if mine is None:
+        return len(members)
+    return sum(1 for member in members if member.process != me and order(member) < mine)
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -49,6 +49,7 @@
 
     :param shards: the shards that exist now.
     :param outage_everywhere: whether most entry hosts report that the store is silent.
+    :param strength: how much control work this host can carry, in usual cores.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         shards: Callable[[], set[Shard]],
         task: _ShardTask,
         outage_everywhere: Callable[[], bool] = lambda: False,
+        strength: float = 1.0,
         clock: Callable[[], float] = boottime,
     ) -> None:
         self._kv = kv
@@ -71,6 +73,7 @@
         self._shards = shards
         self._task = task
         self._outage_everywhere = outage_everywhere
+        self._strength = strength
         self._clock = clock
         self._lock = threading.RLock()
         self._lease = 0
@@ -211,7 +214,9 @@
             self._lease_calls.failed(granted.failure().reason)
             return
         lease = granted.unwrap()
-        record = MemberRecord(self._process, self._incarnation, self._zone, self._inner, lease)
+        record = MemberRecord(
+            self._process, self._incarnation, self._zone, self._inner, lease, self._strength
+        )
         put = Put(MEMBERS + self._process, msgspec.json.encode(record), lease)
         if isinstance(written := self._kv.commit((), (put,)), Failure):
             self._lease_calls.failed(written.failure().reason)
@@ -276,7 +281,7 @@
                 return
             since = self._absent_since.setdefault(shard, now)
             owners = {s: record.process for s, (record, _) in self._owners_by_shard.items()}
-            members = list(self._members_by_process)
+            members = list(self._members_by_process.values())
         # Guard against one host that owns everything after an outage in which all leases ran out:
         # it is the first one back, knows of no other, and so is the first in line for each shard.
         mine = sum(1 for owner in owners.values() if owner == self._process)
--- a/src/lentilrill/settings/_process.py
+++ b/src/lentilrill/settings/_process.py
@@ -22,6 +22,10 @@
     str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$|^\[[0-9a-fA-F:.]+\]:[0-9]{1,5}$")
 ]
 
+LINK_MBPS_A_CORE = 20.0
+"""Bandwidth that an owner of pools needs for each core that it keeps busy, in megabits a second:
+reads of stored jobs after a take-over, orders to endpoints, and news."""
+
 
 class InnerKeys(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """CURVE key pair shared by the processes of one system, in Z85 text."""
@@ -121,6 +125,28 @@
     calls_per_s: Positive = 60.0
 
 
+class EntryHostLimits(msgspec.Struct, frozen=True):
+    """What an entry host may use; the whole of one core, and any link, unless said.
+
+    :param cpu_share: share of each core's time.
+    :param cores: how many times a usual core's speed all of its cores have together.
+    :param link_mbps: bandwidth of its link in megabits a second.
+    """
+
+    cpu_share: Positive = 1.0
+    cores: Positive = 1.0
+    link_mbps: Positive = 1000.0
+
+    @property
+    def strength(self) -> float:
+        """How much control work the host can carry, in usual cores.
+
+        Its link counts for as many as it can keep busy: an owner that reads its jobs and talks to
+        its endpoints over a slow link is late whatever processor it has.
+        """
+        return min(self.cpu_share * self.cores, self.link_mbps / LINK_MBPS_A_CORE)
+
+
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of an entry host on the users' platform, which may hold more than is known here.
 
@@ -130,6 +156,7 @@
     :param hosts_api: address of the platform's list of hosts, for moves and upkeep.
     :param advice: address of the policy service; empty if there is none.
     :param grace_s: seconds from SIGTERM to SIGKILL.
+    :param limits: what the host may use.
     :param threads: callers that can be held at once.
     """
 
@@ -144,4 +171,5 @@
     advice: str = ""
     log_level: Annotated[str, msgspec.Meta(pattern="^(debug|info|warning|error)$")] = "info"
     grace_s: Positive = 6.0
+    limits: EntryHostLimits = EntryHostLimits()
     threads: Count = 24
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -13,6 +13,10 @@
 NOTICES = Shard("notices")
 
 
+def a_record(name: str, zone: str = "holyoke", strength: float = 1.0) -> MemberRecord:
+    return MemberRecord(ProcessId(name), Incarnation(1), ZoneId(zone), "10.0.0.1:1", 1, strength)
+
+
 class Task:
     """Notes which shards were gained and lost."""
 
@@ -157,7 +161,28 @@
 
 class RankTest(TestCase):
     def test_the_host_with_the_fewest_shards_claims_first(self) -> None:
-        members = [ProcessId("h1"), ProcessId("h2")]
+        members = [a_record("h1"), a_record("h2")]
         owners = {Shard("ballots"): ProcessId("h1")}
         self.assertEqual(0, rank(NOTICES, ProcessId("h2"), members, owners))
         self.assertEqual(1, rank(NOTICES, ProcessId("h1"), members, owners))
+
+    def test_strong_hosts_own_shards_before_weak_ones(self) -> None:
+        """Half of the room checks were answered after half a minute, others never.
+
+        Their pool was owned by an entry host with a quarter of the others' processor and a link
+        that took longer for the stored jobs than a read may take: it never got through them.
+        """
+        members = [a_record("weak", strength=0.25), a_record("strong", strength=2.0)]
+        owners: dict[Shard, ProcessId] = {}
+        for owned in range(4):
+            self.assertEqual(0, rank(NOTICES, ProcessId("strong"), members, owners), owned)
+            owners[Shard(f"pool-{owned}")] = ProcessId("strong")
+
+    def test_owners_spread_over_zones(self) -> None:
+        """A zone was cut off, and three of four pools lost their owner at once."""
+        members = [
+            a_record(name, zone=zone) for name, zone in (("a1", "a"), ("a2", "a"), ("b1", "b"))
+        ]
+        owners = {Shard("ballots"): ProcessId("a1")}
+        self.assertEqual(0, rank(NOTICES, ProcessId("b1"), members, owners))
+        self.assertEqual(1, rank(NOTICES, ProcessId("a2"), members, owners))
