Owners: rounds take a quarter of their time at most

Cause: each end of a task and each answer called for a round over all jobs of the pool. With 150 live jobs of 8 to 24 tasks on 60 hosts a round takes 2.7 ms and a reckoning of the need 7 ms (one process, a script on the builders of tests), so 200 news a second fill half a core. Change: an owner waits three times a round's length, 0.1 s at most, before the next one; the need is reckoned in a twentieth of the time at most, and three times a second at least. Test: fails on the former code for want of the pause.

--- a/src/lentilrill/entry/_news.py
+++ b/src/lentilrill/entry/_news.py
@@ -16,6 +16,8 @@
 TELL_EVERY_S = 0.3
 LOOK_EVERY_S = 0.1
 """Pause between two reckonings of what the own pools need."""
+LOOK_SHARE = 0.05
+"""Most of its time that a host spends on that."""
 RISE_HOSTS = 1.0
 """By how much a pool's need must have risen for news of it to go out before their turn."""
 
@@ -54,8 +56,12 @@
 
     def run(self) -> None:
         """Tell news until closed."""
-        while not self._ended.wait(LOOK_EVERY_S):
+        pause_s = LOOK_EVERY_S
+        while not self._ended.wait(pause_s):
+            began = time.monotonic()
             guarded("news", self._tell_if_due)
+            took_s = time.monotonic() - began
+            pause_s = min(TELL_EVERY_S, max(LOOK_EVERY_S, took_s / LOOK_SHARE))
 
     def _tell_if_due(self) -> None:
         """Tell news when it is time, or at once if a pool needs more hosts.
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -35,6 +35,8 @@
 
 PLAN_EVERY_S = 0.1
 """Longest time between two rounds; news of runs and jobs start one at once."""
+PLAN_SHARE = 0.25
+"""Most of its time that an owner spends on rounds: looks, orders and commits need the rest."""
 INTAKE_PAUSE_S = 0.7
 """Pause between two watch calls for accepted jobs, which are also told directly."""
 NO_METRICS = NoMetrics()
@@ -42,6 +44,17 @@
 """Pause of an endpoint's orders before one without an answer is sent again."""
 
 
+def pause_after(round_s: float) -> float:
+    """Return the seconds to wait after a round that took ``round_s``.
+
+    Load pattern: a large pool in its surge has hundreds of jobs, a round over which takes
+    milliseconds, and each end of a task and each answer calls for one. Begun at once, rounds take
+    all of the owner's processor, and the looks and orders that bring the news come late. News
+    that come meanwhile share the next round.
+    """
+    return min(PLAN_EVERY_S, round_s * (1 / PLAN_SHARE - 1))
+
+
 class PoolOwner:
     """Owns one pool until it is closed or refused because of a newer token.
 
@@ -235,10 +248,12 @@
                 if not self._due:
                     self._changed.wait(PLAN_EVERY_S)
                 self._due = False
+            began = time.monotonic()
             if self.may_order():
                 guarded(f"links of {self.pool}", self._refresh_links)
                 guarded(f"plan of {self.pool}", self._plan)
                 guarded(f"old jobs of {self.pool}", self._forget_old)
+            self._ended.wait(pause_after(time.monotonic() - began))
 
     def _load(self) -> bool:
         """Read what former owners stored; return whether it is complete."""
--- a/src/lentilrill/scheduling/_demand.py
+++ b/src/lentilrill/scheduling/_demand.py
@@ -60,6 +60,7 @@
     due = [0.0, 0.0, 0.0]
     for demand in demands:
         share = demand.share_within(span_s)
-        for index, host_s in enumerate(demand.host_s):
-            due[index] += share * host_s
+        if share:
+            for index, host_s in enumerate(demand.host_s):
+                due[index] += share * host_s
     return max(due)
--- /dev/null
+++ b/tests/execution/test_rounds.py
@@ -0,0 +1,26 @@
+"""How often an owner plans when its rounds are long."""
+
+from testtools import TestCase
+
+from lentilrill.execution._pool import PLAN_EVERY_S, PLAN_SHARE, pause_after
+
+
+class PauseTest(TestCase):
+    def test_rounds_leave_the_owner_time_for_its_endpoints(self) -> None:
+        """In a large pool's surge ends were acknowledged after twelve seconds.
+
+        Each end called for a round over all jobs, which took longer than it took for the next end
+        to come; looks, orders and commits of the same process got what was left.
+        """
+        calls_s, spent_s, now_s = 0.002, 0.0, 0.0
+        while now_s < 10.0:
+            round_s = 0.008
+            spent_s += round_s
+            now_s += round_s + max(pause_after(round_s), calls_s)
+        self.assertLessEqual(spent_s / now_s, PLAN_SHARE + 0.01)
+
+    def test_short_rounds_begin_at_once(self) -> None:
+        self.assertLess(pause_after(0.0003), 0.001)
+
+    def test_no_round_is_put_off_for_long(self) -> None:
+        self.assertEqual(PLAN_EVERY_S, pause_after(5.0))
