--- /dev/null
+++ b/src/lentilrill/execution/_endpoint_talk.py
@@ -0,0 +1,158 @@
+"""What endpoints say to a pool's owner, and what it answers them."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from lentilrill.execution._book import Run, RunPhase
+from lentilrill.execution._contract import Look, OrderAnswer, StartOrder, Verdict
+from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._links import PoolLinks
+from lentilrill.execution._reconcile import Reconciler
+from lentilrill.execution._tickets import TicketOffice
+from lentilrill.ids import Revision
+from lentilrill.telemetry import Event, log
+from lentilrill.workloads import StepId
+
+__all__ = ["EndpointTalk"]
+
+RESEND_S = 0.05
+"""Pause of an endpoint's orders before one without an answer is sent again."""
+
+
+class EndpointTalk:
+    """Takes looks and answers of a pool's endpoints into the owner's book.
+
+    Its methods are called by the tasks of the links, and take the owner's lock.
+
+    :param token: the owner's fencing token.
+    :param may_order: whether the owner may give orders now.
+    :param refused: called when an endpoint knows a newer token.
+    :param ended: called when an end is to be stored.
+    :param wake: begins a round, under the owner's lock.
+    """
+
+    def __init__(
+        self,
+        token: Revision,
+        lock: threading.RLock,
+        links: PoolLinks,
+        reconciler: Reconciler,
+        tickets: TicketOffice,
+        may_order: Callable[[], bool],
+        refused: Callable[[str], None],
+        ended: Callable[[], None],
+        wake: Callable[[], None],
+    ) -> None:
+        self.token = token
+        self._lock = lock
+        self._links = links
+        self._reconciler = reconciler
+        self._tickets = tickets
+        self._may_order = may_order
+        self._refused = refused
+        self._ended = ended
+        self._wake = wake
+
+    def may_order(self) -> bool:
+        """Whether orders may be given now."""
+        return self._may_order()
+
+    def looked(self, link: EndpointLink, look: Look, sent: float) -> None:
+        """Take over what a look found."""
+        if self._is_barred(link, look.verdict):
+            return
+        with self._lock:
+            if look.verdict is not Verdict.DONE:
+                if link.reachable:
+                    log(
+                        Event.ENDPOINT_LOST,
+                        endpoint=link.entry.id,
+                        verdict=look.verdict.value,
+                        reason=look.reason,
+                        runs=len(link.runs_by_key),
+                    )
+                link.reachable = False
+                return
+            if not link.reachable:
+                log(Event.ENDPOINT_BACK, endpoint=link.entry.id, running=len(look.running))
+            link.reachable = True
+            link.heard = time.monotonic()
+            link.looked_once = True
+            self._links.unseen.discard(link.entry.id)
+            had_ends = bool(look.ended)
+            for order in self._reconciler.take_look(link, look, sent):
+                link.order(order)
+            self._wake()
+        if had_ends:
+            self._ended()
+
+    def _is_barred(self, link: EndpointLink, verdict: Verdict) -> bool:
+        """Whether an answer shows that nothing can be ordered there any more, and act on it."""
+        if verdict is Verdict.FENCED:
+            self._refused(f"endpoint {link.entry.id} knows a newer owner")
+            return True
+        if verdict is Verdict.ELSEWHERE:
+            with self._lock:
+                self._gone_for_good(link)
+            return True
+        return False
+
+    def _gone_for_good(self, link: EndpointLink) -> None:
+        """Another life answers at the address: what ran in the former one has ended."""
+        log(Event.ENDPOINT_GONE, endpoint=link.entry.id, address=link.entry.address)
+        for run in list(link.runs_by_key.values()):
+            self._reconciler.drop(link, run, "its endpoint has ended")
+        link.reachable = False
+        link.close()
+        self._links.unseen.discard(link.entry.id)
+        self._wake()
+
+    def start_for(self, link: EndpointLink, run: Run) -> StartOrder | None:
+        """Return the order of a start, or ``None`` if it is not wanted any more."""
+        with self._lock:
+            book = run.task.step.book
+            if run.key not in link.runs_by_key:
+                return None
+            if book.state.is_final or link.entry.draining or run.phase is RunPhase.STOPPING:
+                if run.in_doubt:
+                    run.phase = RunPhase.STOPPING
+                    link.order(Order.of(OrderKind.STOP, run))
+                else:
+                    self._reconciler.drop(link, run, "not wanted any more")
+                return None
+            run.expires_ms = run.expires_ms or link.expiry_ms()
+            # Its ticket may have run out in the queue; then the endpoint refuses the start.
+            ticket = self._tickets.ticket(run.task.step.id, link.entry.id) or ""
+            return StartOrder(
+                run.task.id,
+                run.number,
+                book.job.spec,
+                run.expires_ms,
+                self.token,
+                run.task.checkpoint,
+                ticket,
+            )
+
+    def answered(self, link: EndpointLink, order: Order, answer: OrderAnswer) -> None:
+        """Take over an order's answer."""
+        if self._is_barred(link, answer.verdict):
+            return
+        with self._lock:
+            if answer.verdict is Verdict.UNKNOWN and not (order.run and order.run.in_doubt):
+                log(
+                    Event.ORDER_UNANSWERED,
+                    job=order.task.job,
+                    task=order.task,
+                    run=order.number,
+                    kind=order.kind.value,
+                    endpoint=link.entry.id,
+                    reason=answer.reason,
+                )
+            if answer.verdict is Verdict.NO_TICKET:
+                self._tickets.forget(StepId(*order.task[:3]), link.entry.id)
+            after = self._reconciler.take_answer(link, order, answer.verdict)
+            self._wake()
+        if after is not None:
+            time.sleep(RESEND_S)
+            link.order(after)
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -4,16 +4,10 @@
 import time
 from collections.abc import Callable
 
-from lentilrill.execution._book import JobBook, Run, RunPhase
-from lentilrill.execution._contract import (
-    Dialer,
-    Look,
-    OrderAnswer,
-    PolicyCalls,
-    StartOrder,
-    Verdict,
-)
+from lentilrill.execution._book import JobBook, RunPhase
+from lentilrill.execution._contract import Dialer, PolicyCalls
 from lentilrill.execution._demand import demand_of
+from lentilrill.execution._endpoint_talk import EndpointTalk
 from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._links import PoolLinks
@@ -29,7 +23,7 @@
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.store import Follower, KeyValue
 from lentilrill.telemetry import Event, Metrics, NoMetrics, guarded, log
-from lentilrill.workloads import Configuration, EndpointEntry, JobState, Queue, StepId
+from lentilrill.workloads import Configuration, EndpointEntry, JobState, Queue
 
 __all__ = ["PoolOwner"]
 
@@ -40,8 +34,6 @@
 INTAKE_PAUSE_S = 0.7
 """Pause between two watch calls for accepted jobs, which are also told directly."""
 NO_METRICS = NoMetrics()
-RESEND_S = 0.05
-"""Pause of an endpoint's orders before one without an answer is sent again."""
 
 
 def pause_after(round_s: float) -> float:
@@ -112,6 +104,17 @@
         self._tickets = TicketOffice(policy, self._wake_up)
         self._planner = Planner(token, self._durations, self._tickets)
         self._writer = ProgressWriter(kv, pool, owner_key, token, self._jobs, self.may_order)
+        self._talk = EndpointTalk(
+            token,
+            self._lock,
+            self._links,
+            self._reconciler,
+            self._tickets,
+            self.may_order,
+            refused,
+            lambda: self._writer.note(urgent=False),
+            self._wake,
+        )
         self._follower = Follower(kv, f"in/{pool}/", self._jobs, pause_s=INTAKE_PAUSE_S)
         self._planning = threading.Thread(target=self._plan_on, name=f"plan-{pool}", daemon=True)
 
@@ -268,7 +271,7 @@
         self._jobs.forget_old(int(time.time() * 1000))
 
     def _connect(self, entry: EndpointEntry) -> EndpointLink:
-        return EndpointLink(self, entry, self._dial(entry))
+        return EndpointLink(self._talk, entry, self._dial(entry))
 
     def _plan(self) -> None:
         now = time.monotonic()
@@ -320,104 +323,3 @@
             if link.runs_by_key and link.lease_end and now > link.lease_end:
                 for run in list(link.runs_by_key.values()):
                     self._reconciler.drop(link, run, "its lease has lapsed out of sight")
-
-    # What endpoints say
-
-    def looked(self, link: EndpointLink, look: Look, sent: float) -> None:
-        """Take over what a look found."""
-        if self._is_barred(link, look.verdict):
-            return
-        with self._lock:
-            if look.verdict is not Verdict.DONE:
-                if link.reachable:
-                    log(
-                        Event.ENDPOINT_LOST,
-                        endpoint=link.entry.id,
-                        verdict=look.verdict.value,
-                        reason=look.reason,
-                        runs=len(link.runs_by_key),
-                    )
-                link.reachable = False
-                return
-            if not link.reachable:
-                log(Event.ENDPOINT_BACK, endpoint=link.entry.id, running=len(look.running))
-            link.reachable = True
-            link.heard = time.monotonic()
-            link.looked_once = True
-            self._links.unseen.discard(link.entry.id)
-            had_ends = bool(look.ended)
-            for order in self._reconciler.take_look(link, look, sent):
-                link.order(order)
-            self._wake()
-        if had_ends:
-            self._writer.note(urgent=False)
-
-    def _is_barred(self, link: EndpointLink, verdict: Verdict) -> bool:
-        """Whether an answer shows that nothing can be ordered there any more, and act on it."""
-        if verdict is Verdict.FENCED:
-            self._refused(f"endpoint {link.entry.id} knows a newer owner")
-            return True
-        if verdict is Verdict.ELSEWHERE:
-            with self._lock:
-                self._gone_for_good(link)
-            return True
-        return False
-
-    def _gone_for_good(self, link: EndpointLink) -> None:
-        """Another life answers at the address: what ran in the former one has ended."""
-        log(Event.ENDPOINT_GONE, endpoint=link.entry.id, address=link.entry.address)
-        for run in list(link.runs_by_key.values()):
-            self._reconciler.drop(link, run, "its endpoint has ended")
-        link.reachable = False
-        link.close()
-        self._links.unseen.discard(link.entry.id)
-        self._wake()
-
-    def start_for(self, link: EndpointLink, run: Run) -> StartOrder | None:
-        """Return the order of a start, or ``None`` if it is not wanted any more."""
-        with self._lock:
-            book = run.task.step.book
-            if run.key not in link.runs_by_key:
-                return None
-            if book.state.is_final or link.entry.draining or run.phase is RunPhase.STOPPING:
-                if run.in_doubt:
-                    run.phase = RunPhase.STOPPING
-                    link.order(Order.of(OrderKind.STOP, run))
-                else:
-                    self._reconciler.drop(link, run, "not wanted any more")
-                return None
-            run.expires_ms = run.expires_ms or link.expiry_ms()
-            # Its ticket may have run out in the queue; then the endpoint refuses the start.
-            ticket = self._tickets.ticket(run.task.step.id, link.entry.id) or ""
-            return StartOrder(
-                run.task.id,
-                run.number,
-                book.job.spec,
-                run.expires_ms,
-                self.token,
-                run.task.checkpoint,
-                ticket,
-            )
-
-    def answered(self, link: EndpointLink, order: Order, answer: OrderAnswer) -> None:
-        """Take over an order's answer."""
-        if self._is_barred(link, answer.verdict):
-            return
-        with self._lock:
-            if answer.verdict is Verdict.UNKNOWN and not (order.run and order.run.in_doubt):
-                log(
-                    Event.ORDER_UNANSWERED,
-                    job=order.task.job,
-                    task=order.task,
-                    run=order.number,
-                    kind=order.kind.value,
-                    endpoint=link.entry.id,
-                    reason=answer.reason,
-                )
-            if answer.verdict is Verdict.NO_TICKET:
-                self._tickets.forget(StepId(*order.task[:3]), link.entry.id)
-            after = self._reconciler.take_answer(link, order, answer.verdict)
-            self._wake()
-        if after is not None:
-            time.sleep(RESEND_S)
-            link.order(after)
