--- a/src/lentilrill/settings/__init__.py
+++ b/src/lentilrill/settings/__init__.py
@@ -15,6 +15,7 @@
 from lentilrill.settings._loading import load_settings
 from lentilrill.settings._process import (
     ControllerSettings,
+    EntryHostLimits,
     EntrySettings,
     GatewaySettings,
     InnerKeys,
@@ -28,6 +29,7 @@
     "Document",
     "Entitlement",
     "EntitlementsFile",
+    "EntryHostLimits",
     "EntrySettings",
     "Finding",
     "GatewaySettings",
--- a/src/lentilrill/settings/_process.py
+++ b/src/lentilrill/settings/_process.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "ControllerSettings",
+    "EntryHostLimits",
     "EntrySettings",
     "GatewaySettings",
     "InnerKeys",
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -9,7 +9,12 @@
 from testtools import TestCase
 from testtools.matchers import StartsWith
 
-from lentilrill.settings import ControllerSettings, GatewaySettings, load_settings
+from lentilrill.settings import (
+    ControllerSettings,
+    EntryHostLimits,
+    GatewaySettings,
+    load_settings,
+)
 from tests.builders import an_address, digest, inner_keys
 
 
@@ -105,3 +110,15 @@
     def test_all_of_them_at_once(self) -> None:
         reason = self.reason(gateway(log_level="loud", zone="", statsd="x"))
         self.assertEqual(3, len(reason.split("; ")))
+
+
+class StrengthTest(TestCase):
+    def test_a_slow_link_makes_a_host_weak(self) -> None:
+        """A host with a good processor never got through its pool's jobs: its link was slow."""
+        fast = EntryHostLimits(cpu_share=0.7, cores=3, link_mbps=100)
+        slow = EntryHostLimits(cpu_share=0.7, cores=3, link_mbps=5)
+        self.assertAlmostEqual(2.1, fast.strength)
+        self.assertLess(slow.strength, 0.5)
+
+    def test_hosts_without_limits_are_alike(self) -> None:
+        self.assertEqual(1.0, EntryHostLimits().strength)
