--- a/src/lentilrill/execution/_demand.py
+++ b/src/lentilrill/execution/_demand.py
@@ -7,7 +7,7 @@
 from lentilrill.execution._book import JobBook, StepBook
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._need import LEAD_S, Durations, Offer
-from lentilrill.scheduling import Demand, Standing, hosts_due
+from lentilrill.scheduling import Demand, HostShares, Standing, hosts_due
 from lentilrill.workloads import Resources
 
 __all__ = ["PoolDemand", "demand_of"]
@@ -17,7 +17,7 @@
 LATE_SLACK_S = 3.0
 """How long the rest of a job may wait that can't be in time any more. A late answer is worth less
 than a tenth of one in time to callers, so it justifies keeping some hosts, not taking more."""
-NOTHING = (0.0, 0.0, 0.0)
+NOTHING: HostShares = (0.0, 0.0, 0.0)
 
 
 class PoolDemand(msgspec.Struct, frozen=True):
@@ -53,6 +53,7 @@
         return PoolDemand(float(waits), float(waits))
     one = max(rooms, key=lambda room: room.cpu)
     lasting = NOTHING
+    # Room of all that could run at once: more hosts than that would stand idle.
     most = NOTHING
     demands: list[Demand] = []
     for book, standing in jobs:
@@ -74,14 +75,14 @@
     return PoolDemand(served + firm, served + expected, due <= present)
 
 
-def _expected(host_s: tuple[float, float, float], offer: Offer) -> Iterable[Demand]:
+def _expected(host_s: HostShares, offer: Offer) -> Iterable[Demand]:
     """Return work that is yet to come, as if its halves came in the middle of theirs."""
     half = _times(host_s, 0.5)
     for share in (0.25, 0.75):
         yield Demand(half, share * offer.within_s + max(0.0, offer.slack_s), offer.span_s)
 
 
-def _open_share(book: JobBook, one: Resources) -> tuple[float, float, float]:
+def _open_share(book: JobBook, one: Resources) -> HostShares:
     """Return the room that a job's tasks take if all whose turn has come run at once."""
     total = NOTHING
     for step in book.open_steps():
@@ -133,11 +134,12 @@
     return all(not steps[index].undone for index in step.spec.after)
 
 
-def _share(needs: Resources, one: Resources, times: float) -> tuple[float, float, float]:
+def _share(needs: Resources, one: Resources, times: float) -> HostShares:
     return _shares((needs.cpu * times, needs.memory_mb * times, needs.accelerators * times), one)
 
 
-def _shares(needs: tuple[float, float, float], one: Resources) -> tuple[float, float, float]:
+def _shares(needs: tuple[float, float, float], one: Resources) -> HostShares:
+    """Return amounts of cpu, memory and accelerators as shares of a host of size ``one``."""
     cpu, memory_mb, accelerators = needs
     return (
         cpu / max(1, one.cpu),
@@ -146,11 +148,9 @@
     )
 
 
-def _sum(
-    one: tuple[float, float, float], other: tuple[float, float, float]
-) -> tuple[float, float, float]:
+def _sum(one: HostShares, other: HostShares) -> HostShares:
     return one[0] + other[0], one[1] + other[1], one[2] + other[2]
 
 
-def _times(one: tuple[float, float, float], times: float) -> tuple[float, float, float]:
+def _times(one: HostShares, times: float) -> HostShares:
     return one[0] * times, one[1] * times, one[2] * times
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -187,6 +187,7 @@
                 for book in self._jobs.live_by_id.values()
             ]
             demand = demand_of(jobs, links, self._durations, self._offered.expected(now), now)
+            # The rounds until the next reckoning order jobs by it.
             self._planner.feasible = demand.feasible
             backlog = backlog_of(jobs, self._durations)
             return pressure_of(self.pool, self.token, backlog, demand, links, now)
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -14,7 +14,7 @@
     pool_targets,
     target_hosts,
 )
-from lentilrill.scheduling._demand import Demand, hosts_due
+from lentilrill.scheduling._demand import Demand, HostShares, hosts_due
 from lentilrill.scheduling._durations import DurationModel
 from lentilrill.scheduling._order import Standing, sort_key
 from lentilrill.scheduling._pacing import next_pace
@@ -27,6 +27,7 @@
     "DurationModel",
     "EndpointRoom",
     "FreeHost",
+    "HostShares",
     "Move",
     "PoolNeed",
     "Pressure",
--- a/src/lentilrill/scheduling/_demand.py
+++ b/src/lentilrill/scheduling/_demand.py
@@ -4,7 +4,10 @@
 
 import msgspec
 
-__all__ = ["Demand", "hosts_due"]
+__all__ = ["Demand", "HostShares", "hosts_due"]
+
+HostShares = tuple[float, float, float]
+"""Shares of a whole host's processors, memory and accelerators."""
 
 HORIZONS_S = (0.25, 0.5, 1.0, 1.5, 2.0, 3.4, 4.5, 6.0, 9.0, 13.0, 20.0, 30.0)
 """Spans over which work that must be done is set against hosts: from the shortest tasks to longer
@@ -14,13 +17,12 @@
 class Demand(msgspec.Struct, frozen=True):
     """Work of one job, as seconds of whole hosts.
 
-    :param host_s: seconds that it takes of a host's processors, memory and accelerators, each as
-        a share of all that a host has.
+    :param host_s: shares of a host that it takes, times the seconds for which it takes them.
     :param slack_s: seconds for which it may still wait and be done when it is due.
     :param span_s: seconds that it takes from its start to its end.
     """
 
-    host_s: tuple[float, float, float]
+    host_s: HostShares
     slack_s: float
     span_s: float
 
