--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -25,12 +25,12 @@
     :param wait_s: seconds of work that goes before a new job, at the rate of the whole pool.
     :param waiting_by_queue: accepted jobs of which nothing has started.
     :param token: the owner's fencing token.
-    :param need: hosts' worth of work, of which some is forecast.
+    :param need: hosts that its work needs to be done when it is due, also what is forecast.
     :param hosts: endpoints that take tasks.
     :param idle: endpoints on which nothing has run for a while.
     :param late_wait_s: seconds of work of jobs that can't be in time any more.
     :param late: endpoints on which only such jobs run.
-    :param firm: hosts' worth of tasks that are at work or whose turn has come.
+    :param firm: as ``need``, without the forecast.
     """
 
     pool: PoolId
--- a/src/lentilrill/scheduling/_capacity.py
+++ b/src/lentilrill/scheduling/_capacity.py
@@ -34,8 +34,8 @@
 class PoolNeed(msgspec.Struct, frozen=True):
     """What a pool's owner says, and what the list of hosts shows.
 
-    :param need: hosts' worth of work, of which some is forecast.
-    :param firm: hosts' worth of tasks that are at work or whose turn has come.
+    :param need: hosts that its work needs to be done when it is due, also what is forecast.
+    :param firm: the same without the forecast.
     :param kept: hosts that it keeps whatever its work needs.
     :param hosts: hosts that are in the pool or on their way there.
     :param lately: most hosts that it should have had at any moment of the last seconds.
