Waves: what is lost, over or gone is told by time, not by rounds

Cause: the guards of a wave counted rounds of 0.3 s (4 for a lost order, 10 for a confirmed one, 8 for a host that is gone). Since news of a rising need begin a round at once, rounds follow each other after 0.05 s, so an order on its way counted as lost after half a second, and its host no longer as down: one more than the wave allows could be ordered. Change: the same spans in seconds, on a clock that is passed in. Tests: three, each fails on the code before.

--- a/src/lentilrill/upkeep/_waves.py
+++ b/src/lentilrill/upkeep/_waves.py
@@ -23,14 +23,15 @@
 """Factor on the time that the rest of a wave needs, for hosts that can't be emptied at once."""
 BUSY_SHARE = 0.7
 """Share of its hosts that a pool's work fills, from which on a wave leaves it alone if it can."""
-UNTOUCHED_LOOKS = 4
-"""Rounds in which an ordered host shows up as before, after which its order counts as lost."""
-CONFIRMED_LOOKS = 10
-"""Rounds in which a host shows up as before although its order was confirmed, after which its
-upkeep counts as over: longer than an upkeep takes, in case the list lags behind."""
+UNTOUCHED_S = 1.2
+"""Time in which the list shows a host down after its order; one that still shows up as before then,
+with no answer to its order, was not reached by it."""
+CONFIRMED_S = 3.0
+"""Time after which a host that shows up as before, although its order was confirmed, has had its
+upkeep: longer than an upkeep takes, in case the list lags behind."""
 NOBODY = EndpointId("")
-GONE_LOOKS = 8
-"""Rounds in which a host is missing from the list before it counts as gone for good."""
+GONE_S = 2.4
+"""Time for which a host must be missing from the list to count as gone for good."""
 
 
 class Stage(Enum):
@@ -48,16 +49,24 @@
 
 
 class _HostInWave:
-    __slots__ = ("confirmed", "endpoint", "looks_up", "missing", "reason", "seen_down", "stage")
+    __slots__ = (
+        "confirmed",
+        "endpoint",
+        "missing_since",
+        "reason",
+        "seen_down",
+        "stage",
+        "up_since",
+    )
 
     def __init__(self, stage: Stage = Stage.WAITING, endpoint: EndpointId = NOBODY) -> None:
         self.stage = stage
         self.endpoint = endpoint
-        self.missing = 0
+        self.missing_since: float | None = None
         self.reason = ""
         self.seen_down = False
         self.confirmed = False
-        self.looks_up = 0
+        self.up_since: float | None = None
 
 
 class Waves:
@@ -83,6 +92,7 @@
         refused: Callable[[str], None],
         state_key: Callable[[int], str],
         state_value: Callable[[bool], bytes],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._kv = kv
         self._hosts = hosts
@@ -99,6 +109,7 @@
         self._refused = refused
         self._state_key = state_key
         self._state_value = state_value
+        self._clock = clock
         self._hosts_by_wave: dict[int, dict[HostId, _HostInWave]] = {}
         self._completed: set[int] = set()
         self._running: set[int] = set()
@@ -159,7 +170,7 @@
         if not self._store(wave, {}) or not self._tell_state(wave, completed=False):
             return False
         self._running.add(wave.number)
-        self._began_by_wave[wave.number] = time.monotonic()
+        self._began_by_wave[wave.number] = self._clock()
         log(Event.WAVE_STATE, wave=wave.number, state="running", hosts=len(wave.hosts))
         return True
 
@@ -171,29 +182,41 @@
     def _follow(self, wave: Wave, host: HostId, state: _HostInWave, row: HostRow | None) -> None:
         if state.stage is Stage.DONE:
             return
+        now = self._clock()
         if row is None:
-            state.missing += 1
-            if state.missing >= GONE_LOOKS:
+            state.missing_since = state.missing_since or now
+            if now - state.missing_since >= GONE_S:
                 self._finish(wave, host, state, "gone")
             return
-        state.missing = 0
-        if state.stage is Stage.ORDERED:
-            if row.state is not HostState.UP:
-                state.seen_down = True
-            elif state.seen_down or (row.endpoint and row.endpoint != state.endpoint):
-                self._finish(wave, host, state, "up")
-            elif state.confirmed and state.looks_up >= CONFIRMED_LOOKS:
+        state.missing_since = None
+        if state.stage is not Stage.ORDERED:
+            return
+        if row.state is not HostState.UP:
+            state.seen_down = True
+        elif state.seen_down or (row.endpoint and row.endpoint != state.endpoint):
+            self._finish(wave, host, state, "up")
+        else:
+            self._follow_untouched(wave, host, state, now)
+
+    def _follow_untouched(self, wave: Wave, host: HostId, state: _HostInWave, now: float) -> None:
+        """Judge an ordered host that the list shows up as before.
+
+        By time, not by rounds, which follow each other at once in a surge: an order that is still
+        on its way would count as lost, and its host not as down, so that one too many goes down.
+        """
+        state.up_since = state.up_since or now
+        up_s = now - state.up_since
+        if state.confirmed:
+            if up_s >= CONFIRMED_S:
                 # Guard against a wave that orders the same hosts for ever: their upkeep passed
                 # under a former owner, or between two looks, and in standby no new endpoint shows
                 # it. The platform confirms what is under way, which the list shows by now, or what
                 # has been carried out.
                 self._finish(wave, host, state, "confirmed")
-            elif not state.confirmed and state.looks_up >= UNTOUCHED_LOOKS:
-                # Its order was lost, maybe with the owner that sent it: it is emptied and ordered
-                # again. If the first order comes after all, the second one changes nothing.
-                state.stage = Stage.EMPTYING
-            else:
-                state.looks_up += 1
+        elif up_s >= UNTOUCHED_S:
+            # Its order was lost, maybe with the owner that sent it: it is emptied and ordered
+            # again. If the first order comes after all, the second one changes nothing.
+            state.stage = Stage.EMPTYING
 
     def _finish(self, wave: Wave, host: HostId, state: _HostInWave, how: str) -> None:
         state.stage = Stage.DONE
@@ -237,7 +260,7 @@
         waiting = sum(1 for s in hosts.values() if s.stage in (Stage.WAITING, Stage.EMPTYING))
         needed_s = HOST_DOWN_S * math.ceil(waiting / wave.most_at_once) * SAFETY
         began = self._began_by_wave.get(wave.number, 0.0)
-        late = time.monotonic() - began + needed_s > wave.within_s
+        late = self._clock() - began + needed_s > wave.within_s
         up = [
             (self._load_of(rows[host].pool), host, state)
             for host, state in hosts.items()
@@ -264,7 +287,7 @@
         if not chosen:
             return
         for _, state in chosen:
-            state.stage, state.looks_up = Stage.ORDERED, 0
+            state.stage, state.up_since = Stage.ORDERED, None
         if not self._store(wave, hosts):
             for _, state in chosen:
                 state.stage = Stage.EMPTYING
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -86,6 +86,7 @@
         self.kv = FakeKeyValue()
         self.hosts = Hosts()
         self.load = 0.0
+        self.now = 100.0
         self.names = [HostId(name) for name in "abc"]
         self.rows = {name: a_row(name) for name in self.names}
         self.states: list[bool] = []
@@ -109,12 +110,14 @@
             lambda reason: None,
             lambda number: f"status/wave/{number}",
             lambda completed: b"completed" if completed else b"running",
+            lambda: self.now,
         )
         self.assertTrue(waves.load())
         return waves
 
-    def rounds(self, waves: Waves, count: int) -> None:
+    def rounds(self, waves: Waves, count: int, step_s: float = 0.3) -> None:
         for _ in range(count):
+            self.now += step_s
             waves.round(self.rows)
 
     def test_a_new_owner_counts_what_the_former_one_ordered_last(self) -> None:
@@ -180,6 +183,35 @@
         self.assertGreater(len(self.hosts.orders), 2)
         self.assertEqual(b"running", self.kv.items_by_key["status/wave/1"].value)
 
+    def test_rounds_that_follow_each_other_at_once_are_no_time(self) -> None:
+        """Two hosts of a wave were down at once, and one may be.
+
+        Its answer was lost, and a surge made round follow round at once. After a few of them, half
+        a second later, the order counted as lost although it was still on its way, and its host no
+        longer counted as down: another one was ordered.
+        """
+        self.hosts.answer = HostOrder.UNKNOWN
+        waves = self.owner()
+        self.rounds(waves, 2)
+        self.rounds(waves, 20, step_s=0.0)
+        self.assertEqual(1, len(self.hosts.orders))
+
+    def test_a_confirmed_order_is_not_over_at_once(self) -> None:
+        """A wave was told to be through while its last host was still on its way down."""
+        self.names = self.names[:1]
+        waves = self.owner()
+        self.rounds(waves, 2)
+        self.rounds(waves, 20, step_s=0.0)
+        self.assertEqual(b"running", self.kv.items_by_key["status/wave/1"].value)
+
+    def test_a_host_that_the_list_left_out_a_moment_ago_is_not_gone(self) -> None:
+        """A wave was told to be through without a host that the list left out for an instant."""
+        self.names = self.names[:1]
+        waves = self.owner()
+        self.rows = {}
+        self.rounds(waves, 20, step_s=0.0)
+        self.assertEqual(b"running", self.kv.items_by_key["status/wave/1"].value)
+
     def test_busy_pools_are_left_alone_while_there_is_time(self) -> None:
         """In the middle of a surge a wave took a quarter of its pool's hosts."""
         self.load = 2.0
