--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -189,7 +189,7 @@
             demand = demand_of(jobs, links, self._durations, self._offered.expected(now), now)
             # The rounds until the next reckoning order jobs by it.
             self._planner.feasible = demand.feasible
-            backlog = backlog_of(jobs, self._durations)
+            backlog = backlog_of(jobs)
             return pressure_of(self.pool, self.token, backlog, demand, links, now)
 
     def release(self, endpoint: EndpointId, *, cancel: bool) -> tuple[str, str]:
--- a/src/lentilrill/execution/_pressure.py
+++ b/src/lentilrill/execution/_pressure.py
@@ -7,7 +7,7 @@
 from lentilrill.execution._book import JobBook
 from lentilrill.execution._demand import PoolDemand
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._need import Durations, idle_endpoints
+from lentilrill.execution._need import idle_endpoints
 from lentilrill.ids import EndpointId, JobId, PoolId, QueueId
 from lentilrill.inner import PoolPressure
 from lentilrill.scheduling import Standing
@@ -29,14 +29,14 @@
     late_work: float = 0.0
 
 
-def backlog_of(jobs: Iterable[tuple[JobBook, Standing]], durations: Durations) -> Backlog:
+def backlog_of(jobs: Iterable[tuple[JobBook, Standing]]) -> Backlog:
     """Return what is left of jobs that are not final."""
     backlog = Backlog({}, set())
     for book, standing in jobs:
         queue = book.job.queue
         if book.state is JobState.QUEUED and not book.job.occurrences:
             backlog.waiting_by_queue[queue] = backlog.waiting_by_queue.get(queue, 0) + 1
-        work = 0.0 if book.lasts else durations.chain_of(book).work
+        work = 0.0 if book.lasts else standing.left_work
         if standing.in_time:
             backlog.work += work
         else:
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -336,7 +336,7 @@
         self.assertEqual((), self.pressure(standings).late)
 
     def pressure(self, standings: list[tuple[JobBook, Standing]]) -> PoolPressure:
-        backlog = backlog_of(standings, Durations())
+        backlog = backlog_of(standings)
         return pressure_of(
             PoolId("notices"), TOKEN, backlog, PoolDemand(0.0, 0.0), [self.link], 0.0
         )
