Failing test: a shard stays with an owner that can't carry it

Suspected cause: shards are claimed only while they have no owner, so a weak or slowed owner keeps its shards for as long as it renews its lease.

Ownership takes two parameters that nobody acts on yet: a host's own pace, and which other hosts take shards over.

--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -50,6 +50,8 @@
     :param shards: the shards that exist now.
     :param outage_everywhere: whether most entry hosts report that the store is silent.
     :param strength: how much control work this host can carry, in usual cores.
+    :param pace: at which share of its usual speed this host's own work goes now.
+    :param takes_over: whether another host says that it can take a shard over now.
     """
 
     def __init__(
@@ -63,6 +65,8 @@
         task: _ShardTask,
         outage_everywhere: Callable[[], bool] = lambda: False,
         strength: float = 1.0,
+        pace: Callable[[], float] = lambda: 1.0,
+        takes_over: Callable[[ProcessId], bool] = lambda process: False,
         clock: Callable[[], float] = boottime,
     ) -> None:
         self._kv = kv
@@ -74,6 +78,8 @@
         self._task = task
         self._outage_everywhere = outage_everywhere
         self._strength = strength
+        self._pace = pace
+        self._takes_over = takes_over
         self._clock = clock
         self._lock = threading.RLock()
         self._lease = 0
--- /dev/null
+++ b/tests/ownership/test_hand_over.py
@@ -0,0 +1,190 @@
+"""Shards that pass from an owner to a host that carries them better."""
+
+import itertools
+import time
+
+from testtools import TestCase
+
+from lentilrill.ids import Incarnation, ProcessId, Revision, ZoneId
+from lentilrill.ownership import Ownership, Shard
+from tests.execution.fakes import eventually
+from tests.fakes import FakeKeyValue, lose_answer, lose_request
+
+NOTICES = Shard("notices")
+KEY = "m/o/notices"
+STEP_S = 0.5
+"""Seconds by which the clock of all hosts moves on at once."""
+ROUND_S = 0.12
+"""Real seconds in which each host comes to a round of its own."""
+PATIENCE_S = 12.0
+APART_S = 2.0
+"""Least time between two hand-overs of one owner."""
+
+
+class Task:
+    """Notes what was gained and lost, and whose key it was at the loss."""
+
+    def __init__(self, kv: FakeKeyValue) -> None:
+        self.tokens_by_shard: dict[Shard, Revision] = {}
+        self.flushes: list[bool] = []
+        self.was_own: list[bool] = []
+        self._kv = kv
+
+    def gained(self, shard: Shard, token: Revision) -> None:
+        self.tokens_by_shard[shard] = token
+
+    def lost(self, shard: Shard, *, flush: bool = False) -> None:
+        token = self.tokens_by_shard.pop(shard, None)
+        item = self._kv.items_by_key.get(f"m/o/{shard}")
+        self.flushes.append(flush)
+        self.was_own.append(item is not None and item.revision == token)
+
+
+class Host:
+    """An entry host: its ownership, what it does, and how it is."""
+
+    def __init__(self, ownership: Ownership, task: Task) -> None:
+        self.ownership = ownership
+        self.task = task
+
+    @property
+    def shards(self) -> set[Shard]:
+        return set(self.task.tokens_by_shard)
+
+
+class HandOverCase(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.kv = FakeKeyValue()
+        self.now = 100.0
+        self.shards = {NOTICES}
+        self.pace_by_name: dict[str, float] = {}
+        self.unfit: set[str] = set()
+        self.hosts: list[Host] = []
+
+    def host(self, name: str, strength: float = 1.0) -> Host:
+        task = Task(self.kv)
+        ownership = Ownership(
+            self.kv,
+            ProcessId(name),
+            Incarnation(1),
+            ZoneId("holyoke"),
+            f"10.0.0.{name[-1]}:1",
+            lambda: self.shards,
+            task,
+            strength=strength,
+            pace=lambda: self.pace_by_name.get(name, 1.0),
+            takes_over=lambda process: process not in self.unfit,
+            clock=lambda: self.now,
+        )
+        ownership.start()
+        self.addCleanup(ownership.close)
+        self.assertTrue(eventually(lambda: ownership.registered))
+        host = Host(ownership, task)
+        self.hosts.append(host)
+        return host
+
+    def owner(self, name: str, strength: float = 1.0) -> Host:
+        """Return a host that owns all shards since it is alone."""
+        host = self.host(name, strength)
+        for _ in range(6):
+            self.step()
+        self.assertEqual(self.shards, host.shards)
+        return host
+
+    def step(self) -> None:
+        self.now += STEP_S
+        for host in self.hosts:
+            host.ownership._keep()
+        time.sleep(ROUND_S)
+
+    def passes(self, source: Host, target: Host) -> bool:
+        """Whether the shard passes from one host to another within some seconds."""
+        end = self.now + PATIENCE_S
+        while self.now < end and NOTICES not in target.shards:
+            self.step()
+        return NOTICES in target.shards and NOTICES not in source.shards
+
+    def key_changes(self, seconds: float) -> list[float]:
+        """Let time pass; return when a shard's key changed."""
+        seen = self.revisions()
+        times = []
+        end = self.now + seconds
+        while self.now < end:
+            self.step()
+            held, seen = seen, self.revisions()
+            times += [self.now for key in seen if seen[key] != held.get(key)]
+        return times
+
+    def revisions(self) -> dict[str, Revision]:
+        items = dict(self.kv.items_by_key)
+        return {key: item.revision for key, item in items.items() if key.startswith("m/o/")}
+
+
+class HandOverTest(HandOverCase):
+    def test_a_weak_owner_does_not_keep_what_a_strong_host_could_carry(self) -> None:
+        """After a restart a weak host owned a large pool and fell behind for hours."""
+        weak = self.owner("h1", strength=0.5)
+        strong = self.host("h2", strength=2.0)
+        self.assertTrue(self.passes(weak, strong))
+
+    def test_a_slowed_owner_does_not_keep_its_shard(self) -> None:
+        """An owner too slow for its work kept its lease, and its tasks were started too late."""
+        slowed = self.owner("h1")
+        other = self.host("h2")
+        self.pace_by_name["h1"] = 0.2
+        self.assertTrue(self.passes(slowed, other))
+
+    def test_an_owner_stops_and_flushes_before_its_key_changes_hands(self) -> None:
+        """Two hosts ordered for one pool, and the ends that the first one knew were lost."""
+        weak = self.owner("h1", strength=0.5)
+        self.assertTrue(self.passes(weak, self.host("h2", strength=2.0)))
+        self.assertEqual([True], weak.task.flushes)
+        self.assertEqual([True], weak.task.was_own)
+
+    def test_a_hand_over_without_an_answer_leaves_one_owner(self) -> None:
+        """A shard had no owner, or two, after the answer to its hand-over was lost."""
+        for fate in (lose_answer, lose_request):
+            self.kv = FakeKeyValue()
+            self.hosts = []
+            weak = self.owner("h1", strength=0.5)
+            strong = self.host("h2", strength=2.0)
+            self.kv.commits.append(fate)
+            self.assertTrue(self.passes(weak, strong))
+            token = self.kv.items_by_key[KEY].revision
+            self.assertEqual(token, strong.task.tokens_by_shard[NOTICES])
+            self.assertFalse(weak.ownership.may_order(NOTICES))
+
+
+class HandOverGuardTest(HandOverCase):
+    def test_no_shard_goes_to_and_fro_between_alike_hosts(self) -> None:
+        """Callers waited at each take-over, for hosts that were no better than the former ones."""
+        self.shards = {NOTICES, Shard("ballots")}
+        self.owner("h1")
+        self.host("h2")
+        self.assertEqual([], self.key_changes(20.0))
+
+    def test_shards_are_not_handed_over_all_at_once(self) -> None:
+        """A host that came back took all shards at the same moment, and all callers waited."""
+        self.shards = {Shard(name) for name in ("a", "b", "c")}
+        self.owner("h1", strength=0.5)
+        self.host("h2", strength=2.0)
+        times = self.key_changes(20.0)
+        for former, latter in itertools.pairwise(times):
+            self.assertGreaterEqual(latter - former, APART_S)
+
+    def test_nothing_is_handed_over_while_the_store_is_silent(self) -> None:
+        """An owner let go of a shard that nobody could take while the store was away."""
+        weak = self.owner("h1", strength=0.5)
+        self.host("h2", strength=2.0)
+        self.kv.down = True
+        self.key_changes(10.0)
+        self.assertEqual([], weak.task.flushes)
+
+    def test_nothing_is_handed_over_to_a_host_that_is_unfit(self) -> None:
+        """A shard went to a host that was late itself, or about to leave."""
+        weak = self.owner("h1", strength=0.5)
+        self.host("h2", strength=2.0)
+        self.unfit.add("h2")
+        self.assertEqual([], self.key_changes(10.0))
+        self.assertEqual([], weak.task.flushes)
