Execution: an owner tells how late it is, and why a lasting task stands still

Logs told ends and refusals only.

New: event 687 task_idle, for lasting tasks without a run under way for 3 s: how many, and the reason that the round had for the longest one, with the run's phase and age or the endpoints counted by what keeps tasks off them; and event 688 owner_late, with the longest round, wait of news for a round, wait of a start until it is sent, time between two looks, starts sent again, and the processor used. Each at most once in 3 s for each pool. The same times are metrics, owner.KIND.POOL. What keeps tasks off an endpoint is now named by one function instead of a condition; the placement is the same.

The new tests are of new modules, so there is no former code for them to fail on.

--- a/src/lentilrill/execution/_book.py
+++ b/src/lentilrill/execution/_book.py
@@ -37,6 +37,8 @@
         goes on from a checkpoint, whose duration tells nothing.
     :ivar expires_ms: end of the lease that its start carries, on its endpoint's clock; a start
         that is sent again carries the same, so that it can't be carried out after that.
+    :ivar made_at: when it was placed.
+    :ivar sent: how often its start was sent.
     :ivar in_doubt: a start was sent and got no answer: it may be carried out, also later.
     :ivar confirmed_at: when its start was known to have been carried out, or its stop to keep it
         from ever being: a look sent later that doesn't list it proves that it is gone.
@@ -50,11 +52,13 @@
         "expires_ms",
         "in_doubt",
         "load",
+        "made_at",
         "number",
         "pace",
         "percent",
         "phase",
         "reserved",
+        "sent",
         "task",
     )
 
@@ -66,7 +70,8 @@
         self.endpoint = endpoint
         self.reserved = reserved
         self.phase = RunPhase.ORDERED
-        self.changed_at = time.monotonic()
+        self.made_at = self.changed_at = time.monotonic()
+        self.sent = 0
         self.confirmed_at: float | None = None
         self.began_at: float | None = None
         self.percent = 0
--- a/src/lentilrill/execution/_endpoint_talk.py
+++ b/src/lentilrill/execution/_endpoint_talk.py
@@ -6,6 +6,7 @@
 
 from lentilrill.execution._book import Run, RunPhase
 from lentilrill.execution._contract import Look, OrderAnswer, StartOrder, Verdict
+from lentilrill.execution._lateness import Late, Lateness
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._links import PoolLinks
 from lentilrill.execution._reconcile import Reconciler
@@ -39,6 +40,7 @@
         links: PoolLinks,
         reconciler: Reconciler,
         tickets: TicketOffice,
+        lateness: Lateness,
         may_order: Callable[[], bool],
         refused: Callable[[str], None],
         ended: Callable[[], None],
@@ -49,6 +51,7 @@
         self._links = links
         self._reconciler = reconciler
         self._tickets = tickets
+        self._lateness = lateness
         self._may_order = may_order
         self._refused = refused
         self._ended = ended
@@ -74,10 +77,13 @@
                     )
                 link.reachable = False
                 return
+            now = time.monotonic()
             if not link.reachable:
                 log(Event.ENDPOINT_BACK, endpoint=link.entry.id, running=len(look.running))
+            elif link.runs_by_key:
+                self._lateness.note(Late.LOOK, now - link.heard)
             link.reachable = True
-            link.heard = time.monotonic()
+            link.heard = now
             link.looked_once = True
             self._links.unseen.discard(link.entry.id)
             had_ends = bool(look.ended)
@@ -121,6 +127,11 @@
                 else:
                     self._reconciler.drop(link, run, "not wanted any more")
                 return None
+            if run.sent:
+                self._lateness.resent()
+            else:
+                self._lateness.note(Late.START, time.monotonic() - run.made_at)
+            run.sent += 1
             run.expires_ms = run.expires_ms or link.expiry_ms()
             # Its ticket may have run out in the queue; then the endpoint refuses the start.
             ticket = self._tickets.ticket(run.task.step.id, link.entry.id) or ""
--- /dev/null
+++ b/src/lentilrill/execution/_idle.py
@@ -0,0 +1,135 @@
+"""Why lasting tasks have nothing under way."""
+
+import time
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from lentilrill.execution._book import JobBook, Run, RunPhase, TaskBook
+from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._planner import barrier
+from lentilrill.ids import EndpointId, PoolId
+from lentilrill.scheduling import EndpointRoom
+from lentilrill.telemetry import Event, log
+from lentilrill.workloads import TaskId
+
+__all__ = ["IdleTasks", "RoundView"]
+
+IDLE_S = 3.0
+"""Time without a run under way after which a task is told of: a start takes milliseconds, and a
+move to another endpoint a look and a round."""
+SWEEP_EVERY_S = 1.0
+REPORT_EVERY_S = 3.0
+
+
+class RoundView(msgspec.Struct):
+    """What a round knew when it had placed all that it could.
+
+    :param rooms: endpoints that may get new tasks, with the room that is left.
+    :param blocked_before: tasks of jobs accepted before this revision are not started, since they
+        may run where nobody has looked yet; 0 if none are.
+    :param strays: tasks seen under way that are not in the book yet.
+    """
+
+    now: float
+    links: Mapping[EndpointId, EndpointLink]
+    rooms: Mapping[EndpointId, EndpointRoom]
+    blocked_before: int
+    strays: set[TaskId]
+
+
+class IdleTasks:
+    """Lasting tasks without a run under way, by when they were first found so.
+
+    Called under the lock of the pool's owner.
+    """
+
+    def __init__(self, pool: PoolId) -> None:
+        self._pool = pool
+        self._since_by_task: dict[TaskId, float] = {}
+        self._swept_at = 0.0
+        self._reported_at = 0.0
+
+    def sweep(self, books: Iterable[JobBook], view: RoundView) -> None:
+        """Look through the lasting tasks now and then, and log why the longest one is idle."""
+        if view.now - self._swept_at < SWEEP_EVERY_S:
+            return
+        self._swept_at = view.now
+        idle = [task for book in books if book.lasts for task in _idle_tasks(book)]
+        before = self._since_by_task
+        self._since_by_task = {task.id: before.get(task.id, view.now) for task in idle}
+        long = [t for t in idle if view.now - self._since_by_task[t.id] >= IDLE_S]
+        if not long or view.now - self._reported_at < REPORT_EVERY_S:
+            return
+        self._reported_at = view.now
+        task = min(long, key=lambda t: self._since_by_task[t.id])
+        log(
+            Event.TASK_IDLE,
+            job=task.id.job,
+            task=task.id,
+            shard=self._pool,
+            idle_s=round(view.now - self._since_by_task[task.id], 1),
+            tasks=len(long),
+            **_why(task, view),
+        )
+
+
+def _idle_tasks(book: JobBook) -> list[TaskBook]:
+    return [
+        task
+        for step in book.open_steps()
+        if step.spec.lasting
+        for task in step.tasks
+        if not any(run.phase is RunPhase.UNDER_WAY for run in task.runs)
+    ]
+
+
+def _why(task: TaskBook, view: RoundView) -> dict[str, object]:
+    """Return why a task was not started by a round, and what shows it."""
+    if task.runs:
+        return _why_run(task.runs[-1], view)
+    if task.id in view.strays:
+        return {"reason": "seen under way, not followed"}
+    if task.step.book.revision < view.blocked_before:
+        return {"reason": "the pool is being taken over"}
+    if view.now < task.not_before:
+        return {"reason": "its start was refused just now"}
+    return _why_room(task, view)
+
+
+def _why_run(run: Run, view: RoundView) -> dict[str, object]:
+    link = view.links.get(run.endpoint)
+    if run.phase is RunPhase.STOPPING:
+        reason = "the end of a stopped run is not known"
+    elif not run.sent:
+        reason = "its start is not sent yet"
+    else:
+        reason = "its start got no answer"
+    return {
+        "reason": reason,
+        "run": run.number,
+        "endpoint": run.endpoint,
+        "phase": run.phase.value,
+        "run_s": round(time.monotonic() - run.made_at, 1),
+        "sent": run.sent,
+        "silent_s": round(view.now - link.heard, 1) if link is not None else None,
+    }
+
+
+def _why_room(task: TaskBook, view: RoundView) -> dict[str, object]:
+    needs, label = task.step.spec.reserved, task.step.spec.label
+    fitting = [
+        room
+        for room in view.rooms.values()
+        if needs.fits(room.free) and (not label or label in room.labels)
+    ]
+    usable = [room for room in fitting if room.id not in task.failed_on and not room.probing]
+    reason = "passed over" if usable else "failed where it fits" if fitting else "no room"
+    closed = Counter(barrier(link, view.now) or "open" for link in view.links.values())
+    return {
+        "reason": reason,
+        "fitting": len(fitting),
+        "failed_on": len(task.failed_on),
+        "endpoints": ", ".join(f"{count} {what}" for what, count in sorted(closed.items())),
+    }
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -13,7 +13,7 @@
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import Queue, TaskId
 
-__all__ = ["Planner"]
+__all__ = ["Planner", "barrier"]
 
 HEARD_S = 3.5
 """How long after the last answer an endpoint still gets new tasks: a look waits up to 2 s."""
@@ -41,11 +41,7 @@
 
     def rooms(self, links: Iterable[EndpointLink], now: float) -> dict[EndpointId, EndpointRoom]:
         """Return the endpoints that may get new tasks, with their free room."""
-        return {
-            link.entry.id: _room(link)
-            for link in links
-            if _takes_tasks(link, now) and now >= link.probe_at
-        }
+        return {link.entry.id: _room(link) for link in links if barrier(link, now) is None}
 
     def starts(
         self,
@@ -225,6 +221,24 @@
         return orders
 
 
+def barrier(link: EndpointLink, now: float) -> str | None:
+    """Return what keeps new tasks off an endpoint; ``None`` if nothing does."""
+    if not link.looked_once or not link.clock_known:
+        return "not looked at"
+    if not link.reachable or now - link.heard >= HEARD_S:
+        return "silent"
+    if not link.registered:
+        return "not registered"
+    if link.released:
+        return "released"
+    # The room that a stray takes is not known.
+    if link.strays_by_key:
+        return "with strays"
+    if link.entry.draining:
+        return "draining"
+    return "unwell" if now < link.probe_at else None
+
+
 def _cause(steps: list[StepBook]) -> Cause:
     """Return what a job with these open steps waits for after a round of placement."""
     if any(step.waits for step in steps):
@@ -235,20 +249,6 @@
     return Cause.WORK
 
 
-def _takes_tasks(link: EndpointLink, now: float) -> bool:
-    return (
-        link.looked_once
-        and link.clock_known
-        and link.reachable
-        and link.registered
-        and not link.released
-        # The room that a stray takes is not known.
-        and not link.strays_by_key
-        and not link.entry.draining
-        and now - link.heard < HEARD_S
-    )
-
-
 def _room(link: EndpointLink) -> EndpointRoom:
     free = link.entry.room
     serving = 0
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -8,7 +8,9 @@
 from lentilrill.execution._contract import Dialer, PolicyCalls
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_talk import EndpointTalk
+from lentilrill.execution._idle import IdleTasks, RoundView
 from lentilrill.execution._jobs import PoolJobs
+from lentilrill.execution._lateness import Late, Lateness
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._links import PoolLinks
 from lentilrill.execution._need import Durations, OfferedLoad
@@ -84,6 +86,7 @@
         self._lock = threading.RLock()
         self._changed = threading.Condition(self._lock)
         self._due = True
+        self._due_at: float | None = None
         self._ended = threading.Event()
         roster = Roster(kv, pool, owner_key, token)
         self._links = PoolLinks(pool, roster, self._lock, self._connect)
@@ -103,6 +106,8 @@
         self._reconciler = Reconciler(self._jobs.by_id, self._attempts, self._durations)
         self._tickets = TicketOffice(policy, self._wake_up)
         self._planner = Planner(token, self._durations, self._tickets)
+        self._lateness = Lateness(pool, token, metrics)
+        self._idle = IdleTasks(pool)
         self._writer = ProgressWriter(kv, pool, owner_key, token, self._jobs, self.may_order)
         self._talk = EndpointTalk(
             token,
@@ -110,6 +115,7 @@
             self._links,
             self._reconciler,
             self._tickets,
+            self._lateness,
             self.may_order,
             refused,
             lambda: self._writer.note(urgent=False),
@@ -230,6 +236,8 @@
             self._wake()
 
     def _wake(self) -> None:
+        if not self._due:
+            self._due_at = time.monotonic()
         self._due = True
         self._changed.notify_all()
 
@@ -252,12 +260,21 @@
                 if not self._due:
                     self._changed.wait(PLAN_EVERY_S)
                 self._due = False
+                due_at, self._due_at = self._due_at, None
             began = time.monotonic()
             if self.may_order():
                 guarded(f"links of {self.pool}", self._refresh_links)
                 guarded(f"plan of {self.pool}", self._plan)
                 guarded(f"old jobs of {self.pool}", self._forget_old)
-            self._ended.wait(pause_after(time.monotonic() - began))
+            ended = time.monotonic()
+            self._note_round(due_at, began, ended)
+            self._ended.wait(pause_after(ended - began))
+
+    def _note_round(self, due_at: float | None, began: float, ended: float) -> None:
+        if due_at is not None:
+            self._lateness.note(Late.NEWS, began - due_at)
+        self._lateness.note(Late.ROUND, ended - began)
+        self._lateness.report(ended, len(self._jobs.live_by_id), len(self._links.by_id))
 
     def _load(self) -> bool:
         """Read what former owners stored; return whether it is complete."""
@@ -301,6 +318,14 @@
                 link = self._links.by_id[endpoint]
                 link.runs_by_key[run.key] = run
                 orders.append((link, Order.of(OrderKind.START, run)))
+            view = RoundView(
+                now,
+                self._links.by_id,
+                rooms,
+                self.token if blocked else 0,
+                strays,
+            )
+            self._idle.sweep((book for book, _ in jobs), view)
             for link in self._links.by_id.values():
                 orders += [(link, order) for order in self._planner.paces(link, now)]
                 orders += [(link, order) for order in self._planner.stuck(link)]
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -97,6 +97,8 @@
     RUN_ENDED = (678, Level.INFO, "A run that is not followed here ended, neither done nor failed.")
     RUN_STUCK = (683, Level.WARNING, "A run makes no progress and is stopped, to run elsewhere.")
     ORDER_UNANSWERED = (685, Level.WARNING, "An order got no answer; it is sent again.")
+    TASK_IDLE = (687, Level.WARNING, "A lasting task has had no run for seconds; the reason.")
+    OWNER_LATE = (688, Level.WARNING, "Rounds, starts or looks of a pool's owner come late.")
     STEP_ADVISED = (686, Level.INFO, "The policy service told which endpoints may run a step.")
     JOBS_FORGOTTEN = (684, Level.INFO, "Records of jobs that ended long ago were removed.")
     RUN_FAILED = (679, Level.INFO, "A run failed.")
--- /dev/null
+++ b/tests/execution/test_idle.py
@@ -0,0 +1,158 @@
+"""Which lasting tasks count as idle, and the reason that the log tells."""
+
+import time
+from typing import Any
+from unittest.mock import patch
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.execution._book import JobBook, Run, RunPhase, TaskBook
+from lentilrill.execution._idle import IDLE_S, REPORT_EVERY_S, SWEEP_EVERY_S, IdleTasks, RoundView
+from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._need import Durations
+from lentilrill.execution._planner import Planner
+from lentilrill.execution._tickets import TicketOffice
+from lentilrill.ids import EndpointId, PoolId, Revision
+from lentilrill.telemetry import Event
+from tests.builders import a_job, a_step, an_endpoint
+from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
+
+
+class IdleTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        pool = OwnedPool("e1", "e2")
+        self.planner = Planner(1, Durations(), TicketOffice(None, lambda: None))
+        self.links: dict[EndpointId, EndpointLink] = {}
+        for name in ("e1", "e2"):
+            link = EndpointLink(pool.new_owner()._talk, an_endpoint(name), FakeEndpoint())
+            self.links[link.entry.id] = link
+        self.book = JobBook(a_job("a", a_step(2, lasting=True)), Revision(5), 0.0)
+        self.book.open_occurrences(0)
+        self.task, self.other = self.book.tasks()
+        self.a_run(self.other, RunPhase.UNDER_WAY)
+        self.idle = IdleTasks(PoolId("notices"))
+        self.blocked_before = 0
+        self.lines: list[dict[str, Any]] = []
+        patched = patch("lentilrill.execution._idle.log", self.told)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.began = time.monotonic()
+
+    def told(self, event: Event, **fields: Any) -> None:
+        self.assertIs(Event.TASK_IDLE, event)
+        self.lines.append(fields)
+
+    def a_run(self, task: TaskBook, phase: RunPhase, sent: int = 1) -> Run:
+        run = Run(task, 1001, EndpointId("e1"), task.step.spec.reserved)
+        run.phase, run.sent = phase, sent
+        task.runs.append(run)
+        return run
+
+    def sweep(self, after_s: float, *, strays: bool = False) -> None:
+        """Sweep as a round does that begins then, on endpoints that were heard just now."""
+        now = self.began + after_s
+        for link in self.links.values():
+            link.looked_once = link.reachable = True
+            link.note_clock(1_000_000, self.began)
+            link.heard = now
+        seen = {self.task.id} if strays else set()
+        rooms = self.planner.rooms(self.links.values(), now)
+        view = RoundView(now, self.links, rooms, self.blocked_before, seen)
+        self.idle.sweep([self.book], view)
+
+    def reason(self, *, strays: bool = False) -> str:
+        """Return the reason that is told of the first task, idle for long enough."""
+        self.sweep(0.0, strays=strays)
+        self.sweep(IDLE_S, strays=strays)
+        self.assertEqual([(self.task.id, 1)], [(x["task"], x["tasks"]) for x in self.lines])
+        self.assertEqual(IDLE_S, self.lines[0]["idle_s"])
+        return str(self.lines[0]["reason"])
+
+    def test_a_task_that_starts_soon_is_not_told_of(self) -> None:
+        self.sweep(0.0)
+        self.sweep(IDLE_S - 0.1)
+        run = self.a_run(self.task, RunPhase.UNDER_WAY)
+        self.sweep(IDLE_S + 1.0)
+        self.task.runs.remove(run)
+        self.sweep(IDLE_S + 2.1)
+        self.assertEqual([], self.lines)
+
+    def test_lines_are_few_however_many_rounds_there_are(self) -> None:
+        """A pool that stands still tells it every few seconds, not each round."""
+        rounds = 200
+        for number in range(rounds):
+            self.sweep(number * 0.1)
+        most = (rounds * 0.1 - IDLE_S) / REPORT_EVERY_S + 1
+        self.assertIn(len(self.lines), range(2, int(most) + 1))
+        self.assertLess(SWEEP_EVERY_S, REPORT_EVERY_S)
+
+    def test_no_room(self) -> None:
+        for link in self.links.values():
+            link.released = True
+        self.assertEqual("no room", self.reason())
+        self.assertEqual("2 released", self.lines[0]["endpoints"])
+
+    def test_failed_where_it_fits(self) -> None:
+        self.task.failed_on.update(self.links)
+        self.assertEqual("failed where it fits", self.reason())
+        self.assertEqual(2, self.lines[0]["failed_on"])
+
+    def test_passed_over_though_there_is_room(self) -> None:
+        """What the placement can't explain is named too: that is a fault of ours."""
+        self.assertEqual("passed over", self.reason())
+        self.assertEqual((2, "2 open"), (self.lines[0]["fitting"], self.lines[0]["endpoints"]))
+
+    def test_a_stray(self) -> None:
+        self.assertEqual("seen under way, not followed", self.reason(strays=True))
+
+    def test_a_take_over(self) -> None:
+        self.blocked_before = 6
+        self.assertEqual("the pool is being taken over", self.reason())
+
+    def test_a_refusal(self) -> None:
+        self.task.not_before = self.began + 60.0
+        self.assertEqual("its start was refused just now", self.reason())
+
+    def test_a_stop_whose_end_is_not_known(self) -> None:
+        self.a_run(self.task, RunPhase.STOPPING)
+        self.assertEqual("the end of a stopped run is not known", self.reason())
+        self.assertEqual((1001, "stopping"), (self.lines[0]["run"], self.lines[0]["phase"]))
+
+    def test_a_start_that_waits_in_a_queue(self) -> None:
+        self.a_run(self.task, RunPhase.ORDERED, sent=0)
+        self.assertEqual("its start is not sent yet", self.reason())
+
+    def test_a_start_without_an_answer(self) -> None:
+        self.a_run(self.task, RunPhase.ORDERED, sent=3)
+        self.assertEqual("its start got no answer", self.reason())
+        self.assertEqual(3, self.lines[0]["sent"])
+
+
+class OwnerTest(TestCase):
+    def test_an_owner_tells_of_a_task_that_it_can_not_start(self) -> None:
+        """The whole way: an endpoint is being emptied, and the lasting task has no other one."""
+        lines: list[dict[str, Any]] = []
+        patched = patch(
+            "lentilrill.execution._idle.log", lambda event, **fields: lines.append(fields)
+        )
+        patched.start()
+        self.addCleanup(patched.stop)
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        pool.register(an_endpoint("e1"))
+        owner = pool.take_over()
+
+        def asked_and_told() -> bool:
+            owner.release(endpoint, cancel=False)
+            return bool(lines)
+
+        endpoint = an_endpoint("e1").id
+        self.assertTrue(eventually(lambda: endpoint in owner._links.by_id))
+        self.assertTrue(eventually(lambda: owner.release(endpoint, cancel=False)[0] == "free"))
+        job = a_job("a", a_step(1, lasting=True))
+        value = msgspec.msgpack.encode(job)
+        owner.take_job(value, pool.kv.put(f"in/notices/j/{job.id}", value))
+        self.assertTrue(eventually(asked_and_told))
+        self.assertEqual(("no room", "1 released"), (lines[0]["reason"], lines[0]["endpoints"]))
