Whole path: a failed test shows what its entry hosts wrote

A test of an entry host's whole path that failed told only that False is not true, so the one failure of test_a_stopped_host_ends_by_itself (a site not ready within 20 s) couldn't be traced. The hosts' exit codes and last lines are now details of the failure.

--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -18,6 +18,7 @@
 
 GRACE_S = 20.0
 """Well above the platform's grace, so that a slow machine is no verdict."""
+OUTPUT_LINES = 60
 HOST = {"Host": "braille.example"}
 
 
@@ -26,7 +27,8 @@
 
     def __init__(self, platform: UsersPlatform, hosts: int) -> None:
         self.platform = platform
-        self.folder = Path(tempfile.mkdtemp(prefix="lentilrill-"))
+        self._folder = tempfile.TemporaryDirectory(prefix="lentilrill-")
+        self.folder = Path(self._folder.name)
         self.http = urllib3.PoolManager(retries=False, timeout=5.0)
         self.settings = {f"front-{n}": self._settings(f"front-{n}") for n in range(hosts)}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -64,6 +66,12 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
+        self._folder.cleanup()
+
+    def output(self, name: str) -> str:
+        """Return the exit code of one entry host, if it has ended, and its last lines."""
+        lines = (self.folder / f"{name}.log").read_text(errors="replace").splitlines()
+        return "\n".join([f"exit code {self.processes[name].poll()}", *lines[-OUTPUT_LINES:]])
 
     def kill(self, name: str) -> None:
         """Kill one entry host."""
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from testtools import TestCase
+from testtools.content import text_content
 
 from standins.users_platform import UsersPlatform
 from tests.execution.fakes import eventually
@@ -26,8 +27,14 @@
         self.workers = [self.platform.add_host("notices") for _ in range(3)]
         self.site = EntrySite(self.platform, hosts)
         self.addCleanup(self.site.close)
+        self.addOnException(lambda _: self.add_outputs())
         self.assertTrue(self.site.start_all())
 
+    def add_outputs(self) -> None:
+        """Show beside a failure what the entry hosts wrote."""
+        for name in self.site.processes:
+            self.addDetail(name, text_content(self.site.output(name)))
+
     def all_completed(self, name: str, jobs: int) -> bool:
         return all(self.site.state(name, path(n)) == "completed" for n in range(jobs))
 
