Tests: each process of tests has a loopback network of its own

test_a_stopped_host_ends_by_itself failed once, as its entry hosts were not ready within 20 s. Cause: an_address drew a port with bind(0), closed it, and the host bound it half a second later; in between another listener could get the same port from the kernel. The host then fails with EADDRINUSE.

Ruled out: a host too slow to start (in each failed run the other host was ready within seconds, at a load of 18 on 16 cores); the store or the configuration (the failing host's traceback is the bind).

Addresses now come from 127.N of which N is reserved by a socket as the stand-in site does it, each handed out once. Connections and listeners on port 0 get 127.0.0.1, so none can fall on them.

The reservation moves from standins.site to a module of its own.

--- a/standins/site.py
+++ b/standins/site.py
@@ -8,9 +8,7 @@
 import hashlib
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -23,6 +21,8 @@
 import urllib3
 import zmq
 
+from standins.loopback import LoopbackNetwork
+
 __all__ = ["HostSpec", "Site", "SiteSpec", "digest"]
 
 PLATFORM_PORT, CONTROL_PORT, ENDPOINT_PORT = 2379, 2380, 9000
@@ -75,7 +75,7 @@
         self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
         self._folder = tempfile.TemporaryDirectory(prefix="lentilrill-site-")
         self.folder = Path(self._folder.name)
-        self._network, self._reservation = _reserve_network()
+        self._network = LoopbackNetwork()
         public, secret = zmq.curve_keypair()
         self._keys = {"public": public.decode(), "secret": secret.decode()}
 
@@ -83,7 +83,7 @@
 
     def address(self, zone: int, number: int, port: int) -> str:
         """Return the address of host ``number`` of a zone."""
-        return f"127.{self._network}.{zone}.{number}:{port}"
+        return self._network.address(zone, number, port)
 
     def platform(self, zone: int) -> str:
         """Return the platform's address as seen from a zone."""
@@ -270,7 +270,7 @@
         for process in self.processes_by_name.values():
             process.wait()
         self.processes_by_name.clear()
-        self._reservation.close()
+        self._network.close()
         self._folder.cleanup()
 
     # Talking to it
@@ -377,16 +377,3 @@
 def _place(name: str) -> tuple[int, int]:
     _, zone, number = name.split("-")
     return int(zone), int(number)
-
-
-def _reserve_network() -> tuple[int, socket.socket]:
-    """Return a free second octet of 127/8 and the socket that keeps other sites off it."""
-    for network in random.sample(range(1, 255), 254):
-        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            reservation.bind((f"127.{network}.255.1", 1024))
-        except OSError:
-            reservation.close()
-            continue
-        return network, reservation
-    raise RuntimeError("no free loopback network")
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,8 +1,8 @@
 """Builders of test data: valid values with defaults, changed by keyword."""
 
+import functools
 import hashlib
 import itertools
-import socket
 from typing import Any
 
 import zmq
@@ -35,6 +35,7 @@
     Resources,
     Step,
 )
+from standins.loopback import LoopbackNetwork
 
 __all__ = [
     "a_configuration",
@@ -54,6 +55,7 @@
 ]
 
 _incarnations = itertools.count(1)
+_ports = itertools.count(10_000)
 
 
 def digest(token: str) -> str:
@@ -62,10 +64,13 @@
 
 
 def an_address() -> str:
-    """Return a loopback address whose port was free a moment ago."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
+    """Return a loopback address that is handed out once, in all tests that run side by side."""
+    return _network().address(1, 1, next(_ports))
+
+
+@functools.cache
+def _network() -> LoopbackNetwork:
+    return LoopbackNetwork()
 
 
 def inner_keys() -> InnerKeys:
