Routing: the next in line holds copies of a scheduler's own grants

Cause: the killed gateway was the pool's scheduler too. Of other gateways' jobs the scheduler knows the grant and keeps its acknowledgement back; of its own jobs nobody else knew, and the others' acknowledgements were already on file.

The scheduler's process now copies the grants of its own jobs to the next process in line (second of the same rendezvous order): each as it is taken, before the job is sent, each end, and all of them every 2 s. The next in line acknowledges no host that a copy occupies, until the end, the job's time, or 10 s without news from a holder that lives.

Ruled out: asking the endpoint, as endpoints tell nothing of what they run; holding all hosts of a pool for the longest run (900 s) after each loss of a scheduler, which stops planned stops; confirming each copy before the job is sent, a hop more for each such job.

The messages' cost was not measured.

--- a/src/lentilrill/inner/_codec.py
+++ b/src/lentilrill/inner/_codec.py
@@ -29,6 +29,7 @@
     | _grants.Done
     | _grants.HeldAsk
     | _grants.HeldGrants
+    | _grants.GrantCopy
     | _grants.PoolLoad
     | _claims.ClaimAsk
     | _claims.ClaimAnswer
--- a/src/lentilrill/inner/_grants.py
+++ b/src/lentilrill/inner/_grants.py
@@ -10,6 +10,7 @@
     "Ask",
     "Cancel",
     "Done",
+    "GrantCopy",
     "Granted",
     "Held",
     "HeldAsk",
@@ -161,6 +162,20 @@
     grants: tuple[Held, ...]
 
 
+class GrantCopy(msgspec.Struct, frozen=True, tag="grant_copy"):
+    """Grants that a scheduler's process holds itself, told to the next process in line.
+
+    :param held: grants that began, or all of them.
+    :param ended: grants that are over.
+    :param whole: whether grants that are not in ``held`` are over.
+    """
+
+    pool: PoolId
+    held: tuple[Held, ...] = ()
+    ended: tuple[GrantId, ...] = ()
+    whole: bool = False
+
+
 class PoolLoad(msgspec.Struct, frozen=True, tag="pool_load"):
     """How busy a pool is in the sender's zone, told to its schedulers in other zones.
 
--- a/src/lentilrill/routing/_holdings.py
+++ b/src/lentilrill/routing/_holdings.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from lentilrill.ids import GrantId, HostId, PoolId
-from lentilrill.inner import Batch, Done, Held, HeldAsk, HeldGrants, Node, Verdict
+from lentilrill.inner import Batch, Done, GrantCopy, Held, HeldAsk, HeldGrants, Node, Verdict
 from lentilrill.routing._contract import Job, Slot
 from lentilrill.routing._placement import Placement, caller_of
 from lentilrill.routing._schedulers import SchedulerHost
@@ -58,6 +58,7 @@
         """Take a grant."""
         with self._lock:
             self._held_by_pool.setdefault(pool, {})[holding.grant] = holding
+            self._copy(GrantCopy(pool, held=(holding.report(self._clock()),)))
 
     def release(self, slot: Slot, verdict: Verdict, run_s: float) -> None:
         """Tell the pool's scheduler that a grant is over."""
@@ -73,6 +74,7 @@
             # Within the lock, so that a report of held grants made before can't overtake it.
             if address and address != self._node.address:
                 self._node.send(address, done)
+            self._copy(GrantCopy(slot.pool, ended=(slot.grant,)))
         if address == self._node.address:
             self._schedulers.done(done)
 
@@ -82,6 +84,7 @@
             pools = [pool for pool, held in self._held_by_pool.items() if held]
         for pool in pools:
             self._report(pool)
+            self._copy_all(pool)
 
     def tick(self) -> None:
         """Report the held grants about every two seconds, which repairs lost reports."""
@@ -92,9 +95,26 @@
         with self._lock:
             pools = list(self._held_by_pool)
         for pool in pools:
-            if not self._placement.is_mine(pool):  # calls within the process are not lost
+            if self._placement.is_mine(pool):  # calls within the process are not lost
+                self._copy_all(pool)
+            else:
                 self._report(pool)
 
+    def _copy_all(self, pool: PoolId) -> None:
+        with self._lock:
+            self._copy(GrantCopy(pool, held=self._held(pool), whole=True))
+
+    def _copy(self, copy: GrantCopy) -> None:
+        # Within the lock, so that an end can't be overtaken by a copy of all made before it.
+        deputy = self._placement.deputy(copy.pool)
+        if deputy is not None and self._placement.is_mine(copy.pool):
+            self._node.send(deputy.inner, copy)
+
+    def _held(self, pool: PoolId) -> tuple[Held, ...]:
+        now = self._clock()
+        holdings = self._held_by_pool.get(pool, {}).values()
+        return tuple(holding.report(now) for holding in holdings)
+
     def _report(self, pool: PoolId, address: str = "") -> None:
         if not address:
             scheduler = self._placement.scheduler(pool)
@@ -102,9 +122,7 @@
                 return
             address = scheduler.inner
         with self._lock:
-            now = self._clock()
-            holdings = self._held_by_pool.get(pool, {}).values()
-            report = HeldGrants(pool, tuple(holding.report(now) for holding in holdings))
+            report = HeldGrants(pool, self._held(pool))
             if address != self._node.address:
                 self._node.send(address, report)
                 return
--- a/src/lentilrill/routing/_placement.py
+++ b/src/lentilrill/routing/_placement.py
@@ -4,7 +4,7 @@
 
 from lentilrill.ids import PoolId, ZoneId
 from lentilrill.inner import Batch
-from lentilrill.membership import Liveness, Member, Role, Roster, rendezvous
+from lentilrill.membership import Liveness, Member, Role, Roster, ranked
 from lentilrill.routing._queue import Caller
 
 __all__ = ["Placement", "caller_of", "caller_of_batch"]
@@ -27,7 +27,7 @@
         self._roster = roster
         self._lock = threading.Lock()
         self._gateways_by_zone: dict[ZoneId, tuple[Member, ...]] = {}
-        self._schedulers: dict[tuple[PoolId, ZoneId], Member | None] = {}
+        self._schedulers: dict[tuple[PoolId, ZoneId], list[Member]] = {}
         self._members_by_caller: dict[Caller, Member] = {}
         self._callers: set[Caller] = set()
         self.refresh()
@@ -56,14 +56,23 @@
 
     def scheduler(self, pool: PoolId, zone: ZoneId | None = None) -> Member | None:
         """Return the process that schedules ``pool`` in ``zone``, by default this one."""
-        place = (pool, zone or self.me.zone)
+        schedulers = self._in_line(pool, zone or self.me.zone)
+        return schedulers[0] if schedulers else None
+
+    def deputy(self, pool: PoolId) -> Member | None:
+        """Return the process that schedules ``pool`` in this zone if its scheduler ends."""
+        schedulers = self._in_line(pool, self.me.zone)
+        return schedulers[1] if len(schedulers) > 1 else None
+
+    def _in_line(self, pool: PoolId, zone: ZoneId) -> list[Member]:
+        place = (pool, zone)
         schedulers = self._schedulers
         if place not in schedulers:
             # Worked out from the same roster that this dict was made for, or a change in between
             # would leave an old choice in a new dict.
             with self._lock:
                 schedulers = self._schedulers
-                schedulers[place] = rendezvous("/".join(place), self.gateways(place[1]))
+                schedulers[place] = ranked("/".join(place), self.gateways(zone))[:2]
         return schedulers[place]
 
     def is_mine(self, pool: PoolId) -> bool:
--- a/src/lentilrill/routing/_schedulers.py
+++ b/src/lentilrill/routing/_schedulers.py
@@ -13,6 +13,7 @@
     Batch,
     Cancel,
     Done,
+    GrantCopy,
     Granted,
     HeldGrants,
     Message,
@@ -21,6 +22,7 @@
     Refusal,
     Refused,
 )
+from lentilrill.routing._copies import GrantCopies
 from lentilrill.routing._health import Health
 from lentilrill.routing._peer_news import PeerNews, Scheduled
 from lentilrill.routing._placement import Placement, caller_of_batch
@@ -62,6 +64,7 @@
         self._clock = clock
         self._rng = rng or random.SystemRandom()
         self._peers = PeerNews(node, placement, metrics or NoMetrics())
+        self._copies = GrantCopies(clock)
         self._lock = threading.Lock()
         self._delivering = threading.local()
         self._refreshing = threading.Lock()
@@ -72,6 +75,7 @@
         node.on(Done, lambda batch, done: self.done(done))
         node.on(HeldGrants, lambda batch, held: self.held(held, caller_of_batch(batch)))
         node.on(PoolLoad, self._hear)
+        node.on(GrantCopy, lambda batch, copy: self._copies.hear(copy, caller_of_batch(batch)))
 
     @property
     def schedulers_by_pool(self) -> dict[PoolId, PoolScheduler]:
@@ -111,12 +115,12 @@
         self._decide(report.pool, lambda scheduler: scheduler.held(report, caller))
 
     def occupies(self, host: HostId) -> bool:
-        """Return whether a scheduler of this process counts on a job running on ``host``."""
+        """Return whether a job that this process knows a grant of may run on ``host``."""
         for _, held in self._all():
             with held.lock:
                 if held.scheduler.occupies(host):
                     return True
-        return False
+        return self._copies.occupies(host)
 
     def refresh(self) -> None:
         """Follow the view and the roster: start, configure and end schedulers."""
@@ -136,6 +140,7 @@
         """Do what is due by the clock: refusals, reports to peers, freed grants."""
         alive = self._placement.callers()
         now = self._clock()
+        self._copies.tick(alive)
         for pool, held in self._all():
             self._decide(pool, lambda s: s.tick(alive, self._placement.is_gone))
             self._peers.ask_held(held, now)
--- a/tests/routing/test_slots.py
+++ b/tests/routing/test_slots.py
@@ -182,6 +182,31 @@
         self.assertEqual((), scheduling.acker._barred())
         self.assertEqual("h1", self.others()[0].routing.acker._barred()[0].host)
 
+    def test_a_killed_scheduler_leaves_its_own_job_to_the_next(self) -> None:
+        """A host was stopped under the job of a killed gateway that was the scheduler as well."""
+        one = self.scheduling()
+        slot = self.acquire(one).result(WAIT_S).unwrap()
+        self.assertIsInstance(one.slots.start(slot), Success)
+        [heir] = [g for g in self.others() if g.member == one.routing.placement.deputy(POOL)]
+        eventually(lambda: heir.routing.schedulers.occupies(slot.host))
+        self.fleet.hosts(builders.an_entry("h1", phase=HostPhase.WITHDRAWING))
+        self.assertEqual((), heir.routing.acker._barred())
+        one.close()
+        self.gateways.remove(one)
+        self.members.end(one.member, proved=True)
+        self.assertEqual(heir, self.scheduling())
+        heir.routing.schedulers.tick()
+        self.assertEqual((), heir.routing.acker._barred())
+
+    def test_a_host_is_free_for_the_next_scheduler_when_a_job_has_ended(self) -> None:
+        """A withdrawal waited for the time of a job that had ended long before."""
+        one = self.scheduling()
+        slot = self.acquire(one).result(WAIT_S).unwrap()
+        heirs = [g.routing.schedulers for g in self.others()]
+        eventually(lambda: any(heir.occupies(slot.host) for heir in heirs))
+        one.slots.release(slot, Verdict.OK, 0.01)
+        eventually(lambda: not any(heir.occupies(slot.host) for heir in heirs))
+
     def test_a_spilled_job_goes_to_the_other_zone(self) -> None:
         self.fleet.hosts(msgspec.structs.replace(builders.an_entry("h9"), zone="z2"))
         far = builders.a_member("gw-9", zone="z2", http="127.0.0.1:99")
