Daemon: a process that can't start ends

An entry host of which one address is taken (found while tracing the known red test of the whole path) stayed alive half-started: it had registered and claimed the pool, heard no caller or was never ready, and ended at no SIGTERM, so its pool had an owner that nobody restarts.

Cause: the exception ended the main thread only; the worker threads of the HTTP server that was prepared before it kept the interpreter. Ruled out: preparing the servers first and stopping them on failure, as the order of start decides when callers are taken, and any later failure would do the same.

daemon._serve now prints the traceback and ends the process with exit code 1. Its lease lapses as after a kill, and the platform starts a process that exits again. The new test fails on the former code (TimeoutExpired after 20 s).

--- a/src/lentilrill/daemon.py
+++ b/src/lentilrill/daemon.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 import time
+import traceback
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Protocol, TypeVar
@@ -24,12 +25,13 @@
 __all__ = ["main"]
 
 EXIT_OK = 0
+EXIT_START = 1
 EXIT_SETTINGS = 2
 SETTINGS_VARIABLE = "LENTILRILL_CONFIG"
 SETTINGS_LOOK_S = 1.0
 """Pause between two looks at the settings file, which may change without a signal."""
 EPILOG = """\
-Exit codes: 0 ended after a clean drain, 2 the settings are wrong.
+Exit codes: 0 ended after a clean drain, 1 it could not start, 2 the settings are wrong.
 SIGTERM or SIGINT drains the process: it finishes what is in flight, then ends.
 """
 
@@ -169,7 +171,13 @@
     # Without a handler SIGHUP would end the process, and with it the requests in flight.
     signal.signal(signal.SIGHUP, lambda *_: watch.ask())
     started = time.monotonic()
-    process.start()
+    try:
+        process.start()
+    except Exception:
+        # What has started would keep the process: an owner of pools that hears neither callers
+        # nor signals. Ended at once, its lease lapses and its supervisor starts it again.
+        traceback.print_exc()
+        os._exit(EXIT_START)
     log(Event.PROCESS_STARTED, process=settings.process, zone=settings.zone)
     while not stop.wait(SETTINGS_LOOK_S):
         watch.look()
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -14,7 +14,7 @@
 from tests.builders import an_address
 from tests.execution.fakes import eventually
 
-__all__ = ["EntrySite"]
+__all__ = ["GRACE_S", "EntrySite"]
 
 GRACE_S = 20.0
 """Well above the platform's grace, so that a slow machine is no verdict."""
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -1,5 +1,6 @@
 """Jobs on real entry hosts, on a stand-in of the users' platform."""
 
+import socket
 from collections import Counter
 from itertools import pairwise
 from typing import Any
@@ -9,7 +10,7 @@
 
 from standins.users_platform import UsersPlatform
 from tests.execution.fakes import eventually
-from tests.platform.site import EntrySite
+from tests.platform.site import GRACE_S, EntrySite
 
 SMALL = {"count": 3, "cpu": 1000, "mem_mb": 500, "estimate_ms": 200}
 JOB: dict[str, Any] = {"spec": "text", "steps": [SMALL, SMALL | {"count": 2, "after": [0]}]}
@@ -113,6 +114,15 @@
         self.assertTrue(eventually(lambda: self.all_completed("front-1", 1)))
         self.check_runs()
 
+    def test_a_host_that_cannot_listen_ends(self) -> None:
+        """A host whose readiness port was taken owned a pool, heard no caller and never ended."""
+        self.begin(task_s=0.1, hosts=1)
+        self.assertEqual(0, self.site.end("front-0"))
+        address, _, port = self.site.settings["front-0"]["readiness"].partition(":")
+        with socket.create_server((address, int(port))):
+            self.site.start("front-0")
+            self.assertEqual(1, self.site.processes["front-0"].wait(timeout=GRACE_S))
+
     def test_a_wave_takes_down_no_more_hosts_than_it_may(self) -> None:
         self.begin(task_s=0.1)
         self.platform.declare_wave(1, self.workers, cap=1)
