--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     "fleet",
     "config",
     "control",
+    "owner",
     "platform",
     "rolling",
     "silence",
--- /dev/null
+++ b/bench/owner.py
@@ -0,0 +1,244 @@
+"""Processor time of a pool's owner for each task, in a surge of its pool.
+
+A real owner calls endpoints over HTTP, which stand in another process and end each task after a
+while. The store is in memory, so calls to it are left out. ``python -m bench.owner``
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import random
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from lentilrill.execution import PoolOwner
+from lentilrill.ids import EndpointId, JobId, PoolId, QueueId, RackId, Revision, ZoneId
+from lentilrill.platform import HttpEndpoint
+from lentilrill.telemetry import ScrapedMetrics, setup
+from lentilrill.workloads import EndpointEntry, Job, Resources, Step
+from tests.builders import a_configuration
+from tests.fakes import FakeKeyValue
+
+__all__ = ["main"]
+
+DEVNULL = Path(os.devnull)
+OWNER_KEY = "m/o/notices"
+POOL = PoolId("notices")
+PRESSURE_EVERY_S = 0.3
+SETTLE_S = 2.0
+SEED = 7
+CPU_SPREAD = 0.45
+DURATION_SPREAD = 0.5
+
+
+class Standin:
+    """One endpoint, which ends each task after the time that its job's text says."""
+
+    def __init__(self) -> None:
+        self._born_s = time.time()
+        self._runs_by_key: dict[tuple[str, int], None] = {}
+        self._ended: list[list[Any]] = []
+        self._cursor = 0
+        self._changed = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer the requests of one connection."""
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                path = head.split(" ")[1]
+                length = int(head.split("content-length:")[1].split("\r\n")[0])
+                body = msgspec.json.decode(await reader.readexactly(length))
+                answer = await self._answer(path, body)
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                    b"Content-Length: %d\r\n\r\n%s" % (len(answer), answer)
+                )
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _answer(self, path: str, body: dict[str, Any]) -> bytes:
+        lists: dict[str, Any] = {}
+        key = (body.get("task", ""), body.get("run_id", 0))
+        if path == "/run-start":
+            self._runs_by_key[key] = None
+            asyncio.get_running_loop().call_later(float(body["spec"]), self._end, key)
+        elif path == "/run-stop":
+            self._end(key, "stopped")
+        elif path == "/hold":
+            await self._hold(body)
+            running = [[task, number, "", 100, 0.0] for task, number in self._runs_by_key]
+            lists = {"running": running, "ended": self._ended}
+        clock = {"clock_ms": int(1000 * (time.time() - self._born_s)) + 1, "born": 1}
+        return msgspec.json.encode(clock | lists)
+
+    async def _hold(self, body: dict[str, Any]) -> None:
+        acknowledged = body.get("ack_cursor", -1)
+        self._ended = [row for row in self._ended if row[0] > acknowledged]
+        if not self._ended and body.get("wait_ms"):
+            self._changed.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), body["wait_ms"] / 1000)
+
+    def _end(self, key: tuple[str, int], how: str = "done") -> None:
+        if key in self._runs_by_key:
+            del self._runs_by_key[key]
+            self._cursor += 1
+            self._ended.append([self._cursor, *key, how, ""])
+            self._changed.set()
+
+
+async def stand_in(count: int) -> None:
+    """Serve ``count`` endpoints, after a line with their ports."""
+    servers = [await asyncio.start_server(Standin().serve, "127.0.0.1", 0) for _ in range(count)]
+    print(json.dumps([server.sockets[0].getsockname()[1] for server in servers]), flush=True)
+    await asyncio.Event().wait()
+
+
+def entry(number: int, port: int) -> EndpointEntry:
+    """Return an endpoint of 16 cores."""
+    return EndpointEntry(
+        EndpointId(f"e{number}"),
+        POOL,
+        f"127.0.0.1:{port}",
+        ZoneId("z1"),
+        Resources(16000, 32768),
+        labels=(RackId(f"r{number // 20}"),),
+    )
+
+
+def a_job(number: int, luck: random.Random) -> Job:
+    """Return a job of about 13 tasks in one or two steps."""
+    seconds = min(2.0, 0.8 * luck.lognormvariate(-(DURATION_SPREAD**2) / 2, DURATION_SPREAD))
+    cpu = min(4600, int(1500 * luck.lognormvariate(-(CPU_SPREAD**2) / 2, CPU_SPREAD)))
+    count = luck.choice((1, 2, 2))
+    steps = tuple(
+        Step(
+            max(1, min(32, round(luck.lognormvariate(1.9, 0.6)))),
+            Resources(cpu, 2200),
+            estimate_ms=int(1000 * seconds * luck.lognormvariate(0, 0.6)),
+            after=(index - 1,) if index else (),
+        )
+        for index in range(count)
+    )
+    return Job(
+        JobId(f"j{number:019d}"),
+        QueueId("proofs"),
+        POOL,
+        f"{seconds:.3f}",
+        steps,
+        accepted_ms=int(time.time() * 1000),
+        attempts=3,
+    )
+
+
+class Surge:
+    """Jobs handed to one owner at an even rate.
+
+    :param ports: of the endpoints.
+    """
+
+    def __init__(self, ports: list[int], rate: float, seconds: float) -> None:
+        self._entries = {e.id: e for e in (entry(n, port) for n, port in enumerate(ports))}
+        self._rate = rate
+        self._seconds = seconds
+        self.metrics = ScrapedMetrics()
+        self.kv = FakeKeyValue()
+        token = self.kv.put(OWNER_KEY, b"owner")
+        configuration = a_configuration()
+        self.owner = PoolOwner(
+            self.kv,
+            POOL,
+            Revision(token),
+            OWNER_KEY,
+            lambda: configuration,
+            lambda pool: dict(self._entries),
+            lambda listed: HttpEndpoint(listed, self.metrics),
+            lambda: True,
+            lambda reason: None,
+            metrics=self.metrics,
+        )
+        self._ended = threading.Event()
+
+    def run(self) -> dict[str, float]:
+        """Return figures by name."""
+        self.owner.start()
+        threading.Thread(target=self._press, daemon=True).start()
+        time.sleep(SETTLE_S)
+        spent = time.process_time()
+        jobs = self._hand_in()
+        books = [self.owner._jobs.by_id[job.id] for job in jobs]
+        in_time = sum(book.final_stored for book in books)
+        while not all(book.final_stored for book in books):
+            time.sleep(0.01)
+        spent = time.process_time() - spent
+        self._ended.set()
+        self.owner.close()
+        tasks = sum(step.count for job in jobs for step in job.steps)
+        took = sorted(
+            book.ended_ms / 1000 - job.accepted_ms / 1000
+            for job, book in zip(jobs, books, strict=True)
+        )
+        return {
+            "processor time a task, ms": 1000 * spent / tasks,
+            "tasks": tasks,
+            "jobs done when the last came": in_time / len(jobs),
+            "hand-in to end, half": took[len(took) // 2],
+            "hand-in to end, 95 of 100": took[len(took) * 95 // 100],
+        }
+
+    def _hand_in(self) -> list[Job]:
+        luck = random.Random(SEED)
+        began = time.monotonic()
+        jobs = []
+        for number in range(int(self._rate * self._seconds)):
+            time.sleep(max(0.0, began + number / self._rate - time.monotonic()))
+            job = a_job(number, luck)
+            value = msgspec.msgpack.encode(job)
+            self.owner.take_job(value, self.kv.put(f"in/{POOL}/j/{job.id}", value))
+            jobs.append(job)
+        return jobs
+
+    def _press(self) -> None:
+        while not self._ended.wait(PRESSURE_EVERY_S):
+            self.owner.pressure()
+
+
+def main() -> None:
+    """Run one surge and print its figures as lines of JSON."""
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    parser.add_argument("--endpoints", type=int, default=80)
+    parser.add_argument("--rate", type=float, default=40.0, help="jobs a second")
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--stand-in", type=int, default=0, help=argparse.SUPPRESS)
+    args = parser.parse_args()
+    if args.stand_in:
+        asyncio.run(stand_in(args.stand_in))
+        return
+    command = [sys.executable, "-m", "bench.owner", "--stand-in", str(args.endpoints)]
+    shown = sys.stdout
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as process, DEVNULL.open("w") as log:
+        assert process.stdout is not None
+        ports = json.loads(process.stdout.readline())
+        # What an owner logs costs it time, and belongs to the figure.
+        sys.stdout = log
+        setup("info")
+        figures = Surge(ports, args.rate, args.seconds).run()
+        process.terminate()
+        head = {"bench": "owner", "endpoints": args.endpoints, "rate": args.rate}
+        lines = [head | {"figure": name, "value": round(figures[name], 3)} for name in figures]
+        print(*map(json.dumps, lines), sep="\n", file=shown, flush=True)
+        # The threads of the owner and the log still run, and write to what is closed now.
+        os._exit(0)
+
+
+if __name__ == "__main__":
+    main()
