Hosts: a surge leaves other pools what they keep

Cause: seconds before, the surge of notices took 15 of schools' hosts, so that schools began its own with 15 of the 22 that it keeps, and none in standby. A pool that is not short has no target for being idle (_wanted, so that it isn't filled up at once at a start), and the same target told what others may take from it: 0. Change: a pool gives hosts only beyond what it keeps, too. Ruled out: the owner's processor, as the order of causes above shows; connections and the store. The new test failed before: 10 hosts taken where 4 may be (26 hosts, 22 kept).

--- a/src/lentilrill/scheduling/_capacity.py
+++ b/src/lentilrill/scheduling/_capacity.py
@@ -141,6 +141,7 @@
         self._free_by_pool = {need.pool: list(need.free) for need in needs}
         self._late_by_pool = {need.pool: list(need.late) for need in needs}
         self._hosts_by_pool = {need.pool: need.hosts for need in needs}
+        self._kept_by_pool = {need.pool: need.kept for need in needs}
         self._zones_by_pool = {need.pool: list(need.zones) for need in needs}
 
     def share_out(self, targets: dict[PoolId, int]) -> None:
@@ -183,11 +184,19 @@
     def _from_pools(self, pool: PoolId, targets: dict[PoolId, int]) -> Move | None:
         for left_by_pool in (self._free_by_pool, self._late_by_pool):
             for source, left in left_by_pool.items():
-                if source != pool and left and self._hosts_by_pool[source] > targets[source]:
+                if source != pool and left and self._has_spare(source, targets):
                     self._hosts_by_pool[source] -= 1
                     return Move(left.pop(), source, pool)
         return None
 
+    def _has_spare(self, pool: PoolId, targets: dict[PoolId, int]) -> bool:
+        """Return whether a pool has more hosts than it should have and than it keeps.
+
+        Guard against a pool that goes into its surge with few hosts: an earlier surge asks for
+        all there are, and a pool that has its share gets no target for being idle.
+        """
+        return self._hosts_by_pool[pool] > max(targets[pool], self._kept_by_pool[pool])
+
 
 def _most_crowded_first(free: list[FreeHost], zones: list[ZoneId]) -> list[FreeHost]:
     """Return free hosts so that those leave first in whose zone the pool has the most hosts."""
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -60,6 +60,17 @@
         busy = PoolNeed(PoolId("ballots"), 3.5, 5, 5, free("b1"))
         self.assertEqual([], plan_moves((hot, busy), STANDBY, ()))
 
+    def test_a_surge_leaves_other_pools_what_they_keep(self) -> None:
+        """A pool went into its surge with 15 of the 22 hosts that it keeps: guards its share."""
+        hot = PoolNeed(PoolId("notices"), 200.0, 120, firm=140.0)
+        names = [f"s{n}" for n in range(10)]
+        for hosts, taken in ((26, 4), (22, 0), (15, 0)):
+            idle = PoolNeed(
+                PoolId("schools"), 0.0, hosts, 0, free(*names), firm=0.0, kept=22, short_s=0.0
+            )
+            moves = plan_moves((hot, idle), STANDBY, ())
+            self.assertEqual(taken, len([m for m in moves if m.source == idle.pool]), hosts)
+
     def test_a_forecast_does_not_starve_a_surge(self) -> None:
         """Route plans were refused for four seconds while twenty hosts stood idle in another pool.
 
