--- a/src/lentilrill/execution/_idle.py
+++ b/src/lentilrill/execution/_idle.py
@@ -118,14 +118,22 @@
 
 
 def _why_room(task: TaskBook, view: RoundView) -> dict[str, object]:
-    needs, label = task.step.spec.reserved, task.step.spec.label
+    spec = task.step.spec
     fitting = [
         room
         for room in view.rooms.values()
-        if needs.fits(room.free) and (not label or label in room.labels)
+        if spec.reserved.fits(room.free) and (not spec.label or spec.label in room.labels)
     ]
-    usable = [room for room in fitting if room.id not in task.failed_on and not room.probing]
-    reason = "passed over" if usable else "failed where it fits" if fitting else "no room"
+    taken = Counter(run.endpoint for other in task.step.tasks for run in other.runs)
+    most = spec.most_per_endpoint
+    spread = [room for room in fitting if not most or taken[room.id] < most]
+    usable = [room for room in spread if room.id not in task.failed_on and not room.probing]
+    if not fitting:
+        reason = "no room"
+    elif not spread:
+        reason = "as many of its step as may be run where it fits"
+    else:
+        reason = "passed over" if usable else "failed where it fits"
     closed = Counter(barrier(link, view.now) or "open" for link in view.links.values())
     return {
         "reason": reason,
--- a/tests/execution/test_idle.py
+++ b/tests/execution/test_idle.py
@@ -104,6 +104,15 @@
         self.assertEqual("passed over", self.reason())
         self.assertEqual((2, "2 open"), (self.lines[0]["fitting"], self.lines[0]["endpoints"]))
 
+    def test_spread_over_endpoints(self) -> None:
+        step = a_step(4, lasting=True, most_per_endpoint=1)
+        self.book = JobBook(a_job("a", step), Revision(5), 0.0)
+        self.book.open_occurrences(0)
+        self.task, *others = self.book.tasks()
+        for other, endpoint in zip(others, ("e1", "e2", "e3"), strict=True):
+            self.a_run(other, RunPhase.UNDER_WAY).endpoint = EndpointId(endpoint)
+        self.assertEqual("as many of its step as may be run where it fits", self.reason())
+
     def test_a_stray(self) -> None:
         self.assertEqual("seen under way, not followed", self.reason(strays=True))
 
