Failing test: a right that pauses costs starts and runs that are well

The owner gets its right back each time, since the lease in the store lives on, so nobody takes over, and the same starts begin anew under the next number.

Both tests fail on the present code: the first one with a stop of the run (reference [], actual [(..., 1001)]), the second one with run 1002 where 1001 was placed.

--- /dev/null
+++ b/tests/execution/test_right.py
@@ -0,0 +1,85 @@
+"""What an owner does whose right pauses, since its lease was proved too late, and comes back."""
+
+import threading
+import time
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.execution import OrderAnswer, PoolOwner, StartOrder, Verdict
+from lentilrill.workloads import Job
+from tests.builders import a_job, a_step, an_endpoint
+from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
+
+PAUSE_S = 0.5
+"""Longer than the pause before a refused start is placed anew."""
+
+
+class LossyEndpoint(FakeEndpoint):
+    """Carries starts out once it is open; while it is lossy, their answers are lost."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lossy = False
+        self.open = threading.Event()
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        self.open.wait()
+        answer = super().start(order)
+        return OrderAnswer(Verdict.UNKNOWN) if self.lossy else answer
+
+
+class RightTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.pool = OwnedPool("e1")
+        self.addCleanup(self.pool.close)
+        self.endpoint = LossyEndpoint()
+        self.addCleanup(self.endpoint.open.set)
+        self.pool.endpoints["e1"] = self.endpoint
+        self.pool.register(an_endpoint("e1"))
+        self.right = True
+        self.owner = self.pool.new_owner()
+        self.patch(self.owner, "_may_order", lambda: self.right)
+        self.owner.start()
+
+    def hand_in(self, job: Job) -> PoolOwner:
+        """Let the owner take a job."""
+        value = msgspec.msgpack.encode(job)
+        revision = self.pool.kv.put(f"in/notices/j/{job.id}", value)
+        self.owner.take_job(value, revision)
+        return self.owner
+
+    def pause_right(self) -> float:
+        """Take the right away for a while, as a late renewal does; return when it came back."""
+        self.right = False
+        time.sleep(PAUSE_S)
+        back_at = time.monotonic()
+        self.right = True
+        return back_at
+
+    def test_a_run_whose_start_got_no_answer_outlives_a_pause_of_the_right(self) -> None:
+        """A lasting task that ran well was stopped by an owner whose lease was proved late."""
+        self.endpoint.lossy = True
+        self.endpoint.open.set()
+        owner = self.hand_in(a_job("a", a_step(1, lasting=True)))
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) == 1))
+        run = next(iter(owner._links.by_id[an_endpoint("e1").id].runs_by_key.values()))
+        self.assertTrue(eventually(lambda: run.in_doubt))
+        self.endpoint.lossy = False
+        back_at = self.pause_right()
+        self.assertTrue(eventually(lambda: (run.confirmed_at or 0.0) > back_at))
+        self.assertEqual([], self.endpoint.stops)
+        self.assertEqual([run.key], list(self.endpoint.running))
+
+    def test_starts_wait_out_a_pause_of_the_right(self) -> None:
+        """Starts in the queue of an owner whose lease was proved late were given up each time."""
+        owner = self.hand_in(a_job("a", a_step(4)))
+        links = owner._links.by_id
+        self.assertTrue(eventually(lambda: bool(links) and bool(links["e1"].runs_by_key)))
+        placed = sorted(links["e1"].runs_by_key)
+        self.right = False
+        self.endpoint.open.set()
+        self.pause_right()
+        self.assertTrue(eventually(lambda: len({task for task, _ in self.pool.starts()}) == 4))
+        self.assertEqual(placed, sorted(self.pool.starts()))
