--- a/tests/store/test_transport.py
+++ b/tests/store/test_transport.py
@@ -104,6 +104,18 @@
         self.assertIsInstance(result, Failure)
         self.assertEqual(FaultKind.UNAVAILABLE, result.failure().kind)
 
+    def test_a_whole_answer_counts_however_late_it_is_read(self) -> None:
+        """An overloaded host threw away answers that it had, and asked for all of them again."""
+
+        def script(connection: socket.socket, number: int) -> None:
+            self.now += 2 * SHORT_S
+            connection.sendall(HEAD + b"answer")
+
+        transport = self.a_transport(script)
+        self.assertEqual(b"answer", self.exchange(transport).unwrap())
+        self.exchange(transport).unwrap()
+        self.assertEqual(1, self.server.connections)
+
     def test_a_write_avoids_a_connection_that_was_idle(self) -> None:
         # Something in between forgets a connection that was idle, and it goes silent for good.
         # A claim sent on it would be lost with its answer, and the job be refused needlessly.
