Execution: orders wait out a pause of the right

Cause: an owner whose lease is proved too late may not order until it is proved again. EndpointLink._send told that as BUSY, a refusal that only an endpoint can give. Starts that were not sent yet were given up and placed anew under the next number; those without an answer were stopped, though they ran well. The lease in the store lived on, so nobody took over, and all began anew. Class of fault: a host takes its own slowness for its peers' failure.

Ruled out: the endpoints, none of which answered so; a guard that leaves a task out, or a run whose end was never known: the log names the refusal of each.

Change: an order waits in its endpoint's queue until the right is back, or its link is closed. What it orders then is made up when it is sent, so a start that is no longer wanted is not sent.

Tests: both of RightTest fail on the code before (a stop where none should be; run 1002 where 1001 was placed) and pass now; tests/execution passes.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -235,13 +235,15 @@
         self._calls.close()
 
     def _carry_out(self, order: Order) -> None:
+        # A right that pauses is no answer of the endpoint's: what was placed there stays placed.
+        while not self._owner.may_order():
+            if self._ended.wait(RETRY_S):
+                return
         answer = self._send(order)
         if answer is not None and not self._ended.is_set():
             self._owner.answered(self, order, answer)
 
     def _send(self, order: Order) -> OrderAnswer | None:
-        if not self._owner.may_order():
-            return OrderAnswer(Verdict.BUSY)
         run = order.run
         if run is not None and run.key not in self.runs_by_key:
             return None
