Execution: a start that waits is not dropped with an older lease

Cause: EndpointLink.lease_end stands in the past on an endpoint that had been idle for longer than a lease, until a start is sent there or a look renews, which waits up to 2 s. Each round of the owner dropped all that was placed there as "its lease has lapsed out of sight", also starts that no sender had come to yet, and placed them anew under the next number. On a host whose threads come late, or whose right pauses, a start was overtaken by the next round each time; so a start did not wait out a pause of the right on an endpoint that had been idle.

Evidence: the new test, on the code before: run 1001 was placed, 1004 stood there three rounds later. Ruled out: a run that is sent meanwhile: its sending moves lease_end on, under the owner's lock.

Change: a start that was never sent has no lease, and stays while its endpoint answers. On one that doesn't, it is dropped as before: sent there, it would move the end of all leases on.

Test: fails on the code before as told, passes now; tests/execution passes (82).

--- a/src/lentilrill/execution/_book.py
+++ b/src/lentilrill/execution/_book.py
@@ -85,6 +85,11 @@
         """Task and number, which name the run on its endpoint."""
         return self.task.id, self.number
 
+    @property
+    def is_unsent(self) -> bool:
+        """Whether its start waits to be sent for the first time."""
+        return self.phase is RunPhase.ORDERED and not self.sent
+
     @property
     def at_work(self) -> bool:
         """Whether it has started up and works. One that is being stopped still shows as at work
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -348,4 +348,7 @@
         for link in self._links.by_id.values():
             if link.runs_by_key and link.lease_end and now > link.lease_end:
                 for run in list(link.runs_by_key.values()):
+                    # A start that still waits to be sent has no lease yet.
+                    if run.is_unsent and link.reachable:
+                        continue
                     self._reconciler.drop(link, run, "its lease has lapsed out of sight")
--- /dev/null
+++ b/tests/execution/test_own_lateness.py
@@ -0,0 +1,67 @@
+"""What an owner must not take for its endpoints' doing when it is late itself."""
+
+import time
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.execution import PoolOwner
+from lentilrill.execution._link import EndpointLink
+from lentilrill.workloads import Job
+from tests.builders import a_job, a_step, an_endpoint
+from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
+
+
+class OwnLatenessTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.pool = OwnedPool("e1")
+        self.addCleanup(self.pool.close)
+        self.pool.register(an_endpoint("e1"))
+        self.owner = self.pool.new_owner()
+        self.rounds = 0
+        self.count_rounds()
+        self.owner.start()
+        links = self.owner._links.by_id
+        self.assertTrue(eventually(lambda: bool(links) and links["e1"].looked_once))
+        self.link: EndpointLink = links["e1"]
+
+    @property
+    def endpoint(self) -> FakeEndpoint:
+        return self.pool.endpoints["e1"]
+
+    def count_rounds(self) -> None:
+        """Count the owner's rounds."""
+        plan = self.owner._plan
+
+        def counted() -> None:
+            plan()
+            self.rounds += 1
+
+        self.patch(self.owner, "_plan", counted)
+
+    def hand_in(self, job: Job) -> PoolOwner:
+        """Let the owner take a job."""
+        value = msgspec.msgpack.encode(job)
+        revision = self.pool.kv.put(f"in/notices/j/{job.id}", value)
+        self.owner.take_job(value, revision)
+        return self.owner
+
+    def hold_orders(self) -> None:
+        """Let orders wait in their queues, as while the right pauses or threads come late."""
+        self.patch(self.owner._talk, "_may_order", lambda: False)
+
+    def test_a_start_that_waits_is_not_dropped_with_an_older_lease(self) -> None:
+        """Starts in the queue of an endpoint that had been idle were dropped by each round."""
+        self.hold_orders()
+        self.assertTrue(eventually(lambda: self.link.reachable))
+        self.link.lease_end = time.monotonic() - 1.0
+        self.hand_in(a_job("a", a_step(1)))
+        self.assertTrue(eventually(lambda: bool(self.link.runs_by_key)))
+        [placed] = self.link.runs_by_key
+        before = self.rounds
+        self.assertTrue(eventually(lambda: self.rounds >= before + 3))
+        self.assertEqual([placed], list(self.link.runs_by_key))
+        self.patch(self.owner._talk, "_may_order", lambda: True)
+        self.assertTrue(eventually(lambda: bool(self.pool.starts())))
+        self.assertEqual([placed], self.pool.starts())
