Hosts: no host is moved once the right is gone

Cause: a round of the fleet's owner asks for its right before it begins to move hosts, and then sends as many orders as the round has, each with a time-out of 1 s. Waves ask before each order, moves did not. On a host whose round lasts, the right ended meanwhile, and orders went on beside those of the next owner (fences refuse them where they are checked). The same holds when a shard is handed over: the former owner's round would have gone on.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -265,7 +265,16 @@
             wave_state_key,
             lambda completed: encode_wave_state(completed=completed),
         )
-        mover = Mover(hosts, emptying, process, token, self._pools, self._news.pressure_of, refused)
+        mover = Mover(
+            hosts,
+            emptying,
+            process,
+            token,
+            self._pools,
+            self._news.pressure_of,
+            refused,
+            may_order,
+        )
         return FleetOwner(hosts, waves, mover, emptying, may_order)
 
     def _pools(self) -> tuple[PoolEntry, ...]:
--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -34,6 +34,7 @@
 
     :param pools: the pools that are configured.
     :param pressure_of: what a pool's owner says; ``None`` if nobody says anything fresh.
+    :param may_order: whether the lease behind the token still holds.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         pools: Callable[[], tuple[PoolEntry, ...]],
         pressure_of: Callable[[PoolId], PoolPressure | None],
         refused: Callable[[str], None],
+        may_order: Callable[[], bool],
     ) -> None:
         self._hosts = hosts
         self._emptying = emptying
@@ -53,6 +55,7 @@
         self._pools = pools
         self._pressure_of = pressure_of
         self._refused = refused
+        self._may_order = may_order
         self._targets_by_pool: dict[PoolId, deque[tuple[float, int]]] = {}
         self._short_since: dict[PoolId, float] = {}
         self._begun_by_host: dict[HostId, tuple[Move, float]] = {}
@@ -200,6 +203,9 @@
             del self._begun_by_host[host]
 
     def _order(self, host: HostId, move: Move) -> None:
+        # A round of a late host lasts: its right may have ended since it began.
+        if not self._may_order():
+            return
         answer = self._hosts.move(host, move.target, self._process, int(self._token))
         log(
             Event.HOST_ORDERED,
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -241,6 +241,7 @@
         super().setUp()
         self.hosts = Hosts()
         self.need = 0.5
+        self.right_for = 1000
         peers = Peers()
         emptying = Emptying(peers, lambda pool: "10.0.0.1:1")
         peers.emptying = emptying
@@ -255,8 +256,16 @@
             lambda: (PoolEntry(NOTICES), PoolEntry(STANDBY, standby=True)),
             lambda pool: PoolPressure(NOTICES, 0.0, {}, 1, self.need, 2, ()),
             lambda reason: None,
+            lambda: len(self.hosts.orders) < self.right_for,
         )
 
+    def test_no_host_is_moved_once_the_right_is_gone(self) -> None:
+        """A late owner of the fleet ordered on in its round, beside the next owner."""
+        self.need = 3.5
+        self.right_for = 1
+        self.mover.round(self.rows, set())
+        self.assertEqual(1, len(self.hosts.orders))
+
     def test_hosts_come_from_standby_when_work_grows(self) -> None:
         self.need = 3.5
         self.mover.round(self.rows, set())
