Execution: a start that waited goes by what the store tells now

Cause: whether an endpoint drains is looked up when a start is sent, in an entry that only rounds read anew. Starts that waited are sent up to 0.15 s after the right is back, before or beside the first round, so they went to endpoints that had begun to drain meanwhile. Before they were given up and placed anew by a round. Ruled out: cancelled jobs: their state is asked for when the start is sent, and news of them needs no round.

Change: if the entries were read over 0.3 s ago, a start reads them anew; that is at most three times a second.

--- a/src/lentilrill/execution/_endpoint_talk.py
+++ b/src/lentilrill/execution/_endpoint_talk.py
@@ -31,6 +31,7 @@
     :param refused: called when an endpoint knows a newer token.
     :param ended: called when an end is to be stored.
     :param wake: begins a round, under the owner's lock.
+    :param reread: takes over what the store tells of endpoints now, under the owner's lock.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         refused: Callable[[str], None],
         ended: Callable[[], None],
         wake: Callable[[], None],
+        reread: Callable[[], None],
     ) -> None:
         self.token = token
         self._lock = lock
@@ -56,6 +58,7 @@
         self._refused = refused
         self._ended = ended
         self._wake = wake
+        self._reread = reread
 
     def may_order(self) -> bool:
         """Whether orders may be given now."""
@@ -120,6 +123,9 @@
             book = run.task.step.book
             if run.key not in link.runs_by_key:
                 return None
+            # A start may have waited for long, and rounds may come late.
+            if not self._links.are_fresh:
+                self._reread()
             if book.state.is_final or link.entry.draining or run.phase is RunPhase.STOPPING:
                 if run.in_doubt:
                     run.phase = RunPhase.STOPPING
--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -16,6 +16,8 @@
 are started elsewhere: the former owner's right (at most 1.6 s, by its lease or by the news that
 the store is away everywhere), the lease of its last order (3.4 s on a clock that may be 2 % slow),
 and its end."""
+FRESH_S = 0.3
+"""How long what the store tells of endpoints counts for a start: as long as it takes to come."""
 FORGET_LINK_S = 2.0
 """How long an endpoint that is not registered any more must be silent before it is forgotten."""
 
@@ -26,6 +28,7 @@
     :param lock: the lock of the pool's owner, under which ``by_id`` is read and changed.
     :param connect: opens a link, which is not started yet.
     :ivar unseen: endpoints of the former owner at which this one has not looked yet.
+    :ivar read_at: when the entries of the links were last read, by the monotonic clock.
     """
 
     def __init__(
@@ -37,6 +40,7 @@
     ) -> None:
         self.by_id: dict[EndpointId, EndpointLink] = {}
         self.unseen: set[EndpointId] = set()
+        self.read_at = 0.0
         self._pool = pool
         self._roster = roster
         self._lock = lock
@@ -62,10 +66,7 @@
         :return: ``False`` if the store knows a newer owner.
         """
         with self._lock:
-            for link in self.by_id.values():
-                entry = entries.get(link.entry.id)
-                link.registered = entry is not None
-                link.entry = entry or link.entry
+            self.note(entries)
             new = [entry for entry in entries.values() if entry.id not in self.by_id]
             gone = [link for link in self.by_id.values() if self._is_over(link)]
             for link in gone:
@@ -80,6 +81,19 @@
                 self._open(entry)
         return True
 
+    def note(self, entries: dict[EndpointId, EndpointEntry]) -> None:
+        """Take over what the store tells of endpoints that have links."""
+        self.read_at = time.monotonic()
+        for link in self.by_id.values():
+            entry = entries.get(link.entry.id)
+            link.registered = entry is not None
+            link.entry = entry or link.entry
+
+    @property
+    def are_fresh(self) -> bool:
+        """Whether the entries of the links were read a moment ago."""
+        return time.monotonic() - self.read_at < FRESH_S
+
     def _former(self, entries: dict[EndpointId, EndpointEntry]) -> list[EndpointEntry]:
         """Return endpoints that only the former owner's roster names."""
         return [
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -120,6 +120,7 @@
             refused,
             lambda: self._writer.note(urgent=False),
             self._wake,
+            lambda: self._links.note(self._entries(self.pool)),
         )
         self._follower = Follower(kv, f"in/{pool}/", self._jobs, pause_s=INTAKE_PAUSE_S)
         self._planning = threading.Thread(target=self._plan_on, name=f"plan-{pool}", daemon=True)
--- a/tests/execution/test_own_lateness.py
+++ b/tests/execution/test_own_lateness.py
@@ -65,3 +65,18 @@
         self.patch(self.owner._talk, "_may_order", lambda: True)
         self.assertTrue(eventually(lambda: bool(self.pool.starts())))
         self.assertEqual([placed], self.pool.starts())
+
+    def test_a_start_that_waited_is_not_sent_to_an_endpoint_that_drains_meanwhile(self) -> None:
+        """A start that had waited for seconds went to an endpoint that drained by then."""
+        self.hold_orders()
+        self.hand_in(a_job("a", a_step(1)))
+        self.assertTrue(eventually(lambda: bool(self.link.runs_by_key)))
+        self.patch(self.owner, "_refresh_links", lambda: None)
+        before = self.rounds
+        self.assertTrue(eventually(lambda: self.rounds >= before + 2))
+        self.pool.register(an_endpoint("e1", draining=True))
+        self.owner._links.read_at = 0.0
+        self.patch(self.owner._talk, "_may_order", lambda: True)
+        over = eventually(lambda: bool(self.pool.starts()) or not self.link.runs_by_key)
+        self.assertTrue(over)
+        self.assertEqual([], self.pool.starts())
