Execution: stops go before starts that wait

Cause: an endpoint's orders were sent in the order in which they were queued. A stop waited behind all of them: of a cancelled job, which has seconds, of a run whose start is in doubt, whose task can't be placed anew before, and of a host that is to be emptied. Ruled out: a stop that overtakes its own start: a start that is not sent yet is dropped, and one on its way is refused by the endpoint, as with several senders before.

Change: an endpoint's queue gives stops first; orders of one kind keep their order.

Test: on the code before the stop was not sent within the 20 s that the test waits, behind two starts, with all senders at work on others. tests/execution passes (84).

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -1,5 +1,6 @@
 """One endpoint as its pool's owner sees it, and the tasks that talk to it."""
 
+import itertools
 import queue
 import threading
 import time
@@ -33,6 +34,8 @@
 """Tasks that send one endpoint its orders. With one, an order without an answer held up all others
 for its time-out: with one in ten lost, half of the jobs waited 0.2 s for their first start.
 Orders about one run may overtake each other: a stop that comes first makes the start refused."""
+END = -1
+"""Place in the queue of what ends a sender, before all orders."""
 RETRY_S = 0.15
 """Pause after a call without an answer."""
 
@@ -45,6 +48,11 @@
     PACE = "pace"
 
 
+URGENCY_BY_KIND = {OrderKind.STOP: 0, OrderKind.PACE: 1, OrderKind.START: 1}
+"""Place in the queue. Stops have to be carried out in time, and give the room back that starts
+need; those of a late owner's queue may take seconds."""
+
+
 class Order:
     """An order that waits to be sent, about one run of a task.
 
@@ -120,7 +128,8 @@
         self._latest_expiry_ms = 0
         self._owner = owner
         self._calls = calls
-        self._orders: queue.SimpleQueue[Order | None] = queue.SimpleQueue()
+        self._orders: queue.PriorityQueue[tuple[int, int, Order | None]] = queue.PriorityQueue()
+        self._turns = itertools.count()
         self._ended = threading.Event()
         self._nudge = threading.Event()
         self._threads = [
@@ -141,7 +150,7 @@
         self._ended.set()
         self._nudge.set()
         for _ in range(SENDERS):
-            self._orders.put(None)
+            self._orders.put((END, next(self._turns), None))
 
     @property
     def closed(self) -> bool:
@@ -149,8 +158,8 @@
         return self._ended.is_set()
 
     def order(self, order: Order) -> None:
-        """Queue an order."""
-        self._orders.put(order)
+        """Queue an order, before those that wait and are less urgent."""
+        self._orders.put((URGENCY_BY_KIND[order.kind], next(self._turns), order))
 
     def nudge(self) -> None:
         """Cut a pause between two looks short."""
@@ -228,7 +237,7 @@
         self._nudge.clear()
 
     def _send_orders(self) -> None:
-        while (order := self._orders.get()) is not None:
+        while (order := self._orders.get()[-1]) is not None:
             if self._ended.is_set():
                 break
             guarded(f"orders {self.entry.id}", partial(self._carry_out, order))
--- a/tests/execution/test_own_lateness.py
+++ b/tests/execution/test_own_lateness.py
@@ -1,17 +1,33 @@
 """What an owner must not take for its endpoints' doing when it is late itself."""
 
+import threading
 import time
 
 import msgspec
 from testtools import TestCase
 
-from lentilrill.execution import PoolOwner
-from lentilrill.execution._link import EndpointLink
-from lentilrill.workloads import Job
+from lentilrill.execution import OrderAnswer, PoolOwner, StartOrder
+from lentilrill.execution._book import RunPhase
+from lentilrill.execution._link import SENDERS, EndpointLink
+from lentilrill.workloads import Job, Resources
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
 
 
+class SlowEndpoint(FakeEndpoint):
+    """Takes as many starts as were let through; the others wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.asked = 0
+        self.turns = threading.Semaphore(0)
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        self.asked += 1
+        self.turns.acquire()
+        return super().start(order)
+
+
 class OwnLatenessTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -80,3 +96,29 @@
         over = eventually(lambda: bool(self.pool.starts()) or not self.link.runs_by_key)
         self.assertTrue(over)
         self.assertEqual([], self.pool.starts())
+
+
+class StopTest(TestCase):
+    def test_a_stop_does_not_wait_behind_starts(self) -> None:
+        """The stop of a cancelled job waited behind all starts of a late owner's queue."""
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        slow = SlowEndpoint()
+        self.addCleanup(slow.turns.release, 100)
+        pool.endpoints["e1"] = slow
+        pool.register(an_endpoint("e1", room=Resources(40_000, 80_000)))
+        owner = pool.take_over()
+        slow.turns.release()
+        first, second = a_job("a", a_step(1, lasting=True)), a_job("b", a_step(SENDERS + 2))
+        for job, asked in ((first, 1), (second, 1 + SENDERS)):
+            value = msgspec.msgpack.encode(job)
+            owner.take_job(value, pool.kv.put(f"in/notices/j/{job.id}", value))
+            self.assertTrue(eventually(lambda asked=asked: slow.asked >= asked))
+            self.assertTrue(eventually(lambda: len(slow.starts) == 1))
+        link = owner._links.by_id["e1"]
+        self.assertTrue(eventually(lambda: len(link.runs_by_key) == 1 + SENDERS + 2))
+        owner.cancel(first.id)
+        runs = list(link.runs_by_key.values())
+        self.assertTrue(eventually(lambda: any(r.phase is RunPhase.STOPPING for r in runs)))
+        slow.turns.release()
+        self.assertTrue(eventually(lambda: bool(slow.stops)))
