Hosts: a host is not sent down on an answer that is old

Cause: a wave asks for all endpoints first, then stores that their hosts may be down, then orders one after the other. An owner keeps tasks off an endpoint for 3 s after it was last asked. Storing takes up to 1.5 s and each order up to 1 s without an answer, more on a host that is short of processor time; then the last hosts of a round were sent down with tasks that had just been placed there. Ruled out: moves: each is ordered right after its answer was looked at.

Change: a host whose order comes over 1.5 s after the asking waits for the next round, which asks again. An answer may be 1.5 s old when it is looked at, so both together are the 3 s.

Test: on the code before all three hosts were ordered, two of them 2 and 4 s after the asking. tests/upkeep and tests/entry pass (31).

--- a/src/lentilrill/upkeep/_waves.py
+++ b/src/lentilrill/upkeep/_waves.py
@@ -12,7 +12,7 @@
 from lentilrill.store import Compare, FencedRecord, KeyValue, Written
 from lentilrill.telemetry import Dependency, Event, log
 from lentilrill.upkeep._contract import HostCalls, HostOrder, HostRow, HostState
-from lentilrill.upkeep._emptying import Emptying
+from lentilrill.upkeep._emptying import FRESH_S, Emptying
 from lentilrill.workloads import Wave
 
 __all__ = ["Waves"]
@@ -230,6 +230,7 @@
 
         One host more than may go down is emptied ahead, so that it is free when its turn comes.
         """
+        asked_at = self._clock()
         down = sum(1 for host, state in hosts.items() if _is_down(state, rows.get(host)))
         busy = down + sum(1 for state in hosts.values() if state.stage is Stage.EMPTYING)
         chosen: list[tuple[HostId, _HostInWave]] = []
@@ -243,7 +244,7 @@
             if self._is_free(host, state, row) and down + len(chosen) < wave.most_at_once:
                 state.endpoint = row.endpoint
                 chosen.append((host, state))
-        self._order_all(wave, hosts, chosen)
+        self._order_all(wave, hosts, chosen, asked_at)
 
     def _in_order(
         self,
@@ -278,11 +279,14 @@
         wave: Wave,
         hosts: dict[HostId, _HostInWave],
         chosen: list[tuple[HostId, _HostInWave]],
+        asked_at: float,
     ) -> None:
         """Send hosts down, once it is stored that they may be down.
 
         Guard against a wave that takes down more hosts than it may: the next owner of the fleet
         must count those that this one ordered last, before the list of hosts shows them.
+
+        :param asked_at: from when on it was asked whether they are free, which holds for a while.
         """
         if not chosen:
             return
@@ -293,6 +297,9 @@
                 state.stage = Stage.EMPTYING
             return
         for host, state in chosen:
+            if state.endpoint and self._clock() - asked_at > FRESH_S:
+                state.stage = Stage.EMPTYING
+                continue
             self._order(wave, host, state)
 
     def _is_free(self, host: HostId, state: _HostInWave, row: HostRow) -> bool:
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -42,6 +42,7 @@
     def __init__(self) -> None:
         self.answer = HostOrder.DONE
         self.orders: list[tuple[str, str]] = []
+        self.ordered: Callable[[], None] = lambda: None
 
     def hosts(self) -> Result[tuple[HostRow, ...], Fault]:
         return Success(())
@@ -52,6 +53,7 @@
 
     def upkeep(self, host: HostId, wave: int, holder: ProcessId, token: int) -> HostOrder:
         self.orders.append((host, "upkeep"))
+        self.ordered()
         return self.answer
 
 
@@ -222,6 +224,18 @@
         self.rounds(waves, 2)
         self.assertEqual(1, len(self.hosts.orders))
 
+    def test_a_host_is_not_sent_down_on_an_answer_that_is_old(self) -> None:
+        """In a late host's long round endpoints had got tasks again before their turn."""
+        waves = self.owner(most_at_once=3)
+        self.hosts.ordered = lambda: self.rounds_pass(2.0)
+        self.rounds(waves, 2)
+        self.assertEqual(1, len(self.hosts.orders))
+        self.rounds(waves, 2)
+        self.assertEqual(3, len({host for host, _ in self.hosts.orders}))
+
+    def rounds_pass(self, seconds: float) -> None:
+        self.now += seconds
+
     def test_completed_once_all_are_through(self) -> None:
         waves = self.owner(most_at_once=3)
         self.rounds(waves, 2)
