--- /dev/null
+++ b/tests/execution/test_own_lateness.py
@@ -0,0 +1,124 @@
+"""What an owner must not take for its endpoints' doing when it is late itself."""
+
+import threading
+import time
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.execution import OrderAnswer, PoolOwner, StartOrder
+from lentilrill.execution._book import RunPhase
+from lentilrill.execution._link import SENDERS, EndpointLink
+from lentilrill.workloads import Job, Resources
+from tests.builders import a_job, a_step, an_endpoint
+from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
+
+
+class SlowEndpoint(FakeEndpoint):
+    """Takes as many starts as were let through; the others wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.asked = 0
+        self.turns = threading.Semaphore(0)
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        self.asked += 1
+        self.turns.acquire()
+        return super().start(order)
+
+
+class OwnLatenessTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.pool = OwnedPool("e1")
+        self.addCleanup(self.pool.close)
+        self.pool.register(an_endpoint("e1"))
+        self.owner = self.pool.new_owner()
+        self.rounds = 0
+        self.count_rounds()
+        self.owner.start()
+        links = self.owner._links.by_id
+        self.assertTrue(eventually(lambda: bool(links) and links["e1"].looked_once))
+        self.link: EndpointLink = links["e1"]
+
+    @property
+    def endpoint(self) -> FakeEndpoint:
+        return self.pool.endpoints["e1"]
+
+    def count_rounds(self) -> None:
+        """Count the owner's rounds."""
+        plan = self.owner._plan
+
+        def counted() -> None:
+            plan()
+            self.rounds += 1
+
+        self.patch(self.owner, "_plan", counted)
+
+    def hand_in(self, job: Job) -> PoolOwner:
+        """Let the owner take a job."""
+        value = msgspec.msgpack.encode(job)
+        revision = self.pool.kv.put(f"in/notices/j/{job.id}", value)
+        self.owner.take_job(value, revision)
+        return self.owner
+
+    def hold_orders(self) -> None:
+        """Let orders wait in their queues, as while the right pauses or threads come late."""
+        self.patch(self.owner._talk, "_may_order", lambda: False)
+
+    def test_a_start_that_waits_is_not_dropped_with_an_older_lease(self) -> None:
+        """Starts in the queue of an endpoint that had been idle were dropped by each round."""
+        self.hold_orders()
+        self.assertTrue(eventually(lambda: self.link.reachable))
+        self.link.lease_end = time.monotonic() - 1.0
+        self.hand_in(a_job("a", a_step(1)))
+        self.assertTrue(eventually(lambda: bool(self.link.runs_by_key)))
+        [placed] = self.link.runs_by_key
+        before = self.rounds
+        self.assertTrue(eventually(lambda: self.rounds >= before + 3))
+        self.assertEqual([placed], list(self.link.runs_by_key))
+        self.patch(self.owner._talk, "_may_order", lambda: True)
+        self.assertTrue(eventually(lambda: bool(self.pool.starts())))
+        self.assertEqual([placed], self.pool.starts())
+
+    def test_a_start_that_waited_is_not_sent_to_an_endpoint_that_drains_meanwhile(self) -> None:
+        """A start that had waited for seconds went to an endpoint that drained by then."""
+        self.hold_orders()
+        self.hand_in(a_job("a", a_step(1)))
+        self.assertTrue(eventually(lambda: bool(self.link.runs_by_key)))
+        self.patch(self.owner, "_refresh_links", lambda: None)
+        before = self.rounds
+        self.assertTrue(eventually(lambda: self.rounds >= before + 2))
+        self.pool.register(an_endpoint("e1", draining=True))
+        self.owner._links.read_at = 0.0
+        self.patch(self.owner._talk, "_may_order", lambda: True)
+        over = eventually(lambda: bool(self.pool.starts()) or not self.link.runs_by_key)
+        self.assertTrue(over)
+        self.assertEqual([], self.pool.starts())
+
+
+class StopTest(TestCase):
+    def test_a_stop_does_not_wait_behind_starts(self) -> None:
+        """The stop of a cancelled job waited behind all starts of a late owner's queue."""
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        slow = SlowEndpoint()
+        self.addCleanup(slow.turns.release, 100)
+        pool.endpoints["e1"] = slow
+        pool.register(an_endpoint("e1", room=Resources(40_000, 80_000)))
+        owner = pool.take_over()
+        slow.turns.release()
+        first, second = a_job("a", a_step(1, lasting=True)), a_job("b", a_step(SENDERS + 2))
+        for job, asked in ((first, 1), (second, 1 + SENDERS)):
+            value = msgspec.msgpack.encode(job)
+            owner.take_job(value, pool.kv.put(f"in/notices/j/{job.id}", value))
+            self.assertTrue(eventually(lambda asked=asked: slow.asked >= asked))
+            self.assertTrue(eventually(lambda: len(slow.starts) == 1))
+        link = owner._links.by_id["e1"]
+        self.assertTrue(eventually(lambda: len(link.runs_by_key) == 1 + SENDERS + 2))
+        owner.cancel(first.id)
+        runs = list(link.runs_by_key.values())
+        self.assertTrue(eventually(lambda: any(r.phase is RunPhase.STOPPING for r in runs)))
+        slow.turns.release()
+        self.assertTrue(eventually(lambda: bool(slow.stops)))
