Ownership: a weak owner hands its shards to strong hosts

Cause: shards were claimed only while they had no owner, so a weak owner that renewed its lease kept a large pool for ever.

Now an owner that for 2 s has had more than twice the work for its strength that another host would have with one more shard hands one over: it renews its lease, stops, stores its progress, and writes its key, compared with its token, with the other's record under the other's lease. A lost answer leaves the key with one of the two; the former owner orders nothing under its token any more and releases the key if it is still its own. Only hosts that say so in their news (no store call) get a shard; old hosts don't say so. A host that leaves releases what it was handed. A fleet's owner ends its round before its key goes.

The tests of HandOverTest failed before, all where the shard should have passed on; the whole-path test too (the pool stays with front-0). The fake store refuses a write under a lease that has ended, as the users' store does.

--- a/src/lentilrill/entry/_news.py
+++ b/src/lentilrill/entry/_news.py
@@ -6,7 +6,7 @@
 
 from lentilrill.entry._books import ConfigurationBook
 from lentilrill.entry._silence import FRESH_S, StoreSilence
-from lentilrill.ids import PoolId
+from lentilrill.ids import PoolId, ProcessId
 from lentilrill.inner import Batch, Configured, HostNews, Node, PoolPressure
 from lentilrill.ownership import MemberRecord
 from lentilrill.telemetry import guarded
@@ -28,6 +28,7 @@
     :param pressures: pools that this host owns.
     :param store_silent_s: seconds since the store last answered this host.
     :param risen: called when a pool needs more hosts than was known before.
+    :param takes_over: whether this host can take over a shard now.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         pressures: Callable[[], tuple[PoolPressure, ...]],
         store_silent_s: Callable[[], float],
         risen: Callable[[], None] = lambda: None,
+        takes_over: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__(name="news", daemon=True)
         self._node = node
@@ -46,10 +48,12 @@
         self._pressures = pressures
         self._store_silent_s = store_silent_s
         self._risen = risen
+        self._takes_over = takes_over
         self._told_at = 0.0
         self._lock = threading.Lock()
         self._silence = StoreSilence()
         self._pressure_by_pool: dict[PoolId, tuple[float, PoolPressure]] = {}
+        self._takes_over_at: dict[ProcessId, float] = {}
         self._ended = threading.Event()
         node.on(HostNews, self._heard)
         node.on(Configured, self._configured)
@@ -77,7 +81,8 @@
             self._tell(pressures)
 
     def _tell(self, pressures: tuple[PoolPressure, ...]) -> None:
-        news = HostNews(round(self._store_silent_s(), 2), self._book.version, pressures)
+        silent_s = round(self._store_silent_s(), 2)
+        news = HostNews(silent_s, self._book.version, pressures, self._takes_over())
         for peer in self._peers():
             with self._lock:
                 self._silence.seen(peer.process, time.monotonic())
@@ -93,6 +98,12 @@
             heard, pressure = self._pressure_by_pool.get(pool, (0.0, None))
         return pressure if time.monotonic() - heard < FRESH_S else None
 
+    def takes_over(self, process: ProcessId) -> bool:
+        """Whether another host has just said that it can take over a shard."""
+        with self._lock:
+            said_at = self._takes_over_at.get(process, -FRESH_S)
+        return time.monotonic() - said_at < FRESH_S
+
     def outage_everywhere(self) -> bool:
         """Whether the store is silent for all entry hosts that are heard, which are most."""
         with self._lock:
@@ -101,6 +112,10 @@
     def _heard(self, batch: Batch, news: HostNews) -> None:
         with self._lock:
             self._silence.said(batch.sender, news.store_silent_s, time.monotonic())
+            if news.takes_over:
+                self._takes_over_at[batch.sender] = time.monotonic()
+            else:
+                self._takes_over_at.pop(batch.sender, None)
         for pressure in news.pools:
             self._note(pressure)
         if news.version < self._book.version and self._book.value:
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -52,6 +52,8 @@
 for all changes of the pause, and a host that was moved in is used as soon."""
 STOP_S = 1.2
 """Wait for a server to stop: it lets the requests under way finish for a second."""
+FLEET_STOP_S = 0.5
+"""Wait for the last orders of a fleet's owner before its key changes hands."""
 GRACE_SHARE = 0.75
 """Share of the grace after which a stopping host ends, whatever is still in flight."""
 
@@ -82,6 +84,7 @@
             self,
             lambda: self._news.outage_everywhere(),
             settings.limits.strength,
+            takes_over=lambda process: self._news.takes_over(process),
         )
         self._news = NewsDesk(
             self._node,
@@ -90,6 +93,7 @@
             self._pressures,
             lambda: self._kv.silent_s,
             self._hurry_fleet,
+            lambda: self.ready,
         )
         self._intake = Intake(
             self._kv,
@@ -229,16 +233,22 @@
             former.close()
         owner.start()
 
-    def lost(self, shard: Shard) -> None:
-        """Stop acting as owner of a shard."""
+    def lost(self, shard: Shard, *, flush: bool = False) -> None:
+        """Stop acting as owner of a shard.
+
+        :param flush: nobody can own it yet: store what is known.
+        """
         if shard == FLEET:
             if self._fleet is not None:
                 self._fleet.close()
+                if flush:
+                    # Its round may be in the midst of orders, which the next owner's must not meet.
+                    self._fleet.join(FLEET_STOP_S)
             return
         with self._lock:
             owner = self._pools_by_id.pop(PoolId(shard), None)
         if owner is not None:
-            owner.close(flush=self._leaving)
+            owner.close(flush=flush)
 
     def _fleet_owner(self, token: Revision) -> FleetOwner:
         hosts = PlatformHosts(self._settings.hosts_api)
--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -50,11 +50,13 @@
 
     :param store_silent_s: seconds since the store last answered it.
     :param version: version of the configuration in force there.
+    :param takes_over: whether it can take over a shard now.
     """
 
     store_silent_s: float
     version: int
     pools: tuple[PoolPressure, ...] = ()
+    takes_over: bool = False
 
 
 class Configured(msgspec.Struct, frozen=True, tag=True):
--- a/src/lentilrill/ownership/_members.py
+++ b/src/lentilrill/ownership/_members.py
@@ -9,7 +9,7 @@
 
 from lentilrill.ids import Incarnation, ProcessId, ZoneId
 
-__all__ = ["MemberRecord", "OwnerRecord", "Shard", "rank"]
+__all__ = ["MemberRecord", "OwnerRecord", "Shard", "by_load", "rank"]
 
 Shard = NewType("Shard", str)
 """A part of the work that has one owner at a time: a pool, or the fleet as a whole."""
@@ -39,13 +39,10 @@
     inner: str
 
 
-def rank(
-    shard: Shard,
-    me: ProcessId,
-    members: Collection[MemberRecord],
-    owners_by_shard: dict[Shard, ProcessId],
-) -> int:
-    """Return how many members should claim ``shard`` before ``me`` does.
+def by_load(
+    shard: Shard, members: Collection[MemberRecord], owners_by_shard: dict[Shard, ProcessId]
+) -> list[MemberRecord]:
+    """Return the members in the order in which they should claim ``shard``.
 
     Load pattern: entry hosts differ by factors of four in processor time and of twenty in
     bandwidth, and a pool in its surge keeps one of them busy. A weak one that owns it answers
@@ -63,7 +60,15 @@
         tie = zlib.crc32(f"{shard}/{member.process}".encode())
         return work, owned_in_zone[member.zone], tie
 
-    mine = next((order(member) for member in members if member.process == me), None)
-    if mine is None:
-        return len(members)
-    return sum(1 for member in members if member.process != me and order(member) < mine)
+    return sorted(members, key=order)
+
+
+def rank(
+    shard: Shard,
+    me: ProcessId,
+    members: Collection[MemberRecord],
+    owners_by_shard: dict[Shard, ProcessId],
+) -> int:
+    """Return how many members should claim ``shard`` before ``me`` does."""
+    in_line = [member.process for member in by_load(shard, members, owners_by_shard)]
+    return in_line.index(me) if me in in_line else len(in_line)
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -6,11 +6,12 @@
 from typing import Protocol
 
 import msgspec
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from lentilrill.faults import FaultKind
 from lentilrill.ids import Incarnation, ProcessId, Revision, ZoneId
 from lentilrill.ownership._clock import boottime
+from lentilrill.ownership._hand_over import HandOver
 from lentilrill.ownership._members import MemberRecord, OwnerRecord, Shard, rank
 from lentilrill.store import Compare, DeleteRange, Follower, Item, KeyValue, Put
 from lentilrill.telemetry import Dependency, Event, guarded, log
@@ -40,8 +41,11 @@
     def gained(self, shard: Shard, token: Revision) -> None:
         """Begin to act as owner."""
 
-    def lost(self, shard: Shard) -> None:
-        """Stop at once: another process may own the shard."""
+    def lost(self, shard: Shard, *, flush: bool = False) -> None:
+        """Stop at once: another process may own the shard.
+
+        :param flush: nobody can own it yet: store what is known.
+        """
 
 
 class Ownership:
@@ -79,11 +83,12 @@
         self._outage_everywhere = outage_everywhere
         self._strength = strength
         self._pace = pace
-        self._takes_over = takes_over
+        self._hand_over = HandOver(process, takes_over)
         self._clock = clock
         self._lock = threading.RLock()
         self._lease = 0
         self._proved_until = 0.0
+        self._kept_at = 0.0
         self._members_by_process: dict[ProcessId, MemberRecord] = {}
         self._owners_by_shard: dict[Shard, tuple[OwnerRecord, Revision]] = {}
         self._tokens_by_shard: dict[Shard, Revision] = {}
@@ -93,6 +98,7 @@
         self._began = clock()
         self._ended = threading.Event()
         self._leaving = False
+        self._left = False
         self._wake = threading.Event()
         self._follower = Follower(kv, BOTH, self)
         self._tasks = [
@@ -135,16 +141,27 @@
         return bool(self._lease) and self._follower.read_once.is_set()
 
     def leave(self) -> None:
-        """Hand all shards over and claim none any more; the process stays a member."""
-        self._leaving = True
+        """Give all shards up and claim none any more; the process stays a member."""
         with self._lock:
+            self._leaving = True
             tokens = dict(self._tokens_by_shard)
         for shard, token in tokens.items():
-            self._task.lost(shard)
+            self._stop(shard, token)
+            self._release(shard, token)
+        self._left = True
+
+    def _stop(self, shard: Shard, token: Revision) -> None:
+        """Stop acting as a shard's owner while its key is still this process's."""
+        with self._lock:
+            self._given_up_by_shard[shard] = token
             self._tokens_by_shard.pop(shard, None)
-            key = OWNERS + shard
-            result = self._kv.commit((Compare(key, token),), (DeleteRange(key),))
-            log(Event.SHARD_RELEASED, shard=shard, token=token, result=_shown(result))
+        self._task.lost(shard, flush=True)
+
+    def _release(self, shard: Shard, token: Revision) -> None:
+        """Let others claim a shard; nothing changes if another one has its key already."""
+        key = OWNERS + shard
+        result = self._kv.commit((Compare(key, token),), (DeleteRange(key),))
+        log(Event.SHARD_RELEASED, shard=shard, token=token, result=_shown(result))
 
     def close(self) -> None:
         """End the lease and all tasks."""
@@ -255,6 +272,7 @@
         kept = self._kv.keep_alive(self._lease)
         if not isinstance(kept, Failure):
             self._lease_calls.succeeded()
+            self._kept_at = max(self._kept_at, asked)
             # The store may apply a shorter time than was asked for.
             ttl_s = min(OWNER_TTL_S, kept.unwrap())
             self._proved_until = max(self._proved_until, asked + ttl_s - SAFETY_S)
@@ -271,12 +289,16 @@
         while not self._ended.is_set():
             self._wake.wait(CLAIM_EVERY_S)
             self._wake.clear()
-            if self._leaving or not self.registered or self._clock() - self._began < SETTLE_S:
+            if not self.registered or self._clock() - self._began < SETTLE_S:
                 continue
             if self._clock() >= self._proved_until:
                 continue
-            for shard in sorted(self._shards()):
-                guarded("claim", partial(self._claim_if_due, shard))
+            if not self._leaving:
+                for shard in sorted(self._shards()):
+                    guarded("claim", partial(self._claim_if_due, shard))
+                guarded("hand-over", self._hand_over_if_due)
+            if not self._leaving or self._left:
+                guarded("release", self._release_unused)
 
     def _claim_if_due(self, shard: Shard) -> None:
         now = self._clock()
@@ -286,7 +308,7 @@
                 self._absent_since.pop(shard, None)
                 return
             since = self._absent_since.setdefault(shard, now)
-            owners = {s: record.process for s, (record, _) in self._owners_by_shard.items()}
+            owners = self._owners()
             members = list(self._members_by_process.values())
         # Guard against one host that owns everything after an outage in which all leases ran out:
         # it is the first one back, knows of no other, and so is the first in line for each shard.
@@ -315,14 +337,79 @@
             if owner is None or shard in self._tokens_by_shard:
                 return
             record, token = owner
-            is_mine = record.process == self._process and record.incarnation == self._incarnation
-            if not is_mine or token == self._given_up_by_shard.get(shard):
+            if not self._is_mine(record) or token == self._given_up_by_shard.get(shard):
                 return
         self._gain(shard, token)
 
+    def _is_mine(self, record: OwnerRecord) -> bool:
+        return record.process == self._process and record.incarnation == self._incarnation
+
+    def _owners(self) -> dict[Shard, ProcessId]:
+        return {shard: record.process for shard, (record, _) in self._owners_by_shard.items()}
+
+    def _hand_over_if_due(self) -> None:
+        with self._lock:
+            if not self._tokens_by_shard:
+                return
+            members = list(self._members_by_process.values())
+            tokens = dict(self._tokens_by_shard)
+            due = self._hand_over.due(self._clock(), tokens, members, self._owners())
+        if due is None:
+            return
+        shard, target = due
+        # Guard against a shard that nobody acts on while the store is away.
+        asked = self._clock()
+        self._keep()
+        if self._kept_at >= asked:
+            self._pass_on(shard, tokens[shard], target)
+
+    def _pass_on(self, shard: Shard, token: Revision, target: MemberRecord) -> None:
+        """Make another process the owner of a shard, which its watch tells it.
+
+        If that one is gone, the store refuses its lease; if it goes now, its lease lapses. After a
+        lost answer the key is another's or still this process's, which then releases it.
+        """
+        self._stop(shard, token)
+        key = OWNERS + shard
+        record = OwnerRecord(target.process, target.incarnation, target.inner)
+        put = Put(key, msgspec.json.encode(record), target.lease)
+        result = self._kv.commit((Compare(key, token),), (put,))
+        now = self._clock()
+        with self._lock:
+            self._hand_over.changed(now)
+            if isinstance(result, Success) and result.unwrap().succeeded:
+                self._owners_by_shard[shard] = (record, result.unwrap().revision)
+        log(
+            Event.SHARD_HANDED_OVER,
+            shard=shard,
+            token=token,
+            to=target.process,
+            result=_shown(result),
+        )
+
+    def _release_unused(self) -> None:
+        """Release keys of this process that it doesn't act on, and won't.
+
+        The answer to a release or a hand-over was lost, or a shard was handed to this process when
+        it was about to leave.
+        """
+        with self._lock:
+            unused = [
+                (shard, token)
+                for shard, (record, token) in self._owners_by_shard.items()
+                if self._is_mine(record)
+                and shard not in self._tokens_by_shard
+                and (self._leaving or token == self._given_up_by_shard.get(shard))
+            ]
+        for shard, token in unused:
+            self._release(shard, token)
+
     def _gain(self, shard: Shard, token: Revision) -> None:
         with self._lock:
+            if self._leaving:
+                return
             self._tokens_by_shard[shard] = token
+            self._hand_over.changed(self._clock())
         log(Event.SHARD_CLAIMED, shard=shard, token=token)
         self._task.gained(shard, token)
 
--- a/tests/entry/test_beliefs.py
+++ b/tests/entry/test_beliefs.py
@@ -1,5 +1,8 @@
 """What an entry host believes from records and from its peers."""
 
+import time
+from unittest.mock import patch
+
 import msgspec
 from testtools import TestCase
 
@@ -152,3 +155,15 @@
         said = self.desk.pressure_of(pool)
         assert said is not None
         self.assertEqual(9, said.token)
+
+    def test_only_a_host_that_says_so_now_takes_a_shard_over(self) -> None:
+        """A shard went to a host that was leaving, or had not been heard for seconds."""
+        host = ProcessId("h1")
+        self.assertFalse(self.desk.takes_over(host))
+        self.hear("h1", HostNews(0.0, -1, takes_over=True))
+        self.assertTrue(self.desk.takes_over(host))
+        later = time.monotonic() + 5.0
+        with patch("lentilrill.entry._news.time.monotonic", lambda: later):
+            self.assertFalse(self.desk.takes_over(host))
+        self.hear("h1", HostNews(0.0, -1))
+        self.assertFalse(self.desk.takes_over(host))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -135,6 +135,8 @@
         if self.lose_requests:
             self.lose_requests -= 1
             return _lost()
+        if any(isinstance(write, Put) and self._is_over(write.lease) for write in writes):
+            return Failure(Fault("platform.commit", "fake", FaultKind.INVALID, "no such lease"))
         with self._changed:
             held = all(self._revision_of(c.key) == c.revision for c in compares)
             if held:
@@ -145,6 +147,9 @@
             return _lost()
         return Success(answer)
 
+    def _is_over(self, lease: int) -> bool:
+        return bool(lease) and lease not in self._leases
+
     def put(self, key: str, value: bytes) -> Revision:
         """Write without comparison, as an operator's tool or another process would."""
         with self._changed:
--- a/tests/ownership/test_hand_over.py
+++ b/tests/ownership/test_hand_over.py
@@ -155,6 +155,27 @@
             self.assertEqual(token, strong.task.tokens_by_shard[NOTICES])
             self.assertFalse(weak.ownership.may_order(NOTICES))
 
+    def test_a_shard_given_to_a_host_that_leaves_is_claimed_by_another(self) -> None:
+        """A pool stood still until a host that had just begun to leave had ended."""
+        weak = self.owner("h1", strength=0.5)
+        leaving = self.host("h2", strength=2.0)
+        leaving.ownership.leave()
+        self.key_changes(8.0)
+        self.unfit.add("h2")
+        self.assertTrue(self.passes(leaving, weak))
+        self.assertIn(True, weak.task.flushes)
+
+    def test_a_shard_that_a_lost_host_should_get_is_claimed_again(self) -> None:
+        """A pool had no owner after its hand-over to a host that had just been lost."""
+        weak = self.owner("h1", strength=0.5)
+        strong = self.host("h2", strength=2.0)
+        self.hosts.remove(strong)
+        strong.ownership._ended.set()
+        self.kv._leases.pop(strong.ownership._lease)
+        self.assertTrue(eventually(lambda: bool(self.key_changes(STEP_S))))
+        self.unfit.add("h2")
+        self.assertTrue(self.passes(strong, weak))
+
 
 class HandOverGuardTest(HandOverCase):
     def test_no_shard_goes_to_and_fro_between_alike_hosts(self) -> None:
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -27,7 +27,8 @@
     def gained(self, shard: Shard, token: Revision) -> None:
         self.tokens_by_shard[shard] = token
 
-    def lost(self, shard: Shard) -> None:
+    def lost(self, shard: Shard, *, flush: bool = False) -> None:
+        del flush
         self.losses.append(shard)
         self.tokens_by_shard.pop(shard, None)
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -22,6 +22,10 @@
 
 class WholePathTest(TestCase):
     def begin(self, *, task_s: float, hosts: int = 2, advised: bool = False) -> None:
+        self.prepare(task_s=task_s, hosts=hosts, advised=advised)
+        self.assertTrue(self.site.start_all())
+
+    def prepare(self, *, task_s: float, hosts: int = 2, advised: bool = False) -> None:
         self.platform = UsersPlatform(task_s)
         self.addCleanup(self.platform.close)
         self.platform.configure(3, {"/proofs/": "notices"}, advised=advised)
@@ -29,13 +33,15 @@
         self.site = EntrySite(self.platform, hosts)
         self.addCleanup(self.site.close)
         self.addOnException(lambda _: self.add_outputs())
-        self.assertTrue(self.site.start_all())
 
     def add_outputs(self) -> None:
         """Show beside a failure what the entry hosts wrote."""
         for name in self.site.processes:
             self.addDetail(name, text_content(self.site.output(name)))
 
+    def owner(self, shard: str = "notices") -> str:
+        return str((self.platform.value(f"m/o/{shard}") or {}).get("process", ""))
+
     def all_completed(self, name: str, jobs: int) -> bool:
         return all(self.site.state(name, path(n)) == "completed" for n in range(jobs))
 
@@ -102,6 +108,21 @@
         self.assertTrue(eventually(lambda: self.all_completed(other, 4)))
         self.check_runs()
 
+    def test_a_pool_that_a_strong_host_takes_over_from_a_weak_one_loses_no_job(self) -> None:
+        """A weak host kept a pool that it could not carry, and its tasks were started too late."""
+        self.prepare(task_s=2.0)
+        self.site.settings["front-0"]["limits"] = {"cpu_share": 0.1}
+        self.site.start("front-0")
+        self.assertTrue(eventually(lambda: self.owner() == self.owner("@fleet") == "front-0"))
+        for number in range(4):
+            self.assertEqual(200, self.site.submit("front-0", path(number), JOB))
+        self.site.start("front-1")
+        self.assertTrue(eventually(lambda: self.owner() == "front-1"))
+        for name in self.site.settings:
+            self.assertTrue(eventually(lambda name=name: self.all_completed(name, 4)))
+        self.check_runs()
+        self.assertIn("shard_handed_over", self.site.output("front-0"))
+
     def test_a_stopped_host_ends_by_itself(self) -> None:
         """Each entry host that was told to stop was killed at the end of its grace.
 
