Fleet: its key changes hands only after the time of one order

The next owner could have ordered beside it. A round stops before its next order since, so one order's time is the longest that is left. No test of its own; tests of the hand-over and of the whole path pass with it.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -52,8 +52,9 @@
 for all changes of the pause, and a host that was moved in is used as soon."""
 STOP_S = 1.2
 """Wait for a server to stop: it lets the requests under way finish for a second."""
-FLEET_STOP_S = 0.5
-"""Wait for the last orders of a fleet's owner before its key changes hands."""
+FLEET_STOP_S = 1.1
+"""Wait for the last order of a fleet's owner before its key changes hands; an order without an
+answer is given up after 1 s."""
 GRACE_SHARE = 0.75
 """Share of the grace after which a stopping host ends, whatever is still in flight."""
 
