Store: a failed condition shows what is there

Callers saw nothing yet; the next change needs it. The store answers a transaction whose condition failed with the compared items, and the answer was dropped: whoever creates several keys at once had to send each by itself to learn which one was there, and never learnt its revision.

The items are now part of the transaction's answer, as far as they can be read. Former code: the new test fails, since the answer has no such field.

--- a/src/lentilrill/platform/_kv.py
+++ b/src/lentilrill/platform/_kv.py
@@ -77,6 +77,10 @@
     revision: int
 
 
+class _Found(msgspec.Struct):
+    items: list[_Item | None]
+
+
 class _Lease(msgspec.Struct):
     ttl_ms: int
     lease: int = 0
@@ -179,7 +183,7 @@
             status, data, peer = answered.unwrap()
             if status == PRECONDITION:
                 self._answered = time.monotonic()
-                return Success(TxnAnswer(False, Revision(0)))
+                return Success(TxnAnswer(False, Revision(0), _found(data)))
             decoded = self._decoded("store.commit", status, data, peer, _Committed)
             if isinstance(decoded, Failure) and (status == OK or status not in NOTHING_DONE):
                 # Guard against a refusal that is untrue: behind an error or an answer that can't
@@ -295,6 +299,16 @@
         self._ended.set()
 
 
+def _found(data: bytes) -> tuple[Item, ...]:
+    """Return the items that a failed precondition's answer shows; none if it can't be read."""
+    try:
+        shown = msgspec.json.decode(data, type=_Found)
+        present = [item for item in shown.items if item and item.revision and not item.removed]
+        return tuple(item.decoded() for item in present)
+    except (*ODD, ValueError):
+        return ()
+
+
 def _fault_of(step: str, status: int, peer: str) -> Fault:
     if status in (TOO_MANY, BUSY):
         return Fault(step, peer, FaultKind.UNAVAILABLE, f"status {status}: nothing was done")
--- a/src/lentilrill/store/_contract.py
+++ b/src/lentilrill/store/_contract.py
@@ -79,10 +79,14 @@
 
 
 class TxnAnswer(msgspec.Struct, frozen=True):
-    """Whether every comparison held, and the store's revision after the transaction."""
+    """Whether every comparison held, and the store's revision after the transaction.
+
+    :param found: if one did not hold, the compared items that exist, as far as the store says.
+    """
 
     succeeded: bool
     revision: Revision
+    found: tuple[Item, ...] = ()
 
 
 class WatchBatch(msgspec.Struct, frozen=True):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -139,7 +139,8 @@
             held = all(self._revision_of(c.key) == c.revision for c in compares)
             if held:
                 self._apply(writes)
-            answer = TxnAnswer(held, self.revision)
+            found = () if held else self._items_of(compares)
+            answer = TxnAnswer(held, self.revision, found)
         if self.lose_answers:
             self.lose_answers -= 1
             return _lost()
@@ -199,6 +200,10 @@
     def _news(self, prefix: str, after: Revision) -> list[Item]:
         return [i for i in self._history if i.revision > after and i.key.startswith(prefix)]
 
+    def _items_of(self, compares: tuple[Compare, ...]) -> tuple[Item, ...]:
+        keys = [compare.key for compare in compares]
+        return tuple(self.items_by_key[key] for key in keys if key in self.items_by_key)
+
     def _revision_of(self, key: str) -> Revision:
         item = self.items_by_key.get(key)
         return item.revision if item is not None else Revision(0)
--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -9,7 +9,7 @@
 from lentilrill.ids import Revision
 from lentilrill.platform import PlatformKeyValue
 from lentilrill.settings import StoreSettings
-from lentilrill.store import Compare, Put, TxnAnswer
+from lentilrill.store import Compare, Item, Put, TxnAnswer
 from lentilrill.telemetry import NoMetrics
 from standins._http import Call, Server
 
@@ -46,7 +46,17 @@
     def test_what_the_store_says_of_a_commit(self) -> None:
         self.assertEqual(TxnAnswer(True, Revision(7)), self.commit(200, b'{"revision":7}').unwrap())
         self.assertFalse(self.commit(412, b'{"items":[]}').unwrap().succeeded)
+        self.assertEqual((), self.commit(412, b"{").unwrap().found)
         for status in (400, 404):
             result = self.commit(status, b"")
             assert isinstance(result, Failure)
             self.assertIs(FaultKind.INVALID, result.failure().kind)
+
+    def test_a_failed_condition_shows_what_is_there(self) -> None:
+        """One stored job of a commit had each of the others committed by itself."""
+        body = (
+            b'{"items":[{"key":"in/notices/j/a","value":"eA==","revision":5},'
+            b'{"key":"in/notices/j/b","revision":0},{"key":"c","revision":6,"removed":true},null]}'
+        )
+        found = self.commit(412, body).unwrap().found
+        self.assertEqual((Item("in/notices/j/a", b"x", Revision(5)),), found)
