--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -2,6 +2,7 @@
 
 import itertools
 import threading
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -21,7 +22,7 @@
     PoolPressure,
 )
 from lentilrill.intake._doubts import Doubts
-from lentilrill.intake._group import Committed, GroupCommit
+from lentilrill.intake._group import LONGEST_S, Committed, GroupCommit
 from lentilrill.ownership import OwnerRecord
 from lentilrill.scheduling import Pressure, may_take, outage_retry_s, retry_after_s
 from lentilrill.store import KeyValue, Priority
@@ -37,6 +38,9 @@
 """Wait for an owner's answer before the store is read instead: a round trip takes a few ms."""
 QUICK_ASK_S = 0.1
 """The same before a refusal, which must not keep its caller waiting."""
+HELD_SHARE = 0.8
+"""Share of its caller's wait for which a request is held for its commit, so that the answer still
+reaches the caller, and a refusal can be checked with the owner before."""
 
 
 class _Peers(Protocol):
@@ -88,11 +92,13 @@
         """End after what is queued."""
         self._group.close()
 
-    def submit(self, job: Job) -> tuple[JobAnswer, float]:
+    def submit(self, job: Job, wait_s: float | None = None) -> tuple[JobAnswer, float]:
         """Accept a job, or refuse it at once.
 
+        :param wait_s: seconds for which the caller waits for an answer, if known.
         :return: what became of it, and the seconds after which a refused caller should come back.
         """
+        began = time.monotonic()
         known = self._pressure_of(job.pool)
         pressure = Pressure(known.wait_s, known.late_wait_s) if known is not None else None
         # A job that may be stored is committed again, which tells, however busy its pool is.
@@ -112,13 +118,15 @@
             retry_s = outage_retry_s(silent_s)
             return self._refuse(job, JobAnswer.UNAVAILABLE, retry_s, reason="the store is silent")
         value = msgspec.msgpack.encode(job)
-        done = self._group.create(f"in/{job.pool}/j/{job.id}", value)
+        done = self._group.create(f"in/{job.pool}/j/{job.id}", value, _bounded(wait_s))
         answer = _answer_of(done)
+        took_s = round(time.monotonic() - began, 3)
         if answer is JobAnswer.UNAVAILABLE:
-            return self._refuse(job, answer, outage_retry_s(silent_s), reason="not committed")
-        self._log_submit(job, answer, revision=done.revision)
+            retry_s = outage_retry_s(silent_s)
+            return self._refuse(job, answer, retry_s, reason="not committed", took_s=took_s)
+        self._log_submit(job, answer, revision=done.revision, took_s=took_s)
         if answer is JobAnswer.ACCEPTED and done.revision:
-            self._tell_owner(job, value, done.revision)
+            self._tell_owner(job, done.stored or value, done.revision)
         elif answer is JobAnswer.UNKNOWN:
             self._doubt(job.id)
         return answer, 0.0
@@ -145,8 +153,12 @@
         del batch
         self._doubts.note(message.job)
 
-    def cancel(self, pool: PoolId, job: JobId) -> JobAnswer:
-        """Cancel a job."""
+    def cancel(self, pool: PoolId, job: JobId, wait_s: float | None = None) -> JobAnswer:
+        """Cancel a job.
+
+        :param wait_s: seconds for which the caller waits for an answer, if known.
+        """
+        until = time.monotonic() + _bounded(wait_s)
         found = self._find(pool, job)
         if not found.is_sure:
             return JobAnswer.UNAVAILABLE
@@ -155,7 +167,8 @@
             return JobAnswer.ABSENT
         if found.state.is_final:
             return JobAnswer.ACCEPTED
-        done = self._group.create(f"in/{home}/x/{job}", b"{}")
+        left_s = max(0.0, until - time.monotonic())
+        done = self._group.create(f"in/{home}/x/{job}", b"{}", left_s)
         answer = _answer_of(done)
         log(Event.CANCEL_ANSWERED, job=job, pool=home, answer=answer.value)
         if answer is JobAnswer.ACCEPTED:
@@ -280,6 +293,13 @@
         self.answer: JobTold | None = None
 
 
+def _bounded(wait_s: float | None) -> float:
+    """Return the seconds for which a caller may be held for a commit."""
+    if wait_s is None:
+        return LONGEST_S
+    return min(LONGEST_S, wait_s * HELD_SHARE)
+
+
 def _answer_of(done: Committed) -> JobAnswer:
     if done.known:
         return JobAnswer.ACCEPTED
--- /dev/null
+++ b/tests/intake/test_slow_store.py
@@ -0,0 +1,175 @@
+"""Callers of jobs while the store answers late, or not at all."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from returns.result import Result
+from testtools import TestCase
+
+from lentilrill.ids import PoolId
+from lentilrill.inner import JobAccepted
+from lentilrill.intake import Intake
+from lentilrill.ownership import OwnerRecord
+from lentilrill.telemetry import Event
+from lentilrill.workloads import Job, JobAnswer
+from tests.builders import a_job
+from tests.fakes import FakeKeyValue, lose_answer, lose_request
+from tests.intake.test_intake import POOL, Peers
+
+SOON_S = 0.4
+ALL_OUT = 8
+"""More calls than are ever in flight at once."""
+
+
+class SlowStoreTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.kv = FakeKeyValue()
+        self.peers = Peers()
+        self.owner: OwnerRecord | None = None
+        self.intake = Intake(
+            self.kv,
+            self.peers,
+            lambda pool: None,
+            lambda pool: self.owner,
+            lambda pool: None,
+            lambda: [POOL, PoolId("ballots")],
+        )
+        self.intake.start()
+        self.answering = threading.Event()
+        self.addCleanup(self.intake.close)
+        self.addCleanup(self.answering.set)
+        self.job = a_job()
+
+    def late(self, call: Callable[[], Result]) -> Result:
+        """Fate of a call that is carried out once the store answers again."""
+        self.answering.wait(5.0)
+        return call()
+
+    def submit_beside(self, job: Job, wait_s: float | None = None) -> Callable[[], JobAnswer]:
+        """Hand a job in on another thread; what is returned waits for its answer."""
+        answers: list[JobAnswer] = []
+        caller = threading.Thread(
+            target=lambda: answers.append(self.intake.submit(job, wait_s)[0]), daemon=True
+        )
+        caller.start()
+
+        def answer() -> JobAnswer:
+            caller.join()
+            return answers[0]
+
+        return answer
+
+    def test_a_late_commit_holds_nobody_who_comes_after_it(self) -> None:
+        """One answer of the store was late, and all who came after it waited as long."""
+        self.kv.commits.append(self.late)
+        self.submit_beside(self.job)
+        began = time.monotonic()
+        while self.kv.calls["commit"] == 0:
+            time.sleep(0.001)
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(a_job("b"))[0])
+        self.assertLess(time.monotonic() - began, SOON_S)
+
+    def test_a_caller_is_answered_within_its_own_wait(self) -> None:
+        """A caller who waits for a second was held for two, and had gone without an answer."""
+        self.kv.commits.extend([self.late] * ALL_OUT)
+        began = time.monotonic()
+        self.assertIs(JobAnswer.UNKNOWN, self.intake.submit(self.job, 0.3)[0])
+        self.assertLess(time.monotonic() - began, 0.3)
+
+    def test_a_late_answer_is_settled_by_the_same_create(self) -> None:
+        """A caller was told after seconds that nobody knows, while the store answered others."""
+        self.kv.commits.append(self.late)
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(self.job, 1.0)[0])
+        revision = self.kv.revision
+        self.answering.set()
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(self.job, 1.0)[0])
+        self.assertEqual(revision, self.kv.revision)
+
+    def test_a_lost_answer_is_settled_by_the_same_create(self) -> None:
+        """A caller was told that nobody knows, though one more call would have told."""
+        for name, fate in (("b", lose_answer), ("c", lose_request)):
+            self.kv.commits.append(fate)
+            self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(a_job(name))[0])
+
+    def test_the_owner_is_told_of_a_job_whose_first_answer_was_lost(self) -> None:
+        """An accepted job waited until its owner came upon it in the store."""
+        self.owner = OwnerRecord("h2", 1, "10.0.0.2:1")
+        self.kv.commits.append(lose_answer)
+        self.intake.submit(self.job)
+        [told] = self.peers.sent
+        assert isinstance(told, JobAccepted)
+        stored = self.kv.items_by_key[f"in/notices/j/{self.job.id}"]
+        self.assertEqual((stored.value, stored.revision), (told.value, told.revision))
+
+    def test_refused_at_once_while_the_queue_stands_still(self) -> None:
+        """Callers waited in a queue of writes that could not empty before they had gone."""
+        self.kv.commits.extend([self.late] * ALL_OUT)
+        held = []
+        for name in "123456":
+            held.append(self.submit_beside(a_job(name), 2.0))
+            time.sleep(0.12)
+        time.sleep(0.5)
+        began = time.monotonic()
+        answer, retry_s = self.intake.submit(self.job, 1.0)
+        self.assertIs(JobAnswer.UNAVAILABLE, answer)
+        self.assertGreater(retry_s, 0)
+        self.assertLess(time.monotonic() - began, 0.2)
+        self.answering.set()
+        for answer_of in held:
+            self.assertIs(JobAnswer.ACCEPTED, answer_of())
+        self.assertNotIn(f"in/notices/j/{self.job.id}", self.kv.items_by_key)
+
+    def test_what_is_told_as_refused_is_never_written(self) -> None:
+        """A caller who was refused after a wait in the queue had its job run all the same."""
+        self.kv.commits.extend([self.late] * ALL_OUT)
+        jobs = [a_job(name) for name in "0123456789abcdef"]
+        callers = []
+        for job in jobs:
+            callers.append(self.submit_beside(job, 0.5))
+            time.sleep(0.03)
+        answers = [answer_of() for answer_of in callers]
+        self.answering.set()
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(a_job("z"), 1.0)[0])
+        refused = [
+            job
+            for job, answer in zip(jobs, answers, strict=True)
+            if answer is JobAnswer.UNAVAILABLE
+        ]
+        self.assertNotEqual([], refused)
+        for job in refused:
+            self.assertNotIn(f"in/notices/j/{job.id}", self.kv.items_by_key)
+
+    def test_one_job_handed_in_twice_is_written_once(self) -> None:
+        """Two hand-ins of one job were in two commits at once."""
+        self.kv.commits.append(self.late)
+        first = self.submit_beside(self.job, 1.0)
+        second = self.submit_beside(self.job, 1.0)
+        self.assertEqual([JobAnswer.ACCEPTED] * 2, [first(), second()])
+        self.answering.set()
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(a_job("b"))[0])
+        self.assertEqual(2, self.kv.revision)
+
+    def test_a_stored_job_beside_new_ones_is_no_fault_of_theirs(self) -> None:
+        """Each job of a commit was sent by itself, one by one, since one was stored already."""
+        self.intake.submit(self.job)
+        self.kv.commits.append(self.late)
+        first = self.submit_beside(a_job("f"))
+        while self.kv.calls["commit"] < 2:
+            time.sleep(0.001)
+        callers = [self.submit_beside(a_job(name)) for name in "abcde"]
+        time.sleep(0.05)
+        self.answering.set()
+        for answer_of in [first, *callers]:
+            self.assertIs(JobAnswer.ACCEPTED, answer_of())
+        self.assertLessEqual(self.kv.calls["commit"], 5)
+
+    def test_each_held_caller_leaves_one_line(self) -> None:
+        """Nobody could tell what had become of a caller who was held for seconds."""
+        self.kv.commits.extend([self.late] * ALL_OUT)
+        with self.assertLogs(level="INFO") as logs:
+            self.intake.submit(self.job, 0.3)
+        [line] = [r for r in logs.records if r.fields["id"] == Event.JOB_ANSWERED.number]
+        self.assertEqual((self.job.id, "unknown"), (line.fields["job"], line.fields["answer"]))
+        self.assertGreater(line.fields["took_s"], 0.1)
