Ingress: a caller's Deadline-Ms reaches the intake

A caller who waits for less than 2.75 s could be held for its commit beyond that, and got no answer at all. The ingress now hands on how long the caller waits, less what its body took; a header that is no number counts as none.

--- a/src/lentilrill/platform/_ingress.py
+++ b/src/lentilrill/platform/_ingress.py
@@ -17,6 +17,7 @@
 __all__ = ["Ingress", "serve_plain"]
 
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
+WAIT_MS = re.compile(r"[0-9]{1,9}\Z")
 STATUS_BY_ANSWER = {
     JobAnswer.ACCEPTED: "200 OK",
     JobAnswer.ABSENT: "410 Gone",
@@ -93,6 +94,7 @@
         return [body]
 
     def _answer(self, environ: Environ) -> Answer:
+        began = time.monotonic()
         configuration = self._configuration()
         if configuration is None:
             return STATUS_BY_ANSWER[JobAnswer.UNAVAILABLE], b"{}", UNAVAILABLE_RETRY_S
@@ -112,13 +114,13 @@
         if method == "POST":
             if int(environ.get("CONTENT_LENGTH") or 0) > configuration.limits.body_bytes:
                 return "413 Content Too Large", b"{}", None
-            return self._submit(queue, job, environ)
+            return self._submit(queue, job, environ, began)
         if method == "GET":
             answer, state = self._intake.show(queue.pool, job)
             body = encode_state(state) if state is not None else b"{}"
             return _shown(answer, body)
         if method == "DELETE":
-            return _shown(self._intake.cancel(queue.pool, job), b"{}")
+            return _shown(self._intake.cancel(queue.pool, job, _wait_s(environ)), b"{}")
         return "405 Method Not Allowed", b"{}", None
 
     def _pending(self, queue: Queue) -> Answer:
@@ -127,17 +129,26 @@
             return STATUS_BY_ANSWER[JobAnswer.UNAVAILABLE], b"{}", UNAVAILABLE_RETRY_S
         return "200 OK", encode_pending(waiting), None
 
-    def _submit(self, queue: Queue, job: JobId, environ: Environ) -> Answer:
+    def _submit(self, queue: Queue, job: JobId, environ: Environ, began: float) -> Answer:
         body = environ["wsgi.input"].read()
         decoded = decode_job(job, queue, body, int(time.time() * 1000))
         if isinstance(decoded, Failure):
             log(Event.JOB_ODD, job=job, queue=queue.id, reason=decoded.failure().reason)
             return "400 Bad Request", b"{}", None
-        answer, retry_s = self._intake.submit(decoded.unwrap())
+        wait_s = _wait_s(environ)
+        if wait_s is not None:
+            wait_s = max(0.0, wait_s - (time.monotonic() - began))
+        answer, retry_s = self._intake.submit(decoded.unwrap(), wait_s)
         refused = answer in (JobAnswer.OVERLOADED, JobAnswer.UNAVAILABLE)
         return STATUS_BY_ANSWER[answer], b"{}", retry_s if refused else None
 
 
+def _wait_s(environ: Environ) -> float | None:
+    """Return the seconds for which a caller waits for its answer; ``None`` if it does not say."""
+    told = str(environ.get("HTTP_DEADLINE_MS", ""))
+    return int(told) / 1000 if WAIT_MS.match(told) else None
+
+
 def _shown(answer: JobAnswer, body: bytes) -> Answer:
     retry_s = UNAVAILABLE_RETRY_S if answer is JobAnswer.UNAVAILABLE else None
     return STATUS_BY_ANSWER[answer], body, retry_s
