Store: a commit without an answer is sent again, and known by what it wrote

A lost answer took 0.7 s, a read and a pause of 0.3 s, and two fifths of them were lost.

A transaction that changes only keys that it compares takes effect once. Without any answer after 0.35 s it is sent again; if its condition then fails, and all that it writes is there at one revision later than the compared ones, the first try took effect. Anything else stays ambiguous.

Former code: two of the new tests fail, with AMBIGUOUS.

--- a/src/lentilrill/platform/_kv.py
+++ b/src/lentilrill/platform/_kv.py
@@ -37,6 +37,8 @@
 """Statuses with which the store says that a commit had no effect."""
 ATTEMPT_S = 0.7
 """Time-out of one call: almost three times the store's slowest answer that was seen, 0.25 s."""
+FIRST_ATTEMPT_S = 0.35
+"""Time-out of a commit that may be sent again without harm: a little over that slowest answer."""
 LEASE_ATTEMPT_S = 0.45
 """Time-out of a lease's renewal: a second one must still fit into a lease of 1.6 s."""
 DEADLINE_S = 1.5
@@ -163,21 +165,33 @@
         priority: Priority = Priority.FIRST,
     ) -> Result[TxnAnswer, Fault]:
         """Apply ``writes`` if all ``compares`` hold; ``AMBIGUOUS`` if the answer was lost."""
-        txn = _Txn(
-            [_Precondition(compare.key, compare.revision) for compare in compares],
-            [
-                _Write(write.key, base64.b64encode(write.value).decode(), write.lease)
-                for write in writes
-                if isinstance(write, Put)
-            ],
-            [write.key for write in writes if isinstance(write, DeleteRange)],
-        )
-        body = msgspec.json.encode(txn)
+        body = _encoded(compares, writes)
+        if not _takes_effect_once(compares, writes):
+            return self._commit(body, priority, ATTEMPT_S)[0]
+        first, was_answered = self._commit(body, priority, FIRST_ATTEMPT_S)
+        if was_answered or _kind_of(first) is not FaultKind.AMBIGUOUS:
+            return first
+        again, _ = self._commit(body, priority, ATTEMPT_S)
+        if isinstance(again, Failure):
+            return first
+        answer = again.unwrap()
+        if answer.succeeded:
+            return again
+        revision = _revision_of(compares, writes, answer.found)
+        return Success(TxnAnswer(True, revision)) if revision else first
+
+    def _commit(
+        self, body: bytes, priority: Priority, longest_s: float
+    ) -> tuple[Result[TxnAnswer, Fault], bool]:
+        """Send a commit once; return what came of it, and whether the store answered it at all."""
+        was_answered = False
 
         def attempt(left_s: float) -> Result[TxnAnswer, Fault]:
+            nonlocal was_answered
             answered = self._transport.answer(
-                "store.commit", Effect.ONCE, "POST", "/kv-txn", body, min(ATTEMPT_S, left_s)
+                "store.commit", Effect.ONCE, "POST", "/kv-txn", body, min(longest_s, left_s)
             )
+            was_answered = not isinstance(answered, Failure)
             if isinstance(answered, Failure):
                 return answered
             status, data, peer = answered.unwrap()
@@ -192,7 +206,8 @@
                 return Failure(Fault(fault.step, peer, FaultKind.AMBIGUOUS, fault.reason))
             return decoded.map(lambda done: TxnAnswer(True, Revision(done.revision)))
 
-        return self._guard.call("store.commit", Effect.ONCE, priority, attempt)
+        result = self._guard.call("store.commit", Effect.ONCE, priority, attempt)
+        return result, was_answered
 
     def watch(self, prefix: str, after: Revision) -> "PlatformWatch":
         """Yield changes below ``prefix`` later than ``after``, until a fault, which comes last."""
@@ -299,6 +314,50 @@
         self._ended.set()
 
 
+def _encoded(compares: tuple[Compare, ...], writes: tuple[Put | DeleteRange, ...]) -> bytes:
+    txn = _Txn(
+        [_Precondition(compare.key, compare.revision) for compare in compares],
+        [
+            _Write(write.key, base64.b64encode(write.value).decode(), write.lease)
+            for write in writes
+            if isinstance(write, Put)
+        ],
+        [write.key for write in writes if isinstance(write, DeleteRange)],
+    )
+    return msgspec.json.encode(txn)
+
+
+def _kind_of(result: Result[A, Fault]) -> FaultKind | None:
+    return result.failure().kind if isinstance(result, Failure) else None
+
+
+def _takes_effect_once(
+    compares: tuple[Compare, ...], writes: tuple[Put | DeleteRange, ...]
+) -> bool:
+    """Return whether a transaction fails once it has taken effect: it changes what it compares."""
+    compared = {compare.key for compare in compares}
+    return bool(writes) and all(
+        isinstance(write, Put) and write.key in compared for write in writes
+    )
+
+
+def _revision_of(
+    compares: tuple[Compare, ...], writes: tuple[Put | DeleteRange, ...], found: tuple[Item, ...]
+) -> Revision:
+    """Return the revision at which all of ``writes`` were stored together; 0 if they were not."""
+    item_by_key = {item.key: item for item in found}
+    before_by_key = {compare.key: compare.revision for compare in compares}
+    revisions = set()
+    for write in writes:
+        item = item_by_key.get(write.key)
+        if item is None or isinstance(write, DeleteRange) or item.value != write.value:
+            return Revision(0)
+        if item.revision <= before_by_key[write.key]:
+            return Revision(0)
+        revisions.add(item.revision)
+    return revisions.pop() if len(revisions) == 1 else Revision(0)
+
+
 def _found(data: bytes) -> tuple[Item, ...]:
     """Return the items that a failed precondition's answer shows; none if it can't be read."""
     try:
--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -1,11 +1,13 @@
 """What an answer of the platform's store means, and what it does not."""
 
+import threading
+import time
 from collections import deque
 
 from returns.result import Failure, Result
 from testtools import TestCase
 
-from lentilrill.faults import FaultKind
+from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import Revision
 from lentilrill.platform import PlatformKeyValue
 from lentilrill.settings import StoreSettings
@@ -60,3 +62,68 @@
         )
         found = self.commit(412, body).unwrap().found
         self.assertEqual((Item("in/notices/j/a", b"x", Revision(5)),), found)
+
+
+class LostAnswersTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.held = threading.Event()
+        self.answers: deque[tuple[int, bytes] | None] = deque()
+        self.bodies: list[bytes] = []
+        self.server = Server("127.0.0.1:0", self.serve, 4)
+        self.server.start()
+        self.addCleanup(self.server.close)
+        self.addCleanup(self.held.set)
+        self.kv = PlatformKeyValue(StoreSettings(self.server.address), NoMetrics())
+
+    def serve(self, call: Call, address: str) -> None:
+        del address
+        self.bodies.append(call.body)
+        answer = self.answers.popleft()
+        if answer is None:
+            call.hold_while(lambda: not self.held.is_set())
+            call.cut()
+        else:
+            call.answer(*answer)
+
+    def commit(
+        self, *answers: tuple[int, bytes] | None, compared: str = "a"
+    ) -> Result[TxnAnswer, Fault]:
+        self.answers.clear()
+        self.answers.extend(answers)
+        return self.kv.commit((Compare(compared, Revision(4)),), (Put("a", b"x"),))
+
+    def test_a_commit_without_an_answer_is_sent_again(self) -> None:
+        """A completed job was shown a second late, since its commit had one answer lost."""
+        began = time.monotonic()
+        done = self.commit(None, (200, b'{"revision":7}')).unwrap()
+        self.assertLess(time.monotonic() - began, 0.6)
+        self.assertEqual(TxnAnswer(True, Revision(7)), done)
+        self.assertEqual(1, len(set(self.bodies)))
+
+    def test_a_commit_that_took_effect_is_known_by_what_it_wrote(self) -> None:
+        """The second try of a commit failed since the first had taken effect."""
+        there = b'{"items":[{"key":"a","value":"eA==","revision":5}]}'
+        self.assertEqual(TxnAnswer(True, Revision(5)), self.commit(None, (412, there)).unwrap())
+
+    def test_a_second_try_that_does_not_tell_settles_nothing(self) -> None:
+        """A write that may still happen was taken for one that never does."""
+        other = b'{"items":[{"key":"a","value":"eQ==","revision":5}]}'
+        before = b'{"items":[{"key":"a","value":"eA==","revision":4}]}'
+        for answer in (
+            (412, other),
+            (412, before),
+            (412, b"{"),
+            (412, b'{"items":[]}'),
+            (503, b""),
+        ):
+            result = self.commit(None, *[answer] * 8)
+            assert isinstance(result, Failure)
+            self.assertIs(FaultKind.AMBIGUOUS, result.failure().kind, answer)
+
+    def test_what_may_take_effect_twice_is_sent_once(self) -> None:
+        """A write whose condition held again after it was carried out a second time."""
+        result = self.commit(None, (200, b'{"revision":7}'), compared="b")
+        assert isinstance(result, Failure)
+        self.assertIs(FaultKind.AMBIGUOUS, result.failure().kind)
+        self.assertEqual(1, len(self.bodies))
