Store: calls are held back only after silence, not after lost answers alone

Callers of one host got 503 for a second or two while the store answered all others. Five failed calls in a row opened the breaker; with several commits side by side and two fifths of the answers lost, five in a row come about by chance.

The breaker now also asks for half a second without any answer; an outage is told from it as before, at most that much later. Former code: the new test fails, the breaker is open.

--- a/src/lentilrill/store/_guard.py
+++ b/src/lentilrill/store/_guard.py
@@ -17,6 +17,8 @@
 
 BURST_S = 1.0
 FAILURES_TO_OPEN = 5
+SILENCE_TO_OPEN_S = 0.5
+"""Time without any answer: calls go side by side, and some that fail in a row are no outage."""
 FIRST_OPEN_S = 0.5
 LONGEST_OPEN_S = 2.0
 FIRST_BACKOFF_S = 0.05
@@ -87,6 +89,7 @@
         self._failures = 0
         self._probes_failed = 0
         self._open_until: float | None = None
+        self._answered = float("-inf")
 
     @property
     def open(self) -> bool:
@@ -113,6 +116,7 @@
         """Report that the service answered."""
         with self._lock:
             was_open = self._open_until is not None
+            self._answered = self._clock()
             self._failures = 0
             self._probes_failed = 0
             self._open_until = None
@@ -129,6 +133,8 @@
                 return
             if self._failures < FAILURES_TO_OPEN:
                 return
+            if self._clock() - self._answered < SILENCE_TO_OPEN_S:
+                return
             self._open_until = self._clock() + self._open_s()
         log(Event.PLATFORM_LOST, peer=self._peer, failures=FAILURES_TO_OPEN)
 
--- a/tests/store/test_guard.py
+++ b/tests/store/test_guard.py
@@ -116,3 +116,17 @@
         for _ in range(3 * FAILURES_TO_OPEN):
             self.call()
         self.assertFalse(self.guard.breaker.open)
+
+    def test_lost_answers_among_others_are_no_outage(self) -> None:
+        """A host refused all callers for a second since five calls in a row had lost answers.
+
+        The service had answered others a moment before; an outage is told by its silence, too.
+        """
+        self.call()
+        self.kind = FaultKind.AMBIGUOUS
+        for _ in range(2 * FAILURES_TO_OPEN):
+            self.call(Effect.ONCE)
+        self.assertFalse(self.guard.breaker.open)
+        self.now += 0.5
+        self.call(Effect.ONCE)
+        self.assertTrue(self.guard.breaker.open)
