Intake: an owner is told only of what this hand-in wrote

The stored value must now be the one that was sent; it holds the time of this hand-in. Former code: the new test fails, the owner is told.

--- a/src/lentilrill/intake/_group.py
+++ b/src/lentilrill/intake/_group.py
@@ -267,8 +267,11 @@
 
 
 def _stored(create: _Create, item: Item) -> Committed:
-    """Return what a create found; one of a single try was stored by somebody else, long ago maybe,
-    so that its owner need not be told of it."""
-    if create.tries == 1:
+    """Return what a create found: its own earlier try, or what somebody else stored.
+
+    Guard against a job that runs a second time: an owner is told of what was written now only, as
+    it may have forgotten a job that ended long ago.
+    """
+    if item.value != create.put.value:
         return Committed(True)
     return Committed(True, revision=item.revision, stored=item.value)
--- a/tests/intake/test_slow_store.py
+++ b/tests/intake/test_slow_store.py
@@ -103,6 +103,14 @@
         stored = self.kv.items_by_key[f"in/notices/j/{self.job.id}"]
         self.assertEqual((stored.value, stored.revision), (told.value, told.revision))
 
+    def test_the_owner_is_not_told_of_a_job_that_was_there_before(self) -> None:
+        """A job that had ended long ago, handed in again, would have begun anew at its owner."""
+        self.owner = OwnerRecord("h2", 1, "10.0.0.2:1")
+        self.kv.put(f"in/notices/j/{self.job.id}", b"another hand-in")
+        self.kv.commits.append(lose_request)
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(self.job)[0])
+        self.assertEqual([], self.peers.sent)
+
     def test_refused_at_once_while_the_queue_stands_still(self) -> None:
         """Callers waited in a queue of writes that could not empty before they had gone."""
         self.kv.commits.extend([self.late] * ALL_OUT)
