Store: a list that keeps arriving is read to its end

A page of a list, and a watch's changes, may now take 5 s in all while their bytes keep arriving; a silence of 0.7 s ends them as before, and all other calls keep their bounds.

Former code: test_a_page_that_keeps_arriving_is_read_to_its_end fails, by several calls and no list.

--- a/src/lentilrill/platform/_kv.py
+++ b/src/lentilrill/platform/_kv.py
@@ -39,6 +39,9 @@
 """Time-out of one call: almost three times the store's slowest answer that was seen, 0.25 s."""
 FIRST_ATTEMPT_S = 0.35
 """Time-out of a commit that may be sent again without harm: a little over that slowest answer."""
+WHOLE_PAGE_S = 5.0
+"""Time-out of a page that keeps arriving: one has up to 1 MB, and the slowest links of entry hosts
+take a second or two for it, longer if others arrive beside it."""
 LEASE_ATTEMPTS_S = (0.15, 0.3)
 """Time-outs of a lease's call and of its repeat. The second is over the store's slowest answer, and
 together they are so short that another renewal still fits into a lease of 1.6 s."""
@@ -134,7 +137,7 @@
         revision = 0
         while True:
             path = f"/kv-range?prefix={quote(prefix)}" + (f"&after={quote(after)}" if after else "")
-            page = self._get("store.read", path, _Range, priority)
+            page = self._get("store.read", path, _Range, priority, WHOLE_PAGE_S)
             if isinstance(page, Failure):
                 return page
             found = page.unwrap()
@@ -254,10 +257,12 @@
             return Failure(Fault(step, peer, FaultKind.CONFLICT, "the lease has ended"))
         return self._decoded(step, status, data, peer, _Lease)
 
-    def _get(self, step: str, path: str, kind: type[A], priority: Priority) -> Result[A, Fault]:
+    def _get(
+        self, step: str, path: str, kind: type[A], priority: Priority, whole_s: float = 0.0
+    ) -> Result[A, Fault]:
         def attempt(left_s: float) -> Result[A, Fault]:
             answered = self._transport.answer(
-                step, Effect.REPEATABLE, "GET", path, b"", min(ATTEMPT_S, left_s)
+                step, Effect.REPEATABLE, "GET", path, b"", min(ATTEMPT_S, left_s), whole_s
             )
             if isinstance(answered, Failure):
                 return answered
@@ -295,7 +300,10 @@
         step = "store.watch"
         path = f"/kv-watch?prefix={quote(self._prefix)}&after={self._after}&wait_ms={WATCH_WAIT_MS}"
         timeout_s = WATCH_WAIT_MS / 1000.0 + WATCH_SLACK_S
-        answered = self._transport.answer(step, Effect.REPEATABLE, "GET", path, b"", timeout_s)
+        whole_s = timeout_s + WHOLE_PAGE_S
+        answered = self._transport.answer(
+            step, Effect.REPEATABLE, "GET", path, b"", timeout_s, whole_s
+        )
         if isinstance(answered, Failure):
             self._ended.set()
             return answered
--- a/src/lentilrill/store/_transport.py
+++ b/src/lentilrill/store/_transport.py
@@ -104,10 +104,21 @@
         return Success(data) if status == OK else self._refusal(step, effect, peer, data)
 
     def answer(
-        self, step: str, effect: Effect, method: str, path: str, body: bytes, timeout_s: float
+        self,
+        step: str,
+        effect: Effect,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        whole_s: float = 0.0,
     ) -> Result[tuple[int, bytes, str], Fault]:
-        """Send one request and return its answer's status, body and peer, whatever the status."""
-        end = self._clock() + timeout_s
+        """Send one request and return its answer's status, body and peer, whatever the status.
+
+        :param whole_s: bound of the whole exchange, in seconds, if that is longer than
+            ``timeout_s``, which then bounds each silence.
+        """
+        end = self._clock() + max(timeout_s, whole_s)
         opened = self.open(step, effect, method, path, body, timeout_s, timeout_s)
         if isinstance(opened, Failure):
             return opened
--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -142,3 +142,48 @@
         began = time.monotonic()
         self.assertIsInstance(self.kv.keep_alive(1), Failure)
         self.assertLess(time.monotonic() - began, 0.7)
+
+
+class SlowLinkTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.calls = 0
+        self.parts: list[bytes] = []
+        self.missing = 0
+        self.ended = threading.Event()
+        self.server = Server("127.0.0.1:0", self.serve, 4)
+        self.server.start()
+        self.addCleanup(self.server.close)
+        self.addCleanup(self.ended.set)
+        self.kv = PlatformKeyValue(StoreSettings(self.server.address), NoMetrics())
+
+    def serve(self, call: Call, address: str) -> None:
+        del address
+        self.calls += 1
+        size = sum(len(part) for part in self.parts) + self.missing
+        call.begin(200, {"Content-Length": str(size)})
+        for part in self.parts:
+            call.write(part)
+            time.sleep(0.2)
+        if self.missing:
+            call.hold_while(lambda: not self.ended.is_set())
+            call.cut()
+
+    def test_a_page_that_keeps_arriving_is_read_to_its_end(self) -> None:
+        """A host on a slow link asked for the same long list again and again, all day.
+
+        Each answer was given up after 0.7 s, whatever had arrived; the link was full of what
+        nobody read, the host's lease lapsed, and its callers were refused.
+        """
+        item = b'{"key":"op/config","value":"eA==","revision":5}'
+        self.parts = [b'{"items":[', *[item + b","] * 5, item, b'],"at_rev":6}']
+        answer = self.kv.read("op/").unwrap()
+        self.assertEqual((6, 6), (len(answer.items), answer.revision))
+        self.assertEqual(1, self.calls)
+
+    def test_a_page_that_stops_arriving_is_given_up(self) -> None:
+        """A read was held by a connection that had gone silent."""
+        self.parts, self.missing = [b'{"items":['], 40
+        began = time.monotonic()
+        self.assertIsInstance(self.kv.read("op/"), Failure)
+        self.assertLess(time.monotonic() - began, 3.0)
