Store: a lease's second try waits as long as the only one did before

It waits for 0.45 s again. The next renewal then begins 1.0 s after the first one's begin, within a lease of 1.6 s.

--- a/src/lentilrill/platform/_kv.py
+++ b/src/lentilrill/platform/_kv.py
@@ -42,8 +42,8 @@
 WHOLE_PAGE_S = 5.0
 """Time-out of a page that keeps arriving: one has up to 1 MB, and the slowest links of entry hosts
 take a second or two for it, longer if others arrive beside it."""
-LEASE_ATTEMPTS_S = (0.15, 0.3)
-"""Time-outs of a lease's call and of its repeat. The second is over the store's slowest answer, and
+LEASE_ATTEMPTS_S = (0.15, 0.45)
+"""Time-outs of a lease's call and of its repeat. The second leaves room for a busy link, and
 together they are so short that another renewal still fits into a lease of 1.6 s."""
 DEADLINE_S = 1.5
 """Time-out of a call with its retries; callers of jobs wait 3 s for an answer."""
