--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -120,6 +120,7 @@
             refused,
             lambda: self._writer.note(urgent=False),
             self._wake,
+            lambda: self._links.note(self._entries(self.pool)),
         )
         self._follower = Follower(kv, f"in/{pool}/", self._jobs, pause_s=INTAKE_PAUSE_S)
         self._planning = threading.Thread(target=self._plan_on, name=f"plan-{pool}", daemon=True)
@@ -348,4 +349,7 @@
         for link in self._links.by_id.values():
             if link.runs_by_key and link.lease_end and now > link.lease_end:
                 for run in list(link.runs_by_key.values()):
+                    # A start that still waits to be sent has no lease yet.
+                    if run.is_unsent and link.reachable:
+                        continue
                     self._reconciler.drop(link, run, "its lease has lapsed out of sight")
