--- a/src/lentilrill/platform/_kv.py
+++ b/src/lentilrill/platform/_kv.py
@@ -37,8 +37,16 @@
 """Statuses with which the store says that a commit had no effect."""
 ATTEMPT_S = 0.7
 """Time-out of one call: almost three times the store's slowest answer that was seen, 0.25 s."""
-LEASE_ATTEMPT_S = 0.45
-"""Time-out of a lease's renewal: a second one must still fit into a lease of 1.6 s."""
+FIRST_ATTEMPT_S = 0.35
+"""Time-out of a commit that may be sent again without harm: a little over that slowest answer."""
+WHOLE_PAGE_S = 5.0
+"""Time-out of a page that keeps arriving: one has up to 1 MB, and the slowest links of entry hosts
+take a second or two for it, longer if others arrive beside it."""
+LEASE_ATTEMPTS_S = (0.15, 0.45)
+"""Time-outs of a lease's call and of its repeat. The second leaves room for a busy link, and
+together they are so short that another renewal still fits into a lease of 1.6 s."""
+PACE_KEPT = 0.9
+"""How much of a slow answer is still expected after each one that was faster."""
 DEADLINE_S = 1.5
 """Time-out of a call with its retries; callers of jobs wait 3 s for an answer."""
 WATCH_WAIT_MS = 1500
@@ -77,6 +85,10 @@
     revision: int
 
 
+class _Found(msgspec.Struct):
+    items: list[_Item | None]
+
+
 class _Lease(msgspec.Struct):
     ttl_ms: int
     lease: int = 0
@@ -114,6 +126,7 @@
         self._guard = CallGuard(settings.address, DEADLINE_S, budget, metrics)
         self._metrics = metrics
         self._answered = time.monotonic()
+        self._slow_s = 0.0
 
     @property
     def silent_s(self) -> float:
@@ -127,7 +140,7 @@
         revision = 0
         while True:
             path = f"/kv-range?prefix={quote(prefix)}" + (f"&after={quote(after)}" if after else "")
-            page = self._get("store.read", path, _Range, priority)
+            page = self._get("store.read", path, _Range, priority, WHOLE_PAGE_S)
             if isinstance(page, Failure):
                 return page
             found = page.unwrap()
@@ -159,27 +172,43 @@
         priority: Priority = Priority.FIRST,
     ) -> Result[TxnAnswer, Fault]:
         """Apply ``writes`` if all ``compares`` hold; ``AMBIGUOUS`` if the answer was lost."""
-        txn = _Txn(
-            [_Precondition(compare.key, compare.revision) for compare in compares],
-            [
-                _Write(write.key, base64.b64encode(write.value).decode(), write.lease)
-                for write in writes
-                if isinstance(write, Put)
-            ],
-            [write.key for write in writes if isinstance(write, DeleteRange)],
-        )
-        body = msgspec.json.encode(txn)
+        body = _encoded(compares, writes)
+        if not _takes_effect_once(compares, writes):
+            return self._commit(body, priority, ATTEMPT_S)[0]
+        # Guard against a slow store that gets twice the calls: it is waited for as it answers.
+        first_s = min(ATTEMPT_S, max(FIRST_ATTEMPT_S, 2 * self._slow_s))
+        first, was_answered = self._commit(body, priority, first_s)
+        if was_answered or _kind_of(first) is not FaultKind.AMBIGUOUS:
+            return first
+        again, _ = self._commit(body, priority, ATTEMPT_S)
+        if isinstance(again, Failure):
+            return first
+        answer = again.unwrap()
+        if answer.succeeded:
+            return again
+        revision = _revision_of(compares, writes, answer.found)
+        return Success(TxnAnswer(True, revision)) if revision else first
+
+    def _commit(
+        self, body: bytes, priority: Priority, longest_s: float
+    ) -> tuple[Result[TxnAnswer, Fault], bool]:
+        """Send a commit once; return what came of it, and whether the store answered it at all."""
+        was_answered = False
 
         def attempt(left_s: float) -> Result[TxnAnswer, Fault]:
+            nonlocal was_answered
+            began = time.monotonic()
             answered = self._transport.answer(
-                "store.commit", Effect.ONCE, "POST", "/kv-txn", body, min(ATTEMPT_S, left_s)
+                "store.commit", Effect.ONCE, "POST", "/kv-txn", body, min(longest_s, left_s)
             )
+            was_answered = not isinstance(answered, Failure)
             if isinstance(answered, Failure):
                 return answered
+            self._paced(began)
             status, data, peer = answered.unwrap()
             if status == PRECONDITION:
                 self._answered = time.monotonic()
-                return Success(TxnAnswer(False, Revision(0)))
+                return Success(TxnAnswer(False, Revision(0), _found(data)))
             decoded = self._decoded("store.commit", status, data, peer, _Committed)
             if isinstance(decoded, Failure) and (status == OK or status not in NOTHING_DONE):
                 # Guard against a refusal that is untrue: behind an error or an answer that can't
@@ -188,7 +217,8 @@
                 return Failure(Fault(fault.step, peer, FaultKind.AMBIGUOUS, fault.reason))
             return decoded.map(lambda done: TxnAnswer(True, Revision(done.revision)))
 
-        return self._guard.call("store.commit", Effect.ONCE, priority, attempt)
+        result = self._guard.call("store.commit", Effect.ONCE, priority, attempt)
+        return result, was_answered
 
     def watch(self, prefix: str, after: Revision) -> "PlatformWatch":
         """Yield changes below ``prefix`` later than ``after``, until a fault, which comes last."""
@@ -219,11 +249,21 @@
         """Note that the store has just answered."""
         self._answered = time.monotonic()
 
+    def _paced(self, began: float) -> None:
+        """Take note of how long an answer took."""
+        self._slow_s = max(time.monotonic() - began, self._slow_s * PACE_KEPT)
+
     def _lease_call(self, step: str, method: str, path: str, body: bytes) -> Result[_Lease, Fault]:
         # Not behind the circuit breaker: while a lease can still be renewed in time, each try
         # counts, and there is one caller only.
-        self._metrics.incr(f"{step}.calls")
-        answered = self._leases.answer(step, Effect.REPEATABLE, method, path, body, LEASE_ATTEMPT_S)
+        is_slow = 2 * self._slow_s > LEASE_ATTEMPTS_S[0]
+        for attempt_s in LEASE_ATTEMPTS_S[1:] if is_slow else LEASE_ATTEMPTS_S:
+            self._metrics.incr(f"{step}.calls")
+            began = time.monotonic()
+            answered = self._leases.answer(step, Effect.REPEATABLE, method, path, body, attempt_s)
+            if not isinstance(answered, Failure):
+                self._paced(began)
+                break
         if isinstance(answered, Failure):
             return answered
         status, data, peer = answered.unwrap()
@@ -231,10 +271,12 @@
             return Failure(Fault(step, peer, FaultKind.CONFLICT, "the lease has ended"))
         return self._decoded(step, status, data, peer, _Lease)
 
-    def _get(self, step: str, path: str, kind: type[A], priority: Priority) -> Result[A, Fault]:
+    def _get(
+        self, step: str, path: str, kind: type[A], priority: Priority, whole_s: float = 0.0
+    ) -> Result[A, Fault]:
         def attempt(left_s: float) -> Result[A, Fault]:
             answered = self._transport.answer(
-                step, Effect.REPEATABLE, "GET", path, b"", min(ATTEMPT_S, left_s)
+                step, Effect.REPEATABLE, "GET", path, b"", min(ATTEMPT_S, left_s), whole_s
             )
             if isinstance(answered, Failure):
                 return answered
@@ -272,7 +314,10 @@
         step = "store.watch"
         path = f"/kv-watch?prefix={quote(self._prefix)}&after={self._after}&wait_ms={WATCH_WAIT_MS}"
         timeout_s = WATCH_WAIT_MS / 1000.0 + WATCH_SLACK_S
-        answered = self._transport.answer(step, Effect.REPEATABLE, "GET", path, b"", timeout_s)
+        whole_s = timeout_s + WHOLE_PAGE_S
+        answered = self._transport.answer(
+            step, Effect.REPEATABLE, "GET", path, b"", timeout_s, whole_s
+        )
         if isinstance(answered, Failure):
             self._ended.set()
             return answered
@@ -295,6 +340,60 @@
         self._ended.set()
 
 
+def _encoded(compares: tuple[Compare, ...], writes: tuple[Put | DeleteRange, ...]) -> bytes:
+    txn = _Txn(
+        [_Precondition(compare.key, compare.revision) for compare in compares],
+        [
+            _Write(write.key, base64.b64encode(write.value).decode(), write.lease)
+            for write in writes
+            if isinstance(write, Put)
+        ],
+        [write.key for write in writes if isinstance(write, DeleteRange)],
+    )
+    return msgspec.json.encode(txn)
+
+
+def _kind_of(result: Result[A, Fault]) -> FaultKind | None:
+    return result.failure().kind if isinstance(result, Failure) else None
+
+
+def _takes_effect_once(
+    compares: tuple[Compare, ...], writes: tuple[Put | DeleteRange, ...]
+) -> bool:
+    """Return whether a transaction fails once it has taken effect: it changes what it compares."""
+    compared = {compare.key for compare in compares}
+    return bool(writes) and all(
+        isinstance(write, Put) and write.key in compared for write in writes
+    )
+
+
+def _revision_of(
+    compares: tuple[Compare, ...], writes: tuple[Put | DeleteRange, ...], found: tuple[Item, ...]
+) -> Revision:
+    """Return the revision at which all of ``writes`` were stored together; 0 if they were not."""
+    item_by_key = {item.key: item for item in found}
+    before_by_key = {compare.key: compare.revision for compare in compares}
+    revisions = set()
+    for write in writes:
+        item = item_by_key.get(write.key)
+        if item is None or isinstance(write, DeleteRange) or item.value != write.value:
+            return Revision(0)
+        if item.revision <= before_by_key[write.key]:
+            return Revision(0)
+        revisions.add(item.revision)
+    return revisions.pop() if len(revisions) == 1 else Revision(0)
+
+
+def _found(data: bytes) -> tuple[Item, ...]:
+    """Return the items that a failed precondition's answer shows; none if it can't be read."""
+    try:
+        shown = msgspec.json.decode(data, type=_Found)
+        present = [item for item in shown.items if item and item.revision and not item.removed]
+        return tuple(item.decoded() for item in present)
+    except (*ODD, ValueError):
+        return ()
+
+
 def _fault_of(step: str, status: int, peer: str) -> Fault:
     if status in (TOO_MANY, BUSY):
         return Fault(step, peer, FaultKind.UNAVAILABLE, f"status {status}: nothing was done")
