--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -54,7 +54,7 @@
     :param shards: the shards that exist now.
     :param outage_everywhere: whether most entry hosts report that the store is silent.
     :param strength: how much control work this host can carry, in usual cores.
-    :param pace: at which share of its usual speed this host's own work goes now.
+    :param pace: at which share of its usual speed this host's own work goes now; not acted on yet.
     :param takes_over: whether another host says that it can take a shard over now.
     """
 
