--- a/tests/ownership/test_hand_over.py
+++ b/tests/ownership/test_hand_over.py
@@ -123,7 +123,7 @@
 
 class HandOverTest(HandOverCase):
     def test_a_weak_owner_does_not_keep_what_a_strong_host_could_carry(self) -> None:
-        """A weak host kept a large pool, and fell behind, beside a strong one that owned nothing."""
+        """A weak host kept a large pool and fell behind, beside a strong one that owned nothing."""
         weak = self.owner("h1", strength=0.5)
         strong = self.host("h2", strength=2.0)
         self.assertTrue(self.passes(weak, strong))
