Tests: README's test command passes over the known reds, and prints them

Three tests play a small suite with a list of its own; without the conftest all three fail by its absence. A listed test still runs, and its failure alone is passed over.

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,57 @@
+"""What the test command does with tests that are known to be red."""
+
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from testtools import TestCase
+from testtools.matchers import Contains, Not
+
+CONFTEST = Path(__file__).with_name("conftest.py")
+TESTS = """\
+from unittest import TestCase
+
+class ThingTest(TestCase):
+    def test_red(self):
+        self.fail("as listed")
+
+    def test_green(self):
+        pass
+"""
+RED, GREEN = (f"test_thing.py::ThingTest::test_{name}" for name in ("red", "green"))
+
+
+class KnownRedTest(TestCase):
+    def play(self, *listed: str) -> tuple[int, str]:
+        """Run a small suite of one red and one green test; return exit code and output."""
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            (folder / "conftest.py").write_text(CONFTEST.read_text())
+            (folder / "test_thing.py").write_text(TESTS)
+            (folder / "pytest.ini").write_text("[pytest]\n")
+            lines = ["# a comment", *(f"{entry} | command | seen | issue 1" for entry in listed)]
+            (folder / "KNOWN-RED.txt").write_text("\n".join(lines))
+            command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "."]
+            run = subprocess.run(command, cwd=folder, capture_output=True, text=True, check=False)
+        return run.returncode, run.stdout + run.stderr
+
+    def test_a_listed_test_that_fails_is_passed_over_and_told(self) -> None:
+        """README's test command failed on a fresh clone, by a failure that was known."""
+        code, output = self.play(RED)
+        self.assertEqual(0, code)
+        self.assertThat(output, Contains(f"known red: {RED} | command | seen | issue 1"))
+        self.assertThat(output, Contains(f"known red, failed: {RED}"))
+        self.assertThat(output, Contains("as listed"))
+
+    def test_a_failure_that_is_not_listed_fails_the_run(self) -> None:
+        """A new failure was passed over beside a known one."""
+        code, output = self.play(GREEN, "make matrix: a cell")
+        self.assertEqual(1, code)
+        self.assertThat(output, Contains(f"known red, passed: {GREEN}"))
+        self.assertThat(output, Not(Contains(f"known red, failed: {RED}")))
+
+    def test_the_list_stays_short(self) -> None:
+        """Failures piled up in the list, and nobody mended them."""
+        code, _ = self.play(*(f"make matrix: {number}" for number in range(4)), RED)
+        self.assertNotEqual(0, code)
