Matrix: a stop that a paused controller cancels late counts as cancelled

Cause, from the kept logs: the step sends the cancellation of a stop to ct-1-1, which is paused. At 1796291296.7 it goes on; the check reads the configuration, in which the stop is still declared, and waits for the host to stop; at 1796291296.762 ct-1-1 logs edit_accepted of cancel_stop (revision 367), at .773 the host returns. The stop that the check waits for does not exist any more.

That is allowed: the operator's call got no answer, so it may take effect late, and the same check says so two lines further on, where it cancels the stop itself. The check now takes a late cancellation as the end of the stop, but only in the step that had sent one; the host still has to come back within the same 30 s, and in all other steps, and where nobody cancels, a stop that stands still fails as before.

test_a_cancellation_may_be_carried_out_after_the_fault plays that order of events. On the former code it fails, by the argument that it lacks; with the former wait put in the place of the new one it times out. Two tests hold what must still fail.

--- a/tests/matrix/_steps.py
+++ b/tests/matrix/_steps.py
@@ -186,7 +186,7 @@
     world.site.wait(lambda: _phase(world, host) == "stopped", f"{host} to stop", LIMIT_S)
     with world.traffic(), disturbed(world, injection):
         _cancel(world, host)
-    _finish_stop(world, host)
+    _finish_stop(world, host, cancelled=True)
 
 
 def joining(world: World, injection: Injection) -> None:
@@ -410,21 +410,38 @@
     return world.operate("DELETE", f"/v1/stops/stop-{host}")[0]
 
 
-def _finish_stop(world: World, host: str) -> None:
-    """After the fault: the stop ends, nothing begins on the host, and it comes back."""
-    if _declared(world, host):
-        world.site.wait(lambda: _phase(world, host) == "stopped", f"{host} to stop", LIMIT_S)
+def _finish_stop(world: World, host: str, *, cancelled: bool = False) -> None:
+    """After the fault: the stop ends, nothing begins on the host, and it comes back.
+
+    :param cancelled: the stop's cancellation was sent before; a process that was paused may carry
+        it out only now, just after the stop was still seen to be declared.
+    """
+    if _declared(world, host) and _stops(world, host, cancelled):
         stopped = time.time()
         threading.Event().wait(0.5)
         runs = [run for name, run in world.runs() if name == host]
         late = [run["job"] for run in runs if run["started"] > stopped]
         world.ledger.note(not late, f"{late} began on {host} after it was released")
+
         # A cancellation that seemed lost may have been done late, by a process that was paused.
-        cancelled = lambda: _cancel(world, host) == 200 or not _declared(world, host)  # noqa: E731
-        world.site.wait(cancelled, "the cancellation", LIMIT_S)
+        def is_cancelled() -> bool:
+            return _cancel(world, host) == 200 or not _declared(world, host)
+
+        world.site.wait(is_cancelled, "the cancellation", LIMIT_S)
     world.site.wait(lambda: _phase(world, host) == "serving", f"{host} to come back", LIMIT_S)
 
 
+def _stops(world: World, host: str, cancelled: bool) -> bool:
+    """Wait until a host has stopped; return ``False`` if a cancellation came first."""
+
+    def ended() -> str:
+        if cancelled and not _declared(world, host):
+            return "cancelled"
+        return "stopped" if _phase(world, host) == "stopped" else ""
+
+    return bool(world.site.wait(ended, f"{host} to stop", LIMIT_S) == "stopped")
+
+
 @contextmanager
 def _watching_release(world: World, host: str) -> Iterator[None]:
     """Note each job that still runs on ``host`` when a controller shows it as released."""
--- /dev/null
+++ b/tests/matrix/test_steps.py
@@ -0,0 +1,58 @@
+"""The matrix's steps: what they accept, and what they don't."""
+
+from functools import partial
+from types import SimpleNamespace
+from typing import Any
+from unittest.mock import patch
+
+from testtools import TestCase
+from testtools.matchers import Raises
+
+from tests.matrix import _steps
+
+HOST = "w03"
+
+
+class FakeWorld:
+    """A site whose stop is declared for some looks, and whose host never stops.
+
+    :param looks: looks at the configuration that still show the stop.
+    """
+
+    def __init__(self, looks: int) -> None:
+        self.site = SimpleNamespace(wait=self.wait)
+        self._looks = looks
+
+    def wait(self, holds: Any, what: str, timeout_s: float) -> Any:
+        for _ in range(10):
+            if value := holds():
+                return value
+        raise TimeoutError(f"{what} in {timeout_s} s")
+
+    def operate(self, method: str, path: str) -> tuple[int, dict[str, Any]]:
+        self._looks -= 1
+        stops = [{"hosts": [HOST]}] if self._looks >= 0 else []
+        return 200, {"fresh": True, "document": {"stops": stops}}
+
+    def phases(self) -> dict[str, tuple[str, str]]:
+        return {HOST: ("schools", "serving")}
+
+
+class FinishedStopTest(TestCase):
+    def test_a_cancellation_may_be_carried_out_after_the_fault(self) -> None:
+        """A cell failed: a paused controller cancelled the stop just after it was seen."""
+        _steps._finish_stop(FakeWorld(looks=2), HOST, cancelled=True)
+
+    def test_a_stop_that_never_ends_fails(self) -> None:
+        """A stop that stood still was taken for one that was cancelled."""
+        for looks, cancelled in ((99, True), (99, False), (2, False)):
+            world = FakeWorld(looks)
+            finish = partial(_steps._finish_stop, world, HOST, cancelled=cancelled)
+            self.assertThat(finish, Raises())
+
+    def test_a_host_that_does_not_come_back_fails(self) -> None:
+        """A host stayed away after its stop was cancelled."""
+        world = FakeWorld(looks=2)
+        with patch.object(world, "phases", lambda: {HOST: ("schools", "stopped")}):
+            finish = partial(_steps._finish_stop, world, HOST, cancelled=True)
+            self.assertThat(finish, Raises())
