Tests: what guards a slowed owner's hand-over is seen to fail

Two tests were too weak before: one took its first look after the change that it is to find; that a long slowing does not become the usual speed had none.

One has no test: that a host goes by its present strength rather than by the stored one, which only saves the time of a write.

--- a/tests/ownership/test_hand_over.py
+++ b/tests/ownership/test_hand_over.py
@@ -224,10 +224,14 @@
         """Callers waited for a take-over from a host that was well again before its end."""
         self.owner("h1")
         self.host("h2")
+        self.assertEqual([], self.key_changes(4.0))
+        before = self.revisions()
         self.slow("h1")
         self.step()
+        time.sleep(3 * ROUND_S)
         self.slow()
-        self.assertEqual([], self.key_changes(10.0))
+        self.key_changes(10.0)
+        self.assertEqual(before, self.revisions())
 
 
 class HandOverGuardTest(HandOverCase):
--- a/tests/ownership/test_pace.py
+++ b/tests/ownership/test_pace.py
@@ -43,6 +43,13 @@
         self.seconds(1, BUSY_S)
         self.assertFalse(self.pace.is_slowed)
 
+    def test_a_host_that_stays_slowed_does_not_take_it_for_its_usual_speed(self) -> None:
+        """A host that had been slowed for a minute got shards again, and was as slow as before."""
+        self.seconds(60, BUSY_S)
+        self.seconds(1, 5 * BUSY_S)
+        self.assertAlmostEqual(0.2, min(self.seconds(600, 5 * BUSY_S)))
+        self.assertTrue(self.pace.is_slowed)
+
     def test_load_does_not_count_as_being_slowed(self) -> None:
         """Shards left a well owner whose surge had ended, as idle hosts' caches are cold."""
         self.seconds(60, BUSY_S)
