--- /dev/null
+++ b/tests/intake/fakes.py
@@ -0,0 +1,59 @@
+"""An intake on a store in memory, with peers that only note what they are sent."""
+
+from collections.abc import Callable
+
+from testtools import TestCase
+
+from lentilrill.ids import PoolId
+from lentilrill.inner import JobAsk, PoolPressure
+from lentilrill.intake import Intake
+from lentilrill.ownership import OwnerRecord
+from tests.builders import a_job
+from tests.fakes import FakeKeyValue
+
+__all__ = ["POOL", "IntakeCase", "Peers"]
+
+POOL = PoolId("notices")
+
+
+class Peers:
+    """Notes messages, and answers questions if told how."""
+
+    def __init__(self) -> None:
+        self.sent: list[object] = []
+        self.answer: Callable[[JobAsk], None] | None = None
+
+    def send(self, address: str, message: object) -> None:
+        self.sent.append(message)
+        if isinstance(message, JobAsk) and self.answer is not None:
+            self.answer(message)
+
+
+class IntakeCase(TestCase):
+    """An entry host's intake, the pools' owner, and a job that nobody has handed in.
+
+    :cvar peers_at: addresses of the other entry hosts.
+    """
+
+    peers_at: tuple[str, ...] = ()
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.kv = FakeKeyValue()
+        self.peers = Peers()
+        self.pressure: PoolPressure | None = None
+        self.silent_s = 0.0
+        self.owner: OwnerRecord | None = None
+        self.intake = Intake(
+            self.kv,
+            self.peers,
+            lambda pool: None,
+            lambda pool: self.owner,
+            lambda pool: self.pressure,
+            lambda: [POOL, PoolId("ballots")],
+            lambda: list(self.peers_at),
+            lambda: self.silent_s,
+        )
+        self.intake.start()
+        self.addCleanup(self.intake.close)
+        self.job = a_job()
--- a/tests/intake/test_intake.py
+++ b/tests/intake/test_intake.py
@@ -1,64 +1,29 @@
 """Accepting, cancelling and showing jobs."""
 
 import threading
-from collections.abc import Callable
-
-from testtools import TestCase
 
 from lentilrill.ids import Incarnation, JobId, PoolId, ProcessId, QueueId
 from lentilrill.inner import (
     Batch,
     JobAccepted,
-    JobAsk,
     JobCancelled,
     JobDoubted,
     JobTold,
     PoolPressure,
 )
-from lentilrill.intake import Intake
 from lentilrill.ownership import OwnerRecord
 from lentilrill.store import Priority
 from lentilrill.workloads import JobAnswer, JobState
 from tests.builders import a_job
-from tests.fakes import FakeKeyValue, lose_answer, lose_request
+from tests.fakes import lose_answer, lose_request
+from tests.intake.fakes import POOL, IntakeCase
 
-POOL = PoolId("notices")
 TRIES = 3
 """How often one create is sent."""
 
 
-class Peers:
-    def __init__(self) -> None:
-        self.sent: list[object] = []
-        self.answer: Callable[[JobAsk], None] | None = None
-
-    def send(self, address: str, message: object) -> None:
-        self.sent.append(message)
-        if isinstance(message, JobAsk) and self.answer is not None:
-            self.answer(message)
-
-
-class IntakeTest(TestCase):
-    def setUp(self) -> None:
-        super().setUp()
-        self.kv = FakeKeyValue()
-        self.peers = Peers()
-        self.pressure: PoolPressure | None = None
-        self.silent_s = 0.0
-        self.owner: OwnerRecord | None = None
-        self.intake = Intake(
-            self.kv,
-            self.peers,
-            lambda pool: None,
-            lambda pool: self.owner,
-            lambda pool: self.pressure,
-            lambda: [POOL, PoolId("ballots")],
-            lambda: ["10.0.0.2:1"],
-            lambda: self.silent_s,
-        )
-        self.intake.start()
-        self.addCleanup(self.intake.close)
-        self.job = a_job()
+class IntakeTest(IntakeCase):
+    peers_at = ("10.0.0.2:1",)
 
     def test_accepted_is_stored_and_the_owner_is_told(self) -> None:
         self.owner = OwnerRecord("h2", 1, "10.0.0.2:1")
--- a/tests/intake/test_slow_store.py
+++ b/tests/intake/test_slow_store.py
@@ -5,42 +5,25 @@
 from collections.abc import Callable
 
 from returns.result import Result
-from testtools import TestCase
 
-from lentilrill.ids import PoolId
 from lentilrill.inner import JobAccepted
-from lentilrill.intake import Intake
 from lentilrill.ownership import OwnerRecord
 from lentilrill.telemetry import Event
 from lentilrill.workloads import Job, JobAnswer
 from tests.builders import a_job
-from tests.fakes import FakeKeyValue, lose_answer, lose_request
-from tests.intake.test_intake import POOL, Peers
+from tests.fakes import lose_answer, lose_request
+from tests.intake.fakes import IntakeCase
 
 SOON_S = 0.4
 ALL_OUT = 8
 """More calls than are ever in flight at once."""
 
 
-class SlowStoreTest(TestCase):
+class SlowStoreTest(IntakeCase):
     def setUp(self) -> None:
         super().setUp()
-        self.kv = FakeKeyValue()
-        self.peers = Peers()
-        self.owner: OwnerRecord | None = None
-        self.intake = Intake(
-            self.kv,
-            self.peers,
-            lambda pool: None,
-            lambda pool: self.owner,
-            lambda pool: None,
-            lambda: [POOL, PoolId("ballots")],
-        )
-        self.intake.start()
         self.answering = threading.Event()
-        self.addCleanup(self.intake.close)
         self.addCleanup(self.answering.set)
-        self.job = a_job()
 
     def late(self, call: Callable[[], Result]) -> Result:
         """Fate of a call that is carried out once the store answers again."""
