--- a/tests/soak.py
+++ b/tests/soak.py
@@ -153,7 +153,9 @@
 def main() -> int:
     """Play runs until the time is over; 0 if nothing was wrong."""
     parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
-    parser.add_argument("--seed", type=int, help="seed of the first run; each run takes the next one")
+    parser.add_argument(
+        "--seed", type=int, help="seed of the first run; each run takes the next one"
+    )
     parser.add_argument("--runs", type=int, default=10)
     parser.add_argument("--seconds", type=float, default=30.0, help="length of one run")
     parser.add_argument("--logs", type=Path, help="folder for the logs of failed runs")
