Tests: one builder of a host's news

The test of a slowed host's news built its own desk, as the test of a rising need did; both use the one of the case now. Their checks are the same; with the late word of peers left out, test_a_slowed_host_counts_what_it_heard_seconds_ago still fails.

--- a/tests/entry/test_beliefs.py
+++ b/tests/entry/test_beliefs.py
@@ -81,8 +81,16 @@
             MemberRecord(ProcessId(f"h{n}"), Incarnation(1), ZoneId("z"), f"10.0.0.{n}:1", 1)
             for n in range(6)
         ]
+        self.is_slowed = False
+        self.rises: list[bool] = []
         self.desk = NewsDesk(
-            Node(), lambda: self.members, ConfigurationBook(), lambda: (), lambda: self.silent_s
+            Node(),
+            lambda: self.members,
+            ConfigurationBook(),
+            lambda: (),
+            lambda: self.silent_s,
+            lambda: self.rises.append(True),
+            is_slowed=lambda: self.is_slowed,
         )
         self.desk._tell(())
 
@@ -134,19 +142,10 @@
         Its owner told its need by the clock, and the fleet's owner began its rounds by another.
         """
         pool = PoolId("notices")
-        rises: list[bool] = []
-        desk = NewsDesk(
-            Node(),
-            lambda: self.members,
-            ConfigurationBook(),
-            lambda: (),
-            lambda: 0.0,
-            lambda: rises.append(True),
-        )
         for need in (2.0, 2.5, 6.0, 6.1, 3.0):
             news = HostNews(0.0, -1, (PoolPressure(pool, 0.0, {}, 9, need=need),))
-            desk._heard(Batch(ProcessId("h1"), Incarnation(1), "10.0.0.1:1", ()), news)
-        self.assertEqual(1, len(rises))
+            self.hear("h1", news)
+        self.assertEqual(1, len(self.rises))
 
     def test_a_former_owner_is_not_believed(self) -> None:
         pool = PoolId("notices")
@@ -171,18 +170,10 @@
     def test_a_slowed_host_counts_what_it_heard_seconds_ago(self) -> None:
         """A slowed owner came to its peers' news late, found nobody fit, and kept its shard."""
         host = ProcessId("h1")
-        desk = NewsDesk(
-            Node(),
-            lambda: self.members,
-            ConfigurationBook(),
-            lambda: (),
-            lambda: 0.0,
-            is_slowed=lambda: True,
-        )
-        self.assertFalse(desk.takes_over(host))
-        news = HostNews(0.0, -1, takes_over=True)
-        desk._heard(Batch(host, Incarnation(1), "10.0.0.1:1", ()), news)
+        self.is_slowed = True
+        self.assertFalse(self.desk.takes_over(host))
+        self.hear("h1", HostNews(0.0, -1, takes_over=True))
         for age_s, counts in ((3.0, True), (6.0, False)):
             later = time.monotonic() + age_s
             with patch("lentilrill.entry._news.time.monotonic", lambda later=later: later):
-                self.assertEqual(counts, desk.takes_over(host))
+                self.assertEqual(counts, self.desk.takes_over(host))
