--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -242,13 +242,14 @@
     def lost(self, shard: Shard, *, flush: bool = False) -> None:
         """Stop acting as owner of a shard.
 
-        :param flush: nobody can own it yet: store what is known.
+        :param flush: nobody can own it yet, and there is time to store what is known.
         """
         if shard == FLEET:
             if self._fleet is not None:
                 self._fleet.close()
                 if flush or self._pace.is_slowed:
                     # Its round may be in the midst of orders, which the next owner's must not meet.
+                    # A slowed host hands over without a flush.
                     self._fleet.join(FLEET_STOP_S)
             return
         with self._lock:
