Orders: a start that found no connection was not carried out

What callers saw: a task sent to an endpoint that had just gone waited there until looks had failed, and cost a stop besides, though others had room.

Cause: the transport's fault told "no connection" as it tells any other lost answer, since for calls that may be repeated it makes no difference there. To an order it does: a start in doubt keeps its task on its endpoint.

Ruled out: a connection that times out is no start either, as urllib3 sends nothing before it has connected. A run whose earlier sending got no answer stays in doubt; a stop is sent again as before.

Looked for elsewhere: moves of hosts, commits and the gateways tell it already.

--- a/src/lentilrill/execution/_contract.py
+++ b/src/lentilrill/execution/_contract.py
@@ -41,6 +41,8 @@
     """The endpoint is unwell, and did nothing."""
     ELSEWHERE = "elsewhere"
     """Another endpoint lives at this address now; the one that was meant has ended."""
+    UNREACHED = "unreached"
+    """No connection could be made, so nothing was carried out."""
     UNKNOWN = "unknown"
     """No answer: the order may have been carried out, or may be yet."""
 
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -90,7 +90,7 @@
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.UNDER_WAY
             return None
-        if verdict is Verdict.UNKNOWN:
+        if verdict is Verdict.UNKNOWN or (verdict is Verdict.UNREACHED and run.in_doubt):
             # The same start again is no second run, and its answer settles the first one too.
             run.in_doubt = True
             return order
@@ -106,7 +106,10 @@
             # The run was there and has ended, or was stopped: a look lists its end.
             run.confirmed_at = time.monotonic()
             return None
-        run.task.not_before = time.monotonic() + RETRY_ELSEWHERE_S
+        now = time.monotonic()
+        run.task.not_before = now + RETRY_ELSEWHERE_S
+        if verdict is Verdict.UNREACHED:
+            link.probe_at = max(link.probe_at, now + RETRY_ELSEWHERE_S)
         if run.in_doubt:
             # Guard against a task that runs twice: an earlier sending of this start may still be
             # carried out. A stop makes the endpoint refuse it from then on.
@@ -116,7 +119,7 @@
         return None
 
     def _take_stop_answer(self, run: Run, order: Order, verdict: Verdict) -> Order | None:
-        if verdict in (Verdict.UNKNOWN, Verdict.BUSY):
+        if verdict in (Verdict.UNKNOWN, Verdict.UNREACHED, Verdict.BUSY):
             return order
         # Stopped, or refused as outdated: a later look lists its end or doesn't list it at all.
         run.confirmed_at = time.monotonic()
--- a/src/lentilrill/faults.py
+++ b/src/lentilrill/faults.py
@@ -35,6 +35,7 @@
     :param kind: what can be done about it.
     :param reason: one line for people.
     :param retry_after_s: seconds after which another try makes sense; ``None`` if unknown.
+    :param unsent: whether nothing of the request left this process: it surely has no effect.
     """
 
     step: str
@@ -42,6 +43,7 @@
     kind: FaultKind
     reason: str
     retry_after_s: float | None = None
+    unsent: bool = False
 
     def __str__(self) -> str:
         at = f" at {self.peer}" if self.peer else ""
--- a/src/lentilrill/platform/_endpoints.py
+++ b/src/lentilrill/platform/_endpoints.py
@@ -110,7 +110,9 @@
             f"endpoint.{step}", Effect.REPEATABLE, "POST", path, body, ORDER_S
         )
         if isinstance(answered, Failure):
-            return OrderAnswer(Verdict.UNKNOWN, reason=answered.failure().reason)
+            fault = answered.failure()
+            verdict = Verdict.UNREACHED if fault.unsent else Verdict.UNKNOWN
+            return OrderAnswer(verdict, reason=fault.reason)
         status, data, _ = answered.unwrap()
         clock = decode_clock(data)
         verdict = Verdict.DONE if status == OK else refusal(status, data)
--- a/src/lentilrill/store/_transport.py
+++ b/src/lentilrill/store/_transport.py
@@ -169,7 +169,7 @@
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
             self.fail_over(peer)
-            return Failure(Fault(step, peer, FaultKind.UNAVAILABLE, shown(error)))
+            return Failure(Fault(step, peer, FaultKind.UNAVAILABLE, shown(error), unsent=True))
         except (HTTPError, OSError) as error:
             self.fail_over(peer)
             return Failure(Fault(step, peer, _lost(effect), shown(error)))
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -271,6 +271,40 @@
         return max(waits, key=lambda cause: waits[cause])
 
 
+class UnreachedTest(BookCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.run_ = self.run_of(self.add(a_step(1)), confirmed=False)
+        self.order = Order.of(OrderKind.START, self.run_)
+
+    def test_a_start_that_reached_nobody_goes_elsewhere(self) -> None:
+        """A task waited on an endpoint that had gone until the owner had looked there in vain."""
+        self.assertIsNone(self.reconciler.take_answer(self.link, self.order, Verdict.UNREACHED))
+        self.assertTrue(self.run_.task.waiting)
+        self.assertEqual({}, self.link.runs_by_key)
+
+    def test_other_tasks_wait_before_they_go_where_nobody_was_reached(self) -> None:
+        """All waiting tasks were sent in turn to an endpoint that could not be reached."""
+        self.reconciler.take_answer(self.link, self.order, Verdict.UNREACHED)
+        self.add(a_step(1), name="b")
+        self.assertEqual([], self.starts())
+        self.link.probe_at = 0.0
+        self.assertEqual(1, len(self.starts()))
+
+    def test_an_earlier_sending_without_answer_stays_in_doubt(self) -> None:
+        """A task ran twice: its first sending was carried out, the second one reached nobody."""
+        self.reconciler.take_answer(self.link, self.order, Verdict.UNKNOWN)
+        again = self.reconciler.take_answer(self.link, self.order, Verdict.UNREACHED)
+        self.assertIs(self.order, again)
+        self.assertFalse(self.run_.task.waiting)
+
+    def test_a_stop_that_reached_nobody_is_sent_again(self) -> None:
+        stop = Order.of(OrderKind.STOP, self.run_)
+        again = self.reconciler.take_answer(self.link, stop, Verdict.UNREACHED)
+        self.assertIs(stop, again)
+        self.assertIsNone(self.run_.confirmed_at)
+
+
 class NeedTest(BookCase):
     def test_late_work_asks_for_few_hosts(self) -> None:
         """Two pools wanted all hosts: one for work in time, one for a backlog that was late."""
