Looks: their age is told by the endpoint's clock, not by the reader's

What callers saw: while an owner's processor was busy or slowed, tasks that ran well were stopped and begun again, their endpoints got few tasks, and the pool asked for more hosts than its work needed.

Cause: how long a run stood still, and how long a task took, was measured by the owner's clock when it read a look, though the look carries the endpoint's.

Ruled out: leases and proofs (a look sent after a start was confirmed) keep the owner's clock, which errs on the safe side there.

Why it works: the reading with the shortest delay tells how the clocks differ, so lateness of a reader cancels out.

--- a/src/lentilrill/execution/_book.py
+++ b/src/lentilrill/execution/_book.py
@@ -35,6 +35,7 @@
 
     :ivar began_at: when its endpoint took the start; ``None`` for one that was adopted, or that
         goes on from a checkpoint, whose duration tells nothing.
+    :ivar changed_at: when it was last seen to get on, as far as its endpoint's clock tells.
     :ivar expires_ms: end of the lease that its start carries, on its endpoint's clock; a start
         that is sent again carries the same, so that it can't be carried out after that.
     :ivar made_at: when it was placed.
--- a/src/lentilrill/execution/_endpoint_talk.py
+++ b/src/lentilrill/execution/_endpoint_talk.py
@@ -168,7 +168,9 @@
                 )
             if answer.verdict is Verdict.NO_TICKET:
                 self._tickets.forget(StepId(*order.task[:3]), link.entry.id)
-            after = self._reconciler.take_answer(link, order, answer.verdict)
+            # Another life's clock tells nothing of this one's.
+            clock_ms = answer.clock_ms if answer.born_ms == link.born_ms else 0
+            after = self._reconciler.take_answer(link, order, answer.verdict, clock_ms)
             self._wake()
         if after is not None:
             time.sleep(RESEND_S)
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -1,6 +1,7 @@
 """One endpoint as its pool's owner sees it, and the tasks that talk to it."""
 
 import itertools
+import math
 import queue
 import threading
 import time
@@ -21,6 +22,9 @@
 what runs where nobody can look is started elsewhere only when it has lapsed."""
 CLOCK_ERROR = 0.02
 """By how much an endpoint's clock may run slow."""
+LAG_HOLDS_S = 5.0
+"""How long the least difference of two clocks counts as it was read: longer than most delays of a
+busy owner, and so short that a slow clock makes a tenth of a second of it."""
 LAPSE_SLACK_S = 0.3
 """Added to a lease's end before it counts as surely over: a stop at its end takes up to 0.2 s."""
 BUSY_WAIT_MS = 800
@@ -98,6 +102,8 @@
     """An endpoint's state and its tasks: one looks, the others send orders.
 
     :ivar strays_by_key: runs of jobs that the owner does not know, by when they were first seen.
+    :ivar told_at: when the endpoint gave its newest look, as far as its clock tells, which is
+        earlier than this process read it by the delay of links and of this process.
     :ivar lease_end: when all leases ever given to this endpoint have surely ended, by this
         process's monotonic clock; 0 if none was given.
     """
@@ -115,6 +121,7 @@
         self.since = time.monotonic()
         self.busy_at = self.since
         self.heard = 0.0
+        self.told_at = 0.0
         self.seen_cursor = 0
         self.stored_cursor = 0
         self.born_ms = 0
@@ -125,6 +132,8 @@
         self.paced_at = 0.0
         self._clock_ms = 0
         self._clock_read = 0.0
+        self._lag_s = math.inf
+        self._lag_read = 0.0
         self._latest_expiry_ms = 0
         self._owner = owner
         self._calls = calls
@@ -176,15 +185,32 @@
     def note_clock(self, clock_ms: int, read_at: float) -> None:
         """Note the endpoint's clock as read at a moment of this process's monotonic clock."""
         if clock_ms:
+            self.told_at = self.moment_of(clock_ms, read_at)
             self._clock_ms, self._clock_read = clock_ms, read_at
             self._reckon_lease_end()
 
+    def moment_of(self, clock_ms: int, read_at: float) -> float:
+        """Return when the endpoint's clock showed a time, by this process's monotonic clock.
+
+        The reading with the shortest delay tells how the clocks differ. Since the endpoint's may
+        run slow, the difference may grow once that reading is old.
+
+        :param read_at: when this process read it, which is later by an unknown delay.
+        """
+        lag_s = read_at - clock_ms / 1000
+        age_s = max(0.0, read_at - self._lag_read - LAG_HOLDS_S)
+        least_s = self._lag_s + CLOCK_ERROR * age_s
+        if lag_s <= least_s:
+            self._lag_s, self._lag_read = lag_s, read_at
+        return clock_ms / 1000 + min(lag_s, least_s)
+
     def reborn(self, born_ms: int) -> None:
         """Forget what belonged to the endpoint's former life."""
         self.born_ms = born_ms
         self.released = False
         self.seen_cursor = self.stored_cursor = 0
         self._latest_expiry_ms = 0
+        self._lag_s = math.inf
         self.lease_end = 0.0
 
     def expiry_ms(self, hold_s: float = HOLD_S) -> int:
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -183,8 +183,8 @@
         for run in link.runs_by_key.values():
             if run.phase is not RunPhase.UNDER_WAY or run.percent >= FULL or not run.pace:
                 continue
-            began = max(run.changed_at, run.confirmed_at or link.heard)
-            if link.heard - began < STUCK_S:
+            still_s = link.told_at - run.changed_at
+            if still_s < STUCK_S:
                 continue
             run.phase = RunPhase.STOPPING
             run.task.failed_on.add(link.entry.id)
@@ -196,7 +196,7 @@
                 run=run.number,
                 endpoint=link.entry.id,
                 percent=run.percent,
-                for_s=round(link.heard - began, 1),
+                for_s=round(still_s, 1),
             )
             orders.append(Order.of(OrderKind.STOP, run))
         return orders
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -76,16 +76,22 @@
                 self.drop(link, run, "not there any more")
         return stops
 
-    def take_answer(self, link: EndpointLink, order: Order, verdict: Verdict) -> Order | None:
-        """Take over an order's answer; return what must be sent next, if anything."""
+    def take_answer(
+        self, link: EndpointLink, order: Order, verdict: Verdict, clock_ms: int = 0
+    ) -> Order | None:
+        """Take over an order's answer; return what must be sent next, if anything.
+
+        :param clock_ms: the endpoint's clock at its answer; 0 if it is not known.
+        """
         run = order.run
         if run is None or run.key not in link.runs_by_key or order.kind is OrderKind.PACE:
             return None
         if order.kind is OrderKind.STOP:
             return self._take_stop_answer(run, order, verdict)
         if verdict is Verdict.DONE:
-            run.confirmed_at = time.monotonic()
-            run.began_at = None if run.task.checkpoint else run.confirmed_at
+            run.confirmed_at = now = time.monotonic()
+            run.changed_at = link.moment_of(clock_ms, now) if clock_ms else now
+            run.began_at = None if run.task.checkpoint else run.changed_at
             run.task.step.book.begin()
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.UNDER_WAY
@@ -157,7 +163,7 @@
             link.failures = 0
             link.probe_at = 0.0
             if run is not None and run.began_at is not None and run.pace == FULL_PACE:
-                self._durations.note(task.step, (time.monotonic() - run.began_at) * 1000)
+                self._durations.note(task.step, max(0.0, link.told_at - run.began_at) * 1000)
             self._done(book, task, gang=task.step.spec.gang)
         elif end.kind is EndKind.FAILED:
             count_failure(link)
@@ -203,13 +209,14 @@
                 return self._stray(link, running)
         link.strays_by_key.pop(key, None)
         if running.percent != run.percent:
-            run.changed_at = time.monotonic()
+            run.changed_at = link.told_at
         run.percent, run.load = running.percent, running.load
         if running.checkpoint:
             run.task.checkpoint = running.checkpoint
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.UNDER_WAY
             run.confirmed_at = run.confirmed_at or time.monotonic()
+            run.changed_at = link.told_at
             run.task.step.book.begin()
         return []
 
@@ -247,6 +254,7 @@
         run = Run(task, running.number, link.entry.id, task.step.spec.reserved)
         run.phase = RunPhase.UNDER_WAY
         run.confirmed_at = time.monotonic()
+        run.changed_at = link.told_at
         link.runs_by_key[run.key] = run
         link.inherit_lease(run.confirmed_at)
         task.runs.append(run)
--- a/tests/execution/test_late_reads.py
+++ b/tests/execution/test_late_reads.py
@@ -60,3 +60,25 @@
         self.read(Look(Verdict.DONE, BEGAN_MS + 200, 0, (), (end,)), LATE_S)
         self.assertTrue(self.run_.task.step.ran)
         self.assertAlmostEqual(200.0, self.run_.task.step.ran_ms, delta=1.0)
+
+    def test_a_start_whose_answer_is_read_late_began_when_it_was_given(self) -> None:
+        """A slow owner took tasks for shorter than they are, and placed more than fits in time."""
+        run = self.run_of(self.add(a_step(1), name="b"), confirmed=False)
+        order = Order.of(OrderKind.START, run)
+        self.now += LATE_S
+        self.reconciler.take_answer(self.link, order, Verdict.DONE, BEGAN_MS)
+        self.assertAlmostEqual(BEGAN_S, run.began_at or 0.0, delta=0.001)
+
+    def test_a_slow_clock_is_followed(self) -> None:
+        """An endpoint's tasks seemed to have begun seconds ago as its clock fell behind."""
+        for second in range(1000):
+            self.now = BEGAN_S + second
+            self.link.note_clock(BEGAN_MS + int(980 * second), self.now)
+        self.assertAlmostEqual(self.now, self.link.told_at, delta=0.2)
+
+    def test_a_new_life_has_a_clock_of_its_own(self) -> None:
+        """Nothing was stuck on an endpoint that was born again: its clock began anew."""
+        self.now += 100.0
+        self.link.reborn(2)
+        self.link.note_clock(5, self.now)
+        self.assertEqual(self.now, self.link.told_at)
