News go to those who decide by them, not from each host to each

Cause: everything was told from each to each, 3.3 times a second.

Change: the fleet's owner gets each pool's whole pressure, a rise at once as before; all hosts get what they take jobs by, each 0.7 s or as soon as a wait changes by 0.2 s; whether a host reaches the store, and whether it can take a shard over, is asked by the owner that wants to know; versions of the configuration go to two neighbours on a ring. Besides, a host that owns nothing looks less often: its pace once a second, its own pools not at all, claims only if a shard has no owner, endpoints only when asked.

Weighed: relays by zone (each host still hears of each pool as often, and a dead relay costs a lease's time), and the store (its rates, an outage). Tried: claims looked at each 0.4 s while all shards are owned; then a loaded host, which looks each 0.1 s, claimed a new shard before the idle one that is first in line (test_it_hands_over_to_a_host_that_has_a_shard_already failed 2 of 3): undone.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -75,7 +75,7 @@
         self._pools_by_id: dict[PoolId, PoolOwner] = {}
         self._fleet: FleetOwner | None = None
         self._leaving = False
-        self._pace = Pace(self.metrics)
+        self._pace = Pace(self.metrics, is_owner=lambda: self._ownership.is_owner)
         self._ownership = Ownership(
             self._kv,
             settings.process,
@@ -98,6 +98,8 @@
             self._hurry_fleet,
             lambda: self.ready,
             lambda: self._pace.is_slowed,
+            lambda: self._address_of(FLEET),
+            lambda: self._ownership.is_owner,
         )
         self._intake = Intake(
             self._kv,
@@ -121,15 +123,16 @@
             serve_plain(settings.readiness, self._readiness),
             serve_plain(settings.metrics, lambda path: (200, self.metrics.page())),
         ]
+        self._endpoint_follower = Follower(
+            self._kv,
+            ENDPOINTS,
+            self._endpoints,
+            pause_s=ENDPOINTS_PAUSE_S,
+            is_needed=lambda: bool(self._pools_by_id),
+        )
         self._followers = [
             Follower(self._kv, OPERATORS, self._configuration),
-            Follower(
-                self._kv,
-                ENDPOINTS,
-                self._endpoints,
-                pause_s=ENDPOINTS_PAUSE_S,
-                is_needed=lambda: bool(self._pools_by_id),
-            ),
+            self._endpoint_follower,
         ]
         self._node.on(JobAccepted, self._accepted)
         self._node.on(JobCancelled, self._cancelled)
@@ -235,6 +238,7 @@
         with self._lock:
             former = self._pools_by_id.get(PoolId(shard))
             self._pools_by_id[PoolId(shard)] = owner
+        self._endpoint_follower.hurry()
         if former is not None:
             former.close()
         owner.start()
@@ -259,7 +263,7 @@
 
     def _fleet_owner(self, token: Revision) -> FleetOwner:
         hosts = PlatformHosts(self._settings.hosts_api)
-        emptying = Emptying(self._node, self._owner_address)
+        emptying = Emptying(self._node, lambda pool: self._address_of(Shard(pool)))
         process = self._settings.process
 
         def may_order() -> bool:
@@ -303,8 +307,8 @@
         said = self._news.pressure_of(pool)
         return said.need / max(1, said.hosts) if said is not None else 0.0
 
-    def _owner_address(self, pool: PoolId) -> str:
-        record = self._ownership.owner_of(Shard(pool))
+    def _address_of(self, shard: Shard) -> str:
+        record = self._ownership.owner_of(shard)
         return record.inner if record is not None else ""
 
     def _dial(self, entry: EndpointEntry) -> EndpointCalls:
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -1,7 +1,6 @@
 """One endpoint as its pool's owner sees it, and the tasks that talk to it."""
 
 import itertools
-import math
 import queue
 import threading
 import time
@@ -9,6 +8,7 @@
 from functools import partial
 from typing import Protocol
 
+from lentilrill.clocks import RemoteClock
 from lentilrill.execution._book import Run
 from lentilrill.execution._contract import EndpointCalls, Look, OrderAnswer, StartOrder, Verdict
 from lentilrill.telemetry import guarded
@@ -22,9 +22,6 @@
 what runs where nobody can look is started elsewhere only when it has lapsed."""
 CLOCK_ERROR = 0.02
 """By how much an endpoint's clock may run slow."""
-LAG_HOLDS_S = 5.0
-"""How long the least difference of two clocks counts as it was read: longer than most delays of a
-busy owner, and so short that a slow clock makes a tenth of a second of it."""
 LAPSE_SLACK_S = 0.3
 """Added to a lease's end before it counts as surely over: a stop at its end takes up to 0.2 s."""
 BUSY_WAIT_MS = 800
@@ -132,8 +129,7 @@
         self.paced_at = 0.0
         self._clock_ms = 0
         self._clock_read = 0.0
-        self._lag_s = math.inf
-        self._lag_read = 0.0
+        self._clock = RemoteClock(CLOCK_ERROR)
         self._latest_expiry_ms = 0
         self._owner = owner
         self._calls = calls
@@ -192,17 +188,9 @@
     def moment_of(self, clock_ms: int, read_at: float) -> float:
         """Return when the endpoint's clock showed a time, by this process's monotonic clock.
 
-        The reading with the shortest delay tells how the clocks differ. Since the endpoint's may
-        run slow, the difference may grow once that reading is old.
-
         :param read_at: when this process read it, which is later by an unknown delay.
         """
-        lag_s = read_at - clock_ms / 1000
-        age_s = max(0.0, read_at - self._lag_read - LAG_HOLDS_S)
-        least_s = self._lag_s + CLOCK_ERROR * age_s
-        if lag_s <= least_s:
-            self._lag_s, self._lag_read = lag_s, read_at
-        return clock_ms / 1000 + min(lag_s, least_s)
+        return self._clock.moment_of(clock_ms / 1000, read_at)
 
     def reborn(self, born_ms: int) -> None:
         """Forget what belonged to the endpoint's former life."""
@@ -210,7 +198,7 @@
         self.released = False
         self.seen_cursor = self.stored_cursor = 0
         self._latest_expiry_ms = 0
-        self._lag_s = math.inf
+        self._clock = RemoteClock(CLOCK_ERROR)
         self.lease_end = 0.0
 
     def expiry_ms(self, hold_s: float = HOLD_S) -> int:
--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -46,17 +46,21 @@
 
 
 class HostNews(msgspec.Struct, frozen=True, tag=True):
-    """What an entry host tells all others a few times a second.
+    """What an entry host tells others of itself.
 
     :param store_silent_s: seconds since the store last answered it.
     :param version: version of the configuration in force there.
     :param takes_over: whether it can take over a shard now.
+    :param asks: whether the receiver is to answer with its own news.
+    :param sent_s: when it was sent, by the sender's clock; 0 if it does not say.
     """
 
     store_silent_s: float
     version: int
     pools: tuple[PoolPressure, ...] = ()
     takes_over: bool = False
+    asks: bool = False
+    sent_s: float = 0.0
 
 
 class Configured(msgspec.Struct, frozen=True, tag=True):
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -128,6 +128,11 @@
             owner = self._owners_by_shard.get(shard)
         return owner[0] if owner is not None else None
 
+    @property
+    def is_owner(self) -> bool:
+        """Whether this process acts as owner of any shard."""
+        return bool(self._tokens_by_shard)
+
     def may_order(self, shard: Shard) -> bool:
         """Whether this process may act as the shard's owner at this moment.
 
@@ -308,6 +313,8 @@
             self._wake.clear()
             if not self.registered or self._clock() - self._began < SETTLE_S:
                 continue
+            if not self._has_claims():
+                continue
             if self._clock() >= self._proved_until:
                 continue
             if not self._leaving:
@@ -317,6 +324,14 @@
             if not self._leaving or self._left:
                 guarded("release", self._release_unused)
 
+    def _has_claims(self) -> bool:
+        """Whether this process owns shards or has keys of some, or any has no owner."""
+        if self.is_owner or self._leaving or self._absent_since:
+            return True
+        with self._lock:
+            owners = self._owners()
+        return self._process in owners.values() or not self._shards() <= owners.keys()
+
     def _claim_if_due(self, shard: Shard) -> None:
         now = self._clock()
         self._adopt_claim(shard)
--- a/src/lentilrill/ownership/_pace.py
+++ b/src/lentilrill/ownership/_pace.py
@@ -20,6 +20,8 @@
 STEADY = 2.0
 """Factor by which a slowed host's pace must have changed to be told anew."""
 SAMPLE_EVERY_S = 0.2
+IDLE_SAMPLE_EVERY_S = 1.0
+"""The same on a host that owns nothing, which nobody waits for."""
 RECENT = 3
 """Samples whose median is the present speed: one that was interrupted does not count."""
 USUAL_SAMPLES = 300
@@ -54,14 +56,19 @@
     host depends neither on its kind nor on its load, as the lateness of its waits does.
 
     :param piece: returns the seconds that a fixed piece of work takes now.
+    :param is_owner: whether this host owns any shard.
     """
 
     def __init__(
-        self, metrics: Metrics | None = None, piece: Callable[[], float] = _piece_s
+        self,
+        metrics: Metrics | None = None,
+        piece: Callable[[], float] = _piece_s,
+        is_owner: Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__(name="pace", daemon=True)
         self._metrics = metrics or NoMetrics()
         self._piece = piece
+        self._is_owner = is_owner
         self._recent_s: deque[float] = deque(maxlen=RECENT)
         self._usual_s: deque[float] = deque(maxlen=USUAL_SAMPLES)
         self._value = USUAL
@@ -79,9 +86,13 @@
 
     def run(self) -> None:
         """Take samples until closed."""
-        while not self._ended.wait(SAMPLE_EVERY_S):
+        while not self._ended.wait(self._pause_s()):
             guarded("pace", self.sample)
 
+    def _pause_s(self) -> float:
+        knows_usual = len(self._usual_s) >= FIRST_SAMPLES
+        return SAMPLE_EVERY_S if self._is_owner() or not knows_usual else IDLE_SAMPLE_EVERY_S
+
     def close(self) -> None:
         """End the task soon."""
         self._ended.set()
--- a/src/lentilrill/store/_follow.py
+++ b/src/lentilrill/store/_follow.py
@@ -17,6 +17,8 @@
 __all__ = ["Follower"]
 
 FIRST_PAUSE_S = 0.1
+NEEDLESS_PAUSE_S = 1.0
+"""Pause between two looks whether anybody wants to know, if nobody says so at once."""
 LONGEST_PAUSE_S = 1.0
 """Bounds of the pause after a failed call, with full jitter: hosts that lost the store together
 must not call it together on its return."""
@@ -56,6 +58,7 @@
         self._pause_s = pause_s
         self._is_needed = is_needed
         self._ended = threading.Event()
+        self._hurried = threading.Event()
         self._watch: WatchStream | None = None
         self._chance = random.Random()
         self.read_once = threading.Event()
@@ -68,7 +71,8 @@
         while not self._ended.is_set():
             if not self._is_needed():
                 revision = None
-                self._ended.wait(FIRST_PAUSE_S)
+                self._hurried.wait(NEEDLESS_PAUSE_S)
+                self._hurried.clear()
                 continue
             if revision is None:
                 revision = self._read(failures)
@@ -80,9 +84,14 @@
                 bound = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0**failures)
                 self._ended.wait(self._chance.uniform(0.0, bound))
 
+    def hurry(self) -> None:
+        """Look at once whether anybody wants to know."""
+        self._hurried.set()
+
     def close(self) -> None:
         """End the task soon."""
         self._ended.set()
+        self._hurried.set()
         if self._watch is not None:
             self._watch.close()
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -23,7 +23,9 @@
     ServiceId,
     ZoneId,
 )
+from lentilrill.inner import PoolPressure
 from lentilrill.membership import Member, Role
+from lentilrill.ownership import MemberRecord
 from lentilrill.scheduling import Standing
 from lentilrill.settings import Document, Entitlement, InnerKeys, Plan, Pool
 from lentilrill.workloads import (
@@ -42,8 +44,10 @@
     "a_document",
     "a_job",
     "a_member",
+    "a_member_record",
     "a_plan",
     "a_pool",
+    "a_pressure",
     "a_standing",
     "a_step",
     "an_address",
@@ -143,6 +147,22 @@
     return Member(**values | changes)
 
 
+def a_member_record(name: str = "h1", inner: str = "127.0.0.1:1") -> MemberRecord:
+    """Return the record of an entry host of usual strength."""
+    return MemberRecord(ProcessId(name), Incarnation(1), ZoneId("z1"), inner, 1)
+
+
+def a_pressure(**changes: Any) -> PoolPressure:
+    """Return the pressure of the pool ``notices``, which has nothing to do."""
+    values: dict[str, Any] = {
+        "pool": PoolId("notices"),
+        "wait_s": 0.0,
+        "waiting_by_queue": {},
+        "token": 9,
+    }
+    return PoolPressure(**(values | changes))
+
+
 def a_step(count: int = 2, **changes: Any) -> Step:
     """Return a step of ``count`` small tasks that take a second."""
     values: dict[str, Any] = {"needs": Resources(1000, 1000), "estimate_ms": 1000}
--- a/tests/entry/test_beliefs.py
+++ b/tests/entry/test_beliefs.py
@@ -1,6 +1,7 @@
 """What an entry host believes from records and from its peers."""
 
 import time
+from typing import Any
 from unittest.mock import patch
 
 import msgspec
@@ -68,9 +69,16 @@
 
 
 class Node:
+    process = ProcessId("me")
+    address = "10.0.0.9:1"
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, Any]] = []
+
     def on(self, kind: type, handler: object) -> None: ...
 
-    def send(self, address: str, message: object) -> None: ...
+    def send(self, address: str, message: object) -> None:
+        self.sent.append((address, message))
 
 
 class NewsTest(TestCase):
