Fleet: orders to hosts go side by side, within the platform's rate

What callers saw: at a site of 540 hosts (277 in pools at once) jobs of a surge waited for room for seconds while hosts stood in standby, and waves ended late (six of 138 hosts left at their end).

Cause: the fleet's owner sent one order after the other, each on a new connection, 22 to 27 ms each: 44 moves in the busiest second, in which a surge asked for 85, and 54 hosts of a wave took 1.2 s.

Change: the orders of a round are sent twelve at a time; a bucket keeps them under the platform's rate, which the settings now name (host_orders_per_s); what is left out is ordered in a later round, and does not count as down. The test of a right that ends within a round sends one at a time, as the fake's right counts orders.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -38,7 +38,7 @@
 from lentilrill.settings import EntrySettings
 from lentilrill.store import Follower
 from lentilrill.telemetry import ScrapedMetrics
-from lentilrill.upkeep import FLEET, Emptying, FleetOwner, Mover, Waves
+from lentilrill.upkeep import FLEET, Emptying, FleetOwner, HostOrders, Mover, Waves
 from lentilrill.workloads import EndpointEntry, PoolEntry
 
 __all__ = ["EntryProcess"]
@@ -265,6 +265,7 @@
         hosts = PlatformHosts(self._settings.hosts_api)
         emptying = Emptying(self._node, lambda pool: self._address_of(Shard(pool)))
         process = self._settings.process
+        orders = HostOrders(self._settings.host_orders_per_s)
 
         def may_order() -> bool:
             return self._ownership.may_order(FLEET)
@@ -285,6 +286,7 @@
             refused,
             wave_state_key,
             lambda completed: encode_wave_state(completed=completed),
+            orders,
         )
         mover = Mover(
             hosts,
@@ -295,6 +297,7 @@
             self._news.pressure_of,
             refused,
             may_order,
+            orders,
         )
         return FleetOwner(hosts, waves, mover, emptying, may_order)
 
--- a/src/lentilrill/settings/_process.py
+++ b/src/lentilrill/settings/_process.py
@@ -155,6 +155,7 @@
     :param readiness: address on which the platform's balancer asks.
     :param metrics: address on which metrics are served.
     :param hosts_api: address of the platform's list of hosts, for moves and upkeep.
+    :param host_orders_per_s: orders to hosts that the platform takes a second from all entry hosts.
     :param advice: address of the policy service; empty if there is none.
     :param grace_s: seconds from SIGTERM to SIGKILL.
     :param limits: what the host may use.
@@ -169,6 +170,7 @@
     metrics: Address
     store: StoreSettings
     hosts_api: str = ""
+    host_orders_per_s: Positive = 50.0
     advice: str = ""
     log_level: Annotated[str, msgspec.Meta(pattern="^(debug|info|warning|error)$")] = "info"
     grace_s: Positive = 6.0
--- a/src/lentilrill/upkeep/__init__.py
+++ b/src/lentilrill/upkeep/__init__.py
@@ -4,6 +4,7 @@
 from lentilrill.upkeep._emptying import Emptying
 from lentilrill.upkeep._fleet import FLEET, FleetOwner
 from lentilrill.upkeep._moves import Mover
+from lentilrill.upkeep._orders import HostOrders
 from lentilrill.upkeep._waves import Waves
 
 __all__ = [
@@ -12,6 +13,7 @@
     "FleetOwner",
     "HostCalls",
     "HostOrder",
+    "HostOrders",
     "HostRow",
     "HostState",
     "Mover",
--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -20,6 +20,7 @@
 from lentilrill.telemetry import Event, log
 from lentilrill.upkeep._contract import HostCalls, HostOrder, HostRow, HostState
 from lentilrill.upkeep._emptying import Emptying
+from lentilrill.upkeep._orders import HostOrders
 from lentilrill.workloads import PoolEntry
 
 __all__ = ["Mover"]
@@ -35,6 +36,7 @@
     :param pools: the pools that are configured.
     :param pressure_of: what a pool's owner says; ``None`` if nobody says anything fresh.
     :param may_order: whether the lease behind the token still holds.
+    :param orders: sends the orders of a round, those of waves too.
     """
 
     def __init__(
@@ -47,8 +49,10 @@
         pressure_of: Callable[[PoolId], PoolPressure | None],
         refused: Callable[[str], None],
         may_order: Callable[[], bool],
+        orders: HostOrders,
     ) -> None:
         self._hosts = hosts
+        self._orders = orders
         self._emptying = emptying
         self._process = process
         self._token = token
@@ -87,8 +91,13 @@
         self._log_targets(needs, resting)
         for move in plan_moves(needs, standby[0], resting):
             self._begun_by_host[move.host.host] = (move, now)
-        for host, (move, began) in list(self._begun_by_host.items()):
-            self._go_on(host, move, began, now, rows.get(host), move.source in standby)
+        due = [
+            move
+            for host, (move, began) in list(self._begun_by_host.items())
+            if self._is_due(host, move, began, now, rows.get(host), move.source in standby)
+        ]
+        for move, answer in self._orders.send(due, self._order):
+            self._ordered(move, answer)
 
     def _log_targets(self, needs: tuple[PoolNeed, ...], resting: tuple[FreeHost, ...]) -> None:
         targets = pool_targets(needs)
@@ -181,7 +190,7 @@
             targets.popleft()
         return max(most for _, most in targets)
 
-    def _go_on(
+    def _is_due(
         self,
         host: HostId,
         move: Move,
@@ -189,24 +198,27 @@
         now: float,
         row: HostRow | None,
         is_resting: bool,
-    ) -> None:
+    ) -> bool:
+        """Whether a host that is to move can be ordered now; give its move up if it never can."""
         if row is None or row.pool != move.source or row.state is not HostState.UP:
             del self._begun_by_host[host]
-            return
+            return False
         is_free, reason = True, ""
         if not is_resting:
             is_free, reason = self._emptying.ask(move.source, move.host.endpoint)
-        if is_free:
-            self._order(host, move)
-        elif now - began > GIVE_UP_S:
+        if not is_free and now - began > GIVE_UP_S:
             log(Event.HOST_WAITS, host=host, reason=reason, given_up=True)
             del self._begun_by_host[host]
+        return is_free
 
-    def _order(self, host: HostId, move: Move) -> None:
+    def _order(self, move: Move) -> HostOrder | None:
         # A round of a late host lasts: its right may have ended since it began.
         if not self._may_order():
-            return
-        answer = self._hosts.move(host, move.target, self._process, int(self._token))
+            return None
+        return self._hosts.move(move.host.host, move.target, self._process, int(self._token))
+
+    def _ordered(self, move: Move, answer: HostOrder) -> None:
+        host = move.host.host
         log(
             Event.HOST_ORDERED,
             host=host,
--- a/src/lentilrill/upkeep/_waves.py
+++ b/src/lentilrill/upkeep/_waves.py
@@ -13,6 +13,7 @@
 from lentilrill.telemetry import Dependency, Event, log
 from lentilrill.upkeep._contract import HostCalls, HostOrder, HostRow, HostState
 from lentilrill.upkeep._emptying import FRESH_S, Emptying
+from lentilrill.upkeep._orders import HostOrders
 from lentilrill.workloads import Wave
 
 __all__ = ["Waves"]
@@ -76,6 +77,7 @@
     :param load_of: share of a pool's hosts that its work fills; 0 in standby.
     :param state_key: key under which operators read a wave's state.
     :param state_value: that state's value, by whether the wave is through.
+    :param orders: sends the orders of a round, those of moves too.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         refused: Callable[[str], None],
         state_key: Callable[[int], str],
         state_value: Callable[[bool], bytes],
+        orders: HostOrders,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._kv = kv
@@ -109,6 +112,7 @@
         self._refused = refused
         self._state_key = state_key
         self._state_value = state_value
+        self._orders = orders
         self._clock = clock
         self._hosts_by_wave: dict[int, dict[HostId, _HostInWave]] = {}
         self._completed: set[int] = set()
@@ -296,11 +300,13 @@
             for _, state in chosen:
                 state.stage = Stage.EMPTYING
             return
+        sent = self._orders.send(chosen, lambda each: self._order(wave, *each, asked_at))
+        for (host, state), answer in sent:
+            self._ordered(wave, host, state, answer)
+        ordered = {host for (host, _), _ in sent}
         for host, state in chosen:
-            if state.endpoint and self._clock() - asked_at > FRESH_S:
+            if host not in ordered:
                 state.stage = Stage.EMPTYING
-                continue
-            self._order(wave, host, state)
 
     def _is_free(self, host: HostId, state: _HostInWave, row: HostRow) -> bool:
         if not row.endpoint:
@@ -311,10 +317,16 @@
             log(Event.HOST_WAITS, host=host, endpoint=row.endpoint, reason=reason)
         return is_free
 
-    def _order(self, wave: Wave, host: HostId, state: _HostInWave) -> None:
+    def _order(
+        self, wave: Wave, host: HostId, state: _HostInWave, asked_at: float
+    ) -> HostOrder | None:
         if not self._may_order():
-            return
-        answer = self._hosts.upkeep(host, wave.number, self._process, int(self._token))
+            return None
+        if state.endpoint and self._clock() - asked_at > FRESH_S:
+            return None
+        return self._hosts.upkeep(host, wave.number, self._process, int(self._token))
+
+    def _ordered(self, wave: Wave, host: HostId, state: _HostInWave, answer: HostOrder) -> None:
         log(Event.HOST_ORDERED, host=host, wave=wave.number, answer=answer.value)
         state.confirmed = answer is HostOrder.DONE
         if answer is HostOrder.FENCED:
--- /dev/null
+++ b/tests/upkeep/test_orders.py
@@ -0,0 +1,51 @@
+"""Orders to many hosts at once."""
+
+import threading
+
+from testtools import TestCase
+
+from lentilrill.upkeep import HostOrder, HostOrders
+
+PATIENCE_S = 10.0
+PER_S = 50.0
+
+
+class HostOrdersTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.now = 100.0
+        self.sent: list[int] = []
+
+    def order(self, host: int) -> HostOrder:
+        self.sent.append(host)
+        return HostOrder.DONE
+
+    def test_orders_do_not_wait_for_each_other(self) -> None:
+        """Hosts came to a surge seconds late: each order waited for the one before."""
+        together = threading.Barrier(4)
+
+        def order(host: int) -> HostOrder:
+            together.wait(PATIENCE_S)
+            return self.order(host)
+
+        answers = HostOrders(1000.0).send(range(4), order)
+        self.assertEqual([(host, HostOrder.DONE) for host in range(4)], answers)
+
+    def test_no_second_takes_more_than_the_platform_allows(self) -> None:
+        """The platform refused orders beyond its rate, and each refusal was a call that costs."""
+        orders = HostOrders(PER_S, clock=lambda: self.now)
+        for _ in range(10):
+            orders.send(range(200), self.order)
+            self.now += 0.1
+        self.assertLessEqual(len(self.sent), PER_S)
+        self.assertGreater(len(self.sent), PER_S / 2)
+
+    def test_what_is_left_out_is_told_as_not_ordered(self) -> None:
+        """A host counted as down in its wave, though its order had never been sent."""
+        orders = HostOrders(PER_S, clock=lambda: self.now)
+        answers = orders.send(range(200), self.order)
+        self.assertEqual(sorted(self.sent), [host for host, _ in answers])
+        self.assertLess(len(answers), 200)
+
+    def test_an_order_that_was_not_sent_has_no_answer(self) -> None:
+        self.assertEqual([], HostOrders(PER_S).send(range(3), lambda host: None))
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -10,7 +10,7 @@
 from lentilrill.faults import Fault
 from lentilrill.ids import EndpointId, HostId, PoolId, ProcessId, Revision, ZoneId
 from lentilrill.inner import PoolPressure, ReleaseAsk, ReleaseState, ReleaseTold
-from lentilrill.upkeep import Emptying, HostOrder, HostRow, HostState, Mover, Waves
+from lentilrill.upkeep import Emptying, HostOrder, HostOrders, HostRow, HostState, Mover, Waves
 from lentilrill.workloads import PoolEntry, Wave
 from tests.fakes import FakeKeyValue, lose_request
 
@@ -112,6 +112,7 @@
             lambda reason: None,
             lambda number: f"status/wave/{number}",
             lambda completed: b"completed" if completed else b"running",
+            HostOrders(1000.0),
             lambda: self.now,
         )
         self.assertTrue(waves.load())
@@ -271,6 +272,7 @@
             lambda pool: PoolPressure(NOTICES, 0.0, {}, 1, self.need, 2, ()),
             lambda reason: None,
             lambda: len(self.hosts.orders) < self.right_for,
+            HostOrders(1000.0, at_once=1),
         )
 
     def test_no_host_is_moved_once_the_right_is_gone(self) -> None:
