Orders: a pool's endpoints share the tasks that send them

An endpoint has three orders on their way as before, and one while it does not answer, so that a cut zone's endpoints can't take all tasks.

Still one task a look: an owner of 100 endpoints has about 100 for its looks, so the aim of 100 threads in all is not met.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -1,7 +1,7 @@
 """One endpoint as its pool's owner sees it, and the tasks that talk to it."""
 
+import heapq
 import itertools
-import queue
 import threading
 import time
 from enum import Enum
@@ -11,6 +11,7 @@
 from lentilrill.clocks import RemoteClock
 from lentilrill.execution._book import Run
 from lentilrill.execution._contract import EndpointCalls, Look, OrderAnswer, StartOrder, Verdict
+from lentilrill.execution._senders import Senders
 from lentilrill.telemetry import guarded
 from lentilrill.workloads import EndpointEntry, TaskId
 
@@ -31,12 +32,10 @@
 GATHER_S = 0.1
 """Pause after a look that brought ends. A look doesn't wait while ends are unacknowledged, which
 takes a commit; and ends that come close together cost one look."""
-SENDERS = 3
-"""Tasks that send one endpoint its orders. With one, an order without an answer held up all others
-for its time-out: with one in ten lost, half of the jobs waited 0.2 s for their first start.
-Orders about one run may overtake each other: a stop that comes first makes the start refused."""
-END = -1
-"""Place in the queue of what ends a sender, before all orders."""
+ORDERS_AT_ONCE = 3
+"""Orders on their way to one endpoint. With one, an order without an answer held up all others for
+its time-out. Orders about one run may overtake each other: a stop that comes first makes the start
+refused."""
 RETRY_S = 0.15
 """Pause after a call without an answer."""
 
@@ -96,8 +95,9 @@
 
 
 class EndpointLink:
-    """An endpoint's state and its tasks: one looks, the others send orders.
+    """An endpoint's state, the task that looks at it, and its orders.
 
+    :param senders: send the orders, those to other endpoints too.
     :ivar strays_by_key: runs of jobs that the owner does not know, by when they were first seen.
     :ivar told_at: when the endpoint gave its newest look, as far as its clock tells, which is
         earlier than this process read it by the delay of links and of this process.
@@ -105,7 +105,13 @@
         process's monotonic clock; 0 if none was given.
     """
 
-    def __init__(self, owner: _Owner, entry: EndpointEntry, calls: EndpointCalls) -> None:
+    def __init__(
+        self,
+        owner: _Owner,
+        entry: EndpointEntry,
+        calls: EndpointCalls,
+        senders: Senders | None = None,
+    ) -> None:
         self.entry = entry
         self.runs_by_key: dict[tuple[TaskId, int], Run] = {}
         self.strays_by_key: dict[tuple[TaskId, int], float] = {}
@@ -133,29 +139,24 @@
         self._latest_expiry_ms = 0
         self._owner = owner
         self._calls = calls
-        self._orders: queue.PriorityQueue[tuple[int, int, Order | None]] = queue.PriorityQueue()
+        self._senders = senders or Senders()
+        self._orders_lock = threading.Lock()
+        self._waiting: list[tuple[int, int, Order]] = []
         self._turns = itertools.count()
+        self._under_way = 0
+        self._answers = True
         self._ended = threading.Event()
         self._nudge = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._look_on, name=f"look-{entry.id}", daemon=True),
-            *(
-                threading.Thread(target=self._send_orders, name=f"orders-{entry.id}", daemon=True)
-                for _ in range(SENDERS)
-            ),
-        ]
+        self._looks = threading.Thread(target=self._look_on, name=f"look-{entry.id}", daemon=True)
 
     def start(self) -> None:
         """Begin to look."""
-        for thread in self._threads:
-            thread.start()
+        self._looks.start()
 
     def close(self) -> None:
-        """End the tasks soon; no order is sent any more."""
+        """End the looks soon; no order is sent any more."""
         self._ended.set()
         self._nudge.set()
-        for _ in range(SENDERS):
-            self._orders.put((END, next(self._turns), None))
 
     @property
     def closed(self) -> bool:
@@ -164,7 +165,30 @@
 
     def order(self, order: Order) -> None:
         """Queue an order, before those that wait and are less urgent."""
-        self._orders.put((URGENCY_BY_KIND[order.kind], next(self._turns), order))
+        with self._orders_lock:
+            entry = (URGENCY_BY_KIND[order.kind], next(self._turns), order)
+            heapq.heappush(self._waiting, entry)
+            self._send_next()
+
+    def _send_next(self) -> None:
+        """Hand orders that wait to the senders, as many as may be on their way.
+
+        One that does not answer gets one order at a time, so that it keeps one sender only.
+        """
+        most = ORDERS_AT_ONCE if self._answers else 1
+        while self._waiting and self._under_way < most and not self._ended.is_set():
+            urgency, _, order = heapq.heappop(self._waiting)
+            self._under_way += 1
+            self._senders.put(urgency, partial(self._send_one, order))
+
+    def _send_one(self, order: Order) -> None:
+        try:
+            if not self._ended.is_set():
+                self._carry_out(order)
+        finally:
+            with self._orders_lock:
+                self._under_way -= 1
+                self._send_next()
 
     def nudge(self) -> None:
         """Cut a pause between two looks short."""
@@ -223,6 +247,7 @@
         while not self._ended.is_set():
             if not guarded(f"look {self.entry.id}", self._look):
                 self._pause(RETRY_S)
+        self._calls.close()
 
     def _look(self) -> None:
         if not self._owner.may_order():
@@ -250,19 +275,14 @@
         self._nudge.wait(seconds)
         self._nudge.clear()
 
-    def _send_orders(self) -> None:
-        while (order := self._orders.get()[-1]) is not None:
-            if self._ended.is_set():
-                break
-            guarded(f"orders {self.entry.id}", partial(self._carry_out, order))
-        self._calls.close()
-
     def _carry_out(self, order: Order) -> None:
         # A right that pauses is no answer of the endpoint's: what was placed there stays placed.
         while not self._owner.may_order():
             if self._ended.wait(RETRY_S):
                 return
         answer = self._send(order)
+        if answer is not None:
+            self._answers = answer.verdict not in (Verdict.UNKNOWN, Verdict.UNREACHED)
         if answer is not None and not self._ended.is_set():
             self._owner.answered(self, order, answer)
 
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -19,6 +19,7 @@
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import release, renew_releases
 from lentilrill.execution._roster import Roster
+from lentilrill.execution._senders import Senders
 from lentilrill.execution._tickets import TicketOffice
 from lentilrill.execution._writer import ProgressWriter
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
@@ -89,6 +90,7 @@
         self._due_at: float | None = None
         self._ended = threading.Event()
         roster = Roster(kv, pool, owner_key, token)
+        self._senders = Senders(f"orders-{pool}")
         self._links = PoolLinks(pool, roster, self._lock, self._connect)
         self._jobs = PoolJobs(
             kv,
@@ -142,6 +144,7 @@
             self._changed.notify_all()
         for link in links:
             link.close()
+        self._senders.close()
         self._follower.close()
         self._writer.close()
         self._tickets.close()
@@ -290,7 +293,7 @@
         self._jobs.forget_old(int(time.time() * 1000))
 
     def _connect(self, entry: EndpointEntry) -> EndpointLink:
-        return EndpointLink(self._talk, entry, self._dial(entry))
+        return EndpointLink(self._talk, entry, self._dial(entry), self._senders)
 
     def _plan(self) -> None:
         now = time.monotonic()
--- a/tests/execution/test_own_lateness.py
+++ b/tests/execution/test_own_lateness.py
@@ -8,7 +8,7 @@
 
 from lentilrill.execution import OrderAnswer, PoolOwner, StartOrder
 from lentilrill.execution._book import RunPhase
-from lentilrill.execution._link import SENDERS, EndpointLink
+from lentilrill.execution._link import ORDERS_AT_ONCE, EndpointLink
 from lentilrill.workloads import Job, Resources
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
@@ -109,14 +109,14 @@
         pool.register(an_endpoint("e1", room=Resources(40_000, 80_000)))
         owner = pool.take_over()
         slow.turns.release()
-        first, second = a_job("a", a_step(1, lasting=True)), a_job("b", a_step(SENDERS + 2))
-        for job, asked in ((first, 1), (second, 1 + SENDERS)):
+        first, second = a_job("a", a_step(1, lasting=True)), a_job("b", a_step(ORDERS_AT_ONCE + 2))
+        for job, asked in ((first, 1), (second, 1 + ORDERS_AT_ONCE)):
             value = msgspec.msgpack.encode(job)
             owner.take_job(value, pool.kv.put(f"in/notices/j/{job.id}", value))
             self.assertTrue(eventually(lambda asked=asked: slow.asked >= asked))
             self.assertTrue(eventually(lambda: len(slow.starts) == 1))
         link = owner._links.by_id["e1"]
-        self.assertTrue(eventually(lambda: len(link.runs_by_key) == 1 + SENDERS + 2))
+        self.assertTrue(eventually(lambda: len(link.runs_by_key) == 1 + ORDERS_AT_ONCE + 2))
         owner.cancel(first.id)
         runs = list(link.runs_by_key.values())
         self.assertTrue(eventually(lambda: any(r.phase is RunPhase.STOPPING for r in runs)))
--- /dev/null
+++ b/tests/execution/test_senders.py
@@ -0,0 +1,138 @@
+"""Orders to many endpoints on few tasks."""
+
+import threading
+
+from testtools import TestCase
+
+from lentilrill.execution import OrderAnswer, StartOrder, Verdict, _senders
+from lentilrill.execution._link import ORDERS_AT_ONCE, EndpointLink, Order, OrderKind
+from lentilrill.execution._senders import Senders
+from lentilrill.workloads import TaskId
+from tests.builders import an_endpoint
+from tests.execution.fakes import FakeEndpoint, eventually
+
+PATIENCE_S = 10.0
+
+
+class SendersTest(TestCase):
+    def senders(self, most: int = 8) -> Senders:
+        senders = Senders(most=most)
+        self.addCleanup(senders.close)
+        return senders
+
+    def test_tasks_end_once_there_is_nothing_to_send(self) -> None:
+        """An owner of a hundred endpoints at rest had three hundred tasks for their orders."""
+        self.patch(_senders, "IDLE_S", 0.01)
+        senders = self.senders()
+        done = threading.Event()
+        senders.put(0, done.set)
+        self.assertTrue(done.wait(PATIENCE_S))
+        self.assertTrue(eventually(lambda: senders._tasks == 0))
+
+    def test_an_order_that_hangs_holds_up_no_other(self) -> None:
+        """All starts of a pool waited while a rack of its endpoints was dark."""
+        senders = self.senders()
+        release = threading.Event()
+        self.addCleanup(release.set)
+        for _ in range(4):
+            senders.put(0, lambda: release.wait(PATIENCE_S))
+        done = threading.Event()
+        senders.put(0, done.set)
+        self.assertTrue(done.wait(PATIENCE_S))
+
+    def test_urgent_calls_go_first(self) -> None:
+        """Stops, which have to come in time, stood behind a surge's starts."""
+        senders = self.senders(most=1)
+        release, begun = threading.Event(), threading.Event()
+        self.addCleanup(release.set)
+
+        def hold() -> None:
+            begun.set()
+            release.wait(PATIENCE_S)
+
+        senders.put(0, hold)
+        self.assertTrue(begun.wait(PATIENCE_S))
+        order: list[str] = []
+        senders.put(1, lambda: order.append("start"))
+        senders.put(0, lambda: order.append("stop"))
+        release.set()
+        self.assertTrue(eventually(lambda: order == ["stop", "start"]))
+
+    def test_there_are_never_more_tasks_than_allowed(self) -> None:
+        senders = self.senders(most=3)
+        release = threading.Event()
+        self.addCleanup(release.set)
+        for _ in range(20):
+            senders.put(0, lambda: release.wait(PATIENCE_S))
+        self.assertEqual(3, senders._tasks)
+
+
+class Owner:
+    token = 7
+
+    def may_order(self) -> bool:
+        return True
+
+    def looked(self, *args: object) -> None: ...
+
+    def start_for(self, *args: object) -> StartOrder | None:
+        return None
+
+    def answered(self, *args: object) -> None: ...
+
+
+class HangingEndpoint(FakeEndpoint):
+    """Takes stops and does not answer before it is released; some are given up without answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.verdict = Verdict.DONE
+        self.asked = 0
+        self.released = threading.Event()
+
+    def stop(self, task: TaskId, number: int, token: int) -> OrderAnswer:
+        self.asked += 1
+        self.released.wait(PATIENCE_S)
+        return OrderAnswer(self.verdict)
+
+
+class OrdersOfAnEndpointTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.endpoint = HangingEndpoint()
+        self.addCleanup(self.endpoint.released.set)
+        self.senders = Senders()
+        self.addCleanup(self.senders.close)
+        self.link = EndpointLink(Owner(), an_endpoint(), self.endpoint, self.senders)
+
+    def stop(self, count: int) -> None:
+        for number in range(count):
+            task = TaskId("5c0e7a21d94b36f8", 0, 0, number)
+            self.link.order(Order(OrderKind.STOP, task, 1))
+
+    def test_an_endpoint_gets_few_orders_at_a_time(self) -> None:
+        """One slow endpoint took all tasks that send orders."""
+        self.stop(10)
+        self.assertTrue(eventually(lambda: self.endpoint.asked == ORDERS_AT_ONCE))
+        self.assertEqual(ORDERS_AT_ONCE, self.link._under_way)
+        self.endpoint.released.set()
+        self.assertTrue(eventually(lambda: self.endpoint.asked == 10))
+
+    def test_one_that_does_not_answer_gets_one_at_a_time(self) -> None:
+        """Endpoints of a cut zone took all tasks that send orders, for each order's time-out."""
+        self.endpoint.verdict = Verdict.UNKNOWN
+        self.endpoint.released.set()
+        self.stop(1)
+        self.assertTrue(eventually(lambda: not self.link._answers))
+        self.endpoint.released.clear()
+        self.stop(10)
+        self.assertTrue(eventually(lambda: self.endpoint.asked == 2))
+        self.assertEqual(1, self.link._under_way)
+
+    def test_a_closed_link_sends_nothing_more(self) -> None:
+        self.stop(10)
+        self.assertTrue(eventually(lambda: self.endpoint.asked == ORDERS_AT_ONCE))
+        self.link.close()
+        self.endpoint.released.set()
+        self.assertTrue(eventually(lambda: self.link._under_way == 0))
+        self.assertEqual(ORDERS_AT_ONCE, self.endpoint.asked)
