Moves: a surge that ends leaves hosts to the next before its last tasks end

Cause: a host left its pool only once nothing, or only late work, ran on it; a pool of 158 hosts whose work fades has such hosts last.

Change: the pool's owner names hosts beyond its need whose tasks could go on elsewhere in the pool, those first that lose the least unsaved work; hosts with tasks that last, fill or work as a gang never. They are emptied as late ones are (tasks finish for 2.5 s, those with checkpoints go on elsewhere) once a pool lacks hosts and none are free or late.

--- a/src/lentilrill/entry/_audience.py
+++ b/src/lentilrill/entry/_audience.py
@@ -46,7 +46,7 @@
 
     The lists of endpoints, most of its bytes, are for the fleet's owner alone.
     """
-    return msgspec.structs.replace(pressure, idle=(), late=())
+    return msgspec.structs.replace(pressure, idle=(), late=(), light=())
 
 
 class BriefTurn:
--- a/src/lentilrill/execution/_pressure.py
+++ b/src/lentilrill/execution/_pressure.py
@@ -1,5 +1,6 @@
 """How busy a pool is, as its owner tells all entry hosts a few times a second."""
 
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -71,6 +72,35 @@
         round(backlog.late_work * rate, 2),
         tuple(_late_endpoints(links, backlog.late)),
         round(demand.firm, 2),
+        tuple(_light_endpoints(links, demand.expected)),
+    )
+
+
+def _light_endpoints(links: list[EndpointLink], need: float) -> list[EndpointId]:
+    """Return endpoints that can be emptied, as many as the pool has beyond its need.
+
+    Load pattern: a surge ends, and its pool's hosts have a task or two each, none of them free,
+    while the next pool's jobs wait for hosts. A task that is stopped without a checkpoint has
+    worked for nothing, so those with the least of such work go first.
+    """
+    serving = [link for link in links if link.reachable and link.registered]
+    surplus = len(serving) - math.ceil(need)
+    if surplus <= 0:
+        return []
+    movable = [link for link in serving if _can_be_emptied(link)]
+    movable.sort(key=lambda link: (_unsaved_cpu(link), len(link.runs_by_key)))
+    return [link.entry.id for link in movable[:surplus]]
+
+
+def _can_be_emptied(link: EndpointLink) -> bool:
+    specs = [run.task.step.spec for run in link.runs_by_key.values()]
+    passing = not any(spec.lasting or spec.filler or spec.gang for spec in specs)
+    return bool(specs) and passing and not link.strays_by_key and not link.released
+
+
+def _unsaved_cpu(link: EndpointLink) -> int:
+    return sum(
+        run.reserved.cpu for run in link.runs_by_key.values() if not run.task.step.spec.checkpoints
     )
 
 
--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -31,6 +31,8 @@
     :param late_wait_s: seconds of work of jobs that can't be in time any more.
     :param late: endpoints on which only such jobs run.
     :param firm: as ``need``, without the forecast.
+    :param light: endpoints beyond what the pool needs whose tasks could go on elsewhere in it, the
+        one with the least to lose first.
     """
 
     pool: PoolId
@@ -43,6 +45,7 @@
     late_wait_s: float = 0.0
     late: tuple[EndpointId, ...] = ()
     firm: float = 0.0
+    light: tuple[EndpointId, ...] = ()
 
 
 class HostNews(msgspec.Struct, frozen=True, tag=True):
--- a/src/lentilrill/scheduling/_capacity.py
+++ b/src/lentilrill/scheduling/_capacity.py
@@ -42,6 +42,7 @@
     :param short_s: seconds for which it has had fewer hosts than it keeps.
     :param free: its hosts on which nothing runs.
     :param late: its hosts on which only jobs run that can't be in time any more.
+    :param light: its hosts beyond its need whose tasks could go on elsewhere in the pool.
     """
 
     pool: PoolId
@@ -54,6 +55,7 @@
     firm: float = math.inf
     kept: int = FEWEST
     short_s: float = math.inf
+    light: tuple["FreeHost", ...] = ()
 
 
 class FreeHost(msgspec.Struct, frozen=True):
@@ -94,8 +96,9 @@
 
     Load pattern: queues surge by turns to several times what their pool can do, for some seconds,
     while the other pools are almost idle. Hosts go where tasks wait: from standby, else from
-    pools that have more than they need, where also hosts are taken that only do late work. A host
-    that has been too many for a while goes to standby, where it costs nothing.
+    pools that have more than they need, where also hosts are taken that only do late work, or whose
+    tasks have room on the pool's other hosts. A host that has been too many for a while goes to
+    standby, where it costs nothing.
 
     Where two pools lack hosts at once, work that is there goes before work that is forecast, and
     the pool that has the smallest part of what it should have goes first: one large job shows as
@@ -140,6 +143,7 @@
         self._resting = list(resting)
         self._free_by_pool = {need.pool: list(need.free) for need in needs}
         self._late_by_pool = {need.pool: list(need.late) for need in needs}
+        self._light_by_pool = {need.pool: list(need.light) for need in needs}
         self._hosts_by_pool = {need.pool: need.hosts for need in needs}
         self._kept_by_pool = {need.pool: need.kept for need in needs}
         self._zones_by_pool = {need.pool: list(need.zones) for need in needs}
@@ -182,11 +186,11 @@
         return Move(host, self._standby, pool)
 
     def _from_pools(self, pool: PoolId, targets: dict[PoolId, int]) -> Move | None:
-        for left_by_pool in (self._free_by_pool, self._late_by_pool):
+        for left_by_pool in (self._free_by_pool, self._late_by_pool, self._light_by_pool):
             for source, left in left_by_pool.items():
                 if source != pool and left and self._has_spare(source, targets):
                     self._hosts_by_pool[source] -= 1
-                    return Move(left.pop(), source, pool)
+                    return Move(left.pop(0), source, pool)
         return None
 
     def _has_spare(self, pool: PoolId, targets: dict[PoolId, int]) -> bool:
--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -177,6 +177,7 @@
             said.firm,
             kept,
             now - short_since,
+            _hosts_of(left, said.light),
         )
 
     def _most_lately(self, pool: PoolId, target: int, hosts: int, now: float) -> int:
@@ -233,7 +234,7 @@
 
 
 def _hosts_of(rows: list[HostRow], endpoints: tuple[EndpointId, ...]) -> tuple[FreeHost, ...]:
-    """Return the hosts on which some endpoints live."""
-    return tuple(
-        FreeHost(row.id, row.zone, row.endpoint) for row in rows if row.endpoint in endpoints
-    )
+    """Return the hosts on which some endpoints live, in the order of these."""
+    row_by_endpoint = {row.endpoint: row for row in rows}
+    found = [row_by_endpoint[endpoint] for endpoint in endpoints if endpoint in row_by_endpoint]
+    return tuple(FreeHost(row.id, row.zone, row.endpoint) for row in found)
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -369,11 +369,43 @@
         self.run_of(timely)
         self.assertEqual((), self.pressure(standings).late)
 
-    def pressure(self, standings: list[tuple[JobBook, Standing]]) -> PoolPressure:
+    def test_a_surge_that_ends_names_hosts_with_little_work(self) -> None:
+        """The next pool's jobs waited for hosts on which the last one's had a task or two each."""
+        self.link.registered = True
+        book = self.add(a_step(1))
+        self.run_of(book)
+        standings = [(book, a_standing())]
+        self.assertEqual((self.link.entry.id,), self.pressure(standings, need=0.0).light)
+        self.assertEqual((), self.pressure(standings, need=0.2).light)
+
+    def test_what_can_be_saved_goes_first(self) -> None:
+        """A task was stopped that lost its work, beside one that would have lost none."""
+        links = [self.link, EndpointLink(Owner(), an_endpoint("e2"), FakeEndpoint())]
+        runs = [
+            self.run_of(self.add(a_step(1, checkpoints=saves), name=name))
+            for name, saves in (("a", False), ("b", True))
+        ]
+        links[1].runs_by_key[runs[1].key] = self.link.runs_by_key.pop(runs[1].key)
+        for link in links:
+            link.reachable = link.registered = True
+        said = self.pressure([], need=0.5, links=links)
+        self.assertEqual((links[1].entry.id,), said.light)
+
+    def test_hosts_with_what_lasts_are_not_named(self) -> None:
+        """Tasks that users wait on moved each time that a surge ended."""
+        self.link.registered = True
+        self.run_of(self.add(a_step(1, lasting=True)))
+        self.assertEqual((), self.pressure([]).light)
+
+    def pressure(
+        self,
+        standings: list[tuple[JobBook, Standing]],
+        need: float = 0.0,
+        links: list[EndpointLink] | None = None,
+    ) -> PoolPressure:
         backlog = backlog_of(standings)
-        return pressure_of(
-            PoolId("notices"), TOKEN, backlog, PoolDemand(0.0, 0.0), [self.link], 0.0
-        )
+        demand = PoolDemand(need, need)
+        return pressure_of(PoolId("notices"), TOKEN, backlog, demand, links or [self.link], 0.0)
 
 
 class RoomTest(BookCase):
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -41,6 +41,21 @@
             moves = plan_moves((pool,), STANDBY, free("s1", "s2", "s3", "s4", "s5", "s6"))
             self.assertEqual(left, 8 - len(moves), lately)
 
+    def test_a_surge_that_ends_leaves_to_the_next_what_it_does_not_need(self) -> None:
+        """The second queue of a day had 64 hosts for work of 265, the first 158 for work of 87."""
+        begins = PoolNeed(PoolId("notices"), 9.0, 2, firm=9.0)
+        for need, moved in ((3.0, 4), (8.0, 0)):
+            ends = PoolNeed(
+                PoolId("ballots"), need, 8, 8, firm=need, light=free("b1", "b2", "b3", "b4")
+            )
+            self.assertEqual(moved, len(plan_moves((begins, ends), STANDBY, ())), need)
+
+    def test_free_hosts_go_before_those_that_work(self) -> None:
+        begins = PoolNeed(PoolId("notices"), 3.0, 3, firm=3.0)
+        ends = PoolNeed(PoolId("ballots"), 1.0, 8, 8, free=free("b1"), light=free("b2"))
+        [move] = plan_moves((begins, ends), STANDBY, ())
+        self.assertEqual("b1", move.host.host)
+
     def test_hosts_that_come_up_one_by_one_move_none(self) -> None:
         """Fifty hosts moved before the first caller came.
 
