Moves: a host under tasks is taken only beyond what its pool's need swings by

Cause, as far as known: jobs come one by one, so that the need of a pool of eight swings by two or three hosts, each of which counted as surplus.

Change: such hosts leave only beyond the root of the pool's hosts: three of eight, thirteen of 158. test_a_need_that_swings_stops_no_tasks fails before.

--- a/src/lentilrill/scheduling/_capacity.py
+++ b/src/lentilrill/scheduling/_capacity.py
@@ -186,20 +186,28 @@
         return Move(host, self._standby, pool)
 
     def _from_pools(self, pool: PoolId, targets: dict[PoolId, int]) -> Move | None:
-        for left_by_pool in (self._free_by_pool, self._late_by_pool, self._light_by_pool):
+        for left_by_pool, swing in (
+            (self._free_by_pool, 0.0),
+            (self._late_by_pool, 0.0),
+            (self._light_by_pool, 1.0),
+        ):
             for source, left in left_by_pool.items():
-                if source != pool and left and self._has_spare(source, targets):
+                if source != pool and left and self._has_spare(source, targets, swing):
                     self._hosts_by_pool[source] -= 1
                     return Move(left.pop(0), source, pool)
         return None
 
-    def _has_spare(self, pool: PoolId, targets: dict[PoolId, int]) -> bool:
+    def _has_spare(self, pool: PoolId, targets: dict[PoolId, int], swing: float) -> bool:
         """Return whether a pool has more hosts than it should have and than it keeps.
 
+        The need of a pool swings by about the root of its hosts, as jobs come one by one. What is
+        within that is no surplus for which tasks should be stopped.
+
         Guard against a pool that goes into its surge with few hosts: an earlier surge asks for
         all there are, and a pool that has its share gets no target for being idle.
         """
-        return self._hosts_by_pool[pool] > max(targets[pool], self._kept_by_pool[pool])
+        hosts = self._hosts_by_pool[pool]
+        return hosts - swing * math.sqrt(hosts) > max(targets[pool], self._kept_by_pool[pool])
 
 
 def _most_crowded_first(free: list[FreeHost], zones: list[ZoneId]) -> list[FreeHost]:
