Inner protocol: one peer's odd address does not end the sending to all

What callers would see: after a record with a garbled address, nothing that a process sends reaches anybody: news, accepted jobs, releases.

Found on reading the change.

Evidence: test_an_odd_address_stops_no_other_message failed and passes.

--- a/src/lentilrill/inner/_node.py
+++ b/src/lentilrill/inner/_node.py
@@ -216,7 +216,7 @@
         while not finished:
             messages_by_address, finished = self._next()
             for address, messages in messages_by_address.items():
-                self._send(address, messages)
+                self._try_to_send(address, messages)
             self._close_idle(time.monotonic())
         for socket in self._sockets_by_address.values():
             socket.close(linger=LAST_LINGER_MS)
@@ -224,29 +224,35 @@
     def _next(self) -> tuple[dict[str, list[Message]], bool]:
         """Return what is queued, by peer, and whether the task is to end after it."""
         messages_by_address: dict[str, list[Message]] = {}
-        try:
-            entry = self._outbox.get(timeout=IDLE_PEER_S)
-            for _ in range(BATCH_MESSAGES):
-                if entry is None:
-                    return messages_by_address, True
-                messages_by_address.setdefault(entry[0], []).append(entry[1])
-                entry = self._outbox.get_nowait()
-        except queue.Empty:
-            return messages_by_address, False
-        if entry is None:
-            return messages_by_address, True
-        messages_by_address.setdefault(entry[0], []).append(entry[1])
+        wait_s = IDLE_PEER_S
+        for _ in range(BATCH_MESSAGES):
+            try:
+                entry = self._outbox.get(block=wait_s > 0, timeout=wait_s)
+            except queue.Empty:
+                break
+            if entry is None:
+                return messages_by_address, True
+            address, message = entry
+            messages_by_address.setdefault(address, []).append(message)
+            wait_s = 0.0
         return messages_by_address, False
 
+    def _try_to_send(self, address: str, messages: list[Message]) -> None:
+        try:
+            self._send(address, messages)
+        except Exception as error:  # one peer's odd address must not end the sending to all
+            self._node.dropped(address, repr(error))
+
     def _send(self, address: str, messages: list[Message]) -> None:
         batch = self._node.batch(tuple(messages))
         if address == self._node.address:
             self._node.deliver(batch)
             return
         data = encode(batch)
+        socket = self._socket(address)
         self._used_at[address] = time.monotonic()
         try:
-            self._socket(address).send(data, zmq.NOBLOCK)
+            socket.send(data, zmq.NOBLOCK)
             self._node.bytes_sent += len(data)
         except zmq.Again:
             self._node.dropped(address, "peer does not read")
--- a/tests/inner/test_node.py
+++ b/tests/inner/test_node.py
@@ -85,6 +85,16 @@
         node.send(peer.address, Heartbeat(builders.a_member(), Revision(7)))
         self.assertEqual(7, heard.get(timeout=WAIT_S).complete_to)
 
+    def test_an_odd_address_stops_no_other_message(self) -> None:
+        """A record with a garbled address ended all that a process sent, to all hosts."""
+        keys = builders.inner_keys()
+        node, peer = self.a_node("one", keys), self.a_node("two", keys)
+        heard = self.heard_by(peer)
+        for n, odd in enumerate(("no address", "10.0.0.1:port", "")):
+            node.send(odd, Heartbeat(builders.a_member(), Revision(n)))
+        node.send(peer.address, Heartbeat(builders.a_member(), Revision(7)))
+        self.assertEqual(7, heard.get(timeout=WAIT_S).complete_to)
+
     def test_an_idle_connection_is_closed_and_opened_again(self) -> None:
         """A process kept a connection to each host that had ever been at its site."""
         self.patch(_node, "IDLE_PEER_S", 0.01)
