Tests: answers of endpoints that are lost, all entry hosts killed twice

The stand-in's endpoints can lose the answer to each nth call that they carried out, and refuse a start that is no newer than one stopped or ended there, as the platform's page says.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -43,6 +43,7 @@
     """One life of an endpoint; tasks take ``task_s`` seconds each.
 
     :param may_start: whether it may start a task on this ticket.
+    :param loses: whether the answer to what was just carried out is lost.
     """
 
     def __init__(
@@ -51,9 +52,12 @@
         records: list[RunRecord],
         task_s: float,
         may_start: Callable[[str, str, str], bool],
+        loses: Callable[[], bool],
     ) -> None:
         self.name = name
         self._may_start = may_start
+        self._loses = loses
+        self._highest_over: dict[str, int] = {}
         self.dead = False
         self._records = records
         self._task_s = task_s
@@ -95,6 +99,7 @@
         if record is None:
             return
         record.ended, record.how = time.monotonic(), how
+        self._highest_over[task] = max(number, self._highest_over.get(task, 0))
         self._cursor += 1
         self._ended.append([self._cursor, task, number, how, ""])
         self._changed.notify_all()
@@ -115,9 +120,19 @@
             if call.path == "/run-start" and not self._may_start(self.name, body["task"], ticket):
                 call.answer_json({"clock_ms": self._clock_ms(), "reason": "ticket"}, 409)
                 return
+            if call.path == "/run-start" and self._is_over(body["task"], body["run_id"]):
+                call.answer_json({"clock_ms": self._clock_ms(), "reason": "old"}, 409)
+                return
             answer = self._carry_out(call.path, body)
+        if self._loses():
+            call.cut(reset=True)
+            return
         call.answer_json({"clock_ms": self._clock_ms(), "born": self._born_ms} | answer)
 
+    def _is_over(self, task: str, number: int) -> bool:
+        """Whether this run of a task, or a later one, was stopped or has ended here."""
+        return number <= self._highest_over.get(task, 0)
+
     def _carry_out(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         if path == "/hold":
             return self._hold(body)
@@ -128,6 +143,7 @@
             self._records.append(record)
         elif path == "/run-stop":
             self._end(*key, "stopped")
+            self._highest_over[key[0]] = max(key[1], self._highest_over.get(key[0], 0))
         return {}
 
     def _hold(self, body: dict[str, Any]) -> dict[str, Any]:
@@ -180,11 +196,15 @@
     :ivar policy: which endpoints may run steps of queues that need tickets.
     :ivar records: every run that was ever started.
     :ivar most_down: most hosts that were down for upkeep at once.
+    :ivar lost_every: of the calls that endpoints carry out, each how manieth loses its answer; 0
+        for none.
     """
 
     def __init__(self, task_s: float = 0.2) -> None:
         self.store = UsersStore()
         self.policy = _Policy()
+        self.lost_every = 0
+        self._calls = itertools.count(1)
         self.records: list[RunRecord] = []
         self.most_down = 0
         self._task_s = task_s
@@ -260,6 +280,9 @@
         """Return the endpoint that lives on a host."""
         return self._endpoints[host].name
 
+    def _loses_answer(self) -> bool:
+        return bool(self.lost_every) and next(self._calls) % self.lost_every == 0
+
     def _tick(self) -> None:
         while not self._ended.wait(LOOK_S):
             self.store.expire()
@@ -274,7 +297,9 @@
         if entry["pool"] == "standby":
             return
         name = f"i-{next(self._names)}"
-        endpoint = _Endpoint(name, self.records, self._task_s, self.policy.may_start)
+        endpoint = _Endpoint(
+            name, self.records, self._task_s, self.policy.may_start, self._loses_answer
+        )
         self._endpoints[host] = endpoint
         entry["id"] = name
         value = {"service": entry["pool"], "address": endpoint.address, "state": "ready"}
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -108,6 +108,33 @@
         self.assertTrue(eventually(lambda: self.all_completed(other, 4)))
         self.check_runs()
 
+    def test_answers_that_are_lost_run_nothing_twice(self) -> None:
+        """A task was carried out and its answer was lost: it ran a second time, or never ended."""
+        self.begin(task_s=0.3)
+        self.platform.lost_every = 4
+        for number in range(6):
+            self.assertEqual(200, self.site.submit("front-0", path(number), JOB))
+        self.assertTrue(eventually(lambda: self.all_completed("front-1", 6)))
+        self.check_runs()
+
+    def test_all_hosts_killed_at_once_lose_no_job(self) -> None:
+        """After all entry hosts had died together nobody knew what had been accepted.
+
+        Twice, so that the second time their jobs were taken over once already; and while answers
+        of endpoints are lost.
+        """
+        self.begin(task_s=0.6)
+        self.platform.lost_every = 7
+        for number in range(6):
+            self.assertEqual(200, self.site.submit("front-0", path(number), JOB))
+        for _ in range(2):
+            for name in list(self.site.settings):
+                self.site.kill(name)
+            self.assertTrue(self.site.start_all())
+        for name in self.site.settings:
+            self.assertTrue(eventually(lambda name=name: self.all_completed(name, 6)))
+        self.check_runs()
+
     def test_a_pool_that_a_strong_host_takes_over_from_a_weak_one_loses_no_job(self) -> None:
         """A weak host kept a pool that it could not carry, and its tasks were started too late."""
         self.prepare(task_s=2.0)
