Looks: a start's answer that is read last does not make its run stand still

What callers would see: on a slow owner a task that a look had shown at work is stopped, since the answer to its start, read after that look, counted as the last sign of it.

Evidence: test_a_start_whose_answer_is_read_after_a_look_is_not_stuck failed (the run stood still for 3.0 s) and passes.

--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -90,8 +90,9 @@
             return self._take_stop_answer(run, order, verdict)
         if verdict is Verdict.DONE:
             run.confirmed_at = now = time.monotonic()
-            run.changed_at = link.moment_of(clock_ms, now) if clock_ms else now
-            run.began_at = None if run.task.checkpoint else run.changed_at
+            began_at = link.moment_of(clock_ms, now) if clock_ms else now
+            run.changed_at = max(run.changed_at, began_at)
+            run.began_at = None if run.task.checkpoint else began_at
             run.task.step.book.begin()
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.UNDER_WAY
--- a/tests/execution/test_late_reads.py
+++ b/tests/execution/test_late_reads.py
@@ -69,6 +69,16 @@
         self.reconciler.take_answer(self.link, order, Verdict.DONE, BEGAN_MS)
         self.assertAlmostEqual(BEGAN_S, run.began_at or 0.0, delta=0.001)
 
+    def test_a_start_whose_answer_is_read_after_a_look_is_not_stuck(self) -> None:
+        """A slow owner read a start's answer last, and stopped a task that it had seen at work."""
+        run = self.run_of(self.add(a_step(1), name="b"), confirmed=False)
+        running = RunSeen(run.task.id, run.number, "", 50, 0.0)
+        self.read(Look(Verdict.DONE, BEGAN_MS + 3000, 0, (running,)), late_s=0.0)
+        order = Order.of(OrderKind.START, run)
+        self.reconciler.take_answer(self.link, order, Verdict.DONE, BEGAN_MS)
+        a_planner().stuck(self.link)
+        self.assertIs(RunPhase.UNDER_WAY, run.phase)
+
     def test_a_slow_clock_is_followed(self) -> None:
         """An endpoint's tasks seemed to have begun seconds ago as its clock fell behind."""
         for second in range(1000):
