News: one turn decides when others are told

The desk kept the time of the last telling beside the turn's own, for hosts that own no pool; the turn holds for them too. Nothing else changes.

--- a/src/lentilrill/entry/_audience.py
+++ b/src/lentilrill/entry/_audience.py
@@ -50,7 +50,7 @@
 
 
 class BriefTurn:
-    """Decides when all hosts are told of the pressure of the own pools.
+    """Decides when others are told of the pressure of the own pools, if there are any.
 
     Load pattern: at rest pressure does not change, and telling all hosts of each pool is most of
     what its owner sends. In a surge its wait changes by tenths of a second from round to round, and
@@ -64,12 +64,12 @@
     def is_due(self, pressures: tuple[PoolPressure, ...], now: float) -> bool:
         """Whether to tell now."""
         since_s = now - self._told_at
-        if not pressures or since_s < TELL_EVERY_S:
+        if since_s < TELL_EVERY_S:
             return False
         return since_s >= REFRESH_S or any(self._has_changed(each) for each in pressures)
 
     def told(self, pressures: tuple[PoolPressure, ...], now: float) -> None:
-        """Note that all hosts were told."""
+        """Note that they were told."""
         self._told_at = now
         self._told_by_pool = {pressure.pool: pressure for pressure in pressures}
 
--- a/src/lentilrill/entry/_news.py
+++ b/src/lentilrill/entry/_news.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from lentilrill.clocks import RemoteClock
-from lentilrill.entry._audience import REFRESH_S, TELL_EVERY_S, BriefTurn, brief, neighbours
+from lentilrill.entry._audience import TELL_EVERY_S, BriefTurn, brief, neighbours
 from lentilrill.entry._books import ConfigurationBook
 from lentilrill.entry._silence import FRESH_S, StoreSilence
 from lentilrill.ids import Incarnation, PoolId, ProcessId
@@ -76,7 +76,6 @@
         self._is_owner = is_owner
         self._brief = BriefTurn()
         self._fleet_told_at = 0.0
-        self._told_at = 0.0
         self._asked_at = 0.0
         self._lock = threading.Lock()
         self._silence = StoreSilence()
@@ -111,8 +110,7 @@
         if pressures and (any(rises) or now - self._fleet_told_at >= TELL_EVERY_S):
             self._fleet_told_at = now
             self._send([self._fleet_address()], self._news(pressures))
-        if self._brief.is_due(pressures, now) or now - self._told_at >= REFRESH_S:
-            self._told_at = now
+        if self._brief.is_due(pressures, now):
             self._brief.told(pressures, now)
             self._tell(pressures)
         if now - self._asked_at >= TELL_EVERY_S:
