--- a/src/lentilrill/upkeep/_orders.py
+++ b/src/lentilrill/upkeep/_orders.py
@@ -22,8 +22,8 @@
     """Sends the orders of one round.
 
     Load pattern: a surge or a wave at a site of hundreds of hosts asks for a hundred orders at
-    once, each of which takes some twenty milliseconds. One after the other the last of them go out
-    seconds later, and their hosts serve when the surge is over.
+    once, each a call of its own. One after the other the last of them go out seconds later, and
+    their hosts serve when the surge is over.
 
     :param per_s: orders that the platform takes a second, from all entry hosts.
     :param at_once: most orders that are on their way at a time.
