--- a/tests/entry/test_beliefs.py
+++ b/tests/entry/test_beliefs.py
@@ -1,7 +1,6 @@
 """What an entry host believes from records and from its peers."""
 
 import time
-from typing import Any
 from unittest.mock import patch
 
 import msgspec
@@ -13,6 +12,7 @@
 from lentilrill.inner import Batch, HostNews, PoolPressure
 from lentilrill.ownership import MemberRecord
 from lentilrill.store import Item
+from tests.entry.fakes import FakeNode
 
 
 def a_record(version: int, *prefixes: str) -> bytes:
@@ -68,19 +68,6 @@
         self.assertEqual({}, book.of_pool(PoolId("notices")))
 
 
-class Node:
-    process = ProcessId("me")
-    address = "10.0.0.9:1"
-
-    def __init__(self) -> None:
-        self.sent: list[tuple[str, Any]] = []
-
-    def on(self, kind: type, handler: object) -> None: ...
-
-    def send(self, address: str, message: object) -> None:
-        self.sent.append((address, message))
-
-
 class NewsTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -92,7 +79,7 @@
         self.is_slowed = False
         self.rises: list[bool] = []
         self.desk = NewsDesk(
-            Node(),
+            FakeNode(),
             lambda: self.members,
             ConfigurationBook(),
             lambda: (),
--- a/tests/entry/test_news.py
+++ b/tests/entry/test_news.py
@@ -13,28 +13,16 @@
 from lentilrill.ids import EndpointId, Incarnation, PoolId, ProcessId
 from lentilrill.inner import Batch, Configured, HostNews
 from tests.builders import a_member_record, a_pressure
+from tests.entry.fakes import FakeNode
 
 HOSTS = 97
 FLEET = "10.0.0.5:1"
 
 
-class Node:
-    process = ProcessId("h0")
-    address = "10.0.0.0:1"
-
-    def __init__(self) -> None:
-        self.sent: list[tuple[str, Any]] = []
-
-    def on(self, kind: type, handler: object) -> None: ...
-
-    def send(self, address: str, message: object) -> None:
-        self.sent.append((address, message))
-
-
 class NewsCase(TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.node = Node()
+        self.node = FakeNode()
         self.pressures: tuple[Any, ...] = ()
         self.silent_s = 0.0
         self.is_owner = False
