Owners: log stops for drains, and measure the time between lease renewals

Three hypotheses could not be told apart: leases that lapse at a take-over, stops by an old view of the pool, hosts taken from under their tasks. A stop for a drain left no line (run_gone is silent for a stopped run), and nothing told how late a new owner renews, how long the previous one took to stop, or how old the answer was by which a host is moved.

Added: run_drained (689) with the number of others away and the age of the endpoint's report; the latency 'renewal' of a pool's owner, counted from the take-over, with a bound of 2.5 s; stopped_s in shard_released; drain_age_s in host_ordered of moves. No decision changes.

--- a/src/lentilrill/execution/_latency.py
+++ b/src/lentilrill/execution/_latency.py
@@ -23,6 +23,9 @@
     """Time from the placement of a run until its start order was sent."""
     POLL = "look"
     """Time between two poll answers of an endpoint while tasks run on it."""
+    RENEWAL = "renewal"
+    """Time between two renewals of the run lease at an endpoint, the first counted from the
+    take-over."""
 
 
 BOUND_S_BY_KIND = {
@@ -30,9 +33,10 @@
     LatencyKind.WAKE_UP: 0.5,
     LatencyKind.START: 0.5,
     LatencyKind.POLL: 2.5,
+    LatencyKind.RENEWAL: 2.5,
 }
 """Upper bounds of a healthy owner's latencies. It pauses up to 0.1 s between two rounds, and a poll
-waits up to 2 s."""
+waits up to 2 s. A run lease lasts 3.4 s from its renewal."""
 
 
 class LatencyMonitor:
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -94,6 +94,9 @@
     def on_poll(self, link: "EndpointLink", result: PollResult, sent: float) -> None:
         """Process the result of a poll that was sent at ``sent``."""
 
+    def on_renewal(self, seconds: float) -> None:
+        """Record the time between two renewals of the run lease at an endpoint."""
+
     def start_order(self, link: "EndpointLink", run: Run) -> StartOrder | None:
         """Return the start order of a run, or ``None`` if the run is no longer needed."""
 
@@ -109,6 +112,8 @@
         owner does not track).
     :ivar reported_at: when the endpoint sent its newest answer, derived from its clock; earlier
         than the time of reading by the delays of the network and of this process.
+    :ivar renewed_at: when the last poll that renewed the run lease was sent; ``None`` if no runs
+        are assigned to the endpoint.
     :ivar lease_end: monotonic time at which all leases given to this endpoint have expired, clock
         error included; 0 if none was given.
     """
@@ -138,6 +143,7 @@
         self.started_ms = 0
         self.failures = 0
         self.probe_at = 0.0
+        self.renewed_at: float | None = None
         self.lease_end = 0.0
         self.pace = 100
         self.paced_at = 0.0
@@ -278,11 +284,21 @@
             return
         previous_cursor = self.seen_cursor
         self._owner.on_poll(self, result, sent)
+        if result.verdict is Verdict.DONE:
+            self._record_renewal(sent, renewed=renews)
         if result.verdict is not Verdict.DONE:
             self._pause(RETRY_S)
         elif self.seen_cursor > previous_cursor or self.seen_cursor > self.stored_cursor:
             self._ended.wait(GATHER_PAUSE_S)
 
+    def _record_renewal(self, sent: float, *, renewed: bool) -> None:
+        if not self.runs_by_key:
+            self.renewed_at = None
+        elif renewed:
+            if self.renewed_at is not None:
+                self._owner.on_renewal(sent - self.renewed_at)
+            self.renewed_at = sent
+
     def _pause(self, seconds: float) -> None:
         self._woken.wait(seconds)
         self._woken.clear()
--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -105,6 +105,8 @@
 
     def _open(self, entry: EndpointEntry) -> None:
         link = self._connect(entry)
+        if entry.id in self.unpolled:
+            link.renewed_at = self._owner_since
         with self._lock:
             self.by_id[entry.id] = link
         link.start()
--- a/src/lentilrill/execution/_release.py
+++ b/src/lentilrill/execution/_release.py
@@ -3,6 +3,7 @@
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._tracking import Run, RunPhase, TrackedTask
 from lentilrill.inner import ReleaseState
+from lentilrill.telemetry import Event, log
 
 __all__ = ["away_tasks", "expire_releases", "release"]
 
@@ -38,6 +39,7 @@
             if spec.may_be_away and away >= spec.may_be_away:
                 reason = f"{away} tasks beside {run.task.id} are not working"
                 continue
+            _log_drained(link, run, away, now)
             orders.append(_stop_order(run))
         elif now - link.release_started_at > FINISH_GRACE_S or spec.checkpoints:
             orders.append(_stop_order(run))
@@ -64,6 +66,19 @@
     )
 
 
+def _log_drained(link: EndpointLink, run: Run, away: int, now: float) -> None:
+    log(
+        Event.RUN_DRAINED,
+        job=run.task.id.job,
+        task=run.task.id,
+        run=run.number,
+        endpoint=link.entry.id,
+        away=away,
+        may_be_away=run.task.step.spec.may_be_away,
+        report_age_s=round(now - link.reported_at, 2),
+    )
+
+
 def _stop_order(run: Run) -> Order:
     run.phase = RunPhase.STOPPING
     return Order.for_run(OrderKind.STOP, run)
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -97,6 +97,10 @@
         if had_ends:
             self._on_ends()
 
+    def on_renewal(self, seconds: float) -> None:
+        """Record the time between two renewals of the run lease at an endpoint."""
+        self._latency.record(LatencyKind.RENEWAL, seconds)
+
     def _handle_refusal(self, link: EndpointLink, verdict: Verdict) -> bool:
         """Handle an answer after which the endpoint takes no more orders.
 
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -160,8 +160,9 @@
             self._leaving = True
             tokens = dict(self._tokens_by_shard)
         for shard, token in tokens.items():
+            started_at = self._clock()
             self._stop_acting(shard, token)
-            self._release(shard, token)
+            self._release(shard, token, self._clock() - started_at)
         self._has_left = True
 
     def _stop_acting(self, shard: Shard, token: Revision) -> None:
@@ -175,11 +176,20 @@
             self._tokens_by_shard.pop(shard, None)
         self._listener.on_lost(shard, flush=self._pace() >= NORMAL_PACE)
 
-    def _release(self, shard: Shard, token: Revision) -> None:
-        """Delete the key of ``shard``, unless another process has written it since."""
+    def _release(self, shard: Shard, token: Revision, stopped_s: float = 0.0) -> None:
+        """Delete the key of ``shard``, unless another process has written it since.
+
+        :param stopped_s: seconds that stopping to act as its owner took.
+        """
         key = OWNER_PREFIX + shard
         result = self._kv.commit((Compare(key, token),), (DeleteRange(key),))
-        log(Event.SHARD_RELEASED, shard=shard, token=token, result=_result_text(result))
+        log(
+            Event.SHARD_RELEASED,
+            shard=shard,
+            token=token,
+            stopped_s=round(stopped_s, 3),
+            result=_result_text(result),
+        )
 
     def close(self) -> None:
         """Stop all threads and revoke the lease."""
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -172,7 +172,16 @@
         Level.WARNING,
         "A long-running task has had no run for seconds; the reason is given.",
     )
-    OWNER_LATE = (688, Level.WARNING, "Rounds, starts or polls of a pool's owner are late.")
+    OWNER_LATE = (
+        688,
+        Level.WARNING,
+        "Rounds, starts, polls or lease renewals of a pool's owner are late.",
+    )
+    RUN_DRAINED = (
+        689,
+        Level.INFO,
+        "A long-running task is stopped because its endpoint is being drained.",
+    )
     STEP_ADVISED = (
         686,
         Level.INFO,
--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -66,6 +66,7 @@
         self._started_by_host: dict[HostId, tuple[Move, float]] = {}
         self._logged_target_by_pool: dict[PoolId, int] = {}
         self._surges = SurgeTracker()
+        self._drain_requested_at = 0.0
 
     def run_round(self, rows: dict[HostId, HostRow], busy: set[HostId]) -> None:
         """Start new moves, and continue those that wait for their endpoint to be free.
@@ -93,6 +94,7 @@
         self._log_targets(needs, standby_hosts)
         for move in plan_moves(needs, standby[0], standby_hosts):
             self._started_by_host[move.host.id] = (move, now)
+        self._drain_requested_at = time.monotonic()
         ready = [
             move
             for host, (move, started_at) in list(self._started_by_host.items())
@@ -235,6 +237,7 @@
             source=move.source,
             target=move.target,
             answer=answer.value,
+            drain_age_s=round(time.monotonic() - self._drain_requested_at, 2),
         )
         if answer is HostOrderResult.FENCED:
             self._on_fenced(f"host {host} has accepted a newer owner of the fleet")
--- a/tests/execution/test_latency.py
+++ b/tests/execution/test_latency.py
@@ -119,3 +119,21 @@
         self.assertEqual(2, metrics.counts["owner.resent.notices"])
         self.assertIn("owner.round.notices", metrics.timings)
         self.assertIn("owner.news.notices", metrics.timings)
+
+
+class RenewalTest(TestCase):
+    def test_the_first_renewal_counts_from_the_take_over(self) -> None:
+        """An owner that renews leases late after its take-over must show in its latencies."""
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        pool.register(an_endpoint("e1"))
+        job = a_job()
+        pool.kv.put(f"in/notices/j/{job.id}", msgspec.msgpack.encode(job))
+        first = pool.take_over()
+        self.assertTrue(eventually(lambda: len(pool.starts()) == 2))
+        first.close()
+        metrics = RecordingMetrics()
+        second = pool.new_owner()
+        second._latency._metrics = metrics
+        second.start()
+        self.assertTrue(eventually(lambda: "owner.renewal.notices" in metrics.timings))
