Tests: run leases lapse between two owners of a pool, known red

Both tests fail on the present code: False is not true at the first check for a renewal, each after waiting 20 s.

--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -41,6 +41,7 @@
     :ivar silent: no call is answered or executed.
     :ivar loses_acknowledgements: acknowledgements are lost.
     :ivar starts: all executed starts, in order.
+    :ivar renewals: tokens of the polls that renewed the run lease, in order.
     """
 
     def __init__(self) -> None:
@@ -53,6 +54,7 @@
         self.stops: list[tuple[TaskId, int]] = []
         self.acknowledged = 0
         self.polls = 0
+        self.renewals: list[int] = []
         self._cursor = 0
         self._changed = threading.Condition()
 
@@ -86,7 +88,6 @@
     def poll(
         self, token: int, acknowledged: int, expires_ms: int | None, wait_ms: int
     ) -> PollResult:
-        del expires_ms
         with self._changed:
             if not self.silent and token >= self.token:
                 self.token = token
@@ -100,6 +101,8 @@
             if token < self.token:
                 return PollResult(Verdict.FENCED)
             self.polls += 1
+            if expires_ms is not None:
+                self.renewals.append(token)
             return PollResult(
                 Verdict.DONE, 1_000_000, 1, tuple(self.running.values()), tuple(self.ended)
             )
--- /dev/null
+++ b/tests/execution/test_lease_renewal.py
@@ -0,0 +1,100 @@
+"""Renewal of run leases while a pool passes from one owner to the next."""
+
+import threading
+from typing import Any
+
+import msgspec
+from returns.result import Result
+from testtools import TestCase
+
+from lentilrill.execution import PoolOwner
+from lentilrill.workloads import JobState, Step
+from tests.builders import a_job, a_step, an_endpoint
+from tests.execution.fakes import OwnedPool, eventually
+from tests.fakes import FakeKeyValue
+
+LASTING = a_step(1, lasting=True, may_be_away=1)
+
+
+class BlockingKeyValue(FakeKeyValue):
+    """Delays the calls to records below ``prefix`` until ``release`` is set.
+
+    :ivar delayed: set once a call is delayed.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.prefix = ""
+        self.delayed = threading.Event()
+        self.release = threading.Event()
+
+    def block(self, prefix: str) -> None:
+        """Delay calls from now on."""
+        self.delayed.clear()
+        self.release.clear()
+        self.prefix = prefix
+
+    def read(self, prefix: str, *args: Any) -> Result:
+        if self.prefix and prefix.startswith(self.prefix):
+            self.wait()
+        return super().read(prefix, *args)
+
+    def commit(self, compares: Any, writes: Any, *args: Any) -> Result:
+        if self.prefix and any(write.key.startswith(self.prefix) for write in writes):
+            self.wait()
+        return super().commit(compares, writes, *args)
+
+    def wait(self) -> None:
+        self.delayed.set()
+        self.release.wait()
+
+
+class LeaseRenewalTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.pool = OwnedPool("e1")
+        self.kv = self.pool.kv = BlockingKeyValue()
+        self.addCleanup(self.pool.close)
+        self.addCleanup(self.kv.release.set)
+        self.pool.register(an_endpoint("e1"))
+        self.endpoint = self.pool.endpoints["e1"]
+
+    def run_job(self, step: Step) -> PoolOwner:
+        """Return an owner that runs a job with one step on the endpoint."""
+        self.job = a_job("a", step)
+        self.kv.put(f"in/notices/j/{self.job.id}", msgspec.msgpack.encode(self.job))
+        owner = self.pool.take_over()
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) == step.count))
+        return owner
+
+    def renewed_by(self, owner: PoolOwner) -> bool:
+        """Wait until an owner has renewed the lease twice more; return whether it did."""
+        count = self.endpoint.renewals.count(int(owner.token))
+        return eventually(lambda: self.endpoint.renewals.count(int(owner.token)) > count + 1)
+
+    def test_leases_do_not_lapse_while_a_previous_owner_stores_its_progress(self) -> None:
+        """Guards against long-running tasks that lapse since an owner stores its progress for
+        seconds before it releases its pool."""
+        owner = self.run_job(LASTING)
+        self.kv.block("p/")
+        with owner._lock:
+            next(iter(owner._jobs.live_by_id.values())).mark_dirty()
+        closing = threading.Thread(target=owner.close, kwargs={"flush": True}, daemon=True)
+        closing.start()
+        self.assertTrue(self.kv.delayed.wait(10))
+        self.assertTrue(self.renewed_by(owner))
+        self.kv.release.set()
+        closing.join(10)
+        self.assertFalse(closing.is_alive())
+
+    def test_leases_do_not_lapse_while_a_new_owner_reads_the_records(self) -> None:
+        """Guards against long-running tasks that lapse since a new owner reads the records of its
+        pool for seconds before it renews any lease."""
+        self.run_job(LASTING).close()
+        self.kv.block("in/notices/")
+        owner = self.pool.take_over()
+        self.assertTrue(self.kv.delayed.wait(10))
+        self.assertTrue(self.renewed_by(owner))
+        self.kv.release.set()
+        self.assertTrue(eventually(lambda: owner.state_of(self.job.id) is JobState.RUNNING))
+        self.assertEqual(1, len(self.pool.starts()))
