Owners: run leases are renewed while a pool passes from one owner to the next

In the record two endpoints end at 30.191 s, 1.2 s after the next owner's claim (its first starts come 5.5 s after it), and 3.4 s, a run lease, after 26.8 s.

Cause: a renewal waited for work that doesn't need to come first. An owner that hands over ended its polls and then stored its progress; the next one read the records of all jobs before it polled any endpoint, and its first poll renews nothing. The age of the last poll, both of these, the claim and two polls had to fit into 3.4 s.

Change: a link renews the lease of what its endpoint reports while its owner doesn't process reports: from the time when the list of previous endpoints is read until the records are loaded, and while progress is stored before a hand-over. The report itself isn't processed then, so ends stay unacknowledged and are listed again. The right to it (Ownership.holds) ends with the key, that to give orders (may_order) as before at the start of the hand-over. As the new owner may now have given leases before it processed a report, tasks of an endpoint that it loses then wait for these leases too (PoolLinks.is_blocked).

--- a/bench/owner.py
+++ b/bench/owner.py
@@ -166,6 +166,7 @@
             lambda pool: dict(self._entries),
             lambda listed: HttpEndpoint(listed, self.metrics),
             lambda: True,
+            lambda: True,
             lambda reason: None,
             metrics=self.metrics,
         )
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -231,6 +231,7 @@
             self._endpoint_directory.of_pool,
             self._connect,
             lambda: self._ownership.may_order(shard),
+            lambda: self._ownership.holds(shard),
             lambda reason: self._ownership.give_up(shard, reason),
             self._policy,
             self.metrics,
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -45,6 +45,8 @@
 endpoint refuse the start."""
 RETRY_S = 0.15
 """Pause after an unanswered call."""
+RENEWAL_PAUSE_S = 0.8
+"""Pause between two renewals while the owner doesn't process reports."""
 
 
 class OrderKind(Enum):
@@ -89,7 +91,16 @@
         """Fencing token of all orders."""
 
     def may_order(self) -> bool:
-        """Whether this process still owns the pool."""
+        """Whether this process may give orders as the owner of the pool."""
+
+    def may_poll(self) -> bool:
+        """Whether this process still owns the pool, also while it takes over or hands over."""
+
+    def processes_reports(self) -> bool:
+        """Whether the owner has loaded the pool's records and is not handing over."""
+
+    def on_renewal_answer(self, link: "EndpointLink", result: PollResult) -> None:
+        """Process the answer to a poll that only renews the run lease."""
 
     def on_poll(self, link: "EndpointLink", result: PollResult, sent: float) -> None:
         """Process the result of a poll that was sent at ``sent``."""
@@ -159,6 +170,7 @@
         self._sequence = itertools.count()
         self._in_flight = 0
         self._is_responsive = True
+        self._reports_runs = False
         self._ended = threading.Event()
         self._woken = threading.Event()
         self._poll_thread = threading.Thread(
@@ -268,9 +280,14 @@
         self._calls.close()
 
     def _poll(self) -> None:
-        if not self._owner.may_order():
+        if not self._owner.may_poll():
             self._pause(RETRY_S)
-            return
+        elif self._owner.processes_reports():
+            self._poll_reports()
+        else:
+            self._renew()
+
+    def _poll_reports(self) -> None:
         # The first poll only sets the fencing token, reads the clock and finds runs in progress.
         first = not self.was_polled
         # Leases of an unreachable endpoint are not renewed: its tasks are started elsewhere after
@@ -282,6 +299,7 @@
         result = self._calls.poll(self._owner.token, self.stored_cursor, expiry, wait_ms)
         if self._ended.is_set():
             return
+        self._reports_runs = result.verdict is Verdict.DONE and bool(result.running)
         previous_cursor = self.seen_cursor
         self._owner.on_poll(self, result, sent)
         if result.verdict is Verdict.DONE:
@@ -291,13 +309,36 @@
         elif self.seen_cursor > previous_cursor or self.seen_cursor > self.stored_cursor:
             self._ended.wait(GATHER_PAUSE_S)
 
+    def _renew(self) -> None:
+        """Renew the lease of the runs that the endpoint reports, without processing the report.
+
+        A new owner that is still reading the pool's records, or a previous one that is storing its
+        progress, would otherwise let the leases of all tasks lapse. The ends in the report stay
+        unacknowledged, so the endpoint lists them again.
+        """
+        renews = self._reports_runs
+        expiry = self.new_expiry_ms() if renews else None
+        sent = time.monotonic()
+        result = self._calls.poll(self._owner.token, self.stored_cursor, expiry, 0)
+        if self._ended.is_set():
+            return
+        self._owner.on_renewal_answer(self, result)
+        self._reports_runs = result.verdict is Verdict.DONE and bool(result.running)
+        if self._reports_runs and renews:
+            self._count_renewal(sent)
+        if renews or not self._reports_runs:
+            self._pause(RENEWAL_PAUSE_S)
+
+    def _count_renewal(self, sent: float) -> None:
+        if self.renewed_at is not None:
+            self._owner.on_renewal(sent - self.renewed_at)
+        self.renewed_at = sent
+
     def _record_renewal(self, sent: float, *, renewed: bool) -> None:
         if not self.runs_by_key:
             self.renewed_at = None
         elif renewed:
-            if self.renewed_at is not None:
-                self._owner.on_renewal(sent - self.renewed_at)
-            self.renewed_at = sent
+            self._count_renewal(sent)
 
     def _pause(self, seconds: float) -> None:
         self._woken.wait(seconds)
--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -55,10 +55,30 @@
         self.unpolled = set(self._endpoint_list.address_by_id)
         return True
 
+    def wake(self) -> None:
+        """Interrupt the pauses between polls."""
+        with self._lock:
+            links = list(self.by_id.values())
+        for link in links:
+            link.wake()
+
     @property
     def is_blocked(self) -> bool:
         """Whether tasks of the previous owner's jobs may run on endpoints not polled yet."""
-        return bool(self.unpolled) and self._previous_tasks_may_run()
+        return any(self._previous_tasks_may_run(endpoint) for endpoint in self.unpolled)
+
+    def open_previous(self, entries: dict[EndpointId, EndpointEntry]) -> None:
+        """Open links to the previous owner's endpoints, whose run leases have to be renewed.
+
+        :param entries: the registered endpoints of the pool.
+        """
+        registered = [
+            entry
+            for entry in entries.values()
+            if entry.id in self.unpolled and entry.id not in self.by_id
+        ]
+        for entry in [*registered, *self._previous_entries(entries)]:
+            self._open(entry)
 
     def refresh(self, entries: dict[EndpointId, EndpointEntry]) -> bool:
         """Open links to new endpoints and close expired links.
@@ -120,12 +140,17 @@
         # Endpoints of a partitioned zone disappear from the store while a previous owner's tasks
         # still run on them until its last leases expire. Dropping these links early would start
         # such tasks a second time.
-        tasks_may_run = link.entry.id in self.unpolled and self._previous_tasks_may_run()
+        endpoint = link.entry.id
+        tasks_may_run = endpoint in self.unpolled and self._previous_tasks_may_run(endpoint)
         if link.registered or tasks_may_run:
             return False
         now = time.monotonic()
         silent = now - max(link.answered_at, link.opened_at) > MAX_SILENCE_S
         return not link.runs_by_key and (link.closed or (silent and now > link.lease_end))
 
-    def _previous_tasks_may_run(self) -> bool:
-        return time.monotonic() - self._owner_since < TAKE_OVER_WAIT_S
+    def _previous_tasks_may_run(self, endpoint: EndpointId) -> bool:
+        now = time.monotonic()
+        link = self.by_id.get(endpoint)
+        # This owner may have renewed the lease before it processed the endpoint's reports.
+        lease_end = link.lease_end if link is not None else 0.0
+        return now < max(self._owner_since + TAKE_OVER_WAIT_S, lease_end)
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -59,6 +59,8 @@
     :param entries: returns the registered endpoints of a pool.
     :param dial: opens connections to endpoints.
     :param may_order: whether the owner's lease is still valid.
+    :param may_poll: whether the owner's lease and its key are still valid, also while it stops
+        acting as the owner.
     :param on_fenced: called when an endpoint or the store holds a newer token.
     :param policy: policy service for the queues that require tickets.
     :param metrics: receives the jobs' wait times and the owner's latencies.
@@ -74,6 +76,7 @@
         entries: Callable[[PoolId], dict[EndpointId, EndpointEntry]],
         dial: Dialer,
         may_order: Callable[[], bool],
+        may_poll: Callable[[], bool],
         on_fenced: Callable[[str], None],
         policy: PolicyCalls | None = None,
         metrics: Metrics = NO_METRICS,
@@ -86,6 +89,7 @@
         self._entries = entries
         self._dial = dial
         self._may_order = may_order
+        self._may_poll = may_poll
         self._on_fenced = on_fenced
         self._lock = threading.RLock()
         self._changed = threading.Condition(self._lock)
@@ -122,6 +126,8 @@
             self._tickets,
             self._latency,
             self.may_order,
+            self._may_poll,
+            self._processes_reports,
             on_fenced,
             lambda: self._writer.schedule(urgent=False),
             self._wake,
@@ -140,6 +146,7 @@
         """Stop giving orders at once.
 
         :param flush: store unsaved progress before the hand-over; the lease must still be valid.
+            Run leases are renewed until it is stored.
         """
         with self._lock:
             if self._ended.is_set():
@@ -147,19 +154,24 @@
             self._ended.set()
             links = list(self._links.by_id.values())
             self._changed.notify_all()
-        for link in links:
-            link.close()
         self._senders.close()
         self._follower.close()
         self._writer.close()
         self._tickets.close()
-        if flush and self._jobs.loaded:
-            self._writer.flush()
+        try:
+            if flush and self._jobs.loaded:
+                self._writer.flush()
+        finally:
+            for link in links:
+                link.close()
 
     def may_order(self) -> bool:
         """Whether orders may be given now."""
         return not self._ended.is_set() and self._may_order()
 
+    def _processes_reports(self) -> bool:
+        return self._jobs.loaded and not self._ended.is_set()
+
     # Requests of callers
 
     def add_job(self, value: bytes, revision: Revision) -> None:
@@ -295,8 +307,15 @@
 
     def _load(self) -> bool:
         """Read the previous owners' records; return whether all could be read."""
-        # Endpoints first: once the jobs are loaded, requests to release hosts are answered.
-        return self._links.load() and self._jobs.load()
+        # Endpoints first: their leases are renewed while the jobs are read, and once the jobs are
+        # loaded, requests to release hosts are answered.
+        if not self._links.load():
+            return False
+        self._links.open_previous(self._entries(self.pool))
+        if not self._jobs.load():
+            return False
+        self._links.wake()
+        return True
 
     def _refresh_links(self) -> None:
         if not self._links.refresh(self._entries(self.pool)):
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -28,6 +28,9 @@
 
     :param token: the owner's fencing token.
     :param may_order: whether the owner may give orders now.
+    :param may_poll: whether this process still owns the pool.
+    :param processes_reports: whether the owner has loaded the pool's records and is not handing
+        over.
     :param on_fenced: called when an endpoint reports a newer fencing token.
     :param on_ends: called when there are ends to be stored.
     :param wake: triggers a planning round; called under the owner's lock.
@@ -44,6 +47,8 @@
         tickets: TicketCache,
         latency: LatencyMonitor,
         may_order: Callable[[], bool],
+        may_poll: Callable[[], bool],
+        processes_reports: Callable[[], bool],
         on_fenced: Callable[[str], None],
         on_ends: Callable[[], None],
         wake: Callable[[], None],
@@ -56,6 +61,8 @@
         self._tickets = tickets
         self._latency = latency
         self._may_order = may_order
+        self._may_poll = may_poll
+        self._processes_reports = processes_reports
         self._on_fenced = on_fenced
         self._on_ends = on_ends
         self._wake = wake
@@ -65,6 +72,26 @@
         """Whether orders may be given now."""
         return self._may_order()
 
+    def may_poll(self) -> bool:
+        """Whether this process still owns the pool, also while it takes over or hands over."""
+        return self._may_poll()
+
+    def processes_reports(self) -> bool:
+        """Whether the owner has loaded the pool's records and is not handing over."""
+        return self._processes_reports()
+
+    def on_renewal_answer(self, link: EndpointLink, result: PollResult) -> None:
+        """Process the answer to a poll that only renews the run lease."""
+        if result.verdict is Verdict.FENCED:
+            self._on_fenced(f"endpoint {link.entry.id} has accepted a newer owner")
+        elif result.verdict is Verdict.DONE:
+            # Without the lock, which is held while the records are decoded. Until a report is
+            # processed, only the link's own thread uses this state.
+            if not link.was_polled and result.started_ms != link.started_ms:
+                link.reset(result.started_ms)
+            if result.started_ms == link.started_ms:
+                link.update_clock(result.clock_ms, time.monotonic())
+
     def on_poll(self, link: EndpointLink, result: PollResult, sent: float) -> None:
         """Process the result of a poll."""
         if self._handle_refusal(link, result.verdict):
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -102,6 +102,7 @@
         self._tokens_by_shard: dict[Shard, Revision] = {}
         self._unowned_since: dict[Shard, float] = {}
         self._released_tokens_by_shard: dict[Shard, Revision] = {}
+        self._stopping: set[Shard] = set()
         self._lease_calls = Dependency("lease in the store")
         self._started_at = clock()
         self._ended = threading.Event()
@@ -145,6 +146,13 @@
         not answer, so that no other host can have claimed the shard. A host that takes over relies
         on both conditions, and fences the previous owner first.
         """
+        return shard not in self._stopping and self.holds(shard)
+
+    def holds(self, shard: Shard) -> bool:
+        """Whether no other process can own ``shard`` now, also while this one stops acting on it.
+
+        See :meth:`may_order`.
+        """
         if shard not in self._tokens_by_shard:
             return False
         return self._clock() < self._lease_valid_until or self._is_store_outage()
@@ -158,7 +166,11 @@
         """Release all shards and stop claiming; the process stays a member."""
         with self._lock:
             self._leaving = True
-            tokens = dict(self._tokens_by_shard)
+            tokens = {
+                shard: token
+                for shard, token in self._tokens_by_shard.items()
+                if shard not in self._stopping
+            }
         for shard, token in tokens.items():
             started_at = self._clock()
             self._stop_acting(shard, token)
@@ -173,8 +185,14 @@
         """
         with self._lock:
             self._released_tokens_by_shard[shard] = token
-            self._tokens_by_shard.pop(shard, None)
-        self._listener.on_lost(shard, flush=self._pace() >= NORMAL_PACE)
+            self._stopping.add(shard)
+        try:
+            self._listener.on_lost(shard, flush=self._pace() >= NORMAL_PACE)
+        finally:
+            with self._lock:
+                self._stopping.discard(shard)
+                if self._tokens_by_shard.get(shard) == token:
+                    del self._tokens_by_shard[shard]
 
     def _release(self, shard: Shard, token: Revision, stopped_s: float = 0.0) -> None:
         """Delete the key of ``shard``, unless another process has written it since.
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -152,6 +152,7 @@
             lambda pool: dict(self.entries),
             lambda entry: self.endpoints[entry.id],
             lambda: True,
+            lambda: True,
             self.refusals.append,
         )
         self.owners.append(owner)
--- a/tests/execution/test_lease_renewal.py
+++ b/tests/execution/test_lease_renewal.py
@@ -1,6 +1,7 @@
 """Renewal of run leases while a pool passes from one owner to the next."""
 
 import threading
+import time
 from typing import Any
 
 import msgspec
@@ -8,6 +9,8 @@
 from testtools import TestCase
 
 from lentilrill.execution import PoolOwner
+from lentilrill.execution._links import TAKE_OVER_WAIT_S
+from lentilrill.ids import EndpointId
 from lentilrill.workloads import JobState, Step
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.fakes import OwnedPool, eventually
@@ -98,3 +101,33 @@
         self.kv.release.set()
         self.assertTrue(eventually(lambda: owner.state_of(self.job.id) is JobState.RUNNING))
         self.assertEqual(1, len(self.pool.starts()))
+
+    def test_an_end_reported_while_a_new_owner_reads_the_records_counts(self) -> None:
+        """Guards against a finished task that runs again since its end was reported before the
+        new owner knew its job."""
+        self.run_job(a_step(1)).close()
+        self.kv.block("in/notices/")
+        owner = self.pool.take_over()
+        self.assertTrue(self.kv.delayed.wait(10))
+        self.assertTrue(self.renewed_by(owner))
+        polls = self.endpoint.polls
+        self.pool.finish_all()
+        self.assertTrue(eventually(lambda: self.endpoint.polls > polls + 1))
+        self.kv.release.set()
+        self.assertTrue(eventually(lambda: owner.state_of(self.job.id) is JobState.COMPLETED))
+        self.assertEqual(1, len(self.pool.starts()))
+
+    def test_a_lease_renewed_before_the_records_were_read_is_waited_for(self) -> None:
+        """Guards against a task that runs twice since its new owner renewed its lease, lost its
+        endpoint, and waited only for the previous owner's leases."""
+        self.run_job(LASTING).close()
+        self.kv.block("in/notices/")
+        owner = self.pool.take_over()
+        self.assertTrue(self.kv.delayed.wait(10))
+        self.assertTrue(self.renewed_by(owner))
+        self.endpoint.silent = True
+        links = owner._links
+        links._owner_since -= TAKE_OVER_WAIT_S
+        self.assertTrue(links.is_blocked)
+        links.by_id[EndpointId("e1")].lease_end = time.monotonic()
+        self.assertFalse(links.is_blocked)
--- a/tests/ownership/test_hand_over.py
+++ b/tests/ownership/test_hand_over.py
@@ -23,12 +23,17 @@
 
 
 class Listener:
-    """Records gained and lost shards, and whether the key was still this host's at the loss."""
+    """Records gained and lost shards, and whether the key was still this host's at the loss.
+
+    :ivar rights: at each loss, whether the host still held the shard and might give orders for it.
+    """
 
     def __init__(self, kv: FakeKeyValue) -> None:
         self.tokens_by_shard: dict[Shard, Revision] = {}
         self.flushes: list[bool] = []
         self.was_own: list[bool] = []
+        self.rights: list[tuple[bool, bool]] = []
+        self.ownership: Ownership | None = None
         self._kv = kv
 
     def on_gained(self, shard: Shard, token: Revision) -> None:
@@ -39,6 +44,8 @@
         item = self._kv.items_by_key.get(f"m/o/{shard}")
         self.flushes.append(flush)
         self.was_own.append(item is not None and item.revision == token)
+        if self.ownership is not None:
+            self.rights.append((self.ownership.holds(shard), self.ownership.may_order(shard)))
 
 
 class Host:
@@ -81,6 +88,7 @@
         ownership.start()
         self.addCleanup(ownership.close)
         self.assertTrue(eventually(lambda: ownership.registered))
+        listener.ownership = ownership
         host = Host(ownership, listener)
         self.hosts.append(host)
         return host
@@ -143,6 +151,14 @@
         self.assertEqual([True], weak.listener.flushes)
         self.assertEqual([True], weak.listener.was_own)
 
+    def test_an_owner_that_hands_over_holds_its_shard_until_it_has_stopped(self) -> None:
+        """Guards against run leases that lapse since an owner that stores its progress for a
+        hand-over has no right to renew them."""
+        weak, strong = self.owner("h1", strength=0.5), self.host("h2", strength=2.0)
+        self.assertTrue(self.moves(weak, strong))
+        self.assertEqual([(True, False)], weak.listener.rights)
+        self.assertFalse(weak.ownership.holds(NOTICES))
+
     def test_a_hand_over_without_an_answer_leaves_one_owner(self) -> None:
         """A shard had no owner, or two, after the answer to its hand-over was lost."""
         for lose in (lose_answer, lose_request):
