Owners: a long-running task counts as at work only by a recent report

Cause: the budget of a stop was counted from the last report of each run, however old. An owner that polls late, or whose endpoints fell silent, took tasks for working whose lease had lapsed since, and stopped others beside them.

Change: each run keeps the time of its report on the endpoint's clock; after 1.6 s, twice the wait of a poll, it counts as away. A late owner thus stops nothing that could exceed a budget.

Evidence: test_a_task_whose_report_is_old_is_away fails with the age left out ([] != [an order]).

--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -216,6 +216,7 @@
         if running.percent != run.percent:
             run.progressed_at = link.reported_at
         run.percent, run.load = running.percent, running.load
+        run.reported_at = link.reported_at
         if running.checkpoint:
             run.task.checkpoint = running.checkpoint
         if run.phase is RunPhase.ORDERED:
--- a/src/lentilrill/execution/_release.py
+++ b/src/lentilrill/execution/_release.py
@@ -35,7 +35,7 @@
             continue
         spec = run.task.step.spec
         if spec.lasting:
-            away = away_tasks(run.task)
+            away = away_tasks(run.task, now)
             if spec.may_be_away and away >= spec.may_be_away:
                 reason = f"{away} tasks beside {run.task.id} are not working"
                 continue
@@ -53,8 +53,8 @@
             link.released = False
 
 
-def away_tasks(task: TrackedTask) -> int:
-    """Return how many other tasks of a long-running step are not working, for any cause.
+def away_tasks(task: TrackedTask, now: float) -> int:
+    """Return how many other tasks of a long-running step are not known to work, for any cause.
 
     Counting only tasks stopped by a release would let two owners exceed the budget: one stops a
     task and hands the pool over, and the next one can't tell why the task does not run.
@@ -62,7 +62,7 @@
     return sum(
         1
         for other in task.step.tasks
-        if other is not task and not any(run.at_work for run in other.runs)
+        if other is not task and not any(run.is_at_work(now) for run in other.runs)
     )
 
 
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -20,6 +20,10 @@
 
 __all__ = ["Run", "RunPhase", "TrackedJob", "TrackedStep", "TrackedTask"]
 
+MAX_REPORT_AGE_S = 1.6
+"""Age of an endpoint's report of a run up to which the run counts as at work: twice the wait of a
+poll."""
+
 
 class RunPhase(Enum):
     """Phase of a run, as last reported to the owner."""
@@ -36,6 +40,7 @@
     :ivar started_at: when the endpoint executed the start order; ``None`` for an adopted run and
         for one that resumes from a checkpoint, since their durations are not representative.
     :ivar progressed_at: time of the last observed progress, derived from the endpoint's clock.
+    :ivar reported_at: when its endpoint last reported it, derived from the endpoint's clock.
     :ivar expires_ms: expiry of the lease in its start order, on the endpoint's clock. Resent
         start orders carry the same expiry, so that none can be executed after it.
     :ivar placed_at: when the run was placed.
@@ -57,6 +62,7 @@
         "phase",
         "placed_at",
         "progressed_at",
+        "reported_at",
         "reserved",
         "send_count",
         "started_at",
@@ -71,7 +77,7 @@
         self.endpoint = endpoint
         self.reserved = reserved
         self.phase = RunPhase.ORDERED
-        self.placed_at = self.progressed_at = time.monotonic()
+        self.placed_at = self.progressed_at = self.reported_at = time.monotonic()
         self.send_count = 0
         self.confirmed_at: float | None = None
         self.started_at: float | None = None
@@ -91,13 +97,16 @@
         """Whether its start order has not been sent yet."""
         return self.phase is RunPhase.ORDERED and not self.send_count
 
-    @property
-    def at_work(self) -> bool:
-        """Whether the run has started up and is not being stopped.
+    def is_at_work(self, now: float) -> bool:
+        """Whether the run has started up and is not being stopped, by a recent report.
+
+        An endpoint reports a run that is being stopped as working until it has ended. An older
+        report proves nothing: the owner or the endpoint is late, and the run may have ended since.
 
-        An endpoint reports a run that is being stopped as working until it has ended.
+        :param now: the monotonic clock.
         """
-        return self.phase is RunPhase.IN_PROGRESS and self.percent >= 100
+        is_recent = now - self.reported_at <= MAX_REPORT_AGE_S
+        return is_recent and self.phase is RunPhase.IN_PROGRESS and self.percent >= 100
 
 
 class TrackedTask:
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -13,7 +13,7 @@
 from lentilrill.execution._reconcile import UNKNOWN_RUN_GRACE_S, Reconciler
 from lentilrill.execution._release import release
 from lentilrill.execution._tickets import TicketCache
-from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
+from lentilrill.execution._tracking import MAX_REPORT_AGE_S, Run, RunPhase, TrackedJob
 from lentilrill.execution._wait_times import WaitCause
 from lentilrill.ids import JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
@@ -237,6 +237,20 @@
         )
         self.assertEqual([], release(self.link, time.monotonic())[2])
 
+    def test_a_task_whose_report_is_old_is_away(self) -> None:
+        """Guards against exceeding the budget when an owner that reads late stops a task, while
+        others have ended since their last report."""
+        tracked_job = self.add(a_step(2, lasting=True, may_be_away=1))
+        drained, other = self.run_of(tracked_job), self.run_of(tracked_job, 1)
+        for run in (drained, other):
+            run.percent = 100
+        del self.link.runs_by_key[other.key]  # on another endpoint
+        now = time.monotonic()
+        other.reported_at = now - 2 * MAX_REPORT_AGE_S
+        self.assertEqual([], release(self.link, now)[2])
+        other.reported_at = now
+        self.assertEqual(1, len(release(self.link, now)[2]))
+
     def test_an_empty_endpoint_is_free_and_gets_nothing_new(self) -> None:
         self.assertEqual(ReleaseState.FREE, release(self.link, time.monotonic())[0])
         self.add(a_step(1))
