Moves: no host is moved by an answer that has expired

Cause: a pool's owner keeps an endpoint free for 3 s after the last request, so an answer counts for 1.5 s. Waves look at its age before each order, moves did not: since a round's orders go twelve at a time, each with a timeout of 1 s, the last of a large surge could go out seconds later, when the endpoint had tasks again.

Change: the age is looked at before each order of a move too; such a move waits for the next round's answer. Moves from standby, which drain nothing, go out as before.

Evidence: test_no_host_is_moved_by_an_expired_answer, before: 3 orders instead of 2.

--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -19,7 +19,7 @@
 )
 from lentilrill.telemetry import Event, log
 from lentilrill.upkeep._contract import HostCalls, HostOrderResult, HostRow, HostState
-from lentilrill.upkeep._draining import EndpointDrainer
+from lentilrill.upkeep._draining import ANSWER_VALID_S, EndpointDrainer
 from lentilrill.upkeep._orders import HostOrders
 from lentilrill.workloads import PoolEntry
 
@@ -51,9 +51,11 @@
         on_fenced: Callable[[str], None],
         may_order: Callable[[], bool],
         orders: HostOrders,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._hosts = hosts
         self._orders = orders
+        self._clock = clock
         self._drainer = drainer
         self._process = process
         self._token = token
@@ -76,7 +78,7 @@
         standby = [pool.id for pool in self._pools() if pool.standby]
         if not standby:
             return
-        now = time.monotonic()
+        now = self._clock()
         unavailable = busy | set(self._started_by_host)
         active_pools = [pool.id for pool in self._pools() if not pool.standby]
         min_hosts_by_pool = self._min_hosts_by_pool(active_pools, rows, now)
@@ -94,11 +96,11 @@
         self._log_targets(needs, standby_hosts)
         for move in plan_moves(needs, standby[0], standby_hosts):
             self._started_by_host[move.host.id] = (move, now)
-        self._drain_requested_at = time.monotonic()
+        self._drain_requested_at = self._clock()
         ready = [
             move
             for host, (move, started_at) in list(self._started_by_host.items())
-            if self._is_ready(host, move, started_at, now, rows.get(host), move.source in standby)
+            if self._is_ready(host, move, started_at, now, rows.get(host))
         ]
         for move, answer in self._orders.send(ready, self._send_order):
             self._on_order_answer(move, answer)
@@ -209,24 +211,29 @@
         started_at: float,
         now: float,
         row: HostRow | None,
-        is_in_standby: bool,
     ) -> bool:
         """Return whether the order for a move can be sent now; drop a move that can't complete."""
         if row is None or row.pool != move.source or row.state is not HostState.UP:
             del self._started_by_host[host]
             return False
         is_free, reason = True, ""
-        if not is_in_standby:
+        if not self._is_in_standby(move):
             is_free, reason = self._drainer.request_drain(move.source, move.host.endpoint)
         if not is_free and now - started_at > DRAIN_TIMEOUT_S:
             log(Event.HOST_WAITS, host=host, reason=reason, given_up=True)
             del self._started_by_host[host]
         return is_free
 
+    def _is_in_standby(self, move: Move) -> bool:
+        return any(pool.standby and pool.id == move.source for pool in self._pools())
+
     def _send_order(self, move: Move) -> HostOrderResult | None:
         # On a slow entry host a round takes long: the lease may have ended since it began.
         if not self._may_order():
             return None
+        answer_age_s = self._clock() - self._drain_requested_at
+        if answer_age_s > ANSWER_VALID_S and not self._is_in_standby(move):
+            return None
         return self._hosts.move(move.host.id, move.target, self._process, int(self._token))
 
     def _on_order_answer(self, move: Move, answer: HostOrderResult) -> None:
@@ -237,7 +244,7 @@
             source=move.source,
             target=move.target,
             answer=answer.value,
-            drain_age_s=round(time.monotonic() - self._drain_requested_at, 2),
+            drain_age_s=round(self._clock() - self._drain_requested_at, 2),
         )
         if answer is HostOrderResult.FENCED:
             self._on_fenced(f"host {host} has accepted a newer owner of the fleet")
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -59,6 +59,7 @@
 
     def move(self, host: HostId, pool: PoolId, holder: ProcessId, token: int) -> HostOrderResult:
         self.orders.append((host, pool))
+        self.on_order()
         return self.answer
 
     def upkeep(self, host: HostId, wave: int, holder: ProcessId, token: int) -> HostOrderResult:
@@ -267,6 +268,8 @@
         super().setUp()
         self.hosts = Hosts()
         self.need = 0.5
+        self.idle: tuple[EndpointId, ...] = ()
+        self.now = 0.0
         self.orders_until_lease_end = 1000
         peers = Peers()
         drainer = EndpointDrainer(peers, lambda pool: "10.0.0.1:1")
@@ -280,12 +283,16 @@
             PROCESS,
             Revision(5),
             lambda: (PoolEntry(NOTICES), PoolEntry(STANDBY, standby=True)),
-            lambda pool: PoolPressure(NOTICES, 0.0, {}, 1, self.need, 2, ()),
+            lambda pool: PoolPressure(NOTICES, 0.0, {}, 1, self.need, 2, self.idle),
             lambda reason: None,
             lambda: len(self.hosts.orders) < self.orders_until_lease_end,
             HostOrders(1000.0, max_concurrent=1),
+            lambda: self.now,
         )
 
+    def advance_clock(self, seconds: float) -> None:
+        self.now += seconds
+
     def test_no_host_is_moved_after_the_lease_ended(self) -> None:
         """A slow owner of the fleet kept sending orders of its round after the next owner had
         started."""
@@ -294,6 +301,22 @@
         self.mover.run_round(self.rows, set())
         self.assertEqual(1, len(self.hosts.orders))
 
+    def test_no_host_is_moved_by_an_expired_answer(self) -> None:
+        """Guards against tasks that end with their host: the platform answers slowly, and the
+        endpoints of the last orders of a round get tasks again before their order is sent."""
+        names = [f"n{number}" for number in range(6)]
+        self.rows |= {HostId(name): a_row(name) for name in names}
+        self.idle = tuple(EndpointId(f"i-{name}") for name in names)
+        for _ in range(12):
+            self.mover.run_round(self.rows, set())
+            self.advance_clock(0.3)
+        allowed = len(self.hosts.orders)
+        self.assertGreater(allowed, 1)
+        self.hosts.orders.clear()
+        self.hosts.on_order = lambda: self.advance_clock(1.0)
+        self.mover.run_round(self.rows, set())
+        self.assertEqual(2, len(self.hosts.orders))
+
     def test_hosts_come_from_standby_when_work_grows(self) -> None:
         self.need = 3.5
         self.mover.run_round(self.rows, set())
