Moves: a move whose order got no answer isn't given up

What callers would see: tasks that end with their host.

Cause: a move that had not succeeded after 3 s was dropped, also when its order had got no answer. Its endpoint got tasks again 3 s after the last request to drain it, and the platform may carry such an order out seconds later.

Change: such a move goes on, its endpoint stays drained, and the order is sent again until it is answered.

Evidence: test_a_move_whose_order_got_no_answer_is_not_given_up failed before: nothing was requested any more.

--- a/src/lentilrill/upkeep/_moves.py
+++ b/src/lentilrill/upkeep/_moves.py
@@ -66,6 +66,8 @@
         self._recent_targets_by_pool: dict[PoolId, deque[tuple[float, int]]] = {}
         self._below_min_since: dict[PoolId, float] = {}
         self._started_by_host: dict[HostId, tuple[Move, float]] = {}
+        self._unanswered: set[HostId] = set()
+        """Hosts whose last order got no answer; it may still be carried out."""
         self._logged_target_by_pool: dict[PoolId, int] = {}
         self._surges = SurgeTracker()
         self._drain_requested_at = 0.0
@@ -214,16 +216,21 @@
     ) -> bool:
         """Return whether the order for a move can be sent now; drop a move that can't complete."""
         if row is None or row.pool != move.source or row.state is not HostState.UP:
-            del self._started_by_host[host]
+            self._drop(host)
             return False
         is_free, reason = True, ""
         if not self._is_in_standby(move):
             is_free, reason = self._drainer.request_drain(move.source, move.host.endpoint)
-        if not is_free and now - started_at > DRAIN_TIMEOUT_S:
+        is_overdue = now - started_at > DRAIN_TIMEOUT_S
+        if not is_free and is_overdue and host not in self._unanswered:
             log(Event.HOST_WAITS, host=host, reason=reason, given_up=True)
-            del self._started_by_host[host]
+            self._drop(host)
         return is_free
 
+    def _drop(self, host: HostId) -> None:
+        del self._started_by_host[host]
+        self._unanswered.discard(host)
+
     def _is_in_standby(self, move: Move) -> bool:
         return any(pool.standby and pool.id == move.source for pool in self._pools())
 
@@ -248,8 +255,10 @@
         )
         if answer is HostOrderResult.FENCED:
             self._on_fenced(f"host {host} has accepted a newer owner of the fleet")
-        if answer not in (HostOrderResult.LATER, HostOrderResult.UNKNOWN):
-            del self._started_by_host[host]
+        if answer is HostOrderResult.UNKNOWN:
+            self._unanswered.add(host)
+        elif answer is not HostOrderResult.LATER:
+            self._drop(host)
 
 
 def _hosts_of(rows: list[HostRow], endpoints: tuple[EndpointId, ...]) -> tuple[MovableHost, ...]:
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -271,9 +271,9 @@
         self.idle: tuple[EndpointId, ...] = ()
         self.now = 0.0
         self.orders_until_lease_end = 1000
-        peers = Peers()
-        drainer = EndpointDrainer(peers, lambda pool: "10.0.0.1:1")
-        peers.drainer = drainer
+        self.peers = Peers()
+        drainer = EndpointDrainer(self.peers, lambda pool: "10.0.0.1:1")
+        self.peers.drainer = drainer
         self.rows = {HostId(f"n{n}"): a_row(f"n{n}") for n in range(2)} | {
             HostId(f"s{n}"): a_row(f"s{n}", STANDBY) for n in range(4)
         }
@@ -307,9 +307,7 @@
         names = [f"n{number}" for number in range(6)]
         self.rows |= {HostId(name): a_row(name) for name in names}
         self.idle = tuple(EndpointId(f"i-{name}") for name in names)
-        for _ in range(12):
-            self.mover.run_round(self.rows, set())
-            self.advance_clock(0.3)
+        self.run_rounds(12)
         allowed = len(self.hosts.orders)
         self.assertGreater(allowed, 1)
         self.hosts.orders.clear()
@@ -317,6 +315,25 @@
         self.mover.run_round(self.rows, set())
         self.assertEqual(2, len(self.hosts.orders))
 
+    def test_a_move_whose_order_got_no_answer_is_not_given_up(self) -> None:
+        """Guards against tasks that end with their host: its move got no answer and was given up,
+        its endpoint got tasks again, and the platform carried the order out late."""
+        self.rows |= {HostId(f"n{number}"): a_row(f"n{number}") for number in range(6)}
+        self.idle = (EndpointId("i-n0"),)
+        self.hosts.answer = HostOrderResult.UNKNOWN
+        self.run_rounds(12)
+        self.assertEqual("n0", self.hosts.orders[0][0])
+        self.peers.answers = False
+        self.run_rounds(20)
+        self.peers.requests.clear()
+        self.run_rounds(1)
+        self.assertEqual(["i-n0"], [request.endpoint for request in self.peers.requests])
+
+    def run_rounds(self, count: int) -> None:
+        for _ in range(count):
+            self.mover.run_round(self.rows, set())
+            self.advance_clock(0.3)
+
     def test_hosts_come_from_standby_when_work_grows(self) -> None:
         self.need = 3.5
         self.mover.run_round(self.rows, set())
