Links: a poll that renews nothing doesn't wait for an end

What callers would see: tasks that lapse at a sound endpoint.

Cause: after an unanswered poll the next one renews nothing, as its endpoint may be lost, and it waited 0.8 s for an end like any other. With the timeout of the unanswered one (1.5 s) and the pauses, 2.5 to 3.3 s passed between two renewals of a lease of 3.4 s.

Change: a poll of an endpoint with runs that renews nothing doesn't wait, so the renewal follows at once.

Evidence: test_a_poll_that_renews_nothing_does_not_wait failed before ({0} != {800}).

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -294,7 +294,12 @@
         # the last lease that it may have received, and renewals would postpone that forever.
         renews = self.reachable and not first and bool(self.runs_by_key)
         expiry = self.new_expiry_ms() if renews else None
-        wait_ms = 0 if first else BUSY_POLL_WAIT_MS if self.runs_by_key else IDLE_POLL_WAIT_MS
+        wait_ms = IDLE_POLL_WAIT_MS
+        if self.runs_by_key:
+            # The renewal that follows must not wait for this poll.
+            wait_ms = BUSY_POLL_WAIT_MS if renews else 0
+        elif first:
+            wait_ms = 0
         sent = time.monotonic()
         result = self._calls.poll(self._owner.token, self.stored_cursor, expiry, wait_ms)
         if self._ended.is_set():
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -42,6 +42,8 @@
     :ivar loses_acknowledgements: acknowledgements are lost.
     :ivar starts: all executed starts, in order.
     :ivar renewals: tokens of the polls that renewed the run lease, in order.
+    :ivar answered_polls: whether each answered poll renewed the lease, and its wait in
+        milliseconds.
     """
 
     def __init__(self) -> None:
@@ -55,6 +57,7 @@
         self.acknowledged = 0
         self.polls = 0
         self.renewals: list[int] = []
+        self.answered_polls: list[tuple[bool, int]] = []
         self._cursor = 0
         self._changed = threading.Condition()
 
@@ -101,6 +104,7 @@
             if token < self.token:
                 return PollResult(Verdict.FENCED)
             self.polls += 1
+            self.answered_polls.append((expires_ms is not None, wait_ms))
             if expires_ms is not None:
                 self.renewals.append(token)
             return PollResult(
--- a/tests/execution/test_lease_renewal.py
+++ b/tests/execution/test_lease_renewal.py
@@ -131,3 +131,18 @@
         self.assertTrue(links.is_blocked)
         links.by_id[EndpointId("e1")].lease_end = time.monotonic()
         self.assertFalse(links.is_blocked)
+
+    def test_a_poll_that_renews_nothing_does_not_wait(self) -> None:
+        """Guards against leases that lapse since the first poll after a lost answer, which renews
+        nothing, waits for an end as long as a usual one."""
+        owner = self.run_job(LASTING)
+        self.assertTrue(self.renewed_by(owner))
+        self.endpoint.silent = True
+        link = owner._links.by_id[EndpointId("e1")]
+        self.assertTrue(eventually(lambda: not link.reachable))
+        self.endpoint.answered_polls.clear()
+        self.endpoint.silent = False
+        self.assertTrue(self.renewed_by(owner))
+        first_renewal = [renews for renews, _ in self.endpoint.answered_polls].index(True)
+        waits_ms = [wait_ms for _, wait_ms in self.endpoint.answered_polls[:first_renewal]]
+        self.assertEqual({0}, set(waits_ms))
