Owners: an endpoint with runs that aren't tracked isn't free

What callers would see: a task that ends with its host. Found on looking for other ways in which a host is taken from under its tasks.

Cause: a request to drain an endpoint was answered 'free' if no tracked run was on it, though its last report listed runs that the owner doesn't track.

Evidence: test_an_endpoint_with_an_unknown_run_is_not_free failed before ('wait' != 'free').

--- a/src/lentilrill/execution/_release.py
+++ b/src/lentilrill/execution/_release.py
@@ -24,6 +24,8 @@
         link.released = True
         link.release_started_at = now
     link.release_requested_at = now
+    if link.unknown_since_by_key:
+        return ReleaseState.WAIT, "the endpoint runs tasks that are not tracked", []
     if not link.runs_by_key:
         return ReleaseState.FREE, "", []
     if not link.reachable:
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -18,7 +18,7 @@
 from lentilrill.ids import JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.scheduling import JobTiming
-from lentilrill.workloads import JobState, Resources, Step
+from lentilrill.workloads import JobState, Resources, Step, TaskId
 from tests.builders import a_job, a_job_timing, a_step, an_endpoint
 from tests.execution.fakes import FakeEndpoint
 
@@ -251,6 +251,15 @@
         other.reported_at = now
         self.assertEqual(1, len(release(self.link, now)[2]))
 
+    def test_an_endpoint_with_an_unknown_run_is_not_free(self) -> None:
+        """Guards against a task that ends with its host, which was given away since the pool's
+        owner didn't track the run."""
+        unknown = ReportedRun(TaskId(JobId("b" * 16), 0, 0, 0), TOKEN * 1000 + 1, "", 100, 0.0)
+        self.poll(running=(unknown,))
+        self.assertEqual(ReleaseState.WAIT, release(self.link, time.monotonic())[0])
+        self.poll()
+        self.assertEqual(ReleaseState.FREE, release(self.link, time.monotonic())[0])
+
     def test_an_empty_endpoint_is_free_and_gets_nothing_new(self) -> None:
         self.assertEqual(ReleaseState.FREE, release(self.link, time.monotonic())[0])
         self.add(a_step(1))
