Owners: a refused copy of a start doesn't stop a run in progress

What callers would see: a working task that is stopped, for long-running ones beyond what may be away. Found on listing every place that stops a task.

Cause: a start without an answer is sent again. If a poll had listed the run meanwhile and an endpoint in trouble refused the copy, the run was taken for doubtful and stopped.

Change: a refusal says nothing about a run that a poll has listed.

Evidence: test_a_refused_copy_of_a_start_does_not_stop_a_run_in_progress failed before (an order to stop is not None).

--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -101,6 +101,9 @@
             # A start is idempotent, and the answer to a resent one also covers the first one.
             run.is_unconfirmed = True
             return order
+        if run.phase is RunPhase.IN_PROGRESS:
+            # A poll has listed the run, so an earlier copy of this order was executed.
+            return None
         log(
             Event.START_REFUSED,
             job=run.task.id.job,
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -201,6 +201,18 @@
         self.poll()
         self.assertTrue(tracked_job.tasks()[0].waiting)
 
+    def test_a_refused_copy_of_a_start_does_not_stop_a_run_in_progress(self) -> None:
+        """Guards against a working task that is stopped since an endpoint in trouble refused a
+        second copy of its start, after a poll had listed the run."""
+        tracked_job = self.add(a_step(1, lasting=True, may_be_away=1))
+        run = self.run_of(tracked_job, confirmed=False)
+        order = Order.for_run(OrderKind.START, run)
+        self.reconciler.apply_answer(self.link, order, Verdict.UNKNOWN)
+        self.poll(running=(ReportedRun(run.task.id, run.number, "", 100, 0.0),))
+        self.assertIsNone(self.reconciler.apply_answer(self.link, order, Verdict.BUSY))
+        self.assertIs(RunPhase.IN_PROGRESS, run.phase)
+        self.assertFalse(tracked_job.tasks()[0].waiting)
+
     def test_a_refused_start_waits_again(self) -> None:
         tracked_job = self.add(a_step(1))
         order = Order.for_run(OrderKind.START, self.run_of(tracked_job, confirmed=False))
