Owners: a run is stuck only by a recent report

What callers would see: a task that has started to work is stopped. Found on listing every place that stops a task.

Cause: whether a run is stuck goes by the endpoint's clock at its last report; an owner that reads late stopped it by a report of seconds ago, though it may have gone on since.

--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -6,7 +6,14 @@
 from lentilrill.execution._need import Durations
 from lentilrill.execution._reconcile import count_failure, is_unhealthy
 from lentilrill.execution._tickets import TicketCache, TicketRequest
-from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedStep, TrackedTask
+from lentilrill.execution._tracking import (
+    MAX_REPORT_AGE_S,
+    Run,
+    RunPhase,
+    TrackedJob,
+    TrackedStep,
+    TrackedTask,
+)
 from lentilrill.execution._wait_times import WaitCause
 from lentilrill.ids import EndpointId
 from lentilrill.scheduling import EndpointCapacity, JobTiming, next_pace, place, sort_key
@@ -204,12 +211,15 @@
             estimate.cpu_s,
         )
 
-    def stop_stuck_runs(self, link: EndpointLink) -> list[Order]:
+    def stop_stuck_runs(self, link: EndpointLink, now: float) -> list[Order]:
         """Return stops of runs without progress, so that their tasks run elsewhere.
 
         An endpoint may answer normally while its tasks hang. Without a stop they would hold their
-        capacity and delay their jobs indefinitely.
+        capacity and delay their jobs indefinitely. An old report proves nothing: the tasks may have
+        progressed since.
         """
+        if now - link.reported_at > MAX_REPORT_AGE_S:
+            return []
         orders = []
         for run in link.runs_by_key.values():
             if (
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -370,7 +370,7 @@
             self._idle.sweep((tracked_job for tracked_job, _ in jobs), view)
             for link in self._links.by_id.values():
                 orders += [(link, order) for order in self._planner.pace_orders(link, now)]
-                orders += [(link, order) for order in self._planner.stop_stuck_runs(link)]
+                orders += [(link, order) for order in self._planner.stop_stuck_runs(link, now)]
         for link, order in orders:
             link.order(order)
         if urgent:
--- a/tests/execution/test_late_reads.py
+++ b/tests/execution/test_late_reads.py
@@ -43,7 +43,7 @@
         """Read a poll that lists the run without progress; return the number of stops."""
         running = ReportedRun(self.run_.task.id, self.run_.number, "", 0, 0.0)
         self.read(PollResult(Verdict.DONE, START_MS + after_ms, 0, (running,)), delay_s)
-        return len(a_planner().stop_stuck_runs(self.link))
+        return len(a_planner().stop_stuck_runs(self.link, self.now))
 
     def test_a_run_whose_poll_is_read_late_is_not_stuck(self) -> None:
         """Guards against a slow owner that stops healthy tasks and counts endpoint failures."""
@@ -54,6 +54,13 @@
         self.assertEqual(0, self.poll_run(after_ms=10, delay_s=0.0))
         self.assertEqual(1, self.poll_run(after_ms=4000, delay_s=0.0))
 
+    def test_a_run_is_not_stuck_by_an_old_report(self) -> None:
+        """Guards against a slow owner that stops a task by a report of seconds ago, though the
+        task has started to work since."""
+        self.assertEqual(0, self.poll_run(after_ms=10, delay_s=0.0))
+        self.assertEqual(0, self.poll_run(after_ms=4000, delay_s=DELAY_S))
+        self.assertEqual(1, self.poll_run(after_ms=9000, delay_s=0.0))
+
     def test_the_delay_of_an_owner_is_not_counted_as_task_duration(self) -> None:
         """Guards against a slow owner that overestimates durations and requests more hosts."""
         end = RunEnd(1, self.run_.task.id, self.run_.number, EndKind.DONE, "")
@@ -76,7 +83,7 @@
         self.read(PollResult(Verdict.DONE, START_MS + 3000, 0, (running,)), delay_s=0.0)
         order = Order.for_run(OrderKind.START, run)
         self.reconciler.apply_answer(self.link, order, Verdict.DONE, START_MS)
-        a_planner().stop_stuck_runs(self.link)
+        a_planner().stop_stuck_runs(self.link, self.now)
         self.assertIs(RunPhase.IN_PROGRESS, run.phase)
 
     def test_a_slow_clock_is_followed(self) -> None:
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -508,12 +508,12 @@
         """Guards against a job that never ends as its tasks hang on an answering endpoint."""
         run = self.run_of(self.add(a_step(1)))
         planner = a_planner()
-        self.assertEqual([], planner.stop_stuck_runs(self.link))
+        self.assertEqual([], planner.stop_stuck_runs(self.link, time.monotonic()))
         run.progressed_at = run.confirmed_at = self.link.answered_at - 2.0
-        [stop] = planner.stop_stuck_runs(self.link)
+        [stop] = planner.stop_stuck_runs(self.link, time.monotonic())
         self.assertIs(OrderKind.STOP, stop.kind)
         self.assertIn(self.link.entry.id, run.task.failed_on)
-        self.assertEqual([], planner.stop_stuck_runs(self.link))
+        self.assertEqual([], planner.stop_stuck_runs(self.link, time.monotonic()))
 
     def test_an_endpoint_that_keeps_failing_is_probed_less_and_less_often(self) -> None:
         tracked_job = self.add(a_step(9))
