Fleet: a cancelled withdrawal counts in the check of a round's budgets

Cause: the check after planning counted the withdrawals of a round, not what the round returns in the same commit.

Change: a cancelled withdrawal of a host that can serve at once makes up for one that comes after it. Actions that are dropped for another violation are left out of the count, since they are not written.

--- a/src/lentilrill/fleet/_host_actions.py
+++ b/src/lentilrill/fleet/_host_actions.py
@@ -9,7 +9,7 @@
 from lentilrill.ids import PoolId
 from lentilrill.store import HostState
 
-__all__ = ["host_actions"]
+__all__ = ["condition_once_recalled", "host_actions"]
 
 
 def host_actions(fleet: FleetState) -> Iterator[Action]:
@@ -134,10 +134,13 @@
         fleet.states_by_pool[PoolId(entry.target or "")].incoming -= 1
         pool_state.retained += 1
     pool_state.recalled.add(entry.id)
+    pool_state.set_condition(entry.id, condition_once_recalled(fleet, entry))
+
+
+def condition_once_recalled(fleet: FleetState, entry: HostEntry) -> HostCondition:
+    """Return the condition of a withdrawing host once its withdrawal is cancelled."""
     healthy = _can_serve(fleet, entry) and entry.id not in fleet.snapshot.ejected
-    pool_state.set_condition(
-        entry.id, HostCondition.AVAILABLE if healthy else HostCondition.UNHEALTHY
-    )
+    return HostCondition.AVAILABLE if healthy else HostCondition.UNHEALTHY
 
 
 _ACTION_PLANNERS = {
--- a/src/lentilrill/fleet/_planner.py
+++ b/src/lentilrill/fleet/_planner.py
@@ -2,10 +2,11 @@
 
 import msgspec
 
-from lentilrill.fleet._actions import Action, Withdraw
+from lentilrill.fleet._actions import Action, Return, Withdraw
 from lentilrill.fleet._fleet_state import FleetSnapshot, FleetState, PlanningHistory
-from lentilrill.fleet._host_actions import host_actions
+from lentilrill.fleet._host_actions import condition_once_recalled, host_actions
 from lentilrill.fleet._lending import assignments, loans
+from lentilrill.fleet._pool_state import HostCondition
 from lentilrill.fleet._waves import StopDelay, stop_withdrawals
 from lentilrill.ids import HostId, PoolId
 
@@ -47,14 +48,18 @@
 ) -> dict[HostId, PoolId]:
     """Return the withdrawals of serving hosts that would overspend a pool's budget.
 
-    Counts from the snapshot again, independently of the counts of the planner.
+    Counts from the snapshot again, independently of the counts of the planner. A withdrawal that
+    ``actions`` cancel before makes up for one: all actions of a pool are written together.
     """
     overspending: dict[HostId, PoolId] = {}
-    withdrawals = [action for action in actions if isinstance(action, Withdraw)]
-    if not withdrawals:
+    if not any(isinstance(action, Withdraw) for action in actions):
         return overspending
     fleet = FleetState(snapshot, PlanningHistory())
-    for action in withdrawals:
+    for action in actions:
+        if isinstance(action, Return):
+            _count_return(fleet, action)
+        if not isinstance(action, Withdraw):
+            continue
         pool_state = fleet.states_by_pool[action.pool]
         if not pool_state.is_available(action.host):
             continue
@@ -63,3 +68,11 @@
         else:
             pool_state.count_withdrawal(action.host, returns=False)
     return overspending
+
+
+def _count_return(fleet: FleetState, action: Return) -> None:
+    """Count a host whose withdrawal is cancelled; one that has stopped can't serve at once."""
+    pool_state = fleet.states_by_pool[action.pool]
+    if pool_state.condition_by_id[action.host] is HostCondition.WITHDRAWING:
+        entry = pool_state.entries_by_id[action.host]
+        pool_state.set_condition(action.host, condition_once_recalled(fleet, entry))
--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -213,7 +213,9 @@
         fleet = decision.fleet
         counts = Counter(action.host for action in decision.actions)
         repeated = {host for host, count in counts.items() if count > 1}
-        overspending = overspending_withdrawals(fleet.snapshot, decision.actions)
+        invalid = set(fleet.duplicates) | repeated
+        valid = tuple(action for action in decision.actions if action.host not in invalid)
+        overspending = overspending_withdrawals(fleet.snapshot, valid)
         for what, hosts in (
             ("host in two records", set(fleet.duplicates)),
             ("two steps of one host", repeated),
@@ -222,8 +224,7 @@
             for host in sorted(hosts):
                 self._metrics.incr("fleet.invariant")
                 log(Event.FLEET_INVARIANT, what=what, host=host)
-        blocked = overspending.keys() | set(fleet.duplicates) | repeated
-        return [action for action in decision.actions if action.host not in blocked]
+        return [action for action in valid if action.host not in overspending]
 
     def _log_waiting(self, decision: Decision) -> None:
         reasons = {(w.stop, w.pool): w.reason for w in decision.waiting}
--- a/tests/fleet/test_budgets.py
+++ b/tests/fleet/test_budgets.py
@@ -187,6 +187,27 @@
         )
         self.assertEqual({}, _planner.overspending_withdrawals(snapshot, actions))
 
+    def test_only_a_host_that_serves_at_once_makes_up_for_one_that_leaves(self) -> None:
+        """Guards against a budget that is overspent for a returned host which can't serve yet."""
+        infos = [HostInfo(HostId(h), f"{h}:1", ZoneId("z1"), RackId("r1")) for h in ("h0", "h1")]
+        entries = [HostEntry(i.id, i.address, i.zone, i.rack) for i in infos]
+        away = msgspec.structs.replace(entries[0], phase=WITHDRAWING, target=PoolId("more"))
+        desk = PoolId("desk")
+        records = {desk: PoolRecord(desk, (away, entries[1])), PoolId("more"): PoolRecord("more")}
+        document = Document(
+            (a_plan("desk", hosts_owed=1, availability_budget=0),), (a_pool("desk"),)
+        )
+        snapshot = FleetSnapshot(document, records, HostListing(tuple(infos), 1000.0), 1000.0)
+        back, leave = Return(away.id, desk, ""), Withdraw(entries[1].id, desk, "")
+        overspending = _planner.overspending_withdrawals
+        self.assertEqual({}, overspending(snapshot, (back, leave)))
+        self.assertEqual({"h1": "desk"}, overspending(snapshot, (leave, back)))
+        ejected = msgspec.structs.replace(snapshot, ejected=frozenset({away.id}))
+        self.assertEqual({"h1": "desk"}, overspending(ejected, (back, leave)))
+        stopped = msgspec.structs.replace(away, phase=STOPPED, target=None)
+        records[desk] = PoolRecord(desk, (stopped, entries[1]))
+        self.assertEqual({"h1": "desk"}, overspending(snapshot, (back, leave)))
+
     def test_plans_confined_to_a_zone_keep_their_hosts_there(self) -> None:
         plan = a_plan("ballots", hosts_owed=2, availability_budget=1)
         world = World(
