Waves: a wave whose hosts are all done is completed by the next owner

What operators saw: a wave shown as running for good.

Change: loading concludes nothing from the record; the next round writes the state, once for each owner of the fleet.

Evidence: test_a_wave_that_was_done_but_not_shown_so_is_completed_by_the_next_owner failed before (b'completed' != b'running').

--- a/src/lentilrill/upkeep/_waves.py
+++ b/src/lentilrill/upkeep/_waves.py
@@ -150,10 +150,10 @@
             stored = msgspec.json.decode(item.value, type=dict[HostId, _StoredHost])
             self._running.add(number)
             hosts = self._hosts_by_wave.setdefault(number, {})
+            # A wave whose hosts are all done is completed by the next round: the previous owner may
+            # have ended before it wrote that state.
             for host, (stage, endpoint) in stored.items():
                 hosts[host] = _HostInWave(stage, endpoint)
-            if stored and all(stage is Stage.DONE for stage, _ in stored.values()):
-                self._completed.add(number)
         return True
 
     def run_round(self, rows: dict[HostId, HostRow]) -> None:
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -262,6 +262,18 @@
         self.assertEqual(b"completed", self.kv.items_by_key["status/wave/1"].value)
         self.assertEqual([], waves.open_waves)
 
+    def test_a_wave_that_was_done_but_not_shown_so_is_completed_by_the_next_owner(self) -> None:
+        """Guards against a wave that is shown as running for good since its owner was lost between
+        storing its last host as done and writing that the wave is completed."""
+        waves = self.owner(max_down=3)
+        self.run_rounds(waves, 2)
+        for state in (HostState.UPKEEP, HostState.UP):
+            self.rows = {name: a_row(name, state=state) for name in self.names}
+            self.run_rounds(waves, 1)
+        self.kv.put("status/wave/1", b"running")
+        self.run_rounds(self.owner(), 1)
+        self.assertEqual(b"completed", self.kv.items_by_key["status/wave/1"].value)
+
 
 class MoverTest(TestCase):
     def setUp(self) -> None:
