Links: an endpoint that is gone leaves the list after a failed write

What callers saw: after a take-over, jobs waited up to 5.5 s for an endpoint that was gone long ago.

Change: what is to be removed is derived from the list, the links and the registered endpoints, not from the links closed in this round.

Evidence: test_an_endpoint_that_is_gone_leaves_the_list_after_a_failed_write failed before.

--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -94,8 +94,15 @@
                 link.close()
                 del self.by_id[link.entry.id]
                 self.unpolled.discard(link.entry.id)
-        gone_ids = [link.entry.id for link in gone]
-        if (new or gone) and not self._endpoint_list.write(new, gone_ids):
+        # Includes those whose removal was not stored before.
+        gone_ids = [
+            endpoint
+            for endpoint in self._endpoint_list.address_by_id
+            if endpoint not in entries
+            and endpoint not in self.by_id
+            and endpoint not in self.unpolled
+        ]
+        if (new or gone_ids) and not self._endpoint_list.write(new, gone_ids):
             return False
         for entry in [*new, *self._previous_entries(entries)]:
             if entry.id in self._endpoint_list.address_by_id:
--- a/tests/execution/test_endpoint_list.py
+++ b/tests/execution/test_endpoint_list.py
@@ -1,13 +1,19 @@
 """Stored list of a pool's endpoints, with writes that are lost, delayed or by another writer."""
 
+import threading
 from collections.abc import Callable
+from unittest.mock import Mock
 
 from returns.result import Result
 from testtools import TestCase
 
 from lentilrill.execution._endpoint_list import EndpointList
-from lentilrill.ids import PoolId
+from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._links import PoolLinks
+from lentilrill.ids import EndpointId, PoolId
+from lentilrill.workloads import EndpointEntry
 from tests.builders import an_endpoint
+from tests.execution.fakes import FakeEndpoint
 from tests.fakes import FakeKeyValue, lose_answer, lose_request
 
 OWNER = "m/o/notices"
@@ -66,3 +72,28 @@
     def test_a_newer_owner_is_reported(self) -> None:
         self.kv.put(OWNER, b"another")
         self.assertFalse(self.endpoint_list.write([an_endpoint("e1")], []))
+
+
+class ClosedLinksTest(TestCase):
+    def test_an_endpoint_that_is_gone_leaves_the_list_after_a_failed_write(self) -> None:
+        """Guards against a take-over that waits for an endpoint that is gone, since the write that
+        removed it from the list failed once."""
+        kv = FakeKeyValue()
+        token = kv.put(OWNER, b"owner")
+        endpoint_list = EndpointList(kv, PoolId("notices"), OWNER, token)
+        links = PoolLinks(PoolId("notices"), endpoint_list, threading.RLock(), a_closed_link)
+        self.assertTrue(links.load())
+        entries = {entry.id: entry for entry in (an_endpoint("e1"), an_endpoint("e2"))}
+        self.assertTrue(links.refresh(entries))
+        del entries[EndpointId("e2")]
+        kv.commits.append(lose_request)
+        for _ in range(2):
+            self.assertTrue(links.refresh(entries))
+        self.assertEqual({"e1"}, set(endpoint_list.address_by_id))
+
+
+def a_closed_link(entry: EndpointEntry) -> EndpointLink:
+    """Return a link that was closed since another instance uses the endpoint's address."""
+    link = EndpointLink(Mock(), entry, FakeEndpoint())
+    link.close()
+    return link
