Store client: an answer that can't be decoded is a fault

What callers would see: an accepted job reported as unknown, or a host that follows the store no more.

Change: msgspec decodes and encodes the values, with its typed error; only a 404 means that a key is absent.

Evidence: test_a_malformed_answer_to_a_read_is_a_fault failed before (a value of '?' was read as b''); test_bytes_are_stored_and_read_as_they_are passes before and after.

--- a/src/lentilrill/platform/_kv.py
+++ b/src/lentilrill/platform/_kv.py
@@ -1,6 +1,5 @@
 """Client of the platform's key-value store."""
 
-import base64
 import threading
 import time
 from collections.abc import Iterator
@@ -67,14 +66,13 @@
 
 class _Item(msgspec.Struct):
     key: str
-    value: str = ""
+    value: bytes = b""
     revision: int = 0
     # A deletion is sent as an item with ``removed`` and without a value.
     removed: bool = False
 
     def to_item(self) -> Item:
-        value = None if self.removed else base64.b64decode(self.value)
-        return Item(self.key, value, Revision(self.revision))
+        return Item(self.key, None if self.removed else self.value, Revision(self.revision))
 
 
 class _Range(msgspec.Struct):
@@ -109,7 +107,7 @@
 
 class _Write(msgspec.Struct, omit_defaults=True):
     key: str
-    value: str
+    value: bytes
     lease: int = 0
 
 
@@ -160,11 +158,10 @@
 
     def get(self, key: str, priority: Priority = Priority.FIRST) -> Result[Item | None, Fault]:
         """Read one item; ``None`` if it is absent."""
-        found = self._get("store.get", f"/kv-key?key={quote(key)}", _Item, priority)
-        if isinstance(found, Failure):
-            absent = found.failure().kind is FaultKind.INVALID
-            return Success(None) if absent else found
-        return Success(found.unwrap().to_item())
+        path = f"/kv-key?key={quote(key)}"
+        absent = _Item(key, removed=True)
+        found = self._get("store.get", path, _Item, priority, absent=absent)
+        return found.map(lambda item: None if item.removed else item.to_item())
 
     def newest(self, prefix: str, priority: Priority = Priority.LATER) -> Result[Revision, Fault]:
         """Return the highest modification revision of a present key below ``prefix``, or 0."""
@@ -286,8 +283,19 @@
         return self._decode(step, status, data, peer, _Lease)
 
     def _get(
-        self, step: str, path: str, kind: type[A], priority: Priority, total_timeout_s: float = 0.0
+        self,
+        step: str,
+        path: str,
+        kind: type[A],
+        priority: Priority,
+        total_timeout_s: float = 0.0,
+        absent: A | None = None,
     ) -> Result[A, Fault]:
+        """Send a read.
+
+        :param absent: result if the store has no such key; ``None`` if that is a fault.
+        """
+
         def attempt(remaining_s: float) -> Result[A, Fault]:
             result = self._transport.request(
                 step,
@@ -301,6 +309,8 @@
             if isinstance(result, Failure):
                 return result
             status, data, peer = result.unwrap()
+            if status == NOT_FOUND and absent is not None:
+                return Success(absent)
             return self._decode(step, status, data, peer, kind)
 
         return self._guard.call(step, Effect.REPEATABLE, priority, attempt)
@@ -363,11 +373,7 @@
 def _encode_txn(compares: tuple[Compare, ...], writes: tuple[Put | DeleteRange, ...]) -> bytes:
     txn = _Txn(
         [_Precondition(compare.key, compare.revision) for compare in compares],
-        [
-            _Write(write.key, base64.b64encode(write.value).decode(), write.lease)
-            for write in writes
-            if isinstance(write, Put)
-        ],
+        [_Write(write.key, write.value, write.lease) for write in writes if isinstance(write, Put)],
         [write.key for write in writes if isinstance(write, DeleteRange)],
     )
     return msgspec.json.encode(txn)
--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from base64 import b64encode
 from collections import deque
 from collections.abc import Callable
 
@@ -67,6 +68,31 @@
         found = self.commit(412, body).unwrap().found
         self.assertEqual((Item("in/notices/j/a", b"x", Revision(5)),), found)
 
+    def test_a_malformed_answer_to_a_read_is_a_fault(self) -> None:
+        """Guards against a thread that ends, or an accepted job that is reported as unknown, since
+        an answer of the store can't be decoded."""
+        item = b'{"key":"in/notices/j/a","value":"%s","revision":5}'
+        for value in (b"?", b"eA=", b"eA==="):
+            self.answers.append((200, item % value))
+            self.assertIsInstance(self.kv.get("in/notices/j/a"), Failure, value)
+            self.answers.append((200, b'{"items":[%s],"at_rev":9}' % (item % value)))
+            self.assertIsInstance(self.kv.read("in/"), Failure, value)
+            self.answers.append((200, b'{"events":[%s],"at_rev":9}' % (item % value)))
+            watch = self.kv.watch("in/", Revision(5))
+            self.addCleanup(watch.close)
+            self.assertIsInstance(next(iter(watch)), Failure, value)
+        self.answers.append((200, b"{"))
+        self.assertIsInstance(self.kv.get("in/notices/j/a"), Failure)
+        self.answers.append((404, b""))
+        self.assertIsNone(self.kv.get("in/notices/j/a").unwrap())
+
+    def test_bytes_are_stored_and_read_as_they_are(self) -> None:
+        value = bytes(range(256))
+        encoded = b64encode(value)
+        self.commit(200, b'{"revision":7}')
+        self.answers.append((200, b'{"key":"a","value":"%s","revision":5}' % encoded))
+        self.assertEqual(Item("a", value, Revision(5)), self.kv.get("a").unwrap())
+
 
 class LostAnswersTest(TestCase):
     def setUp(self) -> None:
