Node: no socket leaks for a malformed address, and the receiver outlives an error

A socket that couldn't connect stayed open, one for each batch; an unexpected error in the receiver ended its thread unseen.

Change: the socket is closed; the receiver logs the error and goes on after 0.1 s.

Evidence: test_a_malformed_address_leaks_no_socket and test_the_receiver_outlives_an_unexpected_error failed before. Not looked at yet: the threads of gossip (heartbeats, watch), which entry hosts don't load.

--- a/src/lentilrill/inner/_node.py
+++ b/src/lentilrill/inner/_node.py
@@ -13,7 +13,7 @@
 from lentilrill.ids import Incarnation, ProcessId
 from lentilrill.inner._codec import MAX_BATCH_BYTES, Batch, Message, decode, encode
 from lentilrill.settings import InnerKeys
-from lentilrill.telemetry import Event, Metrics, NoMetrics, log
+from lentilrill.telemetry import Event, Metrics, NoMetrics, log, run_and_log_errors
 
 __all__ = ["Node"]
 
@@ -24,6 +24,8 @@
 CLOSE_LINGER_MS = 500
 """Time that the last messages have to be sent once a connection is closed."""
 RECEIVE_POLL_MS = 1000
+ERROR_PAUSE_S = 0.1
+"""Pause of the receiver after an unexpected error."""
 PING_INTERVAL_MS = 2000
 PING_TIMEOUT_MS = 4000
 
@@ -149,7 +151,11 @@
             socket.curve_serverkey = self._keys.public.encode()
         own_ip = self._bind_address.rpartition(":")[0]
         same_family = own_ip.startswith("[") == address.startswith("[")
-        socket.connect(f"tcp://{own_ip}:0;{address}" if same_family else f"tcp://{address}")
+        try:
+            socket.connect(f"tcp://{own_ip}:0;{address}" if same_family else f"tcp://{address}")
+        except zmq.ZMQError:
+            socket.close()
+            raise
         return socket
 
     def batch(self, messages: tuple[Message, ...]) -> Batch:
@@ -172,17 +178,21 @@
 
     def _receive(self) -> None:
         while not self._stopping.is_set():
-            if not self._listener.poll(RECEIVE_POLL_MS):
-                continue
-            frames = self._listener.recv_multipart()
-            self.bytes_received += len(frames[-1])
-            result = decode(frames[-1])
-            if isinstance(result, Failure):
-                self.report_dropped("", result.failure().reason)
-            else:
-                self.deliver(result.unwrap())
+            if not run_and_log_errors("inner-receive", self._receive_batch):
+                self._stopping.wait(ERROR_PAUSE_S)
         self._listener.close()
 
+    def _receive_batch(self) -> None:
+        if not self._listener.poll(RECEIVE_POLL_MS):
+            return
+        frames = self._listener.recv_multipart()
+        self.bytes_received += len(frames[-1])
+        result = decode(frames[-1])
+        if isinstance(result, Failure):
+            self.report_dropped("", result.failure().reason)
+        else:
+            self.deliver(result.unwrap())
+
 
 class _Sender(threading.Thread):
     """Thread that sends the messages of all peers, batching those that are queued for one peer.
--- a/tests/inner/test_node.py
+++ b/tests/inner/test_node.py
@@ -2,12 +2,13 @@
 
 import queue
 import threading
+from unittest.mock import patch
 
 import zmq
 from testtools import TestCase
 
 from lentilrill.ids import Incarnation, ProcessId, Revision
-from lentilrill.inner import Heartbeat, Node, _node, encode
+from lentilrill.inner import Heartbeat, Node, _codec, _node, encode
 from lentilrill.settings import InnerKeys
 from tests import builders
 from tests.execution.fakes import eventually
@@ -95,6 +96,38 @@
         node.send(peer.address, Heartbeat(builders.a_member(), Revision(7)))
         self.assertEqual(7, received.get(timeout=WAIT_S).complete_to)
 
+    def test_a_malformed_address_leaks_no_socket(self) -> None:
+        """Guards against a process that runs out of descriptors since a peer's record holds an
+        address that no socket can connect to."""
+        node = self.a_node("one", builders.inner_keys())
+        opened = []
+        open_socket = node.socket
+        node.socket = lambda kind: opened.append(open_socket(kind)) or opened[-1]  # type: ignore
+        for _ in range(3):
+            with self.assertRaises(zmq.ZMQError):
+                node.sender_socket("not an address")
+        self.assertEqual([True] * 3, [socket.closed for socket in opened])
+
+    def test_the_receiver_outlives_an_unexpected_error(self) -> None:
+        """Guards against a process that hears nobody any more since one message raised an error
+        that nobody expected."""
+        node = self.a_node("one", builders.inner_keys())
+        received = self.received_by(node)
+        other = self.a_node("two", node._keys)
+        failed = threading.Event()
+
+        def decode(data: bytes) -> object:
+            if not failed.is_set():
+                failed.set()
+                raise RuntimeError("unexpected")
+            return _codec.decode(data)
+
+        with patch.object(_node, "decode", decode):
+            other.send(node.address, Heartbeat(builders.a_member(), Revision(1)))
+            self.assertTrue(failed.wait(WAIT_S))
+            other.send(node.address, Heartbeat(builders.a_member(), Revision(2)))
+            self.assertEqual(2, received.get(timeout=WAIT_S).complete_to)
+
     def test_an_idle_connection_is_closed_and_opened_again(self) -> None:
         """A process kept a connection open to every host that had ever been at its site."""
         self.patch(_node, "IDLE_TIMEOUT_S", 0.01)
