Settings: an entry host's are checked as a whole

Change: names, addresses and listeners are checked at start and at each reload; all errors are told at once.

Evidence: test_values_of_an_entry_host_that_do_not_go_together failed before (no failure to unwrap).

--- a/src/lentilrill/settings/_loading.py
+++ b/src/lentilrill/settings/_loading.py
@@ -9,7 +9,7 @@
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.settings._decode_errors import path_and_message
 from lentilrill.settings._process import EntrySettings, ProcessSettings
-from lentilrill.settings._process_checks import problems_of
+from lentilrill.settings._process_checks import problems_of, problems_of_entry
 
 __all__ = ["load_settings"]
 
@@ -30,7 +30,10 @@
         return _invalid(path, f"{key_path}: {message}" if key_path else message)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return _invalid(path, f"broken JSON: {error}")
-    problems = problems_of(settings) if isinstance(settings, ProcessSettings) else []
+    if isinstance(settings, EntrySettings):
+        problems = problems_of_entry(settings)
+    else:
+        problems = problems_of(settings)
     return _invalid(path, "; ".join(problems)) if problems else Success(settings)
 
 
--- a/src/lentilrill/settings/_process_checks.py
+++ b/src/lentilrill/settings/_process_checks.py
@@ -6,9 +6,14 @@
 
 import zmq
 
-from lentilrill.settings._process import ControllerSettings, GatewaySettings, ProcessSettings
+from lentilrill.settings._process import (
+    ControllerSettings,
+    EntrySettings,
+    GatewaySettings,
+    ProcessSettings,
+)
 
-__all__ = ["problems_of"]
+__all__ = ["problems_of", "problems_of_entry"]
 
 DIGEST_PATTERN = re.compile(r"[0-9a-fA-F]{64}")
 LOG_LEVELS = ("debug", "info", "warning", "error")
@@ -28,6 +33,32 @@
     return tuple(problem for check in checks for problem in check(settings))
 
 
+def problems_of_entry(settings: EntrySettings) -> tuple[str, ...]:
+    """Return all errors of an entry host's settings, each as ``key.path: message``."""
+    checks = (_check_entry_names, _check_entry_addresses)
+    return tuple(problem for check in checks for problem in check(settings))
+
+
+def _check_entry_names(settings: EntrySettings) -> Problems:
+    for name in ("process", "zone"):
+        if not getattr(settings, name):
+            yield f"{name}: must not be empty"
+
+
+def _check_entry_addresses(settings: EntrySettings) -> Problems:
+    path_by_address: dict[str, str] = {}
+    for path in ("callers", "readiness", "inner", "metrics"):
+        address = getattr(settings, path)
+        yield from _check_address(path, address)
+        if address in path_by_address:
+            yield f"{path}: {address} is also the address of {path_by_address[address]}"
+        path_by_address.setdefault(address, path)
+    yield from _check_address("store.address", settings.store.address)
+    for path in ("hosts_api", "advice"):
+        if getattr(settings, path):
+            yield from _check_address(path, getattr(settings, path))
+
+
 def _check_addresses(settings: ProcessSettings) -> Problems:
     yield from _check_address("inner", settings.inner)
     if settings.inner_listen:
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -12,6 +12,7 @@
 from lentilrill.settings import (
     ControllerSettings,
     EntryHostLimits,
+    EntrySettings,
     GatewaySettings,
     load_settings,
 )
@@ -35,6 +36,12 @@
     return gateway(operator_tokens_sha256={"asha": digest("t")}) | changes
 
 
+def entry(**changes: Any) -> dict[str, Any]:
+    values = {key: an_address() for key in ("callers", "readiness", "inner", "metrics")}
+    store = {"address": an_address()}
+    return values | {"process": "front-1", "zone": "z1", "store": store} | changes
+
+
 class LoadingTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -96,6 +103,23 @@
         for expected, values in cases.items():
             self.assertThat(self.reason(values), StartsWith(expected))
 
+    def test_values_of_an_entry_host_that_do_not_go_together(self) -> None:
+        """Guards against an entry host that starts with settings that can't work, and shows it only
+        by calls that fail for good."""
+        same = an_address()
+        cases = {
+            "process: must not be empty": entry(process=""),
+            "zone: must not be empty": entry(zone=""),
+            "readiness: port": entry(readiness="127.0.0.1:65536"),
+            f"metrics: {same} is also the address of inner": entry(inner=same, metrics=same),
+            "store.address: '999.0.0.1:1'": entry(store={"address": "999.0.0.1:1"}),
+            "hosts_api: 'hosts'": entry(hosts_api="hosts"),
+            "advice: port": entry(advice="127.0.0.1:0"),
+        }
+        self.assertEqual("front-1", self.load(entry(), EntrySettings).unwrap().process)
+        for expected, values in cases.items():
+            self.assertThat(self.reason(values, EntrySettings), StartsWith(expected))
+
     def test_operators_tokens(self) -> None:
         both = {"asha": digest("t"), "ben": digest("t").upper()}
         cases = {
