Links: none is opened once its owner is closed

What operators would see: threads that poll for good on a host that lost a pool while it opened links. Found on reading the renewal of leases at a take-over: it opens all links of the previous owner at a moment when the pool may be lost. Refreshing the links had the same gap.

Change: PoolLinks closes its links itself, and opens none afterwards.

Evidence: test_an_owner_that_is_closed_while_it_loads_leaves_no_link_open fails with the check left out.

--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -47,6 +47,7 @@
         self._lock = lock
         self._connect = connect
         self._owner_since = time.monotonic()
+        self._closed = False
 
     def load(self) -> bool:
         """Read the previous owner's endpoints; return whether they could be read."""
@@ -130,11 +131,21 @@
             if endpoint in self.unpolled and endpoint not in entries and endpoint not in self.by_id
         ]
 
+    def close(self) -> None:
+        """Close all links, and open no further ones."""
+        with self._lock:
+            self._closed = True
+            links = list(self.by_id.values())
+        for link in links:
+            link.close()
+
     def _open(self, entry: EndpointEntry) -> None:
         link = self._connect(entry)
         if entry.id in self.unpolled:
             link.renewed_at = self._owner_since
         with self._lock:
+            if self._closed:
+                return
             self.by_id[entry.id] = link
         link.start()
 
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -152,7 +152,6 @@
             if self._ended.is_set():
                 return
             self._ended.set()
-            links = list(self._links.by_id.values())
             self._changed.notify_all()
         self._senders.close()
         self._follower.close()
@@ -162,8 +161,7 @@
             if flush and self._jobs.loaded:
                 self._writer.flush()
         finally:
-            for link in links:
-                link.close()
+            self._links.close()
 
     def may_order(self) -> bool:
         """Whether orders may be given now."""
--- a/tests/execution/test_lease_renewal.py
+++ b/tests/execution/test_lease_renewal.py
@@ -146,3 +146,15 @@
         first_renewal = [renews for renews, _ in self.endpoint.answered_polls].index(True)
         waits_ms = [wait_ms for _, wait_ms in self.endpoint.answered_polls[:first_renewal]]
         self.assertEqual({0}, set(waits_ms))
+
+    def test_an_owner_that_is_closed_while_it_loads_leaves_no_link_open(self) -> None:
+        """Guards against threads that poll for good since an owner lost its pool just before it
+        opened the links to the previous owner's endpoints."""
+        self.run_job(LASTING).close()
+        self.kv.block("e/")
+        owner = self.pool.take_over()
+        self.assertTrue(self.kv.delayed.wait(10))
+        owner.close()
+        self.kv.release.set()
+        owner._planning_thread.join(10)
+        self.assertEqual({}, owner._links.by_id)
