Numbers in texts from outside are read by one function

Cause: int() raises for thousands of digits and takes signs, underscores and other scripts; five places checked for that in five ways.

Change: numbers.decimal_in reads ASCII digits within bounds. Used for the limit, revisions on the command line and in the revision file, ports in settings, and an answer's length.

Looked at: float() of a Retry-After (no error at any length), Host and Deadline headers (not by int).

--- a/src/lentilrill/ctl/_files.py
+++ b/src/lentilrill/ctl/_files.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from lentilrill.ids import Revision
+from lentilrill.numbers import decimal_in
 from lentilrill.settings import Document, encode_lists
 
 __all__ = ["ListFiles", "UsageError", "read_token"]
@@ -12,6 +13,7 @@
 PLANS_FILE = "plans.json"
 ENTITLEMENTS_FILE = "entitlements.json"
 REVISION_FILE = "revision"
+MAX_REVISION = 2**63 - 1
 
 
 class UsageError(Exception):
@@ -66,9 +68,10 @@
             return Revision(0)
         except (OSError, UnicodeDecodeError) as error:
             raise UsageError(f"{path}: {error}") from error
-        if not (text.isascii() and text.isdigit()):
+        revision = decimal_in(text, 0, MAX_REVISION)
+        if revision is None:
             raise UsageError(f"{path}: not a revision; write the lists anew with config show --to")
-        return Revision(int(text))
+        return Revision(revision)
 
     def write_base(self, revision: Revision) -> None:
         """Write ``revision`` as the revision of the lists.
--- a/src/lentilrill/ctl/_main.py
+++ b/src/lentilrill/ctl/_main.py
@@ -1,6 +1,7 @@
 """The command line: parses arguments and environment, and runs one command."""
 
 import argparse
+import math
 import os
 import sys
 from collections.abc import Sequence
@@ -10,7 +11,8 @@
 from lentilrill.ctl import _generate as generate
 from lentilrill.ctl._client import Client
 from lentilrill.ctl._exit import EXIT_HELP, Exit
-from lentilrill.ctl._files import UsageError, read_token
+from lentilrill.ctl._files import MAX_REVISION, UsageError, read_token
+from lentilrill.numbers import decimal_in
 
 __all__ = ["main"]
 
@@ -18,6 +20,7 @@
 TOKEN_VARIABLE = "LENTILRILL_TOKEN"
 DEFAULT_WAIT_S = 10.0
 DEFAULT_AUDIT_LIMIT = 20
+MAX_AUDIT_LIMIT = 1000
 
 EPILOG = f"""\
 environment:
@@ -91,7 +94,11 @@
     hosts.add_argument("--pool", help="only hosts of this pool")
     audit = _add_command(subjects, "audit", commands.audit, "show who changed what")
     audit.add_argument(
-        "--limit", type=_count, default=DEFAULT_AUDIT_LIMIT, metavar="N", help="newest N edits"
+        "--limit",
+        type=_audit_limit,
+        default=DEFAULT_AUDIT_LIMIT,
+        metavar="N",
+        help="newest N edits",
     )
     _add_generate(subjects)
     return parser
@@ -199,22 +206,25 @@
     command.add_argument("--no-wait", action="store_true", help="return as soon as it is accepted")
 
 
-def _count(text: str) -> int:
-    value = int(text)
-    if not 1 <= value <= 1000:
-        raise argparse.ArgumentTypeError("must be from 1 to 1000")
+def _audit_limit(text: str) -> int:
+    value = decimal_in(text, 1, MAX_AUDIT_LIMIT)
+    if value is None:
+        raise argparse.ArgumentTypeError(f"must be a number from 1 to {MAX_AUDIT_LIMIT}")
     return value
 
 
 def _revision(text: str) -> int:
-    value = int(text)
-    if value < 0:
-        raise argparse.ArgumentTypeError("must not be negative")
+    value = decimal_in(text, 0, MAX_REVISION)
+    if value is None:
+        raise argparse.ArgumentTypeError("must be a revision, a number from 0 on")
     return value
 
 
 def _seconds(text: str) -> float:
-    value = float(text)
-    if not 0 <= value < float("inf"):
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not 0 <= value < math.inf:
         raise argparse.ArgumentTypeError("must be a number of seconds")
     return value
--- a/src/lentilrill/gateway/_exchange.py
+++ b/src/lentilrill/gateway/_exchange.py
@@ -12,12 +12,14 @@
 from lentilrill.gateway._connections import EndpointConnection
 from lentilrill.gateway._limits import CHUNK_BYTES, MAX_BUFFERED_BYTES
 from lentilrill.gateway._request_head import end_to_end_headers
+from lentilrill.numbers import decimal_in
 
 __all__ = ["Exchange", "ExchangeError", "ExchangeTimeoutError", "ResponseHead"]
 
 ENDPOINT_STATE = "endpoint-state"
 LEAVING = "leaving"
 REQUEST_ID = "request-id"
+MAX_CONTENT_LENGTH = 2**63 - 1
 GATEWAY_HEADERS = frozenset(("content-length", ENDPOINT_STATE, REQUEST_ID, "gateway-problem"))
 READ_TIMEOUT_S = 60.0
 """Timeout of one read of a long response body."""
@@ -163,10 +165,10 @@
             raise ExchangeError(f"the answer is for request {answered_request!r}")
         bodiless = method == "HEAD" or response.status in (204, 304)
         chunked = headers.get("transfer-encoding", "").lower() == "chunked"
-        length = headers.get("content-length", "")
+        length = decimal_in(headers.get("content-length", ""), 0, MAX_CONTENT_LENGTH)
         if response.status < 200:
             raise ExchangeError(f"unexpected status {response.status}")
-        if not (bodiless or chunked or length.isdecimal()):
+        if not (bodiless or chunked or length is not None):
             # Without a framing, a truncated body can't be told from a complete one.
             raise ExchangeError("the answer has neither Content-Length nor chunks")
         return ResponseHead(
@@ -175,7 +177,7 @@
                 (name.title(), value.replace("\r", " ").replace("\n", " "))
                 for name, value in _end_to_end(response)
             ],
-            length=int(length) if length.isdecimal() and not chunked else None,
+            length=None if chunked else length,
             bodiless=bodiless,
             leaving=headers.get(ENDPOINT_STATE, "").strip().lower() == LEAVING,
             gateway_problem="gateway-problem" in headers,
--- a/src/lentilrill/operators/_api.py
+++ b/src/lentilrill/operators/_api.py
@@ -9,6 +9,7 @@
 
 from lentilrill.fleet import FleetView
 from lentilrill.ids import Revision, StopId
+from lentilrill.numbers import decimal_in
 from lentilrill.operators._answers import (
     ApplyBody,
     AuditAnswer,
@@ -155,11 +156,12 @@
     def audit(self, request: Request) -> Reply:
         """Return the newest edits."""
         text = request.query.get("limit", str(DEFAULT_AUDIT_LIMIT))
-        if not text.isascii() or not text.isdigit() or not 1 <= int(text) <= MAX_AUDIT_LIMIT:
+        limit = decimal_in(text, 1, MAX_AUDIT_LIMIT)
+        if limit is None:
             detail = f"limit must be a number from 1 to {MAX_AUDIT_LIMIT}"
             return problem(HTTPStatus.BAD_REQUEST, "bad-request", detail)
         read = self._store.head().bind(
-            lambda head: self._audit.newest_edits(head.document.edit, int(text))
+            lambda head: self._audit.newest_edits(head.document.edit, limit)
         )
         if isinstance(read, Failure):
             return fault_problem(read.failure())
--- a/src/lentilrill/settings/_process_checks.py
+++ b/src/lentilrill/settings/_process_checks.py
@@ -6,6 +6,7 @@
 
 import zmq
 
+from lentilrill.numbers import decimal_in
 from lentilrill.settings._process import (
     ControllerSettings,
     EntrySettings,
@@ -85,7 +86,7 @@
     except ValueError:
         yield f"{path}: {address!r} is not an IP address with a port"
         return
-    if not port.isdigit() or not 1 <= int(port) <= MAX_PORT:
+    if decimal_in(port, 1, MAX_PORT) is None:
         yield f"{path}: port of {address!r} is out of range: 1 to {MAX_PORT}"
 
 
--- a/tests/gateway/test_outcomes.py
+++ b/tests/gateway/test_outcomes.py
@@ -170,6 +170,8 @@
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nhalf",
             b"HTTP/1.1 200 OK\r\n\r\nwithout any proved end",
+            b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\nhalf",
+            b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nhalf",
             b"HTTP/1.1 200 OK\r\nContent-Le",
             b"",
             b"garbage\r\n\r\n",
--- a/tests/operators/test_ctl.py
+++ b/tests/operators/test_ctl.py
@@ -205,6 +205,20 @@
         self.assertEqual(1, code)
         self.assertIn("plans[1].hosts_owed", err)
 
+    def test_usage_errors_are_told_in_the_words_of_the_options(self) -> None:
+        """Guards against errors that name the program's functions, or a traceback."""
+        for arguments, words in (
+            (("audit", "--limit", "x"), "must be a number from 1 to 1000"),
+            (("audit", "--limit", "9" * 5000), "must be a number from 1 to 1000"),
+            (("config", "apply", "mine", "--base", "new"), "must be a revision"),
+            (("config", "apply", "mine", "--wait", "soon"), "must be a number of seconds"),
+            (("config", "apply", "mine", "--wait", "nan"), "must be a number of seconds"),
+        ):
+            code, _, err = self.run_ctl(*arguments)
+            self.assertEqual(2, code, arguments)
+            self.assertIn(words, err)
+            self.assertNotIn("_", err.splitlines()[-1][:200])
+
     def test_invalid_files_and_usage(self) -> None:
         mine = self.lists("mine", 2)
         Path(mine, "plans.json").write_text("[{")
--- a/tests/operators/test_server.py
+++ b/tests/operators/test_server.py
@@ -186,7 +186,8 @@
     def test_routes(self) -> None:
         self.assertEqual(404, self.served.send("GET", "/v2/config")[0])
         self.assertEqual(405, self.served.send("POST", "/v1/config")[0])
-        self.assertEqual(400, self.served.send("GET", "/v1/audit?limit=x")[0])
+        for limit in ("x", "0", "1001", "-1", "1_0", "%C2%B2", "9" * 5000):
+            self.assertEqual(400, self.served.send("GET", f"/v1/audit?limit={limit}")[0], limit)
         self.assertEqual(422, self.served.send("DELETE", "/v1/stops/none")[0])
 
     def test_readiness_follows_the_state_and_draining(self) -> None:
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -115,6 +115,7 @@
             "store.address: '999.0.0.1:1'": entry(store={"address": "999.0.0.1:1"}),
             "hosts_api: 'hosts'": entry(hosts_api="hosts"),
             "advice: port": entry(advice="127.0.0.1:0"),
+            "hosts_api: port": entry(hosts_api="127.0.0.1:" + "9" * 5000),
         }
         self.assertEqual("front-1", self.load(entry(), EntrySettings).unwrap().process)
         for expected, values in cases.items():
