Routing: a host that may no longer be ejected is logged

Change: the hosts that a new maximum takes out of ejection are returned up to the scheduler, which logs them.

Evidence: test_a_host_that_may_no_longer_be_ejected_is_logged failed before (called 0 times).

--- a/src/lentilrill/routing/_health.py
+++ b/src/lentilrill/routing/_health.py
@@ -98,10 +98,10 @@
             self._failed(host, record, plan, verdict, now)
         return record.health is not before
 
-    def retain_hosts(self, hosts: set[HostId]) -> bool:
+    def retain_hosts(self, hosts: set[HostId]) -> tuple[HostId, ...]:
         """Remove all hosts except ``hosts``, and reduce the ejected hosts to the maximum.
 
-        :return: whether a host's health changed.
+        :return: the hosts that are no longer ejected, but a last resort.
         """
         for host in self._records_by_host.keys() - hosts:
             del self._records_by_host[host]
@@ -111,7 +111,7 @@
         surplus = self.hosts_with(Health.EJECTED)[max(0, self.max_ejected) :]
         for host in surplus:
             self._records_by_host[host].health = Health.LAST_RESORT
-        return bool(surplus)
+        return surplus
 
     def retain_plans(self, plans: set[PlanId]) -> None:
         """Remove the results of all plans except ``plans``."""
--- a/src/lentilrill/routing/_hosts.py
+++ b/src/lentilrill/routing/_hosts.py
@@ -44,22 +44,32 @@
         self._free = 0
         self._capacity_cache: int | None = None
 
-    def configure(self, slots_by_host: Mapping[HostId, int], max_ejected: int) -> None:
-        """Apply the hosts that serve the pool, and the maximum of ejected hosts."""
+    def configure(
+        self, slots_by_host: Mapping[HostId, int], max_ejected: int
+    ) -> tuple[HostId, ...]:
+        """Apply the hosts that serve the pool, and the maximum of ejected hosts.
+
+        :return: the hosts that are no longer ejected, but a last resort.
+        """
         for host in sorted(self._hosts_by_id.keys() | slots_by_host.keys()):
             self._get_or_add(host).slots = slots_by_host.get(host, 0)
         self._max_slots = max(slots_by_host.values(), default=0)
         self._capacity_cache = None
         self.health.max_ejected = max_ejected
-        self.health.retain_hosts(set(slots_by_host))
+        demoted = self.health.retain_hosts(set(slots_by_host))
         for record in list(self._hosts_by_id.values()):
             self._reindex(record)
             self._drop_if_unused(record)
+        return demoted
+
+    def set_max_ejected(self, max_ejected: int) -> tuple[HostId, ...]:
+        """Change the maximum of ejected hosts.
 
-    def set_max_ejected(self, max_ejected: int) -> None:
-        """Change the maximum of ejected hosts."""
-        if max_ejected != self.health.max_ejected:
-            self.configure({h.id: h.slots for h in self._serving()}, max_ejected)
+        :return: the hosts that are no longer ejected, but a last resort.
+        """
+        if max_ejected == self.health.max_ejected:
+            return ()
+        return self.configure({h.id: h.slots for h in self._serving()}, max_ejected)
 
     @property
     def usable(self) -> bool:
--- a/src/lentilrill/routing/_scheduler.py
+++ b/src/lentilrill/routing/_scheduler.py
@@ -115,7 +115,7 @@
         self._config = config
         self._reserve.configure(config)
         self._admission.configure(config)
-        self.hosts.configure(config.slots_by_host, self._max_ejected())
+        self._log_demoted(self.hosts.configure(config.slots_by_host, self._max_ejected()))
         plans = set(config.limits_by_plan)
         self._shares.retain_plans(plans)
         self._run_times.retain_plans(plans)
@@ -194,7 +194,7 @@
     def on_pool_load(self, load: PoolLoad) -> None:
         """Record the load of the pool in another zone."""
         self._other_zones.update(load, self._clock())
-        self.hosts.set_max_ejected(self._max_ejected())
+        self._log_demoted(self.hosts.set_max_ejected(self._max_ejected()))
 
     def load(self) -> PoolLoad:
         """Return the load of the pool in this zone."""
@@ -313,6 +313,10 @@
             log_health(self.pool, ended.host, self.hosts.health.health(ended.host))
         return self._grant_free([])
 
+    def _log_demoted(self, hosts: tuple[HostId, ...]) -> None:
+        for host in hosts:
+            log_health(self.pool, host, Health.LAST_RESORT)
+
     def _reclaim(self, grant: Grant, reason: str, replies: list[Reply]) -> None:
         process_id = grant.gateway.process
         log(
--- a/tests/routing/test_scheduler_hosts.py
+++ b/tests/routing/test_scheduler_hosts.py
@@ -1,8 +1,12 @@
 """Spilling to other zones and ejection of failing hosts by one pool's scheduler."""
 
+from unittest.mock import patch
+
 from lentilrill.ids import HostId, ZoneId
 from lentilrill.inner import Granted, PoolLoad, Verdict
+from lentilrill.routing import _health
 from lentilrill.routing._pool_config import PlanLimits, PoolConfig
+from lentilrill.telemetry import Event
 from tests.routing.cases import POOL, ZONE, SchedulerCase
 from tests.routing.site import done, grants, refusals
 
@@ -135,6 +139,16 @@
         self.scheduler.on_pool_load(PoolLoad(POOL, ZoneId("z2"), 0, 0.0, 1))
         self.assertEqual(0, self.scheduler.load().ejected)
 
+    def test_a_host_that_may_no_longer_be_ejected_is_logged(self) -> None:
+        """Guards against a failing host that gets jobs again, as the plans allow fewer hosts to be
+        away, without a line that tells why."""
+        self.configure(slots=8, hosts=3, budget=1)
+        self.fail(100)
+        with patch.object(_health, "log") as log:
+            self.scheduler.on_pool_load(PoolLoad(POOL, ZoneId("z2"), 0, 0.0, 1))
+            self.scheduler.on_pool_load(PoolLoad(POOL, ZoneId("z2"), 0, 0.0, 1))
+        log.assert_called_once_with(Event.HOST_EJECTED, pool=POOL, host="h1", health="last")
+
     def test_jobs_that_fail_everywhere_eject_no_host(self) -> None:
         # One plan's jobs fail on every host. If they counted against the hosts, the whole pool
         # would be ejected, although other plans' jobs succeed.
