Routing: a job abandoned before it waits is declined

What callers would see: a slot taken for a caller who is gone.

Change: a job knows whether its caller has disconnected, which is noted before the abandon; that is looked at under the lock under which the wait is registered, so no moment lies between.

Evidence: test_a_job_that_was_abandoned_before_it_waits_is_declined ran into its time limit with the check left out.

--- a/src/lentilrill/gateway/_dispatch.py
+++ b/src/lentilrill/gateway/_dispatch.py
@@ -110,6 +110,7 @@
             answer_by=job.answer_by,
             avoid=tuple(state.avoid),
             spillable=state.spillable,
+            is_abandoned=lambda: caller.disconnected,
         )
         with self._watcher.watching(caller, job.request):
             result = self._slots.acquire(slot_request)
--- a/src/lentilrill/routing/_client.py
+++ b/src/lentilrill/routing/_client.py
@@ -97,7 +97,10 @@
         return Failure(decline(Refusal.NO_HOSTS, self._jittered(NO_HOSTS_RETRY_S)))
 
     def abandon(self, request: RequestId) -> None:
-        """Make a waiting :meth:`acquire` return a decline at once: the caller disconnected."""
+        """Make a waiting :meth:`acquire` return a decline at once: the caller disconnected.
+
+        A request that doesn't wait yet is declined when it begins to, see :class:`Job`.
+        """
         with self._lock:
             waiter = self._waiters_by_request.get(request)
             if waiter is None:
@@ -145,6 +148,10 @@
         with self._lock:
             self._waiters_by_ask[waiter.ask] = waiter
             self._waiters_by_request[job.request] = waiter
+            if job.is_abandoned():
+                self._complete(waiter, Failure(decline(Refusal.TOO_LATE, None)))
+        if waiter.answer is not None:
+            return waiter.answer
         pause_s = ASK_INTERVAL_S
         while True:
             self._send_ask(waiter)
--- a/src/lentilrill/routing/_contract.py
+++ b/src/lentilrill/routing/_contract.py
@@ -1,5 +1,6 @@
 """Interface between the request path and routing: slots to run jobs on."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
@@ -22,6 +23,8 @@
     :param answer_by: monotonic seconds until which it may run; 0 if unknown.
     :param avoid: hosts on which earlier attempts failed.
     :param spillable: whether another zone may run it; false for a job that another zone forwarded.
+    :param is_abandoned: whether its caller has disconnected, which may happen before
+        :meth:`Slots.acquire` begins to wait.
     """
 
     request: RequestId
@@ -32,6 +35,7 @@
     answer_by: float = 0.0
     avoid: tuple[HostId, ...] = ()
     spillable: bool = True
+    is_abandoned: Callable[[], bool] = lambda: False
 
 
 class SlotTarget(Enum):
--- a/tests/routing/test_slots.py
+++ b/tests/routing/test_slots.py
@@ -87,6 +87,19 @@
         one.slots.release(held[0], Verdict.OK, 0.01)
         self.assertIsInstance(self.acquire(one).result(WAIT_S), Success)
 
+    def test_a_job_that_was_abandoned_before_it_waits_is_declined(self) -> None:
+        """Guards against a job that waits until its deadline, and may take a slot, although its
+        caller disconnected just before it began to wait."""
+        one, two = self.others()
+        for _ in range(2):
+            self.acquire(one).result(WAIT_S).unwrap()
+        job = msgspec.structs.replace(a_job(time.monotonic() + 600.0), is_abandoned=lambda: True)
+        two.slots.abandon(job.request)
+        self.assertNotIsInstance(
+            self.threads.submit(two.slots.acquire, job).result(WAIT_S), Success
+        )
+        self.assertEqual(0, two.slots.waiting)
+
     def test_an_answer_between_two_waits_is_not_missed(self) -> None:
         # A membership change wakes a waiting thread, and its answer arrives just before it waits
         # again. If that wake-up were cleared, the caller would wait until the ask is repeated.
