Tests: four checks that checked less than they said

Evidence, on a copy with a wrong percent, no reset of the connection, three writes a commit and the old stand-in: the four new tests fail; of the old ones two pass, and the third hangs until its time limit of 120 s. All pass on the code as it is.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -77,7 +77,7 @@
             for record in self._running.values():
                 record.ended, record.end_kind = time.monotonic(), "gone"
             self._running.clear()
-        self.closed = True
+            self.closed = True
         self._server.close()
 
     def tick(self) -> None:
@@ -111,6 +111,9 @@
             return
         body = msgspec.json.decode(call.body)
         with self._changed:
+            if self.closed:
+                call.disconnect(reset=True)
+                return
             if body["fencing_token"] < self._token:
                 call.answer_json({"clock_ms": self._clock_ms(), "reason": "fence"}, 409)
                 return
--- a/tests/gateway/test_invariants.py
+++ b/tests/gateway/test_invariants.py
@@ -27,12 +27,14 @@
         # The caller would read a second response as the response to its next request.
         events: list[Event] = []
         self.patch(_caller, "log", lambda event, **fields: events.append(event))
-        req = mock.MagicMock(method=b"GET", outheaders=[])
+        req = mock.MagicMock(method=b"GET", outheaders=[], close_connection=False)
+        req.conn.reset_on_close = False
         caller = _caller.Caller(req)
         caller.send_response(200, [], b"first")
+        self.assertEqual((False, False), (req.close_connection, req.conn.reset_on_close))
         self.assertRaises(RuntimeError, caller.send_response, 200, [], b"second")
         self.assertEqual([Event.INVARIANT_BROKEN], events)
-        self.assertTrue(req.close_connection and req.conn.reset_on_close)
+        self.assertEqual((True, True), (req.close_connection, req.conn.reset_on_close))
 
     def test_not_run_is_never_said_after_a_send(self) -> None:
         events: list[Event] = []
--- a/tests/intake/test_intake.py
+++ b/tests/intake/test_intake.py
@@ -15,6 +15,7 @@
 from lentilrill.store import Priority
 from lentilrill.workloads import JobAnswer, JobState
 from tests.builders import a_job
+from tests.execution.fakes import eventually
 from tests.fakes import lose_answer, lose_request
 from tests.intake.fakes import POOL, IntakeCase
 
@@ -117,8 +118,8 @@
         ]
         for caller in callers:
             caller.start()
-        while sum(1 for caller in callers if caller.is_alive()) < len(callers):
-            pass
+        creates_by_key = self.intake._group_commit._creates_by_key
+        self.assertTrue(eventually(lambda: len(creates_by_key) == len(callers)))
         started.set()
         for caller in callers:
             caller.join()
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -4,12 +4,12 @@
 from returns.result import Failure
 from testtools import TestCase
 
-from lentilrill.execution import EndKind, Verdict
+from lentilrill.execution import EndKind, ReportedRun, RunEnd, Verdict
 from lentilrill.ids import JobId
 from lentilrill.platform._endpoint_wire import decode_poll, refusal_verdict
 from lentilrill.platform._job_wire import decode_job
 from lentilrill.platform._records import decode_configuration, decode_endpoint, decode_wave
-from lentilrill.workloads import Resources
+from lentilrill.workloads import Resources, TaskId
 from tests.builders import a_configuration
 
 ENTRY = {
@@ -62,11 +62,22 @@
         raw = {
             "clock_ms": 7,
             "running": [["5c0e7a21d94b36f8.0.1.17", 2, "0bb8", 41, 12]],
-            "ended": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""], [59, "a.0.0.0", 1, "new", ""]],
+            "ended": [
+                [58, "5c0e7a21d94b36f8.0.1.9", 1, "done", "0cc9"],
+                [59, "a.0.0.0", 3, "new", ""],
+            ],
         }
         poll = decode_poll(encoded(raw))
-        self.assertEqual((17, 2, 41), (poll.running[0].task.number, poll.running[0].number, 41))
-        self.assertEqual([EndKind.DONE, EndKind.UNEXPECTED], [end.kind for end in poll.ended])
+        job = JobId("5c0e7a21d94b36f8")
+        self.assertEqual((Verdict.DONE, 7), (poll.verdict, poll.clock_ms))
+        self.assertEqual((ReportedRun(TaskId(job, 0, 1, 17), 2, "0bb8", 41, 12),), poll.running)
+        self.assertEqual(
+            (
+                RunEnd(58, TaskId(job, 0, 1, 9), 1, EndKind.DONE, "0cc9"),
+                RunEnd(59, TaskId(JobId("a"), 0, 0, 0), 3, EndKind.UNEXPECTED, ""),
+            ),
+            poll.ended,
+        )
 
     def test_a_malformed_row_invalidates_the_poll(self) -> None:
         """Guards against a second start of a task because the row of its run was truncated."""
