Threads go on after an unexpected error, all by one function

Change: each runs its iterations by run_and_log_errors. Not changed: the follower of the store on entry hosts, whose reads now return faults; the owner of idempotency keys, which discards its state as well; the audit's writer.

Evidence: test_heartbeats_outlive_an_unexpected_error and test_its_threads_outlive_an_unexpected_error failed before.

--- a/src/lentilrill/fleet/_task.py
+++ b/src/lentilrill/fleet/_task.py
@@ -24,7 +24,7 @@
 from lentilrill.membership import Member, MembershipList
 from lentilrill.settings import ControllerSettings
 from lentilrill.store import HostList, HostListing, KeyValue
-from lentilrill.telemetry import Event, Metrics, log
+from lentilrill.telemetry import Event, Metrics, log, run_and_log_errors
 
 __all__ = ["FleetTask"]
 
@@ -140,10 +140,7 @@
         while not self._stopping.is_set():
             self._wake.clear()
             started = time.thread_time()
-            try:
-                self.run_once()
-            except Exception as error:  # an error in one round must not end the task
-                log(Event.TASK_FAILED, task="fleet", error=repr(error))
+            run_and_log_errors("fleet", self.run_once)
             cpu_s = time.thread_time() - started
             self._stopping.wait(max(MIN_PAUSE_S, cpu_s / MAX_CORE_SHARE))
             self._wake.wait(self._settings.plan_every_s * random.uniform(0.8, 1.2))
--- a/src/lentilrill/gateway/_server.py
+++ b/src/lentilrill/gateway/_server.py
@@ -27,7 +27,7 @@
 from lentilrill.jobs import Claims
 from lentilrill.routing import RetryBudget, Slots
 from lentilrill.settings import GatewaySettings
-from lentilrill.telemetry import Metrics
+from lentilrill.telemetry import Metrics, run_and_log_errors
 
 __all__ = ["GatewayServer"]
 
@@ -235,8 +235,11 @@
 
     def _sweep_loop(self) -> None:
         while not self._closed.wait(SWEEP_INTERVAL_S):
-            self._connections.close_idle()
-            self._metrics.gauge("request.in_flight", self._in_flight)
+            run_and_log_errors("gateway-sweep", self._sweep)
+
+    def _sweep(self) -> None:
+        self._connections.close_idle()
+        self._metrics.gauge("request.in_flight", self._in_flight)
 
     def _handler(self) -> type[CherootGateway]:
         serve = self.serve
--- a/src/lentilrill/gossip/_heartbeats.py
+++ b/src/lentilrill/gossip/_heartbeats.py
@@ -1,8 +1,10 @@
 """Heartbeats between members, with the revision of each member's mirror."""
 
+import itertools
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 
 from lentilrill.gossip._exchange import StateExchange
 from lentilrill.gossip._health import zone_health, zone_status
@@ -12,7 +14,7 @@
 from lentilrill.membership import Member, MembershipTracker, Role, ZoneStatus
 from lentilrill.settings import ProcessSettings
 from lentilrill.store import Mirror
-from lentilrill.telemetry import Event, Metrics, log
+from lentilrill.telemetry import Event, Metrics, log, run_and_log_errors
 
 __all__ = ["Heartbeats"]
 
@@ -105,17 +107,20 @@
             time.sleep(LEAVE_INTERVAL_S)
 
     def _run(self) -> None:
-        beat = 0
-        while not self._stopping.is_set():
-            self._membership.refresh()
-            self._membership.forget(FORGET_AFTER_S)
-            self._send_to_zone(beat)
-            self._send_heartbeat(self._zone_ring.peers(beat, self._zone_peers()))
-            if beat % METRICS_EVERY_BEATS == 0:
-                self._count_bytes()
-            beat += 1
+        for beat in itertools.count():
+            if self._stopping.is_set():
+                return
+            run_and_log_errors("heartbeats", partial(self._beat, beat))
             self._pause()
 
+    def _beat(self, beat: int) -> None:
+        self._membership.refresh()
+        self._membership.forget(FORGET_AFTER_S)
+        self._send_to_zone(beat)
+        self._send_heartbeat(self._zone_ring.peers(beat, self._zone_peers()))
+        if beat % METRICS_EVERY_BEATS == 0:
+            self._count_bytes()
+
     def _pause(self) -> None:
         """Wait for the next heartbeat; a change of state shortens the wait, down to a minimum."""
         if not self._stopping.wait(MIN_INTERVAL_S):
--- a/src/lentilrill/gossip/_recorder.py
+++ b/src/lentilrill/gossip/_recorder.py
@@ -17,7 +17,7 @@
     zone_key,
 )
 from lentilrill.store import Compare, HostList, HostListing, Item, KeyValue, Put
-from lentilrill.telemetry import Event, Metrics, log
+from lentilrill.telemetry import Event, Metrics, log, run_and_log_errors
 
 __all__ = ["ZoneRecorder", "next_record"]
 
@@ -92,10 +92,7 @@
 
     def _run(self) -> None:
         while not self._stopping.wait(INTERVAL_S):
-            try:
-                self.run_once()
-            except Exception as error:  # a failed round must not stop the task
-                log(Event.TASK_FAILED, task="zone-recorder", error=repr(error))
+            run_and_log_errors("zone-recorder", self.run_once)
 
     def run_once(self) -> None:
         """Check the zone's members once, and write the record if it has to change."""
--- a/src/lentilrill/gossip/_watcher.py
+++ b/src/lentilrill/gossip/_watcher.py
@@ -9,7 +9,7 @@
 from lentilrill.inner import Node, StateItems
 from lentilrill.membership import MembershipTracker
 from lentilrill.store import Item, KeyValue, Mirror, Priority, WatchBatch, WatchStream
-from lentilrill.telemetry import Event, Metrics, log
+from lentilrill.telemetry import Event, Metrics, log, run_and_log_errors
 
 __all__ = ["STATE", "Watcher"]
 
@@ -41,6 +41,8 @@
         self._node = node
         self._metrics = metrics
         self._reachable = False
+        self._behind = Revision(0)
+        """Newest revision of the store if the mirror was behind it in the last check, else 0."""
         self._stopping = threading.Event()
         self._lock = threading.Lock()
         self._stream: WatchStream | None = None
@@ -71,14 +73,18 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            if not self._should_watch():
-                self._stopping.wait(RETRY_INTERVAL_S)
-                continue
-            fault = self._read_all() or self._watch()
-            if fault is not None and not self._stopping.is_set():
-                self._metrics.incr("platform.watch_ended")
+            if not run_and_log_errors("watcher", self._follow):
                 self._stopping.wait(RETRY_INTERVAL_S)
 
+    def _follow(self) -> None:
+        if not self._should_watch():
+            self._stopping.wait(RETRY_INTERVAL_S)
+            return
+        fault = self._read_all() or self._watch()
+        if fault is not None and not self._stopping.is_set():
+            self._metrics.incr("platform.watch_ended")
+            self._stopping.wait(RETRY_INTERVAL_S)
+
     def _should_watch(self) -> bool:
         me = self._membership.me
         with_platform = {
@@ -155,23 +161,25 @@
         If the store's newest change is later than the mirror's in two successive checks, the
         watch has missed it. The check costs one cheap read every few seconds.
         """
-        behind = Revision(0)
         while not self._stopping.wait(CHECK_INTERVAL_S):
-            if not self._should_watch() and self._reachable:
-                continue
-            result = self._kv.newest(STATE, Priority.LATER)
-            if isinstance(result, Failure):
-                if result.failure().kind is not FaultKind.EXHAUSTED:
-                    self._record_result(result.failure())
-                continue
-            self._record_result(None)
-            newest = result.unwrap()
-            if newest > self._mirror.complete_to and behind > 0:
-                log(Event.WATCH_SILENT, newest=newest, complete_to=self._mirror.complete_to)
-                self._end_stream()
-                behind = Revision(0)
-            else:
-                behind = newest if newest > self._mirror.complete_to else Revision(0)
+            run_and_log_errors("watch-check", self._check_newest)
+
+    def _check_newest(self) -> None:
+        if not self._should_watch() and self._reachable:
+            return
+        result = self._kv.newest(STATE, Priority.LATER)
+        if isinstance(result, Failure):
+            if result.failure().kind is not FaultKind.EXHAUSTED:
+                self._record_result(result.failure())
+            return
+        self._record_result(None)
+        newest = result.unwrap()
+        if newest > self._mirror.complete_to and self._behind > 0:
+            log(Event.WATCH_SILENT, newest=newest, complete_to=self._mirror.complete_to)
+            self._end_stream()
+            self._behind = Revision(0)
+        else:
+            self._behind = newest if newest > self._mirror.complete_to else Revision(0)
 
     def _record_result(self, fault: Fault | None) -> None:
         self._reachable = fault is None
--- a/src/lentilrill/jobs/_client.py
+++ b/src/lentilrill/jobs/_client.py
@@ -19,7 +19,7 @@
 from lentilrill.jobs._contract import Claim, ClaimResult, RecordedResponse
 from lentilrill.jobs._shards import owner_of, shard_of
 from lentilrill.membership import MembershipList
-from lentilrill.telemetry import Event, log
+from lentilrill.telemetry import Event, log, run_and_log_errors
 
 __all__ = ["ClaimClient"]
 
@@ -167,9 +167,11 @@
 
     def _resend_loop(self) -> None:
         while not self._closed.wait(OUTCOME_RESEND_S):
-            now = time.monotonic()
-            for pending in self._take_due(now):
-                self._send_outcome(pending.outcome)
+            run_and_log_errors("claim-notes", self._resend_due)
+
+    def _resend_due(self) -> None:
+        for pending in self._take_due(time.monotonic()):
+            self._send_outcome(pending.outcome)
 
     def _take_due(self, now: float) -> list[_PendingOutcome]:
         due: list[_PendingOutcome] = []
--- a/src/lentilrill/routing/_routing.py
+++ b/src/lentilrill/routing/_routing.py
@@ -12,7 +12,7 @@
 from lentilrill.routing._placement import Placement
 from lentilrill.routing._schedulers import LocalSchedulers
 from lentilrill.routing._withdrawals import WithdrawalAcknowledger
-from lentilrill.telemetry import Event, Metrics, log
+from lentilrill.telemetry import Metrics, run_and_log_errors
 
 __all__ = ["Routing"]
 
@@ -86,10 +86,7 @@
                 self.slots.tick,
                 self.acknowledger.tick,
             ):
-                try:
-                    step()
-                except Exception as error:  # a failing step must not stop the others
-                    log(Event.TASK_FAILED, task="routing", error=repr(error))
+                run_and_log_errors("routing", step)
 
     def _pause(self) -> None:
         if self.schedulers.busy or self.ledger.withdrawing:
--- a/tests/gossip/test_heartbeats.py
+++ b/tests/gossip/test_heartbeats.py
@@ -1,6 +1,7 @@
 """State and liveness are replicated between real nodes without the platform."""
 
 import threading
+from unittest.mock import patch
 
 import msgspec
 from testtools import TestCase
@@ -96,6 +97,16 @@
         self.assertTrue(new.until(lambda: new.view.document_revision == 5))
         self.assertTrue(new.until(lambda: new.mirror.complete_to == 7))
 
+    def test_heartbeats_outlive_an_unexpected_error(self) -> None:
+        """Guards against a process that its peers take for lost, since one round of heartbeats
+        raised an error that nobody expected."""
+        keys = builders.inner_keys()
+        one = self.a_peer("one", keys)
+        with patch.object(one.membership, "refresh", side_effect=RuntimeError) as refresh:
+            self.assertTrue(one.until(lambda: refresh.call_count > 1))
+        two = self.a_peer("two", keys, seeds=(one.address,))
+        self.assertTrue(two.until(lambda: len(two.membership.last_heartbeats()) > 0))
+
     def test_a_change_crosses_zones_without_the_platform(self) -> None:
         keys = builders.inner_keys()
         here = self.a_peer("ct-1", keys, zone="z1")
--- a/tests/gossip/test_watcher.py
+++ b/tests/gossip/test_watcher.py
@@ -1,15 +1,17 @@
 """Shutdown of the watcher."""
 
 from collections.abc import Iterator
+from unittest.mock import Mock
 
 from testtools import TestCase
 
-from lentilrill.gossip import Watcher
+from lentilrill.gossip import Watcher, _watcher
 from lentilrill.ids import Revision
 from lentilrill.membership import MembershipTracker, Role
 from lentilrill.store import Mirror
 from lentilrill.telemetry import NoMetrics
 from tests import builders
+from tests.execution.fakes import eventually
 from tests.fakes import FakeNode
 
 
@@ -51,3 +53,17 @@
         kv.watcher._watch()
         self.assertFalse(kv.stream.read)
         self.assertTrue(kv.stream.closed)
+
+    def test_its_threads_outlive_an_unexpected_error(self) -> None:
+        """Guards against a process that follows the state no more, and never tells why, since one
+        call to the store raised an error that nobody expected."""
+        me = builders.a_member("ct-1", role=Role.CONTROLLER)
+        membership = MembershipTracker(me, dict, 2.0, 5.0)
+        self.patch(_watcher, "RETRY_INTERVAL_S", 0.01)
+        self.patch(_watcher, "CHECK_INTERVAL_S", 0.01)
+        kv = Mock()
+        kv.read.side_effect = kv.newest.side_effect = RuntimeError("unexpected")
+        watcher = Watcher(kv, Mirror(), membership, FakeNode(), NoMetrics())
+        watcher.start()
+        self.addCleanup(watcher.close)
+        self.assertTrue(eventually(lambda: kv.read.call_count > 2 and kv.newest.call_count > 2))
