--- a/tests/upkeep/test_lost_owners.py
+++ b/tests/upkeep/test_lost_owners.py
@@ -37,7 +37,7 @@
     """Ends an owner in the middle of a call."""
 
 
-class Fate:
+class LossInjector:
     """Loses the current owner after a number of calls to the store and to hosts.
 
     :ivar calls_left: calls until the owner is lost; ``None`` if it isn't.
@@ -48,7 +48,7 @@
         self.calls_left: int | None = None
         self.takes_effect = False
 
-    def meet(self, call: Callable[[], T]) -> T:
+    def call(self, call: Callable[[], T]) -> T:
         """Make a call of the current owner, or lose the owner in it."""
         if self.calls_left is None:
             return call()
@@ -61,22 +61,22 @@
         raise OwnerLostError
 
 
-class MortalKeyValue(FakeKeyValue):
-    """Makes each commit through a :class:`Fate`."""
+class InterruptedKeyValue(FakeKeyValue):
+    """Makes each commit through a :class:`LossInjector`."""
 
-    def __init__(self, fate: Fate) -> None:
+    def __init__(self, injector: LossInjector) -> None:
         super().__init__()
-        self.fate = fate
+        self.injector = injector
 
     def commit(self, *args: Any) -> Result:
-        return self.fate.meet(lambda: super(MortalKeyValue, self).commit(*args))
+        return self.injector.call(lambda: super(InterruptedKeyValue, self).commit(*args))
 
 
 class SimulatedHosts:
     """Hosts that go down for their upkeep for :data:`DOWN_S` seconds."""
 
-    def __init__(self, fate: Fate) -> None:
-        self.fate = fate
+    def __init__(self, injector: LossInjector) -> None:
+        self.injector = injector
         self.now = 100.0
         self.down_since_by_host: dict[HostId, float] = {}
         self.max_down = 0
@@ -97,7 +97,7 @@
 
     def upkeep(self, host: HostId, wave: int, holder: ProcessId, token: int) -> HostOrderResult:
         del wave, holder, token
-        return self.fate.meet(lambda: self.take_down(host))
+        return self.injector.call(lambda: self.take_down(host))
 
     def take_down(self, host: HostId) -> HostOrderResult:
         # The platform confirms an upkeep of this wave that is under way or complete.
@@ -121,7 +121,7 @@
 
 
 class LostOwnersTest(TestCase):
-    def owner(self, kv: MortalKeyValue, hosts: SimulatedHosts) -> Waves:
+    def owner(self, kv: InterruptedKeyValue, hosts: SimulatedHosts) -> Waves:
         token = Revision(kv.put("m/o/@fleet", b"owner"))
         owner_number = next(self.owner_numbers)
         peers = Peers()
@@ -152,8 +152,8 @@
     def test_a_wave_survives_owners_lost_at_any_write(self, losses: list[tuple[int, bool]]) -> None:
         """Guards against a wave that stands still, takes too many hosts down, or is shown as
         completed or running when it isn't, after its owner ended between two writes."""
-        fate = Fate()
-        kv, hosts = MortalKeyValue(fate), SimulatedHosts(fate)
+        injector = LossInjector()
+        kv, hosts = InterruptedKeyValue(injector), SimulatedHosts(injector)
         self.owner_numbers = itertools.count()
         remaining = list(losses)
         waves: Waves | None = None
@@ -161,7 +161,7 @@
             try:
                 if waves is None:
                     waves = self.owner(kv, hosts)
-                    fate.calls_left, fate.takes_effect = (
+                    injector.calls_left, injector.takes_effect = (
                         remaining.pop(0) if remaining else (None, False)
                     )
                 waves.run_round({host: hosts.row(host) for host in NAMES})
@@ -177,8 +177,10 @@
         self.assertLessEqual(hosts.max_down, MAX_DOWN)
         self.assertEqual([], self.open_waves_of_next_owner(kv, hosts))
 
-    def open_waves_of_next_owner(self, kv: MortalKeyValue, hosts: SimulatedHosts) -> list[Wave]:
-        kv.fate.calls_left = None
+    def open_waves_of_next_owner(
+        self, kv: InterruptedKeyValue, hosts: SimulatedHosts
+    ) -> list[Wave]:
+        kv.injector.calls_left = None
         waves = self.owner(kv, hosts)
         waves.run_round({host: hosts.row(host) for host in NAMES})
         return waves.open_waves
