Workspaces: callers are recognised by their keys

Change: a configuration holds digests of the keys by workspace. The ingress refuses a request without exactly one known key with 401, on every method, after the queue and before anything else; public queues need none. A job keeps its workspace's name in its record, and to a key of another workspace it doesn't exist. An id that another workspace uses is a conflict (409): the group commit used to answer both callers as if both jobs were stored. A host that the store doesn't answer says 503 to a key that it doesn't know.

The stand-in of the store returned no items with a failed condition, unlike the platform; it does now.

The new tests fail without the check (the ingress answers 200).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     "fleet",
     "config",
     "control",
+    "keys",
     "owner",
     "platform",
     "rest",
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -118,6 +118,7 @@
             lambda: self._configuration.current,
             lambda: self._draining,
             self.metrics,
+            lambda: self._kv.silent_s >= MAX_STORE_SILENT_S,
         )
         self._plain_servers = [
             plain_text_server(settings.readiness, self._readiness),
@@ -337,8 +338,9 @@
         if owner is None or not owner.may_order():
             answer = JobTold(message.ask, False)
         else:
-            state = owner.state_of(message.job)
-            answer = JobTold(message.ask, True, state.value if state is not None else "")
+            found = owner.find(message.job)
+            state, workspace = (found[0].value, found[1]) if found is not None else ("", "")
+            answer = JobTold(message.ask, True, state, workspace)
         self._node.send(batch.reply_to, answer)
 
     def _on_release_ask(self, batch: Batch, message: ReleaseAsk) -> None:
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -22,7 +22,7 @@
 from lentilrill.execution._tickets import TicketCache
 from lentilrill.execution._tracking import RunPhase, TrackedJob
 from lentilrill.execution._writer import ProgressWriter
-from lentilrill.ids import EndpointId, JobId, PoolId, Revision
+from lentilrill.ids import EndpointId, JobId, PoolId, Revision, WorkspaceId
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.store import Follower, KeyValue
 from lentilrill.telemetry import Event, Metrics, NoMetrics, log, run_and_log_errors
@@ -182,9 +182,9 @@
         """Cancel a job."""
         self._jobs.cancel(job)
 
-    def state_of(self, job: JobId) -> JobState | None:
-        """Return a job's public state, or ``None`` if it is unknown or not loaded yet."""
-        return self._jobs.state_of(job)
+    def find(self, job: JobId) -> tuple[JobState, WorkspaceId] | None:
+        """Return a job's public state and workspace; ``None`` if unknown or not loaded yet."""
+        return self._jobs.find(job)
 
     def _on_job_changed(self, tracked_job: TrackedJob) -> None:
         with self._lock:
--- a/src/lentilrill/ids.py
+++ b/src/lentilrill/ids.py
@@ -19,6 +19,7 @@
     "Revision",
     "ServiceId",
     "StopId",
+    "WorkspaceId",
     "ZoneId",
 ]
 
@@ -41,4 +42,5 @@
 """The platform's modification revision of a key, from one counter for the whole store."""
 ServiceId = NewType("ServiceId", str)
 StopId = NewType("StopId", str)
+WorkspaceId = NewType("WorkspaceId", str)
 ZoneId = NewType("ZoneId", str)
--- a/src/lentilrill/intake/_group.py
+++ b/src/lentilrill/intake/_group.py
@@ -37,7 +37,7 @@
         may be there, or may still be written.
     :param sent: whether the write was sent to the store; an unsent write never takes effect.
     :param revision: revision of the write; 0 if the key existed before the first attempt.
-    :param stored: the stored value, if this create's own earlier attempt wrote it.
+    :param stored: the value in the store, if known; another writer's if ``revision`` is 0.
     """
 
     exists: bool | None
@@ -221,7 +221,9 @@
                 return
             answer = result.unwrap()
             if answer.succeeded:
-                self._resolve_all(creates, CommitResult(True, revision=answer.revision))
+                for create in creates:
+                    written = CommitResult(True, revision=answer.revision, stored=create.put.value)
+                    self._resolve_all([create], written)
                 return
             found_by_key = {item.key: item for item in answer.found}
             found = [create for create in creates if create.put.key in found_by_key]
@@ -287,5 +289,5 @@
     a job that ended long ago would run it a second time.
     """
     if item.value != create.put.value:
-        return CommitResult(True)
+        return CommitResult(True, stored=item.value)
     return CommitResult(True, revision=item.revision, stored=item.value)
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -10,7 +10,7 @@
 from returns.result import Failure
 
 from lentilrill.execution import PoolOwner, progress_key
-from lentilrill.ids import JobId, PoolId, QueueId, Revision
+from lentilrill.ids import JobId, PoolId, QueueId, Revision, WorkspaceId
 from lentilrill.inner import (
     Batch,
     JobAccepted,
@@ -25,7 +25,7 @@
 from lentilrill.intake._unconfirmed import UnconfirmedJobs
 from lentilrill.ownership import OwnerRecord
 from lentilrill.scheduling import Pressure, can_accept, outage_retry_s, retry_after_s
-from lentilrill.store import KeyValue, Priority
+from lentilrill.store import DECODE_ERRORS, KeyValue, Priority
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import Job, JobAnswer, JobProgress, JobState
 
@@ -43,6 +43,9 @@
 before a refusal, and for the answer to reach the caller."""
 
 
+NO_WORKSPACE = WorkspaceId("")
+
+
 class _Peers(Protocol):
     def send(self, address: str, message: Message) -> None:
         """Send a message, which may get lost."""
@@ -126,6 +129,8 @@
             f"in/{job.pool}/j/{job.id}", value, _commit_wait_s(wait_s)
         )
         answer = _answer_of(result)
+        if answer is JobAnswer.ACCEPTED:
+            answer = self._compare_workspace(job, result)
         took_s = round(time.monotonic() - started_at, 3)
         if answer is JobAnswer.UNAVAILABLE:
             retry_s = outage_retry_s(store_silent_s)
@@ -137,14 +142,26 @@
             self._report_unconfirmed(job.id)
         return answer, 0.0
 
+    def _compare_workspace(self, job: Job, result: CommitResult) -> JobAnswer:
+        """Return whether the stored job with this id is one of the same workspace."""
+        if result.stored is not None:
+            workspace = _workspace_of(result.stored)
+        else:
+            found = self._read_job(job.pool, job.id)
+            if found.state is None:
+                return JobAnswer.UNKNOWN
+            workspace = found.workspace
+        return JobAnswer.ACCEPTED if workspace == job.workspace else JobAnswer.CONFLICT
+
     def _refuse(
         self, job: Job, answer: JobAnswer, retry_s: float, **fields: object
     ) -> tuple[JobAnswer, float]:
         """Refuse a job, unless an earlier attempt of its caller stored it or may have."""
         if job.id in self._unconfirmed:
             answer = JobAnswer.UNKNOWN
-        elif self._query_owner(job.pool, job.id, REFUSAL_QUERY_TIMEOUT_S) is not None:
-            answer = JobAnswer.ACCEPTED
+        elif found := self._query_owner(job.pool, job.id, REFUSAL_QUERY_TIMEOUT_S):
+            is_same = found.workspace == job.workspace
+            answer = JobAnswer.ACCEPTED if is_same else JobAnswer.CONFLICT
         self._log_submit(job, answer, **fields)
         return answer, retry_s
 
@@ -159,13 +176,15 @@
         del batch
         self._unconfirmed.add(message.job)
 
-    def cancel(self, pool: PoolId, job: JobId, wait_s: float | None = None) -> JobAnswer:
-        """Cancel a job.
+    def cancel(
+        self, pool: PoolId, workspace: WorkspaceId, job: JobId, wait_s: float | None = None
+    ) -> JobAnswer:
+        """Cancel a job of a workspace.
 
         :param wait_s: the caller's timeout in seconds, if known.
         """
         deadline = time.monotonic() + _commit_wait_s(wait_s)
-        found = self._find_job(pool, job)
+        found = self._find_job(pool, workspace, job)
         if not found.is_conclusive:
             return JobAnswer.UNAVAILABLE
         job_pool = found.pool
@@ -186,9 +205,11 @@
                 self._peers.send(record.inner, JobCancelled(job_pool, job))
         return answer
 
-    def get_state(self, pool: PoolId, job: JobId) -> tuple[JobAnswer, JobState | None]:
-        """Return the state of a job; ``ABSENT`` if there is no such job."""
-        found = self._find_job(pool, job)
+    def get_state(
+        self, pool: PoolId, workspace: WorkspaceId, job: JobId
+    ) -> tuple[JobAnswer, JobState | None]:
+        """Return the state of a job; ``ABSENT`` if the workspace has no such job."""
+        found = self._find_job(pool, workspace, job)
         if not found.is_conclusive:
             return JobAnswer.UNAVAILABLE, None
         if found.state is None:
@@ -209,15 +230,21 @@
             query.answer = message
             query.done.set()
 
-    def _find_job(self, pool: PoolId, job: JobId) -> "_JobLookup":
+    def _find_job(self, pool: PoolId, workspace: WorkspaceId, job: JobId) -> "_JobLookup":
+        """Find a job of a workspace; one of another workspace is reported as absent."""
+        found = self._find_any_job(pool, job)
+        is_foreign = found.state is not None and not _may_see(workspace, found.workspace)
+        return _JobLookup(True) if is_foreign else found
+
+    def _find_any_job(self, pool: PoolId, job: JobId) -> "_JobLookup":
         """Find a job at its pool's owner, else in the store.
 
         The store is searched in all pools, since the queue may have had another pool when the job
         was accepted.
         """
-        state = self._query_owner(pool, job)
-        if state is not None:
-            return _JobLookup(True, pool, state)
+        found = self._query_owner(pool, job)
+        if found is not None:
+            return found
         other_pools = [other for other in self._pools() if other != pool]
         for job_pool in [pool, *other_pools]:
             found = self._read_job(job_pool, job)
@@ -227,10 +254,12 @@
 
     def _query_owner(
         self, pool: PoolId, job: JobId, wait_s: float = OWNER_QUERY_TIMEOUT_S
-    ) -> JobState | None:
+    ) -> "_JobLookup | None":
+        """Return a job as its pool's owner knows it, or ``None`` if the owner doesn't."""
         owner = self._local_owner_of(pool)
         if owner is not None:
-            return owner.state_of(job) if owner.may_order() else None
+            known = owner.find(job) if owner.may_order() else None
+            return _JobLookup(True, pool, *known) if known is not None else None
         record = self._owner_of(pool)
         if record is None:
             return None
@@ -243,9 +272,9 @@
         with self._lock:
             self._query_by_ask.pop(ask, None)
         reply = query.answer
-        return (
-            JobState(reply.state) if reply is not None and reply.is_owner and reply.state else None
-        )
+        if reply is None or not reply.is_owner or not reply.state:
+            return None
+        return _JobLookup(True, pool, JobState(reply.state), WorkspaceId(reply.workspace))
 
     def _read_job(self, pool: PoolId, job: JobId) -> "_JobLookup":
         """Read the records of a job in one pool."""
@@ -260,13 +289,15 @@
             items.append(read.unwrap())
             if items[0] is None:
                 return _JobLookup(True)
-        _, progress, cancelled = items
+        accepted, progress, cancelled = items
         state = JobState.QUEUED
         if progress is not None and progress.value is not None:
             state = msgspec.json.decode(progress.value, type=JobProgress).state
         if cancelled is not None and not state.is_final:
             state = JobState.CANCELLED
-        return _JobLookup(True, pool, state)
+        value = accepted.value if accepted is not None else None
+        workspace = _workspace_of(value) if value is not None else NO_WORKSPACE
+        return _JobLookup(True, pool, state, workspace)
 
     def _notify_owner(self, job: Job, value: bytes, revision: Revision) -> None:
         owner = self._local_owner_of(job.pool)
@@ -296,6 +327,7 @@
     is_conclusive: bool
     pool: PoolId | None = None
     state: JobState | None = None
+    workspace: WorkspaceId = NO_WORKSPACE
 
 
 class _OwnerQuery:
@@ -306,6 +338,28 @@
         self.answer: JobTold | None = None
 
 
+class _JobWorkspace(msgspec.Struct):
+    workspace: WorkspaceId = NO_WORKSPACE
+
+
+def _workspace_of(value: bytes) -> WorkspaceId:
+    """Return the workspace in a stored job, without decoding its steps."""
+    try:
+        return msgspec.msgpack.decode(value, type=_JobWorkspace).workspace
+    except DECODE_ERRORS as error:
+        log(Event.RECORD_ODD, key="accepted job", reason=str(error))
+        return NO_WORKSPACE
+
+
+def _may_see(caller: WorkspaceId, job: WorkspaceId) -> bool:
+    """Whether a caller of one workspace may see and cancel a job of another.
+
+    Jobs without a workspace were submitted to a public queue, or before the deployment had
+    workspaces.
+    """
+    return job in (NO_WORKSPACE, caller)
+
+
 def _commit_wait_s(wait_s: float | None) -> float:
     """Return the maximum time to wait for a commit, given the caller's timeout."""
     if wait_s is None:
--- a/src/lentilrill/platform/_ingress.py
+++ b/src/lentilrill/platform/_ingress.py
@@ -8,11 +8,17 @@
 from cheroot import wsgi
 from returns.result import Failure
 
-from lentilrill.ids import JobId
+from lentilrill.ids import JobId, WorkspaceId
 from lentilrill.intake import Intake
+from lentilrill.platform._caller_key import (
+    KEY_VARIABLE,
+    CallerConnection,
+    KeyProblem,
+    workspace_of,
+)
 from lentilrill.platform._job_wire import decode_job, encode_pending, encode_state
 from lentilrill.telemetry import Event, Metrics, log
-from lentilrill.workloads import Configuration, JobAnswer, Queue
+from lentilrill.workloads import Configuration, JobAnswer, Queue, digest_of, fingerprint_of
 
 __all__ = ["Ingress", "plain_text_server"]
 
@@ -21,11 +27,13 @@
 STATUS_BY_ANSWER = {
     JobAnswer.ACCEPTED: "200 OK",
     JobAnswer.ABSENT: "410 Gone",
+    JobAnswer.CONFLICT: "409 Conflict",
     JobAnswer.OVERLOADED: "429 Too Many Requests",
     JobAnswer.UNAVAILABLE: "503 Service Unavailable",
     JobAnswer.UNKNOWN: "504 Gateway Timeout",
 }
 NOT_FOUND = "404 Not Found"
+UNAUTHORIZED = "401 Unauthorized"
 METRIC_BY_METHOD = {"GET": "get", "POST": "post", "DELETE": "delete"}
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -42,12 +50,15 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 Environ = dict[str, Any]
 Answer = tuple[str, bytes, float | None]
+NO_WORKSPACE = WorkspaceId("")
 
 
 class Ingress:
     """HTTP server for callers of jobs.
 
     :param configuration: returns the configuration in force; ``None`` if there is none yet.
+    :param is_out_of_date: whether this host may lack a newer configuration, since the store does
+        not answer it.
     :param is_draining: whether this host drains, so that connections are closed after their
         answers.
     """
@@ -60,11 +71,13 @@
         configuration: Callable[[], Configuration | None],
         is_draining: Callable[[], bool],
         metrics: Metrics,
+        is_out_of_date: Callable[[], bool] = lambda: False,
     ) -> None:
         self._intake = intake
         self._configuration = configuration
         self._is_draining = is_draining
         self._metrics = metrics
+        self._is_out_of_date = is_out_of_date
         self._server = _create_server(address, self._serve, threads)
 
     def prepare(self) -> None:
@@ -105,6 +118,9 @@
         if queue is None:
             log(Event.QUEUE_UNKNOWN, host=host, path=path[:80], version=configuration.version)
             return NOT_FOUND, b"{}", None
+        workspace = self._identify(configuration, queue, environ)
+        if isinstance(workspace, KeyProblem):
+            return self._refuse_key(workspace, queue, environ)
         name = path[len(queue.prefix) :]
         method = environ["REQUEST_METHOD"]
         if method == "GET" and not name:
@@ -115,26 +131,60 @@
         if method == "POST":
             if int(environ.get("CONTENT_LENGTH") or 0) > configuration.limits.body_bytes:
                 return "413 Content Too Large", b"{}", None
-            return self._submit(queue, job, environ, started)
+            return self._submit(queue, workspace, job, environ, started)
         if method == "GET":
-            answer, state = self._intake.get_state(queue.pool, job)
+            answer, state = self._intake.get_state(queue.pool, workspace, job)
             body = encode_state(state) if state is not None else b"{}"
             return _with_retry_time(answer, body)
         if method == "DELETE":
             return _with_retry_time(
-                self._intake.cancel(queue.pool, job, _caller_wait_s(environ)), b"{}"
+                self._intake.cancel(queue.pool, workspace, job, _caller_wait_s(environ)), b"{}"
             )
         return "405 Method Not Allowed", b"{}", None
 
+    def _identify(
+        self, configuration: Configuration, queue: Queue, environ: Environ
+    ) -> WorkspaceId | KeyProblem:
+        """Return the workspace of a caller, or why its key identifies none."""
+        if queue.public or configuration.workspaces is None:
+            return NO_WORKSPACE
+        return workspace_of(environ.get(KEY_VARIABLE), configuration.workspaces)
+
+    def _refuse_key(self, problem: KeyProblem, queue: Queue, environ: Environ) -> Answer:
+        """Answer a request whose key identifies no workspace.
+
+        A host that may lack a newer configuration can't tell that a key is unknown.
+        """
+        is_out_of_date = problem is KeyProblem.UNKNOWN and self._is_out_of_date()
+        header = environ.get(KEY_VARIABLE)
+        log(
+            Event.KEY_REFUSED,
+            queue=queue.id,
+            reason=problem.value,
+            key=fingerprint_of(digest_of(header.encode("latin-1"))) if header else "",
+            out_of_date=is_out_of_date,
+        )
+        self._metrics.incr(f"ingress.key.{problem.value}")
+        if is_out_of_date:
+            return STATUS_BY_ANSWER[JobAnswer.UNAVAILABLE], b"{}", UNAVAILABLE_RETRY_S
+        return UNAUTHORIZED, b"{}", None
+
     def _count_pending(self, queue: Queue) -> Answer:
         waiting = self._intake.count_waiting(queue.pool, queue.id)
         if waiting is None:
             return STATUS_BY_ANSWER[JobAnswer.UNAVAILABLE], b"{}", UNAVAILABLE_RETRY_S
         return "200 OK", encode_pending(waiting), None
 
-    def _submit(self, queue: Queue, job: JobId, environ: Environ, started: float) -> Answer:
+    def _submit(
+        self,
+        queue: Queue,
+        workspace: WorkspaceId,
+        job: JobId,
+        environ: Environ,
+        started: float,
+    ) -> Answer:
         body = environ["wsgi.input"].read()
-        decoded = decode_job(job, queue, body, int(time.time() * 1000))
+        decoded = decode_job(job, queue, workspace, body, int(time.time() * 1000))
         if isinstance(decoded, Failure):
             log(Event.JOB_ODD, job=job, queue=queue.id, reason=decoded.failure().reason)
             return "400 Bad Request", b"{}", None
@@ -187,4 +237,5 @@
     )
     server.max_request_header_size = MAX_HEADER_BYTES
     server.max_request_body_size = MAX_BODY_BYTES
+    server.ConnectionClass = CallerConnection
     return server
--- a/src/lentilrill/platform/_job_wire.py
+++ b/src/lentilrill/platform/_job_wire.py
@@ -4,7 +4,7 @@
 from returns.result import Failure, Result, Success
 
 from lentilrill.faults import Fault, FaultKind
-from lentilrill.ids import JobId, RackId
+from lentilrill.ids import JobId, RackId, WorkspaceId
 from lentilrill.store import DECODE_ERRORS
 from lentilrill.workloads import Job, JobState, Queue, Resources, Step
 
@@ -48,8 +48,13 @@
     interval_ms: int = 0
 
 
-def decode_job(job: JobId, queue: Queue, body: bytes, now_ms: int) -> Result[Job, Fault]:
-    """Return the job in the body of a request, or an ``INVALID`` fault."""
+def decode_job(
+    job: JobId, queue: Queue, workspace: WorkspaceId, body: bytes, now_ms: int
+) -> Result[Job, Fault]:
+    """Return the job in the body of a request, or an ``INVALID`` fault.
+
+    :param workspace: workspace of the caller.
+    """
     try:
         raw = msgspec.json.decode(body, type=_Job)
     except DECODE_ERRORS as error:
@@ -74,6 +79,7 @@
             raw.repeat_count,
             raw.interval_ms,
             queue.max_attempts,
+            workspace,
         )
     )
 
--- a/src/lentilrill/platform/_records.py
+++ b/src/lentilrill/platform/_records.py
@@ -2,18 +2,23 @@
 
 import msgspec
 
-from lentilrill.ids import EndpointId, HostId, PoolId, QueueId, ZoneId
+from lentilrill.ids import EndpointId, HostId, PoolId, QueueId, WorkspaceId, ZoneId
 from lentilrill.store import DECODE_ERRORS
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import (
     Advice,
     Configuration,
     EndpointEntry,
+    KeyDigest,
     Limits,
     PoolEntry,
     Queue,
     Resources,
     Wave,
+    Workspace,
+    Workspaces,
+    digest_of,
+    fingerprint_of,
 )
 
 __all__ = [
@@ -54,6 +59,8 @@
     latency_slo_ms: int = 0
     timeout_ms: int = 0
     advice: _Advice | None = None
+    # Whether callers need no key.
+    public: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -70,17 +77,26 @@
     idle_timeout_ms: int = 15000
 
 
+class _Capacity(msgspec.Struct, frozen=True):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    weight: float = 1.0
+    # Limit of what its tasks use in all pools together; 0 for no limit.
+    cap: _Capacity = _Capacity()
+
+
 class _Config(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
-
-
-class _Capacity(msgspec.Struct, frozen=True):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    tenants: list[_Tenant] | None = None
 
 
 class _Entry(msgspec.Struct):
@@ -119,7 +135,8 @@
         raw.limits.header_timeout_ms,
         raw.limits.idle_timeout_ms,
     )
-    return Configuration(raw.version, queues, pools, limits)
+    workspaces = _decode_workspaces(raw.tenants) if raw.tenants is not None else None
+    return Configuration(raw.version, queues, pools, limits, workspaces)
 
 
 def _decode_queue(route: _Route) -> Queue:
@@ -135,9 +152,47 @@
         route.latency_slo_ms,
         route.timeout_ms,
         Advice(advice.decide_ms, advice.period_ms, advice.valid_ms) if advice else None,
+        route.public,
     )
 
 
+def _decode_workspaces(tenants: list[_Tenant]) -> Workspaces:
+    """Return the workspaces by id and key.
+
+    The rest of a configuration stays usable if one workspace is malformed: a key of two workspaces
+    identifies neither, since the jobs of one must not be shown to callers of the other, and a
+    negative limit allows one task at a time.
+    """
+    by_id: dict[WorkspaceId, Workspace] = {}
+    id_by_key_digest: dict[KeyDigest, WorkspaceId] = {}
+    ambiguous: set[KeyDigest] = set()
+    for tenant in tenants:
+        workspace = WorkspaceId(tenant.name)
+        cap = _decode_cap(tenant)
+        if tenant.weight <= 0:
+            _log_odd_workspace(workspace, f"weight {tenant.weight}: it comes after all others")
+        by_id[workspace] = Workspace(workspace, max(0.0, tenant.weight), cap)
+        for key in tenant.api_keys:
+            digest = digest_of(key.encode())
+            if id_by_key_digest.setdefault(digest, workspace) != workspace:
+                _log_odd_workspace(workspace, f"key {fingerprint_of(digest)} of another workspace")
+                ambiguous.add(digest)
+    for digest in ambiguous:
+        del id_by_key_digest[digest]
+    return Workspaces(by_id, id_by_key_digest)
+
+
+def _decode_cap(tenant: _Tenant) -> Resources:
+    amounts = (tenant.cap.cpu, tenant.cap.mem_mb, tenant.cap.gpu)
+    if min(amounts) < 0:
+        _log_odd_workspace(WorkspaceId(tenant.name), f"negative limit {amounts}")
+    return Resources(*(amount if amount >= 0 else 1 for amount in amounts))
+
+
+def _log_odd_workspace(workspace: WorkspaceId, reason: str) -> None:
+    log(Event.RECORD_ODD, key=CONFIGURATION_KEY, workspace=workspace, reason=reason)
+
+
 def decode_endpoint(key: str, value: bytes) -> EndpointEntry | None:
     """Return the entry of an endpoint; log an error and return ``None`` if it is unusable."""
     try:
--- a/src/lentilrill/workloads/__init__.py
+++ b/src/lentilrill/workloads/__init__.py
@@ -19,6 +19,13 @@
     TaskId,
 )
 from lentilrill.workloads._progress import JobProgress, StepProgress
+from lentilrill.workloads._workspaces import (
+    KeyDigest,
+    Workspace,
+    Workspaces,
+    digest_of,
+    fingerprint_of,
+)
 
 __all__ = [
     "Advice",
@@ -28,6 +35,7 @@
     "JobAnswer",
     "JobProgress",
     "JobState",
+    "KeyDigest",
     "Limits",
     "PoolEntry",
     "Queue",
@@ -37,4 +45,8 @@
     "StepProgress",
     "TaskId",
     "Wave",
+    "Workspace",
+    "Workspaces",
+    "digest_of",
+    "fingerprint_of",
 ]
--- a/src/lentilrill/workloads/_configuration.py
+++ b/src/lentilrill/workloads/_configuration.py
@@ -4,6 +4,7 @@
 
 from lentilrill.ids import EndpointId, HostId, PoolId, QueueId, RackId, ZoneId
 from lentilrill.workloads._job import Resources
+from lentilrill.workloads._workspaces import Workspaces
 
 __all__ = ["Advice", "Configuration", "EndpointEntry", "Limits", "PoolEntry", "Queue", "Wave"]
 
@@ -29,6 +30,7 @@
     :param priority: 0 is the highest priority.
     :param objective_ms: latency objective, in addition to the stretched critical path.
     :param stretch: factor on the duration of a job's critical path that a job may take.
+    :param public: whether callers need no key; its jobs belong to no workspace.
     """
 
     id: QueueId
@@ -41,6 +43,7 @@
     objective_ms: int = 0
     timeout_ms: int = 0
     advice: Advice | None = None
+    public: bool = False
 
 
 class PoolEntry(msgspec.Struct, frozen=True):
@@ -68,12 +71,14 @@
     """One version of the configuration, in full.
 
     :param version: increases with each change, not necessarily by one.
+    :param workspaces: ``None`` if the deployment has none, so that callers need no keys.
     """
 
     version: int
     queues: tuple[Queue, ...]
     pools: tuple[PoolEntry, ...]
     limits: Limits = Limits()
+    workspaces: Workspaces | None = None
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue with this host and the longest matching prefix of ``path``."""
--- a/src/lentilrill/workloads/_job.py
+++ b/src/lentilrill/workloads/_job.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lentilrill.ids import JobId, PoolId, QueueId, RackId
+from lentilrill.ids import JobId, PoolId, QueueId, RackId, WorkspaceId
 
 __all__ = ["Job", "JobAnswer", "JobState", "Resources", "Step", "StepId", "TaskId"]
 
@@ -109,6 +109,7 @@
     :param pool: pool whose endpoints run it; fixed at acceptance.
     :param attempts: maximum attempts for a task by the configuration at acceptance; used once its
         queue is no longer configured.
+    :param workspace: workspace of the caller that submitted it; empty if the queue is public.
     :param accepted_ms: time of acceptance, in milliseconds since the epoch.
     :param first_due_ms: due time of its first occurrence, in milliseconds since the epoch.
     :param occurrences: number of times that the steps run; 0 runs them once, immediately.
@@ -124,6 +125,7 @@
     occurrences: int = 0
     interval_ms: int = 0
     attempts: int = 1
+    workspace: WorkspaceId = WorkspaceId("")
 
     def due_ms(self, occurrence: int) -> int:
         """Return the due time of an occurrence in milliseconds since the epoch; 0 if immediate."""
@@ -177,3 +179,5 @@
     """The result of the commit is unknown: the job may run. The caller must ask again."""
     ABSENT = "absent"
     """There is no such job."""
+    CONFLICT = "conflict"
+    """The id belongs to a job of another workspace; this job will never run."""
--- /dev/null
+++ b/src/lentilrill/workloads/_workspaces.py
@@ -0,0 +1,52 @@
+"""Workspaces of the configuration, and the keys by which their callers are recognised."""
+
+import hashlib
+from typing import NewType
+
+import msgspec
+
+from lentilrill.ids import WorkspaceId
+from lentilrill.workloads._job import Resources
+
+__all__ = ["KeyDigest", "Workspace", "Workspaces", "digest_of", "fingerprint_of"]
+
+KeyDigest = NewType("KeyDigest", bytes)
+"""SHA-256 digest of a key. Keys themselves are not kept, so that none can end up in a log."""
+FINGERPRINT_DIGITS = 8
+
+
+class Workspace(msgspec.Struct, frozen=True):
+    """One workspace.
+
+    :param weight: its share of the capacity when all of it is in use, relative to the others.
+    :param cap: resources that its tasks may use in all pools together; 0 for no limit.
+    """
+
+    id: WorkspaceId
+    weight: float = 1.0
+    cap: Resources = Resources()
+
+
+class Workspaces(msgspec.Struct, frozen=True):
+    """The workspaces of one version of the configuration."""
+
+    by_id: dict[WorkspaceId, Workspace]
+    id_by_key_digest: dict[KeyDigest, WorkspaceId]
+
+    def find(self, key: bytes) -> WorkspaceId | None:
+        """Return the workspace with this key, or ``None``.
+
+        The key is compared by its digest only, so that the time of a lookup tells nothing about
+        how much of an unknown key is right.
+        """
+        return self.id_by_key_digest.get(digest_of(key))
+
+
+def digest_of(key: bytes) -> KeyDigest:
+    """Return the digest by which a key is looked up."""
+    return KeyDigest(hashlib.sha256(key).digest())
+
+
+def fingerprint_of(digest: KeyDigest) -> str:
+    """Return the digits of a digest by which a key is named in logs."""
+    return digest.hex()[:FINGERPRINT_DIGITS]
--- a/standins/_users_store.py
+++ b/standins/_users_store.py
@@ -101,8 +101,10 @@
             if succeeded:
                 self._apply(txn["writes"], txn["remove"])
             revision = self.revision
+            compared = [self.items.get(row["key"]) for row in txn["precondition"]]
+        current = [item for item in compared if item is not None]
         call.answer_json(
-            {"revision": revision} if succeeded else {"items": []}, 200 if succeeded else 412
+            {"revision": revision} if succeeded else {"items": current}, 200 if succeeded else 412
         )
 
     def _apply(self, writes: list[dict[str, Any]], remove: list[str]) -> None:
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -246,11 +246,20 @@
         self._start_endpoint(host)
         return host
 
-    def configure(self, version: int, queues: dict[str, str], *, advised: bool = False) -> None:
+    def configure(
+        self,
+        version: int,
+        queues: dict[str, str],
+        *,
+        advised: bool = False,
+        workspaces: dict[str, dict[str, Any]] | None = None,
+    ) -> None:
         """Write a configuration to the store.
 
         :param queues: pool of each queue, by the path prefix of the queue.
         :param advised: whether starts need tickets of the policy service.
+        :param workspaces: keys, weight and cap of each workspace, as the platform spells them;
+            ``None`` if callers need no keys.
         """
         self.policy.tickets_required = advised
         advice = {"decide_ms": 1, "period_ms": 1, "valid_ms": int(TICKET_VALIDITY_S * 1000)}
@@ -263,6 +272,8 @@
         pools: list[dict[str, Any]] = [{"name": pool} for pool in sorted(set(queues.values()))]
         pools.append({"name": "standby", "standby": True})
         value = {"version": version, "routes": routes, "services": pools, "limits": {}}
+        if workspaces is not None:
+            value["tenants"] = [{"name": name} | rest for name, rest in workspaces.items()]
         self.store.put("op/config", msgspec.json.encode(value))
 
     def declare_wave(self, number: int, hosts: list[str], cap: int) -> None:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -21,6 +21,7 @@
     QueueId,
     RackId,
     ServiceId,
+    WorkspaceId,
     ZoneId,
 )
 from lentilrill.inner import PoolPressure
@@ -36,6 +37,9 @@
     Queue,
     Resources,
     Step,
+    Workspace,
+    Workspaces,
+    digest_of,
 )
 from standins.loopback import LoopbackNetwork
 
@@ -56,6 +60,7 @@
     "an_entry",
     "digest",
     "inner_keys",
+    "some_workspaces",
 ]
 
 _incarnations = itertools.count(1)
@@ -191,6 +196,13 @@
     return Configuration(version, (queue,), (PoolEntry(PoolId("notices")),))
 
 
+def some_workspaces(**keys_by_id: str) -> Workspaces:
+    """Return workspaces with one key each and no limits."""
+    by_id = {WorkspaceId(id): Workspace(WorkspaceId(id)) for id in keys_by_id}
+    digests = {digest_of(key.encode()): WorkspaceId(id) for id, key in keys_by_id.items()}
+    return Workspaces(by_id, digests)
+
+
 def a_job_timing(**changes: Any) -> JobTiming:
     """Return the timing of a job that can meet its deadline, with one second of remaining work."""
     values: dict[str, Any] = {
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -14,12 +14,12 @@
     StartOrder,
     Verdict,
 )
-from lentilrill.ids import EndpointId, PoolId, Revision
-from lentilrill.workloads import Configuration, EndpointEntry, TaskId
+from lentilrill.ids import EndpointId, JobId, PoolId, Revision
+from lentilrill.workloads import Configuration, EndpointEntry, JobState, TaskId
 from tests.builders import a_configuration
 from tests.fakes import FakeKeyValue
 
-__all__ = ["FakeEndpoint", "OwnedPool", "eventually"]
+__all__ = ["FakeEndpoint", "OwnedPool", "eventually", "state_of"]
 
 TIMEOUT_S = 20.0
 MAX_POLL_WAIT_S = 0.05
@@ -35,6 +35,12 @@
     return True
 
 
+def state_of(owner: PoolOwner, job: JobId) -> JobState | None:
+    """Return the state of a job that an owner would show, or ``None`` if it shows none."""
+    found = owner.find(job)
+    return found[0] if found is not None else None
+
+
 class FakeEndpoint:
     """Fake endpoint that keeps runs, ends and the highest token; leases never expire.
 
--- a/tests/execution/test_lease_renewal.py
+++ b/tests/execution/test_lease_renewal.py
@@ -13,7 +13,7 @@
 from lentilrill.ids import EndpointId
 from lentilrill.workloads import JobState, Step
 from tests.builders import a_job, a_step, an_endpoint
-from tests.execution.fakes import OwnedPool, eventually
+from tests.execution.fakes import OwnedPool, eventually, state_of
 from tests.fakes import FakeKeyValue
 
 LASTING = a_step(1, lasting=True, may_be_away=1)
@@ -99,7 +99,7 @@
         self.assertTrue(self.kv.delayed.wait(10))
         self.assertTrue(self.renewed_by(owner))
         self.kv.release.set()
-        self.assertTrue(eventually(lambda: owner.state_of(self.job.id) is JobState.RUNNING))
+        self.assertTrue(eventually(lambda: state_of(owner, self.job.id) is JobState.RUNNING))
         self.assertEqual(1, len(self.pool.starts()))
 
     def test_an_end_reported_while_a_new_owner_reads_the_records_counts(self) -> None:
@@ -114,7 +114,7 @@
         self.pool.finish_all()
         self.assertTrue(eventually(lambda: self.endpoint.polls > polls + 1))
         self.kv.release.set()
-        self.assertTrue(eventually(lambda: owner.state_of(self.job.id) is JobState.COMPLETED))
+        self.assertTrue(eventually(lambda: state_of(owner, self.job.id) is JobState.COMPLETED))
         self.assertEqual(1, len(self.pool.starts()))
 
     def test_a_lease_renewed_before_the_records_were_read_is_waited_for(self) -> None:
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -10,7 +10,7 @@
 from lentilrill.inner import ReleaseState
 from lentilrill.workloads import JobProgress, JobState
 from tests.builders import a_job, a_step, an_endpoint
-from tests.execution.fakes import OwnedPool, eventually
+from tests.execution.fakes import OwnedPool, eventually, state_of
 
 
 class TakeOverTest(TestCase):
@@ -40,7 +40,7 @@
         second = self.pool.take_over()
         self.assertTrue(eventually(lambda: self.pool.endpoints["e1"].token == second.token))
         self.pool.finish_all()
-        self.assertTrue(eventually(lambda: second.state_of(self.job.id) is JobState.COMPLETED))
+        self.assertTrue(eventually(lambda: state_of(second, self.job.id) is JobState.COMPLETED))
         self.assertEqual(2, len(self.pool.starts()))
 
     def test_the_owner_waits_for_an_unregistered_endpoint(self) -> None:
@@ -62,7 +62,7 @@
         # Longer than the silence after which the link to an unregistered endpoint is closed.
         time.sleep(2.5)
         self.assertEqual([], self.pool.endpoints["e2"].starts)
-        self.assertEqual(JobState.QUEUED, second.state_of(self.job.id))
+        self.assertEqual(JobState.QUEUED, state_of(second, self.job.id))
 
     def test_new_jobs_do_not_wait_for_unpolled_endpoints(self) -> None:
         """Guards against new jobs that wait for seconds after a zone was partitioned.
@@ -160,7 +160,7 @@
         second = self.pool.take_over()
         self.assertTrue(eventually(lambda: len(self.pool.starts()) >= 2))
         self.pool.finish_all()
-        self.assertTrue(eventually(lambda: second.state_of(self.job.id) is JobState.COMPLETED))
+        self.assertTrue(eventually(lambda: state_of(second, self.job.id) is JobState.COMPLETED))
 
     def stored(self, key: str) -> bytes:
         item = self.pool.kv.items_by_key.get(key)
@@ -205,9 +205,9 @@
         endpoint = self.pool.endpoints["e1"]
         polls_before = endpoint.polls
         self.assertTrue(eventually(lambda: endpoint.polls > polls_before + 3))
-        self.assertEqual(JobState.RUNNING, self.owner.state_of(self.job.id))
+        self.assertEqual(JobState.RUNNING, state_of(self.owner, self.job.id))
         self.pool.kv.down = False
-        self.assertTrue(eventually(lambda: self.owner.state_of(self.job.id) is JobState.COMPLETED))
+        self.assertTrue(eventually(lambda: state_of(self.owner, self.job.id) is JobState.COMPLETED))
 
     def test_ends_are_acknowledged_only_once_stored(self) -> None:
         """Guards against a task that is run again after its owner crashed.
@@ -236,13 +236,13 @@
         self.pool.finish_all()
         self.assertTrue(eventually(lambda: len(self.pool.starts()) == 2))
         self.pool.finish_all()
-        self.assertTrue(eventually(lambda: self.owner.state_of(self.job.id) is JobState.COMPLETED))
+        self.assertTrue(eventually(lambda: state_of(self.owner, self.job.id) is JobState.COMPLETED))
 
     def test_cancelled_jobs_are_stopped(self) -> None:
         self.assertTrue(eventually(lambda: len(self.pool.starts()) == 1))
         self.owner.cancel(self.job.id)
         self.assertTrue(eventually(lambda: bool(self.pool.endpoints["e1"].stops)))
-        self.assertEqual(JobState.CANCELLED, self.owner.state_of(self.job.id))
+        self.assertEqual(JobState.CANCELLED, state_of(self.owner, self.job.id))
 
 
 class RetentionTest(TestCase):
@@ -263,5 +263,5 @@
         self.assertTrue(eventually(lambda: f"in/notices/j/{old.id}" not in pool.kv.items_by_key))
         self.assertNotIn(f"p/notices/{old.id}", pool.kv.items_by_key)
         self.assertIn(f"p/notices/{fresh.id}", pool.kv.items_by_key)
-        self.assertIs(JobState.COMPLETED, owner.state_of(fresh.id))
-        self.assertTrue(eventually(lambda: owner.state_of(old.id) is None))
+        self.assertIs(JobState.COMPLETED, state_of(owner, fresh.id))
+        self.assertTrue(eventually(lambda: state_of(owner, old.id) is None))
--- a/tests/intake/fakes.py
+++ b/tests/intake/fakes.py
@@ -4,16 +4,17 @@
 
 from testtools import TestCase
 
-from lentilrill.ids import PoolId
+from lentilrill.ids import PoolId, WorkspaceId
 from lentilrill.inner import JobAsk, PoolPressure
 from lentilrill.intake import Intake
 from lentilrill.ownership import OwnerRecord
 from tests.builders import a_job
 from tests.fakes import FakeKeyValue
 
-__all__ = ["POOL", "IntakeCase", "Peers"]
+__all__ = ["NO_WORKSPACE", "POOL", "IntakeCase", "Peers"]
 
 POOL = PoolId("notices")
+NO_WORKSPACE = WorkspaceId("")
 
 
 class Peers:
--- a/tests/intake/test_intake.py
+++ b/tests/intake/test_intake.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from lentilrill.ids import Incarnation, JobId, PoolId, ProcessId, QueueId
+from lentilrill.ids import Incarnation, JobId, PoolId, ProcessId, QueueId, WorkspaceId
 from lentilrill.inner import (
     Batch,
     JobAccepted,
@@ -17,8 +17,9 @@
 from tests.builders import a_job
 from tests.execution.fakes import eventually
 from tests.fakes import lose_answer, lose_request
-from tests.intake.fakes import POOL, IntakeCase
+from tests.intake.fakes import NO_WORKSPACE, POOL, IntakeCase
 
+SCHOOLS, LIBRARY = WorkspaceId("schools"), WorkspaceId("library")
 ATTEMPTS = 3
 """Maximum number of times that one create is sent."""
 
@@ -128,9 +129,11 @@
 
     def test_shown_from_the_store_when_no_owner_answers(self) -> None:
         self.intake.submit(self.job)
-        self.assertEqual(JobState.QUEUED, self.intake.get_state(POOL, self.job.id)[1])
+        self.assertEqual(JobState.QUEUED, self.intake.get_state(POOL, NO_WORKSPACE, self.job.id)[1])
         self.kv.put(f"p/notices/{self.job.id}", b'{"state":"completed"}')
-        self.assertEqual(JobState.COMPLETED, self.intake.get_state(POOL, self.job.id)[1])
+        self.assertEqual(
+            JobState.COMPLETED, self.intake.get_state(POOL, NO_WORKSPACE, self.job.id)[1]
+        )
 
     def test_queries_have_a_lower_priority_than_the_owner(self) -> None:
         """After an outage a pool made no progress while its callers queried their jobs.
@@ -139,28 +142,95 @@
         and the owner on that host could not load its jobs. Queries must have a lower priority.
         """
         self.intake.submit(self.job)
-        self.intake.get_state(POOL, self.job.id)
+        self.intake.get_state(POOL, NO_WORKSPACE, self.job.id)
         self.assertEqual({Priority.LATER}, set(self.kv.priorities))
 
     def test_absent_only_if_the_store_was_read(self) -> None:
         """A caller was told that an accepted job does not exist, during a store outage."""
-        self.assertIs(JobAnswer.ABSENT, self.intake.get_state(POOL, self.job.id)[0])
+        self.assertIs(JobAnswer.ABSENT, self.intake.get_state(POOL, NO_WORKSPACE, self.job.id)[0])
         self.kv.down = True
-        self.assertIs(JobAnswer.UNAVAILABLE, self.intake.get_state(POOL, self.job.id)[0])
+        self.assertIs(
+            JobAnswer.UNAVAILABLE, self.intake.get_state(POOL, NO_WORKSPACE, self.job.id)[0]
+        )
 
     def test_found_in_the_pool_that_its_queue_had(self) -> None:
         self.intake.submit(self.job)
-        self.assertEqual(JobState.QUEUED, self.intake.get_state(PoolId("ballots"), self.job.id)[1])
+        self.assertEqual(
+            JobState.QUEUED, self.intake.get_state(PoolId("ballots"), NO_WORKSPACE, self.job.id)[1]
+        )
 
     def test_cancel(self) -> None:
         self.owner = OwnerRecord("h2", 1, "10.0.0.2:1")
         self.intake.submit(self.job)
-        self.assertIs(JobAnswer.ACCEPTED, self.intake.cancel(POOL, self.job.id))
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.cancel(POOL, NO_WORKSPACE, self.job.id))
         self.assertIsInstance(self.peers.sent[-1], JobCancelled)
-        self.assertEqual(JobState.CANCELLED, self.intake.get_state(POOL, self.job.id)[1])
-        self.assertIs(JobAnswer.ABSENT, self.intake.cancel(POOL, JobId("f" * 16)))
+        self.assertEqual(
+            JobState.CANCELLED, self.intake.get_state(POOL, NO_WORKSPACE, self.job.id)[1]
+        )
+        self.assertIs(JobAnswer.ABSENT, self.intake.cancel(POOL, NO_WORKSPACE, JobId("f" * 16)))
 
     def test_waiting_jobs_as_the_owner_counts_them(self) -> None:
         self.assertIsNone(self.intake.count_waiting(POOL, QueueId("proofs")))
         self.pressure = PoolPressure(POOL, 0.0, {QueueId("proofs"): 3}, 1)
         self.assertEqual(3, self.intake.count_waiting(POOL, QueueId("proofs")))
+
+    def test_a_job_is_invisible_to_other_workspaces(self) -> None:
+        """Guards against a caller who reads or cancels the job of another workspace by its id."""
+        job = a_job("b", workspace=SCHOOLS)
+        self.intake.submit(job)
+        for _ in range(2):
+            self.assertIs(JobAnswer.ABSENT, self.intake.get_state(POOL, LIBRARY, job.id)[0])
+            self.assertIs(JobAnswer.ABSENT, self.intake.get_state(POOL, NO_WORKSPACE, job.id)[0])
+            self.assertIs(JobAnswer.ABSENT, self.intake.cancel(POOL, LIBRARY, job.id))
+            self.assertEqual(JobState.QUEUED, self.intake.get_state(POOL, SCHOOLS, job.id)[1])
+            # The second time the pool's owner answers.
+            self.owner = OwnerRecord("h2", 1, "10.0.0.2:1")
+            self.peers.answer = lambda ask: self.intake.on_job_told(
+                Batch(ProcessId("h2"), Incarnation(1), "10.0.0.2:1", ()),
+                JobTold(ask.ask, True, "queued", SCHOOLS),
+            )
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.cancel(POOL, SCHOOLS, job.id))
+
+    def test_an_id_in_use_by_another_workspace_is_a_conflict(self) -> None:
+        """Guards against an accepted job that never runs, since its id belongs to another's job."""
+        self.intake.submit(a_job("b", workspace=SCHOOLS))
+        self.assertIs(JobAnswer.CONFLICT, self.intake.submit(a_job("b", workspace=LIBRARY))[0])
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(a_job("b", workspace=SCHOOLS))[0])
+
+    def test_two_workspaces_submit_one_id_at_once(self) -> None:
+        """Guards against one commit that answers both callers as if it stored both jobs."""
+        started = threading.Event()
+
+        def slowly(call):
+            started.wait()
+            return call()
+
+        self.kv.commits.append(slowly)
+        answers: list[JobAnswer] = []
+        callers = [
+            threading.Thread(
+                target=lambda w=w: answers.append(self.intake.submit(a_job("b", workspace=w))[0])
+            )
+            for w in (SCHOOLS, LIBRARY)
+        ]
+        for caller in callers:
+            caller.start()
+        creates_by_key = self.intake._group_commit._creates_by_key
+        self.assertTrue(
+            eventually(lambda: sum(create.waiters for create in creates_by_key.values()) == 2)
+        )
+        started.set()
+        for caller in callers:
+            caller.join()
+        self.assertEqual({JobAnswer.ACCEPTED, JobAnswer.CONFLICT}, set(answers))
+
+    def test_a_refusal_does_not_show_another_workspaces_job(self) -> None:
+        """Guards against telling a caller that its job is accepted, since another's has its id."""
+        self.owner = OwnerRecord("h2", 1, "10.0.0.2:1")
+        self.peers.answer = lambda ask: self.intake.on_job_told(
+            Batch(ProcessId("h2"), Incarnation(1), "10.0.0.2:1", ()),
+            JobTold(ask.ask, True, "running", SCHOOLS),
+        )
+        self.pressure = PoolPressure(POOL, 60.0, {}, 1)
+        self.assertIs(JobAnswer.CONFLICT, self.intake.submit(a_job("b", workspace=LIBRARY))[0])
+        self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(a_job("b", workspace=SCHOOLS))[0])
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -87,18 +87,19 @@
         """Return whether the readiness endpoint of an entry host answers 200."""
         return self._status("GET", self.settings[name]["readiness"], "/readiness")[0] == 200
 
-    def submit(self, name: str, path: str, job: dict[str, Any]) -> int:
+    def submit(self, name: str, path: str, job: dict[str, Any], key: str = "") -> int:
         """Submit a job; return the status of the answer, 0 if there is none."""
-        return self._status("POST", self.settings[name]["callers"], path, json.dumps(job))[0]
+        address = self.settings[name]["callers"]
+        return self._status("POST", address, path, json.dumps(job), key)[0]
 
-    def state(self, name: str, path: str) -> str:
+    def state(self, name: str, path: str, key: str = "") -> str:
         """Return the state of a job, or the status of an answer other than 200."""
-        status, body = self._status("GET", self.settings[name]["callers"], path)
+        status, body = self._status("GET", self.settings[name]["callers"], path, key=key)
         return str(json.loads(body)["state"]) if status == 200 else str(status)
 
-    def cancel(self, name: str, path: str) -> int:
+    def cancel(self, name: str, path: str, key: str = "") -> int:
         """Cancel a job."""
-        return self._status("DELETE", self.settings[name]["callers"], path)[0]
+        return self._status("DELETE", self.settings[name]["callers"], path, key=key)[0]
 
     def request(self, method: str, name: str, path: str) -> int:
         """Send a request without a body; return the status of the answer."""
@@ -109,10 +110,13 @@
         return self._status("GET", self.settings[name]["metrics"], "/metrics")[1].decode()
 
     def _status(
-        self, method: str, address: str, path: str, body: str | None = None
+        self, method: str, address: str, path: str, body: str | None = None, key: str = ""
     ) -> tuple[int, bytes]:
+        headers = HOST | ({"Key": key} if key else {})
         try:
-            answer = self.http.request(method, f"http://{address}{path}", body=body, headers=HOST)
+            answer = self.http.request(
+                method, f"http://{address}{path}", body=body, headers=headers
+            )
         except urllib3.exceptions.HTTPError:
             return 0, b""
         return answer.status, answer.data
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -196,3 +196,44 @@
         self.platform.store.down = False
         self.assertTrue(eventually(lambda: self.site.state("front-0", path(1)) == "completed"))
         self.check_runs()
+
+    def test_keys_in_force_and_taken_away(self) -> None:
+        """Guards against a key that serves on some entry host after it was taken away."""
+        self.prepare(task_s=0.1)
+        queues = {"/proofs/": "notices"}
+        keys = {"schools": {"api_keys": ["s1", "s2"]}, "library": {"api_keys": ["l1"]}}
+        self.platform.configure(4, queues, workspaces=keys)
+        self.assertTrue(self.site.start_all())
+        self.assertEqual(200, self.site.submit("front-0", path(0), JOB, "s1"))
+        self.assertEqual(401, self.site.submit("front-0", path(1), JOB))
+        self.assertEqual(401, self.site.submit("front-1", path(1), JOB, "s3"))
+        self.assertEqual(409, self.site.submit("front-1", path(0), JOB, "l1"))
+        for name in self.site.settings:
+            self.assertEqual("410", self.site.state(name, path(0), "l1"))
+            self.assertTrue(
+                eventually(lambda n=name: self.site.state(n, path(0), "s2") == "completed")
+            )
+        self.platform.configure(5, queues, workspaces=keys | {"schools": {"api_keys": ["s2"]}})
+        for name in self.site.settings:
+            self.assertTrue(eventually(lambda n=name: self.site.state(n, path(0), "s1") == "401"))
+            self.assertEqual("completed", self.site.state(name, path(0), "s2"))
+        self.assertEqual(401, self.site.cancel("front-0", path(0), "s1"))
+        self.check_runs()
+        self.assertEqual({f"{0:016x}"}, {record.task[:16] for record in self.platform.records})
+
+    def test_a_workspace_without_keys_keeps_its_jobs(self) -> None:
+        """Guards against losing the accepted jobs of a workspace whose last key was taken away."""
+        self.prepare(task_s=0.4)
+        queues = {"/proofs/": "notices"}
+        self.platform.configure(4, queues, workspaces={"schools": {"api_keys": ["s1"]}})
+        self.assertTrue(self.site.start_all())
+        self.assertEqual(200, self.site.submit("front-0", path(0), JOB, "s1"))
+        self.platform.configure(5, queues, workspaces={"schools": {"api_keys": []}})
+        self.assertTrue(eventually(lambda: self.site.state("front-0", path(0), "s1") == "401"))
+        # Five tasks, of which the last two begin after the key was taken away.
+        done = lambda: [r for r in self.platform.records if r.end_kind == "done"]  # noqa: E731
+        self.assertTrue(eventually(lambda: len(done()) == 5))
+        self.platform.configure(6, queues, workspaces={"schools": {"api_keys": ["s9"]}})
+        self.assertTrue(
+            eventually(lambda: self.site.state("front-0", path(0), "s9") == "completed")
+        )
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from lentilrill.execution import EndKind, ReportedRun, RunEnd, Verdict
-from lentilrill.ids import JobId
+from lentilrill.ids import JobId, WorkspaceId
 from lentilrill.platform._endpoint_wire import decode_poll, refusal_verdict
 from lentilrill.platform._job_wire import decode_job
 from lentilrill.platform._records import decode_configuration, decode_endpoint, decode_wave
@@ -99,12 +99,13 @@
     def decode(self, body: object) -> object:
         [queue] = a_configuration().queues
         raw = body if isinstance(body, bytes) else encoded(body)
-        return decode_job(JobId("a" * 16), queue, raw, 5)
+        return decode_job(JobId("a" * 16), queue, WorkspaceId("schools"), raw, 5)
 
     def test_job(self) -> None:
         steps = [{"count": 2, "cpu": 5}, {"count": 1, "after": [0], "long_running": True}]
         job = self.decode({"spec": "x", "steps": steps}).unwrap()
         self.assertEqual(("proofs", "notices", 5), (job.queue, job.pool, job.accepted_ms))
+        self.assertEqual("schools", job.workspace)
         self.assertTrue(job.steps[1].lasting)
 
     def test_malformed_jobs_are_refused(self) -> None:
