Workspaces: caps hold across all pools by allowances in the store

Cause: nothing read a workspace's cap. Its tasks run in several pools, each with an owner of its own, and no owner knew what the others run.

Change: one record a workspace tells what each pool holds of the cap. A pool starts tasks only within what it holds and what the others leave of the cap. The record changes by compare-and-swap under the owner's fencing token; a raise also compares the revision of the configuration, so that none goes by an older cap, and after a cap was lowered the records are read again before the next start. What a pool holds outlives its owner: the next owner counts it as used until it knows all runs. Ordered, running and stopping tasks count, and runs that the owner doesn't know. A write without an answer counts by the least that it may leave, until a read or a newer revision settles it. Far below the cap a pool takes ahead, so that starts cost no write; near it each keeps what it uses, and a pool that waits is seen by the others.

--- a/bench/owner.py
+++ b/bench/owner.py
@@ -168,6 +168,7 @@
             lambda: True,
             lambda: True,
             lambda reason: None,
+            lambda: None,
             metrics=self.metrics,
         )
         self._ended = threading.Event()
--- a/src/lentilrill/entry/_caches.py
+++ b/src/lentilrill/entry/_caches.py
@@ -11,7 +11,7 @@
     decode_endpoint,
     decode_wave,
 )
-from lentilrill.store import Item
+from lentilrill.store import Compare, Item
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import Configuration, EndpointEntry, Wave
 
@@ -23,6 +23,9 @@
 
     A configuration with a lower version than the one in force comes from a stale read or a late
     message of a peer, and is ignored, so that the configuration never reverts.
+
+    :ivar key: key and revision of the configuration in force; ``None`` if it came from a peer,
+        which doesn't know the revision.
     """
 
     def __init__(self, on_change: Callable[[], None] = lambda: None) -> None:
@@ -30,6 +33,7 @@
         self._on_change = on_change
         self.current: Configuration | None = None
         self.value = b""
+        self.key: Compare | None = None
         self.waves_by_number: dict[int, Wave] = {}
 
     @property
@@ -49,21 +53,26 @@
             if item.value is None:
                 continue
             if item.key == CONFIGURATION_KEY:
-                self.apply_if_newer(item.value)
+                self.apply_if_newer(item.value, Compare(item.key, item.revision))
             elif item.key.startswith(WAVES_PREFIX):
                 wave = decode_wave(item.key, item.value)
                 if wave is not None:
                     self.waves_by_number[wave.number] = wave
 
-    def apply_if_newer(self, value: bytes) -> None:
-        """Put an encoded configuration in force if it is newer than the current one."""
+    def apply_if_newer(self, value: bytes, key: Compare | None = None) -> None:
+        """Put an encoded configuration in force if it is newer than the current one.
+
+        :param key: its key and revision, if known.
+        """
         configuration = decode_configuration(value)
         if configuration is None:
             return
         with self._lock:
+            if configuration.version == self.version and key is not None:
+                self.key = key
             if configuration.version <= self.version:
                 return
-            self.current, self.value = configuration, value
+            self.current, self.value, self.key = configuration, value, key
         log(
             Event.CONFIGURATION_IN_FORCE,
             version=configuration.version,
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -234,6 +234,7 @@
             lambda: self._ownership.may_order(shard),
             lambda: self._ownership.holds(shard),
             lambda reason: self._ownership.give_up(shard, reason),
+            lambda: self._configuration.key,
             self._policy,
             self.metrics,
         )
--- /dev/null
+++ b/src/lentilrill/execution/_allowances.py
@@ -0,0 +1,433 @@
+"""Allowances of a pool's owner: what the pool may start for each workspace, and their records."""
+
+import queue
+import threading
+import time
+from collections.abc import Callable, Iterable
+from functools import partial
+
+import msgspec
+from returns.result import Failure
+
+from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._tracking import TrackedJob
+from lentilrill.faults import FaultKind
+from lentilrill.ids import JobId, PoolId, Revision, WorkspaceId
+from lentilrill.scheduling import (
+    Allowances,
+    Budget,
+    KnownAllowances,
+    PoolAllowance,
+    Usage,
+    next_allowance,
+)
+from lentilrill.store import DECODE_ERRORS, Compare, Follower, Item, KeyValue, Put
+from lentilrill.telemetry import Event, Metrics, log, run_and_log_errors
+from lentilrill.workloads import Configuration, Job, Resources, TaskId, Workspaces
+
+__all__ = ["AllowanceBook", "RoundBudgets"]
+
+ALLOWANCE_PREFIX = "a/"
+WATCH_PAUSE_S = 0.3
+"""Pause between two watch calls: what another pool returns arrives after this time at most."""
+SWEEP_INTERVAL_S = 0.3
+"""Interval at which all workspaces are checked for allowances that are not used any more."""
+RETRY_S = 0.1
+UNLIMITED = Resources()
+NOTHING = Resources()
+
+
+class RoundBudgets:
+    """Budgets of the workspaces during one planning round.
+
+    :param budget_of: returns a workspace's budget, or ``None`` if nothing may start now; ``None``
+        if there are no limits.
+    :ivar refused_jobs: jobs with tasks that could start if the pool held more.
+    """
+
+    def __init__(self, budget_of: Callable[[WorkspaceId], Budget | None] | None) -> None:
+        self._budget_of = budget_of
+        self.by_workspace: dict[WorkspaceId, Budget | None] = {}
+        self.refused_jobs: set[JobId] = set()
+
+    def take(self, job: Job, needs: Resources, *, count: int = 1, is_gang: bool = False) -> bool:
+        """Take what a task needs, if its workspace may start it; see :meth:`Budget.take`."""
+        if not job.workspace or self._budget_of is None:
+            return True
+        if job.workspace not in self.by_workspace:
+            self.by_workspace[job.workspace] = self._budget_of(job.workspace)
+        budget = self.by_workspace[job.workspace]
+        if budget is not None and budget.take(needs, count=count, is_gang=is_gang):
+            return True
+        self.refused_jobs.add(job.id)
+        return False
+
+
+class _Write(msgspec.Struct):
+    """One write of a workspace's record, against the revision that is replaced."""
+
+    workspace: WorkspaceId
+    allowance: PoolAllowance
+    record: Allowances
+    revision: Revision
+    raises: bool
+
+
+class AllowanceBook:
+    """The allowances of one pool, kept by its owner.
+
+    All methods but :meth:`load` and :meth:`close` are called under the lock of the pool's owner, or
+    acquire it. Writes are made by a thread, one at a time for each workspace.
+
+    :param owner: the owner's key and the revision that serves as its fencing token.
+    :param configuration: returns the configuration in force.
+    :param configuration_key: returns the key and revision of the configuration in force; ``None``
+        if the revision is not known, so that nothing can be taken.
+    :param on_changed: called when an allowance has changed.
+    """
+
+    def __init__(
+        self,
+        kv: KeyValue,
+        pool: PoolId,
+        owner: Compare,
+        lock: threading.RLock,
+        configuration: Callable[[], Configuration | None],
+        configuration_key: Callable[[], Compare | None],
+        on_changed: Callable[[], None],
+        metrics: Metrics,
+    ) -> None:
+        self._kv = kv
+        self._pool = pool
+        self._owner = owner
+        self._lock = lock
+        self._configuration = configuration
+        self._configuration_key = configuration_key
+        self._on_changed = on_changed
+        self._metrics = metrics
+        self._loaded = False
+        self._known_by_workspace: dict[WorkspaceId, KnownAllowances] = {}
+        self._held_at_take_over: dict[WorkspaceId, Resources] = {}
+        self._used: dict[WorkspaceId, Resources] = {}
+        self._workspaces: Workspaces | None = None
+        self._cap_by_workspace: dict[WorkspaceId, Resources] = {}
+        self._outdated: set[WorkspaceId] = set()
+        self._writing: set[WorkspaceId] = set()
+        self._changed_at: dict[WorkspaceId, float] = {}
+        self._lacking_since: dict[WorkspaceId, float] = {}
+        self._swept_at = 0.0
+        self._work: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
+        self._closed = threading.Event()
+        self._follower = Follower(
+            kv, ALLOWANCE_PREFIX, self, pause_s=WATCH_PAUSE_S, is_needed=self._is_needed
+        )
+        self._thread = threading.Thread(target=self._run, name=f"allowances-{pool}", daemon=True)
+
+    def load(self) -> bool:
+        """Read all records; return whether they could be read.
+
+        What the pool holds counts as used until the runs of the previous owner are known.
+        """
+        if not self._is_needed():
+            return True
+        read = self._kv.read(ALLOWANCE_PREFIX)
+        if isinstance(read, Failure):
+            log(Event.SHARD_NOT_LOADED, shard=self._pool, reason=read.failure().reason)
+            return False
+        with self._lock:
+            self.on_changed(read.unwrap().items)
+            self._held_at_take_over = {
+                workspace: known.stored.of(self._pool).held
+                for workspace, known in self._known_by_workspace.items()
+            }
+            self._loaded = True
+        return True
+
+    def start(self) -> None:
+        """Start to follow and write the records."""
+        self._follower.start()
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop after the current write."""
+        self._closed.set()
+        self._follower.close()
+        self._work.put(None)
+
+    def _is_needed(self) -> bool:
+        configuration = self._configuration()
+        return configuration is None or configuration.workspaces is not None
+
+    # Records
+
+    def on_replaced(self, items: tuple[Item, ...]) -> None:
+        """Process a full read of the records."""
+        with self._lock:
+            self._loaded = True
+        self.on_changed(items)
+
+    def on_changed(self, items: tuple[Item, ...]) -> None:
+        """Process changed records."""
+        with self._lock:
+            for item in items:
+                self._apply(item)
+        self._on_changed()
+
+    def _apply(self, item: Item) -> None:
+        if item.value is None:
+            return
+        workspace = WorkspaceId(item.key.removeprefix(ALLOWANCE_PREFIX))
+        try:
+            stored = msgspec.msgpack.decode(item.value, type=Allowances)
+        except DECODE_ERRORS as error:
+            log(Event.RECORD_ODD, key=item.key, reason=str(error))
+            return
+        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        self._known_by_workspace[workspace] = known.on_read(stored, item.revision)
+
+    # Decisions
+
+    def begin_round(
+        self,
+        links: Iterable[EndpointLink],
+        jobs_by_id: dict[JobId, TrackedJob],
+        *,
+        is_complete: bool,
+    ) -> RoundBudgets:
+        """Return the budgets of a round.
+
+        :param is_complete: whether all runs of the previous owner are known.
+        """
+        if not self._is_needed():
+            return RoundBudgets(None)
+        used = usage_by_workspace(links, jobs_by_id)
+        if is_complete:
+            self._held_at_take_over = {}
+        for workspace, held in self._held_at_take_over.items():
+            used[workspace] = held.at_least(used.get(workspace, NOTHING))
+        self._used = used
+        self._update_caps()
+        return RoundBudgets(self._budget_of)
+
+    def _budget_of(self, workspace: WorkspaceId) -> Budget | None:
+        """Return the budget of a workspace; ``None`` while what the others hold isn't known."""
+        if not self._loaded or workspace in self._outdated:
+            return None
+        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        return Budget(
+            known.certain(self._pool),
+            self._pool,
+            self._cap_by_workspace.get(workspace, UNLIMITED),
+            self._used.get(workspace, NOTHING),
+        )
+
+    def _update_caps(self) -> None:
+        """Take the caps from the configuration in force.
+
+        Another pool may have taken more under a higher cap that was just lowered. The records are
+        read again before anything is started under the lower one; later takes go by it, since
+        they compare the configuration's revision.
+        """
+        configuration = self._configuration()
+        workspaces = configuration.workspaces if configuration is not None else None
+        if workspaces is None or workspaces is self._workspaces:
+            return
+        caps = {workspace: entry.cap for workspace, entry in workspaces.by_id.items()}
+        lowered = {
+            workspace
+            for workspace, cap in caps.items()
+            if _is_lowered(self._cap_by_workspace.get(workspace, UNLIMITED), cap)
+        }
+        if lowered and self._workspaces is not None:
+            self._outdated |= lowered
+            self._work.put(partial(self._reread, frozenset(lowered)))
+        self._workspaces = workspaces
+        self._cap_by_workspace = caps
+
+    def end_round(self, budgets: RoundBudgets, free: Resources, now: float) -> None:
+        """Queue the writes that this round calls for.
+
+        :param free: free capacity of the pool before the round; more can't be lacking.
+        """
+        workspaces = set(budgets.by_workspace)
+        if now - self._swept_at >= SWEEP_INTERVAL_S:
+            self._swept_at = now
+            workspaces |= {
+                workspace
+                for workspace, known in self._known_by_workspace.items()
+                if self._pool in known.stored.by_pool
+            }
+        for workspace in workspaces:
+            budget = budgets.by_workspace.get(workspace) or self._budget_of(workspace)
+            if budget is not None:
+                self._write_if_due(workspace, _limited(budget.usage, free), now)
+
+    def _write_if_due(self, workspace: WorkspaceId, usage: Usage, now: float) -> None:
+        self._record_wait(workspace, usage, now)
+        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        if workspace in self._writing:
+            return
+        if known.unresolved:
+            self._writing.add(workspace)
+            self._work.put(partial(self._resolve, workspace))
+            return
+        current = known.stored.of(self._pool)
+        unchanged_s = now - self._changed_at.get(workspace, 0.0)
+        cap = self._cap_by_workspace.get(workspace, UNLIMITED)
+        wanted = next_allowance(known.stored, self._pool, cap, usage, unchanged_s)
+        if wanted == current:
+            return
+        self._send(workspace, wanted)
+
+    def _send(self, workspace: WorkspaceId, allowance: PoolAllowance) -> None:
+        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        current = known.stored.of(self._pool)
+        self._writing.add(workspace)
+        self._known_by_workspace[workspace] = known.on_sent(allowance)
+        write = _Write(
+            workspace,
+            allowance,
+            known.stored.replace(self._pool, allowance),
+            Revision(known.revision),
+            not allowance.held.fits(current.held),
+        )
+        self._work.put(partial(self._commit, write))
+
+    def _record_wait(self, workspace: WorkspaceId, usage: Usage, now: float) -> None:
+        """Measure how long tasks wait for an allowance."""
+        if usage.lacking != NOTHING:
+            self._lacking_since.setdefault(workspace, now)
+        elif (since := self._lacking_since.pop(workspace, None)) is not None:
+            self._metrics.timing("allowance.wait", (now - since) * 1000)
+
+    # Writes
+
+    def _run(self) -> None:
+        while not self._closed.is_set():
+            work = self._work.get()
+            if work is None:
+                return
+            run_and_log_errors(f"allowances of {self._pool}", work)
+
+    def _commit(self, write: _Write) -> None:
+        key = ALLOWANCE_PREFIX + write.workspace
+        compares = [self._owner, Compare(key, write.revision)]
+        if write.raises:
+            configuration = self._configuration_key()
+            if configuration is None:
+                self._closed.wait(RETRY_S)
+                self._finish(write, is_unsent=True)
+                return
+            compares.append(configuration)
+        self._metrics.incr("allowance.writes")
+        result = self._kv.commit(tuple(compares), (Put(key, msgspec.msgpack.encode(write.record)),))
+        if isinstance(result, Failure):
+            is_ambiguous = result.failure().kind is FaultKind.AMBIGUOUS
+            log(
+                Event.ALLOWANCE_NOT_STORED,
+                pool=self._pool,
+                workspace=write.workspace,
+                reason=result.failure().reason,
+            )
+            self._closed.wait(RETRY_S)
+            self._finish(write, is_unsent=not is_ambiguous)
+            return
+        answer = result.unwrap()
+        if answer.succeeded:
+            with self._lock:
+                known = self._known_by_workspace[write.workspace]
+                self._known_by_workspace[write.workspace] = known.on_read(
+                    write.record, answer.revision
+                )
+                self._changed_at[write.workspace] = time.monotonic()
+            self._finish(write)
+            return
+        self._metrics.incr("allowance.conflicts")
+        newer = [item for item in answer.found if item.key == key]
+        with self._lock:
+            for item in newer:
+                self._apply(item)
+        if all(item.revision == write.revision for item in newer):
+            # Another condition failed: this host lacks the newest configuration or is fenced.
+            self._closed.wait(RETRY_S)
+        self._finish(write, is_unsent=True)
+
+    def _finish(self, write: _Write, *, is_unsent: bool = False) -> None:
+        """End a write.
+
+        :param is_unsent: whether it is certain not to take effect.
+        """
+        with self._lock:
+            self._writing.discard(write.workspace)
+            if is_unsent:
+                known = self._known_by_workspace[write.workspace]
+                self._known_by_workspace[write.workspace] = known.on_not_sent(write.allowance)
+        self._on_changed()
+
+    def _resolve(self, workspace: WorkspaceId) -> None:
+        """Read a record after a write without an answer, and write it again if need be.
+
+        If the write has not taken effect, it may still do so, but not after a later write against
+        the same revision.
+        """
+        read = self._kv.get(ALLOWANCE_PREFIX + workspace)
+        if isinstance(read, Failure):
+            self._closed.wait(RETRY_S)
+        with self._lock:
+            self._writing.discard(workspace)
+            if not isinstance(read, Failure):
+                if (item := read.unwrap()) is not None:
+                    self._apply(item)
+                known = self._known_by_workspace[workspace]
+                if known.unresolved:
+                    self._send(workspace, known.unresolved[-1])
+        self._on_changed()
+
+    def _reread(self, workspaces: frozenset[WorkspaceId]) -> None:
+        """Read all records again, until they can be read."""
+        while isinstance(read := self._kv.read(ALLOWANCE_PREFIX), Failure):
+            if self._closed.wait(RETRY_S):
+                return
+        self.on_changed(read.unwrap().items)
+        with self._lock:
+            self._outdated -= workspaces
+        self._on_changed()
+
+
+def usage_by_workspace(
+    links: Iterable[EndpointLink], jobs_by_id: dict[JobId, TrackedJob]
+) -> dict[WorkspaceId, Resources]:
+    """Return what the runs of each workspace use that are or may be in progress.
+
+    Runs that are being stopped count, and so do runs that this owner did not place.
+    """
+    used: dict[WorkspaceId, Resources] = {}
+    for link in links:
+        for run in link.runs_by_key.values():
+            workspace = run.task.step.tracked_job.job.workspace
+            if workspace:
+                used[workspace] = used.get(workspace, NOTHING).plus(run.task.step.spec.needs)
+        for task, _ in link.unknown_since_by_key:
+            tracked_job = jobs_by_id.get(task.job)
+            if tracked_job is not None and tracked_job.job.workspace:
+                workspace = tracked_job.job.workspace
+                needs = _needs_of(tracked_job, task)
+                used[workspace] = used.get(workspace, NOTHING).plus(needs)
+    return used
+
+
+def _needs_of(tracked_job: TrackedJob, task: TaskId) -> Resources:
+    steps = tracked_job.job.steps
+    return steps[task.step].needs if 0 <= task.step < len(steps) else NOTHING
+
+
+def _limited(usage: Usage, free: Resources) -> Usage:
+    """Return a usage that lacks no more than the first tasks, or what the pool has free."""
+    lacking = usage.lacking.at_most(free.at_least(usage.first))
+    return msgspec.structs.replace(usage, lacking=lacking)
+
+
+def _is_lowered(before: Resources, cap: Resources) -> bool:
+    """Whether a cap is lower than before in any amount; 0 is no limit."""
+    pairs = zip(msgspec.structs.astuple(before), msgspec.structs.astuple(cap), strict=True)
+    return any(new and (not old or new < old) for old, new in pairs)
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from lentilrill.execution._allowances import RoundBudgets
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
 from lentilrill.execution._reconcile import count_failure, is_unhealthy
@@ -65,12 +66,14 @@
         blocked: bool,
         take_over_revision: int,
         unknown_tasks: set[TaskId],
+        budgets: RoundBudgets,
     ) -> list[tuple[EndpointId, Run]]:
         """Place waiting tasks on endpoints with free capacity.
 
         :param blocked: tasks of jobs accepted before ``take_over_revision`` may still run on
             endpoints that have not been polled yet, so they are not started now.
         :param unknown_tasks: tasks of unknown runs.
+        :param budgets: what may start for each workspace.
         """
         placed: list[tuple[EndpointId, Run]] = []
         ordered = sorted(
@@ -90,8 +93,10 @@
                     permitted = capacity_by_endpoint
                     if queue is not None and queue.advice is not None:
                         permitted = self._with_ticket(step, capacity_by_endpoint)
-                    placed += self._place_step(step, permitted, now, unknown_tasks)
-            tracked_job.wait_times.switch_to(_wait_cause(steps), now)
+                    placed += self._place_step(step, permitted, now, unknown_tasks, budgets)
+            is_refused = tracked_job.job.id in budgets.refused_jobs
+            cause = WaitCause.WORKSPACE_CAP if is_refused else _wait_cause(steps)
+            tracked_job.wait_times.switch_to(cause, now)
         return placed
 
     def _request_tickets(
@@ -136,6 +141,7 @@
         capacity_by_endpoint: dict[EndpointId, EndpointCapacity],
         now: float,
         unknown_tasks: set[TaskId],
+        budgets: RoundBudgets,
     ) -> list[tuple[EndpointId, Run]]:
         waiting = [
             task
@@ -145,15 +151,18 @@
         if not waiting:
             return []
         if step.spec.gang:
-            return self._place_gang(step, waiting, capacity_by_endpoint)
+            return self._place_gang(step, waiting, capacity_by_endpoint, budgets)
         counts = _run_counts(step) if step.spec.most_per_endpoint else {}
         placed = []
-        for task in waiting:
+        job = step.tracked_job.job
+        for index, task in enumerate(waiting):
             capacity = place(
                 step.spec, capacity_by_endpoint.values(), lambda e: counts.get(e, 0), task.failed_on
             )
             if capacity is None:
                 break
+            if not budgets.take(job, step.spec.needs, count=len(waiting) - index):
+                break
             capacity.reserve(step.spec.reserved, serves=step.spec.lasting or step.spec.filler)
             counts[capacity.id] = counts.get(capacity.id, 0) + 1
             placed.append((capacity.id, self._new_run(task, capacity.id, self._next_number(task))))
@@ -164,6 +173,7 @@
         step: TrackedStep,
         waiting: list[TrackedTask],
         capacity_by_endpoint: dict[EndpointId, EndpointCapacity],
+        budgets: RoundBudgets,
     ) -> list[tuple[EndpointId, Run]]:
         """Place all members or none: a partly placed gang would block capacity without progress."""
         if len(waiting) < len(step.tasks):
@@ -181,6 +191,9 @@
                 break
         if chosen is None:
             return []
+        needs = step.spec.needs.times(len(waiting))
+        if not budgets.take(step.tracked_job.job, needs, is_gang=True):
+            return []
         number = self._next_number(step)
         placed = []
         for task, capacity in zip(waiting, chosen, strict=True):
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -2,8 +2,9 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+from lentilrill.execution._allowances import AllowanceBook
 from lentilrill.execution._contract import Dialer, PolicyCalls
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_list import EndpointList
@@ -24,9 +25,10 @@
 from lentilrill.execution._writer import ProgressWriter
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision, WorkspaceId
 from lentilrill.inner import PoolPressure, ReleaseState
-from lentilrill.store import Follower, KeyValue
+from lentilrill.scheduling import EndpointCapacity
+from lentilrill.store import Compare, Follower, KeyValue
 from lentilrill.telemetry import Event, Metrics, NoMetrics, log, run_and_log_errors
-from lentilrill.workloads import Configuration, EndpointEntry, JobState, Queue
+from lentilrill.workloads import Configuration, EndpointEntry, JobState, Queue, Resources
 
 __all__ = ["PoolOwner"]
 
@@ -62,6 +64,7 @@
     :param may_poll: whether the owner's lease and its key are still valid, also while it stops
         acting as the owner.
     :param on_fenced: called when an endpoint or the store holds a newer token.
+    :param configuration_key: returns the key and revision of the configuration in force, if known.
     :param policy: policy service for the queues that require tickets.
     :param metrics: receives the jobs' wait times and the owner's latencies.
     """
@@ -78,6 +81,7 @@
         may_order: Callable[[], bool],
         may_poll: Callable[[], bool],
         on_fenced: Callable[[str], None],
+        configuration_key: Callable[[], Compare | None],
         policy: PolicyCalls | None = None,
         metrics: Metrics = NO_METRICS,
     ) -> None:
@@ -115,6 +119,16 @@
         self._reconciler = Reconciler(self._jobs.by_id, self._attempts, self._durations)
         self._tickets = TicketCache(policy, self._lock_and_wake)
         self._planner = Planner(token, self._durations, self._tickets)
+        self._allowances = AllowanceBook(
+            kv,
+            pool,
+            Compare(owner_key, token),
+            self._lock,
+            configuration,
+            configuration_key,
+            self._lock_and_wake,
+            metrics,
+        )
         self._latency = LatencyMonitor(pool, token, metrics)
         self._idle = IdleTasks(pool)
         self._writer = ProgressWriter(kv, pool, owner_key, token, self._jobs, self.may_order)
@@ -157,6 +171,7 @@
         self._follower.close()
         self._writer.close()
         self._tickets.close()
+        self._allowances.close()
         try:
             if flush and self._jobs.loaded:
                 self._writer.flush()
@@ -282,6 +297,7 @@
         )
         self._follower.start()
         self._writer.start()
+        self._allowances.start()
         while not self._ended.is_set():
             with self._changed:
                 if not self._due:
@@ -312,6 +328,8 @@
         self._links.open_previous(self._entries(self.pool))
         if not self._jobs.load():
             return False
+        if not self._allowances.load():
+            return False
         self._links.wake()
         return True
 
@@ -351,9 +369,14 @@
             unknown_tasks = {
                 key[0] for link in self._links.by_id.values() for key in link.unknown_since_by_key
             }
+            budgets = self._allowances.begin_round(
+                self._links.by_id.values(), self._jobs.by_id, is_complete=not blocked
+            )
+            free = _total_free(capacity_by_endpoint.values())
             placed = self._planner.place_tasks(
-                jobs, capacity_by_endpoint, now, blocked, self.token, unknown_tasks
+                jobs, capacity_by_endpoint, now, blocked, self.token, unknown_tasks, budgets
             )
+            self._allowances.end_round(budgets, free, now)
             for endpoint, run in placed:
                 link = self._links.by_id[endpoint]
                 link.runs_by_key[run.key] = run
@@ -392,3 +415,10 @@
                     if run.is_unsent and link.reachable:
                         continue
                     self._reconciler.drop(link, run, "its lease has lapsed out of sight")
+
+
+def _total_free(capacities: Iterable[EndpointCapacity]) -> Resources:
+    total = Resources()
+    for capacity in capacities:
+        total = total.plus(capacity.free)
+    return total
--- a/src/lentilrill/execution/_wait_times.py
+++ b/src/lentilrill/execution/_wait_times.py
@@ -14,6 +14,8 @@
     """Its tasks may run on endpoints that the pool's new owner has not polled yet."""
     CAPACITY = "room"
     """Some of its tasks are ready, and no endpoint has capacity for them."""
+    WORKSPACE_CAP = "cap"
+    """An endpoint has capacity for some of its tasks, and its workspace may not use more."""
     ORDER = "order"
     """A start order got no answer; all other ready tasks run."""
     WORK = "work"
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -4,6 +4,14 @@
 """
 
 from lentilrill.scheduling._admission import Pressure, can_accept, outage_retry_s, retry_after_s
+from lentilrill.scheduling._allowances import (
+    Allowances,
+    Budget,
+    KnownAllowances,
+    PoolAllowance,
+    Usage,
+    next_allowance,
+)
 from lentilrill.scheduling._capacity import (
     SURPLUS_DELAY_S,
     MovableHost,
@@ -23,18 +31,24 @@
 
 __all__ = [
     "SURPLUS_DELAY_S",
+    "Allowances",
+    "Budget",
     "Demand",
     "DurationModel",
     "EndpointCapacity",
     "HostShares",
     "JobTiming",
+    "KnownAllowances",
     "MovableHost",
     "Move",
+    "PoolAllowance",
     "PoolNeed",
     "Pressure",
     "SurgeTracker",
+    "Usage",
     "can_accept",
     "minimum_hosts",
+    "next_allowance",
     "next_pace",
     "outage_retry_s",
     "place",
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -149,6 +149,11 @@
     QUEUE_UNKNOWN = (668, Level.INFO, "A request matches no queue of the configuration in force.")
     JOB_ODD = (669, Level.INFO, "A caller submitted a malformed job.")
     KEY_REFUSED = (667, Level.INFO, "The key of a request belongs to no workspace.")
+    ALLOWANCE_NOT_STORED = (
+        690,
+        Level.WARNING,
+        "What a pool holds of a workspace's cap could not be stored.",
+    )
     JOB_ANSWERED = (670, Level.INFO, "A submitted job was answered.")
     CANCEL_ANSWERED = (671, Level.INFO, "A request to cancel a job was answered.")
     JOB_NOT_READ = (
--- a/src/lentilrill/workloads/_job.py
+++ b/src/lentilrill/workloads/_job.py
@@ -47,6 +47,30 @@
             math.ceil(self.accelerators * share),
         )
 
+    def times(self, count: int) -> "Resources":
+        """Return these resources ``count`` times."""
+        return Resources(self.cpu * count, self.memory_mb * count, self.accelerators * count)
+
+    def at_least(self, other: "Resources") -> "Resources":
+        """Return the larger amount of each resource."""
+        return Resources(
+            max(self.cpu, other.cpu),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
+    def at_most(self, other: "Resources") -> "Resources":
+        """Return the smaller amount of each resource."""
+        return Resources(
+            min(self.cpu, other.cpu),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
+    def divided(self, parts: int) -> "Resources":
+        """Return one of ``parts`` equal parts, rounded down."""
+        return Resources(self.cpu // parts, self.memory_mb // parts, self.accelerators // parts)
+
     def minus(self, other: "Resources") -> "Resources":
         """Return the difference, which may be negative."""
         return Resources(
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -15,6 +15,7 @@
     Verdict,
 )
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
+from lentilrill.store import Compare
 from lentilrill.workloads import Configuration, EndpointEntry, JobState, TaskId
 from tests.builders import a_configuration
 from tests.fakes import FakeKeyValue
@@ -137,6 +138,7 @@
         self.endpoints = {name: FakeEndpoint() for name in names}
         self.entries: dict[EndpointId, EndpointEntry] = {}
         self.configuration: Configuration = a_configuration()
+        self.configuration_key: Compare | None = Compare("configuration", Revision(0))
         self.refusals: list[str] = []
         self.owners: list[PoolOwner] = []
 
@@ -164,6 +166,7 @@
             lambda: True,
             lambda: True,
             self.refusals.append,
+            lambda: self.configuration_key,
         )
         self.owners.append(owner)
         return owner
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from lentilrill.execution import EndKind, PollResult, ReportedRun, RunEnd, Verdict
+from lentilrill.execution._allowances import RoundBudgets
 from lentilrill.execution._demand import PoolDemand, demand_of
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations, WorkForecast
@@ -83,7 +84,13 @@
         capacity_by_endpoint = a_planner().capacity_by_endpoint([self.link], time.monotonic())
         jobs = [(tracked_job, None) for tracked_job in self.jobs.values()]
         return a_planner().place_tasks(
-            jobs, capacity_by_endpoint, time.monotonic(), False, 0, unknown_tasks or set()
+            jobs,
+            capacity_by_endpoint,
+            time.monotonic(),
+            False,
+            0,
+            unknown_tasks or set(),
+            RoundBudgets(None),
         )
 
 
@@ -303,7 +310,13 @@
         tracked_job = self.add(a_step(1))
         capacity_by_endpoint = a_planner().capacity_by_endpoint([self.link], time.monotonic())
         a_planner().place_tasks(
-            [(tracked_job, None)], capacity_by_endpoint, time.monotonic(), True, 9, set()
+            [(tracked_job, None)],
+            capacity_by_endpoint,
+            time.monotonic(),
+            True,
+            9,
+            set(),
+            RoundBudgets(None),
         )
         self.assertIs(WaitCause.TAKE_OVER, self.cause_of(tracked_job))
 
