Tests: caps over two pools, and a stand-in that judges them

The stand-in of the users' platform keeps the caps of its configurations and tells each start that brought a workspace above the highest one that may be in force. On the whole path the owner of a pool is killed while its workspace is at its cap.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -13,10 +13,11 @@
 
 import msgspec
 
+from standins._caps import CapChange, JobUse, find_excess
 from standins._http import Call, Server
 from standins._users_store import UsersStore
 
-__all__ = ["RunRecord", "UsersPlatform"]
+__all__ = ["JobUse", "RunRecord", "UsersPlatform"]
 
 THREADS = 64
 TICK_INTERVAL_S = 0.02
@@ -198,6 +199,7 @@
     :param task_s: seconds that each task takes.
     :ivar policy: the policy service.
     :ivar records: every run that was started.
+    :ivar use_by_job: workspace and use of the jobs that :meth:`excess_starts` judges.
     :ivar max_down: maximum number of hosts that were down for upkeep at the same time.
     :ivar lose_every_nth: the answer to every n-th call that endpoints execute is lost; 0 for none.
     """
@@ -208,6 +210,8 @@
         self.lose_every_nth = 0
         self._call_numbers = itertools.count(1)
         self.records: list[RunRecord] = []
+        self.use_by_job: dict[str, JobUse] = {}
+        self._cap_changes: list[CapChange] = []
         self.max_down = 0
         self._task_s = task_s
         self._lock = threading.RLock()
@@ -274,8 +278,14 @@
         value = {"version": version, "routes": routes, "services": pools, "limits": {}}
         if workspaces is not None:
             value["tenants"] = [{"name": name} | rest for name, rest in workspaces.items()]
+            caps = {name: rest.get("cap", {}).get("cpu", 0) for name, rest in workspaces.items()}
+            self._cap_changes.append(CapChange(time.monotonic(), caps))
         self.store.put("op/config", msgspec.json.encode(value))
 
+    def excess_starts(self) -> list[str]:
+        """Return a line for each start that brought a workspace above its cap."""
+        return find_excess(self.records, self.use_by_job, self._cap_changes)
+
     def declare_wave(self, number: int, hosts: list[str], cap: int) -> None:
         """Write a wave that requests the upkeep of hosts."""
         value = {"wave": number, "machines": hosts, "within_s": 20, "cap": cap}
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -131,10 +131,14 @@
 
 
 class OwnedPool:
-    """The pool ``notices`` on fake endpoints, and its successive owners."""
+    """A pool on fake endpoints, and its successive owners.
 
-    def __init__(self, *names: str) -> None:
-        self.kv = FakeKeyValue()
+    :param kv: store that the pool shares with others; a new one by default.
+    """
+
+    def __init__(self, *names: str, pool: str = "notices", kv: FakeKeyValue | None = None) -> None:
+        self.pool = PoolId(pool)
+        self.kv = kv or FakeKeyValue()
         self.endpoints = {name: FakeEndpoint() for name in names}
         self.entries: dict[EndpointId, EndpointEntry] = {}
         self.configuration: Configuration = a_configuration()
@@ -154,12 +158,13 @@
 
     def new_owner(self) -> PoolOwner:
         """Return a new owner under a new token without starting it."""
-        token = self.kv.put("m/o/notices", b"owner")
+        owner_key = f"m/o/{self.pool}"
+        token = self.kv.put(owner_key, b"owner")
         owner = PoolOwner(
             self.kv,
-            PoolId("notices"),
+            self.pool,
             Revision(token),
-            "m/o/notices",
+            owner_key,
             lambda: self.configuration,
             lambda pool: dict(self.entries),
             lambda entry: self.endpoints[entry.id],
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -8,7 +8,7 @@
 from testtools import TestCase
 from testtools.content import text_content
 
-from standins.users_platform import UsersPlatform
+from standins.users_platform import JobUse, UsersPlatform
 from tests.execution.fakes import eventually
 from tests.platform.site import GRACE_S, EntrySite
 
@@ -221,6 +221,32 @@
         self.check_runs()
         self.assertEqual({f"{0:016x}"}, {record.task[:16] for record in self.platform.records})
 
+    def test_a_cap_holds_over_pools_and_a_lost_owner(self) -> None:
+        """Guards against a workspace above its cap while an owner of its pools is replaced."""
+        self.prepare(task_s=0.3, hosts=3)
+        for _ in range(3):
+            self.platform.add_host("library")
+        queues = {"/proofs/": "notices", "/books/": "library"}
+        cap = {"cpu": 4000, "mem_mb": 0, "gpu": 0}
+        self.platform.configure(4, queues, workspaces={"schools": {"api_keys": ["s1"], "cap": cap}})
+        self.assertTrue(self.site.start_all())
+        paths = [f"/{('proofs', 'books')[n % 2]}/{n:016x}" for n in range(6)]
+        for job_path in paths:
+            job = job_path.rpartition("/")[2]
+            self.platform.use_by_job[job] = JobUse("schools", 1000)
+            self.assertEqual(200, self.site.submit("front-0", job_path, JOB, "s1"))
+        self.assertTrue(eventually(lambda: len(self.platform.records) >= 4))
+        lost = self.owner()
+        self.site.kill(lost)
+        remaining = next(name for name in self.site.settings if name != lost)
+        self.assertTrue(
+            eventually(
+                lambda: all(self.site.state(remaining, p, "s1") == "completed" for p in paths)
+            )
+        )
+        self.assertEqual([], self.platform.excess_starts())
+        self.check_runs()
+
     def test_a_workspace_without_keys_keeps_its_jobs(self) -> None:
         """Guards against losing the accepted jobs of a workspace whose last key was taken away."""
         self.prepare(task_s=0.4)
