--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
 
 BENCHMARKS = (
     "gateway",
+    "allowances",
     "claims",
     "surge",
     "ejection",
--- a/tests/execution/test_caps.py
+++ b/tests/execution/test_caps.py
@@ -1,5 +1,7 @@
 """Caps of workspaces that hold across pools with different owners."""
 
+import threading
+import time
 from collections.abc import Callable
 
 import msgspec
@@ -7,9 +9,11 @@
 from testtools import TestCase
 
 from lentilrill.execution import PoolOwner
+from lentilrill.execution._allowances import AllowanceBook
 from lentilrill.ids import PoolId, Revision, WorkspaceId
 from lentilrill.scheduling import Allowances, PoolAllowance
 from lentilrill.store import Compare
+from lentilrill.telemetry import NoMetrics
 from lentilrill.workloads import Configuration, Job, Resources, Workspace, Workspaces
 from tests.builders import a_configuration, a_job, a_step, an_endpoint
 from tests.execution.fakes import OwnedPool, eventually, state_of
@@ -174,3 +178,35 @@
             for task, number in list(endpoint.running):
                 endpoint.end(task, number)
         self.reaches(lambda: self.running("notices") == 3)
+
+
+class TakeOverTest(TestCase):
+    def test_what_a_pool_holds_counts_as_used_until_its_runs_are_known(self) -> None:
+        """Guards against an allowance that a new owner returns while its tasks still run."""
+        kv = FakeKeyValue()
+        record = Allowances({PoolId("notices"): PoolAllowance(Resources(4000))})
+        waiting = record.replace(PoolId("library"), PoolAllowance(is_waiting=True))
+        kv.put(RECORD, msgspec.msgpack.encode(waiting))
+        owner = Compare("m/o/notices", Revision(kv.put("m/o/notices", b"owner")))
+        book = AllowanceBook(
+            kv,
+            PoolId("notices"),
+            owner,
+            threading.RLock(),
+            lambda: with_cap(4000),
+            lambda: None,
+            lambda: None,
+            NoMetrics(),
+        )
+        self.assertTrue(book.load())
+        now = time.monotonic()
+        book.end_round(book.begin_round([], {}, is_complete=False), Resources(), now + 10.0)
+        self.assertTrue(book._work.empty())
+        book.end_round(book.begin_round([], {}, is_complete=True), Resources(), now + 20.0)
+        book.start()
+        self.addCleanup(book.close)
+        returned = waiting.replace(PoolId("notices"), PoolAllowance())
+        self.assertTrue(eventually(lambda: self.stored(kv) == returned))
+
+    def stored(self, kv: FakeKeyValue) -> Allowances:
+        return msgspec.msgpack.decode(kv.items_by_key[RECORD].value or b"", type=Allowances)
