Workspaces: operators see use, cap and who holds it; fewer writes while pools wait

lentilrillctl workspaces shows for each pool of the entry hosts named what a workspace uses, holds, lacks, its cap, what other pools hold and which wait; the page /workspaces beside the metrics gives the same as JSON, the fifty workspaces that use or lack most and the sum of the rest. Keys don't appear.

A pool that waits returns what its ended tasks used at most every 0.3 s, and tries again every 0.15 s while others wait.

--- a/bench/allowances.py
+++ b/bench/allowances.py
@@ -26,7 +26,7 @@
 
 __all__ = ["main"]
 
-SIZES = ((20, 5), (48, 5), (48, 52), (1000, 5), (480, 52))
+SIZES = ((20, 5), (48, 5), (48, 52), (480, 5), (1000, 5))
 SECONDS = 30.0
 ROUND_S = 0.05
 WRITE_S = 0.008
@@ -36,8 +36,9 @@
 TASKS_PER_JOB = 8
 JOBS_PER_S = 3.0
 """Mean jobs a second of a workspace of mean size."""
-CAP_FACTOR = 1.9
-"""Cap as a multiple of a workspace's mean use."""
+CAP_FACTORS = (1.9, 8.0)
+"""Caps as multiples of a workspace's mean use: at the first it is often reached, at the second
+never."""
 TURN_S = 4.0
 SWING = 0.05
 PEAK = 5.0
@@ -75,12 +76,12 @@
 class _Workspace:
     """One workspace in all pools, with the record in the store."""
 
-    def __init__(self, pools: int, share: float, rng: random.Random) -> None:
+    def __init__(self, pools: int, share: float, cap_factor: float, rng: random.Random) -> None:
         self.pools = [PoolId(str(number)) for number in range(pools)]
         self.share = share
         self.rng = rng
         mean_tasks = JOBS_PER_S * share * TASKS_PER_JOB * TASK_S
-        self.cap = TASK.times(max(1, round(mean_tasks * CAP_FACTOR)))
+        self.cap = TASK.times(max(1, round(mean_tasks * cap_factor)))
         self.stored = Allowances()
         self.revision = 0
         self.writes = 0
@@ -162,18 +163,20 @@
             "equal": equal_parts(pools),
             "exact": only_what_is_used,
         }
-        for name, way in ways.items():
-            _measure(name, way, count, pools)
+        for cap_factor, (name, way) in itertools.product(CAP_FACTORS, ways.items()):
+            _measure(name, way, count, pools, cap_factor)
 
 
-def _measure(name: str, way: Way, count: int, pools: int) -> None:
+def _measure(name: str, way: Way, count: int, pools: int, cap_factor: float) -> None:
     weights = [1 / (rank + 1) ** 0.7 for rank in range(count)]
     shares = [weight * count / sum(weights) for weight in weights]
-    workspaces = [_Workspace(pools, share, random.Random(n)) for n, share in enumerate(shares)]
+    workspaces = [
+        _Workspace(pools, share, cap_factor, random.Random(n)) for n, share in enumerate(shares)
+    ]
     for workspace in workspaces:
         workspace.play(way)
     waits = sorted(wait for workspace in workspaces for wait in workspace.waits)
-    context = {"way": name, "workspaces": count, "pools": pools}
+    context = {"way": name, "workspaces": count, "pools": pools, "cap": cap_factor}
     writes = sum(workspace.writes for workspace in workspaces)
     figure("allowances", "wait_p50", round(waits[len(waits) // 2], 3), "s", **context)
     figure("allowances", "wait_p99", round(waits[int(len(waits) * 0.99)], 3), "s", **context)
--- a/bench/waits.py
+++ b/bench/waits.py
@@ -15,7 +15,7 @@
 __all__ = ["Ended", "ended_jobs", "slowest"]
 
 SLOWEST_SHARE = 0.1
-CAUSES = ("owner_s", "take_over_s", "room_s", "order_s", "work_s", "store_s")
+CAUSES = ("owner_s", "take_over_s", "room_s", "cap_s", "order_s", "work_s", "store_s")
 
 
 class Ended(msgspec.Struct):
@@ -28,6 +28,7 @@
     owner_s: float = 0.0
     take_over_s: float = 0.0
     room_s: float = 0.0
+    cap_s: float = 0.0
     order_s: float = 0.0
     work_s: float = 0.0
     store_s: float = 0.0
--- a/src/lentilrill/ctl/_main.py
+++ b/src/lentilrill/ctl/_main.py
@@ -12,6 +12,7 @@
 from lentilrill.ctl._client import Client
 from lentilrill.ctl._exit import EXIT_HELP, Exit
 from lentilrill.ctl._files import MAX_REVISION, UsageError, read_token
+from lentilrill.ctl._workspaces import workspaces
 from lentilrill.numbers import decimal_in
 
 __all__ = ["main"]
@@ -92,6 +93,18 @@
     _add_command(subjects, "status", commands.status, "show pools, processes and planned stops")
     hosts = _add_command(subjects, "hosts", commands.hosts, "list hosts with their pools")
     hosts.add_argument("--pool", help="only hosts of this pool")
+    use = _add_command(
+        subjects, "workspaces", workspaces, "show what workspaces use of their caps, by pool"
+    )
+    use.add_argument(
+        "--entry-host",
+        dest="entry_hosts",
+        action="append",
+        required=True,
+        metavar="ADDR",
+        help="metrics address (ip:port) of an entry host; repeat it for the owners of all pools",
+    )
+    use.set_defaults(offline=True)
     audit = _add_command(subjects, "audit", commands.audit, "show who changed what")
     audit.add_argument(
         "--limit",
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -4,6 +4,8 @@
 import time
 from typing import Any
 
+import msgspec
+
 from lentilrill.entry._caches import ConfigurationCache, EndpointDirectory
 from lentilrill.entry._status_exchange import StatusExchange
 from lentilrill.execution import EndpointCalls, PoolOwner
@@ -43,6 +45,7 @@
 
 __all__ = ["EntryProcess"]
 
+WORKSPACES_PATH = "/workspaces"
 DRAIN_NOTICE_S = 2.4
 """Time for which a draining host still serves callers: the load balancer checks readiness once a
 second, and stops sending after two failed checks."""
@@ -122,7 +125,7 @@
         )
         self._plain_servers = [
             plain_text_server(settings.readiness, self._readiness),
-            plain_text_server(settings.metrics, lambda path: (200, self.metrics.render())),
+            plain_text_server(settings.metrics, self._show),
         ]
         self._endpoint_follower = Follower(
             self._kv,
@@ -197,6 +200,14 @@
         del path
         return (200, b"ready\n") if self.ready else (503, b"not ready\n")
 
+    def _show(self, path: str) -> tuple[int, bytes]:
+        """Return the metrics, or what the workspaces use in the pools of this host."""
+        if path != WORKSPACES_PATH:
+            return 200, self.metrics.render()
+        with self._lock:
+            owners = list(self._owners_by_pool.values())
+        return 200, msgspec.json.encode([owner.workspace_use() for owner in owners])
+
     def _shards(self) -> set[Shard]:
         configuration = self._configuration.current
         if configuration is None:
--- a/src/lentilrill/execution/_allowances.py
+++ b/src/lentilrill/execution/_allowances.py
@@ -23,7 +23,15 @@
 )
 from lentilrill.store import DECODE_ERRORS, Compare, Follower, Item, KeyValue, Put
 from lentilrill.telemetry import Event, Metrics, log, run_and_log_errors
-from lentilrill.workloads import Configuration, Job, Resources, TaskId, Workspaces
+from lentilrill.workloads import (
+    Configuration,
+    Job,
+    PoolUse,
+    Resources,
+    TaskId,
+    Workspaces,
+    WorkspaceUse,
+)
 
 __all__ = ["AllowanceBook", "RoundBudgets"]
 
@@ -33,6 +41,7 @@
 SWEEP_INTERVAL_S = 0.3
 """Interval at which all workspaces are checked for allowances that are not used any more."""
 RETRY_S = 0.1
+MAX_SHOWN_WORKSPACES = 50
 UNLIMITED = Resources()
 NOTHING = Resources()
 
@@ -113,9 +122,11 @@
         self._cap_by_workspace: dict[WorkspaceId, Resources] = {}
         self._outdated: set[WorkspaceId] = set()
         self._writing: set[WorkspaceId] = set()
-        self._changed_at: dict[WorkspaceId, float] = {}
+        self._written_at: dict[WorkspaceId, float] = {}
         self._lacking_since: dict[WorkspaceId, float] = {}
         self._swept_at = 0.0
+        self._usage_by_workspace: dict[WorkspaceId, Usage] = {}
+        self._used_at = time.monotonic()
         self._work: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
         self._closed = threading.Event()
         self._follower = Follower(
@@ -249,19 +260,29 @@
 
         :param free: free capacity of the pool before the round; more can't be lacking.
         """
+        self._used_at = now
+        self._usage_by_workspace = {
+            workspace: budget.usage
+            for workspace, budget in budgets.by_workspace.items()
+            if budget is not None
+        }
         workspaces = set(budgets.by_workspace)
         if now - self._swept_at >= SWEEP_INTERVAL_S:
             self._swept_at = now
-            workspaces |= {
-                workspace
-                for workspace, known in self._known_by_workspace.items()
-                if self._pool in known.stored.by_pool
-            }
+            workspaces |= self._holding()
         for workspace in workspaces:
             budget = budgets.by_workspace.get(workspace) or self._budget_of(workspace)
             if budget is not None:
                 self._write_if_due(workspace, _limited(budget.usage, free), now)
 
+    def _holding(self) -> set[WorkspaceId]:
+        """Return the workspaces of which the pool holds something or waits for it."""
+        return {
+            workspace
+            for workspace, known in self._known_by_workspace.items()
+            if self._pool in known.stored.by_pool
+        }
+
     def _write_if_due(self, workspace: WorkspaceId, usage: Usage, now: float) -> None:
         self._record_wait(workspace, usage, now)
         known = self._known_by_workspace.get(workspace, KnownAllowances())
@@ -272,9 +293,9 @@
             self._work.put(partial(self._resolve, workspace))
             return
         current = known.stored.of(self._pool)
-        unchanged_s = now - self._changed_at.get(workspace, 0.0)
+        since_write_s = now - self._written_at.get(workspace, 0.0)
         cap = self._cap_by_workspace.get(workspace, UNLIMITED)
-        wanted = next_allowance(known.stored, self._pool, cap, usage, unchanged_s)
+        wanted = next_allowance(known.stored, self._pool, cap, usage, since_write_s)
         if wanted == current:
             return
         self._send(workspace, wanted)
@@ -300,6 +321,31 @@
         elif (since := self._lacking_since.pop(workspace, None)) is not None:
             self._metrics.timing("allowance.wait", (now - since) * 1000)
 
+    def status(self) -> PoolUse:
+        """Return what the pool uses, the workspaces that use most first."""
+        with self._lock:
+            workspaces = self._used.keys() | self._usage_by_workspace.keys() | self._holding()
+            uses = [self._use_of(workspace) for workspace in workspaces]
+            age_s = round(time.monotonic() - self._used_at, 2)
+        uses.sort(key=lambda use: (use.lacking == NOTHING, -use.used.cpu, use.id))
+        others = NOTHING
+        for use in uses[MAX_SHOWN_WORKSPACES:]:
+            others = others.plus(use.used)
+        return PoolUse(self._pool, tuple(uses[:MAX_SHOWN_WORKSPACES]), others, age_s)
+
+    def _use_of(self, workspace: WorkspaceId) -> WorkspaceUse:
+        stored = self._known_by_workspace.get(workspace, KnownAllowances()).stored
+        usage = self._usage_by_workspace.get(workspace, Usage(self._used.get(workspace, NOTHING)))
+        return WorkspaceUse(
+            workspace,
+            self._cap_by_workspace.get(workspace, UNLIMITED),
+            usage.used,
+            stored.of(self._pool).held,
+            usage.lacking,
+            {pool: allowance.held for pool, allowance in stored.by_pool.items()},
+            tuple(pool for pool, allowance in stored.by_pool.items() if allowance.is_waiting),
+        )
+
     # Writes
 
     def _run(self) -> None:
@@ -319,6 +365,7 @@
                 self._finish(write, is_unsent=True)
                 return
             compares.append(configuration)
+        self._written_at[write.workspace] = time.monotonic()
         self._metrics.incr("allowance.writes")
         result = self._kv.commit(tuple(compares), (Put(key, msgspec.msgpack.encode(write.record)),))
         if isinstance(result, Failure):
@@ -339,7 +386,6 @@
                 self._known_by_workspace[write.workspace] = known.on_read(
                     write.record, answer.revision
                 )
-                self._changed_at[write.workspace] = time.monotonic()
             self._finish(write)
             return
         self._metrics.incr("allowance.conflicts")
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -28,7 +28,7 @@
 from lentilrill.scheduling import EndpointCapacity
 from lentilrill.store import Compare, Follower, KeyValue
 from lentilrill.telemetry import Event, Metrics, NoMetrics, log, run_and_log_errors
-from lentilrill.workloads import Configuration, EndpointEntry, JobState, Queue, Resources
+from lentilrill.workloads import Configuration, EndpointEntry, JobState, PoolUse, Queue, Resources
 
 __all__ = ["PoolOwner"]
 
@@ -239,6 +239,10 @@
             backlog = backlog_of(jobs)
             return pressure_of(self.pool, self.token, backlog, demand, links, now)
 
+    def workspace_use(self) -> PoolUse:
+        """Return what the pool uses of the workspaces' caps."""
+        return self._allowances.status()
+
     def release(self, endpoint: EndpointId, *, cancel: bool) -> tuple[str, str]:
         """Drain an endpoint whose host is needed elsewhere; called repeatedly until it is free.
 
--- a/src/lentilrill/scheduling/_allowances.py
+++ b/src/lentilrill/scheduling/_allowances.py
@@ -25,6 +25,9 @@
 RETURN_DELAY_S = 0.3
 """Time after which a pool returns what it doesn't use while another one waits: longer than between
 the end of one task and the start of the next, so that each of these doesn't cost a write."""
+CONTENDED_DELAY_S = 0.15
+"""Time between two writes of a pool while another one waits: with many pools, most writes would
+fail because another pool's came first."""
 SURPLUS_DELAY_S = 1.0
 """Time after which it does so while none waits."""
 
@@ -176,41 +179,46 @@
 
 
 def next_allowance(
-    allowances: Allowances, pool: PoolId, cap: Resources, usage: Usage, unchanged_s: float
+    allowances: Allowances, pool: PoolId, cap: Resources, usage: Usage, since_write_s: float
 ) -> PoolAllowance:
     """Return what a pool should hold.
 
-    :param unchanged_s: seconds since the pool's allowance was last changed.
+    :param since_write_s: seconds since the pool last wrote the record, or tried to.
     """
     current = allowances.of(pool)
     total = _amounts(cap)
     others = allowances.held_by_others(pool)
     free = total.minus(others)
     if usage.lacking != NOTHING:
-        return _raised(allowances, pool, total, usage)
+        return _raised(allowances, pool, total, usage, since_write_s)
     held = current.held.at_least(usage.used)
     if not held.fits(free):
         return PoolAllowance(usage.used)
     if allowances.others_wait(pool):
-        return PoolAllowance(usage.used if unchanged_s >= RETURN_DELAY_S else held)
+        return PoolAllowance(usage.used if since_write_s >= RETURN_DELAY_S else held)
     # What is kept unused here is missing elsewhere only once more than half of the cap is held.
     is_half_unused = usage.used.times(2).fits(held)
     is_tight = not _is_below_half(total, others.plus(held))
-    if is_tight and is_half_unused and unchanged_s >= SURPLUS_DELAY_S:
+    if is_tight and is_half_unused and since_write_s >= SURPLUS_DELAY_S:
         return PoolAllowance(usage.used)
     return PoolAllowance(held)
 
 
-def _raised(allowances: Allowances, pool: PoolId, total: Resources, usage: Usage) -> PoolAllowance:
+def _raised(
+    allowances: Allowances, pool: PoolId, total: Resources, usage: Usage, since_write_s: float
+) -> PoolAllowance:
     """Return the allowance of a pool that lacks something."""
+    current = allowances.of(pool)
     others = allowances.held_by_others(pool)
     free = total.minus(others)
     needed = usage.used.plus(usage.lacking)
     spare = needed.at_most(total.divided(SPARE_PARTS))
     if _is_below_half(total, others.plus(needed).plus(spare)):
-        return PoolAllowance(needed.plus(spare).at_least(allowances.of(pool).held))
+        return PoolAllowance(needed.plus(spare).at_least(current.held))
     first = usage.used.plus(usage.first)
     if first.fits(free):
+        if allowances.others_wait(pool) and since_write_s < CONTENDED_DELAY_S:
+            return PoolAllowance(current.held.at_least(usage.used), current.is_waiting)
         most = needed.at_most(free).at_least(first)
         if allowances.others_wait(pool):
             most = most.at_most(_fair_part(allowances, pool, total)).at_least(first)
@@ -219,6 +227,8 @@
     # than half of its cap, or it might never start.
     if not usage.is_gang and _is_below_half(total, others.plus(usage.used)):
         return PoolAllowance(first)
+    if current.is_waiting and since_write_s < RETURN_DELAY_S:
+        return PoolAllowance(current.held.at_least(usage.used), is_waiting=True)
     return PoolAllowance(usage.used, is_waiting=True)
 
 
--- a/src/lentilrill/workloads/__init__.py
+++ b/src/lentilrill/workloads/__init__.py
@@ -21,8 +21,10 @@
 from lentilrill.workloads._progress import JobProgress, StepProgress
 from lentilrill.workloads._workspaces import (
     KeyDigest,
+    PoolUse,
     Workspace,
     Workspaces,
+    WorkspaceUse,
     digest_of,
     fingerprint_of,
 )
@@ -38,6 +40,7 @@
     "KeyDigest",
     "Limits",
     "PoolEntry",
+    "PoolUse",
     "Queue",
     "Resources",
     "Step",
@@ -46,6 +49,7 @@
     "TaskId",
     "Wave",
     "Workspace",
+    "WorkspaceUse",
     "Workspaces",
     "digest_of",
     "fingerprint_of",
--- a/src/lentilrill/workloads/_workspaces.py
+++ b/src/lentilrill/workloads/_workspaces.py
@@ -5,10 +5,18 @@
 
 import msgspec
 
-from lentilrill.ids import WorkspaceId
+from lentilrill.ids import PoolId, WorkspaceId
 from lentilrill.workloads._job import Resources
 
-__all__ = ["KeyDigest", "Workspace", "Workspaces", "digest_of", "fingerprint_of"]
+__all__ = [
+    "KeyDigest",
+    "PoolUse",
+    "Workspace",
+    "WorkspaceUse",
+    "Workspaces",
+    "digest_of",
+    "fingerprint_of",
+]
 
 KeyDigest = NewType("KeyDigest", bytes)
 """SHA-256 digest of a key. Keys themselves are not kept, so that none can end up in a log."""
@@ -42,6 +50,37 @@
         return self.id_by_key_digest.get(digest_of(key))
 
 
+class WorkspaceUse(msgspec.Struct, frozen=True):
+    """What a pool uses of one workspace's cap, as its owner knows it.
+
+    :param held: what the pool holds of the cap.
+    :param lacking: what its tasks could use now if the pool held more.
+    :param held_by_pool: what each pool holds, by the newest record that the owner has read.
+    :param waiting: pools whose tasks wait for more than they hold.
+    """
+
+    id: WorkspaceId
+    cap: Resources
+    used: Resources
+    held: Resources
+    lacking: Resources
+    held_by_pool: dict[PoolId, Resources]
+    waiting: tuple[PoolId, ...] = ()
+
+
+class PoolUse(msgspec.Struct, frozen=True):
+    """What one pool uses of the workspaces' caps.
+
+    :param workspaces: the workspaces that use most; ``others`` sums up the remaining ones.
+    :param age_s: seconds since the owner's last planning round.
+    """
+
+    pool: PoolId
+    workspaces: tuple[WorkspaceUse, ...]
+    others: Resources = Resources()
+    age_s: float = 0.0
+
+
 def digest_of(key: bytes) -> KeyDigest:
     """Return the digest by which a key is looked up."""
     return KeyDigest(hashlib.sha256(key).digest())
--- a/tests/execution/test_caps.py
+++ b/tests/execution/test_caps.py
@@ -210,3 +210,29 @@
 
     def stored(self, kv: FakeKeyValue) -> Allowances:
         return msgspec.msgpack.decode(kv.items_by_key[RECORD].value or b"", type=Allowances)
+
+
+class StatusTest(TestCase):
+    def test_what_a_workspace_uses_and_lacks(self) -> None:
+        kv = FakeKeyValue()
+        pool = OwnedPool("e1", pool="notices", kv=kv)
+        pool.register(an_endpoint("e1"))
+        self.addCleanup(pool.close)
+        revision = Revision(kv.put(CONFIGURATION_KEY, b"configuration"))
+        pool.configuration = with_cap(2000)
+        pool.configuration_key = Compare(CONFIGURATION_KEY, revision)
+        owner = pool.take_over()
+        job = a_job("a", a_step(3), workspace=SCHOOLS)
+        owner.add_job(msgspec.msgpack.encode(job), Revision(kv.put("job", b"")))
+        self.assertTrue(eventually(lambda: len(pool.starts()) == 2))
+        self.assertTrue(
+            eventually(
+                lambda: any(
+                    use.lacking == Resources(1000, 1000) and use.waiting == ("notices",)
+                    for use in owner.workspace_use().workspaces
+                )
+            )
+        )
+        [use] = owner.workspace_use().workspaces
+        self.assertEqual((SCHOOLS, Resources(2000)), (use.id, use.cap))
+        self.assertEqual(Resources(2000, 2000), use.used)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -1,5 +1,8 @@
 """Jobs on entry host processes, with a stand-in of the users' platform."""
 
+import contextlib
+import io
+import re
 import socket
 from collections import Counter
 from itertools import pairwise
@@ -8,6 +11,7 @@
 from testtools import TestCase
 from testtools.content import text_content
 
+from lentilrill.ctl import main
 from standins.users_platform import JobUse, UsersPlatform
 from tests.execution.fakes import eventually
 from tests.platform.site import GRACE_S, EntrySite
@@ -247,6 +251,23 @@
         self.assertEqual([], self.platform.excess_starts())
         self.check_runs()
 
+    def test_the_command_line_shows_what_a_workspace_uses(self) -> None:
+        self.prepare(task_s=1.0, hosts=1)
+        cap = {"cpu": 2000, "mem_mb": 0, "gpu": 0}
+        keys = {"schools": {"api_keys": ["s1"], "cap": cap}}
+        self.platform.configure(4, {"/proofs/": "notices"}, workspaces=keys)
+        self.assertTrue(self.site.start_all())
+        self.assertEqual(200, self.site.submit("front-0", path(0), JOB, "s1"))
+        address = self.site.settings["front-0"]["metrics"]
+
+        def shows_the_cap() -> bool:
+            output = io.StringIO()
+            with contextlib.redirect_stdout(output):
+                self.assertEqual(0, main(["workspaces", "--entry-host", address]))
+            return bool(re.search(r"notices +schools +2/1 +2/\S+ +1/0 +2/0", output.getvalue()))
+
+        self.assertTrue(eventually(shows_the_cap))
+
     def test_a_workspace_without_keys_keeps_its_jobs(self) -> None:
         """Guards against losing the accepted jobs of a workspace whose last key was taken away."""
         self.prepare(task_s=0.4)
