Take-over: jobs that were never started don't wait for endpoints out of reach

Cause: after a take-over all jobs accepted before wait up to 5.5 s for endpoints that can't be polled, since their tasks may run there.

Change: an owner stores a job's progress record before its first start, in commits of up to 15 jobs, at most every 20 ms, and for some jobs ahead of room, since none can be written while the store doesn't answer. A job without a record at a take-over was never started and goes at once. Hosts of an earlier version start jobs without records: members say that they store them, and a job counts only if it was accepted after all registered hosts did.

The three tests fail without the guards that they name (tried on copies).

--- a/bench/owner.py
+++ b/bench/owner.py
@@ -169,6 +169,7 @@
             lambda: True,
             lambda reason: None,
             lambda: None,
+            lambda: None,
             metrics=self.metrics,
         )
         self._ended = threading.Event()
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -246,6 +246,7 @@
             lambda: self._ownership.holds(shard),
             lambda reason: self._ownership.give_up(shard, reason),
             lambda: self._configuration.key,
+            lambda: self._ownership.records_since,
             self._policy,
             self.metrics,
         )
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -37,6 +37,9 @@
     :param links: the owner's links to endpoints, by id.
     :param on_fenced: called when the store has a newer owner.
     :param on_job_changed: called after a job was added or cancelled.
+    :param on_recorded: called after records were stored that jobs need before their first start.
+    :param records_since: returns the revision from which on every owner stores a record before the
+        first start of a job; ``None`` if unknown.
     :param metrics: receives the jobs' wait times.
     """
 
@@ -50,6 +53,8 @@
         links: dict[EndpointId, EndpointLink],
         on_fenced: Callable[[str], None],
         on_job_changed: Callable[[TrackedJob], None],
+        on_recorded: Callable[[], None],
+        records_since: Callable[[], Revision | None],
         metrics: Metrics,
     ) -> None:
         self.by_id: dict[JobId, TrackedJob] = {}
@@ -63,6 +68,8 @@
         self._links = links
         self._on_fenced = on_fenced
         self._on_job_changed = on_job_changed
+        self._on_recorded = on_recorded
+        self._records_since = records_since
         self._metrics = metrics
         self._pending_cancellations: set[JobId] = set()
         self._removed_at = time.monotonic()
@@ -125,12 +132,20 @@
                     self._track(msgspec.msgpack.decode(item.value, type=Job), item.revision)
             for item in progress.unwrap().items:
                 self._restore(item, now_ms)
+            self._find_never_started()
             for item in items:
                 if item.value is not None and "/x/" in item.key:
                     self.cancel(job_id_of(item.key))
             self.loaded = True
         return True
 
+    def _find_never_started(self) -> None:
+        since = self._records_since()
+        for tracked_job in self.by_id.values():
+            tracked_job.never_started = (
+                since is not None and not tracked_job.is_recorded and tracked_job.revision > since
+            )
+
     def _restore(self, item: Item, now_ms: int) -> None:
         tracked_job = self.by_id.get(job_id_of(item.key))
         if tracked_job is None or item.value is None:
@@ -159,10 +174,10 @@
         self._on_job_changed(tracked_job)
 
     def snapshot(self, limit: int) -> Snapshot:
-        """Return the progress to be written, final jobs first."""
+        """Return the progress to be written: final jobs, then those that start next."""
         with self._lock:
             dirty = [tracked_job for tracked_job in self.live_by_id.values() if tracked_job.dirty]
-            dirty.sort(key=lambda tracked_job: not tracked_job.state.is_final)
+            dirty.sort(key=lambda job: (not job.state.is_final, not job.needs_record))
             entries = [
                 ProgressEntry(
                     tracked_job.job.id,
@@ -179,8 +194,11 @@
             return Snapshot(entries, cursors, len(dirty) <= limit)
 
     def on_stored(self, snapshot: Snapshot, revision: Revision) -> None:
-        """Process a stored snapshot: show final states and acknowledge ends."""
+        """Process a stored snapshot: show final states, allow starts and acknowledge ends."""
         with self._lock:
+            recorded = [self._record(entry.job) for entry in snapshot.entries]
+            if any(recorded):
+                self._on_recorded()
             for entry in snapshot.entries:
                 tracked_job = self.by_id.get(entry.job)
                 if tracked_job is None:
@@ -199,6 +217,15 @@
                     link.stored_cursor = max(link.stored_cursor, cursor)
                     link.wake()
 
+    def _record(self, job: JobId) -> bool:
+        """Note that a job's record is stored; return whether its first start waits for it."""
+        tracked_job = self.by_id.get(job)
+        if tracked_job is None or tracked_job.is_recorded:
+            return False
+        tracked_job.is_recorded = True
+        tracked_job.needs_record = False
+        return not tracked_job.state.is_final
+
     def _report_final(self, tracked_job: TrackedJob) -> None:
         """Log a job's final state and wait times, and record them as metrics."""
         now = time.monotonic()
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -19,7 +19,7 @@
 from lentilrill.ids import EndpointId
 from lentilrill.scheduling import EndpointCapacity, JobTiming, next_pace, place, sort_key
 from lentilrill.telemetry import Event, log
-from lentilrill.workloads import Queue, TaskId
+from lentilrill.workloads import JobState, Queue, TaskId
 
 __all__ = ["Planner", "blocking_reason"]
 
@@ -29,6 +29,10 @@
 STUCK_AFTER_S = 1.6
 """Time without progress after which a run counts as stuck: twice the wait of a poll, in which even
 a task of ten times the usual length progresses by one percent."""
+MIN_RECORDS_AHEAD = 2
+RECORDS_AHEAD_SHARE = 0.25
+"""Jobs whose records are written before there is room for them, for each running job: about those
+that start within a quarter of a job's duration."""
 PACE_INTERVAL_S = 0.5
 """Tail latencies cover the last half second, so a change of pace shows no sooner."""
 
@@ -39,6 +43,7 @@
     :param token: the owner's fencing token, from which run numbers are derived, so that those of
         a later owner are higher.
     :param tickets: tickets of the policy service, for queues that require them.
+    :ivar to_record: jobs whose records are needed before they can be started, from the last round.
     :ivar feasible: whether all waiting work can be done in time; set by the owner.
     """
 
@@ -47,6 +52,7 @@
         self._tickets = tickets
         self._first_number = token * 1000
         self.feasible = True
+        self.to_record: list[TrackedJob] = []
 
     def capacity_by_endpoint(
         self, links: Iterable[EndpointLink], now: float
@@ -76,6 +82,7 @@
         :param budgets: what may start for each workspace.
         """
         placed: list[tuple[EndpointId, Run]] = []
+        self.to_record = []
         ordered = sorted(
             jobs,
             key=lambda pair: sort_key(
@@ -84,7 +91,8 @@
         )
         self._request_tickets(ordered, capacity_by_endpoint)
         for tracked_job, queue in ordered:
-            if blocked and tracked_job.revision < take_over_revision:
+            may_run = not tracked_job.never_started and tracked_job.revision < take_over_revision
+            if blocked and may_run:
                 tracked_job.wait_times.switch_to(WaitCause.TAKE_OVER, now)
                 continue
             steps = tracked_job.ready_steps()
@@ -97,8 +105,24 @@
             is_refused = tracked_job.job.id in budgets.refused_jobs
             cause = WaitCause.WORKSPACE_CAP if is_refused else _wait_cause(steps)
             tracked_job.wait_times.switch_to(cause, now)
+        self._record_ahead([tracked_job for tracked_job, _ in ordered])
         return placed
 
+    def _record_ahead(self, ordered: list[TrackedJob]) -> None:
+        """Choose the next jobs in the order whose records are written before there is room.
+
+        While the store doesn't answer, jobs without a record can't be started. Jobs with one have
+        to wait after a take-over, as they may have been started.
+        """
+        begun = sum(tracked_job.state is JobState.RUNNING for tracked_job in ordered)
+        most = MIN_RECORDS_AHEAD + int(begun * RECORDS_AHEAD_SHARE)
+        waiting = [tracked_job for tracked_job in ordered if not tracked_job.is_recorded]
+        ahead = sum(
+            tracked_job.is_recorded and tracked_job.state is JobState.QUEUED
+            for tracked_job in ordered
+        )
+        self.to_record += waiting[: max(0, most - ahead)]
+
     def _request_tickets(
         self,
         ordered: list[tuple[TrackedJob, Queue | None]],
@@ -165,6 +189,9 @@
                 break
             capacity.reserve(step.spec.reserved, serves=step.spec.lasting or step.spec.filler)
             counts[capacity.id] = counts.get(capacity.id, 0) + 1
+            if not step.tracked_job.is_recorded:
+                self.to_record.append(step.tracked_job)
+                continue
             placed.append((capacity.id, self._new_run(task, capacity.id, self._next_number(task))))
         return placed
 
@@ -194,6 +221,9 @@
         needs = step.spec.needs.times(len(waiting))
         if not budgets.take(step.tracked_job.job, needs, is_gang=True):
             return []
+        if not step.tracked_job.is_recorded:
+            self.to_record.append(step.tracked_job)
+            return []
         number = self._next_number(step)
         placed = []
         for task, capacity in zip(waiting, chosen, strict=True):
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -65,6 +65,8 @@
         acting as the owner.
     :param on_fenced: called when an endpoint or the store holds a newer token.
     :param configuration_key: returns the key and revision of the configuration in force, if known.
+    :param records_since: returns the revision from which on every owner stores a record before the
+        first start of a job; ``None`` if unknown.
     :param policy: policy service for the queues that require tickets.
     :param metrics: receives the jobs' wait times and the owner's latencies.
     """
@@ -82,6 +84,7 @@
         may_poll: Callable[[], bool],
         on_fenced: Callable[[str], None],
         configuration_key: Callable[[], Compare | None],
+        records_since: Callable[[], Revision | None],
         policy: PolicyCalls | None = None,
         metrics: Metrics = NO_METRICS,
     ) -> None:
@@ -112,6 +115,8 @@
             self._links.by_id,
             on_fenced,
             self._on_job_changed,
+            self._wake,
+            records_since,
             metrics,
         )
         self._durations = Durations()
@@ -381,6 +386,7 @@
                 jobs, capacity_by_endpoint, now, blocked, self.token, unknown_tasks, budgets
             )
             self._allowances.end_round(budgets, free, now)
+            records = [tracked_job.request_record() for tracked_job in self._planner.to_record]
             for endpoint, run in placed:
                 link = self._links.by_id[endpoint]
                 link.runs_by_key[run.key] = run
@@ -398,8 +404,8 @@
                 orders += [(link, order) for order in self._planner.stop_stuck_runs(link, now)]
         for link, order in orders:
             link.order(order)
-        if urgent:
-            self._writer.schedule(urgent=True)
+        if urgent or any(records):
+            self._writer.schedule(urgent=urgent, starts=any(records))
 
     def _stop_orders(self, tracked_job: TrackedJob) -> list[tuple[EndpointLink, Order]]:
         orders = []
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -194,6 +194,11 @@
 
     :ivar revision: store revision at which the job was accepted.
     :ivar stored_revision: revision of its progress record in the store; 0 if there is none.
+    :ivar is_recorded: whether its progress record is stored; until then none of its tasks is
+        started.
+    :ivar needs_record: whether its record is to be written, since its tasks start next.
+    :ivar never_started: whether no previous owner can have started it, as it had no record when
+        this owner took the pool over.
     :ivar final_stored: whether its final state is in the store and may be shown to callers.
     :ivar wait_times: time spent in each wait cause.
     """
@@ -204,8 +209,11 @@
         "dirty",
         "ended_ms",
         "final_stored",
+        "is_recorded",
         "job",
         "long_running",
+        "needs_record",
+        "never_started",
         "next_occurrence",
         "revision",
         "state",
@@ -226,6 +234,9 @@
         self.dirty = False
         self.version = 0
         self.stored_revision = Revision(0)
+        self.is_recorded = False
+        self.needs_record = False
+        self.never_started = False
         self.steps_by_occurrence: dict[int, list[TrackedStep]] = {}
         self.next_occurrence = 0
         self.long_running = any(step.lasting for step in job.steps)
@@ -288,6 +299,14 @@
         self.dirty = True
         self.version += 1
 
+    def request_record(self) -> bool:
+        """Have the record written before the first start; return whether that is new."""
+        if self.is_recorded or self.needs_record:
+            return False
+        self.needs_record = True
+        self.mark_dirty()
+        return True
+
     def mark_running(self) -> None:
         """Mark the job as running once an endpoint has started one of its tasks."""
         if self.state is JobState.QUEUED:
@@ -315,6 +334,7 @@
 
     def restore(self, progress: JobProgress, now_ms: int) -> None:
         """Restore the state from the progress record of a previous owner."""
+        self.is_recorded = True
         self.state = progress.state
         self.ended_ms = progress.ended_ms
         self.final_stored = progress.state.is_final
--- a/src/lentilrill/execution/_writer.py
+++ b/src/lentilrill/execution/_writer.py
@@ -18,6 +18,8 @@
 URGENT_INTERVAL_S = 0.06
 """Minimum interval between two commits while a job waits to be shown as completed. Jobs that end
 together share one call, and none waits longer than a caller usually pauses between two queries."""
+START_INTERVAL_S = 0.02
+"""Minimum interval between two commits while a job waits for its record before its first start."""
 LAZY_INTERVAL_S = 0.8
 """Minimum interval between two commits of ends that complete no job; ends must be acknowledged
 within 4 s."""
@@ -54,7 +56,7 @@
 
 class _Source(Protocol):
     def snapshot(self, limit: int) -> Snapshot:
-        """Return the progress to be written, final jobs first."""
+        """Return the progress to be written, most urgent jobs first."""
 
     def on_stored(self, snapshot: Snapshot, revision: Revision) -> None:
         """Process a stored snapshot."""
@@ -98,14 +100,20 @@
         self._changed = threading.Condition()
         self._dirty = False
         self._urgent = False
+        self._starts = False
         self._last_commit_at = 0.0
         self._flushed = True
 
-    def schedule(self, *, urgent: bool) -> None:
-        """Schedule a commit."""
+    def schedule(self, *, urgent: bool, starts: bool = False) -> None:
+        """Schedule a commit.
+
+        :param urgent: whether a job waits to be shown as completed.
+        :param starts: whether a job waits to be started.
+        """
         with self._changed:
             self._dirty = True
             self._urgent = self._urgent or urgent
+            self._starts = self._starts or starts
             self._changed.notify()
 
     def close(self) -> None:
@@ -148,14 +156,18 @@
         with self._changed:
             while not self._ended.is_set():
                 if self._dirty:
-                    pause = URGENT_INTERVAL_S if self._urgent else LAZY_INTERVAL_S
-                    left = self._last_commit_at + pause - self._clock()
+                    left = self._last_commit_at + self._interval_s() - self._clock()
                     if left <= 0:
                         break
                     self._changed.wait(left)
                 else:
                     self._changed.wait()
-            self._dirty = self._urgent = False
+            self._dirty = self._urgent = self._starts = False
+
+    def _interval_s(self) -> float:
+        if self._starts:
+            return START_INTERVAL_S
+        return URGENT_INTERVAL_S if self._urgent else LAZY_INTERVAL_S
 
     def _commit(self, snapshot: Snapshot) -> bool:
         keys = [progress_key(self._pool, entry.job) for entry in snapshot.entries]
--- a/src/lentilrill/ownership/_members.py
+++ b/src/lentilrill/ownership/_members.py
@@ -21,6 +21,7 @@
     :param inner: address on which it listens for other entry hosts.
     :param lease: the lease to which all of its keys are bound.
     :param strength: its capacity for control work, in reference cores.
+    :param records_starts: whether as an owner it stores a record before the first start of a job.
     """
 
     process: ProcessId
@@ -29,6 +30,7 @@
     inner: str
     lease: int
     strength: float = 1.0
+    records_starts: bool = False
 
 
 class OwnerRecord(msgspec.Struct, frozen=True):
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -100,6 +100,7 @@
         self._members_by_process: dict[ProcessId, MemberRecord] = {}
         self._owners_by_shard: dict[Shard, tuple[OwnerRecord, Revision]] = {}
         self._tokens_by_shard: dict[Shard, Revision] = {}
+        self._records_since: Revision | None = None
         self._unowned_since: dict[Shard, float] = {}
         self._released_tokens_by_shard: dict[Shard, Revision] = {}
         self._stopping: set[Shard] = set()
@@ -222,6 +223,7 @@
         with self._lock:
             self._members_by_process = {}
             self._owners_by_shard = {}
+            self._records_since = None
         self.on_changed(items)
         self._drop_lost_shards()
 
@@ -230,9 +232,27 @@
         with self._lock:
             for item in items:
                 self._apply(item)
+            self._update_records_since(items)
         self._drop_lost_shards()
         self._wake.set()
 
+    def _update_records_since(self, items: tuple[Item, ...]) -> None:
+        """Note from which revision on all entry hosts store a record before a first start."""
+        members = self._members_by_process.values()
+        if not all(member.records_starts for member in members):
+            self._records_since = None
+        elif self._records_since is None:
+            newest = max((item.revision for item in items), default=Revision(0))
+            self._records_since = max(newest, self._follower.read_revision)
+
+    @property
+    def records_since(self) -> Revision | None:
+        """Revision from which on every owner stores a record before the first start of a job.
+
+        Hosts of an earlier version don't; ``None`` while one of them is registered.
+        """
+        return self._records_since
+
     def _apply(self, item: Item) -> None:
         is_owner = item.key.startswith(OWNER_PREFIX)
         name = item.key.removeprefix(OWNER_PREFIX if is_owner else MEMBER_PREFIX)
@@ -294,7 +314,13 @@
         """Write the member record with the current strength; return whether it was stored."""
         strength = self._strength * self._pace()
         record = MemberRecord(
-            self._process, self._incarnation, self._zone, self._inner, lease, strength
+            self._process,
+            self._incarnation,
+            self._zone,
+            self._inner,
+            lease,
+            strength,
+            records_starts=True,
         )
         put = Put(MEMBER_PREFIX + self._process, msgspec.json.encode(record), lease)
         if isinstance(written := self._kv.commit((), (put,)), Failure):
--- a/src/lentilrill/store/_follow.py
+++ b/src/lentilrill/store/_follow.py
@@ -41,6 +41,7 @@
     :param pause_s: minimum seconds between two watch calls, so that a burst of changes costs one
         call per pause instead of one per change.
     :param is_needed: whether the items are needed now; if not, nothing is read or watched.
+    :ivar read_revision: the store's revision at the last full read.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         self._random = random.Random()
         self.initial_read_done = threading.Event()
         self.last_update = time.monotonic()
+        self.read_revision = Revision(0)
 
     def run(self) -> None:
         """Follow until closed."""
@@ -101,6 +103,7 @@
             self._log_fault(result.failure(), failures)
             return None
         answer = result.unwrap()
+        self.read_revision = answer.revision
         run_and_log_errors(
             f"follow {self._prefix}", partial(self._listener.on_replaced, answer.items)
         )
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -143,6 +143,7 @@
         self.entries: dict[EndpointId, EndpointEntry] = {}
         self.configuration: Configuration = a_configuration()
         self.configuration_key: Compare | None = Compare("configuration", Revision(0))
+        self.records_since: Revision | None = None
         self.refusals: list[str] = []
         self.owners: list[PoolOwner] = []
 
@@ -172,6 +173,7 @@
             lambda: True,
             self.refusals.append,
             lambda: self.configuration_key,
+            lambda: self.records_since,
         )
         self.owners.append(owner)
         return owner
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -58,6 +58,7 @@
     def add(self, *steps: Step, name: str = "a") -> TrackedJob:
         job = a_job(name, *steps)
         tracked_job = TrackedJob(job, Revision(1), time.monotonic())
+        tracked_job.is_recorded = True
         tracked_job.open_occurrences(0)
         self.jobs[job.id] = tracked_job
         return tracked_job
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -5,10 +5,11 @@
 import msgspec
 from testtools import TestCase
 
-from lentilrill.execution import EndKind
+from lentilrill.execution import EndKind, PoolOwner
 from lentilrill.ids import QueueId, Revision
 from lentilrill.inner import ReleaseState
-from lentilrill.workloads import JobProgress, JobState
+from lentilrill.store import Item
+from lentilrill.workloads import Job, JobProgress, JobState
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.fakes import OwnedPool, eventually, state_of
 
@@ -265,3 +266,68 @@
         self.assertIn(f"p/notices/{fresh.id}", pool.kv.items_by_key)
         self.assertIs(JobState.COMPLETED, state_of(owner, fresh.id))
         self.assertTrue(eventually(lambda: state_of(owner, old.id) is None))
+
+
+class NeverStartedTest(TestCase):
+    """A new owner of a pool whose former endpoint can't be reached."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.pool = OwnedPool("e1", "e2")
+        self.addCleanup(self.pool.close)
+        self.pool.records_since = Revision(0)
+        self.pool.register(an_endpoint("e1"))
+        self.first = self.pool.take_over()
+        self.assertTrue(eventually(lambda: bool(self.pool.endpoints["e1"].polls)))
+
+    def add(self, owner: PoolOwner, name: str) -> Job:
+        job = a_job(name, a_step(1))
+        value = msgspec.msgpack.encode(job)
+        owner.add_job(value, Revision(self.pool.kv.put(f"in/notices/j/{job.id}", value)))
+        return job
+
+    def replace_owner(self) -> PoolOwner:
+        """Lose the owner and its endpoint, and start another owner with another endpoint."""
+        self.pool.endpoints["e1"].silent = True
+        self.first.close()
+        self.pool.register(an_endpoint("e2"))
+        return self.pool.take_over()
+
+    def test_a_job_that_was_never_started_does_not_wait_for_lost_endpoints(self) -> None:
+        """Guards against seconds of standstill for the queue of a pool whose owner was lost."""
+        self.pool.endpoints["e1"].silent = True
+        started = self.add(self.first, "a")
+        self.assertTrue(eventually(lambda: f"p/notices/{started.id}" in self.pool.kv.items_by_key))
+        job = a_job("b", a_step(1))
+        self.pool.kv.put(f"in/notices/j/{job.id}", msgspec.msgpack.encode(job))
+        self.replace_owner()
+        tasks = lambda: {task.job for task, _ in self.pool.endpoints["e2"].starts}  # noqa: E731
+        self.assertTrue(eventually(lambda: job.id in tasks()))
+        self.assertNotIn(started.id, tasks())
+
+    def test_a_job_of_an_owner_that_stores_no_records_waits(self) -> None:
+        """Guards against a task that runs twice while hosts of two versions own pools in turn."""
+        for since in (None, Revision(10**9)):
+            self.pool.records_since = since
+            job = a_job("bc"[since is None], a_step(1))
+            self.pool.kv.put(f"in/notices/j/{job.id}", msgspec.msgpack.encode(job))
+            owner = self.replace_owner()
+            fresh = self.add(owner, "de"[since is None])
+            e2 = self.pool.endpoints["e2"]
+            self.assertTrue(eventually(lambda j=fresh, e=e2: j.id in {t.job for t, _ in e.starts}))
+            self.assertNotIn(job.id, {task.job for task, _ in e2.starts})
+            owner.close()
+
+    def test_no_task_starts_before_its_record_is_stored(self) -> None:
+        """Guards against a run that the next owner takes for one that never started."""
+        early: list[str] = []
+
+        def check(before: dict[str, Item]) -> None:
+            stored = {key.rpartition("/")[2] for key in before if key.startswith("p/notices/")}
+            early.extend(t.job for t, _ in self.pool.starts() if t.job not in stored)
+
+        self.pool.kv.observer = check
+        jobs = [self.add(self.first, name) for name in "abcd"]
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) == len(jobs)))
+        self.pool.kv.put("end", b"")
+        self.assertEqual([], early)
