Jobs: an owner that can't read accepted jobs shows no count of waiting ones

One way there is found by reading: an owner whose reads and watches of accepted jobs fail, while its lease is renewed, tracks only the jobs that it was told of directly, and shows the rest as not there. That it was this way is not proven.

--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -36,6 +36,9 @@
 """Maximum time between two planning rounds; changes of runs and jobs trigger one at once."""
 MAX_ROUND_SHARE = 0.25
 """Maximum share of an owner's time spent on rounds; polls, orders and commits need the rest."""
+MAX_BLIND_S = 2.0
+"""Time without changes of accepted jobs after which the number of waiting jobs isn't shown: jobs
+that the owner was not told of directly may be missing."""
 WATCH_PAUSE_S = 0.7
 """Pause between two watch calls for accepted jobs, which are also sent to the owner directly."""
 NO_METRICS = NoMetrics()
@@ -242,7 +245,16 @@
             # The rounds until the next call order jobs by this value.
             self._planner.feasible = demand.feasible
             backlog = backlog_of(jobs)
-            return pressure_of(self.pool, self.token, backlog, demand, links, now)
+            counts_are_known = self._follower.failing_s <= MAX_BLIND_S
+            return pressure_of(
+                self.pool,
+                self.token,
+                backlog,
+                demand,
+                links,
+                now,
+                counts_are_known=counts_are_known,
+            )
 
     def workspace_use(self) -> PoolUse:
         """Return what the pool uses of the workspaces' caps."""
--- a/src/lentilrill/execution/_pressure.py
+++ b/src/lentilrill/execution/_pressure.py
@@ -54,9 +54,13 @@
     demand: PoolDemand,
     links: list[EndpointLink],
     now: float,
+    *,
+    counts_are_known: bool = True,
 ) -> PoolPressure:
     """Return a pool's pressure.
 
+    :param counts_are_known: whether all accepted jobs are known, so that the number of waiting ones
+        may be shown.
     :param now: the monotonic clock.
     """
     cores = sum(link.entry.capacity.cpu for link in links if link.registered) / 1000
@@ -65,7 +69,7 @@
     return PoolPressure(
         pool,
         round(backlog.work * rate, 2),
-        backlog.waiting_by_queue,
+        backlog.waiting_by_queue if counts_are_known else None,
         token,
         round(demand.with_forecast, 2),
         sum(1 for link in links if link.reachable and link.registered),
--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -23,7 +23,8 @@
     """Load of a pool, as reported by its owner.
 
     :param wait_s: seconds of work queued ahead of a new job, at the rate of the whole pool.
-    :param waiting_by_queue: number of accepted jobs of which no task has started.
+    :param waiting_by_queue: number of accepted jobs of which no task has started; ``None`` if the
+        owner may not know all accepted jobs.
     :param token: the owner's fencing token.
     :param need: hosts needed to meet the deadlines of the pool's current and forecast work.
     :param hosts: number of endpoints that accept tasks.
@@ -38,7 +39,7 @@
 
     pool: PoolId
     wait_s: float
-    waiting_by_queue: dict[QueueId, int]
+    waiting_by_queue: dict[QueueId, int] | None
     token: int
     need: float = 0.0
     hosts: int = 0
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -219,7 +219,9 @@
     def count_waiting(self, pool: PoolId, queue: QueueId) -> int | None:
         """Return how many accepted jobs of a queue have not started; ``None`` if unknown."""
         reported = self._pressure_of(pool)
-        return reported.waiting_by_queue.get(queue, 0) if reported is not None else None
+        if reported is None or reported.waiting_by_queue is None:
+            return None
+        return reported.waiting_by_queue.get(queue, 0)
 
     def on_job_told(self, batch: Batch, message: JobTold) -> None:
         """Handle an owner's answer to a query."""
--- a/src/lentilrill/store/_follow.py
+++ b/src/lentilrill/store/_follow.py
@@ -65,6 +65,7 @@
         self.initial_read_done = threading.Event()
         self.last_update = time.monotonic()
         self.read_revision = Revision(0)
+        self._failing_since: float | None = None
 
     def run(self) -> None:
         """Follow until closed."""
@@ -82,10 +83,20 @@
                 revision, failures = self._follow_changes(revision, failures)
             else:
                 failures += 1
+            if not failures:
+                self._failing_since = None
+            elif self._failing_since is None:
+                self._failing_since = time.monotonic()
             if failures:
                 max_pause_s = min(MAX_RETRY_PAUSE_S, INITIAL_RETRY_PAUSE_S * 2.0**failures)
                 self._ended.wait(self._random.uniform(0.0, max_pause_s))
 
+    @property
+    def failing_s(self) -> float:
+        """Seconds for which every call has failed, so that changes are missing; 0 if none has."""
+        since = self._failing_since
+        return time.monotonic() - since if since is not None else 0.0
+
     def wake(self) -> None:
         """Check now whether the items are needed."""
         self._wake_event.set()
@@ -127,6 +138,7 @@
                 return (None if fault.kind is FaultKind.CONFLICT else after), failures + 1
             batch = result.unwrap()
             after, failures = batch.revision, 0
+            self._failing_since = None
             self.last_update = time.monotonic()
             if batch.items:
                 run_and_log_errors(
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -1,6 +1,7 @@
 """Take-over of a pool by a new owner, and storing of progress."""
 
 import time
+from unittest import mock
 
 import msgspec
 from testtools import TestCase
@@ -8,7 +9,7 @@
 from lentilrill.execution import EndKind, PoolOwner
 from lentilrill.ids import QueueId, Revision
 from lentilrill.inner import ReleaseState
-from lentilrill.store import Item
+from lentilrill.store import Follower, Item
 from lentilrill.workloads import Job, JobProgress, JobState
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.fakes import OwnedPool, eventually, state_of
@@ -268,6 +269,22 @@
         self.assertTrue(eventually(lambda: state_of(owner, old.id) is None))
 
 
+class BlindOwnerTest(TestCase):
+    def test_an_owner_that_reads_no_jobs_shows_no_count(self) -> None:
+        """Guards against a queue that is shown as empty while jobs wait that its owner missed."""
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        owner = pool.take_over()
+        self.assertTrue(eventually(lambda: owner.pressure() is not None))
+        pressure = owner.pressure()
+        assert pressure is not None
+        self.assertEqual({}, pressure.waiting_by_queue)
+        with mock.patch.object(Follower, "failing_s", 5.0):
+            pressure = owner.pressure()
+        assert pressure is not None
+        self.assertIsNone(pressure.waiting_by_queue)
+
+
 class NeverStartedTest(TestCase):
     """A new owner of a pool whose former endpoint can't be reached."""
 
--- a/tests/intake/test_intake.py
+++ b/tests/intake/test_intake.py
@@ -173,6 +173,8 @@
         self.assertIsNone(self.intake.count_waiting(POOL, QueueId("proofs")))
         self.pressure = PoolPressure(POOL, 0.0, {QueueId("proofs"): 3}, 1)
         self.assertEqual(3, self.intake.count_waiting(POOL, QueueId("proofs")))
+        self.pressure = PoolPressure(POOL, 0.0, None, 1)
+        self.assertIsNone(self.intake.count_waiting(POOL, QueueId("proofs")))
 
     def test_a_job_is_invisible_to_other_workspaces(self) -> None:
         """Guards against a caller who reads or cancels the job of another workspace by its id."""
