--- a/src/lentilrill/store/_follow.py
+++ b/src/lentilrill/store/_follow.py
@@ -114,6 +114,7 @@
             self._log_fault(result.failure(), failures)
             return None
         answer = result.unwrap()
+        self._failing_since = None
         self.read_revision = answer.revision
         run_and_log_errors(
             f"follow {self._prefix}", partial(self._listener.on_replaced, answer.items)
