--- a/src/lentilrill/ctl/_main.py
+++ b/src/lentilrill/ctl/_main.py
@@ -14,6 +14,7 @@
 from lentilrill.ctl._files import MAX_REVISION, UsageError, read_token
 from lentilrill.ctl._workspaces import workspaces
 from lentilrill.numbers import decimal_in
+from lentilrill.operators import MAX_AUDIT_LIMIT
 
 __all__ = ["main"]
 
@@ -21,7 +22,6 @@
 TOKEN_VARIABLE = "LENTILRILL_TOKEN"
 DEFAULT_WAIT_S = 10.0
 DEFAULT_AUDIT_LIMIT = 20
-MAX_AUDIT_LIMIT = 1000
 
 EPILOG = f"""\
 environment:
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -308,7 +308,7 @@
         previous_cursor = self.seen_cursor
         self._owner.on_poll(self, result, sent)
         if result.verdict is Verdict.DONE:
-            self._record_renewal(sent, renewed=renews)
+            self._note_poll_of_runs(sent, renewed=renews)
         if result.verdict is not Verdict.DONE:
             self._pause(RETRY_S)
         elif self.seen_cursor > previous_cursor or self.seen_cursor > self.stored_cursor:
@@ -330,20 +330,22 @@
         self._owner.on_renewal_answer(self, result)
         self._reports_runs = result.verdict is Verdict.DONE and bool(result.running)
         if self._reports_runs and renews:
-            self._count_renewal(sent)
+            self._report_renewal(sent)
         if renews or not self._reports_runs:
             self._pause(RENEWAL_PAUSE_S)
 
-    def _count_renewal(self, sent: float) -> None:
+    def _report_renewal(self, sent: float) -> None:
+        """Report the time since the runs' lease was last renewed."""
         if self.renewed_at is not None:
             self._owner.on_renewal(sent - self.renewed_at)
         self.renewed_at = sent
 
-    def _record_renewal(self, sent: float, *, renewed: bool) -> None:
+    def _note_poll_of_runs(self, sent: float, *, renewed: bool) -> None:
+        """Report a poll that renewed the lease, or that there is nothing to renew."""
         if not self.runs_by_key:
             self.renewed_at = None
         elif renewed:
-            self._count_renewal(sent)
+            self._report_renewal(sent)
 
     def _pause(self, seconds: float) -> None:
         self._woken.wait(seconds)
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -91,6 +91,13 @@
                 link.reset(result.started_ms)
             if result.started_ms == link.started_ms:
                 link.update_clock(result.clock_ms, time.monotonic())
+        else:
+            log(
+                Event.RENEWAL_UNANSWERED,
+                endpoint=link.entry.id,
+                verdict=result.verdict.value,
+                reason=result.reason,
+            )
 
     def on_poll(self, link: EndpointLink, result: PollResult, sent: float) -> None:
         """Process the result of a poll."""
--- a/src/lentilrill/operators/__init__.py
+++ b/src/lentilrill/operators/__init__.py
@@ -12,7 +12,7 @@
     Problem,
     StopBody,
 )
-from lentilrill.operators._audit import AuditTrail
+from lentilrill.operators._audit import MAX_AUDIT_LIMIT, AuditTrail
 from lentilrill.operators._capacity import check_capacity
 from lentilrill.operators._diff import Change, Difference, FieldChange, diff_documents
 from lentilrill.operators._editing import MAX_DOCUMENT_BYTES, Editor
@@ -32,6 +32,7 @@
 from lentilrill.operators._store import DocumentStore, Head
 
 __all__ = [
+    "MAX_AUDIT_LIMIT",
     "MAX_BODY_BYTES",
     "MAX_DOCUMENT_BYTES",
     "Action",
--- a/src/lentilrill/operators/_api.py
+++ b/src/lentilrill/operators/_api.py
@@ -21,7 +21,7 @@
     HostsAnswer,
     StopBody,
 )
-from lentilrill.operators._audit import AuditTrail
+from lentilrill.operators._audit import MAX_AUDIT_LIMIT, AuditTrail
 from lentilrill.operators._capacity import check_capacity
 from lentilrill.operators._diff import diff_documents
 from lentilrill.operators._editing import Editor
@@ -45,7 +45,6 @@
 __all__ = ["Api", "Request"]
 
 DEFAULT_AUDIT_LIMIT = 50
-MAX_AUDIT_LIMIT = 1000
 
 
 class Request(msgspec.Struct, frozen=True):
--- a/src/lentilrill/operators/_audit.py
+++ b/src/lentilrill/operators/_audit.py
@@ -14,8 +14,10 @@
 from lentilrill.operators._refusals import Refusals
 from lentilrill.store import DeleteRange, Item, KeyValue, Put, RangeAnswer
 
-__all__ = ["AuditTrail", "audit_writes"]
+__all__ = ["MAX_AUDIT_LIMIT", "AuditTrail", "audit_writes"]
 
+MAX_AUDIT_LIMIT = 1000
+"""Maximum number of edits in one answer."""
 EDITS_PREFIX = "audit/edits/"
 MAX_RETAINED_EDITS = 5000
 NUMBER_DIGITS = 12
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -149,6 +149,11 @@
     QUEUE_UNKNOWN = (668, Level.INFO, "A request matches no queue of the configuration in force.")
     JOB_ODD = (669, Level.INFO, "A caller submitted a malformed job.")
     KEY_REFUSED = (667, Level.INFO, "The key of a request belongs to no workspace.")
+    RENEWAL_UNANSWERED = (
+        691,
+        Level.WARNING,
+        "A poll that only renews run leases got no answer, while an owner loads or hands over.",
+    )
     ALLOWANCE_NOT_STORED = (
         690,
         Level.WARNING,
