Workspaces: a raise goes by the configuration that it was decided by

A raise compared the configuration's revision as of its commit, not as of its decision: decided by one cap, it could pass beside a lower one that came in force between the two. The key is now taken before the configuration and travels with the write. A write without an answer was repeated as it was; now the record is written unchanged, which ends what may still take effect, and the next round decides anew. On taking over the records are read once more after the first look at the caps. Four threads write instead of one: with a slow store, a pool's workspaces waited for each other.

--- a/src/lentilrill/execution/_allowances.py
+++ b/src/lentilrill/execution/_allowances.py
@@ -41,6 +41,8 @@
 SWEEP_INTERVAL_S = 0.3
 """Interval at which all workspaces are checked for allowances that are not used any more."""
 RETRY_S = 0.1
+WRITERS = 4
+"""Threads for writes: with one, a slow store would hold up all workspaces of a pool in a row."""
 MAX_SHOWN_WORKSPACES = 50
 UNLIMITED = Resources()
 NOTHING = Resources()
@@ -73,12 +75,17 @@
 
 
 class _Write(msgspec.Struct):
-    """One write of a workspace's record, against the revision that is replaced."""
+    """One write of a workspace's record, against the revision that is replaced.
+
+    :param configuration: key and revision of the configuration by whose cap it was decided.
+    :param raises: whether the pool holds more afterwards.
+    """
 
     workspace: WorkspaceId
     allowance: PoolAllowance
     record: Allowances
     revision: Revision
+    configuration: Compare | None
     raises: bool
 
 
@@ -86,7 +93,7 @@
     """The allowances of one pool, kept by its owner.
 
     All methods but :meth:`load` and :meth:`close` are called under the lock of the pool's owner, or
-    acquire it. Writes are made by a thread, one at a time for each workspace.
+    acquire it. Writes are made by threads, one at a time for each workspace.
 
     :param owner: the owner's key and the revision that serves as its fencing token.
     :param configuration: returns the configuration in force.
@@ -120,6 +127,7 @@
         self._used: dict[WorkspaceId, Resources] = {}
         self._workspaces: Workspaces | None = None
         self._cap_by_workspace: dict[WorkspaceId, Resources] = {}
+        self._caps_key: Compare | None = None
         self._outdated: set[WorkspaceId] = set()
         self._writing: set[WorkspaceId] = set()
         self._written_at: dict[WorkspaceId, float] = {}
@@ -132,7 +140,10 @@
         self._follower = Follower(
             kv, ALLOWANCE_PREFIX, self, pause_s=WATCH_PAUSE_S, is_needed=self._is_needed
         )
-        self._thread = threading.Thread(target=self._run, name=f"allowances-{pool}", daemon=True)
+        self._threads = [
+            threading.Thread(target=self._run, name=f"allowances-{pool}-{n}", daemon=True)
+            for n in range(WRITERS)
+        ]
 
     def load(self) -> bool:
         """Read all records; return whether they could be read.
@@ -157,13 +168,15 @@
     def start(self) -> None:
         """Start to follow and write the records."""
         self._follower.start()
-        self._thread.start()
+        for thread in self._threads:
+            thread.start()
 
     def close(self) -> None:
         """Stop after the current write."""
         self._closed.set()
         self._follower.close()
-        self._work.put(None)
+        for _ in self._threads:
+            self._work.put(None)
 
     def _is_needed(self) -> bool:
         configuration = self._configuration()
@@ -239,6 +252,8 @@
         read again before anything is started under the lower one; later takes go by it, since
         they compare the configuration's revision.
         """
+        # The key first: with a configuration that is newer than its key, a raise fails.
+        self._caps_key = self._configuration_key()
         configuration = self._configuration()
         workspaces = configuration.workspaces if configuration is not None else None
         if workspaces is None or workspaces is self._workspaces:
@@ -249,7 +264,7 @@
             for workspace, cap in caps.items()
             if _is_lowered(self._cap_by_workspace.get(workspace, UNLIMITED), cap)
         }
-        if lowered and self._workspaces is not None:
+        if lowered:
             self._outdated |= lowered
             self._work.put(partial(self._reread, frozenset(lowered)))
         self._workspaces = workspaces
@@ -310,6 +325,7 @@
             allowance,
             known.stored.replace(self._pool, allowance),
             Revision(known.revision),
+            self._caps_key,
             not allowance.held.fits(current.held),
         )
         self._work.put(partial(self._commit, write))
@@ -359,12 +375,11 @@
         key = ALLOWANCE_PREFIX + write.workspace
         compares = [self._owner, Compare(key, write.revision)]
         if write.raises:
-            configuration = self._configuration_key()
-            if configuration is None:
+            if write.configuration is None:
                 self._closed.wait(RETRY_S)
                 self._finish(write, is_unsent=True)
                 return
-            compares.append(configuration)
+            compares.append(write.configuration)
         self._written_at[write.workspace] = time.monotonic()
         self._metrics.incr("allowance.writes")
         result = self._kv.commit(tuple(compares), (Put(key, msgspec.msgpack.encode(write.record)),))
@@ -411,10 +426,10 @@
         self._on_changed()
 
     def _resolve(self, workspace: WorkspaceId) -> None:
-        """Read a record after a write without an answer, and write it again if need be.
+        """Read a record after a write without an answer, and write it unchanged if need be.
 
         If the write has not taken effect, it may still do so, but not after a later write against
-        the same revision.
+        the same revision. It isn't repeated itself: the cap may have been lowered since.
         """
         read = self._kv.get(ALLOWANCE_PREFIX + workspace)
         if isinstance(read, Failure):
@@ -426,7 +441,7 @@
                     self._apply(item)
                 known = self._known_by_workspace[workspace]
                 if known.unresolved:
-                    self._send(workspace, known.unresolved[-1])
+                    self._send(workspace, known.stored.of(self._pool))
         self._on_changed()
 
     def _reread(self, workspaces: frozenset[WorkspaceId]) -> None:
--- a/tests/execution/test_caps.py
+++ b/tests/execution/test_caps.py
@@ -199,12 +199,14 @@
             NoMetrics(),
         )
         self.assertTrue(book.load())
+        book.start()
+        self.addCleanup(book.close)
         now = time.monotonic()
+        book.begin_round([], {}, is_complete=False)
+        self.assertTrue(eventually(lambda: not book._outdated))
         book.end_round(book.begin_round([], {}, is_complete=False), Resources(), now + 10.0)
-        self.assertTrue(book._work.empty())
+        self.assertEqual(set(), book._writing)
         book.end_round(book.begin_round([], {}, is_complete=True), Resources(), now + 20.0)
-        book.start()
-        self.addCleanup(book.close)
         returned = waiting.replace(PoolId("notices"), PoolAllowance())
         self.assertTrue(eventually(lambda: self.stored(kv) == returned))
 
--- a/tests/scheduling/allowance_model.py
+++ b/tests/scheduling/allowance_model.py
@@ -239,7 +239,8 @@
     pool = pool_id(index)
     current = owner.known.stored.of(pool)
     if owner.known.unresolved:
-        wanted = owner.known.unresolved[-1]
+        # A write that changes nothing ends those that may still take effect.
+        wanted = current
     else:
         wanted = decisions.next_allowance(owner.known.stored, pool, cap, usage, LONG_S)
         if wanted == current:
--- a/tests/scheduling/test_allowances.py
+++ b/tests/scheduling/test_allowances.py
@@ -33,8 +33,9 @@
 STUCK_SAMPLE = 7
 """Every so many states is followed until nothing changes any more."""
 WALK_STEPS = 150
+LOST_ANSWER_DEPTH = 12
 THREE_DEPTH = 11
-"""Steps to which three owners are explored; all their states take minutes."""
+"""Steps to which two larger models are explored; all their states take minutes."""
 _ENCODER = msgspec.msgpack.Encoder(order="deterministic")
 
 
@@ -162,6 +163,10 @@
     def test_no_start_exceeds_a_cap_that_is_lowered(self) -> None:
         state = initial_state((2, 1), (1, 1))
         self.assertEqual("", self.explore(state, Decisions(), follows=False))
+        lost = initial_state((2, 1), (1, 1), lost_answers=1)
+        self.assertEqual(
+            "", self.explore(lost, Decisions(), follows=False, depth=LOST_ANSWER_DEPTH)
+        )
 
     def test_broken_copies_are_found(self) -> None:
         """Guards against a model that would not notice a broken decision."""
