--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -240,6 +240,8 @@
             self.platform.use_by_job[job] = JobUse("schools", 1000)
             self.assertEqual(200, self.site.submit("front-0", job_path, JOB, "s1"))
         self.assertTrue(eventually(lambda: len(self.platform.records) >= 4))
+        # A pool that passes from one owner to the next has none for a moment.
+        self.assertTrue(eventually(lambda: bool(self.owner())))
         lost = self.owner()
         self.site.kill(lost)
         remaining = next(name for name in self.site.settings if name != lost)
