--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -14,8 +14,11 @@
 from collections import Counter
 from collections.abc import Callable
 from itertools import pairwise
+from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from standins.users_platform import JobUse, UsersPlatform
 from tests.platform.site import EntrySite
 
@@ -57,10 +60,12 @@
 class Soak:
     """One run on a new site.
 
+    :param logs: folder for the logs and the runs of a failed run, or ``None`` to keep none.
     :ivar failures: broken promises.
     """
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(self, seed: int, seconds: float, logs: Path | None = None) -> None:
+        self._logs = logs
         self.failures: list[str] = []
         self.jobs: list[_Job] = []
         self._seed = seed
@@ -94,6 +99,8 @@
             for thread in threads:
                 thread.join()
             self._check()
+            if self.failures and self._logs is not None:
+                self._keep_logs(self._logs / str(self._seed))
         finally:
             self._site.close()
             self._platform.close()
@@ -245,6 +252,13 @@
         self.failures += self._platform.excess_starts()
         self._check_runs()
 
+    def _keep_logs(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        for path in self._site.folder.glob("*.log"):
+            (folder / path.name).write_bytes(path.read_bytes())
+        runs = [json.dumps(msgspec.structs.asdict(record)) for record in self._platform.records]
+        (folder / "runs.jsonl").write_text("\n".join(runs))
+
     def _shown(self, job: _Job) -> str:
         name = self._random.choice(list(self._site.settings))
         return self._site.state(name, job.path, f"{job.workspace[0]}last")
@@ -277,10 +291,11 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--runs", type=int, default=50)
     parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--logs", type=Path, help="folder for the logs of failed runs")
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
-        soak = Soak(seed, arguments.seconds)
+        soak = Soak(seed, arguments.seconds, arguments.logs)
         try:
             line = soak.run()
         except TimeoutError as error:
