Allowances: a constant's reason stands by itself

Read once more: "it does so" referred to a constant that another one had since been put behind. Comment only; lint and the decisions' tests were run.

--- a/src/lentilrill/scheduling/_allowances.py
+++ b/src/lentilrill/scheduling/_allowances.py
@@ -29,7 +29,7 @@
 """Time between two writes of a pool while another one waits: with many pools, most writes would
 fail because another pool's came first."""
 SURPLUS_DELAY_S = 1.0
-"""Time after which it does so while none waits."""
+"""Time after which a pool returns what it doesn't use while no other one waits."""
 
 
 class PoolAllowance(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
