Intake: a job without a workspace under the same id is no conflict

A caller was told 409, "never runs", when the stored job had no workspace: answered by an owner of an earlier version, which doesn't tell it, or submitted while its queue was public. That job may be the caller's own and run. The answer is unknown (504) now. Looked at both places that compare workspaces of a submitted job; queries show such a job to its callers already.

--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -151,7 +151,7 @@
             if found.state is None:
                 return JobAnswer.UNKNOWN
             workspace = found.workspace
-        return JobAnswer.ACCEPTED if workspace == job.workspace else JobAnswer.CONFLICT
+        return _answer_by_workspace(workspace, job)
 
     def _refuse(
         self, job: Job, answer: JobAnswer, retry_s: float, **fields: object
@@ -160,8 +160,7 @@
         if job.id in self._unconfirmed:
             answer = JobAnswer.UNKNOWN
         elif found := self._query_owner(job.pool, job.id, REFUSAL_QUERY_TIMEOUT_S):
-            is_same = found.workspace == job.workspace
-            answer = JobAnswer.ACCEPTED if is_same else JobAnswer.CONFLICT
+            answer = _answer_by_workspace(found.workspace, job)
         self._log_submit(job, answer, **fields)
         return answer, retry_s
 
@@ -353,6 +352,17 @@
         return NO_WORKSPACE
 
 
+def _answer_by_workspace(stored: WorkspaceId, job: Job) -> JobAnswer:
+    """Return the answer to a job whose id is in use by a job of the workspace ``stored``.
+
+    A job without a workspace may be this one: its owner runs an earlier version and doesn't tell
+    the workspace, or it was submitted while its queue was public.
+    """
+    if stored == job.workspace:
+        return JobAnswer.ACCEPTED
+    return JobAnswer.CONFLICT if stored != NO_WORKSPACE else JobAnswer.UNKNOWN
+
+
 def _may_see(caller: WorkspaceId, job: WorkspaceId) -> bool:
     """Whether a caller of one workspace may see and cancel a job of another.
 
--- a/tests/intake/test_intake.py
+++ b/tests/intake/test_intake.py
@@ -236,3 +236,8 @@
         self.pressure = PoolPressure(POOL, 60.0, {}, 1)
         self.assertIs(JobAnswer.CONFLICT, self.intake.submit(a_job("b", workspace=LIBRARY))[0])
         self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(a_job("b", workspace=SCHOOLS))[0])
+
+    def test_a_job_without_a_workspace_is_no_conflict(self) -> None:
+        """Guards against telling a caller that its job never runs, while an owner runs it."""
+        self.intake.submit(a_job("b"))
+        self.assertIs(JobAnswer.UNKNOWN, self.intake.submit(a_job("b", workspace=SCHOOLS))[0])
