--- a/src/lentilrill/execution/_idle.py
+++ b/src/lentilrill/execution/_idle.py
@@ -1,4 +1,4 @@
-"""Reasons why long-running tasks have no run in progress."""
+"""Reasons why tasks that could run have no run in progress."""
 
 import time
 from collections import Counter
@@ -9,7 +9,7 @@
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._planner import blocking_reason
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedTask
-from lentilrill.ids import EndpointId, PoolId
+from lentilrill.ids import EndpointId, JobId, PoolId
 from lentilrill.scheduling import EndpointCapacity
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import TaskId
@@ -21,6 +21,9 @@
 move to another endpoint a poll and a planning round."""
 SWEEP_INTERVAL_S = 1.0
 REPORT_INTERVAL_S = 3.0
+MAX_EXPLAINED = 20
+"""Idle tasks whose reasons are compared by one report."""
+NO_CAPACITY = "no room"
 
 
 class RoundView(msgspec.Struct):
@@ -30,6 +33,7 @@
     :param blocked_before: tasks of jobs accepted before this revision are not started, since they
         may run on endpoints that have not been polled yet; 0 if there are none.
     :param unknown_tasks: tasks of unknown runs.
+    :param refused_jobs: jobs whose workspace may not use more.
     """
 
     now: float
@@ -37,10 +41,11 @@
     capacity_by_endpoint: Mapping[EndpointId, EndpointCapacity]
     blocked_before: int
     unknown_tasks: set[TaskId]
+    refused_jobs: set[JobId]
 
 
 class IdleTasks:
-    """Detector of long-running tasks without a run in progress.
+    """Detector of tasks whose turn has come and that have no run in progress.
 
     Called under the lock of the pool's owner.
     """
@@ -52,23 +57,23 @@
         self._reported_at = 0.0
 
     def sweep(self, tracked_jobs: Iterable[TrackedJob], view: RoundView) -> None:
-        """Check the long-running tasks periodically, and log why the longest idle one is idle."""
+        """Check the tasks periodically, and log why the longest idle one is idle.
+
+        Tasks that wait although capacity is left go before those that wait for capacity.
+        """
         if view.now - self._swept_at < SWEEP_INTERVAL_S:
             return
         self._swept_at = view.now
-        idle = [
-            task
-            for tracked_job in tracked_jobs
-            if tracked_job.long_running
-            for task in _idle_tasks(tracked_job)
-        ]
+        idle = [task for tracked_job in tracked_jobs for task in _idle_tasks(tracked_job)]
         before = self._since_by_task
         self._since_by_task = {task.id: before.get(task.id, view.now) for task in idle}
         idle_long = [t for t in idle if view.now - self._since_by_task[t.id] >= IDLE_AFTER_S]
         if not idle_long or view.now - self._reported_at < REPORT_INTERVAL_S:
             return
         self._reported_at = view.now
-        task = min(idle_long, key=lambda t: self._since_by_task[t.id])
+        idle_long.sort(key=lambda t: self._since_by_task[t.id])
+        reasons = [(task, _idle_reason(task, view)) for task in idle_long[:MAX_EXPLAINED]]
+        task, reason = min(reasons, key=lambda pair: pair[1]["reason"] == NO_CAPACITY)
         log(
             Event.TASK_IDLE,
             job=task.id.job,
@@ -76,7 +81,7 @@
             shard=self._pool,
             idle_s=round(view.now - self._since_by_task[task.id], 1),
             tasks=len(idle_long),
-            **_idle_reason(task, view),
+            **reason,
         )
 
 
@@ -84,9 +89,8 @@
     return [
         task
         for step in tracked_job.ready_steps()
-        if step.spec.lasting
         for task in step.tasks
-        if not any(run.phase is RunPhase.IN_PROGRESS for run in task.runs)
+        if not task.done and not any(run.phase is RunPhase.IN_PROGRESS for run in task.runs)
     ]
 
 
@@ -96,10 +100,15 @@
         return _run_reason(task.runs[-1], view)
     if task.id in view.unknown_tasks:
         return {"reason": "seen under way, not followed"}
-    if task.step.tracked_job.revision < view.blocked_before:
+    tracked_job = task.step.tracked_job
+    if tracked_job.revision < view.blocked_before and not tracked_job.never_started:
         return {"reason": "the pool is being taken over"}
     if view.now < task.not_before:
         return {"reason": "its start was refused just now"}
+    if not tracked_job.is_recorded:
+        return {"reason": "its job's record is not stored yet"}
+    if tracked_job.job.id in view.refused_jobs:
+        return {"reason": "its workspace may not use more"}
     return _capacity_reason(task, view)
 
 
@@ -138,7 +147,7 @@
         if capacity.id not in task.failed_on and not capacity.probing
     ]
     if not fitting:
-        reason = "no room"
+        reason = NO_CAPACITY
     elif not below_limit:
         reason = "as many of its step as may be run where it fits"
     else:
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -409,6 +409,7 @@
                 capacity_by_endpoint,
                 self.token if blocked else 0,
                 unknown_tasks,
+                budgets.refused_jobs,
             )
             self._idle.sweep((tracked_job for tracked_job, _ in jobs), view)
             for link in self._links.by_id.values():
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -181,7 +181,7 @@
     TASK_IDLE = (
         687,
         Level.WARNING,
-        "A long-running task has had no run for seconds; the reason is given.",
+        "A task whose turn has come has had no run for seconds; the reason is given.",
     )
     OWNER_LATE = (
         688,
--- a/tests/execution/test_idle.py
+++ b/tests/execution/test_idle.py
@@ -1,4 +1,4 @@
-"""Detection of idle long-running tasks, and the logged reason."""
+"""Detection of tasks that could run and don't, and the logged reason."""
 
 import time
 from typing import Any
@@ -19,8 +19,9 @@
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._tickets import TicketCache
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedTask
-from lentilrill.ids import EndpointId, PoolId, Revision
+from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.telemetry import Event
+from lentilrill.workloads import Step
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
 
@@ -34,12 +35,10 @@
         for name in ("e1", "e2"):
             link = EndpointLink(pool.new_owner()._responses, an_endpoint(name), FakeEndpoint())
             self.links[link.entry.id] = link
-        self.tracked_job = TrackedJob(a_job("a", a_step(2, lasting=True)), Revision(5), 0.0)
-        self.tracked_job.open_occurrences(0)
-        self.task, self.other = self.tracked_job.tasks()
-        self.a_run(self.other, RunPhase.IN_PROGRESS)
+        self.track(a_step(2, lasting=True))
         self.idle = IdleTasks(PoolId("notices"))
         self.blocked_before = 0
+        self.refused_jobs: set[JobId] = set()
         self.lines: list[dict[str, Any]] = []
         patched = patch("lentilrill.execution._idle.log", self.record_line)
         patched.start()
@@ -47,6 +46,15 @@
         # Whole seconds: (began + IDLE_AFTER_S) - began must be exactly IDLE_AFTER_S.
         self.began = float(int(time.monotonic()))
 
+    def track(self, step: Step) -> None:
+        """Track a job of one step whose tasks all run, but for the first."""
+        self.tracked_job = TrackedJob(a_job("a", step), Revision(5), 0.0)
+        self.tracked_job.is_recorded = True
+        self.tracked_job.open_occurrences(0)
+        self.task, *others = self.tracked_job.tasks()
+        for other in others:
+            self.a_run(other, RunPhase.IN_PROGRESS)
+
     def record_line(self, event: Event, **fields: Any) -> None:
         self.assertIs(Event.TASK_IDLE, event)
         self.lines.append(fields)
@@ -66,7 +74,9 @@
             link.answered_at = now
         unknown = {self.task.id} if unknown_tasks else set()
         capacity_by_endpoint = self.planner.capacity_by_endpoint(self.links.values(), now)
-        view = RoundView(now, self.links, capacity_by_endpoint, self.blocked_before, unknown)
+        view = RoundView(
+            now, self.links, capacity_by_endpoint, self.blocked_before, unknown, self.refused_jobs
+        )
         self.idle.sweep([self.tracked_job], view)
 
     def reason(self, *, unknown_tasks: bool = False) -> str:
@@ -95,6 +105,26 @@
         self.assertIn(len(self.lines), range(2, int(max_lines) + 1))
         self.assertLess(SWEEP_INTERVAL_S, REPORT_INTERVAL_S)
 
+    def test_a_finite_task_is_logged_too(self) -> None:
+        """A finite task that is held back left no trace in the log."""
+        self.track(a_step(2))
+        self.assertEqual("passed over", self.reason())
+
+    def test_a_task_that_is_done_is_not_idle(self) -> None:
+        self.track(a_step(2))
+        self.task.step.finish(self.task)
+        self.sweep(0.0)
+        self.sweep(IDLE_AFTER_S)
+        self.assertEqual([], self.lines)
+
+    def test_no_record(self) -> None:
+        self.tracked_job.is_recorded = False
+        self.assertEqual("its job's record is not stored yet", self.reason())
+
+    def test_workspace_at_its_cap(self) -> None:
+        self.refused_jobs.add(self.tracked_job.job.id)
+        self.assertEqual("its workspace may not use more", self.reason())
+
     def test_no_capacity(self) -> None:
         for link in self.links.values():
             link.released = True
@@ -113,11 +143,9 @@
 
     def test_spread_over_endpoints(self) -> None:
         step = a_step(4, lasting=True, most_per_endpoint=1)
-        self.tracked_job = TrackedJob(a_job("a", step), Revision(5), 0.0)
-        self.tracked_job.open_occurrences(0)
-        self.task, *others = self.tracked_job.tasks()
-        for other, endpoint in zip(others, ("e1", "e2", "e3"), strict=True):
-            self.a_run(other, RunPhase.IN_PROGRESS).endpoint = EndpointId(endpoint)
+        self.track(step)
+        for other, endpoint in zip(self.tracked_job.tasks()[1:], ("e1", "e2", "e3"), strict=True):
+            other.runs[0].endpoint = EndpointId(endpoint)
         self.assertEqual("as many of its step as may be run where it fits", self.reason())
 
     def test_an_unknown_run(self) -> None:
