Failing tests: tasks that could run are held for ever (LOST)

- A poll result that is processed after its link was closed (the endpoint's address answered 421 meanwhile) makes the closed link count as reachable.
Tasks are placed there, their orders are never sent, and a run that was never sent is not given up while its endpoint counts as reachable.
- A task that has failed once is kept from unhealthy endpoints without end.

Run: make test ARGS=tests/execution/test_held_tasks.py

--- /dev/null
+++ b/tests/execution/cases.py
@@ -0,0 +1,91 @@
+"""Base of tests of decisions about tracked jobs, without threads."""
+
+import time
+
+from testtools import TestCase
+
+from lentilrill.execution import PollResult, ReportedRun, RunEnd, Verdict
+from lentilrill.execution._allowances import RoundBudgets
+from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._need import Durations
+from lentilrill.execution._planner import Planner
+from lentilrill.execution._reconcile import Reconciler
+from lentilrill.execution._tickets import TicketCache
+from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
+from lentilrill.ids import JobId, Revision
+from lentilrill.workloads import Step
+from tests.builders import a_job, an_endpoint
+from tests.execution.fakes import FakeEndpoint
+
+__all__ = ["TOKEN", "Owner", "TrackedJobCase", "a_planner"]
+
+TOKEN = 7
+
+
+def a_planner() -> Planner:
+    return Planner(TOKEN, Durations(), TicketCache(None, lambda: None))
+
+
+class Owner:
+    """Stub of the pool's owner; nothing is sent."""
+
+    token = TOKEN
+
+    def may_order(self) -> bool:
+        return False
+
+    def on_poll(self, *args: object) -> None: ...
+
+    def start_order(self, *args: object) -> None: ...
+
+    def on_answer(self, *args: object) -> None: ...
+
+
+class TrackedJobCase(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.jobs: dict[JobId, TrackedJob] = {}
+        self.reconciler = Reconciler(self.jobs, lambda tracked_job: 2, Durations())
+        self.link = EndpointLink(Owner(), an_endpoint(), FakeEndpoint())
+        self.link.was_polled = self.link.reachable = True
+        self.link.answered_at = time.monotonic()
+        self.link.update_clock(1000, time.monotonic())
+
+    def add(self, *steps: Step, name: str = "a") -> TrackedJob:
+        job = a_job(name, *steps)
+        tracked_job = TrackedJob(job, Revision(1), time.monotonic())
+        tracked_job.is_recorded = True
+        tracked_job.open_occurrences(0)
+        self.jobs[job.id] = tracked_job
+        return tracked_job
+
+    def run_of(
+        self, tracked_job: TrackedJob, index: int = 0, *, confirmed: bool = True, attempt: int = 1
+    ) -> Run:
+        task = tracked_job.tasks()[index]
+        run = Run(task, TOKEN * 1000 + attempt, self.link.entry.id, task.step.spec.reserved)
+        task.runs.append(run)
+        self.link.runs_by_key[run.key] = run
+        if confirmed:
+            run.confirmed_at = time.monotonic()
+            run.phase = RunPhase.IN_PROGRESS
+        return run
+
+    def poll(
+        self, *, running: tuple[ReportedRun, ...] = (), ended: tuple[RunEnd, ...] = ()
+    ) -> list:
+        result = PollResult(Verdict.DONE, 1000, 1, running, ended)
+        return self.reconciler.apply_poll(self.link, result, time.monotonic())
+
+    def starts(self, unknown_tasks: set | None = None) -> list:
+        capacity_by_endpoint = a_planner().capacity_by_endpoint([self.link], time.monotonic())
+        jobs = [(tracked_job, None) for tracked_job in self.jobs.values()]
+        return a_planner().place_tasks(
+            jobs,
+            capacity_by_endpoint,
+            time.monotonic(),
+            False,
+            0,
+            unknown_tasks or set(),
+            RoundBudgets(None),
+        )
--- /dev/null
+++ b/tests/execution/test_held_tasks.py
@@ -0,0 +1,146 @@
+"""Tasks that could run are started within a bound, whatever held them back before."""
+
+import threading
+import time
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.execution import (
+    EndKind,
+    OrderAnswer,
+    PollResult,
+    PoolOwner,
+    RunEnd,
+    StartOrder,
+    Verdict,
+)
+from lentilrill.execution._allowances import RoundBudgets
+from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._pool import MAX_ROUND_INTERVAL_S
+from lentilrill.workloads import Job, Step
+from tests.builders import a_job, a_step, an_endpoint
+from tests.execution.cases import Owner, TrackedJobCase, a_planner
+from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
+
+HELD_S = 10.0
+"""Time after which a task is certainly not held for a good reason any more: longer than a run
+lease, a pause of an unhealthy endpoint and an exclusion together."""
+
+
+class ClockedEndpoint(FakeEndpoint):
+    """Fake endpoint whose clock advances."""
+
+    def poll(
+        self, token: int, acknowledged: int, expires_ms: int | None, wait_ms: int
+    ) -> PollResult:
+        result = super().poll(token, acknowledged, expires_ms, wait_ms)
+        return msgspec.structs.replace(result, clock_ms=int(time.monotonic() * 1000))
+
+
+class ReplacedEndpoint(ClockedEndpoint):
+    """Fake endpoint that another instance replaces while the result of a poll is being processed.
+
+    :ivar poll_is_processed: set once such a result is about to be processed.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.poll_is_processed = threading.Event()
+        self.is_replaced = False
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        self.poll_is_processed.wait(HELD_S)
+        self.is_replaced = True
+        return OrderAnswer(Verdict.WRONG_INSTANCE)
+
+    def poll(
+        self, token: int, acknowledged: int, expires_ms: int | None, wait_ms: int
+    ) -> PollResult:
+        if self.is_replaced:
+            return PollResult(Verdict.WRONG_INSTANCE)
+        return super().poll(token, acknowledged, expires_ms, wait_ms)
+
+    def process_late(self, owner: PoolOwner) -> None:
+        """Let the owner process the next poll of a run only after it has closed the link."""
+        on_poll = owner._responses.on_poll
+
+        def on_poll_after_close(link: EndpointLink, result: PollResult, sent: float) -> None:
+            if link.runs_by_key and result.verdict is Verdict.DONE:
+                self.poll_is_processed.set()
+                eventually(lambda: link.closed)
+            on_poll(link, result, sent)
+
+        owner._responses.on_poll = on_poll_after_close  # type: ignore[method-assign]
+
+
+class HeldRunTest(TestCase):
+    """Runs that an owner tracks and that don't exist."""
+
+    def own(self, **endpoints: FakeEndpoint) -> PoolOwner:
+        self.pool = OwnedPool()
+        self.addCleanup(self.pool.close)
+        self.pool.endpoints.update(endpoints)
+        for name in endpoints:
+            self.pool.register(an_endpoint(name))
+        owner = self.pool.take_over()
+        self.assertTrue(eventually(lambda: len(self.open_links(owner)) == len(endpoints)))
+        return owner
+
+    def open_links(self, owner: PoolOwner) -> list[str]:
+        return [name for name, link in owner._links.by_id.items() if link.was_polled]
+
+    def submit(self, owner: PoolOwner, step: Step, name: str = "a") -> Job:
+        job = a_job(name, step)
+        value = msgspec.msgpack.encode(job)
+        owner.add_job(value, self.pool.kv.put(f"in/notices/j/{job.id}", value))
+        return job
+
+    def test_a_task_placed_on_a_replaced_endpoint_runs_elsewhere(self) -> None:
+        """A late poll result made a closed link count as reachable; its tasks were never sent."""
+        replaced, other = ReplacedEndpoint(), ClockedEndpoint()
+        owner = self.own(e1=replaced)
+        replaced.process_late(owner)
+        self.submit(owner, a_step(1))
+        self.assertTrue(
+            eventually(lambda: replaced.is_replaced and owner._links.by_id["e1"].closed)
+        )
+        # Rounds that would place the task on the closed link.
+        time.sleep(4 * MAX_ROUND_INTERVAL_S)
+        self.pool.endpoints["e2"] = other
+        self.pool.register(an_endpoint("e2"))
+        self.assertTrue(eventually(lambda: bool(other.starts)))
+
+
+class ExclusionTest(TrackedJobCase):
+    """Endpoints that a task is kept away from."""
+
+    def placed_after(self, seconds: float) -> list:
+        """Return the placements of a round so long from now; the endpoint answers until then."""
+        now = time.monotonic() + seconds
+        self.link.answered_at = now
+        planner = a_planner()
+        jobs = [(tracked_job, None) for tracked_job in self.jobs.values()]
+        capacities = planner.capacity_by_endpoint([self.link], now)
+        return planner.place_tasks(jobs, capacities, now, False, 0, set(), RoundBudgets(None))
+
+    def fail(self, step: Step) -> None:
+        """Let the first task of a new job fail on another endpoint, and this one be unhealthy."""
+        run = self.run_of(self.add(step))
+        self.poll(ended=(RunEnd(1, run.task.id, run.number, EndKind.FAILED, ""),))
+        other = EndpointLink(Owner(), an_endpoint("e2"), FakeEndpoint())
+        other.was_polled = other.reachable = True
+        other.answered_at = time.monotonic()
+        other.update_clock(1000, time.monotonic())
+        self.link = other
+        self.link.failures = 2
+
+    def test_a_task_that_failed_runs_on_an_unhealthy_endpoint_in_the_end(self) -> None:
+        """A task that had failed once was never started if all other endpoints were unhealthy."""
+        self.fail(a_step(1))
+        self.assertEqual(1, len(self.placed_after(HELD_S)))
+
+    def test_a_failed_task_is_kept_away_for_a_while(self) -> None:
+        """A task that failed was placed at the same free endpoint at once and used up its tries."""
+        self.fail(a_step(1))
+        self.assertEqual([], self.placed_after(0.0))
