Owner: closed links take no tasks, and starts that are never sent are given up

Seen by callers (LOST): an accepted job stands still although its pool has room.

Cause: an order is answered 421 (another instance serves the address) and the link is closed, while the poll's thread already holds the result of an earlier poll. Processing it marked the closed link as reachable and just answered, so the next rounds placed tasks there; a closed link sends nothing. Such a run was never given up: the end of a lease doesn't apply to a run that wasn't sent while its endpoint counts as reachable, which stays so, and a link with runs isn't removed. Class: a hold whose end depends on an event that can't come any more.

Change: results for a closed link are ignored; a closed link is no candidate for placement; a run whose start wasn't sent for 2 s is given up, whatever its link says (nothing was sent, so it can't run; the queued order finds no run); a closed link is replaced once its endpoint has registered anew. The decision is a pure function in a module of its own (execution/_held_runs.py).

--- /dev/null
+++ b/src/lentilrill/execution/_held_runs.py
@@ -0,0 +1,28 @@
+"""Runs that hold their task and capacity although no report can show their end any more."""
+
+from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._tracking import Run
+
+__all__ = ["MAX_UNSENT_S", "ended_runs"]
+
+MAX_UNSENT_S = 2.0
+"""Time after which a run whose start was not sent yet is given up. Its order may have been lost, or
+waits for a thread behind unresponsive endpoints."""
+
+
+def ended_runs(link: EndpointLink, now: float) -> list[tuple[Run, str]]:
+    """Return the runs on an endpoint that certainly are not in progress, each with the reason.
+
+    :param now: the monotonic clock.
+    """
+    reasons = [(run, _end_reason(link, run, now)) for run in link.runs_by_key.values()]
+    return [(run, reason) for run, reason in reasons if reason is not None]
+
+
+def _end_reason(link: EndpointLink, run: Run, now: float) -> str | None:
+    if run.is_unsent:
+        is_late = link.closed or now - run.placed_at > MAX_UNSENT_S
+        return "its start was not sent in time" if is_late else None
+    if link.lease_end and now > link.lease_end:
+        return "its lease has lapsed out of sight"
+    return None
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -119,6 +119,7 @@
     """State of one endpoint, the thread that polls it, and its order queue.
 
     :param senders: threads that send the orders, shared with other endpoints.
+    :ivar opened_entry: the endpoint's entry when the link was opened; ``entry`` is the newest one.
     :ivar unknown_since_by_key: time of the first report of each unknown run (one whose job the
         owner does not track).
     :ivar reported_at: when the endpoint sent its newest answer, derived from its clock; earlier
@@ -136,7 +137,7 @@
         calls: EndpointCalls,
         senders: Senders | None = None,
     ) -> None:
-        self.entry = entry
+        self.entry = self.opened_entry = entry
         self.runs_by_key: dict[tuple[TaskId, int], Run] = {}
         self.unknown_since_by_key: dict[tuple[TaskId, int], float] = {}
         self.was_polled = False
--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -153,8 +153,11 @@
         """Whether a link can be closed.
 
         Its endpoint is unregistered, and either its link was closed or it has not answered until
-        all leases given to it expired; no runs are assigned to it.
+        all leases given to it expired; no runs are assigned to it. A closed link is also replaced
+        once its endpoint has registered again.
         """
+        if link.closed and not link.runs_by_key and self._serves_again(link):
+            return True
         # Endpoints of a partitioned zone disappear from the store while a previous owner's tasks
         # still run on them until its last leases expire. Dropping these links early would start
         # such tasks a second time.
@@ -166,6 +169,11 @@
         silent = now - max(link.answered_at, link.opened_at) > MAX_SILENCE_S
         return not link.runs_by_key and (link.closed or (silent and now > link.lease_end))
 
+    def _serves_again(self, link: EndpointLink) -> bool:
+        """Whether the endpoint of a closed link has registered again since the link was opened."""
+        entry, opened = link.entry, link.opened_entry
+        return (entry.address, entry.started_ms) != (opened.address, opened.started_ms)
+
     def _previous_tasks_may_run(self, endpoint: EndpointId) -> bool:
         now = time.monotonic()
         link = self.by_id.get(endpoint)
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -311,6 +311,8 @@
 
 def blocking_reason(link: EndpointLink, now: float) -> str | None:
     """Return the reason why an endpoint gets no new tasks, or ``None`` if it may get some."""
+    if link.closed:
+        return "closed"
     if not link.was_polled or not link.clock_known:
         return "not polled yet"
     if not link.reachable or now - link.answered_at >= MAX_ANSWER_AGE_S:
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -8,6 +8,7 @@
 from lentilrill.execution._contract import Dialer, PolicyCalls
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_list import EndpointList
+from lentilrill.execution._held_runs import ended_runs
 from lentilrill.execution._idle import IdleTasks, RoundView
 from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._latency import LatencyKind, LatencyMonitor
@@ -369,7 +370,7 @@
         now_ms = int(time.time() * 1000)
         orders: list[tuple[EndpointLink, Order]] = []
         with self._lock:
-            self._expire_leases(now)
+            self._drop_ended_runs(now)
             expire_releases(list(self._links.by_id.values()), now)
             jobs = []
             urgent = False
@@ -430,14 +431,10 @@
                     orders.append((link, Order.for_run(OrderKind.STOP, run)))
         return orders
 
-    def _expire_leases(self, now: float) -> None:
+    def _drop_ended_runs(self, now: float) -> None:
         for link in self._links.by_id.values():
-            if link.runs_by_key and link.lease_end and now > link.lease_end:
-                for run in list(link.runs_by_key.values()):
-                    # A start order that has not been sent has no lease yet.
-                    if run.is_unsent and link.reachable:
-                        continue
-                    self._reconciler.drop(link, run, "its lease has lapsed out of sight")
+            for run, reason in ended_runs(link, now):
+                self._reconciler.drop(link, run, reason)
 
 
 def _total_free(capacities: Iterable[EndpointCapacity]) -> Resources:
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -104,6 +104,9 @@
         if self._handle_refusal(link, result.verdict):
             return
         with self._lock:
+            if link.closed:
+                # The result was read before the link was closed, and processed after.
+                return
             if result.verdict is not Verdict.DONE:
                 if link.reachable:
                     log(
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -16,6 +16,7 @@
     Verdict,
 )
 from lentilrill.execution._allowances import RoundBudgets
+from lentilrill.execution._held_runs import MAX_UNSENT_S, ended_runs
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._pool import MAX_ROUND_INTERVAL_S
 from lentilrill.workloads import Job, Step
@@ -111,6 +112,26 @@
         self.pool.register(an_endpoint("e2"))
         self.assertTrue(eventually(lambda: bool(other.starts)))
 
+    def test_an_endpoint_that_registers_again_is_used_again(self) -> None:
+        """A closed link stayed for as long as its endpoint was registered, and kept it unused."""
+        replaced = ReplacedEndpoint()
+        owner = self.own(e1=replaced)
+        replaced.poll_is_processed.set()
+        self.submit(owner, a_step(1))
+        self.assertTrue(eventually(lambda: owner._links.by_id["e1"].closed))
+        self.pool.endpoints["e1"] = restarted = ClockedEndpoint()
+        self.pool.register(an_endpoint("e1", started_ms=2))
+        self.assertTrue(eventually(lambda: bool(restarted.starts)))
+
+
+class UnsentRunTest(TrackedJobCase):
+    def test_a_run_whose_start_is_not_sent_is_given_up(self) -> None:
+        """A start that never left its queue held its task as long as the endpoint answered."""
+        run = self.run_of(self.add(a_step(1)), confirmed=False)
+        self.assertEqual([], ended_runs(self.link, run.placed_at + MAX_UNSENT_S / 2))
+        ended = ended_runs(self.link, run.placed_at + MAX_UNSENT_S + 0.1)
+        self.assertEqual([run], [ended_run for ended_run, _ in ended])
+
 
 class ExclusionTest(TrackedJobCase):
     """Endpoints that a task is kept away from."""
