Placement: a task is kept from endpoints where it failed for 2 s at most

Seen by callers (LOST): a task that failed once is never started again, with most of the pool free; a lasting task, which may fail at any time, likewise.

Cause: the endpoints where a task failed were excluded for good, and with the first failure all unhealthy ones too. An endpoint is healthy again only when a run on it is done, so once no new work comes, nothing ends the exclusion. Class: a hold without a bound, ended only by events that need what is held.

Change: an exclusion lasts 2 s from the failure. After it the task goes anywhere, last of all to where it has failed. 2 s lie under the 3 s that a caller may see a task stand still; in a busy pool a task finds another endpoint within a second.

The test of an idle task's reason sets its failures at the time of the check, as they no longer count after 2 s.

--- a/src/lentilrill/execution/_idle.py
+++ b/src/lentilrill/execution/_idle.py
@@ -140,11 +140,10 @@
     ]
     run_counts = Counter(run.endpoint for other in task.step.tasks for run in other.runs)
     limit = spec.most_per_endpoint
+    excluded = task.excluded(view.now)
     below_limit = [capacity for capacity in fitting if not limit or run_counts[capacity.id] < limit]
     usable = [
-        capacity
-        for capacity in below_limit
-        if capacity.id not in task.failed_on and not capacity.probing
+        capacity for capacity in below_limit if capacity.id not in excluded and not capacity.probing
     ]
     if not fitting:
         reason = NO_CAPACITY
@@ -156,6 +155,6 @@
     return {
         "reason": reason,
         "fitting": len(fitting),
-        "failed_on": len(task.failed_on),
+        "failed_on": len(excluded),
         "endpoints": ", ".join(f"{count} {state}" for state, count in sorted(link_counts.items())),
     }
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -181,7 +181,11 @@
         job = step.tracked_job.job
         for index, task in enumerate(waiting):
             capacity = place(
-                step.spec, capacity_by_endpoint.values(), lambda e: counts.get(e, 0), task.failed_on
+                step.spec,
+                capacity_by_endpoint.values(),
+                lambda e: counts.get(e, 0),
+                task.excluded(now),
+                task.failed_at.keys(),
             )
             if capacity is None:
                 break
@@ -275,7 +279,7 @@
             if stalled_s < STUCK_AFTER_S:
                 continue
             run.phase = RunPhase.STOPPING
-            run.task.failed_on.add(link.entry.id)
+            run.task.record_failure_on(link.entry.id)
             count_failure(link)
             log(
                 Event.RUN_STUCK,
@@ -382,7 +386,7 @@
     counts: dict[EndpointId, int] = {}
     chosen = []
     for _ in step.tasks:
-        capacity = place(step.spec, trial.values(), lambda e: counts.get(e, 0), set())
+        capacity = place(step.spec, trial.values(), lambda e: counts.get(e, 0))
         if capacity is None:
             return None
         capacity.reserve(step.spec.reserved, serves=False)
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -194,7 +194,7 @@
         self, tracked_job: TrackedJob, task: TrackedTask, link: EndpointLink, end: RunEnd
     ) -> None:
         task.failed_runs.add(end.number)
-        task.failed_on.add(link.entry.id)
+        task.record_failure_on(link.entry.id)
         attempts = self._attempts(tracked_job)
         log(
             Event.RUN_FAILED,
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -25,6 +25,15 @@
 poll."""
 
 
+EXCLUSION_S = 2.0
+"""Time for which a task is kept from an endpoint where it failed, and from unhealthy ones: long
+enough to find another endpoint in a busy pool, shorter than a caller should notice."""
+
+
+MAX_MEMORY_S = 60.0
+"""Time for which a task's failure on an endpoint is remembered."""
+
+
 class RunPhase(Enum):
     """Phase of a run, as last reported to the owner."""
 
@@ -110,12 +119,15 @@
 
 
 class TrackedTask:
-    """State of one task: its runs, failures and newest checkpoint."""
+    """State of one task: its runs, failures and newest checkpoint.
+
+    :ivar failed_at: monotonic time of its last failure on each endpoint.
+    """
 
     __slots__ = (
         "checkpoint",
         "done",
-        "failed_on",
+        "failed_at",
         "failed_runs",
         "id",
         "not_before",
@@ -132,7 +144,7 @@
         self.failed_runs: set[int] = set()
         self.checkpoint = ""
         self.runs: list[Run] = []
-        self.failed_on: set[EndpointId] = set()
+        self.failed_at: dict[EndpointId, float] = {}
         self.not_before = 0.0
 
     @property
@@ -142,6 +154,16 @@
             return len(self.failed_runs)
         return len(set().union(*(member.failed_runs for member in self.step.tasks)))
 
+    def record_failure_on(self, endpoint: EndpointId) -> None:
+        """Keep the task from an endpoint for :data:`EXCLUSION_S` seconds."""
+        now = time.monotonic()
+        self.failed_at = {id: at for id, at in self.failed_at.items() if now - at < MAX_MEMORY_S}
+        self.failed_at[endpoint] = now
+
+    def excluded(self, now: float) -> set[EndpointId]:
+        """Return the endpoints that the task is kept from now."""
+        return {id for id, at in self.failed_at.items() if now - at < EXCLUSION_S}
+
     @property
     def waiting(self) -> bool:
         """Whether the task is not done and has no runs."""
--- a/src/lentilrill/scheduling/_placement.py
+++ b/src/lentilrill/scheduling/_placement.py
@@ -1,6 +1,6 @@
 """Placement of tasks on endpoints."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from lentilrill.ids import EndpointId, RackId
 from lentilrill.workloads import Resources, Step
@@ -50,7 +50,8 @@
     step: Step,
     endpoints: Iterable[EndpointCapacity],
     on_endpoint: Callable[[EndpointId], int],
-    avoid: set[EndpointId],
+    excluded: Collection[EndpointId] = (),
+    failed_on: Collection[EndpointId] = (),
 ) -> EndpointCapacity | None:
     """Return the endpoint for one more task of ``step``, or ``None`` if no endpoint fits.
 
@@ -59,21 +60,22 @@
 
     An endpoint that fails every task is always free while the others are full. A task that failed
     there would be placed there again and use up its attempts within a second. So a failed task
-    waits for another endpoint, and is not used to probe an unhealthy one.
+    waits a while for another endpoint, and is not used to probe an unhealthy one meanwhile.
 
     Long-running tasks are packed on few endpoints, because each endpoint that runs one can't leave
     an idle pool. Only a few are packed on one endpoint, because they slow each other down and all
     of them are lost with the endpoint.
 
     :param on_endpoint: returns the number of tasks of the step that have a run on an endpoint.
-    :param avoid: endpoints where the task failed before.
+    :param excluded: endpoints where the task failed a short time ago.
+    :param failed_on: endpoints where the task ever failed; others are preferred.
     """
     needs = step.reserved
     endpoints = list(endpoints)
     best: EndpointCapacity | None = None
     best_cost: tuple[float, ...] = ()
     has_others = any(
-        endpoint.id not in avoid and _has_label(step, endpoint) for endpoint in endpoints
+        endpoint.id not in excluded and _has_label(step, endpoint) for endpoint in endpoints
     )
     is_long_running = step.lasting or step.filler
     for endpoint in endpoints:
@@ -83,13 +85,14 @@
             continue
         if not _has_label(step, endpoint):
             continue
-        if has_others and avoid and (endpoint.id in avoid or endpoint.probing):
+        if has_others and excluded and (endpoint.id in excluded or endpoint.probing):
             continue
         if step.most_per_endpoint and on_endpoint(endpoint.id) >= step.most_per_endpoint:
             continue
         is_remote = bool(step.near) and endpoint.rack != step.near
         left_cpu = endpoint.free.cpu - needs.cpu
         cost = (
+            float(endpoint.id in failed_on),
             float(is_remote),
             float(endpoint.probing),
             _colocation_cost(endpoint.serving) if is_long_running else 0.0,
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -165,3 +165,8 @@
         """A task that failed was placed at the same free endpoint at once and used up its tries."""
         self.fail(a_step(1))
         self.assertEqual([], self.placed_after(0.0))
+
+    def test_a_lasting_task_that_failed_runs_on_an_unhealthy_endpoint_in_the_end(self) -> None:
+        """A lasting task that had failed once was never started again, with room for it."""
+        self.fail(a_step(1, lasting=True))
+        self.assertEqual(1, len(self.placed_after(HELD_S)))
--- a/tests/execution/test_idle.py
+++ b/tests/execution/test_idle.py
@@ -132,7 +132,7 @@
         self.assertEqual("2 released", self.lines[0]["endpoints"])
 
     def test_failed_where_it_fits(self) -> None:
-        self.task.failed_on.update(self.links)
+        self.task.failed_at = dict.fromkeys(self.links, self.began + IDLE_AFTER_S)
         self.assertEqual("failed where it fits", self.reason())
         self.assertEqual(2, self.lines[0]["failed_on"])
 
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -452,7 +452,7 @@
         run.progressed_at = run.confirmed_at = self.link.answered_at - 2.0
         [stop] = planner.stop_stuck_runs(self.link, time.monotonic())
         self.assertIs(OrderKind.STOP, stop.kind)
-        self.assertIn(self.link.entry.id, run.task.failed_on)
+        self.assertIn(self.link.entry.id, run.task.excluded(time.monotonic()))
         self.assertEqual([], planner.stop_stuck_runs(self.link, time.monotonic()))
 
     def test_an_endpoint_that_keeps_failing_is_probed_less_and_less_often(self) -> None:
--- a/tests/scheduling/test_decisions.py
+++ b/tests/scheduling/test_decisions.py
@@ -49,6 +49,12 @@
         self.assertIsNone(self.placed([a_capacity("a", 0), a_capacity("b", probing=True)], "a"))
         self.assertEqual("a", self.placed([a_capacity("a", 1000)], "a"))
 
+    def test_an_endpoint_where_a_task_failed_long_ago_comes_last(self) -> None:
+        """Once the exclusion has ended, a task was placed by best fit on the same bad endpoint."""
+        endpoints = [a_capacity("a", 1000), a_capacity("b")]
+        placed_on = place(a_step(1), endpoints, lambda e: 0, failed_on={EndpointId("a")})
+        self.assertEqual("b", placed_on.id)
+
     def test_label(self) -> None:
         self.assertIsNone(self.placed([a_capacity("a")], label="gpu"))
 
