Placement: a long run on an unhealthy endpoint holds others back for 1 s

Cause: an endpoint with two failures in a row got one task at a time until a run was done there; behind a run of ten seconds all others waited. Class: a hold without a bound.

Change: only runs placed within the last second count for it, so an endpoint that doesn't fail opens up by one task a second until a run is done.

Measured: test_a_task_runs_beside_one_that_proves_an_endpoint_healthy failed before; tests/execution, tests/scheduling green.

--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -29,6 +29,8 @@
 STUCK_AFTER_S = 1.6
 """Time without progress after which a run counts as stuck: twice the wait of a poll, in which even
 a task of ten times the usual length progresses by one percent."""
+PROBE_S = 1.0
+"""Time after which a run that hasn't failed shows that an unhealthy endpoint may get one more."""
 MIN_RECORDS_AHEAD = 2
 RECORDS_AHEAD_SHARE = 0.25
 """Jobs whose records are written before there is room for them, for each running job: about those
@@ -59,7 +61,7 @@
     ) -> dict[EndpointId, EndpointCapacity]:
         """Return the endpoints that may get new tasks, with their free capacity."""
         return {
-            link.entry.id: _capacity_of(link)
+            link.entry.id: _capacity_of(link, now)
             for link in links
             if blocking_reason(link, now) is None
         }
@@ -343,18 +345,20 @@
     return WaitCause.WORK
 
 
-def _capacity_of(link: EndpointLink) -> EndpointCapacity:
+def _capacity_of(link: EndpointLink, now: float) -> EndpointCapacity:
     free = link.entry.capacity
-    serving = 0
+    serving = new_runs = 0
     for run in link.runs_by_key.values():
         free = free.minus(run.reserved)
-        serving += run.task.step.spec.lasting or run.task.step.spec.filler
+        serves = run.task.step.spec.lasting or run.task.step.spec.filler
+        serving += serves
+        new_runs += not serves and now - run.placed_at < PROBE_S
     return EndpointCapacity(
         link.entry.id,
         link.entry.rack,
         link.entry.labels,
         free,
-        len(link.runs_by_key) - serving,
+        new_runs,
         serving,
         is_unhealthy(link),
     )
@@ -377,7 +381,7 @@
             capacity.rack,
             capacity.labels,
             capacity.free,
-            capacity.runs,
+            capacity.new_runs,
             capacity.serving,
             capacity.probing,
         )
--- a/src/lentilrill/scheduling/_placement.py
+++ b/src/lentilrill/scheduling/_placement.py
@@ -14,12 +14,12 @@
 class EndpointCapacity:
     """Free capacity of one endpoint during a planning round.
 
-    :ivar runs: number of tasks on it that end by themselves.
+    :ivar new_runs: number of tasks on it that end by themselves and began a short time ago.
     :ivar probing: whether its recent failures limit it to one such task at a time.
     :ivar serving: number of long-running tasks on it, which other tasks slow down.
     """
 
-    __slots__ = ("free", "id", "labels", "probing", "rack", "runs", "serving")
+    __slots__ = ("free", "id", "labels", "new_runs", "probing", "rack", "serving")
 
     def __init__(
         self,
@@ -27,7 +27,7 @@
         rack: RackId,
         labels: tuple[str, ...],
         free: Resources,
-        runs: int = 0,
+        new_runs: int = 0,
         serving: int = 0,
         probing: bool = False,
     ) -> None:
@@ -35,14 +35,14 @@
         self.rack = rack
         self.labels = labels
         self.free = free
-        self.runs = runs
+        self.new_runs = new_runs
         self.serving = serving
         self.probing = probing
 
     def reserve(self, needs: Resources, *, serves: bool) -> None:
         """Reserve capacity for a task placed on this endpoint."""
         self.free = self.free.minus(needs)
-        self.runs += not serves
+        self.new_runs += not serves
         self.serving += serves
 
 
@@ -80,7 +80,7 @@
     is_long_running = step.lasting or step.filler
     for endpoint in endpoints:
         if not needs.fits(endpoint.free) or (
-            endpoint.probing and endpoint.runs and not is_long_running
+            endpoint.probing and endpoint.new_runs and not is_long_running
         ):
             continue
         if not _has_label(step, endpoint):
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -170,3 +170,11 @@
         """A lasting task that had failed once was never started again, with room for it."""
         self.fail(a_step(1, lasting=True))
         self.assertEqual(1, len(self.placed_after(HELD_S)))
+
+    def test_a_task_runs_beside_one_that_proves_an_endpoint_healthy(self) -> None:
+        """Behind a long run on an endpoint that had failed before, tasks waited for its end."""
+        tracked_job = self.add(a_step(2))
+        self.run_of(tracked_job)
+        self.link.failures = 2
+        self.assertEqual([], self.placed_after(0.0))
+        self.assertEqual(1, len(self.placed_after(HELD_S)))
--- a/tests/scheduling/test_decisions.py
+++ b/tests/scheduling/test_decisions.py
@@ -61,7 +61,7 @@
     def test_an_unhealthy_endpoint_gets_one_task_at_a_time(self) -> None:
         """Every job of a queue used up its attempts on an endpoint that failed every task and was
         therefore always free for the next one."""
-        self.assertIsNone(self.placed([a_capacity("a", probing=True, runs=1)]))
+        self.assertIsNone(self.placed([a_capacity("a", probing=True, new_runs=1)]))
         self.assertEqual("b", self.placed([a_capacity("a", probing=True), a_capacity("b")]))
 
 
