Reconciler: the pause of an unhealthy endpoint is 2 s at most

Seen by callers (LOST): with all endpoints of a pool unhealthy, tasks that could run waited for up to 4 s, over the 3 s for which one may stand still.

Change: pauses double up to 2 s instead of 4 s.

Measured: test_an_endpoint_that_failed_often_is_tried_again_in_time failed before (no placement after 3 s); tests/execution, tests/scheduling green. Cost not measured yet: an endpoint that fails everything costs an attempt each 2 s.

--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -24,9 +24,9 @@
 failure rate of one in thirty a healthy endpoint reaches this once in 900 runs, and recovers within
 a second."""
 MIN_PROBE_PAUSE_S = 0.5
-MAX_PROBE_PAUSE_S = 4.0
+MAX_PROBE_PAUSE_S = 2.0
 """Bounds of the pause before an unhealthy endpoint gets another task. It doubles with each failure,
-since each probe may cost a task one of its attempts."""
+since each probe may cost a task one of its attempts; shorter than a task may stand still."""
 
 
 class Reconciler:
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -19,11 +19,14 @@
 from lentilrill.execution._held_runs import MAX_UNSENT_S, ended_runs
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._pool import MAX_ROUND_INTERVAL_S
+from lentilrill.execution._reconcile import count_failure
 from lentilrill.workloads import Job, Step
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.cases import Owner, TrackedJobCase, a_planner
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
 
+STANDSTILL_S = 3.0
+"""Time for which a task that could run may stand still."""
 HELD_S = 10.0
 """Time after which a task is certainly not held for a good reason any more: longer than a run
 lease, a pause of an unhealthy endpoint and an exclusion together."""
@@ -178,3 +181,10 @@
         self.link.failures = 2
         self.assertEqual([], self.placed_after(0.0))
         self.assertEqual(1, len(self.placed_after(HELD_S)))
+
+    def test_an_endpoint_that_failed_often_is_tried_again_in_time(self) -> None:
+        """With all endpoints of a pool unhealthy, tasks waited for four seconds."""
+        self.add(a_step(1))
+        for _ in range(20):
+            count_failure(self.link)
+        self.assertEqual(1, len(self.placed_after(STANDSTILL_S)))
