Reconciler: a start without an answer holds its task no longer than its lease

Seen by callers (LOST): a task has nothing running although others have room for it; its owner holds a run that began nowhere.

Cause: a start without an answer was sent again for ever. On an endpoint that answers polls its lease is renewed all the while, so nothing ended the hold; on one that was lost, the start was delivered to whatever came back under that id, seconds late, where a task that crashes its endpoint crashed it once more. Class: a hold without a bound.

Once the endpoint is silent, a stop is sent instead of the start. Stops are built in one place.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -17,7 +17,7 @@
     Verdict,
 )
 from lentilrill.execution._senders import Senders
-from lentilrill.execution._tracking import Run
+from lentilrill.execution._tracking import Run, RunPhase
 from lentilrill.telemetry import run_and_log_errors
 from lentilrill.workloads import EndpointEntry, TaskId
 
@@ -84,6 +84,12 @@
         """Return an order about a tracked run."""
         return cls(kind, run.task.id, run.number, run, pace)
 
+    @classmethod
+    def stop(cls, run: Run) -> "Order":
+        """Return a stop of a tracked run, which counts as stopping from now on."""
+        run.phase = RunPhase.STOPPING
+        return cls.for_run(OrderKind.STOP, run)
+
 
 class _Owner(Protocol):
     @property
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -280,7 +280,6 @@
             stalled_s = link.reported_at - run.progressed_at
             if stalled_s < STUCK_AFTER_S:
                 continue
-            run.phase = RunPhase.STOPPING
             run.task.record_failure_on(link.entry.id)
             count_failure(link)
             log(
@@ -292,7 +291,7 @@
                 percent=run.percent,
                 for_s=round(stalled_s, 1),
             )
-            orders.append(Order.for_run(OrderKind.STOP, run))
+            orders.append(Order.stop(run))
         return orders
 
     def pace_orders(self, link: EndpointLink, now: float) -> list[Order]:
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -427,8 +427,7 @@
             for run in task.runs:
                 link = self._links.by_id.get(run.endpoint)
                 if link is not None and run.phase is not RunPhase.STOPPING:
-                    run.phase = RunPhase.STOPPING
-                    orders.append((link, Order.for_run(OrderKind.STOP, run)))
+                    orders.append((link, Order.stop(run)))
         return orders
 
     def _drop_ended_runs(self, now: float) -> None:
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -74,6 +74,10 @@
                 continue
             if run.confirmed_at is not None and run.confirmed_at < sent:
                 self.drop(link, run, "no longer listed by its endpoint")
+            elif run.confirmed_at is None and 0 < run.expires_ms < result.clock_ms:
+                # The endpoint refuses a start whose lease has expired, so it can't begin any more.
+                run.task.record_failure_on(link.entry.id)
+                self.drop(link, run, "its start expired without an answer")
         return stops
 
     def apply_answer(
@@ -98,9 +102,12 @@
                 run.phase = RunPhase.IN_PROGRESS
             return None
         if verdict is Verdict.UNKNOWN or (verdict is Verdict.UNREACHABLE and run.is_unconfirmed):
-            # A start is idempotent, and the answer to a resent one also covers the first one.
             run.is_unconfirmed = True
-            return order
+            if link.reachable:
+                # A start is idempotent, and the answer to a resent one also covers the first one.
+                return order
+            # On an endpoint that returns, possibly restarted, the task should not begin so late.
+            return Order.stop(run)
         if run.phase is RunPhase.IN_PROGRESS:
             # A poll has listed the run, so an earlier copy of this order was executed.
             return None
@@ -123,8 +130,7 @@
         if run.is_unconfirmed:
             # An earlier copy of this start order may still be executed, which would run the task
             # twice. A stop makes the endpoint refuse it from then on.
-            run.phase = RunPhase.STOPPING
-            return Order.for_run(OrderKind.STOP, run)
+            return Order.stop(run)
         self.drop(link, run, verdict.value)
         return None
 
--- a/src/lentilrill/execution/_release.py
+++ b/src/lentilrill/execution/_release.py
@@ -1,6 +1,6 @@
 """Draining of an endpoint whose host is needed for upkeep or for another pool."""
 
-from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._link import EndpointLink, Order
 from lentilrill.execution._tracking import Run, RunPhase, TrackedTask
 from lentilrill.inner import ReleaseState
 from lentilrill.telemetry import Event, log
@@ -42,9 +42,9 @@
                 reason = f"{away} tasks beside {run.task.id} are not working"
                 continue
             _log_drained(link, run, away, now)
-            orders.append(_stop_order(run))
+            orders.append(Order.stop(run))
         elif now - link.release_started_at > FINISH_GRACE_S or spec.checkpoints:
-            orders.append(_stop_order(run))
+            orders.append(Order.stop(run))
     return ReleaseState.WAIT, reason, orders
 
 
@@ -79,8 +79,3 @@
         may_be_away=run.task.step.spec.may_be_away,
         report_age_s=round(now - link.reported_at, 2),
     )
-
-
-def _stop_order(run: Run) -> Order:
-    run.phase = RunPhase.STOPPING
-    return Order.for_run(OrderKind.STOP, run)
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -6,7 +6,7 @@
 
 from lentilrill.execution._contract import OrderAnswer, PollResult, StartOrder, Verdict
 from lentilrill.execution._latency import LatencyKind, LatencyMonitor
-from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._link import EndpointLink, Order
 from lentilrill.execution._links import PoolLinks
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._tickets import TicketCache
@@ -173,8 +173,7 @@
                 self._update_links()
             if tracked_job.state.is_final or link.entry.draining or run.phase is RunPhase.STOPPING:
                 if run.is_unconfirmed:
-                    run.phase = RunPhase.STOPPING
-                    link.order(Order.for_run(OrderKind.STOP, run))
+                    link.order(Order.stop(run))
                 else:
                     self._reconciler.drop(link, run, "no longer needed")
                 return None
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -20,6 +20,7 @@
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._pool import MAX_ROUND_INTERVAL_S
 from lentilrill.execution._reconcile import count_failure
+from lentilrill.execution._tracking import RunPhase
 from lentilrill.workloads import Job, Step
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.cases import Owner, TrackedJobCase, a_planner
@@ -33,7 +34,19 @@
 
 
 class ClockedEndpoint(FakeEndpoint):
-    """Fake endpoint whose clock advances."""
+    """Fake endpoint whose clock advances.
+
+    :ivar ignores_starts: starts are neither executed nor answered.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ignores_starts = False
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        if self.ignores_starts:
+            return OrderAnswer(Verdict.UNKNOWN)
+        return super().start(order)
 
     def poll(
         self, token: int, acknowledged: int, expires_ms: int | None, wait_ms: int
@@ -115,6 +128,17 @@
         self.pool.register(an_endpoint("e2"))
         self.assertTrue(eventually(lambda: bool(other.starts)))
 
+    def test_a_task_whose_starts_are_ignored_runs_elsewhere(self) -> None:
+        """An endpoint that answered polls but no orders kept its tasks for ever."""
+        deaf, other = ClockedEndpoint(), ClockedEndpoint()
+        deaf.ignores_starts = True
+        owner = self.own(e1=deaf)
+        self.submit(owner, a_step(1))
+        self.assertTrue(eventually(lambda: bool(owner._links.by_id["e1"].runs_by_key)))
+        self.pool.endpoints["e2"] = other
+        self.pool.register(an_endpoint("e2"))
+        self.assertTrue(eventually(lambda: bool(other.starts)))
+
     def test_an_endpoint_that_registers_again_is_used_again(self) -> None:
         """A closed link stayed for as long as its endpoint was registered, and kept it unused."""
         replaced = ReplacedEndpoint()
@@ -126,6 +150,18 @@
         self.pool.register(an_endpoint("e1", started_ms=2))
         self.assertTrue(eventually(lambda: bool(restarted.starts)))
 
+    def test_a_start_without_an_answer_is_stopped_once_its_endpoint_is_silent(self) -> None:
+        """A start was sent again until its endpoint had restarted, and began a task late there."""
+        endpoint = ClockedEndpoint()
+        endpoint.ignores_starts = True
+        owner = self.own(e1=endpoint)
+        self.submit(owner, a_step(1))
+        link = owner._links.by_id["e1"]
+        self.assertTrue(eventually(lambda: bool(link.runs_by_key)))
+        [run] = link.runs_by_key.values()
+        endpoint.silent = True
+        self.assertTrue(eventually(lambda: run.phase is RunPhase.STOPPING))
+
 
 class UnsentRunTest(TrackedJobCase):
     def test_a_run_whose_start_is_not_sent_is_given_up(self) -> None:
