Links: an order that meets an unexpected error is sent again

Seen by callers: a task starts seconds late.

Change: such an error counts as no answer, is logged, and the order is sent again.

Measured: test_a_start_lost_by_an_unexpected_error_is_sent_again failed before; tests/execution green.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -18,7 +18,7 @@
 )
 from lentilrill.execution._senders import Senders
 from lentilrill.execution._tracking import Run, RunPhase
-from lentilrill.telemetry import run_and_log_errors
+from lentilrill.telemetry import Event, log, run_and_log_errors
 from lentilrill.workloads import EndpointEntry, TaskId
 
 __all__ = ["RUN_LEASE_S", "EndpointLink", "Order", "OrderKind"]
@@ -363,12 +363,20 @@
         while not self._owner.may_order():
             if self._ended.wait(RETRY_S):
                 return
-        answer = self._send(order)
+        answer = self._send_or_log(order)
         if answer is not None:
             self._is_responsive = answer.verdict not in (Verdict.UNKNOWN, Verdict.UNREACHABLE)
         if answer is not None and not self._ended.is_set():
             self._owner.on_answer(self, order, answer)
 
+    def _send_or_log(self, order: Order) -> OrderAnswer | None:
+        """Send an order; an unexpected error counts as no answer, so that it is sent again."""
+        try:
+            return self._send(order)
+        except Exception as error:
+            log(Event.TASK_FAILED, task=f"order to {self.entry.id}", error=repr(error))
+            return OrderAnswer(Verdict.UNKNOWN, reason=repr(error))
+
     def _send(self, order: Order) -> OrderAnswer | None:
         run = order.run
         if run is not None and run.key not in self.runs_by_key:
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -91,6 +91,20 @@
         owner._responses.on_poll = on_poll_after_close  # type: ignore[method-assign]
 
 
+class FailingOnceEndpoint(ClockedEndpoint):
+    """Fake endpoint whose first start raises an unexpected error before it is sent."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.raised = False
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        if not self.raised:
+            self.raised = True
+            raise RuntimeError("unexpected")
+        return super().start(order)
+
+
 class HeldRunTest(TestCase):
     """Runs that an owner tracks and that don't exist."""
 
@@ -139,6 +153,15 @@
         self.pool.register(an_endpoint("e2"))
         self.assertTrue(eventually(lambda: bool(other.starts)))
 
+    def test_a_start_lost_by_an_unexpected_error_is_sent_again(self) -> None:
+        """An unexpected error in a sender lost the order, and its task waited for a lease to end."""
+        endpoint = FailingOnceEndpoint()
+        owner = self.own(e1=endpoint)
+        self.submit(owner, a_step(1))
+        self.assertTrue(eventually(lambda: bool(endpoint.starts)))
+        [(_, number)] = endpoint.starts
+        self.assertEqual(owner.token * 1000 + 1, number)
+
     def test_an_endpoint_that_registers_again_is_used_again(self) -> None:
         """A closed link stayed for as long as its endpoint was registered, and kept it unused."""
         replaced = ReplacedEndpoint()
