Links: what an endpoint that restarts was sent before has an end

Seen by callers (LOST): a task is held by a run on an endpoint that is gone.

Cause: at a restart of an endpoint the end of its lease was set to none, also with runs held whose start had no answer. If the endpoint died again before the next renewal, nothing ended the hold: without an end of the lease runs weren't given up, and a link with runs isn't removed. Such a start was also sent on to the new process. Class: a hold without a bound.

Change: with runs held, the lease ends after the longest one that an endpoint grants (copies of a start may still arrive, with an expiry of the former clock); starts that were sent to the former process without an answer are stopped.

Measured: test_a_run_on_an_endpoint_lost_after_its_restart_is_given_up failed before; tests/execution green.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -31,6 +31,8 @@
 """Share by which an endpoint's clock may run slow."""
 LEASE_MARGIN_S = 0.3
 """Margin added to a lease's expiry, since an endpoint takes up to 0.2 s to stop an expired run."""
+MAX_GRANTED_LEASE_S = 10.0
+"""Longest lease that an endpoint grants, however late the expiry that it is asked for."""
 BUSY_POLL_WAIT_MS = 800
 """How long a poll waits for an end while tasks run. Renews the run lease four times before it would
 expire."""
@@ -162,7 +164,7 @@
         self.failures = 0
         self.probe_at = 0.0
         self.renewed_at: float | None = None
-        self.lease_end = 0.0
+        self.lease_end = self._min_lease_end = 0.0
         self.pace = 100
         self.paced_at = 0.0
         self._clock_ms = 0
@@ -260,7 +262,9 @@
         self.seen_cursor = self.stored_cursor = 0
         self._latest_expiry_ms = 0
         self._clock = RemoteClock(MAX_CLOCK_ERROR)
-        self.lease_end = 0.0
+        # Copies of starts may still reach the new process, with an expiry of the previous clock.
+        held_until = time.monotonic() + MAX_GRANTED_LEASE_S / (1 - MAX_CLOCK_ERROR) + LEASE_MARGIN_S
+        self.lease_end = self._min_lease_end = held_until if self.runs_by_key else 0.0
 
     def new_expiry_ms(self, lease_s: float = RUN_LEASE_S) -> int:
         """Return and record the expiry of a lease given now, on the endpoint's clock."""
@@ -278,7 +282,8 @@
     def _update_lease_end(self) -> None:
         left_s = (self._latest_expiry_ms - self._clock_ms) / 1000
         if left_s > 0:
-            self.lease_end = self._clock_read + left_s / (1 - MAX_CLOCK_ERROR) + LEASE_MARGIN_S
+            lease_end = self._clock_read + left_s / (1 - MAX_CLOCK_ERROR) + LEASE_MARGIN_S
+            self.lease_end = max(lease_end, self._min_lease_end)
 
     def _poll_loop(self) -> None:
         while not self._ended.is_set():
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -52,17 +52,19 @@
 
         :param sent: monotonic time at which the poll was sent.
         """
+        restart_stops: list[Order] = []
         if result.started_ms and result.started_ms != link.started_ms:
             if link.started_ms:
                 log(Event.ENDPOINT_REBORN, endpoint=link.entry.id, born_ms=result.started_ms)
             link.reset(result.started_ms)
+            restart_stops = _stops_of_sent_starts(link)
         link.update_clock(result.clock_ms, time.monotonic())
         ended = {(end.task, end.number) for end in result.ended}
         for end in sorted(result.ended, key=lambda e: e.cursor):
             if end.cursor > link.seen_cursor:
                 link.seen_cursor = end.cursor
                 self._record_end(link, end)
-        stops = []
+        stops = restart_stops
         seen = set()
         first_seen = link.unknown_since_by_key
         for running in result.running:
@@ -281,6 +283,15 @@
         return run
 
 
+def _stops_of_sent_starts(link: EndpointLink) -> list[Order]:
+    """Return stops of the starts that were sent to an endpoint's previous process, unanswered."""
+    return [
+        Order.stop(run)
+        for run in link.runs_by_key.values()
+        if run.phase is RunPhase.ORDERED and run.send_count
+    ]
+
+
 def count_failure(link: EndpointLink) -> None:
     """Count a failed run of an endpoint and set the pause before its next task."""
     link.failures += 1
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -154,7 +154,7 @@
         self.assertTrue(eventually(lambda: bool(other.starts)))
 
     def test_a_start_lost_by_an_unexpected_error_is_sent_again(self) -> None:
-        """An unexpected error in a sender lost the order, and its task waited for a lease to end."""
+        """An unexpected error in a sender lost an order; its task waited for the end of a lease."""
         endpoint = FailingOnceEndpoint()
         owner = self.own(e1=endpoint)
         self.submit(owner, a_step(1))
@@ -185,6 +185,21 @@
         endpoint.silent = True
         self.assertTrue(eventually(lambda: run.phase is RunPhase.STOPPING))
 
+    def test_a_run_on_an_endpoint_lost_after_its_restart_is_given_up(self) -> None:
+        """An endpoint that restarted and died again had no end of its lease: its task was held."""
+        endpoint = ClockedEndpoint()
+        endpoint.ignores_starts = True
+        owner = self.own(e1=endpoint)
+        self.submit(owner, a_step(1))
+        link = owner._links.by_id["e1"]
+        self.assertTrue(
+            eventually(lambda: any(run.send_count for run in link.runs_by_key.values()))
+        )
+        with owner._lock:
+            endpoint.silent = True
+            link.reset(2)
+        self.assertTrue(eventually(lambda: not link.runs_by_key))
+
 
 class UnsentRunTest(TrackedJobCase):
     def test_a_run_whose_start_is_not_sent_is_given_up(self) -> None:
