Reconciler: a run that is still listed is ordered to stop again

Seen by callers: a task is held by a run that should have ended.

Cause: a stop that was answered was never sent again, whatever the answer; a run that its endpoint keeps listing stayed in the phase of being stopped. Class: a hold without a bound.

Change: after 2 s it is ordered to stop again, with a log line (692); a stop that a later one replaces isn't sent again, so they don't grow in number.

Measured: test_a_run_that_is_still_listed_is_stopped_again and test_a_superseded_stop_is_not_sent_again need the change; tests/execution green.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -21,7 +21,7 @@
 from lentilrill.telemetry import Event, log, run_and_log_errors
 from lentilrill.workloads import EndpointEntry, TaskId
 
-__all__ = ["RUN_LEASE_S", "EndpointLink", "Order", "OrderKind"]
+__all__ = ["RUN_LEASE_S", "EndpointLink", "Order", "OrderKind", "lease_end_of_report"]
 
 RUN_LEASE_S = 3.4
 """Run lease in seconds. Longer than the take-over from a crashed owner (age of its last poll 0.8 s,
@@ -70,7 +70,7 @@
     :param run: the tracked run; ``None`` for a stop of an unknown run.
     """
 
-    __slots__ = ("kind", "number", "pace", "run", "task")
+    __slots__ = ("created_at", "kind", "number", "pace", "run", "task")
 
     def __init__(
         self, kind: OrderKind, task: TaskId, number: int, run: Run | None = None, pace: int = 100
@@ -80,6 +80,7 @@
         self.number = number
         self.run = run
         self.pace = pace
+        self.created_at = time.monotonic()
 
     @classmethod
     def for_run(cls, kind: OrderKind, run: Run, pace: int = 100) -> "Order":
@@ -90,9 +91,19 @@
     def stop(cls, run: Run) -> "Order":
         """Return a stop of a tracked run, which counts as stopping from now on."""
         run.phase = RunPhase.STOPPING
+        run.stop_ordered_at = time.monotonic()
         return cls.for_run(OrderKind.STOP, run)
 
 
+def lease_end_of_report(reported_at: float) -> float:
+    """Return the time by which the leases of runs have expired that a previous owner renewed.
+
+    :param reported_at: monotonic time of the poll that listed them, after which only the new owner
+        renews leases.
+    """
+    return reported_at + RUN_LEASE_S / (1 - MAX_CLOCK_ERROR) + LEASE_MARGIN_S
+
+
 class _Owner(Protocol):
     @property
     def token(self) -> int:
@@ -237,9 +248,7 @@
         Without it, a task would wait forever if its endpoint were lost between the poll that
         found its run and the first lease given by this owner.
         """
-        self.lease_end = max(
-            self.lease_end, now + RUN_LEASE_S / (1 - MAX_CLOCK_ERROR) + LEASE_MARGIN_S
-        )
+        self.lease_end = max(self.lease_end, lease_end_of_report(now))
 
     def update_clock(self, clock_ms: int, read_at: float) -> None:
         """Update the estimate of the endpoint's clock with a reading at a monotonic time."""
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -19,6 +19,8 @@
 """Time after which an unknown run is stopped: several intervals of the watch on accepted jobs,
 which are also sent to the owner directly."""
 FULL_PACE_PERCENT = 100
+STOP_RETRY_S = 2.0
+"""Time after which a run that its endpoint still lists is ordered to stop again."""
 UNHEALTHY_AFTER_FAILURES = 2
 """Consecutive failed runs after which an endpoint gets only one task at a time, after a pause. At a
 failure rate of one in thirty a healthy endpoint reaches this once in 900 runs, and recovers within
@@ -138,7 +140,8 @@
 
     def _apply_stop_answer(self, run: Run, order: Order, verdict: Verdict) -> Order | None:
         if verdict in (Verdict.UNKNOWN, Verdict.UNREACHABLE, Verdict.BUSY):
-            return order
+            is_superseded = order.created_at < run.stop_ordered_at
+            return None if is_superseded else order
         # Stopped, or refused as outdated: a later poll lists the run's end or not the run at all.
         run.confirmed_at = time.monotonic()
         return None
@@ -230,6 +233,15 @@
         run.reported_at = link.reported_at
         if running.checkpoint:
             run.task.checkpoint = running.checkpoint
+        if run.phase is RunPhase.STOPPING and link.reported_at > run.stop_ordered_at + STOP_RETRY_S:
+            log(
+                Event.RUN_NOT_STOPPED,
+                job=run.task.id.job,
+                task=run.task.id,
+                run=run.number,
+                endpoint=link.entry.id,
+            )
+            return [Order.stop(run)]
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.IN_PROGRESS
             run.confirmed_at = run.confirmed_at or time.monotonic()
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -53,6 +53,7 @@
     :ivar expires_ms: expiry of the lease in its start order, on the endpoint's clock. Resent
         start orders carry the same expiry, so that none can be executed after it.
     :ivar placed_at: when the run was placed.
+    :ivar stop_ordered_at: when it was last ordered to stop; 0 if never.
     :ivar send_count: number of times the start order was sent.
     :ivar is_unconfirmed: a start order got no answer, so it may have been executed or may still be.
     :ivar confirmed_at: when the start order was confirmed as executed, or a stop order as
@@ -75,6 +76,7 @@
         "reserved",
         "send_count",
         "started_at",
+        "stop_ordered_at",
         "task",
     )
 
@@ -95,6 +97,7 @@
         self.pace = 100
         self.is_unconfirmed = False
         self.expires_ms = 0
+        self.stop_ordered_at = 0.0
 
     @property
     def key(self) -> tuple[TaskId, int]:
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -178,6 +178,11 @@
     RUN_ENDED = (678, Level.INFO, "An untracked run ended, neither done nor failed.")
     RUN_STUCK = (683, Level.WARNING, "A run makes no progress and is stopped, to be run elsewhere.")
     ORDER_UNANSWERED = (685, Level.WARNING, "An order got no answer and is sent again.")
+    RUN_NOT_STOPPED = (
+        692,
+        Level.WARNING,
+        "An endpoint still runs what it was told to stop; it is told again.",
+    )
     TASK_IDLE = (
         687,
         Level.WARNING,
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -11,15 +11,19 @@
     OrderAnswer,
     PollResult,
     PoolOwner,
+    ReportedRun,
     RunEnd,
     StartOrder,
     Verdict,
 )
 from lentilrill.execution._allowances import RoundBudgets
-from lentilrill.execution._held_runs import MAX_UNSENT_S, ended_runs
-from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._held_runs import (
+    MAX_UNSENT_S,
+    ended_runs,
+)
+from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._pool import MAX_ROUND_INTERVAL_S
-from lentilrill.execution._reconcile import count_failure
+from lentilrill.execution._reconcile import STOP_RETRY_S, count_failure
 from lentilrill.execution._tracking import RunPhase
 from lentilrill.workloads import Job, Step
 from tests.builders import a_job, a_step, an_endpoint
@@ -210,6 +214,29 @@
         self.assertEqual([run], [ended_run for ended_run, _ in ended])
 
 
+class ListedRunTest(TrackedJobCase):
+    def test_a_run_that_is_still_listed_is_stopped_again(self) -> None:
+        """A stop that was answered and had no effect held its task for ever."""
+        run = self.run_of(self.add(a_step(1)))
+        stop = Order.stop(run)
+        self.assertIsNone(self.reconciler.apply_answer(self.link, stop, Verdict.INVALID))
+        listed = ReportedRun(run.task.id, run.number, "", 0, 0.0)
+        self.assertEqual([], self.poll(running=(listed,)))
+        run.stop_ordered_at -= STOP_RETRY_S + 0.1
+        [again] = self.poll(running=(listed,))
+        self.assertEqual((OrderKind.STOP, run.number), (again.kind, again.number))
+
+    def test_a_superseded_stop_is_not_sent_again(self) -> None:
+        """Each repeated stop was sent until answered, so that they grew in number."""
+        run = self.run_of(self.add(a_step(1)))
+        first, second = Order.stop(run), Order.stop(run)
+        answers = [
+            self.reconciler.apply_answer(self.link, stop, Verdict.UNKNOWN)
+            for stop in (first, second)
+        ]
+        self.assertEqual([None, second], answers)
+
+
 class ExclusionTest(TrackedJobCase):
     """Endpoints that a task is kept away from."""
 
