Owner: unknown runs on a lost endpoint hold their tasks no longer than a lease

Seen by callers (LOST): a task isn't started while an endpoint is out of reach that listed a run of it before the owner knew its job.

Cause: such a run counts as a run of its task until a later poll doesn't list it; an endpoint that is lost but registered is never polled again. Class: a hold without a bound.

Change: it ends with the last lease that the endpoint may have been given.

Measured: test_unknown_runs_on_a_lost_endpoint_end_with_their_lease needs the change; tests/execution green.

--- a/src/lentilrill/execution/_held_runs.py
+++ b/src/lentilrill/execution/_held_runs.py
@@ -1,9 +1,9 @@
 """Runs that hold their task and capacity although no report can show their end any more."""
 
-from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._link import EndpointLink, lease_end_of_report
 from lentilrill.execution._tracking import Run
 
-__all__ = ["MAX_UNSENT_S", "ended_runs"]
+__all__ = ["MAX_UNSENT_S", "ended_runs", "unknown_runs_have_ended"]
 
 MAX_UNSENT_S = 2.0
 """Time after which a run whose start was not sent yet is given up. Its order may have been lost, or
@@ -19,6 +19,12 @@
     return [(run, reason) for run, reason in reasons if reason is not None]
 
 
+def unknown_runs_have_ended(link: EndpointLink, now: float) -> bool:
+    """Return whether the runs that a lost endpoint listed last, of jobs not tracked, have ended."""
+    lease_end = max(link.lease_end, lease_end_of_report(link.answered_at))
+    return (link.closed or not link.reachable) and now > lease_end
+
+
 def _end_reason(link: EndpointLink, run: Run, now: float) -> str | None:
     if run.is_unsent:
         is_late = link.closed or now - run.placed_at > MAX_UNSENT_S
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -8,7 +8,7 @@
 from lentilrill.execution._contract import Dialer, PolicyCalls
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_list import EndpointList
-from lentilrill.execution._held_runs import ended_runs
+from lentilrill.execution._held_runs import ended_runs, unknown_runs_have_ended
 from lentilrill.execution._idle import IdleTasks, RoundView
 from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._latency import LatencyKind, LatencyMonitor
@@ -434,6 +434,13 @@
         for link in self._links.by_id.values():
             for run, reason in ended_runs(link, now):
                 self._reconciler.drop(link, run, reason)
+            if link.unknown_since_by_key and unknown_runs_have_ended(link, now):
+                log(
+                    Event.UNKNOWN_RUNS_GONE,
+                    endpoint=link.entry.id,
+                    runs=len(link.unknown_since_by_key),
+                )
+                link.unknown_since_by_key = {}
 
 
 def _total_free(capacities: Iterable[EndpointCapacity]) -> Resources:
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -178,6 +178,11 @@
     RUN_ENDED = (678, Level.INFO, "An untracked run ended, neither done nor failed.")
     RUN_STUCK = (683, Level.WARNING, "A run makes no progress and is stopped, to be run elsewhere.")
     ORDER_UNANSWERED = (685, Level.WARNING, "An order got no answer and is sent again.")
+    UNKNOWN_RUNS_GONE = (
+        693,
+        Level.INFO,
+        "Runs of jobs that this owner does not know have ended on a lost endpoint.",
+    )
     RUN_NOT_STOPPED = (
         692,
         Level.WARNING,
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -20,12 +20,14 @@
 from lentilrill.execution._held_runs import (
     MAX_UNSENT_S,
     ended_runs,
+    unknown_runs_have_ended,
 )
-from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._link import RUN_LEASE_S, EndpointLink, Order, OrderKind
 from lentilrill.execution._pool import MAX_ROUND_INTERVAL_S
 from lentilrill.execution._reconcile import STOP_RETRY_S, count_failure
 from lentilrill.execution._tracking import RunPhase
-from lentilrill.workloads import Job, Step
+from lentilrill.ids import JobId
+from lentilrill.workloads import Job, Step, TaskId
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.cases import Owner, TrackedJobCase, a_planner
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
@@ -236,6 +238,17 @@
         ]
         self.assertEqual([None, second], answers)
 
+    def test_unknown_runs_on_a_lost_endpoint_end_with_their_lease(self) -> None:
+        """A run listed before its job was known, on an endpoint then lost, held its task for ever."""
+        unknown = ReportedRun(TaskId(JobId("b"), 0, 0, 0), 3, "", 0, 0.0)
+        self.poll(running=(unknown,))
+        self.assertEqual(1, len(self.link.unknown_since_by_key))
+        answered_at = self.link.answered_at
+        self.assertFalse(unknown_runs_have_ended(self.link, answered_at + HELD_S))
+        self.link.reachable = False
+        self.assertFalse(unknown_runs_have_ended(self.link, answered_at + RUN_LEASE_S))
+        self.assertTrue(unknown_runs_have_ended(self.link, answered_at + HELD_S))
+
 
 class ExclusionTest(TrackedJobCase):
     """Endpoints that a task is kept away from."""
