--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -239,7 +239,7 @@
         self.assertEqual([None, second], answers)
 
     def test_unknown_runs_on_a_lost_endpoint_end_with_their_lease(self) -> None:
-        """A run listed before its job was known, on an endpoint then lost, held its task for ever."""
+        """A run that a lost endpoint had listed before its job was known held its task for ever."""
         unknown = ReportedRun(TaskId(JobId("b"), 0, 0, 0), 3, "", 0, 0.0)
         self.poll(running=(unknown,))
         self.assertEqual(1, len(self.link.unknown_since_by_key))
