Placement: one task that is kept away doesn't hold the rest of its step

Seen by callers (LOST): tasks that never ran anywhere aren't started while a task of the same step, which has failed, waits for another endpoint.

Cause: the first task of a step without a place ended the search for the rest. That is right if nothing fits, and wrong if only this task is kept from the endpoints that are left.

Change: the search goes on past a task that is kept away from some endpoint.

Measured: test_a_failed_task_does_not_hold_the_rest_of_its_step failed before; tests/execution green.

--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -182,13 +182,17 @@
         placed = []
         job = step.tracked_job.job
         for index, task in enumerate(waiting):
+            excluded = task.excluded(now)
             capacity = place(
                 step.spec,
                 capacity_by_endpoint.values(),
                 lambda e: counts.get(e, 0),
-                task.excluded(now),
+                excluded,
                 task.failed_at.keys(),
             )
+            if capacity is None and excluded:
+                # The others of its step may still fit where this one is kept away from.
+                continue
             if capacity is None:
                 break
             if not budgets.take(job, step.spec.needs, count=len(waiting) - index):
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -302,3 +302,8 @@
         for _ in range(20):
             count_failure(self.link)
         self.assertEqual(1, len(self.placed_after(STANDSTILL_S)))
+
+    def test_a_failed_task_does_not_hold_the_rest_of_its_step(self) -> None:
+        """Behind one task that was kept away, no other task of its step was started."""
+        self.fail(a_step(3))
+        self.assertEqual(1, len(self.placed_after(0.0)))
