Planner: capacity is reserved for a job without a record for 1 s at most

Seen by callers: while the store doesn't answer, jobs whose records are stored wait with room for them.

Cause: jobs that come first by their order and whose records can't be stored reserved capacity in each round. Class: a hold without a bound.

Change: after 1 s without its record, a job no longer reserves; its record is still asked for, and it starts once that is stored.

Measured: test_a_job_whose_record_is_not_stored_does_not_keep_capacity failed with the planner as it was; tests/execution green.

--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -174,7 +174,8 @@
             for task in step.tasks
             if task.waiting and task.not_before <= now and task.id not in unknown_tasks
         ]
-        if not waiting:
+        # While the store doesn't answer, jobs without a record must not keep others waiting.
+        if not waiting or step.tracked_job.lacks_record(now):
             return []
         if step.spec.gang:
             return self._place_gang(step, waiting, capacity_by_endpoint, budgets)
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -30,6 +30,8 @@
 enough to find another endpoint in a busy pool, shorter than a caller should notice."""
 
 
+MAX_RECORD_WAIT_S = 1.0
+"""Time for which capacity is reserved for a job whose record is not stored yet."""
 MAX_MEMORY_S = 60.0
 """Time for which a task's failure on an endpoint is remembered."""
 
@@ -240,6 +242,7 @@
         "needs_record",
         "never_started",
         "next_occurrence",
+        "record_requested_at",
         "revision",
         "state",
         "steps_by_occurrence",
@@ -261,6 +264,7 @@
         self.stored_revision = Revision(0)
         self.is_recorded = False
         self.needs_record = False
+        self.record_requested_at = 0.0
         self.never_started = False
         self.steps_by_occurrence: dict[int, list[TrackedStep]] = {}
         self.next_occurrence = 0
@@ -329,9 +333,14 @@
         if self.is_recorded or self.needs_record:
             return False
         self.needs_record = True
+        self.record_requested_at = time.monotonic()
         self.mark_dirty()
         return True
 
+    def lacks_record(self, now: float) -> bool:
+        """Whether the record that it needs before its first start could not be stored in time."""
+        return self.needs_record and now - self.record_requested_at > MAX_RECORD_WAIT_S
+
     def mark_running(self) -> None:
         """Mark the job as running once an endpoint has started one of its tasks."""
         if self.state is JobState.QUEUED:
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -25,7 +25,7 @@
 from lentilrill.execution._link import RUN_LEASE_S, EndpointLink, Order, OrderKind
 from lentilrill.execution._pool import MAX_ROUND_INTERVAL_S
 from lentilrill.execution._reconcile import STOP_RETRY_S, count_failure
-from lentilrill.execution._tracking import RunPhase
+from lentilrill.execution._tracking import MAX_RECORD_WAIT_S, RunPhase
 from lentilrill.ids import JobId
 from lentilrill.workloads import Job, Step, TaskId
 from tests.builders import a_job, a_step, an_endpoint
@@ -307,3 +307,17 @@
         """Behind one task that was kept away, no other task of its step was started."""
         self.fail(a_step(3))
         self.assertEqual(1, len(self.placed_after(0.0)))
+
+
+class RecordTest(TrackedJobCase):
+    def test_a_job_whose_record_is_not_stored_does_not_keep_capacity(self) -> None:
+        """While the store was away, jobs without a record held capacity that others could use."""
+        first = self.add(a_step(4), name="a")
+        first.is_recorded = False
+        first.arrived_at -= HELD_S
+        second = self.add(a_step(4), name="b")
+        self.assertEqual([], self.starts())
+        first.request_record()
+        self.assertEqual([], self.starts())
+        first.record_requested_at -= MAX_RECORD_WAIT_S + 0.1
+        self.assertEqual({second.job.id}, {run.task.id.job for _, run in self.starts()})
