Jobs: a progress record that is gone doesn't block the commits of others

Seen by callers: jobs of a pool are neither started nor shown as completed.

Cause: after a conflict the owner reads the records again and took over the revisions of those that it found. One that is gone kept its old revision, so each commit with it conflicted again. No way is known by which one goes while its job is tracked; a hold by a revision had no bound all the same.

Change: a record that isn't found counts as absent, with a log line.

Measured: test_a_record_that_is_gone_does_not_block_the_others failed before; tests/execution green.

--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -263,11 +263,14 @@
         if tokens != [self._token]:
             self._on_fenced("the store records a newer owner")
             return
+        revisions = {job_id_of(item.key): item.revision for item in read.unwrap().items}
         with self._lock:
-            for item in read.unwrap().items:
-                tracked_job = self.by_id.get(job_id_of(item.key))
-                if tracked_job is not None:
-                    tracked_job.stored_revision = item.revision
+            for job, tracked_job in self.by_id.items():
+                revision = revisions.get(job, Revision(0))
+                if tracked_job.stored_revision and not revision:
+                    # Against the revision of a record that is gone, every commit would conflict.
+                    log(Event.RECORD_ODD, key=progress_key(self._pool, job), reason="it is gone")
+                tracked_job.stored_revision = revision
 
     def remove_expired(self, now_ms: int) -> None:
         """Remove the records of some ended jobs whose retention has expired."""
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -27,10 +27,11 @@
 from lentilrill.execution._reconcile import STOP_RETRY_S, count_failure
 from lentilrill.execution._tracking import MAX_RECORD_WAIT_S, RunPhase
 from lentilrill.ids import JobId
-from lentilrill.workloads import Job, Step, TaskId
+from lentilrill.store import DeleteRange
+from lentilrill.workloads import Job, JobState, Step, TaskId
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.cases import Owner, TrackedJobCase, a_planner
-from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
+from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually, state_of
 
 STANDSTILL_S = 3.0
 """Time for which a task that could run may stand still."""
@@ -321,3 +322,19 @@
         self.assertEqual([], self.starts())
         first.record_requested_at -= MAX_RECORD_WAIT_S + 0.1
         self.assertEqual({second.job.id}, {run.task.id.job for _, run in self.starts()})
+
+
+class RevisionTest(TestCase):
+    def test_a_record_that_is_gone_does_not_block_the_others(self) -> None:
+        """Commits against the revision of a record that is gone conflicted for ever."""
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        pool.register(an_endpoint("e1"))
+        owner = pool.take_over()
+        job = a_job("a", a_step(1))
+        value = msgspec.msgpack.encode(job)
+        owner.add_job(value, pool.kv.put(f"in/notices/j/{job.id}", value))
+        self.assertTrue(eventually(lambda: bool(pool.starts())))
+        pool.kv.commit((), (DeleteRange(f"p/notices/{job.id}"),))
+        pool.finish_all()
+        self.assertTrue(eventually(lambda: state_of(owner, job.id) is JobState.COMPLETED))
