--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -204,6 +204,7 @@
                 if tracked_job is None:
                     continue
                 tracked_job.stored_revision = revision
+                tracked_job.stored_version = entry.version
                 tracked_job.dirty = tracked_job.version != entry.version
                 if entry.is_final and not tracked_job.final_stored:
                     tracked_job.final_stored = True
@@ -236,6 +237,7 @@
             job=tracked_job.job.id,
             queue=queue,
             state=tracked_job.state.value,
+            cause=tracked_job.cause.value or None,
             took_s=round(now - tracked_job.arrived_at, 2),
             **{f"{cause.value}_s": round(seconds, 2) for cause, seconds in waits.items()},
         )
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -16,7 +16,7 @@
     TrackedTask,
 )
 from lentilrill.execution._wait_times import WaitCause
-from lentilrill.ids import EndpointId
+from lentilrill.ids import EndpointId, JobId
 from lentilrill.scheduling import EndpointCapacity, JobTiming, next_pace, place, sort_key
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import JobState, Queue, TaskId
@@ -190,6 +190,7 @@
                 lambda e: counts.get(e, 0),
                 excluded,
                 task.failed_at.keys(),
+                job.id if task.is_suspect else None,
             )
             if capacity is None and excluded:
                 # The others of its step may still fit where this one is kept away from.
@@ -199,6 +200,8 @@
             if not budgets.take(job, step.spec.needs, count=len(waiting) - index):
                 break
             capacity.reserve(step.spec.reserved, serves=step.spec.lasting or step.spec.filler)
+            if task.is_suspect:
+                capacity.suspect_job = job.id
             counts[capacity.id] = counts.get(capacity.id, 0) + 1
             if not step.tracked_job.is_recorded:
                 self.to_record.append(step.tracked_job)
@@ -352,11 +355,14 @@
 def _capacity_of(link: EndpointLink, now: float) -> EndpointCapacity:
     free = link.entry.capacity
     serving = new_runs = 0
+    suspect_job: JobId | None = None
     for run in link.runs_by_key.values():
         free = free.minus(run.reserved)
         serves = run.task.step.spec.lasting or run.task.step.spec.filler
         serving += serves
         new_runs += not serves and now - run.placed_at < PROBE_S
+        if run.task.is_suspect:
+            suspect_job = run.task.id.job
     return EndpointCapacity(
         link.entry.id,
         link.entry.rack,
@@ -365,6 +371,8 @@
         new_runs,
         serving,
         is_unhealthy(link),
+        len(link.runs_by_key),
+        suspect_job,
     )
 
 
@@ -388,6 +396,8 @@
             capacity.new_runs,
             capacity.serving,
             capacity.probing,
+            capacity.runs,
+            capacity.suspect_job,
         )
         for capacity in capacities
     }
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -6,6 +6,7 @@
 
 from lentilrill.execution._allowances import AllowanceBook
 from lentilrill.execution._contract import Dialer, PolicyCalls
+from lentilrill.execution._crashes import CrashBook
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_list import EndpointList
 from lentilrill.execution._held_runs import ended_runs, unknown_runs_have_ended
@@ -22,7 +23,7 @@
 from lentilrill.execution._responses import ResponseHandler
 from lentilrill.execution._senders import Senders
 from lentilrill.execution._tickets import TicketCache
-from lentilrill.execution._tracking import RunPhase, TrackedJob
+from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
 from lentilrill.execution._writer import ProgressWriter
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision, WorkspaceId
 from lentilrill.inner import PoolPressure, ReleaseState
@@ -125,7 +126,12 @@
         )
         self._durations = Durations()
         self._offered = OfferedLoad()
-        self._reconciler = Reconciler(self._jobs.by_id, self._attempts, self._durations)
+        self._crashes = CrashBook()
+        self._stored_first: list[tuple[EndpointLink, Run, int]] = []
+        """Starts that wait until the given version of their job is stored."""
+        self._reconciler = Reconciler(
+            self._jobs.by_id, self._attempts, self._durations, self._crashes
+        )
         self._tickets = TicketCache(policy, self._lock_and_wake)
         self._planner = Planner(token, self._durations, self._tickets)
         self._allowances = AllowanceBook(
@@ -146,6 +152,7 @@
             self._lock,
             self._links,
             self._reconciler,
+            self._crashes,
             self._tickets,
             self._latency,
             self.may_order,
@@ -352,6 +359,9 @@
             return False
         if not self._allowances.load():
             return False
+        with self._lock:
+            for tracked_job in self._jobs.live_by_id.values():
+                self._crashes.restore(tracked_job.tasks())
         self._links.wake()
         return True
 
@@ -371,6 +381,7 @@
         orders: list[tuple[EndpointLink, Order]] = []
         with self._lock:
             self._drop_ended_runs(now)
+            self._crashes.on_registered(self._entries(self.pool), now)
             expire_releases(list(self._links.by_id.values()), now)
             jobs = []
             urgent = False
@@ -403,7 +414,14 @@
             for endpoint, run in placed:
                 link = self._links.by_id[endpoint]
                 link.runs_by_key[run.key] = run
-                orders.append((link, Order.for_run(OrderKind.START, run)))
+                if run.task.is_stored_first:
+                    self._crashes.record_attempt(link, run.task)
+                    version = run.task.step.tracked_job.version
+                    self._stored_first.append((link, run, version))
+                else:
+                    orders.append((link, Order.for_run(OrderKind.START, run)))
+            orders += self._stored_starts()
+            starts = any(records) or bool(self._stored_first)
             view = RoundView(
                 now,
                 self._links.by_id,
@@ -418,8 +436,21 @@
                 orders += [(link, order) for order in self._planner.stop_stuck_runs(link, now)]
         for link, order in orders:
             link.order(order)
-        if urgent or any(records):
-            self._writer.schedule(urgent=urgent, starts=any(records))
+        if urgent or starts:
+            self._writer.schedule(urgent=urgent, starts=starts)
+
+    def _stored_starts(self) -> list[tuple[EndpointLink, Order]]:
+        """Return the starts that had to be stored first and are."""
+        waiting, self._stored_first = self._stored_first, []
+        orders = []
+        for link, run, version in waiting:
+            if run.key not in link.runs_by_key:
+                continue
+            if run.task.step.tracked_job.stored_version >= version:
+                orders.append((link, Order.for_run(OrderKind.START, run)))
+            else:
+                self._stored_first.append((link, run, version))
+        return orders
 
     def _stop_orders(self, tracked_job: TrackedJob) -> list[tuple[EndpointLink, Order]]:
         orders = []
@@ -433,6 +464,7 @@
     def _drop_ended_runs(self, now: float) -> None:
         for link in self._links.by_id.values():
             for run, reason in ended_runs(link, now):
+                self._crashes.on_run_lost(link, run)
                 self._reconciler.drop(link, run, reason)
             if link.unknown_since_by_key and unknown_runs_have_ended(link, now):
                 log(
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -4,12 +4,13 @@
 from collections.abc import Callable
 
 from lentilrill.execution._contract import EndKind, PollResult, ReportedRun, RunEnd, Verdict
+from lentilrill.execution._crashes import FRESH_S, CrashBook
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedTask
 from lentilrill.ids import JobId
 from lentilrill.telemetry import Event, log
-from lentilrill.workloads import JobState
+from lentilrill.workloads import FailureCause, JobState
 
 __all__ = ["Reconciler"]
 
@@ -37,6 +38,7 @@
     All methods are called under the lock of the pool's owner.
 
     :param attempts: returns the number of failed runs after which a job's task is given up.
+    :param crashes: counts the endpoints that crash under a task.
     """
 
     def __init__(
@@ -44,10 +46,12 @@
         jobs_by_id: dict[JobId, TrackedJob],
         attempts: Callable[[TrackedJob], int],
         durations: Durations,
+        crashes: CrashBook,
     ) -> None:
         self._jobs_by_id = jobs_by_id
         self._attempts = attempts
         self._durations = durations
+        self._crashes = crashes
 
     def apply_poll(self, link: EndpointLink, result: PollResult, sent: float) -> list[Order]:
         """Apply the result of a poll; return stop orders for runs that should not exist.
@@ -58,6 +62,7 @@
         if result.started_ms and result.started_ms != link.started_ms:
             if link.started_ms:
                 log(Event.ENDPOINT_REBORN, endpoint=link.entry.id, born_ms=result.started_ms)
+                self._crashes.on_process_ended(link)
             link.reset(result.started_ms)
             restart_stops = _stops_of_sent_starts(link)
         link.update_clock(result.clock_ms, time.monotonic())
@@ -148,6 +153,8 @@
 
     def drop(self, link: EndpointLink, run: Run, reason: str) -> None:
         """Remove a run that is certain to have ended; its task waits again."""
+        if run.is_unsent:
+            run.task.attempts.pop(link.entry.id, None)
         link.runs_by_key.pop(run.key, None)
         link.last_busy_at = time.monotonic()
         task = run.task
@@ -172,6 +179,7 @@
         if tracked_job is None or task is None or tracked_job.state.is_final:
             return
         tracked_job.mark_dirty()
+        task.attempts.pop(link.entry.id, None)
         if end.checkpoint:
             task.checkpoint = end.checkpoint
         if end.kind is EndKind.DONE:
@@ -200,6 +208,7 @@
             return
         for member in task.step.tasks if gang else (task,):
             member.step.finish(member)
+            member.clear_suspicion()
 
     def _record_failure(
         self, tracked_job: TrackedJob, task: TrackedTask, link: EndpointLink, end: RunEnd
@@ -217,7 +226,7 @@
             attempts=attempts,
         )
         if not task.step.spec.lasting and task.failures >= attempts:
-            tracked_job.end(JobState.FAILED, int(time.time() * 1000))
+            tracked_job.end(JobState.FAILED, int(time.time() * 1000), FailureCause.ATTEMPTS)
 
     def _update_run(self, link: EndpointLink, running: ReportedRun) -> list[Order]:
         key = (running.task, running.number)
@@ -231,6 +240,8 @@
             run.progressed_at = link.reported_at
         run.percent, run.load = running.percent, running.load
         run.reported_at = link.reported_at
+        if link.reported_at - run.began_at > FRESH_S:
+            run.task.clear_suspicion()
         if running.checkpoint:
             run.task.checkpoint = running.checkpoint
         if run.phase is RunPhase.STOPPING and link.reported_at > run.stop_ordered_at + STOP_RETRY_S:
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from lentilrill.execution._contract import OrderAnswer, PollResult, StartOrder, Verdict
+from lentilrill.execution._crashes import CrashBook
 from lentilrill.execution._latency import LatencyKind, LatencyMonitor
 from lentilrill.execution._link import EndpointLink, Order
 from lentilrill.execution._links import PoolLinks
@@ -44,6 +45,7 @@
         lock: threading.RLock,
         links: PoolLinks,
         reconciler: Reconciler,
+        crashes: CrashBook,
         tickets: TicketCache,
         latency: LatencyMonitor,
         may_order: Callable[[], bool],
@@ -58,6 +60,7 @@
         self._lock = lock
         self._links = links
         self._reconciler = reconciler
+        self._crashes = crashes
         self._tickets = tickets
         self._latency = latency
         self._may_order = may_order
@@ -130,6 +133,7 @@
             had_ends = bool(result.ended)
             for order in self._reconciler.apply_poll(link, result, sent):
                 link.order(order)
+            self._crashes.on_answer(link)
             self._wake()
         if had_ends:
             self._on_ends()
@@ -155,6 +159,7 @@
     def _drop_endpoint(self, link: EndpointLink) -> None:
         """Drop the runs of an endpoint whose address is served by another instance."""
         log(Event.ENDPOINT_GONE, endpoint=link.entry.id, address=link.entry.address)
+        self._crashes.on_process_ended(link)
         for run in list(link.runs_by_key.values()):
             self._reconciler.drop(link, run, "its endpoint has ended")
         link.reachable = False
@@ -182,6 +187,7 @@
             else:
                 self._latency.record(LatencyKind.START, time.monotonic() - run.placed_at)
             run.send_count += 1
+            run.sent_at = time.monotonic()
             run.expires_ms = run.expires_ms or link.new_expiry_ms()
             # If its ticket expired in the queue, the endpoint refuses the start.
             ticket = self._tickets.ticket(run.task.step.id, link.entry.id) or ""
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -8,6 +8,8 @@
 from lentilrill.execution._wait_times import WaitCause, WaitTimes
 from lentilrill.ids import EndpointId, JobId, Revision
 from lentilrill.workloads import (
+    Attempt,
+    FailureCause,
     Job,
     JobProgress,
     JobState,
@@ -55,6 +57,7 @@
     :ivar expires_ms: expiry of the lease in its start order, on the endpoint's clock. Resent
         start orders carry the same expiry, so that none can be executed after it.
     :ivar placed_at: when the run was placed.
+    :ivar sent_at: when its start was last sent; 0 if never.
     :ivar stop_ordered_at: when it was last ordered to stop; 0 if never.
     :ivar send_count: number of times the start order was sent.
     :ivar is_unconfirmed: a start order got no answer, so it may have been executed or may still be.
@@ -77,6 +80,7 @@
         "reported_at",
         "reserved",
         "send_count",
+        "sent_at",
         "started_at",
         "stop_ordered_at",
         "task",
@@ -99,6 +103,7 @@
         self.pace = 100
         self.is_unconfirmed = False
         self.expires_ms = 0
+        self.sent_at = 0.0
         self.stop_ordered_at = 0.0
 
     @property
@@ -111,6 +116,11 @@
         """Whether its start order has not been sent yet."""
         return self.phase is RunPhase.ORDERED and not self.send_count
 
+    @property
+    def began_at(self) -> float:
+        """When it began, or when its start was sent, found or placed, whichever is known."""
+        return self.started_at or self.sent_at or self.confirmed_at or self.placed_at
+
     def is_at_work(self, now: float) -> bool:
         """Whether the run has started up and is not being stopped, by a recent report.
 
@@ -126,11 +136,15 @@
 class TrackedTask:
     """State of one task: its runs, failures and newest checkpoint.
 
+    :ivar crashed_processes: processes of endpoints that crashed under it since it last worked.
+    :ivar attempts: starts since then of which it isn't known whether the endpoint crashed.
     :ivar failed_at: monotonic time of its last failure on each endpoint.
     """
 
     __slots__ = (
+        "attempts",
         "checkpoint",
+        "crashed_processes",
         "done",
         "failed_at",
         "failed_runs",
@@ -151,6 +165,30 @@
         self.runs: list[Run] = []
         self.failed_at: dict[EndpointId, float] = {}
         self.not_before = 0.0
+        self.crashed_processes: set[str] = set()
+        self.attempts: dict[EndpointId, Attempt] = {}
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether an endpoint has crashed under it since it last worked."""
+        return bool(self.crashed_processes)
+
+    @property
+    def is_stored_first(self) -> bool:
+        """Whether a start has to be stored before it is sent, so that a later owner knows of it.
+
+        That holds for suspects, and for the first start by a new owner: the previous owner may have
+        been lost together with the endpoint that crashed.
+        """
+        is_first = self.start_count <= 1
+        return self.is_suspect or (self.step.tracked_job.is_restored and is_first)
+
+    def clear_suspicion(self) -> None:
+        """Note that it works without crashing its endpoint."""
+        if self.crashed_processes or self.attempts:
+            self.crashed_processes.clear()
+            self.attempts.clear()
+            self.step.tracked_job.mark_dirty()
 
     @property
     def failures(self) -> int:
@@ -221,8 +259,11 @@
 
     :ivar revision: store revision at which the job was accepted.
     :ivar stored_revision: revision of its progress record in the store; 0 if there is none.
+    :ivar stored_version: version of the state in its progress record.
+    :ivar cause: why it failed.
     :ivar is_recorded: whether its progress record is stored; until then none of its tasks is
         started.
+    :ivar is_restored: whether a previous owner stored its record, and may have started it.
     :ivar needs_record: whether its record is to be written, since its tasks start next.
     :ivar never_started: whether no previous owner can have started it, as it had no record when
         this owner took the pool over.
@@ -233,10 +274,12 @@
     __slots__ = (
         "arrived_at",
         "cancelled",
+        "cause",
         "dirty",
         "ended_ms",
         "final_stored",
         "is_recorded",
+        "is_restored",
         "job",
         "long_running",
         "needs_record",
@@ -247,6 +290,7 @@
         "state",
         "steps_by_occurrence",
         "stored_revision",
+        "stored_version",
         "version",
         "wait_times",
     )
@@ -257,12 +301,15 @@
         self.arrived_at = arrived_at
         self.state = JobState.QUEUED
         self.cancelled = False
+        self.cause = FailureCause.NONE
         self.ended_ms = 0
         self.final_stored = False
         self.dirty = False
         self.version = 0
+        self.stored_version = 0
         self.stored_revision = Revision(0)
         self.is_recorded = False
+        self.is_restored = False
         self.needs_record = False
         self.record_requested_at = 0.0
         self.never_started = False
@@ -347,9 +394,13 @@
             self.state = JobState.RUNNING
             self.mark_dirty()
 
-    def end(self, state: JobState, now_ms: int) -> None:
-        """Set the final state."""
+    def end(self, state: JobState, now_ms: int, cause: FailureCause = FailureCause.NONE) -> None:
+        """Set the final state.
+
+        :param cause: why it failed.
+        """
         self.state = state
+        self.cause = cause
         self.ended_ms = now_ms
         self.wait_times.switch_to(WaitCause.STORE, time.monotonic())
         self.mark_dirty()
@@ -357,20 +408,21 @@
     def progress(self) -> JobProgress:
         """Return the progress record to be stored."""
         if self.state.is_final:
-            return JobProgress(self.state, self.ended_ms)
+            return JobProgress(self.state, self.ended_ms, self.cause)
         steps_by_key = {}
         for occurrence, steps in self.steps_by_occurrence.items():
             for step in steps:
                 step_progress = _step_progress(step)
                 if step_progress != StepProgress():
                     steps_by_key[f"{occurrence}.{step.id.step}"] = step_progress
-        return JobProgress(self.state, 0, steps_by_key)
+        return JobProgress(self.state, 0, FailureCause.NONE, steps_by_key)
 
     def restore(self, progress: JobProgress, now_ms: int) -> None:
         """Restore the state from the progress record of a previous owner."""
-        self.is_recorded = True
+        self.is_recorded = self.is_restored = True
         self.state = progress.state
         self.ended_ms = progress.ended_ms
+        self.cause = progress.cause
         self.final_stored = progress.state.is_final
         if self.final_stored:
             return
@@ -392,6 +444,8 @@
         f"{done:x}",
         {i: sorted(t.failed_runs) for i, t in enumerate(step.tasks) if t.failed_runs},
         {i: t.checkpoint for i, t in enumerate(step.tasks) if t.checkpoint and not t.done},
+        {i: sorted(t.crashed_processes) for i, t in enumerate(step.tasks) if t.crashed_processes},
+        {i: dict(t.attempts) for i, t in enumerate(step.tasks) if t.attempts},
     )
 
 
@@ -402,6 +456,8 @@
             step.finish(task)
         task.failed_runs = set(step_progress.failed_runs_by_index.get(index, ()))
         task.checkpoint = step_progress.saved_by_index.get(index, "")
+        task.crashed_processes = set(step_progress.crashed_by_index.get(index, ()))
+        task.attempts = dict(step_progress.attempts_by_index.get(index, {}))
 
 
 def encode_progress(progress: JobProgress) -> bytes:
--- a/src/lentilrill/scheduling/_placement.py
+++ b/src/lentilrill/scheduling/_placement.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Collection, Iterable
 
-from lentilrill.ids import EndpointId, RackId
+from lentilrill.ids import EndpointId, JobId, RackId
 from lentilrill.workloads import Resources, Step
 
 __all__ = ["EndpointCapacity", "place"]
@@ -16,10 +16,22 @@
 
     :ivar new_runs: number of tasks on it that end by themselves and began a short time ago.
     :ivar probing: whether its recent failures limit it to one such task at a time.
+    :ivar runs: number of all tasks on it.
+    :ivar suspect_job: job on it whose tasks are suspected to crash their endpoint.
     :ivar serving: number of long-running tasks on it, which other tasks slow down.
     """
 
-    __slots__ = ("free", "id", "labels", "new_runs", "probing", "rack", "serving")
+    __slots__ = (
+        "free",
+        "id",
+        "labels",
+        "new_runs",
+        "probing",
+        "rack",
+        "runs",
+        "serving",
+        "suspect_job",
+    )
 
     def __init__(
         self,
@@ -30,6 +42,8 @@
         new_runs: int = 0,
         serving: int = 0,
         probing: bool = False,
+        runs: int = 0,
+        suspect_job: JobId | None = None,
     ) -> None:
         self.id = id
         self.rack = rack
@@ -38,12 +52,15 @@
         self.new_runs = new_runs
         self.serving = serving
         self.probing = probing
+        self.runs = runs
+        self.suspect_job = suspect_job
 
     def reserve(self, needs: Resources, *, serves: bool) -> None:
         """Reserve capacity for a task placed on this endpoint."""
         self.free = self.free.minus(needs)
         self.new_runs += not serves
         self.serving += serves
+        self.runs += 1
 
 
 def place(
@@ -52,6 +69,7 @@
     on_endpoint: Callable[[EndpointId], int],
     excluded: Collection[EndpointId] = (),
     failed_on: Collection[EndpointId] = (),
+    suspect_job: JobId | None = None,
 ) -> EndpointCapacity | None:
     """Return the endpoint for one more task of ``step``, or ``None`` if no endpoint fits.
 
@@ -69,6 +87,8 @@
     :param on_endpoint: returns the number of tasks of the step that have a run on an endpoint.
     :param excluded: endpoints where the task failed a short time ago.
     :param failed_on: endpoints where the task ever failed; others are preferred.
+    :param suspect_job: the task's job if the task is suspected to crash its endpoint. Until that
+        is known, it gets an endpoint with few tasks, and tasks of other jobs are kept from there.
     """
     needs = step.reserved
     endpoints = list(endpoints)
@@ -85,6 +105,8 @@
             continue
         if not _has_label(step, endpoint):
             continue
+        if endpoint.suspect_job not in (None, suspect_job):
+            continue
         if has_others and excluded and (endpoint.id in excluded or endpoint.probing):
             continue
         if step.most_per_endpoint and on_endpoint(endpoint.id) >= step.most_per_endpoint:
@@ -93,6 +115,7 @@
         left_cpu = endpoint.free.cpu - needs.cpu
         cost = (
             float(endpoint.id in failed_on),
+            float(suspect_job is not None and endpoint.suspect_job is None and 1 + endpoint.runs),
             float(is_remote),
             float(endpoint.probing),
             _colocation_cost(endpoint.serving) if is_long_running else 0.0,
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -183,6 +183,12 @@
         Level.INFO,
         "Runs of jobs that this owner does not know have ended on a lost endpoint.",
     )
+    ENDPOINT_CRASHED = (
+        694,
+        Level.WARNING,
+        "An endpoint crashed within a second of a task's start there; the task is given up "
+        "after several.",
+    )
     RUN_NOT_STOPPED = (
         692,
         Level.WARNING,
--- a/src/lentilrill/workloads/__init__.py
+++ b/src/lentilrill/workloads/__init__.py
@@ -18,7 +18,7 @@
     StepId,
     TaskId,
 )
-from lentilrill.workloads._progress import JobProgress, StepProgress
+from lentilrill.workloads._progress import Attempt, FailureCause, JobProgress, StepProgress
 from lentilrill.workloads._workspaces import (
     KeyDigest,
     PoolUse,
@@ -31,8 +31,10 @@
 
 __all__ = [
     "Advice",
+    "Attempt",
     "Configuration",
     "EndpointEntry",
+    "FailureCause",
     "Job",
     "JobAnswer",
     "JobProgress",
--- a/src/lentilrill/workloads/_progress.py
+++ b/src/lentilrill/workloads/_progress.py
@@ -1,10 +1,33 @@
 """Stored progress of jobs."""
 
+from enum import Enum
+
 import msgspec
 
+from lentilrill.ids import EndpointId, HostId
 from lentilrill.workloads._job import JobState
 
-__all__ = ["JobProgress", "StepProgress"]
+__all__ = ["Attempt", "FailureCause", "JobProgress", "StepProgress"]
+
+
+class FailureCause(Enum):
+    """Why a job has failed."""
+
+    NONE = ""
+    ATTEMPTS = "attempts"
+    """A task has failed as often as its queue allows."""
+    CRASHES = "crashes"
+    """Endpoints have crashed under a task."""
+
+
+class Attempt(msgspec.Struct, frozen=True, array_like=True):
+    """Process of an endpoint on which a task is started that may crash it.
+
+    :param started_ms: when the process started, in milliseconds since the epoch.
+    """
+
+    host: HostId
+    started_ms: int
 
 
 class StepProgress(msgspec.Struct, omit_defaults=True):
@@ -15,20 +38,27 @@
         count, because an end that was not acknowledged is reported again to the next owner, which
         must not count it twice.
     :param saved_by_index: newest checkpoint, by task.
+    :param crashed_by_index: processes of endpoints that crashed under a task.
+    :param attempts_by_index: starts of which it isn't known yet whether the endpoint crashed, by
+        task and endpoint.
     """
 
     done: str = "0"
     failed_runs_by_index: dict[int, list[int]] = {}
     saved_by_index: dict[int, str] = {}
+    crashed_by_index: dict[int, list[str]] = {}
+    attempts_by_index: dict[int, dict[EndpointId, Attempt]] = {}
 
 
 class JobProgress(msgspec.Struct, omit_defaults=True):
     """Progress of a job.
 
     :param ended_ms: time at which its state became final, in milliseconds since the epoch.
+    :param cause: why it failed.
     :param steps_by_key: progress by ``occurrence.step``; steps without progress are left out.
     """
 
     state: JobState = JobState.QUEUED
     ended_ms: int = 0
+    cause: FailureCause = FailureCause.NONE
     steps_by_key: dict[str, StepProgress] = {}
--- a/tests/execution/cases.py
+++ b/tests/execution/cases.py
@@ -6,6 +6,7 @@
 
 from lentilrill.execution import PollResult, ReportedRun, RunEnd, Verdict
 from lentilrill.execution._allowances import RoundBudgets
+from lentilrill.execution._crashes import CrashBook
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._need import Durations
 from lentilrill.execution._planner import Planner
@@ -45,7 +46,8 @@
     def setUp(self) -> None:
         super().setUp()
         self.jobs: dict[JobId, TrackedJob] = {}
-        self.reconciler = Reconciler(self.jobs, lambda tracked_job: 2, Durations())
+        self.crashes = CrashBook()
+        self.reconciler = Reconciler(self.jobs, lambda tracked_job: 2, Durations(), self.crashes)
         self.link = EndpointLink(Owner(), an_endpoint(), FakeEndpoint())
         self.link.was_polled = self.link.reachable = True
         self.link.answered_at = time.monotonic()
