Jobs: a failed job is shown with its cause

Seen by callers: a job shown as failed doesn't tell whether a task failed as often as its queue allows or crashed its endpoints.

Change: the cause goes with the state from the record, over the inner protocol (earlier versions leave it out), to the answer to a query: 'cause' is 'attempts' or 'crashes'. What callers are shown of a job is one type (JobView).

Measured: test_a_failed_job_is_shown_with_its_cause failed before; tests of execution, platform, intake, entry, inner, docs green.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -352,8 +352,11 @@
             answer = JobTold(message.ask, False)
         else:
             found = owner.find(message.job)
-            state, workspace = (found[0].value, found[1]) if found is not None else ("", "")
-            answer = JobTold(message.ask, True, state, workspace)
+            answer = JobTold(message.ask, True)
+            if found is not None:
+                answer = JobTold(
+                    message.ask, True, found.state.value, found.workspace, found.cause.value
+                )
         self._node.send(batch.reply_to, answer)
 
     def _on_release_ask(self, batch: Batch, message: ReleaseAsk) -> None:
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -10,10 +10,10 @@
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import TrackedJob, encode_progress, job_id_of
 from lentilrill.execution._writer import ProgressEntry, Snapshot, progress_key
-from lentilrill.ids import EndpointId, JobId, PoolId, Revision, WorkspaceId
+from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.store import Compare, DeleteRange, Item, KeyValue, Priority
 from lentilrill.telemetry import Event, Metrics, log
-from lentilrill.workloads import Job, JobProgress, JobState
+from lentilrill.workloads import Job, JobProgress, JobState, JobView
 
 __all__ = ["PoolJobs"]
 
@@ -91,16 +91,16 @@
             else:
                 self._cancel(tracked_job)
 
-    def find(self, job: JobId) -> tuple[JobState, WorkspaceId] | None:
-        """Return a job's public state and workspace; ``None`` if unknown or not loaded yet."""
+    def find(self, job: JobId) -> JobView | None:
+        """Return what callers are shown of a job; ``None`` if unknown or not loaded yet."""
         with self._lock:
             tracked_job = self.by_id.get(job)
             if tracked_job is None or not self.loaded:
                 return None
             if not tracked_job.state.is_final or tracked_job.final_stored or tracked_job.cancelled:
-                return tracked_job.state, tracked_job.job.workspace
+                return JobView(tracked_job.state, tracked_job.job.workspace, tracked_job.cause)
             # A final state is shown only once stored, since a later owner would run the job again.
-            return JobState.RUNNING, tracked_job.job.workspace
+            return JobView(JobState.RUNNING, tracked_job.job.workspace)
 
     def on_replaced(self, items: tuple[Item, ...]) -> None:
         """Process a full read of accepted jobs and cancellations."""
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -25,12 +25,20 @@
 from lentilrill.execution._tickets import TicketCache
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
 from lentilrill.execution._writer import ProgressWriter
-from lentilrill.ids import EndpointId, JobId, PoolId, Revision, WorkspaceId
+from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.scheduling import EndpointCapacity
 from lentilrill.store import Compare, Follower, KeyValue
 from lentilrill.telemetry import Event, Metrics, NoMetrics, log, run_and_log_errors
-from lentilrill.workloads import Configuration, EndpointEntry, JobState, PoolUse, Queue, Resources
+from lentilrill.workloads import (
+    Configuration,
+    EndpointEntry,
+    JobState,
+    JobView,
+    PoolUse,
+    Queue,
+    Resources,
+)
 
 __all__ = ["PoolOwner"]
 
@@ -213,8 +221,8 @@
         """Cancel a job."""
         self._jobs.cancel(job)
 
-    def find(self, job: JobId) -> tuple[JobState, WorkspaceId] | None:
-        """Return a job's public state and workspace; ``None`` if unknown or not loaded yet."""
+    def find(self, job: JobId) -> JobView | None:
+        """Return what callers are shown of a job; ``None`` if unknown or not loaded yet."""
         return self._jobs.find(job)
 
     def _on_job_changed(self, tracked_job: TrackedJob) -> None:
--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -111,12 +111,14 @@
     :param is_owner: whether the answering process owns the pool; if not, ``state`` has no meaning.
     :param state: name of the job's state; empty if the owner has no such job.
     :param workspace: workspace that the job belongs to; empty if none.
+    :param cause: why the job failed; empty if it hasn't.
     """
 
     ask: int
     is_owner: bool
     state: str = ""
     workspace: str = ""
+    cause: str = ""
 
 
 class ReleaseAsk(msgspec.Struct, frozen=True, tag=True):
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -27,7 +27,7 @@
 from lentilrill.scheduling import Pressure, can_accept, outage_retry_s, retry_after_s
 from lentilrill.store import DECODE_ERRORS, KeyValue, Priority
 from lentilrill.telemetry import Event, log
-from lentilrill.workloads import Job, JobAnswer, JobProgress, JobState
+from lentilrill.workloads import FailureCause, Job, JobAnswer, JobProgress, JobState
 
 __all__ = ["Intake"]
 
@@ -206,14 +206,14 @@
 
     def get_state(
         self, pool: PoolId, workspace: WorkspaceId, job: JobId
-    ) -> tuple[JobAnswer, JobState | None]:
-        """Return the state of a job; ``ABSENT`` if the workspace has no such job."""
+    ) -> tuple[JobAnswer, JobState | None, FailureCause]:
+        """Return the state of a job and why it failed; ``ABSENT`` if the workspace has none."""
         found = self._find_job(pool, workspace, job)
         if not found.is_conclusive:
-            return JobAnswer.UNAVAILABLE, None
+            return JobAnswer.UNAVAILABLE, None, FailureCause.NONE
         if found.state is None:
-            return JobAnswer.ABSENT, None
-        return JobAnswer.ACCEPTED, found.state
+            return JobAnswer.ABSENT, None, FailureCause.NONE
+        return JobAnswer.ACCEPTED, found.state, found.cause
 
     def count_waiting(self, pool: PoolId, queue: QueueId) -> int | None:
         """Return how many accepted jobs of a queue have not started; ``None`` if unknown."""
@@ -275,7 +275,13 @@
         reply = query.answer
         if reply is None or not reply.is_owner or not reply.state:
             return None
-        return _JobLookup(True, pool, JobState(reply.state), WorkspaceId(reply.workspace))
+        return _JobLookup(
+            True,
+            pool,
+            JobState(reply.state),
+            WorkspaceId(reply.workspace),
+            FailureCause(reply.cause),
+        )
 
     def _read_job(self, pool: PoolId, job: JobId) -> "_JobLookup":
         """Read the records of a job in one pool."""
@@ -291,14 +297,15 @@
             if items[0] is None:
                 return _JobLookup(True)
         accepted, progress, cancelled = items
-        state = JobState.QUEUED
+        state, cause = JobState.QUEUED, FailureCause.NONE
         if progress is not None and progress.value is not None:
-            state = msgspec.json.decode(progress.value, type=JobProgress).state
+            stored = msgspec.json.decode(progress.value, type=JobProgress)
+            state, cause = stored.state, stored.cause
         if cancelled is not None and not state.is_final:
             state = JobState.CANCELLED
         value = accepted.value if accepted is not None else None
         workspace = _workspace_of(value) if value is not None else NO_WORKSPACE
-        return _JobLookup(True, pool, state, workspace)
+        return _JobLookup(True, pool, state, workspace, cause)
 
     def _notify_owner(self, job: Job, value: bytes, revision: Revision) -> None:
         owner = self._local_owner_of(job.pool)
@@ -329,6 +336,7 @@
     pool: PoolId | None = None
     state: JobState | None = None
     workspace: WorkspaceId = NO_WORKSPACE
+    cause: FailureCause = FailureCause.NONE
 
 
 class _OwnerQuery:
--- a/src/lentilrill/platform/_ingress.py
+++ b/src/lentilrill/platform/_ingress.py
@@ -133,8 +133,8 @@
                 return "413 Content Too Large", b"{}", None
             return self._submit(queue, workspace, job, environ, started)
         if method == "GET":
-            answer, state = self._intake.get_state(queue.pool, workspace, job)
-            body = encode_state(state) if state is not None else b"{}"
+            answer, state, cause = self._intake.get_state(queue.pool, workspace, job)
+            body = encode_state(state, cause) if state is not None else b"{}"
             return _with_retry_time(answer, body)
         if method == "DELETE":
             return _with_retry_time(
--- a/src/lentilrill/platform/_job_wire.py
+++ b/src/lentilrill/platform/_job_wire.py
@@ -6,7 +6,7 @@
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import JobId, RackId, WorkspaceId
 from lentilrill.store import DECODE_ERRORS
-from lentilrill.workloads import Job, JobState, Queue, Resources, Step
+from lentilrill.workloads import FailureCause, Job, JobState, Queue, Resources, Step
 
 __all__ = ["decode_job", "encode_pending", "encode_state"]
 
@@ -15,6 +15,11 @@
 """Limits of one job: a small request must not be able to exhaust the memory of an entry host."""
 
 
+class _State(msgspec.Struct, omit_defaults=True):
+    state: str
+    cause: str = ""
+
+
 class _Step(msgspec.Struct):
     count: int = 0
     cpu: int = 0
@@ -105,9 +110,9 @@
     )
 
 
-def encode_state(state: JobState) -> bytes:
-    """Return the answer to a request for the state of a job."""
-    return msgspec.json.encode({"state": state.value})
+def encode_state(state: JobState, cause: FailureCause = FailureCause.NONE) -> bytes:
+    """Return the answer to a request for the state of a job, with the cause if it failed."""
+    return msgspec.json.encode(_State(state.value, cause.value))
 
 
 def encode_pending(waiting: int) -> bytes:
--- a/src/lentilrill/workloads/__init__.py
+++ b/src/lentilrill/workloads/__init__.py
@@ -18,7 +18,7 @@
     StepId,
     TaskId,
 )
-from lentilrill.workloads._progress import Attempt, FailureCause, JobProgress, StepProgress
+from lentilrill.workloads._progress import Attempt, FailureCause, JobProgress, JobView, StepProgress
 from lentilrill.workloads._workspaces import (
     KeyDigest,
     PoolUse,
@@ -39,6 +39,7 @@
     "JobAnswer",
     "JobProgress",
     "JobState",
+    "JobView",
     "KeyDigest",
     "Limits",
     "PoolEntry",
--- a/src/lentilrill/workloads/_progress.py
+++ b/src/lentilrill/workloads/_progress.py
@@ -1,13 +1,14 @@
 """Stored progress of jobs."""
 
 from enum import Enum
+from typing import NamedTuple
 
 import msgspec
 
-from lentilrill.ids import EndpointId, HostId
+from lentilrill.ids import EndpointId, HostId, WorkspaceId
 from lentilrill.workloads._job import JobState
 
-__all__ = ["Attempt", "FailureCause", "JobProgress", "StepProgress"]
+__all__ = ["Attempt", "FailureCause", "JobProgress", "JobView", "StepProgress"]
 
 
 class FailureCause(Enum):
@@ -20,6 +21,18 @@
     """Endpoints have crashed under a task."""
 
 
+class JobView(NamedTuple):
+    """What callers are shown of a job.
+
+    :param workspace: workspace that it belongs to.
+    :param cause: why it failed.
+    """
+
+    state: JobState
+    workspace: WorkspaceId
+    cause: FailureCause = FailureCause.NONE
+
+
 class Attempt(msgspec.Struct, frozen=True, array_like=True):
     """Process of an endpoint on which a task is started that may crash it.
 
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -11,7 +11,7 @@
 from lentilrill.ids import JobId, PoolId, QueueId, WorkspaceId
 from lentilrill.platform import Ingress, _ingress
 from lentilrill.telemetry import Event, NoMetrics
-from lentilrill.workloads import Job, JobAnswer, JobState
+from lentilrill.workloads import FailureCause, Job, JobAnswer, JobState
 from tests.builders import a_configuration, an_address, some_workspaces
 
 BODY = b'{"spec":"text","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":100}]}'
@@ -22,6 +22,7 @@
     """Accepts everything, and records the timeouts and workspaces of the requests."""
 
     def __init__(self) -> None:
+        self.state, self.cause = JobState.QUEUED, FailureCause.NONE
         self.waits: list[float | None] = []
         self.workspaces: list[WorkspaceId] = []
 
@@ -40,10 +41,10 @@
 
     def get_state(
         self, pool: PoolId, workspace: WorkspaceId, job: JobId
-    ) -> tuple[JobAnswer, JobState | None]:
+    ) -> tuple[JobAnswer, JobState | None, FailureCause]:
         del pool, job
         self.workspaces.append(workspace)
-        return JobAnswer.ACCEPTED, JobState.QUEUED
+        return JobAnswer.ACCEPTED, self.state, self.cause
 
     def count_waiting(self, pool: PoolId, queue: QueueId) -> int | None:
         del pool, queue
@@ -97,6 +98,12 @@
             assert wait_s is not None
             self.assertTrue(0.5 < wait_s <= 1.4, wait_s)
 
+    def test_a_failed_job_is_shown_with_its_cause(self) -> None:
+        """Callers of a failed job couldn't tell whether its tasks had crashed their endpoints."""
+        self.intake.state, self.intake.cause = JobState.FAILED, FailureCause.CRASHES
+        self.assertEqual(200, self.request("GET"))
+        self.assertEqual(b'{"state":"failed","cause":"crashes"}', self.body)
+
     def test_a_malformed_deadline_is_ignored(self) -> None:
         for malformed in ("", "soon", "-5", "1e3", "9" * 30):
             self.assertEqual(200, self.request("POST", Deadline_Ms=malformed))
