Stand-in: endpoints crash, come back under their id, and fail what they start

An endpoint is now a module of its own, one life each. A crash ends its runs as "gone", resets its connections and leaves its entry in the store for three heartbeats; the next life has the same id and address, a new start time, and knows no runs, ends or fencing token. A plan says which tasks crash their endpoint, before or after the answer, and when it comes back, if ever. Hosts can fail all that they start.

Closer to the protocol than before: a stop takes time, and what is being stopped runs until its end is listed; a run lease is shortened to its maximum; a start whose lease is over is refused; only the list of runs tells the start time of the endpoint; entries aren't written while the store is down; tasks of jobs that last run until they are stopped.

--- /dev/null
+++ b/standins/_users_endpoint.py
@@ -0,0 +1,246 @@
+"""One life of an endpoint of the users' platform: it runs tasks, and it may crash."""
+
+import threading
+import time
+from typing import Any, Protocol
+
+import msgspec
+
+from standins._http import Call, Server
+from standins._platform_records import Crash, RunRecord
+
+__all__ = ["CrashPlan", "EndpointContext", "UsersEndpoint"]
+
+THREADS = 8
+STARTUP_S = 0.1
+"""Time after which a task that lasts is at work."""
+FAILURE_S = 0.05
+"""Time after which a run fails on an endpoint that fails everything it starts."""
+STOP_S = 0.1
+HOLD_MAX_MS = 10_000
+"""A longer run lease is shortened to this time."""
+
+
+class CrashPlan(msgspec.Struct, frozen=True):
+    """How an endpoint crashes and comes back.
+
+    :param after_s: seconds after the answer to the start; 0.0 for a crash before the answer.
+    :param back_s: seconds after which the endpoint starts again; ``None`` if it never does.
+    """
+
+    after_s: float = 0.0
+    back_s: float | None = 1.0
+
+
+class EndpointContext(Protocol):
+    """What an endpoint needs to know of its platform.
+
+    :ivar records: every run that was started.
+    :ivar crashes: every crash.
+    :ivar task_s: seconds that each task takes that does not last.
+    """
+
+    records: list[RunRecord]
+    crashes: list[Crash]
+    task_s: float
+
+    def may_start(self, endpoint: str, task: str, ticket: str) -> bool:
+        """Return whether an endpoint may start a task with a ticket."""
+
+    def loses_answer(self) -> bool:
+        """Return whether the answer to the current call is lost after its execution."""
+
+    def lasts(self, task: str) -> bool:
+        """Return whether a task runs until it is stopped."""
+
+    def fails(self, endpoint: str) -> bool:
+        """Return whether an endpoint fails everything it starts."""
+
+    def plan_crash(self, task: str, spec: str) -> CrashPlan | None:
+        """Return how the start of a task crashes its endpoint, or ``None`` if it does not."""
+
+    def on_crash(self, endpoint: "UsersEndpoint", back_s: float | None) -> None:
+        """Take note of a crash, and start the endpoint again after some time."""
+
+
+class UsersEndpoint:
+    """One life of an endpoint.
+
+    :param address: address at which it serves; that of a former life if it starts again.
+    :ivar started_ms: time of its start, in milliseconds since the epoch.
+    :ivar down_since: monotonic time of its end; 0.0 while it is up.
+    """
+
+    def __init__(self, name: str, address: str, context: EndpointContext) -> None:
+        self.name = name
+        self.down_since = 0.0
+        self.started_ms = int(time.time() * 1000)
+        self._context = context
+        self._changed = threading.Condition()
+        self._token = 0
+        self._expires_ms = 0
+        self._running: dict[tuple[str, int], RunRecord] = {}
+        self._stop_at: dict[tuple[str, int], float] = {}
+        self._last_finished_run: dict[str, int] = {}
+        self._ended: list[list[Any]] = []
+        self._cursor = 0
+        self._server = Server(address, self._serve, THREADS)
+        self._server.start()
+        self.address = self._server.address
+
+    @property
+    def closed(self) -> bool:
+        """Whether the endpoint is down."""
+        return bool(self.down_since)
+
+    def close(self) -> None:
+        """End all runs and stop serving."""
+        with self._changed:
+            self._go_down()
+        self._server.close()
+
+    def crash(self, back_s: float | None, culprit: str = "") -> None:
+        """End all runs without a trace, and close the connections.
+
+        :param back_s: seconds after which the endpoint starts again; ``None`` if it never does.
+        :param culprit: task that crashed the endpoint, or an empty string.
+        """
+        if self._record_crash(culprit):
+            self._context.on_crash(self, back_s)
+
+    def tick(self) -> None:
+        """End the runs that are complete or stopped, or whose lease has expired."""
+        with self._changed:
+            lease_expired = self._clock_ms() > self._expires_ms
+            for key, record in list(self._running.items()):
+                end_kind = "lapsed" if lease_expired else self._due_end(key, record)
+                if end_kind:
+                    self._end(*key, end_kind)
+
+    def _due_end(self, key: tuple[str, int], record: RunRecord) -> str:
+        """Return how a run ends now; an empty string if it continues."""
+        now = time.monotonic()
+        if key in self._stop_at:
+            return "stopped" if now >= self._stop_at[key] else ""
+        age = now - record.began
+        if self._context.fails(self.name):
+            return "failed" if age >= FAILURE_S else ""
+        is_complete = age >= self._context.task_s and not self._context.lasts(record.task)
+        return "done" if is_complete else ""
+
+    def _record_crash(self, culprit: str) -> bool:
+        with self._changed:
+            if self.closed:
+                return False
+            self._go_down()
+            self._context.crashes.append(Crash(self.name, self.down_since, culprit))
+            return True
+
+    def _go_down(self) -> None:
+        if self.closed:
+            return
+        self.down_since = time.monotonic()
+        for record in self._running.values():
+            record.ended, record.end_kind = self.down_since, "gone"
+        self._running.clear()
+        self._changed.notify_all()
+
+    def _clock_ms(self) -> int:
+        return int(time.time() * 1000) - self.started_ms
+
+    def _end(self, task: str, number: int, end_kind: str) -> None:
+        record = self._running.pop((task, number))
+        record.ended, record.end_kind = time.monotonic(), end_kind
+        self._stop_at.pop((task, number), None)
+        self._forbid(task, number)
+        self._cursor += 1
+        self._ended.append([self._cursor, task, number, end_kind, ""])
+        self._changed.notify_all()
+
+    def _forbid(self, task: str, number: int) -> None:
+        """Refuse this run of a task, and all earlier ones, from now on."""
+        self._last_finished_run[task] = max(number, self._last_finished_run.get(task, 0))
+
+    def _serve(self, call: Call, address: str) -> None:
+        del address
+        if call.header("Expect-Instance") != self.name:
+            call.answer(421, b"")
+            return
+        body = msgspec.json.decode(call.body)
+        plan = None
+        with self._changed:
+            if self.closed:
+                call.disconnect(reset=True)
+                return
+            reason = self._refusal(call.path, body)
+            if reason:
+                call.answer_json({"clock_ms": self._clock_ms(), "reason": reason}, 409)
+                return
+            is_new = call.path == "/run-start" and self._key(body) not in self._running
+            answer = self._execute(call.path, body)
+            if is_new:
+                plan = self._context.plan_crash(body["task"], body.get("spec", ""))
+        if plan is not None and not plan.after_s:
+            self.crash(plan.back_s, body["task"])
+        if self.closed or self._context.loses_answer():
+            call.disconnect(reset=True)
+            return
+        call.answer_json({"clock_ms": self._clock_ms()} | answer)
+        if plan is not None and plan.after_s:
+            timer = threading.Timer(plan.after_s, self._crash_under, (plan, self._key(body)))
+            timer.daemon = True
+            timer.start()
+
+    def _crash_under(self, plan: CrashPlan, key: tuple[str, int]) -> None:
+        """Crash, unless the run that causes it has ended meanwhile."""
+        if key in self._running:
+            self.crash(plan.back_s, key[0])
+
+    def _refusal(self, path: str, body: dict[str, Any]) -> str:
+        """Renew the lease; return the reason to refuse a call, or an empty string."""
+        if body["fencing_token"] < self._token:
+            return "fence"
+        self._token = body["fencing_token"]
+        limit_ms = self._clock_ms() + HOLD_MAX_MS
+        self._expires_ms = max(self._expires_ms, min(limit_ms, body.get("expires_ms", 0)))
+        if path != "/run-start":
+            return ""
+        if not self._context.may_start(self.name, body["task"], body.get("ticket", "")):
+            return "ticket"
+        if body["run_id"] <= self._last_finished_run.get(body["task"], 0):
+            return "old"
+        return "late" if self._expires_ms <= self._clock_ms() else ""
+
+    @staticmethod
+    def _key(body: dict[str, Any]) -> tuple[str, int]:
+        return body["task"], body["run_id"]
+
+    def _execute(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        if path == "/hold":
+            return self._poll(body)
+        key = self._key(body)
+        if path == "/run-start" and key not in self._running:
+            record = RunRecord(self.name, *key, time.monotonic())
+            self._running[key] = record
+            self._context.records.append(record)
+        elif path == "/run-stop":
+            if key in self._running:
+                self._stop_at.setdefault(key, time.monotonic() + STOP_S)
+            self._forbid(*key)
+        return {}
+
+    def _poll(self, body: dict[str, Any]) -> dict[str, Any]:
+        self._ended = [end for end in self._ended if end[0] > body.get("ack_cursor", 0)]
+        if not self._ended:
+            self._changed.wait(body.get("wait_ms", 0) / 1000)
+        running = [
+            [task, number, "", self._percent(record), 0]
+            for (task, number), record in self._running.items()
+        ]
+        return {"born": self.started_ms, "running": running, "ended": self._ended}
+
+    def _percent(self, record: RunRecord) -> int:
+        age = time.monotonic() - record.began
+        if self._context.lasts(record.task):
+            return 100 if age >= STARTUP_S else 0
+        return min(99, int(age / self._context.task_s * 100))
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import functools
 import itertools
 import threading
 import time
@@ -15,151 +16,24 @@
 
 from standins._caps import CapChange, JobUse, find_excess
 from standins._http import Call, Server
+from standins._platform_records import Amounts, Crash, Listing, RunRecord, SeenJob
+from standins._users_endpoint import CrashPlan, UsersEndpoint
 from standins._users_store import UsersStore
+from standins.loopback import LoopbackNetwork
 
-__all__ = ["JobUse", "RunRecord", "UsersPlatform"]
+__all__ = ["CrashPlan", "JobUse", "RunRecord", "SeenJob", "UsersPlatform"]
 
 THREADS = 64
+FIRST_PORT = 10_000
 TICK_INTERVAL_S = 0.02
-ENDPOINT_CAPACITY = {"cpu": 16000, "mem_mb": 32768, "gpu": 0}
+ENDPOINT_CAPACITY = Amounts(16000, 32768)
+HEARTBEAT_S = 0.4
+SILENCE_S = 3 * HEARTBEAT_S
+"""Time after which the entry of a silent endpoint is removed."""
 HOST_DOWN_S = 0.5
 TICKET_VALIDITY_S = 1.5
 
-
-class RunRecord(msgspec.Struct):
-    """One run of a task on an endpoint; ``ended`` is 0.0 while it runs.
-
-    :param end_kind: how it ended, as a value of the platform's protocol.
-    """
-
-    endpoint: str
-    task: str
-    number: int
-    began: float
-    ended: float = 0.0
-    end_kind: str = ""
-
-
-class _Endpoint:
-    """One instance of an endpoint; each task takes ``task_s`` seconds.
-
-    :param may_start: returns whether an endpoint may start a task with a ticket.
-    :param loses_answer: returns whether the answer to the current call is lost after its execution.
-    """
-
-    def __init__(
-        self,
-        name: str,
-        records: list[RunRecord],
-        task_s: float,
-        may_start: Callable[[str, str, str], bool],
-        loses_answer: Callable[[], bool],
-    ) -> None:
-        self.name = name
-        self._may_start = may_start
-        self._loses_answer = loses_answer
-        self._last_finished_run: dict[str, int] = {}
-        self.closed = False
-        self._records = records
-        self._task_s = task_s
-        self._changed = threading.Condition()
-        self._started_ms = int(time.time() * 1000)
-        self._token = 0
-        self._expires_ms = 0
-        self._running: dict[tuple[str, int], RunRecord] = {}
-        self._ended: list[list[Any]] = []
-        self._cursor = 0
-        self._server = Server("127.0.0.1:0", self._serve, 8)
-        self._server.start()
-        self.address = self._server.address
-
-    def close(self) -> None:
-        with self._changed:
-            for record in self._running.values():
-                record.ended, record.end_kind = time.monotonic(), "gone"
-            self._running.clear()
-            self.closed = True
-        self._server.close()
-
-    def tick(self) -> None:
-        """End the runs that are complete or whose lease has expired."""
-        with self._changed:
-            lease_expired = self._clock_ms() > self._expires_ms
-            now = time.monotonic()
-            for (task, number), record in list(self._running.items()):
-                if lease_expired:
-                    self._end(task, number, "lapsed")
-                elif now - record.began >= self._task_s:
-                    self._end(task, number, "done")
-
-    def _clock_ms(self) -> int:
-        return int(time.time() * 1000) - self._started_ms
-
-    def _end(self, task: str, number: int, end_kind: str) -> None:
-        record = self._running.pop((task, number), None)
-        if record is None:
-            return
-        record.ended, record.end_kind = time.monotonic(), end_kind
-        self._last_finished_run[task] = max(number, self._last_finished_run.get(task, 0))
-        self._cursor += 1
-        self._ended.append([self._cursor, task, number, end_kind, ""])
-        self._changed.notify_all()
-
-    def _serve(self, call: Call, address: str) -> None:
-        del address
-        if call.header("Expect-Instance") != self.name:
-            call.answer(421, b"")
-            return
-        body = msgspec.json.decode(call.body)
-        with self._changed:
-            if self.closed:
-                call.disconnect(reset=True)
-                return
-            if body["fencing_token"] < self._token:
-                call.answer_json({"clock_ms": self._clock_ms(), "reason": "fence"}, 409)
-                return
-            self._token = body["fencing_token"]
-            self._expires_ms = max(self._expires_ms, body.get("expires_ms", 0))
-            ticket = body.get("ticket", "")
-            if call.path == "/run-start" and not self._may_start(self.name, body["task"], ticket):
-                call.answer_json({"clock_ms": self._clock_ms(), "reason": "ticket"}, 409)
-                return
-            if call.path == "/run-start" and self._is_finished(body["task"], body["run_id"]):
-                call.answer_json({"clock_ms": self._clock_ms(), "reason": "old"}, 409)
-                return
-            answer = self._execute(call.path, body)
-        if self._loses_answer():
-            call.disconnect(reset=True)
-            return
-        call.answer_json({"clock_ms": self._clock_ms(), "born": self._started_ms} | answer)
-
-    def _is_finished(self, task: str, number: int) -> bool:
-        """Return whether this run of a task, or a later one, has ended or was stopped here."""
-        return number <= self._last_finished_run.get(task, 0)
-
-    def _execute(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
-        if path == "/hold":
-            return self._poll(body)
-        key = (body["task"], body["run_id"])
-        if path == "/run-start" and key not in self._running:
-            record = RunRecord(self.name, *key, time.monotonic())
-            self._running[key] = record
-            self._records.append(record)
-        elif path == "/run-stop":
-            self._end(*key, "stopped")
-            self._last_finished_run[key[0]] = max(key[1], self._last_finished_run.get(key[0], 0))
-        return {}
-
-    def _poll(self, body: dict[str, Any]) -> dict[str, Any]:
-        self._ended = [end for end in self._ended if end[0] > body.get("ack_cursor", 0)]
-        if not self._ended:
-            self._changed.wait(body.get("wait_ms", 0) / 1000)
-        now = time.monotonic()
-        running = [
-            [task, number, "", min(99, int((now - record.began) / self._task_s * 100)), 0]
-            for (task, number), record in self._running.items()
-        ]
-        return {"running": running, "ended": self._ended}
+_ports = itertools.count(FIRST_PORT)
 
 
 class _Policy:
@@ -199,6 +73,13 @@
     :param task_s: seconds that each task takes.
     :ivar policy: the policy service.
     :ivar records: every run that was started.
+    :ivar crashes: every crash of an endpoint.
+    :ivar listings: every change of an entry of an endpoint in the store.
+    :ivar crash_plan: returns how the start of a task with a spec crashes its endpoint; ``None`` if
+        it does not.
+    :ivar failing: hosts whose endpoints fail everything they start.
+    :ivar jobs_by_id: the jobs that callers submitted, as far as they said so; only the tasks of
+        these are known to last.
     :ivar use_by_job: workspace and use of the jobs that :meth:`excess_starts` judges.
     :ivar max_down: maximum number of hosts that were down for upkeep at the same time.
     :ivar lose_every_nth: the answer to every n-th call that endpoints execute is lost; 0 for none.
@@ -210,14 +91,21 @@
         self.lose_every_nth = 0
         self._call_numbers = itertools.count(1)
         self.records: list[RunRecord] = []
+        self.crashes: list[Crash] = []
+        self.listings: list[Listing] = []
+        self.crash_plan: Callable[[str, str], CrashPlan | None] = lambda task, spec: None
+        self.failing: set[str] = set()
+        self.jobs_by_id: dict[str, SeenJob] = {}
         self.use_by_job: dict[str, JobUse] = {}
         self._cap_changes: list[CapChange] = []
         self.max_down = 0
-        self._task_s = task_s
+        self.task_s = task_s
         self._lock = threading.RLock()
         self._names = itertools.count(1)
         self._hosts: dict[str, dict[str, Any]] = {}
-        self._endpoints: dict[str, _Endpoint] = {}
+        self._endpoints: dict[str, UsersEndpoint] = {}
+        self._capacities: dict[str, Amounts] = {}
+        self._entries: dict[str, dict[str, Any]] = {}
         self._fencing_tokens: dict[str, int] = {}
         self._closed = threading.Event()
         self._servers = [
@@ -237,7 +125,9 @@
         """Stop all threads, endpoints and servers."""
         self._closed.set()
         self._ticker.join()
-        for endpoint in list(self._endpoints.values()):
+        with self._lock:
+            endpoints = list(self._endpoints.values())
+        for endpoint in endpoints:
             if not endpoint.closed:
                 endpoint.close()
         for server in self._servers:
@@ -246,10 +136,22 @@
     def add_host(self, pool: str, zone: str = "holyoke") -> str:
         """Add a host; in the pool ``standby`` it has no endpoint."""
         host = f"m-{next(self._names)}"
-        self._hosts[host] = {"machine": host, "pool": pool, "state": "up", "zone": zone, "id": ""}
-        self._start_endpoint(host)
+        with self._lock:
+            self._hosts[host] = {"machine": host, "pool": pool, "zone": zone}
+            self._capacities[host] = ENDPOINT_CAPACITY
+            self._start_endpoint(host)
         return host
 
+    def crash_endpoint(self, host: str, back_s: float | None = 1.0) -> None:
+        """Crash the endpoint of a host.
+
+        :param back_s: seconds after which it starts again; ``None`` if it never does.
+        """
+        with self._lock:
+            endpoint = self._endpoints.get(host)
+        if endpoint is not None:
+            endpoint.crash(back_s)
+
     def configure(
         self,
         version: int,
@@ -304,41 +206,123 @@
         """Return the name of the endpoint on a host."""
         return self._endpoints[host].name
 
-    def _loses_answer(self) -> bool:
+    # What the endpoints ask
+
+    def may_start(self, endpoint: str, task: str, ticket: str) -> bool:
+        """Return whether an endpoint may start a task with a ticket."""
+        return self.policy.may_start(endpoint, task, ticket)
+
+    def loses_answer(self) -> bool:
+        """Return whether the answer to the current call is lost after its execution."""
         return bool(self.lose_every_nth) and next(self._call_numbers) % self.lose_every_nth == 0
 
+    def lasts(self, task: str) -> bool:
+        """Return whether a task runs until it is stopped."""
+        job = self.jobs_by_id.get(task.split(".")[0])
+        return job is not None and job.step_of(task).lasts
+
+    def fails(self, endpoint: str) -> bool:
+        """Return whether an endpoint fails everything it starts."""
+        failing = [self._endpoints.get(host) for host in tuple(self.failing)]
+        return any(other is not None and other.name == endpoint for other in failing)
+
+    def plan_crash(self, task: str, spec: str) -> CrashPlan | None:
+        """Return how the start of a task crashes its endpoint, or ``None`` if it does not."""
+        return self.crash_plan(task, spec)
+
+    def on_crash(self, endpoint: UsersEndpoint, back_s: float | None) -> None:
+        """Take note of a crash, and start the endpoint again after some time."""
+        restart = threading.Thread(target=self._restart, args=(endpoint, back_s), daemon=True)
+        with self._lock:
+            host = self._host_of(endpoint)
+            if host:
+                self._hosts[host] |= {"state": "down", "id": ""}
+                self._record_listing(endpoint.name, self._hosts[host]["pool"], None)
+        restart.start()
+
+    def _restart(self, endpoint: UsersEndpoint, back_s: float | None) -> None:
+        endpoint.close()
+        if back_s is None or self._closed.wait(back_s):
+            return
+        with self._lock:
+            host = self._host_of(endpoint)
+            if host and not self._closed.is_set():
+                self._start_endpoint(host, endpoint)
+
+    def _host_of(self, endpoint: UsersEndpoint) -> str:
+        """Return the host on which an endpoint is, or an empty string if it is on none."""
+        hosts = (host for host, other in self._endpoints.items() if other is endpoint)
+        return next(hosts, "")
+
+    # Endpoints and their entries
+
     def _tick(self) -> None:
         while not self._closed.wait(TICK_INTERVAL_S):
             self.store.expire_leases()
             for endpoint in list(self._endpoints.values()):
                 if not endpoint.closed:
                     endpoint.tick()
+            with self._lock:
+                for host in self._endpoints:
+                    self._publish(host)
+
+    def _start_endpoint(self, host: str, former: UsersEndpoint | None = None) -> None:
+        """Start an endpoint on a host, unless the host is in the standby pool.
 
-    def _start_endpoint(self, host: str) -> None:
-        """Start a new endpoint on a host, unless the host is in the standby pool."""
+        :param former: life whose name and address the endpoint has again.
+        """
         entry = self._hosts[host]
-        entry["state"] = "up"
+        entry |= {"state": "up", "id": ""}
         if entry["pool"] == "standby":
             return
-        name = f"i-{next(self._names)}"
-        endpoint = _Endpoint(
-            name, self.records, self._task_s, self.policy.may_start, self._loses_answer
-        )
-        self._endpoints[host] = endpoint
+        name = former.name if former else f"i-{next(self._names)}"
+        address = former.address if former else _new_address()
+        self._endpoints[host] = UsersEndpoint(name, address, self)
         entry["id"] = name
-        value = {"service": entry["pool"], "address": endpoint.address, "state": "ready"}
-        value |= {
-            "zone": entry["zone"],
-            "capacity": ENDPOINT_CAPACITY,
+        self._publish(host)
+
+    def _publish(self, host: str) -> None:
+        """Bring the entry of a host's endpoint up to date, as far as the store can be reached."""
+        endpoint = self._endpoints[host]
+        if endpoint.closed:
+            if time.monotonic() > endpoint.down_since + SILENCE_S:
+                self._withdraw(endpoint.name)
+            return
+        entry = self._entry(host, endpoint)
+        written = self._entries.get(endpoint.name, {})
+        if self.store.down or written | {"seq": 0} == entry | {"seq": 0}:
+            return
+        is_same_life = written.get("born") == entry["born"]
+        entry["seq"] = written["seq"] + 1 if is_same_life else 1
+        self._entries[endpoint.name] = entry
+        self.store.put(f"servers/{endpoint.name}", msgspec.json.encode(entry))
+        self._record_listing(endpoint.name, entry["service"], self._capacities[host])
+
+    def _entry(self, host: str, endpoint: UsersEndpoint) -> dict[str, Any]:
+        return {
+            "service": self._hosts[host]["pool"],
+            "address": endpoint.address,
+            "state": "ready",
+            "zone": self._hosts[host]["zone"],
+            "capacity": msgspec.structs.asdict(self._capacities[host]),
             "labels": ["a", "r1"],
             "machine": host,
+            "born": endpoint.started_ms,
         }
-        self.store.put(f"servers/{name}", msgspec.json.encode(value))
+
+    def _withdraw(self, name: str) -> None:
+        if self._entries.pop(name, None) is not None:
+            self.store.remove(f"servers/{name}")
+
+    def _record_listing(self, name: str, pool: str, capacity: Amounts | None) -> None:
+        self.listings.append(Listing(time.monotonic(), name, pool, capacity))
+
+    # Hosts
 
     def _serve_hosts(self, call: Call) -> None:
         if call.method == "GET":
             with self._lock:
-                rows = [dict(host) for host in self._hosts.values()]
+                rows = [self._host_row(host) for host in self._hosts]
             call.answer_json({"machines": rows, "next_token": None})
             return
         body = msgspec.json.decode(call.body)
@@ -354,20 +338,36 @@
             self._take_down(host, body.get("pool", ""))
         call.answer_json({})
 
+    def _host_row(self, host: str) -> dict[str, Any]:
+        return self._hosts[host] | {"capacity": msgspec.structs.asdict(self._capacities[host])}
+
     def _take_down(self, host: str, pool: str) -> None:
         entry = self._hosts[host]
+        former_pool = entry["pool"]
         entry["state"] = "moving" if pool else "upkeep"
         entry["pool"] = pool or entry["pool"]
         down = sum(1 for other in self._hosts.values() if other["state"] == "upkeep")
         self.max_down = max(self.max_down, down)
-        self.store.remove(f"servers/{entry['id']}")
         entry["id"] = ""
         endpoint = self._endpoints.pop(host, None)
+        if endpoint is not None:
+            self._withdraw(endpoint.name)
+            self._record_listing(endpoint.name, former_pool, None)
         threading.Thread(target=self._bring_up, args=(host, endpoint), daemon=True).start()
 
-    def _bring_up(self, host: str, endpoint: _Endpoint | None) -> None:
+    def _bring_up(self, host: str, endpoint: UsersEndpoint | None) -> None:
         if endpoint is not None:
             endpoint.close()
-        if not self._closed.wait(HOST_DOWN_S):
-            with self._lock:
+        self._closed.wait(HOST_DOWN_S)
+        with self._lock:
+            if not self._closed.is_set():
                 self._start_endpoint(host)
+
+
+def _new_address() -> str:
+    return _network().address(1, 1, next(_ports))
+
+
+@functools.cache
+def _network() -> LoopbackNetwork:
+    return LoopbackNetwork()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -58,6 +58,7 @@
     "an_endpoint",
     "an_entitlement",
     "an_entry",
+    "an_order",
     "digest",
     "inner_keys",
     "some_workspaces",
@@ -214,3 +215,9 @@
         "remaining_work": 1.0,
     }
     return JobTiming(**(values | changes))
+
+
+def an_order(task: str = "a.0.0.0", **changes: Any) -> dict[str, Any]:
+    """Return the body of an order to an endpoint, as the users' platform spells it."""
+    values = {"task": task, "run_id": 1, "spec": "text", "fencing_token": 1, "expires_ms": 9_999}
+    return values | changes
--- a/tests/standins/test_users_platform.py
+++ b/tests/standins/test_users_platform.py
@@ -1,23 +1,129 @@
 """The stand-in of the users' platform itself."""
 
 import json
+from typing import Any
 from unittest.mock import Mock
 
+import urllib3
 from testtools import TestCase
 
-from standins.users_platform import RunRecord, _Endpoint
+from standins._users_endpoint import UsersEndpoint
+from standins.users_platform import CrashPlan, UsersPlatform
+from tests.builders import an_address, an_order
+from tests.execution.fakes import eventually
+
+TASK = "a.0.0.0"
+NO_ANSWER = 0
+
+
+class EndpointCase(TestCase):
+    """A platform with one host, whose endpoint is called as an entry host calls it."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.platform = UsersPlatform(task_s=30.0)
+        self.addCleanup(self.platform.close)
+        self.host = self.platform.add_host("notices")
+        self.endpoint = self.platform.endpoint_of(self.host)
+        self.address = self.entry()["address"]
+        self.http = urllib3.PoolManager(retries=False, timeout=5.0)
+
+    def entry(self) -> dict[str, Any]:
+        return self.platform.value(f"servers/{self.endpoint}") or {}
+
+    def send(self, path: str, **body: Any) -> tuple[int, dict[str, Any]]:
+        headers = {"Expect-Instance": self.endpoint}
+        data = json.dumps(an_order(**body))
+        try:
+            answer = self.http.request(
+                "POST", f"http://{self.address}{path}", body=data, headers=headers
+            )
+        except urllib3.exceptions.HTTPError:
+            return NO_ANSWER, {}
+        return answer.status, json.loads(answer.data)
+
+    def start(self, **body: Any) -> int:
+        return self.send("/run-start", task=TASK, **body)[0]
 
 
 class ClosedEndpointTest(TestCase):
     def test_a_start_that_reaches_a_closed_endpoint_is_no_run(self) -> None:
         """Guards against a test that sees a task run twice, since a start that arrived while its
         endpoint closed was recorded as a run that works."""
-        records: list[RunRecord] = []
-        endpoint = _Endpoint("i-1", records, 1.0, lambda *start: True, lambda: False)
+        platform = UsersPlatform()
+        self.addCleanup(platform.close)
+        endpoint = UsersEndpoint("i-1", an_address(), platform)
         endpoint.close()
-        body = {"task": "a.0.0.0", "run_id": 1, "fencing_token": 1, "expires_ms": 9_999_999}
-        call = Mock(path="/run-start", body=json.dumps(body).encode())
+        call = Mock(path="/run-start", body=json.dumps(an_order(TASK)).encode())
         call.header.return_value = "i-1"
         endpoint._serve(call, endpoint.address)
         call.disconnect.assert_called_once_with(reset=True)
-        self.assertEqual([], records)
+        self.assertEqual([], platform.records)
+
+
+class CrashTest(EndpointCase):
+    def test_an_endpoint_that_comes_back_remembers_nothing(self) -> None:
+        born = self.entry()["born"]
+        self.assertEqual(200, self.start(run_id=7, fencing_token=5))
+        self.platform.crash_endpoint(self.host, back_s=0.1)
+        self.assertEqual("gone", self.platform.records[0].end_kind)
+        self.assertTrue(eventually(lambda: self.entry().get("born", born) != born))
+        self.assertEqual((1, self.address), (self.entry()["seq"], self.entry()["address"]))
+        status, answer = self.send("/hold", fencing_token=1)
+        self.assertEqual((200, [], []), (status, answer["running"], answer["ended"]))
+        self.assertEqual(self.entry()["born"], answer["born"])
+        self.assertEqual(200, self.start(run_id=1, fencing_token=1))
+
+    def test_the_entry_of_a_silent_endpoint_is_removed_and_comes_back(self) -> None:
+        self.platform.crash_endpoint(self.host, back_s=2.0)
+        self.assertNotEqual({}, self.entry())
+        self.assertTrue(eventually(lambda: self.entry() == {}))
+        self.assertTrue(eventually(lambda: self.entry() != {}))
+
+    def test_an_endpoint_that_does_not_come_back(self) -> None:
+        self.platform.crash_endpoint(self.host, back_s=None)
+        self.assertTrue(eventually(lambda: self.entry() == {}))
+        self.assertEqual(NO_ANSWER, self.start())
+
+    def test_an_entry_is_not_written_while_the_store_is_down(self) -> None:
+        born = self.entry()["born"]
+        self.platform.store.down = True
+        self.platform.crash_endpoint(self.host, back_s=0.0)
+        self.assertTrue(eventually(lambda: self.send("/hold")[0] == 200))
+        self.assertEqual(born, self.entry()["born"])
+        self.platform.store.down = False
+        self.assertTrue(eventually(lambda: self.entry()["born"] != born))
+
+    def test_a_task_crashes_its_endpoint_before_the_answer(self) -> None:
+        self.platform.crash_plan = lambda task, spec: CrashPlan(0.0, 0.1)
+        self.assertEqual(NO_ANSWER, self.start())
+        [run], [crash] = self.platform.records, self.platform.crashes
+        self.assertEqual(("gone", TASK, crash.at), (run.end_kind, crash.culprit, run.ended))
+
+    def test_a_task_crashes_its_endpoint_after_the_answer(self) -> None:
+        plans = {"bad": CrashPlan(0.02, 0.1)}
+        self.platform.crash_plan = lambda task, spec: plans.get(spec)
+        self.assertEqual(200, self.start(run_id=1, spec="good"))
+        self.assertEqual([], self.platform.crashes)
+        self.assertEqual(200, self.start(run_id=2, spec="bad"))
+        self.assertTrue(eventually(lambda: len(self.platform.crashes) == 1))
+        self.assertEqual({"gone"}, {run.end_kind for run in self.platform.records})
+
+
+class EndpointTest(EndpointCase):
+    def test_a_run_that_is_being_stopped_is_listed_until_it_ended(self) -> None:
+        """Guards against a product that counts what is being stopped as free, unseen by tests."""
+        self.assertEqual(200, self.start())
+        self.assertEqual(200, self.send("/run-stop", task=TASK)[0])
+        self.assertEqual("", self.platform.records[0].end_kind)
+        self.assertTrue(eventually(lambda: self.platform.records[0].end_kind == "stopped"))
+        self.assertEqual("old", self.send("/run-start", task=TASK)[1]["reason"])
+
+    def test_an_endpoint_that_fails_what_it_starts(self) -> None:
+        self.platform.failing.add(self.host)
+        self.assertEqual(200, self.start())
+        self.assertTrue(eventually(lambda: self.platform.records[0].end_kind == "failed"))
+
+    def test_a_lease_in_the_past_starts_nothing(self) -> None:
+        self.assertEqual(409, self.start(expires_ms=0))
+        self.assertEqual([], self.platform.records)
