--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -152,6 +152,13 @@
         if endpoint is not None:
             endpoint.crash(back_s)
 
+    def set_capacity(self, host: str, capacity: Amounts) -> None:
+        """Change the capacity that the endpoint of a host has; runs that exceed it continue."""
+        with self._lock:
+            self._capacities[host] = capacity
+            if host in self._endpoints:
+                self._publish(host)
+
     def configure(
         self,
         version: int,
--- a/tests/standins/test_users_platform.py
+++ b/tests/standins/test_users_platform.py
@@ -7,6 +7,7 @@
 import urllib3
 from testtools import TestCase
 
+from standins._platform_records import Amounts
 from standins._users_endpoint import UsersEndpoint
 from standins.users_platform import CrashPlan, UsersPlatform
 from tests.builders import an_address, an_order
@@ -111,6 +112,14 @@
 
 
 class EndpointTest(EndpointCase):
+    def test_the_entry_shows_a_capacity_that_changes(self) -> None:
+        self.platform.set_capacity(self.host, Amounts(4000, 1000))
+        self.assertEqual({"cpu": 4000, "mem_mb": 1000, "gpu": 0}, self.entry()["capacity"])
+        self.assertEqual(2, self.entry()["seq"])
+        self.platform.crash_endpoint(self.host, back_s=0.0)
+        self.assertTrue(eventually(lambda: self.entry()["seq"] == 1))
+        self.assertEqual(4000, self.entry()["capacity"]["cpu"])
+
     def test_a_run_that_is_being_stopped_is_listed_until_it_ended(self) -> None:
         """Guards against a product that counts what is being stopped as free, unseen by tests."""
         self.assertEqual(200, self.start())
