Stand-in: a host that is lost leaves the list, and acknowledged ends are marked

A crash without a return left its host in the list of hosts for good. Runs tell whether their end was acknowledged, so that a check can tell a task done twice from one whose end a crash wiped out.

--- a/standins/_platform_records.py
+++ b/standins/_platform_records.py
@@ -38,6 +38,7 @@
 
     :param end_kind: how it ended, as a value of the platform's protocol; ``gone`` if its endpoint
         crashed or left.
+    :param noted: whether the end was acknowledged.
     """
 
     endpoint: str
@@ -46,6 +47,7 @@
     began: float
     ended: float = 0.0
     end_kind: str = ""
+    noted: bool = False
 
 
 class Crash(msgspec.Struct, frozen=True):
--- a/standins/_users_endpoint.py
+++ b/standins/_users_endpoint.py
@@ -83,6 +83,7 @@
         self._stop_at: dict[tuple[str, int], float] = {}
         self._last_finished_run: dict[str, int] = {}
         self._ended: list[list[Any]] = []
+        self._ended_runs: dict[int, RunRecord] = {}
         self._cursor = 0
         self._server = Server(address, self._serve, THREADS)
         self._server.start()
@@ -155,6 +156,7 @@
         self._forbid(task, number)
         self._cursor += 1
         self._ended.append([self._cursor, task, number, end_kind, ""])
+        self._ended_runs[self._cursor] = record
         self._changed.notify_all()
 
     def _forbid(self, task: str, number: int) -> None:
@@ -230,7 +232,7 @@
         return {}
 
     def _poll(self, body: dict[str, Any]) -> dict[str, Any]:
-        self._ended = [end for end in self._ended if end[0] > body.get("ack_cursor", 0)]
+        self._forget_ends(body.get("ack_cursor", 0))
         if not self._ended:
             self._changed.wait(body.get("wait_ms", 0) / 1000)
         running = [
@@ -239,6 +241,12 @@
         ]
         return {"born": self.started_ms, "running": running, "ended": self._ended}
 
+    def _forget_ends(self, acknowledged: int) -> None:
+        for end in self._ended:
+            if end[0] <= acknowledged:
+                self._ended_runs.pop(end[0]).noted = True
+        self._ended = [end for end in self._ended if end[0] > acknowledged]
+
     def _percent(self, record: RunRecord) -> int:
         age = time.monotonic() - record.began
         if self._context.lasts(record.task):
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -228,7 +228,8 @@
 
     def hosts_of(self, pool: str) -> list[str]:
         """Return the hosts of a pool."""
-        return [name for name, host in self._hosts.items() if host["pool"] == pool]
+        with self._lock:
+            return [name for name, host in self._hosts.items() if host["pool"] == pool]
 
     def endpoint_of(self, host: str) -> str:
         """Return the name of the endpoint on a host."""
@@ -270,13 +271,21 @@
 
     def _restart(self, endpoint: UsersEndpoint, back_s: float | None) -> None:
         endpoint.close()
-        if back_s is None or self._closed.wait(back_s):
-            return
+        self._closed.wait(SILENCE_S if back_s is None else back_s)
         with self._lock:
             host = self._host_of(endpoint)
-            if host and not self._closed.is_set():
+            if not host or self._closed.is_set():
+                return
+            if back_s is None:
+                self._lose(host)
+            else:
                 self._start_endpoint(host, endpoint)
 
+    def _lose(self, host: str) -> None:
+        """Remove a host for good."""
+        self._withdraw(self._endpoints.pop(host).name)
+        del self._hosts[host]
+
     def _host_of(self, endpoint: UsersEndpoint) -> str:
         """Return the host on which an endpoint is, or an empty string if it is on none."""
         hosts = (host for host, other in self._endpoints.items() if other is endpoint)
