Soak of entry hosts plays crashing tasks, endpoints that crash or fail, and capacities

All judges of the stand-in are asked; once nothing disturbs the site, caps are lifted and waiting tasks are judged. A failed run keeps its crashes, entries, jobs and failures beside the logs.

A job is now sent again as it was, where each attempt had a body of its own; a task that started again after its noted end counts as done twice; an end that a crash wiped out before it was noted doesn't count.

--- /dev/null
+++ b/tests/platform/endpoint_faults.py
@@ -0,0 +1,122 @@
+"""Faults of endpoints that a soak plays, and the jobs that go with them."""
+
+import enum
+import random
+import threading
+from collections.abc import Collection
+from typing import Any
+
+import msgspec
+
+from standins._platform_records import Amounts
+from standins.users_platform import CrashPlan, UsersPlatform
+
+__all__ = ["EndpointFaults", "Play", "crash_plan", "culprit_job", "lasting_job", "wide_job"]
+
+CULPRIT_PREFIX = "crash:"
+CULPRIT_TASK = ".0"
+CAPACITIES = (1000, 2000, 4000, 8000)
+MEMORY_MB = 32768
+STEP = {"cpu": 1000, "mem_mb": 100, "estimate_ms": 150}
+
+
+class Play(enum.Enum):
+    """One kind of fault, or of work, that a soak plays besides its usual ones."""
+
+    CULPRITS = "culprits"
+    """Tasks crash each endpoint that starts them."""
+    CRASHES = "crashes"
+    """Endpoints crash by themselves and come back, or are lost."""
+    FAILING = "failing"
+    """Endpoints fail what they start for some time."""
+    CAPACITY = "capacity"
+    """The capacities of endpoints shrink and grow."""
+    LASTING = "lasting"
+    """Some jobs last until they are cancelled."""
+
+
+def culprit_job(rng: random.Random) -> dict[str, Any]:
+    """Return a job whose first task crashes its endpoints, before or after the answer."""
+    after_s = rng.choice((0.0, rng.uniform(0.001, 0.05)))
+    back_s = None if rng.random() < 0.1 else rng.uniform(0.3, 3.0)
+    plan = msgspec.json.encode(CrashPlan(after_s, back_s)).decode()
+    step = STEP | {"count": rng.randint(1, 3)}
+    return {"spec": CULPRIT_PREFIX + plan, "steps": [step]}
+
+
+def wide_job(rng: random.Random) -> dict[str, Any]:
+    """Return a job that needs much of what endpoints of small capacity have."""
+    return {"spec": "wide", "steps": [STEP | {"count": rng.randint(4, 16)}]}
+
+
+def lasting_job(rng: random.Random) -> dict[str, Any]:
+    """Return a job whose tasks run until it is cancelled."""
+    step = STEP | {"count": rng.randint(1, 3), "long_running": True}
+    return {"spec": "lasting", "steps": [step]}
+
+
+def crash_plan(task: str, spec: str) -> CrashPlan | None:
+    """Return how a task of :func:`culprit_job` crashes its endpoint, ``None`` for all others."""
+    if not spec.startswith(CULPRIT_PREFIX) or not task.endswith(CULPRIT_TASK):
+        return None
+    return msgspec.json.decode(spec.removeprefix(CULPRIT_PREFIX), type=CrashPlan)
+
+
+class EndpointFaults:
+    """Disturbs the endpoints of a platform.
+
+    :param pools: pools whose endpoints are disturbed.
+    :param hosts: number of hosts in all pools together, which stays the same.
+    """
+
+    def __init__(
+        self, platform: UsersPlatform, plays: Collection[Play], pools: Collection[str], hosts: int
+    ) -> None:
+        self._platform = platform
+        self._plays = plays
+        self._pools = tuple(pools)
+        self._hosts = hosts
+        platform.crash_plan = crash_plan
+        faults = {
+            Play.CRASHES: self._crash,
+            Play.FAILING: self._fail,
+            Play.CAPACITY: self._resize,
+        }
+        self._faults = [fault for play, fault in faults.items() if play in plays]
+
+    def disturb(self, rng: random.Random, stopping: threading.Event) -> None:
+        """Play faults until ``stopping`` is set, then end all of them."""
+        while not stopping.wait(rng.uniform(0.1, 0.8)):
+            if self._faults:
+                fault = rng.choice(self._faults)
+                fault(rng, rng.choice(self._all_hosts()))
+            self._replace_lost()
+        self._platform.failing.clear()
+        if Play.CAPACITY in self._plays:
+            for host in self._all_hosts():
+                self._platform.set_capacity(host, Amounts(max(CAPACITIES), MEMORY_MB))
+
+    def _all_hosts(self) -> list[str]:
+        return [host for pool in self._pools for host in self._platform.hosts_of(pool)]
+
+    def _crash(self, rng: random.Random, host: str) -> None:
+        back_s = None if rng.random() < 0.1 else rng.uniform(0.0, 3.0)
+        self._platform.crash_endpoint(host, back_s)
+
+    def _fail(self, rng: random.Random, host: str) -> None:
+        failing = self._platform.failing
+        if failing:
+            failing.clear()
+        else:
+            failing.add(host)
+
+    def _resize(self, rng: random.Random, host: str) -> None:
+        self._platform.set_capacity(host, Amounts(rng.choice(CAPACITIES), MEMORY_MB))
+
+    def _replace_lost(self) -> None:
+        """Add a host for each whose endpoint never starts again; hosts may change their pools."""
+        hosts_by_pool = {pool: len(self._platform.hosts_of(pool)) for pool in self._pools}
+        for _ in range(sum(hosts_by_pool.values()), self._hosts):
+            smallest = min(hosts_by_pool, key=hosts_by_pool.__getitem__)
+            hosts_by_pool[smallest] += 1
+            self._platform.add_host(smallest)
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -1,7 +1,8 @@
 """Random faults on entry hosts of two pools, with workspaces, keys and caps.
 
 Run as ``python -m tests.platform.soak --seed 1 --runs 50``. The seed determines the requests and
-the schedule of faults; real processes interleave differently each time.
+the schedule of faults; real processes interleave differently each time. ``--play`` adds faults of
+endpoints, and jobs that last.
 """
 
 import argparse
@@ -12,14 +13,16 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from standins.users_platform import JobUse, UsersPlatform
+from standins._platform_records import Crash
+from standins.users_platform import JobUse, RunRecord, SeenJob, UsersPlatform
+from tests.platform.endpoint_faults import EndpointFaults, Play, culprit_job, lasting_job, wide_job
 from tests.platform.site import EntrySite
 
 __all__ = ["Soak", "main"]
@@ -36,18 +39,37 @@
 SETTLE_S = 60.0
 REVOKED_AFTER_S = 3.0
 """Time after which each host refuses a key that was taken away."""
+CULPRIT_SHARE = 0.04
+LASTING_SHARE = 0.05
+WIDE_SHARE = 0.2
+MAX_CULPRITS = 4
+MAX_LASTING = 4
+MAX_WIDE = 20
+"""Limits of a run, so that the pools still have room for the other jobs."""
+CALM_AFTER_S = 4.0
+"""Time after the last fault from which on a task that waits is judged."""
+WATCH_S = 14.0
+"""Time after the last fault until which lasting tasks are watched."""
+CANCEL_S = 5.0
+"""Time after which nothing runs of a cancelled job."""
 
 
 class _Job:
     """One job of a caller, and the answers to its attempts."""
 
-    def __init__(self, path: str, workspace: str, key: str) -> None:
+    def __init__(self, path: str, workspace: str, key: str, body: dict[str, Any]) -> None:
         self.path = path
         self.id = path.rpartition("/")[2]
         self.workspace = workspace
         self.key = key
+        self.body = body
+        self.seen = SeenJob.from_body(self.id, QUEUES[path[: -len(self.id)]], body)
         self.answers: list[int] = []
 
+    @property
+    def lasts(self) -> bool:
+        return any(step.lasts for step in self.seen.steps)
+
     @property
     def is_accepted(self) -> bool:
         return 200 in self.answers
@@ -61,11 +83,19 @@
     """One run on a new site.
 
     :param logs: folder for the logs and the runs of a failed run, or ``None`` to keep none.
+    :param plays: faults of endpoints to play.
     :ivar failures: broken promises.
     """
 
-    def __init__(self, seed: int, seconds: float, logs: Path | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        logs: Path | None = None,
+        plays: Collection[Play] = (),
+    ) -> None:
         self._logs = logs
+        self._plays = frozenset(plays)
         self.failures: list[str] = []
         self.jobs: list[_Job] = []
         self._seed = seed
@@ -73,6 +103,15 @@
         self._random = random.Random(seed)
         self._platform = UsersPlatform(TASK_S)
         self._site = EntrySite(self._platform, HOSTS)
+        self._endpoints = EndpointFaults(
+            self._platform, self._plays, QUEUES.values(), ENDPOINT_HOSTS * len(QUEUES)
+        )
+        self._quotas = {
+            Play.CULPRITS: MAX_CULPRITS,
+            Play.LASTING: MAX_LASTING,
+            Play.CAPACITY: MAX_WIDE,
+        }
+        self._culprits: set[str] = set()
         self._stopping = threading.Event()
         self._lock = threading.Lock()
         self._version = 1
@@ -92,6 +131,10 @@
                 threading.Thread(target=loop, args=(random.Random(f"{self._seed}-{name}"),))
                 for name, loop in (("hosts", self._disturb_hosts), ("store", self._disturb_store))
             ]
+            if self._plays:
+                rng = random.Random(f"{self._seed}-endpoints")
+                disturb = self._endpoints.disturb
+                threads.append(threading.Thread(target=disturb, args=(rng, self._stopping)))
             for thread in threads:
                 thread.start()
             time.sleep(self._seconds)
@@ -133,7 +176,9 @@
             for _ in range(ATTEMPTS):
                 name = rng.choice(list(self._site.settings))
                 began = time.monotonic()
-                job.answers.append(self._site.submit(name, job.path, _body(rng), job.key))
+                job.answers.append(self._site.submit(name, job.path, job.body, job.key))
+                if job.is_accepted:
+                    job.seen.accepted_at = time.monotonic()
                 self._check_key(job, began)
                 if job.answers[-1] in (200, 401, 409):
                     break
@@ -148,11 +193,30 @@
             workspace = rng.choice(list(self._keys))
             keys = self._keys[workspace] or [f"{workspace[0]}0"]
             key = rng.choice(keys) if rng.random() < 0.9 else "nobody"
-            job = _Job(f"{prefix}{rng.getrandbits(64):016x}", workspace, key)
+            path = f"{prefix}{rng.getrandbits(64):016x}"
+            job = _Job(path, workspace, key, self._new_body(rng, path))
+            self._platform.jobs_by_id[job.id] = job.seen
             self._platform.use_by_job[job.id] = JobUse(workspace, CPU)
             self.jobs.append(job)
         return job
 
+    def _new_body(self, rng: random.Random, path: str) -> dict[str, Any]:
+        if self._takes(Play.CULPRITS, rng, CULPRIT_SHARE):
+            self._culprits.add(path)
+            return culprit_job(rng)
+        if self._takes(Play.LASTING, rng, LASTING_SHARE):
+            return lasting_job(rng)
+        if self._takes(Play.CAPACITY, rng, WIDE_SHARE):
+            return wide_job(rng)
+        return _body(rng)
+
+    def _takes(self, play: Play, rng: random.Random, share: float) -> bool:
+        """Return whether the next job is one of those that a play adds."""
+        if play not in self._plays or not self._quotas[play] or rng.random() >= share:
+            return False
+        self._quotas[play] -= 1
+        return True
+
     def _check_key(self, job: _Job, began: float) -> None:
         with self._lock:
             revoked_at = self._revoked_at.get(job.key)
@@ -237,27 +301,77 @@
     # Checks
 
     def _check(self) -> None:
+        quiet_at = time.monotonic()
         with self._lock:
             for name in self._keys:
                 self._keys[name] = [f"{name[0]}last"]
+            if self._plays:
+                # A task that waits for its workspace is not one that was lost.
+                self._caps = dict.fromkeys(self._caps, 0)
         self._configure()
-        accepted = [job for job in self.jobs if job.is_accepted]
-        deadline = time.monotonic() + SETTLE_S
-        for job in accepted:
-            while (state := self._shown(job)) != "completed":
-                if time.monotonic() > deadline:
-                    self._fail(f"{job.id} is {state} at the end")
-                    break
-                time.sleep(0.05)
+        for job in self.jobs:
+            if job.is_accepted and not job.lasts and job.path not in self._culprits:
+                self._check_end(job, quiet_at + SETTLE_S)
+        if self._plays:
+            self._check_waiting(quiet_at)
+        self._check_lasting()
         self.failures += self._platform.excess_starts()
+        self.failures += self._platform.wrong_starts()
+        self.failures += self._platform.wrong_failures()
         self._check_runs()
 
+    def _check_end(self, job: _Job, deadline: float) -> None:
+        """Check that a job is completed; a failure needs a cause, which is judged later."""
+        final = ("completed", "failed") if self._plays else ("completed",)
+        while (state := self._shown(job)) not in final:
+            if time.monotonic() > deadline:
+                self._fail(f"{job.id} is {state} at the end")
+                break
+            time.sleep(0.05)
+        job.seen.state = state
+
+    def _check_waiting(self, quiet_at: float) -> None:
+        """Check that nothing waits beside free room while nothing disturbs the site."""
+        time.sleep(max(0.0, quiet_at + WATCH_S - time.monotonic()))
+        for job in self.jobs:
+            if job.is_accepted and (job.lasts or job.path in self._culprits):
+                job.seen.state = self._shown(job)
+        self.failures += self._platform.idle_tasks(quiet_at + CALM_AFTER_S, time.monotonic())
+
+    def _check_lasting(self) -> None:
+        """Check that jobs that last end when they are cancelled."""
+        lasting = [job for job in self.jobs if job.is_accepted and job.lasts]
+        for job in lasting:
+            name = self._random.choice(list(self._site.settings))
+            job.seen.cancelled_at = time.monotonic()
+            if self._site.cancel(name, job.path, f"{job.workspace[0]}last") not in (200, 410):
+                self._fail(f"{job.id} not cancelled")
+        deadline = time.monotonic() + CANCEL_S
+        ids = {job.id for job in lasting}
+        while running := self._running(ids):
+            if time.monotonic() > deadline:
+                self._fail(f"{running[0].task} runs on after its job was cancelled")
+                break
+            time.sleep(0.05)
+
+    def _running(self, jobs: Collection[str]) -> list[RunRecord]:
+        runs = list(self._platform.records)
+        return [run for run in runs if not run.ended and run.task.split(".")[0] in jobs]
+
     def _keep_logs(self, folder: Path) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         for path in self._site.folder.glob("*.log"):
             (folder / path.name).write_bytes(path.read_bytes())
-        runs = [json.dumps(msgspec.structs.asdict(record)) for record in self._platform.records]
-        (folder / "runs.jsonl").write_text("\n".join(runs))
+        (folder / "failures.txt").write_text("\n".join(self.failures))
+        records = {
+            "runs": self._platform.records,
+            "crashes": self._platform.crashes,
+            "listings": self._platform.listings,
+            "jobs": [job.seen for job in self.jobs],
+        }
+        for name, rows in records.items():
+            lines = [msgspec.json.encode(row).decode() for row in rows]
+            (folder / f"{name}.jsonl").write_text("\n".join(lines))
 
     def _shown(self, job: _Job) -> str:
         name = self._random.choice(list(self._site.settings))
@@ -272,19 +386,42 @@
         for task, runs in runs_by_task.items():
             if task.split(".")[0] in refused:
                 self._fail(f"{task} ran though its job was refused")
-            if sum(run.end_kind == "done" for run in runs) > 1:
+            if self._is_done_twice(runs):
                 self._fail(f"{task} done twice")
             runs.sort(key=lambda run: run.began)
             for former, later in pairwise(runs):
                 if not former.ended or former.ended > later.began:
                     self._fail(f"{task} ran twice at once")
 
+    def _is_done_twice(self, runs: list[RunRecord]) -> bool:
+        """Return whether a task was done more than once, or started after it was done.
+
+        An end that nobody has noted is forgotten with a crash of its endpoint.
+        """
+        crashes = self._platform.crashes
+        ends = [
+            run
+            for run in runs
+            if run.end_kind == "done"
+            and (run.noted or not any(_forgets(crash, run) for crash in crashes))
+        ]
+        noted = [end for end in ends if end.noted]
+        return len(ends) > 1 or any(run.began > end.ended for end in noted for run in runs)
+
+
+def _forgets(crash: Crash, run: RunRecord) -> bool:
+    return crash.endpoint == run.endpoint and crash.at >= run.ended
+
 
 def _body(rng: random.Random) -> dict[str, Any]:
     step = {"count": rng.randint(1, 4), "cpu": CPU, "mem_mb": 100, "estimate_ms": 150}
     return {"spec": "soak", "steps": [step]}
 
 
+def _plays_help() -> str:
+    return "any of " + ", ".join(play.value for play in Play)
+
+
 def main() -> int:
     """Play runs with successive seeds; return 0 if no promise was broken."""
     parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
@@ -292,10 +429,13 @@
     parser.add_argument("--runs", type=int, default=50)
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--logs", type=Path, help="folder for the logs of failed runs")
+    parser.add_argument(
+        "--play", nargs="*", type=Play, default=(), metavar="FAULT", help=_plays_help()
+    )
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
-        soak = Soak(seed, arguments.seconds, arguments.logs)
+        soak = Soak(seed, arguments.seconds, arguments.logs, arguments.play)
         try:
             line = soak.run()
         except TimeoutError as error:
