--- a/standins/_room_judges.py
+++ b/standins/_room_judges.py
@@ -9,7 +9,15 @@
 
 import msgspec
 
-from standins._platform_records import Amounts, Crash, Listing, RunRecord, SeenJob, runs_at
+from standins._platform_records import (
+    Amounts,
+    Crash,
+    Listing,
+    RunRecord,
+    SeenJob,
+    SeenStep,
+    runs_at,
+)
 
 __all__ = ["Observation", "find_idle", "find_overfull"]
 
@@ -67,13 +75,17 @@
     return found
 
 
-def find_idle(seen: Observation, since: float, until: float) -> list[str]:
+def find_idle(
+    seen: Observation, since: float, until: float, *, in_traffic: bool = False
+) -> list[str]:
     """Return a line for each task that could run and did not, although there was room for it.
 
     For a task that ends, its whole job must have had nothing running; a task that lasts is judged
     by itself.
 
     :param since: time from which on the platform was calm.
+    :param in_traffic: whether callers still submitted jobs; then only tasks that last are judged,
+        however full their pool is.
     """
     waiting: dict[str, float] = {}
     found: dict[str, str] = {}
@@ -88,8 +100,9 @@
         idle = set()
         for job in missed:
             pool = pools.get(job.pool, _PoolRoom())
-            for task, need in _idle_tasks(job, runs_by_job[job.id], at):
-                if pool.has_places(need):
+            for task, step in _idle_tasks(job, runs_by_job[job.id], at):
+                is_judged = step.lasts if in_traffic else pool.is_half_free()
+                if is_judged and pool.has_places(step.need):
                     idle.add(task)
         waiting = {task: waiting.get(task, at) for task in idle}
         for task, began in waiting.items():
@@ -113,9 +126,12 @@
         self.capacity += capacity
 
     def has_places(self, need: Amounts) -> bool:
-        """Return whether tasks fit often enough and under half of the pool is in use."""
-        places = sum(need.count_in(free) for free in self.free)
-        return places >= PLACES and (self.used + self.used).fits_in(self.capacity)
+        """Return whether a task fits often enough."""
+        return sum(need.count_in(free) for free in self.free) >= PLACES
+
+    def is_half_free(self) -> bool:
+        """Return whether under half of the pool is in use."""
+        return (self.used + self.used).fits_in(self.capacity)
 
 
 def _pools_at(seen: Observation, at: float) -> dict[str, _PoolRoom]:
@@ -136,8 +152,8 @@
 
 def _idle_tasks(
     job: SeenJob, runs: Iterable[RunRecord], at: float
-) -> Iterator[tuple[str, Amounts]]:
-    """Yield the tasks of a job whose turn has come and that do not run, and what they need."""
+) -> Iterator[tuple[str, SeenStep]]:
+    """Yield the tasks of a job whose turn has come and that do not run, and their steps."""
     if not job.accepted_at or job.accepted_at > at or job.state == "failed":
         return
     if job.cancelled_at and job.cancelled_at <= at:
@@ -158,7 +174,7 @@
             if step.lasts and at < _last_end(job, begun, task) + LASTING_WAIT_S:
                 continue
             if step.lasts or not working:
-                yield task, step.need
+                yield task, step
 
 
 def _last_end(job: SeenJob, runs: Iterable[RunRecord], task: str) -> float:
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -207,9 +207,12 @@
         unfounded = _crash_judges.find_unfounded_failures(jobs, runs, self.crashes)
         return unfounded or _crash_judges.find_bystanders_given_up(jobs, runs, self.crashes)
 
-    def idle_tasks(self, since: float, until: float) -> list[str]:
-        """Return a line for each task that waited beside free room, while the platform was calm."""
-        return _room_judges.find_idle(self._observation(), since, until)
+    def idle_tasks(self, since: float, until: float, *, in_traffic: bool = False) -> list[str]:
+        """Return a line for each task that waited beside free room, while the platform was calm.
+
+        :param in_traffic: whether callers still submitted jobs meanwhile.
+        """
+        return _room_judges.find_idle(self._observation(), since, until, in_traffic=in_traffic)
 
     def _observation(self) -> _room_judges.Observation:
         return _room_judges.Observation(
--- a/tests/platform/endpoint_faults.py
+++ b/tests/platform/endpoint_faults.py
@@ -3,6 +3,7 @@
 import enum
 import random
 import threading
+import time
 from collections.abc import Collection
 from typing import Any
 
@@ -17,6 +18,8 @@
 CULPRIT_TASK = ".0"
 CAPACITIES = (1000, 2000, 4000, 8000)
 MEMORY_MB = 32768
+MAX_BACK_S = 3.0
+CALM_S = 10.0
 STEP = {"cpu": 1000, "mem_mb": 100, "estimate_ms": 150}
 
 
@@ -38,7 +41,7 @@
 def culprit_job(rng: random.Random) -> dict[str, Any]:
     """Return a job whose first task crashes its endpoints, before or after the answer."""
     after_s = rng.choice((0.0, rng.uniform(0.001, 0.05)))
-    back_s = None if rng.random() < 0.1 else rng.uniform(0.3, 3.0)
+    back_s = None if rng.random() < 0.1 else rng.uniform(0.3, MAX_BACK_S)
     plan = msgspec.json.encode(CrashPlan(after_s, back_s)).decode()
     step = STEP | {"count": rng.randint(1, 3)}
     return {"spec": CULPRIT_PREFIX + plan, "steps": [step]}
@@ -51,7 +54,8 @@
 
 def lasting_job(rng: random.Random) -> dict[str, Any]:
     """Return a job whose tasks run until it is cancelled."""
-    step = STEP | {"count": rng.randint(1, 3), "long_running": True}
+    cpu = rng.choice((500, 1000, 2000))
+    step = STEP | {"count": rng.randint(1, 6), "cpu": cpu, "long_running": True}
     return {"spec": "lasting", "steps": [step]}
 
 
@@ -67,6 +71,7 @@
 
     :param pools: pools whose endpoints are disturbed.
     :param hosts: number of hosts in all pools together, which stays the same.
+    :ivar calm_spans: begin and end of the times between two series of faults.
     """
 
     def __init__(
@@ -76,6 +81,7 @@
         self._plays = plays
         self._pools = tuple(pools)
         self._hosts = hosts
+        self.calm_spans: list[tuple[float, float]] = []
         platform.crash_plan = crash_plan
         faults = {
             Play.CRASHES: self._crash,
@@ -87,9 +93,7 @@
     def disturb(self, rng: random.Random, stopping: threading.Event) -> None:
         """Play faults until ``stopping`` is set, then end all of them."""
         while not stopping.wait(rng.uniform(0.1, 0.8)):
-            if self._faults:
-                fault = rng.choice(self._faults)
-                fault(rng, rng.choice(self._all_hosts()))
+            self._play_one(rng)
             self._replace_lost()
         self._platform.failing.clear()
         if Play.CAPACITY in self._plays:
@@ -99,8 +103,26 @@
     def _all_hosts(self) -> list[str]:
         return [host for pool in self._pools for host in self._platform.hosts_of(pool)]
 
+    def disturb_in_series(self, rng: random.Random, stopping: threading.Event) -> None:
+        """Play series of faults with calm between them until ``stopping`` is set."""
+        while not stopping.is_set():
+            for _ in range(rng.randint(1, 8)):
+                self._play_one(rng)
+                stopping.wait(rng.uniform(0.0, 1.5))
+            self._platform.failing.clear()
+            time.sleep(MAX_BACK_S)
+            self._replace_lost()
+            began = time.monotonic()
+            stopping.wait(CALM_S)
+            self.calm_spans.append((began, time.monotonic()))
+
+    def _play_one(self, rng: random.Random) -> None:
+        if self._faults:
+            fault = rng.choice(self._faults)
+            fault(rng, rng.choice(self._all_hosts()))
+
     def _crash(self, rng: random.Random, host: str) -> None:
-        back_s = None if rng.random() < 0.1 else rng.uniform(0.0, 3.0)
+        back_s = None if rng.random() < 0.1 else rng.uniform(0.0, MAX_BACK_S)
         self._platform.crash_endpoint(host, back_s)
 
     def _fail(self, rng: random.Random, host: str) -> None:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -84,6 +84,7 @@
 
     :param logs: folder for the logs and the runs of a failed run, or ``None`` to keep none.
     :param plays: faults of endpoints to play.
+    :param in_series: whether these come in series with calm between them, and no others.
     :ivar failures: broken promises.
     """
 
@@ -93,9 +94,12 @@
         seconds: float,
         logs: Path | None = None,
         plays: Collection[Play] = (),
+        *,
+        in_series: bool = False,
     ) -> None:
         self._logs = logs
         self._plays = frozenset(plays)
+        self._in_series = in_series
         self.failures: list[str] = []
         self.jobs: list[_Job] = []
         self._seed = seed
@@ -117,6 +121,8 @@
         self._version = 1
         self._keys = {"schools": ["s0"], "library": ["l0"], "ballots": ["b0"]}
         self._caps = {"schools": 3000, "library": 5000, "ballots": 0}
+        if in_series:
+            self._caps = dict.fromkeys(self._caps, 0)
         self._revoked_at: dict[str, float] = {}
 
     def run(self) -> dict[str, Any]:
@@ -129,12 +135,8 @@
             ]
             threads += [
                 threading.Thread(target=loop, args=(random.Random(f"{self._seed}-{name}"),))
-                for name, loop in (("hosts", self._disturb_hosts), ("store", self._disturb_store))
+                for name, loop in self._fault_loops().items()
             ]
-            if self._plays:
-                rng = random.Random(f"{self._seed}-endpoints")
-                disturb = self._endpoints.disturb
-                threads.append(threading.Thread(target=disturb, args=(rng, self._stopping)))
             for thread in threads:
                 thread.start()
             time.sleep(self._seconds)
@@ -150,6 +152,15 @@
         answers = Counter(answer for job in self.jobs for answer in job.answers)
         return {"jobs": len(self.jobs), "answers": {str(k): v for k, v in sorted(answers.items())}}
 
+    def _fault_loops(self) -> dict[str, Callable[[random.Random], None]]:
+        if self._in_series:
+            endpoints = self._endpoints.disturb_in_series
+            return {"endpoints": lambda rng: endpoints(rng, self._stopping)}
+        loops = {"hosts": self._disturb_hosts, "store": self._disturb_store}
+        if self._plays:
+            loops["endpoints"] = lambda rng: self._endpoints.disturb(rng, self._stopping)
+        return loops
+
     def _start(self) -> None:
         for pool in QUEUES.values():
             for _ in range(ENDPOINT_HOSTS):
@@ -196,7 +207,7 @@
             path = f"{prefix}{rng.getrandbits(64):016x}"
             job = _Job(path, workspace, key, self._new_body(rng, path))
             self._platform.jobs_by_id[job.id] = job.seen
-            self._platform.use_by_job[job.id] = JobUse(workspace, CPU)
+            self._platform.use_by_job[job.id] = JobUse(workspace, job.body["steps"][0]["cpu"])
             self.jobs.append(job)
         return job
 
@@ -337,6 +348,12 @@
             if job.is_accepted and (job.lasts or job.path in self._culprits):
                 job.seen.state = self._shown(job)
         self.failures += self._platform.idle_tasks(quiet_at + CALM_AFTER_S, time.monotonic())
+        crashed_at = [crash.at for crash in self._platform.crashes]
+        for began, ended in self._endpoints.calm_spans:
+            if any(began <= at <= ended for at in crashed_at):
+                continue
+            since = began + CALM_AFTER_S
+            self.failures += self._platform.idle_tasks(since, ended, in_traffic=True)
 
     def _check_lasting(self) -> None:
         """Check that jobs that last end when they are cancelled."""
@@ -434,10 +451,17 @@
     parser.add_argument(
         "--play", nargs="*", type=Play, default=(), metavar="FAULT", help=_plays_help()
     )
+    parser.add_argument("--in-series", action="store_true", help="with calm between the faults")
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
-        soak = Soak(seed, arguments.seconds, arguments.logs, arguments.play)
+        soak = Soak(
+            seed,
+            arguments.seconds,
+            arguments.logs,
+            arguments.play,
+            in_series=arguments.in_series,
+        )
         try:
             line = soak.run()
         except TimeoutError as error:
--- a/tests/standins/test_room_judges.py
+++ b/tests/standins/test_room_judges.py
@@ -118,3 +118,17 @@
         self.assertEqual(["j.0.0.1"], [line.split()[0] for line in found])
         again = a_run("j.0.0.1", 12.0)
         self.assertEqual(0, self.count(seen(running, stopped, again, jobs=self.lasting())))
+
+    def test_a_lasting_task_is_judged_in_traffic_however_full_its_pool_is(self) -> None:
+        """Guards against a task that waits unseen since others keep its pool busy."""
+        stopped = a_run("j.0.0.1", 2.0, 4.0, "stopped")
+        busy = [a_run("j.0.0.0", 2.0), a_run("k.0.0.0", 2.0)]
+        jobs = [*self.lasting(), a_seen_job("k", accepted_at=1.0, cpu=1000)]
+        observation = seen(
+            stopped, *busy, jobs=jobs, listings=[a_listing(0.0, Amounts(4000, 4000))]
+        )
+        found = find_idle(observation, 1.0, 20.0, in_traffic=True)
+        self.assertEqual(["j.0.0.1"], [line.split()[0] for line in found])
+        crowded = seen(stopped, *busy, jobs=jobs, listings=[a_listing(0.0, Amounts(3999, 4000))])
+        self.assertEqual([], find_idle(crowded, 1.0, 20.0, in_traffic=True))
+        self.assertEqual([], find_idle(seen(), 1.0, 20.0, in_traffic=True))
