Links: an endpoint that was silent is asked for all its ends

Seen by callers: a task done is run again. An endpoint crashes while a start is under way and comes back under its id; the new process executes a late copy of the start and ends it before the first poll. That poll still carried the cursor of the former process, which acknowledged the end unseen; the run counted as gone.

Change: a poll of an endpoint that didn't answer the last one acknowledges nothing; the next one does, once the process is known to be the same.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -322,7 +322,10 @@
         elif first:
             wait_ms = 0
         sent = time.monotonic()
-        result = self._calls.poll(self._owner.token, self.stored_cursor, expiry, wait_ms)
+        # An endpoint that was silent may have restarted: the cursor of its previous process would
+        # acknowledge ends of the new one that nobody has seen.
+        cursor = self.stored_cursor if self.reachable else 0
+        result = self._calls.poll(self._owner.token, cursor, expiry, wait_ms)
         if self._ended.is_set():
             return
         self._reports_runs = result.verdict is Verdict.DONE and bool(result.running)
@@ -345,7 +348,8 @@
         renews = self._reports_runs
         expiry = self.new_expiry_ms() if renews else None
         sent = time.monotonic()
-        result = self._calls.poll(self._owner.token, self.stored_cursor, expiry, 0)
+        cursor = self.stored_cursor if self._reports_runs else 0
+        result = self._calls.poll(self._owner.token, cursor, expiry, 0)
         if self._ended.is_set():
             return
         self._owner.on_renewal_answer(self, result)
--- a/tests/execution/test_reborn_endpoint.py
+++ b/tests/execution/test_reborn_endpoint.py
@@ -15,12 +15,14 @@
 
     :ivar refuses_starts: starts are not executed; from the first one on, polls neither.
     :ivar refuses_polls: polls are not executed.
+    :ivar refused: the last start that was not executed.
     :ivar lives: number of the current life, which is also its start time.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.refuses_starts = self.refuses_polls = False
+        self.refused: StartOrder | None = None
         self.lives = 1
 
     def crash(self) -> None:
@@ -33,8 +35,11 @@
 
     def start(self, order: StartOrder) -> OrderAnswer:
         if self.refuses_starts:
+            self.refused = order
             self.refuses_polls = True
             return OrderAnswer(Verdict.UNKNOWN)
+        if any((end.task, end.number) == (order.task, order.number) for end in self.ended):
+            return OrderAnswer(Verdict.OUTDATED)
         return super().start(order)
 
     def poll(
@@ -81,7 +86,11 @@
         self.assertTrue(eventually(lambda: self.endpoint.refuses_polls))
         self.endpoint.crash()
         self.endpoint.refuses_starts = False
-        self.assertTrue(eventually(lambda: len(self.endpoint.starts) == 4))
+        link = self.owner._links.by_id["e1"]
+        self.assertTrue(eventually(lambda: not link.reachable))
+        # A copy of the start that was on its way is executed late, by the new process.
+        assert self.endpoint.refused is not None
+        self.endpoint.start(self.endpoint.refused)
         self.pool.finish_all()
         self.endpoint.refuses_polls = False
         self.assertTrue(self.ends(second))
