Owner: a start that waits isn't sent once its endpoint's capacity has shrunk (LIMIT)

Seen by operators: an endpoint is brought over its capacity by tasks that were placed before it shrank.

Cause: a placed run waits in queues for up to 2 s, and its order was sent without another look at the endpoint's entry but for draining.

Measured: test_a_start_that_waits_is_not_sent_once_the_capacity_has_shrunk failed before; tests/execution green.

--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -14,7 +14,7 @@
 from lentilrill.execution._tracking import Run, RunPhase
 from lentilrill.ids import Revision
 from lentilrill.telemetry import Event, log
-from lentilrill.workloads import StepId
+from lentilrill.workloads import Resources, StepId
 
 __all__ = ["ResponseHandler"]
 
@@ -182,6 +182,9 @@
                 else:
                     self._reconciler.drop(link, run, "no longer needed")
                 return None
+            if not run.send_count and not _fits(link):
+                self._reconciler.drop(link, run, "its endpoint's capacity has shrunk")
+                return None
             if run.send_count:
                 self._latency.record_resent()
             else:
@@ -225,3 +228,11 @@
         if next_order is not None:
             time.sleep(RESEND_PAUSE_S)
             link.order(next_order)
+
+
+def _fits(link: EndpointLink) -> bool:
+    """Whether all runs on an endpoint, also those being stopped, fit its present capacity."""
+    free = link.entry.capacity
+    for run in link.runs_by_key.values():
+        free = free.minus(run.reserved)
+    return Resources().fits(free)
--- /dev/null
+++ b/tests/execution/test_capacity_changes.py
@@ -0,0 +1,59 @@
+"""Endpoints whose capacity changes while they run."""
+
+import threading
+import time
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.execution import OrderAnswer, StartOrder
+from lentilrill.execution._links import MAX_ENTRY_AGE_S
+from lentilrill.workloads import Resources
+from tests.builders import a_job, a_step, an_endpoint
+from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
+
+TASKS = 4
+TASK = Resources(1000, 100)
+
+
+class SlowEndpoint(FakeEndpoint):
+    """Fake endpoint that executes starts only once it may."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.may_start = threading.Event()
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        self.may_start.wait(20.0)
+        return super().start(order)
+
+
+class CapacityChangeTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.endpoint = SlowEndpoint()
+        self.addCleanup(self.endpoint.may_start.set)
+        self.pool = OwnedPool()
+        self.addCleanup(self.pool.close)
+        self.pool.endpoints["e1"] = self.endpoint
+        self.register(TASKS)
+        self.owner = self.pool.take_over()
+        job = a_job("a", a_step(TASKS, needs=TASK))
+        value = msgspec.msgpack.encode(job)
+        self.owner.add_job(value, self.pool.kv.put(f"in/notices/j/{job.id}", value))
+
+    def register(self, tasks: int) -> None:
+        self.pool.register(an_endpoint("e1", capacity=TASK.times(tasks)))
+
+    def test_a_start_that_waits_is_not_sent_once_the_capacity_has_shrunk(self) -> None:
+        """Starts that waited for others brought an endpoint above its capacity."""
+        link = self.owner._links.by_id
+        self.assertTrue(eventually(lambda: "e1" in link and len(link["e1"].runs_by_key) == TASKS))
+        self.register(TASKS - 1)
+        time.sleep(2 * MAX_ENTRY_AGE_S)
+        self.endpoint.may_start.set()
+        self.assertTrue(eventually(lambda: len(self.endpoint.starts) == TASKS - 1))
+        time.sleep(2 * MAX_ENTRY_AGE_S)
+        self.assertEqual(TASKS - 1, len(self.endpoint.starts))
+        self.register(TASKS)
+        self.assertTrue(eventually(lambda: len(self.endpoint.starts) == TASKS))
