A take-over that reads the allowances again keeps the ends already processed

What callers saw: tasks that were done ran again after a take-over, and running tasks were started a second time.

Cause: a new owner read the jobs, then the allowances. From the moment the jobs are loaded it processes reports. If the read of the allowances failed then, the whole load was repeated: all jobs were built anew from their records, without the ends that had been processed since, while the links' cursors stood past them. The next commit acknowledged ends that no record told of. Runs adopted in that time were lost from the new tasks in the same way.

Change: the jobs are read last, so that nothing is read again once reports are processed. Reads and their number stay the same.

Evidence: the two new tests failed before (3 and 4 starts instead of 2), pass now.

--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -342,15 +342,16 @@
 
     def _load(self) -> bool:
         """Read the previous owners' records; return whether all could be read."""
-        # Endpoints first: their leases are renewed while the jobs are read, and once the jobs are
-        # loaded, requests to release hosts are answered.
+        # Endpoints first: their leases are renewed while the records are read. Jobs last: once they
+        # are loaded, reports are processed and requests to release hosts are answered. Another load
+        # would discard what was learned from the reports.
         if not self._links.load():
             return False
         self._links.open_previous(self._entries(self.pool))
-        if not self._jobs.load():
-            return False
         if not self._allowances.load():
             return False
+        if not self._jobs.load():
+            return False
         self._links.wake()
         return True
 
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -4,16 +4,22 @@
 from unittest import mock
 
 import msgspec
+from msgspec.structs import replace
+from returns.result import Failure, Result
 from testtools import TestCase
 
 from lentilrill.execution import EndKind, PoolOwner
+from lentilrill.execution._allowances import ALLOWANCE_PREFIX
+from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import QueueId, Revision
 from lentilrill.inner import ReleaseState
-from lentilrill.store import Follower, Item
+from lentilrill.store import Follower, Item, Priority, RangeAnswer
 from lentilrill.workloads import Job, JobProgress, JobState
-from tests.builders import a_job, a_step, an_endpoint
+from tests.builders import a_configuration, a_job, a_step, an_endpoint, some_workspaces
 from tests.execution.fakes import OwnedPool, eventually, state_of
 
+FAILED_READS = 2
+
 
 class TakeOverTest(TestCase):
     def setUp(self) -> None:
@@ -247,6 +253,67 @@
         self.assertEqual(JobState.CANCELLED, state_of(self.owner, self.job.id))
 
 
+class PartlyReadTest(TestCase):
+    """A new owner that has read the jobs but can't read the allowances yet."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.pool = OwnedPool("e1", "e2")
+        self.addCleanup(self.pool.close)
+        self.endpoint = self.pool.endpoints["e1"]
+        self.pool.configuration = replace(
+            a_configuration(), workspaces=some_workspaces(schools="s0")
+        )
+        self.pool.register(an_endpoint("e1"))
+        self.job = a_job()
+        self.pool.kv.put(f"in/notices/j/{self.job.id}", msgspec.msgpack.encode(self.job))
+        first = self.pool.take_over()
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) == 2))
+        first.close()
+
+    def take_over(self) -> PoolOwner:
+        """Start an owner that reads the allowances only after several polls and reads."""
+        read = self.pool.kv.read
+        failed = []
+
+        def read_or_fail(
+            prefix: str, priority: Priority = Priority.FIRST
+        ) -> Result[RangeAnswer, Fault]:
+            if prefix == ALLOWANCE_PREFIX and len(failed) < FAILED_READS:
+                polls = self.endpoint.polls
+                self.assertTrue(eventually(lambda: self.endpoint.polls > polls + 1))
+                failed.append(prefix)
+                return Failure(Fault("read", "fake", FaultKind.UNAVAILABLE, "status 503"))
+            return read(prefix, priority)
+
+        self.pool.kv.read = read_or_fail
+        return self.pool.take_over()
+
+    def test_an_end_that_is_reported_while_records_are_read_again_counts(self) -> None:
+        """Guards against a task that is run again after it was done.
+
+        The new owner had read the jobs and processed their ends. It could not read the allowances,
+        read everything again and started the tasks of which no record told that they were done.
+        """
+        self.pool.finish_all()
+        self.check_completed(self.take_over())
+
+    def test_a_run_that_is_reported_while_records_are_read_again_counts(self) -> None:
+        """Guards against a task that runs twice at once after the same partial read."""
+        owner = self.take_over()
+        self.assertTrue(eventually(lambda: owner.pressure() is not None))
+        polls = self.endpoint.polls
+        self.assertTrue(eventually(lambda: self.endpoint.polls > polls + 3))
+        self.pool.finish_all()
+        self.check_completed(owner)
+
+    def check_completed(self, owner: PoolOwner) -> None:
+        """Check that the job is completed without another start."""
+        is_completed = lambda: state_of(owner, self.job.id) is JobState.COMPLETED  # noqa: E731
+        self.assertTrue(eventually(lambda: is_completed() or len(self.pool.starts()) > 2))
+        self.assertEqual(2, len(self.pool.starts()))
+
+
 class RetentionTest(TestCase):
     def test_records_of_jobs_that_ended_long_ago_are_removed(self) -> None:
         """Guards against take-overs that take minutes.
