Stand-in records when ends are acknowledged and whether the lease lapsed before

A lease that expires between two ticks now ends its runs also if a poll renews it before the next tick, as an endpoint does.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -30,6 +30,9 @@
     """One run of a task on an endpoint; ``ended`` is 0.0 while it runs.
 
     :param end_kind: how it ended, as a value of the platform's protocol.
+    :param acknowledged: when its end was acknowledged; 0.0 if it has not been.
+    :param lapsed: when its endpoint's lease first expired after its end and before the
+        acknowledgement; 0.0 if it did not.
     """
 
     endpoint: str
@@ -38,6 +41,8 @@
     began: float
     ended: float = 0.0
     end_kind: str = ""
+    acknowledged: float = 0.0
+    lapsed: float = 0.0
 
 
 class _Endpoint:
@@ -68,6 +73,7 @@
         self._expires_ms = 0
         self._running: dict[tuple[str, int], RunRecord] = {}
         self._ended: list[list[Any]] = []
+        self._unacknowledged: dict[int, RunRecord] = {}
         self._cursor = 0
         self._server = Server("127.0.0.1:0", self._serve, 8)
         self._server.start()
@@ -84,14 +90,21 @@
     def tick(self) -> None:
         """End the runs that are complete or whose lease has expired."""
         with self._changed:
-            lease_expired = self._clock_ms() > self._expires_ms
+            self._expire_lease()
             now = time.monotonic()
             for (task, number), record in list(self._running.items()):
-                if lease_expired:
-                    self._end(task, number, "lapsed")
-                elif now - record.began >= self._task_s:
+                if now - record.began >= self._task_s:
                     self._end(task, number, "done")
 
+    def _expire_lease(self) -> None:
+        """End all runs if the lease has expired, and record that on ends not acknowledged yet."""
+        if self._clock_ms() <= self._expires_ms:
+            return
+        for record in self._unacknowledged.values():
+            record.lapsed = record.lapsed or time.monotonic()
+        for task, number in list(self._running):
+            self._end(task, number, "lapsed")
+
     def _clock_ms(self) -> int:
         return int(time.time() * 1000) - self._started_ms
 
@@ -102,6 +115,7 @@
         record.ended, record.end_kind = time.monotonic(), end_kind
         self._last_finished_run[task] = max(number, self._last_finished_run.get(task, 0))
         self._cursor += 1
+        self._unacknowledged[self._cursor] = record
         self._ended.append([self._cursor, task, number, end_kind, ""])
         self._changed.notify_all()
 
@@ -119,6 +133,7 @@
                 call.answer_json({"clock_ms": self._clock_ms(), "reason": "fence"}, 409)
                 return
             self._token = body["fencing_token"]
+            self._expire_lease()
             self._expires_ms = max(self._expires_ms, body.get("expires_ms", 0))
             ticket = body.get("ticket", "")
             if call.path == "/run-start" and not self._may_start(self.name, body["task"], ticket):
@@ -151,7 +166,10 @@
         return {}
 
     def _poll(self, body: dict[str, Any]) -> dict[str, Any]:
-        self._ended = [end for end in self._ended if end[0] > body.get("ack_cursor", 0)]
+        acknowledged = body.get("ack_cursor", 0)
+        self._ended = [end for end in self._ended if end[0] > acknowledged]
+        for cursor in [cursor for cursor in self._unacknowledged if cursor <= acknowledged]:
+            self._unacknowledged.pop(cursor).acknowledged = time.monotonic()
         if not self._ended:
             self._changed.wait(body.get("wait_ms", 0) / 1000)
         now = time.monotonic()
