A host is released only once the ends of its tasks are stored

What callers saw: tasks that were done ran again, up to 14 s later. No rule was broken, as nobody had taken note of the ends; the work was paid for twice.

Cause: an endpoint without runs counted as free at once. Its owner had read the ends of its tasks but not stored them, since the store was down. The host was given away and its endpoint ended with the ends that it listed. The owner was suspended or lost its lease before the store was back, so the next owner found no record of the ends, nor anybody who listed them.

Change: an endpoint with ends that aren't stored yet isn't free, and ends that a release waits for are stored with the interval of urgent ones.

Evidence: the new test failed before ('free' instead of 'wait').

--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -151,7 +151,7 @@
             self._may_poll,
             self._processes_reports,
             on_fenced,
-            lambda: self._writer.schedule(urgent=False),
+            lambda urgent: self._writer.schedule(urgent=urgent),
             self._wake,
             lambda: self._links.update_entries(self._entries(self.pool)),
         )
--- a/src/lentilrill/execution/_release.py
+++ b/src/lentilrill/execution/_release.py
@@ -27,6 +27,9 @@
     if link.unknown_since_by_key:
         return ReleaseState.WAIT, "the endpoint runs tasks that are not tracked", []
     if not link.runs_by_key:
+        # The endpoint ends with its host, and nobody else lists its ends.
+        if link.seen_cursor > link.stored_cursor:
+            return ReleaseState.WAIT, "the ends of its tasks are not stored yet", []
         return ReleaseState.FREE, "", []
     if not link.reachable:
         return ReleaseState.WAIT, "the endpoint does not answer", []
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -32,7 +32,7 @@
     :param processes_reports: whether the owner has loaded the pool's records and is not handing
         over.
     :param on_fenced: called when an endpoint reports a newer fencing token.
-    :param on_ends: called when there are ends to be stored.
+    :param on_ends: called when there are ends to be stored, with whether they delay a release.
     :param wake: triggers a planning round; called under the owner's lock.
     :param update_links: updates the links from the registered endpoints; called under the owner's
         lock.
@@ -50,7 +50,7 @@
         may_poll: Callable[[], bool],
         processes_reports: Callable[[], bool],
         on_fenced: Callable[[str], None],
-        on_ends: Callable[[], None],
+        on_ends: Callable[[bool], None],
         wake: Callable[[], None],
         update_links: Callable[[], None],
     ) -> None:
@@ -129,7 +129,7 @@
                 link.order(order)
             self._wake()
         if had_ends:
-            self._on_ends()
+            self._on_ends(link.released)
 
     def on_renewal(self, seconds: float) -> None:
         """Record the time between two renewals of the run lease at an endpoint."""
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -233,6 +233,29 @@
         self.pool.kv.down = False
         self.assertTrue(eventually(lambda: endpoint.acknowledged > 0))
 
+    def test_no_host_is_released_before_its_ends_are_stored(self) -> None:
+        """Guards against a task that is run again after it was done.
+
+        The host was given away while the store was down, and its endpoint ended. The owner lost the
+        pool before it could store the end, which nobody listed any more.
+        """
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) == 1))
+        self.pool.finish_all()
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) == 2))
+        self.pool.kv.down = True
+        self.pool.finish_all()
+        endpoint = self.pool.endpoints["e1"]
+        polls_before = endpoint.polls
+        self.assertTrue(eventually(lambda: endpoint.polls > polls_before + 3))
+        self.assertEqual(ReleaseState.WAIT, self.release())
+        self.pool.kv.down = False
+        self.assertTrue(eventually(lambda: self.release() == ReleaseState.FREE))
+        record = self.pool.kv.items_by_key[f"p/notices/{self.job.id}"]
+        self.assertIn(b"completed", record.value or b"")
+
+    def release(self) -> str:
+        return self.owner.release(an_endpoint("e1").id, cancel=False)[0]
+
     def test_a_lost_answer_to_a_commit_is_resolved(self) -> None:
         """Guards against an owner that can store nothing more after one lost answer of the store.
 
