--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -253,6 +253,14 @@
         record = self.pool.kv.items_by_key[f"p/notices/{self.job.id}"]
         self.assertIn(b"completed", record.value or b"")
 
+    def test_ends_that_a_release_waits_for_are_stored_at_once(self) -> None:
+        """Guards against hosts that are needed elsewhere and wait for the interval of commits."""
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) == 1))
+        self.assertEqual(ReleaseState.WAIT, self.release())
+        with mock.patch.object(self.owner._writer, "schedule") as schedule:
+            self.pool.finish_all()
+            self.assertTrue(eventually(lambda: mock.call(urgent=True) in schedule.mock_calls))
+
     def release(self) -> str:
         return self.owner.release(an_endpoint("e1").id, cancel=False)[0]
 
