--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -167,7 +167,7 @@
             self._may_poll,
             self._processes_reports,
             on_fenced,
-            lambda: self._writer.schedule(urgent=False),
+            lambda urgent: self._writer.schedule(urgent=urgent),
             self._wake,
             lambda: self._links.update_entries(self._entries(self.pool)),
         )
@@ -358,15 +358,16 @@
 
     def _load(self) -> bool:
         """Read the previous owners' records; return whether all could be read."""
-        # Endpoints first: their leases are renewed while the jobs are read, and once the jobs are
-        # loaded, requests to release hosts are answered.
+        # Endpoints first: their leases are renewed while the records are read. Jobs last: once they
+        # are loaded, reports are processed and requests to release hosts are answered. Another load
+        # would discard what was learned from the reports.
         if not self._links.load():
             return False
         self._links.open_previous(self._entries(self.pool))
-        if not self._jobs.load():
-            return False
         if not self._allowances.load():
             return False
+        if not self._jobs.load():
+            return False
         with self._lock:
             for tracked_job in self._jobs.live_by_id.values():
                 self._crashes.restore(tracked_job.tasks())
