Placement: a task that an endpoint refuses goes to another one

Seen by callers (LOST): a task stands still for ever though other endpoints have room for it.

Class: a hold without a bound. Among endpoints where a task had failed before, best fit decided too.

Change: a refusal counts as a failure whose exclusion has ended: others are preferred, but none is forbidden. Of several, the one with the oldest failure goes first. place() takes the times of the failures instead of their endpoints; the test that passes them names the argument anew, its check is unchanged.

--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -189,7 +189,7 @@
                 capacity_by_endpoint.values(),
                 lambda e: counts.get(e, 0),
                 excluded,
-                task.failed_at.keys(),
+                task.failed_at,
             )
             if capacity is None and excluded:
                 # The others of its step may still fit where this one is kept away from.
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -129,6 +129,7 @@
             return None
         now = time.monotonic()
         run.task.not_before = now + RETRY_ELSEWHERE_S
+        run.task.record_refusal_by(link.entry.id)
         if verdict is Verdict.UNREACHABLE:
             link.probe_at = max(link.probe_at, now + RETRY_ELSEWHERE_S)
         if run.is_unconfirmed:
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -126,7 +126,8 @@
 class TrackedTask:
     """State of one task: its runs, failures and newest checkpoint.
 
-    :ivar failed_at: monotonic time of its last failure on each endpoint.
+    :ivar failed_at: monotonic time of its last failure on each endpoint. A refused start counts as
+        a failure whose exclusion has ended.
     """
 
     __slots__ = (
@@ -165,6 +166,11 @@
         self.failed_at = {id: at for id, at in self.failed_at.items() if now - at < MAX_MEMORY_S}
         self.failed_at[endpoint] = now
 
+    def record_refusal_by(self, endpoint: EndpointId) -> None:
+        """Prefer other endpoints from now on, without keeping the task from this one."""
+        refused_at = time.monotonic() - EXCLUSION_S
+        self.failed_at[endpoint] = max(refused_at, self.failed_at.get(endpoint, 0.0))
+
     def excluded(self, now: float) -> set[EndpointId]:
         """Return the endpoints that the task is kept from now."""
         return {id for id, at in self.failed_at.items() if now - at < EXCLUSION_S}
--- a/src/lentilrill/scheduling/_placement.py
+++ b/src/lentilrill/scheduling/_placement.py
@@ -1,12 +1,14 @@
 """Placement of tasks on endpoints."""
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from lentilrill.ids import EndpointId, RackId
 from lentilrill.workloads import Resources, Step
 
 __all__ = ["EndpointCapacity", "place"]
 
+NEVER_FAILED: Mapping[EndpointId, float] = {}
+
 PREFERRED_COLOCATION = 3
 """Long-running tasks to place on one endpoint before the next endpoint is preferred."""
 
@@ -51,7 +53,7 @@
     endpoints: Iterable[EndpointCapacity],
     on_endpoint: Callable[[EndpointId], int],
     excluded: Collection[EndpointId] = (),
-    failed_on: Collection[EndpointId] = (),
+    failed_at: Mapping[EndpointId, float] = NEVER_FAILED,
 ) -> EndpointCapacity | None:
     """Return the endpoint for one more task of ``step``, or ``None`` if no endpoint fits.
 
@@ -68,7 +70,8 @@
 
     :param on_endpoint: returns the number of tasks of the step that have a run on an endpoint.
     :param excluded: endpoints where the task failed a short time ago.
-    :param failed_on: endpoints where the task ever failed; others are preferred.
+    :param failed_at: when the task last failed on each endpoint; others are preferred, then those
+        where it failed longest ago.
     """
     needs = step.reserved
     endpoints = list(endpoints)
@@ -92,7 +95,7 @@
         is_remote = bool(step.near) and endpoint.rack != step.near
         left_cpu = endpoint.free.cpu - needs.cpu
         cost = (
-            float(endpoint.id in failed_on),
+            failed_at.get(endpoint.id, 0.0),
             float(is_remote),
             float(endpoint.probing),
             _colocation_cost(endpoint.serving) if is_long_running else 0.0,
--- /dev/null
+++ b/tests/execution/test_refused_starts.py
@@ -0,0 +1,77 @@
+"""Tasks whose starts are refused or get no answer are placed where they can run."""
+
+import time
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.execution import OrderAnswer, StartOrder, Verdict
+from lentilrill.execution._allowances import RoundBudgets
+from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._tracking import EXCLUSION_S, TrackedTask
+from tests.builders import a_job, a_step, an_endpoint
+from tests.execution.cases import Owner, TrackedJobCase, a_planner
+from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
+
+
+class BusyEndpoint(FakeEndpoint):
+    """Fake endpoint that answers polls and refuses all starts."""
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        del order
+        return OrderAnswer(Verdict.BUSY)
+
+
+class RefusedStartTest(TestCase):
+    def test_a_task_refused_by_one_endpoint_runs_on_another(self) -> None:
+        """A task was sent to the same endpoint for ever, which refused it, with another free."""
+        pool = OwnedPool("e2")
+        self.addCleanup(pool.close)
+        pool.endpoints["e1"] = BusyEndpoint()
+        for name in ("e1", "e2"):
+            pool.register(an_endpoint(name))
+        owner = pool.take_over()
+        self.assertTrue(
+            eventually(
+                lambda: len([link for link in owner._links.by_id.values() if link.was_polled]) == 2
+            )
+        )
+        job = a_job("a", a_step(1))
+        value = msgspec.msgpack.encode(job)
+        owner.add_job(value, pool.kv.put(f"in/notices/j/{job.id}", value))
+        self.assertTrue(eventually(lambda: bool(pool.endpoints["e2"].starts)))
+
+
+class PreferenceTest(TrackedJobCase):
+    """Endpoints that are preferred for a task that failed or was refused elsewhere."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.links = [self.link, self.a_link("e2")]
+
+    def a_link(self, name: str, rack: str = "r1") -> EndpointLink:
+        entry = an_endpoint(name, labels=("a", rack))
+        link = EndpointLink(Owner(), entry, FakeEndpoint())
+        link.was_polled = link.reachable = True
+        link.answered_at = time.monotonic()
+        link.update_clock(1000, time.monotonic())
+        return link
+
+    def places(self) -> list[str]:
+        """Return the endpoints on which a round places tasks."""
+        now = time.monotonic()
+        planner = a_planner()
+        capacities = planner.capacity_by_endpoint(self.links, now)
+        jobs = [(tracked_job, None) for tracked_job in self.jobs.values()]
+        placed = planner.place_tasks(jobs, capacities, now, False, 0, set(), RoundBudgets(None))
+        return [endpoint for endpoint, _ in placed]
+
+    def fail(self, task: TrackedTask, endpoint: str, seconds_ago: float) -> None:
+        task.failed_at[an_endpoint(endpoint).id] = time.monotonic() - seconds_ago
+
+    def test_the_endpoint_of_the_oldest_failure_goes_first(self) -> None:
+        """Between a sound endpoint and one that refuses, both failed on, the latter could win."""
+        [task] = self.add(a_step(1)).tasks()
+        self.fail(task, "e1", EXCLUSION_S + 1)
+        self.fail(task, "e2", EXCLUSION_S + 2)
+        self.assertEqual(["e2"], self.places())
--- a/tests/scheduling/test_decisions.py
+++ b/tests/scheduling/test_decisions.py
@@ -52,7 +52,7 @@
     def test_an_endpoint_where_a_task_failed_long_ago_comes_last(self) -> None:
         """Once the exclusion has ended, a task was placed by best fit on the same bad endpoint."""
         endpoints = [a_capacity("a", 1000), a_capacity("b")]
-        placed_on = place(a_step(1), endpoints, lambda e: 0, failed_on={EndpointId("a")})
+        placed_on = place(a_step(1), endpoints, lambda e: 0, failed_at={EndpointId("a"): 1.0})
         self.assertEqual("b", placed_on.id)
 
     def test_label(self) -> None:
