Placement: a gang avoids endpoints where one of its tasks couldn't run

Seen by callers (LOST): a job whose step is a gang stands still although other endpoints, or another rack, have room for it.

Cause: gangs were placed without regard to earlier failures and refusals. One member whose endpoint leaves starts unanswered, or refuses them, lets all members end; the whole gang was then placed there again, by best fit, without end. On one rack the first that fits by name was taken each time. Class: a hold without a bound.

Change: endpoints where any member failed or was refused come last, and racks with such endpoints likewise. None is forbidden, so a gang that needs them all isn't delayed.

Measured: test_a_gang_is_placed_elsewhere_after_a_failure and test_a_gang_on_one_rack_goes_to_another_rack_after_a_failure failed before; make test ARGS="tests/execution tests/scheduling": 212 passed.

--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -16,7 +16,7 @@
     TrackedTask,
 )
 from lentilrill.execution._wait_times import WaitCause
-from lentilrill.ids import EndpointId
+from lentilrill.ids import EndpointId, RackId
 from lentilrill.scheduling import EndpointCapacity, JobTiming, next_pace, place, sort_key
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import JobState, Queue, TaskId
@@ -216,14 +216,13 @@
         """Place all members or none: a partly placed gang would block capacity without progress."""
         if len(waiting) < len(step.tasks):
             return []
-        racks = (
-            sorted({capacity.rack for capacity in capacity_by_endpoint.values()})
-            if step.spec.same_rack
-            else []
-        )
-        for rack in [*racks, None]:
+        failed_at = _gang_failures(step)
+        racks = _racks_to_try(capacity_by_endpoint.values(), failed_at)
+        for rack in [*racks, None] if step.spec.same_rack else [None]:
             chosen = _gang_capacities(
-                step, [c for c in capacity_by_endpoint.values() if rack in (None, c.rack)]
+                step,
+                [c for c in capacity_by_endpoint.values() if rack in (None, c.rack)],
+                failed_at,
             )
             if chosen is not None:
                 break
@@ -376,8 +375,30 @@
     return counts
 
 
+def _gang_failures(step: TrackedStep) -> dict[EndpointId, float]:
+    """Return when any member of a gang last failed on each endpoint."""
+    failed_at: dict[EndpointId, float] = {}
+    for task in step.tasks:
+        for endpoint, at in task.failed_at.items():
+            failed_at[endpoint] = max(at, failed_at.get(endpoint, 0.0))
+    return failed_at
+
+
+def _racks_to_try(
+    capacities: Iterable[EndpointCapacity], failed_at: dict[EndpointId, float]
+) -> list[RackId]:
+    """Return the racks, those without failures first, then those with the oldest ones."""
+    failed_at_by_rack: dict[RackId, float] = {}
+    for capacity in capacities:
+        latest = max(failed_at.get(capacity.id, 0.0), failed_at_by_rack.get(capacity.rack, 0.0))
+        failed_at_by_rack[capacity.rack] = latest
+    return sorted(failed_at_by_rack, key=lambda rack: (failed_at_by_rack[rack], rack))
+
+
 def _gang_capacities(
-    step: TrackedStep, capacities: list[EndpointCapacity]
+    step: TrackedStep,
+    capacities: list[EndpointCapacity],
+    failed_at: dict[EndpointId, float],
 ) -> list[EndpointCapacity] | None:
     trial = {
         capacity.id: EndpointCapacity(
@@ -394,7 +415,7 @@
     counts: dict[EndpointId, int] = {}
     chosen = []
     for _ in step.tasks:
-        capacity = place(step.spec, trial.values(), lambda e: counts.get(e, 0))
+        capacity = place(step.spec, trial.values(), lambda e: counts.get(e, 0), failed_at=failed_at)
         if capacity is None:
             return None
         capacity.reserve(step.spec.reserved, serves=False)
--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -75,3 +75,17 @@
         self.fail(task, "e1", EXCLUSION_S + 1)
         self.fail(task, "e2", EXCLUSION_S + 2)
         self.assertEqual(["e2"], self.places())
+
+    def test_a_gang_is_placed_elsewhere_after_a_failure(self) -> None:
+        """A gang was placed on the same endpoint for ever, where one of its tasks couldn't run."""
+        first, _ = self.add(a_step(2, gang=True)).tasks()
+        self.fail(first, "e1", 0.0)
+        self.assertEqual(["e2", "e2"], self.places())
+
+    def test_a_gang_on_one_rack_goes_to_another_rack_after_a_failure(self) -> None:
+        """A gang was placed on the same rack for ever, where one of its tasks couldn't run."""
+        self.links.append(self.a_link("e3", rack="r2"))
+        first, *_ = self.add(a_step(4, gang=True, same_rack=True)).tasks()
+        self.fail(first, "e1", 0.0)
+        self.fail(first, "e2", 0.0)
+        self.assertEqual(["e3"] * 4, self.places())
