Reconciler: a run at work isn't stopped as the answer to its start is lost

Cause: since a start without an answer is followed by a stop once its endpoint is silent, that held for runs too that a poll had already listed. One lost connection is enough: the poll after the listing and the start's answer fail together.

Change: a run that was listed is under way whatever the answer to its start is; nothing is sent for it, neither stop nor a further copy.

Measured: test_a_run_that_a_poll_has_listed_is_not_stopped failed before; tests/execution green.

--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -105,6 +105,9 @@
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.IN_PROGRESS
             return None
+        if run.phase is RunPhase.IN_PROGRESS:
+            # A poll has listed the run, so this order or an earlier copy of it was executed.
+            return None
         if verdict is Verdict.UNKNOWN or (verdict is Verdict.UNREACHABLE and run.is_unconfirmed):
             run.is_unconfirmed = True
             if link.reachable:
@@ -112,9 +115,6 @@
                 return order
             # On an endpoint that returns, possibly restarted, the task should not begin so late.
             return Order.stop(run)
-        if run.phase is RunPhase.IN_PROGRESS:
-            # A poll has listed the run, so an earlier copy of this order was executed.
-            return None
         log(
             Event.START_REFUSED,
             job=run.task.id.job,
--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -7,7 +7,7 @@
 
 from lentilrill.execution import OrderAnswer, StartOrder, Verdict
 from lentilrill.execution._allowances import RoundBudgets
-from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._tracking import EXCLUSION_S, TrackedTask
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.cases import Owner, TrackedJobCase, a_planner
@@ -89,3 +89,12 @@
         self.fail(first, "e1", 0.0)
         self.fail(first, "e2", 0.0)
         self.assertEqual(["e3"] * 4, self.places())
+
+
+class UnansweredStartTest(TrackedJobCase):
+    def test_a_run_that_a_poll_has_listed_is_not_stopped(self) -> None:
+        """A run at work was stopped as the answer to its start was lost with a poll's after it."""
+        run = self.run_of(self.add(a_step(1)))
+        self.link.reachable = False
+        start = Order.for_run(OrderKind.START, run)
+        self.assertIsNone(self.reconciler.apply_answer(self.link, start, Verdict.UNKNOWN))
