Reconciler: a start that a restarted endpoint has executed isn't stopped

Seen by callers: a task is stopped just after it has begun.

Cause: the poll that shows an endpoint's restart stopped all starts sent without an answer, before it read what the new process runs. A start that was sent after the restart and is listed there was stopped too.

Change: the listed runs are read first; only starts that aren't listed are stopped.

--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -54,24 +54,25 @@
 
         :param sent: monotonic time at which the poll was sent.
         """
-        restart_stops: list[Order] = []
-        if result.started_ms and result.started_ms != link.started_ms:
+        has_restarted = bool(result.started_ms) and result.started_ms != link.started_ms
+        if has_restarted:
             if link.started_ms:
                 log(Event.ENDPOINT_REBORN, endpoint=link.entry.id, born_ms=result.started_ms)
             link.reset(result.started_ms)
-            restart_stops = _stops_of_sent_starts(link)
         link.update_clock(result.clock_ms, time.monotonic())
         ended = {(end.task, end.number) for end in result.ended}
         for end in sorted(result.ended, key=lambda e: e.cursor):
             if end.cursor > link.seen_cursor:
                 link.seen_cursor = end.cursor
                 self._record_end(link, end)
-        stops = restart_stops
+        stops: list[Order] = []
         seen = set()
         first_seen = link.unknown_since_by_key
         for running in result.running:
             seen.add((running.task, running.number))
             stops += self._update_run(link, running)
+        if has_restarted:
+            stops += _stops_of_sent_starts(link)
         link.unknown_since_by_key = {key: since for key, since in first_seen.items() if key in seen}
         for key, run in list(link.runs_by_key.items()):
             if key in seen or key in ended:
--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -5,10 +5,10 @@
 import msgspec
 from testtools import TestCase
 
-from lentilrill.execution import OrderAnswer, StartOrder, Verdict
+from lentilrill.execution import OrderAnswer, ReportedRun, StartOrder, Verdict
 from lentilrill.execution._allowances import RoundBudgets
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
-from lentilrill.execution._tracking import EXCLUSION_S, TrackedTask
+from lentilrill.execution._tracking import EXCLUSION_S, RunPhase, TrackedTask
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.cases import Owner, TrackedJobCase, a_planner
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
@@ -98,3 +98,12 @@
         self.link.reachable = False
         start = Order.for_run(OrderKind.START, run)
         self.assertIsNone(self.reconciler.apply_answer(self.link, start, Verdict.UNKNOWN))
+
+    def test_a_run_that_a_restarted_endpoint_lists_is_not_stopped(self) -> None:
+        """A start that a new process had executed was stopped, as one sent to the former."""
+        run = self.run_of(self.add(a_step(1)), confirmed=False)
+        run.send_count = 1
+        self.link.started_ms = 7
+        listed = ReportedRun(run.task.id, run.number, "", 0, 0.0)
+        self.assertEqual([], self.poll(running=(listed,)))
+        self.assertIs(RunPhase.IN_PROGRESS, run.phase)
