Allowances: an unexpected error doesn't end a workspace's writes

Seen by callers: no task of a workspace starts in a pool any more, though its cap has room.

Class: a hold without a bound.

The error is logged as before.

--- a/src/lentilrill/execution/_allowances.py
+++ b/src/lentilrill/execution/_allowances.py
@@ -266,7 +266,7 @@
         }
         if lowered:
             self._outdated |= lowered
-            self._work.put(partial(self._reread, frozenset(lowered)))
+            self._queue_reread(frozenset(lowered))
         self._workspaces = workspaces
         self._cap_by_workspace = caps
 
@@ -305,7 +305,7 @@
             return
         if known.unresolved:
             self._writing.add(workspace)
-            self._work.put(partial(self._resolve, workspace))
+            self._queue(partial(self._resolve, workspace), partial(self._end_resolve, workspace))
             return
         current = known.stored.of(self._pool)
         since_write_s = now - self._written_at.get(workspace, 0.0)
@@ -328,7 +328,7 @@
             self._caps_key,
             not allowance.held.fits(current.held),
         )
-        self._work.put(partial(self._commit, write))
+        self._queue(partial(self._commit, write), partial(self._finish, write))
 
     def _record_wait(self, workspace: WorkspaceId, usage: Usage, now: float) -> None:
         """Measure how long tasks wait for an allowance."""
@@ -371,6 +371,21 @@
                 return
             run_and_log_errors(f"allowances of {self._pool}", work)
 
+    def _queue(self, work: Callable[[], None], recover: Callable[[], None]) -> None:
+        """Queue work for the threads.
+
+        :param recover: called if it ends with an unexpected error, so that it is done again.
+        """
+        self._work.put(partial(self._do, work, recover))
+
+    def _do(self, work: Callable[[], None], recover: Callable[[], None]) -> None:
+        try:
+            work()
+        except Exception:
+            self._closed.wait(RETRY_S)
+            recover()
+            raise
+
     def _commit(self, write: _Write) -> None:
         key = ALLOWANCE_PREFIX + write.workspace
         compares = [self._owner, Compare(key, write.revision)]
@@ -444,6 +459,13 @@
                     self._send(workspace, known.stored.of(self._pool))
         self._on_changed()
 
+    def _end_resolve(self, workspace: WorkspaceId) -> None:
+        with self._lock:
+            self._writing.discard(workspace)
+
+    def _queue_reread(self, workspaces: frozenset[WorkspaceId]) -> None:
+        self._queue(partial(self._reread, workspaces), partial(self._queue_reread, workspaces))
+
     def _reread(self, workspaces: frozenset[WorkspaceId]) -> None:
         """Read all records again, until they can be read."""
         while isinstance(read := self._kv.read(ALLOWANCE_PREFIX), Failure):
