Owner: an unexpected error while it loads doesn't end its planning

Seen by callers (LOST): nothing of a pool starts any more; its owner keeps its lease, so no other host takes over.

Cause: the thread that plans loads the records first, outside of what logs unexpected errors and goes on. An error there ended the thread for good, without a line in the log. Class: a hold without a bound.

Change: such an error is logged and counts as records not read; loading is tried again.

Measured: test_records_are_loaded_after_an_error failed before (no start in 20 s); tests/execution green.

--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -306,7 +306,7 @@
         self._changed.notify_all()
 
     def _planning_loop(self) -> None:
-        while not self._ended.is_set() and not self._load():
+        while not self._ended.is_set() and not self._load_or_log():
             self._ended.wait(MAX_ROUND_INTERVAL_S)
         if self._ended.is_set():
             return
@@ -341,6 +341,14 @@
         self._latency.record(LatencyKind.ROUND, ended - began)
         self._latency.report(ended, len(self._jobs.live_by_id), len(self._links.by_id))
 
+    def _load_or_log(self) -> bool:
+        """Read the records; an unexpected error is logged and counts as records not read."""
+        try:
+            return self._load()
+        except Exception as error:
+            log(Event.TASK_FAILED, task=f"load of {self.pool}", error=repr(error))
+            return False
+
     def _load(self) -> bool:
         """Read the previous owners' records; return whether all could be read."""
         # Endpoints first: their leases are renewed while the jobs are read, and once the jobs are
--- a/tests/execution/test_unexpected_errors.py
+++ b/tests/execution/test_unexpected_errors.py
@@ -60,6 +60,13 @@
         setattr(self.pool.kv, name, failing_once)
         return failed
 
+    def test_records_are_loaded_after_an_error(self) -> None:
+        """An error while an owner loaded ended its thread, and nothing of the pool ran any more."""
+        self.pool.kv.reads.append(fail)
+        owner = self.pool.take_over()
+        self.submit(owner, workspace=WorkspaceId(""))
+        self.assertTrue(eventually(lambda: bool(self.pool.starts())))
+
     def test_an_allowance_is_written_after_an_error(self) -> None:
         """An error in the write of an allowance held back the workspace's tasks for ever."""
         self.set_cap(4000)
