Owner: a take-over that the store interrupts doesn't forget the runs it has found

Seen by callers (TWICE): after a take-over during which the store answers only in part, tasks that run are started a second time.

Cause: once the jobs are loaded, polls are processed and runs tracked. If the allowances, which were read after the jobs, couldn't be read, everything was loaded anew 0.1 s later, and each job got a new state without its runs; its tasks counted as waiting. The links still held the runs, so polls didn't adopt them again.

Change: the allowances are read before the jobs; nothing after the load of the jobs can fail.

Measured: test_runs_found_while_allowances_cannot_be_read_are_kept failed before, twice of two (4 starts of 2 tasks); make test ARGS=tests/execution green.

--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -356,10 +356,11 @@
         if not self._links.load():
             return False
         self._links.open_previous(self._entries(self.pool))
-        if not self._jobs.load():
-            return False
         if not self._allowances.load():
             return False
+        # Last: once they are loaded, runs are tracked, and a second load would forget these.
+        if not self._jobs.load():
+            return False
         self._links.wake()
         return True
 
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -1,18 +1,21 @@
 """Take-over of a pool by a new owner, and storing of progress."""
 
 import time
+from typing import Any
 from unittest import mock
 
 import msgspec
+from msgspec.structs import replace
 from testtools import TestCase
 
 from lentilrill.execution import EndKind, PoolOwner
 from lentilrill.ids import QueueId, Revision
 from lentilrill.inner import ReleaseState
 from lentilrill.store import Follower, Item
-from lentilrill.workloads import Job, JobProgress, JobState
+from lentilrill.workloads import Job, JobProgress, JobState, Workspaces
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.fakes import OwnedPool, eventually, state_of
+from tests.fakes import refuse
 
 
 class TakeOverTest(TestCase):
@@ -45,6 +48,29 @@
         self.assertTrue(eventually(lambda: state_of(second, self.job.id) is JobState.COMPLETED))
         self.assertEqual(2, len(self.pool.starts()))
 
+    def test_runs_found_while_allowances_cannot_be_read_are_kept(self) -> None:
+        """A task was started a second time after the store failed in the middle of a take-over."""
+        self.accept()
+        self.pool.take_over()
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) == 2))
+        self.pool.close()
+        endpoint, kv = self.pool.endpoints["e1"], self.pool.kv
+        workspaces = Workspaces({}, {})
+        self.pool.configuration = replace(self.pool.configuration, workspaces=workspaces)
+        read, failing_until = kv.read, time.monotonic() + 1.0
+
+        def failing_read(prefix: str, *args: Any) -> Any:
+            if prefix == "a/" and time.monotonic() < failing_until:
+                return refuse(lambda: read(prefix, *args))
+            return read(prefix, *args)
+
+        kv.read = failing_read  # type: ignore[method-assign]
+        second = self.pool.take_over()
+        self.assertTrue(eventually(lambda: second.may_order() and not second._links.unpolled))
+        self.assertTrue(eventually(lambda: time.monotonic() > failing_until + 1.0))
+        self.assertEqual(second.token, endpoint.token)
+        self.assertEqual(2, len(self.pool.starts()))
+
     def test_the_owner_waits_for_an_unregistered_endpoint(self) -> None:
         """Guards against a task that runs in two zones after a zone was partitioned.
 
