Owner: a run that was stopped before its start was sent has an end

Seen by callers: tasks of a workspace wait at its cap for ever, though less runs.

Cause: a run whose job is cancelled before its start is sent counts as being stopped. If its endpoint was lost before it was ever given a lease, neither a report nor the end of a lease could end it; it counted against its workspace's cap and kept its link open, which sent the stop again and again. Class: a hold without a bound.

--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -108,8 +108,8 @@
 
     @property
     def is_unsent(self) -> bool:
-        """Whether its start order has not been sent yet."""
-        return self.phase is RunPhase.ORDERED and not self.send_count
+        """Whether its start order has not been sent; never sent once the run was stopped."""
+        return not self.send_count and self.confirmed_at is None
 
     def is_at_work(self, now: float) -> bool:
         """Whether the run has started up and is not being stopped, by a recent report.
--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -7,6 +7,7 @@
 
 from lentilrill.execution import OrderAnswer, ReportedRun, StartOrder, Verdict
 from lentilrill.execution._allowances import RoundBudgets
+from lentilrill.execution._held_runs import MAX_UNSENT_S, ended_runs
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._tracking import EXCLUSION_S, RunPhase, TrackedTask
 from tests.builders import a_job, a_step, an_endpoint
@@ -92,6 +93,14 @@
 
 
 class UnansweredStartTest(TrackedJobCase):
+    def test_a_run_that_was_stopped_before_its_start_has_an_end(self) -> None:
+        """On an endpoint lost before any lease, such a run used up its workspace's cap for ever."""
+        run = self.run_of(self.add(a_step(1)), confirmed=False)
+        Order.stop(run)
+        self.link.reachable = False
+        ended = ended_runs(self.link, run.placed_at + MAX_UNSENT_S + 0.1)
+        self.assertEqual([run], [ended_run for ended_run, _ in ended])
+
     def test_a_run_that_a_poll_has_listed_is_not_stopped(self) -> None:
         """A run at work was stopped as the answer to its start was lost with a poll's after it."""
         run = self.run_of(self.add(a_step(1)))
