Owner: a task whose run is given up prefers other endpoints

Seen by callers: tasks of a wide step stand still for many seconds behind an endpoint that answers polls and no starts, with others free.

Cause: such an endpoint gets one order at a time, each blocked for the timeout; a task whose start wasn't sent within 2 s was placed again by best fit, at the same endpoint, behind the repeated starts of others. Each round of about 4 s helps only the few whose starts are sent, so the wait grows with the width of the step.

Change: a run that is given up counts as refused by its endpoint, so that others are preferred.

Measured: test_a_task_whose_start_was_not_sent_goes_elsewhere failed before; tests/execution green (167 passed). The wait itself was reckoned, not measured.

--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -442,6 +442,7 @@
     def _drop_ended_runs(self, now: float) -> None:
         for link in self._links.by_id.values():
             for run, reason in ended_runs(link, now):
+                run.task.record_refusal_by(link.entry.id)
                 self._reconciler.drop(link, run, reason)
             if link.unknown_since_by_key and unknown_runs_have_ended(link, now):
                 log(
--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -77,6 +77,14 @@
         self.fail(task, "e2", EXCLUSION_S + 2)
         self.assertEqual(["e2"], self.places())
 
+    def test_a_task_whose_start_was_not_sent_goes_elsewhere(self) -> None:
+        """Behind an endpoint that answers no starts, a task was queued again each two seconds."""
+        run = self.run_of(self.add(a_step(1)), confirmed=False)
+        owner = OwnedPool().new_owner()
+        owner._links.by_id[self.link.entry.id] = self.link
+        owner._drop_ended_runs(run.placed_at + MAX_UNSENT_S + 0.1)
+        self.assertEqual(["e2"], self.places())
+
     def test_a_gang_is_placed_elsewhere_after_a_failure(self) -> None:
         """A gang was placed on the same endpoint for ever, where one of its tasks couldn't run."""
         first, _ = self.add(a_step(2, gang=True)).tasks()
