Reconciler: an endpoint that answers no starts counts as unhealthy

Seen by callers: task after task loses the time of a run lease at one endpoint.

Cause: an endpoint that answers polls and leaves starts unanswered is always free, and since such starts are given up, it gets further tasks, each of which waits 3.4 s there.

Change: a start that expired without an answer counts as a failed run for the health of the endpoint, not for the task's attempts: after two, it gets one task at a time, after a pause of 2 s at most, and comes after healthy endpoints, until a run on it is done.

Measured: test_an_endpoint_that_answers_no_starts_is_unhealthy failed before; tests/execution green.

--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -82,6 +82,7 @@
             elif run.confirmed_at is None and 0 < run.expires_ms < result.clock_ms:
                 # The endpoint refuses a start whose lease has expired, so it can't begin any more.
                 run.task.record_failure_on(link.entry.id)
+                count_failure(link)
                 self.drop(link, run, "its start expired without an answer")
         return stops
 
--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -9,6 +9,7 @@
 from lentilrill.execution._allowances import RoundBudgets
 from lentilrill.execution._held_runs import MAX_UNSENT_S, ended_runs
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._reconcile import is_unhealthy
 from lentilrill.execution._tracking import EXCLUSION_S, RunPhase, TrackedTask
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.cases import Owner, TrackedJobCase, a_planner
@@ -101,6 +102,14 @@
 
 
 class UnansweredStartTest(TrackedJobCase):
+    def test_an_endpoint_that_answers_no_starts_is_unhealthy(self) -> None:
+        """An endpoint that answers polls only was always free, and got task after task."""
+        for run in [self.run_of(self.add(a_step(1), name=name), confirmed=False) for name in "ab"]:
+            run.send_count, run.expires_ms = 1, 1
+        self.poll()
+        self.assertEqual({}, self.link.runs_by_key)
+        self.assertTrue(is_unhealthy(self.link))
+
     def test_a_run_that_was_stopped_before_its_start_has_an_end(self) -> None:
         """On an endpoint lost before any lease, such a run used up its workspace's cap for ever."""
         run = self.run_of(self.add(a_step(1)), confirmed=False)
