Owner: the rest of a gang is stopped once a member's start is given up

Seen by callers: a gang stands still for gang_timeout and keeps its room; its runs end alone (GANG).

Cause: if the start of one member was refused or given up, the others waited for it, although the gang can only start again as a whole. Since starts without an answer are given up, that is more frequent than before; an endpoint whose room has shrunk refuses one in calm, too.

Change: a start that is given up before it was confirmed marks its gang's run number; the next round stops the other runs of that number. A later start of the gang has another one.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -91,6 +91,7 @@
     def stop(cls, run: Run) -> "Order":
         """Return a stop of a tracked run, which counts as stopping from now on."""
         run.phase = RunPhase.STOPPING
+        run.give_up_start()
         run.stop_ordered_at = time.monotonic()
         return cls.for_run(OrderKind.STOP, run)
 
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -21,7 +21,7 @@
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import JobState, Queue, TaskId
 
-__all__ = ["Planner", "blocking_reason"]
+__all__ = ["Planner", "blocking_reason", "incomplete_gang_runs"]
 
 MAX_ANSWER_AGE_S = 3.5
 """Time since its last answer for which an endpoint still gets new tasks; a poll waits up to 2 s."""
@@ -383,6 +383,21 @@
     return counts
 
 
+def incomplete_gang_runs(tracked_job: TrackedJob) -> list[Run]:
+    """Return the runs of gangs that won't be complete, as the start of a member was given up.
+
+    They would keep their capacity until each endpoint ends them because they are alone.
+    """
+    return [
+        run
+        for step in tracked_job.ready_steps()
+        if step.spec.gang
+        for task in step.tasks
+        for run in task.runs
+        if run.number == step.given_up_number and run.phase is not RunPhase.STOPPING
+    ]
+
+
 def _gang_failures(step: TrackedStep) -> dict[EndpointId, float]:
     """Return when any member of a gang last failed on each endpoint."""
     failed_at: dict[EndpointId, float] = {}
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -16,7 +16,7 @@
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._links import PoolLinks
 from lentilrill.execution._need import Durations, OfferedLoad
-from lentilrill.execution._planner import Planner
+from lentilrill.execution._planner import Planner, incomplete_gang_runs
 from lentilrill.execution._pressure import backlog_of, pressure_of
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import expire_releases, release
@@ -407,10 +407,12 @@
                 if not tracked_job.state.is_final and tracked_job.all_done:
                     tracked_job.end(JobState.COMPLETED, now_ms)
                 if tracked_job.state.is_final:
-                    orders += self._stop_orders(tracked_job)
+                    runs = [run for task in tracked_job.tasks() for run in task.runs]
+                    orders += self._stop_orders(runs)
                     urgent = urgent or (tracked_job.dirty and not tracked_job.cancelled)
                     self._jobs.retire(tracked_job)
                     continue
+                orders += self._stop_orders(incomplete_gang_runs(tracked_job))
                 jobs.append((tracked_job, self._queue_of(tracked_job)))
             blocked = self._links.is_blocked
             capacity_by_endpoint = self._planner.capacity_by_endpoint(
@@ -469,13 +471,12 @@
                 self._stored_first.append((link, run, version))
         return orders
 
-    def _stop_orders(self, tracked_job: TrackedJob) -> list[tuple[EndpointLink, Order]]:
+    def _stop_orders(self, runs: Iterable[Run]) -> list[tuple[EndpointLink, Order]]:
         orders = []
-        for task in tracked_job.tasks():
-            for run in task.runs:
-                link = self._links.by_id.get(run.endpoint)
-                if link is not None and run.phase is not RunPhase.STOPPING:
-                    orders.append((link, Order.stop(run)))
+        for run in runs:
+            link = self._links.by_id.get(run.endpoint)
+            if link is not None and run.phase is not RunPhase.STOPPING:
+                orders.append((link, Order.stop(run)))
         return orders
 
     def _drop_ended_runs(self, now: float) -> None:
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -160,6 +160,7 @@
             run.task.attempts.pop(link.entry.id, None)
         link.runs_by_key.pop(run.key, None)
         link.last_busy_at = time.monotonic()
+        run.give_up_start()
         task = run.task
         if run in task.runs:
             task.runs.remove(run)
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -106,6 +106,11 @@
         self.sent_at = 0.0
         self.stop_ordered_at = 0.0
 
+    def give_up_start(self) -> None:
+        """Note that its start, if not confirmed, has failed, so that its gang can't be complete."""
+        if self.confirmed_at is None:
+            self.task.step.given_up_number = self.number
+
     @property
     def key(self) -> tuple[TaskId, int]:
         """Task and run number, which identify the run on its endpoint."""
@@ -220,10 +225,15 @@
 
 
 class TrackedStep:
-    """State of one step of one occurrence of a job."""
+    """State of one step of one occurrence of a job.
+
+    :ivar given_up_number: number of the last run of a member of a gang whose start was given up; 0
+        if there is none.
+    """
 
     __slots__ = (
         "completed",
+        "given_up_number",
         "id",
         "mean_ms",
         "remaining",
@@ -240,6 +250,7 @@
         self.tasks = [TrackedTask(TaskId(*id, index), self) for index in range(spec.count)]
         self.remaining = spec.count
         self.start_count = 0
+        self.given_up_number = 0
         self.completed = 0
         self.mean_ms = 0.0
 
--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -9,8 +9,9 @@
 from lentilrill.execution._allowances import RoundBudgets
 from lentilrill.execution._held_runs import MAX_UNSENT_S, ended_runs
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._planner import incomplete_gang_runs
 from lentilrill.execution._reconcile import is_unhealthy
-from lentilrill.execution._tracking import EXCLUSION_S, RunPhase, TrackedTask
+from lentilrill.execution._tracking import EXCLUSION_S, Run, RunPhase, TrackedTask
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.cases import Owner, TrackedJobCase, a_planner
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
@@ -101,6 +102,51 @@
         self.assertEqual(["e3"] * 4, self.places())
 
 
+class IncompleteGangTest(TrackedJobCase):
+    """Gangs of which one member's start is given up."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.tracked_job = self.add(a_step(2, gang=True))
+        self.begun = self.run_of(self.tracked_job)
+        self.given_up = self.run_of(self.tracked_job, 1, confirmed=False)
+        self.given_up.send_count = 1
+
+    def stopped(self) -> list[Run]:
+        return incomplete_gang_runs(self.tracked_job)
+
+    def answer(self, verdict: Verdict) -> None:
+        start = Order.for_run(OrderKind.START, self.given_up)
+        self.reconciler.apply_answer(self.link, start, verdict)
+
+    def test_the_others_are_stopped_after_a_refusal(self) -> None:
+        """Behind a refused member the others waited, kept their room and ended alone."""
+        self.assertEqual([], self.stopped())
+        self.answer(Verdict.NO_CAPACITY)
+        self.assertEqual([self.begun], self.stopped())
+
+    def test_the_others_are_stopped_after_a_start_that_expired(self) -> None:
+        """Behind a member whose start had no answer the others waited and ended alone."""
+        self.given_up.expires_ms = 1
+        listed = ReportedRun(self.begun.task.id, self.begun.number, "", 0, 0.0)
+        self.poll(running=(listed,))
+        self.assertEqual([self.begun], self.stopped())
+
+    def test_the_others_are_stopped_once_an_endpoint_is_silent(self) -> None:
+        """Behind a member that was stopped unconfirmed the others waited and ended alone."""
+        self.link.reachable = False
+        self.answer(Verdict.UNKNOWN)
+        self.assertEqual([self.begun], self.stopped())
+
+    def test_the_others_are_stopped_after_a_start_that_was_not_sent(self) -> None:
+        """Behind a member whose start was not sent the others waited and ended alone."""
+        self.given_up.send_count = 0
+        owner = OwnedPool().new_owner()
+        owner._links.by_id[self.link.entry.id] = self.link
+        owner._drop_ended_runs(self.given_up.placed_at + MAX_UNSENT_S + 0.1)
+        self.assertEqual([self.begun], self.stopped())
+
+
 class UnansweredStartTest(TrackedJobCase):
     def test_an_endpoint_that_answers_no_starts_is_unhealthy(self) -> None:
         """An endpoint that answers polls only was always free, and got task after task."""
