--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -106,6 +106,11 @@
         self.sent_at = 0.0
         self.stop_ordered_at = 0.0
 
+    def give_up_start(self) -> None:
+        """Note that its start, if not confirmed, has failed, so that its gang can't be complete."""
+        if self.confirmed_at is None:
+            self.task.step.given_up_number = self.number
+
     @property
     def key(self) -> tuple[TaskId, int]:
         """Task and run number, which identify the run on its endpoint."""
@@ -113,8 +118,8 @@
 
     @property
     def is_unsent(self) -> bool:
-        """Whether its start order has not been sent yet."""
-        return self.phase is RunPhase.ORDERED and not self.send_count
+        """Whether its start order has not been sent; never sent once the run was stopped."""
+        return not self.send_count and self.confirmed_at is None
 
     @property
     def began_at(self) -> float:
@@ -138,7 +143,8 @@
 
     :ivar crashed_processes: processes of endpoints that crashed under it since it last worked.
     :ivar attempts: starts since then of which it isn't known whether the endpoint crashed.
-    :ivar failed_at: monotonic time of its last failure on each endpoint.
+    :ivar failed_at: monotonic time of its last failure on each endpoint. A refused start counts as
+        a failure whose exclusion has ended.
     """
 
     __slots__ = (
@@ -203,6 +209,11 @@
         self.failed_at = {id: at for id, at in self.failed_at.items() if now - at < MAX_MEMORY_S}
         self.failed_at[endpoint] = now
 
+    def record_refusal_by(self, endpoint: EndpointId) -> None:
+        """Prefer other endpoints from now on, without keeping the task from this one."""
+        refused_at = time.monotonic() - EXCLUSION_S
+        self.failed_at[endpoint] = max(refused_at, self.failed_at.get(endpoint, 0.0))
+
     def excluded(self, now: float) -> set[EndpointId]:
         """Return the endpoints that the task is kept from now."""
         return {id for id, at in self.failed_at.items() if now - at < EXCLUSION_S}
@@ -214,10 +225,15 @@
 
 
 class TrackedStep:
-    """State of one step of one occurrence of a job."""
+    """State of one step of one occurrence of a job.
+
+    :ivar given_up_number: number of the last run of a member of a gang whose start was given up; 0
+        if there is none.
+    """
 
     __slots__ = (
         "completed",
+        "given_up_number",
         "id",
         "mean_ms",
         "remaining",
@@ -234,6 +250,7 @@
         self.tasks = [TrackedTask(TaskId(*id, index), self) for index in range(spec.count)]
         self.remaining = spec.count
         self.start_count = 0
+        self.given_up_number = 0
         self.completed = 0
         self.mean_ms = 0.0
 
