Soak of entry hosts: series mix faults of endpoints with those of hosts and the store

A series of endpoint faults alone kept the same owners and answers all the time. In a series three in ten faults are now those of entry hosts, the store and lost answers; keys and caps stay.

--- a/tests/platform/endpoint_faults.py
+++ b/tests/platform/endpoint_faults.py
@@ -19,7 +19,6 @@
 CAPACITIES = (1000, 2000, 4000, 8000)
 MEMORY_MB = 32768
 MAX_BACK_S = 3.0
-CALM_S = 10.0
 STEP = {"cpu": 1000, "mem_mb": 100, "estimate_ms": 150}
 
 
@@ -71,7 +70,6 @@
 
     :param pools: pools whose endpoints are disturbed.
     :param hosts: number of hosts in all pools together, which stays the same.
-    :ivar calm_spans: begin and end of the times between two series of faults.
     """
 
     def __init__(
@@ -81,7 +79,6 @@
         self._plays = plays
         self._pools = tuple(pools)
         self._hosts = hosts
-        self.calm_spans: list[tuple[float, float]] = []
         platform.crash_plan = crash_plan
         faults = {
             Play.CRASHES: self._crash,
@@ -93,7 +90,7 @@
     def disturb(self, rng: random.Random, stopping: threading.Event) -> None:
         """Play faults until ``stopping`` is set, then end all of them."""
         while not stopping.wait(rng.uniform(0.1, 0.8)):
-            self._play_one(rng)
+            self.play_one(rng)
             self._replace_lost()
         self._platform.failing.clear()
         if Play.CAPACITY in self._plays:
@@ -103,20 +100,14 @@
     def _all_hosts(self) -> list[str]:
         return [host for pool in self._pools for host in self._platform.hosts_of(pool)]
 
-    def disturb_in_series(self, rng: random.Random, stopping: threading.Event) -> None:
-        """Play series of faults with calm between them until ``stopping`` is set."""
-        while not stopping.is_set():
-            for _ in range(rng.randint(1, 8)):
-                self._play_one(rng)
-                stopping.wait(rng.uniform(0.0, 1.5))
-            self._platform.failing.clear()
-            time.sleep(MAX_BACK_S)
-            self._replace_lost()
-            began = time.monotonic()
-            stopping.wait(CALM_S)
-            self.calm_spans.append((began, time.monotonic()))
+    def recover(self) -> None:
+        """End all faults but changed capacities, and wait until all endpoints are back."""
+        self._platform.failing.clear()
+        time.sleep(MAX_BACK_S)
+        self._replace_lost()
 
-    def _play_one(self, rng: random.Random) -> None:
+    def play_one(self, rng: random.Random) -> None:
+        """Play one fault, if there are any to play."""
         if self._faults:
             fault = rng.choice(self._faults)
             fault(rng, rng.choice(self._all_hosts()))
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -50,6 +50,10 @@
 """Time after the last fault from which on a task that waits is judged."""
 WATCH_S = 14.0
 """Time after the last fault until which lasting tasks are watched."""
+MAX_SERIES = 8
+ENDPOINT_SHARE = 0.7
+CALM_S = 10.0
+"""Length of the calm between two series of faults."""
 CANCEL_S = 5.0
 """Time after which nothing runs of a cancelled job."""
 
@@ -84,7 +88,7 @@
 
     :param logs: folder for the logs and the runs of a failed run, or ``None`` to keep none.
     :param plays: faults of endpoints to play.
-    :param in_series: whether these come in series with calm between them, and no others.
+    :param in_series: whether faults come in series, with calm between them; keys and caps stay.
     :ivar failures: broken promises.
     """
 
@@ -116,6 +120,7 @@
             Play.CAPACITY: MAX_WIDE,
         }
         self._culprits: set[str] = set()
+        self._calm_spans: list[tuple[float, float]] = []
         self._stopping = threading.Event()
         self._lock = threading.Lock()
         self._version = 1
@@ -154,8 +159,7 @@
 
     def _fault_loops(self) -> dict[str, Callable[[random.Random], None]]:
         if self._in_series:
-            endpoints = self._endpoints.disturb_in_series
-            return {"endpoints": lambda rng: endpoints(rng, self._stopping)}
+            return {"series": self._disturb_in_series}
         loops = {"hosts": self._disturb_hosts, "store": self._disturb_store}
         if self._plays:
             loops["endpoints"] = lambda rng: self._endpoints.disturb(rng, self._stopping)
@@ -252,17 +256,16 @@
     # Faults
 
     def _disturb_hosts(self, rng: random.Random) -> None:
-        faults: list[Callable[[random.Random, str], None]] = [
-            self._kill,
-            self._restart,
-            self._suspend,
-        ]
         while not self._stopping.wait(rng.uniform(0.2, 2.0)):
-            owner = (self._platform.value(f"m/o/{rng.choice(list(QUEUES.values()))}") or {}).get(
-                "process", ""
-            )
-            name = owner if owner and rng.random() < 0.6 else rng.choice(list(self._site.settings))
-            rng.choice(faults)(rng, name)
+            self._disturb_host(rng)
+
+    def _disturb_host(self, rng: random.Random) -> None:
+        faults = (self._kill, self._restart, self._suspend)
+        owner = (self._platform.value(f"m/o/{rng.choice(list(QUEUES.values()))}") or {}).get(
+            "process", ""
+        )
+        name = owner if owner and rng.random() < 0.6 else rng.choice(list(self._site.settings))
+        rng.choice(faults)(rng, name)
 
     def _kill(self, rng: random.Random, name: str) -> None:
         self._site.kill(name)
@@ -285,11 +288,9 @@
             workspace = rng.choice(list(self._keys))
             choice = rng.randrange(5)
             if choice == 0:
-                self._platform.store.down = True
-                time.sleep(rng.uniform(0.1, 2.0))
-                self._platform.store.down = False
+                self._store_outage(rng)
             elif choice == 1:
-                self._platform.lose_every_nth = rng.choice((0, 7, 20))
+                self._lose_answers(rng)
             elif choice == 2:
                 self._caps[workspace] = rng.choice((1000, 2000, 4000, 8000))
                 self._configure()
@@ -299,9 +300,30 @@
                 with self._lock:
                     self._keys[workspace].append(f"{workspace[0]}{rng.getrandbits(30)}")
                 self._configure()
-        self._platform.store.down = False
         self._platform.lose_every_nth = 0
 
+    def _disturb_in_series(self, rng: random.Random) -> None:
+        """Play series of faults with calm between them, which is judged."""
+        others = (self._disturb_host, self._store_outage, self._lose_answers)
+        while not self._stopping.is_set():
+            for _ in range(rng.randint(1, MAX_SERIES)):
+                is_endpoint = rng.random() < ENDPOINT_SHARE
+                self._endpoints.play_one(rng) if is_endpoint else rng.choice(others)(rng)
+                self._stopping.wait(rng.uniform(0.0, 1.5))
+            self._platform.lose_every_nth = 0
+            self._endpoints.recover()
+            began = time.monotonic()
+            self._stopping.wait(CALM_S)
+            self._calm_spans.append((began, time.monotonic()))
+
+    def _store_outage(self, rng: random.Random) -> None:
+        self._platform.store.down = True
+        time.sleep(rng.uniform(0.1, 2.0))
+        self._platform.store.down = False
+
+    def _lose_answers(self, rng: random.Random) -> None:
+        self._platform.lose_every_nth = rng.choice((0, 7, 20))
+
     def _revoke(self, workspace: str) -> None:
         with self._lock:
             revoked, self._keys[workspace] = self._keys[workspace], []
@@ -349,7 +371,7 @@
                 job.seen.state = self._shown(job)
         self.failures += self._platform.idle_tasks(quiet_at + CALM_AFTER_S, time.monotonic())
         crashed_at = [crash.at for crash in self._platform.crashes]
-        for began, ended in self._endpoints.calm_spans:
+        for began, ended in self._calm_spans:
             if any(began <= at <= ended for at in crashed_at):
                 continue
             since = began + CALM_AFTER_S
