--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -17,11 +17,11 @@
     Verdict,
 )
 from lentilrill.execution._senders import Senders
-from lentilrill.execution._tracking import Run
-from lentilrill.telemetry import run_and_log_errors
+from lentilrill.execution._tracking import Run, RunPhase
+from lentilrill.telemetry import Event, log, run_and_log_errors
 from lentilrill.workloads import EndpointEntry, TaskId
 
-__all__ = ["RUN_LEASE_S", "EndpointLink", "Order", "OrderKind"]
+__all__ = ["RUN_LEASE_S", "EndpointLink", "Order", "OrderKind", "lease_end_of_report"]
 
 RUN_LEASE_S = 3.4
 """Run lease in seconds. Longer than the take-over from a crashed owner (age of its last poll 0.8 s,
@@ -31,6 +31,8 @@
 """Share by which an endpoint's clock may run slow."""
 LEASE_MARGIN_S = 0.3
 """Margin added to a lease's expiry, since an endpoint takes up to 0.2 s to stop an expired run."""
+MAX_GRANTED_LEASE_S = 10.0
+"""Longest lease that an endpoint grants, however late the expiry that it is asked for."""
 BUSY_POLL_WAIT_MS = 800
 """How long a poll waits for an end while tasks run. Renews the run lease four times before it would
 expire."""
@@ -68,7 +70,7 @@
     :param run: the tracked run; ``None`` for a stop of an unknown run.
     """
 
-    __slots__ = ("kind", "number", "pace", "run", "task")
+    __slots__ = ("created_at", "kind", "number", "pace", "run", "task")
 
     def __init__(
         self, kind: OrderKind, task: TaskId, number: int, run: Run | None = None, pace: int = 100
@@ -78,12 +80,29 @@
         self.number = number
         self.run = run
         self.pace = pace
+        self.created_at = time.monotonic()
 
     @classmethod
     def for_run(cls, kind: OrderKind, run: Run, pace: int = 100) -> "Order":
         """Return an order about a tracked run."""
         return cls(kind, run.task.id, run.number, run, pace)
 
+    @classmethod
+    def stop(cls, run: Run) -> "Order":
+        """Return a stop of a tracked run, which counts as stopping from now on."""
+        run.phase = RunPhase.STOPPING
+        run.stop_ordered_at = time.monotonic()
+        return cls.for_run(OrderKind.STOP, run)
+
+
+def lease_end_of_report(reported_at: float) -> float:
+    """Return the time by which the leases of runs have expired that a previous owner renewed.
+
+    :param reported_at: monotonic time of the poll that listed them, after which only the new owner
+        renews leases.
+    """
+    return reported_at + RUN_LEASE_S / (1 - MAX_CLOCK_ERROR) + LEASE_MARGIN_S
+
 
 class _Owner(Protocol):
     @property
@@ -119,6 +138,7 @@
     """State of one endpoint, the thread that polls it, and its order queue.
 
     :param senders: threads that send the orders, shared with other endpoints.
+    :ivar opened_entry: the endpoint's entry when the link was opened; ``entry`` is the newest one.
     :ivar unknown_since_by_key: time of the first report of each unknown run (one whose job the
         owner does not track).
     :ivar reported_at: when the endpoint sent its newest answer, derived from its clock; earlier
@@ -136,7 +156,7 @@
         calls: EndpointCalls,
         senders: Senders | None = None,
     ) -> None:
-        self.entry = entry
+        self.entry = self.opened_entry = entry
         self.runs_by_key: dict[tuple[TaskId, int], Run] = {}
         self.unknown_since_by_key: dict[tuple[TaskId, int], float] = {}
         self.was_polled = False
@@ -155,7 +175,7 @@
         self.failures = 0
         self.probe_at = 0.0
         self.renewed_at: float | None = None
-        self.lease_end = 0.0
+        self.lease_end = self._min_lease_end = 0.0
         self.pace = 100
         self.paced_at = 0.0
         self._clock_ms = 0
@@ -228,9 +248,7 @@
         Without it, a task would wait forever if its endpoint were lost between the poll that
         found its run and the first lease given by this owner.
         """
-        self.lease_end = max(
-            self.lease_end, now + RUN_LEASE_S / (1 - MAX_CLOCK_ERROR) + LEASE_MARGIN_S
-        )
+        self.lease_end = max(self.lease_end, lease_end_of_report(now))
 
     def update_clock(self, clock_ms: int, read_at: float) -> None:
         """Update the estimate of the endpoint's clock with a reading at a monotonic time."""
@@ -253,7 +271,9 @@
         self.seen_cursor = self.stored_cursor = 0
         self._latest_expiry_ms = 0
         self._clock = RemoteClock(MAX_CLOCK_ERROR)
-        self.lease_end = 0.0
+        # Copies of starts may still reach the new process, with an expiry of the previous clock.
+        held_until = time.monotonic() + MAX_GRANTED_LEASE_S / (1 - MAX_CLOCK_ERROR) + LEASE_MARGIN_S
+        self.lease_end = self._min_lease_end = held_until if self.runs_by_key else 0.0
 
     def new_expiry_ms(self, lease_s: float = RUN_LEASE_S) -> int:
         """Return and record the expiry of a lease given now, on the endpoint's clock."""
@@ -271,7 +291,8 @@
     def _update_lease_end(self) -> None:
         left_s = (self._latest_expiry_ms - self._clock_ms) / 1000
         if left_s > 0:
-            self.lease_end = self._clock_read + left_s / (1 - MAX_CLOCK_ERROR) + LEASE_MARGIN_S
+            lease_end = self._clock_read + left_s / (1 - MAX_CLOCK_ERROR) + LEASE_MARGIN_S
+            self.lease_end = max(lease_end, self._min_lease_end)
 
     def _poll_loop(self) -> None:
         while not self._ended.is_set():
@@ -356,12 +377,20 @@
         while not self._owner.may_order():
             if self._ended.wait(RETRY_S):
                 return
-        answer = self._send(order)
+        answer = self._send_or_log(order)
         if answer is not None:
             self._is_responsive = answer.verdict not in (Verdict.UNKNOWN, Verdict.UNREACHABLE)
         if answer is not None and not self._ended.is_set():
             self._owner.on_answer(self, order, answer)
 
+    def _send_or_log(self, order: Order) -> OrderAnswer | None:
+        """Send an order; an unexpected error counts as no answer, so that it is sent again."""
+        try:
+            return self._send(order)
+        except Exception as error:
+            log(Event.TASK_FAILED, task=f"order to {self.entry.id}", error=repr(error))
+            return OrderAnswer(Verdict.UNKNOWN, reason=repr(error))
+
     def _send(self, order: Order) -> OrderAnswer | None:
         run = order.run
         if run is not None and run.key not in self.runs_by_key:
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -29,6 +29,8 @@
 STUCK_AFTER_S = 1.6
 """Time without progress after which a run counts as stuck: twice the wait of a poll, in which even
 a task of ten times the usual length progresses by one percent."""
+PROBE_S = 1.0
+"""Time after which a run that hasn't failed shows that an unhealthy endpoint may get one more."""
 MIN_RECORDS_AHEAD = 2
 RECORDS_AHEAD_SHARE = 0.25
 """Jobs whose records are written before there is room for them, for each running job: about those
@@ -59,7 +61,7 @@
     ) -> dict[EndpointId, EndpointCapacity]:
         """Return the endpoints that may get new tasks, with their free capacity."""
         return {
-            link.entry.id: _capacity_of(link)
+            link.entry.id: _capacity_of(link, now)
             for link in links
             if blocking_reason(link, now) is None
         }
@@ -172,7 +174,8 @@
             for task in step.tasks
             if task.waiting and task.not_before <= now and task.id not in unknown_tasks
         ]
-        if not waiting:
+        # While the store doesn't answer, jobs without a record must not keep others waiting.
+        if not waiting or step.tracked_job.lacks_record(now):
             return []
         if step.spec.gang:
             return self._place_gang(step, waiting, capacity_by_endpoint, budgets)
@@ -180,9 +183,17 @@
         placed = []
         job = step.tracked_job.job
         for index, task in enumerate(waiting):
+            excluded = task.excluded(now)
             capacity = place(
-                step.spec, capacity_by_endpoint.values(), lambda e: counts.get(e, 0), task.failed_on
+                step.spec,
+                capacity_by_endpoint.values(),
+                lambda e: counts.get(e, 0),
+                excluded,
+                task.failed_at.keys(),
             )
+            if capacity is None and excluded:
+                # The others of its step may still fit where this one is kept away from.
+                continue
             if capacity is None:
                 break
             if not budgets.take(job, step.spec.needs, count=len(waiting) - index):
@@ -274,8 +285,7 @@
             stalled_s = link.reported_at - run.progressed_at
             if stalled_s < STUCK_AFTER_S:
                 continue
-            run.phase = RunPhase.STOPPING
-            run.task.failed_on.add(link.entry.id)
+            run.task.record_failure_on(link.entry.id)
             count_failure(link)
             log(
                 Event.RUN_STUCK,
@@ -286,7 +296,7 @@
                 percent=run.percent,
                 for_s=round(stalled_s, 1),
             )
-            orders.append(Order.for_run(OrderKind.STOP, run))
+            orders.append(Order.stop(run))
         return orders
 
     def pace_orders(self, link: EndpointLink, now: float) -> list[Order]:
@@ -311,6 +321,8 @@
 
 def blocking_reason(link: EndpointLink, now: float) -> str | None:
     """Return the reason why an endpoint gets no new tasks, or ``None`` if it may get some."""
+    if link.closed:
+        return "closed"
     if not link.was_polled or not link.clock_known:
         return "not polled yet"
     if not link.reachable or now - link.answered_at >= MAX_ANSWER_AGE_S:
@@ -337,18 +349,20 @@
     return WaitCause.WORK
 
 
-def _capacity_of(link: EndpointLink) -> EndpointCapacity:
+def _capacity_of(link: EndpointLink, now: float) -> EndpointCapacity:
     free = link.entry.capacity
-    serving = 0
+    serving = new_runs = 0
     for run in link.runs_by_key.values():
         free = free.minus(run.reserved)
-        serving += run.task.step.spec.lasting or run.task.step.spec.filler
+        serves = run.task.step.spec.lasting or run.task.step.spec.filler
+        serving += serves
+        new_runs += not serves and now - run.placed_at < PROBE_S
     return EndpointCapacity(
         link.entry.id,
         link.entry.rack,
         link.entry.labels,
         free,
-        len(link.runs_by_key) - serving,
+        new_runs,
         serving,
         is_unhealthy(link),
     )
@@ -371,7 +385,7 @@
             capacity.rack,
             capacity.labels,
             capacity.free,
-            capacity.runs,
+            capacity.new_runs,
             capacity.serving,
             capacity.probing,
         )
@@ -380,7 +394,7 @@
     counts: dict[EndpointId, int] = {}
     chosen = []
     for _ in step.tasks:
-        capacity = place(step.spec, trial.values(), lambda e: counts.get(e, 0), set())
+        capacity = place(step.spec, trial.values(), lambda e: counts.get(e, 0))
         if capacity is None:
             return None
         capacity.reserve(step.spec.reserved, serves=False)
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -8,6 +8,7 @@
 from lentilrill.execution._contract import Dialer, PolicyCalls
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_list import EndpointList
+from lentilrill.execution._held_runs import ended_runs, unknown_runs_have_ended
 from lentilrill.execution._idle import IdleTasks, RoundView
 from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._latency import LatencyKind, LatencyMonitor
@@ -369,7 +370,7 @@
         now_ms = int(time.time() * 1000)
         orders: list[tuple[EndpointLink, Order]] = []
         with self._lock:
-            self._expire_leases(now)
+            self._drop_ended_runs(now)
             expire_releases(list(self._links.by_id.values()), now)
             jobs = []
             urgent = False
@@ -409,6 +410,7 @@
                 capacity_by_endpoint,
                 self.token if blocked else 0,
                 unknown_tasks,
+                budgets.refused_jobs,
             )
             self._idle.sweep((tracked_job for tracked_job, _ in jobs), view)
             for link in self._links.by_id.values():
@@ -425,18 +427,20 @@
             for run in task.runs:
                 link = self._links.by_id.get(run.endpoint)
                 if link is not None and run.phase is not RunPhase.STOPPING:
-                    run.phase = RunPhase.STOPPING
-                    orders.append((link, Order.for_run(OrderKind.STOP, run)))
+                    orders.append((link, Order.stop(run)))
         return orders
 
-    def _expire_leases(self, now: float) -> None:
+    def _drop_ended_runs(self, now: float) -> None:
         for link in self._links.by_id.values():
-            if link.runs_by_key and link.lease_end and now > link.lease_end:
-                for run in list(link.runs_by_key.values()):
-                    # A start order that has not been sent has no lease yet.
-                    if run.is_unsent and link.reachable:
-                        continue
-                    self._reconciler.drop(link, run, "its lease has lapsed out of sight")
+            for run, reason in ended_runs(link, now):
+                self._reconciler.drop(link, run, reason)
+            if link.unknown_since_by_key and unknown_runs_have_ended(link, now):
+                log(
+                    Event.UNKNOWN_RUNS_GONE,
+                    endpoint=link.entry.id,
+                    runs=len(link.unknown_since_by_key),
+                )
+                link.unknown_since_by_key = {}
 
 
 def _total_free(capacities: Iterable[EndpointCapacity]) -> Resources:
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -19,14 +19,16 @@
 """Time after which an unknown run is stopped: several intervals of the watch on accepted jobs,
 which are also sent to the owner directly."""
 FULL_PACE_PERCENT = 100
+STOP_RETRY_S = 2.0
+"""Time after which a run that its endpoint still lists is ordered to stop again."""
 UNHEALTHY_AFTER_FAILURES = 2
 """Consecutive failed runs after which an endpoint gets only one task at a time, after a pause. At a
 failure rate of one in thirty a healthy endpoint reaches this once in 900 runs, and recovers within
 a second."""
 MIN_PROBE_PAUSE_S = 0.5
-MAX_PROBE_PAUSE_S = 4.0
+MAX_PROBE_PAUSE_S = 2.0
 """Bounds of the pause before an unhealthy endpoint gets another task. It doubles with each failure,
-since each probe may cost a task one of its attempts."""
+since each probe may cost a task one of its attempts; shorter than a task may stand still."""
 
 
 class Reconciler:
@@ -52,17 +54,19 @@
 
         :param sent: monotonic time at which the poll was sent.
         """
+        restart_stops: list[Order] = []
         if result.started_ms and result.started_ms != link.started_ms:
             if link.started_ms:
                 log(Event.ENDPOINT_REBORN, endpoint=link.entry.id, born_ms=result.started_ms)
             link.reset(result.started_ms)
+            restart_stops = _stops_of_sent_starts(link)
         link.update_clock(result.clock_ms, time.monotonic())
         ended = {(end.task, end.number) for end in result.ended}
         for end in sorted(result.ended, key=lambda e: e.cursor):
             if end.cursor > link.seen_cursor:
                 link.seen_cursor = end.cursor
                 self._record_end(link, end)
-        stops = []
+        stops = restart_stops
         seen = set()
         first_seen = link.unknown_since_by_key
         for running in result.running:
@@ -74,6 +78,10 @@
                 continue
             if run.confirmed_at is not None and run.confirmed_at < sent:
                 self.drop(link, run, "no longer listed by its endpoint")
+            elif run.confirmed_at is None and 0 < run.expires_ms < result.clock_ms:
+                # The endpoint refuses a start whose lease has expired, so it can't begin any more.
+                run.task.record_failure_on(link.entry.id)
+                self.drop(link, run, "its start expired without an answer")
         return stops
 
     def apply_answer(
@@ -98,9 +106,12 @@
                 run.phase = RunPhase.IN_PROGRESS
             return None
         if verdict is Verdict.UNKNOWN or (verdict is Verdict.UNREACHABLE and run.is_unconfirmed):
-            # A start is idempotent, and the answer to a resent one also covers the first one.
             run.is_unconfirmed = True
-            return order
+            if link.reachable:
+                # A start is idempotent, and the answer to a resent one also covers the first one.
+                return order
+            # On an endpoint that returns, possibly restarted, the task should not begin so late.
+            return Order.stop(run)
         if run.phase is RunPhase.IN_PROGRESS:
             # A poll has listed the run, so an earlier copy of this order was executed.
             return None
@@ -123,14 +134,14 @@
         if run.is_unconfirmed:
             # An earlier copy of this start order may still be executed, which would run the task
             # twice. A stop makes the endpoint refuse it from then on.
-            run.phase = RunPhase.STOPPING
-            return Order.for_run(OrderKind.STOP, run)
+            return Order.stop(run)
         self.drop(link, run, verdict.value)
         return None
 
     def _apply_stop_answer(self, run: Run, order: Order, verdict: Verdict) -> Order | None:
         if verdict in (Verdict.UNKNOWN, Verdict.UNREACHABLE, Verdict.BUSY):
-            return order
+            is_superseded = order.created_at < run.stop_ordered_at
+            return None if is_superseded else order
         # Stopped, or refused as outdated: a later poll lists the run's end or not the run at all.
         run.confirmed_at = time.monotonic()
         return None
@@ -194,7 +205,7 @@
         self, tracked_job: TrackedJob, task: TrackedTask, link: EndpointLink, end: RunEnd
     ) -> None:
         task.failed_runs.add(end.number)
-        task.failed_on.add(link.entry.id)
+        task.record_failure_on(link.entry.id)
         attempts = self._attempts(tracked_job)
         log(
             Event.RUN_FAILED,
@@ -222,6 +233,15 @@
         run.reported_at = link.reported_at
         if running.checkpoint:
             run.task.checkpoint = running.checkpoint
+        if run.phase is RunPhase.STOPPING and link.reported_at > run.stop_ordered_at + STOP_RETRY_S:
+            log(
+                Event.RUN_NOT_STOPPED,
+                job=run.task.id.job,
+                task=run.task.id,
+                run=run.number,
+                endpoint=link.entry.id,
+            )
+            return [Order.stop(run)]
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.IN_PROGRESS
             run.confirmed_at = run.confirmed_at or time.monotonic()
@@ -275,6 +295,15 @@
         return run
 
 
+def _stops_of_sent_starts(link: EndpointLink) -> list[Order]:
+    """Return stops of the starts that were sent to an endpoint's previous process, unanswered."""
+    return [
+        Order.stop(run)
+        for run in link.runs_by_key.values()
+        if run.phase is RunPhase.ORDERED and run.send_count
+    ]
+
+
 def count_failure(link: EndpointLink) -> None:
     """Count a failed run of an endpoint and set the pause before its next task."""
     link.failures += 1
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -25,6 +25,17 @@
 poll."""
 
 
+EXCLUSION_S = 2.0
+"""Time for which a task is kept from an endpoint where it failed, and from unhealthy ones: long
+enough to find another endpoint in a busy pool, shorter than a caller should notice."""
+
+
+MAX_RECORD_WAIT_S = 1.0
+"""Time for which capacity is reserved for a job whose record is not stored yet."""
+MAX_MEMORY_S = 60.0
+"""Time for which a task's failure on an endpoint is remembered."""
+
+
 class RunPhase(Enum):
     """Phase of a run, as last reported to the owner."""
 
@@ -44,6 +55,7 @@
     :ivar expires_ms: expiry of the lease in its start order, on the endpoint's clock. Resent
         start orders carry the same expiry, so that none can be executed after it.
     :ivar placed_at: when the run was placed.
+    :ivar stop_ordered_at: when it was last ordered to stop; 0 if never.
     :ivar send_count: number of times the start order was sent.
     :ivar is_unconfirmed: a start order got no answer, so it may have been executed or may still be.
     :ivar confirmed_at: when the start order was confirmed as executed, or a stop order as
@@ -66,6 +78,7 @@
         "reserved",
         "send_count",
         "started_at",
+        "stop_ordered_at",
         "task",
     )
 
@@ -86,6 +99,7 @@
         self.pace = 100
         self.is_unconfirmed = False
         self.expires_ms = 0
+        self.stop_ordered_at = 0.0
 
     @property
     def key(self) -> tuple[TaskId, int]:
@@ -110,12 +124,15 @@
 
 
 class TrackedTask:
-    """State of one task: its runs, failures and newest checkpoint."""
+    """State of one task: its runs, failures and newest checkpoint.
+
+    :ivar failed_at: monotonic time of its last failure on each endpoint.
+    """
 
     __slots__ = (
         "checkpoint",
         "done",
-        "failed_on",
+        "failed_at",
         "failed_runs",
         "id",
         "not_before",
@@ -132,7 +149,7 @@
         self.failed_runs: set[int] = set()
         self.checkpoint = ""
         self.runs: list[Run] = []
-        self.failed_on: set[EndpointId] = set()
+        self.failed_at: dict[EndpointId, float] = {}
         self.not_before = 0.0
 
     @property
@@ -142,6 +159,16 @@
             return len(self.failed_runs)
         return len(set().union(*(member.failed_runs for member in self.step.tasks)))
 
+    def record_failure_on(self, endpoint: EndpointId) -> None:
+        """Keep the task from an endpoint for :data:`EXCLUSION_S` seconds."""
+        now = time.monotonic()
+        self.failed_at = {id: at for id, at in self.failed_at.items() if now - at < MAX_MEMORY_S}
+        self.failed_at[endpoint] = now
+
+    def excluded(self, now: float) -> set[EndpointId]:
+        """Return the endpoints that the task is kept from now."""
+        return {id for id, at in self.failed_at.items() if now - at < EXCLUSION_S}
+
     @property
     def waiting(self) -> bool:
         """Whether the task is not done and has no runs."""
@@ -215,6 +242,7 @@
         "needs_record",
         "never_started",
         "next_occurrence",
+        "record_requested_at",
         "revision",
         "state",
         "steps_by_occurrence",
@@ -236,6 +264,7 @@
         self.stored_revision = Revision(0)
         self.is_recorded = False
         self.needs_record = False
+        self.record_requested_at = 0.0
         self.never_started = False
         self.steps_by_occurrence: dict[int, list[TrackedStep]] = {}
         self.next_occurrence = 0
@@ -304,9 +333,14 @@
         if self.is_recorded or self.needs_record:
             return False
         self.needs_record = True
+        self.record_requested_at = time.monotonic()
         self.mark_dirty()
         return True
 
+    def lacks_record(self, now: float) -> bool:
+        """Whether the record that it needs before its first start could not be stored in time."""
+        return self.needs_record and now - self.record_requested_at > MAX_RECORD_WAIT_S
+
     def mark_running(self) -> None:
         """Mark the job as running once an endpoint has started one of its tasks."""
         if self.state is JobState.QUEUED:
