Stand-in: an endpoint that crashed may come back under another id at its address

In the record of the incident the address of a crashed endpoint answers 421, since its host runs a new endpoint; the stand-in's endpoints came back under their own id only. The soak plays both, and more lasting jobs in long series.

--- a/standins/_users_endpoint.py
+++ b/standins/_users_endpoint.py
@@ -26,10 +26,12 @@
 
     :param after_s: seconds after the answer to the start; 0.0 for a crash before the answer.
     :param back_s: seconds after which the endpoint starts again; ``None`` if it never does.
+    :param renamed: whether it then has another id, at the same address.
     """
 
     after_s: float = 0.0
     back_s: float | None = 1.0
+    renamed: bool = False
 
 
 class EndpointContext(Protocol):
@@ -59,8 +61,8 @@
     def plan_crash(self, task: str, spec: str) -> CrashPlan | None:
         """Return how the start of a task crashes its endpoint, or ``None`` if it does not."""
 
-    def on_crash(self, endpoint: "UsersEndpoint", back_s: float | None) -> None:
-        """Take note of a crash, and start the endpoint again after some time."""
+    def on_crash(self, endpoint: "UsersEndpoint", plan: CrashPlan) -> None:
+        """Take note of a crash, and start the endpoint again as planned."""
 
 
 class UsersEndpoint:
@@ -100,14 +102,13 @@
             self._go_down()
         self._server.close()
 
-    def crash(self, back_s: float | None, culprit: str = "") -> None:
+    def crash(self, plan: CrashPlan, culprit: str = "") -> None:
         """End all runs without a trace, and close the connections.
 
-        :param back_s: seconds after which the endpoint starts again; ``None`` if it never does.
         :param culprit: task that crashed the endpoint, or an empty string.
         """
         if self._record_crash(culprit):
-            self._context.on_crash(self, back_s)
+            self._context.on_crash(self, plan)
 
     def tick(self) -> None:
         """End the runs that are complete or stopped, or whose lease has expired."""
@@ -183,7 +184,7 @@
             if is_new:
                 plan = self._context.plan_crash(body["task"], body.get("spec", ""))
         if plan is not None and not plan.after_s:
-            self.crash(plan.back_s, body["task"])
+            self.crash(plan, body["task"])
         if self.closed or self._context.loses_answer():
             call.disconnect(reset=True)
             return
@@ -196,7 +197,7 @@
     def _crash_under(self, plan: CrashPlan, key: tuple[str, int]) -> None:
         """Crash, unless the run that causes it has ended meanwhile."""
         if key in self._running:
-            self.crash(plan.back_s, key[0])
+            self.crash(plan, key[0])
 
     def _refusal(self, path: str, body: dict[str, Any]) -> str:
         """Renew the lease; return the reason to refuse a call, or an empty string."""
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -143,15 +143,18 @@
             self._start_endpoint(host)
         return host
 
-    def crash_endpoint(self, host: str, back_s: float | None = 1.0) -> None:
+    def crash_endpoint(
+        self, host: str, back_s: float | None = 1.0, *, renamed: bool = False
+    ) -> None:
         """Crash the endpoint of a host.
 
         :param back_s: seconds after which it starts again; ``None`` if it never does.
+        :param renamed: whether it then has another id, at the same address.
         """
         with self._lock:
             endpoint = self._endpoints.get(host)
         if endpoint is not None:
-            endpoint.crash(back_s)
+            endpoint.crash(CrashPlan(back_s=back_s, renamed=renamed))
 
     def set_capacity(self, host: str, capacity: Amounts) -> None:
         """Change the capacity that the endpoint of a host has; runs that exceed it continue."""
@@ -262,9 +265,9 @@
         """Return how the start of a task crashes its endpoint, or ``None`` if it does not."""
         return self.crash_plan(task, spec)
 
-    def on_crash(self, endpoint: UsersEndpoint, back_s: float | None) -> None:
-        """Take note of a crash, and start the endpoint again after some time."""
-        restart = threading.Thread(target=self._restart, args=(endpoint, back_s), daemon=True)
+    def on_crash(self, endpoint: UsersEndpoint, plan: CrashPlan) -> None:
+        """Take note of a crash, and start the endpoint again as planned."""
+        restart = threading.Thread(target=self._restart, args=(endpoint, plan), daemon=True)
         with self._lock:
             host = self._host_of(endpoint)
             if host:
@@ -272,17 +275,21 @@
                 self._record_listing(endpoint.name, self._hosts[host]["pool"], None)
         restart.start()
 
-    def _restart(self, endpoint: UsersEndpoint, back_s: float | None) -> None:
+    def _restart(self, endpoint: UsersEndpoint, plan: CrashPlan) -> None:
         endpoint.close()
-        self._closed.wait(SILENCE_S if back_s is None else back_s)
+        self._closed.wait(SILENCE_S if plan.back_s is None else plan.back_s)
         with self._lock:
             host = self._host_of(endpoint)
             if not host or self._closed.is_set():
                 return
-            if back_s is None:
+            if plan.back_s is None:
                 self._lose(host)
-            else:
-                self._start_endpoint(host, endpoint)
+                return
+            name = self._new_name() if plan.renamed else endpoint.name
+            self._start_endpoint(host, name, endpoint.address)
+        if plan.renamed and not self._closed.wait(SILENCE_S):
+            with self._lock:
+                self._withdraw(endpoint.name)
 
     def _lose(self, host: str) -> None:
         """Remove a host for good."""
@@ -306,21 +313,23 @@
                 for host in self._endpoints:
                     self._publish(host)
 
-    def _start_endpoint(self, host: str, former: UsersEndpoint | None = None) -> None:
+    def _start_endpoint(self, host: str, name: str = "", address: str = "") -> None:
         """Start an endpoint on a host, unless the host is in the standby pool.
 
-        :param former: life whose name and address the endpoint has again.
+        :param name: id of the endpoint; a new one by default.
+        :param address: address of the endpoint; a new one by default.
         """
         entry = self._hosts[host]
         entry |= {"state": "up", "id": ""}
         if entry["pool"] == "standby":
             return
-        name = former.name if former else f"i-{next(self._names)}"
-        address = former.address if former else _new_address()
-        self._endpoints[host] = UsersEndpoint(name, address, self)
-        entry["id"] = name
+        entry["id"] = name or self._new_name()
+        self._endpoints[host] = UsersEndpoint(entry["id"], address or _new_address(), self)
         self._publish(host)
 
+    def _new_name(self) -> str:
+        return f"i-{next(self._names)}"
+
     def _publish(self, host: str) -> None:
         """Bring the entry of a host's endpoint up to date, as far as the store can be reached."""
         endpoint = self._endpoints[host]
--- a/tests/platform/endpoint_faults.py
+++ b/tests/platform/endpoint_faults.py
@@ -41,7 +41,8 @@
     """Return a job whose first task crashes its endpoints, before or after the answer."""
     after_s = rng.choice((0.0, rng.uniform(0.001, 0.05)))
     back_s = None if rng.random() < 0.1 else rng.uniform(0.3, MAX_BACK_S)
-    plan = msgspec.json.encode(CrashPlan(after_s, back_s)).decode()
+    renamed = rng.random() < 0.5
+    plan = msgspec.json.encode(CrashPlan(after_s, back_s, renamed)).decode()
     step = STEP | {"count": rng.randint(1, 3)}
     return {"spec": CULPRIT_PREFIX + plan, "steps": [step]}
 
@@ -114,7 +115,7 @@
 
     def _crash(self, rng: random.Random, host: str) -> None:
         back_s = None if rng.random() < 0.1 else rng.uniform(0.0, MAX_BACK_S)
-        self._platform.crash_endpoint(host, back_s)
+        self._platform.crash_endpoint(host, back_s, renamed=rng.random() < 0.3)
 
     def _fail(self, rng: random.Random, host: str) -> None:
         failing = self._platform.failing
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -44,6 +44,7 @@
 WIDE_SHARE = 0.2
 MAX_CULPRITS = 4
 MAX_LASTING = 4
+MAX_LASTING_IN_SERIES = 12
 MAX_WIDE = 20
 """Limits of a run, so that the pools still have room for the other jobs."""
 CALM_AFTER_S = 4.0
@@ -116,7 +117,7 @@
         )
         self._quotas = {
             Play.CULPRITS: MAX_CULPRITS,
-            Play.LASTING: MAX_LASTING,
+            Play.LASTING: MAX_LASTING_IN_SERIES if in_series else MAX_LASTING,
             Play.CAPACITY: MAX_WIDE,
         }
         self._culprits: set[str] = set()
--- a/tests/standins/test_users_platform.py
+++ b/tests/standins/test_users_platform.py
@@ -86,6 +86,17 @@
         self.assertTrue(eventually(lambda: self.entry() == {}))
         self.assertEqual(NO_ANSWER, self.start())
 
+    def test_an_endpoint_that_comes_back_under_another_id(self) -> None:
+        self.platform.crash_endpoint(self.host, back_s=0.1, renamed=True)
+        self.assertTrue(eventually(lambda: self.platform.endpoint_of(self.host) != self.endpoint))
+        self.assertNotEqual({}, self.entry())
+        answer = self.http.request("POST", f"http://{self.address}/hold", body="{}")
+        self.assertEqual(421, answer.status)
+        self.assertTrue(eventually(lambda: self.entry() == {}))
+        self.endpoint = self.platform.endpoint_of(self.host)
+        self.assertEqual(self.address, self.entry()["address"])
+        self.assertEqual(200, self.start())
+
     def test_an_entry_is_not_written_while_the_store_is_down(self) -> None:
         born = self.entry()["born"]
         self.platform.store.down = True
