Ownership: registration, stored records, owner keys and claim times in modules of their own

It keeps the shards of this process (407 lines); _registration.py renews the lease and writes the member record, _stored_records.py caches what the store shows, _owner_keys.py writes owner keys (claim and hand-over wrote the same key twice over), _claim_times.py decides when to claim. Pairs of record and token are a type. No change of behaviour: a renewal still tells its caller itself that the lease has expired, as another thread may have registered again meanwhile. One test reads the lease at its new place. tests/ownership, tests/entry and lint pass.

--- a/src/lentilrill/ownership/__init__.py
+++ b/src/lentilrill/ownership/__init__.py
@@ -2,8 +2,9 @@
 
 from lentilrill.ownership._clock import boottime
 from lentilrill.ownership._members import MemberRecord, OwnerRecord, Shard
-from lentilrill.ownership._ownership import LEASE_TTL_S, Ownership
+from lentilrill.ownership._ownership import Ownership
 from lentilrill.ownership._pace import PaceMonitor
+from lentilrill.ownership._registration import LEASE_TTL_S
 
 __all__ = [
     "LEASE_TTL_S",
--- a/src/lentilrill/ownership/_members.py
+++ b/src/lentilrill/ownership/_members.py
@@ -9,7 +9,20 @@
 
 from lentilrill.ids import Incarnation, ProcessId, ZoneId
 
-__all__ = ["MemberRecord", "OwnerRecord", "Shard", "claim_order", "claim_rank"]
+__all__ = [
+    "MEMBER_PREFIX",
+    "OWNER_PREFIX",
+    "RECORD_PREFIX",
+    "MemberRecord",
+    "OwnerRecord",
+    "Shard",
+    "claim_order",
+    "claim_rank",
+]
+
+RECORD_PREFIX = "m/"
+MEMBER_PREFIX = "m/n/"
+OWNER_PREFIX = "m/o/"
 
 Shard = NewType("Shard", str)
 """A unit of work with at most one owner at a time: a pool, or the fleet as a whole."""
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -1,4 +1,4 @@
-"""The membership of this process and the shards that it owns."""
+"""The shards that this process owns: claiming, giving up and handing over."""
 
 import threading
 from collections.abc import Callable
@@ -8,34 +8,24 @@
 import msgspec
 from returns.result import Failure, Success
 
-from lentilrill.faults import FaultKind
 from lentilrill.ids import Incarnation, ProcessId, Revision, ZoneId
+from lentilrill.ownership._claim_times import ClaimTimes
 from lentilrill.ownership._clock import boottime
 from lentilrill.ownership._hand_over import HandOverPolicy
-from lentilrill.ownership._members import MemberRecord, OwnerRecord, Shard, claim_rank
+from lentilrill.ownership._members import RECORD_PREFIX, MemberRecord, OwnerRecord, Shard
+from lentilrill.ownership._owner_keys import NO_OWNER, OwnerKeys, result_text
 from lentilrill.ownership._pace import NORMAL_PACE
-from lentilrill.store import Compare, DeleteRange, Follower, Item, KeyValue, Put
-from lentilrill.telemetry import Dependency, Event, log, run_and_log_errors
+from lentilrill.ownership._registration import Registration
+from lentilrill.ownership._stored_records import StoredOwner, StoredRecords
+from lentilrill.store import Follower, Item, KeyValue
+from lentilrill.telemetry import Event, log, run_and_log_errors
 
-__all__ = ["LEASE_TTL_S", "Ownership"]
+__all__ = ["Ownership"]
 
-MEMBER_PREFIX = "m/n/"
-OWNER_PREFIX = "m/o/"
-RECORD_PREFIX = "m/"
-
-LEASE_TTL_S = 1.6
-"""Time to live of an entry host's lease. Shorter than a run lease minus the time of a take-over, so
-that runs survive the loss of their owner; longer than three renewals plus a slow answer of 0.25 s.
-"""
 RENEW_INTERVAL_S = 0.4
 """Three renewals fit into one lease, so that a single lost answer has no effect."""
-LEASE_MARGIN_S = 0.2
-"""Margin before the lease expires in which no order is given, so that an order that passed the
-check has been sent by then."""
+REGISTER_INTERVAL_S = RENEW_INTERVAL_S / 3
 CLAIM_INTERVAL_S = 0.1
-CLAIM_STAGGER_S = 0.15
-"""Delay between the claims of one member and the next. A claim takes a few milliseconds, so races,
-which cost a call, are rare."""
 FIRST_CLAIM_DELAY_S = 0.4
 """Delay between start and first claim, so that hosts that start together see each other."""
 
@@ -78,33 +68,26 @@
         can_take_over: Callable[[ProcessId], bool] = lambda process: False,
         clock: Callable[[], float] = boottime,
     ) -> None:
-        self._kv = kv
         self._process = process
-        self._incarnation = incarnation
-        self._zone = zone
-        self._inner = inner
+        self._record = OwnerRecord(process, incarnation, inner)
         self._shards = shards
         self._listener = listener
         self._is_store_outage = is_store_outage
-        self._strength = strength
         self._pace = pace
+        self._registration = Registration(
+            kv, process, incarnation, zone, inner, strength, pace, clock
+        )
+        self._keys = OwnerKeys(kv)
+        self._claim_times = ClaimTimes(process)
         self._hand_over_policy = HandOverPolicy(
             process, can_take_over, lambda: pace() < NORMAL_PACE
         )
         self._clock = clock
         self._lock = threading.RLock()
-        self._lease = 0
-        self._lease_valid_until = 0.0
-        self._renewed_at = 0.0
-        self._stored_strength = 0.0
-        self._members_by_process: dict[ProcessId, MemberRecord] = {}
-        self._owners_by_shard: dict[Shard, tuple[OwnerRecord, Revision]] = {}
+        self._records = StoredRecords()
         self._tokens_by_shard: dict[Shard, Revision] = {}
-        self._records_since: Revision | None = None
-        self._unowned_since: dict[Shard, float] = {}
         self._released_tokens_by_shard: dict[Shard, Revision] = {}
         self._stopping: set[Shard] = set()
-        self._lease_calls = Dependency("lease in the store")
         self._started_at = clock()
         self._ended = threading.Event()
         self._leaving = False
@@ -126,14 +109,14 @@
     def peers(self) -> list[MemberRecord]:
         """The other registered entry hosts, as last read from the store."""
         with self._lock:
-            members = list(self._members_by_process.values())
+            members = list(self._records.members_by_process.values())
         return [member for member in members if member.process != self._process]
 
     def owner_of(self, shard: Shard) -> OwnerRecord | None:
         """Return the owner of ``shard``, as last read from the store."""
         with self._lock:
-            owner = self._owners_by_shard.get(shard)
-        return owner[0] if owner is not None else None
+            owner = self._records.owners_by_shard.get(shard)
+        return owner.record if owner is not None else None
 
     @property
     def is_owner(self) -> bool:
@@ -156,12 +139,12 @@
         """
         if shard not in self._tokens_by_shard:
             return False
-        return self._clock() < self._lease_valid_until or self._is_store_outage()
+        return self._clock() < self._registration.valid_until or self._is_store_outage()
 
     @property
     def registered(self) -> bool:
         """Whether this process holds a lease and has read the records of the other hosts."""
-        return bool(self._lease) and self._follower.initial_read_done.is_set()
+        return bool(self._registration.lease) and self._follower.initial_read_done.is_set()
 
     def leave(self) -> None:
         """Release all shards and stop claiming; the process stays a member."""
@@ -200,14 +183,13 @@
 
         :param stopped_s: seconds that stopping to act as its owner took.
         """
-        key = OWNER_PREFIX + shard
-        result = self._kv.commit((Compare(key, token),), (DeleteRange(key),))
+        result = self._keys.delete(shard, token)
         log(
             Event.SHARD_RELEASED,
             shard=shard,
             token=token,
             stopped_s=round(stopped_s, 3),
-            result=_result_text(result),
+            result=result_text(result),
         )
 
     def close(self) -> None:
@@ -215,57 +197,29 @@
         self._ended.set()
         self._wake.set()
         self._follower.close()
-        if self._lease:
-            self._kv.revoke(self._lease)
+        self._registration.revoke()
 
     def on_replaced(self, items: tuple[Item, ...]) -> None:
         """Replace the cached records by a full read."""
         with self._lock:
-            self._members_by_process = {}
-            self._owners_by_shard = {}
-            self._records_since = None
+            self._records.clear()
         self.on_changed(items)
         self._drop_lost_shards()
 
     def on_changed(self, items: tuple[Item, ...]) -> None:
         """Apply changes of the records."""
         with self._lock:
-            for item in items:
-                self._apply(item)
-            self._update_records_since(items)
+            self._records.apply(items, self._follower.read_revision)
         self._drop_lost_shards()
         self._wake.set()
 
-    def _update_records_since(self, items: tuple[Item, ...]) -> None:
-        """Note from which revision on all entry hosts store a record before a first start."""
-        members = self._members_by_process.values()
-        if not all(member.records_starts for member in members):
-            self._records_since = None
-        elif self._records_since is None:
-            newest = max((item.revision for item in items), default=Revision(0))
-            self._records_since = max(newest, self._follower.read_revision)
-
     @property
     def records_since(self) -> Revision | None:
         """Revision from which on every owner stores a record before the first start of a job.
 
         Hosts of an earlier version don't; ``None`` while one of them is registered.
         """
-        return self._records_since
-
-    def _apply(self, item: Item) -> None:
-        is_owner = item.key.startswith(OWNER_PREFIX)
-        name = item.key.removeprefix(OWNER_PREFIX if is_owner else MEMBER_PREFIX)
-        if is_owner:
-            self._owners_by_shard.pop(Shard(name), None)
-            if item.value is not None:
-                owner = msgspec.json.decode(item.value, type=OwnerRecord)
-                self._owners_by_shard[Shard(name)] = (owner, item.revision)
-            return
-        self._members_by_process.pop(ProcessId(name), None)
-        if item.value is not None:
-            member = msgspec.json.decode(item.value, type=MemberRecord)
-            self._members_by_process[ProcessId(name)] = member
+        return self._records.records_since
 
     def _drop_lost_shards(self) -> None:
         """Drop shards whose key was deleted or belongs to another process."""
@@ -273,7 +227,8 @@
             lost = [
                 shard
                 for shard, token in self._tokens_by_shard.items()
-                if (current := self._owners_by_shard.get(shard)) is None or current[1] > token
+                if (current := self._records.owners_by_shard.get(shard)) is None
+                or current.token > token
             ]
         for shard in lost:
             self._lose(shard, "its key was deleted or belongs to another process")
@@ -292,82 +247,18 @@
 
     def _renew_loop(self) -> None:
         while not self._ended.is_set():
-            run_and_log_errors("lease", self._renew_lease if self._lease else self._register)
-            self._ended.wait(RENEW_INTERVAL_S if self._lease else RENEW_INTERVAL_S / 3)
-
-    def _register(self) -> None:
-        self._revoke_previous_lease()
-        requested_at = self._clock()
-        granted = self._kv.lease(LEASE_TTL_S)
-        if isinstance(granted, Failure):
-            self._lease_calls.record_failure(granted.failure().reason)
-            return
-        lease = granted.unwrap()
-        if not self._write_member_record(lease):
-            return
-        self._lease_calls.record_success()
-        self._lease_valid_until = requested_at + LEASE_TTL_S - LEASE_MARGIN_S
-        self._lease = lease
-        log(Event.MEMBER_REGISTERED, lease=lease, process=self._process)
-
-    def _write_member_record(self, lease: int) -> bool:
-        """Write the member record with the current strength; return whether it was stored."""
-        strength = self._strength * self._pace()
-        record = MemberRecord(
-            self._process,
-            self._incarnation,
-            self._zone,
-            self._inner,
-            lease,
-            strength,
-            records_starts=True,
-        )
-        put = Put(MEMBER_PREFIX + self._process, msgspec.json.encode(record), lease)
-        if isinstance(written := self._kv.commit((), (put,)), Failure):
-            self._lease_calls.record_failure(written.failure().reason)
-            return False
-        self._stored_strength = strength
-        return True
-
-    def _revoke_previous_lease(self) -> None:
-        """Revoke the lease of this host's previous process, so that its shards are free at once.
-
-        That process must have ended, since only one process can listen on its address.
-        """
-        read = self._kv.read(MEMBER_PREFIX + self._process)
-        if isinstance(read, Failure):
-            # Its shards become free when the lease expires, a second or two later.
-            self._lease_calls.record_failure(read.failure().reason)
-            return
-        for item in read.unwrap().items:
-            if item.key != MEMBER_PREFIX + self._process or item.value is None:
-                continue
-            old = msgspec.json.decode(item.value, type=MemberRecord)
-            if old.inner == self._inner and old.incarnation != self._incarnation:
-                self._kv.revoke(old.lease)
-                log(Event.PREDECESSOR_ENDED, lease=old.lease, process=old.process)
+            if self._registration.lease:
+                run_and_log_errors("lease", self._renew_lease)
+            else:
+                run_and_log_errors("lease", self._registration.register)
+            is_registered = bool(self._registration.lease)
+            self._ended.wait(RENEW_INTERVAL_S if is_registered else REGISTER_INTERVAL_S)
 
     def _renew_lease(self) -> None:
-        requested_at = self._clock()
-        renewed = self._kv.keep_alive(self._lease)
-        if not isinstance(renewed, Failure):
-            self._lease_calls.record_success()
-            self._renewed_at = max(self._renewed_at, requested_at)
-            # The store may grant a shorter time to live than requested.
-            ttl_s = min(LEASE_TTL_S, renewed.unwrap())
-            self._lease_valid_until = max(
-                self._lease_valid_until, requested_at + ttl_s - LEASE_MARGIN_S
-            )
-            if self._stored_strength != self._strength * self._pace():
-                self._write_member_record(self._lease)
+        if self._registration.renew():
             return
-        self._lease_calls.record_failure(renewed.failure().reason)
-        if renewed.failure().kind is FaultKind.CONFLICT:
-            log(Event.LEASE_LAPSED, lease=self._lease, reason=renewed.failure().reason)
-            self._lease = 0
-            self._lease_valid_until = 0.0
-            for shard in list(self._tokens_by_shard):
-                self._lose(shard, "the lease has expired")
+        for shard in list(self._tokens_by_shard):
+            self._lose(shard, "the lease has expired")
 
     def _claim_loop(self) -> None:
         while not self._ended.is_set():
@@ -377,7 +268,7 @@
                 continue
             if not self._needs_claim_round():
                 continue
-            if self._clock() >= self._lease_valid_until:
+            if self._clock() >= self._registration.valid_until:
                 continue
             if not self._leaving:
                 for shard in sorted(self._shards()):
@@ -388,58 +279,48 @@
 
     def _needs_claim_round(self) -> bool:
         """Whether this process owns shards or holds keys of any, or some shard has no owner."""
-        if self.is_owner or self._leaving or self._unowned_since:
+        if self.is_owner or self._leaving or self._claim_times.has_pending:
             return True
         with self._lock:
-            owners = self._owner_processes()
+            owners = self._records.process_by_shard()
         return self._process in owners.values() or not self._shards() <= owners.keys()
 
     def _claim_if_due(self, shard: Shard) -> None:
         now = self._clock()
         self._adopt_claim(shard)
         with self._lock:
-            if shard in self._owners_by_shard or shard in self._tokens_by_shard:
-                self._unowned_since.pop(shard, None)
+            if shard in self._records.owners_by_shard or shard in self._tokens_by_shard:
+                self._claim_times.reset(shard)
                 return
-            since = self._unowned_since.setdefault(shard, now)
-            owners = self._owner_processes()
-            members = list(self._members_by_process.values())
-        # After an outage in which all leases expired, the first host to return sees no other member
-        # and would rank first for each shard. The delay grows with the shards that it owns.
-        owned_count = sum(1 for owner in owners.values() if owner == self._process)
-        claim_position = max(owned_count, claim_rank(shard, self._process, members, owners))
-        if now - since < claim_position * CLAIM_STAGGER_S:
-            return
-        key = OWNER_PREFIX + shard
-        record = OwnerRecord(self._process, self._incarnation, self._inner)
-        put = Put(key, msgspec.json.encode(record), self._lease)
-        result = self._kv.commit((Compare(key, Revision(0)),), (put,))
+            if not self._claim_times.is_due(shard, self._records, now):
+                return
+        result = self._keys.write(shard, NO_OWNER, self._record, self._registration.lease)
         if isinstance(result, Failure) or not result.unwrap().succeeded:
             # If the answer was lost, the watch shows whether the claim succeeded; see _adopt_claim.
-            self._unowned_since.pop(shard, None)
-            log(Event.SHARD_NOT_CLAIMED, shard=shard, result=_result_text(result))
+            self._claim_times.reset(shard)
+            log(Event.SHARD_NOT_CLAIMED, shard=shard, result=result_text(result))
             return
         token = result.unwrap().revision
         with self._lock:
-            self._owners_by_shard[shard] = (record, token)
+            self._records.owners_by_shard[shard] = StoredOwner(self._record, token)
         self._acquire(shard, token)
 
     def _adopt_claim(self, shard: Shard) -> None:
         """Act on a claim whose answer was lost, once the watch shows its key."""
         with self._lock:
-            owner = self._owners_by_shard.get(shard)
+            owner = self._records.owners_by_shard.get(shard)
             if owner is None or shard in self._tokens_by_shard:
                 return
-            record, token = owner
-            if not self._is_own(record) or token == self._released_tokens_by_shard.get(shard):
+            was_released = owner.token == self._released_tokens_by_shard.get(shard)
+            if was_released or not self._is_own(owner.record):
                 return
-        self._acquire(shard, token)
+        self._acquire(shard, owner.token)
 
     def _is_own(self, record: OwnerRecord) -> bool:
-        return record.process == self._process and record.incarnation == self._incarnation
-
-    def _owner_processes(self) -> dict[Shard, ProcessId]:
-        return {shard: record.process for shard, (record, _) in self._owners_by_shard.items()}
+        return (record.process, record.incarnation) == (
+            self._record.process,
+            self._record.incarnation,
+        )
 
     def _hand_over_if_due(self) -> None:
         with self._lock:
@@ -448,7 +329,7 @@
             members = self._current_members()
             tokens = dict(self._tokens_by_shard)
             planned = self._hand_over_policy.next_hand_over(
-                self._clock(), tokens, members, self._owner_processes()
+                self._clock(), tokens, members, self._records.process_by_shard()
             )
         if planned is None:
             return
@@ -456,19 +337,19 @@
         # If the store is unreachable no host could take over, and the shard would have no owner.
         requested_at = self._clock()
         self._renew_lease()
-        if self._renewed_at >= requested_at:
+        if self._registration.renewed_at >= requested_at:
             self._transfer(shard, tokens[shard], target)
 
     def _current_members(self) -> list[MemberRecord]:
         """Return all members, with this process's current strength instead of the stored one."""
-        strength = self._strength * self._pace()
+        strength = self._registration.strength
         return [
             (
                 msgspec.structs.replace(member, strength=strength)
                 if member.process == self._process
                 else member
             )
-            for member in self._members_by_process.values()
+            for member in self._records.members_by_process.values()
         ]
 
     def _transfer(self, shard: Shard, token: Revision, target: MemberRecord) -> None:
@@ -481,15 +362,13 @@
         started_at = self._clock()
         self._stop_acting(shard, token)
         stopped_at = self._clock()
-        key = OWNER_PREFIX + shard
         record = OwnerRecord(target.process, target.incarnation, target.inner)
-        put = Put(key, msgspec.json.encode(record), target.lease)
-        result = self._kv.commit((Compare(key, token),), (put,))
+        result = self._keys.write(shard, token, record, target.lease)
         now = self._clock()
         with self._lock:
             self._hand_over_policy.record_change(now)
             if isinstance(result, Success) and result.unwrap().succeeded:
-                self._owners_by_shard[shard] = (record, result.unwrap().revision)
+                self._records.owners_by_shard[shard] = StoredOwner(record, result.unwrap().revision)
         log(
             Event.SHARD_HANDED_OVER,
             shard=shard,
@@ -498,7 +377,7 @@
             pace=self._pace(),
             stopped_s=round(stopped_at - started_at, 3),
             written_s=round(now - stopped_at, 3),
-            result=_result_text(result),
+            result=result_text(result),
         )
 
     def _release_unused(self) -> None:
@@ -509,11 +388,11 @@
         """
         with self._lock:
             unused = [
-                (shard, token)
-                for shard, (record, token) in self._owners_by_shard.items()
-                if self._is_own(record)
+                (shard, owner.token)
+                for shard, owner in self._records.owners_by_shard.items()
+                if self._is_own(owner.record)
                 and shard not in self._tokens_by_shard
-                and (self._leaving or token == self._released_tokens_by_shard.get(shard))
+                and (self._leaving or owner.token == self._released_tokens_by_shard.get(shard))
             ]
         for shard, token in unused:
             self._release(shard, token)
@@ -526,7 +405,3 @@
             self._hand_over_policy.record_change(self._clock())
         log(Event.SHARD_CLAIMED, shard=shard, token=token)
         self._listener.on_gained(shard, token)
-
-
-def _result_text(result: object) -> str:
-    return result.failure().reason if isinstance(result, Failure) else "done"
--- /dev/null
+++ b/src/lentilrill/ownership/_registration.py
@@ -0,0 +1,151 @@
+"""The membership of this process: its lease, and its record in the store.
+
+The record and the keys of the shards that the process owns are bound to the lease.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure
+
+from lentilrill.faults import FaultKind
+from lentilrill.ids import Incarnation, ProcessId, ZoneId
+from lentilrill.ownership._members import MEMBER_PREFIX, MemberRecord
+from lentilrill.store import KeyValue, Put
+from lentilrill.telemetry import Dependency, Event, log
+
+__all__ = ["LEASE_TTL_S", "Registration"]
+
+LEASE_TTL_S = 1.6
+"""Time to live of an entry host's lease. Shorter than a run lease minus the time of a take-over, so
+that runs survive the loss of their owner; longer than three renewals plus a slow answer of 0.25 s.
+"""
+LEASE_MARGIN_S = 0.2
+"""Margin before the lease expires in which no order is given, so that an order that passed the
+check has been sent by then."""
+NO_LEASE = 0
+
+
+class Registration:
+    """Registers this process as a member, and renews its lease.
+
+    :param strength: capacity of this host for control work, in reference cores.
+    :param pace: current speed of this host as a share of its usual speed.
+    :param clock: clock by which the lease expires.
+    :ivar lease: the lease of this process; ``NO_LEASE`` while it has none.
+    :ivar valid_until: time until which the lease can't have expired.
+    :ivar renewed_at: time at which the last successful renewal was requested.
+    """
+
+    def __init__(
+        self,
+        kv: KeyValue,
+        process: ProcessId,
+        incarnation: Incarnation,
+        zone: ZoneId,
+        inner: str,
+        strength: float,
+        pace: Callable[[], float],
+        clock: Callable[[], float],
+    ) -> None:
+        self._kv = kv
+        self._process = process
+        self._incarnation = incarnation
+        self._zone = zone
+        self._inner = inner
+        self._strength = strength
+        self._pace = pace
+        self._clock = clock
+        self._stored_strength = 0.0
+        self._lease_calls = Dependency("lease in the store")
+        self.lease = NO_LEASE
+        self.valid_until = 0.0
+        self.renewed_at = 0.0
+
+    @property
+    def strength(self) -> float:
+        """Current capacity of this host for control work, in reference cores."""
+        return self._strength * self._pace()
+
+    def register(self) -> None:
+        """Request a lease and store the member record under it."""
+        self._revoke_previous_lease()
+        requested_at = self._clock()
+        granted = self._kv.lease(LEASE_TTL_S)
+        if isinstance(granted, Failure):
+            self._lease_calls.record_failure(granted.failure().reason)
+            return
+        lease = granted.unwrap()
+        if not self._write_member_record(lease):
+            return
+        self._lease_calls.record_success()
+        self.valid_until = requested_at + LEASE_TTL_S - LEASE_MARGIN_S
+        self.lease = lease
+        log(Event.MEMBER_REGISTERED, lease=lease, process=self._process)
+
+    def renew(self) -> bool:
+        """Renew the lease; return ``False`` if it has expired, so that all bound keys are gone."""
+        requested_at = self._clock()
+        renewed = self._kv.keep_alive(self.lease)
+        if not isinstance(renewed, Failure):
+            self._lease_calls.record_success()
+            self._extend(requested_at, renewed.unwrap())
+            if self._stored_strength != self.strength:
+                self._write_member_record(self.lease)
+            return True
+        fault = renewed.failure()
+        self._lease_calls.record_failure(fault.reason)
+        if fault.kind is not FaultKind.CONFLICT:
+            return True
+        log(Event.LEASE_LAPSED, lease=self.lease, reason=fault.reason)
+        self.lease = NO_LEASE
+        self.valid_until = 0.0
+        return False
+
+    def _extend(self, requested_at: float, granted_s: float) -> None:
+        self.renewed_at = max(self.renewed_at, requested_at)
+        # The store may grant a shorter time to live than requested.
+        ttl_s = min(LEASE_TTL_S, granted_s)
+        self.valid_until = max(self.valid_until, requested_at + ttl_s - LEASE_MARGIN_S)
+
+    def revoke(self) -> None:
+        """Revoke the lease, which deletes all keys that are bound to it."""
+        if self.lease:
+            self._kv.revoke(self.lease)
+
+    def _write_member_record(self, lease: int) -> bool:
+        """Write the member record with the current strength; return whether it was stored."""
+        strength = self.strength
+        record = MemberRecord(
+            self._process,
+            self._incarnation,
+            self._zone,
+            self._inner,
+            lease,
+            strength,
+            records_starts=True,
+        )
+        put = Put(MEMBER_PREFIX + self._process, msgspec.json.encode(record), lease)
+        if isinstance(written := self._kv.commit((), (put,)), Failure):
+            self._lease_calls.record_failure(written.failure().reason)
+            return False
+        self._stored_strength = strength
+        return True
+
+    def _revoke_previous_lease(self) -> None:
+        """Revoke the lease of this host's previous process, so that its shards are free at once.
+
+        That process must have ended, since only one process can listen on its address.
+        """
+        read = self._kv.read(MEMBER_PREFIX + self._process)
+        if isinstance(read, Failure):
+            # Its shards become free when the lease expires, a second or two later.
+            self._lease_calls.record_failure(read.failure().reason)
+            return
+        for item in read.unwrap().items:
+            if item.key != MEMBER_PREFIX + self._process or item.value is None:
+                continue
+            old = msgspec.json.decode(item.value, type=MemberRecord)
+            if old.inner == self._inner and old.incarnation != self._incarnation:
+                self._kv.revoke(old.lease)
+                log(Event.PREDECESSOR_ENDED, lease=old.lease, process=old.process)
--- a/tests/ownership/test_hand_over.py
+++ b/tests/ownership/test_hand_over.py
@@ -188,7 +188,7 @@
         strong = self.host("h2", strength=2.0)
         self.hosts.remove(strong)
         strong.ownership._ended.set()
-        self.kv._leases.pop(strong.ownership._lease)
+        self.kv._leases.pop(strong.ownership._registration.lease)
         self.assertTrue(eventually(lambda: bool(self.key_changes(STEP_S))))
         self.unfit.add("h2")
         self.assertTrue(self.moves(strong, weak))
