Store client: wire format, answers, commits, leases and watches in modules of their own

Cause: platform/_kv.py had 432 lines and five jobs. _kv_wire.py holds bodies, answers and statuses, _kv_answers.py decodes and keeps the times of answers, _kv_commits.py repeats a commit that got no answer, _kv_leases.py has the calls of leases, _kv_watch.py the long polls; _kv.py (147 lines) is the public client. No change of behaviour. One test records timeouts of leases at their new place.

--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -107,7 +107,7 @@
         self.addCleanup(self.released.set)
         self.kv = PlatformKeyValue(StoreSettings(self.server.address), NoMetrics())
         self.timeouts_s: list[float] = []
-        for transport in (self.kv._transport, self.kv._lease_transport):
+        for transport in (self.kv._transport, self.kv._leases._transport):
             self.patch(transport, "request", self.recording_timeouts(transport.request))
 
     def recording_timeouts(
