--- a/src/lentilrill/execution/_allowances.py
+++ b/src/lentilrill/execution/_allowances.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure
 
+from lentilrill.execution._budgets import RoundBudgets, limited_to_free, usage_by_workspace
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import TrackedJob
 from lentilrill.faults import FaultKind
@@ -23,17 +24,9 @@
 )
 from lentilrill.store import DECODE_ERRORS, Compare, Follower, Item, KeyValue, Put
 from lentilrill.telemetry import Event, Metrics, log, run_and_log_errors
-from lentilrill.workloads import (
-    Configuration,
-    Job,
-    PoolUse,
-    Resources,
-    TaskId,
-    Workspaces,
-    WorkspaceUse,
-)
+from lentilrill.workloads import Configuration, PoolUse, Resources, Workspaces, WorkspaceUse
 
-__all__ = ["AllowanceBook", "RoundBudgets"]
+__all__ = ["AllowanceBook"]
 
 ALLOWANCE_PREFIX = "a/"
 WATCH_PAUSE_S = 0.3
@@ -48,32 +41,6 @@
 NOTHING = Resources()
 
 
-class RoundBudgets:
-    """Budgets of the workspaces during one planning round.
-
-    :param budget_of: returns a workspace's budget, or ``None`` if nothing may start now; ``None``
-        if there are no limits.
-    :ivar refused_jobs: jobs with tasks that could start if the pool held more.
-    """
-
-    def __init__(self, budget_of: Callable[[WorkspaceId], Budget | None] | None) -> None:
-        self._budget_of = budget_of
-        self.by_workspace: dict[WorkspaceId, Budget | None] = {}
-        self.refused_jobs: set[JobId] = set()
-
-    def take(self, job: Job, needs: Resources, *, count: int = 1, is_gang: bool = False) -> bool:
-        """Take what a task needs, if its workspace may start it; see :meth:`Budget.take`."""
-        if not job.workspace or self._budget_of is None:
-            return True
-        if job.workspace not in self.by_workspace:
-            self.by_workspace[job.workspace] = self._budget_of(job.workspace)
-        budget = self.by_workspace[job.workspace]
-        if budget is not None and budget.take(needs, count=count, is_gang=is_gang):
-            return True
-        self.refused_jobs.add(job.id)
-        return False
-
-
 class _Write(msgspec.Struct):
     """One write of a workspace's record, against the revision that is replaced.
 
@@ -288,7 +255,7 @@
         for workspace in workspaces:
             budget = budgets.by_workspace.get(workspace) or self._budget_of(workspace)
             if budget is not None:
-                self._write_if_due(workspace, _limited(budget.usage, free), now)
+                self._write_if_due(workspace, limited_to_free(budget.usage, free), now)
 
     def _holding(self) -> set[WorkspaceId]:
         """Return the workspaces of which the pool holds something or waits for it."""
@@ -455,39 +422,6 @@
         self._on_changed()
 
 
-def usage_by_workspace(
-    links: Iterable[EndpointLink], jobs_by_id: dict[JobId, TrackedJob]
-) -> dict[WorkspaceId, Resources]:
-    """Return what the runs of each workspace use that are or may be in progress.
-
-    Runs that are being stopped count, and so do runs that this owner did not place.
-    """
-    used: dict[WorkspaceId, Resources] = {}
-    for link in links:
-        for run in link.runs_by_key.values():
-            workspace = run.task.step.tracked_job.job.workspace
-            if workspace:
-                used[workspace] = used.get(workspace, NOTHING).plus(run.task.step.spec.needs)
-        for task, _ in link.unknown_since_by_key:
-            tracked_job = jobs_by_id.get(task.job)
-            if tracked_job is not None and tracked_job.job.workspace:
-                workspace = tracked_job.job.workspace
-                needs = _needs_of(tracked_job, task)
-                used[workspace] = used.get(workspace, NOTHING).plus(needs)
-    return used
-
-
-def _needs_of(tracked_job: TrackedJob, task: TaskId) -> Resources:
-    steps = tracked_job.job.steps
-    return steps[task.step].needs if 0 <= task.step < len(steps) else NOTHING
-
-
-def _limited(usage: Usage, free: Resources) -> Usage:
-    """Return a usage that lacks no more than the first tasks, or what the pool has free."""
-    lacking = usage.lacking.at_most(free.at_least(usage.first))
-    return msgspec.structs.replace(usage, lacking=lacking)
-
-
 def _is_lowered(before: Resources, cap: Resources) -> bool:
     """Whether a cap is lower than before in any amount; 0 is no limit."""
     pairs = zip(msgspec.structs.astuple(before), msgspec.structs.astuple(cap), strict=True)
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from lentilrill.execution._allowances import RoundBudgets
+from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
 from lentilrill.execution._reconcile import count_failure, is_unhealthy
--- a/tests/execution/cases.py
+++ b/tests/execution/cases.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from lentilrill.execution import PollResult, ReportedRun, RunEnd, Verdict
-from lentilrill.execution._allowances import RoundBudgets
+from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._crashes import CrashBook
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._need import Durations
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -16,7 +16,7 @@
     StartOrder,
     Verdict,
 )
-from lentilrill.execution._allowances import RoundBudgets
+from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._held_runs import (
     MAX_UNSENT_S,
     ended_runs,
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -3,7 +3,7 @@
 import time
 
 from lentilrill.execution import EndKind, ReportedRun, RunEnd, Verdict
-from lentilrill.execution._allowances import RoundBudgets
+from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._demand import PoolDemand, demand_of
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations, WorkForecast
