Ownership: the registration takes this process's owner record

Cause: `duplicates` on src showed the constructor's parameters twice, in Ownership and in Registration. The other pairs that it shows are import lists, likewise shaped enums and structs, protocols with their implementation, and three in _reconcile.py, which others work on. tests/ownership and lint pass.

--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -74,9 +74,7 @@
         self._listener = listener
         self._is_store_outage = is_store_outage
         self._pace = pace
-        self._registration = Registration(
-            kv, process, incarnation, zone, inner, strength, pace, clock
-        )
+        self._registration = Registration(kv, self._record, zone, strength, pace, clock)
         self._keys = OwnerKeys(kv)
         self._claim_times = ClaimTimes(process)
         self._hand_over_policy = HandOverPolicy(
@@ -317,10 +315,8 @@
         self._acquire(shard, owner.token)
 
     def _is_own(self, record: OwnerRecord) -> bool:
-        return (record.process, record.incarnation) == (
-            self._record.process,
-            self._record.incarnation,
-        )
+        me = self._record
+        return record.process == me.process and record.incarnation == me.incarnation
 
     def _hand_over_if_due(self) -> None:
         with self._lock:
--- a/src/lentilrill/ownership/_registration.py
+++ b/src/lentilrill/ownership/_registration.py
@@ -9,8 +9,8 @@
 from returns.result import Failure
 
 from lentilrill.faults import FaultKind
-from lentilrill.ids import Incarnation, ProcessId, ZoneId
-from lentilrill.ownership._members import MEMBER_PREFIX, MemberRecord
+from lentilrill.ids import ZoneId
+from lentilrill.ownership._members import MEMBER_PREFIX, MemberRecord, OwnerRecord
 from lentilrill.store import KeyValue, Put
 from lentilrill.telemetry import Dependency, Event, log
 
@@ -29,6 +29,7 @@
 class Registration:
     """Registers this process as a member, and renews its lease.
 
+    :param me: this process, as its owner records show it.
     :param strength: capacity of this host for control work, in reference cores.
     :param pace: current speed of this host as a share of its usual speed.
     :param clock: clock by which the lease expires.
@@ -40,19 +41,15 @@
     def __init__(
         self,
         kv: KeyValue,
-        process: ProcessId,
-        incarnation: Incarnation,
+        me: OwnerRecord,
         zone: ZoneId,
-        inner: str,
         strength: float,
         pace: Callable[[], float],
         clock: Callable[[], float],
     ) -> None:
         self._kv = kv
-        self._process = process
-        self._incarnation = incarnation
+        self._me = me
         self._zone = zone
-        self._inner = inner
         self._strength = strength
         self._pace = pace
         self._clock = clock
@@ -81,7 +78,7 @@
         self._lease_calls.record_success()
         self.valid_until = requested_at + LEASE_TTL_S - LEASE_MARGIN_S
         self.lease = lease
-        log(Event.MEMBER_REGISTERED, lease=lease, process=self._process)
+        log(Event.MEMBER_REGISTERED, lease=lease, process=self._me.process)
 
     def renew(self) -> bool:
         """Renew the lease; return ``False`` if it has expired, so that all bound keys are gone."""
@@ -117,15 +114,15 @@
         """Write the member record with the current strength; return whether it was stored."""
         strength = self.strength
         record = MemberRecord(
-            self._process,
-            self._incarnation,
+            self._me.process,
+            self._me.incarnation,
             self._zone,
-            self._inner,
+            self._me.inner,
             lease,
             strength,
             records_starts=True,
         )
-        put = Put(MEMBER_PREFIX + self._process, msgspec.json.encode(record), lease)
+        put = Put(MEMBER_PREFIX + self._me.process, msgspec.json.encode(record), lease)
         if isinstance(written := self._kv.commit((), (put,)), Failure):
             self._lease_calls.record_failure(written.failure().reason)
             return False
@@ -137,15 +134,15 @@
 
         That process must have ended, since only one process can listen on its address.
         """
-        read = self._kv.read(MEMBER_PREFIX + self._process)
+        read = self._kv.read(MEMBER_PREFIX + self._me.process)
         if isinstance(read, Failure):
             # Its shards become free when the lease expires, a second or two later.
             self._lease_calls.record_failure(read.failure().reason)
             return
         for item in read.unwrap().items:
-            if item.key != MEMBER_PREFIX + self._process or item.value is None:
+            if item.key != MEMBER_PREFIX + self._me.process or item.value is None:
                 continue
             old = msgspec.json.decode(item.value, type=MemberRecord)
-            if old.inner == self._inner and old.incarnation != self._incarnation:
+            if old.inner == self._me.inner and old.incarnation != self._me.incarnation:
                 self._kv.revoke(old.lease)
                 log(Event.PREDECESSOR_ENDED, lease=old.lease, process=old.process)
