Allowances: a record that can't be decoded is written anew, and caps hold meanwhile

What callers saw: no task of the workspace started any more once an owner had used up what it held. Cause: an undecodable record was logged and ignored, so the owner went on comparing a revision that had passed, and each raise failed until somebody rewrote the record (with a log line for each try).

Now such a record counts as one in which every pool of the newest configuration, and of the last readable record, holds everything. These parts are marked as assumed: they count as held for the other pools and allow no start. Each pool replaces its part by what it uses, once it knows all runs; the write compares the record's revision, the owner's key and the configuration, as a raise does. No record without a revision is trusted to be empty, which would break the cap.

Ruled out by the explorer: without the mark a pool with an outdated configuration starts by a higher cap (over the cap after write 0, store 0, set cap, configure 0, read 0, order 0, damage, read 0, write 0, store 0, read 1, order 1, execute 1, execute 0).

Not mended: a record that is deleted by hand still stops raises of its workspace until the owners change; owners of an earlier version take an assumed part for one that they may use.

--- a/src/lentilrill/execution/_allowances.py
+++ b/src/lentilrill/execution/_allowances.py
@@ -44,8 +44,9 @@
 class _Write(msgspec.Struct):
     """One write of a workspace's record, against the revision that is replaced.
 
-    :param configuration: key and revision of the configuration by whose cap it was decided.
-    :param raises: whether the pool holds more afterwards.
+    :param configuration: key and revision of the configuration by which it was decided.
+    :param needs_newest: whether that must still be the newest one: the write raises what the pool
+        holds by a cap, or replaces an unreadable record by one that lists the pools.
     """
 
     workspace: WorkspaceId
@@ -53,7 +54,7 @@
     record: Allowances
     revision: Revision
     configuration: Compare | None
-    raises: bool
+    needs_newest: bool
 
 
 class AllowanceBook:
@@ -94,6 +95,7 @@
         self._used: dict[WorkspaceId, Resources] = {}
         self._workspaces: Workspaces | None = None
         self._cap_by_workspace: dict[WorkspaceId, Resources] = {}
+        self._configured_pools: frozenset[PoolId] = frozenset()
         self._caps_key: Compare | None = None
         self._outdated: set[WorkspaceId] = set()
         self._writing: set[WorkspaceId] = set()
@@ -126,8 +128,8 @@
         with self._lock:
             self.on_changed(read.unwrap().items)
             self._held_at_take_over = {
-                workspace: known.stored.of(self._pool).held
-                for workspace, known in self._known_by_workspace.items()
+                workspace: self._known(workspace).stored.of(self._pool).held
+                for workspace in self._known_by_workspace
             }
             self._loaded = True
         return True
@@ -168,14 +170,26 @@
         if item.value is None:
             return
         workspace = WorkspaceId(item.key.removeprefix(ALLOWANCE_PREFIX))
+        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        if item.revision <= known.revision:
+            return
         try:
             stored = msgspec.msgpack.decode(item.value, type=Allowances)
         except DECODE_ERRORS as error:
-            log(Event.RECORD_ODD, key=item.key, reason=str(error))
+            log(
+                Event.ALLOWANCE_UNREADABLE,
+                pool=self._pool,
+                workspace=workspace,
+                reason=str(error),
+            )
+            self._known_by_workspace[workspace] = known.on_unreadable(item.revision)
             return
-        known = self._known_by_workspace.get(workspace, KnownAllowances())
         self._known_by_workspace[workspace] = known.on_read(stored, item.revision)
 
+    def _known(self, workspace: WorkspaceId) -> KnownAllowances:
+        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        return known.assuming_most({self._pool, *self._configured_pools})
+
     # Decisions
 
     def begin_round(
@@ -204,7 +218,7 @@
         """Return the budget of a workspace; ``None`` while what the others hold isn't known."""
         if not self._loaded or workspace in self._outdated:
             return None
-        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        known = self._known(workspace)
         return Budget(
             known.certain(self._pool),
             self._pool,
@@ -222,7 +236,10 @@
         # The key first: with a configuration that is newer than its key, a raise fails.
         self._caps_key = self._configuration_key()
         configuration = self._configuration()
-        workspaces = configuration.workspaces if configuration is not None else None
+        if configuration is None:
+            return
+        self._configured_pools = frozenset(pool.id for pool in configuration.pools)
+        workspaces = configuration.workspaces
         if workspaces is None or workspaces is self._workspaces:
             return
         caps = {workspace: entry.cap for workspace, entry in workspaces.by_id.items()}
@@ -261,13 +278,13 @@
         """Return the workspaces of which the pool holds something or waits for it."""
         return {
             workspace
-            for workspace, known in self._known_by_workspace.items()
-            if self._pool in known.stored.by_pool
+            for workspace in self._known_by_workspace
+            if self._pool in self._known(workspace).stored.by_pool
         }
 
     def _write_if_due(self, workspace: WorkspaceId, usage: Usage, now: float) -> None:
         self._record_wait(workspace, usage, now)
-        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        known = self._known(workspace)
         if workspace in self._writing:
             return
         if known.unresolved:
@@ -283,7 +300,7 @@
         self._send(workspace, wanted)
 
     def _send(self, workspace: WorkspaceId, allowance: PoolAllowance) -> None:
-        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        known = self._known(workspace)
         current = known.stored.of(self._pool)
         self._writing.add(workspace)
         self._known_by_workspace[workspace] = known.on_sent(allowance)
@@ -293,7 +310,7 @@
             known.stored.replace(self._pool, allowance),
             Revision(known.revision),
             self._caps_key,
-            not allowance.held.fits(current.held),
+            known.is_unreadable or not allowance.held.fits(current.held),
         )
         self._work.put(partial(self._commit, write))
 
@@ -317,7 +334,7 @@
         return PoolUse(self._pool, tuple(uses[:MAX_SHOWN_WORKSPACES]), others, age_s)
 
     def _use_of(self, workspace: WorkspaceId) -> WorkspaceUse:
-        stored = self._known_by_workspace.get(workspace, KnownAllowances()).stored
+        stored = self._known(workspace).stored
         usage = self._usage_by_workspace.get(workspace, Usage(self._used.get(workspace, NOTHING)))
         return WorkspaceUse(
             workspace,
@@ -341,7 +358,7 @@
     def _commit(self, write: _Write) -> None:
         key = ALLOWANCE_PREFIX + write.workspace
         compares = [self._owner, Compare(key, write.revision)]
-        if write.raises:
+        if write.needs_newest:
             if write.configuration is None:
                 self._closed.wait(RETRY_S)
                 self._finish(write, is_unsent=True)
@@ -406,7 +423,7 @@
             if not isinstance(read, Failure):
                 if (item := read.unwrap()) is not None:
                     self._apply(item)
-                known = self._known_by_workspace[workspace]
+                known = self._known(workspace)
                 if known.unresolved:
                     self._send(workspace, known.stored.of(self._pool))
         self._on_changed()
--- a/src/lentilrill/scheduling/_allowances.py
+++ b/src/lentilrill/scheduling/_allowances.py
@@ -10,6 +10,8 @@
 and each pool takes and keeps only what it uses.
 """
 
+from collections.abc import Iterable
+
 import msgspec
 
 from lentilrill.ids import PoolId
@@ -19,6 +21,7 @@
 
 UNLIMITED = 1 << 48
 NOTHING = Resources()
+EVERYTHING = Resources(UNLIMITED, UNLIMITED, UNLIMITED)
 SPARE_PARTS = 32
 """One of so many parts of the cap is taken beyond a pool's need while less than half of the cap is
 held."""
@@ -36,10 +39,13 @@
     """What one pool holds of a workspace's cap.
 
     :param is_waiting: whether the pool has tasks that wait for more.
+    :param is_assumed: whether ``held`` is only the most that the pool may use already, since the
+        record was unreadable. It allows no start: no cap was compared when it was written.
     """
 
     held: Resources = NOTHING
     is_waiting: bool = False
+    is_assumed: bool = False
 
 
 NO_ALLOWANCE = PoolAllowance()
@@ -97,30 +103,34 @@
     :param revision: revision of ``stored``; 0 if there is no record.
     :param unresolved: writes of this owner against ``revision`` that have no answer yet. Each may
         still take effect, until the record has a newer revision.
+    :param is_unreadable: whether the record can't be decoded; ``stored`` is an earlier one.
     """
 
     stored: Allowances = Allowances()
     revision: int = 0
     unresolved: tuple[PoolAllowance, ...] = ()
+    is_unreadable: bool = False
 
     def certain(self, pool: PoolId) -> Allowances:
         """Return the record with the least that the pool holds, whichever writes take effect."""
-        held = self.stored.of(pool).held
+        current = self.stored.of(pool)
+        if not self.unresolved and not current.is_assumed:
+            return self.stored
+        held = NOTHING if current.is_assumed else current.held
         for allowance in self.unresolved:
             held = held.at_most(allowance.held)
-        own = PoolAllowance(held, self.stored.of(pool).is_waiting)
-        return self.stored.replace(pool, own) if self.unresolved else self.stored
+        return self.stored.replace(pool, PoolAllowance(held, current.is_waiting))
 
     def on_sent(self, allowance: PoolAllowance) -> "KnownAllowances":
         """Return the state once a write is sent."""
-        return KnownAllowances(self.stored, self.revision, (*self.unresolved, allowance))
+        return msgspec.structs.replace(self, unresolved=(*self.unresolved, allowance))
 
     def on_not_sent(self, allowance: PoolAllowance) -> "KnownAllowances":
         """Return the state once a write is certain never to take effect."""
         unresolved = list(self.unresolved)
         if allowance in unresolved:
             unresolved.remove(allowance)
-        return KnownAllowances(self.stored, self.revision, tuple(unresolved))
+        return msgspec.structs.replace(self, unresolved=tuple(unresolved))
 
     def on_read(self, stored: Allowances, revision: int) -> "KnownAllowances":
         """Return the state once the record was read, or written by this owner."""
@@ -128,6 +138,26 @@
             return self
         return KnownAllowances(stored, revision)
 
+    def on_unreadable(self, revision: int) -> "KnownAllowances":
+        """Return the state once the record was read and could not be decoded."""
+        if revision <= self.revision:
+            return self
+        return KnownAllowances(self.stored, revision, is_unreadable=True)
+
+    def assuming_most(self, pools: Iterable[PoolId]) -> "KnownAllowances":
+        """Return the state in which an unreadable record stands for the most that it could hold.
+
+        Each pool counts as holding everything until its owner has written what it uses. Nothing
+        starts before, so that the cap holds, whatever the record was.
+
+        :param pools: all pools that may hold something, besides those of the earlier record.
+        """
+        if not self.is_unreadable:
+            return self
+        assumed = PoolAllowance(EVERYTHING, is_assumed=True)
+        by_pool = dict.fromkeys({*pools, *self.stored.by_pool}, assumed)
+        return msgspec.structs.replace(self, stored=Allowances(by_pool))
+
 
 class Budget:
     """What a pool may start for one workspace in one planning round.
@@ -189,6 +219,9 @@
     total = _amounts(cap)
     others = allowances.held_by_others(pool)
     free = total.minus(others)
+    if current.is_assumed:
+        is_unknown = current.held.fits(usage.used)
+        return current if is_unknown else PoolAllowance(usage.used, usage.lacking != NOTHING)
     if usage.lacking != NOTHING:
         return _raised(allowances, pool, total, usage, since_write_s)
     held = current.held.at_least(usage.used)
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -159,6 +159,11 @@
         Level.WARNING,
         "What a pool holds of a workspace's cap could not be stored.",
     )
+    ALLOWANCE_UNREADABLE = (
+        695,
+        Level.WARNING,
+        "The record of a workspace's allowances can't be decoded; its pools write it anew.",
+    )
     JOB_ANSWERED = (670, Level.INFO, "A submitted job was answered.")
     CANCEL_ANSWERED = (671, Level.INFO, "A request to cancel a job was answered.")
     JOB_NOT_READ = (
--- a/tests/execution/test_caps.py
+++ b/tests/execution/test_caps.py
@@ -14,7 +14,7 @@
 from lentilrill.scheduling import Allowances, PoolAllowance
 from lentilrill.store import Compare
 from lentilrill.telemetry import NoMetrics
-from lentilrill.workloads import Configuration, Job, Resources, Workspace, Workspaces
+from lentilrill.workloads import Configuration, Job, PoolEntry, Resources, Workspace, Workspaces
 from tests.builders import a_configuration, a_job, a_step, an_endpoint
 from tests.execution.fakes import OwnedPool, eventually, state_of
 from tests.fakes import FakeKeyValue, lose_answer
@@ -27,7 +27,8 @@
 
 def with_cap(cpu: int, version: int = 1) -> Configuration:
     by_id = {SCHOOLS: Workspace(SCHOOLS, cap=Resources(cpu))}
-    return replace(a_configuration(version), workspaces=Workspaces(by_id, {}))
+    pools = tuple(PoolEntry(PoolId(name)) for name in POOLS)
+    return replace(a_configuration(version), pools=pools, workspaces=Workspaces(by_id, {}))
 
 
 class CapsTest(TestCase):
@@ -75,9 +76,13 @@
         self.assertTrue(eventually(check))
 
     def allowance(self, pool: str) -> PoolAllowance:
-        """Return what a pool holds of the workspace's cap, as stored."""
+        """Return what a pool holds of the workspace's cap, as stored; nothing if unreadable."""
         value = self.kv.items_by_key[RECORD].value
-        return msgspec.msgpack.decode(value or b"", type=Allowances).of(PoolId(pool))
+        try:
+            stored = msgspec.msgpack.decode(value or b"", type=Allowances)
+        except msgspec.DecodeError:
+            stored = Allowances()
+        return stored.of(PoolId(pool))
 
     def test_a_cap_holds_over_two_pools(self) -> None:
         """Guards against a workspace that uses its whole cap in each of its pools."""
@@ -151,6 +156,38 @@
         self.add(owner, "a", 4)
         self.reaches(lambda: self.running("notices") == 4)
 
+    def test_an_unreadable_record_stops_no_starts_for_good(self) -> None:
+        """Guards against a workspace none of whose tasks start since its record is unreadable."""
+        owners = {name: self.pools[name].take_over() for name in POOLS}
+        self.add(owners["notices"], "a", 2)
+        self.reaches(lambda: self.running("notices") == 2)
+        self.kv.put(RECORD, b"?")
+        self.add(owners["library"], "b", 6)
+        self.reaches(lambda: self.running("library") == 2)
+        self.pools["notices"].finish_all()
+        self.reaches(lambda: self.running("library") == 4)
+
+    def test_a_new_owner_counts_unknown_runs_if_the_record_is_unreadable(self) -> None:
+        """Guards against starts above the cap when neither the record nor an owner tells what a
+        pool uses."""
+        notices = self.pools["notices"]
+        self.add(notices.take_over(), "a", 4)
+        self.reaches(lambda: self.running("notices") == 4)
+        for endpoint in notices.endpoints.values():
+            endpoint.silent = True
+        notices.close()
+        self.kv.put(RECORD, b"?")
+        notices.take_over()
+        library = self.pools["library"].take_over()
+        self.add(library, "b", 2)
+        self.reaches(lambda: self.allowance("library").is_waiting)
+        self.assertEqual(0, self.running("library"))
+        self.assertFalse(self.allowance("notices").held.fits(Resources(4000, 4000)))
+        for endpoint in notices.endpoints.values():
+            endpoint.silent = False
+        notices.finish_all()
+        self.reaches(lambda: self.running("library") == 2)
+
     def test_jobs_without_a_workspace_have_no_cap(self) -> None:
         owner = self.pools["notices"].take_over()
         job = a_job("a", a_step(8))
--- a/tests/scheduling/allowance_model.py
+++ b/tests/scheduling/allowance_model.py
@@ -48,6 +48,7 @@
     )
     compares_configuration: bool = True
     rereads: bool = True
+    assumes_most: bool = True
 
 
 class Write(msgspec.Struct, frozen=True):
@@ -55,6 +56,7 @@
 
     :param pool: index of the pool; ``token`` is its owner's fencing token.
     :param version: version of the configuration that the write compares; -1 for none.
+    :param record: the record that it stores, with the allowance of its pool.
     """
 
     pool: int
@@ -62,6 +64,7 @@
     revision: int
     version: int
     allowance: PoolAllowance
+    record: Allowances
 
 
 class Owner(msgspec.Struct, frozen=True):
@@ -91,6 +94,8 @@
     :param caps: cap of each version of the configuration; ``version`` is the newest one.
     :param losses_left: owners that may still be lost.
     :param lost_answers_left: answers of the store that may still be lost.
+    :param damages_left: times that the record may still become unreadable.
+    :param is_unreadable: whether the record can't be decoded; ``stored`` is the last one before.
     :param runs: tasks that endpoints run, by pool; ``orders`` those ordered and not executed, with
         the version of the configuration by which they were ordered.
     """
@@ -106,6 +111,8 @@
     over_cap: bool = False
     losses_left: int = 1
     lost_answers_left: int = 1
+    damages_left: int = 0
+    is_unreadable: bool = False
 
 
 def pool_id(index: int) -> PoolId:
@@ -114,7 +121,12 @@
 
 
 def initial_state(
-    caps: tuple[int, ...], waiting: tuple[int, ...], *, losses: int = 0, lost_answers: int = 0
+    caps: tuple[int, ...],
+    waiting: tuple[int, ...],
+    *,
+    losses: int = 0,
+    lost_answers: int = 0,
+    damages: int = 0,
 ) -> State:
     """Return a state without allowances in which ``waiting`` tasks of each pool wait."""
     owners = tuple(Owner(waiting=count) for count in waiting)
@@ -125,6 +137,7 @@
         orders=((),) * len(waiting),
         losses_left=losses,
         lost_answers_left=lost_answers,
+        damages_left=damages,
     )
 
 
@@ -132,7 +145,8 @@
     """Return the state with revisions and tokens numbered anew, so that equal states are equal.
 
     Only the order of revisions matters, and of tokens whether they are the current one. A write
-    of a previous owner can't succeed and has no effect.
+    of a previous owner can't succeed and has no effect, and the record of a write against an
+    earlier revision is never stored.
     """
     revisions = {0, state.revision}
     for owner in state.owners:
@@ -144,14 +158,20 @@
         replace(
             owner,
             token=1,
-            known=KnownAllowances(
-                owner.known.stored, rank[owner.known.revision], owner.known.unresolved
-            ),
+            known=replace(owner.known, revision=rank[owner.known.revision]),
         )
         for owner in state.owners
     )
     renumbered = sorted(
-        (replace(w, token=1, revision=rank[w.revision]) for w in writes),
+        (
+            replace(
+                w,
+                token=1,
+                revision=rank[w.revision],
+                record=w.record if w.revision == state.revision else Allowances(),
+            )
+            for w in writes
+        ),
         key=msgspec.msgpack.encode,
     )
     return replace(state, owners=owners, revision=rank[state.revision], writes=tuple(renumbered))
@@ -166,7 +186,7 @@
 
     From here on no owner or answer is lost, no cap changes, and no task ends.
     """
-    state = replace(state, losses_left=0, lost_answers_left=0)
+    state = replace(state, losses_left=0, lost_answers_left=0, damages_left=0)
     for _ in range(MAX_FAIR_STEPS):
         chosen = None
         for name, following in steps(state, decisions):
@@ -196,6 +216,7 @@
 ) -> Iterator[tuple[str, State]]:
     cap = Resources(state.caps[owner.version])
     used = Resources(decisions.usage(owner))
+    owner = replace(owner, known=_assumed(state, owner.known, decisions))
     if not owner.is_outdated:
         budget = Budget(owner.known.certain(pool_id(index)), pool_id(index), cap, used)
         may_start = owner.is_complete and owner.waiting > 0
@@ -210,7 +231,7 @@
         lost = replace(state, lost_answers_left=state.lost_answers_left - 1)
         yield f"no answer {index}", _with(lost, index, replace(owner, is_waiting_for_answer=False))
     if state.revision > owner.known.revision or owner.is_outdated:
-        known = owner.known.on_read(state.stored, state.revision)
+        known = _read(state, owner.known)
         read = replace(owner, known=known, is_outdated=False)
         yield f"read {index}", _with(state, index, read)
     if owner.version < state.version:
@@ -230,7 +251,7 @@
         orders = _replace(state.orders, index, ())
         yield f"poll all {index}", _with(replace(state, orders=orders), index, found)
     if state.losses_left:
-        yield f"lose {index}", _lose(state, index, owner)
+        yield f"lose {index}", _lose(state, index, owner, decisions)
 
 
 def _write_steps(
@@ -245,17 +266,31 @@
         wanted = decisions.next_allowance(owner.known.stored, pool, cap, usage, LONG_S)
         if wanted == current:
             return
-    raises = not wanted.held.fits(current.held) and decisions.compares_configuration
-    write = Write(index, owner.token, owner.known.revision, owner.version if raises else -1, wanted)
-    if write in state.writes:
+    needs_newest = owner.known.is_unreadable or not wanted.held.fits(current.held)
+    version = owner.version if needs_newest and decisions.compares_configuration else -1
+    record = owner.known.stored.replace(pool, wanted)
+    write = Write(index, owner.token, owner.known.revision, version, wanted, record)
+    if any(replace(sent, record=record) == write for sent in state.writes):
         return
     sent = replace(owner, known=owner.known.on_sent(wanted), is_waiting_for_answer=True)
     yield f"write {index}", _with(replace(state, writes=(*state.writes, write)), index, sent)
 
 
-def _lose(state: State, index: int, owner: Owner) -> State:
+def _read(state: State, known: KnownAllowances) -> KnownAllowances:
+    if state.is_unreadable:
+        return known.on_unreadable(state.revision)
+    return known.on_read(state.stored, state.revision)
+
+
+def _assumed(state: State, known: KnownAllowances, decisions: Decisions) -> KnownAllowances:
+    if not decisions.assumes_most:
+        return known
+    return known.assuming_most(pool_id(index) for index in range(len(state.owners)))
+
+
+def _lose(state: State, index: int, owner: Owner, decisions: Decisions) -> State:
     """Replace an owner by the next one, which has read the record and not polled yet."""
-    known = KnownAllowances().on_read(state.stored, state.revision)
+    known = _assumed(state, _read(state, KnownAllowances()), decisions)
     follower = Owner(
         token=owner.token + 1,
         known=known,
@@ -296,6 +331,9 @@
 def _store_steps(state: State) -> Iterator[tuple[str, State]]:
     if state.version + 1 < len(state.caps):
         yield "set cap", replace(state, version=state.version + 1)
+    if state.damages_left and state.revision:
+        damaged = replace(state, is_unreadable=True, damages_left=state.damages_left - 1)
+        yield "damage", replace(damaged, revision=state.revision + 1)
     for position, write in enumerate(state.writes):
         remaining = state.writes[:position] + state.writes[position + 1 :]
         owner = state.owners[write.pool]
@@ -307,12 +345,17 @@
         if not succeeds:
             yield f"refuse {write.pool}", _refuse(replace(state, writes=remaining), write)
             continue
-        stored = state.stored.replace(pool_id(write.pool), write.allowance)
-        executed = replace(state, stored=stored, revision=state.revision + 1, writes=remaining)
+        executed = replace(
+            state,
+            stored=write.record,
+            is_unreadable=False,
+            revision=state.revision + 1,
+            writes=remaining,
+        )
         if not owner.is_waiting_for_answer:
             yield f"execute late {write.pool}", executed
             continue
-        known = owner.known.on_read(stored, executed.revision)
+        known = owner.known.on_read(write.record, executed.revision)
         answered = replace(owner, known=known, is_waiting_for_answer=False)
         yield f"store {write.pool}", _with(executed, write.pool, answered)
 
@@ -323,7 +366,7 @@
         return state
     known = owner.known.on_not_sent(write.allowance)
     if known.revision == write.revision:
-        known = known.on_read(state.stored, state.revision)
+        known = _read(state, known)
     return _with(state, write.pool, replace(owner, known=known, is_waiting_for_answer=False))
 
 
--- a/tests/scheduling/test_allowances.py
+++ b/tests/scheduling/test_allowances.py
@@ -158,6 +158,15 @@
         lost = initial_state((2, 1), (1, 1), lost_answers=1)
         self.assertEqual("", self.explore(lost, Decisions(), follows=False))
 
+    def test_an_unreadable_record_breaks_no_cap_and_lets_none_wait_for_good(self) -> None:
+        """Guards against starts above a cap, or none, after a record that can't be decoded."""
+        state = initial_state((2,), (1, 1), damages=1)
+        self.assertEqual("", self.explore(state, Decisions(), follows=True))
+        lost = initial_state((1,), (1, 1), losses=1, damages=1)
+        self.assertEqual("", self.explore(lost, Decisions(), follows=True))
+        lowered = initial_state((2, 1), (1, 1), damages=1)
+        self.assertEqual("", self.explore(lowered, Decisions(), follows=False))
+
     def test_broken_copies_are_found(self) -> None:
         """Guards against a model that would not notice a broken decision."""
 
@@ -175,12 +184,14 @@
 
         one, two = initial_state((1,), (1, 1)), initial_state((2, 1), (1, 1))
         lost = initial_state((1,), (1, 1), losses=1)
+        damaged = initial_state((1,), (1, 1), losses=1, damages=1)
         for state, broken, expected in (
             (one, Decisions(usage=counts_no_stopping), "over"),
             (lost, Decisions(usage=counts_no_previous_owner), "over"),
             (two, Decisions(compares_configuration=False), "over"),
             (two, Decisions(rereads=False), "over"),
             (one, Decisions(next_allowance=never_returns), "stuck"),
+            (damaged, Decisions(assumes_most=False), "over"),
         ):
             self.assertTrue(self.explore(state, broken, follows=True).startswith(expected), broken)
 
@@ -192,7 +203,7 @@
     )
     def test_random_walks_of_larger_sizes(self, caps, waiting, random) -> None:
         """Guards against breaks of a cap that need more pools, tasks or changes."""
-        state = initial_state(tuple(caps), tuple(waiting), losses=4, lost_answers=4)
+        state = initial_state(tuple(caps), tuple(waiting), losses=4, lost_answers=4, damages=2)
         for _ in range(WALK_STEPS):
             following: Iterator[tuple[str, State]] = steps(state, Decisions())
             choices = list(following)
