Metrics of workspaces: cores used and lacking, of the largest and of the rest

Cause: operators saw use and lack only on a page and by a command, not over time. Gauges with the label workspace are computed at each scrape from what the pools of the host report, so that none stays behind when a workspace or a pool leaves: the 20 workspaces with the highest demand and (rest), 42 time series a host at most.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -8,6 +8,7 @@
 
 from lentilrill.entry._caches import ConfigurationCache, EndpointDirectory
 from lentilrill.entry._status_exchange import StatusExchange
+from lentilrill.entry._workspace_metrics import set_workspace_gauges
 from lentilrill.execution import EndpointCalls, PoolOwner
 from lentilrill.ids import Incarnation, PoolId, Revision
 from lentilrill.inner import (
@@ -41,7 +42,7 @@
 from lentilrill.store import Follower
 from lentilrill.telemetry import ScrapedMetrics
 from lentilrill.upkeep import FLEET, EndpointDrainer, FleetOwner, HostOrders, Mover, Waves
-from lentilrill.workloads import EndpointEntry, PoolEntry
+from lentilrill.workloads import EndpointEntry, PoolEntry, PoolUse
 
 __all__ = ["EntryProcess"]
 
@@ -68,6 +69,7 @@
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
         self.metrics = ScrapedMetrics()
+        self.metrics.add_source(lambda gauges: set_workspace_gauges(gauges, self._workspace_use()))
         self._kv = PlatformKeyValue(settings.store, self.metrics)
         self._incarnation = Incarnation(time.time_ns())
         self._node = Node(settings.process, self._incarnation, settings.inner, None, self.metrics)
@@ -204,9 +206,12 @@
         """Return the metrics, or what the workspaces use in the pools of this host."""
         if path != WORKSPACES_PATH:
             return 200, self.metrics.render()
+        return 200, msgspec.json.encode(self._workspace_use())
+
+    def _workspace_use(self) -> list[PoolUse]:
         with self._lock:
             owners = list(self._owners_by_pool.values())
-        return 200, msgspec.json.encode([owner.workspace_use() for owner in owners])
+        return [owner.workspace_use() for owner in owners]
 
     def _shards(self) -> set[Shard]:
         configuration = self._configuration.current
--- a/src/lentilrill/telemetry/__init__.py
+++ b/src/lentilrill/telemetry/__init__.py
@@ -4,7 +4,7 @@
 from lentilrill.telemetry._events import Event, Level, log
 from lentilrill.telemetry._lines import set_level, setup
 from lentilrill.telemetry._metrics import Metrics, NoMetrics, connect
-from lentilrill.telemetry._prometheus import ScrapedMetrics
+from lentilrill.telemetry._prometheus import ScrapedMetrics, ScrapeGauges
 from lentilrill.telemetry._run import run_and_log_errors
 
 __all__ = [
@@ -13,6 +13,7 @@
     "Level",
     "Metrics",
     "NoMetrics",
+    "ScrapeGauges",
     "ScrapedMetrics",
     "connect",
     "log",
