Demo: a workspace at its cap on the users' platform, as lentilrillctl shows it

Cause: the demonstration said nothing of workspaces. Its last part starts an entry host on the stand-in of the users' platform, submits a job of six tasks of a core each for a workspace with a cap of two cores, and prints the table of `lentilrillctl workspaces` while it is at its cap; it fails if a start exceeds the cap, by what the endpoints saw, or the job doesn't complete.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -6,10 +6,12 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import closing
 from typing import Any
 
 import urllib3
 
+from standins.demo_caps import CapDemo
 from standins.site import Site
 from standins.sites import BRAILLE_SERVICES, braille_site, lists, token
 
@@ -42,6 +44,7 @@
         self.stop_host_under_long_job()
         self.edit_lists()
         self.end_cleanly()
+        self.reach_a_cap()
 
     def apply_lists(self) -> None:
         """Write and apply the lists of plans and entitlements."""
@@ -175,6 +178,20 @@
             self.check(code == 0, f"{name} ended with {code}")
         print_line("all processes drained and ended")
 
+    def reach_a_cap(self) -> None:
+        """Submit a job that is larger than its workspace's cap, on the users' platform."""
+        with closing(CapDemo(self.site.folder)) as demo:
+            demo.start()
+            self.check(demo.submit() == 200, "the job of a workspace with a cap was not accepted")
+            print_line("a workspace at its cap, as lentilrillctl shows it:")
+            for line in demo.lines_at_cap():
+                print_line(f"  {line}")
+            excess = demo.finish()
+            self.check(not excess, f"starts above the cap: {excess}")
+            print_line(f"its job is completed; {len(excess)} starts above the cap")
+            code = demo.stop()
+            self.check(code == 0, f"the entry host ended with {code}")
+
     # Helpers
 
     def post(
