--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -48,6 +48,7 @@
     :ivar silent: no call is answered or executed.
     :ivar loses_acknowledgements: acknowledgements are lost.
     :ivar starts: all executed starts, in order.
+    :ivar ends: all ends of runs, in order.
     :ivar renewals: tokens of the polls that renewed the run lease, in order.
     :ivar answered_polls: whether each answered poll renewed the lease, and its wait in
         milliseconds.
@@ -61,6 +62,7 @@
         self.ended: list[RunEnd] = []
         self.starts: list[tuple[TaskId, int]] = []
         self.stops: list[tuple[TaskId, int]] = []
+        self.ends: list[tuple[TaskId, EndKind]] = []
         self.acknowledged = 0
         self.polls = 0
         self.renewals: list[int] = []
@@ -122,6 +124,7 @@
         """End a run."""
         with self._changed:
             if self.running.pop((task, number), None) is not None:
+                self.ends.append((task, kind))
                 self._cursor += 1
                 self.ended.append(RunEnd(self._cursor, task, number, kind, ""))
                 self._changed.notify_all()
