Jobs: amounts below 0 and beyond any size are refused as malformed

What a caller saw: a job with a number beyond 64 bits raised while it was encoded for the store, so it got an error of the server instead of a 400; one with negative resources was accepted, and each of its tasks would have added to an endpoint's free capacity. All amounts and times of a job are 0 to 10^13 now. test_malformed_jobs_are_refused has three new cases; before, the first of them was accepted.

--- a/src/lentilrill/platform/_job_wire.py
+++ b/src/lentilrill/platform/_job_wire.py
@@ -1,5 +1,7 @@
 """Decoding of the jobs that callers send, and encoding of the answers."""
 
+from typing import Annotated
+
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -13,6 +15,9 @@
 MAX_TASKS = 20_000
 MAX_STEPS = 500
 """Limits of one job: a small request must not be able to exhaust the memory of an entry host."""
+MAX_AMOUNT = 10**13
+"""Larger than any time in milliseconds and any resource; sums over a job's tasks fit 64 bits."""
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 
 
 class _State(msgspec.Struct, omit_defaults=True):
@@ -21,11 +26,11 @@
 
 
 class _Step(msgspec.Struct):
-    count: int = 0
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
+    count: _Amount = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+    estimate_ms: _Amount = 0
     after: list[int] = []
     checkpointing: bool = False
     gang: bool = False
@@ -35,22 +40,22 @@
     # Rack of the step's data.
     affinity: str = ""
     # Maximum number of tasks of the step on one endpoint.
-    anti_affinity: int = 0
+    anti_affinity: _Amount = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: int = 0
+    target_ms: _Amount = 0
     fills: bool = False
     # Maximum number of tasks that the system itself may interrupt at once.
-    may_miss: int = 0
+    may_miss: _Amount = 0
 
 
 class _Job(msgspec.Struct):
     spec: str
     steps: list[_Step]
-    repeat_count: int = 0
-    first_run_ms: int = 0
-    interval_ms: int = 0
+    repeat_count: _Amount = 0
+    first_run_ms: _Amount = 0
+    interval_ms: _Amount = 0
 
 
 def decode_job(
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -120,5 +120,8 @@
             {"spec": "x", "steps": [{"count": 1, "after": [0]}]},
             {"spec": "x", "steps": [{"count": 10**9}]},
             {"spec": "x", "steps": steps, "repeat_count": 10**6},
+            {"spec": "x", "steps": [{"count": 1, "cpu": -1}]},
+            {"spec": "x", "steps": [{"count": 1, "mem_mb": 2**64}]},
+            {"spec": "x", "steps": steps, "interval_ms": -(2**64)},
         ):
             self.assertIsInstance(self.decode(body), Failure, body)
