Bench: calls of the key-value service as hosts join

The simulated controllers get their state from a mirror, so an idle fleet and an edited plan cost no call; nothing that costs one was played.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -104,8 +104,20 @@
 
 
 def show_calls() -> None:
-    """Show the total calls of all controllers, when idle and while the document changes."""
-    for zones, racks, edits in ((3, 3, 0), (11, 3, 0), (3, 30, 0), (3, 3, 60)):
+    """Show the total calls of all controllers: idle, while the document changes, as hosts join.
+
+    Reads and watches of the key-value service belong to other parts of a controller, so only hosts
+    that join, and are assigned to a pool, cost calls here: at most one commit each.
+    """
+    cases = (
+        (3, 3, 0, 0),
+        (11, 3, 0, 0),
+        (3, 30, 0, 0),
+        (3, 3, 60, 0),
+        (3, 3, 0, 60),
+        (11, 3, 0, 60),
+    )
+    for zones, racks, edits, joins in cases:
         names = tuple(f"z{n:02d}" for n in range(zones))
         world = World(Document((a_plan(),), (a_pool(spare=True),)), names)
         for n in range(zones * racks * 4):
@@ -115,15 +127,19 @@
                 world.controller(f"{zone}-{n}", zone)
         world.run(20)
         lists = sum(c.hosts.calls for c in world.controllers)
-        commits = world.kv.calls.total()
+        calls = world.kv.calls.total()
         for n in range(60):
             if n < edits:
                 world.change(plans=(a_plan(token_sha256=f"{n:064x}"),))
+            if n < joins:
+                world.host(f"joined{n}", zone=names[n % zones], rack=f"r{n}")
             world.run()
         lists = sum(c.hosts.calls for c in world.controllers) - lists
-        context = {"zones": zones, "hosts": zones * racks * 4, "edits_a_minute": edits}
+        calls = world.kv.calls.total() - calls
+        context = {"zones": zones, "hosts": zones * racks * 4}
+        context |= {"edits_a_minute": edits, "joins_a_minute": joins}
         show("list_reads", lists / 60, "1/s", **context)
-        show("key_value_calls", (world.kv.calls.total() - commits) / 60, "1/s", **context)
+        show("key_value_calls", calls / 60, "1/s", **context)
 
 
 def show_one_stop(site: Site) -> None:
