--- a/src/lentilrill/execution/_allowances.py
+++ b/src/lentilrill/execution/_allowances.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure
 
+from lentilrill.execution._budgets import RoundBudgets, limited_to_free, usage_by_workspace
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import TrackedJob
 from lentilrill.faults import FaultKind
@@ -23,17 +24,9 @@
 )
 from lentilrill.store import DECODE_ERRORS, Compare, Follower, Item, KeyValue, Put
 from lentilrill.telemetry import Event, Metrics, log, run_and_log_errors
-from lentilrill.workloads import (
-    Configuration,
-    Job,
-    PoolUse,
-    Resources,
-    TaskId,
-    Workspaces,
-    WorkspaceUse,
-)
+from lentilrill.workloads import Configuration, PoolUse, Resources, Workspaces, WorkspaceUse
 
-__all__ = ["AllowanceBook", "RoundBudgets"]
+__all__ = ["AllowanceBook"]
 
 ALLOWANCE_PREFIX = "a/"
 WATCH_PAUSE_S = 0.3
@@ -48,37 +41,12 @@
 NOTHING = Resources()
 
 
-class RoundBudgets:
-    """Budgets of the workspaces during one planning round.
-
-    :param budget_of: returns a workspace's budget, or ``None`` if nothing may start now; ``None``
-        if there are no limits.
-    :ivar refused_jobs: jobs with tasks that could start if the pool held more.
-    """
-
-    def __init__(self, budget_of: Callable[[WorkspaceId], Budget | None] | None) -> None:
-        self._budget_of = budget_of
-        self.by_workspace: dict[WorkspaceId, Budget | None] = {}
-        self.refused_jobs: set[JobId] = set()
-
-    def take(self, job: Job, needs: Resources, *, count: int = 1, is_gang: bool = False) -> bool:
-        """Take what a task needs, if its workspace may start it; see :meth:`Budget.take`."""
-        if not job.workspace or self._budget_of is None:
-            return True
-        if job.workspace not in self.by_workspace:
-            self.by_workspace[job.workspace] = self._budget_of(job.workspace)
-        budget = self.by_workspace[job.workspace]
-        if budget is not None and budget.take(needs, count=count, is_gang=is_gang):
-            return True
-        self.refused_jobs.add(job.id)
-        return False
-
-
 class _Write(msgspec.Struct):
     """One write of a workspace's record, against the revision that is replaced.
 
-    :param configuration: key and revision of the configuration by whose cap it was decided.
-    :param raises: whether the pool holds more afterwards.
+    :param configuration: key and revision of the configuration by which it was decided.
+    :param needs_newest: whether that must still be the newest one: the write raises what the pool
+        holds by a cap, or replaces an unreadable record by one that lists the pools.
     """
 
     workspace: WorkspaceId
@@ -86,7 +54,7 @@
     record: Allowances
     revision: Revision
     configuration: Compare | None
-    raises: bool
+    needs_newest: bool
 
 
 class AllowanceBook:
@@ -127,6 +95,7 @@
         self._used: dict[WorkspaceId, Resources] = {}
         self._workspaces: Workspaces | None = None
         self._cap_by_workspace: dict[WorkspaceId, Resources] = {}
+        self._configured_pools: frozenset[PoolId] = frozenset()
         self._caps_key: Compare | None = None
         self._outdated: set[WorkspaceId] = set()
         self._writing: set[WorkspaceId] = set()
@@ -159,8 +128,8 @@
         with self._lock:
             self.on_changed(read.unwrap().items)
             self._held_at_take_over = {
-                workspace: known.stored.of(self._pool).held
-                for workspace, known in self._known_by_workspace.items()
+                workspace: self._known(workspace).stored.of(self._pool).held
+                for workspace in self._known_by_workspace
             }
             self._loaded = True
         return True
@@ -201,14 +170,26 @@
         if item.value is None:
             return
         workspace = WorkspaceId(item.key.removeprefix(ALLOWANCE_PREFIX))
+        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        if item.revision <= known.revision:
+            return
         try:
             stored = msgspec.msgpack.decode(item.value, type=Allowances)
         except DECODE_ERRORS as error:
-            log(Event.RECORD_ODD, key=item.key, reason=str(error))
+            log(
+                Event.ALLOWANCE_UNREADABLE,
+                pool=self._pool,
+                workspace=workspace,
+                reason=str(error),
+            )
+            self._known_by_workspace[workspace] = known.on_unreadable(item.revision)
             return
-        known = self._known_by_workspace.get(workspace, KnownAllowances())
         self._known_by_workspace[workspace] = known.on_read(stored, item.revision)
 
+    def _known(self, workspace: WorkspaceId) -> KnownAllowances:
+        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        return known.assuming_most({self._pool, *self._configured_pools})
+
     # Decisions
 
     def begin_round(
@@ -237,7 +218,7 @@
         """Return the budget of a workspace; ``None`` while what the others hold isn't known."""
         if not self._loaded or workspace in self._outdated:
             return None
-        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        known = self._known(workspace)
         return Budget(
             known.certain(self._pool),
             self._pool,
@@ -255,7 +236,10 @@
         # The key first: with a configuration that is newer than its key, a raise fails.
         self._caps_key = self._configuration_key()
         configuration = self._configuration()
-        workspaces = configuration.workspaces if configuration is not None else None
+        if configuration is None:
+            return
+        self._configured_pools = frozenset(pool.id for pool in configuration.pools)
+        workspaces = configuration.workspaces
         if workspaces is None or workspaces is self._workspaces:
             return
         caps = {workspace: entry.cap for workspace, entry in workspaces.by_id.items()}
@@ -288,19 +272,19 @@
         for workspace in workspaces:
             budget = budgets.by_workspace.get(workspace) or self._budget_of(workspace)
             if budget is not None:
-                self._write_if_due(workspace, _limited(budget.usage, free), now)
+                self._write_if_due(workspace, limited_to_free(budget.usage, free), now)
 
     def _holding(self) -> set[WorkspaceId]:
         """Return the workspaces of which the pool holds something or waits for it."""
         return {
             workspace
-            for workspace, known in self._known_by_workspace.items()
-            if self._pool in known.stored.by_pool
+            for workspace in self._known_by_workspace
+            if self._pool in self._known(workspace).stored.by_pool
         }
 
     def _write_if_due(self, workspace: WorkspaceId, usage: Usage, now: float) -> None:
         self._record_wait(workspace, usage, now)
-        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        known = self._known(workspace)
         if workspace in self._writing:
             return
         if known.unresolved:
@@ -316,7 +300,7 @@
         self._send(workspace, wanted)
 
     def _send(self, workspace: WorkspaceId, allowance: PoolAllowance) -> None:
-        known = self._known_by_workspace.get(workspace, KnownAllowances())
+        known = self._known(workspace)
         current = known.stored.of(self._pool)
         self._writing.add(workspace)
         self._known_by_workspace[workspace] = known.on_sent(allowance)
@@ -326,7 +310,7 @@
             known.stored.replace(self._pool, allowance),
             Revision(known.revision),
             self._caps_key,
-            not allowance.held.fits(current.held),
+            known.is_unreadable or not allowance.held.fits(current.held),
         )
         self._queue(partial(self._commit, write), partial(self._finish, write))
 
@@ -350,7 +334,7 @@
         return PoolUse(self._pool, tuple(uses[:MAX_SHOWN_WORKSPACES]), others, age_s)
 
     def _use_of(self, workspace: WorkspaceId) -> WorkspaceUse:
-        stored = self._known_by_workspace.get(workspace, KnownAllowances()).stored
+        stored = self._known(workspace).stored
         usage = self._usage_by_workspace.get(workspace, Usage(self._used.get(workspace, NOTHING)))
         return WorkspaceUse(
             workspace,
@@ -389,7 +373,7 @@
     def _commit(self, write: _Write) -> None:
         key = ALLOWANCE_PREFIX + write.workspace
         compares = [self._owner, Compare(key, write.revision)]
-        if write.raises:
+        if write.needs_newest:
             if write.configuration is None:
                 self._closed.wait(RETRY_S)
                 self._finish(write, is_unsent=True)
@@ -454,7 +438,7 @@
             if not isinstance(read, Failure):
                 if (item := read.unwrap()) is not None:
                     self._apply(item)
-                known = self._known_by_workspace[workspace]
+                known = self._known(workspace)
                 if known.unresolved:
                     self._send(workspace, known.stored.of(self._pool))
         self._on_changed()
@@ -477,39 +461,6 @@
         self._on_changed()
 
 
-def usage_by_workspace(
-    links: Iterable[EndpointLink], jobs_by_id: dict[JobId, TrackedJob]
-) -> dict[WorkspaceId, Resources]:
-    """Return what the runs of each workspace use that are or may be in progress.
-
-    Runs that are being stopped count, and so do runs that this owner did not place.
-    """
-    used: dict[WorkspaceId, Resources] = {}
-    for link in links:
-        for run in link.runs_by_key.values():
-            workspace = run.task.step.tracked_job.job.workspace
-            if workspace:
-                used[workspace] = used.get(workspace, NOTHING).plus(run.task.step.spec.needs)
-        for task, _ in link.unknown_since_by_key:
-            tracked_job = jobs_by_id.get(task.job)
-            if tracked_job is not None and tracked_job.job.workspace:
-                workspace = tracked_job.job.workspace
-                needs = _needs_of(tracked_job, task)
-                used[workspace] = used.get(workspace, NOTHING).plus(needs)
-    return used
-
-
-def _needs_of(tracked_job: TrackedJob, task: TaskId) -> Resources:
-    steps = tracked_job.job.steps
-    return steps[task.step].needs if 0 <= task.step < len(steps) else NOTHING
-
-
-def _limited(usage: Usage, free: Resources) -> Usage:
-    """Return a usage that lacks no more than the first tasks, or what the pool has free."""
-    lacking = usage.lacking.at_most(free.at_least(usage.first))
-    return msgspec.structs.replace(usage, lacking=lacking)
-
-
 def _is_lowered(before: Resources, cap: Resources) -> bool:
     """Whether a cap is lower than before in any amount; 0 is no limit."""
     pairs = zip(msgspec.structs.astuple(before), msgspec.structs.astuple(cap), strict=True)
