--- /dev/null
+++ b/standins/_run_judges.py
@@ -0,0 +1,50 @@
+"""Judgement of tasks that were done twice, or ran twice at once."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from itertools import pairwise
+
+from standins._platform_records import Listing, RunRecord
+
+__all__ = ["find_doubled"]
+
+
+def find_doubled(runs: Iterable[RunRecord], listings: Iterable[Listing]) -> list[str]:
+    """Return a line for each task that was done twice, or ran twice at the same time.
+
+    An end that nobody has noted is forgotten when its endpoint crashes or leaves its pool.
+    """
+    downs = [listing for listing in listings if listing.capacity is None]
+    runs_by_task: dict[str, list[RunRecord]] = defaultdict(list)
+    for run in runs:
+        runs_by_task[run.task].append(run)
+    found = []
+    for task, task_runs in runs_by_task.items():
+        if _is_done_twice(task_runs, downs):
+            found.append(f"{task} done twice")
+        if _overlap(task_runs):
+            found.append(f"{task} ran twice at once")
+    return found
+
+
+def _is_done_twice(runs: list[RunRecord], downs: list[Listing]) -> bool:
+    """Return whether a task was done more than once, or started after a noted end."""
+    ends = [
+        run
+        for run in runs
+        if run.end_kind == "done" and (run.noted or not _is_forgotten(run, downs))
+    ]
+    noted = [end for end in ends if end.noted]
+    return len(ends) > 1 or any(run.began > end.ended for end in noted for run in runs)
+
+
+def _is_forgotten(run: RunRecord, downs: Iterable[Listing]) -> bool:
+    """Return whether the endpoint of a run went down after its end."""
+    return any(down.endpoint == run.endpoint and down.at >= run.ended for down in downs)
+
+
+def _overlap(runs: list[RunRecord]) -> bool:
+    in_order = sorted(runs, key=lambda run: run.began)
+    return any(
+        not former.ended or former.ended > later.began for former, later in pairwise(in_order)
+    )
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from standins import _crash_judges, _room_judges
+from standins import _crash_judges, _room_judges, _run_judges
 from standins._caps import CapChange, JobUse, find_excess
 from standins._http import Call, Server
 from standins._platform_records import Amounts, Crash, Listing, RunRecord, SeenJob
@@ -22,7 +22,7 @@
 from standins._users_store import UsersStore
 from standins.loopback import LoopbackNetwork
 
-__all__ = ["CrashPlan", "JobUse", "RunRecord", "SeenJob", "UsersPlatform"]
+__all__ = ["Amounts", "CrashPlan", "JobUse", "RunRecord", "SeenJob", "UsersPlatform"]
 
 THREADS = 64
 FIRST_PORT = 10_000
@@ -217,6 +217,10 @@
         """
         return _room_judges.find_idle(self._observation(), since, until, in_traffic=in_traffic)
 
+    def doubled_tasks(self) -> list[str]:
+        """Return a line for each task that was done twice, or ran twice at the same time."""
+        return _run_judges.find_doubled(list(self.records), list(self.listings))
+
     def _observation(self) -> _room_judges.Observation:
         return _room_judges.Observation(
             list(self.records), dict(self.jobs_by_id), list(self.listings), list(self.crashes)
--- a/tests/platform/endpoint_faults.py
+++ b/tests/platform/endpoint_faults.py
@@ -9,8 +9,7 @@
 
 import msgspec
 
-from standins._platform_records import Amounts
-from standins.users_platform import CrashPlan, UsersPlatform
+from standins.users_platform import Amounts, CrashPlan, UsersPlatform
 
 __all__ = ["EndpointFaults", "Play", "crash_plan", "culprit_job", "lasting_job", "wide_job"]
 
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -14,13 +14,11 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Collection
-from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from standins._platform_records import Listing
 from standins.users_platform import JobUse, RunRecord, SeenJob, UsersPlatform
 from tests.platform.endpoint_faults import EndpointFaults, Play, culprit_job, lasting_job, wide_job
 from tests.platform.site import EntrySite
@@ -352,7 +350,8 @@
         self.failures += self._platform.excess_starts()
         self.failures += self._platform.wrong_starts()
         self.failures += self._platform.wrong_failures()
-        self._check_runs()
+        self.failures += self._platform.doubled_tasks()
+        self._check_refused()
 
     def _check_end(self, job: _Job, deadline: float) -> None:
         """Check that a job is completed; a failure needs a cause, which is judged later."""
@@ -417,42 +416,12 @@
         name = self._random.choice(list(self._site.settings))
         return self._site.state(name, job.path, f"{job.workspace[0]}last")
 
-    def _check_runs(self) -> None:
-        """Check that nothing refused ran, and that each task was done once, without overlap."""
+    def _check_refused(self) -> None:
         refused = {job.id for job in self.jobs if job.is_refused}
-        runs_by_task: dict[str, list[Any]] = {}
-        for record in list(self._platform.records):
-            runs_by_task.setdefault(record.task, []).append(record)
-        for task, runs in runs_by_task.items():
+        tasks = sorted({record.task for record in list(self._platform.records)})
+        for task in tasks:
             if task.split(".")[0] in refused:
                 self._fail(f"{task} ran though its job was refused")
-            if self._is_done_twice(runs):
-                self._fail(f"{task} done twice")
-            runs.sort(key=lambda run: run.began)
-            for former, later in pairwise(runs):
-                if not former.ended or former.ended > later.began:
-                    self._fail(f"{task} ran twice at once")
-
-    def _is_done_twice(self, runs: list[RunRecord]) -> bool:
-        """Return whether a task was done more than once, or started after it was done.
-
-        An end that nobody has noted is forgotten when its endpoint crashes or leaves its pool.
-        """
-        listings = self._platform.listings
-        ends = [
-            run
-            for run in runs
-            if run.end_kind == "done"
-            and (run.noted or not any(_forgets(listing, run) for listing in listings))
-        ]
-        noted = [end for end in ends if end.noted]
-        return len(ends) > 1 or any(run.began > end.ended for end in noted for run in runs)
-
-
-def _forgets(listing: Listing, run: RunRecord) -> bool:
-    """Return whether a change of an entry means that its endpoint knows nothing of a run's end."""
-    is_down = listing.capacity is None
-    return is_down and listing.endpoint == run.endpoint and listing.at >= run.ended
 
 
 def _body(rng: random.Random) -> dict[str, Any]:
--- a/tests/standins/test_users_platform.py
+++ b/tests/standins/test_users_platform.py
@@ -7,9 +7,8 @@
 import urllib3
 from testtools import TestCase
 
-from standins._platform_records import Amounts
 from standins._users_endpoint import UsersEndpoint
-from standins.users_platform import CrashPlan, UsersPlatform
+from standins.users_platform import Amounts, CrashPlan, UsersPlatform
 from tests.builders import an_address, an_order
 from tests.execution.fakes import eventually
 
