--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -16,7 +16,7 @@
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._links import PoolLinks
 from lentilrill.execution._need import Durations, OfferedLoad
-from lentilrill.execution._planner import Planner
+from lentilrill.execution._planner import Planner, incomplete_gang_runs
 from lentilrill.execution._pressure import backlog_of, pressure_of
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import expire_releases, release
@@ -167,7 +167,7 @@
             self._may_poll,
             self._processes_reports,
             on_fenced,
-            lambda: self._writer.schedule(urgent=False),
+            lambda urgent: self._writer.schedule(urgent=urgent),
             self._wake,
             lambda: self._links.update_entries(self._entries(self.pool)),
         )
@@ -321,7 +321,7 @@
         self._changed.notify_all()
 
     def _planning_loop(self) -> None:
-        while not self._ended.is_set() and not self._load():
+        while not self._ended.is_set() and not self._load_or_log():
             self._ended.wait(MAX_ROUND_INTERVAL_S)
         if self._ended.is_set():
             return
@@ -356,17 +356,26 @@
         self._latency.record(LatencyKind.ROUND, ended - began)
         self._latency.report(ended, len(self._jobs.live_by_id), len(self._links.by_id))
 
+    def _load_or_log(self) -> bool:
+        """Read the records; an unexpected error is logged and counts as records not read."""
+        try:
+            return self._load()
+        except Exception as error:
+            log(Event.TASK_FAILED, task=f"load of {self.pool}", error=repr(error))
+            return False
+
     def _load(self) -> bool:
         """Read the previous owners' records; return whether all could be read."""
-        # Endpoints first: their leases are renewed while the jobs are read, and once the jobs are
-        # loaded, requests to release hosts are answered.
+        # Endpoints first: their leases are renewed while the records are read. Jobs last: once they
+        # are loaded, reports are processed and requests to release hosts are answered. Another load
+        # would discard what was learned from the reports.
         if not self._links.load():
             return False
         self._links.open_previous(self._entries(self.pool))
-        if not self._jobs.load():
-            return False
         if not self._allowances.load():
             return False
+        if not self._jobs.load():
+            return False
         with self._lock:
             for tracked_job in self._jobs.live_by_id.values():
                 self._crashes.restore(tracked_job.tasks())
@@ -398,10 +407,12 @@
                 if not tracked_job.state.is_final and tracked_job.all_done:
                     tracked_job.end(JobState.COMPLETED, now_ms)
                 if tracked_job.state.is_final:
-                    orders += self._stop_orders(tracked_job)
+                    runs = [run for task in tracked_job.tasks() for run in task.runs]
+                    orders += self._stop_orders(runs)
                     urgent = urgent or (tracked_job.dirty and not tracked_job.cancelled)
                     self._jobs.retire(tracked_job)
                     continue
+                orders += self._stop_orders(incomplete_gang_runs(tracked_job))
                 jobs.append((tracked_job, self._queue_of(tracked_job)))
             blocked = self._links.is_blocked
             capacity_by_endpoint = self._planner.capacity_by_endpoint(
@@ -460,18 +471,18 @@
                 self._stored_first.append((link, run, version))
         return orders
 
-    def _stop_orders(self, tracked_job: TrackedJob) -> list[tuple[EndpointLink, Order]]:
+    def _stop_orders(self, runs: Iterable[Run]) -> list[tuple[EndpointLink, Order]]:
         orders = []
-        for task in tracked_job.tasks():
-            for run in task.runs:
-                link = self._links.by_id.get(run.endpoint)
-                if link is not None and run.phase is not RunPhase.STOPPING:
-                    orders.append((link, Order.stop(run)))
+        for run in runs:
+            link = self._links.by_id.get(run.endpoint)
+            if link is not None and run.phase is not RunPhase.STOPPING:
+                orders.append((link, Order.stop(run)))
         return orders
 
     def _drop_ended_runs(self, now: float) -> None:
         for link in self._links.by_id.values():
             for run, reason in ended_runs(link, now):
+                run.task.record_refusal_by(link.entry.id)
                 self._crashes.on_run_lost(link, run)
                 self._reconciler.drop(link, run, reason)
             if link.unknown_since_by_key and unknown_runs_have_ended(link, now):
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -58,25 +58,26 @@
 
         :param sent: monotonic time at which the poll was sent.
         """
-        restart_stops: list[Order] = []
-        if result.started_ms and result.started_ms != link.started_ms:
+        has_restarted = bool(result.started_ms) and result.started_ms != link.started_ms
+        if has_restarted:
             if link.started_ms:
                 log(Event.ENDPOINT_REBORN, endpoint=link.entry.id, born_ms=result.started_ms)
                 self._crashes.on_process_ended(link)
             link.reset(result.started_ms)
-            restart_stops = _stops_of_sent_starts(link)
         link.update_clock(result.clock_ms, time.monotonic())
         ended = {(end.task, end.number) for end in result.ended}
         for end in sorted(result.ended, key=lambda e: e.cursor):
             if end.cursor > link.seen_cursor:
                 link.seen_cursor = end.cursor
                 self._record_end(link, end)
-        stops = restart_stops
+        stops: list[Order] = []
         seen = set()
         first_seen = link.unknown_since_by_key
         for running in result.running:
             seen.add((running.task, running.number))
             stops += self._update_run(link, running)
+        if has_restarted:
+            stops += _stops_of_sent_starts(link)
         link.unknown_since_by_key = {key: since for key, since in first_seen.items() if key in seen}
         for key, run in list(link.runs_by_key.items()):
             if key in seen or key in ended:
@@ -86,6 +87,7 @@
             elif run.confirmed_at is None and 0 < run.expires_ms < result.clock_ms:
                 # The endpoint refuses a start whose lease has expired, so it can't begin any more.
                 run.task.record_failure_on(link.entry.id)
+                count_failure(link)
                 self.drop(link, run, "its start expired without an answer")
         return stops
 
@@ -110,6 +112,9 @@
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.IN_PROGRESS
             return None
+        if run.phase is RunPhase.IN_PROGRESS:
+            # A poll has listed the run, so this order or an earlier copy of it was executed.
+            return None
         if verdict is Verdict.UNKNOWN or (verdict is Verdict.UNREACHABLE and run.is_unconfirmed):
             run.is_unconfirmed = True
             if link.reachable:
@@ -117,9 +122,6 @@
                 return order
             # On an endpoint that returns, possibly restarted, the task should not begin so late.
             return Order.stop(run)
-        if run.phase is RunPhase.IN_PROGRESS:
-            # A poll has listed the run, so an earlier copy of this order was executed.
-            return None
         log(
             Event.START_REFUSED,
             job=run.task.id.job,
@@ -134,6 +136,7 @@
             return None
         now = time.monotonic()
         run.task.not_before = now + RETRY_ELSEWHERE_S
+        run.task.record_refusal_by(link.entry.id)
         if verdict is Verdict.UNREACHABLE:
             link.probe_at = max(link.probe_at, now + RETRY_ELSEWHERE_S)
         if run.is_unconfirmed:
@@ -157,6 +160,7 @@
             run.task.attempts.pop(link.entry.id, None)
         link.runs_by_key.pop(run.key, None)
         link.last_busy_at = time.monotonic()
+        run.give_up_start()
         task = run.task
         if run in task.runs:
             task.runs.remove(run)
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from standins import _crash_judges, _room_judges
+from standins import _crash_judges, _room_judges, _run_judges
 from standins._caps import CapChange, JobUse, find_excess
 from standins._http import Call, Server
 from standins._platform_records import Amounts, Crash, Listing, RunRecord, SeenJob
@@ -22,7 +22,7 @@
 from standins._users_store import UsersStore
 from standins.loopback import LoopbackNetwork
 
-__all__ = ["CrashPlan", "JobUse", "RunRecord", "SeenJob", "UsersPlatform"]
+__all__ = ["Amounts", "CrashPlan", "JobUse", "RunRecord", "SeenJob", "UsersPlatform"]
 
 THREADS = 64
 FIRST_PORT = 10_000
@@ -143,15 +143,18 @@
             self._start_endpoint(host)
         return host
 
-    def crash_endpoint(self, host: str, back_s: float | None = 1.0) -> None:
+    def crash_endpoint(
+        self, host: str, back_s: float | None = 1.0, *, renamed: bool = False
+    ) -> None:
         """Crash the endpoint of a host.
 
         :param back_s: seconds after which it starts again; ``None`` if it never does.
+        :param renamed: whether it then has another id, at the same address.
         """
         with self._lock:
             endpoint = self._endpoints.get(host)
         if endpoint is not None:
-            endpoint.crash(back_s)
+            endpoint.crash(CrashPlan(back_s=back_s, renamed=renamed))
 
     def set_capacity(self, host: str, capacity: Amounts) -> None:
         """Change the capacity that the endpoint of a host has; runs that exceed it continue."""
@@ -214,6 +217,10 @@
         """
         return _room_judges.find_idle(self._observation(), since, until, in_traffic=in_traffic)
 
+    def doubled_tasks(self) -> list[str]:
+        """Return a line for each task that was done twice, or ran twice at the same time."""
+        return _run_judges.find_doubled(list(self.records), list(self.listings))
+
     def _observation(self) -> _room_judges.Observation:
         return _room_judges.Observation(
             list(self.records), dict(self.jobs_by_id), list(self.listings), list(self.crashes)
@@ -262,9 +269,9 @@
         """Return how the start of a task crashes its endpoint, or ``None`` if it does not."""
         return self.crash_plan(task, spec)
 
-    def on_crash(self, endpoint: UsersEndpoint, back_s: float | None) -> None:
-        """Take note of a crash, and start the endpoint again after some time."""
-        restart = threading.Thread(target=self._restart, args=(endpoint, back_s), daemon=True)
+    def on_crash(self, endpoint: UsersEndpoint, plan: CrashPlan) -> None:
+        """Take note of a crash, and start the endpoint again as planned."""
+        restart = threading.Thread(target=self._restart, args=(endpoint, plan), daemon=True)
         with self._lock:
             host = self._host_of(endpoint)
             if host:
@@ -272,17 +279,21 @@
                 self._record_listing(endpoint.name, self._hosts[host]["pool"], None)
         restart.start()
 
-    def _restart(self, endpoint: UsersEndpoint, back_s: float | None) -> None:
+    def _restart(self, endpoint: UsersEndpoint, plan: CrashPlan) -> None:
         endpoint.close()
-        self._closed.wait(SILENCE_S if back_s is None else back_s)
+        self._closed.wait(SILENCE_S if plan.back_s is None else plan.back_s)
         with self._lock:
             host = self._host_of(endpoint)
             if not host or self._closed.is_set():
                 return
-            if back_s is None:
+            if plan.back_s is None:
                 self._lose(host)
-            else:
-                self._start_endpoint(host, endpoint)
+                return
+            name = self._new_name() if plan.renamed else endpoint.name
+            self._start_endpoint(host, name, endpoint.address)
+        if plan.renamed and not self._closed.wait(SILENCE_S):
+            with self._lock:
+                self._withdraw(endpoint.name)
 
     def _lose(self, host: str) -> None:
         """Remove a host for good."""
@@ -306,21 +317,23 @@
                 for host in self._endpoints:
                     self._publish(host)
 
-    def _start_endpoint(self, host: str, former: UsersEndpoint | None = None) -> None:
+    def _start_endpoint(self, host: str, name: str = "", address: str = "") -> None:
         """Start an endpoint on a host, unless the host is in the standby pool.
 
-        :param former: life whose name and address the endpoint has again.
+        :param name: id of the endpoint; a new one by default.
+        :param address: address of the endpoint; a new one by default.
         """
         entry = self._hosts[host]
         entry |= {"state": "up", "id": ""}
         if entry["pool"] == "standby":
             return
-        name = former.name if former else f"i-{next(self._names)}"
-        address = former.address if former else _new_address()
-        self._endpoints[host] = UsersEndpoint(name, address, self)
-        entry["id"] = name
+        entry["id"] = name or self._new_name()
+        self._endpoints[host] = UsersEndpoint(entry["id"], address or _new_address(), self)
         self._publish(host)
 
+    def _new_name(self) -> str:
+        return f"i-{next(self._names)}"
+
     def _publish(self, host: str) -> None:
         """Bring the entry of a host's endpoint up to date, as far as the store can be reached."""
         endpoint = self._endpoints[host]
