Allowances: an unreadable record waits for no pool without an owner

Found on reading the change once more, before it landed: the record that replaces an unreadable one listed every configured pool as holding everything, also a standby pool that no queue uses. Such a pool has no owner, so its part was never given back and none of the workspace's tasks started any more. Only pools with an owner are listed; the rule which these are stands in Configuration.owned_pools, where the entry host takes its shards from as well. Both tests of unreadable records fail before, with a standby pool in their configuration.

Not covered: a pool that lost its last queue and its owner while its tasks ran, and of which no owner has read the former record.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -217,10 +217,7 @@
         configuration = self._configuration.current
         if configuration is None:
             return set()
-        used = {queue.pool for queue in configuration.queues}
-        # A standby pool needs an owner only if a queue uses it.
-        pools = {pool.id for pool in configuration.pools if not pool.standby or pool.id in used}
-        return {FLEET} | {Shard(pool) for pool in pools}
+        return {FLEET} | {Shard(pool) for pool in configuration.owned_pools}
 
     def _pool_ids(self) -> list[PoolId]:
         return [pool.id for pool in self._pools()]
--- a/src/lentilrill/execution/_allowances.py
+++ b/src/lentilrill/execution/_allowances.py
@@ -95,7 +95,7 @@
         self._used: dict[WorkspaceId, Resources] = {}
         self._workspaces: Workspaces | None = None
         self._cap_by_workspace: dict[WorkspaceId, Resources] = {}
-        self._configured_pools: frozenset[PoolId] = frozenset()
+        self._owned_pools: frozenset[PoolId] = frozenset()
         self._caps_key: Compare | None = None
         self._outdated: set[WorkspaceId] = set()
         self._writing: set[WorkspaceId] = set()
@@ -188,7 +188,7 @@
 
     def _known(self, workspace: WorkspaceId) -> KnownAllowances:
         known = self._known_by_workspace.get(workspace, KnownAllowances())
-        return known.assuming_most({self._pool, *self._configured_pools})
+        return known.assuming_most({self._pool, *self._owned_pools})
 
     # Decisions
 
@@ -238,7 +238,7 @@
         configuration = self._configuration()
         if configuration is None:
             return
-        self._configured_pools = frozenset(pool.id for pool in configuration.pools)
+        self._owned_pools = configuration.owned_pools
         workspaces = configuration.workspaces
         if workspaces is None or workspaces is self._workspaces:
             return
--- a/src/lentilrill/workloads/_configuration.py
+++ b/src/lentilrill/workloads/_configuration.py
@@ -94,6 +94,12 @@
         """Return the queue with this id, or ``None``."""
         return next((queue for queue in self.queues if queue.id == queue_id), None)
 
+    @property
+    def owned_pools(self) -> frozenset[PoolId]:
+        """The pools that need an owner: a standby pool does only if a queue uses it."""
+        used = {queue.pool for queue in self.queues}
+        return frozenset(pool.id for pool in self.pools if not pool.standby or pool.id in used)
+
     def pool(self, pool_id: PoolId) -> PoolEntry | None:
         """Return the pool with this id, or ``None``."""
         return next((pool for pool in self.pools if pool.id == pool_id), None)
--- a/tests/execution/test_caps.py
+++ b/tests/execution/test_caps.py
@@ -27,7 +27,7 @@
 
 def with_cap(cpu: int, version: int = 1) -> Configuration:
     by_id = {SCHOOLS: Workspace(SCHOOLS, cap=Resources(cpu))}
-    pools = tuple(PoolEntry(PoolId(name)) for name in POOLS)
+    pools = (*(PoolEntry(PoolId(name)) for name in POOLS), PoolEntry(PoolId("standby"), True))
     return replace(a_configuration(version), pools=pools, workspaces=Workspaces(by_id, {}))
 
 
