--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from lentilrill.execution import OrderAnswer, ReportedRun, StartOrder, Verdict
-from lentilrill.execution._allowances import RoundBudgets
+from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._held_runs import MAX_UNSENT_S, ended_runs
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._planner import incomplete_gang_runs
