--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -6,6 +6,7 @@
 
 from lentilrill.execution._allowances import AllowanceBook
 from lentilrill.execution._contract import Dialer, PolicyCalls
+from lentilrill.execution._crashes import CrashBook
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_list import EndpointList
 from lentilrill.execution._held_runs import ended_runs, unknown_runs_have_ended
@@ -15,21 +16,29 @@
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._links import PoolLinks
 from lentilrill.execution._need import Durations, OfferedLoad
-from lentilrill.execution._planner import Planner
+from lentilrill.execution._planner import Planner, incomplete_gang_runs
 from lentilrill.execution._pressure import backlog_of, pressure_of
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import expire_releases, release
 from lentilrill.execution._responses import ResponseHandler
 from lentilrill.execution._senders import Senders
 from lentilrill.execution._tickets import TicketCache
-from lentilrill.execution._tracking import RunPhase, TrackedJob
+from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
 from lentilrill.execution._writer import ProgressWriter
-from lentilrill.ids import EndpointId, JobId, PoolId, Revision, WorkspaceId
+from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.scheduling import EndpointCapacity
 from lentilrill.store import Compare, Follower, KeyValue
 from lentilrill.telemetry import Event, Metrics, NoMetrics, log, run_and_log_errors
-from lentilrill.workloads import Configuration, EndpointEntry, JobState, PoolUse, Queue, Resources
+from lentilrill.workloads import (
+    Configuration,
+    EndpointEntry,
+    JobState,
+    JobView,
+    PoolUse,
+    Queue,
+    Resources,
+)
 
 __all__ = ["PoolOwner"]
 
@@ -125,7 +134,12 @@
         )
         self._durations = Durations()
         self._offered = OfferedLoad()
-        self._reconciler = Reconciler(self._jobs.by_id, self._attempts, self._durations)
+        self._crashes = CrashBook()
+        self._stored_first: list[tuple[EndpointLink, Run, int]] = []
+        """Starts that wait until the given version of their job is stored."""
+        self._reconciler = Reconciler(
+            self._jobs.by_id, self._attempts, self._durations, self._crashes
+        )
         self._tickets = TicketCache(policy, self._lock_and_wake)
         self._planner = Planner(token, self._durations, self._tickets)
         self._allowances = AllowanceBook(
@@ -146,13 +160,14 @@
             self._lock,
             self._links,
             self._reconciler,
+            self._crashes,
             self._tickets,
             self._latency,
             self.may_order,
             self._may_poll,
             self._processes_reports,
             on_fenced,
-            lambda: self._writer.schedule(urgent=False),
+            lambda urgent: self._writer.schedule(urgent=urgent),
             self._wake,
             lambda: self._links.update_entries(self._entries(self.pool)),
         )
@@ -206,8 +221,8 @@
         """Cancel a job."""
         self._jobs.cancel(job)
 
-    def find(self, job: JobId) -> tuple[JobState, WorkspaceId] | None:
-        """Return a job's public state and workspace; ``None`` if unknown or not loaded yet."""
+    def find(self, job: JobId) -> JobView | None:
+        """Return what callers are shown of a job; ``None`` if unknown or not loaded yet."""
         return self._jobs.find(job)
 
     def _on_job_changed(self, tracked_job: TrackedJob) -> None:
@@ -306,7 +321,7 @@
         self._changed.notify_all()
 
     def _planning_loop(self) -> None:
-        while not self._ended.is_set() and not self._load():
+        while not self._ended.is_set() and not self._load_or_log():
             self._ended.wait(MAX_ROUND_INTERVAL_S)
         if self._ended.is_set():
             return
@@ -341,17 +356,29 @@
         self._latency.record(LatencyKind.ROUND, ended - began)
         self._latency.report(ended, len(self._jobs.live_by_id), len(self._links.by_id))
 
+    def _load_or_log(self) -> bool:
+        """Read the records; an unexpected error is logged and counts as records not read."""
+        try:
+            return self._load()
+        except Exception as error:
+            log(Event.TASK_FAILED, task=f"load of {self.pool}", error=repr(error))
+            return False
+
     def _load(self) -> bool:
         """Read the previous owners' records; return whether all could be read."""
-        # Endpoints first: their leases are renewed while the jobs are read, and once the jobs are
-        # loaded, requests to release hosts are answered.
+        # Endpoints first: their leases are renewed while the records are read. Jobs last: once they
+        # are loaded, reports are processed and requests to release hosts are answered. Another load
+        # would discard what was learned from the reports.
         if not self._links.load():
             return False
         self._links.open_previous(self._entries(self.pool))
-        if not self._jobs.load():
-            return False
         if not self._allowances.load():
             return False
+        if not self._jobs.load():
+            return False
+        with self._lock:
+            for tracked_job in self._jobs.live_by_id.values():
+                self._crashes.restore(tracked_job.tasks())
         self._links.wake()
         return True
 
@@ -371,6 +398,7 @@
         orders: list[tuple[EndpointLink, Order]] = []
         with self._lock:
             self._drop_ended_runs(now)
+            self._crashes.on_registered(self._entries(self.pool), now)
             expire_releases(list(self._links.by_id.values()), now)
             jobs = []
             urgent = False
@@ -379,10 +407,12 @@
                 if not tracked_job.state.is_final and tracked_job.all_done:
                     tracked_job.end(JobState.COMPLETED, now_ms)
                 if tracked_job.state.is_final:
-                    orders += self._stop_orders(tracked_job)
+                    runs = [run for task in tracked_job.tasks() for run in task.runs]
+                    orders += self._stop_orders(runs)
                     urgent = urgent or (tracked_job.dirty and not tracked_job.cancelled)
                     self._jobs.retire(tracked_job)
                     continue
+                orders += self._stop_orders(incomplete_gang_runs(tracked_job))
                 jobs.append((tracked_job, self._queue_of(tracked_job)))
             blocked = self._links.is_blocked
             capacity_by_endpoint = self._planner.capacity_by_endpoint(
@@ -403,7 +433,14 @@
             for endpoint, run in placed:
                 link = self._links.by_id[endpoint]
                 link.runs_by_key[run.key] = run
-                orders.append((link, Order.for_run(OrderKind.START, run)))
+                if run.task.is_stored_first:
+                    self._crashes.record_attempt(link, run.task)
+                    version = run.task.step.tracked_job.version
+                    self._stored_first.append((link, run, version))
+                else:
+                    orders.append((link, Order.for_run(OrderKind.START, run)))
+            orders += self._stored_starts()
+            starts = any(records) or bool(self._stored_first)
             view = RoundView(
                 now,
                 self._links.by_id,
@@ -418,21 +455,35 @@
                 orders += [(link, order) for order in self._planner.stop_stuck_runs(link, now)]
         for link, order in orders:
             link.order(order)
-        if urgent or any(records):
-            self._writer.schedule(urgent=urgent, starts=any(records))
+        if urgent or starts:
+            self._writer.schedule(urgent=urgent, starts=starts)
+
+    def _stored_starts(self) -> list[tuple[EndpointLink, Order]]:
+        """Return the starts that had to be stored first and are."""
+        waiting, self._stored_first = self._stored_first, []
+        orders = []
+        for link, run, version in waiting:
+            if run.key not in link.runs_by_key:
+                continue
+            if run.task.step.tracked_job.stored_version >= version:
+                orders.append((link, Order.for_run(OrderKind.START, run)))
+            else:
+                self._stored_first.append((link, run, version))
+        return orders
 
-    def _stop_orders(self, tracked_job: TrackedJob) -> list[tuple[EndpointLink, Order]]:
+    def _stop_orders(self, runs: Iterable[Run]) -> list[tuple[EndpointLink, Order]]:
         orders = []
-        for task in tracked_job.tasks():
-            for run in task.runs:
-                link = self._links.by_id.get(run.endpoint)
-                if link is not None and run.phase is not RunPhase.STOPPING:
-                    orders.append((link, Order.stop(run)))
+        for run in runs:
+            link = self._links.by_id.get(run.endpoint)
+            if link is not None and run.phase is not RunPhase.STOPPING:
+                orders.append((link, Order.stop(run)))
         return orders
 
     def _drop_ended_runs(self, now: float) -> None:
         for link in self._links.by_id.values():
             for run, reason in ended_runs(link, now):
+                run.task.record_refusal_by(link.entry.id)
+                self._crashes.on_run_lost(link, run)
                 self._reconciler.drop(link, run, reason)
             if link.unknown_since_by_key and unknown_runs_have_ended(link, now):
                 log(
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -4,12 +4,13 @@
 from collections.abc import Callable
 
 from lentilrill.execution._contract import EndKind, PollResult, ReportedRun, RunEnd, Verdict
+from lentilrill.execution._crashes import FRESH_S, CrashBook
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedTask
 from lentilrill.ids import JobId
 from lentilrill.telemetry import Event, log
-from lentilrill.workloads import JobState
+from lentilrill.workloads import FailureCause, JobState
 
 __all__ = ["Reconciler"]
 
@@ -37,6 +38,7 @@
     All methods are called under the lock of the pool's owner.
 
     :param attempts: returns the number of failed runs after which a job's task is given up.
+    :param crashes: counts the endpoints that crash under a task.
     """
 
     def __init__(
@@ -44,34 +46,38 @@
         jobs_by_id: dict[JobId, TrackedJob],
         attempts: Callable[[TrackedJob], int],
         durations: Durations,
+        crashes: CrashBook,
     ) -> None:
         self._jobs_by_id = jobs_by_id
         self._attempts = attempts
         self._durations = durations
+        self._crashes = crashes
 
     def apply_poll(self, link: EndpointLink, result: PollResult, sent: float) -> list[Order]:
         """Apply the result of a poll; return stop orders for runs that should not exist.
 
         :param sent: monotonic time at which the poll was sent.
         """
-        restart_stops: list[Order] = []
-        if result.started_ms and result.started_ms != link.started_ms:
+        has_restarted = bool(result.started_ms) and result.started_ms != link.started_ms
+        if has_restarted:
             if link.started_ms:
                 log(Event.ENDPOINT_REBORN, endpoint=link.entry.id, born_ms=result.started_ms)
+                self._crashes.on_process_ended(link)
             link.reset(result.started_ms)
-            restart_stops = _stops_of_sent_starts(link)
         link.update_clock(result.clock_ms, time.monotonic())
         ended = {(end.task, end.number) for end in result.ended}
         for end in sorted(result.ended, key=lambda e: e.cursor):
             if end.cursor > link.seen_cursor:
                 link.seen_cursor = end.cursor
                 self._record_end(link, end)
-        stops = restart_stops
+        stops: list[Order] = []
         seen = set()
         first_seen = link.unknown_since_by_key
         for running in result.running:
             seen.add((running.task, running.number))
             stops += self._update_run(link, running)
+        if has_restarted:
+            stops += _stops_of_sent_starts(link)
         link.unknown_since_by_key = {key: since for key, since in first_seen.items() if key in seen}
         for key, run in list(link.runs_by_key.items()):
             if key in seen or key in ended:
@@ -81,6 +87,7 @@
             elif run.confirmed_at is None and 0 < run.expires_ms < result.clock_ms:
                 # The endpoint refuses a start whose lease has expired, so it can't begin any more.
                 run.task.record_failure_on(link.entry.id)
+                count_failure(link)
                 self.drop(link, run, "its start expired without an answer")
         return stops
 
@@ -105,6 +112,9 @@
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.IN_PROGRESS
             return None
+        if run.phase is RunPhase.IN_PROGRESS:
+            # A poll has listed the run, so this order or an earlier copy of it was executed.
+            return None
         if verdict is Verdict.UNKNOWN or (verdict is Verdict.UNREACHABLE and run.is_unconfirmed):
             run.is_unconfirmed = True
             if link.reachable:
@@ -112,9 +122,6 @@
                 return order
             # On an endpoint that returns, possibly restarted, the task should not begin so late.
             return Order.stop(run)
-        if run.phase is RunPhase.IN_PROGRESS:
-            # A poll has listed the run, so an earlier copy of this order was executed.
-            return None
         log(
             Event.START_REFUSED,
             job=run.task.id.job,
@@ -129,6 +136,7 @@
             return None
         now = time.monotonic()
         run.task.not_before = now + RETRY_ELSEWHERE_S
+        run.task.record_refusal_by(link.entry.id)
         if verdict is Verdict.UNREACHABLE:
             link.probe_at = max(link.probe_at, now + RETRY_ELSEWHERE_S)
         if run.is_unconfirmed:
@@ -148,8 +156,11 @@
 
     def drop(self, link: EndpointLink, run: Run, reason: str) -> None:
         """Remove a run that is certain to have ended; its task waits again."""
+        if run.is_unsent:
+            run.task.attempts.pop(link.entry.id, None)
         link.runs_by_key.pop(run.key, None)
         link.last_busy_at = time.monotonic()
+        run.give_up_start()
         task = run.task
         if run in task.runs:
             task.runs.remove(run)
@@ -172,6 +183,7 @@
         if tracked_job is None or task is None or tracked_job.state.is_final:
             return
         tracked_job.mark_dirty()
+        task.attempts.pop(link.entry.id, None)
         if end.checkpoint:
             task.checkpoint = end.checkpoint
         if end.kind is EndKind.DONE:
@@ -200,6 +212,7 @@
             return
         for member in task.step.tasks if gang else (task,):
             member.step.finish(member)
+            member.clear_suspicion()
 
     def _record_failure(
         self, tracked_job: TrackedJob, task: TrackedTask, link: EndpointLink, end: RunEnd
@@ -217,7 +230,7 @@
             attempts=attempts,
         )
         if not task.step.spec.lasting and task.failures >= attempts:
-            tracked_job.end(JobState.FAILED, int(time.time() * 1000))
+            tracked_job.end(JobState.FAILED, int(time.time() * 1000), FailureCause.ATTEMPTS)
 
     def _update_run(self, link: EndpointLink, running: ReportedRun) -> list[Order]:
         key = (running.task, running.number)
@@ -231,6 +244,8 @@
             run.progressed_at = link.reported_at
         run.percent, run.load = running.percent, running.load
         run.reported_at = link.reported_at
+        if link.reported_at - run.began_at > FRESH_S:
+            run.task.clear_suspicion()
         if running.checkpoint:
             run.task.checkpoint = running.checkpoint
         if run.phase is RunPhase.STOPPING and link.reported_at > run.stop_ordered_at + STOP_RETRY_S:
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from lentilrill.execution._contract import OrderAnswer, PollResult, StartOrder, Verdict
+from lentilrill.execution._crashes import CrashBook
 from lentilrill.execution._latency import LatencyKind, LatencyMonitor
 from lentilrill.execution._link import EndpointLink, Order
 from lentilrill.execution._links import PoolLinks
@@ -13,7 +14,7 @@
 from lentilrill.execution._tracking import Run, RunPhase
 from lentilrill.ids import Revision
 from lentilrill.telemetry import Event, log
-from lentilrill.workloads import StepId
+from lentilrill.workloads import Resources, StepId
 
 __all__ = ["ResponseHandler"]
 
@@ -32,7 +33,7 @@
     :param processes_reports: whether the owner has loaded the pool's records and is not handing
         over.
     :param on_fenced: called when an endpoint reports a newer fencing token.
-    :param on_ends: called when there are ends to be stored.
+    :param on_ends: called when there are ends to be stored, with whether they delay a release.
     :param wake: triggers a planning round; called under the owner's lock.
     :param update_links: updates the links from the registered endpoints; called under the owner's
         lock.
@@ -44,13 +45,14 @@
         lock: threading.RLock,
         links: PoolLinks,
         reconciler: Reconciler,
+        crashes: CrashBook,
         tickets: TicketCache,
         latency: LatencyMonitor,
         may_order: Callable[[], bool],
         may_poll: Callable[[], bool],
         processes_reports: Callable[[], bool],
         on_fenced: Callable[[str], None],
-        on_ends: Callable[[], None],
+        on_ends: Callable[[bool], None],
         wake: Callable[[], None],
         update_links: Callable[[], None],
     ) -> None:
@@ -58,6 +60,7 @@
         self._lock = lock
         self._links = links
         self._reconciler = reconciler
+        self._crashes = crashes
         self._tickets = tickets
         self._latency = latency
         self._may_order = may_order
@@ -130,9 +133,10 @@
             had_ends = bool(result.ended)
             for order in self._reconciler.apply_poll(link, result, sent):
                 link.order(order)
+            self._crashes.on_answer(link)
             self._wake()
         if had_ends:
-            self._on_ends()
+            self._on_ends(link.released)
 
     def on_renewal(self, seconds: float) -> None:
         """Record the time between two renewals of the run lease at an endpoint."""
@@ -155,6 +159,7 @@
     def _drop_endpoint(self, link: EndpointLink) -> None:
         """Drop the runs of an endpoint whose address is served by another instance."""
         log(Event.ENDPOINT_GONE, endpoint=link.entry.id, address=link.entry.address)
+        self._crashes.on_process_ended(link)
         for run in list(link.runs_by_key.values()):
             self._reconciler.drop(link, run, "its endpoint has ended")
         link.reachable = False
@@ -177,11 +182,15 @@
                 else:
                     self._reconciler.drop(link, run, "no longer needed")
                 return None
+            if not run.send_count and not _fits(link):
+                self._reconciler.drop(link, run, "its endpoint's capacity has shrunk")
+                return None
             if run.send_count:
                 self._latency.record_resent()
             else:
                 self._latency.record(LatencyKind.START, time.monotonic() - run.placed_at)
             run.send_count += 1
+            run.sent_at = time.monotonic()
             run.expires_ms = run.expires_ms or link.new_expiry_ms()
             # If its ticket expired in the queue, the endpoint refuses the start.
             ticket = self._tickets.ticket(run.task.step.id, link.entry.id) or ""
@@ -219,3 +228,11 @@
         if next_order is not None:
             time.sleep(RESEND_PAUSE_S)
             link.order(next_order)
+
+
+def _fits(link: EndpointLink) -> bool:
+    """Whether all runs on an endpoint, also those being stopped, fit its present capacity."""
+    free = link.entry.capacity
+    for run in link.runs_by_key.values():
+        free = free.minus(run.reserved)
+    return Resources().fits(free)
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -159,6 +159,11 @@
         Level.WARNING,
         "What a pool holds of a workspace's cap could not be stored.",
     )
+    ALLOWANCE_UNREADABLE = (
+        695,
+        Level.WARNING,
+        "The record of a workspace's allowances can't be decoded; its pools write it anew.",
+    )
     JOB_ANSWERED = (670, Level.INFO, "A submitted job was answered.")
     CANCEL_ANSWERED = (671, Level.INFO, "A request to cancel a job was answered.")
     JOB_NOT_READ = (
@@ -183,6 +188,12 @@
         Level.INFO,
         "Runs of jobs that this owner does not know have ended on a lost endpoint.",
     )
+    ENDPOINT_CRASHED = (
+        694,
+        Level.WARNING,
+        "An endpoint crashed within a second of a task's start there; the task is given up "
+        "after several.",
+    )
     RUN_NOT_STOPPED = (
         692,
         Level.WARNING,
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -299,7 +299,7 @@
                 with self._lock:
                     self._keys[workspace].append(f"{workspace[0]}{rng.getrandbits(30)}")
                 self._configure()
-        self._platform.lose_every_nth = 0
+        self._end_losses()
 
     def _disturb_in_series(self, rng: random.Random) -> None:
         """Play series of faults with calm between them, which is judged."""
@@ -309,7 +309,7 @@
                 is_endpoint = rng.random() < ENDPOINT_SHARE
                 self._endpoints.play_one(rng) if is_endpoint else rng.choice(others)(rng)
                 self._stopping.wait(rng.uniform(0.0, 1.5))
-            self._platform.lose_every_nth = 0
+            self._end_losses()
             self._endpoints.recover()
             began = time.monotonic()
             self._stopping.wait(CALM_S)
@@ -321,7 +321,11 @@
         self._platform.store.down = False
 
     def _lose_answers(self, rng: random.Random) -> None:
-        self._platform.lose_every_nth = rng.choice((0, 7, 20))
+        nth = rng.choice((0, 7, 20))
+        self._platform.lose_every_nth = self._platform.store.refuse_every_nth = nth
+
+    def _end_losses(self) -> None:
+        self._platform.lose_every_nth = self._platform.store.refuse_every_nth = 0
 
     def _revoke(self, workspace: str) -> None:
         with self._lock:
