Reconciler: a run missing from an incomplete list isn't taken for ended

Seen by callers: a task that was done is run again after a long outage of the store, with 500 ends or more waiting at one endpoint.

Cause: an endpoint lists 500 unacknowledged ends at a time. A run whose end stands behind them is neither listed as running nor as ended, and was given up.

Change: with a full list of ends, runs that aren't listed are kept until the list is complete.

Measured: test_a_run_missing_from_an_incomplete_list_is_kept fails without it; tests/execution, tests/platform green.

--- a/src/lentilrill/execution/_contract.py
+++ b/src/lentilrill/execution/_contract.py
@@ -126,6 +126,8 @@
     """An endpoint's runs in progress and its unacknowledged ends.
 
     :param reason: human-readable reason if there is no answer.
+    :param is_complete: whether all unacknowledged ends are listed; if not, a run that isn't listed
+        may have ended.
     """
 
     verdict: Verdict
@@ -134,6 +136,7 @@
     running: tuple[ReportedRun, ...] = ()
     ended: tuple[RunEnd, ...] = ()
     reason: str = ""
+    is_complete: bool = True
 
 
 class PolicyAnswer(msgspec.Struct, frozen=True):
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -80,7 +80,7 @@
             stops += _stops_of_sent_starts(link)
         link.unknown_since_by_key = {key: since for key, since in first_seen.items() if key in seen}
         for key, run in list(link.runs_by_key.items()):
-            if key in seen or key in ended:
+            if key in seen or key in ended or not result.is_complete:
                 continue
             if run.confirmed_at is not None and run.confirmed_at < sent:
                 self.drop(link, run, "no longer listed by its endpoint")
--- a/src/lentilrill/platform/_endpoint_wire.py
+++ b/src/lentilrill/platform/_endpoint_wire.py
@@ -20,6 +20,8 @@
     "room": Verdict.NO_CAPACITY,
     "ticket": Verdict.NO_TICKET,
 }
+MAX_LISTED_ENDS = 500
+"""Ends that an endpoint lists in one answer; more are listed once these are acknowledged."""
 END_KIND_BY_VALUE = {kind.value: kind for kind in EndKind}
 
 
@@ -85,7 +87,14 @@
         ended = tuple(_decode_end(row) for row in answer.ended)
     except ANSWER_ERRORS as error:
         return PollResult(Verdict.UNKNOWN, reason=f"malformed answer: {error}")
-    return PollResult(Verdict.DONE, answer.clock_ms, answer.born, running, ended)
+    return PollResult(
+        Verdict.DONE,
+        answer.clock_ms,
+        answer.born,
+        running,
+        ended,
+        is_complete=len(ended) < MAX_LISTED_ENDS,
+    )
 
 
 def _decode_run(row: list[Any]) -> ReportedRun:
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -2,7 +2,7 @@
 
 import time
 
-from lentilrill.execution import EndKind, ReportedRun, RunEnd, Verdict
+from lentilrill.execution import EndKind, PollResult, ReportedRun, RunEnd, Verdict
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._demand import PoolDemand, demand_of
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
@@ -33,6 +33,14 @@
         self.poll()
         self.assertTrue(tracked_job.tasks()[0].waiting)
 
+    def test_a_run_missing_from_an_incomplete_list_is_kept(self) -> None:
+        """A task that was done ran again, as its end stood behind 500 others."""
+        tracked_job = self.add(a_step(1))
+        self.run_of(tracked_job)
+        result = PollResult(Verdict.DONE, 1000, 1, is_complete=False)
+        self.reconciler.apply_poll(self.link, result, time.monotonic())
+        self.assertFalse(tracked_job.tasks()[0].waiting)
+
     def test_a_run_whose_start_is_in_flight_is_kept(self) -> None:
         """Guards against a task that is started twice within milliseconds.
 
