Jobs: a malformed job in the store doesn't hold its pool

Seen by callers (LOST): no job of a pool is started.

Cause: one record that can't be decoded ended the reading of the pool's jobs, and an owner reads until it succeeds; in a watch it took the rest of its batch along. Class: a hold without a bound.

Change: such a record is logged and left out.

Measured: test_a_job_that_can_not_be_decoded_does_not_hold_others failed before; tests/execution, tests/platform green.

--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -11,7 +11,7 @@
 from lentilrill.execution._tracking import TrackedJob, encode_progress, job_id_of
 from lentilrill.execution._writer import ProgressEntry, Snapshot, progress_key
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
-from lentilrill.store import Compare, DeleteRange, Item, KeyValue, Priority
+from lentilrill.store import DECODE_ERRORS, Compare, DeleteRange, Item, KeyValue, Priority
 from lentilrill.telemetry import Event, Metrics, log
 from lentilrill.workloads import Job, JobProgress, JobState, JobView
 
@@ -75,8 +75,16 @@
         self._removed_at = time.monotonic()
 
     def add(self, value: bytes, revision: Revision) -> TrackedJob | None:
-        """Add an accepted job and return its state, or ``None`` if it is tracked already."""
-        job = msgspec.msgpack.decode(value, type=Job)
+        """Add an accepted job and return its state.
+
+        :return: ``None`` if it is tracked already or can't be decoded, which must not keep others
+            waiting.
+        """
+        try:
+            job = msgspec.msgpack.decode(value, type=Job)
+        except DECODE_ERRORS as error:
+            log(Event.RECORD_ODD, key=f"a job in in/{self._pool}/", reason=str(error))
+            return None
         with self._lock:
             if job.id in self.by_id:
                 return None
@@ -129,7 +137,7 @@
             items = accepted.unwrap().items
             for item in items:
                 if item.value is not None and "/j/" in item.key:
-                    self._track(msgspec.msgpack.decode(item.value, type=Job), item.revision)
+                    self.add(item.value, item.revision)
             for item in progress.unwrap().items:
                 self._restore(item, now_ms)
             self._find_never_started()
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -338,3 +338,14 @@
         pool.kv.commit((), (DeleteRange(f"p/notices/{job.id}"),))
         pool.finish_all()
         self.assertTrue(eventually(lambda: state_of(owner, job.id) is JobState.COMPLETED))
+
+    def test_a_job_that_can_not_be_decoded_does_not_hold_others(self) -> None:
+        """An owner that read a malformed job never loaded its pool."""
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        pool.register(an_endpoint("e1"))
+        pool.kv.put("in/notices/j/" + "0" * 16, b"not a job")
+        job = a_job("a", a_step(1))
+        pool.kv.put(f"in/notices/j/{job.id}", msgspec.msgpack.encode(job))
+        pool.take_over()
+        self.assertTrue(eventually(lambda: bool(pool.starts())))
