Owner: a crash that shows by the first answer of the new process is counted (BUDGET)

Seen by operators: a task crashed an endpoint before its start was answered, and the crash wasn't counted; after a change of owner it was started six times.

Cause: whether a run began shortly before its endpoint's last answer was judged with the time of the answer that shows the restart, over a second later.

Change: the time of an answer is noted after it is processed.

Measured: test_a_crash_before_the_answer_to_the_start_is_counted failed before; tests/execution green.

--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -127,12 +127,13 @@
             elif link.runs_by_key:
                 self._latency.record(LatencyKind.POLL, now - link.answered_at)
             link.reachable = True
-            link.answered_at = now
             link.was_polled = True
             self._links.unpolled.discard(link.entry.id)
             had_ends = bool(result.ended)
             for order in self._reconciler.apply_poll(link, result, sent):
                 link.order(order)
+            # Only now: whether a run may have crashed the endpoint goes by the answer before.
+            link.answered_at = now
             self._crashes.on_answer(link)
             self._wake()
         if had_ends:
--- a/tests/execution/test_crashes.py
+++ b/tests/execution/test_crashes.py
@@ -90,6 +90,22 @@
         self.assertEqual(JobState.FAILED, state_of(owner, job.id))
         self.assertLessEqual(self.start_count(job), MAX_STARTS)
 
+    def test_a_crash_before_the_answer_to_the_start_is_counted(self) -> None:
+        """An endpoint that needed over a second to restart left no crash with its owner."""
+        owner = self.pool.take_over()
+        job = self.submit(owner, "a", a_step(1))
+        self.assertTrue(eventually(lambda: self.start_count(job) == 1))
+        [link] = [link for link in owner._links.by_id.values() if link.runs_by_key]
+        with owner._lock:
+            [run] = link.runs_by_key.values()
+            run.started_at, run.sent_at = None, link.answered_at
+            for moment in ("answered_at", "reported_at"):
+                setattr(link, moment, getattr(link, moment) - 2 * FRESH_S)
+            run.sent_at -= 2 * FRESH_S
+        restarted = PollResult(Verdict.DONE, 1_000_000, 2)
+        owner._responses.on_poll(link, restarted, time.monotonic())
+        self.assertTrue(run.task.is_suspect)
+
     def test_other_jobs_on_the_crashed_endpoints_are_completed(self) -> None:
         """Jobs beside one that crashes its endpoints were given up with it."""
         owner = self.pool.take_over()
