--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -117,7 +117,7 @@
             return None
         if verdict is Verdict.UNKNOWN or (verdict is Verdict.UNREACHABLE and run.is_unconfirmed):
             run.is_unconfirmed = True
-            if link.reachable:
+            if link.reachable and verdict is Verdict.UNKNOWN:
                 # A start is idempotent, and the answer to a resent one also covers the first one.
                 return order
             # On an endpoint that returns, possibly restarted, the task should not begin so late.
