Owner: a new endpoint on the host of a lost one shows beside the former entry

The newest entry of each host is compared; with the former one still registered, the order of the entries decided whether a crash was seen. Its test has both entries now and failed before.

--- a/src/lentilrill/execution/_crashes.py
+++ b/src/lentilrill/execution/_crashes.py
@@ -7,7 +7,7 @@
 
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import Run, TrackedTask
-from lentilrill.ids import EndpointId
+from lentilrill.ids import EndpointId, HostId
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import Attempt, EndpointEntry, FailureCause, JobState
 
@@ -85,9 +85,12 @@
         """Compare lost endpoints with the registered ones."""
         if not self._lost_by_id:
             return
-        newest_by_host = {entry.host: entry.started_ms for entry in entries.values() if entry.host}
+        newest_by_host: dict[HostId, int] = {}
+        for entry in entries.values():
+            newest_by_host[entry.host] = max(newest_by_host.get(entry.host, 0), entry.started_ms)
         for endpoint, lost in list(self._lost_by_id.items()):
-            has_ended = newest_by_host.get(lost.attempt.host, 0) > lost.attempt.started_ms > 0
+            host = lost.attempt.host
+            has_ended = bool(host) and newest_by_host.get(host, 0) > lost.attempt.started_ms > 0
             if has_ended or now - lost.lost_at > MAX_LOST_S:
                 del self._lost_by_id[endpoint]
                 _settle(endpoint, lost.attempt, lost.tasks, crashed=has_ended)
--- a/tests/execution/test_crashes.py
+++ b/tests/execution/test_crashes.py
@@ -184,7 +184,8 @@
         run = self.begin()
         self.crashes.on_run_lost(self.link, run)
         successor = an_endpoint("e9", host=HostId("m1"), started_ms=9)
-        self.crashes.on_registered({successor.id: successor}, time.monotonic())
+        entries = {entry.id: entry for entry in (successor, self.link.entry)}
+        self.crashes.on_registered(entries, time.monotonic())
         self.assertTrue(self.task.is_suspect)
 
     def test_the_end_of_an_endpoint_that_was_leaving_is_no_crash(self) -> None:
