Owner: the registered endpoints are read once a round

A round built the list of the pool's endpoints twice, the second time under the owner's lock for the crashes alone. They are compared where the links are refreshed.

--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -383,7 +383,10 @@
         return True
 
     def _refresh_links(self) -> None:
-        if not self._links.refresh(self._entries(self.pool)):
+        entries = self._entries(self.pool)
+        with self._lock:
+            self._crashes.on_registered(entries, time.monotonic())
+        if not self._links.refresh(entries):
             self._on_fenced("the store records a newer owner")
 
     def _remove_expired(self) -> None:
@@ -398,7 +401,6 @@
         orders: list[tuple[EndpointLink, Order]] = []
         with self._lock:
             self._drop_ended_runs(now)
-            self._crashes.on_registered(self._entries(self.pool), now)
             expire_releases(list(self._links.by_id.values()), now)
             jobs = []
             urgent = False
