Reconciler: a stopped run that is given up leaves a log line

Seen by operators: a task waits for the end of a stopped run; when that is given up (its lease lapsed out of sight, its start expired), no line says so.

Cause: the end of a run that was being stopped isn't logged, as it is expected; one that no report shows went the same way.

Change: a run that is given up is logged with its reason, stopped or not.

Measured: test_a_stopped_run_that_is_given_up_is_logged needs the change (the argument is new); tests/execution green.

--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -486,7 +486,7 @@
             for run, reason in ended_runs(link, now):
                 run.task.record_refusal_by(link.entry.id)
                 self._crashes.on_run_lost(link, run)
-                self._reconciler.drop(link, run, reason)
+                self._reconciler.drop(link, run, reason, is_given_up=True)
             if link.unknown_since_by_key and unknown_runs_have_ended(link, now):
                 log(
                     Event.UNKNOWN_RUNS_GONE,
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -88,7 +88,7 @@
                 # The endpoint refuses a start whose lease has expired, so it can't begin any more.
                 run.task.record_failure_on(link.entry.id)
                 count_failure(link)
-                self.drop(link, run, "its start expired without an answer")
+                self.drop(link, run, "its start expired without an answer", is_given_up=True)
         return stops
 
     def apply_answer(
@@ -154,8 +154,11 @@
         run.confirmed_at = time.monotonic()
         return None
 
-    def drop(self, link: EndpointLink, run: Run, reason: str) -> None:
-        """Remove a run that is certain to have ended; its task waits again."""
+    def drop(self, link: EndpointLink, run: Run, reason: str, *, is_given_up: bool = False) -> None:
+        """Remove a run that is certain to have ended; its task waits again.
+
+        :param is_given_up: whether no report shows its end; logged also for a run that was stopped.
+        """
         if run.is_unsent:
             run.task.attempts.pop(link.entry.id, None)
         link.runs_by_key.pop(run.key, None)
@@ -164,7 +167,7 @@
         task = run.task
         if run in task.runs:
             task.runs.remove(run)
-        if run.phase is not RunPhase.STOPPING:
+        if is_given_up or run.phase is not RunPhase.STOPPING:
             log(
                 Event.RUN_GONE,
                 job=task.id.job,
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from unittest.mock import patch
 
 import msgspec
 from testtools import TestCase
@@ -229,6 +230,14 @@
         [again] = self.poll(running=(listed,))
         self.assertEqual((OrderKind.STOP, run.number), (again.kind, again.number))
 
+    def test_a_stopped_run_that_is_given_up_is_logged(self) -> None:
+        """A task waited for a stopped run, and no line told why it was given up."""
+        run = self.run_of(self.add(a_step(1)))
+        Order.stop(run)
+        with patch("lentilrill.execution._reconcile.log") as log:
+            self.reconciler.drop(self.link, run, "its lease has lapsed", is_given_up=True)
+        self.assertEqual("its lease has lapsed", log.call_args.kwargs["reason"])
+
     def test_a_superseded_stop_is_not_sent_again(self) -> None:
         """Each repeated stop was sent until answered, so that they grew in number."""
         run = self.run_of(self.add(a_step(1)))
