--- a/src/lentilrill/execution/__init__.py
+++ b/src/lentilrill/execution/__init__.py
@@ -13,6 +13,7 @@
     StartOrder,
     Verdict,
 )
+from lentilrill.execution._host_reader import HostListing, HostReader, HostSource
 from lentilrill.execution._pool import PoolOwner
 from lentilrill.execution._writer import progress_key
 
@@ -20,6 +21,9 @@
     "Dialer",
     "EndKind",
     "EndpointCalls",
+    "HostListing",
+    "HostReader",
+    "HostSource",
     "OrderAnswer",
     "PolicyAnswer",
     "PolicyCalls",
--- a/src/lentilrill/execution/_crashes.py
+++ b/src/lentilrill/execution/_crashes.py
@@ -1,17 +1,20 @@
 """Crashes of endpoints under tasks: which tasks are suspected, and when one is given up."""
 
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
+from enum import Enum
 
 import msgspec
 
+from lentilrill.execution._host_reader import HostListing
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import Run, TrackedTask
 from lentilrill.ids import EndpointId, HostId
 from lentilrill.telemetry import Event, log
+from lentilrill.upkeep import HostState
 from lentilrill.workloads import Attempt, EndpointEntry, FailureCause, JobState
 
-__all__ = ["FRESH_S", "MAX_CRASHES", "CrashBook"]
+__all__ = ["FRESH_S", "MAX_CRASHES", "MAX_HOLD_S", "CrashBook"]
 
 MAX_CRASHES = 3
 """Endpoints that crash under a task before it is given up. One crash may have any cause, and a
@@ -23,44 +26,90 @@
 """Starts of a task without a known outcome that are kept."""
 MAX_LOST_S = 60.0
 """Time for which a lost endpoint is watched for a sign that its process has ended."""
+MAX_ASKED_S = 15.0
+"""Time for which listings of the hosts are requested for a lost endpoint."""
+MAX_HOLD_S = 6.0
+"""Time for which a task isn't started while it is open whether it has crashed
+:data:`MAX_CRASHES` endpoints. Covers several reads of the list of hosts; a task that lasts may be
+without a run for about as long."""
+RESTART_SHOWN_S = 2.0
+"""Time within which a process that restarted shows as such, in its entry or by its answers."""
+
+
+class _Proof(Enum):
+    """What shows that the process of an endpoint has ended."""
+
+    OTHER_PROCESS = "another process answers"
+    SUCCESSOR = "a newer endpoint is registered on its host"
+    HOST_DOWN = "its host is down"
+    HOST_GONE = "its host and its entry are gone"
+
+
+class _HostEvidence(Enum):
+    """What a listing of hosts shows of a lost endpoint."""
+
+    DOWN = "down"
+    GONE = "gone"
+    CUT_OFF = "cut-off"
+    """The platform still sees the endpoint on its host."""
+    PLANNED = "planned"
+    """The host is being moved, or in upkeep."""
+    NONE = "none"
 
 
 class _LostEndpoint(msgspec.Struct):
-    """Endpoint out of reach whose process may have crashed, and the tasks that it had begun."""
+    """Endpoint out of reach whose process may have crashed, and the tasks that it had begun.
+
+    :param is_cut_off: whether a listing has shown that it runs on.
+    """
 
     attempt: Attempt
     lost_at: float
+    watched_until: float
     tasks: list[TrackedTask]
+    is_cut_off: bool = False
 
 
 class CrashBook:
     """Counts the endpoints that crash under each task of a pool.
 
-    A crash is proven by another instance at the endpoint's address, by a restart under its id, or
-    by another endpoint on its host; silence proves nothing. The proof may come long after the run
-    was given up. All methods are called under the lock of the pool's owner.
+    A crash is proven by another instance at the endpoint's address, by a restart under its id, by
+    another endpoint on its host, or by the list of hosts. Silence proves nothing, but a task that
+    may have crashed as many endpoints as give it up isn't started until that is known, for
+    :data:`MAX_HOLD_S` at most. The proof may come long after the run was given up. All methods are
+    called under the lock of the pool's owner.
+
+    :param on_changed: called when a job's progress differs from the stored one.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_changed: Callable[[], None] = lambda: None) -> None:
         self._lost_by_id: dict[EndpointId, _LostEndpoint] = {}
+        self._on_changed = on_changed
 
     def restore(self, tasks: Iterable[TrackedTask]) -> None:
         """Watch the endpoints on which previous owners have started tasks, as far as stored."""
         for task in tasks:
             for endpoint, attempt in task.attempts.items():
                 self._watch(endpoint, attempt, task)
+            _hold_if_open(task)
 
     def record_attempt(self, link: EndpointLink, task: TrackedTask) -> None:
         """Note the start of a task; it has to be stored before it is sent."""
-        task.attempts[link.entry.id] = _attempt_on(link)
-        while len(task.attempts) > MAX_UNRESOLVED:
-            task.attempts.pop(next(iter(task.attempts)))
-        task.step.tracked_job.mark_dirty()
+        _note_attempt(task, link.entry.id, _attempt_on(link))
 
     def on_run_lost(self, link: EndpointLink, run: Run) -> None:
         """Watch an endpoint of which a run was given up out of sight."""
-        if _may_have_crashed(link, run):
-            self._watch(link.entry.id, _attempt_on(link), run.task)
+        if run.is_unsent or not _may_have_crashed(link, run):
+            return
+        task, endpoint = run.task, link.entry.id
+        if _is_leaving(link):
+            task.attempts.pop(endpoint, None)
+            return
+        attempt = _attempt_on(link)
+        _note_attempt(task, endpoint, attempt)
+        self._watch(endpoint, attempt, task)
+        _hold_if_open(task)
+        self._on_changed()
 
     def on_process_ended(self, link: EndpointLink) -> None:
         """Count the end of an endpoint's process for the tasks that it had just begun.
@@ -68,20 +117,18 @@
         Called before its runs are dropped. An endpoint that was leaving has not crashed.
         """
         tasks = [run.task for run in link.runs_by_key.values() if _may_have_crashed(link, run)]
-        lost = self._lost_by_id.pop(link.entry.id, None)
-        is_expected = link.entry.draining or link.released
-        if lost is not None:
-            _settle(link.entry.id, lost.attempt, lost.tasks, crashed=not is_expected)
-        _settle(link.entry.id, _attempt_on(link), tasks, crashed=not is_expected)
+        proof = None if _is_leaving(link) else _Proof.OTHER_PROCESS
+        if link.entry.id in self._lost_by_id:
+            self._resolve(link.entry.id, proof)
+        self._settle(link.entry.id, _attempt_on(link), tasks, proof)
 
     def on_answer(self, link: EndpointLink) -> None:
         """Note that an endpoint answers: if it is the same process, it has not crashed."""
         lost = self._lost_by_id.get(link.entry.id)
         if lost is not None and lost.attempt.started_ms == link.started_ms:
-            del self._lost_by_id[link.entry.id]
-            _settle(link.entry.id, lost.attempt, lost.tasks, crashed=False)
+            self._resolve(link.entry.id, None)
 
-    def on_registered(self, entries: dict[EndpointId, EndpointEntry], now: float) -> None:
+    def on_registered(self, entries: Mapping[EndpointId, EndpointEntry], now: float) -> None:
         """Compare lost endpoints with the registered ones."""
         if not self._lost_by_id:
             return
@@ -90,20 +137,126 @@
             newest_by_host[entry.host] = max(newest_by_host.get(entry.host, 0), entry.started_ms)
         for endpoint, lost in list(self._lost_by_id.items()):
             host = lost.attempt.host
-            has_ended = bool(host) and newest_by_host.get(host, 0) > lost.attempt.started_ms > 0
-            if has_ended or now - lost.lost_at > MAX_LOST_S:
-                del self._lost_by_id[endpoint]
-                _settle(endpoint, lost.attempt, lost.tasks, crashed=has_ended)
+            if host and newest_by_host.get(host, 0) > lost.attempt.started_ms > 0:
+                self._resolve(endpoint, _Proof.SUCCESSOR)
+            elif now > lost.watched_until:
+                self._resolve(endpoint, None)
+
+    def needs_listing(self, now: float) -> bool:
+        """Whether a newer listing of the hosts may show what has become of a lost endpoint."""
+        return any(
+            lost.attempt.host and not lost.is_cut_off and now - lost.lost_at < MAX_ASKED_S
+            for lost in self._lost_by_id.values()
+        )
+
+    def on_hosts_listed(
+        self, listing: HostListing, entries: Mapping[EndpointId, EndpointEntry]
+    ) -> None:
+        """Compare lost endpoints with a listing of the hosts that was read after their loss.
+
+        :param entries: the registered endpoints of the pool.
+        """
+        for endpoint, lost in list(self._lost_by_id.items()):
+            if listing.asked_at < lost.lost_at or not lost.attempt.host or lost.is_cut_off:
+                continue
+            evidence = _evidence_of(endpoint, lost.attempt.host, listing, endpoint in entries)
+            if evidence is _HostEvidence.DOWN:
+                self._resolve(endpoint, _Proof.HOST_DOWN)
+            elif evidence is _HostEvidence.GONE:
+                self._resolve(endpoint, _Proof.HOST_GONE)
+            elif evidence is _HostEvidence.PLANNED:
+                self._resolve(endpoint, None)
+            elif evidence is _HostEvidence.CUT_OFF:
+                # The process may have restarted under its id just now, which shows soon.
+                lost.is_cut_off = True
+                lost.watched_until = min(lost.watched_until, time.monotonic() + RESTART_SHOWN_S)
+                for task in lost.tasks:
+                    _close(task, endpoint)
 
     def _watch(self, endpoint: EndpointId, attempt: Attempt, task: TrackedTask) -> None:
-        lost = self._lost_by_id.setdefault(endpoint, _LostEndpoint(attempt, time.monotonic(), []))
-        lost.tasks.append(task)
+        now = time.monotonic()
+        lost = self._lost_by_id.setdefault(
+            endpoint, _LostEndpoint(attempt, now, now + MAX_LOST_S, [])
+        )
+        if task not in lost.tasks:
+            lost.tasks.append(task)
+        if not lost.is_cut_off:
+            task.open_crashes.add(endpoint)
+
+    def _resolve(self, endpoint: EndpointId, proof: _Proof | None) -> None:
+        """End the watch of a lost endpoint.
+
+        :param proof: what shows that its process has ended unexpectedly; ``None`` if it has not.
+        """
+        lost = self._lost_by_id.pop(endpoint)
+        # A task that has worked since is beyond suspicion.
+        tasks = [task for task in lost.tasks if endpoint in task.attempts]
+        self._settle(endpoint, lost.attempt, tasks, proof)
+        for task in lost.tasks:
+            _close(task, endpoint)
+
+    def _settle(
+        self,
+        endpoint: EndpointId,
+        attempt: Attempt,
+        tasks: list[TrackedTask],
+        proof: _Proof | None,
+    ) -> None:
+        """Apply the outcome of starts on an endpoint's process to their tasks."""
+        for task in tasks:
+            tracked_job = task.step.tracked_job
+            if task.attempts.pop(endpoint, None) is not None:
+                tracked_job.mark_dirty()
+            if proof is not None and not task.done and not tracked_job.state.is_final:
+                _count_crash(task, endpoint, attempt, proof)
+        if tasks:
+            self._on_changed()
+
+
+def _is_open(task: TrackedTask) -> bool:
+    """Whether it isn't known if a task has crashed as many endpoints as give it up."""
+    return len(task.crashed_processes) + len(task.open_crashes) >= MAX_CRASHES
+
+
+def _hold_if_open(task: TrackedTask) -> None:
+    if not _is_open(task):
+        return
+    task.held_until = time.monotonic() + MAX_HOLD_S
+    log(
+        Event.TASK_HELD,
+        job=task.id.job,
+        task=task.id,
+        crashes=len(task.crashed_processes),
+        lost=", ".join(sorted(task.open_crashes)),
+        most=MAX_CRASHES,
+        within_s=MAX_HOLD_S,
+    )
+
+
+def _close(task: TrackedTask, endpoint: EndpointId) -> None:
+    """Note that it is known what has become of an endpoint; the task may start again."""
+    task.open_crashes.discard(endpoint)
+    if task.held_until and not _is_open(task):
+        task.held_until = 0.0
 
 
 def _attempt_on(link: EndpointLink) -> Attempt:
     return Attempt(link.entry.host, link.started_ms)
 
 
+def _note_attempt(task: TrackedTask, endpoint: EndpointId, attempt: Attempt) -> None:
+    if task.attempts.get(endpoint) == attempt:
+        return
+    task.attempts[endpoint] = attempt
+    while len(task.attempts) > MAX_UNRESOLVED:
+        task.attempts.pop(next(iter(task.attempts)))
+    task.step.tracked_job.mark_dirty()
+
+
+def _is_leaving(link: EndpointLink) -> bool:
+    return link.entry.draining or link.released
+
+
 def _may_have_crashed(link: EndpointLink, run: Run) -> bool:
     """Whether a run began so shortly before its endpoint's last answer that it may be the cause."""
     if link.entry.id in run.task.attempts:
@@ -112,26 +265,33 @@
     return was_sent and link.answered_at - run.began_at < FRESH_S
 
 
-def _settle(
-    endpoint: EndpointId, attempt: Attempt, tasks: list[TrackedTask], *, crashed: bool
-) -> None:
-    """Apply the outcome of starts on an endpoint's process to their tasks."""
-    for task in tasks:
-        tracked_job = task.step.tracked_job
-        if task.attempts.pop(endpoint, None) is not None:
-            tracked_job.mark_dirty()
-        if not crashed or task.done or tracked_job.state.is_final:
-            continue
-        task.crashed_processes.add(f"{endpoint}@{attempt.started_ms}")
-        tracked_job.mark_dirty()
-        crashes = len(task.crashed_processes)
-        log(
-            Event.ENDPOINT_CRASHED,
-            job=task.id.job,
-            task=task.id,
-            endpoint=endpoint,
-            crashes=crashes,
-            most=MAX_CRASHES,
-        )
-        if crashes >= MAX_CRASHES:
-            tracked_job.end(JobState.FAILED, int(time.time() * 1000), FailureCause.CRASHES)
+def _evidence_of(
+    endpoint: EndpointId, host: HostId, listing: HostListing, is_registered: bool
+) -> _HostEvidence:
+    row = listing.rows_by_id.get(host)
+    if row is None:
+        # The pages of a listing are no snapshot, so a missing row alone proves nothing.
+        return _HostEvidence.NONE if is_registered else _HostEvidence.GONE
+    if row.state is HostState.DOWN:
+        return _HostEvidence.DOWN
+    if row.state is not HostState.UP:
+        return _HostEvidence.PLANNED
+    return _HostEvidence.CUT_OFF if row.endpoint == endpoint else _HostEvidence.NONE
+
+
+def _count_crash(task: TrackedTask, endpoint: EndpointId, attempt: Attempt, proof: _Proof) -> None:
+    tracked_job = task.step.tracked_job
+    task.crashed_processes.add(f"{endpoint}@{attempt.started_ms}")
+    tracked_job.mark_dirty()
+    crashes = len(task.crashed_processes)
+    log(
+        Event.ENDPOINT_CRASHED,
+        job=task.id.job,
+        task=task.id,
+        endpoint=endpoint,
+        crashes=crashes,
+        most=MAX_CRASHES,
+        proof=proof.value,
+    )
+    if crashes >= MAX_CRASHES:
+        tracked_job.end(JobState.FAILED, int(time.time() * 1000), FailureCause.CRASHES)
--- a/src/lentilrill/execution/_idle.py
+++ b/src/lentilrill/execution/_idle.py
@@ -105,6 +105,8 @@
         return {"reason": "the pool is being taken over"}
     if view.now < task.not_before:
         return {"reason": "its start was refused just now"}
+    if view.now < task.held_until:
+        return {"reason": "it may have crashed its endpoints", "held_s": _left_s(task, view)}
     if not tracked_job.is_recorded:
         return {"reason": "its job's record is not stored yet"}
     if tracked_job.job.id in view.refused_jobs:
@@ -112,6 +114,10 @@
     return _capacity_reason(task, view)
 
 
+def _left_s(task: TrackedTask, view: RoundView) -> float:
+    return round(task.held_until - view.now, 1)
+
+
 def _run_reason(run: Run, view: RoundView) -> dict[str, object]:
     link = view.links.get(run.endpoint)
     if run.phase is RunPhase.STOPPING:
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -172,7 +172,9 @@
         waiting = [
             task
             for task in step.tasks
-            if task.waiting and task.not_before <= now and task.id not in unknown_tasks
+            if task.waiting
+            and max(task.not_before, task.held_until) <= now
+            and task.id not in unknown_tasks
         ]
         # While the store doesn't answer, jobs without a record must not keep others waiting.
         if not waiting or step.tracked_job.lacks_record(now):
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -143,6 +143,9 @@
 
     :ivar crashed_processes: processes of endpoints that crashed under it since it last worked.
     :ivar attempts: starts since then of which it isn't known whether the endpoint crashed.
+    :ivar open_crashes: endpoints of these that are out of reach and may have crashed under it.
+    :ivar held_until: monotonic time before which it isn't started, since it may have crashed
+        several endpoints.
     :ivar failed_at: monotonic time of its last failure on each endpoint. A refused start counts as
         a failure whose exclusion has ended.
     """
@@ -154,8 +157,10 @@
         "done",
         "failed_at",
         "failed_runs",
+        "held_until",
         "id",
         "not_before",
+        "open_crashes",
         "runs",
         "start_count",
         "step",
@@ -170,14 +175,15 @@
         self.checkpoint = ""
         self.runs: list[Run] = []
         self.failed_at: dict[EndpointId, float] = {}
-        self.not_before = 0.0
+        self.not_before = self.held_until = 0.0
         self.crashed_processes: set[str] = set()
         self.attempts: dict[EndpointId, Attempt] = {}
+        self.open_crashes: set[EndpointId] = set()
 
     @property
     def is_suspect(self) -> bool:
-        """Whether an endpoint has crashed under it since it last worked."""
-        return bool(self.crashed_processes)
+        """Whether an endpoint has crashed, or may have, under it since it last worked."""
+        return bool(self.crashed_processes or self.open_crashes)
 
     @property
     def is_stored_first(self) -> bool:
@@ -194,6 +200,7 @@
         if self.crashed_processes or self.attempts:
             self.crashed_processes.clear()
             self.attempts.clear()
+            self.open_crashes.clear()
             self.step.tracked_job.mark_dirty()
 
     @property
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -194,6 +194,12 @@
         "An endpoint crashed within a second of a task's start there; the task is given up "
         "after several.",
     )
+    TASK_HELD = (
+        696,
+        Level.WARNING,
+        "A task may have crashed as many endpoints as give it up; it waits until that is known, "
+        "but no longer than the bound given.",
+    )
     RUN_NOT_STOPPED = (
         692,
         Level.WARNING,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -31,6 +31,7 @@
 from lentilrill.ownership import MemberRecord
 from lentilrill.scheduling import JobTiming
 from lentilrill.settings import Document, Entitlement, InnerKeys, Plan, Pool
+from lentilrill.upkeep import HostRow, HostState
 from lentilrill.workloads import (
     Configuration,
     EndpointEntry,
@@ -49,6 +50,7 @@
 __all__ = [
     "a_configuration",
     "a_document",
+    "a_host_row",
     "a_job",
     "a_job_timing",
     "a_member",
@@ -192,6 +194,12 @@
     return EndpointEntry(EndpointId(name), PoolId("notices"), address, zone, **(values | changes))
 
 
+def a_host_row(id: HostId, **changes: Any) -> HostRow:
+    """Return a host of the pool ``notices`` that is up and has no endpoint."""
+    values: dict[str, Any] = {"pool": PoolId("notices"), "state": HostState.UP}
+    return HostRow(id, **(values | changes))
+
+
 def a_configuration(version: int = 1, **changes: Any) -> Configuration:
     """Return a configuration with the queue ``proofs`` of the pool ``notices``."""
     values: dict[str, Any] = {"max_attempts": 2, "stretch": 1.6, "objective_ms": 600}
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -6,6 +6,7 @@
 
 from lentilrill.execution import (
     EndKind,
+    HostSource,
     OrderAnswer,
     PollResult,
     PoolOwner,
@@ -14,6 +15,7 @@
     StartOrder,
     Verdict,
 )
+from lentilrill.execution._host_reader import NO_HOST_SOURCE
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.store import Compare
 from lentilrill.workloads import Configuration, EndpointEntry, JobState, TaskId
@@ -148,6 +150,7 @@
         self.configuration_key: Compare | None = Compare("configuration", Revision(0))
         self.records_since: Revision | None = None
         self.refusals: list[str] = []
+        self.hosts: HostSource = NO_HOST_SOURCE
         self.owners: list[PoolOwner] = []
 
     def register(self, entry: EndpointEntry) -> None:
@@ -177,6 +180,7 @@
             self.refusals.append,
             lambda: self.configuration_key,
             lambda: self.records_since,
+            hosts=self.hosts,
         )
         self.owners.append(owner)
         return owner
