Moves: a pool with work and no host gets a spare one of an idle pool

Cause: moves leave each pool a minimum of two hosts, also when another pool has work and none at all.

Change: a pool with work and without any host takes a host without tasks from the pool with the most hosts beyond its work, but never that pool's last one. It doesn't apply to a pool with a host or without work, so that pools don't take spare hosts from each other in turn.

Result: test_a_pool_with_work_and_no_host_gets_a_spare_one failed before and passes; two tests guard the limits. tests/scheduling and tests/upkeep pass.

--- a/src/lentilrill/scheduling/_capacity.py
+++ b/src/lentilrill/scheduling/_capacity.py
@@ -105,6 +105,9 @@
     smallest share of its target goes first. Otherwise the forecast from a single large job, which
     looks like the start of a surge, would take every host from a pool in a real surge.
 
+    A pool that has work and no host at all also gets an idle pool's host below that pool's minimum,
+    but never its last one: spare hosts of one pool must not leave the work of another undone.
+
     :param standby_hosts: hosts in standby.
     """
     targets = pool_targets(needs)
@@ -148,6 +151,7 @@
         self._overdue_by_pool = {need.pool: list(need.overdue) for need in needs}
         self._drainable_by_pool = {need.pool: list(need.drainable) for need in needs}
         self._hosts_by_pool = {need.pool: need.hosts for need in needs}
+        self._with_work = {need.pool for need in needs if need.need}
         self._min_hosts_by_pool = {need.pool: need.min_hosts for need in needs}
         self._zones_by_pool = {need.pool: list(need.zones) for need in needs}
 
@@ -157,6 +161,8 @@
         while short := [p for p in targets if p not in unfilled and self._is_short(p, targets)]:
             pool = min(short, key=lambda p: self._hosts_by_pool[p] / targets[p])
             move = self._take_from_standby(pool) or self._take_from_pools(pool, targets)
+            if move is None and pool in self._with_work and not self._hosts_by_pool[pool]:
+                move = self._take_spare(pool, targets)
             if move is None:
                 unfilled.add(pool)
                 continue
@@ -204,6 +210,19 @@
                     return Move(candidates.pop(0), source, pool)
         return None
 
+    def _take_spare(self, pool: PoolId, targets: dict[PoolId, int]) -> Move | None:
+        """Take a host without tasks from the pool with the most hosts beyond its work."""
+        sources = [
+            source
+            for source, free in self._free_by_pool.items()
+            if free and self._hosts_by_pool[source] > max(1, targets[source])
+        ]
+        if not sources:
+            return None
+        source = max(sources, key=lambda p: self._hosts_by_pool[p] - targets[p])
+        self._hosts_by_pool[source] -= 1
+        return Move(self._free_by_pool[source].pop(0), source, pool)
+
     def _has_surplus(self, pool: PoolId, targets: dict[PoolId, int], fluctuation: float) -> bool:
         """Return whether a pool has more hosts than its target and its minimum.
 
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -4,6 +4,7 @@
 import random
 from collections import Counter
 
+import msgspec
 from testtools import TestCase
 
 from lentilrill.execution._need import LEAD_S, OfferedLoad, WorkEstimate
@@ -111,6 +112,33 @@
             moves = plan_moves((hot, idle), STANDBY, ())
             self.assertEqual(taken, len([m for m in moves if m.source == idle.pool]), hosts)
 
+    def test_a_pool_with_work_and_no_host_gets_a_spare_one(self) -> None:
+        """Jobs of a pool that had lost its last host waited for good beside an idle pool."""
+        empty = PoolNeed(PoolId("notices"), 0.9, 0, need_without_forecast=0.9)
+        for hosts, taken in ((3, 1), (2, 1), (1, 0)):
+            names = [f"b{n}" for n in range(hosts)]
+            idle = PoolNeed(
+                PoolId("ballots"), 0.0, hosts, hosts, free(*names), need_without_forecast=0.0
+            )
+            idle = msgspec.structs.replace(idle, below_min_s=0.0)
+            moves = plan_moves((empty, idle), STANDBY, ())
+            self.assertEqual(taken, len(moves), hosts)
+            self.assertTrue(all(move.target == empty.pool for move in moves))
+
+    def test_a_pool_with_a_host_leaves_other_pools_their_minimum(self) -> None:
+        """Guards against pools that take each other's spare hosts back and forth."""
+        short = PoolNeed(PoolId("notices"), 3.0, 1, need_without_forecast=3.0)
+        idle = PoolNeed(PoolId("ballots"), 0.0, 2, 2, free("b1", "b2"), need_without_forecast=0.0)
+        idle = msgspec.structs.replace(idle, below_min_s=0.0)
+        self.assertEqual([], plan_moves((short, idle), STANDBY, ()))
+
+    def test_an_idle_pool_without_hosts_takes_no_spare_one(self) -> None:
+        """Guards against moves for a pool that has no work."""
+        empty = PoolNeed(PoolId("notices"), 0.0, 0, need_without_forecast=0.0)
+        idle = PoolNeed(PoolId("ballots"), 0.0, 2, 2, free("b1", "b2"), need_without_forecast=0.0)
+        idle = msgspec.structs.replace(idle, below_min_s=0.0)
+        self.assertEqual([], plan_moves((empty, idle), STANDBY, ()))
+
     def test_a_forecast_does_not_starve_a_surge(self) -> None:
         """Jobs of a pool in its surge were rejected for four seconds while another pool had twenty
         idle hosts.
