Stand-ins: a request that its client did not send whole is not executed

The body ended before its Content-Length, as after a SIGKILL of the sender, and the stand-in decoded what had come. It was harmless there, but hid whether a process ever sends a body that can't be decoded.

Change: a body shorter than its Content-Length ends the connection without execution or log line. A complete body that can't be decoded still shows.

--- a/standins/_http.py
+++ b/standins/_http.py
@@ -22,6 +22,10 @@
 JSON_TYPE = "application/json"
 
 
+class TruncatedBodyError(Exception):
+    """A request whose body ended early, as its client was killed while it sent it."""
+
+
 class Call:
     """One request, with methods to answer it or to break its connection."""
 
@@ -34,9 +38,15 @@
 
     @property
     def body(self) -> bytes:
-        """The whole request body."""
+        """The whole request body.
+
+        :raises TruncatedBodyError: if the connection ended before it was complete.
+        """
         if self._body is None:
-            self._body = self._request.rfile.read()
+            body: bytes = self._request.rfile.read()
+            if len(body) < int(self.header("Content-Length", "0")):
+                raise TruncatedBodyError
+            self._body = body
         return self._body
 
     def header(self, name: str, default: str = "") -> str:
@@ -154,7 +164,11 @@
 def _gateway_class(handle: Callable[[Call, str], None], address: str) -> type[Gateway]:
     class CallGateway(Gateway):
         def respond(self) -> None:
-            handle(Call(self.req), address)
+            call = Call(self.req)
+            try:
+                handle(call, address)
+            except TruncatedBodyError:
+                call.disconnect(reset=True)
 
     return CallGateway
 
