--- a/standins/_platform_records.py
+++ b/standins/_platform_records.py
@@ -39,6 +39,8 @@
     :param end_kind: how it ended, as a value of the platform's protocol; ``gone`` if its endpoint
         crashed or left.
     :param noted: whether the end was acknowledged.
+    :param outdated: whether its endpoint's lease lapsed behind a partition before that, so that the
+        end counts as never noted.
     """
 
     endpoint: str
@@ -48,6 +50,7 @@
     ended: float = 0.0
     end_kind: str = ""
     noted: bool = False
+    outdated: bool = False
 
 
 class Crash(msgspec.Struct, frozen=True):
--- a/standins/_users_endpoint.py
+++ b/standins/_users_endpoint.py
@@ -61,6 +61,12 @@
     def plan_crash(self, task: str, spec: str) -> CrashPlan | None:
         """Return how the start of a task crashes its endpoint, or ``None`` if it does not."""
 
+    def plan_cut(self, task: str, spec: str) -> float:
+        """Return the seconds for which the start of a task cuts its endpoint off; 0.0 if not."""
+
+    def on_cut(self, endpoint: "UsersEndpoint") -> None:
+        """Take note of the beginning of a partition."""
+
     def on_crash(self, endpoint: "UsersEndpoint", plan: CrashPlan) -> None:
         """Take note of a crash, and start the endpoint again as planned."""
 
@@ -71,11 +77,14 @@
     :param address: address at which it serves; that of a former life if it starts again.
     :ivar started_ms: time of its start, in milliseconds since the epoch.
     :ivar down_since: monotonic time of its end; 0.0 while it is up.
+    :ivar cut_since: monotonic time at which the last partition began.
+    :ivar cut_until: monotonic time at which it ends; 0.0 if there was none.
     """
 
     def __init__(self, name: str, address: str, context: EndpointContext) -> None:
         self.name = name
         self.down_since = 0.0
+        self.cut_since = self.cut_until = 0.0
         self.started_ms = int(time.time() * 1000)
         self._context = context
         self._changed = threading.Condition()
@@ -110,10 +119,28 @@
         if self._record_crash(culprit):
             self._context.on_crash(self, plan)
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether no call reaches the endpoint, which works on."""
+        return time.monotonic() < self.cut_until
+
+    def cut_off(self, for_s: float) -> None:
+        """Answer no call for some seconds; polls that wait get no answer either."""
+        with self._changed:
+            if self.closed:
+                return
+            self.cut_since = time.monotonic()
+            self.cut_until = self.cut_since + for_s
+            self._changed.notify_all()
+        self._context.on_cut(self)
+
     def tick(self) -> None:
         """End the runs that are complete or stopped, or whose lease has expired."""
         with self._changed:
             lease_expired = self._clock_ms() > self._expires_ms
+            if lease_expired and self.is_cut_off:
+                for ended in self._ended_runs.values():
+                    ended.outdated = True
             for key, record in list(self._running.items()):
                 end_kind = "lapsed" if lease_expired else self._due_end(key, record)
                 if end_kind:
@@ -166,11 +193,15 @@
 
     def _serve(self, call: Call, address: str) -> None:
         del address
+        if self.is_cut_off:
+            self._keep_silent(call)
+            return
         if call.header("Expect-Instance") != self.name:
             call.answer(421, b"")
             return
         body = msgspec.json.decode(call.body)
         plan = None
+        cut_s = 0.0
         with self._changed:
             if self.closed:
                 call.disconnect(reset=True)
@@ -183,17 +214,28 @@
             answer = self._execute(call.path, body)
             if is_new:
                 plan = self._context.plan_crash(body["task"], body.get("spec", ""))
+                cut_s = self._context.plan_cut(body["task"], body.get("spec", ""))
         if plan is not None and not plan.after_s:
             self.crash(plan, body["task"])
         if self.closed or self._context.loses_answer():
             call.disconnect(reset=True)
             return
+        if self.is_cut_off:
+            self._keep_silent(call)
+            return
         call.answer_json({"clock_ms": self._clock_ms()} | answer)
+        if cut_s:
+            self.cut_off(cut_s)
         if plan is not None and plan.after_s:
             timer = threading.Timer(plan.after_s, self._crash_under, (plan, self._key(body)))
             timer.daemon = True
             timer.start()
 
+    def _keep_silent(self, call: Call) -> None:
+        """Give no answer while the partition lasts, nor afterwards."""
+        call.block_while(lambda: self.is_cut_off and not self.closed)
+        call.disconnect(reset=True)
+
     def _crash_under(self, plan: CrashPlan, key: tuple[str, int]) -> None:
         """Crash, unless the run that causes it has ended meanwhile."""
         if key in self._running:
@@ -245,7 +287,8 @@
     def _forget_ends(self, acknowledged: int) -> None:
         for end in self._ended:
             if end[0] <= acknowledged:
-                self._ended_runs.pop(end[0]).noted = True
+                record = self._ended_runs.pop(end[0])
+                record.noted = not record.outdated
         self._ended = [end for end in self._ended if end[0] > acknowledged]
 
     def _percent(self, record: RunRecord) -> int:
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -75,9 +75,12 @@
     :ivar policy: the policy service.
     :ivar records: every run that was started.
     :ivar crashes: every crash of an endpoint.
+    :ivar cut_ends: monotonic times at which partitions of endpoints end.
     :ivar listings: every change of an entry of an endpoint in the store.
     :ivar crash_plan: returns how the start of a task with a spec crashes its endpoint; ``None`` if
         it does not.
+    :ivar cut_plan: returns the seconds for which the start of a task with a spec cuts its endpoint
+        off; 0.0 if it does not.
     :ivar failing: hosts whose endpoints fail everything they start.
     :ivar jobs_by_id: the jobs that callers submitted, as far as they said so; only the tasks of
         these are known to last.
@@ -93,8 +96,10 @@
         self._call_numbers = itertools.count(1)
         self.records: list[RunRecord] = []
         self.crashes: list[Crash] = []
+        self.cut_ends: list[float] = []
         self.listings: list[Listing] = []
         self.crash_plan: Callable[[str, str], CrashPlan | None] = lambda task, spec: None
+        self.cut_plan: Callable[[str, str], float] = lambda task, spec: 0.0
         self.failing: set[str] = set()
         self.jobs_by_id: dict[str, SeenJob] = {}
         self.use_by_job: dict[str, JobUse] = {}
@@ -107,6 +112,7 @@
         self._endpoints: dict[str, UsersEndpoint] = {}
         self._capacities: dict[str, Amounts] = {}
         self._entries: dict[str, dict[str, Any]] = {}
+        self._cut_off: set[str] = set()
         self._fencing_tokens: dict[str, int] = {}
         self._closed = threading.Event()
         self._servers = [
@@ -156,6 +162,13 @@
         if endpoint is not None:
             endpoint.crash(CrashPlan(back_s=back_s, renamed=renamed))
 
+    def cut_endpoint(self, host: str, for_s: float) -> None:
+        """Cut the endpoint of a host off from all others for some seconds; it works on."""
+        with self._lock:
+            endpoint = self._endpoints.get(host)
+        if endpoint is not None:
+            endpoint.cut_off(for_s)
+
     def set_capacity(self, host: str, capacity: Amounts) -> None:
         """Change the capacity that the endpoint of a host has; runs that exceed it continue."""
         with self._lock:
@@ -269,6 +282,19 @@
         """Return how the start of a task crashes its endpoint, or ``None`` if it does not."""
         return self.crash_plan(task, spec)
 
+    def plan_cut(self, task: str, spec: str) -> float:
+        """Return the seconds for which the start of a task cuts its endpoint off; 0.0 if not."""
+        return self.cut_plan(task, spec)
+
+    def on_cut(self, endpoint: UsersEndpoint) -> None:
+        """Take note of the beginning of a partition."""
+        with self._lock:
+            host = self._host_of(endpoint)
+            if host:
+                self.cut_ends.append(endpoint.cut_until)
+                self._record_listing(endpoint.name, self._hosts[host]["pool"], None)
+                self._cut_off.add(endpoint.name)
+
     def on_crash(self, endpoint: UsersEndpoint, plan: CrashPlan) -> None:
         """Take note of a crash, and start the endpoint again as planned."""
         restart = threading.Thread(target=self._restart, args=(endpoint, plan), daemon=True)
@@ -341,6 +367,14 @@
             if time.monotonic() > endpoint.down_since + SILENCE_S:
                 self._withdraw(endpoint.name)
             return
+        if endpoint.is_cut_off:
+            if time.monotonic() > endpoint.cut_since + SILENCE_S:
+                self._withdraw(endpoint.name)
+            return
+        if endpoint.name in self._cut_off:
+            self._cut_off.discard(endpoint.name)
+            pool = self._hosts[host]["pool"]
+            self._record_listing(endpoint.name, pool, self._capacities[host])
         entry = self._entry(host, endpoint)
         written = self._entries.get(endpoint.name, {})
         if self.store.down or written | {"seq": 0} == entry | {"seq": 0}:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -23,3 +23,9 @@
         soak = Soak(SEEDS[0], SECONDS, plays=ENDPOINT_FAULTS)
         soak.run()
         self.assertEqual([], soak.failures)
+
+    def test_no_promise_is_broken_while_endpoints_are_cut_off(self) -> None:
+        """Guards against jobs given up, or done twice, as partitions hit their endpoints."""
+        soak = Soak(SEEDS[0], SECONDS, plays=(Play.CUTS, Play.LASTING))
+        soak.run()
+        self.assertEqual([], soak.failures)
--- a/tests/standins/test_run_judges.py
+++ b/tests/standins/test_run_judges.py
@@ -32,6 +32,12 @@
         ):
             self.assertEqual(1, len(find_doubled([done, again], [other])))
 
+    def test_an_end_that_lapsed_behind_a_partition_may_be_repeated(self) -> None:
+        """Guards against blame for a task whose first end was acknowledged only as outdated."""
+        outdated, again = a_run(1.0, 2.0, "done"), a_run(3.0, 4.0, "done")
+        outdated.outdated = True
+        self.assertEqual([], find_doubled([outdated, again], []))
+
     def test_a_start_after_a_noted_end_is_found(self) -> None:
         """Guards against a task that starts again although its end was acknowledged."""
         noted = a_run(1.0, 2.0, "done", noted=True)
--- a/tests/standins/test_users_platform.py
+++ b/tests/standins/test_users_platform.py
@@ -146,3 +146,28 @@
     def test_a_lease_in_the_past_starts_nothing(self) -> None:
         self.assertEqual(409, self.start(expires_ms=0))
         self.assertEqual([], self.platform.records)
+
+
+class PartitionTest(EndpointCase):
+    def test_an_endpoint_that_is_cut_off_answers_nothing_and_works_on(self) -> None:
+        """Guards against a partition that ends runs, which would judge no owner."""
+        self.start()
+        self.platform.cut_endpoint(self.host, 0.6)
+        self.assertEqual(NO_ANSWER, self.start())
+        self.assertEqual([0.0], [run.ended for run in self.platform.records])
+        self.assertEqual(200, self.start())
+
+    def test_the_entry_of_an_endpoint_that_is_cut_off_lapses_and_comes_back(self) -> None:
+        """Guards against partitions that an owner could tell from a crash by the entry."""
+        self.platform.cut_endpoint(self.host, 2.0)
+        self.assertTrue(eventually(lambda: not self.entry()))
+        self.assertTrue(eventually(lambda: bool(self.entry())))
+
+    def test_an_end_whose_lease_lapsed_behind_a_partition_counts_as_not_noted(self) -> None:
+        """Guards against a task called done twice whose first end no owner could have seen."""
+        self.platform.task_s = 0.1
+        self.start(expires_ms=300)
+        self.platform.cut_endpoint(self.host, 1.5)
+        self.assertTrue(eventually(lambda: self.send("/hold", ack_cursor=1)[0] == 200))
+        [run] = self.platform.records
+        self.assertEqual(("done", False, True), (run.end_kind, run.noted, run.outdated))
