Tickets: an endpoint that restarts is asked for again

What callers would see: a step that waits for good. Whether an endpoint may run a step doesn't change, so a denial was kept for as long as the step asked; but an endpoint may start again under its id as another kind.

Change: a restart drops all answers about the endpoint, and one that was on its way at that moment. Denials aren't asked for again by time: the service handles one call at a time, and the steps that wait longest go first.

--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -130,8 +130,11 @@
             link.was_polled = True
             self._links.unpolled.discard(link.entry.id)
             had_ends = bool(result.ended)
+            previous_ms = link.started_ms
             for order in self._reconciler.apply_poll(link, result, sent):
                 link.order(order)
+            if previous_ms and link.started_ms != previous_ms:
+                self._tickets.forget_endpoint(link.entry.id)
             # Only now: whether a run may have crashed the endpoint goes by the answer before.
             link.answered_at = now
             self._crashes.on_answer(link)
--- a/src/lentilrill/execution/_tickets.py
+++ b/src/lentilrill/execution/_tickets.py
@@ -41,7 +41,7 @@
 
     def __init__(self, now: float) -> None:
         self.ticket_by_endpoint: dict[EndpointId, tuple[str, float]] = {}
-        # Whether an endpoint may run a step never changes, so a refusal is kept for good.
+        # Whether an endpoint may run a step doesn't change, so a refusal is kept until it restarts.
         self.denied: set[EndpointId] = set()
         self.requested_at = now
 
@@ -67,6 +67,7 @@
         self._on_changed = on_changed
         self._lock = threading.Lock()
         self._tickets_by_step: dict[StepId, _StepTickets] = {}
+        self._restarted_at: dict[EndpointId, float] = {}
         self._requests: list[TicketRequest] = []
         self._service = Dependency("policy service")
         self._wake = threading.Event()
@@ -110,6 +111,16 @@
             if step_tickets is not None:
                 step_tickets.ticket_by_endpoint.pop(endpoint, None)
 
+    def forget_endpoint(self, endpoint: EndpointId) -> None:
+        """Drop all answers about an endpoint that has restarted, possibly as another kind."""
+        now = time.monotonic()
+        with self._lock:
+            recent = {id: at for id, at in self._restarted_at.items() if now - at < RETENTION_S}
+            self._restarted_at = recent | {endpoint: now}
+            for step_tickets in self._tickets_by_step.values():
+                step_tickets.ticket_by_endpoint.pop(endpoint, None)
+                step_tickets.denied.discard(endpoint)
+
     def close(self) -> None:
         """Stop requesting tickets."""
         self._ended.set()
@@ -152,6 +163,9 @@
         with self._lock:
             step_tickets = self._tickets_by_step.setdefault(request.step, _StepTickets(called_at))
             for endpoint in request.endpoints:
+                if self._restarted_at.get(endpoint, 0.0) >= called_at:
+                    # The answer is about its previous process.
+                    continue
                 if endpoint in answer.ticket_by_endpoint:
                     step_tickets.ticket_by_endpoint[endpoint] = (
                         answer.ticket_by_endpoint[endpoint],
--- a/tests/execution/test_reborn_endpoint.py
+++ b/tests/execution/test_reborn_endpoint.py
@@ -1,10 +1,12 @@
 """An endpoint that crashes and starts again under the same id."""
 
+from unittest import mock
+
 import msgspec
 from testtools import TestCase
 
 from lentilrill.execution import OrderAnswer, PollResult, StartOrder, Verdict
-from lentilrill.ids import JobId
+from lentilrill.ids import EndpointId, JobId
 from lentilrill.workloads import JobState
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually, state_of
@@ -74,6 +76,15 @@
     def ends(self, job: JobId) -> bool:
         return eventually(lambda: state_of(self.owner, job) is JobState.COMPLETED)
 
+    def test_a_new_life_drops_what_the_policy_service_said(self) -> None:
+        """Guards against a step that is denied an endpoint for good, as its former life was."""
+        link = self.owner._links.by_id
+        self.assertTrue(eventually(lambda: "e1" in link and link[EndpointId("e1")].was_polled))
+        forget = self.owner._tickets.forget_endpoint = mock.Mock()  # type: ignore[method-assign]
+        self.endpoint.crash()
+        self.assertTrue(eventually(lambda: forget.called))
+        forget.assert_called_once_with("e1")
+
     def test_the_ends_of_a_new_life_are_not_acknowledged_unseen(self) -> None:
         """Guards against a task done twice, as the cursor of the former life hid its end."""
         first = self.submit("a", 3)
--- a/tests/execution/test_tickets.py
+++ b/tests/execution/test_tickets.py
@@ -1,5 +1,7 @@
 """Tickets of the policy service, requested ahead of starts."""
 
+from collections.abc import Callable
+
 from returns.result import Failure, Result, Success
 from testtools import TestCase
 
@@ -18,21 +20,29 @@
 
 
 class Policy:
-    """Allows all endpoints but ``e1``; the next ``failures`` calls fail."""
+    """Allows all endpoints but ``e1``; the next ``failures`` calls fail.
+
+    :ivar on_request: called during each call.
+    """
 
     def __init__(self) -> None:
         self.requests_received: list[TicketRequest] = []
         self.failures = 0
+        self.denied = {"e1"}
+        self.on_request: Callable[[], None] = lambda: None
         self.valid_s = 60.0
 
     def request_tickets(
         self, step: StepId, endpoints: tuple[EndpointId, ...]
     ) -> Result[PolicyAnswer, Fault]:
         self.requests_received.append(TicketRequest(step, endpoints))
+        self.on_request()
         if self.failures:
             self.failures -= 1
             return Failure(Fault("policy.ask", "", FaultKind.UNAVAILABLE, "status 429"))
-        return Success(PolicyAnswer({e: f"t-{e}" for e in endpoints if e != "e1"}, self.valid_s))
+        return Success(
+            PolicyAnswer({e: f"t-{e}" for e in endpoints if e not in self.denied}, self.valid_s)
+        )
 
 
 class TicketTest(TestCase):
@@ -70,6 +80,28 @@
         self.assertTrue(eventually(lambda: self.has(STEP, "e0")))
         self.assertEqual(3, len(self.policy.requests_received))
 
+    def test_an_endpoint_that_was_denied_is_asked_for_again_after_a_restart(self) -> None:
+        """Guards against a step that waits for good: its endpoint came back as another kind."""
+        self.cache.request([TicketRequest(STEP, endpoints(2))])
+        self.assertTrue(eventually(lambda: self.has(STEP, "e0")))
+        self.policy.denied.clear()
+        self.cache.request([TicketRequest(STEP, endpoints(2))])
+        self.assertFalse(self.has(STEP, "e1"))
+        self.cache.forget_endpoint(EndpointId("e1"))
+        self.cache.request([TicketRequest(STEP, endpoints(2))])
+        self.assertTrue(eventually(lambda: self.has(STEP, "e1")))
+        self.assertEqual(("e1",), self.policy.requests_received[-1].endpoints)
+
+    def test_an_answer_about_the_previous_process_is_dropped(self) -> None:
+        """Guards against a denial that was on its way as the endpoint restarted."""
+        self.policy.on_request = lambda: self.cache.forget_endpoint(EndpointId("e1"))
+        self.cache.request([TicketRequest(STEP, endpoints(2))])
+        self.assertTrue(eventually(lambda: self.has(STEP, "e0")))
+        self.policy.on_request = lambda: None
+        self.policy.denied.clear()
+        self.cache.request([TicketRequest(STEP, endpoints(2))])
+        self.assertTrue(eventually(lambda: self.has(STEP, "e1")))
+
     def test_a_refused_ticket_is_requested_again(self) -> None:
         """Guards against a task that waits forever: its ticket was invalid after a restart."""
         self.cache.request([TicketRequest(STEP, endpoints(1))])
