Entry host: starts without an address of the list of hosts

Without an address there are no listings now; a task whose third crash is open then waits for the bound.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -9,7 +9,7 @@
 from lentilrill.entry._caches import ConfigurationCache, EndpointDirectory
 from lentilrill.entry._status_exchange import StatusExchange
 from lentilrill.entry._workspace_metrics import set_workspace_gauges
-from lentilrill.execution import EndpointCalls, HostReader, PoolOwner
+from lentilrill.execution import NO_HOST_SOURCE, EndpointCalls, HostReader, PoolOwner
 from lentilrill.ids import Incarnation, PoolId, Revision
 from lentilrill.inner import (
     Batch,
@@ -74,7 +74,8 @@
         self._incarnation = Incarnation(time.time_ns())
         self._node = Node(settings.process, self._incarnation, settings.inner, None, self.metrics)
         self._policy = PlatformPolicy(settings.advice, self.metrics) if settings.advice else None
-        self._host_reader = HostReader(PlatformHosts(settings.hosts_api))
+        hosts_api = settings.hosts_api
+        self._host_reader = HostReader(PlatformHosts(hosts_api)) if hosts_api else None
         self._configuration = ConfigurationCache()
         self._endpoint_directory = EndpointDirectory()
         self._lock = threading.Lock()
@@ -155,7 +156,8 @@
         for follower in self._followers:
             follower.start()
         self._intake.start()
-        self._host_reader.start()
+        if self._host_reader is not None:
+            self._host_reader.start()
         self._pace.start()
         self._ownership.start()
         self._status_exchange.start()
@@ -175,7 +177,8 @@
         for follower in self._followers:
             follower.close()
         self._status_exchange.close()
-        self._host_reader.close()
+        if self._host_reader is not None:
+            self._host_reader.close()
         self._pace.close()
         self._ownership.close()
         # Stop these servers too: threads of a running server keep the interpreter alive, and the
@@ -254,7 +257,7 @@
             lambda: self._ownership.records_since,
             self._policy,
             self.metrics,
-            self._host_reader,
+            self._host_reader or NO_HOST_SOURCE,
         )
         with self._lock:
             previous = self._owners_by_pool.get(PoolId(shard))
--- a/src/lentilrill/execution/__init__.py
+++ b/src/lentilrill/execution/__init__.py
@@ -13,11 +13,17 @@
     StartOrder,
     Verdict,
 )
-from lentilrill.execution._host_reader import HostListing, HostReader, HostSource
+from lentilrill.execution._host_reader import (
+    NO_HOST_SOURCE,
+    HostListing,
+    HostReader,
+    HostSource,
+)
 from lentilrill.execution._pool import PoolOwner
 from lentilrill.execution._writer import progress_key
 
 __all__ = [
+    "NO_HOST_SOURCE",
     "Dialer",
     "EndKind",
     "EndpointCalls",
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from lentilrill.execution import (
+    NO_HOST_SOURCE,
     EndKind,
     HostSource,
     OrderAnswer,
@@ -15,7 +16,6 @@
     StartOrder,
     Verdict,
 )
-from lentilrill.execution._host_reader import NO_HOST_SOURCE
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.store import Compare
 from lentilrill.workloads import Configuration, EndpointEntry, JobState, TaskId
