Planner: a task that is stuck everywhere gets more time, and discredits no endpoint

What callers would see: a task too long to progress by one percent in 1.6 s is stopped and started again on one endpoint after the other and never ends; each endpoint that it was stopped on counts as failing, so the pool gets slower for the others. It can't be given up: only a failed run counts as an attempt.

Change: once a task has been stuck on two endpoints, it is the likely cause. From then on it gets twice the time on each further one, up to 12.8 s, and no endpoint counts as failing for it. A task at work has its time back.

--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -29,6 +29,10 @@
 STUCK_AFTER_S = 1.6
 """Time without progress after which a run counts as stuck: twice the wait of a poll, in which even
 a task of ten times the usual length progresses by one percent."""
+STALLS_OF_A_TASK = 2
+"""Endpoints on which a task has been stuck after which the task is the likely cause. From then on
+it gets twice the time on each further one, and no endpoint counts as failing for it."""
+MAX_STUCK_AFTER_S = 12.8
 PROBE_S = 1.0
 """Time after which a run that hasn't failed shows that an unhealthy endpoint may get one more."""
 MIN_RECORDS_AHEAD = 2
@@ -275,22 +279,26 @@
         An endpoint may answer normally while its tasks hang. Without a stop they would hold their
         capacity and delay their jobs indefinitely. An old report proves nothing: the tasks may have
         progressed since.
+
+        A task that is stuck everywhere may be a very long one, so it gets more time on each further
+        endpoint. It can't be given up, as only a failed run counts as an attempt.
         """
         if now - link.reported_at > MAX_REPORT_AGE_S:
             return []
         orders = []
         for run in link.runs_by_key.values():
-            if (
-                run.phase is not RunPhase.IN_PROGRESS
-                or run.percent >= FULL_PACE_PERCENT
-                or not run.pace
-            ):
+            if run.percent >= FULL_PACE_PERCENT:
+                run.task.stalled_on.clear()
+                continue
+            if run.phase is not RunPhase.IN_PROGRESS or not run.pace:
                 continue
             stalled_s = link.reported_at - run.progressed_at
-            if stalled_s < STUCK_AFTER_S:
+            if stalled_s < _stuck_after_s(run.task):
                 continue
             run.task.record_failure_on(link.entry.id)
-            count_failure(link)
+            if len(run.task.stalled_on) < STALLS_OF_A_TASK:
+                count_failure(link)
+            run.task.stalled_on.add(link.entry.id)
             log(
                 Event.RUN_STUCK,
                 job=run.task.id.job,
@@ -299,6 +307,7 @@
                 endpoint=link.entry.id,
                 percent=run.percent,
                 for_s=round(stalled_s, 1),
+                stalls=len(run.task.stalled_on),
             )
             orders.append(Order.stop(run))
         return orders
@@ -323,6 +332,12 @@
         return orders
 
 
+def _stuck_after_s(task: TrackedTask) -> float:
+    """Return the time without progress after which a run of a task counts as stuck."""
+    doublings = max(0, len(task.stalled_on) - STALLS_OF_A_TASK + 1)
+    return min(MAX_STUCK_AFTER_S, STUCK_AFTER_S * 2.0**doublings)
+
+
 def blocking_reason(link: EndpointLink, now: float) -> str | None:
     """Return the reason why an endpoint gets no new tasks, or ``None`` if it may get some."""
     if link.closed:
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -146,6 +146,7 @@
     :ivar open_crashes: endpoints of these that are out of reach and may have crashed under it.
     :ivar held_until: monotonic time before which it isn't started, since it may have crashed
         several endpoints.
+    :ivar stalled_on: endpoints on which it made no progress for long; empty once it is at work.
     :ivar failed_at: monotonic time of its last failure on each endpoint. A refused start counts as
         a failure whose exclusion has ended.
     """
@@ -162,6 +163,7 @@
         "not_before",
         "open_crashes",
         "runs",
+        "stalled_on",
         "start_count",
         "step",
     )
@@ -179,6 +181,7 @@
         self.crashed_processes: set[str] = set()
         self.attempts: dict[EndpointId, Attempt] = {}
         self.open_crashes: set[EndpointId] = set()
+        self.stalled_on: set[EndpointId] = set()
 
     @property
     def is_suspect(self) -> bool:
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -7,12 +7,13 @@
 from lentilrill.execution._demand import PoolDemand, demand_of
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations, WorkForecast
+from lentilrill.execution._planner import MAX_STUCK_AFTER_S, STUCK_AFTER_S
 from lentilrill.execution._pressure import backlog_of, pressure_of
 from lentilrill.execution._reconcile import UNKNOWN_RUN_GRACE_S
 from lentilrill.execution._release import release
-from lentilrill.execution._tracking import MAX_REPORT_AGE_S, RunPhase, TrackedJob
+from lentilrill.execution._tracking import MAX_REPORT_AGE_S, Run, RunPhase, TrackedJob
 from lentilrill.execution._wait_times import WaitCause
-from lentilrill.ids import JobId, PoolId, Revision
+from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
 from lentilrill.scheduling import JobTiming
 from lentilrill.workloads import JobState, Resources, TaskId
@@ -463,6 +464,40 @@
         self.assertIn(self.link.entry.id, run.task.excluded(time.monotonic()))
         self.assertEqual([], planner.stop_stuck_runs(self.link, time.monotonic()))
 
+    def stall(self, run: Run, seconds: float) -> bool:
+        """Let a run make no progress for a time; return whether it is stopped."""
+        run.progressed_at = run.confirmed_at = self.link.reported_at - seconds
+        return bool(a_planner().stop_stuck_runs(self.link, time.monotonic()))
+
+    def test_a_task_that_is_stuck_everywhere_gets_more_time(self) -> None:
+        """A task too long to progress in two seconds was started again and again, without end."""
+        run = self.run_of(self.add(a_step(1)))
+        run.task.stalled_on |= {EndpointId("e7"), EndpointId("e8")}
+        self.assertFalse(self.stall(run, 2 * STUCK_AFTER_S - 0.1))
+        self.assertTrue(self.stall(run, 2 * STUCK_AFTER_S + 0.1))
+        run.task.stalled_on |= {EndpointId(f"e{number}") for number in range(20)}
+        run.phase = RunPhase.IN_PROGRESS
+        self.assertFalse(self.stall(run, MAX_STUCK_AFTER_S - 0.1))
+        self.assertTrue(self.stall(run, MAX_STUCK_AFTER_S + 0.1))
+
+    def test_a_task_that_is_stuck_everywhere_discredits_no_endpoint(self) -> None:
+        """One task that hung everywhere made one endpoint after the other count as failing."""
+        for stalls, failures in ((0, 1), (1, 1), (2, 0), (5, 0)):
+            self.link.failures = 0
+            run = self.run_of(self.add(a_step(1), name=f"j{stalls}"))
+            run.task.stalled_on |= {EndpointId(f"f{number}") for number in range(stalls)}
+            self.assertTrue(self.stall(run, MAX_STUCK_AFTER_S + 0.1))
+            self.assertEqual(failures, self.link.failures, stalls)
+            self.link.runs_by_key.clear()
+
+    def test_a_task_at_work_has_its_time_back(self) -> None:
+        """A long-running task that hung later in its life stood still for many seconds."""
+        run = self.run_of(self.add(a_step(1, lasting=True)))
+        run.task.stalled_on |= {EndpointId("e7"), EndpointId("e8")}
+        run.percent = 100
+        self.assertFalse(self.stall(run, 0.0))
+        self.assertEqual(set(), run.task.stalled_on)
+
     def test_an_endpoint_that_keeps_failing_is_probed_less_and_less_often(self) -> None:
         tracked_job = self.add(a_step(9))
         for index in range(3):
