Bench: time until the last entry host goes by a changed configuration

Black box: a change takes a key away, and a host goes by it once it answers 401 to a call with that key.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     "fleet",
     "config",
     "control",
+    "entry_config",
     "keys",
     "owner",
     "platform",
