--- a/tests/execution/test_lost_for_good.py
+++ b/tests/execution/test_lost_for_good.py
@@ -11,14 +11,22 @@
 from lentilrill.execution import HostListing, HostReader, OrderAnswer, PoolOwner, StartOrder
 from lentilrill.execution import _crashes as crashes
 from lentilrill.execution import _host_reader as host_reader
-from lentilrill.execution._crashes import MAX_ASKED_S, MAX_CRASHES, MAX_HOLD_S
+from lentilrill.execution._crashes import (
+    MAX_ASKED_S,
+    MAX_CRASHES,
+    MAX_HOLD_S,
+    MAX_LOST_S,
+    MAX_UNRESOLVED,
+    RESTART_SHOWN_S,
+)
+from lentilrill.execution._host_reader import READ_INTERVAL_S
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import Run, TrackedJob, encode_progress
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import EndpointId, HostId, JobId, Revision
 from lentilrill.telemetry import Event
 from lentilrill.upkeep import HostRow, HostState
-from lentilrill.workloads import EndpointEntry, Job, JobProgress, JobState
+from lentilrill.workloads import Attempt, EndpointEntry, Job, JobProgress, JobState
 from tests.builders import a_host_row, a_job, a_step, an_endpoint
 from tests.execution.cases import Owner, TrackedJobCase
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually, state_of
@@ -130,7 +138,8 @@
 
     def lose(self, endpoint: str = "e1", *, sends: int = 1, **changes: object) -> EndpointLink:
         """Start the task on an endpoint and lose that out of sight."""
-        entry = an_endpoint(endpoint, host=host_of(endpoint), started_ms=1, **changes)
+        values = {"host": host_of(endpoint), "started_ms": 1} | changes
+        entry = an_endpoint(endpoint, **values)
         self.entries[entry.id] = entry
         link = EndpointLink(Owner(), entry, FakeEndpoint())
         link.started_ms = 1
@@ -212,6 +221,67 @@
         self.show(a_host_row(host_of("e1"), state=DOWN))
         self.assertEqual(set(), self.task.crashed_processes)
 
+    def test_a_stored_start_that_was_never_sent_is_not_watched(self) -> None:
+        """An endpoint that was lost before a suspect's start was sent counted against it."""
+        self.task.attempts[EndpointId("e1")] = Attempt(host_of("e1"), 1)
+        self.lose(sends=0)
+        self.assertEqual(set(), self.task.open_crashes)
+
+    def test_a_crash_behind_a_partition_is_not_counted(self) -> None:
+        """An endpoint that crashed long after it was cut off counted against its last task."""
+        self.lose()
+        self.show(a_host_row(host_of("e1"), endpoint=EndpointId("e1")))
+        self.show(a_host_row(host_of("e1"), state=DOWN))
+        self.assertEqual(set(), self.task.crashed_processes)
+
+    def test_an_endpoint_whose_host_is_unknown_is_not_judged_by_listings(self) -> None:
+        """A task of a previous owner was blamed, as no host of an empty name is listed."""
+        self.lose(host=HostId(""))
+        self.entries.clear()
+        self.show()
+        self.assertEqual(set(), self.task.crashed_processes)
+
+    def test_another_endpoint_on_the_host_leaves_the_crash_open(self) -> None:
+        """A crash whose host was up again counted as a partition, and was forgotten."""
+        self.lose()
+        self.show(a_host_row(host_of("e1"), endpoint=EndpointId("e9")))
+        self.assertEqual({"e1"}, self.task.open_crashes)
+
+    def test_a_partition_is_forgotten_once_no_restart_has_shown(self) -> None:
+        """A task cut off from its endpoint once had each later start stored first for a minute."""
+        self.lose()
+        self.show(a_host_row(host_of("e1"), endpoint=EndpointId("e1")))
+        self.crashes.on_registered({}, time.monotonic() + RESTART_SHOWN_S + 0.1)
+        self.assertEqual({}, self.task.attempts)
+
+    def test_an_endpoint_without_any_sign_is_forgotten_after_a_while(self) -> None:
+        """A task was suspected for good as its endpoint's host was never listed."""
+        self.lose()
+        self.crashes.on_registered({}, time.monotonic() + MAX_LOST_S - 1.0)
+        self.assertTrue(self.task.is_suspect)
+        self.crashes.on_registered({}, time.monotonic() + MAX_LOST_S + 0.1)
+        self.assertFalse(self.task.is_suspect)
+
+    def test_the_number_of_open_starts_that_are_kept_is_limited(self) -> None:
+        """The record of a task grew with each endpoint that was cut off under it."""
+        self.lose_several(MAX_UNRESOLVED + 2)
+        self.assertEqual(MAX_UNRESOLVED, len(self.task.attempts))
+
+    def test_a_loss_and_its_proof_are_stored_at_once(self) -> None:
+        """A crash went uncounted when the owner was lost before another task had ended."""
+        changes: list[str] = []
+        self.crashes = crashes.CrashBook(lambda: changes.append("changed"))
+        self.lose()
+        self.assertEqual(1, len(changes))
+        self.show(a_host_row(host_of("e1"), state=DOWN))
+        self.assertEqual(2, len(changes))
+
+    def test_a_task_that_works_is_beyond_an_open_suspicion(self) -> None:
+        """A task that worked on another endpoint was kept apart from others for a minute."""
+        self.lose()
+        self.task.clear_suspicion()
+        self.assertFalse(self.task.is_suspect)
+
     def test_a_task_that_has_worked_since_is_not_counted(self) -> None:
         """A crash that was proven late counted against a task that had worked meanwhile."""
         self.lose()
@@ -312,10 +382,12 @@
 
     def test_hosts_are_listed_on_request_only(self) -> None:
         """Each process listed the hosts all day, which the platform limits."""
+        self.patch(host_reader, "READ_INTERVAL_S", 0.01)
         self.reader.start()
         self.assertEqual((0, None), (self.hosts.reads, self.reader.latest))
         self.reader.request()
         self.assertTrue(eventually(lambda: self.reader.latest is not None))
+        self.assertFalse(self.reader._requested.is_set())
         self.assertEqual(1, self.hosts.reads)
 
     def test_requests_in_quick_succession_share_a_read(self) -> None:
@@ -326,6 +398,14 @@
         self.assertTrue(eventually(lambda: self.hosts.reads > 0))
         self.assertLessEqual(self.hosts.reads, 2)
 
+    def test_a_read_is_followed_by_a_pause(self) -> None:
+        """A process listed the hosts without a pause as long as an endpoint was lost."""
+        pause = self.reader._closed.wait = mock.Mock()  # type: ignore[method-assign]
+        self.reader.start()
+        self.reader.request()
+        self.assertTrue(eventually(lambda: pause.called))
+        pause.assert_called_with(READ_INTERVAL_S)
+
     def test_reading_continues_after_a_failure(self) -> None:
         """After one failed read the hosts were never listed again."""
         self.patch(host_reader, "READ_INTERVAL_S", 0.01)
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -125,6 +125,13 @@
             self.assertEqual(taken, len(moves), hosts)
             self.assertTrue(all(move.target == empty.pool for move in moves))
 
+    def test_the_last_host_of_a_pool_is_no_spare_one(self) -> None:
+        """Guards against two pools without hosts that leave a third one without any."""
+        empty = [PoolNeed(PoolId(name), 0.9, 0, need_without_forecast=0.9) for name in ("a", "b")]
+        idle = PoolNeed(PoolId("ballots"), 0.0, 2, 2, free("b1", "b2"), need_without_forecast=0.0)
+        idle = msgspec.structs.replace(idle, below_min_s=0.0)
+        self.assertEqual(1, len(plan_moves((*empty, idle), STANDBY, ())))
+
     def test_a_pool_with_a_host_leaves_other_pools_their_minimum(self) -> None:
         """Guards against pools that take each other's spare hosts back and forth."""
         short = PoolNeed(PoolId("notices"), 3.0, 1, need_without_forecast=3.0)
