--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -180,7 +180,10 @@
             # The order may have waited in its queue, and rounds may be delayed.
             if not self._links.entries_are_fresh:
                 self._update_links()
-            if tracked_job.state.is_final or link.entry.draining or run.phase is RunPhase.STOPPING:
+            # A copy that waited behind the stops to a lost endpoint would reach its next process.
+            is_too_late = run.is_unconfirmed and not link.reachable
+            is_needless = tracked_job.state.is_final or run.phase is RunPhase.STOPPING
+            if is_needless or is_too_late or link.entry.draining:
                 if run.is_unconfirmed:
                     link.order(Order.stop(run))
                 else:
--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -45,6 +45,25 @@
         self.assertTrue(eventually(lambda: bool(pool.endpoints["e2"].starts)))
 
 
+class RepeatedStartTest(TestCase):
+    def test_no_copy_of_a_start_is_sent_to_an_endpoint_that_was_lost_meanwhile(self) -> None:
+        """A copy of a start that had waited crashed its endpoint once more as that came back."""
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        pool.register(an_endpoint("e1"))
+        owner = pool.take_over()
+        job = a_job("a", a_step(1))
+        value = msgspec.msgpack.encode(job)
+        owner.add_job(value, pool.kv.put(f"in/notices/j/{job.id}", value))
+        self.assertTrue(eventually(lambda: bool(pool.endpoints["e1"].starts)))
+        [link] = owner._links.by_id.values()
+        with owner._lock:
+            [run] = link.runs_by_key.values()
+            run.is_unconfirmed, link.reachable = True, False
+            self.assertIsNone(owner._responses.start_order(link, run))
+            self.assertIs(RunPhase.STOPPING, run.phase)
+
+
 class PreferenceTest(TrackedJobCase):
     """Endpoints that are preferred for a task that failed or was refused elsewhere."""
 
