Crashes: a host counts as gone only once two listings in a row lack it

What callers could have seen: a task on an endpoint that is cut off counts as one that crashes it.

Change: the first listing without the host is remembered, and only a later one that lacks it too proves the crash, with the entry gone as before. A listing that is applied again in the next round is the same one.

--- a/src/lentilrill/execution/_crashes.py
+++ b/src/lentilrill/execution/_crashes.py
@@ -57,10 +57,19 @@
     NONE = "none"
 
 
+PROOF_BY_EVIDENCE = {
+    _HostEvidence.DOWN: _Proof.HOST_DOWN,
+    _HostEvidence.GONE: _Proof.HOST_GONE,
+    _HostEvidence.PLANNED: None,
+}
+"""What resolves a lost endpoint, and the proof of a crash, if it is one."""
+
+
 class _LostEndpoint(msgspec.Struct):
     """Endpoint out of reach whose process may have crashed, and the tasks that it had begun.
 
     :param is_cut_off: whether a listing has shown that it runs on.
+    :param absent_at: when the first listing began that lacked its host; 0.0 if the host is listed.
     """
 
     attempt: Attempt
@@ -68,6 +77,7 @@
     watched_until: float
     tasks: list[TrackedTask]
     is_cut_off: bool = False
+    absent_at: float = 0.0
 
 
 class CrashBook:
@@ -159,13 +169,9 @@
         for endpoint, lost in list(self._lost_by_id.items()):
             if listing.asked_at < lost.lost_at or not lost.attempt.host or lost.is_cut_off:
                 continue
-            evidence = _evidence_of(endpoint, lost.attempt.host, listing, endpoint in entries)
-            if evidence is _HostEvidence.DOWN:
-                self._resolve(endpoint, _Proof.HOST_DOWN)
-            elif evidence is _HostEvidence.GONE:
-                self._resolve(endpoint, _Proof.HOST_GONE)
-            elif evidence is _HostEvidence.PLANNED:
-                self._resolve(endpoint, None)
+            evidence = _evidence_of(endpoint, lost, listing, endpoint in entries)
+            if evidence in PROOF_BY_EVIDENCE:
+                self._resolve(endpoint, PROOF_BY_EVIDENCE[evidence])
             elif evidence is _HostEvidence.CUT_OFF:
                 # The process may have restarted under its id just now, which shows soon.
                 lost.is_cut_off = True
@@ -266,12 +272,16 @@
 
 
 def _evidence_of(
-    endpoint: EndpointId, host: HostId, listing: HostListing, is_registered: bool
+    endpoint: EndpointId, lost: _LostEndpoint, listing: HostListing, is_registered: bool
 ) -> _HostEvidence:
-    row = listing.rows_by_id.get(host)
+    row = listing.rows_by_id.get(lost.attempt.host)
     if row is None:
-        # The pages of a listing are no snapshot, so a missing row alone proves nothing.
-        return _HostEvidence.NONE if is_registered else _HostEvidence.GONE
+        # The pages of a listing are no snapshot, and the entry of an endpoint that is cut off
+        # lapses too, so one listing without the host proves nothing.
+        lost.absent_at = lost.absent_at or listing.asked_at
+        is_confirmed = listing.asked_at > lost.absent_at
+        return _HostEvidence.GONE if is_confirmed and not is_registered else _HostEvidence.NONE
+    lost.absent_at = 0.0
     if row.state is HostState.DOWN:
         return _HostEvidence.DOWN
     if row.state is not HostState.UP:
