Crashes: a start on an endpoint that was leaving is forgotten in the record too

What the next owner did: it watched an endpoint that had been shut down as announced, and took its end for an open crash, since the start was forgotten in memory only. Found on reading the change once more.

Result: test_a_start_on_an_endpoint_that_was_leaving_is_forgotten_in_the_record failed before and passes.

--- a/src/lentilrill/execution/_crashes.py
+++ b/src/lentilrill/execution/_crashes.py
@@ -113,7 +113,7 @@
             return
         task, endpoint = run.task, link.entry.id
         if _is_leaving(link):
-            task.attempts.pop(endpoint, None)
+            _forget_attempt(task, endpoint)
             return
         attempt = _attempt_on(link)
         _note_attempt(task, endpoint, attempt)
@@ -210,10 +210,9 @@
     ) -> None:
         """Apply the outcome of starts on an endpoint's process to their tasks."""
         for task in tasks:
-            tracked_job = task.step.tracked_job
-            if task.attempts.pop(endpoint, None) is not None:
-                tracked_job.mark_dirty()
-            if proof is not None and not task.done and not tracked_job.state.is_final:
+            _forget_attempt(task, endpoint)
+            is_over = task.done or task.step.tracked_job.state.is_final
+            if proof is not None and not is_over:
                 _count_crash(task, endpoint, attempt, proof)
         if tasks:
             self._on_changed()
@@ -259,6 +258,11 @@
     task.step.tracked_job.mark_dirty()
 
 
+def _forget_attempt(task: TrackedTask, endpoint: EndpointId) -> None:
+    if task.attempts.pop(endpoint, None) is not None:
+        task.step.tracked_job.mark_dirty()
+
+
 def _is_leaving(link: EndpointLink) -> bool:
     return link.entry.draining or link.released
 
--- a/tests/execution/test_lost_for_good.py
+++ b/tests/execution/test_lost_for_good.py
@@ -281,6 +281,13 @@
         self.lose_several(MAX_UNRESOLVED + 2)
         self.assertEqual(MAX_UNRESOLVED, len(self.task.attempts))
 
+    def test_a_start_on_an_endpoint_that_was_leaving_is_forgotten_in_the_record(self) -> None:
+        """A later owner watched an endpoint that had been shut down as announced."""
+        self.task.attempts[EndpointId("e1")] = Attempt(host_of("e1"), 1)
+        self.task.step.tracked_job.dirty = False
+        self.lose(draining=True)
+        self.assertEqual(({}, True), (self.task.attempts, self.task.step.tracked_job.dirty))
+
     def test_a_loss_and_its_proof_are_stored_at_once(self) -> None:
         """A crash went uncounted when the owner was lost before another task had ended."""
         changes: list[str] = []
