Crashes: starts are stored as soon as their endpoint falls silent

Change: as an endpoint gives its first call no answer, the starts that may be the cause go into their jobs' records at once. That suspects nobody: a start becomes an open crash only when its run is given up, or when a new owner finds it, and is forgotten when the endpoint answers the new owner, when the run ends or when the task works for a second. An owner that is lost before it has noticed the silence, within the time of a poll, still leaves nothing.

Result: test_a_crash_is_counted_though_the_owner_is_lost_with_the_first_endpoint failed before (a second start while the first was all that a new owner could know) and passes; tests/execution passes.

--- a/src/lentilrill/execution/_crashes.py
+++ b/src/lentilrill/execution/_crashes.py
@@ -107,6 +107,18 @@
         """Note the start of a task; it has to be stored before it is sent."""
         _note_attempt(task, link.entry.id, _attempt_on(link))
 
+    def on_silent(self, link: EndpointLink) -> None:
+        """Note the starts that may have ended an endpoint, as it gives its first call no answer.
+
+        The owner may be lost before their runs are given up, and the next one has to know of them.
+        """
+        runs = [run for run in link.runs_by_key.values() if _may_have_crashed(link, run)]
+        if not runs or _is_leaving(link):
+            return
+        for run in runs:
+            _note_attempt(run.task, link.entry.id, _attempt_on(link))
+        self._on_changed()
+
     def on_run_lost(self, link: EndpointLink, run: Run) -> None:
         """Watch an endpoint of which a run was given up out of sight."""
         if run.is_unsent or not _may_have_crashed(link, run):
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -119,6 +119,7 @@
                         reason=result.reason,
                         runs=len(link.runs_by_key),
                     )
+                    self._crashes.on_silent(link)
                 link.reachable = False
                 return
             now = time.monotonic()
--- a/tests/execution/test_lost_for_good.py
+++ b/tests/execution/test_lost_for_good.py
@@ -8,7 +8,14 @@
 from returns.result import Failure, Result, Success
 from testtools import TestCase
 
-from lentilrill.execution import HostListing, HostReader, OrderAnswer, PoolOwner, StartOrder
+from lentilrill.execution import (
+    HostListing,
+    HostReader,
+    OrderAnswer,
+    PoolOwner,
+    StartOrder,
+    progress_key,
+)
 from lentilrill.execution import _crashes as crashes
 from lentilrill.execution import _host_reader as host_reader
 from lentilrill.execution._crashes import (
@@ -117,6 +124,25 @@
             (JobState.FAILED, MAX_CRASHES), (state_of(owner, job.id), len(self.pool.starts()))
         )
 
+    def test_a_crash_is_counted_though_the_owner_is_lost_with_the_first_endpoint(self) -> None:
+        """A task took down a fourth endpoint, as its first owner was lost before it had counted."""
+        self.add_endpoints(DOWN)
+        first = self.pool.take_over()
+        job = self.submit(first)
+        key = progress_key("notices", job.id)
+        items_by_key = self.pool.kv.items_by_key
+        self.assertTrue(
+            eventually(lambda: key in items_by_key and b"host-" in (items_by_key[key].value or b""))
+        )
+        [task] = first._jobs.by_id[job.id].tasks()
+        self.assertEqual(1, task.start_count)
+        first.close(flush=False)
+        second = self.pool.take_over()
+        self.wait_for(second, job.id, MAX_CRASHES + 1)
+        self.assertEqual(
+            (JobState.FAILED, MAX_CRASHES), (state_of(second, job.id), len(self.pool.starts()))
+        )
+
     def test_partitions_alone_give_no_task_up(self) -> None:
         """A task whose endpoints were cut off one after the other was given up."""
         self.add_endpoints(UP)
@@ -281,6 +307,16 @@
         self.lose_several(MAX_UNRESOLVED + 2)
         self.assertEqual(MAX_UNRESOLVED, len(self.task.attempts))
 
+    def test_a_start_whose_endpoint_falls_silent_is_noted_and_suspects_nobody(self) -> None:
+        """A task was kept apart from others each time its endpoint left one call unanswered."""
+        link = self.lose(sends=0)
+        run = Run(self.task, 1, link.entry.id, self.task.step.spec.reserved)
+        run.send_count, run.sent_at = 1, link.answered_at
+        link.runs_by_key[run.key] = run
+        self.crashes.on_silent(link)
+        self.assertEqual({"e1": Attempt(host_of("e1"), 1)}, self.task.attempts)
+        self.assertFalse(self.task.is_suspect)
+
     def test_a_start_on_an_endpoint_that_was_leaving_is_forgotten_in_the_record(self) -> None:
         """A later owner watched an endpoint that had been shut down as announced."""
         self.task.attempts[EndpointId("e1")] = Attempt(host_of("e1"), 1)
