--- a/src/lentilrill/execution/_idle.py
+++ b/src/lentilrill/execution/_idle.py
@@ -151,12 +151,16 @@
     usable = [
         capacity for capacity in below_limit if capacity.id not in excluded and not capacity.probing
     ]
+    own_job = task.id.job if task.is_suspect else None
+    is_kept_apart = all(capacity.suspect_job not in (None, own_job) for capacity in usable)
     if not fitting:
         reason = NO_CAPACITY
     elif not below_limit:
         reason = "as many of its step as may be run where it fits"
+    elif not usable:
+        reason = "failed where it fits"
     else:
-        reason = "passed over" if usable else "failed where it fits"
+        reason = "kept apart from suspects" if is_kept_apart else "passed over"
     link_counts = Counter(blocking_reason(link, view.now) or "open" for link in view.links.values())
     return {
         "reason": reason,
--- a/tests/execution/test_idle.py
+++ b/tests/execution/test_idle.py
@@ -136,6 +136,23 @@
         self.assertEqual("failed where it fits", self.reason())
         self.assertEqual(2, self.lines[0]["failed_on"])
 
+    def test_kept_apart_from_tasks_that_may_crash_their_endpoints(self) -> None:
+        """Tasks that waited because of suspects on all endpoints were logged as a defect."""
+        for name, link in self.links.items():
+            suspect = TrackedJob(a_job(f"s-{name}", a_step(1)), Revision(1), 0.0)
+            suspect.open_occurrences(0)
+            [task] = suspect.tasks()
+            task.crashed_processes.add("e7@1")
+            run = self.a_run(task, RunPhase.IN_PROGRESS)
+            link.runs_by_key[run.key] = run
+        self.assertEqual("kept apart from suspects", self.reason())
+
+    def test_held_while_its_crashes_are_open(self) -> None:
+        """A task that was held for a bounded time was logged as passed over."""
+        self.task.held_until = self.began + IDLE_AFTER_S + 2.0
+        self.assertEqual("it may have crashed its endpoints", self.reason())
+        self.assertEqual(2.0, self.lines[0]["held_s"])
+
     def test_passed_over_despite_free_capacity(self) -> None:
         """Idleness that the placement can't explain is reported too, since it is a defect."""
         self.assertEqual("passed over", self.reason())
