Tests: one way to submit a job to a pool's owner; plainer names

The same three lines stood in five test files of the change and beside it. The soak's and the stand-in's names for partitions are the field's terms now; the draws of the soak are the same. A limit of the planner says what it is for.

--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -33,6 +33,7 @@
 """Endpoints on which a task has been stuck after which the task is the likely cause. From then on
 it gets twice the time on each further one, and no endpoint counts as failing for it."""
 MAX_STUCK_AFTER_S = 12.8
+"""Limit of that time, in which a task of 80 times the usual length progresses by one percent."""
 PROBE_S = 1.0
 """Time after which a run that hasn't failed shows that an unhealthy endpoint may get one more."""
 MIN_RECORDS_AHEAD = 2
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -23,7 +23,7 @@
 
 
 class TruncatedBodyError(Exception):
-    """A request whose body ended early, as its client was killed while it sent it."""
+    """A request whose connection ended before its body was complete."""
 
 
 class Call:
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -4,6 +4,8 @@
 import time
 from collections.abc import Callable
 
+import msgspec
+
 from lentilrill.execution import (
     NO_HOST_SOURCE,
     EndKind,
@@ -18,7 +20,7 @@
 )
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.store import Compare
-from lentilrill.workloads import Configuration, EndpointEntry, JobState, TaskId
+from lentilrill.workloads import Configuration, EndpointEntry, Job, JobState, TaskId
 from tests.builders import a_configuration
 from tests.fakes import FakeKeyValue
 
@@ -185,6 +187,11 @@
         self.owners.append(owner)
         return owner
 
+    def submit(self, owner: PoolOwner, job: Job) -> None:
+        """Store a job and tell an owner of it, as an entry host does that has accepted it."""
+        value = msgspec.msgpack.encode(job)
+        owner.add_job(value, self.kv.put(f"in/{self.pool}/j/{job.id}", value))
+
     def close(self) -> None:
         """Close all owners."""
         for owner in self.owners:
--- a/tests/execution/test_crashes.py
+++ b/tests/execution/test_crashes.py
@@ -70,8 +70,7 @@
         job = a_job(name, *steps)
         if crashes:
             self.crashing_jobs.add(job.id)
-        value = msgspec.msgpack.encode(job)
-        owner.add_job(value, self.pool.kv.put(f"in/notices/j/{job.id}", value))
+        self.pool.submit(owner, job)
         return job
 
     def start_count(self, job: Job, number: int = 0) -> int:
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -131,8 +131,7 @@
 
     def submit(self, owner: PoolOwner, step: Step, name: str = "a") -> Job:
         job = a_job(name, step)
-        value = msgspec.msgpack.encode(job)
-        owner.add_job(value, self.pool.kv.put(f"in/notices/j/{job.id}", value))
+        self.pool.submit(owner, job)
         return job
 
     def test_a_task_placed_on_a_replaced_endpoint_runs_elsewhere(self) -> None:
@@ -341,8 +340,7 @@
         pool.register(an_endpoint("e1"))
         owner = pool.take_over()
         job = a_job("a", a_step(1))
-        value = msgspec.msgpack.encode(job)
-        owner.add_job(value, pool.kv.put(f"in/notices/j/{job.id}", value))
+        pool.submit(owner, job)
         self.assertTrue(eventually(lambda: bool(pool.starts())))
         pool.kv.commit((), (DeleteRange(f"p/notices/{job.id}"),))
         pool.finish_all()
--- a/tests/execution/test_lost_for_good.py
+++ b/tests/execution/test_lost_for_good.py
@@ -66,18 +66,18 @@
         pass
 
 
-class FadingEndpoint(FakeEndpoint):
+class SilencedEndpoint(FakeEndpoint):
     """Endpoint that falls silent when it starts a task, after its answer."""
 
-    def __init__(self, on_fade: Callable[[], None]) -> None:
+    def __init__(self, on_silence: Callable[[], None]) -> None:
         super().__init__()
-        self._on_fade = on_fade
+        self._on_silence = on_silence
 
     def start(self, order: StartOrder) -> OrderAnswer:
         answer = super().start(order)
         if not self.silent:
             self.silent = True
-            self._on_fade()
+            self._on_silence()
         return answer
 
 
@@ -94,8 +94,8 @@
             name = f"e{number}"
             entry = an_endpoint(name, host=host_of(name), started_ms=1)
             self.show(entry, UP)
-            fade = lambda entry=entry: self.show(entry, state)  # noqa: E731
-            self.pool.endpoints[name] = FadingEndpoint(fade)
+            hide = lambda entry=entry: self.show(entry, state)  # noqa: E731
+            self.pool.endpoints[name] = SilencedEndpoint(hide)
             self.pool.register(entry)
 
     def show(self, entry: EndpointEntry, state: HostState) -> None:
@@ -104,8 +104,7 @@
 
     def submit(self, owner: PoolOwner) -> Job:
         job = a_job("a", a_step(1))
-        value = msgspec.msgpack.encode(job)
-        owner.add_job(value, self.pool.kv.put(f"in/notices/j/{job.id}", value))
+        self.pool.submit(owner, job)
         return job
 
     def wait_for(self, owner: PoolOwner, job: JobId, starts: int) -> None:
--- a/tests/execution/test_reborn_endpoint.py
+++ b/tests/execution/test_reborn_endpoint.py
@@ -68,9 +68,7 @@
 
     def submit(self, name: str, tasks: int) -> JobId:
         job = a_job(name, a_step(tasks))
-        value = msgspec.msgpack.encode(job)
-        revision = self.pool.kv.put(f"in/notices/j/{job.id}", value)
-        self.owner.add_job(value, revision)
+        self.pool.submit(self.owner, job)
         return job.id
 
     def ends(self, job: JobId) -> bool:
--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -2,7 +2,6 @@
 
 import time
 
-import msgspec
 from testtools import TestCase
 
 from lentilrill.execution import OrderAnswer, ReportedRun, StartOrder, Verdict
@@ -40,8 +39,7 @@
             )
         )
         job = a_job("a", a_step(1))
-        value = msgspec.msgpack.encode(job)
-        owner.add_job(value, pool.kv.put(f"in/notices/j/{job.id}", value))
+        pool.submit(owner, job)
         self.assertTrue(eventually(lambda: bool(pool.endpoints["e2"].starts)))
 
 
@@ -53,8 +51,7 @@
         pool.register(an_endpoint("e1"))
         owner = pool.take_over()
         job = a_job("a", a_step(1))
-        value = msgspec.msgpack.encode(job)
-        owner.add_job(value, pool.kv.put(f"in/notices/j/{job.id}", value))
+        pool.submit(owner, job)
         self.assertTrue(eventually(lambda: bool(pool.endpoints["e1"].starts)))
         [link] = owner._links.by_id.values()
         with owner._lock:
--- a/tests/platform/endpoint_faults.py
+++ b/tests/platform/endpoint_faults.py
@@ -17,14 +17,14 @@
     "Play",
     "crash_plan",
     "culprit_job",
+    "cut_off_job",
     "lasting_job",
-    "unlucky_job",
     "wide_job",
 ]
 
 CULPRIT_PREFIX = "crash:"
 CULPRIT_TASK = ".0"
-UNLUCKY_PREFIX = "cut:"
+CUT_OFF_PREFIX = "cut:"
 MAX_CUTS = 4
 """Endpoints that are cut off under one task: more than crashes after which it is given up."""
 MAX_CUT_S = 8.0
@@ -62,10 +62,10 @@
     return {"spec": CULPRIT_PREFIX + plan, "steps": [step]}
 
 
-def unlucky_job(rng: random.Random) -> dict[str, Any]:
+def cut_off_job(rng: random.Random) -> dict[str, Any]:
     """Return a job whose first task has several endpoints cut off as they start it."""
     step = STEP | {"count": rng.randint(1, 3)}
-    return {"spec": f"{UNLUCKY_PREFIX}{rng.uniform(0.5, MAX_CUT_S):.1f}", "steps": [step]}
+    return {"spec": f"{CUT_OFF_PREFIX}{rng.uniform(0.5, MAX_CUT_S):.1f}", "steps": [step]}
 
 
 def wide_job(rng: random.Random) -> dict[str, Any]:
@@ -88,18 +88,18 @@
 
 
 class _Cuts:
-    """Cuts endpoints off under the tasks of :func:`unlucky_job`, a limited number of times each."""
+    """Cuts endpoints off under the tasks of :func:`cut_off_job`, a limited number of times each."""
 
     def __init__(self) -> None:
         self._count_by_task: Counter[str] = Counter()
 
     def seconds(self, task: str, spec: str) -> float:
         """Return how long the start of a task cuts its endpoint off; 0.0 if it does not."""
-        if not spec.startswith(UNLUCKY_PREFIX) or not task.endswith(CULPRIT_TASK):
+        if not spec.startswith(CUT_OFF_PREFIX) or not task.endswith(CULPRIT_TASK):
             return 0.0
         self._count_by_task[task] += 1
         is_cut = self._count_by_task[task] <= MAX_CUTS
-        return float(spec.removeprefix(UNLUCKY_PREFIX)) if is_cut else 0.0
+        return float(spec.removeprefix(CUT_OFF_PREFIX)) if is_cut else 0.0
 
 
 class EndpointFaults:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -24,8 +24,8 @@
     EndpointFaults,
     Play,
     culprit_job,
+    cut_off_job,
     lasting_job,
-    unlucky_job,
     wide_job,
 )
 from tests.platform.site import EntrySite
@@ -47,12 +47,12 @@
 CULPRIT_SHARE = 0.04
 LASTING_SHARE = 0.05
 WIDE_SHARE = 0.2
-UNLUCKY_SHARE = 0.04
+CUT_OFF_SHARE = 0.04
 MAX_CULPRITS = 4
 MAX_LASTING = 4
 MAX_LASTING_IN_SERIES = 12
 MAX_WIDE = 20
-MAX_UNLUCKY = 3
+MAX_CUT_OFF = 3
 """Limits of a run, so that the pools still have room for the other jobs."""
 CALM_AFTER_S = 4.0
 """Time after the last fault from which on a task that waits is judged."""
@@ -126,7 +126,7 @@
             Play.CULPRITS: MAX_CULPRITS,
             Play.LASTING: MAX_LASTING_IN_SERIES if in_series else MAX_LASTING,
             Play.CAPACITY: MAX_WIDE,
-            Play.CUTS: MAX_UNLUCKY,
+            Play.CUTS: MAX_CUT_OFF,
         }
         self._culprits: set[str] = set()
         self._calm_spans: list[tuple[float, float]] = []
@@ -230,8 +230,8 @@
             return culprit_job(rng)
         if self._takes(Play.LASTING, rng, LASTING_SHARE):
             return lasting_job(rng)
-        if self._takes(Play.CUTS, rng, UNLUCKY_SHARE):
-            return unlucky_job(rng)
+        if self._takes(Play.CUTS, rng, CUT_OFF_SHARE):
+            return cut_off_job(rng)
         if self._takes(Play.CAPACITY, rng, WIDE_SHARE):
             return wide_job(rng)
         return _body(rng)
