Take-over: endpoints that the list of hosts shows as ended hold no job back

Two endpoints out of 56 had not been polled. Both hosts had gone into upkeep 1.7 and 2.9 s before, on our own orders and with nothing running.

Cause: after a take-over nothing of the previous owner's jobs starts until each of its endpoints has been polled or all leases there have ended, whatever became of the endpoint.

Change: while endpoints are unpolled, the owner requests the list of hosts. A registered endpoint whose host is down, moving or in upkeep has ended; an unregistered one if two listings in a row, both read after the take-over, show it on no host. One that is cut off is still listed on its host, so its jobs wait for its leases as before. The pool owner's dealings with listings stand in a module of their own.

--- /dev/null
+++ b/src/lentilrill/execution/_host_evidence.py
@@ -0,0 +1,49 @@
+"""What listings of the hosts show a pool's owner of endpoints that don't answer."""
+
+import time
+
+from lentilrill.execution._crashes import CrashBook
+from lentilrill.execution._host_reader import HostListing, HostSource
+from lentilrill.execution._links import PoolLinks
+from lentilrill.execution._previous_endpoints import PreviousEndpoints
+from lentilrill.ids import EndpointId, PoolId
+from lentilrill.telemetry import Event, log
+from lentilrill.workloads import EndpointEntry
+
+__all__ = ["HostEvidence"]
+
+
+class HostEvidence:
+    """Requests listings of the hosts while endpoints are out of reach, and applies them.
+
+    Called under the lock of the pool's owner.
+    """
+
+    def __init__(
+        self, pool: PoolId, hosts: HostSource, crashes: CrashBook, links: PoolLinks
+    ) -> None:
+        self._pool = pool
+        self._hosts = hosts
+        self._crashes = crashes
+        self._links = links
+        self._previous = PreviousEndpoints(time.monotonic())
+
+    def update(self, entries: dict[EndpointId, EndpointEntry]) -> None:
+        """Apply the newest listing, and request another one if it may show more.
+
+        :param entries: the registered endpoints of the pool.
+        """
+        now = time.monotonic()
+        self._crashes.on_registered(entries, now)
+        listing = self._hosts.latest
+        if listing is not None:
+            self._crashes.on_hosts_listed(listing, entries)
+            self._drop_ended(listing, entries)
+        unpolled = self._links.unpolled
+        if self._crashes.needs_listing(now) or self._previous.needs_listing(unpolled, now):
+            self._hosts.request()
+
+    def _drop_ended(self, listing: HostListing, entries: dict[EndpointId, EndpointEntry]) -> None:
+        for endpoint in self._previous.ended(self._links.unpolled, listing, entries):
+            self._links.unpolled.discard(endpoint)
+            log(Event.PREVIOUS_ENDPOINT_ENDED, shard=self._pool, endpoint=endpoint)
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -10,6 +10,7 @@
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_list import EndpointList
 from lentilrill.execution._held_runs import ended_runs, unknown_runs_have_ended
+from lentilrill.execution._host_evidence import HostEvidence
 from lentilrill.execution._host_reader import NO_HOST_SOURCE, HostSource
 from lentilrill.execution._idle import IdleTasks, RoundView
 from lentilrill.execution._jobs import PoolJobs
@@ -114,7 +115,6 @@
         self._may_order = may_order
         self._may_poll = may_poll
         self._on_fenced = on_fenced
-        self._hosts = hosts
         self._lock = threading.RLock()
         self._changed = threading.Condition(self._lock)
         self._due = True
@@ -139,6 +139,7 @@
         self._durations = Durations()
         self._offered = OfferedLoad()
         self._crashes = CrashBook(lambda: self._writer.schedule(urgent=True))
+        self._host_evidence = HostEvidence(pool, hosts, self._crashes, self._links)
         self._stored_first: list[tuple[EndpointLink, Run, int]] = []
         """Starts that wait until the given version of their job is stored."""
         self._reconciler = Reconciler(
@@ -389,19 +390,10 @@
     def _refresh_links(self) -> None:
         entries = self._entries(self.pool)
         with self._lock:
-            self._resolve_crashes(entries)
+            self._host_evidence.update(entries)
         if not self._links.refresh(entries):
             self._on_fenced("the store records a newer owner")
 
-    def _resolve_crashes(self, entries: dict[EndpointId, EndpointEntry]) -> None:
-        now = time.monotonic()
-        self._crashes.on_registered(entries, now)
-        listing = self._hosts.latest
-        if listing is not None:
-            self._crashes.on_hosts_listed(listing, entries)
-        if self._crashes.needs_listing(now):
-            self._hosts.request()
-
     def _remove_expired(self) -> None:
         self._jobs.remove_expired(int(time.time() * 1000))
 
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -194,6 +194,11 @@
         "An endpoint crashed within a second of a task's start there; the task is given up "
         "after several.",
     )
+    PREVIOUS_ENDPOINT_ENDED = (
+        697,
+        Level.INFO,
+        "After a take-over, the list of hosts shows that an endpoint without an answer has ended.",
+    )
     TASK_HELD = (
         696,
         Level.WARNING,
