Take-over: a job is held back only by zones in which it may have been started

The next owner held all 79 jobs back until the leases in that zone had expired, 5.4 s; the slowest tenth of the queue waited 6.6 s for an owner and 4.1 s for the take-over, and 0.1 s for room.

Cause: nothing in the store tells where a job was started, so any endpoint that doesn't answer holds back every job of the pool.

Change: a job's record names the zones of its runs. A start in another zone waits until a version with that zone is stored; while a commit is in flight only the zones of both versions are permitted, as either may be read by the next owner. A job that hasn't begun has no zones in its record and may start anywhere, also while the store doesn't answer. A new owner keeps the zones it has read until the previous owner's endpoints have answered or can't run anything any more. Zones of endpoints whose entries have lapsed come from the list of hosts.

Weighed: each endpoint by task (a commit before each start), a log of starts for each pool (one more record to read and to trim), one zone for each job (places less).

An explorer plays every order of starts, ends, commits, lost answers and late commits; two broken copies are found. The test of a start in another zone fails without the wait.

--- a/src/lentilrill/execution/_host_evidence.py
+++ b/src/lentilrill/execution/_host_evidence.py
@@ -44,6 +44,10 @@
             self._hosts.request()
 
     def _drop_ended(self, listing: HostListing, entries: dict[EndpointId, EndpointEntry]) -> None:
+        if not self._links.unpolled:
+            return
+        rows = listing.rows_by_id.values()
+        self._links.set_unknown_zones({row.endpoint: row.zone for row in rows if row.endpoint})
         for endpoint in self._previous.ended(self._links.unpolled, listing, entries):
             self._links.unpolled.discard(endpoint)
             log(Event.PREVIOUS_ENDPOINT_ENDED, shard=self._pool, endpoint=endpoint)
--- a/src/lentilrill/execution/_idle.py
+++ b/src/lentilrill/execution/_idle.py
@@ -8,8 +8,9 @@
 
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._planner import blocking_reason
+from lentilrill.execution._start_zones import UNKNOWN_ZONE
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedTask
-from lentilrill.ids import EndpointId, JobId, PoolId
+from lentilrill.ids import EndpointId, JobId, PoolId, ZoneId
 from lentilrill.scheduling import EndpointCapacity
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import TaskId
@@ -34,6 +35,7 @@
         may run on endpoints that have not been polled yet; 0 if there are none.
     :param unknown_tasks: tasks of unknown runs.
     :param refused_jobs: jobs whose workspace may not use more.
+    :param blocked_zones: zones of the endpoints that have not been polled yet.
     """
 
     now: float
@@ -42,6 +44,7 @@
     blocked_before: int
     unknown_tasks: set[TaskId]
     refused_jobs: set[JobId]
+    blocked_zones: frozenset[ZoneId] = frozenset({UNKNOWN_ZONE})
 
 
 class IdleTasks:
@@ -101,7 +104,7 @@
     if task.id in view.unknown_tasks:
         return {"reason": "seen under way, not followed"}
     tracked_job = task.step.tracked_job
-    if tracked_job.revision < view.blocked_before and not tracked_job.never_started:
+    if _is_taken_over(tracked_job, view):
         return {"reason": "the pool is being taken over"}
     if view.now < task.not_before:
         return {"reason": "its start was refused just now"}
@@ -114,6 +117,13 @@
     return _capacity_reason(task, view)
 
 
+def _is_taken_over(tracked_job: TrackedJob, view: RoundView) -> bool:
+    """Whether a previous owner's runs of a job may be on endpoints not polled yet."""
+    if tracked_job.never_started or tracked_job.revision >= view.blocked_before:
+        return False
+    return tracked_job.start_zones.may_run_in(view.blocked_zones)
+
+
 def _left_s(task: TrackedTask, view: RoundView) -> float:
     return round(task.held_until - view.now, 1)
 
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -186,16 +186,7 @@
         with self._lock:
             dirty = [tracked_job for tracked_job in self.live_by_id.values() if tracked_job.dirty]
             dirty.sort(key=lambda job: (not job.state.is_final, not job.needs_record))
-            entries = [
-                ProgressEntry(
-                    tracked_job.job.id,
-                    encode_progress(tracked_job.progress()),
-                    tracked_job.stored_revision,
-                    tracked_job.version,
-                    tracked_job.state.is_final,
-                )
-                for tracked_job in dirty[:limit]
-            ]
+            entries = [_entry_of(tracked_job) for tracked_job in dirty[:limit]]
             cursors = {
                 link.entry.id: (link.seen_cursor, link.started_ms) for link in self._links.values()
             }
@@ -213,6 +204,7 @@
                     continue
                 tracked_job.stored_revision = revision
                 tracked_job.stored_version = entry.version
+                tracked_job.start_zones.on_stored(entry.zones)
                 tracked_job.dirty = tracked_job.version != entry.version
                 if entry.is_final and not tracked_job.final_stored:
                     tracked_job.final_stored = True
@@ -316,6 +308,20 @@
                     self.by_id.pop(job, None)
 
 
+def _entry_of(tracked_job: TrackedJob) -> ProgressEntry:
+    """Return the next version of a job's record, which may be in the store from now on."""
+    progress = tracked_job.progress()
+    tracked_job.start_zones.on_commit(progress.zones)
+    return ProgressEntry(
+        tracked_job.job.id,
+        encode_progress(progress),
+        tracked_job.stored_revision,
+        tracked_job.version,
+        tracked_job.state.is_final,
+        progress.zones,
+    )
+
+
 def _arrival_time(job: Job) -> float:
     """Return the monotonic time at which a job was accepted."""
     age_s = max(0.0, time.time() - job.accepted_ms / 1000)
--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -2,10 +2,13 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+
+import msgspec
 
 from lentilrill.execution._endpoint_list import EndpointList
 from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._start_zones import UNKNOWN_ZONE
 from lentilrill.ids import EndpointId, PoolId, ZoneId
 from lentilrill.workloads import EndpointEntry
 
@@ -66,7 +69,28 @@
     @property
     def is_blocked(self) -> bool:
         """Whether tasks of the previous owner's jobs may run on endpoints not polled yet."""
-        return any(self._previous_tasks_may_run(endpoint) for endpoint in self.unpolled)
+        return bool(self.blocked_zones)
+
+    @property
+    def blocked_zones(self) -> frozenset[ZoneId]:
+        """Zones of the endpoints not polled yet on which the previous owner's tasks may run."""
+        return frozenset(
+            self._zone_of(endpoint)
+            for endpoint in self.unpolled
+            if self._previous_tasks_may_run(endpoint)
+        )
+
+    def set_unknown_zones(self, zone_by_endpoint: Mapping[EndpointId, ZoneId]) -> None:
+        """Complete the entries of endpoints whose registration had disappeared before the load."""
+        for endpoint in self.unpolled:
+            link = self.by_id.get(endpoint)
+            if link is not None and link.entry.zone == UNKNOWN_ZONE:
+                zone = zone_by_endpoint.get(endpoint, UNKNOWN_ZONE)
+                link.entry = msgspec.structs.replace(link.entry, zone=zone)
+
+    def _zone_of(self, endpoint: EndpointId) -> ZoneId:
+        link = self.by_id.get(endpoint)
+        return link.entry.zone if link is not None else UNKNOWN_ZONE
 
     def open_previous(self, entries: dict[EndpointId, EndpointEntry]) -> None:
         """Open links to the previous owner's endpoints, whose run leases have to be renewed.
@@ -126,7 +150,7 @@
     def _previous_entries(self, entries: dict[EndpointId, EndpointEntry]) -> list[EndpointEntry]:
         """Return unregistered endpoints that are on the previous owner's list."""
         return [
-            EndpointEntry(endpoint, self._pool, address, ZoneId(""))
+            EndpointEntry(endpoint, self._pool, address, UNKNOWN_ZONE)
             for endpoint, address in self._endpoint_list.address_by_id.items()
             if endpoint in self.unpolled and endpoint not in entries and endpoint not in self.by_id
         ]
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -16,7 +16,7 @@
     TrackedTask,
 )
 from lentilrill.execution._wait_times import WaitCause
-from lentilrill.ids import EndpointId, JobId, RackId
+from lentilrill.ids import EndpointId, JobId, RackId, ZoneId
 from lentilrill.scheduling import EndpointCapacity, JobTiming, next_pace, place, sort_key
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import JobState, Queue, TaskId
@@ -76,15 +76,15 @@
         jobs: list[tuple[TrackedJob, Queue | None]],
         capacity_by_endpoint: dict[EndpointId, EndpointCapacity],
         now: float,
-        blocked: bool,
+        blocked_zones: frozenset[ZoneId],
         take_over_revision: int,
         unknown_tasks: set[TaskId],
         budgets: RoundBudgets,
     ) -> list[tuple[EndpointId, Run]]:
         """Place waiting tasks on endpoints with free capacity.
 
-        :param blocked: tasks of jobs accepted before ``take_over_revision`` may still run on
-            endpoints that have not been polled yet, so they are not started now.
+        :param blocked_zones: zones with endpoints that have not been polled yet. Tasks of jobs
+            accepted before ``take_over_revision`` that may still run there are not started now.
         :param unknown_tasks: tasks of unknown runs.
         :param budgets: what may start for each workspace.
         """
@@ -99,7 +99,7 @@
         self._request_tickets(ordered, capacity_by_endpoint)
         for tracked_job, queue in ordered:
             may_run = not tracked_job.never_started and tracked_job.revision < take_over_revision
-            if blocked and may_run:
+            if may_run and tracked_job.start_zones.may_run_in(blocked_zones):
                 tracked_job.wait_times.switch_to(WaitCause.TAKE_OVER, now)
                 continue
             steps = tracked_job.ready_steps()
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -407,6 +407,7 @@
         with self._lock:
             self._drop_ended_runs(now)
             expire_releases(list(self._links.by_id.values()), now)
+            blocked_zones = self._links.blocked_zones
             jobs = []
             urgent = False
             for tracked_job in list(self._jobs.live_by_id.values()):
@@ -419,9 +420,10 @@
                     urgent = urgent or (tracked_job.dirty and not tracked_job.cancelled)
                     self._jobs.retire(tracked_job)
                     continue
+                if not blocked_zones:
+                    tracked_job.start_zones.forget_inherited()
                 orders += self._stop_orders(incomplete_gang_runs(tracked_job))
                 jobs.append((tracked_job, self._queue_of(tracked_job)))
-            blocked = self._links.is_blocked
             capacity_by_endpoint = self._planner.capacity_by_endpoint(
                 self._links.by_id.values(), now
             )
@@ -429,20 +431,26 @@
                 key[0] for link in self._links.by_id.values() for key in link.unknown_since_by_key
             }
             budgets = self._allowances.begin_round(
-                self._links.by_id.values(), self._jobs.by_id, is_complete=not blocked
+                self._links.by_id.values(), self._jobs.by_id, is_complete=not blocked_zones
             )
             free = _total_free(capacity_by_endpoint.values())
             placed = self._planner.place_tasks(
-                jobs, capacity_by_endpoint, now, blocked, self.token, unknown_tasks, budgets
+                jobs, capacity_by_endpoint, now, blocked_zones, self.token, unknown_tasks, budgets
             )
             self._allowances.end_round(budgets, free, now)
             records = [tracked_job.request_record() for tracked_job in self._planner.to_record]
             for endpoint, run in placed:
                 link = self._links.by_id[endpoint]
                 link.runs_by_key[run.key] = run
+                run.zone = link.entry.zone
+                tracked_job = run.task.step.tracked_job
                 if run.task.is_stored_first:
                     self._crashes.record_attempt(link, run.task)
-                    version = run.task.step.tracked_job.version
+                is_permitted = tracked_job.start_zones.permits(run.zone)
+                if not is_permitted:
+                    tracked_job.mark_dirty()
+                if run.task.is_stored_first or not is_permitted:
+                    version = tracked_job.version
                     self._stored_first.append((link, run, version))
                 else:
                     orders.append((link, Order.for_run(OrderKind.START, run)))
@@ -452,9 +460,10 @@
                 now,
                 self._links.by_id,
                 capacity_by_endpoint,
-                self.token if blocked else 0,
+                self.token if blocked_zones else 0,
                 unknown_tasks,
                 budgets.refused_jobs,
+                blocked_zones,
             )
             self._idle.sweep((tracked_job for tracked_job, _ in jobs), view)
             for link in self._links.by_id.values():
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -303,10 +303,13 @@
         run.phase = RunPhase.IN_PROGRESS
         run.confirmed_at = time.monotonic()
         run.progressed_at = link.reported_at
+        run.zone = link.entry.zone
         link.runs_by_key[run.key] = run
         link.assume_previous_lease(run.confirmed_at)
         task.runs.append(run)
         tracked_job.mark_running()
+        if not tracked_job.start_zones.permits(run.zone):
+            tracked_job.mark_dirty()
         log(
             Event.RUN_ADOPTED, job=task.id.job, task=task.id, run=run.number, endpoint=link.entry.id
         )
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from lentilrill.execution._start_zones import UNKNOWN_ZONE, StartZones
 from lentilrill.execution._wait_times import WaitCause, WaitTimes
 from lentilrill.ids import EndpointId, JobId, Revision
 from lentilrill.workloads import (
@@ -60,6 +61,7 @@
     :ivar sent_at: when its start was last sent; 0 if never.
     :ivar stop_ordered_at: when it was last ordered to stop; 0 if never.
     :ivar send_count: number of times the start order was sent.
+    :ivar zone: availability zone of the endpoint.
     :ivar is_unconfirmed: a start order got no answer, so it may have been executed or may still be.
     :ivar confirmed_at: when the start order was confirmed as executed, or a stop order as
         preventing the run. A poll sent later that does not list the run proves that it has ended.
@@ -84,6 +86,7 @@
         "started_at",
         "stop_ordered_at",
         "task",
+        "zone",
     )
 
     def __init__(
@@ -92,6 +95,7 @@
         self.task = task
         self.number = number
         self.endpoint = endpoint
+        self.zone = UNKNOWN_ZONE
         self.reserved = reserved
         self.phase = RunPhase.ORDERED
         self.placed_at = self.progressed_at = self.reported_at = time.monotonic()
@@ -294,6 +298,7 @@
     :ivar needs_record: whether its record is to be written, since its tasks start next.
     :ivar never_started: whether no previous owner can have started it, as it had no record when
         this owner took the pool over.
+    :ivar start_zones: availability zones in which its tasks may have been started.
     :ivar final_stored: whether its final state is in the store and may be shown to callers.
     :ivar wait_times: time spent in each wait cause.
     """
@@ -314,6 +319,7 @@
         "next_occurrence",
         "record_requested_at",
         "revision",
+        "start_zones",
         "state",
         "steps_by_occurrence",
         "stored_revision",
@@ -340,6 +346,7 @@
         self.needs_record = False
         self.record_requested_at = 0.0
         self.never_started = False
+        self.start_zones = StartZones()
         self.steps_by_occurrence: dict[int, list[TrackedStep]] = {}
         self.next_occurrence = 0
         self.long_running = any(step.lasting for step in job.steps)
@@ -442,7 +449,10 @@
                 step_progress = _step_progress(step)
                 if step_progress != StepProgress():
                     steps_by_key[f"{occurrence}.{step.id.step}"] = step_progress
-        return JobProgress(self.state, 0, FailureCause.NONE, steps_by_key)
+        run_zones = (run.zone for task in self.tasks() for run in task.runs)
+        is_started = self.state is not JobState.QUEUED
+        zones = self.start_zones.to_store(run_zones, is_started=is_started)
+        return JobProgress(self.state, 0, FailureCause.NONE, steps_by_key, zones)
 
     def restore(self, progress: JobProgress, now_ms: int) -> None:
         """Restore the state from the progress record of a previous owner."""
@@ -451,6 +461,7 @@
         self.ended_ms = progress.ended_ms
         self.cause = progress.cause
         self.final_stored = progress.state.is_final
+        self.start_zones.restore(progress.zones)
         if self.final_stored:
             return
         self.open_occurrences(now_ms)
--- a/src/lentilrill/execution/_writer.py
+++ b/src/lentilrill/execution/_writer.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from lentilrill.faults import FaultKind
-from lentilrill.ids import EndpointId, JobId, Revision
+from lentilrill.ids import EndpointId, JobId, Revision, ZoneId
 from lentilrill.store import Compare, KeyValue, Put
 from lentilrill.telemetry import Event, log, run_and_log_errors
 
@@ -32,6 +32,7 @@
     """Progress of one job to be written.
 
     :param version: version of the job's state at the time of the snapshot.
+    :param zones: zones of the job's runs in the record.
     """
 
     job: JobId
@@ -39,6 +40,7 @@
     revision: Revision
     version: int
     is_final: bool
+    zones: list[ZoneId] | None = None
 
 
 class Snapshot(msgspec.Struct):
--- a/src/lentilrill/workloads/_progress.py
+++ b/src/lentilrill/workloads/_progress.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from lentilrill.ids import EndpointId, HostId, WorkspaceId
+from lentilrill.ids import EndpointId, HostId, WorkspaceId, ZoneId
 from lentilrill.workloads._job import JobState
 
 __all__ = ["Attempt", "FailureCause", "JobProgress", "JobView", "StepProgress"]
@@ -69,9 +69,12 @@
     :param ended_ms: time at which its state became final, in milliseconds since the epoch.
     :param cause: why it failed.
     :param steps_by_key: progress by ``occurrence.step``; steps without progress are left out.
+    :param zones: availability zones in which its tasks may have been started and may still run;
+        ``None`` for any zone.
     """
 
     state: JobState = JobState.QUEUED
     ended_ms: int = 0
     cause: FailureCause = FailureCause.NONE
     steps_by_key: dict[str, StepProgress] = {}
+    zones: list[ZoneId] | None = None
