Crashes: a start that was not sent has crashed nothing

What callers saw: a job could be given up for crashes that others caused. The starts of suspects, and first starts after a take-over, are noted and stored before they are sent. If the endpoint's process ended meanwhile, the note alone made such a start one that may have crashed it: on_run_lost left unsent starts out, on_process_ended did not. A start that was dropped before it was sent left its note in the stored record besides, where a later owner found it.

Change: a start that was not sent is never a possible cause; its note is forgotten in the record too; and it is placed anew when its endpoint has restarted, as its note names the process before, so that a suspect's start is still stored before it is sent.

Result: both new tests failed without the change, and pass; tests/execution of crashes, lost endpoints and held tasks pass.

--- a/src/lentilrill/execution/_crashes.py
+++ b/src/lentilrill/execution/_crashes.py
@@ -150,6 +150,10 @@
         if lost is not None and lost.attempt.started_ms == link.started_ms:
             self._resolve(link.entry.id, None)
 
+    def on_run_over(self, link: EndpointLink, run: Run) -> None:
+        """Forget the start of a run that has not crashed its endpoint, and can't any more."""
+        self._forget(link, run)
+
     def on_registered(self, entries: Mapping[EndpointId, EndpointEntry], now: float) -> None:
         """Compare lost endpoints with the registered ones."""
         if not self._lost_by_id:
@@ -201,6 +205,11 @@
         if not lost.is_cut_off:
             task.open_crashes.add(endpoint)
 
+    def _forget(self, link: EndpointLink, run: Run) -> None:
+        if link.entry.id in run.task.attempts:
+            _forget_attempt(run.task, link.entry.id)
+            self._on_changed()
+
     def _resolve(self, endpoint: EndpointId, proof: _Proof | None) -> None:
         """End the watch of a lost endpoint.
 
@@ -281,6 +290,8 @@
 
 def _may_have_crashed(link: EndpointLink, run: Run) -> bool:
     """Whether a run began so shortly before its endpoint's last answer that it may be the cause."""
+    if run.is_unsent:
+        return False
     if link.entry.id in run.task.attempts:
         return True
     was_sent = run.send_count > 0
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -63,6 +63,7 @@
             if link.started_ms:
                 log(Event.ENDPOINT_REBORN, endpoint=link.entry.id, born_ms=result.started_ms)
                 self._crashes.on_process_ended(link)
+                self._drop_stored_starts(link)
             link.reset(result.started_ms)
         link.update_clock(result.clock_ms, time.monotonic())
         ended = {(end.task, end.number) for end in result.ended}
@@ -160,7 +161,7 @@
         :param is_given_up: whether no report shows its end; logged also for a run that was stopped.
         """
         if run.is_unsent:
-            run.task.attempts.pop(link.entry.id, None)
+            self._crashes.on_run_over(link, run)
         link.runs_by_key.pop(run.key, None)
         link.last_busy_at = time.monotonic()
         run.give_up_start()
@@ -177,6 +178,12 @@
                 reason=reason,
             )
 
+    def _drop_stored_starts(self, link: EndpointLink) -> None:
+        """Drop the starts that were stored for a process that has ended, and were not sent."""
+        for run in list(link.runs_by_key.values()):
+            if run.is_unsent and link.entry.id in run.task.attempts:
+                self.drop(link, run, "its endpoint has restarted")
+
     def _record_end(self, link: EndpointLink, end: RunEnd) -> None:
         run = link.runs_by_key.get((end.task, end.number))
         tracked_job = self._jobs_by_id.get(end.task.job)
--- a/tests/execution/test_crashes.py
+++ b/tests/execution/test_crashes.py
@@ -156,6 +156,10 @@
         run.sent_at = self.link.answered_at - after_s
         return run
 
+    def poll_of(self, started_ms: int) -> None:
+        result = PollResult(Verdict.DONE, 1000, started_ms)
+        self.reconciler.apply_poll(self.link, result, time.monotonic())
+
     def test_a_restart_under_the_same_id_is_a_crash(self) -> None:
         """A crash of an endpoint that came back under its id was not counted."""
         self.begin()
@@ -234,3 +238,17 @@
         task = restored.tasks()[0]
         self.assertEqual({"e7@1"}, task.crashed_processes)
         self.assertEqual(self.task.attempts, task.attempts)
+
+    def test_a_start_that_was_not_sent_yet_has_crashed_nothing(self) -> None:
+        """Starts that waited for their records counted for the crash of a task beside them."""
+        run = self.run_of(self.task.step.tracked_job, confirmed=False)
+        self.crashes.record_attempt(self.link, run.task)
+        self.poll_of(2)
+        self.assertEqual((set(), {}), (self.task.crashed_processes, self.task.attempts))
+
+    def test_a_start_that_is_not_sent_to_a_new_process_is_placed_again(self) -> None:
+        """A suspect's start was sent to a restarted endpoint without being stored for it."""
+        run = self.run_of(self.task.step.tracked_job, confirmed=False)
+        self.crashes.record_attempt(self.link, run.task)
+        self.poll_of(2)
+        self.assertTrue(self.task.waiting)
