Crashes: a start noted at a silence is forgotten once its endpoint answers

Cause: a start is noted as its endpoint falls silent, also that of a task beside the culprit. Where the same process answered again before the run was given up, nothing forgot the note. From then on the run may have crashed its endpoint by the note alone, however old it was, unless it was listed as running; and a refused, expired or unlisted start left its note for later owners, who counted the endpoint's next restart, of any cause. Work that ends a suspicion was written only with the next change of another kind, so that a later owner counted crashes from before it.

Change: a note made at a silence goes when the same process answers; any note goes with a run that is certain not to have crashed its endpoint; both, and the end of a suspicion by work, are stored at once. What closed stays: the note is there as long as the silence, a silence that comes later notes again, starts that were stored before they were sent keep their note, and so do those given up out of sight.

Result: four of the seven new tests failed before, among them the task beside three culprits after a silence each, which had three crashes and was not done; three guard the other way and passed before as well. Tests of crashes, lost endpoints and held tasks pass.

--- a/src/lentilrill/execution/_crashes.py
+++ b/src/lentilrill/execution/_crashes.py
@@ -80,6 +80,10 @@
     absent_at: float = 0.0
 
 
+_Process = tuple[EndpointId, int]
+"""Process of an endpoint: the endpoint's id, and when the process started by its own clock."""
+
+
 class CrashBook:
     """Counts the endpoints that crash under each task of a pool.
 
@@ -112,10 +116,15 @@
 
         The owner may be lost before their runs are given up, and the next one has to know of them.
         """
-        runs = [run for run in link.runs_by_key.values() if _may_have_crashed(link, run)]
+        runs = [
+            run
+            for run in link.runs_by_key.values()
+            if _may_have_crashed(link, run) and not _is_noted(run.task, _process_of(link))
+        ]
         if not runs or _is_leaving(link):
             return
         for run in runs:
+            run.is_noted_late = True
             _note_attempt(run.task, link.entry.id, _attempt_on(link))
         self._on_changed()
 
@@ -145,15 +154,28 @@
         self._settle(link.entry.id, _attempt_on(link), tasks, proof)
 
     def on_answer(self, link: EndpointLink) -> None:
-        """Note that an endpoint answers: if it is the same process, it has not crashed."""
+        """Note that an endpoint answers: if it is the same process, it has not crashed.
+
+        What was noted because of its silence is forgotten, also in the record: a crash that comes
+        later is judged by the answers until then, as it would be without the silence.
+        """
         lost = self._lost_by_id.get(link.entry.id)
         if lost is not None and lost.attempt.started_ms == link.started_ms:
             self._resolve(link.entry.id, None)
+        for run in link.runs_by_key.values():
+            if run.is_noted_late:
+                run.is_noted_late = False
+                self._forget(link, run)
 
     def on_run_over(self, link: EndpointLink, run: Run) -> None:
         """Forget the start of a run that has not crashed its endpoint, and can't any more."""
         self._forget(link, run)
 
+    def on_working(self, task: TrackedTask) -> None:
+        """Note that a task works without crashing its endpoint, which ends all suspicion."""
+        if task.clear_suspicion():
+            self._on_changed()
+
     def on_registered(self, entries: Mapping[EndpointId, EndpointEntry], now: float) -> None:
         """Compare lost endpoints with the registered ones."""
         if not self._lost_by_id:
@@ -206,7 +228,7 @@
             task.open_crashes.add(endpoint)
 
     def _forget(self, link: EndpointLink, run: Run) -> None:
-        if link.entry.id in run.task.attempts:
+        if _is_noted(run.task, _process_of(link)):
             _forget_attempt(run.task, link.entry.id)
             self._on_changed()
 
@@ -288,11 +310,22 @@
     return link.entry.draining or link.released
 
 
+def _process_of(link: EndpointLink) -> _Process:
+    return link.entry.id, link.started_ms
+
+
+def _is_noted(task: TrackedTask, process: _Process) -> bool:
+    """Whether a start of a task on a process is noted."""
+    endpoint, started_ms = process
+    attempt = task.attempts.get(endpoint)
+    return attempt is not None and attempt.started_ms == started_ms
+
+
 def _may_have_crashed(link: EndpointLink, run: Run) -> bool:
     """Whether a run began so shortly before its endpoint's last answer that it may be the cause."""
     if run.is_unsent:
         return False
-    if link.entry.id in run.task.attempts:
+    if _is_noted(run.task, _process_of(link)):
         return True
     was_sent = run.send_count > 0
     return was_sent and link.answered_at - run.began_at < FRESH_S
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -89,6 +89,7 @@
                 # The endpoint refuses a start whose lease has expired, so it can't begin any more.
                 run.task.record_failure_on(link.entry.id)
                 count_failure(link)
+                self._crashes.on_run_over(link, run)
                 self.drop(link, run, "its start expired without an answer", is_given_up=True)
         return stops
 
@@ -160,7 +161,7 @@
 
         :param is_given_up: whether no report shows its end; logged also for a run that was stopped.
         """
-        if run.is_unsent:
+        if run.is_unsent or not is_given_up:
             self._crashes.on_run_over(link, run)
         link.runs_by_key.pop(run.key, None)
         link.last_busy_at = time.monotonic()
@@ -188,12 +189,13 @@
         run = link.runs_by_key.get((end.task, end.number))
         tracked_job = self._jobs_by_id.get(end.task.job)
         task = tracked_job.task(end.task) if tracked_job is not None else None
+        if task is not None:
+            task.attempts.pop(link.entry.id, None)
         if run is not None:
             self.drop(link, run, end.kind.value)
         if tracked_job is None or task is None or tracked_job.state.is_final:
             return
         tracked_job.mark_dirty()
-        task.attempts.pop(link.entry.id, None)
         if end.checkpoint:
             task.checkpoint = end.checkpoint
         if end.kind is EndKind.DONE:
@@ -255,7 +257,7 @@
         run.percent, run.load = running.percent, running.load
         run.reported_at = link.reported_at
         if link.reported_at - run.began_at > FRESH_S:
-            run.task.clear_suspicion()
+            self._crashes.on_working(run.task)
         if running.checkpoint:
             run.task.checkpoint = running.checkpoint
         if run.phase is RunPhase.STOPPING and link.reported_at > run.stop_ordered_at + STOP_RETRY_S:
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -63,6 +63,7 @@
     :ivar send_count: number of times the start order was sent.
     :ivar zone: availability zone of the endpoint.
     :ivar is_unconfirmed: a start order got no answer, so it may have been executed or may still be.
+    :ivar is_noted_late: its start was noted only once its endpoint fell silent.
     :ivar confirmed_at: when the start order was confirmed as executed, or a stop order as
         preventing the run. A poll sent later that does not list the run proves that it has ended.
     """
@@ -71,6 +72,7 @@
         "confirmed_at",
         "endpoint",
         "expires_ms",
+        "is_noted_late",
         "is_unconfirmed",
         "load",
         "number",
@@ -105,7 +107,7 @@
         self.percent = 0
         self.load = 0.0
         self.pace = 100
-        self.is_unconfirmed = False
+        self.is_unconfirmed = self.is_noted_late = False
         self.expires_ms = 0
         self.sent_at = 0.0
         self.stop_ordered_at = 0.0
@@ -202,13 +204,15 @@
         is_first = self.start_count <= 1
         return self.is_suspect or (self.step.tracked_job.is_restored and is_first)
 
-    def clear_suspicion(self) -> None:
-        """Note that it works without crashing its endpoint."""
-        if self.crashed_processes or self.attempts:
-            self.crashed_processes.clear()
-            self.attempts.clear()
-            self.open_crashes.clear()
-            self.step.tracked_job.mark_dirty()
+    def clear_suspicion(self) -> bool:
+        """Note that it works without crashing its endpoint; return whether that is new."""
+        if not self.crashed_processes and not self.attempts:
+            return False
+        self.crashed_processes.clear()
+        self.attempts.clear()
+        self.open_crashes.clear()
+        self.step.tracked_job.mark_dirty()
+        return True
 
     @property
     def failures(self) -> int:
--- a/tests/execution/test_crashes.py
+++ b/tests/execution/test_crashes.py
@@ -6,15 +6,18 @@
 from testtools import TestCase
 
 from lentilrill.execution import (
+    EndKind,
     OrderAnswer,
     PollResult,
     PoolOwner,
     ReportedRun,
+    RunEnd,
     StartOrder,
     Verdict,
 )
-from lentilrill.execution._crashes import FRESH_S
-from lentilrill.execution._tracking import Run, TrackedJob, encode_progress
+from lentilrill.execution._crashes import FRESH_S, MAX_CRASHES, CrashBook
+from lentilrill.execution._link import Order, OrderKind
+from lentilrill.execution._tracking import Run, TrackedJob, TrackedTask, encode_progress
 from lentilrill.ids import EndpointId, HostId, JobId, Revision
 from lentilrill.workloads import Attempt, Job, JobProgress, JobState, Step
 from tests.builders import a_job, a_step, an_endpoint
@@ -149,17 +152,45 @@
         self.link.started_ms = 1
         self.task = self.add(a_step(1)).tasks()[0]
 
-    def begin(self, *, after_s: float = 0.0) -> Run:
-        """Start the task so long before the endpoint's last answer."""
-        run = self.run_of(self.task.step.tracked_job)
+    def begin(self, task: TrackedTask | None = None, *, after_s: float = 0.0) -> Run:
+        """Start a task so long before the endpoint's last answer."""
+        run = self.run_of((task or self.task).step.tracked_job)
         run.send_count = 1
         run.sent_at = self.link.answered_at - after_s
         return run
 
+    def fall_silent(self, *, for_s: float = 2 * FRESH_S) -> None:
+        """Have the endpoint leave a call unanswered, and its process answer again after a time."""
+        self.crashes.on_silent(self.link)
+        self.link.answered_at += for_s
+        self.crashes.on_answer(self.link)
+
+    def restart(self) -> None:
+        """Have another process answer; the runs of the one before are lost."""
+        self.poll_of(self.link.started_ms + 1)
+        for run in list(self.link.runs_by_key.values()):
+            self.reconciler.drop(self.link, run, "its endpoint has ended")
+
     def poll_of(self, started_ms: int) -> None:
         result = PollResult(Verdict.DONE, 1000, started_ms)
         self.reconciler.apply_poll(self.link, result, time.monotonic())
 
+    def restored(self) -> TrackedTask:
+        """Return the task as the next owner reads it from the record, and watches it."""
+        tracked_job = self.task.step.tracked_job
+        stored = msgspec.json.decode(encode_progress(tracked_job.progress()), type=JobProgress)
+        restored = TrackedJob(tracked_job.job, Revision(1), 0.0)
+        restored.restore(stored, 0)
+        [task] = restored.tasks()
+        self.crashes = CrashBook()
+        self.crashes.restore([task])
+        return task
+
+    def register_restarted(self) -> None:
+        """Show that a newer process is registered on the endpoint's host."""
+        entry = an_endpoint(host=HostId("m1"), started_ms=self.link.started_ms + 1)
+        self.crashes.on_registered({entry.id: entry}, time.monotonic())
+
     def test_a_restart_under_the_same_id_is_a_crash(self) -> None:
         """A crash of an endpoint that came back under its id was not counted."""
         self.begin()
@@ -239,6 +270,47 @@
         self.assertEqual({"e7@1"}, task.crashed_processes)
         self.assertEqual(self.task.attempts, task.attempts)
 
+    def test_a_task_beside_three_culprits_after_a_silence_each_is_done(self) -> None:
+        """A start noted at a silence counted for crashes long after it, which others caused."""
+        culprits = [self.add(a_step(1), name=name).tasks()[0] for name in "bcd"]
+        for culprit in culprits:
+            self.begin()
+            self.fall_silent()
+            self.begin(culprit)
+            self.restart()
+        self.assertEqual([1] * 3, [len(culprit.crashed_processes) for culprit in culprits])
+        run = self.begin()
+        self.poll(ended=(RunEnd(1, self.task.id, run.number, EndKind.DONE, ""),))
+        self.assertEqual((True, set()), (self.task.done, self.task.crashed_processes))
+
+    def test_a_culprit_takes_three_endpoints_after_a_silence_each(self) -> None:
+        """A task that crashed its endpoints went uncounted, as they had been silent before."""
+        for _ in range(MAX_CRASHES):
+            self.begin()
+            self.fall_silent(for_s=FRESH_S / 2)
+            self.restart()
+        self.assertEqual(JobState.FAILED, self.task.step.tracked_job.state)
+
+    def test_a_silence_that_ended_leaves_nothing_to_a_later_owner(self) -> None:
+        """A crash after a short silence counted for a task that had ended long before it."""
+        changes: list[str] = []
+        self.crashes = CrashBook(lambda: changes.append("changed"))
+        self.begin()
+        self.fall_silent(for_s=0.1)
+        self.assertEqual(["changed"] * 2, changes)
+        task = self.restored()
+        self.register_restarted()
+        self.assertFalse(task.is_suspect)
+
+    def test_a_start_that_was_stored_first_stays_noted_after_a_silence(self) -> None:
+        """A crash went uncounted when the owner was lost with an endpoint that had been silent."""
+        run = self.begin()
+        self.crashes.record_attempt(self.link, run.task)
+        self.fall_silent(for_s=0.1)
+        task = self.restored()
+        self.register_restarted()
+        self.assertEqual({"e1@1"}, task.crashed_processes)
+
     def test_a_start_that_was_not_sent_yet_has_crashed_nothing(self) -> None:
         """Starts that waited for their records counted for the crash of a task beside them."""
         run = self.run_of(self.task.step.tracked_job, confirmed=False)
@@ -252,3 +324,44 @@
         self.crashes.record_attempt(self.link, run.task)
         self.poll_of(2)
         self.assertTrue(self.task.waiting)
+
+    def test_a_start_that_cannot_crash_its_endpoint_any_more_is_forgotten(self) -> None:
+        """A later owner counted a crash for a start that had been refused or had expired."""
+        reconciler, link = self.reconciler, self.link
+        ends = {
+            "refused": lambda run: reconciler.apply_answer(
+                link, Order.for_run(OrderKind.START, run), Verdict.BUSY
+            ),
+            "not listed": lambda run: setattr(run, "confirmed_at", 1.0) or self.poll_of(1),
+            "expired": lambda run: setattr(run, "expires_ms", 1) or self.poll_of(1),
+            "not sent": lambda run: setattr(run, "send_count", 0)
+            or reconciler.drop(link, run, "late", is_given_up=True),
+        }
+        for name, end in ends.items():
+            run = self.run_of(self.task.step.tracked_job, confirmed=False)
+            run.send_count = 1
+            self.crashes.record_attempt(link, run.task)
+            run.task.step.tracked_job.dirty = False
+            end(run)
+            self.assertEqual(
+                ({}, True), (self.task.attempts, run.task.step.tracked_job.dirty), name
+            )
+
+    def test_a_start_that_was_given_up_out_of_sight_stays_noted(self) -> None:
+        """A crash was forgotten with the run that was given up as its endpoint was silent."""
+        run = self.begin()
+        self.crashes.on_silent(self.link)
+        self.crashes.on_run_lost(self.link, run)
+        self.reconciler.drop(self.link, run, "its lease has lapsed", is_given_up=True)
+        self.register_restarted()
+        self.assertEqual({"e1@1"}, self.task.crashed_processes)
+
+    def test_work_that_ends_a_suspicion_is_stored_at_once(self) -> None:
+        """A later owner counted the crashes before a long run anew, and gave its task up."""
+        changes: list[str] = []
+        self.crashes = self.reconciler._crashes = CrashBook(lambda: changes.append("changed"))
+        self.task.crashed_processes.add("e7@1")
+        run = self.begin()
+        run.sent_at = self.link.reported_at - FRESH_S - 0.1
+        self.poll(running=(ReportedRun(self.task.id, run.number, "", 0, 0.0),))
+        self.assertEqual(["changed"], changes)
