Crashes: starts on two processes of one endpoint are told apart

A later owner watched all noted starts on an endpoint as if they were on the process of the first one found. When that process had ended and the next one worked, the crash counted for tasks on the working one too; and a task that was started again on the restarted endpoint before the registration showed it lost the note of the crash.

Change: lost endpoints are kept by process, a crash counts for the tasks noted on that process, and a newer process that answers under the id proves the end of the one before at once, as its entry would a moment later.

Both new tests failed without the change; tests of crashes and lost endpoints pass.

--- a/src/lentilrill/execution/_crashes.py
+++ b/src/lentilrill/execution/_crashes.py
@@ -97,7 +97,7 @@
     """
 
     def __init__(self, on_changed: Callable[[], None] = lambda: None) -> None:
-        self._lost_by_id: dict[EndpointId, _LostEndpoint] = {}
+        self._lost_by_process: dict[_Process, _LostEndpoint] = {}
         self._on_changed = on_changed
 
     def restore(self, tasks: Iterable[TrackedTask]) -> None:
@@ -149,19 +149,23 @@
         """
         tasks = [run.task for run in link.runs_by_key.values() if _may_have_crashed(link, run)]
         proof = None if _is_leaving(link) else _Proof.OTHER_PROCESS
-        if link.entry.id in self._lost_by_id:
-            self._resolve(link.entry.id, proof)
+        for process in self._lost_processes_of(link.entry.id):
+            self._resolve(process, proof)
         self._settle(link.entry.id, _attempt_on(link), tasks, proof)
 
     def on_answer(self, link: EndpointLink) -> None:
-        """Note that an endpoint answers: if it is the same process, it has not crashed.
+        """Note that an endpoint answers: if it is the same process, it has not crashed; a process
+        before it has.
 
         What was noted because of its silence is forgotten, also in the record: a crash that comes
         later is judged by the answers until then, as it would be without the silence.
         """
-        lost = self._lost_by_id.get(link.entry.id)
-        if lost is not None and lost.attempt.started_ms == link.started_ms:
-            self._resolve(link.entry.id, None)
+        for process in self._lost_processes_of(link.entry.id):
+            _, started_ms = process
+            if started_ms == link.started_ms:
+                self._resolve(process, None)
+            elif 0 < started_ms < link.started_ms:
+                self._resolve(process, _Proof.OTHER_PROCESS)
         for run in link.runs_by_key.values():
             if run.is_noted_late:
                 run.is_noted_late = False
@@ -178,23 +182,23 @@
 
     def on_registered(self, entries: Mapping[EndpointId, EndpointEntry], now: float) -> None:
         """Compare lost endpoints with the registered ones."""
-        if not self._lost_by_id:
+        if not self._lost_by_process:
             return
         newest_by_host: dict[HostId, int] = {}
         for entry in entries.values():
             newest_by_host[entry.host] = max(newest_by_host.get(entry.host, 0), entry.started_ms)
-        for endpoint, lost in list(self._lost_by_id.items()):
+        for process, lost in list(self._lost_by_process.items()):
             host = lost.attempt.host
             if host and newest_by_host.get(host, 0) > lost.attempt.started_ms > 0:
-                self._resolve(endpoint, _Proof.SUCCESSOR)
+                self._resolve(process, _Proof.SUCCESSOR)
             elif now > lost.watched_until:
-                self._resolve(endpoint, None)
+                self._resolve(process, None)
 
     def needs_listing(self, now: float) -> bool:
         """Whether a newer listing of the hosts may show what has become of a lost endpoint."""
         return any(
             lost.attempt.host and not lost.is_cut_off and now - lost.lost_at < MAX_ASKED_S
-            for lost in self._lost_by_id.values()
+            for lost in self._lost_by_process.values()
         )
 
     def on_hosts_listed(
@@ -204,12 +208,13 @@
 
         :param entries: the registered endpoints of the pool.
         """
-        for endpoint, lost in list(self._lost_by_id.items()):
+        for process, lost in list(self._lost_by_process.items()):
+            endpoint, _ = process
             if listing.asked_at < lost.lost_at or not lost.attempt.host or lost.is_cut_off:
                 continue
             evidence = _evidence_of(endpoint, lost, listing, endpoint in entries)
             if evidence in PROOF_BY_EVIDENCE:
-                self._resolve(endpoint, PROOF_BY_EVIDENCE[evidence])
+                self._resolve(process, PROOF_BY_EVIDENCE[evidence])
             elif evidence is _HostEvidence.CUT_OFF:
                 # The process may have restarted under its id just now, which shows soon.
                 lost.is_cut_off = True
@@ -219,27 +224,31 @@
 
     def _watch(self, endpoint: EndpointId, attempt: Attempt, task: TrackedTask) -> None:
         now = time.monotonic()
-        lost = self._lost_by_id.setdefault(
-            endpoint, _LostEndpoint(attempt, now, now + MAX_LOST_S, [])
+        lost = self._lost_by_process.setdefault(
+            (endpoint, attempt.started_ms), _LostEndpoint(attempt, now, now + MAX_LOST_S, [])
         )
         if task not in lost.tasks:
             lost.tasks.append(task)
         if not lost.is_cut_off:
             task.open_crashes.add(endpoint)
 
+    def _lost_processes_of(self, endpoint: EndpointId) -> list[_Process]:
+        return [process for process in self._lost_by_process if process[0] == endpoint]
+
     def _forget(self, link: EndpointLink, run: Run) -> None:
         if _is_noted(run.task, _process_of(link)):
             _forget_attempt(run.task, link.entry.id)
             self._on_changed()
 
-    def _resolve(self, endpoint: EndpointId, proof: _Proof | None) -> None:
+    def _resolve(self, process: _Process, proof: _Proof | None) -> None:
         """End the watch of a lost endpoint.
 
         :param proof: what shows that its process has ended unexpectedly; ``None`` if it has not.
         """
-        lost = self._lost_by_id.pop(endpoint)
+        endpoint, _ = process
+        lost = self._lost_by_process.pop(process)
         # A task that has worked since is beyond suspicion.
-        tasks = [task for task in lost.tasks if endpoint in task.attempts]
+        tasks = [task for task in lost.tasks if _is_noted(task, process)]
         self._settle(endpoint, lost.attempt, tasks, proof)
         for task in lost.tasks:
             _close(task, endpoint)
--- a/tests/execution/test_crashes.py
+++ b/tests/execution/test_crashes.py
@@ -365,3 +365,23 @@
         run.sent_at = self.link.reported_at - FRESH_S - 0.1
         self.poll(running=(ReportedRun(self.task.id, run.number, "", 0, 0.0),))
         self.assertEqual(["changed"], changes)
+
+    def test_starts_on_two_processes_of_an_endpoint_are_told_apart(self) -> None:
+        """The crash of an endpoint's process counted for a task on the next one, which worked."""
+        other = self.add(a_step(1), name="b").tasks()[0]
+        self.task.attempts[EndpointId("e1")] = Attempt(HostId("m1"), 1)
+        other.attempts[EndpointId("e1")] = Attempt(HostId("m1"), 2)
+        self.crashes.restore([self.task, other])
+        self.link.started_ms = 1
+        self.register_restarted()
+        self.link.started_ms = 2
+        self.crashes.on_answer(self.link)
+        self.assertEqual(({"e1@1"}, set()), (self.task.crashed_processes, other.crashed_processes))
+
+    def test_a_process_that_answers_proves_the_end_of_the_one_before(self) -> None:
+        """A crash was forgotten as its task was started on the same endpoint's next process."""
+        self.task.attempts[EndpointId("e1")] = Attempt(HostId("m1"), 1)
+        self.crashes.restore([self.task])
+        self.link.started_ms = 2
+        self.crashes.on_answer(self.link)
+        self.assertEqual({"e1@1"}, self.task.crashed_processes)
