Crashes: an endpoint that is released while it is silent has not left

What callers saw: a task took down six endpoints. Three of its six crashes (i-12, i-17, i-22) were followed by endpoint_gone and not counted, for none of the three tasks there.

Cause: an endpoint whose host is wanted elsewhere counts as leaving from the first request of its release on, also where the request came while it was silent after the crash: the pool had just been sized from 6 hosts to 3. By elimination: of all conditions only a release leaves the crash of every task uncounted there, requests of releases are not logged.

Change: a release counts as leaving only if the endpoint has answered since it was requested. A released endpoint with runs isn't free, so its host can't have been taken because of the request.

Result: test_a_crash_counts_though_the_silent_endpoint_is_released failed before; the end of an endpoint that had been released before its last answer is no crash, as before (test added).

--- a/src/lentilrill/execution/_crashes.py
+++ b/src/lentilrill/execution/_crashes.py
@@ -316,7 +316,13 @@
 
 
 def _is_leaving(link: EndpointLink) -> bool:
-    return link.entry.draining or link.released
+    """Whether an endpoint was leaving when it last answered.
+
+    One that is released while it is silent may have crashed before. It is free, and its host may
+    go, only once it has no runs.
+    """
+    was_released = link.released and link.release_started_at <= link.answered_at
+    return link.entry.draining or was_released
 
 
 def _process_of(link: EndpointLink) -> _Process:
--- a/tests/execution/test_crashes.py
+++ b/tests/execution/test_crashes.py
@@ -17,6 +17,7 @@
 )
 from lentilrill.execution._crashes import FRESH_S, MAX_CRASHES, CrashBook
 from lentilrill.execution._link import Order, OrderKind
+from lentilrill.execution._release import release
 from lentilrill.execution._tracking import Run, TrackedJob, TrackedTask, encode_progress
 from lentilrill.ids import EndpointId, HostId, JobId, Revision
 from lentilrill.workloads import Attempt, Job, JobProgress, JobState, Step
@@ -229,6 +230,20 @@
         self.crashes.on_process_ended(self.link)
         self.assertFalse(self.task.is_suspect)
 
+    def test_a_crash_counts_though_the_silent_endpoint_is_released(self) -> None:
+        """A task took down endpoint after endpoint, as their hosts were wanted elsewhere."""
+        self.begin()
+        release(self.link, time.monotonic())
+        self.crashes.on_process_ended(self.link)
+        self.assertEqual({"e1@1"}, self.task.crashed_processes)
+
+    def test_the_end_of_an_endpoint_that_had_been_released_is_no_crash(self) -> None:
+        """Tasks on an endpoint whose host was moved were suspected."""
+        self.begin()
+        release(self.link, self.link.answered_at - 0.1)
+        self.crashes.on_process_ended(self.link)
+        self.assertFalse(self.task.is_suspect)
+
     def test_an_attempt_of_a_previous_owner_is_counted(self) -> None:
         """A crash while the pool changed its owner was not counted."""
         self.task.attempts[EndpointId("e1")] = Attempt(HostId("m1"), 1)
