Time left: distribution of a queue's task durations

Cause: one mean by queue says of a task past it that it ends at once, however long it has run; 3 tasks of 100 take several times as long as the others. Change: a decayed histogram of actual over expected duration, conditioned on what has run and blended with the progress shown; `Durations.remaining_ms` uses it once 8 tasks of two jobs have ended. No decision uses it yet.

--- a/src/lentilrill/execution/_need.py
+++ b/src/lentilrill/execution/_need.py
@@ -6,8 +6,8 @@
 
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import TrackedJob, TrackedStep
-from lentilrill.ids import EndpointId, QueueId
-from lentilrill.scheduling import DurationModel
+from lentilrill.ids import EndpointId, JobId, QueueId
+from lentilrill.scheduling import DurationModel, TaskTimes
 from lentilrill.workloads import Job, Step
 
 __all__ = ["Durations", "OfferedLoad", "WorkEstimate", "WorkForecast", "idle_endpoints"]
@@ -23,6 +23,9 @@
 """Time without a run after which an endpoint counts as idle; the next step of a job starts within
 this time."""
 
+MIN_KNOWN_TASKS = 8
+"""Completed tasks of a queue, of two jobs at least, before their distribution is used."""
+
 
 class WorkEstimate(msgspec.Struct, frozen=True):
     """Estimated work of a job.
@@ -103,16 +106,42 @@
         )
 
 
+class _QueueTimes:
+    """Distribution of a queue's task durations, and whether it rests on enough tasks to be used."""
+
+    def __init__(self) -> None:
+        self.times = TaskTimes()
+        self._tasks = 0
+        self._first_job: JobId | None = None
+        self._has_other_jobs = False
+
+    @property
+    def is_known(self) -> bool:
+        return self._tasks >= MIN_KNOWN_TASKS and self._has_other_jobs
+
+    def observe(self, job: JobId, ratio: float) -> None:
+        self.times.observe(ratio)
+        self._tasks += 1
+        self._first_job = self._first_job or job
+        self._has_other_jobs = self._has_other_jobs or job != self._first_job
+
+
 class Durations:
     """Estimates of task durations, by queue."""
 
     def __init__(self) -> None:
         self._model_by_queue: dict[QueueId, DurationModel] = {}
+        self._times_by_queue: dict[QueueId, _QueueTimes] = {}
 
     def record(self, step: TrackedStep, ms: float) -> None:
         """Add the duration of a completed task."""
+        job = step.tracked_job.job
+        queue = job.queue
+        expected_ms = self.expected_ms(job, step.spec, step)
+        if expected_ms > 0:
+            times = self._times_by_queue.setdefault(queue, _QueueTimes())
+            times.observe(job.id, ms / expected_ms)
         step.record_duration(ms)
-        queue = step.tracked_job.job.queue
         self._model_by_queue.setdefault(queue, DurationModel()).observe(step.spec.estimate_ms, ms)
 
     def expected_ms(self, job: Job, spec: Step, step: TrackedStep | None) -> float:
@@ -125,6 +154,24 @@
         model = self._model_by_queue.get(job.queue)
         return model.expected_ms(spec.estimate_ms) if model is not None else spec.estimate_ms
 
+    def remaining_ms(
+        self,
+        job: Job,
+        spec: Step,
+        step: TrackedStep | None,
+        elapsed_ms: float,
+        done_share: float,
+    ) -> float:
+        """Return the time that a run of a step's task still needs.
+
+        :param done_share: progress that the run shows, from 0 to 1; 0 if none.
+        """
+        expected_ms = self.expected_ms(job, spec, step)
+        queue_times = self._times_by_queue.get(job.queue)
+        if queue_times is None or not queue_times.is_known:
+            return max(0.0, expected_ms - elapsed_ms)
+        return queue_times.times.remaining_ms(expected_ms, elapsed_ms, done_share)
+
     def estimate_work(self, tracked_job: TrackedJob) -> WorkEstimate:
         """Return the work of a job."""
         remaining_ms: dict[int, float] = {}
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -28,6 +28,7 @@
 from lentilrill.scheduling._pacing import next_pace
 from lentilrill.scheduling._placement import EndpointCapacity, place
 from lentilrill.scheduling._surges import SurgeTracker
+from lentilrill.scheduling._time_left import TaskTimes
 
 __all__ = [
     "SURPLUS_DELAY_S",
@@ -45,6 +46,7 @@
     "PoolNeed",
     "Pressure",
     "SurgeTracker",
+    "TaskTimes",
     "Usage",
     "can_accept",
     "minimum_hosts",
