--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     "fleet",
     "config",
     "control",
+    "durations",
     "entry_config",
     "keys",
     "owner",
--- a/src/lentilrill/scheduling/_time_left.py
+++ b/src/lentilrill/scheduling/_time_left.py
@@ -13,9 +13,9 @@
 """Weight of a new task at which all weights are scaled down."""
 MIN_TAIL_TASKS = 0.5
 """Weight of the tasks that took longer, below which nothing is known of such long ones."""
-DOUBTED_SHARE = 0.05
-"""Progress at which it counts as much as the other tasks' durations: it is reported in percent, and
-a task's first percents also hold its start-up."""
+DOUBTED_SHARE = 0.02
+"""Progress at which it counts as much as the other tasks' durations: it is reported in whole
+percents, and a task's first ones also hold its start-up."""
 
 
 class TaskTimes:
