Speeds: verdicts on endpoints that work slower than the others of their pool

Cause: an endpoint that works four times slower answers and fails nothing, so it kept getting tasks like the others. Change: a pure class that compares what tasks take on an endpoint with what the same queue's tasks take elsewhere at that time: lowest quartile over jobs, with a threshold that grows with the spread of the pool and falls with the number of jobs; SLOW, EJECTED (a fifth of a pool at most, 1.5 to 6 s, never the last that fits), PROBATION. Not used yet. Ruled out: the median over jobs. Tasks that take seven times as long are 18 of 100 of those that run at a moment, so the median of two to five jobs is often one of them. Tests: each guard left out fails its own test (usual per queue, quartile, two jobs, last that fits, bounded share, taking back, age, restart, growing pauses).

--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -27,6 +27,13 @@
 from lentilrill.scheduling._order import JobTiming, sort_key
 from lentilrill.scheduling._pacing import next_pace
 from lentilrill.scheduling._placement import EndpointCapacity, place
+from lentilrill.scheduling._speeds import (
+    EndpointKind,
+    EndpointSpeeds,
+    Speed,
+    SpeedChange,
+    hosts_for,
+)
 from lentilrill.scheduling._surges import SurgeTracker
 from lentilrill.scheduling._time_left import TaskTimes
 
@@ -37,6 +44,8 @@
     "Demand",
     "DurationModel",
     "EndpointCapacity",
+    "EndpointKind",
+    "EndpointSpeeds",
     "HostShares",
     "JobTiming",
     "KnownAllowances",
@@ -45,10 +54,13 @@
     "PoolAllowance",
     "PoolNeed",
     "Pressure",
+    "Speed",
+    "SpeedChange",
     "SurgeTracker",
     "TaskTimes",
     "Usage",
     "can_accept",
+    "hosts_for",
     "minimum_hosts",
     "next_allowance",
     "next_pace",
