Speeds: placement, pool size, pressure and wait go by the endpoints' speed

Cause: only no progress at all for 1.6 s, or failures, told of an endpoint that works slower than the others. Slow endpoints get tasks last, ejected ones none, those on probation one at a time; the wait shown to callers goes by effective capacity, and a pool whose normal hosts don't suffice asks for what its slow ones lose. A verdict is logged with its inputs (699) and counted in metrics.

--- a/src/lentilrill/execution/_demand.py
+++ b/src/lentilrill/execution/_demand.py
@@ -7,7 +7,7 @@
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._need import LEAD_S, Durations, WorkForecast
 from lentilrill.execution._tracking import Run, TrackedJob, TrackedStep
-from lentilrill.scheduling import Demand, HostShares, JobTiming, required_hosts
+from lentilrill.scheduling import Demand, HostShares, JobTiming, hosts_for, required_hosts
 from lentilrill.workloads import Resources
 
 __all__ = ["PoolDemand", "demand_of"]
@@ -66,7 +66,8 @@
         demands += _waiting_demand(tracked_job, timing, host_size, durations)
         max_parallel = _sum(max_parallel, _ready_share(tracked_job, host_size))
     long_running_hosts = max(long_running_shares)
-    present = sum(1 for link in links if link.reachable and link.registered) - long_running_hosts
+    shares = [link.capacity_share for link in links if link.reachable and link.registered]
+    present = sum(shares) - long_running_hosts
     due = required_hosts(demands)
     without_forecast = min(max(max_parallel), required_hosts(demands, present, LEAD_S))
     if forecast.duration_s > 0:
@@ -77,7 +78,9 @@
         )
     with_forecast = min(max(max_parallel), required_hosts(demands, present, LEAD_S))
     return PoolDemand(
-        long_running_hosts + without_forecast, long_running_hosts + with_forecast, due <= present
+        hosts_for(long_running_hosts + without_forecast, shares),
+        hosts_for(long_running_hosts + with_forecast, shares),
+        due <= present,
     )
 
 
--- a/src/lentilrill/execution/_idle.py
+++ b/src/lentilrill/execution/_idle.py
@@ -11,7 +11,7 @@
 from lentilrill.execution._start_zones import UNKNOWN_ZONE
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedTask
 from lentilrill.ids import EndpointId, JobId, PoolId, ZoneId
-from lentilrill.scheduling import EndpointCapacity
+from lentilrill.scheduling import EndpointCapacity, Speed
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import TaskId
 
@@ -171,10 +171,16 @@
         reason = "failed where it fits"
     else:
         reason = "kept apart from suspects" if is_kept_apart else "passed over"
-    link_counts = Counter(blocking_reason(link, view.now) or "open" for link in view.links.values())
+    link_counts = Counter(_state_of(link, view.now) for link in view.links.values())
     return {
         "reason": reason,
         "fitting": len(fitting),
         "failed_on": len(excluded),
         "endpoints": ", ".join(f"{count} {state}" for state, count in sorted(link_counts.items())),
     }
+
+
+def _state_of(link: EndpointLink, now: float) -> str:
+    if reason := blocking_reason(link, now):
+        return reason
+    return "open" if link.speed is not Speed.EJECTED else "ejected as slow"
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -18,6 +18,7 @@
 )
 from lentilrill.execution._senders import Senders
 from lentilrill.execution._tracking import Run, RunPhase
+from lentilrill.scheduling import Speed
 from lentilrill.telemetry import Event, log, run_and_log_errors
 from lentilrill.workloads import EndpointEntry, TaskId
 
@@ -146,6 +147,7 @@
         than the time of reading by the delays of the network and of this process.
     :ivar renewed_at: when the last poll that renewed the run lease was sent; ``None`` if no runs
         are assigned to the endpoint.
+    :ivar capacity_share: share of its capacity that it has in effect at its speed.
     :ivar lease_end: monotonic time at which all leases given to this endpoint have expired, clock
         error included; 0 if none was given.
     """
@@ -177,6 +179,8 @@
         self.probe_at = 0.0
         self.renewed_at: float | None = None
         self.lease_end = self._min_lease_end = 0.0
+        self.speed = Speed.NORMAL
+        self.capacity_share = 1.0
         self.pace = 100
         self.paced_at = 0.0
         self._clock_ms = 0
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -1,8 +1,10 @@
 """Decisions of a planning round: placement of tasks, stops of stuck runs, pace of fillers."""
 
-from collections.abc import Iterable
+import copy
+from collections.abc import Collection
 
 from lentilrill.execution._budgets import RoundBudgets
+from lentilrill.execution._endpoint_speeds import SpeedMonitor
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
 from lentilrill.execution._reconcile import count_failure, is_unhealthy
@@ -17,7 +19,7 @@
 )
 from lentilrill.execution._wait_times import WaitCause
 from lentilrill.ids import EndpointId, JobId, RackId, ZoneId
-from lentilrill.scheduling import EndpointCapacity, JobTiming, next_pace, place, sort_key
+from lentilrill.scheduling import EndpointCapacity, JobTiming, Speed, next_pace, place, sort_key
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import JobState, Queue, TaskId
 
@@ -54,21 +56,26 @@
     :ivar feasible: whether all waiting work can be done in time; set by the owner.
     """
 
-    def __init__(self, token: int, durations: Durations, tickets: TicketCache) -> None:
+    def __init__(
+        self, token: int, durations: Durations, tickets: TicketCache, speeds: SpeedMonitor
+    ) -> None:
         self._durations = durations
         self._tickets = tickets
+        self._speeds = speeds
         self._first_number = token * 1000
         self.feasible = True
         self.to_record: list[TrackedJob] = []
 
     def capacity_by_endpoint(
-        self, links: Iterable[EndpointLink], now: float
+        self, links: Collection[EndpointLink], now: float
     ) -> dict[EndpointId, EndpointCapacity]:
         """Return the endpoints that may get new tasks, with their free capacity."""
+        usable = {link.entry.id: link for link in links if blocking_reason(link, now) is None}
+        self._speeds.review(links, usable, now)
         return {
-            link.entry.id: _capacity_of(link, now)
-            for link in links
-            if blocking_reason(link, now) is None
+            id: _capacity_of(link, now)
+            for id, link in usable.items()
+            if link.speed is not Speed.EJECTED
         }
 
     def place_tasks(
@@ -387,9 +394,10 @@
         free,
         new_runs,
         serving,
-        is_unhealthy(link),
+        is_unhealthy(link) or link.speed is Speed.PROBATION,
         len(link.runs_by_key),
         suspect_job,
+        1 - link.capacity_share,
     )
 
 
@@ -426,7 +434,7 @@
 
 
 def _racks_to_try(
-    capacities: Iterable[EndpointCapacity], failed_at: dict[EndpointId, float]
+    capacities: Collection[EndpointCapacity], failed_at: dict[EndpointId, float]
 ) -> list[RackId]:
     """Return the racks, those without failures first, then those with the oldest ones."""
     failed_at_by_rack: dict[RackId, float] = {}
@@ -441,20 +449,7 @@
     capacities: list[EndpointCapacity],
     failed_at: dict[EndpointId, float],
 ) -> list[EndpointCapacity] | None:
-    trial = {
-        capacity.id: EndpointCapacity(
-            capacity.id,
-            capacity.rack,
-            capacity.labels,
-            capacity.free,
-            capacity.new_runs,
-            capacity.serving,
-            capacity.probing,
-            capacity.runs,
-            capacity.suspect_job,
-        )
-        for capacity in capacities
-    }
+    trial = {capacity.id: copy.copy(capacity) for capacity in capacities}
     counts: dict[EndpointId, int] = {}
     chosen = []
     for _ in step.tasks:
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -9,6 +9,7 @@
 from lentilrill.execution._crashes import CrashBook
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_list import EndpointList
+from lentilrill.execution._endpoint_speeds import SpeedMonitor
 from lentilrill.execution._held_runs import ended_runs, unknown_runs_have_ended
 from lentilrill.execution._host_evidence import HostEvidence
 from lentilrill.execution._host_reader import NO_HOST_SOURCE, HostSource
@@ -29,7 +30,7 @@
 from lentilrill.execution._writer import ProgressWriter
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
-from lentilrill.scheduling import EndpointCapacity
+from lentilrill.scheduling import total_free
 from lentilrill.store import Compare, Follower, KeyValue
 from lentilrill.telemetry import Event, Metrics, NoMetrics, log, run_and_log_errors
 from lentilrill.workloads import (
@@ -39,7 +40,6 @@
     JobView,
     PoolUse,
     Queue,
-    Resources,
 )
 
 __all__ = ["PoolOwner"]
@@ -142,11 +142,12 @@
         self._host_evidence = HostEvidence(pool, hosts, self._crashes, self._links)
         self._stored_first: list[tuple[EndpointLink, Run, int]] = []
         """Starts that wait until the given version of their job is stored."""
+        self._speeds = SpeedMonitor(pool, self._durations, metrics)
         self._reconciler = Reconciler(
-            self._jobs.by_id, self._attempts, self._durations, self._crashes
+            self._jobs.by_id, self._attempts, self._durations, self._crashes, self._speeds
         )
         self._tickets = TicketCache(policy, self._lock_and_wake)
-        self._planner = Planner(token, self._durations, self._tickets)
+        self._planner = Planner(token, self._durations, self._tickets, self._speeds)
         self._allowances = AllowanceBook(
             kv,
             pool,
@@ -196,6 +197,7 @@
                 return
             self._ended.set()
             self._changed.notify_all()
+            self._speeds.close()
         self._senders.close()
         self._follower.close()
         self._writer.close()
@@ -433,7 +435,7 @@
             budgets = self._allowances.begin_round(
                 self._links.by_id.values(), self._jobs.by_id, is_complete=not blocked_zones
             )
-            free = _total_free(capacity_by_endpoint.values())
+            free = total_free(capacity_by_endpoint.values())
             placed = self._planner.place_tasks(
                 jobs, capacity_by_endpoint, now, blocked_zones, self.token, unknown_tasks, budgets
             )
@@ -508,10 +510,3 @@
                     runs=len(link.unknown_since_by_key),
                 )
                 link.unknown_since_by_key = {}
-
-
-def _total_free(capacities: Iterable[EndpointCapacity]) -> Resources:
-    total = Resources()
-    for capacity in capacities:
-        total = total.plus(capacity.free)
-    return total
--- a/src/lentilrill/execution/_pressure.py
+++ b/src/lentilrill/execution/_pressure.py
@@ -63,7 +63,10 @@
         may be shown.
     :param now: the monotonic clock.
     """
-    cores = sum(link.entry.capacity.cpu for link in links if link.registered) / 1000
+    cores = (
+        sum(link.entry.capacity.cpu * link.capacity_share for link in links if link.registered)
+        / 1000
+    )
     # Without hosts there is no rate to estimate the wait from; the fleet's owner assigns some.
     rate = 1 / cores if cores else 0.0
     return PoolPressure(
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -5,6 +5,7 @@
 
 from lentilrill.execution._contract import EndKind, PollResult, ReportedRun, RunEnd, Verdict
 from lentilrill.execution._crashes import FRESH_S, CrashBook
+from lentilrill.execution._endpoint_speeds import SpeedMonitor
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedTask
@@ -39,6 +40,7 @@
 
     :param attempts: returns the number of failed runs after which a job's task is given up.
     :param crashes: counts the endpoints that crash under a task.
+    :param speeds: judges the endpoints by the progress and the ends of their tasks.
     """
 
     def __init__(
@@ -47,11 +49,13 @@
         attempts: Callable[[TrackedJob], int],
         durations: Durations,
         crashes: CrashBook,
+        speeds: SpeedMonitor,
     ) -> None:
         self._jobs_by_id = jobs_by_id
         self._attempts = attempts
         self._durations = durations
         self._crashes = crashes
+        self._speeds = speeds
 
     def apply_poll(self, link: EndpointLink, result: PollResult, sent: float) -> list[Order]:
         """Apply the result of a poll; return stop orders for runs that should not exist.
@@ -65,12 +69,13 @@
                 self._crashes.on_process_ended(link)
                 self._drop_stored_starts(link)
             link.reset(result.started_ms)
+            self._speeds.on_restart(link)
         link.update_clock(result.clock_ms, time.monotonic())
         ended = {(end.task, end.number) for end in result.ended}
         for end in sorted(result.ended, key=lambda e: e.cursor):
             if end.cursor > link.seen_cursor:
                 link.seen_cursor = end.cursor
-                self._record_end(link, end)
+                self._record_end(link, end, sent)
         stops: list[Order] = []
         seen = set()
         first_seen = link.unknown_since_by_key
@@ -185,7 +190,7 @@
             if run.is_unsent and link.entry.id in run.task.attempts:
                 self.drop(link, run, "its endpoint has restarted")
 
-    def _record_end(self, link: EndpointLink, end: RunEnd) -> None:
+    def _record_end(self, link: EndpointLink, end: RunEnd, sent: float) -> None:
         run = link.runs_by_key.get((end.task, end.number))
         tracked_job = self._jobs_by_id.get(end.task.job)
         task = tracked_job.task(end.task) if tracked_job is not None else None
@@ -202,6 +207,7 @@
             link.failures = 0
             link.probe_at = 0.0
             if run is not None and run.started_at is not None and run.pace == FULL_PACE_PERCENT:
+                self._speeds.on_end(link, run, sent)
                 self._durations.record(
                     task.step, max(0.0, link.reported_at - run.started_at) * 1000
                 )
@@ -256,6 +262,7 @@
             run.progressed_at = link.reported_at
         run.percent, run.load = running.percent, running.load
         run.reported_at = link.reported_at
+        self._speeds.on_report(link, run)
         if link.reported_at - run.began_at > FRESH_S:
             self._crashes.on_working(run.task)
         if running.checkpoint:
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -26,7 +26,7 @@
 from lentilrill.scheduling._durations import DurationModel
 from lentilrill.scheduling._order import JobTiming, sort_key
 from lentilrill.scheduling._pacing import next_pace
-from lentilrill.scheduling._placement import EndpointCapacity, place
+from lentilrill.scheduling._placement import EndpointCapacity, place, total_free
 from lentilrill.scheduling._speeds import (
     EndpointKind,
     EndpointSpeeds,
@@ -72,4 +72,5 @@
     "retry_after_s",
     "sort_key",
     "target_hosts",
+    "total_free",
 ]
--- a/src/lentilrill/scheduling/_placement.py
+++ b/src/lentilrill/scheduling/_placement.py
@@ -5,7 +5,7 @@
 from lentilrill.ids import EndpointId, JobId, RackId
 from lentilrill.workloads import Resources, Step
 
-__all__ = ["EndpointCapacity", "place"]
+__all__ = ["EndpointCapacity", "place", "total_free"]
 
 NEVER_FAILED: Mapping[EndpointId, float] = {}
 
@@ -21,6 +21,7 @@
     :ivar runs: number of all tasks on it.
     :ivar suspect_job: job on it whose tasks are suspected to crash their endpoint.
     :ivar serving: number of long-running tasks on it, which other tasks slow down.
+    :ivar slowness: share of its capacity that is lost as it works slowly.
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         "rack",
         "runs",
         "serving",
+        "slowness",
         "suspect_job",
     )
 
@@ -46,6 +48,7 @@
         probing: bool = False,
         runs: int = 0,
         suspect_job: JobId | None = None,
+        slowness: float = 0.0,
     ) -> None:
         self.id = id
         self.rack = rack
@@ -56,6 +59,7 @@
         self.probing = probing
         self.runs = runs
         self.suspect_job = suspect_job
+        self.slowness = slowness
 
     def reserve(self, needs: Resources, *, serves: bool) -> None:
         """Reserve capacity for a task placed on this endpoint."""
@@ -82,6 +86,9 @@
     there would be placed there again and use up its attempts within a second. So a failed task
     waits a while for another endpoint, and is not used to probe an unhealthy one meanwhile.
 
+    A slow endpoint gets a task only if no other one fits: tasks away from the rack of their data
+    lose less.
+
     Long-running tasks are packed on few endpoints, because each endpoint that runs one can't leave
     an idle pool. Only a few are packed on one endpoint, because they slow each other down and all
     of them are lost with the endpoint.
@@ -119,6 +126,7 @@
         cost = (
             failed_at.get(endpoint.id, 0.0),
             float(suspect_job is not None and endpoint.suspect_job is None and 1 + endpoint.runs),
+            endpoint.slowness,
             float(is_remote),
             float(endpoint.probing),
             _colocation_cost(endpoint.serving) if is_long_running else 0.0,
@@ -129,6 +137,14 @@
     return best
 
 
+def total_free(endpoints: Iterable[EndpointCapacity]) -> Resources:
+    """Return the total free capacity of endpoints."""
+    total = Resources()
+    for endpoint in endpoints:
+        total = total.plus(endpoint.free)
+    return total
+
+
 def _has_label(step: Step, endpoint: EndpointCapacity) -> bool:
     return not step.label or step.label in endpoint.labels
 
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -181,6 +181,11 @@
         "An endpoint runs a task of a job that this owner does not know.",
     )
     RUN_ENDED = (678, Level.INFO, "An untracked run ended, neither done nor failed.")
+    ENDPOINT_SPEED = (
+        699,
+        Level.INFO,
+        "The verdict on an endpoint's speed has changed; what decided is given.",
+    )
     RUN_STUCK = (683, Level.WARNING, "A run makes no progress and is stopped, to be run elsewhere.")
     ORDER_UNANSWERED = (685, Level.WARNING, "An order got no answer and is sent again.")
     UNKNOWN_RUNS_GONE = (
--- a/tests/execution/cases.py
+++ b/tests/execution/cases.py
@@ -7,13 +7,14 @@
 from lentilrill.execution import PollResult, ReportedRun, RunEnd, Verdict
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._crashes import CrashBook
+from lentilrill.execution._endpoint_speeds import SpeedMonitor
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._need import Durations
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._tickets import TicketCache
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
-from lentilrill.ids import JobId, Revision
+from lentilrill.ids import JobId, PoolId, Revision
 from lentilrill.workloads import Step
 from tests.builders import a_job, an_endpoint
 from tests.execution.fakes import FakeEndpoint
@@ -24,7 +25,9 @@
 
 
 def a_planner() -> Planner:
-    return Planner(TOKEN, Durations(), TicketCache(None, lambda: None))
+    durations = Durations()
+    speeds = SpeedMonitor(PoolId("p"), durations)
+    return Planner(TOKEN, durations, TicketCache(None, lambda: None), speeds)
 
 
 class Owner:
@@ -47,7 +50,11 @@
         super().setUp()
         self.jobs: dict[JobId, TrackedJob] = {}
         self.crashes = CrashBook()
-        self.reconciler = Reconciler(self.jobs, lambda tracked_job: 2, Durations(), self.crashes)
+        self.durations = Durations()
+        self.speeds = SpeedMonitor(PoolId("p"), self.durations)
+        self.reconciler = Reconciler(
+            self.jobs, lambda tracked_job: 2, self.durations, self.crashes, self.speeds
+        )
         self.link = EndpointLink(Owner(), an_endpoint(), FakeEndpoint())
         self.link.was_polled = self.link.reachable = True
         self.link.answered_at = time.monotonic()
--- a/tests/execution/test_idle.py
+++ b/tests/execution/test_idle.py
@@ -15,14 +15,12 @@
     RoundView,
 )
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._need import Durations
-from lentilrill.execution._planner import Planner
-from lentilrill.execution._tickets import TicketCache
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedTask
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.telemetry import Event
 from lentilrill.workloads import Step
 from tests.builders import a_job, a_step, an_endpoint
+from tests.execution.cases import a_planner
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
 
 
@@ -30,7 +28,7 @@
     def setUp(self) -> None:
         super().setUp()
         pool = OwnedPool("e1", "e2")
-        self.planner = Planner(1, Durations(), TicketCache(None, lambda: None))
+        self.planner = a_planner()
         self.links: dict[EndpointId, EndpointLink] = {}
         for name in ("e1", "e2"):
             link = EndpointLink(pool.new_owner()._responses, an_endpoint(name), FakeEndpoint())
--- a/tests/execution/test_stragglers.py
+++ b/tests/execution/test_stragglers.py
@@ -2,7 +2,6 @@
 
 import time
 
-from lentilrill.execution._need import Durations
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._tickets import TicketCache
 from lentilrill.execution._tracking import Run
@@ -17,8 +16,8 @@
 class StragglerTest(TrackedJobCase):
     def setUp(self) -> None:
         super().setUp()
-        self.durations = Durations()
-        self.planner = Planner(TOKEN, self.durations, TicketCache(None, lambda: None))
+        tickets = TicketCache(None, lambda: None)
+        self.planner = Planner(TOKEN, self.durations, tickets, self.speeds)
 
     def complete(self, *names: str) -> None:
         for name in names:
