Speeds: a job's siblings on the same endpoint don't hide how slow it is

The expectation of a task was the mean of its step's ended tasks, which best fit often packs on one endpoint: its second task there passed for normal. Evidence goes by the queue's model now. The test fails with the step's mean.

--- a/src/lentilrill/execution/_endpoint_speeds.py
+++ b/src/lentilrill/execution/_endpoint_speeds.py
@@ -114,7 +114,8 @@
     def _observe(self, link: EndpointLink, run: Run, seconds: float) -> None:
         step = run.task.step
         job = step.tracked_job.job
-        expected_ms = self._durations.expected_ms(job, step.spec, step)
+        # Not the mean of the step's own tasks: they may all have run on this endpoint.
+        expected_ms = self._durations.expected_ms(job, step.spec, None)
         if expected_ms > 0:
             self._speeds.observe(
                 link.entry.id,
--- a/tests/execution/test_endpoint_speeds.py
+++ b/tests/execution/test_endpoint_speeds.py
@@ -13,7 +13,7 @@
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._pressure import Backlog, pressure_of
 from lentilrill.execution._tickets import TicketCache
-from lentilrill.execution._tracking import Run
+from lentilrill.execution._tracking import Run, TrackedJob
 from lentilrill.ids import EndpointId, PoolId, RackId
 from lentilrill.scheduling import Speed, place
 from lentilrill.telemetry import Event
@@ -55,9 +55,11 @@
         self.reconciler.apply_poll(link, result, self.now)
         link.answered_at = self.now
 
-    def start(self, link: EndpointLink, step: Step = STEP) -> Run:
+    def start(
+        self, link: EndpointLink, step: Step = STEP, of: tuple[TrackedJob, int] | None = None
+    ) -> Run:
         self.numbers += 1
-        run = self.run_of(self.add(step, name=f"j{self.numbers}"))
+        run = self.run_of(*(of or (self.add(step, name=f"j{self.numbers}"), 0)))
         self.link.runs_by_key.pop(run.key)
         run.endpoint = link.entry.id
         run.started_at = run.reported_at = self.now
@@ -100,7 +102,8 @@
         ends = []
         for index, run in enumerate(link.runs_by_key.values()):
             run.reported_at = self.now - late_s
-            ends.append(RunEnd(index + 1, run.task.id, run.number, EndKind.DONE, ""))
+            cursor = link.seen_cursor + index + 1
+            ends.append(RunEnd(cursor, run.task.id, run.number, EndKind.DONE, ""))
         self.answer(link, ended=tuple(ends))
 
 
@@ -149,6 +152,23 @@
         self.end_runs(self.first, late_s=late_s)
         self.planner.capacity_by_endpoint(self.links, self.now)
 
+    def test_siblings_on_the_same_endpoint_do_not_hide_its_speed(self) -> None:
+        """Guards against a slow endpoint that passes for normal as whole jobs run on it."""
+        wide = [self.add(Step(4, STEP.needs, STEP.estimate_ms), name=name) for name in "xy"]
+        runs = [self.start(self.first, of=(job, index)) for job in wide for index in range(4)]
+        for link in self.links[1:]:
+            for _ in range(4):
+                self.start(link)
+        self.now += 1.0
+        for link in self.links[1:]:
+            self.end_runs(link, late_s=0.0)
+        self.now += 1.6
+        for run in runs:
+            self.first.runs_by_key = {run.key: run}
+            self.end_runs(self.first, late_s=0.0)
+        self.planner.capacity_by_endpoint(self.links, self.now)
+        self.assertNotEqual(Speed.NORMAL, self.first.speed)
+
     def test_tasks_away_from_their_data_are_no_evidence(self) -> None:
         """Guards against an endpoint that is ejected for running another rack's tasks."""
         step = msgspec.structs.replace(STEP, near=RackId("far"))
