--- a/src/lentilrill/ctl/_main.py
+++ b/src/lentilrill/ctl/_main.py
@@ -10,6 +10,7 @@
 from lentilrill.ctl import _commands as commands
 from lentilrill.ctl import _generate as generate
 from lentilrill.ctl._client import Client
+from lentilrill.ctl._endpoints import endpoints
 from lentilrill.ctl._exit import EXIT_HELP, Exit
 from lentilrill.ctl._files import MAX_REVISION, UsageError, read_token
 from lentilrill.ctl._workspaces import workspaces
@@ -93,18 +94,12 @@
     _add_command(subjects, "status", commands.status, "show pools, processes and planned stops")
     hosts = _add_command(subjects, "hosts", commands.hosts, "list hosts with their pools")
     hosts.add_argument("--pool", help="only hosts of this pool")
-    use = _add_command(
+    _add_of_entry_hosts(
         subjects, "workspaces", workspaces, "show what workspaces use of their caps, by pool"
     )
-    use.add_argument(
-        "--entry-host",
-        dest="entry_hosts",
-        action="append",
-        required=True,
-        metavar="ADDR",
-        help="metrics address (ip:port) of an entry host; repeat it for the owners of all pools",
+    _add_of_entry_hosts(
+        subjects, "endpoints", endpoints, "show how fast endpoints work, and by what evidence"
     )
-    use.set_defaults(offline=True)
     audit = _add_command(subjects, "audit", commands.audit, "show who changed what")
     audit.add_argument(
         "--limit",
@@ -171,6 +166,22 @@
     _add_command(verbs, "list", commands.list_stops, "list planned stops and their progress")
 
 
+def _add_of_entry_hosts(
+    subjects: argparse._SubParsersAction, name: str, run: object, text: str
+) -> None:
+    """Add a command that asks entry hosts instead of a controller."""
+    command = _add_command(subjects, name, run, text)
+    command.add_argument(
+        "--entry-host",
+        dest="entry_hosts",
+        action="append",
+        required=True,
+        metavar="ADDR",
+        help="metrics address (ip:port) of an entry host; repeat it for the owners of all pools",
+    )
+    command.set_defaults(offline=True)
+
+
 def _add_command(
     verbs: argparse._SubParsersAction, name: str, run: object, text: str
 ) -> argparse.ArgumentParser:
--- a/src/lentilrill/ctl/_workspaces.py
+++ b/src/lentilrill/ctl/_workspaces.py
@@ -3,11 +3,9 @@
 import argparse
 from collections.abc import Iterable
 
-import msgspec
-import urllib3
-
 from lentilrill.ctl import _show as show
-from lentilrill.ctl._client import CONNECT_TIMEOUT_S, READ_TIMEOUT_S, Client
+from lentilrill.ctl._client import Client
+from lentilrill.ctl._entry_hosts import read_all
 from lentilrill.ctl._exit import Exit
 from lentilrill.workloads import PoolUse, Resources, WorkspaceUse
 
@@ -19,13 +17,7 @@
 def workspaces(client: Client, options: argparse.Namespace) -> Exit:
     """Print what each workspace uses in the pools of some entry hosts."""
     del client
-    pools: list[PoolUse] = []
-    failed = []
-    for address in options.entry_hosts:
-        try:
-            pools += _read(address)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
-            failed.append(f"! {address}: {error}")
+    pools, failed = read_all(options.entry_hosts, PATH, PoolUse)
     if options.json:
         show.print_json(pools)
     else:
@@ -60,11 +52,3 @@
 
 def _amounts(amounts: Resources) -> str:
     return f"{amounts.cpu / 1000:g}/{amounts.memory_mb / 1024:.0f}"
-
-
-def _read(address: str) -> list[PoolUse]:
-    timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
-    answer = urllib3.PoolManager(timeout=timeout, retries=False).request(
-        "GET", f"http://{address}{PATH}"
-    )
-    return msgspec.json.decode(answer.data, type=list[PoolUse])
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -47,6 +47,7 @@
 __all__ = ["EntryProcess"]
 
 WORKSPACES_PATH = "/workspaces"
+ENDPOINTS_PATH = "/endpoints"
 DRAIN_NOTICE_S = 2.4
 """Time for which a draining host still serves callers: the load balancer checks readiness once a
 second, and stops sending after two failed checks."""
@@ -209,15 +210,20 @@
         return (200, b"ready\n") if self.ready else (503, b"not ready\n")
 
     def _show(self, path: str) -> tuple[int, bytes]:
-        """Return the metrics, or what the workspaces use in the pools of this host."""
-        if path != WORKSPACES_PATH:
-            return 200, self.metrics.render()
-        return 200, msgspec.json.encode(self._workspace_use())
+        """Return the metrics, or what the workspaces use or endpoints do in this host's pools."""
+        if path == WORKSPACES_PATH:
+            return 200, msgspec.json.encode(self._workspace_use())
+        if path == ENDPOINTS_PATH:
+            speeds = [speed for owner in self._owners() for speed in owner.endpoint_speeds()]
+            return 200, msgspec.json.encode(speeds)
+        return 200, self.metrics.render()
 
     def _workspace_use(self) -> list[PoolUse]:
+        return [owner.workspace_use() for owner in self._owners()]
+
+    def _owners(self) -> list[PoolOwner]:
         with self._lock:
-            owners = list(self._owners_by_pool.values())
-        return [owner.workspace_use() for owner in owners]
+            return list(self._owners_by_pool.values())
 
     def _shards(self) -> set[Shard]:
         configuration = self._configuration.current
--- a/src/lentilrill/execution/_endpoint_speeds.py
+++ b/src/lentilrill/execution/_endpoint_speeds.py
@@ -11,7 +11,7 @@
 from lentilrill.ids import EndpointId, PoolId
 from lentilrill.scheduling import EndpointKind, EndpointSpeeds, Speed, SpeedChange
 from lentilrill.telemetry import Event, Metrics, NoMetrics, log
-from lentilrill.workloads import TaskId
+from lentilrill.workloads import EndpointSpeed, TaskId
 
 __all__ = ["SpeedMonitor"]
 
@@ -106,6 +106,19 @@
         for speed in Speed:
             self._metrics.gauge(f"endpoint.{speed.value}.{self._pool}", count_by_speed[speed])
 
+    def status(self, links: Iterable[EndpointLink]) -> list[EndpointSpeed]:
+        """Return what is shown of the endpoints' speeds."""
+        return [
+            EndpointSpeed(
+                self._pool,
+                link.entry.id,
+                link.speed.value,
+                *self._speeds.evidence(link.entry.id),
+                len(link.runs_by_key),
+            )
+            for link in links
+        ]
+
     def close(self) -> None:
         """Show no endpoints any more, as another process owns the pool."""
         for speed in Speed:
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -36,6 +36,7 @@
 from lentilrill.workloads import (
     Configuration,
     EndpointEntry,
+    EndpointSpeed,
     JobState,
     JobView,
     PoolUse,
@@ -283,6 +284,11 @@
         """Return what the pool uses of the workspaces' caps."""
         return self._allowances.status()
 
+    def endpoint_speeds(self) -> list[EndpointSpeed]:
+        """Return the speeds of the pool's endpoints."""
+        with self._lock:
+            return self._speeds.status(self._links.by_id.values())
+
     def release(self, endpoint: EndpointId, *, cancel: bool) -> tuple[str, str]:
         """Drain an endpoint whose host is needed elsewhere; called repeatedly until it is free.
 
--- a/src/lentilrill/workloads/__init__.py
+++ b/src/lentilrill/workloads/__init__.py
@@ -9,6 +9,7 @@
     Queue,
     Wave,
 )
+from lentilrill.workloads._endpoint_speed import EndpointSpeed
 from lentilrill.workloads._job import (
     Job,
     JobAnswer,
@@ -34,6 +35,7 @@
     "Attempt",
     "Configuration",
     "EndpointEntry",
+    "EndpointSpeed",
     "FailureCause",
     "Job",
     "JobAnswer",
--- a/tests/execution/test_endpoint_speeds.py
+++ b/tests/execution/test_endpoint_speeds.py
@@ -116,6 +116,9 @@
         self.assertNotIn(
             self.first.entry.id, self.planner.capacity_by_endpoint(self.links, self.now)
         )
+        shown = {row.endpoint: row for row in self.speeds.status(self.links)}
+        self.assertEqual("ejected", shown[self.first.entry.id].verdict)
+        self.assertEqual(4, shown[self.first.entry.id].jobs)
         self.assertEqual(Event.ENDPOINT_SPEED, log.call_args.args[0])
         self.assertGreater(log.call_args.kwargs["slowdown"], 3)
         self.assertEqual({Speed.NORMAL}, {link.speed for link in self.links[1:]})
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -270,6 +270,20 @@
 
         self.assertTrue(eventually(shows_the_cap))
 
+    def test_the_command_line_shows_the_speed_of_endpoints(self) -> None:
+        self.prepare(task_s=1.0, hosts=1)
+        self.platform.configure(4, {"/proofs/": "notices"})
+        self.assertTrue(self.site.start_all())
+        address = self.site.settings["front-0"]["metrics"]
+
+        def shows_an_endpoint() -> bool:
+            output = io.StringIO()
+            with contextlib.redirect_stdout(output):
+                self.assertEqual(0, main(["endpoints", "--entry-host", address]))
+            return bool(re.search(r"notices +\S+ +normal +- +0 +0 +0", output.getvalue()))
+
+        self.assertTrue(eventually(shows_an_endpoint))
+
     def test_a_workspace_without_keys_keeps_its_jobs(self) -> None:
         """Guards against losing the accepted jobs of a workspace whose last key was taken away."""
         self.prepare(task_s=0.4)
