Scheduling: which running tasks of speculative steps get a copy

A copy is worth its cost if the job misses its deadline otherwise, and if the time that it is expected to save is above that of a fresh run. The share of copies that win is learnt by queue, as a task that is itself long takes as long on any endpoint. At most a tenth of the processors in use, two copies in a small pool.

Ruled out: a quantile of the queue's durations, which copies runs that are nearly done and says nothing of the deadline. Not wired up yet.

--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -22,6 +22,13 @@
     pool_targets,
     target_hosts,
 )
+from lentilrill.scheduling._copies import (
+    CopyBudget,
+    CopyResults,
+    StragglingRun,
+    copy_key,
+    is_worth_a_copy,
+)
 from lentilrill.scheduling._demand import Demand, HostShares, required_hosts
 from lentilrill.scheduling._durations import DurationModel
 from lentilrill.scheduling._order import JobTiming, sort_key
@@ -41,6 +48,8 @@
     "SURPLUS_DELAY_S",
     "Allowances",
     "Budget",
+    "CopyBudget",
+    "CopyResults",
     "Demand",
     "DurationModel",
     "EndpointCapacity",
@@ -56,11 +65,14 @@
     "Pressure",
     "Speed",
     "SpeedChange",
+    "StragglingRun",
     "SurgeTracker",
     "TaskTimes",
     "Usage",
     "can_accept",
+    "copy_key",
     "hosts_for",
+    "is_worth_a_copy",
     "minimum_hosts",
     "next_allowance",
     "next_pace",
