Copies of late tasks of speculative steps; the first end counts, the other run is stopped

Cause: speculative was decoded and read by nothing, so a job of many tasks waited for the slowest. Change: after each placement CopyBook gives runs that are worth it a copy, on capacity that nobody waits for, on another endpoint and rack, within the pool's budget and the workspace's cap, with a ticket where the queue needs one, and only while a failure of both runs stays within the attempts. The time left is the queue's distribution's, given what has run and the progress shown; a queue whose distribution isn't known yet gets no copies but for runs out of reach. These are copied at once instead of after their lease. Once a task is done its other run is stopped in the next round, a start that still waits isn't sent, its failure doesn't count, its duration isn't recorded, and its checkpoint doesn't replace that of a run further on. The stand-in of the platform allows copies as the platform does, until a second after a noted end.

--- a/src/lentilrill/execution/_budgets.py
+++ b/src/lentilrill/execution/_budgets.py
@@ -32,14 +32,26 @@
         """Take what a task needs, if its workspace may start it; see :meth:`Budget.take`."""
         if not job.workspace or self._budget_of is None:
             return True
-        if job.workspace not in self.by_workspace:
-            self.by_workspace[job.workspace] = self._budget_of(job.workspace)
-        budget = self.by_workspace[job.workspace]
+        budget = self._budget(job.workspace, self._budget_of)
         if budget is not None and budget.take(needs, count=count, is_gang=is_gang):
             return True
         self.refused_jobs.add(job.id)
         return False
 
+    def allows(self, job: Job, needs: Resources) -> bool:
+        """Whether a workspace may start a task; what it lacks isn't recorded."""
+        if not job.workspace or self._budget_of is None:
+            return True
+        budget = self._budget(job.workspace, self._budget_of)
+        return budget is not None and budget.usage.lacking == NOTHING and budget.allows(needs)
+
+    def _budget(
+        self, workspace: WorkspaceId, budget_of: Callable[[WorkspaceId], Budget | None]
+    ) -> Budget | None:
+        if workspace not in self.by_workspace:
+            self.by_workspace[workspace] = budget_of(workspace)
+        return self.by_workspace[workspace]
+
 
 def usage_by_workspace(
     links: Iterable[EndpointLink], jobs_by_id: dict[JobId, TrackedJob]
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -23,7 +23,7 @@
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import JobState, Queue, TaskId
 
-__all__ = ["Planner", "blocking_reason", "incomplete_gang_runs"]
+__all__ = ["Planner", "blocking_reason", "incomplete_gang_runs", "run_counts"]
 
 MAX_ANSWER_AGE_S = 3.5
 """Time since its last answer for which an endpoint still gets new tasks; a poll waits up to 2 s."""
@@ -53,6 +53,7 @@
         a later owner are higher.
     :param tickets: tickets of the policy service, for queues that require them.
     :ivar to_record: jobs whose records are needed before they can be started, from the last round.
+    :ivar copied_steps: steps with tasks that need a copy, which needs a ticket too.
     :ivar feasible: whether all waiting work can be done in time; set by the owner.
     """
 
@@ -64,6 +65,7 @@
         self._speeds = speeds
         self._first_number = token * 1000
         self.feasible = True
+        self.copied_steps: list[TrackedStep] = []
         self.to_record: list[TrackedJob] = []
 
     def capacity_by_endpoint(
@@ -114,7 +116,7 @@
                 for step in steps:
                     permitted = capacity_by_endpoint
                     if queue is not None and queue.advice is not None:
-                        permitted = self._with_ticket(step, capacity_by_endpoint)
+                        permitted = self.with_ticket(step, capacity_by_endpoint)
                     placed += self._place_step(step, permitted, now, unknown_tasks, budgets)
             is_refused = tracked_job.job.id in budgets.refused_jobs
             cause = WaitCause.WORKSPACE_CAP if is_refused else _wait_cause(steps)
@@ -162,11 +164,13 @@
             if step.has_waiting_tasks
         ]
         following = [step for tracked_job in advised for step in tracked_job.following_steps()]
-        self._tickets.request([TicketRequest(step.id, endpoints) for step in [*first, *following]])
+        steps = [*first, *self.copied_steps, *following]
+        self._tickets.request([TicketRequest(step.id, endpoints) for step in steps])
 
-    def _with_ticket(
+    def with_ticket(
         self, step: TrackedStep, capacity_by_endpoint: dict[EndpointId, EndpointCapacity]
     ) -> dict[EndpointId, EndpointCapacity]:
+        """Return the endpoints for which there is a ticket of a step."""
         return {
             endpoint: capacity
             for endpoint, capacity in capacity_by_endpoint.items()
@@ -193,7 +197,7 @@
             return []
         if step.spec.gang:
             return self._place_gang(step, waiting, capacity_by_endpoint, budgets)
-        counts = _run_counts(step) if step.spec.most_per_endpoint else {}
+        counts = run_counts(step) if step.spec.most_per_endpoint else {}
         placed = []
         job = step.tracked_job.job
         for index, task in enumerate(waiting):
@@ -220,7 +224,7 @@
             if not step.tracked_job.is_recorded:
                 self.to_record.append(step.tracked_job)
                 continue
-            placed.append((capacity.id, self._new_run(task, capacity.id, self._next_number(task))))
+            placed.append((capacity.id, self.new_run(task, capacity.id, self.next_number(task))))
         return placed
 
     def _place_gang(
@@ -251,18 +255,20 @@
         if not step.tracked_job.is_recorded:
             self.to_record.append(step.tracked_job)
             return []
-        number = self._next_number(step)
+        number = self.next_number(step)
         placed = []
         for task, capacity in zip(waiting, chosen, strict=True):
             capacity.reserve(step.spec.reserved, serves=False)
-            placed.append((capacity.id, self._new_run(task, capacity.id, number)))
+            placed.append((capacity.id, self.new_run(task, capacity.id, number)))
         return placed
 
-    def _next_number(self, started: TrackedTask | TrackedStep) -> int:
+    def next_number(self, started: TrackedTask | TrackedStep) -> int:
+        """Return the number of the next run of a task or gang."""
         started.start_count += 1
         return self._first_number + started.start_count
 
-    def _new_run(self, task: TrackedTask, endpoint: EndpointId, number: int) -> Run:
+    def new_run(self, task: TrackedTask, endpoint: EndpointId, number: int) -> Run:
+        """Add a run to a task."""
         run = Run(task, number, endpoint, task.step.spec.reserved)
         task.runs.append(run)
         return run
@@ -401,7 +407,8 @@
     )
 
 
-def _run_counts(step: TrackedStep) -> dict[EndpointId, int]:
+def run_counts(step: TrackedStep) -> dict[EndpointId, int]:
+    """Return the number of runs of a step on each endpoint."""
     counts: dict[EndpointId, int] = {}
     for task in step.tasks:
         for run in task.runs:
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -6,6 +6,7 @@
 
 from lentilrill.execution._allowances import AllowanceBook
 from lentilrill.execution._contract import Dialer, PolicyCalls
+from lentilrill.execution._copies import CopyBook
 from lentilrill.execution._crashes import CrashBook
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_list import EndpointList
@@ -16,7 +17,7 @@
 from lentilrill.execution._idle import IdleTasks, RoundView
 from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._latency import LatencyKind, LatencyMonitor
-from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._link import EndpointLink, Order
 from lentilrill.execution._links import PoolLinks
 from lentilrill.execution._need import Durations, OfferedLoad
 from lentilrill.execution._planner import Planner, incomplete_gang_runs
@@ -25,6 +26,7 @@
 from lentilrill.execution._release import expire_releases, release
 from lentilrill.execution._responses import ResponseHandler
 from lentilrill.execution._senders import Senders
+from lentilrill.execution._stored_starts import StoredStarts
 from lentilrill.execution._tickets import TicketCache
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
 from lentilrill.execution._writer import ProgressWriter
@@ -141,14 +143,14 @@
         self._offered = OfferedLoad()
         self._crashes = CrashBook(lambda: self._writer.schedule(urgent=True))
         self._host_evidence = HostEvidence(pool, hosts, self._crashes, self._links)
-        self._stored_first: list[tuple[EndpointLink, Run, int]] = []
-        """Starts that wait until the given version of their job is stored."""
+        self._starts = StoredStarts(self._crashes)
         self._speeds = SpeedMonitor(pool, self._durations, metrics)
         self._reconciler = Reconciler(
             self._jobs.by_id, self._attempts, self._durations, self._crashes, self._speeds
         )
         self._tickets = TicketCache(policy, self._lock_and_wake)
         self._planner = Planner(token, self._durations, self._tickets, self._speeds)
+        self._copies = CopyBook(pool, self._planner, self._durations, self._attempts, metrics)
         self._allowances = AllowanceBook(
             kv,
             pool,
@@ -415,6 +417,7 @@
         with self._lock:
             self._drop_ended_runs(now)
             expire_releases(list(self._links.by_id.values()), now)
+            orders += self._stop_orders(self._copies.settle(self._links.by_id.values(), now))
             blocked_zones = self._links.blocked_zones
             jobs = []
             urgent = False
@@ -445,25 +448,14 @@
             placed = self._planner.place_tasks(
                 jobs, capacity_by_endpoint, now, blocked_zones, self.token, unknown_tasks, budgets
             )
+            if not blocked_zones:
+                placed += self._copies.place(
+                    jobs, self._links.by_id, capacity_by_endpoint, unknown_tasks, budgets, now
+                )
             self._allowances.end_round(budgets, free, now)
             records = [tracked_job.request_record() for tracked_job in self._planner.to_record]
-            for endpoint, run in placed:
-                link = self._links.by_id[endpoint]
-                link.runs_by_key[run.key] = run
-                run.zone = link.entry.zone
-                tracked_job = run.task.step.tracked_job
-                if run.task.is_stored_first:
-                    self._crashes.record_attempt(link, run.task)
-                is_permitted = tracked_job.start_zones.permits(run.zone)
-                if not is_permitted:
-                    tracked_job.mark_dirty()
-                if run.task.is_stored_first or not is_permitted:
-                    version = tracked_job.version
-                    self._stored_first.append((link, run, version))
-                else:
-                    orders.append((link, Order.for_run(OrderKind.START, run)))
-            orders += self._stored_starts()
-            starts = any(records) or bool(self._stored_first)
+            orders += self._starts.orders_of(placed, self._links.by_id)
+            starts = any(records) or bool(self._starts)
             view = RoundView(
                 now,
                 self._links.by_id,
@@ -482,19 +474,6 @@
         if urgent or starts:
             self._writer.schedule(urgent=urgent, starts=starts)
 
-    def _stored_starts(self) -> list[tuple[EndpointLink, Order]]:
-        """Return the starts that had to be stored first and are."""
-        waiting, self._stored_first = self._stored_first, []
-        orders = []
-        for link, run, version in waiting:
-            if run.key not in link.runs_by_key:
-                continue
-            if run.task.step.tracked_job.stored_version >= version:
-                orders.append((link, Order.for_run(OrderKind.START, run)))
-            else:
-                self._stored_first.append((link, run, version))
-        return orders
-
     def _stop_orders(self, runs: Iterable[Run]) -> list[tuple[EndpointLink, Order]]:
         orders = []
         for run in runs:
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -201,20 +201,20 @@
         if tracked_job is None or task is None or tracked_job.state.is_final:
             return
         tracked_job.mark_dirty()
-        if end.checkpoint:
+        if end.checkpoint and task.takes_checkpoint(run):
             task.checkpoint = end.checkpoint
         if end.kind is EndKind.DONE:
             link.failures = 0
             link.probe_at = 0.0
-            if run is not None and run.started_at is not None and run.pace == FULL_PACE_PERCENT:
-                self._speeds.on_end(link, run, sent)
-                self._durations.record(
-                    task.step, max(0.0, link.reported_at - run.started_at) * 1000
-                )
+            if run is not None:
+                run.is_done = not task.done
+                self._record_duration(link, run, sent)
             self._record_done(tracked_job, task, gang=task.step.spec.gang)
         elif end.kind is EndKind.FAILED:
             count_failure(link)
-            self._record_failure(tracked_job, task, link, end)
+            # The failure of a copy that wasn't needed any more must not fail its job.
+            if not task.done:
+                self._record_failure(tracked_job, task, link, end)
         elif run is None and end.kind is not EndKind.STOPPED:
             log(
                 Event.RUN_ENDED,
@@ -225,6 +225,15 @@
                 how=end.kind.value,
             )
 
+    def _record_duration(self, link: EndpointLink, run: Run, sent: float) -> None:
+        """Record the duration of a run that is done; of several of a task, that of the first."""
+        if run.started_at is None or run.pace != FULL_PACE_PERCENT:
+            return
+        self._speeds.on_end(link, run, sent)
+        if run.is_done:
+            ms = max(0.0, link.reported_at - run.started_at) * 1000
+            self._durations.record(run.task.step, ms)
+
     def _record_done(self, tracked_job: TrackedJob, task: TrackedTask, *, gang: bool) -> None:
         if task.step.spec.lasting:
             return
@@ -265,7 +274,7 @@
         self._speeds.on_report(link, run)
         if link.reported_at - run.began_at > FRESH_S:
             self._crashes.on_working(run.task)
-        if running.checkpoint:
+        if running.checkpoint and run.task.takes_checkpoint(run):
             run.task.checkpoint = running.checkpoint
         if run.phase is RunPhase.STOPPING and link.reported_at > run.stop_ordered_at + STOP_RETRY_S:
             log(
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -183,7 +183,8 @@
                 self._update_links()
             # A copy that waited behind the stops to a lost endpoint would reach its next process.
             is_too_late = run.is_unconfirmed and not link.reachable
-            is_needless = tracked_job.state.is_final or run.phase is RunPhase.STOPPING
+            is_over = tracked_job.state.is_final or run.task.done
+            is_needless = is_over or run.phase is RunPhase.STOPPING
             if is_needless or is_too_late or link.entry.draining:
                 if run.is_unconfirmed:
                     link.order(Order.stop(run))
--- /dev/null
+++ b/src/lentilrill/execution/_stored_starts.py
@@ -0,0 +1,57 @@
+"""Starts of placed runs, some of which are sent only after the job's progress is stored."""
+
+from collections.abc import Iterable, Mapping
+
+from lentilrill.execution._crashes import CrashBook
+from lentilrill.execution._link import EndpointLink, Order, OrderKind
+from lentilrill.execution._tracking import Run
+from lentilrill.ids import EndpointId
+
+__all__ = ["StoredStarts"]
+
+
+class StoredStarts:
+    """Starts that a later owner has to know of, so that they are stored before they are sent.
+
+    All methods are called under the lock of the pool's owner.
+    """
+
+    def __init__(self, crashes: CrashBook) -> None:
+        self._crashes = crashes
+        self._waiting: list[tuple[EndpointLink, Run, int]] = []
+
+    def __bool__(self) -> bool:
+        return bool(self._waiting)
+
+    def orders_of(
+        self, placed: Iterable[tuple[EndpointId, Run]], links: Mapping[EndpointId, EndpointLink]
+    ) -> list[tuple[EndpointLink, Order]]:
+        """Track placed runs; return the starts that may be sent, those of earlier rounds too."""
+        orders = []
+        for endpoint, run in placed:
+            link = links[endpoint]
+            link.runs_by_key[run.key] = run
+            run.zone = link.entry.zone
+            tracked_job = run.task.step.tracked_job
+            if run.task.is_stored_first:
+                self._crashes.record_attempt(link, run.task)
+            is_permitted = tracked_job.start_zones.permits(run.zone)
+            if not is_permitted:
+                tracked_job.mark_dirty()
+            if run.task.is_stored_first or not is_permitted:
+                self._waiting.append((link, run, tracked_job.version))
+            else:
+                orders.append((link, Order.for_run(OrderKind.START, run)))
+        return orders + self._stored()
+
+    def _stored(self) -> list[tuple[EndpointLink, Order]]:
+        waiting, self._waiting = self._waiting, []
+        orders = []
+        for link, run, version in waiting:
+            if run.key not in link.runs_by_key:
+                continue
+            if run.task.step.tracked_job.stored_version >= version:
+                orders.append((link, Order.for_run(OrderKind.START, run)))
+            else:
+                self._waiting.append((link, run, version))
+        return orders
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from lentilrill.execution._start_zones import UNKNOWN_ZONE, StartZones
+from lentilrill.execution._step_records import restore_step, step_progress_of
 from lentilrill.execution._wait_times import WaitCause, WaitTimes
 from lentilrill.ids import EndpointId, JobId, Revision
 from lentilrill.workloads import (
@@ -64,6 +65,7 @@
     :ivar zone: availability zone of the endpoint.
     :ivar is_unconfirmed: a start order got no answer, so it may have been executed or may still be.
     :ivar is_noted_late: its start was noted only once its endpoint fell silent.
+    :ivar is_done: whether it ended as done.
     :ivar confirmed_at: when the start order was confirmed as executed, or a stop order as
         preventing the run. A poll sent later that does not list the run proves that it has ended.
     """
@@ -72,6 +74,7 @@
         "confirmed_at",
         "endpoint",
         "expires_ms",
+        "is_done",
         "is_noted_late",
         "is_unconfirmed",
         "load",
@@ -107,7 +110,7 @@
         self.percent = 0
         self.load = 0.0
         self.pace = 100
-        self.is_unconfirmed = self.is_noted_late = False
+        self.is_unconfirmed = self.is_noted_late = self.is_done = False
         self.expires_ms = 0
         self.sent_at = 0.0
         self.stop_ordered_at = 0.0
@@ -152,6 +155,7 @@
     :ivar open_crashes: endpoints of these that are out of reach and may have crashed under it.
     :ivar held_until: monotonic time before which it isn't started, since it may have crashed
         several endpoints.
+    :ivar copy_count: copies that this owner has started while another run was in progress.
     :ivar stalled_on: endpoints on which it made no progress for long; empty once it is at work.
     :ivar failed_at: monotonic time of its last failure on each endpoint. A refused start counts as
         a failure whose exclusion has ended.
@@ -160,6 +164,7 @@
     __slots__ = (
         "attempts",
         "checkpoint",
+        "copy_count",
         "crashed_processes",
         "done",
         "failed_at",
@@ -178,7 +183,7 @@
         self.id = id
         self.step = step
         self.done = False
-        self.start_count = 0
+        self.start_count = self.copy_count = 0
         self.failed_runs: set[int] = set()
         self.checkpoint = ""
         self.runs: list[Run] = []
@@ -236,6 +241,12 @@
         """Return the endpoints that the task is kept from now."""
         return {id for id, at in self.failed_at.items() if now - at < EXCLUSION_S}
 
+    def takes_checkpoint(self, run: Run | None) -> bool:
+        """Whether a checkpoint of a run is the newest: of two runs, that of the one further on."""
+        percent = run.percent if run is not None else 0
+        others = (other for other in self.runs if other is not run)
+        return not self.step.spec.speculative or all(o.percent <= percent for o in others)
+
     @property
     def waiting(self) -> bool:
         """Whether the task is not done and has no runs."""
@@ -450,7 +461,7 @@
         steps_by_key = {}
         for occurrence, steps in self.steps_by_occurrence.items():
             for step in steps:
-                step_progress = _step_progress(step)
+                step_progress = step_progress_of(step)
                 if step_progress != StepProgress():
                     steps_by_key[f"{occurrence}.{step.id.step}"] = step_progress
         run_zones = (run.zone for task in self.tasks() for run in task.runs)
@@ -474,32 +485,7 @@
             # An occurrence that has begun must survive a clock that was set back.
             while self.next_occurrence <= int(occurrence):
                 self.open_occurrences(self.job.due_ms(self.next_occurrence))
-            _restore_step(self.steps_by_occurrence[int(occurrence)][int(index)], step_progress)
-
-
-def _step_progress(step: TrackedStep) -> StepProgress:
-    done = 0
-    for index, task in enumerate(step.tasks):
-        if task.done:
-            done |= 1 << index
-    return StepProgress(
-        f"{done:x}",
-        {i: sorted(t.failed_runs) for i, t in enumerate(step.tasks) if t.failed_runs},
-        {i: t.checkpoint for i, t in enumerate(step.tasks) if t.checkpoint and not t.done},
-        {i: sorted(t.crashed_processes) for i, t in enumerate(step.tasks) if t.crashed_processes},
-        {i: dict(t.attempts) for i, t in enumerate(step.tasks) if t.attempts},
-    )
-
-
-def _restore_step(step: TrackedStep, step_progress: StepProgress) -> None:
-    done = int(step_progress.done, 16)
-    for index, task in enumerate(step.tasks):
-        if done >> index & 1:
-            step.finish(task)
-        task.failed_runs = set(step_progress.failed_runs_by_index.get(index, ()))
-        task.checkpoint = step_progress.saved_by_index.get(index, "")
-        task.crashed_processes = set(step_progress.crashed_by_index.get(index, ()))
-        task.attempts = dict(step_progress.attempts_by_index.get(index, {}))
+            restore_step(self.steps_by_occurrence[int(occurrence)][int(index)], step_progress)
 
 
 def encode_progress(progress: JobProgress) -> bytes:
--- a/src/lentilrill/scheduling/_allowances.py
+++ b/src/lentilrill/scheduling/_allowances.py
@@ -182,6 +182,12 @@
         self._others = others
         self.usage = Usage(used)
 
+    def allows(self, needs: Resources) -> bool:
+        """Whether the pool may start a task with these needs."""
+        used = self.usage.used
+        after = used.plus(needs)
+        return after.fits(self._held) and self._may_use(used, after)
+
     def take(self, needs: Resources, *, count: int = 1, is_gang: bool = False) -> bool:
         """Take what the next task needs, if the pool may start it, or record what it lacks.
 
@@ -189,9 +195,8 @@
         :param count: number of equal tasks that wait, recorded if none of them may start.
         """
         used = self.usage.used
-        after = used.plus(needs)
-        if after.fits(self._held) and self._may_use(used, after):
-            self.usage = msgspec.structs.replace(self.usage, used=after)
+        if self.allows(needs):
+            self.usage = msgspec.structs.replace(self.usage, used=used.plus(needs))
             return True
         lacking = self.usage.lacking.plus(needs.times(count))
         first, is_first_gang = self.usage.first, self.usage.is_gang
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -244,6 +244,16 @@
         Level.WARNING,
         "Progress could not be stored; the write is retried.",
     )
+    COPY_STARTED = (
+        730,
+        Level.INFO,
+        "A task that is late gets a second run on another endpoint; what decided is given.",
+    )
+    COPY_ENDED = (
+        731,
+        Level.INFO,
+        "A task with two runs is done, or has one run again; what was wasted is given.",
+    )
     HOST_ASSIGNED = (601, Level.INFO, "A listed host was assigned to its first pool.")
     WITHDRAWAL_PROPOSED = (602, Level.INFO, "The withdrawal of a host from its pool started.")
     WITHDRAWAL_CLOSED = (
--- a/standins/_platform_records.py
+++ b/standins/_platform_records.py
@@ -39,6 +39,7 @@
     :param end_kind: how it ended, as a value of the platform's protocol; ``gone`` if its endpoint
         crashed or left.
     :param noted: whether the end was acknowledged.
+    :param noted_at: when it was; 0.0 until then.
     :param outdated: whether its endpoint's lease lapsed behind a partition before that, so that the
         end counts as never noted.
     """
@@ -51,6 +52,7 @@
     end_kind: str = ""
     noted: bool = False
     outdated: bool = False
+    noted_at: float = 0.0
 
 
 class Crash(msgspec.Struct, frozen=True):
@@ -83,6 +85,8 @@
     need: Amounts
     after: tuple[int, ...] = ()
     lasts: bool = False
+    copied: bool = False
+    """Whether several copies of a task may run at once."""
 
 
 class SeenJob(msgspec.Struct):
@@ -121,5 +125,9 @@
     cpu = 0 if step.get("fills") else step.get("cpu", 0)
     need = Amounts(cpu, step.get("mem_mb", 0), step.get("gpu", 0))
     return SeenStep(
-        step["count"], need, tuple(step.get("after", ())), bool(step.get("long_running"))
+        step["count"],
+        need,
+        tuple(step.get("after", ())),
+        bool(step.get("long_running")),
+        bool(step.get("speculative")),
     )
--- a/standins/_users_endpoint.py
+++ b/standins/_users_endpoint.py
@@ -289,6 +289,7 @@
             if end[0] <= acknowledged:
                 record = self._ended_runs.pop(end[0])
                 record.noted = not record.outdated
+                record.noted_at = time.monotonic()
         self._ended = [end for end in self._ended if end[0] > acknowledged]
 
     def _percent(self, record: RunRecord) -> int:
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -232,7 +232,13 @@
 
     def doubled_tasks(self) -> list[str]:
         """Return a line for each task that was done twice, or ran twice at the same time."""
-        return _run_judges.find_doubled(list(self.records), list(self.listings))
+        copied = {
+            run.task
+            for run in list(self.records)
+            if (job := self.jobs_by_id.get(run.task.split(".")[0])) is not None
+            and job.step_of(run.task).copied
+        }
+        return _run_judges.find_doubled(list(self.records), list(self.listings), copied)
 
     def _observation(self) -> _room_judges.Observation:
         return _room_judges.Observation(
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -20,11 +20,11 @@
 )
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.store import Compare
-from lentilrill.workloads import Configuration, EndpointEntry, Job, JobState, TaskId
+from lentilrill.workloads import Configuration, EndpointEntry, Job, JobState, Step, TaskId
 from tests.builders import a_configuration
 from tests.fakes import FakeKeyValue
 
-__all__ = ["FakeEndpoint", "OwnedPool", "eventually", "state_of"]
+__all__ = ["FakeEndpoint", "OwnedPool", "ShownProgress", "eventually", "state_of"]
 
 TIMEOUT_S = 20.0
 MAX_POLL_WAIT_S = 0.05
@@ -206,3 +206,19 @@
         for endpoint in self.endpoints.values():
             for task, number in list(endpoint.running):
                 endpoint.end(task, number)
+
+
+class ShownProgress:
+    """Times left that follow the progress shown alone; a fresh run takes its estimate."""
+
+    def expected_ms(self, job: Job, spec: Step, step: object) -> float:
+        del job, step
+        return spec.estimate_ms
+
+    def remaining_ms(
+        self, job: Job, spec: Step, step: object, elapsed_ms: float, done_share: float
+    ) -> float:
+        del job, step
+        if not done_share:
+            return max(0.0, spec.estimate_ms - elapsed_ms)
+        return elapsed_ms * (1 - done_share) / done_share
--- a/tests/standins/test_run_judges.py
+++ b/tests/standins/test_run_judges.py
@@ -44,3 +44,11 @@
         down = Listing(2.5, "e", "notices", None)
         self.assertEqual(1, len(find_doubled([noted, a_run(3.0)], [down])))
         self.assertEqual([], find_doubled([noted], [down]))
+
+    def test_copies_of_a_task_may_run_at_once(self) -> None:
+        """Guards against blame for copies that the platform allows, and against late ones."""
+        done, slower = a_run(1.0, 4.0, "done", noted=True), a_run(2.0, 5.0, "done")
+        done.noted_at = 4.5
+        self.assertEqual([], find_doubled([done, slower], [], {done.task}))
+        self.assertEqual(2, len(find_doubled([done, slower], [])))
+        self.assertEqual(1, len(find_doubled([done, slower, a_run(6.0)], [], {done.task})))
