--- a/src/lentilrill/execution/_copies.py
+++ b/src/lentilrill/execution/_copies.py
@@ -7,7 +7,8 @@
 
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._planner import Planner, run_counts
+from lentilrill.execution._planner import Planner
+from lentilrill.execution._spare_room import Capacities, Slowdown, slowdown_of, without_waiting
 from lentilrill.execution._tracking import (
     MAX_REPORT_AGE_S,
     Run,
@@ -18,6 +19,7 @@
 )
 from lentilrill.ids import EndpointId, PoolId
 from lentilrill.scheduling import (
+    MIN_SLOWDOWN,
     CopyBudget,
     CopyResults,
     EndpointCapacity,
@@ -27,15 +29,13 @@
     place,
 )
 from lentilrill.telemetry import Event, Metrics, log
-from lentilrill.workloads import Job, Queue, Resources, Step, TaskId
+from lentilrill.workloads import Job, Queue, Step, TaskId
 
 __all__ = ["CopyBook", "TimesLeft"]
 
 MAX_COPIES_OF_A_TASK = 2
 """Copies of a task that an owner starts, one after the other: a copy may be lost as well."""
 
-Capacities = dict[EndpointId, EndpointCapacity]
-
 
 class TimesLeft(Protocol):
     """Prediction of the time that runs take."""
@@ -77,6 +77,7 @@
     count against the budget, and are stopped like any other once their task is done.
 
     :param attempts: returns the number of failed runs after which a job's task is given up.
+    :param slowdown: how much slower than usual an endpoint is.
     """
 
     def __init__(
@@ -86,10 +87,12 @@
         times: TimesLeft,
         attempts: Callable[[TrackedJob], int],
         metrics: Metrics,
+        slowdown: Slowdown = slowdown_of,
     ) -> None:
         self._pool = pool
         self._planner = planner
         self._times = times
+        self._slowdown = slowdown
         self._attempts = attempts
         self._metrics = metrics
         self._copies: list[_Copy] = []
@@ -158,7 +161,8 @@
         self._planner.copied_steps = [straggler.run.task.step for straggler in stragglers]
         if not stragglers:
             return []
-        unwanted = _without_waiting(jobs, links, capacity_by_endpoint, budgets, now)
+        unwanted = without_waiting(jobs, links, capacity_by_endpoint, budgets, now)
+        unwanted = {id: c for id, c in unwanted.items() if self._slowdown(links[id]) < MIN_SLOWDOWN}
         budget = _budget(links.values())
         placed = []
         for straggler in sorted(stragglers, key=lambda s: copy_key(s.times)):
@@ -285,31 +289,6 @@
     return CopyBudget(running_cpu, list(cpu_by_copied_task.values()))
 
 
-def _without_waiting(
-    jobs: list[tuple[TrackedJob, Queue | None]],
-    links: Mapping[EndpointId, EndpointLink],
-    capacity_by_endpoint: Capacities,
-    budgets: RoundBudgets,
-    now: float,
-) -> Capacities:
-    """Return the endpoints on which no waiting task could start, now or once others have ended."""
-    waiting: set[tuple[Resources, str]] = {
-        (step.spec.reserved, step.spec.label)
-        for tracked_job, _ in jobs
-        if tracked_job.job.id not in budgets.refused_jobs and not tracked_job.lacks_record(now)
-        for step in tracked_job.ready_steps()
-        if step.has_waiting_tasks
-    }
-    return {
-        endpoint: capacity
-        for endpoint, capacity in capacity_by_endpoint.items()
-        if not any(
-            needs.fits(links[endpoint].entry.capacity) and (not label or label in capacity.labels)
-            for needs, label in waiting
-        )
-    }
-
-
 def _place_copy(
     task: TrackedTask, links: Mapping[EndpointId, EndpointLink], capacities: Capacities, now: float
 ) -> EndpointCapacity | None:
@@ -319,7 +298,7 @@
     racks = {links[endpoint].entry.rack for endpoint in used if endpoint in links}
     excluded = used | task.excluded(now)
     others = [c for c in capacities.values() if c.id not in excluded and not c.probing]
-    counts = run_counts(task.step) if spec.most_per_endpoint else {}
+    counts = task.step.run_counts() if spec.most_per_endpoint else {}
     # A task that is slower away from its data would lose there.
     elsewhere = [] if spec.near else [c for c in others if c.rack not in racks]
     for choice in (elsewhere, others):
--- a/src/lentilrill/execution/_idle.py
+++ b/src/lentilrill/execution/_idle.py
@@ -154,7 +154,7 @@
         for capacity in view.capacity_by_endpoint.values()
         if spec.reserved.fits(capacity.free) and (not spec.label or spec.label in capacity.labels)
     ]
-    run_counts = Counter(run.endpoint for other in task.step.tasks for run in other.runs)
+    run_counts = task.step.run_counts()
     limit = spec.most_per_endpoint
     excluded = task.excluded(view.now)
     below_limit = [capacity for capacity in fitting if not limit or run_counts[capacity.id] < limit]
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -23,7 +23,7 @@
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import JobState, Queue, TaskId
 
-__all__ = ["Planner", "blocking_reason", "incomplete_gang_runs", "run_counts"]
+__all__ = ["Planner", "blocking_reason", "incomplete_gang_runs"]
 
 MAX_ANSWER_AGE_S = 3.5
 """Time since its last answer for which an endpoint still gets new tasks; a poll waits up to 2 s."""
@@ -197,7 +197,7 @@
             return []
         if step.spec.gang:
             return self._place_gang(step, waiting, capacity_by_endpoint, budgets)
-        counts = run_counts(step) if step.spec.most_per_endpoint else {}
+        counts = step.run_counts() if step.spec.most_per_endpoint else {}
         placed = []
         job = step.tracked_job.job
         for index, task in enumerate(waiting):
@@ -407,15 +407,6 @@
     )
 
 
-def run_counts(step: TrackedStep) -> dict[EndpointId, int]:
-    """Return the number of runs of a step on each endpoint."""
-    counts: dict[EndpointId, int] = {}
-    for task in step.tasks:
-        for run in task.runs:
-            counts[run.endpoint] = counts.get(run.endpoint, 0) + 1
-    return counts
-
-
 def incomplete_gang_runs(tracked_job: TrackedJob) -> list[Run]:
     """Return the runs of gangs that won't be complete, as the start of a member was given up.
 
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -1,6 +1,7 @@
 """In-memory state of a pool's jobs, steps, tasks and runs, as tracked by the pool's owner."""
 
 import time
+from collections import Counter
 from enum import Enum
 
 import msgspec
@@ -288,6 +289,10 @@
         """Whether any task of the step is waiting to be started."""
         return any(task.waiting for task in self.tasks)
 
+    def run_counts(self) -> Counter[EndpointId]:
+        """Return the number of runs of the step on each endpoint."""
+        return Counter(run.endpoint for task in self.tasks for run in task.runs)
+
     def record_duration(self, ms: float) -> None:
         """Add the duration of a completed task to the step's mean."""
         self.completed += 1
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -34,6 +34,13 @@
 from lentilrill.scheduling._order import JobTiming, sort_key
 from lentilrill.scheduling._pacing import next_pace
 from lentilrill.scheduling._placement import EndpointCapacity, place, total_free
+from lentilrill.scheduling._relocation import (
+    MIN_SLOWDOWN,
+    MoveCost,
+    RelocatableRun,
+    is_worth_moving,
+    may_move_again,
+)
 from lentilrill.scheduling._speeds import (
     EndpointKind,
     EndpointSpeeds,
@@ -45,6 +52,7 @@
 from lentilrill.scheduling._time_left import TaskTimes
 
 __all__ = [
+    "MIN_SLOWDOWN",
     "SURPLUS_DELAY_S",
     "Allowances",
     "Budget",
@@ -60,9 +68,11 @@
     "KnownAllowances",
     "MovableHost",
     "Move",
+    "MoveCost",
     "PoolAllowance",
     "PoolNeed",
     "Pressure",
+    "RelocatableRun",
     "Speed",
     "SpeedChange",
     "StragglingRun",
@@ -73,6 +83,8 @@
     "copy_key",
     "hosts_for",
     "is_worth_a_copy",
+    "is_worth_moving",
+    "may_move_again",
     "minimum_hosts",
     "next_allowance",
     "next_pace",
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -254,6 +254,16 @@
         Level.INFO,
         "A task with two runs is done, or has one run again; what was wasted is given.",
     )
+    RELOCATION_STARTED = (
+        732,
+        Level.INFO,
+        "A task with checkpoints is stopped on a slow endpoint to go on elsewhere.",
+    )
+    TASK_RELOCATED = (
+        733,
+        Level.INFO,
+        "A task that was moved works on elsewhere, or isn't waited for any more.",
+    )
     HOST_ASSIGNED = (601, Level.INFO, "A listed host was assigned to its first pool.")
     WITHDRAWAL_PROPOSED = (602, Level.INFO, "The withdrawal of a host from its pool started.")
     WITHDRAWAL_CLOSED = (
--- a/tests/execution/cases.py
+++ b/tests/execution/cases.py
@@ -1,10 +1,11 @@
 """Base of tests of decisions about tracked jobs, without threads."""
 
 import time
+from typing import Any
 
 from testtools import TestCase
 
-from lentilrill.execution import PollResult, ReportedRun, RunEnd, Verdict
+from lentilrill.execution import EndKind, PollResult, ReportedRun, RunEnd, Verdict
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._crashes import CrashBook
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
@@ -14,14 +15,15 @@
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._tickets import TicketCache
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
-from lentilrill.ids import JobId, PoolId, Revision
+from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.workloads import Step
-from tests.builders import a_job, an_endpoint
+from tests.builders import a_configuration, a_job, a_step, an_endpoint
 from tests.execution.fakes import FakeEndpoint
 
-__all__ = ["TOKEN", "Owner", "TrackedJobCase", "a_planner"]
+__all__ = ["OTHER_ENDPOINTS", "TOKEN", "Owner", "StragglerCase", "TrackedJobCase", "a_planner"]
 
 TOKEN = 7
+OTHER_ENDPOINTS = ("e2", "e3")
 
 
 def a_planner() -> Planner:
@@ -98,3 +100,50 @@
             unknown_tasks or set(),
             RoundBudgets(None),
         )
+
+
+class StragglerCase(TrackedJobCase):
+    """Endpoint ``e1`` with tasks done by a tenth in five seconds, and two others, one apart."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.slowdowns: dict[EndpointId, float] = {}
+        self.link.entry = an_endpoint(labels=("a", "r1"))
+        self.links = {self.link.entry.id: self.link}
+        for name, rack in zip(OTHER_ENDPOINTS, ("r1", "r2"), strict=True):
+            link = EndpointLink(Owner(), an_endpoint(name, labels=("a", rack)), FakeEndpoint())
+            link.was_polled = link.reachable = True
+            link.answered_at = time.monotonic()
+            link.update_clock(1000, link.answered_at)
+            self.links[link.entry.id] = link
+
+    def slow_down(self, *names: str, factor: float = 4.0) -> None:
+        """Let tasks on endpoints take longer by a factor, as is known."""
+        self.slowdowns |= {EndpointId(name): factor for name in names}
+
+    def slowdown(self, link: EndpointLink) -> float:
+        return self.slowdowns.get(link.entry.id, 1.0)
+
+    def straggler(self, *following: Step, **changes: Any) -> Run:
+        steps = a_step(1, **changes), *following
+        run = self.run_of(self.add(*steps, name=f"{len(self.jobs):x}"))
+        run.task.start_count = 1
+        run.started_at = time.monotonic() - 5
+        run.percent = 10
+        return run
+
+    def round_state(self, budgets: RoundBudgets | None = None) -> tuple[Any, ...]:
+        """Return what is known in a round after placement; runs with progress report just now."""
+        now = time.monotonic()
+        for link in self.links.values():
+            for run in link.runs_by_key.values():
+                run.reported_at = now if run.percent else run.reported_at
+        jobs = [(tracked_job, a_configuration().queues[0]) for tracked_job in self.jobs.values()]
+        capacities = a_planner().capacity_by_endpoint(self.links.values(), now)
+        return jobs, self.links, capacities, set(), budgets or RoundBudgets(None), now
+
+    def end(self, run: Run, kind: EndKind, checkpoint: str = "") -> None:
+        link = self.links[run.endpoint]
+        end = RunEnd(link.seen_cursor + 1, run.task.id, run.number, kind, checkpoint)
+        result = PollResult(Verdict.DONE, 1000, link.started_ms, (), (end,))
+        self.reconciler.apply_poll(link, result, 0.0)
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -24,7 +24,7 @@
 from tests.builders import a_configuration
 from tests.fakes import FakeKeyValue
 
-__all__ = ["FakeEndpoint", "OwnedPool", "ShownProgress", "eventually", "state_of"]
+__all__ = ["FakeEndpoint", "OwnedPool", "ShownProgress", "TimedEndpoint", "eventually", "state_of"]
 
 TIMEOUT_S = 20.0
 MAX_POLL_WAIT_S = 0.05
@@ -124,19 +124,61 @@
                 Verdict.DONE, 1_000_000, 1, tuple(self.running.values()), tuple(self.ended)
             )
 
-    def end(self, task: TaskId, number: int, kind: EndKind = EndKind.DONE) -> None:
+    def end(
+        self, task: TaskId, number: int, kind: EndKind = EndKind.DONE, checkpoint: str = ""
+    ) -> None:
         """End a run."""
         with self._changed:
             if self.running.pop((task, number), None) is not None:
                 self.ends.append((task, kind))
                 self._cursor += 1
-                self.ended.append(RunEnd(self._cursor, task, number, kind, ""))
+                self.ended.append(RunEnd(self._cursor, task, number, kind, checkpoint))
                 self._changed.notify_all()
 
     def close(self) -> None:
         pass
 
 
+class TimedEndpoint(FakeEndpoint):
+    """Fake endpoint with a clock that goes.
+
+    :ivar delayed: start orders that were lost on the way, and may arrive later.
+    :ivar loses_starts: start orders get no answer and are delayed.
+    :ivar loses_answers: start orders are carried out, and their answers are lost.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.delayed: list[StartOrder] = []
+        self.loses_starts = self.loses_answers = False
+        self._refused: set[tuple[TaskId, int]] = set()
+        self._order_lock = threading.Lock()
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        with self._order_lock:
+            if self.loses_starts:
+                self.delayed.append(order)
+                return OrderAnswer(Verdict.UNKNOWN)
+            if (order.task, order.number) in self._refused:
+                return OrderAnswer(Verdict.OUTDATED)
+            answer = super().start(order)
+        return OrderAnswer(Verdict.UNKNOWN) if self.loses_answers else answer
+
+    def stop(self, task: TaskId, number: int, token: int) -> OrderAnswer:
+        with self._order_lock:
+            self._refused.add((task, number))
+        return super().stop(task, number, token)
+
+    def poll(self, *args: object) -> PollResult:
+        result = super().poll(*args)
+        return msgspec.structs.replace(result, clock_ms=int(time.monotonic() * 1000))
+
+    def show(self, percent: int) -> None:
+        with self._changed:
+            for key, run in list(self.running.items()):
+                self.running[key] = msgspec.structs.replace(run, percent=percent)
+
+
 class OwnedPool:
     """A pool on fake endpoints, and its successive owners.
 
--- a/tests/execution/test_copies.py
+++ b/tests/execution/test_copies.py
@@ -1,6 +1,5 @@
 """Copies of running tasks: when they start, which run counts, and what stops the other."""
 
-import threading
 import time
 from collections.abc import Callable
 
@@ -9,81 +8,49 @@
 
 from lentilrill.execution import (
     EndKind,
-    OrderAnswer,
-    PollResult,
     PoolOwner,
-    RunEnd,
-    StartOrder,
-    Verdict,
 )
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._copies import CopyBook
-from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._tickets import TicketCache
 from lentilrill.execution._tracking import Run, TrackedTask
 from lentilrill.ids import EndpointId, PoolId, WorkspaceId
 from lentilrill.scheduling import Allowances, Budget
 from lentilrill.telemetry import NoMetrics
-from lentilrill.workloads import Attempt, JobState, Resources, Step, TaskId
+from lentilrill.workloads import Attempt, JobState, Resources, Step
 from tests.builders import a_configuration, a_job, a_step, an_endpoint
-from tests.execution.cases import TOKEN, Owner, TrackedJobCase
-from tests.execution.fakes import FakeEndpoint, OwnedPool, ShownProgress, eventually, state_of
-
-OTHERS = ("e2", "e3")
-
+from tests.execution.cases import OTHER_ENDPOINTS, TOKEN, StragglerCase
+from tests.execution.fakes import (
+    FakeEndpoint,
+    OwnedPool,
+    ShownProgress,
+    TimedEndpoint,
+    eventually,
+    state_of,
+)
 
-class CopyCase(TrackedJobCase):
-    """A task that is done by a tenth after five seconds, and two other endpoints."""
 
+class CopyCase(StragglerCase):
     def setUp(self) -> None:
         super().setUp()
-        self.link.entry = an_endpoint(labels=("a", "r1"))
-        self.links = {self.link.entry.id: self.link}
-        for name, rack in zip(OTHERS, ("r1", "r2"), strict=True):
-            self.add_link(name, rack)
         self.tickets = TicketCache(None, lambda: None)
         self.planner = Planner(TOKEN, self.durations, self.tickets, self.speeds)
         self.attempts = 2
-        self.book = self.a_book()
-
-    def a_book(self) -> CopyBook:
-        return CopyBook(
+        self.book = CopyBook(
             PoolId("notices"),
             self.planner,
             ShownProgress(),
             lambda tracked_job: self.attempts,
             NoMetrics(),
+            self.slowdown,
         )
 
-    def add_link(self, name: str, rack: str) -> None:
-        link = EndpointLink(Owner(), an_endpoint(name, labels=("a", rack)), FakeEndpoint())
-        link.was_polled = link.reachable = True
-        link.answered_at = time.monotonic()
-        link.update_clock(1000, link.answered_at)
-        self.links[link.entry.id] = link
-
-    def straggler(self, **changes: object) -> Run:
-        step = a_step(1, **({"speculative": True} | changes))
-        run = self.run_of(self.add(step, name=f"{len(self.jobs):x}"))
-        run.task.start_count = 1
-        run.started_at = time.monotonic() - 5
-        run.percent = 10
-        return run
+    def straggler(self, *following: Step, **changes: object) -> Run:
+        return super().straggler(*following, **({"speculative": True} | changes))
 
     def copies(self, budgets: RoundBudgets | None = None) -> list[tuple[EndpointId, Run]]:
-        now = time.monotonic()
-        for link in self.links.values():
-            for run in link.runs_by_key.values():
-                run.reported_at = max(run.reported_at, now) if run.percent else run.reported_at
-        return self.book.place(
-            [(tracked_job, a_configuration().queues[0]) for tracked_job in self.jobs.values()],
-            self.links,
-            self.planner.capacity_by_endpoint(self.links.values(), now),
-            set(),
-            budgets or RoundBudgets(None),
-            now,
-        )
+        return self.book.place(*self.round_state(budgets))
 
     def copy_of(self, run: Run) -> Run:
         [(endpoint, copy)] = self.copies()
@@ -92,12 +59,6 @@
         copy.send_count, copy.confirmed_at = 1, time.monotonic()
         return copy
 
-    def end(self, run: Run, kind: EndKind, checkpoint: str = "") -> None:
-        link = self.links[run.endpoint]
-        end = RunEnd(link.seen_cursor + 1, run.task.id, run.number, kind, checkpoint)
-        result = PollResult(Verdict.DONE, 1000, link.started_ms, (), (end,))
-        self.reconciler.apply_poll(link, result, 0.0)
-
     def stopped(self) -> list[Run]:
         return self.book.settle(self.links.values(), time.monotonic())
 
@@ -109,6 +70,12 @@
         self.assertEqual("e3", copy.endpoint)
         self.assertEqual([], self.copies())
 
+    def test_a_slow_endpoint_gets_no_copy(self) -> None:
+        """The copy was as slow as the run that it was made of."""
+        self.straggler()
+        self.slow_down(*OTHER_ENDPOINTS)
+        self.assertEqual([], self.copies())
+
     def test_steps_that_are_not_speculative_are_left_alone(self) -> None:
         """A task that may run once only ran twice, or was stopped though it was done elsewhere."""
         runs = [self.straggler(speculative=False), self.straggler(speculative=False)]
@@ -116,6 +83,11 @@
         self.assertEqual([], self.copies())
         self.assertEqual([], self.stopped())
 
+    def test_the_steps_that_follow_count(self) -> None:
+        """A task had time enough by its own length, and the steps after it made its job late."""
+        self.straggler(a_step(1, after=(0,), estimate_ms=10_000)).percent = 29
+        self.assertEqual(1, len(self.copies()))
+
     def test_long_running_tasks_and_gangs_are_not_copied(self) -> None:
         """A copy of one member of a gang waited alone until its endpoint ended it."""
         for changes in ({"gang": True}, {"lasting": True}, {"filler": True}):
@@ -175,14 +147,10 @@
         """The start of a copy on an advised queue was refused without its endpoint's ticket."""
         run = self.straggler()
         queue = msgspec.structs.replace(a_configuration().queues[0], advice=object())
-        place = self.book.place
 
         def placed() -> list[tuple[EndpointId, Run]]:
-            now = time.monotonic()
-            run.reported_at = now
-            capacities = self.planner.capacity_by_endpoint(self.links.values(), now)
-            jobs = [(run.task.step.tracked_job, queue)]
-            return place(jobs, self.links, capacities, set(), RoundBudgets(None), now)
+            _, *state = self.round_state()
+            return self.book.place([(run.task.step.tracked_job, queue)], *state)
 
         self.assertEqual([], placed())
         self.assertEqual([run.task.step], self.planner.copied_steps)
@@ -192,14 +160,14 @@
     def test_an_old_report_proves_nothing(self) -> None:
         """Runs of an owner that polled late looked as if they made no progress."""
         run = self.straggler()
-        run.reported_at = time.monotonic() - 2
-        run.percent = 0
-        run.started_at -= 5
-        self.assertEqual([], self.copies())
+        state = self.round_state()
+        run.reported_at -= 2
+        self.assertEqual([], self.book.place(*state))
 
     def test_a_run_out_of_reach_is_copied_at_once(self) -> None:
         """A task that may run twice waited for the end of a lease, like those that may not."""
-        self.straggler()
+        self.straggler().percent = 90
+        self.assertEqual([], self.copies())
         self.link.reachable = False
         self.link.lease_end = time.monotonic() + 3
         self.assertEqual(1, len(self.copies()))
@@ -263,46 +231,6 @@
         self.assertEqual("late", self.run_.task.checkpoint)
 
 
-class TimedEndpoint(FakeEndpoint):
-    """Fake endpoint with a clock that goes.
-
-    :ivar delayed: start orders that were lost on the way, and may arrive later.
-    :ivar loses_starts: start orders get no answer and are delayed.
-    :ivar loses_answers: start orders are carried out, and their answers are lost.
-    """
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.delayed: list[StartOrder] = []
-        self.loses_starts = self.loses_answers = False
-        self._refused: set[tuple[TaskId, int]] = set()
-        self._order_lock = threading.Lock()
-
-    def start(self, order: StartOrder) -> OrderAnswer:
-        with self._order_lock:
-            if self.loses_starts:
-                self.delayed.append(order)
-                return OrderAnswer(Verdict.UNKNOWN)
-            if (order.task, order.number) in self._refused:
-                return OrderAnswer(Verdict.OUTDATED)
-            answer = super().start(order)
-        return OrderAnswer(Verdict.UNKNOWN) if self.loses_answers else answer
-
-    def stop(self, task: TaskId, number: int, token: int) -> OrderAnswer:
-        with self._order_lock:
-            self._refused.add((task, number))
-        return super().stop(task, number, token)
-
-    def poll(self, *args: object) -> PollResult:
-        result = super().poll(*args)
-        return msgspec.structs.replace(result, clock_ms=int(time.monotonic() * 1000))
-
-    def show(self, percent: int) -> None:
-        with self._changed:
-            for key, run in list(self.running.items()):
-                self.running[key] = msgspec.structs.replace(run, percent=percent)
-
-
 class OwnedCopiesTest(TestCase):
     """A pool of three racks; the task's first run makes next to no progress."""
 
