--- a/src/lentilrill/execution/_copies.py
+++ b/src/lentilrill/execution/_copies.py
@@ -29,7 +29,7 @@
     place,
 )
 from lentilrill.telemetry import Event, Metrics, log
-from lentilrill.workloads import Job, Queue, Step, TaskId
+from lentilrill.workloads import Job, Queue, Step, StepId, TaskId
 
 __all__ = ["CopyBook", "TimesLeft"]
 
@@ -152,11 +152,14 @@
         :param budgets: what may still start for each workspace.
         """
         queue_by_job = {tracked_job.job.id: queue for tracked_job, queue in jobs}
+        fresh_s_by_step: dict[StepId, float] = {}
         stragglers = [
             straggler
             for run in _speculative_runs(links.values())
             if run.task.id.job in queue_by_job and self._may_copy(run, unknown_tasks, now)
-            for straggler in self._straggler(run, links, queue_by_job[run.task.id.job], now)
+            for straggler in self._straggler(
+                run, links, queue_by_job[run.task.id.job], fresh_s_by_step, now
+            )
         ]
         self._planner.copied_steps = [straggler.run.task.step for straggler in stragglers]
         if not stragglers:
@@ -195,12 +198,20 @@
         return is_running and attempts_left > 1 and task.id not in unknown_tasks
 
     def _straggler(
-        self, run: Run, links: Mapping[EndpointId, EndpointLink], queue: Queue | None, now: float
+        self,
+        run: Run,
+        links: Mapping[EndpointId, EndpointLink],
+        queue: Queue | None,
+        fresh_s_by_step: dict[StepId, float],
+        now: float,
     ) -> Iterator[_Straggler]:
         """Yield the run with its times if it is worth a copy."""
         step = run.task.step
         tracked_job = step.tracked_job
-        fresh_s = self._times.expected_ms(tracked_job.job, step.spec, step) / 1000
+        if step.id not in fresh_s_by_step:
+            expected_ms = self._times.expected_ms(tracked_job.job, step.spec, step)
+            fresh_s_by_step[step.id] = expected_ms / 1000
+        fresh_s = fresh_s_by_step[step.id]
         left_s = self._left_s(run, links[run.endpoint], fresh_s, now)
         # The job's timing takes longer to compute.
         if left_s is None or left_s < 2 * fresh_s:
@@ -224,10 +235,13 @@
         age_s = now - run.reported_at
         if age_s > MAX_REPORT_AGE_S:
             return None
+        elapsed_s = max(0.0, run.reported_at - run.began_at)
+        if elapsed_s < fresh_s and not _lags(run.percent, elapsed_s, fresh_s):
+            # The distribution, which takes longer to evaluate, says no other of such a run.
+            return None
         step = run.task.step
-        elapsed_ms = max(0.0, run.reported_at - run.began_at) * 1000
         left_ms = self._times.remaining_ms(
-            step.tracked_job.job, step.spec, step, elapsed_ms, run.percent / 100
+            step.tracked_job.job, step.spec, step, elapsed_s * 1000, run.percent / 100
         )
         return max(0.0, left_ms / 1000 - age_s)
 
@@ -278,6 +292,11 @@
     return spec.speculative and not (spec.gang or spec.lasting or spec.filler)
 
 
+def _lags(percent: int, elapsed_s: float, fresh_s: float) -> bool:
+    """Whether a run needs more than twice the time of a fresh one, if it goes on as it began."""
+    return elapsed_s * (100 - percent) > 2 * fresh_s * percent > 0
+
+
 def _budget(links: Iterable[EndpointLink]) -> CopyBudget:
     running_cpu = 0
     cpu_by_copied_task = {}
