Time left: a long task lengthens its job's deadline too

Callers count a job's objective from the work that its longest chain turns out to have. The estimate counted a completed step with the mean of its tasks, and a straggling task only in what remains: a job with one long task of sixteen became overdue by it, and its next step waited behind all others.

Change: both the time left of a straggling task and the longest completed task of a step count in the whole critical path.

--- a/src/lentilrill/execution/_need.py
+++ b/src/lentilrill/execution/_need.py
@@ -208,7 +208,11 @@
         return largest, total
 
     def estimate_work(self, tracked_job: TrackedJob) -> WorkEstimate:
-        """Return the work of a job, by the expected durations and the stragglers among its runs."""
+        """Return the work of a job, by the expected durations and the stragglers among its runs.
+
+        A long task lengthens the whole critical path, also once it is done: a deadline is counted
+        from the work that a job turns out to have.
+        """
         remaining_ms: dict[int, float] = {}
         total_ms: dict[int, float] = {}
         resource_seconds = [0.0, 0.0, 0.0]
@@ -218,8 +222,9 @@
             step = steps[index] if steps else None
             remaining = step.remaining if step is not None else spec.count
             ms = self.expected_ms(tracked_job.job, spec, step)
-            total_ms[index] = ms + max((total_ms[i] for i in spec.after), default=0.0)
             late_ms, late_total_ms = (0.0, 0.0) if step is None else self._straggling_ms(step, ms)
+            longest_ms = max(ms + late_ms, 0.0 if step is None else step.longest_ms)
+            total_ms[index] = longest_ms + max((total_ms[i] for i in spec.after), default=0.0)
             remaining_ms[index] = (ms + late_ms if remaining else 0) + max(
                 (remaining_ms[i] for i in spec.after), default=0.0
             )
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -259,12 +259,14 @@
 
     :ivar given_up_number: number of the last run of a member of a gang whose start was given up; 0
         if there is none.
+    :ivar longest_ms: longest duration of a completed task; 0 if none was completed.
     """
 
     __slots__ = (
         "completed",
         "given_up_number",
         "id",
+        "longest_ms",
         "mean_ms",
         "remaining",
         "spec",
@@ -282,7 +284,7 @@
         self.start_count = 0
         self.given_up_number = 0
         self.completed = 0
-        self.mean_ms = 0.0
+        self.mean_ms = self.longest_ms = 0.0
 
     @property
     def has_waiting_tasks(self) -> bool:
@@ -294,7 +296,8 @@
         return Counter(run.endpoint for task in self.tasks for run in task.runs)
 
     def record_duration(self, ms: float) -> None:
-        """Add the duration of a completed task to the step's mean."""
+        """Add the duration of a completed task."""
+        self.longest_ms = max(self.longest_ms, ms)
         self.completed += 1
         self.mean_ms += (ms - self.mean_ms) / self.completed
 
