Take-over: a surge that goes on is foreseen from the jobs in the records

Its need was 23 to 49 hosts until 36.4 s and 290 at 37 s, with 35 hosts in standby all the while; jobs accepted at 34 s waited up to 4 s for room.

Cause: the forecast goes by arrivals, and a new owner counted only those that it was told of itself, so it saw a surge begin anew a second later.

Change: jobs that are loaded count as arrivals at the time at which they were accepted; those older than two seconds leave the window at once. The test fails without it.

--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -241,16 +241,16 @@
         with self._lock:
             if tracked_job.state.is_final:
                 self._writer.schedule(urgent=False)
-            elif not tracked_job.long_running:
-                now = time.monotonic()
-                slack_s = self._planner.job_timing(
-                    tracked_job, self._queue_of(tracked_job), now
-                ).slack_s
-                self._offered.record_arrival(
-                    now, self._durations.estimate_work(tracked_job), slack_s
-                )
+            else:
+                self._record_arrival(tracked_job, time.monotonic())
             self._wake()
 
+    def _record_arrival(self, tracked_job: TrackedJob, at: float) -> None:
+        if tracked_job.long_running:
+            return
+        timing = self._planner.job_timing(tracked_job, self._queue_of(tracked_job), at)
+        self._offered.record_arrival(at, self._durations.estimate_work(tracked_job), timing.slack_s)
+
     def pressure(self) -> PoolPressure | None:
         """Return the pool's load, or ``None`` if this owner has no complete view of it.
 
@@ -394,8 +394,11 @@
         if not self._jobs.load():
             return False
         with self._lock:
-            for tracked_job in self._jobs.live_by_id.values():
+            live = sorted(self._jobs.live_by_id.values(), key=lambda job: job.arrived_at)
+            for tracked_job in live:
                 self._crashes.restore(tracked_job.tasks())
+                # A surge goes on while the pool has no owner, and is foreseen from its arrivals.
+                self._record_arrival(tracked_job, tracked_job.arrived_at)
         self._links.wake()
         return True
 
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -115,6 +115,19 @@
         self.assertTrue(eventually(lambda: len(self.pool.endpoints["e2"].starts) == 2))
         self.assertEqual({self.job.id}, {t.job for t, _ in self.pool.endpoints["e2"].starts})
 
+    def test_a_surge_is_foreseen_from_jobs_accepted_before_the_take_over(self) -> None:
+        """A pool got no hosts for 1.5 s after a take-over in a surge, as no arrival was known."""
+        now_ms = int(time.time() * 1000)
+        for name in "abcd":
+            self.job = a_job(name, a_step(8), accepted_ms=now_ms)
+            self.accept()
+        owner = self.pool.take_over()
+        self.assertTrue(eventually(lambda: self.foresees_work(owner)))
+
+    def foresees_work(self, owner: PoolOwner) -> bool:
+        pressure = owner.pressure()
+        return pressure is not None and pressure.need > pressure.firm
+
     def test_an_owner_releases_no_host_that_it_has_not_polled(self) -> None:
         """Guards against a job that loses two tasks at once during a wave of upkeep.
 
