--- a/tests/execution/test_endpoint_speeds.py
+++ b/tests/execution/test_endpoint_speeds.py
@@ -197,6 +197,19 @@
 
 
 class EffectTest(SpeedCase):
+    def test_an_ejected_endpoint_is_tried_with_one_task_at_a_time(self) -> None:
+        """Guards against a full load for an endpoint that may still be slow."""
+        self.work(0.9, self.first)
+        self.assertEqual(Speed.EJECTED, self.first.speed)
+        self.now += 2.0
+        for link in self.links:
+            self.answer(link)
+        capacities = self.planner.capacity_by_endpoint([self.first], self.now)
+        self.assertEqual(Speed.PROBATION, self.first.speed)
+        for expected in ([self.first.entry.id], []):
+            self.assertEqual(expected, self.place(capacities))
+            capacities[self.first.entry.id].reserve(STEP.needs, serves=False)
+
     def test_a_slow_endpoint_gets_a_task_only_if_no_other_fits(self) -> None:
         """Guards against tasks that are packed on a slow endpoint as the best fit."""
         self.work(0.9, self.first, factor=2.6)
