--- a/src/lentilrill/scheduling/_time_left.py
+++ b/src/lentilrill/scheduling/_time_left.py
@@ -17,6 +17,9 @@
 """Progress at which it counts as much as the other tasks' durations: it is reported in whole
 percents, and a task's first ones also hold its start-up."""
 
+CERTAIN_SHARE = 0.2
+"""Progress from which on the other tasks' durations add nothing."""
+
 
 class TaskTimes:
     """Distribution of the durations of one queue's tasks, relative to the expected ones.
@@ -47,7 +50,7 @@
 
     def quantile(self, q: float) -> float:
         """Return the ratio that a share ``q`` of the tasks stays below; 1 without any task."""
-        return self._quantile_above(0.0, q)
+        return _quantile_of(self._weights, 0.0, q)
 
     def remaining_ms(self, expected_ms: float, elapsed_ms: float, done_share: float) -> float:
         """Return the median of the time that a run still needs, in milliseconds.
@@ -57,10 +60,12 @@
         """
         if done_share >= 1:
             return 0.0
+        by_progress = elapsed_ms * (1 - done_share) / done_share if done_share > 0 else 0.0
+        if by_progress and done_share >= CERTAIN_SHARE:
+            return by_progress
         by_others = self._remaining_by_others(expected_ms, elapsed_ms)
-        if done_share <= 0 or elapsed_ms <= 0:
+        if not by_progress:
             return by_others
-        by_progress = elapsed_ms * (1 - done_share) / done_share
         trust = done_share / (done_share + DOUBTED_SHARE)
         return math.exp(
             trust * math.log(max(1.0, by_progress)) + (1 - trust) * math.log(max(1.0, by_others))
@@ -71,28 +76,12 @@
         if expected_ms <= 0:
             return 0.0
         elapsed = elapsed_ms / expected_ms
-        if self._weight_above(elapsed) < MIN_TAIL_TASKS * self._next_weight:
+        weights = self._weights_above(elapsed)
+        if sum(weights) < MIN_TAIL_TASKS * self._next_weight:
             # Tasks longer than all others may have any length: about as much again is as likely
             # as not.
             return max(elapsed_ms, expected_ms - elapsed_ms)
-        return max(0.0, self._quantile_above(elapsed, 0.5) * expected_ms - elapsed_ms)
-
-    def _weight_above(self, ratio: float) -> float:
-        return sum(self._weights_above(ratio))
-
-    def _quantile_above(self, ratio: float, q: float) -> float:
-        """Return a quantile of the ratios above ``ratio``."""
-        weights = self._weights_above(ratio)
-        target = q * sum(weights)
-        if not target and not any(weights):
-            return 1.0
-        for index, weight in enumerate(weights):
-            if weight and target <= weight:
-                lower = max(ratio, _lower_bound(index))
-                upper = _lower_bound(index + 1)
-                return lower * (upper / lower) ** (target / weight)
-            target -= weight
-        return MAX_RATIO
+        return max(0.0, _quantile_of(weights, elapsed, 0.5) * expected_ms - elapsed_ms)
 
     def _weights_above(self, ratio: float) -> list[float]:
         """Return the weight of each bucket above ``ratio``, which may lie within a bucket."""
@@ -108,5 +97,19 @@
         return min(len(self._weights) - 1, index)
 
 
+def _quantile_of(weights: list[float], ratio: float, q: float) -> float:
+    """Return a quantile of the ratios, all above ``ratio``, with these weights by bucket."""
+    target = q * sum(weights)
+    if not any(weights):
+        return 1.0
+    for index, weight in enumerate(weights):
+        if weight and target <= weight:
+            lower = max(ratio, _lower_bound(index))
+            upper = _lower_bound(index + 1)
+            return lower * (upper / lower) ** (target / weight)
+        target -= weight
+    return MAX_RATIO
+
+
 def _lower_bound(bucket: int) -> float:
     return float(MIN_RATIO * 2.0 ** (bucket / BUCKETS_PER_OCTAVE))
