Copies: the time left of a run doesn't lengthen the deadline that it is compared with

Change: copies go by a deadline of the expected durations and of tasks that have ended. A copy helps only if the endpoint is slow, and then the job's work isn't longer. Tests: one job with a straggler in a queue whose distribution is known; it fails without the change.

--- a/src/lentilrill/execution/_copies.py
+++ b/src/lentilrill/execution/_copies.py
@@ -216,15 +216,10 @@
             fresh_s_by_step[step.id] = expected_ms / 1000
         fresh_s = fresh_s_by_step[step.id]
         left_s = self._left_s(run, links[run.endpoint], fresh_s, now)
-        # The job's timing takes longer to compute.
         if left_s is None or left_s < 2 * fresh_s:
             return
-        timing = self._planner.job_timing(tracked_job, queue, now)
         times = StragglingRun(
-            left_s,
-            fresh_s,
-            self._later_s(step),
-            timing.deadline_s - timing.age_s,
+            left_s, fresh_s, self._later_s(step), self._deadline_s(step, queue, now)
         )
         win_share = self._results.win_share(tracked_job.job.queue)
         if is_worth_a_copy(times, win_share):
@@ -258,6 +253,23 @@
             path_ms[index] = max(later_ms, default=0.0) + (own_ms if index > step.id.step else 0.0)
         return path_ms[step.id.step] / 1000
 
+    def _deadline_s(self, step: TrackedStep, queue: Queue | None, now: float) -> float:
+        """Return the time until the job's deadline, if none of its running tasks is itself long.
+
+        A deadline counts from the work that a job turns out to have. Of a task that is itself long
+        a copy is no use, so what its run needs beyond a fresh one doesn't lengthen the deadline.
+        """
+        tracked_job = step.tracked_job
+        path_ms: list[float] = []
+        for other in tracked_job.steps_by_occurrence[step.id.occurrence]:
+            expected_ms = self._times.expected_ms(tracked_job.job, other.spec, other)
+            before_ms = max((path_ms[i] for i in other.spec.after), default=0.0)
+            path_ms.append(before_ms + max(expected_ms, other.longest_ms))
+        stretch = queue.stretch if queue is not None else 1.0
+        objective_ms = queue.objective_ms if queue is not None else 0
+        deadline_ms = stretch * max(path_ms) + objective_ms
+        return deadline_ms / 1000 - (now - tracked_job.arrived_at)
+
     def _start(self, straggler: _Straggler, endpoint: EndpointId, now: float) -> Run:
         original, task = straggler.run, straggler.run.task
         run = self._planner.new_run(task, endpoint, self._planner.next_number(task))
--- a/tests/execution/test_copies.py
+++ b/tests/execution/test_copies.py
@@ -83,6 +83,17 @@
         self.assertEqual([], self.copies())
         self.assertEqual([], self.stopped())
 
+    def test_a_straggler_does_not_lengthen_its_own_deadline(self) -> None:
+        """A job's deadline grew with the time left of its slow run, so that it was never late."""
+        for name in "cd":
+            step = self.add(a_step(1), name=name).steps_by_occurrence[0][0]
+            for _ in range(20):
+                self.durations.record(step, 1000.0)
+        self.jobs.clear()
+        self.book._times = self.durations
+        self.straggler()
+        self.assertEqual(1, len(self.copies()))
+
     def test_the_steps_that_follow_count(self) -> None:
         """A task had time enough by its own length, and the steps after it made its job late."""
         self.straggler(a_step(1, after=(0,), estimate_ms=10_000)).percent = 29
