--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -1,10 +1,10 @@
 """Decisions of a planning round: placement of tasks, stops of stuck runs, pace of fillers."""
 
-import copy
 from collections.abc import Collection
 
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
+from lentilrill.execution._gangs import choose_for_gang
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
 from lentilrill.execution._reconcile import count_failure, is_unhealthy
@@ -18,12 +18,12 @@
     TrackedTask,
 )
 from lentilrill.execution._wait_times import WaitCause
-from lentilrill.ids import EndpointId, JobId, RackId, ZoneId
+from lentilrill.ids import EndpointId, JobId, ZoneId
 from lentilrill.scheduling import EndpointCapacity, JobTiming, Speed, next_pace, place, sort_key
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import JobState, Queue, TaskId
 
-__all__ = ["Planner", "blocking_reason", "incomplete_gang_runs"]
+__all__ = ["Planner", "blocking_reason"]
 
 MAX_ANSWER_AGE_S = 3.5
 """Time since its last answer for which an endpoint still gets new tasks; a poll waits up to 2 s."""
@@ -237,16 +237,7 @@
         """Place all members or none: a partly placed gang would block capacity without progress."""
         if len(waiting) < len(step.tasks):
             return []
-        failed_at = _gang_failures(step)
-        racks = _racks_to_try(capacity_by_endpoint.values(), failed_at)
-        for rack in [*racks, None] if step.spec.same_rack else [None]:
-            chosen = _gang_capacities(
-                step,
-                [c for c in capacity_by_endpoint.values() if rack in (None, c.rack)],
-                failed_at,
-            )
-            if chosen is not None:
-                break
+        chosen = choose_for_gang(step, list(capacity_by_endpoint.values()))
         if chosen is None:
             return []
         needs = step.spec.needs.times(len(waiting))
@@ -405,56 +396,3 @@
         suspect_job,
         1 - link.capacity_share,
     )
-
-
-def incomplete_gang_runs(tracked_job: TrackedJob) -> list[Run]:
-    """Return the runs of gangs that won't be complete, as the start of a member was given up.
-
-    They would keep their capacity until each endpoint ends them because they are alone.
-    """
-    return [
-        run
-        for step in tracked_job.ready_steps()
-        if step.spec.gang
-        for task in step.tasks
-        for run in task.runs
-        if run.number == step.given_up_number and run.phase is not RunPhase.STOPPING
-    ]
-
-
-def _gang_failures(step: TrackedStep) -> dict[EndpointId, float]:
-    """Return when any member of a gang last failed on each endpoint."""
-    failed_at: dict[EndpointId, float] = {}
-    for task in step.tasks:
-        for endpoint, at in task.failed_at.items():
-            failed_at[endpoint] = max(at, failed_at.get(endpoint, 0.0))
-    return failed_at
-
-
-def _racks_to_try(
-    capacities: Collection[EndpointCapacity], failed_at: dict[EndpointId, float]
-) -> list[RackId]:
-    """Return the racks, those without failures first, then those with the oldest ones."""
-    failed_at_by_rack: dict[RackId, float] = {}
-    for capacity in capacities:
-        latest = max(failed_at.get(capacity.id, 0.0), failed_at_by_rack.get(capacity.rack, 0.0))
-        failed_at_by_rack[capacity.rack] = latest
-    return sorted(failed_at_by_rack, key=lambda rack: (failed_at_by_rack[rack], rack))
-
-
-def _gang_capacities(
-    step: TrackedStep,
-    capacities: list[EndpointCapacity],
-    failed_at: dict[EndpointId, float],
-) -> list[EndpointCapacity] | None:
-    trial = {capacity.id: copy.copy(capacity) for capacity in capacities}
-    counts: dict[EndpointId, int] = {}
-    chosen = []
-    for _ in step.tasks:
-        capacity = place(step.spec, trial.values(), lambda e: counts.get(e, 0), failed_at=failed_at)
-        if capacity is None:
-            return None
-        capacity.reserve(step.spec.reserved, serves=False)
-        counts[capacity.id] = counts.get(capacity.id, 0) + 1
-        chosen.append(next(c for c in capacities if c.id == capacity.id))
-    return chosen
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -11,6 +11,7 @@
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_list import EndpointList
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
+from lentilrill.execution._gangs import incomplete_gang_runs
 from lentilrill.execution._held_runs import ended_runs, unknown_runs_have_ended
 from lentilrill.execution._host_evidence import HostEvidence
 from lentilrill.execution._host_reader import NO_HOST_SOURCE, HostSource
@@ -20,7 +21,7 @@
 from lentilrill.execution._link import EndpointLink, Order
 from lentilrill.execution._links import PoolLinks
 from lentilrill.execution._need import Durations, OfferedLoad
-from lentilrill.execution._planner import Planner, incomplete_gang_runs
+from lentilrill.execution._planner import Planner
 from lentilrill.execution._pressure import backlog_of, pressure_of
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import expire_releases, release
