Order: too little room is shared by weight among workspaces

Cause: all workspaces' jobs stood in one order, shortest first, so a workspace that sent several times its usual took the room of all others. The weight was decoded and read by no decision.

Change: while a pool can't do all its work in time, the workspace with the lowest dominant share of cores, memory and accelerators for its weight goes next (scheduling/_fair_order.py). The share is what its runs reserve now, unknown and stopping ones included, and grows with each task placed in the round, so a job that can't start (cap, label, ticket, suspect, gang, record) costs its workspace nothing and holds up no other. Nothing is kept: a new owner derives it from what runs. Classes stay outside: long-running, priority, within the rate, in time. Tickets and records ahead are asked for in the order in which the jobs would start. With room, with one workspace, and without workspaces in the configuration the order is as before, call by call (tested).

Weight 0 and odd ones come last; a workspace that was removed counts with the smallest weight; public jobs count as one workspace of the mean weight.

--- a/src/lentilrill/execution/_budgets.py
+++ b/src/lentilrill/execution/_budgets.py
@@ -7,7 +7,7 @@
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import TrackedJob
 from lentilrill.ids import JobId, WorkspaceId
-from lentilrill.scheduling import Budget, Usage
+from lentilrill.scheduling import Budget, FairShares, Usage
 from lentilrill.workloads import Job, Resources, TaskId
 
 __all__ = ["RoundBudgets", "limited_to_free", "usage_by_workspace"]
@@ -20,11 +20,17 @@
 
     :param budget_of: returns a workspace's budget, or ``None`` if nothing may start now; ``None``
         if there are no limits.
+    :param shares: what the workspaces use of the pool; ``None`` if the deployment has none.
     :ivar refused_jobs: jobs with tasks that could start if the pool held more.
     """
 
-    def __init__(self, budget_of: Callable[[WorkspaceId], Budget | None] | None) -> None:
+    def __init__(
+        self,
+        budget_of: Callable[[WorkspaceId], Budget | None] | None,
+        shares: FairShares | None = None,
+    ) -> None:
         self._budget_of = budget_of
+        self.shares = shares
         self.by_workspace: dict[WorkspaceId, Budget | None] = {}
         self.refused_jobs: set[JobId] = set()
 
@@ -52,6 +58,11 @@
             self.by_workspace[workspace] = budget_of(workspace)
         return self.by_workspace[workspace]
 
+    def on_reserved(self, tracked_job: TrackedJob, reserved: Resources) -> None:
+        """Add what was reserved for tasks of a job to the use of its workspace."""
+        if self.shares is not None:
+            self.shares.add(tracked_job.job.workspace, reserved)
+
 
 def usage_by_workspace(
     links: Iterable[EndpointLink], jobs_by_id: dict[JobId, TrackedJob]
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -1,9 +1,11 @@
 """Decisions of a planning round: placement of tasks, stops of stuck runs, pace of fillers."""
 
 from collections.abc import Collection
+from itertools import islice
 
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
+from lentilrill.execution._fair_shares import RoundOrder
 from lentilrill.execution._gangs import choose_for_gang
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
@@ -19,7 +21,7 @@
 )
 from lentilrill.execution._wait_times import WaitCause
 from lentilrill.ids import EndpointId, JobId, ZoneId
-from lentilrill.scheduling import EndpointCapacity, JobTiming, Speed, next_pace, place, sort_key
+from lentilrill.scheduling import EndpointCapacity, JobTiming, Speed, next_pace, place
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import JobState, Queue, TaskId
 
@@ -99,14 +101,14 @@
         """
         placed: list[tuple[EndpointId, Run]] = []
         self.to_record = []
-        ordered = sorted(
+        order = RoundOrder(
             jobs,
-            key=lambda pair: sort_key(
-                self.job_timing(pair[0], pair[1], now), feasible=self.feasible
-            ),
+            lambda pair: self.job_timing(pair[0], pair[1], now),
+            budgets.shares,
+            feasible=self.feasible,
         )
-        self._request_tickets(ordered, capacity_by_endpoint)
-        for tracked_job, queue in ordered:
+        self._request_tickets(jobs, order, capacity_by_endpoint)
+        for tracked_job, queue in order:
             may_run = not tracked_job.never_started and tracked_job.revision < take_over_revision
             if may_run and tracked_job.start_zones.may_run_in(blocked_zones):
                 tracked_job.wait_times.switch_to(WaitCause.TAKE_OVER, now)
@@ -121,40 +123,41 @@
             is_refused = tracked_job.job.id in budgets.refused_jobs
             cause = WaitCause.WORKSPACE_CAP if is_refused else _wait_cause(steps)
             tracked_job.wait_times.switch_to(cause, now)
-        self._record_ahead([tracked_job for tracked_job, _ in ordered])
+        self._record_ahead(jobs, order)
         return placed
 
-    def _record_ahead(self, ordered: list[TrackedJob]) -> None:
+    def _record_ahead(self, jobs: list[tuple[TrackedJob, Queue | None]], order: RoundOrder) -> None:
         """Choose the next jobs in the order whose records are written before there is room.
 
         While the store doesn't answer, jobs without a record can't be started. Jobs with one have
         to wait after a take-over, as they may have been started.
         """
-        begun = sum(tracked_job.state is JobState.RUNNING for tracked_job in ordered)
+        begun = sum(tracked_job.state is JobState.RUNNING for tracked_job, _ in jobs)
         most = MIN_RECORDS_AHEAD + int(begun * RECORDS_AHEAD_SHARE)
-        waiting = [tracked_job for tracked_job in ordered if not tracked_job.is_recorded]
         ahead = sum(
             tracked_job.is_recorded and tracked_job.state is JobState.QUEUED
-            for tracked_job in ordered
+            for tracked_job, _ in jobs
         )
-        self.to_record += waiting[: max(0, most - ahead)]
+        waiting = (job for job, _ in order.expected() if not job.is_recorded)
+        self.to_record += islice(waiting, max(0, most - ahead))
 
     def _request_tickets(
         self,
-        ordered: list[tuple[TrackedJob, Queue | None]],
+        jobs: list[tuple[TrackedJob, Queue | None]],
+        order: RoundOrder,
         capacity_by_endpoint: dict[EndpointId, EndpointCapacity],
     ) -> None:
         """Request tickets for steps with waiting tasks, then for the steps that follow.
 
         The tickets of following steps are thus available when these steps become ready.
         """
+        if not any(queue is not None and queue.advice is not None for _, queue in jobs):
+            return
         advised = [
             tracked_job
-            for tracked_job, queue in ordered
+            for tracked_job, queue in order.expected()
             if queue is not None and queue.advice is not None
         ]
-        if not advised:
-            return
         emptiest = sorted(capacity_by_endpoint.values(), key=lambda capacity: -capacity.free.cpu)
         endpoints = tuple(capacity.id for capacity in emptiest)
         first = [
@@ -218,6 +221,7 @@
             if not budgets.take(job, step.spec.needs, count=len(waiting) - index):
                 break
             capacity.reserve(step.spec.reserved, serves=step.spec.lasting or step.spec.filler)
+            budgets.on_reserved(step.tracked_job, step.spec.reserved)
             if task.is_suspect:
                 capacity.suspect_job = job.id
             counts[capacity.id] = counts.get(capacity.id, 0) + 1
@@ -243,6 +247,7 @@
         needs = step.spec.needs.times(len(waiting))
         if not budgets.take(step.tracked_job.job, needs, is_gang=True):
             return []
+        budgets.on_reserved(step.tracked_job, step.spec.reserved.times(len(waiting)))
         if not step.tracked_job.is_recorded:
             self.to_record.append(step.tracked_job)
             return []
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -11,6 +11,7 @@
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_list import EndpointList
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
+from lentilrill.execution._fair_shares import shares_of
 from lentilrill.execution._gangs import incomplete_gang_runs
 from lentilrill.execution._held_runs import ended_runs, unknown_runs_have_ended
 from lentilrill.execution._host_evidence import HostEvidence
@@ -450,6 +451,10 @@
             budgets = self._allowances.begin_round(
                 self._links.by_id.values(), self._jobs.by_id, is_complete=not blocked_zones
             )
+            if not self._planner.feasible:
+                budgets.shares = shares_of(
+                    self._configuration(), self._links.by_id.values(), self._jobs.by_id
+                )
             free = total_free(capacity_by_endpoint.values())
             placed = self._planner.place_tasks(
                 jobs, capacity_by_endpoint, now, blocked_zones, self.token, unknown_tasks, budgets
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -31,6 +31,7 @@
 )
 from lentilrill.scheduling._demand import Demand, HostShares, required_hosts
 from lentilrill.scheduling._durations import DurationModel
+from lentilrill.scheduling._fair_order import FairOrder, FairShares, ShareClass, class_of
 from lentilrill.scheduling._order import JobTiming, sort_key
 from lentilrill.scheduling._pacing import next_pace
 from lentilrill.scheduling._placement import EndpointCapacity, place, total_free
@@ -63,6 +64,8 @@
     "EndpointCapacity",
     "EndpointKind",
     "EndpointSpeeds",
+    "FairOrder",
+    "FairShares",
     "HostShares",
     "JobTiming",
     "KnownAllowances",
@@ -73,6 +76,7 @@
     "PoolNeed",
     "Pressure",
     "RelocatableRun",
+    "ShareClass",
     "Speed",
     "SpeedChange",
     "StragglingRun",
@@ -80,6 +84,7 @@
     "TaskTimes",
     "Usage",
     "can_accept",
+    "class_of",
     "copy_key",
     "hosts_for",
     "is_worth_a_copy",
--- a/src/lentilrill/workloads/_job.py
+++ b/src/lentilrill/workloads/_job.py
@@ -137,6 +137,7 @@
     :param accepted_ms: time of acceptance, in milliseconds since the epoch.
     :param first_due_ms: due time of its first occurrence, in milliseconds since the epoch.
     :param occurrences: number of times that the steps run; 0 runs them once, immediately.
+    :param beyond_rate: whether its workspace was beyond its rate when it was submitted.
     """
 
     id: JobId
@@ -150,6 +151,7 @@
     interval_ms: int = 0
     attempts: int = 1
     workspace: WorkspaceId = WorkspaceId("")
+    beyond_rate: bool = False
 
     def due_ms(self, occurrence: int) -> int:
         """Return the due time of an occurrence in milliseconds since the epoch; 0 if immediate."""
