--- a/src/lentilrill/scheduling/_fair_order.py
+++ b/src/lentilrill/scheduling/_fair_order.py
@@ -10,7 +10,9 @@
 """
 
 import math
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from functools import lru_cache
 from heapq import heapify, heappop, heapreplace
 from typing import Generic, NamedTuple, TypeVar
 
@@ -23,6 +25,9 @@
 T = TypeVar("T")
 _Entry = tuple[float, int, T]
 PUBLIC = WorkspaceId("")
+NOTHING = Resources()
+CACHED_CLASSES = 64
+"""Classes that are kept rather than built for each job: four for each priority in use."""
 
 
 class Rank(NamedTuple):
@@ -61,6 +66,7 @@
     :param used: what each workspace uses, including runs that are being stopped.
     :param weights: weights by the configuration in force; 0, negative and undefined ones come last.
     :param total: capacity of the pool.
+    :ivar changes: number of additions so far.
     """
 
     def __init__(
@@ -75,10 +81,12 @@
         self._mean = sum(weight / len(usable) for weight in usable) if usable else 1.0
         self._total = total
         self._used = dict(used)
+        self.changes = 0
 
     def add(self, workspace: WorkspaceId, amount: Resources) -> None:
         """Add what a started task uses."""
-        self._used[workspace] = self._used.get(workspace, Resources()).plus(amount)
+        self._used[workspace] = self._used.get(workspace, NOTHING).plus(amount)
+        self.changes += 1
 
     def copy(self) -> "FairShares":
         """Return shares that can be changed apart from these."""
@@ -113,7 +121,12 @@
     """Return the class of a job, and its key among those of its workspace."""
     group, overdue, key = sort_key(timing)
     # Long-running jobs are all of one class: they go first.
-    return ShareClass(group, beyond_rate and not timing.long_running, bool(overdue)), key
+    return _share_class(group, beyond_rate and not timing.long_running, bool(overdue)), key
+
+
+@lru_cache(maxsize=CACHED_CLASSES)
+def _share_class(group: int, beyond_rate: bool, overdue: bool) -> ShareClass:
+    return ShareClass(group, beyond_rate, overdue)
 
 
 class FairOrder(Generic[T]):
@@ -131,8 +144,10 @@
         queues_by_class: dict[ShareClass, dict[WorkspaceId, list[_Entry[T]]]] = {}
         for number, job in enumerate(jobs):
             job_class, key = class_and_key(job)
-            queues = queues_by_class.setdefault(job_class, {})
-            queues.setdefault(workspace_of(job), []).append((key, number, job))
+            queues = queues_by_class.get(job_class)
+            if queues is None:
+                queues = queues_by_class[job_class] = defaultdict(list)
+            queues[workspace_of(job)].append((key, number, job))
         self._classes = [queues_by_class[job_class] for job_class in sorted(queues_by_class)]
         self._long_running = min(queues_by_class, default=ShareClass(1)).group == 0
         for queues in self._classes:
@@ -159,15 +174,15 @@
     heap = [(shares.rank(id), queue[0][:2], id, 0) for id, queue in queues.items()]
     heapify(heap)
     while heap:
-        rank, _, workspace, index = heap[0]
+        _, _, workspace, index = heap[0]
         queue = queues[workspace]
-        current = rank
-        while index < len(queue) and current == rank:
+        changes = shares.changes
+        while index < len(queue) and shares.changes == changes:
             yield queue[index][2]
             index += 1
-            current = shares.rank(workspace)
         if index < len(queue):
-            heapreplace(heap, (current, queue[index][:2], workspace, index))
+            rank = shares.rank(workspace)
+            heapreplace(heap, (rank, queue[index][:2], workspace, index))
         else:
             heappop(heap)
 
