Planner: no search for an endpoint where none has the room

Cause: in a full pool each waiting job was compared with each endpoint in each round. Change: what is free most on any endpoint is kept during the round, and a step that needs more isn't placed; place() would have returned none, so nothing starts that didn't, nor later. tests/execution passes.

--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -23,7 +23,7 @@
 from lentilrill.ids import EndpointId, JobId, ZoneId
 from lentilrill.scheduling import EndpointCapacity, JobTiming, Speed, next_pace, place
 from lentilrill.telemetry import Event, log
-from lentilrill.workloads import JobState, Queue, TaskId
+from lentilrill.workloads import JobState, Queue, Resources, TaskId
 
 __all__ = ["Planner", "blocking_reason"]
 
@@ -108,18 +108,25 @@
             feasible=self.feasible,
         )
         self._request_tickets(jobs, order, capacity_by_endpoint)
+        # In a full pool most jobs need no search for an endpoint.
+        most_free = _most_free(capacity_by_endpoint.values())
         for tracked_job, queue in order:
             may_run = not tracked_job.never_started and tracked_job.revision < take_over_revision
             if may_run and tracked_job.start_zones.may_run_in(blocked_zones):
                 tracked_job.wait_times.switch_to(WaitCause.TAKE_OVER, now)
                 continue
             steps = tracked_job.ready_steps()
-            if any(capacity.free.memory_mb > 0 for capacity in capacity_by_endpoint.values()):
-                for step in steps:
-                    permitted = capacity_by_endpoint
-                    if queue is not None and queue.advice is not None:
-                        permitted = self.with_ticket(step, capacity_by_endpoint)
-                    placed += self._place_step(step, permitted, now, unknown_tasks, budgets)
+            for step in steps if most_free.memory_mb > 0 else ():
+                if not step.spec.reserved.fits(most_free):
+                    continue
+                permitted = capacity_by_endpoint
+                if queue is not None and queue.advice is not None:
+                    permitted = self.with_ticket(step, capacity_by_endpoint)
+                recorded = len(self.to_record)
+                started = self._place_step(step, permitted, now, unknown_tasks, budgets)
+                if started or len(self.to_record) > recorded:
+                    most_free = _most_free(capacity_by_endpoint.values())
+                placed += started
             is_refused = tracked_job.job.id in budgets.refused_jobs
             cause = WaitCause.WORKSPACE_CAP if is_refused else _wait_cause(steps)
             tracked_job.wait_times.switch_to(cause, now)
@@ -401,3 +408,11 @@
         suspect_job,
         1 - link.capacity_share,
     )
+
+
+def _most_free(capacities: Collection[EndpointCapacity]) -> Resources:
+    """Return the most of each resource that is free on any endpoint."""
+    most = Resources()
+    for capacity in capacities:
+        most = most.at_least(capacity.free)
+    return most
