Order: job_ended and the use of workspaces tell what decided

job_ended has workspace, beyond_rate and, for a job that got room by shares, the share for its weight at which its first task did: one line a job as before. WorkspaceUse has weight and share with defaults, for metrics and ctl. Nothing is added to lines of jobs without a workspace. tests/execution/test_fair_shares.py, test_caps.py, tests/entry and tests/docs pass three times beside load.

--- a/src/lentilrill/execution/_allowances.py
+++ b/src/lentilrill/execution/_allowances.py
@@ -17,6 +17,7 @@
 from lentilrill.scheduling import (
     Allowances,
     Budget,
+    FairShares,
     KnownAllowances,
     PoolAllowance,
     Usage,
@@ -104,6 +105,7 @@
         self._swept_at = 0.0
         self._usage_by_workspace: dict[WorkspaceId, Usage] = {}
         self._used_at = time.monotonic()
+        self._shares: FairShares | None = None
         self._work: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
         self._closed = threading.Event()
         self._follower = Follower(
@@ -260,6 +262,7 @@
         :param free: free capacity of the pool before the round; more can't be lacking.
         """
         self._used_at = now
+        self._shares = budgets.shares
         self._usage_by_workspace = {
             workspace: budget.usage
             for workspace, budget in budgets.by_workspace.items()
@@ -335,6 +338,7 @@
 
     def _use_of(self, workspace: WorkspaceId) -> WorkspaceUse:
         stored = self._known(workspace).stored
+        entry = self._workspaces.by_id.get(workspace) if self._workspaces is not None else None
         usage = self._usage_by_workspace.get(workspace, Usage(self._used.get(workspace, NOTHING)))
         return WorkspaceUse(
             workspace,
@@ -344,6 +348,8 @@
             usage.lacking,
             {pool: allowance.held for pool, allowance in stored.by_pool.items()},
             tuple(pool for pool, allowance in stored.by_pool.items() if allowance.is_waiting),
+            entry.weight if entry is not None else 0.0,
+            self._shares.dominant_share(workspace) if self._shares is not None else 0.0,
         )
 
     # Writes
--- a/src/lentilrill/execution/_budgets.py
+++ b/src/lentilrill/execution/_budgets.py
@@ -8,7 +8,7 @@
 from lentilrill.execution._tracking import TrackedJob
 from lentilrill.ids import JobId, WorkspaceId
 from lentilrill.scheduling import Budget, FairShares, Usage
-from lentilrill.workloads import Job, Resources, TaskId
+from lentilrill.workloads import Job, JobState, Resources, TaskId
 
 __all__ = ["RoundBudgets", "limited_to_free", "usage_by_workspace"]
 
@@ -60,8 +60,12 @@
 
     def on_reserved(self, tracked_job: TrackedJob, reserved: Resources) -> None:
         """Add what was reserved for tasks of a job to the use of its workspace."""
-        if self.shares is not None:
-            self.shares.add(tracked_job.job.workspace, reserved)
+        if self.shares is None:
+            return
+        workspace = tracked_job.job.workspace
+        if tracked_job.started_at_share is None and tracked_job.state is JobState.QUEUED:
+            tracked_job.started_at_share = self.shares.rank(workspace).share
+        self.shares.add(workspace, reserved)
 
 
 def usage_by_workspace(
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -239,6 +239,7 @@
             state=tracked_job.state.value,
             cause=tracked_job.cause.value or None,
             took_s=round(now - tracked_job.arrived_at, 2),
+            **_share_fields(tracked_job),
             **{f"{cause.value}_s": round(seconds, 2) for cause, seconds in waits.items()},
         )
         for cause, seconds in waits.items():
@@ -326,3 +327,14 @@
     """Return the monotonic time at which a job was accepted."""
     age_s = max(0.0, time.time() - job.accepted_ms / 1000)
     return time.monotonic() - min(age_s, MAX_AGE_S)
+
+
+def _share_fields(tracked_job: TrackedJob) -> dict[str, object]:
+    """Return what decided on a job's place among workspaces; nothing for a job without one."""
+    job = tracked_job.job
+    if not job.workspace:
+        return {}
+    fields: dict[str, object] = {"workspace": job.workspace, "beyond_rate": job.beyond_rate}
+    if tracked_job.started_at_share is not None:
+        fields["started_at_share"] = round(tracked_job.started_at_share, 5)
+    return fields
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -324,6 +324,8 @@
     :ivar start_zones: availability zones in which its tasks may have been started.
     :ivar final_stored: whether its final state is in the store and may be shown to callers.
     :ivar wait_times: time spent in each wait cause.
+    :ivar started_at_share: share of the pool for its weight that its workspace used when the first
+        task got room in an order by shares; ``None`` if that was in another order.
     """
 
     __slots__ = (
@@ -343,6 +345,7 @@
         "record_requested_at",
         "revision",
         "start_zones",
+        "started_at_share",
         "state",
         "steps_by_occurrence",
         "stored_revision",
@@ -374,6 +377,7 @@
         self.next_occurrence = 0
         self.long_running = any(step.lasting for step in job.steps)
         self.wait_times = WaitTimes(arrived_at)
+        self.started_at_share: float | None = None
 
     def open_occurrences(self, now_ms: int) -> None:
         """Create the steps of occurrences that have come due."""
--- a/src/lentilrill/workloads/_workspaces.py
+++ b/src/lentilrill/workloads/_workspaces.py
@@ -57,6 +57,9 @@
     :param lacking: what its tasks could use now if the pool held more.
     :param held_by_pool: what each pool holds, by the newest record that the owner has read.
     :param waiting: pools whose tasks wait for more than they hold.
+    :param weight: its weight by the configuration; 0 if that has no such workspace.
+    :param share: largest share of the pool that its runs use of any resource, by the newest round
+        that was ordered by shares; 0 while there is room.
     """
 
     id: WorkspaceId
@@ -66,6 +69,8 @@
     lacking: Resources
     held_by_pool: dict[PoolId, Resources]
     waiting: tuple[PoolId, ...] = ()
+    weight: float = 0.0
+    share: float = 0.0
 
 
 class PoolUse(msgspec.Struct, frozen=True):
--- a/tests/execution/test_fair_shares.py
+++ b/tests/execution/test_fair_shares.py
@@ -9,6 +9,7 @@
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
 from lentilrill.execution._fair_shares import RoundOrder, shares_of
+from lentilrill.execution._jobs import _share_fields
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._need import Durations
 from lentilrill.execution._planner import Planner
@@ -214,6 +215,15 @@
         shares = shares_of(self.configuration, self.links, by_id)
         self.assertEqual(2000 / 8000, shares.dominant_share(WorkspaceId("a")))
 
+    def test_a_start_notes_the_share_that_decided(self) -> None:
+        """Guards against a wait of which no log tells the workspace, class and share."""
+        self.run_of(self.add("a"))
+        late = self.add("a", beyond_rate=True)
+        self.add("b", a_step(2))
+        self.round()
+        fields = {"workspace": "a", "beyond_rate": True, "started_at_share": 0.25}
+        self.assertEqual(fields, _share_fields(late))
+
 
 class SameOrderTest(SharesCase):
     def timings(self, seed: int) -> dict[str, JobTiming]:
@@ -296,6 +306,8 @@
             oldest = next(key for key in endpoint.running if key[0].job[0] == "a")
             endpoint.end(*oldest)
             self.assertTrue(eventually(lambda count=count: len(pool.starts()) == count))
+        shares = {use.id: use.share for use in second.workspace_use().workspaces}
+        self.assertEqual({"a": 0.5, "b": 0.5}, shares)
         self.assertEqual("baaaabb", "".join(task.job[0] for task, _ in pool.starts()))
 
     def submit(self, pool: OwnedPool, owner: object, workspace: str, number: int) -> None:
