--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,6 +22,7 @@
     "platform",
     "rest",
     "rolling",
+    "shares",
     "silence",
     "state",
 )
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -2,13 +2,16 @@
 
 Run as ``python -m bench.shares``. A round over 2,000 waiting jobs of 20 and 480 workspaces, on a
 pool of 60 endpoints that are full but for a few: ordered by the key alone (``before``) and by
-shares (``after``), in turn, so that other load on the machine falls on both.
+shares (``after``), in turn, so that other load on the machine falls on both. Then a surge of the
+largest of 20 workspaces is replayed in several orders on a pool of slots.
 """
 
 import random
+import statistics
 import time
 
 from bench import figure
+from bench._share_replay import ORDERS, replay
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._fair_shares import shares_of
 from lentilrill.execution._link import EndpointLink
@@ -38,6 +41,8 @@
 TASK = Resources(1_000, 1_000)
 ROUNDS = 100
 SEED = 7
+LOADS = (1.3, 2.0, 4.0)
+SEEDS = 10
 
 
 class Pool:
@@ -91,6 +96,15 @@
             figure("shares", name, round_s * 1e3, "ms", workspaces=workspaces, jobs=JOBS)
         ratio = shortest["after"] / shortest["before"]
         figure("shares", "after/before", ratio, "", workspaces=workspaces, jobs=JOBS)
+    for load in LOADS:
+        for name in ORDERS:
+            played = [replay(name, load, seed) for seed in range(SEEDS)]
+            in_time = statistics.mean(outcome.in_time for outcome in played)
+            owed = statistics.mean(outcome.owed_in_time for outcome in played)
+            worst = statistics.mean(outcome.worst_tenth for outcome in played)
+            figure("shares", "in time", in_time, "", order=name, load=load)
+            figure("shares", "owed in time", owed, "", order=name, load=load)
+            figure("shares", "worst tenth in time", worst, "", order=name, load=load)
 
 
 def _link(number: int) -> EndpointLink:
