Workspaces: rates, fair shares and admission by share, as pure decisions

Cause: a workspace's weight was read by no decision of an entry host; a pool refused all callers alike, by one wait.

Change: a job is within its workspace's rate or beyond it by a decaying count over all pools (RateBook); a pool's capacity is shared max-min fair by weight; judge_by_share refuses a job whose workspace's own work fills its share of the hosts that are there and on their way for longer than the job can wait. can_accept is unchanged.

Why a decaying count and no token bucket or GCRA: counts of several pools can be added, and an old count is never too high, so an old report errs in favour of the workspace. The limit is the count that evenly spaced jobs approach, so the rate is exact also far below one job a second.

--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -3,7 +3,18 @@
 Pure computations without input or output; callers pass the current time.
 """
 
-from lentilrill.scheduling._admission import Pressure, can_accept, outage_retry_s, retry_after_s
+from lentilrill.scheduling._admission import (
+    MAX_WAIT_S,
+    PoolBacklog,
+    Pressure,
+    Verdict,
+    WorkspaceBacklog,
+    can_accept,
+    judge_by_share,
+    outage_retry_s,
+    retry_after_s,
+    usable_wait_s,
+)
 from lentilrill.scheduling._allowances import (
     Allowances,
     Budget,
@@ -35,6 +46,7 @@
 from lentilrill.scheduling._order import JobTiming, sort_key
 from lentilrill.scheduling._pacing import next_pace
 from lentilrill.scheduling._placement import EndpointCapacity, place, total_free
+from lentilrill.scheduling._rates import DecayingCounts, PoolRates, RateBook, max_count
 from lentilrill.scheduling._relocation import (
     MIN_SLOWDOWN,
     MoveCost,
@@ -42,6 +54,14 @@
     is_worth_moving,
     may_move_again,
 )
+from lentilrill.scheduling._shares import (
+    MAX_WEIGHT,
+    CapacityOutlook,
+    ExpectedHosts,
+    fair_shares,
+    usable_weight,
+    work_before,
+)
 from lentilrill.scheduling._speeds import (
     EndpointKind,
     EndpointSpeeds,
@@ -53,17 +73,22 @@
 from lentilrill.scheduling._time_left import TaskTimes
 
 __all__ = [
+    "MAX_WAIT_S",
+    "MAX_WEIGHT",
     "MIN_SLOWDOWN",
     "SURPLUS_DELAY_S",
     "Allowances",
     "Budget",
+    "CapacityOutlook",
     "CopyBudget",
     "CopyResults",
+    "DecayingCounts",
     "Demand",
     "DurationModel",
     "EndpointCapacity",
     "EndpointKind",
     "EndpointSpeeds",
+    "ExpectedHosts",
     "FairOrder",
     "FairShares",
     "HostShares",
@@ -73,8 +98,11 @@
     "Move",
     "MoveCost",
     "PoolAllowance",
+    "PoolBacklog",
     "PoolNeed",
+    "PoolRates",
     "Pressure",
+    "RateBook",
     "RelocatableRun",
     "ShareClass",
     "Speed",
@@ -83,12 +111,17 @@
     "SurgeTracker",
     "TaskTimes",
     "Usage",
+    "Verdict",
+    "WorkspaceBacklog",
     "can_accept",
     "class_of",
     "copy_key",
+    "fair_shares",
     "hosts_for",
     "is_worth_a_copy",
     "is_worth_moving",
+    "judge_by_share",
+    "max_count",
     "may_move_again",
     "minimum_hosts",
     "next_allowance",
@@ -102,4 +135,7 @@
     "sort_key",
     "target_hosts",
     "total_free",
+    "usable_wait_s",
+    "usable_weight",
+    "work_before",
 ]
