Workspaces: rates and shares decide about jobs at entry hosts

Cause: the pressure that a pool's owner sends knew one wait for all callers, so in one workspace's surge all were refused alike, and hosts on their way and a queue's own slack didn't count.

Change: with its pressure an owner reports the work of the workspaces with most of it by class, its decayed counts of jobs within the rate, the capacity that is there and that is coming, and whether room is short. An entry host adds what it accepted since, decides the class, stores it with the job, and refuses by the workspace's share. A new owner rebuilds the counts from the jobs' times of acceptance. Without workspaces nothing changes: same answers, lines, records and calls (test_admission_is_the_same_call_by_call).

Ruled out: the queue's median slack in the report (the job's own critical path and its queue tell it without a message); all unfinished work of a job (long jobs, of which little can run at once, would refuse short ones while cores are free).

Seen red with the guard left out, one at a time: report age, jobs since the report, jobs that were not committed, no workspaces, class in the record, counts of other pools, owners without workspaces in their report, jobs that may be stored, bound of the report, time of acceptance, late work, class in the count, long-running tasks, room, counts after a take-over, no report without workspaces.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,6 +25,7 @@
     "shares",
     "silence",
     "state",
+    "workspace_reports",
 )
 
 
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -24,7 +24,7 @@
     ReleaseState,
     ReleaseTold,
 )
-from lentilrill.intake import MAX_STORE_SILENT_S, Intake
+from lentilrill.intake import MAX_STORE_SILENT_S, Intake, WorkspaceAdmission
 from lentilrill.ownership import Ownership, PaceMonitor, Shard
 from lentilrill.platform import (
     ENDPOINTS_PREFIX,
@@ -109,6 +109,9 @@
             lambda: self._address_of(FLEET),
             lambda: self._ownership.is_owner,
         )
+        self._workspaces = WorkspaceAdmission(
+            lambda: self._configuration.current, self._status_exchange.newest_pressures
+        )
         self._intake = Intake(
             self._kv,
             self._node,
@@ -118,6 +121,7 @@
             self._pool_ids,
             lambda: [peer.inner for peer in self._ownership.peers],
             lambda: self._kv.silent_s,
+            self._workspaces,
         )
         self._ingress = Ingress(
             settings.callers,
--- a/src/lentilrill/entry/_recipients.py
+++ b/src/lentilrill/entry/_recipients.py
@@ -79,4 +79,9 @@
             before is None
             or abs(pressure.wait_s - before.wait_s) >= WAIT_CHANGE_S
             or abs(pressure.late_wait_s - before.late_wait_s) >= OVERDUE_WAIT_CHANGE_S
+            or _is_short(pressure) != _is_short(before)
         )
+
+
+def _is_short(pressure: PoolPressure) -> bool:
+    return pressure.workspaces is not None and pressure.workspaces.is_short
--- a/src/lentilrill/entry/_status_exchange.py
+++ b/src/lentilrill/entry/_status_exchange.py
@@ -181,6 +181,11 @@
             sent_at, pressure = self._pressure_by_pool.get(pool, (0.0, None))
         return pressure if time.monotonic() - sent_at < MAX_STATUS_AGE_S else None
 
+    def newest_pressures(self) -> dict[PoolId, tuple[float, PoolPressure]]:
+        """Return the newest pressure of each pool, however old, with the time of its sending."""
+        with self._lock:
+            return dict(self._pressure_by_pool)
+
     def can_take_over(self, process: ProcessId) -> bool:
         """Whether another host has recently reported that it can take over a shard.
 
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -32,6 +32,7 @@
 from lentilrill.execution._stored_starts import StoredStarts
 from lentilrill.execution._tickets import TicketCache
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
+from lentilrill.execution._workspace_backlog import WorkspaceReporter
 from lentilrill.execution._writer import ProgressWriter
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
@@ -144,6 +145,7 @@
         )
         self._durations = Durations()
         self._offered = OfferedLoad()
+        self._workspaces = WorkspaceReporter()
         self._crashes = CrashBook(lambda: self._writer.schedule(urgent=True))
         self._host_evidence = HostEvidence(pool, hosts, self._crashes, self._links)
         self._starts = StoredStarts(self._crashes)
@@ -244,7 +246,9 @@
             if tracked_job.state.is_final:
                 self._writer.schedule(urgent=False)
             else:
-                self._record_arrival(tracked_job, time.monotonic())
+                now = time.monotonic()
+                self._workspaces.record(tracked_job, now)
+                self._record_arrival(tracked_job, now)
             self._wake()
 
     def _record_arrival(self, tracked_job: TrackedJob, at: float) -> None:
@@ -275,6 +279,8 @@
             # The rounds until the next call order jobs by this value.
             self._planner.feasible = demand.feasible
             backlog = backlog_of(jobs)
+            configuration = self._configuration()
+            has_workspaces = configuration is not None and configuration.workspaces is not None
             counts_are_known = self._follower.failing_s <= MAX_BLIND_S
             return pressure_of(
                 self.pool,
@@ -284,6 +290,9 @@
                 links,
                 now,
                 counts_are_known=counts_are_known,
+                workspaces=(
+                    self._workspaces.report(jobs, links, demand, now) if has_workspaces else None
+                ),
             )
 
     def workspace_use(self) -> PoolUse:
@@ -401,6 +410,7 @@
                 self._crashes.restore(tracked_job.tasks())
                 # A surge goes on while the pool has no owner, and is foreseen from its arrivals.
                 self._record_arrival(tracked_job, tracked_job.arrived_at)
+            self._workspaces.restore(self._jobs.by_id.values(), time.monotonic())
         self._links.wake()
         return True
 
--- a/src/lentilrill/execution/_pressure.py
+++ b/src/lentilrill/execution/_pressure.py
@@ -10,7 +10,7 @@
 from lentilrill.execution._need import idle_endpoints
 from lentilrill.execution._tracking import TrackedJob
 from lentilrill.ids import EndpointId, JobId, PoolId, QueueId
-from lentilrill.inner import PoolPressure
+from lentilrill.inner import PoolPressure, WorkspaceLoads
 from lentilrill.scheduling import JobTiming
 from lentilrill.workloads import JobState
 
@@ -56,12 +56,14 @@
     now: float,
     *,
     counts_are_known: bool = True,
+    workspaces: WorkspaceLoads | None = None,
 ) -> PoolPressure:
     """Return a pool's pressure.
 
     :param counts_are_known: whether all accepted jobs are known, so that the number of waiting ones
         may be shown.
     :param now: the monotonic clock.
+    :param workspaces: load by workspace, if there are workspaces.
     """
     cores = (
         sum(link.entry.capacity.cpu * link.capacity_share for link in links if link.registered)
@@ -81,6 +83,7 @@
         tuple(_overdue_endpoints(links, backlog.overdue_jobs)),
         round(demand.without_forecast, 2),
         tuple(_drainable_endpoints(links, demand.with_forecast)),
+        workspaces,
     )
 
 
--- a/src/lentilrill/inner/__init__.py
+++ b/src/lentilrill/inner/__init__.py
@@ -14,6 +14,8 @@
     ReleaseAsk,
     ReleaseState,
     ReleaseTold,
+    WorkspaceLoad,
+    WorkspaceLoads,
 )
 from lentilrill.inner._grants import (
     MAX_JOB_RUN_S,
@@ -74,6 +76,8 @@
     "StateItems",
     "Verdict",
     "WithdrawalAck",
+    "WorkspaceLoad",
+    "WorkspaceLoads",
     "ZoneHealth",
     "decode",
     "encode",
--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from lentilrill.ids import EndpointId, JobId, PoolId, QueueId
+from lentilrill.ids import EndpointId, JobId, PoolId, QueueId, WorkspaceId
 
 __all__ = [
     "Configured",
@@ -16,9 +16,45 @@
     "ReleaseAsk",
     "ReleaseState",
     "ReleaseTold",
+    "WorkspaceLoad",
+    "WorkspaceLoads",
 ]
 
 
+class WorkspaceLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Load of a pool by one workspace; integers, as they are encoded in the fewest bytes.
+
+    :param owed: work of jobs within its rate that can meet their deadline, in tenths of a core
+        second.
+    :param beyond: the same of jobs beyond its rate.
+    :param overdue: work of jobs that can no longer meet their deadline, in tenths of a core second.
+    :param within_rate: decayed number of its jobs within its rate, in hundredths.
+    """
+
+    workspace: WorkspaceId
+    owed: int = 0
+    beyond: int = 0
+    overdue: int = 0
+    within_rate: int = 0
+
+
+class WorkspaceLoads(msgspec.Struct, frozen=True, array_like=True):
+    """Load of a pool by workspace, with the room that it has.
+
+    :param is_short: whether jobs wait for room and not all of them can meet their deadline.
+    :param present_cpu: capacity that serves now, in thousandths of a core.
+    :param coming_cpu: capacity that is expected to arrive.
+    :param listed: the workspaces with the most work and those with the most jobs.
+    :param rest_owed: ``owed`` of all other workspaces together.
+    """
+
+    is_short: bool
+    present_cpu: int
+    coming_cpu: int
+    listed: tuple[WorkspaceLoad, ...] = ()
+    rest_owed: int = 0
+
+
 class PoolPressure(msgspec.Struct, frozen=True, tag=True):
     """Load of a pool, as reported by its owner.
 
@@ -35,6 +71,7 @@
     :param firm: as ``need``, without the forecast.
     :param light: endpoints beyond the pool's need that can be drained cheaply, since their tasks
         could run on other endpoints of the pool; the one that loses the least work first.
+    :param workspaces: load by workspace; ``None`` if the deployment has no workspaces.
     """
 
     pool: PoolId
@@ -48,6 +85,7 @@
     late: tuple[EndpointId, ...] = ()
     firm: float = 0.0
     light: tuple[EndpointId, ...] = ()
+    workspaces: WorkspaceLoads | None = None
 
 
 class HostNews(msgspec.Struct, frozen=True, tag=True):
--- a/src/lentilrill/intake/__init__.py
+++ b/src/lentilrill/intake/__init__.py
@@ -2,5 +2,6 @@
 
 from lentilrill.intake._group import GroupCommit
 from lentilrill.intake._intake import MAX_STORE_SILENT_S, Intake
+from lentilrill.intake._workspace_admission import WorkspaceAdmission
 
-__all__ = ["MAX_STORE_SILENT_S", "GroupCommit", "Intake"]
+__all__ = ["MAX_STORE_SILENT_S", "GroupCommit", "Intake", "WorkspaceAdmission"]
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -23,6 +23,7 @@
 )
 from lentilrill.intake._group import MAX_WAIT_S, CommitResult, GroupCommit
 from lentilrill.intake._unconfirmed import UnconfirmedJobs
+from lentilrill.intake._workspace_admission import Decision, WorkspaceAdmission
 from lentilrill.ownership import OwnerRecord
 from lentilrill.scheduling import Pressure, can_accept, outage_retry_s, retry_after_s
 from lentilrill.store import DECODE_ERRORS, KeyValue, Priority
@@ -62,6 +63,7 @@
     :param pools: returns all known pools.
     :param peer_addresses: returns the inner addresses of the other entry hosts.
     :param store_silent_s: returns the seconds since the store last answered this host.
+    :param workspaces: decides about jobs of workspaces, if given.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         pools: Callable[[], list[PoolId]],
         peer_addresses: Callable[[], list[str]] = list,
         store_silent_s: Callable[[], float] = lambda: 0.0,
+        workspaces: WorkspaceAdmission | None = None,
     ) -> None:
         self._kv = kv
         self._peers = peers
@@ -83,6 +86,7 @@
         self._pools = pools
         self._peer_addresses = peer_addresses
         self._store_silent_s = store_silent_s
+        self._workspaces = workspaces
         self._unconfirmed = UnconfirmedJobs()
         self._group_commit = GroupCommit(kv)
         self._ask_ids = itertools.count(1)
@@ -103,26 +107,30 @@
         :param wait_s: the caller's timeout in seconds, if known.
         :return: the answer, and the seconds after which a refused caller should retry.
         """
+        decision = self._workspaces.decide(job) if self._workspaces is not None else None
+        if self._workspaces is None or decision is None:
+            return self._submit(job, wait_s, None)
+        try:
+            return self._submit(decision.job, wait_s, decision)
+        finally:
+            self._workspaces.on_answered(job.id)
+
+    def _submit(
+        self, job: Job, wait_s: float | None, decision: Decision | None
+    ) -> tuple[JobAnswer, float]:
         started_at = time.monotonic()
-        reported = self._pressure_of(job.pool)
-        pressure = Pressure(reported.wait_s, reported.late_wait_s) if reported is not None else None
+        overload = self._overload_of(job, decision)
         # A job that may be stored is committed again even in an overloaded pool, to get its result.
-        if pressure is not None and not can_accept(pressure) and job.id not in self._unconfirmed:
-            return self._refuse(
-                job,
-                JobAnswer.OVERLOADED,
-                retry_after_s(pressure),
-                wait_s=pressure.wait_s,
-                late_s=pressure.overdue_s,
-                token=reported.token if reported is not None else 0,
-            )
+        if overload is not None and job.id not in self._unconfirmed:
+            return self._refuse(job, JobAnswer.OVERLOADED, overload.retry_s, **overload.fields)
+        fields = decision.fields if decision is not None else {}
         store_silent_s = self._store_silent_s()
         if store_silent_s >= MAX_STORE_SILENT_S:
             # Refuse before anything is sent, so that the job certainly never runs. A commit without
             # an answer would leave the outcome unknown.
             retry_s = outage_retry_s(store_silent_s)
             return self._refuse(
-                job, JobAnswer.UNAVAILABLE, retry_s, reason="the store does not answer"
+                job, JobAnswer.UNAVAILABLE, retry_s, reason="the store does not answer", **fields
             )
         value = msgspec.msgpack.encode(job)
         result = self._group_commit.create(
@@ -134,14 +142,37 @@
         took_s = round(time.monotonic() - started_at, 3)
         if answer is JobAnswer.UNAVAILABLE:
             retry_s = outage_retry_s(store_silent_s)
-            return self._refuse(job, answer, retry_s, reason="not committed", took_s=took_s)
-        self._log_submit(job, answer, revision=result.revision, took_s=took_s)
+            return self._refuse(
+                job, answer, retry_s, reason="not committed", took_s=took_s, **fields
+            )
+        self._log_submit(job, answer, revision=result.revision, took_s=took_s, **fields)
         if answer is JobAnswer.ACCEPTED and result.revision:
+            if self._workspaces is not None:
+                self._workspaces.on_committed(job.id)
             self._notify_owner(job, result.stored or value, result.revision)
         elif answer is JobAnswer.UNKNOWN:
             self._report_unconfirmed(job.id)
         return answer, 0.0
 
+    def _overload_of(self, job: Job, decision: Decision | None) -> "_Overload | None":
+        """Return why a job's pool, or its workspace's share of it, has no room for the job."""
+        reported = self._pressure_of(job.pool)
+        if reported is None:
+            return None
+        pressure = Pressure(reported.wait_s, reported.late_wait_s)
+        fields: dict[str, object] = {
+            "wait_s": pressure.wait_s,
+            "late_s": pressure.overdue_s,
+            "token": reported.token,
+        }
+        if decision is None or decision.verdict is None:
+            is_accepted, retry_s = can_accept(pressure), retry_after_s(pressure)
+        else:
+            is_accepted, retry_s = decision.verdict.is_accepted, decision.verdict.retry_s
+        if decision is not None:
+            fields |= decision.fields
+        return None if is_accepted else _Overload(retry_s, fields)
+
     def _compare_workspace(self, job: Job, result: CommitResult) -> JobAnswer:
         """Return whether the stored job with this id is one of the same workspace."""
         if result.stored is not None:
@@ -161,6 +192,8 @@
             answer = JobAnswer.UNKNOWN
         elif found := self._query_owner(job.pool, job.id, REFUSAL_QUERY_TIMEOUT_S):
             answer = _answer_by_workspace(found.workspace, job)
+        if answer is JobAnswer.OVERLOADED and self._workspaces is not None:
+            self._workspaces.on_refused(job)
         self._log_submit(job, answer, **fields)
         return answer, retry_s
 
@@ -339,6 +372,13 @@
     cause: FailureCause = FailureCause.NONE
 
 
+class _Overload(msgspec.Struct, frozen=True):
+    """Why a job is refused, and the seconds after which its caller should retry."""
+
+    retry_s: float
+    fields: dict[str, object]
+
+
 class _OwnerQuery:
     __slots__ = ("answer", "done")
 
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -46,7 +46,7 @@
 from lentilrill.scheduling._order import JobTiming, sort_key
 from lentilrill.scheduling._pacing import next_pace
 from lentilrill.scheduling._placement import EndpointCapacity, place, total_free
-from lentilrill.scheduling._rates import DecayingCounts, PoolRates, RateBook, max_count
+from lentilrill.scheduling._rates import DECAY_S, DecayingCounts, PoolRates, RateBook, max_count
 from lentilrill.scheduling._relocation import (
     MIN_SLOWDOWN,
     MoveCost,
@@ -73,6 +73,7 @@
 from lentilrill.scheduling._time_left import TaskTimes
 
 __all__ = [
+    "DECAY_S",
     "MAX_WAIT_S",
     "MAX_WEIGHT",
     "MIN_SLOWDOWN",
--- a/src/lentilrill/scheduling/_rates.py
+++ b/src/lentilrill/scheduling/_rates.py
@@ -9,14 +9,14 @@
 from lentilrill.ids import JobId, PoolId, WorkspaceId
 from lentilrill.scheduling._shares import usable_weight
 
-__all__ = ["DecayingCounts", "PoolRates", "RateBook", "max_count"]
+__all__ = ["DECAY_S", "DecayingCounts", "PoolRates", "RateBook", "max_count"]
 
 DECAY_S = 2.0
 """Time constant of the counts. A workspace may send about this many seconds of its rate at once,
 so that jobs that arrive at random at the rate itself are seldom beyond it."""
 FORGET_AFTER_S = 10 * DECAY_S
 """Age at which an accepted job no longer matters to a count."""
-MAX_OWN_JOBS = 20_000
+MAX_OWN_JOBS = 5_000
 """Accepted jobs that a host remembers until their pools' owners report them."""
 
 _Key = TypeVar("_Key")
@@ -76,10 +76,11 @@
     counts: Mapping[WorkspaceId, float]
 
 
-class _OwnJob(msgspec.Struct, frozen=True):
+class _OwnJob(msgspec.Struct):
     at: float
     pool: PoolId
     workspace: WorkspaceId
+    committed_at: float = math.inf
 
 
 class RateBook:
@@ -131,14 +132,22 @@
             del self._own_by_job[next(iter(self._own_by_job))]
         self._own_by_job.setdefault(job, _OwnJob(now, pool, workspace))
 
-    def remove(self, job: JobId) -> None:
+    def commit(self, job: JobId, now: float) -> None:
+        """Record that a job was committed, so that its pool's owner reports it from now on."""
+        own = self._own_by_job.get(job)
+        if own is not None:
+            own.committed_at = now
+
+    def remove_uncommitted(self, job: JobId) -> None:
         """Remove a job that was not accepted after all."""
-        self._own_by_job.pop(job, None)
+        own = self._own_by_job.get(job)
+        if own is not None and own.committed_at == math.inf:
+            del self._own_by_job[job]
 
     def _forget(self, now: float) -> None:
         """Forget jobs that their pool's owner has reported, and old ones."""
         for job, own in list(self._own_by_job.items()):
-            if now - own.at > FORGET_AFTER_S or own.at <= self._reported_at(own.pool):
+            if now - own.at > FORGET_AFTER_S or own.committed_at <= self._reported_at(own.pool):
                 del self._own_by_job[job]
 
     def _reported_at(self, pool: PoolId) -> float:
--- a/src/lentilrill/workloads/_workspaces.py
+++ b/src/lentilrill/workloads/_workspaces.py
@@ -12,6 +12,7 @@
     "KeyDigest",
     "PoolUse",
     "Workspace",
+    "WorkspaceSubmissions",
     "WorkspaceUse",
     "Workspaces",
     "digest_of",
@@ -73,6 +74,20 @@
     share: float = 0.0
 
 
+class WorkspaceSubmissions(msgspec.Struct, frozen=True):
+    """What one workspace submits to an entry host.
+
+    :param weight: its weight, which is also its rate in jobs per second over all entry hosts.
+    :param sent_per_s: jobs that it submits per second, accepted or not.
+    :param refused: jobs refused for lack of room since the host started.
+    """
+
+    id: WorkspaceId
+    weight: float
+    sent_per_s: float
+    refused: int
+
+
 class PoolUse(msgspec.Struct, frozen=True):
     """What one pool uses of the workspaces' caps.
 
--- a/tests/intake/fakes.py
+++ b/tests/intake/fakes.py
@@ -6,7 +6,7 @@
 
 from lentilrill.ids import PoolId, WorkspaceId
 from lentilrill.inner import JobAsk, PoolPressure
-from lentilrill.intake import Intake
+from lentilrill.intake import Intake, WorkspaceAdmission
 from lentilrill.ownership import OwnerRecord
 from tests.builders import a_job
 from tests.fakes import FakeKeyValue
@@ -45,7 +45,12 @@
         self.pressure: PoolPressure | None = None
         self.silent_s = 0.0
         self.owner: OwnerRecord | None = None
-        self.intake = Intake(
+        self.intake = self.new_intake()
+        self.job = a_job()
+
+    def new_intake(self, workspaces: WorkspaceAdmission | None = None) -> Intake:
+        """Return a started intake; the case's own one knows nothing of workspaces."""
+        intake = Intake(
             self.kv,
             self.peers,
             lambda pool: None,
@@ -54,7 +59,8 @@
             lambda: [POOL, PoolId("ballots")],
             lambda: list(self.peer_addresses),
             lambda: self.silent_s,
+            workspaces,
         )
-        self.intake.start()
-        self.addCleanup(self.intake.close)
-        self.job = a_job()
+        intake.start()
+        self.addCleanup(intake.close)
+        return intake
--- a/tests/scheduling/test_shares.py
+++ b/tests/scheduling/test_shares.py
@@ -48,7 +48,9 @@
         book = self.books[host]
         if book.is_beyond(SCHOOLS, self.rate, now):
             return False
-        book.add(JobId(f"{len(self.within):016x}"), POOL, SCHOOLS, now)
+        job = JobId(f"{len(self.within):016x}")
+        book.add(job, POOL, SCHOOLS, now)
+        book.commit(job, now)
         self._owner.add(SCHOOLS, now, now)
         self.within.append(now)
         return True
@@ -122,7 +124,7 @@
                 continue
             refused = JobId(f"f{index:015x}")
             hosts.books[0].add(refused, POOL, SCHOOLS, now)
-            hosts.books[0].remove(refused)
+            hosts.books[0].remove_uncommitted(refused)
         self.assertGreaterEqual(len(hosts.within), 0.95 * 3 * 30)
         self.assertLessEqual(len(hosts.within), max_count(3.0) + 3 * 30)
 
