Workspaces: weights, rates sent and refusals are shown; odd weights are bounded and logged

Cause: an operator who is asked why a workspace waits had no line, metric or page with its weight, rate and share.

Positive weights outside 0.000001 to 1,000,000 count as the bound, with a line.

The page /workspaces lists a report now instead of pools, so a lentilrillctl of the version before can't read it.

Seen red with the guard left out: the line about an odd weight, the bound of the gauges, a sum of weights of 0, weights in force while jobs wait.

--- a/src/lentilrill/ctl/_main.py
+++ b/src/lentilrill/ctl/_main.py
@@ -94,9 +94,7 @@
     _add_command(subjects, "status", commands.status, "show pools, processes and planned stops")
     hosts = _add_command(subjects, "hosts", commands.hosts, "list hosts with their pools")
     hosts.add_argument("--pool", help="only hosts of this pool")
-    _add_of_entry_hosts(
-        subjects, "workspaces", workspaces, "show what workspaces use of their caps, by pool"
-    )
+    _add_of_entry_hosts(subjects, "workspaces", workspaces, "show what workspaces use and submit")
     _add_of_entry_hosts(
         subjects, "endpoints", endpoints, "show how fast endpoints work, and by what evidence"
     )
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -8,7 +8,7 @@
 
 from lentilrill.entry._caches import ConfigurationCache, EndpointDirectory
 from lentilrill.entry._status_exchange import StatusExchange
-from lentilrill.entry._workspace_metrics import set_workspace_gauges
+from lentilrill.entry._workspace_metrics import set_submission_gauges, set_workspace_gauges
 from lentilrill.execution import NO_HOST_SOURCE, EndpointCalls, HostReader, PoolOwner
 from lentilrill.ids import Incarnation, PoolId, Revision
 from lentilrill.inner import (
@@ -42,7 +42,7 @@
 from lentilrill.store import Follower
 from lentilrill.telemetry import ScrapedMetrics
 from lentilrill.upkeep import FLEET, EndpointDrainer, FleetOwner, HostOrders, Mover, Waves
-from lentilrill.workloads import EndpointEntry, PoolEntry, PoolUse
+from lentilrill.workloads import EndpointEntry, PoolEntry, PoolUse, WorkspaceReport
 
 __all__ = ["EntryProcess"]
 
@@ -71,6 +71,9 @@
         self._settings = settings
         self.metrics = ScrapedMetrics()
         self.metrics.add_source(lambda gauges: set_workspace_gauges(gauges, self._workspace_use()))
+        self.metrics.add_source(
+            lambda gauges: set_submission_gauges(gauges, self._workspaces.submissions())
+        )
         self._kv = PlatformKeyValue(settings.store, self.metrics)
         self._incarnation = Incarnation(time.time_ns())
         self._node = Node(settings.process, self._incarnation, settings.inner, None, self.metrics)
@@ -214,9 +217,10 @@
         return (200, b"ready\n") if self.ready else (503, b"not ready\n")
 
     def _show(self, path: str) -> tuple[int, bytes]:
-        """Return the metrics, or what the workspaces use or endpoints do in this host's pools."""
+        """Return the metrics, or what workspaces use and submit here, or what endpoints do."""
         if path == WORKSPACES_PATH:
-            return 200, msgspec.json.encode(self._workspace_use())
+            report = WorkspaceReport(tuple(self._workspace_use()), self._workspaces.submissions())
+            return 200, msgspec.json.encode([report])
         if path == ENDPOINTS_PATH:
             speeds = [speed for owner in self._owners() for speed in owner.endpoint_speeds()]
             return 200, msgspec.json.encode(speeds)
--- a/src/lentilrill/entry/_workspace_metrics.py
+++ b/src/lentilrill/entry/_workspace_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of what workspaces use in the pools that an entry host owns."""
+"""Metrics of what workspaces use in the pools that an entry host owns, and submit to it."""
 
 from collections.abc import Iterable
 
@@ -6,9 +6,9 @@
 
 from lentilrill.ids import WorkspaceId
 from lentilrill.telemetry import ScrapeGauges
-from lentilrill.workloads import PoolUse, Resources
+from lentilrill.workloads import PoolUse, Resources, WorkspaceSubmissions
 
-__all__ = ["set_workspace_gauges"]
+__all__ = ["set_submission_gauges", "set_workspace_gauges"]
 
 MAX_WORKSPACES = 20
 """Workspaces with gauges of their own: the number of time series must not grow with theirs."""
@@ -39,6 +39,23 @@
     _set(gauges, REST, rest)
 
 
+def set_submission_gauges(
+    gauges: ScrapeGauges, submissions: Iterable[WorkspaceSubmissions]
+) -> None:
+    """Set the gauges of the workspaces that submit most, and those of the rest together."""
+    largest = sorted(submissions, key=lambda each: (-each.sent_per_s, -each.refused, each.id))
+    for each in largest[:MAX_WORKSPACES]:
+        _set_submissions(gauges, each.id, each.sent_per_s, each.refused)
+    rest = largest[MAX_WORKSPACES:]
+    sent_per_s = sum(each.sent_per_s for each in rest)
+    _set_submissions(gauges, REST, sent_per_s, sum(each.refused for each in rest))
+
+
+def _set_submissions(gauges: ScrapeGauges, workspace: str, sent_per_s: float, refused: int) -> None:
+    gauges.gauge("workspace.sent_per_s", sent_per_s, workspace=workspace)
+    gauges.gauge("workspace.refused", refused, workspace=workspace)
+
+
 def _demand(sums: _Sums) -> int:
     return sums.used.cpu + sums.lacking.cpu
 
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -4,6 +4,8 @@
 import time
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from lentilrill.execution._allowances import AllowanceBook
 from lentilrill.execution._contract import Dialer, PolicyCalls
 from lentilrill.execution._copies import CopyBook
@@ -47,6 +49,7 @@
     JobView,
     PoolUse,
     Queue,
+    Resources,
 )
 
 __all__ = ["PoolOwner"]
@@ -297,7 +300,12 @@
 
     def workspace_use(self) -> PoolUse:
         """Return what the pool uses of the workspaces' caps."""
-        return self._allowances.status()
+        with self._lock:
+            links = [link for link in self._links.by_id.values() if link.registered]
+            capacity = Resources()
+            for link in links:
+                capacity = capacity.plus(link.entry.capacity)
+        return msgspec.structs.replace(self._allowances.status(), capacity=capacity)
 
     def endpoint_speeds(self) -> list[EndpointSpeed]:
         """Return the speeds of the pool's endpoints."""
--- a/src/lentilrill/execution/_workspace_backlog.py
+++ b/src/lentilrill/execution/_workspace_backlog.py
@@ -134,8 +134,8 @@
 
 
 def _serving_cpu(link: EndpointLink) -> int:
-    """Return the capacity that long-running tasks leave on an endpoint."""
+    """Return the capacity that long-running tasks leave on an endpoint, at its current speed."""
     lasting = sum(
         run.reserved.cpu for run in link.runs_by_key.values() if run.task.step.spec.lasting
     )
-    return max(0, link.entry.capacity.cpu - lasting)
+    return round(max(0, link.entry.capacity.cpu - lasting) * link.capacity_share)
--- a/src/lentilrill/intake/_workspace_admission.py
+++ b/src/lentilrill/intake/_workspace_admission.py
@@ -168,7 +168,7 @@
 
     def _update_rates(self, pressures: Mapping[PoolId, tuple[float, PoolPressure]]) -> None:
         for pool, (sent_at, pressure) in pressures.items():
-            if pressure.workspaces is not None:
+            if pressure.workspaces is not None and sent_at > self._rates.reported_at(pool):
                 counts = {
                     load.workspace: load.within_rate / HUNDREDTHS
                     for load in pressure.workspaces.listed
@@ -228,9 +228,11 @@
         )
 
     def _count_accepted(self, job: Job, now: float) -> None:
-        for id, recent in list(self._recent_by_job.items()):
-            if now - recent.at > MAX_RECENT_S:
-                del self._recent_by_job[id]
+        while self._recent_by_job:
+            oldest = next(iter(self._recent_by_job))
+            if now - self._recent_by_job[oldest].at <= MAX_RECENT_S:
+                break
+            del self._recent_by_job[oldest]
         if not job.beyond_rate:
             self._rates.add(job.id, job.pool, job.workspace, now)
         self._recent_by_job[job.id] = _RecentJob(
--- a/src/lentilrill/platform/_records.py
+++ b/src/lentilrill/platform/_records.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from lentilrill.ids import EndpointId, HostId, PoolId, QueueId, WorkspaceId, ZoneId
+from lentilrill.scheduling import usable_weight
 from lentilrill.store import DECODE_ERRORS
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import (
@@ -169,9 +170,12 @@
     for tenant in tenants:
         workspace = WorkspaceId(tenant.name)
         cap = _decode_cap(tenant)
-        if tenant.weight <= 0:
+        weight = usable_weight(tenant.weight)
+        if not weight:
             _log_odd_workspace(workspace, f"weight {tenant.weight}: it comes after all others")
-        by_id[workspace] = Workspace(workspace, max(0.0, tenant.weight), cap)
+        elif weight != tenant.weight:
+            _log_odd_workspace(workspace, f"weight {tenant.weight}: it counts as {weight}")
+        by_id[workspace] = Workspace(workspace, weight, cap)
         for key in tenant.api_keys:
             digest = digest_of(key.encode())
             if id_by_key_digest.setdefault(digest, workspace) != workspace:
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -55,7 +55,6 @@
     may_move_again,
 )
 from lentilrill.scheduling._shares import (
-    MAX_WEIGHT,
     CapacityOutlook,
     ExpectedHosts,
     fair_shares,
@@ -75,7 +74,6 @@
 __all__ = [
     "DECAY_S",
     "MAX_WAIT_S",
-    "MAX_WEIGHT",
     "MIN_SLOWDOWN",
     "SURPLUS_DELAY_S",
     "Allowances",
--- a/src/lentilrill/scheduling/_rates.py
+++ b/src/lentilrill/scheduling/_rates.py
@@ -104,11 +104,15 @@
         self._own_by_job: dict[JobId, _OwnJob] = {}
 
     def update(self, pool: PoolId, rates: PoolRates) -> None:
-        """Record a pool's report, unless a newer one is known."""
-        previous = self._rates_by_pool.get(pool)
-        if previous is None or previous.sent_at < rates.sent_at:
+        """Record a pool's report, unless it is already known or a newer one is."""
+        if self.reported_at(pool) < rates.sent_at:
             self._rates_by_pool[pool] = rates
 
+    def reported_at(self, pool: PoolId) -> float:
+        """Return when a pool's newest report was sent; minus infinity if there is none."""
+        rates = self._rates_by_pool.get(pool)
+        return rates.sent_at if rates is not None else -math.inf
+
     def is_beyond(self, workspace: WorkspaceId, rate: float, now: float) -> bool:
         """Return whether a workspace's next job is beyond its rate.
 
@@ -147,13 +151,9 @@
     def _forget(self, now: float) -> None:
         """Forget jobs that their pool's owner has reported, and old ones."""
         for job, own in list(self._own_by_job.items()):
-            if now - own.at > FORGET_AFTER_S or own.committed_at <= self._reported_at(own.pool):
+            if now - own.at > FORGET_AFTER_S or own.committed_at <= self.reported_at(own.pool):
                 del self._own_by_job[job]
 
-    def _reported_at(self, pool: PoolId) -> float:
-        rates = self._rates_by_pool.get(pool)
-        return rates.sent_at if rates is not None else -math.inf
-
 
 def _decay(age_s: float) -> float:
     return math.exp(-max(0.0, age_s) / DECAY_S)
--- a/src/lentilrill/scheduling/_shares.py
+++ b/src/lentilrill/scheduling/_shares.py
@@ -9,7 +9,6 @@
 from lentilrill.ids import WorkspaceId
 
 __all__ = [
-    "MAX_WEIGHT",
     "CapacityOutlook",
     "ExpectedHosts",
     "fair_shares",
--- a/src/lentilrill/workloads/_workspaces.py
+++ b/src/lentilrill/workloads/_workspaces.py
@@ -12,6 +12,7 @@
     "KeyDigest",
     "PoolUse",
     "Workspace",
+    "WorkspaceReport",
     "WorkspaceSubmissions",
     "WorkspaceUse",
     "Workspaces",
@@ -93,12 +94,25 @@
 
     :param workspaces: the workspaces that use most; ``others`` sums up the remaining ones.
     :param age_s: seconds since the owner's last planning round.
+    :param capacity: what its endpoints have in all.
     """
 
     pool: PoolId
     workspaces: tuple[WorkspaceUse, ...]
     others: Resources = Resources()
     age_s: float = 0.0
+    capacity: Resources = Resources()
+
+
+class WorkspaceReport(msgspec.Struct, frozen=True):
+    """What an entry host shows of workspaces.
+
+    :param pools: use of the pools that it owns.
+    :param submissions: what each workspace submits to it.
+    """
+
+    pools: tuple[PoolUse, ...]
+    submissions: tuple[WorkspaceSubmissions, ...] = ()
 
 
 def digest_of(key: bytes) -> KeyDigest:
--- a/tests/entry/test_workspace_metrics.py
+++ b/tests/entry/test_workspace_metrics.py
@@ -2,10 +2,14 @@
 
 from testtools import TestCase
 
-from lentilrill.entry._workspace_metrics import MAX_WORKSPACES, set_workspace_gauges
+from lentilrill.entry._workspace_metrics import (
+    MAX_WORKSPACES,
+    set_submission_gauges,
+    set_workspace_gauges,
+)
 from lentilrill.ids import PoolId, WorkspaceId
 from lentilrill.telemetry import ScrapedMetrics
-from lentilrill.workloads import PoolUse, Resources, WorkspaceUse
+from lentilrill.workloads import PoolUse, Resources, WorkspaceSubmissions, WorkspaceUse
 
 
 def a_use(workspace: str, used: int, lacking: int = 0) -> WorkspaceUse:
@@ -28,6 +32,18 @@
         pairs = [line.removeprefix(prefix).split('"} ') for line in lines if prefix in line]
         return {workspace: float(value) for workspace, value in pairs}
 
+    def test_submissions_of_many_workspaces(self) -> None:
+        """Guards against a monitoring system that is filled by one time series a workspace."""
+        submissions = [
+            WorkspaceSubmissions(WorkspaceId(f"w{n}"), 1.0, float(n), 2 * n) for n in range(100)
+        ]
+        self.metrics.add_source(lambda gauges: set_submission_gauges(gauges, submissions))
+        for name, total in (("sent_per_s", sum(range(100))), ("refused", 2 * sum(range(100)))):
+            shown = self.shown(name)
+            self.assertEqual(MAX_WORKSPACES + 1, len(shown))
+            self.assertEqual(total, sum(shown.values()))
+            self.assertIn("w99", shown)
+
     def test_use_is_summed_over_pools(self) -> None:
         self.pools = [
             PoolUse(PoolId("notices"), (a_use("schools", 2000, 500),), others=Resources(250)),
--- a/tests/execution/test_workspace_backlog.py
+++ b/tests/execution/test_workspace_backlog.py
@@ -78,6 +78,8 @@
         lasting = self.add(a_step(1, lasting=True, needs=Resources(1500, 100)))
         self.run_of(lasting)
         self.assertEqual(2500, self.report().present_cpu)
+        self.link.capacity_share = 0.5
+        self.assertEqual(1250, self.report().present_cpu)
 
     def test_a_new_owner_counts_as_the_former_one(self) -> None:
         """Guards against a workspace that gains or loses by the loss of a pool's owner."""
--- a/tests/intake/test_workspace_admission.py
+++ b/tests/intake/test_workspace_admission.py
@@ -86,6 +86,17 @@
         by_id = {each.id: each for each in self.workspaces.submissions()}
         self.assertEqual([1, 0], [by_id[SCHOOLS].refused, by_id[LIBRARY].refused])
 
+    def test_a_changed_weight_applies_while_jobs_wait(self) -> None:
+        """Guards against shares by a weight that is no longer in force."""
+        loads = (a_load(LIBRARY, owed=200), a_load(owed=9000))
+        self.report(*loads)
+        self.assertIs(JobAnswer.OVERLOADED, self.submit(LIBRARY)[0])
+        self.configuration = with_weights(schools=19.0, library=100.0)
+        self.assertIs(JobAnswer.ACCEPTED, self.submit(LIBRARY)[0])
+        self.configuration = with_weights(schools=19.0, library=0.5)
+        self.report(*loads)
+        self.assertIs(JobAnswer.OVERLOADED, self.submit(LIBRARY)[0])
+
     def test_what_this_host_accepted_since_the_report_counts(self) -> None:
         """Guards against a burst that is accepted whole between two reports."""
         self.report(a_load(owed=100))
--- a/tests/platform/test_workspaces.py
+++ b/tests/platform/test_workspaces.py
@@ -66,6 +66,14 @@
         self.assertEqual("b", found.find(b"l"))
         self.assertEqual(2, len(self.reasons()))
 
+    def test_an_odd_weight_is_logged_and_bounded(self) -> None:
+        """Guards against a division by nothing, or by a sum of weights that isn't finite."""
+        weights = (-3, 0, 1e-300, 1e300)
+        found = decode(*({"name": f"w{n}", "weight": w} for n, w in enumerate(weights)))
+        self.assertEqual([0.0, 0.0, 1e-6, 1e6], [each.weight for each in found.by_id.values()])
+        self.assertEqual(4, len(self.reasons()))
+        self.assertIn("counts as 1000000.0", self.reasons()[-1])
+
     def test_keys_are_not_kept(self) -> None:
         """Guards against keys in the text of an object, which ends up in logs and errors."""
         self.assertNotIn("opener", repr(decode({"name": "a", "api_keys": ["letter-opener"]})))
