Workspaces: a refused caller of a pool without hosts is asked to return within 20 s

Cause: the time until a share has room is infinite while a pool has no hosts, and was cut at 60 s plus the spread, so after a loss of power callers would have stayed away for one to two minutes. Found by reading.

Change: cut at MAX_RETRY_S, as for a pool that is decided as a whole. Such a caller may be refused again. test_a_pool_without_hosts_is_asked_again_soon fails with the former limit.

--- a/src/lentilrill/scheduling/_admission.py
+++ b/src/lentilrill/scheduling/_admission.py
@@ -41,8 +41,6 @@
 
 MIN_SPREAD_S = 2
 """Minimum number of seconds over which callers return that were refused together."""
-MAX_SHARE_RETRY_S = 60
-"""Limit of the foreseen time until a workspace's share has room; beyond it is a guess."""
 
 
 class Pressure(msgspec.Struct, frozen=True):
@@ -229,8 +227,9 @@
     """Return a whole number of seconds after which the workspace's share has room again.
 
     The delay is never shorter than that, as the caller would be refused again, and up to twice as
-    long: what was refused in a burst fits into the share only over time.
+    long: what was refused in a burst fits into the share only over time. A longer time than
+    :data:`MAX_RETRY_S` is a guess and is cut: a pool that has lost its hosts gets others by then.
     """
-    least_s = max(1, math.ceil(min(excess_s, MAX_SHARE_RETRY_S)))
+    least_s = max(1, math.ceil(min(excess_s, MAX_RETRY_S)))
     spread_s = max(MIN_SPREAD_S, least_s)
     return float(least_s + zlib.crc32(job.encode()) % (spread_s + 1))
--- a/tests/scheduling/test_shares.py
+++ b/tests/scheduling/test_shares.py
@@ -265,6 +265,13 @@
         busiest = max(retries.count(each) for each in retries)
         self.assertLess(busiest, len(jobs) / 3)
 
+    def test_a_pool_without_hosts_is_asked_again_soon(self) -> None:
+        """Guards against callers that stay away for a minute after a loss of power."""
+        self.outlook = CapacityOutlook(0.0)
+        refused = self.verdict(SCHOOLS)
+        self.assertFalse(refused.is_accepted)
+        self.assertTrue(10 <= refused.retry_s <= 20)
+
     def test_odd_weights_refuse_without_an_error(self) -> None:
         """Guards against a division by nothing in the decision about a job."""
         for weight in ODD_WEIGHTS:
