--- a/src/lentilrill/execution/_host_evidence.py
+++ b/src/lentilrill/execution/_host_evidence.py
@@ -26,7 +26,7 @@
         self._hosts = hosts
         self._crashes = crashes
         self._links = links
-        self._previous = PreviousEndpoints(time.monotonic())
+        self._previous = PreviousEndpoints(pool, time.monotonic())
 
     def update(self, entries: dict[EndpointId, EndpointEntry]) -> None:
         """Apply the newest listing, and request another one if it may show more.
@@ -38,12 +38,14 @@
         listing = self._hosts.latest
         if listing is not None:
             self._crashes.on_hosts_listed(listing, entries)
-            self._drop_ended(listing, entries)
+            self._apply_to_previous(listing, entries)
         unpolled = self._links.unpolled
         if self._crashes.needs_listing(now) or self._previous.needs_listing(unpolled, now):
             self._hosts.request()
 
-    def _drop_ended(self, listing: HostListing, entries: dict[EndpointId, EndpointEntry]) -> None:
+    def _apply_to_previous(
+        self, listing: HostListing, entries: dict[EndpointId, EndpointEntry]
+    ) -> None:
         if not self._links.unpolled:
             return
         rows = listing.rows_by_id.values()
--- a/src/lentilrill/execution/_idle.py
+++ b/src/lentilrill/execution/_idle.py
@@ -104,7 +104,7 @@
     if task.id in view.unknown_tasks:
         return {"reason": "seen under way, not followed"}
     tracked_job = task.step.tracked_job
-    if _is_taken_over(tracked_job, view):
+    if tracked_job.is_held_by_take_over(view.blocked_before, view.blocked_zones):
         return {"reason": "the pool is being taken over"}
     if view.now < task.not_before:
         return {"reason": "its start was refused just now"}
@@ -117,13 +117,6 @@
     return _capacity_reason(task, view)
 
 
-def _is_taken_over(tracked_job: TrackedJob, view: RoundView) -> bool:
-    """Whether a previous owner's runs of a job may be on endpoints not polled yet."""
-    if tracked_job.never_started or tracked_job.revision >= view.blocked_before:
-        return False
-    return tracked_job.start_zones.may_run_in(view.blocked_zones)
-
-
 def _left_s(task: TrackedTask, view: RoundView) -> float:
     return round(task.held_until - view.now, 1)
 
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -185,7 +185,7 @@
         """Return the progress to be written: final jobs, then those that start next."""
         with self._lock:
             dirty = [tracked_job for tracked_job in self.live_by_id.values() if tracked_job.dirty]
-            dirty.sort(key=lambda job: (not job.state.is_final, not job.needs_record))
+            dirty.sort(key=lambda job: (not job.state.is_final, not _starts_next(job)))
             entries = [_entry_of(tracked_job) for tracked_job in dirty[:limit]]
             cursors = {
                 link.entry.id: (link.seen_cursor, link.started_ms) for link in self._links.values()
@@ -196,20 +196,21 @@
         """Process a stored snapshot: show final states, allow starts and acknowledge ends."""
         with self._lock:
             recorded = [self._record(entry.job) for entry in snapshot.entries]
-            if any(recorded):
-                self._on_recorded()
             for entry in snapshot.entries:
                 tracked_job = self.by_id.get(entry.job)
                 if tracked_job is None:
                     continue
                 tracked_job.stored_revision = revision
                 tracked_job.stored_version = entry.version
+                recorded.append(tracked_job.start_zones.is_awaited)
                 tracked_job.start_zones.on_stored(entry.zones)
                 tracked_job.dirty = tracked_job.version != entry.version
                 if entry.is_final and not tracked_job.final_stored:
                     tracked_job.final_stored = True
                     self._report_final(tracked_job)
                 self.retire(tracked_job)
+            if any(recorded):
+                self._on_recorded()
             if not snapshot.is_whole:
                 return
             for endpoint, (cursor, started_ms) in snapshot.cursors.items():
@@ -309,6 +310,11 @@
                     self.by_id.pop(job, None)
 
 
+def _starts_next(tracked_job: TrackedJob) -> bool:
+    """Whether a start of the job waits for its record."""
+    return tracked_job.needs_record or tracked_job.start_zones.is_awaited
+
+
 def _entry_of(tracked_job: TrackedJob) -> ProgressEntry:
     """Return the next version of a job's record, which may be in the store from now on."""
     progress = tracked_job.progress()
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -111,8 +111,7 @@
         # In a full pool most jobs need no search for an endpoint.
         most_free = _most_free(capacity_by_endpoint.values())
         for tracked_job, queue in order:
-            may_run = not tracked_job.never_started and tracked_job.revision < take_over_revision
-            if may_run and tracked_job.start_zones.may_run_in(blocked_zones):
+            if tracked_job.is_held_by_take_over(take_over_revision, blocked_zones):
                 tracked_job.wait_times.switch_to(WaitCause.TAKE_OVER, now)
                 continue
             steps = tracked_job.ready_steps()
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -248,7 +248,7 @@
         with self._lock:
             if tracked_job.state.is_final:
                 self._writer.schedule(urgent=False)
-            else:
+            elif self._jobs.loaded:
                 now = time.monotonic()
                 self._workspaces.record(tracked_job, now)
                 self._record_arrival(tracked_job, now)
@@ -413,11 +413,13 @@
         if not self._jobs.load():
             return False
         with self._lock:
+            now_ms = int(time.time() * 1000)
             live = sorted(self._jobs.live_by_id.values(), key=lambda job: job.arrived_at)
             for tracked_job in live:
                 self._crashes.restore(tracked_job.tasks())
                 # A surge goes on while the pool has no owner, and is foreseen from its arrivals.
-                self._record_arrival(tracked_job, tracked_job.arrived_at)
+                if not tracked_job.state.is_final and tracked_job.job.accepted_ms <= now_ms:
+                    self._record_arrival(tracked_job, tracked_job.arrived_at)
             self._workspaces.restore(self._jobs.by_id.values(), time.monotonic())
         self._links.wake()
         return True
@@ -500,7 +502,8 @@
                 orders += [(link, order) for order in self._planner.stop_stuck_runs(link, now)]
         for link, order in orders:
             link.order(order)
-        if urgent or starts:
+        if urgent or starts or placed:
+            # Records also tell where tasks were started, so that a later owner waits for less.
             self._writer.schedule(urgent=urgent, starts=starts)
 
     def _stop_orders(self, runs: Iterable[Run]) -> list[tuple[EndpointLink, Order]]:
--- a/src/lentilrill/execution/_previous_endpoints.py
+++ b/src/lentilrill/execution/_previous_endpoints.py
@@ -3,14 +3,17 @@
 from collections.abc import Collection, Mapping
 
 from lentilrill.execution._host_reader import HostListing
-from lentilrill.ids import EndpointId
-from lentilrill.upkeep import HostState
+from lentilrill.ids import EndpointId, PoolId
+from lentilrill.upkeep import HostRow, HostState
 from lentilrill.workloads import EndpointEntry
 
 __all__ = ["PreviousEndpoints"]
 
 POLL_TIME_S = 0.2
 """Time after a take-over in which endpoints that are within reach answer their first poll."""
+PREVIOUS_LEASE_S = 1.6
+"""Time after a take-over in which a previous owner may still give orders: as long as it takes the
+store to be out everywhere. It might start tasks on an endpoint that returns from a crash."""
 
 
 class PreviousEndpoints:
@@ -24,7 +27,8 @@
     :param since: monotonic time of the take-over; earlier listings are no evidence.
     """
 
-    def __init__(self, since: float) -> None:
+    def __init__(self, pool: PoolId, since: float) -> None:
+        self._pool = pool
         self._since = since
         self._absent_at_by_id: dict[EndpointId, float] = {}
 
@@ -47,26 +51,41 @@
         return [
             endpoint
             for endpoint in unpolled
-            if _is_away(entries.get(endpoint), listing)
-            or self._is_gone(endpoint, listing, is_registered=endpoint in entries)
+            if self._has_ended(endpoint, entries.get(endpoint), listing)
         ]
 
-    def _is_gone(self, endpoint: EndpointId, listing: HostListing, *, is_registered: bool) -> bool:
+    def _has_ended(
+        self, endpoint: EndpointId, entry: EndpointEntry | None, listing: HostListing
+    ) -> bool:
+        row = _row_of(endpoint, entry, listing)
+        if row is not None and row.state in (HostState.MOVING, HostState.UPKEEP):
+            return True
+        if listing.asked_at < self._since + PREVIOUS_LEASE_S:
+            return False
+        if row is not None:
+            self._absent_at_by_id.pop(endpoint, None)
+            return row.state is HostState.DOWN
+        return entry is None and self._is_gone(endpoint, listing)
+
+    def _is_gone(self, endpoint: EndpointId, listing: HostListing) -> bool:
         """Whether two listings in a row lack an unregistered endpoint.
 
-        The pages of one listing are no snapshot. A host without an endpoint may be the one whose
-        endpoint is just starting.
+        The pages of one listing are no snapshot. A host of the pool without an endpoint may be the
+        one whose endpoint is just starting.
         """
-        up = {row.endpoint for row in listing.rows_by_id.values() if row.state is HostState.UP}
-        if is_registered or not up or endpoint in up or EndpointId("") in up:
+        up = [row for row in listing.rows_by_id.values() if row.state is HostState.UP]
+        is_starting = any(row.pool == self._pool and not row.endpoint for row in up)
+        if is_starting or not any(row.endpoint for row in up):
             self._absent_at_by_id.pop(endpoint, None)
             return False
         return listing.asked_at > self._absent_at_by_id.setdefault(endpoint, listing.asked_at)
 
 
-def _is_away(entry: EndpointEntry | None, listing: HostListing) -> bool:
-    """Whether the host of a registered endpoint is listed as down, moving or in upkeep."""
-    if entry is None or not entry.host:
-        return False
-    row = listing.rows_by_id.get(entry.host)
-    return row is not None and row.state is not HostState.UP
+def _row_of(
+    endpoint: EndpointId, entry: EndpointEntry | None, listing: HostListing
+) -> HostRow | None:
+    """Return the host of an endpoint, by its registration or by the endpoint that is listed."""
+    if entry is not None and entry.host:
+        return listing.rows_by_id.get(entry.host)
+    rows = listing.rows_by_id.values()
+    return next((row for row in rows if row.endpoint == endpoint), None)
--- a/src/lentilrill/execution/_start_zones.py
+++ b/src/lentilrill/execution/_start_zones.py
@@ -20,16 +20,19 @@
     next owner can't tell what runs in that zone until all leases there have expired. By the zones
     in its record a job that was never started there goes on at once.
 
+    :ivar is_awaited: whether a start waits for the next version of the record.
+
     The invariant: wherever a start may be executed, its zone is in every version of the record that
     may be in the store. So a start in any other zone waits until a version with that zone is
     stored, and while a commit is in flight only the zones of both versions are permitted.
     """
 
-    __slots__ = ("_inherited", "_permitted")
+    __slots__ = ("_inherited", "_permitted", "is_awaited")
 
     def __init__(self) -> None:
         self._permitted: Zones = NOWHERE
         self._inherited: Zones = None
+        self.is_awaited = False
 
     def restore(self, zones: list[ZoneId] | None) -> None:
         """Take the zones from the record of a previous owner."""
@@ -76,4 +79,5 @@
 
     def on_stored(self, zones: list[ZoneId] | None) -> None:
         """Note that a version with these zones is stored."""
+        self.is_awaited = False
         self._permitted = None if zones is None else frozenset(zones)
--- a/src/lentilrill/execution/_stored_starts.py
+++ b/src/lentilrill/execution/_stored_starts.py
@@ -6,6 +6,7 @@
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._tracking import Run
 from lentilrill.ids import EndpointId
+from lentilrill.workloads import StepId, TaskId
 
 __all__ = ["StoredStarts"]
 
@@ -27,23 +28,34 @@
         self, placed: Iterable[tuple[EndpointId, Run]], links: Mapping[EndpointId, EndpointLink]
     ) -> list[tuple[EndpointLink, Order]]:
         """Track placed runs; return the starts that may be sent, those of earlier rounds too."""
-        orders = []
+        runs = []
+        unstored = set()
         for endpoint, run in placed:
             link = links[endpoint]
             link.runs_by_key[run.key] = run
             run.zone = link.entry.zone
-            tracked_job = run.task.step.tracked_job
-            if run.task.is_stored_first:
-                self._crashes.record_attempt(link, run.task)
-            is_permitted = tracked_job.start_zones.permits(run.zone)
-            if not is_permitted:
-                tracked_job.mark_dirty()
-            if run.task.is_stored_first or not is_permitted:
-                self._waiting.append((link, run, tracked_job.version))
+            runs.append((link, run))
+            if self._must_be_stored(link, run):
+                unstored.add(_start_of(run))
+        orders = []
+        for link, run in runs:
+            if _start_of(run) in unstored:
+                self._waiting.append((link, run, run.task.step.tracked_job.version))
             else:
                 orders.append((link, Order.for_run(OrderKind.START, run)))
         return orders + self._stored()
 
+    def _must_be_stored(self, link: EndpointLink, run: Run) -> bool:
+        """Whether the record of a run's job has to be written before its start is sent."""
+        tracked_job = run.task.step.tracked_job
+        if run.task.is_stored_first:
+            self._crashes.record_attempt(link, run.task)
+        is_permitted = tracked_job.start_zones.permits(run.zone)
+        if not is_permitted:
+            tracked_job.start_zones.is_awaited = True
+            tracked_job.mark_dirty()
+        return run.task.is_stored_first or not is_permitted
+
     def _stored(self) -> list[tuple[EndpointLink, Order]]:
         waiting, self._waiting = self._waiting, []
         orders = []
@@ -55,3 +67,9 @@
             else:
                 self._waiting.append((link, run, version))
         return orders
+
+
+def _start_of(run: Run) -> tuple[StepId | TaskId, int]:
+    """Return what is started together: a run, or all members of a gang."""
+    step = run.task.step
+    return (step.id if step.spec.gang else run.task.id), run.number
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -9,7 +9,7 @@
 from lentilrill.execution._start_zones import UNKNOWN_ZONE, StartZones
 from lentilrill.execution._step_records import restore_step, step_progress_of
 from lentilrill.execution._wait_times import WaitCause, WaitTimes
-from lentilrill.ids import EndpointId, JobId, Revision
+from lentilrill.ids import EndpointId, JobId, Revision, ZoneId
 from lentilrill.workloads import (
     Attempt,
     FailureCause,
@@ -436,6 +436,16 @@
         self.dirty = True
         self.version += 1
 
+    def is_held_by_take_over(self, revision: int, zones: frozenset[ZoneId]) -> bool:
+        """Whether tasks that a previous owner started may run on endpoints not polled yet.
+
+        :param revision: revision of the take-over.
+        :param zones: availability zones of these endpoints.
+        """
+        if self.never_started or self.revision >= revision:
+            return False
+        return self.start_zones.may_run_in(zones)
+
     def request_record(self) -> bool:
         """Have the record written before the first start; return whether that is new."""
         if self.is_recorded or self.needs_record:
--- a/tests/execution/test_previous_endpoints.py
+++ b/tests/execution/test_previous_endpoints.py
@@ -7,14 +7,19 @@
 
 from lentilrill.execution import _links
 from lentilrill.execution._host_reader import HostListing
-from lentilrill.execution._previous_endpoints import POLL_TIME_S, PreviousEndpoints
-from lentilrill.ids import EndpointId, HostId
+from lentilrill.execution._previous_endpoints import (
+    POLL_TIME_S,
+    PREVIOUS_LEASE_S,
+    PreviousEndpoints,
+)
+from lentilrill.ids import EndpointId, HostId, PoolId
 from lentilrill.upkeep import HostRow, HostState
 from lentilrill.workloads import EndpointEntry
 from tests.builders import a_host_row, a_job, a_step, an_endpoint
 from tests.execution.fakes import OwnedPool, eventually
 
 SINCE = 100.0
+LATE = SINCE + PREVIOUS_LEASE_S
 E1 = EndpointId("e1")
 HOST1 = HostId("host-e1")
 FOREVER_S = 1000.0
@@ -35,7 +40,7 @@
 class PreviousEndpointsTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.previous = PreviousEndpoints(SINCE)
+        self.previous = PreviousEndpoints(PoolId("notices"), SINCE)
         self.entries: dict[EndpointId, EndpointEntry] = {}
 
     def ended(self, *rows: HostRow, asked_at: float) -> list[EndpointId]:
@@ -47,39 +52,56 @@
 
     def test_a_registered_endpoint_has_ended_with_its_host(self) -> None:
         self.register()
-        for state in (HostState.DOWN, HostState.MOVING, HostState.UPKEEP):
+        for state in (HostState.MOVING, HostState.UPKEEP):
             self.assertEqual([E1], self.ended(in_state(state), up("e2"), asked_at=SINCE))
+        self.assertEqual([E1], self.ended(in_state(HostState.DOWN), up("e2"), asked_at=LATE))
+
+    def test_a_crashed_endpoint_may_return_to_the_previous_owner(self) -> None:
+        """A task ran twice, as the previous owner had started it on an endpoint that returned."""
+        self.register()
+        down = in_state(HostState.DOWN)
+        self.assertEqual([], self.ended(down, up("e2"), asked_at=LATE - 0.1))
+
+    def test_an_endpoint_on_a_host_that_is_not_up_counts_by_the_state_of_the_host(self) -> None:
+        moving = a_host_row(HOST1, state=HostState.MOVING, endpoint=E1)
+        self.assertEqual([E1], self.ended(moving, up("e2"), asked_at=SINCE))
+
+    def test_idle_hosts_of_other_pools_say_nothing_of_this_one(self) -> None:
+        """Jobs waited 5 s, as a standby host without an endpoint was taken for a starting one."""
+        standby = a_host_row(HostId("spare"), pool=PoolId("standby"))
+        self.assertEqual([], self.ended(standby, up("e2"), asked_at=LATE))
+        self.assertEqual([E1], self.ended(standby, up("e2"), asked_at=LATE + 1))
 
     def test_an_unregistered_endpoint_is_absent_from_two_listings(self) -> None:
-        self.assertEqual([], self.ended(up("e2"), asked_at=SINCE))
-        self.assertEqual([], self.ended(up("e2"), asked_at=SINCE))
-        self.assertEqual([E1], self.ended(up("e2"), asked_at=SINCE + 1))
+        self.assertEqual([], self.ended(up("e2"), asked_at=LATE))
+        self.assertEqual([], self.ended(up("e2"), asked_at=LATE))
+        self.assertEqual([E1], self.ended(up("e2"), asked_at=LATE + 1))
 
     def test_an_endpoint_that_is_cut_off_has_not_ended(self) -> None:
         """A task ran twice, as an endpoint that was cut off was taken for ended."""
-        for asked_at in (SINCE, SINCE + 1, SINCE + 2):
+        for asked_at in (LATE, LATE + 1, LATE + 2):
             self.assertEqual([], self.ended(up("e1"), up("e2"), asked_at=asked_at))
 
     def test_an_endpoint_between_two_pages_has_not_ended(self) -> None:
         """A task ran twice, as one listing lacked its host, which moved between two pages."""
-        self.assertEqual([], self.ended(up("e2"), asked_at=SINCE))
-        self.assertEqual([], self.ended(up("e1"), up("e2"), asked_at=SINCE + 1))
-        self.assertEqual([], self.ended(up("e2"), asked_at=SINCE + 2))
+        self.assertEqual([], self.ended(up("e2"), asked_at=LATE))
+        self.assertEqual([], self.ended(up("e1"), up("e2"), asked_at=LATE + 1))
+        self.assertEqual([], self.ended(up("e2"), asked_at=LATE + 2))
 
     def test_a_host_whose_endpoint_is_not_listed_yet_may_run_it(self) -> None:
         """A task ran twice, as the list lagged behind an endpoint that had just started."""
         starting = in_state(HostState.UP)
-        for asked_at in (SINCE, SINCE + 1):
+        for asked_at in (LATE, LATE + 1):
             self.assertEqual([], self.ended(starting, up("e2"), asked_at=asked_at))
 
     def test_a_list_without_endpoints_is_no_evidence(self) -> None:
         """A task ran twice, as the list of hosts was empty for a while."""
-        for asked_at in (SINCE, SINCE + 1):
+        for asked_at in (LATE, LATE + 1):
             self.assertEqual([], self.ended(asked_at=asked_at))
 
     def test_a_registered_endpoint_that_is_not_listed_has_not_ended(self) -> None:
         self.register()
-        for asked_at in (SINCE, SINCE + 1):
+        for asked_at in (LATE, LATE + 1):
             self.assertEqual([], self.ended(up("e2"), asked_at=asked_at))
 
     def test_a_listing_from_before_the_take_over_is_no_evidence(self) -> None:
--- a/tests/execution/test_start_zones.py
+++ b/tests/execution/test_start_zones.py
@@ -13,8 +13,9 @@
 from lentilrill.execution import EndKind, _links
 from lentilrill.execution._host_reader import HostListing
 from lentilrill.execution._start_zones import UNKNOWN_ZONE, StartZones, Zones
+from lentilrill.execution._tracking import Run, TrackedJob
 from lentilrill.faults import Fault
-from lentilrill.ids import EndpointId, HostId, JobId, ZoneId
+from lentilrill.ids import EndpointId, HostId, JobId, Revision, ZoneId
 from lentilrill.store import Put
 from lentilrill.workloads import Job
 from tests.builders import a_host_row, a_job, a_step, an_endpoint
@@ -208,7 +209,6 @@
         return jobs[0], jobs[1]
 
     def record_is_narrow(self, job: Job) -> bool:
-        self.first._writer.schedule(urgent=True)
         item = self.pool.kv.get(f"p/notices/{job.id}").unwrap()
         return item is not None and b'"zones":["west"]' in (item.value or b"")
 
@@ -242,6 +242,20 @@
         self.pool.finish_all()
         self.assertTrue(eventually(lambda: len(self.pool.endpoints["e2"].starts) == 2))
 
+    def test_a_gang_waits_for_the_record_as_a_whole(self) -> None:
+        """A member of a gang started alone again and again while the other waited for a record."""
+        owner = self.pool.new_owner()
+        tracked_job = TrackedJob(a_job("a", a_step(2, gang=True)), Revision(1), 0.0)
+        tracked_job.open_occurrences(0)
+        tracked_job.start_zones.restore([WEST])
+        links = {entry.id: owner._connect(entry) for entry in (self.east, self.west)}
+        step = tracked_job.steps_by_occurrence[0][0]
+        runs = [Run(t, 7, e, a_step().needs) for t, e in zip(step.tasks, links, strict=True)]
+        placed = [(run.endpoint, run) for run in runs]
+        self.assertEqual([], owner._starts.orders_of(placed, links))
+        tracked_job.stored_version = tracked_job.version
+        self.assertEqual(2, len(owner._starts.orders_of([], links)))
+
     def test_a_start_in_another_zone_waits_for_the_record(self) -> None:
         """A task ran twice, as its owner was lost before its start in a second zone was stored."""
         _, in_west = self.start_in_both_zones()
