Suspects: not beside what other jobs have just begun

Cause: nothing new was placed beside a suspect, but a suspect was placed where another job's tasks had just begun. If one of these crashed the endpoint, the suspect got its next count, and with the third one was given up for others.

Change: execution/_apart.py keeps a suspect from endpoints with runs of other jobs that may be the cause of a crash that comes now (unsent, or begun within FRESH_S before the endpoint's last answer, as the crash book judges). One endpoint for each job is kept for it meanwhile, never the last one that is open to others, as that would stop all other work for one task; after two seconds it is placed beside fresh tasks too. Gangs wait as long, but nothing is kept for them, as they need several endpoints at once. Tasks placed earlier in the same round count, and nothing is placed beside a gang with a suspect in its round. The idle report tells both reasons.

Why it works: a task that has worked for a second can't be the cause, so an endpoint where nothing new begins is safe after that time. Ruled out: the time since the start alone, as an endpoint that has just crashed would look safe; a wait without a kept endpoint, as it lasts for the whole bound in a busy pool.

--- a/src/lentilrill/execution/_idle.py
+++ b/src/lentilrill/execution/_idle.py
@@ -162,8 +162,12 @@
         reason = "as many of its step as may be run where it fits"
     elif not usable:
         reason = "failed where it fits"
+    elif is_kept_apart:
+        reason = "kept apart from suspects"
+    elif own_job and all(capacity.fresh_jobs - {own_job} for capacity in usable):
+        reason = "kept apart from tasks that have just begun"
     else:
-        reason = "kept apart from suspects" if is_kept_apart else "passed over"
+        reason = "passed over"
     link_counts = Counter(_state_of(link, view.now) for link in view.links.values())
     return {
         "reason": reason,
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 from itertools import islice
 
+from lentilrill.execution._apart import SuspectsApart, fresh_jobs
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
 from lentilrill.execution._fair_shares import RoundOrder
@@ -21,7 +22,7 @@
 )
 from lentilrill.execution._wait_times import WaitCause
 from lentilrill.ids import EndpointId, JobId, ZoneId
-from lentilrill.scheduling import EndpointCapacity, JobTiming, Speed, next_pace, place
+from lentilrill.scheduling import EndpointCapacity, JobTiming, Speed, next_pace
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import JobState, Queue, Resources, TaskId
 
@@ -65,6 +66,7 @@
         self._durations = durations
         self._tickets = tickets
         self._speeds = speeds
+        self._apart = SuspectsApart()
         self._first_number = token * 1000
         self.feasible = True
         self.copied_steps: list[TrackedStep] = []
@@ -101,6 +103,7 @@
         """
         placed: list[tuple[EndpointId, Run]] = []
         self.to_record = []
+        self._apart.begin_round(capacity_by_endpoint, now)
         order = RoundOrder(
             jobs,
             lambda pair: self.job_timing(pair[0], pair[1], now),
@@ -205,21 +208,15 @@
         if not waiting or step.tracked_job.lacks_record(now):
             return []
         if step.spec.gang:
-            return self._place_gang(step, waiting, capacity_by_endpoint, budgets)
+            permitted = self._apart.open_to_gang(waiting, capacity_by_endpoint, now)
+            return self._place_gang(step, waiting, permitted, budgets)
         counts = step.run_counts() if step.spec.most_per_endpoint else {}
         placed = []
         job = step.tracked_job.job
         for index, task in enumerate(waiting):
             excluded = task.excluded(now)
-            capacity = place(
-                step.spec,
-                capacity_by_endpoint.values(),
-                lambda e: counts.get(e, 0),
-                excluded,
-                task.failed_at,
-                job.id if task.is_suspect else None,
-            )
-            if capacity is None and excluded:
+            capacity = self._apart.place(task, capacity_by_endpoint.values(), counts, excluded, now)
+            if capacity is None and (excluded or task.is_suspect):
                 # The others of its step may still fit where this one is kept away from.
                 continue
             if capacity is None:
@@ -228,8 +225,7 @@
                 break
             capacity.reserve(step.spec.reserved, serves=step.spec.lasting or step.spec.filler)
             budgets.on_reserved(step.tracked_job, step.spec.reserved)
-            if task.is_suspect:
-                capacity.suspect_job = job.id
+            self._apart.on_placed(task, capacity)
             counts[capacity.id] = counts.get(capacity.id, 0) + 1
             if not step.tracked_job.is_recorded:
                 self.to_record.append(step.tracked_job)
@@ -261,6 +257,7 @@
         placed = []
         for task, capacity in zip(waiting, chosen, strict=True):
             capacity.reserve(step.spec.reserved, serves=False)
+            self._apart.on_placed(task, capacity)
             placed.append((capacity.id, self.new_run(task, capacity.id, number)))
         return placed
 
@@ -406,6 +403,7 @@
         len(link.runs_by_key),
         suspect_job,
         1 - link.capacity_share,
+        fresh_jobs(link),
     )
 
 
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -45,7 +45,7 @@
 from lentilrill.scheduling._fair_order import FairOrder, FairShares, ShareClass, class_of
 from lentilrill.scheduling._order import JobTiming, sort_key
 from lentilrill.scheduling._pacing import next_pace
-from lentilrill.scheduling._placement import EndpointCapacity, place, total_free
+from lentilrill.scheduling._placement import EndpointCapacity, can_keep, place, total_free
 from lentilrill.scheduling._rates import DECAY_S, DecayingCounts, PoolRates, RateBook, max_count
 from lentilrill.scheduling._relocation import (
     MIN_SLOWDOWN,
@@ -113,6 +113,7 @@
     "Verdict",
     "WorkspaceBacklog",
     "can_accept",
+    "can_keep",
     "class_of",
     "copy_key",
     "fair_shares",
--- a/src/lentilrill/scheduling/_placement.py
+++ b/src/lentilrill/scheduling/_placement.py
@@ -5,7 +5,7 @@
 from lentilrill.ids import EndpointId, JobId, RackId
 from lentilrill.workloads import Resources, Step
 
-__all__ = ["EndpointCapacity", "place", "total_free"]
+__all__ = ["EndpointCapacity", "can_keep", "place", "total_free"]
 
 NEVER_FAILED: Mapping[EndpointId, float] = {}
 
@@ -19,13 +19,16 @@
     :ivar new_runs: number of tasks on it that end by themselves and began a short time ago.
     :ivar probing: whether its recent failures limit it to one such task at a time.
     :ivar runs: number of all tasks on it.
-    :ivar suspect_job: job on it whose tasks are suspected to crash their endpoint.
+    :ivar suspect_job: job on it whose tasks are suspected to crash their endpoint, or for which it
+        is kept.
+    :ivar fresh_jobs: jobs on it with tasks that have just begun, and may crash it.
     :ivar serving: number of long-running tasks on it, which other tasks slow down.
     :ivar slowness: share of its capacity that is lost as it works slowly.
     """
 
     __slots__ = (
         "free",
+        "fresh_jobs",
         "id",
         "labels",
         "new_runs",
@@ -49,6 +52,7 @@
         runs: int = 0,
         suspect_job: JobId | None = None,
         slowness: float = 0.0,
+        fresh_jobs: frozenset[JobId] = frozenset(),
     ) -> None:
         self.id = id
         self.rack = rack
@@ -60,6 +64,7 @@
         self.runs = runs
         self.suspect_job = suspect_job
         self.slowness = slowness
+        self.fresh_jobs = fresh_jobs
 
     def reserve(self, needs: Resources, *, serves: bool) -> None:
         """Reserve capacity for a task placed on this endpoint."""
@@ -76,6 +81,8 @@
     excluded: Collection[EndpointId] = (),
     failed_at: Mapping[EndpointId, float] = NEVER_FAILED,
     suspect_job: JobId | None = None,
+    *,
+    avoids_fresh: bool = False,
 ) -> EndpointCapacity | None:
     """Return the endpoint for one more task of ``step``, or ``None`` if no endpoint fits.
 
@@ -99,6 +106,8 @@
         where it failed longest ago.
     :param suspect_job: the task's job if the task is suspected to crash its endpoint. Until that
         is known, it gets an endpoint with few tasks, and tasks of other jobs are kept from there.
+    :param avoids_fresh: whether it is kept from endpoints where tasks of other jobs have just
+        begun. If one of them crashes its endpoint, the suspect would be blamed once more.
     """
     needs = step.reserved
     endpoints = list(endpoints)
@@ -117,6 +126,8 @@
             continue
         if endpoint.suspect_job not in (None, suspect_job):
             continue
+        if avoids_fresh and endpoint.fresh_jobs - {suspect_job}:
+            continue
         if has_others and excluded and (endpoint.id in excluded or endpoint.probing):
             continue
         if step.most_per_endpoint and on_endpoint(endpoint.id) >= step.most_per_endpoint:
@@ -137,6 +148,18 @@
     return best
 
 
+def can_keep(kept: EndpointCapacity, job: JobId, endpoints: Iterable[EndpointCapacity]) -> bool:
+    """Return whether an endpoint may be kept for a job's suspect until the tasks on it are older.
+
+    In a pool of many short tasks, new ones begin everywhere all the time, so that a suspect would
+    find no endpoint without them. Keeping the last endpoint that is open to others would stop all
+    other work for the sake of one task, so that one is not kept.
+    """
+    if kept.suspect_job not in (None, job):
+        return False
+    return any(other.suspect_job is None and other.id != kept.id for other in endpoints)
+
+
 def total_free(endpoints: Iterable[EndpointCapacity]) -> Resources:
     """Return the total free capacity of endpoints."""
     total = Resources()
--- a/tests/execution/test_idle.py
+++ b/tests/execution/test_idle.py
@@ -145,6 +145,17 @@
             link.runs_by_key[run.key] = run
         self.assertEqual("kept apart from suspects", self.reason())
 
+    def test_a_suspect_kept_apart_from_tasks_that_have_just_begun(self) -> None:
+        """A suspect that waited for the tasks beside it was logged as passed over."""
+        self.task.crashed_processes.add("e7@1")
+        for name, link in self.links.items():
+            other = TrackedJob(a_job(f"s-{name}", a_step(1)), Revision(1), 0.0)
+            other.open_occurrences(0)
+            run = self.a_run(other.tasks()[0], RunPhase.IN_PROGRESS)
+            run.sent_at = self.began + IDLE_AFTER_S
+            link.runs_by_key[run.key] = run
+        self.assertEqual("kept apart from tasks that have just begun", self.reason())
+
     def test_held_while_its_crashes_are_open(self) -> None:
         """A task that was held for a bounded time was logged as passed over."""
         self.task.held_until = self.began + IDLE_AFTER_S + 2.0
--- a/tests/scheduling/test_decisions.py
+++ b/tests/scheduling/test_decisions.py
@@ -2,11 +2,12 @@
 
 from testtools import TestCase
 
-from lentilrill.ids import EndpointId, RackId
+from lentilrill.ids import EndpointId, JobId, RackId
 from lentilrill.scheduling import (
     EndpointCapacity,
     Pressure,
     can_accept,
+    can_keep,
     next_pace,
     place,
     retry_after_s,
@@ -55,6 +56,15 @@
         placed_on = place(a_step(1), endpoints, lambda e: 0, failed_at={EndpointId("a"): 1.0})
         self.assertEqual("b", placed_on.id)
 
+    def test_no_endpoint_with_a_suspect_is_kept_for_another_one(self) -> None:
+        """A suspect's endpoint was kept for a second one, which was placed beside it."""
+        other = JobId("o")
+        endpoints = [a_capacity("a", suspect_job=other), a_capacity("b"), a_capacity("c")]
+        self.assertEqual(
+            [False, True, True], [can_keep(kept, JobId("s"), endpoints) for kept in endpoints]
+        )
+        self.assertFalse(can_keep(endpoints[1], JobId("s"), endpoints[:2]))
+
     def test_label(self) -> None:
         self.assertIsNone(self.placed([a_capacity("a")], label="gpu"))
 
