Names and docstrings that stopped a newcomer

Left: one type for the work of a workspace instead of three alike, one function for the critical path instead of four, typed values for some tuples, `fresh` used for two things, `SuspectsApart`.

--- a/bench/_share_replay.py
+++ b/bench/_share_replay.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from lentilrill.ids import WorkspaceId
-from lentilrill.scheduling import FairOrder, FairShares, JobTiming, class_of
+from lentilrill.scheduling import DominantShares, FairOrder, JobTiming, class_of
 from lentilrill.scheduling._fair_order import ShareClass
 from lentilrill.workloads import Resources
 
@@ -129,7 +129,7 @@
         used: dict[WorkspaceId, Resources] = {}
         for _, job in running:
             used[job.workspace] = used.get(job.workspace, Resources()).plus(TASK)
-        shares = FairShares(used, weights, TASK.times(SLOTS))
+        shares = DominantShares(used, weights, TASK.times(SLOTS))
         order = FairOrder(
             waiting,
             lambda j: j.workspace if fair else WorkspaceId(""),
--- a/src/lentilrill/execution/_allowances.py
+++ b/src/lentilrill/execution/_allowances.py
@@ -17,7 +17,7 @@
 from lentilrill.scheduling import (
     Allowances,
     Budget,
-    FairShares,
+    DominantShares,
     KnownAllowances,
     PoolAllowance,
     Usage,
@@ -105,7 +105,7 @@
         self._swept_at = 0.0
         self._usage_by_workspace: dict[WorkspaceId, Usage] = {}
         self._used_at = time.monotonic()
-        self._shares: FairShares | None = None
+        self._shares: DominantShares | None = None
         self._work: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
         self._closed = threading.Event()
         self._follower = Follower(
--- a/src/lentilrill/execution/_apart.py
+++ b/src/lentilrill/execution/_apart.py
@@ -71,7 +71,7 @@
         fitting = choose(avoids_fresh=False)
         if fitting is None:
             return None
-        if not self._has_to_wait(task, now):
+        if not self._start_wait(task, now):
             return fitting
         if self._keep(fitting.id, job):
             self._kept_by_job[job] = fitting.id
@@ -88,7 +88,7 @@
         None is kept for it: one wouldn't be enough, and several would stop too much other work.
         """
         suspects = [task for task in members if task.is_suspect]
-        if not suspects or not self._has_to_wait(suspects[0], now):
+        if not suspects or not self._start_wait(suspects[0], now):
             return capacity_by_endpoint
         own = {suspects[0].id.job}
         return {id: c for id, c in capacity_by_endpoint.items() if not c.fresh_jobs - own}
@@ -99,8 +99,8 @@
         if task.is_suspect:
             capacity.suspect_job = task.id.job
 
-    def _has_to_wait(self, task: TrackedTask, now: float) -> bool:
-        """Whether a suspect has waited for less than its bound since the first call for it."""
+    def _start_wait(self, task: TrackedTask, now: float) -> bool:
+        """Begin the wait of a suspect, unless it has begun; return whether it goes on."""
         _, since = self._waiting.setdefault(task.id, (task, now))
         return now - since < MAX_APART_S
 
--- a/src/lentilrill/execution/_budgets.py
+++ b/src/lentilrill/execution/_budgets.py
@@ -7,7 +7,7 @@
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import TrackedJob
 from lentilrill.ids import JobId, WorkspaceId
-from lentilrill.scheduling import Budget, FairShares, Usage
+from lentilrill.scheduling import Budget, DominantShares, Usage
 from lentilrill.workloads import Job, JobState, Resources, TaskId
 
 __all__ = ["RoundBudgets", "limited_to_free", "usage_by_workspace"]
@@ -27,7 +27,7 @@
     def __init__(
         self,
         budget_of: Callable[[WorkspaceId], Budget | None] | None,
-        shares: FairShares | None = None,
+        shares: DominantShares | None = None,
     ) -> None:
         self._budget_of = budget_of
         self.shares = shares
@@ -63,8 +63,8 @@
         if self.shares is None:
             return
         workspace = tracked_job.job.workspace
-        if tracked_job.started_at_share is None and tracked_job.state is JobState.QUEUED:
-            tracked_job.started_at_share = self.shares.rank(workspace).share
+        if tracked_job.weighted_share_at_start is None and tracked_job.state is JobState.QUEUED:
+            tracked_job.weighted_share_at_start = self.shares.rank(workspace).share
         self.shares.add(workspace, reserved)
 
 
--- a/src/lentilrill/execution/_copies.py
+++ b/src/lentilrill/execution/_copies.py
@@ -33,6 +33,8 @@
 
 __all__ = ["CopyBook", "TimesLeft"]
 
+MIN_COPY_RATIO = 2.0
+"""Time left, relative to a fresh run, below which no copy pays: it costs a fresh run."""
 MAX_COPIES_OF_A_TASK = 2
 """Copies of a task that an owner starts, one after the other: a copy may be lost as well."""
 
@@ -116,7 +118,7 @@
     def _record_result(self, copy: _Copy, now: float) -> None:
         run, task = copy.run, copy.run.task
         job = task.step.tracked_job.job
-        has_won = run.is_done
+        has_won = run.finished_task
         if task.done:
             self._results.record(job.queue, has_won=has_won)
         # If the original run has failed, its copy goes on as the task's only run.
@@ -216,7 +218,7 @@
             fresh_s_by_step[step.id] = expected_ms / 1000
         fresh_s = fresh_s_by_step[step.id]
         left_s = self._left_s(run, links[run.endpoint], fresh_s, now)
-        if left_s is None or left_s < 2 * fresh_s:
+        if left_s is None or left_s < MIN_COPY_RATIO * fresh_s:
             return
         times = StragglingRun(
             left_s, fresh_s, self._later_s(step), self._deadline_s(step, queue, now)
@@ -226,7 +228,10 @@
             yield _Straggler(run, times, now - run.reported_at, win_share)
 
     def _left_s(self, run: Run, link: EndpointLink, fresh_s: float, now: float) -> float | None:
-        """Return the expected time until a run ends; ``None`` if its last report is too old."""
+        """Return the expected time until a run ends.
+
+        :return: ``None`` if it isn't known, or the run doesn't straggle.
+        """
         if not link.reachable:
             # It may be lost; without a copy the task starts again once its lease has ended.
             return max(0.0, link.lease_end - now) + fresh_s if link.lease_end else None
@@ -312,8 +317,11 @@
 
 
 def _lags(percent: int, elapsed_s: float, fresh_s: float) -> bool:
-    """Whether a run needs more than twice the time of a fresh one, if it goes on as it began."""
-    return elapsed_s * (100 - percent) > 2 * fresh_s * percent > 0
+    """Whether a run needs much longer than a fresh one, if it goes on as it began.
+
+    A run that shows no progress doesn't lag.
+    """
+    return percent > 0 and elapsed_s * (100 - percent) > MIN_COPY_RATIO * fresh_s * percent
 
 
 def _budget(links: Iterable[EndpointLink]) -> CopyBudget:
--- a/src/lentilrill/execution/_crashes.py
+++ b/src/lentilrill/execution/_crashes.py
@@ -154,8 +154,9 @@
         self._settle(link.entry.id, _attempt_on(link), tasks, proof)
 
     def on_answer(self, link: EndpointLink) -> None:
-        """Note that an endpoint answers: if it is the same process, it has not crashed; a process
-        before it has.
+        """Note that an endpoint answers.
+
+        The process that answers has not crashed, and an older one on its address has ended.
 
         What was noted because of its silence is forgotten, also in the record: a crash that comes
         later is judged by the answers until then, as it would be without the silence.
--- a/src/lentilrill/execution/_demand.py
+++ b/src/lentilrill/execution/_demand.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._need import LEAD_S, Durations, WorkForecast
+from lentilrill.execution._need import Durations, WorkForecast
 from lentilrill.execution._tracking import Run, TrackedJob, TrackedStep
-from lentilrill.scheduling import Demand, HostShares, JobTiming, hosts_for, required_hosts
+from lentilrill.scheduling import LEAD_S, Demand, HostShares, JobTiming, hosts_for, required_hosts
 from lentilrill.workloads import Resources
 
 __all__ = ["PoolDemand", "demand_of"]
--- a/src/lentilrill/execution/_endpoint_speeds.py
+++ b/src/lentilrill/execution/_endpoint_speeds.py
@@ -7,7 +7,7 @@
 
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._need import Durations
-from lentilrill.execution._tracking import Run, RunPhase
+from lentilrill.execution._tracking import FULL_PACE_PERCENT, Run, RunPhase
 from lentilrill.ids import EndpointId, PoolId
 from lentilrill.scheduling import EndpointKind, EndpointSpeeds, Speed, SpeedChange
 from lentilrill.telemetry import Event, Metrics, NoMetrics, log
@@ -15,7 +15,6 @@
 
 __all__ = ["SpeedMonitor"]
 
-FULL_PACE_PERCENT = 100
 REVIEW_INTERVAL_S = 0.5
 MIN_POINTS = 5
 """Percent points of progress from which a rate is taken; reports are in whole percents."""
--- a/src/lentilrill/execution/_fair_shares.py
+++ b/src/lentilrill/execution/_fair_shares.py
@@ -5,7 +5,7 @@
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import TrackedJob
 from lentilrill.ids import JobId, WorkspaceId
-from lentilrill.scheduling import FairOrder, FairShares, JobTiming, class_of, sort_key
+from lentilrill.scheduling import DominantShares, FairOrder, JobTiming, class_of, sort_key
 from lentilrill.workloads import Configuration, Queue, Resources, TaskId
 
 __all__ = ["RoundOrder", "shares_of"]
@@ -18,7 +18,7 @@
     configuration: Configuration | None,
     links: Iterable[EndpointLink],
     jobs_by_id: dict[JobId, TrackedJob],
-) -> FairShares | None:
+) -> DominantShares | None:
     """Return what workspaces use of a pool; ``None`` if the deployment has no workspaces.
 
     Runs that are being stopped count, and so do runs that this owner did not place. Endpoints that
@@ -39,7 +39,7 @@
                 workspace = tracked_job.job.workspace
                 used[workspace] = used.get(workspace, NOTHING).plus(_reserved(tracked_job, task))
     weights = {id: entry.weight for id, entry in configuration.workspaces.by_id.items()}
-    return FairShares(used, weights, total)
+    return DominantShares(used, weights, total)
 
 
 def _reserved(tracked_job: TrackedJob, task: TaskId) -> Resources:
@@ -60,7 +60,7 @@
         self,
         jobs: list[JobOfQueue],
         timing_of: Callable[[JobOfQueue], JobTiming],
-        shares: FairShares | None,
+        shares: DominantShares | None,
         *,
         feasible: bool,
     ) -> None:
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -341,6 +341,6 @@
     if not job.workspace:
         return {}
     fields: dict[str, object] = {"workspace": job.workspace, "beyond_rate": job.beyond_rate}
-    if tracked_job.started_at_share is not None:
-        fields["started_at_share"] = round(tracked_job.started_at_share, 5)
+    if tracked_job.weighted_share_at_start is not None:
+        fields["weighted_share_at_start"] = round(tracked_job.weighted_share_at_start, 5)
     return fields
--- a/src/lentilrill/execution/_need.py
+++ b/src/lentilrill/execution/_need.py
@@ -7,7 +7,7 @@
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedStep
 from lentilrill.ids import EndpointId, JobId, QueueId
-from lentilrill.scheduling import DurationModel, TaskTimes
+from lentilrill.scheduling import LEAD_S, DurationModel, TaskTimes
 from lentilrill.workloads import Job, Step
 
 __all__ = ["Durations", "OfferedLoad", "WorkEstimate", "WorkForecast", "idle_endpoints"]
@@ -16,9 +16,6 @@
 """Window in which arriving work is counted; a queue in a surge gets several jobs in it."""
 SURGE_GROWTH = 2.0
 """Factor by which a rising arrival rate grows until hosts that are moved now can serve."""
-LEAD_S = 2.4
-"""Time from a pool's request for a host until the host serves: status messages and the host list
-0.6 s, its move 1.5 s, and the first poll."""
 IDLE_AFTER_S = 0.8
 """Time without a run after which an endpoint counts as idle; the next step of a job starts within
 this time."""
@@ -29,8 +26,9 @@
 STRAGGLING_FACTOR = 1.5
 """Time left, relative to the whole expected duration, from which on a run counts as a straggler:
 more than the usual spread of durations."""
-MIN_STRAGGLING_AGE = 0.25
-"""Age, relative to the expected duration, below which a run's progress says too little."""
+MIN_STRAGGLING_ELAPSED = 0.25
+"""Time since a run's start, relative to the expected duration, below which its progress says too
+little."""
 
 
 class WorkEstimate(msgspec.Struct, frozen=True):
@@ -251,7 +249,7 @@
 
 def _is_past(runs: list[Run], expected_ms: float) -> bool:
     """Whether all runs of a task have begun long enough ago to be told from the usual ones."""
-    least_s = MIN_STRAGGLING_AGE * expected_ms / 1000
+    least_s = MIN_STRAGGLING_ELAPSED * expected_ms / 1000
     return all(
         run.phase is RunPhase.IN_PROGRESS
         and run.started_at is not None
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -13,6 +13,7 @@
 from lentilrill.execution._reconcile import count_failure, is_unhealthy
 from lentilrill.execution._tickets import TicketCache, TicketRequest
 from lentilrill.execution._tracking import (
+    FULL_PACE_PERCENT,
     MAX_REPORT_AGE_S,
     Run,
     RunPhase,
@@ -30,7 +31,6 @@
 
 MAX_ANSWER_AGE_S = 3.5
 """Time since its last answer for which an endpoint still gets new tasks; a poll waits up to 2 s."""
-FULL_PACE_PERCENT = 100
 STUCK_AFTER_S = 1.6
 """Time without progress after which a run counts as stuck: twice the wait of a poll, in which even
 a task of ten times the usual length progresses by one percent."""
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -28,7 +28,7 @@
 from lentilrill.execution._pressure import backlog_of, pressure_of
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import expire_releases, release
-from lentilrill.execution._relocation import TaskMoves
+from lentilrill.execution._relocation import Relocations
 from lentilrill.execution._responses import ResponseHandler
 from lentilrill.execution._senders import Senders
 from lentilrill.execution._stored_starts import StoredStarts
@@ -159,7 +159,7 @@
         self._tickets = TicketCache(policy, self._lock_and_wake)
         self._planner = Planner(token, self._durations, self._tickets, self._speeds)
         self._copies = CopyBook(pool, self._planner, self._durations, self._attempts, metrics)
-        self._task_moves = TaskMoves(pool, self._durations, metrics)
+        self._relocations = Relocations(pool, self._durations, metrics)
         self._allowances = AllowanceBook(
             kv,
             pool,
@@ -482,7 +482,7 @@
             if not blocked_zones:
                 left = (self._links.by_id, capacity_by_endpoint, unknown_tasks, budgets, now)
                 placed += self._copies.place(jobs, *left)
-                orders += self._stop_orders(self._task_moves.plan(jobs, *left))
+                orders += self._stop_orders(self._relocations.plan(jobs, *left))
             self._allowances.end_round(budgets, free, now)
             records = [tracked_job.request_record() for tracked_job in self._planner.to_record]
             orders += self._starts.orders_of(placed, self._links.by_id)
--- a/src/lentilrill/execution/_previous_endpoints.py
+++ b/src/lentilrill/execution/_previous_endpoints.py
@@ -12,8 +12,8 @@
 POLL_TIME_S = 0.2
 """Time after a take-over in which endpoints that are within reach answer their first poll."""
 PREVIOUS_LEASE_S = 1.6
-"""Time after a take-over in which a previous owner may still give orders: as long as it takes the
-store to be out everywhere. It might start tasks on an endpoint that returns from a crash."""
+"""Lease of an owner. While the store is out everywhere an owner goes on without renewing it, so for
+this time after a take-over it might start tasks on an endpoint that returns."""
 
 
 class PreviousEndpoints:
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -8,7 +8,7 @@
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
-from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedTask
+from lentilrill.execution._tracking import FULL_PACE_PERCENT, Run, RunPhase, TrackedJob, TrackedTask
 from lentilrill.ids import JobId
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import FailureCause, JobState
@@ -20,7 +20,6 @@
 UNKNOWN_RUN_GRACE_S = 3.0
 """Time after which an unknown run is stopped: several intervals of the watch on accepted jobs,
 which are also sent to the owner directly."""
-FULL_PACE_PERCENT = 100
 STOP_RETRY_S = 2.0
 """Time after which a run that its endpoint still lists is ordered to stop again."""
 UNHEALTHY_AFTER_FAILURES = 2
@@ -207,7 +206,7 @@
             link.failures = 0
             link.probe_at = 0.0
             if run is not None:
-                run.is_done = not task.done
+                run.finished_task = not task.done
                 self._record_duration(link, run, sent)
             self._record_done(tracked_job, task, gang=task.step.spec.gang)
         elif end.kind is EndKind.FAILED:
@@ -230,7 +229,7 @@
         if run.started_at is None or run.pace != FULL_PACE_PERCENT:
             return
         self._speeds.on_end(link, run, sent)
-        if run.is_done:
+        if run.finished_task:
             ms = max(0.0, link.reported_at - run.started_at) * 1000
             self._durations.record(run.task.step, ms)
 
--- a/src/lentilrill/execution/_relocation.py
+++ b/src/lentilrill/execution/_relocation.py
@@ -18,16 +18,16 @@
 from lentilrill.ids import EndpointId, PoolId
 from lentilrill.scheduling import (
     MIN_SLOWDOWN,
-    MoveCost,
     RelocatableRun,
-    is_worth_moving,
-    may_move_again,
+    RelocationCost,
+    is_worth_relocating,
+    may_relocate_again,
     place,
 )
 from lentilrill.telemetry import Event, Metrics, log
 from lentilrill.workloads import Queue, Step, TaskId
 
-__all__ = ["TaskMoves"]
+__all__ = ["Relocations"]
 
 MAX_MOVES_AT_ONCE = 2
 """Tasks of a pool that are being moved at once: moved tasks are out of work meanwhile."""
@@ -35,7 +35,7 @@
 """Time after which a moved task isn't waited for any more."""
 
 
-class _Move(msgspec.Struct, frozen=True):
+class _Relocation(msgspec.Struct, frozen=True):
     """A move whose task doesn't work elsewhere yet.
 
     :param percent: progress at the stop.
@@ -47,7 +47,7 @@
     stopped_at: float
 
 
-class TaskMoves:
+class Relocations:
     """Moves of the tasks of one pool. All methods are called under the lock of the pool's owner.
 
     A move is an ordinary stop, after which the task waits and is placed like any other, but not on
@@ -67,8 +67,8 @@
         self._times = times
         self._slowdown = slowdown
         self._metrics = metrics
-        self._cost = MoveCost()
-        self._open: list[_Move] = []
+        self._cost = RelocationCost()
+        self._open: list[_Relocation] = []
         self._moves_by_task: dict[TaskId, tuple[int, float]] = {}
         self._checkpoint_by_run: dict[tuple[TaskId, int], tuple[str, float]] = {}
 
@@ -110,7 +110,7 @@
         self._moves_by_task = {id: m for id, m in self._moves_by_task.items() if id.job in live}
         return stopped
 
-    def _is_open(self, move: _Move, now: float) -> bool:
+    def _is_open(self, move: _Relocation, now: float) -> bool:
         """Whether a task doesn't work elsewhere yet; its move is recorded once it does."""
         task = move.task
         if task.done or task.step.tracked_job.state.is_final:
@@ -158,7 +158,7 @@
             return None
         if age_s > MAX_REPORT_AGE_S or task.is_suspect or task.attempts:
             return None
-        if not may_move_again(moves, now - moved_at):
+        if not may_relocate_again(moves, now - moved_at):
             return None
         step = task.step
         elapsed_ms = max(0.0, run.reported_at - run.began_at) * 1000
@@ -172,13 +172,13 @@
             now - since,
             self._cost.seconds,
         )
-        return relocatable if is_worth_moving(relocatable) else None
+        return relocatable if is_worth_relocating(relocatable) else None
 
     def _start(self, run: Run, relocatable: RelocatableRun, now: float) -> None:
         task = run.task
         moves, _ = self._moves_by_task.get(task.id, (0, 0.0))
         self._moves_by_task[task.id] = (moves + 1, now)
-        self._open.append(_Move(task, run, run.percent, now))
+        self._open.append(_Relocation(task, run, run.percent, now))
         task.record_failure_on(run.endpoint)
         self._metrics.incr(f"relocations.started.{self._pool}")
         log(
--- a/src/lentilrill/execution/_stored_starts.py
+++ b/src/lentilrill/execution/_stored_starts.py
@@ -35,7 +35,7 @@
             link.runs_by_key[run.key] = run
             run.zone = link.entry.zone
             runs.append((link, run))
-            if self._must_be_stored(link, run):
+            if self._prepare_start(link, run):
                 unstored.add(_start_of(run))
         orders = []
         for link, run in runs:
@@ -45,8 +45,11 @@
                 orders.append((link, Order.for_run(OrderKind.START, run)))
         return orders + self._stored()
 
-    def _must_be_stored(self, link: EndpointLink, run: Run) -> bool:
-        """Whether the record of a run's job has to be written before its start is sent."""
+    def _prepare_start(self, link: EndpointLink, run: Run) -> bool:
+        """Note what a later owner has to know of a start.
+
+        :return: whether the record of its job has to be written before it is sent.
+        """
         tracked_job = run.task.step.tracked_job
         if run.task.is_stored_first:
             self._crashes.record_attempt(link, run.task)
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -23,8 +23,9 @@
     TaskId,
 )
 
-__all__ = ["Run", "RunPhase", "TrackedJob", "TrackedStep", "TrackedTask"]
+__all__ = ["FULL_PACE_PERCENT", "Run", "RunPhase", "TrackedJob", "TrackedStep", "TrackedTask"]
 
+FULL_PACE_PERCENT = 100
 MAX_REPORT_AGE_S = 1.6
 """Age of an endpoint's report of a run up to which the run counts as at work: twice the wait of a
 poll."""
@@ -66,7 +67,7 @@
     :ivar zone: availability zone of the endpoint.
     :ivar is_unconfirmed: a start order got no answer, so it may have been executed or may still be.
     :ivar is_noted_late: its start was noted only once its endpoint fell silent.
-    :ivar is_done: whether it ended as done.
+    :ivar finished_task: whether this run finished its task; false for a later one.
     :ivar confirmed_at: when the start order was confirmed as executed, or a stop order as
         preventing the run. A poll sent later that does not list the run proves that it has ended.
     """
@@ -75,7 +76,7 @@
         "confirmed_at",
         "endpoint",
         "expires_ms",
-        "is_done",
+        "finished_task",
         "is_noted_late",
         "is_unconfirmed",
         "load",
@@ -110,8 +111,8 @@
         self.started_at: float | None = None
         self.percent = 0
         self.load = 0.0
-        self.pace = 100
-        self.is_unconfirmed = self.is_noted_late = self.is_done = False
+        self.pace = FULL_PACE_PERCENT
+        self.is_unconfirmed = self.is_noted_late = self.finished_task = False
         self.expires_ms = 0
         self.sent_at = 0.0
         self.stop_ordered_at = 0.0
@@ -324,8 +325,8 @@
     :ivar start_zones: availability zones in which its tasks may have been started.
     :ivar final_stored: whether its final state is in the store and may be shown to callers.
     :ivar wait_times: time spent in each wait cause.
-    :ivar started_at_share: share of the pool for its weight that its workspace used when the first
-        task got room in an order by shares; ``None`` if that was in another order.
+    :ivar weighted_share_at_start: share of the pool for its weight that its workspace used when
+        the first task got room in an order by shares; ``None`` if that was in another order.
     """
 
     __slots__ = (
@@ -345,13 +346,13 @@
         "record_requested_at",
         "revision",
         "start_zones",
-        "started_at_share",
         "state",
         "steps_by_occurrence",
         "stored_revision",
         "stored_version",
         "version",
         "wait_times",
+        "weighted_share_at_start",
     )
 
     def __init__(self, job: Job, revision: Revision, arrived_at: float) -> None:
@@ -377,7 +378,7 @@
         self.next_occurrence = 0
         self.long_running = any(step.lasting for step in job.steps)
         self.wait_times = WaitTimes(arrived_at)
-        self.started_at_share: float | None = None
+        self.weighted_share_at_start: float | None = None
 
     def open_occurrences(self, now_ms: int) -> None:
         """Create the steps of occurrences that have come due."""
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -23,7 +23,7 @@
 )
 from lentilrill.intake._group import MAX_WAIT_S, CommitResult, GroupCommit
 from lentilrill.intake._unconfirmed import UnconfirmedJobs
-from lentilrill.intake._workspace_admission import Decision, WorkspaceAdmission
+from lentilrill.intake._workspace_admission import JobAdmission, WorkspaceAdmission
 from lentilrill.ownership import OwnerRecord
 from lentilrill.scheduling import Pressure, can_accept, outage_retry_s, retry_after_s
 from lentilrill.store import DECODE_ERRORS, KeyValue, Priority
@@ -116,7 +116,7 @@
             self._workspaces.on_answered(job.id)
 
     def _submit(
-        self, job: Job, wait_s: float | None, decision: Decision | None
+        self, job: Job, wait_s: float | None, decision: JobAdmission | None
     ) -> tuple[JobAnswer, float]:
         started_at = time.monotonic()
         overload = self._overload_of(job, decision)
@@ -154,7 +154,7 @@
             self._report_unconfirmed(job.id)
         return answer, 0.0
 
-    def _overload_of(self, job: Job, decision: Decision | None) -> "_Overload | None":
+    def _overload_of(self, job: Job, decision: JobAdmission | None) -> "_Overload | None":
         """Return why a job's pool, or its workspace's share of it, has no room for the job."""
         reported = self._pressure_of(job.pool)
         if reported is None:
--- a/src/lentilrill/intake/_workspace_admission.py
+++ b/src/lentilrill/intake/_workspace_admission.py
@@ -11,19 +11,20 @@
 from lentilrill.inner import PoolPressure, WorkspaceLoads
 from lentilrill.scheduling import (
     DECAY_S,
+    MAX_WAIT_S,
+    AdmissionDecision,
     CapacityOutlook,
     DecayingCounts,
     PoolBacklog,
     PoolRates,
     RateBook,
-    Verdict,
     WorkspaceBacklog,
-    judge_by_share,
+    admit_by_fair_share,
     usable_wait_s,
 )
 from lentilrill.workloads import Configuration, Job, Workspaces, WorkspaceSubmissions
 
-__all__ = ["Decision", "NewestPressures", "WorkspaceAdmission"]
+__all__ = ["JobAdmission", "NewestPressures", "WorkspaceAdmission"]
 
 NewestPressures = Callable[[], Mapping[PoolId, tuple[float, PoolPressure]]]
 """Returns the newest pressure of each pool, however old, and the monotonic time of its sending."""
@@ -35,7 +36,7 @@
 CORE = 1000
 
 
-class Decision(msgspec.Struct, frozen=True):
+class JobAdmission(msgspec.Struct, frozen=True):
     """What was decided about a job of a workspace.
 
     :param job: the job, with its class.
@@ -44,7 +45,7 @@
     """
 
     job: Job
-    verdict: Verdict | None = None
+    verdict: AdmissionDecision | None = None
     age_s: float = 0.0
 
     @property
@@ -95,7 +96,7 @@
         self._sent: DecayingCounts[WorkspaceId] = DecayingCounts()
         self._refused_by_workspace: dict[WorkspaceId, int] = {}
 
-    def decide(self, job: Job) -> Decision | None:
+    def decide(self, job: Job) -> JobAdmission | None:
         """Decide about a job, and count it as accepted if the decision is to accept it.
 
         The caller reports by :meth:`on_committed` if the job was stored, then calls
@@ -111,6 +112,7 @@
             pressures = self._pressures()
             self._update_rates(pressures)
             self._sent.add(job.workspace, now, now)
+            # A workspace's weight is also its rate, in jobs per second.
             rate = _weight_of(configuration.workspaces, job.workspace)
             is_beyond = self._rates.is_beyond(job.workspace, rate, now)
             job = msgspec.structs.replace(job, beyond_rate=is_beyond)
@@ -181,21 +183,21 @@
         configuration: Configuration,
         dated: tuple[float, PoolPressure] | None,
         now: float,
-    ) -> Decision:
+    ) -> JobAdmission:
         sent_at, pressure = dated if dated is not None else (-math.inf, None)
         loads = pressure.workspaces if pressure is not None else None
         age_s = max(0.0, now - sent_at)
         if loads is None or age_s >= MAX_REPORT_AGE_S:
-            return Decision(job)
+            return JobAdmission(job)
         backlog = self._backlog(job, configuration, loads, sent_at, age_s)
-        verdict = judge_by_share(
+        verdict = admit_by_fair_share(
             job.id,
             job.workspace,
             backlog,
             _max_wait_s(job, configuration),
             is_beyond=job.beyond_rate,
         )
-        return Decision(job, verdict, age_s)
+        return JobAdmission(job, verdict, age_s)
 
     def _backlog(
         self,
@@ -259,7 +261,7 @@
     queue = configuration.queue(job.queue)
     lasts = any(step.lasting for step in job.steps)
     if queue is None or lasts or job.occurrences:
-        return usable_wait_s(0.0, 1.0, 0.0)
+        return MAX_WAIT_S
     return usable_wait_s(_critical_path_s(job), queue.stretch, queue.objective_ms / 1000)
 
 
--- a/src/lentilrill/scheduling/__init__.py
+++ b/src/lentilrill/scheduling/__init__.py
@@ -5,12 +5,12 @@
 
 from lentilrill.scheduling._admission import (
     MAX_WAIT_S,
+    AdmissionDecision,
     PoolBacklog,
     Pressure,
-    Verdict,
     WorkspaceBacklog,
+    admit_by_fair_share,
     can_accept,
-    judge_by_share,
     outage_retry_s,
     retry_after_s,
     usable_wait_s,
@@ -40,19 +40,19 @@
     copy_key,
     is_worth_a_copy,
 )
-from lentilrill.scheduling._demand import Demand, HostShares, required_hosts
+from lentilrill.scheduling._demand import LEAD_S, Demand, HostShares, required_hosts
 from lentilrill.scheduling._durations import DurationModel
-from lentilrill.scheduling._fair_order import FairOrder, FairShares, ShareClass, class_of
+from lentilrill.scheduling._fair_order import DominantShares, FairOrder, ShareClass, class_of
 from lentilrill.scheduling._order import JobTiming, sort_key
 from lentilrill.scheduling._pacing import next_pace
 from lentilrill.scheduling._placement import EndpointCapacity, can_keep, place, total_free
 from lentilrill.scheduling._rates import DECAY_S, DecayingCounts, PoolRates, RateBook, max_count
 from lentilrill.scheduling._relocation import (
     MIN_SLOWDOWN,
-    MoveCost,
     RelocatableRun,
-    is_worth_moving,
-    may_move_again,
+    RelocationCost,
+    is_worth_relocating,
+    may_relocate_again,
 )
 from lentilrill.scheduling._shares import (
     CapacityOutlook,
@@ -73,9 +73,11 @@
 
 __all__ = [
     "DECAY_S",
+    "LEAD_S",
     "MAX_WAIT_S",
     "MIN_SLOWDOWN",
     "SURPLUS_DELAY_S",
+    "AdmissionDecision",
     "Allowances",
     "Budget",
     "CapacityOutlook",
@@ -83,19 +85,18 @@
     "CopyResults",
     "DecayingCounts",
     "Demand",
+    "DominantShares",
     "DurationModel",
     "EndpointCapacity",
     "EndpointKind",
     "EndpointSpeeds",
     "ExpectedHosts",
     "FairOrder",
-    "FairShares",
     "HostShares",
     "JobTiming",
     "KnownAllowances",
     "MovableHost",
     "Move",
-    "MoveCost",
     "PoolAllowance",
     "PoolBacklog",
     "PoolNeed",
@@ -103,6 +104,7 @@
     "Pressure",
     "RateBook",
     "RelocatableRun",
+    "RelocationCost",
     "ShareClass",
     "Speed",
     "SpeedChange",
@@ -110,8 +112,8 @@
     "SurgeTracker",
     "TaskTimes",
     "Usage",
-    "Verdict",
     "WorkspaceBacklog",
+    "admit_by_fair_share",
     "can_accept",
     "can_keep",
     "class_of",
@@ -119,10 +121,9 @@
     "fair_shares",
     "hosts_for",
     "is_worth_a_copy",
-    "is_worth_moving",
-    "judge_by_share",
+    "is_worth_relocating",
     "max_count",
-    "may_move_again",
+    "may_relocate_again",
     "minimum_hosts",
     "next_allowance",
     "next_pace",
--- a/src/lentilrill/scheduling/_admission.py
+++ b/src/lentilrill/scheduling/_admission.py
@@ -11,12 +11,12 @@
 from lentilrill.scheduling._shares import CapacityOutlook, fair_shares, work_before
 
 __all__ = [
+    "AdmissionDecision",
     "PoolBacklog",
     "Pressure",
-    "Verdict",
     "WorkspaceBacklog",
+    "admit_by_fair_share",
     "can_accept",
-    "judge_by_share",
     "outage_retry_s",
     "retry_after_s",
     "usable_wait_s",
@@ -120,7 +120,7 @@
     rest_owed: float = 0.0
 
 
-class Verdict(msgspec.Struct, frozen=True):
+class AdmissionDecision(msgspec.Struct, frozen=True):
     """Whether a job is accepted, and what decided it.
 
     :param retry_s: seconds after which a refused caller should retry; a whole number.
@@ -149,9 +149,9 @@
     return SLACK_FACTOR * slack_s if slack_s > 0 else MAX_WAIT_S
 
 
-def judge_by_share(
+def admit_by_fair_share(
     job: JobId, workspace: WorkspaceId, backlog: PoolBacklog, max_wait_s: float, *, is_beyond: bool
-) -> Verdict:
+) -> AdmissionDecision:
     """Return whether a job of a workspace is accepted, by the workspace's share of its pool.
 
     In a surge one workspace sends several times its share, while others send as usual. A job is
@@ -171,10 +171,10 @@
     overdue_s = _overdue_s(workspace, backlog)
     is_accepted = not backlog.is_short or (wait_s <= max_wait_s and overdue_s <= MAX_OVERDUE_S)
     if is_accepted:
-        return Verdict(True, 0.0, wait_s, max_wait_s, share, backlog_s)
+        return AdmissionDecision(True, 0.0, wait_s, max_wait_s, share, backlog_s)
     excess_s = max(wait_s - max_wait_s, overdue_s - MAX_OVERDUE_S)
     retry_s = _spread_retry_s(job, excess_s)
-    return Verdict(False, retry_s, wait_s, max_wait_s, share, backlog_s)
+    return AdmissionDecision(False, retry_s, wait_s, max_wait_s, share, backlog_s)
 
 
 def _wait_s(workspace: WorkspaceId, backlog: PoolBacklog, *, is_beyond: bool) -> float:
--- a/src/lentilrill/scheduling/_demand.py
+++ b/src/lentilrill/scheduling/_demand.py
@@ -4,7 +4,11 @@
 
 import msgspec
 
-__all__ = ["Demand", "HostShares", "required_hosts"]
+__all__ = ["LEAD_S", "Demand", "HostShares", "required_hosts"]
+
+LEAD_S = 2.4
+"""Time from a pool's request for a host until the host serves: status messages and the host list
+0.6 s, its move 1.5 s, and the first poll."""
 
 HostShares = tuple[float, float, float]
 """Shares of the processors, memory and accelerators of one host."""
--- a/src/lentilrill/scheduling/_fair_order.py
+++ b/src/lentilrill/scheduling/_fair_order.py
@@ -20,7 +20,7 @@
 from lentilrill.scheduling._order import JobTiming, sort_key
 from lentilrill.workloads import Resources
 
-__all__ = ["FairOrder", "FairShares", "Rank", "ShareClass", "class_of"]
+__all__ = ["DominantShares", "FairOrder", "Rank", "ShareClass", "class_of"]
 
 T = TypeVar("T")
 _Entry = tuple[float, int, T]
@@ -46,7 +46,7 @@
 
     What a workspace sends beyond its rate waits behind what the others are owed, also behind what
     is overdue: otherwise a flood beyond the rate would delay overdue jobs for as long as it lasts.
-    Overdue jobs come last within the rate, since a late answer is worth a tenth of a timely one.
+    Overdue jobs come last within the rate, since an answer after its deadline is worth little.
 
     :param group: 0 for long-running jobs, else by the priority of the queue.
     """
@@ -56,7 +56,7 @@
     overdue: bool = False
 
 
-class FairShares:
+class DominantShares:
     """Use of a pool by workspaces during one planning round.
 
     A workspace that the configuration doesn't have, because it was removed or renamed while its
@@ -64,7 +64,7 @@
     Jobs without a workspace, of public queues, count as one workspace of the mean weight.
 
     :param used: what each workspace uses, including runs that are being stopped.
-    :param weights: weights by the configuration in force; 0, negative and undefined ones come last.
+    :param weights: weights by the configuration in force; 0, negative ones and NaN come last.
     :param total: capacity of the pool.
     :ivar changes: number of additions so far.
     """
@@ -88,9 +88,9 @@
         self._used[workspace] = self._used.get(workspace, NOTHING).plus(amount)
         self.changes += 1
 
-    def copy(self) -> "FairShares":
+    def copy(self) -> "DominantShares":
         """Return shares that can be changed apart from these."""
-        return FairShares(self._used, self._weights, self._total)
+        return DominantShares(self._used, self._weights, self._total)
 
     def rank(self, workspace: WorkspaceId) -> Rank:
         """Return the place of a workspace by what it uses now."""
@@ -154,7 +154,7 @@
             for queue in queues.values():
                 queue.sort()
 
-    def by(self, shares: FairShares) -> Iterator[T]:
+    def by(self, shares: DominantShares) -> Iterator[T]:
         """Yield the jobs, class by class, each of the workspace with the lowest rank just then.
 
         Whoever iterates adds to ``shares`` what a job uses before taking the next one. A job that
@@ -170,7 +170,7 @@
                 yield from _by_rank(queues, shares)
 
 
-def _by_rank(queues: dict[WorkspaceId, "list[_Entry[T]]"], shares: FairShares) -> Iterator[T]:
+def _by_rank(queues: dict[WorkspaceId, "list[_Entry[T]]"], shares: DominantShares) -> Iterator[T]:
     heap = [(shares.rank(id), queue[0][:2], id, 0) for id, queue in queues.items()]
     heapify(heap)
     while heap:
--- a/src/lentilrill/scheduling/_relocation.py
+++ b/src/lentilrill/scheduling/_relocation.py
@@ -2,7 +2,13 @@
 
 import msgspec
 
-__all__ = ["MIN_SLOWDOWN", "MoveCost", "RelocatableRun", "is_worth_moving", "may_move_again"]
+__all__ = [
+    "MIN_SLOWDOWN",
+    "RelocatableRun",
+    "RelocationCost",
+    "is_worth_relocating",
+    "may_relocate_again",
+]
 
 MIN_SLOWDOWN = 1.5
 """Slowdown of an endpoint from which its tasks are moved, and below which tasks are moved to it."""
@@ -42,7 +48,7 @@
         return self.left_s - self.elsewhere_s
 
 
-def is_worth_moving(run: RelocatableRun) -> bool:
+def is_worth_relocating(run: RelocatableRun) -> bool:
     """Return whether a run gains more by a move than the move costs.
 
     Answers long tasks that may run only once and began on an endpoint before it became slow: their
@@ -52,7 +58,7 @@
     return run.slowdown >= MIN_SLOWDOWN and run.gain_s > run.cost_s
 
 
-def may_move_again(moves: int, since_move_s: float) -> bool:
+def may_relocate_again(moves: int, since_move_s: float) -> bool:
     """Return whether a task that was moved may be moved again.
 
     :param moves: times that it was moved.
@@ -61,7 +67,7 @@
     return not moves or (moves < MAX_MOVES and since_move_s >= QUIET_S)
 
 
-class MoveCost:
+class RelocationCost:
     """Time from a task's stop until it works elsewhere: its average, and how far it varies.
 
     It holds the stop, the placement, the start and the restore of a checkpoint, which differ by
--- a/src/lentilrill/scheduling/_shares.py
+++ b/src/lentilrill/scheduling/_shares.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lentilrill.ids import WorkspaceId
+from lentilrill.scheduling._demand import LEAD_S
 
 __all__ = [
     "CapacityOutlook",
@@ -19,9 +20,7 @@
 MIN_WEIGHT, MAX_WEIGHT = 1e-6, 1e6
 """Positive weights outside these bounds count as the bound, so that sums and quotients of weights
 are exact enough."""
-ARRIVAL_S = 2.4
-"""Seconds from the request for a host until tasks run on it."""
-MAX_LACK_S = 2 * ARRIVAL_S
+MAX_LACK_S = 2 * LEAD_S
 """Time without a further host after which a pool that lacks hosts is not expected to get any."""
 
 
@@ -103,11 +102,11 @@
         """Return how long a pool takes for ``work`` core seconds; infinite without hosts."""
         if work <= 0:
             return 0.0
-        before_arrival = self.present * ARRIVAL_S
+        before_arrival = self.present * LEAD_S
         if work <= before_arrival:
             return work / self.present
         later = self.present + self.coming
-        return ARRIVAL_S + (work - before_arrival) / later if later else math.inf
+        return LEAD_S + (work - before_arrival) / later if later else math.inf
 
 
 class ExpectedHosts:
--- a/src/lentilrill/scheduling/_speeds.py
+++ b/src/lentilrill/scheduling/_speeds.py
@@ -25,12 +25,17 @@
 EJECT_FACTOR = 3.0
 """Slowdown from which on a task that waits for its whole duration elsewhere still ends earlier."""
 NORMAL_FACTOR = 1.4
+"""Slowdown below which a slow endpoint is normal again: less than it takes to become slow."""
 Z_SCORE = 3.0
 """Deviation, in standard errors, beyond which an endpoint isn't slow by chance: several hundred
 endpoints are judged every few seconds."""
 MIN_SPREAD = 0.1
+"""Least standard deviation assumed of the logarithm of slowdowns."""
+MAD_TO_STDDEV = 1.48
+"""Standard deviation of a normal distribution, relative to its median absolute deviation."""
 LOW_QUARTILE = 0.25
 MAX_EJECTED_SHARE = 0.2
+"""Share of a pool's endpoints that may be ejected at once; the others must carry their work."""
 MIN_PAUSE_S = 1.5
 MAX_PAUSE_S = 6.0
 HOLD_S = 4.0
@@ -38,6 +43,7 @@
 FORGIVEN_AFTER_S = 30.0
 """Time as a normal endpoint after which its next ejection is as short as the first."""
 MIN_SHARE = 0.1
+"""Least share of its capacity that an endpoint counts with unless it is ejected."""
 
 
 class Speed(Enum):
@@ -194,9 +200,9 @@
         before = {id: state.speed for id, state in self._by_id.items()}
         self._update_findings(now)
         for state in self._by_id.values():
-            self._restore(state, now)
+            self._relax(state, now)
         self._take_back(kind_by_id, usable, now)
-        self._mark_slow(kind_by_id, usable, now)
+        self._eject_or_mark_slow(kind_by_id, usable, now)
         return [
             self._change(id, speed, now)
             for id, speed in before.items()
@@ -234,8 +240,8 @@
             if len(by_id) >= MIN_ENDPOINTS
         }
 
-    def _restore(self, state: _State, now: float) -> None:
-        """Move an endpoint that isn't normal towards normal, or back to ejected."""
+    def _relax(self, state: _State, now: float) -> None:
+        """End an ejection whose pause is over, or return an endpoint to normal."""
         finding = state.finding
         if state.speed is Speed.EJECTED and now >= state.ejected_until:
             state.samples_by_task = {}
@@ -270,7 +276,7 @@
             ):
                 _set(self._by_id[id], Speed.SLOW, now)
 
-    def _mark_slow(
+    def _eject_or_mark_slow(
         self,
         kind_by_id: Mapping[EndpointId, EndpointKind],
         usable: Collection[EndpointId],
@@ -384,7 +390,7 @@
     if not residuals:
         return MIN_SPREAD
     middle = statistics.median(residuals)
-    return max(MIN_SPREAD, 1.48 * statistics.median(abs(r - middle) for r in residuals))
+    return max(MIN_SPREAD, MAD_TO_STDDEV * statistics.median(abs(r - middle) for r in residuals))
 
 
 def _finding(
--- a/tests/execution/test_fair_shares.py
+++ b/tests/execution/test_fair_shares.py
@@ -221,7 +221,7 @@
         late = self.add("a", beyond_rate=True)
         self.add("b", a_step(2))
         self.round()
-        fields = {"workspace": "a", "beyond_rate": True, "started_at_share": 0.25}
+        fields = {"workspace": "a", "beyond_rate": True, "weighted_share_at_start": 0.25}
         self.assertEqual(fields, _share_fields(late))
 
 
--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -82,7 +82,9 @@
         planner = a_planner()
         capacities = planner.capacity_by_endpoint(self.links, now)
         jobs = [(tracked_job, None) for tracked_job in self.jobs.values()]
-        placed = planner.place_tasks(jobs, capacities, now, False, 0, set(), RoundBudgets(None))
+        placed = planner.place_tasks(
+            jobs, capacities, now, frozenset(), 0, set(), RoundBudgets(None)
+        )
         return [endpoint for endpoint, _ in placed]
 
     def fail(self, task: TrackedTask, endpoint: str, seconds_ago: float) -> None:
--- a/tests/execution/test_relocation.py
+++ b/tests/execution/test_relocation.py
@@ -6,7 +6,7 @@
 
 from lentilrill.execution import EndKind, OrderAnswer, PoolOwner, StartOrder
 from lentilrill.execution._link import Order
-from lentilrill.execution._relocation import TaskMoves
+from lentilrill.execution._relocation import Relocations
 from lentilrill.execution._spare_room import slowdown_of
 from lentilrill.execution._tracking import Run
 from lentilrill.ids import PoolId
@@ -24,7 +24,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.slow_down("e1")
-        self.moves = TaskMoves(PoolId("notices"), ShownProgress(), NoMetrics(), self.slowdown)
+        self.moves = Relocations(PoolId("notices"), ShownProgress(), NoMetrics(), self.slowdown)
 
     def straggler(self, **changes: object) -> Run:
         return super().straggler(**({"checkpoints": True} | changes))
@@ -153,8 +153,8 @@
 
     def take_over(self) -> PoolOwner:
         owner = self.pool.new_owner()
-        owner._task_moves._times = ShownProgress()
-        owner._task_moves._slowdown = lambda link: (
+        owner._relocations._times = ShownProgress()
+        owner._relocations._slowdown = lambda link: (
             SLOW if self.pool.endpoints[link.entry.id] is self.slow else 1.0
         )
         owner.start()
--- a/tests/scheduling/test_fair_order.py
+++ b/tests/scheduling/test_fair_order.py
@@ -9,7 +9,7 @@
 from testtools import TestCase
 
 from lentilrill.ids import WorkspaceId
-from lentilrill.scheduling import FairOrder, FairShares, ShareClass, class_of
+from lentilrill.scheduling import DominantShares, FairOrder, ShareClass, class_of
 from lentilrill.workloads import Resources
 from tests.builders import a_job_timing
 
@@ -27,15 +27,15 @@
     job_class: ShareClass = CLASS
 
 
-def shares_of(slots: int, weights: Mapping[str, float], **used: int) -> FairShares:
-    return FairShares(
+def shares_of(slots: int, weights: Mapping[str, float], **used: int) -> DominantShares:
+    return DominantShares(
         {WorkspaceId(id): TASK.times(count) for id, count in used.items()},
         {WorkspaceId(id): weight for id, weight in weights.items()},
         TASK.times(slots),
     )
 
 
-def started(jobs: list[Waiting], shares: FairShares, room: int) -> list[Waiting]:
+def started(jobs: list[Waiting], shares: DominantShares, room: int) -> list[Waiting]:
     """Return the jobs that start in one round with room for some of them."""
     order = FairOrder(jobs, lambda j: j.workspace, lambda j: (j.job_class, j.arrives))
     chosen: list[Waiting] = []
@@ -113,7 +113,7 @@
     def test_the_scarcest_resource_decides(self) -> None:
         """Guards against a workspace that fills all memory with tasks of few cores."""
         used = {WorkspaceId("a"): Resources(100, 4000), WorkspaceId("b"): Resources(2000, 1000)}
-        shares = FairShares(used, {}, Resources(8000, 8000))
+        shares = DominantShares(used, {}, Resources(8000, 8000))
         self.assertGreater(shares.rank(WorkspaceId("a")), shares.rank(WorkspaceId("b")))
 
     def test_without_weight_after_all_others(self) -> None:
--- a/tests/scheduling/test_relocation.py
+++ b/tests/scheduling/test_relocation.py
@@ -4,7 +4,12 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from lentilrill.scheduling import MoveCost, RelocatableRun, is_worth_moving, may_move_again
+from lentilrill.scheduling import (
+    RelocatableRun,
+    RelocationCost,
+    is_worth_relocating,
+    may_relocate_again,
+)
 
 SECONDS = st.floats(0, 200)
 
@@ -17,19 +22,19 @@
 class RelocationTest(TestCase):
     def test_a_long_task_leaves_a_slow_endpoint(self) -> None:
         """A task that may run once only stayed for its whole length where it took four times it."""
-        self.assertTrue(is_worth_moving(a_run()))
+        self.assertTrue(is_worth_relocating(a_run()))
 
     def test_a_task_that_is_nearly_done_stays(self) -> None:
         """A stop and a restore took longer than the rest of the task."""
-        self.assertFalse(is_worth_moving(a_run(left_s=3.0)))
+        self.assertFalse(is_worth_relocating(a_run(left_s=3.0)))
 
     def test_a_long_task_on_a_usual_endpoint_stays(self) -> None:
         """A task that is itself long was moved, and took as long elsewhere."""
-        self.assertFalse(is_worth_moving(a_run(slowdown=1.2, left_s=100.0)))
+        self.assertFalse(is_worth_relocating(a_run(slowdown=1.2, left_s=100.0)))
 
     def test_work_since_the_checkpoint_counts(self) -> None:
         """A task without a checkpoint began anew elsewhere."""
-        self.assertFalse(is_worth_moving(a_run(since_checkpoint_s=60.0)))
+        self.assertFalse(is_worth_relocating(a_run(since_checkpoint_s=60.0)))
 
     @given(SECONDS, st.floats(0.1, 20), SECONDS, st.floats(0, 20))
     def test_no_to_and_fro(
@@ -39,21 +44,21 @@
         run = a_run(
             left_s=left_s, slowdown=slowdown, since_checkpoint_s=since_checkpoint_s, cost_s=cost_s
         )
-        if is_worth_moving(run):
+        if is_worth_relocating(run):
             back = a_run(left_s=run.elsewhere_s, slowdown=1 / slowdown, cost_s=cost_s)
-            self.assertFalse(is_worth_moving(back))
+            self.assertFalse(is_worth_relocating(back))
             self.assertGreater(left_s, 2 * cost_s)
 
     def test_a_task_is_moved_rarely(self) -> None:
         """A task on endpoints that are slow by turns made no progress between its moves."""
-        self.assertTrue(may_move_again(0, 0.0))
-        self.assertFalse(may_move_again(1, 1.0))
-        self.assertTrue(may_move_again(1, 60.0))
-        self.assertFalse(may_move_again(2, 60.0))
+        self.assertTrue(may_relocate_again(0, 0.0))
+        self.assertFalse(may_relocate_again(1, 1.0))
+        self.assertTrue(may_relocate_again(1, 60.0))
+        self.assertFalse(may_relocate_again(2, 60.0))
 
     def test_the_cost_follows_what_is_observed(self) -> None:
         """A platform that restores slowly was taken for a quick one."""
-        cost = MoveCost()
+        cost = RelocationCost()
         first_s = cost.seconds
         cost.observe(10.0)
         self.assertGreater(cost.seconds, first_s)
--- a/tests/scheduling/test_shares.py
+++ b/tests/scheduling/test_shares.py
@@ -15,8 +15,8 @@
     PoolRates,
     RateBook,
     WorkspaceBacklog,
+    admit_by_fair_share,
     fair_shares,
-    judge_by_share,
     max_count,
     usable_wait_s,
     work_before,
@@ -201,7 +201,7 @@
 
     def verdict(self, workspace: WorkspaceId, job: JobId = JOB, *, is_beyond: bool = False):
         backlog = PoolBacklog(self.is_short, self.outlook, self.works, self.weights, self.age_s)
-        return judge_by_share(job, workspace, backlog, 2.0, is_beyond=is_beyond)
+        return admit_by_fair_share(job, workspace, backlog, 2.0, is_beyond=is_beyond)
 
     def test_one_workspace_s_surge_doesn_t_refuse_another_s_jobs(self) -> None:
         """Guards against a small workspace that pays for a large one's surge."""
