Admission: only work that waits for room delays a new job, and no refusal costs more than the wait

Median foreseen wait 1.6 s; the jobs of these seconds had waited 0.1 to 0.5 s for room.

Cause: the backlog held all unfinished work of all jobs. What runs and the steps after it say how long a pool is busy, not how long a new job waits. And a refused caller returns after a second at the earliest, which was more than the jobs could wait: each refusal made its job late.

Change: a workspace's backlog is the work of tasks that wait for room. A job within its rate is refused if its wait exceeds its slack by the second in which its caller could return; one beyond its rate as soon as it wouldn't end in time.

--- a/src/lentilrill/execution/_workspace_backlog.py
+++ b/src/lentilrill/execution/_workspace_backlog.py
@@ -9,7 +9,7 @@
 from lentilrill.execution._tracking import TrackedJob
 from lentilrill.ids import WorkspaceId
 from lentilrill.inner import WorkspaceLoad, WorkspaceLoads
-from lentilrill.scheduling import MAX_WAIT_S, DecayingCounts, ExpectedHosts, JobTiming
+from lentilrill.scheduling import DecayingCounts, ExpectedHosts, JobTiming
 
 __all__ = ["MAX_BY_JOBS", "MAX_BY_WORK", "WorkspaceReporter"]
 
@@ -89,16 +89,17 @@
 def _work_by_workspace(
     jobs: Iterable[tuple[TrackedJob, JobTiming]],
 ) -> dict[WorkspaceId, _Work]:
-    """Return the work by workspace that new jobs compete with.
+    """Return the work by workspace that waits for room.
 
-    Work that a job can't reach for a while, since the work before it takes that long, doesn't.
+    Tasks that run leave it soon, and the steps after them wait for these first: counted with the
+    rest, they would make a pool look full for as long as its jobs take.
     """
     work_by_workspace: dict[WorkspaceId, _Work] = {}
     for tracked_job, timing in jobs:
         if tracked_job.long_running:
             continue
         work = work_by_workspace.setdefault(tracked_job.job.workspace, _Work())
-        amount = timing.remaining_work * min(1.0, MAX_WAIT_S / max(timing.remaining_s, MAX_WAIT_S))
+        amount = timing.remaining_work * _waiting_share(tracked_job)
         if not timing.can_meet_deadline:
             work.overdue += amount
         elif tracked_job.job.beyond_rate:
@@ -108,6 +109,19 @@
     return work_by_workspace
 
 
+def _waiting_share(tracked_job: TrackedJob) -> float:
+    """Return the share of a job's remaining work that waits for room now."""
+    waiting = remaining = 0.0
+    ready = {step.id for step in tracked_job.ready_steps()}
+    for steps in tracked_job.steps_by_occurrence.values():
+        for step in steps:
+            task_work = step.spec.needs.cpu * step.spec.estimate_ms
+            remaining += step.remaining * task_work
+            if step.id in ready:
+                waiting += sum(task.waiting for task in step.tasks) * task_work
+    return waiting / remaining if remaining else 0.0
+
+
 def _chosen(
     work_by_workspace: dict[WorkspaceId, _Work], counts: dict[WorkspaceId, float]
 ) -> list[WorkspaceId]:
--- a/src/lentilrill/intake/_workspace_admission.py
+++ b/src/lentilrill/intake/_workspace_admission.py
@@ -273,7 +273,8 @@
 
 
 def _cpu_s(job: Job) -> float:
-    """Return the core seconds that a job adds to the backlog of its pool."""
+    """Return the core seconds that a job adds to what waits for room in its pool."""
     if any(step.lasting for step in job.steps) or job.occurrences:
         return 0.0
-    return sum(step.count * step.estimate_ms * step.reserved.cpu for step in job.steps) / 1e6
+    first = [step for step in job.steps if not step.after]
+    return sum(step.count * step.estimate_ms * step.reserved.cpu for step in first) / 1e6
--- a/src/lentilrill/scheduling/_admission.py
+++ b/src/lentilrill/scheduling/_admission.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from lentilrill.ids import JobId, WorkspaceId
-from lentilrill.scheduling._order import SLACK_FACTOR
 from lentilrill.scheduling._shares import CapacityOutlook, fair_shares, work_before
 
 __all__ = [
@@ -39,6 +38,9 @@
 balancer has moved callers to hosts that can commit. The maximum is about one latency objective; an
 answer after that would be late anyway."""
 
+MIN_RETURN_S = 1.0
+"""Earliest return of a refused caller. A job that has to wait no longer than this beyond its slack
+is better off accepted."""
 MIN_SPREAD_S = 2
 """Minimum number of seconds over which callers return that were refused together."""
 
@@ -125,7 +127,7 @@
 
     :param retry_s: seconds after which a refused caller should retry; a whole number.
     :param wait_s: seconds that the job is expected to wait.
-    :param max_wait_s: seconds that it can wait and still end in time.
+    :param max_wait_s: seconds that it can wait and still be of use.
     :param share_cores: the workspace's fair share of the pool's present cores.
     :param backlog_s: seconds that the pool needs for the workspace's own work at this share.
     """
@@ -139,14 +141,14 @@
 
 
 def usable_wait_s(critical_path_s: float, stretch: float, objective_s: float) -> float:
-    """Return how long a job of a queue can wait and still end in time.
+    """Return how long a job of a queue can wait for room and still be of use to its caller.
 
     :param critical_path_s: expected seconds of the job's longest chain of steps.
     :param stretch: the queue's factor on that time.
     :param objective_s: the queue's latency objective; without any, :data:`MAX_WAIT_S` applies.
     """
     slack_s = (stretch - 1.0) * critical_path_s + objective_s
-    return SLACK_FACTOR * slack_s if slack_s > 0 else MAX_WAIT_S
+    return slack_s + MIN_RETURN_S if slack_s > 0 else MAX_WAIT_S
 
 
 def admit_by_fair_share(
@@ -160,8 +162,9 @@
     by their weights, and for a job beyond its workspace's rate all that is owed to others. While
     room isn't short nothing is refused.
 
-    :param max_wait_s: seconds that the job can wait and still end in time.
-    :param is_beyond: whether the job is beyond its workspace's rate.
+    :param max_wait_s: seconds that the job can wait and still be of use.
+    :param is_beyond: whether the job is beyond its workspace's rate; such a job is refused as soon
+        as it wouldn't end in time.
     """
     own = backlog.by_workspace.get(workspace, NO_BACKLOG)
     share = _share_of(workspace, backlog)
@@ -169,6 +172,7 @@
     backlog_s = own_work / share if share else (math.inf if own_work else 0.0)
     wait_s = _wait_s(workspace, backlog, is_beyond=is_beyond)
     overdue_s = _overdue_s(workspace, backlog)
+    max_wait_s = max_wait_s - MIN_RETURN_S if is_beyond else max_wait_s
     is_accepted = not backlog.is_short or (wait_s <= max_wait_s and overdue_s <= MAX_OVERDUE_S)
     if is_accepted:
         return AdmissionDecision(True, 0.0, wait_s, max_wait_s, share, backlog_s)
