Followers: entries that were not needed for a while aren't used until they are read again

Change: a follower that isn't needed leaves its listener without items. A host that has never owned a pool begins the same way: endpoints are polled by the previous owner's list, and get tasks once their entries are read. Ruled out: a watch that is silent (2.2 s at most), the stand-in's order of writes (the change is listed as it is stored).

--- a/src/lentilrill/store/_follow.py
+++ b/src/lentilrill/store/_follow.py
@@ -40,7 +40,8 @@
 
     :param pause_s: minimum seconds between two watch calls, so that a burst of changes costs one
         call per pause instead of one per change.
-    :param is_needed: whether the items are needed now; if not, nothing is read or watched.
+    :param is_needed: whether the items are needed now; if not, nothing is read or watched, and the
+        listener is left without items, since these are outdated once they are needed again.
     :ivar read_revision: the store's revision at the last full read.
     """
 
@@ -65,6 +66,7 @@
         self.initial_read_done = threading.Event()
         self.last_update = time.monotonic()
         self.read_revision = Revision(0)
+        self._holds_items = False
         self._failing_since: float | None = None
 
     def run(self) -> None:
@@ -73,6 +75,7 @@
         failures = 0
         while not self._ended.is_set():
             if not self._is_needed():
+                self._withdraw()
                 revision = None
                 self._wake_event.wait(NEED_CHECK_INTERVAL_S)
                 self._wake_event.clear()
@@ -108,6 +111,12 @@
         if self._watch is not None:
             self._watch.close()
 
+    def _withdraw(self) -> None:
+        """Leave the listener without items."""
+        if self._holds_items:
+            self._holds_items = False
+            run_and_log_errors(f"follow {self._prefix}", partial(self._listener.on_replaced, ()))
+
     def _read(self, failures: int) -> Revision | None:
         result = self._kv.read(self._prefix)
         if isinstance(result, Failure):
@@ -116,6 +125,7 @@
         answer = result.unwrap()
         self._failing_since = None
         self.read_revision = answer.revision
+        self._holds_items = True
         run_and_log_errors(
             f"follow {self._prefix}", partial(self._listener.on_replaced, answer.items)
         )
