--- a/tests/store/test_follow.py
+++ b/tests/store/test_follow.py
@@ -36,7 +36,7 @@
 
 class NeededTest(TestCase):
     def test_items_that_were_not_needed_for_a_while_are_read_again_before_use(self) -> None:
-        """A new owner overfilled an endpoint, whose entry it had read as the owner of another pool."""
+        """A new owner overfilled an endpoint, whose entry it had read as another pool's owner."""
         kv, listener = FakeKeyValue(), Listener()
         kv.put("servers/a", b"large")
         needed = [True]
