Tests: batches of commits don't depend on how fast a test's threads start

Cause: a commit in flight that is older than 0.1 s no longer delays the next one, by design. Where the sixteen (or five) callers' threads take longer than that to start, the burst is more than one. Shown by pauses between the starts of these threads: both tests failed; with the bound out of reach both pass.

Change: in these two tests no commit counts as slow. The number of calls that they allow is the same. That a slow commit doesn't delay the others is what test_slow_store.py tests besides.

--- a/tests/intake/fakes.py
+++ b/tests/intake/fakes.py
@@ -1,12 +1,13 @@
 """An intake with an in-memory store, and peers that only record messages."""
 
 from collections.abc import Callable
+from unittest import mock
 
 from testtools import TestCase
 
 from lentilrill.ids import PoolId, WorkspaceId
 from lentilrill.inner import JobAsk, PoolPressure
-from lentilrill.intake import Intake, WorkspaceAdmission
+from lentilrill.intake import Intake, WorkspaceAdmission, _group
 from lentilrill.ownership import OwnerRecord
 from tests.builders import a_job
 from tests.fakes import FakeKeyValue
@@ -48,6 +49,13 @@
         self.intake = self.new_intake()
         self.job = a_job()
 
+    def treat_no_commit_as_slow(self) -> None:
+        """Let each commit wait for the one in flight, however long the test's threads take."""
+        for name in ("SLOW_COMMIT_S", "RESEND_AFTER_S"):
+            patched = mock.patch.object(_group, name, 60.0)
+            patched.start()
+            self.addCleanup(patched.stop)
+
     def new_intake(self, workspaces: WorkspaceAdmission | None = None) -> Intake:
         """Return a started intake; the case's own one knows nothing of workspaces."""
         intake = Intake(
--- a/tests/intake/test_intake.py
+++ b/tests/intake/test_intake.py
@@ -105,6 +105,7 @@
         self.assertEqual({}, self.kv.items_by_key)
 
     def test_a_burst_costs_few_commits(self) -> None:
+        self.treat_no_commit_as_slow()
         started = threading.Event()
 
         def slowly(call):
--- a/tests/intake/test_slow_store.py
+++ b/tests/intake/test_slow_store.py
@@ -146,6 +146,7 @@
 
     def test_a_stored_job_does_not_split_its_batch(self) -> None:
         """The jobs of a commit were sent one by one, because one of them was already stored."""
+        self.treat_no_commit_as_slow()
         self.intake.submit(self.job)
         self.kv.commits.append(self.delayed)
         first = self.submit_in_background(a_job("f"))
