A job is one job, whichever pool its queue has when it is submitted again

Callers saw: a job was accepted (200) and ran; a configuration then gave its queue another service, the same request arrived again and was answered 200, and each task ran a second time, in the other pool. Both ends were taken note of.

Cause: an entry host creates the key in/POOL/j/ID only if it is absent, and POOL is the pool that the queue has in the host's configuration at that moment. With another pool the key is another one, so nothing that is compared knows of the first job. Ruled out: owners (neither pool's owner starts its own job twice), the watch, and the repeat of unanswered commits (no answer was lost).

Change: the job is stored together with a claim on its id, c/ID, in one transaction that needs both to be absent. The claim names the pool and the workspace. Whatever the order of hosts, configurations and late commits, the store lets one of them through, and the others learn from its refusal where the job is. A host's own copies share one commit by the claim's key. Queries and cancels of a job that the queue's pool doesn't have read the claim, in place of one key in every pool. The claim is removed with the job's other records.

A call to the store takes 32 entries, so a commit holds 8 jobs in place of 16, and a removal 7 in place of 10; removals are no longer 5 s apart while more is left (a pool could forget two ended jobs a second, now 28).

Remembering the former pools of a queue on each host was ruled out as the guard: a host with the old configuration, or a restarted one, doesn't know them.

test_a_burst_costs_few_commits held back only the first commit, and waited for 16 creates in the queue; with 8 to a commit a second one starts meanwhile. It holds all commits back now; its bound (4 commits for 16 jobs) is the same.

--- a/src/lentilrill/execution/__init__.py
+++ b/src/lentilrill/execution/__init__.py
@@ -1,5 +1,6 @@
 """Execution of jobs' tasks on a pool's endpoints: orders, leases, ends and checkpoints."""
 
+from lentilrill.execution._claims import claim_of, decode_claim
 from lentilrill.execution._contract import (
     Dialer,
     EndKind,
@@ -20,7 +21,6 @@
     HostSource,
 )
 from lentilrill.execution._pool import PoolOwner
-from lentilrill.execution._writer import progress_key
 
 __all__ = [
     "NO_HOST_SOURCE",
@@ -39,5 +39,6 @@
     "RunEnd",
     "StartOrder",
     "Verdict",
-    "progress_key",
+    "claim_of",
+    "decode_claim",
 ]
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -9,20 +9,31 @@
 
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import TrackedJob, encode_progress, job_id_of
-from lentilrill.execution._writer import ProgressEntry, Snapshot, progress_key
+from lentilrill.execution._writer import ProgressEntry, Snapshot
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.store import DECODE_ERRORS, Compare, DeleteRange, Item, KeyValue, Priority
 from lentilrill.telemetry import Event, Metrics, log
-from lentilrill.workloads import Job, JobProgress, JobState, JobView
+from lentilrill.workloads import (
+    Job,
+    JobProgress,
+    JobState,
+    JobView,
+    cancellation_key,
+    claim_key,
+    job_key,
+    progress_key,
+)
 
 __all__ = ["PoolJobs"]
 
 RETENTION_S = 130.0
 """How long an ended job is kept: callers may query its state for 120 s."""
 REMOVAL_INTERVAL_S = 5.0
-MAX_JOBS_PER_REMOVAL = 10
-"""Jobs whose records are removed by one call. A call takes 32 entries at most, and each job has
-three. At this rate a pool can sustain two ended jobs a second."""
+FULL_REMOVAL_INTERVAL_S = 0.25
+"""Interval between removals while more jobs are left, at which a pool sustains 28 ended jobs a
+second."""
+MAX_JOBS_PER_REMOVAL = 7
+"""Jobs whose records are removed by one call, which takes 32 entries; each job has four."""
 MAX_AGE_S = 60.0
 """Upper limit of a job's age, so that a clock that jumped by hours does not make all jobs
 overdue."""
@@ -72,7 +83,7 @@
         self._records_since = records_since
         self._metrics = metrics
         self._pending_cancellations: set[JobId] = set()
-        self._removed_at = time.monotonic()
+        self._removal_due_at = time.monotonic() + REMOVAL_INTERVAL_S
 
     def add(self, value: bytes, revision: Revision) -> TrackedJob | None:
         """Add an accepted job and return its state.
@@ -278,9 +289,9 @@
 
     def remove_expired(self, now_ms: int) -> None:
         """Remove the records of some ended jobs whose retention has expired."""
-        if time.monotonic() - self._removed_at < REMOVAL_INTERVAL_S:
+        now = time.monotonic()
+        if now < self._removal_due_at:
             return
-        self._removed_at = time.monotonic()
         with self._lock:
             old = [
                 job
@@ -288,26 +299,33 @@
                 if job not in self.live_by_id
                 and tracked_job.final_stored
                 and now_ms - tracked_job.ended_ms > RETENTION_S * 1000
-            ][:MAX_JOBS_PER_REMOVAL]
-        if not old:
+            ]
+            removed = old[:MAX_JOBS_PER_REMOVAL]
+            keys = [key for job in removed for key in self._keys_of(job)]
+        self._removal_due_at = now + REMOVAL_INTERVAL_S
+        if not removed:
             return
-        removed = tuple(
-            DeleteRange(key)
-            for job in old
-            for key in (
-                f"in/{self._pool}/j/{job}",
-                f"in/{self._pool}/x/{job}",
-                progress_key(self._pool, job),
-            )
-        )
         compares = (Compare(self._owner_key, self._token),)
-        result = self._kv.commit(compares, removed, Priority.LATER)
+        deletions = tuple(DeleteRange(key) for key in keys)
+        result = self._kv.commit(compares, deletions, Priority.LATER)
         done = not isinstance(result, Failure) and result.unwrap().succeeded
-        log(Event.JOBS_FORGOTTEN, pool=self._pool, jobs=len(old), done=done)
-        if done:
-            with self._lock:
-                for job in old:
-                    self.by_id.pop(job, None)
+        log(Event.JOBS_FORGOTTEN, pool=self._pool, jobs=len(removed), done=done)
+        if not done:
+            return
+        if len(old) > len(removed):
+            self._removal_due_at = now + FULL_REMOVAL_INTERVAL_S
+        with self._lock:
+            for job in removed:
+                self.by_id.pop(job, None)
+
+    def _keys_of(self, job: JobId) -> list[str]:
+        """Return the keys of all records of a job."""
+        return [
+            job_key(self._pool, job),
+            cancellation_key(self._pool, job),
+            progress_key(self._pool, job),
+            claim_key(job),
+        ]
 
 
 def _starts_next(tracked_job: TrackedJob) -> bool:
--- a/src/lentilrill/execution/_writer.py
+++ b/src/lentilrill/execution/_writer.py
@@ -12,8 +12,9 @@
 from lentilrill.ids import EndpointId, JobId, Revision, ZoneId
 from lentilrill.store import Compare, KeyValue, Put
 from lentilrill.telemetry import Event, log, run_and_log_errors
+from lentilrill.workloads import progress_key
 
-__all__ = ["ProgressWriter", "Snapshot", "progress_key"]
+__all__ = ["ProgressWriter", "Snapshot"]
 
 URGENT_INTERVAL_S = 0.06
 """Minimum interval between two commits while a job waits to be shown as completed. Jobs that end
@@ -67,11 +68,6 @@
         """Re-read the store after a commit that conflicted or whose result is unknown."""
 
 
-def progress_key(pool: str, job: str) -> str:
-    """Return the key of a job's progress record."""
-    return f"p/{pool}/{job}"
-
-
 class ProgressWriter(threading.Thread):
     """Thread that commits the progress of its source.
 
--- a/src/lentilrill/ids.py
+++ b/src/lentilrill/ids.py
@@ -3,6 +3,7 @@
 from typing import NewType
 
 __all__ = [
+    "NO_WORKSPACE",
     "CustomerId",
     "EndpointId",
     "EntryHostId",
@@ -43,4 +44,6 @@
 ServiceId = NewType("ServiceId", str)
 StopId = NewType("StopId", str)
 WorkspaceId = NewType("WorkspaceId", str)
+NO_WORKSPACE = WorkspaceId("")
+"""The workspace of jobs of public queues, and of all jobs where there are no workspaces."""
 ZoneId = NewType("ZoneId", str)
--- a/src/lentilrill/intake/_group.py
+++ b/src/lentilrill/intake/_group.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections import deque
+from collections.abc import Mapping
 from functools import partial
 
 import msgspec
@@ -15,8 +16,8 @@
 
 __all__ = ["MAX_WAIT_S", "CommitResult", "GroupCommit"]
 
-MAX_WRITES_PER_COMMIT = 16
-"""The store takes 32 entries per call: one condition and one write for each job."""
+MAX_KEYS_PER_COMMIT = 16
+"""The store takes 32 entries per call: one condition and one write for each key."""
 MAX_COMMITS_IN_FLIGHT = 4
 """Maximum number of commits in flight: all hosts together stay within the store's write rate."""
 SLOW_COMMIT_S = 0.1
@@ -33,17 +34,18 @@
 class CommitResult(msgspec.Struct, frozen=True):
     """The result of one create.
 
-    :param exists: whether the key is in the store, written now or before; ``None`` if unknown: it
-        may be there, or may still be written.
+    :param exists: whether any of the keys is in the store, written now or before; ``None`` if
+        unknown: they may be there, or may still be written.
     :param sent: whether the write was sent to the store; an unsent write never takes effect.
-    :param revision: revision of the write; 0 if the key existed before the first attempt.
-    :param stored: the value in the store, if known; another writer's if ``revision`` is 0.
+    :param revision: revision of the write; 0 if a key existed before the first attempt.
+    :param value_by_key: the values in the store, as far as known; another writer's if ``revision``
+        is 0.
     """
 
     exists: bool | None
     sent: bool = True
     revision: Revision = Revision(0)
-    stored: bytes | None = None
+    value_by_key: Mapping[str, bytes] = {}
 
 
 UNSENT = CommitResult(False, sent=False)
@@ -51,7 +53,7 @@
 
 
 class _PendingCreate:
-    """A key to be created, shared by all callers that wait for it.
+    """Keys to be created together, shared by all callers that wait for the first of them.
 
     :ivar queued_at: when it was queued for sending; ``None`` if it is not queued.
     :ivar in_flight: number of commits in flight that contain it.
@@ -63,15 +65,15 @@
         "done",
         "in_flight",
         "outcome",
-        "put",
+        "puts",
         "queued_at",
         "sent_at",
         "unresolved",
         "waiters",
     )
 
-    def __init__(self, put: Put, now: float) -> None:
-        self.put = put
+    def __init__(self, puts: tuple[Put, ...], now: float) -> None:
+        self.puts = puts
         self.queued_at: float | None = now
         self.sent_at = now
         self.attempts = 0
@@ -81,6 +83,11 @@
         self.done = threading.Event()
         self.outcome: CommitResult | None = None
 
+    @property
+    def key(self) -> str:
+        """The key that identifies this create."""
+        return self.puts[0].key
+
 
 class GroupCommit:
     """Creates keys in batches: creates that arrive during a commit go into the next one.
@@ -114,13 +121,15 @@
             self._closed = True
             self._condition.notify_all()
 
-    def create(self, key: str, value: bytes, wait_s: float = MAX_WAIT_S) -> CommitResult:
-        """Write ``key`` unless it exists, and wait for the result.
+    def create(self, *puts: Put, wait_s: float = MAX_WAIT_S) -> CommitResult:
+        """Write all keys together unless any of them exists, and wait for the result.
+
+        A caller whose first key is being created already gets the result of that create.
 
         :param wait_s: maximum time to wait, in seconds.
         """
         deadline = time.monotonic() + wait_s
-        create = self._enqueue(Put(key, value), wait_s)
+        create = self._enqueue(puts, wait_s)
         if create is None:
             return UNSENT
         while not create.done.wait(max(0.0, min(SLOW_COMMIT_S, deadline - time.monotonic()))):
@@ -129,16 +138,16 @@
             self._resend_if_slow(create)
         return self._stop_waiting(create)
 
-    def _enqueue(self, put: Put, wait_s: float) -> _PendingCreate | None:
+    def _enqueue(self, puts: tuple[Put, ...], wait_s: float) -> _PendingCreate | None:
         """Queue a create, or join a pending one; ``None`` if it can't be sent in time."""
         now = time.monotonic()
         with self._condition:
-            create = self._creates_by_key.get(put.key)
+            create = self._creates_by_key.get(puts[0].key)
             if create is None:
                 if self._is_stuck(now, wait_s):
                     return None
-                create = _PendingCreate(put, now)
-                self._creates_by_key[put.key] = create
+                create = _PendingCreate(puts, now)
+                self._creates_by_key[create.key] = create
                 self._queue.append(create)
                 self._condition.notify()
             create.waiters += 1
@@ -172,7 +181,7 @@
                 return create.outcome
             if create.waiters:
                 return UNKNOWN
-            del self._creates_by_key[create.put.key]
+            del self._creates_by_key[create.key]
             if create.queued_at is not None:
                 self._queue.remove(create)
             return UNKNOWN if create.unresolved else UNSENT
@@ -190,9 +199,7 @@
                     return []
                 self._condition.wait()
             now = time.monotonic()
-            batch = [
-                self._queue.popleft() for _ in range(min(len(self._queue), MAX_WRITES_PER_COMMIT))
-            ]
+            batch = [self._queue.popleft() for _ in range(self._batch_size())]
             for create in batch:
                 create.queued_at = None
                 create.sent_at = now
@@ -202,37 +209,48 @@
             self._started_at_by_thread[threading.get_ident()] = now
             return batch
 
+    def _batch_size(self) -> int:
+        """Return how many of the first creates in the queue fit into one call."""
+        keys = size = 0
+        for create in self._queue:
+            keys += len(create.puts)
+            if keys > MAX_KEYS_PER_COMMIT:
+                break
+            size += 1
+        return size
+
     def _can_start(self, now: float) -> bool:
         if not self._queue:
             return False
-        if self._closed or len(self._queue) >= MAX_WRITES_PER_COMMIT:
+        queued_keys = sum(len(create.puts) for create in self._queue)
+        if self._closed or queued_keys >= MAX_KEYS_PER_COMMIT:
             return True
         return all(
             now - started_at >= SLOW_COMMIT_S for started_at in self._started_at_by_thread.values()
         )
 
     def _commit(self, creates: list[_PendingCreate]) -> None:
-        """Commit creates in one call, leaving out those whose keys already exist."""
+        """Commit creates in one call, leaving out those of which a key already exists."""
         while creates:
-            compares = tuple(Compare(create.put.key, Revision(0)) for create in creates)
-            result = self._kv.commit(compares, tuple(create.put for create in creates))
+            puts = tuple(put for create in creates for put in create.puts)
+            compares = tuple(Compare(put.key, Revision(0)) for put in puts)
+            result = self._kv.commit(compares, puts)
             if isinstance(result, Failure):
                 self._handle_failure(creates, result.failure())
                 return
             answer = result.unwrap()
             if answer.succeeded:
                 for create in creates:
-                    written = CommitResult(True, revision=answer.revision, stored=create.put.value)
-                    self._resolve_all([create], written)
+                    self._resolve_all([create], _written_result(create, answer.revision))
                 return
-            found_by_key = {item.key: item for item in answer.found}
-            found = [create for create in creates if create.put.key in found_by_key]
+            item_by_key = {item.key: item for item in answer.found}
+            found = [create for create in creates if _is_any_in(create, item_by_key)]
             if not found:
                 self._commit_each(creates)
                 return
             for create in found:
-                self._resolve_all([create], _existing_result(create, found_by_key[create.put.key]))
-            creates = [create for create in creates if create.put.key not in found_by_key]
+                self._resolve_all([create], _existing_result(create, item_by_key))
+            creates = [create for create in creates if create not in found]
 
     def _commit_each(self, creates: list[_PendingCreate]) -> None:
         """Commit each create by itself, since the store didn't say which condition failed."""
@@ -278,16 +296,27 @@
         if create.queued_at is not None:
             self._queue.remove(create)
             create.queued_at = None
-        if self._creates_by_key.get(create.put.key) is create:
-            del self._creates_by_key[create.put.key]
+        if self._creates_by_key.get(create.key) is create:
+            del self._creates_by_key[create.key]
+
+
+def _is_any_in(create: _PendingCreate, item_by_key: Mapping[str, Item]) -> bool:
+    return any(put.key in item_by_key for put in create.puts)
+
+
+def _written_result(create: _PendingCreate, revision: Revision) -> CommitResult:
+    value_by_key = {put.key: put.value for put in create.puts}
+    return CommitResult(True, revision=revision, value_by_key=value_by_key)
 
 
-def _existing_result(create: _PendingCreate, item: Item) -> CommitResult:
-    """Return the result for a key that exists, from an earlier attempt or another writer.
+def _existing_result(create: _PendingCreate, item_by_key: Mapping[str, Item]) -> CommitResult:
+    """Return the result for keys that exist, from an earlier attempt or another writer.
 
     Only the former has a revision, with which the owner is notified: an owner that has removed
     a job that ended long ago would run it a second time.
     """
-    if item.value != create.put.value:
-        return CommitResult(True, stored=item.value)
-    return CommitResult(True, revision=item.revision, stored=item.value)
+    items = [item_by_key[put.key] for put in create.puts if put.key in item_by_key]
+    value_by_key = {item.key: item.value for item in items if item.value is not None}
+    is_own = all(value_by_key.get(put.key) == put.value for put in create.puts)
+    revision = items[0].revision if is_own else Revision(0)
+    return CommitResult(True, revision=revision, value_by_key=value_by_key)
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -1,42 +1,44 @@
 """Handling of job requests on an entry host, whether or not it owns their pool."""
 
-import itertools
-import threading
 import time
 from collections.abc import Callable
-from typing import Protocol
 
 import msgspec
-from returns.result import Failure
 
-from lentilrill.execution import PoolOwner, progress_key
-from lentilrill.ids import JobId, PoolId, QueueId, Revision, WorkspaceId
+from lentilrill.execution import PoolOwner, claim_of, decode_claim
+from lentilrill.ids import NO_WORKSPACE, JobId, PoolId, QueueId, WorkspaceId
 from lentilrill.inner import (
     Batch,
     JobAccepted,
-    JobAsk,
     JobCancelled,
     JobDoubted,
     JobTold,
-    Message,
     PoolPressure,
 )
 from lentilrill.intake._group import MAX_WAIT_S, CommitResult, GroupCommit
+from lentilrill.intake._lookup import JobFinder, JobLookup, Peers, workspace_of
 from lentilrill.intake._unconfirmed import UnconfirmedJobs
 from lentilrill.intake._workspace_admission import JobAdmission, WorkspaceAdmission
 from lentilrill.ownership import OwnerRecord
 from lentilrill.scheduling import Pressure, can_accept, outage_retry_s, retry_after_s
-from lentilrill.store import DECODE_ERRORS, KeyValue, Priority
+from lentilrill.store import KeyValue, Put
 from lentilrill.telemetry import Event, log
-from lentilrill.workloads import FailureCause, Job, JobAnswer, JobProgress, JobState
+from lentilrill.workloads import (
+    FailureCause,
+    Job,
+    JobAnswer,
+    JobClaim,
+    JobState,
+    cancellation_key,
+    claim_key,
+    job_key,
+)
 
 __all__ = ["Intake"]
 
 MAX_STORE_SILENT_S = 1.0
 """Time without an answer from the store after which jobs are refused at once and this host reports
 that it is not ready: two lease renewals in a row had no answer."""
-OWNER_QUERY_TIMEOUT_S = 0.35
-"""Timeout for an owner's answer before the store is read instead; a round trip takes a few ms."""
 REFUSAL_QUERY_TIMEOUT_S = 0.1
 """Timeout of the query before a refusal, which must not keep the caller waiting."""
 COMMIT_WAIT_SHARE = 0.8
@@ -44,14 +46,6 @@
 before a refusal, and for the answer to reach the caller."""
 
 
-NO_WORKSPACE = WorkspaceId("")
-
-
-class _Peers(Protocol):
-    def send(self, address: str, message: Message) -> None:
-        """Send a message, which may get lost."""
-
-
 class Intake:
     """Accepts, cancels and shows jobs.
 
@@ -60,7 +54,6 @@
     :param owner_of: returns the owner record of a pool, if known.
     :param pressure_of: returns the pressure reported by a pool's owner; ``None`` if there is no
         recent report.
-    :param pools: returns all known pools.
     :param peer_addresses: returns the inner addresses of the other entry hosts.
     :param store_silent_s: returns the seconds since the store last answered this host.
     :param workspaces: decides about jobs of workspaces, if given.
@@ -69,29 +62,24 @@
     def __init__(
         self,
         kv: KeyValue,
-        peers: _Peers,
+        peers: Peers,
         local_owner_of: Callable[[PoolId], PoolOwner | None],
         owner_of: Callable[[PoolId], OwnerRecord | None],
         pressure_of: Callable[[PoolId], PoolPressure | None],
-        pools: Callable[[], list[PoolId]],
         peer_addresses: Callable[[], list[str]] = list,
         store_silent_s: Callable[[], float] = lambda: 0.0,
         workspaces: WorkspaceAdmission | None = None,
     ) -> None:
-        self._kv = kv
         self._peers = peers
         self._local_owner_of = local_owner_of
         self._owner_of = owner_of
         self._pressure_of = pressure_of
-        self._pools = pools
         self._peer_addresses = peer_addresses
         self._store_silent_s = store_silent_s
         self._workspaces = workspaces
         self._unconfirmed = UnconfirmedJobs()
         self._group_commit = GroupCommit(kv)
-        self._ask_ids = itertools.count(1)
-        self._lock = threading.Lock()
-        self._query_by_ask: dict[int, _OwnerQuery] = {}
+        self._finder = JobFinder(kv, peers, local_owner_of, owner_of)
 
     def start(self) -> None:
         """Start committing."""
@@ -132,24 +120,28 @@
             return self._refuse(
                 job, JobAnswer.UNAVAILABLE, retry_s, reason="the store does not answer", **fields
             )
-        value = msgspec.msgpack.encode(job)
-        result = self._group_commit.create(
-            f"in/{job.pool}/j/{job.id}", value, _commit_wait_s(wait_s)
-        )
+        job = msgspec.structs.replace(job, has_claim=True)
+        record = Put(job_key(job.pool, job.id), msgspec.msgpack.encode(job))
+        result = self._group_commit.create(claim_of(job), record, wait_s=_commit_wait_s(wait_s))
         answer = _answer_of(result)
+        claim: JobClaim | None = None
         if answer is JobAnswer.ACCEPTED:
-            answer = self._compare_workspace(job, result)
+            claim = self._claim_in_force(job, result)
+            answer = _answer_by_claim(claim, job)
         took_s = round(time.monotonic() - started_at, 3)
         if answer is JobAnswer.UNAVAILABLE:
             retry_s = outage_retry_s(store_silent_s)
             return self._refuse(
                 job, answer, retry_s, reason="not committed", took_s=took_s, **fields
             )
+        pool = claim.pool if claim is not None else job.pool
+        if pool != job.pool:
+            fields["accepted_in"] = pool
         self._log_submit(job, answer, revision=result.revision, took_s=took_s, **fields)
         if answer is JobAnswer.ACCEPTED and result.revision:
             if self._workspaces is not None:
                 self._workspaces.on_committed(job.id)
-            self._notify_owner(job, result.stored or value, result.revision)
+            self._notify_owner(pool, job.id, result)
         elif answer is JobAnswer.UNKNOWN:
             self._report_unconfirmed(job.id)
         return answer, 0.0
@@ -173,16 +165,17 @@
             fields |= decision.fields
         return None if is_accepted else _Overload(retry_s, fields)
 
-    def _compare_workspace(self, job: Job, result: CommitResult) -> JobAnswer:
-        """Return whether the stored job with this id is one of the same workspace."""
-        if result.stored is not None:
-            workspace = _workspace_of(result.stored)
-        else:
-            found = self._read_job(job.pool, job.id)
-            if found.state is None:
-                return JobAnswer.UNKNOWN
-            workspace = found.workspace
-        return _answer_by_workspace(workspace, job)
+    def _claim_in_force(self, job: Job, result: CommitResult) -> JobClaim | None:
+        """Return the claim on a job's id after its commit; ``None`` if it isn't known."""
+        value = result.value_by_key.get(claim_key(job.id))
+        if value is not None:
+            return decode_claim(value)
+        record = result.value_by_key.get(job_key(job.pool, job.id))
+        if record is not None:
+            # Accepted by an entry host of an earlier version.
+            return JobClaim(job.pool, workspace_of(record))
+        found = self._finder.find(job.pool, job.id)
+        return JobClaim(found.pool, found.workspace) if found.pool is not None else None
 
     def _refuse(
         self, job: Job, answer: JobAnswer, retry_s: float, **fields: object
@@ -190,7 +183,7 @@
         """Refuse a job, unless an earlier attempt of its caller stored it or may have."""
         if job.id in self._unconfirmed:
             answer = JobAnswer.UNKNOWN
-        elif found := self._query_owner(job.pool, job.id, REFUSAL_QUERY_TIMEOUT_S):
+        elif found := self._finder.query_owners((job.pool,), job.id, REFUSAL_QUERY_TIMEOUT_S):
             answer = _answer_by_workspace(found.workspace, job)
         if answer is JobAnswer.OVERLOADED and self._workspaces is not None:
             self._workspaces.on_refused(job)
@@ -225,7 +218,8 @@
         if found.state.is_final:
             return JobAnswer.ACCEPTED
         remaining_s = max(0.0, deadline - time.monotonic())
-        result = self._group_commit.create(f"in/{job_pool}/x/{job}", b"{}", remaining_s)
+        cancellation = Put(cancellation_key(job_pool, job), b"{}")
+        result = self._group_commit.create(cancellation, wait_s=remaining_s)
         answer = _answer_of(result)
         log(Event.CANCEL_ANSWERED, job=job, pool=job_pool, answer=answer.value)
         if answer is JobAnswer.ACCEPTED:
@@ -257,96 +251,22 @@
 
     def on_job_told(self, batch: Batch, message: JobTold) -> None:
         """Handle an owner's answer to a query."""
-        del batch
-        with self._lock:
-            query = self._query_by_ask.pop(message.ask, None)
-        if query is not None:
-            query.answer = message
-            query.done.set()
+        self._finder.on_job_told(batch, message)
 
-    def _find_job(self, pool: PoolId, workspace: WorkspaceId, job: JobId) -> "_JobLookup":
+    def _find_job(self, pool: PoolId, workspace: WorkspaceId, job: JobId) -> JobLookup:
         """Find a job of a workspace; one of another workspace is reported as absent."""
-        found = self._find_any_job(pool, job)
+        found = self._finder.find(pool, job)
         is_foreign = found.state is not None and not _may_see(workspace, found.workspace)
-        return _JobLookup(True) if is_foreign else found
-
-    def _find_any_job(self, pool: PoolId, job: JobId) -> "_JobLookup":
-        """Find a job at its pool's owner, else in the store.
+        return JobLookup(True) if is_foreign else found
 
-        The store is searched in all pools, since the queue may have had another pool when the job
-        was accepted.
-        """
-        found = self._query_owner(pool, job)
-        if found is not None:
-            return found
-        other_pools = [other for other in self._pools() if other != pool]
-        for job_pool in [pool, *other_pools]:
-            found = self._read_job(job_pool, job)
-            if not found.is_conclusive or found.state is not None:
-                return found
-        return _JobLookup(True)
-
-    def _query_owner(
-        self, pool: PoolId, job: JobId, wait_s: float = OWNER_QUERY_TIMEOUT_S
-    ) -> "_JobLookup | None":
-        """Return a job as its pool's owner knows it, or ``None`` if the owner doesn't."""
+    def _notify_owner(self, pool: PoolId, job: JobId, result: CommitResult) -> None:
+        value = result.value_by_key[job_key(pool, job)]
         owner = self._local_owner_of(pool)
-        if owner is not None:
-            known = owner.find(job) if owner.may_order() else None
-            return _JobLookup(True, pool, *known) if known is not None else None
         record = self._owner_of(pool)
-        if record is None:
-            return None
-        query = _OwnerQuery()
-        ask = next(self._ask_ids)
-        with self._lock:
-            self._query_by_ask[ask] = query
-        self._peers.send(record.inner, JobAsk(ask, pool, job))
-        query.done.wait(wait_s)
-        with self._lock:
-            self._query_by_ask.pop(ask, None)
-        reply = query.answer
-        if reply is None or not reply.is_owner or not reply.state:
-            return None
-        return _JobLookup(
-            True,
-            pool,
-            JobState(reply.state),
-            WorkspaceId(reply.workspace),
-            FailureCause(reply.cause),
-        )
-
-    def _read_job(self, pool: PoolId, job: JobId) -> "_JobLookup":
-        """Read the records of a job in one pool."""
-        items = []
-        for key in (f"in/{pool}/j/{job}", progress_key(pool, job), f"in/{pool}/x/{job}"):
-            # Low priority: while no owner answers, callers' queries would use up this host's calls
-            # to the store, and its own pools could not be loaded, so a take-over would never end.
-            read = self._kv.get(key, Priority.LATER)
-            if isinstance(read, Failure):
-                log(Event.JOB_NOT_READ, job=job, pool=pool, reason=read.failure().reason)
-                return _JobLookup(False)
-            items.append(read.unwrap())
-            if items[0] is None:
-                return _JobLookup(True)
-        accepted, progress, cancelled = items
-        state, cause = JobState.QUEUED, FailureCause.NONE
-        if progress is not None and progress.value is not None:
-            stored = msgspec.json.decode(progress.value, type=JobProgress)
-            state, cause = stored.state, stored.cause
-        if cancelled is not None and not state.is_final:
-            state = JobState.CANCELLED
-        value = accepted.value if accepted is not None else None
-        workspace = _workspace_of(value) if value is not None else NO_WORKSPACE
-        return _JobLookup(True, pool, state, workspace, cause)
-
-    def _notify_owner(self, job: Job, value: bytes, revision: Revision) -> None:
-        owner = self._local_owner_of(job.pool)
-        record = self._owner_of(job.pool)
         if owner is not None:
-            owner.add_job(value, revision)
+            owner.add_job(value, result.revision)
         elif record is not None:
-            self._peers.send(record.inner, JobAccepted(job.pool, job.id, value, revision))
+            self._peers.send(record.inner, JobAccepted(pool, job, value, result.revision))
 
     def _log_submit(self, job: Job, answer: JobAnswer, **fields: object) -> None:
         log(
@@ -359,19 +279,6 @@
         )
 
 
-class _JobLookup(msgspec.Struct, frozen=True):
-    """The result of looking up a job.
-
-    :param is_conclusive: whether the store could be read; if not, the job may exist.
-    """
-
-    is_conclusive: bool
-    pool: PoolId | None = None
-    state: JobState | None = None
-    workspace: WorkspaceId = NO_WORKSPACE
-    cause: FailureCause = FailureCause.NONE
-
-
 class _Overload(msgspec.Struct, frozen=True):
     """Why a job is refused, and the seconds after which its caller should retry."""
 
@@ -379,25 +286,9 @@
     fields: dict[str, object]
 
 
-class _OwnerQuery:
-    __slots__ = ("answer", "done")
-
-    def __init__(self) -> None:
-        self.done = threading.Event()
-        self.answer: JobTold | None = None
-
-
-class _JobWorkspace(msgspec.Struct):
-    workspace: WorkspaceId = NO_WORKSPACE
-
-
-def _workspace_of(value: bytes) -> WorkspaceId:
-    """Return the workspace in a stored job, without decoding its steps."""
-    try:
-        return msgspec.msgpack.decode(value, type=_JobWorkspace).workspace
-    except DECODE_ERRORS as error:
-        log(Event.RECORD_ODD, key="accepted job", reason=str(error))
-        return NO_WORKSPACE
+def _answer_by_claim(claim: JobClaim | None, job: Job) -> JobAnswer:
+    """Return the answer to a job that is stored, given the claim on its id."""
+    return JobAnswer.UNKNOWN if claim is None else _answer_by_workspace(claim.workspace, job)
 
 
 def _answer_by_workspace(stored: WorkspaceId, job: Job) -> JobAnswer:
--- a/src/lentilrill/platform/_ingress.py
+++ b/src/lentilrill/platform/_ingress.py
@@ -8,7 +8,7 @@
 from cheroot import wsgi
 from returns.result import Failure
 
-from lentilrill.ids import JobId, WorkspaceId
+from lentilrill.ids import NO_WORKSPACE, JobId, WorkspaceId
 from lentilrill.intake import Intake
 from lentilrill.platform._caller_key import (
     KEY_VARIABLE,
@@ -50,7 +50,6 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 Environ = dict[str, Any]
 Answer = tuple[str, bytes, float | None]
-NO_WORKSPACE = WorkspaceId("")
 
 
 class Ingress:
--- a/src/lentilrill/workloads/__init__.py
+++ b/src/lentilrill/workloads/__init__.py
@@ -19,6 +19,13 @@
     StepId,
     TaskId,
 )
+from lentilrill.workloads._job_records import (
+    JobClaim,
+    cancellation_key,
+    claim_key,
+    job_key,
+    progress_key,
+)
 from lentilrill.workloads._progress import Attempt, FailureCause, JobProgress, JobView, StepProgress
 from lentilrill.workloads._workspaces import (
     KeyDigest,
@@ -41,6 +48,7 @@
     "FailureCause",
     "Job",
     "JobAnswer",
+    "JobClaim",
     "JobProgress",
     "JobState",
     "JobView",
@@ -60,6 +68,10 @@
     "WorkspaceSubmissions",
     "WorkspaceUse",
     "Workspaces",
+    "cancellation_key",
+    "claim_key",
     "digest_of",
     "fingerprint_of",
+    "job_key",
+    "progress_key",
 ]
--- a/src/lentilrill/workloads/_job.py
+++ b/src/lentilrill/workloads/_job.py
@@ -138,6 +138,7 @@
     :param first_due_ms: due time of its first occurrence, in milliseconds since the epoch.
     :param occurrences: number of times that the steps run; 0 runs them once, immediately.
     :param beyond_rate: whether its workspace was beyond its rate when it was submitted.
+    :param has_claim: whether it was stored together with the claim on its id.
     """
 
     id: JobId
@@ -152,6 +153,7 @@
     attempts: int = 1
     workspace: WorkspaceId = WorkspaceId("")
     beyond_rate: bool = False
+    has_claim: bool = False
 
     def due_ms(self, occurrence: int) -> int:
         """Return the due time of an occurrence in milliseconds since the epoch; 0 if immediate."""
--- a/tests/execution/test_lost_for_good.py
+++ b/tests/execution/test_lost_for_good.py
@@ -14,7 +14,6 @@
     OrderAnswer,
     PoolOwner,
     StartOrder,
-    progress_key,
 )
 from lentilrill.execution import _crashes as crashes
 from lentilrill.execution import _host_reader as host_reader
@@ -33,7 +32,14 @@
 from lentilrill.ids import EndpointId, HostId, JobId, Revision
 from lentilrill.telemetry import Event
 from lentilrill.upkeep import HostRow, HostState
-from lentilrill.workloads import Attempt, EndpointEntry, Job, JobProgress, JobState
+from lentilrill.workloads import (
+    Attempt,
+    EndpointEntry,
+    Job,
+    JobProgress,
+    JobState,
+    progress_key,
+)
 from tests.builders import a_host_row, a_job, a_step, an_endpoint
 from tests.execution.cases import Owner, TrackedJobCase
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually, state_of
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result
 from testtools import TestCase
 
-from lentilrill.execution import EndKind, PoolOwner
+from lentilrill.execution import EndKind, PoolOwner, claim_of
 from lentilrill.execution._allowances import ALLOWANCE_PREFIX
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import QueueId, Revision
@@ -397,9 +397,12 @@
             pool.kv.put(f"in/notices/j/{job.id}", msgspec.msgpack.encode(job))
             progress = JobProgress(JobState.COMPLETED, ended_ms)
             pool.kv.put(f"p/notices/{job.id}", msgspec.json.encode(progress))
+            pool.kv.put(f"c/{job.id}", claim_of(job).value)
         owner = pool.take_over()
         self.assertTrue(eventually(lambda: f"in/notices/j/{old.id}" not in pool.kv.items_by_key))
         self.assertNotIn(f"p/notices/{old.id}", pool.kv.items_by_key)
+        self.assertNotIn(f"c/{old.id}", pool.kv.items_by_key)
+        self.assertIn(f"c/{fresh.id}", pool.kv.items_by_key)
         self.assertIn(f"p/notices/{fresh.id}", pool.kv.items_by_key)
         self.assertIs(JobState.COMPLETED, state_of(owner, fresh.id))
         self.assertTrue(eventually(lambda: state_of(owner, old.id) is None))
--- a/tests/intake/fakes.py
+++ b/tests/intake/fakes.py
@@ -5,17 +5,16 @@
 
 from testtools import TestCase
 
-from lentilrill.ids import PoolId, WorkspaceId
+from lentilrill.ids import PoolId
 from lentilrill.inner import JobAsk, PoolPressure
 from lentilrill.intake import Intake, WorkspaceAdmission, _group
 from lentilrill.ownership import OwnerRecord
 from tests.builders import a_job
 from tests.fakes import FakeKeyValue
 
-__all__ = ["NO_WORKSPACE", "POOL", "IntakeCase", "Peers"]
+__all__ = ["POOL", "IntakeCase", "Peers"]
 
 POOL = PoolId("notices")
-NO_WORKSPACE = WorkspaceId("")
 
 
 class Peers:
@@ -64,7 +63,6 @@
             lambda pool: None,
             lambda pool: self.owner,
             lambda pool: self.pressure,
-            lambda: [POOL, PoolId("ballots")],
             lambda: list(self.peer_addresses),
             lambda: self.silent_s,
             workspaces,
--- a/tests/intake/test_intake.py
+++ b/tests/intake/test_intake.py
@@ -2,7 +2,15 @@
 
 import threading
 
-from lentilrill.ids import Incarnation, JobId, PoolId, ProcessId, QueueId, WorkspaceId
+from lentilrill.ids import (
+    NO_WORKSPACE,
+    Incarnation,
+    JobId,
+    PoolId,
+    ProcessId,
+    QueueId,
+    WorkspaceId,
+)
 from lentilrill.inner import (
     Batch,
     JobAccepted,
@@ -17,7 +25,7 @@
 from tests.builders import a_job
 from tests.execution.fakes import eventually
 from tests.fakes import lose_answer, lose_request
-from tests.intake.fakes import NO_WORKSPACE, POOL, IntakeCase
+from tests.intake.fakes import POOL, IntakeCase
 
 SCHOOLS, LIBRARY = WorkspaceId("schools"), WorkspaceId("library")
 ATTEMPTS = 3
@@ -112,12 +120,12 @@
             started.wait()
             return call()
 
-        self.kv.commits.append(slowly)
         answers: list[JobAnswer] = []
         callers = [
             threading.Thread(target=lambda n=n: answers.append(self.intake.submit(a_job(n))[0]))
             for n in "0123456789abcdef"
         ]
+        self.kv.commits.extend([slowly] * len(callers))
         for caller in callers:
             caller.start()
         creates_by_key = self.intake._group_commit._creates_by_key
