A job in a queue's former pool is never refused, and is found without the store

Callers would see: a job is accepted, its queue gets another service, and the same request is answered 429 or 503 ("not accepted, never runs") because the new pool is overloaded, or the store is silent, while the job runs in the former one. Found among the related paths of the change of a service, by reading; red first: test_a_job_that_the_former_pool_has_is_never_refused.

Cause: before a refusal only the owner of the queue's pool is queried. Queries of such a job, too, went to that owner and then to the store with each call: a caller that polled one job 150 times a second used up its host's calls to the store (seen in the first form of the test on processes: job_not_read, "the call budget for priority 'later' is used up").

Change: a host remembers which pools a queue, known by host and path prefix, had in the configurations that it has seen (four at most), and queries their owners together with that of the present one, before a refusal and for a state. The first owner that has the job ends the wait; no call to the store is added.

A host that has not seen the earlier configuration still finds the job through its claim, but its refusal doesn't look there: a read of the store for each refusal would cost most when the store is busiest.

Intake takes the queue in place of its pool for states and cancels; the tests pass a queue. Seen failing with the former pools left out: the three of FormerPoolTest.

--- a/src/lentilrill/entry/_caches.py
+++ b/src/lentilrill/entry/_caches.py
@@ -3,7 +3,8 @@
 import threading
 from collections.abc import Callable
 
-from lentilrill.ids import EndpointId, PoolId
+from lentilrill.entry._queue_pools import QueuePools
+from lentilrill.ids import EndpointId, PoolId, QueueId
 from lentilrill.platform import (
     CONFIGURATION_KEY,
     WAVES_PREFIX,
@@ -31,6 +32,7 @@
     def __init__(self, on_change: Callable[[], None] = lambda: None) -> None:
         self._lock = threading.Lock()
         self._on_change = on_change
+        self._queue_pools = QueuePools()
         self.current: Configuration | None = None
         self.value = b""
         self.key: Compare | None = None
@@ -41,6 +43,10 @@
         """The version in force; -1 if there is none yet."""
         return self.current.version if self.current is not None else -1
 
+    def former_pools(self, queue: QueueId) -> tuple[PoolId, ...]:
+        """Return the pools that a queue had in earlier configurations, as far as known."""
+        return self._queue_pools.former(self.current, queue)
+
     def on_replaced(self, items: tuple[Item, ...]) -> None:
         """Replace the cached records by a full read."""
         with self._lock:
@@ -72,6 +78,7 @@
                 self.key = key
             if configuration.version <= self.version:
                 return
+            self._queue_pools.record(configuration)
             self.current, self.value, self.key = configuration, value, key
         log(
             Event.CONFIGURATION_IN_FORCE,
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -121,6 +121,7 @@
             self._owners_by_pool.get,
             lambda pool: self._ownership.owner_of(Shard(pool)),
             self._status_exchange.pressure_of,
+            self._configuration.former_pools,
             lambda: [peer.inner for peer in self._ownership.peers],
             lambda: self._kv.silent_s,
             self._workspaces,
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -29,6 +29,7 @@
     JobAnswer,
     JobClaim,
     JobState,
+    Queue,
     cancellation_key,
     claim_key,
     job_key,
@@ -54,6 +55,7 @@
     :param owner_of: returns the owner record of a pool, if known.
     :param pressure_of: returns the pressure reported by a pool's owner; ``None`` if there is no
         recent report.
+    :param former_pools: returns the pools that a queue had before, as far as known.
     :param peer_addresses: returns the inner addresses of the other entry hosts.
     :param store_silent_s: returns the seconds since the store last answered this host.
     :param workspaces: decides about jobs of workspaces, if given.
@@ -66,6 +68,7 @@
         local_owner_of: Callable[[PoolId], PoolOwner | None],
         owner_of: Callable[[PoolId], OwnerRecord | None],
         pressure_of: Callable[[PoolId], PoolPressure | None],
+        former_pools: Callable[[QueueId], tuple[PoolId, ...]] = lambda queue: (),
         peer_addresses: Callable[[], list[str]] = list,
         store_silent_s: Callable[[], float] = lambda: 0.0,
         workspaces: WorkspaceAdmission | None = None,
@@ -79,6 +82,7 @@
         self._workspaces = workspaces
         self._unconfirmed = UnconfirmedJobs()
         self._group_commit = GroupCommit(kv)
+        self._former_pools = former_pools
         self._finder = JobFinder(kv, peers, local_owner_of, owner_of)
 
     def start(self) -> None:
@@ -183,7 +187,9 @@
         """Refuse a job, unless an earlier attempt of its caller stored it or may have."""
         if job.id in self._unconfirmed:
             answer = JobAnswer.UNKNOWN
-        elif found := self._finder.query_owners((job.pool,), job.id, REFUSAL_QUERY_TIMEOUT_S):
+        elif found := self._finder.query_owners(
+            (job.pool, *self._former_pools(job.queue)), job.id, REFUSAL_QUERY_TIMEOUT_S
+        ):
             answer = _answer_by_workspace(found.workspace, job)
         if answer is JobAnswer.OVERLOADED and self._workspaces is not None:
             self._workspaces.on_refused(job)
@@ -202,14 +208,15 @@
         self._unconfirmed.add(message.job)
 
     def cancel(
-        self, pool: PoolId, workspace: WorkspaceId, job: JobId, wait_s: float | None = None
+        self, queue: Queue, workspace: WorkspaceId, job: JobId, wait_s: float | None = None
     ) -> JobAnswer:
         """Cancel a job of a workspace.
 
+        :param queue: queue that the caller addressed.
         :param wait_s: the caller's timeout in seconds, if known.
         """
         deadline = time.monotonic() + _commit_wait_s(wait_s)
-        found = self._find_job(pool, workspace, job)
+        found = self._find_job(queue, workspace, job)
         if not found.is_conclusive:
             return JobAnswer.UNAVAILABLE
         job_pool = found.pool
@@ -232,10 +239,10 @@
         return answer
 
     def get_state(
-        self, pool: PoolId, workspace: WorkspaceId, job: JobId
+        self, queue: Queue, workspace: WorkspaceId, job: JobId
     ) -> tuple[JobAnswer, JobState | None, FailureCause]:
         """Return the state of a job and why it failed; ``ABSENT`` if the workspace has none."""
-        found = self._find_job(pool, workspace, job)
+        found = self._find_job(queue, workspace, job)
         if not found.is_conclusive:
             return JobAnswer.UNAVAILABLE, None, FailureCause.NONE
         if found.state is None:
@@ -253,9 +260,9 @@
         """Handle an owner's answer to a query."""
         self._finder.on_job_told(batch, message)
 
-    def _find_job(self, pool: PoolId, workspace: WorkspaceId, job: JobId) -> JobLookup:
+    def _find_job(self, queue: Queue, workspace: WorkspaceId, job: JobId) -> JobLookup:
         """Find a job of a workspace; one of another workspace is reported as absent."""
-        found = self._finder.find(pool, job)
+        found = self._finder.find(queue.pool, job, self._former_pools(queue.id))
         is_foreign = found.state is not None and not _may_see(workspace, found.workspace)
         return JobLookup(True) if is_foreign else found
 
--- a/src/lentilrill/intake/_lookup.py
+++ b/src/lentilrill/intake/_lookup.py
@@ -2,7 +2,6 @@
 
 import itertools
 import threading
-import time
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -75,13 +74,14 @@
         self._lock = threading.Lock()
         self._query_by_ask: dict[int, _OwnerQuery] = {}
 
-    def find(self, pool: PoolId, job: JobId) -> JobLookup:
-        """Find a job at the owner of a pool, else in the store.
+    def find(self, pool: PoolId, job: JobId, former_pools: tuple[PoolId, ...] = ()) -> JobLookup:
+        """Find a job at the owner of its pool, else in the store.
 
         :param pool: pool of the job's queue, which may have had another one when the job was
             accepted.
+        :param former_pools: pools that the queue had before, as far as known.
         """
-        found = self.query_owners((pool,), job) or self._read_job(pool, job)
+        found = self.query_owners((pool, *former_pools), job) or self._read_job(pool, job)
         if not found.is_conclusive or found.state is not None:
             return found
         claim = self.read_claim(job)
@@ -96,33 +96,41 @@
 
         :param wait_s: maximum time to wait for all of them, in seconds.
         """
-        queries = []
+        query = _OwnerQuery()
+        for pool in pools:
+            owner = self._local_owner_of(pool)
+            if owner is not None:
+                known = owner.find(job) if owner.may_order() else None
+                if known is not None:
+                    return JobLookup(True, pool, *known)
+            elif (record := self._owner_of(pool)) is not None:
+                query.address_by_pool[pool] = record.inner
+        if not query.address_by_pool:
+            return None
         try:
-            for pool in pools:
-                owner = self._local_owner_of(pool)
-                if owner is not None:
-                    known = owner.find(job) if owner.may_order() else None
-                    if known is not None:
-                        return JobLookup(True, pool, *known)
-                elif (record := self._owner_of(pool)) is not None:
-                    queries.append(self._send_query(record, pool, job))
-            deadline = time.monotonic() + wait_s
-            for query in queries:
-                query.done.wait(max(0.0, deadline - time.monotonic()))
-            return next((found for query in queries if (found := query.result())), None)
+            self._send(query, job)
+            query.done.wait(wait_s)
+            return query.found
         finally:
             with self._lock:
-                for query in queries:
-                    self._query_by_ask.pop(query.ask, None)
+                for ask in query.pool_by_ask:
+                    self._query_by_ask.pop(ask, None)
+
+    def _send(self, query: "_OwnerQuery", job: JobId) -> None:
+        query.pool_by_ask = {next(self._ask_ids): pool for pool in query.address_by_pool}
+        query.unanswered = len(query.pool_by_ask)
+        with self._lock:
+            self._query_by_ask |= dict.fromkeys(query.pool_by_ask, query)
+        for ask, pool in query.pool_by_ask.items():
+            self._peers.send(query.address_by_pool[pool], JobAsk(ask, pool, job))
 
     def on_job_told(self, batch: Batch, message: JobTold) -> None:
         """Handle an owner's answer to a query."""
         del batch
         with self._lock:
             query = self._query_by_ask.pop(message.ask, None)
-        if query is not None:
-            query.answer = message
-            query.done.set()
+            if query is not None:
+                query.on_answer(message)
 
     def read_claim(self, job: JobId) -> JobClaim | JobLookup:
         """Return the claim on a job's id; what is known of the job if there is none."""
@@ -136,13 +144,6 @@
         claim = decode_claim(item.value)
         return claim if claim is not None else JobLookup(False)
 
-    def _send_query(self, record: OwnerRecord, pool: PoolId, job: JobId) -> "_OwnerQuery":
-        query = _OwnerQuery(next(self._ask_ids), pool)
-        with self._lock:
-            self._query_by_ask[query.ask] = query
-        self._peers.send(record.inner, JobAsk(query.ask, pool, job))
-        return query
-
     def _read_job(self, pool: PoolId, job: JobId) -> JobLookup:
         """Read the records of a job in one pool."""
         items = []
@@ -169,21 +170,30 @@
 
 
 class _OwnerQuery:
-    __slots__ = ("answer", "ask", "done", "pool")
+    """A query to the owners of some pools, of which one at most has the job."""
+
+    __slots__ = ("address_by_pool", "done", "found", "pool_by_ask", "unanswered")
 
-    def __init__(self, ask: int, pool: PoolId) -> None:
-        self.ask = ask
-        self.pool = pool
+    def __init__(self) -> None:
+        self.address_by_pool: dict[PoolId, str] = {}
+        self.pool_by_ask: dict[int, PoolId] = {}
+        self.unanswered = 0
+        self.found: JobLookup | None = None
         self.done = threading.Event()
-        self.answer: JobTold | None = None
 
-    def result(self) -> JobLookup | None:
-        """Return the job as its owner knows it; ``None`` if it doesn't, or hasn't answered."""
-        reply = self.answer
-        if reply is None or not reply.is_owner or not reply.state:
-            return None
-        state, workspace = JobState(reply.state), WorkspaceId(reply.workspace)
-        return JobLookup(True, self.pool, state, workspace, FailureCause(reply.cause))
+    def on_answer(self, answer: JobTold) -> None:
+        """Process the answer of one owner."""
+        self.unanswered -= 1
+        if answer.is_owner and answer.state:
+            self.found = JobLookup(
+                True,
+                self.pool_by_ask[answer.ask],
+                JobState(answer.state),
+                WorkspaceId(answer.workspace),
+                FailureCause(answer.cause),
+            )
+        if self.found is not None or not self.unanswered:
+            self.done.set()
 
 
 class _JobWorkspace(msgspec.Struct):
--- a/src/lentilrill/platform/_ingress.py
+++ b/src/lentilrill/platform/_ingress.py
@@ -132,12 +132,12 @@
                 return "413 Content Too Large", b"{}", None
             return self._submit(queue, workspace, job, environ, started)
         if method == "GET":
-            answer, state, cause = self._intake.get_state(queue.pool, workspace, job)
+            answer, state, cause = self._intake.get_state(queue, workspace, job)
             body = encode_state(state, cause) if state is not None else b"{}"
             return _with_retry_time(answer, body)
         if method == "DELETE":
             return _with_retry_time(
-                self._intake.cancel(queue.pool, workspace, job, _caller_wait_s(environ)), b"{}"
+                self._intake.cancel(queue, workspace, job, _caller_wait_s(environ)), b"{}"
             )
         return "405 Method Not Allowed", b"{}", None
 
