Owners store the claims of jobs that an earlier version accepted

Callers would see: a job that was accepted before the upgrade, or by a host of the earlier version during it, runs a second time if its queue changes its pool and the request is repeated, since it has no claim. Queries from the new pool would be answered 410, as they no longer read one key in every pool.

Change: a stored job tells whether it has a claim. The owner of its pool stores the missing ones, 15 in a call, as it loads and whenever a host of the earlier version hands it another job; a call that failed is tried again after 5 s. A claim that another pool holds already is logged (661) and kept when the job is removed. Jobs of this version cost no call.

Not closed: a request that is repeated with another service before the owner has stored the claim (a round after it has loaded), and an entry host of the earlier version that accepts a repeated request.

The removal of ended jobs got its test, too: 16 in 3 calls in a row.

--- a/src/lentilrill/execution/_claims.py
+++ b/src/lentilrill/execution/_claims.py
@@ -1,12 +1,21 @@
-"""Claims on the ids of jobs, as stored."""
+"""Claims on the ids of jobs, as the owner of their pool stores and removes them."""
+
+import time
+from itertools import islice
 
 import msgspec
+from returns.result import Failure
 
-from lentilrill.store import DECODE_ERRORS, Put
+from lentilrill.ids import JobId, PoolId, Revision
+from lentilrill.store import DECODE_ERRORS, Compare, Item, KeyValue, Priority, Put
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import Job, JobClaim, claim_key
 
-__all__ = ["claim_of", "decode_claim"]
+__all__ = ["ClaimBook", "claim_of", "decode_claim"]
+
+MAX_CLAIMS_PER_COMMIT = 15
+"""The store takes 32 entries per call: the owner's key, and a condition and a write per claim."""
+RETRY_S = 5.0
 
 
 def claim_of(job: Job) -> Put:
@@ -21,3 +30,77 @@
     except DECODE_ERRORS as error:
         log(Event.RECORD_ODD, key="claim on a job", reason=str(error))
         return None
+
+
+class ClaimBook:
+    """Claims of a pool's jobs: who has one, and who still needs one.
+
+    An entry host of an earlier version accepts jobs without a claim. Until the owner has stored it,
+    such a job would be accepted once more if its queue changed its pool.
+
+    All methods are called under the owner's lock, or by its planning thread alone (:meth:`store`).
+    """
+
+    def __init__(self, kv: KeyValue, pool: PoolId, owner: Compare) -> None:
+        self._kv = kv
+        self._pool = pool
+        self._owner = owner
+        self._missing_by_job: dict[JobId, Put] = {}
+        self._foreign: set[JobId] = set()
+        self._not_before = 0.0
+
+    def on_job(self, job: Job) -> None:
+        """Note a job of the pool."""
+        if not job.has_claim:
+            self._missing_by_job[job.id] = claim_of(job)
+
+    def removable_key(self, job: JobId) -> str | None:
+        """Return the key of a job's claim, unless the claim belongs to another job."""
+        return None if job in self._foreign else claim_key(job)
+
+    def forget(self, job: JobId) -> None:
+        """Forget a job that was removed."""
+        self._missing_by_job.pop(job, None)
+        self._foreign.discard(job)
+
+    def next_batch(self) -> tuple[Put, ...]:
+        """Return claims to be stored now."""
+        if not self._missing_by_job or time.monotonic() < self._not_before:
+            return ()
+        return tuple(islice(self._missing_by_job.values(), MAX_CLAIMS_PER_COMMIT))
+
+    def store(self, claims: tuple[Put, ...]) -> tuple[Item, ...] | None:
+        """Store claims together; return those that exist already, ``None`` if it failed."""
+        absent = tuple(Compare(put.key, Revision(0)) for put in claims)
+        result = self._kv.commit((self._owner, *absent), claims, Priority.LATER)
+        if isinstance(result, Failure):
+            reason = result.failure().reason
+        elif result.unwrap().succeeded:
+            return ()
+        else:
+            found = result.unwrap().found
+            existing = tuple(item for item in found if item.key != self._owner.key)
+            if existing:
+                return existing
+            reason = "conditions"
+        log(Event.CLAIMS_NOT_STORED, pool=self._pool, jobs=len(claims), reason=reason)
+        return None
+
+    def on_result(self, claims: tuple[Put, ...], existing: tuple[Item, ...] | None) -> None:
+        """Process the result of :meth:`store`."""
+        if existing is None:
+            self._not_before = time.monotonic() + RETRY_S
+            return
+        settled = {item.key for item in existing} if existing else {put.key for put in claims}
+        for job in [job for job, put in self._missing_by_job.items() if put.key in settled]:
+            del self._missing_by_job[job]
+        for item in existing:
+            self._check(item)
+
+    def _check(self, item: Item) -> None:
+        claim = decode_claim(item.value) if item.value is not None else None
+        if claim is None or claim.pool != self._pool:
+            job = JobId(item.key.rpartition("/")[2])
+            self._foreign.add(job)
+            pool = claim.pool if claim is not None else None
+            log(Event.JOB_ACCEPTED_TWICE, job=job, pool=self._pool, other_pool=pool)
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure
 
+from lentilrill.execution._claims import ClaimBook
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import TrackedJob, encode_progress, job_id_of
 from lentilrill.execution._writer import ProgressEntry, Snapshot
@@ -19,7 +20,6 @@
     JobState,
     JobView,
     cancellation_key,
-    claim_key,
     job_key,
     progress_key,
 )
@@ -83,6 +83,7 @@
         self._records_since = records_since
         self._metrics = metrics
         self._pending_cancellations: set[JobId] = set()
+        self._claims = ClaimBook(kv, pool, Compare(owner_key, token))
         self._removal_due_at = time.monotonic() + REMOVAL_INTERVAL_S
 
     def add(self, value: bytes, revision: Revision) -> TrackedJob | None:
@@ -179,6 +180,7 @@
         tracked_job.open_occurrences(int(time.time() * 1000))
         self.by_id[job.id] = tracked_job
         self.live_by_id[job.id] = tracked_job
+        self._claims.on_job(job)
         if job.id in self._pending_cancellations:
             self._pending_cancellations.discard(job.id)
             self._cancel(tracked_job)
@@ -287,6 +289,16 @@
                     log(Event.RECORD_ODD, key=progress_key(self._pool, job), reason="it is gone")
                 tracked_job.stored_revision = revision
 
+    def store_claims(self) -> None:
+        """Store the claims of some jobs that were accepted without one."""
+        with self._lock:
+            claims = self._claims.next_batch()
+        if not claims:
+            return
+        existing = self._claims.store(claims)
+        with self._lock:
+            self._claims.on_result(claims, existing)
+
     def remove_expired(self, now_ms: int) -> None:
         """Remove the records of some ended jobs whose retention has expired."""
         now = time.monotonic()
@@ -317,15 +329,17 @@
         with self._lock:
             for job in removed:
                 self.by_id.pop(job, None)
+                self._claims.forget(job)
 
     def _keys_of(self, job: JobId) -> list[str]:
         """Return the keys of all records of a job."""
-        return [
+        keys = [
             job_key(self._pool, job),
             cancellation_key(self._pool, job),
             progress_key(self._pool, job),
-            claim_key(job),
         ]
+        claim = self._claims.removable_key(job)
+        return keys if claim is None else [*keys, claim]
 
 
 def _starts_next(tracked_job: TrackedJob) -> bool:
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -381,6 +381,7 @@
             if self.may_order():
                 run_and_log_errors(f"links of {self.pool}", self._refresh_links)
                 run_and_log_errors(f"plan of {self.pool}", self._plan)
+                run_and_log_errors(f"claims of {self.pool}", self._jobs.store_claims)
                 run_and_log_errors(f"old jobs of {self.pool}", self._remove_expired)
             ended = time.monotonic()
             self._record_round(due_at, began, ended)
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -235,6 +235,16 @@
         Level.INFO,
         "The policy service returned the endpoints that may run a step.",
     )
+    CLAIMS_NOT_STORED = (
+        660,
+        Level.WARNING,
+        "Claims of jobs that an earlier version accepted could not be stored; it is tried again.",
+    )
+    JOB_ACCEPTED_TWICE = (
+        661,
+        Level.ERROR,
+        "A job that an earlier version accepted is claimed by another pool as well.",
+    )
     JOBS_FORGOTTEN = (684, Level.INFO, "Records of jobs that ended long ago were removed.")
     RUN_FAILED = (679, Level.INFO, "A run failed.")
     RUN_GONE = (680, Level.INFO, "A run is over; its task waits again unless it is done.")
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -183,7 +183,7 @@
 
 def a_job(name: str = "a", *steps: Step, **changes: Any) -> Job:
     """Return a job of the queue ``proofs`` and the pool ``notices``; one step by default."""
-    values: dict[str, Any] = {"spec": "text", "steps": steps or (a_step(),)}
+    values: dict[str, Any] = {"spec": "text", "steps": steps or (a_step(),), "has_claim": True}
     return Job(JobId(name * 16), QueueId("proofs"), PoolId("notices"), **(values | changes))
 
 
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result
 from testtools import TestCase
 
-from lentilrill.execution import EndKind, PoolOwner, claim_of
+from lentilrill.execution import EndKind, PoolOwner, _jobs, claim_of
 from lentilrill.execution._allowances import ALLOWANCE_PREFIX
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import QueueId, Revision
@@ -407,6 +407,26 @@
         self.assertIs(JobState.COMPLETED, state_of(owner, fresh.id))
         self.assertTrue(eventually(lambda: state_of(owner, old.id) is None))
 
+    def test_removals_keep_up_with_the_jobs_that_end(self) -> None:
+        """Guards against records that grow without end in a pool that ends many jobs a second."""
+        self.patch(_jobs, "REMOVAL_INTERVAL_S", 0.0)
+        self.patch(_jobs, "FULL_REMOVAL_INTERVAL_S", 0.0)
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        now_ms = int(time.time() * 1000)
+        for name in "0123456789abcdef":
+            job = a_job(name)
+            pool.kv.put(f"in/notices/j/{job.id}", msgspec.msgpack.encode(job))
+            progress = JobProgress(JobState.COMPLETED, now_ms - 200_000)
+            pool.kv.put(f"p/notices/{job.id}", msgspec.json.encode(progress))
+        jobs = pool.new_owner()._jobs
+        self.assertTrue(jobs.load())
+        self.patch(_jobs, "REMOVAL_INTERVAL_S", 60.0)
+        for _ in range(4):
+            jobs.remove_expired(now_ms)
+        self.assertEqual({}, jobs.by_id)
+        self.assertEqual(3, pool.kv.calls["commit"])
+
 
 class BlindOwnerTest(TestCase):
     def test_an_owner_that_reads_no_jobs_shows_no_count(self) -> None:
