A late copy of a start is refused by every later process of its endpoint

Callers would see: a task runs on two endpoints at once. Its start was sent twice, as the first copy got no answer; the second one ran.

Cause: at a restart only runs without any answer (ORDERED) were stopped in the new process. A run that was confirmed by another copy was dropped as "no longer listed" in the same poll.

Change: a run counts the answers to the copies of its start. At a restart every run with a copy left is stopped in the new process and holds its task until that is confirmed. A run that is over is remembered for 15 s after its last copy, and stopped in any later process of its endpoint, also behind a new link, until the stop is answered. A run that the new process lists already (the copy came before the first poll) goes on.

Related paths: a run that had ended, one that was cancelled or stopped, a stop without an answer, a copy before the first poll. Not covered: what a former owner of the pool sent (its memory is gone with it); a late poll whose acknowledgement reaches a new process, read only.

Seen failing before: four of tests/execution/test_late_starts.py; the other two guard against stops that aren't needed.

--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -6,6 +6,7 @@
 from lentilrill.execution._contract import EndKind, PollResult, ReportedRun, RunEnd, Verdict
 from lentilrill.execution._crashes import FRESH_S, CrashBook
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
+from lentilrill.execution._late_starts import LateStarts
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
 from lentilrill.execution._tracking import FULL_PACE_PERCENT, Run, RunPhase, TrackedJob, TrackedTask
@@ -26,6 +27,8 @@
 """Consecutive failed runs after which an endpoint gets only one task at a time, after a pause. At a
 failure rate of one in thirty a healthy endpoint reaches this once in 900 runs, and recovers within
 a second."""
+STOP_TAKEN = (Verdict.DONE, Verdict.OUTDATED)
+"""Answers to a stop after which the endpoint refuses the run."""
 MIN_PROBE_PAUSE_S = 0.5
 MAX_PROBE_PAUSE_S = 2.0
 """Bounds of the pause before an unhealthy endpoint gets another task. It doubles with each failure,
@@ -55,6 +58,7 @@
         self._durations = durations
         self._crashes = crashes
         self._speeds = speeds
+        self._late_starts = LateStarts()
 
     def apply_poll(self, link: EndpointLink, result: PollResult, sent: float) -> list[Order]:
         """Apply the result of a poll; return stop orders for runs that should not exist.
@@ -82,7 +86,8 @@
             seen.add((running.task, running.number))
             stops += self._update_run(link, running)
         if has_restarted:
-            stops += _stops_of_sent_starts(link)
+            stops += self._late_starts.on_restart(link, seen)
+        stops += self._late_starts.stops(link)
         link.unknown_since_by_key = {key: since for key, since in first_seen.items() if key in seen}
         for key, run in list(link.runs_by_key.items()):
             if key in seen or key in ended or not result.is_complete:
@@ -105,10 +110,14 @@
         :param clock_ms: the endpoint's clock at its answer; 0 if unknown.
         """
         run = order.run
+        if run is None and order.kind is OrderKind.STOP and verdict in STOP_TAKEN:
+            self._late_starts.on_stopped(link, order)
         if run is None or run.key not in link.runs_by_key or order.kind is OrderKind.PACE:
             return None
         if order.kind is OrderKind.STOP:
             return self._apply_stop_answer(run, order, verdict)
+        if verdict is not Verdict.UNKNOWN:
+            run.answer_count += 1
         if verdict is Verdict.DONE:
             run.confirmed_at = now = time.monotonic()
             started_at = link.local_time_of(clock_ms, now) if clock_ms else now
@@ -168,6 +177,7 @@
         if run.is_unsent or not is_given_up:
             self._crashes.on_run_over(link, run)
         link.runs_by_key.pop(run.key, None)
+        self._late_starts.on_over(link, run)
         link.last_busy_at = time.monotonic()
         run.give_up_start()
         task = run.task
@@ -340,15 +350,6 @@
         return run
 
 
-def _stops_of_sent_starts(link: EndpointLink) -> list[Order]:
-    """Return stops of the starts that were sent to an endpoint's previous process, unanswered."""
-    return [
-        Order.stop(run)
-        for run in link.runs_by_key.values()
-        if run.phase is RunPhase.ORDERED and run.send_count
-    ]
-
-
 def count_failure(link: EndpointLink) -> None:
     """Count a failed run of an endpoint and set the pause before its next task."""
     link.failures += 1
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -64,6 +64,7 @@
     :ivar sent_at: when its start was last sent; 0 if never.
     :ivar stop_ordered_at: when it was last ordered to stop; 0 if never.
     :ivar send_count: number of times the start order was sent.
+    :ivar answer_count: number of these that were answered.
     :ivar zone: availability zone of the endpoint.
     :ivar is_unconfirmed: a start order got no answer, so it may have been executed or may still be.
     :ivar is_noted_late: its start was noted only once its endpoint fell silent.
@@ -73,6 +74,7 @@
     """
 
     __slots__ = (
+        "answer_count",
         "confirmed_at",
         "endpoint",
         "expires_ms",
@@ -106,7 +108,7 @@
         self.reserved = reserved
         self.phase = RunPhase.ORDERED
         self.placed_at = self.progressed_at = self.reported_at = time.monotonic()
-        self.send_count = 0
+        self.send_count = self.answer_count = 0
         self.confirmed_at: float | None = None
         self.started_at: float | None = None
         self.percent = 0
@@ -132,6 +134,11 @@
         """Whether its start order has not been sent; never sent once the run was stopped."""
         return not self.send_count and self.confirmed_at is None
 
+    @property
+    def may_start_late(self) -> bool:
+        """Whether a copy of its start got no answer, and so may be carried out later."""
+        return self.send_count > self.answer_count
+
     @property
     def began_at(self) -> float:
         """When it began, or when its start was sent, found or placed, whichever is known."""
--- /dev/null
+++ b/tests/execution/test_late_starts.py
@@ -0,0 +1,138 @@
+"""Copies of starts that got no answer, carried out by a later process of their endpoint."""
+
+import msgspec
+from testtools import TestCase
+
+from lentilrill.execution import OrderAnswer, PollResult, StartOrder, Verdict
+from lentilrill.ids import JobId
+from lentilrill.workloads import JobState, TaskId
+from tests.builders import a_job, a_step, an_endpoint
+from tests.execution.fakes import OwnedPool, TimedEndpoint, eventually, state_of
+
+UNANSWERED = OrderAnswer(Verdict.UNKNOWN)
+
+
+class _CrashingEndpoint(TimedEndpoint):
+    """Endpoint that can crash, and that answers only the second copy of a start.
+
+    :ivar answers_all_starts: it answers the first copy as well.
+    :ivar lives: number of the current life, which is also its start time.
+    :ivar answers_stops: stops are carried out and answered.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lives = 1
+        self.answers_stops = True
+        self.answers_all_starts = False
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        is_second = (order.task, order.number) in {(d.task, d.number) for d in self.delayed}
+        if not (is_second or self.answers_all_starts):
+            self.delayed.append(order)
+            return OrderAnswer(Verdict.UNKNOWN)
+        return super().start(order)
+
+    def stop(self, task: TaskId, number: int, token: int) -> OrderAnswer:
+        return super().stop(task, number, token) if self.answers_stops else UNANSWERED
+
+    def crash(self) -> None:
+        """Begin the next life, with nothing of what the former one was told."""
+        with self._changed:
+            self.running.clear()
+            self.ended.clear()
+            self.stops.clear()
+            self._refused.clear()
+            self._cursor = self.acknowledged = self.token = 0
+            self.lives += 1
+
+    def poll(self, *args: object) -> PollResult:
+        return msgspec.structs.replace(super().poll(*args), started_ms=self.lives)
+
+
+class LateStartTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.pool = OwnedPool("e2")
+        self.addCleanup(self.pool.close)
+        self.endpoint = _CrashingEndpoint()
+        self.pool.endpoints["e1"] = self.endpoint
+        self.pool.register(an_endpoint("e1"))
+        self.owner = self.pool.take_over()
+
+    def start_one(self) -> JobId:
+        """Start a task by the second copy of its start."""
+        job = a_job("a", a_step(1))
+        self.pool.submit(self.owner, job)
+        self.assertTrue(eventually(lambda: len(self.endpoint.running) == 1))
+        self.assertTrue(eventually(lambda: state_of(self.owner, job.id) is JobState.RUNNING))
+        return job.id
+
+    def deliver_late_copy(self) -> OrderAnswer:
+        return TimedEndpoint.start(self.endpoint, self.endpoint.delayed[0])
+
+    def wait_for_stop(self) -> None:
+        late = self.endpoint.delayed[0]
+        self.assertTrue(eventually(lambda: (late.task, late.number) in self.endpoint.stops))
+
+    def test_a_late_copy_of_a_confirmed_start_is_refused_after_a_restart(self) -> None:
+        """Guards against two runs at once: the late one, and the task's next one elsewhere."""
+        self.start_one()
+        self.pool.register(an_endpoint("e2"))
+        self.endpoint.crash()
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) == 2))
+        self.assertIs(Verdict.OUTDATED, self.deliver_late_copy().verdict)
+        running = [run for each in self.pool.endpoints.values() for run in each.running]
+        self.assertEqual(1, len(running))
+
+    def test_a_late_copy_of_a_start_whose_run_has_ended(self) -> None:
+        """Guards against a task that begins again in a new process after it was done."""
+        job = self.start_one()
+        self.pool.finish_all()
+        self.assertTrue(eventually(lambda: state_of(self.owner, job) is JobState.COMPLETED))
+        self.endpoint.crash()
+        self.wait_for_stop()
+        self.assertIs(Verdict.OUTDATED, self.deliver_late_copy().verdict)
+
+    def test_a_late_copy_of_a_start_whose_run_was_stopped(self) -> None:
+        """Guards against a cancelled task that begins again in a new process."""
+        job = self.start_one()
+        self.owner.cancel(job)
+        self.assertTrue(eventually(lambda: not self.endpoint.running))
+        self.endpoint.crash()
+        self.wait_for_stop()
+        self.assertIs(Verdict.OUTDATED, self.deliver_late_copy().verdict)
+
+    def test_a_stop_without_an_answer_is_sent_again(self) -> None:
+        """Guards against a late start where the stop that forbids it got lost."""
+        job = self.start_one()
+        self.pool.finish_all()
+        self.assertTrue(eventually(lambda: state_of(self.owner, job) is JobState.COMPLETED))
+        self.endpoint.answers_stops = False
+        self.endpoint.crash()
+        link = self.owner._links.by_id["e1"]
+        self.assertTrue(eventually(lambda: link.started_ms == self.endpoint.lives))
+        self.endpoint.answers_stops = True
+        self.wait_for_stop()
+
+    def test_a_late_copy_that_came_before_the_first_poll_is_the_run(self) -> None:
+        """Guards against a stop of a task's only run, which would cost its work."""
+        job = self.start_one()
+        self.endpoint.silent = True
+        self.assertTrue(eventually(lambda: not self.owner._links.by_id["e1"].reachable))
+        self.endpoint.crash()
+        self.endpoint.silent = False
+        self.assertIs(Verdict.DONE, self.deliver_late_copy().verdict)
+        link = self.owner._links.by_id["e1"]
+        self.assertTrue(eventually(lambda: link.started_ms == self.endpoint.lives))
+        self.pool.finish_all()
+        self.assertTrue(eventually(lambda: state_of(self.owner, job) is JobState.COMPLETED))
+        self.assertEqual([], self.endpoint.stops)
+
+    def test_a_start_that_was_answered_costs_no_stop(self) -> None:
+        """Guards against a stop for each run of an endpoint that has crashed."""
+        self.endpoint.answers_all_starts = True
+        self.start_one()
+        self.endpoint.crash()
+        self.assertTrue(eventually(lambda: len(self.endpoint.starts) == 2))
+        self.assertEqual([], self.endpoint.stops)
