Only an order that is confirmed, or a listed upkeep, completes a host of a wave

Operators would see: a wave is completed, and a host of it that stays hasn't begun its upkeep.

The case needs no late execution: an order that is lost gives the same.

Cause: a host that was ordered counted as done once the list had shown it in any state but up, or with another endpoint, whether its order was confirmed or not. Evidence: the log of the case (host_up, how "up", after the crash, no answer before).

Change: an order that is confirmed, or a list that shows the host in upkeep while no other open wave has it, begins the upkeep. A host that returns without either is drained and ordered again; if it had its upkeep, the platform confirms that. A host that is missing from the list no longer counts as done for good: the wave can be completed without it, but goes on with it once it is listed again.

Related signs: a crash, a crash that a new owner finds, another endpoint, a move carried out late, the upkeep of another wave, a host missing from the list for seconds; an upkeep that is listed though its order got no answer still needs no second order. Refusals (400, 409 wave) still end a host's part: read only.

--- a/src/lentilrill/upkeep/_waves.py
+++ b/src/lentilrill/upkeep/_waves.py
@@ -42,7 +42,8 @@
     WAITING = "waiting"
     DRAINING = "emptying"
     ORDERED = "ordered"
-    """Its order may have been sent; it counts as down until the list shows it as up again."""
+    """Its order may have been sent; it counts as down until its upkeep is over or it is drained and
+    ordered again."""
     DONE = "done"
 
 
@@ -51,9 +52,18 @@
 
 
 class _HostInWave:
+    """State of one host of a wave.
+
+    :ivar confirmed: whether its upkeep has begun: the platform confirmed an order, or lists it as
+        in upkeep. That it was down, was moved or has another endpoint may also be due to a crash.
+    :ivar was_down: whether the list has shown it as anything but up since its order.
+    :ivar is_gone: whether it has been missing from the list for :data:`GONE_AFTER_S`.
+    """
+
     __slots__ = (
         "confirmed",
         "endpoint",
+        "is_gone",
         "missing_since",
         "reason",
         "stage",
@@ -65,6 +75,7 @@
         self.stage = stage
         self.endpoint = endpoint
         self.missing_since: float | None = None
+        self.is_gone = False
         self.reason = ""
         self.was_down = False
         self.confirmed = False
@@ -170,7 +181,7 @@
             for host, state in hosts.items():
                 self._update_host(wave, host, state, rows.get(host))
             self._advance(wave, hosts, rows)
-            if all(state.stage is Stage.DONE for state in hosts.values()):
+            if all(state.stage is Stage.DONE or state.is_gone for state in hosts.values()):
                 self._complete(wave)
 
     def _start(self, wave: Wave) -> bool:
@@ -194,18 +205,28 @@
         now = self._clock()
         if row is None:
             state.missing_since = state.missing_since or now
-            if now - state.missing_since >= GONE_AFTER_S:
-                self._finish_host(wave, host, state, "gone")
+            if not state.is_gone and now - state.missing_since >= GONE_AFTER_S:
+                state.is_gone = True
+                log(Event.HOST_UP, host=host, wave=wave.number, how="gone")
             return
-        state.missing_since = None
+        state.missing_since, state.is_gone = None, False
         if state.stage is not Stage.ORDERED:
             return
+        if row.state is HostState.UPKEEP and not self._is_in_other_wave(wave, host):
+            state.confirmed = True
+        has_returned = state.was_down or (row.endpoint and row.endpoint != state.endpoint)
         if row.state is not HostState.UP:
             state.was_down = True
-        elif state.was_down or (row.endpoint and row.endpoint != state.endpoint):
+        elif not has_returned:
+            self._update_host_still_up(wave, host, state, now)
+        elif state.confirmed:
             self._finish_host(wave, host, state, "up")
         else:
-            self._update_host_still_up(wave, host, state, now)
+            # If this was the upkeep, the platform confirms the next order as done already.
+            state.stage = Stage.DRAINING
+
+    def _is_in_other_wave(self, wave: Wave, host: HostId) -> bool:
+        return any(host in other.hosts for other in self.open_waves if other.number != wave.number)
 
     def _update_host_still_up(
         self, wave: Wave, host: HostId, state: _HostInWave, now: float
@@ -244,7 +265,8 @@
         """
         requested_at = self._clock()
         down = sum(1 for host, state in hosts.items() if _is_down(state, rows.get(host)))
-        in_progress = down + sum(1 for state in hosts.values() if state.stage is Stage.DRAINING)
+        draining = [s for s in hosts.values() if s.stage is Stage.DRAINING and not s.is_gone]
+        in_progress = down + len(draining)
         chosen: list[tuple[HostId, _HostInWave]] = []
         for host, state in self._candidates(wave, hosts, rows):
             row = rows[host]
@@ -270,7 +292,8 @@
         A wave takes a quarter of all hosts at once, for about as long as a surge lasts. A pool in
         its surge needs all of its hosts, and an idle pool needs none of them.
         """
-        waiting = sum(1 for s in hosts.values() if s.stage in (Stage.WAITING, Stage.DRAINING))
+        not_ordered = (Stage.WAITING, Stage.DRAINING)
+        waiting = sum(1 for s in hosts.values() if s.stage in not_ordered and not s.is_gone)
         needed_s = HOST_DOWN_S * math.ceil(waiting / wave.max_down) * DURATION_SAFETY_FACTOR
         started_at = self._started_by_wave.get(wave.number, 0.0)
         is_behind_schedule = self._clock() - started_at + needed_s > wave.within_s
@@ -305,6 +328,7 @@
             return
         for _, state in chosen:
             state.stage, state.still_up_since = Stage.ORDERED, None
+            state.was_down = False
         if not self._store(wave, hosts):
             for _, state in chosen:
                 state.stage = Stage.DRAINING
@@ -371,5 +395,5 @@
     was given up and carried out nevertheless.
     """
     if state.stage is Stage.ORDERED:
-        return True
+        return not state.is_gone
     return row is not None and row.state in (HostState.UPKEEP, HostState.DOWN)
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -26,8 +26,14 @@
 PROCESS = ProcessId("front-1")
 
 
-def a_row(name: str, pool: PoolId = NOTICES, state: HostState = HostState.UP) -> HostRow:
-    return HostRow(HostId(name), pool, state, ZoneId("holyoke"), EndpointId(f"i-{name}"))
+def a_row(
+    name: str,
+    pool: PoolId = NOTICES,
+    state: HostState = HostState.UP,
+    endpoint: EndpointId | None = None,
+) -> HostRow:
+    id = endpoint or EndpointId(f"i-{name}")
+    return HostRow(HostId(name), pool, state, ZoneId("holyoke"), id)
 
 
 class Peers:
@@ -93,7 +99,12 @@
         self.assertFalse(self.drainer.request_drain(NOTICES, EndpointId("i-a"))[0])
 
 
-class WavesTest(TestCase):
+class WavesCase(TestCase):
+    """A wave of three hosts.
+
+    :ivar more_waves: waves declared beside it.
+    """
+
     def setUp(self) -> None:
         super().setUp()
         self.kv = FakeKeyValue()
@@ -102,7 +113,7 @@
         self.now = 100.0
         self.names = [HostId(name) for name in "abc"]
         self.rows = {name: a_row(name) for name in self.names}
-        self.states: list[bool] = []
+        self.more_waves: dict[int, Wave] = {}
 
     def owner(self, max_down: int = 1) -> Waves:
         token = Revision(self.kv.put("m/o/@fleet", b"owner"))
@@ -117,7 +128,7 @@
             PROCESS,
             token,
             "m/o/@fleet",
-            lambda: {1: wave},
+            lambda: {1: wave} | self.more_waves,
             lambda pool: self.load,
             lambda: True,
             lambda reason: None,
@@ -134,6 +145,8 @@
             self.now += step_s
             waves.run_round(self.rows)
 
+
+class WavesTest(WavesCase):
     def test_a_new_owner_counts_the_last_orders_of_the_previous_owner(self) -> None:
         """Eight hosts of a wave were down at once, with a limit of seven.
 
