No other host of a wave is ordered while an unanswered order may be carried out

Operators would see: two hosts of a wave down at once with a limit of one. An order got no answer, counted as lost after 1.2 s, another host was ordered, and the first order was carried out seconds later.

Cause: a host that is drained again after a lost order counts as up.

Change: for 15 s after an order without an answer its host may still go down: no other host is ordered in its place, but it itself may be, which takes no more down than before. The record keeps such a host as ordered, so that the next owner counts it too.

Seen failing before: the new test (a second host was ordered while the first could not be drained, also under the next owner).

--- a/src/lentilrill/upkeep/_waves.py
+++ b/src/lentilrill/upkeep/_waves.py
@@ -31,6 +31,8 @@
 CONFIRMED_DONE_S = 3.0
 """Seconds after which a host with a confirmed order that is still shown as up counts as done. This
 is longer than an upkeep takes, because the list may lag behind."""
+MAX_ORDER_DELAY_S = 15.0
+"""Time for which an order without an answer may still be carried out."""
 NO_ENDPOINT = EndpointId("")
 GONE_AFTER_S = 2.4
 """Seconds for which a host must be missing from the list to count as permanently gone."""
@@ -57,6 +59,7 @@
     :ivar confirmed: whether its upkeep has begun: the platform confirmed an order, or lists it as
         in upkeep. That it was down, was moved or has another endpoint may also be due to a crash.
     :ivar was_down: whether the list has shown it as anything but up since its order.
+    :ivar may_begin_until: time until which an order without an answer may still be carried out.
     :ivar is_gone: whether it has been missing from the list for :data:`GONE_AFTER_S`.
     """
 
@@ -64,6 +67,7 @@
         "confirmed",
         "endpoint",
         "is_gone",
+        "may_begin_until",
         "missing_since",
         "reason",
         "stage",
@@ -80,6 +84,24 @@
         self.was_down = False
         self.confirmed = False
         self.still_up_since: float | None = None
+        self.may_begin_until = 0.0
+
+    def is_down(self, row: HostRow | None) -> bool:
+        """Whether it counts as down: by its order, or by the list of hosts.
+
+        The list shows an ordered host as down only after a delay, but it also shows hosts whose
+        order was given up and carried out nevertheless.
+        """
+        if self.is_gone:
+            return False
+        if self.stage is Stage.ORDERED:
+            return True
+        return row is not None and row.state in (HostState.UPKEEP, HostState.DOWN)
+
+    def may_begin(self, now: float) -> bool:
+        """Whether an order without an answer may begin its upkeep while it is drained again."""
+        is_pending = self.stage is Stage.DRAINING and now < self.may_begin_until
+        return is_pending and not self.is_gone
 
 
 class Waves:
@@ -165,6 +187,8 @@
             # have ended before it wrote that state.
             for host, (stage, endpoint) in stored.items():
                 hosts[host] = _HostInWave(stage, endpoint)
+                if stage is Stage.ORDERED:
+                    hosts[host].may_begin_until = self._clock() + MAX_ORDER_DELAY_S
         return True
 
     def run_round(self, rows: dict[HostId, HostRow]) -> None:
@@ -264,9 +288,14 @@
         One more host than the limit is drained in advance, so that it is free when its turn comes.
         """
         requested_at = self._clock()
-        down = sum(1 for host, state in hosts.items() if _is_down(state, rows.get(host)))
-        draining = [s for s in hosts.values() if s.stage is Stage.DRAINING and not s.is_gone]
-        in_progress = down + len(draining)
+        down = {host for host, state in hosts.items() if state.is_down(rows.get(host))}
+        may_begin = {host for host, state in hosts.items() if state.may_begin(requested_at)}
+        drained = {
+            host
+            for host, state in hosts.items()
+            if state.stage is Stage.DRAINING and not state.is_gone
+        }
+        in_progress = len(down | drained)
         chosen: list[tuple[HostId, _HostInWave]] = []
         for host, state in self._candidates(wave, hosts, rows):
             row = rows[host]
@@ -275,7 +304,10 @@
                 in_progress += 1
             if state.stage is not Stage.DRAINING:
                 continue
-            if self._drain_host(host, state, row) and down + len(chosen) < wave.max_down:
+            # What may begin anyway takes no more hosts down if it is ordered again.
+            others = down if host in may_begin else down | may_begin
+            if self._drain_host(host, state, row) and len(others | {host}) <= wave.max_down:
+                down.add(host)
                 state.endpoint = row.endpoint
                 chosen.append((host, state))
         self._send_orders(wave, hosts, chosen, requested_at)
@@ -364,6 +396,8 @@
     ) -> None:
         log(Event.HOST_ORDERED, host=host, wave=wave.number, answer=answer.value)
         state.confirmed = answer is HostOrderResult.DONE
+        if answer is HostOrderResult.UNKNOWN:
+            state.may_begin_until = self._clock() + MAX_ORDER_DELAY_S
         if answer is HostOrderResult.FENCED:
             self._on_fenced(f"host {host} has accepted a newer owner of the fleet")
         elif answer is HostOrderResult.REFUSED:
@@ -373,7 +407,12 @@
 
     def _store(self, wave: Wave, hosts: dict[HostId, _HostInWave]) -> bool:
         key = f"w/{wave.number}"
-        stages = {host: (state.stage, state.endpoint) for host, state in hosts.items()}
+        now = self._clock()
+        # The next owner counts a host as down whose order may still be carried out.
+        stages = {
+            host: (Stage.ORDERED if state.may_begin(now) else state.stage, state.endpoint)
+            for host, state in hosts.items()
+        }
         return self._write(key, msgspec.json.encode(stages))
 
     def _write_state(self, wave: Wave, *, completed: bool) -> bool:
@@ -386,14 +425,3 @@
         if written is WriteResult.NOT_OWNER:
             self._on_fenced("the store records a newer owner of the fleet")
         return written is WriteResult.DONE
-
-
-def _is_down(state: _HostInWave, row: HostRow | None) -> bool:
-    """Return whether a host counts as down, by its order or by the list of hosts.
-
-    The list shows an ordered host as down only after a delay, but it also shows hosts whose order
-    was given up and carried out nevertheless.
-    """
-    if state.stage is Stage.ORDERED:
-        return not state.is_gone
-    return row is not None and row.state in (HostState.UPKEEP, HostState.DOWN)
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -37,15 +37,21 @@
 
 
 class Peers:
-    """Fake of a pool's owner that answers each request at once while ``answers`` is set."""
+    """Fake of a pool's owner that answers each request at once while ``answers`` is set.
+
+    :ivar occupied: endpoints that can't be drained.
+    """
 
     def __init__(self) -> None:
         self.drainer: EndpointDrainer | None = None
         self.answers = True
         self.requests: list[ReleaseAsk] = []
+        self.occupied: set[EndpointId] = set()
 
     def send(self, address: str, message: Any) -> None:
         self.requests.append(message)
+        if message.endpoint in self.occupied:
+            return
         if self.answers and self.drainer is not None:
             self.drainer.on_release_told(
                 ReleaseTold(message.ask, message.endpoint, ReleaseState.FREE)
@@ -117,7 +123,7 @@
 
     def owner(self, max_down: int = 1) -> Waves:
         token = Revision(self.kv.put("m/o/@fleet", b"owner"))
-        peers = Peers()
+        peers = self.peers = Peers()
         drainer = EndpointDrainer(peers, lambda pool: "10.0.0.1:1")
         peers.drainer = drainer
         wave = Wave(1, tuple(self.names), 20.0, max_down)
@@ -210,6 +216,22 @@
         self.assertGreater(len(self.hosts.orders), 2)
         self.assertEqual(b"running", self.kv.items_by_key["status/wave/1"].value)
 
+    def test_no_other_host_is_ordered_while_an_unanswered_order_may_be_carried_out(self) -> None:
+        """Guards against two hosts of a wave that are down at once, with a limit of one, by an
+        order that is carried out seconds late; also under the next owner of the fleet."""
+        self.hosts.answer = HostOrderResult.UNKNOWN
+        waves = self.owner()
+        self.run_rounds(waves, 2)
+        [(first, _)] = self.hosts.orders
+        for _ in range(2):
+            self.peers.occupied.add(EndpointId(f"i-{first}"))
+            self.run_rounds(waves, 40)
+            self.assertEqual({first}, {host for host, _ in self.hosts.orders})
+            waves = self.owner()
+        self.peers.occupied.add(EndpointId(f"i-{first}"))
+        self.run_rounds(waves, 60)
+        self.assertEqual(2, len({host for host, _ in self.hosts.orders}))
+
     def test_quick_rounds_do_not_count_as_elapsed_time(self) -> None:
         """Two hosts of a wave were down at once, with a limit of one.
 
