A pool that a configuration leaves out keeps an owner

Callers would see: an accepted job neither ends nor can be cancelled, after its queue got another service, the former one was left out of the configuration and the host that owned its pool was lost. (Now that a repeated request remains that job, nothing else would run it.) The same held for a standby pool that no queue names any more.

Cause: hosts claim the pools of the configuration in force, so nobody takes over a pool that it doesn't name. The owner at the time of the change goes on.

Change: each host keeps the pools of the earlier configurations that it has seen among those that need an owner, 32 at most.

Seen failing before: test_a_job_ends_though_its_pool_is_left_out_and_its_owner_is_lost (on processes: not completed after 20 s).

--- a/src/lentilrill/entry/_caches.py
+++ b/src/lentilrill/entry/_caches.py
@@ -18,6 +18,9 @@
 
 __all__ = ["ConfigurationCache", "EndpointDirectory"]
 
+MAX_LEFT_OUT_POOLS = 32
+"""Maximum number of pools of earlier configurations that keep an owner, the newest ones."""
+
 
 class ConfigurationCache:
     """The newest configuration received, and the upkeep waves.
@@ -33,6 +36,7 @@
         self._lock = threading.Lock()
         self._on_change = on_change
         self._queue_pools = QueuePools()
+        self._left_out_pools: tuple[PoolId, ...] = ()
         self.current: Configuration | None = None
         self.value = b""
         self.key: Compare | None = None
@@ -43,6 +47,23 @@
         """The version in force; -1 if there is none yet."""
         return self.current.version if self.current is not None else -1
 
+    @property
+    def owned_pools(self) -> set[PoolId]:
+        """The pools that need an owner.
+
+        Those of earlier configurations are among them, as far as known: their accepted jobs still
+        have to be run.
+        """
+        current = self.current.owned_pools if self.current is not None else frozenset()
+        return {*current, *self._left_out_pools}
+
+    def _record_left_out(self, configuration: Configuration) -> None:
+        needed = configuration.owned_pools
+        before = self.current.owned_pools if self.current is not None else frozenset()
+        left_out = [*self._left_out_pools, *sorted(before - needed)]
+        kept = tuple(pool for pool in left_out if pool not in needed)
+        self._left_out_pools = kept[-MAX_LEFT_OUT_POOLS:]
+
     def former_pools(self, queue: QueueId) -> tuple[PoolId, ...]:
         """Return the pools that a queue had in earlier configurations, as far as known."""
         return self._queue_pools.former(self.current, queue)
@@ -79,6 +100,7 @@
             if configuration.version <= self.version:
                 return
             self._queue_pools.record(configuration)
+            self._record_left_out(configuration)
             self.current, self.value, self.key = configuration, value, key
         log(
             Event.CONFIGURATION_IN_FORCE,
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -234,13 +234,9 @@
             return list(self._owners_by_pool.values())
 
     def _shards(self) -> set[Shard]:
-        configuration = self._configuration.current
-        if configuration is None:
+        if self._configuration.current is None:
             return set()
-        return {FLEET} | {Shard(pool) for pool in configuration.owned_pools}
-
-    def _pool_ids(self) -> list[PoolId]:
-        return [pool.id for pool in self._pools()]
+        return {FLEET} | {Shard(pool) for pool in self._configuration.owned_pools}
 
     def _pressures(self) -> tuple[PoolPressure, ...]:
         with self._lock:
--- a/tests/entry/test_received_state.py
+++ b/tests/entry/test_received_state.py
@@ -1,11 +1,13 @@
 """What an entry host derives from stored records and from the status of its peers."""
 
 import time
+from collections.abc import Sequence
 from unittest.mock import patch
 
 import msgspec
 from testtools import TestCase
 
+from lentilrill.entry import _caches
 from lentilrill.entry._caches import ConfigurationCache, EndpointDirectory
 from lentilrill.entry._status_exchange import StatusExchange
 from lentilrill.ids import EndpointId, Incarnation, PoolId, ProcessId, Revision, ZoneId
@@ -15,12 +17,13 @@
 from tests.entry.fakes import FakeNode
 
 
-def a_record(version: int, *prefixes: str) -> bytes:
+def a_record(version: int, *prefixes: str, pools: Sequence[str] = ()) -> bytes:
     routes = [
         {"name": prefix, "host": "braille.example", "prefix": prefix, "service": "notices"}
         for prefix in prefixes
     ]
-    return msgspec.json.encode({"version": version, "routes": routes, "services": []})
+    services = [{"name": pool} for pool in pools]
+    return msgspec.json.encode({"version": version, "routes": routes, "services": services})
 
 
 def an_item(key: str, value: bytes | None, revision: int = 1) -> Item:
@@ -48,6 +51,16 @@
             cache.apply_if_newer(malformed)
         self.assertEqual(7, cache.version)
 
+    def test_pools_of_earlier_configurations_keep_an_owner(self) -> None:
+        """Guards against accepted jobs that nobody runs, and owners without end."""
+        self.patch(_caches, "MAX_LEFT_OUT_POOLS", 2)
+        cache = ConfigurationCache()
+        for version, pools in enumerate((["a"], ["b", "c"], ["c"], ["b"], ["d"]), 1):
+            cache.apply_if_newer(a_record(version, "/a/", pools=pools))
+            if version == 4:
+                self.assertEqual({"a", "b", "c"}, cache.owned_pools)
+        self.assertEqual({"b", "c", "d"}, cache.owned_pools)
+
     def test_the_longest_prefix_wins(self) -> None:
         cache = ConfigurationCache()
         cache.apply_if_newer(a_record(1, "/a/", "/a/b/"))
--- a/tests/platform/test_changed_service.py
+++ b/tests/platform/test_changed_service.py
@@ -14,6 +14,7 @@
 JOB = {"spec": "text", "steps": [STEP]}
 ROUTES = {"/books/": "library", "/proofs/": "notices"}
 CHANGED_ROUTES = ROUTES | {"/proofs/": "library", "/texts/": "notices"}
+LEFT_OUT = ROUTES | {"/proofs/": "library"}
 TASK_S = 3.0
 REPEATS = 4
 
@@ -24,9 +25,9 @@
         self.platform = UsersPlatform(TASK_S)
         self.addCleanup(self.platform.close)
         self.platform.configure(1, ROUTES)
-        for pool in ("notices", "library"):
-            for _ in range(2):
-                self.platform.add_host(pool)
+        self.hosts = [self.platform.add_host("notices") for _ in range(2)]
+        for _ in range(2):
+            self.platform.add_host("library")
         self.site = EntrySite(self.platform, 2)
         self.addCleanup(self.site.close)
         self.addOnException(lambda _: self.add_outputs())
@@ -36,9 +37,9 @@
         for name in self.site.processes:
             self.addDetail(name, text_content(self.site.output(name)))
 
-    def change_service(self, version: int = 2) -> None:
-        self.platform.configure(version, CHANGED_ROUTES)
-        in_force = f'"configuration_in_force","version":{version}'
+    def change_service(self, routes: dict[str, str] = CHANGED_ROUTES) -> None:
+        self.platform.configure(2, routes)
+        in_force = '"configuration_in_force","version":2'
         self.assertTrue(
             eventually(lambda: all(in_force in self.log(name) for name in self.site.settings))
         )
@@ -74,3 +75,16 @@
         self.assertEqual("cancelled", self.site.state("front-0", PATH))
         self.assertEqual(2, len(self.runs(lambda run: run.end_kind == "stopped")))
         self.assertEqual(2, len(self.runs()))
+
+    def test_a_job_ends_though_its_pool_is_left_out_and_its_owner_is_lost(self) -> None:
+        """Guards against an accepted job that nobody runs, as no queue names its pool any more."""
+        self.submit_and_start()
+        self.change_service(LEFT_OUT)
+        owner = str((self.platform.value("m/o/notices") or {}).get("process"))
+        [other] = self.site.settings.keys() - {owner}
+        self.assertEqual(200, self.site.submit(other, PATH, JOB))
+        self.site.kill(owner)
+        self.assertTrue(eventually(lambda: self.site.state(other, PATH) == "completed"))
+        self.assertEqual(2, len(self.runs(lambda run: run.end_kind == "done")))
+        endpoints = {self.platform.endpoint_of(host) for host in self.hosts}
+        self.assertLessEqual({run.endpoint for run in self.runs()}, endpoints)
