--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -30,10 +30,11 @@
 from lentilrill.execution._release import expire_releases, release
 from lentilrill.execution._relocation import Relocations
 from lentilrill.execution._responses import ResponseHandler
+from lentilrill.execution._runs import Run, RunPhase
 from lentilrill.execution._senders import Senders
 from lentilrill.execution._stored_starts import StoredStarts
 from lentilrill.execution._tickets import TicketCache
-from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
+from lentilrill.execution._tracking import TrackedJob
 from lentilrill.execution._workspace_backlog import WorkspaceReporter
 from lentilrill.execution._writer import ProgressWriter
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
--- a/tests/execution/test_copies.py
+++ b/tests/execution/test_copies.py
@@ -13,8 +13,9 @@
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._copies import CopyBook
 from lentilrill.execution._planner import Planner
+from lentilrill.execution._runs import Run
 from lentilrill.execution._tickets import TicketCache
-from lentilrill.execution._tracking import Run, TrackedTask
+from lentilrill.execution._tracking import TrackedTask
 from lentilrill.ids import EndpointId, PoolId, WorkspaceId
 from lentilrill.scheduling import Allowances, Budget
 from lentilrill.telemetry import NoMetrics
--- a/tests/execution/test_crashes.py
+++ b/tests/execution/test_crashes.py
@@ -18,7 +18,8 @@
 from lentilrill.execution._crashes import FRESH_S, MAX_CRASHES, CrashBook
 from lentilrill.execution._link import Order, OrderKind
 from lentilrill.execution._release import release
-from lentilrill.execution._tracking import Run, TrackedJob, TrackedTask, encode_progress
+from lentilrill.execution._runs import Run
+from lentilrill.execution._tracking import TrackedJob, TrackedTask, encode_progress
 from lentilrill.ids import EndpointId, HostId, JobId, Revision
 from lentilrill.workloads import Attempt, Job, JobProgress, JobState, Step
 from tests.builders import a_job, a_step, an_endpoint
--- a/tests/execution/test_lost_for_good.py
+++ b/tests/execution/test_lost_for_good.py
@@ -27,7 +27,8 @@
 )
 from lentilrill.execution._host_reader import READ_INTERVAL_S
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._tracking import Run, TrackedJob, encode_progress
+from lentilrill.execution._runs import Run
+from lentilrill.execution._tracking import TrackedJob, encode_progress
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import EndpointId, HostId, JobId, Revision
 from lentilrill.telemetry import Event
