Planning rounds have a module of their own

_pool.py put the owner together and planned in 530 lines. The rounds are in _rounds.py now (186 lines, _pool.py 455), with the part that ends jobs as a function of its own; the order of the steps is the same.

--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
@@ -13,24 +13,20 @@
 from lentilrill.execution._demand import demand_of
 from lentilrill.execution._endpoint_list import EndpointList
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
-from lentilrill.execution._fair_shares import shares_of
-from lentilrill.execution._gangs import incomplete_gang_runs
-from lentilrill.execution._held_runs import ended_runs, unknown_runs_have_ended
 from lentilrill.execution._host_evidence import HostEvidence
 from lentilrill.execution._host_reader import NO_HOST_SOURCE, HostSource
-from lentilrill.execution._idle import IdleTasks, RoundView
 from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._latency import LatencyKind, LatencyMonitor
-from lentilrill.execution._link import EndpointLink, Order
+from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._links import PoolLinks
 from lentilrill.execution._need import Durations, OfferedLoad
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._pressure import backlog_of, pressure_of
 from lentilrill.execution._reconcile import Reconciler
-from lentilrill.execution._release import expire_releases, release
+from lentilrill.execution._release import release
 from lentilrill.execution._relocation import Relocations
 from lentilrill.execution._responses import ResponseHandler
-from lentilrill.execution._runs import Run, RunPhase
+from lentilrill.execution._rounds import PlanningRounds
 from lentilrill.execution._senders import Senders
 from lentilrill.execution._stored_starts import StoredStarts
 from lentilrill.execution._tickets import TicketCache
@@ -39,14 +35,12 @@
 from lentilrill.execution._writer import ProgressWriter
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
-from lentilrill.scheduling import total_free
 from lentilrill.store import Compare, Follower, KeyValue
 from lentilrill.telemetry import Event, Metrics, NoMetrics, log, run_and_log_errors
 from lentilrill.workloads import (
     Configuration,
     EndpointEntry,
     EndpointSpeed,
-    JobState,
     JobView,
     PoolUse,
     Queue,
@@ -172,7 +166,22 @@
             metrics,
         )
         self._latency = LatencyMonitor(pool, token, metrics)
-        self._idle = IdleTasks(pool)
+        self._rounds = PlanningRounds(
+            pool,
+            token,
+            self._lock,
+            configuration,
+            self._queue_of,
+            self._jobs,
+            self._links,
+            self._planner,
+            self._copies,
+            self._relocations,
+            self._allowances,
+            self._starts,
+            self._crashes,
+            self._reconciler,
+        )
         self._writer = ProgressWriter(kv, pool, owner_key, token, self._jobs, self.may_order)
         self._responses = ResponseHandler(
             token,
@@ -440,92 +449,7 @@
         return EndpointLink(self._responses, entry, self._dial(entry), self._senders)
 
     def _plan(self) -> None:
-        now = time.monotonic()
-        now_ms = int(time.time() * 1000)
-        orders: list[tuple[EndpointLink, Order]] = []
-        with self._lock:
-            self._drop_ended_runs(now)
-            expire_releases(list(self._links.by_id.values()), now)
-            orders += self._stop_orders(self._copies.settle(self._links.by_id.values(), now))
-            blocked_zones = self._links.blocked_zones
-            jobs = []
-            urgent = False
-            for tracked_job in list(self._jobs.live_by_id.values()):
-                tracked_job.open_occurrences(now_ms)
-                if not tracked_job.state.is_final and tracked_job.all_done:
-                    tracked_job.end(JobState.COMPLETED, now_ms)
-                if tracked_job.state.is_final:
-                    runs = [run for task in tracked_job.tasks() for run in task.runs]
-                    orders += self._stop_orders(runs)
-                    urgent = urgent or (tracked_job.dirty and not tracked_job.cancelled)
-                    self._jobs.retire(tracked_job)
-                    continue
-                if not blocked_zones:
-                    tracked_job.start_zones.forget_inherited()
-                orders += self._stop_orders(incomplete_gang_runs(tracked_job))
-                jobs.append((tracked_job, self._queue_of(tracked_job)))
-            capacity_by_endpoint = self._planner.capacity_by_endpoint(
-                self._links.by_id.values(), now
-            )
-            unknown_tasks = {
-                key[0] for link in self._links.by_id.values() for key in link.unknown_since_by_key
-            }
-            budgets = self._allowances.begin_round(
-                self._links.by_id.values(), self._jobs.by_id, is_complete=not blocked_zones
-            )
-            if not self._planner.feasible:
-                budgets.shares = shares_of(
-                    self._configuration(), self._links.by_id.values(), self._jobs.by_id
-                )
-            free = total_free(capacity_by_endpoint.values())
-            placed = self._planner.place_tasks(
-                jobs, capacity_by_endpoint, now, blocked_zones, self.token, unknown_tasks, budgets
-            )
-            if not blocked_zones:
-                left = (self._links.by_id, capacity_by_endpoint, unknown_tasks, budgets, now)
-                placed += self._copies.place(jobs, *left)
-                orders += self._stop_orders(self._relocations.plan(jobs, *left))
-            self._allowances.end_round(budgets, free, now)
-            records = [tracked_job.request_record() for tracked_job in self._planner.to_record]
-            orders += self._starts.orders_of(placed, self._links.by_id)
-            starts = any(records) or bool(self._starts)
-            view = RoundView(
-                now,
-                self._links.by_id,
-                capacity_by_endpoint,
-                self.token if blocked_zones else 0,
-                unknown_tasks,
-                budgets.refused_jobs,
-                blocked_zones,
-            )
-            self._idle.sweep((tracked_job for tracked_job, _ in jobs), view)
-            for link in self._links.by_id.values():
-                orders += [(link, order) for order in self._planner.pace_orders(link, now)]
-                orders += [(link, order) for order in self._planner.stop_stuck_runs(link, now)]
-        for link, order in orders:
-            link.order(order)
-        if urgent or starts or placed:
+        result = self._rounds.run()
+        if result.is_urgent or result.starts or result.has_placed:
             # Records also tell where tasks were started, so that a later owner waits for less.
-            self._writer.schedule(urgent=urgent, starts=starts)
-
-    def _stop_orders(self, runs: Iterable[Run]) -> list[tuple[EndpointLink, Order]]:
-        orders = []
-        for run in runs:
-            link = self._links.by_id.get(run.endpoint)
-            if link is not None and run.phase is not RunPhase.STOPPING:
-                orders.append((link, Order.stop(run)))
-        return orders
-
-    def _drop_ended_runs(self, now: float) -> None:
-        for link in self._links.by_id.values():
-            for run, reason in ended_runs(link, now):
-                run.task.record_refusal_by(link.entry.id)
-                self._crashes.on_run_lost(link, run)
-                self._reconciler.drop(link, run, reason, is_given_up=True)
-            if link.unknown_since_by_key and unknown_runs_have_ended(link, now):
-                log(
-                    Event.UNKNOWN_RUNS_GONE,
-                    endpoint=link.entry.id,
-                    runs=len(link.unknown_since_by_key),
-                )
-                link.unknown_since_by_key = {}
+            self._writer.schedule(urgent=result.is_urgent, starts=result.starts)
--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -103,7 +103,7 @@
         run = self.run_of(self.add(a_step(1)), confirmed=False)
         owner = OwnedPool().new_owner()
         owner._links.by_id[self.link.entry.id] = self.link
-        owner._drop_ended_runs(run.placed_at + MAX_UNSENT_S + 0.1)
+        owner._rounds._drop_ended_runs(run.placed_at + MAX_UNSENT_S + 0.1)
         self.assertEqual(["e2"], self.places())
 
     def test_a_gang_is_placed_elsewhere_after_a_failure(self) -> None:
@@ -162,7 +162,7 @@
         self.given_up.send_count = 0
         owner = OwnedPool().new_owner()
         owner._links.by_id[self.link.entry.id] = self.link
-        owner._drop_ended_runs(self.given_up.placed_at + MAX_UNSENT_S + 0.1)
+        owner._rounds._drop_ended_runs(self.given_up.placed_at + MAX_UNSENT_S + 0.1)
         self.assertEqual([self.begun], self.stopped())
 
 
