Soak: queues change their pool while requests are repeated

The soak changed keys and caps only, and never sent a request again after its 2xx, so it couldn't show one job in two pools.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -2,7 +2,8 @@
 
 Run as ``python -m tests.platform.soak --seed 1 --runs 50``. The seed determines the requests and
 the schedule of faults; real processes interleave differently each time. ``--play`` adds faults of
-endpoints, and jobs that last.
+endpoints, and jobs that last; ``--change-services`` has queues change their pool while requests are
+repeated.
 """
 
 import argparse
@@ -59,6 +60,8 @@
 WATCH_S = 14.0
 """Time after the last fault until which lasting tasks are watched."""
 MAX_SERIES = 8
+MAX_REPEATED = 30
+"""Number of the newest accepted jobs of which requests are repeated."""
 ENDPOINT_SHARE = 0.7
 CALM_S = 10.0
 """Length of the calm between two series of faults."""
@@ -97,6 +100,7 @@
     :param logs: folder for the logs and the runs of a failed run, or ``None`` to keep none.
     :param plays: faults of endpoints to play.
     :param in_series: whether faults come in series, with calm between them; keys and caps stay.
+    :param changes_services: whether queues change their pool, and accepted requests are repeated.
     :ivar failures: broken promises.
     """
 
@@ -108,10 +112,14 @@
         plays: Collection[Play] = (),
         *,
         in_series: bool = False,
+        changes_services: bool = False,
     ) -> None:
         self._logs = logs
         self._plays = frozenset(plays)
         self._in_series = in_series
+        self._changes_services = changes_services
+        self._pool_by_prefix = dict(QUEUES)
+        self._repeats: Counter[int] = Counter()
         self.failures: list[str] = []
         self.jobs: list[_Job] = []
         self._seed = seed
@@ -164,7 +172,8 @@
             self._site.close()
             self._platform.close()
         answers = Counter(answer for job in self.jobs for answer in job.answers)
-        return {"jobs": len(self.jobs), "answers": {str(k): v for k, v in sorted(answers.items())}}
+        line: dict[str, Any] = {"jobs": len(self.jobs), "answers": _by_name(answers)}
+        return line | ({"repeats": _by_name(self._repeats)} if self._changes_services else {})
 
     def _fault_loops(self) -> dict[str, Callable[[random.Random], None]]:
         if self._in_series:
@@ -172,6 +181,8 @@
         loops = {"hosts": self._disturb_hosts, "store": self._disturb_store}
         if self._plays:
             loops["endpoints"] = lambda rng: self._endpoints.disturb(rng, self._stopping)
+        if self._changes_services:
+            loops |= {"services": self._change_services, "repeats": self._repeat_requests}
         return loops
 
     def _start(self) -> None:
@@ -189,7 +200,7 @@
                 name: {"api_keys": list(keys), "cap": {"cpu": self._caps[name]}}
                 for name, keys in self._keys.items()
             }
-            self._platform.configure(self._version, QUEUES, workspaces=workspaces)
+            self._platform.configure(self._version, self._pool_by_prefix, workspaces=workspaces)
 
     # Callers
 
@@ -243,6 +254,16 @@
         self._quotas[play] -= 1
         return True
 
+    def _repeat_requests(self, rng: random.Random) -> None:
+        """Send requests of accepted jobs again, at any host."""
+        while not self._stopping.wait(rng.uniform(0.0, 0.1)):
+            with self._lock:
+                accepted = [job for job in self.jobs if job.is_accepted]
+            if accepted:
+                job = rng.choice(accepted[-MAX_REPEATED:])
+                name = rng.choice(list(self._site.settings))
+                self._repeats[self._site.submit(name, job.path, job.body, job.key)] += 1
+
     def _check_key(self, job: _Job, began: float) -> None:
         with self._lock:
             revoked_at = self._revoked_at.get(job.key)
@@ -313,6 +334,13 @@
                 self._configure()
         self._end_losses()
 
+    def _change_services(self, rng: random.Random) -> None:
+        while not self._stopping.wait(rng.uniform(0.2, 1.5)):
+            prefix = rng.choice(list(QUEUES))
+            with self._lock:
+                self._pool_by_prefix[prefix] = rng.choice(list(QUEUES.values()))
+            self._configure()
+
     def _disturb_in_series(self, rng: random.Random) -> None:
         """Play series of faults with calm between them, which is judged."""
         others = (self._disturb_host, self._store_outage, self._lose_answers)
@@ -448,6 +476,10 @@
     return {"spec": "soak", "steps": [step]}
 
 
+def _by_name(counts: Counter[int]) -> dict[str, int]:
+    return {str(status): count for status, count in sorted(counts.items())}
+
+
 def _plays_help() -> str:
     return "any of " + ", ".join(play.value for play in Play)
 
@@ -463,6 +495,7 @@
         "--play", nargs="*", type=Play, default=(), metavar="FAULT", help=_plays_help()
     )
     parser.add_argument("--in-series", action="store_true", help="with calm between the faults")
+    parser.add_argument("--change-services", action="store_true", help="and repeat requests")
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
@@ -472,6 +505,7 @@
             arguments.logs,
             arguments.play,
             in_series=arguments.in_series,
+            changes_services=arguments.change_services,
         )
         try:
             line = soak.run()
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -29,3 +29,9 @@
         soak = Soak(SEEDS[0], SECONDS, plays=(Play.CUTS, Play.LASTING))
         soak.run()
         self.assertEqual([], soak.failures)
+
+    def test_no_promise_is_broken_while_queues_change_their_pool(self) -> None:
+        """Guards against jobs that run in two pools as their requests are repeated."""
+        soak = Soak(SEEDS[0], SECONDS, changes_services=True)
+        soak.run()
+        self.assertEqual([], soak.failures)
