Tests: late starts behind a new link, in a third process, and forgotten in time

The postmortem had listed the new link as not tried. They pass on the code as it is; with the three guards left out (kept by endpoint, answered stops noted, expiry) the three of them fail, and three of the earlier ones.

--- a/tests/execution/test_late_starts.py
+++ b/tests/execution/test_late_starts.py
@@ -1,13 +1,18 @@
 """Copies of starts that got no answer, carried out by a later process of their endpoint."""
 
+import time
+
 import msgspec
 from testtools import TestCase
 
-from lentilrill.execution import OrderAnswer, PollResult, StartOrder, Verdict
+from lentilrill.execution import OrderAnswer, PollResult, StartOrder, Verdict, _late_starts
+from lentilrill.execution._late_starts import MAX_ORDER_DELAY_S
+from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.ids import JobId
 from lentilrill.workloads import JobState, TaskId
 from tests.builders import a_job, a_step, an_endpoint
-from tests.execution.fakes import OwnedPool, TimedEndpoint, eventually, state_of
+from tests.execution.cases import Owner, TrackedJobCase
+from tests.execution.fakes import FakeEndpoint, OwnedPool, TimedEndpoint, eventually, state_of
 
 UNANSWERED = OrderAnswer(Verdict.UNKNOWN)
 
@@ -136,3 +141,45 @@
         self.endpoint.crash()
         self.assertTrue(eventually(lambda: len(self.endpoint.starts) == 2))
         self.assertEqual([], self.endpoint.stops)
+
+
+class LateStartsOfALostLinkTest(TrackedJobCase):
+    """A run whose start has one copy without an answer, on an endpoint that returns."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.started = self.run_of(self.add(a_step(1)))
+        self.started.send_count, self.started.answer_count = 2, 1
+        self.started.sent_at = time.monotonic()
+        self.link.started_ms = 1
+        self.reconciler.drop(self.link, self.started, "done")
+        self.link = EndpointLink(Owner(), an_endpoint(), FakeEndpoint())
+
+    def stops(self) -> list[int]:
+        return [order.number for order in self.poll_of_life(2) if order.kind is OrderKind.STOP]
+
+    def poll_of_life(self, started_ms: int) -> list[Order]:
+        result = PollResult(Verdict.DONE, 1000, started_ms)
+        return self.reconciler.apply_poll(self.link, result, time.monotonic())
+
+    def test_a_new_link_stops_what_the_former_one_sent(self) -> None:
+        """Guards against a late start on an endpoint that was away until its link was closed."""
+        self.assertEqual([self.started.number], self.stops())
+
+    def test_it_is_stopped_once_in_each_process(self) -> None:
+        """Guards against stops without end, and against none in a third process."""
+        [stop] = self.poll_of_life(2)
+        self.reconciler.apply_answer(self.link, stop, Verdict.DONE)
+        self.patch(_late_starts, "STOP_INTERVAL_S", 0.0)
+        self.assertEqual([], self.poll_of_life(2))
+        self.assertEqual(1, len(self.poll_of_life(3)))
+
+    def test_it_is_forgotten_in_time(self) -> None:
+        """Guards against memory that grows with the starts that ever got no answer."""
+        other = self.run_of(self.add(a_step(1), name="b"))
+        other.send_count, other.sent_at = 1, time.monotonic() + 2 * MAX_ORDER_DELAY_S
+        late_starts = self.reconciler._late_starts
+        late_starts._remove_expired(time.monotonic() + MAX_ORDER_DELAY_S + 1.0)
+        self.assertEqual({}, late_starts._by_task_by_endpoint)
+        self.reconciler.drop(self.link, other, "done")
+        self.assertEqual(1, len(late_starts._by_task_by_endpoint))
