KNOWN-RED: a copy of an unanswered start ignores a capacity that has shrunk

Traced in its logs: i-2 was cut off for 3.5 s, its entry was gone, it came back with 1 core in place of 16, and 40 ms after it was back the owner sent copies of starts that had got no answer before the cut. start_order looks at the capacity only before the first copy.

--- a/tests/execution/test_capacity_changes.py
+++ b/tests/execution/test_capacity_changes.py
@@ -10,7 +10,7 @@
 from lentilrill.execution._links import MAX_ENTRY_AGE_S
 from lentilrill.workloads import Resources
 from tests.builders import a_job, a_step, an_endpoint
-from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
+from tests.execution.fakes import FakeEndpoint, OwnedPool, TimedEndpoint, eventually
 
 TASKS = 4
 TASK = Resources(1000, 100)
@@ -57,3 +57,22 @@
         self.assertEqual(TASKS - 1, len(self.endpoint.starts))
         self.register(TASKS)
         self.assertTrue(eventually(lambda: len(self.endpoint.starts) == TASKS))
+
+
+class UnansweredStartTest(TestCase):
+    def test_an_unanswered_start_is_not_sent_again_once_the_capacity_has_shrunk(self) -> None:
+        """Guards against copies of starts that fill an endpoint which has less capacity by then."""
+        endpoint = TimedEndpoint()
+        endpoint.loses_starts = True
+        pool = OwnedPool()
+        self.addCleanup(pool.close)
+        pool.endpoints["e1"] = endpoint
+        pool.register(an_endpoint("e1", capacity=TASK.times(TASKS)))
+        pool.submit(pool.take_over(), a_job("a", a_step(TASKS, needs=TASK)))
+        self.assertTrue(eventually(lambda: len({d.task for d in endpoint.delayed}) == TASKS))
+        pool.register(an_endpoint("e1", capacity=TASK))
+        time.sleep(2 * MAX_ENTRY_AGE_S)
+        endpoint.loses_starts = False
+        self.assertTrue(eventually(lambda: bool(endpoint.running)))
+        time.sleep(2 * MAX_ENTRY_AGE_S)
+        self.assertEqual(1, len(endpoint.running))
