A process that hasn't confirmed a stop isn't taken to know that the run is over

Found in reading the change once more: a run that an endpoint's new process had to refuse, and that was given up before the stop was answered (its lease had lapsed), was remembered as known to that process, so the stop was not sent again and the late copy could still start there.

A process counts as knowing only if the run's start or stop was confirmed. Seen failing before: the new test (no stop of the run in the next poll).

--- a/src/lentilrill/execution/_late_starts.py
+++ b/src/lentilrill/execution/_late_starts.py
@@ -20,7 +20,7 @@
 class _LateStart(msgspec.Struct):
     """A start of a run that is over.
 
-    :param started_ms: start time of the process that knows that the run is over.
+    :param started_ms: start time of the process that knows that the run is over; 0 if none does.
     :param until: monotonic time until which a copy may be carried out.
     """
 
@@ -64,7 +64,7 @@
         known = by_task.get(run.task.id)
         if known is not None and known.number > run.number:
             return
-        started_ms = link.started_ms
+        started_ms = link.started_ms if run.confirmed_at is not None else 0
         by_task[run.task.id] = _LateStart(run.number, started_ms, run.sent_at + MAX_ORDER_DELAY_S)
 
     def stops(self, link: EndpointLink) -> list[Order]:
--- a/tests/execution/test_late_starts.py
+++ b/tests/execution/test_late_starts.py
@@ -185,6 +185,16 @@
         self.reconciler.drop(self.link, other, "done")
         self.assertEqual(1, len(late_starts._by_task_by_endpoint))
 
+    def test_a_process_that_has_not_confirmed_the_stop_gets_it_again(self) -> None:
+        """Guards against a late start in a process whose run was given up before it answered."""
+        held = self.run_of(self.add(a_step(1), name="b"))
+        held.send_count, held.sent_at = 1, time.monotonic()
+        self.link.started_ms = 1
+        [stop, *_] = self.poll_of_life(2)
+        self.assertIs(held, stop.run)
+        self.reconciler.drop(self.link, held, "its lease has lapsed out of sight", is_given_up=True)
+        self.assertIn(held.task.id, [order.task for order in self.poll_of_life(2)])
+
     def test_an_earlier_run_does_not_hide_a_later_one(self) -> None:
         """Guards against a late start of the later of two runs of a task on one endpoint."""
         task = self.started.task
