Removals and missing claims leave the planning thread its time

Both are calls to the store by the thread that plans, and since the removals keep up with the jobs that end, a slow store (0.25 s a call) would have held the rounds of a pool with many ended jobs half of the time; before, one call in 5 s.

The test that removals keep up patches the pause away, which the new one checks.

--- a/src/lentilrill/execution/_claims.py
+++ b/src/lentilrill/execution/_claims.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns.result import Failure
 
+from lentilrill.execution._pacing import pause_after_call
 from lentilrill.ids import JobId, PoolId, Revision
 from lentilrill.store import DECODE_ERRORS, Compare, Item, KeyValue, Priority, Put
 from lentilrill.telemetry import Event, log
@@ -71,8 +72,11 @@
 
     def store(self, claims: tuple[Put, ...]) -> tuple[Item, ...] | None:
         """Store claims together; return those that exist already, ``None`` if it failed."""
+        began = time.monotonic()
         absent = tuple(Compare(put.key, Revision(0)) for put in claims)
         result = self._kv.commit((self._owner, *absent), claims, Priority.LATER)
+        ended = time.monotonic()
+        self._not_before = ended + pause_after_call(ended - began)
         if isinstance(result, Failure):
             reason = result.failure().reason
         elif result.unwrap().succeeded:
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -9,6 +9,7 @@
 
 from lentilrill.execution._claims import ClaimBook
 from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._pacing import pause_after_call
 from lentilrill.execution._tracking import TrackedJob, encode_progress, job_id_of
 from lentilrill.execution._writer import ProgressEntry, Snapshot
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
@@ -30,8 +31,7 @@
 """How long an ended job is kept: callers may query its state for 120 s."""
 REMOVAL_INTERVAL_S = 5.0
 FULL_REMOVAL_INTERVAL_S = 0.25
-"""Interval between removals while more jobs are left, at which a pool sustains 28 ended jobs a
-second."""
+"""Minimum interval between removals while more jobs are left."""
 MAX_JOBS_PER_REMOVAL = 7
 """Jobs whose records are removed by one call, which takes 32 entries; each job has four."""
 MAX_AGE_S = 60.0
@@ -325,7 +325,9 @@
         if not done:
             return
         if len(old) > len(removed):
-            self._removal_due_at = now + FULL_REMOVAL_INTERVAL_S
+            ended = time.monotonic()
+            pause_s = max(FULL_REMOVAL_INTERVAL_S, pause_after_call(ended - now))
+            self._removal_due_at = ended + pause_s
         with self._lock:
             for job in removed:
                 self.by_id.pop(job, None)
--- a/tests/execution/test_claims.py
+++ b/tests/execution/test_claims.py
@@ -7,12 +7,12 @@
 
 from lentilrill.execution import _claims, claim_of, decode_claim
 from lentilrill.execution._claims import MAX_CLAIMS_PER_COMMIT
-from lentilrill.ids import PoolId
+from lentilrill.ids import JobId, PoolId
 from lentilrill.telemetry import Event
 from lentilrill.workloads import Job, JobClaim, JobProgress, JobState, claim_key, job_key
 from tests.builders import a_job
 from tests.execution.fakes import OwnedPool, eventually
-from tests.fakes import CallWrapper, lose_answer, refuse
+from tests.fakes import CallWrapper, lose_answer, refuse, slow_down
 
 POOL, OTHER_POOL = PoolId("notices"), PoolId("ballots")
 
@@ -73,6 +73,17 @@
         self.assertEqual(JobClaim(POOL), self.claim_on(self.old))
         self.assertEqual(2, self.kv.calls["commit"])
 
+    def test_claims_leave_the_rounds_their_time_while_the_store_is_slow(self) -> None:
+        """Guards against late rounds after an upgrade: each call is one of the planning thread."""
+        for number in range(2 * MAX_CLAIMS_PER_COMMIT):
+            self.accept(msgspec.structs.replace(self.old, id=JobId(f"{number:016x}")))
+        jobs = self.pool.new_owner()._jobs
+        self.assertTrue(jobs.load())
+        self.kv.commits.append(slow_down)
+        for _ in range(3):
+            jobs.store_claims()
+        self.assertEqual(1, self.kv.calls["commit"])
+
     def test_jobs_with_a_claim_cost_no_call(self) -> None:
         """Guards against a call to the store for each job at a take-over."""
         for name in "bcd":
--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -18,7 +18,7 @@
 from lentilrill.workloads import Job, JobProgress, JobState, Workspaces
 from tests.builders import a_configuration, a_job, a_step, an_endpoint, some_workspaces
 from tests.execution.fakes import OwnedPool, eventually, state_of
-from tests.fakes import refuse
+from tests.fakes import SLOW_CALL_S, refuse, slow_down
 
 FAILED_READS = 2
 
@@ -411,6 +411,7 @@
         """Guards against records that grow without end in a pool that ends many jobs a second."""
         self.patch(_jobs, "REMOVAL_INTERVAL_S", 0.0)
         self.patch(_jobs, "FULL_REMOVAL_INTERVAL_S", 0.0)
+        self.patch(_jobs, "pause_after_call", lambda call_s: 0.0)
         pool = OwnedPool("e1")
         self.addCleanup(pool.close)
         now_ms = int(time.time() * 1000)
@@ -427,6 +428,24 @@
         self.assertEqual({}, jobs.by_id)
         self.assertEqual(3, pool.kv.calls["commit"])
 
+    def test_removals_leave_the_rounds_their_time_while_the_store_is_slow(self) -> None:
+        """Guards against late rounds: each removal is a call of the thread that plans."""
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        now_ms = int(time.time() * 1000)
+        for name in "0123456789abcdef":
+            job = a_job(name)
+            pool.kv.put(f"in/notices/j/{job.id}", msgspec.msgpack.encode(job))
+            progress = JobProgress(JobState.COMPLETED, now_ms - 200_000)
+            pool.kv.put(f"p/notices/{job.id}", msgspec.json.encode(progress))
+        jobs = pool.new_owner()._jobs
+        self.assertTrue(jobs.load())
+        jobs._removal_due_at = 0.0
+        pool.kv.commits.append(slow_down)
+        jobs.remove_expired(now_ms)
+        left_s = jobs._removal_due_at - time.monotonic()
+        self.assertGreater(left_s, 10 * SLOW_CALL_S)
+
 
 class BlindOwnerTest(TestCase):
     def test_an_owner_that_reads_no_jobs_shows_no_count(self) -> None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,7 @@
 """Fakes of interfaces, with failures that tests can set."""
 
 import threading
+import time
 from collections import Counter, deque
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -26,6 +27,7 @@
 from lentilrill.telemetry import NoMetrics
 
 __all__ = [
+    "SLOW_CALL_S",
     "CountingMetrics",
     "FakeHostList",
     "FakeKeyValue",
@@ -34,9 +36,11 @@
     "lose_answer",
     "lose_request",
     "refuse",
+    "slow_down",
 ]
 
 WATCH_TIMEOUT_S = 0.2
+SLOW_CALL_S = 0.1
 
 CallWrapper = Callable[[Callable[[], Result]], Result]
 """Wrapper of one call that decides whether it takes effect and which result its caller gets."""
@@ -54,6 +58,12 @@
     return _lost()
 
 
+def slow_down(call: Callable[[], Result]) -> Result:
+    """Make the call late."""
+    time.sleep(SLOW_CALL_S)
+    return call()
+
+
 def refuse(call: Callable[[], Result]) -> Result:
     """Fail the call before it is sent."""
     del call
