A copy of an unanswered start is stopped if it doesn't fit any more

Cause: the present capacity was looked at before the first copy only. Now it is before each, while the run isn't known to be in progress; a run that has been sent is stopped, not dropped, since an earlier copy may be carried out.

--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -191,8 +191,12 @@
                 else:
                     self._reconciler.drop(link, run, "no longer needed")
                 return None
-            if not run.send_count and not _fits(link):
-                self._reconciler.drop(link, run, "its endpoint's capacity has shrunk")
+            if run.phase is RunPhase.ORDERED and not _fits(link):
+                if run.send_count:
+                    # An earlier copy may still be carried out, or has been.
+                    link.order(Order.stop(run))
+                else:
+                    self._reconciler.drop(link, run, "its endpoint's capacity has shrunk")
                 return None
             if run.send_count:
                 self._latency.record_resent()
--- a/tests/execution/test_capacity_changes.py
+++ b/tests/execution/test_capacity_changes.py
@@ -8,6 +8,7 @@
 
 from lentilrill.execution import OrderAnswer, StartOrder
 from lentilrill.execution._links import MAX_ENTRY_AGE_S
+from lentilrill.execution._runs import RunPhase
 from lentilrill.workloads import Resources
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.fakes import FakeEndpoint, OwnedPool, TimedEndpoint, eventually
@@ -76,3 +77,19 @@
         self.assertTrue(eventually(lambda: bool(endpoint.running)))
         time.sleep(2 * MAX_ENTRY_AGE_S)
         self.assertEqual(1, len(endpoint.running))
+
+    def test_a_copy_of_a_start_stops_no_run_in_progress(self) -> None:
+        """Guards against a working task that is stopped, since a copy of its start waited."""
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        pool.register(an_endpoint("e1", capacity=TASK.times(TASKS)))
+        owner = pool.take_over()
+        pool.submit(owner, a_job("a", a_step(1, needs=TASK)))
+        self.assertTrue(eventually(lambda: bool(pool.endpoints["e1"].running)))
+        link = owner._links.by_id["e1"]
+        [run] = link.runs_by_key.values()
+        self.assertTrue(eventually(lambda: run.phase is RunPhase.IN_PROGRESS))
+        pool.register(an_endpoint("e1", capacity=Resources(1, 1)))
+        time.sleep(2 * MAX_ENTRY_AGE_S)
+        owner._responses.start_order(link, run)
+        self.assertIs(RunPhase.IN_PROGRESS, run.phase)
