--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable
+from enum import Enum
 
 import msgspec
 from returns.result import Failure
@@ -25,7 +26,7 @@
     progress_key,
 )
 
-__all__ = ["PoolJobs"]
+__all__ = ["CancelSource", "PoolJobs"]
 
 RETENTION_S = 130.0
 """How long an ended job is kept: callers may query its state for 120 s."""
@@ -39,6 +40,16 @@
 overdue."""
 
 
+class CancelSource(Enum):
+    """How an owner heard that a job is to be cancelled."""
+
+    MESSAGE = "message"
+    """From the host that stored it."""
+    WATCH = "watch"
+    LOAD = "load"
+    """From the records at the take-over."""
+
+
 class PoolJobs:
     """Jobs tracked by a pool's owner.
 
@@ -82,7 +93,7 @@
         self._on_recorded = on_recorded
         self._records_since = records_since
         self._metrics = metrics
-        self._pending_cancellations: set[JobId] = set()
+        self._pending_cancellations: dict[JobId, CancelSource] = {}
         self._claims = ClaimBook(kv, pool, Compare(owner_key, token))
         self._removal_due_at = time.monotonic() + REMOVAL_INTERVAL_S
 
@@ -102,14 +113,14 @@
                 return None
             return self._track(job, revision)
 
-    def cancel(self, job: JobId) -> None:
+    def cancel(self, job: JobId, source: CancelSource) -> None:
         """Cancel a job, including one whose acceptance arrives later."""
         with self._lock:
             tracked_job = self.by_id.get(job)
             if tracked_job is None:
-                self._pending_cancellations.add(job)
+                self._pending_cancellations.setdefault(job, source)
             else:
-                self._cancel(tracked_job)
+                self._cancel(tracked_job, source)
 
     def find(self, job: JobId) -> JobView | None:
         """Return what callers are shown of a job; ``None`` if unknown or not loaded yet."""
@@ -132,7 +143,7 @@
             if item.value is None:
                 continue
             if "/x/" in item.key:
-                self.cancel(job_id_of(item.key))
+                self.cancel(job_id_of(item.key), CancelSource.WATCH)
             elif (tracked_job := self.add(item.value, item.revision)) is not None:
                 self._on_job_changed(tracked_job)
 
@@ -155,7 +166,7 @@
             self._find_never_started()
             for item in items:
                 if item.value is not None and "/x/" in item.key:
-                    self.cancel(job_id_of(item.key))
+                    self.cancel(job_id_of(item.key), CancelSource.LOAD)
             self.loaded = True
         return True
 
@@ -181,17 +192,17 @@
         self.by_id[job.id] = tracked_job
         self.live_by_id[job.id] = tracked_job
         self._claims.on_job(job)
-        if job.id in self._pending_cancellations:
-            self._pending_cancellations.discard(job.id)
-            self._cancel(tracked_job)
+        source = self._pending_cancellations.pop(job.id, None)
+        if source is not None:
+            self._cancel(tracked_job, source)
         return tracked_job
 
-    def _cancel(self, tracked_job: TrackedJob) -> None:
+    def _cancel(self, tracked_job: TrackedJob, source: CancelSource) -> None:
         if tracked_job.state.is_final:
             return
         tracked_job.cancelled = True
         tracked_job.end(JobState.CANCELLED, int(time.time() * 1000))
-        log(Event.JOB_CANCELLED, job=tracked_job.job.id, pool=self._pool)
+        log(Event.JOB_CANCELLED, job=tracked_job.job.id, pool=self._pool, heard=source.value)
         self._on_job_changed(tracked_job)
 
     def snapshot(self, limit: int) -> Snapshot:
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -15,7 +15,7 @@
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
 from lentilrill.execution._host_evidence import HostEvidence
 from lentilrill.execution._host_reader import NO_HOST_SOURCE, HostSource
-from lentilrill.execution._jobs import PoolJobs
+from lentilrill.execution._jobs import CancelSource, PoolJobs
 from lentilrill.execution._latency import LatencyKind, LatencyMonitor
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._links import PoolLinks
@@ -248,7 +248,7 @@
 
     def cancel(self, job: JobId) -> None:
         """Cancel a job."""
-        self._jobs.cancel(job)
+        self._jobs.cancel(job, CancelSource.MESSAGE)
 
     def find(self, job: JobId) -> JobView | None:
         """Return what callers are shown of a job; ``None`` if unknown or not loaded yet."""
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -173,7 +173,7 @@
     def drop(self, link: EndpointLink, run: Run, reason: str, *, is_given_up: bool = False) -> None:
         """Remove a run that is certain to have ended; its task waits again.
 
-        :param is_given_up: whether no report shows its end; logged also for a run that was stopped.
+        :param is_given_up: whether no report shows its end.
         """
         if run.is_unsent or not is_given_up:
             self._crashes.on_run_over(link, run)
@@ -184,15 +184,14 @@
         task = run.task
         if run in task.runs:
             task.runs.remove(run)
-        if is_given_up or run.phase is not RunPhase.STOPPING:
-            log(
-                Event.RUN_GONE,
-                job=task.id.job,
-                task=task.id,
-                run=run.number,
-                endpoint=link.entry.id,
-                reason=reason,
-            )
+        log(
+            Event.RUN_GONE,
+            job=task.id.job,
+            task=task.id,
+            run=run.number,
+            endpoint=link.entry.id,
+            reason=reason,
+        )
 
     def _drop_stored_starts(self, link: EndpointLink) -> None:
         """Drop the starts that were stored for a process that has ended, and were not sent."""
@@ -346,7 +345,12 @@
         if not tracked_job.start_zones.permits(run.zone):
             tracked_job.mark_dirty()
         log(
-            Event.RUN_ADOPTED, job=task.id.job, task=task.id, run=run.number, endpoint=link.entry.id
+            Event.RUN_ADOPTED,
+            job=task.id.job,
+            job_state=tracked_job.state.value,
+            task=task.id,
+            run=run.number,
+            endpoint=link.entry.id,
         )
         return run
 
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -210,6 +210,7 @@
         "A task may have crashed as many endpoints as give it up; it waits until that is known, "
         "but no longer than the bound given.",
     )
+    RUN_STOPPED = (698, Level.INFO, "A run is ordered to stop.")
     RUN_NOT_STOPPED = (
         692,
         Level.WARNING,
