KNOWN-RED: the next owner doesn't stop what runs of a cancelled job

What callers see: a job is shown as cancelled, and its tasks run on; those that last, for good. Reproduced on fakes: a job is cancelled, its stops get no answer, the end is stored, the owner is lost.

--- a/tests/execution/test_take_over.py
+++ b/tests/execution/test_take_over.py
@@ -9,13 +9,13 @@
 from returns.result import Failure, Result
 from testtools import TestCase
 
-from lentilrill.execution import EndKind, PoolOwner, _jobs, claim_of
+from lentilrill.execution import EndKind, OrderAnswer, PoolOwner, Verdict, _jobs, claim_of
 from lentilrill.execution._allowances import ALLOWANCE_PREFIX
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import QueueId, Revision
 from lentilrill.inner import ReleaseState
 from lentilrill.store import Follower, Item, Priority, RangeAnswer
-from lentilrill.workloads import Job, JobProgress, JobState, Workspaces
+from lentilrill.workloads import Job, JobProgress, JobState, Workspaces, progress_key
 from tests.builders import a_configuration, a_job, a_step, an_endpoint, some_workspaces
 from tests.execution.fakes import OwnedPool, eventually, state_of
 from tests.fakes import SLOW_CALL_S, refuse, slow_down
@@ -53,6 +53,26 @@
         self.assertTrue(eventually(lambda: state_of(second, self.job.id) is JobState.COMPLETED))
         self.assertEqual(2, len(self.pool.starts()))
 
+    def test_the_next_owner_stops_what_runs_of_a_cancelled_job(self) -> None:
+        """A task of a cancelled job ran on for good after its owner was lost before the stop."""
+        self.accept()
+        endpoint = self.pool.endpoints["e1"]
+        first = self.pool.take_over()
+        self.assertTrue(eventually(lambda: len(endpoint.running) == 2))
+        unanswered = mock.patch.object(endpoint, "stop", return_value=OrderAnswer(Verdict.UNKNOWN))
+        with unanswered:
+            first.cancel(self.job.id)
+            self.assertTrue(eventually(lambda: self.stored_state() is JobState.CANCELLED))
+            first.close()
+        self.pool.take_over()
+        self.assertTrue(eventually(lambda: not endpoint.running))
+
+    def stored_state(self) -> JobState | None:
+        """Return the state of the job in its progress record."""
+        key = progress_key(self.pool.pool, self.job.id)
+        items = self.pool.kv.read(key).unwrap().items
+        return msgspec.json.decode(items[0].value, type=JobProgress).state if items else None
+
     def test_runs_found_while_allowances_cannot_be_read_are_kept(self) -> None:
         """A task was started a second time after the store failed in the middle of a take-over."""
         self.accept()
