A test that a lasting job ends though its owner is killed after the cancel, red

Cause: an owner stores a job's end while endpoints leave its stops unanswered, and is killed. The next owner reads the job as ended, finds its runs by polling, tracks them (run_adopted) and renews the lease, but orders no stop: _settle_jobs looks at live jobs only.

Change: the stand-in of the users' platform has a switch that leaves stops unanswered and not carried out, and the test plays the case on three entry host processes. The job is cancelled at a host that isn't the owner; its end is stored; the owner is killed; another host reads the pool's jobs; stops are answered again.

--- a/standins/_users_endpoint.py
+++ b/standins/_users_endpoint.py
@@ -40,11 +40,13 @@
     :ivar records: every run that was started.
     :ivar crashes: every crash.
     :ivar task_s: seconds that each task takes that does not last.
+    :ivar ignores_stops: whether orders to stop a run are neither answered nor executed.
     """
 
     records: list[RunRecord]
     crashes: list[Crash]
     task_s: float
+    ignores_stops: bool
 
     def may_start(self, endpoint: str, task: str, ticket: str) -> bool:
         """Return whether an endpoint may start a task with a ticket."""
@@ -199,6 +201,9 @@
         if call.header("Expect-Instance") != self.name:
             call.answer(421, b"")
             return
+        if call.path == "/run-stop" and self._context.ignores_stops:
+            call.disconnect(reset=True)
+            return
         body = msgspec.json.decode(call.body)
         plan = None
         cut_s = 0.0
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -86,12 +86,14 @@
         these are known to last.
     :ivar use_by_job: workspace and use of the jobs that :meth:`excess_starts` judges.
     :ivar max_down: maximum number of hosts that were down for upkeep at the same time.
+    :ivar ignores_stops: whether orders to stop a run are neither answered nor executed.
     :ivar lose_every_nth: the answer to every n-th call that endpoints execute is lost; 0 for none.
     """
 
     def __init__(self, task_s: float = 0.2) -> None:
         self.store = UsersStore()
         self.policy = _Policy()
+        self.ignores_stops = False
         self.lose_every_nth = 0
         self._call_numbers = itertools.count(1)
         self.records: list[RunRecord] = []
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -30,9 +30,9 @@
 MAX_POLL_WAIT_S = 0.05
 
 
-def eventually(condition: Callable[[], bool]) -> bool:
+def eventually(condition: Callable[[], bool], within_s: float = TIMEOUT_S) -> bool:
     """Wait until ``condition`` holds; return whether it ever did."""
-    end = time.monotonic() + TIMEOUT_S
+    end = time.monotonic() + within_s
     while not condition():
         if time.monotonic() > end:
             return False
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -73,6 +73,13 @@
         lines = (self.folder / f"{name}.log").read_text(errors="replace").splitlines()
         return "\n".join([f"exit code {self.processes[name].poll()}", *lines[-OUTPUT_LINES:]])
 
+    def count_lines(self, name: str, **fields: Any) -> int:
+        """Return how many lines of one entry host's log have these fields."""
+        text = (self.folder / f"{name}.log").read_text(errors="replace")
+        # The last line may be incomplete.
+        lines = [json.loads(line) for line in text.split("\n")[:-1] if line.startswith("{")]
+        return sum(fields.items() <= line.items() for line in lines)
+
     def kill(self, name: str) -> None:
         """Kill one entry host."""
         self.processes[name].send_signal(signal.SIGKILL)
