What runs of an ended job is stopped, whatever list the job stands in

What callers saw: a job was shown as cancelled, and a task of it ran on in a quiet stretch. Cause: runs were stopped by way of the jobs that an owner still has to finish. An owner that reads a job whose end is stored takes it off that list; it then took the run over that an endpoint still listed, renewed its lease, and never looked at it again. The end is stored without regard to whether the stops were answered, so an owner lost in between leaves the runs to the next one. The same held for an owner that hung, handed over, or was killed with all others. Ruled out for these: late starts and lost stops, as every call is answered again before the next owner reads. Change: each round stops what no job needs by what runs on the endpoints: the runs of jobs that have ended, and the copies of tasks that are done. The list of live jobs decides on placement alone. Why it works: each tracked run leads to its job, and each run that an endpoint lists is tracked or unknown; unknown ones were stopped by the poll before. Ruled out as a fix: putting the steps of an ended job away when it is read.

--- a/src/lentilrill/execution/_copies.py
+++ b/src/lentilrill/execution/_copies.py
@@ -25,7 +25,7 @@
 from lentilrill.telemetry import Event, Metrics, log
 from lentilrill.workloads import Job, Queue, Step, StepId, TaskId
 
-__all__ = ["CopyBook", "TimesLeft"]
+__all__ = ["CopyBook", "TimesLeft", "is_copied"]
 
 MIN_COPY_RATIO = 2.0
 """Time left, relative to a fresh run, below which no copy pays: it costs a fresh run."""
@@ -94,15 +94,14 @@
         self._copies: list[_Copy] = []
         self._results = CopyResults()
 
-    def settle(self, links: Iterable[EndpointLink], now: float) -> list[Run]:
-        """Note the results of copies; return the runs whose tasks are done, which are to stop."""
+    def settle(self, now: float) -> None:
+        """Note the results of copies."""
         copies, self._copies = self._copies, []
         for copy in copies:
             if self._is_open(copy):
                 self._copies.append(copy)
             else:
                 self._record_result(copy, now)
-        return [run for run in _speculative_runs(links) if run.task.done]
 
     def _is_open(self, copy: _Copy) -> bool:
         task = copy.run.task
@@ -297,7 +296,7 @@
 def _speculative_runs(links: Iterable[EndpointLink]) -> Iterator[Run]:
     for link in links:
         for run in link.runs_by_key.values():
-            if _is_copied(run.task.step.spec):
+            if is_copied(run.task.step.spec):
                 yield run
 
 
@@ -305,7 +304,7 @@
     return queue is not None and queue.advice is not None
 
 
-def _is_copied(spec: Step) -> bool:
+def is_copied(spec: Step) -> bool:
     """Whether tasks of a step may have copies."""
     return spec.speculative and not (spec.gang or spec.lasting or spec.filler)
 
--- a/src/lentilrill/execution/_rounds.py
+++ b/src/lentilrill/execution/_rounds.py
@@ -16,6 +16,7 @@
 from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._link import EndpointLink, Order
 from lentilrill.execution._links import PoolLinks
+from lentilrill.execution._needless_runs import needless_runs
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import expire_releases
@@ -98,9 +99,12 @@
         links = self._links.by_id.values()
         self._drop_ended_runs(now)
         expire_releases(list(links), now)
-        orders = self._stop_orders(self._copies.settle(links, now))
+        self._copies.settle(now)
         blocked_zones = self._links.blocked_zones
-        live, is_urgent = self._settle_jobs(orders, is_blocked=bool(blocked_zones))
+        live, is_urgent = self._settle_jobs(is_blocked=bool(blocked_zones))
+        orders = self._stop_orders(needless_runs(links))
+        for tracked_job in live:
+            orders += self._stop_orders(incomplete_gang_runs(tracked_job))
         jobs = [(tracked_job, self._queue_of(tracked_job)) for tracked_job in live]
         capacity_by_endpoint = self._planner.capacity_by_endpoint(links, now)
         unknown_tasks = {key[0] for link in links for key in link.unknown_since_by_key}
@@ -136,12 +140,9 @@
             orders += [(link, order) for order in self._planner.stop_stuck_runs(link, now)]
         return orders, RoundResult(is_urgent, starts, bool(placed))
 
-    def _settle_jobs(
-        self, orders: list[LinkOrder], *, is_blocked: bool
-    ) -> tuple[list[TrackedJob], bool]:
-        """End the jobs whose tasks are done, and stop the runs of those that have ended.
+    def _settle_jobs(self, *, is_blocked: bool) -> tuple[list[TrackedJob], bool]:
+        """End the jobs whose tasks are done.
 
-        :param orders: gets the stops.
         :param is_blocked: whether tasks of the previous owner's jobs may run out of sight.
         :return: the jobs that go on, and whether an ended one waits to be shown.
         """
@@ -153,13 +154,11 @@
             if not tracked_job.state.is_final and tracked_job.all_done:
                 tracked_job.end(JobState.COMPLETED, now_ms)
             if tracked_job.state.is_final:
-                orders += self._stop_orders(r for task in tracked_job.tasks() for r in task.runs)
                 is_urgent = is_urgent or (tracked_job.dirty and not tracked_job.cancelled)
                 self._jobs.retire(tracked_job)
                 continue
             if not is_blocked:
                 tracked_job.start_zones.forget_inherited()
-            orders += self._stop_orders(incomplete_gang_runs(tracked_job))
             live.append(tracked_job)
         return live, is_urgent
 
--- a/tests/execution/test_copies.py
+++ b/tests/execution/test_copies.py
@@ -12,6 +12,7 @@
 )
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._copies import CopyBook
+from lentilrill.execution._needless_runs import needless_runs
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._runs import Run
 from lentilrill.execution._tickets import TicketCache
@@ -61,7 +62,8 @@
         return copy
 
     def stopped(self) -> list[Run]:
-        return self.book.settle(self.links.values(), time.monotonic())
+        self.book.settle(time.monotonic())
+        return needless_runs(self.links.values())
 
 
 class StartTest(CopyCase):
