--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -80,6 +80,14 @@
         lines = [json.loads(line) for line in text.split("\n")[:-1] if line.startswith("{")]
         return sum(fields.items() <= line.items() for line in lines)
 
+    def hang(self, name: str) -> None:
+        """Keep one entry host from running until it is resumed."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let an entry host that hangs run again."""
+        self.processes[name].send_signal(signal.SIGCONT)
+
     def kill(self, name: str) -> None:
         """Kill one entry host."""
         self.processes[name].send_signal(signal.SIGKILL)
--- a/tests/platform/test_cancelled_jobs.py
+++ b/tests/platform/test_cancelled_jobs.py
@@ -93,6 +93,13 @@
         self.assertEqual(TASKS, len(self.unended()))
         return former
 
+    def restart_all(self) -> None:
+        """Kill all entry hosts, and then start them again."""
+        for name in list(self.site.settings):
+            self.site.kill(name)
+        for name in self.site.settings:
+            self.site.start(name)
+
     def check_all_stopped(self) -> None:
         """Answer stops again, and check that each run ends in time because it is stopped."""
         self.platform.ignores_stops = False
@@ -109,3 +116,57 @@
         self.cancel()
         self.replace_owner(self.site.kill)
         self.check_all_stopped()
+
+    def test_a_job_ends_though_its_owner_is_killed(self) -> None:
+        """Guards against tasks of a cancelled job that the next owner lets run until done."""
+        self.begin()
+        self.cancel()
+        self.replace_owner(self.site.kill)
+        self.check_all_stopped()
+
+    def test_a_gang_ends_though_its_owner_is_killed(self) -> None:
+        """Guards against a gang of a cancelled job that the next owner lets run until done."""
+        self.begin(gang=True)
+        self.cancel()
+        self.replace_owner(self.site.kill)
+        self.check_all_stopped()
+
+    def test_a_job_that_may_have_copies_ends_though_its_owner_is_killed(self) -> None:
+        """Guards against tasks that may have copies, which the next owner lets run until done."""
+        self.begin(speculative=True)
+        self.cancel()
+        self.replace_owner(self.site.kill)
+        self.check_all_stopped()
+
+    def test_a_job_ends_though_two_owners_are_killed(self) -> None:
+        """Guards against runs of a cancelled job that the next owner but one never stops."""
+        self.begin()
+        self.cancel()
+        for _ in range(2):
+            self.replace_owner(self.site.kill)
+        self.check_all_stopped()
+
+    def test_a_job_ends_though_its_owner_hangs(self) -> None:
+        """Guards against runs that neither the next owner stops nor one that hung and is back.
+
+        The one that is back still has the runs, but the endpoints refuse its orders.
+        """
+        self.begin()
+        self.cancel()
+        former = self.replace_owner(self.site.hang)
+        self.site.resume(former)
+        self.check_all_stopped()
+
+    def test_a_job_ends_though_its_owner_hands_over(self) -> None:
+        """Guards against stops that an owner had ordered, and that its hand-over loses."""
+        self.begin()
+        self.cancel()
+        self.replace_owner(lambda name: self.assertEqual(0, self.site.end(name)))
+        self.check_all_stopped()
+
+    def test_a_job_ends_though_all_hosts_are_killed(self) -> None:
+        """Guards against runs of a cancelled job that go on after a restart of all entry hosts."""
+        self.begin()
+        self.cancel()
+        self.replace_owner(lambda _: self.restart_all())
+        self.check_all_stopped()
