A pool's previous owner's word doesn't make an endpoint free

What callers see: tasks that have just been started end with their host, which is taken for upkeep or for another pool; of a step that may miss few tasks, one more than it may.

Cause: an owner of a pool that has drained an endpoint keeps tasks off it for 3 s after the last request, in its memory. If it is lost or hands its pool over just after it answered, the next owner knows nothing of the request and starts tasks there, while the owner of the fleet still takes the answer to its last request for up to 1.5 s: it looked at the request's number only, not at who had answered.

Change: an answer counts only if the pool's owner is still the one that was asked. The next request goes to the new owner, which answers for itself.

Evidence: test_an_answer_of_a_previous_owner_does_not_count; without the change the endpoint is free (1 of 1 red), with it the test passes.

Why it works: the owner of the fleet reads the owner's key from its own watch, as the new owner does, which has to load the records and poll its endpoints before it starts anything. What stays: an order that is under way while the pool changes hands, and an owner that loses and regains the pool at the same address.

--- a/src/lentilrill/upkeep/_draining.py
+++ b/src/lentilrill/upkeep/_draining.py
@@ -3,7 +3,7 @@
 import itertools
 import time
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from lentilrill.ids import EndpointId, PoolId
 from lentilrill.inner import Message, ReleaseAsk, ReleaseState, ReleaseTold
@@ -22,6 +22,17 @@
         """Send a message; delivery isn't guaranteed."""
 
 
+class _Request(NamedTuple):
+    """The last request for an endpoint, and the inner address of the owner that it went to."""
+
+    id: int
+    sent_at: float
+    owner: str
+
+
+NO_REQUEST = _Request(0, 0.0, "")
+
+
 class EndpointDrainer:
     """Drains endpoints by requests that are repeated each round until the endpoint is free.
 
@@ -35,7 +46,7 @@
         self._owner_address = owner_address
         self._request_ids = itertools.count(1)
         self._answer_by_endpoint: dict[EndpointId, ReleaseTold] = {}
-        self._last_request: dict[EndpointId, tuple[int, float]] = {}
+        self._last_request: dict[EndpointId, _Request] = {}
 
     def on_release_told(self, message: ReleaseTold) -> None:
         """Handle the answer of a pool's owner."""
@@ -46,17 +57,19 @@
 
         Only the answer to the previous request counts, and only while its owner is sure to keep new
         tasks off the endpoint. An older answer may belong to an attempt that was given up, after
-        which the endpoint got tasks again; these would be lost if the host were taken.
+        which the endpoint got tasks again; these would be lost if the host were taken. So would
+        those of a new owner of the pool, which doesn't know what the previous one has drained.
         """
         address = self._owner_address(pool)
         if not address:
             return False, "the pool has no owner"
         now = time.monotonic()
         answer = self._answer_by_endpoint.pop(endpoint, None)
-        last_id, requested_at = self._last_request.get(endpoint, (0, 0.0))
-        request_id = next(self._request_ids)
-        self._last_request[endpoint] = (request_id, now)
-        self._peers.send(address, ReleaseAsk(request_id, pool, endpoint))
-        if answer is None or answer.ask != last_id or now - requested_at > ANSWER_VALID_S:
+        last = self._last_request.get(endpoint, NO_REQUEST)
+        request = _Request(next(self._request_ids), now, address)
+        self._last_request[endpoint] = request
+        self._peers.send(address, ReleaseAsk(request.id, pool, endpoint))
+        is_current = last.owner == address and now - last.sent_at <= ANSWER_VALID_S
+        if answer is None or answer.ask != last.id or not is_current:
             return False, "the owner of the pool has not answered"
         return answer.state == ReleaseState.FREE, answer.reason
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -104,6 +104,17 @@
         self.drainer.on_release_told(late)
         self.assertFalse(self.drainer.request_drain(NOTICES, EndpointId("i-a"))[0])
 
+    def test_an_answer_of_a_previous_owner_does_not_count(self) -> None:
+        """Guards against tasks that end with their host: an owner had drained the endpoint and
+        handed its pool over, and the next one, which knew nothing of it, started tasks there."""
+        addresses = ["10.0.0.1:1"]
+        self.drainer = EndpointDrainer(self.peers, lambda pool: addresses[-1])
+        self.peers.drainer = self.drainer
+        self.drainer.request_drain(NOTICES, EndpointId("i-a"))
+        addresses.append("10.0.0.2:1")
+        self.assertFalse(self.drainer.request_drain(NOTICES, EndpointId("i-a"))[0])
+        self.assertTrue(self.drainer.request_drain(NOTICES, EndpointId("i-a"))[0])
+
 
 class WavesCase(TestCase):
     """A wave of three hosts.
