A cancel that comes while a new owner reads the records counts

What callers see: a cancelled job is shown as running again and its tasks go on, until the new owner's watch of accepted jobs brings the cancel. If the store refuses that read to this host, for as long as it does. If its tasks end meanwhile, the job is shown as completed before that is stored, since it counts as cancelled.

Cause: a new owner is told of cancels before it has loaded its jobs. It ends the job, or does so once it reads it; the record of its progress, which is read after, then replaces the state, and the cancellation was written after the accepted jobs were read.

Change: a job that was cancelled before its record is restored is ended again after it, unless the record tells its end.

Why it works: the restore is the only place that sets a state that isn't final, it runs under the owner's lock, and cancels after it go the usual way.

--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -182,9 +182,13 @@
         if tracked_job is None or item.value is None:
             return
         tracked_job.stored_revision = item.revision
+        was_cancelled = tracked_job.cancelled
         tracked_job.restore(msgspec.json.decode(item.value, type=JobProgress), now_ms)
         if tracked_job.final_stored:
             self.live_by_id.pop(tracked_job.job.id, None)
+        elif was_cancelled:
+            # The record is older than the cancel that came while it was read.
+            tracked_job.end(JobState.CANCELLED, now_ms)
 
     def _track(self, job: Job, revision: Revision) -> TrackedJob:
         tracked_job = TrackedJob(job, revision, _arrival_time(job))
