A planning round is told in steps

What stops, what is placed and what is swept are steps of their own now, in the order in which they were; stops of relocated runs come after the round's accounts, which look at no run's phase. No change of logic. tests/execution: all pass.

--- a/src/lentilrill/execution/_rounds.py
+++ b/src/lentilrill/execution/_rounds.py
@@ -24,7 +24,7 @@
 from lentilrill.execution._runs import Run, RunPhase
 from lentilrill.execution._stored_starts import StoredStarts
 from lentilrill.execution._tracking import TrackedJob
-from lentilrill.ids import PoolId
+from lentilrill.ids import EndpointId, PoolId, ZoneId
 from lentilrill.scheduling import total_free
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import Configuration, JobState, Queue
@@ -96,15 +96,39 @@
         return result
 
     def _plan(self, now: float) -> tuple[list[LinkOrder], RoundResult]:
-        links = self._links.by_id.values()
         self._drop_ended_runs(now)
-        expire_releases(list(links), now)
+        expire_releases(list(self._links.by_id.values()), now)
         self._copies.settle(now)
         blocked_zones = self._links.blocked_zones
         live, is_urgent = self._settle_jobs(is_blocked=bool(blocked_zones))
-        orders = self._stop_orders(needless_runs(links))
+        orders = self._stop_orders(self._runs_to_stop(live))
+        placed, relocated, view = self._place(live, blocked_zones, now)
+        orders += self._stop_orders(relocated)
+        records = [tracked_job.request_record() for tracked_job in self._planner.to_record]
+        orders += self._starts.orders_of(placed, self._links.by_id)
+        starts = any(records) or bool(self._starts)
+        self._idle.sweep(live, view)
+        for link in self._links.by_id.values():
+            orders += [(link, order) for order in self._planner.pace_orders(link, now)]
+            orders += [(link, order) for order in self._planner.stop_stuck_runs(link, now)]
+        return orders, RoundResult(is_urgent, starts, bool(placed))
+
+    def _runs_to_stop(self, live: list[TrackedJob]) -> list[Run]:
+        runs = needless_runs(self._links.by_id.values())
         for tracked_job in live:
-            orders += self._stop_orders(incomplete_gang_runs(tracked_job))
+            runs += incomplete_gang_runs(tracked_job)
+        return runs
+
+    def _place(
+        self, live: list[TrackedJob], blocked_zones: frozenset[ZoneId], now: float
+    ) -> tuple[list[tuple[EndpointId, Run]], list[Run], RoundView]:
+        """Place tasks and copies.
+
+        :param blocked_zones: zones where tasks of the previous owner's jobs may run out of sight.
+        :return: the runs that were placed, those to be stopped to go on elsewhere, and what tells
+            why other tasks stay idle.
+        """
+        links = self._links.by_id.values()
         jobs = [(tracked_job, self._queue_of(tracked_job)) for tracked_job in live]
         capacity_by_endpoint = self._planner.capacity_by_endpoint(links, now)
         unknown_tasks = {key[0] for link in links for key in link.unknown_since_by_key}
@@ -117,14 +141,12 @@
         placed = self._planner.place_tasks(
             jobs, capacity_by_endpoint, now, blocked_zones, self._token, unknown_tasks, budgets
         )
+        relocated: list[Run] = []
         if not blocked_zones:
             left = (self._links.by_id, capacity_by_endpoint, unknown_tasks, budgets, now)
             placed += self._copies.place(jobs, *left)
-            orders += self._stop_orders(self._relocations.plan(jobs, *left))
+            relocated = self._relocations.plan(jobs, *left)
         self._allowances.end_round(budgets, free, now)
-        records = [tracked_job.request_record() for tracked_job in self._planner.to_record]
-        orders += self._starts.orders_of(placed, self._links.by_id)
-        starts = any(records) or bool(self._starts)
         view = RoundView(
             now,
             self._links.by_id,
@@ -134,11 +156,7 @@
             budgets.refused_jobs,
             blocked_zones,
         )
-        self._idle.sweep(live, view)
-        for link in links:
-            orders += [(link, order) for order in self._planner.pace_orders(link, now)]
-            orders += [(link, order) for order in self._planner.stop_stuck_runs(link, now)]
-        return orders, RoundResult(is_urgent, starts, bool(placed))
+        return placed, relocated, view
 
     def _settle_jobs(self, *, is_blocked: bool) -> tuple[list[TrackedJob], bool]:
         """End the jobs whose tasks are done.
