A gang whose start was lost with its owner is stopped and starts again

What callers see: a job stands still, and keeps the room of the members that have begun, until their endpoints end them because they are alone.

Cause: that the start of a member was given up is kept in the owner's memory. If the owner is lost before it has stopped the others, or while a start is on its way (which the next owner's token then forbids), the next one finds some members and no run of the rest. It starts a gang only as a whole, so it does nothing.

Change: once all runs of previous owners are known or have ended, the found members of a gang in which another has no run are stopped.

Why it works: a member that was started has a run as soon as its endpoint is polled; an endpoint that isn't polled holds the rule back until the leases there have expired. A member that is done ends its whole gang, so what is left has no use. This owner's own runs are not meant: it places all members in one step, and knows what it gives up.

--- a/src/lentilrill/execution/_gangs.py
+++ b/src/lentilrill/execution/_gangs.py
@@ -37,10 +37,21 @@
         if step.spec.gang
         for task in step.tasks
         for run in task.runs
-        if run.number == step.given_up_number and run.phase is not RunPhase.STOPPING
+        if run.phase is not RunPhase.STOPPING and _is_incomplete(step, run)
     ]
 
 
+def _is_incomplete(step: TrackedStep, run: Run) -> bool:
+    """Whether the gang of a run won't be complete.
+
+    A start that was lost, or given up, with a previous owner shows only as a member without a run.
+    """
+    if run.number == step.given_up_number:
+        return True
+    knows_all_runs = step.tracked_job.start_zones.knows_all_runs
+    return knows_all_runs and run.was_found and step.has_waiting_tasks
+
+
 def _gang_failures(step: TrackedStep) -> dict[EndpointId, float]:
     """Return when any member of a gang last failed on each endpoint."""
     failed_at: dict[EndpointId, float] = {}
--- a/src/lentilrill/execution/_runs.py
+++ b/src/lentilrill/execution/_runs.py
@@ -111,6 +111,11 @@
         """Whether its start order has not been sent; never sent once the run was stopped."""
         return not self.send_count and self.confirmed_at is None
 
+    @property
+    def was_found(self) -> bool:
+        """Whether this owner knows of it by a report alone: a previous owner has started it."""
+        return not self.send_count and self.confirmed_at is not None
+
     @property
     def may_start_late(self) -> bool:
         """Whether a copy of its start got no answer, and so may be carried out later."""
--- a/src/lentilrill/execution/_start_zones.py
+++ b/src/lentilrill/execution/_start_zones.py
@@ -50,6 +50,11 @@
             return True
         return not self._inherited.isdisjoint(zones)
 
+    @property
+    def knows_all_runs(self) -> bool:
+        """Whether all runs of previous owners are known or have ended."""
+        return self._inherited == NOWHERE
+
     def forget_inherited(self) -> None:
         """Note that all runs of previous owners are known or have ended."""
         self._inherited = NOWHERE
--- a/tests/execution/test_memory_of_owners.py
+++ b/tests/execution/test_memory_of_owners.py
@@ -9,9 +9,12 @@
 from lentilrill.store import Priority, RangeAnswer
 from lentilrill.workloads import Job, JobState
 from tests.builders import a_job, a_step, an_endpoint
-from tests.execution.fakes import OwnedPool, eventually, state_of
+from tests.execution.fakes import OwnedPool, TimedEndpoint, eventually, state_of
 from tests.fakes import refuse
 
+ENOUGH_POLLS = 6
+"""Polls of an endpoint that take longer than two planning rounds."""
+
 
 class MemoryCase(TestCase):
     def setUp(self) -> None:
@@ -72,3 +75,42 @@
         self.assertEqual(JobState.CANCELLED, state_of(owner, self.job.id))
         key = f"p/notices/{self.job.id}"
         self.assertTrue(eventually(lambda: b"cancelled" in self.stored(key)))
+
+
+class IncompleteGangTest(MemoryCase):
+    def test_a_gang_whose_start_was_lost_with_its_owner_starts_again(self) -> None:
+        """Guards against a gang that keeps its room and does nothing until its endpoints end it:
+        the owner that had given up the start of a member was lost."""
+        lossy = self.pool.endpoints["e2"] = TimedEndpoint()
+        lossy.loses_starts = True
+        self.pool.register(an_endpoint("e2"))
+        self.accept(a_job("a", a_step(2, gang=True, most_per_endpoint=1)))
+        first = self.pool.take_over()
+        self.assertTrue(eventually(lambda: bool(self.pool.endpoints["e1"].running)))
+        self.assertTrue(eventually(lambda: bool(lossy.delayed)))
+        first.close()
+        lossy.loses_starts = False
+        self.pool.take_over()
+        self.assertTrue(eventually(lambda: bool(lossy.running)))
+        self.assertTrue(eventually(lambda: self.numbers("e1") == self.numbers("e2")))
+
+    def test_a_gang_is_left_alone_until_all_its_endpoints_are_polled(self) -> None:
+        """Guards against a gang that is stopped at each take-over, as one of its members is found
+        before the other."""
+        e1, e2 = self.pool.endpoints["e1"], self.pool.endpoints["e2"]
+        self.pool.register(an_endpoint("e2"))
+        self.accept(a_job("a", a_step(2, gang=True, most_per_endpoint=1)))
+        first = self.pool.take_over()
+        self.assertTrue(eventually(lambda: len(self.pool.starts()) == 2))
+        first.close()
+        e2.silent = True
+        self.pool.take_over()
+        found_at = e1.polls
+        self.assertTrue(eventually(lambda: e1.polls > found_at + ENOUGH_POLLS))
+        e2.silent = False
+        found_at = e2.polls
+        self.assertTrue(eventually(lambda: e2.polls > found_at + ENOUGH_POLLS))
+        self.assertEqual(([], []), (e1.stops, e2.stops))
+
+    def numbers(self, name: str) -> set[int]:
+        return {number for _, number in list(self.pool.endpoints[name].running)}
