A restart of an endpoint's process doesn't end its release

What callers see: tasks that have just been started end with their host.

Cause: an owner that has said that an endpoint is free keeps tasks off it for 3 s after the last request. When the endpoint's process started again under its id within that time, the link forgot the release together with what it knew of the previous process, and tasks were started on a host whose order was under way.

Change: a release belongs to the host, so it stays until its requests end.

Why it works: expire_releases ends a release 3 s after its last request, whatever the process does.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -272,7 +272,6 @@
     def reset(self, started_ms: int) -> None:
         """Reset the state that belongs to the endpoint's previous process."""
         self.started_ms = started_ms
-        self.released = False
         self.seen_cursor = self.stored_cursor = 0
         self._latest_expiry_ms = 0
         self._clock = RemoteClock(MAX_CLOCK_ERROR)
