An endpoint that was free for want of a link gets no tasks

What callers see: tasks that have just been started end with their host, which is taken for upkeep or for another pool.

Cause: asked for an endpoint that it has no link to, an owner answers that it is free, since its host must not be kept for an endpoint that is gone. The list of hosts shows a new endpoint before the owner has read its registration, up to 0.3 s later. The owner then opened the link, which knew nothing of the request, and started tasks, while the answer allowed the order to the host for up to 1.5 s.

Change: the owner remembers such requests for as long as a release lasts, and a link that is opened meanwhile is released from the beginning.

Why it works: what is answered as free is then kept free in every case, with a link or without.

--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -8,6 +8,7 @@
 
 from lentilrill.execution._endpoint_list import EndpointList
 from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._release import REQUEST_TIMEOUT_S
 from lentilrill.execution._start_zones import UNKNOWN_ZONE
 from lentilrill.ids import EndpointId, PoolId, ZoneId
 from lentilrill.workloads import EndpointEntry
@@ -51,6 +52,7 @@
         self._connect = connect
         self._owner_since = time.monotonic()
         self._closed = False
+        self._release_requested_at: dict[EndpointId, float] = {}
 
     def load(self) -> bool:
         """Read the previous owner's endpoints; return whether they could be read."""
@@ -66,6 +68,16 @@
         for link in links:
             link.wake()
 
+    def release_unopened(self, endpoint: EndpointId, now: float) -> None:
+        """Note that the host of an endpoint without a link is needed elsewhere.
+
+        The endpoint may be registered just now. Its link is then released from the beginning, for
+        as long as the answer to this request may count.
+        """
+        noted = self._release_requested_at
+        recent = {id: at for id, at in noted.items() if now - at <= REQUEST_TIMEOUT_S}
+        self._release_requested_at = recent | {endpoint: now}
+
     @property
     def is_blocked(self) -> bool:
         """Whether tasks of the previous owner's jobs may run on endpoints not polled yet."""
@@ -171,6 +183,10 @@
             if self._closed:
                 return
             self.by_id[entry.id] = link
+            requested_at = self._release_requested_at.pop(entry.id, None)
+            if requested_at is not None:
+                link.released = True
+                link.release_started_at = link.release_requested_at = requested_at
         link.start()
 
     def _can_close(self, link: EndpointLink) -> bool:
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -335,6 +335,8 @@
             if not self._jobs.loaded or endpoint in self._links.unpolled:
                 return ReleaseState.WAIT, "the pool is being taken over"
             if link is None:
+                if not cancel:
+                    self._links.release_unopened(endpoint, time.monotonic())
                 return ReleaseState.FREE, "no such endpoint"
             if not link.was_polled:
                 return ReleaseState.WAIT, "the endpoint has not been polled yet"
--- a/src/lentilrill/execution/_release.py
+++ b/src/lentilrill/execution/_release.py
@@ -6,7 +6,7 @@
 from lentilrill.inner import ReleaseState
 from lentilrill.telemetry import Event, log
 
-__all__ = ["away_tasks", "expire_releases", "release"]
+__all__ = ["REQUEST_TIMEOUT_S", "away_tasks", "expire_releases", "release"]
 
 FINISH_GRACE_S = 2.5
 """How long tasks may finish before they are stopped. Most take a second or two, and stopping a task
