Runs, tasks, steps and jobs are tracked in one module; their records are another's

A job's steps, tasks and runs refer to each other and now stand together in _tracking.py; the conversion to and from stored progress is in _progress_records.py, which imports that.

--- a/bench/shares.py
+++ b/bench/shares.py
@@ -15,8 +15,7 @@
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._fair_shares import shares_of
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._runs import Run
-from lentilrill.execution._tracking import TrackedJob
+from lentilrill.execution._tracking import Run, TrackedJob
 from lentilrill.ids import EndpointId, JobId, PoolId, QueueId, Revision, WorkspaceId, ZoneId
 from lentilrill.workloads import (
     Configuration,
--- a/src/lentilrill/execution/_copies.py
+++ b/src/lentilrill/execution/_copies.py
@@ -8,9 +8,15 @@
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._planner import Planner
-from lentilrill.execution._runs import MAX_REPORT_AGE_S, Run, RunPhase
 from lentilrill.execution._spare_room import Capacities, Slowdown, slowdown_of, without_waiting
-from lentilrill.execution._tracking import TrackedJob, TrackedStep, TrackedTask
+from lentilrill.execution._tracking import (
+    MAX_REPORT_AGE_S,
+    Run,
+    RunPhase,
+    TrackedJob,
+    TrackedStep,
+    TrackedTask,
+)
 from lentilrill.ids import EndpointId, PoolId
 from lentilrill.scheduling import (
     MIN_SLOWDOWN,
--- a/src/lentilrill/execution/_crashes.py
+++ b/src/lentilrill/execution/_crashes.py
@@ -8,8 +8,7 @@
 
 from lentilrill.execution._host_reader import HostListing
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._runs import Run
-from lentilrill.execution._tracking import TrackedTask
+from lentilrill.execution._tracking import Run, TrackedTask
 from lentilrill.ids import EndpointId, HostId
 from lentilrill.telemetry import Event, log
 from lentilrill.upkeep import HostState
--- a/src/lentilrill/execution/_demand.py
+++ b/src/lentilrill/execution/_demand.py
@@ -6,8 +6,7 @@
 
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._need import Durations, WorkForecast
-from lentilrill.execution._runs import Run
-from lentilrill.execution._tracking import TrackedJob, TrackedStep
+from lentilrill.execution._tracking import Run, TrackedJob, TrackedStep
 from lentilrill.scheduling import LEAD_S, Demand, HostShares, JobTiming, hosts_for, required_hosts
 from lentilrill.workloads import Resources
 
--- a/src/lentilrill/execution/_endpoint_speeds.py
+++ b/src/lentilrill/execution/_endpoint_speeds.py
@@ -7,7 +7,7 @@
 
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._need import Durations
-from lentilrill.execution._runs import FULL_PACE_PERCENT, Run, RunPhase
+from lentilrill.execution._tracking import FULL_PACE_PERCENT, Run, RunPhase
 from lentilrill.ids import EndpointId, PoolId
 from lentilrill.scheduling import EndpointKind, EndpointSpeeds, Speed, SpeedChange
 from lentilrill.telemetry import Event, Metrics, NoMetrics, log
--- a/src/lentilrill/execution/_gangs.py
+++ b/src/lentilrill/execution/_gangs.py
@@ -3,8 +3,7 @@
 import copy
 from collections.abc import Iterable
 
-from lentilrill.execution._runs import Run, RunPhase
-from lentilrill.execution._tracking import TrackedJob, TrackedStep
+from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedStep
 from lentilrill.ids import EndpointId, RackId
 from lentilrill.scheduling import EndpointCapacity, place
 
--- a/src/lentilrill/execution/_held_runs.py
+++ b/src/lentilrill/execution/_held_runs.py
@@ -1,7 +1,7 @@
 """Runs that hold their task and capacity although no report can show their end any more."""
 
 from lentilrill.execution._link import EndpointLink, lease_end_of_report
-from lentilrill.execution._runs import Run
+from lentilrill.execution._tracking import Run
 
 __all__ = ["MAX_UNSENT_S", "ended_runs", "unknown_runs_have_ended"]
 
--- a/src/lentilrill/execution/_idle.py
+++ b/src/lentilrill/execution/_idle.py
@@ -8,9 +8,8 @@
 
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._planner import blocking_reason
-from lentilrill.execution._runs import Run, RunPhase
 from lentilrill.execution._start_zones import UNKNOWN_ZONE
-from lentilrill.execution._tracking import TrackedJob, TrackedTask
+from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedTask
 from lentilrill.ids import EndpointId, JobId, PoolId, ZoneId
 from lentilrill.scheduling import EndpointCapacity, Speed
 from lentilrill.telemetry import Event, log
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -11,7 +11,13 @@
 from lentilrill.execution._claims import ClaimBook
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._pacing import pause_after_call
-from lentilrill.execution._tracking import TrackedJob, encode_progress, job_id_of
+from lentilrill.execution._progress_records import (
+    encode_progress,
+    job_id_of,
+    progress_of,
+    restore_progress,
+)
+from lentilrill.execution._tracking import TrackedJob
 from lentilrill.execution._writer import ProgressEntry, Snapshot
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.store import DECODE_ERRORS, Compare, DeleteRange, Item, KeyValue, Priority
@@ -183,7 +189,7 @@
             return
         tracked_job.stored_revision = item.revision
         was_cancelled = tracked_job.cancelled
-        tracked_job.restore(msgspec.json.decode(item.value, type=JobProgress), now_ms)
+        restore_progress(tracked_job, msgspec.json.decode(item.value, type=JobProgress), now_ms)
         if tracked_job.final_stored:
             self.live_by_id.pop(tracked_job.job.id, None)
         elif was_cancelled:
@@ -366,7 +372,7 @@
 
 def _entry_of(tracked_job: TrackedJob) -> ProgressEntry:
     """Return the next version of a job's record, which may be in the store from now on."""
-    progress = tracked_job.progress()
+    progress = progress_of(tracked_job)
     tracked_job.start_zones.on_commit(progress.zones)
     return ProgressEntry(
         tracked_job.job.id,
--- a/src/lentilrill/execution/_late_starts.py
+++ b/src/lentilrill/execution/_late_starts.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
-from lentilrill.execution._runs import Run
+from lentilrill.execution._tracking import Run
 from lentilrill.ids import EndpointId
 from lentilrill.workloads import TaskId
 
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -16,8 +16,8 @@
     StartOrder,
     Verdict,
 )
-from lentilrill.execution._runs import Run, RunPhase
 from lentilrill.execution._senders import Senders
+from lentilrill.execution._tracking import Run, RunPhase
 from lentilrill.scheduling import Speed
 from lentilrill.telemetry import Event, log, run_and_log_errors
 from lentilrill.workloads import EndpointEntry, TaskId
--- a/src/lentilrill/execution/_need.py
+++ b/src/lentilrill/execution/_need.py
@@ -5,8 +5,7 @@
 import msgspec
 
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._runs import Run, RunPhase
-from lentilrill.execution._tracking import TrackedJob, TrackedStep
+from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedStep
 from lentilrill.ids import EndpointId, JobId, QueueId
 from lentilrill.scheduling import LEAD_S, DurationModel, TaskTimes
 from lentilrill.workloads import Job, Step
--- a/src/lentilrill/execution/_needless_runs.py
+++ b/src/lentilrill/execution/_needless_runs.py
@@ -4,7 +4,7 @@
 
 from lentilrill.execution._copies import is_copied
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._runs import Run
+from lentilrill.execution._tracking import Run
 
 __all__ = ["needless_runs"]
 
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -11,9 +11,16 @@
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
 from lentilrill.execution._reconcile import count_failure, is_unhealthy
-from lentilrill.execution._runs import FULL_PACE_PERCENT, MAX_REPORT_AGE_S, Run, RunPhase
 from lentilrill.execution._tickets import TicketCache, TicketRequest
-from lentilrill.execution._tracking import TrackedJob, TrackedStep, TrackedTask
+from lentilrill.execution._tracking import (
+    FULL_PACE_PERCENT,
+    MAX_REPORT_AGE_S,
+    Run,
+    RunPhase,
+    TrackedJob,
+    TrackedStep,
+    TrackedTask,
+)
 from lentilrill.execution._wait_times import WaitCause
 from lentilrill.ids import EndpointId, JobId, ZoneId
 from lentilrill.scheduling import EndpointCapacity, JobTiming, Speed, next_pace
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -9,8 +9,7 @@
 from lentilrill.execution._late_starts import LateStarts
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._need import Durations
-from lentilrill.execution._runs import FULL_PACE_PERCENT, Run, RunPhase
-from lentilrill.execution._tracking import TrackedJob, TrackedTask
+from lentilrill.execution._tracking import FULL_PACE_PERCENT, Run, RunPhase, TrackedJob, TrackedTask
 from lentilrill.ids import JobId
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import FailureCause, JobState
--- a/src/lentilrill/execution/_release.py
+++ b/src/lentilrill/execution/_release.py
@@ -1,8 +1,7 @@
 """Draining of an endpoint whose host is needed for upkeep or for another pool."""
 
 from lentilrill.execution._link import EndpointLink, Order
-from lentilrill.execution._runs import Run, RunPhase
-from lentilrill.execution._tracking import TrackedTask
+from lentilrill.execution._tracking import Run, RunPhase, TrackedTask
 from lentilrill.inner import ReleaseState
 from lentilrill.telemetry import Event, log
 
--- a/src/lentilrill/execution/_relocation.py
+++ b/src/lentilrill/execution/_relocation.py
@@ -7,9 +7,8 @@
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._copies import TimesLeft
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._runs import MAX_REPORT_AGE_S, Run, RunPhase
 from lentilrill.execution._spare_room import Capacities, Slowdown, slowdown_of, without_waiting
-from lentilrill.execution._tracking import TrackedJob, TrackedTask
+from lentilrill.execution._tracking import MAX_REPORT_AGE_S, Run, RunPhase, TrackedJob, TrackedTask
 from lentilrill.ids import EndpointId, PoolId
 from lentilrill.scheduling import (
     MIN_SLOWDOWN,
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -10,8 +10,8 @@
 from lentilrill.execution._link import EndpointLink, Order
 from lentilrill.execution._links import PoolLinks
 from lentilrill.execution._reconcile import Reconciler
-from lentilrill.execution._runs import Run, RunPhase
 from lentilrill.execution._tickets import TicketCache
+from lentilrill.execution._tracking import Run, RunPhase
 from lentilrill.ids import Revision
 from lentilrill.telemetry import Event, log
 from lentilrill.workloads import Resources, StepId
--- a/src/lentilrill/execution/_rounds.py
+++ b/src/lentilrill/execution/_rounds.py
@@ -21,9 +21,8 @@
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import expire_releases
 from lentilrill.execution._relocation import Relocations
-from lentilrill.execution._runs import Run, RunPhase
 from lentilrill.execution._stored_starts import StoredStarts
-from lentilrill.execution._tracking import TrackedJob
+from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
 from lentilrill.ids import EndpointId, PoolId, ZoneId
 from lentilrill.scheduling import total_free
 from lentilrill.telemetry import Event, log
--- a/tests/execution/cases.py
+++ b/tests/execution/cases.py
@@ -13,9 +13,8 @@
 from lentilrill.execution._need import Durations
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._reconcile import Reconciler
-from lentilrill.execution._runs import Run, RunPhase
 from lentilrill.execution._tickets import TicketCache
-from lentilrill.execution._tracking import TrackedJob
+from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.workloads import Step
 from tests.builders import a_configuration, a_job, a_step, an_endpoint
--- a/tests/execution/test_apart.py
+++ b/tests/execution/test_apart.py
@@ -6,8 +6,7 @@
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._crashes import FRESH_S
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._runs import Run
-from lentilrill.execution._tracking import TrackedTask
+from lentilrill.execution._tracking import Run, TrackedTask
 from lentilrill.ids import EndpointId
 from lentilrill.workloads import Resources, Step
 from tests.builders import a_step, an_endpoint
--- a/tests/execution/test_capacity_changes.py
+++ b/tests/execution/test_capacity_changes.py
@@ -8,7 +8,7 @@
 
 from lentilrill.execution import OrderAnswer, StartOrder
 from lentilrill.execution._links import MAX_ENTRY_AGE_S
-from lentilrill.execution._runs import RunPhase
+from lentilrill.execution._tracking import RunPhase
 from lentilrill.workloads import Resources
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.fakes import FakeEndpoint, OwnedPool, TimedEndpoint, eventually
--- a/tests/execution/test_copies.py
+++ b/tests/execution/test_copies.py
@@ -14,9 +14,8 @@
 from lentilrill.execution._copies import CopyBook
 from lentilrill.execution._needless_runs import needless_runs
 from lentilrill.execution._planner import Planner
-from lentilrill.execution._runs import Run
 from lentilrill.execution._tickets import TicketCache
-from lentilrill.execution._tracking import TrackedTask
+from lentilrill.execution._tracking import Run, TrackedTask
 from lentilrill.ids import EndpointId, PoolId, WorkspaceId
 from lentilrill.scheduling import Allowances, Budget
 from lentilrill.telemetry import NoMetrics
--- a/tests/execution/test_crashes.py
+++ b/tests/execution/test_crashes.py
@@ -17,9 +17,9 @@
 )
 from lentilrill.execution._crashes import FRESH_S, MAX_CRASHES, CrashBook
 from lentilrill.execution._link import Order, OrderKind
+from lentilrill.execution._progress_records import encode_progress, progress_of, restore_progress
 from lentilrill.execution._release import release
-from lentilrill.execution._runs import Run
-from lentilrill.execution._tracking import TrackedJob, TrackedTask, encode_progress
+from lentilrill.execution._tracking import Run, TrackedJob, TrackedTask
 from lentilrill.ids import EndpointId, HostId, JobId, Revision
 from lentilrill.workloads import Attempt, Job, JobProgress, JobState, Step
 from tests.builders import a_job, a_step, an_endpoint
@@ -180,9 +180,9 @@
     def restored(self) -> TrackedTask:
         """Return the task as the next owner reads it from the record, and watches it."""
         tracked_job = self.task.step.tracked_job
-        stored = msgspec.json.decode(encode_progress(tracked_job.progress()), type=JobProgress)
+        stored = msgspec.json.decode(encode_progress(progress_of(tracked_job)), type=JobProgress)
         restored = TrackedJob(tracked_job.job, Revision(1), 0.0)
-        restored.restore(stored, 0)
+        restore_progress(restored, stored, 0)
         [task] = restored.tasks()
         self.crashes = CrashBook()
         self.crashes.restore([task])
@@ -279,9 +279,9 @@
         self.task.crashed_processes.add("e7@1")
         self.task.attempts[EndpointId("e1")] = Attempt(HostId("m1"), 1)
         tracked_job = self.task.step.tracked_job
-        stored = msgspec.json.decode(encode_progress(tracked_job.progress()), type=JobProgress)
+        stored = msgspec.json.decode(encode_progress(progress_of(tracked_job)), type=JobProgress)
         restored = TrackedJob(tracked_job.job, Revision(1), 0.0)
-        restored.restore(stored, 0)
+        restore_progress(restored, stored, 0)
         task = restored.tasks()[0]
         self.assertEqual({"e7@1"}, task.crashed_processes)
         self.assertEqual(self.task.attempts, task.attempts)
--- a/tests/execution/test_endpoint_speeds.py
+++ b/tests/execution/test_endpoint_speeds.py
@@ -12,9 +12,8 @@
 from lentilrill.execution._need import WorkForecast
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._pressure import Backlog, pressure_of
-from lentilrill.execution._runs import Run
 from lentilrill.execution._tickets import TicketCache
-from lentilrill.execution._tracking import TrackedJob
+from lentilrill.execution._tracking import Run, TrackedJob
 from lentilrill.ids import EndpointId, PoolId, RackId
 from lentilrill.scheduling import Speed, place
 from lentilrill.telemetry import Event
--- a/tests/execution/test_fair_shares.py
+++ b/tests/execution/test_fair_shares.py
@@ -13,9 +13,8 @@
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._need import Durations
 from lentilrill.execution._planner import Planner
-from lentilrill.execution._runs import Run, RunPhase
 from lentilrill.execution._tickets import TicketCache, TicketRequest
-from lentilrill.execution._tracking import TrackedJob
+from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
 from lentilrill.ids import PoolId, Revision, WorkspaceId
 from lentilrill.scheduling import Allowances, Budget, JobTiming, PoolAllowance, sort_key
 from lentilrill.workloads import (
--- a/tests/execution/test_held_tasks.py
+++ b/tests/execution/test_held_tasks.py
@@ -26,8 +26,7 @@
 from lentilrill.execution._link import RUN_LEASE_S, EndpointLink, Order, OrderKind
 from lentilrill.execution._pool import MAX_ROUND_INTERVAL_S
 from lentilrill.execution._reconcile import STOP_RETRY_S, count_failure
-from lentilrill.execution._runs import RunPhase
-from lentilrill.execution._tracking import MAX_RECORD_WAIT_S
+from lentilrill.execution._tracking import MAX_RECORD_WAIT_S, RunPhase
 from lentilrill.ids import JobId
 from lentilrill.store import DeleteRange
 from lentilrill.workloads import Job, JobState, Step, TaskId
--- a/tests/execution/test_idle.py
+++ b/tests/execution/test_idle.py
@@ -15,8 +15,7 @@
     RoundView,
 )
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._runs import Run, RunPhase
-from lentilrill.execution._tracking import TrackedJob, TrackedTask
+from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedTask
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.telemetry import Event
 from lentilrill.workloads import Step
--- a/tests/execution/test_late_starts.py
+++ b/tests/execution/test_late_starts.py
@@ -8,7 +8,7 @@
 from lentilrill.execution import OrderAnswer, PollResult, StartOrder, Verdict, _late_starts
 from lentilrill.execution._late_starts import MAX_ORDER_DELAY_S
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
-from lentilrill.execution._runs import Run
+from lentilrill.execution._tracking import Run
 from lentilrill.ids import JobId
 from lentilrill.workloads import JobState, TaskId
 from tests.builders import a_job, a_step, an_endpoint
--- a/tests/execution/test_lost_for_good.py
+++ b/tests/execution/test_lost_for_good.py
@@ -27,8 +27,8 @@
 )
 from lentilrill.execution._host_reader import READ_INTERVAL_S
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._runs import Run
-from lentilrill.execution._tracking import TrackedJob, encode_progress
+from lentilrill.execution._progress_records import encode_progress, progress_of, restore_progress
+from lentilrill.execution._tracking import Run, TrackedJob
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import EndpointId, HostId, JobId, Revision
 from lentilrill.telemetry import Event
@@ -390,9 +390,9 @@
         """With a new owner, a task whose third crash was open was started again at once."""
         self.lose_several()
         tracked_job = self.task.step.tracked_job
-        stored = msgspec.json.decode(encode_progress(tracked_job.progress()), type=JobProgress)
+        stored = msgspec.json.decode(encode_progress(progress_of(tracked_job)), type=JobProgress)
         restored = TrackedJob(tracked_job.job, Revision(1), 0.0)
-        restored.restore(stored, 0)
+        restore_progress(restored, stored, 0)
         crashes.CrashBook().restore(restored.tasks())
         [task] = restored.tasks()
         self.assertGreater(task.held_until, time.monotonic())
--- a/tests/execution/test_owner_delays.py
+++ b/tests/execution/test_owner_delays.py
@@ -8,7 +8,7 @@
 
 from lentilrill.execution import OrderAnswer, PoolOwner, StartOrder
 from lentilrill.execution._link import MAX_ORDERS_IN_FLIGHT, EndpointLink
-from lentilrill.execution._runs import RunPhase
+from lentilrill.execution._tracking import RunPhase
 from lentilrill.workloads import Job, Resources
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -11,8 +11,7 @@
 from lentilrill.execution._pressure import backlog_of, pressure_of
 from lentilrill.execution._reconcile import UNKNOWN_RUN_GRACE_S
 from lentilrill.execution._release import release
-from lentilrill.execution._runs import MAX_REPORT_AGE_S, Run, RunPhase
-from lentilrill.execution._tracking import TrackedJob
+from lentilrill.execution._tracking import MAX_REPORT_AGE_S, Run, RunPhase, TrackedJob
 from lentilrill.execution._wait_times import WaitCause
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.inner import PoolPressure, ReleaseState
--- a/tests/execution/test_refused_starts.py
+++ b/tests/execution/test_refused_starts.py
@@ -10,8 +10,7 @@
 from lentilrill.execution._held_runs import MAX_UNSENT_S, ended_runs
 from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._reconcile import is_unhealthy
-from lentilrill.execution._runs import Run, RunPhase
-from lentilrill.execution._tracking import EXCLUSION_S, TrackedTask
+from lentilrill.execution._tracking import EXCLUSION_S, Run, RunPhase, TrackedTask
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.cases import Owner, TrackedJobCase, a_planner
 from tests.execution.fakes import FakeEndpoint, OwnedPool, eventually
--- a/tests/execution/test_relocation.py
+++ b/tests/execution/test_relocation.py
@@ -7,8 +7,8 @@
 from lentilrill.execution import EndKind, OrderAnswer, PoolOwner, StartOrder
 from lentilrill.execution._link import Order
 from lentilrill.execution._relocation import Relocations
-from lentilrill.execution._runs import Run
 from lentilrill.execution._spare_room import slowdown_of
+from lentilrill.execution._tracking import Run
 from lentilrill.ids import PoolId
 from lentilrill.scheduling import Speed
 from lentilrill.telemetry import NoMetrics
--- a/tests/execution/test_start_zones.py
+++ b/tests/execution/test_start_zones.py
@@ -12,9 +12,8 @@
 
 from lentilrill.execution import EndKind, _links
 from lentilrill.execution._host_reader import HostListing
-from lentilrill.execution._runs import Run
 from lentilrill.execution._start_zones import UNKNOWN_ZONE, StartZones, Zones
-from lentilrill.execution._tracking import TrackedJob
+from lentilrill.execution._tracking import Run, TrackedJob
 from lentilrill.faults import Fault
 from lentilrill.ids import EndpointId, HostId, JobId, Revision, ZoneId
 from lentilrill.store import Put
--- a/tests/execution/test_stragglers.py
+++ b/tests/execution/test_stragglers.py
@@ -3,8 +3,8 @@
 import time
 
 from lentilrill.execution._planner import Planner
-from lentilrill.execution._runs import Run
 from lentilrill.execution._tickets import TicketCache
+from lentilrill.execution._tracking import Run
 from lentilrill.ids import PoolId, QueueId
 from lentilrill.workloads import Queue, Step
 from tests.execution.cases import TOKEN, TrackedJobCase
--- a/tests/execution/test_workspace_backlog.py
+++ b/tests/execution/test_workspace_backlog.py
@@ -6,8 +6,7 @@
 
 from lentilrill.execution import PoolOwner
 from lentilrill.execution._demand import PoolDemand
-from lentilrill.execution._runs import Run
-from lentilrill.execution._tracking import TrackedJob
+from lentilrill.execution._tracking import Run, TrackedJob
 from lentilrill.execution._workspace_backlog import MAX_BY_JOBS, MAX_BY_WORK, WorkspaceReporter
 from lentilrill.ids import EndpointId, Incarnation, JobId, ProcessId, Revision, WorkspaceId
 from lentilrill.inner import Batch, HostNews, PoolPressure, WorkspaceLoad, WorkspaceLoads, encode
