A new owner removes no claim before it knows whose it is

What callers see: a job's id can be accepted a second time while the job still runs in another pool, after a queue has changed its pool during an upgrade.

Cause: that the claim on a job's id belongs to another pool's job is kept in the owner's memory. The next owner learns it again when it tries to store the claims that jobs of an earlier version lack.

Change: a job whose claim isn't settled keeps its records until it is.

Why it works: a claim is settled once it was stored by this owner or read as another's, and only then the removal knows which keys belong to the job.

--- a/src/lentilrill/execution/_claims.py
+++ b/src/lentilrill/execution/_claims.py
@@ -55,6 +55,10 @@
         if not job.has_claim:
             self._missing_by_job[job.id] = claim_of(job)
 
+    def is_settled(self, job: JobId) -> bool:
+        """Whether it is known whose the claim on a job's id is."""
+        return job not in self._missing_by_job
+
     def removable_key(self, job: JobId) -> str | None:
         """Return the key of a job's claim, unless the claim belongs to another job."""
         return None if job in self._foreign else claim_key(job)
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -331,6 +331,7 @@
                 for job, tracked_job in self.by_id.items()
                 if job not in self.live_by_id
                 and tracked_job.final_stored
+                and self._claims.is_settled(job)
                 and now_ms - tracked_job.ended_ms > RETENTION_S * 1000
             ]
             removed = old[:MAX_JOBS_PER_REMOVAL]
--- a/tests/execution/test_claims.py
+++ b/tests/execution/test_claims.py
@@ -106,3 +106,26 @@
         self.assertTrue(eventually(lambda: job_key(POOL, self.old.id) not in self.kv.items_by_key))
         self.assertEqual(JobClaim(OTHER_POOL), self.claim_on(self.old))
         self.assertEqual([Event.JOB_ACCEPTED_TWICE], events)
+
+    def test_a_claim_of_another_pool_is_kept_while_the_store_refuses_claims(self) -> None:
+        """Guards against a removed claim of a job that another pool still runs: a new owner, which
+        hadn't learned yet whose claim it is, removed it together with its own job."""
+        other = claim_of(msgspec.structs.replace(self.old, pool=OTHER_POOL))
+        self.kv.put(other.key, other.value)
+        self.accept(self.old)
+        now_ms = int(time.time() * 1000)
+        ended = JobProgress(JobState.COMPLETED, now_ms - 200_000)
+        self.kv.put(f"p/{POOL}/{self.old.id}", msgspec.json.encode(ended))
+        self.patch(_claims, "RETRY_S", 0.0)
+        jobs = self.pool.new_owner()._jobs
+        self.assertTrue(jobs.load())
+        self.kv.commits.append(refuse)
+
+        def is_removed() -> bool:
+            jobs.store_claims()
+            jobs._removal_due_at = 0.0
+            jobs.remove_expired(now_ms)
+            return job_key(POOL, self.old.id) not in self.kv.items_by_key
+
+        self.assertTrue(eventually(is_removed))
+        self.assertEqual(JobClaim(OTHER_POOL), self.claim_on(self.old))
