What began under an earlier token doesn't touch the present one

What callers see: a pool whose owner has just come back loses it once more, and its jobs wait for another take-over. A host may also get an order with a lower fencing token after one with a higher one.

Cause: a call that was refused for a newer token ended whatever ownership the process had of the shard. If the process had lost the shard and owned it again, the newer token was its own. The right to give orders to hosts also went by the shard alone, so that a round of the fleet's earlier owner in the same process went on once the fleet was its own again.

Change: both go by the token under which the owner was created.

Why it works: each owner object has one token, and an ownership that was lost never gets its token back, since tokens are revisions of the store.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -262,7 +262,7 @@
             self._connect,
             lambda: self._ownership.may_order(shard),
             lambda: self._ownership.holds(shard),
-            lambda reason: self._ownership.give_up(shard, reason),
+            lambda reason: self._ownership.give_up(shard, token, reason),
             lambda: self._configuration.key,
             lambda: self._ownership.records_since,
             self._policy,
@@ -302,10 +302,10 @@
         orders = HostOrders(self._settings.host_orders_per_s)
 
         def may_order() -> bool:
-            return self._ownership.may_order(FLEET)
+            return self._ownership.may_order_as(FLEET, token)
 
         def on_fenced(reason: str) -> None:
-            self._ownership.give_up(FLEET, reason)
+            self._ownership.give_up(FLEET, token, reason)
 
         waves = Waves(
             self._kv,
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -130,6 +130,13 @@
         """
         return shard not in self._stopping and self.holds(shard)
 
+    def may_order_as(self, shard: Shard, token: Revision) -> bool:
+        """Whether this process may act as the owner of ``shard`` now, under ``token``.
+
+        It may have lost the shard since it got that token, and own it again under another one.
+        """
+        return self._tokens_by_shard.get(shard) == token and self.may_order(shard)
+
     def holds(self, shard: Shard) -> bool:
         """Whether no other process can own ``shard`` now, also while this one stops acting on it.
 
@@ -239,9 +246,12 @@
             log(Event.SHARD_LOST, shard=shard, token=token, reason=reason)
             self._listener.on_lost(shard)
 
-    def give_up(self, shard: Shard, reason: str) -> None:
-        """Stop owning ``shard`` after a request was refused because of a newer token."""
-        self._lose(shard, reason)
+    def give_up(self, shard: Shard, token: Revision, reason: str) -> None:
+        """Stop owning ``shard`` after a request under ``token`` was refused for a newer one."""
+        with self._lock:
+            is_current = self._tokens_by_shard.get(shard) == token
+        if is_current:
+            self._lose(shard, reason)
 
     def _renew_loop(self) -> None:
         while not self._ended.is_set():
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -125,6 +125,24 @@
         self.assertNotEqual(token, listener.tokens_by_shard.get(NOTICES))
         self.assertFalse(ownership.may_order(NOTICES))
 
+    def test_what_began_under_an_earlier_token_does_not_touch_the_present_one(self) -> None:
+        """Guards against a pool that loses its owner once more, and against orders to hosts with a
+        lower token after a higher one: a host lost a shard and owned it again while a call of its
+        earlier ownership was under way."""
+        ownership, listener = self.owning()
+        earlier = listener.tokens_by_shard[NOTICES]
+        ownership.give_up(NOTICES, earlier, "refused")
+        self.assertTrue(eventually(lambda: self.owns_again(listener, earlier)))
+        present = listener.tokens_by_shard[NOTICES]
+        ownership.give_up(NOTICES, earlier, "refused late")
+        self.assertEqual([NOTICES], listener.losses)
+        self.assertTrue(ownership.may_order_as(NOTICES, present))
+        self.assertFalse(ownership.may_order_as(NOTICES, earlier))
+
+    def owns_again(self, listener: Listener, earlier: Revision) -> bool:
+        self.now += 0.05
+        return listener.tokens_by_shard.get(NOTICES, earlier) > earlier
+
     def test_a_claim_whose_answer_was_lost_is_acted_on(self) -> None:
         """A claim took effect but its answer was lost, so the owner did not act and jobs stalled.
 
