Tests of all ways to a run of an ended job that an owner finds

Five more tests: runs given up out of sight, runs of a job that was put away whose stops get no answer, late starts of a previous owner (refused by its token; stopped in a process that knows no token), and an endpoint that has moved to another pool.

--- /dev/null
+++ b/tests/execution/test_stops_of_ended_jobs.py
@@ -0,0 +1,165 @@
+"""Stops of what still runs of an ended job, whoever finds it."""
+
+from collections.abc import Iterable
+from itertools import product
+
+from msgspec.structs import replace
+from testtools import TestCase
+
+from lentilrill.execution import Verdict, _writer
+from lentilrill.execution._link import EndpointLink
+from tests.builders import a_job, an_endpoint
+from tests.execution.ended_job_paths import (
+    STOPPED_WITHIN_S,
+    Answers,
+    End,
+    Finder,
+    Kind,
+    Path,
+    Replay,
+    Stored,
+    TroubledEndpoint,
+)
+from tests.execution.fakes import OwnedPool, eventually
+
+
+class PathsToEndedJobsTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        # Otherwise each path waits for the writer's interval.
+        self.patch(_writer, "LAZY_INTERVAL_S", 0.02)
+
+    def check(self, paths: Iterable[Path]) -> None:
+        """Replay paths; all that fail are shown."""
+        self.assertEqual([], [str(path) for path in paths if not Replay(path).ends_in_time()])
+
+    def test_each_kind_of_task_after_each_end(self) -> None:
+        """Guards against a kind of task whose runs the next owner doesn't stop."""
+        self.check(
+            Path(end, kind)
+            for end, kind in product(End, Kind)
+            if kind is not Kind.LASTING or end is End.CANCELLED
+        )
+
+    def test_each_finder_whenever_the_end_is_stored(self) -> None:
+        """Guards against an owner that takes a stored end for an order to stop."""
+        self.check(Path(finder=finder, stored=stored) for finder, stored in product(Finder, Stored))
+
+    def test_each_finder_after_each_end(self) -> None:
+        """Guards against a copy, or a task of a failed job, that an owner doesn't look at."""
+        self.check(
+            Path(end, Kind.COPIES, finder, Answers.LATE_STOP)
+            for end, finder in product(End, Finder)
+        )
+
+    def test_each_finder_however_the_endpoint_answers(self) -> None:
+        """Guards against a run on an endpoint that an owner polls late, or gives no stop."""
+        self.check(
+            Path(finder=finder, answers=answers) for finder, answers in product(Finder, Answers)
+        )
+
+    def test_each_answer_whenever_the_end_is_stored(self) -> None:
+        """Guards against a stop that isn't sent again by the owner that follows."""
+        self.check(
+            Path(kind=Kind.GANG, answers=answers, stored=stored)
+            for answers, stored in product(Answers, Stored)
+        )
+
+
+class StopsOfEndedJobsTest(TestCase):
+    """A job whose two tasks are at work on one endpoint when it is cancelled."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.pool = OwnedPool("e1")
+        self.addCleanup(self.pool.close)
+        self.endpoint = TroubledEndpoint()
+        self.pool.endpoints["e1"] = self.endpoint
+        self.pool.register(an_endpoint("e1"))
+        self.owner = self.pool.take_over()
+        self.job = a_job()
+
+    def start(self) -> None:
+        self.pool.submit(self.owner, self.job)
+        self.assertTrue(eventually(lambda: len(self.endpoint.running) == 2))
+
+    def cancel(self) -> None:
+        """Store a cancellation and tell the owner of it, as an entry host does."""
+        self.pool.kv.put(f"in/notices/x/{self.job.id}", b"{}")
+        self.owner.cancel(self.job.id)
+
+    def link(self) -> EndpointLink:
+        return self.owner._links.by_id[an_endpoint("e1").id]
+
+    def check_all_stopped(self) -> None:
+        self.assertTrue(eventually(lambda: not self.endpoint.running, STOPPED_WITHIN_S))
+
+    def test_a_run_is_stopped_that_was_given_up_out_of_sight(self) -> None:
+        """Guards against runs that are listed again once their job has been put away."""
+        self.start()
+        self.endpoint.silent = True
+        self.cancel()
+        self.assertTrue(eventually(lambda: not self.link().runs_by_key))
+        self.assertTrue(eventually(lambda: self.job.id not in self.owner._jobs.live_by_id))
+        self.endpoint.silent = False
+        self.check_all_stopped()
+
+    def test_a_run_of_a_job_that_was_put_away_is_stopped_again_without_an_answer(self) -> None:
+        """Guards against a single stop, without an answer, of a run that isn't tracked."""
+        self.start()
+        runs = list(self.endpoint.running)
+        self.cancel()
+        self.assertTrue(eventually(lambda: self.job.id not in self.owner._jobs.live_by_id))
+        self.endpoint.delays_stops = True
+        for task, number in runs:
+            self.endpoint.run(task, number)
+        self.assertTrue(eventually(lambda: len(self.endpoint.late_stops) > 2))
+        self.endpoint.late_stops.clear()
+        self.endpoint.answer_again()
+        self.check_all_stopped()
+
+    def test_a_late_start_of_a_previous_owner_is_refused(self) -> None:
+        """Guards against a task that begins by the order of an owner that was lost."""
+        self.endpoint.loses_starts = True
+        self.pool.submit(self.owner, self.job)
+        self.assertTrue(eventually(lambda: len(self.endpoint.delayed) >= 2))
+        self.cancel()
+        self.owner.close()
+        self.owner = self.pool.take_over()
+        self.assertTrue(eventually(lambda: self.endpoint.token == self.owner.token))
+        self.endpoint.loses_starts = False
+        late = self.endpoint.delayed[0]
+        self.assertIn(self.endpoint.start(late).verdict, (Verdict.FENCED, Verdict.OUTDATED))
+        self.assertEqual({}, self.endpoint.running)
+
+    def test_a_late_start_in_a_later_process_is_stopped(self) -> None:
+        """Guards against a task that begins in a process which knows of no owner, after the new
+        owner has put its job away."""
+        self.endpoint.loses_starts = True
+        self.pool.submit(self.owner, self.job)
+        self.assertTrue(eventually(lambda: len(self.endpoint.delayed) >= 2))
+        self.cancel()
+        self.owner.close()
+        self.owner = self.pool.take_over()
+        self.assertTrue(eventually(lambda: self.endpoint.token == self.owner.token))
+        self.endpoint.restart()
+        self.endpoint.carry_out_late_starts()
+        self.endpoint.answer_again()
+        self.check_all_stopped()
+
+    def test_another_pool_stops_a_run_and_gives_it_no_lease(self) -> None:
+        """Guards against a run that goes on for good since its endpoint has moved, whose pool
+        doesn't know the job."""
+        self.start()
+        self.endpoint.silent = True
+        self.cancel()
+        self.pool.entries.clear()
+        self.owner.close()
+        other = OwnedPool("e1", pool="letters", kv=self.pool.kv)
+        self.addCleanup(other.close)
+        other.endpoints["e1"] = self.endpoint
+        other.register(replace(an_endpoint("e1"), pool=other.pool))
+        owner = other.take_over()
+        self.endpoint.silent = False
+        self.assertTrue(eventually(lambda: not self.endpoint.running))
+        self.assertNotIn(owner.token, self.endpoint.renewals)
