The first poll after a silence doesn't wait, so that a late start is seen at once

What callers could see: a task of a cancelled job that an endpoint's next process has started late runs on for longer than it may, after a silence of the endpoint.

Cause: an owner polls an endpoint on which it has no runs with a wait of 2 s, and lists what runs there only when it is over. After a silence it did so too: a poll that was lost takes 2.7 s to be given up, and the next one waits another 2 s.

Change: a poll of an endpoint that doesn't answer has no wait, as the first one has none.

The test fails without the change (2 of 2: waits of 2000 and 2000 ms instead of 0 and 2000).

What stays: the one poll that was under way when the silence began is given up after 2.7 s.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -323,7 +323,8 @@
         if self.runs_by_key:
             # The renewal that follows must not wait for this poll.
             wait_ms = BUSY_POLL_WAIT_MS if renews else 0
-        elif first:
+        elif not self.reachable:
+            # What it was told meanwhile, late, is to be seen at once.
             wait_ms = 0
         sent = time.monotonic()
         # An endpoint that was silent may have restarted: the cursor of its previous process would
--- a/tests/execution/test_stops_of_ended_jobs.py
+++ b/tests/execution/test_stops_of_ended_jobs.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 
 from lentilrill.execution import Verdict, _writer
-from lentilrill.execution._link import EndpointLink
+from lentilrill.execution._link import IDLE_POLL_WAIT_MS, EndpointLink
 from tests.builders import a_job, an_endpoint
 from tests.execution.ended_job_paths import (
     STOPPED_WITHIN_S,
@@ -163,3 +163,18 @@
         self.endpoint.silent = False
         self.assertTrue(eventually(lambda: not self.endpoint.running))
         self.assertNotIn(owner.token, self.endpoint.renewals)
+
+    def test_the_first_poll_after_a_silence_does_not_wait(self) -> None:
+        """Guards against a late start that is seen only after the wait of an idle poll, so that
+        the task of a cancelled job runs on for longer than it may."""
+        self.assertTrue(eventually(lambda: (False, IDLE_POLL_WAIT_MS) in self.polls_after(0)))
+        self.endpoint.silent = True
+        self.assertTrue(eventually(lambda: not self.link().reachable))
+        answered = len(self.endpoint.answered_polls)
+        self.endpoint.silent = False
+        self.assertTrue(eventually(lambda: len(self.polls_after(answered)) > 1))
+        waits_ms = [wait_ms for _, wait_ms in self.polls_after(answered)]
+        self.assertEqual([0, IDLE_POLL_WAIT_MS], waits_ms[:2])
+
+    def polls_after(self, count: int) -> list[tuple[bool, int]]:
+        return self.endpoint.answered_polls[count:]
