--- a/standins/_platform_records.py
+++ b/standins/_platform_records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-__all__ = ["Amounts", "Crash", "Listing", "RunRecord", "SeenJob", "SeenStep", "runs_at"]
+__all__ = ["Amounts", "Crash", "Listing", "RunRecord", "SeenJob", "SeenStep", "Span", "runs_at"]
 
 
 class Amounts(msgspec.Struct, frozen=True):
@@ -42,6 +42,7 @@
     :param noted_at: when it was; 0.0 until then.
     :param outdated: whether its endpoint's lease lapsed behind a partition before that, so that the
         end counts as never noted.
+    :param late: whether its start was carried out late, after its sender had got no answer.
     """
 
     endpoint: str
@@ -53,6 +54,14 @@
     noted: bool = False
     outdated: bool = False
     noted_at: float = 0.0
+    late: bool = False
+
+
+class Span(msgspec.Struct, frozen=True):
+    """A span of monotonic time."""
+
+    began: float
+    ended: float
 
 
 class Crash(msgspec.Struct, frozen=True):
@@ -87,6 +96,9 @@
     lasts: bool = False
     copied: bool = False
     """Whether several copies of a task may run at once."""
+    gang: bool = False
+    work_s: float = 0.0
+    """Seconds that each task takes; 0.0 for what all tasks of the platform take."""
 
 
 class SeenJob(msgspec.Struct):
@@ -94,6 +106,7 @@
 
     :param accepted_at: 0.0 until the job was accepted.
     :param cancelled_at: 0.0 until the caller asked to cancel the job.
+    :param cancel_acknowledged_at: 0.0 until the caller was told that the job is cancelled.
     :param state: the state that was shown last.
     """
 
@@ -104,11 +117,14 @@
     accepted_at: float = 0.0
     cancelled_at: float = 0.0
     state: str = ""
+    cancel_acknowledged_at: float = 0.0
+    timed: bool = False
 
     @classmethod
     def from_body(cls, job: str, pool: str, body: Mapping[str, Any]) -> "SeenJob":
         """Return the job of a request body."""
-        return cls(job, pool, tuple(_seen_step(step) for step in body["steps"]))
+        steps = tuple(_seen_step(step) for step in body["steps"])
+        return cls(job, pool, steps, timed=bool(body.get("repeat_count")))
 
     def step_of(self, task: str) -> SeenStep:
         """Return the step of one of the job's tasks."""
@@ -130,4 +146,6 @@
         tuple(step.get("after", ())),
         bool(step.get("long_running")),
         bool(step.get("speculative")),
+        bool(step.get("gang")),
+        step.get("estimate_ms", 0) / 1000,
     )
