--- /dev/null
+++ b/standins/_order_faults.py
@@ -0,0 +1,49 @@
+"""What happens to the orders that endpoints get."""
+
+import enum
+import random
+
+__all__ = ["LATE_S", "OrderFault", "OrderFaults"]
+
+LATE_S = (1.0, 6.0)
+"""Shortest and longest time after which an unanswered order is carried out."""
+PATHS = frozenset({"/run-start", "/run-stop"})
+
+
+class OrderFault(enum.Enum):
+    """What happens to an order; but for ``NONE``, its sender gets no answer."""
+
+    NONE = "none"
+    DROPPED = "dropped"
+    ANSWER_LOST = "answer lost"
+    LATE = "late"
+
+
+FAULTS = (OrderFault.DROPPED, OrderFault.ANSWER_LOST, OrderFault.LATE)
+
+
+class OrderFaults:
+    """Draws what happens to starts and stops while orders are lost."""
+
+    def __init__(self) -> None:
+        self._share = 0.0
+        self._rng = random.Random()
+
+    @property
+    def are_on(self) -> bool:
+        """Whether orders are lost at present."""
+        return self._share > 0
+
+    def begin(self, share: float, rng: random.Random) -> None:
+        """Lose a share of the orders from now on."""
+        self._rng, self._share = rng, share
+
+    def end(self) -> None:
+        """Lose no more orders; what is to be carried out late still is."""
+        self._share = 0.0
+
+    def draw(self, path: str) -> OrderFault:
+        """Return what happens to a call."""
+        if path not in PATHS or self._rng.random() >= self._share:
+            return OrderFault.NONE
+        return self._rng.choice(FAULTS)
--- a/tests/standins/test_users_platform.py
+++ b/tests/standins/test_users_platform.py
@@ -9,6 +9,7 @@
 from testtools import TestCase
 
 from standins import _users_endpoint
+from standins._order_faults import OrderFault
 from standins._users_endpoint import UsersEndpoint
 from standins.users_platform import Amounts, CrashPlan, UsersPlatform
 from tests.builders import an_address, an_order
@@ -174,3 +175,29 @@
         self.assertTrue(eventually(lambda: self.send("/hold", ack_cursor=1)[0] == 200))
         [run] = self.platform.records
         self.assertEqual(("done", False, True), (run.end_kind, run.noted, run.outdated))
+
+
+class OrderFaultTest(EndpointCase):
+    def lose(self, fault: OrderFault) -> None:
+        faults = mock.patch.object(self.platform.order_faults, "draw", return_value=fault)
+        faults.start()
+        self.addCleanup(faults.stop)
+
+    def test_a_dropped_order_does_nothing(self) -> None:
+        self.lose(OrderFault.DROPPED)
+        self.assertEqual(NO_ANSWER, self.start())
+        self.assertEqual([], self.platform.records)
+
+    def test_an_order_whose_answer_is_lost_is_carried_out(self) -> None:
+        self.lose(OrderFault.ANSWER_LOST)
+        self.assertEqual(NO_ANSWER, self.start())
+        self.assertEqual(1, len(self.platform.records))
+
+    def test_a_late_start_is_carried_out_after_its_sender_gave_up(self) -> None:
+        """Guards against a late start that is judged as if its sender had only just sent it."""
+        self.patch(_users_endpoint, "LATE_S", (0.2, 0.2))
+        self.lose(OrderFault.LATE)
+        self.assertEqual(NO_ANSWER, self.start())
+        self.assertEqual([], self.platform.records)
+        self.assertTrue(eventually(lambda: bool(self.platform.records)))
+        self.assertTrue(self.platform.records[0].late)
