--- a/tests/platform/endpoint_faults.py
+++ b/tests/platform/endpoint_faults.py
@@ -50,6 +50,8 @@
     """Endpoints are cut off and work on, some just as they start a task, several in a row."""
     LASTING = "lasting"
     """Some jobs last until they are cancelled."""
+    CANCELS = "cancels"
+    """Jobs are cancelled while orders get no answer, and faults of hosts come in series."""
 
 
 def culprit_job(rng: random.Random) -> dict[str, Any]:
@@ -126,6 +128,11 @@
         }
         self._faults = [fault for play, fault in faults.items() if play in plays]
 
+    @property
+    def are_disturbed(self) -> bool:
+        """Whether there are faults to play."""
+        return bool(self._faults)
+
     def disturb(self, rng: random.Random, stopping: threading.Event) -> None:
         """Play faults until ``stopping`` is set, then end all of them."""
         while not stopping.wait(rng.uniform(0.1, 0.8)):
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -2,8 +2,8 @@
 
 Run as ``python -m tests.platform.soak --seed 1 --runs 50``. The seed determines the requests and
 the schedule of faults; real processes interleave differently each time. ``--play`` adds faults of
-endpoints, and jobs that last; ``--change-services`` has queues change their pool while requests are
-repeated.
+endpoints, jobs that last, and cancels of jobs of all kinds; ``--change-services`` has queues change
+their pool while requests are repeated.
 """
 
 import argparse
@@ -20,7 +20,9 @@
 
 import msgspec
 
-from standins.users_platform import JobUse, RunRecord, SeenJob, UsersPlatform
+from standins.users_platform import JobUse, RunRecord, UsersPlatform
+from tests.platform import cancels
+from tests.platform.cancels import Cancels
 from tests.platform.endpoint_faults import (
     EndpointFaults,
     Play,
@@ -30,6 +32,7 @@
     wide_job,
 )
 from tests.platform.site import EntrySite
+from tests.platform.soak_jobs import SoakJob, cancelled_job, short_job
 
 __all__ = ["Soak", "main"]
 
@@ -37,10 +40,7 @@
 ENDPOINT_HOSTS = 3
 TASK_S = 0.15
 CALLERS = 4
-CPU = 1000
 QUEUES = {"/proofs/": "notices", "/books/": "library"}
-REFUSALS = frozenset({401, 409, 429, 503})
-"""Statuses that mean that a job never runs."""
 ATTEMPTS = 4
 SETTLE_S = 60.0
 REVOKED_AFTER_S = 3.0
@@ -48,12 +48,14 @@
 CULPRIT_SHARE = 0.04
 LASTING_SHARE = 0.05
 WIDE_SHARE = 0.2
+CANCELLED_SHARE = 0.5
 CUT_OFF_SHARE = 0.04
 MAX_CULPRITS = 4
 MAX_LASTING = 4
 MAX_LASTING_IN_SERIES = 12
 MAX_WIDE = 20
 MAX_CUT_OFF = 3
+MAX_CANCELLED = 400
 """Limits of a run, so that the pools still have room for the other jobs."""
 CALM_AFTER_S = 4.0
 """Time after the last fault from which on a task that waits is judged."""
@@ -69,31 +71,6 @@
 """Time after which nothing runs of a cancelled job."""
 
 
-class _Job:
-    """One job of a caller, and the answers to its attempts."""
-
-    def __init__(self, path: str, workspace: str, key: str, body: dict[str, Any]) -> None:
-        self.path = path
-        self.id = path.rpartition("/")[2]
-        self.workspace = workspace
-        self.key = key
-        self.body = body
-        self.seen = SeenJob.from_body(self.id, QUEUES[path[: -len(self.id)]], body)
-        self.answers: list[int] = []
-
-    @property
-    def lasts(self) -> bool:
-        return any(step.lasts for step in self.seen.steps)
-
-    @property
-    def is_accepted(self) -> bool:
-        return 200 in self.answers
-
-    @property
-    def is_refused(self) -> bool:
-        return bool(self.answers) and all(answer in REFUSALS for answer in self.answers)
-
-
 class Soak:
     """One run on a new site.
 
@@ -116,12 +93,12 @@
     ) -> None:
         self._logs = logs
         self._plays = frozenset(plays)
-        self._in_series = in_series
+        self._in_series = in_series or Play.CANCELS in self._plays
         self._changes_services = changes_services
         self._pool_by_prefix = dict(QUEUES)
         self._repeats: Counter[int] = Counter()
         self.failures: list[str] = []
-        self.jobs: list[_Job] = []
+        self.jobs: list[SoakJob] = []
         self._seed = seed
         self._seconds = seconds
         self._random = random.Random(seed)
@@ -135,7 +112,10 @@
             Play.LASTING: MAX_LASTING_IN_SERIES if in_series else MAX_LASTING,
             Play.CAPACITY: MAX_WIDE,
             Play.CUTS: MAX_CUT_OFF,
+            Play.CANCELS: MAX_CANCELLED,
         }
+        self._cancels = Cancels(self._site, self._platform, self._fail)
+        self._host_locks = {name: threading.Lock() for name in self._site.settings}
         self._culprits: set[str] = set()
         self._calm_spans: list[tuple[float, float]] = []
         self._stopping = threading.Event()
@@ -143,7 +123,7 @@
         self._version = 1
         self._keys = {"schools": ["s0"], "library": ["l0"], "ballots": ["b0"]}
         self._caps = {"schools": 3000, "library": 5000, "ballots": 0}
-        if in_series:
+        if self._in_series:
             self._caps = dict.fromkeys(self._caps, 0)
         self._revoked_at: dict[str, float] = {}
 
@@ -173,9 +153,14 @@
             self._platform.close()
         answers = Counter(answer for job in self.jobs for answer in job.answers)
         line: dict[str, Any] = {"jobs": len(self.jobs), "answers": _by_name(answers)}
+        if Play.CANCELS in self._plays:
+            at_work = self._cancels.count_at_work()
+            line |= {"cancels": _by_name(self._cancels.answers), "cancelled_at_work": at_work}
         return line | ({"repeats": _by_name(self._repeats)} if self._changes_services else {})
 
     def _fault_loops(self) -> dict[str, Callable[[random.Random], None]]:
+        if Play.CANCELS in self._plays:
+            return self._cancel_loops()
         if self._in_series:
             return {"series": self._disturb_in_series}
         loops = {"hosts": self._disturb_hosts, "store": self._disturb_store}
@@ -185,6 +170,17 @@
             loops |= {"services": self._change_services, "repeats": self._repeat_requests}
         return loops
 
+    def _cancel_loops(self) -> dict[str, Callable[[random.Random], None]]:
+        faults = [self._disturb_host] * 3 + [self._store_outage, self._lose_answers]
+        if self._endpoints.are_disturbed:
+            faults.append(self._endpoints.play_one)
+        callers = {
+            f"cancels-{number}": lambda rng: self._cancels.cancel_some(rng, self._stopping)
+            for number in range(cancels.CALLERS)
+        }
+        series = {"series": lambda rng: self._cancels.disturb(rng, self._stopping, faults)}
+        return callers | series
+
     def _start(self) -> None:
         for pool in QUEUES.values():
             for _ in range(ENDPOINT_HOSTS):
@@ -214,6 +210,7 @@
                 job.answers.append(self._site.submit(name, job.path, job.body, job.key))
                 if job.is_accepted:
                     job.seen.accepted_at = time.monotonic()
+                    self._cancels.add(job)
                 self._check_key(job, began)
                 if job.answers[-1] in (200, 401, 409):
                     break
@@ -222,20 +219,22 @@
                 self._check_foreign(job, rng)
             self._stopping.wait(rng.uniform(0.0, 0.2))
 
-    def _new_job(self, rng: random.Random) -> _Job:
+    def _new_job(self, rng: random.Random) -> SoakJob:
         prefix = rng.choice(list(QUEUES))
         with self._lock:
             workspace = rng.choice(list(self._keys))
             keys = self._keys[workspace] or [f"{workspace[0]}0"]
             key = rng.choice(keys) if rng.random() < 0.9 else "nobody"
             path = f"{prefix}{rng.getrandbits(64):016x}"
-            job = _Job(path, workspace, key, self._new_body(rng, path))
+            job = SoakJob(path, QUEUES[prefix], workspace, key, self._new_body(rng, path))
             self._platform.jobs_by_id[job.id] = job.seen
             self._platform.use_by_job[job.id] = JobUse(workspace, job.body["steps"][0]["cpu"])
             self.jobs.append(job)
         return job
 
     def _new_body(self, rng: random.Random, path: str) -> dict[str, Any]:
+        if self._takes(Play.CANCELS, rng, CANCELLED_SHARE):
+            return cancelled_job(rng)
         if self._takes(Play.CULPRITS, rng, CULPRIT_SHARE):
             self._culprits.add(path)
             return culprit_job(rng)
@@ -245,7 +244,7 @@
             return cut_off_job(rng)
         if self._takes(Play.CAPACITY, rng, WIDE_SHARE):
             return wide_job(rng)
-        return _body(rng)
+        return short_job(rng)
 
     def _takes(self, play: Play, rng: random.Random, share: float) -> bool:
         """Return whether the next job is one of those that a play adds."""
@@ -264,7 +263,7 @@
                 name = rng.choice(list(self._site.settings))
                 self._repeats[self._site.submit(name, job.path, job.body, job.key)] += 1
 
-    def _check_key(self, job: _Job, began: float) -> None:
+    def _check_key(self, job: SoakJob, began: float) -> None:
         with self._lock:
             revoked_at = self._revoked_at.get(job.key)
         is_known = job.key != "nobody" and (
@@ -273,7 +272,7 @@
         if job.answers[-1] == 200 and not is_known:
             self._fail(f"{job.id} accepted with the key {job.key}")
 
-    def _check_foreign(self, job: _Job, rng: random.Random) -> None:
+    def _check_foreign(self, job: SoakJob, rng: random.Random) -> None:
         other = rng.choice([w for w in self._keys if w != job.workspace])
         with self._lock:
             keys = list(self._keys[other])
@@ -297,7 +296,8 @@
             "process", ""
         )
         name = owner if owner and rng.random() < 0.6 else rng.choice(list(self._site.settings))
-        rng.choice(faults)(rng, name)
+        with self._host_locks[name]:
+            rng.choice(faults)(rng, name)
 
     def _kill(self, rng: random.Random, name: str) -> None:
         self._site.kill(name)
@@ -385,13 +385,17 @@
                 # A task that waits for its workspace is not one that was lost.
                 self._caps = dict.fromkeys(self._caps, 0)
         self._configure()
+        if Play.CANCELS in self._plays:
+            self._cancels.finish(self._random, quiet_at + cancels.SETTLE_S)
         if self._plays:
             self._check_waiting(quiet_at)
+        self.failures += self._platform.uncancelled_runs(time.monotonic())
         # Jobs that last may fill their pool; what waits for room there ends after them.
         self._check_lasting()
         deadline = time.monotonic() + SETTLE_S
         for job in self.jobs:
-            if job.is_accepted and not job.lasts and job.path not in self._culprits:
+            is_ended = job.seen.cancelled_at or not job.lasts
+            if job.is_accepted and is_ended and job.path not in self._culprits:
                 self._check_end(job, deadline)
         self.failures += self._platform.excess_starts()
         self.failures += self._platform.wrong_starts()
@@ -399,9 +403,11 @@
         self.failures += self._platform.doubled_tasks()
         self._check_refused()
 
-    def _check_end(self, job: _Job, deadline: float) -> None:
+    def _check_end(self, job: SoakJob, deadline: float) -> None:
         """Check that a job is completed; a failure needs a cause, which is judged later."""
-        final = ("completed", "failed") if self._plays else ("completed",)
+        final = {"completed"} | ({"failed"} if self._plays else set())
+        if job.seen.cancelled_at:
+            final.add("cancelled")
         while (state := self._shown(job)) not in final:
             if time.monotonic() > deadline:
                 self._fail(f"{job.id} is {state} at the end")
@@ -426,7 +432,9 @@
 
     def _check_lasting(self) -> None:
         """Check that jobs that last end when they are cancelled."""
-        lasting = [job for job in self.jobs if job.is_accepted and job.lasts]
+        lasting = [
+            job for job in self.jobs if job.is_accepted and job.lasts and not job.seen.cancelled_at
+        ]
         for job in lasting:
             name = self._random.choice(list(self._site.settings))
             job.seen.cancelled_at = time.monotonic()
@@ -454,12 +462,13 @@
             "crashes": self._platform.crashes,
             "listings": self._platform.listings,
             "jobs": [job.seen for job in self.jobs],
+            "disruptions": self._platform.disruptions,
         }
         for name, rows in records.items():
             lines = [msgspec.json.encode(row).decode() for row in rows]
             (folder / f"{name}.jsonl").write_text("\n".join(lines))
 
-    def _shown(self, job: _Job) -> str:
+    def _shown(self, job: SoakJob) -> str:
         name = self._random.choice(list(self._site.settings))
         return self._site.state(name, job.path, f"{job.workspace[0]}last")
 
@@ -471,11 +480,6 @@
                 self._fail(f"{task} ran though its job was refused")
 
 
-def _body(rng: random.Random) -> dict[str, Any]:
-    step = {"count": rng.randint(1, 4), "cpu": CPU, "mem_mb": 100, "estimate_ms": 150}
-    return {"spec": "soak", "steps": [step]}
-
-
 def _by_name(counts: Counter[int]) -> dict[str, int]:
     return {str(status): count for status, count in sorted(counts.items())}
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -7,6 +7,7 @@
 
 SEEDS = (1, 2)
 SECONDS = 4.0
+CANCELS_S = 13.0
 ENDPOINT_FAULTS = (Play.CRASHES, Play.FAILING, Play.CAPACITY, Play.LASTING)
 
 
@@ -35,3 +36,9 @@
         soak = Soak(SEEDS[0], SECONDS, changes_services=True)
         soak.run()
         self.assertEqual([], soak.failures)
+
+    def test_no_promise_is_broken_while_jobs_are_cancelled(self) -> None:
+        """Guards against tasks of cancelled jobs that run on as owners are killed."""
+        soak = Soak(SEEDS[1], CANCELS_S, plays=(Play.CANCELS, Play.LASTING))
+        soak.run()
+        self.assertEqual([], soak.failures)
