--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -19,6 +19,8 @@
 GRACE_S = 20.0
 """Well above the grace period of the platform, so that a slow machine does not fail a test."""
 OUTPUT_LINES = 60
+OPEN_CONNECTIONS = 16
+"""Connections to each address that the client keeps open."""
 HOST = {"Host": "braille.example"}
 
 
@@ -29,7 +31,7 @@
         self.platform = platform
         self._folder = tempfile.TemporaryDirectory(prefix="lentilrill-")
         self.folder = Path(self._folder.name)
-        self.http = urllib3.PoolManager(retries=False, timeout=5.0)
+        self.http = urllib3.PoolManager(maxsize=OPEN_CONNECTIONS, retries=False, timeout=5.0)
         self.settings = {f"front-{n}": self._settings(f"front-{n}") for n in range(hosts)}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
 
