--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -386,7 +386,8 @@
                 self._caps = dict.fromkeys(self._caps, 0)
         self._configure()
         if Play.CANCELS in self._plays:
-            self._cancels.finish(self._random, quiet_at + cancels.SETTLE_S)
+            keys = {name: keys[0] for name, keys in self._keys.items()}
+            self._cancels.finish(self._random, keys, quiet_at + cancels.SETTLE_S)
         if self._plays:
             self._check_waiting(quiet_at)
         self.failures += self._platform.uncancelled_runs(time.monotonic())
