Stops that a failed round has planned are sent

Cause: a round marks runs as stopping while it plans, and gives its orders at its end. If it fails in between, the runs count as stopping, so no later round stops them; only a poll that lists them 2 s later does. Change: a round gives the orders planned before an unexpected error. No error of this kind is known; the test raises one.

--- a/src/lentilrill/execution/_rounds.py
+++ b/src/lentilrill/execution/_rounds.py
@@ -87,20 +87,26 @@
         self._idle = IdleTasks(pool)
 
     def run(self) -> RoundResult:
-        """Run one round and give its orders."""
-        with self._lock:
-            orders, result = self._plan(time.monotonic())
-        for link, order in orders:
-            link.order(order)
-        return result
-
-    def _plan(self, now: float) -> tuple[list[LinkOrder], RoundResult]:
+        """Run one round and give its orders, also those planned before an unexpected error."""
+        orders: list[LinkOrder] = []
+        try:
+            with self._lock:
+                return self._plan(orders, time.monotonic())
+        finally:
+            for link, order in orders:
+                link.order(order)
+
+    def _plan(self, orders: list[LinkOrder], now: float) -> RoundResult:
+        """Plan a round.
+
+        :param orders: gets the orders as they are planned.
+        """
         self._drop_ended_runs(now)
         expire_releases(list(self._links.by_id.values()), now)
         self._copies.settle(now)
         blocked_zones = self._links.blocked_zones
         live, is_urgent = self._settle_jobs(is_blocked=bool(blocked_zones))
-        orders = self._stop_orders(self._runs_to_stop(live))
+        orders += self._stop_orders(self._runs_to_stop(live))
         placed, relocated, view = self._place(live, blocked_zones, now)
         orders += self._stop_orders(relocated)
         records = [tracked_job.request_record() for tracked_job in self._planner.to_record]
@@ -110,7 +116,7 @@
         for link in self._links.by_id.values():
             orders += [(link, order) for order in self._planner.pace_orders(link, now)]
             orders += [(link, order) for order in self._planner.stop_stuck_runs(link, now)]
-        return orders, RoundResult(is_urgent, starts, bool(placed))
+        return RoundResult(is_urgent, starts, bool(placed))
 
     def _runs_to_stop(self, live: list[TrackedJob]) -> list[Run]:
         runs = needless_runs(self._links.by_id.values())
--- a/tests/execution/test_stops_of_ended_jobs.py
+++ b/tests/execution/test_stops_of_ended_jobs.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Iterable
 from itertools import product
+from unittest import mock
 
 from msgspec.structs import replace
 from testtools import TestCase
 
 from lentilrill.execution import Verdict, _writer
 from lentilrill.execution._link import IDLE_POLL_WAIT_MS, EndpointLink
+from lentilrill.execution._planner import Planner
 from tests.builders import a_job, an_endpoint
 from tests.execution.ended_job_paths import (
     STOPPED_WITHIN_S,
@@ -22,6 +24,9 @@
 )
 from tests.execution.fakes import OwnedPool, eventually
 
+STOP_SENT_WITHIN_S = 1.0
+"""Well below the time after which a poll that still lists the run has its stop sent again."""
+
 
 class PathsToEndedJobsTest(TestCase):
     def setUp(self) -> None:
@@ -176,5 +181,14 @@
         waits_ms = [wait_ms for _, wait_ms in self.polls_after(answered)]
         self.assertEqual([0, IDLE_POLL_WAIT_MS], waits_ms[:2])
 
+    def test_stops_are_sent_though_their_round_fails(self) -> None:
+        """Guards against runs that count as stopping, and whose stops a failed round has lost."""
+        self.start()
+        failing = mock.patch.object(Planner, "place_tasks", side_effect=ValueError("unexpected"))
+        with failing:
+            self.cancel()
+            stopped = eventually(lambda: not self.endpoint.running, STOP_SENT_WITHIN_S)
+        self.assertTrue(stopped)
+
     def polls_after(self, count: int) -> list[tuple[bool, int]]:
         return self.endpoint.answered_polls[count:]
