A test that a cap is given back for what an ended job left running

Red on: the pool held the cap for the runs of a cancelled job, which the next owner had taken over and didn't stop, and the other pool's tasks waited for 18 s and more.

--- a/tests/execution/test_caps.py
+++ b/tests/execution/test_caps.py
@@ -111,6 +111,26 @@
         self.pools["notices"].finish_all()
         self.reaches(lambda: self.running("library") == 4)
 
+    def test_what_runs_of_an_ended_job_is_given_back_by_the_next_owner(self) -> None:
+        """Guards against a workspace that can't use its cap: a pool held it for the runs of a job
+        that was cancelled, and whose stops got no answer before its owner was lost."""
+        notices = self.pools["notices"]
+        first = notices.take_over()
+        job = self.add(first, "a", 4)
+        self.kv.put(f"in/notices/j/{job.id}", msgspec.msgpack.encode(job))
+        self.reaches(lambda: self.running("notices") == 4)
+        for endpoint in notices.endpoints.values():
+            endpoint.silent = True
+        first.cancel(job.id)
+        record = f"p/notices/{job.id}"
+        self.reaches(lambda: b"cancelled" in (self.kv.items_by_key[record].value or b""))
+        first.close()
+        for endpoint in notices.endpoints.values():
+            endpoint.silent = False
+        notices.take_over()
+        self.add(self.pools["library"].take_over(), "b", 4)
+        self.reaches(lambda: self.running("library") == 4)
+
     def test_a_new_owner_counts_the_runs_of_the_former_one(self) -> None:
         """Guards against starts above the cap by an owner that doesn't know all runs yet."""
         notices = self.pools["notices"]
