A wave goes on with a host that is back after it was completed

What callers see: a wave is shown as completed, and a host of it that is up has had no upkeep; if it was being drained when it went missing, it isn't moved to another pool any more either.

Cause: a host that is missing from the list for 2.4 s counts as gone for good, and its wave is completed without it. The owner doesn't look at completed waves again. The next owner would: it reads the host as waiting.

Change: a completed wave is running again once such a host is listed.

Evidence: test_a_host_that_is_back_after_its_wave_was_completed_gets_its_upkeep; without the change there is no order for the host (1 of 1 red), with it tests/upkeep passes (3 of 3).

Why it works: the host's stage is kept, so the wave continues where it was, and it is completed again once the host is done or gone.

--- a/src/lentilrill/upkeep/_waves.py
+++ b/src/lentilrill/upkeep/_waves.py
@@ -196,6 +196,7 @@
 
         :param rows: the current list of hosts.
         """
+        self._reopen_waves(rows)
         for wave in self.open_waves:
             hosts = self._hosts_by_wave.setdefault(wave.number, {})
             for host in wave.hosts:
@@ -208,6 +209,16 @@
             if all(state.stage is Stage.DONE or state.is_gone for state in hosts.values()):
                 self._complete(wave)
 
+    def _reopen_waves(self, rows: dict[HostId, HostRow]) -> None:
+        """Go on with the completed waves of which a host that counted as gone is listed again."""
+        waves = self._waves()
+        for number in sorted(self._completed & waves.keys()):
+            hosts = self._hosts_by_wave[number]
+            is_back = any(state.is_gone and host in rows for host, state in hosts.items())
+            if is_back and self._write_state(waves[number], completed=False):
+                self._completed.discard(number)
+                log(Event.WAVE_STATE, wave=number, state="running", hosts=len(hosts))
+
     def _start(self, wave: Wave) -> bool:
         if not self._store(wave, {}) or not self._write_state(wave, completed=False):
             return False
--- a/tests/upkeep/test_upkeep.py
+++ b/tests/upkeep/test_upkeep.py
@@ -272,6 +272,27 @@
         self.run_rounds(waves, 20, step_s=0.0)
         self.assertEqual(b"running", self.kv.items_by_key["status/wave/1"].value)
 
+    def test_a_host_that_is_back_after_its_wave_was_completed_gets_its_upkeep(self) -> None:
+        """Guards against a host without its upkeep that isn't moved any more either: it was missing
+        from the list for so long that its wave was completed without it, and came back."""
+        self.names = self.names[:1]
+        waves = self.owner()
+        self.peers.occupied.add(EndpointId("i-a"))
+        self.run_rounds(waves, 2)
+        self.rows = {}
+        self.run_rounds(waves, 12)
+        self.assertEqual(b"completed", self.kv.items_by_key["status/wave/1"].value)
+        self.peers.occupied.clear()
+        self.rows = {name: a_row(name) for name in self.names}
+        self.run_rounds(waves, 3)
+        self.assertEqual([("a", "upkeep")], self.hosts.orders)
+        self.assertEqual(b"running", self.kv.items_by_key["status/wave/1"].value)
+        for state in (HostState.UPKEEP, HostState.UP):
+            self.rows = {name: a_row(name, state=state) for name in self.names}
+            self.run_rounds(waves, 1)
+        self.assertEqual(b"completed", self.kv.items_by_key["status/wave/1"].value)
+        self.assertEqual(set(), waves.busy_hosts)
+
     def test_busy_pools_are_left_alone_while_there_is_time(self) -> None:
         """A wave took a quarter of the hosts of a pool in the middle of its surge."""
         self.load = 2.0
