An endpoint that has started again at another address is polled there

What callers could see: an endpoint that starts again under its id, at another address, gets no tasks from the pool's owner, for as long as that owner lasts. What it was started late is seen by nobody: a task of a cancelled job would run on until its lease ends.

Cause: a link keeps the address that it was opened with. It was replaced only once it was closed, which takes an answer of another instance at the old address. Where nobody answers there, the link of a registered endpoint stayed open for good.

Change: a link without an answer and without runs is closed once its endpoint has registered another address, and opened again there. Runs are still given up by their lease first, and an endpoint of the previous owner still has its time.

--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -194,7 +194,8 @@
 
         Its endpoint is unregistered, and either its link was closed or it has not answered until
         all leases given to it expired; no runs are assigned to it. A closed link is also replaced
-        once its endpoint has registered again.
+        once its endpoint has registered again, and one without an answer once it has done so at
+        another address.
         """
         if link.closed and not link.runs_by_key and self._serves_again(link):
             return True
@@ -203,8 +204,10 @@
         # such tasks a second time.
         endpoint = link.entry.id
         tasks_may_run = endpoint in self.unpolled and self._previous_tasks_may_run(endpoint)
-        if link.registered or tasks_may_run:
+        if tasks_may_run:
             return False
+        if link.registered:
+            return not link.runs_by_key and not link.reachable and _has_moved(link)
         now = time.monotonic()
         silent = now - max(link.answered_at, link.opened_at) > MAX_SILENCE_S
         return not link.runs_by_key and (link.closed or (silent and now > link.lease_end))
@@ -220,3 +223,8 @@
         # This owner may have renewed the lease before it processed the endpoint's reports.
         lease_end = link.lease_end if link is not None else 0.0
         return now < max(self._owner_since + TAKE_OVER_WAIT_S, lease_end)
+
+
+def _has_moved(link: EndpointLink) -> bool:
+    """Whether an endpoint has registered another address since its link was opened."""
+    return link.entry.address != link.opened_entry.address
--- a/tests/execution/test_stops_of_ended_jobs.py
+++ b/tests/execution/test_stops_of_ended_jobs.py
@@ -190,5 +190,21 @@
             stopped = eventually(lambda: not self.endpoint.running, STOP_SENT_WITHIN_S)
         self.assertTrue(stopped)
 
+    def test_a_run_at_another_address_of_its_endpoint_is_stopped(self) -> None:
+        """Guards against a late start that nobody sees, since the owner goes on to poll an address
+        that its endpoint had before it started again."""
+        self.start()
+        late = list(self.endpoint.running)
+        self.cancel()
+        self.assertTrue(eventually(lambda: not self.link().runs_by_key))
+        self.endpoint.silent = True
+        self.assertTrue(eventually(lambda: not self.link().reachable))
+        moved = TroubledEndpoint()
+        for task, number in late:
+            moved.run(task, number)
+        self.pool.endpoints["e1"] = moved
+        self.pool.register(replace(an_endpoint("e1"), address="10.0.0.9:9", started_ms=2))
+        self.assertTrue(eventually(lambda: not moved.running, STOPPED_WITHIN_S))
+
     def polls_after(self, count: int) -> list[tuple[bool, int]]:
         return self.endpoint.answered_polls[count:]
