--- a/standins/_cancel_judges.py
+++ b/standins/_cancel_judges.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable, Iterator
 
-from standins._platform_records import RunRecord, SeenJob, Span
+from standins._platform_records import RunRecord, SeenJob, Span, runs_at
 
-__all__ = ["find_uncancelled"]
+__all__ = ["count_at_work", "find_uncancelled"]
 
 CANCEL_S = 3.0
 """Calm time after an acknowledged cancel after which no task of the job starts."""
@@ -22,14 +22,32 @@
     :param disruptions: spans after which the time begins anew.
     :param until: time at which the judgement ends.
     """
-    acknowledged_at = {job.id: job.cancel_acknowledged_at for job in jobs}
     stretches = list(_calm_stretches(disruptions, until))
     found: list[str] = []
+    for run, since in _runs_of_cancelled(jobs, runs):
+        found += _judge(run, since, stretches)
+    return found
+
+
+def count_at_work(jobs: Iterable[SeenJob], runs: Iterable[RunRecord]) -> int:
+    """Return how many jobs had a run in progress as their cancel was acknowledged."""
+    cancelled = _runs_of_cancelled(jobs, runs)
+    return len({_job(run) for run, since in cancelled if runs_at(run, since)})
+
+
+def _runs_of_cancelled(
+    jobs: Iterable[SeenJob], runs: Iterable[RunRecord]
+) -> Iterator[tuple[RunRecord, float]]:
+    """Yield the runs of cancelled jobs, and the times of the acknowledgements."""
+    acknowledged_at = {job.id: job.cancel_acknowledged_at for job in jobs}
     for run in runs:
-        since = acknowledged_at.get(run.task.split(".")[0], 0.0)
+        since = acknowledged_at.get(_job(run), 0.0)
         if since:
-            found += _judge(run, since, stretches)
-    return found
+            yield run, since
+
+
+def _job(run: RunRecord) -> str:
+    return run.task.split(".")[0]
 
 
 def _judge(run: RunRecord, since: float, stretches: Iterable[Span]) -> Iterator[str]:
@@ -41,15 +59,11 @@
             yield f"{run.task} began {run.began - since:.1f} s after its job was cancelled"
             return
         stop_until = max(stretch.began, since, known_at) + CANCEL_S + STOP_S
-        if run.began <= stop_until <= stretch.ended and _is_at_work(run, stop_until):
+        if stop_until <= stretch.ended and runs_at(run, stop_until):
             yield f"{run.task} on {run.endpoint} ran on {stop_until - since:.1f} s after the cancel"
             return
 
 
-def _is_at_work(run: RunRecord, at: float) -> bool:
-    return not run.ended or run.ended > at
-
-
 def _calm_stretches(disruptions: Iterable[Span], until: float) -> Iterator[Span]:
     """Yield the spans between disruptions."""
     calm_since = 0.0
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -245,6 +245,10 @@
         jobs = list(self.jobs_by_id.values())
         return _cancel_judges.find_uncancelled(jobs, list(self.records), self.disruptions, until)
 
+    def cancelled_at_work(self) -> int:
+        """Return how many jobs had a run in progress as their cancel was acknowledged."""
+        return _cancel_judges.count_at_work(list(self.jobs_by_id.values()), list(self.records))
+
     def doubled_tasks(self) -> list[str]:
         """Return a line for each task that was done twice, or ran twice at the same time."""
         copied = {
--- a/tests/platform/cancels.py
+++ b/tests/platform/cancels.py
@@ -126,18 +126,3 @@
                     self._fail(f"{job.id} not cancelled: no answer")
                     break
                 time.sleep(RETRY_S)
-
-    def count_at_work(self) -> int:
-        """Return how many cancelled jobs had a run in progress at the acknowledgement."""
-        acknowledged_at = {
-            job.id: job.seen.cancel_acknowledged_at
-            for job in self._jobs
-            if job.seen.cancel_acknowledged_at
-        }
-        found = set()
-        for run in list(self._platform.records):
-            job = run.task.split(".")[0]
-            at = acknowledged_at.get(job, 0.0)
-            if at and run.began <= at and (not run.ended or run.ended > at):
-                found.add(job)
-        return len(found)
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -154,7 +154,7 @@
         answers = Counter(answer for job in self.jobs for answer in job.answers)
         line: dict[str, Any] = {"jobs": len(self.jobs), "answers": _by_name(answers)}
         if Play.CANCELS in self._plays:
-            at_work = self._cancels.count_at_work()
+            at_work = self._platform.cancelled_at_work()
             line |= {"cancels": _by_name(self._cancels.answers), "cancelled_at_work": at_work}
         return line | ({"repeats": _by_name(self._repeats)} if self._changes_services else {})
 
--- a/tests/standins/test_cancel_judges.py
+++ b/tests/standins/test_cancel_judges.py
@@ -5,7 +5,7 @@
 import msgspec
 from testtools import TestCase
 
-from standins._cancel_judges import find_uncancelled
+from standins._cancel_judges import count_at_work, find_uncancelled
 from standins._platform_records import RunRecord, Span
 from tests.builders import a_seen_job
 
@@ -55,3 +55,9 @@
 
     def test_jobs_that_nobody_cancelled_are_not_judged(self) -> None:
         self.assertEqual([], find_uncancelled([a_seen_job("j")], [a_run(9.0)], [], END))
+
+    def test_jobs_that_were_at_work_are_counted(self) -> None:
+        """Guards against a soak that cancels only what has ended."""
+        jobs = [a_seen_job("j", cancel_acknowledged_at=ACKNOWLEDGED_AT)]
+        self.assertEqual(1, count_at_work(jobs, [a_run(9.0, 11.0), a_run(9.5)]))
+        self.assertEqual(0, count_at_work(jobs, [a_run(8.0, 9.0), a_run(11.0)]))
