--- a/tests/platform/cancels.py
+++ b/tests/platform/cancels.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 
 from standins.users_platform import Span, UsersPlatform
 from tests.execution.fakes import eventually
@@ -58,7 +58,7 @@
         """Cancel jobs until ``stopping`` is set."""
         while not stopping.wait(rng.uniform(0.0, MAX_PAUSE_S)):
             job = self._choose(rng)
-            while job is not None and not self._send(job, rng, job.key):
+            while job is not None and not self._send(job, rng):
                 if stopping.wait(RETRY_S):
                     return
 
@@ -71,9 +71,9 @@
             job.seen.cancelled_at = time.monotonic()
             return job
 
-    def _send(self, job: SoakJob, rng: random.Random, key: str) -> bool:
+    def _send(self, job: SoakJob, rng: random.Random) -> bool:
         """Send the cancel of a job to any host; return whether it needs no other attempt."""
-        status = self._site.cancel(rng.choice(list(self._site.settings)), job.path, key)
+        status = self._site.cancel(rng.choice(list(self._site.settings)), job.path, job.key)
         with self._lock:
             self.answers[status] += 1
         if status in REPEATED:
@@ -114,14 +114,12 @@
     def _is_ready(self) -> bool:
         return all(self._site.is_ready(name) for name in self._site.settings)
 
-    def finish(
-        self, rng: random.Random, key_by_workspace: Mapping[str, str], deadline: float
-    ) -> None:
+    def finish(self, rng: random.Random, deadline: float) -> None:
         """Send the cancels again that have had no answer."""
         for job in self._jobs:
             if not job.seen.cancelled_at or job.seen.cancel_acknowledged_at:
                 continue
-            while not self._send(job, rng, key_by_workspace[job.workspace]):
+            while not self._send(job, rng):
                 if time.monotonic() > deadline:
                     self._fail(f"{job.id} not cancelled: no answer")
                     break
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -378,6 +378,7 @@
 
     def _check(self) -> None:
         quiet_at = time.monotonic()
+        self._cancels.finish(self._random, quiet_at + cancels.SETTLE_S)
         with self._lock:
             for name in self._keys:
                 self._keys[name] = [f"{name[0]}last"]
@@ -385,9 +386,6 @@
                 # A task that waits for its workspace is not one that was lost.
                 self._caps = dict.fromkeys(self._caps, 0)
         self._configure()
-        if Play.CANCELS in self._plays:
-            keys = {name: keys[0] for name, keys in self._keys.items()}
-            self._cancels.finish(self._random, keys, quiet_at + cancels.SETTLE_S)
         if self._plays:
             self._check_waiting(quiet_at)
         self.failures += self._platform.uncancelled_runs(time.monotonic())
