KNOWN-RED: a record that nobody can read keeps cancelled tasks running

Cause: a progress record that can't be decoded (a state or cause of a later version) makes the load of the whole pool fail, again and again. Meanwhile the owner renews the lease of all runs that endpoints report, without limit, and gives no order: tasks of cancelled jobs run on while everything answers. The decoding of accepted jobs and of allowances has a way out (record_odd), that of progress has none. No writer of such a record is known today.

--- a/tests/execution/test_stops_of_ended_jobs.py
+++ b/tests/execution/test_stops_of_ended_jobs.py
@@ -10,7 +10,8 @@
 from lentilrill.execution import Verdict, _writer
 from lentilrill.execution._link import IDLE_POLL_WAIT_MS, EndpointLink
 from lentilrill.execution._planner import Planner
-from tests.builders import a_job, an_endpoint
+from lentilrill.workloads import cancellation_key, progress_key
+from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.ended_job_paths import (
     STOPPED_WITHIN_S,
     Answers,
@@ -208,3 +209,26 @@
 
     def polls_after(self, count: int) -> list[tuple[bool, int]]:
         return self.endpoint.answered_polls[count:]
+
+
+class UnreadableRecordTest(TestCase):
+    """A pool with a job whose record the next owner can't read."""
+
+    def test_what_runs_of_a_cancelled_job_is_stopped_though_another_record_is_odd(self) -> None:
+        """Guards against tasks of a cancelled job that run on, since their new owner renews their
+        lease while it fails to load the pool, again and again."""
+        pool = OwnedPool("e1")
+        self.addCleanup(pool.close)
+        pool.register(an_endpoint("e1"))
+        endpoint = pool.endpoints["e1"]
+        first = pool.take_over()
+        job, other = a_job("a", a_step(2)), a_job("b", a_step(1))
+        for each in (job, other):
+            pool.submit(first, each)
+        self.assertTrue(eventually(lambda: len(endpoint.running) == 3))
+        first.close()
+        pool.kv.put(progress_key(pool.pool, other.id), b'{"state": "of a later version"}')
+        pool.kv.put(cancellation_key(pool.pool, job.id), b"{}")
+        second = pool.take_over()
+        stopped = eventually(lambda: len(endpoint.stops) >= 2, STOPPED_WITHIN_S)
+        self.assertTrue(stopped, f"{endpoint.renewals.count(second.token)} renewals by the owner")
