An unanswered stop is logged though its start was unanswered too

Cause: an order without an answer is logged unless its run's start got none before, so that a start that is sent again isn't logged each time.

Change: only starts that are sent again go without a line.

--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -7,7 +7,7 @@
 from lentilrill.execution._contract import OrderAnswer, PollResult, StartOrder, Verdict
 from lentilrill.execution._crashes import CrashBook
 from lentilrill.execution._latency import LatencyKind, LatencyMonitor
-from lentilrill.execution._link import EndpointLink, Order
+from lentilrill.execution._link import EndpointLink, Order, OrderKind
 from lentilrill.execution._links import PoolLinks
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._tickets import TicketCache
@@ -222,7 +222,8 @@
         if self._handle_refusal(link, answer.verdict):
             return
         with self._lock:
-            if answer.verdict is Verdict.UNKNOWN and not (order.run and order.run.is_unconfirmed):
+            is_resent_start = order.kind is OrderKind.START and _is_unconfirmed(order)
+            if answer.verdict is Verdict.UNKNOWN and not is_resent_start:
                 log(
                     Event.ORDER_UNANSWERED,
                     job=order.task.job,
@@ -243,6 +244,11 @@
             link.order(next_order)
 
 
+def _is_unconfirmed(order: Order) -> bool:
+    """Whether an earlier copy of a start got no answer, which has been logged."""
+    return order.run is not None and order.run.is_unconfirmed
+
+
 def _fits(link: EndpointLink) -> bool:
     """Whether all runs on an endpoint, also those being stopped, fit its present capacity."""
     free = link.entry.capacity
--- a/tests/execution/test_stop_logs.py
+++ b/tests/execution/test_stop_logs.py
@@ -5,7 +5,16 @@
 
 from testtools import TestCase
 
-from lentilrill.execution import PoolOwner, _jobs, _reconcile, _rounds
+from lentilrill.execution import (
+    OrderAnswer,
+    PoolOwner,
+    StartOrder,
+    Verdict,
+    _jobs,
+    _reconcile,
+    _responses,
+    _rounds,
+)
 from lentilrill.telemetry import Event
 from lentilrill.workloads import JobState, cancellation_key
 from tests.builders import a_job, a_step, an_endpoint
@@ -16,7 +25,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.lines: list[tuple[Event, dict[str, Any]]] = []
-        for module in (_jobs, _reconcile, _rounds):
+        for module in (_jobs, _reconcile, _responses, _rounds):
             patched = mock.patch.object(module, "log", self.log)
             patched.start()
             self.addCleanup(patched.stop)
@@ -61,3 +70,24 @@
         self.assertTrue(eventually(lambda: bool(self.fields(Event.RUN_ADOPTED, "run"))))
         [state] = self.fields(Event.RUN_ADOPTED, "job_state")
         self.assertIn(state, ("queued", "running"))
+
+    def test_an_unanswered_stop_is_logged_though_the_start_was_unanswered_too(self) -> None:
+        """A stop without an answer couldn't be told from one that was never sent."""
+        endpoint = self.pool.endpoints["e1"]
+        unanswered = OrderAnswer(Verdict.UNKNOWN)
+
+        def start_once(order: StartOrder) -> OrderAnswer:
+            del endpoint.start
+            endpoint.start(order)
+            return unanswered
+
+        endpoint.start = start_once
+        owner = self.started()
+        self.assertTrue(
+            eventually(lambda: ["start"] == self.fields(Event.ORDER_UNANSWERED, "kind"))
+        )
+        with mock.patch.object(endpoint, "stop", return_value=unanswered):
+            owner.cancel(self.job.id)
+            self.assertTrue(
+                eventually(lambda: "stop" in self.fields(Event.ORDER_UNANSWERED, "kind"), 2.0)
+            )
