Each stop of a tracked run is logged where it is made

Cause: run_stopped was written for the stops of a round alone. Change: the line is written where the order is made, once a run. Measured: tests/execution/test_stop_logs.py passes.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -91,12 +91,26 @@
     @classmethod
     def stop(cls, run: Run) -> "Order":
         """Return a stop of a tracked run, which counts as stopping from now on."""
+        if run.phase is not RunPhase.STOPPING:
+            _log_stop(run)
         run.phase = RunPhase.STOPPING
         run.give_up_start()
         run.stop_ordered_at = time.monotonic()
         return cls.for_run(OrderKind.STOP, run)
 
 
+def _log_stop(run: Run) -> None:
+    task = run.task
+    log(
+        Event.RUN_STOPPED,
+        job=task.id.job,
+        job_state=task.step.tracked_job.state.value,
+        task=task.id,
+        run=run.number,
+        endpoint=run.endpoint,
+    )
+
+
 def lease_end_of_report(reported_at: float) -> float:
     """Return the time by which the leases of runs have expired that a previous owner renewed.
 
--- a/src/lentilrill/execution/_rounds.py
+++ b/src/lentilrill/execution/_rounds.py
@@ -190,7 +190,6 @@
         for run in runs:
             link = self._links.by_id.get(run.endpoint)
             if link is not None and run.phase is not RunPhase.STOPPING:
-                _log_stop(run)
                 orders.append((link, Order.stop(run)))
         return orders
 
@@ -207,15 +206,3 @@
                     runs=len(link.unknown_since_by_key),
                 )
                 link.unknown_since_by_key = {}
-
-
-def _log_stop(run: Run) -> None:
-    task = run.task
-    log(
-        Event.RUN_STOPPED,
-        job=task.id.job,
-        job_state=task.step.tracked_job.state.value,
-        task=task.id,
-        run=run.number,
-        endpoint=run.endpoint,
-    )
--- a/tests/execution/test_stop_logs.py
+++ b/tests/execution/test_stop_logs.py
@@ -11,9 +11,9 @@
     StartOrder,
     Verdict,
     _jobs,
+    _link,
     _reconcile,
     _responses,
-    _rounds,
 )
 from lentilrill.telemetry import Event
 from lentilrill.workloads import JobState, cancellation_key
@@ -25,7 +25,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.lines: list[tuple[Event, dict[str, Any]]] = []
-        for module in (_jobs, _reconcile, _responses, _rounds):
+        for module in (_jobs, _link, _reconcile, _responses):
             patched = mock.patch.object(module, "log", self.log)
             patched.start()
             self.addCleanup(patched.stop)
