Stand-in: a start past its own expiry is refused, however long the endpoint's lease runs

Its first start got no answer and was given up 3.5 s later as expired (run_gone); the stand-in began it 3 ms before that, since polls had renewed the endpoint's lease meanwhile and it went by the longest lease only.

The owner goes by the order's own expiry. Seen failing before: the new test.

--- a/standins/_users_endpoint.py
+++ b/standins/_users_endpoint.py
@@ -288,15 +288,15 @@
         if body["fencing_token"] < self._token:
             return "fence"
         self._token = body["fencing_token"]
-        limit_ms = self._clock_ms() + HOLD_MAX_MS
-        self._expires_ms = max(self._expires_ms, min(limit_ms, body.get("expires_ms", 0)))
+        now_ms, expires_ms = self._clock_ms(), body.get("expires_ms", 0)
+        self._expires_ms = max(self._expires_ms, min(now_ms + HOLD_MAX_MS, expires_ms))
         if path != "/run-start":
             return ""
         if not self._context.may_start(self.name, body["task"], body.get("ticket", "")):
             return "ticket"
         if body["run_id"] <= self._last_finished_run.get(body["task"], 0):
             return "old"
-        return "late" if self._expires_ms <= self._clock_ms() else ""
+        return "late" if expires_ms <= now_ms else ""
 
     @staticmethod
     def _key(body: dict[str, Any]) -> tuple[str, int]:
--- a/tests/standins/test_users_platform.py
+++ b/tests/standins/test_users_platform.py
@@ -16,6 +16,7 @@
 from tests.execution.fakes import eventually
 
 TASK = "a.0.0.0"
+LEASE = {"expires_ms": 9_000}
 NO_ANSWER = 0
 
 
@@ -151,6 +152,12 @@
         self.assertEqual(409, self.start(expires_ms=0))
         self.assertEqual([], self.platform.records)
 
+    def test_a_start_past_its_own_lease_starts_nothing_beside_a_later_lease(self) -> None:
+        """Guards against a start that begins after its sender had to take it for expired."""
+        self.assertEqual(200, self.send("/hold", **LEASE)[0])
+        self.assertEqual(409, self.start(expires_ms=1))
+        self.assertEqual([], self.platform.records)
+
 
 class PartitionTest(EndpointCase):
     def test_an_endpoint_that_is_cut_off_answers_nothing_and_works_on(self) -> None:
