Stand-in: the clock of a poll's answer is read with its lists

A run that began between the lists and the clock was missing in the lists though the clock was past its expiry, so that an owner took it for expired.

--- a/standins/_users_endpoint.py
+++ b/standins/_users_endpoint.py
@@ -233,7 +233,7 @@
                 call.answer_json({"clock_ms": self._clock_ms(), "reason": reason}, 409)
                 return
             is_new = call.path == "/run-start" and self._key(body) not in self._running
-            answer = self._execute(call.path, body)
+            answer = self._execute(call.path, body) | {"clock_ms": self._clock_ms()}
             if is_new:
                 plan = self._context.plan_crash(body["task"], body.get("spec", ""))
                 cut_s = self._context.plan_cut(body["task"], body.get("spec", ""))
@@ -248,7 +248,7 @@
         if self.is_cut_off:
             self._keep_silent(call)
             return
-        call.answer_json({"clock_ms": self._clock_ms()} | answer)
+        call.answer_json(answer)
         if cut_s:
             self.cut_off(cut_s)
         if plan is not None and plan.after_s:
