A progress record that can't be decoded sets its own job aside, not its pool

What callers see: tasks of a cancelled job run on, as the next owner of the pool fails to load it again and again while it renews the leases of what runs there. Cause: PoolJobs._restore let the error of one record end the load of all. Change: the error is logged (record_odd), and the job is set aside: no task of it begins, since it is unknown which are done; its runs go on; a cancel ends it and replaces the record. By_id keeps it, so that a watch doesn't add it anew. What it leaves: an end of a run of such a job is acknowledged and not stored, so an owner of a later version that can read the record would start that task again.

--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -41,6 +41,8 @@
 """Minimum interval between removals while more jobs are left."""
 MAX_JOBS_PER_REMOVAL = 7
 """Jobs whose records are removed by one call, which takes 32 entries; each job has four."""
+RESTORE_ERRORS = (*DECODE_ERRORS, ValueError, LookupError)
+"""Exceptions that a malformed record of a job's progress may raise."""
 MAX_AGE_S = 60.0
 """Upper limit of a job's age, so that a clock that jumped by hours does not make all jobs
 overdue."""
@@ -189,13 +191,25 @@
             return
         tracked_job.stored_revision = item.revision
         was_cancelled = tracked_job.cancelled
-        restore_progress(tracked_job, msgspec.json.decode(item.value, type=JobProgress), now_ms)
+        try:
+            progress = msgspec.json.decode(item.value, type=JobProgress)
+            restore_progress(tracked_job, progress, now_ms)
+        except RESTORE_ERRORS as error:
+            log(Event.RECORD_ODD, key=item.key, reason=repr(error))
+            self._set_aside(tracked_job)
+            return
         if tracked_job.final_stored:
             self.live_by_id.pop(tracked_job.job.id, None)
         elif was_cancelled:
             # The record is older than the cancel that came while it was read.
             tracked_job.end(JobState.CANCELLED, now_ms)
 
+    def _set_aside(self, tracked_job: TrackedJob) -> None:
+        """Start no task of a job of which it is unknown what has ended; what runs goes on."""
+        tracked_job.is_recorded = True
+        if not tracked_job.cancelled:
+            self.live_by_id.pop(tracked_job.job.id, None)
+
     def _track(self, job: Job, revision: Revision) -> TrackedJob:
         tracked_job = TrackedJob(job, revision, _arrival_time(job))
         tracked_job.open_occurrences(int(time.time() * 1000))
@@ -211,6 +225,8 @@
         if tracked_job.state.is_final:
             return
         tracked_job.cancelled = True
+        # Also one that was set aside: its record is replaced now.
+        self.live_by_id[tracked_job.job.id] = tracked_job
         tracked_job.end(JobState.CANCELLED, int(time.time() * 1000))
         log(Event.JOB_CANCELLED, job=tracked_job.job.id, pool=self._pool, heard=source.value)
         self._on_job_changed(tracked_job)
--- a/tests/execution/test_stops_of_ended_jobs.py
+++ b/tests/execution/test_stops_of_ended_jobs.py
@@ -10,7 +10,7 @@
 from lentilrill.execution import Verdict, _writer
 from lentilrill.execution._link import IDLE_POLL_WAIT_MS, EndpointLink
 from lentilrill.execution._planner import Planner
-from lentilrill.workloads import cancellation_key, progress_key
+from lentilrill.workloads import Job, JobState, cancellation_key, job_key, progress_key
 from tests.builders import a_job, a_step, an_endpoint
 from tests.execution.ended_job_paths import (
     STOPPED_WITHIN_S,
@@ -23,8 +23,9 @@
     Stored,
     TroubledEndpoint,
 )
-from tests.execution.fakes import OwnedPool, eventually
+from tests.execution.fakes import OwnedPool, eventually, state_of
 
+UNKNOWN_STEP = b'{"state": "running", "steps_by_key": {"0.7": {"done": "1"}}}'
 STOP_SENT_WITHIN_S = 1.0
 """Well below the time after which a poll that still lists the run has its stop sent again."""
 
@@ -212,23 +213,59 @@
 
 
 class UnreadableRecordTest(TestCase):
-    """A pool with a job whose record the next owner can't read."""
+    """A pool with two jobs, of which the next owner can read one record only."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.pool = OwnedPool("e1")
+        self.addCleanup(self.pool.close)
+        self.pool.register(an_endpoint("e1"))
+        self.endpoint = self.pool.endpoints["e1"]
+        first = self.pool.take_over()
+        self.job, self.other = a_job("a", a_step(2)), a_job("b", a_step(1))
+        for each in (self.job, self.other):
+            self.pool.submit(first, each)
+        self.assertTrue(eventually(lambda: len(self.endpoint.running) == 3))
+        first.close()
+
+    def store_record(self, value: bytes) -> None:
+        self.pool.kv.put(progress_key(self.pool.pool, self.other.id), value)
+
+    def cancel(self, job: Job) -> None:
+        self.pool.kv.put(cancellation_key(self.pool.pool, job.id), b"{}")
 
     def test_what_runs_of_a_cancelled_job_is_stopped_though_another_record_is_odd(self) -> None:
         """Guards against tasks of a cancelled job that run on, since their new owner renews their
         lease while it fails to load the pool, again and again."""
-        pool = OwnedPool("e1")
-        self.addCleanup(pool.close)
-        pool.register(an_endpoint("e1"))
-        endpoint = pool.endpoints["e1"]
-        first = pool.take_over()
-        job, other = a_job("a", a_step(2)), a_job("b", a_step(1))
-        for each in (job, other):
-            pool.submit(first, each)
-        self.assertTrue(eventually(lambda: len(endpoint.running) == 3))
-        first.close()
-        pool.kv.put(progress_key(pool.pool, other.id), b'{"state": "of a later version"}')
-        pool.kv.put(cancellation_key(pool.pool, job.id), b"{}")
-        second = pool.take_over()
-        stopped = eventually(lambda: len(endpoint.stops) >= 2, STOPPED_WITHIN_S)
-        self.assertTrue(stopped, f"{endpoint.renewals.count(second.token)} renewals by the owner")
+        self.store_record(b'{"state": "of a later version"}')
+        self.cancel(self.job)
+        second = self.pool.take_over()
+        stopped = eventually(lambda: len(self.endpoint.stops) >= 2, STOPPED_WITHIN_S)
+        self.assertTrue(
+            stopped, f"{self.endpoint.renewals.count(second.token)} renewals by the owner"
+        )
+
+    def test_no_task_of_a_job_with_an_odd_record_begins(self) -> None:
+        """Guards against a task that begins again after it was done: its record can't be read."""
+        for value in (b"\xff", UNKNOWN_STEP):
+            self.store_record(value)
+            self.endpoint.running.clear()
+            self.endpoint.starts.clear()
+            owner = self.pool.take_over()
+            new = a_job("c", a_step(1))
+            self.pool.submit(owner, new)
+            self.assertTrue(eventually(lambda job=new: self.has_started(job)))
+            self.assertFalse(self.has_started(self.other))
+            owner.close()
+            self.pool.kv.items_by_key.pop(job_key(self.pool.pool, new.id))
+
+    def has_started(self, job: Job) -> bool:
+        return any(task.job == job.id for task, _ in list(self.endpoint.starts))
+
+    def test_a_job_with_an_odd_record_can_be_cancelled(self) -> None:
+        """Guards against a job that nobody can end."""
+        self.store_record(b"\xff")
+        self.cancel(self.other)
+        owner = self.pool.take_over()
+        self.assertTrue(eventually(lambda: len(self.endpoint.running) == 2))
+        self.assertTrue(eventually(lambda: state_of(owner, self.other.id) is JobState.CANCELLED))
