Log lines tell what an owner knew of an endpoint that it gave up

A run that an owner didn't see (endpoint_lost with runs: 0) may come of a process that it never polled, of a start without an answer, or of records that name another first process; no line told these apart.

endpoint_lost (650) names the known process, the one in the entry, whether the entry is there, and the starts without an answer. previous_endpoint_given_up (609) tells once for each endpoint of a previous owner what was known as its wait ended.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -249,6 +249,11 @@
             return self.lease_end
         return max(self.lease_end, self.leases.end_of_calls)
 
+    @property
+    def unanswered_starts(self) -> int:
+        """Number of runs with a copy of their start that got no answer."""
+        return sum(run.may_start_late for run in self.runs_by_key.values())
+
     @property
     def has_newer_process(self) -> bool:
         """Whether the endpoint has started again, by its entry or by an answer, and its present
--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -64,6 +64,7 @@
         self._previous_ids: frozenset[EndpointId] = frozenset()
         self._calls_by_id: dict[EndpointId, RunLeases] = {}
         """Leases that were given over links which are closed, while calls may still extend them."""
+        self._given_up: set[EndpointId] = set()
 
     def load(self) -> bool:
         """Read the previous owner's endpoints; return whether they could be read."""
@@ -71,6 +72,7 @@
             return False
         self._previous_ids = frozenset(self._endpoint_list.address_by_id)
         self.unpolled = set(self._previous_ids)
+        self._given_up.clear()
         return True
 
     def load_first_starts(self) -> None:
@@ -147,6 +149,7 @@
         """
         with self._lock:
             self.update_entries(entries)
+            self._log_given_up()
             new = [entry for entry in entries.values() if self._may_open(entry)]
             gone = [link for link in self.by_id.values() if self._can_close(link)]
             for link in gone:
@@ -275,6 +278,25 @@
         entry, opened = link.entry, link.opened_entry
         return (entry.address, entry.started_ms) != (opened.address, opened.started_ms)
 
+    def _log_given_up(self) -> None:
+        """Log the endpoints of the previous owner that are no longer waited for, each once."""
+        waited_s = round(time.monotonic() - self._owner_since, 1)
+        for endpoint in self.unpolled - self._given_up:
+            if self._previous_tasks_may_run(endpoint):
+                continue
+            self._given_up.add(endpoint)
+            link = self.by_id.get(endpoint)
+            log(
+                Event.PREVIOUS_ENDPOINT_GIVEN_UP,
+                shard=self._pool,
+                endpoint=endpoint,
+                is_registered=link is not None and link.registered,
+                entry_started_ms=link.entry.started_ms if link is not None else 0,
+                first_started_ms=self._first_started_ms(endpoint),
+                started_ms=link.started_ms if link is not None else 0,
+                waited_s=waited_s,
+            )
+
     def _previous_tasks_may_run(self, endpoint: EndpointId) -> bool:
         now = time.monotonic()
         link = self.by_id.get(endpoint)
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -120,6 +120,10 @@
                         verdict=result.verdict.value,
                         reason=result.reason,
                         runs=len(link.runs_by_key),
+                        unanswered=link.unanswered_starts,
+                        started_ms=link.started_ms,
+                        entry_started_ms=link.entry.started_ms,
+                        is_registered=link.registered,
                     )
                     self._crashes.on_silent(link)
                     link.unreachable_since = time.monotonic()
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -219,6 +219,12 @@
         Level.INFO,
         "After a take-over, the list of hosts shows that an endpoint without an answer has ended.",
     )
+    PREVIOUS_ENDPOINT_GIVEN_UP = (
+        609,
+        Level.WARNING,
+        "After a take-over, an endpoint without an answer is no longer waited for: any lease that "
+        "a previous owner gave there has expired.",
+    )
     TASK_HELD = (
         696,
         Level.WARNING,
