--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -228,14 +228,6 @@
         expired, clock error included; 0 if none was given."""
         return self.leases.end
 
-    @property
-    def previous_lease_end(self) -> float:
-        """The same for runs of previous owners, if this endpoint hasn't answered yet."""
-        if self.started_ms or not self.entry.started_ms:
-            return self.lease_end
-        until = self._others_called_until(self.entry.started_ms)
-        return max(self.lease_end, self.leases.end_of_longest(until))
-
     def lease_end_of(self, run: Run, now: float) -> float:
         """Return the time at which a run's lease has expired, whichever process carries it out.
 
