A start without an answer is waited for though no other process has shown itself

Cause: the longer wait for a start without an answer applied only once the endpoint's entry or an answer had shown a newer process. A process that starts again and is cut off before its entry tells takes a copy of the start that is carried out late, and gets the longest lease by it. The wait also ended 15 s after the copy was sent, whatever it had been before.

Change: a run with a copy left is waited for until a longest lease ends that was granted as the copy could be carried out last, or by any other call without an answer, unless the known process has answered a poll that was sent after that time. A run whose start was answered, and one of which the known process shows that no copy is left, keep the short wait.

Failed before (3.77 s in place of 25.5 s): test_a_start_without_an_answer_may_reach_a_process_that_never_showed, test_a_copy_without_an_answer_may_reach_a_process_that_never_showed, test_a_renewal_reaches_a_process_that_never_showed and the first case of test_a_copy_that_no_newer_process_can_have_taken_is_not_waited_for_longer, 4 of 4.

test_a_rack_goes_dark_with_the_copy_on_it: the next step's task was sent to the dark endpoint before its owner had noticed, and began elsewhere within the 20 s that the test waits. By the new rule that takes 25.5 s, which the first of the tests above holds exactly. What this test guards, that a copy out of sight doesn't hold the task that another run has ended, is held as before; it now ends that run once the endpoint is known to be silent.

Price: a task whose start was sent to an endpoint that was cut off, before its owner noticed, waits 25.5 s in place of 3.8 s, unless the list of hosts shows the end; test_an_endpoint_that_is_cut_off_is_not_waited_for_longer holds as it was.

--- a/src/lentilrill/execution/_held_runs.py
+++ b/src/lentilrill/execution/_held_runs.py
@@ -25,7 +25,7 @@
                 found.append((run, "its start was not sent in time"))
         elif has_ended:
             found.append((run, "the list of hosts shows that its endpoint has ended"))
-        elif has_lapsed and now > link.lease_end_of(run, now):
+        elif has_lapsed and now > link.lease_end_of(run):
             found.append((run, "its lease has lapsed out of sight"))
     return found
 
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -22,6 +22,7 @@
     NEVER,
     RUN_LEASE_S,
     RunLeases,
+    carried_out_until,
     longest_run_s,
 )
 from lentilrill.execution._senders import Senders
@@ -103,6 +104,7 @@
     :ivar reported_at: when the endpoint sent its newest answer, derived from its clock; earlier
         than the time of reading by the delays of the network and of this process.
     :ivar freed_at: when its owner last answered that it is free.
+    :ivar alive_at: when the newest poll was sent that the known process has answered.
     :ivar has_unread_ends: whether the endpoint has more ends than its last answer listed.
     :ivar renewed_at: when the last poll that renewed the run lease was sent; ``None`` if no runs
         are assigned to the endpoint.
@@ -135,6 +137,7 @@
         self.opened_at = time.monotonic()
         self.last_busy_at = self.opened_at
         self.answered_at = 0.0
+        self.alive_at = 0.0
         self.reported_at = 0.0
         self.seen_cursor = 0
         self.stored_cursor = 0
@@ -228,18 +231,17 @@
         expired, clock error included; 0 if none was given."""
         return self.leases.end
 
-    def lease_end_of(self, run: Run, now: float) -> float:
-        """Return the time at which a run's lease has expired, whichever process carries it out.
-
-        A newer process of the endpoint may have taken a start, unless the known one has listed the
-        run.
-
-        :param now: the monotonic clock.
-        """
-        may_start_late = run.may_start_late and now < run.sent_at + MAX_ORDER_DELAY_S
-        if not self.has_newer_process or (run.is_listed and not may_start_late):
-            return self.lease_end
-        return max(self.lease_end, self.leases.end_of_calls)
+    def lease_end_of(self, run: Run) -> float:
+        """Return the time at which a run's lease has expired, whichever process carries it out."""
+        end = self.lease_end
+        late_until = carried_out_until(run.sent_at)
+        # A newer process that takes a copy without an answer need not have shown itself.
+        may_start_late = run.may_start_late and self.alive_at < late_until
+        if may_start_late:
+            end = max(end, self.leases.end_of_longest(late_until))
+        if may_start_late or (self.has_newer_process and not run.is_listed):
+            end = max(end, self.leases.end_of_calls)
+        return end
 
     @property
     def unanswered_starts(self) -> int:
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -74,6 +74,7 @@
                 self._drop_stored_starts(link)
             link.reset(result.started_ms)
             self._speeds.on_restart(link)
+        link.alive_at = sent
         link.update_clock(result.clock_ms, time.monotonic())
         self._note_pages(link, result)
         ended = {(end.task, end.number) for end in result.ended}
--- a/src/lentilrill/execution/_run_leases.py
+++ b/src/lentilrill/execution/_run_leases.py
@@ -12,6 +12,7 @@
     "NEVER",
     "RUN_LEASE_S",
     "RunLeases",
+    "carried_out_until",
     "longest_run_s",
 ]
 
@@ -33,6 +34,14 @@
 NEVER = -math.inf
 
 
+def carried_out_until(sent_at: float) -> float:
+    """Return until when a call without an answer may be carried out.
+
+    :param sent_at: when it was sent.
+    """
+    return sent_at + MAX_ORDER_DELAY_S
+
+
 def longest_run_s(lease_s: float) -> float:
     """Return the longest time for which runs go on under a lease that isn't renewed."""
     return lease_s / (1 - MAX_CLOCK_ERROR) + LEASE_MARGIN_S
--- a/tests/execution/test_copies.py
+++ b/tests/execution/test_copies.py
@@ -12,6 +12,7 @@
 )
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._copies import CopyBook
+from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._needless_runs import needless_runs
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._tickets import TicketCache
@@ -392,6 +393,12 @@
         """The task stood still until the lease of its lost copy had ended, and began anew."""
         copy = self.copy()
         copy.silent = True
+        # A start that is sent there before is waited for, see test_run_leases.py.
+        self.assertTrue(eventually(lambda: not self.link_to(copy).reachable))
         self.finish(self.first)
         self.assertTrue(eventually(lambda: len(self.running(1)) == 1))
         self.assertTrue(self.tracked(self.owner).done)
+
+    def link_to(self, endpoint: TimedEndpoint) -> EndpointLink:
+        [name] = [name for name, each in self.pool.endpoints.items() if each is endpoint]
+        return self.owner._links.by_id[EndpointId(name)]
--- a/tests/execution/test_run_leases.py
+++ b/tests/execution/test_run_leases.py
@@ -100,6 +100,38 @@
         self.register(started_ms=self.now_ms)
         self.assert_held(run, MAX_ORDER_DELAY_S + LONG_S)
 
+    def test_a_start_without_an_answer_may_reach_a_process_that_never_showed(self) -> None:
+        """Guards against two runs of one task: the endpoint started again and was cut off before
+        its entry told, and the call was carried out there."""
+        self.assert_held(self.send_start(verdict=Verdict.UNKNOWN), MAX_ORDER_DELAY_S + LONG_S)
+
+    def test_a_copy_without_an_answer_may_reach_a_process_that_never_showed(self) -> None:
+        """Guards against two runs of one task, as above, though the known process had listed the
+        run: the other copy of its start was left."""
+        run = self.send_start()
+        run.send_count += 1
+        self.list_run(run)
+        self.assert_held(run, MAX_ORDER_DELAY_S + LONG_S)
+
+    def test_a_copy_that_no_newer_process_can_have_taken_is_not_waited_for_longer(self) -> None:
+        """Guards against tasks that stand still: the known process has answered since the copy
+        without an answer could be carried out."""
+        for since_s, held_s in ((-SLACK_S, MAX_ORDER_DELAY_S + LONG_S), (SLACK_S, SHORT_S)):
+            run = self.send_start(f"{since_s}", verdict=Verdict.UNKNOWN)
+            self.link.alive_at = run.sent_at + MAX_ORDER_DELAY_S + since_s
+            self.assert_held(run, held_s)
+            self.link.runs_by_key.clear()
+
+    def test_a_renewal_reaches_a_process_that_never_showed(self) -> None:
+        """Guards against two runs of one task: a copy of its start was carried out in a process
+        that its owner hadn't polled, and a renewal without an answer gave it a long lease there."""
+        run = self.send_start(verdict=Verdict.UNKNOWN)
+        run.sent_at -= SLACK_S + MAX_ORDER_DELAY_S / 2
+        self.link.alive_at = run.sent_at
+        self.link.new_expiry_ms()
+        self.link.on_called(1, is_answered=False)
+        self.assert_held(run, MAX_ORDER_DELAY_S + LONG_S)
+
     def test_a_run_that_the_former_process_listed_is_not_waited_for_longer(self) -> None:
         """Guards against tasks that stand still: no other process can have begun the run."""
         run = self.send_start()
