The first start times of endpoints outlive a chain of owners and failed calls

What callers saw: nothing yet; the same class as two runs of one task after restarts and cuts (TWICE).

Cause: an owner tells by f/POOL whether an endpoint has started again since a previous owner called it. The record lost that: an owner wrote it without endpoints that were off the list as it took over (owners in a chain, each shorter than a lease); it was written anew after it could not be read; a start time whose write got no answer was never stored, also if the endpoint then left the list; and an endpoint that previous owners had called without a stored start time got that of its next process.

Change: what previous owners stored is kept until the longest lease that their calls may give has expired, and read again before it is written if it was not read; a failed write is tried again, and no endpoint leaves the list before; within that time an endpoint of a previous owner without a start time gets none.

Failed before, 5 of 5 of FirstStartsTest: test_a_chain_of_short_owners, test_an_endpoint_that_returns_to_the_second_owner, test_start_times_that_could_not_be_read, test_a_start_time_that_is_not_stored, test_a_process_of_an_endpoint_with_unknown_calls_is_not_the_first. The sixth, that the record doesn't grow, held before.

Price: none in waiting where the process is the first; one more write in a take-over in which the store failed.

--- a/src/lentilrill/execution/_endpoint_list.py
+++ b/src/lentilrill/execution/_endpoint_list.py
@@ -22,6 +22,7 @@
 
     :ivar first_started_ms_by_id: start time of the process of each endpoint that was called first,
         as far as known. It tells an endpoint that has started again under its id.
+    :ivar lacks_first_starts: whether some of them are to be stored.
     """
 
     def __init__(self, kv: KeyValue, pool: PoolId, owner_key: str, token: Revision) -> None:
@@ -31,6 +32,8 @@
         self._record = FencedRecord(kv, f"e/{pool}", owner)
         self.first_started_ms_by_id: dict[EndpointId, int] = {}
         self._first_starts_record = FencedRecord(kv, f"f/{pool}", owner)
+        self._first_starts_read = False
+        self.lacks_first_starts = False
 
     def load(self) -> bool:
         """Read the previous owner's list; return whether it could be read."""
@@ -49,6 +52,7 @@
         if isinstance(read, Failure):
             log(Event.SHARD_NOT_LOADED, shard=self._pool, reason=read.failure().reason)
             return
+        self._first_starts_read = True
         item = read.unwrap()
         if item is None or item.value is None:
             return
@@ -57,7 +61,7 @@
         except DECODE_ERRORS as error:
             log(Event.RECORD_ODD, key=item.key, reason=str(error))
             return
-        self.first_started_ms_by_id = stored
+        self.first_started_ms_by_id |= stored
 
     def write(self, new: list[EndpointEntry], gone: list[EndpointId]) -> bool:
         """Add and remove endpoints; return ``False`` if the store has a newer owner.
@@ -71,20 +75,31 @@
             self.address_by_id = updated
         return written is not WriteResult.NOT_OWNER
 
-    def write_first_starts(self, new: list[EndpointEntry], kept: Container[EndpointId]) -> bool:
+    def write_first_starts(
+        self, new: list[EndpointEntry], kept: Container[EndpointId], *, keeps_all: bool
+    ) -> bool:
         """Store the start times of new endpoints; return ``False`` if the store has a newer owner.
 
         Without its start time an endpoint counts as one that may have started again.
 
+        :param new: endpoints that no previous owner can have called.
         :param kept: endpoints that are gone and may still get calls under their id.
+        :param keeps_all: whether all others may as well, by calls of previous owners.
         """
+        self.lacks_first_starts = True
+        if not self._first_starts_read:
+            # What previous owners stored must not be replaced.
+            self.load_first_starts()
         updated = {
             id: started_ms
             for id, started_ms in self.first_started_ms_by_id.items()
-            if id in self.address_by_id or id in kept
+            if keeps_all or id in self.address_by_id or id in kept
         }
         for entry in new:
             updated.setdefault(entry.id, entry.started_ms)
         self.first_started_ms_by_id = updated
+        if not self._first_starts_read:
+            return True
         written = self._first_starts_record.write(msgspec.json.encode(updated))
+        self.lacks_first_starts = written is not WriteResult.DONE
         return written is not WriteResult.NOT_OWNER
--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -185,20 +185,36 @@
                 del self.by_id[link.entry.id]
                 self.unpolled.discard(link.entry.id)
                 self._note_closed(link)
-        # Includes those whose removal was not stored before.
+        # Includes those whose removal was not stored before. Without its start time, nothing would
+        # tell a later owner that an endpoint which is off the list was called.
         gone_ids = [
             endpoint
             for endpoint in self._endpoint_list.address_by_id
             if endpoint not in entries
             and endpoint not in self.by_id
             and endpoint not in self.unpolled
+            and not self._endpoint_list.lacks_first_starts
         ]
         if (new or gone_ids) and not self._endpoint_list.write(new, gone_ids):
             return False
         for entry in [*new, *self._previous_entries(entries)]:
             if entry.id in self._endpoint_list.address_by_id:
                 self._open(entry)
-        return not new or self._endpoint_list.write_first_starts(new, self._calls_by_id)
+        if not new and not self._endpoint_list.lacks_first_starts:
+            return True
+        first = [entry for entry in new if not self._may_have_been_called(entry.id)]
+        keeps_all = time.monotonic() < self._previous_calls_end
+        return self._endpoint_list.write_first_starts(first, self._calls_by_id, keeps_all=keeps_all)
+
+    @property
+    def _previous_calls_end(self) -> float:
+        """When the longest lease has expired that a call of a previous owner may give."""
+        return self._owner_since + PREVIOUS_CALLS_S + self._longest_run_s
+
+    def _may_have_been_called(self, endpoint: EndpointId) -> bool:
+        """Whether calls of previous owners to an endpoint may matter, its start time unknown."""
+        is_recent = time.monotonic() < self._previous_calls_end
+        return is_recent and endpoint in self._previous_ids
 
     def update_entries(self, entries: dict[EndpointId, EndpointEntry]) -> None:
         """Update the links with the endpoints' current registration."""
@@ -367,7 +383,7 @@
         # A process that has answered is known, and with it the leases of its former one.
         if link is not None and (link.started_ms or self._is_first_process(link)):
             return end
-        return max(end, self._owner_since + PREVIOUS_CALLS_S + self._longest_run_s)
+        return max(end, self._previous_calls_end)
 
     def _is_first_process(self, link: EndpointLink) -> bool:
         first_ms = self._first_started_ms(link.entry.id)
--- a/tests/execution/test_later_owners.py
+++ b/tests/execution/test_later_owners.py
@@ -18,11 +18,12 @@
 from lentilrill.execution._previous_endpoints import PREVIOUS_LEASE_S
 from lentilrill.execution._run_leases import MAX_LEASE_S, MAX_ORDER_DELAY_S, longest_run_s
 from lentilrill.ids import EndpointId, PoolId
+from lentilrill.store import WriteResult
 from lentilrill.telemetry import Event
 from lentilrill.workloads import EndpointEntry
 from tests.builders import an_endpoint
 from tests.execution.fakes import FakeEndpoint
-from tests.fakes import FakeKeyValue
+from tests.fakes import FakeKeyValue, refuse
 
 OWNER = "m/o/notices"
 POOL = PoolId("notices")
@@ -159,5 +160,106 @@
         self.assertFalse(links.is_blocked)
 
 
+class FirstStartsTest(LaterOwnersCase):
+    """An endpoint that a previous owner called and took off its list, and its next process."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.now_ms = int(time.time() * 1000)
+        self.register(started_ms=1)
+
+    def take_off(self, links: PoolLinks) -> None:
+        """Have an owner take the endpoint off its list, right after a call without an answer."""
+        link = links.by_id[E1]
+        link.on_called(link.started_ms, is_answered=False)
+        link.close()
+        del self.entries[E1]
+        links.unpolled.discard(E1)
+        self.assertTrue(links.refresh(self.entries))
+        self.assertNotIn(E1, links.by_id)
+
+    def return_to(self, links: PoolLinks, name: str = "e1") -> None:
+        self.register(name, started_ms=self.now_ms)
+        self.assertTrue(links.refresh(self.entries))
+
+    def assert_waited_for(self, links: PoolLinks) -> None:
+        """Check for how long runs in the endpoint's next process are waited for."""
+        link = links.by_id[E1]
+        link.reset(self.now_ms)
+        self.assertGreater(link.lease_end, links._owner_since + LONG_WAIT_S - SLACK_S)
+
+    def first_owner(self) -> PoolLinks:
+        links = self.take_over()
+        self.assertTrue(links.refresh(self.entries))
+        return links
+
+    def test_a_chain_of_short_owners(self) -> None:
+        """Guards against two runs of one task: the owner after next knew neither process, since the
+        one between had written the start times without an endpoint that was off the list."""
+        self.take_off(self.first_owner())
+        second = self.take_over()
+        self.return_to(second, "e2")
+        third = self.take_over()
+        self.return_to(third)
+        self.assert_waited_for(third)
+
+    def test_an_endpoint_that_returns_to_the_second_owner(self) -> None:
+        """Guards against two runs of one task, as above, with two owners."""
+        self.take_off(self.first_owner())
+        second = self.take_over()
+        self.return_to(second, "e2")
+        self.return_to(second)
+        self.assert_waited_for(second)
+
+    def test_start_times_that_could_not_be_read(self) -> None:
+        """Guards against two runs of one task: the owner between wrote them anew."""
+        self.take_off(self.first_owner())
+        get = self.kv.get
+        read = lambda key: refuse(list) if key == "f/notices" else get(key)  # noqa: E731
+        with patch.object(self.kv, "get", read):
+            second = self.take_over()
+        self.return_to(second, "e2")
+        third = self.take_over()
+        self.return_to(third)
+        self.assert_waited_for(third)
+
+    def test_a_start_time_that_is_not_stored(self) -> None:
+        """Guards against two runs of one task: its write got no answer, and the endpoint left the
+        list before it was tried again."""
+        first = self.take_over()
+        record = first._endpoint_list._first_starts_record
+        with patch.object(record, "write", return_value=WriteResult.FAILED):
+            self.assertTrue(first.refresh(self.entries))
+            self.take_off(first)
+            self.assertIn(b"e1", self.kv.items_by_key["e/notices"].value or b"")
+        for _ in range(2):
+            self.assertTrue(first.refresh(self.entries))
+        second = self.take_over()
+        self.assertEqual(set(), second.unpolled)
+        self.return_to(second)
+        self.assert_waited_for(second)
+
+    def test_a_process_of_an_endpoint_with_unknown_calls_is_not_the_first(self) -> None:
+        """Guards against two runs of one task: no start time was stored for an endpoint that a
+        previous owner had called, and the next owner stored that of its next process."""
+        self.first_owner()
+        del self.kv.items_by_key["f/notices"]
+        second = self.take_over()
+        self.take_off(second)
+        self.return_to(second)
+        third = self.take_over()
+        self.assert_waited_for(third)
+
+    def test_start_times_of_endpoints_that_are_gone_are_removed(self) -> None:
+        """Guards against a record that grows with each endpoint that a pool ever had."""
+        self.take_off(self.first_owner())
+        second = self.take_over()
+        second._owner_since -= LONG_WAIT_S + SLACK_S
+        self.return_to(second, "e2")
+        self.assertEqual({"e2"}, set(second._endpoint_list.first_started_ms_by_id))
+
+
 LONG_WAIT_S = PREVIOUS_LEASE_S + MAX_ORDER_DELAY_S + longest_run_s(MAX_LEASE_S)
+
+
 LOGGED = ("is_registered", "entry_started_ms", "first_started_ms")
