Whether an endpoint has started again doesn't go by this host's wall clock

Cause: a new owner took the age of a restarted process from its start time, which is a time of the endpoint's clock, and its own wall clock. If either jumps, a process that has just started counts as old, and the longest lease that it may hold isn't waited for.

Change: calls of previous owners to a former process count until 16.6 s after the take-over, whatever the age. In place of the age there is a stored fact: an owner that knows a process, and knows that calls to former ones can't matter any more, names it in f/POOL as the first; then later owners wait no longer. One write, with which others of the same round are made. The record is read right after the list of endpoints, and applied also to links that have polled before: it was read last, as most endpoints had answered, and only the age kept these from counting as restarted.

Failed before: the case (60 s old, another first process) of test_calls_of_a_previous_owner, which held the age to be a proof; it now holds the longer wait.

Price: after a take-over an endpoint that has started again within the last 27 s of the previous owner is waited for up to 27.1 s if it is lost within that time, however long the restart is ago, unless that owner stored it as the first.

--- a/src/lentilrill/execution/_endpoint_list.py
+++ b/src/lentilrill/execution/_endpoint_list.py
@@ -1,6 +1,6 @@
 """Stored list of the endpoints to which a pool's owners have given orders."""
 
-from collections.abc import Container
+from collections.abc import Container, Mapping
 
 import msgspec
 from returns.result import Failure
@@ -21,7 +21,9 @@
     is stored here before its first order.
 
     :ivar first_started_ms_by_id: start time of the process of each endpoint that was called first,
-        as far as known. It tells an endpoint that has started again under its id.
+        of those to which calls still matter, as far as known. It tells an endpoint that has started
+        again under its id.
+    :ivar first_starts_read: whether what previous owners stored of these was read.
     :ivar lacks_first_starts: whether some of them are to be stored.
     """
 
@@ -32,7 +34,7 @@
         self._record = FencedRecord(kv, f"e/{pool}", owner)
         self.first_started_ms_by_id: dict[EndpointId, int] = {}
         self._first_starts_record = FencedRecord(kv, f"f/{pool}", owner)
-        self._first_starts_read = False
+        self.first_starts_read = False
         self.lacks_first_starts = False
 
     def load(self) -> bool:
@@ -52,7 +54,7 @@
         if isinstance(read, Failure):
             log(Event.SHARD_NOT_LOADED, shard=self._pool, reason=read.failure().reason)
             return
-        self._first_starts_read = True
+        self.first_starts_read = True
         item = read.unwrap()
         if item is None or item.value is None:
             return
@@ -75,6 +77,19 @@
             self.address_by_id = updated
         return written is not WriteResult.NOT_OWNER
 
+    def replace_first_starts(self, started_ms_by_id: Mapping[EndpointId, int]) -> bool:
+        """Name processes as the first, since calls to former ones don't matter any more.
+
+        :return: whether that changes anything.
+        """
+        changed = {
+            id: started_ms
+            for id, started_ms in started_ms_by_id.items()
+            if id in self.address_by_id and self.first_started_ms_by_id.get(id) != started_ms
+        }
+        self.first_started_ms_by_id |= changed
+        return bool(changed)
+
     def write_first_starts(
         self, new: list[EndpointEntry], kept: Container[EndpointId], *, keeps_all: bool
     ) -> bool:
@@ -87,7 +102,7 @@
         :param keeps_all: whether all others may as well, by calls of previous owners.
         """
         self.lacks_first_starts = True
-        if not self._first_starts_read:
+        if not self.first_starts_read:
             # What previous owners stored must not be replaced.
             self.load_first_starts()
         updated = {
@@ -98,7 +113,7 @@
         for entry in new:
             updated.setdefault(entry.id, entry.started_ms)
         self.first_started_ms_by_id = updated
-        if not self._first_starts_read:
+        if not self.first_starts_read:
             return True
         written = self._first_starts_record.write(msgspec.json.encode(updated))
         self.lacks_first_starts = written is not WriteResult.DONE
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -18,7 +18,6 @@
 from lentilrill.execution._orders import URGENCY_BY_KIND, Order, OrderKind
 from lentilrill.execution._run_leases import (
     MAX_LEASE_S,
-    MAX_ORDER_DELAY_S,
     NEVER,
     RUN_LEASE_S,
     RunLeases,
@@ -47,9 +46,6 @@
 endpoint refuse the start."""
 RETRY_S = 0.15
 """Pause after an unanswered call."""
-RESTART_NOTICED_S = 3.0
-"""Time after a process's start within which an owner that calls its endpoint has heard of it: a
-poll that fails, a pause and another one."""
 RENEWAL_PAUSE_S = 0.8
 """Pause between two renewals while the owner doesn't process reports."""
 
@@ -229,7 +225,7 @@
     def lease_end(self) -> float:
         """Monotonic time at which all leases given to the known process of this endpoint have
         expired, clock error included; 0 if none was given."""
-        return self.leases.end
+        return max(self.leases.end, self._end_by_others)
 
     def lease_end_of(self, run: Run) -> float:
         """Return the time at which a run's lease has expired, whichever process carries it out."""
@@ -240,7 +236,7 @@
         if may_start_late:
             end = max(end, self.leases.end_of_longest(late_until))
         if may_start_late or (self.has_newer_process and not run.is_listed):
-            end = max(end, self.leases.end_of_calls)
+            end = max(end, self.leases.end_of_calls, self._end_of_calls_by_others)
         return end
 
     @property
@@ -290,18 +286,28 @@
         self.seen_cursor = self.stored_cursor = 0
         self.has_unread_ends = self._other_has_answered = False
         self.leases.reset()
-        self.leases.on_former_calls(self._others_called_until(started_ms))
 
-    def _others_called_until(self, started_ms: int) -> float:
-        """Return until when calls of previous owners to a former process may be carried out.
+    @property
+    def _end_by_others(self) -> float:
+        """When leases have expired in the known process that calls of previous owners gave.
+
+        These calls were meant for a former one. The age of the known one doesn't count, since it
+        goes by another clock, and clocks jump. Whether it was the first may be read later.
+        """
+        if not self.started_ms or self.started_ms == self.first_started_ms:
+            return 0.0
+        return self._end_of_calls_by_others
+
+    @property
+    def _end_of_calls_by_others(self) -> float:
+        return self.leases.end_of_longest(carried_out_until(self.others_called_until))
+
+    def has_own_leases_only(self, now: float) -> bool:
+        """Whether all leases are by the known process's clock, and none by a former one is to come.
 
-        :param started_ms: start time of the present process, after which they learned of it.
+        :param now: the monotonic clock.
         """
-        if started_ms == self.first_started_ms:
-            return NEVER
-        age_s = max(0.0, time.time() - started_ms / 1000)
-        known_at = time.monotonic() - age_s + RESTART_NOTICED_S
-        return min(known_at, self.others_called_until) + MAX_ORDER_DELAY_S
+        return self.was_polled and now > max(self.leases.end_of_former, self._end_by_others)
 
     def new_expiry_ms(self) -> int:
         """Return and record the expiry of a lease given now, on the endpoint's clock."""
--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -200,7 +200,8 @@
         for entry in [*new, *self._previous_entries(entries)]:
             if entry.id in self._endpoint_list.address_by_id:
                 self._open(entry)
-        if not new and not self._endpoint_list.lacks_first_starts:
+        has_changed = self._endpoint_list.replace_first_starts(self._settled())
+        if not new and not has_changed and not self._endpoint_list.lacks_first_starts:
             return True
         first = [entry for entry in new if not self._may_have_been_called(entry.id)]
         keeps_all = time.monotonic() < self._previous_calls_end
@@ -211,6 +212,13 @@
         """When the longest lease has expired that a call of a previous owner may give."""
         return self._owner_since + PREVIOUS_CALLS_S + self._longest_run_s
 
+    def _settled(self) -> dict[EndpointId, int]:
+        """Return the present processes in which calls to former ones don't matter any more."""
+        now = time.monotonic()
+        with self._lock:
+            links = list(self.by_id.values())
+        return {link.entry.id: link.started_ms for link in links if link.has_own_leases_only(now)}
+
     def _may_have_been_called(self, endpoint: EndpointId) -> bool:
         """Whether calls of previous owners to an endpoint may matter, its start time unknown."""
         is_recent = time.monotonic() < self._previous_calls_end
@@ -285,7 +293,8 @@
         if former is not None:
             link.leases.on_former_calls(former.calls_until)
         link.first_started_ms = self._first_started_ms(endpoint)
-        if endpoint in self._previous_ids or link.first_started_ms:
+        may_be_known = bool(link.first_started_ms) or not self._endpoint_list.first_starts_read
+        if endpoint in self._previous_ids or may_be_known:
             link.others_called_until = self._owner_since + PREVIOUS_LEASE_S
 
     def _may_open(self, entry: EndpointEntry) -> bool:
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -437,6 +437,7 @@
         if not self._links.load():
             return False
         self._links.open_previous(self._entries(self.pool))
+        self._links.load_first_starts()
         if not self._allowances.load():
             return False
         if not self._jobs.load():
@@ -451,7 +452,6 @@
                     self._record_arrival(tracked_job, tracked_job.arrived_at)
             self._workspaces.restore(self._jobs.by_id.values(), time.monotonic())
         self._links.wake()
-        self._links.load_first_starts()
         return True
 
     def _refresh_links(self) -> None:
--- a/src/lentilrill/execution/_run_leases.py
+++ b/src/lentilrill/execution/_run_leases.py
@@ -72,7 +72,12 @@
     def end(self) -> float:
         """Monotonic time at which all leases of the known process have expired, clock error
         included; 0 if none was given."""
-        return max(self._given_end, self.end_of_longest(self._former_calls_until))
+        return max(self._given_end, self.end_of_former)
+
+    @property
+    def end_of_former(self) -> float:
+        """The same for leases by calls to former processes; 0 if there are none."""
+        return self.end_of_longest(self._former_calls_until)
 
     @property
     def end_of_calls(self) -> float:
--- a/tests/execution/test_later_owners.py
+++ b/tests/execution/test_later_owners.py
@@ -16,7 +16,12 @@
     PoolLinks,
 )
 from lentilrill.execution._previous_endpoints import PREVIOUS_LEASE_S
-from lentilrill.execution._run_leases import MAX_LEASE_S, MAX_ORDER_DELAY_S, longest_run_s
+from lentilrill.execution._run_leases import (
+    MAX_LEASE_S,
+    MAX_ORDER_DELAY_S,
+    RUN_LEASE_S,
+    longest_run_s,
+)
 from lentilrill.ids import EndpointId, PoolId
 from lentilrill.store import WriteResult
 from lentilrill.telemetry import Event
@@ -218,6 +223,9 @@
         read = lambda key: refuse(list) if key == "f/notices" else get(key)  # noqa: E731
         with patch.object(self.kv, "get", read):
             second = self.take_over()
+            self.return_to(second)
+        self.assert_waited_for(second)
+        self.take_off(second)
         self.return_to(second, "e2")
         third = self.take_over()
         self.return_to(third)
@@ -250,6 +258,23 @@
         third = self.take_over()
         self.assert_waited_for(third)
 
+    def test_a_process_that_was_polled_for_long_becomes_the_first(self) -> None:
+        """Guards against tasks that stand still: all leases of an endpoint that has started again
+        are by the clock of its present process, which no later owner could tell."""
+        self.first_owner()
+        for polled_for_s, is_first in ((0.0, False), (LONG_WAIT_S, True)):
+            owner = self.take_over()
+            link = owner.by_id[E1]
+            link.others_called_until -= polled_for_s
+            link.reset(self.now_ms)
+            link.was_polled = True
+            owner.unpolled.discard(E1)
+            self.assertTrue(owner.refresh(self.entries))
+            later = self.take_over().by_id[E1]
+            later.reset(self.now_ms)
+            held_s = later.lease_end - time.monotonic()
+            self.assertEqual(is_first, held_s < longest_run_s(RUN_LEASE_S), held_s)
+
     def test_start_times_of_endpoints_that_are_gone_are_removed(self) -> None:
         """Guards against a record that grows with each endpoint that a pool ever had."""
         self.take_off(self.first_owner())
--- a/tests/execution/test_run_leases.py
+++ b/tests/execution/test_run_leases.py
@@ -179,7 +179,8 @@
         gave the next one a long lease, and the new owner knew only the process that it polled."""
         for age_s, first_ms, held_s in (
             (1.0, 1, MAX_ORDER_DELAY_S + LONG_S),
-            (60.0, 1, SHORT_S),
+            # Its age goes by a clock that may have jumped.
+            (60.0, 1, MAX_ORDER_DELAY_S + LONG_S),
             (1.0, 0, MAX_ORDER_DELAY_S + LONG_S),
             (1.0, self.now_ms - 1000, SHORT_S),
         ):
