A lease counts by the clock of the process that has answered, if that is close to the known one

What callers saw: nothing yet; the same class as two runs of one task after restarts and cuts (TWICE).

Cause: an answer whose clock differs by up to 10 s from the known process's counts as one that was read late. Clocks of two processes that both begin near 0 differ by less. The next process then gives what the known one's clock measures as 3.4 s up to 10 s more.

Change: what answers since the last poll lag behind the known clock is added to the end of the leases, until the known process answers a poll that was sent later. That is the lease by the other clock exactly, for starts and for renewals; the limit of 10 s, from which on an endpoint counts as started again, stays.

Failed before: test_an_answer_by_a_clock_that_is_close_to_the_known_one (3.8 s in place of 8.8 s).

Price: an endpoint that is lost right after an answer that was read late is waited for longer by that delay: test_a_late_answer_of_the_known_process_is_not_waited_for_longer.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -146,6 +146,9 @@
         self.others_called_until = NEVER
         self.first_started_ms = 0
         self._other_has_answered = False
+        self._lag_s = 0.0
+        """By how much answers since the last poll are behind the known clock: they were read late,
+        or come from another process, which adds this to each lease."""
         self._refuted_started_ms = 0
         self.unreachable_since = 0.0
         self.host_shows_end = False
@@ -225,7 +228,8 @@
     def lease_end(self) -> float:
         """Monotonic time at which all leases given to the known process of this endpoint have
         expired, clock error included; 0 if none was given."""
-        return max(self.leases.end, self._end_by_others)
+        end = self.leases.end
+        return max(end + self._lag_s if end else end, self._end_by_others)
 
     def lease_end_of(self, run: Run) -> float:
         """Return the time at which a run's lease has expired, whichever process carries it out."""
@@ -253,8 +257,11 @@
 
     def note_process(self, answer: OrderAnswer) -> None:
         """Note whether an answer to an order comes from a newer process."""
+        now = time.monotonic()
         is_newer = answer.started_ms > self.started_ms > 0
-        is_other = self.leases.is_other_clock(answer.clock_ms, time.monotonic())
+        is_other = self.leases.is_other_clock(answer.clock_ms, now)
+        if answer.clock_ms and self.clock_known and not is_other:
+            self._lag_s = max(self._lag_s, self.leases.lag_s(answer.clock_ms, now))
         if self._other_has_answered or not (is_newer or (answer.clock_ms and is_other)):
             return
         self._other_has_answered = True
@@ -285,6 +292,7 @@
         self.started_ms = started_ms
         self.seen_cursor = self.stored_cursor = 0
         self.has_unread_ends = self._other_has_answered = False
+        self._lag_s = 0.0
         self.leases.reset()
 
     @property
@@ -396,12 +404,14 @@
 
     def _send_poll(self, cursor: int, expiry: int | None, wait_ms: int) -> PollResult:
         started_ms, registered_ms = self.started_ms, self.entry.started_ms
-        other_has_answered = self._other_has_answered
+        other_has_answered, lag_s = self._other_has_answered, self._lag_s
         result = self._calls.poll(self._owner.token, cursor, expiry, wait_ms)
         if result.verdict is Verdict.DONE and result.started_ms == started_ms:
             # The known process has answered a call that was sent after these signs of another one.
             self._refuted_started_ms = max(self._refuted_started_ms, registered_ms)
             self._other_has_answered &= not other_has_answered
+            if self._lag_s == lag_s:
+                self._lag_s = 0.0
         if expiry is not None:
             self.on_called(started_ms, is_answered=result.verdict is not Verdict.UNKNOWN)
         return result
--- a/src/lentilrill/execution/_run_leases.py
+++ b/src/lentilrill/execution/_run_leases.py
@@ -104,7 +104,14 @@
             return False
         passed_ms = (read_at - self._clock_read) * 1000
         tolerance_ms = MAX_READING_DELAY_S * 1000 + MAX_CLOCK_ERROR * abs(passed_ms)
-        return abs(clock_ms - self._clock_ms - passed_ms) > tolerance_ms
+        return abs(self.lag_s(clock_ms, read_at)) * 1000 > tolerance_ms
+
+    def lag_s(self, clock_ms: int, read_at: float) -> float:
+        """Return by how many seconds a reading is behind the known process's clock.
+
+        :param read_at: monotonic time at which this process read it.
+        """
+        return self._clock_ms / 1000 + read_at - self._clock_read - clock_ms / 1000
 
     @property
     def clock_known(self) -> bool:
--- a/tests/execution/test_run_leases.py
+++ b/tests/execution/test_run_leases.py
@@ -3,6 +3,7 @@
 import time
 from types import SimpleNamespace
 from typing import Any
+from unittest.mock import patch
 
 import msgspec
 from msgspec.structs import replace
@@ -33,6 +34,7 @@
 LONG_S = longest_run_s(MAX_LEASE_S)
 SLACK_S = 0.5
 LATER_CLOCK_MS = 500_000
+CLOCK_DISTANCE_MS = 5_000
 
 
 class LeasesAfterARestartTest(TrackedJobCase):
@@ -94,6 +96,25 @@
         self.assertTrue(self.link.has_newer_process)
         self.assert_held(run, LONG_S)
 
+    def test_an_answer_by_a_clock_that_is_close_to_the_known_one(self) -> None:
+        """Guards against two runs of one task: clocks of two processes that begin near 0 differ by
+        seconds, which the next process adds to each lease that is reckoned by the former clock."""
+        run = self.send_start()
+        self.link.note_process(OrderAnswer(Verdict.DONE, clock_ms=1000 - CLOCK_DISTANCE_MS))
+        self.assertFalse(self.link.has_newer_process)
+        self.link.new_expiry_ms()
+        self.assert_held(run, SHORT_S + CLOCK_DISTANCE_MS / 1000)
+
+    def test_a_late_answer_of_the_known_process_is_not_waited_for_longer(self) -> None:
+        """Guards against tasks that stand still: the answer was read late, and a later poll shows
+        that the known process is there."""
+        run = self.send_start()
+        self.link.note_process(OrderAnswer(Verdict.DONE, clock_ms=1000 - CLOCK_DISTANCE_MS))
+        answer = PollResult(Verdict.DONE, 1000, 1)
+        with patch.object(self.link._calls, "poll", lambda *args: answer):
+            self.link._send_poll(0, None, 0)
+        self.assert_held(run, SHORT_S)
+
     def test_a_start_without_an_answer_may_reach_a_newer_process_late(self) -> None:
         """Guards against two runs of one task: the call was carried out seconds later."""
         run = self.send_start(verdict=Verdict.UNKNOWN)
