A stop that a former process answered counts for that process alone

What callers saw: nothing yet; a task could run on two endpoints at once (TWICE).

Cause: a stop that the former process had answered, of which the answer was processed after the next process's first poll, counted as that one's. Its owner took the run for refused there, started the task elsewhere, and a late copy of its start ran in the next process. The same with stops of runs that are over.

Change: an order notes which process was known as it was sent; after a restart its answer counts as none, and the stop is sent again unless a later one is on its way.

Price: a second stop in a window of milliseconds.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -460,6 +460,7 @@
             assert run is not None
             start = self._owner.start_order(self, run)
             return None if start is None else self._calls.start(start)
+        order.sent_to_ms = self.started_ms
         if order.kind is OrderKind.STOP:
             return self._calls.stop(order.task, order.number, self._owner.token)
         return self._calls.pace(order.task, order.number, order.pace, self._owner.token)
--- a/src/lentilrill/execution/_orders.py
+++ b/src/lentilrill/execution/_orders.py
@@ -27,9 +27,11 @@
     """A queued order about one run of a task.
 
     :param run: the tracked run; ``None`` for a stop of an unknown run.
+    :ivar sent_to_ms: start time of the endpoint's process that was known as it was last sent;
+        ``None`` if it was not sent yet.
     """
 
-    __slots__ = ("created_at", "kind", "number", "pace", "run", "task")
+    __slots__ = ("created_at", "kind", "number", "pace", "run", "sent_to_ms", "task")
 
     def __init__(
         self, kind: OrderKind, task: TaskId, number: int, run: Run | None = None, pace: int = 100
@@ -40,6 +42,7 @@
         self.run = run
         self.pace = pace
         self.created_at = time.monotonic()
+        self.sent_to_ms: int | None = None
 
     @classmethod
     def for_run(cls, kind: OrderKind, run: Run, pace: int = 100) -> "Order":
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -124,6 +124,9 @@
         :param clock_ms: the endpoint's clock at its answer; 0 if unknown.
         """
         run = order.run
+        if order.kind is OrderKind.STOP and order.sent_to_ms not in (None, link.started_ms):
+            # The former process may have answered, which says nothing of the present one.
+            verdict = Verdict.UNKNOWN
         if run is None and order.kind is OrderKind.STOP and verdict in STOP_TAKEN:
             self._late_starts.on_stopped(link, order)
         if run is None or run.key not in link.runs_by_key or order.kind is OrderKind.PACE:
--- a/tests/execution/test_late_starts.py
+++ b/tests/execution/test_late_starts.py
@@ -203,3 +203,46 @@
         earlier.send_count, earlier.sent_at = 1, time.monotonic()
         self.reconciler.drop(self.link, earlier, "done")
         self.assertEqual([self.started.number], self.stops())
+
+
+class LateAnswersTest(TrackedJobCase):
+    """Stops that the former process answered, of which the answer is processed after a restart."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.poll()
+        self.run = self.run_of(self.add(a_step(1)), confirmed=False)
+        self.run.send_count, self.run.sent_at = 1, time.monotonic()
+
+    def restart(self) -> list[Order]:
+        """Poll the next process, which lists no run."""
+        result = PollResult(Verdict.DONE, 1000, 2)
+        return self.reconciler.apply_poll(self.link, result, time.monotonic())
+
+    def answer(self, stop: Order, sent_to_ms: int) -> Order | None:
+        stop.sent_to_ms = sent_to_ms
+        return self.reconciler.apply_answer(self.link, stop, Verdict.DONE)
+
+    def test_a_stop_that_the_former_process_answered(self) -> None:
+        """Guards against two runs of one task: the answer counted as one of the next process, which
+        then carried out the start."""
+        first = Order.stop(self.run)
+        [again] = self.restart()
+        self.assertIsNone(self.answer(first, 1))
+        self.restart()
+        self.assertIn(self.run.key, self.link.runs_by_key)
+        self.assertIsNone(self.answer(again, 2))
+        self.restart()
+        self.assertNotIn(self.run.key, self.link.runs_by_key)
+
+    def test_a_stop_of_a_run_that_is_over_that_the_former_process_answered(self) -> None:
+        """Guards against a task that begins again in the next process, as above."""
+        self.reconciler.drop(self.link, self.run, "done")
+        [first] = self.restart()
+        self.link.reset(3)
+        self.patch(_late_starts, "STOP_INTERVAL_S", 0.0)
+        self.answer(first, 2)
+        stops = self.reconciler.apply_poll(
+            self.link, PollResult(Verdict.DONE, 1000, 3), time.monotonic()
+        )
+        self.assertEqual([self.run.number], [stop.number for stop in stops])
