--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -74,6 +74,7 @@
                 self._drop_stored_starts(link)
             link.reset(result.started_ms)
             self._speeds.on_restart(link)
+        link.alive_at = sent
         link.update_clock(result.clock_ms, time.monotonic())
         self._note_pages(link, result)
         ended = {(end.task, end.number) for end in result.ended}
@@ -123,6 +124,9 @@
         :param clock_ms: the endpoint's clock at its answer; 0 if unknown.
         """
         run = order.run
+        if order.kind is OrderKind.STOP and order.sent_to_ms not in (None, link.started_ms):
+            # The former process may have answered, which says nothing of the present one.
+            verdict = Verdict.UNKNOWN
         if run is None and order.kind is OrderKind.STOP and verdict in STOP_TAKEN:
             self._late_starts.on_stopped(link, order)
         if run is None or run.key not in link.runs_by_key or order.kind is OrderKind.PACE:
