Red: a restarted endpoint whose entry is gone as the next owner reads the list

What callers see: two runs of one task at once, with two owners. The endpoint starts again under its id; its next process takes a start with an expiry of the former clock and so holds the longest lease (10 s); it is cut off, its entry goes, its owner is killed. The next owner knows neither process, waits 5.5 s and starts the task.

--- /dev/null
+++ b/tests/platform/test_restarts_before_a_take_over.py
@@ -0,0 +1,26 @@
+"""Endpoints that start again under their ids, are cut off, and get another owner meanwhile."""
+
+import time
+
+from standins.users_platform import Amounts
+from tests.platform.restarts import LEASE_S, RestartCase
+
+LARGE = Amounts(64000, 65536)
+LARGE_CPU = 32000
+"""Fits no other endpoint."""
+HELD_S = 12.0
+"""Time for which a start is held at most; shorter than the longest delay of a call."""
+
+
+class RestartsBeforeATakeOverTest(RestartCase):
+    def test_a_task_of_a_restarted_endpoint_whose_entry_is_gone_runs_alone(self) -> None:
+        """Guards against two runs of one task: the new process held the longest lease, and the
+        next owner, who saw no entry of it, waited for the lease of its former process only."""
+        self.run_first_job()
+        self.restart_unheard()
+        self.start_second_job()
+        self.hear_new_process()
+        self.cut_off()
+        self.site.kill(self.owner())
+        time.sleep(LEASE_S)
+        self.assertEqual([], self.platform.doubled_tasks())
