Red: a restarted endpoint whose former process's entry is still there

As with an entry that is gone, but the next owner reads the entry that the former process left. Its start time is that of the process that was called first, so the owner takes the endpoint for one that has not started again.

--- a/tests/platform/test_restarts_before_a_take_over.py
+++ b/tests/platform/test_restarts_before_a_take_over.py
@@ -2,8 +2,9 @@
 
 import time
 
+from standins import users_platform
 from standins.users_platform import Amounts
-from tests.platform.restarts import LEASE_S, RestartCase
+from tests.platform.restarts import LEASE_S, POOL, RestartCase
 
 LARGE = Amounts(64000, 65536)
 LARGE_CPU = 32000
@@ -24,3 +25,16 @@
         self.site.kill(self.owner())
         time.sleep(LEASE_S)
         self.assertEqual([], self.platform.doubled_tasks())
+
+    def test_a_task_of_a_restarted_endpoint_whose_entry_is_old_runs_alone(self) -> None:
+        """Guards against two runs of one task: the next owner took the entry that the former
+        process had left for a sign that the endpoint had not started again."""
+        self.patch(users_platform, "SILENCE_S", LEASE_S)
+        self.run_first_job()
+        self.restart_unheard()
+        self.start_second_job()
+        self.platform.cut_endpoint(self.host, LEASE_S)
+        self.platform.add_host(POOL)
+        self.site.kill(self.owner())
+        time.sleep(LEASE_S)
+        self.assertEqual([], self.platform.doubled_tasks())
