Red: a restarted endpoint whose pool is handed over

As with an owner that is killed, but it ends by SIGTERM and knows of the restart by the new entry and by the answer's clock; nothing of that is stored, so the next owner waits 5.5 s. In one play, in seconds after the first run began: 10,000 ms of lease left at 0.00, SIGTERM at 1.23, the next owner starts the task at 7.13, the first run lapses at 10.00.

--- a/tests/platform/test_restarts_before_a_take_over.py
+++ b/tests/platform/test_restarts_before_a_take_over.py
@@ -38,3 +38,15 @@
         self.site.kill(self.owner())
         time.sleep(LEASE_S)
         self.assertEqual([], self.platform.doubled_tasks())
+
+    def test_a_task_of_a_restarted_endpoint_that_is_handed_over_runs_alone(self) -> None:
+        """Guards against two runs of one task: an owner that hands over knew of the restart, and
+        the next one did not."""
+        self.run_first_job()
+        self.restart_unheard()
+        self.start_second_job()
+        self.hear_new_process()
+        self.cut_off()
+        self.site.end(self.owner())
+        time.sleep(LEASE_S)
+        self.assertEqual([], self.platform.doubled_tasks())
