Red: a late start of a previous owner in a process that the next owner didn't know of

A start of the first owner gets no answer. The endpoint starts again, is cut off, and carries the start out 8.5 s after it was sent, by then under the next owner. The former process would have refused it as late; by the new one's clock its expiry lies far ahead, so it runs for the longest lease.

--- a/tests/platform/test_restarts_before_a_take_over.py
+++ b/tests/platform/test_restarts_before_a_take_over.py
@@ -4,6 +4,7 @@
 
 from standins import users_platform
 from standins.users_platform import Amounts
+from tests.execution.fakes import eventually
 from tests.platform.restarts import LEASE_S, POOL, RestartCase
 
 LARGE = Amounts(64000, 65536)
@@ -50,3 +51,17 @@
         self.site.end(self.owner())
         time.sleep(LEASE_S)
         self.assertEqual([], self.platform.doubled_tasks())
+
+    def test_a_late_start_of_a_previous_owner_runs_alone(self) -> None:
+        """Guards against two runs of one task: a start of the previous owner was carried out late
+        by a process of the endpoint that the next owner knew nothing of."""
+        self.run_first_job()
+        self.hold_second_start()
+        held_at = time.monotonic()
+        self.restart_unheard()
+        self.cut_off()
+        self.site.kill(self.owner())
+        eventually(lambda: self.runs_of("b") > 0, held_at + HELD_S - time.monotonic())
+        self.platform.carry_out_held(self.host)
+        time.sleep(LEASE_S)
+        self.assertEqual([], self.platform.doubled_tasks())
