Red: a start for the former process, carried out late by one that its owner never heard of

As with a start whose answer is lost, but it was sent to the former process and carried out by the next one 0.3 s later. The platform's pages say that a server under its old id takes calls that were meant for its former life.

--- a/tests/platform/test_restarts_out_of_sight.py
+++ b/tests/platform/test_restarts_out_of_sight.py
@@ -23,3 +23,14 @@
         self.platform.add_host(POOL)
         time.sleep(LEASE_S)
         self.assertEqual([], self.platform.doubled_tasks())
+
+    def test_a_late_start_that_an_unknown_process_took_runs_alone(self) -> None:
+        """Guards against two runs of one task: a start for the former process was carried out
+        late by a new one, of which no entry had arrived."""
+        self.run_first_job()
+        self.hold_second_start()
+        self.restart_unheard()
+        self.platform.carry_out_held(self.host)
+        self.cut_off()
+        time.sleep(LEASE_S)
+        self.assertEqual([], self.platform.doubled_tasks())
