Red: a start without an answer that begins after its owner's lease has expired

The start is carried out behind the cut by a process that the owner never heard of, after the owner has given the run up. The former process would have refused it as late; the new one's clock began anew.

--- a/tests/platform/test_restarts_out_of_sight.py
+++ b/tests/platform/test_restarts_out_of_sight.py
@@ -3,6 +3,7 @@
 import time
 
 from standins._order_faults import OrderFault
+from tests.execution.fakes import eventually
 from tests.platform.restarts import LEASE_S, POOL, RestartCase
 
 YOUNG_CLOCK_MS = 4_000
@@ -34,3 +35,16 @@
         self.cut_off()
         time.sleep(LEASE_S)
         self.assertEqual([], self.platform.doubled_tasks())
+
+    def test_a_start_that_is_carried_out_behind_a_cut_runs_alone(self) -> None:
+        """Guards against two runs of one task: a start without an answer was carried out by a new
+        process after the lease that the owner had given had expired."""
+        self.run_first_job()
+        self.hold_second_start()
+        held_at = time.monotonic()
+        self.restart_unheard()
+        self.cut_off()
+        eventually(lambda: self.runs_of("b") > 0, held_at + HELD_S - time.monotonic())
+        self.platform.carry_out_held(self.host)
+        time.sleep(LEASE_S)
+        self.assertEqual([], self.platform.doubled_tasks())
