--- a/tests/platform/test_restarts_out_of_sight.py
+++ b/tests/platform/test_restarts_out_of_sight.py
@@ -48,3 +48,17 @@
         self.platform.carry_out_held(self.host)
         time.sleep(LEASE_S)
         self.assertEqual([], self.platform.doubled_tasks())
+
+
+class YoungClocksTest(RestartCase):
+    clocks_ms = (YOUNG_CLOCK_MS, 0)
+
+    def test_a_start_that_a_process_with_a_similar_clock_took_runs_alone(self) -> None:
+        """Guards against two runs of one task: the answer of a new process was taken for one of
+        the former process, since both had started lately and their clocks were close."""
+        self.run_first_job()
+        self.restart_unheard()
+        self.start_second_job()
+        self.cut_off()
+        time.sleep(LEASE_S)
+        self.assertEqual([], self.platform.doubled_tasks())
