Red: an endpoint that was off the list and comes back to the next owner

The endpoint is cut off and taken off the stored list, its owner is killed, and the next owner writes the first start times for another endpoint, which drops its own. So it comes back as one that no one has called, though a late renewal by the first owner, carried out by its new process before that was polled, holds the longest lease there.

--- a/tests/platform/test_restarts_before_a_take_over.py
+++ b/tests/platform/test_restarts_before_a_take_over.py
@@ -5,7 +5,7 @@
 from standins import users_platform
 from standins.users_platform import Amounts
 from tests.execution.fakes import eventually
-from tests.platform.restarts import LEASE_S, POOL, RestartCase
+from tests.platform.restarts import CUT_S, LEASE_S, POOL, RestartCase
 
 LARGE = Amounts(64000, 65536)
 LARGE_CPU = 32000
@@ -65,3 +65,33 @@
         self.platform.carry_out_held(self.host)
         time.sleep(LEASE_S)
         self.assertEqual([], self.platform.doubled_tasks())
+
+    def test_late_renewals_for_an_endpoint_that_was_off_the_list_are_waited_for(self) -> None:
+        """Guards against two runs of one task: an endpoint was taken off the list, came back to
+        the next owner under its id, and held the longest lease by a late renewal of the former
+        owner."""
+        self.run_first_job()
+        self.platform.set_capacity(self.host, LARGE)
+        other = self.platform.add_host(POOL)
+        self.hold_renewal()
+        self.restart_unheard()
+        self.platform.cut_endpoint(self.host, CUT_S)
+        self.assertTrue(eventually(lambda: not self.is_listed()))
+        former = self.owner()
+        self.site.kill(former)
+        self.wait_for_next_owner(former)
+        # The owner stores the first processes anew for an endpoint that it hasn't seen before.
+        added = self.platform.add_host(POOL)
+        endpoint = self.platform.endpoint_of(added)
+        self.assertTrue(eventually(lambda: endpoint in self.first_starts()))
+        self.platform.carry_out_held(self.host)
+        self.platform.cut_endpoint(self.host, 0.0)
+        self.platform.unheard.clear()
+        self.assertTrue(eventually(self.is_listed))
+        self.start_second_job(LARGE_CPU)
+        self.platform.cut_endpoint(self.host, 2 * LEASE_S)
+        # One of them may be given to the standby pool.
+        for host in (other, added):
+            self.platform.set_capacity(host, LARGE)
+        time.sleep(LEASE_S)
+        self.assertEqual([], self.platform.doubled_tasks())
