Red: a late start of a previous owner in a process that began after the take-over

The next owner polls the endpoint's process, finds nothing, and starts the task elsewhere. Then the endpoint starts again, which loses the fencing token, and carries out a start of the first owner before the next owner's first poll. The next owner can't see that this may happen: no record tells of starts without an answer.

--- a/tests/platform/test_restarts_before_a_take_over.py
+++ b/tests/platform/test_restarts_before_a_take_over.py
@@ -66,6 +66,22 @@
         time.sleep(LEASE_S)
         self.assertEqual([], self.platform.doubled_tasks())
 
+    def test_a_late_start_in_a_process_that_began_after_the_take_over_runs_alone(self) -> None:
+        """Guards against two runs of one task: the next owner had polled the endpoint, which then
+        started again and carried out a late start of the previous owner."""
+        self.run_first_job()
+        self.hold_second_start()
+        self.platform.set_capacity(self.host, Amounts())
+        self.platform.add_host(POOL)
+        former = self.owner()
+        self.site.kill(former)
+        self.wait_for_next_owner(former)
+        eventually(lambda: self.runs_of("b") > 0, HELD_S / 2)
+        self.restart_unheard()
+        self.platform.carry_out_held(self.host)
+        time.sleep(LEASE_S)
+        self.assertEqual([], self.platform.doubled_tasks())
+
     def test_late_renewals_for_an_endpoint_that_was_off_the_list_are_waited_for(self) -> None:
         """Guards against two runs of one task: an endpoint was taken off the list, came back to
         the next owner under its id, and held the longest lease by a late renewal of the former
