Red: a late renewal lengthens the lease of a run whose endpoint its owner had polled

What callers see: two runs of one task at once, with two owners, neither of them begun late, as in the users' record. The owner polls the endpoint's new process and starts a task there. A renewal that it had sent to the former process is then carried out by the new one, by whose clock its expiry lies far ahead: the run holds the longest lease (10 s). The endpoint is cut off, its entry goes, its owner is killed, and the next owner waits 5.5 s.

--- a/tests/platform/test_restarts_before_a_take_over.py
+++ b/tests/platform/test_restarts_before_a_take_over.py
@@ -52,6 +52,20 @@
         time.sleep(LEASE_S)
         self.assertEqual([], self.platform.doubled_tasks())
 
+    def test_a_task_whose_lease_a_late_renewal_lengthened_runs_alone(self) -> None:
+        """Guards against two runs of one task: its owner had polled the new process, in which a
+        late renewal by the former one's clock then gave it the longest lease."""
+        self.run_first_job()
+        self.hold_renewal()
+        self.restart_unheard()
+        self.hear_new_process()
+        self.assertTrue(eventually(lambda: self.runs_of("a") == 2))
+        self.platform.carry_out_held(self.host)
+        self.cut_off()
+        self.site.kill(self.owner())
+        time.sleep(LEASE_S)
+        self.assertEqual([], self.platform.doubled_tasks())
+
     def test_a_late_start_of_a_previous_owner_runs_alone(self) -> None:
         """Guards against two runs of one task: a start of the previous owner was carried out late
         by a process of the endpoint that the next owner knew nothing of."""
