A host that was down for a moment is no evidence against the next process of its endpoint

What callers would see: two runs of one task. Cause: the state of a host tells of a process that has ended, and was taken for the end of every later one. Change (_host_view.py): a run has ended if its host is shown as down as of a time after the run's last sign; with a copy of its start unanswered only once the host has been down for three seconds. A host that moves, is in upkeep, has another endpoint, or is missing in two listings in a row ends all of them (the last is new: a host that is lost for good need not be waited for 25 s). A later owner takes a host as down, or an endpoint as gone, from 3.6 s after the take-over, not 1.6 s. Price: 2 s more after a take-over for a crashed endpoint's tasks; 3 s more for one whose start got no answer.

--- a/src/lentilrill/execution/_held_runs.py
+++ b/src/lentilrill/execution/_held_runs.py
@@ -17,13 +17,12 @@
     """
     # Computed once: a pool has tens of thousands of runs, and most endpoints renew their leases.
     has_lapsed = 0 < link.lease_end < now
-    has_ended = link.host_shows_end and not link.reachable
     found = []
     for run in link.runs_by_key.values():
         if run.is_unsent:
             if link.closed or now - run.placed_at > MAX_UNSENT_S:
                 found.append((run, "its start was not sent in time"))
-        elif has_ended:
+        elif not link.reachable and link.host_view.shows_end_of(run):
             found.append((run, "the list of hosts shows that its endpoint has ended"))
         elif has_lapsed and now > link.lease_end_of(run):
             found.append((run, "its lease has lapsed out of sight"))
--- a/src/lentilrill/execution/_host_evidence.py
+++ b/src/lentilrill/execution/_host_evidence.py
@@ -9,14 +9,10 @@
 from lentilrill.execution._previous_endpoints import PreviousEndpoints
 from lentilrill.ids import EndpointId, PoolId
 from lentilrill.telemetry import Event, log
-from lentilrill.upkeep import HostState
 from lentilrill.workloads import EndpointEntry
 
 __all__ = ["HostEvidence"]
 
-MAX_LIST_LAG_S = 2.0
-"""Time by which the list of hosts may be late."""
-
 
 class HostEvidence:
     """Requests listings of the hosts while endpoints are out of reach, and applies them.
@@ -54,12 +50,10 @@
     def _apply_to_lost(self, listing: HostListing) -> None:
         """Note which lost endpoints have ended, whose runs need not be waited for any longer."""
         for link in self._links.by_id.values():
-            row = listing.rows_by_id.get(link.entry.host)
-            is_since = listing.asked_at > link.unreachable_since + MAX_LIST_LAG_S
-            if link.reachable or not link.runs_by_key or row is None or not is_since:
-                continue
-            is_other = bool(row.endpoint) and row.endpoint != link.entry.id
-            link.host_shows_end = row.state is not HostState.UP or is_other
+            host = link.entry.host
+            if host and not link.reachable and listing.valid_at > link.unreachable_since:
+                row = listing.rows_by_id.get(host)
+                link.host_view.apply(row, listing, link.entry.id, is_registered=link.registered)
 
     def _apply_to_previous(
         self, listing: HostListing, entries: dict[EndpointId, EndpointEntry]
--- a/src/lentilrill/execution/_host_reader.py
+++ b/src/lentilrill/execution/_host_reader.py
@@ -12,21 +12,30 @@
 from lentilrill.telemetry import Dependency, run_and_log_errors
 from lentilrill.upkeep import HostCalls, HostRow
 
-__all__ = ["NO_HOST_SOURCE", "HostListing", "HostReader", "HostSource"]
+__all__ = ["MAX_LIST_LAG_S", "NO_HOST_SOURCE", "HostListing", "HostReader", "HostSource"]
 
 READ_INTERVAL_S = 1.0
 """Minimum interval between two reads by one process; the rate of all processes is limited."""
 
 
+MAX_LIST_LAG_S = 2.0
+"""Time by which the list of hosts may be late."""
+
+
 class HostListing(msgspec.Struct, frozen=True):
     """Result of one read of the list of hosts.
 
-    :param asked_at: monotonic time at which the read began; the rows show no earlier state.
+    :param asked_at: monotonic time at which the read began.
     """
 
     rows_by_id: Mapping[HostId, HostRow]
     asked_at: float
 
+    @property
+    def valid_at(self) -> float:
+        """Monotonic time before which the rows show no state."""
+        return self.asked_at - MAX_LIST_LAG_S
+
 
 class HostSource(Protocol):
     """Source of listings of the hosts."""
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -15,6 +15,7 @@
     StartOrder,
     Verdict,
 )
+from lentilrill.execution._host_view import HostView
 from lentilrill.execution._orders import URGENCY_BY_KIND, Order, OrderKind
 from lentilrill.execution._run_leases import (
     MAX_LEASE_S,
@@ -107,7 +108,7 @@
     :ivar capacity_share: share of its capacity that it has in effect at its speed.
     :ivar leases: leases that it was given.
     :ivar unreachable_since: when the first of its calls without an answer ended.
-    :ivar host_shows_end: whether the list of hosts shows that its process has ended since.
+    :ivar host_view: what the list of hosts shows of its host since.
     :ivar others_called_until: monotonic time until which previous owners may have called it.
     :ivar first_started_ms: start time of the process that was called first; 0 if unknown.
     """
@@ -151,7 +152,7 @@
         or come from another process, which adds this to each lease."""
         self._refuted_started_ms = 0
         self.unreachable_since = 0.0
-        self.host_shows_end = False
+        self.host_view = HostView()
         self.speed = Speed.NORMAL
         self.capacity_share = 1.0
         self.pace = 100
--- a/src/lentilrill/execution/_previous_endpoints.py
+++ b/src/lentilrill/execution/_previous_endpoints.py
@@ -60,7 +60,7 @@
         row = _row_of(endpoint, entry, listing)
         if row is not None and row.state in (HostState.MOVING, HostState.UPKEEP):
             return True
-        if listing.asked_at < self._since + PREVIOUS_LEASE_S:
+        if listing.valid_at < self._since + PREVIOUS_LEASE_S:
             return False
         if row is not None:
             self._absent_at_by_id.pop(endpoint, None)
--- a/src/lentilrill/execution/_responses.py
+++ b/src/lentilrill/execution/_responses.py
@@ -127,7 +127,7 @@
                     )
                     self._crashes.on_silent(link)
                     link.unreachable_since = time.monotonic()
-                    link.host_shows_end = False
+                    link.host_view.clear()
                 link.reachable = False
                 return
             now = time.monotonic()
