A newer process gets no acknowledgement of its former one's ends

What callers would see: a task runs again after it was done: the poll that finds the next process acknowledges the end there whose number the former process had used, unseen. Cause: the cursor went along although an answer or the entry had shown a newer process. Change: such a poll acknowledges nothing.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -366,7 +366,8 @@
         sent = time.monotonic()
         # An endpoint that was silent may have restarted: the cursor of its previous process would
         # acknowledge ends of the new one that nobody has seen.
-        cursor = self.stored_cursor if self.reachable else 0
+        is_known = self.reachable and not self.has_newer_process
+        cursor = self.stored_cursor if is_known else 0
         result = self._send_poll(cursor, expiry, wait_ms)
         if self._ended.is_set():
             return
--- a/tests/execution/test_evidence_of_ends.py
+++ b/tests/execution/test_evidence_of_ends.py
@@ -134,6 +134,19 @@
             self.assertEqual(ended, PreviousEndpoints(POOL, SINCE).ended({E1}, listing, entries))
 
 
+class CursorOfAFormerProcessTest(SentStartCase):
+    def test_a_newer_process_gets_no_acknowledgement_of_the_former_ones_ends(self) -> None:
+        """Guards against a task that ran again after it was done: the poll that found the next
+        process acknowledged, unseen, an end there whose number the former process had used."""
+        self.link.stored_cursor = self.link.seen_cursor = 57
+        self.link.note_process(OrderAnswer(Verdict.DONE, clock_ms=500_000))
+        self.assertTrue(self.link.has_newer_process)
+        with patch.object(self.link, "_send_poll", side_effect=EOFError) as send:
+            self.assertRaises(EOFError, self.link._poll_reports)
+        cursor, *_ = send.call_args.args
+        self.assertEqual(0, cursor)
+
+
 class ListWithoutAnAnswerTest(LaterOwnersCase):
     def setUp(self) -> None:
         super().setUp()
