The lag of an answer's clock counts by a clock that may be slow

Cause: a lease that lasts longer by the lag of the answering process's clock was reckoned without that clock's error, 0.2 s at 10 s. Change: as all other leases. By reading only (the reviewer's), no test of its own.

--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -18,6 +18,7 @@
 from lentilrill.execution._host_view import HostView
 from lentilrill.execution._orders import URGENCY_BY_KIND, Order, OrderKind
 from lentilrill.execution._run_leases import (
+    MAX_CLOCK_ERROR,
     MAX_LEASE_S,
     NEVER,
     RUN_LEASE_S,
@@ -230,7 +231,8 @@
         """Monotonic time at which all leases given to the known process of this endpoint have
         expired, clock error included; 0 if none was given."""
         end = self.leases.end
-        return max(end + self._lag_s if end else end, self._end_by_others)
+        lag_s = self._lag_s / (1 - MAX_CLOCK_ERROR)
+        return max(end + lag_s if end else end, self._end_by_others)
 
     def lease_end_of(self, run: Run) -> float:
         """Return the time at which a run's lease has expired, whichever process carries it out."""
