An endpoint that returns at another address is polled there while its former tasks are waited for

What callers would see: tasks of a zone stand still for 27 s: the owner polls the address of a previous owner's list, though the endpoint has registered another one. Cause: a link to an endpoint whose tasks may run was never replaced. Change: it is, and the endpoint stays among the unpolled ones.

--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -160,8 +160,9 @@
             gone = [link for link in self.by_id.values() if self._can_close(link)]
             for link in gone:
                 link.close()
+                if not self._previous_tasks_may_run(link.entry.id):
+                    self.unpolled.discard(link.entry.id)
                 del self.by_id[link.entry.id]
-                self.unpolled.discard(link.entry.id)
                 self._note_closed(link)
         # Without its start time, nothing would tell a later owner that an endpoint which is off the
         # list was called.
@@ -300,10 +301,11 @@
         # such tasks a second time.
         endpoint = link.entry.id
         tasks_may_run = endpoint in self.unpolled and self._previous_tasks_may_run(endpoint)
-        if tasks_may_run:
-            return False
         if link.registered:
+            # It stays among the unpolled ones, whose tasks may run.
             return not link.runs_by_key and not link.reachable and _has_moved(link)
+        if tasks_may_run:
+            return False
         now = time.monotonic()
         silent = now - max(link.answered_at, link.opened_at) > MAX_SILENCE_S
         return not link.runs_by_key and (link.closed or (silent and now > link.lease_end))
--- a/tests/execution/test_evidence_of_ends.py
+++ b/tests/execution/test_evidence_of_ends.py
@@ -134,6 +134,34 @@
             self.assertEqual(ended, PreviousEndpoints(POOL, SINCE).ended({E1}, listing, entries))
 
 
+class WaitsThatNothingNeedsTest(LaterOwnersCase):
+    def test_a_process_that_answered_before_the_start_times_were_read(self) -> None:
+        """Guards against tasks that stand still: an endpoint that answered while the records were
+        loaded counted as restarted, though it was the process that was called first."""
+        self.register(started_ms=1)
+        self.assertTrue(self.take_over().refresh(self.entries))
+        with patch.object(EndpointList, "load_first_starts"):
+            links = self.take_over()
+        link = links.by_id[E1]
+        link.reset(1)
+        links.load_first_starts()
+        self.assertLess(link.lease_end, time.monotonic() + MAX_ORDER_DELAY_S)
+
+    def test_an_endpoint_that_returns_at_another_address_is_polled_there(self) -> None:
+        """Guards against tasks that stand still: a later owner went on polling the address on the
+        previous one's list, though the endpoint had registered another one since."""
+        self.register(started_ms=1)
+        self.assertTrue(self.take_over().refresh(self.entries))
+        del self.entries[E1]
+        links = self.take_over()
+        entry = an_endpoint("e1", started_ms=2)
+        self.entries[E1] = msgspec.structs.replace(entry, address="10.0.0.99:1")
+        for _ in range(2):
+            self.assertTrue(links.refresh(self.entries))
+        self.assertEqual("10.0.0.99:1", links.by_id[E1].opened_entry.address)
+        self.assertIn(E1, links.unpolled)
+
+
 class CursorOfAFormerProcessTest(SentStartCase):
     def test_a_newer_process_gets_no_acknowledgement_of_the_former_ones_ends(self) -> None:
         """Guards against a task that ran again after it was done: the poll that found the next
