--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -15,8 +15,10 @@
     StartOrder,
     Verdict,
 )
+from lentilrill.execution._host_view import HostView
 from lentilrill.execution._orders import URGENCY_BY_KIND, Order, OrderKind
 from lentilrill.execution._run_leases import (
+    MAX_CLOCK_ERROR,
     MAX_LEASE_S,
     NEVER,
     RUN_LEASE_S,
@@ -107,7 +109,7 @@
     :ivar capacity_share: share of its capacity that it has in effect at its speed.
     :ivar leases: leases that it was given.
     :ivar unreachable_since: when the first of its calls without an answer ended.
-    :ivar host_shows_end: whether the list of hosts shows that its process has ended since.
+    :ivar host_view: what the list of hosts shows of its host since.
     :ivar others_called_until: monotonic time until which previous owners may have called it.
     :ivar first_started_ms: start time of the process that was called first; 0 if unknown.
     """
@@ -151,7 +153,7 @@
         or come from another process, which adds this to each lease."""
         self._refuted_started_ms = 0
         self.unreachable_since = 0.0
-        self.host_shows_end = False
+        self.host_view = HostView()
         self.speed = Speed.NORMAL
         self.capacity_share = 1.0
         self.pace = 100
@@ -229,7 +231,8 @@
         """Monotonic time at which all leases given to the known process of this endpoint have
         expired, clock error included; 0 if none was given."""
         end = self.leases.end
-        return max(end + self._lag_s if end else end, self._end_by_others)
+        lag_s = self._lag_s / (1 - MAX_CLOCK_ERROR)
+        return max(end + lag_s if end else end, self._end_by_others)
 
     def lease_end_of(self, run: Run) -> float:
         """Return the time at which a run's lease has expired, whichever process carries it out."""
@@ -365,7 +368,8 @@
         sent = time.monotonic()
         # An endpoint that was silent may have restarted: the cursor of its previous process would
         # acknowledge ends of the new one that nobody has seen.
-        cursor = self.stored_cursor if self.reachable else 0
+        is_known = self.reachable and not self.has_newer_process
+        cursor = self.stored_cursor if is_known else 0
         result = self._send_poll(cursor, expiry, wait_ms)
         if self._ended.is_set():
             return
