--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -196,6 +196,21 @@
         if endpoint is not None:
             endpoint.cut_off(for_s)
 
+    def add_entry(self, name: str, pool: str, address: str) -> None:
+        """Write the entry of an endpoint that the platform itself doesn't run."""
+        entry = {
+            "service": pool,
+            "address": address,
+            "state": "ready",
+            "zone": "holyoke",
+            "capacity": msgspec.structs.asdict(ENDPOINT_CAPACITY),
+            "labels": ["a", "r1"],
+            "machine": name,
+            "born": 1,
+            "seq": 1,
+        }
+        self.store.put(f"servers/{name}", msgspec.json.encode(entry))
+
     def set_capacity(self, host: str, capacity: Amounts) -> None:
         """Change the capacity that the endpoint of a host has; runs that exceed it continue."""
         with self._lock:
