An answer has a length and a deadline, whatever the peer sends

Cause: each client trusted the HTTP library with the framing. It bounds single lines, but neither interim answers nor the number of trailer lines, and each read begins the timeout anew. A body could have 64 MiB, whatever was asked, and any number of bodies arrived at the same time.

Change: every client reads through BoundedConnection, which counts all bytes that arrive, lines of chunks and trailers included, and has one deadline for the head and one for the rest. The bound depends on what is asked: 64 KiB for the answer to an order, 2 MiB to a poll, 8 MiB for a page of the store. Answers above 64 KiB share 64 MiB. A part that arrived in time still counts however late it is read. An answer beyond a limit is no answer: what it was to confirm may have been done. Event 409 names the peer, at most once in ten seconds for each client.

--- a/src/lentilrill/gateway/_connections.py
+++ b/src/lentilrill/gateway/_connections.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 
-from urllib3.connection import HTTPConnection
+from lentilrill.bounded_http import BoundedConnection
 
 __all__ = ["ConnectionCache", "EndpointConnection"]
 
@@ -39,7 +39,7 @@
     :param is_new: whether it was opened for this exchange, so that the endpoint is reachable.
     """
 
-    def __init__(self, http_connection: HTTPConnection, address: str, is_new: bool) -> None:
+    def __init__(self, http_connection: BoundedConnection, address: str, is_new: bool) -> None:
         self.http_connection = http_connection
         self.address = address
         self.is_new = is_new
@@ -182,7 +182,7 @@
     def _open(self, address: str, timeout_s: float, source_ip: str) -> EndpointConnection:
         host, _, port = address.rpartition(":")
         is_usable = source_ip and source_ip.startswith("[") == host.startswith("[")
-        http_connection = HTTPConnection(
+        http_connection = BoundedConnection(
             host.strip("[]"),
             int(port),
             timeout=max(0.001, min(timeout_s, self._connect_timeout_s)),
--- a/src/lentilrill/gateway/_exchange.py
+++ b/src/lentilrill/gateway/_exchange.py
@@ -22,7 +22,10 @@
 MAX_CONTENT_LENGTH = 2**63 - 1
 GATEWAY_HEADERS = frozenset(("content-length", ENDPOINT_STATE, REQUEST_ID, "gateway-problem"))
 READ_TIMEOUT_S = 60.0
-"""Timeout of one read of a long response body."""
+"""Timeout of each part of a long response body."""
+MAX_PART_BYTES = 16 * CHUNK_BYTES
+"""Maximum length of a part of a response body with the lines of its chunks and its trailers: chunks
+of one byte, which are the most wasteful, take six."""
 
 
 class ExchangeError(Exception):
@@ -139,6 +142,7 @@
 
     def _iter_parts(self, answer_by: float | None) -> Iterator[bytes]:
         assert self._response is not None
+        http_connection = self._connection.http_connection
         while True:
             left_s = READ_TIMEOUT_S if answer_by is None else answer_by - time.monotonic()
             if left_s <= 0:
@@ -148,6 +152,7 @@
                 # once it has read the last byte.
                 if self._sock.fileno() >= 0:
                     self._sock.settimeout(min(left_s, READ_TIMEOUT_S))
+                http_connection.limit(MAX_PART_BYTES, time.monotonic() + left_s)
                 part = self._response.read(CHUNK_BYTES)
             except (OSError, HTTPException, HTTPError, ValueError) as error:
                 raise ExchangeError(f"the answer broke off: {error!r}") from error
--- a/src/lentilrill/platform/_endpoints.py
+++ b/src/lentilrill/platform/_endpoints.py
@@ -24,6 +24,13 @@
 """Time that a poll may take beyond its wait before its connection counts as silent."""
 
 
+MAX_POLL_BYTES = 2 * 1024 * 1024
+"""Maximum length of the answer to a poll: rows of some 100 bytes, for runs and ends not yet
+acknowledged, of which an endpoint has some thousands at most."""
+MAX_ORDER_BYTES = 64 * 1024
+"""Maximum length of the answer to an order, which is one short object."""
+
+
 class _StartBody(msgspec.Struct, omit_defaults=True):
     task: str
     run_id: int
@@ -65,8 +72,12 @@
 
     def __init__(self, entry: EndpointEntry, metrics: Metrics) -> None:
         self._headers = {"Expect-Instance": str(entry.id)}
-        self._poll_transport = Transport((entry.address,), headers=self._headers)
-        self._order_transport = Transport((entry.address,), headers=self._headers)
+        self._poll_transport = Transport(
+            (entry.address,), headers=self._headers, max_answer_bytes=MAX_POLL_BYTES
+        )
+        self._order_transport = Transport(
+            (entry.address,), headers=self._headers, max_answer_bytes=MAX_ORDER_BYTES
+        )
         self._metrics = metrics
 
     def start(self, order: StartOrder) -> OrderAnswer:
--- a/src/lentilrill/platform/_hosts.py
+++ b/src/lentilrill/platform/_hosts.py
@@ -12,6 +12,12 @@
 __all__ = ["PlatformHosts"]
 
 CALL_TIMEOUT_S = 1.0
+MAX_PAGE_BYTES = 4 * 1024 * 1024
+"""Maximum length of a page, of rows of some 200 bytes."""
+MAX_PAGES = 1000
+"""Maximum number of pages of one list; a list that goes on is none."""
+MAX_ORDER_BYTES = 64 * 1024
+"""Maximum length of the answer to an order, which is one short object."""
 OK = 200
 HOST_STATE_BY_VALUE = {state.value: state for state in HostState}
 HOST_ORDER_BY_REASON = {
@@ -43,13 +49,13 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._list_transport = Transport((address,))
+        self._list_transport = Transport((address,), max_answer_bytes=MAX_PAGE_BYTES)
 
     def hosts(self) -> Result[tuple[HostRow, ...], Fault]:
         """Read the whole list, page by page."""
         rows: list[HostRow] = []
         token = ""
-        while True:
+        for _ in range(MAX_PAGES):
             path = "/machines" + (f"?page_token={token}" if token else "")
             result = self._list_transport.request(
                 "hosts.list", Effect.REPEATABLE, "GET", path, b"", CALL_TIMEOUT_S
@@ -78,6 +84,8 @@
             if not page.next_token:
                 return Success(tuple(rows))
             token = page.next_token
+        reason = f"the list has more than {MAX_PAGES} pages"
+        return Failure(Fault("hosts.list", self._address, FaultKind.INVALID, reason))
 
     def move(self, host: HostId, pool: PoolId, holder: ProcessId, token: int) -> HostOrderResult:
         """Move a host into another pool."""
@@ -91,7 +99,7 @@
         self, path: str, body: dict[str, object], holder: ProcessId, token: int
     ) -> HostOrderResult:
         headers = {"Lease-Holder": str(holder), "Fencing-Token": str(token)}
-        transport = Transport((self._address,), headers=headers)
+        transport = Transport((self._address,), headers=headers, max_answer_bytes=MAX_ORDER_BYTES)
         result = transport.request(
             "hosts.order", Effect.ONCE, "POST", path, msgspec.json.encode(body), CALL_TIMEOUT_S
         )
--- a/src/lentilrill/platform/_kv.py
+++ b/src/lentilrill/platform/_kv.py
@@ -12,7 +12,7 @@
 from lentilrill.platform._kv_commits import CALL_TIMEOUT_S, Commits
 from lentilrill.platform._kv_leases import LeaseCalls
 from lentilrill.platform._kv_watch import PAGE_TIMEOUT_S, PlatformWatch
-from lentilrill.platform._kv_wire import NOT_FOUND, RangePage, StoredItem
+from lentilrill.platform._kv_wire import MAX_PAGE_BYTES, NOT_FOUND, RangePage, StoredItem
 from lentilrill.settings import StoreSettings
 from lentilrill.store import (
     CallBudget,
@@ -45,7 +45,7 @@
 
     def __init__(self, settings: StoreSettings, metrics: Metrics) -> None:
         self._address = settings.address
-        self._transport = Transport((settings.address,))
+        self._transport = Transport((settings.address,), max_answer_bytes=MAX_PAGE_BYTES)
         budget = CallBudget(settings.calls_per_s)
         self._guard = CallGuard(settings.address, DEADLINE_S, budget, metrics)
         self._answers = StoreAnswers()
--- a/src/lentilrill/platform/_kv_leases.py
+++ b/src/lentilrill/platform/_kv_leases.py
@@ -23,6 +23,8 @@
 """Timeouts of the two attempts of a lease call. The second allows for a busy link, and their sum
 is short enough for another renewal within a lease of 1.6 s."""
 REVOKE_TIMEOUT_S = 0.5
+MAX_LEASE_BYTES = 64 * 1024
+"""Maximum length of an answer, which is one short object."""
 
 
 class LeaseCalls:
@@ -35,7 +37,7 @@
     """
 
     def __init__(self, address: str, answers: StoreAnswers, metrics: Metrics) -> None:
-        self._transport = Transport((address,))
+        self._transport = Transport((address,), max_answer_bytes=MAX_LEASE_BYTES)
         self._answers = answers
         self._metrics = metrics
 
--- a/src/lentilrill/platform/_kv_watch.py
+++ b/src/lentilrill/platform/_kv_watch.py
@@ -10,7 +10,7 @@
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import Revision
 from lentilrill.platform._kv_answers import StoreAnswers
-from lentilrill.platform._kv_wire import OK, Events, fault_of
+from lentilrill.platform._kv_wire import MAX_PAGE_BYTES, OK, Events, fault_of
 from lentilrill.store import DECODE_ERRORS, Effect, Transport, WatchBatch
 
 __all__ = ["PAGE_TIMEOUT_S", "PlatformWatch"]
@@ -30,7 +30,7 @@
 
     def __init__(self, answers: StoreAnswers, address: str, prefix: str, after: Revision) -> None:
         self._answers = answers
-        self._transport = Transport((address,))
+        self._transport = Transport((address,), max_answer_bytes=MAX_PAGE_BYTES)
         self._prefix = prefix
         self._after = after
         self._closed = threading.Event()
--- a/src/lentilrill/platform/_kv_wire.py
+++ b/src/lentilrill/platform/_kv_wire.py
@@ -7,6 +7,7 @@
 from lentilrill.store import DECODE_ERRORS, Compare, DeleteRange, Item, Put
 
 __all__ = [
+    "MAX_PAGE_BYTES",
     "NOT_FOUND",
     "NO_CONTENT",
     "NO_EFFECT_STATUSES",
@@ -34,6 +35,11 @@
 """Statuses that mean that a commit had no effect."""
 
 
+MAX_PAGE_BYTES = 8 * 1024 * 1024
+"""Maximum length of an answer: several times a page, which may have about 1 MB and end with one
+more value of that length, encoded as text."""
+
+
 class StoredItem(msgspec.Struct):
     """A key and its value.
 
--- a/src/lentilrill/platform/_policy.py
+++ b/src/lentilrill/platform/_policy.py
@@ -17,6 +17,9 @@
 """Timeout of a call. The service processes the calls of a host one after the other, and each takes
 about half a second for thirty endpoints, so a call may wait for some calls of other pools."""
 
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+"""Maximum length of an answer, of one ticket for each endpoint of a pool."""
+
 
 class _Request(msgspec.Struct):
     step: str
@@ -37,7 +40,7 @@
     """
 
     def __init__(self, address: str, metrics: Metrics) -> None:
-        self._transport = Transport((address,))
+        self._transport = Transport((address,), max_answer_bytes=MAX_ANSWER_BYTES)
         self._metrics = metrics
 
     def request_tickets(
--- a/src/lentilrill/store/_transport.py
+++ b/src/lentilrill/store/_transport.py
@@ -8,7 +8,6 @@
 import msgspec
 import urllib3
 from returns.result import Failure, Result, Success
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -17,23 +16,32 @@
     ReadTimeoutError,
 )
 
+from lentilrill.bounded_http import (
+    MAX_HEAD_BYTES,
+    AnswerTooLongError,
+    BoundedPool,
+    ByteBudget,
+    limit_answer,
+)
 from lentilrill.faults import Fault, FaultKind
 from lentilrill.store._guard import Effect
+from lentilrill.telemetry import Event, log
 
 __all__ = ["DECODE_ERRORS", "Transport", "failure_reason"]
 
 DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, OverflowError, RecursionError)
 """Exceptions that decoding a malformed answer may raise."""
 
-ANSWER_TOO_SLOW = "the answer did not end in time"
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Maximum length of an answer of a service that says nothing shorter."""
 READ_BYTES = 64 * 1024
-LATE_READ_TIMEOUT_S = 0.02
-"""Maximum wait for each further part of an answer after its deadline: parts that arrived in time
-are already in the buffer of the socket."""
-MAX_LATE_READS = 64
-"""Maximum number of parts, of up to 64 KiB each, that are read after the deadline, so that a slow
-answer ends."""
+MAX_HELD_BYTES = 64 * 1024 * 1024
+"""Maximum number of bytes that all answers of the process hold together while they arrive: a part
+of what a machine has, and some tens of the longest pages."""
+SMALL_ANSWER_BYTES = 64 * 1024
+"""Up to this length an answer is not counted among these: too many would be needed at once."""
+LOG_INTERVAL_S = 10.0
+"""Minimum time between two log lines about answers that are too long."""
 MAX_CONNECT_S = 0.5
 MAX_IDLE_CONNECTIONS = 16
 """Maximum idle connections: as many as an entry host has threads that call the store concurrently
@@ -66,6 +74,11 @@
 """Fault kinds by gRPC status code; with any other code the call may have taken effect."""
 
 
+ANSWER_ERRORS = (HTTPError, OSError, AnswerTooLongError)
+
+_held_bytes = ByteBudget(MAX_HELD_BYTES)
+
+
 class _Refusal(msgspec.Struct):
     code: int = 0
     message: str = ""
@@ -76,6 +89,7 @@
 
     :param addresses: ``ip:port`` of each instance of the service, tried in turn.
     :param headers: headers of each request, in addition to the default ones.
+    :param max_answer_bytes: maximum length of the body of an answer, unpacked.
     """
 
     def __init__(
@@ -83,8 +97,11 @@
         addresses: tuple[str, ...],
         clock: Callable[[], float] = time.monotonic,
         headers: Mapping[str, str] | None = None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         self._addresses = addresses
+        self._max_answer_bytes = max_answer_bytes
+        self._logged_at = -LOG_INTERVAL_S
         self._headers = {**HEADERS, **(headers or {})}
         self._address_index = 0
         self._clock = clock
@@ -133,12 +150,12 @@
         response, peer = result.unwrap()
         try:
             data = self._read_all(response, deadline)
-        except (HTTPError, OSError) as error:
+        except ANSWER_ERRORS as error:
             # The rest of an abandoned answer may still arrive on this connection and be read as
             # the answer to the next request, so the connection is closed.
             response.close()
             self.fail_over(peer)
-            return Failure(Fault(step, peer, _lost_answer_kind(effect), failure_reason(error)))
+            return self._lost_answer(step, effect, peer, error)
         response.release_conn()
         self._last_used = self._clock()
         return Success((response.status, data, peer))
@@ -174,18 +191,26 @@
             return Failure(
                 Fault(step, peer, FaultKind.UNAVAILABLE, failure_reason(error), unsent=True)
             )
-        except (HTTPError, OSError) as error:
+        except ANSWER_ERRORS as error:
             self.fail_over(peer)
-            return Failure(Fault(step, peer, _lost_answer_kind(effect), failure_reason(error)))
+            return self._lost_answer(step, effect, peer, error)
         return Success((response, peer))
 
+    def read_part(self, response: urllib3.BaseHTTPResponse, silence_s: float) -> bytes:
+        """Return the next part of an answer that goes on for as long as it is needed.
+
+        :param silence_s: maximum time until the part is there, in seconds.
+        """
+        limit_answer(response, self._max_answer_bytes, self._clock() + silence_s)
+        return response.read1(READ_BYTES)
+
     def read_refusal(
         self, step: str, response: urllib3.BaseHTTPResponse, peer: str, timeout_s: float
     ) -> Fault:
         """Return the fault for an opened response whose status is not 200."""
         try:
             data = self._read_all(response, self._clock() + timeout_s)
-        except (HTTPError, OSError):
+        except ANSWER_ERRORS:
             data = b""
         response.close()
         return self._fault_of_refusal(step, Effect.REPEATABLE, peer, data).failure()
@@ -223,41 +248,47 @@
 
     def _new_pool(self) -> urllib3.HTTPConnectionPool:
         host, _, port = self.peer.rpartition(":")
-        return urllib3.HTTPConnectionPool(
+        return BoundedPool(
             host.strip("[]"),
             int(port),
             maxsize=MAX_IDLE_CONNECTIONS,
             socket_options=SOCKET_OPTIONS,
+            clock=self._clock,
         )
 
     def _read_all(self, response: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
+        """Return the body of an answer.
+
+        A complete answer is accepted after the deadline: an overloaded host may read late what
+        arrived in time.
+        """
+        limit_answer(response, self._max_answer_bytes + MAX_HEAD_BYTES, deadline)
         parts: list[bytes] = []
-        size = 0
-        late_reads = 0
-        while part := self._read_part(response, is_late=late_reads > 0):
-            parts.append(part)
-            size += len(part)
-            if size > MAX_ANSWER_BYTES:
-                raise HTTPError("the answer is too long")
-            if self._clock() <= deadline or response.length_remaining == 0:
-                continue
-            # A complete answer is accepted after the deadline: an overloaded host may read late
-            # what arrived in time.
-            late_reads += 1
-            if late_reads > MAX_LATE_READS:
-                raise HTTPError(ANSWER_TOO_SLOW)
-        return b"".join(parts)
-
-    def _read_part(self, response: urllib3.BaseHTTPResponse, *, is_late: bool) -> bytes:
-        if not is_late:
-            return response.read1(READ_BYTES)
-        connection = response.connection
-        if isinstance(connection, HTTPConnection) and connection.sock is not None:
-            connection.sock.settimeout(LATE_READ_TIMEOUT_S)
+        size = held = 0
         try:
-            return response.read1(READ_BYTES)
-        except ReadTimeoutError as error:
-            raise HTTPError(ANSWER_TOO_SLOW) from error
+            while part := response.read1(READ_BYTES):
+                parts.append(part)
+                size += len(part)
+                if size > self._max_answer_bytes:
+                    raise AnswerTooLongError("the answer is too long")
+                if size <= SMALL_ANSWER_BYTES:
+                    continue
+                if not _held_bytes.take(len(part)):
+                    raise AnswerTooLongError("the answers that arrive are too long together")
+                held += len(part)
+            return b"".join(parts)
+        finally:
+            _held_bytes.give_back(held)
+
+    def _lost_answer(
+        self, step: str, effect: Effect, peer: str, error: Exception
+    ) -> Failure[Fault]:
+        reason = failure_reason(error)
+        now = self._clock()
+        if _too_long(error) is not None and now - self._logged_at >= LOG_INTERVAL_S:
+            self._logged_at = now
+            log(Event.ANSWER_TOO_LONG, step=step, peer=peer, reason=reason)
+        return Failure(Fault(step, peer, _lost_answer_kind(effect), reason))
 
     def _fault_of_refusal(
         self, step: str, effect: Effect, peer: str, data: bytes
@@ -276,8 +307,17 @@
     return FaultKind.AMBIGUOUS if effect is Effect.ONCE else FaultKind.UNAVAILABLE
 
 
+def _too_long(error: BaseException) -> AnswerTooLongError | None:
+    """Return the error that says that an answer is too long, if it is the cause."""
+    causes = (error, *error.args)
+    return next((cause for cause in causes if isinstance(cause, AnswerTooLongError)), None)
+
+
 def failure_reason(error: Exception) -> str:
     """Return a human-readable reason for a failed exchange."""
+    too_long = _too_long(error)
+    if too_long is not None:
+        return str(too_long)
     if isinstance(error, NewConnectionError | ConnectTimeoutError):
         return "no connection"
     if isinstance(error, ReadTimeoutError | TimeoutError):
--- a/src/lentilrill/store/_watch.py
+++ b/src/lentilrill/store/_watch.py
@@ -17,7 +17,6 @@
     DECODE_ERRORS,
     MAX_ANSWER_BYTES,
     OK,
-    READ_BYTES,
     Transport,
     failure_reason,
 )
@@ -151,7 +150,7 @@
     def _read_line(self) -> bytes:
         assert self._response is not None
         while b"\n" not in self._buffer:
-            part = self._response.read1(READ_BYTES)
+            part = self._transport.read_part(self._response, self._silence_s)
             if not part:
                 raise HTTPError("the service ended the stream")
             self._buffer += part
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -80,6 +80,11 @@
     DOCUMENT_IN_FORCE = (501, Level.INFO, "A revision of the document took effect in this process.")
     DEPENDENCY_LOST = (407, Level.WARNING, "A dependency of this process started to fail.")
     DEPENDENCY_BACK = (408, Level.INFO, "A dependency of this process works again.")
+    ANSWER_TOO_LONG = (
+        409,
+        Level.WARNING,
+        "An answer to this process was longer than its limit, and its connection was closed.",
+    )
     CONFIGURATION_IN_FORCE = (
         502,
         Level.INFO,
