Messages between entry hosts have bounds, whoever reaches their port

Cause: without keys the library reads messages ahead of the process, up to a number of messages of 16 MiB for each connection, and parts without a bound. It has no bound on connections. The sender opened one to each address named.

Change: entry hosts, which have no keys, receive ZeroMQ's protocol with a listener of their own. It handles messages as they arrive and keeps none, so a sender waits that is too fast. It closes a connection that sends several parts, a message over 4 MiB or no handshake, and, beyond inner_connections, one of the address that has most. Batches are sent apart if they would be too long. A host opens half as many connections, and replaces at most 20 a second, so that peers in use keep theirs. Senders and what is sent are as before, so hosts of both versions understand each other.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -48,6 +48,8 @@
 
 WORKSPACES_PATH = "/workspaces"
 ENDPOINTS_PATH = "/endpoints"
+MAX_BATCH_BYTES = 4 * 1024 * 1024
+"""Four times the longest value of the store, which a message may hold."""
 DRAIN_NOTICE_S = 2.4
 """Time for which a draining host still serves callers: the load balancer checks readiness once a
 second, and stops sending after two failed checks."""
@@ -76,7 +78,15 @@
         )
         self._kv = PlatformKeyValue(settings.store, self.metrics)
         self._incarnation = Incarnation(time.time_ns())
-        self._node = Node(settings.process, self._incarnation, settings.inner, None, self.metrics)
+        self._node = Node(
+            settings.process,
+            self._incarnation,
+            settings.inner,
+            None,
+            self.metrics,
+            max_batch_bytes=MAX_BATCH_BYTES,
+            max_connections=settings.inner_connections,
+        )
         self._policy = PlatformPolicy(settings.advice, self.metrics) if settings.advice else None
         hosts_api = settings.hosts_api
         self._host_reader = HostReader(PlatformHosts(hosts_api)) if hosts_api else None
--- a/src/lentilrill/inner/_codec.py
+++ b/src/lentilrill/inner/_codec.py
@@ -1,6 +1,8 @@
 """MessagePack encoding of batches of messages."""
 
 import zlib
+from collections.abc import Iterator
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -9,10 +11,11 @@
 from lentilrill.ids import Incarnation, ProcessId
 from lentilrill.inner import _claims, _entry, _grants, _state, _withdrawals
 
-__all__ = ["MAX_BATCH_BYTES", "Batch", "Message", "decode", "encode"]
+__all__ = ["MAX_BATCH_BYTES", "Batch", "Message", "decode", "encode", "encode_parts"]
 
 MAX_BATCH_BYTES = 16 * 1024 * 1024
 """Larger than the whole state of the largest fleet; a longer batch is dropped without decoding."""
+MAX_NAME_CHARACTERS = 255
 COMPRESS_FROM_BYTES = 1024
 COMPRESSION_LEVEL = 1
 PLAIN, COMPRESSED = b"\x00", b"\x01"
@@ -56,9 +59,9 @@
     :param reply_to: inner address on which the sender listens.
     """
 
-    sender: ProcessId
+    sender: Annotated[ProcessId, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
     incarnation: Incarnation
-    reply_to: str
+    reply_to: Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
     messages: tuple[Message, ...]
 
 
@@ -68,18 +71,34 @@
 
 def encode(batch: Batch) -> bytes:
     """Return ``batch`` as bytes: one byte for the format, then the data."""
-    data = _ENCODER.encode(batch)
+    return _packed(_ENCODER.encode(batch))
+
+
+def _packed(data: bytes) -> bytes:
     if len(data) < COMPRESS_FROM_BYTES:
         return PLAIN + data
     return COMPRESSED + zlib.compress(data, COMPRESSION_LEVEL)
 
 
-def decode(data: bytes) -> Result[Batch, Fault]:
+def encode_parts(batch: Batch, max_bytes: int) -> Iterator[bytes]:
+    """Yield ``batch`` as one or more batches in order, each shorter than ``max_bytes`` if its
+    messages allow it."""
+    messages = batch.messages
+    data = _ENCODER.encode(batch)
+    if len(data) < max_bytes or len(messages) <= 1:
+        yield _packed(data)
+        return
+    middle = len(messages) // 2
+    for half in (messages[:middle], messages[middle:]):
+        yield from encode_parts(msgspec.structs.replace(batch, messages=half), max_bytes)
+
+
+def decode(data: bytes, max_bytes: int = MAX_BATCH_BYTES) -> Result[Batch, Fault]:
     """Return the batch encoded in ``data``, or an ``INVALID`` fault."""
     form, body = data[:1], data[1:]
     try:
         if form == COMPRESSED:
-            body = _decompress(body)
+            body = _decompress(body, max_bytes)
         elif form != PLAIN:
             return _invalid(f"unknown batch format {form!r}")
         return Success(_DECODER.decode(body))
@@ -93,13 +112,13 @@
         return _invalid(str(error))
 
 
-def _decompress(body: bytes) -> bytes:
+def _decompress(body: bytes, max_bytes: int) -> bytes:
     """Return the decompressed ``body``, truncated at the maximum size of a batch.
 
     A few kilobytes can decompress to gigabytes and exhaust the process's memory, so the output
     is bounded. A truncated batch fails to decode.
     """
-    return zlib.decompressobj().decompress(body, MAX_BATCH_BYTES)
+    return zlib.decompressobj().decompress(body, max_bytes)
 
 
 def _invalid(reason: str) -> Result[Batch, Fault]:
--- a/src/lentilrill/settings/_process.py
+++ b/src/lentilrill/settings/_process.py
@@ -161,6 +161,8 @@
     :param max_run_lease_ms: longest lease that endpoints grant, in milliseconds.
     :param limits: resource limits of the host.
     :param threads: maximum concurrent requests.
+    :param inner_connections: maximum number of connections that others open to ``inner``, and
+        twice the number of those that this host opens to other hosts.
     """
 
     process: ProcessId
@@ -178,3 +180,4 @@
     max_run_lease_ms: PositiveFloat = 10_000.0
     limits: EntryHostLimits = EntryHostLimits()
     threads: PositiveInt = 24
+    inner_connections: PositiveInt = 1024
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -30,7 +30,11 @@
     )
     PROCESS_STOPPED = (103, Level.INFO, "The process ended cleanly.")
     TASK_FAILED = (104, Level.ERROR, "A task raised an unexpected exception and was restarted.")
-    INNER_DROPPED = (201, Level.WARNING, "A malformed or unexpected message was dropped.")
+    INNER_DROPPED = (
+        201,
+        Level.WARNING,
+        "A malformed or unexpected message was dropped, or a connection was refused.",
+    )
     INNER_REPLACED = (202, Level.INFO, "A silent connection to a peer was replaced.")
     MEMBER_REGISTERED = (305, Level.INFO, "This process is registered under a new lease.")
     PREDECESSOR_ENDED = (
--- a/tests/inner/test_node.py
+++ b/tests/inner/test_node.py
@@ -2,6 +2,7 @@
 
 import queue
 import threading
+from typing import Any
 from unittest.mock import patch
 
 import zmq
@@ -116,11 +117,11 @@
         other = self.a_node("two", node._keys)
         failed = threading.Event()
 
-        def decode(data: bytes) -> object:
+        def decode(data: bytes, *limits: int) -> object:
             if not failed.is_set():
                 failed.set()
                 raise RuntimeError("unexpected")
-            return _codec.decode(data)
+            return _codec.decode(data, *limits)
 
         with patch.object(_node, "decode", decode):
             other.send(node.address, Heartbeat(builders.a_member(), Revision(1)))
@@ -153,3 +154,71 @@
         peer.send(listener.address, Heartbeat(builders.a_member(), Revision(3)))
         self.assertEqual(3, received.get(timeout=WAIT_S).complete_to)
         faulty.close(linger=0)
+
+
+class PlainNodeTest(TestCase):
+    """Nodes without keys."""
+
+    def a_node(self, name: str, **options: int) -> Node:
+        node = Node(ProcessId(name), Incarnation(1), builders.an_address(), None, **options)
+        node.start()
+        self.addCleanup(node.close, 0.1)
+        return node
+
+    def received_by(self, node: Node) -> "queue.Queue[Heartbeat]":
+        received: queue.Queue[Heartbeat] = queue.Queue()
+        node.on(Heartbeat, lambda batch, message: received.put(message))
+        return received
+
+    def test_messages_of_several_peers_arrive_in_order(self) -> None:
+        """Guards against messages that are lost or mixed up where connections share a thread."""
+        node = self.a_node("one")
+        received = self.received_by(node)
+        peers = [self.a_node(f"peer-{n}") for n in range(4)]
+        for number in range(200):
+            for peer in peers:
+                member = builders.a_member(peer.process)
+                peer.send(node.address, Heartbeat(member, Revision(number)))
+        messages = [received.get(timeout=WAIT_S) for _ in range(800)]
+        for peer in peers:
+            numbers = [each.complete_to for each in messages if each.member.process == peer.process]
+            self.assertEqual(list(range(200)), numbers)
+
+    def test_messages_that_are_too_long_together_are_sent_apart(self) -> None:
+        """Guards against a receiver that drops all messages of a batch since they are too long."""
+        node = self.a_node("one", max_batch_bytes=2000)
+        received = self.received_by(node)
+        peer = self.a_node("two", max_batch_bytes=2000)
+        for number in range(100):
+            peer.send(node.address, Heartbeat(builders.a_member(), Revision(number)))
+        numbers = [received.get(timeout=WAIT_S).complete_to for _ in range(100)]
+        self.assertEqual(list(range(100)), numbers)
+
+    def test_a_peer_in_use_is_kept_however_many_addresses_are_named(self) -> None:
+        """Guards against a connection to every address that a message names."""
+        node = self.a_node("one", max_connections=8)
+        peer = self.a_node("two")
+        received = self.received_by(peer)
+        for number in range(50):
+            node.send(builders.an_address(), Heartbeat(builders.a_member(), Revision(1)))
+            node.send(peer.address, Heartbeat(builders.a_member(), Revision(number)))
+        numbers = [received.get(timeout=WAIT_S).complete_to for _ in range(50)]
+        self.assertEqual(list(range(50)), numbers)
+        self.assertLessEqual(len(node._sender._sockets_by_address), 4)
+
+    def test_a_connection_whose_pings_are_answered_is_kept(self) -> None:
+        """Guards against peers that connect again and again, and lose what is under way."""
+        self.patch(_node, "PING_INTERVAL_MS", 20)
+        self.patch(_node, "PING_TIMEOUT_MS", 2000)
+        node, peer = self.a_node("one"), self.a_node("two")
+        received = self.received_by(node)
+        peer.send(node.address, Heartbeat(builders.a_member(), Revision(1)))
+        received.get(timeout=WAIT_S)
+        listener: Any = node._listener
+        (connections,) = listener._connections_by_ip.values()
+        (connection,) = connections
+        heard_at = connection.heard_at
+        self.assertTrue(eventually(lambda: connection.heard_at > heard_at + 0.5))
+        peer.send(node.address, Heartbeat(builders.a_member(), Revision(2)))
+        self.assertEqual(2, received.get(timeout=WAIT_S).complete_to)
+        self.assertEqual([connection], list(*listener._connections_by_ip.values()))
