A host keeps the status of the newest hosts and pools only

What was seen: messages from nobody that name two million pools brought an entry host to 459 MB. tests/limits/test_messages.py::MessagesTest::test_unknown_pools_of_one_sender failed so on.

Cause: the status of hosts and pools is kept by the name that a message bears, and nothing but a registration, which these names don't have, limited the names.

Change: the maps keep 1,024 hosts and 2,048 pools, the newest; names and ids have 255 characters at most. Without keys a host can't tell a stranger's status from a host's: one who sends enough names displaces those of hosts until they send again, 0.7 s later.

--- a/src/lentilrill/entry/_status_exchange.py
+++ b/src/lentilrill/entry/_status_exchange.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 
+from lentilrill.bounded_maps import keep_newest
 from lentilrill.clocks import RemoteClock
 from lentilrill.entry._caches import ConfigurationCache
 from lentilrill.entry._recipients import SEND_INTERVAL_S, BroadcastSchedule, neighbours, summarize
@@ -31,6 +32,10 @@
 CANDIDATE_QUERY_S = 1.0
 """Time for which a take-over candidate is queried after the last interest in it."""
 MAX_QUERIED_CANDIDATES = 12
+MAX_POOLS = 2048
+MAX_SENDERS = 1024
+"""Maximum number of pools and hosts of which the newest status is kept: several times those of the
+largest site."""
 MAX_CLOCK_ERROR = 0.02
 """Share by which a peer's clock may run slow."""
 
@@ -208,7 +213,7 @@
         with self._lock:
             self._store_outage.record_report(batch.sender, status.store_silent_s, sent_at)
             if status.takes_over:
-                self._can_take_over_at[batch.sender] = sent_at
+                keep_newest(self._can_take_over_at, batch.sender, sent_at, MAX_SENDERS)
             else:
                 self._can_take_over_at.pop(batch.sender, None)
         for pressure in status.pools:
@@ -234,7 +239,8 @@
             incarnation, clock = self._clock_by_process.get(batch.sender, (None, None))
             if clock is None or incarnation != batch.incarnation:
                 clock = RemoteClock(MAX_CLOCK_ERROR)
-                self._clock_by_process[batch.sender] = (batch.incarnation, clock)
+                entry = (batch.incarnation, clock)
+                keep_newest(self._clock_by_process, batch.sender, entry, MAX_SENDERS)
             return now - max(0.0, received_at - clock.local_time_of(status.sent_s, received_at))
 
     def _record_pressure(self, pressure: PoolPressure, sent_at: float) -> bool:
@@ -243,7 +249,7 @@
             _, previous = self._pressure_by_pool.get(pressure.pool, (0.0, None))
             if previous is not None and previous.token > pressure.token:
                 return False
-            self._pressure_by_pool[pressure.pool] = (sent_at, pressure)
+            keep_newest(self._pressure_by_pool, pressure.pool, (sent_at, pressure), MAX_POOLS)
         has_risen = previous is not None and pressure.need >= previous.need + NEED_RISE_HOSTS
         if has_risen:
             self._on_need_rise()
--- a/src/lentilrill/entry/_store_outage.py
+++ b/src/lentilrill/entry/_store_outage.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from lentilrill.bounded_maps import keep_newest
 from lentilrill.ids import ProcessId
 
 __all__ = ["MAX_STATUS_AGE_S", "OUTAGE_SILENT_S", "StoreOutageDetector"]
@@ -10,6 +11,8 @@
 """Time for which a status is valid: five send intervals, so that a few messages may be lost."""
 OUTAGE_SILENT_S = 0.9
 """Time without an answer after which the store counts as down for a host: two lease renewals."""
+MAX_HOSTS = 1024
+"""Maximum number of hosts that are kept: several times those of the largest site."""
 MEMBER_RETENTION_S = 30.0
 """Time after its last registration or report for which a host counts as one that may claim. It is
 longer than an outage in which all leases expire and all hosts register again within seconds."""
@@ -37,11 +40,11 @@
 
     def record_registered(self, process: ProcessId, now: float) -> None:
         """Record that a host is registered."""
-        self._last_seen_by_process[process] = now
+        keep_newest(self._last_seen_by_process, process, now, MAX_HOSTS)
 
     def record_report(self, process: ProcessId, silent_s: float, now: float) -> None:
         """Record a host's report of the time since the store last answered it."""
-        self._reports_by_process[process] = _Report(now, silent_s)
+        keep_newest(self._reports_by_process, process, _Report(now, silent_s), MAX_HOSTS)
         self.record_registered(process, now)
 
     def is_outage(self, own_silent_s: float, now: float) -> bool:
--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -1,6 +1,7 @@
 """Messages between entry hosts: their status, accepted jobs, and queries about jobs."""
 
 import secrets
+from typing import Annotated
 
 import msgspec
 
@@ -24,6 +25,7 @@
 ]
 
 
+MAX_ID_CHARACTERS = 255
 ASKER_BYTES = 8
 """Length of the random identity of what sends queries."""
 
@@ -86,7 +88,7 @@
     :param workspaces: load by workspace; ``None`` if the deployment has no workspaces.
     """
 
-    pool: PoolId
+    pool: Annotated[PoolId, msgspec.Meta(max_length=MAX_ID_CHARACTERS)]
     wait_s: float
     waiting_by_queue: dict[QueueId, int] | None
     token: int
@@ -144,7 +146,7 @@
 class JobDoubted(msgspec.Struct, frozen=True, tag=True):
     """A job whose commit got no answer. It may be stored, so no host may reject it."""
 
-    job: JobId
+    job: Annotated[JobId, msgspec.Meta(max_length=MAX_ID_CHARACTERS)]
 
 
 class JobAsk(msgspec.Struct, frozen=True, tag=True):
