--- a/tests/limits/test_messages.py
+++ b/tests/limits/test_messages.py
@@ -258,3 +258,20 @@
             listeners.append(listener)
         self.send_by_crowd(batches())
         self.check_all()
+
+    def test_endless_parts_from_an_address_to_reply_to(self) -> None:
+        """Guards against memory that a peer takes which sends where only answers are expected."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        news = HostNews(0.0, 1, asks=True)
+        reply_to = f"127.0.0.1:{listener.getsockname()[1]}"
+        self.connect_as_host().sendall(frame(a_batch("x", reply_to, news)))
+        connection, _ = listener.accept()
+        self.connections.append(connection)
+        connection.sendall(GREETING + READY.replace(b"DEALER", b"ROUTER"))
+        received = b""
+        while b"HostNews" not in received:
+            received += connection.recv(4096)
+        part = frame(b"x" * 4000, MORE) * 250
+        self.send(connection, iter([part] * 1000))
+        self.check_all()
