Connections of other hosts take a third of a machine's descriptors at most

1,024 of them, and 512 of two descriptors each to other hosts, would be half of the 4,100 that a machine has, and callers may have the other half.

--- a/src/lentilrill/inner/_listener.py
+++ b/src/lentilrill/inner/_listener.py
@@ -10,8 +10,9 @@
 
 __all__ = ["MAX_CONNECTIONS", "PlainListener"]
 
-MAX_CONNECTIONS = 1024
-"""Three times the entry hosts of the largest site; a host opens one connection to each other."""
+MAX_CONNECTIONS = 700
+"""Twice the hosts of the largest site, each of which opens one connection to each other. With half
+as many to others, of two descriptors each, a third of a machine's descriptors."""
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 """Maximum length of all messages together that have begun to arrive, but for small ones."""
 SMALL_BYTES = 64 * 1024
--- a/src/lentilrill/settings/_process.py
+++ b/src/lentilrill/settings/_process.py
@@ -180,4 +180,4 @@
     max_run_lease_ms: PositiveFloat = 10_000.0
     limits: EntryHostLimits = EntryHostLimits()
     threads: PositiveInt = 24
-    inner_connections: PositiveInt = 1024
+    inner_connections: PositiveInt = 700
