Callers that don't keep to HTTP hold no thread, and a bounded share of memory and descriptors

What callers saw: no answer while others sent a byte now and then, or nothing; a process out of memory by a chunk size, an extension, a trailer or bodies without end. Cause: cheroot hands a connection to a thread before its request has come, holds what the request calls a line or a body before counting it, sets no deadline that outlives a byte, and accepts without bound; without descriptors its accept loop ends in a traceback again and again. Change: package serving, for all servers. The server's loop receives requests without blocking and hands them over whole (a gateway's body over 1 MiB: its head, and at most half of its jobs are such); chunked bodies are decoded while they come, so limits of bodies apply to them; deadlines for head and body; bounds on connections and bytes of all callers of a server, from limits.max_fds and limits.memory_mb; unread answers are sent by the loop; a refused accept pauses; cheroot's errors are events. Nothing is run before it is whole, so a refusal has not run.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -134,10 +134,12 @@
             lambda: self._draining,
             self.metrics,
             lambda: self._kv.silent_s >= MAX_STORE_SILENT_S,
+            settings.limits.caller_connections,
+            settings.limits.caller_bytes,
         )
         self._plain_servers = [
-            plain_text_server(settings.readiness, self._readiness),
-            plain_text_server(settings.metrics, self._show),
+            plain_text_server(settings.readiness, self._readiness, "readiness"),
+            plain_text_server(settings.metrics, self._show, "metrics"),
         ]
         self._endpoint_follower = Follower(
             self._kv,
--- a/src/lentilrill/gateway/_caller.py
+++ b/src/lentilrill/gateway/_caller.py
@@ -8,21 +8,14 @@
 from http import HTTPStatus
 from typing import Any
 
-from cheroot import errors
-from cheroot.server import ChunkedRFile, HTTPRequest
-
-from lentilrill.gateway._limits import (
-    CHUNK_BYTES,
-    MAX_BUFFERED_BYTES,
-    MIN_RATE_BYTES_PER_S,
-    MIN_RATE_GRACE_S,
-)
+from cheroot.server import HTTPRequest
+
+from lentilrill.gateway._limits import CHUNK_BYTES, MIN_RATE_BYTES_PER_S, MIN_RATE_GRACE_S
 from lentilrill.gateway._problems import Problem
 from lentilrill.telemetry import Event, log
 
 __all__ = ["BodyError", "BodyErrorKind", "Caller", "MinimumRate"]
 
-CHUNK_OVERHEAD_BYTES = 64 * 1024
 LINGER_RESET = struct.pack("ii", 1, 0)
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -32,8 +25,6 @@
 
     TRUNCATED = "the body ended before its declared length"
     SLOW = "the body did not arrive in time"
-    MALFORMED = "the chunked body is malformed"
-    LONG = "a chunked body is longer than what is held; send Content-Length"
 
 
 class BodyError(Exception):
@@ -107,35 +98,9 @@
             remaining_bytes -= len(data)
             yield data
 
-    def read_chunked(self) -> bytes:
-        """Return the complete body of a chunked request, up to the buffer limit."""
-        limit = MAX_BUFFERED_BYTES + CHUNK_OVERHEAD_BYTES
-        reader: Any = ChunkedRFile(self._req.conn.rfile, limit)
-        try:
-            body = reader.read()
-            for _ in reader.read_trailer_lines():
-                pass
-        except TimeoutError as error:
-            raise BodyError(BodyErrorKind.SLOW) from error
-        except errors.MaxSizeExceeded as error:
-            raise BodyError(BodyErrorKind.LONG) from error
-        except ValueError as error:
-            raise BodyError(BodyErrorKind.MALFORMED) from error
-        except OSError as error:
-            # The reader raises a plain OSError for a chunk over its limit.
-            long = "Too Large" in str(error)
-            raise BodyError(BodyErrorKind.LONG if long else BodyErrorKind.TRUNCATED) from error
-        if len(body) > MAX_BUFFERED_BYTES:
-            raise BodyError(BodyErrorKind.LONG)
-        return body
-
     def close_after_response(self) -> None:
         """Close the connection after the response, as unread body bytes may follow."""
         self._req.close_connection = True
-        has_body = (
-            self._req.chunked_read or self._req.inheaders.get(b"Content-Length", b"0") != b"0"
-        )
-        self._req.conn.has_unread_body = has_body
 
     def send_response(
         self,
@@ -168,6 +133,8 @@
         self, status: int, headers: list[tuple[str, str]], length: int | None
     ) -> None:
         """Start a response whose body is sent by :meth:`write`."""
+        # A long answer is held by its thread, which waits until the caller has read it.
+        self._req.conn.wfile.blocks = True
         length_header = [] if length is None else [("Content-Length", str(length))]
         self._send_head(status, headers + length_header)
 
--- a/src/lentilrill/gateway/_http.py
+++ b/src/lentilrill/gateway/_http.py
@@ -1,24 +1,43 @@
 """cheroot's HTTP server, adapted to send problem documents and to abort responses detectably."""
 
-import contextlib
-import socket
-import time
-from typing import Any
+import resource
 
-from cheroot.makefile import MakeFile, StreamWriter
 from cheroot.server import Gateway as CherootGateway
-from cheroot.server import HTTPConnection, HTTPRequest, HTTPServer
 
-from lentilrill.gateway._limits import CALLER_TIMEOUT_S, MAX_HEADER_BYTES
+from lentilrill.gateway._limits import (
+    CALLER_TIMEOUT_S,
+    MAX_BUFFERED_BYTES,
+    MAX_HEADER_BYTES,
+    MAX_HELD_BYTES,
+    MIN_RATE_BYTES_PER_S,
+    MIN_RATE_GRACE_S,
+)
 from lentilrill.gateway._problems import Outcome, Problem, ProblemKind
-from lentilrill.telemetry import Event, log
+from lentilrill.serving import (
+    BoundedConnection,
+    BoundedRequest,
+    BoundedServer,
+    Framing,
+    ReceiptLimits,
+    RefusalKind,
+    ServingLimits,
+    refusal_bytes,
+)
+from lentilrill.telemetry import Metrics
 
 __all__ = ["CallerServer"]
 
 LISTEN_BACKLOG = 1024
-DISCARD_TIMEOUT_S = 1.0
-DISCARD_CHUNK_BYTES = 256 * 1024
-
+RETRY_AFTER_S = 1.0
+
+KINDS_BY_REFUSAL = {
+    RefusalKind.SLOW: ProblemKind.SLOW,
+    RefusalKind.TRUNCATED: ProblemKind.MALFORMED,
+    RefusalKind.MALFORMED: ProblemKind.MALFORMED,
+    RefusalKind.TOO_LARGE: ProblemKind.TOO_LARGE,
+    RefusalKind.LONG_CHUNKED: ProblemKind.LENGTH,
+    RefusalKind.NO_ROOM: ProblemKind.NOT_READY,
+}
 KINDS_BY_STATUS = {
     400: ProblemKind.MALFORMED,
     405: ProblemKind.METHOD,
@@ -30,7 +49,7 @@
 }
 
 
-class _Request(HTTPRequest):
+class _Request(BoundedRequest):
     """A request whose parse errors are reported by problem documents."""
 
     def simple_response(self, status: str, msg: str = "") -> None:
@@ -40,65 +59,22 @@
         # Before the request is parsed, nothing can have been sent to an endpoint.
         outcome = Outcome.UNKNOWN if self.ready else Outcome.NOT_RUN
         problem = Problem(kind, msg or str(status)[4:], outcome)
-        body = problem.body()
-        lines = [f"HTTP/1.1 {kind.status} {kind.value[0]}", f"Content-Length: {len(body)}"]
-        lines += [f"{name}: {value}" for name, value in problem.headers()]
-        lines += ["Connection: close", "", ""]
         self.close_connection = True
-        self.conn.wfile.write("\r\n".join(lines).encode("latin-1") + body)
+        self.conn.wfile.write(_problem_bytes(problem))
 
 
-class _Writer(StreamWriter):
-    """A writer that can buffer a response head, so that head and body go out in one write."""
+def _problem_bytes(problem: Problem) -> bytes:
+    kind = problem.kind
+    return refusal_bytes(f"{kind.status} {kind.value[0]}", problem.headers(), problem.body())
 
-    buffering = False
 
-    def write(self, b: Any) -> Any:
-        """Write ``b``, or only buffer it."""
-        if not self.buffering:
-            return super().write(b)
-        writer: Any = self
-        writer._write_buf.extend(b)
-        return len(b)
+class _Connection(BoundedConnection):
+    """A connection of a caller of the request path."""
 
+    RequestHandlerClass = _Request
 
-class _Connection(HTTPConnection):
-    """A connection that can be reset."""
 
-    RequestHandlerClass = _Request
-    reset_on_close = False
-    has_unread_body = False
-
-    def __init__(self, server: HTTPServer, sock: socket.socket, makefile: Any = MakeFile) -> None:
-        super().__init__(server, sock, makefile)
-        self.wfile = _Writer(sock, "wb", self.wbufsize)
-
-    def close(self) -> None:
-        """Close the connection; without the orderly shutdown if it is to be reset."""
-        if self.reset_on_close:
-            self.rfile.close()
-            self.socket.close()
-            return
-        if self.has_unread_body:
-            self._discard_unread_body()
-        super().close()
-
-    def _discard_unread_body(self) -> None:
-        """Read and discard the rest of a request body for a short time after an early refusal.
-
-        If the socket were closed while the caller still sends its body, the kernel would answer
-        with a reset, and the caller would lose the refusal before it has read it.
-        """
-        deadline = time.monotonic() + DISCARD_TIMEOUT_S
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_WR)
-            while (left_s := deadline - time.monotonic()) > 0:
-                self.socket.settimeout(left_s)
-                if not self.socket.recv(DISCARD_CHUNK_BYTES):
-                    return
-
-
-class CallerServer(HTTPServer):
+class CallerServer(BoundedServer):
     """cheroot's HTTP server with the limits of the request path."""
 
     ConnectionClass = _Connection
@@ -107,7 +83,12 @@
     request_queue_size = LISTEN_BACKLOG
 
     def __init__(
-        self, address: str, gateway: type[CherootGateway], threads: int, max_body_bytes: int
+        self,
+        address: str,
+        gateway: type[CherootGateway],
+        threads: int,
+        max_body_bytes: int,
+        metrics: Metrics,
     ) -> None:
         host, _, port = address.rpartition(":")
         super().__init__(
@@ -115,9 +96,28 @@
         )
         self.max_request_body_size = max_body_bytes
         self.keep_alive_conn_limit = 2 * threads
+        receipt = ReceiptLimits(
+            head_bytes=MAX_HEADER_BYTES,
+            held_body_bytes=MAX_BUFFERED_BYTES,
+            longer_bodies=Framing.STREAMED,
+            body_bytes=max_body_bytes,
+            idle_s=CALLER_TIMEOUT_S,
+            body_grace_s=MIN_RATE_GRACE_S,
+            least_bytes_per_s=MIN_RATE_BYTES_PER_S,
+        )
+        limits = ServingLimits(
+            connections=_max_connections, held_bytes=MAX_HELD_BYTES, receipt=lambda: receipt
+        )
+        self.limit(limits, "gateway", metrics)
+
+    def refusal(self, kind: RefusalKind) -> bytes:
+        """Return the problem document for a request that is refused before it runs."""
+        retry_after_s = RETRY_AFTER_S if kind is RefusalKind.NO_ROOM else None
+        return _problem_bytes(
+            Problem(KINDS_BY_REFUSAL[kind], kind.value, Outcome.NOT_RUN, retry_after_s)
+        )
+
 
-    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
-        """Log errors that cheroot reports."""
-        del traceback
-        if level >= 30:
-            log(Event.CALLER_FAILED, error=msg)
+def _max_connections() -> int:
+    """Return the most open connections; each needs another one to an endpoint while it runs."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0] // 2
--- a/src/lentilrill/gateway/_limits.py
+++ b/src/lentilrill/gateway/_limits.py
@@ -7,6 +7,7 @@
     "MAX_ATTEMPTS",
     "MAX_BUFFERED_BYTES",
     "MAX_HEADER_BYTES",
+    "MAX_HELD_BYTES",
     "MAX_KEY_CHARACTERS",
     "MAX_WAIT_S",
     "MIN_RATE_BYTES_PER_S",
@@ -20,6 +21,8 @@
 """Bodies up to this size are buffered; longer ones are streamed."""
 CHUNK_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 32 * 1024
+MAX_HELD_BYTES = 64 * 1024 * 1024
+"""Requests that are not complete yet, and unread answers, of all callers together."""
 MAX_KEY_CHARACTERS = 255
 DEFAULT_RUN_TIMEOUT_S = 900.0
 """Time from the latest start of a job to the deadline of its answer, without ``Prefer: wait``."""
--- a/src/lentilrill/gateway/_server.py
+++ b/src/lentilrill/gateway/_server.py
@@ -37,9 +37,7 @@
 SWEEP_INTERVAL_S = 1.0
 PROBLEM_KINDS_BY_BODY_ERROR = {
     BodyErrorKind.SLOW: ProblemKind.SLOW,
-    BodyErrorKind.LONG: ProblemKind.LENGTH,
     BodyErrorKind.TRUNCATED: ProblemKind.MALFORMED,
-    BodyErrorKind.MALFORMED: ProblemKind.MALFORMED,
 }
 
 
@@ -90,7 +88,14 @@
         self._draining = False
         self._closed = threading.Event()
         self._http = CallerServer(
-            settings.listen, self._handler(), settings.threads, settings.largest_body_bytes
+            settings.listen,
+            self._handler(),
+            settings.threads,
+            settings.largest_body_bytes,
+            metrics,
+        )
+        self._streams = threading.BoundedSemaphore(
+            max(1, (settings.threads - REFUSAL_THREADS) // 2)
         )
         self._threads = [
             threading.Thread(target=self._http.serve, name="gateway-accept", daemon=True),
@@ -189,6 +194,19 @@
             self._refuse(caller, request, accepted)
             return
         request = accepted.request
+        if (accepted.request_head.length or 0) <= MAX_BUFFERED_BYTES:
+            self._run_job(accepted, caller, started_at)
+            return
+        if not self._streams.acquire(blocking=False):
+            self._refuse(caller, request, _overload_problem())
+            return
+        try:
+            self._run_job(accepted, caller, started_at)
+        finally:
+            self._streams.release()
+
+    def _run_job(self, accepted: AuthorizedRequest, caller: Caller, started_at: float) -> None:
+        request = accepted.request
         try:
             body = _read_body(accepted.request_head, caller)
         except BodyError as error:
@@ -259,9 +277,7 @@
 
     It is read before a slot is requested, so that a caller that sends nothing holds no slot.
     """
-    if request_head.length is None:
-        return caller.read_chunked()
-    return caller.read_body(min(request_head.length, MAX_BUFFERED_BYTES))
+    return caller.read_body(min(request_head.length or 0, MAX_BUFFERED_BYTES))
 
 
 def _overload_problem() -> Problem:
--- a/src/lentilrill/operators/_server.py
+++ b/src/lentilrill/operators/_server.py
@@ -1,6 +1,6 @@
 """HTTP server for operators: routes, authentication, limits, and the server's life cycle."""
 
-import logging
+import resource
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -10,7 +10,6 @@
 
 import msgspec
 from cheroot import wsgi
-from cheroot.errors import MaxSizeExceeded
 
 from lentilrill.fleet import DOCUMENT_KEY, FleetView
 from lentilrill.ids import Revision
@@ -21,6 +20,13 @@
 from lentilrill.operators._problems import Reply, problem
 from lentilrill.operators._status import Status
 from lentilrill.operators._store import DocumentStore
+from lentilrill.serving import (
+    BoundedServer,
+    ReceiptLimits,
+    RefusalKind,
+    ServingLimits,
+    refusal_bytes,
+)
 from lentilrill.settings import ControllerSettings
 from lentilrill.store import HostList, Item, KeyValue
 from lentilrill.telemetry import Event, Metrics, NoMetrics, log
@@ -29,8 +35,8 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Larger than the largest document, because operators' files contain whitespace."""
-MAX_READ_BYTES = 4 * MAX_BODY_BYTES
-"""Bodies up to this size are read and get a clear error; larger ones are not read at all."""
+MAX_HELD_BYTES = 8 * MAX_BODY_BYTES
+"""Requests that are not complete yet, and unread answers, of all operators together."""
 MAX_HEADER_BYTES = 32 * 1024
 THREADS = 10
 MAX_CONCURRENT_REQUESTS = 8
@@ -38,6 +44,19 @@
 IDLE_TIMEOUT_S = 30
 LISTEN_BACKLOG = 64
 STOPS_PATH = "/v1/stops/"
+TOO_LARGE = (
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    "too-large",
+    f"the body is larger than {MAX_BODY_BYTES} bytes",
+)
+REFUSALS = {
+    RefusalKind.SLOW: (HTTPStatus.REQUEST_TIMEOUT, "slow", RefusalKind.SLOW.value),
+    RefusalKind.TRUNCATED: (HTTPStatus.BAD_REQUEST, "bad-request", RefusalKind.TRUNCATED.value),
+    RefusalKind.MALFORMED: (HTTPStatus.BAD_REQUEST, "bad-request", RefusalKind.MALFORMED.value),
+    RefusalKind.TOO_LARGE: TOO_LARGE,
+    RefusalKind.LONG_CHUNKED: TOO_LARGE,
+    RefusalKind.NO_ROOM: (HTTPStatus.SERVICE_UNAVAILABLE, "busy", RefusalKind.NO_ROOM.value),
+}
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -51,14 +70,16 @@
     document_revision: Revision
 
 
-class EventLoggingServer(wsgi.Server):
-    """A server that logs errors as events instead of printing them."""
+class _Server(BoundedServer, wsgi.Server):
+    """A server that refuses by problem documents."""
 
-    def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
-        """Log a connection error, without the traceback."""
-        del traceback
-        if level >= logging.ERROR:
-            log(Event.OPERATOR_REQUEST_FAILED, error=msg.strip())
+    def refusal(self, kind: RefusalKind) -> bytes:
+        """Return the problem document for a request that is refused before it runs."""
+        status, name, detail = REFUSALS[kind]
+        reply = problem(status, name, detail)
+        body = msgspec.json.encode(reply.body)
+        headers = [("Content-Type", reply.content_type)]
+        return refusal_bytes(f"{status.value} {status.phrase}", headers, body)
 
 
 class OperatorServer:
@@ -94,7 +115,7 @@
         self._handlers = _routes(api)
         self._draining = threading.Event()
         self._request_slots = threading.BoundedSemaphore(MAX_CONCURRENT_REQUESTS)
-        self._server = _http_server(settings.listen, self)
+        self._server = _http_server(settings.listen, self, self._metrics)
         self._thread = threading.Thread(target=self._serve, name="operators", daemon=True)
 
     def start(self) -> None:
@@ -185,13 +206,7 @@
     def _run_handler(self, handler: Handler, who: str, tail: str, environ: Environ) -> Reply:
         """Run a handler, turning every exception into an error response."""
         try:
-            body = _read_body(environ)
-        except (ValueError, MaxSizeExceeded) as error:
-            return problem(HTTPStatus.BAD_REQUEST, "bad-request", f"the body: {error}")
-        try:
-            if body is None:
-                detail = f"the body is larger than {MAX_BODY_BYTES} bytes"
-                return problem(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "too-large", detail)
+            body: bytes = environ["wsgi.input"].read()
             query = dict(parse_qsl(environ.get("QUERY_STRING", "")))
             return handler(Request(who, body, tail, query))
         except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
@@ -227,9 +242,9 @@
     }
 
 
-def _http_server(listen: str, app: OperatorServer) -> wsgi.Server:
+def _http_server(listen: str, app: OperatorServer, metrics: Metrics) -> wsgi.Server:
     host, _, port = listen.rpartition(":")
-    server = EventLoggingServer(
+    server = _Server(
         (host.strip("[]"), int(port)),
         app,
         numthreads=THREADS,
@@ -238,11 +253,17 @@
         timeout=IDLE_TIMEOUT_S,
     )
     server.max_request_header_size = MAX_HEADER_BYTES
-    server.max_request_body_size = MAX_READ_BYTES
+    server.max_request_body_size = MAX_BODY_BYTES
+    receipt = ReceiptLimits(
+        head_bytes=MAX_HEADER_BYTES, held_body_bytes=MAX_BODY_BYTES, idle_s=IDLE_TIMEOUT_S
+    )
+    limits = ServingLimits(
+        connections=_max_connections, held_bytes=MAX_HELD_BYTES, receipt=lambda: receipt
+    )
+    server.limit(limits, "operators", metrics)
     return server
 
 
-def _read_body(environ: Environ) -> bytes | None:
-    """Return the body, or ``None`` if it is too large."""
-    body: bytes = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
-    return body if len(body) <= MAX_BODY_BYTES else None
+def _max_connections() -> int:
+    """Return the most open connections; the rest is for the controller's own links."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0] // 4
--- a/src/lentilrill/platform/_caller_key.py
+++ b/src/lentilrill/platform/_caller_key.py
@@ -3,9 +3,10 @@
 from enum import Enum
 from typing import Any
 
-from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
+from cheroot.server import HeaderReader
 
 from lentilrill.ids import WorkspaceId
+from lentilrill.serving import BoundedConnection, BoundedRequest
 from lentilrill.workloads import Workspaces
 
 __all__ = ["KEY_VARIABLE", "CallerConnection", "KeyProblem", "workspace_of"]
@@ -68,11 +69,11 @@
         super().__setitem__(name, value)
 
 
-class _CallerRequest(HTTPRequest):
+class _CallerRequest(BoundedRequest):
     header_reader = _CallerHeaderReader()
 
 
-class CallerConnection(HTTPConnection):
+class CallerConnection(BoundedConnection):
     """Connection of a caller, for :attr:`cheroot.server.HTTPServer.ConnectionClass`."""
 
     RequestHandlerClass = _CallerRequest
--- a/src/lentilrill/platform/_ingress.py
+++ b/src/lentilrill/platform/_ingress.py
@@ -17,6 +17,7 @@
     workspace_of,
 )
 from lentilrill.platform._job_wire import decode_job, encode_pending, encode_state
+from lentilrill.serving import BoundedServer, Framing, ReceiptLimits, ServingLimits
 from lentilrill.telemetry import Event, Metrics, log
 from lentilrill.workloads import Configuration, JobAnswer, Queue, digest_of, fingerprint_of
 
@@ -39,6 +40,12 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Hard limit of the server, sixteen times the default of the configuration: it must be set before a
 configuration is known. The configured limit of a body applies as well."""
+DEFAULT_CONNECTIONS = 1024
+DEFAULT_HELD_BYTES = 32 * 1024 * 1024
+PAGE_CONNECTIONS = 32
+"""Open connections to the pages for readiness and metrics, which a few programs read."""
+PAGE_HELD_BYTES = 4 * 1024 * 1024
+PAGE_HEAD_S = 5.0
 BACKLOG = 512
 """Connections in the accept queue. Beyond it the kernel drops the SYN packet, which is sent again
 only seconds later."""
@@ -71,13 +78,18 @@
         is_draining: Callable[[], bool],
         metrics: Metrics,
         is_out_of_date: Callable[[], bool] = lambda: False,
+        connections: int = DEFAULT_CONNECTIONS,
+        held_bytes: int = DEFAULT_HELD_BYTES,
     ) -> None:
         self._intake = intake
         self._configuration = configuration
         self._is_draining = is_draining
         self._metrics = metrics
         self._is_out_of_date = is_out_of_date
-        self._server = _create_server(address, self._serve, threads)
+        limits = ServingLimits(
+            connections=lambda: connections, held_bytes=held_bytes, receipt=self._receipt_limits
+        )
+        self._server = _create_server(address, self._serve, threads, limits, "callers", metrics)
 
     def prepare(self) -> None:
         """Bind the address and listen."""
@@ -91,6 +103,19 @@
         """Stop the server."""
         self._server.stop()
 
+    def _receipt_limits(self) -> ReceiptLimits:
+        configuration = self._configuration()
+        body_bytes = MAX_BODY_BYTES
+        if configuration is not None:
+            body_bytes = min(body_bytes, configuration.limits.body_bytes)
+        return ReceiptLimits(
+            head_bytes=MAX_HEADER_BYTES,
+            held_body_bytes=body_bytes,
+            longer_bodies=Framing.UNREAD,
+            body_bytes=MAX_BODY_BYTES,
+            idle_s=IDLE_TIMEOUT_S,
+        )
+
     def _serve(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         started = time.monotonic()
         status, body, retry_s = self._handle(environ)
@@ -206,9 +231,16 @@
     return STATUS_BY_ANSWER[answer], body, retry_s
 
 
-def plain_text_server(address: str, page: Callable[[str], tuple[int, bytes]]) -> wsgi.Server:
+class _Server(BoundedServer, wsgi.Server):
+    ConnectionClass = CallerConnection
+
+
+def plain_text_server(
+    address: str, page: Callable[[str], tuple[int, bytes]], label: str = "pages"
+) -> wsgi.Server:
     """Return an HTTP server for plain-text pages, ready to serve.
 
+    :param label: name of the server in the log.
     :param page: returns the status and the body for a path.
     """
 
@@ -218,14 +250,31 @@
         start_response(text, [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))])
         return [body]
 
-    return _create_server(address, serve, 2)
+    receipt = ReceiptLimits(
+        head_bytes=MAX_HEADER_BYTES,
+        held_body_bytes=0,
+        longer_bodies=Framing.UNREAD,
+        idle_s=IDLE_TIMEOUT_S,
+        head_s=PAGE_HEAD_S,
+    )
+    limits = ServingLimits(
+        connections=lambda: PAGE_CONNECTIONS,
+        held_bytes=PAGE_HELD_BYTES,
+        receipt=lambda: receipt,
+    )
+    return _create_server(address, serve, 2, limits, label)
 
 
 def _create_server(
-    address: str, app: Callable[[Environ, StartResponse], Iterable[bytes]], threads: int
+    address: str,
+    app: Callable[[Environ, StartResponse], Iterable[bytes]],
+    threads: int,
+    limits: ServingLimits,
+    label: str,
+    metrics: Metrics | None = None,
 ) -> Any:
     host, _, port = address.rpartition(":")
-    server = wsgi.Server(
+    server = _Server(
         (host, int(port)),
         app,
         numthreads=threads,
@@ -236,5 +285,5 @@
     )
     server.max_request_header_size = MAX_HEADER_BYTES
     server.max_request_body_size = MAX_BODY_BYTES
-    server.ConnectionClass = CallerConnection
+    server.limit(limits, label, metrics)
     return server
--- a/src/lentilrill/settings/_process.py
+++ b/src/lentilrill/settings/_process.py
@@ -26,6 +26,11 @@
 LINK_MBPS_PER_CORE = 20.0
 """Bandwidth in Mbit/s that a pool owner needs per busy core, for reading stored jobs after a
 take-over, orders to endpoints and status messages."""
+RESERVED_FDS = 200
+"""Descriptors that the platform reserves for files."""
+MIN_CALLER_CONNECTIONS = 16
+CALLER_MEMORY_SHARE = 1 / 8
+"""Low, since a request takes several times its size while it is decoded."""
 
 
 class InnerKeys(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -132,11 +137,25 @@
     :param cpu_share: share of the time of each core.
     :param cores: total speed of all cores, in multiples of a reference core.
     :param link_mbps: bandwidth of the network link in Mbit/s.
+    :param memory_mb: memory of the process in megabytes.
+    :param max_fds: descriptors of the process, some of which are reserved for files.
     """
 
     cpu_share: PositiveFloat = 1.0
     cores: PositiveFloat = 1.0
     link_mbps: PositiveFloat = 1000.0
+    memory_mb: PositiveFloat = 300.0
+    max_fds: PositiveInt = 4100
+
+    @property
+    def caller_connections(self) -> int:
+        """Most open connections of callers; the other half is for the process's own links."""
+        return max(MIN_CALLER_CONNECTIONS, (self.max_fds - RESERVED_FDS) // 2)
+
+    @property
+    def caller_bytes(self) -> int:
+        """Most bytes held of the requests of all callers together."""
+        return int(self.memory_mb * 1_000_000 * CALLER_MEMORY_SHARE)
 
     @property
     def strength(self) -> float:
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -125,6 +125,11 @@
 
     INVARIANT_BROKEN = (701, Level.ERROR, "An invariant was about to be violated.")
     CALLER_FAILED = (702, Level.WARNING, "The connection of a caller failed unexpectedly.")
+    CALLERS_LIMITED = (
+        705,
+        Level.WARNING,
+        "Callers met a limit of a server; logged at most once in 10 s for each limit.",
+    )
     ENDPOINT_UNREACHABLE = (703, Level.WARNING, "No connection to an endpoint could be opened.")
     EXCHANGE_BROKEN = (704, Level.WARNING, "A job was sent, but no complete answer came back.")
 
