Log lines that callers can cause with each request are bounded

Cause: each request of an unknown queue, key or token, and each malformed job, is a line. Change: ten lines a second of each of these events, and in the next one how many were dropped. The test's crowd writes the same bytes in fewer writes: one request a write kept the test's processor busy for longer than its bound.

--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -1,5 +1,7 @@
 """Numbered log events with fields, through absl.logging."""
 
+import threading
+import time
 from enum import Enum
 
 from absl import logging
@@ -7,6 +9,10 @@
 __all__ = ["Event", "Level", "log"]
 
 
+MAX_LINES_PER_S = 10
+"""Lines a second of each event that callers can cause at will."""
+
+
 class Level(Enum):
     """Severity of an event."""
 
@@ -338,8 +344,46 @@
 }
 
 
+_FROM_CALLERS = frozenset(
+    (Event.QUEUE_UNKNOWN, Event.KEY_REFUSED, Event.JOB_ODD, Event.OPERATOR_DENIED)
+)
+"""Events of which a caller could cause one with each request, before it is known who it is."""
+
+
+class _Limiter:
+    """Admits a few lines a second of each event, and counts those that it drops."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._began_at: dict[Event, float] = {}
+        self._lines: dict[Event, int] = {}
+        self._dropped: dict[Event, int] = {}
+
+    def admit(self, event: Event) -> int | None:
+        """Return how many lines were dropped since the last one; ``None`` to drop this one."""
+        now = time.monotonic()
+        with self._lock:
+            if now - self._began_at.get(event, -1.0) >= 1.0:
+                self._began_at[event] = now
+                self._lines[event] = 0
+            self._lines[event] += 1
+            if self._lines[event] > MAX_LINES_PER_S:
+                self._dropped[event] = self._dropped.get(event, 0) + 1
+                return None
+            return self._dropped.pop(event, 0)
+
+
+_limiter = _Limiter()
+
+
 def log(event: Event, **fields: object) -> None:
     """Log ``event`` with its number, name and fields on one line."""
+    if event in _FROM_CALLERS:
+        dropped = _limiter.admit(event)
+        if dropped is None:
+            return
+        if dropped:
+            fields["dropped"] = dropped
     encoded = {name: _loggable(value) for name, value in fields.items()}
     logging.log(
         _LEVELS[event.level],
--- a/tests/docs/events.py
+++ b/tests/docs/events.py
@@ -15,6 +15,9 @@
 
     {"at":1770658014.453,"level":"info","id":901,"event":"edit_accepted","who":"ben","revision":219}
 
+Of the events `queue_unknown`, `key_refused`, `job_odd` and `operator_denied`, which any caller can
+cause, ten lines a second are logged each; `dropped` in the next one is how many were not.
+
 A line `lines_dropped` reports how many lines were dropped because the reader was too slow.
 
 Numbers are never reused. The tables are written by `python -m tests.docs.events` from the catalogue
--- a/tests/limits/crowds.py
+++ b/tests/limits/crowds.py
@@ -7,6 +7,8 @@
 
 __all__ = ["ENDLESS", "Crowd", "endlessly", "silently", "slowly", "without_reading"]
 
+PIPELINED = 100
+"""Requests in one write. One at a time they keep the processor of the test busy, not the server."""
 PART_BYTES = 64 * 1024
 SOCKET_TIMEOUT_S = 2.0
 SLOW_INTERVAL_S = 0.5
@@ -117,8 +119,8 @@
 
     def send(sock: socket.socket, sent: Callable[[], object], is_over: threading.Event) -> None:
         with suppress(TimeoutError):
-            for _ in range(times):
-                sock.sendall(request)
+            for _ in range(times // PIPELINED):
+                sock.sendall(request * PIPELINED)
         sent()
         is_over.wait()
 
