The start time that later owners trust is called settled, not first

Cause: since an owner may name a later process in f/POOL, 'first' misled; the reviewer stumbled over it. Change: names and docstrings only; the key f/POOL and its encoding stay.

--- a/src/lentilrill/execution/_endpoint_list.py
+++ b/src/lentilrill/execution/_endpoint_list.py
@@ -22,11 +22,11 @@
 
     :ivar address_by_id: endpoints that certainly are on the stored list.
     :ivar is_uncertain: whether the stored list may have more, since a write got no answer.
-    :ivar first_started_ms_by_id: start time of the process of each endpoint that was called first,
-        of those to which calls still matter, as far as known. It tells an endpoint that has started
-        again under its id.
-    :ivar first_starts_read: whether what previous owners stored of these was read.
-    :ivar lacks_first_starts: whether some of them are to be stored.
+    :ivar settled_started_ms_by_id: start time of the settled process of each endpoint, as far as
+        known: the one that no call to a former process reaches any more. Another process may hold
+        leases that such calls gave.
+    :ivar settled_starts_read: whether what previous owners stored of these was read.
+    :ivar has_unstored_starts: whether some of them are not stored yet.
     """
 
     def __init__(self, kv: KeyValue, pool: PoolId, owner_key: str, token: Revision) -> None:
@@ -35,10 +35,10 @@
         self._pool = pool
         owner = Compare(owner_key, token)
         self._record = FencedRecord(kv, f"e/{pool}", owner)
-        self.first_started_ms_by_id: dict[EndpointId, int] = {}
-        self._first_starts_record = FencedRecord(kv, f"f/{pool}", owner)
-        self.first_starts_read = False
-        self.lacks_first_starts = False
+        self.settled_started_ms_by_id: dict[EndpointId, int] = {}
+        self._settled_starts_record = FencedRecord(kv, f"f/{pool}", owner)
+        self.settled_starts_read = False
+        self.has_unstored_starts = False
 
     def load(self) -> bool:
         """Read the previous owner's list; return whether it could be read."""
@@ -51,13 +51,13 @@
             self.address_by_id = msgspec.json.decode(item.value, type=dict[EndpointId, str])
         return True
 
-    def load_first_starts(self) -> None:
+    def load_settled_starts(self) -> None:
         """Read the start times that previous owners stored, if the store answers."""
-        read = self._first_starts_record.read()
+        read = self._settled_starts_record.read()
         if isinstance(read, Failure):
             log(Event.SHARD_NOT_LOADED, shard=self._pool, reason=read.failure().reason)
             return
-        self.first_starts_read = True
+        self.settled_starts_read = True
         item = read.unwrap()
         if item is None or item.value is None:
             return
@@ -66,7 +66,7 @@
         except DECODE_ERRORS as error:
             log(Event.RECORD_ODD, key=item.key, reason=str(error))
             return
-        self.first_started_ms_by_id |= stored
+        self.settled_started_ms_by_id |= stored
 
     def write(self, new: list[EndpointEntry], gone: list[EndpointId]) -> bool:
         """Add and remove endpoints; return ``False`` if the store has a newer owner.
@@ -84,7 +84,7 @@
         self.address_by_id = updated
         return written is not WriteResult.NOT_OWNER
 
-    def replace_first_starts(self, started_ms_by_id: Mapping[EndpointId, int]) -> bool:
+    def replace_settled_starts(self, started_ms_by_id: Mapping[EndpointId, int]) -> bool:
         """Name processes as the first, since calls to former ones don't matter any more.
 
         :return: whether that changes anything.
@@ -92,12 +92,12 @@
         changed = {
             id: started_ms
             for id, started_ms in started_ms_by_id.items()
-            if id in self.address_by_id and self.first_started_ms_by_id.get(id) != started_ms
+            if id in self.address_by_id and self.settled_started_ms_by_id.get(id) != started_ms
         }
-        self.first_started_ms_by_id |= changed
+        self.settled_started_ms_by_id |= changed
         return bool(changed)
 
-    def write_first_starts(
+    def write_settled_starts(
         self, new: list[EndpointEntry], kept: Container[EndpointId], *, keeps_all: bool
     ) -> bool:
         """Store the start times of new endpoints; return ``False`` if the store has a newer owner.
@@ -108,20 +108,20 @@
         :param kept: endpoints that are gone and may still get calls under their id.
         :param keeps_all: whether all others may as well, by calls of previous owners.
         """
-        self.lacks_first_starts = True
-        if not self.first_starts_read:
+        self.has_unstored_starts = True
+        if not self.settled_starts_read:
             # What previous owners stored must not be replaced.
-            self.load_first_starts()
+            self.load_settled_starts()
         updated = {
             id: started_ms
-            for id, started_ms in self.first_started_ms_by_id.items()
+            for id, started_ms in self.settled_started_ms_by_id.items()
             if keeps_all or id in self.address_by_id or id in kept
         }
         for entry in new:
             updated.setdefault(entry.id, entry.started_ms)
-        self.first_started_ms_by_id = updated
-        if not self.first_starts_read:
+        self.settled_started_ms_by_id = updated
+        if not self.settled_starts_read:
             return True
-        written = self._first_starts_record.write(msgspec.json.encode(updated))
-        self.lacks_first_starts = written is not WriteResult.DONE
+        written = self._settled_starts_record.write(msgspec.json.encode(updated))
+        self.has_unstored_starts = written is not WriteResult.DONE
         return written is not WriteResult.NOT_OWNER
--- a/src/lentilrill/execution/_link.py
+++ b/src/lentilrill/execution/_link.py
@@ -111,7 +111,8 @@
     :ivar unreachable_since: when the first of its calls without an answer ended.
     :ivar host_view: what the list of hosts shows of its host since.
     :ivar others_called_until: monotonic time until which previous owners may have called it.
-    :ivar first_started_ms: start time of the process that was called first; 0 if unknown.
+    :ivar settled_started_ms: start time of the process that no call to a former one reaches any
+        more; 0 if unknown.
     """
 
     def __init__(
@@ -146,7 +147,7 @@
         self.renewed_at: float | None = None
         self.leases = RunLeases(max_lease_s)
         self.others_called_until = NEVER
-        self.first_started_ms = 0
+        self.settled_started_ms = 0
         self._other_has_answered = False
         self._lag_s = 0.0
         """By how much answers since the last poll are behind the known clock: they were read late,
@@ -300,17 +301,16 @@
 
     @property
     def _end_by_others(self) -> float:
-        """When leases have expired in the known process that calls of previous owners gave.
-
-        These calls were meant for a former one. The age of the known one doesn't count, since it
-        goes by another clock, and clocks jump. Whether it was the first may be read later.
-        """
-        if not self.started_ms or self.started_ms == self.first_started_ms:
+        """Monotonic time at which the leases have expired that calls of previous owners to former
+        processes gave to the known one; 0 if it is settled, which may be read after its first
+        poll."""
+        if not self.started_ms or self.started_ms == self.settled_started_ms:
             return 0.0
         return self._end_of_calls_by_others
 
     @property
     def _end_of_calls_by_others(self) -> float:
+        """The end of the longest lease that a call of a previous owner may give to any process."""
         return self.leases.end_of_longest(carried_out_until(self.others_called_until))
 
     def has_own_leases_only(self, now: float) -> bool:
--- a/src/lentilrill/execution/_links.py
+++ b/src/lentilrill/execution/_links.py
@@ -81,15 +81,15 @@
         self._given_up.clear()
         return True
 
-    def load_first_starts(self) -> None:
-        """Read which processes of the endpoints were called first, for the links opened so far."""
-        self._endpoint_list.load_first_starts()
+    def load_settled_starts(self) -> None:
+        """Read which processes of the endpoints are settled, for the links opened so far."""
+        self._endpoint_list.load_settled_starts()
         with self._lock:
             for link in self.by_id.values():
-                link.first_started_ms = self._first_started_ms(link.entry.id)
+                link.settled_started_ms = self._settled_started_ms(link.entry.id)
 
-    def _first_started_ms(self, endpoint: EndpointId) -> int:
-        return self._endpoint_list.first_started_ms_by_id.get(endpoint, 0)
+    def _settled_started_ms(self, endpoint: EndpointId) -> int:
+        return self._endpoint_list.settled_started_ms_by_id.get(endpoint, 0)
 
     def wake(self) -> None:
         """Interrupt the pauses between polls."""
@@ -172,7 +172,7 @@
             if endpoint not in entries
             and endpoint not in self.by_id
             and endpoint not in self.unpolled
-            and not self._endpoint_list.lacks_first_starts
+            and not self._endpoint_list.has_unstored_starts
         ]
         needs_write = new or gone_ids or self._endpoint_list.is_uncertain
         if needs_write and not self._endpoint_list.write(new, gone_ids):
@@ -180,12 +180,14 @@
         for entry in [*new, *self._previous_entries(entries)]:
             if entry.id in self._endpoint_list.address_by_id:
                 self._open(entry)
-        has_changed = self._endpoint_list.replace_first_starts(self._settled())
-        if not new and not has_changed and not self._endpoint_list.lacks_first_starts:
+        has_changed = self._endpoint_list.replace_settled_starts(self._settled())
+        if not new and not has_changed and not self._endpoint_list.has_unstored_starts:
             return True
-        first = [entry for entry in new if not self._may_have_been_called(entry.id)]
+        uncalled = [entry for entry in new if not self._may_have_been_called(entry.id)]
         keeps_all = time.monotonic() < self._previous_calls_end
-        return self._endpoint_list.write_first_starts(first, self._calls_by_id, keeps_all=keeps_all)
+        return self._endpoint_list.write_settled_starts(
+            uncalled, self._calls_by_id, keeps_all=keeps_all
+        )
 
     @property
     def _previous_calls_end(self) -> float:
@@ -252,8 +254,8 @@
         former = self._calls_by_id.get(endpoint)
         if former is not None:
             link.leases.on_former_calls(former.calls_until)
-        link.first_started_ms = self._first_started_ms(endpoint)
-        may_be_known = bool(link.first_started_ms) or not self._endpoint_list.first_starts_read
+        link.settled_started_ms = self._settled_started_ms(endpoint)
+        may_be_known = bool(link.settled_started_ms) or not self._endpoint_list.settled_starts_read
         if endpoint in self._previous_ids or may_be_known:
             link.others_called_until = self._owner_since + PREVIOUS_LEASE_S
 
@@ -329,7 +331,7 @@
                 endpoint=endpoint,
                 is_registered=link is not None and link.registered,
                 entry_started_ms=link.entry.started_ms if link is not None else 0,
-                first_started_ms=self._first_started_ms(endpoint),
+                settled_started_ms=self._settled_started_ms(endpoint),
                 started_ms=link.started_ms if link is not None else 0,
                 waited_s=waited_s,
             )
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -433,7 +433,7 @@
         if not self._links.load():
             return False
         self._links.open_previous(self._entries(self.pool))
-        self._links.load_first_starts()
+        self._links.load_settled_starts()
         if not self._allowances.load():
             return False
         if not self._jobs.load():
--- a/src/lentilrill/execution/_run_leases.py
+++ b/src/lentilrill/execution/_run_leases.py
@@ -76,13 +76,14 @@
 
     @property
     def end_of_former(self) -> float:
-        """The same for leases by calls to former processes; 0 if there are none."""
+        """Monotonic time at which the leases have expired that calls to former processes gave to
+        the known one; 0 if there were none."""
         return self.end_of_longest(self._former_calls_until)
 
     @property
     def end_of_calls(self) -> float:
-        """The same for a process that was not polled yet, and may have taken calls that were meant
-        for the known one."""
+        """Monotonic time at which the leases have expired that calls to the known process or a
+        former one may give to one that was not polled yet; 0 if there were none."""
         return self.end_of_longest(self.calls_until)
 
     @property
--- a/tests/execution/test_endpoint_list.py
+++ b/tests/execution/test_endpoint_list.py
@@ -107,7 +107,7 @@
         lock = threading.RLock()
         self.links = PoolLinks(PoolId("notices"), self.endpoint_list, lock, a_closed_link)
         self.assertTrue(self.links.load())
-        self.links.load_first_starts()
+        self.links.load_settled_starts()
         self.entries = {entry.id: entry for entry in (an_endpoint("e1"), an_endpoint("e2"))}
         self.assertTrue(self.links.refresh(self.entries))
 
--- a/tests/execution/test_evidence_of_ends.py
+++ b/tests/execution/test_evidence_of_ends.py
@@ -140,11 +140,11 @@
         loaded counted as restarted, though it was the process that was called first."""
         self.register(started_ms=1)
         self.assertTrue(self.take_over().refresh(self.entries))
-        with patch.object(EndpointList, "load_first_starts"):
+        with patch.object(EndpointList, "load_settled_starts"):
             links = self.take_over()
         link = links.by_id[E1]
         link.reset(1)
-        links.load_first_starts()
+        links.load_settled_starts()
         self.assertLess(link.lease_end, time.monotonic() + MAX_ORDER_DELAY_S)
 
     def test_an_endpoint_that_returns_at_another_address_is_polled_there(self) -> None:
@@ -205,12 +205,12 @@
         """Guards against two runs of one task: this owner had called the former process, whose
         start time it never knew, and stored that of the next one as the first."""
         links = self.links
-        del links._endpoint_list.first_started_ms_by_id[E1]
+        del links._endpoint_list.settled_started_ms_by_id[E1]
         links.by_id[E1].on_called(0, is_answered=False)
         self.take_off()
         self.register(started_ms=2)
         self.assertTrue(links.refresh(self.entries))
-        self.assertNotEqual(2, links._endpoint_list.first_started_ms_by_id.get(E1))
+        self.assertNotEqual(2, links._endpoint_list.settled_started_ms_by_id.get(E1))
 
 
 class _NoListings:
--- a/tests/execution/test_later_owners.py
+++ b/tests/execution/test_later_owners.py
@@ -53,7 +53,7 @@
         links = PoolLinks(POOL, endpoint_list, threading.RLock(), self.connect)
         self.assertTrue(links.load())
         links.open_previous(self.entries)
-        links.load_first_starts()
+        links.load_settled_starts()
         return links
 
     def connect(self, entry: EndpointEntry) -> EndpointLink:
@@ -205,7 +205,7 @@
         """Guards against two runs of one task: its write got no answer, and the endpoint left the
         list before it was tried again."""
         first = self.take_over()
-        record = first._endpoint_list._first_starts_record
+        record = first._endpoint_list._settled_starts_record
         with patch.object(record, "write", return_value=WriteResult.FAILED):
             self.assertTrue(first.refresh(self.entries))
             self.take_off(first)
@@ -251,10 +251,10 @@
         second = self.take_over()
         second._owner_since -= LONG_WAIT_S + SLACK_S
         self.return_to(second, "e2")
-        self.assertEqual({"e2"}, set(second._endpoint_list.first_started_ms_by_id))
+        self.assertEqual({"e2"}, set(second._endpoint_list.settled_started_ms_by_id))
 
 
 LONG_WAIT_S = PREVIOUS_LEASE_S + MAX_ORDER_DELAY_S + longest_run_s(MAX_LEASE_S)
 
 
-LOGGED = ("is_registered", "entry_started_ms", "first_started_ms")
+LOGGED = ("is_registered", "entry_started_ms", "settled_started_ms")
--- a/tests/execution/test_run_leases.py
+++ b/tests/execution/test_run_leases.py
@@ -207,7 +207,7 @@
         ):
             self.link = EndpointLink(Owner(), an_endpoint(), FakeEndpoint())
             self.link.others_called_until = time.monotonic()
-            self.link.first_started_ms = first_ms
+            self.link.settled_started_ms = first_ms
             started_ms = self.now_ms - int(age_s * 1000)
             result = PollResult(Verdict.DONE, 1000, started_ms)
             self.reconciler.apply_poll(self.link, result, time.monotonic())
--- a/tests/platform/restarts.py
+++ b/tests/platform/restarts.py
@@ -98,7 +98,7 @@
         """Whether the endpoint is on the stored list of those on which tasks may run."""
         return self.endpoint in (self.platform.value(f"e/{POOL}") or {})
 
-    def first_starts(self) -> dict[str, int]:
+    def settled_starts(self) -> dict[str, int]:
         """Return the stored start times of the processes that were called first."""
         return self.platform.value(f"f/{POOL}") or {}
 
--- a/tests/platform/test_restarts_before_a_take_over.py
+++ b/tests/platform/test_restarts_before_a_take_over.py
@@ -114,7 +114,7 @@
         # The owner stores the first processes anew for an endpoint that it hasn't seen before.
         added = self.platform.add_host(POOL)
         endpoint = self.platform.endpoint_of(added)
-        eventually(lambda: endpoint in self.first_starts(), HELD_S / 4)
+        eventually(lambda: endpoint in self.settled_starts(), HELD_S / 4)
         self.platform.carry_out_held(self.host)
         self.platform.cut_endpoint(self.host, 0.0)
         self.platform.unheard.clear()
