The stand-in of the platform holds orders, and withholds entries

An order that is held is carried out once the test asks for it, by whichever process of the endpoint is up then, and not beyond the 15 s after which owners take it for lost. An endpoint of an unheard host serves calls and writes no entry. Without either, everything is as before: a delayed start is still lost with its process.

--- a/standins/_order_faults.py
+++ b/standins/_order_faults.py
@@ -3,10 +3,12 @@
 import enum
 import random
 
-__all__ = ["LATE_S", "OrderFault", "OrderFaults"]
+__all__ = ["LATE_S", "MAX_HELD_S", "OrderFault", "OrderFaults"]
 
 LATE_S = (1.0, 6.0)
 """Shortest and longest time after which an unanswered order is carried out."""
+MAX_HELD_S = 15.0
+"""Time after which an order that is held is not carried out any more."""
 PATHS = frozenset({"/run-start", "/run-stop"})
 POLL = "/hold"
 
@@ -18,6 +20,8 @@
     DROPPED = "dropped"
     ANSWER_LOST = "answer lost"
     LATE = "late"
+    HELD = "held"
+    """Carried out once the test asks for it, by whichever process of the endpoint is up then."""
 
 
 FAULTS = (OrderFault.DROPPED, OrderFault.ANSWER_LOST, OrderFault.LATE)
@@ -29,6 +33,7 @@
     def __init__(self) -> None:
         self._share = 0.0
         self._paths = PATHS
+        self._faults: tuple[OrderFault, ...] = FAULTS
         self._rng = random.Random()
 
     @property
@@ -39,8 +44,14 @@
     def begin(self, share: float, rng: random.Random, *, with_polls: bool = False) -> None:
         """Lose a share of the orders from now on."""
         self._paths = PATHS | {POLL} if with_polls else PATHS
+        self._faults = FAULTS
         self._rng, self._share = rng, share
 
+    def begin_one(self, path: str, fault: OrderFault) -> None:
+        """Let the same happen to every call with a path from now on, and nothing to others."""
+        self._paths, self._faults = frozenset({path}), (fault,)
+        self._share = 1.0
+
     def end(self) -> None:
         """Lose no more orders; what is to be carried out late still is."""
         self._share = 0.0
@@ -49,4 +60,4 @@
         """Return what happens to a call."""
         if path not in self._paths or self._rng.random() >= self._share:
             return OrderFault.NONE
-        return self._rng.choice(FAULTS)
+        return self._rng.choice(self._faults)
--- a/standins/_users_endpoint.py
+++ b/standins/_users_endpoint.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from standins._http import Call, Server
-from standins._order_faults import LATE_S, OrderFault
+from standins._order_faults import LATE_S, MAX_HELD_S, OrderFault
 from standins._platform_records import Crash, RunRecord
 
 __all__ = ["CrashPlan", "EndpointContext", "UsersEndpoint"]
@@ -111,6 +111,7 @@
         self._context = context
         self._changed = threading.Condition()
         self._running: dict[tuple[str, int], RunRecord] = {}
+        self._held: list[tuple[str, dict[str, Any], float]] = []
         self._begin_life(0.0)
         self._server = Server(address, self._serve, THREADS)
         self._server.start()
@@ -260,7 +261,7 @@
             return
         body = msgspec.json.decode(call.body)
         fault = self._context.order_fault(call.path)
-        if fault in (OrderFault.DROPPED, OrderFault.LATE):
+        if fault in (OrderFault.DROPPED, OrderFault.LATE, OrderFault.HELD):
             self._execute_late(call.path, body, fault)
             self._leave_unanswered(call)
             return
@@ -313,12 +314,21 @@
         call.disconnect(reset=True)
 
     def _execute_late(self, path: str, body: dict[str, Any], fault: OrderFault) -> None:
-        """Execute an order seconds from now, unless it is dropped."""
+        """Execute an order seconds from now, or hold it, unless it is dropped."""
         if fault is OrderFault.LATE:
             order = (path, body, self.started_ms)
             timer = threading.Timer(random.uniform(*LATE_S), self._execute_now, order)
             timer.daemon = True
             timer.start()
+        elif fault is OrderFault.HELD:
+            self._held.append((path, body, time.monotonic()))
+
+    def carry_out_held(self) -> None:
+        """Execute the orders that were held, also those that a former process was sent."""
+        held, self._held = self._held, []
+        for path, body, at in held:
+            if time.monotonic() - at < MAX_HELD_S:
+                self._execute_now(path, body, self.started_ms)
 
     def _execute_now(self, path: str, body: dict[str, Any], started_ms: int) -> None:
         """Execute an order that was delayed.
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -84,6 +84,7 @@
         it does not.
     :ivar cut_plan: returns the seconds for which the start of a task with a spec cuts its endpoint
         off; 0.0 if it does not.
+    :ivar unheard: hosts whose endpoints do not reach the store; others reach them.
     :ivar failing: hosts whose endpoints fail everything they start.
     :ivar clocks_ms: what the clocks of the next processes of endpoints show at their start.
     :ivar max_clock_ms: the most that the clocks of the processes after these show at their start.
@@ -115,6 +116,7 @@
         self.listings: list[Listing] = []
         self.crash_plan: Callable[[str, str], CrashPlan | None] = lambda task, spec: None
         self.cut_plan: Callable[[str, str], float] = lambda task, spec: 0.0
+        self.unheard: set[str] = set()
         self.failing: set[str] = set()
         self.clocks_ms: list[int] = []
         self.max_clock_ms = 0
@@ -130,6 +132,7 @@
         self._capacities: dict[str, Amounts] = {}
         self._entries: dict[str, dict[str, Any]] = {}
         self._cut_off: set[str] = set()
+        self._heard_at: dict[str, float] = {}
         self._fencing_tokens: dict[str, int] = {}
         self._closed = threading.Event()
         self._servers = [
@@ -196,6 +199,12 @@
         if endpoint is not None:
             endpoint.cut_off(for_s)
 
+    def carry_out_held(self, host: str) -> None:
+        """Let the endpoint of a host execute the orders that were held."""
+        with self._lock:
+            endpoint = self._endpoints[host]
+        endpoint.carry_out_held()
+
     def set_capacity(self, host: str, capacity: Amounts) -> None:
         """Change the capacity that the endpoint of a host has; runs that exceed it continue."""
         with self._lock:
@@ -457,6 +466,11 @@
             if time.monotonic() > endpoint.down_since + SILENCE_S:
                 self._withdraw(endpoint.name)
             return
+        if host in self.unheard:
+            if time.monotonic() > self._heard_at.get(host, 0.0) + SILENCE_S:
+                self._withdraw(endpoint.name)
+            return
+        self._heard_at[host] = time.monotonic()
         if endpoint.is_starting:
             return
         if endpoint.is_cut_off:
--- a/tests/standins/test_users_platform.py
+++ b/tests/standins/test_users_platform.py
@@ -183,6 +183,17 @@
         [run] = self.platform.records
         self.assertEqual(("done", False, True), (run.end_kind, run.noted, run.outdated))
 
+    def test_the_entry_of_an_endpoint_that_does_not_reach_the_store_lapses(self) -> None:
+        """Guards against a process that an owner knows by its entry before it could write one."""
+        born = self.entry()["born"]
+        self.platform.unheard.add(self.host)
+        self.platform.restart_endpoint(self.host, 0.0)
+        self.assertEqual(born, self.entry()["born"])
+        self.assertTrue(eventually(lambda: not self.entry()))
+        self.assertEqual(200, self.start())
+        self.platform.unheard.clear()
+        self.assertTrue(eventually(lambda: self.entry().get("born", born) != born))
+
 
 class OrderFaultTest(EndpointCase):
     def lose(self, fault: OrderFault) -> None:
@@ -208,3 +219,14 @@
         self.assertEqual([], self.platform.records)
         self.assertTrue(eventually(lambda: bool(self.platform.records)))
         self.assertTrue(self.platform.records[0].late)
+
+    def test_a_held_start_is_carried_out_by_the_next_process(self) -> None:
+        """Guards against a platform on which no start outlives the process it was meant for."""
+        self.platform.order_faults.begin_one("/run-start", OrderFault.HELD)
+        status = self.send("/hold")[0]
+        with mock.patch.object(self.platform, "loses_orders", return_value=False):
+            self.assertEqual((200, NO_ANSWER), (status, self.start()))
+        self.platform.restart_endpoint(self.host, 0.0)
+        self.assertEqual([], self.platform.records)
+        self.platform.carry_out_held(self.host)
+        self.assertEqual([("", True)], [(r.end_kind, r.late) for r in self.platform.records])
