The soak loses owners in series after endpoints started again and were cut off

--play chains: endpoints of a pool start again, some unheard by the store or within an outage; calls get no answer and are carried out late; long jobs arrive; the endpoints are cut off, and once their entries are gone up to three owners in a row are killed, ended or suspended, both pools at once. Faults of entry hosts have a module of their own, and a loop that ends with an error fails the run (it went unseen before).

--- a/tests/platform/endpoint_faults.py
+++ b/tests/platform/endpoint_faults.py
@@ -20,6 +20,7 @@
     "cut_off_job",
     "lasting_job",
     "long_job",
+    "longest_job",
     "wide_job",
 ]
 
@@ -37,6 +38,7 @@
 CUT_SHARE = 0.8
 MAX_CLOCK_MS = 10_000_000
 LONG_MS = (4000, 12_000)
+LONGEST_MS = 20_000
 CAPACITIES = (1000, 2000, 4000, 8000)
 MEMORY_MB = 32768
 MAX_BACK_S = 3.0
@@ -61,6 +63,9 @@
     RESTARTS = "restarts"
     """Endpoints start again under their ids and are cut off soon after, while tasks take long and
     calls to the former process are carried out late."""
+    CHAINS = "chains"
+    """Owners are lost in series, after endpoints of their pool started again and were cut off,
+    while tasks take long."""
     CANCELS = "cancels"
     """Jobs are cancelled while orders get no answer, and faults of hosts come in series."""
 
@@ -91,6 +96,12 @@
     return {"spec": "long", "steps": [STEP | {"count": 2, "estimate_ms": rng.choice(LONG_MS)}]}
 
 
+def longest_job(rng: random.Random) -> dict[str, Any]:
+    """Return a job whose tasks outlast the longest lease and a take-over."""
+    step = STEP | {"count": rng.randint(2, 6), "estimate_ms": LONGEST_MS}
+    return {"spec": "long", "steps": [step]}
+
+
 def lasting_job(rng: random.Random) -> dict[str, Any]:
     """Return a job whose tasks run until it is cancelled."""
     cpu = rng.choice((500, 1000, 2000))
@@ -143,7 +154,7 @@
             Play.CUTS: self._cut,
             Play.RESTARTS: self._restart,
         }
-        if Play.RESTARTS in plays:
+        if {Play.RESTARTS, Play.CHAINS}.intersection(plays):
             platform.max_clock_ms = MAX_CLOCK_MS
         self._faults = [fault for play, fault in faults.items() if play in plays]
 
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -9,7 +9,6 @@
 import argparse
 import json
 import random
-import signal
 import sys
 import threading
 import time
@@ -30,8 +29,11 @@
     cut_off_job,
     lasting_job,
     long_job,
+    longest_job,
     wide_job,
 )
+from tests.platform.host_faults import HostFaults
+from tests.platform.owner_chains import OwnerChains
 from tests.platform.site import EntrySite
 from tests.platform.soak_jobs import SoakJob, cancelled_job, short_job
 
@@ -53,6 +55,9 @@
 CUT_OFF_SHARE = 0.04
 LONG_SHARE = 0.2
 MAX_CULPRITS = 4
+LONG_WORKSPACE = "chains"
+LONG_KEYS = ("c0", "clast")
+"""Keys that stay; the last one is that of the checks."""
 MAX_LASTING = 4
 MAX_LASTING_IN_SERIES = 12
 MAX_WIDE = 20
@@ -119,7 +124,8 @@
             Play.CANCELS: MAX_CANCELLED,
         }
         self._cancels = Cancels(self._site, self._platform, self._fail)
-        self._host_locks = {name: threading.Lock() for name in self._site.settings}
+        self._hosts = HostFaults(self._site, self._platform, QUEUES.values())
+        self._chains = OwnerChains(self._platform, self._hosts, self._submit_long)
         self._culprits: set[str] = set()
         self._calm_spans: list[tuple[float, float]] = []
         self._stopping = threading.Event()
@@ -140,7 +146,7 @@
                 for n in range(CALLERS)
             ]
             threads += [
-                threading.Thread(target=loop, args=(random.Random(f"{self._seed}-{name}"),))
+                threading.Thread(target=self._run_loop, args=(name, loop))
                 for name, loop in self._fault_loops().items()
             ]
             for thread in threads:
@@ -162,20 +168,37 @@
             line |= {"cancels": _by_name(self._cancels.answers), "cancelled_at_work": at_work}
         return line | ({"repeats": _by_name(self._repeats)} if self._changes_services else {})
 
+    def _run_loop(self, name: str, loop: Callable[[random.Random], None]) -> None:
+        try:
+            loop(random.Random(f"{self._seed}-{name}"))
+        except Exception as error:
+            self._fail(f"the loop {name} ended: {error!r}")
+            raise
+
     def _fault_loops(self) -> dict[str, Callable[[random.Random], None]]:
         if Play.CANCELS in self._plays:
             return self._cancel_loops()
         if self._in_series:
             return {"series": self._disturb_in_series}
-        loops = {"hosts": self._disturb_hosts, "store": self._disturb_store}
+        loops = {"store": self._disturb_store} | self._chain_loops()
+        if Play.CHAINS not in self._plays:
+            loops["hosts"] = self._disturb_hosts
         if self._plays:
             loops["endpoints"] = lambda rng: self._endpoints.disturb(rng, self._stopping)
         if self._changes_services:
             loops |= {"services": self._change_services, "repeats": self._repeat_requests}
         return loops
 
+    def _chain_loops(self) -> dict[str, Callable[[random.Random], None]]:
+        if Play.CHAINS not in self._plays:
+            return {}
+        return {
+            f"chains-{pool}": lambda rng, pool=pool: self._chains.disturb(rng, self._stopping, pool)
+            for pool in QUEUES.values()
+        }
+
     def _cancel_loops(self) -> dict[str, Callable[[random.Random], None]]:
-        faults = [self._disturb_host] * 3 + [self._store_outage, self._lose_answers]
+        faults = [self._hosts.play_one] * 3 + [self._store_outage, self._lose_answers]
         if self._endpoints.are_disturbed:
             faults.append(self._endpoints.play_one)
         callers = {
@@ -200,6 +223,8 @@
                 name: {"api_keys": list(keys), "cap": {"cpu": self._caps[name]}}
                 for name, keys in self._keys.items()
             }
+            if Play.CHAINS in self._plays:
+                workspaces[LONG_WORKSPACE] = {"api_keys": LONG_KEYS, "cap": {"cpu": 0}}
             self._platform.configure(self._version, self._pool_by_prefix, workspaces=workspaces)
 
     # Callers
@@ -208,21 +233,34 @@
         """Submit jobs and query some of them, over connections that stay open."""
         while not self._stopping.is_set():
             job = self._new_job(rng)
-            for _ in range(ATTEMPTS):
-                name = rng.choice(list(self._site.settings))
-                began = time.monotonic()
-                job.answers.append(self._site.submit(name, job.path, job.body, job.key))
-                if job.is_accepted:
-                    job.seen.accepted_at = time.monotonic()
-                    self._cancels.add(job)
-                self._check_key(job, began)
-                if job.answers[-1] in (200, 401, 409):
-                    break
-                self._stopping.wait(rng.uniform(0.05, 0.4))
+            self._submit(rng, job)
             if job.is_accepted and rng.random() < 0.2:
                 self._check_foreign(job, rng)
             self._stopping.wait(rng.uniform(0.0, 0.2))
 
+    def _submit(self, rng: random.Random, job: SoakJob) -> None:
+        """Submit a job, again if it is not answered for good."""
+        for _ in range(ATTEMPTS):
+            name = rng.choice(list(self._site.settings))
+            began = time.monotonic()
+            job.answers.append(self._site.submit(name, job.path, job.body, job.key))
+            if job.is_accepted:
+                job.seen.accepted_at = time.monotonic()
+                self._cancels.add(job)
+            self._check_key(job, began)
+            if job.answers[-1] in (200, 401, 409):
+                break
+            self._stopping.wait(rng.uniform(0.05, 0.4))
+
+    def _submit_long(self, rng: random.Random, pool: str) -> None:
+        """Submit a job to a pool whose tasks outlast the longest lease."""
+        [prefix] = [prefix for prefix, other in QUEUES.items() if other == pool]
+        path = f"{prefix}{rng.getrandbits(64):016x}"
+        job = SoakJob(path, pool, LONG_WORKSPACE, LONG_KEYS[0], longest_job(rng))
+        with self._lock:
+            self._register(job)
+        self._submit(rng, job)
+
     def _new_job(self, rng: random.Random) -> SoakJob:
         prefix = rng.choice(list(QUEUES))
         with self._lock:
@@ -231,11 +269,14 @@
             key = rng.choice(keys) if rng.random() < 0.9 else "nobody"
             path = f"{prefix}{rng.getrandbits(64):016x}"
             job = SoakJob(path, QUEUES[prefix], workspace, key, self._new_body(rng, path))
-            self._platform.jobs_by_id[job.id] = job.seen
-            self._platform.use_by_job[job.id] = JobUse(workspace, job.body["steps"][0]["cpu"])
-            self.jobs.append(job)
+            self._register(job)
         return job
 
+    def _register(self, job: SoakJob) -> None:
+        self._platform.jobs_by_id[job.id] = job.seen
+        self._platform.use_by_job[job.id] = JobUse(job.workspace, job.body["steps"][0]["cpu"])
+        self.jobs.append(job)
+
     def _new_body(self, rng: random.Random, path: str) -> dict[str, Any]:
         if self._takes(Play.CANCELS, rng, CANCELLED_SHARE):
             return cancelled_job(rng)
@@ -294,32 +335,7 @@
 
     def _disturb_hosts(self, rng: random.Random) -> None:
         while not self._stopping.wait(rng.uniform(0.2, 2.0)):
-            self._disturb_host(rng)
-
-    def _disturb_host(self, rng: random.Random) -> None:
-        faults = (self._kill, self._restart, self._suspend)
-        owner = (self._platform.value(f"m/o/{rng.choice(list(QUEUES.values()))}") or {}).get(
-            "process", ""
-        )
-        name = owner if owner and rng.random() < 0.6 else rng.choice(list(self._site.settings))
-        with self._host_locks[name]:
-            rng.choice(faults)(rng, name)
-
-    def _kill(self, rng: random.Random, name: str) -> None:
-        self._site.kill(name)
-        time.sleep(rng.uniform(0.0, 1.0))
-        self._site.start(name)
-
-    def _restart(self, rng: random.Random, name: str) -> None:
-        self._site.end(name)
-        time.sleep(rng.uniform(0.0, 0.5))
-        self._site.start(name)
-
-    def _suspend(self, rng: random.Random, name: str) -> None:
-        process = self._site.processes[name]
-        process.send_signal(signal.SIGSTOP)
-        time.sleep(rng.uniform(0.3, 3.0))
-        process.send_signal(signal.SIGCONT)
+            self._hosts.play_one(rng)
 
     def _disturb_store(self, rng: random.Random) -> None:
         while not self._stopping.wait(rng.uniform(0.1, 1.5)):
@@ -349,7 +365,7 @@
 
     def _disturb_in_series(self, rng: random.Random) -> None:
         """Play series of faults with calm between them, which is judged."""
-        others = (self._disturb_host, self._store_outage, self._lose_answers)
+        others = (self._hosts.play_one, self._store_outage, self._lose_answers)
         while not self._stopping.is_set():
             for _ in range(rng.randint(1, MAX_SERIES)):
                 is_endpoint = rng.random() < ENDPOINT_SHARE
