--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -9,6 +9,7 @@
 SECONDS = 4.0
 CANCELS_S = 13.0
 RESTARTS_S = 10.0
+CHAINS_S = 12.0
 ENDPOINT_FAULTS = (Play.CRASHES, Play.FAILING, Play.CAPACITY, Play.LASTING)
 
 
@@ -38,6 +39,13 @@
         soak.run()
         self.assertEqual([], soak.failures)
 
+    def test_no_promise_is_broken_while_owners_are_lost_in_series(self) -> None:
+        """Guards against two runs of one task, the first on an endpoint that started again and
+        was cut off before the next owner could learn of it."""
+        soak = Soak(SEEDS[0], CHAINS_S, plays=(Play.CHAINS,))
+        soak.run()
+        self.assertEqual([], soak.failures)
+
     def test_no_promise_is_broken_while_queues_change_their_pool(self) -> None:
         """Guards against jobs that run in two pools as their requests are repeated."""
         soak = Soak(SEEDS[0], SECONDS, changes_services=True)
