--- a/tests/execution/cases.py
+++ b/tests/execution/cases.py
@@ -82,6 +82,18 @@
             run.phase = RunPhase.IN_PROGRESS
         return run
 
+    def send_start(self, name: str = "a", verdict: Verdict = Verdict.DONE) -> Run:
+        """Send a start, and process its answer."""
+        run = self.run_of(self.add(a_step(1), name=name), confirmed=False)
+        run.expiry_ms(self.link.started_ms, self.link.new_expiry_ms)
+        run.send_count, run.sent_at = 1, time.monotonic()
+        is_answered = verdict is not Verdict.UNKNOWN
+        run.answer_count += is_answered
+        self.link.on_called(run.expires_at_started_ms, is_answered=is_answered)
+        if is_answered:
+            run.confirmed_at, run.phase = time.monotonic(), RunPhase.IN_PROGRESS
+        return run
+
     def poll(
         self, *, running: tuple[ReportedRun, ...] = (), ended: tuple[RunEnd, ...] = ()
     ) -> list:
--- a/tests/execution/test_evidence_of_ends.py
+++ b/tests/execution/test_evidence_of_ends.py
@@ -17,10 +17,10 @@
 from lentilrill.execution._host_view import RETURN_S
 from lentilrill.execution._previous_endpoints import PREVIOUS_LEASE_S, PreviousEndpoints
 from lentilrill.execution._run_leases import MAX_ORDER_DELAY_S
-from lentilrill.execution._tracking import Run, RunPhase
+from lentilrill.execution._tracking import Run
 from lentilrill.ids import HostId, Revision
 from lentilrill.upkeep import HostState
-from tests.builders import a_host_row, a_step, an_endpoint
+from tests.builders import a_host_row, an_endpoint
 from tests.execution.cases import TrackedJobCase
 from tests.execution.test_later_owners import E1, POOL, LaterOwnersCase
 from tests.fakes import lose_answer, lose_request
@@ -36,18 +36,6 @@
         self.link.entry = an_endpoint(host=HOST, started_ms=1)
         self.poll()
 
-    def send_start(self, verdict: Verdict = Verdict.DONE) -> Run:
-        """Send a start, and process its answer."""
-        run = self.run_of(self.add(a_step(1)), confirmed=False)
-        run.expiry_ms(self.link.started_ms, self.link.new_expiry_ms)
-        run.send_count, run.sent_at = 1, time.monotonic()
-        is_answered = verdict is not Verdict.UNKNOWN
-        run.answer_count += is_answered
-        self.link.on_called(run.expires_at_started_ms, is_answered=is_answered)
-        if is_answered:
-            run.confirmed_at, run.phase = time.monotonic(), RunPhase.IN_PROGRESS
-        return run
-
 
 class HostThatWasDownTest(SentStartCase):
     """A host that was down for a moment, and whose endpoint has started again under its id."""
--- a/tests/execution/test_run_leases.py
+++ b/tests/execution/test_run_leases.py
@@ -23,7 +23,7 @@
     RunLeases,
     longest_run_s,
 )
-from lentilrill.execution._tracking import Run, RunPhase
+from lentilrill.execution._tracking import Run
 from lentilrill.ids import EndpointId, HostId
 from lentilrill.upkeep import HostState
 from tests.builders import a_host_row, a_job, a_step, an_endpoint
@@ -49,18 +49,6 @@
     def register(self, **changes: Any) -> None:
         self.link.entry = an_endpoint(host=HostId("host"), **changes)
 
-    def send_start(self, name: str = "a", verdict: Verdict = Verdict.DONE) -> Run:
-        """Send a start, and process its answer."""
-        run = self.run_of(self.add(a_step(1), name=name), confirmed=False)
-        run.expiry_ms(self.link.started_ms, self.link.new_expiry_ms)
-        run.send_count, run.sent_at = 1, time.monotonic()
-        is_answered = verdict is not Verdict.UNKNOWN
-        run.answer_count += is_answered
-        self.link.on_called(run.expires_at_started_ms, is_answered=is_answered)
-        if is_answered:
-            run.confirmed_at, run.phase = time.monotonic(), RunPhase.IN_PROGRESS
-        return run
-
     def restart(self, *, running: tuple[ReportedRun, ...] = ()) -> None:
         """Poll the next process, whose clock shows something else."""
         result = PollResult(Verdict.DONE, LATER_CLOCK_MS, self.now_ms, running)
