The test of ends on later pages ends the wait once the first page is read

Trace: previous_endpoint_given_up comes first in its log: the test had set the wait of a take-over to nothing, so a planning round before the first poll started the tasks. With the usual wait no round does; the case is about the time after the first page. Change: the wait is over as soon as the endpoint was polled, whatever the load; what the test holds is unchanged.

--- a/tests/execution/test_pages_of_ends.py
+++ b/tests/execution/test_pages_of_ends.py
@@ -1,5 +1,6 @@
 """Endpoints that list their unacknowledged ends page by page."""
 
+import math
 import time
 from unittest import mock
 
@@ -9,6 +10,7 @@
 from lentilrill.execution import EndKind, PollResult, PoolOwner, RunEnd, Verdict, _links
 from lentilrill.execution._release import release
 from lentilrill.execution._run_leases import NEVER, RUN_LEASE_S, longest_run_s
+from lentilrill.ids import EndpointId
 from lentilrill.inner import ReleaseState
 from lentilrill.workloads import JobState, Resources
 from tests.builders import a_job, a_step, an_endpoint
@@ -59,7 +61,8 @@
         """Guards against tasks that run a second time while the store refuses the ends of the first
         page, until the leases of the previous owner have expired."""
         self.pool.kv.commits.extend([refuse] * FAILED_COMMITS)
-        with mock.patch.object(_links, "PREVIOUS_CALLS_S", NEVER):
+        over_once_polled = property(lambda links: NEVER if _is_polled(links) else math.inf)
+        with mock.patch.object(_links.PoolLinks, "_previous_calls_end", over_once_polled):
             self.assert_completed(self.pool.take_over())
 
     def test_a_lost_answer_between_two_pages_starts_nothing(self) -> None:
@@ -87,6 +90,11 @@
             self.assertTrue(eventually(lambda: len(self.pool.endpoints["e2"].running) > 0))
 
 
+def _is_polled(links: _links.PoolLinks) -> bool:
+    link = links.by_id.get(EndpointId("e1"))
+    return link is not None and link.was_polled
+
+
 class ReleaseWithManyEndsTest(TrackedJobCase):
     def test_an_endpoint_with_ends_on_a_later_page_is_not_free(self) -> None:
         """Guards against ends that are lost with their host, whose tasks run a second time."""
