A pool keeps an owner after a host was suspended as it claimed

Cause: a round of claims went on after a pause in which the lease had ended, and wrote owner keys under lease 0, which the store takes for "bound to none". Such a key outlives its process, and no host claims a shard that has a key.

Change: a lease is a LeaseId, or None; owner keys and member records can only be written under a LeaseId. Items tell their lease. Answers about a lease that has been replaced change nothing; a claim is acted on only while its key is in force under the present lease.

The fakes' store gave a lease's number anew after its end; it doesn't now, and tells leases.

--- a/src/lentilrill/ids.py
+++ b/src/lentilrill/ids.py
@@ -11,6 +11,7 @@
     "HostId",
     "Incarnation",
     "JobId",
+    "LeaseId",
     "PlanId",
     "PoolId",
     "ProcessId",
@@ -33,6 +34,8 @@
 Incarnation = NewType("Incarnation", int)
 """Start time of a process in nanoseconds since the epoch; a restart always has a higher one."""
 JobId = NewType("JobId", str)
+LeaseId = NewType("LeaseId", int)
+"""A lease in the store, which deletes the keys that are bound to it when it ends."""
 PlanId = NewType("PlanId", str)
 PoolId = NewType("PoolId", str)
 ProcessId = NewType("ProcessId", str)
--- a/src/lentilrill/ownership/_claim_times.py
+++ b/src/lentilrill/ownership/_claim_times.py
@@ -2,6 +2,7 @@
 
 from lentilrill.ids import ProcessId
 from lentilrill.ownership._members import Shard, claim_rank
+from lentilrill.ownership._registration import LEASE_TTL_S
 from lentilrill.ownership._stored_records import StoredRecords
 
 __all__ = ["ClaimTimes"]
@@ -9,6 +10,9 @@
 CLAIM_STAGGER_S = 0.15
 """Delay between the claims of one member and the next. A claim takes a few milliseconds, so races,
 which cost a call, are rare."""
+ENDED_OWNER_DELAY_S = 2 * LEASE_TTL_S
+"""Additional delay for a shard whose key remains though its owner isn't a member: an owner that
+lives registers again within this time, and its key is taken from it only if it doesn't."""
 
 
 class ClaimTimes:
@@ -42,4 +46,5 @@
         members = list(records.members_by_process.values())
         owned_count = sum(process == self._me for process in process_by_shard.values())
         rank = claim_rank(shard, self._me, members, process_by_shard)
-        return now - since >= max(owned_count, rank) * CLAIM_STAGGER_S
+        delay_s = ENDED_OWNER_DELAY_S if shard in records.owners_by_shard else 0.0
+        return now - since >= delay_s + max(owned_count, rank) * CLAIM_STAGGER_S
--- a/src/lentilrill/ownership/_members.py
+++ b/src/lentilrill/ownership/_members.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lentilrill.ids import Incarnation, ProcessId, ZoneId
+from lentilrill.ids import Incarnation, LeaseId, ProcessId, ZoneId
 
 __all__ = [
     "MEMBER_PREFIX",
@@ -41,7 +41,7 @@
     incarnation: Incarnation
     zone: ZoneId
     inner: str
-    lease: int
+    lease: LeaseId
     strength: float = 1.0
     records_starts: bool = False
 
--- a/src/lentilrill/ownership/_owner_keys.py
+++ b/src/lentilrill/ownership/_owner_keys.py
@@ -4,7 +4,7 @@
 from returns.result import Failure, Result
 
 from lentilrill.faults import Fault
-from lentilrill.ids import Revision
+from lentilrill.ids import LeaseId, Revision
 from lentilrill.ownership._members import OWNER_PREFIX, OwnerRecord, Shard
 from lentilrill.store import Compare, DeleteRange, KeyValue, Put, TxnAnswer
 
@@ -21,12 +21,13 @@
         self._kv = kv
 
     def write(
-        self, shard: Shard, token: Revision, record: OwnerRecord, lease: int
+        self, shard: Shard, token: Revision, record: OwnerRecord, lease: LeaseId
     ) -> Result[TxnAnswer, Fault]:
         """Make a process the owner of ``shard``.
 
         :param token: token of the present owner, or ``NO_OWNER``.
-        :param lease: lease of the new owner, to which the key is bound.
+        :param lease: lease of the new owner, to which the key is bound. If it has ended by the time
+            the store gets the write, nothing is written.
         """
         key = OWNER_PREFIX + shard
         put = Put(key, msgspec.json.encode(record), lease)
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -13,7 +13,7 @@
 from lentilrill.ownership._clock import boottime
 from lentilrill.ownership._hand_over import HandOverPolicy
 from lentilrill.ownership._members import RECORD_PREFIX, MemberRecord, OwnerRecord, Shard
-from lentilrill.ownership._owner_keys import NO_OWNER, OwnerKeys, result_text
+from lentilrill.ownership._owner_keys import OwnerKeys, result_text
 from lentilrill.ownership._pace import NORMAL_PACE
 from lentilrill.ownership._registration import Registration
 from lentilrill.ownership._stored_records import StoredOwner, StoredRecords
@@ -149,7 +149,8 @@
     @property
     def registered(self) -> bool:
         """Whether this process holds a lease and has read the records of the other hosts."""
-        return bool(self._registration.lease) and self._follower.initial_read_done.is_set()
+        has_lease = self._registration.lease is not None
+        return has_lease and self._follower.initial_read_done.is_set()
 
     def leave(self) -> None:
         """Release all shards and stop claiming; the process stays a member."""
@@ -255,17 +256,19 @@
 
     def _renew_loop(self) -> None:
         while not self._ended.is_set():
-            if self._registration.lease:
+            if self._registration.lease is not None:
                 run_and_log_errors("lease", self._renew_lease)
             else:
                 run_and_log_errors("lease", self._registration.register)
-            is_registered = bool(self._registration.lease)
+            is_registered = self._registration.lease is not None
             self._ended.wait(RENEW_INTERVAL_S if is_registered else REGISTER_INTERVAL_S)
 
     def _renew_lease(self) -> None:
         if self._registration.renew():
             return
-        for shard in list(self._tokens_by_shard):
+        with self._lock:
+            lost = list(self._tokens_by_shard)
+        for shard in lost:
             self._lose(shard, "the lease has expired")
 
     def _claim_loop(self) -> None:
@@ -297,21 +300,26 @@
         now = self._clock()
         self._adopt_claim(shard)
         with self._lock:
-            if shard in self._records.owners_by_shard or shard in self._tokens_by_shard:
+            former_token = self._records.free_since(shard)
+            if former_token is None or shard in self._tokens_by_shard:
                 self._claim_times.reset(shard)
                 return
             if not self._claim_times.is_due(shard, self._records, now):
                 return
-        result = self._keys.write(shard, NO_OWNER, self._record, self._registration.lease)
+        # This may be long after the check at the beginning of the round, if the host was suspended.
+        lease = self._registration.lease
+        if lease is None:
+            return
+        result = self._keys.write(shard, former_token, self._record, lease)
         if isinstance(result, Failure) or not result.unwrap().succeeded:
             # If the answer was lost, the watch shows whether the claim succeeded; see _adopt_claim.
             self._claim_times.reset(shard)
             log(Event.SHARD_NOT_CLAIMED, shard=shard, result=result_text(result))
             return
-        token = result.unwrap().revision
+        owner = StoredOwner(self._record, result.unwrap().revision, lease)
         with self._lock:
-            self._records.owners_by_shard[shard] = StoredOwner(self._record, token)
-        self._acquire(shard, token)
+            self._records.add_written(shard, owner)
+        self._acquire(shard, owner)
 
     def _adopt_claim(self, shard: Shard) -> None:
         """Act on a claim whose answer was lost, once the watch shows its key."""
@@ -320,9 +328,13 @@
             if owner is None or shard in self._tokens_by_shard:
                 return
             was_released = owner.token == self._released_tokens_by_shard.get(shard)
-            if was_released or not self._is_own(owner.record):
+            if was_released or not self._is_own(owner.record) or not self._is_bound(owner):
                 return
-        self._acquire(shard, owner.token)
+        self._acquire(shard, owner)
+
+    def _is_bound(self, owner: StoredOwner) -> bool:
+        """Whether the key of an owner is bound to the present lease of this process, or to none."""
+        return owner.lease is None or owner.lease == self._registration.lease
 
     def _is_own(self, record: OwnerRecord) -> bool:
         me = self._record
@@ -374,7 +386,8 @@
         with self._lock:
             self._hand_over_policy.record_change(now)
             if isinstance(result, Success) and result.unwrap().succeeded:
-                self._records.owners_by_shard[shard] = StoredOwner(record, result.unwrap().revision)
+                owner = StoredOwner(record, result.unwrap().revision, target.lease)
+                self._records.add_written(shard, owner)
         log(
             Event.SHARD_HANDED_OVER,
             shard=shard,
@@ -403,10 +416,17 @@
         for shard, token in unused:
             self._release(shard, token)
 
-    def _acquire(self, shard: Shard, token: Revision) -> None:
+    def _acquire(self, shard: Shard, owner: StoredOwner) -> None:
+        """Start to act as the owner of ``shard``, unless its key has ended with its lease."""
+        token = owner.token
         with self._lock:
             if self._leaving:
                 return
+            current = self._records.owners_by_shard.get(shard)
+            if current is None or current.token != token or not self._is_bound(owner):
+                self._claim_times.reset(shard)
+                log(Event.SHARD_NOT_CLAIMED, shard=shard, result="the key has ended since")
+                return
             self._tokens_by_shard[shard] = token
             self._hand_over_policy.record_change(self._clock())
         log(Event.SHARD_CLAIMED, shard=shard, token=token)
--- a/src/lentilrill/ownership/_registration.py
+++ b/src/lentilrill/ownership/_registration.py
@@ -3,13 +3,14 @@
 The record and the keys of the shards that the process owns are bound to the lease.
 """
 
+import threading
 from collections.abc import Callable
 
 import msgspec
 from returns.result import Failure
 
 from lentilrill.faults import FaultKind
-from lentilrill.ids import ZoneId
+from lentilrill.ids import LeaseId, ZoneId
 from lentilrill.ownership._members import MEMBER_PREFIX, MemberRecord, OwnerRecord
 from lentilrill.store import KeyValue, Put
 from lentilrill.telemetry import Dependency, Event, log
@@ -23,17 +24,19 @@
 LEASE_MARGIN_S = 0.2
 """Margin before the lease expires in which no order is given, so that an order that passed the
 check has been sent by then."""
-NO_LEASE = 0
 
 
 class Registration:
     """Registers this process as a member, and renews its lease.
 
+    One thread registers; several may renew. An answer about a lease that has been replaced
+    meanwhile changes nothing.
+
     :param me: this process, as its owner records show it.
     :param strength: capacity of this host for control work, in reference cores.
     :param pace: current speed of this host as a share of its usual speed.
     :param clock: clock by which the lease expires.
-    :ivar lease: the lease of this process; ``NO_LEASE`` while it has none.
+    :ivar lease: the lease of this process; ``None`` while it has none.
     :ivar valid_until: time until which the lease can't have expired.
     :ivar renewed_at: time at which the last successful renewal was requested.
     """
@@ -55,7 +58,8 @@
         self._clock = clock
         self._stored_strength = 0.0
         self._lease_calls = Dependency("lease in the store")
-        self.lease = NO_LEASE
+        self._lock = threading.Lock()
+        self.lease: LeaseId | None = None
         self.valid_until = 0.0
         self.renewed_at = 0.0
 
@@ -76,41 +80,54 @@
         if not self._write_member_record(lease):
             return
         self._lease_calls.record_success()
-        self.valid_until = requested_at + LEASE_TTL_S - LEASE_MARGIN_S
-        self.lease = lease
+        with self._lock:
+            self.valid_until = requested_at + LEASE_TTL_S - LEASE_MARGIN_S
+            self.lease = lease
         log(Event.MEMBER_REGISTERED, lease=lease, process=self._me.process)
 
     def renew(self) -> bool:
         """Renew the lease; return ``False`` if it has expired, so that all bound keys are gone."""
+        lease = self.lease
+        if lease is None:
+            return False
         requested_at = self._clock()
-        renewed = self._kv.keep_alive(self.lease)
+        renewed = self._kv.keep_alive(lease)
         if not isinstance(renewed, Failure):
             self._lease_calls.record_success()
-            self._extend(requested_at, renewed.unwrap())
+            self._extend(lease, requested_at, renewed.unwrap())
             if self._stored_strength != self.strength:
-                self._write_member_record(self.lease)
+                self._write_member_record(lease)
             return True
         fault = renewed.failure()
         self._lease_calls.record_failure(fault.reason)
         if fault.kind is not FaultKind.CONFLICT:
             return True
-        log(Event.LEASE_LAPSED, lease=self.lease, reason=fault.reason)
-        self.lease = NO_LEASE
-        self.valid_until = 0.0
-        return False
+        log(Event.LEASE_LAPSED, lease=lease, reason=fault.reason)
+        return not self._drop(lease)
 
-    def _extend(self, requested_at: float, granted_s: float) -> None:
-        self.renewed_at = max(self.renewed_at, requested_at)
+    def _extend(self, lease: LeaseId, requested_at: float, granted_s: float) -> None:
         # The store may grant a shorter time to live than requested.
         ttl_s = min(LEASE_TTL_S, granted_s)
-        self.valid_until = max(self.valid_until, requested_at + ttl_s - LEASE_MARGIN_S)
+        with self._lock:
+            if self.lease != lease:
+                return
+            self.renewed_at = max(self.renewed_at, requested_at)
+            self.valid_until = max(self.valid_until, requested_at + ttl_s - LEASE_MARGIN_S)
+
+    def _drop(self, lease: LeaseId) -> bool:
+        """Drop a lease that has ended; return whether this process has no lease now."""
+        with self._lock:
+            if self.lease == lease:
+                self.lease = None
+                self.valid_until = 0.0
+            return self.lease is None
 
     def revoke(self) -> None:
         """Revoke the lease, which deletes all keys that are bound to it."""
-        if self.lease:
-            self._kv.revoke(self.lease)
+        if (lease := self.lease) is not None:
+            self._kv.revoke(lease)
 
-    def _write_member_record(self, lease: int) -> bool:
+    def _write_member_record(self, lease: LeaseId) -> bool:
         """Write the member record with the current strength; return whether it was stored."""
         strength = self.strength
         record = MemberRecord(
@@ -143,6 +160,7 @@
             if item.key != MEMBER_PREFIX + self._me.process or item.value is None:
                 continue
             old = msgspec.json.decode(item.value, type=MemberRecord)
-            if old.inner == self._me.inner and old.incarnation != self._me.incarnation:
+            is_same_host = old.inner == self._me.inner
+            if old.lease and is_same_host and old.incarnation != self._me.incarnation:
                 self._kv.revoke(old.lease)
                 log(Event.PREDECESSOR_ENDED, lease=old.lease, process=old.process)
--- a/src/lentilrill/platform/_kv.py
+++ b/src/lentilrill/platform/_kv.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from lentilrill.faults import Fault, FaultKind
-from lentilrill.ids import Revision
+from lentilrill.ids import LeaseId, Revision
 from lentilrill.platform._kv_answers import StoreAnswers
 from lentilrill.platform._kv_commits import CALL_TIMEOUT_S, Commits
 from lentilrill.platform._kv_leases import LeaseCalls
@@ -103,15 +103,15 @@
         """Yield changes below ``prefix`` later than ``after``, until a fault, which comes last."""
         return PlatformWatch(self._answers, self._address, prefix, after)
 
-    def lease(self, ttl_s: float) -> Result[int, Fault]:
+    def lease(self, ttl_s: float) -> Result[LeaseId, Fault]:
         """Grant a lease and return its id."""
         return self._leases.grant(ttl_s)
 
-    def keep_alive(self, lease: int) -> Result[float, Fault]:
+    def keep_alive(self, lease: LeaseId) -> Result[float, Fault]:
         """Renew a lease and return its duration in seconds, which starts when the call arrives."""
         return self._leases.keep_alive(lease)
 
-    def revoke(self, lease: int) -> Result[None, Fault]:
+    def revoke(self, lease: LeaseId) -> Result[None, Fault]:
         """Revoke a lease and delete its keys; a lease that has already ended is not a fault."""
         return self._leases.revoke(lease)
 
--- a/src/lentilrill/platform/_kv_leases.py
+++ b/src/lentilrill/platform/_kv_leases.py
@@ -5,12 +5,14 @@
 from returns.result import Failure, Result, Success
 
 from lentilrill.faults import Fault, FaultKind
+from lentilrill.ids import LeaseId
 from lentilrill.platform._kv_answers import StoreAnswers
 from lentilrill.platform._kv_wire import (
     NO_CONTENT,
     NOT_FOUND,
     OK,
     LeaseGrant,
+    decode_lease_id,
     encode_lease,
     fault_of,
 )
@@ -37,21 +39,29 @@
     """
 
     def __init__(self, address: str, answers: StoreAnswers, metrics: Metrics) -> None:
+        self._address = address
         self._transport = Transport((address,), max_answer_bytes=MAX_LEASE_BYTES)
         self._answers = answers
         self._metrics = metrics
 
-    def grant(self, ttl_s: float) -> Result[int, Fault]:
+    def grant(self, ttl_s: float) -> Result[LeaseId, Fault]:
         """Grant a lease and return its id."""
-        body = encode_lease(ttl_s)
-        return self._call("store.lease", "POST", "/kv-lease", body).map(lambda r: r.lease)
+        step = "store.lease"
+        granted = self._call(step, "POST", "/kv-lease", encode_lease(ttl_s))
+        return granted.bind(lambda grant: self._lease_id_of(step, grant))
 
-    def keep_alive(self, lease: int) -> Result[float, Fault]:
+    def _lease_id_of(self, step: str, grant: LeaseGrant) -> Result[LeaseId, Fault]:
+        lease = decode_lease_id(grant.lease)
+        if lease is None:
+            return Failure(Fault(step, self._address, FaultKind.INVALID, "an answer without lease"))
+        return Success(lease)
+
+    def keep_alive(self, lease: LeaseId) -> Result[float, Fault]:
         """Renew a lease and return its duration in seconds, which starts when the call arrives."""
         renewed = self._call("store.keep_alive", "POST", f"/kv-keep/{lease}", b"{}")
         return renewed.map(lambda r: r.ttl_ms / 1000.0)
 
-    def revoke(self, lease: int) -> Result[None, Fault]:
+    def revoke(self, lease: LeaseId) -> Result[None, Fault]:
         """Revoke a lease and delete its keys; a lease that has already ended is not a fault."""
         path = f"/kv-lease-end/{lease}"
         ended = self._transport.request(
--- a/src/lentilrill/platform/_kv_wire.py
+++ b/src/lentilrill/platform/_kv_wire.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from lentilrill.faults import Fault, FaultKind
-from lentilrill.ids import Revision
+from lentilrill.ids import LeaseId, Revision
 from lentilrill.store import DECODE_ERRORS, Compare, DeleteRange, Item, Put
 
 __all__ = [
@@ -19,6 +19,7 @@
     "RangePage",
     "StoredItem",
     "decode_found",
+    "decode_lease_id",
     "encode_lease",
     "encode_txn",
     "fault_of",
@@ -34,6 +35,8 @@
 NO_EFFECT_STATUSES = frozenset({400, 403, NOT_FOUND, TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE})
 """Statuses that mean that a commit had no effect."""
 
+_NO_LEASE = 0
+"""Stands for no lease where a key's lease is given."""
 
 MAX_PAGE_BYTES = 8 * 1024 * 1024
 """Maximum length of an answer: several times a page, which may have about 1 MB and end with one
@@ -50,10 +53,12 @@
     value: bytes = b""
     revision: int = 0
     removed: bool = False
+    lease: int = _NO_LEASE
 
     def to_item(self) -> Item:
         """Return the item in the terms of the store's contract."""
-        return Item(self.key, None if self.removed else self.value, Revision(self.revision))
+        value = None if self.removed else self.value
+        return Item(self.key, value, Revision(self.revision), decode_lease_id(self.lease))
 
 
 class RangePage(msgspec.Struct):
@@ -87,7 +92,7 @@
     """Answer to a call that grants or renews a lease."""
 
     ttl_ms: int
-    lease: int = 0
+    lease: int = _NO_LEASE
 
 
 class Precondition(msgspec.Struct):
@@ -101,11 +106,11 @@
 
 
 class Write(msgspec.Struct, omit_defaults=True):
-    """A value to store; ``lease`` 0 means that it isn't bound to a lease."""
+    """A value to store."""
 
     key: str
     value: bytes
-    lease: int = 0
+    lease: int = _NO_LEASE
 
 
 class Txn(msgspec.Struct):
@@ -120,12 +125,21 @@
     """Return the body of a commit."""
     txn = Txn(
         [Precondition(compare.key, compare.revision) for compare in compares],
-        [Write(write.key, write.value, write.lease) for write in writes if isinstance(write, Put)],
+        [
+            Write(write.key, write.value, _NO_LEASE if write.lease is None else write.lease)
+            for write in writes
+            if isinstance(write, Put)
+        ],
         [write.key for write in writes if isinstance(write, DeleteRange)],
     )
     return msgspec.json.encode(txn)
 
 
+def decode_lease_id(lease: int) -> LeaseId | None:
+    """Return the lease in an answer, or ``None`` if it names none."""
+    return LeaseId(lease) if lease != _NO_LEASE else None
+
+
 def encode_lease(ttl_s: float) -> bytes:
     """Return the body of a request for a lease."""
     return msgspec.json.encode({"ttl_ms": int(ttl_s * 1000)})
--- a/src/lentilrill/store/_contract.py
+++ b/src/lentilrill/store/_contract.py
@@ -8,7 +8,7 @@
 from returns.result import Result
 
 from lentilrill.faults import Fault
-from lentilrill.ids import HostId, RackId, Revision, ZoneId
+from lentilrill.ids import HostId, LeaseId, RackId, Revision, ZoneId
 
 __all__ = [
     "Compare",
@@ -42,11 +42,14 @@
     """One key's value; ``value`` is ``None`` for a deleted key.
 
     :param revision: modification revision of the key.
+    :param lease: lease that the key is bound to; ``None`` if it has none, or if the store's client
+        doesn't tell.
     """
 
     key: str
     value: bytes | None
     revision: Revision
+    lease: LeaseId | None = None
 
 
 class RangeAnswer(msgspec.Struct, frozen=True):
@@ -64,11 +67,11 @@
 
 
 class Put(msgspec.Struct, frozen=True):
-    """Write of a transaction; ``lease`` is 0 if the key has no lease."""
+    """Write of a transaction; ``lease`` is ``None`` if the key has no lease."""
 
     key: str
     value: bytes
-    lease: int = 0
+    lease: LeaseId | None = None
 
 
 class DeleteRange(msgspec.Struct, frozen=True):
@@ -142,13 +145,13 @@
         ``CONFLICT``: the caller reads the prefix again and watches from that revision.
         """
 
-    def lease(self, ttl_s: float) -> Result[int, Fault]:
+    def lease(self, ttl_s: float) -> Result[LeaseId, Fault]:
         """Grant a lease and return its id."""
 
-    def keep_alive(self, lease: int) -> Result[float, Fault]:
+    def keep_alive(self, lease: LeaseId) -> Result[float, Fault]:
         """Renew a lease and return its remaining seconds; an expired one is a ``CONFLICT``."""
 
-    def revoke(self, lease: int) -> Result[None, Fault]:
+    def revoke(self, lease: LeaseId) -> Result[None, Fault]:
         """Revoke a lease and delete its keys."""
 
 
--- a/src/lentilrill/store/_etcd.py
+++ b/src/lentilrill/store/_etcd.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from lentilrill.faults import Fault, FaultKind
-from lentilrill.ids import Revision
+from lentilrill.ids import LeaseId, Revision
 from lentilrill.settings import PlatformSettings
 from lentilrill.store._contract import (
     Compare,
@@ -157,16 +157,16 @@
             self._transport, self._guard, body, self._prefix, self._deadline_s, self._silence_s
         )
 
-    def lease(self, ttl_s: float) -> Result[int, Fault]:
+    def lease(self, ttl_s: float) -> Result[LeaseId, Fault]:
         """Grant a lease; ``ttl_s`` is rounded up because the service uses whole seconds."""
         body = {"TTL": str(max(1, math.ceil(ttl_s)))}
         # A repeated grant leaves a lease without keys, which expires by itself.
         answer = self._call(
             "platform.lease", Effect.REPEATABLE, Priority.FIRST, GRANT, body, _Lease
         )
-        return answer.map(lambda lease: lease.id)
+        return answer.map(lambda lease: LeaseId(lease.id))
 
-    def keep_alive(self, lease: int) -> Result[float, Fault]:
+    def keep_alive(self, lease: LeaseId) -> Result[float, Fault]:
         """Renew a lease and return its remaining seconds; an expired one is a ``CONFLICT``."""
         step = "platform.keep_alive"
         body = {"ID": str(lease)}
@@ -181,7 +181,7 @@
             return Failure(Fault(step, self._transport.peer, FaultKind.CONFLICT, reason))
         return Success(float(ttl_s))
 
-    def revoke(self, lease: int) -> Result[None, Fault]:
+    def revoke(self, lease: LeaseId) -> Result[None, Fault]:
         """Revoke a lease and delete its keys; a lease that has already ended is not a fault."""
         body = {"ID": str(lease)}
         answer = self._call(
@@ -238,7 +238,7 @@
     def _write(self, write: Put | DeleteRange) -> dict[str, Any]:
         if isinstance(write, Put):
             put: dict[str, Any] = {"key": self._full_key(write.key), "value": write.value}
-            if write.lease:
+            if write.lease is not None:
                 put["lease"] = str(write.lease)
             return {"request_put": put}
         deletion: dict[str, Any] = {"key": self._full_key(write.key)}
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,5 +1,6 @@
 """Fakes of interfaces, with failures that tests can set."""
 
+import itertools
 import threading
 import time
 from collections import Counter, deque
@@ -9,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from lentilrill.faults import Fault, FaultKind
-from lentilrill.ids import Revision, ZoneId
+from lentilrill.ids import LeaseId, Revision, ZoneId
 from lentilrill.membership import Liveness, Member, Role, ZoneStatus
 from lentilrill.store import (
     Compare,
@@ -97,7 +98,8 @@
         self.items_by_key: dict[str, Item] = {}
         self._history: list[Item] = []
         self._changed = threading.Condition(threading.RLock())
-        self._leases: dict[int, set[str]] = {}
+        self._leases: dict[LeaseId, set[str]] = {}
+        self._lease_ids = itertools.count(1)
 
     def read(self, prefix: str, priority: Priority = Priority.FIRST) -> Result[RangeAnswer, Fault]:
         del priority
@@ -158,8 +160,8 @@
             return _lost()
         return Success(answer)
 
-    def _has_ended(self, lease: int) -> bool:
-        return bool(lease) and lease not in self._leases
+    def _has_ended(self, lease: LeaseId | None) -> bool:
+        return lease is not None and lease not in self._leases
 
     def put(self, key: str, value: bytes) -> Revision:
         """Write unconditionally, as an operator's tool or another process would."""
@@ -181,16 +183,16 @@
             return _unavailable("watch")
         return Success(WatchBatch(tuple(items), revision))
 
-    def lease(self, ttl_s: float) -> Result[int, Fault]:
+    def lease(self, ttl_s: float) -> Result[LeaseId, Fault]:
         del ttl_s
         self.calls["lease"] += 1
         if self.down:
             return _unavailable("lease")
-        lease = len(self._leases) + 1
+        lease = LeaseId(next(self._lease_ids))
         self._leases[lease] = set()
         return Success(lease)
 
-    def keep_alive(self, lease: int) -> Result[float, Fault]:
+    def keep_alive(self, lease: LeaseId) -> Result[float, Fault]:
         self.calls["keep_alive"] += 1
         if self.down:
             return _unavailable("keep_alive")
@@ -198,7 +200,7 @@
             return Failure(Fault("platform.keep_alive", "fake", FaultKind.CONFLICT, "lapsed"))
         return Success(10.0)
 
-    def revoke(self, lease: int) -> Result[None, Fault]:
+    def revoke(self, lease: LeaseId) -> Result[None, Fault]:
         self.calls["revoke"] += 1
         if self.down:
             return _unavailable("revoke")
@@ -228,10 +230,12 @@
         self.revision = Revision(self.revision + 1)
         for write in writes:
             if isinstance(write, Put):
-                item = Item(write.key, write.value, self.revision)
+                item = Item(write.key, write.value, self.revision, write.lease)
                 self.items_by_key[write.key] = item
                 self._history.append(item)
-                if write.lease:
+                for keys in self._leases.values():
+                    keys.discard(write.key)
+                if write.lease is not None:
                     self._leases[write.lease].add(write.key)
                 continue
             end = write.end or write.key + "\0"
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -3,34 +3,21 @@
 import msgspec
 from testtools import TestCase
 
-from lentilrill.ids import Incarnation, ProcessId, Revision, ZoneId
+from lentilrill.ids import Incarnation, LeaseId, ProcessId, Revision, ZoneId
 from lentilrill.ownership import MemberRecord, OwnerRecord, Ownership, Shard
 from lentilrill.ownership._members import claim_rank
 from lentilrill.store import Put
 from tests.execution.fakes import eventually
 from tests.fakes import FakeKeyValue, lose_answer
+from tests.ownership.fakes import RecordingListener
 
 NOTICES = Shard("notices")
 
 
 def a_record(name: str, zone: str = "holyoke", strength: float = 1.0) -> MemberRecord:
-    return MemberRecord(ProcessId(name), Incarnation(1), ZoneId(zone), "10.0.0.1:1", 1, strength)
-
-
-class Listener:
-    """Records which shards were gained and lost."""
-
-    def __init__(self) -> None:
-        self.tokens_by_shard: dict[Shard, Revision] = {}
-        self.losses: list[Shard] = []
-
-    def on_gained(self, shard: Shard, token: Revision) -> None:
-        self.tokens_by_shard[shard] = token
-
-    def on_lost(self, shard: Shard, *, flush: bool = False) -> None:
-        del flush
-        self.losses.append(shard)
-        self.tokens_by_shard.pop(shard, None)
+    return MemberRecord(
+        ProcessId(name), Incarnation(1), ZoneId(zone), "10.0.0.1:1", LeaseId(1), strength
+    )
 
 
 class OwnershipTest(TestCase):
@@ -42,8 +29,8 @@
 
         self.shards = {NOTICES}
 
-    def member(self, name: str = "h1", incarnation: int = 1) -> tuple[Ownership, Listener]:
-        listener = Listener()
+    def member(self, name: str = "h1", incarnation: int = 1) -> tuple[Ownership, RecordingListener]:
+        listener = RecordingListener()
         ownership = Ownership(
             self.kv,
             ProcessId(name),
@@ -59,7 +46,7 @@
         self.addCleanup(ownership.close)
         return ownership, listener
 
-    def owning(self) -> tuple[Ownership, Listener]:
+    def owning(self) -> tuple[Ownership, RecordingListener]:
         ownership, listener = self.member()
         self.assertTrue(eventually(lambda: ownership.registered))
         self.now += 1.0
@@ -139,7 +126,7 @@
         self.assertTrue(ownership.may_order_as(NOTICES, present))
         self.assertFalse(ownership.may_order_as(NOTICES, earlier))
 
-    def owns_again(self, listener: Listener, earlier: Revision) -> bool:
+    def owns_again(self, listener: RecordingListener, earlier: Revision) -> bool:
         self.now += 0.05
         return listener.tokens_by_shard.get(NOTICES, earlier) > earlier
 
--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -106,6 +106,25 @@
         self.answers.append((200, b'{"key":"a","value":"%s","revision":5}' % encoded))
         self.assertEqual(Item("a", value, Revision(5)), self.kv.get("a").unwrap())
 
+    def test_a_grant_without_a_lease_is_a_fault(self) -> None:
+        """Guards against keys without a lease, if an answer to a request for one names none."""
+        for body in (b'{"ttl_ms":1600}', b'{"ttl_ms":1600,"lease":0}'):
+            self.answers.append((200, body))
+            self.assertIsInstance(self.kv.lease(1.6), Failure, body)
+        self.answers.append((200, b'{"ttl_ms":1600,"lease":7}'))
+        self.assertEqual(7, self.kv.lease(1.6).unwrap())
+
+    def test_an_item_tells_its_lease(self) -> None:
+        """Guards against a key that remains without its process and looks like any other."""
+        for lease, body in ((7, b'"lease":7'), (None, b'"lease":0'), (None, b'"created":5')):
+            item = b'{"key":"m/o/a","value":"eA==","revision":5,%s}' % body
+            self.answers.append((200, b'{"items":[%s],"at_rev":9}' % item))
+            self.assertEqual(lease, self.kv.read("m/").unwrap().items[0].lease)
+            self.answers.append((200, b'{"events":[%s],"at_rev":9}' % item))
+            watch = self.kv.watch("m/", Revision(4))
+            self.addCleanup(watch.close)
+            self.assertEqual(lease, next(iter(watch)).unwrap().items[0].lease)
+
 
 class LostAnswersTest(TestCase):
     def setUp(self) -> None:
