A job goes on after its queue's route was replaced

Cause: the owner looked the job's queue up by its id in the configuration in force. Without it the job counted as one without advice; its starts carried no ticket and each was refused (409, ticket), which the owner didn't hear.

Change: a job belongs to the queue that has its host and prefix now, else to the one with its id, else the terms hold that its record keeps since its acceptance: priority, stretch, objective and advice. One module answers this for order, deadlines, attempts, tickets and copies. A start that is refused for want of a ticket makes the job's next starts carry one.

--- a/src/lentilrill/execution/_copies.py
+++ b/src/lentilrill/execution/_copies.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from lentilrill.execution._budgets import RoundBudgets
+from lentilrill.execution._job_queues import needs_tickets
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._spare_room import Capacities, Slowdown, slowdown_of, without_waiting
@@ -17,7 +18,7 @@
     TrackedStep,
     TrackedTask,
 )
-from lentilrill.ids import EndpointId, PoolId
+from lentilrill.ids import EndpointId, JobId, PoolId
 from lentilrill.scheduling import (
     MIN_SLOWDOWN,
     CopyBudget,
@@ -165,7 +166,7 @@
         self._planner.copied_steps = [
             straggler.run.task.step
             for straggler in stragglers
-            if _is_advised(queue_by_job[straggler.run.task.id.job])
+            if _needs_tickets(straggler, queue_by_job)
         ]
         if not stragglers:
             return []
@@ -178,7 +179,7 @@
             if not budget.has_room(spec.needs.cpu) or not budgets.allows(job, spec.needs):
                 continue
             permitted = unwanted
-            if _is_advised(queue_by_job[job.id]):
+            if _needs_tickets(straggler, queue_by_job):
                 permitted = self._planner.with_ticket(straggler.run.task.step, unwanted)
             capacity = _place_copy(straggler.run.task, links, permitted, now)
             if capacity is None:
@@ -306,8 +307,9 @@
                 yield run
 
 
-def _is_advised(queue: Queue | None) -> bool:
-    return queue is not None and queue.advice is not None
+def _needs_tickets(straggler: _Straggler, queue_by_job: Mapping[JobId, Queue | None]) -> bool:
+    tracked_job = straggler.run.task.step.tracked_job
+    return needs_tickets(tracked_job, queue_by_job[tracked_job.job.id])
 
 
 def is_copied(spec: Step) -> bool:
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -8,6 +8,7 @@
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
 from lentilrill.execution._fair_shares import RoundOrder
 from lentilrill.execution._gangs import choose_for_gang
+from lentilrill.execution._job_queues import needs_tickets
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._need import Durations
 from lentilrill.execution._orders import Order, OrderKind
@@ -123,7 +124,7 @@
                 if not step.spec.reserved.fits(most_free):
                     continue
                 permitted = capacity_by_endpoint
-                if queue is not None and queue.advice is not None:
+                if needs_tickets(tracked_job, queue):
                     permitted = self.with_ticket(step, capacity_by_endpoint)
                 recorded = len(self.to_record)
                 started = self._place_step(step, permitted, now, unknown_tasks, budgets)
@@ -161,13 +162,9 @@
 
         The tickets of following steps are thus available when these steps become ready.
         """
-        if not any(queue is not None and queue.advice is not None for _, queue in jobs):
+        if not any(needs_tickets(*pair) for pair in jobs):
             return
-        advised = [
-            tracked_job
-            for tracked_job, queue in order.expected()
-            if queue is not None and queue.advice is not None
-        ]
+        advised = [pair[0] for pair in order.expected() if needs_tickets(*pair)]
         emptiest = sorted(capacity_by_endpoint.values(), key=lambda capacity: -capacity.free.cpu)
         endpoints = tuple(capacity.id for capacity in emptiest)
         first = [
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -15,6 +15,7 @@
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
 from lentilrill.execution._host_evidence import HostEvidence
 from lentilrill.execution._host_reader import NO_HOST_SOURCE, HostSource
+from lentilrill.execution._job_queues import JobQueues
 from lentilrill.execution._jobs import CancelSource, PoolJobs
 from lentilrill.execution._latency import LatencyKind, LatencyMonitor
 from lentilrill.execution._link import EndpointLink
@@ -45,7 +46,6 @@
     EndpointSpeed,
     JobView,
     PoolUse,
-    Queue,
     Resources,
 )
 
@@ -146,6 +146,7 @@
             records_since,
             metrics,
         )
+        self._queues = JobQueues(configuration)
         self._durations = Durations()
         self._offered = OfferedLoad()
         self._workspaces = WorkspaceReporter()
@@ -154,11 +155,13 @@
         self._starts = StoredStarts(self._crashes)
         self._speeds = SpeedMonitor(pool, self._durations, metrics)
         self._reconciler = Reconciler(
-            self._jobs.by_id, self._attempts, self._durations, self._crashes, self._speeds
+            self._jobs.by_id, self._queues.attempts, self._durations, self._crashes, self._speeds
         )
         self._tickets = TicketCache(policy, self._lock_and_wake)
         self._planner = Planner(token, self._durations, self._tickets, self._speeds)
-        self._copies = CopyBook(pool, self._planner, self._durations, self._attempts, metrics)
+        self._copies = CopyBook(
+            pool, self._planner, self._durations, self._queues.attempts, metrics
+        )
         self._relocations = Relocations(pool, self._durations, metrics)
         self._allowances = AllowanceBook(
             kv,
@@ -176,7 +179,7 @@
             token,
             self._lock,
             configuration,
-            self._queue_of,
+            self._queues.queue_of,
             self._jobs,
             self._links,
             self._planner,
@@ -272,7 +275,7 @@
     def _record_arrival(self, tracked_job: TrackedJob, at: float) -> None:
         if tracked_job.long_running:
             return
-        timing = self._planner.job_timing(tracked_job, self._queue_of(tracked_job), at)
+        timing = self._planner.job_timing(tracked_job, self._queues.queue_of(tracked_job), at)
         self._offered.record_arrival(at, self._durations.estimate_work(tracked_job), timing.slack_s)
 
     def pressure(self) -> PoolPressure | None:
@@ -289,7 +292,7 @@
             jobs = [
                 (
                     tracked_job,
-                    self._planner.job_timing(tracked_job, self._queue_of(tracked_job), now),
+                    self._planner.job_timing(tracked_job, self._queues.queue_of(tracked_job), now),
                 )
                 for tracked_job in self._jobs.live_by_id.values()
             ]
@@ -360,14 +363,6 @@
             link.order(order)
         return state, reason
 
-    def _queue_of(self, tracked_job: TrackedJob) -> Queue | None:
-        configuration = self._configuration()
-        return configuration.queue(tracked_job.job.queue) if configuration is not None else None
-
-    def _attempts(self, tracked_job: TrackedJob) -> int:
-        queue = self._queue_of(tracked_job)
-        return queue.max_attempts if queue is not None else tracked_job.job.attempts
-
     # Planning rounds
 
     def _lock_and_wake(self) -> None:
--- a/src/lentilrill/execution/_reconcile.py
+++ b/src/lentilrill/execution/_reconcile.py
@@ -166,6 +166,9 @@
             # The run has ended or was stopped; a poll lists its end.
             run.confirmed_at = time.monotonic()
             return None
+        if verdict is Verdict.NO_TICKET:
+            # What its job's queue requires isn't always known, and may have changed.
+            run.task.step.tracked_job.is_ticket_required = True
         now = time.monotonic()
         run.task.not_before = now + RETRY_ELSEWHERE_S
         run.task.record_refusal_by(link.entry.id)
--- a/src/lentilrill/execution/_tracking.py
+++ b/src/lentilrill/execution/_tracking.py
@@ -346,6 +346,7 @@
     :ivar is_recorded: whether its progress record is stored; until then none of its tasks is
         started.
     :ivar is_restored: whether a previous owner stored its record, and may have started it.
+    :ivar is_ticket_required: whether an endpoint has refused a start of it without a ticket.
     :ivar needs_record: whether its record is to be written, since its tasks start next.
     :ivar never_started: whether no previous owner can have started it, as it had no record when
         this owner took the pool over.
@@ -365,6 +366,7 @@
         "final_stored",
         "is_recorded",
         "is_restored",
+        "is_ticket_required",
         "job",
         "long_running",
         "needs_record",
@@ -397,6 +399,7 @@
         self.stored_revision = Revision(0)
         self.is_recorded = False
         self.is_restored = False
+        self.is_ticket_required = False
         self.needs_record = False
         self.record_requested_at = 0.0
         self.never_started = False
--- a/src/lentilrill/platform/_job_wire.py
+++ b/src/lentilrill/platform/_job_wire.py
@@ -90,6 +90,7 @@
             raw.interval_ms,
             queue.max_attempts,
             workspace,
+            terms=queue.terms,
         )
     )
 
--- a/src/lentilrill/workloads/_configuration.py
+++ b/src/lentilrill/workloads/_configuration.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from lentilrill.ids import EndpointId, HostId, PoolId, QueueId, RackId, ZoneId
-from lentilrill.workloads._job import Resources
+from lentilrill.workloads._job import QueueTerms, Resources
 from lentilrill.workloads._workspaces import Workspaces
 
 __all__ = ["Advice", "Configuration", "EndpointEntry", "Limits", "PoolEntry", "Queue", "Wave"]
@@ -45,6 +45,18 @@
     advice: Advice | None = None
     public: bool = False
 
+    @property
+    def terms(self) -> QueueTerms:
+        """What a job of this queue keeps of it."""
+        return QueueTerms(
+            self.host,
+            self.prefix,
+            self.priority,
+            self.stretch,
+            self.objective_ms,
+            self.advice is not None,
+        )
+
 
 class PoolEntry(msgspec.Struct, frozen=True):
     """One pool of hosts.
--- a/src/lentilrill/workloads/_job.py
+++ b/src/lentilrill/workloads/_job.py
@@ -8,7 +8,16 @@
 
 from lentilrill.ids import JobId, PoolId, QueueId, RackId, WorkspaceId
 
-__all__ = ["Job", "JobAnswer", "JobState", "Resources", "Step", "StepId", "TaskId"]
+__all__ = [
+    "Job",
+    "JobAnswer",
+    "JobState",
+    "QueueTerms",
+    "Resources",
+    "Step",
+    "StepId",
+    "TaskId",
+]
 
 
 class Resources(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
@@ -125,6 +134,24 @@
         return Resources(0, self.needs.memory_mb, self.needs.accelerators)
 
 
+class QueueTerms(msgspec.Struct, frozen=True, array_like=True):
+    """Properties of a queue at the acceptance of a job, used once the queue isn't configured.
+
+    :param host: value of the ``Host`` header that selects the queue.
+    :param prefix: path prefix that selects it.
+    :param stretch: factor on the duration of the job's critical path that the job may take.
+    :param objective_ms: latency objective, in addition to the stretched critical path.
+    :param is_advised: whether starts need tickets of the policy service.
+    """
+
+    host: str
+    prefix: str
+    priority: int = 0
+    stretch: float = 1.0
+    objective_ms: int = 0
+    is_advised: bool = False
+
+
 class Job(msgspec.Struct, frozen=True, omit_defaults=True):
     """One accepted job, as stored.
 
@@ -139,6 +166,7 @@
     :param occurrences: number of times that the steps run; 0 runs them once, immediately.
     :param beyond_rate: whether its workspace was beyond its rate when it was submitted.
     :param has_claim: whether it was stored together with the claim on its id.
+    :param terms: of its queue; ``None`` if an earlier version accepted it.
     """
 
     id: JobId
@@ -154,6 +182,7 @@
     workspace: WorkspaceId = WorkspaceId("")
     beyond_rate: bool = False
     has_claim: bool = False
+    terms: QueueTerms | None = None
 
     def due_ms(self, occurrence: int) -> int:
         """Return the due time of an occurrence in milliseconds since the epoch; 0 if immediate."""
--- a/tests/execution/fakes.py
+++ b/tests/execution/fakes.py
@@ -5,12 +5,15 @@
 from collections.abc import Callable
 
 import msgspec
+from returns.result import Failure, Result, Success
 
 from lentilrill.execution import (
     NO_HOST_SOURCE,
     EndKind,
     HostSource,
     OrderAnswer,
+    PolicyAnswer,
+    PolicyCalls,
     PollResult,
     PoolOwner,
     ReportedRun,
@@ -18,13 +21,23 @@
     StartOrder,
     Verdict,
 )
+from lentilrill.execution._tickets import TicketRequest
+from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import EndpointId, JobId, PoolId, Revision
 from lentilrill.store import Compare
-from lentilrill.workloads import Configuration, EndpointEntry, Job, JobState, Step, TaskId
+from lentilrill.workloads import Configuration, EndpointEntry, Job, JobState, Step, StepId, TaskId
 from tests.builders import a_configuration
 from tests.fakes import FakeKeyValue
 
-__all__ = ["FakeEndpoint", "OwnedPool", "ShownProgress", "TimedEndpoint", "eventually", "state_of"]
+__all__ = [
+    "FakeEndpoint",
+    "FakePolicy",
+    "OwnedPool",
+    "ShownProgress",
+    "TimedEndpoint",
+    "eventually",
+    "state_of",
+]
 
 TIMEOUT_S = 20.0
 MAX_POLL_WAIT_S = 0.05
@@ -188,6 +201,32 @@
                 self.running[key] = msgspec.structs.replace(run, percent=percent)
 
 
+class FakePolicy:
+    """Policy service that allows all endpoints but those denied; the next ``failures`` calls fail.
+
+    :ivar on_request: called during each call.
+    """
+
+    def __init__(self) -> None:
+        self.requests_received: list[TicketRequest] = []
+        self.failures = 0
+        self.denied: set[str] = set()
+        self.on_request: Callable[[], None] = lambda: None
+        self.valid_s = 60.0
+
+    def request_tickets(
+        self, step: StepId, endpoints: tuple[EndpointId, ...]
+    ) -> Result[PolicyAnswer, Fault]:
+        self.requests_received.append(TicketRequest(step, endpoints))
+        self.on_request()
+        if self.failures:
+            self.failures -= 1
+            return Failure(Fault("policy.ask", "", FaultKind.UNAVAILABLE, "status 429"))
+        return Success(
+            PolicyAnswer({e: f"t-{e}" for e in endpoints if e not in self.denied}, self.valid_s)
+        )
+
+
 class OwnedPool:
     """A pool on fake endpoints, and its successive owners.
 
@@ -204,6 +243,7 @@
         self.records_since: Revision | None = None
         self.refusals: list[str] = []
         self.hosts: HostSource = NO_HOST_SOURCE
+        self.policy: PolicyCalls | None = None
         self.owners: list[PoolOwner] = []
 
     def register(self, entry: EndpointEntry) -> None:
@@ -233,6 +273,7 @@
             self.refusals.append,
             lambda: self.configuration_key,
             lambda: self.records_since,
+            self.policy,
             hosts=self.hosts,
         )
         self.owners.append(owner)
--- a/tests/execution/test_copies.py
+++ b/tests/execution/test_copies.py
@@ -174,6 +174,13 @@
         self.tickets.ticket = lambda step, endpoint: "t" if endpoint == "e2" else None
         self.assertEqual(["e2"], [endpoint for endpoint, _ in placed()])
 
+    def test_a_copy_of_a_job_whose_queue_is_gone_needs_a_ticket(self) -> None:
+        """Guards against copies without tickets, which are refused again and again."""
+        run = self.straggler()
+        run.task.step.tracked_job.is_ticket_required = True
+        self.assertEqual([], self.copies())
+        self.assertEqual([run.task.step], self.planner.copied_steps)
+
     def test_an_old_report_proves_nothing(self) -> None:
         """Runs of an owner that polled late looked as if they made no progress."""
         run = self.straggler()
--- a/tests/execution/test_tickets.py
+++ b/tests/execution/test_tickets.py
@@ -1,16 +1,11 @@
 """Tickets of the policy service, requested ahead of starts."""
 
-from collections.abc import Callable
-
-from returns.result import Failure, Result, Success
 from testtools import TestCase
 
-from lentilrill.execution import PolicyAnswer
 from lentilrill.execution._tickets import MAX_ENDPOINTS_PER_CALL, TicketCache, TicketRequest
-from lentilrill.faults import Fault, FaultKind
 from lentilrill.ids import EndpointId, JobId
 from lentilrill.workloads import StepId
-from tests.execution.fakes import eventually
+from tests.execution.fakes import FakePolicy, eventually
 
 STEP, OTHER = StepId(JobId("a" * 16), 0, 0), StepId(JobId("b" * 16), 0, 0)
 
@@ -19,36 +14,11 @@
     return tuple(EndpointId(f"e{n}") for n in range(count))
 
 
-class Policy:
-    """Allows all endpoints but ``e1``; the next ``failures`` calls fail.
-
-    :ivar on_request: called during each call.
-    """
-
-    def __init__(self) -> None:
-        self.requests_received: list[TicketRequest] = []
-        self.failures = 0
-        self.denied = {"e1"}
-        self.on_request: Callable[[], None] = lambda: None
-        self.valid_s = 60.0
-
-    def request_tickets(
-        self, step: StepId, endpoints: tuple[EndpointId, ...]
-    ) -> Result[PolicyAnswer, Fault]:
-        self.requests_received.append(TicketRequest(step, endpoints))
-        self.on_request()
-        if self.failures:
-            self.failures -= 1
-            return Failure(Fault("policy.ask", "", FaultKind.UNAVAILABLE, "status 429"))
-        return Success(
-            PolicyAnswer({e: f"t-{e}" for e in endpoints if e not in self.denied}, self.valid_s)
-        )
-
-
 class TicketTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.policy = Policy()
+        self.policy = FakePolicy()
+        self.policy.denied = {"e1"}
         self.cache = TicketCache(self.policy, lambda: None)
         self.addCleanup(self.cache.close)
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -9,7 +9,7 @@
 from lentilrill.platform._endpoint_wire import decode_poll, refusal_verdict
 from lentilrill.platform._job_wire import decode_job
 from lentilrill.platform._records import decode_configuration, decode_endpoint, decode_wave
-from lentilrill.workloads import Resources, TaskId
+from lentilrill.workloads import Advice, Resources, TaskId
 from tests.builders import a_configuration
 
 ENTRY = {
@@ -96,6 +96,14 @@
 
 
 class JobWireTest(TestCase):
+    def test_a_job_keeps_the_terms_of_its_queue(self) -> None:
+        """Guards against a job that loses its queue's advice or priority with its route."""
+        queue = a_configuration(advice=Advice(60, 15, 1500), priority=1).queues[0]
+        body = b'{"spec":"text","steps":[{"count":1}]}'
+        job = decode_job(JobId("a" * 16), queue, WorkspaceId(""), body, 0).unwrap()
+        self.assertEqual(queue.terms, job.terms)
+        self.assertEqual((True, 1), (queue.terms.is_advised, queue.terms.priority))
+
     def decode(self, body: object) -> object:
         [queue] = a_configuration().queues
         raw = body if isinstance(body, bytes) else encoded(body)
