A cancelled job stays cancelled though its write is carried out late

Cause: a write without an answer may be carried out seconds later if its condition still holds, and a cancel of a job that the store doesn't have left it true: no claim on the job's id.

Change: such a cancel is acknowledged once the id is marked by a claim without a pool, written on condition that there is none. The job's write and the mark exclude each other in the store, whatever hosts remember or have been told. Marks are bound to leases that many of them share, last 130 s or more, and are limited to 10 a second and host. A job that is submitted under a marked id is shown as cancelled; another workspace's caller takes the id over.

--- a/src/lentilrill/execution/_claims.py
+++ b/src/lentilrill/execution/_claims.py
@@ -94,21 +94,36 @@
         log(Event.CLAIMS_NOT_STORED, pool=self._pool, jobs=len(claims), reason=reason)
         return None
 
-    def on_result(self, claims: tuple[Put, ...], existing: tuple[Item, ...] | None) -> None:
-        """Process the result of :meth:`store`."""
+    def on_result(self, claims: tuple[Put, ...], existing: tuple[Item, ...] | None) -> list[JobId]:
+        """Process the result of :meth:`store`.
+
+        :return: jobs that callers have cancelled at hosts which didn't find them.
+        """
         if existing is None:
             self._not_before = time.monotonic() + RETRY_S
-            return
+            return []
         settled = {item.key for item in existing} if existing else {put.key for put in claims}
         for job in [job for job, put in self._missing_by_job.items() if put.key in settled]:
             del self._missing_by_job[job]
-        for item in existing:
-            self._check(item)
+        own_by_key = {put.key: decode_claim(put.value) for put in claims}
+        return [_job_of(item) for item in existing if self._check(item, own_by_key[item.key])]
+
+    def _check(self, item: Item, own: JobClaim | None) -> bool:
+        """Note whose an existing claim is; return whether it says that the job is cancelled.
 
-    def _check(self, item: Item) -> None:
+        :param own: the claim that was to be stored.
+        """
         claim = decode_claim(item.value) if item.value is not None else None
-        if claim is None or claim.pool != self._pool:
-            job = JobId(item.key.rpartition("/")[2])
-            self._foreign.add(job)
-            pool = claim.pool if claim is not None else None
-            log(Event.JOB_ACCEPTED_TWICE, job=job, pool=self._pool, other_pool=pool)
+        if claim is not None and claim.pool == self._pool:
+            return False
+        job = _job_of(item)
+        self._foreign.add(job)
+        if claim is not None and claim.is_cancelled:
+            return own is not None and claim.workspace == own.workspace
+        pool = claim.pool if claim is not None else None
+        log(Event.JOB_ACCEPTED_TWICE, job=job, pool=self._pool, other_pool=pool)
+        return False
+
+
+def _job_of(claim: Item) -> JobId:
+    return JobId(claim.key.rpartition("/")[2])
--- a/src/lentilrill/execution/_jobs.py
+++ b/src/lentilrill/execution/_jobs.py
@@ -54,6 +54,8 @@
     MESSAGE = "message"
     """From the host that stored it."""
     WATCH = "watch"
+    CLAIM = "claim"
+    """From the claim on its id, which a host wrote that didn't find the job."""
     LOAD = "load"
     """From the records at the take-over."""
 
@@ -334,7 +336,8 @@
             return
         existing = self._claims.store(claims)
         with self._lock:
-            self._claims.on_result(claims, existing)
+            for job in self._claims.on_result(claims, existing):
+                self.cancel(job, CancelSource.CLAIM)
 
     def remove_expired(self, now_ms: int) -> None:
         """Remove the records of some ended jobs whose retention has expired."""
--- /dev/null
+++ b/src/lentilrill/intake/_cancel_marks.py
@@ -0,0 +1,182 @@
+"""Marks on the ids of cancelled jobs that the store doesn't have, or doesn't have yet."""
+
+import threading
+import time
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+from returns.result import Failure, Result
+
+from lentilrill.execution import claim_of, decode_claim
+from lentilrill.faults import Fault, FaultKind
+from lentilrill.ids import JobId, LeaseId, Revision, WorkspaceId
+from lentilrill.ownership import boottime
+from lentilrill.routing import TokenBucket
+from lentilrill.store import Compare, Item, KeyValue, Priority, Put, TxnAnswer
+from lentilrill.telemetry import Event, log
+from lentilrill.workloads import NO_POOL, Job, JobClaim, claim_key, job_key
+
+__all__ = ["CancelMarks", "MarkResult"]
+
+LEASE_TTL_S = 300.0
+MIN_LIFE_S = 130.0
+"""Minimum time for which a mark lasts: a write may be carried out seconds late, and the state of a
+cancelled job may be queried for 120 s."""
+MARKS_PER_S = 10.0
+MARK_BURST = 40.0
+"""Callers may cancel any number of ids that no job has, and each mark costs a write."""
+MAX_ATTEMPTS = 3
+"""Attempts at a mark while others write under the same id."""
+
+
+class MarkResult(Enum):
+    """Result of an attempt to mark an id."""
+
+    MARKED = "marked"
+    """No write that was sent before can store a job under the id."""
+    HAS_JOB = "job"
+    """The id has a job now."""
+    UNAVAILABLE = "unavailable"
+    """Nothing was written."""
+    UNKNOWN = "unknown"
+    """The mark may have been written, or may still be."""
+
+
+class CancelMarks:
+    """Marks on ids, which take the place of a job's claim.
+
+    The write of a job may be carried out seconds after its caller was told that nothing is known of
+    it. Its condition is that its id has no claim. So a cancel that comes meanwhile is acknowledged
+    only once the id is marked, and the write fails.
+
+    A mark is bound to a lease, as no owner removes it. Many marks share a lease.
+    """
+
+    def __init__(self, kv: KeyValue, clock: Callable[[], float] = boottime) -> None:
+        self._kv = kv
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._bucket = TokenBucket(MARKS_PER_S, MARK_BURST, time.monotonic())
+        self._lease: LeaseId | None = None
+        self._lease_until = 0.0
+
+    def put(self, job: JobId, workspace: WorkspaceId) -> MarkResult:
+        """Mark an id as cancelled by a caller of a workspace, for :data:`MIN_LIFE_S` at least."""
+        mark = JobClaim(NO_POOL, workspace, is_cancelled=True)
+        item: Item | None = None
+        if not self._may_write():
+            log(Event.CANCEL_NOT_MARKED, job=job, reason="too many cancels of unknown jobs")
+            return MarkResult.UNAVAILABLE
+        for _ in range(MAX_ATTEMPTS):
+            lease = self._current_lease()
+            if lease is None:
+                return MarkResult.UNAVAILABLE
+            result = self._write(job, mark, item, lease)
+            if isinstance(result, Failure):
+                fault = result.failure()
+                if fault.kind is FaultKind.INVALID:
+                    # The store has ended the lease early.
+                    self._drop(lease)
+                    continue
+                log(Event.CANCEL_NOT_MARKED, job=job, reason=fault.reason)
+                return _result_of(result)
+            answer = result.unwrap()
+            if answer.succeeded:
+                return MarkResult.MARKED
+            item = answer.found[0] if answer.found else None
+            if item is None:
+                continue
+            claim = _claim_in(item)
+            if claim is None:
+                # A later version may have written it, for a job.
+                return MarkResult.UNKNOWN
+            if not claim.is_cancelled:
+                return MarkResult.HAS_JOB
+            if claim.workspace == workspace:
+                if item.lease == lease:
+                    return MarkResult.MARKED
+                mark = claim
+        return MarkResult.UNKNOWN
+
+    def note_submitted(self, job: JobId, workspace: WorkspaceId) -> MarkResult:
+        """Note that a job was submitted under a marked id, so that it is shown as cancelled.
+
+        :return: ``HAS_JOB`` if the id isn't marked by this workspace.
+        """
+        read = self._kv.get(claim_key(job), Priority.LATER)
+        if isinstance(read, Failure):
+            return MarkResult.UNAVAILABLE
+        item = read.unwrap()
+        claim = _claim_in(item)
+        if claim is None or not claim.is_cancelled or claim.workspace != workspace:
+            return MarkResult.HAS_JOB
+        if claim.is_submitted:
+            return MarkResult.MARKED
+        lease = self._current_lease()
+        if lease is None:
+            return MarkResult.UNAVAILABLE
+        mark = msgspec.structs.replace(claim, is_submitted=True)
+        return _result_of(self._write(job, mark, item, lease))
+
+    def replace(self, job: Job, record: bytes) -> tuple[MarkResult, Revision]:
+        """Store a job under an id that a caller of another workspace has marked.
+
+        :param record: the encoded job.
+        :return: ``HAS_JOB`` once it is stored, and the revision of its record.
+        """
+        read = self._kv.get(claim_key(job.id), Priority.LATER)
+        if isinstance(read, Failure):
+            return MarkResult.UNAVAILABLE, Revision(0)
+        item = read.unwrap()
+        claim = _claim_in(item)
+        if item is None or claim is None or not claim.is_cancelled:
+            return MarkResult.UNKNOWN, Revision(0)
+        key = job_key(job.pool, job.id)
+        compares = (Compare(claim_key(job.id), item.revision), Compare(key, Revision(0)))
+        result = self._kv.commit(compares, (claim_of(job), Put(key, record)))
+        if isinstance(result, Failure) or not result.unwrap().succeeded:
+            return _result_of(result), Revision(0)
+        return MarkResult.HAS_JOB, result.unwrap().revision
+
+    def _may_write(self) -> bool:
+        with self._lock:
+            return self._bucket.take(time.monotonic())
+
+    def _write(
+        self, job: JobId, mark: JobClaim, item: Item | None, lease: LeaseId
+    ) -> Result[TxnAnswer, Fault]:
+        """Write a mark if its id still has the claim ``item``, or none."""
+        key = claim_key(job)
+        compare = Compare(key, item.revision if item is not None else Revision(0))
+        put = Put(key, msgspec.msgpack.encode(mark), lease)
+        return self._kv.commit((compare,), (put,), Priority.LATER)
+
+    def _current_lease(self) -> LeaseId | None:
+        """Return a lease that lasts for :data:`MIN_LIFE_S`; ``None`` if none is granted."""
+        with self._lock:
+            now = self._clock()
+            if self._lease is None or self._lease_until - now < MIN_LIFE_S:
+                granted = self._kv.lease(LEASE_TTL_S)
+                if isinstance(granted, Failure):
+                    log(Event.CANCEL_NOT_MARKED, reason=granted.failure().reason)
+                    return None
+                self._lease = granted.unwrap()
+                self._lease_until = now + LEASE_TTL_S
+            return self._lease
+
+    def _drop(self, lease: LeaseId) -> None:
+        with self._lock:
+            if self._lease == lease:
+                self._lease = None
+
+
+def _claim_in(item: Item | None) -> JobClaim | None:
+    return decode_claim(item.value) if item is not None and item.value is not None else None
+
+
+def _result_of(result: Result[TxnAnswer, Fault]) -> MarkResult:
+    if isinstance(result, Failure):
+        is_unknown = result.failure().kind is FaultKind.AMBIGUOUS
+        return MarkResult.UNKNOWN if is_unknown else MarkResult.UNAVAILABLE
+    return MarkResult.MARKED if result.unwrap().succeeded else MarkResult.UNKNOWN
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -15,6 +15,7 @@
     JobTold,
     PoolPressure,
 )
+from lentilrill.intake._cancel_marks import CancelMarks, MarkResult
 from lentilrill.intake._group import MAX_WAIT_S, CommitResult, GroupCommit
 from lentilrill.intake._lookup import JobFinder, JobLookup, Peers, workspace_of
 from lentilrill.intake._unconfirmed import UnconfirmedJobs
@@ -46,6 +47,20 @@
 """Share of the caller's timeout to spend on the commit. The rest leaves time to query the owner
 before a refusal, and for the answer to reach the caller."""
 
+ANSWER_BY_MARK = {
+    MarkResult.MARKED: JobAnswer.ACCEPTED,
+    MarkResult.HAS_JOB: JobAnswer.UNKNOWN,
+    MarkResult.UNAVAILABLE: JobAnswer.UNAVAILABLE,
+    MarkResult.UNKNOWN: JobAnswer.UNKNOWN,
+}
+"""Answers to a job whose id was marked as cancelled when it was submitted."""
+CANCEL_ANSWER_BY_MARK = {
+    MarkResult.MARKED: JobAnswer.ABSENT,
+    MarkResult.UNAVAILABLE: JobAnswer.UNAVAILABLE,
+    MarkResult.UNKNOWN: JobAnswer.UNKNOWN,
+}
+"""Answers to a cancel of an id without a job, once it was tried to mark it."""
+
 
 class Intake:
     """Accepts, cancels and shows jobs.
@@ -82,6 +97,7 @@
         self._workspaces = workspaces
         self._unconfirmed = UnconfirmedJobs()
         self._group_commit = GroupCommit(kv)
+        self._marks = CancelMarks(kv)
         self._former_pools = former_pools
         self._finder = JobFinder(kv, peers, local_owner_of, owner_of)
 
@@ -131,7 +147,11 @@
         claim: JobClaim | None = None
         if answer is JobAnswer.ACCEPTED:
             claim = self._claim_in_force(job, result)
-            answer = _answer_by_claim(claim, job)
+            if claim is not None and claim.is_cancelled:
+                answer, result = self._submit_cancelled(job, claim, record)
+                claim = None
+            else:
+                answer = _answer_by_claim(claim, job)
         took_s = round(time.monotonic() - started_at, 3)
         if answer is JobAnswer.UNAVAILABLE:
             retry_s = outage_retry_s(store_silent_s)
@@ -150,6 +170,22 @@
             self._report_unconfirmed(job.id)
         return answer, 0.0
 
+    def _submit_cancelled(
+        self, job: Job, mark: JobClaim, record: Put
+    ) -> tuple[JobAnswer, CommitResult]:
+        """Submit a job whose id is marked as cancelled.
+
+        It counts as accepted and cancelled, unless another workspace's caller has cancelled the id.
+        """
+        if mark.workspace == job.workspace:
+            noted = self._marks.note_submitted(job.id, job.workspace)
+            return ANSWER_BY_MARK[noted], CommitResult(None)
+        replaced, revision = self._marks.replace(job, record.value)
+        result = CommitResult(True, revision=revision, value_by_key={record.key: record.value})
+        if replaced is MarkResult.HAS_JOB:
+            return JobAnswer.ACCEPTED, result
+        return ANSWER_BY_MARK[replaced], result
+
     def _overload_of(self, job: Job, decision: JobAdmission | None) -> "_Overload | None":
         """Return why a job's pool, or its workspace's share of it, has no room for the job."""
         reported = self._pressure_of(job.pool)
@@ -217,10 +253,23 @@
         """
         deadline = time.monotonic() + _commit_wait_s(wait_s)
         found = self._find_job(queue, workspace, job)
+        if not found.is_conclusive:
+            return JobAnswer.UNAVAILABLE
+        if found.pool is None or found.state is None:
+            marked = self._marks.put(job, workspace)
+            log(Event.CANCEL_ANSWERED, job=job, marked=marked.value)
+            if marked is not MarkResult.HAS_JOB:
+                return CANCEL_ANSWER_BY_MARK[marked]
+            found = self._find_job(queue, workspace, job)
+        return self._cancel_found(job, found, deadline)
+
+    def _cancel_found(self, job: JobId, found: JobLookup, deadline: float) -> JobAnswer:
+        """Cancel a job that the store has."""
         if not found.is_conclusive:
             return JobAnswer.UNAVAILABLE
         job_pool = found.pool
         if job_pool is None or found.state is None:
+            # Its id belongs to a job of another workspace, which keeps any other one out.
             return JobAnswer.ABSENT
         if found.state.is_final:
             return JobAnswer.ACCEPTED
--- a/src/lentilrill/intake/_lookup.py
+++ b/src/lentilrill/intake/_lookup.py
@@ -42,6 +42,8 @@
     """The result of looking up a job.
 
     :param is_conclusive: whether the store could be read; if not, the job may exist.
+    :param pool: pool of the job; ``None`` if there is none, or if it was cancelled before it was
+        submitted.
     """
 
     is_conclusive: bool
@@ -88,6 +90,10 @@
         claim = self.read_claim(job)
         if isinstance(claim, JobLookup):
             return claim
+        if claim.is_cancelled:
+            # Without a job that was submitted there is none to be shown.
+            state = JobState.CANCELLED if claim.is_submitted else None
+            return JobLookup(True, None, state, claim.workspace)
         return self.query_owners((claim.pool,), job) or self._read_job(claim.pool, job)
 
     def query_owners(
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -196,6 +196,11 @@
     )
     JOB_ANSWERED = (670, Level.INFO, "A submitted job was answered.")
     CANCEL_ANSWERED = (671, Level.INFO, "A request to cancel a job was answered.")
+    CANCEL_NOT_MARKED = (
+        665,
+        Level.WARNING,
+        "A cancel of a job that isn't stored could not be kept, and was not acknowledged.",
+    )
     JOB_NOT_READ = (
         672,
         Level.WARNING,
--- a/src/lentilrill/workloads/__init__.py
+++ b/src/lentilrill/workloads/__init__.py
@@ -21,6 +21,7 @@
     TaskId,
 )
 from lentilrill.workloads._job_records import (
+    NO_POOL,
     JobClaim,
     cancellation_key,
     claim_key,
@@ -41,6 +42,7 @@
 )
 
 __all__ = [
+    "NO_POOL",
     "Advice",
     "Attempt",
     "Configuration",
--- a/tests/execution/test_claims.py
+++ b/tests/execution/test_claims.py
@@ -7,11 +7,11 @@
 
 from lentilrill.execution import _claims, claim_of, decode_claim
 from lentilrill.execution._claims import MAX_CLAIMS_PER_COMMIT
-from lentilrill.ids import JobId, PoolId
+from lentilrill.ids import JobId, PoolId, WorkspaceId
 from lentilrill.telemetry import Event
-from lentilrill.workloads import Job, JobClaim, JobProgress, JobState, claim_key, job_key
+from lentilrill.workloads import NO_POOL, Job, JobClaim, JobProgress, JobState, claim_key, job_key
 from tests.builders import a_job
-from tests.execution.fakes import OwnedPool, eventually
+from tests.execution.fakes import OwnedPool, eventually, state_of
 from tests.fakes import CallWrapper, lose_answer, refuse, slow_down
 
 POOL, OTHER_POOL = PoolId("notices"), PoolId("ballots")
@@ -129,3 +129,25 @@
 
         self.assertTrue(eventually(is_removed))
         self.assertEqual(JobClaim(OTHER_POOL), self.claim_on(self.old))
+
+    def test_a_job_that_was_cancelled_at_a_host_which_did_not_find_it(self) -> None:
+        """Guards against a job that runs after its cancel: it had no claim yet, its queue had
+        another pool meanwhile, and the host that took the cancel knew of neither."""
+        mark = JobClaim(NO_POOL, is_cancelled=True)
+        self.kv.put(claim_key(self.old.id), msgspec.msgpack.encode(mark))
+        self.accept(self.old)
+        owner = self.pool.take_over()
+        self.assertTrue(eventually(lambda: state_of(owner, self.old.id) is JobState.CANCELLED))
+        self.assertEqual(mark, self.claim_on(self.old))
+
+    def test_a_cancel_by_another_workspace_leaves_the_job(self) -> None:
+        """Guards against a caller that cancels another workspace's job by its id."""
+        mark = JobClaim(NO_POOL, WorkspaceId("library"), is_cancelled=True)
+        self.kv.put(claim_key(self.old.id), msgspec.msgpack.encode(mark))
+        self.accept(self.old)
+        jobs = self.pool.new_owner()._jobs
+        self.assertTrue(jobs.load())
+        jobs.store_claims()
+        view = jobs.find(self.old.id)
+        assert view is not None
+        self.assertIs(JobState.QUEUED, view.state)
