Waiting jobs are counted in all pools that may have them

Cause: pending was what the owner of the queue's present pool reports; jobs stay in the pool that accepted them.

Change: a host adds up the reports of the owners of all pools. A missing or old report is unknown, not none, unless it shows that the pool has no job of the queue and can't have got one since. An owner reports a waiting job under the queue that has its address now, so that a renamed queue keeps its jobs.

--- a/src/lentilrill/entry/_caches.py
+++ b/src/lentilrill/entry/_caches.py
@@ -1,6 +1,7 @@
 """In-memory copies of the records of operators and endpoints."""
 
 import threading
+import time
 from collections.abc import Callable
 
 from lentilrill.entry._queue_pools import QueuePools
@@ -30,6 +31,7 @@
 
     :ivar key: key and revision of the configuration in force; ``None`` if it came from a peer,
         which doesn't know the revision.
+    :ivar configured_at: monotonic time at which it came in force; 0 if there is none yet.
     """
 
     def __init__(self, on_change: Callable[[], None] = lambda: None) -> None:
@@ -40,6 +42,7 @@
         self.current: Configuration | None = None
         self.value = b""
         self.key: Compare | None = None
+        self.configured_at = 0.0
         self.waves_by_number: dict[int, Wave] = {}
 
     @property
@@ -102,6 +105,7 @@
             self._queue_pools.record(configuration)
             self._record_left_out(configuration)
             self.current, self.value, self.key = configuration, value, key
+            self.configured_at = time.monotonic()
         log(
             Event.CONFIGURATION_IN_FORCE,
             version=configuration.version,
--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -24,7 +24,7 @@
     ReleaseState,
     ReleaseTold,
 )
-from lentilrill.intake import MAX_STORE_SILENT_S, Intake, WorkspaceAdmission
+from lentilrill.intake import MAX_STORE_SILENT_S, Intake, WaitingCounts, WorkspaceAdmission
 from lentilrill.ownership import Ownership, PaceMonitor, Shard
 from lentilrill.platform import (
     ENDPOINTS_PREFIX,
@@ -140,6 +140,11 @@
             settings.callers,
             settings.threads,
             self._intake,
+            WaitingCounts(
+                lambda: self._configuration.owned_pools,
+                self._status_exchange.newest_pressures,
+                lambda: self._configuration.configured_at,
+            ).count,
             lambda: self._configuration.current,
             lambda: self._draining,
             self.metrics,
--- a/src/lentilrill/execution/_job_queues.py
+++ b/src/lentilrill/execution/_job_queues.py
@@ -1,6 +1,6 @@
 """Which queue a job belongs to now, and what that means for it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from lentilrill.execution._tracking import TrackedJob
 from lentilrill.ids import QueueId
@@ -53,6 +53,18 @@
             advice=Advice() if terms.is_advised else None,
         )
 
+    def ids_of(self, tracked_job: TrackedJob) -> Collection[QueueId]:
+        """Return the ids of the queues that a job counts for, as callers ask for them.
+
+        A host that doesn't have the newest configuration yet asks for a renamed queue by the id
+        that it had, which the job keeps.
+        """
+        own_id = tracked_job.job.queue
+        queue = self.queue_of(tracked_job)
+        if queue is None or queue.id == own_id:
+            return (own_id,)
+        return (queue.id,) if own_id in self._by_id else (queue.id, own_id)
+
     def attempts(self, tracked_job: TrackedJob) -> int:
         """Return the number of failed runs after which a task of a job is given up."""
         queue = self.queue_of(tracked_job)
--- a/src/lentilrill/execution/_pool.py
+++ b/src/lentilrill/execution/_pool.py
@@ -299,7 +299,7 @@
             demand = demand_of(jobs, links, self._durations, self._offered.forecast(now), now)
             # The rounds until the next call order jobs by this value.
             self._planner.feasible = demand.feasible
-            backlog = backlog_of(jobs)
+            backlog = backlog_of(jobs, self._queues.ids_of)
             configuration = self._configuration()
             has_workspaces = configuration is not None and configuration.workspaces is not None
             counts_are_known = self._follower.failing_s <= MAX_BLIND_S
--- a/src/lentilrill/execution/_pressure.py
+++ b/src/lentilrill/execution/_pressure.py
@@ -1,7 +1,7 @@
 """Pressure of a pool, which its owner sends to all entry hosts a few times a second."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import msgspec
 
@@ -31,13 +31,19 @@
     overdue_work: float = 0.0
 
 
-def backlog_of(jobs: Iterable[tuple[TrackedJob, JobTiming]]) -> Backlog:
-    """Return the unfinished work of jobs that are not final."""
+def backlog_of(
+    jobs: Iterable[tuple[TrackedJob, JobTiming]],
+    queue_ids_of: Callable[[TrackedJob], Collection[QueueId]],
+) -> Backlog:
+    """Return the unfinished work of jobs that are not final.
+
+    :param queue_ids_of: returns the ids of the queues under which a job counts as waiting.
+    """
     backlog = Backlog({}, set())
     for tracked_job, timing in jobs:
-        queue = tracked_job.job.queue
         if tracked_job.state is JobState.QUEUED and not tracked_job.job.occurrences:
-            backlog.waiting_by_queue[queue] = backlog.waiting_by_queue.get(queue, 0) + 1
+            for queue in queue_ids_of(tracked_job):
+                backlog.waiting_by_queue[queue] = backlog.waiting_by_queue.get(queue, 0) + 1
         work = 0.0 if tracked_job.long_running else timing.remaining_work
         if timing.can_meet_deadline:
             backlog.work += work
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -298,13 +298,6 @@
             return JobAnswer.ABSENT, None, FailureCause.NONE
         return JobAnswer.ACCEPTED, found.state, found.cause
 
-    def count_waiting(self, pool: PoolId, queue: QueueId) -> int | None:
-        """Return how many accepted jobs of a queue have not started; ``None`` if unknown."""
-        reported = self._pressure_of(pool)
-        if reported is None or reported.waiting_by_queue is None:
-            return None
-        return reported.waiting_by_queue.get(queue, 0)
-
     def on_job_told(self, batch: Batch, message: JobTold) -> None:
         """Handle an owner's answer to a query."""
         self._finder.on_job_told(batch, message)
--- /dev/null
+++ b/src/lentilrill/intake/_waiting_counts.py
@@ -0,0 +1,66 @@
+"""Number of a queue's jobs that wait, over all pools in which the queue has jobs."""
+
+import time
+from collections.abc import Callable, Collection, Mapping
+
+from lentilrill.ids import PoolId, QueueId
+from lentilrill.inner import PoolPressure
+from lentilrill.workloads import Queue
+
+__all__ = ["WaitingCounts"]
+
+MAX_REPORT_AGE_S = 1.6
+"""Age up to which an owner's report tells how many jobs wait."""
+SETTLED_S = 15.0
+"""Time after a change of the configuration in which jobs may still get into pools that their queues
+had before: by hosts that don't have it yet, and by writes that are carried out late."""
+
+
+class WaitingCounts:
+    """Counts waiting jobs by what the owners of the pools report.
+
+    Jobs stay in the pool that accepted them when their queue is sent to another one, and this
+    process may not know which pools a queue had. So each pool counts.
+
+    :param pools: returns the pools that need an owner.
+    :param pressures: returns the newest report of each pool, however old, and the monotonic time of
+        its sending.
+    :param configured_at: returns the monotonic time at which the configuration came in force here.
+    """
+
+    def __init__(
+        self,
+        pools: Callable[[], Collection[PoolId]],
+        pressures: Callable[[], Mapping[PoolId, tuple[float, PoolPressure]]],
+        configured_at: Callable[[], float],
+    ) -> None:
+        self._pools = pools
+        self._pressures = pressures
+        self._configured_at = configured_at
+
+    def count(self, queue: Queue) -> int | None:
+        """Return how many accepted jobs of a queue have not started; ``None`` if unknown."""
+        pressures = self._pressures()
+        now = time.monotonic()
+        recent = {pool for pool, (sent_at, _) in pressures.items() if _is_recent(sent_at, now)}
+        total = 0
+        for pool in {queue.pool, *self._pools(), *recent}:
+            sent_at, pressure = pressures.get(pool, (0.0, None))
+            waiting = pressure.waiting_by_queue if pressure is not None else None
+            if waiting is None:
+                return None
+            if pool not in recent and not self._is_settled(queue, pool, sent_at, waiting):
+                return None
+            total += waiting.get(queue.id, 0)
+        return total
+
+    def _is_settled(
+        self, queue: Queue, pool: PoolId, sent_at: float, waiting: Mapping[QueueId, int]
+    ) -> bool:
+        """Whether an old report shows that a pool has no job of a queue, and gets none."""
+        is_former = pool != queue.pool and sent_at >= self._configured_at() + SETTLED_S
+        return is_former and not waiting.get(queue.id, 0)
+
+
+def _is_recent(sent_at: float, now: float) -> bool:
+    return now - sent_at < MAX_REPORT_AGE_S
--- a/src/lentilrill/platform/_ingress.py
+++ b/src/lentilrill/platform/_ingress.py
@@ -62,6 +62,8 @@
 class Ingress:
     """HTTP server for callers of jobs.
 
+    :param count_waiting: returns how many accepted jobs of a queue have not started; ``None`` if
+        unknown.
     :param configuration: returns the configuration in force; ``None`` if there is none yet.
     :param is_out_of_date: whether this host may lack a newer configuration, since the store does
         not answer it.
@@ -74,6 +76,7 @@
         address: str,
         threads: int,
         intake: Intake,
+        count_waiting: Callable[[Queue], int | None],
         configuration: Callable[[], Configuration | None],
         is_draining: Callable[[], bool],
         metrics: Metrics,
@@ -82,6 +85,7 @@
         held_bytes: int = DEFAULT_HELD_BYTES,
     ) -> None:
         self._intake = intake
+        self._count_waiting = count_waiting
         self._configuration = configuration
         self._is_draining = is_draining
         self._metrics = metrics
@@ -194,7 +198,7 @@
         return UNAUTHORIZED, b"{}", None
 
     def _count_pending(self, queue: Queue) -> Answer:
-        waiting = self._intake.count_waiting(queue.pool, queue.id)
+        waiting = self._count_waiting(queue)
         if waiting is None:
             return STATUS_BY_ANSWER[JobAnswer.UNAVAILABLE], b"{}", UNAVAILABLE_RETRY_S
         return "200 OK", encode_pending(waiting), None
--- a/tests/entry/test_received_state.py
+++ b/tests/entry/test_received_state.py
@@ -44,6 +44,18 @@
         cache.on_changed((an_item("op/config", a_record(9, "/newest/")),))
         self.assertEqual(9, cache.version)
 
+    def test_the_time_at_which_a_version_came_in_force(self) -> None:
+        """Guards against counts that rely on reports from before the newest version."""
+        now = 100.0
+        self.patch(time, "monotonic", lambda: now)
+        cache = ConfigurationCache()
+        cache.apply_if_newer(a_record(7, "/new/"))
+        now = 110.0
+        cache.on_changed((an_item("op/config", a_record(7, "/new/")),))
+        self.assertEqual(100.0, cache.configured_at)
+        cache.on_changed((an_item("op/config", a_record(9, "/newest/")),))
+        self.assertEqual(110.0, cache.configured_at)
+
     def test_malformed_records_are_ignored(self) -> None:
         cache = ConfigurationCache()
         cache.apply_if_newer(a_record(7, "/new/"))
--- a/tests/execution/test_reconcile.py
+++ b/tests/execution/test_reconcile.py
@@ -404,7 +404,7 @@
         need: float = 0.0,
         links: list[EndpointLink] | None = None,
     ) -> PoolPressure:
-        backlog = backlog_of(timings)
+        backlog = backlog_of(timings, lambda tracked_job: (tracked_job.job.queue,))
         demand = PoolDemand(need, need)
         return pressure_of(PoolId("notices"), TOKEN, backlog, demand, links or [self.link], 0.0)
 
--- a/tests/execution/test_replaced_queues.py
+++ b/tests/execution/test_replaced_queues.py
@@ -138,6 +138,18 @@
         self.pool.configuration = a_version()
         self.assert_completes(self.next_owner(first), REFUSALS_UNTIL_HEARD)
 
+    def test_jobs_that_wait_are_reported_for_the_renamed_route(self) -> None:
+        """Guards against a renamed queue that is shown as empty while its jobs wait."""
+        self.pool.entries.clear()
+        owner = self.pool.take_over()
+        self.pool.submit(owner, self.job)
+        self.pool.configuration = a_version(renamed())
+        self.assertTrue(eventually(lambda: self.waiting(owner) == {QUEUE.id: 1, renamed().id: 1}))
+
+    def waiting(self, owner: PoolOwner) -> dict[QueueId, int] | None:
+        pressure = owner.pressure()
+        return pressure.waiting_by_queue if pressure is not None else None
+
     def test_a_gang_whose_route_is_removed(self) -> None:
         """Guards against a gang that is sent without tickets, and refused as a whole, for good."""
         self.job = a_job_of(QUEUE, a_step(2), a_step(2, after=(0,), gang=True))
@@ -214,6 +226,19 @@
             3, JobQueues(lambda: a_version()).attempts(TrackedJob(job, Revision(1), 0))
         )
 
+    def test_the_ids_under_which_a_job_waits(self) -> None:
+        """Guards against a renamed queue that is shown as empty while its jobs wait."""
+        other = msgspec.structs.replace(QUEUE, prefix="/other/")
+        for configured, expected in (
+            ((QUEUE,), {QUEUE.id}),
+            ((), {QUEUE.id}),
+            ((renamed(),), {QUEUE.id, renamed().id}),
+            ((other, renamed()), {renamed().id}),
+        ):
+            queues = JobQueues(lambda configured=configured: a_version(*configured))
+            tracked_job = TrackedJob(a_job_of(QUEUE), Revision(1), 0.0)
+            self.assertEqual(expected, set(queues.ids_of(tracked_job)), configured)
+
     def test_the_record_keeps_the_terms(self) -> None:
         """Guards against terms that are lost in the store."""
         job = a_job_of(QUEUE)
--- a/tests/intake/test_intake.py
+++ b/tests/intake/test_intake.py
@@ -9,7 +9,6 @@
     Incarnation,
     JobId,
     ProcessId,
-    QueueId,
     WorkspaceId,
 )
 from lentilrill.inner import (
@@ -200,13 +199,6 @@
         )
         self.assertIs(JobAnswer.ABSENT, self.intake.cancel(QUEUE, NO_WORKSPACE, JobId("f" * 16)))
 
-    def test_waiting_jobs_as_the_owner_counts_them(self) -> None:
-        self.assertIsNone(self.intake.count_waiting(POOL, QueueId("proofs")))
-        self.pressure = PoolPressure(POOL, 0.0, {QueueId("proofs"): 3}, 1)
-        self.assertEqual(3, self.intake.count_waiting(POOL, QueueId("proofs")))
-        self.pressure = PoolPressure(POOL, 0.0, None, 1)
-        self.assertIsNone(self.intake.count_waiting(POOL, QueueId("proofs")))
-
     def test_a_job_is_invisible_to_other_workspaces(self) -> None:
         """Guards against a caller who reads or cancels the job of another workspace by its id."""
         job = a_job("b", workspace=SCHOOLS)
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -118,6 +118,11 @@
         """Cancel a job."""
         return self._status("DELETE", self.settings[name]["callers"], path, key=key)[0]
 
+    def pending(self, name: str, prefix: str) -> int | None:
+        """Return the number of a queue's jobs that wait; ``None`` if it isn't known."""
+        status, body = self._status("GET", self.settings[name]["callers"], prefix)
+        return int(json.loads(body)["pending"]) if status == 200 else None
+
     def request(self, method: str, name: str, path: str) -> int:
         """Send a request without a body; return the status of the answer."""
         return self._status(method, self.settings[name]["callers"], path)[0]
--- a/tests/platform/test_changed_service.py
+++ b/tests/platform/test_changed_service.py
@@ -17,6 +17,7 @@
 LEFT_OUT = ROUTES | {"/proofs/": "library"}
 TASK_S = 3.0
 REPEATS = 4
+WAITING = 3
 
 
 class ChangedServiceTest(TestCase):
@@ -88,3 +89,23 @@
         self.assertEqual(2, len(self.runs(lambda run: run.end_kind == "done")))
         endpoints = {self.platform.endpoint_of(host) for host in self.hosts}
         self.assertLessEqual({run.endpoint for run in self.runs()}, endpoints)
+
+    def test_waiting_jobs_are_counted_after_their_queue_changed_its_pool(self) -> None:
+        """Guards against a queue that is shown as empty while its jobs wait in its former pool.
+
+        Hosts that began after the change count them too.
+        """
+        waiting = {"spec": "text", "steps": [STEP | {"requires": "no-endpoint-has-it"}]}
+        for number in range(WAITING):
+            self.assertEqual(200, self.site.submit("front-0", f"/proofs/{number:016x}", waiting))
+        self.assertTrue(eventually(self.all_count))
+        self.change_service()
+        self.assertTrue(eventually(self.all_count))
+        for name in self.site.settings:
+            self.site.kill(name)
+        self.assertTrue(self.site.start_all())
+        self.assertTrue(eventually(self.all_count))
+
+    def all_count(self) -> bool:
+        """Whether each host counts the jobs that wait."""
+        return all(self.site.pending(name, "/proofs/") == WAITING for name in self.site.settings)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -8,7 +8,7 @@
 from msgspec.structs import replace
 from testtools import TestCase
 
-from lentilrill.ids import JobId, PoolId, QueueId, WorkspaceId
+from lentilrill.ids import JobId, PoolId, WorkspaceId
 from lentilrill.platform import Ingress, _ingress
 from lentilrill.telemetry import Event, NoMetrics
 from lentilrill.workloads import FailureCause, Job, JobAnswer, JobState
@@ -46,10 +46,6 @@
         self.workspaces.append(workspace)
         return JobAnswer.ACCEPTED, self.state, self.cause
 
-    def count_waiting(self, pool: PoolId, queue: QueueId) -> int | None:
-        del pool, queue
-        return 0
-
 
 class _IngressCase(TestCase):
     def setUp(self) -> None:
@@ -62,6 +58,7 @@
             self.address,
             2,
             self.intake,
+            lambda queue: 0,
             lambda: self.configuration,
             lambda: False,
             NoMetrics(),
