Intake, marks and planner: shorter functions, one value for each fact

Cause: Intake._submit had grown to fifty lines, the age of a valid status stood in three modules, the prefix of owners' keys and a job's deadline in two, the pair of a job and its queue in five.

Change: committing is a method of its own with a typed result; the others have one place each. A job that is submitted under a marked id is answered as unknown, not as refused, if that can't be noted: an earlier copy of its write may still be carried out once the mark has ended.

--- a/src/lentilrill/entry/_process.py
+++ b/src/lentilrill/entry/_process.py
@@ -25,7 +25,7 @@
     ReleaseTold,
 )
 from lentilrill.intake import MAX_STORE_SILENT_S, Intake, WaitingCounts, WorkspaceAdmission
-from lentilrill.ownership import Ownership, PaceMonitor, Shard
+from lentilrill.ownership import OWNER_PREFIX, Ownership, PaceMonitor, Shard
 from lentilrill.platform import (
     ENDPOINTS_PREFIX,
     OPERATORS_PREFIX,
@@ -53,7 +53,6 @@
 DRAIN_NOTICE_S = 2.4
 """Time for which a draining host still serves callers: the load balancer checks readiness once a
 second, and stops sending after two failed checks."""
-OWNER_KEY_PREFIX = "m/o/"
 ENDPOINT_WATCH_PAUSE_S = 0.3
 """Pause between two watch calls for endpoints, each of which writes about once a second. One call
 gets all changes made during the pause; a host moved into a pool waits no longer than this."""
@@ -273,7 +272,7 @@
             self._kv,
             PoolId(shard),
             token,
-            OWNER_KEY_PREFIX + shard,
+            OWNER_PREFIX + shard,
             lambda: self._configuration.current,
             self._endpoint_directory.of_pool,
             self._connect,
@@ -331,7 +330,7 @@
             drainer,
             process,
             token,
-            OWNER_KEY_PREFIX + FLEET,
+            OWNER_PREFIX + FLEET,
             lambda: dict(self._configuration.waves_by_number),
             self._load_of,
             may_order,
--- a/src/lentilrill/entry/_status_exchange.py
+++ b/src/lentilrill/entry/_status_exchange.py
@@ -8,9 +8,9 @@
 from lentilrill.clocks import RemoteClock
 from lentilrill.entry._caches import ConfigurationCache
 from lentilrill.entry._recipients import SEND_INTERVAL_S, BroadcastSchedule, neighbours, summarize
-from lentilrill.entry._store_outage import MAX_STATUS_AGE_S, StoreOutageDetector
+from lentilrill.entry._store_outage import StoreOutageDetector
 from lentilrill.ids import Incarnation, PoolId, ProcessId
-from lentilrill.inner import Batch, Configured, HostNews, Node, PoolPressure
+from lentilrill.inner import MAX_STATUS_AGE_S, Batch, Configured, HostNews, Node, PoolPressure
 from lentilrill.ownership import MemberRecord, boottime
 from lentilrill.telemetry import run_and_log_errors
 
--- a/src/lentilrill/entry/_store_outage.py
+++ b/src/lentilrill/entry/_store_outage.py
@@ -4,11 +4,10 @@
 
 from lentilrill.bounded_maps import keep_newest
 from lentilrill.ids import ProcessId
+from lentilrill.inner import MAX_STATUS_AGE_S
 
-__all__ = ["MAX_STATUS_AGE_S", "OUTAGE_SILENT_S", "StoreOutageDetector"]
+__all__ = ["OUTAGE_SILENT_S", "StoreOutageDetector"]
 
-MAX_STATUS_AGE_S = 1.6
-"""Time for which a status is valid: five send intervals, so that a few messages may be lost."""
 OUTAGE_SILENT_S = 0.9
 """Time without an answer after which the store counts as down for a host: two lease renewals."""
 MAX_HOSTS = 1024
--- a/src/lentilrill/execution/_copies.py
+++ b/src/lentilrill/execution/_copies.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from lentilrill.execution._budgets import RoundBudgets
-from lentilrill.execution._job_queues import needs_tickets
+from lentilrill.execution._job_queues import JobOfQueue, deadline_ms, needs_tickets
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._planner import Planner
 from lentilrill.execution._spare_room import Capacities, Slowdown, slowdown_of, without_waiting
@@ -140,7 +140,7 @@
 
     def place(
         self,
-        jobs: list[tuple[TrackedJob, Queue | None]],
+        jobs: list[JobOfQueue],
         links: Mapping[EndpointId, EndpointLink],
         capacity_by_endpoint: Capacities,
         unknown_tasks: set[TaskId],
@@ -270,10 +270,8 @@
             expected_ms = self._times.expected_ms(tracked_job.job, other.spec, other)
             before_ms = max((path_ms[i] for i in other.spec.after), default=0.0)
             path_ms.append(before_ms + max(expected_ms, other.longest_ms))
-        stretch = queue.stretch if queue is not None else 1.0
-        objective_ms = queue.objective_ms if queue is not None else 0
-        deadline_ms = stretch * max(path_ms) + objective_ms
-        return deadline_ms / 1000 - (now - tracked_job.arrived_at)
+        allowed_s = deadline_ms(queue, max(path_ms)) / 1000
+        return allowed_s - (now - tracked_job.arrived_at)
 
     def _start(self, straggler: _Straggler, endpoint: EndpointId, now: float) -> Run:
         original, task = straggler.run, straggler.run.task
--- a/src/lentilrill/execution/_fair_shares.py
+++ b/src/lentilrill/execution/_fair_shares.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
+from lentilrill.execution._job_queues import JobOfQueue
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._tracking import TrackedJob
 from lentilrill.ids import JobId, WorkspaceId
 from lentilrill.scheduling import DominantShares, FairOrder, JobTiming, class_of, sort_key
-from lentilrill.workloads import Configuration, Queue, Resources, TaskId
+from lentilrill.workloads import Configuration, Resources, TaskId
 
 __all__ = ["RoundOrder", "shares_of"]
 
-JobOfQueue = tuple[TrackedJob, Queue | None]
 NOTHING = Resources()
 
 
--- a/src/lentilrill/execution/_job_queues.py
+++ b/src/lentilrill/execution/_job_queues.py
@@ -6,7 +6,10 @@
 from lentilrill.ids import QueueId
 from lentilrill.workloads import Advice, Configuration, Queue
 
-__all__ = ["JobQueues", "needs_tickets"]
+__all__ = ["JobOfQueue", "JobQueues", "deadline_ms", "needs_tickets"]
+
+JobOfQueue = tuple[TrackedJob, Queue | None]
+"""A job and its queue, if that is known."""
 
 _Address = tuple[str, str]
 """Host and path prefix, which select a queue and stay when it is renamed."""
@@ -80,6 +83,16 @@
         self._indexed = configuration
 
 
+def deadline_ms(queue: Queue | None, path_ms: float) -> float:
+    """Return the time that a job may take by its queue.
+
+    :param path_ms: duration of its critical path.
+    """
+    if queue is None:
+        return path_ms
+    return queue.stretch * path_ms + queue.objective_ms
+
+
 def needs_tickets(tracked_job: TrackedJob, queue: Queue | None) -> bool:
     """Whether starts of a job need tickets: by its queue, or since an endpoint refused one without.
 
--- a/src/lentilrill/execution/_planner.py
+++ b/src/lentilrill/execution/_planner.py
@@ -8,7 +8,7 @@
 from lentilrill.execution._endpoint_speeds import SpeedMonitor
 from lentilrill.execution._fair_shares import RoundOrder
 from lentilrill.execution._gangs import choose_for_gang
-from lentilrill.execution._job_queues import needs_tickets
+from lentilrill.execution._job_queues import JobOfQueue, deadline_ms, needs_tickets
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._need import Durations
 from lentilrill.execution._orders import Order, OrderKind
@@ -88,7 +88,7 @@
 
     def place_tasks(
         self,
-        jobs: list[tuple[TrackedJob, Queue | None]],
+        jobs: list[JobOfQueue],
         capacity_by_endpoint: dict[EndpointId, EndpointCapacity],
         now: float,
         blocked_zones: frozenset[ZoneId],
@@ -137,7 +137,7 @@
         self._record_ahead(jobs, order)
         return placed
 
-    def _record_ahead(self, jobs: list[tuple[TrackedJob, Queue | None]], order: RoundOrder) -> None:
+    def _record_ahead(self, jobs: list[JobOfQueue], order: RoundOrder) -> None:
         """Choose the next jobs in the order whose records are written before there is room.
 
         While the store doesn't answer, jobs without a record can't be started. Jobs with one have
@@ -154,7 +154,7 @@
 
     def _request_tickets(
         self,
-        jobs: list[tuple[TrackedJob, Queue | None]],
+        jobs: list[JobOfQueue],
         order: RoundOrder,
         capacity_by_endpoint: dict[EndpointId, EndpointCapacity],
     ) -> None:
@@ -273,14 +273,12 @@
     def job_timing(self, tracked_job: TrackedJob, queue: Queue | None, now: float) -> JobTiming:
         """Return the values by which a job is ordered among others."""
         estimate = self._durations.estimate_work(tracked_job)
-        stretch = queue.stretch if queue is not None else 1.0
-        objective_ms = queue.objective_ms if queue is not None else 0
         return JobTiming(
             queue.priority if queue is not None else 0,
             tracked_job.long_running,
             now - tracked_job.arrived_at,
             estimate.remaining_ms / 1000,
-            (stretch * estimate.total_ms + objective_ms) / 1000,
+            deadline_ms(queue, estimate.total_ms) / 1000,
             estimate.cpu_s,
         )
 
--- a/src/lentilrill/execution/_relocation.py
+++ b/src/lentilrill/execution/_relocation.py
@@ -6,9 +6,10 @@
 
 from lentilrill.execution._budgets import RoundBudgets
 from lentilrill.execution._copies import TimesLeft
+from lentilrill.execution._job_queues import JobOfQueue
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._spare_room import Capacities, Slowdown, slowdown_of, without_waiting
-from lentilrill.execution._tracking import MAX_REPORT_AGE_S, Run, RunPhase, TrackedJob, TrackedTask
+from lentilrill.execution._tracking import MAX_REPORT_AGE_S, Run, RunPhase, TrackedTask
 from lentilrill.ids import EndpointId, PoolId
 from lentilrill.scheduling import (
     MIN_SLOWDOWN,
@@ -19,7 +20,7 @@
     place,
 )
 from lentilrill.telemetry import Event, Metrics, log
-from lentilrill.workloads import Queue, Step, TaskId
+from lentilrill.workloads import Step, TaskId
 
 __all__ = ["Relocations"]
 
@@ -68,7 +69,7 @@
 
     def plan(
         self,
-        jobs: list[tuple[TrackedJob, Queue | None]],
+        jobs: list[JobOfQueue],
         links: Mapping[EndpointId, EndpointLink],
         capacity_by_endpoint: Capacities,
         unknown_tasks: set[TaskId],
--- a/src/lentilrill/execution/_spare_room.py
+++ b/src/lentilrill/execution/_spare_room.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable, Mapping
 
 from lentilrill.execution._budgets import RoundBudgets
+from lentilrill.execution._job_queues import JobOfQueue
 from lentilrill.execution._link import EndpointLink
-from lentilrill.execution._tracking import TrackedJob
 from lentilrill.ids import EndpointId
 from lentilrill.scheduling import EndpointCapacity, Speed
-from lentilrill.workloads import Queue, Resources
+from lentilrill.workloads import Resources
 
 __all__ = ["Capacities", "Slowdown", "slowdown_of", "without_waiting"]
 
@@ -26,7 +26,7 @@
 
 
 def without_waiting(
-    jobs: list[tuple[TrackedJob, Queue | None]],
+    jobs: list[JobOfQueue],
     links: Mapping[EndpointId, EndpointLink],
     capacity_by_endpoint: Capacities,
     budgets: RoundBudgets,
--- a/src/lentilrill/inner/__init__.py
+++ b/src/lentilrill/inner/__init__.py
@@ -3,6 +3,7 @@
 from lentilrill.inner._claims import ClaimAnswer, ClaimAsk, ClaimState, OutcomeAck, OutcomeNote
 from lentilrill.inner._codec import Batch, Message, decode, encode
 from lentilrill.inner._entry import (
+    MAX_STATUS_AGE_S,
     Configured,
     HostNews,
     JobAccepted,
@@ -39,6 +40,7 @@
 
 __all__ = [
     "MAX_JOB_RUN_S",
+    "MAX_STATUS_AGE_S",
     "Ask",
     "Barred",
     "Batch",
--- a/src/lentilrill/inner/_entry.py
+++ b/src/lentilrill/inner/_entry.py
@@ -8,6 +8,7 @@
 from lentilrill.ids import EndpointId, JobId, PoolId, QueueId, WorkspaceId
 
 __all__ = [
+    "MAX_STATUS_AGE_S",
     "Configured",
     "HostNews",
     "JobAccepted",
@@ -24,7 +25,9 @@
     "new_asker",
 ]
 
-
+MAX_STATUS_AGE_S = 1.6
+"""Time for which a host's status is valid: five send intervals, so that a few messages may be
+lost."""
 MAX_ID_CHARACTERS = 255
 ASKER_BYTES = 8
 """Length of the random identity of what sends queries."""
--- a/src/lentilrill/intake/_cancel_marks.py
+++ b/src/lentilrill/intake/_cancel_marks.py
@@ -15,7 +15,7 @@
 from lentilrill.routing import TokenBucket
 from lentilrill.store import Compare, Item, KeyValue, Priority, Put, TxnAnswer
 from lentilrill.telemetry import Event, log
-from lentilrill.workloads import NO_POOL, Job, JobClaim, claim_key, job_key
+from lentilrill.workloads import NO_POOL, Job, JobClaim, claim_key
 
 __all__ = ["CancelMarks", "MarkResult"]
 
@@ -63,81 +63,68 @@
 
     def put(self, job: JobId, workspace: WorkspaceId) -> MarkResult:
         """Mark an id as cancelled by a caller of a workspace, for :data:`MIN_LIFE_S` at least."""
-        mark = JobClaim(NO_POOL, workspace, is_cancelled=True)
-        item: Item | None = None
         if not self._may_write():
             log(Event.CANCEL_NOT_MARKED, job=job, reason="too many cancels of unknown jobs")
             return MarkResult.UNAVAILABLE
+        mark = JobClaim(NO_POOL, workspace, is_cancelled=True)
+        existing: Item | None = None
         for _ in range(MAX_ATTEMPTS):
             lease = self._current_lease()
             if lease is None:
                 return MarkResult.UNAVAILABLE
-            result = self._write(job, mark, item, lease)
+            result = self._write(job, mark, existing, lease)
             if isinstance(result, Failure):
                 fault = result.failure()
-                if fault.kind is FaultKind.INVALID:
-                    # The store has ended the lease early.
-                    self._drop(lease)
-                    continue
-                log(Event.CANCEL_NOT_MARKED, job=job, reason=fault.reason)
-                return _result_of(result)
-            answer = result.unwrap()
-            if answer.succeeded:
-                return MarkResult.MARKED
-            item = answer.found[0] if answer.found else None
-            if item is None:
+                if fault.kind is not FaultKind.INVALID:
+                    log(Event.CANCEL_NOT_MARKED, job=job, reason=fault.reason)
+                    return _result_of(fault)
+                # The store has ended the lease early.
+                self._drop(lease)
                 continue
-            claim = _claim_in(item)
-            if claim is None:
-                # A later version may have written it, for a job.
-                return MarkResult.UNKNOWN
-            if not claim.is_cancelled:
-                return MarkResult.HAS_JOB
-            if claim.workspace == workspace:
-                if item.lease == lease:
-                    return MarkResult.MARKED
-                mark = claim
+            if result.unwrap().succeeded:
+                return MarkResult.MARKED
+            existing = next(iter(result.unwrap().found), None)
+            found = _result_by_claim(existing, workspace, lease)
+            if found is not None:
+                return found
+            mark = _with_submission(mark, existing)
         return MarkResult.UNKNOWN
 
-    def note_submitted(self, job: JobId, workspace: WorkspaceId) -> MarkResult:
+    def note_submitted(self, job: JobId, workspace: WorkspaceId) -> bool:
         """Note that a job was submitted under a marked id, so that it is shown as cancelled.
 
-        :return: ``HAS_JOB`` if the id isn't marked by this workspace.
+        :return: whether that is stored now. If not, it may be, or the mark may have ended.
         """
-        read = self._kv.get(claim_key(job), Priority.LATER)
-        if isinstance(read, Failure):
-            return MarkResult.UNAVAILABLE
-        item = read.unwrap()
-        claim = _claim_in(item)
-        if claim is None or not claim.is_cancelled or claim.workspace != workspace:
-            return MarkResult.HAS_JOB
-        if claim.is_submitted:
-            return MarkResult.MARKED
+        item, mark = self._read_mark(job)
+        if mark is None or mark.workspace != workspace:
+            return False
+        if mark.is_submitted:
+            return True
         lease = self._current_lease()
         if lease is None:
-            return MarkResult.UNAVAILABLE
-        mark = msgspec.structs.replace(claim, is_submitted=True)
-        return _result_of(self._write(job, mark, item, lease))
+            return False
+        mark = msgspec.structs.replace(mark, is_submitted=True)
+        return _is_written(self._write(job, mark, item, lease))
 
-    def replace(self, job: Job, record: bytes) -> tuple[MarkResult, Revision]:
+    def replace(self, job: Job, record: Put) -> Revision | None:
         """Store a job under an id that a caller of another workspace has marked.
 
-        :param record: the encoded job.
-        :return: ``HAS_JOB`` once it is stored, and the revision of its record.
+        :param record: the write of the job.
+        :return: revision of the job; ``None`` if it wasn't stored, or may still be.
         """
-        read = self._kv.get(claim_key(job.id), Priority.LATER)
-        if isinstance(read, Failure):
-            return MarkResult.UNAVAILABLE, Revision(0)
-        item = read.unwrap()
+        item, mark = self._read_mark(job.id)
+        if item is None or mark is None:
+            return None
+        compares = (Compare(claim_key(job.id), item.revision), Compare(record.key, Revision(0)))
+        result = self._kv.commit(compares, (claim_of(job), record))
+        return result.unwrap().revision if _is_written(result) else None
+
+    def _read_mark(self, job: JobId) -> tuple[Item | None, JobClaim | None]:
+        """Return the mark on an id, as stored and decoded; ``None`` if it isn't marked."""
+        read = self._kv.get(claim_key(job), Priority.LATER)
+        item = None if isinstance(read, Failure) else read.unwrap()
         claim = _claim_in(item)
-        if item is None or claim is None or not claim.is_cancelled:
-            return MarkResult.UNKNOWN, Revision(0)
-        key = job_key(job.pool, job.id)
-        compares = (Compare(claim_key(job.id), item.revision), Compare(key, Revision(0)))
-        result = self._kv.commit(compares, (claim_of(job), Put(key, record)))
-        if isinstance(result, Failure) or not result.unwrap().succeeded:
-            return _result_of(result), Revision(0)
-        return MarkResult.HAS_JOB, result.unwrap().revision
+        return (item, claim) if claim is not None and claim.is_cancelled else (None, None)
 
     def _may_write(self) -> bool:
         with self._lock:
@@ -175,8 +162,32 @@
     return decode_claim(item.value) if item is not None and item.value is not None else None
 
 
-def _result_of(result: Result[TxnAnswer, Fault]) -> MarkResult:
-    if isinstance(result, Failure):
-        is_unknown = result.failure().kind is FaultKind.AMBIGUOUS
-        return MarkResult.UNKNOWN if is_unknown else MarkResult.UNAVAILABLE
-    return MarkResult.MARKED if result.unwrap().succeeded else MarkResult.UNKNOWN
+def _result_by_claim(
+    existing: Item | None, workspace: WorkspaceId, lease: LeaseId
+) -> MarkResult | None:
+    """Return what an existing claim makes of an attempt at a mark; ``None`` to mark over it."""
+    if existing is None:
+        return None
+    claim = _claim_in(existing)
+    if claim is None:
+        # A later version may have written it, for a job.
+        return MarkResult.UNKNOWN
+    if not claim.is_cancelled:
+        return MarkResult.HAS_JOB
+    lasts = claim.workspace == workspace and existing.lease == lease
+    return MarkResult.MARKED if lasts else None
+
+
+def _with_submission(mark: JobClaim, existing: Item | None) -> JobClaim:
+    """Return a mark that keeps what is noted by the workspace's mark before it."""
+    claim = _claim_in(existing)
+    return claim if claim is not None and claim.workspace == mark.workspace else mark
+
+
+def _result_of(fault: Fault) -> MarkResult:
+    is_unknown = fault.kind is FaultKind.AMBIGUOUS
+    return MarkResult.UNKNOWN if is_unknown else MarkResult.UNAVAILABLE
+
+
+def _is_written(result: Result[TxnAnswer, Fault]) -> bool:
+    return not isinstance(result, Failure) and result.unwrap().succeeded
--- a/src/lentilrill/intake/_intake.py
+++ b/src/lentilrill/intake/_intake.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from lentilrill.execution import PoolOwner, claim_of, decode_claim
-from lentilrill.ids import NO_WORKSPACE, JobId, PoolId, QueueId, WorkspaceId
+from lentilrill.ids import NO_WORKSPACE, JobId, PoolId, QueueId, Revision, WorkspaceId
 from lentilrill.inner import (
     Batch,
     JobAccepted,
@@ -47,13 +47,6 @@
 """Share of the caller's timeout to spend on the commit. The rest leaves time to query the owner
 before a refusal, and for the answer to reach the caller."""
 
-ANSWER_BY_MARK = {
-    MarkResult.MARKED: JobAnswer.ACCEPTED,
-    MarkResult.HAS_JOB: JobAnswer.UNKNOWN,
-    MarkResult.UNAVAILABLE: JobAnswer.UNAVAILABLE,
-    MarkResult.UNKNOWN: JobAnswer.UNKNOWN,
-}
-"""Answers to a job whose id was marked as cancelled when it was submitted."""
 CANCEL_ANSWER_BY_MARK = {
     MarkResult.MARKED: JobAnswer.ABSENT,
     MarkResult.UNAVAILABLE: JobAnswer.UNAVAILABLE,
@@ -140,51 +133,50 @@
             return self._refuse(
                 job, JobAnswer.UNAVAILABLE, retry_s, reason="the store does not answer", **fields
             )
-        job = msgspec.structs.replace(job, has_claim=True)
-        record = Put(job_key(job.pool, job.id), msgspec.msgpack.encode(job))
-        result = self._group_commit.create(claim_of(job), record, wait_s=_commit_wait_s(wait_s))
-        answer = _answer_of(result)
-        claim: JobClaim | None = None
-        if answer is JobAnswer.ACCEPTED:
-            claim = self._claim_in_force(job, result)
-            if claim is not None and claim.is_cancelled:
-                answer, result = self._submit_cancelled(job, claim, record)
-                claim = None
-            else:
-                answer = _answer_by_claim(claim, job)
-        took_s = round(time.monotonic() - started_at, 3)
+        committed = self._commit(msgspec.structs.replace(job, has_claim=True), wait_s)
+        answer = committed.answer
+        fields["took_s"] = round(time.monotonic() - started_at, 3)
         if answer is JobAnswer.UNAVAILABLE:
             retry_s = outage_retry_s(store_silent_s)
-            return self._refuse(
-                job, answer, retry_s, reason="not committed", took_s=took_s, **fields
-            )
-        pool = claim.pool if claim is not None else job.pool
-        if pool != job.pool:
-            fields["accepted_in"] = pool
-        self._log_submit(job, answer, revision=result.revision, took_s=took_s, **fields)
-        if answer is JobAnswer.ACCEPTED and result.revision:
+            return self._refuse(job, answer, retry_s, reason="not committed", **fields)
+        if committed.pool != job.pool:
+            fields["accepted_in"] = committed.pool
+        self._log_submit(job, answer, revision=committed.revision, **fields)
+        if answer is JobAnswer.ACCEPTED and committed.revision:
             if self._workspaces is not None:
                 self._workspaces.on_committed(job.id)
-            self._notify_owner(pool, job.id, result)
+            self._notify_owner(job.id, committed)
         elif answer is JobAnswer.UNKNOWN:
             self._report_unconfirmed(job.id)
         return answer, 0.0
 
-    def _submit_cancelled(
-        self, job: Job, mark: JobClaim, record: Put
-    ) -> tuple[JobAnswer, CommitResult]:
-        """Submit a job whose id is marked as cancelled.
+    def _commit(self, job: Job, wait_s: float | None) -> "_Commit":
+        """Store a job together with the claim on its id."""
+        record = Put(job_key(job.pool, job.id), msgspec.msgpack.encode(job))
+        result = self._group_commit.create(claim_of(job), record, wait_s=_commit_wait_s(wait_s))
+        answer = _answer_of(result)
+        if answer is not JobAnswer.ACCEPTED:
+            return _Commit(answer, job.pool)
+        claim = self._claim_in_force(job, result)
+        if claim is not None and claim.is_cancelled:
+            return self._commit_cancelled(job, claim, record)
+        pool = claim.pool if claim is not None else job.pool
+        value = result.value_by_key.get(job_key(pool, job.id), b"")
+        return _Commit(_answer_by_claim(claim, job), pool, result.revision, value)
+
+    def _commit_cancelled(self, job: Job, mark: JobClaim, record: Put) -> "_Commit":
+        """Store that a job was submitted whose id is marked as cancelled.
 
         It counts as accepted and cancelled, unless another workspace's caller has cancelled the id.
+        If nothing was stored, an earlier copy of its write may still be, once the mark has ended.
         """
         if mark.workspace == job.workspace:
-            noted = self._marks.note_submitted(job.id, job.workspace)
-            return ANSWER_BY_MARK[noted], CommitResult(None)
-        replaced, revision = self._marks.replace(job, record.value)
-        result = CommitResult(True, revision=revision, value_by_key={record.key: record.value})
-        if replaced is MarkResult.HAS_JOB:
-            return JobAnswer.ACCEPTED, result
-        return ANSWER_BY_MARK[replaced], result
+            is_noted = self._marks.note_submitted(job.id, job.workspace)
+            return _Commit(JobAnswer.ACCEPTED if is_noted else JobAnswer.UNKNOWN, job.pool)
+        revision = self._marks.replace(job, record)
+        if revision is None:
+            return _Commit(JobAnswer.UNKNOWN, job.pool)
+        return _Commit(JobAnswer.ACCEPTED, job.pool, revision, record.value)
 
     def _overload_of(self, job: Job, decision: JobAdmission | None) -> "_Overload | None":
         """Return why a job's pool, or its workspace's share of it, has no room for the job."""
@@ -308,14 +300,14 @@
         is_foreign = found.state is not None and not _may_see(workspace, found.workspace)
         return JobLookup(True) if is_foreign else found
 
-    def _notify_owner(self, pool: PoolId, job: JobId, result: CommitResult) -> None:
-        value = result.value_by_key[job_key(pool, job)]
-        owner = self._local_owner_of(pool)
-        record = self._owner_of(pool)
+    def _notify_owner(self, job: JobId, stored: "_Commit") -> None:
+        owner = self._local_owner_of(stored.pool)
+        record = self._owner_of(stored.pool)
         if owner is not None:
-            owner.add_job(value, result.revision)
+            owner.add_job(stored.value, stored.revision)
         elif record is not None:
-            self._peers.send(record.inner, JobAccepted(pool, job, value, result.revision))
+            accepted = JobAccepted(stored.pool, job, stored.value, stored.revision)
+            self._peers.send(record.inner, accepted)
 
     def _log_submit(self, job: Job, answer: JobAnswer, **fields: object) -> None:
         log(
@@ -328,6 +320,20 @@
         )
 
 
+class _Commit(msgspec.Struct, frozen=True):
+    """Result of committing a job.
+
+    :param pool: pool that the job is accepted in.
+    :param revision: revision of its record; 0 if it wasn't stored now.
+    :param value: its record, if it was stored now.
+    """
+
+    answer: JobAnswer
+    pool: PoolId
+    revision: Revision = Revision(0)
+    value: bytes = b""
+
+
 class _Overload(msgspec.Struct, frozen=True):
     """Why a job is refused, and the seconds after which its caller should retry."""
 
--- a/src/lentilrill/intake/_waiting_counts.py
+++ b/src/lentilrill/intake/_waiting_counts.py
@@ -4,13 +4,11 @@
 from collections.abc import Callable, Collection, Mapping
 
 from lentilrill.ids import PoolId, QueueId
-from lentilrill.inner import PoolPressure
+from lentilrill.inner import MAX_STATUS_AGE_S, PoolPressure
 from lentilrill.workloads import Queue
 
 __all__ = ["WaitingCounts"]
 
-MAX_REPORT_AGE_S = 1.6
-"""Age up to which an owner's report tells how many jobs wait."""
 SETTLED_S = 15.0
 """Time after a change of the configuration in which jobs may still get into pools that their queues
 had before: by hosts that don't have it yet, and by writes that are carried out late."""
@@ -63,4 +61,4 @@
 
 
 def _is_recent(sent_at: float, now: float) -> bool:
-    return now - sent_at < MAX_REPORT_AGE_S
+    return now - sent_at < MAX_STATUS_AGE_S
--- a/src/lentilrill/intake/_workspace_admission.py
+++ b/src/lentilrill/intake/_workspace_admission.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from lentilrill.ids import JobId, PoolId, WorkspaceId
-from lentilrill.inner import PoolPressure, WorkspaceLoads
+from lentilrill.inner import MAX_STATUS_AGE_S, PoolPressure, WorkspaceLoads
 from lentilrill.scheduling import (
     DECAY_S,
     MAX_WAIT_S,
@@ -28,9 +28,7 @@
 
 NewestPressures = Callable[[], Mapping[PoolId, tuple[float, PoolPressure]]]
 """Returns the newest pressure of each pool, however old, and the monotonic time of its sending."""
-MAX_REPORT_AGE_S = 1.6
-"""Age up to which a report of the backlog decides; later jobs are accepted."""
-MAX_RECENT_S = 2 * MAX_REPORT_AGE_S
+MAX_RECENT_S = 2 * MAX_STATUS_AGE_S
 """Time for which an accepted job is remembered: a report that decides is sent after its commit."""
 TENTHS, HUNDREDTHS = 10, 100
 CORE = 1000
@@ -187,7 +185,8 @@
         sent_at, pressure = dated if dated is not None else (-math.inf, None)
         loads = pressure.workspaces if pressure is not None else None
         age_s = max(0.0, now - sent_at)
-        if loads is None or age_s >= MAX_REPORT_AGE_S:
+        if loads is None or age_s >= MAX_STATUS_AGE_S:
+            # A pool whose backlog isn't known gets the job.
             return JobAdmission(job)
         backlog = self._backlog(job, configuration, loads, sent_at, age_s)
         verdict = admit_by_fair_share(
--- a/tests/intake/test_cancel_marks.py
+++ b/tests/intake/test_cancel_marks.py
@@ -182,8 +182,7 @@
         self.assertIs(JobAnswer.ABSENT, self.cancel())
         for wrapper in (refuse, lose_request):
             self.kv.commits.extend([lambda call: call(), wrapper])
-            answer, _ = self.intake.submit(self.job)
-            self.assertIn(answer, (JobAnswer.UNAVAILABLE, JobAnswer.UNKNOWN), wrapper)
+            self.assertIs(JobAnswer.UNKNOWN, self.intake.submit(self.job)[0], wrapper)
 
     def test_an_id_that_another_workspace_has_cancelled(self) -> None:
         """Guards against a caller that shuts out another workspace's jobs by their ids."""
--- a/tests/intake/test_waiting_counts.py
+++ b/tests/intake/test_waiting_counts.py
@@ -7,9 +7,9 @@
 from testtools import TestCase
 
 from lentilrill.ids import PoolId, QueueId
-from lentilrill.inner import PoolPressure
+from lentilrill.inner import MAX_STATUS_AGE_S, PoolPressure
 from lentilrill.intake import WaitingCounts
-from lentilrill.intake._waiting_counts import MAX_REPORT_AGE_S, SETTLED_S
+from lentilrill.intake._waiting_counts import SETTLED_S
 from tests.builders import a_pressure
 from tests.intake.fakes import NEW_POOL, NEW_QUEUE, POOL, QUEUE
 
@@ -50,7 +50,7 @@
         self.assertEqual(3, self.counts.count(QUEUE))
         self.report(POOL, None)
         self.assertIsNone(self.counts.count(QUEUE))
-        self.report(POOL, 3, age_s=2 * MAX_REPORT_AGE_S)
+        self.report(POOL, 3, age_s=2 * MAX_STATUS_AGE_S)
         self.assertIsNone(self.counts.count(QUEUE))
 
     def test_jobs_that_wait_in_the_former_pool(self) -> None:
@@ -75,26 +75,26 @@
         self.assertIsNone(self.count())
         self.report(POOL, None)
         self.assertIsNone(self.count())
-        self.report(POOL, 5, age_s=2 * MAX_REPORT_AGE_S)
+        self.report(POOL, 5, age_s=2 * MAX_STATUS_AGE_S)
         self.assertIsNone(self.count())
 
     def test_an_old_report_soon_after_the_change(self) -> None:
         """Guards against a number that is too low: jobs were accepted there after the report."""
         self.report(NEW_POOL, 2)
-        self.report(POOL, 0, age_s=2 * MAX_REPORT_AGE_S)
+        self.report(POOL, 0, age_s=2 * MAX_STATUS_AGE_S)
         self.configured_at = self.now - SETTLED_S
         self.assertIsNone(self.count())
 
     def test_a_take_over_of_a_pool_without_jobs_of_the_queue(self) -> None:
         """Guards against all queues being unknown whenever any pool has no owner."""
         self.report(NEW_POOL, 2)
-        self.report(POOL, 0, age_s=2 * MAX_REPORT_AGE_S, others=7)
+        self.report(POOL, 0, age_s=2 * MAX_STATUS_AGE_S, others=7)
         self.assertEqual(2, self.count())
 
     def test_the_present_pool_needs_a_recent_report(self) -> None:
         """Guards against a number that is too low: jobs are accepted there all the time."""
         self.report(POOL, 3)
-        self.report(NEW_POOL, 0, age_s=2 * MAX_REPORT_AGE_S)
+        self.report(NEW_POOL, 0, age_s=2 * MAX_STATUS_AGE_S)
         self.assertIsNone(self.count())
 
     def test_other_queues_do_not_count(self) -> None:
