--- a/standins/_users_store.py
+++ b/standins/_users_store.py
@@ -30,6 +30,7 @@
         self.items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._leases: dict[int, float] = {}
+        self._ttl_ms_by_lease: dict[int, int] = {}
         self._lease_ids = itertools.count(1)
 
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
@@ -100,7 +101,12 @@
         return [e for e in self._history if e["revision"] > after and e["key"].startswith(prefix)]
 
     def _txn(self, call: Call, txn: dict[str, Any]) -> None:
+        self.expire_leases()
         with self.changed:
+            bound_to = {write.get("lease", 0) for write in txn["writes"]} - {0}
+            if not bound_to <= self._leases.keys():
+                call.answer(404, b"")
+                return
             succeeded = all(
                 self.items.get(row["key"], {}).get("revision", 0) == row["revision"]
                 for row in txn["precondition"]
@@ -129,17 +135,21 @@
         lease = next(self._lease_ids)
         with self.changed:
             self._leases[lease] = time.monotonic() + ttl_ms / 1000
+            self._ttl_ms_by_lease[lease] = ttl_ms
         call.answer_json({"lease": lease, "ttl_ms": ttl_ms})
 
     def _keep_alive(self, call: Call, lease: int) -> None:
+        self.expire_leases()
         with self.changed:
             exists = lease in self._leases
+            ttl_ms = self._ttl_ms_by_lease.get(lease, 0)
             if exists:
-                self._leases[lease] = time.monotonic() + 1.6
-        call.answer_json({"ttl_ms": 1600}) if exists else call.answer(404, b"")
+                self._leases[lease] = time.monotonic() + ttl_ms / 1000
+        call.answer_json({"ttl_ms": ttl_ms}) if exists else call.answer(404, b"")
 
     def _revoke(self, lease: int) -> None:
         self._leases.pop(lease, None)
+        self._ttl_ms_by_lease.pop(lease, None)
         keys = [key for key, item in self.items.items() if item["lease"] == lease]
         if keys:
             self._apply([], keys)
