A late member record doesn't replace the newer one

What a user would see: an entry host is hidden from its peers, which send it nothing, until its strength changes.

Cause: the record of a member was written without a condition. One without an answer, of an earlier lease or of the host's previous process, could be carried out after the present one, and end with its own lease.

Change: a registration's record has the record that was read before as its condition; the read was there. If nothing could be read, it is written as before.

--- a/src/lentilrill/ownership/_registration.py
+++ b/src/lentilrill/ownership/_registration.py
@@ -10,9 +10,9 @@
 from returns.result import Failure
 
 from lentilrill.faults import FaultKind
-from lentilrill.ids import LeaseId, ZoneId
+from lentilrill.ids import LeaseId, Revision, ZoneId
 from lentilrill.ownership._members import MEMBER_PREFIX, MemberRecord, OwnerRecord
-from lentilrill.store import KeyValue, Put
+from lentilrill.store import Compare, KeyValue, Put
 from lentilrill.telemetry import Dependency, Event, log
 
 __all__ = ["LEASE_TTL_S", "Registration"]
@@ -70,14 +70,14 @@
 
     def register(self) -> None:
         """Request a lease and store the member record under it."""
-        self._revoke_previous_lease()
+        condition = self._end_previous_process()
         requested_at = self._clock()
         granted = self._kv.lease(LEASE_TTL_S)
         if isinstance(granted, Failure):
             self._lease_calls.record_failure(granted.failure().reason)
             return
         lease = granted.unwrap()
-        if not self._write_member_record(lease):
+        if not self._write_member_record(lease, condition):
             return
         self._lease_calls.record_success()
         with self._lock:
@@ -127,7 +127,7 @@
         if (lease := self.lease) is not None:
             self._kv.revoke(lease)
 
-    def _write_member_record(self, lease: LeaseId) -> bool:
+    def _write_member_record(self, lease: LeaseId, condition: tuple[Compare, ...] = ()) -> bool:
         """Write the member record with the current strength; return whether it was stored."""
         strength = self.strength
         record = MemberRecord(
@@ -140,27 +140,37 @@
             records_starts=True,
         )
         put = Put(MEMBER_PREFIX + self._me.process, msgspec.json.encode(record), lease)
-        if isinstance(written := self._kv.commit((), (put,)), Failure):
+        written = self._kv.commit(condition, (put,))
+        if isinstance(written, Failure):
             self._lease_calls.record_failure(written.failure().reason)
             return False
+        if not written.unwrap().succeeded:
+            self._lease_calls.record_failure("the member record has changed since it was read")
+            return False
         self._stored_strength = strength
         return True
 
-    def _revoke_previous_lease(self) -> None:
+    def _end_previous_process(self) -> tuple[Compare, ...]:
         """Revoke the lease of this host's previous process, so that its shards are free at once.
 
         That process must have ended, since only one process can listen on its address.
+
+        :return: condition of the next write of the member record. With it a write without an
+            answer, of this process or the previous one, that is carried out later fails.
         """
-        read = self._kv.read(MEMBER_PREFIX + self._me.process)
+        key = MEMBER_PREFIX + self._me.process
+        read = self._kv.get(key)
         if isinstance(read, Failure):
             # Its shards become free when the lease expires, a second or two later.
             self._lease_calls.record_failure(read.failure().reason)
-            return
-        for item in read.unwrap().items:
-            if item.key != MEMBER_PREFIX + self._me.process or item.value is None:
-                continue
-            old = msgspec.json.decode(item.value, type=MemberRecord)
-            is_same_host = old.inner == self._me.inner
-            if old.lease and is_same_host and old.incarnation != self._me.incarnation:
-                self._kv.revoke(old.lease)
-                log(Event.PREDECESSOR_ENDED, lease=old.lease, process=old.process)
+            return ()
+        item = read.unwrap()
+        if item is None or item.value is None:
+            return (Compare(key, Revision(0)),)
+        old = msgspec.json.decode(item.value, type=MemberRecord)
+        is_same_host = old.inner == self._me.inner
+        if not old.lease or not is_same_host or old.incarnation == self._me.incarnation:
+            return (Compare(key, item.revision),)
+        log(Event.PREDECESSOR_ENDED, lease=old.lease, process=old.process)
+        is_revoked = not isinstance(self._kv.revoke(old.lease), Failure)
+        return (Compare(key, Revision(0) if is_revoked else item.revision),)
