A log line tells why the submission of a cancelled job isn't noted

Cause: CancelMarks turned a failed read of a mark, and failed writes of the note or of a job in place of another workspace's mark, into an answer of an unknown outcome without a log line.

Change: job_not_read (672) or commit_failed (673) tells the job and the reason.

--- a/src/lentilrill/intake/_cancel_marks.py
+++ b/src/lentilrill/intake/_cancel_marks.py
@@ -71,12 +71,13 @@
         for _ in range(MAX_ATTEMPTS):
             lease = self._current_lease()
             if lease is None:
+                log(Event.CANCEL_NOT_MARKED, job=job, reason="no lease")
                 return MarkResult.UNAVAILABLE
             result = self._write(job, mark, existing, lease)
             if isinstance(result, Failure):
                 fault = result.failure()
+                log(Event.CANCEL_NOT_MARKED, job=job, reason=fault.reason)
                 if fault.kind is not FaultKind.INVALID:
-                    log(Event.CANCEL_NOT_MARKED, job=job, reason=fault.reason)
                     return _result_of(fault)
                 # The store has ended the lease early.
                 self._drop(lease)
@@ -102,9 +103,10 @@
             return True
         lease = self._current_lease()
         if lease is None:
+            log(Event.COMMIT_FAILED, job=job, reason="no lease for the note that it is cancelled")
             return False
         mark = msgspec.structs.replace(mark, is_submitted=True)
-        return _is_written(self._write(job, mark, item, lease))
+        return _is_written(job, self._write(job, mark, item, lease))
 
     def replace(self, job: Job, record: Put) -> Revision | None:
         """Store a job under an id that a caller of another workspace has marked.
@@ -117,12 +119,15 @@
             return None
         compares = (Compare(claim_key(job.id), item.revision), Compare(record.key, Revision(0)))
         result = self._kv.commit(compares, (claim_of(job), record))
-        return result.unwrap().revision if _is_written(result) else None
+        return result.unwrap().revision if _is_written(job.id, result) else None
 
     def _read_mark(self, job: JobId) -> tuple[Item | None, JobClaim | None]:
         """Return the mark on an id, as stored and decoded; ``None`` if it isn't marked."""
         read = self._kv.get(claim_key(job), Priority.LATER)
-        item = None if isinstance(read, Failure) else read.unwrap()
+        if isinstance(read, Failure):
+            log(Event.JOB_NOT_READ, job=job, reason=read.failure().reason)
+            return None, None
+        item = read.unwrap()
         claim = _claim_in(item)
         return (item, claim) if claim is not None and claim.is_cancelled else (None, None)
 
@@ -189,5 +194,11 @@
     return MarkResult.UNKNOWN if is_unknown else MarkResult.UNAVAILABLE
 
 
-def _is_written(result: Result[TxnAnswer, Fault]) -> bool:
-    return not isinstance(result, Failure) and result.unwrap().succeeded
+def _is_written(job: JobId, result: Result[TxnAnswer, Fault]) -> bool:
+    """Whether a write took effect; log why if it is not known to have."""
+    if isinstance(result, Failure):
+        log(Event.COMMIT_FAILED, job=job, reason=result.failure().reason)
+        return False
+    if not result.unwrap().succeeded:
+        log(Event.COMMIT_FAILED, job=job, reason="the claim on its id has changed")
+    return result.unwrap().succeeded
--- a/tests/intake/test_cancel_marks.py
+++ b/tests/intake/test_cancel_marks.py
@@ -12,9 +12,10 @@
 from lentilrill.faults import FaultKind
 from lentilrill.ids import NO_WORKSPACE, JobId, LeaseId, PoolId, WorkspaceId
 from lentilrill.inner import JobAccepted
-from lentilrill.intake import Intake
+from lentilrill.intake import Intake, _cancel_marks
 from lentilrill.intake._cancel_marks import LEASE_TTL_S, MARK_BURST, CancelMarks, MarkResult
 from lentilrill.store import Put
+from lentilrill.telemetry import Event
 from lentilrill.workloads import (
     Job,
     JobAnswer,
@@ -184,6 +185,25 @@
             self.kv.commits.extend([lambda call: call(), wrapper])
             self.assertIs(JobAnswer.UNKNOWN, self.intake.submit(self.job)[0], wrapper)
 
+    def test_a_log_line_tells_why_a_submission_is_not_noted(self) -> None:
+        """Guards against answers of an unknown outcome that no log line explains."""
+        self.assertIs(JobAnswer.ABSENT, self.cancel())
+        events: list[Event] = []
+        self.patch(_cancel_marks, "log", lambda event, **fields: events.append(event))
+        for wrapper in (refuse, lose_request):
+            self.kv.commits.extend([lambda call: call(), wrapper])
+            self.assertIs(JobAnswer.UNKNOWN, self.intake.submit(self.job)[0])
+        self.assertEqual([Event.COMMIT_FAILED] * 2, events)
+
+    def test_a_log_line_tells_why_a_mark_is_not_read(self) -> None:
+        """Guards against answers of an unknown outcome that no log line explains."""
+        self.assertIs(JobAnswer.ABSENT, self.cancel())
+        events: list[Event] = []
+        self.patch(_cancel_marks, "log", lambda event, **fields: events.append(event))
+        self.kv.reads.append(refuse)
+        self.assertIs(JobAnswer.UNKNOWN, self.intake.submit(self.job)[0])
+        self.assertEqual([Event.JOB_NOT_READ], events)
+
     def test_an_id_that_another_workspace_has_cancelled(self) -> None:
         """Guards against a caller that shuts out another workspace's jobs by their ids."""
         self.owner = an_owner_record()
