A lease that the store has ended early is replaced for notes on marks too

Cause: only a mark dropped such a lease; a submission of a cancelled job went on with it, and was answered as unknown for up to 170 s.

Change: the write of a mark drops it, whoever asked for the write.

Evidence: test_a_lease_that_has_ended_early_is_replaced_for_notes_too failed before.

--- a/src/lentilrill/intake/_cancel_marks.py
+++ b/src/lentilrill/intake/_cancel_marks.py
@@ -79,8 +79,6 @@
                 log(Event.CANCEL_NOT_MARKED, job=job, reason=fault.reason)
                 if fault.kind is not FaultKind.INVALID:
                     return _result_of(fault)
-                # The store has ended the lease early.
-                self._drop(lease)
                 continue
             if result.unwrap().succeeded:
                 return MarkResult.MARKED
@@ -142,19 +140,24 @@
         key = claim_key(job)
         compare = Compare(key, item.revision if item is not None else Revision(0))
         put = Put(key, msgspec.msgpack.encode(mark), lease)
-        return self._kv.commit((compare,), (put,), Priority.LATER)
+        result = self._kv.commit((compare,), (put,), Priority.LATER)
+        if isinstance(result, Failure) and result.failure().kind is FaultKind.INVALID:
+            # The store has ended the lease early.
+            self._drop(lease)
+        return result
 
     def _current_lease(self) -> LeaseId | None:
         """Return a lease that lasts for :data:`MIN_LIFE_S`; ``None`` if none is granted."""
         with self._lock:
             now = self._clock()
-            if self._lease is None or self._lease_until - now < MIN_LIFE_S:
-                granted = self._kv.lease(LEASE_TTL_S)
-                if isinstance(granted, Failure):
-                    log(Event.CANCEL_NOT_MARKED, reason=granted.failure().reason)
-                    return None
-                self._lease = granted.unwrap()
-                self._lease_until = now + LEASE_TTL_S
+            if self._lease is not None and self._lease_until - now >= MIN_LIFE_S:
+                return self._lease
+            granted = self._kv.lease(LEASE_TTL_S)
+            if isinstance(granted, Failure):
+                log(Event.CANCEL_NOT_MARKED, reason=granted.failure().reason)
+                return None
+            self._lease = granted.unwrap()
+            self._lease_until = now + LEASE_TTL_S
             return self._lease
 
     def _drop(self, lease: LeaseId) -> None:
--- a/tests/intake/test_cancel_marks.py
+++ b/tests/intake/test_cancel_marks.py
@@ -13,7 +13,12 @@
 from lentilrill.ids import NO_WORKSPACE, JobId, LeaseId, PoolId, WorkspaceId
 from lentilrill.inner import JobAccepted
 from lentilrill.intake import Intake, _cancel_marks
-from lentilrill.intake._cancel_marks import LEASE_TTL_S, MARK_BURST, CancelMarks, MarkResult
+from lentilrill.intake._cancel_marks import (
+    LEASE_TTL_S,
+    MARK_BURST,
+    CancelMarks,
+    MarkResult,
+)
 from lentilrill.store import Put
 from lentilrill.telemetry import Event
 from lentilrill.workloads import (
@@ -315,6 +320,17 @@
         self.assertIs(MarkResult.MARKED, self.put())
         self.assertIsNotNone(self.lease())
 
+    def test_a_lease_that_has_ended_early_is_replaced_for_notes_too(self) -> None:
+        """Guards against submissions of an unknown outcome until the lease would have ended."""
+        self.put()
+        former = self.lease()
+        other = CancelMarks(self.kv, lambda: self.now)
+        other.put(self.job.id, NO_WORKSPACE)
+        assert former is not None
+        self.kv.revoke(former)
+        results = [self.marks.note_submitted(self.job.id, NO_WORKSPACE) for _ in range(2)]
+        self.assertEqual([False, True], results)
+
     def test_another_workspace_marks_the_same_id(self) -> None:
         """Guards against a cancel that is acknowledged by the mark of another workspace."""
         self.put(LIBRARY)
