A failed request for the marks' lease isn't tried again by each cancel

Cause: requests for a lease are made one at a time, and each cancel of an unknown job tried again after a failed one, up to 0.6 s each: threads that serve callers waited for one another.

Change: for 1 s after a failed request such cancels are refused at once (503, with Retry-After).

Evidence: test_a_failed_grant_is_not_tried_again_by_each_cancel failed before.

--- a/src/lentilrill/intake/_cancel_marks.py
+++ b/src/lentilrill/intake/_cancel_marks.py
@@ -26,6 +26,9 @@
 MARKS_PER_S = 10.0
 MARK_BURST = 40.0
 """Callers may cancel any number of ids that no job has, and each mark costs a write."""
+LEASE_RETRY_S = 1.0
+"""Pause after a failed request for a lease, in which cancels that need one are refused at once:
+each would wait for the requests of those before it, in a thread that serves callers."""
 MAX_ATTEMPTS = 3
 """Attempts at a mark while others write under the same id."""
 
@@ -60,6 +63,7 @@
         self._bucket = TokenBucket(MARKS_PER_S, MARK_BURST, time.monotonic())
         self._lease: LeaseId | None = None
         self._lease_until = 0.0
+        self._grant_not_before = 0.0
 
     def put(self, job: JobId, workspace: WorkspaceId) -> MarkResult:
         """Mark an id as cancelled by a caller of a workspace, for :data:`MIN_LIFE_S` at least."""
@@ -152,8 +156,11 @@
             now = self._clock()
             if self._lease is not None and self._lease_until - now >= MIN_LIFE_S:
                 return self._lease
+            if now < self._grant_not_before:
+                return None
             granted = self._kv.lease(LEASE_TTL_S)
             if isinstance(granted, Failure):
+                self._grant_not_before = self._clock() + LEASE_RETRY_S
                 log(Event.CANCEL_NOT_MARKED, reason=granted.failure().reason)
                 return None
             self._lease = granted.unwrap()
--- a/tests/intake/test_cancel_marks.py
+++ b/tests/intake/test_cancel_marks.py
@@ -14,6 +14,7 @@
 from lentilrill.inner import JobAccepted
 from lentilrill.intake import Intake, _cancel_marks
 from lentilrill.intake._cancel_marks import (
+    LEASE_RETRY_S,
     LEASE_TTL_S,
     MARK_BURST,
     CancelMarks,
@@ -331,6 +332,16 @@
         results = [self.marks.note_submitted(self.job.id, NO_WORKSPACE) for _ in range(2)]
         self.assertEqual([False, True], results)
 
+    def test_a_failed_grant_is_not_tried_again_by_each_cancel(self) -> None:
+        """Guards against threads that wait for one another, each for a request that fails."""
+        with mock.patch.object(self.kv, "lease", side_effect=lambda ttl_s: refuse(int)) as lease:
+            for _ in range(5):
+                self.assertIs(MarkResult.UNAVAILABLE, self.put())
+            self.assertEqual(1, lease.call_count)
+            self.now += LEASE_RETRY_S
+            self.assertIs(MarkResult.UNAVAILABLE, self.put())
+            self.assertEqual(2, lease.call_count)
+
     def test_another_workspace_marks_the_same_id(self) -> None:
         """Guards against a cancel that is acknowledged by the mark of another workspace."""
         self.put(LIBRARY)
