Jobs in a pool that is left out count as unknown while it has no owner

Cause: a host that never had the pool configured asked for a recent report of it alone, and counted none as soon as the last one was old.

Change: a pool of which there is any report counts, as unknown if that is old and tells of jobs of the queue, or doesn't tell.

Evidence: test_a_pool_that_is_left_out_and_has_no_owner_now failed before.

--- a/src/lentilrill/intake/_waiting_counts.py
+++ b/src/lentilrill/intake/_waiting_counts.py
@@ -1,9 +1,10 @@
 """Number of a queue's jobs that wait, over all pools in which the queue has jobs."""
 
+import math
 import time
 from collections.abc import Callable, Collection, Mapping
 
-from lentilrill.ids import PoolId, QueueId
+from lentilrill.ids import PoolId
 from lentilrill.inner import MAX_STATUS_AGE_S, PoolPressure
 from lentilrill.workloads import Queue
 
@@ -39,26 +40,21 @@
     def count(self, queue: Queue) -> int | None:
         """Return how many accepted jobs of a queue have not started; ``None`` if unknown."""
         pressures = self._pressures()
-        now = time.monotonic()
-        recent = {pool for pool, (sent_at, _) in pressures.items() if _is_recent(sent_at, now)}
+        configured = {queue.pool, *self._pools()}
         total = 0
-        for pool in {queue.pool, *self._pools(), *recent}:
-            sent_at, pressure = pressures.get(pool, (0.0, None))
-            waiting = pressure.waiting_by_queue if pressure is not None else None
-            if waiting is None:
+        for pool in {*configured, *pressures}:
+            sent_at, pressure = pressures.get(pool, (-math.inf, None))
+            reported = pressure.waiting_by_queue if pressure is not None else None
+            if reported is None:
                 return None
-            if pool not in recent and not self._is_settled(queue, pool, sent_at, waiting):
+            waiting = reported.get(queue.id, 0)
+            is_recent = time.monotonic() - sent_at < MAX_STATUS_AGE_S
+            gets_none = pool not in configured or self._is_settled(queue, pool, sent_at)
+            if not is_recent and (waiting or not gets_none):
                 return None
-            total += waiting.get(queue.id, 0)
+            total += waiting
         return total
 
-    def _is_settled(
-        self, queue: Queue, pool: PoolId, sent_at: float, waiting: Mapping[QueueId, int]
-    ) -> bool:
-        """Whether an old report shows that a pool has no job of a queue, and gets none."""
-        is_former = pool != queue.pool and sent_at >= self._configured_at() + SETTLED_S
-        return is_former and not waiting.get(queue.id, 0)
-
-
-def _is_recent(sent_at: float, now: float) -> bool:
-    return now - sent_at < MAX_STATUS_AGE_S
+    def _is_settled(self, queue: Queue, pool: PoolId, sent_at: float) -> bool:
+        """Whether a pool can't have got jobs of a queue since its report."""
+        return pool != queue.pool and sent_at >= self._configured_at() + SETTLED_S
--- a/tests/intake/test_waiting_counts.py
+++ b/tests/intake/test_waiting_counts.py
@@ -69,6 +69,15 @@
         self.report(LEFT_OUT, 4)
         self.assertEqual(4, self.count())
 
+    def test_a_pool_that_is_left_out_and_has_no_owner_now(self) -> None:
+        """Guards against a number that is too low at a host that never had the pool configured."""
+        self.pools = {NEW_POOL}
+        self.report(NEW_POOL, 2)
+        self.report(LEFT_OUT, 4, age_s=2 * MAX_STATUS_AGE_S)
+        self.assertIsNone(self.count())
+        self.report(LEFT_OUT, 0, age_s=2 * MAX_STATUS_AGE_S, others=7)
+        self.assertEqual(2, self.count())
+
     def test_a_former_pool_without_a_report(self) -> None:
         """Guards against a number that is too low while the former pool has no owner."""
         self.report(NEW_POOL, 2)
