A log line names the pool that leaves a number of pending jobs unknown

Cause: such a query was answered with 503, and nothing told why.

Change: pending_unknown (666) tells the queue, the pool and the age of its newest report.

Evidence: test_a_log_line_names_the_pool_that_does_not_tell failed before.

--- a/src/lentilrill/intake/_waiting_counts.py
+++ b/src/lentilrill/intake/_waiting_counts.py
@@ -1,11 +1,11 @@
 """Number of a queue's jobs that wait, over all pools in which the queue has jobs."""
 
-import math
 import time
 from collections.abc import Callable, Collection, Mapping
 
 from lentilrill.ids import PoolId
 from lentilrill.inner import MAX_STATUS_AGE_S, PoolPressure
+from lentilrill.telemetry import Event, log
 from lentilrill.workloads import Queue
 
 __all__ = ["WaitingCounts"]
@@ -41,19 +41,34 @@
         """Return how many accepted jobs of a queue have not started; ``None`` if unknown."""
         pressures = self._pressures()
         configured = {queue.pool, *self._pools()}
-        total = 0
-        for pool in {*configured, *pressures}:
-            sent_at, pressure = pressures.get(pool, (-math.inf, None))
-            reported = pressure.waiting_by_queue if pressure is not None else None
-            if reported is None:
-                return None
-            waiting = reported.get(queue.id, 0)
-            is_recent = time.monotonic() - sent_at < MAX_STATUS_AGE_S
-            gets_none = pool not in configured or self._is_settled(queue, pool, sent_at)
-            if not is_recent and (waiting or not gets_none):
-                return None
-            total += waiting
-        return total
+        counts = [
+            self._count_in(pool, queue, pressures.get(pool), is_configured=pool in configured)
+            for pool in {*configured, *pressures}
+        ]
+        known = [count for count in counts if count is not None]
+        return sum(known) if len(known) == len(counts) else None
+
+    def _count_in(
+        self,
+        pool: PoolId,
+        queue: Queue,
+        dated: tuple[float, PoolPressure] | None,
+        *,
+        is_configured: bool,
+    ) -> int | None:
+        """Return how many jobs of a queue wait in a pool by its newest report, if that tells."""
+        if dated is None:
+            log(Event.PENDING_UNKNOWN, queue=queue.id, pool=pool)
+            return None
+        sent_at, pressure = dated
+        age_s = time.monotonic() - sent_at
+        if pressure.waiting_by_queue is not None:
+            waiting = pressure.waiting_by_queue.get(queue.id, 0)
+            gets_none = not is_configured or self._is_settled(queue, pool, sent_at)
+            if age_s < MAX_STATUS_AGE_S or (gets_none and not waiting):
+                return waiting
+        log(Event.PENDING_UNKNOWN, queue=queue.id, pool=pool, report_age_s=round(age_s, 1))
+        return None
 
     def _is_settled(self, queue: Queue, pool: PoolId, sent_at: float) -> bool:
         """Whether a pool can't have got jobs of a queue since its report."""
--- a/src/lentilrill/telemetry/_events.py
+++ b/src/lentilrill/telemetry/_events.py
@@ -178,6 +178,11 @@
     )
     QUEUE_UNKNOWN = (668, Level.INFO, "A request matches no queue of the configuration in force.")
     JOB_ODD = (669, Level.INFO, "A caller submitted a malformed job.")
+    PENDING_UNKNOWN = (
+        666,
+        Level.INFO,
+        "A pool's newest report doesn't tell how many jobs of a queue are pending in it.",
+    )
     KEY_REFUSED = (667, Level.INFO, "The key of a request belongs to no workspace.")
     RENEWAL_UNANSWERED = (
         691,
--- a/tests/intake/test_waiting_counts.py
+++ b/tests/intake/test_waiting_counts.py
@@ -8,7 +8,7 @@
 
 from lentilrill.ids import PoolId, QueueId
 from lentilrill.inner import MAX_STATUS_AGE_S, PoolPressure
-from lentilrill.intake import WaitingCounts
+from lentilrill.intake import WaitingCounts, _waiting_counts
 from lentilrill.intake._waiting_counts import SETTLED_S
 from tests.builders import a_pressure
 from tests.intake.fakes import NEW_POOL, NEW_QUEUE, POOL, QUEUE
@@ -106,6 +106,17 @@
         self.report(NEW_POOL, 0, age_s=2 * MAX_STATUS_AGE_S)
         self.assertIsNone(self.count())
 
+    def test_a_log_line_names_the_pool_that_does_not_tell(self) -> None:
+        """Guards against unknown numbers that no log line explains."""
+        told: list[dict[str, Any]] = []
+        self.patch(_waiting_counts, "log", lambda event, **fields: told.append(fields))
+        self.report(NEW_POOL, 2)
+        self.assertIsNone(self.count())
+        self.report(POOL, 5, age_s=7.0)
+        self.assertIsNone(self.count())
+        ages = [(fields["pool"], fields.get("report_age_s")) for fields in told]
+        self.assertEqual([(POOL, None), (POOL, 7.0)], ages)
+
     def test_other_queues_do_not_count(self) -> None:
         """Guards against jobs of one queue that are shown for another."""
         self.report(POOL, 0, others=4)
