A claim over an owner that has ended holds only while its process isn't a member

Cause: that the owner had ended was read from records which a pause can have made old, and the claim's condition was the shard's key alone; the owner may have registered again in between.

Change: the claim has the member's record, or its absence, as a second condition.

Evidence: test_an_owner_that_registers_again_as_the_claim_is_sent failed before.

--- a/src/lentilrill/ownership/_owner_keys.py
+++ b/src/lentilrill/ownership/_owner_keys.py
@@ -21,17 +21,21 @@
         self._kv = kv
 
     def write(
-        self, shard: Shard, token: Revision, record: OwnerRecord, lease: LeaseId
+        self,
+        shard: Shard,
+        conditions: tuple[Compare, ...],
+        record: OwnerRecord,
+        lease: LeaseId,
     ) -> Result[TxnAnswer, Fault]:
         """Make a process the owner of ``shard``.
 
-        :param token: token of the present owner, or ``NO_OWNER``.
+        :param conditions: under which it may be; the key of the shard is among them.
         :param lease: lease of the new owner, to which the key is bound. If it has ended by the time
             the store gets the write, nothing is written.
         """
         key = OWNER_PREFIX + shard
         put = Put(key, msgspec.json.encode(record), lease)
-        return self._kv.commit((Compare(key, token),), (put,))
+        return self._kv.commit(conditions, (put,))
 
     def delete(self, shard: Shard, token: Revision) -> Result[TxnAnswer, Fault]:
         """Delete the key of ``shard``, so that other processes can claim it."""
--- a/src/lentilrill/ownership/_ownership.py
+++ b/src/lentilrill/ownership/_ownership.py
@@ -12,12 +12,18 @@
 from lentilrill.ownership._claim_times import ClaimTimes
 from lentilrill.ownership._clock import boottime
 from lentilrill.ownership._hand_over import HandOverPolicy
-from lentilrill.ownership._members import RECORD_PREFIX, MemberRecord, OwnerRecord, Shard
+from lentilrill.ownership._members import (
+    OWNER_PREFIX,
+    RECORD_PREFIX,
+    MemberRecord,
+    OwnerRecord,
+    Shard,
+)
 from lentilrill.ownership._owner_keys import OwnerKeys, result_text
 from lentilrill.ownership._pace import NORMAL_PACE
 from lentilrill.ownership._registration import Registration
 from lentilrill.ownership._stored_records import StoredOwner, StoredRecords
-from lentilrill.store import Follower, Item, KeyValue
+from lentilrill.store import Compare, Follower, Item, KeyValue
 from lentilrill.telemetry import Event, log, run_and_log_errors
 
 __all__ = ["Ownership"]
@@ -300,8 +306,8 @@
         now = self._clock()
         self._adopt_claim(shard)
         with self._lock:
-            former_token = self._records.free_since(shard)
-            if former_token is None or shard in self._tokens_by_shard:
+            conditions = self._records.claim_conditions(shard)
+            if conditions is None or shard in self._tokens_by_shard:
                 self._claim_times.reset(shard)
                 return
             if not self._claim_times.is_due(shard, self._records, now):
@@ -310,7 +316,7 @@
         lease = self._registration.lease
         if lease is None:
             return
-        result = self._keys.write(shard, former_token, self._record, lease)
+        result = self._keys.write(shard, conditions, self._record, lease)
         if isinstance(result, Failure) or not result.unwrap().succeeded:
             # If the answer was lost, the watch shows whether the claim succeeded; see _adopt_claim.
             self._claim_times.reset(shard)
@@ -381,7 +387,8 @@
         self._stop_acting(shard, token)
         stopped_at = self._clock()
         record = OwnerRecord(target.process, target.incarnation, target.inner)
-        result = self._keys.write(shard, token, record, target.lease)
+        condition = Compare(OWNER_PREFIX + shard, token)
+        result = self._keys.write(shard, (condition,), record, target.lease)
         now = self._clock()
         with self._lock:
             self._hand_over_policy.record_change(now)
--- a/src/lentilrill/ownership/_stored_records.py
+++ b/src/lentilrill/ownership/_stored_records.py
@@ -11,7 +11,7 @@
     Shard,
 )
 from lentilrill.ownership._owner_keys import NO_OWNER
-from lentilrill.store import Item
+from lentilrill.store import Compare, Item
 from lentilrill.telemetry import Event, log
 
 __all__ = ["StoredOwner", "StoredRecords"]
@@ -41,10 +41,12 @@
         self.owners_by_shard: dict[Shard, StoredOwner] = {}
         self.records_since: Revision | None = None
         self._applied_revision = Revision(0)
+        self._member_revisions: dict[ProcessId, Revision] = {}
 
     def clear(self) -> None:
         """Drop all records, before a full read is applied."""
         self.members_by_process = {}
+        self._member_revisions = {}
         self.owners_by_shard = {}
         self.records_since = None
 
@@ -86,15 +88,21 @@
         member = self.members_by_process.get(owner.record.process)
         return member is None or member.incarnation != owner.record.incarnation
 
-    def free_since(self, shard: Shard) -> Revision | None:
-        """Return the token of the last owner of a shard that may be claimed.
+    def claim_conditions(self, shard: Shard) -> tuple[Compare, ...] | None:
+        """Return the conditions under which a shard may be claimed; ``None`` if it has an owner.
 
-        :return: 0 if the shard's key is absent, ``None`` if the shard has an owner.
+        That an owner has ended must still hold when the claim is carried out: its process may have
+        registered again since these records were read.
         """
+        key = OWNER_PREFIX + shard
         owner = self.owners_by_shard.get(shard)
         if owner is None:
-            return NO_OWNER
-        return owner.token if self.has_ended(owner) else None
+            return (Compare(key, NO_OWNER),)
+        if not self.has_ended(owner):
+            return None
+        process = owner.record.process
+        revision = self._member_revisions.get(process, Revision(0))
+        return (Compare(key, owner.token), Compare(MEMBER_PREFIX + process, revision))
 
     def _apply(self, item: Item) -> None:
         is_owner = item.key.startswith(OWNER_PREFIX)
@@ -106,7 +114,9 @@
                 self.owners_by_shard[Shard(name)] = StoredOwner(record, item.revision, item.lease)
             return
         self.members_by_process.pop(ProcessId(name), None)
+        self._member_revisions.pop(ProcessId(name), None)
         if item.value is not None:
+            self._member_revisions[ProcessId(name)] = item.revision
             member = msgspec.json.decode(item.value, type=MemberRecord)
             if not member.lease:
                 # Written by an earlier version after its lease had ended; it would stay for good.
--- a/tests/ownership/test_keys_without_lease.py
+++ b/tests/ownership/test_keys_without_lease.py
@@ -229,6 +229,17 @@
         self.assertEqual(renewed, self.kv.items_by_key["m/o/notices"].revision)
         self.assertEqual({}, self.listener.tokens_by_shard)
 
+    def test_an_owner_that_registers_again_as_the_claim_is_sent(self) -> None:
+        """Guards against taking a pool from a host by records that a pause has made old."""
+        key = self.an_owner_without_lease(NOTICES)
+        self.read_all()
+        self.claim_round()
+        self.now += 2 * ENDED_OWNER_DELAY_S
+        self.a_member(OTHER, self.kv.lease(1.0).unwrap())
+        self.claim_round()
+        self.assertEqual(key, self.kv.items_by_key["m/o/notices"].revision)
+        self.assertEqual({}, self.listener.tokens_by_shard)
+
     def test_a_running_host_claims_without_another_change(self) -> None:
         """Guards against an idle host that starts no round of claims for such a key."""
         self.an_owner_without_lease(NOTICES)
