task_idle tells of tasks that wait for a ticket

Cause: a task that fits somewhere and waits for the policy service was logged as passed over, which the operators' page calls a bug; since jobs keep their queue's advice, more of them can wait so.

Evidence: test_a_log_line_tells_of_a_job_that_waits_for_tickets failed before.

--- a/src/lentilrill/execution/_idle.py
+++ b/src/lentilrill/execution/_idle.py
@@ -2,14 +2,15 @@
 
 import time
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._planner import blocking_reason
+from lentilrill.execution._spare_room import Capacities
 from lentilrill.execution._start_zones import UNKNOWN_ZONE
-from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedTask
+from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedStep, TrackedTask
 from lentilrill.ids import EndpointId, JobId, PoolId, ZoneId
 from lentilrill.scheduling import EndpointCapacity, Speed
 from lentilrill.telemetry import Event, log
@@ -35,6 +36,7 @@
         may run on endpoints that have not been polled yet; 0 if there are none.
     :param unknown_tasks: tasks of unknown runs.
     :param refused_jobs: jobs whose workspace may not use more.
+    :param ticketed: returns those endpoints of which a step has a ticket, or all if it needs none.
     :param blocked_zones: zones of the endpoints that have not been polled yet.
     """
 
@@ -44,6 +46,7 @@
     blocked_before: int
     unknown_tasks: set[TaskId]
     refused_jobs: set[JobId]
+    ticketed: Callable[[TrackedStep, Capacities], Capacities] = lambda step, capacities: capacities
     blocked_zones: frozenset[ZoneId] = frozenset({UNKNOWN_ZONE})
 
 
@@ -166,6 +169,8 @@
         reason = "kept apart from suspects"
     elif own_job and all(capacity.fresh_jobs - {own_job} for capacity in usable):
         reason = "kept apart from tasks that have just begun"
+    elif not view.ticketed(task.step, {capacity.id: capacity for capacity in usable}):
+        reason = "no ticket where it fits"
     else:
         reason = "passed over"
     link_counts = Counter(_state_of(link, view.now) for link in view.links.values())
--- a/src/lentilrill/execution/_rounds.py
+++ b/src/lentilrill/execution/_rounds.py
@@ -13,6 +13,7 @@
 from lentilrill.execution._gangs import incomplete_gang_runs
 from lentilrill.execution._held_runs import ended_runs, unknown_runs_have_ended
 from lentilrill.execution._idle import IdleTasks, RoundView
+from lentilrill.execution._job_queues import needs_tickets
 from lentilrill.execution._jobs import PoolJobs
 from lentilrill.execution._link import EndpointLink
 from lentilrill.execution._links import PoolLinks
@@ -22,8 +23,9 @@
 from lentilrill.execution._reconcile import Reconciler
 from lentilrill.execution._release import expire_releases
 from lentilrill.execution._relocation import Relocations
+from lentilrill.execution._spare_room import Capacities
 from lentilrill.execution._stored_starts import StoredStarts
-from lentilrill.execution._tracking import Run, RunPhase, TrackedJob
+from lentilrill.execution._tracking import Run, RunPhase, TrackedJob, TrackedStep
 from lentilrill.ids import EndpointId, PoolId, ZoneId
 from lentilrill.scheduling import total_free
 from lentilrill.telemetry import Event, log
@@ -160,10 +162,17 @@
             self._token if blocked_zones else 0,
             unknown_tasks,
             budgets.refused_jobs,
+            self._ticketed,
             blocked_zones,
         )
         return placed, relocated, view
 
+    def _ticketed(self, step: TrackedStep, capacities: Capacities) -> Capacities:
+        """Return those endpoints of which a step has a ticket, or all if it needs none."""
+        if not needs_tickets(step.tracked_job, self._queue_of(step.tracked_job)):
+            return capacities
+        return self._planner.with_ticket(step, capacities)
+
     def _settle_jobs(self, *, is_blocked: bool) -> tuple[list[TrackedJob], bool]:
         """End the jobs whose tasks are done.
 
--- a/tests/execution/test_replaced_queues.py
+++ b/tests/execution/test_replaced_queues.py
@@ -4,7 +4,7 @@
 from returns.result import Failure, Result
 from testtools import TestCase
 
-from lentilrill.execution import OrderAnswer, PolicyAnswer, PoolOwner, StartOrder, Verdict
+from lentilrill.execution import OrderAnswer, PolicyAnswer, PoolOwner, StartOrder, Verdict, _idle
 from lentilrill.execution._job_queues import JobQueues
 from lentilrill.execution._tracking import TrackedJob
 from lentilrill.faults import Fault, FaultKind
@@ -150,6 +150,15 @@
         pressure = owner.pressure()
         return pressure.waiting_by_queue if pressure is not None else None
 
+    def test_a_log_line_tells_of_a_job_that_waits_for_tickets(self) -> None:
+        """Guards against a job that waits for tickets without a bound, and no log line says so."""
+        reasons: list[object] = []
+        self.patch(_idle, "log", lambda event, **fields: reasons.append(fields["reason"]))
+        self.owner_with_running_job()
+        self.pool.configuration = a_version()
+        self.pool.finish_all()
+        self.assertTrue(eventually(lambda: "no ticket where it fits" in reasons))
+
     def test_a_gang_whose_route_is_removed(self) -> None:
         """Guards against a gang that is sent without tickets, and refused as a whole, for good."""
         self.job = a_job_of(QUEUE, a_step(2), a_step(2, after=(0,), gang=True))
