The etcd client tells leases, and takes no answer without one for a grant

Change: as in the client of the users' store.

Evidence: test_items_tell_their_lease and the test of the grant failed before.

--- a/src/lentilrill/store/_contract.py
+++ b/src/lentilrill/store/_contract.py
@@ -42,8 +42,7 @@
     """One key's value; ``value`` is ``None`` for a deleted key.
 
     :param revision: modification revision of the key.
-    :param lease: lease that the key is bound to; ``None`` if it has none, or if the store's client
-        doesn't tell.
+    :param lease: lease that the key is bound to; ``None`` if it has none.
     """
 
     key: str
--- a/src/lentilrill/store/_etcd.py
+++ b/src/lentilrill/store/_etcd.py
@@ -164,7 +164,12 @@
         answer = self._call(
             "platform.lease", Effect.REPEATABLE, Priority.FIRST, GRANT, body, _Lease
         )
-        return answer.map(lambda lease: LeaseId(lease.id))
+        if isinstance(answer, Failure):
+            return answer
+        if not answer.unwrap().id:
+            reason = "an answer without lease"
+            return Failure(Fault("platform.lease", self._transport.peer, FaultKind.INVALID, reason))
+        return Success(LeaseId(answer.unwrap().id))
 
     def keep_alive(self, lease: LeaseId) -> Result[float, Fault]:
         """Renew a lease and return its remaining seconds; an expired one is a ``CONFLICT``."""
@@ -249,7 +254,12 @@
     def _range_answer(self, answer: _Range) -> RangeAnswer:
         length = len(self._prefix)
         items = tuple(
-            Item(kv.key.decode(errors="replace")[length:], kv.value, Revision(kv.mod_revision))
+            Item(
+                kv.key.decode(errors="replace")[length:],
+                kv.value,
+                Revision(kv.mod_revision),
+                kv.lease_id,
+            )
             for kv in answer.kvs
         )
         return RangeAnswer(items, Revision(answer.header.revision))
--- a/src/lentilrill/store/_watch.py
+++ b/src/lentilrill/store/_watch.py
@@ -193,7 +193,7 @@
     def _item(self, event: _Event) -> Item:
         key = event.kv.key.decode(errors="replace")[len(self._prefix) :]
         value = None if event.type == DELETE else event.kv.value
-        return Item(key, value, Revision(event.kv.mod_revision))
+        return Item(key, value, Revision(event.kv.mod_revision), event.kv.lease_id)
 
     def _unavailable(self, reason: str) -> Failure[Fault]:
         fault = Fault(STEP, self._peer, FaultKind.UNAVAILABLE, reason)
--- a/src/lentilrill/store/_wire.py
+++ b/src/lentilrill/store/_wire.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from lentilrill.ids import LeaseId
+
 __all__ = ["Header", "StoredKey"]
 
 
@@ -12,8 +14,17 @@
 
 
 class StoredKey(msgspec.Struct):
-    """One key with its value and modification revision."""
+    """One key with its value and modification revision.
+
+    :param lease: lease that it is bound to; 0 for none.
+    """
 
     key: bytes
     mod_revision: int
     value: bytes = b""
+    lease: int = 0
+
+    @property
+    def lease_id(self) -> LeaseId | None:
+        """The lease that it is bound to, if any."""
+        return LeaseId(self.lease) if self.lease else None
--- a/tests/store/test_etcd.py
+++ b/tests/store/test_etcd.py
@@ -104,6 +104,17 @@
         self.assertEqual((), self.kv.read("").unwrap().items)
         self.assertEqual(FaultKind.CONFLICT, self.kind_of(self.kv.keep_alive(lease)))
 
+    def test_items_tell_their_lease(self) -> None:
+        """Guards against a key that remains without its process and looks like any other."""
+        start = self.put("plain", b"1")
+        lease = self.kv.lease(9.0).unwrap()
+        self.kv.commit((), (Put("bound", b"1", lease),)).unwrap()
+        leases = {item.key: item.lease for item in self.kv.read("").unwrap().items}
+        self.assertEqual({"plain": None, "bound": lease}, leases)
+        watch = self.kv.watch("", start)
+        self.addCleanup(watch.close)
+        self.assertEqual(lease, next(self.changes_of(watch)).lease)
+
     def test_a_watch_returns_history_then_changes(self) -> None:
         start = self.put("state/a", b"1")
         self.put("elsewhere")
--- a/tests/store/test_malformed_answers.py
+++ b/tests/store/test_malformed_answers.py
@@ -31,6 +31,13 @@
 
 
 class MalformedAnswersTest(TestCase):
+    def test_a_grant_without_a_lease_is_a_fault(self) -> None:
+        """Guards against keys without a lease, if an answer to a request for one names none."""
+        kv = EtcdKeyValue(SETTINGS, NoMetrics())
+        for body in (b'{"TTL":"2"}', b'{"ID":"0","TTL":"2"}'):
+            kv._transport = FixedAnswerTransport(body)
+            self.assertIsInstance(kv.lease(1.0), Failure, body)
+
     @settings(derandomize=True, max_examples=150, database=None)
     @given(malformed_answers)
     def test_a_malformed_answer_is_a_fault(self, data: bytes) -> None:
