--- a/tests/execution/test_claims.py
+++ b/tests/execution/test_claims.py
@@ -131,8 +131,7 @@
         self.assertEqual(JobClaim(OTHER_POOL), self.claim_on(self.old))
 
     def test_a_job_that_was_cancelled_at_a_host_which_did_not_find_it(self) -> None:
-        """Guards against a job that runs after its cancel: it had no claim yet, its queue had
-        another pool meanwhile, and the host that took the cancel knew of neither."""
+        """Guards against a job that runs after its cancel, since it had no claim to be found by."""
         mark = JobClaim(NO_POOL, is_cancelled=True)
         self.kv.put(claim_key(self.old.id), msgspec.msgpack.encode(mark))
         self.accept(self.old)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -34,6 +34,7 @@
     "FakeKeyValue",
     "FakeMembershipList",
     "FakeNode",
+    "LateWrites",
     "lose_answer",
     "lose_request",
     "refuse",
@@ -71,6 +72,23 @@
     return _unavailable("call")
 
 
+class LateWrites:
+    """Writes that got no answer, and that the store carries out later."""
+
+    def __init__(self) -> None:
+        self.held: list[Callable[[], Result]] = []
+
+    def hold(self, call: Callable[[], Result]) -> Result:
+        """Lose a write for now; a :data:`CallWrapper`."""
+        self.held.append(call)
+        return _lost()
+
+    def carry_out(self) -> None:
+        """Carry out all of them, as far as their conditions hold."""
+        for write in self.held:
+            write()
+
+
 class FakeKeyValue:
     """In-memory key-value service, with compare-and-swap and one revision counter.
 
--- a/tests/intake/test_cancel_marks.py
+++ b/tests/intake/test_cancel_marks.py
@@ -33,7 +33,7 @@
 )
 from tests.builders import a_job, an_owner_record
 from tests.execution.fakes import eventually
-from tests.fakes import lose_answer, lose_request, refuse
+from tests.fakes import LateWrites, lose_answer, lose_request, refuse
 from tests.intake.fakes import NEW_POOL, NEW_QUEUE, POOL, QUEUE, IntakeCase
 
 SCHOOLS, LIBRARY = WorkspaceId("schools"), WorkspaceId("library")
@@ -53,25 +53,16 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.late_writes: list[Callable[[], Result]] = []
+        self.late_writes = LateWrites()
         self.other = self.new_intake()
 
-    def hold(self, call: Callable[[], Result]) -> Result:
-        """Let a write get no answer, and keep it to be carried out later."""
-        self.late_writes.append(call)
-        return lose_request(call)
-
     def submit_late(self, job: Job | None = None) -> None:
         """Submit a job at the first host; all answers to its write are lost."""
-        self.kv.commits.extend([self.hold] * ATTEMPTS)
+        self.kv.commits.extend([self.late_writes.hold] * ATTEMPTS)
         answer, _ = self.intake.submit(job or self.job)
         self.assertIs(JobAnswer.UNKNOWN, answer)
         self.kv.commits.clear()
 
-    def carry_out_late_writes(self) -> None:
-        for write in self.late_writes:
-            write()
-
     def cancel(
         self, workspace: WorkspaceId = NO_WORKSPACE, host: Intake | None = None
     ) -> JobAnswer:
@@ -91,7 +82,7 @@
 
 class LateWritesTest(CancelCase):
     def assert_never_stored(self) -> None:
-        self.carry_out_late_writes()
+        self.late_writes.carry_out()
         self.assertFalse(self.is_stored())
         self.assertEqual((JobAnswer.ABSENT, None), self.state())
 
@@ -103,7 +94,7 @@
 
     def test_a_cancel_before_the_first_host_has_given_up(self) -> None:
         """Guards against a cancel that relies on a report which is yet to be sent."""
-        self.kv.commits.extend([self.hold])
+        self.kv.commits.extend([self.late_writes.hold])
         release = Future[None]()
 
         def answer_late(call: Callable[[], Result]) -> Result:
@@ -113,11 +104,11 @@
         self.kv.commits.append(answer_late)
         with ThreadPoolExecutor(1) as caller:
             submitted = caller.submit(self.intake.submit, self.job)
-            self.assertTrue(eventually(lambda: bool(self.late_writes) and not self.kv.commits))
+            self.assertTrue(eventually(lambda: bool(self.late_writes.held) and not self.kv.commits))
             self.assertIs(JobAnswer.ABSENT, self.cancel())
             release.set_result(None)
             answer, _ = submitted.result()
-        self.carry_out_late_writes()
+        self.late_writes.carry_out()
         self.assertFalse(self.is_stored())
         self.assertIn(answer, (JobAnswer.ACCEPTED, JobAnswer.UNKNOWN))
 
@@ -145,7 +136,7 @@
     def test_a_write_that_is_carried_out_during_the_cancel(self) -> None:
         """Guards against a job that runs though the cancel found nothing a moment before."""
         self.submit_late()
-        self.kv.before_commit = self.carry_out_late_writes
+        self.kv.before_commit = self.late_writes.carry_out
         self.assertIs(JobAnswer.ACCEPTED, self.cancel())
         self.assertIn(cancellation_key(POOL, self.job.id), self.kv.items_by_key)
         self.assertEqual((JobAnswer.ACCEPTED, JobState.CANCELLED), self.state())
@@ -380,8 +371,8 @@
         self.assertIs(MarkResult.MARKED, self.put())
         self.assertNotEqual(lease, self.lease())
 
-    def test_a_new_pool_does_not_matter(self) -> None:
-        """Guards against a job that is stored in the pool that its queue has got since."""
+    def test_a_cancelled_job_is_not_stored_in_the_new_pool_of_its_queue(self) -> None:
+        """Guards against a job that runs in the pool that its queue has got since its cancel."""
         self.put()
         moved = replace(self.job, pool=NEW_POOL)
         self.assertIs(JobAnswer.ACCEPTED, self.intake.submit(moved)[0])
--- a/tests/intake/test_waiting_counts.py
+++ b/tests/intake/test_waiting_counts.py
@@ -54,10 +54,7 @@
         self.assertIsNone(self.counts.count(QUEUE))
 
     def test_jobs_that_wait_in_the_former_pool(self) -> None:
-        """Guards against a queue that is shown as empty while jobs wait where it was sent before.
-
-        The host that is asked need not have seen the former configuration.
-        """
+        """Guards against a queue that is shown as empty while jobs wait in its former pool."""
         self.report(POOL, 5)
         self.report(NEW_POOL, 2, others=7)
         self.assertEqual(7, self.count())
--- a/tests/ownership/test_keys_without_lease.py
+++ b/tests/ownership/test_keys_without_lease.py
@@ -275,10 +275,7 @@
         self.assertEqual(0.0, self.registration.valid_until)
 
     def test_a_member_record_is_bound_to_the_lease_that_was_renewed(self) -> None:
-        """Guards against a host that stays a member after its end.
-
-        Its record was written as its lease was dropped by another thread.
-        """
+        """Guards against a host that stays a member after its end, as its record has no lease."""
         pace = iter((1.0,))
         registration = Registration(
             self.kv, ME, ZoneId("holyoke"), 1.0, lambda: next(pace, 0.2), lambda: self.now
--- a/tests/ownership/test_registration.py
+++ b/tests/ownership/test_registration.py
@@ -1,16 +1,13 @@
 """Member records whose writes are carried out late."""
 
-from collections.abc import Callable
-
 import msgspec
-from returns.result import Result
 from testtools import TestCase
 
 from lentilrill.ids import Incarnation, LeaseId, ZoneId
 from lentilrill.ownership import MemberRecord
 from lentilrill.ownership._registration import Registration
 from tests.builders import an_owner_record
-from tests.fakes import FakeKeyValue, lose_request
+from tests.fakes import FakeKeyValue, LateWrites, lose_request
 
 KEY = "m/n/h1"
 
@@ -19,7 +16,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.kv = FakeKeyValue()
-        self.late_writes: list[Callable[[], Result]] = []
+        self.late_writes = LateWrites()
         self.registration = self.new_process(1)
 
     def new_process(self, incarnation: int) -> Registration:
@@ -27,15 +24,9 @@
         me = an_owner_record(incarnation=Incarnation(incarnation))
         return Registration(self.kv, me, ZoneId("holyoke"), 1.0, lambda: 1.0, lambda: 100.0)
 
-    def hold(self, call: Callable[[], Result]) -> Result:
-        """Let a write get no answer, and keep it to be carried out later."""
-        self.late_writes.append(call)
-        return lose_request(call)
-
-    def carry_out_late_writes(self) -> None:
-        self.assertEqual(1, len(self.late_writes))
-        for write in self.late_writes:
-            write()
+    def carry_out_late_write(self) -> None:
+        self.assertEqual(1, len(self.late_writes.held))
+        self.late_writes.carry_out()
 
     def member(self) -> tuple[Incarnation, LeaseId]:
         value = self.kv.items_by_key[KEY].value
@@ -44,29 +35,28 @@
         return record.incarnation, record.lease
 
     def test_a_record_of_an_earlier_lease(self) -> None:
-        """Guards against a host that is hidden from its peers, as an older record replaced its own
-        and ended with its lease."""
-        self.kv.commits.append(self.hold)
+        """Guards against a host that is hidden once an older record in place of its own ends."""
+        self.kv.commits.append(self.late_writes.hold)
         self.registration.register()
         self.assertIsNone(self.registration.lease)
         self.registration.register()
-        self.carry_out_late_writes()
+        self.carry_out_late_write()
         self.assertEqual((1, self.registration.lease), self.member())
 
     def test_a_record_of_the_previous_process(self) -> None:
         """Guards against a host that is shown as its former process, and then not at all."""
-        self.kv.commits.append(self.hold)
+        self.kv.commits.append(self.late_writes.hold)
         self.registration.register()
         self.registration = self.new_process(2)
         self.registration.register()
-        self.carry_out_late_writes()
+        self.carry_out_late_write()
         self.assertEqual((2, self.registration.lease), self.member())
 
     def test_a_record_that_is_carried_out_before_the_next_one(self) -> None:
         """Guards against a host that never registers, as its own earlier record is in the way."""
-        self.kv.commits.append(self.hold)
+        self.kv.commits.append(self.late_writes.hold)
         self.registration.register()
-        self.kv.before_commit = self.carry_out_late_writes
+        self.kv.before_commit = self.carry_out_late_write
         for _ in range(2):
             self.registration.register()
         self.assertEqual((1, self.registration.lease), self.member())
--- a/tests/platform/test_changed_service.py
+++ b/tests/platform/test_changed_service.py
@@ -91,10 +91,7 @@
         self.assertLessEqual({run.endpoint for run in self.runs()}, endpoints)
 
     def test_waiting_jobs_are_counted_after_their_queue_changed_its_pool(self) -> None:
-        """Guards against a queue that is shown as empty while its jobs wait in its former pool.
-
-        Hosts that began after the change count them too.
-        """
+        """Guards against a queue that is shown as empty while its jobs wait in its former pool."""
         waiting = {"spec": "text", "steps": [STEP | {"requires": "no-endpoint-has-it"}]}
         for number in range(WAITING):
             self.assertEqual(200, self.site.submit("front-0", f"/proofs/{number:016x}", waiting))
